Skeleton: workspace, message schema with generated code, core interfaces

Cause: an empty repository; parts built side by side need to meet at interfaces. Ruled out: hand-written message types (drift between ends), one crate (no boundary between decision code and input/output). Conclusion: the crates can be filled in independently.

--- /dev/null
+++ b/crates/millpass-checkers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checkers of what must always hold, over histories of simulated and real runs.
--- /dev/null
+++ b/crates/millpass-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The millpass command.
--- /dev/null
+++ b/crates/millpass-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `millpass` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/millpass-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control member process: disk, links, order delivery, administration API.
--- /dev/null
+++ b/crates/millpass-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! The emulator and experiment tool: fleets, link relays, fault plans, reports.
--- /dev/null
+++ b/crates/millpass-lab/src/main.rs
@@ -0,0 +1,3 @@
+//! The `millpass-lab` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/millpass-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop callers, answer checks, histories and histograms.
--- /dev/null
+++ b/crates/millpass-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Policies in Common Expression Language: compile, check cost, evaluate.
--- /dev/null
+++ b/crates/millpass-proto/src/generated.rs
@@ -0,0 +1,1901 @@
+//! Message types. Generated from `schema/*.yaml` by `cargo xtask generate`; do not edit.
+
+#![allow(unused_imports)]
+use std::collections::BTreeMap as Map;
+use serde::{Serialize, Deserialize};
+use serde_bytes::ByteBuf as Bytes;
+
+
+/// Name of an adapter, unique in the deployment.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AdapterName(pub String);
+
+
+/// Identity of one decided replica: the log index of the command that decided it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct SlotId(pub u64);
+
+
+/// Decides to load or unload an adapter beside a replica.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AdapterDecision {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Adapter.
+    pub adapter: AdapterName,
+}
+
+
+/// Name of a back end (model engine or web server), unique in the deployment.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct BackendName(pub String);
+
+
+/// Whether a back end may take new work.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum BackendState {
+
+    /// May take new work.
+    Live,
+
+    /// Takes no new work; work in flight finishes.
+    Leaving,
+
+    /// Confirmed gone: its process and its memory no longer exist.
+    Gone,
+}
+
+
+/// Random number drawn when a process starts; tells two runs of one process apart.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct Incarnation(pub u64);
+
+
+/// A change of a back end's state, from the platform's machine list or an operator.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct BackendMark {
+
+    /// Name.
+    pub backend: BackendName,
+
+    /// Run it applies to; another run is left alone.
+    pub incarnation: Incarnation,
+
+    /// New state.
+    pub state: BackendState,
+}
+
+
+/// Kind of a back end.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum BackendKind {
+
+    /// A model engine.
+    Engine,
+
+    /// A web server.
+    Web,
+}
+
+
+/// Name of a group of interchangeable web back ends.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct GroupName(pub String);
+
+
+/// Name of a zone, the unit that fails or is cut off together.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ZoneName(pub String);
+
+
+/// A back end as first seen under one incarnation. A registration with a new incarnation frees all that the old one held.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct BackendRegistration {
+
+    /// Name.
+    pub backend: BackendName,
+
+    /// Kind.
+    pub kind: BackendKind,
+
+    /// Group of a web back end.
+    pub group: Option<GroupName>,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// IP address and port of its HTTP interface.
+    pub address: String,
+
+    /// Run of the process.
+    pub incarnation: Incarnation,
+
+    /// Memory of each accelerator, in bytes; empty for a web back end.
+    pub accelerator_bytes: Vec<u64>,
+}
+
+
+/// Role of a model engine.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum EngineRole {
+
+    /// Prefill and decode.
+    Mixed,
+
+    /// Prefill only; exports KV cache.
+    Prefill,
+
+    /// Decode only; imports KV cache.
+    Decode,
+}
+
+
+/// Decides an engine's role.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ChangeRole {
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run of the engine.
+    pub incarnation: Incarnation,
+
+    /// New role.
+    pub role: EngineRole,
+}
+
+
+/// Idempotency key of a request that may not be repeated, scoped by tenant.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ClaimKey(pub String);
+
+
+/// Name of a router process, unique in the deployment.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouterName(pub String);
+
+
+/// Name of a tenant.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct TenantName(pub String);
+
+
+/// Claims the one run of a request that may not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ClaimBegin {
+
+    /// Tenant; keys of two tenants never meet.
+    pub tenant: TenantName,
+
+    /// Idempotency key.
+    pub key: ClaimKey,
+
+    /// BLAKE3 hash (hex) of method, path and body; the same key with another digest is refused.
+    pub digest: String,
+
+    /// When the key was born, as the key itself says.
+    pub born_unix_millis: u64,
+
+    /// Router that will dispatch.
+    pub router: RouterName,
+
+    /// Run of that router.
+    pub router_incarnation: Incarnation,
+
+    /// Number of the request within that run; a resend of the claim carries the same one.
+    pub attempt: u64,
+
+    /// Wall-clock time at the leader that proposed it; state keeps the greatest seen.
+    pub at_unix_millis: u64,
+}
+
+
+/// The recorded answer of a request that ran.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RecordedAnswer {
+
+    /// HTTP status.
+    pub status: u32,
+
+    /// Content type.
+    pub content_type: String,
+
+    /// Body, bounded by the setting `claims.maximum_answer_bytes`.
+    pub body: Bytes,
+}
+
+
+/// How a claimed run ended.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ClaimConclusion {
+
+    /// It ran and this is its answer.
+    Answered(RecordedAnswer),
+
+    /// No byte reached a back end; the claim is released and the key may be used again.
+    NotRun,
+
+    /// It may have run; it is never run again.
+    Unknown,
+}
+
+
+/// Ends a claim.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ClaimFinish {
+
+    /// Tenant.
+    pub tenant: TenantName,
+
+    /// Key.
+    pub key: ClaimKey,
+
+    /// Router that held it.
+    pub router: RouterName,
+
+    /// Run of that router.
+    pub router_incarnation: Incarnation,
+
+    /// Number of the request within that run.
+    pub attempt: u64,
+
+    /// How it ended.
+    pub conclusion: ClaimConclusion,
+}
+
+
+/// Forgets claims born before a time; younger keys only are accepted from then on.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ExpireClaims {
+
+    /// Threshold; never goes back.
+    pub born_before_unix_millis: u64,
+}
+
+
+/// Caller-chosen identity of one configuration change; a resend carries the same one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ChangeId(pub String);
+
+
+/// Kind of a catalog object.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ObjectKind {
+
+    /// A tenant.
+    Tenant,
+
+    /// A model.
+    Model,
+
+    /// A version of a model; its object name is `model@label`.
+    Version,
+
+    /// An adapter of a model.
+    Adapter,
+
+    /// A group of web back ends.
+    BackendGroup,
+
+    /// A policy.
+    Policy,
+
+    /// An operator account.
+    Operator,
+}
+
+
+/// Kind and name of a catalog object.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ObjectKey {
+
+    /// Kind.
+    pub kind: ObjectKind,
+
+    /// Name, unique within the kind.
+    pub name: String,
+}
+
+
+/// Name of a model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ModelName(pub String);
+
+
+/// An adapter loaded beside a model's weights.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AdapterSpec {
+
+    /// Model it adapts.
+    pub model: ModelName,
+
+    /// Accelerator memory it takes.
+    pub bytes: u64,
+
+    /// Name of the checkpoint in the weight store.
+    pub checkpoint: String,
+}
+
+
+/// A group of web back ends reached under one path prefix.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct BackendGroupSpec {
+
+    /// Requests whose path starts with it go to this group.
+    pub path_prefix: String,
+
+    /// Path prefixes whose requests run at most once and need an idempotency key.
+    pub non_repeatable_paths: Vec<String>,
+}
+
+
+/// Label of one version of a model, unique within the model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct VersionLabel(pub String);
+
+
+/// What an operator states of a model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ModelSpec {
+
+    /// Version that new replicas load.
+    pub current_version: VersionLabel,
+
+    /// Accelerators one replica spans, from 1.
+    pub accelerators_per_replica: u32,
+
+    /// Upper bound of decided replicas.
+    pub maximum_replicas: u32,
+
+    /// Replicas kept loaded without demand.
+    pub minimum_replicas: u32,
+
+    /// Requests one replica serves at once.
+    pub concurrency_per_replica: u32,
+}
+
+
+/// What an operator account may do.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum OperatorRole {
+
+    /// Read.
+    Viewer,
+
+    /// Read and change the catalog.
+    Editor,
+
+    /// Everything, with operator accounts and membership.
+    Administrator,
+}
+
+
+/// An operator account.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct OperatorSpec {
+
+    /// BLAKE3 hash (hex) of the operator's key.
+    pub key_hash: String,
+
+    /// What the account may do.
+    pub role: OperatorRole,
+}
+
+
+/// One example case of a policy.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PolicyExample {
+
+    /// Tenant of the request.
+    pub tenant: TenantName,
+
+    /// Model asked for.
+    pub model: ModelName,
+
+    /// Adapter asked for.
+    pub adapter: Option<AdapterName>,
+
+    /// Kind of request: `completion`, `chat` or `web`.
+    pub kind: String,
+
+    /// Expected verdict.
+    pub allowed: bool,
+}
+
+
+/// A policy: three short programs in Common Expression Language.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PolicySpec {
+
+    /// Boolean expression: whether the request is allowed. Some policy must allow; otherwise it is refused.
+    pub allow: String,
+
+    /// Boolean expression: a request it holds for is refused whatever other policies allow.
+    pub deny: Option<String>,
+
+    /// Expression giving `interactive`, `normal` or `batch`; the first policy by name that allows and states one decides.
+    pub urgency: Option<String>,
+
+    /// Expression giving the accelerator bytes the tenant may hold; the smallest over allowing policies counts.
+    pub capacity_bytes: Option<String>,
+
+    /// Cases tried when the policy is submitted; a failing case rejects it.
+    pub examples: Vec<PolicyExample>,
+}
+
+
+/// What an operator states of a tenant.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct TenantSpec {
+
+    /// BLAKE3 hashes (hex) of the tenant's API keys; keys are never stored.
+    pub api_key_hashes: Vec<String>,
+
+    /// Weight of the tenant's fair share of a contended queue, from 1.
+    pub share_weight: u32,
+
+    /// Accelerator bytes that models loaded for this tenant alone may hold.
+    pub capacity_bytes: u64,
+
+    /// Requests of this tenant that may wait at one router.
+    pub maximum_waiting: u32,
+}
+
+
+/// One version of a model's weights.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct VersionSpec {
+
+    /// Model it belongs to.
+    pub model: ModelName,
+
+    /// Label.
+    pub label: VersionLabel,
+
+    /// Size of the weights, over all accelerators of a replica.
+    pub weights_bytes: u64,
+
+    /// Memory reserved beside the weights for prefix and KV cache.
+    pub cache_bytes: u64,
+
+    /// Name of the checkpoint in the weight store.
+    pub checkpoint: String,
+}
+
+
+/// What an operator states of one catalog object.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ObjectSpec {
+
+    /// A tenant.
+    Tenant(TenantSpec),
+
+    /// A model.
+    Model(ModelSpec),
+
+    /// A version of a model.
+    Version(VersionSpec),
+
+    /// An adapter.
+    Adapter(AdapterSpec),
+
+    /// A group of web back ends.
+    BackendGroup(BackendGroupSpec),
+
+    /// A policy.
+    Policy(PolicySpec),
+
+    /// An operator account.
+    Operator(OperatorSpec),
+}
+
+
+/// Name of an operator account.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct OperatorName(pub String);
+
+
+/// One change of one catalog object, as submitted.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ObjectChange {
+
+    /// Object to change.
+    pub key: ObjectKey,
+
+    /// Version the operator saw; 0 for an object that must not exist. A mismatch changes nothing.
+    pub expected_version: u64,
+
+    /// Identity of the change; a resend gets the first answer.
+    pub change_id: ChangeId,
+
+    /// Who submits it.
+    pub operator: OperatorName,
+
+    /// Wall-clock time at the member that took it, for the audit log only.
+    pub at_unix_millis: u64,
+
+    /// New content; none deletes the object.
+    pub spec: Option<ObjectSpec>,
+}
+
+
+/// Position of an entry in a replicated log. Ordered by term, then index; serves as the fence of an order.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct LogPosition {
+
+    /// Election term of the leader that wrote the entry.
+    pub term: u64,
+
+    /// Index of the entry, from 1.
+    pub index: u64,
+}
+
+
+/// What an engine reported of an order.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum OrderResult {
+
+    /// Weights or adapter are loaded.
+    Loaded,
+
+    /// Weights or adapter are gone and their memory is free.
+    Unloaded,
+
+    /// The load failed and holds no memory; reason.
+    Failed(String),
+}
+
+
+/// An order's result as confirmed by the engine. Ignored unless incarnation and fence match the outstanding order.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct OrderSettlement {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Adapter, for an adapter order.
+    pub adapter: Option<AdapterName>,
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run of the engine.
+    pub incarnation: Incarnation,
+
+    /// Fence of the order that is settled.
+    pub fence: LogPosition,
+
+    /// Result.
+    pub result: OrderResult,
+}
+
+
+/// Decides one more replica and reserves its memory. Refused at apply when the slot count differs from the expected one, when the maximum is reached, when memory lacks, or when the engine is not live under this incarnation.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PlaceReplica {
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Version.
+    pub version: VersionLabel,
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run of the engine.
+    pub incarnation: Incarnation,
+
+    /// Accelerators to span.
+    pub accelerators: Vec<u32>,
+
+    /// Slots of the model the proposer saw, in every phase.
+    pub expected_slots: u32,
+}
+
+
+/// Decides to unload a replica. Its memory stays reserved until the engine confirms.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RetireReplica {
+
+    /// Slot.
+    pub slot: SlotId,
+}
+
+
+/// A command of the replicated log.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum Command {
+
+    /// Change the catalog.
+    ChangeObject(ObjectChange),
+
+    /// Register a run of a back end.
+    RegisterBackend(BackendRegistration),
+
+    /// Change a back end's state.
+    MarkBackend(BackendMark),
+
+    /// Decide a replica.
+    PlaceReplica(PlaceReplica),
+
+    /// Decide an unload.
+    RetireReplica(RetireReplica),
+
+    /// Decide an adapter load.
+    AttachAdapter(AdapterDecision),
+
+    /// Decide an adapter unload.
+    DetachAdapter(AdapterDecision),
+
+    /// Record an order's result.
+    SettleOrder(OrderSettlement),
+
+    /// Claim a run.
+    BeginClaim(ClaimBegin),
+
+    /// End a claim.
+    FinishClaim(ClaimFinish),
+
+    /// Forget old claims.
+    ExpireClaims(ExpireClaims),
+
+    /// Decide a role.
+    ChangeRole(ChangeRole),
+}
+
+
+/// Life of a decided replica. It counts, with its memory, from decision to release.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ReplicaPhase {
+
+    /// Decided; the load order is outstanding.
+    Loading,
+
+    /// The engine confirmed the load.
+    Loaded,
+
+    /// Retired; the unload order is outstanding. Not routed to.
+    Unloading,
+}
+
+
+/// A replica a router may dispatch to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ReplicaRoute {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Version.
+    pub version: VersionLabel,
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run of the engine.
+    pub incarnation: Incarnation,
+
+    /// IP address and port.
+    pub address: String,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// Role of the engine.
+    pub role: EngineRole,
+
+    /// Phase; only `Loaded` takes requests, `Loading` is told so waits can be estimated.
+    pub phase: ReplicaPhase,
+
+    /// The engine is leaving: no new work.
+    pub leaving: bool,
+
+    /// Adapters loaded beside it.
+    pub adapters: Vec<AdapterName>,
+
+    /// Requests it serves at once.
+    pub concurrency: u32,
+}
+
+
+/// Life of an adapter beside a replica.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum AdapterPhase {
+
+    /// Decided; the load order is outstanding.
+    Loading,
+
+    /// The engine confirmed it.
+    Loaded,
+
+    /// The unload order is outstanding.
+    Unloading,
+}
+
+
+/// An adapter decided for a replica; its memory counts until the unload is confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AdapterAttachment {
+
+    /// Adapter.
+    pub adapter: AdapterName,
+
+    /// Memory reserved.
+    pub bytes: u64,
+
+    /// Phase.
+    pub phase: AdapterPhase,
+
+    /// Fence of the outstanding or last order.
+    pub fence: LogPosition,
+}
+
+
+/// One decided replica of a model: a slot.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct Replica {
+
+    /// Identity.
+    pub slot: SlotId,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Version of the weights.
+    pub version: VersionLabel,
+
+    /// Engine it is on.
+    pub backend: BackendName,
+
+    /// Run of that engine.
+    pub incarnation: Incarnation,
+
+    /// Indices of the accelerators it spans.
+    pub accelerators: Vec<u32>,
+
+    /// Memory reserved for weights, over all its accelerators.
+    pub weights_bytes: u64,
+
+    /// Memory reserved for caches, over all its accelerators.
+    pub cache_bytes: u64,
+
+    /// Checkpoint to load.
+    pub checkpoint: String,
+
+    /// Phase.
+    pub phase: ReplicaPhase,
+
+    /// Fence of the outstanding or last order.
+    pub fence: LogPosition,
+
+    /// Adapters beside the weights.
+    pub adapters: Vec<AdapterAttachment>,
+}
+
+
+/// Where an engine's machine has a checkpoint.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum CheckpointTier {
+
+    /// Only in the weight store.
+    Remote,
+
+    /// On the machine's disk.
+    Disk,
+
+    /// In the machine's memory.
+    Memory,
+}
+
+
+/// A checkpoint cached on the engine's machine.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CheckpointReport {
+
+    /// Checkpoint.
+    pub checkpoint: String,
+
+    /// Where it is.
+    pub tier: CheckpointTier,
+}
+
+
+/// Phase of a slot as the engine sees it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum EngineSlotPhase {
+
+    /// Loading.
+    Loading,
+
+    /// Loaded.
+    Loaded,
+
+    /// Unloading.
+    Unloading,
+
+    /// Gone; reported until a later order supersedes it.
+    Unloaded,
+
+    /// The load failed; holds no memory.
+    Failed(String),
+}
+
+
+/// An adapter as the engine sees it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineAdapterReport {
+
+    /// Adapter.
+    pub adapter: AdapterName,
+
+    /// Fence of the last order on it.
+    pub fence: LogPosition,
+
+    /// Phase.
+    pub phase: EngineSlotPhase,
+}
+
+
+/// A slot as the engine sees it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineSlotReport {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Version.
+    pub version: VersionLabel,
+
+    /// Fence of the last order on it.
+    pub fence: LogPosition,
+
+    /// Phase.
+    pub phase: EngineSlotPhase,
+
+    /// Adapters.
+    pub adapters: Vec<EngineAdapterReport>,
+
+    /// Requests in the running batch.
+    pub running: u32,
+
+    /// Requests waiting inside the engine.
+    pub waiting: u32,
+}
+
+
+/// An engine's load report, taken some time before it is read. GET /engine/report.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineReport {
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run.
+    pub incarnation: Incarnation,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// Role.
+    pub role: EngineRole,
+
+    /// Number of the report within the run; grows.
+    pub sequence: u64,
+
+    /// Highest fence accepted when the report was taken.
+    pub highest_fence: LogPosition,
+
+    /// Memory of each accelerator.
+    pub accelerator_bytes: Vec<u64>,
+
+    /// Memory in use on each.
+    pub used_bytes: Vec<u64>,
+
+    /// Slots.
+    pub slots: Vec<EngineSlotReport>,
+
+    /// Checkpoints in memory or on disk.
+    pub checkpoints: Vec<CheckpointReport>,
+}
+
+
+/// Identity of one member of a control group. A member whose disk was lost comes back under a new identity.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct MemberId(pub u64);
+
+
+/// A member and where it listens.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct MemberAddress {
+
+    /// Identity.
+    pub member: MemberId,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// IP address and port for members and routers.
+    pub peer_address: String,
+
+    /// IP address and port of the administration API.
+    pub administration_address: String,
+}
+
+
+/// Members of a group. While `outgoing_voters` is not empty the group is in joint consensus: both sets need a majority.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct Membership {
+
+    /// Voters of the newer set.
+    pub voters: Vec<MemberAddress>,
+
+    /// Voters of the older set during a change; else empty.
+    pub outgoing_voters: Vec<MemberAddress>,
+
+    /// Members that receive the log and do not vote.
+    pub learners: Vec<MemberAddress>,
+}
+
+
+/// What a log entry holds.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum EntryPayload {
+
+    /// Written by a new leader to commit what came before.
+    Noop,
+
+    /// A change of members; in force as soon as it is appended.
+    Membership(Membership),
+
+    /// A command.
+    Command(Command),
+}
+
+
+/// One entry of the replicated log.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct LogEntry {
+
+    /// Term and index.
+    pub position: LogPosition,
+
+    /// Content.
+    pub payload: EntryPayload,
+}
+
+
+/// Replicates entries; empty ones are heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AppendRequest {
+
+    /// Position of the entry before the first.
+    pub previous: LogPosition,
+
+    /// Entries, in order.
+    pub entries: Vec<LogEntry>,
+
+    /// Leader's commit index.
+    pub commit: u64,
+
+    /// Number of the heartbeat round, echoed; lets the leader count its lease from the sending time.
+    pub sequence: u64,
+}
+
+
+/// Answers an append request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AppendResponse {
+
+    /// Whether `previous` matched.
+    pub accepted: bool,
+
+    /// Last index known to match and synced; when refused, where the leader should try from.
+    pub match_index: u64,
+
+    /// Echo.
+    pub sequence: u64,
+}
+
+
+/// What a snapshot covers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct SnapshotMeta {
+
+    /// Last entry it includes.
+    pub last: LogPosition,
+
+    /// Membership at that entry.
+    pub membership: Membership,
+}
+
+
+/// One piece of a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct SnapshotChunk {
+
+    /// What the snapshot covers.
+    pub meta: SnapshotMeta,
+
+    /// Byte offset of this piece.
+    pub offset: u64,
+
+    /// Piece.
+    pub data: Bytes,
+
+    /// Whether it is the last piece.
+    pub last_chunk: bool,
+}
+
+
+/// Answers a snapshot piece.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct SnapshotProgress {
+
+    /// Snapshot it answers.
+    pub last: LogPosition,
+
+    /// Offset wanted next.
+    pub next_offset: u64,
+
+    /// The snapshot is whole, synced and applied.
+    pub installed: bool,
+}
+
+
+/// Asks for a vote.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct VoteRequest {
+
+    /// Last entry of the candidate's log.
+    pub last: LogPosition,
+
+    /// Sent at a leader's wish: leases of that leader do not stand against it.
+    pub leadership_transfer: bool,
+}
+
+
+/// Answers a vote request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct VoteResponse {
+
+    /// Whether the vote was given.
+    pub granted: bool,
+}
+
+
+/// A message between members.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum PeerMessage {
+
+    /// Would you vote for me in the next term?
+    PreVoteRequest(VoteRequest),
+
+    /// Answer.
+    PreVoteResponse(VoteResponse),
+
+    /// Vote for me.
+    VoteRequest(VoteRequest),
+
+    /// Answer.
+    VoteResponse(VoteResponse),
+
+    /// Entries or heartbeat.
+    AppendRequest(AppendRequest),
+
+    /// Answer.
+    AppendResponse(AppendResponse),
+
+    /// Piece of a snapshot.
+    SnapshotChunk(SnapshotChunk),
+
+    /// Answer.
+    SnapshotProgress(SnapshotProgress),
+
+    /// Start an election at once (leadership transfer).
+    TimeoutNow,
+}
+
+
+/// Load an adapter.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct LoadAdapterOrder {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Adapter.
+    pub adapter: AdapterName,
+
+    /// Memory it takes.
+    pub bytes: u64,
+
+    /// Checkpoint in the weight store.
+    pub checkpoint: String,
+}
+
+
+/// Load weights.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct LoadModelOrder {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Version.
+    pub version: VersionLabel,
+
+    /// Accelerators to span.
+    pub accelerators: Vec<u32>,
+
+    /// Memory for weights, over all accelerators.
+    pub weights_bytes: u64,
+
+    /// Memory for caches, over all accelerators.
+    pub cache_bytes: u64,
+
+    /// Checkpoint in the weight store.
+    pub checkpoint: String,
+}
+
+
+/// Unload an adapter.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct UnloadAdapterOrder {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Adapter.
+    pub adapter: AdapterName,
+}
+
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum OrderAction {
+
+    /// Load weights.
+    LoadModel(LoadModelOrder),
+
+    /// Unload weights and everything beside them.
+    UnloadModel(SlotId),
+
+    /// Load an adapter beside a replica.
+    LoadAdapter(LoadAdapterOrder),
+
+    /// Unload an adapter.
+    UnloadAdapter(UnloadAdapterOrder),
+
+    /// Change role.
+    ChangeRole(EngineRole),
+}
+
+
+/// Counter of changes to routes; grows by one with each command that changes one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PlacementRevision(pub u64);
+
+
+/// A web back end a router may dispatch to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct WebRoute {
+
+    /// Back end.
+    pub backend: BackendName,
+
+    /// Group.
+    pub group: GroupName,
+
+    /// Run.
+    pub incarnation: Incarnation,
+
+    /// IP address and port.
+    pub address: String,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// It is leaving: no new work.
+    pub leaving: bool,
+}
+
+
+/// Route changes between two revisions.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PlacementDelta {
+
+    /// Applies to routes at this revision; 0 with `full`.
+    pub from: PlacementRevision,
+
+    /// Revision after applying it.
+    pub to: PlacementRevision,
+
+    /// The routes are all there are and replace what is held.
+    pub full: bool,
+
+    /// Replicas new or changed.
+    pub replicas: Vec<ReplicaRoute>,
+
+    /// Web back ends new or changed.
+    pub web: Vec<WebRoute>,
+
+    /// Replicas no longer there.
+    pub removed_slots: Vec<SlotId>,
+
+    /// Web back ends no longer there.
+    pub removed_backends: Vec<BackendName>,
+}
+
+
+/// One machine of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PlatformMachine {
+
+    /// Back end on it.
+    pub backend: BackendName,
+
+    /// Kind.
+    pub kind: BackendKind,
+
+    /// Group of a web back end.
+    pub group: Option<GroupName>,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// IP address and port of its HTTP interface.
+    pub address: String,
+
+    /// State; the list lags.
+    pub state: BackendState,
+}
+
+
+/// Counter of accepted catalog changes; grows by one with each.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ConfigurationRevision(pub u64);
+
+
+/// One accepted change in the audit log.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AuditRecord {
+
+    /// Revision.
+    pub revision: ConfigurationRevision,
+
+    /// Object.
+    pub key: ObjectKey,
+
+    /// Version of the object after the change.
+    pub version: u64,
+
+    /// Identity of the change.
+    pub change_id: ChangeId,
+
+    /// Who submitted it.
+    pub operator: OperatorName,
+
+    /// Wall-clock time at the member that took it.
+    pub at_unix_millis: u64,
+
+    /// Whether the change deleted the object.
+    pub deleted: bool,
+}
+
+
+/// A fenced order. POST /engine/orders. An engine refuses a fence below the highest it accepted, and another incarnation than its own; the same fence again is answered as the first time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineOrder {
+
+    /// Fence.
+    pub fence: LogPosition,
+
+    /// Engine it is for.
+    pub backend: BackendName,
+
+    /// Run of the engine it is for.
+    pub incarnation: Incarnation,
+
+    /// What to do.
+    pub action: OrderAction,
+}
+
+
+/// Identity of one consensus group. Every internal message carries it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct GroupId(pub u32);
+
+
+/// First message on a router's connection.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouterHello {
+
+    /// Group.
+    pub group: GroupId,
+
+    /// Router.
+    pub router: RouterName,
+
+    /// Run of the router.
+    pub incarnation: Incarnation,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// IP address and port of its caller API.
+    pub address: String,
+}
+
+
+/// A web back end's load report. GET /web/report.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct WebReport {
+
+    /// Web back end.
+    pub backend: BackendName,
+
+    /// Run.
+    pub incarnation: Incarnation,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// Number of the report within the run; grows.
+    pub sequence: u64,
+
+    /// Requests running.
+    pub running: u32,
+}
+
+
+/// What a router saw of a back end it watches.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum BackendObservation {
+
+    /// An engine's report.
+    Engine(EngineReport),
+
+    /// A web back end's report.
+    Web(WebReport),
+
+    /// No answer since some time.
+    Unreachable(BackendName),
+}
+
+
+/// How urgent a request is; the first is the most urgent.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum Urgency {
+
+    /// Somebody waits at the counter.
+    Interactive,
+
+    /// Ordinary.
+    Normal,
+
+    /// Can wait.
+    Batch,
+}
+
+
+/// Demand for one model, or model with adapter, at one router.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ModelDemand {
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Adapter.
+    pub adapter: Option<AdapterName>,
+
+    /// Requests waiting for a replica.
+    pub waiting: u32,
+
+    /// Requests dispatched and not ended.
+    pub in_flight: u32,
+
+    /// Requests arrived since the router started.
+    pub arrivals: u64,
+
+    /// Age of the oldest waiting request.
+    pub oldest_wait_millis: u64,
+
+    /// Most urgent of those waiting; `Batch` when none waits.
+    pub most_urgent: Urgency,
+}
+
+
+/// A router's periodic report; doubles as its heartbeat and lease request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouterReport {
+
+    /// Number within the run; grows. Echoed in the update.
+    pub sequence: u64,
+
+    /// Catalog revision applied.
+    pub configuration: ConfigurationRevision,
+
+    /// Route revision applied.
+    pub placement: PlacementRevision,
+
+    /// Demand, only models with waiting, in-flight or new arrivals.
+    pub demand: Vec<ModelDemand>,
+
+    /// Reports that differ from those last acknowledged.
+    pub observations: Vec<BackendObservation>,
+
+    /// The router is stopping and takes no new requests.
+    pub draining: bool,
+}
+
+
+/// Asks for a claim. The control group fills in its own time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ClaimRequest {
+
+    /// Claim.
+    pub claim: ClaimBegin,
+}
+
+
+/// A message from a router to a control member.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum RouterToControl {
+
+    /// First message.
+    Hello(RouterHello),
+
+    /// Periodic report.
+    Report(RouterReport),
+
+    /// Ask for a claim.
+    Claim(ClaimRequest),
+
+    /// End a claim; answered with `ClaimFinished`.
+    FinishClaim(ClaimFinish),
+}
+
+
+/// A catalog object as stored.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct StoredObject {
+
+    /// Kind and name.
+    pub key: ObjectKey,
+
+    /// Version of this object: 1 when created, one more with each change. Continues over delete and re-creation.
+    pub version: u64,
+
+    /// Revision of the catalog at which it last changed.
+    pub revision: ConfigurationRevision,
+
+    /// What it states.
+    pub spec: ObjectSpec,
+}
+
+
+/// Catalog changes between two revisions.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ConfigurationDelta {
+
+    /// Applies to a catalog at this revision; 0 with `full`.
+    pub from: ConfigurationRevision,
+
+    /// Revision after applying it.
+    pub to: ConfigurationRevision,
+
+    /// The objects are the whole catalog and replace what is held.
+    pub full: bool,
+
+    /// Objects created or changed, in order of revision.
+    pub objects: Vec<StoredObject>,
+
+    /// Objects deleted.
+    pub removed: Vec<ObjectKey>,
+}
+
+
+/// What the leader expects of a model that has waiting requests.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct LoadOutlook {
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Estimated time until a replica serves; the router refuses at once those whose deadline is earlier.
+    pub ready_in_millis: u64,
+
+    /// Whether a replica can be placed at all as things stand.
+    pub placeable: bool,
+}
+
+
+/// A back end that this router watches for the control group.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct WatchedBackend {
+
+    /// Back end.
+    pub backend: BackendName,
+
+    /// Kind.
+    pub kind: BackendKind,
+
+    /// IP address and port.
+    pub address: String,
+}
+
+
+/// The back ends a router watches.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct WatchList {
+
+    /// Back ends.
+    pub backends: Vec<WatchedBackend>,
+}
+
+
+/// Answer of the leader to a report: leases, changes, and the share to watch.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouterUpdate {
+
+    /// Leader's term; an update of a lower term than seen is ignored.
+    pub term: u64,
+
+    /// Report it answers; the lease counts from when that report was sent, by the router's own clock.
+    pub sequence: u64,
+
+    /// How long catalog and routes may be used.
+    pub lease_millis: u64,
+
+    /// Catalog changes, if any.
+    pub configuration: Option<ConfigurationDelta>,
+
+    /// Route changes, if any.
+    pub placement: Option<PlacementDelta>,
+
+    /// The whole share to watch, when it changed.
+    pub watch: Option<WatchList>,
+
+    /// Outlook of the models the report has waiting requests for.
+    pub outlook: Vec<LoadOutlook>,
+
+    /// Keys born before are expired.
+    pub claims_born_after_unix_millis: u64,
+}
+
+
+/// Answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ClaimDecision {
+
+    /// This attempt, and no other, may dispatch once.
+    Granted,
+
+    /// It ran before; this is the answer.
+    Answered(RecordedAnswer),
+
+    /// Another attempt holds the claim.
+    InProgress,
+
+    /// An earlier attempt may have run; it is not run again.
+    MayHaveRun,
+
+    /// The key was used for another request.
+    DigestMismatch,
+
+    /// The key is older than claims are kept; nothing was run.
+    Expired,
+}
+
+
+/// An accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ChangeAccepted {
+
+    /// New version of the object.
+    pub version: u64,
+
+    /// Revision of the catalog that holds it.
+    pub revision: ConfigurationRevision,
+}
+
+
+/// A change that lost a race.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct VersionConflict {
+
+    /// Version of the object now; 0 if it does not exist.
+    pub current_version: u64,
+}
+
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ObjectChangeOutcome {
+
+    /// Committed; it never reverts.
+    Accepted(ChangeAccepted),
+
+    /// Somebody else changed the object first; nothing was changed.
+    VersionConflict(VersionConflict),
+
+    /// Invalid or refers to something that does not exist; reason and remedy.
+    Rejected(String),
+}
+
+
+/// What applying a command did.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum CommandOutcome {
+
+    /// Applied.
+    Done,
+
+    /// No effect: it no longer fits the state; reason.
+    Ignored(String),
+
+    /// A replica was decided.
+    Placed(SlotId),
+
+    /// Outcome of a catalog change.
+    Object(ObjectChangeOutcome),
+
+    /// Decision on a claim.
+    Claim(ClaimDecision),
+}
+
+
+/// Answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ClaimAnswer {
+
+    /// Attempt it answers.
+    pub attempt: u64,
+
+    /// Decision.
+    pub decision: ClaimDecision,
+}
+
+
+/// Where the leader is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct NotLeader {
+
+    /// Peer address of the leader, if known.
+    pub leader_address: Option<String>,
+}
+
+
+/// A message from a control member to a router.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ControlToRouter {
+
+    /// Answer to a report.
+    Update(RouterUpdate),
+
+    /// Answer to a claim; committed before it is sent.
+    Claim(ClaimAnswer),
+
+    /// The end of this attempt's claim is committed.
+    ClaimFinished(u64),
+
+    /// This member does not lead; nothing was done.
+    NotLeader(NotLeader),
+}
+
+
+/// A message with its addresses.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PeerEnvelope {
+
+    /// Group; a message for another group is dropped.
+    pub group: GroupId,
+
+    /// Sender.
+    pub from: MemberId,
+
+    /// Receiver; a message for another identity is dropped.
+    pub to: MemberId,
+
+    /// Sender's term (for a pre-vote request: the term it would campaign in).
+    pub term: u64,
+
+    /// Message.
+    pub message: PeerMessage,
+}
+
+
+/// Any first message on a control member's port: from a peer or from a router.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum LinkMessage {
+
+    /// From a member.
+    Peer(PeerEnvelope),
+
+    /// From a router.
+    Router(RouterToControl),
+
+    /// From a process that wants to become a member under this new identity.
+    Join(MemberAddress),
+}
+
+
+/// An engine's answer to an order. Acceptance is not completion: the report tells.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum OrderAnswer {
+
+    /// Taken, now or earlier.
+    Accepted,
+
+    /// Refused; the highest fence accepted.
+    StaleFence(LogPosition),
+
+    /// Refused; the engine's run.
+    WrongIncarnation(Incarnation),
+
+    /// Refused for another reason; nothing was done.
+    Rejected(String),
+}
+
+
+/// What a member must have synced before it answers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct HardState {
+
+    /// Latest term seen.
+    pub term: u64,
+
+    /// Member voted for in that term.
+    pub voted_for: Option<MemberId>,
+}
+
+
+/// The platform's list of machines. GET /machines.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PlatformList {
+
+    /// Grows with every change.
+    pub sequence: u64,
+
+    /// Machines; one missing that was listed before is gone.
+    pub machines: Vec<PlatformMachine>,
+}
+
+
+/// The state machine up to one entry.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct Snapshot {
+
+    /// What it covers.
+    pub meta: SnapshotMeta,
+
+    /// Encoded state.
+    pub data: Bytes,
+}
+
+
+/// Name of a policy.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PolicyName(pub String);
+
--- /dev/null
+++ b/crates/millpass-router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router process: caller API, dispatch, streaming, link to the control group.
--- /dev/null
+++ b/crates/millpass-sim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic simulator: the decision code in virtual time under faults.
--- /dev/null
+++ b/crates/millpass-sim/src/main.rs
@@ -0,0 +1,3 @@
+//! The `millpass-sim` command.
+
+fn main() {}
