millpass-http: streaming HTTP server over hyper and smol

Cause: the router and the stand-ins need token streaming with hang-up notice, which the house's first choice, astra, is not laid out for; hyper over smol is its nearest kin. Ruled out: own parsing of HTTP; waiting for a failed write to see a hang-up (a request waiting in a queue writes nothing): hyper drops the service future when a read ends, and that sets the flag. Change: Server, ServerHandle (drain, stop), Handler on a pool grown on demand, Responder, BodyWriter over a bounded channel, GoneFlag with callbacks, limits with documented answers. Conclusion: usable by the stand-ins and the router.

--- a/crates/millpass-http/src/lib.rs
+++ b/crates/millpass-http/src/lib.rs
@@ -4,6 +4,17 @@
 //! [`Handler`], which runs on a bounded crossbeam worker pool and may block. A streamed body is a
 //! bounded channel: the handler's writes wait for the caller, and fail at once when it hangs up.
 
+mod answer;
+mod body;
+mod connection;
+mod gone;
 pub mod interface;
+mod pool;
+mod responder;
+mod server;
 
+pub use body::BodyWriter;
+pub use gone::GoneFlag;
 pub use interface::*;
+pub use responder::{Handler, Responder};
+pub use server::{DrainReport, Server, ServerError, ServerHandle};
--- /dev/null
+++ b/crates/millpass-http/tests/serving.rs
@@ -0,0 +1,277 @@
+//! Whole answers, limits, drain and stop.
+
+mod common;
+
+use common::{Caller, PATIENCE, header, start, wait_until};
+use crossbeam::channel::{bounded, unbounded};
+use http::StatusCode;
+use millpass_http::{Request, Responder, Response, Server, ServerSettings};
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn echo(request: Request, answer: Responder) {
+    let text = String::from_utf8_lossy(&request.body).into_owned();
+    answer.send(Response::text(
+        StatusCode::OK,
+        format!("{} {} {text}", request.method, request.uri),
+    ));
+}
+
+#[test]
+fn many_requests_go_over_one_connection() {
+    let server = start(ServerSettings::default(), echo);
+    let mut caller = Caller::connect(server.local_address());
+    for index in 0..20 {
+        caller.post(&format!("/{index}?q=1"), "hello");
+        let answer = caller.read_answer();
+        assert_eq!(answer.body, format!("POST /{index}?q=1 hello"));
+    }
+}
+
+#[test]
+fn an_unanswered_request_gets_500() {
+    let server = start(
+        ServerSettings::default(),
+        |_: Request, answer: Responder| drop(answer),
+    );
+    let mut caller = Caller::connect(server.local_address());
+    caller.get("/");
+    let answer = caller.read_answer();
+    assert_eq!(answer.status, 500);
+    assert_eq!(
+        header(&answer.head, "millpass-executed").as_deref(),
+        Some("unknown")
+    );
+}
+
+#[test]
+fn a_panicking_handler_gets_500_and_the_server_goes_on() {
+    let settings = ServerSettings {
+        handler_threads: 1,
+        ..ServerSettings::default()
+    };
+    let server = start(settings, |request: Request, answer: Responder| {
+        assert!(request.uri.path() != "/panic", "on purpose");
+        echo(request, answer);
+    });
+    let mut caller = Caller::connect(server.local_address());
+    caller.get("/panic");
+    assert_eq!(caller.read_answer().status, 500);
+    caller.get("/fine");
+    assert_eq!(caller.read_answer().status, 200);
+}
+
+#[test]
+fn one_handler_thread_serves_many_callers_in_turn() {
+    let settings = ServerSettings {
+        handler_threads: 1,
+        ..ServerSettings::default()
+    };
+    let server = start(settings, echo);
+    let mut callers: Vec<Caller> = (0..16)
+        .map(|_| Caller::connect(server.local_address()))
+        .collect();
+    callers.iter_mut().for_each(|caller| caller.get("/"));
+    assert!(
+        callers
+            .iter_mut()
+            .all(|caller| caller.read_answer().status == 200)
+    );
+}
+
+#[test]
+fn handler_threads_grow_until_every_request_is_handled() {
+    let (arrived, arrivals) = unbounded();
+    let (release, released) = unbounded::<()>();
+    let server = start(
+        ServerSettings::default(),
+        move |_: Request, answer: Responder| {
+            arrived.send(()).unwrap();
+            released.recv_timeout(PATIENCE).unwrap();
+            answer.send(Response::text(StatusCode::OK, ""));
+        },
+    );
+    let mut callers: Vec<Caller> = (0..50)
+        .map(|_| Caller::connect(server.local_address()))
+        .collect();
+    callers.iter_mut().for_each(|caller| caller.get("/"));
+    for _ in 0..50 {
+        arrivals
+            .recv_timeout(PATIENCE)
+            .expect("all fifty are handled at once");
+    }
+    (0..50).for_each(|_| release.send(()).unwrap());
+    assert!(
+        callers
+            .iter_mut()
+            .all(|caller| caller.read_answer().status == 200)
+    );
+}
+
+#[test]
+fn one_connection_too_many_gets_503_until_another_ends() {
+    let settings = ServerSettings {
+        maximum_connections: 2,
+        ..ServerSettings::default()
+    };
+    let server = start(settings, echo);
+    let mut held: Vec<Caller> = (0..2)
+        .map(|_| Caller::connect(server.local_address()))
+        .collect();
+    for caller in &mut held {
+        caller.get("/");
+        assert_eq!(caller.read_answer().status, 200);
+    }
+    let mut refused = Caller::connect(server.local_address());
+    refused.get("/");
+    let answer = refused.read_answer();
+    assert_eq!(answer.status, 503);
+    assert!(header(&answer.head, "retry-after").is_some());
+    assert_eq!(
+        header(&answer.head, "millpass-executed").as_deref(),
+        Some("no")
+    );
+    assert!(answer.body.contains("limit of 2 open connections"));
+    assert!(refused.is_closed());
+    held.pop();
+    wait_until("a place became free", || {
+        let mut caller = Caller::connect(server.local_address());
+        caller.get("/");
+        caller.read_answer().status == 200
+    });
+}
+
+#[rstest]
+#[case::announced("Content-Length: 17\r\n\r\n0123456789abcdefg")]
+#[case::chunked("Transfer-Encoding: chunked\r\n\r\n11\r\n0123456789abcdefg\r\n0\r\n\r\n")]
+fn a_body_above_the_limit_gets_413(#[case] rest: &str) {
+    let settings = ServerSettings {
+        maximum_body_bytes: 16,
+        ..ServerSettings::default()
+    };
+    let server = start(settings, echo);
+    let mut caller = Caller::connect(server.local_address());
+    caller.send(&format!("POST / HTTP/1.1\r\nHost: test\r\n{rest}"));
+    let answer = caller.read_answer();
+    assert_eq!(answer.status, 413);
+    assert!(answer.body.contains("limit of 16 bytes"));
+}
+
+#[test]
+fn a_body_at_the_limit_is_taken() {
+    let settings = ServerSettings {
+        maximum_body_bytes: 16,
+        ..ServerSettings::default()
+    };
+    let server = start(settings, echo);
+    let mut caller = Caller::connect(server.local_address());
+    caller.post("/", "0123456789abcdef");
+    assert_eq!(caller.read_answer().status, 200);
+}
+
+#[test]
+fn a_slow_body_gets_408() {
+    let settings = ServerSettings {
+        body_timeout: Duration::from_millis(20),
+        ..ServerSettings::default()
+    };
+    let server = start(settings, echo);
+    let mut caller = Caller::connect(server.local_address());
+    caller.send("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 10\r\n\r\nabc");
+    let answer = caller.read_answer();
+    assert_eq!(answer.status, 408);
+    assert_eq!(
+        header(&answer.head, "millpass-executed").as_deref(),
+        Some("no")
+    );
+}
+
+#[rstest]
+#[case::slow_header("GET / HTTP/1.1\r\nHost:")]
+#[case::idle("")]
+fn a_slow_header_or_an_idle_connection_is_closed(#[case] sent: &str) {
+    let settings = ServerSettings {
+        header_timeout: Duration::from_millis(20),
+        ..ServerSettings::default()
+    };
+    let server = start(settings, echo);
+    let mut caller = Caller::connect(server.local_address());
+    caller.send(sent);
+    assert!(caller.is_closed());
+}
+
+#[rstest]
+#[case("nonsense\r\n\r\n")]
+#[case("GET / HTTP/1.1\r\nbad header\r\n\r\n")]
+fn malformed_heads_get_400(#[case] sent: &str) {
+    let server = start(ServerSettings::default(), echo);
+    let mut caller = Caller::connect(server.local_address());
+    caller.send(sent);
+    assert_eq!(common::status(&caller.read_head()), 400);
+}
+
+#[test]
+fn a_drain_lets_requests_in_flight_finish_and_takes_no_more() {
+    let (arrived, arrival) = bounded(1);
+    let (release, released) = bounded::<()>(1);
+    let server = start(
+        ServerSettings::default(),
+        move |_: Request, answer: Responder| {
+            arrived.send(()).unwrap();
+            released.recv_timeout(PATIENCE).unwrap();
+            answer.send(Response::text(StatusCode::OK, "whole"));
+        },
+    );
+    let address = server.local_address();
+    let server = Arc::new(server);
+    let mut caller = Caller::connect(address);
+    caller.get("/");
+    arrival.recv_timeout(PATIENCE).unwrap();
+    let draining = server.clone();
+    let drain = std::thread::spawn(move || draining.drain(PATIENCE));
+    wait_until("listener closed", || {
+        std::net::TcpStream::connect(address).is_err()
+    });
+    release.send(()).unwrap();
+    assert_eq!(caller.read_answer().body, "whole");
+    let report = drain.join().unwrap();
+    assert_eq!((report.finished, report.cut), (1, 0));
+    assert!(caller.is_closed());
+}
+
+#[test]
+fn a_drain_cuts_what_outlasts_its_grace() {
+    let (arrived, arrival) = bounded(1);
+    let (gone, told) = bounded(1);
+    let server = start(
+        ServerSettings::default(),
+        move |_: Request, answer: Responder| {
+            let gone = gone.clone();
+            answer.caller_gone().on_gone(move || gone.send(()).unwrap());
+            arrived.send(answer).unwrap();
+        },
+    );
+    let mut caller = Caller::connect(server.local_address());
+    caller.get("/");
+    let _kept = arrival.recv_timeout(PATIENCE).unwrap();
+    let report = server.drain(Duration::from_millis(10));
+    assert_eq!((report.finished, report.cut), (0, 1));
+    told.recv_timeout(PATIENCE).unwrap();
+    assert!(caller.is_closed());
+}
+
+#[test]
+fn an_idle_server_drains_at_once() {
+    let server = start(ServerSettings::default(), echo);
+    let report = server.drain(PATIENCE);
+    assert_eq!((report.finished, report.cut), (0, 0));
+}
+
+#[test]
+fn a_port_in_use_is_refused_with_the_remedy() {
+    let server = start(ServerSettings::default(), echo);
+    let second = Server::bind(server.local_address(), ServerSettings::default());
+    let message = second.err().expect("the port is taken").to_string();
+    assert!(message.contains("choose another address"), "{message}");
+}
