Settings files and logs

Cause: processes need checked settings and logs before they can run by themselves. Ruled out: hand-written settings structs beside a hand-written reference (they drift); serde errors alone (one at a time, without remedy). Change: schema/settings.yaml gives types, key tables, docs/SETTINGS.md and templates; each wrong key is reported with file, key, reason and remedy, all at once; simplelog writes one line of key=value pairs an event.

--- a/crates/millpass-config/src/lib.rs
+++ b/crates/millpass-config/src/lib.rs
@@ -1,1 +1,13 @@
-//! Settings files: generated types, checks with remedies, and the settings reference.
+//! Settings files: types and key tables generated from `schema/settings.yaml`, checks that name
+//! file, key, reason and remedy, and loading.
+
+#[rustfmt::skip]
+#[allow(clippy::derivable_impls)]
+pub mod generated;
+mod check;
+mod load;
+pub mod specification;
+
+pub use check::{Finding, check_table};
+pub use generated::{ControlSettings, RouterSettings};
+pub use load::{SettingsError, load_control, load_router, parse_control, parse_router};
--- /dev/null
+++ b/crates/millpass-config/src/load.rs
@@ -0,0 +1,144 @@
+//! Loading of settings files, and the rules that span several keys.
+
+use crate::check::{Finding, check_table};
+use crate::generated::{CONTROL_FILE, ControlSettings, ROUTER_FILE, RouterSettings};
+use crate::specification::FileSpecification;
+use serde::de::DeserializeOwned;
+use std::path::Path;
+use toml::Table;
+
+/// Why a settings file was not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[error("{file}: cannot be read ({source}); check the path and its permissions")]
+    Unreadable {
+        /// File.
+        file: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The file is not TOML.
+    #[error("{file}: not valid TOML: {reason}; see docs/SETTINGS.md for the form")]
+    Malformed {
+        /// File.
+        file: String,
+        /// Parser's message, with line and column.
+        reason: String,
+    },
+    /// Keys are wrong.
+    #[error("{file}: {}", list(.findings))]
+    Invalid {
+        /// File.
+        file: String,
+        /// Every wrong key.
+        findings: Vec<Finding>,
+    },
+}
+
+fn list(findings: &[Finding]) -> String {
+    let lines: Vec<String> = findings.iter().map(Finding::to_string).collect();
+    lines.join("\n  ")
+}
+
+/// Loads a control member's file.
+pub fn load_control(path: &Path) -> Result<ControlSettings, SettingsError> {
+    parse_control(&path.display().to_string(), &read(path)?)
+}
+
+/// Loads a router's file.
+pub fn load_router(path: &Path) -> Result<RouterSettings, SettingsError> {
+    parse_router(&path.display().to_string(), &read(path)?)
+}
+
+/// Parses a control member's settings; `file` names them in errors.
+pub fn parse_control(file: &str, text: &str) -> Result<ControlSettings, SettingsError> {
+    parse(file, text, &CONTROL_FILE, control_rules)
+}
+
+/// Parses a router's settings; `file` names them in errors.
+pub fn parse_router(file: &str, text: &str) -> Result<RouterSettings, SettingsError> {
+    parse(file, text, &ROUTER_FILE, router_rules)
+}
+
+fn read(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+        file: path.display().to_string(),
+        source,
+    })
+}
+
+fn parse<T: DeserializeOwned>(
+    file: &str,
+    text: &str,
+    specification: &FileSpecification,
+    rules: fn(&T) -> Vec<Finding>,
+) -> Result<T, SettingsError> {
+    let malformed = |reason: String| SettingsError::Malformed {
+        file: file.to_owned(),
+        reason,
+    };
+    let table: Table = text
+        .parse()
+        .map_err(|error: toml::de::Error| malformed(error.to_string()))?;
+    let findings = check_table(specification, &table);
+    if !findings.is_empty() {
+        return Err(SettingsError::Invalid {
+            file: file.to_owned(),
+            findings,
+        });
+    }
+    let settings: T = table
+        .try_into()
+        .map_err(|error| malformed(error.to_string()))?;
+    let findings = rules(&settings);
+    if !findings.is_empty() {
+        return Err(SettingsError::Invalid {
+            file: file.to_owned(),
+            findings,
+        });
+    }
+    Ok(settings)
+}
+
+fn below(key: &str, value: u64, limit_key: &str, limit: u64) -> Option<Finding> {
+    (value >= limit).then(|| Finding {
+        key: key.to_owned(),
+        reason: format!("{value} is not below {limit_key} ({limit})"),
+        remedy: format!("lower it or raise {limit_key}"),
+    })
+}
+
+/// A leader's lease must end before another leader can be elected, heartbeats must renew it, and
+/// the snapshot interval leaves room.
+fn control_rules(settings: &ControlSettings) -> Vec<Finding> {
+    let timing = &settings.consensus;
+    [
+        below(
+            "consensus.lease_ms",
+            timing.lease_ms,
+            "consensus.election_timeout_ms",
+            timing.election_timeout_ms,
+        ),
+        below(
+            "consensus.heartbeat_ms",
+            timing.heartbeat_ms,
+            "consensus.lease_ms",
+            timing.lease_ms,
+        ),
+    ]
+    .into_iter()
+    .flatten()
+    .collect()
+}
+
+fn router_rules(settings: &RouterSettings) -> Vec<Finding> {
+    let limits = &settings.limits;
+    let too_long = limits.default_deadline_ms > limits.maximum_deadline_ms;
+    let finding = too_long.then(|| Finding {
+        key: "limits.default_deadline_ms".to_owned(),
+        reason: "longer than limits.maximum_deadline_ms".to_owned(),
+        remedy: "lower it or raise the maximum".to_owned(),
+    });
+    finding.into_iter().collect()
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 //! when the committed code is not what the schema gives.
 
 mod messages;
+mod settings;
 
 use anyhow::{Context, Result, bail};
 use std::path::{Path, PathBuf};
@@ -18,7 +19,9 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR"))
         .parent()
         .context("workspace root")?;
-    let files = vec![messages::generate(&root.join("schema"))?];
+    let schema = root.join("schema");
+    let mut files = vec![messages::generate(&schema)?];
+    files.extend(settings::generate(&schema)?);
     match std::env::args().nth(1).as_deref() {
         Some("generate") => write_all(root, &files),
         Some("check") => check_all(root, &files),
