Policies in CEL, bounded before they are accepted

Cause: routers and the control group need one judgement of requests that operators can program and that no program can stall. Ruled out: regular expressions in policies (their cost does not show in the syntax tree); macros over computed lists (rounds unknown); offering the time of day (two routers could differ).

--- /dev/null
+++ b/crates/millpass-policy/src/evaluate.rs
@@ -0,0 +1,249 @@
+//! The policies in force, and the verdict on one request.
+
+use crate::error::{PolicyError, PolicyProgram};
+use crate::facts::RequestFacts;
+use crate::program::BoundedProgram;
+use cel::{Context, Value};
+use millpass_proto::{PolicyExample, PolicyName, PolicySpec, Urgency};
+
+/// Remedy of a program that fails on an example.
+const EXAMPLE_REMEDY: &str = "correct the policy or the example";
+
+/// What the policies say of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Whether it may be served.
+    pub allowed: bool,
+    /// Policy that decided: the one that denies or failed, else the first by name that allows;
+    /// none when no policy allows it.
+    pub deciding_policy: Option<PolicyName>,
+    /// Urgency; `Normal` when no allowing policy states one.
+    pub urgency: Urgency,
+    /// Accelerator bytes the tenant may hold: the smallest over the allowing policies.
+    pub capacity_bytes: Option<u64>,
+    /// Why an evaluation failed, if one did; the request is then denied.
+    pub failure: Option<String>,
+}
+
+impl Verdict {
+    /// The verdict when no policy allows.
+    fn default_deny() -> Self {
+        Verdict {
+            allowed: false,
+            deciding_policy: None,
+            urgency: Urgency::Normal,
+            capacity_bytes: None,
+            failure: None,
+        }
+    }
+
+    fn denied_by(policy: &PolicyName, failure: Option<String>) -> Self {
+        Verdict {
+            deciding_policy: Some(policy.clone()),
+            failure,
+            ..Verdict::default_deny()
+        }
+    }
+}
+
+/// One policy, compiled.
+#[derive(Debug)]
+struct CompiledPolicy {
+    name: PolicyName,
+    allow: BoundedProgram,
+    deny: Option<BoundedProgram>,
+    urgency: Option<BoundedProgram>,
+    capacity_bytes: Option<BoundedProgram>,
+}
+
+impl CompiledPolicy {
+    fn compile(name: &PolicyName, spec: &PolicySpec) -> Result<Self, PolicyError> {
+        let optional = |kind, source: &Option<String>| {
+            let program = source.as_deref();
+            program
+                .map(|source| BoundedProgram::compile(name, kind, source))
+                .transpose()
+        };
+        Ok(CompiledPolicy {
+            name: name.clone(),
+            allow: BoundedProgram::compile(name, PolicyProgram::Allow, &spec.allow)?,
+            deny: optional(PolicyProgram::Deny, &spec.deny)?,
+            urgency: optional(PolicyProgram::Urgency, &spec.urgency)?,
+            capacity_bytes: optional(PolicyProgram::CapacityBytes, &spec.capacity_bytes)?,
+        })
+    }
+}
+
+/// The policies of one catalog revision, ordered by name.
+#[derive(Debug, Default)]
+pub struct CompiledPolicies {
+    policies: Vec<CompiledPolicy>,
+}
+
+impl CompiledPolicies {
+    /// Compiles all policies; the first that breaks a rule is the error.
+    pub fn compile(policies: &[(PolicyName, PolicySpec)]) -> Result<Self, PolicyError> {
+        let mut compiled = policies
+            .iter()
+            .map(|(name, spec)| CompiledPolicy::compile(name, spec))
+            .collect::<Result<Vec<_>, _>>()?;
+        compiled.sort_by(|left, right| left.name.cmp(&right.name));
+        Ok(CompiledPolicies { policies: compiled })
+    }
+
+    /// Number of policies.
+    pub fn len(&self) -> usize {
+        self.policies.len()
+    }
+
+    /// Whether there is none: then nothing is allowed.
+    pub fn is_empty(&self) -> bool {
+        self.policies.is_empty()
+    }
+
+    /// Judges a request. Any failing program denies, and names its policy.
+    pub fn evaluate(&self, facts: &RequestFacts<'_>) -> Verdict {
+        let context = context_of(facts);
+        for policy in &self.policies {
+            match denies(policy, &context) {
+                Ok(false) => {}
+                Ok(true) => return Verdict::denied_by(&policy.name, None),
+                Err(failure) => return Verdict::denied_by(&policy.name, Some(failure)),
+            }
+        }
+        let mut verdict = Verdict::default_deny();
+        let mut urgency = None;
+        for policy in &self.policies {
+            if let Err(failure) = apply_allow(policy, &context, &mut verdict, &mut urgency) {
+                return Verdict::denied_by(&policy.name, Some(failure));
+            }
+        }
+        verdict.urgency = urgency.unwrap_or(Urgency::Normal);
+        verdict
+    }
+}
+
+/// Compiles a policy as submitted and runs its examples, alone and with default deny.
+pub fn admit(name: &PolicyName, spec: &PolicySpec) -> Result<(), PolicyError> {
+    let policies = CompiledPolicies::compile(&[(name.clone(), spec.clone())])?;
+    for (index, example) in spec.examples.iter().enumerate() {
+        let verdict = policies.evaluate(&facts_of(example));
+        let reason = match verdict.failure {
+            Some(failure) => failure,
+            None if verdict.allowed == example.allowed => continue,
+            None => format!(
+                "expected allowed={}, got allowed={}",
+                example.allowed, verdict.allowed
+            ),
+        };
+        return Err(PolicyError::Example {
+            policy: name.clone(),
+            number: index + 1,
+            example: describe(example),
+            reason,
+            remedy: EXAMPLE_REMEDY,
+        });
+    }
+    Ok(())
+}
+
+/// The variables of one request.
+fn context_of(facts: &RequestFacts<'_>) -> Context<'static, 'static> {
+    let mut context = Context::default();
+    for (name, value) in facts.variables() {
+        context.add_variable_from_value(name, value.to_owned());
+    }
+    context
+}
+
+/// Whether the policy's `deny` program holds.
+fn denies(policy: &CompiledPolicy, context: &Context<'_, '_>) -> Result<bool, String> {
+    match &policy.deny {
+        Some(program) => boolean(program, PolicyProgram::Deny, context),
+        None => Ok(false),
+    }
+}
+
+/// Adds what an allowing policy says to the verdict.
+fn apply_allow(
+    policy: &CompiledPolicy,
+    context: &Context<'_, '_>,
+    verdict: &mut Verdict,
+    urgency: &mut Option<Urgency>,
+) -> Result<(), String> {
+    if !boolean(&policy.allow, PolicyProgram::Allow, context)? {
+        return Ok(());
+    }
+    verdict.allowed = true;
+    verdict
+        .deciding_policy
+        .get_or_insert_with(|| policy.name.clone());
+    if let (None, Some(program)) = (&urgency, &policy.urgency) {
+        *urgency = Some(urgency_value(program.run(context)?)?);
+    }
+    if let Some(program) = &policy.capacity_bytes {
+        let stated = capacity_value(program.run(context)?)?;
+        let smallest = verdict
+            .capacity_bytes
+            .map_or(stated, |held| held.min(stated));
+        verdict.capacity_bytes = Some(smallest);
+    }
+    Ok(())
+}
+
+fn boolean(
+    program: &BoundedProgram,
+    kind: PolicyProgram,
+    context: &Context<'_, '_>,
+) -> Result<bool, String> {
+    match program.run(context) {
+        Ok(Value::Bool(value)) => Ok(value),
+        Ok(_) => Err(format!("{kind} does not give true or false")),
+        Err(failure) => Err(format!("{kind}: {failure}")),
+    }
+}
+
+fn urgency_value(value: Value) -> Result<Urgency, String> {
+    let Value::String(text) = value else {
+        return Err("urgency does not give a string".to_owned());
+    };
+    match text.as_str() {
+        "interactive" => Ok(Urgency::Interactive),
+        "normal" => Ok(Urgency::Normal),
+        "batch" => Ok(Urgency::Batch),
+        other => Err(format!(
+            "urgency gives `{other}`, not interactive, normal or batch"
+        )),
+    }
+}
+
+fn capacity_value(value: Value) -> Result<u64, String> {
+    match value {
+        Value::UInt(bytes) => Ok(bytes),
+        Value::Int(bytes) => {
+            u64::try_from(bytes).map_err(|_| "capacity_bytes is negative".to_owned())
+        }
+        _ => Err("capacity_bytes does not give an integer".to_owned()),
+    }
+}
+
+/// Facts of an example. A web example carries its path where a model example has its model.
+fn facts_of(example: &PolicyExample) -> RequestFacts<'_> {
+    let is_web = example.kind == "web";
+    let asked = example.model.as_str();
+    RequestFacts {
+        tenant: example.tenant.as_str(),
+        model: if is_web { "" } else { asked },
+        adapter: example.adapter.as_ref().map_or("", |name| name.as_str()),
+        kind: &example.kind,
+        path: if is_web { asked } else { "" },
+    }
+}
+
+fn describe(example: &PolicyExample) -> String {
+    let adapter = example.adapter.as_ref().map_or("", |name| name.as_str());
+    format!(
+        "tenant={} model={} adapter={adapter} kind={}",
+        example.tenant, example.model, example.kind
+    )
+}
--- /dev/null
+++ b/crates/millpass-policy/src/program.rs
@@ -0,0 +1,156 @@
+//! One compiled, bounded program.
+
+use crate::cost::{self, Finding};
+use crate::error::{PolicyError, PolicyProgram};
+use cel::{Context, Program, Value};
+use millpass_proto::PolicyName;
+
+/// Longest source accepted, in bytes.
+pub const MAXIMUM_SOURCE_BYTES: usize = 4_096;
+/// Deepest nesting of brackets accepted, checked before parsing: the parser is recursive.
+pub const MAXIMUM_BRACKET_DEPTH: usize = 24;
+/// Longest run of prefix operators accepted, such as `!!`.
+const MAXIMUM_PREFIX_RUN: usize = 8;
+/// Most conditional operators accepted; they nest to the right.
+const MAXIMUM_CONDITIONALS: usize = 24;
+
+/// A program within its bounds.
+#[derive(Debug)]
+pub(crate) struct BoundedProgram {
+    program: Program,
+}
+
+impl BoundedProgram {
+    /// Compiles a source; refuses what breaks a bound.
+    pub fn compile(
+        policy: &PolicyName,
+        kind: PolicyProgram,
+        source: &str,
+    ) -> Result<Self, PolicyError> {
+        let fail = |line, column, reason, remedy| PolicyError::Program {
+            policy: policy.clone(),
+            program: kind,
+            line,
+            column,
+            reason,
+            remedy,
+        };
+        if let Err(problem) = check_source(source) {
+            return Err(fail(
+                problem.line,
+                problem.column,
+                problem.reason,
+                problem.remedy,
+            ));
+        }
+        let program = Program::compile(source).map_err(|errors| {
+            let (line, column, reason) = first_error(&errors);
+            fail(line, column, reason, "correct the expression")
+        })?;
+        if let Err(Finding {
+            node,
+            reason,
+            remedy,
+        }) = cost::check(program.expression())
+        {
+            let offsets = program.source_info().offset_for(node);
+            let start = offsets.map_or(0, |(start, _)| start as usize);
+            let (line, column) = line_and_column(source, start);
+            return Err(fail(line, column, reason, remedy));
+        }
+        Ok(BoundedProgram { program })
+    }
+
+    /// Runs the program; an error is told in words.
+    pub fn run(&self, context: &Context<'_, '_>) -> Result<Value, String> {
+        self.program
+            .execute(context)
+            .map_err(|error| error.to_string())
+    }
+}
+
+/// A source that is not even parsed.
+struct SourceProblem {
+    line: usize,
+    column: usize,
+    reason: String,
+    remedy: &'static str,
+}
+
+/// Bounds what the recursive parser is given. Text inside string literals counts too: a string
+/// with 25 open brackets is refused as well, which no real policy needs.
+fn check_source(source: &str) -> Result<(), SourceProblem> {
+    let problem = |offset: usize, reason: String, remedy| {
+        let (line, column) = line_and_column(source, offset);
+        Err(SourceProblem {
+            line,
+            column,
+            reason,
+            remedy,
+        })
+    };
+    if source.len() > MAXIMUM_SOURCE_BYTES {
+        let reason = format!("it is longer than {MAXIMUM_SOURCE_BYTES} bytes");
+        return problem(0, reason, "split it into several policies");
+    }
+    let mut brackets = 0usize;
+    let mut prefixes = 0usize;
+    let mut conditionals = 0usize;
+    for (offset, character) in source.char_indices() {
+        match character {
+            '(' | '[' | '{' => brackets += 1,
+            ')' | ']' | '}' => brackets = brackets.saturating_sub(1),
+            '?' => conditionals += 1,
+            _ => {}
+        }
+        match character {
+            '!' | '-' => prefixes += 1,
+            _ if character.is_whitespace() => {}
+            _ => prefixes = 0,
+        }
+        if brackets > MAXIMUM_BRACKET_DEPTH {
+            let reason = format!("brackets are nested deeper than {MAXIMUM_BRACKET_DEPTH}");
+            return problem(offset, reason, "flatten the expression");
+        }
+        if prefixes > MAXIMUM_PREFIX_RUN {
+            let reason = format!("more than {MAXIMUM_PREFIX_RUN} prefix operators in a row");
+            return problem(offset, reason, "remove the ones that cancel out");
+        }
+        if conditionals > MAXIMUM_CONDITIONALS {
+            let reason = format!("more than {MAXIMUM_CONDITIONALS} conditional operators");
+            return problem(offset, reason, "use a map literal or several policies");
+        }
+    }
+    Ok(())
+}
+
+/// Line and column, from 1, of the character at this offset in bytes.
+fn line_and_column(source: &str, offset: usize) -> (usize, usize) {
+    let mut line = 1;
+    let mut column = 1;
+    for (_, character) in source.char_indices().take_while(|(at, _)| *at < offset) {
+        column += 1;
+        if character == '\n' {
+            line += 1;
+            column = 1;
+        }
+    }
+    (line, column)
+}
+
+/// Place and words of the first syntax error.
+fn first_error(errors: &cel::ParseErrors) -> (usize, usize, String) {
+    match errors.errors.first() {
+        Some(error) => (
+            position(error.pos.0),
+            position(error.pos.1),
+            error.msg.clone(),
+        ),
+        None => (1, 1, "it does not parse".to_owned()),
+    }
+}
+
+/// A line or column, from 1.
+fn position(number: impl TryInto<usize>) -> usize {
+    number.try_into().unwrap_or(1).max(1)
+}
