--- /dev/null
+++ b/crates/millpass-routing/tests/lease.rs
@@ -0,0 +1,201 @@
+//! Leases, terms, revisions and reports.
+
+mod common;
+
+use common::*;
+use millpass_proto::*;
+use millpass_routing::*;
+use rstest::rstest;
+
+#[test]
+fn nothing_is_admitted_before_the_first_lease() {
+    let mut driver = Driver::cold(settings());
+    let (number, outputs) = driver.ask("t1", "m1");
+    assert_eq!(
+        refusals(&outputs),
+        [(number, RefusalReason::NoLease, Executed::No)]
+    );
+}
+
+#[test]
+fn the_lease_counts_from_the_sending_of_its_report() {
+    let mut driver = Driver::cold(settings());
+    driver.step(RoutingInput::LinkUp);
+    let sent = driver.now;
+    driver.now = driver.now + Duration::from_millis(400);
+    let mut update = driver.update();
+    update.configuration = Some(driver.full_catalog(catalog_objects()));
+    update.placement = Some(driver.full_routes(vec![replica(1, "m1", "north")], vec![]));
+    driver.step(RoutingInput::Update(update));
+    let (_, outputs) = driver.ask("t1", "m1");
+    let lease_end = sent + Duration::from_millis(LEASE_MILLIS);
+    assert_eq!(dispatches(&outputs)[0].send_before, lease_end);
+    let mut hasty = driver.arrival("t1", model_target("m1"));
+    hasty.deadline = driver.now + Duration::from_millis(10);
+    let deadline = hasty.deadline;
+    let (_, outputs) = driver.arrive(hasty);
+    assert_eq!(dispatches(&outputs)[0].send_before, deadline);
+}
+
+#[test]
+fn the_end_of_the_lease_refuses_what_waits_and_leaves_what_runs() {
+    let mut driver = Driver::ready(vec![replica(1, "m1", "north")], vec![]);
+    let (running, _) = driver.ask("t1", "m1");
+    let (waiting, _) = driver.ask("t1", "m2");
+    driver.step(RoutingInput::LinkDown);
+    let outputs = driver.tick(LEASE_MILLIS);
+    assert_eq!(
+        refusals(&outputs),
+        [(waiting, RefusalReason::NoLease, Executed::No)]
+    );
+    let outputs = driver.complete(running);
+    assert!(refusals(&outputs).is_empty());
+}
+
+#[test]
+fn a_frozen_router_wakes_and_dispatches_nothing() {
+    let mut driver = Driver::ready(vec![replica(1, "m1", "north")], vec![]);
+    let (first, _) = driver.ask("t1", "m1");
+    driver.ask("t1", "m1");
+    let (waiting, _) = driver.ask("t1", "m1");
+    driver.now = driver.now + Duration::from_millis(LEASE_MILLIS + 5_000);
+    // The first input after the freeze frees a place; the lease is judged before it.
+    let outputs = driver.complete(first);
+    assert_eq!(
+        refusals(&outputs),
+        [(waiting, RefusalReason::NoLease, Executed::No)]
+    );
+    assert!(dispatches(&outputs).is_empty());
+}
+
+#[rstest]
+#[case::lower_term(4, 0)]
+#[case::unknown_sequence(5, 99)]
+fn an_update_that_may_not_be_used_changes_nothing(#[case] term: u64, #[case] ahead: u64) {
+    let mut driver = Driver::ready(vec![replica(1, "m1", "north")], vec![]);
+    driver.tick(1_000);
+    let mut update = driver.update();
+    update.term = term;
+    update.sequence += ahead;
+    update.placement = Some(driver.full_routes(vec![], vec![]));
+    driver.step(RoutingInput::Update(update));
+    let (_, outputs) = driver.ask("t1", "m1");
+    assert_eq!(dispatches(&outputs).len(), 1);
+    driver.now = driver.now + Duration::from_millis(LEASE_MILLIS - 1_000);
+    let (number, outputs) = driver.ask("t1", "m1");
+    assert_eq!(
+        refusals(&outputs),
+        [(number, RefusalReason::NoLease, Executed::No)]
+    );
+}
+
+#[test]
+fn a_delta_that_does_not_fit_extends_no_lease_and_hurries_the_next_report() {
+    let mut driver = Driver::ready(vec![replica(1, "m1", "north")], vec![]);
+    driver.tick(1_000);
+    let mut update = driver.update();
+    let mut delta = driver.full_catalog(vec![model_object("m7")]);
+    (delta.full, delta.from, delta.to) =
+        (false, ConfigurationRevision(8), ConfigurationRevision(9));
+    update.configuration = Some(delta);
+    driver.step(RoutingInput::Update(update));
+    assert!(reports(&driver.tick(50)));
+    let report = driver.last_report.clone().unwrap();
+    assert_eq!(report.configuration, ConfigurationRevision(1));
+    let (_, outputs) = driver.ask("t1", "m7");
+    assert_eq!(refusals(&outputs)[0].1, RefusalReason::NotFound);
+    driver.tick(LEASE_MILLIS - 1_050);
+    assert_eq!(
+        refusals(&driver.ask("t1", "m1").1)[0].1,
+        RefusalReason::NoLease
+    );
+}
+
+#[test]
+fn older_revisions_never_replace_newer_ones() {
+    let mut driver = Driver::ready(vec![replica(1, "m1", "north")], vec![]);
+    driver.route(vec![replica(2, "m1", "north")], vec![]);
+    driver.tick(1_000);
+    let mut update = driver.update();
+    update.term = 6;
+    let mut old = driver.full_routes(vec![replica(1, "m1", "north")], vec![]);
+    old.to = PlacementRevision(1);
+    update.placement = Some(old);
+    driver.step(RoutingInput::Update(update));
+    let (_, outputs) = driver.ask("t1", "m1");
+    assert_eq!(dispatches(&outputs)[0].backend, "engine-2".into());
+}
+
+#[test]
+fn reports_go_out_at_their_interval_and_at_once_for_a_first_waiting_request() {
+    let mut driver = Driver::ready(vec![], vec![]);
+    assert!(!reports(&driver.tick(999)));
+    assert!(reports(&driver.tick(1)));
+    driver.tick(60);
+    let (_, outputs) = driver.ask("t1", "m1");
+    assert!(reports(&outputs), "first waiting request of m1");
+    let (_, outputs) = driver.ask("t1", "m2");
+    assert!(
+        !reports(&outputs),
+        "no more often than the shortest interval"
+    );
+    assert!(reports(&driver.tick(50)));
+    let demand = driver.last_report.clone().unwrap().demand;
+    let waiting: Vec<_> = demand.iter().map(|entry| entry.waiting).collect();
+    assert_eq!(waiting, [1, 1]);
+    assert_eq!(demand[0].oldest_wait_millis, 50);
+}
+
+#[test]
+fn demand_is_told_until_it_is_acknowledged() {
+    let mut driver = Driver::ready(vec![replica(1, "m1", "north")], vec![]);
+    let (number, _) = driver.ask("t1", "m1");
+    driver.complete(number);
+    driver.tick(1_000);
+    let lost = driver.last_report.clone().unwrap();
+    assert_eq!((lost.demand[0].arrivals, lost.demand[0].in_flight), (1, 0));
+    driver.tick(1_000);
+    assert_eq!(driver.last_report.clone().unwrap().demand, lost.demand);
+    let update = driver.update();
+    driver.step(RoutingInput::Update(update));
+    driver.tick(1_000);
+    assert!(driver.last_report.clone().unwrap().demand.is_empty());
+}
+
+#[test]
+fn observations_are_sent_until_acknowledged_and_again_to_a_new_leader() {
+    let mut driver = Driver::ready(vec![], vec![]);
+    driver.tick(1_000);
+    let mut update = driver.update();
+    update.watch = Some(WatchList {
+        backends: vec![WatchedBackend {
+            backend: "engine-1".into(),
+            kind: BackendKind::Engine,
+            address: "127.0.0.1:1001".to_owned(),
+        }],
+    });
+    let outputs = driver.step(RoutingInput::Update(update));
+    assert!(
+        outputs
+            .iter()
+            .any(|output| matches!(output, RoutingOutput::Watch(list) if list.len() == 1))
+    );
+    for name in ["engine-1", "engine-9"] {
+        let seen = BackendObservation::Unreachable(name.into());
+        driver.step(RoutingInput::Observed(seen));
+    }
+    let mut counts = Vec::new();
+    for acknowledged in [false, true, false] {
+        driver.tick(1_000);
+        counts.push(driver.last_report.clone().unwrap().observations.len());
+        if acknowledged {
+            let update = driver.update();
+            driver.step(RoutingInput::Update(update));
+        }
+    }
+    assert_eq!(counts, [1, 1, 0]);
+    driver.step(RoutingInput::LinkDown);
+    let outputs = driver.step(RoutingInput::LinkUp);
+    assert!(matches!(outputs[0], RoutingOutput::SendHello(_)));
+    assert_eq!(driver.last_report.clone().unwrap().observations.len(), 1);
+}
