--- a/crates/millpass-routing/src/claim_flow.rs
+++ b/crates/millpass-routing/src/claim_flow.rs
@@ -1,9 +1,9 @@
 //! What claims mean for requests: nothing is dispatched before the grant, and whatever happens
 //! to the request, the claim ends honestly.
 
-use crate::claims::GrantOutcome;
+use crate::claims::{GrantOutcome, conclusion_without_answer};
 use crate::explain::Outcome;
-use crate::interface::{Executed, RefusalReason, RequestNumber, RoutingOutput};
+use crate::interface::{RefusalReason, RequestNumber, RoutingOutput};
 use crate::refusals::Refused;
 use crate::request::{Request, Stage};
 use crate::{Routing, Step};
@@ -119,8 +119,7 @@
 
     /// Refuses requests whose claim is not answered in time, and sends again what is due.
     pub(crate) fn tend_claims(&mut self, step: &mut Step) {
-        let timeout = self.settings.claim_timeout;
-        for number in self.claims.timed_out(timeout, step.now) {
+        for number in self.claims.timed_out(step.now) {
             let refused = Refused::new(RefusalReason::ClaimUnavailable);
             self.give_up(number, refused, step);
         }
@@ -142,12 +141,8 @@
         let Some(request) = self.remove_request(number, step) else {
             return;
         };
-        let executed = if request.possibly_run() {
-            Executed::Unknown
-        } else {
-            Executed::No
-        };
-        let conclusion = crate::claims::conclusion_without_answer(executed);
+        let executed = request.executed();
+        let conclusion = conclusion_without_answer(executed);
         self.conclude_claim(number, conclusion, step);
         self.record(&request, Outcome::CallerGone, step.now);
     }
--- a/crates/millpass-routing/src/claims.rs
+++ b/crates/millpass-routing/src/claims.rs
@@ -47,13 +47,23 @@
 }
 
 /// All claims that are not ended.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Claims {
+    timeout: Duration,
     claims: BTreeMap<RequestNumber, Claim>,
     due: BTreeSet<(Timestamp, RequestNumber)>,
 }
 
 impl Claims {
+    /// No claims; requests wait this long for the answer to theirs.
+    pub fn new(timeout: Duration) -> Self {
+        Claims {
+            timeout,
+            claims: BTreeMap::new(),
+            due: BTreeSet::new(),
+        }
+    }
+
     /// Number of claims.
     pub fn len(&self) -> usize {
         self.claims.len()
@@ -78,7 +88,7 @@
             due: None,
         };
         self.claims.insert(number, claim);
-        self.set_due(number, Some(now + RESEND_INTERVAL));
+        self.set_due(number, Some(now + RESEND_INTERVAL.min(self.timeout)));
         RoutingOutput::SendClaim(begin)
     }
 
@@ -172,14 +182,14 @@
         claims.filter_map(Claim::message).collect()
     }
 
-    /// Requests whose claim has gone unanswered for this long. Looks only at claims that are due
+    /// Requests whose claim has gone unanswered for too long. Looks only at claims that are due
     /// a resend, so a timeout is noticed at the next resend at the latest.
-    pub fn timed_out(&self, timeout: Duration, now: Timestamp) -> Vec<RequestNumber> {
+    pub fn timed_out(&self, now: Timestamp) -> Vec<RequestNumber> {
         let due = self.due.iter().take_while(|(due, _)| *due <= now);
         let claims = due.filter_map(|(_, number)| Some((number, self.claims.get(number)?)));
         claims
             .filter(|(_, claim)| matches!(claim.phase, ClaimPhase::Asked))
-            .filter(|(_, claim)| claim.asked + timeout <= now)
+            .filter(|(_, claim)| claim.asked + self.timeout <= now)
             .map(|(number, _)| *number)
             .collect()
     }
--- a/crates/millpass-routing/src/lib.rs
+++ b/crates/millpass-routing/src/lib.rs
@@ -96,7 +96,7 @@
             load: load::BackendLoad::default(),
             circuits: circuit::Circuits::new(settings.circuit_failures, settings.circuit_open),
             budget: retry::RetryBudget::new(settings.retry_budget_percent),
-            claims: claims::Claims::default(),
+            claims: claims::Claims::new(settings.claim_timeout),
             claims_born_after: 0,
             demand: demand::DemandTable::default(),
             observations: observations::ObservationTable::default(),
--- a/crates/millpass-routing/src/refusals.rs
+++ b/crates/millpass-routing/src/refusals.rs
@@ -140,11 +140,7 @@
         let Some(request) = self.remove_request(number, step) else {
             return;
         };
-        let executed = if request.possibly_run() {
-            Executed::Unknown
-        } else {
-            Executed::No
-        };
+        let executed = request.executed();
         self.conclude_claim(number, conclusion_without_answer(executed), step);
         let reason = refused.reason;
         let outcome = if request.answer_begun() {
--- a/crates/millpass-routing/src/request.rs
+++ b/crates/millpass-routing/src/request.rs
@@ -1,6 +1,6 @@
 //! One live request.
 
-use crate::interface::{IdempotencyKey, RequestNumber};
+use crate::interface::{Executed, IdempotencyKey, RequestNumber};
 use crate::queues::QueueKey;
 use millpass_proto::{
     BackendName, Incarnation, PolicyName, SlotId, TenantName, Timestamp, Urgency, VersionLabel,
@@ -90,10 +90,19 @@
 
 impl Request {
     /// Whether an attempt may have run, or may be running.
-    pub fn possibly_run(&self) -> bool {
+    fn possibly_run(&self) -> bool {
         self.may_have_run || matches!(self.stage, Stage::InFlight(_))
     }
 
+    /// Whether it ran, as a refusal states it.
+    pub fn executed(&self) -> Executed {
+        if self.possibly_run() {
+            Executed::Unknown
+        } else {
+            Executed::No
+        }
+    }
+
     /// Whether some of an answer may have reached the caller.
     pub fn answer_begun(&self) -> bool {
         match &self.stage {
--- a/crates/millpass-routing/src/retry.rs
+++ b/crates/millpass-routing/src/retry.rs
@@ -88,15 +88,21 @@
         let Some(attempt) = self.attempt_of(number) else {
             return;
         };
-        self.count_failure(&attempt, step);
+        let Some(request) = self.table.get(number) else {
+            return;
+        };
+        // Past deadline or lease the host itself holds an attempt back; no fault of the back end.
+        let in_time = request.deadline > step.now && self.lease.is_fresh(step.now);
+        if in_time || failure != AttemptFailure::NotSent {
+            self.count_failure(&attempt, step);
+        }
         let Some(request) = self.table.get(number) else {
             return;
         };
         let queue = request.queue.clone();
         let again = failure_allows_retry(request, failure)
             && request.attempts < self.settings.maximum_attempts
-            && request.deadline > step.now
-            && self.lease.is_fresh(step.now)
+            && in_time
             && self.budget.take();
         self.release(&queue, &attempt);
         step.freed.push(queue);
