--- a/crates/millpass-router/src/backend.rs
+++ b/crates/millpass-router/src/backend.rs
@@ -108,15 +108,13 @@
             true => &self.fresh,
             false => &self.pooled,
         };
-        let left = self.clock.left_until(dispatch.deadline);
+        let left = self.clock.left_until(dispatch.deadline) + DEADLINE_SLACK;
         let silence = match outgoing.stream {
             true => left.min(self.timeouts.stream_read),
             false => left,
         };
         let configured = agent.configure_request(request);
-        let request = configured
-            .timeout_per_read(Some(silence.max(MINIMUM_TIMEOUT)))
-            .build();
+        let request = configured.timeout_per_read(Some(silence)).build();
         if takes_body(&outgoing.request.method) {
             let body: &[u8] = &outgoing.request.body;
             agent.run(request.map(|()| body))
@@ -168,8 +166,9 @@
     }
 }
 
-/// Shortest read timeout; zero would mean none.
-const MINIMUM_TIMEOUT: Duration = Duration::from_millis(1);
+/// How long reads go on after the deadline. The decision core ends the attempt at the deadline,
+/// and then it is cancelled at the engine; a read that times out first would look like a fault.
+const DEADLINE_SLACK: Duration = Duration::from_secs(1);
 
 fn agent(timeouts: &BackendTimeouts, idle_connections: usize) -> Agent {
     let config = Agent::config_builder()
--- a/crates/millpass-router/tests/common/mod.rs
+++ b/crates/millpass-router/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use control::Control;
 use millpass_proto::{ClaimKey, Incarnation};
 use millpass_router::{RouterHandle, RouterProcessSettings};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -141,16 +141,19 @@
     stream
 }
 
-/// Reads lines until one contains `text`.
-pub fn read_until(stream: &TcpStream, text: &str) -> String {
-    let mut reader = BufReader::new(stream);
-    let mut line = String::new();
-    while !line.contains(text) {
-        line.clear();
-        let length = reader.read_line(&mut line).expect("a line");
-        assert!(length > 0, "the stream ended without {text}");
+/// Reads up to and with the first `text`, and nothing beyond it.
+pub fn read_until(stream: &TcpStream, text: &str) {
+    let mut read = Vec::new();
+    for byte in BufReader::with_capacity(1, stream).bytes() {
+        read.push(byte.expect("a byte"));
+        if read.ends_with(text.as_bytes()) {
+            return;
+        }
     }
-    line
+    panic!(
+        "the stream ended without {text}: {}",
+        String::from_utf8_lossy(&read)
+    );
 }
 
 /// Reads a page of the observation API.
--- /dev/null
+++ b/crates/millpass-router/tests/serving.rs
@@ -0,0 +1,356 @@
+//! Requests that are answered, and refusals.
+
+mod common;
+
+use common::control::Control;
+use common::engine::{Engine, answer_whole, header, open_stream, stream_tokens, token, tokens};
+use common::{
+    KEY, PATIENCE, agent, call, completion, observe, post, prompt, read_answer, read_until,
+    send_raw, settings, start_router, start_with, wait_until,
+};
+use crossbeam::channel::bounded;
+use http::StatusCode;
+use millpass_http::Response;
+use rstest::rstest;
+use std::time::Duration;
+
+#[test]
+fn a_streamed_completion_arrives_token_by_token() {
+    let (go_on, may_go_on) = bounded::<()>(0);
+    let engine = Engine::start(move |_, responder| {
+        let mut body = open_stream(responder);
+        for position in 0..3 {
+            body.write(token(position)).unwrap();
+            may_go_on.recv_timeout(PATIENCE).unwrap();
+        }
+        body.write(common::engine::done()).unwrap();
+        body.finish();
+    });
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    let stream = send_raw(&router, "/v1/completions", "", &prompt(true));
+    for position in 0..3 {
+        // The next token does not exist yet when this one arrives.
+        read_until(&stream, &format!("t{position} "));
+        go_on.send_timeout((), PATIENCE).unwrap();
+    }
+    read_until(&stream, "[DONE]");
+}
+
+#[test]
+fn a_request_reaches_the_engine_with_all_it_needs() {
+    let engine = Engine::start(|request, responder| stream_tokens(request, responder, 2));
+    let control = Control::start();
+    control.add_replica(4, engine.address());
+    let router = start_router(&control);
+    let request = completion(&router)
+        .header("X-Request-Id", "mine-1")
+        .header("Millpass-Deadline-Ms", "5000")
+        .header("Millpass-Tenant", "somebody-else")
+        .body(r#"{"model":"writer:legal","prompt":"hi","stream":true}"#.to_owned());
+    let answer = call(request.unwrap());
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("x-request-id"), Some("mine-1"));
+    assert_eq!(answer.tokens(), tokens(2));
+    assert!(answer.whole && answer.body.ends_with("data: [DONE]\n\n"));
+    let request = engine.request();
+    assert_eq!(request.uri.path(), "/v1/completions");
+    assert_eq!(header(&request, "millpass-tenant"), "acme");
+    assert_eq!(header(&request, "millpass-slot"), "4");
+    assert_eq!(header(&request, "millpass-incarnation"), "7");
+    assert_eq!(header(&request, "millpass-priority"), "normal");
+    assert_eq!(header(&request, "millpass-resume-from"), "0");
+    assert!(header(&request, "x-request-id").starts_with("mine-1."));
+    assert!(header(&request, "authorization").is_empty());
+    let left: u64 = header(&request, "millpass-deadline-ms").parse().unwrap();
+    assert!((1..=5000).contains(&left));
+}
+
+#[test]
+fn two_requests_of_one_request_id_differ_at_the_engine() {
+    let engine = Engine::start(|_, responder| answer_whole(responder, "x"));
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    for _ in 0..2 {
+        let request = completion(&router).header("X-Request-Id", "same");
+        assert_eq!(call(request.body(prompt(false)).unwrap()).status, 200);
+    }
+    let ids = [engine.request(), engine.request()];
+    assert_ne!(
+        header(&ids[0], "x-request-id"),
+        header(&ids[1], "x-request-id")
+    );
+}
+
+#[rstest]
+#[case("/v1/completions", r#"{"model":"writer","prompt":"hi"}"#)]
+#[case(
+    "/v1/chat/completions",
+    r#"{"model":"writer","messages":[{"role":"user","content":"x"}]}"#
+)]
+fn a_whole_answer_is_passed_on_as_it_is(#[case] path: &'static str, #[case] body: &str) {
+    let engine = Engine::start(move |request, responder| {
+        assert_eq!(request.uri.path(), path);
+        answer_whole(responder, "the answer");
+    });
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    let request = post(&router, path).header("Authorization", format!("Bearer {KEY}"));
+    let answer = call(request.body(body.to_owned()).unwrap());
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.json()["choices"][0]["text"], "the answer");
+}
+
+#[test]
+fn an_engines_complaint_about_the_request_is_passed_on() {
+    let engine = Engine::start(|_, responder| {
+        responder.send(Response::text(StatusCode::BAD_REQUEST, "bad temperature"));
+    });
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    let answer = call(completion(&router).body(prompt(true)).unwrap());
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (400, "bad temperature")
+    );
+}
+
+#[rstest]
+#[case::unknown_key("nobody", "writer", 401, "unknown_key")]
+#[case::unknown_model(KEY, "nothing", 404, "not_found")]
+#[case::unknown_adapter(KEY, "writer:poetry", 404, "not_found")]
+#[case::denied(KEY, "secret", 403, "policy_denied")]
+fn a_refusal_has_all_its_fields(
+    #[case] key: &str,
+    #[case] model: &str,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let control = Control::start();
+    let router = start_router(&control);
+    let request = post(&router, "/v1/completions")
+        .header("Authorization", format!("Bearer {key}"))
+        .header("X-Request-Id", "r-1");
+    let body = serde_json::json!({"model": model, "prompt": "x"}).to_string();
+    let answer = call(request.body(body).unwrap());
+    assert_eq!(
+        (answer.status, answer.error("code").as_str()),
+        (status, Some(code))
+    );
+    assert_eq!(answer.error("executed"), "no");
+    assert_eq!(answer.error("request_id"), "r-1");
+    assert!(!answer.error("message").as_str().unwrap().is_empty());
+    assert_eq!(answer.header("millpass-executed"), Some("no"));
+    assert_eq!(answer.header("x-request-id"), Some("r-1"));
+}
+
+#[test]
+fn without_a_lease_requests_are_refused_with_when_to_come_back() {
+    let router = millpass_router::start(settings(Vec::new())).unwrap();
+    let answer = call(completion(&router).body(prompt(false)).unwrap());
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.error("executed"), "no");
+    let retry_millis = answer.error("retry_after_ms").as_u64().unwrap();
+    let retry_seconds: u64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert_eq!(retry_seconds, retry_millis.div_ceil(1000));
+    assert_eq!(observe(&router, "/healthz").status, 503);
+}
+
+#[test]
+fn a_request_that_cannot_be_served_is_refused_at_its_deadline() {
+    let control = Control::start();
+    let router = start_router(&control);
+    let request = completion(&router).header("Millpass-Deadline-Ms", "50");
+    let answer = call(request.body(prompt(false)).unwrap());
+    assert!(answer.status == 503 || answer.status == 504, "{answer:?}");
+    assert_eq!(answer.error("executed"), "no");
+}
+
+#[test]
+fn a_deadline_in_flight_is_refused_as_unknown_and_cancels() {
+    let (keep, _kept) = crossbeam::channel::unbounded();
+    let engine = Engine::start(move |_, responder| keep.send(responder).unwrap());
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    let request = completion(&router).header("Millpass-Deadline-Ms", "100");
+    let answer = call(request.body(prompt(false)).unwrap());
+    assert_eq!(answer.status, 504);
+    assert_eq!(answer.error("executed"), "unknown");
+    assert_eq!(answer.header("millpass-executed"), Some("unknown"));
+    let id = header(&engine.request(), "x-request-id").to_owned();
+    assert_eq!(engine.cancelled.recv_timeout(PATIENCE).unwrap(), id);
+}
+
+#[test]
+fn the_models_a_tenant_may_use_are_listed() {
+    let control = Control::start();
+    let router = start_router(&control);
+    let url = format!("http://{}/v1/models", router.address());
+    let request = agent()
+        .get(&url)
+        .header("Authorization", &format!("Bearer {KEY}"));
+    let answer = read_answer(request.call().unwrap());
+    assert_eq!(answer.status, 200);
+    let data = answer.json()["data"].clone();
+    let mut names: Vec<&str> = data
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|model| model["id"].as_str().unwrap())
+        .collect();
+    names.sort_unstable();
+    assert_eq!(names, ["idle", "writer", "writer:legal"]);
+    let answer = read_answer(agent().get(&url).call().unwrap());
+    assert_eq!(
+        (answer.status, answer.error("code").as_str()),
+        (401, Some("unknown_key"))
+    );
+}
+
+#[test]
+fn a_web_path_goes_to_its_group() {
+    let web = Engine::start(|request, responder| {
+        let query = request.uri.query().unwrap_or_default();
+        let answer = Response::text(StatusCode::CREATED, format!("page {query}"));
+        let name = http::HeaderName::from_static("x-page");
+        responder.send(answer.with_header(name, "7"));
+    });
+    let control = Control::start();
+    control.add_web("web-1", web.address());
+    let router = start_router(&control);
+    let url = format!("http://{}/pages/race?id=4", router.address());
+    let request = agent()
+        .get(&url)
+        .header("Authorization", &format!("Bearer {KEY}"));
+    let answer = read_answer(request.call().unwrap());
+    assert_eq!((answer.status, answer.body.as_str()), (201, "page id=4"));
+    assert_eq!(answer.header("x-page"), Some("7"));
+    assert_eq!(header(&web.request(), "millpass-tenant"), "acme");
+}
+
+#[test]
+fn a_waiting_request_is_served_when_a_replica_comes() {
+    let engine = Engine::start(|request, responder| stream_tokens(request, responder, 3));
+    let control = Control::start();
+    let router = start_router(&control);
+    let stream = send_raw(&router, "/v1/completions", "", &prompt(true));
+    wait_until("demand reported", || {
+        let state = control.lock();
+        let report = state.last_report.as_ref().unwrap();
+        report.demand.iter().any(|demand| demand.waiting == 1)
+    });
+    control.add_replica(1, engine.address());
+    read_until(&stream, "[DONE]");
+}
+
+#[test]
+fn a_drain_lets_a_stream_finish_and_tells_the_control_group() {
+    let (go_on, may_go_on) = bounded::<()>(0);
+    let engine = Engine::start(move |_, responder| {
+        let mut body = open_stream(responder);
+        body.write(token(0)).unwrap();
+        may_go_on.recv_timeout(PATIENCE).unwrap();
+        body.write(common::engine::done()).unwrap();
+        body.finish();
+    });
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = std::sync::Arc::new(start_router(&control));
+    let stream = send_raw(&router, "/v1/completions", "", &prompt(true));
+    read_until(&stream, "t0 ");
+    let draining = router.clone();
+    let drain = std::thread::spawn(move || draining.drain());
+    wait_until("draining reported", || {
+        control.lock().last_report.as_ref().unwrap().draining
+    });
+    go_on.send_timeout((), PATIENCE).unwrap();
+    read_until(&stream, "[DONE]");
+    let report = drain.join().unwrap();
+    assert_eq!((report.finished, report.cut), (1, 0));
+}
+
+#[test]
+fn a_stop_cuts_streams_without_a_proper_end() {
+    let (keep, _kept) = crossbeam::channel::unbounded();
+    let engine = Engine::start(move |_, responder| {
+        let mut body = open_stream(responder);
+        body.write(token(0)).unwrap();
+        keep.send(body).unwrap();
+    });
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    let answer = agent()
+        .run(completion(&router).body(prompt(true)).unwrap())
+        .unwrap();
+    wait_until("engine reached", || !engine.requests.is_empty());
+    router.stop();
+    assert!(!read_answer(answer).whole);
+}
+
+#[test]
+fn metrics_health_and_explanations_are_there() {
+    let engine = Engine::start(|_, responder| answer_whole(responder, "x"));
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    let request = completion(&router).header("X-Request-Id", "known-1");
+    assert_eq!(call(request.body(prompt(false)).unwrap()).status, 200);
+    let health = observe(&router, "/healthz");
+    assert_eq!(
+        (health.status, health.json()["status"].as_str()),
+        (200, Some("serving"))
+    );
+    wait_until("metrics", || {
+        let metrics = observe(&router, "/metrics").body;
+        metrics.contains("millpass_router_requests_total{outcome=\"answered\"} 1")
+            && metrics.contains("millpass_router_attempts_total{result=\"completed\"} 1")
+            && metrics.contains("millpass_router_first_byte_seconds_count 1")
+            && metrics.contains("millpass_router_in_flight 0")
+    });
+    let explanation = observe(&router, "/v1/explain/known-1").json();
+    let events: Vec<&str> = explanation["steps"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|step| step["event"].as_str().unwrap())
+        .collect();
+    assert_eq!(events, ["dispatched", "completed"]);
+    assert_eq!(observe(&router, "/v1/explain/other").status, 404);
+    assert_eq!(observe(&router, "/else").status, 404);
+}
+
+#[test]
+fn explanations_are_bounded() {
+    let control = Control::start();
+    let mut settings = settings(vec![control.address()]);
+    settings.explained_requests = 2;
+    let router = start_with(&control, settings);
+    for id in ["a", "b", "c"] {
+        let request = post(&router, "/v1/completions").header("X-Request-Id", id);
+        assert_eq!(call(request.body(prompt(false)).unwrap()).status, 401);
+    }
+    assert_eq!(observe(&router, "/v1/explain/a").status, 404);
+    assert_eq!(observe(&router, "/v1/explain/c").status, 200);
+}
+
+#[test]
+fn a_deadline_above_the_maximum_is_shortened() {
+    let engine = Engine::start(|_, responder| answer_whole(responder, "x"));
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let mut settings = settings(vec![control.address()]);
+    settings.limits.maximum_deadline = Duration::from_secs(3);
+    let router = start_with(&control, settings);
+    let request = completion(&router).header("Millpass-Deadline-Ms", "3600000");
+    assert_eq!(call(request.body(prompt(false)).unwrap()).status, 200);
+    let left: u64 = header(&engine.request(), "millpass-deadline-ms")
+        .parse()
+        .unwrap();
+    assert!(left <= 3_000, "{left}");
+}
