--- /dev/null
+++ b/crates/millpass-cli/src/commands/offline.rs
@@ -0,0 +1,55 @@
+//! Commands that need no server: `check`, `template`, `key`.
+
+use crate::objects;
+use anyhow::{Context, Result, bail};
+use std::path::Path;
+use std::process::ExitCode;
+
+const CONTROL_TEMPLATE: &str = include_str!("../../../../examples/templates/control.toml");
+const ROUTER_TEMPLATE: &str = include_str!("../../../../examples/templates/router.toml");
+
+/// Checks a settings file or a file of objects; which one it is, its sections tell.
+pub fn check(file: &Path) -> Result<ExitCode> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file)
+        .with_context(|| format!("{name}: cannot be read; check the path"))?;
+    let table: toml::Table = text
+        .parse()
+        .map_err(|error| anyhow::anyhow!("{name}: not valid TOML: {error}"))?;
+    let kind = if table.contains_key("member") || table.contains_key("members") {
+        millpass_config::parse_control(&name, &text)?;
+        "control settings"
+    } else if table.contains_key("router") || table.contains_key("limits") {
+        millpass_config::parse_router(&name, &text)?;
+        "router settings"
+    } else {
+        objects::parse_objects(&name, &text)?;
+        "objects"
+    };
+    println!("{name}: valid {kind}");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Prints a settings template.
+pub fn template(kind: &str) -> Result<ExitCode> {
+    match kind {
+        "control" => print!("{CONTROL_TEMPLATE}"),
+        "router" => print!("{ROUTER_TEMPLATE}"),
+        other => bail!("no template {other:?}; write `control` or `router`"),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Draws a key: 32 random bytes from two random UUIDs of the operating system's generator.
+pub fn key() -> Result<ExitCode> {
+    let random = [uuid::Uuid::new_v4(), uuid::Uuid::new_v4()];
+    let key = format!("mp-{}{}", random[0].simple(), random[1].simple());
+    println!("key  {key}");
+    println!("hash {}", key_hash(&key));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// The hash under which a key is stored.
+pub fn key_hash(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
--- a/crates/millpass-cli/src/lib.rs
+++ b/crates/millpass-cli/src/lib.rs
@@ -1,1 +1,5 @@
-//! The millpass command.
+//! The `millpass` command: options, operators' commands, and the programs it starts.
+
+pub mod commands;
+pub mod objects;
+pub mod options;
