Checkers: one per point that must always hold, over plain event histories

Ruled out: counting breaches inside the stand-ins only (they do not see callers, routers or the log).

--- /dev/null
+++ b/crates/millpass-checkers/src/configuration.rs
@@ -0,0 +1,213 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+//!
+//! In force: each router that can reach a majority applies a committed revision within the bound,
+//! counted from the last disturbance. Never reverts: what a run of a router applied never goes
+//! back, and each change that an operator was told is accepted stands in the audit log at the end.
+
+use crate::{Breach, Event, History, Limits};
+use millpass_proto::{
+    ChangeId, ConfigurationRevision, Incarnation, ObjectChangeOutcome, RouterName,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Name of the checker.
+pub const NAME: &str = "configuration";
+
+/// Reports late, reverted and lost revisions.
+pub fn check(history: &History, limits: &Limits) -> Vec<Breach> {
+    let mut breaches = reverted(history);
+    breaches.extend(lost(history));
+    breaches.extend(late(history, limits));
+    breaches
+}
+
+fn breach(at_micros: u64, detail: String) -> Breach {
+    Breach {
+        checker: NAME,
+        at_micros,
+        detail,
+    }
+}
+
+fn reverted(history: &History) -> Vec<Breach> {
+    let mut applied: BTreeMap<(&RouterName, Incarnation), ConfigurationRevision> = BTreeMap::new();
+    let mut breaches = Vec::new();
+    for record in history.records() {
+        let Event::RevisionApplied {
+            router,
+            incarnation,
+            revision,
+        } = &record.event
+        else {
+            continue;
+        };
+        let before = applied.insert((router, *incarnation), *revision);
+        if let Some(before) = before.filter(|before| before.0 > revision.0) {
+            breaches.push(breach(
+                record.at_micros,
+                format!("router {router} went back from revision {before} to {revision}"),
+            ));
+        }
+    }
+    breaches
+}
+
+fn lost(history: &History) -> Vec<Breach> {
+    let mut change_of_call: BTreeMap<u64, &ChangeId> = BTreeMap::new();
+    let mut accepted: BTreeMap<&ChangeId, ConfigurationRevision> = BTreeMap::new();
+    let mut audited: BTreeMap<&ChangeId, ConfigurationRevision> = BTreeMap::new();
+    let mut audit_read = None;
+    let mut breaches = Vec::new();
+    for record in history.records() {
+        match &record.event {
+            Event::ChangeCalled {
+                call, change_id, ..
+            } => {
+                change_of_call.insert(*call, change_id);
+            }
+            Event::ChangeReturned {
+                call,
+                outcome: ObjectChangeOutcome::Accepted(answer),
+            } => {
+                if let Some(change_id) = change_of_call.get(call) {
+                    accepted.insert(change_id, answer.revision);
+                }
+            }
+            Event::FinalAudit {
+                change_id,
+                revision,
+            } => {
+                let before = audited.insert(change_id, *revision);
+                let twice = before.map(|_| {
+                    breach(
+                        record.at_micros,
+                        format!("change {change_id} stands twice in the audit log"),
+                    )
+                });
+                breaches.extend(twice);
+            }
+            Event::FinalAuditRead => audit_read = Some(record.at_micros),
+            _ => {}
+        }
+    }
+    let Some(read_at) = audit_read else {
+        return breaches;
+    };
+    for (change_id, revision) in accepted {
+        if audited.get(change_id) != Some(&revision) {
+            breaches.push(breach(
+                read_at,
+                format!("accepted change {change_id} at revision {revision} is lost"),
+            ));
+        }
+    }
+    breaches
+}
+
+/// What is known of one router over time.
+#[derive(Default)]
+struct RouterTimeline {
+    applied: Vec<(u64, u64)>,
+    reachable: Vec<(u64, bool)>,
+}
+
+impl RouterTimeline {
+    /// Start of a stretch of `bound` that is free of unreachable times and disturbances, at or
+    /// after `from`; none when there is none before the end of the run.
+    fn settled_from(
+        &self,
+        from: u64,
+        bound: u64,
+        disturbances: &BTreeSet<u64>,
+        over: u64,
+    ) -> Option<u64> {
+        let mut start = from;
+        loop {
+            if start.saturating_add(bound) > over {
+                return None;
+            }
+            start = self.reachable_from(start)?;
+            let end = start.saturating_add(bound);
+            let disturbed = disturbances.range(start + 1..=end).next_back().copied();
+            let cut = self
+                .reachable
+                .iter()
+                .rev()
+                .find(|(at, reachable)| !reachable && *at > start && *at <= end);
+            match (disturbed, cut) {
+                (None, None) => return (end <= over).then_some(start),
+                (disturbed, cut) => {
+                    start = disturbed.unwrap_or(0).max(cut.map_or(0, |(at, _)| *at));
+                }
+            }
+        }
+    }
+
+    fn reachable_from(&self, at: u64) -> Option<u64> {
+        let before = self.reachable.iter().rev().find(|(when, _)| *when <= at);
+        if before.is_some_and(|(_, reachable)| *reachable) {
+            return Some(at);
+        }
+        let next = self
+            .reachable
+            .iter()
+            .find(|(when, reachable)| *when > at && *reachable);
+        next.map(|(when, _)| *when)
+    }
+
+    fn applied_at(&self, at: u64) -> u64 {
+        let before = self.applied.iter().rev().find(|(when, _)| *when <= at);
+        before.map_or(0, |(_, revision)| *revision)
+    }
+}
+
+fn late(history: &History, limits: &Limits) -> Vec<Breach> {
+    let mut timelines: BTreeMap<&RouterName, RouterTimeline> = BTreeMap::new();
+    let mut disturbances = BTreeSet::new();
+    let mut committed = Vec::new();
+    let mut over = 0;
+    for record in history.records() {
+        let at = record.at_micros;
+        match &record.event {
+            Event::RevisionApplied {
+                router, revision, ..
+            } => timelines
+                .entry(router)
+                .or_default()
+                .applied
+                .push((at, revision.0)),
+            Event::RouterReachable { router, reachable } => timelines
+                .entry(router)
+                .or_default()
+                .reachable
+                .push((at, *reachable)),
+            Event::Disturbed { .. } | Event::AllHealed => {
+                disturbances.insert(at);
+            }
+            Event::RevisionCommitted { revision } => committed.push((at, *revision)),
+            Event::RunOver => over = at,
+            _ => {}
+        }
+    }
+    let mut breaches = Vec::new();
+    for (at, revision) in committed {
+        for (router, timeline) in &timelines {
+            let bound = limits.in_force_micros;
+            let settled = timeline.settled_from(at, bound, &disturbances, over);
+            let Some(due) = settled.map(|start| start + bound) else {
+                continue;
+            };
+            let applied = timeline.applied_at(due);
+            if applied < revision.0 {
+                breaches.push(breach(
+                    due,
+                    format!(
+                        "router {router} applies {applied} where {revision}, committed at {at}, \
+                         was due"
+                    ),
+                ));
+            }
+        }
+    }
+    breaches
+}
--- /dev/null
+++ b/crates/millpass-checkers/src/memory.rs
@@ -0,0 +1,33 @@
+//! Accelerator memory is never overcommitted by loads, adapters or caches.
+
+use crate::{Breach, Event, History, Limits};
+
+/// Name of the checker.
+pub const NAME: &str = "memory";
+
+/// Reports each moment at which an accelerator uses more than it has.
+pub fn check(history: &History, _limits: &Limits) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    for record in history.records() {
+        let Event::MemoryUsed {
+            backend,
+            accelerators,
+        } = &record.event
+        else {
+            continue;
+        };
+        for (index, memory) in accelerators.iter().enumerate() {
+            if memory.used_bytes > memory.capacity_bytes {
+                breaches.push(Breach {
+                    checker: NAME,
+                    at_micros: record.at_micros,
+                    detail: format!(
+                        "accelerator {index} of {backend} uses {} of {} bytes",
+                        memory.used_bytes, memory.capacity_bytes
+                    ),
+                });
+            }
+        }
+    }
+    breaches
+}
--- /dev/null
+++ b/crates/millpass-checkers/src/process_times.rs
@@ -0,0 +1,93 @@
+//! When processes were killed, stopped, frozen or unreachable, for the checkers that must allow
+//! for it.
+
+use crate::{Event, History, ProcessName};
+use std::collections::BTreeMap;
+
+/// A stretch of time in microseconds, the end included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// Start.
+    pub from: u64,
+    /// End; `u64::MAX` when it never ended.
+    pub to: u64,
+}
+
+impl Span {
+    /// Whether it meets the other stretch.
+    pub fn overlaps(&self, from: u64, to: u64) -> bool {
+        self.from <= to && from <= self.to
+    }
+}
+
+/// Times of every process.
+#[derive(Debug, Default)]
+pub struct ProcessTimes {
+    killed: BTreeMap<ProcessName, Vec<u64>>,
+    stop_planned: BTreeMap<ProcessName, Vec<u64>>,
+    frozen: BTreeMap<ProcessName, Vec<Span>>,
+}
+
+impl ProcessTimes {
+    /// Collects the times of a history.
+    pub fn of(history: &History) -> Self {
+        let mut times = ProcessTimes::default();
+        for record in history.records() {
+            times.take(record.at_micros, &record.event);
+        }
+        times
+    }
+
+    fn take(&mut self, at: u64, event: &Event) {
+        match event {
+            Event::Killed { process } => {
+                self.killed.entry(process.clone()).or_default().push(at);
+                self.end_freeze(process, at);
+            }
+            Event::StopPlanned { process } => self
+                .stop_planned
+                .entry(process.clone())
+                .or_default()
+                .push(at),
+            Event::Frozen { process } => {
+                self.frozen.entry(process.clone()).or_default().push(Span {
+                    from: at,
+                    to: u64::MAX,
+                })
+            }
+            Event::Woken { process } => self.end_freeze(process, at),
+            _ => {}
+        }
+    }
+
+    fn end_freeze(&mut self, process: &ProcessName, at: u64) {
+        let open = self
+            .frozen
+            .get_mut(process)
+            .and_then(|spans| spans.last_mut().filter(|span| span.to == u64::MAX));
+        if let Some(span) = open {
+            span.to = at;
+        }
+    }
+
+    /// Whether the process was killed between the two times.
+    pub fn killed_between(&self, process: &ProcessName, from: u64, to: u64) -> bool {
+        let inside = |at: &u64| (from..=to).contains(at);
+        self.killed
+            .get(process)
+            .is_some_and(|times| times.iter().any(inside))
+    }
+
+    /// Latest time at or before `to` at which an orderly stop was asked for.
+    pub fn stop_planned_before(&self, process: &ProcessName, to: u64) -> Option<u64> {
+        let times = self.stop_planned.get(process)?;
+        times.iter().copied().filter(|at| *at <= to).max()
+    }
+
+    /// End of the last freeze that meets the stretch.
+    pub fn woken_after(&self, process: &ProcessName, from: u64, to: u64) -> Option<u64> {
+        let spans = self.frozen.get(process)?;
+        let met = spans.iter().filter(|span| span.overlaps(from, to));
+        met.map(|span| span.to).max()
+    }
+}
