Replicated state: catalog, back ends, placement ledger, orders, routes, claims

Cause: millpass-state was a stub. Ruled out: reading a clock or settings in the state (members would differ); forgetting claims when the table is full (a key could run twice): over its bounds the table refuses. Change: the state machine in small modules; schema appended: AbandonClaims, SettleRole, ClaimDecision Overloaded and BornInFuture, checkpoint of an adapter attachment.

--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -6,6 +6,31 @@
 use serde_bytes::ByteBuf as Bytes;
 
 
+/// Random number drawn when a process starts; tells two runs of one process apart.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct Incarnation(pub u64);
+
+
+/// Name of a router process, unique in the deployment.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouterName(pub String);
+
+
+/// Concludes all open claims of one run of a router as `Unknown`: the run was replaced or lost its lease. A later word of that run on one of them still counts.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AbandonClaims {
+
+    /// Router.
+    pub router: RouterName,
+
+    /// Run of that router.
+    pub router_incarnation: Incarnation,
+}
+
+
 /// Name of an adapter, unique in the deployment.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -53,12 +78,6 @@
 }
 
 
-/// Random number drawn when a process starts; tells two runs of one process apart.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct Incarnation(pub u64);
-
-
 /// A change of a back end's state, from the platform's machine list or an operator.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -166,12 +185,6 @@
 pub struct ClaimKey(pub String);
 
 
-/// Name of a router process, unique in the deployment.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct RouterName(pub String);
-
-
 /// Name of a tenant.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -648,6 +661,22 @@
 }
 
 
+/// A role as confirmed by the engine. Ignored unless incarnation and fence match the outstanding order.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RoleSettlement {
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run of the engine.
+    pub incarnation: Incarnation,
+
+    /// Fence of the order that is settled.
+    pub fence: LogPosition,
+}
+
+
 /// A command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -688,6 +717,12 @@
 
     /// Decide a role.
     ChangeRole(ChangeRole),
+
+    /// Conclude the open claims of a lost router.
+    AbandonClaims(AbandonClaims),
+
+    /// Record that an engine took its role.
+    SettleRole(RoleSettlement),
 }
 
 
@@ -782,6 +817,9 @@
 
     /// Fence of the outstanding or last order.
     pub fence: LogPosition,
+
+    /// Checkpoint to load.
+    pub checkpoint: String,
 }
 
 
@@ -1692,6 +1730,12 @@
 
     /// The key is older than claims are kept; nothing was run.
     Expired,
+
+    /// The table of claims is full; nothing was run. Come back when older claims have expired.
+    Overloaded,
+
+    /// The key says that it is born later than the clock allows; nothing was run.
+    BornInFuture,
 }
 
 
--- /dev/null
+++ b/crates/millpass-state/src/changes.rs
@@ -0,0 +1,115 @@
+//! Which keys changed at which revision, so that deltas can be given from any earlier revision.
+//!
+//! Removals are remembered up to a bound; whoever is further behind gets a full copy.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Revisions of live keys and of the newest removals.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeIndex<K: Ord> {
+    /// Revision of each live key's last change.
+    live: BTreeMap<K, u64>,
+    /// The same, ordered by revision.
+    live_order: BTreeSet<(u64, K)>,
+    /// Revision of each remembered removal.
+    removed: BTreeMap<K, u64>,
+    /// The same, ordered by revision.
+    removed_order: BTreeSet<(u64, K)>,
+    /// Highest revision of a removal that is no longer remembered.
+    forgotten_through: u64,
+}
+
+/// Keys changed and removed after some revision, each in revision order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes<K> {
+    /// Keys created or changed.
+    pub changed: Vec<K>,
+    /// Keys removed.
+    pub removed: Vec<K>,
+}
+
+impl<K: Ord> Default for ChangeIndex<K> {
+    fn default() -> Self {
+        ChangeIndex {
+            live: BTreeMap::new(),
+            live_order: BTreeSet::new(),
+            removed: BTreeMap::new(),
+            removed_order: BTreeSet::new(),
+            forgotten_through: 0,
+        }
+    }
+}
+
+impl<K: Ord + Clone> ChangeIndex<K> {
+    /// Notes that a key was created or changed at a revision.
+    pub fn touch(&mut self, key: &K, revision: u64) {
+        self.forget_key(key);
+        self.live.insert(key.clone(), revision);
+        self.live_order.insert((revision, key.clone()));
+    }
+
+    /// Notes that a key was removed at a revision; at most `bound` removals are remembered.
+    pub fn remove(&mut self, key: &K, revision: u64, bound: usize) {
+        self.forget_key(key);
+        self.removed.insert(key.clone(), revision);
+        self.removed_order.insert((revision, key.clone()));
+        while self.removed.len() > bound {
+            self.forget_oldest_removal();
+        }
+    }
+
+    /// Whether the key is live.
+    pub fn contains(&self, key: &K) -> bool {
+        self.live.contains_key(key)
+    }
+
+    /// Live keys, in their own order.
+    pub fn live_keys(&self) -> impl Iterator<Item = &K> {
+        self.live.keys()
+    }
+
+    /// Whether the key's removal is remembered.
+    pub fn is_removed(&self, key: &K) -> bool {
+        self.removed.contains_key(key)
+    }
+
+    /// Changes after a revision; none when removals since then are no longer remembered.
+    pub fn since(&self, from: u64) -> Option<Changes<K>> {
+        if from < self.forgotten_through {
+            return None;
+        }
+        Some(Changes {
+            changed: keys_after(&self.live_order, from),
+            removed: keys_after(&self.removed_order, from),
+        })
+    }
+
+    fn forget_key(&mut self, key: &K) {
+        if let Some(revision) = self.live.remove(key) {
+            self.live_order.remove(&(revision, key.clone()));
+        }
+        if let Some(revision) = self.removed.remove(key) {
+            self.removed_order.remove(&(revision, key.clone()));
+        }
+    }
+
+    fn forget_oldest_removal(&mut self) {
+        if let Some((revision, key)) = self.removed_order.pop_first() {
+            self.removed.remove(&key);
+            self.forgotten_through = self.forgotten_through.max(revision);
+        }
+    }
+}
+
+fn keys_after<K: Ord + Clone>(order: &BTreeSet<(u64, K)>, from: u64) -> Vec<K> {
+    order
+        .iter()
+        .rev()
+        .take_while(|(revision, _)| *revision > from)
+        .map(|(_, key)| key.clone())
+        .collect::<Vec<K>>()
+        .into_iter()
+        .rev()
+        .collect()
+}
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -1,120 +1,197 @@
 //! The replicated state machine: catalog, placement, memory ledger and claims.
 //!
 //! [`State::apply`] is deterministic: the same commands at the same positions give the same
-//! state and the same outcomes on every member.
+//! state and the same outcomes on every member. It reads no clock and draws no random numbers,
+//! and every table that it keeps is ordered and bounded.
+
+mod audit;
+mod backends;
+mod catalog;
+mod changes;
+mod claims;
+mod encoding;
+mod fleet;
+mod ledger;
+mod orders;
+mod placement;
+mod refusal;
+mod routes;
+mod validation;
+
+pub use audit::{MAXIMUM_AUDIT_RECORDS, MAXIMUM_REMEMBERED_CHANGES};
+pub use backends::{Backend, MAXIMUM_BACKENDS, MAXIMUM_GONE_BACKENDS, MAXIMUM_PAST_INCARNATIONS};
+pub use catalog::{MAXIMUM_OBJECTS, MAXIMUM_TOMBSTONES};
+pub use changes::{ChangeIndex, Changes};
+pub use claims::{
+    MAXIMUM_ANSWER_BYTES, MAXIMUM_ANSWER_BYTES_PER_TENANT, MAXIMUM_CLAIM_AGE_MILLIS,
+    MAXIMUM_CLAIMS, MAXIMUM_CLAIMS_PER_TENANT, MAXIMUM_CLOCK_SKEW_MILLIS,
+    MAXIMUM_TOTAL_ANSWER_BYTES,
+};
+pub use encoding::StateError;
+pub use ledger::{adapter_bytes_each, replica_bytes_each, version_bytes_each};
+pub use placement::MAXIMUM_ADAPTERS_PER_REPLICA;
+pub use refusal::Refusal;
+pub use routes::MAXIMUM_ROUTE_REMOVALS;
+pub use validation::{Invalid, kind_of, version_name};
 
 use millpass_proto::{
-    BackendName, BackendRegistration, BackendState, Command, CommandOutcome, ConfigurationDelta,
-    ConfigurationRevision, EngineOrder, EngineRole, LogPosition, ModelName, ObjectKey, ObjectKind,
-    PlacementDelta, PlacementRevision, Replica, SlotId, StoredObject,
+    BackendName, BackendState, Command, CommandOutcome, ConfigurationDelta, ConfigurationRevision,
+    Incarnation, LogPosition, ModelName, ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind,
+    ObjectSpec, PlacementRevision, Replica, RouterName, SlotId, StoredObject,
 };
-
-/// A back end as the state knows it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Backend {
-    /// Registration of its current run.
-    pub registration: BackendRegistration,
-    /// Whether it may take new work.
-    pub state: BackendState,
-    /// Role, as last decided.
-    pub role: EngineRole,
-}
-
-/// Why an encoded state could not be read.
-#[derive(Debug, thiserror::Error)]
-#[error("snapshot does not decode: {0}; restore the member from another one")]
-pub struct StateError(pub String);
+use serde::{Deserialize, Serialize};
 
 /// The whole replicated state.
-#[derive(Clone, Debug, Default)]
-pub struct State {}
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    catalog: catalog::Catalog,
+    backends: backends::Backends,
+    placement: placement::Placement,
+    routes: routes::Routes,
+    claims: claims::Claims,
+}
 
 impl State {
     /// Applies one committed command.
-    pub fn apply(&mut self, _at: LogPosition, _command: &Command) -> CommandOutcome {
-        CommandOutcome::Done
-    }
-
-    /// Encodes the state for a snapshot.
-    pub fn encode(&self) -> Vec<u8> {
-        Vec::new()
-    }
-
-    /// Reads what [`State::encode`] gave.
-    pub fn decode(_bytes: &[u8]) -> Result<State, StateError> {
-        Ok(State {})
+    pub fn apply(&mut self, at: LogPosition, command: &Command) -> CommandOutcome {
+        let outcome = match command {
+            Command::ChangeObject(change) => CommandOutcome::Object(self.change_object(change)),
+            Command::BeginClaim(begin) => CommandOutcome::Claim(self.claims.begin(begin)),
+            Command::PlaceReplica(place) => match self.place_replica(at, place) {
+                Ok(slot) => CommandOutcome::Placed(slot),
+                Err(refusal) => CommandOutcome::Ignored(refusal.to_string()),
+            },
+            other => match self.apply_plain(at, other) {
+                Ok(()) => CommandOutcome::Done,
+                Err(refusal) => CommandOutcome::Ignored(refusal.to_string()),
+            },
+        };
+        self.routes.finish_command();
+        outcome
+    }
+
+    /// Applies a command whose outcome has no content.
+    fn apply_plain(&mut self, at: LogPosition, command: &Command) -> Result<(), Refusal> {
+        match command {
+            Command::RegisterBackend(registration) => self.register_backend(registration),
+            Command::MarkBackend(mark) => self.mark_backend(mark),
+            Command::RetireReplica(retire) => self.retire_replica(at, retire),
+            Command::AttachAdapter(decision) => self.attach_adapter(at, decision),
+            Command::DetachAdapter(decision) => self.detach_adapter(at, decision),
+            Command::SettleOrder(settlement) => self.settle_order(settlement),
+            Command::ChangeRole(change) => self.change_role(at, change),
+            Command::SettleRole(settlement) => self.settle_role(settlement),
+            Command::FinishClaim(finish) => self.claims.finish(finish),
+            Command::AbandonClaims(abandon) => self.claims.abandon(abandon),
+            Command::ExpireClaims(expire) => self.claims.expire(expire),
+            // These have an outcome of their own; see `apply`.
+            Command::ChangeObject(_) | Command::BeginClaim(_) | Command::PlaceReplica(_) => {
+                Err(Refusal::NoChange)
+            }
+        }
+    }
+
+    fn change_object(&mut self, change: &ObjectChange) -> ObjectChangeOutcome {
+        let before = self.catalog.revision();
+        let outcome = self.catalog.apply(change);
+        let is_model = matches!(change.spec, Some(ObjectSpec::Model(_)));
+        if is_model && self.catalog.revision() != before {
+            // A route tells how many requests its replica serves at once.
+            let model = ModelName(change.key.name.clone());
+            for slot in self.placement.slots_of(&model) {
+                self.routes.touch_live_slot(slot);
+            }
+        }
+        outcome
     }
 
     /// Revision of the catalog.
     pub fn configuration_revision(&self) -> ConfigurationRevision {
-        ConfigurationRevision(0)
+        ConfigurationRevision(self.catalog.revision())
     }
 
     /// Revision of the routes.
     pub fn placement_revision(&self) -> PlacementRevision {
-        PlacementRevision(0)
+        PlacementRevision(self.routes.revision())
     }
 
-    /// Catalog changes after `from`; none when `from` is current; a full copy when the
-    /// removals since are no longer kept.
-    pub fn configuration_since(&self, _from: ConfigurationRevision) -> Option<ConfigurationDelta> {
-        None
-    }
-
-    /// Route changes after `from`; none when `from` is current; a full copy when the removals
-    /// since are no longer kept.
-    pub fn placement_since(&self, _from: PlacementRevision) -> Option<PlacementDelta> {
-        None
+    /// Catalog changes after `from`; none when `from` is current; a full copy when `from` is 0 or
+    /// ahead, or the removals since are no longer kept.
+    pub fn configuration_since(&self, from: ConfigurationRevision) -> Option<ConfigurationDelta> {
+        self.catalog.since(from)
     }
 
     /// One catalog object.
-    pub fn object(&self, _key: &ObjectKey) -> Option<&StoredObject> {
-        None
+    pub fn object(&self, key: &ObjectKey) -> Option<&StoredObject> {
+        self.catalog.object(key)
     }
 
     /// All catalog objects of a kind, by name.
-    pub fn objects(&self, _kind: ObjectKind) -> Vec<&StoredObject> {
-        Vec::new()
+    pub fn objects(&self, kind: ObjectKind) -> Vec<&StoredObject> {
+        self.catalog.objects(kind).collect()
     }
 
     /// One back end.
-    pub fn backend(&self, _name: &BackendName) -> Option<&Backend> {
-        None
+    pub fn backend(&self, name: &BackendName) -> Option<&Backend> {
+        self.backends.get(name).map(|record| &record.backend)
     }
 
     /// All back ends, by name, gone ones left out.
     pub fn backends(&self) -> Vec<&Backend> {
-        Vec::new()
+        let all = self.backends.iter().map(|(_, record)| &record.backend);
+        all.filter(|backend| backend.state != BackendState::Gone)
+            .collect()
+    }
+
+    /// Back ends that are not gone, by name, each with the free bytes of its accelerators.
+    pub fn backends_with_memory(&self) -> impl Iterator<Item = (&Backend, &[u64])> {
+        let all = self.backends.iter();
+        all.map(|(_, record)| (&record.backend, record.ledger.free()))
+            .filter(|(backend, _)| backend.state != BackendState::Gone)
     }
 
     /// All decided replicas, by slot.
     pub fn replicas(&self) -> Vec<&Replica> {
-        Vec::new()
+        self.placement.replicas.values().collect()
     }
 
     /// One replica.
-    pub fn replica(&self, _slot: SlotId) -> Option<&Replica> {
-        None
+    pub fn replica(&self, slot: SlotId) -> Option<&Replica> {
+        self.placement.replicas.get(&slot)
     }
 
     /// The decided replicas of one model, in every phase.
-    pub fn replicas_of(&self, _model: &ModelName) -> Vec<&Replica> {
-        Vec::new()
+    pub fn replicas_of(&self, model: &ModelName) -> Vec<&Replica> {
+        let slots = self.placement.slots_of(model);
+        slots.filter_map(|slot| self.replica(slot)).collect()
     }
 
-    /// Memory of an engine that nothing has reserved, per accelerator, in bytes.
-    pub fn free_bytes(&self, _backend: &BackendName) -> Vec<u64> {
-        Vec::new()
+    /// The decided replicas on one engine, in every phase.
+    pub fn replicas_on(&self, backend: &BackendName) -> Vec<&Replica> {
+        let record = self.backends.get(backend);
+        let slots = record.into_iter().flat_map(|record| &record.slots);
+        slots.filter_map(|slot| self.replica(*slot)).collect()
     }
 
-    /// Orders decided and not settled, per engine, each engine's in fence order. They are to be
-    /// delivered one at a time per engine, the first until it is settled.
-    pub fn outstanding_orders(&self) -> Vec<EngineOrder> {
-        Vec::new()
+    /// Memory of an engine that nothing has reserved, per accelerator, in bytes.
+    pub fn free_bytes(&self, backend: &BackendName) -> Vec<u64> {
+        let record = self.backends.get(backend);
+        record.map_or_else(Vec::new, |record| record.ledger.free().to_vec())
     }
 
     /// Birth time below which claims are forgotten, in Unix milliseconds.
     pub fn claims_born_after(&self) -> u64 {
-        0
+        self.claims.born_after()
+    }
+
+    /// Number of claims kept.
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Runs of routers that hold open claims, with how many. The leader abandons those of runs
+    /// that were replaced or have lost their lease.
+    pub fn open_claim_runs(&self) -> impl Iterator<Item = (&RouterName, Incarnation, usize)> {
+        self.claims.open_runs()
     }
 }
