Stand-in of the model engine: the pure model

Cause: control, routers and the simulator need an engine that takes fenced orders, batches requests, caches prefixes and reports late, and that counts breaches honestly. Ruled out: one text per token inside the model (the text is a pure function, module `content`); timers for reports (states are kept when they change, a report picks the one of `lag` ago). Conclusion: the simulator can drive it: step(now, input) -> outputs, next_wake(), report(now).

--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1670,6 +1670,57 @@
 }
 
 
+/// What happened to one block of a prompt prefix in an engine's cache.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum CacheChange {
+
+    /// The block is cached.
+    Inserted,
+
+    /// The block is gone.
+    Evicted,
+}
+
+
+/// One cache event.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CacheEvent {
+
+    /// Number within the run of the engine, from 1; numbers that are missing were lost.
+    pub number: u64,
+
+    /// Slot whose cache it is.
+    pub slot: SlotId,
+
+    /// Chained hash of the prompt up to the end of the block.
+    pub prefix_hash: u64,
+
+    /// What happened.
+    pub change: CacheChange,
+}
+
+
+/// Cache events, published late and with gaps. GET /engine/events?after=N.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CacheEvents {
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run; the numbering starts anew with each.
+    pub incarnation: Incarnation,
+
+    /// Oldest number still kept; a reader further behind starts from an empty picture.
+    pub oldest: u64,
+
+    /// Events in the order of their numbers, at most the limit of one answer.
+    pub events: Vec<CacheEvent>,
+}
+
+
 /// Answer to a claim.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1798,6 +1849,107 @@
 }
 
 
+/// A request that ran more than once.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RepeatedRun {
+
+    /// Tenant.
+    pub tenant: TenantName,
+
+    /// Idempotency key, or request identity.
+    pub key: String,
+
+    /// Times it ran.
+    pub runs: u64,
+}
+
+
+/// What an engine stand-in counted in its run. GET /engine/audit.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineAudit {
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run.
+    pub incarnation: Incarnation,
+
+    /// Breach: orders that would have exceeded an accelerator's memory; they were rejected.
+    pub memory_overcommits: u64,
+
+    /// Most memory ever in use on each accelerator.
+    pub peak_used_bytes: Vec<u64>,
+
+    /// Requests for a slot that is not loaded here; refused as not executed.
+    pub wrong_slot_requests: u64,
+
+    /// Orders refused for a stale fence.
+    pub stale_fences: u64,
+
+    /// Orders and requests refused for another incarnation.
+    pub wrong_incarnations: u64,
+
+    /// Breach: a fence seen again with another order.
+    pub conflicting_fences: u64,
+
+    /// Orders accepted, resends not counted.
+    pub orders_accepted: u64,
+
+    /// Orders rejected for another reason.
+    pub orders_rejected: u64,
+
+    /// Model loads that ended well.
+    pub model_loads: u64,
+
+    /// Adapter loads that ended well.
+    pub adapter_loads: u64,
+
+    /// Loads that failed.
+    pub failed_loads: u64,
+
+    /// Requests that entered the running batch for the first time.
+    pub requests_started: u64,
+
+    /// Of these, those that resume an earlier stream.
+    pub requests_resumed: u64,
+
+    /// Requests that gave their whole answer.
+    pub requests_finished: u64,
+
+    /// Requests cancelled by their caller.
+    pub requests_cancelled: u64,
+
+    /// Requests refused as not executed.
+    pub requests_refused: u64,
+
+    /// Requests cut while running, by an unload bound or their deadline.
+    pub requests_cut: u64,
+
+    /// Requests moved back from the batch to the queue.
+    pub preemptions: u64,
+
+    /// Tokens given out.
+    pub tokens: u64,
+
+    /// Breach: idempotency keys that ran more than once (bounded list).
+    pub repeated_keys: Vec<RepeatedRun>,
+
+    /// Request identities that ran more than once, resumes not counted (bounded list).
+    pub repeated_requests: Vec<RepeatedRun>,
+
+    /// Accelerator-milliseconds with weights loaded.
+    pub loaded_accelerator_millis: u64,
+
+    /// Of these, with nothing running.
+    pub idle_accelerator_millis: u64,
+
+    /// Keys and identities no longer remembered, for want of room; with any, the lists may lack some.
+    pub forgotten_runs: u64,
+}
+
+
 /// A message with its addresses.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1836,6 +1988,37 @@
 }
 
 
+/// What a web back end stand-in counted in its run. GET /web/audit.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct WebAudit {
+
+    /// Web back end.
+    pub backend: BackendName,
+
+    /// Run.
+    pub incarnation: Incarnation,
+
+    /// Requests served.
+    pub requests: u64,
+
+    /// Runs of endpoints that may not be repeated.
+    pub once_runs: u64,
+
+    /// Different keys among these.
+    pub once_keys: u64,
+
+    /// Runs without a key.
+    pub once_without_key: u64,
+
+    /// Keys no longer remembered, for want of room; with any, the list below may lack some.
+    pub forgotten_keys: u64,
+
+    /// Breach: keys that ran more than once (bounded list).
+    pub repeated_keys: Vec<RepeatedRun>,
+}
+
+
 /// An engine's answer to an order. Acceptance is not completion: the report tells.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1899,3 +2082,28 @@
 #[derive(Hash)]
 pub struct PolicyName(pub String);
 
+
+/// What the weight store stand-in counted. GET /audit.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct StoreAudit {
+
+    /// Transfers started.
+    pub started: u64,
+
+    /// Transfers finished.
+    pub finished: u64,
+
+    /// Transfers refused with 429.
+    pub refused: u64,
+
+    /// Transfers whose caller went away.
+    pub abandoned: u64,
+
+    /// Most transfers at once.
+    pub most_at_once: u64,
+
+    /// Bytes of the finished transfers.
+    pub bytes: u64,
+}
+
--- /dev/null
+++ b/crates/millpass-standin/src/content.rs
@@ -0,0 +1,105 @@
+//! Text of an answer as a pure function of what was asked, so that a caller can tell whether an
+//! answer is whole and its own, and a resumed stream gives the same tail.
+
+use millpass_proto::{AdapterName, ModelName, VersionLabel};
+
+/// Words of a prompt in one block of the prefix cache.
+pub const BLOCK_TOKENS: usize = 16;
+/// Most blocks of a prompt that the prefix cache looks at.
+pub const MAXIMUM_BLOCKS: usize = 256;
+/// What precedes the caller's nonce in a prompt.
+pub const NONCE_MARK: &str = "nonce=";
+/// Longest nonce that is repeated in tokens, in bytes.
+pub const MAXIMUM_NONCE_BYTES: usize = 32;
+
+/// Text of one answer, token by token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    seed: u64,
+    nonce: String,
+}
+
+impl Answer {
+    /// The answer of `model` in `version`, with `adapter` if any, to `prompt`.
+    pub fn new(
+        model: &ModelName,
+        version: &VersionLabel,
+        adapter: Option<&AdapterName>,
+        prompt: &str,
+    ) -> Self {
+        let adapter = adapter.map_or("", AdapterName::as_str);
+        let seed = hash_parts(&[model.as_str(), version.as_str(), adapter, prompt]);
+        Answer {
+            seed,
+            nonce: nonce_of(prompt).unwrap_or("-").to_owned(),
+        }
+    }
+
+    /// Text of the token at `position`, counted from 0.
+    pub fn token(&self, position: u32) -> String {
+        let word = mix(self.seed ^ mix(u64::from(position) + 1)) as u32;
+        format!("{}.{position}.{word:08x} ", self.nonce)
+    }
+
+    /// Text of the tokens `from..to`.
+    pub fn text(&self, from: u32, to: u32) -> String {
+        (from..to).map(|position| self.token(position)).collect()
+    }
+
+    /// Whether `text` is the whole of the tokens `from..to`, and nothing else.
+    pub fn is_whole(&self, from: u32, to: u32, text: &str) -> bool {
+        self.text(from, to) == text
+    }
+}
+
+/// The caller's nonce in a prompt: the word after the last `nonce=`, if there is one.
+pub fn nonce_of(prompt: &str) -> Option<&str> {
+    let (_, rest) = prompt.rsplit_once(NONCE_MARK)?;
+    let word = rest.split_whitespace().next()?;
+    let is_plain = word
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || byte == b'-');
+    (is_plain && word.len() <= MAXIMUM_NONCE_BYTES).then_some(word)
+}
+
+/// Tokens of a prompt: its words, at least one.
+pub fn prompt_tokens(prompt: &str) -> u32 {
+    let words = prompt.split_whitespace().count().max(1);
+    u32::try_from(words).unwrap_or(u32::MAX)
+}
+
+/// Chained hashes of the whole blocks of a prompt, one for each prefix that a cache can hold.
+/// The adapter is part of the chain, because it changes the cached values.
+pub fn prefix_blocks(adapter: Option<&AdapterName>, prompt: &str) -> Vec<u64> {
+    let words: Vec<&str> = prompt
+        .split_whitespace()
+        .take(BLOCK_TOKENS * MAXIMUM_BLOCKS)
+        .collect();
+    let mut chain = hash_parts(&[adapter.map_or("", AdapterName::as_str)]);
+    let mut hashes = Vec::new();
+    for block in words.chunks_exact(BLOCK_TOKENS) {
+        chain = mix(chain ^ hash_parts(block));
+        hashes.push(chain);
+    }
+    hashes
+}
+
+/// Hash of a list of texts; the lengths are part of it.
+fn hash_parts(parts: &[&str]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let mut first = [0_u8; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// The finalizer of SplitMix64: spreads a number over all bits.
+pub(crate) fn mix(value: u64) -> u64 {
+    let mut mixed = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/crates/millpass-standin/src/engine/checkpoints.rs
@@ -0,0 +1,132 @@
+//! Checkpoints cached on the engine's machine, in memory and on disk, least recently used first out.
+
+use super::settings::CheckpointSettings;
+use millpass_proto::{CheckpointReport, CheckpointTier};
+use std::collections::BTreeMap;
+
+/// One tier: bounded room, least recently used out first.
+#[derive(Clone, Debug)]
+struct Tier {
+    room: u64,
+    used: u64,
+    entries: BTreeMap<String, (u64, u64)>,
+}
+
+impl Tier {
+    fn new(room: u64) -> Self {
+        Tier {
+            room,
+            used: 0,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    fn touch(&mut self, checkpoint: &str, turn: u64) -> bool {
+        let Some(entry) = self.entries.get_mut(checkpoint) else {
+            return false;
+        };
+        entry.1 = turn;
+        true
+    }
+
+    fn insert(&mut self, checkpoint: &str, bytes: u64, turn: u64) {
+        if bytes > self.room {
+            return;
+        }
+        self.remove(checkpoint);
+        while self.used + bytes > self.room {
+            self.evict_oldest();
+        }
+        self.entries.insert(checkpoint.to_owned(), (bytes, turn));
+        self.used += bytes;
+    }
+
+    fn remove(&mut self, checkpoint: &str) {
+        if let Some((bytes, _)) = self.entries.remove(checkpoint) {
+            self.used -= bytes;
+        }
+    }
+
+    fn evict_oldest(&mut self) {
+        let oldest = self.entries.iter().min_by_key(|(_, (_, turn))| *turn);
+        if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+            self.remove(&name);
+        }
+    }
+}
+
+/// The machine's checkpoint caches.
+#[derive(Clone, Debug)]
+pub struct CheckpointCache {
+    memory: Tier,
+    disk: Tier,
+    turn: u64,
+}
+
+impl CheckpointCache {
+    /// Caches with what was there at the start.
+    pub fn new(settings: &CheckpointSettings) -> Self {
+        let mut cache = CheckpointCache {
+            memory: Tier::new(settings.memory_bytes),
+            disk: Tier::new(settings.disk_bytes),
+            turn: 0,
+        };
+        for initial in &settings.initial {
+            cache.turn += 1;
+            match initial.tier {
+                CheckpointTier::Memory => {
+                    cache
+                        .memory
+                        .insert(&initial.checkpoint, initial.bytes, cache.turn);
+                }
+                CheckpointTier::Disk => {
+                    cache
+                        .disk
+                        .insert(&initial.checkpoint, initial.bytes, cache.turn);
+                }
+                CheckpointTier::Remote => {}
+            }
+        }
+        cache
+    }
+
+    /// The fastest tier that has the checkpoint; using it makes it the most recent one, and
+    /// brings it to memory.
+    pub fn use_checkpoint(&mut self, checkpoint: &str, bytes: u64) -> CheckpointTier {
+        self.turn += 1;
+        let on_disk = self.disk.touch(checkpoint, self.turn);
+        if self.memory.touch(checkpoint, self.turn) {
+            return CheckpointTier::Memory;
+        }
+        if on_disk {
+            self.memory.insert(checkpoint, bytes, self.turn);
+            return CheckpointTier::Disk;
+        }
+        CheckpointTier::Remote
+    }
+
+    /// Keeps a checkpoint that came from the weight store.
+    pub fn store(&mut self, checkpoint: &str, bytes: u64) {
+        self.turn += 1;
+        self.disk.insert(checkpoint, bytes, self.turn);
+        self.memory.insert(checkpoint, bytes, self.turn);
+    }
+
+    /// Checkpoints in memory or on disk, each with its fastest tier.
+    pub fn report(&self) -> Vec<CheckpointReport> {
+        let mut tiers: BTreeMap<&String, CheckpointTier> = BTreeMap::new();
+        for name in self.disk.entries.keys() {
+            tiers.insert(name, CheckpointTier::Disk);
+        }
+        for name in self.memory.entries.keys() {
+            tiers.insert(name, CheckpointTier::Memory);
+        }
+        tiers
+            .into_iter()
+            .map(|(checkpoint, tier)| CheckpointReport {
+                checkpoint: checkpoint.clone(),
+                tier,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/millpass-standin/src/engine/events.rs
@@ -0,0 +1,71 @@
+//! Cache events: numbered, published late, some lost.
+
+use super::settings::{EngineLimits, PublishingSettings};
+use crate::content::mix;
+use millpass_proto::{CacheChange, CacheEvent, SlotId, Timestamp};
+use std::collections::VecDeque;
+
+/// Log of cache events; the oldest go when it is full.
+#[derive(Clone, Debug)]
+pub struct EventLog {
+    publishing: PublishingSettings,
+    kept: usize,
+    per_answer: usize,
+    next_number: u64,
+    events: VecDeque<(Timestamp, CacheEvent)>,
+}
+
+impl EventLog {
+    /// Empty.
+    pub fn new(publishing: &PublishingSettings, limits: &EngineLimits) -> Self {
+        EventLog {
+            publishing: publishing.clone(),
+            kept: limits.kept_events,
+            per_answer: limits.events_per_answer,
+            next_number: 1,
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Numbers an event; it is published later, or lost.
+    pub fn record(&mut self, now: Timestamp, slot: SlotId, prefix_hash: u64, change: CacheChange) {
+        let number = self.next_number;
+        self.next_number += 1;
+        if self.is_lost(number) {
+            return;
+        }
+        let event = CacheEvent {
+            number,
+            slot,
+            prefix_hash,
+            change,
+        };
+        self.events
+            .push_back((now + self.publishing.event_lag, event));
+        if self.events.len() > self.kept {
+            self.events.pop_front();
+        }
+    }
+
+    /// Published events with numbers above `after`, bounded.
+    pub fn published_after(&self, now: Timestamp, after: u64) -> Vec<CacheEvent> {
+        self.events
+            .iter()
+            .take_while(|(published, _)| *published <= now)
+            .filter(|(_, event)| event.number > after)
+            .take(self.per_answer)
+            .map(|(_, event)| event.clone())
+            .collect()
+    }
+
+    /// Oldest number kept.
+    pub fn oldest(&self) -> u64 {
+        self.events
+            .front()
+            .map_or(self.next_number, |(_, event)| event.number)
+    }
+
+    fn is_lost(&self, number: u64) -> bool {
+        mix(self.publishing.seed ^ mix(number)) % 1_000 < self.publishing.lost_events_per_thousand
+    }
+}
--- /dev/null
+++ b/crates/millpass-standin/src/engine/memory.rs
@@ -0,0 +1,100 @@
+//! Memory of the accelerators.
+
+/// A part of each accelerator's memory, as reserved by one model or adapter.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reservation {
+    shares: Vec<(usize, u64)>,
+}
+
+impl Reservation {
+    /// `bytes` spread evenly over `accelerators`; the first ones take the remainder.
+    pub fn spread(accelerators: &[u32], bytes: u64) -> Self {
+        let count = accelerators.len().max(1) as u64;
+        let shares = accelerators
+            .iter()
+            .zip(0_u64..)
+            .map(|(index, place)| {
+                let extra = u64::from(place < bytes % count);
+                (*index as usize, bytes / count + extra)
+            })
+            .collect();
+        Reservation { shares }
+    }
+}
+
+/// Used memory of each accelerator. Invariant: `used <= capacity` everywhere.
+#[derive(Clone, Debug)]
+pub struct AcceleratorMemory {
+    capacity: Vec<u64>,
+    used: Vec<u64>,
+    peak: Vec<u64>,
+    overcommits: u64,
+}
+
+impl AcceleratorMemory {
+    /// All free.
+    pub fn new(capacity: Vec<u64>) -> Self {
+        AcceleratorMemory {
+            used: vec![0; capacity.len()],
+            peak: vec![0; capacity.len()],
+            capacity,
+            overcommits: 0,
+        }
+    }
+
+    /// Number of accelerators.
+    pub fn accelerators(&self) -> usize {
+        self.capacity.len()
+    }
+
+    /// Takes a reservation; counts a breach and takes nothing if it does not fit.
+    pub fn reserve(&mut self, wanted: &Reservation) -> bool {
+        let fits = wanted
+            .shares
+            .iter()
+            .all(|(index, bytes)| self.fits(*index, *bytes));
+        if !fits {
+            self.overcommits += 1;
+            return false;
+        }
+        for (index, bytes) in &wanted.shares {
+            self.used[*index] += bytes;
+            self.peak[*index] = self.peak[*index].max(self.used[*index]);
+        }
+        true
+    }
+
+    /// Gives a reservation back.
+    pub fn release(&mut self, held: &Reservation) {
+        for (index, bytes) in &held.shares {
+            self.used[*index] = self.used[*index].saturating_sub(*bytes);
+        }
+    }
+
+    /// Memory of each accelerator.
+    pub fn capacity(&self) -> &[u64] {
+        &self.capacity
+    }
+
+    /// Memory in use on each.
+    pub fn used(&self) -> &[u64] {
+        &self.used
+    }
+
+    /// Most memory ever in use on each.
+    pub fn peak(&self) -> &[u64] {
+        &self.peak
+    }
+
+    /// Reservations that would have exceeded an accelerator.
+    pub fn overcommits(&self) -> u64 {
+        self.overcommits
+    }
+
+    fn fits(&self, index: usize, bytes: u64) -> bool {
+        let Some(capacity) = self.capacity.get(index) else {
+            return false;
+        };
+        bytes <= capacity - self.used[index]
+    }
+}
--- /dev/null
+++ b/crates/millpass-standin/src/engine/model.rs
@@ -0,0 +1,246 @@
+//! The engine model: state, time and reports. Orders, loads and requests are in the modules
+//! beside this one.
+
+use super::audit::{RunCounts, blank_audit};
+use super::checkpoints::CheckpointCache;
+use super::events::EventLog;
+use super::fences::FenceLedger;
+use super::history::ReportHistory;
+use super::idle::{AcceleratorUse, IdleClock};
+use super::memory::AcceleratorMemory;
+use super::messages::{EngineInput, EngineOutput, FetchId};
+use super::requests::Requests;
+use super::settings::EngineSettings;
+use super::slots::Slot;
+use super::timers::{Timer, Timers};
+use millpass_proto::{
+    AdapterName, CacheEvents, EngineAudit, EngineReport, EngineRole, SlotId, Timestamp,
+};
+use std::collections::BTreeMap;
+
+/// Microseconds of a millisecond.
+const MICROS_PER_MILLI: u64 = 1_000;
+/// Normal speed of decode steps, in percent.
+pub(super) const NORMAL_STEP_PERCENT: u32 = 100;
+
+/// One engine. Time is passed in and must not go backwards; same inputs give the same outputs.
+#[derive(Clone, Debug)]
+pub struct EngineModel {
+    pub(super) settings: EngineSettings,
+    pub(super) role: EngineRole,
+    pub(super) memory: AcceleratorMemory,
+    pub(super) fences: FenceLedger,
+    pub(super) slots: BTreeMap<SlotId, Slot>,
+    pub(super) checkpoints: CheckpointCache,
+    pub(super) fetches: BTreeMap<FetchId, (SlotId, Option<AdapterName>)>,
+    pub(super) next_fetch: u64,
+    pub(super) requests: Requests,
+    pub(super) timers: Timers,
+    pub(super) events: EventLog,
+    pub(super) counters: EngineAudit,
+    pub(super) request_runs: RunCounts,
+    pub(super) key_runs: RunCounts,
+    pub(super) failing_loads: u32,
+    pub(super) step_percent: u32,
+    pub(super) outputs: Vec<EngineOutput>,
+    history: ReportHistory,
+    idle: IdleClock,
+    changed: Timestamp,
+    unkept: bool,
+}
+
+impl EngineModel {
+    /// An engine with nothing loaded, started at `now`.
+    pub fn new(settings: EngineSettings, now: Timestamp) -> Self {
+        let memory = AcceleratorMemory::new(settings.accelerator_bytes.clone());
+        let checkpoints = CheckpointCache::new(&settings.checkpoints);
+        let fences = FenceLedger::new(settings.limits.remembered_orders);
+        let idle = IdleClock::new(now, memory.accelerators());
+        let first = first_report(&settings, &checkpoints);
+        EngineModel {
+            role: settings.role,
+            memory,
+            fences,
+            slots: BTreeMap::new(),
+            checkpoints,
+            fetches: BTreeMap::new(),
+            next_fetch: 1,
+            requests: Requests::default(),
+            timers: Timers::default(),
+            events: EventLog::new(&settings.publishing, &settings.limits),
+            counters: blank_audit(settings.backend.clone(), settings.incarnation),
+            request_runs: RunCounts::new(settings.limits.remembered_runs),
+            key_runs: RunCounts::new(settings.limits.remembered_runs),
+            failing_loads: 0,
+            step_percent: NORMAL_STEP_PERCENT,
+            outputs: Vec::new(),
+            history: ReportHistory::new(&settings.publishing, now, first),
+            idle,
+            changed: now,
+            unkept: false,
+            settings,
+        }
+    }
+
+    /// Brings the engine to `now`, then takes the input. Gives what it did on the way, in order.
+    pub fn step(&mut self, now: Timestamp, input: EngineInput) -> Vec<EngineOutput> {
+        self.advance(now);
+        self.begin_event(now);
+        match input {
+            EngineInput::Tick => {}
+            EngineInput::Order(order) => self.take_order(now, order),
+            EngineInput::Submit(request) => self.submit(now, request),
+            EngineInput::Cancel(handle) => self.cancel(now, handle),
+            EngineInput::FetchEnded(fetch, result) => self.fetch_ended(now, fetch, result),
+            EngineInput::ImportCache { slot, prefix_hash } => {
+                self.import_cache(now, slot, prefix_hash);
+            }
+            EngineInput::FailLoads(count) => self.failing_loads = count,
+            EngineInput::SlowSteps(percent) => self.step_percent = percent.max(1),
+        }
+        self.end_event();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// When the engine next does something by itself.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        self.timers.next()
+    }
+
+    /// Settings it runs with.
+    pub fn settings(&self) -> &EngineSettings {
+        &self.settings
+    }
+
+    /// The load report as read at `now`: the state of some time ago.
+    pub fn report(&self, now: Timestamp) -> EngineReport {
+        self.history
+            .report(now, self.changed, || self.current_report())
+    }
+
+    /// The state as it is, without lag: for checkers, never for decisions.
+    pub fn current_report(&self) -> EngineReport {
+        let slots = self.slots.iter().map(|(slot, state)| state.report(*slot));
+        EngineReport {
+            backend: self.settings.backend.clone(),
+            incarnation: self.settings.incarnation,
+            zone: self.settings.zone.clone(),
+            role: self.role,
+            sequence: self.changed.as_micros(),
+            highest_fence: self.fences.highest(),
+            accelerator_bytes: self.memory.capacity().to_vec(),
+            used_bytes: self.memory.used().to_vec(),
+            slots: slots.collect(),
+            checkpoints: self.checkpoints.report(),
+        }
+    }
+
+    /// Cache events published by `now`, numbered above `after`.
+    pub fn events_after(&self, now: Timestamp, after: u64) -> CacheEvents {
+        CacheEvents {
+            backend: self.settings.backend.clone(),
+            incarnation: self.settings.incarnation,
+            oldest: self.events.oldest(),
+            events: self.events.published_after(now, after),
+        }
+    }
+
+    /// Whether the block's KV cache is in this slot, and can be exported.
+    pub fn has_cached(&self, slot: SlotId, prefix_hash: u64) -> bool {
+        self.slots
+            .get(&slot)
+            .is_some_and(|state| state.prefix.contains(prefix_hash))
+    }
+
+    /// Bytes of the slot's cache memory in use: by running requests, and by cached prefixes.
+    pub fn cache_use(&self, slot: SlotId) -> Option<(u64, u64)> {
+        let state = self.slots.get(&slot)?;
+        let prefix = state.prefix.len() as u64 * self.block_bytes();
+        Some((state.batch.running_bytes, prefix))
+    }
+
+    /// What was counted up to `now`.
+    pub fn audit(&self, now: Timestamp) -> EngineAudit {
+        let (loaded_micros, idle_micros) = self.idle.sums_at(now);
+        EngineAudit {
+            memory_overcommits: self.memory.overcommits(),
+            peak_used_bytes: self.memory.peak().to_vec(),
+            repeated_keys: self.key_runs.repeated(),
+            repeated_requests: self.request_runs.repeated(),
+            loaded_accelerator_millis: loaded_micros / MICROS_PER_MILLI,
+            idle_accelerator_millis: idle_micros / MICROS_PER_MILLI,
+            forgotten_runs: self.key_runs.forgotten() + self.request_runs.forgotten(),
+            ..self.counters.clone()
+        }
+    }
+
+    /// Notes that the state shown in reports changed at `now`.
+    pub(super) fn mark_changed(&mut self, now: Timestamp) {
+        self.changed = now;
+        self.unkept = true;
+    }
+
+    /// Cache memory of one block of a prompt.
+    pub(super) fn block_bytes(&self) -> u64 {
+        let block = crate::content::BLOCK_TOKENS as u64;
+        (self.settings.limits.cache_bytes_per_token * block).max(1)
+    }
+
+    fn advance(&mut self, now: Timestamp) {
+        while let Some((at, timer)) = self.timers.pop_due(now) {
+            self.begin_event(at);
+            self.fire(at, timer);
+            self.end_event();
+        }
+    }
+
+    fn fire(&mut self, at: Timestamp, timer: Timer) {
+        match timer {
+            Timer::Load(slot, adapter) => self.load_due(at, slot, adapter),
+            Timer::FetchAgain(slot, adapter) => self.fetch_again(slot, adapter),
+            Timer::Unload(slot, adapter) => self.unload_due(at, slot, adapter),
+            Timer::UnloadBound(slot) => self.unload_bound_due(at, slot),
+            Timer::Step(slot) => self.step_due(at, slot),
+            Timer::Deadline(handle) => self.deadline_due(at, handle),
+        }
+    }
+
+    fn begin_event(&mut self, at: Timestamp) {
+        self.idle.advance(at);
+        let worth_keeping = self.unkept && self.changed < at && self.history.wants(self.changed);
+        if worth_keeping {
+            let state = self.current_report();
+            self.history.keep(at, self.changed, state);
+            self.unkept = false;
+        }
+    }
+
+    fn end_event(&mut self) {
+        let mut uses = vec![AcceleratorUse::default(); self.memory.accelerators()];
+        for slot in self.slots.values() {
+            let loaded = slot.weights.is_in_memory();
+            let running = slot.batch.running_count() > 0;
+            for index in &slot.accelerators {
+                let one = &mut uses[*index as usize];
+                one.loaded |= loaded;
+                one.running |= running;
+            }
+        }
+        self.idle.set_uses(uses);
+    }
+}
+
+fn first_report(settings: &EngineSettings, checkpoints: &CheckpointCache) -> EngineReport {
+    EngineReport {
+        backend: settings.backend.clone(),
+        incarnation: settings.incarnation,
+        zone: settings.zone.clone(),
+        role: settings.role,
+        sequence: 0,
+        highest_fence: millpass_proto::LogPosition::ZERO,
+        accelerator_bytes: settings.accelerator_bytes.clone(),
+        used_bytes: vec![0; settings.accelerator_bytes.len()],
+        slots: Vec::new(),
+        checkpoints: checkpoints.report(),
+    }
+}
