Control plane: decision core of a control member, first version

Cause: the control process and the simulator need one core that puts consensus, state, scheduler, router sessions and order delivery together. Ruled out: keeping router silence per leader only; open claims are read from the replicated state, so that a new leader abandons them too. A registration from any router's report: only the watcher of a back end is heard, and another run is believed after two reports or the engine's own word. Change: crate millpass-control-plane behind its stub, modules by job; tests of administration.

--- /dev/null
+++ b/crates/millpass-control-plane/src/administration.rs
@@ -0,0 +1,137 @@
+//! Calls of the administration API. Reads are answered only under the leader lease; changes are
+//! answered once they are committed.
+
+use crate::interface::{AdministrationAnswer, AdministrationRequest, DeploymentStatus};
+use crate::outputs::Outputs;
+use crate::plane::ControlPlane;
+use crate::proposals::Waiter;
+use millpass_proto::{
+    BackendMark, BackendName, BackendState, Command, CommandOutcome, ObjectChange, Timestamp,
+};
+
+impl ControlPlane {
+    pub(crate) fn take_administration(
+        &mut self,
+        now: Timestamp,
+        call: u64,
+        request: AdministrationRequest,
+        out: &mut Outputs,
+    ) {
+        if !self.in_charge(now) {
+            let leader_address = self.leader_administration_address();
+            out.answer(call, AdministrationAnswer::NotLeader { leader_address });
+            return;
+        }
+        match request {
+            AdministrationRequest::Change(change) => self.change_object(now, call, change, out),
+            AdministrationRequest::MarkBackend(backend, state) => {
+                self.mark_backend(now, call, &backend, state, out);
+            }
+            AdministrationRequest::ChangeMembership(change) => {
+                if self.admit_change(call, out) {
+                    self.change_membership(now, Waiter::Call(call), change, out);
+                }
+            }
+            read => out.answer(call, self.read(now, read)),
+        }
+    }
+
+    fn change_object(
+        &mut self,
+        now: Timestamp,
+        call: u64,
+        change: ObjectChange,
+        out: &mut Outputs,
+    ) {
+        if self.admit_change(call, out) {
+            self.propose(now, Waiter::Call(call), Command::ChangeObject(change), out);
+        }
+    }
+
+    fn mark_backend(
+        &mut self,
+        now: Timestamp,
+        call: u64,
+        name: &BackendName,
+        state: BackendState,
+        out: &mut Outputs,
+    ) {
+        let Some(backend) = self.state.backend(name) else {
+            let reason =
+                format!("back end {name} is not registered; `status` lists those that are");
+            out.answer(call, AdministrationAnswer::Refused(reason));
+            return;
+        };
+        let mark = BackendMark {
+            backend: name.clone(),
+            incarnation: backend.registration.incarnation,
+            state,
+        };
+        if self.admit_change(call, out) {
+            self.propose(now, Waiter::Call(call), Command::MarkBackend(mark), out);
+        }
+    }
+
+    /// Whether a change may be proposed now; otherwise the call is answered.
+    fn admit_change(&mut self, call: u64, out: &mut Outputs) -> bool {
+        if self.drain.is_some() {
+            let leader_address = None;
+            out.answer(call, AdministrationAnswer::NotLeader { leader_address });
+            return false;
+        }
+        if !self.proposals.has_room() {
+            let reason = "too many changes are under way; retry in a second".to_owned();
+            out.answer(call, AdministrationAnswer::Refused(reason));
+            return false;
+        }
+        true
+    }
+
+    fn read(&self, now: Timestamp, request: AdministrationRequest) -> AdministrationAnswer {
+        match request {
+            AdministrationRequest::Get(key) => {
+                AdministrationAnswer::Object(self.state.object(&key).cloned())
+            }
+            AdministrationRequest::List(kind) => {
+                let objects = self.state.objects(kind).into_iter().cloned().collect();
+                AdministrationAnswer::Objects(objects)
+            }
+            AdministrationRequest::Audit(after) => {
+                let records = self.state.audit_since(after);
+                AdministrationAnswer::Audit(records.into_iter().cloned().collect())
+            }
+            AdministrationRequest::Status => {
+                AdministrationAnswer::Status(Box::new(self.deployment_status(now)))
+            }
+            AdministrationRequest::Change(_)
+            | AdministrationRequest::MarkBackend(..)
+            | AdministrationRequest::ChangeMembership(_) => AdministrationAnswer::Done,
+        }
+    }
+
+    fn deployment_status(&self, now: Timestamp) -> DeploymentStatus {
+        let backends = self.state.backends();
+        DeploymentStatus {
+            consensus: self.consensus.status(),
+            configuration: self.state.configuration_revision(),
+            routers: self.sessions.status(now),
+            replicas: self.state.replicas().into_iter().cloned().collect(),
+            backends: backends
+                .iter()
+                .map(|backend| (backend.registration.backend.clone(), backend.state))
+                .collect(),
+            outstanding_orders: self.state.outstanding_order_count() as u64,
+        }
+    }
+}
+
+/// The answer to a change, from what applying it did.
+pub(crate) fn answer(outcome: CommandOutcome) -> AdministrationAnswer {
+    match outcome {
+        CommandOutcome::Object(outcome) => AdministrationAnswer::Change(outcome),
+        CommandOutcome::Ignored(reason) => AdministrationAnswer::Refused(reason),
+        CommandOutcome::Done | CommandOutcome::Placed(_) | CommandOutcome::Claim(_) => {
+            AdministrationAnswer::Done
+        }
+    }
+}
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -208,3 +208,21 @@
     /// Pairs, in order.
     pub pairs: Vec<(&'static str, String)>,
 }
+
+/// Why a core stopped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FinalState {
+    /// It was drained.
+    Drained,
+    /// A snapshot did not decode; the member must not go on with another state than the group's.
+    StateUnreadable(String),
+}
+
+impl std::fmt::Display for FinalState {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            FinalState::Drained => formatter.write_str("drained"),
+            FinalState::StateUnreadable(reason) => write!(formatter, "state unreadable: {reason}"),
+        }
+    }
+}
--- a/crates/millpass-control-plane/src/lib.rs
+++ b/crates/millpass-control-plane/src/lib.rs
@@ -1,37 +1,43 @@
 //! Decision core of a control member: consensus, replicated state, scheduler, router sessions and
 //! order delivery put together, without input/output, clock or threads.
 //!
-//! The control process and the simulator both drive [`ControlPlane::step`].
+//! The control process and the simulator both drive [`ControlPlane::step`]. Each module has one
+//! job; [`plane`] calls them:
+//!
+//! | module | job |
+//! |---|---|
+//! | `plane` | the core itself: takes inputs, runs what is due |
+//! | `replication` | carries out the consensus core's outputs, applies committed commands |
+//! | `proposals` | what waits for a proposal to commit |
+//! | `administration` | calls of the administration API |
+//! | `sessions` | routers connected to this member and their leases |
+//! | `reports` | answers routers' reports and claims |
+//! | `watch` | which router watches which back end |
+//! | `observations` | what reports of back ends mean: registrations and settled orders |
+//! | `platform` | what the platform's machine list means |
+//! | `orders` | when to deliver which order |
+//! | `claims` | when claims expire and when those of a dead router are abandoned |
+//! | `repair` | replaces dead members by joiners |
+//! | `snapshots` | when to take a snapshot |
+//! | `drain` | the planned stop |
 
+mod administration;
+mod claims;
+mod drain;
 pub mod interface;
+mod observations;
+mod orders;
+mod outputs;
+mod plane;
+mod platform;
+mod proposals;
+mod repair;
+mod replication;
+mod reports;
+mod sessions;
+mod snapshots;
+mod watch;
 
+pub use claims::ABANDON_SILENCE;
 pub use interface::*;
-
-use millpass_consensus::RestoredLog;
-use millpass_proto::Timestamp;
-use millpass_state::State;
-
-/// One control member's decision core.
-pub struct ControlPlane {}
-
-impl ControlPlane {
-    /// Starts from what the disk holds; `state` is the newest snapshot's.
-    pub fn new(
-        _settings: ControlPlaneSettings,
-        _restored: RestoredLog,
-        _state: State,
-        _now: Timestamp,
-    ) -> Self {
-        ControlPlane {}
-    }
-
-    /// Takes one input; `unix_millis` is the wall clock. Returns what the host must do, in order.
-    pub fn step(
-        &mut self,
-        _now: Timestamp,
-        _unix_millis: u64,
-        _input: ControlInput,
-    ) -> Vec<ControlOutput> {
-        Vec::new()
-    }
-}
+pub use plane::ControlPlane;
--- /dev/null
+++ b/crates/millpass-control-plane/src/repair.rs
@@ -0,0 +1,168 @@
+//! Replaces dead members by processes that ask to join, one at a time.
+//!
+//! A joiner first becomes a learner. Once it has caught up it is promoted in place of a voter
+//! that has been silent for longer than `member_replacement_delay`. The number of voters never
+//! shrinks and never grows here; an operator changes it through the administration API.
+
+use millpass_consensus::{ConsensusStatus, MemberProgress, MembershipChange};
+use millpass_proto::{Duration, MemberAddress, MemberId, Membership, Timestamp};
+use std::collections::BTreeMap;
+
+/// Time between two looks at the membership.
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a joiner that asks no more is forgotten.
+const JOINER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Most joiners remembered.
+const MAXIMUM_JOINERS: usize = 16;
+/// Most learners that the group takes on by itself.
+const MAXIMUM_LEARNERS: usize = 3;
+/// Entries that a learner may lack and still count as caught up: joint consensus brings the rest.
+const CAUGHT_UP_ENTRIES: u64 = 64;
+
+/// Processes that ask to join.
+#[derive(Default)]
+pub(crate) struct Repair {
+    joiners: BTreeMap<MemberId, (MemberAddress, Timestamp)>,
+}
+
+impl Repair {
+    /// Takes a request to join. True when it is the first of this process.
+    pub(crate) fn joining(&mut self, now: Timestamp, address: MemberAddress) -> bool {
+        self.expire(now);
+        let member = address.member;
+        let new = !self.joiners.contains_key(&member);
+        if new && self.joiners.len() >= MAXIMUM_JOINERS {
+            return false;
+        }
+        self.joiners.insert(member, (address, now));
+        new
+    }
+
+    /// The one change to make now, if any.
+    pub(crate) fn next_change(
+        &mut self,
+        now: Timestamp,
+        status: &ConsensusStatus,
+        replacement_delay: Duration,
+    ) -> Option<MembershipChange> {
+        self.expire(now);
+        let membership = &status.membership;
+        if !membership.outgoing_voters.is_empty() {
+            return None;
+        }
+        let view = View {
+            status,
+            replacement_delay,
+        };
+        view.useless_learner()
+            .or_else(|| view.promotion())
+            .or_else(|| self.addition(membership))
+    }
+
+    /// Forgets everything.
+    pub(crate) fn clear(&mut self) {
+        self.joiners.clear();
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        self.joiners
+            .retain(|_, (_, asked)| now.since(*asked) <= JOINER_TIMEOUT);
+    }
+
+    fn addition(&self, membership: &Membership) -> Option<MembershipChange> {
+        if membership.learners.len() >= MAXIMUM_LEARNERS {
+            return None;
+        }
+        self.joiners
+            .values()
+            .map(|(address, _)| address)
+            .find(|address| !contains(membership, address.member))
+            .map(|address| MembershipChange::AddLearner(address.clone()))
+    }
+}
+
+struct View<'a> {
+    status: &'a ConsensusStatus,
+    replacement_delay: Duration,
+}
+
+impl View<'_> {
+    fn progress(&self, member: MemberId) -> Option<&MemberProgress> {
+        let progress = &self.status.progress;
+        progress.iter().find(|progress| progress.member == member)
+    }
+
+    fn silent(&self, member: MemberId) -> Duration {
+        let millis = self.progress(member).map_or(0, |found| found.silent_millis);
+        Duration::from_millis(millis)
+    }
+
+    /// A learner that is silent for long, or whose address a newer learner has taken over.
+    fn useless_learner(&self) -> Option<MembershipChange> {
+        let learners = &self.status.membership.learners;
+        learners
+            .iter()
+            .enumerate()
+            .find(|(place, learner)| {
+                let replaced = learners[place + 1..]
+                    .iter()
+                    .any(|newer| newer.peer_address == learner.peer_address);
+                replaced || self.silent(learner.member) > self.replacement_delay
+            })
+            .map(|(_, learner)| MembershipChange::Remove(learner.member))
+    }
+
+    /// A caught-up learner in place of a dead voter: the voter that listened on the learner's
+    /// address first, then one of the same zone, then the one silent longest.
+    fn promotion(&self) -> Option<MembershipChange> {
+        let dead = self.dead_voters();
+        self.status
+            .membership
+            .learners
+            .iter()
+            .filter(|learner| self.caught_up(learner.member))
+            .filter_map(|learner| {
+                let best = dead.iter().max_by_key(|voter| {
+                    let same_address = voter.peer_address == learner.peer_address;
+                    let same_zone = voter.zone == learner.zone;
+                    (same_address, same_zone, self.silent(voter.member))
+                })?;
+                let fit = (
+                    best.peer_address == learner.peer_address,
+                    best.zone == learner.zone,
+                );
+                Some((fit, learner.member, best.member))
+            })
+            .max_by_key(|(fit, _, _)| *fit)
+            .map(|(_, learner, voter)| MembershipChange::Promote {
+                learner,
+                replaces: Some(voter),
+            })
+    }
+
+    fn dead_voters(&self) -> Vec<&MemberAddress> {
+        self.status
+            .membership
+            .voters
+            .iter()
+            .filter(|voter| self.silent(voter.member) > self.replacement_delay)
+            .collect()
+    }
+
+    fn caught_up(&self, learner: MemberId) -> bool {
+        self.progress(learner).is_some_and(|progress| {
+            progress.match_index + CAUGHT_UP_ENTRIES >= self.status.last
+                && self.silent(learner) < self.replacement_delay
+        })
+    }
+}
+
+/// Whether a member is in the membership in any role.
+pub(crate) fn contains(membership: &Membership, member: MemberId) -> bool {
+    membership
+        .voters
+        .iter()
+        .chain(&membership.outgoing_voters)
+        .chain(&membership.learners)
+        .any(|address| address.member == member)
+}
--- /dev/null
+++ b/crates/millpass-control-plane/src/sessions.rs
@@ -0,0 +1,204 @@
+//! Routers connected to this member, and their leases.
+//!
+//! A connection's [`RouterHello`] is kept as long as the connection, also while this member does
+//! not lead: it says who is at the other end. A session is soft state of a leader: it begins with
+//! a report under leadership and is dropped when its lease ends or when leadership changes.
+
+use crate::interface::{ConnectionId, RouterStatus};
+use millpass_proto::{
+    BackendName, ConfigurationRevision, Duration, Incarnation, PlacementRevision, RouterHello,
+    RouterName, RouterReport, Timestamp, ZoneName,
+};
+use std::collections::BTreeMap;
+
+/// Most router connections; a Hello beyond is answered `NotLeader`, so the router goes elsewhere.
+const MAXIMUM_CONNECTIONS: usize = 4_096;
+/// Most routers with a session.
+const MAXIMUM_SESSIONS: usize = 2_048;
+
+/// One router that reports to this leader.
+pub(crate) struct Session {
+    /// Connection of its latest report.
+    pub(crate) connection: ConnectionId,
+    /// Run of the router.
+    pub(crate) incarnation: Incarnation,
+    /// Its zone.
+    pub(crate) zone: ZoneName,
+    /// Sequence of its latest report.
+    pub(crate) sequence: u64,
+    /// When its latest report arrived.
+    pub(crate) reported_at: Timestamp,
+    /// Catalog revision that it applied.
+    pub(crate) configuration: ConfigurationRevision,
+    /// Route revision that it applied.
+    pub(crate) placement: PlacementRevision,
+    /// Whether it is stopping.
+    pub(crate) draining: bool,
+    /// Share to watch last sent on this connection; none before the first.
+    pub(crate) watch_sent: Option<Vec<(BackendName, String)>>,
+}
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Admission {
+    /// First report of this router, or of this run, under this leader.
+    New,
+    /// A further report.
+    Known,
+    /// Doubled, reordered, or from a run or connection that a newer one has replaced.
+    Stale,
+    /// The table is full.
+    Full,
+}
+
+/// Connections and sessions, bounded.
+#[derive(Default)]
+pub(crate) struct Sessions {
+    connections: BTreeMap<ConnectionId, RouterHello>,
+    sessions: BTreeMap<RouterName, Session>,
+}
+
+impl Sessions {
+    /// Notes who is at the other end of a connection. False when the table is full.
+    pub(crate) fn hello(&mut self, connection: ConnectionId, hello: RouterHello) -> bool {
+        let known = self.connections.contains_key(&connection);
+        if !known && self.connections.len() >= MAXIMUM_CONNECTIONS {
+            return false;
+        }
+        self.connections.insert(connection, hello);
+        true
+    }
+
+    /// Forgets a connection. The session stays until its lease ends: the router may reconnect.
+    pub(crate) fn disconnected(&mut self, connection: ConnectionId) {
+        self.connections.remove(&connection);
+    }
+
+    /// Who is at the other end of a connection.
+    pub(crate) fn identity(&self, connection: ConnectionId) -> Option<&RouterHello> {
+        self.connections.get(&connection)
+    }
+
+    /// All connections.
+    pub(crate) fn connections(&self) -> Vec<ConnectionId> {
+        self.connections.keys().copied().collect()
+    }
+
+    /// Takes a report in; the caller answers it unless it is stale.
+    pub(crate) fn report(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        hello: &RouterHello,
+        report: &RouterReport,
+    ) -> Admission {
+        let admission = self.admit(connection, hello, report);
+        match admission {
+            Admission::Stale | Admission::Full => return admission,
+            Admission::New => self.open(now, connection, hello),
+            Admission::Known => {}
+        }
+        let Some(session) = self.sessions.get_mut(&hello.router) else {
+            return Admission::Full;
+        };
+        if session.connection != connection {
+            // What was sent on the old connection may not have arrived.
+            session.connection = connection;
+            session.watch_sent = None;
+        }
+        session.sequence = report.sequence;
+        session.reported_at = now;
+        session.configuration = report.configuration;
+        session.placement = report.placement;
+        session.draining = report.draining;
+        admission
+    }
+
+    fn admit(
+        &self,
+        connection: ConnectionId,
+        hello: &RouterHello,
+        report: &RouterReport,
+    ) -> Admission {
+        match self.sessions.get(&hello.router) {
+            None if self.sessions.len() >= MAXIMUM_SESSIONS => Admission::Full,
+            None => Admission::New,
+            // Connections are numbered in order: an older one carries only leftovers.
+            Some(session) if connection < session.connection => Admission::Stale,
+            Some(session) if session.incarnation != hello.incarnation => Admission::New,
+            Some(session) if report.sequence <= session.sequence => Admission::Stale,
+            Some(_) => Admission::Known,
+        }
+    }
+
+    fn open(&mut self, now: Timestamp, connection: ConnectionId, hello: &RouterHello) {
+        let session = Session {
+            connection,
+            incarnation: hello.incarnation,
+            zone: hello.zone.clone(),
+            sequence: 0,
+            reported_at: now,
+            configuration: ConfigurationRevision(0),
+            placement: PlacementRevision(0),
+            draining: false,
+            watch_sent: None,
+        };
+        self.sessions.insert(hello.router.clone(), session);
+    }
+
+    /// The session of a router.
+    pub(crate) fn get_mut(&mut self, router: &RouterName) -> Option<&mut Session> {
+        self.sessions.get_mut(router)
+    }
+
+    /// The run of a router that has a session.
+    pub(crate) fn incarnation(&self, router: &RouterName) -> Option<Incarnation> {
+        self.sessions.get(router).map(|session| session.incarnation)
+    }
+
+    /// Routers that can watch back ends, with their zones: all but those that are stopping.
+    pub(crate) fn watchers(&self) -> Vec<(RouterName, ZoneName)> {
+        self.sessions
+            .iter()
+            .filter(|(_, session)| !session.draining)
+            .map(|(router, session)| (router.clone(), session.zone.clone()))
+            .collect()
+    }
+
+    /// Drops the sessions whose lease has ended and names their routers.
+    pub(crate) fn expire(
+        &mut self,
+        now: Timestamp,
+        lease: Duration,
+    ) -> Vec<(RouterName, Incarnation)> {
+        let ended: Vec<(RouterName, Incarnation)> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| now.since(session.reported_at) > lease)
+            .map(|(router, session)| (router.clone(), session.incarnation))
+            .collect();
+        for (router, _) in &ended {
+            self.sessions.remove(router);
+        }
+        ended
+    }
+
+    /// Drops all sessions; connections stay.
+    pub(crate) fn clear(&mut self) {
+        self.sessions.clear();
+    }
+
+    /// All routers with a session, for the status.
+    pub(crate) fn status(&self, now: Timestamp) -> Vec<RouterStatus> {
+        self.sessions
+            .iter()
+            .map(|(router, session)| RouterStatus {
+                router: router.clone(),
+                zone: session.zone.clone(),
+                configuration: session.configuration,
+                silent_millis: now.since(session.reported_at).as_millis() as u64,
+                draining: session.draining,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -0,0 +1,483 @@
+//! A tiny deterministic world for the core: members on an instant network with instant disks,
+//! routers that report, and engines that take orders. Time is virtual.
+
+#![allow(dead_code)]
+
+pub mod engine;
+pub mod router;
+
+pub use engine::TestEngine;
+#[allow(unused_imports)]
+pub use router::TestRouter;
+
+use millpass_consensus::{ConsensusSettings, RestoredLog};
+use millpass_control_plane::{
+    AdministrationAnswer, AdministrationRequest, ConnectionId, ControlInput, ControlOutput,
+    ControlPlane, ControlPlaneSettings,
+};
+use millpass_proto::*;
+use millpass_scheduler::SchedulerSettings;
+use millpass_state::State;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Length of one step of virtual time.
+const STEP: Duration = Duration::from_millis(5);
+/// Wall clock at virtual time zero.
+const UNIX_START_MILLIS: u64 = 1_700_000_000_000;
+
+/// One member with its disk.
+pub struct Member {
+    pub plane: ControlPlane,
+    pub hard_state: HardState,
+    pub snapshot: Option<Snapshot>,
+    pub log: Vec<LogEntry>,
+    pub up: bool,
+    /// Cut off from other members, routers and engines.
+    pub cut: bool,
+    /// Only its way out to engines and routers is left.
+    pub stopped: bool,
+}
+
+/// The world.
+pub struct World {
+    pub now: Timestamp,
+    pub members: BTreeMap<MemberId, Member>,
+    pub answers: BTreeMap<u64, AdministrationAnswer>,
+    pub to_routers: BTreeMap<ConnectionId, VecDeque<ControlToRouter>>,
+    pub deliveries: Vec<(MemberId, EngineOrder)>,
+    pub events: Vec<(MemberId, String, String)>,
+    pub engines: BTreeMap<BackendName, TestEngine>,
+    pub platform: PlatformList,
+    pub snapshot_entries: u64,
+    inputs: VecDeque<(MemberId, ControlInput)>,
+    initial: Membership,
+    calls: u64,
+    connections: u64,
+    pub connection_member: BTreeMap<ConnectionId, MemberId>,
+}
+
+pub fn address(member: u64) -> MemberAddress {
+    MemberAddress {
+        member: MemberId(member),
+        zone: ZoneName(format!("zone-{member}")),
+        peer_address: format!("10.0.0.{member}:7000"),
+        administration_address: format!("10.0.0.{member}:7001"),
+    }
+}
+
+fn settings(address: MemberAddress, snapshot_entries: u64) -> ControlPlaneSettings {
+    ControlPlaneSettings {
+        consensus: ConsensusSettings {
+            group: GroupId(1),
+            member: address.member,
+            election_timeout: Duration::from_millis(1_000),
+            heartbeat_interval: Duration::from_millis(100),
+            lease_length: Duration::from_millis(800),
+            maximum_append_entries: 64,
+            snapshot_chunk_bytes: 64 * 1024,
+            seed: address.member.0,
+        },
+        address,
+        scheduler: SchedulerSettings::default(),
+        router_lease: Duration::from_secs(3),
+        scheduling_interval: Duration::from_millis(200),
+        snapshot_entries,
+        claim_retention: Duration::from_secs(3_600),
+        member_replacement_delay: Duration::from_secs(5),
+        machine_gone_delay: Duration::from_secs(10),
+    }
+}
+
+impl World {
+    /// A group of `members` voters.
+    pub fn new(members: u64) -> World {
+        World::with_snapshots(members, 1_000_000)
+    }
+
+    /// The same, with snapshots after this many entries.
+    pub fn with_snapshots(members: u64, snapshot_entries: u64) -> World {
+        let initial = Membership {
+            voters: (1..=members).map(address).collect(),
+            outgoing_voters: Vec::new(),
+            learners: Vec::new(),
+        };
+        let mut world = World {
+            now: Timestamp::from_millis(1_000),
+            members: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            to_routers: BTreeMap::new(),
+            deliveries: Vec::new(),
+            events: Vec::new(),
+            engines: BTreeMap::new(),
+            platform: PlatformList {
+                sequence: 1,
+                machines: Vec::new(),
+            },
+            snapshot_entries,
+            inputs: VecDeque::new(),
+            initial,
+            calls: 0,
+            connections: 0,
+            connection_member: BTreeMap::new(),
+        };
+        for member in 1..=members {
+            let initial = world.initial.clone();
+            world.boot(address(member), initial);
+        }
+        world
+    }
+
+    /// Starts a member with an empty disk.
+    pub fn boot(&mut self, address: MemberAddress, membership: Membership) {
+        let restored = RestoredLog {
+            hard_state: HardState {
+                term: 0,
+                voted_for: None,
+            },
+            snapshot: SnapshotMeta {
+                last: LogPosition::ZERO,
+                membership,
+            },
+            entries: Vec::new(),
+        };
+        let id = address.member;
+        let hard_state = restored.hard_state.clone();
+        let settings = settings(address, self.snapshot_entries);
+        let plane = ControlPlane::new(settings, restored, State::default(), self.now);
+        let member = Member {
+            plane,
+            hard_state,
+            snapshot: None,
+            log: Vec::new(),
+            up: true,
+            cut: false,
+            stopped: false,
+        };
+        self.members.insert(id, member);
+    }
+
+    /// Restarts a member from its disk.
+    pub fn restart(&mut self, id: u64) {
+        let id = MemberId(id);
+        let now = self.now;
+        let snapshot_entries = self.snapshot_entries;
+        let initial = self.initial.clone();
+        let member = self.members.get_mut(&id).unwrap();
+        let (meta, state) = match &member.snapshot {
+            Some(snapshot) => (
+                snapshot.meta.clone(),
+                State::decode(&snapshot.data).unwrap(),
+            ),
+            None => (
+                SnapshotMeta {
+                    last: LogPosition::ZERO,
+                    membership: initial,
+                },
+                State::default(),
+            ),
+        };
+        let first = meta.last.index;
+        let restored = RestoredLog {
+            hard_state: member.hard_state.clone(),
+            snapshot: meta,
+            entries: member
+                .log
+                .iter()
+                .filter(|entry| entry.position.index > first)
+                .cloned()
+                .collect(),
+        };
+        let settings = settings(address(id.0), snapshot_entries);
+        member.plane = ControlPlane::new(settings, restored, state, now);
+        member.up = true;
+        member.stopped = false;
+    }
+
+    pub fn unix_millis(&self) -> u64 {
+        UNIX_START_MILLIS + self.now.as_millis()
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        while self.now < end {
+            self.now = self.now + STEP;
+            let ids: Vec<MemberId> = self.members.keys().copied().collect();
+            for id in ids {
+                self.inputs.push_back((id, ControlInput::Tick));
+            }
+            self.settle();
+        }
+    }
+
+    /// Gives a member an input and carries out everything that follows at once.
+    pub fn give(&mut self, member: MemberId, input: ControlInput) {
+        self.inputs.push_back((member, input));
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        while let Some((id, input)) = self.inputs.pop_front() {
+            let unix_millis = self.unix_millis();
+            let now = self.now;
+            let Some(member) = self.members.get_mut(&id) else {
+                continue;
+            };
+            if !member.up {
+                continue;
+            }
+            for output in member.plane.step(now, unix_millis, input) {
+                self.carry_out(id, output);
+            }
+        }
+    }
+
+    fn reachable(&self, id: MemberId) -> bool {
+        self.members
+            .get(&id)
+            .is_some_and(|member| member.up && !member.cut)
+    }
+
+    fn carry_out(&mut self, id: MemberId, output: ControlOutput) {
+        match output {
+            ControlOutput::SendPeer { envelope, .. } => {
+                let to = envelope.to;
+                if self.reachable(id) && self.reachable(to) {
+                    self.inputs.push_back((to, ControlInput::Peer(envelope)));
+                }
+            }
+            ControlOutput::SendRouter {
+                connection,
+                message,
+            } => {
+                if self.reachable(id) {
+                    let queue = self.to_routers.entry(connection).or_default();
+                    queue.push_back(message);
+                }
+            }
+            ControlOutput::DeliverOrder { order, .. } => self.deliver(id, order),
+            ControlOutput::Persist(request) => self.persist(id, request),
+            ControlOutput::SaveSnapshot(snapshot) => {
+                self.members.get_mut(&id).unwrap().snapshot = Some(snapshot);
+            }
+            ControlOutput::ReadPlatform => {
+                if self.reachable(id) {
+                    let input = ControlInput::PlatformListed(self.platform.clone());
+                    self.inputs.push_back((id, input));
+                }
+            }
+            ControlOutput::Answer { call, answer } => {
+                self.answers.insert(call, answer);
+            }
+            ControlOutput::Event(event) => {
+                let pairs = format!("{:?}", event.pairs);
+                self.events.push((id, event.name.to_owned(), pairs));
+            }
+            ControlOutput::Stopped => self.members.get_mut(&id).unwrap().stopped = true,
+        }
+    }
+
+    fn persist(&mut self, id: MemberId, request: millpass_consensus::PersistRequest) {
+        let member = self.members.get_mut(&id).unwrap();
+        if let Some(hard_state) = request.hard_state {
+            member.hard_state = hard_state;
+        }
+        if let Some(snapshot) = request.snapshot {
+            let last = snapshot.meta.last;
+            let keep = member.log.iter().any(|entry| entry.position == last);
+            if keep {
+                member.log.retain(|entry| entry.position.index > last.index);
+            } else {
+                member.log.clear();
+            }
+            member.snapshot = Some(snapshot);
+        }
+        if let Some(first) = request.entries.first() {
+            let first = first.position.index;
+            member.log.retain(|entry| entry.position.index < first);
+            member.log.extend(request.entries);
+        }
+        let write = request.write;
+        self.inputs
+            .push_back((id, ControlInput::Persisted { write }));
+    }
+
+    fn deliver(&mut self, id: MemberId, order: EngineOrder) {
+        self.deliveries.push((id, order.clone()));
+        let backend = order.backend.clone();
+        let fence = order.fence;
+        let reachable = self.reachable(id);
+        let engine = self.engines.get_mut(&backend).filter(|_| reachable);
+        let answer = engine.and_then(|engine| engine.order(&order));
+        let input = ControlInput::OrderDelivered {
+            backend,
+            fence,
+            answer,
+        };
+        self.inputs.push_back((id, input));
+    }
+
+    /// The member that is in charge, if any.
+    pub fn leader(&self) -> Option<MemberId> {
+        self.members
+            .iter()
+            .find(|(_, member)| member.up && !member.cut && member.plane.in_charge(self.now))
+            .map(|(id, _)| *id)
+    }
+
+    /// Lets time pass until a member is in charge.
+    pub fn elect(&mut self) -> MemberId {
+        for _ in 0..400 {
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+            self.run(Duration::from_millis(50));
+        }
+        panic!("no leader: {:?}", self.events);
+    }
+
+    /// Sends an administration call and gives its answer, if it came at once.
+    pub fn call(
+        &mut self,
+        member: MemberId,
+        request: AdministrationRequest,
+    ) -> Option<AdministrationAnswer> {
+        self.calls += 1;
+        let call = self.calls;
+        self.give(member, ControlInput::Administration { call, request });
+        self.answers.get(&call).cloned()
+    }
+
+    /// The answer of the latest call.
+    pub fn last_answer(&self) -> Option<&AdministrationAnswer> {
+        self.answers.get(&self.calls)
+    }
+
+    /// Opens a connection to a member.
+    pub fn connect(&mut self, member: MemberId) -> ConnectionId {
+        self.connections += 1;
+        let connection = ConnectionId(self.connections);
+        self.connection_member.insert(connection, member);
+        connection
+    }
+
+    /// Sends a router's message on a connection.
+    pub fn from_router(&mut self, connection: ConnectionId, message: RouterToControl) {
+        let member = self.connection_member[&connection];
+        if self.reachable(member) {
+            let input = ControlInput::Router {
+                connection,
+                message,
+            };
+            self.give(member, input);
+        }
+    }
+
+    /// Takes what was sent to a router.
+    pub fn received(&mut self, connection: ConnectionId) -> Vec<ControlToRouter> {
+        let queue = self.to_routers.entry(connection).or_default();
+        std::mem::take(queue).into()
+    }
+
+    /// Adds an engine to the machine list.
+    pub fn add_engine(&mut self, name: &str, zone: &str) {
+        let engine = TestEngine::new(name, zone, 1);
+        self.platform.sequence += 1;
+        self.platform.machines.push(PlatformMachine {
+            backend: engine.backend.clone(),
+            kind: BackendKind::Engine,
+            group: None,
+            zone: engine.zone.clone(),
+            address: format!("{name}:9000"),
+            state: BackendState::Live,
+        });
+        self.engines.insert(engine.backend.clone(), engine);
+    }
+
+    /// Number of events of a name.
+    pub fn count_events(&self, name: &str) -> usize {
+        self.events.iter().filter(|event| event.1 == name).count()
+    }
+
+    /// The applied state of a member.
+    pub fn state(&self, member: MemberId) -> &State {
+        self.members[&member].plane.state()
+    }
+
+    /// Members that are up.
+    pub fn up(&self) -> BTreeSet<MemberId> {
+        let up = self.members.iter().filter(|(_, member)| member.up);
+        up.map(|(id, _)| *id).collect()
+    }
+}
+
+/// A change of one object by one operator.
+pub fn change(
+    kind: ObjectKind,
+    name: &str,
+    version: u64,
+    id: &str,
+    spec: ObjectSpec,
+) -> ObjectChange {
+    ObjectChange {
+        key: ObjectKey {
+            kind,
+            name: name.to_owned(),
+        },
+        expected_version: version,
+        change_id: ChangeId::from(id),
+        operator: OperatorName::from("operator"),
+        at_unix_millis: 0,
+        spec: Some(spec),
+    }
+}
+
+pub fn tenant(weight: u32) -> ObjectSpec {
+    ObjectSpec::Tenant(TenantSpec {
+        api_key_hashes: Vec::new(),
+        share_weight: weight,
+        capacity_bytes: 1 << 30,
+        maximum_waiting: 10,
+    })
+}
+
+/// Creates a model of one version that fits one engine twice.
+pub fn create_model(world: &mut World, leader: MemberId, model: &str) {
+    let spec = ObjectSpec::Model(ModelSpec {
+        current_version: VersionLabel::from("v1"),
+        accelerators_per_replica: 1,
+        maximum_replicas: 4,
+        minimum_replicas: 0,
+        concurrency_per_replica: 8,
+    });
+    let version = ObjectSpec::Version(VersionSpec {
+        model: ModelName::from(model),
+        label: VersionLabel::from("v1"),
+        weights_bytes: 2_000,
+        cache_bytes: 1_000,
+        checkpoint: format!("{model}-v1"),
+    });
+    let changes = [
+        change(ObjectKind::Model, model, 0, &format!("{model}-1"), spec),
+        change(
+            ObjectKind::Version,
+            &format!("{model}@v1"),
+            0,
+            &format!("{model}-2"),
+            version,
+        ),
+    ];
+    for change in changes {
+        let request = AdministrationRequest::Change(change);
+        let answer = world.call(leader, request);
+        assert!(
+            matches!(
+                answer,
+                Some(AdministrationAnswer::Change(ObjectChangeOutcome::Accepted(
+                    _
+                )))
+            ),
+            "{answer:?}"
+        );
+    }
+}
