--- a/crates/millpass-checkers/src/linearizable/claims.rs
+++ b/crates/millpass-checkers/src/linearizable/claims.rs
@@ -204,7 +204,10 @@
         ClaimDecision::Answered(answer) => Decision::Answered(digest_of(&answer.body)),
         ClaimDecision::InProgress => Decision::InProgress,
         ClaimDecision::MayHaveRun => Decision::MayHaveRun,
-        ClaimDecision::DigestMismatch | ClaimDecision::Expired => Decision::Refused,
+        ClaimDecision::DigestMismatch
+        | ClaimDecision::Expired
+        | ClaimDecision::Overloaded
+        | ClaimDecision::BornInFuture => Decision::Refused,
     }
 }
 
