Open-loop callers, deployment descriptions, link relays

Cause: the users measure tail cold starts; a caller that waits for answers before it asks again hides them, and one process on one loopback has no zones. Ruled out: one ingress relay with a fixed delay a process (a cut could not tell zones apart); reading source zones from the protocol (HTTP carries none); settings in the product for the lab's sake. The relay asks the kernel which told process made a connection. Change: millpass-load (schedules from a seed, bounded callers, latency from the due time, checks of answers and refusals, bounded histories, summaries); millpass-lab: deployment files of both users, relay with delay, jitter, cuts in one or both directions, control port.

--- a/crates/millpass-lab/src/lib.rs
+++ b/crates/millpass-lab/src/lib.rs
@@ -1,1 +1,4 @@
 //! The emulator and experiment tool: fleets, link relays, fault plans, reports.
+
+pub mod deployment;
+pub mod relay;
--- /dev/null
+++ b/crates/millpass-lab/src/relay/client.rs
@@ -0,0 +1,78 @@
+//! Talks to a relay's control port.
+
+use super::control::{CutRequest, ProcessZone, RelayStatus};
+use super::paths::PathKey;
+use anyhow::Context;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time for one call.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Client of one relay's control port.
+#[derive(Clone, Debug)]
+pub struct RelayClient {
+    agent: ureq::Agent,
+    base: String,
+}
+
+impl RelayClient {
+    /// A client of the control port at this address.
+    pub fn new(address: SocketAddr) -> Self {
+        let config = ureq::Agent::config_builder()
+            .proxy(None)
+            .timeout_global(Some(TIMEOUT))
+            .build();
+        RelayClient {
+            agent: config.new_agent(),
+            base: format!("http://{address}"),
+        }
+    }
+
+    /// State of the relay.
+    pub fn status(&self) -> anyhow::Result<RelayStatus> {
+        let mut response = self
+            .agent
+            .get(format!("{}/status", self.base))
+            .call()
+            .context("the relay's control port does not answer")?;
+        Ok(response.body_mut().read_json()?)
+    }
+
+    /// Tells the zone of a process, or that it ended.
+    pub fn tell(&self, process: u32, zone: Option<&str>) -> anyhow::Result<()> {
+        let told = ProcessZone {
+            process: i32::try_from(process)?,
+            zone: zone.map(str::to_owned),
+        };
+        self.post("processes", &told)
+    }
+
+    /// Cuts a pair of zones.
+    pub fn cut(&self, pair: &PathKey, one_way: bool) -> anyhow::Result<()> {
+        let pair = pair.clone();
+        self.post("cut", &CutRequest { pair, one_way })
+    }
+
+    /// Heals a pair of zones.
+    pub fn heal(&self, pair: &PathKey) -> anyhow::Result<()> {
+        let request = CutRequest {
+            pair: pair.clone(),
+            one_way: false,
+        };
+        self.post("heal", &request)
+    }
+
+    /// Heals all.
+    pub fn heal_all(&self) -> anyhow::Result<()> {
+        self.post("heal-all", &())
+    }
+
+    fn post<T: serde::Serialize>(&self, path: &str, body: &T) -> anyhow::Result<()> {
+        self.agent
+            .post(format!("{}/{path}", self.base))
+            .send_json(body)
+            .with_context(|| format!("the relay refused {path}"))?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/millpass-load/src/caller.rs
@@ -0,0 +1,423 @@
+//! One request over HTTP, and what came of it.
+
+use crate::answer::{AnswerVerdict, check_tokens, check_web, tokens_received};
+use crate::expected::expected_tokens;
+use crate::history::Outcome;
+use crate::refusal::{Executed, check_refusal};
+use crate::schedule::{PlannedRequest, Target};
+use crate::stream::{StreamEvent, next_event};
+use crate::wire;
+use millpass_proto::{AdapterName, ModelName, Urgency};
+use serde::{Deserialize, Serialize};
+use std::io::{BufReader, Read};
+use std::time::{Duration, Instant};
+
+/// Most bytes of an answer that are read.
+const MAXIMUM_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+/// Time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Idle connections kept to one router.
+const IDLE_CONNECTIONS_PER_ROUTER: usize = 256;
+/// Idle connections kept in all.
+const IDLE_CONNECTIONS: usize = 1_024;
+
+/// What a caller knows besides the planned request.
+#[derive(Clone, Copy, Debug)]
+pub struct CallContext<'a> {
+    /// Base address of the router, `IP:port`.
+    pub router: &'a str,
+    /// API key.
+    pub api_key: &'a str,
+    /// Idempotency key.
+    pub key: Option<&'a str>,
+    /// Time left until the deadline.
+    pub time_left: Duration,
+    /// Time past the deadline at which the caller stops listening and notes "no answer".
+    pub grace: Duration,
+}
+
+/// What came of one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallResult {
+    /// Outcome.
+    pub outcome: Outcome,
+    /// When the first token or byte came.
+    pub first: Option<Instant>,
+    /// Longest pause between two tokens.
+    pub longest_pause: Duration,
+    /// Tokens received of the own answer.
+    pub tokens: u32,
+}
+
+impl CallResult {
+    fn of(outcome: Outcome) -> Self {
+        CallResult {
+            outcome,
+            first: None,
+            longest_pause: Duration::ZERO,
+            tokens: 0,
+        }
+    }
+}
+
+/// Makes the HTTP client that all callers share.
+pub fn client() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .max_idle_connections(IDLE_CONNECTIONS)
+        .max_idle_connections_per_host(IDLE_CONNECTIONS_PER_ROUTER)
+        .max_redirects(0)
+        .build()
+        .new_agent()
+}
+
+#[derive(Serialize)]
+struct CompletionBody<'a> {
+    model: String,
+    prompt: &'a str,
+    max_tokens: u32,
+    stream: bool,
+}
+
+#[derive(Serialize)]
+struct ChatBody<'a> {
+    model: String,
+    messages: [ChatMessage<'a>; 1],
+    max_tokens: u32,
+    stream: bool,
+}
+
+#[derive(Serialize)]
+struct ChatMessage<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+/// The `model` field of a request: the model, or the model with an adapter.
+pub fn model_field(model: &ModelName, adapter: Option<&AdapterName>) -> String {
+    match adapter {
+        Some(adapter) => format!("{model}:{adapter}"),
+        None => model.to_string(),
+    }
+}
+
+/// Sends one request and judges what comes back.
+pub fn call(agent: &ureq::Agent, planned: &PlannedRequest, context: &CallContext) -> CallResult {
+    let sent = send(agent, planned, context);
+    let response = match sent {
+        Ok(response) => response,
+        Err(error) => return CallResult::of(failure(&error)),
+    };
+    let status = response.status().as_u16();
+    if status >= 300 {
+        return CallResult::of(read_refusal(response));
+    }
+    match &planned.target {
+        Target::Tokens { streamed: true, .. } => read_stream(response, planned),
+        Target::Tokens { .. } => read_whole(response, planned),
+        Target::WebRead { .. } | Target::WebWrite { .. } => read_web(response, planned),
+    }
+}
+
+fn failure(error: &ureq::Error) -> Outcome {
+    match error {
+        ureq::Error::Timeout(ureq::Timeout::Connect) => Outcome::TransportError {
+            reason: "connect timed out".to_owned(),
+        },
+        ureq::Error::Timeout(_) => Outcome::NoAnswer,
+        other => Outcome::TransportError {
+            reason: other.to_string(),
+        },
+    }
+}
+
+type HttpResponse = ureq::http::Response<ureq::Body>;
+
+fn send(
+    agent: &ureq::Agent,
+    planned: &PlannedRequest,
+    context: &CallContext,
+) -> Result<HttpResponse, ureq::Error> {
+    let base = format!("http://{}", context.router);
+    let limit = Some(context.time_left + context.grace);
+    match &planned.target {
+        Target::WebRead { path, .. } => {
+            let request = agent.get(format!("{base}{path}"));
+            with_headers(request, planned, context)
+                .config()
+                .timeout_global(limit)
+                .build()
+                .call()
+        }
+        Target::WebWrite { path, body, .. } => {
+            let request = post(agent, &format!("{base}{path}"), planned, context);
+            request.config().timeout_global(limit).build().send(body)
+        }
+        Target::Tokens { chat: true, .. } => {
+            let url = format!("{base}{}", wire::CHAT_PATH);
+            let request = post(agent, &url, planned, context);
+            let request = request.config().timeout_global(limit).build();
+            request.send(tokens_body(&planned.target))
+        }
+        Target::Tokens { .. } => {
+            let url = format!("{base}{}", wire::COMPLETIONS_PATH);
+            let request = post(agent, &url, planned, context);
+            let request = request.config().timeout_global(limit).build();
+            request.send(tokens_body(&planned.target))
+        }
+    }
+}
+
+fn tokens_body(target: &Target) -> Vec<u8> {
+    let Target::Tokens {
+        model,
+        adapter,
+        chat,
+        streamed,
+        prompt,
+        tokens,
+        ..
+    } = target
+    else {
+        return Vec::new();
+    };
+    let model = model_field(model, adapter.as_ref());
+    let encoded = if *chat {
+        serde_json::to_vec(&ChatBody {
+            model,
+            messages: [ChatMessage {
+                role: "user",
+                content: prompt,
+            }],
+            max_tokens: *tokens,
+            stream: *streamed,
+        })
+    } else {
+        serde_json::to_vec(&CompletionBody {
+            model,
+            prompt,
+            max_tokens: *tokens,
+            stream: *streamed,
+        })
+    };
+    encoded.unwrap_or_default()
+}
+
+fn post(
+    agent: &ureq::Agent,
+    url: &str,
+    planned: &PlannedRequest,
+    context: &CallContext,
+) -> ureq::RequestBuilder<ureq::typestate::WithBody> {
+    let request = agent.post(url).header("content-type", "application/json");
+    with_headers(request, planned, context)
+}
+
+fn with_headers<B>(
+    request: ureq::RequestBuilder<B>,
+    planned: &PlannedRequest,
+    context: &CallContext,
+) -> ureq::RequestBuilder<B> {
+    let urgency = match planned.urgency {
+        Urgency::Interactive => "interactive",
+        Urgency::Normal => "normal",
+        Urgency::Batch => "batch",
+    };
+    let request = request
+        .header("authorization", format!("Bearer {}", context.api_key))
+        .header(wire::URGENCY_HEADER, urgency)
+        .header(
+            wire::DEADLINE_HEADER,
+            context.time_left.as_millis().to_string(),
+        );
+    match context.key {
+        Some(key) => request.header(wire::KEY_HEADER, key),
+        None => request,
+    }
+}
+
+fn header<'a>(response: &'a HttpResponse, name: &str) -> Option<&'a str> {
+    response.headers().get(name)?.to_str().ok()
+}
+
+fn read_refusal(mut response: HttpResponse) -> Outcome {
+    let status = response.status().as_u16();
+    let executed = header(&response, wire::EXECUTED_HEADER).map(str::to_owned);
+    let retry_after = header(&response, wire::RETRY_AFTER_HEADER).map(str::to_owned);
+    let body = response.body_mut().read_to_vec().unwrap_or_default();
+    match check_refusal(status, executed.as_deref(), retry_after.as_deref(), &body) {
+        Ok(refusal) => Outcome::Refused {
+            status,
+            code: refusal.code,
+            executed: refusal.executed,
+            retry_after_seconds: refusal.retry_after_seconds,
+        },
+        Err(fault) => Outcome::FaultyRefusal { status, fault },
+    }
+}
+
+fn is_replayed(response: &HttpResponse) -> bool {
+    header(response, wire::REPLAYED_HEADER).is_some_and(|word| word == "true")
+}
+
+fn expected_of(planned: &PlannedRequest) -> Vec<String> {
+    match &planned.target {
+        Target::Tokens {
+            model,
+            version,
+            adapter,
+            prompt,
+            tokens,
+            ..
+        } => expected_tokens(model, version, adapter.as_ref(), prompt, *tokens),
+        _ => Vec::new(),
+    }
+}
+
+fn read_stream(response: HttpResponse, planned: &PlannedRequest) -> CallResult {
+    let status = response.status().as_u16();
+    let replayed = is_replayed(&response);
+    let mut reader = BufReader::new(response.into_body().into_reader());
+    let mut reading = StreamReading::default();
+    let ended = loop {
+        match next_event(&mut reader) {
+            Ok(Some(StreamEvent::Text(text))) => reading.take_text(&text),
+            Ok(Some(StreamEvent::Empty)) => {}
+            Ok(Some(StreamEvent::End)) => break true,
+            Ok(Some(StreamEvent::Error(code, executed))) => {
+                reading.error = Some((code, executed.unwrap_or(Executed::Unknown)));
+            }
+            Ok(None) | Err(_) => break false,
+        }
+    };
+    let expected = expected_of(planned);
+    let tokens = tokens_received(&expected, &reading.text);
+    let verdict = check_tokens(&expected, &reading.text, ended);
+    let outcome = match reading.error {
+        // A stated error is an honest end, unless the text before it is not the caller's own.
+        Some((code, executed)) if verdict == AnswerVerdict::Truncated => Outcome::Refused {
+            status,
+            code,
+            executed,
+            retry_after_seconds: None,
+        },
+        _ => Outcome::Answered {
+            status,
+            verdict,
+            replayed,
+        },
+    };
+    CallResult {
+        outcome,
+        first: reading.first,
+        longest_pause: reading.longest_pause,
+        tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+    }
+}
+
+#[derive(Default)]
+struct StreamReading {
+    text: String,
+    first: Option<Instant>,
+    last: Option<Instant>,
+    longest_pause: Duration,
+    error: Option<(String, Executed)>,
+}
+
+impl StreamReading {
+    fn take_text(&mut self, text: &str) {
+        let now = Instant::now();
+        if let Some(last) = self.last {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+        self.text.push_str(text);
+    }
+}
+
+#[derive(Deserialize)]
+struct WholeAnswer {
+    choices: Vec<WholeChoice>,
+}
+
+#[derive(Deserialize)]
+struct WholeChoice {
+    text: Option<String>,
+    message: Option<WholeMessage>,
+}
+
+#[derive(Deserialize)]
+struct WholeMessage {
+    content: String,
+}
+
+/// Text of a whole answer; none if the body is not one.
+fn whole_text(body: &[u8]) -> Option<String> {
+    let answer: WholeAnswer = serde_json::from_slice(body).ok()?;
+    let choice = answer.choices.into_iter().next()?;
+    let from_message = choice.message.map(|message| message.content);
+    choice.text.or(from_message)
+}
+
+/// Reads a body to its end; none if it breaks off.
+fn read_body(response: HttpResponse) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    let mut reader = response
+        .into_body()
+        .into_reader()
+        .take(MAXIMUM_ANSWER_BYTES);
+    let whole = reader.read_to_end(&mut body).is_ok();
+    (body, whole)
+}
+
+fn read_whole(response: HttpResponse, planned: &PlannedRequest) -> CallResult {
+    let status = response.status().as_u16();
+    let replayed = is_replayed(&response);
+    let (body, read) = read_body(response);
+    let expected = expected_of(planned);
+    let text = whole_text(&body);
+    let (verdict, tokens) = match &text {
+        Some(text) => (
+            check_tokens(&expected, text, read),
+            tokens_received(&expected, text),
+        ),
+        None if read => (AnswerVerdict::Foreign, 0),
+        None => (AnswerVerdict::Truncated, 0),
+    };
+    CallResult {
+        outcome: Outcome::Answered {
+            status,
+            verdict,
+            replayed,
+        },
+        // An answer given at once has no time of its first token.
+        first: None,
+        longest_pause: Duration::ZERO,
+        tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+    }
+}
+
+fn read_web(response: HttpResponse, planned: &PlannedRequest) -> CallResult {
+    let status = response.status().as_u16();
+    let replayed = is_replayed(&response);
+    let first = Some(Instant::now());
+    let (body, read) = read_body(response);
+    let verdict = if read {
+        check_web(&planned.nonce, &String::from_utf8_lossy(&body))
+    } else {
+        AnswerVerdict::Truncated
+    };
+    CallResult {
+        outcome: Outcome::Answered {
+            status,
+            verdict,
+            replayed,
+        },
+        first,
+        longest_pause: Duration::ZERO,
+        tokens: 0,
+    }
+}
--- /dev/null
+++ b/crates/millpass-load/src/expected.rs
@@ -0,0 +1,16 @@
+//! What the answer of a request must be.
+
+use millpass_proto::{AdapterName, ModelName, VersionLabel};
+use millpass_standin::content::Answer;
+
+/// Tokens of the answer, in order.
+pub fn expected_tokens(
+    model: &ModelName,
+    version: &VersionLabel,
+    adapter: Option<&AdapterName>,
+    prompt: &str,
+    tokens: u32,
+) -> Vec<String> {
+    let answer = Answer::new(model, version, adapter, prompt);
+    (0..tokens).map(|position| answer.token(position)).collect()
+}
