--- a/crates/millpass-lab/src/relay/sources.rs
+++ b/crates/millpass-lab/src/relay/sources.rs
@@ -85,9 +85,7 @@
     }
 }
 
-fn lock(
-    processes: &Mutex<BTreeMap<i32, String>>,
-) -> MutexGuard<'_, BTreeMap<i32, String>> {
+fn lock(processes: &Mutex<BTreeMap<i32, String>>) -> MutexGuard<'_, BTreeMap<i32, String>> {
     processes.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
