--- a/crates/millpass-standin/src/content.rs
+++ b/crates/millpass-standin/src/content.rs
@@ -103,3 +103,22 @@
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     mixed ^ (mixed >> 31)
 }
+
+/// A chat as one prompt: one line for each message, `role: text`.
+pub fn chat_prompt<'a>(messages: impl IntoIterator<Item = (&'a str, &'a str)>) -> String {
+    let lines = messages.into_iter();
+    lines
+        .map(|(role, text)| format!("{role}: {text}\n"))
+        .collect()
+}
+
+/// The page that a web back end gives for a path, whichever of a group it is.
+pub fn page(path: &str) -> String {
+    const PAGE_LINES: u64 = 16;
+    let seed = hash_parts(&["page", path]);
+    let lines = (0..PAGE_LINES).map(|line| format!("<p>{line}: {:016x}</p>\n", mix(seed ^ line)));
+    format!(
+        "<!doctype html>\n<title>{path}</title>\n{}",
+        lines.collect::<String>()
+    )
+}
--- /dev/null
+++ b/crates/millpass-standin/src/engine/front/fetches.rs
@@ -0,0 +1,75 @@
+//! Threads that wait for the weight store, one for each fetch that goes on.
+
+use crate::engine::messages::{EngineInput, EngineOutput, FetchId, FetchResult};
+use crate::engine::model::EngineModel;
+use crate::run::Driver;
+use crate::weight_store::{StoreAccess, fetch};
+use millpass_proto::Duration;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Weak};
+
+/// Most fetches of one engine at once; one more is asked for later.
+const MAXIMUM_FETCHES: usize = 64;
+const BUSY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Starts fetches for an engine. An abandoned fetch runs on until the store ends it, as a transfer
+/// would whose engine lost interest; its end is ignored.
+pub struct Fetches {
+    driver: Weak<Driver<EngineModel>>,
+    store: StoreAccess,
+    running: Arc<AtomicUsize>,
+}
+
+impl Fetches {
+    /// Fetches for this engine, from this store.
+    pub fn new(driver: Weak<Driver<EngineModel>>, store: StoreAccess) -> Self {
+        Fetches {
+            driver,
+            store,
+            running: Arc::default(),
+        }
+    }
+
+    /// Starts the fetches among a step's outputs.
+    pub fn start_all(&self, outputs: Vec<EngineOutput>) {
+        for output in outputs {
+            if let EngineOutput::Fetch {
+                fetch,
+                checkpoint,
+                bytes,
+            } = output
+            {
+                self.start(fetch, checkpoint, bytes);
+            }
+        }
+    }
+
+    fn start(&self, id: FetchId, checkpoint: String, bytes: u64) {
+        if self.running.fetch_add(1, Ordering::Relaxed) >= MAXIMUM_FETCHES {
+            self.running.fetch_sub(1, Ordering::Relaxed);
+            return end(&self.driver, id, FetchResult::Later(BUSY_PAUSE));
+        }
+        let (driver, store) = (self.driver.clone(), self.store.clone());
+        let running = self.running.clone();
+        let wait = move || {
+            if let Some(clock) = driver.upgrade().map(|driver| driver.alarms().clock()) {
+                let result = fetch(&store, clock, &checkpoint, bytes);
+                end(&driver, id, result);
+            }
+            running.fetch_sub(1, Ordering::Relaxed);
+        };
+        let builder = std::thread::Builder::new().name("fetch".to_owned());
+        if let Err(error) = builder.spawn(wait) {
+            self.running.fetch_sub(1, Ordering::Relaxed);
+            let reason = format!("no thread for the transfer: {error}; load later");
+            end(&self.driver, id, FetchResult::Failed(reason));
+        }
+    }
+}
+
+/// The end of a fetch makes no new fetch at once, so nothing unclaimed needs to be looked at.
+fn end(driver: &Weak<Driver<EngineModel>>, id: FetchId, result: FetchResult) {
+    if let Some(driver) = driver.upgrade() {
+        driver.input(EngineInput::FetchEnded(id, result));
+    }
+}
--- /dev/null
+++ b/crates/millpass-standin/src/engine/front/mod.rs
@@ -0,0 +1,10 @@
+//! The engine over HTTP.
+
+mod calls;
+mod chunks;
+mod fetches;
+mod service;
+mod start;
+mod streams;
+
+pub use start::{EngineFront, EngineHandle, start, start_with};
--- /dev/null
+++ b/crates/millpass-standin/src/engine/front/service.rs
@@ -0,0 +1,272 @@
+//! Paths of the engine's HTTP interface.
+
+use super::calls::{Api, Call};
+use super::fetches::Fetches;
+use super::streams::{Delivery, deliver};
+use crate::engine::messages::{EngineInput, EngineOutput, RequestHandle};
+use crate::engine::model::EngineModel;
+use crate::run::{
+    Driver, TimedModel, error_answer, header_text, json_answer, parse_json, path_segments,
+    query_number,
+};
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use millpass_http::{Handler, Request, Responder, Response};
+use millpass_proto::{EngineOrder, OrderAnswer, SlotId, Timestamp};
+use std::sync::Arc;
+
+/// Largest KV cache body.
+const MAXIMUM_CACHE_BYTES: usize = 64 * 1024;
+
+impl TimedModel for EngineModel {
+    type Input = EngineInput;
+    type Output = EngineOutput;
+
+    fn advance(&mut self, now: Timestamp, input: Option<EngineInput>) -> Vec<EngineOutput> {
+        self.step(now, input.unwrap_or(EngineInput::Tick))
+    }
+
+    fn next_wake(&self) -> Option<Timestamp> {
+        EngineModel::next_wake(self)
+    }
+
+    fn waiter_of(output: &EngineOutput) -> Option<(u64, bool)> {
+        match output {
+            EngineOutput::Refused(request, _) | EngineOutput::Finished(request, _) => {
+                Some((request.0, true))
+            }
+            EngineOutput::Started(request) | EngineOutput::Tokens { request, .. } => {
+                Some((request.0, false))
+            }
+            EngineOutput::OrderAnswered(_)
+            | EngineOutput::Fetch { .. }
+            | EngineOutput::AbandonFetch(_)
+            | EngineOutput::CacheImported(_) => None,
+        }
+    }
+}
+
+/// Answers requests to one engine.
+pub struct Service {
+    pub driver: Arc<Driver<EngineModel>>,
+    pub fetches: Arc<Fetches>,
+}
+
+impl Handler for Service {
+    fn handle(&self, request: Request, responder: Responder) {
+        let segments = path_segments(&request.uri);
+        let path: Vec<&str> = segments.iter().map(String::as_str).collect();
+        match (&request.method, path.as_slice()) {
+            (&Method::POST, ["v1", "completions"]) => {
+                self.complete(Api::Completions, &request, responder);
+            }
+            (&Method::POST, ["v1", "chat", "completions"]) => {
+                self.complete(Api::Chat, &request, responder);
+            }
+            (&Method::POST, ["engine", "orders"]) => responder.send(self.order(&request)),
+            (&Method::DELETE, ["engine", "requests", id]) => responder.send(self.cancel(id)),
+            (&Method::PUT, ["engine", "kv", hash]) => {
+                responder.send(self.import(hash, &request));
+            }
+            (&Method::POST, ["engine", "faults", fault]) => {
+                responder.send(self.fault(fault, &request));
+            }
+            (&Method::GET, path) => responder.send(self.read(path, &request)),
+            _ => responder.send(unknown_path()),
+        }
+    }
+}
+
+impl Service {
+    fn read(&self, path: &[&str], request: &Request) -> Response {
+        let ok = StatusCode::OK;
+        match path {
+            ["engine", "report"] => json_answer(ok, &self.driver.read(EngineModel::report)),
+            ["engine", "audit"] => json_answer(ok, &self.driver.read(EngineModel::audit)),
+            ["engine", "events"] => {
+                let after = query_number(&request.uri, "after").unwrap_or(0);
+                let look = |model: &EngineModel, now| model.events_after(now, after);
+                json_answer(ok, &self.driver.read(look))
+            }
+            ["engine", "kv", hash] => self.export(hash, request),
+            _ => unknown_path(),
+        }
+    }
+
+    fn complete(&self, api: Api, request: &Request, responder: Responder) {
+        let clock = self.driver.alarms().clock();
+        let parsed = self
+            .driver
+            .read(|model, now| Call::parse(api, request, model, clock, now));
+        let mut call = match parsed {
+            Ok(call) => call,
+            Err(answer) => return responder.send(*answer),
+        };
+        let gone = responder.caller_gone();
+        let (waiter, outputs) = self.driver.open_with_sender(
+            |waiter| {
+                call.request.handle = RequestHandle(waiter);
+                if call.request.request_id.is_empty() {
+                    call.request.request_id = format!("request-{waiter}");
+                }
+                EngineInput::Submit(call.request.clone())
+            },
+            |waiter, sender| {
+                let sender = sender.clone();
+                let handle = RequestHandle(waiter);
+                // Wakes the thread that delivers, also while the request waits for its turn.
+                gone.on_gone(move || {
+                    let reason = crate::engine::messages::FinishReason::Cancelled;
+                    let _ = sender.send(EngineOutput::Finished(handle, reason));
+                });
+            },
+        );
+        if deliver(&call, &outputs, responder, clock) == Delivery::CallerGone {
+            self.driver
+                .input(EngineInput::Cancel(RequestHandle(waiter)));
+        }
+    }
+
+    fn order(&self, request: &Request) -> Response {
+        let order: EngineOrder = match parse_json(&request.body) {
+            Ok(order) => order,
+            Err(answer) => return *answer,
+        };
+        let summary = format!("fence={} action={:?}", order.fence, order.action);
+        let mut outputs = self.driver.input(EngineInput::Order(order));
+        let place = outputs
+            .iter()
+            .position(|output| matches!(output, EngineOutput::OrderAnswered(_)));
+        let answer = place.map(|place| outputs.swap_remove(place));
+        self.fetches.start_all(outputs);
+        match answer {
+            Some(EngineOutput::OrderAnswered(answer)) => {
+                log_order(&summary, &answer);
+                json_answer(StatusCode::OK, &answer)
+            }
+            _ => error_answer(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "no_answer",
+                "the model gave no answer; report this defect",
+                true,
+            ),
+        }
+    }
+
+    fn cancel(&self, request_id: &str) -> Response {
+        let handles = self
+            .driver
+            .read(|model, _| model.requests_named(request_id));
+        if handles.is_empty() {
+            let message = "no such request is waiting or running here";
+            return error_answer(StatusCode::NOT_FOUND, "unknown_request", message, false);
+        }
+        for handle in handles {
+            self.driver.input(EngineInput::Cancel(handle));
+        }
+        Response::text(StatusCode::OK, "")
+    }
+
+    fn export(&self, hash: &str, request: &Request) -> Response {
+        let Ok(prefix_hash) = hash.parse::<u64>() else {
+            return malformed_hash();
+        };
+        let wanted = slot_of(request);
+        let content = self.driver.read(|model, _| {
+            let slot = wanted.or_else(|| model.slot_with_cached(prefix_hash))?;
+            model
+                .has_cached(slot, prefix_hash)
+                .then(|| cache_content(model, slot, prefix_hash))?
+        });
+        match content {
+            Some(content) => {
+                let octets = "application/octet-stream";
+                Response::with_type(StatusCode::OK, octets, Bytes::from(content))
+            }
+            None => error_answer(
+                StatusCode::NOT_FOUND,
+                "not_cached",
+                "block is not cached here; prefill it",
+                false,
+            ),
+        }
+    }
+
+    fn import(&self, hash: &str, request: &Request) -> Response {
+        let Ok(prefix_hash) = hash.parse::<u64>() else {
+            return malformed_hash();
+        };
+        if request.body.len() > MAXIMUM_CACHE_BYTES {
+            let message = "KV cache of one block has at most 64 KiB";
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return error_answer(status, "body_too_large", message, false);
+        }
+        let Some(slot) = slot_of(request) else {
+            let message = "name the slot in header millpass-slot";
+            return error_answer(StatusCode::BAD_REQUEST, "missing_slot", message, false);
+        };
+        let expected = self
+            .driver
+            .read(|model, _| cache_content(model, slot, prefix_hash));
+        let is_right = expected.is_some_and(|expected| expected.as_bytes() == &request.body[..]);
+        if !is_right {
+            let message = "KV cache is of another model, version or block, or the slot is not here";
+            return error_answer(StatusCode::CONFLICT, "wrong_cache", message, false);
+        }
+        let outputs = self
+            .driver
+            .input(EngineInput::ImportCache { slot, prefix_hash });
+        if outputs.contains(&EngineOutput::CacheImported(true)) {
+            return Response::text(StatusCode::OK, "");
+        }
+        let message = "no room beside running requests; prefill instead";
+        error_answer(StatusCode::INSUFFICIENT_STORAGE, "no_room", message, false)
+    }
+
+    fn fault(&self, fault: &str, request: &Request) -> Response {
+        let number = |key| {
+            let value = query_number(&request.uri, key)?;
+            u32::try_from(value).ok()
+        };
+        let input = match fault {
+            "fail-loads" => number("count").map(EngineInput::FailLoads),
+            "slow" => number("percent").map(EngineInput::SlowSteps),
+            _ => return unknown_path(),
+        };
+        let Some(input) = input else {
+            let message = "use fail-loads?count=N or slow?percent=N";
+            return error_answer(StatusCode::BAD_REQUEST, "missing_number", message, false);
+        };
+        self.driver.input(input);
+        Response::text(StatusCode::OK, "")
+    }
+}
+
+/// Exported KV cache of a block: hollow, but it names what it is of, so that an import into
+/// something else is refused.
+fn cache_content(model: &EngineModel, slot: SlotId, prefix_hash: u64) -> Option<String> {
+    let (name, version) = model.loaded_model(slot)?;
+    Some(format!("kv {prefix_hash} {name} {version}"))
+}
+
+fn slot_of(request: &Request) -> Option<SlotId> {
+    let text = header_text(&request.headers, "millpass-slot")?;
+    text.parse().ok().map(SlotId)
+}
+
+fn log_order(summary: &str, answer: &OrderAnswer) {
+    match answer {
+        OrderAnswer::Accepted => log::info!("event=order_accepted {summary}"),
+        refused => log::warn!("event=order_refused {summary} answer={refused:?}"),
+    }
+}
+
+fn malformed_hash() -> Response {
+    let message = "block hash must be a decimal number";
+    error_answer(StatusCode::BAD_REQUEST, "malformed_hash", message, false)
+}
+
+fn unknown_path() -> Response {
+    let message = "see docs/interfaces/engine.md";
+    error_answer(StatusCode::NOT_FOUND, "unknown_path", message, false)
+}
--- a/crates/millpass-standin/src/engine/mod.rs
+++ b/crates/millpass-standin/src/engine/mod.rs
@@ -5,7 +5,7 @@
 mod checkpoints;
 mod events;
 mod fences;
-mod history;
+mod front;
 mod idle;
 mod loading;
 mod memory;
@@ -19,6 +19,7 @@
 mod slots;
 mod timers;
 
+pub use front::{EngineFront, EngineHandle, start, start_with};
 pub use messages::*;
 pub use model::EngineModel;
 pub use settings::*;
--- a/crates/millpass-standin/src/engine/model.rs
+++ b/crates/millpass-standin/src/engine/model.rs
@@ -1,20 +1,22 @@
 //! The engine model: state, time and reports. Orders, loads and requests are in the modules
 //! beside this one.
 
-use super::audit::{RunCounts, blank_audit};
+use super::audit::blank_audit;
 use super::checkpoints::CheckpointCache;
 use super::events::EventLog;
 use super::fences::FenceLedger;
-use super::history::ReportHistory;
 use super::idle::{AcceleratorUse, IdleClock};
 use super::memory::AcceleratorMemory;
-use super::messages::{EngineInput, EngineOutput, FetchId};
+use super::messages::{EngineInput, EngineOutput, FetchId, RequestHandle};
 use super::requests::Requests;
 use super::settings::EngineSettings;
 use super::slots::Slot;
 use super::timers::{Timer, Timers};
+use crate::lagged::Lagged;
+use crate::run_counts::RunCounts;
 use millpass_proto::{
-    AdapterName, CacheEvents, EngineAudit, EngineReport, EngineRole, SlotId, Timestamp,
+    AdapterName, CacheEvents, EngineAudit, EngineReport, EngineRole, ModelName, SlotId, Timestamp,
+    VersionLabel,
 };
 use std::collections::BTreeMap;
 
@@ -43,10 +45,8 @@
     pub(super) failing_loads: u32,
     pub(super) step_percent: u32,
     pub(super) outputs: Vec<EngineOutput>,
-    history: ReportHistory,
+    reports: Lagged<EngineReport>,
     idle: IdleClock,
-    changed: Timestamp,
-    unkept: bool,
 }
 
 impl EngineModel {
@@ -57,6 +57,10 @@
         let fences = FenceLedger::new(settings.limits.remembered_orders);
         let idle = IdleClock::new(now, memory.accelerators());
         let first = first_report(&settings, &checkpoints);
+        let (lag, interval) = (
+            settings.publishing.report_lag,
+            settings.publishing.report_interval,
+        );
         EngineModel {
             role: settings.role,
             memory,
@@ -74,10 +78,8 @@
             failing_loads: 0,
             step_percent: NORMAL_STEP_PERCENT,
             outputs: Vec::new(),
-            history: ReportHistory::new(&settings.publishing, now, first),
+            reports: Lagged::new(lag, interval, now, first),
             idle,
-            changed: now,
-            unkept: false,
             settings,
         }
     }
@@ -112,10 +114,12 @@
         &self.settings
     }
 
-    /// The load report as read at `now`: the state of some time ago.
+    /// The load report as read at `now`: the state of some time ago. Its sequence is the time
+    /// shown, in microseconds, so that it grows.
     pub fn report(&self, now: Timestamp) -> EngineReport {
-        self.history
-            .report(now, self.changed, || self.current_report())
+        let mut report = self.reports.read(now, || self.current_report());
+        report.sequence = self.reports.shown_time(now).as_micros();
+        report
     }
 
     /// The state as it is, without lag: for checkers, never for decisions.
@@ -126,7 +130,7 @@
             incarnation: self.settings.incarnation,
             zone: self.settings.zone.clone(),
             role: self.role,
-            sequence: self.changed.as_micros(),
+            sequence: self.reports.changed().as_micros(),
             highest_fence: self.fences.highest(),
             accelerator_bytes: self.memory.capacity().to_vec(),
             used_bytes: self.memory.used().to_vec(),
@@ -145,6 +149,38 @@
         }
     }
 
+    /// Model and version of a loaded slot.
+    pub fn loaded_model(&self, slot: SlotId) -> Option<(&ModelName, &VersionLabel)> {
+        let state = self.slots.get(&slot)?;
+        state
+            .weights
+            .is_loaded()
+            .then_some((&state.model, &state.version))
+    }
+
+    /// The first loaded slot that holds this model.
+    pub fn slot_of_model(&self, model: &str) -> Option<SlotId> {
+        let mut slots = self.slots.iter();
+        let found = slots.find(|(_, slot)| slot.weights.is_loaded() && slot.model.0 == model);
+        found.map(|(slot, _)| *slot)
+    }
+
+    /// The first loaded slot whose cache has this block.
+    pub fn slot_with_cached(&self, prefix_hash: u64) -> Option<SlotId> {
+        let mut slots = self.slots.iter();
+        let found = slots.find(|(_, slot)| slot.prefix.contains(prefix_hash));
+        found.map(|(slot, _)| *slot)
+    }
+
+    /// Requests inside the engine that came under this identity.
+    pub fn requests_named(&self, request_id: &str) -> Vec<RequestHandle> {
+        let named = self
+            .requests
+            .iter()
+            .filter(|state| state.request.request_id == request_id);
+        named.map(|state| state.request.handle).collect()
+    }
+
     /// Whether the block's KV cache is in this slot, and can be exported.
     pub fn has_cached(&self, slot: SlotId, prefix_hash: u64) -> bool {
         self.slots
@@ -176,8 +212,7 @@
 
     /// Notes that the state shown in reports changed at `now`.
     pub(super) fn mark_changed(&mut self, now: Timestamp) {
-        self.changed = now;
-        self.unkept = true;
+        self.reports.mark_changed(now);
     }
 
     /// Cache memory of one block of a prompt.
@@ -207,11 +242,9 @@
 
     fn begin_event(&mut self, at: Timestamp) {
         self.idle.advance(at);
-        let worth_keeping = self.unkept && self.changed < at && self.history.wants(self.changed);
-        if worth_keeping {
+        if self.reports.wants(at) {
             let state = self.current_report();
-            self.history.keep(at, self.changed, state);
-            self.unkept = false;
+            self.reports.keep(at, state);
         }
     }
 
--- a/crates/millpass-standin/src/lib.rs
+++ b/crates/millpass-standin/src/lib.rs
@@ -1,7 +1,13 @@
 //! Stand-ins for outside systems: engine, web back end, weight store, platform list.
 //!
 //! Each is a pure model, a state machine without I/O, clock or threads that the simulator drives
-//! too, and a front end that serves the model over loopback HTTP.
+//! too, and a front end (`start`) that serves the model over loopback HTTP.
 
 pub mod content;
 pub mod engine;
+pub mod lagged;
+pub mod platform;
+pub mod run;
+mod run_counts;
+pub mod web;
+pub mod weight_store;
--- /dev/null
+++ b/crates/millpass-standin/src/platform/client.rs
@@ -0,0 +1,126 @@
+//! How a machine puts itself on the platform's list.
+
+use millpass_http::ServerHandle;
+use millpass_proto::{Duration, PlatformMachine};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use ureq::Agent;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Attempts to register, one each [`RETRY_PAUSE`]; the list may come up later than the machine.
+const ATTEMPTS: u32 = 600;
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// A machine's entry in the list.
+pub struct PlatformClient {
+    agent: Agent,
+    address: String,
+    machine: PlatformMachine,
+    is_given_up: Arc<AtomicBool>,
+}
+
+impl PlatformClient {
+    /// Registers a machine at the list at `address`, at once if the list answers, else by a thread
+    /// that goes on trying for a minute.
+    pub fn register(address: &str, machine: PlatformMachine) -> Self {
+        let config = Agent::config_builder()
+            .timeout_global(Some(TIMEOUT))
+            .build();
+        let client = PlatformClient {
+            agent: Agent::new_with_config(config),
+            address: address.to_owned(),
+            machine,
+            is_given_up: Arc::new(AtomicBool::new(false)),
+        };
+        if let Err(error) = try_register(&client.agent, &client.address, &client.machine) {
+            log::warn!("event=register_failed error={error:?} next=retry");
+            client.register_later();
+        }
+        client
+    }
+
+    /// Marks the machine as leaving.
+    pub fn mark_leaving(&self) -> Result<(), ureq::Error> {
+        let url = format!("{}/leaving", self.url());
+        self.agent.post(&url).send_empty().map(drop)
+    }
+
+    /// Takes the machine off the list.
+    pub fn remove(&self) -> Result<(), ureq::Error> {
+        self.agent.delete(&self.url()).call().map(drop)
+    }
+
+    /// A planned stop: marks the machine as leaving, serves on for `notice` (new work comes until
+    /// everyone knows), waits at most `grace` for requests in flight, and takes it off the list.
+    pub(crate) fn leave(
+        client: Option<&PlatformClient>,
+        server: &ServerHandle,
+        notice: Duration,
+        grace: Duration,
+    ) {
+        if let Some(client) = client {
+            client.is_given_up.store(true, Ordering::Relaxed);
+            log_failure("mark_leaving", client.mark_leaving());
+            std::thread::sleep(notice);
+        }
+        let drained = server.drain(grace);
+        log::info!(
+            "event=drained finished={} cut={}",
+            drained.finished,
+            drained.cut
+        );
+        if let Some(client) = client {
+            log_failure("remove", client.remove());
+        }
+    }
+
+    fn register_later(&self) {
+        let (agent, address) = (self.agent.clone(), self.address.clone());
+        let (machine, is_given_up) = (self.machine.clone(), self.is_given_up.clone());
+        let attempt_all = move || {
+            for _ in 0..ATTEMPTS {
+                std::thread::sleep(RETRY_PAUSE);
+                if is_given_up.load(Ordering::Relaxed) {
+                    return;
+                }
+                if try_register(&agent, &address, &machine).is_ok() {
+                    return;
+                }
+            }
+            log::error!("event=register_given_up remedy=\"start the platform list, restart\"");
+        };
+        let started = std::thread::Builder::new()
+            .name("register".to_owned())
+            .spawn(attempt_all);
+        if let Err(error) = started {
+            log::error!("event=register_thread_failed error={error:?}");
+        }
+    }
+
+    fn url(&self) -> String {
+        let name = utf8_percent_encode(self.machine.backend.as_str(), NON_ALPHANUMERIC);
+        format!("http://{}/machines/{name}", self.address)
+    }
+}
+
+impl Drop for PlatformClient {
+    fn drop(&mut self) {
+        self.is_given_up.store(true, Ordering::Relaxed);
+    }
+}
+
+fn try_register(
+    agent: &Agent,
+    address: &str,
+    machine: &PlatformMachine,
+) -> Result<(), ureq::Error> {
+    let url = format!("http://{address}/machines");
+    agent.post(&url).send_json(machine).map(drop)
+}
+
+fn log_failure(what: &str, result: Result<(), ureq::Error>) {
+    if let Err(error) = result {
+        log::warn!("event=platform_call_failed call={what} error={error:?}");
+    }
+}
--- /dev/null
+++ b/crates/millpass-standin/src/run/driver.rs
@@ -0,0 +1,176 @@
+//! Drives a model by the clock, and hands its outputs to those who wait for them.
+
+use super::alarm::{Alarm, Alarms};
+use crossbeam::channel::{Receiver, Sender, unbounded};
+use millpass_proto::Timestamp;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+
+/// A model that a [`Driver`] can drive.
+pub trait TimedModel: Send + 'static {
+    /// What happens to it.
+    type Input;
+    /// What it does.
+    type Output: Send + 'static;
+
+    /// Brings it to `now`, then takes the input; without one, only time went on.
+    fn advance(&mut self, now: Timestamp, input: Option<Self::Input>) -> Vec<Self::Output>;
+    /// When it next does something by itself.
+    fn next_wake(&self) -> Option<Timestamp>;
+    /// Number of the one who waits for this output, and whether it is the last for it.
+    fn waiter_of(output: &Self::Output) -> Option<(u64, bool)>;
+}
+
+/// Takes outputs that nobody waits for.
+type Take<Output> = Box<dyn Fn(Vec<Output>) + Send + Sync>;
+
+/// A model with its clock and those who wait for its outputs.
+pub struct Driver<M: TimedModel> {
+    cell: Mutex<Cell<M>>,
+    alarms: Arc<Alarms>,
+    alarm: OnceLock<u64>,
+    unclaimed: OnceLock<Take<M::Output>>,
+}
+
+struct Cell<M: TimedModel> {
+    model: M,
+    next_waiter: u64,
+    waiters: BTreeMap<u64, Sender<M::Output>>,
+}
+
+impl<M: TimedModel> Driver<M> {
+    /// Begins to drive a model.
+    pub fn new(model: M, alarms: Arc<Alarms>) -> Arc<Self> {
+        let cell = Cell {
+            model,
+            next_waiter: 1,
+            waiters: BTreeMap::new(),
+        };
+        let driver = Arc::new(Driver {
+            cell: Mutex::new(cell),
+            alarms: alarms.clone(),
+            alarm: OnceLock::new(),
+            unclaimed: OnceLock::new(),
+        });
+        let weak: Weak<Self> = Arc::downgrade(&driver);
+        // The cell is new, so this is the first and only setting.
+        let _ = driver.alarm.set(alarms.add(weak));
+        driver
+    }
+
+    /// Says who takes outputs that nobody waits for and that come from the passing of time. To be
+    /// called once, before the first input.
+    pub fn on_unclaimed(&self, take: impl Fn(Vec<M::Output>) + Send + Sync + 'static) {
+        // A second call is ignored: the first owner keeps its outputs.
+        let _ = self.unclaimed.set(Box::new(take));
+    }
+
+    /// The alarms and their clock.
+    pub fn alarms(&self) -> &Alarms {
+        &self.alarms
+    }
+
+    /// One input; gives the outputs that nobody waits for.
+    pub fn input(&self, input: M::Input) -> Vec<M::Output> {
+        let mut cell = self.lock();
+        self.advance(&mut cell, Some(input))
+    }
+
+    /// One input by someone who waits for the outputs under the number that `make` gets.
+    pub fn open(&self, make: impl FnOnce(u64) -> M::Input) -> (u64, Receiver<M::Output>) {
+        self.open_with_sender(make, |_, _| ())
+    }
+
+    /// As [`Driver::open`]; `prepare` gets the number and the sending end before the input, to let
+    /// others, such as a hang-up notice, wake the one who waits.
+    ///
+    /// The channel has no bound of its own: a model gives a bounded number of outputs for each
+    /// waiter, and must never wait for a slow one.
+    pub fn open_with_sender(
+        &self,
+        make: impl FnOnce(u64) -> M::Input,
+        prepare: impl FnOnce(u64, &Sender<M::Output>),
+    ) -> (u64, Receiver<M::Output>) {
+        let (sender, receiver) = unbounded();
+        let mut cell = self.lock();
+        let waiter = cell.next_waiter;
+        cell.next_waiter += 1;
+        prepare(waiter, &sender);
+        cell.waiters.insert(waiter, sender);
+        let unclaimed = self.advance(&mut cell, Some(make(waiter)));
+        drop(cell);
+        self.give_unclaimed(unclaimed);
+        (waiter, receiver)
+    }
+
+    /// Reads the model at the present time.
+    pub fn read<T>(&self, look: impl FnOnce(&M, Timestamp) -> T) -> T {
+        let mut cell = self.lock();
+        let unclaimed = self.advance(&mut cell, None);
+        let seen = look(&cell.model, self.alarms.clock().now());
+        drop(cell);
+        self.give_unclaimed(unclaimed);
+        seen
+    }
+
+    /// Stops driving: waiters see their channels close.
+    pub fn stop(&self) {
+        self.lock().waiters.clear();
+        if let Some(alarm) = self.alarm.get() {
+            self.alarms.remove(*alarm);
+        }
+    }
+
+    /// Steps and hands out under the lock, so that each waiter sees its outputs in order.
+    fn advance(&self, cell: &mut Cell<M>, input: Option<M::Input>) -> Vec<M::Output> {
+        let now = self.alarms.clock().now();
+        let outputs = cell.model.advance(now, input);
+        let unclaimed = cell.hand_out(outputs);
+        if let Some(alarm) = self.alarm.get() {
+            self.alarms.set(*alarm, cell.model.next_wake());
+        }
+        unclaimed
+    }
+
+    fn give_unclaimed(&self, outputs: Vec<M::Output>) {
+        if outputs.is_empty() {
+            return;
+        }
+        if let Some(take) = self.unclaimed.get() {
+            take(outputs);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Cell<M>> {
+        self.cell.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<M: TimedModel> Cell<M> {
+    fn hand_out(&mut self, outputs: Vec<M::Output>) -> Vec<M::Output> {
+        let mut unclaimed = Vec::new();
+        for output in outputs {
+            let Some((waiter, is_last)) = M::waiter_of(&output) else {
+                unclaimed.push(output);
+                continue;
+            };
+            if let Some(sender) = self.waiters.get(&waiter) {
+                // One who no longer listens needs nothing.
+                let _ = sender.send(output);
+            }
+            if is_last {
+                self.waiters.remove(&waiter);
+            }
+        }
+        unclaimed
+    }
+}
+
+impl<M: TimedModel> Alarm for Driver<M> {
+    fn wake(&self) {
+        let mut cell = self.lock();
+        let unclaimed = self.advance(&mut cell, None);
+        drop(cell);
+        self.give_unclaimed(unclaimed);
+    }
+}
--- /dev/null
+++ b/crates/millpass-standin/src/run/front.rs
@@ -0,0 +1,60 @@
+//! Settings that every front end has.
+
+use http::StatusCode;
+use http::header::RETRY_AFTER;
+use millpass_http::{Response, ServerSettings};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+const NANOS_PER_SECOND: u128 = 1_000_000_000;
+
+/// Where and how a stand-in serves.
+#[derive(Clone, Debug)]
+pub struct FrontSettings {
+    /// Address to listen on; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Simulated seconds in a real one.
+    pub time_scale: f64,
+    /// Threads that carry connections.
+    pub executor_threads: usize,
+    /// Most threads that wait for answers, one for each request in hand; they come and go.
+    pub handler_threads: usize,
+    /// Most connections.
+    pub maximum_connections: usize,
+}
+
+impl Default for FrontSettings {
+    fn default() -> Self {
+        FrontSettings {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            time_scale: 1.0,
+            executor_threads: 1,
+            handler_threads: 1_024,
+            maximum_connections: 4_096,
+        }
+    }
+}
+
+impl FrontSettings {
+    /// Settings of the server, under this name.
+    pub(crate) fn server(&self, name: &str) -> ServerSettings {
+        ServerSettings {
+            name: name.to_owned(),
+            executor_threads: self.executor_threads,
+            handler_threads: self.handler_threads,
+            maximum_connections: self.maximum_connections,
+            ..ServerSettings::default()
+        }
+    }
+}
+
+/// A refusal, not executed, with when to come back.
+pub(crate) fn retry_after_answer(
+    status: StatusCode,
+    code: &str,
+    message: &str,
+    pause: Duration,
+) -> Response {
+    let seconds = pause.as_nanos().div_ceil(NANOS_PER_SECOND).max(1);
+    super::error_answer(status, code, message, false).with_header(RETRY_AFTER, &seconds.to_string())
+}
--- /dev/null
+++ b/crates/millpass-standin/src/run/http.rs
@@ -0,0 +1,65 @@
+//! Small helpers around requests and answers.
+
+use bytes::Bytes;
+use http::header::HeaderName;
+use http::{HeaderMap, StatusCode, Uri};
+use millpass_http::Response;
+use percent_encoding::percent_decode_str;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Says whether a refused request ran: `no` is a promise, `yes` means that it may have.
+pub const EXECUTED_HEADER: HeaderName = HeaderName::from_static("millpass-executed");
+const JSON: &str = "application/json";
+
+/// An answer with this value as JSON.
+pub fn json_answer<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    match serde_json::to_vec(value) {
+        Ok(body) => Response::with_type(status, JSON, Bytes::from(body)),
+        Err(error) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+/// A JSON error. `executed` says whether the request ran.
+pub fn error_answer(status: StatusCode, code: &str, message: &str, executed: bool) -> Response {
+    let executed = if executed { "yes" } else { "no" };
+    let body = serde_json::json!({
+        "error": {"code": code, "message": message, "executed": executed}
+    });
+    Response::json(status, &body).with_header(EXECUTED_HEADER, executed)
+}
+
+/// The body as JSON of a type, or the answer that says what is wrong.
+pub fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Box<Response>> {
+    serde_json::from_slice(body).map_err(|error| {
+        let message = format!("body is not the expected JSON: {error}");
+        Box::new(error_answer(
+            StatusCode::BAD_REQUEST,
+            "malformed_body",
+            &message,
+            false,
+        ))
+    })
+}
+
+/// Text of a header.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Parts of the path, decoded.
+pub fn path_segments(uri: &Uri) -> Vec<String> {
+    let parts = uri.path().split('/').filter(|part| !part.is_empty());
+    parts.map(decoded).collect()
+}
+
+/// A number of the query.
+pub fn query_number(uri: &Uri, key: &str) -> Option<u64> {
+    let pairs = uri.query()?.split('&');
+    let mut values = pairs.filter_map(|pair| pair.split_once('='));
+    let (_, value) = values.find(|(name, _)| *name == key)?;
+    value.parse().ok()
+}
+
+fn decoded(part: &str) -> String {
+    percent_decode_str(part).decode_utf8_lossy().into_owned()
+}
--- /dev/null
+++ b/crates/millpass-standin/src/run/mod.rs
@@ -0,0 +1,17 @@
+//! What the front ends share: a scaled clock, alarms that wake models, drivers and HTTP helpers.
+
+mod alarm;
+mod clock;
+mod driver;
+mod front;
+mod http;
+
+pub use alarm::{Alarm, Alarms};
+pub use clock::ScaledClock;
+pub use driver::{Driver, TimedModel};
+pub use front::FrontSettings;
+pub(crate) use front::retry_after_answer;
+pub(crate) use http::{
+    EXECUTED_HEADER, error_answer, header_text, json_answer, parse_json, path_segments,
+    query_number,
+};
--- /dev/null
+++ b/crates/millpass-standin/src/run_counts.rs
@@ -0,0 +1,77 @@
+//! Runs counted by tenant and key.
+
+use millpass_proto::{RepeatedRun, TenantName};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Most repeated runs listed.
+const MAXIMUM_LISTED: usize = 256;
+
+/// Runs by tenant and key, bounded: the keys seen first are forgotten first.
+#[derive(Clone, Debug)]
+pub struct RunCounts {
+    bound: usize,
+    runs: BTreeMap<(TenantName, String), u64>,
+    order: VecDeque<(TenantName, String)>,
+    repeated: BTreeMap<(TenantName, String), u64>,
+    forgotten: u64,
+}
+
+impl RunCounts {
+    /// Remembers at most `bound` keys.
+    pub fn new(bound: usize) -> Self {
+        RunCounts {
+            bound: bound.max(1),
+            runs: BTreeMap::new(),
+            order: VecDeque::new(),
+            repeated: BTreeMap::new(),
+            forgotten: 0,
+        }
+    }
+
+    /// Counts one run; gives the number of runs of this key so far.
+    pub fn count(&mut self, tenant: &TenantName, key: &str) -> u64 {
+        let place = (tenant.clone(), key.to_owned());
+        let runs = self.runs.entry(place.clone()).or_insert(0);
+        *runs += 1;
+        let total = *runs;
+        if total == 1 {
+            self.remember(place);
+        } else if self.repeated.len() < MAXIMUM_LISTED || self.repeated.contains_key(&place) {
+            self.repeated.insert(place, total);
+        }
+        total
+    }
+
+    /// Different keys remembered.
+    pub fn keys(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Keys forgotten for want of room.
+    pub fn forgotten(&self) -> u64 {
+        self.forgotten
+    }
+
+    /// Keys that ran more than once, bounded.
+    pub fn repeated(&self) -> Vec<RepeatedRun> {
+        self.repeated
+            .iter()
+            .map(|((tenant, key), runs)| RepeatedRun {
+                tenant: tenant.clone(),
+                key: key.clone(),
+                runs: *runs,
+            })
+            .collect()
+    }
+
+    fn remember(&mut self, place: (TenantName, String)) {
+        self.order.push_back(place);
+        if self.order.len() <= self.bound {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.runs.remove(&oldest);
+            self.forgotten += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/millpass-standin/src/web/service.rs
@@ -0,0 +1,162 @@
+//! The web back end over HTTP.
+
+use super::model::{
+    WebAnswer, WebInput, WebModel, WebOutput, WebRequest, WebRequestId, WebSettings,
+};
+use crate::platform::PlatformClient;
+use crate::run::{
+    Alarms, Driver, EXECUTED_HEADER, FrontSettings, ScaledClock, TimedModel, error_answer,
+    header_text, json_answer, retry_after_answer,
+};
+use anyhow::Result;
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use millpass_http::{Handler, Request, Responder, Response, Server, ServerHandle};
+use millpass_proto::{BackendKind, BackendState, Duration, PlatformMachine, TenantName, Timestamp};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const BUSY_PAUSE: Duration = Duration::from_secs(1);
+
+impl TimedModel for WebModel {
+    type Input = WebInput;
+    type Output = WebOutput;
+
+    fn advance(&mut self, now: Timestamp, input: Option<WebInput>) -> Vec<WebOutput> {
+        self.step(now, input.unwrap_or(WebInput::Tick))
+    }
+
+    fn next_wake(&self) -> Option<Timestamp> {
+        WebModel::next_wake(self)
+    }
+
+    fn waiter_of(output: &WebOutput) -> Option<(u64, bool)> {
+        Some((output.id.0, true))
+    }
+}
+
+/// A running web back end.
+pub struct WebHandle {
+    server: ServerHandle,
+    driver: Arc<Driver<WebModel>>,
+    platform: Option<PlatformClient>,
+}
+
+impl WebHandle {
+    /// Address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.local_address()
+    }
+
+    /// Leaves in a planned way: is marked as leaving, waits until `grace` for requests in flight,
+    /// and is taken off the list.
+    pub fn leave(&self, notice: Duration, grace: Duration) {
+        PlatformClient::leave(self.platform.as_ref(), &self.server, notice, grace);
+        self.driver.stop();
+    }
+
+    /// Stops at once, as a machine that is reclaimed.
+    pub fn stop(&self) {
+        self.driver.stop();
+        self.server.stop();
+    }
+}
+
+/// Starts a web back end and registers it at the platform's list, if one is named.
+pub fn start(
+    settings: WebSettings,
+    front: &FrontSettings,
+    platform: Option<&str>,
+) -> Result<WebHandle> {
+    let alarms = Alarms::start(ScaledClock::start(front.time_scale))?;
+    let mut machine = PlatformMachine {
+        backend: settings.backend.clone(),
+        kind: BackendKind::Web,
+        group: Some(settings.group.clone()),
+        zone: settings.zone.clone(),
+        address: String::new(),
+        state: BackendState::Live,
+    };
+    let model = WebModel::new(settings, alarms.clock().now());
+    let driver = Driver::new(model, alarms);
+    let server = Server::bind(front.listen, front.server(machine.backend.as_str()))?;
+    machine.address = server.local_address().to_string();
+    let service = Service {
+        driver: driver.clone(),
+    };
+    let server = server.serve(Arc::new(service));
+    Ok(WebHandle {
+        server,
+        driver,
+        platform: platform.map(|address| PlatformClient::register(address, machine)),
+    })
+}
+
+struct Service {
+    driver: Arc<Driver<WebModel>>,
+}
+
+impl Handler for Service {
+    fn handle(&self, request: Request, responder: Responder) {
+        match (&request.method, request.uri.path()) {
+            (&Method::GET, "/web/report") => {
+                let report = self.driver.read(WebModel::report);
+                responder.send(json_answer(StatusCode::OK, &report));
+            }
+            (&Method::GET, "/web/audit") => {
+                let audit = self.driver.read(|model, _| model.audit());
+                responder.send(json_answer(StatusCode::OK, &audit));
+            }
+            (&Method::GET | &Method::HEAD | &Method::POST, _) => self.serve(&request, responder),
+            _ => responder.send(error_answer(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "unknown_method",
+                "use GET, HEAD or POST",
+                false,
+            )),
+        }
+    }
+}
+
+impl Service {
+    fn serve(&self, request: &Request, responder: Responder) {
+        let tenant = header_text(&request.headers, "millpass-tenant").unwrap_or_default();
+        let key = header_text(&request.headers, "idempotency-key").map(str::to_owned);
+        let is_post = request.method == Method::POST;
+        let path = request.uri.path().to_owned();
+        let (_, answers) = self.driver.open(|waiter| {
+            WebInput::Request(WebRequest {
+                id: WebRequestId(waiter),
+                is_post,
+                path: path.clone(),
+                tenant: TenantName::from(tenant),
+                key: key.clone(),
+            })
+        });
+        if let Ok(output) = answers.recv() {
+            responder.send(answer(&path, key.as_deref(), output.answer));
+        }
+    }
+}
+
+fn answer(path: &str, key: Option<&str>, answer: WebAnswer) -> Response {
+    match answer {
+        WebAnswer::Page(page) => {
+            let html = "text/html; charset=utf-8";
+            Response::with_type(StatusCode::OK, html, Bytes::from(page))
+        }
+        WebAnswer::Ran(runs) => {
+            let body = serde_json::json!({"path": path, "key": key, "runs": runs});
+            Response::json(StatusCode::OK, &body).with_header(EXECUTED_HEADER, "yes")
+        }
+        WebAnswer::NotFound => {
+            let message = "this path takes no POST; see docs/interfaces/web-back-end.md";
+            error_answer(StatusCode::NOT_FOUND, "unknown_path", message, false)
+        }
+        WebAnswer::Busy => {
+            let message = "too many requests at once; come back later";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            retry_after_answer(status, "busy", message, BUSY_PAUSE)
+        }
+    }
+}
--- /dev/null
+++ b/crates/millpass-standin/src/weight_store/client.rs
@@ -0,0 +1,74 @@
+//! How an engine asks the weight store.
+
+use crate::engine::FetchResult;
+use crate::run::ScaledClock;
+use millpass_proto::Duration;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use std::sync::OnceLock;
+use ureq::Agent;
+
+/// Longest real time that a transfer may take; then the load fails.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(600);
+/// Pause before the store is asked again when it names none.
+const DEFAULT_PAUSE: Duration = Duration::from_secs(1);
+/// Retry-After in real milliseconds, finer than the standard header.
+pub(crate) const RETRY_AFTER_MILLIS: &str = "millpass-retry-after-ms";
+const TOO_MANY_REQUESTS: u16 = 429;
+
+/// Where an engine gets its checkpoints.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreAccess {
+    /// From the weight store at this IP address and port.
+    At(String),
+    /// Nowhere: each fetch ends at once. For tests of other things.
+    Instant,
+}
+
+/// Fetches a checkpoint; returns when the transfer is over or refused.
+pub fn fetch(
+    access: &StoreAccess,
+    clock: ScaledClock,
+    checkpoint: &str,
+    bytes: u64,
+) -> FetchResult {
+    let StoreAccess::At(address) = access else {
+        return FetchResult::Done;
+    };
+    let name = utf8_percent_encode(checkpoint, NON_ALPHANUMERIC);
+    let url = format!("http://{address}/checkpoints/{name}?bytes={bytes}");
+    match agent().get(&url).call() {
+        Ok(answer) if answer.status().is_success() => read_whole(answer),
+        Ok(answer) if answer.status().as_u16() == TOO_MANY_REQUESTS => {
+            FetchResult::Later(clock.to_simulated(pause_of(&answer)))
+        }
+        Ok(answer) => FetchResult::Failed(format!(
+            "weight store answered {}; check the checkpoint's name",
+            answer.status()
+        )),
+        Err(error) => FetchResult::Failed(format!("weight store failed: {error}; load again")),
+    }
+}
+
+fn read_whole(mut answer: http::Response<ureq::Body>) -> FetchResult {
+    match answer.body_mut().read_to_vec() {
+        Ok(_) => FetchResult::Done,
+        Err(error) => FetchResult::Failed(format!("transfer broke off: {error}; load again")),
+    }
+}
+
+fn pause_of(answer: &http::Response<ureq::Body>) -> Duration {
+    let value = answer.headers().get(RETRY_AFTER_MILLIS);
+    let millis = value.and_then(|value| value.to_str().ok()?.parse().ok());
+    millis.map_or(DEFAULT_PAUSE, Duration::from_millis)
+}
+
+fn agent() -> &'static Agent {
+    static AGENT: OnceLock<Agent> = OnceLock::new();
+    AGENT.get_or_init(|| {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(FETCH_TIMEOUT))
+            .build();
+        Agent::new_with_config(config)
+    })
+}
--- /dev/null
+++ b/crates/millpass-standin/src/weight_store/service.rs
@@ -0,0 +1,171 @@
+//! The weight store over HTTP.
+
+use super::client::RETRY_AFTER_MILLIS;
+use super::model::{StoreInput, StoreOutput, TransferId, WeightStoreModel, WeightStoreSettings};
+use crate::run::{
+    Alarms, Driver, FrontSettings, ScaledClock, TimedModel, error_answer, json_answer, parse_json,
+    path_segments, query_number, retry_after_answer,
+};
+use anyhow::Result;
+use crossbeam::channel::Receiver;
+use http::header::HeaderName;
+use http::{Method, StatusCode};
+use millpass_http::{Handler, Request, Responder, Response, Server, ServerHandle};
+use millpass_proto::{Duration, Timestamp};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Slow factors of the fault hook: from normal speed to a thousand times slower.
+const SLOW_FACTORS: std::ops::RangeInclusive<f64> = 0.001..=1_000.0;
+const THOUSANDTHS: f64 = 1_000.0;
+
+impl TimedModel for WeightStoreModel {
+    type Input = StoreInput;
+    type Output = StoreOutput;
+
+    fn advance(&mut self, now: Timestamp, input: Option<StoreInput>) -> Vec<StoreOutput> {
+        self.step(now, input.unwrap_or(StoreInput::Tick))
+    }
+
+    fn next_wake(&self) -> Option<Timestamp> {
+        WeightStoreModel::next_wake(self)
+    }
+
+    fn waiter_of(output: &StoreOutput) -> Option<(u64, bool)> {
+        match output {
+            StoreOutput::Refused(transfer, _) | StoreOutput::Done(transfer) => {
+                Some((transfer.0, true))
+            }
+        }
+    }
+}
+
+/// A running weight store.
+pub struct WeightStoreHandle {
+    server: ServerHandle,
+    driver: Arc<Driver<WeightStoreModel>>,
+}
+
+impl WeightStoreHandle {
+    /// Address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.local_address()
+    }
+
+    /// Stops at once; transfers that go on are cut.
+    pub fn stop(&self) {
+        self.driver.stop();
+        self.server.stop();
+    }
+}
+
+/// Starts a weight store.
+pub fn start(settings: WeightStoreSettings, front: &FrontSettings) -> Result<WeightStoreHandle> {
+    let alarms = Alarms::start(ScaledClock::start(front.time_scale))?;
+    let model = WeightStoreModel::new(settings, alarms.clock().now());
+    let driver = Driver::new(model, alarms);
+    let server = Server::bind(front.listen, front.server("weight-store"))?;
+    let service = Service {
+        driver: driver.clone(),
+    };
+    Ok(WeightStoreHandle {
+        server: server.serve(Arc::new(service)),
+        driver,
+    })
+}
+
+struct Service {
+    driver: Arc<Driver<WeightStoreModel>>,
+}
+
+/// Body of `POST /faults/slow`.
+#[derive(Deserialize)]
+struct SlowBody {
+    factor: f64,
+}
+
+impl Handler for Service {
+    fn handle(&self, request: Request, responder: Responder) {
+        let segments = path_segments(&request.uri);
+        let path: Vec<&str> = segments.iter().map(String::as_str).collect();
+        match (request.method.clone(), path.as_slice()) {
+            (Method::GET, ["checkpoints", _]) => self.transfer(&request, responder),
+            (Method::GET, ["audit"]) => {
+                let audit = self.driver.read(|model, _| model.audit());
+                responder.send(json_answer(StatusCode::OK, &audit));
+            }
+            (Method::POST, ["faults", "slow"]) => responder.send(self.slow(&request)),
+            _ => responder.send(error_answer(
+                StatusCode::NOT_FOUND,
+                "unknown_path",
+                "see docs/interfaces/weight-store.md",
+                false,
+            )),
+        }
+    }
+}
+
+impl Service {
+    fn transfer(&self, request: &Request, responder: Responder) {
+        let Some(bytes) = query_number(&request.uri, "bytes") else {
+            let message = "name the size: ?bytes=N";
+            let status = StatusCode::BAD_REQUEST;
+            return responder.send(error_answer(status, "missing_size", message, false));
+        };
+        let gone = responder.caller_gone();
+        let (waiter, ends) = self.driver.open_with_sender(
+            |waiter| StoreInput::Request(TransferId(waiter), bytes),
+            |waiter, sender| {
+                // Any output wakes the thread that waits; it then sees that the caller is gone.
+                let sender = sender.clone();
+                gone.on_gone(move || {
+                    let _ = sender.send(StoreOutput::Done(TransferId(waiter)));
+                });
+            },
+        );
+        let answer = self.wait(&ends);
+        if responder.is_caller_gone() {
+            self.driver.input(StoreInput::Abandon(TransferId(waiter)));
+            return;
+        }
+        if let Some(answer) = answer {
+            responder.send(answer);
+        }
+    }
+
+    /// Waits for the end of a transfer; `None` when the store stopped.
+    fn wait(&self, ends: &Receiver<StoreOutput>) -> Option<Response> {
+        match ends.recv().ok()? {
+            StoreOutput::Done(transfer) => {
+                let body = format!("transfer {} over\n", transfer.0);
+                Some(Response::text(StatusCode::OK, body))
+            }
+            StoreOutput::Refused(_, pause) => Some(self.refusal(pause)),
+        }
+    }
+
+    fn refusal(&self, pause: Duration) -> Response {
+        let real = self.driver.alarms().clock().to_real(pause);
+        let millis = real.as_millis().max(1).to_string();
+        let message = "too many loads wait; come back later";
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        retry_after_answer(status, "rate_limited", message, real)
+            .with_header(HeaderName::from_static(RETRY_AFTER_MILLIS), &millis)
+    }
+
+    fn slow(&self, request: &Request) -> Response {
+        let body: SlowBody = match parse_json(&request.body) {
+            Ok(body) => body,
+            Err(answer) => return *answer,
+        };
+        if !SLOW_FACTORS.contains(&body.factor) {
+            let message = "factor must be from 0.001 to 1000";
+            let status = StatusCode::BAD_REQUEST;
+            return error_answer(status, "out_of_range", message, false);
+        }
+        let thousandths = (body.factor * THOUSANDTHS) as u64;
+        self.driver.input(StoreInput::SlowFactor(thousandths));
+        Response::text(StatusCode::OK, "")
+    }
+}
--- /dev/null
+++ b/crates/millpass-standin/tests/engine_front.rs
@@ -0,0 +1,233 @@
+//! The engine over loopback HTTP.
+
+mod common;
+
+use common::*;
+use millpass_proto::*;
+use millpass_standin::content::Answer;
+use millpass_standin::engine::*;
+use std::io::{BufRead, BufReader};
+use std::time::{Duration as RealDuration, Instant};
+use ureq::Agent;
+
+/// Simulated seconds in a real one, so that tests are fast.
+const SCALE: f64 = 50.0;
+const PATIENCE: RealDuration = RealDuration::from_secs(20);
+const PROMPT: &str = "write a listing nonce=abc-1 please";
+
+fn agent() -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .build();
+    Agent::new_with_config(config)
+}
+
+fn start_loaded() -> EngineHandle {
+    let mut front = EngineFront::default();
+    front.front.time_scale = SCALE;
+    let engine = start(small_settings(), &front).unwrap();
+    let answer = send_order(&engine, &order(1, load(1, 500, 400)));
+    assert_eq!(answer, OrderAnswer::Accepted);
+    wait_until(|| engine.current_report().slots[0].phase == EngineSlotPhase::Loaded);
+    engine
+}
+
+fn send_order(engine: &EngineHandle, order: &EngineOrder) -> OrderAnswer {
+    let url = format!("http://{}/engine/orders", engine.address());
+    let mut answer = agent().post(&url).send_json(order).unwrap();
+    answer.body_mut().read_json().unwrap()
+}
+
+fn wait_until(holds: impl Fn() -> bool) {
+    let begin = Instant::now();
+    while !holds() {
+        assert!(begin.elapsed() < PATIENCE, "condition did not come true");
+        std::thread::sleep(RealDuration::from_millis(2));
+    }
+}
+
+fn complete(
+    engine: &EngineHandle,
+    max_tokens: u32,
+    stream: bool,
+    headers: &[(&str, &str)],
+) -> http::Response<ureq::Body> {
+    let url = format!("http://{}/v1/completions", engine.address());
+    let body = serde_json::json!({
+        "model": MODEL, "prompt": PROMPT, "max_tokens": max_tokens, "stream": stream
+    });
+    let mut request = agent().post(&url);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.send_json(body).unwrap()
+}
+
+/// Text of a stream, and whether it ended with `[DONE]`.
+fn stream_text(answer: http::Response<ureq::Body>) -> (String, bool) {
+    let mut text = String::new();
+    for line in BufReader::new(answer.into_body().into_reader()).lines() {
+        let Ok(line) = line else {
+            return (text, false);
+        };
+        match line.strip_prefix("data: ") {
+            Some("[DONE]") => return (text, true),
+            Some(json) => {
+                let event: serde_json::Value = serde_json::from_str(json).unwrap();
+                text.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+            }
+            None => {}
+        }
+    }
+    (text, false)
+}
+
+fn expected() -> Answer {
+    Answer::new(
+        &ModelName::from(MODEL),
+        &VersionLabel::from("1"),
+        None,
+        PROMPT,
+    )
+}
+
+#[test]
+fn streamed_and_whole_answers_agree_and_carry_the_nonce() {
+    let engine = start_loaded();
+    let (streamed, is_done) = stream_text(complete(&engine, 7, true, &[]));
+    assert!(is_done);
+    assert!(expected().is_whole(0, 7, &streamed));
+    assert!(streamed.starts_with("abc-1.0."));
+    let mut whole = complete(&engine, 7, false, &[]);
+    let json: serde_json::Value = whole.body_mut().read_json().unwrap();
+    assert_eq!(json["choices"][0]["text"], streamed);
+    assert_eq!(json["usage"]["completion_tokens"], 7);
+    engine.stop();
+}
+
+#[test]
+fn resumed_stream_gives_exactly_the_tail() {
+    let engine = start_loaded();
+    let headers = [("millpass-resume-from", "4"), ("millpass-slot", "1")];
+    let (tail, is_done) = stream_text(complete(&engine, 9, true, &headers));
+    assert!(is_done);
+    assert_eq!(tail, expected().text(4, 9));
+    engine.stop();
+}
+
+#[test]
+fn chat_is_the_same_content_over_the_joined_prompt() {
+    let engine = start_loaded();
+    let url = format!("http://{}/v1/chat/completions", engine.address());
+    let body = serde_json::json!({
+        "model": MODEL, "max_tokens": 3, "messages": [{"role": "user", "content": PROMPT}]
+    });
+    let mut answer = agent().post(&url).send_json(body).unwrap();
+    let json: serde_json::Value = answer.body_mut().read_json().unwrap();
+    let prompt = millpass_standin::content::chat_prompt([("user", PROMPT)]);
+    let model = ModelName::from(MODEL);
+    let answer = Answer::new(&model, &VersionLabel::from("1"), None, &prompt);
+    assert_eq!(json["choices"][0]["message"]["content"], answer.text(0, 3));
+    engine.stop();
+}
+
+#[rstest::rstest]
+#[case::slot("millpass-slot", "9")]
+#[case::incarnation("millpass-incarnation", "9")]
+fn conflicts_are_refused_as_not_executed(#[case] name: &str, #[case] value: &str) {
+    let engine = start_loaded();
+    let answer = complete(&engine, 3, true, &[(name, value)]);
+    assert_eq!(answer.status(), 409);
+    assert_eq!(answer.headers()["millpass-executed"], "no");
+    assert_eq!(engine.audit().requests_started, 0);
+    engine.stop();
+}
+
+#[test]
+fn full_queue_is_refused_with_retry_after() {
+    let mut settings = small_settings();
+    settings.limits.waiting_requests = 0;
+    let engine = start(settings, &EngineFront::default()).unwrap();
+    send_order(&engine, &order(1, load(1, 500, 400)));
+    wait_until(|| engine.current_report().slots[0].phase == EngineSlotPhase::Loaded);
+    let answer = complete(&engine, 3, false, &[]);
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.headers()["millpass-executed"], "no");
+    assert_eq!(answer.headers()["retry-after"], "1");
+    engine.stop();
+}
+
+#[test]
+fn hang_up_cancels_and_so_does_delete() {
+    let mut settings = small_settings();
+    settings.timing.step_base = Duration::from_secs(1);
+    let mut front = EngineFront::default();
+    front.front.time_scale = SCALE;
+    let engine = start(settings, &front).unwrap();
+    send_order(&engine, &order(1, load(1, 500, 400)));
+    wait_until(|| engine.current_report().slots[0].phase == EngineSlotPhase::Loaded);
+
+    let answer = complete(&engine, 300, true, &[]);
+    drop(answer);
+    wait_until(|| engine.audit().requests_cancelled == 1);
+
+    let answer = complete(&engine, 300, true, &[("x-request-id", "second")]);
+    let url = format!("http://{}/engine/requests/second", engine.address());
+    assert_eq!(agent().delete(&url).call().unwrap().status(), 200);
+    let (_, is_done) = stream_text(answer);
+    assert!(!is_done);
+    assert_eq!(engine.audit().requests_cancelled, 2);
+    engine.stop();
+}
+
+#[test]
+fn cache_is_exported_and_imported_only_into_the_same_model() {
+    let (first, second) = (start_loaded(), start_loaded());
+    let prompt: String = (0..16).map(|word| format!("w{word} ")).collect();
+    let url = format!("http://{}/v1/completions", first.address());
+    let body = serde_json::json!({"model": MODEL, "prompt": prompt, "max_tokens": 1});
+    agent().post(&url).send_json(body).unwrap();
+    let hash = millpass_standin::content::prefix_blocks(None, &prompt)[0];
+    let kv = |engine: &EngineHandle| format!("http://{}/engine/kv/{hash}", engine.address());
+    assert_eq!(agent().get(&kv(&second)).call().unwrap().status(), 404);
+    let mut exported = agent().get(&kv(&first)).call().unwrap();
+    let bytes = exported.body_mut().read_to_vec().unwrap();
+    let put = |bytes: &[u8]| {
+        let request = agent().put(&kv(&second)).header("millpass-slot", "1");
+        request.send(bytes).unwrap().status()
+    };
+    assert_eq!(put(b"kv of something else"), 409);
+    assert_eq!(put(&bytes), 200);
+    assert_eq!(agent().get(&kv(&second)).call().unwrap().status(), 200);
+    first.stop();
+    second.stop();
+}
+
+#[test]
+fn report_comes_over_http_as_the_schema_says() {
+    let engine = start_loaded();
+    let url = format!("http://{}/engine/report", engine.address());
+    let read = || -> EngineReport {
+        let mut answer = agent().get(&url).call().unwrap();
+        answer.body_mut().read_json().unwrap()
+    };
+    wait_until(|| {
+        let report = read();
+        report.slots.first().map(|slot| &slot.phase) == Some(&EngineSlotPhase::Loaded)
+    });
+    assert_eq!(read().highest_fence, fence(1));
+    engine.stop();
+}
+
+#[test]
+fn malformed_bodies_and_headers_are_refused_as_not_executed() {
+    let engine = start_loaded();
+    let url = format!("http://{}/v1/completions", engine.address());
+    let answer = agent().post(&url).send("{").unwrap();
+    assert_eq!(answer.status(), 400);
+    let answer = complete(&engine, 3, false, &[("millpass-priority", "urgent")]);
+    assert_eq!(answer.status(), 400);
+    assert_eq!(answer.headers()["millpass-executed"], "no");
+    engine.stop();
+}
