--- /dev/null
+++ b/crates/millpass-storage/src/record.rs
@@ -0,0 +1,123 @@
+//! Records of the write-ahead log, and how a damaged end is told from damage to synced data.
+//!
+//! A record is: length of the body (4 bytes, little-endian), CRC-32 of those 4 bytes, body. The
+//! body is a postcard value with its own CRC-32 at the end. The length has its own checksum so
+//! that a damaged length is not taken for a record that was cut short.
+
+use crate::error::StorageError;
+use millpass_proto::codec;
+use millpass_proto::{HardState, LogEntry, LogPosition};
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// Length and its checksum.
+const PREFIX_BYTES: usize = 8;
+/// Checksum at the end of a body.
+const CHECKSUM_BYTES: usize = 4;
+/// Smallest unit that a disk writes whole; a file may be extended by zeros in such units before
+/// its content arrives.
+const SECTOR_BYTES: usize = 512;
+
+/// One record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Record {
+    /// First record of each segment: where log and hard state stood, so that earlier segments
+    /// can go.
+    Start {
+        /// Hard state so far.
+        hard_state: HardState,
+        /// End of the log so far.
+        last: LogPosition,
+    },
+    /// A new hard state.
+    HardState(HardState),
+    /// An entry; the log is cut before its index first.
+    Entry(LogEntry),
+    /// The whole log was replaced by the snapshot at this position.
+    Replaced(LogPosition),
+}
+
+/// Adds an encoded record to a buffer.
+pub(crate) fn encode_into(buffer: &mut Vec<u8>, record: &Record) -> Result<(), StorageError> {
+    let body = codec::encode(record)?;
+    let Ok(length) = u32::try_from(body.len()) else {
+        return Err(codec::CodecError::FrameTooLarge { bytes: body.len() }.into());
+    };
+    let length = length.to_le_bytes();
+    buffer.extend_from_slice(&length);
+    buffer.extend_from_slice(&crc32fast::hash(&length).to_le_bytes());
+    buffer.extend_from_slice(&body);
+    Ok(())
+}
+
+/// What a segment holds.
+#[derive(Debug)]
+pub(crate) struct Scanned {
+    /// Records, in order.
+    pub(crate) records: Vec<Record>,
+    /// Bytes up to the end of the last whole record.
+    pub(crate) valid_length: usize,
+}
+
+/// Reads the records from an offset on. A torn end is left out; damage is an error.
+pub(crate) fn scan(path: &Path, bytes: &[u8], start: usize) -> Result<Scanned, StorageError> {
+    let mut scanned = Scanned {
+        records: Vec::new(),
+        valid_length: start,
+    };
+    while scanned.valid_length < bytes.len() {
+        let offset = scanned.valid_length;
+        let found = read_record(bytes, offset)
+            .map_err(|reason| StorageError::corrupt(path, offset as u64, reason))?;
+        let Some((record, end)) = found else {
+            break;
+        };
+        scanned.records.push(record);
+        scanned.valid_length = end;
+    }
+    Ok(scanned)
+}
+
+/// The record at an offset and where it ends; `None` if it is torn, which means that it was being
+/// written when the process or machine died. Otherwise what is wrong with it.
+fn read_record(bytes: &[u8], start: usize) -> Result<Option<(Record, usize)>, &'static str> {
+    let Some((prefix, after)) = bytes[start..].split_at_checked(PREFIX_BYTES) else {
+        return Ok(None);
+    };
+    let Some(length) = checked_length(prefix) else {
+        return match zero_filled(bytes, start, start + PREFIX_BYTES) {
+            true => Ok(None),
+            false => Err("the length of a record does not match its checksum"),
+        };
+    };
+    let Some(body) = after.get(..length) else {
+        return Ok(None);
+    };
+    let end = start + PREFIX_BYTES + length;
+    match codec::decode(body) {
+        Ok(record) => Ok(Some((record, end))),
+        Err(_) if zero_filled(bytes, start, end) => Ok(None),
+        Err(_) => Err("a complete record does not match its checksum"),
+    }
+}
+
+fn checked_length(prefix: &[u8]) -> Option<usize> {
+    let length: [u8; 4] = prefix[..4].try_into().ok()?;
+    let checksum: [u8; 4] = prefix[4..].try_into().ok()?;
+    let intact = crc32fast::hash(&length) == u32::from_le_bytes(checksum);
+    intact.then(|| u32::from_le_bytes(length) as usize)
+}
+
+/// Whether the piece from `start` to `end` was left as zeros, wholly or from a sector boundary
+/// on, up to the end of the file. Its checksum must be zeros as well: no synced piece looks so.
+fn zero_filled(bytes: &[u8], start: usize, end: usize) -> bool {
+    let zeros_from = bytes
+        .iter()
+        .rposition(|byte| *byte != 0)
+        .map_or(0, |last| last + 1);
+    if zeros_from <= start {
+        return true;
+    }
+    let boundary = zeros_from.next_multiple_of(SECTOR_BYTES);
+    zeros_from + CHECKSUM_BYTES <= end && boundary < end
+}
--- /dev/null
+++ b/crates/millpass-storage/src/segment.rs
@@ -0,0 +1,175 @@
+//! Segments of the write-ahead log on disk.
+
+use crate::append_file::{AppendFile, AppendFileFactory};
+use crate::error::{AtPath, StorageError};
+use crate::files::{self, FileKind, HEADER_BYTES};
+use crate::record::{self, Record};
+use crate::replay::Replay;
+use crate::restored::RecoveryNote;
+use millpass_proto::{HardState, LogPosition};
+use std::fs::{self, File};
+use std::path::{Path, PathBuf};
+
+/// A segment, as known while the storage is open.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SegmentInfo {
+    /// Number; segments are numbered without gaps.
+    pub(crate) number: u64,
+    /// End of the log when the segment was started.
+    pub(crate) start: LogPosition,
+}
+
+/// The segment that is appended to.
+pub(crate) struct ActiveSegment {
+    path: PathBuf,
+    file: Box<dyn AppendFile>,
+    length: u64,
+    poisoned: bool,
+}
+
+impl ActiveSegment {
+    /// Opens the newest segment for appending, after its last whole record.
+    pub(crate) fn open(
+        path: PathBuf,
+        length: u64,
+        factory: AppendFileFactory,
+    ) -> Result<Self, StorageError> {
+        let mut file = File::options().write(true).open(&path).at(&path)?;
+        if file.metadata().at(&path)?.len() != length {
+            file.set_len(length).at(&path)?;
+            file.sync_all().at(&path)?;
+        }
+        std::io::Seek::seek(&mut file, std::io::SeekFrom::End(0)).at(&path)?;
+        Ok(ActiveSegment {
+            path,
+            file: factory(file),
+            length,
+            poisoned: false,
+        })
+    }
+
+    /// Length in bytes.
+    pub(crate) fn length(&self) -> u64 {
+        self.length
+    }
+
+    /// Appends bytes and syncs them. If the bytes cannot be written they are taken back; if that
+    /// or the sync fails, the segment takes no more writes, since it is not known any more what
+    /// the disk holds.
+    pub(crate) fn append_synced(&mut self, bytes: &[u8]) -> Result<(), StorageError> {
+        if self.poisoned {
+            return Err(StorageError::Poisoned {
+                path: self.path.clone(),
+            });
+        }
+        if let Err(error) = self.file.append(bytes) {
+            self.poisoned = self.file.truncate(self.length).is_err();
+            return Err(StorageError::io(&self.path, error));
+        }
+        if let Err(error) = self.file.sync() {
+            self.poisoned = true;
+            return Err(StorageError::io(&self.path, error));
+        }
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+}
+
+/// Content of a fresh segment.
+fn fresh(hard_state: &HardState, last: LogPosition) -> Result<Vec<u8>, StorageError> {
+    let mut bytes = files::header(FileKind::Segment);
+    let start = Record::Start {
+        hard_state: hard_state.clone(),
+        last,
+    };
+    record::encode_into(&mut bytes, &start)?;
+    Ok(bytes)
+}
+
+/// Creates a segment; it appears with its first record or not at all. Returns its length.
+pub(crate) fn create(
+    folder: &Path,
+    number: u64,
+    hard_state: &HardState,
+    last: LogPosition,
+) -> Result<u64, StorageError> {
+    let bytes = fresh(hard_state, last)?;
+    files::write_whole(&files::segment_path(folder, number), &[&bytes])?;
+    Ok(bytes.len() as u64)
+}
+
+/// All segments of a folder, read.
+pub(crate) struct LoadedSegments {
+    /// Log and hard state.
+    pub(crate) replay: Replay,
+    /// Segments, oldest first.
+    pub(crate) segments: Vec<SegmentInfo>,
+    /// Length of the newest, without a torn end.
+    pub(crate) newest_length: u64,
+    /// Whether a torn end is to be cut off.
+    pub(crate) note: Option<RecoveryNote>,
+}
+
+/// Reads all segments. Changes nothing.
+pub(crate) fn load(folder: &Path, numbers: &[u64]) -> Result<LoadedSegments, StorageError> {
+    let mut loaded: Option<LoadedSegments> = None;
+    for (position, number) in numbers.iter().enumerate() {
+        let is_newest = position + 1 == numbers.len();
+        let path = files::segment_path(folder, *number);
+        let follows = position == 0 || numbers[position - 1] + 1 == *number;
+        if !follows {
+            let reason = "the segment before it is missing";
+            return Err(StorageError::corrupt(&path, 0, reason));
+        }
+        load_one(&path, *number, is_newest, &mut loaded)?;
+    }
+    loaded.ok_or_else(|| {
+        let reason = "the log has no segment";
+        StorageError::corrupt(&files::segment_path(folder, 1), 0, reason)
+    })
+}
+
+fn load_one(
+    path: &Path,
+    number: u64,
+    is_newest: bool,
+    loaded: &mut Option<LoadedSegments>,
+) -> Result<(), StorageError> {
+    let bytes = fs::read(path).at(path)?;
+    files::check_header(path, &bytes, FileKind::Segment)?;
+    let scanned = record::scan(path, &bytes, HEADER_BYTES)?;
+    let cut = (bytes.len() - scanned.valid_length) as u64;
+    if cut > 0 && !is_newest {
+        let offset = scanned.valid_length as u64;
+        let reason = "a record is cut short, and a later segment exists";
+        return Err(StorageError::corrupt(path, offset, reason));
+    }
+    let mut records = scanned.records.into_iter();
+    let Some(Record::Start { hard_state, last }) = records.next() else {
+        let reason = "the first record is missing";
+        return Err(StorageError::corrupt(path, HEADER_BYTES as u64, reason));
+    };
+    let loaded = loaded.get_or_insert_with(|| LoadedSegments {
+        replay: Replay::new(hard_state.clone(), last),
+        segments: Vec::new(),
+        newest_length: 0,
+        note: None,
+    });
+    loaded
+        .replay
+        .apply(path, Record::Start { hard_state, last })?;
+    for record in records {
+        loaded.replay.apply(path, record)?;
+    }
+    loaded.segments.push(SegmentInfo {
+        number,
+        start: last,
+    });
+    loaded.newest_length = scanned.valid_length as u64;
+    loaded.note = (cut > 0).then(|| RecoveryNote::TornTailCut {
+        file: path.to_owned(),
+        length: scanned.valid_length as u64,
+        bytes: cut,
+    });
+    Ok(())
+}
