--- /dev/null
+++ b/crates/millpass-lab/src/fleet/mod.rs
@@ -0,0 +1,7 @@
+//! A fleet: the separate processes of a deployment at its full size, on one machine.
+
+pub mod bounds;
+pub mod children;
+pub mod layout;
+pub mod ports;
+pub mod settings_files;
--- a/crates/millpass-lab/src/lib.rs
+++ b/crates/millpass-lab/src/lib.rs
@@ -1,4 +1,5 @@
 //! The emulator and experiment tool: fleets, link relays, fault plans, reports.
 
 pub mod deployment;
+pub mod fleet;
 pub mod relay;
--- a/crates/millpass-lab/src/relay/mod.rs
+++ b/crates/millpass-lab/src/relay/mod.rs
@@ -12,7 +12,7 @@
 mod connection;
 mod control;
 mod paths;
-mod server;
+pub mod server;
 mod sources;
 
 pub use client::RelayClient;
--- a/crates/millpass-load/src/answer.rs
+++ b/crates/millpass-load/src/answer.rs
@@ -1,5 +1,6 @@
 //! Checks that an answer is whole and that it is the caller's own.
 
+use millpass_standin::content::page;
 use serde::{Deserialize, Serialize};
 
 /// Verdict on the text of an answer.
@@ -70,11 +71,35 @@
     !token.is_empty() && text.starts_with(token)
 }
 
-/// Whether a web answer is the caller's own: it repeats the request's nonce.
-pub fn check_web(nonce: &str, body: &str) -> AnswerVerdict {
-    if body.contains(nonce) {
+/// Whether a page is the whole page of the path asked for.
+pub fn check_page(path: &str, body: &[u8]) -> AnswerVerdict {
+    let whole = page(path);
+    if body == whole.as_bytes() {
         AnswerVerdict::Whole
+    } else if whole.as_bytes().starts_with(body) {
+        AnswerVerdict::Truncated
     } else {
         AnswerVerdict::Foreign
     }
 }
+
+#[derive(Deserialize)]
+struct RunBody {
+    path: String,
+    key: Option<String>,
+    runs: u64,
+}
+
+/// Whether the answer of a request that may not be repeated is for this key, and of its first run.
+pub fn check_run(path: &str, key: &str, body: &[u8]) -> AnswerVerdict {
+    let Ok(run) = serde_json::from_slice::<RunBody>(body) else {
+        return AnswerVerdict::Truncated;
+    };
+    if run.path != path || run.key.as_deref() != Some(key) {
+        AnswerVerdict::Foreign
+    } else if run.runs != 1 {
+        AnswerVerdict::Duplicated
+    } else {
+        AnswerVerdict::Whole
+    }
+}
--- a/crates/millpass-load/src/caller.rs
+++ b/crates/millpass-load/src/caller.rs
@@ -1,13 +1,13 @@
 //! One request over HTTP, and what came of it.
 
-use crate::answer::{AnswerVerdict, check_tokens, check_web, tokens_received};
+use crate::answer::{AnswerVerdict, check_page, check_run, check_tokens, tokens_received};
 use crate::expected::expected_tokens;
 use crate::history::Outcome;
 use crate::refusal::{Executed, check_refusal};
 use crate::schedule::{PlannedRequest, Target};
 use crate::stream::{StreamEvent, next_event};
 use crate::wire;
-use millpass_proto::{AdapterName, ModelName, Urgency};
+use millpass_proto::{AdapterName, ModelName};
 use serde::{Deserialize, Serialize};
 use std::io::{BufReader, Read};
 use std::time::{Duration, Instant};
@@ -28,6 +28,8 @@
     pub router: &'a str,
     /// API key.
     pub api_key: &'a str,
+    /// Identity of the request, unique in the run.
+    pub request_id: &'a str,
     /// Idempotency key.
     pub key: Option<&'a str>,
     /// Time left until the deadline.
@@ -117,7 +119,9 @@
     match &planned.target {
         Target::Tokens { streamed: true, .. } => read_stream(response, planned),
         Target::Tokens { .. } => read_whole(response, planned),
-        Target::WebRead { .. } | Target::WebWrite { .. } => read_web(response, planned),
+        Target::WebRead { .. } | Target::WebWrite { .. } => {
+            read_web(response, planned, context.key.unwrap_or_default())
+        }
     }
 }
 
@@ -220,14 +224,9 @@
     planned: &PlannedRequest,
     context: &CallContext,
 ) -> ureq::RequestBuilder<B> {
-    let urgency = match planned.urgency {
-        Urgency::Interactive => "interactive",
-        Urgency::Normal => "normal",
-        Urgency::Batch => "batch",
-    };
     let request = request
         .header("authorization", format!("Bearer {}", context.api_key))
-        .header(wire::URGENCY_HEADER, urgency)
+        .header(wire::REQUEST_ID_HEADER, context.request_id)
         .header(
             wire::DEADLINE_HEADER,
             context.time_left.as_millis().to_string(),
@@ -259,7 +258,7 @@
 }
 
 fn is_replayed(response: &HttpResponse) -> bool {
-    header(response, wire::REPLAYED_HEADER).is_some_and(|word| word == "true")
+    header(response, wire::REPLAYED_HEADER).is_some()
 }
 
 fn expected_of(planned: &PlannedRequest) -> Vec<String> {
@@ -400,15 +399,16 @@
     }
 }
 
-fn read_web(response: HttpResponse, planned: &PlannedRequest) -> CallResult {
+fn read_web(response: HttpResponse, planned: &PlannedRequest, key: &str) -> CallResult {
     let status = response.status().as_u16();
     let replayed = is_replayed(&response);
     let first = Some(Instant::now());
     let (body, read) = read_body(response);
-    let verdict = if read {
-        check_web(&planned.nonce, &String::from_utf8_lossy(&body))
-    } else {
-        AnswerVerdict::Truncated
+    let verdict = match &planned.target {
+        _ if !read => AnswerVerdict::Truncated,
+        Target::WebWrite { path, .. } => check_run(path, key, &body),
+        Target::WebRead { path, .. } => check_page(path, &body),
+        Target::Tokens { .. } => AnswerVerdict::Foreign,
     };
     CallResult {
         outcome: Outcome::Answered {
--- a/crates/millpass-load/src/runner.rs
+++ b/crates/millpass-load/src/runner.rs
@@ -222,9 +222,11 @@
         let result = if time_left.is_zero() {
             None
         } else {
+            let request_id = request_id(planned);
             let context = CallContext {
                 router: &self.settings.routers[planned.router],
                 api_key: &tenant.api_key,
+                request_id: &request_id,
                 key: key.as_deref(),
                 time_left,
                 grace: self.settings.grace,
@@ -280,6 +282,11 @@
     }
 }
 
+/// Identity of a request: its nonce and its number, since a deliberate repeat shares the nonce.
+pub fn request_id(planned: &PlannedRequest) -> String {
+    format!("{}.{}", planned.nonce, planned.request)
+}
+
 fn duration_micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/millpass-load/src/schedule.rs
+++ b/crates/millpass-load/src/schedule.rs
@@ -43,7 +43,7 @@
     WebRead {
         /// Group.
         group: GroupName,
-        /// Path with query; holds the nonce.
+        /// Path; holds the nonce.
         path: String,
     },
     /// A request that may not be repeated.
@@ -277,7 +277,7 @@
         let nonce = nonce(self.seed, self.drawn);
         let target = Target::WebRead {
             group: web.group.clone(),
-            path: format!("{}/{page}?nonce={nonce}", web.read_path),
+            path: format!("{}/{page}/{nonce}", web.read_path),
         };
         self.push(due, router, Urgency::Normal, false, target);
     }
--- a/crates/millpass-load/tests/answers.rs
+++ b/crates/millpass-load/tests/answers.rs
@@ -1,9 +1,10 @@
 //! Checks of answers, streams and refusals; each is shown to fail on what it is there to find.
 
-use millpass_load::answer::{AnswerVerdict, check_tokens, check_web, tokens_received};
+use millpass_load::answer::{AnswerVerdict, check_page, check_run, check_tokens, tokens_received};
 use millpass_load::expected::expected_tokens;
 use millpass_load::refusal::{Executed, RefusalFault, check_refusal};
 use millpass_load::stream::{StreamEvent, next_event};
+use millpass_standin::content::page;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRunner};
 use rstest::rstest;
@@ -110,14 +111,27 @@
 }
 
 #[test]
-fn a_web_answer_without_the_nonce_is_foreign() {
-    assert_eq!(check_web("n1", "{\"nonce\":\"n1\"}"), AnswerVerdict::Whole);
+fn pages_are_checked_byte_by_byte() {
+    let own = page("/p/1/n");
+    assert_eq!(check_page("/p/1/n", own.as_bytes()), AnswerVerdict::Whole);
+    let cut = &own.as_bytes()[..own.len() - 1];
+    assert_eq!(check_page("/p/1/n", cut), AnswerVerdict::Truncated);
+    let other = page("/p/2/n");
     assert_eq!(
-        check_web("n1", "{\"nonce\":\"n2\"}"),
+        check_page("/p/1/n", other.as_bytes()),
         AnswerVerdict::Foreign
     );
 }
 
+#[rstest]
+#[case::own(r#"{"path":"/w","key":"k","runs":1}"#, AnswerVerdict::Whole)]
+#[case::second_run(r#"{"path":"/w","key":"k","runs":2}"#, AnswerVerdict::Duplicated)]
+#[case::other_key(r#"{"path":"/w","key":"l","runs":1}"#, AnswerVerdict::Foreign)]
+#[case::cut(r#"{"path":"/w","key":"k""#, AnswerVerdict::Truncated)]
+fn runs_are_checked_for_key_and_number(#[case] body: &str, #[case] verdict: AnswerVerdict) {
+    assert_eq!(check_run("/w", "k", body.as_bytes()), verdict);
+}
+
 #[test]
 fn stream_events_are_read_to_the_explicit_end() {
     let bytes = b"data: {\"choices\":[{\"text\":\"one \"}]}\n\n: comment\n\
