Scheduler: placement, eviction, keep-alive, drain, prewarming, outlook

Cause: millpass-scheduler was a stub. Ruled out: one sum over all routers in each round (it would grow with routers times models); a retire by a leader that has not heard routers yet. Change: demand kept as running sums, idle gaps in a histogram, store permits, one memory table a round, proposals under way remembered; the keep-alive baselines are settings.

--- /dev/null
+++ b/crates/millpass-scheduler/src/engines.rs
@@ -0,0 +1,113 @@
+//! What engines report: where checkpoints are cached, and how busy each slot is.
+
+use millpass_proto::{
+    BackendName, CheckpointReport, CheckpointTier, EngineReport, Incarnation, SlotId,
+};
+use std::collections::BTreeMap;
+
+/// Cached checkpoints taken in from one engine.
+const MAXIMUM_CHECKPOINTS_PER_ENGINE: usize = 4_096;
+/// Engines kept.
+const MAXIMUM_ENGINES: usize = 65_536;
+
+#[derive(Clone, Debug)]
+struct EngineRecord {
+    incarnation: Incarnation,
+    sequence: u64,
+    checkpoints: Vec<CheckpointReport>,
+    /// Requests running and waiting inside the engine, per slot.
+    busy: BTreeMap<SlotId, u32>,
+}
+
+/// Reports of all engines.
+#[derive(Clone, Debug, Default)]
+pub struct EngineTable {
+    engines: BTreeMap<BackendName, EngineRecord>,
+    /// Engines that have a checkpoint on disk or in memory.
+    holders: BTreeMap<String, BTreeMap<BackendName, CheckpointTier>>,
+}
+
+impl EngineTable {
+    /// Takes a report. Older ones of the same run are ignored.
+    pub fn observe(&mut self, report: &EngineReport) {
+        let known = self.engines.get(&report.backend);
+        match known {
+            Some(known)
+                if known.incarnation == report.incarnation && known.sequence >= report.sequence =>
+            {
+                return;
+            }
+            None if self.engines.len() >= MAXIMUM_ENGINES => return,
+            _ => {}
+        }
+        let bound = report.checkpoints.len().min(MAXIMUM_CHECKPOINTS_PER_ENGINE);
+        let checkpoints = &report.checkpoints[..bound];
+        if known.is_none_or(|known| known.checkpoints != checkpoints) {
+            self.replace_checkpoints(&report.backend, checkpoints);
+        }
+        let slots = report.slots.iter();
+        let record = EngineRecord {
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            checkpoints: checkpoints.to_vec(),
+            busy: slots
+                .map(|slot| (slot.slot, slot.running.saturating_add(slot.waiting)))
+                .collect(),
+        };
+        self.engines.insert(report.backend.clone(), record);
+    }
+
+    fn replace_checkpoints(&mut self, backend: &BackendName, checkpoints: &[CheckpointReport]) {
+        self.drop_holder(backend);
+        for report in checkpoints {
+            if report.tier != CheckpointTier::Remote {
+                let holders = self.holders.entry(report.checkpoint.clone()).or_default();
+                holders.insert(backend.clone(), report.tier);
+            }
+        }
+    }
+
+    fn drop_holder(&mut self, backend: &BackendName) {
+        let Some(record) = self.engines.get(backend) else {
+            return;
+        };
+        for report in &record.checkpoints {
+            if let Some(holders) = self.holders.get_mut(&report.checkpoint) {
+                holders.remove(backend);
+                if holders.is_empty() {
+                    self.holders.remove(&report.checkpoint);
+                }
+            }
+        }
+    }
+
+    /// Forgets engines that are no longer registered.
+    pub fn retain(&mut self, exists: impl Fn(&BackendName) -> bool) {
+        let names = self.engines.keys().filter(|name| !exists(name));
+        let ended: Vec<BackendName> = names.cloned().collect();
+        for name in ended {
+            self.drop_holder(&name);
+            self.engines.remove(&name);
+        }
+    }
+
+    /// Where an engine's machine has a checkpoint.
+    pub fn tier(&self, backend: &BackendName, checkpoint: &str) -> CheckpointTier {
+        let holders = self.holders.get(checkpoint);
+        let tier = holders.and_then(|holders| holders.get(backend));
+        tier.copied().unwrap_or(CheckpointTier::Remote)
+    }
+
+    /// Nearest place where any engine has a checkpoint.
+    pub fn best_tier(&self, checkpoint: &str) -> CheckpointTier {
+        let holders = self.holders.get(checkpoint).into_iter().flatten();
+        let tiers = holders.map(|(_, tier)| *tier);
+        tiers.max().unwrap_or(CheckpointTier::Remote)
+    }
+
+    /// Requests that an engine reported in a slot; none when it reported nothing of the slot.
+    pub fn busy(&self, backend: &BackendName, slot: SlotId) -> Option<u32> {
+        let record = self.engines.get(backend)?;
+        record.busy.get(&slot).copied()
+    }
+}
--- /dev/null
+++ b/crates/millpass-scheduler/src/placing.rs
@@ -0,0 +1,250 @@
+//! Places replicas: which models first, on which engine, from which checkpoint tier.
+
+use crate::Scheduler;
+use crate::memory::Fit;
+use crate::proposals::Subject;
+use crate::round::Round;
+use crate::view::ModelView;
+use millpass_proto::{
+    CheckpointTier, Duration, PlaceReplica, Timestamp, Urgency, VersionSpec, ZoneName,
+};
+use millpass_state::version_bytes_each;
+
+/// Models that one round tries to place; the rest keep their turn for the next.
+const MODELS_PER_ROUND: usize = 64;
+
+/// What came of trying to place a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placing {
+    /// Proposed, to be loaded after this time.
+    Proposed(Duration),
+    /// It fits; the store's limit makes it wait.
+    WaitsForStore,
+    /// It fits once unloads under way are done.
+    WaitsForUnload,
+    /// Memory lacks and nothing may be unloaded for it.
+    NoRoom,
+    /// It fits on no engine even if that were empty, or its version is missing.
+    Impossible,
+}
+
+/// How a replica may get its place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Means {
+    /// Free memory only.
+    FreeMemory,
+    /// Free memory, or that of idle replicas.
+    Eviction,
+}
+
+/// An engine that fits, with what decides between several.
+struct Candidate {
+    index: usize,
+    fit: Fit,
+    tier: CheckpointTier,
+    /// Compared in order; the least is chosen.
+    rank: (bool, Duration, bool, u64),
+}
+
+impl Scheduler {
+    /// Places replicas for waiting requests, most urgent first, then for stated minimums.
+    pub(crate) fn place_wanted<'a>(&mut self, round: &mut Round<'a>, views: &[ModelView<'a>]) {
+        let mut wanted: Vec<&ModelView<'a>> =
+            views.iter().filter(|view| view.wants_another()).collect();
+        wanted.sort_by_key(|view| priority(view));
+        self.outlooks.begin_round(round.now);
+        for (turn, view) in wanted.into_iter().enumerate() {
+            if turn >= MODELS_PER_ROUND {
+                break;
+            }
+            let placing = self.place_for(round, view, views);
+            self.note_outlook(round, view, placing);
+        }
+    }
+
+    fn place_for<'a>(
+        &mut self,
+        round: &mut Round<'a>,
+        view: &ModelView<'a>,
+        views: &[ModelView<'a>],
+    ) -> Placing {
+        if self.proposals.contains(&Subject::Place(view.name.clone())) {
+            let expected = view.version.map_or(Duration::ZERO, |version| {
+                self.loads.expected(
+                    &self.settings,
+                    CheckpointTier::Remote,
+                    version.weights_bytes,
+                )
+            });
+            return Placing::Proposed(expected);
+        }
+        if !view.has_free_slot() {
+            return Placing::WaitsForUnload;
+        }
+        // What can wait takes no memory from others.
+        let batch = view.demand.waiting > 0 && view.demand.most_urgent == Urgency::Batch;
+        let means = if batch {
+            Means::FreeMemory
+        } else {
+            Means::Eviction
+        };
+        self.place_one(round, view, views, means)
+    }
+
+    /// Tries to place one replica of the model.
+    pub(crate) fn place_one<'a>(
+        &mut self,
+        round: &mut Round<'a>,
+        view: &ModelView<'a>,
+        views: &[ModelView<'a>],
+        means: Means,
+    ) -> Placing {
+        let Some(version) = view.version else {
+            return Placing::Impossible;
+        };
+        let store_open = self.permits.available();
+        let zone = self.demand.zone_of(&view.name);
+        let (best, fits_closed) =
+            self.best_candidate(round, view, version, zone.as_ref(), store_open);
+        if let Some(candidate) = best {
+            return Placing::Proposed(self.propose(round, view, version, candidate));
+        }
+        if fits_closed {
+            return Placing::WaitsForStore;
+        }
+        if promise_soon(round, view, version) {
+            return Placing::WaitsForUnload;
+        }
+        if !fits_empty(round, view, version) {
+            return Placing::Impossible;
+        }
+        if means == Means::Eviction && self.evict_for(round, view, version, views) {
+            return Placing::WaitsForUnload;
+        }
+        Placing::NoRoom
+    }
+
+    fn propose<'a>(
+        &mut self,
+        round: &mut Round<'a>,
+        view: &ModelView<'a>,
+        version: &VersionSpec,
+        candidate: Candidate,
+    ) -> Duration {
+        let backend = round.memory.engine(candidate.index).backend;
+        let registration = &backend.registration;
+        if candidate.tier == CheckpointTier::Remote {
+            self.permits.take();
+        }
+        let time = self
+            .loads
+            .expected(&self.settings, candidate.tier, version.weights_bytes);
+        let loads = &mut round.loads;
+        loads.add(&registration.backend, time, Some(candidate.tier));
+        let ready = loads.queued.get(&registration.backend).copied();
+        round.place(PlaceReplica {
+            model: view.name.clone(),
+            version: view.spec.current_version.clone(),
+            backend: registration.backend.clone(),
+            incarnation: registration.incarnation,
+            accelerators: candidate.fit.accelerators,
+            expected_slots: view.replicas.slots,
+        });
+        ready.unwrap_or(time)
+    }
+
+    /// The best engine that fits now; and whether one fits that the store's limit rules out.
+    fn best_candidate(
+        &self,
+        round: &Round<'_>,
+        view: &ModelView<'_>,
+        version: &VersionSpec,
+        zone: Option<&ZoneName>,
+        store_open: bool,
+    ) -> (Option<Candidate>, bool) {
+        let count = view.spec.accelerators_per_replica;
+        let bytes = version_bytes_each(version, count);
+        let mut best: Option<Candidate> = None;
+        let mut fits_closed = false;
+        for (index, engine) in round.memory.live() {
+            let Some(fit) = engine.fit_now(count as usize, bytes) else {
+                continue;
+            };
+            let backend = &engine.backend.registration;
+            let tier = self.engines.tier(&backend.backend, &version.checkpoint);
+            if tier == CheckpointTier::Remote && !store_open {
+                fits_closed = true;
+                continue;
+            }
+            let queued = round.loads.queued.get(&backend.backend);
+            let transfer = self
+                .loads
+                .expected(&self.settings, tier, version.weights_bytes);
+            let elsewhere = zone.is_some_and(|zone| *zone != backend.zone);
+            let rank = (
+                hosts(view, index, round),
+                transfer + queued.copied().unwrap_or_default(),
+                elsewhere,
+                fit.left_over,
+            );
+            if best.as_ref().is_none_or(|best| rank < best.rank) {
+                best = Some(Candidate {
+                    index,
+                    fit,
+                    tier,
+                    rank,
+                });
+            }
+        }
+        (best, fits_closed)
+    }
+}
+
+/// Whether an engine has a replica of the model already: replicas are spread over engines.
+fn hosts(view: &ModelView<'_>, index: usize, round: &Round<'_>) -> bool {
+    let name = &round.memory.engine(index).backend.registration.backend;
+    let sets = &view.replicas;
+    let all = sets.loaded.iter().chain(&sets.loading);
+    let mut all = all.chain(&sets.outdated).chain(&sets.overdue);
+    all.any(|replica| replica.backend == *name)
+}
+
+/// Order in which models get their turn.
+fn priority(view: &ModelView<'_>) -> (bool, Urgency, bool, Timestamp) {
+    let waits = view.demand.waiting > 0;
+    let serves = !view.replicas.loaded.is_empty();
+    (
+        !waits,
+        view.demand.most_urgent,
+        serves,
+        view.demand.waiting_since,
+    )
+}
+
+/// Holds memory that unloads under way will free, so that no model with a lower turn takes it.
+fn promise_soon(round: &mut Round<'_>, view: &ModelView<'_>, version: &VersionSpec) -> bool {
+    let count = view.spec.accelerators_per_replica;
+    let bytes = version_bytes_each(version, count);
+    let mut engines = round.memory.live();
+    let found = engines.find_map(|(index, engine)| {
+        let fit = engine.fit_soon(count as usize, bytes)?;
+        Some((index, fit))
+    });
+    drop(engines);
+    let Some((index, fit)) = found else {
+        return false;
+    };
+    let engine = round.memory.engine_mut(index);
+    engine.reserve(&fit.accelerators, bytes);
+    true
+}
+
+/// Whether some live engine would fit the model if it held nothing else.
+fn fits_empty(round: &Round<'_>, view: &ModelView<'_>, version: &VersionSpec) -> bool {
+    let count = view.spec.accelerators_per_replica;
+    let bytes = version_bytes_each(version, count);
+    round.memory.live().any(|(_, engine)| {
+        let sizes = engine.backend.registration.accelerator_bytes.iter();
+        sizes.filter(|size| **size >= bytes).count() >= count as usize
+    })
+}
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -166,6 +166,11 @@
         slots.filter_map(|slot| self.replica(slot)).collect()
     }
 
+    /// Models that have decided replicas, by name.
+    pub fn placed_models(&self) -> impl Iterator<Item = &ModelName> {
+        self.placement.by_model.keys()
+    }
+
     /// The decided replicas on one engine, in every phase.
     pub fn replicas_on(&self, backend: &BackendName) -> Vec<&Replica> {
         let record = self.backends.get(backend);
