Router refuses claims that were never recorded as not run

Cause: the claim decisions Overloaded and BornInFuture were new to the router. Ruled out: a wildcard arm; treating them like an expired key, which says 'may have run'. Change: both refuse with executed=no, since nothing was recorded under the key.

--- a/crates/millpass-routing/src/claim_flow.rs
+++ b/crates/millpass-routing/src/claim_flow.rs
@@ -55,6 +55,12 @@
             ClaimDecision::MayHaveRun => RefusalReason::MayHaveRun,
             ClaimDecision::DigestMismatch => RefusalReason::KeyReused,
             ClaimDecision::Expired => RefusalReason::KeyExpired,
+            ClaimDecision::BornInFuture => {
+                return self.deny_unrecorded(number, RefusalReason::KeyExpired, step);
+            }
+            ClaimDecision::Overloaded => {
+                return self.deny_unrecorded(number, RefusalReason::ClaimUnavailable, step);
+            }
         };
         if !self.claims.denied(number) {
             return;
@@ -68,6 +74,13 @@
         self.give_up(number, Refused::new(reason), step);
     }
 
+    /// The key was never recorded, so nothing can have run under it.
+    fn deny_unrecorded(&mut self, number: RequestNumber, reason: RefusalReason, step: &mut Step) {
+        if self.claims.denied(number) {
+            self.give_up(number, Refused::new(reason), step);
+        }
+    }
+
     fn claim_granted(&mut self, number: RequestNumber, step: &mut Step) {
         match self.claims.granted(number) {
             GrantOutcome::Ignore => {}
