Stand-ins: properties of the models, one type for all running stand-ins

Cause: the models had examples only; engine and web handles stood twice. Ruled out: keeping the rule for states of a lagged read: the property found reads up to 101 ms older than lag plus interval 50 ms, because a state that held long was left out when it began soon after the one kept before it. Change: `run::Served` for engine, web and store; `Lagged` keeps a state by when it ended; property tests (memory, cache memory, fences, one end for each request, tokens without gap or double, same inputs same outputs, start order, store limits, lagged reads, resumed text), 128 fixed cases each. Conclusion: a report is at most lag plus interval old.

--- a/crates/millpass-standin/src/engine/front/start.rs
+++ b/crates/millpass-standin/src/engine/front/start.rs
@@ -4,15 +4,10 @@
 use super::service::Service;
 use crate::engine::model::EngineModel;
 use crate::engine::settings::EngineSettings;
-use crate::platform::PlatformClient;
-use crate::run::{Alarms, Driver, FrontSettings, ScaledClock};
+use crate::run::{Alarms, Driver, FrontSettings, ScaledClock, Served};
 use crate::weight_store::StoreAccess;
 use anyhow::Result;
-use millpass_http::{Server, ServerHandle};
-use millpass_proto::{
-    BackendKind, BackendState, Duration, EngineAudit, EngineReport, PlatformMachine,
-};
-use std::net::SocketAddr;
+use millpass_proto::{BackendKind, BackendState, EngineAudit, EngineReport, PlatformMachine};
 use std::sync::Arc;
 
 /// What an engine's front end needs beside the model's settings.
@@ -37,39 +32,17 @@
 }
 
 /// A running engine.
-pub struct EngineHandle {
-    server: ServerHandle,
-    driver: Arc<Driver<EngineModel>>,
-    platform: Option<PlatformClient>,
-}
-
-impl EngineHandle {
-    /// Address it listens on.
-    pub fn address(&self) -> SocketAddr {
-        self.server.local_address()
-    }
+pub type EngineHandle = Served<EngineModel>;
 
+impl Served<EngineModel> {
     /// What it counted.
     pub fn audit(&self) -> EngineAudit {
-        self.driver.read(EngineModel::audit)
+        self.read(EngineModel::audit)
     }
 
     /// Its state without lag, for checkers.
     pub fn current_report(&self) -> EngineReport {
-        self.driver.read(|model, _| model.current_report())
-    }
-
-    /// Leaves in a planned way: is marked as leaving, serves on for `notice`, waits at most
-    /// `grace` for requests in flight, and is taken off the list.
-    pub fn leave(&self, notice: Duration, grace: Duration) {
-        PlatformClient::leave(self.platform.as_ref(), &self.server, notice, grace);
-        self.driver.stop();
-    }
-
-    /// Stops at once, as a machine that is reclaimed: streams are cut, the list isn't told.
-    pub fn stop(&self) {
-        self.driver.stop();
-        self.server.stop();
+        self.read(|model, _| model.current_report())
     }
 }
 
@@ -85,7 +58,7 @@
     front: &EngineFront,
     alarms: Arc<Alarms>,
 ) -> Result<EngineHandle> {
-    let mut machine = PlatformMachine {
+    let machine = PlatformMachine {
         backend: settings.backend.clone(),
         kind: BackendKind::Engine,
         group: None,
@@ -98,18 +71,11 @@
     let fetches = Arc::new(Fetches::new(Arc::downgrade(&driver), front.store.clone()));
     let for_alarms = fetches.clone();
     driver.on_unclaimed(move |outputs| for_alarms.start_all(outputs));
-    let name = machine.backend.as_str().to_owned();
-    let server = Server::bind(front.front.listen, front.front.server(&name))?;
-    machine.address = server.local_address().to_string();
-    let service = Service {
+    let service = Arc::new(Service {
         driver: driver.clone(),
         fetches,
-    };
-    let server = server.serve(Arc::new(service));
-    let platform = front.platform.as_deref();
-    Ok(EngineHandle {
-        server,
-        driver,
-        platform: platform.map(|address| PlatformClient::register(address, machine)),
-    })
+    });
+    let name = machine.backend.as_str();
+    let served = Served::start(name, &front.front, driver, service)?;
+    Ok(served.register(front.platform.as_deref(), machine))
 }
--- a/crates/millpass-standin/src/lagged.rs
+++ b/crates/millpass-standin/src/lagged.rs
@@ -30,14 +30,15 @@
         }
     }
 
-    /// Whether the state that held until `now` is to be kept before it changes.
+    /// Whether the state that held until `now` is to be kept before it changes. One that is left
+    /// out ended less than the interval after the one kept before it began.
     pub fn wants(&self, now: Timestamp) -> bool {
         let is_new = !self.is_kept && self.changed < now;
         is_new
             && self
                 .states
                 .back()
-                .is_none_or(|(last, _)| self.changed.since(*last) >= self.interval)
+                .is_none_or(|(last, _)| now.since(*last) >= self.interval)
     }
 
     /// Keeps the state that held until `now`.
--- a/crates/millpass-standin/src/run/mod.rs
+++ b/crates/millpass-standin/src/run/mod.rs
@@ -5,6 +5,7 @@
 mod driver;
 mod front;
 mod http;
+mod served;
 
 pub use alarm::{Alarm, Alarms};
 pub use clock::ScaledClock;
@@ -15,3 +16,4 @@
     EXECUTED_HEADER, error_answer, header_text, json_answer, parse_json, path_segments,
     query_number,
 };
+pub use served::Served;
--- /dev/null
+++ b/crates/millpass-standin/src/run/served.rs
@@ -0,0 +1,70 @@
+//! A model that is served over HTTP.
+
+use super::driver::{Driver, TimedModel};
+use super::front::FrontSettings;
+use crate::platform::PlatformClient;
+use millpass_http::{Handler, Server, ServerHandle};
+use millpass_proto::{Duration, PlatformMachine};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A running stand-in. Dropping it stops it as [`Served::stop`] does.
+pub struct Served<M: TimedModel> {
+    server: ServerHandle,
+    driver: Arc<Driver<M>>,
+    platform: Option<PlatformClient>,
+}
+
+impl<M: TimedModel> Served<M> {
+    /// Listens and serves.
+    pub(crate) fn start(
+        name: &str,
+        front: &FrontSettings,
+        driver: Arc<Driver<M>>,
+        handler: Arc<dyn Handler>,
+    ) -> anyhow::Result<Self> {
+        let server = Server::bind(front.listen, front.server(name))?;
+        Ok(Served {
+            server: server.serve(handler),
+            driver,
+            platform: None,
+        })
+    }
+
+    /// Puts the machine on the platform's list at `list`, if one is named. The machine's address
+    /// is set here.
+    pub(crate) fn register(mut self, list: Option<&str>, mut machine: PlatformMachine) -> Self {
+        machine.address = self.address().to_string();
+        self.platform = list.map(|address| PlatformClient::register(address, machine));
+        self
+    }
+
+    /// Address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.local_address()
+    }
+
+    /// Reads the model at the present time, without lag: for checkers.
+    pub fn read<T>(&self, look: impl FnOnce(&M, millpass_proto::Timestamp) -> T) -> T {
+        self.driver.read(look)
+    }
+
+    /// Leaves in a planned way: is marked as leaving, serves on for `notice`, waits at most
+    /// `grace` for requests in flight, and is taken off the list. Real time.
+    pub fn leave(&self, notice: Duration, grace: Duration) {
+        PlatformClient::leave(self.platform.as_ref(), &self.server, notice, grace);
+        self.driver.stop();
+    }
+
+    /// Stops at once, as a machine that is reclaimed: requests are cut, the list isn't told.
+    pub fn stop(&self) {
+        self.driver.stop();
+        self.server.stop();
+    }
+}
+
+impl<M: TimedModel> Drop for Served<M> {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- a/crates/millpass-standin/src/web/service.rs
+++ b/crates/millpass-standin/src/web/service.rs
@@ -3,17 +3,15 @@
 use super::model::{
     WebAnswer, WebInput, WebModel, WebOutput, WebRequest, WebRequestId, WebSettings,
 };
-use crate::platform::PlatformClient;
 use crate::run::{
-    Alarms, Driver, EXECUTED_HEADER, FrontSettings, ScaledClock, TimedModel, error_answer,
+    Alarms, Driver, EXECUTED_HEADER, FrontSettings, ScaledClock, Served, TimedModel, error_answer,
     header_text, json_answer, retry_after_answer,
 };
 use anyhow::Result;
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use millpass_http::{Handler, Request, Responder, Response, Server, ServerHandle};
+use millpass_http::{Handler, Request, Responder, Response};
 use millpass_proto::{BackendKind, BackendState, Duration, PlatformMachine, TenantName, Timestamp};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 const BUSY_PAUSE: Duration = Duration::from_secs(1);
@@ -36,31 +34,7 @@
 }
 
 /// A running web back end.
-pub struct WebHandle {
-    server: ServerHandle,
-    driver: Arc<Driver<WebModel>>,
-    platform: Option<PlatformClient>,
-}
-
-impl WebHandle {
-    /// Address it listens on.
-    pub fn address(&self) -> SocketAddr {
-        self.server.local_address()
-    }
-
-    /// Leaves in a planned way: is marked as leaving, waits until `grace` for requests in flight,
-    /// and is taken off the list.
-    pub fn leave(&self, notice: Duration, grace: Duration) {
-        PlatformClient::leave(self.platform.as_ref(), &self.server, notice, grace);
-        self.driver.stop();
-    }
-
-    /// Stops at once, as a machine that is reclaimed.
-    pub fn stop(&self) {
-        self.driver.stop();
-        self.server.stop();
-    }
-}
+pub type WebHandle = Served<WebModel>;
 
 /// Starts a web back end and registers it at the platform's list, if one is named.
 pub fn start(
@@ -69,7 +43,7 @@
     platform: Option<&str>,
 ) -> Result<WebHandle> {
     let alarms = Alarms::start(ScaledClock::start(front.time_scale))?;
-    let mut machine = PlatformMachine {
+    let machine = PlatformMachine {
         backend: settings.backend.clone(),
         kind: BackendKind::Web,
         group: Some(settings.group.clone()),
@@ -79,17 +53,11 @@
     };
     let model = WebModel::new(settings, alarms.clock().now());
     let driver = Driver::new(model, alarms);
-    let server = Server::bind(front.listen, front.server(machine.backend.as_str()))?;
-    machine.address = server.local_address().to_string();
-    let service = Service {
+    let service = Arc::new(Service {
         driver: driver.clone(),
-    };
-    let server = server.serve(Arc::new(service));
-    Ok(WebHandle {
-        server,
-        driver,
-        platform: platform.map(|address| PlatformClient::register(address, machine)),
-    })
+    });
+    let served = Served::start(machine.backend.as_str(), front, driver, service)?;
+    Ok(served.register(platform, machine))
 }
 
 struct Service {
--- a/crates/millpass-standin/src/weight_store/service.rs
+++ b/crates/millpass-standin/src/weight_store/service.rs
@@ -3,17 +3,16 @@
 use super::client::RETRY_AFTER_MILLIS;
 use super::model::{StoreInput, StoreOutput, TransferId, WeightStoreModel, WeightStoreSettings};
 use crate::run::{
-    Alarms, Driver, FrontSettings, ScaledClock, TimedModel, error_answer, json_answer, parse_json,
-    path_segments, query_number, retry_after_answer,
+    Alarms, Driver, FrontSettings, ScaledClock, Served, TimedModel, error_answer, json_answer,
+    parse_json, path_segments, query_number, retry_after_answer,
 };
 use anyhow::Result;
 use crossbeam::channel::Receiver;
 use http::header::HeaderName;
 use http::{Method, StatusCode};
-use millpass_http::{Handler, Request, Responder, Response, Server, ServerHandle};
+use millpass_http::{Handler, Request, Responder, Response};
 use millpass_proto::{Duration, Timestamp};
 use serde::Deserialize;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Slow factors of the fault hook: from normal speed to a thousand times slower.
@@ -42,37 +41,17 @@
 }
 
 /// A running weight store.
-pub struct WeightStoreHandle {
-    server: ServerHandle,
-    driver: Arc<Driver<WeightStoreModel>>,
-}
-
-impl WeightStoreHandle {
-    /// Address it listens on.
-    pub fn address(&self) -> SocketAddr {
-        self.server.local_address()
-    }
-
-    /// Stops at once; transfers that go on are cut.
-    pub fn stop(&self) {
-        self.driver.stop();
-        self.server.stop();
-    }
-}
+pub type WeightStoreHandle = Served<WeightStoreModel>;
 
 /// Starts a weight store.
 pub fn start(settings: WeightStoreSettings, front: &FrontSettings) -> Result<WeightStoreHandle> {
     let alarms = Alarms::start(ScaledClock::start(front.time_scale))?;
     let model = WeightStoreModel::new(settings, alarms.clock().now());
     let driver = Driver::new(model, alarms);
-    let server = Server::bind(front.listen, front.server("weight-store"))?;
-    let service = Service {
+    let service = Arc::new(Service {
         driver: driver.clone(),
-    };
-    Ok(WeightStoreHandle {
-        server: server.serve(Arc::new(service)),
-        driver,
-    })
+    });
+    Served::start("weight-store", front, driver, service)
 }
 
 struct Service {
--- a/crates/millpass-standin/tests/common/mod.rs
+++ b/crates/millpass-standin/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Shared pieces of the tests: orders, requests and a driver that answers fetches at once.
 #![allow(dead_code)]
 
+pub mod loopback;
+
 use millpass_proto::*;
 use millpass_standin::engine::*;
 
@@ -173,3 +175,20 @@
             _ => None,
         })
 }
+
+/// Runs a property over the same cases in every run.
+pub fn check_property<S: proptest::strategy::Strategy>(
+    strategy: S,
+    test: impl Fn(S::Value) -> Result<(), proptest::test_runner::TestCaseError>,
+) {
+    use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+    let config = Config {
+        cases: 128,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(config, random)
+        .run(&strategy, test)
+        .unwrap();
+}
--- a/crates/millpass-standin/tests/engine_front.rs
+++ b/crates/millpass-standin/tests/engine_front.rs
@@ -2,27 +2,15 @@
 
 mod common;
 
+use common::loopback::*;
 use common::*;
 use millpass_proto::*;
 use millpass_standin::content::Answer;
 use millpass_standin::engine::*;
 use std::io::{BufRead, BufReader};
-use std::time::{Duration as RealDuration, Instant};
-use ureq::Agent;
 
-/// Simulated seconds in a real one, so that tests are fast.
-const SCALE: f64 = 50.0;
-const PATIENCE: RealDuration = RealDuration::from_secs(20);
 const PROMPT: &str = "write a listing nonce=abc-1 please";
 
-fn agent() -> Agent {
-    let config = Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_global(Some(PATIENCE))
-        .build();
-    Agent::new_with_config(config)
-}
-
 fn start_loaded() -> EngineHandle {
     let mut front = EngineFront::default();
     front.front.time_scale = SCALE;
@@ -39,14 +27,6 @@
     answer.body_mut().read_json().unwrap()
 }
 
-fn wait_until(holds: impl Fn() -> bool) {
-    let begin = Instant::now();
-    while !holds() {
-        assert!(begin.elapsed() < PATIENCE, "condition did not come true");
-        std::thread::sleep(RealDuration::from_millis(2));
-    }
-}
-
 fn complete(
     engine: &EngineHandle,
     max_tokens: u32,
--- /dev/null
+++ b/crates/millpass-standin/tests/engine_properties.rs
@@ -0,0 +1,376 @@
+//! Properties of the engine model under random orders, requests and times.
+
+mod common;
+
+use common::*;
+use millpass_proto::*;
+use millpass_standin::engine::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const CAPACITY: u64 = 1_000;
+
+/// One thing done to the engine. Numbers are kept small so that collisions are common.
+#[derive(Clone, Debug)]
+enum Action {
+    Load { slot: u64, weights: u64, cache: u64 },
+    Unload { slot: u64 },
+    LoadAdapter { slot: u64, adapter: u8, bytes: u64 },
+    UnloadAdapter { slot: u64, adapter: u8 },
+    OldFence { back: u64 },
+    Submit(Submission),
+    Cancel { handle: u64 },
+    EndFetch { result: u8 },
+    Pass { millis: u64 },
+}
+
+#[derive(Clone, Debug)]
+struct Submission {
+    slot: u64,
+    adapter: Option<u8>,
+    urgency: Urgency,
+    prompt_tokens: u32,
+    blocks: Vec<u64>,
+    maximum_tokens: u32,
+    resume_from: u32,
+    deadline_millis: Option<u64>,
+}
+
+fn urgency() -> impl Strategy<Value = Urgency> {
+    prop_oneof![
+        Just(Urgency::Interactive),
+        Just(Urgency::Normal),
+        Just(Urgency::Batch)
+    ]
+}
+
+fn submission() -> impl Strategy<Value = Submission> {
+    let sizes = (1_u32..60, vec(0_u64..6, 0..4), 0_u32..40, 0_u32..10);
+    let rest = (1_u64..4, prop::option::of(0_u8..2), urgency());
+    (rest, sizes, prop::option::of(1_u64..2_000)).prop_map(|(rest, sizes, deadline_millis)| {
+        Submission {
+            slot: rest.0,
+            adapter: rest.1,
+            urgency: rest.2,
+            prompt_tokens: sizes.0,
+            blocks: sizes.1,
+            maximum_tokens: sizes.2,
+            resume_from: sizes.3,
+            deadline_millis,
+        }
+    })
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        3 => (1_u64..4, 0_u64..700, 50_u64..300)
+            .prop_map(|(slot, weights, cache)| Action::Load { slot, weights, cache }),
+        2 => (1_u64..4).prop_map(|slot| Action::Unload { slot }),
+        2 => (1_u64..4, 0_u8..2, 0_u64..300)
+            .prop_map(|(slot, adapter, bytes)| Action::LoadAdapter { slot, adapter, bytes }),
+        1 => (1_u64..4, 0_u8..2)
+            .prop_map(|(slot, adapter)| Action::UnloadAdapter { slot, adapter }),
+        1 => (0_u64..5).prop_map(|back| Action::OldFence { back }),
+        6 => submission().prop_map(Action::Submit),
+        1 => (1_u64..40).prop_map(|handle| Action::Cancel { handle }),
+        4 => (0_u8..6).prop_map(|result| Action::EndFetch { result }),
+        4 => (0_u64..1_500).prop_map(|millis| Action::Pass { millis }),
+    ]
+}
+
+/// An engine with two accelerators and a record of what it did.
+struct Trial {
+    engine: EngineModel,
+    now: Timestamp,
+    next_fence: u64,
+    next_handle: u64,
+    fetches: Vec<FetchId>,
+    outputs: Vec<EngineOutput>,
+    submitted: BTreeMap<u64, Submission>,
+}
+
+impl Trial {
+    fn new() -> Self {
+        let mut settings = small_settings();
+        settings.accelerator_bytes = vec![CAPACITY, CAPACITY];
+        settings.checkpoints.memory_bytes = 900;
+        settings.checkpoints.disk_bytes = 1_200;
+        Trial {
+            engine: EngineModel::new(settings, Timestamp::ZERO),
+            now: Timestamp::ZERO,
+            next_fence: 1,
+            next_handle: 1,
+            fetches: Vec::new(),
+            outputs: Vec::new(),
+            submitted: BTreeMap::new(),
+        }
+    }
+
+    fn step(&mut self, input: EngineInput) -> Vec<EngineOutput> {
+        let outputs = self.engine.step(self.now, input);
+        for output in &outputs {
+            if let EngineOutput::Fetch { fetch, .. } = output {
+                self.fetches.push(*fetch);
+            }
+        }
+        self.outputs.extend(outputs.iter().cloned());
+        outputs
+    }
+
+    fn order(&mut self, action: OrderAction) {
+        let index = self.next_fence;
+        self.next_fence += 1;
+        self.step(EngineInput::Order(order(index, action)));
+    }
+
+    fn apply(&mut self, action: &Action) {
+        match action.clone() {
+            Action::Load {
+                slot,
+                weights,
+                cache,
+            } => {
+                let OrderAction::LoadModel(mut order) = load(slot, weights, cache) else {
+                    unreachable!("load() makes loads");
+                };
+                order.accelerators = if slot == 3 {
+                    vec![0, 1]
+                } else {
+                    vec![slot as u32 - 1]
+                };
+                order.checkpoint = format!("checkpoint-{slot}");
+                self.order(OrderAction::LoadModel(order));
+            }
+            Action::Unload { slot } => self.order(OrderAction::UnloadModel(SlotId(slot))),
+            Action::LoadAdapter {
+                slot,
+                adapter,
+                bytes,
+            } => {
+                self.order(OrderAction::LoadAdapter(LoadAdapterOrder {
+                    slot: SlotId(slot),
+                    adapter: adapter_name(adapter),
+                    bytes,
+                    checkpoint: format!("adapter-{adapter}"),
+                }));
+            }
+            Action::UnloadAdapter { slot, adapter } => {
+                self.order(OrderAction::UnloadAdapter(UnloadAdapterOrder {
+                    slot: SlotId(slot),
+                    adapter: adapter_name(adapter),
+                }));
+            }
+            Action::OldFence { back } => {
+                let index = self.next_fence.saturating_sub(back + 1);
+                let role = OrderAction::ChangeRole(EngineRole::Mixed);
+                self.step(EngineInput::Order(order(index, role)));
+            }
+            Action::Submit(submission) => self.submit(submission),
+            Action::Cancel { handle } => {
+                self.step(EngineInput::Cancel(RequestHandle(handle)));
+            }
+            Action::EndFetch { result } => self.end_fetch(result),
+            Action::Pass { millis } => {
+                self.now = self.now + Duration::from_millis(millis);
+                self.step(EngineInput::Tick);
+            }
+        }
+    }
+
+    fn submit(&mut self, submission: Submission) {
+        let handle = self.next_handle;
+        self.next_handle += 1;
+        self.submitted.insert(handle, submission.clone());
+        let mut request = request(handle, submission.slot, submission.maximum_tokens);
+        request.adapter = submission.adapter.map(adapter_name);
+        request.urgency = submission.urgency;
+        request.prompt_tokens = submission.prompt_tokens;
+        request.prefix_blocks = submission.blocks;
+        request.resume_from = submission.resume_from;
+        request.deadline = submission
+            .deadline_millis
+            .map(|millis| self.now + Duration::from_millis(millis));
+        self.step(EngineInput::Submit(request));
+    }
+
+    fn end_fetch(&mut self, result: u8) {
+        let Some(fetch) = self.fetches.pop() else {
+            return;
+        };
+        let result = match result {
+            0 => FetchResult::Failed("store failed".to_owned()),
+            1 => FetchResult::Later(Duration::from_millis(700)),
+            _ => FetchResult::Done,
+        };
+        self.step(EngineInput::FetchEnded(fetch, result));
+    }
+
+    fn run_dry(&mut self) {
+        loop {
+            while !self.fetches.is_empty() {
+                self.end_fetch(2);
+            }
+            let Some(at) = self.engine.next_wake() else {
+                return;
+            };
+            self.now = self.now.max(at);
+            self.step(EngineInput::Tick);
+        }
+    }
+}
+
+fn adapter_name(number: u8) -> AdapterName {
+    AdapterName(format!("adapter-{number}"))
+}
+
+/// Memory of accelerators and of each slot's caches is never exceeded, and what is reported as
+/// used is what the parts that are there hold.
+fn check_memory(engine: &EngineModel) -> Result<(), TestCaseError> {
+    let report = engine.current_report();
+    let audit = engine.audit(Timestamp::ZERO);
+    prop_assert!(report.used_bytes.iter().all(|used| *used <= CAPACITY));
+    prop_assert!(audit.peak_used_bytes.iter().all(|peak| *peak <= CAPACITY));
+    let is_gone = |phase: &EngineSlotPhase| {
+        matches!(
+            phase,
+            EngineSlotPhase::Unloaded | EngineSlotPhase::Failed(_)
+        )
+    };
+    let all_gone = report
+        .slots
+        .iter()
+        .all(|slot| is_gone(&slot.phase) && slot.adapters.iter().all(|one| is_gone(&one.phase)));
+    if all_gone {
+        prop_assert_eq!(&report.used_bytes, &vec![0, 0]);
+    }
+    for slot in &report.slots {
+        let (running, prefix) = engine.cache_use(slot.slot).unwrap();
+        prop_assert!(running + prefix <= 300, "cache of a slot exceeded");
+    }
+    Ok(())
+}
+
+#[test]
+fn memory_and_fences_hold_whatever_comes() {
+    check_property(vec(action(), 1..80), |actions| {
+        let mut trial = Trial::new();
+        let mut highest = LogPosition::ZERO;
+        for action in &actions {
+            trial.apply(action);
+            check_memory(&trial.engine)?;
+            let now_highest = trial.engine.current_report().highest_fence;
+            prop_assert!(now_highest >= highest);
+            highest = now_highest;
+        }
+        trial.run_dry();
+        check_memory(&trial.engine)
+    });
+}
+
+#[test]
+fn every_request_ends_once_and_its_tokens_have_no_gap_and_no_double() {
+    check_property(vec(action(), 1..80), |actions| {
+        let mut trial = Trial::new();
+        for action in &actions {
+            trial.apply(action);
+        }
+        trial.run_dry();
+        for (handle, submission) in &trial.submitted {
+            check_request(&trial.outputs, *handle, submission)?;
+        }
+        Ok(())
+    });
+}
+
+fn check_request(
+    outputs: &[EngineOutput],
+    handle: u64,
+    submission: &Submission,
+) -> Result<(), TestCaseError> {
+    let own = RequestHandle(handle);
+    let refusals = outputs
+        .iter()
+        .filter(|output| matches!(output, EngineOutput::Refused(one, _) if *one == own));
+    let finished: Vec<FinishReason> = outputs
+        .iter()
+        .filter_map(|output| match output {
+            EngineOutput::Finished(one, reason) if *one == own => Some(*reason),
+            _ => None,
+        })
+        .collect();
+    let starts = outputs
+        .iter()
+        .filter(|output| **output == EngineOutput::Started(own))
+        .count();
+    let refusals = refusals.count();
+    prop_assert_eq!(
+        refusals + finished.len(),
+        1,
+        "one end of request {}",
+        handle
+    );
+    prop_assert!(starts <= 1);
+    prop_assert!(
+        refusals == 0 || starts == 0,
+        "a refused request did not run"
+    );
+    let given = positions(outputs, handle);
+    let end = submission.maximum_tokens;
+    let expected: Vec<u32> = (submission.resume_from.min(end)..end).collect();
+    if finished == [FinishReason::Complete] {
+        prop_assert_eq!(given, expected);
+    } else {
+        prop_assert!(expected.starts_with(&given));
+    }
+    Ok(())
+}
+
+#[test]
+fn the_same_inputs_give_the_same_outputs() {
+    check_property(vec(action(), 1..60), |actions| {
+        let run = || {
+            let mut trial = Trial::new();
+            for action in &actions {
+                trial.apply(action);
+            }
+            trial.run_dry();
+            (
+                trial.outputs,
+                trial.engine.current_report(),
+                trial.engine.audit(trial.now),
+            )
+        };
+        prop_assert_eq!(run(), run());
+        Ok(())
+    });
+}
+
+#[test]
+fn waiting_requests_start_by_urgency_then_arrival() {
+    check_property(vec(urgency(), 1..4), |urgencies| {
+        let mut settings = small_settings();
+        settings.limits.batch_slots = 1;
+        let mut driver = Driver::loaded(settings);
+        let mut first = request(100, 1, 3);
+        first.urgency = Urgency::Interactive;
+        driver.input(EngineInput::Submit(first));
+        for (handle, urgency) in (0_u64..).zip(&urgencies) {
+            let mut waiting = request(handle, 1, 3);
+            waiting.urgency = *urgency;
+            driver.input(EngineInput::Submit(waiting));
+        }
+        let started: Vec<u64> = driver
+            .run_dry()
+            .iter()
+            .filter_map(|output| match output {
+                EngineOutput::Started(handle) => Some(handle.0),
+                _ => None,
+            })
+            .collect();
+        let mut expected: Vec<u64> = (0..urgencies.len() as u64).collect();
+        expected.sort_by_key(|handle| urgencies[*handle as usize]);
+        prop_assert_eq!(started, expected);
+        Ok(())
+    });
+}
--- a/crates/millpass-standin/tests/outside_front.rs
+++ b/crates/millpass-standin/tests/outside_front.rs
@@ -1,41 +1,11 @@
 //! Weight store, web back end and platform list over loopback HTTP.
 
+mod common;
+
+use common::loopback::*;
 use millpass_proto::*;
-use millpass_standin::run::{FrontSettings, ScaledClock};
+use millpass_standin::run::ScaledClock;
 use millpass_standin::{content, engine, platform, web, weight_store};
-use std::time::{Duration as RealDuration, Instant};
-use ureq::Agent;
-
-const SCALE: f64 = 50.0;
-const PATIENCE: RealDuration = RealDuration::from_secs(20);
-
-fn fast() -> FrontSettings {
-    FrontSettings {
-        time_scale: SCALE,
-        ..FrontSettings::default()
-    }
-}
-
-fn agent() -> Agent {
-    let config = Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_global(Some(PATIENCE))
-        .build();
-    Agent::new_with_config(config)
-}
-
-fn get<T: serde::de::DeserializeOwned>(url: &str) -> T {
-    let mut answer = agent().get(url).call().unwrap();
-    answer.body_mut().read_json().unwrap()
-}
-
-fn wait_until(holds: impl Fn() -> bool) {
-    let begin = Instant::now();
-    while !holds() {
-        assert!(begin.elapsed() < PATIENCE, "condition did not come true");
-        std::thread::sleep(RealDuration::from_millis(2));
-    }
-}
 
 #[test]
 fn store_serves_up_to_its_limit_and_refuses_beyond() {
