--- a/crates/millpass-checkers/src/event.rs
+++ b/crates/millpass-checkers/src/event.rs
@@ -168,6 +168,8 @@
     RequestSent {
         /// Request.
         request: RequestId,
+        /// Tenant whose key it carries.
+        tenant: TenantName,
         /// Router it went to.
         router: ProcessName,
         /// When it must be answered or refused.
@@ -295,6 +297,11 @@
         /// Outcome.
         outcome: ObjectChangeOutcome,
     },
+    /// An operator was told that the removal of a tenant is accepted.
+    TenantRemoved {
+        /// Tenant.
+        tenant: TenantName,
+    },
     /// An operator asked for an object.
     ReadCalled {
         /// Number of the call, unique in the run.
--- a/crates/millpass-checkers/src/lib.rs
+++ b/crates/millpass-checkers/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answers;
 pub mod configuration;
 pub mod drain;
+pub mod enforcement;
 pub mod event;
 pub mod history;
 pub mod integrity;
@@ -62,6 +63,7 @@
     (leaving::NAME, leaving::check),
     (drain::NAME, drain::check),
     (configuration::NAME, configuration::check),
+    (enforcement::NAME, enforcement::check),
     (store::NAME, store::check),
     (
         linearizable::CONFIGURATION,
--- a/crates/millpass-checkers/src/limits.rs
+++ b/crates/millpass-checkers/src/limits.rs
@@ -10,6 +10,9 @@
     pub leaving_micros: u64,
     /// Time from an accepted change until each reachable router has applied it.
     pub in_force_micros: u64,
+    /// Time from an accepted change after which no router at all, reachable or not, admits by an
+    /// older catalog: the router's lease and the time to hand a request to it.
+    pub enforced_micros: u64,
     /// Time from the end of the last fault until requests are served again.
     pub recovery_micros: u64,
     /// Loads that may start at the weight store in any second.
@@ -27,6 +30,7 @@
             answer_grace_micros: 100_000,
             leaving_micros: 5_000_000,
             in_force_micros: 3_000_000,
+            enforced_micros: 5_000_000,
             recovery_micros: 15_000_000,
             store_loads_per_second: 3,
             store_concurrent_loads: 6,
--- a/crates/millpass-checkers/tests/breaches.rs
+++ b/crates/millpass-checkers/tests/breaches.rs
@@ -85,6 +85,11 @@
     (1, Event::StopPlanned { process: "engine-1".into() }),
     (2, run_ended(1, "engine-1", RunEnding::CutOff)),
 ])]
+#[case::removed_tenant_is_served("enforcement", vec![
+    (0, Event::TenantRemoved { tenant: "tenant".into() }),
+    (5_000_001, sent(1, "router-1", 6_000_000, None)),
+    (5_000_002, ended(1, whole(1))),
+])]
 #[case::too_many_loads_in_a_second("store", (0..4).flat_map(|load| [
     (load * 10, Event::StoreLoadStarted { load }),
     (load * 10 + 1, Event::StoreLoadEnded { load }),
--- a/crates/millpass-checkers/tests/builder/mod.rs
+++ b/crates/millpass-checkers/tests/builder/mod.rs
@@ -67,6 +67,7 @@
 pub fn sent(request: u64, router: &str, deadline_micros: u64, key: Option<&str>) -> Event {
     Event::RequestSent {
         request: RequestId(request),
+        tenant: "tenant".into(),
         router: ProcessName(router.into()),
         deadline_micros,
         expected: AnswerDigest(request),
--- /dev/null
+++ b/crates/millpass-sim/src/catalog.rs
@@ -0,0 +1,152 @@
+//! The catalog that a simulated deployment starts with.
+
+use crate::settings::Sizes;
+use anyhow::bail;
+use millpass_proto::{
+    AdapterSpec, BackendGroupSpec, ChangeId, Command, CommandOutcome, LogPosition, ModelName,
+    ModelSpec, ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind, ObjectSpec, PolicySpec,
+    TenantName, TenantSpec, VersionSpec,
+};
+use millpass_state::State;
+
+/// Tenants that stay.
+pub const TENANTS: usize = 3;
+/// Tenants that operators remove during a run.
+pub const REMOVED_TENANTS: usize = 2;
+/// Path that may be repeated.
+pub const RESULTS_PATH: &str = "/results/totals";
+/// Path that may not be repeated.
+pub const PUBLISH_PATH: &str = "/results/publish";
+/// Group of the web back ends.
+pub const WEB_GROUP: &str = "results";
+/// Model that has an adapter.
+pub const ADAPTED_MODEL: usize = 0;
+/// The adapter.
+pub const ADAPTER: &str = "adapter-0";
+
+const TENANT_CAPACITY_BYTES: u64 = 1_000_000_000;
+const MAXIMUM_WAITING: u32 = 64;
+const WEIGHTS_BYTES: u64 = 40_000;
+const CACHE_BYTES: u64 = 15_000;
+const ADAPTER_BYTES: u64 = 6_000;
+const CONCURRENCY: u32 = 4;
+
+/// Name of a tenant that stays.
+pub fn tenant(number: usize) -> TenantName {
+    TenantName(format!("tenant-{number}"))
+}
+
+/// Name of a tenant that is removed during the run.
+pub fn removed_tenant(number: usize) -> TenantName {
+    TenantName(format!("removed-{number}"))
+}
+
+/// API key of a tenant.
+pub fn api_key(tenant: &TenantName) -> String {
+    format!("key-of-{tenant}")
+}
+
+/// Name of a model.
+pub fn model(number: usize) -> ModelName {
+    ModelName(format!("model-{number}"))
+}
+
+/// Key of an object that operators race for.
+pub fn contested(number: usize) -> ObjectKey {
+    ObjectKey {
+        kind: ObjectKind::Tenant,
+        name: format!("contested-{number}"),
+    }
+}
+
+/// Content of a tenant.
+pub fn tenant_spec(tenant: &TenantName, share_weight: u32) -> ObjectSpec {
+    let key_hash = blake3::hash(api_key(tenant).as_bytes()).to_hex();
+    ObjectSpec::Tenant(TenantSpec {
+        api_key_hashes: vec![key_hash.to_string()],
+        share_weight,
+        capacity_bytes: TENANT_CAPACITY_BYTES,
+        maximum_waiting: MAXIMUM_WAITING,
+    })
+}
+
+/// The state with the whole catalog, and the position of its last change.
+pub fn initial_state(sizes: &Sizes) -> anyhow::Result<(State, LogPosition)> {
+    let mut state = State::default();
+    let mut at = LogPosition { term: 1, index: 0 };
+    for (kind, name, spec) in objects(sizes) {
+        at.index += 1;
+        let change = ObjectChange {
+            key: ObjectKey { kind, name },
+            expected_version: 0,
+            change_id: ChangeId(format!("initial-{}", at.index)),
+            operator: "operator".into(),
+            at_unix_millis: 0,
+            spec: Some(spec),
+        };
+        let outcome = state.apply(at, &Command::ChangeObject(change));
+        if !matches!(
+            outcome,
+            CommandOutcome::Object(ObjectChangeOutcome::Accepted(_))
+        ) {
+            bail!("initial catalog is refused: {outcome:?}; mend the simulator's catalog");
+        }
+    }
+    Ok((state, at))
+}
+
+fn objects(sizes: &Sizes) -> Vec<(ObjectKind, String, ObjectSpec)> {
+    let staying = (0..TENANTS).map(tenant);
+    let removed = (0..REMOVED_TENANTS).map(removed_tenant);
+    let mut objects: Vec<_> = staying
+        .chain(removed)
+        .map(|name| (ObjectKind::Tenant, name.0.clone(), tenant_spec(&name, 1)))
+        .collect();
+    for number in 0..sizes.models {
+        objects.extend(model_objects(number, sizes));
+    }
+    let adapter = ObjectSpec::Adapter(AdapterSpec {
+        model: model(ADAPTED_MODEL),
+        bytes: ADAPTER_BYTES,
+        checkpoint: ADAPTER.to_owned(),
+    });
+    objects.push((ObjectKind::Adapter, ADAPTER.to_owned(), adapter));
+    let group = ObjectSpec::BackendGroup(BackendGroupSpec {
+        path_prefix: "/results".to_owned(),
+        non_repeatable_paths: vec![PUBLISH_PATH.to_owned()],
+    });
+    objects.push((ObjectKind::BackendGroup, WEB_GROUP.to_owned(), group));
+    let policy = ObjectSpec::Policy(PolicySpec {
+        allow: "true".to_owned(),
+        deny: None,
+        urgency: None,
+        capacity_bytes: None,
+        examples: Vec::new(),
+    });
+    objects.push((ObjectKind::Policy, "allow-all".to_owned(), policy));
+    objects
+}
+
+fn model_objects(number: usize, sizes: &Sizes) -> Vec<(ObjectKind, String, ObjectSpec)> {
+    let name = model(number);
+    let wide = number + 1 == sizes.models;
+    let accelerators = if wide { 2 } else { 1 };
+    let model_spec = ObjectSpec::Model(ModelSpec {
+        current_version: "v1".into(),
+        accelerators_per_replica: accelerators,
+        maximum_replicas: 1 + number as u32 % 3,
+        minimum_replicas: 0,
+        concurrency_per_replica: CONCURRENCY,
+    });
+    let version = ObjectSpec::Version(VersionSpec {
+        model: name.clone(),
+        label: "v1".into(),
+        weights_bytes: WEIGHTS_BYTES * u64::from(accelerators),
+        cache_bytes: CACHE_BYTES * u64::from(accelerators),
+        checkpoint: format!("checkpoint-{number}"),
+    });
+    vec![
+        (ObjectKind::Model, name.0.clone(), model_spec),
+        (ObjectKind::Version, format!("{name}@v1"), version),
+    ]
+}
--- /dev/null
+++ b/crates/millpass-sim/src/injection.rs
@@ -0,0 +1,392 @@
+//! Faults and their ends, carried out on the deployment.
+
+use crate::event::{BackEnd, ControlEvent, RouterEvent, SimEvent};
+use crate::faults::{Fault, Member};
+use crate::settings::{MILLIS, SECONDS};
+use crate::world::World;
+use millpass_checkers::Event;
+use millpass_control_plane::ControlInput;
+use millpass_proto::BackendState;
+
+/// A back end whose process died starts again after this time.
+const RESTART_MICROS: u64 = 400 * MILLIS;
+
+impl World {
+    /// Carries out a fault.
+    pub(crate) fn inject(&mut self, fault: Fault) {
+        self.statistics.fault(kind_of(&fault));
+        self.record(Event::Disturbed {
+            what: format!("{fault:?}"),
+        });
+        match fault {
+            Fault::KillControl(member) => self.with_member(member, World::kill_control),
+            Fault::LoseDisk(member) => self.with_member(member, World::lose_disk),
+            Fault::StartControl(member) => self.with_member(member, World::start_dead_control),
+            Fault::FreezeControl(member) => self.with_member(member, World::freeze_control),
+            Fault::FreezeLeaderAtOrder => self.freeze_leader_at_order = true,
+            Fault::WakeControl => self.wake_all_control(),
+            Fault::DrainControl(member) => self.with_member(member, World::drain_control),
+            Fault::KillRouter(router) => self.kill_router(router),
+            Fault::StartRouter(router) => self.start_router(router),
+            Fault::FreezeRouter(router) => self.freeze_router(router),
+            Fault::FreezeRouterAtDispatch(router) => {
+                self.routers[router].freeze_at_dispatch = true;
+            }
+            Fault::WakeRouter(router) => self.wake_router(router),
+            Fault::DrainRouter(router) => self.drain_router(router),
+            Fault::KillEngine(engine) => self.kill_engine(engine),
+            Fault::KillNextLoadingEngine => self.kill_next_loading_engine = true,
+            Fault::ReclaimEngine(engine) => self.reclaim_engine(engine),
+            Fault::ReturnEngine(engine) => self.return_back_end(BackEnd::Engine(engine)),
+            Fault::LeaveEngine(engine) => self.leave(BackEnd::Engine(engine)),
+            Fault::KillWeb(web) => self.kill_web(web),
+            Fault::LeaveWeb(web) => self.leave(BackEnd::Web(web)),
+            Fault::ReturnWeb(web) => self.return_back_end(BackEnd::Web(web)),
+            Fault::Cut(from, to) => self.network.cut(from, to),
+            Fault::Mend(from, to) => self.network.mend(from, to),
+            Fault::BadNetwork(bad) => self.network.set_bad(bad),
+            Fault::SlowStore(slow) => self.slow_store = slow,
+            Fault::StaleReports(stale) => self.stale_reports = stale,
+        }
+        self.update_reachable();
+    }
+
+    /// Mends everything.
+    pub(crate) fn heal(&mut self) {
+        self.network.mend_all();
+        self.slow_store = false;
+        self.stale_reports = false;
+        self.freeze_leader_at_order = false;
+        self.kill_next_loading_engine = false;
+        self.wake_all_control();
+        for place in 0..self.control.len() {
+            self.start_dead_control(place);
+        }
+        for router in 0..self.routers.len() {
+            self.routers[router].freeze_at_dispatch = false;
+            self.wake_router(router);
+            self.start_router(router);
+        }
+        for engine in 0..self.engines.len() {
+            self.return_back_end(BackEnd::Engine(engine));
+        }
+        for web in 0..self.web.len() {
+            self.return_back_end(BackEnd::Web(web));
+        }
+        self.record(Event::AllHealed);
+        self.update_reachable();
+    }
+
+    fn with_member(&mut self, member: Member, action: fn(&mut World, usize)) {
+        let place = match member {
+            Member::At(place) => Some(place),
+            Member::Leader => self.leader_place(),
+            Member::Follower(number) => self.follower_place(number),
+            Member::FirstDead => self.dead_in_order.first().copied(),
+        };
+        if let Some(place) = place {
+            action(self, place);
+        }
+    }
+
+    fn leader_place(&self) -> Option<usize> {
+        let leader = self.observer.leader()?;
+        let leads = |node: &crate::control_node::ControlNode| node.address.member == leader;
+        self.control.iter().position(leads)
+    }
+
+    fn follower_place(&self, number: usize) -> Option<usize> {
+        let leader = self.leader_place();
+        let followers: Vec<usize> = (0..self.control.len())
+            .filter(|place| self.control[*place].runs() && Some(*place) != leader)
+            .collect();
+        followers.get(number % followers.len().max(1)).copied()
+    }
+
+    fn kill_control(&mut self, place: usize) {
+        if self.control[place].core.is_none() {
+            return;
+        }
+        let process = Self::control_name(place);
+        self.record(Event::Killed { process });
+        self.end_control(place);
+        self.dead_in_order.push(place);
+    }
+
+    fn lose_disk(&mut self, place: usize) {
+        self.kill_control(place);
+        self.control[place].disk = crate::world::empty_disk();
+        self.control[place].disk_lost = true;
+    }
+
+    fn start_dead_control(&mut self, place: usize) {
+        self.dead_in_order.retain(|dead| *dead != place);
+        self.start_control(place);
+    }
+
+    /// A control member's process stops running.
+    pub(crate) fn freeze_control(&mut self, place: usize) {
+        if !self.control[place].runs() {
+            return;
+        }
+        self.control[place].frozen = true;
+        let process = Self::control_name(place);
+        self.record(Event::Frozen { process });
+        self.update_reachable();
+    }
+
+    fn wake_all_control(&mut self) {
+        for place in 0..self.control.len() {
+            if self.control[place].frozen {
+                self.wake_control(place);
+            }
+        }
+    }
+
+    /// A frozen member runs again and handles late what came meanwhile.
+    fn wake_control(&mut self, place: usize) {
+        self.control[place].frozen = false;
+        let process = Self::control_name(place);
+        self.record(Event::Woken { process });
+        let backlog = std::mem::take(&mut self.control[place].backlog);
+        for event in backlog {
+            self.control_later(place, 0, event);
+        }
+        self.control_later(place, 0, ControlEvent::Tick);
+    }
+
+    fn drain_control(&mut self, place: usize) {
+        if !self.control[place].runs() {
+            return;
+        }
+        let process = Self::control_name(place);
+        self.record(Event::StopPlanned { process });
+        self.control[place].draining = true;
+        self.control_step(place, ControlInput::Drain);
+    }
+
+    fn kill_router(&mut self, router: usize) {
+        if self.routers[router].core.is_none() {
+            return;
+        }
+        let process = self.router_name(router);
+        self.record(Event::Killed { process });
+        self.end_router(router);
+    }
+
+    /// A router's process stops running.
+    pub(crate) fn freeze_router(&mut self, router: usize) {
+        if self.routers[router].core.is_none() || self.routers[router].frozen {
+            return;
+        }
+        self.routers[router].frozen = true;
+        let process = self.router_name(router);
+        self.record(Event::Frozen { process });
+        self.update_reachable();
+    }
+
+    fn wake_router(&mut self, router: usize) {
+        if !self.routers[router].frozen {
+            return;
+        }
+        self.routers[router].frozen = false;
+        let process = self.router_name(router);
+        self.record(Event::Woken { process });
+        let backlog = std::mem::take(&mut self.routers[router].backlog);
+        for event in backlog {
+            // Handed over as what it is, so that a request is not recorded as sent twice.
+            self.router_later(router, 0, RouterEvent::Woken(Box::new(event)));
+        }
+        self.router_later(router, 0, RouterEvent::Tick);
+        self.router_later(router, 0, RouterEvent::Poll);
+    }
+
+    fn kill_engine(&mut self, engine: usize) {
+        if !self.engines[engine].alive {
+            return;
+        }
+        let process = self.back_end_name(BackEnd::Engine(engine));
+        self.record(Event::Killed { process });
+        self.end_engine(engine);
+        let back = SimEvent::Fault(Fault::ReturnEngine(engine));
+        self.queue.push(self.now + RESTART_MICROS, back);
+    }
+
+    /// Kills an engine that has begun to load, when that was asked for.
+    pub(crate) fn kill_loading_engine_if_armed(&mut self, engine: usize) {
+        if !self.kill_next_loading_engine {
+            return;
+        }
+        self.kill_next_loading_engine = false;
+        let at = self.now + self.random.below(300 * MILLIS);
+        self.queue.push(at, SimEvent::Fault(Fault::KillEngine(engine)));
+    }
+
+    fn reclaim_engine(&mut self, engine: usize) {
+        if !self.engines[engine].alive {
+            return;
+        }
+        let process = self.back_end_name(BackEnd::Engine(engine));
+        self.record(Event::Killed { process });
+        self.end_engine(engine);
+        self.engines[engine].reclaimed = true;
+        let name = self.engines[engine].name.clone();
+        let visible_at = self.visible_at();
+        self.platform.change(visible_at, &name, None);
+    }
+
+    fn kill_web(&mut self, web: usize) {
+        if !self.web[web].alive {
+            return;
+        }
+        let process = self.back_end_name(BackEnd::Web(web));
+        self.record(Event::Killed { process });
+        self.end_web(web);
+        let back = SimEvent::Fault(Fault::ReturnWeb(web));
+        self.queue.push(self.now + RESTART_MICROS, back);
+    }
+
+    fn visible_at(&mut self) -> u64 {
+        self.now + self.random.below(self.settings.times.platform_lag)
+    }
+
+    /// A dead back end starts again, on its old machine or on a new one of the same name.
+    fn return_back_end(&mut self, backend: BackEnd) {
+        if self.is_alive(backend) {
+            return;
+        }
+        let (machine, empty) = match backend {
+            BackEnd::Engine(engine) => {
+                let node = &self.engines[engine];
+                (node.machine(BackendState::Live), node.reclaimed)
+            }
+            BackEnd::Web(web) => (self.web[web].machine(BackendState::Live), false),
+        };
+        match backend {
+            BackEnd::Engine(engine) => self.start_engine(engine, empty),
+            BackEnd::Web(web) => self.start_web(web),
+        }
+        if self.platform.latest(&machine.backend) != Some(&machine) {
+            let visible_at = self.visible_at();
+            let name = machine.backend.clone();
+            self.platform.change(visible_at, &name, Some(machine));
+        }
+    }
+
+    /// A back end is announced as leaving, and stops after its notice.
+    fn leave(&mut self, backend: BackEnd) {
+        if !self.is_alive(backend) {
+            return;
+        }
+        let (machine, run) = match backend {
+            BackEnd::Engine(engine) => {
+                let node = &self.engines[engine];
+                (node.machine(BackendState::Leaving), node.run)
+            }
+            BackEnd::Web(web) => {
+                let node = &self.web[web];
+                (node.machine(BackendState::Leaving), node.run)
+            }
+        };
+        if self.platform.is_leaving(&machine.backend) {
+            return;
+        }
+        let name = machine.backend.clone();
+        let visible_at = self.visible_at();
+        let visible_at = self.platform.change(visible_at, &name, Some(machine));
+        self.queue
+            .push(visible_at, SimEvent::ListedLeaving(backend, run));
+        let stop = visible_at + self.settings.times.leave_notice;
+        self.queue.push(stop, SimEvent::LeavingStops(backend, run));
+    }
+
+    /// The list shows a back end as leaving.
+    pub(crate) fn listed_leaving(&mut self, backend: BackEnd, run: u64) {
+        let (name, incarnation, present) = match backend {
+            BackEnd::Engine(engine) => {
+                let node = &self.engines[engine];
+                (node.name.clone(), node.incarnation, node.run)
+            }
+            BackEnd::Web(web) => {
+                let node = &self.web[web];
+                (node.name.clone(), node.incarnation, node.run)
+            }
+        };
+        if present == run {
+            self.record(Event::ListedLeaving {
+                backend: name,
+                incarnation,
+            });
+        }
+    }
+
+    /// The notice of a leaving machine is over.
+    pub(crate) fn leaving_stops(&mut self, backend: BackEnd, run: u64) {
+        let present = match backend {
+            BackEnd::Engine(engine) => self.engines[engine].run,
+            BackEnd::Web(web) => self.web[web].run,
+        };
+        if present != run {
+            return;
+        }
+        let process = self.back_end_name(backend);
+        self.record(Event::StopPlanned {
+            process: process.clone(),
+        });
+        match backend {
+            BackEnd::Engine(engine) => {
+                self.end_engine(engine);
+                self.engines[engine].reclaimed = true;
+            }
+            BackEnd::Web(web) => self.end_web(web),
+        }
+        self.record(Event::Stopped { process });
+        let name = match backend {
+            BackEnd::Engine(engine) => self.engines[engine].name.clone(),
+            BackEnd::Web(web) => self.web[web].name.clone(),
+        };
+        let visible_at = self.visible_at();
+        self.platform.change(visible_at, &name, None);
+        let back = match backend {
+            BackEnd::Engine(engine) => Fault::ReturnEngine(engine),
+            BackEnd::Web(web) => Fault::ReturnWeb(web),
+        };
+        self.queue
+            .push(self.now + 4 * SECONDS, SimEvent::Fault(back));
+    }
+}
+
+/// Name of a fault's kind; ends of faults are counted apart.
+fn kind_of(fault: &Fault) -> &'static str {
+    match fault {
+        Fault::KillControl(_) => "kill-control",
+        Fault::LoseDisk(_) => "lose-disk",
+        Fault::FreezeControl(_) => "freeze-control",
+        Fault::FreezeLeaderAtOrder => "freeze-leader-at-order",
+        Fault::DrainControl(_) => "drain-control",
+        Fault::KillRouter(_) => "kill-router",
+        Fault::FreezeRouter(_) => "freeze-router",
+        Fault::FreezeRouterAtDispatch(_) => "freeze-router-at-dispatch",
+        Fault::DrainRouter(_) => "drain-router",
+        Fault::KillEngine(_) => "kill-engine",
+        Fault::KillNextLoadingEngine => "kill-loading-engine",
+        Fault::ReclaimEngine(_) => "reclaim-engine",
+        Fault::LeaveEngine(_) => "leave-engine",
+        Fault::KillWeb(_) => "kill-web",
+        Fault::LeaveWeb(_) => "leave-web",
+        Fault::Cut(_, _) => "cut",
+        Fault::BadNetwork(true) => "bad-network",
+        Fault::SlowStore(true) => "slow-store",
+        Fault::StaleReports(true) => "stale-reports",
+        Fault::StartControl(_)
+        | Fault::WakeControl
+        | Fault::StartRouter(_)
+        | Fault::WakeRouter(_)
+        | Fault::ReturnEngine(_)
+        | Fault::ReturnWeb(_)
+        | Fault::Mend(_, _)
+        | Fault::BadNetwork(false)
+        | Fault::SlowStore(false)
+        | Fault::StaleReports(false) => "ends-of-faults",
+    }
+}
--- /dev/null
+++ b/crates/millpass-sim/src/network.rs
@@ -0,0 +1,109 @@
+//! The network between zones: delay, jitter, cuts in one or both directions, loss and doubling.
+
+use crate::random::Random;
+use std::collections::BTreeSet;
+
+/// Index of a zone.
+pub type Zone = usize;
+
+const INSIDE_MICROS: u64 = 200;
+const BETWEEN_MICROS: u64 = 1_500;
+const JITTER_MICROS: u64 = 300;
+const BAD_LOSS_PERMILLE: u64 = 50;
+const BAD_DOUBLED_PERMILLE: u64 = 50;
+const BAD_LATE_PERMILLE: u64 = 100;
+const BAD_LATE_MICROS: u64 = 400_000;
+const RETRANSMISSION_MICROS: u64 = 200_000;
+/// A doubled message's copy may come this much later, from an old retransmission.
+const BAD_COPY_MICROS: u64 = 3_000_000;
+
+/// State of the network.
+#[derive(Default)]
+pub struct Network {
+    cuts: BTreeSet<(Zone, Zone)>,
+    bad: bool,
+    /// Messages lost, doubled and late, for the report of the run.
+    pub disturbed_messages: u64,
+}
+
+impl Network {
+    /// Cuts one direction.
+    pub fn cut(&mut self, from: Zone, to: Zone) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Mends one direction.
+    pub fn mend(&mut self, from: Zone, to: Zone) {
+        self.cuts.remove(&(from, to));
+    }
+
+    /// Mends everything.
+    pub fn mend_all(&mut self) {
+        self.cuts.clear();
+        self.bad = false;
+    }
+
+    /// Makes messages late, lost, doubled and reordered, or stops it.
+    pub fn set_bad(&mut self, bad: bool) {
+        self.bad = bad;
+    }
+
+    /// Whether it is bad.
+    pub fn is_bad(&self) -> bool {
+        self.bad
+    }
+
+    /// Whether a message may pass in this direction.
+    pub fn passes(&self, from: Zone, to: Zone) -> bool {
+        from == to || !self.cuts.contains(&(from, to))
+    }
+
+    /// Whether messages may pass in both directions.
+    pub fn passes_both(&self, one: Zone, other: Zone) -> bool {
+        self.passes(one, other) && self.passes(other, one)
+    }
+
+    /// Delay of a message; none when it is cut off or lost.
+    pub fn delay(&mut self, random: &mut Random, from: Zone, to: Zone) -> Option<u64> {
+        if !self.passes(from, to) {
+            return None;
+        }
+        let base = if from == to {
+            INSIDE_MICROS
+        } else {
+            BETWEEN_MICROS
+        };
+        let delay = base + random.below(JITTER_MICROS);
+        if !self.bad {
+            return Some(delay);
+        }
+        if random.chance(BAD_LOSS_PERMILLE) {
+            self.disturbed_messages += 1;
+            return None;
+        }
+        if random.chance(BAD_LATE_PERMILLE) {
+            self.disturbed_messages += 1;
+            return Some(delay + random.below(BAD_LATE_MICROS));
+        }
+        Some(delay)
+    }
+
+    /// Delay of a message on a stream, which sends again what is lost; none when it is cut off.
+    pub fn stream_delay(&mut self, random: &mut Random, from: Zone, to: Zone) -> Option<u64> {
+        if !self.passes(from, to) {
+            return None;
+        }
+        let delay = self.delay(random, from, to);
+        Some(delay.unwrap_or_else(|| RETRANSMISSION_MICROS + random.below(BAD_LATE_MICROS)))
+    }
+
+    /// Delays of a message and, on a bad network, of its copy.
+    pub fn delays(&mut self, random: &mut Random, from: Zone, to: Zone) -> Vec<u64> {
+        let mut delays: Vec<u64> = self.delay(random, from, to).into_iter().collect();
+        if self.bad && self.passes(from, to) && random.chance(BAD_DOUBLED_PERMILLE) {
+            self.disturbed_messages += 1;
+            delays.push(BETWEEN_MICROS + random.below(BAD_COPY_MICROS));
+        }
+        delays
+    }
+}
--- /dev/null
+++ b/crates/millpass-sim/src/router_attempts.rs
@@ -0,0 +1,240 @@
+//! Attempts that a router's host sends to back ends, and what comes of them.
+
+use crate::content::{ContentSeed, to_bytes};
+use crate::event::{
+    ANY_RUN, AnswerPart, AttemptKey, BackEnd, BackEndRequest, EngineEvent, ReplyTo, RouterEvent,
+    WebEvent,
+};
+use crate::router_node::RunningAttempt;
+use crate::settings::MILLIS;
+use crate::world::World;
+use millpass_proto::RecordedAnswer;
+use millpass_routing::{AttemptFailure, Dispatch, RequestNumber, RoutingInput, Target};
+
+const CONNECT_TIMEOUT_MICROS: u64 = 250 * MILLIS;
+const STATUS_OK: u32 = 200;
+
+impl World {
+    /// Sends an attempt, unless it is too late for that.
+    pub(crate) fn send_attempt(&mut self, router: usize, dispatch: Dispatch) {
+        let request = dispatch.request;
+        let key = AttemptKey {
+            request: request.0,
+            attempt: dispatch.attempt,
+        };
+        if !self.routers[router].requests.contains_key(&request.0) {
+            return;
+        }
+        let local = self.routers[router].clock.local(self.now);
+        let too_late = local > dispatch.send_before && self.settings.mechanisms.send_before;
+        let Some(backend) = self.back_end_at(&dispatch.address) else {
+            return self.not_sent(router, key, 0);
+        };
+        self.begin_attempt(router, key, backend, dispatch.record);
+        if too_late {
+            self.statistics.attempts_not_sent += 1;
+            return self.not_sent(router, key, 0);
+        }
+        let (from, to) = (self.routers[router].zone, self.zone_of(backend));
+        if !self.network.passes_both(from, to) {
+            return self.not_sent(router, key, CONNECT_TIMEOUT_MICROS);
+        }
+        if !self.is_alive(backend) {
+            return self.not_sent(router, key, 2 * MILLIS);
+        }
+        let request = self.back_end_request(router, key, &dispatch);
+        self.statistics.attempts += 1;
+        let delay = self.network.stream_delay(&mut self.random, from, to);
+        match backend {
+            BackEnd::Engine(engine) => {
+                let event = EngineEvent::Request(Box::new(request));
+                self.engine_later(engine, ANY_RUN, delay.unwrap_or(MILLIS), event);
+            }
+            BackEnd::Web(web) => {
+                let event = WebEvent::Request(Box::new(request));
+                self.web_later(web, ANY_RUN, delay.unwrap_or(MILLIS), event);
+            }
+        }
+        let timeout = self.settings.times.attempt_timeout;
+        self.router_later(router, timeout, RouterEvent::NoProgress(key, 0));
+    }
+
+    fn begin_attempt(&mut self, router: usize, key: AttemptKey, backend: BackEnd, record: bool) {
+        if let Some(served) = self.routers[router].requests.get_mut(&key.request) {
+            served.attempt = Some(RunningAttempt {
+                key,
+                backend,
+                answered: false,
+                progress: 0,
+                record,
+            });
+        }
+    }
+
+    /// No byte left: the core is told after the time that it takes to find out.
+    fn not_sent(&mut self, router: usize, key: AttemptKey, delay: u64) {
+        let failed = RouterEvent::Failed(key, AttemptFailure::NotSent);
+        self.router_later(router, delay, failed);
+    }
+
+    fn back_end_request(
+        &self,
+        router: usize,
+        key: AttemptKey,
+        dispatch: &Dispatch,
+    ) -> BackEndRequest {
+        let node = &self.routers[router];
+        let caller = &node.requests[&key.request].caller;
+        let adapter = match &caller.target {
+            Target::Model { adapter, .. } => adapter.clone(),
+            Target::Web { .. } => None,
+        };
+        BackEndRequest {
+            request: caller.id,
+            key: caller.key.clone(),
+            seed: ContentSeed::of(caller.id, caller.key.as_ref()),
+            length: caller.length,
+            resume_from: dispatch.resume_from,
+            slot: dispatch.slot.as_ref().map(|(slot, _)| *slot),
+            adapter,
+            reply_to: ReplyTo {
+                router,
+                run: node.run,
+                key,
+            },
+        }
+    }
+
+    /// Part of an answer came.
+    pub(crate) fn take_answer(&mut self, router: usize, key: AttemptKey, part: AnswerPart) {
+        if self.settings.mechanisms.drops_old_attempts && !self.is_present(router, key) {
+            return;
+        }
+        let Some(served) = self.routers[router].requests.get_mut(&key.request) else {
+            return;
+        };
+        let mut first = false;
+        if let Some(attempt) = &mut served.attempt {
+            first = !attempt.answered;
+            attempt.answered = true;
+            attempt.progress += 1;
+        }
+        let progress = served.attempt.map_or(0, |attempt| attempt.progress);
+        let last = part.last;
+        served.passed += part.tokens.len() as u64;
+        let (caller, stream) = (served.caller.id, served.caller.stream);
+        if stream {
+            self.pass_on(caller, part);
+        } else {
+            served.kept.extend(part.tokens);
+        }
+        if first {
+            let number = RequestNumber(key.request);
+            self.router_step(router, RoutingInput::FirstByte(number));
+        }
+        if last {
+            return self.answer_is_whole(router, key);
+        }
+        let timeout = self.settings.times.attempt_timeout;
+        self.router_later(router, timeout, RouterEvent::NoProgress(key, progress));
+    }
+
+    fn answer_is_whole(&mut self, router: usize, key: AttemptKey) {
+        let Some(served) = self.routers[router].requests.get(&key.request) else {
+            return;
+        };
+        let tokens = served.kept.clone();
+        let record = served.attempt.is_some_and(|attempt| attempt.record);
+        let answer = record.then(|| RecordedAnswer {
+            status: STATUS_OK,
+            content_type: "application/octet-stream".to_owned(),
+            body: to_bytes(&tokens).into(),
+        });
+        if served.caller.stream {
+            self.routers[router].requests.remove(&key.request);
+        } else {
+            self.answer_whole(router, key.request, tokens);
+        }
+        let request = RequestNumber(key.request);
+        self.router_step(router, RoutingInput::Completed { request, answer });
+    }
+
+    /// An attempt failed.
+    pub(crate) fn attempt_failed(
+        &mut self,
+        router: usize,
+        key: AttemptKey,
+        failure: AttemptFailure,
+    ) {
+        if !self.is_present(router, key) {
+            return;
+        }
+        let Some(served) = self.routers[router].requests.get_mut(&key.request) else {
+            return;
+        };
+        served.attempt = None;
+        let to_caller = if served.caller.stream { served.passed } else { 0 };
+        if !served.caller.stream {
+            served.kept.clear();
+            served.passed = 0;
+        }
+        let failure = match failure {
+            AttemptFailure::MayHaveRun if !self.settings.mechanisms.honest_failures => {
+                AttemptFailure::NotSent
+            }
+            AttemptFailure::MayHaveRun if to_caller > 0 => {
+                AttemptFailure::BrokenOff { tokens: to_caller }
+            }
+            other => other,
+        };
+        self.statistics.failed_attempts += 1;
+        let request = RequestNumber(key.request);
+        self.router_step(router, RoutingInput::Failed { request, failure });
+    }
+
+    /// An attempt that made no progress for too long is given up.
+    pub(crate) fn no_progress(&mut self, router: usize, key: AttemptKey, progress: u64) {
+        let served = self.routers[router].requests.get(&key.request);
+        let attempt = served.and_then(|served| served.attempt);
+        let stuck = attempt.is_some_and(|one| one.key == key && one.progress == progress);
+        if stuck {
+            self.cancel_at_back_end(router, key);
+            self.attempt_failed(router, key, AttemptFailure::MayHaveRun);
+        }
+    }
+
+    /// Cancels the attempt of a request that goes on, if any.
+    pub(crate) fn cancel_attempt(&mut self, router: usize, request: u64) {
+        let Some(served) = self.routers[router].requests.get_mut(&request) else {
+            return;
+        };
+        if let Some(attempt) = served.attempt {
+            self.cancel_at_back_end(router, attempt.key);
+        }
+        if let Some(served) = self.routers[router].requests.get_mut(&request) {
+            served.attempt = None;
+        }
+    }
+
+    fn cancel_at_back_end(&mut self, router: usize, key: AttemptKey) {
+        let served = self.routers[router].requests.get(&key.request);
+        let Some(attempt) = served.and_then(|served| served.attempt) else {
+            return;
+        };
+        let reply_to = ReplyTo {
+            router,
+            run: self.routers[router].run,
+            key,
+        };
+        let (from, to) = (self.routers[router].zone, self.zone_of(attempt.backend));
+        let Some(delay) = self.network.stream_delay(&mut self.random, from, to) else {
+            return;
+        };
+        match attempt.backend {
+            BackEnd::Engine(engine) => {
+                self.engine_later(engine, ANY_RUN, delay, EngineEvent::Cancel(reply_to));
+            }
+            BackEnd::Web(web) => self.web_later(web, ANY_RUN, delay, WebEvent::Cancel(reply_to)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/millpass-sim/src/run.rs
@@ -0,0 +1,149 @@
+//! One run of a scenario under a seed, and many runs over threads.
+
+use crate::faults::Fault;
+use crate::scenario::Scenario;
+use crate::settings::Settings;
+use crate::statistics::Statistics;
+use crate::world::World;
+use crossbeam::channel;
+use millpass_checkers::{Breach, check};
+use std::ops::Range;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+/// What a run came to.
+pub struct RunReport {
+    /// Seed.
+    pub seed: u64,
+    /// Breaches of what must always hold.
+    pub breaches: Vec<Breach>,
+    /// Why the run itself failed: a panic of a core, or of the simulator.
+    pub failure: Option<String>,
+    /// Hash of everything that happened.
+    pub trace_hash: u64,
+    /// Counts.
+    pub statistics: Statistics,
+    /// Lines of the trace, when kept.
+    pub lines: Vec<String>,
+}
+
+impl RunReport {
+    /// Whether everything held.
+    pub fn holds(&self) -> bool {
+        self.breaches.is_empty() && self.failure.is_none()
+    }
+}
+
+/// Runs a scenario under a seed.
+pub fn run_scenario(scenario: &Scenario, seed: u64, keep_lines: bool) -> RunReport {
+    run_with(scenario, seed, keep_lines, Settings::default())
+}
+
+/// Runs a scenario under a seed with other settings than the usual.
+pub fn run_with(
+    scenario: &Scenario,
+    seed: u64,
+    keep_lines: bool,
+    mut settings: Settings,
+) -> RunReport {
+    let plan = scenario.prepare(seed, &mut settings);
+    run_plan(settings, plan, seed, keep_lines)
+}
+
+/// Runs a plan of one's own.
+pub fn run_plan(
+    settings: Settings,
+    plan: Vec<(u64, Fault)>,
+    seed: u64,
+    keep_lines: bool,
+) -> RunReport {
+    let attempt = catch_unwind(AssertUnwindSafe(|| {
+        run_world(settings, plan, seed, keep_lines)
+    }));
+    match attempt {
+        Ok(Ok(report)) => report,
+        Ok(Err(error)) => failed(seed, error.to_string()),
+        Err(panic) => failed(seed, panic_text(panic.as_ref())),
+    }
+}
+
+fn run_world(
+    settings: Settings,
+    plan: Vec<(u64, Fault)>,
+    seed: u64,
+    keep_lines: bool,
+) -> anyhow::Result<RunReport> {
+    let limits = settings.limits.clone();
+    let mut world = World::new(settings, seed, keep_lines)?;
+    world.run(plan);
+    world.statistics.disturbed_messages = world.network.disturbed_messages;
+    Ok(RunReport {
+        seed,
+        breaches: check(&world.history, &limits),
+        failure: world.failure.take(),
+        trace_hash: world.trace.hash(),
+        lines: world.trace.lines().cloned().collect(),
+        statistics: world.statistics,
+    })
+}
+
+fn failed(seed: u64, reason: String) -> RunReport {
+    RunReport {
+        seed,
+        breaches: Vec::new(),
+        failure: Some(reason),
+        trace_hash: 0,
+        statistics: Statistics::default(),
+        lines: Vec::new(),
+    }
+}
+
+fn panic_text(panic: &(dyn std::any::Any + Send)) -> String {
+    let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
+    let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
+    format!("panic: {}", text.unwrap_or_default())
+}
+
+/// What many runs came to.
+#[derive(Default)]
+pub struct Summary {
+    /// Runs.
+    pub runs: u64,
+    /// Counts over all of them.
+    pub statistics: Statistics,
+    /// The runs in which something did not hold, by seed.
+    pub broken: Vec<RunReport>,
+}
+
+/// Runs a scenario under each seed, over some threads.
+pub fn run_seeds(scenario: &'static Scenario, seeds: Range<u64>, threads: usize) -> Summary {
+    let (seed_sender, seed_receiver) = channel::unbounded();
+    let (report_sender, report_receiver) = channel::bounded(threads.max(1));
+    for seed in seeds {
+        // The receiver lives until the end of this function.
+        let _ = seed_sender.send(seed);
+    }
+    drop(seed_sender);
+    let mut summary = Summary::default();
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            let (seeds, reports) = (seed_receiver.clone(), report_sender.clone());
+            scope.spawn(move || {
+                for seed in seeds {
+                    if reports.send(run_scenario(scenario, seed, false)).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+        drop(report_sender);
+        for report in report_receiver {
+            summary.runs += 1;
+            summary.statistics.add(&report.statistics);
+            if !report.holds() {
+                summary.broken.push(report);
+            }
+        }
+    });
+    summary.broken.sort_by_key(|report| report.seed);
+    summary
+}
