--- a/crates/millpass-lab/src/fleet/settings_files.rs
+++ b/crates/millpass-lab/src/fleet/settings_files.rs
@@ -127,14 +127,23 @@
     });
     let weights = deployment.weights;
     let scheduling = table([
-        ("cold_start_weight", Value::Integer(weights.cold_start.into())),
+        (
+            "cold_start_weight",
+            Value::Integer(weights.cold_start.into()),
+        ),
         ("idle_weight", Value::Integer(weights.idle.into())),
         ("keep_alive", text(&keep_alive.word)),
     ]);
     let limits = deployment.store;
     let store = table([
-        ("loads_per_second", Value::Integer(limits.loads_per_second.into())),
-        ("concurrent_loads", Value::Integer(limits.concurrent_loads.into())),
+        (
+            "loads_per_second",
+            Value::Integer(limits.loads_per_second.into()),
+        ),
+        (
+            "concurrent_loads",
+            Value::Integer(limits.concurrent_loads.into()),
+        ),
         (
             "bytes_per_second",
             Value::Integer(i64::try_from(limits.bytes_per_second).unwrap_or(i64::MAX)),
--- a/crates/millpass-sim/src/back_ends.rs
+++ b/crates/millpass-sim/src/back_ends.rs
@@ -155,7 +155,6 @@
     }
 }
 
-
 impl BackEnd {
     /// Number to order and hash by.
     pub fn number(&self) -> u64 {
--- a/crates/millpass-sim/src/callers.rs
+++ b/crates/millpass-sim/src/callers.rs
@@ -163,7 +163,11 @@
             allowed_micros: random.between(SHORTEST_DEADLINE, LONGEST_DEADLINE),
             sent_at: 0,
             stream: !web && !keyed && random.chance(STREAM_PERMILLE),
-            length: if web { 1 } else { random.between(1, LONGEST_ANSWER) },
+            length: if web {
+                1
+            } else {
+                random.between(1, LONGEST_ANSWER)
+            },
             key,
             resends: if keyed { RESENDS } else { 0 },
             hang_up_after: hangs_up.then(|| random.between(1, HANG_UP_MICROS)),
--- a/crates/millpass-sim/src/content.rs
+++ b/crates/millpass-sim/src/content.rs
@@ -55,7 +55,10 @@
 
 /// Tokens as bytes, for recorded answers.
 pub fn to_bytes(tokens: &[u64]) -> Vec<u8> {
-    tokens.iter().flat_map(|token| token.to_le_bytes()).collect()
+    tokens
+        .iter()
+        .flat_map(|token| token.to_le_bytes())
+        .collect()
 }
 
 /// What [`to_bytes`] gave.
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -87,7 +87,11 @@
                 }
             }
             ControlEvent::Closed(connection) => {
-                if self.control[place].connections.remove(&connection).is_some() {
+                if self.control[place]
+                    .connections
+                    .remove(&connection)
+                    .is_some()
+                {
                     self.control_step(place, ControlInput::RouterDisconnected(connection));
                 }
             }
@@ -127,7 +131,9 @@
                 let event = ControlEvent::SnapshotSaved(Box::new(snapshot));
                 self.control_later(place, SNAPSHOT_MICROS, event);
             }
-            ControlOutput::Event(event) => self.trace_event("control", place, event.name, &event.pairs),
+            ControlOutput::Event(event) => {
+                self.trace_event("control", place, event.name, &event.pairs)
+            }
             ControlOutput::SendPeer { address, envelope } => {
                 self.send_peer(place, &address, envelope);
             }
@@ -180,7 +186,9 @@
 
     fn send_peer(&mut self, place: usize, address: &str, envelope: PeerEnvelope) {
         if let PeerMessage::AppendRequest(request) = &envelope.message {
-            let events = self.observer.leads(envelope.from, envelope.term, request.commit);
+            let events = self
+                .observer
+                .leads(envelope.from, envelope.term, request.commit);
             self.record_all(events);
         }
         let Some(target) = self.place_of_peer(address) else {
--- a/crates/millpass-sim/src/disk.rs
+++ b/crates/millpass-sim/src/disk.rs
@@ -32,7 +32,11 @@
 
     /// Syncs every write up to this number.
     pub fn sync(&mut self, write: u64) {
-        while self.unsynced.front().is_some_and(|first| first.write <= write) {
+        while self
+            .unsynced
+            .front()
+            .is_some_and(|first| first.write <= write)
+        {
             if let Some(request) = self.unsynced.pop_front() {
                 self.apply(request);
             }
--- a/crates/millpass-sim/src/engine.rs
+++ b/crates/millpass-sim/src/engine.rs
@@ -316,7 +316,9 @@
     /// The memory of a part is free.
     pub fn unloaded(&mut self, part: &Part) -> Vec<EngineEffect> {
         self.sequence += 1;
-        let holds = self.part_mut(part).is_some_and(|state| state.holds_memory());
+        let holds = self
+            .part_mut(part)
+            .is_some_and(|state| state.holds_memory());
         if !holds {
             return Vec::new();
         }
@@ -446,11 +448,14 @@
     }
 
     fn slot_report(&self, slot: SlotId, state: &SlotState) -> EngineSlotReport {
-        let adapters = state.adapters.iter().map(|(name, part)| EngineAdapterReport {
-            adapter: name.clone(),
-            fence: part.fence,
-            phase: self.stated_phase(&part.phase),
-        });
+        let adapters = state
+            .adapters
+            .iter()
+            .map(|(name, part)| EngineAdapterReport {
+                adapter: name.clone(),
+                fence: part.fence,
+                phase: self.stated_phase(&part.phase),
+            });
         EngineSlotReport {
             slot,
             model: state.model.clone(),
--- a/crates/millpass-sim/src/engine_host.rs
+++ b/crates/millpass-sim/src/engine_host.rs
@@ -58,7 +58,11 @@
         match event {
             EngineEvent::Request(request) => {
                 let reply_to = request.reply_to;
-                self.attempt_ends(BackEnd::Engine(engine), reply_to, AttemptFailure::MayHaveRun);
+                self.attempt_ends(
+                    BackEnd::Engine(engine),
+                    reply_to,
+                    AttemptFailure::MayHaveRun,
+                );
             }
             EngineEvent::Order(_, Some(reply_to)) => self.answer_order(engine, reply_to, None),
             _ => {}
@@ -159,7 +163,11 @@
 
     /// Starts what the weight store may start.
     pub(crate) fn store_starts(&mut self) {
-        let factor = if self.slow_store { SLOW_STORE_FACTOR } else { 1 };
+        let factor = if self.slow_store {
+            SLOW_STORE_FACTOR
+        } else {
+            1
+        };
         self.store.set_slow_factor(factor);
         while let Some((load, micros)) = self.store.start_next(self.now) {
             self.record(Event::StoreLoadStarted { load: load.number });
@@ -322,7 +330,11 @@
                 request: run.request.request,
                 ending: RunEnding::CutOff,
             });
-            self.attempt_ends(BackEnd::Engine(engine), reply_to, AttemptFailure::MayHaveRun);
+            self.attempt_ends(
+                BackEnd::Engine(engine),
+                reply_to,
+                AttemptFailure::MayHaveRun,
+            );
         }
     }
 
--- a/crates/millpass-sim/src/event.rs
+++ b/crates/millpass-sim/src/event.rs
@@ -7,7 +7,8 @@
 use millpass_checkers::{AnswerOutcome, RequestId, ScopedKey};
 use millpass_control_plane::{AdministrationAnswer, ConnectionId, ControlInput, ControlOutput};
 use millpass_proto::{
-    AdapterName, ControlToRouter, EngineOrder, LogPosition, OrderAnswer, RouterToControl, SlotId, Snapshot,
+    AdapterName, ControlToRouter, EngineOrder, LogPosition, OrderAnswer, RouterToControl, SlotId,
+    Snapshot,
 };
 use millpass_routing::{AttemptFailure, Dispatch, RoutingInput, Target};
 
--- a/crates/millpass-sim/src/injection.rs
+++ b/crates/millpass-sim/src/injection.rs
@@ -219,7 +219,8 @@
         }
         self.kill_next_loading_engine = false;
         let at = self.now + self.random.below(300 * MILLIS);
-        self.queue.push(at, SimEvent::Fault(Fault::KillEngine(engine)));
+        self.queue
+            .push(at, SimEvent::Fault(Fault::KillEngine(engine)));
     }
 
     fn reclaim_engine(&mut self, engine: usize) {
--- a/crates/millpass-sim/src/main.rs
+++ b/crates/millpass-sim/src/main.rs
@@ -1,7 +1,7 @@
 //! The `millpass-sim` command.
 
 use anyhow::{Context, bail};
-use bpaf::{Bpaf, Parser};
+use bpaf::Bpaf;
 use millpass_sim::run::{RunReport, Summary, run_scenario, run_seeds};
 use millpass_sim::scenario::{SCENARIOS, Scenario};
 use std::ops::Range;
@@ -54,7 +54,7 @@
 }
 
 fn main() -> anyhow::Result<()> {
-    let options = options().to_options().run();
+    let options = options().run();
     if options.list {
         for scenario in SCENARIOS {
             println!("{:<26} {}", scenario.name, scenario.summary);
@@ -125,7 +125,10 @@
 
 fn print_report(scenario: &Scenario, report: &RunReport) {
     if let Some(failure) = &report.failure {
-        println!("scenario={} seed={} failure={failure:?}", scenario.name, report.seed);
+        println!(
+            "scenario={} seed={} failure={failure:?}",
+            scenario.name, report.seed
+        );
     }
     for breach in &report.breaches {
         println!("scenario={} seed={} {breach}", scenario.name, report.seed);
--- a/crates/millpass-sim/src/operators.rs
+++ b/crates/millpass-sim/src/operators.rs
@@ -120,7 +120,10 @@
         self.calls.insert(call, Asker::Operator(operator));
         let timeout = self.settings.times.call_timeout;
         self.operator_later(operator, timeout, OperatorEvent::TimedOut(call));
-        let (zone, place) = (self.operators[operator].zone, self.operators[operator].place);
+        let (zone, place) = (
+            self.operators[operator].zone,
+            self.operators[operator].place,
+        );
         let to = self.control[place].zone;
         if let Some(delay) = self.network.stream_delay(&mut self.random, zone, to) {
             self.administration_call(place, delay, call, request);
@@ -128,7 +131,12 @@
     }
 
     /// A member answers a call.
-    pub(crate) fn answer_operator(&mut self, place: usize, call: u64, answer: AdministrationAnswer) {
+    pub(crate) fn answer_operator(
+        &mut self,
+        place: usize,
+        call: u64,
+        answer: AdministrationAnswer,
+    ) {
         match self.calls.get(&call) {
             Some(Asker::Operator(operator)) => {
                 let operator = *operator;
@@ -230,7 +238,9 @@
         outcome: ObjectChangeOutcome,
     ) {
         // An answer that came is thrown away, as if it had been lost on the way.
-        let lost = self.workload.chance(self.settings.load.resent_changes_permille);
+        let lost = self
+            .workload
+            .chance(self.settings.load.resent_changes_permille);
         if lost && sends < MAXIMUM_SENDS {
             return self.ask_again(operator, Pending::Change { change, sends }, None);
         }
--- a/crates/millpass-sim/src/plans.rs
+++ b/crates/millpass-sim/src/plans.rs
@@ -133,12 +133,19 @@
         let zone = self.random.index(zones);
         let others: Vec<usize> = (0..zones).filter(|other| *other != zone).collect();
         let inwards = self.random.chance(500);
-        let only = self.random.chance(500).then(|| self.random.index(others.len()));
+        let only = self
+            .random
+            .chance(500)
+            .then(|| self.random.index(others.len()));
         for (index, other) in others.into_iter().enumerate() {
             if only.is_some_and(|only| only != index) {
                 continue;
             }
-            let (from, to) = if inwards { (other, zone) } else { (zone, other) };
+            let (from, to) = if inwards {
+                (other, zone)
+            } else {
+                (zone, other)
+            };
             self.add(at, Fault::Cut(from, to));
             self.add(at + length, Fault::Mend(from, to));
         }
--- a/crates/millpass-sim/src/platform.rs
+++ b/crates/millpass-sim/src/platform.rs
@@ -39,7 +39,11 @@
     pub fn read(&self, now: u64) -> PlatformList {
         let mut machines: Vec<PlatformMachine> = Vec::new();
         let mut sequence = 0;
-        for change in self.changes.iter().filter(|change| change.visible_at <= now) {
+        for change in self
+            .changes
+            .iter()
+            .filter(|change| change.visible_at <= now)
+        {
             sequence += 1;
             machines.retain(|machine| machine.backend != change.backend);
             machines.extend(change.machine.clone());
--- a/crates/millpass-sim/src/router_attempts.rs
+++ b/crates/millpass-sim/src/router_attempts.rs
@@ -173,7 +173,11 @@
             return;
         };
         served.attempt = None;
-        let to_caller = if served.caller.stream { served.passed } else { 0 };
+        let to_caller = if served.caller.stream {
+            served.passed
+        } else {
+            0
+        };
         if !served.caller.stream {
             served.kept.clear();
             served.passed = 0;
--- a/crates/millpass-sim/src/router_host.rs
+++ b/crates/millpass-sim/src/router_host.rs
@@ -276,7 +276,13 @@
         }
     }
 
-    fn record_claim(&mut self, router: usize, attempt: u64, key: ScopedKey, operation: ClaimOperation) {
+    fn record_claim(
+        &mut self,
+        router: usize,
+        attempt: u64,
+        key: ScopedKey,
+        operation: ClaimOperation,
+    ) {
         let attempt_id = self.attempt_id(router, attempt);
         self.routers[router].claims.insert(attempt, key.clone());
         self.record(Event::ClaimCalled {
--- a/crates/millpass-sim/src/store.rs
+++ b/crates/millpass-sim/src/store.rs
@@ -71,7 +71,11 @@
 
     /// Starts the next waiting load if the limits allow it; gives it with its duration.
     pub fn start_next(&mut self, now: u64) -> Option<(StoreLoad<T>, u64)> {
-        while self.started.front().is_some_and(|old| old + WINDOW_MICROS <= now) {
+        while self
+            .started
+            .front()
+            .is_some_and(|old| old + WINDOW_MICROS <= now)
+        {
             self.started.pop_front();
         }
         let limited = self.started.len() >= self.limits.loads_per_second
--- a/crates/millpass-sim/src/world.rs
+++ b/crates/millpass-sim/src/world.rs
@@ -101,9 +101,8 @@
         let mut clocks = Random::new(seed, CLOCK_STREAM);
         let sizes = settings.sizes.clone();
         let (state, at) = catalog::initial_state(&sizes)?;
-        let voters = (0..sizes.members).map(|place| {
-            member_address(place, place % sizes.zones, member_id(place, 0))
-        });
+        let voters = (0..sizes.members)
+            .map(|place| member_address(place, place % sizes.zones, member_id(place, 0)));
         let membership = Membership {
             voters: voters.collect(),
             outgoing_voters: Vec::new(),
@@ -143,7 +142,8 @@
                 concurrent_loads: usize::MAX,
             }
         };
-        let operators = (0..settings.load.operators).map(|index| Operator::new(index % sizes.zones));
+        let operators =
+            (0..settings.load.operators).map(|index| Operator::new(index % sizes.zones));
         Ok(World {
             now: 0,
             queue: EventQueue::default(),
@@ -295,7 +295,10 @@
         pairs: &[(&'static str, String)],
     ) {
         self.trace.line(self.now, || {
-            let pairs: Vec<String> = pairs.iter().map(|(key, value)| format!("{key}={value}")).collect();
+            let pairs: Vec<String> = pairs
+                .iter()
+                .map(|(key, value)| format!("{key}={value}"))
+                .collect();
             format!("{kind}-{index} {name} {}", pairs.join(" "))
         });
     }
@@ -326,7 +329,9 @@
 
     /// Engine that listens at an address.
     pub(crate) fn engine_at(&self, address: &str) -> Option<usize> {
-        self.engines.iter().position(|node| node.address() == address)
+        self.engines
+            .iter()
+            .position(|node| node.address() == address)
     }
 
     /// Web back end that listens at an address.
@@ -342,7 +347,8 @@
 
     /// Zone of the back end at an address.
     pub(crate) fn zone_of_back_end(&self, address: &str) -> Option<Zone> {
-        self.back_end_at(address).map(|backend| self.zone_of(backend))
+        self.back_end_at(address)
+            .map(|backend| self.zone_of(backend))
     }
 
     /// Zone of a back end.
