--- /dev/null
+++ b/crates/millpass-standin/src/engine/front/start.rs
@@ -0,0 +1,81 @@
+//! Starts and stops an engine's front end.
+
+use super::fetches::Fetches;
+use super::service::Service;
+use crate::engine::model::EngineModel;
+use crate::engine::settings::EngineSettings;
+use crate::run::{Alarms, Driver, FrontSettings, ScaledClock, Served};
+use crate::weight_store::StoreAccess;
+use anyhow::Result;
+use millpass_proto::{BackendKind, BackendState, EngineAudit, EngineReport, PlatformMachine};
+use std::sync::Arc;
+
+/// What an engine's front end needs beside the model's settings.
+#[derive(Clone, Debug)]
+pub struct EngineFront {
+    /// Where and how it serves.
+    pub front: FrontSettings,
+    /// Where checkpoints come from.
+    pub store: StoreAccess,
+    /// Address of the platform's list to register at, if any.
+    pub platform: Option<String>,
+}
+
+impl Default for EngineFront {
+    fn default() -> Self {
+        EngineFront {
+            front: FrontSettings::default(),
+            store: StoreAccess::Instant,
+            platform: None,
+        }
+    }
+}
+
+/// A running engine.
+pub type EngineHandle = Served<EngineModel>;
+
+impl Served<EngineModel> {
+    /// What it counted.
+    pub fn audit(&self) -> EngineAudit {
+        self.read(EngineModel::audit)
+    }
+
+    /// Its state without lag, for checkers.
+    pub fn current_report(&self) -> EngineReport {
+        self.read(|model, _| model.current_report())
+    }
+}
+
+/// Starts an engine with its own thread for alarms.
+pub fn start(settings: EngineSettings, front: &EngineFront) -> Result<EngineHandle> {
+    let alarms = Alarms::start(ScaledClock::start(front.front.time_scale))?;
+    start_with(settings, front, alarms)
+}
+
+/// Starts an engine that shares the thread for alarms with others; the clock is theirs.
+pub fn start_with(
+    settings: EngineSettings,
+    front: &EngineFront,
+    alarms: Arc<Alarms>,
+) -> Result<EngineHandle> {
+    let machine = PlatformMachine {
+        backend: settings.backend.clone(),
+        kind: BackendKind::Engine,
+        group: None,
+        zone: settings.zone.clone(),
+        address: String::new(),
+        state: BackendState::Live,
+    };
+    let model = EngineModel::new(settings, alarms.clock().now());
+    let driver = Driver::new(model, alarms);
+    let fetches = Arc::new(Fetches::new(Arc::downgrade(&driver), front.store.clone()));
+    let for_alarms = fetches.clone();
+    driver.on_unclaimed(move |outputs| for_alarms.start_all(outputs));
+    let service = Arc::new(Service {
+        driver: driver.clone(),
+        fetches,
+    });
+    let name = machine.backend.as_str();
+    let served = Served::start(name, &front.front, driver, service)?;
+    Ok(served.register(front.platform.as_deref(), machine))
+}
