Stand-ins: tests that see released memory under requests and stale fences

Cause: four changes made on purpose (cache memory not checked at admission, stale fence let in, unload that does not wait, preempted request refused as not executed) passed the tests. Ruled out: n/a. Change: the properties check each slot's own cache memory, gaps between fences, and that an unloaded slot has no requests; examples for an unload over a preempted request and for the bound.

--- a/crates/millpass-standin/src/engine/messages.rs
+++ b/crates/millpass-standin/src/engine/messages.rs
@@ -158,3 +158,14 @@
     /// Whether the cache of the step's import was taken.
     CacheImported(bool),
 }
+
+/// Cache memory of a slot. Invariant: `running_bytes + prefix_bytes <= total_bytes`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CacheUse {
+    /// All of it.
+    pub total_bytes: u64,
+    /// What running requests may fill.
+    pub running_bytes: u64,
+    /// What cached prefixes take.
+    pub prefix_bytes: u64,
+}
--- a/crates/millpass-standin/src/engine/model.rs
+++ b/crates/millpass-standin/src/engine/model.rs
@@ -7,7 +7,7 @@
 use super::fences::FenceLedger;
 use super::idle::{AcceleratorUse, IdleClock};
 use super::memory::AcceleratorMemory;
-use super::messages::{EngineInput, EngineOutput, FetchId, RequestHandle};
+use super::messages::{CacheUse, EngineInput, EngineOutput, FetchId, RequestHandle};
 use super::requests::Requests;
 use super::settings::EngineSettings;
 use super::slots::Slot;
@@ -188,11 +188,14 @@
             .is_some_and(|state| state.prefix.contains(prefix_hash))
     }
 
-    /// Bytes of the slot's cache memory in use: by running requests, and by cached prefixes.
-    pub fn cache_use(&self, slot: SlotId) -> Option<(u64, u64)> {
+    /// The slot's cache memory, and what is in use of it.
+    pub fn cache_use(&self, slot: SlotId) -> Option<CacheUse> {
         let state = self.slots.get(&slot)?;
-        let prefix = state.prefix.len() as u64 * self.block_bytes();
-        Some((state.batch.running_bytes, prefix))
+        Some(CacheUse {
+            total_bytes: state.cache_bytes,
+            running_bytes: state.batch.running_bytes,
+            prefix_bytes: state.prefix.len() as u64 * self.block_bytes(),
+        })
     }
 
     /// What was counted up to `now`.
--- a/crates/millpass-standin/tests/engine_model.rs
+++ b/crates/millpass-standin/tests/engine_model.rs
@@ -205,6 +205,39 @@
     assert_eq!(driver.engine.audit(driver.now).preemptions, 1);
 }
 
+#[test]
+fn unload_lets_a_preempted_request_end_whole() {
+    let mut settings = small_settings();
+    settings.limits.batch_slots = 1;
+    let mut driver = Driver::loaded(settings);
+    let mut batch = request(1, 1, 10);
+    batch.urgency = Urgency::Batch;
+    driver.input(EngineInput::Submit(batch));
+    let mut urgent = request(2, 1, 10);
+    urgent.urgency = Urgency::Interactive;
+    driver.input(EngineInput::Submit(urgent));
+    let mut outputs = driver.wake();
+    assert_eq!(driver.engine.audit(driver.now).preemptions, 1);
+    driver.send(order(2, OrderAction::UnloadModel(SlotId(1))));
+    outputs.extend(driver.run_dry());
+    assert_eq!(positions(&outputs, 1), (0..10).collect::<Vec<_>>());
+    assert_eq!(end_of(&outputs, 1).unwrap().1, FinishReason::Complete);
+}
+
+#[test]
+fn unload_bound_cuts_what_still_runs() {
+    let mut settings = small_settings();
+    settings.limits.unload_bound = Some(Duration::from_millis(100));
+    let mut driver = Driver::loaded(settings);
+    driver.input(EngineInput::Submit(request(1, 1, 300)));
+    let begin = driver.now;
+    driver.send(order(2, OrderAction::UnloadModel(SlotId(1))));
+    let outputs = driver.run_dry();
+    assert_eq!(end_of(&outputs, 1).unwrap().1, FinishReason::Unloaded);
+    assert_eq!(driver.now.since(begin), Duration::from_millis(300));
+    assert_eq!(driver.engine.audit(driver.now).requests_cut, 1);
+}
+
 #[test]
 fn full_queue_refuses_with_when_to_come_back() {
     // One runs, four wait; the batch takes more only at the next step.
--- a/crates/millpass-standin/tests/engine_properties.rs
+++ b/crates/millpass-standin/tests/engine_properties.rs
@@ -10,6 +10,8 @@
 use std::collections::BTreeMap;
 
 const CAPACITY: u64 = 1_000;
+/// Fences between those that orders use are free for stale orders.
+const FENCE_GAP: u64 = 2;
 
 /// One thing done to the engine. Numbers are kept small so that collisions are common.
 #[derive(Clone, Debug)]
@@ -64,7 +66,7 @@
 
 fn action() -> impl Strategy<Value = Action> {
     prop_oneof![
-        3 => (1_u64..4, 0_u64..700, 50_u64..300)
+        3 => (1_u64..4, 0_u64..700, 50_u64..200)
             .prop_map(|(slot, weights, cache)| Action::Load { slot, weights, cache }),
         2 => (1_u64..4).prop_map(|slot| Action::Unload { slot }),
         2 => (1_u64..4, 0_u8..2, 0_u64..300)
@@ -94,12 +96,13 @@
     fn new() -> Self {
         let mut settings = small_settings();
         settings.accelerator_bytes = vec![CAPACITY, CAPACITY];
+        settings.limits.batch_slots = 4;
         settings.checkpoints.memory_bytes = 900;
         settings.checkpoints.disk_bytes = 1_200;
         Trial {
             engine: EngineModel::new(settings, Timestamp::ZERO),
             now: Timestamp::ZERO,
-            next_fence: 1,
+            next_fence: FENCE_GAP,
             next_handle: 1,
             fetches: Vec::new(),
             outputs: Vec::new(),
@@ -120,7 +123,7 @@
 
     fn order(&mut self, action: OrderAction) {
         let index = self.next_fence;
-        self.next_fence += 1;
+        self.next_fence += FENCE_GAP;
         self.step(EngineInput::Order(order(index, action)));
     }
 
@@ -162,9 +165,15 @@
                 }));
             }
             Action::OldFence { back } => {
-                let index = self.next_fence.saturating_sub(back + 1);
-                let role = OrderAction::ChangeRole(EngineRole::Mixed);
-                self.step(EngineInput::Order(order(index, role)));
+                let highest = self.engine.current_report().highest_fence;
+                if highest == LogPosition::ZERO {
+                    return;
+                }
+                let index = self.next_fence.saturating_sub(FENCE_GAP * (back + 1) + 1);
+                let role = OrderAction::ChangeRole(EngineRole::Prefill);
+                let outputs = self.step(EngineInput::Order(order(index, role)));
+                let stale = EngineOutput::OrderAnswered(OrderAnswer::StaleFence(highest));
+                assert!(outputs.contains(&stale));
             }
             Action::Submit(submission) => self.submit(submission),
             Action::Cancel { handle } => {
@@ -245,8 +254,13 @@
         prop_assert_eq!(&report.used_bytes, &vec![0, 0]);
     }
     for slot in &report.slots {
-        let (running, prefix) = engine.cache_use(slot.slot).unwrap();
-        prop_assert!(running + prefix <= 300, "cache of a slot exceeded");
+        let has_requests = slot.running + slot.waiting > 0;
+        prop_assert!(
+            !is_gone(&slot.phase) || !has_requests,
+            "unloaded under requests"
+        );
+        let cache = engine.cache_use(slot.slot).unwrap();
+        prop_assert!(cache.running_bytes + cache.prefix_bytes <= cache.total_bytes);
     }
     Ok(())
 }
