--- a/crates/millpass-scheduler/src/retiring.rs
+++ b/crates/millpass-scheduler/src/retiring.rs
@@ -50,11 +50,19 @@
             }
             return;
         }
+        if !view.wants_another() || view.has_free_slot() {
+            return;
+        }
         let sets = &view.replicas;
         let unloading = sets.slots - view.usable() - sets.replaced_count();
-        let blocked = !view.has_free_slot() && unloading == 0;
+        let proposed = replaced
+            .iter()
+            .any(|replica| round.retiring.contains(&replica.slot));
         let idlest = replaced.iter().min_by_key(|replica| self.busy(replica));
-        if blocked && let Some(replica) = idlest {
+        if unloading == 0
+            && !proposed
+            && let Some(replica) = idlest
+        {
             retire_once(round, replica);
         }
     }
--- a/crates/millpass-scheduler/tests/harness/mod.rs
+++ b/crates/millpass-scheduler/tests/harness/mod.rs
@@ -142,32 +142,9 @@
     /// Settles every outstanding order as done.
     pub fn settle_all(&mut self) {
         for order in self.fixture.state.outstanding_orders() {
-            self.settle(&order);
+            self.fixture.must(settle_order(&order, None));
         }
     }
-
-    fn settle(&mut self, order: &EngineOrder) {
-        let (slot, adapter, result) = match &order.action {
-            OrderAction::LoadModel(load) => (load.slot, None, OrderResult::Loaded),
-            OrderAction::UnloadModel(slot) => (*slot, None, OrderResult::Unloaded),
-            OrderAction::LoadAdapter(load) => {
-                (load.slot, Some(load.adapter.clone()), OrderResult::Loaded)
-            }
-            OrderAction::UnloadAdapter(unload) => {
-                let adapter = Some(unload.adapter.clone());
-                (unload.slot, adapter, OrderResult::Unloaded)
-            }
-            OrderAction::ChangeRole(_) => return,
-        };
-        self.fixture.must(Command::SettleOrder(OrderSettlement {
-            slot,
-            adapter,
-            backend: order.backend.clone(),
-            incarnation: order.incarnation,
-            fence: order.fence,
-            result,
-        }));
-    }
 }
 
 pub fn waiting_for(model: &str, waiting: u32) -> ModelDemand {
--- /dev/null
+++ b/crates/millpass-scheduler/tests/retiring.rs
@@ -0,0 +1,338 @@
+//! Which replicas are unloaded, when, and which never.
+
+mod harness;
+
+use harness::*;
+use millpass_proto::*;
+use millpass_scheduler::{KeepAlive, SchedulerSettings};
+use rstest::rstest;
+
+/// One engine of one accelerator, full with two idle models of 8 GiB each.
+fn full_harness(settings: SchedulerSettings) -> (Harness, SlotId, SlotId) {
+    let mut harness = Harness::learned(settings);
+    harness.fixture.engine("e1", "z1", 1, 20 * GIB);
+    for name in ["old", "recent", "wanted"] {
+        let spec = model_spec(1, 0, 2, 4);
+        harness.fixture.model(name, spec, 8 * GIB);
+    }
+    let old = harness.fixture.load("old", "e1");
+    let recent = harness.fixture.load("recent", "e1");
+    (harness, old, recent)
+}
+
+fn serve_once(harness: &mut Harness, model: &str) {
+    harness.wants("r1", model, 1);
+    harness.report("r1", Vec::new());
+}
+
+fn model_change(name: &str, spec: ModelSpec) -> Command {
+    let spec = Some(ObjectSpec::Model(spec));
+    change(ObjectKind::Model, name, 1, &format!("second {name}"), spec)
+}
+
+#[test]
+fn the_least_recently_used_goes_for_a_waiting_request() {
+    let (mut harness, old, _) = full_harness(open_settings());
+    serve_once(&mut harness, "old");
+    harness.idle_rounds(2_000);
+    serve_once(&mut harness, "recent");
+    harness.idle_rounds(2_000);
+    harness.wants("r1", "wanted", 1);
+    assert_eq!(retired(&harness.round()), [old]);
+    assert_eq!(harness.round(), []);
+    harness.settle_all();
+    let commands = harness.round();
+    assert_eq!(placements(&commands)[0].model, "wanted".into());
+}
+
+#[test]
+fn the_least_likely_to_be_asked_for_goes_first() {
+    let (mut harness, _, recent) = full_harness(SchedulerSettings {
+        keep_alive: KeepAlive::Adaptive,
+        ..open_settings()
+    });
+    // `old` is asked for every 20 s, and last before `recent`, which is asked for once.
+    for _ in 0..10 {
+        serve_once(&mut harness, "old");
+        harness.idle_rounds(20_000);
+    }
+    serve_once(&mut harness, "recent");
+    harness.idle_rounds(200);
+    harness.wants("r1", "wanted", 1);
+    assert_eq!(retired(&harness.round()), [recent]);
+}
+
+#[test]
+fn a_replica_with_traffic_is_never_evicted() {
+    let (mut harness, old, recent) = full_harness(open_settings());
+    let mut busy = waiting_for("old", 0);
+    busy.in_flight = 1;
+    harness.report("r1", vec![busy]);
+    harness.engine_report("e1", &[], &[(recent, 1), (old, 0)]);
+    harness.wants("r2", "wanted", 1);
+    assert_eq!(harness.round(), []);
+    let outlook = outlook(&harness, "wanted");
+    assert!(!outlook.placeable);
+    assert!(outlook.ready_in_millis > 0);
+}
+
+#[test]
+fn a_minimum_is_never_evicted() {
+    let (mut harness, old, recent) = full_harness(open_settings());
+    for name in ["old", "recent"] {
+        let spec = model_spec(1, 1, 2, 4);
+        harness.fixture.accept(model_change(name, spec));
+    }
+    harness.wants("r1", "wanted", 1);
+    assert_eq!(harness.round(), []);
+    let spec = Some(ObjectSpec::Model(model_spec(1, 0, 2, 4)));
+    let change = change(ObjectKind::Model, "old", 2, "third", spec);
+    harness.fixture.accept(change);
+    assert_eq!(retired(&harness.round()), [old]);
+    assert_ne!(old, recent);
+}
+
+#[test]
+fn batch_demand_waits_and_evicts_nothing() {
+    let (mut harness, _, _) = full_harness(open_settings());
+    let mut batch = waiting_for("wanted", 5);
+    batch.most_urgent = Urgency::Batch;
+    harness.report("r1", vec![batch]);
+    assert_eq!(harness.round(), []);
+}
+
+#[rstest]
+#[case::always_loaded(KeepAlive::AlwaysLoaded, 0)]
+#[case::least_recently_used(KeepAlive::LeastRecentlyUsed, 1)]
+fn the_strategy_decides_whether_memory_is_taken_back(
+    #[case] keep_alive: KeepAlive,
+    #[case] evictions: usize,
+) {
+    let (mut harness, _, _) = full_harness(SchedulerSettings {
+        keep_alive,
+        ..open_settings()
+    });
+    harness.wants("r1", "wanted", 1);
+    assert_eq!(retired(&harness.round()).len(), evictions);
+}
+
+#[test]
+fn two_waiting_models_do_not_count_on_the_same_memory() {
+    let (mut harness, old, recent) = full_harness(open_settings());
+    let spec = model_spec(1, 0, 2, 4);
+    harness.fixture.model("other", spec, 8 * GIB);
+    let demand = vec![waiting_for("wanted", 1), waiting_for("other", 1)];
+    harness.report("r1", demand);
+    let mut slots = retired(&harness.round());
+    slots.sort();
+    assert_eq!(slots, [old, recent]);
+}
+
+#[test]
+fn a_new_leader_retires_nothing_before_it_has_listened() {
+    let mut harness = Harness::new(SchedulerSettings {
+        keep_alive: KeepAlive::Fixed(Duration::from_secs(1)),
+        ..open_settings()
+    });
+    harness.fixture.engine("e1", "z1", 1, 20 * GIB);
+    harness.fixture.model("m", model_spec(1, 0, 1, 1), 8 * GIB);
+    let slot = harness.fixture.load("m", "e1");
+    // It hears nothing at all, for as long as it may be.
+    for _ in 0..200 {
+        assert_eq!(harness.round(), []);
+    }
+    let learning = SchedulerSettings::default().learning_period.as_millis() as u64;
+    assert_eq!(harness.idle_rounds(learning - ROUND_MILLIS), []);
+    assert_eq!(retired(&harness.idle_rounds(2_000)), [slot]);
+}
+
+#[test]
+fn a_leader_that_hears_no_router_any_more_retires_nothing() {
+    let (mut harness, _, _) = full_harness(SchedulerSettings {
+        keep_alive: KeepAlive::Fixed(Duration::from_secs(30)),
+        ..open_settings()
+    });
+    harness.idle_rounds(1_000);
+    harness.pass(60_000);
+    assert_eq!(harness.round(), []);
+}
+
+#[test]
+fn a_leaving_engine_is_replaced_first_and_emptied_then() {
+    let (mut harness, old, recent) = full_harness(open_settings());
+    harness.fixture.engine("e2", "z1", 1, 20 * GIB);
+    let mut busy = waiting_for("old", 0);
+    busy.in_flight = 1;
+    harness.report("r1", vec![busy]);
+    harness.engine_report("e1", &[], &[(old, 1), (recent, 0)]);
+    harness.fixture.mark("e1", BackendState::Leaving);
+    let commands = harness.round();
+    assert_eq!(placements(&commands)[0].backend, "e2".into());
+    assert_eq!(retired(&commands), [recent]);
+    assert_eq!(harness.round(), []);
+    harness.settle_all();
+    // The replacement serves, but a request still runs on the leaving engine.
+    assert_eq!(harness.round(), []);
+    harness.engine_report("e1", &[], &[(old, 0)]);
+    assert_eq!(retired(&harness.round()), [old]);
+}
+
+#[test]
+fn a_new_version_is_loaded_before_the_old_one_goes() {
+    let (mut harness, old, _) = full_harness(open_settings());
+    harness.fixture.engine("e2", "z1", 1, 20 * GIB);
+    harness.fixture.version("old", "v2", 8 * GIB);
+    let mut spec = model_spec(1, 0, 2, 4);
+    spec.current_version = "v2".into();
+    harness.fixture.accept(model_change("old", spec));
+    harness.wants("r1", "old", 1);
+    let commands = harness.round();
+    assert_eq!(placements(&commands)[0].version, "v2".into());
+    assert_eq!(retired(&commands), []);
+    assert_eq!(harness.round(), []);
+    harness.settle_all();
+    assert_eq!(retired(&harness.round()), [old]);
+}
+
+#[test]
+fn with_one_slot_the_old_version_goes_first() {
+    let (mut harness, old, _) = full_harness(open_settings());
+    harness.fixture.version("old", "v2", 8 * GIB);
+    let mut spec = model_spec(1, 0, 1, 4);
+    spec.current_version = "v2".into();
+    harness.fixture.accept(model_change("old", spec));
+    harness.wants("r1", "old", 1);
+    assert_eq!(retired(&harness.round()), [old]);
+    harness.settle_all();
+    assert_eq!(placements(&harness.round()).len(), 1);
+}
+
+#[test]
+fn an_idle_replica_goes_after_the_fixed_time() {
+    let (mut harness, old, recent) = full_harness(SchedulerSettings {
+        keep_alive: KeepAlive::Fixed(Duration::from_secs(60)),
+        ..open_settings()
+    });
+    assert_eq!(harness.idle_rounds(59_000), []);
+    let mut slots = retired(&harness.idle_rounds(3_000));
+    slots.sort();
+    assert_eq!(slots, [old, recent]);
+}
+
+/// How long the adaptive strategy keeps an idle model of 8 GiB, in seconds, an hour at most.
+fn kept_seconds(cold_start_weight: u32, idle_weight: u32, period: u64) -> u64 {
+    let (mut harness, old, _) = full_harness(SchedulerSettings {
+        cold_start_weight,
+        idle_weight,
+        keep_alive: KeepAlive::Adaptive,
+        ..open_settings()
+    });
+    for _ in 0..10 {
+        serve_once(&mut harness, "old");
+        harness.pass(period);
+    }
+    serve_once(&mut harness, "old");
+    for second in 0..3_600 {
+        if retired(&harness.idle_rounds(1_000)).contains(&old) {
+            return second;
+        }
+    }
+    3_600
+}
+
+#[test]
+fn the_weights_move_the_keep_alive_trade() {
+    let period = 120_000;
+    let idle_dear = kept_seconds(1, 3_600, period);
+    let between = kept_seconds(60, 3_600, period);
+    let cold_dear = kept_seconds(1_000, 3_600, period);
+    assert!(idle_dear < 60, "{idle_dear}");
+    assert!(between >= 120, "{between}");
+    assert!(between < cold_dear, "{between} {cold_dear}");
+}
+
+#[test]
+fn a_likely_arrival_is_loaded_for_ahead() {
+    let mut harness = Harness::learned(SchedulerSettings {
+        // A second of cold start is worth ten idle seconds.
+        cold_start_weight: 1,
+        idle_weight: 360,
+        keep_alive: KeepAlive::Adaptive,
+        prewarm: true,
+        ..open_settings()
+    });
+    harness.fixture.engine("e1", "z1", 1, 20 * GIB);
+    let spec = model_spec(1, 0, 1, 4);
+    harness.fixture.model("hourly", spec, 12 * GIB);
+    for _ in 0..10 {
+        serve_once(&mut harness, "hourly");
+        harness.pass(600_000);
+    }
+    serve_once(&mut harness, "hourly");
+    assert_eq!(harness.idle_rounds(400_000), []);
+    let commands = harness.idle_rounds(200_000);
+    assert_eq!(placements(&commands).len(), 1, "{commands:?}");
+}
+
+#[test]
+fn a_surplus_is_retired_after_its_delay_and_the_last_stays() {
+    let delay = SchedulerSettings::default().scale_down_delay;
+    let mut harness = Harness::learned(SchedulerSettings {
+        keep_alive: KeepAlive::Fixed(Duration::from_secs(3_600)),
+        ..open_settings()
+    });
+    harness.fixture.engine("e1", "z1", 2, 20 * GIB);
+    harness.fixture.model("m", model_spec(1, 0, 2, 1), GIB);
+    harness.fixture.load("m", "e1");
+    let second = harness.fixture.load("m", "e1");
+    let millis = delay.as_millis() as u64;
+    assert_eq!(harness.idle_rounds(millis), []);
+    assert_eq!(retired(&harness.idle_rounds(millis)), [second]);
+}
+
+#[test]
+fn replicas_of_a_deleted_model_go() {
+    let (mut harness, old, _) = full_harness(open_settings());
+    let deletions = [
+        change(ObjectKind::Version, "old@v1", 1, "d1", None),
+        change(ObjectKind::Model, "old", 1, "d2", None),
+    ];
+    for deletion in deletions {
+        harness.fixture.accept(deletion);
+    }
+    harness.report("listener", Vec::new());
+    assert_eq!(retired(&harness.round()), [old]);
+}
+
+fn outlook(harness: &Harness, model: &str) -> LoadOutlook {
+    let state = &harness.fixture.state;
+    harness.scheduler.outlook(harness.now, state, &model.into())
+}
+
+#[test]
+fn the_outlook_follows_the_load() {
+    let mut harness = Harness::learned(open_settings());
+    harness.fixture.engine("e1", "z1", 1, 20 * GIB);
+    harness.fixture.model("m", model_spec(1, 0, 1, 1), 8 * GIB);
+    assert!(!outlook(&harness, "unknown").placeable);
+    harness.wants("r1", "m", 1);
+    let before = outlook(&harness, "m");
+    assert!(before.placeable && before.ready_in_millis > 4_000);
+    harness.round();
+    harness.round();
+    harness.pass(2_000);
+    let halfway = outlook(&harness, "m").ready_in_millis;
+    assert!(halfway < before.ready_in_millis && halfway > 0);
+    harness.settle_all();
+    assert_eq!(outlook(&harness, "m").ready_in_millis, 0);
+}
+
+#[test]
+fn a_model_too_large_for_every_engine_is_not_placeable() {
+    let mut harness = Harness::learned(open_settings());
+    harness.fixture.engine("e1", "z1", 1, 4 * GIB);
+    harness.fixture.model("m", model_spec(1, 0, 1, 1), 8 * GIB);
+    harness.wants("r1", "m", 1);
+    assert_eq!(harness.round(), []);
+    assert!(!outlook(&harness, "m").placeable);
+}
--- a/crates/millpass-state/tests/support/mod.rs
+++ b/crates/millpass-state/tests/support/mod.rs
@@ -239,3 +239,51 @@
         result,
     })
 }
+
+/// Settles an order with this result, or as done if none is given.
+pub fn settle_order(order: &EngineOrder, result: Option<OrderResult>) -> Command {
+    let (slot, adapter, done) = match &order.action {
+        OrderAction::LoadModel(load) => (load.slot, None, OrderResult::Loaded),
+        OrderAction::UnloadModel(slot) => (*slot, None, OrderResult::Unloaded),
+        OrderAction::LoadAdapter(load) => (load.slot, Some(&load.adapter), OrderResult::Loaded),
+        OrderAction::UnloadAdapter(unload) => {
+            (unload.slot, Some(&unload.adapter), OrderResult::Unloaded)
+        }
+        OrderAction::ChangeRole(_) => {
+            return Command::SettleRole(RoleSettlement {
+                backend: order.backend.clone(),
+                incarnation: order.incarnation,
+                fence: order.fence,
+            });
+        }
+    };
+    Command::SettleOrder(OrderSettlement {
+        slot,
+        adapter: adapter.cloned(),
+        backend: order.backend.clone(),
+        incarnation: order.incarnation,
+        fence: order.fence,
+        result: result.unwrap_or(done),
+    })
+}
+
+/// Runs a property over a fixed number of cases from a fixed seed: the same verdict every run.
+pub fn check_cases<S: proptest::strategy::Strategy>(
+    cases: u32,
+    strategy: S,
+    test: impl Fn(S::Value) -> Result<(), proptest::test_runner::TestCaseError>,
+) where
+    S::Value: std::fmt::Debug,
+{
+    use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    if let Err(error) = runner.run(&strategy, test) {
+        panic!("{error}");
+    }
+}
