--- a/crates/millpass-sim/src/back_ends.rs
+++ b/crates/millpass-sim/src/back_ends.rs
@@ -5,7 +5,6 @@
 use crate::network::Zone;
 use millpass_proto::{
     BackendKind, BackendName, BackendState, EngineReport, GroupName, Incarnation, PlatformMachine,
-    SlotId,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -97,12 +96,6 @@
         let oldest = older.or_else(|| self.reports.front());
         oldest.map_or_else(|| self.model.report(), |(_, report)| report.clone())
     }
-
-    /// Requests that run on a slot.
-    pub fn runs_on(&self, slot: SlotId) -> usize {
-        let on_slot = |run: &&Run| run.request.slot == Some(slot);
-        self.runs.values().filter(on_slot).count()
-    }
 }
 
 /// A web machine.
--- a/crates/millpass-sim/src/callers.rs
+++ b/crates/millpass-sim/src/callers.rs
@@ -2,6 +2,7 @@
 //! repeated and are sent again with the same key.
 
 use crate::catalog::{self, ADAPTED_MODEL, ADAPTER, PUBLISH_PATH, RESULTS_PATH};
+use crate::clock::START_UNIX_MILLIS;
 use crate::content::RunningDigest;
 use crate::event::{AnswerPart, CallerEvent, CallerRequest, RouterEvent, SimEvent};
 use crate::router_host::CALLER_MICROS;
@@ -169,6 +170,7 @@
                 random.between(1, LONGEST_ANSWER)
             },
             key,
+            born_unix_millis: START_UNIX_MILLIS + self.now / MILLIS,
             resends: if keyed { RESENDS } else { 0 },
             hang_up_after: hangs_up.then(|| random.between(1, HANG_UP_MICROS)),
         }
--- a/crates/millpass-sim/src/catalog.rs
+++ b/crates/millpass-sim/src/catalog.rs
@@ -70,10 +70,21 @@
     })
 }
 
-/// The state with the whole catalog, and the position of its last change.
-pub fn initial_state(sizes: &Sizes) -> anyhow::Result<(State, LogPosition)> {
+/// What a deployment starts with.
+pub struct Initial {
+    /// State with the whole catalog.
+    pub state: State,
+    /// Position of its last change.
+    pub at: LogPosition,
+    /// The changes with their answers.
+    pub changes: Vec<(ObjectChange, ObjectChangeOutcome)>,
+}
+
+/// The state with the whole catalog, as if operators had submitted it.
+pub fn initial_state(sizes: &Sizes) -> anyhow::Result<Initial> {
     let mut state = State::default();
     let mut at = LogPosition { term: 1, index: 0 };
+    let mut changes = Vec::new();
     for (kind, name, spec) in objects(sizes) {
         at.index += 1;
         let change = ObjectChange {
@@ -84,15 +95,14 @@
             at_unix_millis: 0,
             spec: Some(spec),
         };
-        let outcome = state.apply(at, &Command::ChangeObject(change));
-        if !matches!(
-            outcome,
-            CommandOutcome::Object(ObjectChangeOutcome::Accepted(_))
-        ) {
-            bail!("initial catalog is refused: {outcome:?}; mend the simulator's catalog");
+        match state.apply(at, &Command::ChangeObject(change.clone())) {
+            CommandOutcome::Object(outcome @ ObjectChangeOutcome::Accepted(_)) => {
+                changes.push((change, outcome));
+            }
+            other => bail!("initial catalog is refused: {other:?}; mend the simulator's catalog"),
         }
     }
-    Ok((state, at))
+    Ok(Initial { state, at, changes })
 }
 
 fn objects(sizes: &Sizes) -> Vec<(ObjectKind, String, ObjectSpec)> {
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -7,7 +7,7 @@
 use millpass_checkers::{Event, ProcessName};
 use millpass_control_plane::{AdministrationRequest, ConnectionId, ControlInput, ControlOutput};
 use millpass_proto::{
-    ControlToRouter, EngineOrder, MemberId, OrderAnswer, PeerEnvelope, PeerMessage, RouterToControl,
+    ControlToRouter, EngineOrder, OrderAnswer, PeerEnvelope, PeerMessage, RouterToControl,
 };
 
 const SYNC_MICROS: u64 = 800;
@@ -410,11 +410,6 @@
         node.joining = true;
     }
 
-    /// Identity of the member at a place.
-    pub(crate) fn member_at(&self, place: usize) -> MemberId {
-        self.control[place].address.member
-    }
-
     /// A call of the administration API reaches a member.
     pub(crate) fn administration_call(
         &mut self,
--- a/crates/millpass-sim/src/engine_host.rs
+++ b/crates/millpass-sim/src/engine_host.rs
@@ -223,7 +223,6 @@
         let to = (from + TOKENS_PER_STEP).min(run.request.length);
         run.position = to;
         let part = AnswerPart {
-            from,
             tokens: run.request.seed.tokens(from, to),
             last: to == run.request.length,
         };
--- a/crates/millpass-sim/src/event.rs
+++ b/crates/millpass-sim/src/event.rs
@@ -135,8 +135,6 @@
 /// Part of an answer.
 #[derive(Clone, Debug)]
 pub struct AnswerPart {
-    /// Position of the first token.
-    pub from: u64,
     /// Tokens.
     pub tokens: Vec<u64>,
     /// Whether it is the last part.
@@ -242,6 +240,8 @@
     pub length: u64,
     /// Key, when it may not be repeated.
     pub key: Option<ScopedKey>,
+    /// When the key was born.
+    pub born_unix_millis: u64,
     /// Resends left after a refusal.
     pub resends: u32,
     /// Time after which the caller hangs up, if it does.
--- a/crates/millpass-sim/src/main.rs
+++ b/crates/millpass-sim/src/main.rs
@@ -5,6 +5,7 @@
 use millpass_sim::run::{RunReport, Summary, run_scenario, run_seeds};
 use millpass_sim::scenario::{SCENARIOS, Scenario};
 use std::ops::Range;
+use std::process::ExitCode;
 use std::str::FromStr;
 use std::time::Instant;
 
@@ -53,13 +54,13 @@
     }
 }
 
-fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<ExitCode> {
     let options = options().run();
     if options.list {
         for scenario in SCENARIOS {
             println!("{:<26} {}", scenario.name, scenario.summary);
         }
-        return Ok(());
+        return Ok(ExitCode::SUCCESS);
     }
     let chosen: Vec<&'static Scenario> = match options.scenario.as_str() {
         "all" => SCENARIOS.iter().collect(),
@@ -70,9 +71,10 @@
         broken += run_one(scenario, &options);
     }
     if broken > 0 {
-        bail!("{broken} runs broke what must always hold");
+        println!("{broken} runs broke what must always hold");
+        return Ok(ExitCode::FAILURE);
     }
-    Ok(())
+    Ok(ExitCode::SUCCESS)
 }
 
 /// Runs a scenario and gives the number of broken runs.
--- a/crates/millpass-sim/src/observer.rs
+++ b/crates/millpass-sim/src/observer.rs
@@ -57,11 +57,6 @@
         self.leader.map(|(member, _)| member)
     }
 
-    /// The committed state.
-    pub fn state(&self) -> &State {
-        &self.state
-    }
-
     /// A member writes to its disk.
     pub fn wrote(&mut self, member: MemberId, request: &PersistRequest) {
         let log = self.logs.entry(member).or_default();
--- a/crates/millpass-sim/src/router_host.rs
+++ b/crates/millpass-sim/src/router_host.rs
@@ -177,7 +177,6 @@
         let node = &mut self.routers[router];
         let number = node.next_request;
         node.next_request += 1;
-        let unix_millis = node.clock.unix_millis(now);
         let arrival = Arrival {
             request: RequestNumber(number),
             api_key: request.api_key.clone(),
@@ -185,7 +184,7 @@
             deadline: node.clock.local(now) + Duration::from_micros(request.allowed_micros),
             idempotency: request.key.as_ref().map(|key| IdempotencyKey {
                 key: key.key.clone(),
-                born_unix_millis: unix_millis,
+                born_unix_millis: request.born_unix_millis,
                 digest: format!("digest-of-{}", key.key),
             }),
         };
@@ -194,7 +193,6 @@
             attempt: None,
             passed: 0,
             kept: Vec::new(),
-            digest: Default::default(),
         };
         node.requests.insert(number, served);
         self.router_step(router, RoutingInput::Arrived(arrival));
@@ -236,11 +234,7 @@
     /// Gives a request its whole answer.
     pub(crate) fn answer_whole(&mut self, router: usize, request: u64, tokens: Vec<u64>) {
         if let Some(served) = self.routers[router].requests.remove(&request) {
-            let part = AnswerPart {
-                from: 0,
-                tokens,
-                last: true,
-            };
+            let part = AnswerPart { tokens, last: true };
             self.pass_on(served.caller.id, part);
         }
     }
--- a/crates/millpass-sim/src/router_node.rs
+++ b/crates/millpass-sim/src/router_node.rs
@@ -1,7 +1,6 @@
 //! A simulated router: the decision core with its clock, link and requests.
 
 use crate::clock::NodeClock;
-use crate::content::RunningDigest;
 use crate::event::{AttemptKey, BackEnd, CallerRequest, RouterEvent};
 use crate::network::Zone;
 use millpass_control_plane::ConnectionId;
@@ -37,8 +36,6 @@
     pub passed: u64,
     /// Tokens of an answer that is not streamed.
     pub kept: Vec<u64>,
-    /// Digest of what was passed on.
-    pub digest: RunningDigest,
 }
 
 /// An attempt that goes on.
--- a/crates/millpass-sim/src/web_host.rs
+++ b/crates/millpass-sim/src/web_host.rs
@@ -61,7 +61,6 @@
         };
         let (from, to) = (run.position, run.request.length);
         let part = AnswerPart {
-            from,
             tokens: run.request.seed.tokens(from, to),
             last: true,
         };
--- a/crates/millpass-sim/src/world.rs
+++ b/crates/millpass-sim/src/world.rs
@@ -22,8 +22,8 @@
 use millpass_checkers::{Event, History, ProcessName};
 use millpass_control_plane::ConnectionId;
 use millpass_proto::{
-    BackendState, EngineOrder, HardState, Incarnation, LogPosition, Membership, RouterName,
-    Snapshot, SnapshotMeta,
+    BackendState, EngineOrder, HardState, Incarnation, LogPosition, Membership, ObjectChange,
+    ObjectChangeOutcome, RouterName, Snapshot, SnapshotMeta,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -100,7 +100,8 @@
     pub fn new(settings: Settings, seed: u64, keep_lines: bool) -> anyhow::Result<Self> {
         let mut clocks = Random::new(seed, CLOCK_STREAM);
         let sizes = settings.sizes.clone();
-        let (state, at) = catalog::initial_state(&sizes)?;
+        let initial = catalog::initial_state(&sizes)?;
+        let (state, at) = (initial.state, initial.at);
         let voters = (0..sizes.members)
             .map(|place| member_address(place, place % sizes.zones, member_id(place, 0)));
         let membership = Membership {
@@ -144,7 +145,7 @@
         };
         let operators =
             (0..settings.load.operators).map(|index| Operator::new(index % sizes.zones));
-        Ok(World {
+        let mut world = World {
             now: 0,
             queue: EventQueue::default(),
             random: Random::new(seed, NETWORK_STREAM),
@@ -181,7 +182,25 @@
             statistics: Statistics::default(),
             failure: None,
             settings,
-        })
+        };
+        for (change, outcome) in initial.changes {
+            world.record_initial(change, outcome);
+        }
+        Ok(world)
+    }
+
+    /// Records a change that was accepted before the run.
+    fn record_initial(&mut self, change: ObjectChange, outcome: ObjectChangeOutcome) {
+        self.next_call += 1;
+        let call = self.next_call;
+        self.record(Event::ChangeCalled {
+            call,
+            object: change.key,
+            expected_version: change.expected_version,
+            change_id: change.change_id,
+            deletes: false,
+        });
+        self.record(Event::ChangeReturned { call, outcome });
     }
 
     /// Runs from the start to the end under a fault plan.
