--- /dev/null
+++ b/crates/millpass-consensus/tests/harness/cluster.rs
@@ -0,0 +1,507 @@
+//! Machines, the network between them, and virtual true time.
+
+use super::checks::{Checks, Rule};
+use super::machine::{Clock, Machine};
+use super::values::{DRIFT_BOUND_PER_MILLE, command, initial};
+use millpass_consensus::{ConsensusInput, ConsensusOutput, MembershipChange, PersistRequest};
+use millpass_proto::{LogEntry, MemberId, Membership, PeerEnvelope, SnapshotMeta};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const MILLISECOND: u64 = 1_000;
+/// Writes that are acknowledged before they are synced stay in a cache for this long.
+const LATE_SYNC_MICROS: (u64, u64) = (100 * MILLISECOND, 1_000 * MILLISECOND);
+const TICK_MICROS: u64 = 5 * MILLISECOND;
+
+/// How the network and disks behave.
+#[derive(Clone, Copy, Debug)]
+pub struct Conditions {
+    pub loss_per_mille: u32,
+    pub duplicate_per_mille: u32,
+    pub delay_micros: (u64, u64),
+    pub sync_micros: (u64, u64),
+}
+
+pub const CALM: Conditions = Conditions {
+    loss_per_mille: 0,
+    duplicate_per_mille: 0,
+    delay_micros: (500, 1_500),
+    sync_micros: (100, 1_000),
+};
+
+pub const ROUGH: Conditions = Conditions {
+    loss_per_mille: 80,
+    duplicate_per_mille: 80,
+    delay_micros: (300, 20_000),
+    sync_micros: (100, 12_000),
+};
+
+/// A rule that the harness breaks, to show that the checks report it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BrokenRule {
+    #[default]
+    None,
+    /// Writes are reported as synced at once.
+    AcknowledgeBeforePersistence,
+    /// Clocks drift far more than the lease allows.
+    ClocksBeyondBound,
+    /// A member whose disk was lost comes back under its old identity.
+    SameIdentityAfterLostDisk,
+    /// The promise not to vote is forgotten: members restart without the initial wait, which is
+    /// shown by starting their clocks long ago.
+    ForgottenPromise,
+}
+
+enum Event {
+    Tick {
+        machine: usize,
+        life: u64,
+    },
+    Synced {
+        machine: usize,
+        life: u64,
+        write: u64,
+    },
+    Deliver {
+        machine: usize,
+        envelope: Box<PeerEnvelope>,
+    },
+}
+
+impl Event {
+    fn machine(&self) -> usize {
+        match self {
+            Event::Tick { machine, .. }
+            | Event::Synced { machine, .. }
+            | Event::Deliver { machine, .. } => *machine,
+        }
+    }
+}
+
+pub struct Cluster {
+    pub now: u64,
+    pub machines: Vec<Machine>,
+    pub checks: Checks,
+    pub conditions: Conditions,
+    pub broken: BrokenRule,
+    pub random: ChaCha8Rng,
+    /// Directed links that are cut.
+    pub cut: BTreeSet<(usize, usize)>,
+    pub acknowledged_tickets: BTreeSet<u64>,
+    pub refusals: Vec<String>,
+    routes: BTreeMap<MemberId, usize>,
+    events: BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+    next_ticket: u64,
+    next_identity: u64,
+    postponed: Vec<Event>,
+}
+
+impl Cluster {
+    pub fn new(seed: u64, voters: u64, conditions: Conditions) -> Self {
+        Cluster::with_broken_rule(seed, voters, conditions, BrokenRule::None)
+    }
+
+    pub fn with_broken_rule(
+        seed: u64,
+        voters: u64,
+        conditions: Conditions,
+        broken: BrokenRule,
+    ) -> Self {
+        let mut cluster = Cluster {
+            now: 0,
+            machines: Vec::new(),
+            checks: Checks::default(),
+            conditions,
+            broken,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            cut: BTreeSet::new(),
+            acknowledged_tickets: BTreeSet::new(),
+            refusals: Vec::new(),
+            routes: BTreeMap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            next_ticket: 1,
+            next_identity: 100,
+            postponed: Vec::new(),
+        };
+        let identities: Vec<u64> = (1..=voters).collect();
+        for identity in &identities {
+            cluster.add_machine(MemberId(*identity), initial(&identities));
+        }
+        cluster
+    }
+
+    fn add_machine(&mut self, member: MemberId, meta: SnapshotMeta) {
+        let machine = self.machines.len();
+        let clock = self.draw_clock();
+        self.machines.push(Machine::new(member, meta, clock));
+        self.routes.insert(member, machine);
+        self.start(machine);
+    }
+
+    /// Gives a machine another clock, by starting it again.
+    pub fn restart_with_clock(&mut self, machine: usize, drift_per_mille: i64) {
+        self.crash(machine);
+        self.machines[machine].clock = Clock::drifting(1, drift_per_mille);
+        self.start(machine);
+    }
+
+    fn draw_clock(&mut self) -> Clock {
+        let bound = match self.broken {
+            BrokenRule::ClocksBeyondBound => 4 * DRIFT_BOUND_PER_MILLE,
+            _ => DRIFT_BOUND_PER_MILLE,
+        };
+        let drift = self.random.random_range(-bound..=bound);
+        Clock::drifting(self.random.random_range(1..1000), drift)
+    }
+
+    /// Starts a stopped machine from its disk.
+    pub fn start(&mut self, machine: usize) {
+        if self.machines[machine].core.is_some() {
+            return;
+        }
+        let seed = self.random.random();
+        let started_at = match self.broken {
+            BrokenRule::ForgottenPromise => self.now.saturating_sub(120 * MILLISECOND),
+            _ => self.now,
+        };
+        let outputs = self.machines[machine].start(started_at, seed);
+        self.carry_out(machine, outputs);
+        let life = self.machines[machine].life;
+        self.schedule(TICK_MICROS, Event::Tick { machine, life });
+    }
+
+    /// Stops a machine; some of its writes under way may still reach the disk.
+    pub fn crash(&mut self, machine: usize) {
+        let under_way = self.machines[machine].disk.under_way.len();
+        let survive = self.random.random_range(0..=under_way);
+        self.machines[machine].stop(survive);
+        self.postponed.retain(|event| event.machine() != machine);
+    }
+
+    /// Loses a machine's disk; it comes back empty, under a new identity. Returns the old one.
+    pub fn lose_disk(&mut self, machine: usize) -> MemberId {
+        let old = self.machines[machine].member;
+        self.crash(machine);
+        let meta = match self.broken {
+            BrokenRule::SameIdentityAfterLostDisk => initial(&[1, 2, 3, 4, 5]),
+            _ => initial(&[]),
+        };
+        let member = match self.broken {
+            BrokenRule::SameIdentityAfterLostDisk => old,
+            _ => MemberId(self.next_identity),
+        };
+        self.next_identity += 1;
+        let life = self.machines[machine].life;
+        let clock = self.draw_clock();
+        self.machines[machine] = Machine::new(member, meta, clock);
+        self.machines[machine].life = life;
+        self.routes.insert(member, machine);
+        self.start(machine);
+        old
+    }
+
+    pub fn freeze(&mut self, machine: usize) {
+        if self.machines[machine].core.is_some() {
+            self.machines[machine].frozen = true;
+        }
+    }
+
+    /// Wakes a machine; what arrived meanwhile is handled now, by a clock that has jumped.
+    pub fn wake(&mut self, machine: usize) {
+        if !self.machines[machine].frozen {
+            return;
+        }
+        self.machines[machine].frozen = false;
+        let (waiting, others): (Vec<Event>, Vec<Event>) = std::mem::take(&mut self.postponed)
+            .into_iter()
+            .partition(|event| event.machine() == machine);
+        self.postponed = others;
+        for event in waiting {
+            self.handle(event);
+        }
+    }
+
+    /// Cuts all links between two sets of machines, both ways.
+    pub fn partition(&mut self, side: &BTreeSet<usize>) {
+        for from in 0..self.machines.len() {
+            for to in 0..self.machines.len() {
+                if side.contains(&from) != side.contains(&to) {
+                    self.cut.insert((from, to));
+                }
+            }
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+        self.conditions = CALM;
+        for machine in 0..self.machines.len() {
+            self.wake(machine);
+            self.start(machine);
+        }
+    }
+
+    fn schedule(&mut self, delay: u64, event: Event) {
+        self.next_event += 1;
+        let key = (self.now + delay, self.next_event);
+        self.events.insert(key, event);
+    }
+
+    /// Runs for a length of true time.
+    pub fn run(&mut self, micros: u64) {
+        let end = self.now + micros;
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            self.now = at;
+            self.handle(event);
+            self.checks.leases(at, &self.machines);
+        }
+        self.now = end;
+    }
+
+    /// Runs until a condition holds, at most for a length of true time.
+    pub fn run_until(&mut self, micros: u64, condition: impl Fn(&Cluster) -> bool) -> bool {
+        let end = self.now + micros;
+        while self.now < end {
+            if condition(self) {
+                return true;
+            }
+            self.run(MILLISECOND);
+        }
+        condition(self)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let index = event.machine();
+        if self.machines[index].frozen {
+            self.postponed.push(event);
+            return;
+        }
+        let life = self.machines[index].life;
+        match event {
+            Event::Tick { machine, life: of } if of == life => {
+                self.input(machine, ConsensusInput::Tick);
+                self.schedule(TICK_MICROS, Event::Tick { machine, life });
+            }
+            Event::Synced {
+                machine,
+                life: of,
+                write,
+            } if of == life => {
+                self.machines[machine].disk.sync_up_to(write);
+                if self.broken != BrokenRule::AcknowledgeBeforePersistence {
+                    self.input(machine, ConsensusInput::Persisted { write });
+                }
+            }
+            Event::Deliver { machine, envelope } => {
+                self.input(machine, ConsensusInput::Receive(*envelope));
+            }
+            _ => {}
+        }
+    }
+
+    pub fn input(&mut self, machine: usize, input: ConsensusInput) {
+        let now = self.now;
+        let outputs = self.machines[machine].step(now, input);
+        self.carry_out(machine, outputs);
+    }
+
+    fn carry_out(&mut self, machine: usize, outputs: Vec<ConsensusOutput>) {
+        for output in outputs {
+            match output {
+                ConsensusOutput::Send(envelope) => self.send(machine, envelope),
+                ConsensusOutput::Persist(request) => self.persist(machine, request),
+                ConsensusOutput::Commit(entries) => self.commit(machine, &entries),
+                ConsensusOutput::Restore(snapshot) => self.machines[machine].restore(&snapshot),
+                ConsensusOutput::Appended { ticket, position } => {
+                    self.machines[machine].tickets.insert(position, ticket);
+                }
+                ConsensusOutput::Rejected { reason, .. } => self.refusals.push(reason.to_string()),
+                ConsensusOutput::RoleChanged(status) => {
+                    let member = self.machines[machine].member;
+                    if status.role == millpass_consensus::Role::Leader {
+                        self.checks.leads(self.now, member, status.term);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, envelope: PeerEnvelope) {
+        self.checks.sends(self.now, &self.machines[from], &envelope);
+        let Some(&to) = self.routes.get(&envelope.to) else {
+            return;
+        };
+        if self.cut.contains(&(from, to)) {
+            return;
+        }
+        let copies = 1 + u64::from(self.chance(self.conditions.duplicate_per_mille));
+        for _ in 0..copies {
+            if self.chance(self.conditions.loss_per_mille) {
+                continue;
+            }
+            let (least, most) = self.conditions.delay_micros;
+            let delay = self.random.random_range(least..=most);
+            let envelope = Box::new(envelope.clone());
+            self.schedule(
+                delay,
+                Event::Deliver {
+                    machine: to,
+                    envelope,
+                },
+            );
+        }
+    }
+
+    pub fn chance(&mut self, per_mille: u32) -> bool {
+        self.random.random_range(0..1000) < per_mille
+    }
+
+    fn persist(&mut self, machine: usize, request: PersistRequest) {
+        self.checks.writes(self.now, &request.entries);
+        let write = request.write;
+        let life = self.machines[machine].life;
+        self.machines[machine].disk.under_way.push_back(request);
+        let (least, most) = match self.broken {
+            BrokenRule::AcknowledgeBeforePersistence => LATE_SYNC_MICROS,
+            _ => self.conditions.sync_micros,
+        };
+        let delay = self.random.random_range(least..=most);
+        self.schedule(
+            delay,
+            Event::Synced {
+                machine,
+                life,
+                write,
+            },
+        );
+        if self.broken == BrokenRule::AcknowledgeBeforePersistence {
+            self.input(machine, ConsensusInput::Persisted { write });
+        }
+    }
+
+    fn commit(&mut self, index: usize, entries: &[LogEntry]) {
+        for entry in entries {
+            let machine = &mut self.machines[index];
+            let member = machine.member;
+            if entry.position.index != machine.applied + 1 {
+                let detail = format!("applies {} after {}", entry.position, machine.applied);
+                self.checks.applies_out_of_order(self.now, member, detail);
+            }
+            machine.apply(entry);
+            if let Some(ticket) = machine.tickets.remove(&entry.position) {
+                self.acknowledged_tickets.insert(ticket);
+                let acknowledged = &mut self.checks.acknowledged;
+                *acknowledged = (*acknowledged).max(entry.position.index);
+            }
+            self.checks.commits(self.now, member, entry);
+        }
+    }
+
+    /// The machine that leads the highest term, among those that run.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |index: &usize| self.machines[*index].leads();
+        let term = |index: &usize| self.machines[*index].status().map(|status| status.term);
+        (0..self.machines.len()).filter(leads).max_by_key(term)
+    }
+
+    pub fn machine_of(&self, member: MemberId) -> Option<usize> {
+        let index = *self.routes.get(&member)?;
+        (self.machines[index].member == member).then_some(index)
+    }
+
+    /// Membership as the leader has it.
+    pub fn membership(&self) -> Option<Membership> {
+        let leader = self.leader()?;
+        self.machines[leader]
+            .status()
+            .map(|status| status.membership)
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    /// Proposes at the leader, if there is one. Returns the ticket.
+    pub fn propose(&mut self) -> u64 {
+        let ticket = self.ticket();
+        if let Some(leader) = self.leader() {
+            let command = command(ticket);
+            if !self.machines[leader].frozen {
+                self.input(leader, ConsensusInput::Propose { ticket, command });
+            }
+        }
+        ticket
+    }
+
+    pub fn change(&mut self, change: MembershipChange) -> u64 {
+        let ticket = self.ticket();
+        if let Some(leader) = self.leader()
+            && !self.machines[leader].frozen
+        {
+            self.input(leader, ConsensusInput::ChangeMembership { ticket, change });
+        }
+        ticket
+    }
+
+    pub fn transfer(&mut self, target: MemberId) {
+        if let Some(leader) = self.leader()
+            && !self.machines[leader].frozen
+        {
+            self.input(leader, ConsensusInput::TransferLeadership(target));
+        }
+    }
+
+    pub fn snapshot(&mut self, machine: usize) {
+        let node = &mut self.machines[machine];
+        if node.core.is_none() || node.frozen || node.applied <= node.disk.meta.last.index {
+            return;
+        }
+        let snapshot = node.take_snapshot();
+        node.disk.save_snapshot(snapshot.clone());
+        self.input(machine, ConsensusInput::SnapshotTaken(snapshot));
+    }
+
+    /// Proposes until one is acknowledged; fails the run if none is in time.
+    pub fn propose_until_acknowledged(&mut self, micros: u64) -> bool {
+        let end = self.now + micros;
+        let mut tickets = BTreeSet::new();
+        while self.now < end {
+            tickets.insert(self.propose());
+            self.run(50 * MILLISECOND);
+            if !tickets.is_disjoint(&self.acknowledged_tickets) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Ends the faults, and checks that the group works and all members agree.
+    pub fn settle(&mut self) {
+        self.heal();
+        self.run(500 * MILLISECOND);
+        if !self.propose_until_acknowledged(5_000 * MILLISECOND) {
+            let detail = "no proposal is acknowledged after the faults".to_owned();
+            self.checks.report(Rule::Converges, self.now, detail);
+        }
+        self.run(500 * MILLISECOND);
+        let members: Vec<MemberId> = self.membership().map_or_else(Vec::new, |membership| {
+            let all = membership.voters.iter().chain(&membership.learners);
+            all.map(|address| address.member).collect()
+        });
+        self.checks.converged(self.now, &self.machines, &members);
+    }
+
+    pub fn assert_clean(&self, seed: u64) {
+        let violations = &self.checks.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
--- /dev/null
+++ b/crates/millpass-consensus/tests/harness/machine.rs
@@ -0,0 +1,151 @@
+//! One machine: a member, its disk, its clock and its state machine.
+
+use super::disk::Disk;
+use super::values::{DRIFT_BOUND_PER_MILLE, chain, settings};
+use millpass_consensus::{Consensus, ConsensusInput, ConsensusOutput, ConsensusStatus, Role};
+use millpass_proto::{
+    LogEntry, LogPosition, MemberId, Membership, Snapshot, SnapshotMeta, Timestamp,
+};
+use std::collections::BTreeMap;
+
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// A clock that drifts.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    pub offset_micros: u64,
+    pub drift_per_mille: i64,
+}
+
+impl Clock {
+    pub fn at(&self, true_micros: u64) -> Timestamp {
+        let scaled = true_micros as i128 * (1000 + self.drift_per_mille) as i128 / 1000;
+        Timestamp::from_micros(self.offset_micros + scaled as u64)
+    }
+
+    pub fn drifting(offset_seconds: u64, drift_per_mille: i64) -> Self {
+        Clock {
+            offset_micros: offset_seconds * MICROS_PER_SECOND,
+            drift_per_mille: drift_per_mille.clamp(-900, 4 * DRIFT_BOUND_PER_MILLE),
+        }
+    }
+}
+
+pub struct Machine {
+    pub member: MemberId,
+    pub core: Option<Consensus>,
+    pub disk: Disk,
+    pub clock: Clock,
+    /// Counts starts; events of earlier lives are void.
+    pub life: u64,
+    pub frozen: bool,
+    pub applied: u64,
+    pub applied_position: LogPosition,
+    pub state: u64,
+    pub membership: Membership,
+    /// Proposals made here: where each ticket entered the log.
+    pub tickets: BTreeMap<LogPosition, u64>,
+    pub trailing_entries: u64,
+}
+
+impl Machine {
+    pub fn new(member: MemberId, meta: SnapshotMeta, clock: Clock) -> Self {
+        Machine {
+            member,
+            core: None,
+            membership: meta.membership.clone(),
+            disk: Disk::new(meta),
+            clock,
+            life: 0,
+            frozen: false,
+            applied: 0,
+            applied_position: LogPosition::ZERO,
+            state: 0,
+            tickets: BTreeMap::new(),
+            trailing_entries: 4,
+        }
+    }
+
+    /// Starts from the disk. Returns the outputs of passing the restored snapshot in.
+    pub fn start(&mut self, now: u64, seed: u64) -> Vec<ConsensusOutput> {
+        self.life += 1;
+        let time = self.clock.at(now);
+        let mut core = Consensus::new(settings(self.member, seed), self.disk.restored(), time);
+        core.set_trailing_entries(self.trailing_entries);
+        self.core = Some(core);
+        self.applied = 0;
+        self.applied_position = LogPosition::ZERO;
+        self.state = 0;
+        self.tickets.clear();
+        self.membership = self.disk.meta.membership.clone();
+        match self.disk.snapshot.clone() {
+            Some(snapshot) => {
+                self.restore(&snapshot);
+                self.step(now, ConsensusInput::SnapshotTaken(snapshot))
+            }
+            None => Vec::new(),
+        }
+    }
+
+    pub fn stop(&mut self, surviving_writes: usize) {
+        self.life += 1;
+        self.core = None;
+        self.frozen = false;
+        self.disk.crash(surviving_writes);
+    }
+
+    pub fn step(&mut self, now: u64, input: ConsensusInput) -> Vec<ConsensusOutput> {
+        let time = self.clock.at(now);
+        match &mut self.core {
+            Some(core) => core.step(time, input),
+            None => Vec::new(),
+        }
+    }
+
+    pub fn status(&self) -> Option<ConsensusStatus> {
+        self.core.as_ref().map(Consensus::status)
+    }
+
+    pub fn leads(&self) -> bool {
+        self.status()
+            .is_some_and(|status| status.role == Role::Leader)
+    }
+
+    pub fn holds_lease(&self, now: u64) -> bool {
+        let time = self.clock.at(now);
+        self.core
+            .as_ref()
+            .is_some_and(|core| core.holds_lease(time))
+    }
+
+    pub fn apply(&mut self, entry: &LogEntry) {
+        self.applied = entry.position.index;
+        self.applied_position = entry.position;
+        self.state = chain(self.state, entry);
+        if let millpass_proto::EntryPayload::Membership(membership) = &entry.payload {
+            self.membership = membership.clone();
+        }
+    }
+
+    /// State and padding, so that a snapshot takes several pieces.
+    pub fn take_snapshot(&self) -> Snapshot {
+        let mut data = self.state.to_le_bytes().to_vec();
+        data.resize(200 + (self.applied % 64) as usize, 1);
+        Snapshot {
+            meta: SnapshotMeta {
+                last: self.applied_position,
+                membership: self.membership.clone(),
+            },
+            data: data.into(),
+        }
+    }
+
+    pub fn restore(&mut self, snapshot: &Snapshot) {
+        let mut state = [0; 8];
+        state.copy_from_slice(&snapshot.data[..8]);
+        self.state = u64::from_le_bytes(state);
+        self.applied_position = snapshot.meta.last;
+        self.applied = snapshot.meta.last.index;
+        self.membership = snapshot.meta.membership.clone();
+    }
+}
--- /dev/null
+++ b/crates/millpass-consensus/tests/harness/values.rs
@@ -0,0 +1,88 @@
+//! Small values the tests build members and commands from.
+
+use millpass_consensus::ConsensusSettings;
+use millpass_proto::{
+    ChangeId, Command, Duration, GroupId, HardState, LogEntry, LogPosition, MemberAddress,
+    MemberId, Membership, ObjectChange, ObjectKey, ObjectKind, OperatorName, SnapshotMeta,
+};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+pub const GROUP: GroupId = GroupId(7);
+pub const ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
+pub const LEASE_LENGTH: Duration = Duration::from_millis(70);
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Clocks may run this much faster or slower than true time. Bound by the lease:
+/// 70 / (1 - 0.15) = 82.4 is less than 100 / (1 + 0.15) = 87.0.
+pub const DRIFT_BOUND_PER_MILLE: i64 = 150;
+
+pub fn settings(member: MemberId, seed: u64) -> ConsensusSettings {
+    ConsensusSettings {
+        group: GROUP,
+        member,
+        election_timeout: ELECTION_TIMEOUT,
+        heartbeat_interval: HEARTBEAT_INTERVAL,
+        lease_length: LEASE_LENGTH,
+        maximum_append_entries: 8,
+        snapshot_chunk_bytes: 64,
+        seed,
+    }
+}
+
+pub fn address(member: MemberId) -> MemberAddress {
+    MemberAddress {
+        member,
+        zone: "zone".into(),
+        peer_address: format!("127.0.0.1:{}", member.0),
+        administration_address: String::new(),
+    }
+}
+
+pub fn membership(voters: &[u64]) -> Membership {
+    Membership {
+        voters: voters.iter().map(|id| address(MemberId(*id))).collect(),
+        outgoing_voters: Vec::new(),
+        learners: Vec::new(),
+    }
+}
+
+pub fn initial(voters: &[u64]) -> SnapshotMeta {
+    SnapshotMeta {
+        last: LogPosition::ZERO,
+        membership: membership(voters),
+    }
+}
+
+pub fn no_vote(term: u64) -> HardState {
+    HardState {
+        term,
+        voted_for: None,
+    }
+}
+
+pub fn command(ticket: u64) -> Command {
+    Command::ChangeObject(ObjectChange {
+        key: ObjectKey {
+            kind: ObjectKind::Model,
+            name: "model".to_owned(),
+        },
+        expected_version: 0,
+        change_id: ChangeId(ticket.to_string()),
+        operator: OperatorName("operator".to_owned()),
+        at_unix_millis: 0,
+        spec: None,
+    })
+}
+
+pub fn digest(entry: &LogEntry) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    entry.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Digest of a state after one more entry.
+pub fn chain(state: u64, entry: &LogEntry) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (state, digest(entry)).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/millpass-consensus/tests/random_faults.rs
@@ -0,0 +1,66 @@
+//! Seeded runs under mixed faults: all checks hold; with a rule broken, a check reports it.
+
+mod harness;
+
+use harness::checks::Rule;
+use harness::cluster::{BrokenRule, CALM, Cluster, MILLISECOND};
+use harness::faults::FaultPlan;
+use rstest::rstest;
+
+const ROUNDS: u64 = 30;
+
+fn run(seed: u64, broken: BrokenRule) -> (Cluster, FaultPlan) {
+    let mut cluster = Cluster::with_broken_rule(seed, 5, CALM, broken);
+    let mut plan = FaultPlan::default();
+    cluster.run(400 * MILLISECOND);
+    plan.run(&mut cluster, ROUNDS);
+    plan.finish(&mut cluster);
+    (cluster, plan)
+}
+
+/// Seeds of one test case; eight cases run in parallel.
+const SEEDS_PER_CASE: u64 = 12;
+
+#[rstest]
+fn all_checks_hold_under_faults(#[values(0, 1, 2, 3, 4, 5, 6, 7)] case: u64) {
+    let mut commits = 0;
+    let mut lease_instants = 0;
+    let mut repaired = 0;
+    let first = case * SEEDS_PER_CASE;
+    for seed in first..first + SEEDS_PER_CASE {
+        let (cluster, plan) = run(seed, BrokenRule::None);
+        cluster.assert_clean(seed);
+        commits += cluster.checks.committed_count();
+        lease_instants += cluster.checks.lease_instants;
+        repaired += plan.repaired;
+    }
+    // The runs did something worth checking.
+    assert!(commits > 500, "{commits} commits");
+    assert!(
+        lease_instants > 5_000,
+        "{lease_instants} instants under a lease"
+    );
+    assert!(repaired > 4, "{repaired} repairs");
+}
+
+/// Whether some seed shows this violation when a rule is broken. Broken clocks and promises are
+/// in `scenarios.rs`.
+fn some_seed_reports(broken: BrokenRule, rule: Rule) -> bool {
+    (0..1500).any(|seed| run(seed, broken).0.checks.has(rule))
+}
+
+#[rstest]
+#[case::persisted(BrokenRule::AcknowledgeBeforePersistence, Rule::PersistedBeforeSent)]
+#[case::lost(BrokenRule::AcknowledgeBeforePersistence, Rule::StateMachineSafety)]
+#[case::one_vote(BrokenRule::AcknowledgeBeforePersistence, Rule::OneVotePerTerm)]
+#[case::old_identity_votes(BrokenRule::SameIdentityAfterLostDisk, Rule::OneVotePerTerm)]
+#[case::old_identity_leaders(BrokenRule::SameIdentityAfterLostDisk, Rule::OneLeaderPerTerm)]
+#[case::old_identity_state(BrokenRule::SameIdentityAfterLostDisk, Rule::StateMachineSafety)]
+#[case::old_identity_log(BrokenRule::SameIdentityAfterLostDisk, Rule::LogMatching)]
+#[case::old_identity_lost(BrokenRule::SameIdentityAfterLostDisk, Rule::CommittedNeverLost)]
+fn a_broken_rule_is_reported(#[case] broken: BrokenRule, #[case] rule: Rule) {
+    assert!(
+        some_seed_reports(broken, rule),
+        "{broken:?} never shows {rule:?}"
+    );
+}
