millpass-router: engine errors within a stream, explanations of the core

Cause: the engine stand-in reports the end of a broken stream as `data: {"error": ...}`, which was passed on to the caller as an ordinary event; its refusal of a passed deadline is a 504 that it did not run. Ruled out: passing such an event on and breaking off afterwards (the caller would see an error in a stream that then goes on at another replica). Change: an event with an error ends the attempt; 504 with `Millpass-Executed: no` counts as refused; `/v1/explain` and the metrics show what the decision core says; health follows the lease.

--- a/crates/millpass-router/src/backend.rs
+++ b/crates/millpass-router/src/backend.rs
@@ -35,6 +35,13 @@
 ];
 /// Another such header, without a name of its own in the library.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Statuses with which a back end refuses a request that another may run. Others, such as 400 and
+/// 413, are its answer to the request itself.
+const REFUSAL_STATUSES: [StatusCode; 3] = [
+    StatusCode::CONFLICT,
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::GATEWAY_TIMEOUT,
+];
 /// Start of the names of the headers that only the router sets.
 const OWN_PREFIX: &str = "millpass-";
 
@@ -200,9 +207,8 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    let own = headers
-        .keys()
-        .filter(|name| name.as_str().starts_with(OWN_PREFIX));
+    let is_own = |name: &&HeaderName| name.as_str().starts_with(OWN_PREFIX);
+    let own = headers.keys().filter(is_own);
     let removed = listed.iter().chain(&HOP_HEADERS).chain(own);
     for name in removed {
         passed.remove(name);
@@ -214,10 +220,8 @@
 
 /// Whether the back end says that it refused without running the request.
 fn is_refusal(answer: &BackendAnswer) -> bool {
-    let status = answer.status();
-    let may_refuse = status == StatusCode::CONFLICT || status == StatusCode::SERVICE_UNAVAILABLE;
     let executed = answer.headers().get(EXECUTED_HEADER);
-    may_refuse && executed.is_some_and(|value| value == "no")
+    REFUSAL_STATUSES.contains(&answer.status()) && executed.is_some_and(|value| value == "no")
 }
 
 fn priority(urgency: Urgency) -> &'static str {
--- a/crates/millpass-router/src/driver.rs
+++ b/crates/millpass-router/src/driver.rs
@@ -15,15 +15,14 @@
 use crate::watch::WatchList;
 use crossbeam::channel::Sender;
 use millpass_proto::{ClaimRequest, RouterToControl, Timestamp};
-use millpass_routing::{Routing, RoutingEvent, RoutingInput, RoutingOutput, RoutingSettings};
+use millpass_routing::{
+    Explanation, RequestNumber, Routing, RoutingEvent, RoutingInput, RoutingOutput,
+    RoutingSettings, RoutingSnapshot,
+};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// Silence of the leader after which the router calls itself unhealthy. The leases, whose length
-/// the leader sets, decide on admission.
-const HEALTHY_SILENCE: Duration = Duration::from_secs(3);
-
 /// The decision core with what its outputs act on.
 pub(crate) struct Driver {
     core: Mutex<Routing>,
@@ -84,17 +83,29 @@
         }
     }
 
-    /// Whether a leader answered lately enough for its lease to hold.
-    pub(crate) fn has_heard_leader(&self) -> bool {
-        let age = self.leader_silence();
-        age.is_some_and(|age| age < HEALTHY_SILENCE)
+    /// Time left of the lease; zero without one.
+    pub(crate) fn lease_left(&self) -> Duration {
+        self.snapshot().lease_left
+    }
+
+    /// Counters and sizes of the core.
+    fn snapshot(&self) -> RoutingSnapshot {
+        let core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
+        core.snapshot(self.clock.now())
+    }
+
+    /// Why a request stands as it does in the core, or ended as it did.
+    pub(crate) fn explain(&self, request: RequestNumber) -> Option<Explanation> {
+        let core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
+        core.explain(request, self.clock.now())
     }
 
-    /// Sets the gauges that change with time.
+    /// Sets the gauges that are read when asked for.
     pub(crate) fn update_gauges(&self) {
         let age = self.leader_silence();
         let millis = age.map_or(-1, |age| age.as_millis() as i64);
         self.metrics.lease_age_millis.set(millis);
+        self.metrics.set_snapshot(&self.snapshot());
     }
 
     fn leader_silence(&self) -> Option<Duration> {
--- a/crates/millpass-router/src/exchange.rs
+++ b/crates/millpass-router/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::attempt::AttemptControl;
 use crate::backend::{BackendAnswer, Outgoing, passed_on};
 use crate::caller::CallerRequest;
-use crate::explain::Explanation;
+use crate::explain::RequestSteps;
 use crate::process::Shared;
 use crate::refusal::{ErrorAnswer, REQUEST_ID_HEADER};
 use crate::requests::Signal;
@@ -52,7 +52,7 @@
     backend_request_id: String,
     arrived: Timestamp,
     deadline: Timestamp,
-    explanation: Arc<Explanation>,
+    steps: Arc<RequestSteps>,
     caller: CallerSide,
     /// Tokens passed on.
     tokens: u64,
@@ -72,8 +72,8 @@
     ) -> Self {
         let number = shared.next_request();
         let arrived = shared.driver.clock.now();
-        let explanation = Arc::new(Explanation::new(arrived, read.target_name()));
-        shared.explanations.add(&request_id, explanation.clone());
+        let steps = Arc::new(RequestSteps::new(number, arrived, read.target_name()));
+        shared.explanations.add(&request_id, steps.clone());
         let incarnation = shared.incarnation;
         Exchange {
             deadline: arrived + read.deadline,
@@ -84,7 +84,7 @@
             read,
             request_id,
             arrived,
-            explanation,
+            steps,
             caller: CallerSide::Waiting(responder),
             tokens: 0,
             recorded: Vec::new(),
@@ -185,7 +185,7 @@
             "attempt={} backend={} resume_from={}",
             dispatch.attempt, dispatch.backend, dispatch.resume_from
         );
-        self.explanation.add(now, "dispatched", detail);
+        self.steps.add(now, "dispatched", detail);
     }
 
     fn attempt_failed(
@@ -198,7 +198,7 @@
         let now = driver.clock.now();
         if control.is_cancelled() {
             driver.metrics.count_attempt("cancelled");
-            self.explanation.add(now, "cancelled", String::new());
+            self.steps.add(now, "cancelled", String::new());
             if control.may_have_sent() && dispatch.slot.is_some() {
                 let backends = &self.shared.backends;
                 backends.cancel(&dispatch.address, &self.backend_request_id);
@@ -208,7 +208,7 @@
         }
         let (result, detail) = describe(failure);
         driver.metrics.count_attempt(result);
-        self.explanation.add(now, result, detail);
+        self.steps.add(now, result, detail);
         let backend = &dispatch.backend;
         let request_id = &self.request_id;
         log::warn!("event=attempt_failed request={request_id} backend={backend} result={result}");
@@ -311,8 +311,7 @@
     fn completed(&self, answer: Option<RecordedAnswer>) {
         let driver = &self.shared.driver;
         let detail = format!("tokens={}", self.tokens);
-        self.explanation
-            .add(driver.clock.now(), "completed", detail);
+        self.steps.add(driver.clock.now(), "completed", detail);
         driver.step(RoutingInput::Completed {
             request: self.number,
             answer,
@@ -409,7 +408,7 @@
     /// Answers with a refusal, or breaks an open stream off with it. Returns the outcome.
     fn refuse(&mut self, error: &ErrorAnswer) -> &'static str {
         let now = self.shared.driver.clock.now();
-        self.explanation.add(now, "refused", error.message.clone());
+        self.steps.add(now, "refused", error.message.clone());
         let (request, code) = (&self.request_id, error.code);
         log::info!(
             "event=request_refused request={request} code={code} tokens={}",
--- a/crates/millpass-router/src/explain.rs
+++ b/crates/millpass-router/src/explain.rs
@@ -1,6 +1,7 @@
 //! What became of recent requests, for `/v1/explain/{request}`.
 
 use millpass_proto::Timestamp;
+use millpass_routing::{Explanation, RequestNumber};
 use serde::Serialize;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -21,15 +22,17 @@
 
 /// Steps of one request so far.
 #[derive(Debug)]
-pub(crate) struct Explanation {
+pub(crate) struct RequestSteps {
+    number: RequestNumber,
     arrived: Timestamp,
     target: String,
     steps: Mutex<Vec<Step>>,
 }
 
-impl Explanation {
-    pub(crate) fn new(arrived: Timestamp, target: String) -> Self {
-        Explanation {
+impl RequestSteps {
+    pub(crate) fn new(number: RequestNumber, arrived: Timestamp, target: String) -> Self {
+        RequestSteps {
+            number,
             arrived,
             target,
             steps: Mutex::new(Vec::new()),
@@ -49,9 +52,20 @@
         }
     }
 
-    fn to_json(&self, request: &str) -> serde_json::Value {
+    /// Number of the request in the decision core.
+    pub(crate) fn number(&self) -> RequestNumber {
+        self.number
+    }
+
+    /// The steps, with what the decision core says, as JSON.
+    pub(crate) fn to_json(&self, request: &str, core: Option<&Explanation>) -> serde_json::Value {
         let steps = self.lock();
-        serde_json::json!({"request_id": request, "target": self.target, "steps": *steps})
+        serde_json::json!({
+            "request_id": request,
+            "target": self.target,
+            "steps": *steps,
+            "decision": core.map(decision_json),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Step>> {
@@ -68,7 +82,7 @@
 
 #[derive(Debug, Default)]
 struct Recent {
-    by_request: HashMap<Arc<str>, Arc<Explanation>>,
+    by_request: HashMap<Arc<str>, Arc<RequestSteps>>,
     order: VecDeque<Arc<str>>,
 }
 
@@ -81,14 +95,10 @@
     }
 
     /// Adds a request; the oldest one is forgotten when there are too many.
-    pub(crate) fn add(&self, request: &str, explanation: Arc<Explanation>) {
+    pub(crate) fn add(&self, request: &str, steps: Arc<RequestSteps>) {
         let mut recent = self.lock();
         let request: Arc<str> = request.into();
-        if recent
-            .by_request
-            .insert(request.clone(), explanation)
-            .is_none()
-        {
+        if recent.by_request.insert(request.clone(), steps).is_none() {
             recent.order.push_back(request);
         }
         if recent.order.len() > self.maximum
@@ -98,13 +108,25 @@
         }
     }
 
-    /// What is known of a request.
-    pub(crate) fn get(&self, request: &str) -> Option<serde_json::Value> {
-        let explanation = self.lock().by_request.get(request).cloned();
-        explanation.map(|explanation| explanation.to_json(request))
+    /// The steps of a request, unless it is forgotten.
+    pub(crate) fn get(&self, request: &str) -> Option<Arc<RequestSteps>> {
+        self.lock().by_request.get(request).cloned()
     }
 
     fn lock(&self) -> MutexGuard<'_, Recent> {
         self.recent.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn decision_json(core: &Explanation) -> serde_json::Value {
+    serde_json::json!({
+        "tenant": core.tenant.as_ref().map(ToString::to_string),
+        "urgency": core.urgency.map(|urgency| format!("{urgency:?}").to_ascii_lowercase()),
+        "policy": core.policy.as_ref().map(ToString::to_string),
+        "outcome": format!("{:?}", core.outcome),
+        "backend": core.backend.as_ref().map(ToString::to_string),
+        "attempts": core.attempts,
+        "waited_millis": core.waited.as_millis() as u64,
+        "total_millis": core.total.as_millis() as u64,
+    })
+}
--- a/crates/millpass-router/src/handler.rs
+++ b/crates/millpass-router/src/handler.rs
@@ -125,7 +125,7 @@
     fn health(&self) -> Response {
         let (status, word) = if self.shared.is_draining() {
             (StatusCode::SERVICE_UNAVAILABLE, "draining")
-        } else if !self.shared.driver.has_heard_leader() {
+        } else if self.shared.driver.lease_left().is_zero() {
             (StatusCode::SERVICE_UNAVAILABLE, "no_lease")
         } else {
             (StatusCode::OK, "serving")
@@ -135,16 +135,15 @@
     }
 
     fn explain(&self, request_id: &str) -> Response {
-        match self.shared.explanations.get(request_id) {
-            Some(explanation) => Response::json(StatusCode::OK, &explanation),
-            None => Response::json(
-                StatusCode::NOT_FOUND,
-                &serde_json::json!({"error": {
-                    "code": "not_found",
-                    "message": "this router knows no request of this id, or no longer; ask the \
-                                router that answered it",
-                }}),
-            ),
-        }
+        let Some(steps) = self.shared.explanations.get(request_id) else {
+            let error = serde_json::json!({"error": {
+                "code": "not_found",
+                "message": "this router knows no request of this id, or no longer; ask the router \
+                            that answered it",
+            }});
+            return Response::json(StatusCode::NOT_FOUND, &error);
+        };
+        let core = self.shared.driver.explain(steps.number());
+        Response::json(StatusCode::OK, &steps.to_json(request_id, core.as_ref()))
     }
 }
--- a/crates/millpass-router/src/metrics.rs
+++ b/crates/millpass-router/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of the router.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use millpass_routing::RoutingSnapshot;
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
 
 /// Upper bounds, in seconds, of the histograms of waits and first tokens.
 const SECONDS: [f64; 16] = [
@@ -26,6 +27,8 @@
     pub(crate) lease_age_millis: IntGauge,
     /// Back ends watched.
     pub(crate) watched: IntGauge,
+    /// Sizes of the decision core by name.
+    core: IntGaugeVec,
 }
 
 impl Metrics {
@@ -39,6 +42,9 @@
         let in_flight = IntGauge::new("router_in_flight", "Requests not ended")?;
         let lease_age_millis = IntGauge::new("router_lease_age_millis", "Age of the lease")?;
         let watched = IntGauge::new("router_watched_backends", "Back ends watched")?;
+        let core = Opts::new("router_core", "Sizes of the decision core");
+        let core = IntGaugeVec::new(core, &["size"])?;
+        registry.register(Box::new(core.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(link.clone()))?;
@@ -58,6 +64,7 @@
             in_flight,
             lease_age_millis,
             watched,
+            core,
         })
     }
 
@@ -66,6 +73,24 @@
         millpass_telemetry::exposition(&self.registry)
     }
 
+    /// Sets the gauges of the decision core.
+    pub(crate) fn set_snapshot(&self, snapshot: &RoutingSnapshot) {
+        let sizes = [
+            ("waiting", snapshot.waiting as i64),
+            ("attempts_in_flight", snapshot.in_flight as i64),
+            ("claims", snapshot.claims as i64),
+            ("open_circuits", snapshot.open_circuits as i64),
+            ("retries", snapshot.retries as i64),
+            ("lease_left_millis", snapshot.lease_left.as_millis() as i64),
+            ("term", snapshot.term as i64),
+            ("configuration_revision", snapshot.configuration as i64),
+            ("placement_revision", snapshot.placement as i64),
+        ];
+        for (name, size) in sizes {
+            self.core.with_label_values(&[name]).set(size);
+        }
+    }
+
     pub(crate) fn count_request(&self, outcome: &str) {
         self.requests.with_label_values(&[outcome]).inc();
     }
--- a/crates/millpass-router/src/sse.rs
+++ b/crates/millpass-router/src/sse.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use std::borrow::Cow;
 
 /// Most bytes of one event; a longer one breaks the stream.
@@ -105,8 +106,10 @@
     if data == DONE {
         return Some(StreamEvent::Done);
     }
-    let tokens = count_tokens(data);
-    Some(StreamEvent::Data { raw, tokens })
+    match count_tokens(data) {
+        Some(tokens) => Some(StreamEvent::Data { raw, tokens }),
+        None => Some(StreamEvent::Error),
+    }
 }
 
 /// The parts of an event's JSON that tell whether it carries a token.
@@ -114,6 +117,8 @@
 struct Chunk<'a> {
     #[serde(default, borrow)]
     choices: Vec<Choice<'a>>,
+    #[serde(default)]
+    error: Option<IgnoredAny>,
 }
 
 #[derive(Deserialize)]
@@ -130,11 +135,15 @@
     content: Option<Cow<'a, str>>,
 }
 
-/// An engine sends one token an event; events with role, finish reason or usage carry none.
-fn count_tokens(data: &[u8]) -> u64 {
+/// An engine sends one token an event; events with role, finish reason or usage carry none. `None`
+/// for an error.
+fn count_tokens(data: &[u8]) -> Option<u64> {
     let Ok(chunk) = serde_json::from_slice::<Chunk<'_>>(data) else {
-        return 0;
+        return Some(0);
     };
+    if chunk.error.is_some() {
+        return None;
+    }
     let has_text = chunk.choices.iter().any(|choice| {
         let text = choice.text.as_deref();
         let content = choice
@@ -143,5 +152,5 @@
             .and_then(|delta| delta.content.as_deref());
         text.or(content).is_some_and(|text| !text.is_empty())
     });
-    u64::from(has_text)
+    Some(u64::from(has_text))
 }
--- a/crates/millpass-router/tests/serving.rs
+++ b/crates/millpass-router/tests/serving.rs
@@ -321,6 +321,8 @@
         .map(|step| step["event"].as_str().unwrap())
         .collect();
     assert_eq!(events, ["dispatched", "completed"]);
+    assert_eq!(explanation["decision"]["outcome"], "Completed");
+    assert_eq!(explanation["decision"]["policy"], "all");
     assert_eq!(observe(&router, "/v1/explain/other").status, 404);
     assert_eq!(observe(&router, "/else").status, 404);
 }
--- a/crates/millpass-router/tests/sse.rs
+++ b/crates/millpass-router/tests/sse.rs
@@ -40,6 +40,8 @@
 #[case::no_space("data:{\"choices\":[{\"text\":\"a\"}]}\n\n", &[1])]
 #[case::done("data: [DONE]\n\n", &[99])]
 #[case::error("event: error\ndata: {}\n\n", &[99])]
+#[case::error_in_data("data: {\"error\":{\"code\":\"unloaded\"}}\n\n", &[99])]
+#[case::no_error("data: {\"choices\":[{\"text\":\"a\"}],\"error\":null}\n\n", &[1])]
 #[case::unfinished("data: {\"choices\":[{\"text\":\"a\"}]}\n", &[])]
 fn tokens_are_counted(#[case] text: &str, #[case] expected: &[u64]) {
     assert_eq!(token_counts(text), expected);
