Stand-ins: many engines in one process, and what one carries

Cause: runs at scale need many hollow engines; figures of the engine stand-in were missing. Ruled out: one server for all engines (the platform's list names only IP and port). Change: `engine::start_many` with one thread for all alarms; example `capacity` that measures, with callers that check each answer, in the same process and on the same processors.

--- /dev/null
+++ b/crates/millpass-standin/examples/capacity.rs
@@ -0,0 +1,141 @@
+//! Measures what stand-ins carry. Callers and engines share this process and its processors.
+//!
+//! `capacity streams STREAMS TOKENS STEP_MICROS`: one engine, that many streams at once.
+//! `capacity engines COUNT`: memory of that many idle engines in one process.
+
+use anyhow::{Context, Result, bail};
+use millpass_proto::*;
+use millpass_standin::content::Answer;
+use millpass_standin::engine::*;
+use std::io::{BufRead, BufReader};
+use std::time::{Duration, Instant};
+
+const MODEL: &str = "narrator";
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+fn main() -> Result<()> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let number = |place: usize| -> Result<u64> {
+        let text = arguments.get(place).context("a number is missing")?;
+        Ok(text.parse()?)
+    };
+    match arguments.first().map(String::as_str) {
+        Some("streams") => measure_streams(number(1)?, number(2)?, number(3)?),
+        Some("engines") => measure_engines(number(1)?),
+        _ => bail!("usage: capacity streams STREAMS TOKENS STEP_MICROS | capacity engines COUNT"),
+    }
+}
+
+fn measure_streams(streams: u64, tokens: u64, step_micros: u64) -> Result<()> {
+    let mut settings = EngineSettings::default();
+    settings.limits.batch_slots = usize::try_from(streams)?;
+    settings.limits.waiting_requests = usize::try_from(streams)?;
+    settings.limits.cache_bytes_per_token = 1;
+    settings.timing.step_base = Duration::from_micros(step_micros);
+    settings.timing.step_per_request = Duration::ZERO;
+    settings.timing.load_setup = Duration::ZERO;
+    let mut front = EngineFront::default();
+    front.front.executor_threads = 2;
+    let engine = start(settings, &front)?;
+    load_model(&engine)?;
+    let before = resident_kib()?;
+    let begin = Instant::now();
+    let address = engine.address();
+    let callers: Vec<_> = (0..streams)
+        .map(|caller| std::thread::spawn(move || stream(&address.to_string(), caller, tokens)))
+        .collect();
+    std::thread::sleep(Duration::from_millis(500));
+    let during = resident_kib()?;
+    let mut whole = 0_u64;
+    for caller in callers {
+        let is_whole = caller.join().ok().context("a caller panicked")??;
+        whole += u64::from(is_whole);
+    }
+    let seconds = begin.elapsed().as_secs_f64();
+    let rate = (whole * tokens) as f64 / seconds;
+    println!("streams={streams} whole={whole} seconds={seconds:.2} tokens_per_second={rate:.0}");
+    println!("resident_kib_before={before} during={during} (with the callers)");
+    Ok(())
+}
+
+fn load_model(engine: &EngineHandle) -> Result<()> {
+    let order = EngineOrder {
+        fence: LogPosition { term: 1, index: 1 },
+        backend: BackendName::from("engine-1"),
+        incarnation: Incarnation(1),
+        action: OrderAction::LoadModel(LoadModelOrder {
+            slot: SlotId(1),
+            model: ModelName::from(MODEL),
+            version: VersionLabel::from("1"),
+            accelerators: vec![0],
+            weights_bytes: 1,
+            cache_bytes: 1 << 30,
+            checkpoint: "narrator-1".to_owned(),
+        }),
+    };
+    let url = format!("http://{}/engine/orders", engine.address());
+    ureq::post(&url).send_json(&order)?;
+    let begin = Instant::now();
+    while engine.audit().model_loads == 0 {
+        if begin.elapsed() > START_TIMEOUT {
+            bail!("the model was not loaded in time");
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    Ok(())
+}
+
+/// Reads one stream; tells whether it was whole and the caller's own.
+fn stream(address: &str, caller: u64, tokens: u64) -> Result<bool> {
+    let prompt = format!("write a listing nonce=caller-{caller}");
+    let body = serde_json::json!({
+        "model": MODEL, "prompt": prompt, "max_tokens": tokens, "stream": true
+    });
+    let url = format!("http://{address}/v1/completions");
+    let answer = ureq::post(&url).send_json(body)?;
+    let mut text = String::new();
+    for line in BufReader::new(answer.into_body().into_reader()).lines() {
+        let line = line?;
+        let Some(json) = line.strip_prefix("data: {") else {
+            continue;
+        };
+        let event: serde_json::Value = serde_json::from_str(&format!("{{{json}"))?;
+        text.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+    }
+    let version = VersionLabel::from("1");
+    let answer = Answer::new(&ModelName::from(MODEL), &version, None, &prompt);
+    Ok(answer.is_whole(0, u32::try_from(tokens)?, &text))
+}
+
+fn measure_engines(count: u64) -> Result<()> {
+    let before = resident_kib()?;
+    let settings = (1..=count).map(|number| EngineSettings {
+        backend: BackendName(format!("engine-{number}")),
+        incarnation: Incarnation(number),
+        ..EngineSettings::default()
+    });
+    let engines = start_many(settings, &EngineFront::default())?;
+    let idle = resident_kib()?;
+    for engine in &engines {
+        let url = format!("http://{}/engine/report", engine.address());
+        ureq::get(&url).call()?;
+    }
+    let asked = resident_kib()?;
+    let each = |after: u64| (after - before) as f64 / count as f64;
+    println!(
+        "engines={count} resident_kib_each_idle={:.1} after_one_report_each={:.1}",
+        each(idle),
+        each(asked)
+    );
+    Ok(())
+}
+
+fn resident_kib() -> Result<u64> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .context("no VmRSS line")?;
+    let number = line.split_whitespace().nth(1).context("no number")?;
+    Ok(number.parse()?)
+}
--- a/crates/millpass-standin/src/engine/front/mod.rs
+++ b/crates/millpass-standin/src/engine/front/mod.rs
@@ -7,4 +7,4 @@
 mod start;
 mod streams;
 
-pub use start::{EngineFront, EngineHandle, start, start_with};
+pub use start::{EngineFront, EngineHandle, start, start_many, start_with};
--- a/crates/millpass-standin/src/engine/front/start.rs
+++ b/crates/millpass-standin/src/engine/front/start.rs
@@ -52,6 +52,19 @@
     start_with(settings, front, alarms)
 }
 
+/// Starts many engines in one process, for runs at scale: one listener and one thread that carries
+/// connections each, one thread for all alarms. Each has its own port, so `front` must name port 0.
+pub fn start_many(
+    engines: impl IntoIterator<Item = EngineSettings>,
+    front: &EngineFront,
+) -> Result<Vec<EngineHandle>> {
+    let alarms = Alarms::start(ScaledClock::start(front.front.time_scale))?;
+    let started = engines
+        .into_iter()
+        .map(|settings| start_with(settings, front, alarms.clone()));
+    started.collect()
+}
+
 /// Starts an engine that shares the thread for alarms with others; the clock is theirs.
 pub fn start_with(
     settings: EngineSettings,
--- a/crates/millpass-standin/src/engine/mod.rs
+++ b/crates/millpass-standin/src/engine/mod.rs
@@ -19,7 +19,7 @@
 mod slots;
 mod timers;
 
-pub use front::{EngineFront, EngineHandle, start, start_with};
+pub use front::{EngineFront, EngineHandle, start, start_many, start_with};
 pub use messages::*;
 pub use model::EngineModel;
 pub use settings::*;
--- a/crates/millpass-standin/tests/engine_front.rs
+++ b/crates/millpass-standin/tests/engine_front.rs
@@ -211,3 +211,26 @@
     assert_eq!(answer.headers()["millpass-executed"], "no");
     engine.stop();
 }
+
+#[test]
+fn many_engines_share_a_process_and_stay_apart() {
+    let named = |number: u64| EngineSettings {
+        backend: BackendName(format!("engine-{number}")),
+        incarnation: Incarnation(number),
+        ..small_settings()
+    };
+    let mut front = EngineFront::default();
+    front.front.time_scale = SCALE;
+    let engines = start_many((1..=20).map(named), &front).unwrap();
+    send_order(&engines[0], &order(1, load(1, 500, 400)));
+    wait_until(|| engines[0].audit().model_loads == 1);
+    let answer = send_order(&engines[1], &order(1, load(1, 500, 400)));
+    assert!(matches!(answer, OrderAnswer::Rejected(_)));
+    let (text, is_done) = stream_text(complete(&engines[0], 3, true, &[]));
+    assert!(is_done && expected().is_whole(0, 3, &text));
+    let loads: u64 = engines
+        .iter()
+        .map(|engine| engine.audit().model_loads)
+        .sum();
+    assert_eq!(loads, 1);
+}
--- a/crates/millpass-standin/tests/engine_model.rs
+++ b/crates/millpass-standin/tests/engine_model.rs
@@ -155,6 +155,10 @@
     let unload = order(2, OrderAction::UnloadModel(SlotId(1)));
     outputs.extend(driver.input(EngineInput::Order(unload)));
     assert_eq!(driver.phase(1), Some(EngineSlotPhase::Unloading));
+    while end_of(&outputs, 2).is_none() {
+        assert_eq!(driver.engine.current_report().used_bytes, vec![900]);
+        outputs.extend(driver.wake());
+    }
     outputs.extend(driver.run_dry());
     for handle in 1..=2 {
         assert_eq!(positions(&outputs, handle), (0..20).collect::<Vec<_>>());
