--- a/crates/millpass-standin/src/engine/checkpoints.rs
+++ b/crates/millpass-standin/src/engine/checkpoints.rs
@@ -1,6 +1,6 @@
 //! Checkpoints cached on the engine's machine, in memory and on disk, least recently used first out.
 
-use super::settings::CheckpointSettings;
+use super::settings::{CheckpointSettings, InitialCheckpoint};
 use millpass_proto::{CheckpointReport, CheckpointTier};
 use std::collections::BTreeMap;
 
@@ -41,6 +41,19 @@
         self.used += bytes;
     }
 
+    /// Entries, the least recently used first.
+    fn contents(&self, tier: CheckpointTier) -> impl Iterator<Item = InitialCheckpoint> {
+        let mut entries: Vec<_> = self.entries.iter().collect();
+        entries.sort_by_key(|(_, (_, turn))| *turn);
+        entries
+            .into_iter()
+            .map(move |(name, (bytes, _))| InitialCheckpoint {
+                checkpoint: name.clone(),
+                bytes: *bytes,
+                tier,
+            })
+    }
+
     fn remove(&mut self, checkpoint: &str) {
         if let Some((bytes, _)) = self.entries.remove(checkpoint) {
             self.used -= bytes;
@@ -112,6 +125,13 @@
         self.memory.insert(checkpoint, bytes, self.turn);
     }
 
+    /// What is cached, for the next run of an engine on this machine.
+    pub fn contents(&self) -> Vec<InitialCheckpoint> {
+        let disk = self.disk.contents(CheckpointTier::Disk);
+        let memory = self.memory.contents(CheckpointTier::Memory);
+        disk.chain(memory).collect()
+    }
+
     /// Checkpoints in memory or on disk, each with its fastest tier.
     pub fn report(&self) -> Vec<CheckpointReport> {
         let mut tiers: BTreeMap<&String, CheckpointTier> = BTreeMap::new();
--- a/crates/millpass-standin/src/engine/front/calls.rs
+++ b/crates/millpass-standin/src/engine/front/calls.rs
@@ -3,8 +3,8 @@
 use crate::content::{self, Answer};
 use crate::engine::messages::{EngineRequest, RequestHandle};
 use crate::engine::model::EngineModel;
-use crate::run::{ScaledClock, error_answer, header_text, parse_json};
-use http::{HeaderMap, StatusCode};
+use crate::run::{ScaledClock, header_number, header_text, malformed_header, parse_json};
+use http::HeaderMap;
 use millpass_http::{Request, Response};
 use millpass_proto::{
     AdapterName, Duration, Incarnation, ModelName, SlotId, TenantName, Timestamp, Urgency,
@@ -173,28 +173,17 @@
         Ok(Headers {
             request_id: text("x-request-id").map(str::to_owned),
             tenant: TenantName::from(text("millpass-tenant").unwrap_or_default()),
-            slot: number(headers, "millpass-slot")?.map(SlotId),
-            incarnation: number(headers, "millpass-incarnation")?.map(Incarnation),
+            slot: header_number(headers, "millpass-slot")?.map(SlotId),
+            incarnation: header_number(headers, "millpass-incarnation")?.map(Incarnation),
             urgency: urgency(text("millpass-priority"))?,
-            resume_from: number(headers, "millpass-resume-from")?.unwrap_or(0),
-            deadline: number(headers, "millpass-deadline-ms")?.map(Duration::from_millis),
+            resume_from: header_number(headers, "millpass-resume-from")?.unwrap_or(0),
+            deadline: header_number(headers, "millpass-deadline-ms")?.map(Duration::from_millis),
             adapter: text("millpass-adapter").map(AdapterName::from),
             idempotency_key: text("idempotency-key").map(str::to_owned),
         })
     }
 }
 
-fn number<T: std::str::FromStr>(
-    headers: &HeaderMap,
-    name: &str,
-) -> Result<Option<T>, Box<Response>> {
-    let Some(text) = header_text(headers, name) else {
-        return Ok(None);
-    };
-    let parsed = text.trim().parse().map(Some);
-    parsed.map_err(|_| malformed_header(name, "a decimal number"))
-}
-
 fn urgency(text: Option<&str>) -> Result<Urgency, Box<Response>> {
     match text {
         Some("interactive") => Ok(Urgency::Interactive),
@@ -207,12 +196,6 @@
     }
 }
 
-fn malformed_header(name: &str, wanted: &str) -> Box<Response> {
-    let message = format!("header {name} must be {wanted}");
-    let status = StatusCode::BAD_REQUEST;
-    Box::new(error_answer(status, "malformed_header", &message, false))
-}
-
 /// `model` or `model:adapter`.
 fn split_model(model: Option<&str>) -> (Option<&str>, Option<AdapterName>) {
     match model.and_then(|name| name.split_once(ADAPTER_MARK)) {
--- a/crates/millpass-standin/src/engine/front/streams.rs
+++ b/crates/millpass-standin/src/engine/front/streams.rs
@@ -158,7 +158,7 @@
             retry_after_answer(status, "queue_full", &message, pause)
         }
         Refusal::DeadlinePassed => {
-            let status = StatusCode::GATEWAY_TIMEOUT;
+            let status = StatusCode::SERVICE_UNAVAILABLE;
             retry_after_answer(status, "deadline_passed", &message, DEADLINE_PAUSE)
         }
     }
--- a/crates/millpass-standin/src/engine/model.rs
+++ b/crates/millpass-standin/src/engine/model.rs
@@ -9,7 +9,7 @@
 use super::memory::AcceleratorMemory;
 use super::messages::{CacheUse, EngineInput, EngineOutput, FetchId, RequestHandle};
 use super::requests::Requests;
-use super::settings::EngineSettings;
+use super::settings::{EngineSettings, InitialCheckpoint};
 use super::slots::Slot;
 use super::timers::{Timer, Timers};
 use crate::lagged::Lagged;
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Checkpoints that the machine has cached: settings of the next engine on it, after the
+    /// process died. A machine that is reclaimed loses them.
+    pub fn cached_checkpoints(&self) -> Vec<InitialCheckpoint> {
+        self.checkpoints.contents()
+    }
+
     /// Model and version of a loaded slot.
     pub fn loaded_model(&self, slot: SlotId) -> Option<(&ModelName, &VersionLabel)> {
         let state = self.slots.get(&slot)?;
--- a/crates/millpass-standin/src/run/http.rs
+++ b/crates/millpass-standin/src/run/http.rs
@@ -6,6 +6,7 @@
 use millpass_http::Response;
 use percent_encoding::percent_decode_str;
 use serde::{Serialize, de::DeserializeOwned};
+use std::str::FromStr;
 
 /// Says whether a refused request ran: `no` is a promise, `yes` means that it may have.
 pub const EXECUTED_HEADER: HeaderName = HeaderName::from_static("millpass-executed");
@@ -46,6 +47,25 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// A number in a header; `None` without the header.
+pub fn header_number<T: FromStr>(
+    headers: &HeaderMap,
+    name: &str,
+) -> Result<Option<T>, Box<Response>> {
+    let Some(text) = header_text(headers, name) else {
+        return Ok(None);
+    };
+    let parsed = text.trim().parse().map(Some);
+    parsed.map_err(|_| malformed_header(name, "a decimal number"))
+}
+
+/// Refusal of a header that is not what it must be.
+pub fn malformed_header(name: &str, wanted: &str) -> Box<Response> {
+    let message = format!("header {name} must be {wanted}");
+    let status = StatusCode::BAD_REQUEST;
+    Box::new(error_answer(status, "malformed_header", &message, false))
+}
+
 /// Parts of the path, decoded.
 pub fn path_segments(uri: &Uri) -> Vec<String> {
     let parts = uri.path().split('/').filter(|part| !part.is_empty());
--- a/crates/millpass-standin/src/run/mod.rs
+++ b/crates/millpass-standin/src/run/mod.rs
@@ -13,7 +13,7 @@
 pub use front::FrontSettings;
 pub(crate) use front::retry_after_answer;
 pub(crate) use http::{
-    EXECUTED_HEADER, error_answer, header_text, json_answer, parse_json, path_segments,
-    query_number,
+    EXECUTED_HEADER, error_answer, header_number, header_text, json_answer, malformed_header,
+    parse_json, path_segments, query_number,
 };
 pub use served::Served;
--- a/crates/millpass-standin/src/web/model.rs
+++ b/crates/millpass-standin/src/web/model.rs
@@ -67,6 +67,8 @@
     pub tenant: TenantName,
     /// Idempotency key.
     pub key: Option<String>,
+    /// Run of the back end it is for, if the caller names one.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// What happens to the back end.
@@ -89,6 +91,8 @@
     NotFound,
     /// Too many requests at once; it did not run.
     Busy,
+    /// Meant for another run of the back end than this one; it did not run.
+    WrongIncarnation(Incarnation),
 }
 
 /// What the back end does.
@@ -183,6 +187,12 @@
 
     fn take(&mut self, now: Timestamp, request: WebRequest, outputs: &mut Vec<WebOutput>) {
         let id = request.id;
+        let own = self.settings.incarnation;
+        if request.incarnation.is_some_and(|wanted| wanted != own) {
+            let answer = WebAnswer::WrongIncarnation(own);
+            outputs.push(WebOutput { id, answer });
+            return;
+        }
         if self.running.len() >= self.settings.maximum_running {
             let answer = WebAnswer::Busy;
             outputs.push(WebOutput { id, answer });
--- a/crates/millpass-standin/src/web/service.rs
+++ b/crates/millpass-standin/src/web/service.rs
@@ -5,13 +5,15 @@
 };
 use crate::run::{
     Alarms, Driver, EXECUTED_HEADER, FrontSettings, ScaledClock, Served, TimedModel, error_answer,
-    header_text, json_answer, retry_after_answer,
+    header_number, header_text, json_answer, retry_after_answer,
 };
 use anyhow::Result;
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use millpass_http::{Handler, Request, Responder, Response};
-use millpass_proto::{BackendKind, BackendState, Duration, PlatformMachine, TenantName, Timestamp};
+use millpass_proto::{
+    BackendKind, BackendState, Duration, Incarnation, PlatformMachine, TenantName, Timestamp,
+};
 use std::sync::Arc;
 
 const BUSY_PAUSE: Duration = Duration::from_secs(1);
@@ -92,6 +94,10 @@
         let key = header_text(&request.headers, "idempotency-key").map(str::to_owned);
         let is_post = request.method == Method::POST;
         let path = request.uri.path().to_owned();
+        let incarnation = match header_number(&request.headers, "millpass-incarnation") {
+            Ok(number) => number.map(Incarnation),
+            Err(answer) => return responder.send(*answer),
+        };
         let (_, answers) = self.driver.open(|waiter| {
             WebInput::Request(WebRequest {
                 id: WebRequestId(waiter),
@@ -99,6 +105,7 @@
                 path: path.clone(),
                 tenant: TenantName::from(tenant),
                 key: key.clone(),
+                incarnation,
             })
         });
         if let Ok(output) = answers.recv() {
@@ -121,6 +128,11 @@
             let message = "this path takes no POST; see docs/interfaces/web-back-end.md";
             error_answer(StatusCode::NOT_FOUND, "unknown_path", message, false)
         }
+        WebAnswer::WrongIncarnation(own) => {
+            let message = format!("this is incarnation {own}; read the report again");
+            let status = StatusCode::CONFLICT;
+            error_answer(status, "wrong_incarnation", &message, false)
+        }
         WebAnswer::Busy => {
             let message = "too many requests at once; come back later";
             let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/millpass-standin/tests/engine_model.rs
+++ b/crates/millpass-standin/tests/engine_model.rs
@@ -102,6 +102,17 @@
     assert_eq!(initial(CheckpointTier::Remote), (900, true));
 }
 
+#[test]
+fn the_next_engine_on_a_machine_finds_its_checkpoints() {
+    let first = Driver::loaded(small_settings());
+    let mut settings = small_settings();
+    settings.checkpoints.initial = first.engine.cached_checkpoints();
+    let second = EngineModel::new(settings, Timestamp::ZERO);
+    let found = second.current_report().checkpoints;
+    assert_eq!(found, first.engine.current_report().checkpoints);
+    assert_eq!(found[0].tier, CheckpointTier::Memory);
+}
+
 #[test]
 fn failed_fetch_fails_the_load_and_frees_memory() {
     let mut driver = Driver::new(small_settings());
--- a/crates/millpass-standin/tests/outside_front.rs
+++ b/crates/millpass-standin/tests/outside_front.rs
@@ -62,6 +62,11 @@
             .header("millpass-tenant", "t");
         assert_eq!(charge.send_empty().unwrap().status(), 200);
     }
+    let other_run = agent().post(&format!("{base}/charge/5"));
+    let other_run = other_run.header("millpass-incarnation", "9").send_empty();
+    let other_run = other_run.unwrap();
+    assert_eq!(other_run.status(), 409);
+    assert_eq!(other_run.headers()["millpass-executed"], "no");
     let unknown = agent().post(&format!("{base}/results/7"));
     assert_eq!(unknown.send_empty().unwrap().status(), 404);
     let audit: WebAudit = get(&format!("{base}/web/audit"));
--- a/crates/millpass-standin/tests/outside_models.rs
+++ b/crates/millpass-standin/tests/outside_models.rs
@@ -199,6 +199,7 @@
             path: "/charge/5".to_owned(),
             tenant: TenantName::from(tenant),
             key: Some("k".to_owned()),
+            incarnation: None,
         };
         web.step(Timestamp::ZERO, WebInput::Request(request))
     };
