Engine stand-in: bodies are read outside the model's lock; unload bound of its own unload only

Cause: a large body was parsed under the lock that tokens are given out under; the bound's timer of an earlier unload of the same slot could cut a later one. Ruled out: a lock for each slot (the model is one state machine). Change: `Parsed` reads, `look` takes the lock for the slot alone; `Part::cut_at`. Conclusion: the lock is held for lookups and steps only.

--- a/crates/millpass-standin/src/engine/front/calls.rs
+++ b/crates/millpass-standin/src/engine/front/calls.rs
@@ -16,6 +16,8 @@
 const DEFAULT_MAXIMUM_TOKENS: u32 = 16;
 /// What separates a model from an adapter in the body's `model`.
 const ADAPTER_MARK: char = ':';
+/// Slot that never exists: slots are positions in a log, which begin at 1.
+const NO_SLOT: SlotId = SlotId(0);
 
 /// Which of the two APIs is spoken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,7 +54,7 @@
 }
 
 /// What the body says.
-pub struct Body {
+struct Body {
     model: Option<String>,
     prompt: String,
     maximum_tokens: u32,
@@ -60,8 +62,7 @@
 }
 
 impl Body {
-    /// Reads the body.
-    pub fn parse(api: Api, bytes: &[u8]) -> Result<Self, Box<Response>> {
+    fn parse(api: Api, bytes: &[u8]) -> Result<Self, Box<Response>> {
         match api {
             Api::Completions => {
                 let body: CompletionBody = parse_json(bytes)?;
@@ -104,53 +105,87 @@
     pub request: EngineRequest,
 }
 
-impl Call {
-    /// Reads headers and body, and finds the slot.
-    pub fn parse(
-        api: Api,
-        request: &Request,
-        model: &EngineModel,
-        clock: ScaledClock,
-        now: Timestamp,
-    ) -> Result<Self, Box<Response>> {
+/// A request as read, before the engine was looked at.
+pub struct Parsed {
+    api: Api,
+    body: Body,
+    headers: Headers,
+    adapter: Option<AdapterName>,
+    prompt_tokens: u32,
+    prefix_blocks: Vec<u64>,
+}
+
+/// What the engine says about a request's slot.
+pub struct SlotView {
+    /// The slot; one that does not exist if none was found, which the model refuses and counts.
+    slot: SlotId,
+    /// Model and version, if it is loaded.
+    loaded: Option<(ModelName, VersionLabel)>,
+    /// Most tokens of an answer.
+    maximum_tokens: u32,
+    /// The present time.
+    now: Timestamp,
+}
+
+impl Parsed {
+    /// Reads headers and body.
+    pub fn read(api: Api, request: &Request) -> Result<Self, Box<Response>> {
         let body = Body::parse(api, &request.body)?;
         let headers = Headers::parse(&request.headers)?;
-        let (named, body_adapter) = split_model(body.model.as_deref());
-        let slot = headers.slot.or_else(|| model.slot_of_model(named?));
-        let loaded = slot.and_then(|slot| Some((slot, model.loaded_model(slot)?)));
-        // A slot that is not loaded here goes to the model all the same: it refuses and counts.
-        let slot = slot.unwrap_or(SlotId(0));
-        let (name, version) = match loaded {
-            Some((_, (name, version))) => (name.clone(), version.clone()),
-            None => (ModelName::from(""), VersionLabel::from("")),
-        };
-        let limit = model.settings().limits.maximum_tokens;
-        let adapter = headers.adapter.or(body_adapter);
-        let deadline = headers
-            .deadline
-            .map(|remaining| now + clock.to_simulated(remaining));
-        Ok(Call {
+        let in_model = split_model(body.model.as_deref()).1;
+        let adapter = headers.adapter.clone().or(in_model);
+        Ok(Parsed {
             api,
-            is_streamed: body.is_streamed,
-            answer: Answer::new(&name, &version, adapter.as_ref(), &body.prompt),
-            model: name,
+            prompt_tokens: content::prompt_tokens(&body.prompt),
+            prefix_blocks: content::prefix_blocks(adapter.as_ref(), &body.prompt),
+            body,
+            headers,
+            adapter,
+        })
+    }
+
+    /// Looks the slot up: the one named, or the first that has the model.
+    pub fn look(&self, model: &EngineModel, now: Timestamp) -> SlotView {
+        let named = split_model(self.body.model.as_deref()).0;
+        let slot = self.headers.slot.or_else(|| model.slot_of_model(named?));
+        let slot = slot.unwrap_or(NO_SLOT);
+        let loaded = model.loaded_model(slot);
+        SlotView {
+            slot,
+            loaded: loaded.map(|(name, version)| (name.clone(), version.clone())),
+            maximum_tokens: model.settings().limits.maximum_tokens,
+            now,
+        }
+    }
+
+    /// The call, for the slot that was found.
+    pub fn into_call(self, view: SlotView, clock: ScaledClock) -> Call {
+        let nothing = || (ModelName::from(""), VersionLabel::from(""));
+        let (model, version) = view.loaded.unwrap_or_else(nothing);
+        let headers = self.headers;
+        let left = headers.deadline.map(|left| clock.to_simulated(left));
+        Call {
+            api: self.api,
+            is_streamed: self.body.is_streamed,
+            answer: Answer::new(&model, &version, self.adapter.as_ref(), &self.body.prompt),
+            model,
             version,
             request: EngineRequest {
                 handle: RequestHandle(0),
                 request_id: headers.request_id.unwrap_or_default(),
                 tenant: headers.tenant,
-                slot,
+                slot: view.slot,
                 incarnation: headers.incarnation,
-                prompt_tokens: content::prompt_tokens(&body.prompt),
-                prefix_blocks: content::prefix_blocks(adapter.as_ref(), &body.prompt),
-                adapter,
+                prompt_tokens: self.prompt_tokens,
+                prefix_blocks: self.prefix_blocks,
+                adapter: self.adapter,
                 urgency: headers.urgency,
-                maximum_tokens: body.maximum_tokens.min(limit),
+                maximum_tokens: self.body.maximum_tokens.min(view.maximum_tokens),
                 resume_from: headers.resume_from,
-                deadline,
+                deadline: left.map(|left| view.now + left),
                 idempotency_key: headers.idempotency_key,
             },
-        })
+        }
     }
 }
 
--- a/crates/millpass-standin/src/engine/front/service.rs
+++ b/crates/millpass-standin/src/engine/front/service.rs
@@ -1,9 +1,9 @@
 //! Paths of the engine's HTTP interface.
 
-use super::calls::{Api, Call};
+use super::calls::{Api, Parsed};
 use super::fetches::Fetches;
 use super::streams::{Delivery, deliver};
-use crate::engine::messages::{EngineInput, EngineOutput, RequestHandle};
+use crate::engine::messages::{EngineInput, EngineOutput, FinishReason, RequestHandle};
 use crate::engine::model::EngineModel;
 use crate::run::{
     Driver, TimedModel, error_answer, header_text, json_answer, parse_json, path_segments,
@@ -95,13 +95,12 @@
 
     fn complete(&self, api: Api, request: &Request, responder: Responder) {
         let clock = self.driver.alarms().clock();
-        let parsed = self
-            .driver
-            .read(|model, now| Call::parse(api, request, model, clock, now));
-        let mut call = match parsed {
-            Ok(call) => call,
+        let parsed = match Parsed::read(api, request) {
+            Ok(parsed) => parsed,
             Err(answer) => return responder.send(*answer),
         };
+        let view = self.driver.read(|model, now| parsed.look(model, now));
+        let mut call = parsed.into_call(view, clock);
         let gone = responder.caller_gone();
         let (waiter, outputs) = self.driver.open_with_sender(
             |waiter| {
@@ -116,7 +115,7 @@
                 let handle = RequestHandle(waiter);
                 // Wakes the thread that delivers, also while the request waits for its turn.
                 gone.on_gone(move || {
-                    let reason = crate::engine::messages::FinishReason::Cancelled;
+                    let reason = FinishReason::Cancelled;
                     let _ = sender.send(EngineOutput::Finished(handle, reason));
                 });
             },
--- a/crates/millpass-standin/src/engine/loading.rs
+++ b/crates/millpass-standin/src/engine/loading.rs
@@ -111,9 +111,7 @@
         self.refuse_not_started(now, slot, adapter.as_ref());
         if adapter.is_none() {
             self.drop_loading_adapters(slot);
-            if let Some(bound) = self.settings.limits.unload_bound {
-                self.timers.set(now + bound, Timer::UnloadBound(slot));
-            }
+            self.set_unload_bound(now, slot);
         }
         self.release_if_quiet(now, slot);
     }
@@ -159,7 +157,9 @@
         let Some(state) = self.slots.get(&slot) else {
             return;
         };
-        if state.weights.phase != EngineSlotPhase::Unloading {
+        let is_due =
+            state.weights.phase == EngineSlotPhase::Unloading && state.weights.cut_at == Some(now);
+        if !is_due {
             return;
         }
         let mut left = state.batch.running();
@@ -185,6 +185,17 @@
         self.mark_changed(now);
     }
 
+    fn set_unload_bound(&mut self, now: Timestamp, slot: SlotId) {
+        let cut_at = self.settings.limits.unload_bound.map(|bound| now + bound);
+        let Some(state) = self.slots.get_mut(&slot) else {
+            return;
+        };
+        state.weights.cut_at = cut_at;
+        if let Some(cut_at) = cut_at {
+            self.timers.set(cut_at, Timer::UnloadBound(slot));
+        }
+    }
+
     fn begin_copy(
         &mut self,
         now: Timestamp,
--- a/crates/millpass-standin/src/engine/slots.rs
+++ b/crates/millpass-standin/src/engine/slots.rs
@@ -31,6 +31,8 @@
     pub ready_at: Option<Timestamp>,
     /// When the unload will be complete.
     pub free_at: Option<Timestamp>,
+    /// When the unload waits no longer for requests.
+    pub cut_at: Option<Timestamp>,
 }
 
 impl Part {
@@ -51,6 +53,7 @@
             retries: 0,
             ready_at: None,
             free_at: None,
+            cut_at: None,
         }
     }
 
