--- a/crates/millpass-scheduler/src/engines.rs
+++ b/crates/millpass-scheduler/src/engines.rs
@@ -98,10 +98,17 @@
         tier.copied().unwrap_or(CheckpointTier::Remote)
     }
 
+    /// Engines that have a checkpoint on disk or in memory, by name.
+    pub fn holders(
+        &self,
+        checkpoint: &str,
+    ) -> impl Iterator<Item = (&BackendName, &CheckpointTier)> {
+        self.holders.get(checkpoint).into_iter().flatten()
+    }
+
     /// Nearest place where any engine has a checkpoint.
     pub fn best_tier(&self, checkpoint: &str) -> CheckpointTier {
-        let holders = self.holders.get(checkpoint).into_iter().flatten();
-        let tiers = holders.map(|(_, tier)| *tier);
+        let tiers = self.holders(checkpoint).map(|(_, tier)| *tier);
         tiers.max().unwrap_or(CheckpointTier::Remote)
     }
 
--- a/crates/millpass-scheduler/src/lib.rs
+++ b/crates/millpass-scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod adapters;
 mod arrivals;
+mod candidates;
 mod demand;
 mod engines;
 mod evicting;
@@ -28,15 +29,15 @@
 use engines::EngineTable;
 use loads::{LoadTracker, LoadsUnderWay};
 use millpass_proto::{
-    Command, Duration, EngineReport, Incarnation, ModelName, RouterName, RouterReport, Timestamp,
-    ZoneName,
+    BackendName, BackendState, Command, Duration, EngineReport, Incarnation, ModelName, RouterName,
+    RouterReport, Timestamp, ZoneName,
 };
 use millpass_state::State;
 use outlook::Outlooks;
 use permits::StorePermits;
 use proposals::Proposals;
 use round::Round;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use view::{ModelView, ViewSources};
 
 /// Silence after which a router's demand is forgotten; its lease ends long before.
@@ -157,10 +158,11 @@
             settings: &self.settings,
             demand: &self.demand,
             loads: &self.loads,
+            not_live: not_live_backends(state),
         };
         let models = state.models();
         models
-            .map(|(name, spec)| ModelView::new(sources, state, name, spec))
+            .map(|(name, spec)| ModelView::new(&sources, state, name, spec))
             .collect()
     }
 
@@ -186,3 +188,12 @@
             .retain(|model, _| state.model(model).is_some());
     }
 }
+
+/// Back ends that take no new work; few, so that looking a replica's up in them is cheap.
+fn not_live_backends(state: &State) -> BTreeSet<&BackendName> {
+    let backends = state.backends_with_memory().map(|(backend, _)| backend);
+    backends
+        .filter(|backend| backend.state != BackendState::Live)
+        .map(|backend| &backend.registration.backend)
+        .collect()
+}
--- a/crates/millpass-scheduler/src/loads.rs
+++ b/crates/millpass-scheduler/src/loads.rs
@@ -44,10 +44,14 @@
         engines: &EngineTable,
         settings: &SchedulerSettings,
     ) {
-        self.slots.retain(|slot, _| state.replica(*slot).is_some());
-        for replica in state.replicas() {
+        let replicas = state.replicas();
+        for replica in &replicas {
             self.refresh_slot(now, replica, engines, settings);
         }
+        // Every replica has a record now: more records than replicas means that some are over.
+        if self.slots.len() > replicas.len() {
+            self.slots.retain(|slot, _| state.replica(*slot).is_some());
+        }
     }
 
     fn refresh_slot(
@@ -120,12 +124,15 @@
 
     /// Whether a load takes so much longer than expected that it counts as failed.
     pub fn overdue(&self, now: Timestamp, settings: &SchedulerSettings, replica: &Replica) -> bool {
+        if replica.phase != ReplicaPhase::Loading {
+            return false;
+        }
         let Some(record) = self.slots.get(&replica.slot) else {
             return false;
         };
         let expected = self.expected(settings, record.tier, replica.weights_bytes);
         let bound = (expected * OVERDUE_FACTOR).max(OVERDUE_FLOOR);
-        replica.phase == ReplicaPhase::Loading && now.since(record.first_seen) > bound
+        now.since(record.first_seen) > bound
     }
 
     /// When a slot was first seen loaded.
--- a/crates/millpass-scheduler/src/placing.rs
+++ b/crates/millpass-scheduler/src/placing.rs
@@ -1,13 +1,11 @@
-//! Places replicas: which models first, on which engine, from which checkpoint tier.
+//! Places replicas: which models get their turn first, and what becomes of each.
 
 use crate::Scheduler;
-use crate::memory::Fit;
+use crate::candidates::Candidate;
 use crate::proposals::Subject;
 use crate::round::Round;
 use crate::view::ModelView;
-use millpass_proto::{
-    CheckpointTier, Duration, PlaceReplica, Timestamp, Urgency, VersionSpec, ZoneName,
-};
+use millpass_proto::{CheckpointTier, Duration, PlaceReplica, Timestamp, Urgency, VersionSpec};
 use millpass_state::version_bytes_each;
 
 /// Models that one round tries to place; the rest keep their turn for the next.
@@ -37,15 +35,6 @@
     Eviction,
 }
 
-/// An engine that fits, with what decides between several.
-struct Candidate {
-    index: usize,
-    fit: Fit,
-    tier: CheckpointTier,
-    /// Compared in order; the least is chosen.
-    rank: (bool, Duration, bool, u64),
-}
-
 impl Scheduler {
     /// Places replicas for waiting requests, most urgent first, then for stated minimums.
     pub(crate) fn place_wanted<'a>(&mut self, round: &mut Round<'a>, views: &[ModelView<'a>]) {
@@ -102,14 +91,11 @@
         let Some(version) = view.version else {
             return Placing::Impossible;
         };
-        let store_open = self.permits.available();
-        let zone = self.demand.zone_of(&view.name);
-        let (best, fits_closed) =
-            self.best_candidate(round, view, version, zone.as_ref(), store_open);
-        if let Some(candidate) = best {
+        let choice = self.choose_engine(round, view, version);
+        if let Some(candidate) = choice.best {
             return Placing::Proposed(self.propose(round, view, version, candidate));
         }
-        if fits_closed {
+        if choice.fits_behind_store {
             return Placing::WaitsForStore;
         }
         if promise_soon(round, view, version) {
@@ -152,61 +138,6 @@
         });
         ready.unwrap_or(time)
     }
-
-    /// The best engine that fits now; and whether one fits that the store's limit rules out.
-    fn best_candidate(
-        &self,
-        round: &Round<'_>,
-        view: &ModelView<'_>,
-        version: &VersionSpec,
-        zone: Option<&ZoneName>,
-        store_open: bool,
-    ) -> (Option<Candidate>, bool) {
-        let count = view.spec.accelerators_per_replica;
-        let bytes = version_bytes_each(version, count);
-        let mut best: Option<Candidate> = None;
-        let mut fits_closed = false;
-        for (index, engine) in round.memory.live() {
-            let Some(fit) = engine.fit_now(count as usize, bytes) else {
-                continue;
-            };
-            let backend = &engine.backend.registration;
-            let tier = self.engines.tier(&backend.backend, &version.checkpoint);
-            if tier == CheckpointTier::Remote && !store_open {
-                fits_closed = true;
-                continue;
-            }
-            let queued = round.loads.queued.get(&backend.backend);
-            let transfer = self
-                .loads
-                .expected(&self.settings, tier, version.weights_bytes);
-            let elsewhere = zone.is_some_and(|zone| *zone != backend.zone);
-            let rank = (
-                hosts(view, index, round),
-                transfer + queued.copied().unwrap_or_default(),
-                elsewhere,
-                fit.left_over,
-            );
-            if best.as_ref().is_none_or(|best| rank < best.rank) {
-                best = Some(Candidate {
-                    index,
-                    fit,
-                    tier,
-                    rank,
-                });
-            }
-        }
-        (best, fits_closed)
-    }
-}
-
-/// Whether an engine has a replica of the model already: replicas are spread over engines.
-fn hosts(view: &ModelView<'_>, index: usize, round: &Round<'_>) -> bool {
-    let name = &round.memory.engine(index).backend.registration.backend;
-    let sets = &view.replicas;
-    let all = sets.loaded.iter().chain(&sets.loading);
-    let mut all = all.chain(&sets.outdated).chain(&sets.overdue);
-    all.any(|replica| replica.backend == *name)
 }
 
 /// Order in which models get their turn.
--- a/crates/millpass-scheduler/src/proposals.rs
+++ b/crates/millpass-scheduler/src/proposals.rs
@@ -57,6 +57,15 @@
         })
     }
 
+    /// Slots whose unload is under way.
+    pub fn retirements(&self) -> impl Iterator<Item = SlotId> {
+        let subjects = self.under_way.keys();
+        subjects.filter_map(|subject| match subject {
+            Subject::Retire(slot) => Some(*slot),
+            _ => None,
+        })
+    }
+
     /// Adapter loads under way.
     pub fn attachments(&self) -> impl Iterator<Item = &AdapterDecision> {
         let proposals = self.under_way.values();
--- a/crates/millpass-scheduler/src/round.rs
+++ b/crates/millpass-scheduler/src/round.rs
@@ -54,8 +54,8 @@
         for decision in proposals.attachments() {
             round.reserve_adapter(decision);
         }
-        for replica in state.replicas() {
-            if proposals.contains(&Subject::Retire(replica.slot)) {
+        for slot in proposals.retirements() {
+            if let Some(replica) = state.replica(slot) {
                 round.mark_retiring(replica);
             }
         }
--- a/crates/millpass-scheduler/src/view.rs
+++ b/crates/millpass-scheduler/src/view.rs
@@ -4,9 +4,10 @@
 use crate::loads::LoadTracker;
 use crate::settings::SchedulerSettings;
 use millpass_proto::{
-    BackendState, ModelName, ModelSpec, Replica, ReplicaPhase, Timestamp, VersionSpec,
+    BackendName, ModelName, ModelSpec, Replica, ReplicaPhase, Timestamp, VersionSpec,
 };
 use millpass_state::State;
+use std::collections::BTreeSet;
 
 /// A backlog counts as clearly more than the replicas can take from this many times what they
 /// serve at once; then another load begins before the first has ended.
@@ -52,7 +53,6 @@
 }
 
 /// What a round reads to build views.
-#[derive(Clone, Copy)]
 pub struct ViewSources<'s> {
     /// Time.
     pub now: Timestamp,
@@ -62,12 +62,14 @@
     pub demand: &'s DemandTable,
     /// Loads.
     pub loads: &'s LoadTracker,
+    /// Back ends that take no new work.
+    pub not_live: BTreeSet<&'s BackendName>,
 }
 
 impl<'a> ModelView<'a> {
     /// Reads one model.
     pub fn new(
-        sources: ViewSources<'_>,
+        sources: &ViewSources<'_>,
         state: &'a State,
         name: ModelName,
         spec: &'a ModelSpec,
@@ -75,7 +77,7 @@
         let mut replicas = ReplicaSets::default();
         for replica in state.replicas_of(&name) {
             replicas.slots += 1;
-            sort_replica(sources, state, spec, replica, &mut replicas);
+            sort_replica(sources, spec, replica, &mut replicas);
         }
         ModelView {
             version: state.version(&name, &spec.current_version),
@@ -125,8 +127,7 @@
 }
 
 fn sort_replica<'a>(
-    sources: ViewSources<'_>,
-    state: &'a State,
+    sources: &ViewSources<'_>,
     spec: &ModelSpec,
     replica: &'a Replica,
     sets: &mut ReplicaSets<'a>,
@@ -134,8 +135,7 @@
     if replica.phase == ReplicaPhase::Unloading {
         return;
     }
-    let backend = state.backend(&replica.backend);
-    let live = backend.is_some_and(|backend| backend.state == BackendState::Live);
+    let live = !sources.not_live.contains(&replica.backend);
     let overdue = sources
         .loads
         .overdue(sources.now, sources.settings, replica);
