--- a/crates/millpass-checkers/src/event.rs
+++ b/crates/millpass-checkers/src/event.rs
@@ -323,6 +323,8 @@
         /// Revision.
         revision: ConfigurationRevision,
     },
+    /// The audit log is asked for: it must hold every change accepted before.
+    FinalAuditCalled,
     /// The audit log was read to its end.
     FinalAuditRead,
     /// A router sent a claim operation.
--- a/crates/millpass-sim/src/operators.rs
+++ b/crates/millpass-sim/src/operators.rs
@@ -263,6 +263,7 @@
         self.queue.push(self.now + AUDIT_RETRY, SimEvent::ReadAudit);
         self.next_call += 1;
         let call = self.next_call;
+        self.record(Event::FinalAuditCalled);
         self.calls.insert(call, Asker::Audit);
         let place = self.next_audit_place % self.control.len();
         self.next_audit_place += 1;
