Engine stand-in: what one process carries, callers apart; adapter test over HTTP

Cause: the earlier figures had callers and engine in one process. Ruled out: n/a. Change: example `capacity serve` and `capacity call` as two processes; a loopback test for `MODEL:ADAPTER`.

--- a/crates/millpass-standin/examples/capacity.rs
+++ b/crates/millpass-standin/examples/capacity.rs
@@ -1,6 +1,8 @@
-//! Measures what stand-ins carry. Callers and engines share this process and its processors.
+//! Measures what stand-ins carry.
 //!
-//! `capacity streams STREAMS TOKENS STEP_MICROS`: one engine, that many streams at once.
+//! `capacity serve STREAMS STEP_MICROS SECONDS`: one engine; prints its address, at the end its
+//! peak of resident memory and its tokens.
+//! `capacity call ADDRESS STREAMS TOKENS`: that many streams at once, each answer checked.
 //! `capacity engines COUNT`: memory of that many idle engines in one process.
 
 use anyhow::{Context, Result, bail};
@@ -20,13 +22,17 @@
         Ok(text.parse()?)
     };
     match arguments.first().map(String::as_str) {
-        Some("streams") => measure_streams(number(1)?, number(2)?, number(3)?),
+        Some("serve") => serve(number(1)?, number(2)?, number(3)?),
+        Some("call") => {
+            let address = arguments.get(1).context("the address is missing")?;
+            call(address, number(2)?, number(3)?)
+        }
         Some("engines") => measure_engines(number(1)?),
-        _ => bail!("usage: capacity streams STREAMS TOKENS STEP_MICROS | capacity engines COUNT"),
+        _ => bail!("usage: capacity serve|call|engines; see the head of this file"),
     }
 }
 
-fn measure_streams(streams: u64, tokens: u64, step_micros: u64) -> Result<()> {
+fn serve(streams: u64, step_micros: u64, seconds: u64) -> Result<()> {
     let mut settings = EngineSettings::default();
     settings.limits.batch_slots = usize::try_from(streams)?;
     settings.limits.waiting_requests = usize::try_from(streams)?;
@@ -38,14 +44,26 @@
     front.front.executor_threads = 2;
     let engine = start(settings, &front)?;
     load_model(&engine)?;
-    let before = resident_kib()?;
+    println!("{}", engine.address());
+    std::thread::sleep(Duration::from_secs(seconds));
+    let audit = engine.audit();
+    println!(
+        "finished={} tokens={} peak_resident_kib={}",
+        audit.requests_finished,
+        audit.tokens,
+        memory_kib("VmHWM:")?
+    );
+    Ok(())
+}
+
+fn call(address: &str, streams: u64, tokens: u64) -> Result<()> {
     let begin = Instant::now();
-    let address = engine.address();
     let callers: Vec<_> = (0..streams)
-        .map(|caller| std::thread::spawn(move || stream(&address.to_string(), caller, tokens)))
+        .map(|caller| {
+            let address = address.to_owned();
+            std::thread::spawn(move || stream(&address, caller, tokens))
+        })
         .collect();
-    std::thread::sleep(Duration::from_millis(500));
-    let during = resident_kib()?;
     let mut whole = 0_u64;
     for caller in callers {
         let is_whole = caller.join().ok().context("a caller panicked")??;
@@ -54,7 +72,6 @@
     let seconds = begin.elapsed().as_secs_f64();
     let rate = (whole * tokens) as f64 / seconds;
     println!("streams={streams} whole={whole} seconds={seconds:.2} tokens_per_second={rate:.0}");
-    println!("resident_kib_before={before} during={during} (with the callers)");
     Ok(())
 }
 
@@ -131,11 +148,15 @@
 }
 
 fn resident_kib() -> Result<u64> {
+    memory_kib("VmRSS:")
+}
+
+fn memory_kib(name: &str) -> Result<u64> {
     let status = std::fs::read_to_string("/proc/self/status")?;
     let line = status
         .lines()
-        .find(|line| line.starts_with("VmRSS:"))
-        .context("no VmRSS line")?;
+        .find(|line| line.starts_with(name))
+        .context("no such line")?;
     let number = line.split_whitespace().nth(1).context("no number")?;
     Ok(number.parse()?)
 }
--- a/crates/millpass-standin/tests/engine_front.rs
+++ b/crates/millpass-standin/tests/engine_front.rs
@@ -161,6 +161,36 @@
     engine.stop();
 }
 
+#[test]
+fn adapter_is_named_in_the_model_and_changes_the_text() {
+    let engine = start_loaded();
+    let adapter = OrderAction::LoadAdapter(LoadAdapterOrder {
+        slot: SlotId(1),
+        adapter: AdapterName::from("dealer"),
+        bytes: 10,
+        checkpoint: "dealer-1".to_owned(),
+    });
+    let ask = || {
+        let url = format!("http://{}/v1/completions", engine.address());
+        let model = format!("{MODEL}:dealer");
+        let body = serde_json::json!({"model": model, "prompt": PROMPT, "max_tokens": 2});
+        agent().post(&url).send_json(body).unwrap()
+    };
+    assert_eq!(ask().status(), 409);
+    assert_eq!(
+        send_order(&engine, &order(2, adapter)),
+        OrderAnswer::Accepted
+    );
+    wait_until(|| engine.audit().adapter_loads == 1);
+    let json: serde_json::Value = ask().body_mut().read_json().unwrap();
+    let (model, version) = (ModelName::from(MODEL), VersionLabel::from("1"));
+    let dealer = AdapterName::from("dealer");
+    let answer = Answer::new(&model, &version, Some(&dealer), PROMPT);
+    assert_eq!(json["choices"][0]["text"], answer.text(0, 2));
+    assert_ne!(answer, expected());
+    engine.stop();
+}
+
 #[test]
 fn cache_is_exported_and_imported_only_into_the_same_model() {
     let (first, second) = (start_loaded(), start_loaded());
