--- a/crates/millpass-http/src/server.rs
+++ b/crates/millpass-http/src/server.rs
@@ -7,6 +7,7 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use socket2::{Domain, Socket, Type};
 use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -17,6 +18,8 @@
 
 /// Most connections above the limit that are answered 503 at one time; more are just closed.
 const MAXIMUM_REFUSALS: usize = 64;
+/// Connections that may wait to be accepted; the kernel's own limit may be lower.
+const LISTEN_QUEUE: i32 = 4_096;
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time in which closing connections may flush their last bytes after a drain.
@@ -67,7 +70,7 @@
     /// Listens on an address; port 0 takes a free port.
     pub fn bind(address: SocketAddr, settings: ServerSettings) -> Result<Server, ServerError> {
         let failed = |source| ServerError::Listen { address, source };
-        let listener = Async::<TcpListener>::bind(address).map_err(failed)?;
+        let listener = listen(address).map_err(failed)?;
         let address = listener.get_ref().local_addr().map_err(failed)?;
         let executor = Arc::new(Executor::new());
         let (stop, stopping) = async_channel::bounded(1);
@@ -112,6 +115,16 @@
     }
 }
 
+/// Listens with a long queue. With the standard library's 128, a burst of connections overflows
+/// it, and the kernel lets those callers try again after a second.
+fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(LISTEN_QUEUE)?;
+    Async::new(socket.into())
+}
+
 /// Starts the executor threads. They hold the executor alone: when they end, every task on it is
 /// dropped, which cuts its connections.
 fn start_threads(
--- a/crates/millpass-router/tests/common/control.rs
+++ b/crates/millpass-router/tests/common/control.rs
@@ -80,6 +80,11 @@
 
     /// Adds a loaded replica of `writer`, with its adapter, on an engine.
     pub fn add_replica(&self, slot: u64, engine: SocketAddr) {
+        self.add_replica_for(slot, engine, 64);
+    }
+
+    /// Adds such a replica that serves this many requests at once.
+    pub fn add_replica_for(&self, slot: u64, engine: SocketAddr, concurrency: u32) {
         let mut state = self.lock();
         state.replicas.push(ReplicaRoute {
             slot: SlotId(slot),
@@ -93,7 +98,7 @@
             phase: ReplicaPhase::Loaded,
             leaving: false,
             adapters: vec!["legal".into()],
-            concurrency: 64,
+            concurrency,
         });
         state.placement += 1;
     }
--- a/crates/millpass-router/tests/common/engine.rs
+++ b/crates/millpass-router/tests/common/engine.rs
@@ -29,7 +29,8 @@
                 responder.send(Response::text(StatusCode::OK, ""));
                 return;
             }
-            arrived.send(request.clone()).unwrap();
+            // Nobody may want to know.
+            let _ = arrived.send(request.clone());
             script(&request, responder);
         };
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -41,6 +42,15 @@
         }
     }
 
+    /// Starts an engine that keeps no record of its requests.
+    pub fn start_quiet(script: impl Fn(&Request, Responder) + Send + Sync + 'static) -> Engine {
+        let engine = Engine::start(script);
+        Engine {
+            requests: crossbeam::channel::never(),
+            ..engine
+        }
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.server.local_address()
     }
--- a/crates/millpass-router/tests/common/mod.rs
+++ b/crates/millpass-router/tests/common/mod.rs
@@ -103,7 +103,13 @@
 
 /// A completion request of the tenant `acme`, still without its body.
 pub fn completion(router: &RouterHandle) -> http::request::Builder {
-    post(router, "/v1/completions").header("Authorization", format!("Bearer {KEY}"))
+    completion_to(router.address())
+}
+
+/// The same to any address.
+pub fn completion_to(address: SocketAddr) -> http::request::Builder {
+    http::Request::post(format!("http://{address}/v1/completions"))
+        .header("Authorization", format!("Bearer {KEY}"))
 }
 
 pub fn post(router: &RouterHandle, path: &str) -> http::request::Builder {
