--- a/crates/millpass-policy/src/evaluate.rs
+++ b/crates/millpass-policy/src/evaluate.rs
@@ -75,9 +75,18 @@
 }
 
 /// The policies of one catalog revision, ordered by name.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct CompiledPolicies {
     policies: Vec<CompiledPolicy>,
+    /// Functions of the language; building them costs more than a program, so it is done once.
+    functions: Context<'static, 'static>,
+}
+
+impl std::fmt::Debug for CompiledPolicies {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let names = self.policies.iter().map(|policy| &policy.name);
+        formatter.debug_list().entries(names).finish()
+    }
 }
 
 impl CompiledPolicies {
@@ -88,7 +97,10 @@
             .map(|(name, spec)| CompiledPolicy::compile(name, spec))
             .collect::<Result<Vec<_>, _>>()?;
         compiled.sort_by(|left, right| left.name.cmp(&right.name));
-        Ok(CompiledPolicies { policies: compiled })
+        Ok(CompiledPolicies {
+            policies: compiled,
+            ..CompiledPolicies::default()
+        })
     }
 
     /// Number of policies.
@@ -103,7 +115,7 @@
 
     /// Judges a request. Any failing program denies, and names its policy.
     pub fn evaluate(&self, facts: &RequestFacts<'_>) -> Verdict {
-        let context = context_of(facts);
+        let context = context_of(&self.functions, facts);
         for policy in &self.policies {
             match denies(policy, &context) {
                 Ok(false) => {}
@@ -147,9 +159,12 @@
     Ok(())
 }
 
-/// The variables of one request.
-fn context_of(facts: &RequestFacts<'_>) -> Context<'static, 'static> {
-    let mut context = Context::default();
+/// The variables of one request, in a scope within the functions.
+fn context_of<'a>(
+    functions: &'a Context<'static, 'static>,
+    facts: &RequestFacts<'_>,
+) -> Context<'a, 'static> {
+    let mut context = functions.new_inner_scope();
     for (name, value) in facts.variables() {
         context.add_variable_from_value(name, value.to_owned());
     }
--- a/crates/millpass-policy/tests/policy.rs
+++ b/crates/millpass-policy/tests/policy.rs
@@ -170,6 +170,31 @@
     assert!(cache.is_empty());
 }
 
+/// The programs shown to operators in `docs/POLICIES.md`.
+#[test]
+fn documented_programs_compile() {
+    let page = include_str!("../../../docs/POLICIES.md");
+    let mut shown = 0;
+    for line in page.lines() {
+        let Some((field, source)) = line.split_once(": \"") else {
+            continue;
+        };
+        let source = source.trim_end_matches('"').to_owned();
+        let mut spec = allow("true");
+        match field {
+            "allow" => spec.allow = source,
+            "deny" => spec.deny = Some(source),
+            "urgency" => spec.urgency = Some(source),
+            "capacity_bytes" => spec.capacity_bytes = Some(source),
+            _ => continue,
+        }
+        shown += 1;
+        let verdict = compile(&[spec]).unwrap().evaluate(&FACTS);
+        assert_eq!(verdict.failure, None, "{line}");
+    }
+    assert_eq!(shown, 8);
+}
+
 fn runner(cases: u32) -> TestRunner {
     let config = Config {
         cases,
