--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -6,6 +6,31 @@
 use serde_bytes::ByteBuf as Bytes;
 
 
+/// Random number drawn when a process starts; tells two runs of one process apart.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct Incarnation(pub u64);
+
+
+/// Name of a router process, unique in the deployment.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouterName(pub String);
+
+
+/// Concludes all open claims of one run of a router as `Unknown`: the run was replaced or lost its lease. A later word of that run on one of them still counts.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AbandonClaims {
+
+    /// Router.
+    pub router: RouterName,
+
+    /// Run of that router.
+    pub router_incarnation: Incarnation,
+}
+
+
 /// Name of an adapter, unique in the deployment.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -53,12 +78,6 @@
 }
 
 
-/// Random number drawn when a process starts; tells two runs of one process apart.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct Incarnation(pub u64);
-
-
 /// A change of a back end's state, from the platform's machine list or an operator.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -166,12 +185,6 @@
 pub struct ClaimKey(pub String);
 
 
-/// Name of a router process, unique in the deployment.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct RouterName(pub String);
-
-
 /// Name of a tenant.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -648,6 +661,22 @@
 }
 
 
+/// A role as confirmed by the engine. Ignored unless incarnation and fence match the outstanding order.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RoleSettlement {
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run of the engine.
+    pub incarnation: Incarnation,
+
+    /// Fence of the order that is settled.
+    pub fence: LogPosition,
+}
+
+
 /// A command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -688,6 +717,12 @@
 
     /// Decide a role.
     ChangeRole(ChangeRole),
+
+    /// Conclude the open claims of a lost router.
+    AbandonClaims(AbandonClaims),
+
+    /// Record that an engine took its role.
+    SettleRole(RoleSettlement),
 }
 
 
@@ -782,6 +817,9 @@
 
     /// Fence of the outstanding or last order.
     pub fence: LogPosition,
+
+    /// Checkpoint to load.
+    pub checkpoint: String,
 }
 
 
@@ -1670,6 +1708,57 @@
 }
 
 
+/// What happened to one block of a prompt prefix in an engine's cache.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum CacheChange {
+
+    /// The block is cached.
+    Inserted,
+
+    /// The block is gone.
+    Evicted,
+}
+
+
+/// One cache event.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CacheEvent {
+
+    /// Number within the run of the engine, from 1; numbers that are missing were lost.
+    pub number: u64,
+
+    /// Slot whose cache it is.
+    pub slot: SlotId,
+
+    /// Chained hash of the prompt up to the end of the block.
+    pub prefix_hash: u64,
+
+    /// What happened.
+    pub change: CacheChange,
+}
+
+
+/// Cache events, published late and with gaps. GET /engine/events?after=N.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CacheEvents {
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run; the numbering starts anew with each.
+    pub incarnation: Incarnation,
+
+    /// Oldest number still kept; a reader further behind starts from an empty picture.
+    pub oldest: u64,
+
+    /// Events in the order of their numbers, at most the limit of one answer.
+    pub events: Vec<CacheEvent>,
+}
+
+
 /// Answer to a claim.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1692,6 +1781,12 @@
 
     /// The key is older than claims are kept; nothing was run.
     Expired,
+
+    /// The table of claims is full; nothing was run. Come back when older claims have expired.
+    Overloaded,
+
+    /// The key says that it is born later than the clock allows; nothing was run.
+    BornInFuture,
 }
 
 
@@ -1798,6 +1893,107 @@
 }
 
 
+/// A request that ran more than once.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RepeatedRun {
+
+    /// Tenant.
+    pub tenant: TenantName,
+
+    /// Idempotency key, or request identity.
+    pub key: String,
+
+    /// Times it ran.
+    pub runs: u64,
+}
+
+
+/// What an engine stand-in counted in its run. GET /engine/audit.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineAudit {
+
+    /// Engine.
+    pub backend: BackendName,
+
+    /// Run.
+    pub incarnation: Incarnation,
+
+    /// Breach: orders that would have exceeded an accelerator's memory; they were rejected.
+    pub memory_overcommits: u64,
+
+    /// Most memory ever in use on each accelerator.
+    pub peak_used_bytes: Vec<u64>,
+
+    /// Requests for a slot that is not loaded here; refused as not executed.
+    pub wrong_slot_requests: u64,
+
+    /// Orders refused for a stale fence.
+    pub stale_fences: u64,
+
+    /// Orders and requests refused for another incarnation.
+    pub wrong_incarnations: u64,
+
+    /// Breach: a fence seen again with another order.
+    pub conflicting_fences: u64,
+
+    /// Orders accepted, resends not counted.
+    pub orders_accepted: u64,
+
+    /// Orders rejected for another reason.
+    pub orders_rejected: u64,
+
+    /// Model loads that ended well.
+    pub model_loads: u64,
+
+    /// Adapter loads that ended well.
+    pub adapter_loads: u64,
+
+    /// Loads that failed.
+    pub failed_loads: u64,
+
+    /// Requests that entered the running batch for the first time.
+    pub requests_started: u64,
+
+    /// Of these, those that resume an earlier stream.
+    pub requests_resumed: u64,
+
+    /// Requests that gave their whole answer.
+    pub requests_finished: u64,
+
+    /// Requests cancelled by their caller.
+    pub requests_cancelled: u64,
+
+    /// Requests refused as not executed.
+    pub requests_refused: u64,
+
+    /// Requests cut while running, by an unload bound or their deadline.
+    pub requests_cut: u64,
+
+    /// Requests moved back from the batch to the queue.
+    pub preemptions: u64,
+
+    /// Tokens given out.
+    pub tokens: u64,
+
+    /// Breach: idempotency keys that ran more than once (bounded list).
+    pub repeated_keys: Vec<RepeatedRun>,
+
+    /// Request identities that ran more than once, resumes not counted (bounded list).
+    pub repeated_requests: Vec<RepeatedRun>,
+
+    /// Accelerator-milliseconds with weights loaded.
+    pub loaded_accelerator_millis: u64,
+
+    /// Of these, with nothing running.
+    pub idle_accelerator_millis: u64,
+
+    /// Keys and identities no longer remembered, for want of room; with any, the lists may lack some.
+    pub forgotten_runs: u64,
+}
+
+
 /// A message with its addresses.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1836,6 +2032,37 @@
 }
 
 
+/// What a web back end stand-in counted in its run. GET /web/audit.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct WebAudit {
+
+    /// Web back end.
+    pub backend: BackendName,
+
+    /// Run.
+    pub incarnation: Incarnation,
+
+    /// Requests served.
+    pub requests: u64,
+
+    /// Runs of endpoints that may not be repeated.
+    pub once_runs: u64,
+
+    /// Different keys among these.
+    pub once_keys: u64,
+
+    /// Runs without a key.
+    pub once_without_key: u64,
+
+    /// Keys no longer remembered, for want of room; with any, the list below may lack some.
+    pub forgotten_keys: u64,
+
+    /// Breach: keys that ran more than once (bounded list).
+    pub repeated_keys: Vec<RepeatedRun>,
+}
+
+
 /// An engine's answer to an order. Acceptance is not completion: the report tells.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1899,3 +2126,28 @@
 #[derive(Hash)]
 pub struct PolicyName(pub String);
 
+
+/// What the weight store stand-in counted. GET /audit.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct StoreAudit {
+
+    /// Transfers started.
+    pub started: u64,
+
+    /// Transfers finished.
+    pub finished: u64,
+
+    /// Transfers refused with 429.
+    pub refused: u64,
+
+    /// Transfers whose caller went away.
+    pub abandoned: u64,
+
+    /// Most transfers at once.
+    pub most_at_once: u64,
+
+    /// Bytes of the finished transfers.
+    pub bytes: u64,
+}
+
--- /dev/null
+++ b/crates/millpass-standin/src/engine/front/calls.rs
@@ -0,0 +1,240 @@
+//! Reads a completion request: body by API, and the headers that routers add.
+
+use crate::content::{self, Answer};
+use crate::engine::messages::{EngineRequest, RequestHandle};
+use crate::engine::model::EngineModel;
+use crate::run::{ScaledClock, header_number, header_text, malformed_header, parse_json};
+use http::HeaderMap;
+use millpass_http::{Request, Response};
+use millpass_proto::{
+    AdapterName, Duration, Incarnation, ModelName, SlotId, TenantName, Timestamp, Urgency,
+    VersionLabel,
+};
+use serde::Deserialize;
+
+/// Tokens of an answer when the caller names none.
+const DEFAULT_MAXIMUM_TOKENS: u32 = 16;
+/// What separates a model from an adapter in the body's `model`.
+const ADAPTER_MARK: char = ':';
+/// Slot that never exists: slots are positions in a log, which begin at 1.
+const NO_SLOT: SlotId = SlotId(0);
+
+/// Which of the two APIs is spoken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Api {
+    /// `/v1/completions`.
+    Completions,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+#[derive(Deserialize)]
+struct CompletionBody {
+    model: Option<String>,
+    prompt: String,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: Option<String>,
+    messages: Vec<ChatMessage>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: String,
+}
+
+/// What the body says.
+struct Body {
+    model: Option<String>,
+    prompt: String,
+    maximum_tokens: u32,
+    is_streamed: bool,
+}
+
+impl Body {
+    fn parse(api: Api, bytes: &[u8]) -> Result<Self, Box<Response>> {
+        match api {
+            Api::Completions => {
+                let body: CompletionBody = parse_json(bytes)?;
+                Ok(Body {
+                    model: body.model,
+                    prompt: body.prompt,
+                    maximum_tokens: body.max_tokens.unwrap_or(DEFAULT_MAXIMUM_TOKENS),
+                    is_streamed: body.stream,
+                })
+            }
+            Api::Chat => {
+                let body: ChatBody = parse_json(bytes)?;
+                let messages = body.messages.iter();
+                let lines = messages.map(|one| (one.role.as_str(), one.content.as_str()));
+                let maximum = body.max_completion_tokens.or(body.max_tokens);
+                Ok(Body {
+                    prompt: content::chat_prompt(lines),
+                    model: body.model,
+                    maximum_tokens: maximum.unwrap_or(DEFAULT_MAXIMUM_TOKENS),
+                    is_streamed: body.stream,
+                })
+            }
+        }
+    }
+}
+
+/// One completion request, ready for the model.
+pub struct Call {
+    /// Which API.
+    pub api: Api,
+    /// Whether the answer is streamed.
+    pub is_streamed: bool,
+    /// Model that answers.
+    pub model: ModelName,
+    /// Its version.
+    pub version: VersionLabel,
+    /// Text of the answer.
+    pub answer: Answer,
+    /// What the batch gets to see. The driver sets the handle.
+    pub request: EngineRequest,
+}
+
+/// A request as read, before the engine was looked at.
+pub struct Parsed {
+    api: Api,
+    body: Body,
+    headers: Headers,
+    adapter: Option<AdapterName>,
+    prompt_tokens: u32,
+    prefix_blocks: Vec<u64>,
+}
+
+/// What the engine says about a request's slot.
+pub struct SlotView {
+    /// The slot; one that does not exist if none was found, which the model refuses and counts.
+    slot: SlotId,
+    /// Model and version, if it is loaded.
+    loaded: Option<(ModelName, VersionLabel)>,
+    /// Most tokens of an answer.
+    maximum_tokens: u32,
+    /// The present time.
+    now: Timestamp,
+}
+
+impl Parsed {
+    /// Reads headers and body.
+    pub fn read(api: Api, request: &Request) -> Result<Self, Box<Response>> {
+        let body = Body::parse(api, &request.body)?;
+        let headers = Headers::parse(&request.headers)?;
+        let in_model = split_model(body.model.as_deref()).1;
+        let adapter = headers.adapter.clone().or(in_model);
+        Ok(Parsed {
+            api,
+            prompt_tokens: content::prompt_tokens(&body.prompt),
+            prefix_blocks: content::prefix_blocks(adapter.as_ref(), &body.prompt),
+            body,
+            headers,
+            adapter,
+        })
+    }
+
+    /// Looks the slot up: the one named, or the first that has the model.
+    pub fn look(&self, model: &EngineModel, now: Timestamp) -> SlotView {
+        let named = split_model(self.body.model.as_deref()).0;
+        let slot = self.headers.slot.or_else(|| model.slot_of_model(named?));
+        let slot = slot.unwrap_or(NO_SLOT);
+        let loaded = model.loaded_model(slot);
+        SlotView {
+            slot,
+            loaded: loaded.map(|(name, version)| (name.clone(), version.clone())),
+            maximum_tokens: model.settings().limits.maximum_tokens,
+            now,
+        }
+    }
+
+    /// The call, for the slot that was found.
+    pub fn into_call(self, view: SlotView, clock: ScaledClock) -> Call {
+        let nothing = || (ModelName::from(""), VersionLabel::from(""));
+        let (model, version) = view.loaded.unwrap_or_else(nothing);
+        let headers = self.headers;
+        let left = headers.deadline.map(|left| clock.to_simulated(left));
+        Call {
+            api: self.api,
+            is_streamed: self.body.is_streamed,
+            answer: Answer::new(&model, &version, self.adapter.as_ref(), &self.body.prompt),
+            model,
+            version,
+            request: EngineRequest {
+                handle: RequestHandle(0),
+                request_id: headers.request_id.unwrap_or_default(),
+                tenant: headers.tenant,
+                slot: view.slot,
+                incarnation: headers.incarnation,
+                prompt_tokens: self.prompt_tokens,
+                prefix_blocks: self.prefix_blocks,
+                adapter: self.adapter,
+                urgency: headers.urgency,
+                maximum_tokens: self.body.maximum_tokens.min(view.maximum_tokens),
+                resume_from: headers.resume_from,
+                deadline: left.map(|left| view.now + left),
+                idempotency_key: headers.idempotency_key,
+            },
+        }
+    }
+}
+
+/// Headers that routers add.
+struct Headers {
+    request_id: Option<String>,
+    tenant: TenantName,
+    slot: Option<SlotId>,
+    incarnation: Option<Incarnation>,
+    urgency: Urgency,
+    resume_from: u32,
+    deadline: Option<Duration>,
+    adapter: Option<AdapterName>,
+    idempotency_key: Option<String>,
+}
+
+impl Headers {
+    fn parse(headers: &HeaderMap) -> Result<Self, Box<Response>> {
+        let text = |name| header_text(headers, name);
+        Ok(Headers {
+            request_id: text("x-request-id").map(str::to_owned),
+            tenant: TenantName::from(text("millpass-tenant").unwrap_or_default()),
+            slot: header_number(headers, "millpass-slot")?.map(SlotId),
+            incarnation: header_number(headers, "millpass-incarnation")?.map(Incarnation),
+            urgency: urgency(text("millpass-priority"))?,
+            resume_from: header_number(headers, "millpass-resume-from")?.unwrap_or(0),
+            deadline: header_number(headers, "millpass-deadline-ms")?.map(Duration::from_millis),
+            adapter: text("millpass-adapter").map(AdapterName::from),
+            idempotency_key: text("idempotency-key").map(str::to_owned),
+        })
+    }
+}
+
+fn urgency(text: Option<&str>) -> Result<Urgency, Box<Response>> {
+    match text {
+        Some("interactive") => Ok(Urgency::Interactive),
+        Some("normal") | None => Ok(Urgency::Normal),
+        Some("batch") => Ok(Urgency::Batch),
+        Some(_) => Err(malformed_header(
+            "millpass-priority",
+            "interactive, normal or batch",
+        )),
+    }
+}
+
+/// `model` or `model:adapter`.
+fn split_model(model: Option<&str>) -> (Option<&str>, Option<AdapterName>) {
+    match model.and_then(|name| name.split_once(ADAPTER_MARK)) {
+        Some((name, adapter)) => (Some(name), Some(AdapterName::from(adapter))),
+        None => (model, None),
+    }
+}
