Skeleton of the control process: settings, and where the administration API meets the core

Ruled out: astra for the administration API. Conclusion: the API's server and client and the process can be written apart.

--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -178,14 +178,11 @@
 pub struct ControlPlatformSection {
     /// Where the list is read.
     pub address: String,
-    /// Time between reads.
-    pub poll_ms: u64,
 }
 impl Default for ControlPlatformSection {
     fn default() -> Self {
         Self {
             address: "127.0.0.1:7300".to_owned(),
-            poll_ms: 1000u64,
         }
     }
 }
@@ -488,14 +485,6 @@
                     required: false,
                     kind: KeyKind::Address,
                 },
-                KeySpecification {
-                    name: "poll_ms",
-                    required: false,
-                    kind: KeyKind::Integer {
-                        minimum: 50u64,
-                        maximum: 60000u64,
-                    },
-                },
             ],
         },
         SectionSpecification {
@@ -560,8 +549,6 @@
 pub struct RouterLimitsSection {
     /// Open connections.
     pub maximum_connections: u64,
-    /// Requests handled at once.
-    pub handler_threads: u64,
     /// Size of a request body.
     pub maximum_body_bytes: u64,
     /// Time to send a header.
@@ -579,7 +566,6 @@
     fn default() -> Self {
         Self {
             maximum_connections: 8192u64,
-            handler_threads: 1024u64,
             maximum_body_bytes: 4194304u64,
             header_timeout_ms: 10000u64,
             body_timeout_ms: 30000u64,
@@ -760,14 +746,6 @@
                         maximum: 1000000u64,
                     },
                 },
-                KeySpecification {
-                    name: "handler_threads",
-                    required: false,
-                    kind: KeyKind::Integer {
-                        minimum: 1u64,
-                        maximum: 16384u64,
-                    },
-                },
                 KeySpecification {
                     name: "maximum_body_bytes",
                     required: false,
--- /dev/null
+++ b/crates/millpass-control/src/api.rs
@@ -0,0 +1,1 @@
+//! Bodies of the administration API (JSON).
--- /dev/null
+++ b/crates/millpass-control/src/client.rs
@@ -0,0 +1,1 @@
+//! Client of the administration API, for the command line and the lab.
