Experiment: traces, virtual-time simulation, strategies and report; scheduler weights a second

Cause: nothing compared keep-alive strategies over the users' workloads; the scheduler's idle weight was per hour while settings and deployment descriptions state it per second. Change: crate millpass-experiment; SchedulerSettings.idle_weight counts an accelerator second, the default cold_start_weight becomes 3600 (the same ratio as before). Tests of the scheduler state the same ratios in the new unit; the property test's ratio goes from 1:360 an hour to 10:1 a second, which is the same. Before and after: none measured yet.

--- /dev/null
+++ b/crates/millpass-experiment/src/experiment.rs
@@ -0,0 +1,124 @@
+//! All strategies over all seeds, on several threads.
+
+use crate::catalog::Catalog;
+use crate::curve::{Baselines, Point};
+use crate::deployment::Deployment;
+use crate::metrics::Measurements;
+use crate::options::Seeds;
+use crate::simulation::Simulation;
+use crate::strategies::{Family, Strategy, strategies};
+use crate::workload::Workload;
+use crossbeam::channel;
+
+/// The quantile that strategies are compared by.
+pub const COMPARED_QUANTILE: f64 = 0.99;
+
+/// What one strategy came to over all seeds.
+#[derive(Clone, Debug)]
+pub struct StrategyResult {
+    /// Strategy.
+    pub strategy: Strategy,
+    /// Sums over the seeds.
+    pub measurements: Measurements,
+}
+
+impl StrategyResult {
+    /// Its place among the others.
+    pub fn point(&self) -> Point {
+        let measured = &self.measurements;
+        Point {
+            idle: measured.idle_hours_a_day(),
+            cold: measured.cold_start.quantile_seconds(COMPARED_QUANTILE),
+        }
+    }
+}
+
+/// The whole comparison.
+#[derive(Clone, Debug)]
+pub struct Comparison {
+    /// Deployment.
+    pub deployment: Deployment,
+    /// Seeds.
+    pub seeds: Seeds,
+    /// Days measured of each seed.
+    pub days: usize,
+    /// Results, in the order of [`strategies`].
+    pub results: Vec<StrategyResult>,
+}
+
+impl Comparison {
+    /// Runs everything.
+    pub fn run(
+        deployment: Deployment,
+        workload: Workload,
+        seeds: Seeds,
+        days: usize,
+        threads: usize,
+    ) -> Self {
+        let catalog = Catalog::new(&deployment);
+        let population = catalog.population(deployment.tenants.count);
+        let traces: Vec<_> = (seeds.first..seeds.end)
+            .map(|seed| workload.trace(population.clone(), days, seed))
+            .collect();
+        let strategies = strategies(&deployment);
+        let (jobs, next_job) = channel::unbounded();
+        for strategy in 0..strategies.len() {
+            for trace in 0..traces.len() {
+                jobs.send((strategy, trace)).expect("the queue is open");
+            }
+        }
+        drop(jobs);
+        let (done, results) = channel::unbounded();
+        std::thread::scope(|scope| {
+            for _ in 0..threads.max(1) {
+                scope.spawn(|| {
+                    for (strategy, trace) in next_job.iter() {
+                        let settings = strategies[strategy].settings.clone();
+                        let run = Simulation::new(&deployment, &catalog, &traces[trace], settings);
+                        done.send((strategy, run.run())).expect("the queue is open");
+                    }
+                });
+            }
+        });
+        drop(done);
+        let blank = Measurements::new(deployment.tenants.count, catalog.models.len());
+        let mut sums = vec![blank; strategies.len()];
+        for (strategy, measurements) in results.iter() {
+            sums[strategy].add(&measurements);
+        }
+        let results = strategies.into_iter().zip(sums);
+        let results = results.map(|(strategy, measurements)| StrategyResult {
+            strategy,
+            measurements,
+        });
+        Comparison {
+            deployment,
+            seeds,
+            days,
+            results: results.collect(),
+        }
+    }
+
+    /// Results of a family, in the order of the parameter; the stated weights are left out.
+    pub fn family(&self, family: Family) -> impl Iterator<Item = &StrategyResult> {
+        let results = self.results.iter();
+        results.filter(move |one| one.strategy.family == family && !one.strategy.stated)
+    }
+
+    /// The result at the deployment's own weights.
+    pub fn stated(&self) -> Option<&StrategyResult> {
+        self.results.iter().find(|one| one.strategy.stated)
+    }
+
+    /// The baselines' curves.
+    pub fn baselines(&self) -> Baselines {
+        let families = [
+            Family::Fixed,
+            Family::LeastRecentlyUsed,
+            Family::AlwaysLoaded,
+        ];
+        let curves =
+            families.map(|family| self.family(family).map(StrategyResult::point).collect());
+        Baselines::new(curves.into())
+    }
+}
--- /dev/null
+++ b/crates/millpass-experiment/src/fleet.rs
@@ -0,0 +1,200 @@
+//! The engines and the weight store, driven in virtual time.
+//!
+//! They are the models of the stand-ins, so loads, unloads, batching, checkpoint caches, the lag
+//! of reports and the count of idle accelerator time are the same as in a fleet of processes.
+
+use crate::catalog::{Catalog, INCARNATION};
+use crate::deployment::Deployment;
+use millpass_proto::{Duration, EngineAudit, EngineOrder, EngineReport, StoreAudit, Timestamp};
+use millpass_standin::engine::{
+    CheckpointSettings, EngineInput, EngineModel, EngineOutput, EngineRequest, EngineSettings,
+    EngineTiming, FetchId, FetchResult,
+};
+use millpass_standin::weight_store::{
+    StoreInput, StoreOutput, TransferId, WeightStoreModel, WeightStoreSettings,
+};
+use std::collections::BTreeMap;
+
+/// Full speed of one load from the weight store. Deployment descriptions state a faster store, so
+/// that runs of real processes are short; loads of minutes are what keep-alive is about.
+pub const STORE_BYTES_PER_SECOND: u64 = 2_000_000_000;
+/// Speed of a load from a machine's disk.
+pub const DISK_BYTES_PER_SECOND: u64 = 3_000_000_000;
+/// Speed of a load from a machine's memory.
+pub const MEMORY_BYTES_PER_SECOND: u64 = 20_000_000_000;
+/// Tokens of one step of the engine model: coarse steps make several days affordable.
+const TOKENS_PER_STEP: u32 = 64;
+/// Transfers that may wait at the store.
+const WAITING_TRANSFERS: usize = 256;
+/// Time until a change of an engine shows in its reports, with the interval between reports.
+const REPORT_DELAY: Duration = Duration::from_millis(350);
+
+/// All engines and the store.
+pub struct Fleet {
+    engines: Vec<Engine>,
+    store: WeightStoreModel,
+    transfers: BTreeMap<TransferId, (usize, FetchId)>,
+    next_transfer: u64,
+    outputs: Vec<EngineOutput>,
+}
+
+struct Engine {
+    model: EngineModel,
+    wake: Option<Timestamp>,
+    /// Changes up to here are not yet all in the reports that were read.
+    unread_until: Option<Timestamp>,
+}
+
+impl Fleet {
+    /// Engines with nothing loaded and nothing cached: the warm-up fills the caches.
+    pub fn new(deployment: &Deployment, catalog: &Catalog) -> Self {
+        let engines = catalog.engines.iter();
+        let engines = engines.map(|(backend, zone)| {
+            let settings = EngineSettings {
+                backend: backend.clone(),
+                incarnation: INCARNATION,
+                zone: zone.clone(),
+                accelerator_bytes: vec![
+                    deployment.engine.accelerator_bytes;
+                    deployment.engine.accelerators
+                ],
+                timing: timing(),
+                checkpoints: CheckpointSettings {
+                    memory_bytes: deployment.engine.checkpoint_memory_bytes,
+                    disk_bytes: deployment.engine.checkpoint_disk_bytes,
+                    initial: Vec::new(),
+                },
+                ..EngineSettings::default()
+            };
+            Engine {
+                model: EngineModel::new(settings, Timestamp::ZERO),
+                wake: None,
+                unread_until: Some(Timestamp::ZERO),
+            }
+        });
+        let store = WeightStoreSettings {
+            loads_per_second: deployment.store.loads_per_second,
+            full_speed_loads: deployment.store.concurrent_loads,
+            bytes_per_second: STORE_BYTES_PER_SECOND,
+            waiting_loads: WAITING_TRANSFERS,
+        };
+        Fleet {
+            engines: engines.collect(),
+            store: WeightStoreModel::new(store, Timestamp::ZERO),
+            transfers: BTreeMap::new(),
+            next_transfer: 1,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// When an engine or the store next does something by itself.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        let engines = self.engines.iter().filter_map(|engine| engine.wake);
+        engines.chain(self.store.next_wake()).min()
+    }
+
+    /// Lets everything that is due happen; gives what became of requests.
+    pub fn advance(&mut self, now: Timestamp) -> Vec<EngineOutput> {
+        if self.store.next_wake().is_some_and(|wake| wake <= now) {
+            self.step_store(now, StoreInput::Tick);
+        }
+        for index in 0..self.engines.len() {
+            if self.engines[index].wake.is_some_and(|wake| wake <= now) {
+                self.step_engine(now, index, EngineInput::Tick);
+            }
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Gives an order to an engine.
+    pub fn order(&mut self, now: Timestamp, engine: usize, order: EngineOrder) {
+        self.step_engine(now, engine, EngineInput::Order(order));
+    }
+
+    /// Gives a request to an engine.
+    pub fn submit(&mut self, now: Timestamp, engine: usize, request: EngineRequest) {
+        self.step_engine(now, engine, EngineInput::Submit(request));
+    }
+
+    /// Load reports, as lagged as they are, of engines that changed since they were last read.
+    pub fn read_reports(&mut self, now: Timestamp) -> Vec<EngineReport> {
+        let mut reports = Vec::new();
+        for engine in &mut self.engines {
+            let Some(until) = engine.unread_until else {
+                continue;
+            };
+            reports.push(engine.model.report(now));
+            if until <= now {
+                engine.unread_until = None;
+            }
+        }
+        reports
+    }
+
+    /// What each engine counted.
+    pub fn audits(&self, now: Timestamp) -> Vec<EngineAudit> {
+        let engines = self.engines.iter();
+        engines.map(|engine| engine.model.audit(now)).collect()
+    }
+
+    /// What the store counted.
+    pub fn store_audit(&self) -> StoreAudit {
+        self.store.audit()
+    }
+
+    fn step_engine(&mut self, now: Timestamp, index: usize, input: EngineInput) {
+        let engine = &mut self.engines[index];
+        let outputs = engine.model.step(now, input);
+        engine.wake = engine.model.next_wake();
+        engine.unread_until = Some(now + REPORT_DELAY);
+        for output in outputs {
+            match output {
+                EngineOutput::Fetch { fetch, bytes, .. } => self.fetch(now, index, fetch, bytes),
+                EngineOutput::AbandonFetch(fetch) => self.abandon(now, index, fetch),
+                EngineOutput::Started(_)
+                | EngineOutput::Refused(..)
+                | EngineOutput::Finished(..) => self.outputs.push(output),
+                EngineOutput::Tokens { .. }
+                | EngineOutput::OrderAnswered(_)
+                | EngineOutput::CacheImported(_) => {}
+            }
+        }
+    }
+
+    fn step_store(&mut self, now: Timestamp, input: StoreInput) {
+        for output in self.store.step(now, input) {
+            let (transfer, result) = match output {
+                StoreOutput::Done(transfer) => (transfer, FetchResult::Done),
+                StoreOutput::Refused(transfer, pause) => (transfer, FetchResult::Later(pause)),
+            };
+            if let Some((engine, fetch)) = self.transfers.remove(&transfer) {
+                self.step_engine(now, engine, EngineInput::FetchEnded(fetch, result));
+            }
+        }
+    }
+
+    fn fetch(&mut self, now: Timestamp, engine: usize, fetch: FetchId, bytes: u64) {
+        let transfer = TransferId(self.next_transfer);
+        self.next_transfer += 1;
+        self.transfers.insert(transfer, (engine, fetch));
+        self.step_store(now, StoreInput::Request(transfer, bytes));
+    }
+
+    fn abandon(&mut self, now: Timestamp, engine: usize, fetch: FetchId) {
+        let mut transfers = self.transfers.iter();
+        let found = transfers.find(|(_, asked)| **asked == (engine, fetch));
+        if let Some(transfer) = found.map(|(transfer, _)| *transfer) {
+            self.transfers.remove(&transfer);
+            self.step_store(now, StoreInput::Abandon(transfer));
+        }
+    }
+}
+
+fn timing() -> EngineTiming {
+    EngineTiming {
+        tokens_per_step: TOKENS_PER_STEP,
+        memory_bytes_per_second: MEMORY_BYTES_PER_SECOND,
+        disk_bytes_per_second: DISK_BYTES_PER_SECOND,
+        ..EngineTiming::default()
+    }
+}
--- /dev/null
+++ b/crates/millpass-experiment/src/lib.rs
@@ -0,0 +1,70 @@
+//! Compares keep-alive strategies over traces of several days, in virtual time.
+//!
+//! The scheduler, the replicated state, the engine model and the weight store model are those that
+//! the product and its stand-ins run. A trace is made from a seed; the same arguments give the same
+//! figures.
+
+pub mod catalog;
+pub mod curve;
+pub mod deployment;
+pub mod experiment;
+pub mod fleet;
+pub mod metrics;
+pub mod options;
+pub mod report;
+pub mod routers;
+pub mod seats;
+pub mod settlements;
+pub mod simulation;
+pub mod strategies;
+pub mod trace;
+pub mod workload;
+
+pub use options::{Options, Seeds, options};
+
+use anyhow::{Context, Result};
+use deployment::Deployment;
+use experiment::Comparison;
+use report::{Figures, markdown};
+use workload::Workload;
+
+/// Runs the command: prints the report, and writes it if a folder is given.
+pub fn run(options: &Options) -> Result<()> {
+    let deployment = Deployment::read(&options.deployment.join("deployment.toml"))?;
+    let workload = Workload::of_deployment(&deployment.name).with_context(|| {
+        let name = &deployment.name;
+        format!("deployment {name} has no workload; choose one named pnw or sicilia")
+    })?;
+    let comparison = Comparison::run(
+        deployment,
+        workload,
+        options.seeds,
+        options.days,
+        options.threads,
+    );
+    println!("{}", markdown(&Figures::new(&comparison)));
+    if options.by_model {
+        print_models(&comparison);
+    }
+    if let Some(folder) = &options.output {
+        report::write(&comparison, folder)?;
+    }
+    Ok(())
+}
+
+fn print_models(comparison: &Comparison) {
+    let Some(stated) = comparison.stated() else {
+        return;
+    };
+    let models = comparison.deployment.models();
+    for ((name, _), counts) in models.iter().zip(&stated.measurements.models) {
+        println!(
+            "model={name} requests={} cold={} cold_p99_seconds={:.1}",
+            counts.asked,
+            counts.cold,
+            counts
+                .cold_start
+                .quantile_seconds(experiment::COMPARED_QUANTILE),
+        );
+    }
+}
--- /dev/null
+++ b/crates/millpass-experiment/src/strategies.rs
@@ -0,0 +1,130 @@
+//! The strategies of one comparison: the product's at several weights, and the baselines.
+
+use crate::deployment::{Deployment, Weights};
+use crate::fleet::{DISK_BYTES_PER_SECOND, MEMORY_BYTES_PER_SECOND, STORE_BYTES_PER_SECOND};
+use millpass_proto::Duration;
+use millpass_scheduler::{KeepAlive, SchedulerSettings};
+
+/// Timeouts of the fixed baseline, in seconds.
+const FIXED_SECONDS: [u64; 11] = [
+    10, 30, 60, 120, 300, 600, 1_200, 2_400, 4_800, 9_600, 19_200,
+];
+/// Cold-start weights of the adaptive strategy, at an idle weight of 1.
+const ADAPTIVE_WEIGHTS: [u32; 11] = [1, 3, 10, 20, 40, 80, 160, 320, 640, 1_280, 5_120];
+
+/// Strategies that form one curve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Family {
+    /// The product's.
+    Adaptive,
+    /// Fixed keep-alive.
+    Fixed,
+    /// Least recently used.
+    LeastRecentlyUsed,
+    /// Always loaded.
+    AlwaysLoaded,
+}
+
+impl Family {
+    /// Name in reports.
+    pub fn label(self) -> &'static str {
+        match self {
+            Family::Adaptive => "adaptive",
+            Family::Fixed => "fixed keep-alive",
+            Family::LeastRecentlyUsed => "least recently used",
+            Family::AlwaysLoaded => "always loaded",
+        }
+    }
+}
+
+/// One strategy with its parameter.
+#[derive(Clone, Debug)]
+pub struct Strategy {
+    /// Its curve.
+    pub family: Family,
+    /// Parameter, for reports.
+    pub parameter: String,
+    /// Whether these are the weights that the deployment states.
+    pub stated: bool,
+    /// Scheduler settings.
+    pub settings: SchedulerSettings,
+}
+
+/// All strategies of a deployment.
+pub fn strategies(deployment: &Deployment) -> Vec<Strategy> {
+    let mut strategies = vec![
+        baseline(
+            deployment,
+            Family::AlwaysLoaded,
+            KeepAlive::AlwaysLoaded,
+            String::new(),
+        ),
+        baseline(
+            deployment,
+            Family::LeastRecentlyUsed,
+            KeepAlive::LeastRecentlyUsed,
+            String::new(),
+        ),
+    ];
+    for seconds in FIXED_SECONDS {
+        let keep_alive = KeepAlive::Fixed(Duration::from_secs(seconds));
+        let parameter = format!("{seconds} s");
+        strategies.push(baseline(deployment, Family::Fixed, keep_alive, parameter));
+    }
+    let stated = deployment.weights;
+    for cold_start in ADAPTIVE_WEIGHTS {
+        strategies.push(adaptive(
+            deployment,
+            Weights {
+                cold_start,
+                idle: 1,
+            },
+            false,
+        ));
+    }
+    strategies.push(adaptive(deployment, stated, true));
+    strategies
+}
+
+fn baseline(
+    deployment: &Deployment,
+    family: Family,
+    keep_alive: KeepAlive,
+    parameter: String,
+) -> Strategy {
+    Strategy {
+        family,
+        parameter,
+        stated: false,
+        settings: SchedulerSettings {
+            keep_alive,
+            ..common(deployment)
+        },
+    }
+}
+
+fn adaptive(deployment: &Deployment, weights: Weights, stated: bool) -> Strategy {
+    Strategy {
+        family: Family::Adaptive,
+        parameter: format!("{} : {}", weights.cold_start, weights.idle),
+        stated,
+        settings: SchedulerSettings {
+            cold_start_weight: weights.cold_start,
+            idle_weight: weights.idle,
+            keep_alive: KeepAlive::Adaptive,
+            ..common(deployment)
+        },
+    }
+}
+
+/// What all strategies share: the limits and speeds as they are.
+fn common(deployment: &Deployment) -> SchedulerSettings {
+    SchedulerSettings {
+        store_loads_per_second: deployment.store.loads_per_second,
+        store_concurrent_loads: deployment.store.concurrent_loads,
+        store_bytes_per_second: STORE_BYTES_PER_SECOND,
+        disk_bytes_per_second: DISK_BYTES_PER_SECOND,
+        memory_bytes_per_second: MEMORY_BYTES_PER_SECOND,
+        ..SchedulerSettings::default()
+    }
+}
--- a/crates/millpass-scheduler/src/arrivals.rs
+++ b/crates/millpass-scheduler/src/arrivals.rs
@@ -19,8 +19,6 @@
 const PRIOR_SHARE: f64 = PRIOR_GAPS / (BUCKETS + 1) as f64;
 /// Counts are halved when this many gaps are held, so that old habits fade.
 const MAXIMUM_GAPS: u32 = 512;
-/// Seconds in an hour.
-const HOUR_SECONDS: f64 = 3_600.0;
 
 /// What keeping a replica for another while is worth, by the model's history.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,7 +29,7 @@
     pub accelerators: f64,
     /// Cost of a second of cold start.
     pub cold_start_weight: f64,
-    /// Cost of an idle accelerator hour.
+    /// Cost of an idle accelerator second.
     pub idle_weight: f64,
 }
 
@@ -108,7 +106,7 @@
     pub fn keep_gain(&self, idle: Duration, costs: &KeepCosts) -> f64 {
         let start = idle.as_secs_f64();
         let alive = self.mass_beyond(start);
-        let idle_cost_a_second = costs.idle_weight * costs.accelerators / HOUR_SECONDS;
+        let idle_cost_a_second = costs.idle_weight * costs.accelerators;
         let cold_start_cost = costs.cold_start_weight * costs.cold_start_seconds;
         let mut best = f64::NEG_INFINITY;
         let mut idle_seconds = 0.0;
--- a/crates/millpass-scheduler/src/settings.rs
+++ b/crates/millpass-scheduler/src/settings.rs
@@ -18,14 +18,14 @@
 /// Settings of the scheduler.
 ///
 /// The two weights state the trade between cold starts and idle accelerators: a second that a
-/// request waits for a cold model costs `cold_start_weight`, an idle accelerator hour costs
-/// `idle_weight`. Only their ratio matters: with 1 and 360, a second of cold start is worth ten
+/// request waits for a cold model costs `cold_start_weight`, an idle accelerator second costs
+/// `idle_weight`. Only their ratio matters: with 10 and 1, a second of cold start is worth ten
 /// seconds of an idle accelerator.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
     /// Weight of a second of cold start against idle accelerator time; see above.
     pub cold_start_weight: u32,
-    /// Weight of an idle accelerator hour.
+    /// Weight of an idle accelerator second.
     pub idle_weight: u32,
     /// Loads the weight store allows a second.
     pub store_loads_per_second: u32,
@@ -52,7 +52,7 @@
 impl Default for SchedulerSettings {
     fn default() -> Self {
         SchedulerSettings {
-            cold_start_weight: 1,
+            cold_start_weight: 3_600,
             idle_weight: 1,
             store_loads_per_second: 3,
             store_concurrent_loads: 6,
--- a/crates/millpass-scheduler/tests/properties.rs
+++ b/crates/millpass-scheduler/tests/properties.rs
@@ -101,7 +101,8 @@
 fn deployment(keep_alive: KeepAlive) -> Harness {
     let mut harness = Harness::learned(SchedulerSettings {
         keep_alive,
-        idle_weight: 360,
+        cold_start_weight: 10,
+        idle_weight: 1,
         prewarm: true,
         store_loads_per_second: 10,
         ..open_settings()
--- a/crates/millpass-scheduler/tests/retiring.rs
+++ b/crates/millpass-scheduler/tests/retiring.rs
@@ -243,9 +243,9 @@
 #[test]
 fn the_weights_move_the_keep_alive_trade() {
     let period = 120_000;
-    let idle_dear = kept_seconds(1, 3_600, period);
-    let between = kept_seconds(60, 3_600, period);
-    let cold_dear = kept_seconds(1_000, 3_600, period);
+    let idle_dear = kept_seconds(1, 1, period);
+    let between = kept_seconds(60, 1, period);
+    let cold_dear = kept_seconds(1_000, 1, period);
     assert!(idle_dear < 60, "{idle_dear}");
     assert!(between >= 120, "{between}");
     assert!(between < cold_dear, "{between} {cold_dear}");
@@ -255,8 +255,8 @@
 fn a_likely_arrival_is_loaded_for_ahead() {
     let mut harness = Harness::learned(SchedulerSettings {
         // A second of cold start is worth ten idle seconds.
-        cold_start_weight: 1,
-        idle_weight: 360,
+        cold_start_weight: 10,
+        idle_weight: 1,
         keep_alive: KeepAlive::Adaptive,
         prewarm: true,
         ..open_settings()
