--- a/crates/millpass-experiment/src/seats.rs
+++ b/crates/millpass-experiment/src/seats.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Whether any request runs.
+    pub fn any_in_flight(&self) -> bool {
+        self.in_flight.values().any(|count| *count > 0)
+    }
+
     /// What the replicas of a model serve: no adapter, and the loaded ones.
     pub fn targets_of(&self, model: usize) -> Vec<Option<usize>> {
         let loaded = self.by_model.get(&model).into_iter().flatten();
