Experiment: a refused dispatch waits for the next round

Change: seats are read before orders go out; what comes back waits for the next round; outputs are taken in a loop instead of by recursion.

--- a/crates/millpass-experiment/src/simulation.rs
+++ b/crates/millpass-experiment/src/simulation.rs
@@ -114,8 +114,7 @@
             if self.baseline.is_none() && now >= self.trace.measured_from {
                 self.baseline = Some(self.counted(self.trace.measured_from));
             }
-            let outputs = self.fleet.advance(now);
-            self.take_outputs(now, outputs);
+            self.advance_fleet(now);
             while self
                 .trace
                 .requests
@@ -128,6 +127,7 @@
             if self.next_round <= now {
                 self.round(now);
             }
+            self.advance_fleet(now);
         }
     }
 
@@ -185,8 +185,17 @@
             idempotency_key: None,
         };
         self.fleet.submit(now, seat.engine, submission);
-        let outputs = self.fleet.advance(now);
-        self.take_outputs(now, outputs);
+    }
+
+    /// Lets engines and store do what is due, and takes what became of requests.
+    fn advance_fleet(&mut self, now: Timestamp) {
+        loop {
+            let outputs = self.fleet.advance(now);
+            if outputs.is_empty() {
+                return;
+            }
+            self.take_outputs(now, outputs);
+        }
     }
 
     fn take_outputs(&mut self, now: Timestamp, outputs: Vec<EngineOutput>) {
@@ -207,21 +216,25 @@
 
     fn left(&mut self, now: Timestamp, number: usize) {
         let request = &self.trace.requests[number];
-        self.routers.ended(request);
-        if let Some(slot) = self.progress[number].slot.take() {
-            self.seats.give_back(slot);
-        }
+        self.give_back(number);
         for adapter in self.seats.targets_of(request.model) {
             self.dispatch(now, (request.model, adapter));
         }
     }
 
-    /// An engine unloaded under the request's feet: it waits again.
+    fn give_back(&mut self, number: usize) {
+        self.routers.ended(&self.trace.requests[number]);
+        if let Some(slot) = self.progress[number].slot.take() {
+            self.seats.give_back(slot);
+        }
+    }
+
+    /// An engine that unloads refused the request: it waits for the next round.
     fn sent_back(&mut self, now: Timestamp, number: usize) {
         let request = &self.trace.requests[number];
         self.progress[number].cold = true;
         self.routers.wait(number, request);
-        self.left(now, number);
+        self.give_back(number);
         self.next_round = self.next_round.min(now + HURRIED_REPORT);
     }
 
@@ -254,11 +267,11 @@
         for command in self.scheduler.decide(now, &self.state) {
             self.apply(&command);
         }
-        self.deliver_orders(now);
         if self.seats_of != self.commands {
             self.seats_of = self.commands;
             self.seats.refresh(&self.state, self.catalog);
         }
+        self.deliver_orders(now);
         for target in self.routers.waiting_targets() {
             self.dispatch(now, target);
         }
@@ -287,8 +300,6 @@
                 self.fleet.order(now, engine, order);
             }
         }
-        let outputs = self.fleet.advance(now);
-        self.take_outputs(now, outputs);
     }
 
     /// Refuses what cannot be met in time by the leader's outlook, as routers do.
