Scheduler: batches are deferred, not unplaceable; an adapter makes room beside its replica

Two causes: batch requests may not evict, so a model that only a batch waits for was called unplaceable and refused within 0.5 s; and the tightest fit fills an accelerator to the last byte, after which no adapter finds room beside the replica and its requests wait until their deadline. Ruled out: a full fleet (most accelerators were empty in the second case). Change: what only batches wait for is deferred for 60 s, with an outlook that lets routers keep it, and may evict idle replicas after that; an adapter without room evicts idle replicas on its replica's accelerators.

--- a/crates/millpass-scheduler/src/adapters.rs
+++ b/crates/millpass-scheduler/src/adapters.rs
@@ -27,11 +27,17 @@
         }
         wanted.sort_by_key(|(demand, _, _)| priority(demand));
         for (_, view, adapter) in wanted.into_iter().take(ADAPTERS_PER_ROUND) {
-            self.attach_one(round, view, adapter);
+            self.attach_one(round, view, adapter, views);
         }
     }
 
-    fn attach_one(&mut self, round: &mut Round<'_>, view: &ModelView<'_>, name: AdapterName) {
+    fn attach_one<'a>(
+        &mut self,
+        round: &mut Round<'a>,
+        view: &ModelView<'a>,
+        name: AdapterName,
+        views: &[ModelView<'a>],
+    ) {
         let Some(adapter) = round.state.adapter(&name) else {
             return;
         };
@@ -56,7 +62,9 @@
             }
         }
         let Some((rank, replica, tier)) = best else {
-            self.detach_for(round, view, bytes);
+            if !self.detach_for(round, view, bytes) {
+                self.evict_beside(round, view, bytes, views);
+            }
             return;
         };
         if tier == CheckpointTier::Remote {
@@ -92,17 +100,17 @@
     }
 
     /// Detaches adapters that nothing asks for from the replica where that makes room, unless
-    /// such unloads are under way already.
-    fn detach_for(&mut self, round: &mut Round<'_>, view: &ModelView<'_>, bytes: u64) {
+    /// such unloads are under way already; says whether room is being made.
+    fn detach_for(&mut self, round: &mut Round<'_>, view: &ModelView<'_>, bytes: u64) -> bool {
         if !round.may_retire {
-            return;
+            return true;
         }
         let active = self.demand.active_adapters(&view.name);
         let active: Vec<&AdapterName> = active.into_iter().map(|(name, _)| name).collect();
         let mut plan: Option<(&Replica, Vec<AdapterName>)> = None;
         for replica in &view.replicas.loaded {
             if round.retiring.contains(&replica.slot) || is_detaching(replica) {
-                return;
+                return true;
             }
             let Some(idle) = self.detachable(round, replica, &active, bytes) else {
                 continue;
@@ -114,7 +122,9 @@
                 plan = Some((replica, idle));
             }
         }
-        let Some((replica, idle)) = plan else { return };
+        let Some((replica, idle)) = plan else {
+            return false;
+        };
         for adapter in idle {
             let slot = replica.slot;
             let subject = Subject::Adapter(slot, adapter.clone());
@@ -122,6 +132,7 @@
                 round.detach(AdapterDecision { slot, adapter });
             }
         }
+        true
     }
 
     /// Idle adapters of a replica that together make room for these bytes; none if they do not.
--- a/crates/millpass-scheduler/src/evicting.rs
+++ b/crates/millpass-scheduler/src/evicting.rs
@@ -9,7 +9,7 @@
 use crate::settings::KeepAlive;
 use crate::view::ModelView;
 use millpass_proto::{Duration, Replica, VersionSpec};
-use millpass_state::{replica_bytes_each, version_bytes_each};
+use millpass_state::{adapter_bytes_each, replica_bytes_each, version_bytes_each};
 use std::collections::BTreeMap;
 
 /// Time ahead over which the chance of reuse is weighed.
@@ -30,6 +30,7 @@
     index: usize,
     cost: f64,
     accelerators: Vec<u32>,
+    bytes_each: u64,
     replicas: Vec<&'a Replica>,
 }
 
@@ -67,6 +68,35 @@
         found
     }
 
+    /// Proposes unloads of idle replicas that share accelerators with one of the model's, so that an
+    /// adapter of so many bytes finds room beside it.
+    pub(crate) fn evict_beside<'a>(
+        &self,
+        round: &mut Round<'a>,
+        view: &ModelView<'a>,
+        bytes: u64,
+        views: &[ModelView<'a>],
+    ) {
+        if !round.may_retire || self.settings.keep_alive == KeepAlive::AlwaysLoaded {
+            return;
+        }
+        let evictable = round
+            .evictable
+            .take()
+            .unwrap_or_else(|| self.list_evictable(round, views));
+        let replicas = view.replicas.loaded.iter();
+        let plans = replicas.filter_map(|replica| plan_beside(round, &evictable, replica, bytes));
+        let cheapest = plans.min_by(|left, right| left.cost.total_cmp(&right.cost));
+        if let Some(plan) = cheapest {
+            for replica in &plan.replicas {
+                round.retire(replica);
+            }
+            let engine = round.memory.engine_mut(plan.index);
+            engine.reserve(&plan.accelerators, plan.bytes_each);
+        }
+        // The list is built anew when it is next needed: these replicas are not idle any more.
+    }
+
     fn list_evictable<'a>(
         &self,
         round: &Round<'a>,
@@ -182,10 +212,47 @@
         index,
         cost: kept_out.iter().map(|one| one.cost).sum(),
         accelerators: fit.accelerators,
+        bytes_each: bytes,
         replicas: kept_out.iter().map(|one| one.replica).collect(),
     })
 }
 
+/// Evicts the cheapest neighbours on the replica's accelerators until an adapter fits there.
+fn plan_beside<'a>(
+    round: &Round<'a>,
+    evictable: &BTreeMap<usize, Vec<Evictable<'a>>>,
+    replica: &Replica,
+    bytes: u64,
+) -> Option<EvictionPlan<'a>> {
+    let accelerators = &replica.accelerators;
+    let bytes_each = adapter_bytes_each(bytes, accelerators.len());
+    let index = round.memory.index_of(&replica.backend)?;
+    let mut trial = round.memory.engine(index).clone();
+    let mut plan = EvictionPlan {
+        index,
+        cost: 0.0,
+        accelerators: accelerators.clone(),
+        bytes_each,
+        replicas: Vec::new(),
+    };
+    for one in evictable.get(&index).into_iter().flatten() {
+        if trial.fits_soon(accelerators, bytes_each) {
+            break;
+        }
+        let other = one.replica;
+        let shares = other
+            .accelerators
+            .iter()
+            .any(|at| accelerators.contains(at));
+        if shares && other.slot != replica.slot {
+            trial.free_soon(&other.accelerators, replica_bytes_each(other));
+            plan.cost += one.cost;
+            plan.replicas.push(other);
+        }
+    }
+    trial.fits_soon(accelerators, bytes_each).then_some(plan)
+}
+
 /// Cost for each byte that an eviction frees.
 fn density(one: &Evictable<'_>) -> f64 {
     let replica = one.replica;
--- a/crates/millpass-scheduler/src/outlook.rs
+++ b/crates/millpass-scheduler/src/outlook.rs
@@ -131,6 +131,7 @@
             Placing::WaitsForStore => (self.store_wait(view) + load, true),
             // What may be unloaded is not known before demand is: then it cannot be told.
             Placing::NoRoom if !round.may_retire => (COME_BACK_LATER, true),
+            Placing::Deferred => (COME_BACK_LATER, true),
             Placing::NoRoom | Placing::Impossible => (COME_BACK_LATER, false),
         };
         self.outlooks.note(now, &view.name, wait, placeable);
--- a/crates/millpass-scheduler/src/placing.rs
+++ b/crates/millpass-scheduler/src/placing.rs
@@ -11,6 +11,9 @@
 /// Models that one round tries to place; the rest keep their turn for the next.
 const MODELS_PER_ROUND: usize = 64;
 
+/// Time that batch requests wait before idle replicas are unloaded for them.
+const BATCH_DEFERRAL: Duration = Duration::from_secs(60);
+
 /// What came of trying to place a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placing {
@@ -22,6 +25,8 @@
     WaitsForUnload,
     /// Memory lacks and nothing may be unloaded for it.
     NoRoom,
+    /// Memory lacks, and what waits can go on waiting before anything is unloaded for it.
+    Deferred,
     /// It fits on no engine even if that were empty, or its version is missing.
     Impossible,
 }
@@ -70,14 +75,13 @@
         if !view.has_free_slot() {
             return Placing::WaitsForUnload;
         }
-        // What can wait takes no memory from others.
-        let batch = view.demand.waiting > 0 && view.demand.most_urgent == Urgency::Batch;
-        let means = if batch {
-            Means::FreeMemory
-        } else {
-            Means::Eviction
-        };
-        self.place_one(round, view, views, means)
+        if !defers(round.now, view) {
+            return self.place_one(round, view, views, Means::Eviction);
+        }
+        match self.place_one(round, view, views, Means::FreeMemory) {
+            Placing::NoRoom => Placing::Deferred,
+            other => other,
+        }
     }
 
     /// Tries to place one replica of the model.
@@ -140,6 +144,13 @@
     }
 }
 
+/// Whether only batch requests wait, and not for long yet: they take no memory from others.
+fn defers(now: Timestamp, view: &ModelView<'_>) -> bool {
+    let demand = &view.demand;
+    let batch = demand.waiting > 0 && demand.most_urgent == Urgency::Batch;
+    batch && now.since(demand.waiting_since) < BATCH_DEFERRAL
+}
+
 /// Order in which models get their turn.
 fn priority(view: &ModelView<'_>) -> (bool, Urgency, bool, Timestamp) {
     let waits = view.demand.waiting > 0;
