Scheduler, trial: a replica costs the share of accelerator memory that it fills

Cause: idle accelerator time counts an accelerator once, however many replicas share it, but the keep-alive charged each small replica a whole accelerator. Ruled out: nothing yet. Change: KeepCosts.accelerators is the replica's share of accelerator memory.

--- a/crates/millpass-scheduler/src/lib.rs
+++ b/crates/millpass-scheduler/src/lib.rs
@@ -56,6 +56,8 @@
     outlooks: Outlooks,
     /// Since when models have had more replicas than they need.
     surplus_since: BTreeMap<ModelName, Timestamp>,
+    /// Memory of the largest accelerator.
+    accelerator_bytes: u64,
     first_report: Option<Timestamp>,
     last_clean_up: Timestamp,
 }
@@ -76,6 +78,7 @@
             proposals: Proposals::default(),
             outlooks: Outlooks::default(),
             surplus_since: BTreeMap::new(),
+            accelerator_bytes: 0,
             first_report: None,
             last_clean_up: Timestamp::ZERO,
         }
@@ -121,6 +124,7 @@
         let views = self.views(now, state);
         let may_retire = self.knows_demand(now);
         let mut round = Round::new(now, state, under_way, &self.proposals, may_retire);
+        self.accelerator_bytes = round.memory.largest_accelerator();
         self.place_wanted(&mut round, &views);
         self.attach_wanted(&mut round, &views);
         self.detach_removed(&mut round, &views);
--- a/crates/millpass-scheduler/src/memory.rs
+++ b/crates/millpass-scheduler/src/memory.rs
@@ -136,6 +136,13 @@
         &mut self.engines[index]
     }
 
+    /// Memory of the largest accelerator; zero without engines.
+    pub fn largest_accelerator(&self) -> u64 {
+        let backends = self.engines.iter().map(|engine| engine.backend);
+        let sizes = backends.flat_map(|backend| &backend.registration.accelerator_bytes);
+        sizes.copied().max().unwrap_or(0)
+    }
+
     /// Engines that take new work, with their indices.
     pub fn live(&self) -> impl Iterator<Item = (usize, &EngineMemory<'a>)> {
         let engines = self.engines.iter().enumerate();
--- a/crates/millpass-scheduler/src/retiring.rs
+++ b/crates/millpass-scheduler/src/retiring.rs
@@ -6,7 +6,8 @@
 use crate::round::Round;
 use crate::settings::KeepAlive;
 use crate::view::ModelView;
-use millpass_proto::{CheckpointTier, Duration, ModelName, Replica, Timestamp};
+use millpass_proto::{CheckpointTier, Duration, ModelName, Replica, Timestamp, VersionSpec};
+use millpass_state::version_bytes_each;
 
 impl Scheduler {
     /// Proposes the unloads of a round; nothing while demand is not known.
@@ -128,7 +129,7 @@
             .expected(&self.settings, tier, version.weights_bytes);
         let costs = KeepCosts {
             cold_start_seconds: cold_start.as_secs_f64(),
-            accelerators: f64::from(view.spec.accelerators_per_replica),
+            accelerators: self.accelerator_share(view, version),
             cold_start_weight: f64::from(self.settings.cold_start_weight),
             idle_weight: f64::from(self.settings.idle_weight),
         };
@@ -137,6 +138,15 @@
         arrivals.keep_gain(idle, &costs)
     }
 
+    /// Accelerators that a replica takes, by the share of their memory that it fills: replicas are
+    /// packed together, so that one more beside others holds no further accelerator.
+    fn accelerator_share(&self, view: &ModelView<'_>, version: &VersionSpec) -> f64 {
+        let count = view.spec.accelerators_per_replica;
+        let bytes = version_bytes_each(version, count) as f64;
+        let size = self.accelerator_bytes.max(1) as f64;
+        f64::from(count) * (bytes / size).min(1.0)
+    }
+
     /// Chance that a model is asked for within a time.
     pub(crate) fn chance_within(
         &self,
