--- a/crates/millpass-scheduler/src/arrivals.rs
+++ b/crates/millpass-scheduler/src/arrivals.rs
@@ -17,8 +17,6 @@
 const PRIOR_GAPS: f64 = 1.0;
 /// The prior's share in each bucket, and beyond the last.
 const PRIOR_SHARE: f64 = PRIOR_GAPS / (BUCKETS + 1) as f64;
-/// Length of a cold start that counts for just its seconds; see `tail_seconds`.
-const TAIL_REFERENCE_SECONDS: f64 = 4.0;
 /// Counts are halved when this many gaps are held, so that old habits fade.
 const MAXIMUM_GAPS: u32 = 512;
 
@@ -109,7 +107,7 @@
         let start = idle.as_secs_f64();
         let alive = self.mass_beyond(start);
         let idle_cost_a_second = costs.idle_weight * costs.accelerators;
-        let cold_start_cost = costs.cold_start_weight * tail_seconds(costs.cold_start_seconds);
+        let cold_start_cost = costs.cold_start_weight * costs.cold_start_seconds;
         let mut best = f64::NEG_INFINITY;
         let mut idle_seconds = 0.0;
         let mut from = start;
@@ -140,12 +138,6 @@
     }
 }
 
-/// What a cold start counts for: its seconds, the more the longer it is, since the tail is what
-/// deployments are judged by. One of `TAIL_REFERENCE_SECONDS` counts for just its seconds.
-fn tail_seconds(seconds: f64) -> f64 {
-    seconds * seconds / TAIL_REFERENCE_SECONDS
-}
-
 /// Weight of a bucket with this many gaps.
 fn weight(count: u32) -> f64 {
     f64::from(count) + PRIOR_SHARE
