Scheduler, trial: load ahead whenever that gains more than a tenth of a cold start

It asked for a chance of one half within four load times, which jobs with a jitter of 2 % of their period never reach. Change: a cold model is loaded ahead when the expected gain of keeping it from now on exceeds a tenth of the cost of its cold start.

--- a/crates/millpass-scheduler/src/prewarming.rs
+++ b/crates/millpass-scheduler/src/prewarming.rs
@@ -9,10 +9,8 @@
 
 /// Real gaps that a history must hold before it is acted on.
 const MINIMUM_GAPS: u32 = 4;
-/// Chance of an arrival, within the window, from which a model is loaded ahead.
-const LIKELY: f64 = 0.5;
-/// The window, as a multiple of the time that the load takes.
-const WINDOW_FACTOR: u32 = 4;
+/// Least expected gain for which a model is loaded ahead, as a share of the cost of a cold start.
+const LEAST_GAIN: f64 = 0.1;
 /// Models loaded ahead in one round.
 const PREWARMS_PER_ROUND: usize = 1;
 
@@ -24,10 +22,10 @@
         if !adaptive || !self.settings.prewarm || !round.may_retire || waiting {
             return;
         }
-        let cold = views.iter().filter(|view| self.likely_soon(round, view));
+        let cold = views.iter().filter(|view| self.may_prewarm(view));
         let mut likely: Vec<(f64, &ModelView<'a>)> = cold
             .map(|view| (self.keep_gain(view, self.silence(round, view)), view))
-            .filter(|(gain, _)| *gain > 0.0)
+            .filter(|(gain, view)| *gain > self.cold_start_cost(view) * LEAST_GAIN)
             .collect();
         likely.sort_by(|left, right| right.0.total_cmp(&left.0));
         for (_, view) in likely.into_iter().take(PREWARMS_PER_ROUND) {
@@ -35,18 +33,19 @@
         }
     }
 
-    fn likely_soon(&self, round: &Round<'_>, view: &ModelView<'_>) -> bool {
+    fn may_prewarm(&self, view: &ModelView<'_>) -> bool {
         let none_there = view.replicas.slots == 0 && view.has_free_slot();
         let under_way = self.proposals.contains(&Subject::Place(view.name.clone()));
         if !none_there || under_way || !view.idle() || view.version.is_none() {
             return false;
         }
-        let gaps = self.demand.arrivals(&view.name);
-        if gaps.map_or(0, |arrivals| arrivals.gap_count()) < MINIMUM_GAPS {
-            return false;
-        }
-        let window = self.load_time(view) * WINDOW_FACTOR;
-        self.chance_within(&view.name, self.silence(round, view), window) >= LIKELY
+        let history = self.demand.arrivals(&view.name);
+        history.map_or(0, |arrivals| arrivals.gap_count()) >= MINIMUM_GAPS
+    }
+
+    fn cold_start_cost(&self, view: &ModelView<'_>) -> f64 {
+        let weight = f64::from(self.settings.cold_start_weight);
+        weight * self.load_time(view).as_secs_f64()
     }
 
     fn silence(&self, round: &Round<'_>, view: &ModelView<'_>) -> millpass_proto::Duration {
