Control process: core thread, disk, links, deliveries, from start to stop

Cause: the process around the decision core had never been committed and was lost; nothing whole could run. Ruled out: one thread for everything (a sync or a slow engine would stop heartbeats); asynchronous sockets (few connections today, two small threads each; docs/CAPACITY.md weighs it at full size). Change: the core's thread never waits; disk (several writes under one sync), peers, router connections and deliveries have queues and threads of their own.

--- /dev/null
+++ b/crates/millpass-control/src/disk.rs
@@ -0,0 +1,91 @@
+//! The disk's thread: writes what the core asks for, several writes under one sync, and reports
+//! each as persisted only after the sync. A failed write ends the member: what the disk holds is
+//! then not known any more.
+
+use crate::inputs::Inputs;
+use crate::metrics::Metrics;
+use crossbeam::channel::Receiver;
+use millpass_consensus::PersistRequest;
+use millpass_control_plane::ControlInput;
+use millpass_proto::Snapshot;
+use millpass_storage::{Storage, StorageError, StorageWrite};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Most writes under one sync.
+const BATCH: usize = 256;
+
+/// Work for the disk.
+pub(crate) enum DiskWork {
+    /// Write and sync.
+    Persist(PersistRequest),
+    /// Save a snapshot and drop the log before it.
+    Snapshot(Snapshot),
+}
+
+/// The disk's thread.
+pub(crate) struct Disk {
+    pub(crate) storage: Storage,
+    pub(crate) work: Receiver<DiskWork>,
+    pub(crate) inputs: Inputs,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+impl Disk {
+    /// Body of the thread; ends when the core drops its end of the queue, or on a failed write.
+    pub(crate) fn run(mut self) {
+        while let Ok(first) = self.work.recv() {
+            if let Err(error) = self.carry_out(first) {
+                log::error!("event=disk_failed error={:?}", error.to_string());
+                return self.inputs.disk_failed(error);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, first: DiskWork) -> Result<(), StorageError> {
+        let mut writes = Vec::new();
+        let mut snapshot = None;
+        let mut next = Some(first);
+        while let Some(work) = next {
+            match work {
+                DiskWork::Persist(request) => writes.push(request),
+                DiskWork::Snapshot(taken) => {
+                    snapshot = Some(taken);
+                    break;
+                }
+            }
+            if writes.len() == BATCH {
+                break;
+            }
+            next = self.work.try_recv().ok();
+        }
+        self.persist(&writes)?;
+        match snapshot {
+            Some(snapshot) => self.storage.save_snapshot(&snapshot),
+            None => Ok(()),
+        }
+    }
+
+    fn persist(&mut self, requests: &[PersistRequest]) -> Result<(), StorageError> {
+        if requests.is_empty() {
+            return Ok(());
+        }
+        let writes: Vec<StorageWrite<'_>> = requests.iter().map(write_of).collect();
+        let started = Instant::now();
+        self.storage.write_batch(&writes)?;
+        self.metrics.sync_took(started.elapsed());
+        for request in requests {
+            let write = request.write;
+            self.inputs.send(ControlInput::Persisted { write });
+        }
+        Ok(())
+    }
+}
+
+fn write_of(request: &PersistRequest) -> StorageWrite<'_> {
+    StorageWrite {
+        hard_state: request.hard_state.as_ref(),
+        snapshot: request.snapshot.as_ref(),
+        entries: &request.entries,
+    }
+}
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -1,9 +1,39 @@
 //! The control member process: disk, links, order delivery and administration API around the
 //! decision core of `millpass-control-plane`.
+//!
+//! | module | job |
+//! |---|---|
+//! | `process` | the threads, from start to stop |
+//! | `startup` | who this member is and what its data folder holds |
+//! | `member` | the core's thread: carries out what the core wants |
+//! | `inputs` | the one queue into the core |
+//! | `disk` | writes and syncs |
+//! | `connections` | connections that members, routers and joiners make |
+//! | `peers` | connections to other members |
+//! | `deliveries` | calls to engines and the platform |
+//! | `calls` | calls of the administration API that wait |
+//! | `administration`, `api`, `client` | the administration API, its bodies and its client |
+//! | `metrics` | Prometheus metrics |
+//!
+//! Lock order: `calls` and `connections` each have one lock; no thread holds two.
 
 pub mod administration;
 pub mod api;
+mod calls;
 pub mod client;
+mod connections;
+mod deliveries;
+mod disk;
+mod error;
+mod inputs;
+mod member;
+mod metrics;
+mod peers;
+mod process;
 pub mod settings;
+mod startup;
 
+pub use error::ControlError;
+pub use process::{ControlHandle, start, start_on};
 pub use settings::ControlProcessSettings;
+pub use startup::initialize;
--- /dev/null
+++ b/crates/millpass-control/src/peers.rs
@@ -0,0 +1,136 @@
+//! Connections to other members: one thread and one bounded queue for each address.
+//!
+//! What does not fit the queue, or is on its way when a connection breaks, is dropped: consensus
+//! sends again.
+
+use crate::metrics::Metrics;
+use crossbeam::channel::{Receiver, Sender, bounded};
+use millpass_proto::LinkMessage;
+use millpass_proto::codec::{CodecError, write_frame};
+use std::collections::BTreeMap;
+use std::io::{BufWriter, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest wait for a connection, and for room in it.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause after a connection could not be made; messages of that time are dropped.
+const PAUSE: Duration = Duration::from_millis(100);
+/// An address that nothing was sent to for so long is forgotten.
+const IDLE: Duration = Duration::from_secs(60);
+/// Stack of a sending thread, in bytes.
+const STACK_BYTES: usize = 256 * 1024;
+
+struct Peer {
+    queue: Sender<LinkMessage>,
+    used_at: Instant,
+}
+
+/// Sends to members by address. Owned by the core's thread; dropping it ends the connections.
+pub(crate) struct Peers {
+    peers: BTreeMap<String, Peer>,
+    queue_length: usize,
+    metrics: Arc<Metrics>,
+}
+
+impl Peers {
+    /// `queue_length` bounds what waits for one member.
+    pub(crate) fn new(queue_length: usize, metrics: Arc<Metrics>) -> Self {
+        Peers {
+            peers: BTreeMap::new(),
+            queue_length,
+            metrics,
+        }
+    }
+
+    /// Sends, or drops the message. Never waits.
+    pub(crate) fn send(&mut self, address: &str, message: LinkMessage) {
+        if !self.peers.contains_key(address) {
+            self.forget_idle();
+            if !self.open(address) {
+                return self.metrics.dropped_messages.inc();
+            }
+        }
+        if let Some(peer) = self.peers.get_mut(address) {
+            peer.used_at = Instant::now();
+            if peer.queue.try_send(message).is_err() {
+                self.metrics.dropped_messages.inc();
+            }
+        }
+    }
+
+    fn open(&mut self, address: &str) -> bool {
+        let Ok(target) = address.parse::<SocketAddr>() else {
+            log::error!("event=peer_address_invalid address={address}");
+            return false;
+        };
+        let (sender, receiver) = bounded(self.queue_length);
+        let spawned = thread::Builder::new()
+            .name("control-peer".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || send_all(target, &receiver));
+        if spawned.is_err() {
+            return false;
+        }
+        let peer = Peer {
+            queue: sender,
+            used_at: Instant::now(),
+        };
+        self.peers.insert(address.to_owned(), peer);
+        true
+    }
+
+    fn forget_idle(&mut self) {
+        self.peers.retain(|_, peer| peer.used_at.elapsed() < IDLE);
+    }
+}
+
+/// Body of a sending thread; ends when the queue's other end is dropped.
+fn send_all(target: SocketAddr, queue: &Receiver<LinkMessage>) {
+    while let Ok(first) = queue.recv() {
+        match connect(target) {
+            Ok(stream) => {
+                log::info!("event=peer_connected address={target}");
+                if let Err(error) = send_over(stream, first, queue) {
+                    log::warn!("event=peer_lost address={target} error=\"{error}\"");
+                }
+            }
+            Err(error) => {
+                log::debug!("event=peer_connect_failed address={target} error=\"{error}\"");
+                drop_for(queue, PAUSE);
+            }
+        }
+    }
+}
+
+fn connect(target: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&target, TIMEOUT)?;
+    stream.set_nodelay(true)?;
+    stream.set_write_timeout(Some(TIMEOUT))?;
+    Ok(stream)
+}
+
+fn send_over(
+    stream: TcpStream,
+    first: LinkMessage,
+    queue: &Receiver<LinkMessage>,
+) -> Result<(), CodecError> {
+    let mut writer = BufWriter::new(stream);
+    let mut next = Some(first);
+    while let Some(message) = next {
+        write_frame(&mut writer, &message)?;
+        if queue.is_empty() {
+            writer.flush()?;
+        }
+        next = queue.recv().ok();
+    }
+    Ok(writer.flush()?)
+}
+
+/// Drops what comes for some time, so that nothing outdated is sent once the target is back.
+fn drop_for(queue: &Receiver<LinkMessage>, time: Duration) {
+    let end = Instant::now() + time;
+    while queue.recv_deadline(end).is_ok() {}
+}
