Administration API: bodies, server and client, without tests yet

Cause: operators reach the control group over HTTP; the command line and the lab need the client. Change: modules api, administration and client; AdministrationAnswer::Busy tells load from refusal. Conclusion: interface is there for callers to build on; not proven yet.

--- a/crates/millpass-control-plane/src/administration.rs
+++ b/crates/millpass-control-plane/src/administration.rs
@@ -80,8 +80,7 @@
             return false;
         }
         if !self.proposals.has_room() {
-            let reason = "too many changes are under way; retry in a second".to_owned();
-            out.answer(call, AdministrationAnswer::Refused(reason));
+            out.answer(call, AdministrationAnswer::Busy);
             return false;
         }
         true
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -121,6 +121,8 @@
     },
     /// The outcome is unknown: resend with the same change id.
     Unknown,
+    /// Too many changes are under way; nothing was done. Retry in a second.
+    Busy,
     /// Refused; reason and remedy.
     Refused(String),
 }
--- /dev/null
+++ b/crates/millpass-control/src/administration/admission.rs
@@ -0,0 +1,98 @@
+//! What an object must satisfy beyond what the replicated state checks.
+//!
+//! Only what the same content always passes or fails is checked here, so that a resend of an
+//! accepted change still gets its first answer. The one exception says how it keeps to that.
+
+use super::failure::Failure;
+use blake3::Hash;
+use millpass_proto::{
+    ObjectKey, ObjectKind, ObjectSpec, OperatorRole, PolicyName, PolicySpec, StoredObject,
+};
+use std::thread::Builder;
+
+/// Stack of the thread that checks a policy, in bytes.
+const POLICY_STACK_BYTES: usize = 8 * 1024 * 1024;
+
+/// Checks content: policies compile and their examples hold; key hashes are hashes.
+pub(crate) fn check_spec(key: &ObjectKey, spec: &ObjectSpec) -> Result<(), Failure> {
+    match spec {
+        ObjectSpec::Policy(policy) => check_policy(&PolicyName(key.name.clone()), policy),
+        ObjectSpec::Operator(operator) => check_hash("key_hash", &operator.key_hash),
+        ObjectSpec::Tenant(tenant) => {
+            let mut hashes = tenant.api_key_hashes.iter();
+            hashes.try_for_each(|hash| check_hash("api_key_hashes", hash))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Compiles a policy and runs its examples, on a thread of its own: the compiler is recursive, and
+/// its bounds fit a usual stack but not the small one of the server's threads.
+fn check_policy(name: &PolicyName, policy: &PolicySpec) -> Result<(), Failure> {
+    let judged = std::thread::scope(|scope| {
+        let builder = Builder::new().name("policy-check".to_owned());
+        let judge = || millpass_policy::admit(name, policy);
+        let thread = builder
+            .stack_size(POLICY_STACK_BYTES)
+            .spawn_scoped(scope, judge);
+        thread.map(|thread| thread.join())
+    });
+    match judged {
+        Ok(Ok(Ok(()))) => Ok(()),
+        Ok(Ok(Err(error))) => Err(Failure::policy_rejected(&error)),
+        Ok(Err(_)) => Err(Failure::internal(
+            "checking the policy failed; it was not taken",
+        )),
+        Err(_) => Err(Failure::busy(
+            "no thread could be started to check the policy",
+        )),
+    }
+}
+
+/// Routers compare hashes as text, so only the one usual spelling is accepted.
+fn check_hash(field: &str, text: &str) -> Result<(), Failure> {
+    let is_hash = Hash::from_hex(text).is_ok_and(|hash| hash.to_hex().as_str() == text);
+    if is_hash {
+        return Ok(());
+    }
+    Err(Failure::rejected(format!(
+        "{field} must hold BLAKE3 hashes, 64 lower-case hexadecimal digits; \
+         hash the key and submit the hash, never the key"
+    )))
+}
+
+/// Refuses a change of operators that leaves accounts but no administrator, which nobody could
+/// undo.
+///
+/// A change that expects another version than the current one passes: it is a resend or a
+/// conflict, and the state knows which.
+pub(crate) fn check_administrator_left(
+    operators: &[StoredObject],
+    key: &ObjectKey,
+    expected_version: u64,
+    spec: Option<&ObjectSpec>,
+) -> Result<(), Failure> {
+    if key.kind != ObjectKind::Operator {
+        return Ok(());
+    }
+    let current = operators.iter().find(|object| object.key == *key);
+    if current.map_or(0, |object| object.version) != expected_version {
+        return Ok(());
+    }
+    let others = operators.iter().filter(|object| object.key != *key);
+    let left: Vec<&ObjectSpec> = others.map(|object| &object.spec).chain(spec).collect();
+    if left.is_empty() || left.into_iter().any(is_administrator) {
+        return Ok(());
+    }
+    Err(Failure::rejected(
+        "no operator with the role Administrator would be left; \
+         create another administrator first",
+    ))
+}
+
+fn is_administrator(spec: &ObjectSpec) -> bool {
+    let ObjectSpec::Operator(operator) = spec else {
+        return false;
+    };
+    operator.role == OperatorRole::Administrator
+}
--- /dev/null
+++ b/crates/millpass-control/src/administration/authentication.rs
@@ -0,0 +1,124 @@
+//! Whose key a request carries, and what its role may do.
+
+use super::AdministrationCalls;
+use super::failure::Failure;
+use super::operations::not_answered;
+use blake3::Hash;
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use millpass_control_plane::{AdministrationAnswer, AdministrationRequest};
+use millpass_proto::{ObjectKind, ObjectSpec, OperatorName, OperatorRole, StoredObject};
+
+/// Name under which changes with the bootstrap key are audited.
+pub(crate) const BOOTSTRAP_OPERATOR: &str = "bootstrap";
+const SCHEME: &str = "Bearer ";
+
+/// Who asks.
+#[derive(Clone, Debug)]
+pub(crate) struct Asker {
+    /// Account.
+    pub(crate) operator: OperatorName,
+    /// What it may do.
+    pub(crate) role: OperatorRole,
+    /// All accounts, as they were read to find this one.
+    pub(crate) operators: Vec<StoredObject>,
+    /// The bootstrap key, although there are accounts now: good for resends of its own changes
+    /// only.
+    pub(crate) is_superseded: bool,
+}
+
+impl Asker {
+    /// Refuses what the role does not allow.
+    pub(crate) fn check_role(&self, needed: OperatorRole) -> Result<(), Failure> {
+        if rank(self.role) >= rank(needed) {
+            return Ok(());
+        }
+        Err(Failure::forbidden(format!(
+            "operator `{}` is {:?}; this needs {needed:?}",
+            self.operator, self.role
+        )))
+    }
+}
+
+const fn rank(role: OperatorRole) -> u8 {
+    match role {
+        OperatorRole::Viewer => 0,
+        OperatorRole::Editor => 1,
+        OperatorRole::Administrator => 2,
+    }
+}
+
+/// Finds the account of the key, in the catalog as the leader has it now.
+pub(crate) fn authenticate(
+    calls: &dyn AdministrationCalls,
+    bootstrap: Option<Hash>,
+    headers: &HeaderMap,
+) -> Result<Asker, Failure> {
+    let key_hash = blake3::hash(key(headers)?);
+    let operators = match calls.call(AdministrationRequest::List(ObjectKind::Operator)) {
+        AdministrationAnswer::Objects(operators) => operators,
+        other => return Err(not_answered(other)),
+    };
+    let account = account_of(&operators, key_hash);
+    if let Some((operator, role)) = account {
+        return Ok(Asker {
+            operator,
+            role,
+            operators,
+            is_superseded: false,
+        });
+    }
+    if bootstrap != Some(key_hash) {
+        return Err(Failure::unauthenticated(
+            "the key belongs to no operator",
+            "send the key of an operator account; keys of tenants do not work here",
+        ));
+    }
+    let is_superseded = !operators.is_empty();
+    Ok(Asker {
+        operator: BOOTSTRAP_OPERATOR.into(),
+        role: OperatorRole::Administrator,
+        operators,
+        is_superseded,
+    })
+}
+
+/// Refusal of the bootstrap key once there are accounts.
+pub(crate) fn superseded() -> Failure {
+    Failure::unauthenticated(
+        "the bootstrap key does not count any more: there are operator accounts",
+        "send the key of an operator account",
+    )
+}
+
+fn key(headers: &HeaderMap) -> Result<&[u8], Failure> {
+    let remedy = "send one header `Authorization: Bearer KEY` with an operator's key";
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return Err(Failure::unauthenticated(
+            "there is not exactly one Authorization header",
+            remedy,
+        ));
+    };
+    let key = value.as_bytes().strip_prefix(SCHEME.as_bytes());
+    let key = key.filter(|key| !key.is_empty());
+    key.ok_or_else(|| {
+        Failure::unauthenticated("the Authorization header has no bearer key", remedy)
+    })
+}
+
+/// Compares with every account, each in constant time. The first by name counts if two share a
+/// key.
+fn account_of(operators: &[StoredObject], key_hash: Hash) -> Option<(OperatorName, OperatorRole)> {
+    let mut found = None;
+    for object in operators {
+        let ObjectSpec::Operator(operator) = &object.spec else {
+            continue;
+        };
+        let matches = Hash::from_hex(&operator.key_hash).is_ok_and(|hash| hash == key_hash);
+        if matches && found.is_none() {
+            found = Some((OperatorName(object.key.name.clone()), operator.role));
+        }
+    }
+    found
+}
--- a/crates/millpass-control/src/administration/mod.rs
+++ b/crates/millpass-control/src/administration/mod.rs
@@ -1,4 +1,22 @@
 //! The administration API's HTTP server.
+//!
+//! | module | job |
+//! |---|---|
+//! | `server` | listening, and one request from its bytes to its answer |
+//! | `routes` | what a method and path ask for |
+//! | `authentication` | whose key it is, and what its role may do |
+//! | `admission` | what an object must satisfy beyond what the replicated state checks |
+//! | `operations` | calls to the core and their answers as bodies |
+//! | `failure` | answers that are not a success |
+
+mod admission;
+mod authentication;
+mod failure;
+mod operations;
+mod routes;
+mod server;
+
+pub use server::{AdministrationError, AdministrationLimits, AdministrationServer, start};
 
 use millpass_control_plane::{AdministrationAnswer, AdministrationRequest};
 
--- /dev/null
+++ b/crates/millpass-control/src/administration/operations.rs
@@ -0,0 +1,280 @@
+//! Calls to the core and their answers as bodies.
+
+use super::AdministrationCalls;
+use super::admission;
+use super::authentication::{Asker, BOOTSTRAP_OPERATOR, superseded};
+use super::failure::Failure;
+use super::routes::Route;
+use crate::api::{
+    self, AcceptedBody, AuditBody, AuditRecordBody, BackendStateBody, ChangeBody, MembershipBody,
+    ObjectBody, ObjectsBody, StatusBody,
+};
+use http::StatusCode;
+use millpass_control_plane::{AdministrationAnswer, AdministrationRequest, DeploymentStatus};
+use millpass_http::Response;
+use millpass_proto::{
+    BackendName, ChangeId, ConfigurationRevision, ObjectChange, ObjectChangeOutcome, ObjectKey,
+    ObjectSpec, OperatorName, StoredObject,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Newest audit records among which a resend with the superseded bootstrap key is looked up. The
+/// state remembers more changes than these, so it recognizes the resend for certain.
+const BOOTSTRAP_RESEND_RECORDS: usize = millpass_state::MAXIMUM_REMEMBERED_CHANGES / 2;
+/// Remedy when the outcome of a change of an object is unknown.
+const RESEND_CHANGE: &str =
+    "resend it with the same change id until it is answered; it takes effect once at most";
+/// Remedy when the outcome of a call without change id is unknown; a repeat changes nothing more.
+const RESEND_CALL: &str = "send it again until it is answered; a repeat does no harm";
+
+/// Carries out what an operator asks for.
+pub(crate) fn carry_out(
+    calls: &dyn AdministrationCalls,
+    asker: &Asker,
+    route: Route,
+    body: &[u8],
+) -> Result<Response, Failure> {
+    let change = match route {
+        Route::Put(key) => put_change(key, body)?,
+        Route::Delete {
+            key,
+            expected_version,
+            change_id,
+        } => Change {
+            key,
+            expected_version,
+            change_id,
+            spec: None,
+        },
+        _ if asker.is_superseded => return Err(superseded()),
+        Route::Get(key) => return get(calls, key),
+        Route::List(kind) => return list(calls, kind),
+        Route::Status => return status(calls),
+        Route::Audit(after) => return audit(calls, after),
+        Route::BackendState(name) => return set_backend_state(calls, &name, body),
+        Route::Members => return change_members(calls, body),
+    };
+    submit(calls, asker, change)
+}
+
+/// A change as an operator submits it.
+struct Change {
+    key: ObjectKey,
+    expected_version: u64,
+    change_id: String,
+    spec: Option<ObjectSpec>,
+}
+
+fn put_change(key: ObjectKey, body: &[u8]) -> Result<Change, Failure> {
+    let body: ChangeBody = read_body(body)?;
+    let spec = api::spec_from_json(key.kind, &body.spec)
+        .map_err(|error| Failure::rejected(error.to_string()))?;
+    Ok(Change {
+        key,
+        expected_version: body.expected_version,
+        change_id: body.change_id,
+        spec: Some(spec),
+    })
+}
+
+fn submit(
+    calls: &dyn AdministrationCalls,
+    asker: &Asker,
+    change: Change,
+) -> Result<Response, Failure> {
+    if asker.is_superseded {
+        check_bootstrap_resend(calls, &change)?;
+    }
+    if let Some(spec) = &change.spec {
+        admission::check_spec(&change.key, spec)?;
+    }
+    admission::check_administrator_left(
+        &asker.operators,
+        &change.key,
+        change.expected_version,
+        change.spec.as_ref(),
+    )?;
+    let change = ObjectChange {
+        key: change.key,
+        expected_version: change.expected_version,
+        change_id: ChangeId(change.change_id),
+        operator: asker.operator.clone(),
+        at_unix_millis: unix_millis(),
+        spec: change.spec,
+    };
+    match calls.call(AdministrationRequest::Change(change)) {
+        AdministrationAnswer::Change(outcome) => change_answer(outcome),
+        AdministrationAnswer::Unknown => Err(Failure::outcome_unknown(RESEND_CHANGE)),
+        // The core rejects the content of a change in its outcome; it refuses only for load.
+        AdministrationAnswer::Refused(reason) => Err(Failure::busy(reason)),
+        other => Err(not_answered(other)),
+    }
+}
+
+/// Whoever lost the answer to the change that made the first account still has only the bootstrap
+/// key. Its resend passes, which the state answers from memory; anything new does not.
+fn check_bootstrap_resend(calls: &dyn AdministrationCalls, change: &Change) -> Result<(), Failure> {
+    let request = AdministrationRequest::Audit(ConfigurationRevision(0));
+    let records = match calls.call(request) {
+        AdministrationAnswer::Audit(records) => records,
+        other => return Err(not_answered(other)),
+    };
+    let newest = records.iter().rev().take(BOOTSTRAP_RESEND_RECORDS);
+    let bootstrap = OperatorName::from(BOOTSTRAP_OPERATOR);
+    let was_accepted = newest.into_iter().any(|record| {
+        record.operator == bootstrap
+            && record.change_id.0 == change.change_id
+            && record.key == change.key
+    });
+    if was_accepted {
+        Ok(())
+    } else {
+        Err(superseded())
+    }
+}
+
+fn change_answer(outcome: ObjectChangeOutcome) -> Result<Response, Failure> {
+    match outcome {
+        ObjectChangeOutcome::Accepted(accepted) => ok(&AcceptedBody::from(accepted)),
+        ObjectChangeOutcome::VersionConflict(conflict) => {
+            Err(Failure::version_conflict(conflict.current_version))
+        }
+        ObjectChangeOutcome::Rejected(reason) => Err(Failure::rejected(reason)),
+    }
+}
+
+fn get(calls: &dyn AdministrationCalls, key: ObjectKey) -> Result<Response, Failure> {
+    match calls.call(AdministrationRequest::Get(key)) {
+        AdministrationAnswer::Object(Some(object)) => ok(&object_body(&object)?),
+        AdministrationAnswer::Object(None) => Err(Failure::new(
+            StatusCode::NOT_FOUND,
+            "not_found",
+            "the object does not exist",
+            "list its kind for the names there are",
+        )),
+        other => Err(not_answered(other)),
+    }
+}
+
+fn list(
+    calls: &dyn AdministrationCalls,
+    kind: millpass_proto::ObjectKind,
+) -> Result<Response, Failure> {
+    match calls.call(AdministrationRequest::List(kind)) {
+        AdministrationAnswer::Objects(objects) => {
+            let objects: Result<_, _> = objects.iter().map(object_body).collect();
+            ok(&ObjectsBody { objects: objects? })
+        }
+        other => Err(not_answered(other)),
+    }
+}
+
+fn object_body(object: &StoredObject) -> Result<ObjectBody, Failure> {
+    ObjectBody::try_from(object).map_err(|error| Failure::internal(error.to_string()))
+}
+
+fn status(calls: &dyn AdministrationCalls) -> Result<Response, Failure> {
+    ok(&StatusBody::from(&*read_status(calls)?))
+}
+
+fn read_status(calls: &dyn AdministrationCalls) -> Result<Box<DeploymentStatus>, Failure> {
+    match calls.call(AdministrationRequest::Status) {
+        AdministrationAnswer::Status(status) => Ok(status),
+        other => Err(not_answered(other)),
+    }
+}
+
+fn audit(calls: &dyn AdministrationCalls, after: u64) -> Result<Response, Failure> {
+    match calls.call(AdministrationRequest::Audit(ConfigurationRevision(after))) {
+        AdministrationAnswer::Audit(records) => ok(&AuditBody {
+            records: records.iter().map(AuditRecordBody::from).collect(),
+        }),
+        other => Err(not_answered(other)),
+    }
+}
+
+fn set_backend_state(
+    calls: &dyn AdministrationCalls,
+    name: &str,
+    body: &[u8],
+) -> Result<Response, Failure> {
+    let body: BackendStateBody = read_body(body)?;
+    let state = api::backend_state_of_word(&body.state).ok_or_else(|| {
+        Failure::rejected(format!(
+            "there is no state `{}`; use live, leaving or gone",
+            body.state
+        ))
+    })?;
+    let backend = BackendName::from(name);
+    let request = AdministrationRequest::MarkBackend(backend.clone(), state);
+    match calls.call(request) {
+        AdministrationAnswer::Done => ok(&json!({})),
+        AdministrationAnswer::Unknown => Err(Failure::outcome_unknown(RESEND_CALL)),
+        AdministrationAnswer::Refused(reason) => {
+            let status = read_status(calls)?;
+            unless_done(reason, status.backends.contains(&(backend, state)))
+        }
+        other => Err(not_answered(other)),
+    }
+}
+
+fn change_members(calls: &dyn AdministrationCalls, body: &[u8]) -> Result<Response, Failure> {
+    let body: MembershipBody = read_body(body)?;
+    let request = AdministrationRequest::ChangeMembership((&body).into());
+    match calls.call(request) {
+        AdministrationAnswer::Done => ok(&json!({})),
+        AdministrationAnswer::Unknown => Err(Failure::outcome_unknown(RESEND_CALL)),
+        AdministrationAnswer::Refused(reason) => {
+            let status = read_status(calls)?;
+            unless_done(reason, body.holds(&status.consensus.membership))
+        }
+        other => Err(not_answered(other)),
+    }
+}
+
+/// A repeat of a call without change id that finds its effect in place is answered as done.
+fn unless_done(reason: String, is_done: bool) -> Result<Response, Failure> {
+    if is_done {
+        ok(&json!({}))
+    } else {
+        Err(Failure::rejected(reason))
+    }
+}
+
+/// Failure for an answer that says nothing of what was asked.
+pub(crate) fn not_answered(answer: AdministrationAnswer) -> Failure {
+    match answer {
+        AdministrationAnswer::NotLeader { leader_address } => Failure::not_leader(leader_address),
+        AdministrationAnswer::Unknown => Failure::outcome_unknown(RESEND_CALL),
+        AdministrationAnswer::Busy => {
+            Failure::busy("too many changes are under way; none was done")
+        }
+        AdministrationAnswer::Refused(reason) => Failure::busy(reason),
+        _ => Failure::internal("the core gave an answer to another question"),
+    }
+}
+
+fn read_body<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
+    serde_json::from_slice(body).map_err(|error| {
+        Failure::malformed(
+            format!("the body does not fit: {error}"),
+            "send JSON as the page of the administration API has it for this path",
+        )
+    })
+}
+
+fn ok<T: Serialize>(body: &T) -> Result<Response, Failure> {
+    let json = serde_json::to_value(body).map_err(|error| Failure::internal(error.to_string()))?;
+    Ok(Response::json(StatusCode::OK, &json))
+}
+
+/// Wall-clock time, for the audit log only.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/crates/millpass-control/src/administration/routes.rs
@@ -0,0 +1,208 @@
+//! What a method and path ask for.
+
+use super::failure::Failure;
+use crate::api;
+use http::{Method, StatusCode, Uri};
+use millpass_proto::{ObjectKey, ObjectKind, OperatorRole};
+use percent_encoding::percent_decode_str;
+
+/// Paths that need no key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OpenRoute {
+    /// Whether the process runs.
+    Health,
+    /// Whether this member can take calls or name who does.
+    Ready,
+    /// Metrics.
+    Metrics,
+}
+
+/// What operators may ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Route {
+    /// One object.
+    Get(ObjectKey),
+    /// Objects of a kind.
+    List(ObjectKind),
+    /// Create or change an object; the body says how.
+    Put(ObjectKey),
+    /// Delete an object.
+    Delete {
+        /// Object.
+        key: ObjectKey,
+        /// Version that the operator saw.
+        expected_version: u64,
+        /// Identity of the change.
+        change_id: String,
+    },
+    /// State of the deployment.
+    Status,
+    /// Audit records after a revision.
+    Audit(u64),
+    /// Set a back end's state.
+    BackendState(String),
+    /// Change members.
+    Members,
+}
+
+impl Route {
+    /// Least role that may ask for it.
+    pub(crate) fn needed_role(&self) -> OperatorRole {
+        match self {
+            Route::Get(_) | Route::List(_) | Route::Status | Route::Audit(_) => {
+                OperatorRole::Viewer
+            }
+            Route::Put(key) | Route::Delete { key, .. } => match key.kind {
+                ObjectKind::Operator => OperatorRole::Administrator,
+                _ => OperatorRole::Editor,
+            },
+            Route::BackendState(_) | Route::Members => OperatorRole::Administrator,
+        }
+    }
+}
+
+/// Recognizes a path that needs no key.
+pub(crate) fn open_route(method: &Method, uri: &Uri) -> Option<OpenRoute> {
+    if method != Method::GET {
+        return None;
+    }
+    match uri.path() {
+        "/healthz" => Some(OpenRoute::Health),
+        "/readyz" => Some(OpenRoute::Ready),
+        "/metrics" => Some(OpenRoute::Metrics),
+        _ => None,
+    }
+}
+
+/// Recognizes what an operator asks for.
+pub(crate) fn route(method: &Method, uri: &Uri) -> Result<Route, Failure> {
+    let segments = segments(uri.path())?;
+    let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+    match segments.as_slice() {
+        ["healthz" | "readyz" | "metrics"] => Err(Failure::method_not_allowed("GET")),
+        ["v1", "status"] => only(method, Method::GET, "GET", Route::Status),
+        ["v1", "audit"] => {
+            let after = number(uri, "after")?.unwrap_or(0);
+            only(method, Method::GET, "GET", Route::Audit(after))
+        }
+        ["v1", "members"] => only(method, Method::POST, "POST", Route::Members),
+        ["v1", "backends", name, "state"] => {
+            let route = Route::BackendState((*name).to_owned());
+            only(method, Method::PUT, "PUT", route)
+        }
+        ["v1", plural] => only(method, Method::GET, "GET", Route::List(kind(plural)?)),
+        ["v1", plural, name] => {
+            let key = ObjectKey {
+                kind: kind(plural)?,
+                name: (*name).to_owned(),
+            };
+            object_route(method, uri, key)
+        }
+        _ => Err(unknown_path()),
+    }
+}
+
+fn object_route(method: &Method, uri: &Uri, key: ObjectKey) -> Result<Route, Failure> {
+    match *method {
+        Method::GET => Ok(Route::Get(key)),
+        Method::PUT => Ok(Route::Put(key)),
+        Method::DELETE => Ok(Route::Delete {
+            key,
+            expected_version: needed(number(uri, "expected_version")?, "expected_version")?,
+            change_id: needed(parameter(uri, "change_id")?, "change_id")?,
+        }),
+        _ => Err(Failure::method_not_allowed("GET, PUT, DELETE")),
+    }
+}
+
+fn only(
+    method: &Method,
+    expected: Method,
+    allowed: &'static str,
+    route: Route,
+) -> Result<Route, Failure> {
+    if *method == expected {
+        Ok(route)
+    } else {
+        Err(Failure::method_not_allowed(allowed))
+    }
+}
+
+fn kind(plural: &str) -> Result<ObjectKind, Failure> {
+    api::kind_of_plural(plural).ok_or_else(|| {
+        let known: Vec<&str> = api::KINDS.iter().map(|(_, _, plural)| *plural).collect();
+        Failure::new(
+            StatusCode::NOT_FOUND,
+            "unknown_kind",
+            format!("there is no kind `{plural}`"),
+            format!("use one of {}", known.join(", ")),
+        )
+    })
+}
+
+fn unknown_path() -> Failure {
+    Failure::new(
+        StatusCode::NOT_FOUND,
+        "unknown_path",
+        "there is nothing at this path",
+        "see the page of the administration API for its paths",
+    )
+}
+
+/// Segments of a path, each decoded; a name with a slash comes encoded.
+fn segments(path: &str) -> Result<Vec<String>, Failure> {
+    let path = path.strip_prefix('/').unwrap_or(path);
+    path.split('/').map(decode).collect()
+}
+
+fn decode(text: &str) -> Result<String, Failure> {
+    let decoded = percent_decode_str(text).decode_utf8();
+    let decoded = decoded.map_err(|_| {
+        Failure::malformed(
+            "the path or query is not UTF-8 once decoded",
+            "encode names as UTF-8, then in percent encoding",
+        )
+    })?;
+    Ok(decoded.into_owned())
+}
+
+/// A query parameter, decoded; a second one of that name is refused, for either could be meant.
+fn parameter(uri: &Uri, name: &str) -> Result<Option<String>, Failure> {
+    let query = uri.query().unwrap_or_default();
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut values = pairs
+        .filter(|(key, _)| *key == name)
+        .map(|(_, value)| value);
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(Failure::malformed(
+            format!("the query has more than one `{name}`"),
+            "send one",
+        ));
+    }
+    decode(value).map(Some)
+}
+
+fn number(uri: &Uri, name: &str) -> Result<Option<u64>, Failure> {
+    let Some(text) = parameter(uri, name)? else {
+        return Ok(None);
+    };
+    let number = text.parse().map_err(|_| {
+        Failure::malformed(
+            format!("`{name}` in the query is not a whole number from 0"),
+            "correct it",
+        )
+    })?;
+    Ok(Some(number))
+}
+
+fn needed<T>(value: Option<T>, name: &str) -> Result<T, Failure> {
+    value.ok_or_else(|| {
+        Failure::malformed(
+            format!("the query lacks `{name}`"),
+            "add `?expected_version=N&change_id=ID`",
+        )
+    })
+}
--- a/crates/millpass-control/src/api.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Bodies of the administration API (JSON).
--- /dev/null
+++ b/crates/millpass-control/src/api/specs.rs
@@ -0,0 +1,71 @@
+//! Content of objects to JSON and back.
+
+use millpass_proto::{ObjectKind, ObjectSpec};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// Why JSON is not the content of an object.
+#[derive(Debug, thiserror::Error)]
+pub enum SpecError {
+    /// A field is missing or of another type.
+    #[error("the content does not fit the kind: {0}; correct that field")]
+    Unfit(#[from] serde_json::Error),
+    /// A field that the kind does not have.
+    #[error("unknown field `{0}`; remove it or correct its name")]
+    UnknownField(String),
+}
+
+/// Content as JSON, without its kind.
+pub fn spec_to_json(spec: &ObjectSpec) -> Result<Value, serde_json::Error> {
+    match spec {
+        ObjectSpec::Tenant(tenant) => serde_json::to_value(tenant),
+        ObjectSpec::Model(model) => serde_json::to_value(model),
+        ObjectSpec::Version(version) => serde_json::to_value(version),
+        ObjectSpec::Adapter(adapter) => serde_json::to_value(adapter),
+        ObjectSpec::BackendGroup(group) => serde_json::to_value(group),
+        ObjectSpec::Policy(policy) => serde_json::to_value(policy),
+        ObjectSpec::Operator(operator) => serde_json::to_value(operator),
+    }
+}
+
+/// Content of this kind from JSON. Every field but optional ones must be there, and no other.
+pub fn spec_from_json(kind: ObjectKind, json: &Value) -> Result<ObjectSpec, SpecError> {
+    match kind {
+        ObjectKind::Tenant => read(json).map(ObjectSpec::Tenant),
+        ObjectKind::Model => read(json).map(ObjectSpec::Model),
+        ObjectKind::Version => read(json).map(ObjectSpec::Version),
+        ObjectKind::Adapter => read(json).map(ObjectSpec::Adapter),
+        ObjectKind::BackendGroup => read(json).map(ObjectSpec::BackendGroup),
+        ObjectKind::Policy => read(json).map(ObjectSpec::Policy),
+        ObjectKind::Operator => read(json).map(ObjectSpec::Operator),
+    }
+}
+
+fn read<T: DeserializeOwned + Serialize>(json: &Value) -> Result<T, SpecError> {
+    let content = T::deserialize(json)?;
+    let understood = serde_json::to_value(&content)?;
+    match unknown_field(json, &understood) {
+        Some(field) => Err(SpecError::UnknownField(field)),
+        None => Ok(content),
+    }
+}
+
+/// First field of what was given that is not in what was understood.
+fn unknown_field(given: &Value, understood: &Value) -> Option<String> {
+    match (given, understood) {
+        (Value::Object(given), Value::Object(understood)) => {
+            given.iter().find_map(|(name, value)| {
+                let Some(known) = understood.get(name) else {
+                    return Some(name.clone());
+                };
+                unknown_field(value, known)
+            })
+        }
+        (Value::Array(given), Value::Array(understood)) => given
+            .iter()
+            .zip(understood)
+            .find_map(|(given, understood)| unknown_field(given, understood)),
+        _ => None,
+    }
+}
--- a/crates/millpass-control/src/client.rs
+++ b/crates/millpass-control/src/client.rs
@@ -1,1 +1,384 @@
 //! Client of the administration API, for the command line and the lab.
+//!
+//! A call goes through the members' addresses, follows the leader that a member names, and is
+//! sent again, with the same change id, until it is answered or its deadline is over. That is
+//! safe: a change takes effect once however often it is sent, and the other calls state what is
+//! to be, so that a repeat does nothing more.
+
+use crate::api::{
+    AcceptedBody, AuditBody, BackendStateBody, ChangeBody, ErrorBody, ErrorDetail, MembershipBody,
+    ObjectBody, ObjectsBody, StatusBody, backend_state_word, kind_plural,
+};
+use http::{Method, StatusCode};
+use millpass_proto::{BackendState, Duration, ObjectKind};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Instant;
+use ureq::Agent;
+
+/// Deadline of a call when none is set.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(15);
+/// Longest wait for one member: longer than the core's own deadline of a change.
+const TRY_TIMEOUT: Duration = Duration::from_secs(7);
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after the first failed try; it doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Largest answer read, in bytes.
+const MAXIMUM_ANSWER_BYTES: u64 = 256 * 1024 * 1024;
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// No address was given.
+    #[error("no address of a control member was given; name at least one, IP:port")]
+    NoAddress,
+    /// The key is not accepted.
+    #[error("{message}; {remedy}")]
+    Unauthenticated {
+        /// What is wrong.
+        message: String,
+        /// What to do.
+        remedy: String,
+    },
+    /// The role does not allow it.
+    #[error("{message}; {remedy}")]
+    Forbidden {
+        /// What is wrong.
+        message: String,
+        /// What to do.
+        remedy: String,
+    },
+    /// Somebody else changed the object first; nothing was changed.
+    #[error(
+        "the object is at version {current_version} by now (0: it does not exist) and nothing was \
+         changed; read it and submit the change against that version"
+    )]
+    Conflict {
+        /// Version of the object now; 0 if it does not exist.
+        current_version: u64,
+    },
+    /// The request is not accepted; nothing was changed.
+    #[error("{} ({status}); {}", .detail.message, .detail.remedy)]
+    Rejected {
+        /// Status of the answer.
+        status: u16,
+        /// Reason and remedy, for a policy with the place in it.
+        detail: Box<ErrorDetail>,
+    },
+    /// The deadline is over and no member took the call; nothing was changed.
+    #[error("no control member took the call in time ({last}); check the addresses, and retry")]
+    Unavailable {
+        /// What the last try met.
+        last: String,
+    },
+    /// The deadline is over and the answer was lost: it may have been done or may yet be.
+    #[error(
+        "the answer was lost ({last}) and the outcome is unknown; read the state before you \
+         submit anything else, or resend with the same change id"
+    )]
+    OutcomeUnknown {
+        /// What the last try met.
+        last: String,
+    },
+    /// The answer is no body of this interface.
+    #[error("the answer was not understood ({0}); use the client of the members' release")]
+    NotUnderstood(String),
+}
+
+/// A client of the administration API.
+#[derive(Clone, Debug)]
+pub struct AdministrationClient {
+    agent: Agent,
+    addresses: Vec<String>,
+    /// Address asked next.
+    current: String,
+    key: String,
+    deadline: Duration,
+}
+
+/// A call, ready to be sent any number of times.
+struct Call {
+    method: Method,
+    path: String,
+    body: Vec<u8>,
+    /// Whether it changes something.
+    changes: bool,
+}
+
+/// What one try met.
+enum Tried {
+    /// The answer.
+    Answered(Vec<u8>),
+    /// An answer that trying again would not alter.
+    Failed(ClientError),
+    /// Another member leads; nothing was done.
+    Elsewhere(Option<String>),
+    /// It was not taken; nothing was done.
+    NotTaken(String),
+    /// It may have been done.
+    Lost(String),
+}
+
+impl AdministrationClient {
+    /// A client of the members at these addresses (IP:port) with an operator's key.
+    pub fn new(addresses: Vec<String>, key: impl Into<String>) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .build();
+        AdministrationClient {
+            agent: config.into(),
+            current: addresses.first().cloned().unwrap_or_default(),
+            addresses,
+            key: key.into(),
+            deadline: DEFAULT_DEADLINE,
+        }
+    }
+
+    /// The same client with another deadline for each call, resends included.
+    pub fn with_deadline(mut self, deadline: Duration) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
+    /// One object, or none.
+    pub fn get(&mut self, kind: ObjectKind, name: &str) -> Result<Option<ObjectBody>, ClientError> {
+        match self.call(Call::read(object_path(kind, name))) {
+            Ok(object) => Ok(Some(object)),
+            Err(ClientError::Rejected { detail, .. }) if detail.kind == "not_found" => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// All objects of a kind, by name.
+    pub fn list(&mut self, kind: ObjectKind) -> Result<Vec<ObjectBody>, ClientError> {
+        let path = format!("/v1/{}", kind_plural(kind));
+        let listed: ObjectsBody = self.call(Call::read(path))?;
+        Ok(listed.objects)
+    }
+
+    /// Creates or changes an object.
+    pub fn put(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        change: &ChangeBody,
+    ) -> Result<AcceptedBody, ClientError> {
+        self.call(Call::change(Method::PUT, object_path(kind, name), change)?)
+    }
+
+    /// Deletes an object.
+    pub fn delete(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        expected_version: u64,
+        change_id: &str,
+    ) -> Result<AcceptedBody, ClientError> {
+        let path = object_path(kind, name);
+        let change_id = encode(change_id);
+        self.call(Call {
+            method: Method::DELETE,
+            path: format!("{path}?expected_version={expected_version}&change_id={change_id}"),
+            body: Vec::new(),
+            changes: true,
+        })
+    }
+
+    /// State of the deployment.
+    pub fn status(&mut self) -> Result<StatusBody, ClientError> {
+        self.call(Call::read("/v1/status".to_owned()))
+    }
+
+    /// Accepted changes after a revision that are still kept.
+    pub fn audit(&mut self, after: u64) -> Result<AuditBody, ClientError> {
+        self.call(Call::read(format!("/v1/audit?after={after}")))
+    }
+
+    /// Marks a back end as leaving: it gets no new work, and what it has ends by itself.
+    pub fn drain_backend(&mut self, backend: &str) -> Result<(), ClientError> {
+        let path = format!("/v1/backends/{}/state", encode(backend));
+        let state = BackendStateBody {
+            state: backend_state_word(BackendState::Leaving).to_owned(),
+        };
+        let _: Value = self.call(Call::change(Method::PUT, path, &state)?)?;
+        Ok(())
+    }
+
+    /// Changes the members of the control group.
+    pub fn change_members(&mut self, change: &MembershipBody) -> Result<(), ClientError> {
+        let path = "/v1/members".to_owned();
+        let _: Value = self.call(Call::change(Method::POST, path, change)?)?;
+        Ok(())
+    }
+
+    /// Sends a call until it is answered or the deadline is over.
+    fn call<T: DeserializeOwned>(&mut self, call: Call) -> Result<T, ClientError> {
+        if self.addresses.is_empty() {
+            return Err(ClientError::NoAddress);
+        }
+        let end = Instant::now() + self.deadline;
+        let mut pause = FIRST_PAUSE;
+        let mut may_have_run = false;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let last = match self.send(&call, left.min(TRY_TIMEOUT)) {
+                Tried::Answered(body) => return understand(&body),
+                Tried::Failed(error) => return Err(error),
+                Tried::Elsewhere(leader) => {
+                    let last = format!("{} does not lead", self.current);
+                    self.turn_to(leader);
+                    last
+                }
+                Tried::NotTaken(reason) => {
+                    self.turn_to(None);
+                    reason
+                }
+                Tried::Lost(reason) => {
+                    may_have_run |= call.changes;
+                    self.turn_to(None);
+                    reason
+                }
+            };
+            let left = end.saturating_duration_since(Instant::now());
+            if left <= pause {
+                return Err(over(may_have_run, last));
+            }
+            std::thread::sleep(pause);
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Asks the leader next if one was named, else the next address of the list.
+    fn turn_to(&mut self, leader: Option<String>) {
+        // Only an address as members state it is followed, never any other text.
+        let leader = leader.filter(|address| address.parse::<SocketAddr>().is_ok());
+        let place = self
+            .addresses
+            .iter()
+            .position(|known| *known == self.current);
+        let next = place.map_or(0, |place| (place + 1) % self.addresses.len());
+        self.current = leader.unwrap_or_else(|| self.addresses[next].clone());
+    }
+
+    fn send(&self, call: &Call, timeout: Duration) -> Tried {
+        let request = http::Request::builder()
+            .method(call.method.clone())
+            .uri(format!("http://{}{}", self.current, call.path))
+            .header("Authorization", format!("Bearer {}", self.key))
+            .header("Content-Type", "application/json")
+            .body(call.body.as_slice());
+        let request = match request {
+            Ok(request) => request,
+            Err(error) => return Tried::Failed(unsendable(&error)),
+        };
+        let agent = &self.agent;
+        let configured = agent.configure_request(request);
+        let request = configured.timeout_global(Some(timeout)).build();
+        let mut answer = match agent.run(request) {
+            Ok(answer) => answer,
+            Err(
+                ureq::Error::ConnectionFailed
+                | ureq::Error::HostNotFound
+                | ureq::Error::Timeout(ureq::Timeout::Connect),
+            ) => {
+                return Tried::NotTaken(format!("{}: no connection", self.current));
+            }
+            Err(ureq::Error::Io(error))
+                if error.kind() == std::io::ErrorKind::ConnectionRefused =>
+            {
+                return Tried::NotTaken(format!("{}: {error}", self.current));
+            }
+            Err(error) => return Tried::Lost(format!("{}: {error}", self.current)),
+        };
+        let status = answer.status();
+        let body = answer.body_mut().with_config().limit(MAXIMUM_ANSWER_BYTES);
+        match body.read_to_vec() {
+            Ok(body) => judge(status, body),
+            Err(error) => Tried::Lost(format!("{}: {error}", self.current)),
+        }
+    }
+}
+
+impl Call {
+    fn read(path: String) -> Self {
+        Call {
+            method: Method::GET,
+            path,
+            body: Vec::new(),
+            changes: false,
+        }
+    }
+
+    fn change<T: Serialize>(method: Method, path: String, body: &T) -> Result<Self, ClientError> {
+        let body = serde_json::to_vec(body);
+        Ok(Call {
+            method,
+            path,
+            body: body.map_err(|error| ClientError::NotUnderstood(error.to_string()))?,
+            changes: true,
+        })
+    }
+}
+
+/// What an answer means for the call.
+fn judge(status: StatusCode, body: Vec<u8>) -> Tried {
+    if status.is_success() {
+        return Tried::Answered(body);
+    }
+    let parsed: Result<ErrorBody, _> = serde_json::from_slice(&body);
+    let Ok(ErrorBody { error: detail }) = parsed else {
+        return Tried::Lost(format!("{status} without a body of this interface"));
+    };
+    let (message, remedy) = (detail.message.clone(), detail.remedy.clone());
+    match (status, detail.kind.as_str()) {
+        (StatusCode::MISDIRECTED_REQUEST, _) => Tried::Elsewhere(detail.leader_address),
+        (_, "busy" | "too_many_connections" | "body_timeout") => Tried::NotTaken(message),
+        (StatusCode::UNAUTHORIZED, _) => {
+            Tried::Failed(ClientError::Unauthenticated { message, remedy })
+        }
+        (StatusCode::FORBIDDEN, _) => Tried::Failed(ClientError::Forbidden { message, remedy }),
+        (StatusCode::CONFLICT, _) => Tried::Failed(ClientError::Conflict {
+            current_version: detail.current_version.unwrap_or(0),
+        }),
+        _ if status.is_server_error() => Tried::Lost(message),
+        _ => Tried::Failed(ClientError::Rejected {
+            status: status.as_u16(),
+            detail: Box::new(detail),
+        }),
+    }
+}
+
+fn understand<T: DeserializeOwned>(body: &[u8]) -> Result<T, ClientError> {
+    serde_json::from_slice(body).map_err(|error| ClientError::NotUnderstood(error.to_string()))
+}
+
+fn over(may_have_run: bool, last: String) -> ClientError {
+    if may_have_run {
+        ClientError::OutcomeUnknown { last }
+    } else {
+        ClientError::Unavailable { last }
+    }
+}
+
+/// A key or address that does not fit into a request; nothing was sent.
+fn unsendable(error: &http::Error) -> ClientError {
+    ClientError::Unavailable {
+        last: format!("the request cannot be written: {error}"),
+    }
+}
+
+fn object_path(kind: ObjectKind, name: &str) -> String {
+    format!("/v1/{}/{}", kind_plural(kind), encode(name))
+}
+
+fn encode(text: &str) -> String {
+    utf8_percent_encode(text, NON_ALPHANUMERIC).to_string()
+}
