A member whose disk was lost can join again: connections begin with a greeting

Cause: a joiner starts with an empty membership, so it knew no address to answer the leader at. It received every append request and stayed silent; the leader added it as a learner, saw no answer, and removed it again, for ever. Seen in the process test of a wiped data folder, which failed first (learner silent 761 ms, then removed, repeatedly). Ruled out: the test's own timing (rewritten to wait for the role of the new member in the status; still red); the shared address of old and new identity (messages reached the joiner); seeding the address book from the settings (a leader may itself be a later joiner, in no settings file). The client of the administration API goes on through its list after a leader hint that leads nowhere, which the same test showed. Conclusion: a lost disk is replaced under a new identity, and the new member's vote counts.

--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -42,6 +42,8 @@
     Tick,
     /// A message from a member.
     Peer(PeerEnvelope),
+    /// A process introduced itself on its connection, before its messages as a member.
+    PeerGreeting(MemberAddress),
     /// A process asks to become a member.
     Join(MemberAddress),
     /// A message from a router.
--- a/crates/millpass-control-plane/src/lib.rs
+++ b/crates/millpass-control-plane/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `plane` | the core itself: takes inputs, runs what is due |
 //! | `replication` | carries out the consensus core's outputs, applies committed commands |
 //! | `proposals` | what waits for a proposal to commit |
+//! | `addresses` | where members listen |
 //! | `administration` | calls of the administration API |
 //! | `sessions` | routers connected to this member and their leases |
 //! | `reports` | answers routers' reports and claims |
@@ -21,6 +22,7 @@
 //! | `snapshots` | when to take a snapshot |
 //! | `drain` | the planned stop |
 
+mod addresses;
 mod administration;
 mod claims;
 mod drain;
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -1,5 +1,6 @@
 //! The core itself: takes one input at a time and runs what is due.
 
+use crate::addresses::AddressBook;
 use crate::claims::{self, RouterRun, SilentRuns};
 use crate::drain::{Drain, DrainStep};
 use crate::interface::{
@@ -11,7 +12,6 @@
 use crate::platform::{self, Platform};
 use crate::proposals::{InternalKey, Proposals, Waiter};
 use crate::repair::{self, Repair};
-use crate::replication::AddressBook;
 use crate::sessions::Sessions;
 use crate::snapshots::AppliedLog;
 use crate::watch::WatchShares;
@@ -155,6 +155,7 @@
             ControlInput::Persisted { write } => {
                 self.consensus_step(now, ConsensusInput::Persisted { write }, out);
             }
+            ControlInput::PeerGreeting(address) => self.addresses.greet(address),
             ControlInput::Join(address) => self.take_join(now, address, out),
             ControlInput::Router {
                 connection,
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -11,35 +11,10 @@
 };
 use millpass_proto::{
     ClaimAnswer, Command, CommandOutcome, ControlToRouter, EntryPayload, LogEntry, MemberAddress,
-    MemberId, Membership, PeerEnvelope, Snapshot, Timestamp,
+    Membership, PeerEnvelope, Snapshot, Timestamp,
 };
 use millpass_scheduler::Scheduler;
 use millpass_state::State;
-use std::collections::BTreeMap;
-
-/// Where the members of the membership in force listen.
-pub(crate) struct AddressBook {
-    members: BTreeMap<MemberId, MemberAddress>,
-}
-
-impl AddressBook {
-    /// Reads a membership.
-    pub(crate) fn new(membership: &Membership) -> Self {
-        let members = membership
-            .voters
-            .iter()
-            .chain(&membership.outgoing_voters)
-            .chain(&membership.learners)
-            .map(|address| (address.member, address.clone()))
-            .collect();
-        AddressBook { members }
-    }
-
-    /// Where a member listens.
-    pub(crate) fn get(&self, member: MemberId) -> Option<&MemberAddress> {
-        self.members.get(&member)
-    }
-}
 
 impl ControlPlane {
     /// Steps the consensus core and carries out what it wants.
@@ -115,9 +90,9 @@
     fn send_peer(&mut self, envelope: PeerEnvelope, out: &mut Outputs) {
         if self.addresses.get(envelope.to).is_none() {
             // The membership in force changes as soon as an entry is appended.
-            self.addresses = AddressBook::new(&self.consensus.status().membership);
+            self.addresses.replace(&self.consensus.status().membership);
         }
-        if let Some(member) = self.addresses.get(envelope.to) {
+        if let Some(member) = self.addresses.reach(envelope.to) {
             let address = member.peer_address.clone();
             out.push(ControlOutput::SendPeer { address, envelope });
         }
@@ -146,7 +121,7 @@
 
     fn membership_committed(&mut self, membership: &Membership, out: &mut Outputs) {
         self.applied.membership_committed(membership);
-        self.addresses = AddressBook::new(&self.consensus.status().membership);
+        self.addresses.replace(&self.consensus.status().membership);
         let pairs = vec![
             ("voters", names(&membership.voters)),
             ("outgoing", names(&membership.outgoing_voters)),
@@ -165,7 +140,7 @@
             }
         }
         self.applied = AppliedLog::new(&snapshot.meta);
-        self.addresses = AddressBook::new(&self.consensus.status().membership);
+        self.addresses.replace(&self.consensus.status().membership);
         self.state_changed = true;
         self.give_up_waiters(out);
         let pairs = vec![("last", snapshot.meta.last.to_string())];
--- a/crates/millpass-control/src/client.rs
+++ b/crates/millpass-control/src/client.rs
@@ -97,6 +97,8 @@
     addresses: Vec<String>,
     /// Address asked next.
     current: String,
+    /// Place in the list of the address to ask when no leader is named.
+    next_place: usize,
     key: String,
     deadline: Duration,
 }
@@ -136,6 +138,7 @@
         AdministrationClient {
             agent: config.into(),
             current: addresses.first().cloned().unwrap_or_default(),
+            next_place: 1,
             addresses,
             key: key.into(),
             deadline: DEFAULT_DEADLINE,
@@ -256,16 +259,16 @@
         }
     }
 
-    /// Asks the leader next if one was named, else the next address of the list.
+    /// Asks the leader next if one was named, else the next address of the list. The list goes on
+    /// where it was: a follower that names an unreachable leader must not hide the others.
     fn turn_to(&mut self, leader: Option<String>) {
         // Only an address as members state it is followed, never any other text.
         let leader = leader.filter(|address| address.parse::<SocketAddr>().is_ok());
-        let place = self
-            .addresses
-            .iter()
-            .position(|known| *known == self.current);
-        let next = place.map_or(0, |place| (place + 1) % self.addresses.len());
-        self.current = leader.unwrap_or_else(|| self.addresses[next].clone());
+        self.current = leader.unwrap_or_else(|| {
+            let place = self.next_place % self.addresses.len();
+            self.next_place = place + 1;
+            self.addresses[place].clone()
+        });
     }
 
     fn send(&self, call: &Call, timeout: Duration) -> Tried {
--- a/crates/millpass-control/src/connections.rs
+++ b/crates/millpass-control/src/connections.rs
@@ -209,6 +209,7 @@
             connection,
             message,
         },
+        LinkMessage::Greeting(address) => ControlInput::PeerGreeting(address),
         LinkMessage::Join(address) => ControlInput::Join(address),
     }
 }
--- a/crates/millpass-control/src/error.rs
+++ b/crates/millpass-control/src/error.rs
@@ -1,11 +1,15 @@
 //! Why a control member process cannot start or go on.
 
+use crate::administration::AdministrationError;
 use millpass_storage::StorageError;
 use std::io;
 
 /// Each message names the remedy.
 #[derive(Debug, thiserror::Error)]
 pub enum ControlError {
+    /// The administration API.
+    #[error(transparent)]
+    Administration(#[from] AdministrationError),
     /// The data folder.
     #[error(transparent)]
     Storage(#[from] StorageError),
--- a/crates/millpass-control/src/peers.rs
+++ b/crates/millpass-control/src/peers.rs
@@ -5,8 +5,8 @@
 
 use crate::metrics::Metrics;
 use crossbeam::channel::{Receiver, Sender, bounded};
-use millpass_proto::LinkMessage;
 use millpass_proto::codec::{CodecError, write_frame};
+use millpass_proto::{LinkMessage, MemberAddress};
 use std::collections::BTreeMap;
 use std::io::{BufWriter, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -31,15 +31,18 @@
 /// Sends to members by address. Owned by the core's thread; dropping it ends the connections.
 pub(crate) struct Peers {
     peers: BTreeMap<String, Peer>,
+    own: MemberAddress,
     queue_length: usize,
     metrics: Arc<Metrics>,
 }
 
 impl Peers {
-    /// `queue_length` bounds what waits for one member.
-    pub(crate) fn new(queue_length: usize, metrics: Arc<Metrics>) -> Self {
+    /// `own` introduces this member on each connection; `queue_length` bounds what waits for one
+    /// member.
+    pub(crate) fn new(own: MemberAddress, queue_length: usize, metrics: Arc<Metrics>) -> Self {
         Peers {
             peers: BTreeMap::new(),
+            own,
             queue_length,
             metrics,
         }
@@ -67,10 +70,11 @@
             return false;
         };
         let (sender, receiver) = bounded(self.queue_length);
+        let greeting = LinkMessage::Greeting(self.own.clone());
         let spawned = thread::Builder::new()
             .name("control-peer".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || send_all(target, &receiver));
+            .spawn(move || send_all(target, &greeting, &receiver));
         if spawned.is_err() {
             return false;
         }
@@ -88,12 +92,12 @@
 }
 
 /// Body of a sending thread; ends when the queue's other end is dropped.
-fn send_all(target: SocketAddr, queue: &Receiver<LinkMessage>) {
+fn send_all(target: SocketAddr, greeting: &LinkMessage, queue: &Receiver<LinkMessage>) {
     while let Ok(first) = queue.recv() {
         match connect(target) {
             Ok(stream) => {
                 log::info!("event=peer_connected address={target}");
-                if let Err(error) = send_over(stream, first, queue) {
+                if let Err(error) = send_over(stream, greeting, first, queue) {
                     log::warn!("event=peer_lost address={target} error=\"{error}\"");
                 }
             }
@@ -114,10 +118,12 @@
 
 fn send_over(
     stream: TcpStream,
+    greeting: &LinkMessage,
     first: LinkMessage,
     queue: &Receiver<LinkMessage>,
 ) -> Result<(), CodecError> {
     let mut writer = BufWriter::new(stream);
+    write_frame(&mut writer, greeting)?;
     let mut next = Some(first);
     while let Some(message) = next {
         write_frame(&mut writer, &message)?;
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -1,6 +1,6 @@
 //! The process: its threads, from start to stop.
 
-use crate::administration::{self, AdministrationServer};
+use crate::administration::{self, AdministrationLimits, AdministrationServer};
 use crate::calls::{CallTable, CoreCalls};
 use crate::connections::Connections;
 use crate::deliveries::{Deliveries, DeliveryWorker};
@@ -59,7 +59,8 @@
     let calls = Arc::new(CallTable::default());
     let administration = administration::start(
         &settings.administration_listen,
-        settings.bootstrap_key_hash.clone(),
+        &AdministrationLimits::default(),
+        settings.bootstrap_key_hash.as_deref(),
         Arc::new(CoreCalls {
             inputs: inputs.clone(),
             table: calls.clone(),
@@ -68,7 +69,7 @@
     )?;
     let listening = ListenAddresses {
         peer: connections.address().to_string(),
-        administration: administration.address().to_string(),
+        administration: administration.local_address().to_string(),
     };
     let opened = startup::open(&settings, &listening)?;
     for note in &opened.restored.notes {
@@ -104,7 +105,7 @@
         others: startup::others(&settings),
         queue,
         disk: disk_sender,
-        peers: Peers::new(settings.limits.peer_queue, metrics.clone()),
+        peers: Peers::new(address.clone(), settings.limits.peer_queue, metrics.clone()),
         connections,
         deliveries,
         platform: settings.platform_address.clone(),
--- a/crates/millpass-control/tests/common/mod.rs
+++ b/crates/millpass-control/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test file uses a part.
 
+use millpass_control::api::StatusBody;
+use millpass_control::client::AdministrationClient;
 use millpass_control::settings::{ConsensusTiming, InitialMember};
 use millpass_control::{ControlHandle, ControlProcessSettings, initialize, start_on};
 use millpass_proto::codec::{CodecError, read_frame, write_frame};
@@ -81,6 +83,7 @@
         .map(|(place, listener)| InitialMember {
             zone: format!("zone-{place}").into(),
             peer_address: listener.local_addr().expect("address").to_string(),
+            // Nothing listens there: a hint that leads nowhere must not stop a client.
             administration_address: "127.0.0.1:1".to_owned(),
         })
         .collect();
@@ -92,6 +95,9 @@
                 zone: initial[place].zone.clone(),
                 peer_advertise: Some(initial[place].peer_address.clone()),
                 initial_members: initial.clone(),
+                bootstrap_key_hash: Some(
+                    blake3::hash(OPERATOR_KEY.as_bytes()).to_hex().to_string(),
+                ),
                 consensus: timing(),
                 member_replacement_delay: Duration::from_millis(1_000),
                 ..ControlProcessSettings::single(folder.join(place.to_string()))
@@ -174,3 +180,17 @@
             }
         })
 }
+
+/// The operator's key in these tests.
+pub const OPERATOR_KEY: &str = "operator-key";
+
+/// A client that knows all running members.
+pub fn client(places: &[Place]) -> AdministrationClient {
+    let addresses = places.iter().filter_map(Place::administration_address);
+    AdministrationClient::new(addresses.collect(), OPERATOR_KEY)
+}
+
+/// What the leader says about the deployment.
+pub fn status(places: &[Place]) -> Option<StatusBody> {
+    client(places).status().ok()
+}
--- a/crates/millpass-control/tests/process.rs
+++ b/crates/millpass-control/tests/process.rs
@@ -2,12 +2,11 @@
 
 mod common;
 
-use common::{RouterEnd, group, leader, start_all, wait_for};
+use common::{RouterEnd, group, leader, start_all, status, wait_for};
 use millpass_control::{ControlError, ControlProcessSettings, start};
-use millpass_proto::ControlToRouter;
+use millpass_proto::{ControlToRouter, MemberId};
 use rstest::rstest;
 use std::net::TcpListener;
-use std::time::Duration;
 
 #[test]
 fn a_single_member_answers_a_router_as_leader() {
@@ -74,7 +73,6 @@
 
 #[test]
 fn a_member_whose_disk_was_lost_comes_back_under_a_new_identity() {
-    millpass_telemetry::start_logging(&millpass_telemetry::LogSettings{level:"info".into(),file:"/tmp/proc.log".into()}).unwrap();
     let folder = tempfile::tempdir().expect("folder");
     let mut places = group(folder.path(), 3);
     start_all(&mut places);
@@ -86,16 +84,18 @@
     places[lost].start();
     let new = places[lost].handle.as_ref().expect("handle").member();
     assert_ne!(old, new);
-    // It takes the old one's place: with the other follower gone, it is needed for a quorum.
-    let third = 3 - leading - lost;
-    wait_for("the joiner to be a voter", || {
-        places[third].halt();
-        std::thread::sleep(Duration::from_millis(600));
-        let found = leader(&places);
-        places[third].start();
-        std::thread::sleep(Duration::from_millis(600));
-        found
+    wait_for("the joiner to be a voter in the old one's place", || {
+        let status = status(&places)?;
+        let role = |member: MemberId| {
+            let found = status.members.iter().find(|body| body.member == member.0);
+            found.map(|body| body.role.clone())
+        };
+        (role(new).as_deref() == Some("voter") && role(old).is_none()).then_some(())
     });
+    // With the third member gone, the new one is needed for a quorum.
+    let third = 3 - leading - lost;
+    places[third].halt();
+    wait_for("a leader with the new member's vote", || leader(&places));
 }
 
 #[test]
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -2029,6 +2029,9 @@
 
     /// From a process that wants to become a member under this new identity.
     Join(MemberAddress),
+
+    /// First message on a member's connection: who sends, and where it can be answered.
+    Greeting(MemberAddress),
 }
 
 
