The command line over a running deployment: operators' commands, programs, and millpass dev

Ruled out: a fixed wait before millpass dev says that it is ready. The first post to the web pages was refused now and then (503, deadline_hopeless): the router had the catalog and no route yet. Conclusion: the whole path runs in one command and is tested end to end.

--- a/crates/millpass-cli/src/commands/mod.rs
+++ b/crates/millpass-cli/src/commands/mod.rs
@@ -1,6 +1,10 @@
-//! One module per command or family of commands.
+//! One module per family of commands.
 
 mod offline;
+pub mod online;
+pub mod programs;
+
+pub use offline::key_hash;
 
 use crate::options::Options;
 use anyhow::Result;
@@ -9,9 +13,48 @@
 /// Runs a parsed command.
 pub fn run(options: Options) -> Result<ExitCode> {
     match options {
+        Options::Dev { options } => crate::dev::run(&options),
+        Options::Control { command } => programs::control(command),
+        Options::Router { settings } => programs::router(&settings),
         Options::Check { file } => offline::check(&file),
         Options::Template { kind } => offline::template(&kind),
         Options::Key => offline::key(),
-        other => anyhow::bail!("not built yet: {other:?}"),
+        Options::Apply {
+            administration,
+            file,
+            dry_run,
+        } => online::apply(&administration, &file, dry_run),
+        Options::Diff {
+            administration,
+            file,
+        } => online::apply(&administration, &file, true),
+        Options::Get {
+            administration,
+            kind,
+            name,
+        } => online::get(&administration, &kind, name.as_deref()),
+        Options::Delete {
+            administration,
+            kind,
+            name,
+        } => online::delete(&administration, &kind, &name),
+        Options::Status {
+            administration,
+            watch,
+        } => online::status(&administration, watch),
+        Options::Rollout {
+            administration,
+            timeout,
+        } => online::rollout(&administration, timeout),
+        Options::Drain {
+            administration,
+            backend,
+        } => online::drain(&administration, &backend),
+        Options::Audit {
+            administration,
+            after,
+        } => online::audit(&administration, after),
+        Options::Explain { router, request } => online::explain(&router, &request),
+        Options::Policy { command } => offline::policy(command),
     }
 }
--- a/crates/millpass-cli/src/commands/offline.rs
+++ b/crates/millpass-cli/src/commands/offline.rs
@@ -2,9 +2,13 @@
 
 use crate::objects;
 use anyhow::{Context, Result, bail};
+use millpass_policy::admit;
+use millpass_proto::{ObjectSpec, PolicyName};
 use std::path::Path;
 use std::process::ExitCode;
 
+use crate::options::PolicyCommand;
+
 const CONTROL_TEMPLATE: &str = include_str!("../../../../examples/templates/control.toml");
 const ROUTER_TEMPLATE: &str = include_str!("../../../../examples/templates/router.toml");
 
@@ -53,3 +57,29 @@
 pub fn key_hash(key: &str) -> String {
     blake3::hash(key.as_bytes()).to_hex().to_string()
 }
+
+/// `policy test`: compiles each policy of a file and runs its examples.
+pub fn policy(command: PolicyCommand) -> Result<ExitCode> {
+    let PolicyCommand::Test { file } = command;
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(&file)
+        .with_context(|| format!("{name}: cannot be read; check the path"))?;
+    let mut failed = 0_u32;
+    for object in objects::parse_objects(&name, &text)? {
+        let ObjectSpec::Policy(spec) = &object.spec else {
+            continue;
+        };
+        match admit(&PolicyName::from(object.key.name.as_str()), spec) {
+            Ok(()) => println!("{}: {} examples hold", object.key.name, spec.examples.len()),
+            Err(error) => {
+                failed += 1;
+                println!("{}: {error}", object.key.name);
+            }
+        }
+    }
+    Ok(if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- /dev/null
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -0,0 +1,214 @@
+//! `control` and `router`: the programs, from their settings files.
+
+use crate::options::ControlCommand;
+use anyhow::{Context, Result};
+use millpass_config::generated::ControlSchedulingSection;
+use millpass_config::{ControlSettings, RouterSettings};
+use millpass_control::ControlProcessSettings;
+use millpass_control::settings::{ConsensusTiming, InitialMember};
+use millpass_proto::{Duration, GroupId, Incarnation};
+use millpass_router::RouterProcessSettings;
+use millpass_routing::RoutingSettings;
+use millpass_scheduler::{KeepAlive, SchedulerSettings};
+use millpass_telemetry::{LogSettings, event_line, start_logging};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Runs `millpass control ...`.
+pub fn control(command: ControlCommand) -> Result<ExitCode> {
+    match command {
+        ControlCommand::Init { settings } => {
+            let process = control_process(&millpass_config::load_control(&settings)?)?;
+            millpass_control::initialize(&process)?;
+            println!("initialized {}", process.data_folder.display());
+        }
+        ControlCommand::Run { settings } => run_control(&settings)?,
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_control(file: &Path) -> Result<()> {
+    let settings = millpass_config::load_control(file)?;
+    start_logging(&LogSettings {
+        level: settings.log.level.clone(),
+        file: settings.log.file.clone(),
+    })?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handlers")?;
+    let handle = millpass_control::start(control_process(&settings)?)?;
+    wait_for_signal(&mut signals);
+    handle.drain();
+    handle.join()?;
+    log_stopped("control");
+    Ok(())
+}
+
+/// Runs `millpass router`.
+pub fn router(file: &Path) -> Result<ExitCode> {
+    let settings = millpass_config::load_router(file)?;
+    start_logging(&LogSettings {
+        level: settings.log.level.clone(),
+        file: settings.log.file.clone(),
+    })?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handlers")?;
+    let handle = millpass_router::start(router_process(&settings)?)?;
+    wait_for_signal(&mut signals);
+    handle.drain();
+    handle.join();
+    log_stopped("router");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// The first signal starts an orderly stop; the default action is back for the second.
+pub fn wait_for_signal(signals: &mut Signals) {
+    if let Some(signal) = signals.forever().next() {
+        log::info!(
+            "{}",
+            event_line("stopping", &[("signal", signal.to_string())])
+        );
+        // Without a handler a second signal ends the process at once.
+        let _ = signal_hook::flag::register_conditional_default(
+            signal,
+            std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true)),
+        );
+    }
+}
+
+fn log_stopped(program: &str) {
+    log::info!(
+        "{}",
+        event_line("stopped", &[("program", program.to_owned())])
+    );
+    log::logger().flush();
+}
+
+/// A control member's process settings from its settings file.
+pub fn control_process(settings: &ControlSettings) -> Result<ControlProcessSettings> {
+    let member = &settings.member;
+    let mut process = ControlProcessSettings::single(&member.data_folder);
+    process.group = group(member.group);
+    process.zone = member.zone.as_str().into();
+    process.peer_listen = member.peer_listen.clone();
+    process.administration_listen = member.administration_listen.clone();
+    process.bootstrap = false;
+    process.peer_advertise = non_empty(&member.peer_address);
+    process.bootstrap_key_hash = non_empty(&member.bootstrap_key_hash);
+    process.initial_members = settings.members.iter().map(initial_member).collect();
+    process.platform_address = Some(settings.platform.address.clone());
+    process.consensus = ConsensusTiming {
+        election_timeout: millis(settings.consensus.election_timeout_ms),
+        heartbeat_interval: millis(settings.consensus.heartbeat_ms),
+        lease_length: millis(settings.consensus.lease_ms),
+        maximum_append_entries: count(settings.consensus.maximum_append_entries),
+        snapshot_chunk_bytes: count(settings.consensus.snapshot_chunk_bytes),
+    };
+    process.snapshot_entries = settings.consensus.snapshot_entries;
+    process.scheduler = scheduler(settings);
+    process.scheduling_interval = millis(settings.scheduling.interval_ms);
+    process.router_lease = millis(settings.routers.lease_ms);
+    process.claim_retention = millis(settings.claims.retention_ms);
+    process.member_replacement_delay = millis(settings.repair.member_replacement_delay_ms);
+    process.machine_gone_delay = millis(settings.repair.machine_gone_delay_ms);
+    Ok(process)
+}
+
+fn initial_member(section: &millpass_config::generated::ControlMembersSection) -> InitialMember {
+    InitialMember {
+        zone: section.zone.as_str().into(),
+        peer_address: section.peer_address.clone(),
+        administration_address: section.administration_address.clone(),
+    }
+}
+
+fn scheduler(settings: &ControlSettings) -> SchedulerSettings {
+    SchedulerSettings {
+        cold_start_weight: small(settings.scheduling.cold_start_weight),
+        idle_weight: small(settings.scheduling.idle_weight),
+        keep_alive: keep_alive(&settings.scheduling),
+        store_loads_per_second: small(settings.store.loads_per_second),
+        store_concurrent_loads: small(settings.store.concurrent_loads),
+        store_bytes_per_second: settings.store.bytes_per_second,
+        ..SchedulerSettings::default()
+    }
+}
+
+fn keep_alive(section: &ControlSchedulingSection) -> KeepAlive {
+    match section.keep_alive.as_str() {
+        "fixed" => KeepAlive::Fixed(millis(section.fixed_keep_alive_ms)),
+        "least-recently-used" => KeepAlive::LeastRecentlyUsed,
+        "always" => KeepAlive::AlwaysLoaded,
+        _ => KeepAlive::Adaptive,
+    }
+}
+
+/// A router's process settings from its settings file.
+pub fn router_process(settings: &RouterSettings) -> Result<RouterProcessSettings> {
+    let mut process = RouterProcessSettings {
+        routing: routing(settings),
+        listen: address(&settings.router.listen)?,
+        metrics_listen: address(&settings.router.metrics_listen)?,
+        control_members: settings
+            .control
+            .members
+            .iter()
+            .map(|member| address(member))
+            .collect::<Result<_>>()?,
+        drain_grace: millis(settings.drain.grace_ms),
+        ..RouterProcessSettings::default()
+    };
+    process.limits.maximum_connections = count(settings.limits.maximum_connections);
+    process.limits.maximum_body_bytes = count(settings.limits.maximum_body_bytes);
+    process.limits.header_timeout = millis(settings.limits.header_timeout_ms);
+    process.limits.body_timeout = millis(settings.limits.body_timeout_ms);
+    process.limits.default_deadline = millis(settings.limits.default_deadline_ms);
+    process.limits.maximum_deadline = millis(settings.limits.maximum_deadline_ms);
+    process.limits.maximum_recorded_bytes = count(settings.claims.maximum_answer_bytes);
+    process.watch.interval = millis(settings.reports.watch_interval_ms);
+    Ok(process)
+}
+
+fn routing(settings: &RouterSettings) -> RoutingSettings {
+    RoutingSettings {
+        group: group(settings.router.group),
+        router: settings.router.name.as_str().into(),
+        incarnation: Incarnation(0),
+        zone: settings.router.zone.as_str().into(),
+        address: String::new(),
+        report_interval: millis(settings.reports.interval_ms),
+        minimum_report_interval: millis(settings.reports.minimum_interval_ms),
+        maximum_waiting: count(settings.limits.maximum_waiting),
+        maximum_attempts: small(settings.retries.maximum_attempts),
+        retry_budget_percent: small(settings.retries.budget_percent),
+        circuit_failures: small(settings.retries.circuit_failures),
+        circuit_open: millis(settings.retries.circuit_open_ms),
+        claim_timeout: millis(settings.claims.timeout_ms),
+    }
+}
+
+fn group(number: u64) -> GroupId {
+    GroupId(small(number))
+}
+
+fn millis(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+/// The schema's ranges keep these within 32 bits.
+fn small(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+fn count(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
+fn non_empty(text: &str) -> Option<String> {
+    (!text.is_empty()).then(|| text.to_owned())
+}
+
+fn address(text: &str) -> Result<SocketAddr> {
+    text.parse()
+        .with_context(|| format!("{text} is not an IP address with port"))
+}
--- /dev/null
+++ b/crates/millpass-cli/tests/dev.rs
@@ -0,0 +1,142 @@
+//! `millpass dev` end to end, over loopback: a cold request is served by one decided replica, a
+//! policy refuses, a repeat of a request that may not be repeated gets the recorded answer.
+
+use millpass_cli::dev::DevDeployment;
+use serde_json::Value;
+use std::net::{Ipv4Addr, SocketAddr};
+
+struct Answer {
+    status: u16,
+    request_id: String,
+    executed: Option<String>,
+    body: String,
+}
+
+fn start(folder: &tempfile::TempDir) -> DevDeployment {
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    DevDeployment::start(any_port, &folder.path().join("control")).expect("start")
+}
+
+fn post(
+    deployment: &DevDeployment,
+    path: &str,
+    key: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let mut request = agent
+        .post(format!("http://{}{path}", deployment.address()))
+        .header("Authorization", format!("Bearer {key}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut answer = request.send(body).expect("answer");
+    let header = |answer: &ureq::http::Response<ureq::Body>, name: &str| {
+        answer
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned)
+    };
+    Answer {
+        status: answer.status().as_u16(),
+        request_id: header(&answer, "x-request-id").unwrap_or_default(),
+        executed: header(&answer, "millpass-executed"),
+        body: answer.body_mut().read_to_string().expect("body"),
+    }
+}
+
+#[test]
+fn a_burst_of_cold_requests_is_served_by_one_replica() {
+    let folder = tempfile::tempdir().expect("folder");
+    let deployment = start(&folder);
+    let body = r#"{"model":"translator","prompt":"nonce=n1 hello","max_tokens":4,"stream":true}"#;
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..8)
+            .map(|_| scope.spawn(|| post(&deployment, "/v1/completions", "demo-key", &[], body)))
+            .collect();
+        for call in calls {
+            let answer = call.join().expect("call");
+            assert_eq!(answer.status, 200, "{}", answer.body);
+            assert!(
+                answer.body.trim_end().ends_with("data: [DONE]"),
+                "{}",
+                answer.body
+            );
+        }
+    });
+    let loads: u64 = deployment
+        .engines()
+        .iter()
+        .map(|engine| engine.audit().model_loads)
+        .sum();
+    assert_eq!(loads, 1);
+    deployment.stop();
+}
+
+#[test]
+fn a_policy_refusal_is_explained() {
+    let folder = tempfile::tempdir().expect("folder");
+    let deployment = start(&folder);
+    let body = r#"{"model":"translator","prompt":"hello"}"#;
+    let answer = post(&deployment, "/v1/completions", "guest-key", &[], body);
+    assert_eq!(answer.status, 403, "{}", answer.body);
+    assert_eq!(answer.executed.as_deref(), Some("no"));
+    let error: Value = serde_json::from_str(&answer.body).expect("json");
+    assert_eq!(error["error"]["code"], "policy_denied");
+    let url = format!(
+        "http://{}/v1/explain/{}",
+        deployment.metrics_address(),
+        answer.request_id
+    );
+    let explained = ureq::get(url)
+        .call()
+        .expect("explain")
+        .body_mut()
+        .read_to_string()
+        .expect("text");
+    assert!(explained.contains("policy"), "{explained}");
+    deployment.stop();
+}
+
+#[test]
+fn a_repeat_gets_the_recorded_answer() {
+    let folder = tempfile::tempdir().expect("folder");
+    let deployment = start(&folder);
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [("Idempotency-Key", key.as_str())];
+    let first = post(
+        &deployment,
+        "/pages/publish",
+        "demo-key",
+        &headers,
+        "total=1",
+    );
+    assert_eq!(first.status, 200, "{}", first.body);
+    let second = post(
+        &deployment,
+        "/pages/publish",
+        "demo-key",
+        &headers,
+        "total=1",
+    );
+    assert_eq!(
+        (second.status, second.body.as_str()),
+        (200, first.body.as_str())
+    );
+    let other = post(
+        &deployment,
+        "/pages/publish",
+        "demo-key",
+        &headers,
+        "total=2",
+    );
+    assert_eq!(other.status, 422, "{}", other.body);
+    let without = post(&deployment, "/pages/publish", "demo-key", &[], "total=1");
+    assert_eq!(without.status, 400, "{}", without.body);
+    deployment.stop();
+}
