--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -362,7 +362,7 @@
     }
 
     /// Sends a router's message on a connection.
-    pub fn from_router(&mut self, connection: ConnectionId, message: RouterToControl) {
+    pub fn router_sends(&mut self, connection: ConnectionId, message: RouterToControl) {
         let member = self.connection_member[&connection];
         if self.reachable(member) {
             let input = ControlInput::Router {
--- a/crates/millpass-control-plane/tests/harness/router.rs
+++ b/crates/millpass-control-plane/tests/harness/router.rs
@@ -52,7 +52,7 @@
             zone: self.zone.clone(),
             address: "127.0.0.1:1".to_owned(),
         };
-        world.from_router(self.connection, RouterToControl::Hello(hello));
+        world.router_sends(self.connection, RouterToControl::Hello(hello));
     }
 
     /// Connects to a member, as the same run or as a new one.
@@ -87,7 +87,7 @@
             observations,
             draining: false,
         };
-        world.from_router(self.connection, RouterToControl::Report(report));
+        world.router_sends(self.connection, RouterToControl::Report(report));
         self.receive(world);
     }
 
@@ -146,7 +146,7 @@
     /// Asks for a claim and takes the answers.
     pub fn begin(&mut self, world: &mut World, claim: ClaimBegin) {
         let message = RouterToControl::Claim(ClaimRequest { claim });
-        world.from_router(self.connection, message);
+        world.router_sends(self.connection, message);
         self.receive(world);
     }
 }
