Client of the administration API split into sending, calls and errors

Ruled out: nothing. Change: modules client, client::call and client::error; no change in behaviour. Conclusion: one job a module.

--- a/crates/millpass-control/src/client.rs
+++ b/crates/millpass-control/src/client/mod.rs
@@ -5,15 +5,18 @@
 //! safe: a change takes effect once however often it is sent, and the other calls state what is
 //! to be, so that a repeat does nothing more.
 
+mod call;
+mod error;
+
+pub use error::ClientError;
+
 use crate::api::{
-    AcceptedBody, AuditBody, BackendStateBody, ChangeBody, ErrorBody, ErrorDetail,
-    MAXIMUM_BODY_BYTES, MembershipBody, ObjectBody, ObjectsBody, StatusBody, backend_state_word,
-    kind_plural,
+    AcceptedBody, AuditBody, BackendStateBody, ChangeBody, ErrorBody, MembershipBody, ObjectBody,
+    ObjectsBody, StatusBody, backend_state_word, kind_plural,
 };
+use call::{Call, encode, object_path};
 use http::{Method, StatusCode};
 use millpass_proto::{BackendState, Duration, ObjectKind};
-use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -32,65 +35,6 @@
 /// Largest answer read, in bytes.
 const MAXIMUM_ANSWER_BYTES: u64 = 256 * 1024 * 1024;
 
-/// Why a call failed.
-#[derive(Debug, thiserror::Error)]
-pub enum ClientError {
-    /// No address was given.
-    #[error("no address of a control member was given; name at least one, IP:port")]
-    NoAddress,
-    /// The key is not accepted.
-    #[error("{message}; {remedy}")]
-    Unauthenticated {
-        /// What is wrong.
-        message: String,
-        /// What to do.
-        remedy: String,
-    },
-    /// The role does not allow it.
-    #[error("{message}; {remedy}")]
-    Forbidden {
-        /// What is wrong.
-        message: String,
-        /// What to do.
-        remedy: String,
-    },
-    /// Somebody else changed the object first; nothing was changed.
-    #[error(
-        "the object is at version {current_version} by now (0: it does not exist) and nothing was \
-         changed; read it and submit the change against that version"
-    )]
-    Conflict {
-        /// Version of the object now; 0 if it does not exist.
-        current_version: u64,
-    },
-    /// The request is not accepted; nothing was changed.
-    #[error("{} ({status}); {}", .detail.message, .detail.remedy)]
-    Rejected {
-        /// Status of the answer.
-        status: u16,
-        /// Reason and remedy, for a policy with the place in it.
-        detail: Box<ErrorDetail>,
-    },
-    /// The deadline is over and no member took the call; nothing was changed.
-    #[error("no control member took the call in time ({last}); check the addresses, and retry")]
-    Unavailable {
-        /// What the last try met.
-        last: String,
-    },
-    /// The deadline is over and the answer was lost: it may have been done or may yet be.
-    #[error(
-        "the answer was lost ({last}) and the outcome is unknown; read the state before you \
-         submit anything else, or resend with the same change id"
-    )]
-    OutcomeUnknown {
-        /// What the last try met.
-        last: String,
-    },
-    /// The answer is no body of this interface.
-    #[error("the answer was not understood ({0}); use the client of the members' release")]
-    NotUnderstood(String),
-}
-
 /// A client of the administration API.
 #[derive(Clone, Debug)]
 pub struct AdministrationClient {
@@ -102,15 +46,6 @@
     deadline: Duration,
 }
 
-/// A call, ready to be sent any number of times.
-struct Call {
-    method: Method,
-    path: String,
-    body: Vec<u8>,
-    /// Whether it changes something.
-    changes: bool,
-}
-
 /// What one try met.
 enum Tried {
     /// The answer.
@@ -308,45 +243,6 @@
     }
 }
 
-impl Call {
-    fn read(path: String) -> Self {
-        Call {
-            method: Method::GET,
-            path,
-            body: Vec::new(),
-            changes: false,
-        }
-    }
-
-    fn change<T: Serialize>(method: Method, path: String, body: &T) -> Result<Self, ClientError> {
-        let body = serde_json::to_vec(body);
-        let body = body.map_err(|error| ClientError::NotUnderstood(error.to_string()))?;
-        if body.len() > MAXIMUM_BODY_BYTES {
-            return Err(too_large());
-        }
-        Ok(Call {
-            method,
-            path,
-            body,
-            changes: true,
-        })
-    }
-}
-
-/// Refused here: a member that refuses a body it has not read whole may cut the connection
-/// before its answer is read.
-fn too_large() -> ClientError {
-    ClientError::Rejected {
-        status: StatusCode::PAYLOAD_TOO_LARGE.as_u16(),
-        detail: Box::new(ErrorDetail {
-            kind: "body_too_large".to_owned(),
-            message: format!("the body exceeds the limit of {MAXIMUM_BODY_BYTES} bytes"),
-            remedy: "split the object".to_owned(),
-            ..ErrorDetail::default()
-        }),
-    }
-}
-
 /// What an answer means for the call.
 fn judge(status: StatusCode, body: Vec<u8>) -> Tried {
     if status.is_success() {
@@ -393,11 +289,3 @@
         last: format!("the request cannot be written: {error}"),
     }
 }
-
-fn object_path(kind: ObjectKind, name: &str) -> String {
-    format!("/v1/{}/{}", kind_plural(kind), encode(name))
-}
-
-fn encode(text: &str) -> String {
-    utf8_percent_encode(text, NON_ALPHANUMERIC).to_string()
-}
