--- a/crates/millpass-control/src/api/status.rs
+++ b/crates/millpass-control/src/api/status.rs
@@ -41,6 +41,8 @@
     pub peer_address: String,
     /// Milliseconds since it last answered the leader; none for the leader itself.
     pub silent_millis: Option<u64>,
+    /// Last log index known to be synced there; none for the leader itself.
+    pub match_index: Option<u64>,
 }
 
 /// One router.
@@ -172,6 +174,7 @@
         role: role.to_owned(),
         peer_address: address.peer_address.clone(),
         silent_millis: known.map(|progress| progress.silent_millis),
+        match_index: known.map(|progress| progress.match_index),
     }
 }
 
--- a/crates/millpass-control/src/client/mod.rs
+++ b/crates/millpass-control/src/client/mod.rs
@@ -40,8 +40,10 @@
 pub struct AdministrationClient {
     agent: Agent,
     addresses: Vec<String>,
-    /// Address asked next.
+    /// Address asked next: one of the list, or a leader that was named.
     current: String,
+    /// Place in the list where the round goes on, whatever leaders were named meanwhile.
+    next: usize,
     key: String,
     deadline: Duration,
 }
@@ -73,6 +75,7 @@
             agent: config.into(),
             current: addresses.first().cloned().unwrap_or_default(),
             addresses,
+            next: 1,
             key: key.into(),
             deadline: DEFAULT_DEADLINE,
         }
@@ -196,12 +199,11 @@
     fn turn_to(&mut self, leader: Option<String>) {
         // Only an address as members state it is followed, never any other text.
         let leader = leader.filter(|address| address.parse::<SocketAddr>().is_ok());
-        let place = self
-            .addresses
-            .iter()
-            .position(|known| *known == self.current);
-        let next = place.map_or(0, |place| (place + 1) % self.addresses.len());
-        self.current = leader.unwrap_or_else(|| self.addresses[next].clone());
+        self.current = leader.unwrap_or_else(|| {
+            let next = self.next % self.addresses.len();
+            self.next = next + 1;
+            self.addresses[next].clone()
+        });
     }
 
     fn send(&self, call: &Call, timeout: Duration) -> Tried {
--- a/crates/millpass-control/tests/administration_api.rs
+++ b/crates/millpass-control/tests/administration_api.rs
@@ -386,6 +386,18 @@
     assert_eq!(follower.group.revision(), 3);
 }
 
+#[test]
+fn the_client_does_not_stay_with_a_member_that_names_a_dead_leader() {
+    let leader = Fixture::with_operators();
+    let dead = Fixture::empty();
+    let follower = Fixture::with_operators();
+    follower.group.follow(Some(dead.address()));
+    dead.server.stop();
+    let addresses = vec![follower.address(), leader.address()];
+    let mut client = AdministrationClient::new(addresses, VIEWER_KEY);
+    assert_eq!(client.list(ObjectKind::Operator).unwrap().len(), 3);
+}
+
 #[test]
 fn the_client_tells_unknown_from_not_done() {
     let fixture = Fixture::with_operators();
