--- a/crates/millpass-control/src/client/mod.rs
+++ b/crates/millpass-control/src/client/mod.rs
@@ -44,8 +44,8 @@
     addresses: Vec<String>,
     /// Address asked next: one of the list, or a leader that was named.
     current: String,
-    /// Place in the list where the round goes on, whatever leaders were named meanwhile.
-    next: usize,
+    /// Place in the list of the address to ask when no leader is named.
+    next_place: usize,
     key: String,
     deadline: Duration,
 }
@@ -77,8 +77,8 @@
         AdministrationClient {
             agent: config.into(),
             current: addresses.first().cloned().unwrap_or_default(),
+            next_place: 1,
             addresses,
-            next: 1,
             key: key.into(),
             deadline: DEFAULT_DEADLINE,
         }
@@ -198,14 +198,15 @@
         }
     }
 
-    /// Asks the leader next if one was named, else the next address of the list.
+    /// Asks the leader next if one was named, else the next address of the list. The list goes on
+    /// where it was: a follower that names an unreachable leader must not hide the others.
     fn turn_to(&mut self, leader: Option<String>) {
         // Only an address as members state it is followed, never any other text.
         let leader = leader.filter(|address| address.parse::<SocketAddr>().is_ok());
         self.current = leader.unwrap_or_else(|| {
-            let next = self.next % self.addresses.len();
-            self.next = next + 1;
-            self.addresses[next].clone()
+            let place = self.next_place % self.addresses.len();
+            self.next_place = place + 1;
+            self.addresses[place].clone()
         });
     }
 
