One explanation of a request, kept by the routing core

Cause: the router process kept its own bounded table of steps for each request beside the routing core's ring of decisions: attempts, waits and ends were written down twice, and the answer of /v1/explain/ joined the two. Ruled out: leaving the steps in the process and dropping the core's ring; the simulator drives the core alone and would have no explanations. An index from request id to number in the process: one more lock and two allocations for each request, and it would forget at another time than the core. Change: an arrival carries its request id into the core; an explanation holds the refusal as given, each attempt with back end, start, end and result, and what a waiting request waits for. Requests that were given up are kept apart from the others (4,096 of each), so that answers don't push refusals out. The process only turns an explanation into JSON. The setting explained_requests is gone; the bound is the core's constant. Malformed requests get a log line. Before and after: explain.rs of the process 132 lines with a table, a lock and a second ring; now 98 lines without state.

--- a/crates/millpass-router/src/caller.rs
+++ b/crates/millpass-router/src/caller.rs
@@ -61,19 +61,6 @@
             stream,
         })
     }
-
-    /// The target in a few words, for logs and explanations.
-    pub(crate) fn target_name(&self) -> String {
-        match &self.target {
-            Target::Model {
-                model,
-                adapter: Some(adapter),
-                ..
-            } => format!("{model}:{adapter}"),
-            Target::Model { model, .. } => model.to_string(),
-            Target::Web { path, .. } => path.split('?').next().unwrap_or_default().to_owned(),
-        }
-    }
 }
 
 /// Takes the caller's request id if it is well formed, or makes one.
--- a/crates/millpass-router/src/driver.rs
+++ b/crates/millpass-router/src/driver.rs
@@ -16,8 +16,8 @@
 use crossbeam::channel::Sender;
 use millpass_proto::{ClaimRequest, RouterToControl, Timestamp};
 use millpass_routing::{
-    Explanation, RequestNumber, Routing, RoutingEvent, RoutingInput, RoutingOutput,
-    RoutingSettings, RoutingSnapshot,
+    Explanation, Routing, RoutingEvent, RoutingInput, RoutingOutput, RoutingSettings,
+    RoutingSnapshot,
 };
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -94,10 +94,10 @@
         core.snapshot(self.clock.now())
     }
 
-    /// Why a request stands as it does in the core, or ended as it did.
-    pub(crate) fn explain(&self, request: RequestNumber) -> Option<Explanation> {
+    /// Why a request stands as it does, or ended as it did.
+    pub(crate) fn explain(&self, request_id: &str) -> Option<Explanation> {
         let core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
-        core.explain(request, self.clock.now())
+        core.explain_by_id(request_id, self.clock.now())
     }
 
     /// Sets the gauges that are read when asked for.
--- a/crates/millpass-router/src/exchange.rs
+++ b/crates/millpass-router/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::attempt::AttemptControl;
 use crate::backend::{BackendAnswer, Outgoing, passed_on};
 use crate::caller::CallerRequest;
-use crate::explain::RequestSteps;
+use crate::explain::failure_word;
 use crate::process::Shared;
 use crate::refusal::{ErrorAnswer, REQUEST_ID_HEADER};
 use crate::requests::Signal;
@@ -52,7 +52,6 @@
     backend_request_id: String,
     arrived: Timestamp,
     deadline: Timestamp,
-    steps: Arc<RequestSteps>,
     caller: CallerSide,
     /// Tokens passed on.
     tokens: u64,
@@ -72,8 +71,6 @@
     ) -> Self {
         let number = shared.next_request();
         let arrived = shared.driver.clock.now();
-        let steps = Arc::new(RequestSteps::new(number, arrived, read.target_name()));
-        shared.explanations.add(&request_id, steps.clone());
         let incarnation = shared.incarnation;
         Exchange {
             deadline: arrived + read.deadline,
@@ -84,7 +81,6 @@
             read,
             request_id,
             arrived,
-            steps,
             caller: CallerSide::Waiting(responder),
             tokens: 0,
             recorded: Vec::new(),
@@ -100,6 +96,7 @@
         driver.metrics.in_flight.inc();
         driver.step(RoutingInput::Arrived(Arrival {
             request: self.number,
+            request_id: self.request_id.clone(),
             api_key: std::mem::take(&mut self.read.api_key),
             target: self.read.target.clone(),
             deadline: self.deadline,
@@ -149,7 +146,7 @@
 
     /// Sends one attempt and passes its answer on. Says whether that was the whole answer.
     fn attempt(&mut self, dispatch: &Dispatch, control: &Arc<AttemptControl>) -> bool {
-        self.note_dispatch(dispatch);
+        self.note_dispatch();
         let outgoing = Outgoing {
             request: &self.request,
             request_id: &self.backend_request_id,
@@ -173,19 +170,14 @@
         }
     }
 
-    fn note_dispatch(&mut self, dispatch: &Dispatch) {
-        let driver = &self.shared.driver;
-        let now = driver.clock.now();
-        if !self.dispatched {
-            self.dispatched = true;
-            let waited = now.since(self.arrived).as_secs_f64();
-            driver.metrics.wait_seconds.observe(waited);
+    fn note_dispatch(&mut self) {
+        if self.dispatched {
+            return;
         }
-        let detail = format!(
-            "attempt={} backend={} resume_from={}",
-            dispatch.attempt, dispatch.backend, dispatch.resume_from
-        );
-        self.steps.add(now, "dispatched", detail);
+        self.dispatched = true;
+        let driver = &self.shared.driver;
+        let waited = driver.clock.now().since(self.arrived);
+        driver.metrics.wait_seconds.observe(waited.as_secs_f64());
     }
 
     fn attempt_failed(
@@ -195,10 +187,8 @@
         control: &AttemptControl,
     ) {
         let driver = self.shared.driver.clone();
-        let now = driver.clock.now();
         if control.is_cancelled() {
             driver.metrics.count_attempt("cancelled");
-            self.steps.add(now, "cancelled", String::new());
             if control.may_have_sent() && dispatch.slot.is_some() {
                 let backends = &self.shared.backends;
                 backends.cancel(&dispatch.address, &self.backend_request_id);
@@ -206,9 +196,8 @@
             // The core cancelled it and needs no word.
             return;
         }
-        let (result, detail) = describe(failure);
+        let result = failure_word(failure);
         driver.metrics.count_attempt(result);
-        self.steps.add(now, result, detail);
         let backend = &dispatch.backend;
         let request_id = &self.request_id;
         log::warn!("event=attempt_failed request={request_id} backend={backend} result={result}");
@@ -310,8 +299,6 @@
 
     fn completed(&self, answer: Option<RecordedAnswer>) {
         let driver = &self.shared.driver;
-        let detail = format!("tokens={}", self.tokens);
-        self.steps.add(driver.clock.now(), "completed", detail);
         driver.step(RoutingInput::Completed {
             request: self.number,
             answer,
@@ -407,8 +394,6 @@
 
     /// Answers with a refusal, or breaks an open stream off with it. Returns the outcome.
     fn refuse(&mut self, error: &ErrorAnswer) -> &'static str {
-        let now = self.shared.driver.clock.now();
-        self.steps.add(now, "refused", error.message.clone());
         let (request, code) = (&self.request_id, error.code);
         log::info!(
             "event=request_refused request={request} code={code} tokens={}",
@@ -490,15 +475,6 @@
     }
 }
 
-fn describe(failure: AttemptFailure) -> (&'static str, String) {
-    match failure {
-        AttemptFailure::NotSent => ("not_sent", String::new()),
-        AttemptFailure::RefusedByBackend => ("refused_by_backend", String::new()),
-        AttemptFailure::MayHaveRun => ("may_have_run", String::new()),
-        AttemptFailure::BrokenOff { tokens } => ("broken_off", format!("tokens={tokens}")),
-    }
-}
-
 fn is_event_stream(answer: &BackendAnswer) -> bool {
     let content_type = answer.headers().get(CONTENT_TYPE);
     let text = content_type.and_then(|value| value.to_str().ok());
--- a/crates/millpass-router/src/explain.rs
+++ b/crates/millpass-router/src/explain.rs
@@ -1,132 +1,98 @@
-//! What became of recent requests, for `/v1/explain/{request}`.
-
-use millpass_proto::Timestamp;
-use millpass_routing::{Explanation, RequestNumber};
-use serde::Serialize;
-use std::collections::{HashMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-
-/// Most steps kept for one request.
-const MAXIMUM_STEPS: usize = 32;
-
-/// One step of a request's way.
-#[derive(Clone, Debug, Serialize)]
-struct Step {
-    /// Milliseconds since the request arrived.
-    at_millis: u64,
-    /// What happened.
-    event: &'static str,
-    /// Details: back end, reason and the like; never content of the request.
-    detail: String,
-}
-
-/// Steps of one request so far.
-#[derive(Debug)]
-pub(crate) struct RequestSteps {
-    number: RequestNumber,
-    arrived: Timestamp,
-    target: String,
-    steps: Mutex<Vec<Step>>,
+//! The decision core's explanation of a request as JSON, for `/v1/explain/{request id}`.
+
+use crate::refusal::ErrorAnswer;
+use millpass_routing::{
+    AttemptEnd, AttemptFailure, AttemptRecord, Explanation, Outcome, WaitReason,
+};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// An explanation as JSON. It holds names, times and reasons; never content of the request.
+pub(crate) fn explanation_json(explanation: &Explanation) -> Value {
+    let request_id = &explanation.request_id;
+    let refusal = explanation.refusal.clone().map(ErrorAnswer::from);
+    let attempts: Vec<Value> = explanation.attempts.iter().map(attempt_json).collect();
+    json!({
+        "request_id": request_id,
+        "tenant": explanation.tenant,
+        "target": explanation.target,
+        "urgency": explanation.urgency,
+        "policy": explanation.policy,
+        "outcome": outcome_word(explanation.outcome),
+        "waiting_for": explanation.waiting_for.map(wait_sentence),
+        "refusal": refusal.map(|refusal| refusal.details(request_id)),
+        "attempts": attempts,
+        "waited_ms": millis(explanation.waited),
+        "total_ms": millis(explanation.total),
+    })
 }
 
-impl RequestSteps {
-    pub(crate) fn new(number: RequestNumber, arrived: Timestamp, target: String) -> Self {
-        RequestSteps {
-            number,
-            arrived,
-            target,
-            steps: Mutex::new(Vec::new()),
-        }
-    }
-
-    /// Adds a step; beyond the bound it is left out.
-    pub(crate) fn add(&self, now: Timestamp, event: &'static str, detail: String) {
-        let mut steps = self.lock();
-        if steps.len() < MAXIMUM_STEPS {
-            let at_millis = now.since(self.arrived).as_millis() as u64;
-            steps.push(Step {
-                at_millis,
-                event,
-                detail,
-            });
-        }
-    }
-
-    /// Number of the request in the decision core.
-    pub(crate) fn number(&self) -> RequestNumber {
-        self.number
-    }
-
-    /// The steps, with what the decision core says, as JSON.
-    pub(crate) fn to_json(&self, request: &str, core: Option<&Explanation>) -> serde_json::Value {
-        let steps = self.lock();
-        serde_json::json!({
-            "request_id": request,
-            "target": self.target,
-            "steps": *steps,
-            "decision": core.map(decision_json),
-        })
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Vec<Step>> {
-        self.steps.lock().unwrap_or_else(PoisonError::into_inner)
+/// How an attempt failed, in one word; also a label of metrics.
+pub(crate) fn failure_word(failure: AttemptFailure) -> &'static str {
+    match failure {
+        AttemptFailure::NotSent => "not_sent",
+        AttemptFailure::RefusedByBackend => "refused_by_backend",
+        AttemptFailure::MayHaveRun => "may_have_run",
+        AttemptFailure::BrokenOff { .. } => "broken_off",
     }
 }
 
-/// The most recent requests, by request id; bounded.
-#[derive(Debug)]
-pub(crate) struct ExplainTable {
-    maximum: usize,
-    recent: Mutex<Recent>,
+fn attempt_json(attempt: &AttemptRecord) -> Value {
+    let (ended, result) = match attempt.ended {
+        Some((ended, end)) => (Some(millis(ended)), end_word(end)),
+        None => (None, "in_flight"),
+    };
+    json!({
+        "backend": attempt.backend,
+        "resume_from": attempt.resume_from,
+        "started_ms": millis(attempt.started),
+        "ended_ms": ended,
+        "result": result,
+    })
 }
 
-#[derive(Debug, Default)]
-struct Recent {
-    by_request: HashMap<Arc<str>, Arc<RequestSteps>>,
-    order: VecDeque<Arc<str>>,
+fn end_word(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Completed => "completed",
+        AttemptEnd::Failed(failure) => failure_word(failure),
+        AttemptEnd::Cancelled => "cancelled",
+    }
 }
 
-impl ExplainTable {
-    pub(crate) fn new(maximum: usize) -> Self {
-        ExplainTable {
-            maximum: maximum.max(1),
-            recent: Mutex::new(Recent::default()),
-        }
+fn outcome_word(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::AwaitingClaim => "awaiting_claim",
+        Outcome::Waiting => "waiting",
+        Outcome::InFlight => "in_flight",
+        Outcome::Completed => "completed",
+        Outcome::Replayed => "replayed",
+        Outcome::Refused(_) => "refused",
+        Outcome::BrokenOff(_) => "broken_off",
+        Outcome::CallerGone => "caller_gone",
     }
+}
 
-    /// Adds a request; the oldest one is forgotten when there are too many.
-    pub(crate) fn add(&self, request: &str, steps: Arc<RequestSteps>) {
-        let mut recent = self.lock();
-        let request: Arc<str> = request.into();
-        if recent.by_request.insert(request.clone(), steps).is_none() {
-            recent.order.push_back(request);
+fn wait_sentence(reason: WaitReason) -> String {
+    match reason {
+        WaitReason::BackendsBusy => "all back ends that serve it are busy".to_owned(),
+        WaitReason::ReadyIn(time) => {
+            format!("a back end is expected to be ready in {} ms", millis(time))
         }
-        if recent.order.len() > self.maximum
-            && let Some(oldest) = recent.order.pop_front()
-        {
-            recent.by_request.remove(&oldest);
+        WaitReason::Unplaceable => {
+            "no replica can be placed as things stand; capacity is used up".to_owned()
+        }
+        WaitReason::NoBackend => "its group has no back end".to_owned(),
+        WaitReason::VersionGone => {
+            "no replica is left of the version that its stream began with".to_owned()
+        }
+        WaitReason::DemandReported => {
+            "no replica is loaded; the control group was told of the demand and has not said when \
+             one will be ready"
+                .to_owned()
         }
-    }
-
-    /// The steps of a request, unless it is forgotten.
-    pub(crate) fn get(&self, request: &str) -> Option<Arc<RequestSteps>> {
-        self.lock().by_request.get(request).cloned()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Recent> {
-        self.recent.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn decision_json(core: &Explanation) -> serde_json::Value {
-    serde_json::json!({
-        "tenant": core.tenant.as_ref().map(ToString::to_string),
-        "urgency": core.urgency.map(|urgency| format!("{urgency:?}").to_ascii_lowercase()),
-        "policy": core.policy.as_ref().map(ToString::to_string),
-        "outcome": format!("{:?}", core.outcome),
-        "backend": core.backend.as_ref().map(ToString::to_string),
-        "attempts": core.attempts,
-        "waited_millis": core.waited.as_millis() as u64,
-        "total_millis": core.total.as_millis() as u64,
-    })
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
 }
--- a/crates/millpass-router/src/handler.rs
+++ b/crates/millpass-router/src/handler.rs
@@ -2,6 +2,7 @@
 
 use crate::caller::{self, CallerRequest};
 use crate::exchange::Exchange;
+use crate::explain::explanation_json;
 use crate::models::NoList;
 use crate::process::Shared;
 use crate::refusal::ErrorAnswer;
@@ -37,6 +38,8 @@
             }
             Err(error) => {
                 self.shared.driver.metrics.count_request(error.code);
+                let code = error.code;
+                log::info!("event=request_malformed request={request_id} code={code}");
                 responder.send(error.response(&request_id));
             }
         }
@@ -135,15 +138,16 @@
     }
 
     fn explain(&self, request_id: &str) -> Response {
-        let Some(steps) = self.shared.explanations.get(request_id) else {
-            let error = serde_json::json!({"error": {
-                "code": "not_found",
-                "message": "this router knows no request of this id, or no longer; ask the router \
-                            that answered it",
-            }});
-            return Response::json(StatusCode::NOT_FOUND, &error);
-        };
-        let core = self.shared.driver.explain(steps.number());
-        Response::json(StatusCode::OK, &steps.to_json(request_id, core.as_ref()))
+        match self.shared.driver.explain(request_id) {
+            Some(explanation) => Response::json(StatusCode::OK, &explanation_json(&explanation)),
+            None => {
+                let error = serde_json::json!({"error": {
+                    "code": "not_found",
+                    "message": "this router knows no request of this id, or no longer; ask the \
+                                router that answered it, and look for the id in its log",
+                }});
+                Response::json(StatusCode::NOT_FOUND, &error)
+            }
+        }
     }
 }
--- a/crates/millpass-router/src/process.rs
+++ b/crates/millpass-router/src/process.rs
@@ -3,7 +3,6 @@
 use crate::backend::BackendClient;
 use crate::clock::Clock;
 use crate::driver::Driver;
-use crate::explain::ExplainTable;
 use crate::handler::{CallerHandler, ObservationHandler};
 use crate::link::{Link, LinkStopper};
 use crate::metrics::Metrics;
@@ -34,7 +33,6 @@
     pub(crate) driver: Arc<Driver>,
     pub(crate) backends: BackendClient,
     pub(crate) limits: CallerLimits,
-    pub(crate) explanations: ExplainTable,
     pub(crate) models: Arc<ModelsView>,
     next_request: AtomicU64,
     draining: AtomicBool,
@@ -110,7 +108,6 @@
         incarnation: settings.routing.incarnation,
         backends: BackendClient::new(settings.backends.clone(), clock),
         limits: settings.limits.clone(),
-        explanations: ExplainTable::new(settings.explained_requests),
         models: driver.models.clone(),
         driver,
         next_request: AtomicU64::new(1),
--- a/crates/millpass-router/src/refusal.rs
+++ b/crates/millpass-router/src/refusal.rs
@@ -61,6 +61,11 @@
     }
 
     fn json(&self, request_id: &str) -> serde_json::Value {
+        serde_json::json!({"error": self.details(request_id)})
+    }
+
+    /// What the caller is told, as JSON.
+    pub(crate) fn details(&self, request_id: &str) -> serde_json::Value {
         let mut error = serde_json::json!({
             "code": self.code,
             "message": self.message,
@@ -70,7 +75,7 @@
         if let Some(retry_after) = self.retry_after {
             error["retry_after_ms"] = (retry_after.as_millis() as u64).into();
         }
-        serde_json::json!({"error": error})
+        error
     }
 }
 
--- a/crates/millpass-router/src/settings.rs
+++ b/crates/millpass-router/src/settings.rs
@@ -29,8 +29,6 @@
     pub tick_interval: Duration,
     /// Longest a planned stop waits for requests in flight.
     pub drain_grace: Duration,
-    /// Requests that `/v1/explain/` remembers.
-    pub explained_requests: usize,
 }
 
 /// Bounds of the caller API.
@@ -125,7 +123,6 @@
             watch: WatchSettings::default(),
             tick_interval: Duration::from_millis(5),
             drain_grace: Duration::from_secs(30),
-            explained_requests: 4_096,
         }
     }
 }
--- a/crates/millpass-routing/examples/steps.rs
+++ b/crates/millpass-routing/examples/steps.rs
@@ -117,6 +117,7 @@
 fn arrival(request: RequestNumber, tenant: u64, model: u64, now: Timestamp) -> Arrival {
     Arrival {
         request,
+        request_id: String::new(),
         api_key: format!("key-{tenant}"),
         target: Target::Model {
             model: ModelName(format!("model-{model}")),
--- a/crates/millpass-routing/src/admission.rs
+++ b/crates/millpass-routing/src/admission.rs
@@ -14,6 +14,7 @@
 /// What is known of an arrival that is refused, for its explanation.
 #[derive(Default)]
 struct Known {
+    request_id: String,
     tenant: Option<TenantName>,
     target: String,
     policy: Option<PolicyName>,
@@ -43,7 +44,10 @@
             );
             return;
         }
-        let mut known = Known::default();
+        let mut known = Known {
+            request_id: arrival.request_id.clone(),
+            ..Known::default()
+        };
         let outcome = self
             .admit(arrival, &mut known, step)
             .and_then(|request| self.place(request, step));
@@ -60,24 +64,26 @@
         known: Known,
         step: &mut Step,
     ) {
+        // Of an expired key the control group no longer knows whether its request ran.
+        let executed = match refused.reason {
+            RefusalReason::KeyExpired => Executed::Unknown,
+            _ => Executed::No,
+        };
+        let refusal = refused.into_refusal(executed);
         self.decisions.record(Explanation {
             request: number,
+            request_id: known.request_id,
             tenant: known.tenant,
             target: known.target,
             urgency: None,
             policy: known.policy,
-            outcome: Outcome::Refused(refused.reason),
-            backend: None,
-            attempts: 0,
+            outcome: Outcome::Refused(refusal.reason),
+            waiting_for: None,
+            refusal: Some(refusal.clone()),
+            attempts: Vec::new(),
             waited: Duration::ZERO,
             total: Duration::ZERO,
         });
-        // Of an expired key the control group no longer knows whether its request ran.
-        let executed = match refused.reason {
-            RefusalReason::KeyExpired => Executed::Unknown,
-            _ => Executed::No,
-        };
-        let refusal = refused.into_refusal(executed);
         step.outputs.push(RoutingOutput::Refuse(number, refusal));
     }
 
@@ -113,6 +119,7 @@
         }
         Ok(Request {
             number: arrival.request,
+            request_id: arrival.request_id,
             tenant,
             queue: target.queue,
             kind: target.kind,
@@ -125,14 +132,11 @@
             repeatable: target.repeatable && arrival.idempotency.is_none(),
             claim: arrival.idempotency,
             stage: Stage::Waiting,
-            attempts: 0,
-            tried: Vec::new(),
+            attempts: Vec::new(),
             may_have_run: false,
             answer_started: false,
             tokens: 0,
             detached: false,
-            last_backend: None,
-            first_dispatch: None,
         })
     }
 
--- a/crates/millpass-routing/src/dispatch.rs
+++ b/crates/millpass-routing/src/dispatch.rs
@@ -6,9 +6,10 @@
 //! where its cache is but never piles up on one replica.
 
 use crate::circuit::CircuitState;
+use crate::explain::AttemptRecord;
 use crate::interface::{Dispatch, RequestNumber, RoutingOutput};
 use crate::queues::QueueKey;
-use crate::request::{Attempt, Place, Request, Stage};
+use crate::request::{Attempt, Place, Request};
 use crate::{Routing, Step};
 use millpass_proto::{
     BackendName, EngineRole, GroupName, Incarnation, ReplicaPhase, ReplicaRoute, SlotId, Timestamp,
@@ -75,7 +76,7 @@
             QueueKey::Model { .. } => request.prefix_hash,
             QueueKey::Web(_) => request.number.0,
         };
-        match self.choose(&request.queue, affinity, &request.tried, now) {
+        match self.choose(&request.queue, affinity, &request.attempts, now) {
             Choice::Found(seat) => Some(seat),
             _ => None,
         }
@@ -86,7 +87,7 @@
         &self,
         queue: &QueueKey,
         affinity: u64,
-        tried: &[BackendName],
+        earlier: &[AttemptRecord],
         now: Timestamp,
     ) -> Choice {
         let mut open_until: Option<Timestamp> = None;
@@ -106,7 +107,7 @@
                 continue;
             }
             let class = (
-                tried.contains(candidate.backend),
+                has_tried(earlier, candidate.backend),
                 *candidate.zone != self.settings.zone,
             );
             ranked.push(Ranked {
@@ -194,18 +195,15 @@
         self.load.started(&seat.place);
         self.circuits.dispatched(&seat.backend, seat.incarnation);
         self.table.update(number, |request| {
-            request.attempts += 1;
-            request.tried.push(attempt.backend.clone());
-            request.last_backend = Some(attempt.backend.clone());
-            request.first_dispatch.get_or_insert(step.now);
-            request.stage = Stage::InFlight(Box::new(attempt));
+            request.attempt_started(attempt, step.now);
         });
         let Some(request) = self.table.get(number) else {
             return;
         };
         self.demand.dispatched(&request.queue);
         self.decisions.counters.dispatches += 1;
-        if request.attempts == 1 {
+        let attempt = request.attempts.len() as u32;
+        if attempt == 1 {
             self.budget.first_attempt();
         } else {
             self.decisions.counters.retries += 1;
@@ -213,7 +211,7 @@
         step.outputs
             .push(RoutingOutput::Dispatch(Box::new(Dispatch {
                 request: number,
-                attempt: request.attempts,
+                attempt,
                 tenant: request.tenant.clone(),
                 urgency: request.urgency,
                 backend: seat.backend,
@@ -262,6 +260,10 @@
     }
 }
 
+fn has_tried(earlier: &[AttemptRecord], backend: &BackendName) -> bool {
+    earlier.iter().any(|attempt| attempt.backend == *backend)
+}
+
 /// The best of the candidates with room.
 fn best(ranked: Vec<Ranked<'_>>, affinity: u64) -> Option<Candidate<'_>> {
     let class = ranked.iter().map(|entry| entry.class).min()?;
--- a/crates/millpass-routing/src/explain.rs
+++ b/crates/millpass-routing/src/explain.rs
@@ -1,17 +1,11 @@
-//! What became of each request, for operators: a bounded ring of decisions and counters.
+//! What became of each request and why, for operators.
 
 use crate::Routing;
-use crate::interface::{RefusalReason, RequestNumber};
+use crate::interface::{AttemptFailure, Refusal, RefusalReason, RequestNumber};
 use crate::queues::QueueKey;
+use crate::readiness::Readiness;
 use crate::request::{Request, Stage};
-use millpass_proto::{
-    BackendName, ConfigurationRevision, Duration, PlacementRevision, PolicyName, TenantName,
-    Timestamp, Urgency,
-};
-use std::collections::{BTreeMap, VecDeque};
-
-/// Ended requests that can still be explained.
-pub const EXPLANATIONS_KEPT: usize = 4_096;
+use millpass_proto::{BackendName, Duration, PolicyName, TenantName, Timestamp, Urgency};
 
 /// How a request stands or ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,11 +28,61 @@
     CallerGone,
 }
 
+impl Outcome {
+    /// Whether the request was given up.
+    pub fn is_given_up(&self) -> bool {
+        matches!(self, Outcome::Refused(_) | Outcome::BrokenOff(_))
+    }
+}
+
+/// Why a request waits in its queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitReason {
+    /// Every back end that serves it is busy.
+    BackendsBusy,
+    /// A replica is being loaded, or failing back ends are left out, until about then.
+    ReadyIn(Duration),
+    /// No replica can be placed as things stand.
+    Unplaceable,
+    /// Its web group has no back end.
+    NoBackend,
+    /// No replica is left of the version that its stream must go on with.
+    VersionGone,
+    /// The control group has not said yet when a replica will be ready.
+    DemandReported,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// With the whole answer.
+    Completed,
+    /// With a failure.
+    Failed(AttemptFailure),
+    /// It was cancelled: the request ended first.
+    Cancelled,
+}
+
+/// One attempt at a back end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptRecord {
+    /// Back end.
+    pub backend: BackendName,
+    /// Token position that it went on from; 0 for a fresh attempt.
+    pub resume_from: u64,
+    /// Time from the request's arrival to its dispatch.
+    pub started: Duration,
+    /// How it ended, and the time from the request's arrival to that; none while it is in flight.
+    pub ended: Option<(Duration, AttemptEnd)>,
+}
+
 /// What was decided on one request, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Explanation {
-    /// Request.
+    /// Number within this run of the router.
     pub request: RequestNumber,
+    /// Identity that its caller knows.
+    pub request_id: String,
     /// Tenant; none when the key was unknown.
     pub tenant: Option<TenantName>,
     /// Model with adapter, or web group; empty when neither was found.
@@ -49,100 +93,35 @@
     pub policy: Option<PolicyName>,
     /// How it stands or ended.
     pub outcome: Outcome,
-    /// Back end of the last attempt.
-    pub backend: Option<BackendName>,
-    /// Attempts dispatched.
-    pub attempts: u32,
+    /// Why it waits, if it does.
+    pub waiting_for: Option<WaitReason>,
+    /// The refusal, if it was given up.
+    pub refusal: Option<Refusal>,
+    /// Attempts, oldest first.
+    pub attempts: Vec<AttemptRecord>,
     /// Time from arrival to the first dispatch, or to the end without one.
     pub waited: Duration,
     /// Time from arrival to the end, or until now.
     pub total: Duration,
 }
 
-/// Counters since the start, and present sizes, for metrics.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RoutingSnapshot {
-    /// Requests that arrived.
-    pub arrivals: u64,
-    /// Attempts dispatched.
-    pub dispatches: u64,
-    /// Attempts beyond the first of a request.
-    pub retries: u64,
-    /// Requests answered by a back end.
-    pub completed: u64,
-    /// Requests answered from a recorded answer.
-    pub replayed: u64,
-    /// Answers broken off.
-    pub broken_off: u64,
-    /// Callers that hung up.
-    pub callers_gone: u64,
-    /// Refusals by reason.
-    pub refused: BTreeMap<RefusalReason, u64>,
-    /// Requests waiting now.
-    pub waiting: usize,
-    /// Attempts in flight now.
-    pub in_flight: usize,
-    /// Claims not ended yet.
-    pub claims: usize,
-    /// Circuits open now.
-    pub open_circuits: usize,
-    /// Time until the lease ends; zero without one.
-    pub lease_left: Duration,
-    /// Highest term seen.
-    pub term: u64,
-    /// Catalog revision held.
-    pub configuration: u64,
-    /// Route revision held.
-    pub placement: u64,
-}
-
-/// The ring and the counters.
-#[derive(Debug, Default)]
-pub(crate) struct Decisions {
-    ring: VecDeque<Explanation>,
-    /// Counters; the present sizes in it stay zero.
-    pub counters: RoutingSnapshot,
-}
-
-impl Decisions {
-    /// Records the end of a request.
-    pub fn record(&mut self, explanation: Explanation) {
-        match explanation.outcome {
-            Outcome::Completed => self.counters.completed += 1,
-            Outcome::Replayed => self.counters.replayed += 1,
-            Outcome::BrokenOff(_) => self.counters.broken_off += 1,
-            Outcome::CallerGone => self.counters.callers_gone += 1,
-            Outcome::Refused(reason) => {
-                *self.counters.refused.entry(reason).or_insert(0) += 1;
-            }
-            Outcome::AwaitingClaim | Outcome::Waiting | Outcome::InFlight => {}
-        }
-        if self.ring.len() >= EXPLANATIONS_KEPT {
-            self.ring.pop_front();
-        }
-        self.ring.push_back(explanation);
-    }
-
-    fn find(&self, request: RequestNumber) -> Option<&Explanation> {
-        let mut newest_first = self.ring.iter().rev();
-        newest_first.find(|explanation| explanation.request == request)
-    }
-}
-
-/// A request's story at a moment.
+/// A request's explanation at a moment.
 fn explain_request(request: &Request, outcome: Outcome, now: Timestamp) -> Explanation {
-    let served = request.first_dispatch.unwrap_or(now);
+    let total = now.since(request.arrived);
+    let first = request.attempts.first();
     Explanation {
         request: request.number,
+        request_id: request.request_id.clone(),
         tenant: Some(request.tenant.clone()),
         target: target_text(&request.queue),
         urgency: Some(request.urgency),
         policy: request.policy.clone(),
         outcome,
-        backend: request.last_backend.clone(),
-        attempts: request.attempts,
-        waited: served.since(request.arrived),
-        total: now.since(request.arrived),
+        waiting_for: None,
+        refusal: None,
+        attempts: request.attempts.clone(),
+        waited: first.map_or(total, |attempt| attempt.started),
+        total,
     }
 }
 
@@ -162,42 +141,63 @@
 impl Routing {
     /// Why a request stands as it does, or ended as it did; none once it is forgotten.
     pub fn explain(&self, request: RequestNumber, now: Timestamp) -> Option<Explanation> {
-        let Some(live) = self.table.get(request) else {
-            return self.decisions.find(request).cloned();
-        };
-        let outcome = match live.stage {
+        match self.table.get(request) {
+            Some(live) => Some(self.explain_live(live, now)),
+            None => self.decisions.find(|ended| ended.request == request),
+        }
+    }
+
+    /// The same for the newest request with this identity.
+    pub fn explain_by_id(&self, request_id: &str, now: Timestamp) -> Option<Explanation> {
+        let is_wanted = |request: &&Request| request.request_id == request_id;
+        let mut newest_first = self.table.iter().rev();
+        match newest_first.find(is_wanted) {
+            Some(live) => Some(self.explain_live(live, now)),
+            None => self.decisions.find(|ended| ended.request_id == request_id),
+        }
+    }
+
+    fn explain_live(&self, request: &Request, now: Timestamp) -> Explanation {
+        let outcome = match request.stage {
             Stage::AwaitingClaim => Outcome::AwaitingClaim,
             Stage::Waiting => Outcome::Waiting,
             Stage::InFlight(_) => Outcome::InFlight,
         };
-        Some(explain_request(live, outcome, now))
+        let is_waiting = outcome == Outcome::Waiting;
+        Explanation {
+            waiting_for: is_waiting.then(|| self.wait_reason(&request.queue, now)),
+            ..explain_request(request, outcome, now)
+        }
     }
 
-    /// Counters and present sizes.
-    pub fn snapshot(&self, now: Timestamp) -> RoutingSnapshot {
-        let ConfigurationRevision(configuration) = self.catalog.revision();
-        let PlacementRevision(placement) = self.routes.revision();
-        let fresh = self.lease.is_fresh(now);
-        RoutingSnapshot {
-            waiting: self.table.waiting(),
-            in_flight: self.load.total(),
-            claims: self.claims.len(),
-            open_circuits: self.circuits.open_count(now),
-            lease_left: if fresh {
-                self.lease.end().since(now)
-            } else {
-                Duration::ZERO
-            },
-            term: self.lease.term(),
-            configuration,
-            placement,
-            ..self.decisions.counters.clone()
+    fn wait_reason(&self, queue: &QueueKey, now: Timestamp) -> WaitReason {
+        match self.readiness(queue, now) {
+            Readiness::Serving => WaitReason::BackendsBusy,
+            Readiness::ReadyAt(ready) => WaitReason::ReadyIn(ready.since(now)),
+            Readiness::Unplaceable { .. } => WaitReason::Unplaceable,
+            Readiness::NoBackend => WaitReason::NoBackend,
+            Readiness::VersionGone => WaitReason::VersionGone,
+            Readiness::Unknown => WaitReason::DemandReported,
         }
     }
 
     /// Records the end of a request that had been admitted.
     pub(crate) fn record(&mut self, request: &Request, outcome: Outcome, now: Timestamp) {
-        self.decisions
-            .record(explain_request(request, outcome, now));
+        let explanation = explain_request(request, outcome, now);
+        self.decisions.record(explanation);
+    }
+
+    /// Records that a request which had been admitted was given up.
+    pub(crate) fn record_given_up(
+        &mut self,
+        request: &Request,
+        outcome: Outcome,
+        refusal: &Refusal,
+        now: Timestamp,
+    ) {
+        self.decisions.record(Explanation {
+            refusal: Some(refusal.clone()),
+            ..explain_request(request, outcome, now)
+        });
     }
 }
--- a/crates/millpass-routing/src/interface.rs
+++ b/crates/millpass-routing/src/interface.rs
@@ -82,6 +82,8 @@
 pub struct Arrival {
     /// Number.
     pub request: RequestNumber,
+    /// Identity that the caller knows, for explanations; may be empty or stand twice.
+    pub request_id: String,
     /// API key as sent; the core looks up its hash.
     pub api_key: String,
     /// What it asks for.
--- a/crates/millpass-routing/src/lib.rs
+++ b/crates/millpass-routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod circuit;
 mod claim_flow;
 mod claims;
+mod decisions;
 mod demand;
 mod dispatch;
 mod explain;
@@ -27,7 +28,8 @@
 mod routes;
 mod table;
 
-pub use explain::{EXPLANATIONS_KEPT, Explanation, Outcome, RoutingSnapshot};
+pub use decisions::{EXPLANATIONS_KEPT, RoutingSnapshot};
+pub use explain::{AttemptEnd, AttemptRecord, Explanation, Outcome, WaitReason};
 pub use interface::*;
 
 use crate::refusals::Refused;
@@ -63,7 +65,7 @@
     demand: demand::DemandTable,
     observations: observations::ObservationTable,
     reporting: reporting::ReportSchedule,
-    decisions: explain::Decisions,
+    decisions: decisions::Decisions,
     drain: Option<Drain>,
 }
 
@@ -101,7 +103,7 @@
             demand: demand::DemandTable::default(),
             observations: observations::ObservationTable::default(),
             reporting: reporting::ReportSchedule::default(),
-            decisions: explain::Decisions::default(),
+            decisions: decisions::Decisions::default(),
             drain: None,
             settings,
         }
--- a/crates/millpass-routing/src/refusals.rs
+++ b/crates/millpass-routing/src/refusals.rs
@@ -1,7 +1,7 @@
 //! Refusals: reasons in words, and the one place where a request is given up.
 
 use crate::claims::conclusion_without_answer;
-use crate::explain::Outcome;
+use crate::explain::{AttemptEnd, Outcome};
 use crate::interface::{Executed, Refusal, RefusalReason, RequestNumber, RoutingOutput};
 use crate::request::{Request, Stage};
 use crate::{Routing, Step};
@@ -148,11 +148,11 @@
         } else {
             Outcome::Refused(reason)
         };
-        self.record(&request, outcome, step.now);
+        let refusal = refused.into_refusal(executed);
+        self.record_given_up(&request, outcome, &refusal, step.now);
         if request.detached {
             return;
         }
-        let refusal = refused.into_refusal(executed);
         step.outputs.push(if request.answer_begun() {
             RoutingOutput::BreakOff(number, refusal)
         } else {
@@ -167,7 +167,10 @@
         number: RequestNumber,
         step: &mut Step,
     ) -> Option<Request> {
-        let request = self.table.remove(number)?;
+        let mut request = self.table.remove(number)?;
+        if request.is_in_flight() {
+            request.attempt_ended(AttemptEnd::Cancelled, step.now);
+        }
         match &request.stage {
             Stage::AwaitingClaim => {}
             Stage::Waiting => self.queues.remove(&request, false),
--- a/crates/millpass-routing/src/request.rs
+++ b/crates/millpass-routing/src/request.rs
@@ -1,5 +1,6 @@
 //! One live request.
 
+use crate::explain::{AttemptEnd, AttemptRecord};
 use crate::interface::{Executed, IdempotencyKey, RequestNumber};
 use crate::queues::QueueKey;
 use millpass_proto::{
@@ -46,6 +47,8 @@
 pub(crate) struct Request {
     /// Number.
     pub number: RequestNumber,
+    /// Identity that its caller knows.
+    pub request_id: String,
     /// Tenant.
     pub tenant: TenantName,
     /// Queue it waits in.
@@ -70,10 +73,8 @@
     pub repeatable: bool,
     /// Stage.
     pub stage: Stage,
-    /// Attempts dispatched.
-    pub attempts: u32,
-    /// Back ends tried.
-    pub tried: Vec<BackendName>,
+    /// Attempts dispatched, oldest first; the settings bound their number.
+    pub attempts: Vec<AttemptRecord>,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
     /// Whether some of the answer went to the caller.
@@ -82,10 +83,6 @@
     pub tokens: u64,
     /// Whether the caller is gone while its claimed attempt goes on.
     pub detached: bool,
-    /// Back end of the last attempt.
-    pub last_backend: Option<BackendName>,
-    /// Time from arrival to the first dispatch.
-    pub first_dispatch: Option<Timestamp>,
 }
 
 impl Request {
@@ -111,6 +108,25 @@
         }
     }
 
+    /// Notes that an attempt was dispatched.
+    pub fn attempt_started(&mut self, attempt: Attempt, now: Timestamp) {
+        self.attempts.push(AttemptRecord {
+            backend: attempt.backend.clone(),
+            resume_from: self.tokens,
+            started: now.since(self.arrived),
+            ended: None,
+        });
+        self.stage = Stage::InFlight(Box::new(attempt));
+    }
+
+    /// Notes how the last attempt ended.
+    pub fn attempt_ended(&mut self, end: AttemptEnd, now: Timestamp) {
+        let after = now.since(self.arrived);
+        if let Some(last) = self.attempts.last_mut() {
+            last.ended = Some((after, end));
+        }
+    }
+
     /// Whether it is dispatched and not ended.
     pub fn is_in_flight(&self) -> bool {
         matches!(self.stage, Stage::InFlight(_))
--- a/crates/millpass-routing/src/retry.rs
+++ b/crates/millpass-routing/src/retry.rs
@@ -1,12 +1,12 @@
 //! Ends of attempts, and whether another one follows.
 
-use crate::explain::Outcome;
+use crate::explain::{AttemptEnd, Outcome};
 use crate::interface::{AttemptFailure, RefusalReason, RequestNumber};
 use crate::queues::QueueKey;
 use crate::refusals::Refused;
 use crate::request::{Attempt, Request, Stage};
 use crate::{Routing, Step};
-use millpass_proto::{ClaimConclusion, RecordedAnswer};
+use millpass_proto::{ClaimConclusion, RecordedAnswer, Timestamp};
 
 /// Tokens that one retry costs; a first attempt earns `retry_budget_percent` of it.
 const RETRY_COST: u64 = 100;
@@ -65,9 +65,10 @@
         let Some(attempt) = self.attempt_of(number) else {
             return;
         };
-        let Some(request) = self.table.remove(number) else {
+        let Some(mut request) = self.table.remove(number) else {
             return;
         };
+        request.attempt_ended(AttemptEnd::Completed, step.now);
         self.release(&request.queue, &attempt);
         self.circuits
             .succeeded(&attempt.backend, attempt.incarnation);
@@ -101,13 +102,14 @@
         };
         let queue = request.queue.clone();
         let again = failure_allows_retry(request, failure)
-            && request.attempts < self.settings.maximum_attempts
+            && request.attempts.len() < self.settings.maximum_attempts as usize
             && in_time
             && self.budget.take();
         self.release(&queue, &attempt);
         step.freed.push(queue);
-        self.table
-            .update(number, |request| note_failure(request, failure, &attempt));
+        self.table.update(number, |request| {
+            note_failure(request, failure, &attempt, step.now)
+        });
         if again {
             // Its number puts it ahead of younger requests; its queue is served in this step.
             self.push_to_queue(number);
@@ -162,7 +164,8 @@
 }
 
 /// Writes a failed attempt into its request, which then waits.
-fn note_failure(request: &mut Request, failure: AttemptFailure, attempt: &Attempt) {
+fn note_failure(request: &mut Request, failure: AttemptFailure, attempt: &Attempt, now: Timestamp) {
+    request.attempt_ended(AttemptEnd::Failed(failure), now);
     match failure {
         AttemptFailure::NotSent | AttemptFailure::RefusedByBackend => {}
         AttemptFailure::MayHaveRun => request.may_have_run = true,
--- a/crates/millpass-routing/src/table.rs
+++ b/crates/millpass-routing/src/table.rs
@@ -48,6 +48,11 @@
         self.requests.get(&number)
     }
 
+    /// Every request, in order of number.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &Request> {
+        self.requests.values()
+    }
+
     fn count(&mut self, request: &Request) {
         if request.is_in_flight() {
             return;
--- a/crates/millpass-routing/tests/common/mod.rs
+++ b/crates/millpass-routing/tests/common/mod.rs
@@ -291,6 +291,7 @@
         self.next_request += 1;
         Arrival {
             request: RequestNumber(self.next_request),
+            request_id: format!("request-{}", self.next_request),
             api_key: format!("key-{tenant}"),
             target,
             deadline: self.now + Duration::from_millis(PATIENCE_MILLIS),
--- /dev/null
+++ b/crates/millpass-routing/tests/explain.rs
@@ -0,0 +1,112 @@
+//! Explanations: what is kept of each request, and for how many of them.
+
+mod common;
+
+use common::*;
+use millpass_proto::*;
+use millpass_routing::*;
+
+fn explain(driver: &Driver, number: RequestNumber) -> Explanation {
+    let explanation = driver.routing.explain(number, driver.now);
+    explanation.expect("still remembered")
+}
+
+#[test]
+fn attempts_are_told_in_order_with_their_ends() {
+    let replicas = vec![replica(1, "m1", "north"), replica(2, "m1", "south")];
+    let mut driver = Driver::ready(replicas, vec![]);
+    let (number, _) = driver.ask("t1", "m1");
+    driver.tick(7);
+    driver.fail(number, AttemptFailure::BrokenOff { tokens: 3 });
+    let between = explain(&driver, number);
+    assert_eq!(between.outcome, Outcome::InFlight);
+    driver.tick(5);
+    driver.complete(number);
+    let attempts = explain(&driver, number).attempts;
+    let failed = AttemptEnd::Failed(AttemptFailure::BrokenOff { tokens: 3 });
+    let expected = [
+        AttemptRecord {
+            backend: "engine-1".into(),
+            resume_from: 0,
+            started: Duration::ZERO,
+            ended: Some((Duration::from_millis(7), failed)),
+        },
+        AttemptRecord {
+            backend: "engine-2".into(),
+            resume_from: 3,
+            started: Duration::from_millis(7),
+            ended: Some((Duration::from_millis(12), AttemptEnd::Completed)),
+        },
+    ];
+    assert_eq!(attempts, expected);
+}
+
+#[test]
+fn a_cancelled_attempt_is_told_as_such() {
+    let mut driver = Driver::ready(vec![replica(1, "m1", "north")], vec![]);
+    let (number, _) = driver.ask("t1", "m1");
+    driver.tick(9);
+    driver.step(RoutingInput::CallerGone(number));
+    let explanation = explain(&driver, number);
+    assert_eq!(explanation.outcome, Outcome::CallerGone);
+    assert_eq!(
+        explanation.attempts[0].ended,
+        Some((Duration::from_millis(9), AttemptEnd::Cancelled))
+    );
+}
+
+#[test]
+fn what_a_request_waits_for_follows_what_is_known() {
+    let mut driver = Driver::ready(vec![], vec![]);
+    let (number, _) = driver.ask("t1", "m1");
+    let waiting_for = |driver: &Driver| explain(driver, number).waiting_for;
+    assert_eq!(waiting_for(&driver), Some(WaitReason::DemandReported));
+    driver.outlook(800, true);
+    let ready = WaitReason::ReadyIn(Duration::from_millis(800));
+    assert_eq!(waiting_for(&driver), Some(ready));
+    // The next report is due, so that the leader has something new to answer.
+    driver.tick(1_000);
+    driver.outlook(800, false);
+    assert_eq!(waiting_for(&driver), Some(WaitReason::Unplaceable));
+}
+
+#[test]
+fn the_newest_request_of_an_identity_is_explained() {
+    let mut driver = Driver::ready(vec![replica(1, "m1", "north")], vec![]);
+    let mut ask = |model: &str| {
+        let mut arrival = driver.arrival("t1", model_target(model));
+        arrival.request_id = "same".to_owned();
+        let (number, _) = driver.arrive(arrival);
+        let found = driver.routing.explain_by_id("same", driver.now);
+        (number, found.map(|explanation| explanation.request))
+    };
+    for model in ["m1", "none", "m1"] {
+        let (number, found) = ask(model);
+        // The first request goes on: a live one is what an operator asks about.
+        let expected = if model == "none" {
+            RequestNumber(number.0 - 1)
+        } else {
+            number
+        };
+        assert_eq!(found, Some(expected));
+    }
+    assert_eq!(driver.routing.explain_by_id("other", driver.now), None);
+}
+
+#[test]
+fn explanations_are_bounded_and_answers_do_not_push_out_refusals() {
+    let mut driver = Driver::ready(vec![replica(1, "m1", "north")], vec![]);
+    let (refused, _) = driver.ask("t1", "none");
+    let (first, _) = driver.ask("t1", "m1");
+    driver.complete(first);
+    for _ in 0..EXPLANATIONS_KEPT {
+        let (number, _) = driver.ask("t1", "m1");
+        driver.complete(number);
+    }
+    assert_eq!(driver.routing.explain(first, driver.now), None);
+    assert!(driver.routing.explain(refused, driver.now).is_some());
+    for _ in 0..EXPLANATIONS_KEPT {
+        driver.ask("t1", "none");
+    }
+    assert_eq!(driver.routing.explain(refused, driver.now), None);
+}
--- a/crates/millpass-sim/src/router_host.rs
+++ b/crates/millpass-sim/src/router_host.rs
@@ -179,6 +179,7 @@
         node.next_request += 1;
         let arrival = Arrival {
             request: RequestNumber(number),
+            request_id: String::new(),
             api_key: request.api_key.clone(),
             target: request.target.clone(),
             deadline: node.clock.local(now) + Duration::from_micros(request.allowed_micros),
