A drain refuses new requests with Retry-After instead of shutting the door

Cause: a drain closed the listener and every idle connection at once. A caller that was about to send on a kept connection lost its request without an answer, and a new connection was refused without when to come back. Ruled out: refusing only in the routing core: the server's own answers and other users of the server (stand-ins, administration) would still cut. Change: from the start of a drain the server answers 503 `draining` with Retry-After, `millpass-executed: no` and `Connection: close`, on kept and new connections, until the requests in flight have ended or the grace is over; then it closes the listener. Whether a request is in flight or refused is decided under one lock (in_flight.rs), so none can be counted and cut.

--- a/crates/millpass-http/src/answer.rs
+++ b/crates/millpass-http/src/answer.rs
@@ -2,11 +2,11 @@
 
 use crate::interface::Response;
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HeaderName, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderName, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, StatusCode};
 
-/// Seconds after which a caller refused for too many connections may come back.
-const BUSY_RETRY_SECONDS: u16 = 1;
+/// Seconds after which a caller refused for now may come back.
+const RETRY_SECONDS: &str = "1";
 
 impl Response {
     /// An answer with a JSON body.
@@ -60,7 +60,18 @@
         "too_many_connections",
         &message,
     )
-    .with_header(RETRY_AFTER, &BUSY_RETRY_SECONDS.to_string())
+    .with_header(RETRY_AFTER, RETRY_SECONDS)
+}
+
+/// Refusal of a request that came after a planned stop began.
+pub(crate) fn draining() -> Response {
+    refusal(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "draining",
+        "this server is stopping; use another one, or come back later",
+    )
+    .with_header(RETRY_AFTER, RETRY_SECONDS)
+    .with_header(CONNECTION, "close")
 }
 
 /// Refusal of a body above the limit.
--- a/crates/millpass-http/src/body.rs
+++ b/crates/millpass-http/src/body.rs
@@ -1,7 +1,7 @@
 //! Bodies of answers: whole, or streamed through a bounded channel.
 
-use crate::connection::InFlightGuard;
 use crate::gone::{GoneFlag, GoneGuard};
+use crate::in_flight::InFlightGuard;
 use crate::interface::CallerGone;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
--- a/crates/millpass-http/src/connection.rs
+++ b/crates/millpass-http/src/connection.rs
@@ -3,6 +3,7 @@
 use crate::answer;
 use crate::body::AnswerBody;
 use crate::gone::{GoneFlag, GoneGuard};
+use crate::in_flight::InFlight;
 use crate::interface::{Request, Response, ServerSettings};
 use crate::pool::Pool;
 use crate::responder::{Answer, Handler, Responder};
@@ -17,9 +18,9 @@
 use std::convert::Infallible;
 use std::net::TcpStream;
 use std::pin::pin;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// What all connections of a server share.
 pub(crate) struct Shared {
@@ -27,61 +28,11 @@
     pub(crate) handler: Arc<dyn Handler>,
     pub(crate) pool: Pool,
     pub(crate) connections: AtomicUsize,
-    pub(crate) in_flight: InFlight,
+    pub(crate) in_flight: Arc<InFlight>,
     /// Closed when connections are to end after the request they carry.
     pub(crate) draining: async_channel::Receiver<Infallible>,
 }
 
-/// Requests read whole and not yet answered whole.
-#[derive(Default)]
-pub(crate) struct InFlight {
-    count: Mutex<usize>,
-    ended: Condvar,
-}
-
-impl InFlight {
-    pub(crate) fn count(&self) -> usize {
-        *self.lock()
-    }
-
-    /// Waits until none is left, at most until `until`; returns how many are.
-    pub(crate) fn wait_for_none(&self, until: Instant) -> usize {
-        let mut count = self.lock();
-        while *count > 0 {
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                break;
-            }
-            let waited = self.ended.wait_timeout(count, left);
-            count = waited.unwrap_or_else(PoisonError::into_inner).0;
-        }
-        *count
-    }
-
-    fn lock(&self) -> MutexGuard<'_, usize> {
-        self.count.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Counts one request for as long as it lives.
-pub(crate) struct InFlightGuard {
-    shared: Arc<Shared>,
-}
-
-impl InFlightGuard {
-    fn new(shared: Arc<Shared>) -> Self {
-        *shared.in_flight.lock() += 1;
-        InFlightGuard { shared }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        *self.shared.in_flight.lock() -= 1;
-        self.shared.in_flight.ended.notify_all();
-    }
-}
-
 /// Counts one connection for as long as it lives.
 pub(crate) struct ConnectionGuard {
     shared: Arc<Shared>,
@@ -155,7 +106,9 @@
         Ok(request) => request,
         Err(refusal) => return whole(refusal),
     };
-    let in_flight = InFlightGuard::new(shared.clone());
+    let Some(in_flight) = shared.in_flight.begin() else {
+        return whole(answer::draining());
+    };
     let gone = GoneFlag::default();
     let mut guard = GoneGuard::new(gone.clone());
     let (answers, answered) = async_channel::bounded(1);
--- a/crates/millpass-http/src/lib.rs
+++ b/crates/millpass-http/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod connection;
 mod gone;
+mod in_flight;
 pub mod interface;
 mod pool;
 mod responder;
--- a/crates/millpass-http/src/server.rs
+++ b/crates/millpass-http/src/server.rs
@@ -1,6 +1,7 @@
 //! Listening, accepting, draining and stopping.
 
-use crate::connection::{self, ConnectionGuard, InFlight, Shared};
+use crate::connection::{self, ConnectionGuard, Shared};
+use crate::in_flight::InFlight;
 use crate::interface::ServerSettings;
 use crate::pool::Pool;
 use crate::responder::Handler;
@@ -46,8 +47,7 @@
     Thread(io::Error),
 }
 
-/// What became of the requests in flight when a drain began, and of those that still came in on
-/// open connections.
+/// What became of the requests in flight when a drain began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DrainReport {
     /// Requests in flight at the start that ended by themselves.
@@ -97,7 +97,7 @@
             pool: Pool::new(&self.settings.name, self.settings.handler_threads),
             handler,
             connections: AtomicUsize::new(0),
-            in_flight: InFlight::default(),
+            in_flight: Arc::new(InFlight::default()),
             draining,
             settings: self.settings,
         });
@@ -164,13 +164,14 @@
         self.shared.in_flight.count()
     }
 
-    /// Stops accepting, closes idle connections, and waits at most `grace` for the requests in
-    /// flight; then cuts off what is left and stops.
+    /// Planned stop. Waits at most `grace` for the requests in flight; meanwhile new ones, also
+    /// on new connections, are answered 503 with `Retry-After`. Then closes idle connections,
+    /// cuts off what is left, and stops.
     pub fn drain(&self, grace: Duration) -> DrainReport {
         let until = Instant::now() + grace;
-        let at_start = self.shared.in_flight.count();
-        self.drain.close();
+        let at_start = self.shared.in_flight.close();
         let cut = self.shared.in_flight.wait_for_none(until);
+        self.drain.close();
         if cut == 0 {
             self.wait_for_flush();
         }
