Router: bad input that had no test, and hang-ups judged by the stand-in's audit

Hang-ups were tested with a scripted engine only. Ruled out: a timing assertion for "at once": the request states a deadline of ten minutes, and the caller's patience is ten seconds. Change: tests in malformed.rs; tests/standin.rs runs the router over the engine stand-in and reads its audit: one run for one answer, cancelled after a hang-up (whole and streamed), ended at the deadline, no run for what is refused. The refusal of a key now names the header.

--- a/crates/millpass-router/tests/malformed.rs
+++ b/crates/millpass-router/tests/malformed.rs
@@ -2,8 +2,12 @@
 
 mod common;
 
-use common::{KEY, agent, call, post, read_answer, settings};
+use common::control::Control;
+use common::engine::{Engine, answer_whole};
+use common::{KEY, agent, call, post, read_answer, send_raw, settings, start_router, start_with};
 use rstest::rstest;
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
 const GOOD: &str = r#"{"model":"writer","prompt":"hi"}"#;
 const AHEAD: &str = "99999999999999";
@@ -132,3 +136,120 @@
         "{error}"
     );
 }
+
+#[rstest]
+#[case::missing_key("/v1/completions", None, 401, "unknown_key", "Authorization")]
+#[case::wrong_key(
+    "/v1/completions",
+    Some("wrong"),
+    401,
+    "unknown_key",
+    "key of a tenant"
+)]
+#[case::unknown_path("/nowhere/at/all", Some(KEY), 404, "not_found", "check its name")]
+fn a_request_that_no_tenant_may_make_says_why(
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+    #[case] status: u16,
+    #[case] code: &str,
+    #[case] remedy: &str,
+) {
+    let control = Control::start();
+    let router = start_router(&control);
+    let mut request = post(&router, path);
+    if let Some(key) = key {
+        request = request.header("Authorization", format!("Bearer {key}"));
+    }
+    let answer = call(request.body(GOOD.to_owned()).unwrap());
+    assert_eq!(
+        (answer.status, answer.error("code").as_str()),
+        (status, Some(code))
+    );
+    assert_eq!(answer.error("executed"), "no");
+    let message = answer.error("message").as_str().unwrap().to_owned();
+    assert!(message.contains(remedy), "{message}");
+}
+
+/// Addresses where nobody listens.
+fn unreachable_members() -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let addresses = listeners.iter().map(|listener| listener.local_addr());
+    addresses.collect::<Result<_, _>>().unwrap()
+}
+
+/// A member that accepts connections and never says a word.
+fn silent_member() -> (TcpListener, Vec<SocketAddr>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, vec![address])
+}
+
+#[rstest]
+#[case::none_listens(false)]
+#[case::silent(true)]
+fn without_the_control_group_a_request_is_refused_at_once(#[case] silent: bool) {
+    let (_listener, member) = silent_member();
+    let members = if silent {
+        member
+    } else {
+        unreachable_members()
+    };
+    let router = millpass_router::start(settings(members)).unwrap();
+    // Held to its deadline, it would outlast the patience of `call`.
+    let request = post(&router, "/v1/completions")
+        .header("Authorization", format!("Bearer {KEY}"))
+        .header("Millpass-Deadline-Ms", "600000");
+    let answer = call(request.body(GOOD.to_owned()).unwrap());
+    assert_eq!(
+        (answer.status, answer.error("code").as_str()),
+        (503, Some("no_lease"))
+    );
+    assert_eq!(answer.error("executed"), "no");
+    assert!(answer.header("retry-after").is_some());
+    let message = answer.error("message").as_str().unwrap().to_owned();
+    assert!(message.contains("use another router"), "{message}");
+}
+
+#[test]
+fn a_body_cut_short_reaches_no_engine() {
+    let engine = Engine::start(|_, responder| answer_whole(responder, "x"));
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    let mut stream = TcpStream::connect(router.address()).unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer {KEY}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let chunk = format!("{:x}\r\n{GOOD}\r\n", GOOD.len());
+    stream.write_all(chunk.as_bytes()).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    common::read_until(&stream, "body_unreadable");
+    let answer = call(common::completion(&router).body(GOOD.to_owned()).unwrap());
+    assert_eq!(answer.status, 200);
+    assert_eq!(engine.requests.len(), 1);
+}
+
+#[test]
+fn one_connection_too_many_is_refused_with_when_to_come_back() {
+    let control = Control::start();
+    let mut settings = settings(vec![control.address()]);
+    settings.limits.maximum_connections = 1;
+    let router = start_with(&control, settings);
+    let held = send_raw(&router, "/v1/completions", "", GOOD);
+    common::wait_until("it waits", || {
+        let metrics = common::observe(&router, "/metrics").body;
+        metrics.contains("millpass_router_in_flight 1")
+    });
+    let answer = call(common::completion(&router).body(GOOD.to_owned()).unwrap());
+    assert_eq!(
+        (answer.status, answer.error("code").as_str()),
+        (503, Some("too_many_connections"))
+    );
+    assert_eq!(answer.header("retry-after"), Some("1"));
+    assert_eq!(answer.header("millpass-executed"), Some("no"));
+    drop(held);
+}
--- /dev/null
+++ b/crates/millpass-router/tests/standin.rs
@@ -0,0 +1,166 @@
+//! The router over the engine stand-in: its audit tells what really ran.
+
+mod common;
+
+use common::control::Control;
+use common::{
+    Answer, ENGINE_RUN, call, completion, completion_to, post, read_until, send_raw, start_router,
+    wait_until,
+};
+use millpass_proto::*;
+use millpass_router::RouterHandle;
+use millpass_standin::content;
+use millpass_standin::engine::{EngineFront, EngineHandle, EngineSettings, start};
+use rstest::rstest;
+
+/// Simulated seconds in a real one, for loads and answers to be fast.
+const FAST: f64 = 50.0;
+/// Tokens of a request that would run far longer than any test.
+const ENDLESS: u32 = 1_000_000;
+const PROMPT: &str = "describe the flat nonce=n-1";
+
+/// An engine with `writer` loaded in slot 1, and a router that serves it.
+fn start_served() -> (EngineHandle, Control, RouterHandle) {
+    let mut settings = EngineSettings {
+        incarnation: ENGINE_RUN,
+        ..EngineSettings::default()
+    };
+    settings.limits.maximum_tokens = ENDLESS;
+    settings.limits.cache_bytes_per_token = 1;
+    let mut front = EngineFront::default();
+    front.front.time_scale = FAST;
+    let engine = start(settings, &front).expect("the engine starts");
+    load_writer(&engine);
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    (engine, control, router)
+}
+
+fn load_writer(engine: &EngineHandle) {
+    let order = EngineOrder {
+        fence: LogPosition { term: 1, index: 1 },
+        backend: "engine-1".into(),
+        incarnation: ENGINE_RUN,
+        action: OrderAction::LoadModel(LoadModelOrder {
+            slot: SlotId(1),
+            model: "writer".into(),
+            version: "v1".into(),
+            accelerators: vec![0],
+            weights_bytes: 1 << 20,
+            cache_bytes: 1 << 30,
+            checkpoint: "writer-v1".to_owned(),
+        }),
+    };
+    let url = format!("http://{}/engine/orders", engine.address());
+    let mut answer = common::agent().post(&url).send_json(order).unwrap();
+    let answer: OrderAnswer = answer.body_mut().read_json().unwrap();
+    assert_eq!(answer, OrderAnswer::Accepted);
+    wait_until("loaded", || {
+        engine.current_report().slots[0].phase == EngineSlotPhase::Loaded
+    });
+}
+
+fn body(tokens: u32, stream: bool) -> String {
+    let body = serde_json::json!({
+        "model": "writer", "prompt": PROMPT, "max_tokens": tokens, "stream": stream
+    });
+    body.to_string()
+}
+
+/// Requests started, finished, and ended early: cancelled, or cut at the deadline that the router
+/// passed on.
+fn runs(engine: &EngineHandle) -> (u64, u64, u64) {
+    let audit = engine.audit();
+    (
+        audit.requests_started,
+        audit.requests_finished,
+        audit.requests_cancelled + audit.requests_cut,
+    )
+}
+
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
+fn an_answer_is_whole_and_runs_once(#[case] stream: bool) {
+    let (engine, _control, router) = start_served();
+    let answer = call(completion(&router).body(body(12, stream)).unwrap());
+    assert_eq!(answer.status, 200);
+    let text = if stream {
+        answer.tokens().concat()
+    } else {
+        text_of(&answer)
+    };
+    let expected = content::Answer::new(&"writer".into(), &"v1".into(), None, PROMPT);
+    assert!(expected.is_whole(0, 12, &text), "{text}");
+    assert_eq!(runs(&engine), (1, 1, 0));
+}
+
+fn text_of(answer: &Answer) -> String {
+    let text = answer.json()["choices"][0]["text"].clone();
+    text.as_str().expect("a text").to_owned()
+}
+
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
+fn a_hang_up_cancels_the_work_at_the_engine(#[case] stream: bool) {
+    let (engine, _control, router) = start_served();
+    let caller = send_raw(&router, "/v1/completions", "", &body(ENDLESS, stream));
+    if stream {
+        read_until(&caller, "data: ");
+    }
+    wait_until("it runs", || runs(&engine) == (1, 0, 0));
+    drop(caller);
+    wait_until("it is cancelled", || {
+        runs(&engine) == (1, 0, 1) && engine.audit().requests_cancelled == 1
+    });
+    let answer = call(completion(&router).body(body(3, false)).unwrap());
+    assert_eq!(answer.status, 200);
+    assert_eq!(runs(&engine), (2, 1, 1));
+}
+
+#[test]
+fn a_deadline_in_flight_ends_the_work_at_the_engine() {
+    let (engine, _control, router) = start_served();
+    let request = completion(&router).header("Millpass-Deadline-Ms", "200");
+    let answer = call(request.body(body(ENDLESS, false)).unwrap());
+    assert_eq!(
+        (answer.status, answer.error("executed").as_str()),
+        (504, Some("unknown"))
+    );
+    wait_until("it ended", || runs(&engine) == (1, 0, 1));
+}
+
+#[rstest]
+#[case::malformed(completion_with, "{\"model\":", 400)]
+#[case::unknown_model(completion_with, "{\"model\":\"none\",\"prompt\":\"a\"}", 404)]
+#[case::denied(completion_with, "{\"model\":\"secret\",\"prompt\":\"a\"}", 403)]
+#[case::wrong_key(wrong_key, "{\"model\":\"writer\",\"prompt\":\"a\"}", 401)]
+fn what_is_refused_never_starts_at_the_engine(
+    #[case] request: fn(&RouterHandle) -> http::request::Builder,
+    #[case] body: &str,
+    #[case] status: u16,
+) {
+    let (engine, _control, router) = start_served();
+    let answer = call(request(&router).body(body.to_owned()).unwrap());
+    assert_eq!(
+        (answer.status, answer.error("executed").as_str()),
+        (status, Some("no"))
+    );
+    let served = call(
+        completion_to(router.address())
+            .body(self::body(3, false))
+            .unwrap(),
+    );
+    assert_eq!(served.status, 200);
+    assert_eq!(runs(&engine), (1, 1, 0));
+}
+
+fn completion_with(router: &RouterHandle) -> http::request::Builder {
+    completion(router)
+}
+
+fn wrong_key(router: &RouterHandle) -> http::request::Builder {
+    post(router, "/v1/completions").header("Authorization", "Bearer wrong")
+}
--- a/crates/millpass-routing/src/refusals.rs
+++ b/crates/millpass-routing/src/refusals.rs
@@ -93,7 +93,10 @@
 /// One sentence for the caller, with the remedy.
 fn sentence(reason: RefusalReason) -> &'static str {
     match reason {
-        RefusalReason::UnknownKey => "The API key is missing or unknown; send a key of a tenant.",
+        RefusalReason::UnknownKey => {
+            "The API key is missing or unknown; send `Authorization: Bearer KEY` with a key of a \
+             tenant."
+        }
         RefusalReason::NotFound => {
             "There is no such model, adapter or path; check its name against /v1/models."
         }
