--- a/crates/millpass-http/src/lib.rs
+++ b/crates/millpass-http/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod answer;
 mod body;
+mod caller_stream;
 mod connection;
 mod gone;
+mod in_flight;
 pub mod interface;
 mod pool;
 mod responder;
--- a/crates/millpass-routing/src/refusals.rs
+++ b/crates/millpass-routing/src/refusals.rs
@@ -1,7 +1,7 @@
 //! Refusals: reasons in words, and the one place where a request is given up.
 
 use crate::claims::conclusion_without_answer;
-use crate::explain::Outcome;
+use crate::explain::{AttemptEnd, Outcome};
 use crate::interface::{Executed, Refusal, RefusalReason, RequestNumber, RoutingOutput};
 use crate::request::{Request, Stage};
 use crate::{Routing, Step};
@@ -93,7 +93,10 @@
 /// One sentence for the caller, with the remedy.
 fn sentence(reason: RefusalReason) -> &'static str {
     match reason {
-        RefusalReason::UnknownKey => "The API key is missing or unknown; send a key of a tenant.",
+        RefusalReason::UnknownKey => {
+            "The API key is missing or unknown; send `Authorization: Bearer KEY` with a key of a \
+             tenant."
+        }
         RefusalReason::NotFound => {
             "There is no such model, adapter or path; check its name against /v1/models."
         }
@@ -148,11 +151,11 @@
         } else {
             Outcome::Refused(reason)
         };
-        self.record(&request, outcome, step.now);
+        let refusal = refused.into_refusal(executed);
+        self.record_given_up(&request, outcome, &refusal, step.now);
         if request.detached {
             return;
         }
-        let refusal = refused.into_refusal(executed);
         step.outputs.push(if request.answer_begun() {
             RoutingOutput::BreakOff(number, refusal)
         } else {
@@ -167,7 +170,10 @@
         number: RequestNumber,
         step: &mut Step,
     ) -> Option<Request> {
-        let request = self.table.remove(number)?;
+        let mut request = self.table.remove(number)?;
+        if request.is_in_flight() {
+            request.attempt_ended(AttemptEnd::Cancelled, step.now);
+        }
         match &request.stage {
             Stage::AwaitingClaim => {}
             Stage::Waiting => self.queues.remove(&request, false),
