State: a late copy of a claim that was turned away does not take the key

Cause: the table of claims remembered one attempt a key, the holder. A copy of a claim (a router sends its open claims again on each new link to a leader) that was applied after the holder had released the key was granted, though its router had been told "in progress" and had ended the attempt. The same held for a copy of an earlier holder. Nobody released such a grant, so the key answered "in progress" for as long as that run of the router lived. Ruled out: the checker (the histories have no order that explains them: the only holder released the key, and later claims still found it held); the router (it drops an answer to an ended attempt, which is right: an answer can also be lost with its link, so a release by the router could not be relied on). Change: a claim keeps the latest attempt decided on for each run of a router, at most 32 runs; a copy of one no later than that is not granted. The model of the property test now also reports a grant to an attempt turned away. Conclusion: at most once was never broken here; what broke was that a released key can be claimed again.

--- a/crates/millpass-state/src/claims.rs
+++ b/crates/millpass-state/src/claims.rs
@@ -30,6 +30,11 @@
 /// for clocks that differ.
 pub const MAXIMUM_CLOCK_SKEW_MILLIS: u64 = 5 * 60 * 1_000;
 
+/// Runs of routers whose attempts at one key are remembered. Beyond it the oldest is forgotten: a
+/// copy of its attempt that comes later still can hold the key until that run ends, yet nothing
+/// runs under it.
+pub const MAXIMUM_REMEMBERED_RUNS: usize = 32;
+
 /// BLAKE3 hash of tenant and key: a fixed size whatever callers send.
 type ClaimId = [u8; 32];
 
@@ -61,6 +66,9 @@
     born_unix_millis: u64,
     holder: Holder,
     phase: Phase,
+    /// Latest attempt of each run of a router that was decided on, oldest run first. A router
+    /// counts its attempts upwards, so that an attempt no later than this is a copy.
+    decided: Vec<Holder>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +113,9 @@
         decision: Option<ClaimDecision>,
         begin: &ClaimBegin,
     ) -> ClaimDecision {
+        if let Some(claim) = self.claims.get_mut(&id) {
+            claim.remember(holder_of(begin));
+        }
         if let Some(decision) = decision {
             return decision;
         }
@@ -145,6 +156,7 @@
             born_unix_millis: begin.born_unix_millis,
             holder: holder_of(begin),
             phase: Phase::Open,
+            decided: vec![holder_of(begin)],
         };
         self.claims.insert(id, claim);
         self.by_birth.insert((begin.born_unix_millis, id));
@@ -287,14 +299,40 @@
             Phase::MayHaveRun => Some(ClaimDecision::MayHaveRun),
             Phase::Open if same_holder => Some(ClaimDecision::Granted),
             Phase::Open => Some(ClaimDecision::InProgress),
-            // A late copy of the attempt that released the key must not take it again.
-            Phase::Released if same_holder => Some(ClaimDecision::InProgress),
+            // A late copy of an attempt that was granted or turned away must not take the key:
+            // its router has ended it and would never release it.
+            Phase::Released if self.was_decided(begin) => Some(ClaimDecision::InProgress),
             Phase::Released => None,
         }
     }
+
+    /// Whether this attempt, or a later one of the same run, was decided on before.
+    fn was_decided(&self, begin: &ClaimBegin) -> bool {
+        let asked = holder_of(begin);
+        let mut known = self.decided.iter();
+        known.any(|latest| latest.is_same_run(&asked) && latest.attempt >= asked.attempt)
+    }
+
+    /// Notes an attempt that is decided on.
+    fn remember(&mut self, asked: Holder) {
+        let known = self.decided.iter_mut();
+        let mut of_run = known.filter(|latest| latest.is_same_run(&asked));
+        if let Some(latest) = of_run.next() {
+            latest.attempt = latest.attempt.max(asked.attempt);
+            return;
+        }
+        if self.decided.len() == MAXIMUM_REMEMBERED_RUNS {
+            self.decided.remove(0);
+        }
+        self.decided.push(asked);
+    }
 }
 
 impl Holder {
+    fn is_same_run(&self, other: &Holder) -> bool {
+        self.router == other.router && self.incarnation == other.incarnation
+    }
+
     fn is(&self, finish: &ClaimFinish) -> bool {
         self.router == finish.router
             && self.incarnation == finish.router_incarnation
--- a/crates/millpass-state/tests/claims.rs
+++ b/crates/millpass-state/tests/claims.rs
@@ -111,6 +111,37 @@
     );
 }
 
+#[test]
+fn a_late_copy_of_an_attempt_that_was_turned_away_does_not_take_the_key() {
+    let mut fixture = Fixture::default();
+    let first = begin("k", "r1", 1);
+    let turned_away = begin("k", "r2", 1);
+    decide(&mut fixture, &first);
+    assert_eq!(
+        decide(&mut fixture, &turned_away),
+        ClaimDecision::InProgress
+    );
+    fixture.must(finish(&first, ClaimConclusion::NotRun));
+    assert_eq!(
+        decide(&mut fixture, &turned_away),
+        ClaimDecision::InProgress
+    );
+    let next = begin("k", "r2", 2);
+    assert_eq!(decide(&mut fixture, &next), ClaimDecision::Granted);
+}
+
+#[test]
+fn a_late_copy_of_an_earlier_holder_does_not_take_the_key() {
+    let mut fixture = Fixture::default();
+    let first = begin("k", "r1", 1);
+    let second = begin("k", "r2", 1);
+    for holder in [&first, &second] {
+        assert_eq!(decide(&mut fixture, holder), ClaimDecision::Granted);
+        fixture.must(finish(holder, ClaimConclusion::NotRun));
+    }
+    assert_eq!(decide(&mut fixture, &first), ClaimDecision::InProgress);
+}
+
 #[test]
 fn claims_of_a_lost_router_may_have_run_until_it_says_more() {
     let mut fixture = Fixture::default();
@@ -198,6 +229,7 @@
     holder: BTreeMap<ClaimKey, (RouterName, u64)>,
     released: BTreeSet<ClaimKey>,
     answers: BTreeMap<ClaimKey, RecordedAnswer>,
+    turned_away: BTreeSet<(ClaimKey, RouterName, u64)>,
 }
 
 impl Grants {
@@ -207,6 +239,10 @@
             (Step::Begin(begin), CommandOutcome::Claim(ClaimDecision::Granted)) => {
                 self.granted(begin)
             }
+            (Step::Begin(begin), CommandOutcome::Claim(ClaimDecision::InProgress)) => {
+                self.turned_away.insert(attempt_of(begin));
+                Ok(())
+            }
             (Step::Begin(begin), CommandOutcome::Claim(ClaimDecision::Answered(answer))) => {
                 if self.answers.get(&begin.key) != Some(answer) {
                     return Err(format!("{} got an answer that was not recorded", begin.key));
@@ -229,6 +265,9 @@
     }
 
     fn granted(&mut self, begin: &ClaimBegin) -> Result<(), String> {
+        if self.turned_away.contains(&attempt_of(begin)) {
+            return Err(format!("{} was granted to one turned away", begin.key));
+        }
         let holder = (begin.router.clone(), begin.attempt);
         let released = self.released.remove(&begin.key);
         let before = self.holder.insert(begin.key.clone(), holder.clone());
@@ -245,6 +284,10 @@
     }
 }
 
+fn attempt_of(begin: &ClaimBegin) -> (ClaimKey, RouterName, u64) {
+    (begin.key.clone(), begin.router.clone(), begin.attempt)
+}
+
 fn step() -> impl Strategy<Value = Step> {
     let begin = (0..3_u64, 0..3_u64, 0..3_u64).prop_map(|(key, router, attempt)| ClaimBegin {
         born_unix_millis: NOW + key,
