Checkers: two freezes in a row, and a router that was reachable for a moment

Cause: `answers` looked for the freeze that meets a request's time, and not for one that begins as the first ends; `configuration` took a router as reachable from a moment at which the history says reachable and then, at the same time, unreachable. Conclusion: faults of the checkers, none of the product.

--- a/crates/millpass-checkers/src/configuration.rs
+++ b/crates/millpass-checkers/src/configuration.rs
@@ -146,15 +146,20 @@
     }
 
     fn reachable_from(&self, at: u64) -> Option<u64> {
-        let before = self.reachable.iter().rev().find(|(when, _)| *when <= at);
-        if before.is_some_and(|(_, reachable)| *reachable) {
-            return Some(at);
+        let mut from = at;
+        loop {
+            if self.is_reachable_at(from) {
+                return Some(from);
+            }
+            let later = self.reachable.iter().find(|(when, _)| *when > from);
+            from = later?.0;
         }
-        let next = self
-            .reachable
-            .iter()
-            .find(|(when, reachable)| *when > at && *reachable);
-        next.map(|(when, _)| *when)
+    }
+
+    /// What the last record up to this time says: of several at one time, the last.
+    fn is_reachable_at(&self, at: u64) -> bool {
+        let before = self.reachable.iter().rev().find(|(when, _)| *when <= at);
+        before.is_some_and(|(_, reachable)| *reachable)
     }
 
     fn applied_at(&self, at: u64) -> u64 {
--- a/crates/millpass-checkers/tests/breaches.rs
+++ b/crates/millpass-checkers/tests/breaches.rs
@@ -66,6 +66,14 @@
     (2_000_000, Event::Woken { process: "router-1".into() }),
     (2_200_000, ended(1, whole(1))),
 ])]
+#[case::answered_late_after_two_freezes("answers", vec![
+    (0, sent(1, "router-1", 1_000_000, None)),
+    (1, Event::Frozen { process: "router-1".into() }),
+    (2_000_000, Event::Woken { process: "router-1".into() }),
+    (2_000_000, Event::Frozen { process: "router-1".into() }),
+    (3_000_000, Event::Woken { process: "router-1".into() }),
+    (3_200_000, ended(1, whole(1))),
+])]
 #[case::connection_lost_without_kill("answers", vec![
     (0, sent(1, "router-1", 1_000, None)),
     (1, ended(1, AnswerOutcome::ConnectionLost)),
@@ -110,6 +118,15 @@
     (16_000_000, Event::RunOver),
 ])]
 #[case::revision_went_back("configuration", vec![(0, applied("router-1", 4)), (1, applied("router-1", 3))])]
+#[case::revision_late_after_a_moment_of_reach("configuration", vec![
+    (0, reachable("router-1", false)),
+    (2, Event::RevisionCommitted { revision: ConfigurationRevision(4) }),
+    (1_000_000, reachable("router-1", true)),
+    (1_000_000, reachable("router-1", false)),
+    (2_000_000, reachable("router-1", true)),
+    (5_100_000, applied("router-1", 4)),
+    (9_000_000, Event::RunOver),
+])]
 #[case::revision_late("configuration", vec![
     (0, reachable("router-1", true)),
     (1, applied("router-1", 3)),
@@ -207,6 +224,23 @@
     (6_000_000, applied("router-1", 4)),
     (9_000_000, Event::RunOver),
 ])]
+#[case::router_reachable_for_a_moment_is_late(vec![
+    (0, reachable("router-1", false)),
+    (2, Event::RevisionCommitted { revision: ConfigurationRevision(4) }),
+    (1_000_000, reachable("router-1", true)),
+    (1_000_000, reachable("router-1", false)),
+    (6_000_000, reachable("router-1", true)),
+    (8_000_000, applied("router-1", 4)),
+    (9_000_000, Event::RunOver),
+])]
+#[case::answered_after_two_freezes(vec![
+    (0, sent(1, "router-1", 1_000_000, None)),
+    (1, Event::Frozen { process: "router-1".into() }),
+    (2_000_000, Event::Woken { process: "router-1".into() }),
+    (2_000_000, Event::Frozen { process: "router-1".into() }),
+    (3_000_000, Event::Woken { process: "router-1".into() }),
+    (3_050_000, ended(1, whole(1))),
+])]
 #[case::disturbed_router_is_late(vec![
     (0, reachable("router-1", true)),
     (2, Event::RevisionCommitted { revision: ConfigurationRevision(4) }),
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -423,7 +423,7 @@
     }
 
     /// A router's message on its way to a member.
-    pub(crate) fn to_control(
+    pub(crate) fn send_to_control(
         &mut self,
         place: usize,
         at: u64,
--- a/crates/millpass-sim/src/router_link.rs
+++ b/crates/millpass-sim/src/router_link.rs
@@ -116,7 +116,7 @@
         match self.network.stream_delay(&mut self.random, from, to) {
             Some(delay) => {
                 let at = self.in_order((connection, false), delay);
-                self.to_control(place, at, connection, message);
+                self.send_to_control(place, at, connection, message);
             }
             None => self.break_link(place, connection),
         }
