--- a/crates/millpass-standin/src/engine/front/service.rs
+++ b/crates/millpass-standin/src/engine/front/service.rs
@@ -6,8 +6,8 @@
 use crate::engine::messages::{EngineInput, EngineOutput, FinishReason, RequestHandle};
 use crate::engine::model::EngineModel;
 use crate::run::{
-    Driver, TimedModel, error_answer, header_text, json_answer, parse_json, path_segments,
-    query_number,
+    Driver, RunNotes, RunStep, TimedModel, error_answer, header_text, json_answer, parse_json,
+    path_segments, query_number,
 };
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -50,6 +50,7 @@
 pub struct Service {
     pub driver: Arc<Driver<EngineModel>>,
     pub fetches: Arc<Fetches>,
+    pub runs: RunNotes,
 }
 
 impl Handler for Service {
@@ -120,7 +121,14 @@
                 });
             },
         );
-        if deliver(&call, &outputs, responder, clock) == Delivery::CallerGone {
+        let note = |step| {
+            let request = &call.request;
+            let key = request.idempotency_key.as_deref();
+            self.runs
+                .note(&request.request_id, &request.tenant, key, step);
+        };
+        if deliver(&call, &outputs, responder, clock, &note) == Delivery::CallerGone {
+            note(RunStep::Cancelled);
             self.driver
                 .input(EngineInput::Cancel(RequestHandle(waiter)));
         }
--- a/crates/millpass-standin/src/engine/front/start.rs
+++ b/crates/millpass-standin/src/engine/front/start.rs
@@ -4,7 +4,7 @@
 use super::service::Service;
 use crate::engine::model::EngineModel;
 use crate::engine::settings::EngineSettings;
-use crate::run::{Alarms, Driver, FrontSettings, ScaledClock, Served};
+use crate::run::{Alarms, Driver, FrontSettings, RunNotes, ScaledClock, Served};
 use crate::weight_store::StoreAccess;
 use anyhow::Result;
 use millpass_proto::{BackendKind, BackendState, EngineAudit, EngineReport, PlatformMachine};
@@ -79,6 +79,11 @@
         address: String::new(),
         state: BackendState::Live,
     };
+    let runs = RunNotes {
+        journal: front.front.journal.clone(),
+        backend: settings.backend.clone(),
+        incarnation: settings.incarnation,
+    };
     let model = EngineModel::new(settings, alarms.clock().now());
     let driver = Driver::new(model, alarms);
     let fetches = Arc::new(Fetches::new(Arc::downgrade(&driver), front.store.clone()));
@@ -87,6 +92,7 @@
     let service = Arc::new(Service {
         driver: driver.clone(),
         fetches,
+        runs,
     });
     let name = machine.backend.as_str();
     let served = Served::start(name, &front.front, driver, service)?;
--- a/crates/millpass-standin/src/engine/front/streams.rs
+++ b/crates/millpass-standin/src/engine/front/streams.rs
@@ -3,7 +3,7 @@
 use super::calls::Call;
 use super::chunks::{DONE, error_event, token_event, whole_answer};
 use crate::engine::messages::{EngineOutput, FinishReason, Refusal};
-use crate::run::{EXECUTED_HEADER, ScaledClock, error_answer, retry_after_answer};
+use crate::run::{EXECUTED_HEADER, RunStep, ScaledClock, error_answer, retry_after_answer};
 use bytes::Bytes;
 use crossbeam::channel::Receiver;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
@@ -29,6 +29,7 @@
     outputs: &Receiver<EngineOutput>,
     responder: Responder,
     clock: ScaledClock,
+    note: &dyn Fn(RunStep),
 ) -> Delivery {
     // A closed channel means that the engine stops; dropping the responder cuts the connection.
     match outputs.recv() {
@@ -37,10 +38,14 @@
             Delivery::Ended
         }
         Ok(EngineOutput::Started(_)) if call.is_streamed => {
+            note(first_step(call));
             let writer = responder.stream(StatusCode::OK, stream_headers());
-            deliver_stream(call, outputs, writer)
+            deliver_stream(call, outputs, writer, note)
+        }
+        Ok(EngineOutput::Started(_)) => {
+            note(first_step(call));
+            deliver_whole(call, outputs, responder, note)
         }
-        Ok(EngineOutput::Started(_)) => deliver_whole(call, outputs, responder),
         Ok(_) if responder.is_caller_gone() => Delivery::CallerGone,
         Ok(_) => {
             let (code, message) = cut_text(FinishReason::Cancelled);
@@ -55,6 +60,7 @@
     call: &Call,
     outputs: &Receiver<EngineOutput>,
     mut writer: BodyWriter,
+    note: &dyn Fn(RunStep),
 ) -> Delivery {
     for output in outputs {
         let written = match output {
@@ -62,11 +68,13 @@
                 write_tokens(call, &mut writer, from, count)
             }
             EngineOutput::Finished(_, FinishReason::Complete) => {
+                note(RunStep::Finished);
                 let written = writer.write(Bytes::from_static(DONE));
                 writer.finish();
                 return ended(written);
             }
             EngineOutput::Finished(_, reason) => {
+                note(last_step(reason));
                 let (code, message) = cut_text(reason);
                 let written = writer.write(error_event(code, message));
                 writer.abort();
@@ -78,6 +86,7 @@
             return Delivery::CallerGone;
         }
     }
+    note(RunStep::CutOff);
     writer.abort();
     Delivery::Ended
 }
@@ -95,7 +104,12 @@
     Ok(())
 }
 
-fn deliver_whole(call: &Call, outputs: &Receiver<EngineOutput>, responder: Responder) -> Delivery {
+fn deliver_whole(
+    call: &Call,
+    outputs: &Receiver<EngineOutput>,
+    responder: Responder,
+    note: &dyn Fn(RunStep),
+) -> Delivery {
     let mut range: Option<(u32, u32)> = None;
     for output in outputs {
         match output {
@@ -104,6 +118,7 @@
                 range = Some((first, from + count));
             }
             EngineOutput::Finished(_, FinishReason::Complete) => {
+                note(RunStep::Finished);
                 let (from, to) = range.unwrap_or_default();
                 let body = Bytes::from(whole_answer(call, from, to));
                 let answer = Response::with_type(StatusCode::OK, "application/json", body);
@@ -111,6 +126,7 @@
                 return Delivery::Ended;
             }
             EngineOutput::Finished(_, reason) => {
+                note(last_step(reason));
                 let is_gone = responder.is_caller_gone();
                 responder.send(cut_answer(reason));
                 return if is_gone {
@@ -122,6 +138,7 @@
             _ => {}
         }
     }
+    note(RunStep::CutOff);
     Delivery::Ended
 }
 
@@ -132,6 +149,22 @@
     }
 }
 
+fn first_step(call: &Call) -> RunStep {
+    if call.request.resume_from > 0 {
+        RunStep::Resumed
+    } else {
+        RunStep::Started
+    }
+}
+
+fn last_step(reason: FinishReason) -> RunStep {
+    match reason {
+        FinishReason::Complete => RunStep::Finished,
+        FinishReason::Cancelled => RunStep::Cancelled,
+        FinishReason::DeadlinePassed | FinishReason::Unloaded => RunStep::CutOff,
+    }
+}
+
 fn stream_headers() -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
--- a/crates/millpass-standin/src/run/front.rs
+++ b/crates/millpass-standin/src/run/front.rs
@@ -1,9 +1,11 @@
 //! Settings that every front end has.
 
+use super::journal::RunJournal;
 use http::StatusCode;
 use http::header::RETRY_AFTER;
 use millpass_http::{Response, ServerSettings};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 const NANOS_PER_SECOND: u128 = 1_000_000_000;
@@ -13,6 +15,10 @@
 pub struct FrontSettings {
     /// Address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
+    /// Address that others reach it at, where it differs (a relay).
+    pub advertise: Option<SocketAddr>,
+    /// Where runs are noted, if anywhere.
+    pub journal: Option<Arc<RunJournal>>,
     /// Simulated seconds in a real one.
     pub time_scale: f64,
     /// Threads that carry connections.
@@ -27,6 +33,8 @@
     fn default() -> Self {
         FrontSettings {
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            advertise: None,
+            journal: None,
             time_scale: 1.0,
             executor_threads: 1,
             handler_threads: 1_024,
--- a/crates/millpass-standin/src/run/mod.rs
+++ b/crates/millpass-standin/src/run/mod.rs
@@ -5,6 +5,7 @@
 mod driver;
 mod front;
 mod http;
+mod journal;
 mod served;
 
 pub use alarm::{Alarm, Alarms};
@@ -16,4 +17,6 @@
     EXECUTED_HEADER, error_answer, header_number, header_text, json_answer, malformed_header,
     parse_json, path_segments, query_number,
 };
+pub(crate) use journal::RunNotes;
+pub use journal::{RunJournal, RunRecord, RunStep};
 pub use served::Served;
--- a/crates/millpass-standin/src/run/served.rs
+++ b/crates/millpass-standin/src/run/served.rs
@@ -13,6 +13,7 @@
     server: ServerHandle,
     driver: Arc<Driver<M>>,
     platform: Option<PlatformClient>,
+    advertise: Option<SocketAddr>,
 }
 
 impl<M: TimedModel> Served<M> {
@@ -28,13 +29,15 @@
             server: server.serve(handler),
             driver,
             platform: None,
+            advertise: front.advertise,
         })
     }
 
     /// Puts the machine on the platform's list at `list`, if one is named. The machine's address
     /// is set here.
     pub(crate) fn register(mut self, list: Option<&str>, mut machine: PlatformMachine) -> Self {
-        machine.address = self.address().to_string();
+        let reached_at = self.advertise.unwrap_or(self.address());
+        machine.address = reached_at.to_string();
         self.platform = list.map(|address| PlatformClient::register(address, machine));
         self
     }
--- a/crates/millpass-standin/src/web/service.rs
+++ b/crates/millpass-standin/src/web/service.rs
@@ -4,8 +4,8 @@
     WebAnswer, WebInput, WebModel, WebOutput, WebRequest, WebRequestId, WebSettings,
 };
 use crate::run::{
-    Alarms, Driver, EXECUTED_HEADER, FrontSettings, ScaledClock, Served, TimedModel, error_answer,
-    header_number, header_text, json_answer, retry_after_answer,
+    Alarms, Driver, EXECUTED_HEADER, FrontSettings, RunNotes, RunStep, ScaledClock, Served,
+    TimedModel, error_answer, header_number, header_text, json_answer, retry_after_answer,
 };
 use anyhow::Result;
 use bytes::Bytes;
@@ -53,10 +53,16 @@
         address: String::new(),
         state: BackendState::Live,
     };
+    let runs = RunNotes {
+        journal: front.journal.clone(),
+        backend: settings.backend.clone(),
+        incarnation: settings.incarnation,
+    };
     let model = WebModel::new(settings, alarms.clock().now());
     let driver = Driver::new(model, alarms);
     let service = Arc::new(Service {
         driver: driver.clone(),
+        runs,
     });
     let served = Served::start(machine.backend.as_str(), front, driver, service)?;
     Ok(served.register(platform, machine))
@@ -64,6 +70,7 @@
 
 struct Service {
     driver: Arc<Driver<WebModel>>,
+    runs: RunNotes,
 }
 
 impl Handler for Service {
@@ -109,6 +116,12 @@
             })
         });
         if let Ok(output) = answers.recv() {
+            if matches!(output.answer, WebAnswer::Page(_) | WebAnswer::Ran(_)) {
+                let id = header_text(&request.headers, "x-request-id").unwrap_or_default();
+                let tenant = TenantName::from(tenant);
+                self.runs
+                    .note(id, &tenant, key.as_deref(), RunStep::Started);
+            }
             responder.send(answer(&path, key.as_deref(), output.answer));
         }
     }
