--- a/crates/millpass-lab/src/fleet/mod.rs
+++ b/crates/millpass-lab/src/fleet/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod bounds;
 pub mod children;
+pub mod folder;
+pub mod lab_files;
 pub mod layout;
 pub mod ports;
-pub mod settings_files;
+pub mod product_files;
--- a/crates/millpass-lab/src/fleet/product_files.rs
+++ b/crates/millpass-lab/src/fleet/product_files.rs
@@ -1,14 +1,19 @@
 //! Settings files of the product's processes and the file of catalog objects.
 
+use super::folder::WorkFolder;
 use super::layout::{Layout, Place};
 use crate::deployment::{Deployment, VERSION};
 use anyhow::Result;
 use serde::Serialize;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use toml::{Table, Value};
 
 /// Key that counts as administrator while no operator account exists; worth nothing elsewhere.
 pub const BOOTSTRAP_KEY: &str = "lab-bootstrap-key";
+/// Silence after which a member is replaced: shorter than by default, so that a run sees it.
+const MEMBER_REPLACEMENT_DELAY_MILLIS: i64 = 5_000;
+/// Replicas that one model may have.
+pub const MAXIMUM_REPLICAS: u32 = 2;
 /// Waiting requests that one tenant may have at one router.
 const MAXIMUM_WAITING_PER_TENANT: i64 = 1_000;
 
@@ -17,81 +22,22 @@
     blake3::hash(key.as_bytes()).to_hex().to_string()
 }
 
-/// Where the files of a fleet are.
-#[derive(Clone, Debug)]
-pub struct WorkFolder {
-    /// The folder.
-    pub root: PathBuf,
-}
-
-impl WorkFolder {
-    /// Makes the folder; it must not hold an earlier run.
-    pub fn create(root: &Path) -> Result<Self> {
-        let settings = root.join("settings");
-        anyhow::ensure!(
-            !settings.exists(),
-            "{} holds an earlier run; give a new folder or remove it",
-            root.display()
-        );
-        std::fs::create_dir_all(settings)?;
-        Ok(WorkFolder {
-            root: root.to_owned(),
-        })
-    }
-
-    /// Settings file of a process.
-    pub fn settings(&self, name: &str) -> PathBuf {
-        self.root.join("settings").join(format!("{name}.toml"))
-    }
-
-    /// Data folder of a control member.
-    pub fn data(&self, name: &str) -> PathBuf {
-        self.root.join("data").join(name)
-    }
-
-    /// Folder of logs.
-    pub fn logs(&self) -> PathBuf {
-        self.root.join("logs")
-    }
-
-    /// File of catalog objects.
-    pub fn objects(&self) -> PathBuf {
-        self.root.join("settings").join("objects.toml")
-    }
-
-    /// Settings of the relay.
-    pub fn relay(&self) -> PathBuf {
-        self.root.join("settings").join("relay.json")
-    }
-}
-
-/// Keep-alive strategy of a fleet's control members, as in their settings.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KeepAlive {
-    /// Word of the setting `scheduling.keep_alive`.
-    pub word: String,
-}
-
-/// Writes all files.
-pub fn write_all(
+/// Writes them all.
+pub fn write_product_files(
     folder: &WorkFolder,
     deployment: &Deployment,
     layout: &Layout,
-    keep_alive: &KeepAlive,
 ) -> Result<()> {
     for place in &layout.control {
         let data = folder.data(&place.name);
-        let table = control_settings(deployment, layout, place, &data, keep_alive);
+        let table = control_settings(deployment, layout, place, &data);
         std::fs::write(folder.settings(&place.name), table.to_string())?;
     }
     for place in &layout.routers {
         let table = router_settings(layout, place);
         std::fs::write(folder.settings(&place.name), table.to_string())?;
     }
-    std::fs::write(folder.objects(), objects(deployment)?)?;
-    let relay = serde_json::to_vec_pretty(&layout.relay_settings(deployment))?;
-    std::fs::write(folder.relay(), relay)?;
-    Ok(())
+    Ok(std::fs::write(folder.objects(), objects(deployment)?)?)
 }
 
 fn table<const COUNT: usize>(entries: [(&str, Value); COUNT]) -> Value {
@@ -103,13 +49,7 @@
     Value::String(value.to_string())
 }
 
-fn control_settings(
-    deployment: &Deployment,
-    layout: &Layout,
-    place: &Place,
-    data: &Path,
-    keep_alive: &KeepAlive,
-) -> Table {
+fn control_settings(deployment: &Deployment, layout: &Layout, place: &Place, data: &Path) -> Table {
     let member = table([
         ("zone", text(&place.zone)),
         ("peer_listen", text(place.listen)),
@@ -132,7 +72,6 @@
             Value::Integer(weights.cold_start.into()),
         ),
         ("idle_weight", Value::Integer(weights.idle.into())),
-        ("keep_alive", text(&keep_alive.word)),
     ]);
     let limits = deployment.store;
     let store = table([
@@ -149,12 +88,17 @@
             Value::Integer(i64::try_from(limits.bytes_per_second).unwrap_or(i64::MAX)),
         ),
     ]);
+    let repair = table([(
+        "member_replacement_delay_ms",
+        Value::Integer(MEMBER_REPLACEMENT_DELAY_MILLIS),
+    )]);
     let platform = table([("address", text(layout.platform.reached_at))]);
     Table::from_iter([
         ("member".to_owned(), member),
         ("members".to_owned(), Value::Array(members.collect())),
         ("scheduling".to_owned(), scheduling),
         ("store".to_owned(), store),
+        ("repair".to_owned(), repair),
         ("platform".to_owned(), platform),
     ])
 }
@@ -282,6 +226,3 @@
     };
     Ok(toml::to_string(&objects)?)
 }
-
-/// Replicas that one model may have.
-pub const MAXIMUM_REPLICAS: u32 = 2;
--- a/crates/millpass-lab/src/lib.rs
+++ b/crates/millpass-lab/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod deployment;
 pub mod fleet;
+pub mod options;
+pub mod programs;
 pub mod relay;
--- a/crates/millpass-lab/src/main.rs
+++ b/crates/millpass-lab/src/main.rs
@@ -1,3 +1,26 @@
 //! The `millpass-lab` command.
 
-fn main() {}
+use millpass_lab::options::{self, Options};
+use millpass_lab::programs;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let result = match options::parse() {
+        Options::Fleet { .. } => Ok(ExitCode::SUCCESS),
+        Options::StandIn { settings, kind } => logged(|| programs::run_stand_in(kind, &settings)),
+        Options::Relay { settings } => logged(|| programs::run_relay(&settings)),
+    };
+    result.unwrap_or_else(|error: anyhow::Error| {
+        eprintln!("millpass-lab: {error:#}");
+        ExitCode::FAILURE
+    })
+}
+
+fn logged(program: impl FnOnce() -> anyhow::Result<()>) -> anyhow::Result<ExitCode> {
+    millpass_telemetry::start_logging(&millpass_telemetry::LogSettings {
+        level: "info".to_owned(),
+        file: String::new(),
+    })?;
+    program()?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/millpass-load/src/caller.rs
+++ b/crates/millpass-load/src/caller.rs
@@ -149,25 +149,25 @@
     match &planned.target {
         Target::WebRead { path, .. } => {
             let request = agent.get(format!("{base}{path}"));
-            with_headers(request, planned, context)
+            with_headers(request, context)
                 .config()
                 .timeout_global(limit)
                 .build()
                 .call()
         }
         Target::WebWrite { path, body, .. } => {
-            let request = post(agent, &format!("{base}{path}"), planned, context);
+            let request = post(agent, &format!("{base}{path}"), context);
             request.config().timeout_global(limit).build().send(body)
         }
         Target::Tokens { chat: true, .. } => {
             let url = format!("{base}{}", wire::CHAT_PATH);
-            let request = post(agent, &url, planned, context);
+            let request = post(agent, &url, context);
             let request = request.config().timeout_global(limit).build();
             request.send(tokens_body(&planned.target))
         }
         Target::Tokens { .. } => {
             let url = format!("{base}{}", wire::COMPLETIONS_PATH);
-            let request = post(agent, &url, planned, context);
+            let request = post(agent, &url, context);
             let request = request.config().timeout_global(limit).build();
             request.send(tokens_body(&planned.target))
         }
@@ -212,16 +212,14 @@
 fn post(
     agent: &ureq::Agent,
     url: &str,
-    planned: &PlannedRequest,
     context: &CallContext,
 ) -> ureq::RequestBuilder<ureq::typestate::WithBody> {
     let request = agent.post(url).header("content-type", "application/json");
-    with_headers(request, planned, context)
+    with_headers(request, context)
 }
 
 fn with_headers<B>(
     request: ureq::RequestBuilder<B>,
-    planned: &PlannedRequest,
     context: &CallContext,
 ) -> ureq::RequestBuilder<B> {
     let request = request
