--- a/crates/millpass-lab/src/deployment.rs
+++ b/crates/millpass-lab/src/deployment.rs
@@ -173,7 +173,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum DeploymentError {
     /// The file cannot be read.
-    #[error("{file}: {source}; give a deployment description, such as examples/pnw")]
+    #[error("{file}: {source}; give pnw, sicilia or a file such as examples/pnw/deployment.toml")]
     Unreadable {
         /// File.
         file: String,
@@ -198,7 +198,24 @@
     },
 }
 
+/// Deployments known by name.
+const NAMED: [(&str, &str); 2] = [
+    ("pnw", include_str!("../../../examples/pnw/deployment.toml")),
+    (
+        "sicilia",
+        include_str!("../../../examples/sicilia/deployment.toml"),
+    ),
+];
+
 impl Deployment {
+    /// The deployment of this name, or described in the file of this name.
+    pub fn named(name: &str) -> Result<Self, DeploymentError> {
+        match NAMED.iter().find(|(known, _)| *known == name) {
+            Some((name, text)) => Self::parse(name, text),
+            None => Self::read(Path::new(name)),
+        }
+    }
+
     /// Reads a description and checks it.
     pub fn read(path: &Path) -> Result<Self, DeploymentError> {
         let file = path.display().to_string();
@@ -206,9 +223,13 @@
             file: file.clone(),
             source,
         })?;
+        Self::parse(&file, &text)
+    }
+
+    fn parse(file: &str, text: &str) -> Result<Self, DeploymentError> {
         let deployment: Deployment =
-            toml::from_str(&text).map_err(|error| DeploymentError::Malformed {
-                file,
+            toml::from_str(text).map_err(|error| DeploymentError::Malformed {
+                file: file.to_owned(),
                 reason: error.to_string(),
             })?;
         deployment.check()?;
