Lab: the fleet's processes, started in order and stopped by id

Cause: nothing tied layout, settings files and children together. Ruled out: one process for all engines of a zone: an engine is to be killed alone.

--- a/crates/millpass-lab/src/fleet/children.rs
+++ b/crates/millpass-lab/src/fleet/children.rs
@@ -7,13 +7,6 @@
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::thread;
-use std::time::{Duration, Instant};
-
-/// Time for children to end after they were asked to.
-const STOP_PATIENCE: Duration = Duration::from_secs(8);
-/// Pause between two looks at children that are to end.
-const POLL: Duration = Duration::from_millis(20);
 
 /// How to start a process, the first time and again.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +22,7 @@
 struct Running {
     launch: Launch,
     child: Option<Child>,
+    is_stopping: bool,
 }
 
 /// All children of a fleet. Dropping it kills those that still run.
@@ -36,6 +30,7 @@
     logs: PathBuf,
     maximum: usize,
     running: BTreeMap<String, Running>,
+    unasked: Vec<String>,
 }
 
 impl Children {
@@ -46,6 +41,7 @@
             logs: logs.to_owned(),
             maximum,
             running: BTreeMap::new(),
+            unasked: Vec::new(),
         })
     }
 
@@ -60,8 +56,12 @@
         let child = self.spawn(&launch)?;
         let id = child.id();
         let name = launch.name.clone();
-        let child = Some(child);
-        self.running.insert(name, Running { launch, child });
+        let running = Running {
+            launch,
+            child: Some(child),
+            is_stopping: false,
+        };
+        self.running.insert(name, running);
         Ok(id)
     }
 
@@ -126,19 +126,33 @@
         Ok(())
     }
 
-    /// Children that ended by themselves since the last look, with how.
-    pub fn ended(&mut self) -> Vec<(String, String)> {
-        let mut ended = Vec::new();
+    /// Asks a child to end in an orderly way.
+    pub fn ask_to_stop(&mut self, name: &str) -> Result<()> {
+        if let Some(running) = self.running.get_mut(name) {
+            running.is_stopping = true;
+        }
+        self.signal(name, Signal::TERM)
+    }
+
+    /// Takes note of children that ended.
+    pub fn look(&mut self) {
         for (name, running) in &mut self.running {
             let Some(child) = &mut running.child else {
                 continue;
             };
             if let Ok(Some(status)) = child.try_wait() {
-                ended.push((name.clone(), status.to_string()));
+                if !running.is_stopping {
+                    self.unasked
+                        .push(format!("{name} ended by itself: {status}"));
+                }
                 running.child = None;
             }
         }
-        ended
+    }
+
+    /// Children that ended without being asked to, with how.
+    pub fn unasked_ends(&self) -> &[String] {
+        &self.unasked
     }
 
     /// Resident memory of all children, in bytes.
@@ -161,39 +175,20 @@
         kinds
     }
 
-    /// Asks all children to end, waits a bounded time, and kills the rest. Gives the names of
-    /// those that had to be killed.
-    pub fn stop_all(&mut self) -> Vec<String> {
+    /// Kills every child that runs.
+    pub fn kill_all(&mut self) {
         for name in self.names() {
             if self.process_id(&name).is_some() {
-                // One that has just ended takes no signal, and needs none.
-                let _ = self.signal(&name, Signal::CONT);
-                let _ = self.signal(&name, Signal::TERM);
-            }
-        }
-        let until = Instant::now() + STOP_PATIENCE;
-        while Instant::now() < until && !self.process_ids().is_empty() {
-            self.ended();
-            thread::sleep(POLL);
-        }
-        let mut killed = Vec::new();
-        for name in self.names() {
-            if self.process_id(&name).is_some() && self.kill(&name).is_ok() {
-                killed.push(name);
+                // Nothing can be done about one that will not die.
+                let _ = self.kill(&name);
             }
         }
-        killed
     }
 }
 
 impl Drop for Children {
     fn drop(&mut self) {
-        for name in self.names() {
-            if self.process_id(&name).is_some() {
-                // Nothing can be done about one that will not die.
-                let _ = self.kill(&name);
-            }
-        }
+        self.kill_all();
     }
 }
 
--- a/crates/millpass-lab/src/fleet/mod.rs
+++ b/crates/millpass-lab/src/fleet/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod bounds;
 pub mod children;
+pub mod deployed;
+pub mod events;
 pub mod folder;
 pub mod lab_files;
 pub mod layout;
