--- a/crates/millpass-lab/src/fleet/mod.rs
+++ b/crates/millpass-lab/src/fleet/mod.rs
@@ -1,11 +1,22 @@
 //! A fleet: the separate processes of a deployment at its full size, on one machine.
 
+pub mod audits;
 pub mod bounds;
 pub mod children;
 pub mod deployed;
 pub mod events;
+pub mod evidence;
+pub mod faults;
+pub mod figures;
 pub mod folder;
 pub mod lab_files;
 pub mod layout;
+pub mod observer;
+pub mod operator;
 pub mod ports;
+pub mod prober;
 pub mod product_files;
+pub mod report;
+pub mod revisions;
+pub mod run;
+pub mod traffic;
--- a/crates/millpass-lab/src/main.rs
+++ b/crates/millpass-lab/src/main.rs
@@ -6,7 +6,7 @@
 
 fn main() -> ExitCode {
     let result = match options::parse() {
-        Options::Fleet { .. } => Ok(ExitCode::SUCCESS),
+        Options::Fleet { options } => millpass_lab::fleet::run::run(&options),
         Options::StandIn { settings, kind } => logged(|| programs::run_stand_in(kind, &settings)),
         Options::Relay { settings } => logged(|| programs::run_relay(&settings)),
     };
