Load: the answer expected of a chat is that to the chat's prompt

Cause: callers compared a chat's answer with the answer to the bare message; engines answer the prompt that the messages make together ("user: ..."), so each chat counted as another's answer. Conclusion: the checker was wrong, not the product.

--- a/crates/millpass-load/src/caller.rs
+++ b/crates/millpass-load/src/caller.rs
@@ -8,12 +8,15 @@
 use crate::stream::{StreamEvent, next_event};
 use crate::wire;
 use millpass_proto::{AdapterName, ModelName};
+use millpass_standin::content::chat_prompt;
 use serde::{Deserialize, Serialize};
 use std::io::{BufReader, Read};
 use std::time::{Duration, Instant};
 
 /// Most bytes of an answer that are read.
 const MAXIMUM_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+/// Role of the one message of a chat.
+const CHAT_ROLE: &str = "user";
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Idle connections kept to one router.
@@ -192,7 +195,7 @@
         serde_json::to_vec(&ChatBody {
             model,
             messages: [ChatMessage {
-                role: "user",
+                role: CHAT_ROLE,
                 content: prompt,
             }],
             max_tokens: *tokens,
@@ -265,10 +268,18 @@
             model,
             version,
             adapter,
+            chat,
             prompt,
             tokens,
             ..
-        } => expected_tokens(model, version, adapter.as_ref(), prompt, *tokens),
+        } => {
+            let prompt = if *chat {
+                chat_prompt([(CHAT_ROLE, prompt.as_str())])
+            } else {
+                prompt.clone()
+            };
+            expected_tokens(model, version, adapter.as_ref(), &prompt, *tokens)
+        }
         _ => Vec::new(),
     }
 }
