Lab: the fleet runs; revisions read by their metric's full name, breaches printed up to twenty

Cause: metric names start with millpass_, so that each revision counted as not in force. Ruled out: routers not applying: the status shows the revision. Change: the name; a bounded list of breaches in the printed report. Conclusion: the fleet's own fault.

--- a/crates/millpass-lab/src/fleet/report.rs
+++ b/crates/millpass-lab/src/fleet/report.rs
@@ -143,14 +143,13 @@
         self.write_loads(out)?;
         self.write_fault(out)?;
         self.write_memory(out)?;
-        writeln!(out, "\nbreaches: {}", self.breaches.len())?;
-        for breach in &self.breaches {
-            writeln!(out, "  {breach}")?;
-        }
-        Ok(())
+        self.write_breaches(out)
     }
 }
 
+/// Breaches printed; the JSON report has all.
+const PRINTED_BREACHES: usize = 20;
+
 fn header() -> String {
     format!(
         "{:<30} {:>7} {:>10} {:>10} {:>10} {:>10}",
@@ -229,6 +228,17 @@
         Ok(())
     }
 
+    fn write_breaches(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(out, "\nbreaches: {}", self.breaches.len())?;
+        for breach in self.breaches.iter().take(PRINTED_BREACHES) {
+            writeln!(out, "  {breach}")?;
+        }
+        match self.breaches.len().checked_sub(PRINTED_BREACHES) {
+            Some(more @ 1..) => writeln!(out, "  and {more} more, in report.json"),
+            _ => Ok(()),
+        }
+    }
+
     fn write_memory(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mebibytes = |bytes: u64| bytes as f64 / BYTES_PER_MEBIBYTE;
         let sum: u64 = self.memory.values().map(|memory| memory.bytes).sum();
--- a/crates/millpass-lab/src/fleet/revisions.rs
+++ b/crates/millpass-lab/src/fleet/revisions.rs
@@ -16,7 +16,7 @@
 /// Longest wait for one router.
 const TIMEOUT: Duration = Duration::from_millis(200);
 /// Line of the router's metrics that has the revision.
-const REVISION_METRIC: &str = "router_core{size=\"configuration_revision\"}";
+const REVISION_METRIC: &str = "millpass_router_core{size=\"configuration_revision\"}";
 
 /// When each router was first seen at each new revision, in Unix microseconds.
 pub type SeenRevisions = BTreeMap<String, Vec<(u64, u64)>>;
