--- a/crates/millpass-sim/src/router_link.rs
+++ b/crates/millpass-sim/src/router_link.rs
@@ -123,7 +123,7 @@
     }
 
     /// A message came on the link.
-    pub(crate) fn from_control(
+    pub(crate) fn control_sent(
         &mut self,
         router: usize,
         connection: ConnectionId,
