Objects of a file: operators last, one table of kinds; last answers go out at a planned stop

Cause: apply wrote operators first, and the bootstrap key counts for nothing once an account exists, so the rest of a first file got 401. The command line had a second table of kind words. A drained member could close its API before the last answer was out. Ruled out: keeping the bootstrap key valid beside accounts (a forgotten key would stay an administrator for ever). Change: operators are the last kind, in the one table of the API; too many calls are answered busy; the API is drained, at most 0.5 s, after the core ended. Before and after: the test of the order in files states the operator last and failed first; the tests of both crates pass. Conclusion: a first file may hold the first operator's account.

--- a/crates/millpass-cli/src/commands/online.rs
+++ b/crates/millpass-cli/src/commands/online.rs
@@ -91,7 +91,7 @@
     };
     println!(
         "{word} {}/{}",
-        objects::plural(object.key.kind),
+        api::kind_plural(object.key.kind),
         object.key.name
     );
 }
@@ -113,7 +113,7 @@
     };
     let accepted = client
         .put(object.key.kind, &object.key.name, &change)
-        .with_context(|| format!("{}/{}", objects::plural(object.key.kind), object.key.name))?;
+        .with_context(|| format!("{}/{}", api::kind_plural(object.key.kind), object.key.name))?;
     Ok(Some(accepted))
 }
 
@@ -133,7 +133,7 @@
     let found = match name {
         Some(name) => match client.get(kind, name)? {
             Some(object) => vec![object],
-            None => bail!("{}/{name} does not exist", objects::plural(kind)),
+            None => bail!("{}/{name} does not exist", api::kind_plural(kind)),
         },
         None => client.list(kind)?,
     };
@@ -159,13 +159,13 @@
     let Some(stored) = client.get(kind, name)? else {
         bail!(
             "{}/{name} does not exist; nothing was deleted",
-            objects::plural(kind)
+            api::kind_plural(kind)
         );
     };
     let accepted = client.delete(kind, name, stored.version, &new_change_id())?;
     println!(
         "deleted {}/{name} revision {}",
-        objects::plural(kind),
+        api::kind_plural(kind),
         accepted.revision
     );
     Ok(ExitCode::SUCCESS)
--- a/crates/millpass-cli/src/objects.rs
+++ b/crates/millpass-cli/src/objects.rs
@@ -1,6 +1,7 @@
 //! Catalog objects as operators write them: TOML, one `[[kind]]` table per object, with defaults
 //! for what may be left out.
 
+use millpass_control::api::{kind_of_plural, kind_of_word, kind_word};
 use millpass_proto::{
     AdapterSpec, BackendGroupSpec, ModelSpec, ObjectKey, ObjectKind, ObjectSpec, OperatorSpec,
     PolicySpec, TenantSpec, VersionSpec,
@@ -53,27 +54,17 @@
     },
 }
 
-/// A kind: its word in files and commands, its plural, and what may be left out.
+/// A kind: its keys, and what may be left out.
 struct KindForm {
-    word: &'static str,
-    plural: &'static str,
     kind: ObjectKind,
     defaults: &'static str,
     keys: &'static [&'static str],
 }
 
-/// In the order in which objects may refer to each other.
+/// In the order in which objects may refer to each other. Operators come last: the bootstrap key
+/// that submits a first file counts for nothing once an account exists.
 const KINDS: [KindForm; 7] = [
     KindForm {
-        word: "operator",
-        plural: "operators",
-        kind: ObjectKind::Operator,
-        defaults: "",
-        keys: &["key_hash", "role"],
-    },
-    KindForm {
-        word: "tenant",
-        plural: "tenants",
         kind: ObjectKind::Tenant,
         defaults: "api_key_hashes = []\nshare_weight = 1\ncapacity_bytes = 9223372036854775807\nmaximum_waiting = 1000",
         keys: &[
@@ -84,8 +75,6 @@
         ],
     },
     KindForm {
-        word: "model",
-        plural: "models",
         kind: ObjectKind::Model,
         defaults: "accelerators_per_replica = 1\nmaximum_replicas = 1\nminimum_replicas = 0\nconcurrency_per_replica = 8",
         keys: &[
@@ -97,8 +86,6 @@
         ],
     },
     KindForm {
-        word: "version",
-        plural: "versions",
         kind: ObjectKind::Version,
         defaults: "cache_bytes = 0",
         keys: &[
@@ -110,46 +97,40 @@
         ],
     },
     KindForm {
-        word: "adapter",
-        plural: "adapters",
         kind: ObjectKind::Adapter,
         defaults: "",
         keys: &["model", "bytes", "checkpoint"],
     },
     KindForm {
-        word: "backend-group",
-        plural: "backend-groups",
         kind: ObjectKind::BackendGroup,
         defaults: "non_repeatable_paths = []",
         keys: &["path_prefix", "non_repeatable_paths"],
     },
     KindForm {
-        word: "policy",
-        plural: "policies",
         kind: ObjectKind::Policy,
         defaults: "examples = []",
         keys: &["allow", "deny", "urgency", "capacity_bytes", "examples"],
     },
+    KindForm {
+        kind: ObjectKind::Operator,
+        defaults: "",
+        keys: &["key_hash", "role"],
+    },
 ];
 
+impl KindForm {
+    fn word(&self) -> &'static str {
+        kind_word(self.kind)
+    }
+}
+
 fn kind_words() -> String {
-    KINDS.map(|form| form.word).join(", ")
+    KINDS.map(|form| form.word()).join(", ")
 }
 
 /// The kind of a word, singular or plural.
 pub fn parse_kind(word: &str) -> Option<ObjectKind> {
-    let form = KINDS
-        .iter()
-        .find(|form| form.word == word || form.plural == word)?;
-    Some(form.kind)
-}
-
-/// A kind's plural, as the administration API's paths have it.
-pub fn plural(kind: ObjectKind) -> &'static str {
-    KINDS
-        .iter()
-        .find(|form| form.kind == kind)
-        .map_or("", |form| form.plural)
+    kind_of_word(word).or_else(|| kind_of_plural(word))
 }
 
 /// Reads the objects of a file, ordered so that an object comes after those it refers to.
@@ -162,7 +143,7 @@
         })?;
     if let Some(kind) = table
         .keys()
-        .find(|key| KINDS.iter().all(|form| form.word != *key))
+        .find(|key| KINDS.iter().all(|form| form.word() != *key))
     {
         return Err(ObjectsError::UnknownKind {
             file: file.to_owned(),
@@ -171,17 +152,17 @@
     }
     let mut objects = Vec::new();
     for form in &KINDS {
-        let Some(value) = table.get(form.word) else {
+        let Some(value) = table.get(form.word()) else {
             continue;
         };
         let invalid = |number: usize, reason: String| ObjectsError::Invalid {
             file: file.to_owned(),
-            kind: form.word,
+            kind: form.word(),
             number,
             reason,
         };
         let Value::Array(entries) = value else {
-            return Err(invalid(1, format!("write it as [[{}]]", form.word)));
+            return Err(invalid(1, format!("write it as [[{}]]", form.word())));
         };
         for (index, entry) in entries.iter().enumerate() {
             let object = parse_object(form, entry).map_err(|reason| invalid(index + 1, reason))?;
--- a/crates/millpass-cli/tests/objects.rs
+++ b/crates/millpass-cli/tests/objects.rs
@@ -5,6 +5,11 @@
 use rstest::rstest;
 
 const FILE: &str = r#"
+[[operator]]
+name = "admin"
+key_hash = "00"
+role = "Administrator"
+
 [[adapter]]
 name = "formal"
 model = "writer"
@@ -31,7 +36,7 @@
         .iter()
         .map(|object| object.key.name.as_str())
         .collect();
-    assert_eq!(names, ["writer", "writer@v1", "formal", "open"]);
+    assert_eq!(names, ["writer", "writer@v1", "formal", "open", "admin"]);
     let ObjectSpec::Version(version) = &objects[1].spec else {
         panic!("version")
     };
--- a/crates/millpass-control/src/api/kinds.rs
+++ b/crates/millpass-control/src/api/kinds.rs
@@ -3,15 +3,15 @@
 use millpass_proto::ObjectKind;
 
 /// Kinds with their word in bodies and their plural in paths, in the order in which objects may
-/// refer to each other.
+/// refer to each other; operators last.
 pub const KINDS: [(ObjectKind, &str, &str); 7] = [
-    (ObjectKind::Operator, "operator", "operators"),
     (ObjectKind::Tenant, "tenant", "tenants"),
     (ObjectKind::Model, "model", "models"),
     (ObjectKind::Version, "version", "versions"),
     (ObjectKind::Adapter, "adapter", "adapters"),
     (ObjectKind::BackendGroup, "backend-group", "backend-groups"),
     (ObjectKind::Policy, "policy", "policies"),
+    (ObjectKind::Operator, "operator", "operators"),
 ];
 
 /// Word of a kind, as in object files.
--- a/crates/millpass-control/src/calls.rs
+++ b/crates/millpass-control/src/calls.rs
@@ -58,8 +58,7 @@
         {
             let mut waiting = self.table.lock();
             if waiting.len() >= MAXIMUM_CALLS {
-                let reason = "too many calls are under way; retry in a second".to_owned();
-                return AdministrationAnswer::Refused(reason);
+                return AdministrationAnswer::Busy;
             }
             waiting.insert(call, sender);
         }
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -14,12 +14,15 @@
 use crate::startup::{self, ListenAddresses};
 use crossbeam::channel::unbounded;
 use millpass_control_plane::ControlInput;
-use millpass_proto::{MemberAddress, MemberId};
+use millpass_proto::{Duration, MemberAddress, MemberId};
 use millpass_telemetry::ProcessClock;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 
+/// Longest wait for the last answers of the administration API to go out.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
+
 /// A running control member. Dropping it halts the member.
 pub struct ControlHandle {
     address: MemberAddress,
@@ -182,7 +185,8 @@
         let ended = core
             .join()
             .unwrap_or_else(|_| Err(ControlError::Stopped("its thread panicked".to_owned())));
-        self.administration.stop();
+        // Whoever waits was answered when the core ended; the answers still have to go out.
+        self.administration.drain(ANSWER_GRACE);
         for thread in self.threads.drain(..) {
             if thread.join().is_err() {
                 log::error!("event=control_thread_panicked");
