What a newcomer met: check compiles policies, explain reads as text, a version states its cache

Cause: a walk by hand through the first steps. check called a file valid whose policy did not compile; explain printed one line of JSON; a version without cache_bytes was taken and then each of its requests refused as too large. Ruled out: a default for cache_bytes (any share of the weights is wrong for somebody, and silently). Before and after: tests/check.rs failed with 'valid objects' before; passes. The test of a version at 0 failed with 200; passes with 422.

--- a/crates/millpass-cli/src/commands/mod.rs
+++ b/crates/millpass-cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One module per family of commands.
 
+mod explain;
 mod offline;
 pub mod online;
 pub mod programs;
@@ -54,7 +55,11 @@
             administration,
             after,
         } => online::audit(&administration, after),
-        Options::Explain { router, request } => online::explain(&router, &request),
+        Options::Explain {
+            router,
+            json,
+            request,
+        } => explain::explain(&router, &request, json),
         Options::Policy { command } => offline::policy(command),
     }
 }
--- a/crates/millpass-cli/src/commands/offline.rs
+++ b/crates/millpass-cli/src/commands/offline.rs
@@ -1,14 +1,13 @@
 //! Commands that need no server: `check`, `template`, `key`.
 
-use crate::objects;
+use crate::objects::{self, DeclaredObject};
+use crate::options::PolicyCommand;
 use anyhow::{Context, Result, bail};
 use millpass_policy::admit;
 use millpass_proto::{ObjectSpec, PolicyName};
 use std::path::Path;
 use std::process::ExitCode;
 
-use crate::options::PolicyCommand;
-
 const CONTROL_TEMPLATE: &str = include_str!("../../../../examples/templates/control.toml");
 const ROUTER_TEMPLATE: &str = include_str!("../../../../examples/templates/router.toml");
 
@@ -27,13 +26,25 @@
         millpass_config::parse_router(&name, &text)?;
         "router settings"
     } else {
-        objects::parse_objects(&name, &text)?;
+        let declared = objects::parse_objects(&name, &text)?;
+        check_policies(&name, &declared)?;
         "objects"
     };
     println!("{name}: valid {kind}");
     Ok(ExitCode::SUCCESS)
 }
 
+/// Compiles the policies among these objects and runs their examples; the first error ends it.
+pub fn check_policies(file: &str, declared: &[DeclaredObject]) -> Result<()> {
+    for object in declared {
+        if let ObjectSpec::Policy(spec) = &object.spec {
+            admit(&PolicyName::from(object.key.name.as_str()), spec)
+                .map_err(|error| anyhow::anyhow!("{file}: {error}; nothing was submitted"))?;
+        }
+    }
+    Ok(())
+}
+
 /// Prints a settings template.
 pub fn template(kind: &str) -> Result<ExitCode> {
     match kind {
--- a/crates/millpass-cli/src/commands/online.rs
+++ b/crates/millpass-cli/src/commands/online.rs
@@ -1,5 +1,6 @@
 //! Operators' commands over the administration API.
 
+use crate::commands::offline::check_policies;
 use crate::objects::{self, DeclaredObject};
 use crate::options::AdministrationOptions;
 use anyhow::{Context, Result, bail};
@@ -42,7 +43,9 @@
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file)
         .with_context(|| format!("{name}: cannot be read; check the path"))?;
-    Ok(objects::parse_objects(&name, &text)?)
+    let declared = objects::parse_objects(&name, &text)?;
+    check_policies(&name, &declared)?;
+    Ok(declared)
 }
 
 /// A change id that no other change has; resends inside one command carry the same one.
@@ -273,23 +276,3 @@
     }
     Ok(ExitCode::SUCCESS)
 }
-
-/// `explain`, from the router's own memory of recent requests.
-pub fn explain(router: &str, request: &str) -> Result<ExitCode> {
-    let url = format!("http://{router}/v1/explain/{request}");
-    let agent: ureq::Agent = ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .build()
-        .into();
-    let mut answer = agent
-        .get(&url)
-        .call()
-        .with_context(|| format!("no answer from {router}; give the router's metrics address"))?;
-    let text = answer.body_mut().read_to_string()?;
-    println!("{text}");
-    Ok(if answer.status().is_success() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
-}
--- a/crates/millpass-cli/src/objects.rs
+++ b/crates/millpass-cli/src/objects.rs
@@ -87,7 +87,7 @@
     },
     KindForm {
         kind: ObjectKind::Version,
-        defaults: "cache_bytes = 0",
+        defaults: "",
         keys: &[
             "model",
             "label",
--- a/crates/millpass-cli/src/options.rs
+++ b/crates/millpass-cli/src/options.rs
@@ -149,6 +149,9 @@
         /// Metrics address of the router that took it (IP:port)
         #[bpaf(long("router"), argument("ADDRESS"))]
         router: String,
+        /// Print the router's answer as JSON
+        #[bpaf(long("json"))]
+        json: bool,
         /// Request id, as in the answer's X-Request-Id
         #[bpaf(positional("REQUEST"))]
         request: String,
@@ -221,7 +224,4 @@
         fallback(String::new())
     )]
     pub key: String,
-    /// Name of the operator account, for the audit log
-    #[bpaf(long("operator"), argument("NAME"), env("MILLPASS_OPERATOR"), fallback("operator".to_owned()))]
-    pub operator: String,
 }
--- /dev/null
+++ b/crates/millpass-cli/tests/check.rs
@@ -0,0 +1,35 @@
+//! `millpass check` on files of objects.
+
+use millpass_cli::commands;
+use millpass_cli::options::Options;
+use rstest::rstest;
+
+fn check(text: &str) -> Result<(), String> {
+    let folder = tempfile::tempdir().expect("folder");
+    let file = folder.path().join("objects.toml");
+    std::fs::write(&file, text).expect("write");
+    let ended = commands::run(Options::Check { file });
+    ended.map(drop).map_err(|error| format!("{error:#}"))
+}
+
+#[test]
+fn a_policy_whose_examples_hold_passes() {
+    let text = "[[policy]]\nname = 'p'\nallow = 'tenant == \"a\"'\nexamples = [\n\
+                { tenant = 'a', model = 'm', kind = 'chat', allowed = true }]";
+    assert_eq!(check(text), Ok(()));
+}
+
+#[rstest]
+#[case::not_a_program("[[policy]]\nname = 'p'\nallow = 'tenant =='", "allow:1:")]
+#[case::example_fails(
+    "[[policy]]\nname = 'p'\nallow = 'tenant == \"a\"'\nexamples = [\n\
+     { tenant = 'b', model = 'm', kind = 'chat', allowed = true }]",
+    "example"
+)]
+fn a_policy_that_would_be_refused_is_told_before(#[case] text: &str, #[case] part: &str) {
+    let error = check(text).expect_err("refused");
+    assert!(
+        error.contains(part) && error.contains("nothing was submitted"),
+        "{error}"
+    );
+}
--- a/crates/millpass-cli/tests/objects.rs
+++ b/crates/millpass-cli/tests/objects.rs
@@ -19,6 +19,7 @@
 model = "writer"
 label = "v1"
 weights_bytes = 10
+cache_bytes = 5
 
 [[model]]
 name = "writer"
@@ -57,6 +58,10 @@
     "[[operator]]\nname = 'a'\nkey_hash = 'x'\nrole = 'King'",
     "unknown variant"
 )]
+#[case(
+    "[[version]]\nmodel = 'a'\nlabel = 'v1'\nweights_bytes = 5",
+    "missing field `cache_bytes`"
+)]
 #[case("[[tenant]", "not valid TOML")]
 fn wrong_files_name_the_remedy(#[case] text: &str, #[case] part: &str) {
     let error = parse_objects("f.toml", text)
--- a/crates/millpass-control/src/administration/admission.rs
+++ b/crates/millpass-control/src/administration/admission.rs
@@ -22,6 +22,10 @@
             let mut hashes = tenant.api_key_hashes.iter();
             hashes.try_for_each(|hash| check_hash("api_key_hashes", hash))
         }
+        ObjectSpec::Version(version) if version.cache_bytes == 0 => Err(Failure::rejected(
+            "cache_bytes is 0: running requests need cache memory, so each would be too large; \
+             state how much a replica may use",
+        )),
         _ => Ok(()),
     }
 }
--- a/crates/millpass-control/tests/administration_api.rs
+++ b/crates/millpass-control/tests/administration_api.rs
@@ -281,6 +281,18 @@
     assert_eq!(answer.status, 422);
 }
 
+#[test]
+fn a_version_without_cache_memory_is_refused() {
+    let fixture = Fixture::with_operators();
+    let spec = json!({
+        "model": "m", "label": "1", "weights_bytes": 1, "cache_bytes": 0, "checkpoint": "c",
+    });
+    let answer = fixture.put("/v1/versions/m@1", EDITOR_KEY, 0, "c1", spec);
+    assert_eq!(answer.status, 422);
+    let message = answer.detail("message").as_str().unwrap_or_default();
+    assert!(message.contains("cache_bytes is 0"), "{message}");
+}
+
 #[rstest]
 #[case::not_leader(Trouble::NotLeader(Some("10.0.0.1:7101".to_owned())), 421, "not_leader", None)]
 #[case::no_leader(Trouble::NotLeader(None), 421, "not_leader", Some("1"))]
