Router: passes a lost leader over and finds the next before its lease ends

Cause: after a kill of the leader the routers of the fleet were without a lease from 2.6 s on. The followers named the dead leader until their election, each router went back to it, and the pause between attempts doubled to 1 s meanwhile: link up 1.1 to 1.4 s after the new leader was elected. Ruled out: a slow election (new leader 1.5 s after the kill, as set). Change: MemberChoice passes over the member whose connection broke last, whoever names it; pauses up to 250 ms; a member gets 500 ms for its first answer and 1.2 s of silence later, since a frozen or cut-off member ends no connection. Before and after: tests/member_choice.rs: the default times added up to 4.1 s against a lease of 3 s and failed; with the new ones it passes. Conclusion: to be measured again with a leader kill.

--- a/crates/millpass-router/src/link.rs
+++ b/crates/millpass-router/src/link.rs
@@ -1,6 +1,7 @@
 //! Link to the leader of the control group: finds it, keeps one connection, and reconnects.
 
 use crate::driver::Driver;
+use crate::member_choice::MemberChoice;
 use crate::settings::LinkSettings;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use millpass_proto::codec::{CodecError, read_frame, write_frame};
@@ -72,15 +73,10 @@
 
     /// Body of the link's thread: members in turn, or the leader that one of them named.
     pub(crate) fn run(self) {
-        let mut next_member = 0;
-        let mut hint = None;
+        let mut choice = MemberChoice::new(self.members.clone());
         let mut pause = self.settings.minimum_pause;
-        while !self.members.is_empty() {
-            let address = hint.take().unwrap_or_else(|| {
-                next_member += 1;
-                self.members[(next_member - 1) % self.members.len()]
-            });
-            let served = self.connect_and_serve(address, &mut hint);
+        while let Some(address) = choice.turn() {
+            let served = self.connect_and_serve(address, &mut choice);
             pause = if served {
                 self.settings.minimum_pause
             } else {
@@ -93,12 +89,13 @@
     }
 
     /// Serves one connection until it ends. Says whether the member answered as the leader.
-    fn connect_and_serve(&self, address: SocketAddr, hint: &mut Option<SocketAddr>) -> bool {
+    fn connect_and_serve(&self, address: SocketAddr, choice: &mut MemberChoice) -> bool {
         let stream = match TcpStream::connect_timeout(&address, self.settings.connect) {
             Ok(stream) => stream,
             Err(error) => {
                 log::debug!("event=link_connect_failed member={address} error=\"{error}\"");
                 self.driver.metrics.count_link("connect_failed");
+                choice.lost(address);
                 return false;
             }
         };
@@ -106,10 +103,11 @@
         match self.serve(stream, &mut served) {
             LinkEnd::NotLeader(leader) => {
                 self.driver.metrics.count_link("not_leader");
-                *hint = leader;
+                choice.named(leader);
             }
             LinkEnd::Lost(error) => {
                 self.driver.metrics.count_link("lost");
+                choice.lost(address);
                 log::warn!("event=link_lost member={address} error=\"{error}\"");
             }
         }
@@ -137,7 +135,7 @@
 
     fn prepare(&self, stream: &TcpStream) -> std::io::Result<(TcpStream, TcpStream)> {
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(self.settings.silence))?;
+        stream.set_read_timeout(Some(self.settings.connect))?;
         stream.set_write_timeout(Some(self.settings.silence))?;
         let ends = (stream.try_clone()?, stream.try_clone()?);
         self.set_connection(Some(stream.try_clone()?));
@@ -153,7 +151,7 @@
     }
 
     fn read_frames(&self, stream: TcpStream, served: &mut bool) -> LinkEnd {
-        let mut reader = BufReader::new(stream);
+        let mut reader = BufReader::new(&stream);
         loop {
             let input = match read_frame::<ControlToRouter>(&mut reader) {
                 Ok(ControlToRouter::NotLeader(answer)) => {
@@ -172,6 +170,9 @@
             };
             if !*served {
                 *served = true;
+                if let Err(error) = stream.set_read_timeout(Some(self.settings.silence)) {
+                    return LinkEnd::Lost(error.into());
+                }
                 self.driver.metrics.count_link("up");
                 log::info!("event=link_up");
             }
--- /dev/null
+++ b/crates/millpass-router/src/member_choice.rs
@@ -0,0 +1,65 @@
+//! Which control member a router turns to next.
+
+use std::net::SocketAddr;
+
+/// Turns in which a member whose connection broke is passed over, for each member of the list: an
+/// election takes several.
+const TURNS_PASSED_OVER: usize = 4;
+
+/// Members in turn, the leader that one of them named first, and for some turns not the one whose
+/// connection broke last: the others go on naming it as leader until they have elected another.
+#[derive(Clone, Debug)]
+pub struct MemberChoice {
+    members: Vec<SocketAddr>,
+    next: usize,
+    named: Option<SocketAddr>,
+    lost: Option<SocketAddr>,
+    turns_left: usize,
+}
+
+impl MemberChoice {
+    /// Begins with the first member.
+    pub fn new(members: Vec<SocketAddr>) -> Self {
+        MemberChoice {
+            members,
+            next: 0,
+            named: None,
+            lost: None,
+            turns_left: 0,
+        }
+    }
+
+    /// The member to turn to now; none without members.
+    pub fn turn(&mut self) -> Option<SocketAddr> {
+        self.turns_left = self.turns_left.saturating_sub(1);
+        if self.turns_left == 0 {
+            self.lost = None;
+        }
+        if let Some(named) = self.named.take() {
+            return Some(named);
+        }
+        let first = self.in_turn()?;
+        if Some(first) != self.lost {
+            return Some(first);
+        }
+        self.in_turn()
+    }
+
+    /// A member that does not lead named the leader, if it knows one.
+    pub fn named(&mut self, leader: Option<SocketAddr>) {
+        self.named = leader.filter(|leader| Some(*leader) != self.lost);
+    }
+
+    /// The connection to a member broke, could not be made, or went silent.
+    pub fn lost(&mut self, member: SocketAddr) {
+        self.lost = Some(member);
+        self.turns_left = TURNS_PASSED_OVER * self.members.len();
+    }
+
+    fn in_turn(&mut self) -> Option<SocketAddr> {
+        let count = self.members.len();
+        let member = self.members.get(self.next % count.max(1)).copied();
+        self.next = (self.next + 1) % count.max(1);
+        member
+    }
+}
--- a/crates/millpass-router/src/settings.rs
+++ b/crates/millpass-router/src/settings.rs
@@ -73,7 +73,7 @@
 /// Timing of the link to the leader.
 #[derive(Clone, Debug)]
 pub struct LinkSettings {
-    /// Time to connect to a member.
+    /// Time to connect to a member, and then for its first answer.
     pub connect: Duration,
     /// Longest silence of a member before the next one is tried. Reports are answered, so it
     /// must be longer than the report interval.
@@ -161,9 +161,9 @@
     fn default() -> Self {
         LinkSettings {
             connect: Duration::from_millis(500),
-            silence: Duration::from_secs(2),
+            silence: Duration::from_millis(1_200),
             minimum_pause: Duration::from_millis(20),
-            maximum_pause: Duration::from_secs(1),
+            maximum_pause: Duration::from_millis(250),
         }
     }
 }
--- /dev/null
+++ b/crates/millpass-router/tests/member_choice.rs
@@ -0,0 +1,74 @@
+//! Which control member a router turns to when its leader is gone.
+
+use millpass_config::{parse_control, parse_router};
+use millpass_router::{LinkSettings, MemberChoice};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+fn member(number: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, number))
+}
+
+fn five() -> MemberChoice {
+    MemberChoice::new((1..=5).map(member).collect())
+}
+
+#[test]
+fn members_take_turns_and_the_named_leader_comes_first() {
+    let mut choice = five();
+    assert_eq!(choice.turn(), Some(member(1)));
+    choice.named(Some(member(4)));
+    assert_eq!(choice.turn(), Some(member(4)));
+    assert_eq!(choice.turn(), Some(member(2)));
+    choice.named(None);
+    assert_eq!(choice.turn(), Some(member(3)));
+}
+
+#[test]
+fn a_lost_leader_that_others_still_name_is_passed_over() {
+    let mut choice = five();
+    choice.lost(member(2));
+    for _ in 0..12 {
+        let turn = choice.turn().expect("a member");
+        assert_ne!(turn, member(2));
+        choice.named(Some(member(2)));
+    }
+    choice.named(Some(member(5)));
+    assert_eq!(choice.turn(), Some(member(5)));
+}
+
+#[test]
+fn a_lost_member_gets_its_turn_again() {
+    let mut choice = five();
+    choice.lost(member(2));
+    let turns: Vec<_> = (0..40).filter_map(|_| choice.turn()).collect();
+    assert!(turns.contains(&member(2)));
+}
+
+#[test]
+fn the_only_member_is_tried_again_though_lost() {
+    let mut choice = MemberChoice::new(vec![member(1)]);
+    choice.lost(member(1));
+    assert_eq!(choice.turn(), Some(member(1)));
+    assert_eq!(MemberChoice::new(Vec::new()).turn(), None);
+}
+
+/// The times that a change of leader takes by default, one after the other, fit into a lease.
+#[test]
+fn a_router_finds_a_new_leader_before_its_lease_ends() {
+    let control = "[member]\nzone = \"a\"\ndata_folder = \"data\"\n";
+    let control = parse_control("control.toml", control).expect("settings");
+    let router = "[router]\nname = \"r\"\nzone = \"a\"\n[control]\nmembers = [\"127.0.0.1:1\"]\n";
+    let router = parse_router("router.toml", router).expect("settings");
+    let link = LinkSettings::default();
+    let lease = Duration::from_millis(control.routers.lease_ms);
+    let last_answer = Duration::from_millis(router.reports.interval_ms);
+    // An election begins after one to two times the shortest time without a leader.
+    let election = Duration::from_millis(control.consensus.election_timeout_ms) * 2;
+    // A turn to a follower that names the new leader, and one to that.
+    let turns = link.maximum_pause * 2;
+    assert!(last_answer + election + turns < lease);
+    // A leader that is silent without ending its connection is given up in that time too.
+    let silent = last_answer + link.silence + turns;
+    assert!(silent < lease);
+}
