Scheduler: adapters that requests wait for get permits and room

Models were placed before adapters in each round and took every permit of the store, for 17 s in a burst; and placements packed accelerators to the last byte (34 + 34 + 12 of 80 GB), where an adapter then never fitted: only idle adapters made room, not replicas. Ruled out: lost orders (each order sent was accepted), the store (5 of 6 at once). Change: replicas and adapters take turns in one order of urgency and wait; a placement leaves room for four of the largest adapters where some engine has it, or will have a permit for it; an adapter without room anywhere unloads a replica beside its model's that nothing asks for, or another idle one of the same model. Still open: the outlook is told by model, so a router can't refuse a request early for the sake of its adapter.

--- a/crates/millpass-scheduler/src/adapters.rs
+++ b/crates/millpass-scheduler/src/adapters.rs
@@ -2,22 +2,22 @@
 
 use crate::Scheduler;
 use crate::demand::Demand;
+use crate::memory::EngineMemory;
 use crate::proposals::Subject;
 use crate::round::Round;
 use crate::view::ModelView;
 use millpass_proto::{
-    AdapterDecision, AdapterName, AdapterPhase, CheckpointTier, Duration, Replica, Timestamp,
-    Urgency,
+    AdapterDecision, AdapterName, AdapterPhase, CheckpointTier, Duration, Replica,
 };
-use millpass_state::adapter_bytes_each;
-
-/// Adapters that one round tries to attach.
-const ADAPTERS_PER_ROUND: usize = 64;
+use millpass_state::{adapter_bytes_each, replica_bytes_each};
 
 impl Scheduler {
-    /// Attaches adapters that requests wait for, most urgent first.
-    pub(crate) fn attach_wanted<'a>(&mut self, round: &mut Round<'a>, views: &[ModelView<'a>]) {
-        let mut wanted: Vec<(Demand, &ModelView<'a>, AdapterName)> = Vec::new();
+    /// Adapters that requests wait for and that no replica has or is loading.
+    pub(crate) fn wanted_adapters<'v, 'a>(
+        &self,
+        views: &'v [ModelView<'a>],
+    ) -> Vec<(Demand, &'v ModelView<'a>, AdapterName)> {
+        let mut wanted = Vec::new();
         for view in views.iter().filter(|view| view.demand.waiting > 0) {
             for (adapter, demand) in self.demand.active_adapters(&view.name) {
                 if demand.waiting > 0 && !view_has(view, adapter) {
@@ -25,13 +25,17 @@
                 }
             }
         }
-        wanted.sort_by_key(|(demand, _, _)| priority(demand));
-        for (_, view, adapter) in wanted.into_iter().take(ADAPTERS_PER_ROUND) {
-            self.attach_one(round, view, adapter);
-        }
+        wanted
     }
 
-    fn attach_one(&mut self, round: &mut Round<'_>, view: &ModelView<'_>, name: AdapterName) {
+    /// Attaches an adapter to the loaded replica where it serves soonest, or makes room for it.
+    pub(crate) fn attach_one<'a>(
+        &mut self,
+        round: &mut Round<'a>,
+        view: &ModelView<'a>,
+        views: &[ModelView<'a>],
+        name: AdapterName,
+    ) {
         let Some(adapter) = round.state.adapter(&name) else {
             return;
         };
@@ -56,7 +60,9 @@
             }
         }
         let Some((rank, replica, tier)) = best else {
-            self.detach_for(round, view, bytes);
+            if !fits_somewhere(round, view, bytes) {
+                self.make_room(round, view, views, bytes);
+            }
             return;
         };
         if tier == CheckpointTier::Remote {
@@ -91,18 +97,32 @@
         fits && !retiring && round.state.check_attach(&decision).is_ok()
     }
 
-    /// Detaches adapters that nothing asks for from the replica where that makes room, unless
-    /// such unloads are under way already.
-    fn detach_for(&mut self, round: &mut Round<'_>, view: &ModelView<'_>, bytes: u64) {
-        if !round.may_retire {
+    /// Makes room for an adapter beside some loaded replica, unless that is under way already:
+    /// adapters that nothing asks for go first, then replicas that nothing asks for.
+    fn make_room<'a>(
+        &mut self,
+        round: &mut Round<'a>,
+        view: &ModelView<'a>,
+        views: &[ModelView<'a>],
+        bytes: u64,
+    ) {
+        if !round.may_retire || room_is_coming(round, view, bytes) {
             return;
         }
+        if !self.detach_for(round, view, bytes) {
+            self.evict_beside(round, view, views, bytes);
+        }
+    }
+
+    /// Detaches adapters that nothing asks for from the replica where that makes room. Says
+    /// whether some are detached, now or already.
+    fn detach_for(&mut self, round: &mut Round<'_>, view: &ModelView<'_>, bytes: u64) -> bool {
         let active = self.demand.active_adapters(&view.name);
         let active: Vec<&AdapterName> = active.into_iter().map(|(name, _)| name).collect();
         let mut plan: Option<(&Replica, Vec<AdapterName>)> = None;
         for replica in &view.replicas.loaded {
             if round.retiring.contains(&replica.slot) || is_detaching(replica) {
-                return;
+                return true;
             }
             let Some(idle) = self.detachable(round, replica, &active, bytes) else {
                 continue;
@@ -114,7 +134,9 @@
                 plan = Some((replica, idle));
             }
         }
-        let Some((replica, idle)) = plan else { return };
+        let Some((replica, idle)) = plan else {
+            return false;
+        };
         for adapter in idle {
             let slot = replica.slot;
             let subject = Subject::Adapter(slot, adapter.clone());
@@ -122,6 +144,33 @@
                 round.detach(AdapterDecision { slot, adapter });
             }
         }
+        true
+    }
+
+    /// Unloads one replica that shares accelerators with a loaded one of the model: another of
+    /// the same model with nothing running, or one of a model that nothing asks for.
+    fn evict_beside<'a>(
+        &mut self,
+        round: &mut Round<'a>,
+        view: &ModelView<'a>,
+        views: &[ModelView<'a>],
+        bytes: u64,
+    ) {
+        let spare = view.replicas.loaded.len() > view.spec.minimum_replicas.max(1) as usize;
+        let own = view.replicas.loaded.iter().copied();
+        let own = own.filter(|replica| spare && self.busy(replica) == 0);
+        let idle = self.idle_replicas(round, views);
+        let candidates: Vec<&'a Replica> = own.chain(idle).collect();
+        for kept in &view.replicas.loaded {
+            let makes_room = |other: &&&'a Replica| {
+                other.slot != kept.slot && frees_enough(round, kept, other, bytes)
+            };
+            let found = candidates.iter().find(makes_room).copied();
+            if let Some(other) = found {
+                round.retire(other);
+                return;
+            }
+        }
     }
 
     /// Idle adapters of a replica that together make room for these bytes; none if they do not.
@@ -182,8 +231,53 @@
     }
 }
 
-fn priority(demand: &Demand) -> (Urgency, Timestamp) {
-    (demand.most_urgent, demand.waiting_since)
+/// Whether the adapter fits beside some loaded replica now: then only the store is awaited.
+fn fits_somewhere(round: &Round<'_>, view: &ModelView<'_>, bytes: u64) -> bool {
+    has_room(
+        round,
+        view,
+        |engine, replica, each| engine.fits_now(&replica.accelerators, each),
+        bytes,
+    )
+}
+
+/// Whether unloads under way make room beside some loaded replica.
+fn room_is_coming(round: &Round<'_>, view: &ModelView<'_>, bytes: u64) -> bool {
+    has_room(
+        round,
+        view,
+        |engine, replica, each| engine.fits_soon(&replica.accelerators, each),
+        bytes,
+    )
+}
+
+fn has_room(
+    round: &Round<'_>,
+    view: &ModelView<'_>,
+    fits: impl Fn(&EngineMemory<'_>, &Replica, u64) -> bool,
+    bytes: u64,
+) -> bool {
+    let kept = view.replicas.loaded.iter();
+    let mut kept = kept.filter(|replica| !round.retiring.contains(&replica.slot));
+    kept.any(|replica| {
+        let each = adapter_bytes_each(bytes, replica.accelerators.len());
+        let index = round.memory.index_of(&replica.backend);
+        index.is_some_and(|index| fits(round.memory.engine(index), replica, each))
+    })
+}
+
+/// Whether the unload of another replica makes room for an adapter beside this one.
+fn frees_enough(round: &Round<'_>, kept: &Replica, other: &Replica, bytes: u64) -> bool {
+    if other.backend != kept.backend || round.retiring.contains(&other.slot) {
+        return false;
+    }
+    let Some(index) = round.memory.index_of(&kept.backend) else {
+        return false;
+    };
+    let mut trial = round.memory.engine(index).clone();
+    trial.free_soon(&other.accelerators, replica_bytes_each(other));
+    let each = adapter_bytes_each(bytes, kept.accelerators.len());
+    trial.fits_soon(&kept.accelerators, each)
 }
 
 /// Whether some replica has the adapter, or is loading it.
--- a/crates/millpass-scheduler/src/candidates.rs
+++ b/crates/millpass-scheduler/src/candidates.rs
@@ -8,6 +8,9 @@
 use millpass_state::version_bytes_each;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Adapters for which a placement leaves room where it can.
+const ADAPTERS_OF_HEADROOM: u64 = 4;
+
 /// An engine that fits, with what decides between several.
 pub struct Candidate {
     /// Index in the round's memory table.
@@ -75,8 +78,24 @@
     ) -> Choice {
         let count = view.spec.accelerators_per_replica;
         let bytes = version_bytes_each(version, count);
-        let store_open = self.permits.available();
         let knowledge = self.knowledge(round, view, version);
+        let headroom = round.headroom * ADAPTERS_OF_HEADROOM;
+        let roomy = self.choose_with(round, &knowledge, count, bytes + headroom);
+        if headroom == 0 || roomy.best.is_some() || roomy.fits_behind_store {
+            return roomy;
+        }
+        self.choose_with(round, &knowledge, count, bytes)
+    }
+
+    /// Looks for the best engine with this much free on each accelerator.
+    fn choose_with(
+        &self,
+        round: &Round<'_>,
+        knowledge: &Knowledge,
+        count: u32,
+        bytes: u64,
+    ) -> Choice {
+        let store_open = self.permits.available();
         let mut choice = Choice {
             best: None,
             fits_behind_store: false,
--- a/crates/millpass-scheduler/src/evicting.rs
+++ b/crates/millpass-scheduler/src/evicting.rs
@@ -67,6 +67,20 @@
         found
     }
 
+    /// Replicas that nothing asks for and that no minimum keeps.
+    pub(crate) fn idle_replicas<'a>(
+        &self,
+        round: &Round<'a>,
+        views: &[ModelView<'a>],
+    ) -> Vec<&'a Replica> {
+        if self.settings.keep_alive == KeepAlive::AlwaysLoaded {
+            return Vec::new();
+        }
+        let evictable = self.list_evictable(round, views);
+        let all = evictable.into_values().flatten();
+        all.map(|one| one.replica).collect()
+    }
+
     fn list_evictable<'a>(
         &self,
         round: &Round<'a>,
--- a/crates/millpass-scheduler/src/lib.rs
+++ b/crates/millpass-scheduler/src/lib.rs
@@ -121,8 +121,7 @@
         let views = self.views(now, state);
         let may_retire = self.knows_demand(now);
         let mut round = Round::new(now, state, under_way, &self.proposals, may_retire);
-        self.place_wanted(&mut round, &views);
-        self.attach_wanted(&mut round, &views);
+        self.load_wanted(&mut round, &views);
         self.detach_removed(&mut round, &views);
         self.retire_unwanted(&mut round, &views);
         self.prewarm(&mut round, &views);
--- a/crates/millpass-scheduler/src/placing.rs
+++ b/crates/millpass-scheduler/src/placing.rs
@@ -5,11 +5,22 @@
 use crate::proposals::Subject;
 use crate::round::Round;
 use crate::view::ModelView;
-use millpass_proto::{CheckpointTier, Duration, PlaceReplica, Timestamp, Urgency, VersionSpec};
+use millpass_proto::{
+    AdapterName, CheckpointTier, Duration, PlaceReplica, Timestamp, Urgency, VersionSpec,
+};
 use millpass_state::version_bytes_each;
 
-/// Models that one round tries to place; the rest keep their turn for the next.
-const MODELS_PER_ROUND: usize = 64;
+/// Loads that one round tries to begin; the rest keep their turn for the next.
+const LOADS_PER_ROUND: usize = 128;
+
+/// A load that requests wait for, or that a stated minimum asks for.
+enum Wanted<'v, 'a> {
+    Replica(&'v ModelView<'a>),
+    Adapter(&'v ModelView<'a>, AdapterName),
+}
+
+/// Order in which loads get their turn; the least is first.
+type Priority = (bool, Urgency, bool, Timestamp);
 
 /// What came of trying to place a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,18 +47,27 @@
 }
 
 impl Scheduler {
-    /// Places replicas for waiting requests, most urgent first, then for stated minimums.
-    pub(crate) fn place_wanted<'a>(&mut self, round: &mut Round<'a>, views: &[ModelView<'a>]) {
-        let mut wanted: Vec<&ModelView<'a>> =
-            views.iter().filter(|view| view.wants_another()).collect();
-        wanted.sort_by_key(|view| priority(view));
+    /// Begins loads of replicas and adapters that requests wait for, most urgent first, then
+    /// replicas for stated minimums. Both share the store's permits, so they take turns together.
+    pub(crate) fn load_wanted<'a>(&mut self, round: &mut Round<'a>, views: &[ModelView<'a>]) {
+        let replicas = views.iter().filter(|view| view.wants_another());
+        let mut wanted: Vec<(Priority, Wanted<'_, 'a>)> = replicas
+            .map(|view| (priority(view), Wanted::Replica(view)))
+            .collect();
+        for (demand, view, adapter) in self.wanted_adapters(views) {
+            let priority = (false, demand.most_urgent, false, demand.waiting_since);
+            wanted.push((priority, Wanted::Adapter(view, adapter)));
+        }
+        wanted.sort_by_key(|(priority, _)| *priority);
         self.outlooks.begin_round(round.now);
-        for (turn, view) in wanted.into_iter().enumerate() {
-            if turn >= MODELS_PER_ROUND {
-                break;
+        for (_, one) in wanted.into_iter().take(LOADS_PER_ROUND) {
+            match one {
+                Wanted::Replica(view) => {
+                    let placing = self.place_for(round, view, views);
+                    self.note_outlook(round, view, placing);
+                }
+                Wanted::Adapter(view, adapter) => self.attach_one(round, view, views, adapter),
             }
-            let placing = self.place_for(round, view, views);
-            self.note_outlook(round, view, placing);
         }
     }
 
@@ -140,8 +160,8 @@
     }
 }
 
-/// Order in which models get their turn.
-fn priority(view: &ModelView<'_>) -> (bool, Urgency, bool, Timestamp) {
+/// What waits comes first, then the more urgent, then what no replica serves yet.
+fn priority(view: &ModelView<'_>) -> Priority {
     let waits = view.demand.waiting > 0;
     let serves = !view.replicas.loaded.is_empty();
     (
--- a/crates/millpass-scheduler/src/round.rs
+++ b/crates/millpass-scheduler/src/round.rs
@@ -19,6 +19,8 @@
     pub memory: MemoryTable<'a>,
     /// Loads under way, with those proposed.
     pub loads: LoadsUnderWay,
+    /// Bytes of the largest adapter of the catalog.
+    pub headroom: u64,
     /// Whether demand has been heard for long enough to retire anything.
     pub may_retire: bool,
     /// Slots that are, or are proposed to be, retired.
@@ -43,6 +45,7 @@
             state,
             memory: MemoryTable::new(state),
             loads,
+            headroom: state.largest_adapter_bytes(),
             may_retire,
             retiring: BTreeSet::new(),
             evictable: None,
--- a/crates/millpass-state/src/catalog.rs
+++ b/crates/millpass-state/src/catalog.rs
@@ -259,6 +259,16 @@
         self.catalog.adapter(name)
     }
 
+    /// Bytes of the largest adapter; 0 without any.
+    pub fn largest_adapter_bytes(&self) -> u64 {
+        let objects = self.catalog.objects(ObjectKind::Adapter);
+        let bytes = objects.filter_map(|object| match &object.spec {
+            ObjectSpec::Adapter(adapter) => Some(adapter.bytes),
+            _ => None,
+        });
+        bytes.max().unwrap_or(0)
+    }
+
     /// All models with their content, by name.
     pub fn models(&self) -> impl Iterator<Item = (ModelName, &ModelSpec)> {
         let objects = self.catalog.objects(ObjectKind::Model);
