Control plane: a new leader marks who leaves before it hands out leases

Cause: the platform's list was judged only at the next time of reading, a second after it had come in, and a new leader handed out route leases before it had read the list at all. With two leaders that each froze soon after their election, routers got a fresh lease of 2.5 s from a leader that did not know of an engine listed as leaving three seconds before. Change: marks are proposed as soon as a list comes in; a new leader holds back its answers to reports until it has read the list and the marks are applied, at most 500 ms. Without a list it goes on after that time: routers would otherwise lose every back end when the platform's service is down. Conclusion: the bound on leaving back ends did not hold over quick changes of leader.

--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -168,13 +168,7 @@
                 fence,
                 answer,
             } => self.take_order_answer(now, &backend, fence, answer, out),
-            ControlInput::PlatformListed(list) => {
-                let sequence = list.sequence;
-                if !self.platform.listed(now, list, &self.state) {
-                    let pairs = vec![("sequence", sequence.to_string())];
-                    out.event("platform-list-stale", pairs);
-                }
-            }
+            ControlInput::PlatformListed(list) => self.take_platform_list(now, list, out),
             ControlInput::Administration { call, request } => {
                 self.take_administration(now, call, request, out);
             }
@@ -311,6 +305,27 @@
             return;
         }
         out.push(ControlOutput::ReadPlatform);
+        self.mark_back_ends(now, out);
+    }
+
+    fn take_platform_list(
+        &mut self,
+        now: Timestamp,
+        list: millpass_proto::PlatformList,
+        out: &mut Outputs,
+    ) {
+        let sequence = list.sequence;
+        if !self.platform.listed(now, list, &self.state) {
+            let pairs = vec![("sequence", sequence.to_string())];
+            return out.event("platform-list-stale", pairs);
+        }
+        if self.in_charge(now) {
+            self.mark_back_ends(now, out);
+        }
+    }
+
+    /// Proposes what the platform's list says of registered back ends.
+    fn mark_back_ends(&mut self, now: Timestamp, out: &mut Outputs) {
         let delay = self.settings.machine_gone_delay;
         for mark in self.platform.marks(now, delay, &self.state) {
             let key = InternalKey::Mark(mark.backend.clone());
--- a/crates/millpass-control-plane/src/platform.rs
+++ b/crates/millpass-control-plane/src/platform.rs
@@ -12,6 +12,9 @@
 
 /// Time between two readings of the list.
 pub(crate) const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time for which a new leader that can't read the list holds back leases. Without a list
+/// nobody knows who leaves, and routers would lose all their back ends for it.
+const MAXIMUM_LIST_WAIT: Duration = Duration::from_millis(500);
 /// Most machines taken from a list; the rest is ignored with an event.
 const MAXIMUM_MACHINES: usize = 4_096;
 
@@ -22,6 +25,10 @@
     machines: BTreeMap<BackendName, PlatformMachine>,
     missing_since: BTreeMap<BackendName, Timestamp>,
     read: bool,
+    /// Since when leases have waited for the list and its marks.
+    awaited_since: Option<Timestamp>,
+    /// Whether leases need not wait any more.
+    leases_may_go: bool,
 }
 
 impl Platform {
@@ -61,6 +68,29 @@
         self.machines.get(backend)
     }
 
+    /// Whether leases may be given to routers: a new leader first marks the back ends that leave,
+    /// so that a chain of short-lived leaders doesn't prolong the use of one. The wait is bounded.
+    pub(crate) fn leases_may_go(&mut self, now: Timestamp, state: &State) -> bool {
+        if self.leases_may_go {
+            return true;
+        }
+        let since = *self.awaited_since.get_or_insert(now);
+        let marked = self.read && self.unmarked_leaving(state).next().is_none();
+        self.leases_may_go = marked || now.since(since) >= MAXIMUM_LIST_WAIT;
+        self.leases_may_go
+    }
+
+    fn unmarked_leaving<'a>(
+        &'a self,
+        state: &'a State,
+    ) -> impl Iterator<Item = &'a PlatformMachine> {
+        let leaving = self.machines.values().filter(|machine| is_leaving(machine));
+        leaving.filter(|machine| {
+            let backend = state.backend(&machine.backend);
+            backend.is_some_and(|backend| backend.state == BackendState::Live)
+        })
+    }
+
     /// Marks to propose: back ends that leave, and those gone for longer than `gone_delay`.
     pub(crate) fn marks(
         &self,
@@ -75,10 +105,7 @@
                 .missing_since
                 .get(name)
                 .is_some_and(|since| now.since(*since) >= gone_delay);
-            let leaving = self
-                .machines
-                .get(name)
-                .is_some_and(|machine| machine.state == BackendState::Leaving);
+            let leaving = self.machines.get(name).is_some_and(is_leaving);
             let wanted = if gone {
                 BackendState::Gone
             } else if leaving && backend.state == BackendState::Live {
@@ -123,3 +150,7 @@
         *self = Platform::default();
     }
 }
+
+fn is_leaving(machine: &PlatformMachine) -> bool {
+    machine.state == BackendState::Leaving
+}
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -133,6 +133,12 @@
             .observe_router(now, &hello.router, hello.incarnation, &report);
         self.refresh_watch();
         self.take_observations(now, &hello.router, &report, out);
+        if !self.platform.leases_may_go(now, &self.state) {
+            return out.event(
+                "lease-held-back",
+                vec![("router", hello.router.to_string())],
+            );
+        }
         let update = self.update(now, &hello.router, &report);
         out.send_router(connection, ControlToRouter::Update(update));
     }
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -48,6 +48,8 @@
     pub events: Vec<(MemberId, String, String)>,
     pub engines: BTreeMap<BackendName, TestEngine>,
     pub platform: PlatformList,
+    /// The platform's list cannot be read.
+    pub platform_is_down: bool,
     pub snapshot_entries: u64,
     inputs: VecDeque<(MemberId, ControlInput)>,
     initial: Membership,
@@ -113,6 +115,7 @@
                 sequence: 1,
                 machines: Vec::new(),
             },
+            platform_is_down: false,
             snapshot_entries,
             inputs: VecDeque::new(),
             initial,
@@ -261,7 +264,7 @@
                 self.members.get_mut(&id).unwrap().snapshot = Some(snapshot);
             }
             ControlOutput::ReadPlatform => {
-                if self.reachable(id) {
+                if self.reachable(id) && !self.platform_is_down {
                     let input = ControlInput::PlatformListed(self.platform.clone());
                     self.inputs.push_back((id, input));
                 }
--- a/crates/millpass-sim/src/router_host.rs
+++ b/crates/millpass-sim/src/router_host.rs
@@ -97,7 +97,7 @@
             RouterEvent::Connected(connection, place) => self.connected(router, connection, place),
             RouterEvent::LinkEnded(connection) => self.link_ended(router, connection),
             RouterEvent::FromControl(connection, message) => {
-                self.from_control(router, connection, *message);
+                self.take_control_message(router, connection, *message);
             }
             RouterEvent::Request(request) => self.take_request(router, *request),
             RouterEvent::CallerGone(request) => self.caller_gone(router, request),
--- a/crates/millpass-sim/src/router_link.rs
+++ b/crates/millpass-sim/src/router_link.rs
@@ -123,7 +123,7 @@
     }
 
     /// A message came on the link.
-    pub(crate) fn from_control(
+    pub(crate) fn take_control_message(
         &mut self,
         router: usize,
         connection: ConnectionId,
