Simulator: memory pressure, loss of all members at once, a store without limits of its own

Cause: the simulated weight store queued loads beyond its limits, so the checker `store` could not fail for a fault of the scheduler. Models fitted the engines with room to spare, so hardly a replica was unloaded under load. Ruled out: nothing. New scenarios `kill-all-control` and `memory-pressure` (more models than fit, slow unloads, old orders sent again), also drawn by `everything`. Without healing the run still says that it is healed, so that the checker of liveness can fail.

--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -2,7 +2,7 @@
 
 use crate::control_node::member_id;
 use crate::event::{ANY_RUN, ControlEvent, EngineEvent, OrderReply, RouterEvent, SimEvent};
-use crate::settings::{MILLIS, SECONDS};
+use crate::settings::{MILLIS, SECONDS, StoreLimits};
 use crate::world::World;
 use millpass_checkers::{Event, ProcessName};
 use millpass_control_plane::{AdministrationRequest, ConnectionId, ControlInput, ControlOutput};
@@ -381,9 +381,10 @@
         }
         let seed = self.random.number();
         let now = self.now;
+        let store = self.permitted_loads();
         let node = &mut self.control[place];
         node.run += 1;
-        if let Err(error) = node.start(now, seed) {
+        if let Err(error) = node.start(now, seed, store) {
             self.fail(format!("control-{place} does not start: {error}"));
             return;
         }
@@ -400,6 +401,18 @@
         }
     }
 
+    /// What the scheduler takes for the weight store's limits.
+    fn permitted_loads(&self) -> StoreLimits {
+        const WITHOUT_LIMIT: u32 = 1_000;
+        if self.settings.mechanisms.store_permits {
+            return self.settings.store;
+        }
+        StoreLimits {
+            loads_per_second: WITHOUT_LIMIT,
+            concurrent_loads: WITHOUT_LIMIT,
+        }
+    }
+
     fn new_identity(&mut self, place: usize) {
         self.disk_losses += 1;
         let losses = self.disk_losses;
--- a/crates/millpass-sim/src/control_node.rs
+++ b/crates/millpass-sim/src/control_node.rs
@@ -4,6 +4,7 @@
 use crate::disk::Disk;
 use crate::event::ControlEvent;
 use crate::network::Zone;
+use crate::settings::StoreLimits;
 use millpass_consensus::{ConsensusSettings, RestoredLog};
 use millpass_control_plane::{ConnectionId, ControlPlane, ControlPlaneSettings};
 use millpass_proto::{
@@ -54,10 +55,10 @@
     }
 
     /// Starts a process from the disk.
-    pub fn start(&mut self, at_micros: u64, seed: u64) -> anyhow::Result<()> {
+    pub fn start(&mut self, at_micros: u64, seed: u64, store: StoreLimits) -> anyhow::Result<()> {
         let (restored, data) = self.disk.restore();
         let state = read_state(&restored, data)?;
-        let settings = member_settings(self.address.clone(), seed);
+        let settings = member_settings(self.address.clone(), seed, store);
         let now: Timestamp = self.clock.local(at_micros);
         self.core = Some(ControlPlane::new(settings, restored, state, now));
         self.frozen = false;
@@ -95,7 +96,7 @@
     millpass_proto::ZoneName(format!("zone-{zone}"))
 }
 
-fn member_settings(address: MemberAddress, seed: u64) -> ControlPlaneSettings {
+fn member_settings(address: MemberAddress, seed: u64, store: StoreLimits) -> ControlPlaneSettings {
     let consensus = ConsensusSettings {
         group: GROUP,
         member: address.member,
@@ -107,8 +108,8 @@
         seed,
     };
     let scheduler = SchedulerSettings {
-        store_loads_per_second: 4,
-        store_concurrent_loads: 6,
+        store_loads_per_second: store.loads_per_second,
+        store_concurrent_loads: store.concurrent_loads,
         store_bytes_per_second: 100_000,
         ..SchedulerSettings::default()
     };
--- a/crates/millpass-sim/src/engine_host.rs
+++ b/crates/millpass-sim/src/engine_host.rs
@@ -17,7 +17,6 @@
 const CACHED_LOAD_MICROS: u64 = 150 * MILLIS;
 const STORE_LOAD_MICROS: u64 = 300 * MILLIS;
 const STORE_LOAD_JITTER: u64 = 300 * MILLIS;
-const UNLOAD_MICROS: u64 = 80 * MILLIS;
 const FAILED_LOADS_PERMILLE: u64 = 20;
 const REFUSED_MICROS: u64 = MILLIS;
 const SLOW_STORE_FACTOR: u64 = 6;
@@ -143,7 +142,8 @@
                 }
                 EngineEffect::Unload(part) => {
                     let run = self.engines[engine].run;
-                    self.engine_later(engine, run, UNLOAD_MICROS, EngineEvent::Unloaded(part));
+                    let unload = self.settings.times.unload;
+                    self.engine_later(engine, run, unload, EngineEvent::Unloaded(part));
                 }
             }
         }
@@ -157,36 +157,24 @@
             return self.engine_later(waiter.engine, waiter.run, CACHED_LOAD_MICROS, loaded);
         }
         let micros = STORE_LOAD_MICROS + self.random.below(STORE_LOAD_JITTER);
-        self.store.ask(micros, waiter);
-        self.store_starts();
-    }
-
-    /// Starts what the weight store may start.
-    pub(crate) fn store_starts(&mut self) {
         let factor = if self.slow_store {
             SLOW_STORE_FACTOR
         } else {
             1
         };
         self.store.set_slow_factor(factor);
-        while let Some((load, micros)) = self.store.start_next(self.now) {
-            self.record(Event::StoreLoadStarted { load: load.number });
-            let ended = SimEvent::StoreLoadEnded(load.waiter, load.number);
-            self.queue.push(self.now + micros, ended);
-        }
-        if let Some(at) = self.store.retry_at() {
-            self.queue.push(at.max(self.now + 1), SimEvent::StoreRetry);
-        }
+        let (load, micros) = self.store.start(micros);
+        self.record(Event::StoreLoadStarted { load });
+        let ended = SimEvent::StoreLoadEnded(waiter, load);
+        self.queue.push(self.now + micros, ended);
     }
 
     /// A load at the weight store ended.
     pub(crate) fn store_load_ended(&mut self, waiter: StoreWaiter, load: u64) {
-        self.store.ended();
         self.record(Event::StoreLoadEnded { load });
         let success = !self.random.chance(FAILED_LOADS_PERMILLE);
         let event = EngineEvent::Loaded(waiter.part, waiter.fence, success);
         self.engine_later(waiter.engine, waiter.run, 0, event);
-        self.store_starts();
     }
 
     fn engine_request(&mut self, engine: usize, request: BackEndRequest) {
--- a/crates/millpass-sim/src/event.rs
+++ b/crates/millpass-sim/src/event.rs
@@ -25,8 +25,6 @@
     Web(usize, u64, WebEvent),
     /// A load at the weight store ended.
     StoreLoadEnded(StoreWaiter, u64),
-    /// The weight store may start waiting loads.
-    StoreRetry,
     /// For the callers.
     Caller(CallerEvent),
     /// For an operator.
--- a/crates/millpass-sim/src/faults.rs
+++ b/crates/millpass-sim/src/faults.rs
@@ -7,6 +7,10 @@
 pub enum Fault {
     /// A control member dies; its disk stays.
     KillControl(Member),
+    /// Every control member dies at once; the disks stay.
+    KillAllControl,
+    /// Every dead control member starts.
+    StartAllControl,
     /// A control member dies and its disk is lost.
     LoseDisk(Member),
     /// A dead control member starts: from its disk, or under a new identity when that was lost.
--- a/crates/millpass-sim/src/injection.rs
+++ b/crates/millpass-sim/src/injection.rs
@@ -20,6 +20,8 @@
         });
         match fault {
             Fault::KillControl(member) => self.with_member(member, World::kill_control),
+            Fault::KillAllControl => self.kill_all_control(),
+            Fault::StartAllControl => self.start_all_control(),
             Fault::LoseDisk(member) => self.with_member(member, World::lose_disk),
             Fault::StartControl(member) => self.with_member(member, World::start_dead_control),
             Fault::FreezeControl(member) => self.with_member(member, World::freeze_control),
@@ -53,15 +55,21 @@
 
     /// Mends everything.
     pub(crate) fn heal(&mut self) {
+        if self.settings.mechanisms.healing {
+            self.mend_everything();
+        }
+        self.record(Event::AllHealed);
+        self.update_reachable();
+    }
+
+    fn mend_everything(&mut self) {
         self.network.mend_all();
         self.slow_store = false;
         self.stale_reports = false;
         self.freeze_leader_at_order = false;
         self.kill_next_loading_engine = false;
         self.wake_all_control();
-        for place in 0..self.control.len() {
-            self.start_dead_control(place);
-        }
+        self.start_all_control();
         for router in 0..self.routers.len() {
             self.routers[router].freeze_at_dispatch = false;
             self.wake_router(router);
@@ -73,8 +81,6 @@
         for web in 0..self.web.len() {
             self.return_back_end(BackEnd::Web(web));
         }
-        self.record(Event::AllHealed);
-        self.update_reachable();
     }
 
     fn with_member(&mut self, member: Member, action: fn(&mut World, usize)) {
@@ -113,6 +119,18 @@
         self.dead_in_order.push(place);
     }
 
+    fn kill_all_control(&mut self) {
+        for place in 0..self.control.len() {
+            self.kill_control(place);
+        }
+    }
+
+    fn start_all_control(&mut self) {
+        for place in 0..self.control.len() {
+            self.start_dead_control(place);
+        }
+    }
+
     fn lose_disk(&mut self, place: usize) {
         self.kill_control(place);
         self.control[place].disk = crate::world::empty_disk();
@@ -361,6 +379,7 @@
 fn kind_of(fault: &Fault) -> &'static str {
     match fault {
         Fault::KillControl(_) => "kill-control",
+        Fault::KillAllControl => "kill-all-control",
         Fault::LoseDisk(_) => "lose-disk",
         Fault::FreezeControl(_) => "freeze-control",
         Fault::FreezeLeaderAtOrder => "freeze-leader-at-order",
@@ -380,6 +399,7 @@
         Fault::SlowStore(true) => "slow-store",
         Fault::StaleReports(true) => "stale-reports",
         Fault::StartControl(_)
+        | Fault::StartAllControl
         | Fault::WakeControl
         | Fault::StartRouter(_)
         | Fault::WakeRouter(_)
--- a/crates/millpass-sim/src/plans.rs
+++ b/crates/millpass-sim/src/plans.rs
@@ -58,6 +58,14 @@
         self.add(at + down, Fault::StartControl(Member::FirstDead));
     }
 
+    /// Every member dies at once, as when the power fails, and starts again.
+    pub fn kill_all_control(&mut self) {
+        let at = self.some_time();
+        self.add(at, Fault::KillAllControl);
+        let down = self.random.between(50 * MILLIS, 3 * SECONDS);
+        self.add(at + down, Fault::StartAllControl);
+    }
+
     /// The engine that loads next dies.
     pub fn kill_loading_engine(&mut self) {
         let at = self.some_time();
--- a/crates/millpass-sim/src/scenario.rs
+++ b/crates/millpass-sim/src/scenario.rs
@@ -47,6 +47,13 @@
     planner.settings.load.burst_requests = 24;
 }
 
+fn memory_pressure(planner: &mut Planner) {
+    planner.settings.sizes.models = 12;
+    planner.settings.sizes.engines = 4;
+    planner.settings.times.unload = planner.random.between(80 * MILLIS, 1_500 * MILLIS);
+    planner.settings.mechanisms.rogue_orders = true;
+}
+
 fn racing(planner: &mut Planner) {
     let load = &mut planner.settings.load;
     load.operators = 6;
@@ -73,6 +80,7 @@
         |planner| planner.stop_control(),
         |planner| planner.stop_router(),
         |planner| planner.leave(),
+        |planner| planner.kill_all_control(),
     ];
     if planner.random.chance(300) {
         bursts(planner);
@@ -80,6 +88,9 @@
     if planner.random.chance(300) {
         racing(planner);
     }
+    if planner.random.chance(300) {
+        memory_pressure(planner);
+    }
     let mut disks_lost = 0;
     for _ in 0..planner.random.between(3, 7) {
         let draw = planner.random.index(DRAWS.len());
@@ -114,6 +125,25 @@
         summary: "control members die, the leader too, and start again",
         prepare: |planner| some(planner, 3, |planner| planner.kill_control()),
     },
+    Scenario {
+        name: "kill-all-control",
+        summary: "every control member dies at once and starts again",
+        prepare: |planner| {
+            planner.settings.load.operators = 4;
+            planner.settings.load.operator_pause = 300 * MILLIS;
+            some(planner, 2, |planner| planner.kill_all_control());
+        },
+    },
+    Scenario {
+        name: "memory-pressure",
+        summary: "more models than fit, slow unloads, old orders again, engines that die",
+        prepare: |planner| {
+            bursts(planner);
+            memory_pressure(planner);
+            some(planner, 2, |planner| planner.kill_loading_engine());
+            some(planner, 2, |planner| planner.reclaim_machine());
+        },
+    },
     Scenario {
         name: "kill-engine-mid-load",
         summary: "engines die in the middle of a load, and while they serve",
--- a/crates/millpass-sim/src/settings.rs
+++ b/crates/millpass-sim/src/settings.rs
@@ -1,7 +1,6 @@
 //! Sizes and times of a simulated deployment, and the switches of its protecting mechanisms.
 
 use crate::engine::EngineProtections;
-use crate::store::StoreLimits;
 use millpass_checkers::Limits;
 
 /// Microseconds of a millisecond.
@@ -72,6 +71,8 @@
     pub report_lag: u64,
     /// Lag of load reports in a stale phase.
     pub stale_report_lag: u64,
+    /// Time that an engine takes to free a part's memory.
+    pub unload: u64,
     /// Time between a back end's leaving and its stop.
     pub leave_notice: u64,
 }
@@ -91,6 +92,7 @@
             platform_lag: SECONDS,
             report_lag: 150 * MILLIS,
             stale_report_lag: 2 * SECONDS,
+            unload: 80 * MILLIS,
             leave_notice: 8 * SECONDS,
         }
     }
@@ -151,11 +153,11 @@
     pub refusals: bool,
     /// Routers and back ends finish what is in flight before a planned stop.
     pub drains: bool,
-    /// The weight store keeps its limits.
-    pub store_limits: bool,
+    /// The scheduler asks for a permit before each load from the weight store.
+    pub store_permits: bool,
     /// Old orders are delivered again from time to time by a sender outside the system.
     pub rogue_orders: bool,
-    /// What is broken is mended.
+    /// What is broken is mended when the run says so.
     pub healing: bool,
 }
 
@@ -171,13 +173,22 @@
             drops_old_attempts: true,
             refusals: true,
             drains: true,
-            store_limits: true,
+            store_permits: true,
             rogue_orders: false,
             healing: true,
         }
     }
 }
 
+/// Limits of the weight store, which the scheduler's permits keep.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreLimits {
+    /// Loads that start in a second.
+    pub loads_per_second: u32,
+    /// Loads that run at once.
+    pub concurrent_loads: u32,
+}
+
 /// Everything that shapes a run beside its seed and fault plan.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -203,8 +214,9 @@
         };
         let limits = Limits {
             recovery_micros: 8 * SECONDS,
-            store_loads_per_second: store.loads_per_second,
-            store_concurrent_loads: store.concurrent_loads,
+            // A permit may be used a moment late, the next one in time: one load more in a second.
+            store_loads_per_second: store.loads_per_second as usize + 1,
+            store_concurrent_loads: store.concurrent_loads as usize,
             maximum_operations: 200,
             ..Limits::default()
         };
--- a/crates/millpass-sim/src/world.rs
+++ b/crates/millpass-sim/src/world.rs
@@ -6,7 +6,7 @@
 use crate::clock::NodeClock;
 use crate::control_node::{ControlNode, member_address, member_id};
 use crate::disk::Disk;
-use crate::event::{BackEnd, CallerEvent, OperatorEvent, ReplyTo, SimEvent, StoreWaiter};
+use crate::event::{BackEnd, CallerEvent, OperatorEvent, ReplyTo, SimEvent};
 use crate::faults::Fault;
 use crate::network::{Network, Zone};
 use crate::observer::Observer;
@@ -17,7 +17,7 @@
 use crate::router_node::RouterNode;
 use crate::settings::{MILLIS, SECONDS, Settings};
 use crate::statistics::Statistics;
-use crate::store::{Store, StoreLimits};
+use crate::store::Store;
 use crate::trace::Trace;
 use millpass_checkers::{Event, History, ProcessName};
 use millpass_control_plane::ConnectionId;
@@ -45,7 +45,7 @@
     pub(crate) routers: Vec<RouterNode>,
     pub(crate) engines: Vec<EngineNode>,
     pub(crate) web: Vec<WebNode>,
-    pub(crate) store: Store<StoreWaiter>,
+    pub(crate) store: Store,
     pub(crate) platform: Platform,
     pub(crate) callers: Callers,
     pub(crate) operators: Vec<Operator>,
@@ -135,14 +135,6 @@
             .map(|index| EngineNode::new(format!("engine-{index}").into(), index % sizes.zones));
         let web = (0..sizes.web)
             .map(|index| WebNode::new(format!("web-{index}").into(), index % sizes.zones));
-        let store_limits = if settings.mechanisms.store_limits {
-            settings.store
-        } else {
-            StoreLimits {
-                loads_per_second: usize::MAX,
-                concurrent_loads: usize::MAX,
-            }
-        };
         let operators =
             (0..settings.load.operators).map(|index| Operator::new(index % sizes.zones));
         let mut world = World {
@@ -158,7 +150,7 @@
             routers,
             engines: engines.collect(),
             web: web.collect(),
-            store: Store::new(store_limits),
+            store: Store::default(),
             platform: Platform::default(),
             callers: Callers::default(),
             operators: operators.collect(),
@@ -244,9 +236,7 @@
 
     fn schedule_run(&mut self) {
         let times = self.settings.times.clone();
-        if self.settings.mechanisms.healing {
-            self.queue.push(times.healed, SimEvent::Heal);
-        }
+        self.queue.push(times.healed, SimEvent::Heal);
         self.queue.push(times.audit, SimEvent::ReadAudit);
         self.queue.push(times.over, SimEvent::Over);
         self.queue
@@ -277,7 +267,6 @@
             SimEvent::Engine(engine, run, event) => self.engine_event(engine, run, event),
             SimEvent::Web(web, run, event) => self.web_event(web, run, event),
             SimEvent::StoreLoadEnded(waiter, load) => self.store_load_ended(waiter, load),
-            SimEvent::StoreRetry => self.store_starts(),
             SimEvent::Caller(event) => self.caller_event(event),
             SimEvent::Operator(operator, event) => self.operator_event(operator, event),
             SimEvent::Fault(fault) => self.inject(fault),
@@ -428,7 +417,6 @@
         SimEvent::Engine(engine, _, _) => (3, *engine as u64),
         SimEvent::Web(web, _, _) => (4, *web as u64),
         SimEvent::StoreLoadEnded(_, load) => (5, *load),
-        SimEvent::StoreRetry => (6, 0),
         SimEvent::Caller(_) => (7, 0),
         SimEvent::Operator(operator, _) => (8, *operator as u64),
         SimEvent::Fault(_) => (9, 0),
