--- /dev/null
+++ b/crates/millpass-sim/tests/mechanisms.rs
@@ -0,0 +1,167 @@
+//! Each checker reports the breach that its mechanism prevents: with the mechanism switched off it
+//! reports in some seed, and with everything on, over the same plan and seeds, nothing is reported.
+
+use millpass_sim::faults::Fault;
+use millpass_sim::run::{RunReport, run_plan, run_seeds_with};
+use millpass_sim::scenario::Scenario;
+use millpass_sim::settings::{MILLIS, Mechanisms, SECONDS, Settings};
+use rstest::rstest;
+use std::ops::Range;
+
+const THREADS: usize = 3;
+const SEEDS: Range<u64> = 0..3;
+/// Where a breach needs a coincidence.
+const MORE_SEEDS: Range<u64> = 0..8;
+
+/// What a mechanism's absence is tried with.
+struct Trial {
+    /// Scenario, or a plan of its own.
+    faults: Faults,
+    /// Seeds.
+    seeds: Range<u64>,
+    /// Settings of both the red and the green runs.
+    settings: fn(&mut Settings),
+}
+
+enum Faults {
+    Scenario(&'static str),
+    Plan(fn() -> Vec<(u64, Fault)>),
+}
+
+fn scenario(name: &'static str) -> Trial {
+    Trial {
+        faults: Faults::Scenario(name),
+        seeds: SEEDS,
+        settings: |_| {},
+    }
+}
+
+/// Answers of given-up attempts come late.
+fn late_answers() -> Trial {
+    Trial {
+        settings: |settings| settings.times.attempt_timeout = 120 * MILLIS,
+        ..scenario("bad-network")
+    }
+}
+
+/// All web back ends leave, and routers freeze between a decision and its attempt.
+fn frozen_at_dispatch() -> Trial {
+    let plan = || {
+        let leaving = (0..3).map(|web| (2_500 * MILLIS, Fault::LeaveWeb(web)));
+        let freezing = (0..4).map(|r| (2_500 * MILLIS, Fault::FreezeRouterAtDispatch(r)));
+        let waking = (0..4).map(|router| (9 * SECONDS, Fault::WakeRouter(router)));
+        leaving.chain(freezing).chain(waking).collect()
+    };
+    Trial {
+        faults: Faults::Plan(plan),
+        seeds: SEEDS,
+        settings: |_| {},
+    }
+}
+
+/// A zone is cut off for eleven seconds.
+fn long_cut() -> Trial {
+    let plan = || {
+        let cut = [(0, 1), (1, 0), (0, 2), (2, 0)];
+        let cuts = cut.map(|(from, to)| (3 * SECONDS, Fault::Cut(from, to)));
+        cuts.into()
+    };
+    Trial {
+        faults: Faults::Plan(plan),
+        seeds: MORE_SEEDS,
+        settings: |settings| {
+            settings.times.healed = 14 * SECONDS;
+            settings.times.audit = 22 * SECONDS;
+            settings.times.over = 24 * SECONDS;
+        },
+    }
+}
+
+/// All control members die, and start when everything is mended.
+fn control_gone() -> Trial {
+    Trial {
+        faults: Faults::Plan(|| vec![(5 * SECONDS, Fault::KillAllControl)]),
+        seeds: SEEDS,
+        settings: |_| {},
+    }
+}
+
+impl Trial {
+    fn seeds(self, seeds: Range<u64>) -> Trial {
+        Trial { seeds, ..self }
+    }
+
+    /// The broken runs with these mechanisms switched off.
+    fn broken(&self, switch_off: fn(&mut Mechanisms)) -> Vec<RunReport> {
+        let mut settings = Settings::default();
+        (self.settings)(&mut settings);
+        switch_off(&mut settings.mechanisms);
+        match self.faults {
+            Faults::Scenario(name) => {
+                let scenario = Scenario::named(name).expect("scenario exists");
+                run_seeds_with(scenario, self.seeds.clone(), THREADS, &settings).broken
+            }
+            Faults::Plan(plan) => {
+                let run = |seed| run_plan(settings.clone(), plan(), seed, false);
+                let reports = self.seeds.clone().map(run);
+                reports.filter(|report| !report.holds()).collect()
+            }
+        }
+    }
+}
+
+fn reports(runs: &[RunReport], checker: &str) -> bool {
+    let mut breaches = runs.iter().flat_map(|run| &run.breaches);
+    breaches.any(|breach| breach.checker == checker)
+}
+
+fn described(runs: &[RunReport]) -> Vec<String> {
+    let lines = runs.iter().flat_map(|run| {
+        let breaches = run.breaches.iter().map(ToString::to_string);
+        let failure = run.failure.clone();
+        breaches
+            .chain(failure)
+            .map(|text| format!("seed={} {text}", run.seed))
+    });
+    lines.collect()
+}
+
+#[rstest]
+#[case::log_entries_lost("agreement", scenario("kill-all-control"), |m: &mut Mechanisms| m.synced_writes = false)]
+#[case::stale_orders_taken("replicas", scenario("memory-pressure"), |m: &mut Mechanisms| m.engine.fences = false)]
+#[case::freed_too_early("replicas", scenario("memory-pressure"), |m: &mut Mechanisms| m.engine.frees_after_use = false)]
+#[case::ledger_of_wrong_size("memory", scenario("cold-burst"), |m: &mut Mechanisms| m.engine.reports_true_memory = false)]
+#[case::never_refused("answers", scenario("calm"), |m: &mut Mechanisms| m.refusals = false)]
+#[case::late_parts_passed_on("integrity", late_answers(), |m: &mut Mechanisms| m.drops_old_attempts = false)]
+#[case::false_not_run("refusals", scenario("machine-reclaimed").seeds(MORE_SEEDS), |m: &mut Mechanisms| m.honest_failures = false)]
+#[case::no_claims("once", scenario("calm"), |m: &mut Mechanisms| m.claims = false)]
+#[case::no_claims_in_order("claims-linearizable", scenario("calm"), |m: &mut Mechanisms| m.claims = false)]
+#[case::no_check_before_sending("leaving", frozen_at_dispatch(), |m: &mut Mechanisms| m.send_before = false)]
+#[case::no_drain("drain", scenario("planned-stops"), |m: &mut Mechanisms| m.drains = false)]
+#[case::changes_lost("configuration", scenario("kill-all-control"), |m: &mut Mechanisms| m.synced_writes = false)]
+#[case::changes_out_of_order("configuration-linearizable", scenario("kill-all-control"), |m: &mut Mechanisms| m.synced_writes = false)]
+#[case::leases_without_end("enforcement", long_cut(), |m: &mut Mechanisms| m.leases_end = false)]
+#[case::no_permits("store", scenario("memory-pressure"), |m: &mut Mechanisms| m.store_permits = false)]
+#[case::never_mended("liveness", control_gone(), |m: &mut Mechanisms| m.healing = false)]
+fn checker_reports_what_its_mechanism_prevents(
+    #[case] checker: &str,
+    #[case] trial: Trial,
+    #[case] switch_off: fn(&mut Mechanisms),
+) {
+    let red = trial.broken(switch_off);
+    assert!(reports(&red, checker), "{:?}", described(&red));
+    let green = trial.broken(|_| {});
+    assert_eq!(described(&green), Vec::<String>::new());
+}
+
+#[test]
+fn every_checker_has_a_case_above() {
+    let source = include_str!("mechanisms.rs");
+    for (name, _) in millpass_checkers::CHECKERS {
+        let case = format!("(\"{name}\", ");
+        assert!(
+            source.contains(&case),
+            "no case switches off what {name} guards"
+        );
+    }
+}
