--- /dev/null
+++ b/crates/millpass-lab/tests/programs.rs
@@ -0,0 +1,63 @@
+//! The lab's programs as processes: started by path, serving, stopped by id.
+
+use millpass_lab::fleet::children::{Children, Launch};
+use millpass_lab::fleet::deployed::wait_until;
+use millpass_lab::fleet::ports::free_addresses;
+use millpass_lab::programs::{PlatformFile, StandInKind};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn platform(folder: &Path) -> (Launch, String) {
+    let address = free_addresses(1).expect("a port")[0];
+    let settings = folder.join("platform.json");
+    let file = PlatformFile { listen: address };
+    std::fs::write(&settings, serde_json::to_vec(&file).expect("JSON")).expect("written");
+    let launch = Launch {
+        name: "platform".to_owned(),
+        program: PathBuf::from(env!("CARGO_BIN_EXE_millpass-lab")),
+        arguments: vec![
+            "stand-in".to_owned(),
+            format!("--settings={}", settings.display()),
+            StandInKind::Platform.word().to_owned(),
+        ],
+    };
+    (launch, format!("http://{address}/machines"))
+}
+
+#[test]
+fn a_stand_in_serves_until_it_is_asked_to_stop() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (launch, url) = platform(folder.path());
+    let mut children = Children::new(&folder.path().join("logs"), 1).expect("children");
+    children.start(launch.clone()).expect("started");
+    wait_until("it serves", PATIENCE, || ureq::get(&url).call().is_ok()).expect("serving");
+    assert!(children.start(launch).is_err(), "the bound is one process");
+    assert!(children.resident_by_kind()["platform"].1 > 0);
+    children.ask_to_stop("platform").expect("asked");
+    let ended = wait_until("it ends", PATIENCE, || {
+        children.look();
+        children.process_id("platform").is_none()
+    });
+    ended.expect("ended");
+    assert!(children.unasked_ends().is_empty());
+    children.restart("platform").expect("started again");
+    children.kill("platform").expect("killed");
+    assert!(children.process_ids().is_empty());
+}
+
+#[test]
+fn an_end_that_nobody_asked_for_is_noted() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut launch, _) = platform(folder.path());
+    launch.arguments = vec!["no-such-command".to_owned()];
+    let mut children = Children::new(&folder.path().join("logs"), 1).expect("children");
+    children.start(launch).expect("started");
+    let ended = wait_until("it ends", PATIENCE, || {
+        children.look();
+        children.process_ids().is_empty()
+    });
+    ended.expect("ended");
+    assert_eq!(children.unasked_ends().len(), 1);
+}
