Lab: a fleet takes no more than half of the machine's memory

Cause: the bound came from the deployment file alone. Before and after: tests/layout.rs has the cases. Conclusion: -

--- a/crates/millpass-lab/src/fleet/bounds.rs
+++ b/crates/millpass-lab/src/fleet/bounds.rs
@@ -20,6 +20,16 @@
         /// What the deployment allows the fleet.
         bound: u64,
     },
+    /// The bound is more than half of the machine.
+    #[error(
+        "bounds.resident_bytes ({bound}) is more than half of the machine's {total} bytes; lower it"
+    )]
+    MoreThanHalf {
+        /// Memory of the machine.
+        total: u64,
+        /// What the deployment allows the fleet.
+        bound: u64,
+    },
     /// The fleet grew too large.
     #[error(
         "the fleet holds {resident} bytes of memory, more than bounds.resident_bytes ({bound}); \
@@ -33,9 +43,22 @@
     },
 }
 
-/// Checks before the start, given the machine's available memory.
-pub fn check_before(deployment: &Deployment, available: u64) -> Result<(), BoundsError> {
+/// Memory of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MachineMemory {
+    /// All of it.
+    pub total: u64,
+    /// What programs may still take.
+    pub available: u64,
+}
+
+/// Checks before the start.
+pub fn check_before(deployment: &Deployment, machine: MachineMemory) -> Result<(), BoundsError> {
     let bound = deployment.bounds.resident_bytes;
+    let MachineMemory { total, available } = machine;
+    if bound > total / 2 {
+        return Err(BoundsError::MoreThanHalf { total, bound });
+    }
     if available < bound.saturating_add(SPARE_BYTES) {
         return Err(BoundsError::NotEnoughMemory { available, bound });
     }
@@ -51,8 +74,11 @@
     Ok(())
 }
 
-/// Memory that programs may still take on this machine; 0 if it cannot be told.
-pub fn available_memory() -> u64 {
+/// Memory of this machine; 0 for what cannot be told.
+pub fn machine_memory() -> MachineMemory {
     let memory = procfs::Meminfo::current().ok();
-    memory.and_then(|memory| memory.mem_available).unwrap_or(0)
+    MachineMemory {
+        total: memory.as_ref().map_or(0, |memory| memory.mem_total),
+        available: memory.and_then(|memory| memory.mem_available).unwrap_or(0),
+    }
 }
--- a/crates/millpass-lab/src/fleet/deployed.rs
+++ b/crates/millpass-lab/src/fleet/deployed.rs
@@ -67,7 +67,7 @@
 impl Fleet {
     /// Writes all files and starts every process, the relay first.
     pub fn start(deployment: Deployment, folder: WorkFolder, programs: Programs) -> Result<Self> {
-        bounds::check_before(&deployment, bounds::available_memory())?;
+        bounds::check_before(&deployment, bounds::machine_memory())?;
         let layout = Layout::new(&deployment)?;
         write_product_files(&folder, &deployment, &layout)?;
         write_lab_files(&folder, &deployment, &layout)?;
--- a/crates/millpass-lab/tests/layout.rs
+++ b/crates/millpass-lab/tests/layout.rs
@@ -1,6 +1,7 @@
 //! Settings files of a fleet are taken by the product's own loader, and its addresses are unique.
 
 use millpass_lab::deployment::Deployment;
+use millpass_lab::fleet::bounds::{BoundsError, MachineMemory, check_before, check_running};
 use millpass_lab::fleet::folder::WorkFolder;
 use millpass_lab::fleet::lab_files::write_lab_files;
 use millpass_lab::fleet::layout::Layout;
@@ -50,3 +51,16 @@
     let error = WorkFolder::create(temporary.path()).expect_err("refused");
     assert!(error.to_string().contains("earlier run"));
 }
+
+#[test]
+fn a_fleet_takes_no_more_than_half_of_the_machine_nor_what_is_not_free() {
+    let deployment = Deployment::named("pnw").expect("an example");
+    let bound = deployment.bounds.resident_bytes;
+    let check = |total, available| check_before(&deployment, MachineMemory { total, available });
+    assert_eq!(check(4 * bound, 4 * bound), Ok(()));
+    let half = check(2 * bound - 1, 2 * bound - 1);
+    assert!(matches!(half, Err(BoundsError::MoreThanHalf { .. })));
+    let free = check(4 * bound, bound);
+    assert!(matches!(free, Err(BoundsError::NotEnoughMemory { .. })));
+    assert!(check_running(&deployment, bound + 1).is_err());
+}
