Router: a silent back end holds the refusal at the deadline 50 ms at most, not 1 s

Cause: the request's thread reads from the back end until 1 s after the deadline, and carries the decision core's refusal out only then. In the fleet (pnw, zone cut off for 60 s, release build) five requests that were at an engine behind the cut got their final answer 1.02 s late. Ruled out: the relay (it carries callers' connections past the cut), the core (it refuses at the deadline by its tick of 5 ms). Change: the slack is a setting of BackendTimeouts, 50 ms. Before and after: tests/deadlines.rs: with 1 s the bound of the checkers (100 ms) failed, with 50 ms it passes; a silent engine still ends in 504 with executed unknown, not in a fault. Waking the thread by closing its connection would do without any slack; not done.

--- a/crates/millpass-router/src/backend.rs
+++ b/crates/millpass-router/src/backend.rs
@@ -15,7 +15,6 @@
 use millpass_proto::Urgency;
 use millpass_routing::{AttemptFailure, Dispatch};
 use std::sync::Arc;
-use std::time::Duration;
 use ureq::unversioned::resolver::DefaultResolver;
 use ureq::{Agent, Body};
 
@@ -115,7 +114,7 @@
             true => &self.fresh,
             false => &self.pooled,
         };
-        let left = self.clock.left_until(dispatch.deadline) + DEADLINE_SLACK;
+        let left = self.clock.left_until(dispatch.deadline) + self.timeouts.deadline_slack;
         let silence = match outgoing.stream {
             true => left.min(self.timeouts.stream_read),
             false => left,
@@ -173,10 +172,6 @@
     }
 }
 
-/// How long reads go on after the deadline. The decision core ends the attempt at the deadline,
-/// and then it is cancelled at the engine; a read that times out first would look like a fault.
-const DEADLINE_SLACK: Duration = Duration::from_secs(1);
-
 fn agent(timeouts: &BackendTimeouts, idle_connections: usize) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
--- /dev/null
+++ b/crates/millpass-router/tests/deadlines.rs
@@ -0,0 +1,43 @@
+//! What a caller gets when its back end says nothing.
+
+mod common;
+
+use common::control::Control;
+use common::engine::Engine;
+use common::{call, completion, prompt, start_router};
+use crossbeam::channel::unbounded;
+use millpass_checkers::Limits;
+use millpass_router::{BackendTimeouts, RouterProcessSettings};
+use rstest::rstest;
+use std::time::Duration;
+
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
+fn a_silent_back_end_ends_in_a_refusal_that_does_not_say_it_did_not_run(#[case] streamed: bool) {
+    let (keep, _kept) = unbounded();
+    let engine = Engine::start(move |_, responder| keep.send(responder).unwrap());
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    let request = completion(&router).header("Millpass-Deadline-Ms", "300");
+    let answer = call(request.body(prompt(streamed)).unwrap());
+    assert_eq!(answer.status, 504);
+    assert!(answer.body.contains("deadline_passed"), "{}", answer.body);
+    assert!(answer.body.contains("unknown"), "{}", answer.body);
+}
+
+/// The request's thread reads from the back end until the slack is over; the refusal is to be on its
+/// way within the time that the checkers allow for it.
+#[test]
+fn a_refusal_at_the_deadline_is_not_held_by_a_silent_back_end() {
+    let allowed = Duration::from_micros(Limits::default().answer_grace_micros);
+    let slack = BackendTimeouts::default().deadline_slack;
+    let tick = RouterProcessSettings::default().tick_interval;
+    assert!(
+        slack + tick < allowed,
+        "{slack:?} and {tick:?}, {allowed:?}"
+    );
+    // The core is to speak before the read times out.
+    assert!(slack > tick * 4);
+}
