Control plane tests: orders under the lease, settled only by newer reports

Ruled out: tests over sockets: the core has no input/output, virtual time reaches each case. Conclusion: an order with unknown outcome keeps its memory until a report newer than it settles it.

--- a/crates/millpass-control-plane/tests/harness/engine.rs
+++ b/crates/millpass-control-plane/tests/harness/engine.rs
@@ -11,8 +11,10 @@
     pub sequence: u64,
     pub highest: LogPosition,
     pub slots: BTreeMap<SlotId, EngineSlotReport>,
-    /// Whether it answers orders at all.
+    /// Whether orders reach it at all.
     pub answers: bool,
+    /// Whether its answers are lost.
+    pub loses_answers: bool,
     pub accepted: Vec<EngineOrder>,
 }
 
@@ -26,6 +28,7 @@
             highest: LogPosition::ZERO,
             slots: BTreeMap::new(),
             answers: true,
+            loses_answers: false,
             accepted: Vec::new(),
         }
     }
@@ -35,18 +38,23 @@
         if !self.answers {
             return None;
         }
+        let answer = self.take(order);
+        (!self.loses_answers).then_some(answer)
+    }
+
+    fn take(&mut self, order: &EngineOrder) -> OrderAnswer {
         if order.incarnation != self.incarnation {
-            return Some(OrderAnswer::WrongIncarnation(self.incarnation));
+            return OrderAnswer::WrongIncarnation(self.incarnation);
         }
         if order.fence < self.highest {
-            return Some(OrderAnswer::StaleFence(self.highest));
+            return OrderAnswer::StaleFence(self.highest);
         }
         if order.fence > self.highest {
             self.highest = order.fence;
             self.accepted.push(order.clone());
             self.begin(order);
         }
-        Some(OrderAnswer::Accepted)
+        OrderAnswer::Accepted
     }
 
     fn begin(&mut self, order: &EngineOrder) {
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -3,11 +3,16 @@
 
 #![allow(dead_code)]
 
+pub mod audit;
 pub mod engine;
+pub mod fleet;
+pub mod network;
 pub mod router;
 
 pub use engine::TestEngine;
 #[allow(unused_imports)]
+pub use fleet::Fleet;
+#[allow(unused_imports)]
 pub use router::TestRouter;
 
 use millpass_consensus::{ConsensusSettings, RestoredLog};
@@ -27,6 +32,7 @@
 
 /// One member with its disk.
 pub struct Member {
+    pub address: MemberAddress,
     pub plane: ControlPlane,
     pub hard_state: HardState,
     pub snapshot: Option<Snapshot>,
@@ -34,8 +40,14 @@
     pub up: bool,
     /// Cut off from other members, routers and engines.
     pub cut: bool,
-    /// Only its way out to engines and routers is left.
+    /// It said that it is done.
     pub stopped: bool,
+    /// Takes nothing in; what arrives waits for it.
+    pub frozen: bool,
+    held: Vec<ControlInput>,
+    /// Every entry written, also those that a snapshot replaced.
+    archive: BTreeMap<u64, LogEntry>,
+    audited: u64,
 }
 
 /// The world.
@@ -49,6 +61,15 @@
     pub engines: BTreeMap<BackendName, TestEngine>,
     pub platform: PlatformList,
     pub snapshot_entries: u64,
+    pub network: network::Network,
+    /// Checks of every committed entry.
+    pub audit: audit::Audit,
+    /// Whether members introduce themselves before they send.
+    pub greetings: bool,
+    /// Whether pieces of snapshots arrive as zeros.
+    pub corrupt_snapshots: bool,
+    /// Length of one step of virtual time.
+    pub step: Duration,
     inputs: VecDeque<(MemberId, ControlInput)>,
     initial: Membership,
     calls: u64,
@@ -56,6 +77,10 @@
     pub connection_member: BTreeMap<ConnectionId, MemberId>,
 }
 
+pub fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
 pub fn address(member: u64) -> MemberAddress {
     MemberAddress {
         member: MemberId(member),
@@ -114,6 +139,11 @@
                 machines: Vec::new(),
             },
             snapshot_entries,
+            network: network::Network::default(),
+            audit: audit::Audit::default(),
+            greetings: true,
+            corrupt_snapshots: false,
+            step: STEP,
             inputs: VecDeque::new(),
             initial,
             calls: 0,
@@ -142,9 +172,10 @@
         };
         let id = address.member;
         let hard_state = restored.hard_state.clone();
-        let settings = settings(address, self.snapshot_entries);
+        let settings = settings(address.clone(), self.snapshot_entries);
         let plane = ControlPlane::new(settings, restored, State::default(), self.now);
         let member = Member {
+            address,
             plane,
             hard_state,
             snapshot: None,
@@ -152,6 +183,10 @@
             up: true,
             cut: false,
             stopped: false,
+            frozen: false,
+            held: Vec::new(),
+            archive: BTreeMap::new(),
+            audited: 0,
         };
         self.members.insert(id, member);
     }
@@ -187,10 +222,66 @@
                 .cloned()
                 .collect(),
         };
-        let settings = settings(address(id.0), snapshot_entries);
+        let settings = settings(member.address.clone(), snapshot_entries);
         member.plane = ControlPlane::new(settings, restored, state, now);
         member.up = true;
         member.stopped = false;
+        member.frozen = false;
+        member.held.clear();
+    }
+
+    /// Ends a member's process; its disk stays.
+    pub fn halt(&mut self, id: MemberId) {
+        self.members.get_mut(&id).unwrap().up = false;
+    }
+
+    /// A frozen member goes on and finds what arrived meanwhile.
+    pub fn thaw(&mut self, id: MemberId) {
+        let member = self.members.get_mut(&id).unwrap();
+        member.frozen = false;
+        let held = std::mem::take(&mut member.held);
+        let inputs = held.into_iter().map(|input| (id, input));
+        self.inputs.extend(inputs);
+        self.settle();
+    }
+
+    /// A process without a disk asks to join, as it does every second, for this long.
+    pub fn join(&mut self, joiners: &[u64], seconds: u64) {
+        for _ in 0..seconds {
+            for joiner in joiners {
+                for member in self.up() {
+                    if self.reachable(member) {
+                        self.give(member, ControlInput::Join(address(*joiner)));
+                    }
+                }
+            }
+            self.run(Duration::from_secs(1));
+        }
+    }
+
+    /// Starts a process that is in no membership.
+    pub fn boot_joiner(&mut self, joiner: u64) {
+        let nobody = Membership {
+            voters: Vec::new(),
+            outgoing_voters: Vec::new(),
+            learners: Vec::new(),
+        };
+        self.boot(address(joiner), nobody);
+    }
+
+    /// Voters in force at a member, in order.
+    pub fn voters(&self, member: MemberId) -> Vec<u64> {
+        let status = self.members[&member].plane.consensus_status();
+        let voters = status.membership.voters.iter();
+        let mut voters: Vec<u64> = voters.map(|voter| voter.member.0).collect();
+        voters.sort_unstable();
+        voters
+    }
+
+    /// A member other than the leader.
+    pub fn follower(&self, leader: MemberId) -> MemberId {
+        let followers = self.up().into_iter().filter(|id| *id != leader);
+        followers.last().unwrap()
     }
 
     pub fn unix_millis(&self) -> u64 {
@@ -201,7 +292,8 @@
     pub fn run(&mut self, length: Duration) {
         let end = self.now + length;
         while self.now < end {
-            self.now = self.now + STEP;
+            self.now = self.now + self.step;
+            self.inputs.extend(self.network.arrived(self.now));
             let ids: Vec<MemberId> = self.members.keys().copied().collect();
             for id in ids {
                 self.inputs.push_back((id, ControlInput::Tick));
@@ -226,12 +318,29 @@
             if !member.up {
                 continue;
             }
+            if member.frozen {
+                if !matches!(input, ControlInput::Tick) {
+                    member.held.push(input);
+                }
+                continue;
+            }
             for output in member.plane.step(now, unix_millis, input) {
                 self.carry_out(id, output);
             }
+            self.audit_commits(id);
         }
     }
 
+    fn audit_commits(&mut self, id: MemberId) {
+        let member = self.members.get_mut(&id).unwrap();
+        let commit = member.plane.consensus_status().commit;
+        let new = member.archive.range(member.audited + 1..);
+        for (_, entry) in new.take_while(|(index, _)| **index <= commit) {
+            self.audit.committed(entry);
+        }
+        member.audited = member.audited.max(commit);
+    }
+
     fn reachable(&self, id: MemberId) -> bool {
         self.members
             .get(&id)
@@ -243,7 +352,7 @@
             ControlOutput::SendPeer { envelope, .. } => {
                 let to = envelope.to;
                 if self.reachable(id) && self.reachable(to) {
-                    self.inputs.push_back((to, ControlInput::Peer(envelope)));
+                    self.send_peer(id, envelope);
                 }
             }
             ControlOutput::SendRouter {
@@ -277,6 +386,28 @@
         }
     }
 
+    fn send_peer(&mut self, from: MemberId, mut envelope: PeerEnvelope) {
+        if self.corrupt_snapshots
+            && let PeerMessage::SnapshotChunk(chunk) = &mut envelope.message
+        {
+            chunk.data.fill(0);
+        }
+        let to = envelope.to;
+        if self.greetings {
+            let greeting = self.members[&from].address.clone();
+            let greeting = ControlInput::PeerGreeting(greeting);
+            self.inputs.push_back((to, greeting));
+        }
+        for delay in self.network.copies() {
+            let input = ControlInput::Peer(envelope.clone());
+            if delay == Duration::ZERO {
+                self.inputs.push_back((to, input));
+            } else {
+                self.network.send(self.now + delay, to, input);
+            }
+        }
+    }
+
     fn persist(&mut self, id: MemberId, request: millpass_consensus::PersistRequest) {
         let member = self.members.get_mut(&id).unwrap();
         if let Some(hard_state) = request.hard_state {
@@ -295,6 +426,10 @@
         if let Some(first) = request.entries.first() {
             let first = first.position.index;
             member.log.retain(|entry| entry.position.index < first);
+            member.archive.split_off(&first);
+            for entry in &request.entries {
+                member.archive.insert(entry.position.index, entry.clone());
+            }
             member.log.extend(request.entries);
         }
         let write = request.write;
@@ -303,6 +438,8 @@
     }
 
     fn deliver(&mut self, id: MemberId, order: EngineOrder) {
+        let in_charge = self.members[&id].plane.in_charge(self.now);
+        assert!(in_charge, "{id} sent an order without the lease");
         self.deliveries.push((id, order.clone()));
         let backend = order.backend.clone();
         let fence = order.fence;
--- /dev/null
+++ b/crates/millpass-control-plane/tests/harness/network.rs
@@ -0,0 +1,63 @@
+//! What the network between members does to a message: drops, delays and doubles it.
+
+use millpass_control_plane::ControlInput;
+use millpass_proto::{Duration, MemberId, Timestamp};
+use std::collections::BTreeMap;
+
+/// Longest delay of a message, in milliseconds.
+const LONGEST_DELAY_MILLIS: u64 = 400;
+
+/// Chances in percent, drawn from a seeded generator; calm when all are zero.
+#[derive(Default)]
+pub struct Network {
+    pub seed: u64,
+    pub dropped: u64,
+    pub doubled: u64,
+    pub delayed: u64,
+    under_way: BTreeMap<(Timestamp, u64), (MemberId, ControlInput)>,
+    sent: u64,
+}
+
+impl Network {
+    /// Delays of the copies that arrive.
+    pub fn copies(&mut self) -> Vec<Duration> {
+        if self.chance(self.dropped) {
+            return Vec::new();
+        }
+        let copies = 1 + usize::from(self.chance(self.doubled));
+        (0..copies).map(|_| self.delay()).collect()
+    }
+
+    fn delay(&mut self) -> Duration {
+        if !self.chance(self.delayed) {
+            return Duration::ZERO;
+        }
+        Duration::from_millis(1 + self.next() % LONGEST_DELAY_MILLIS)
+    }
+
+    /// Puts a message on its way.
+    pub fn send(&mut self, at: Timestamp, to: MemberId, input: ControlInput) {
+        self.sent += 1;
+        self.under_way.insert((at, self.sent), (to, input));
+    }
+
+    /// Takes the messages that arrive by now, in order.
+    pub fn arrived(&mut self, now: Timestamp) -> Vec<(MemberId, ControlInput)> {
+        let later = self.under_way.split_off(&(now, u64::MAX));
+        std::mem::replace(&mut self.under_way, later)
+            .into_values()
+            .collect()
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        percent > 0 && self.next() % 100 < percent
+    }
+
+    /// SplitMix64.
+    fn next(&mut self) -> u64 {
+        self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.seed ^ (self.seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+}
--- a/crates/millpass-control-plane/tests/harness/router.rs
+++ b/crates/millpass-control-plane/tests/harness/router.rs
@@ -3,6 +3,7 @@
 use super::World;
 use millpass_control_plane::ConnectionId;
 use millpass_proto::*;
+use std::collections::BTreeMap;
 
 /// A router on one connection.
 pub struct TestRouter {
@@ -19,6 +20,13 @@
     pub claims: Vec<ClaimAnswer>,
     pub finished: Vec<u64>,
     pub demand: Vec<ModelDemand>,
+    pub draining: bool,
+    /// Highest term of an update.
+    pub term: u64,
+    /// Updates of a lower term, ignored.
+    pub ignored: Vec<RouterUpdate>,
+    /// Its copy of the catalog.
+    pub catalog: BTreeMap<ObjectKey, StoredObject>,
 }
 
 impl TestRouter {
@@ -39,6 +47,10 @@
             claims: Vec::new(),
             finished: Vec::new(),
             demand: Vec::new(),
+            draining: false,
+            term: 0,
+            ignored: Vec::new(),
+            catalog: BTreeMap::new(),
         };
         router.hello(world);
         router
@@ -85,7 +97,7 @@
             placement: self.placement,
             demand: self.demand.clone(),
             observations,
-            draining: false,
+            draining: self.draining,
         };
         world.router_sends(self.connection, RouterToControl::Report(report));
         self.receive(world);
@@ -103,9 +115,15 @@
         }
     }
 
-    fn apply(&mut self, update: RouterUpdate) {
+    /// Applies an update; one of a lower term comes from a leader that is no more.
+    pub fn apply(&mut self, update: RouterUpdate) {
+        if update.term < self.term {
+            self.ignored.push(update);
+            return;
+        }
+        self.term = update.term;
         if let Some(delta) = &update.configuration {
-            self.configuration = delta.to;
+            self.apply_configuration(delta);
         }
         if let Some(delta) = &update.placement {
             self.placement = delta.to;
@@ -116,6 +134,22 @@
         self.updates.push(update);
     }
 
+    fn apply_configuration(&mut self, delta: &ConfigurationDelta) {
+        assert!(delta.to >= self.configuration, "a revision reverts");
+        if delta.full {
+            self.catalog.clear();
+        } else {
+            assert_eq!(delta.from, self.configuration, "a delta from elsewhere");
+        }
+        self.configuration = delta.to;
+        for key in &delta.removed {
+            self.catalog.remove(key);
+        }
+        let objects = delta.objects.iter().cloned();
+        let objects = objects.map(|object| (object.key.clone(), object));
+        self.catalog.extend(objects);
+    }
+
     /// Says that requests wait for a model.
     pub fn wait_for(&mut self, model: &str, waiting: u32) {
         self.demand = vec![ModelDemand {
--- /dev/null
+++ b/crates/millpass-control-plane/tests/watch.rs
@@ -0,0 +1,216 @@
+//! Each back end has one watcher; what the platform's lagging list means.
+
+mod harness;
+
+use harness::{Fleet, seconds};
+use millpass_control_plane::ControlInput;
+use millpass_proto::*;
+use rstest::rstest;
+
+fn wide() -> Fleet {
+    let routers = [("r-1", "zone-1"), ("r-2", "zone-1"), ("r-3", "zone-2")];
+    let engines = [
+        ("e-1", "zone-1"),
+        ("e-2", "zone-1"),
+        ("e-3", "zone-1"),
+        ("e-4", "zone-1"),
+        ("e-5", "zone-2"),
+        ("e-6", "zone-2"),
+        ("e-7", "zone-3"),
+        ("e-8", "zone-3"),
+    ];
+    Fleet::new(&routers, &engines)
+}
+
+/// Each engine has one watcher, of its own zone if that has a router that can watch.
+fn assert_one_watcher_each(fleet: &Fleet, away: &str) {
+    let watchers = fleet.watchers();
+    let able = |router: &&harness::TestRouter| router.name.0 != away;
+    for (name, engine) in &fleet.world.engines {
+        let found = watchers.get(name).cloned().unwrap_or_default();
+        let [watcher] = found.as_slice() else {
+            panic!("{name} is watched by {found:?}");
+        };
+        let near = |router: &harness::TestRouter| router.zone == engine.zone;
+        let mut routers = fleet.routers.iter().filter(able);
+        let watching = routers.clone().find(|router| router.name == *watcher);
+        let watching = watching.unwrap_or_else(|| panic!("{watcher} is away"));
+        assert!(near(watching) || !routers.any(near), "{name}: {watcher}");
+    }
+}
+
+/// How a router goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Goes {
+    Silent,
+    Draining,
+}
+
+#[rstest]
+fn the_share_of_a_router_that_goes_is_given_to_others(
+    #[values(Goes::Silent, Goes::Draining)] how: Goes,
+    #[values("r-1", "r-3")] name: &str,
+) {
+    let mut fleet = wide();
+    assert_one_watcher_each(&fleet, "nobody");
+    let before = fleet.watchers();
+    let place = fleet
+        .routers
+        .iter()
+        .position(|router| router.name.0 == name);
+    let place = place.unwrap();
+    assert!(!fleet.routers[place].watch.is_empty());
+    let gone = if how == Goes::Draining {
+        fleet.routers[place].draining = true;
+        None
+    } else {
+        Some(fleet.routers.remove(place))
+    };
+    fleet.rounds(10);
+    assert_one_watcher_each(&fleet, name);
+    for (engine, watcher) in fleet.watchers() {
+        let moved = before[&engine] != watcher;
+        let of_gone = before[&engine][0].0 == name;
+        assert_eq!(moved, of_gone, "only the share of {name} moves: {engine}");
+    }
+    // It comes back.
+    fleet.routers.extend(gone);
+    for router in &mut fleet.routers {
+        router.draining = false;
+    }
+    fleet.rounds(3);
+    assert_eq!(fleet.watchers(), before);
+}
+
+#[rstest]
+fn only_the_watcher_is_heard_about_a_new_run() {
+    let mut fleet = wide();
+    let engine = BackendName::from("e-5");
+    fleet.engine("e-5").restart(2);
+    for sequence in 1..4 {
+        let mut report = fleet.engine("e-5").report();
+        report.sequence = sequence;
+        let observation = BackendObservation::Engine(report);
+        fleet.routers[0].report_with(&mut fleet.world, vec![observation]);
+    }
+    let run = |fleet: &Fleet| {
+        fleet
+            .state()
+            .backend(&engine)
+            .unwrap()
+            .registration
+            .incarnation
+    };
+    assert_eq!(run(&fleet), Incarnation(1));
+    fleet.rounds(3);
+    assert_eq!(run(&fleet), Incarnation(2));
+}
+
+#[rstest]
+fn a_list_older_than_one_already_seen_is_ignored() {
+    let mut fleet = Fleet::small(&["e-1", "e-2"]);
+    let old = fleet.world.platform.clone();
+    fleet.world.platform.sequence += 1;
+    fleet.world.platform.machines[0].state = BackendState::Leaving;
+    fleet.world.run(seconds(3));
+    let state = |fleet: &Fleet| {
+        fleet
+            .state()
+            .backend(&BackendName::from("e-1"))
+            .unwrap()
+            .state
+            .clone()
+    };
+    assert_eq!(state(&fleet), BackendState::Leaving);
+    let leader = fleet.leader;
+    fleet.world.platform = PlatformList {
+        sequence: old.sequence - 1,
+        machines: Vec::new(),
+    };
+    fleet.world.give(leader, ControlInput::PlatformListed(old));
+    fleet.rounds(30);
+    assert!(fleet.world.count_events("platform-list-stale") > 10);
+    assert_eq!(state(&fleet), BackendState::Leaving);
+    assert_eq!(fleet.state().backends().len(), 2, "nothing is gone");
+}
+
+#[rstest]
+#[case::for_less_than_the_delay(8, 8, false, true)]
+#[case::counted_anew_by_a_new_leader(8, 8, true, true)]
+#[case::for_longer(14, 0, false, false)]
+fn a_machine_missing_from_the_list_is_gone_only_after_the_delay(
+    #[case] first: u32,
+    #[case] second: u32,
+    #[case] leader_changes: bool,
+    #[case] stays: bool,
+) {
+    let mut fleet = Fleet::small(&["e-1", "e-2"]);
+    let full = fleet.world.platform.clone();
+    let mut lagging = full.clone();
+    lagging
+        .machines
+        .retain(|machine| machine.backend.0 != "e-1");
+    lagging.sequence += 1;
+    fleet.world.platform = lagging.clone();
+    fleet.rounds(2 * first);
+    if leader_changes {
+        fleet.fail_over();
+    } else if second > 0 {
+        fleet.world.platform = full;
+        fleet.world.platform.sequence += 2;
+        fleet.rounds(4);
+        fleet.world.platform = lagging;
+        fleet.world.platform.sequence += 3;
+    }
+    fleet.rounds(2 * second);
+    let known = fleet.state().backend(&BackendName::from("e-1"));
+    let live = known.is_some_and(|backend| backend.state == BackendState::Live);
+    assert_eq!(live, stays);
+}
+
+#[rstest]
+fn a_leaving_machine_gets_no_new_work_after_a_few_seconds() {
+    let mut fleet = Fleet::small(&["e-1", "e-2"]);
+    fleet.world.platform.sequence += 1;
+    fleet.world.platform.machines[0].state = BackendState::Leaving;
+    fleet.rounds(5);
+    let before = fleet.world.deliveries.len();
+    fleet.waiting(100);
+    for _ in 0..10 {
+        fleet.rounds(2);
+        fleet.engine("e-2").finish_loads();
+    }
+    let new = &fleet.world.deliveries[before..];
+    assert!(!new.is_empty());
+    assert!(
+        new.iter().all(|(_, order)| order.backend.0 == "e-2"),
+        "{new:?}"
+    );
+}
+
+#[rstest]
+#[case::while_it_loads(false)]
+#[case::after_the_load(true)]
+fn the_replicas_of_a_reclaimed_machine_are_replaced(#[case] loaded: bool) {
+    let mut fleet = Fleet::small(&["e-1", "e-2"]);
+    let old = if loaded { fleet.load() } else { fleet.place() };
+    let engine = fleet.world.engines.remove(&old.backend).unwrap();
+    let platform = &mut fleet.world.platform;
+    platform.sequence += 1;
+    platform
+        .machines
+        .retain(|machine| machine.backend != engine.backend);
+    fleet.waiting(1);
+    for _ in 0..20 {
+        fleet.rounds(2);
+        for engine in fleet.world.engines.values_mut() {
+            engine.finish_loads();
+        }
+    }
+    let replicas = fleet.replicas();
+    let [replica] = replicas.as_slice() else {
+        panic!("{replicas:?}");
+    };
+    assert_ne!(replica.backend, old.backend);
+    assert_eq!(replica.phase, ReplicaPhase::Loaded);
+}
