--- /dev/null
+++ b/crates/millpass-control-plane/tests/membership.rs
@@ -0,0 +1,255 @@
+//! Repair by joiners, the planned stop, and snapshots.
+
+mod harness;
+
+use harness::{TestRouter, World, address, change, seconds, tenant};
+use millpass_consensus::MembershipChange;
+use millpass_control_plane::{
+    AdministrationAnswer, AdministrationRequest, ControlInput, FinalState,
+};
+use millpass_proto::*;
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+/// Changes that a member missed: more than a leader keeps beside its snapshot.
+const MISSED: u64 = 1_200;
+
+fn put(id: u64, version: u64) -> AdministrationRequest {
+    let id = format!("change-{id}");
+    let change = change(ObjectKind::Tenant, "news", version, &id, tenant(1));
+    AdministrationRequest::Change(change)
+}
+
+/// Makes changes, each of which must be accepted.
+fn put_all(world: &mut World, leader: MemberId, versions: std::ops::Range<u64>) {
+    for version in versions {
+        let answer = world.call(leader, put(version, version));
+        let Some(AdministrationAnswer::Change(ObjectChangeOutcome::Accepted(_))) = answer else {
+            panic!("{answer:?}");
+        };
+    }
+}
+
+fn members(list: &[MemberAddress]) -> BTreeSet<MemberId> {
+    list.iter().map(|address| address.member).collect()
+}
+
+/// No voters are lost or won over all, and one member comes or goes at a time.
+fn assert_one_at_a_time(world: &World, voters: usize) {
+    let memberships = world.audit.memberships();
+    for pair in memberships.windows(2) {
+        let [old, new] = pair else { unreachable!() };
+        assert_eq!(new.voters.len(), voters, "{new:?}");
+        let moved = members(&old.voters)
+            .symmetric_difference(&members(&new.voters))
+            .count();
+        assert!(moved <= 2, "{old:?} {new:?}");
+        if moved > 0 {
+            assert_eq!(
+                new.outgoing_voters, old.voters,
+                "not through a joint change"
+            );
+        }
+    }
+}
+
+#[rstest]
+#[case::greeted(true, vec![1, 2, 4])]
+#[case::not_greeted(false, vec![1, 2, 3])]
+fn a_joiner_that_knows_nobody_takes_the_place_of_a_dead_voter(
+    #[case] greetings: bool,
+    #[case] voters: Vec<u64>,
+) {
+    let mut world = World::new(3);
+    world.greetings = greetings;
+    let leader = world.elect();
+    put_all(&mut world, leader, 0..5);
+    world.halt(MemberId(3));
+    let leader = world.elect();
+    world.boot_joiner(4);
+    world.join(&[4], 15);
+    assert_eq!(world.voters(leader), voters);
+    assert_one_at_a_time(&world, 3);
+    if greetings {
+        assert_eq!(
+            world.state(MemberId(4)).encode(),
+            world.state(leader).encode()
+        );
+    }
+}
+
+#[rstest]
+fn dead_members_are_replaced_one_at_a_time() {
+    let mut world = World::new(5);
+    world.elect();
+    world.halt(MemberId(4));
+    world.halt(MemberId(5));
+    let leader = world.elect();
+    world.boot_joiner(6);
+    world.boot_joiner(7);
+    world.join(&[6, 7], 25);
+    assert_eq!(world.voters(leader), vec![1, 2, 3, 6, 7]);
+    assert_one_at_a_time(&world, 5);
+}
+
+#[rstest]
+#[case::leader_next(true)]
+#[case::follower_next(false)]
+fn a_second_loss_right_after_the_repair_is_survived_and_repaired(#[case] leader_next: bool) {
+    let mut world = World::new(3);
+    let leader = world.elect();
+    let dead = world.follower(leader);
+    world.halt(dead);
+    world.boot_joiner(4);
+    while !world.voters(leader).contains(&4) {
+        world.join(&[4], 1);
+    }
+    let old_voters = [1, 2, 3].map(MemberId);
+    let up = world.up();
+    let follower = up
+        .iter()
+        .find(|id| **id != leader && old_voters.contains(id));
+    let second = if leader_next {
+        leader
+    } else {
+        *follower.unwrap()
+    };
+    world.run(Duration::from_millis(100));
+    world.halt(second);
+    let leader = world.elect();
+    put_all(&mut world, leader, 0..3);
+    world.boot_joiner(5);
+    world.join(&[5], 15);
+    let leader = world.elect();
+    let voters = world.voters(leader);
+    assert!(voters.contains(&4) && voters.contains(&5), "{voters:?}");
+    put_all(&mut world, leader, 3..5);
+    assert_one_at_a_time(&world, 3);
+}
+
+#[rstest]
+fn a_learner_that_goes_silent_is_dropped() {
+    let mut world = World::new(3);
+    let leader = world.elect();
+    world.boot_joiner(4);
+    world.join(&[4], 3);
+    let learners = |world: &World| {
+        let status = world.members[&leader].plane.consensus_status();
+        members(&status.membership.learners).len()
+    };
+    assert_eq!(learners(&world), 1);
+    world.halt(MemberId(4));
+    world.run(seconds(16));
+    assert_eq!(learners(&world), 0);
+    assert_eq!(world.voters(leader), vec![1, 2, 3]);
+}
+
+#[rstest]
+fn operators_changes_of_members_are_refused_while_one_is_under_way() {
+    let mut world = World::new(3);
+    let leader = world.elect();
+    let request = |member: u64| {
+        AdministrationRequest::ChangeMembership(MembershipChange::AddLearner(address(member)))
+    };
+    // Cut off, so that the first change stays under way.
+    world.members.get_mut(&leader).unwrap().cut = true;
+    assert!(world.call(leader, request(8)).is_none());
+    let answer = world.call(leader, request(9));
+    let Some(AdministrationAnswer::Refused(reason)) = answer else {
+        panic!("{answer:?}");
+    };
+    assert!(reason.contains("under way"), "{reason}");
+    world.run(seconds(6));
+    assert_eq!(world.answers.len(), 2, "the first is answered in time");
+}
+
+#[rstest]
+#[case::alone(1, false)]
+#[case::nobody_answers(3, true)]
+fn a_drain_answers_those_who_wait_and_ends_in_time(#[case] voters: u64, #[case] cut: bool) {
+    let mut world = World::new(voters);
+    let leader = world.elect();
+    let mut router = TestRouter::new(&mut world, leader, "r-1", "zone-1");
+    router.report(&mut world);
+    for (id, member) in &mut world.members {
+        member.cut = cut && *id != leader;
+    }
+    let waits = world.call(leader, put(0, 0)).is_none();
+    assert_eq!(waits, cut);
+    world.give(leader, ControlInput::Drain);
+    let refused = world.call(leader, put(1, 1));
+    if let Some(answer) = refused {
+        assert!(
+            matches!(answer, AdministrationAnswer::NotLeader { .. }),
+            "{answer:?}"
+        );
+    }
+    let claim = router.claim("key", "digest", world.unix_millis(), 1);
+    router.begin(&mut world, claim);
+    assert_eq!(router.claims.len(), 0);
+    world.run(seconds(6));
+    let member = &world.members[&leader];
+    assert!(member.stopped);
+    assert_eq!(member.plane.final_state(), Some(&FinalState::Drained));
+    assert!(
+        world.answers.contains_key(&1),
+        "the waiting call was answered"
+    );
+}
+
+#[rstest]
+fn a_follower_that_drains_stops_at_once_and_the_leader_stays() {
+    let mut world = World::new(3);
+    let leader = world.elect();
+    let follower = world.follower(leader);
+    world.give(follower, ControlInput::Drain);
+    assert!(world.members[&follower].stopped);
+    world.run(seconds(5));
+    assert_eq!(world.leader(), Some(leader));
+}
+
+#[rstest]
+#[case(4)]
+#[case(10)]
+fn a_snapshot_is_taken_after_as_many_entries_as_set(#[case] entries: u64) {
+    let mut world = World::with_snapshots(3, entries);
+    let leader = world.elect();
+    put_all(&mut world, leader, 0..40);
+    let applied = world.members[&leader].plane.consensus_status().commit;
+    for member in world.members.values() {
+        let snapshot = member.snapshot.as_ref().unwrap();
+        assert!(applied - snapshot.meta.last.index < entries);
+    }
+    let taken = world.count_events("snapshot-taken") as u64;
+    assert_eq!(taken, 3 * (applied / entries));
+}
+
+#[rstest]
+#[case::restored(false)]
+#[case::undecodable(true)]
+fn a_member_that_lags_is_caught_up_by_a_snapshot_or_stops(#[case] corrupt: bool) {
+    let mut world = World::with_snapshots(3, 100);
+    let leader = world.elect();
+    let follower = world.follower(leader);
+    world.halt(follower);
+    put_all(&mut world, leader, 0..MISSED);
+    world.corrupt_snapshots = corrupt;
+    world.restart(follower.0);
+    world.run(seconds(3));
+    let member = &world.members[&follower];
+    assert_eq!(member.stopped, corrupt);
+    if corrupt {
+        let reason = member.plane.final_state();
+        assert!(
+            matches!(reason, Some(FinalState::StateUnreadable(_))),
+            "{reason:?}"
+        );
+        let events = world.events.len();
+        world.give(follower, ControlInput::Drain);
+        assert_eq!(world.events.len(), events, "it takes nothing in");
+    } else {
+        assert_eq!(world.count_events("state-restored"), 1);
+        assert_eq!(world.state(follower).encode(), world.state(leader).encode());
+    }
+    put_all(&mut world, leader, MISSED..MISSED + 3);
+}
