--- a/crates/millpass-cli/src/main.rs
+++ b/crates/millpass-cli/src/main.rs
@@ -8,8 +8,22 @@
     match commands::run(options) {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("millpass: {error:#}");
+            eprintln!("millpass: {}", message_of(&error));
             ExitCode::FAILURE
         }
     }
 }
+
+/// The error with its causes, but for those that a message before them quotes already.
+fn message_of(error: &anyhow::Error) -> String {
+    error.chain().fold(String::new(), |message, cause| {
+        let cause = cause.to_string();
+        if message.contains(&cause) {
+            return message;
+        }
+        if message.is_empty() {
+            return cause;
+        }
+        format!("{message}: {cause}")
+    })
+}
--- a/crates/millpass-storage/src/record.rs
+++ b/crates/millpass-storage/src/record.rs
@@ -5,11 +5,15 @@
 //! that a damaged length is not taken for a record that was cut short.
 
 use crate::error::StorageError;
+use crc::{CRC_32_ISO_HDLC, Crc};
 use millpass_proto::codec;
 use millpass_proto::{HardState, LogEntry, LogPosition};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 
+/// Checksum of a length.
+static LENGTH_CHECKSUM: Crc<u32> = Crc::<u32>::new(&CRC_32_ISO_HDLC);
+
 /// Length and its checksum.
 const PREFIX_BYTES: usize = 8;
 /// Checksum at the end of a body.
@@ -45,7 +49,7 @@
     };
     let length = length.to_le_bytes();
     buffer.extend_from_slice(&length);
-    buffer.extend_from_slice(&crc32fast::hash(&length).to_le_bytes());
+    buffer.extend_from_slice(&LENGTH_CHECKSUM.checksum(&length).to_le_bytes());
     buffer.extend_from_slice(&body);
     Ok(())
 }
@@ -104,7 +108,7 @@
 fn checked_length(prefix: &[u8]) -> Option<usize> {
     let length: [u8; 4] = prefix[..4].try_into().ok()?;
     let checksum: [u8; 4] = prefix[4..].try_into().ok()?;
-    let intact = crc32fast::hash(&length) == u32::from_le_bytes(checksum);
+    let intact = LENGTH_CHECKSUM.checksum(&length) == u32::from_le_bytes(checksum);
     intact.then(|| u32::from_le_bytes(length) as usize)
 }
 
