--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -1,5 +1,6 @@
 //! The core itself: takes one input at a time and runs what is due.
 
+use crate::addresses::AddressBook;
 use crate::claims::{self, RouterRun, SilentRuns};
 use crate::drain::{Drain, DrainStep};
 use crate::interface::{
@@ -11,7 +12,6 @@
 use crate::platform::{self, Platform};
 use crate::proposals::{InternalKey, Proposals, Waiter};
 use crate::repair::{self, Repair};
-use crate::replication::AddressBook;
 use crate::sessions::Sessions;
 use crate::snapshots::AppliedLog;
 use crate::watch::WatchShares;
@@ -155,6 +155,7 @@
             ControlInput::Persisted { write } => {
                 self.consensus_step(now, ConsensusInput::Persisted { write }, out);
             }
+            ControlInput::PeerGreeting(address) => self.addresses.greet(address),
             ControlInput::Join(address) => self.take_join(now, address, out),
             ControlInput::Router {
                 connection,
@@ -168,13 +169,7 @@
                 fence,
                 answer,
             } => self.take_order_answer(now, &backend, fence, answer, out),
-            ControlInput::PlatformListed(list) => {
-                let sequence = list.sequence;
-                if !self.platform.listed(now, list, &self.state) {
-                    let pairs = vec![("sequence", sequence.to_string())];
-                    out.event("platform-list-stale", pairs);
-                }
-            }
+            ControlInput::PlatformListed(list) => self.take_platform_list(now, list, out),
             ControlInput::Administration { call, request } => {
                 self.take_administration(now, call, request, out);
             }
@@ -311,6 +306,27 @@
             return;
         }
         out.push(ControlOutput::ReadPlatform);
+        self.mark_back_ends(now, out);
+    }
+
+    fn take_platform_list(
+        &mut self,
+        now: Timestamp,
+        list: millpass_proto::PlatformList,
+        out: &mut Outputs,
+    ) {
+        let sequence = list.sequence;
+        if !self.platform.listed(now, list, &self.state) {
+            let pairs = vec![("sequence", sequence.to_string())];
+            return out.event("platform-list-stale", pairs);
+        }
+        if self.in_charge(now) {
+            self.mark_back_ends(now, out);
+        }
+    }
+
+    /// Proposes what the platform's list says of registered back ends.
+    fn mark_back_ends(&mut self, now: Timestamp, out: &mut Outputs) {
         let delay = self.settings.machine_gone_delay;
         for mark in self.platform.marks(now, delay, &self.state) {
             let key = InternalKey::Mark(mark.backend.clone());
