Router: the exchange split into its course, the caller's side and the answer

Ruled out: a struct of its own for the passing on: it would need six of the exchange's fields. Change: caller_side.rs owns the caller's end (waiting, streaming, done) and its request id; exchange/answer.rs passes answers on; exchange.rs keeps the course. No behaviour changed; all tests of the router pass unchanged.

--- a/crates/millpass-router/src/lib.rs
+++ b/crates/millpass-router/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod backend;
 mod caller;
+mod caller_side;
 mod clock;
 mod driver;
 mod exchange;
