Router: the refusal at the deadline goes out before the cancellation at the engine

Cause: a cancelled attempt made the request's thread tell the engine (DELETE, bounded by 1 s) before it took the core's refusal. Behind a cut the engine does not answer, so the caller got its refusal 1 s late. Change: the address is noted, and the engine told after the caller has its answer and the request has left the tables. Before and after: tests/deadlines.rs, an engine that answers neither requests nor cancellations, time for a cancellation 600 s: before, both cases (whole, streamed) failed at the caller's patience of 10 s; after, they pass. Conclusion: nothing of the back end holds a refusal.

--- a/crates/millpass-router/src/exchange.rs
+++ b/crates/millpass-router/src/exchange.rs
@@ -46,6 +46,8 @@
     /// Bytes passed on, kept for the record of a claimed stream.
     recorded: Vec<u8>,
     dispatched: bool,
+    /// Address of the engine at which an attempt was cancelled that may run there.
+    to_cancel: Option<String>,
     outcome: &'static str,
 }
 
@@ -72,6 +74,7 @@
             tokens: 0,
             recorded: Vec::new(),
             dispatched: false,
+            to_cancel: None,
             outcome: "panicked",
         }
     }
@@ -91,6 +94,19 @@
         }));
         self.watch_caller();
         self.outcome = self.follow_signals(&signals);
+        self.end_with_cancellation();
+    }
+
+    /// Ends the request, and then its cancelled attempt at the engine. The caller has its answer
+    /// by now: an engine behind a cut takes the whole time allowed for a cancellation.
+    fn end_with_cancellation(mut self) {
+        let Some(address) = self.to_cancel.take() else {
+            return;
+        };
+        let shared = self.shared.clone();
+        let request_id = std::mem::take(&mut self.backend_request_id);
+        drop(self);
+        shared.backends.cancel(&address, &request_id);
     }
 
     /// Tells the core and this thread when the caller hangs up, wherever the request is.
@@ -177,10 +193,9 @@
         if control.is_cancelled() {
             driver.metrics.count_attempt("cancelled");
             if control.may_have_sent() && dispatch.slot.is_some() {
-                let backends = &self.shared.backends;
-                backends.cancel(&dispatch.address, &self.backend_request_id);
+                self.to_cancel = Some(dispatch.address.clone());
             }
-            // The core cancelled it and needs no word.
+            // The core cancelled it and needs no word. Its last one on the request follows.
             return;
         }
         let result = failure_word(failure);
--- a/crates/millpass-router/tests/deadlines.rs
+++ b/crates/millpass-router/tests/deadlines.rs
@@ -4,11 +4,14 @@
 
 use common::control::Control;
 use common::engine::Engine;
-use common::{call, completion, prompt, start_router};
+use common::{call, completion, prompt, settings, start_router, start_with};
 use crossbeam::channel::unbounded;
 use millpass_checkers::Limits;
+use millpass_http::{Request, Responder, Server, ServerSettings};
 use millpass_router::{BackendTimeouts, RouterProcessSettings};
 use rstest::rstest;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 #[rstest]
@@ -41,3 +44,27 @@
     // The core is to speak before the read times out.
     assert!(slack > tick * 4);
 }
+
+/// An engine behind a cut takes requests and cancellations and answers neither. Were the refusal
+/// held until the cancellation is over, the caller's patience would end first.
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
+fn a_refusal_does_not_wait_for_the_cancellation_at_the_engine(#[case] streamed: bool) {
+    let (keep, _kept) = unbounded();
+    let handler = move |_: Request, responder: Responder| keep.send(responder).unwrap();
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::bind(any_port, ServerSettings::default()).unwrap();
+    let engine = server.serve(Arc::new(handler));
+    let control = Control::start();
+    control.add_replica(1, engine.local_address());
+    let mut settings = settings(vec![control.address()]);
+    settings.backends.cancel = Duration::from_secs(600);
+    let router = start_with(&control, settings);
+    let request = completion(&router).header("Millpass-Deadline-Ms", "200");
+    let answer = call(request.body(prompt(streamed)).unwrap());
+    assert_eq!(answer.status, 504);
+    assert_eq!(answer.error("executed"), "unknown");
+    // Cuts the cancellation, which holds a thread of the router.
+    engine.stop();
+}
