Router: a leader that is reachable again is followed after one round

Ruled out: the relay (all connections held back went through within 60 ms of the healing), the control members (leader known 20 ms after it). Change: one round. A dead leader that is named for longer costs one failed turn a round.

--- a/crates/millpass-router/src/member_choice.rs
+++ b/crates/millpass-router/src/member_choice.rs
@@ -2,12 +2,9 @@
 
 use std::net::SocketAddr;
 
-/// Turns in which a member whose connection broke is passed over, for each member of the list: an
-/// election takes several.
-const TURNS_PASSED_OVER: usize = 4;
-
-/// Members in turn, the leader that one of them named first, and for some turns not the one whose
-/// connection broke last: the others go on naming it as leader until they have elected another.
+/// Members in turn, the leader that one of them named first, and for one round not the one whose
+/// connection broke last: the others go on naming it as leader until they have elected another. No
+/// longer than a round, since it may lead on and be reachable again.
 #[derive(Clone, Debug)]
 pub struct MemberChoice {
     members: Vec<SocketAddr>,
@@ -53,7 +50,7 @@
     /// The connection to a member broke, could not be made, or went silent.
     pub fn lost(&mut self, member: SocketAddr) {
         self.lost = Some(member);
-        self.turns_left = TURNS_PASSED_OVER * self.members.len();
+        self.turns_left = self.members.len();
     }
 
     fn in_turn(&mut self) -> Option<SocketAddr> {
