--- a/crates/millpass-cli/src/commands/offline.rs
+++ b/crates/millpass-cli/src/commands/offline.rs
@@ -1,7 +1,10 @@
 //! Commands that need no server: `check`, `template`, `key`.
 
-use crate::objects;
+use crate::objects::{self, DeclaredObject};
+use crate::options::PolicyCommand;
 use anyhow::{Context, Result, bail};
+use millpass_policy::admit;
+use millpass_proto::{ObjectSpec, PolicyName};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -23,13 +26,25 @@
         millpass_config::parse_router(&name, &text)?;
         "router settings"
     } else {
-        objects::parse_objects(&name, &text)?;
+        let declared = objects::parse_objects(&name, &text)?;
+        check_policies(&name, &declared)?;
         "objects"
     };
     println!("{name}: valid {kind}");
     Ok(ExitCode::SUCCESS)
 }
 
+/// Compiles the policies among these objects and runs their examples; the first error ends it.
+pub fn check_policies(file: &str, declared: &[DeclaredObject]) -> Result<()> {
+    for object in declared {
+        if let ObjectSpec::Policy(spec) = &object.spec {
+            admit(&PolicyName::from(object.key.name.as_str()), spec)
+                .map_err(|error| anyhow::anyhow!("{file}: {error}; nothing was submitted"))?;
+        }
+    }
+    Ok(())
+}
+
 /// Prints a settings template.
 pub fn template(kind: &str) -> Result<ExitCode> {
     match kind {
@@ -53,3 +68,29 @@
 pub fn key_hash(key: &str) -> String {
     blake3::hash(key.as_bytes()).to_hex().to_string()
 }
+
+/// `policy test`: compiles each policy of a file and runs its examples.
+pub fn policy(command: PolicyCommand) -> Result<ExitCode> {
+    let PolicyCommand::Test { file } = command;
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(&file)
+        .with_context(|| format!("{name}: cannot be read; check the path"))?;
+    let mut failed = 0_u32;
+    for object in objects::parse_objects(&name, &text)? {
+        let ObjectSpec::Policy(spec) = &object.spec else {
+            continue;
+        };
+        match admit(&PolicyName::from(object.key.name.as_str()), spec) {
+            Ok(()) => println!("{}: {} examples hold", object.key.name, spec.examples.len()),
+            Err(error) => {
+                failed += 1;
+                println!("{}: {error}", object.key.name);
+            }
+        }
+    }
+    Ok(if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- a/crates/millpass-load/src/caller.rs
+++ b/crates/millpass-load/src/caller.rs
@@ -8,12 +8,15 @@
 use crate::stream::{StreamEvent, next_event};
 use crate::wire;
 use millpass_proto::{AdapterName, ModelName};
+use millpass_standin::content::chat_prompt;
 use serde::{Deserialize, Serialize};
 use std::io::{BufReader, Read};
 use std::time::{Duration, Instant};
 
 /// Most bytes of an answer that are read.
 const MAXIMUM_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+/// Role of the one message of a chat.
+const CHAT_ROLE: &str = "user";
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Idle connections kept to one router.
@@ -149,25 +152,25 @@
     match &planned.target {
         Target::WebRead { path, .. } => {
             let request = agent.get(format!("{base}{path}"));
-            with_headers(request, planned, context)
+            with_headers(request, context)
                 .config()
                 .timeout_global(limit)
                 .build()
                 .call()
         }
         Target::WebWrite { path, body, .. } => {
-            let request = post(agent, &format!("{base}{path}"), planned, context);
+            let request = post(agent, &format!("{base}{path}"), context);
             request.config().timeout_global(limit).build().send(body)
         }
         Target::Tokens { chat: true, .. } => {
             let url = format!("{base}{}", wire::CHAT_PATH);
-            let request = post(agent, &url, planned, context);
+            let request = post(agent, &url, context);
             let request = request.config().timeout_global(limit).build();
             request.send(tokens_body(&planned.target))
         }
         Target::Tokens { .. } => {
             let url = format!("{base}{}", wire::COMPLETIONS_PATH);
-            let request = post(agent, &url, planned, context);
+            let request = post(agent, &url, context);
             let request = request.config().timeout_global(limit).build();
             request.send(tokens_body(&planned.target))
         }
@@ -192,7 +195,7 @@
         serde_json::to_vec(&ChatBody {
             model,
             messages: [ChatMessage {
-                role: "user",
+                role: CHAT_ROLE,
                 content: prompt,
             }],
             max_tokens: *tokens,
@@ -212,16 +215,14 @@
 fn post(
     agent: &ureq::Agent,
     url: &str,
-    planned: &PlannedRequest,
     context: &CallContext,
 ) -> ureq::RequestBuilder<ureq::typestate::WithBody> {
     let request = agent.post(url).header("content-type", "application/json");
-    with_headers(request, planned, context)
+    with_headers(request, context)
 }
 
 fn with_headers<B>(
     request: ureq::RequestBuilder<B>,
-    planned: &PlannedRequest,
     context: &CallContext,
 ) -> ureq::RequestBuilder<B> {
     let request = request
@@ -267,10 +268,18 @@
             model,
             version,
             adapter,
+            chat,
             prompt,
             tokens,
             ..
-        } => expected_tokens(model, version, adapter.as_ref(), prompt, *tokens),
+        } => {
+            let prompt = if *chat {
+                chat_prompt([(CHAT_ROLE, prompt.as_str())])
+            } else {
+                prompt.clone()
+            };
+            expected_tokens(model, version, adapter.as_ref(), &prompt, *tokens)
+        }
         _ => Vec::new(),
     }
 }
--- a/crates/millpass-router/src/settings.rs
+++ b/crates/millpass-router/src/settings.rs
@@ -29,8 +29,6 @@
     pub tick_interval: Duration,
     /// Longest a planned stop waits for requests in flight.
     pub drain_grace: Duration,
-    /// Requests that `/v1/explain/` remembers.
-    pub explained_requests: usize,
 }
 
 /// Bounds of the caller API.
@@ -73,7 +71,7 @@
 /// Timing of the link to the leader.
 #[derive(Clone, Debug)]
 pub struct LinkSettings {
-    /// Time to connect to a member.
+    /// Time to connect to a member, and then for its first answer.
     pub connect: Duration,
     /// Longest silence of a member before the next one is tried. Reports are answered, so it
     /// must be longer than the report interval.
@@ -125,7 +123,6 @@
             watch: WatchSettings::default(),
             tick_interval: Duration::from_millis(5),
             drain_grace: Duration::from_secs(30),
-            explained_requests: 4_096,
         }
     }
 }
@@ -161,9 +158,9 @@
     fn default() -> Self {
         LinkSettings {
             connect: Duration::from_millis(500),
-            silence: Duration::from_secs(2),
+            silence: Duration::from_millis(1_200),
             minimum_pause: Duration::from_millis(20),
-            maximum_pause: Duration::from_secs(1),
+            maximum_pause: Duration::from_millis(250),
         }
     }
 }
