--- a/crates/millpass-sim/src/scenario.rs
+++ b/crates/millpass-sim/src/scenario.rs
@@ -131,6 +131,7 @@
         prepare: |planner| {
             planner.settings.load.operators = 4;
             planner.settings.load.operator_pause = 300 * MILLIS;
+            planner.settings.load.contested_objects = 8;
             some(planner, 2, |planner| planner.kill_all_control());
         },
     },
