Hollow routers and engines around a real control group

Cause: the size to design for (490 routers, 6,800 engines) does not fit on one machine as real processes; slopes need measuring. Ruled out: threads per router (490 x 3 threads) and a simulated link; the real protocol over TCP on two threads costs less. Change: crate millpass-hollow with members as own processes, hollow routers, engines and platform list in one. Before and after: no measurement existed.

--- /dev/null
+++ b/crates/millpass-hollow/src/measure.rs
@@ -0,0 +1,384 @@
+//! One size: a group with its hollow routers, phase after phase, one line for each.
+
+use crate::catalog;
+use crate::engines::{self, EnginesHandle};
+use crate::figures::summary;
+use crate::group::{Group, wait_for};
+use crate::options::MeasureOptions;
+use crate::router::Wanted;
+use crate::routers::{Applied, Routers, RoutersHandle};
+use crate::usage::{Usage, busiest_threads};
+use anyhow::Result;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration as Length, Instant};
+
+/// Changes of configuration a second, while they are measured.
+const CHANGES_PER_SECOND: u64 = 10;
+/// Cold loads a second, while they are measured: 18,000 an hour.
+const LOADS_PER_SECOND: u64 = 5;
+/// Time in which the last deltas, loads or claims still arrive.
+const SETTLING: Length = Length::from_secs(2);
+/// Share of the replicas that must be loaded before the steady phase, in percent.
+const PLACED_PERCENT: usize = 98;
+
+/// What grows with the number of routers.
+pub type Values = Vec<(&'static str, f64)>;
+
+/// A running deployment of one size.
+struct Deployment<'a> {
+    options: &'a MeasureOptions,
+    // Dropped in this order: the routers, then the group, then the engines.
+    _running: RoutersHandle,
+    routers: Arc<Routers>,
+    group: Group,
+    engines: EnginesHandle,
+    leader: usize,
+}
+
+/// Measures one size; gives what grows with the number of routers.
+pub fn measure(options: &MeasureOptions, count: usize) -> Result<Values> {
+    let engines = count * options.engines_per_router;
+    let replicas = replicas(options, engines);
+    println!(
+        "size routers={count} engines={engines} models={} adapters={} members={} replicas={}",
+        options.models,
+        options.adapters,
+        options.members,
+        replicas as usize * options.models
+    );
+    let mut deployment = Deployment::start(options, count, engines, replicas)?;
+    let mut values = deployment.joined(engines)?;
+    deployment.placed(replicas as usize * options.models)?;
+    values.extend(deployment.steady()?);
+    values.extend(deployment.changes()?);
+    deployment.cold_loads()?;
+    values.extend(deployment.claims()?);
+    if !options.no_faults && options.members >= 3 {
+        values.extend(deployment.leader_killed()?);
+        deployment.member_wiped()?;
+    }
+    Ok(values)
+}
+
+fn replicas(options: &MeasureOptions, engines: usize) -> u32 {
+    if options.replicas > 0 {
+        return options.replicas;
+    }
+    engines.div_ceil(options.models.max(1)) as u32
+}
+
+impl<'a> Deployment<'a> {
+    fn start(
+        options: &'a MeasureOptions,
+        count: usize,
+        engine_count: usize,
+        replicas: u32,
+    ) -> Result<Self> {
+        let load_time = Length::from_millis(options.load_millis);
+        let engines = engines::start(engine_count, load_time, options.checkpoints)?;
+        let group = Group::start(options, engines.address())?;
+        let leader = group.leader()?;
+        let started = Instant::now();
+        let administration = group.administration();
+        let [first, second] = catalog::objects(options.models, options.adapters, replicas);
+        let mut times = catalog::create(&administration, &first)?;
+        times.extend(catalog::create(&administration, &second)?);
+        let rate = times.len() as f64 / started.elapsed().as_secs_f64();
+        println!(
+            "catalog changes_per_second={rate:.0} {}",
+            summary(&mut times)
+        );
+        let routers = Routers::new(
+            count,
+            group.peers()?,
+            engines.engines.clone(),
+            options.demand,
+            options.models,
+        );
+        Ok(Deployment {
+            options,
+            _running: routers.start(),
+            routers,
+            group,
+            engines,
+            leader,
+        })
+    }
+
+    /// Until all routers are served and watch all engines, and all engines are registered.
+    fn joined(&mut self, engines: usize) -> Result<Values> {
+        let started = Instant::now();
+        let before = self.group.usage()?;
+        wait_for("answer to each router", || self.routers.answered_above(0))?;
+        let served = started.elapsed();
+        wait_for("watcher of each engine", || {
+            (self.routers.watched() >= engines).then_some(())
+        })?;
+        let watched = started.elapsed();
+        let used = self.used(&before, started.elapsed())?;
+        println!(
+            "joined served_ms={} watched_ms={} {used}",
+            served.as_millis(),
+            watched.as_millis()
+        );
+        Ok(vec![("join_ms", served.as_secs_f64() * 1e3)])
+    }
+
+    /// Until the replicas that the catalog asks for are ordered.
+    fn placed(&mut self, replicas: usize) -> Result<()> {
+        let (started, before) = (Instant::now(), self.group.usage()?);
+        let end = started + Length::from_secs(self.options.placing_seconds);
+        let orders = || {
+            self.engines
+                .engines
+                .orders
+                .load(std::sync::atomic::Ordering::Relaxed)
+        };
+        while (orders() as usize) < replicas * PLACED_PERCENT / 100 && Instant::now() < end {
+            thread::sleep(Length::from_millis(50));
+        }
+        let elapsed = started.elapsed();
+        let rate = orders() as f64 / elapsed.as_secs_f64();
+        let used = self.used(&before, elapsed)?;
+        println!(
+            "placing orders={} of={replicas} seconds={:.1} orders_per_second={rate:.0} {used}",
+            orders(),
+            elapsed.as_secs_f64()
+        );
+        thread::sleep(SETTLING);
+        Ok(())
+    }
+
+    fn steady(&mut self) -> Result<Values> {
+        self.routers.take_records();
+        let (started, before) = (Instant::now(), self.group.usage()?);
+        let (bytes_before, reports_before) = self.routers.bytes();
+        thread::sleep(Length::from_secs(self.options.steady_seconds));
+        let seconds = started.elapsed().as_secs_f64();
+        let (bytes, reports) = self.routers.bytes();
+        let after = self.group.usage()?;
+        let per_router = 1.0 / seconds / self.routers.len() as f64;
+        let rate = |now: u64, then: u64| (now - then) as f64 * per_router;
+        let sent = rate(bytes.sent, bytes_before.sent);
+        let received = rate(bytes.received, bytes_before.received);
+        println!(
+            "steady reports_per_second={:.0} sent_bytes_per_second_and_router={sent:.0} \
+             received_bytes_per_second_and_router={received:.0} of_that_configuration={:.0} \
+             placement={:.0} watch={:.0} watch_lists={} {} {}",
+            (reports - reports_before) as f64 / seconds,
+            rate(bytes.configuration, bytes_before.configuration),
+            rate(bytes.placement, bytes_before.placement),
+            rate(bytes.watch, bytes_before.watch),
+            bytes.watch_lists - bytes_before.watch_lists,
+            summary(&mut self.routers.take_records().answers),
+            self.used(&before, started.elapsed())?,
+        );
+        let cpu = |member: usize| cpu_rate(&before[member], &after[member], seconds);
+        let follower = (self.leader + 1) % self.options.members;
+        Ok(vec![
+            ("leader_cpu_ms_per_s", cpu(self.leader)),
+            ("follower_cpu_ms_per_s", cpu(follower)),
+            (
+                "leader_resident_mib",
+                after[self.leader].resident_kib as f64 / 1024.0,
+            ),
+            (
+                "follower_resident_mib",
+                after[follower].resident_kib as f64 / 1024.0,
+            ),
+            ("sent_bytes_per_s_and_router", sent),
+            ("received_bytes_per_s_and_router", received),
+        ])
+    }
+
+    /// Changes of configuration: time to commit, and to be in force at all routers.
+    fn changes(&mut self) -> Result<Values> {
+        let before = self.group.usage()?;
+        let started = Instant::now();
+        self.routers.take_records();
+        let mut client = catalog::client(&self.group.administration());
+        let mut submitted = Vec::new();
+        let mut commits = Vec::new();
+        let pause = Length::from_millis(1_000 / CHANGES_PER_SECOND);
+        for number in 0..self.options.changes {
+            let begun = Instant::now();
+            let revision = catalog::change_tenant(&mut client, number as u64 + 1)?;
+            commits.push(begun.elapsed());
+            submitted.push((revision, begun));
+            thread::sleep(pause.saturating_sub(begun.elapsed()));
+        }
+        let elapsed = started.elapsed();
+        let used = self.used(&before, elapsed)?;
+        thread::sleep(SETTLING);
+        let applied = self.routers.take_records().applied;
+        let (mut each, mut everywhere) = in_force(&submitted, &applied, self.routers.len());
+        println!("changes commit {} {used}", summary(&mut commits));
+        println!("changes in_force_at_a_router {}", summary(&mut each));
+        println!("changes in_force_everywhere {}", summary(&mut everywhere));
+        let slowest = crate::figures::quantile(&mut everywhere, 0.99);
+        Ok(vec![(
+            "in_force_everywhere_p99_ms",
+            slowest.as_secs_f64() * 1e3,
+        )])
+    }
+
+    /// Requests for adapters that are not loaded, at the rate of the largest deployment.
+    fn cold_loads(&mut self) -> Result<()> {
+        let (started, before) = (Instant::now(), self.group.usage()?);
+        self.routers.take_records();
+        let pause = Length::from_millis(1_000 / LOADS_PER_SECOND);
+        let count = self.options.loads_seconds * LOADS_PER_SECOND;
+        let count = (count as usize).min(self.options.adapters);
+        for number in 0..count {
+            self.routers.want(number * 13, self.cold(number));
+            thread::sleep(pause);
+        }
+        let elapsed = started.elapsed();
+        let used = self.used(&before, elapsed)?;
+        thread::sleep(SETTLING);
+        let mut loads = self.routers.take_records().loads;
+        println!("cold_loads asked={count} {} {used}", summary(&mut loads));
+        Ok(())
+    }
+
+    fn cold(&self, number: usize) -> Wanted {
+        let model = catalog::model_name(number % self.options.models);
+        let adapter = format!("adapter-{number:04}");
+        (model.into(), Some(adapter.into()))
+    }
+
+    /// As many claims under way as asked for, each followed by another when it is finished.
+    fn claims(&mut self) -> Result<Values> {
+        let (started, before) = (Instant::now(), self.group.usage()?);
+        self.routers.take_records();
+        self.routers.set_claiming(true);
+        for number in 0..self.options.claims {
+            self.routers.router(number).begin_claim();
+        }
+        thread::sleep(Length::from_secs(self.options.claims_seconds));
+        let elapsed = started.elapsed();
+        let mut records = self.routers.take_records();
+        self.routers.set_claiming(false);
+        let rate = records.claims.len() as f64 / elapsed.as_secs_f64();
+        println!(
+            "claims under_way={} per_second={rate:.0} refused={} {} {}",
+            self.options.claims,
+            records.claims_refused,
+            summary(&mut records.claims),
+            self.used(&before, elapsed)?,
+        );
+        thread::sleep(SETTLING);
+        Ok(vec![("claims_per_s", rate)])
+    }
+
+    /// The leader is killed; until the next one has answered every router. Then it is restarted.
+    fn leader_killed(&mut self) -> Result<Values> {
+        let term = self.routers.term();
+        let (bytes_before, _) = self.routers.bytes();
+        let killed = self.leader;
+        let at = Instant::now();
+        self.group.kill(killed)?;
+        let answered = wait_for("answer of the next leader to each router", || {
+            self.routers.answered_above(term)
+        })?;
+        let times = answered.iter().map(|answered| answered.duration_since(at));
+        let mut times: Vec<Length> = times.collect();
+        let (bytes, _) = self.routers.bytes();
+        println!(
+            "leader_killed served_by_the_next {} received_mib={} of_that_watch_mib={} \
+             placement_mib={}",
+            summary(&mut times),
+            (bytes.received - bytes_before.received) >> 20,
+            (bytes.watch - bytes_before.watch) >> 20,
+            (bytes.placement - bytes_before.placement) >> 20,
+        );
+        let slowest = crate::figures::quantile(&mut times, 1.0);
+        self.caught_up("restarted", killed, false)?;
+        Ok(vec![(
+            "next_leader_serves_all_ms",
+            slowest.as_secs_f64() * 1e3,
+        )])
+    }
+
+    /// A follower loses its disk and comes back empty.
+    fn member_wiped(&mut self) -> Result<()> {
+        let leader = self.group.leader()?;
+        self.leader = leader;
+        let wiped = (leader + 1) % self.options.members;
+        self.group.kill(wiped)?;
+        self.group.wipe(wiped)?;
+        self.caught_up("wiped", wiped, true)
+    }
+
+    /// Starts a member and waits until it has committed what the leader had at the start.
+    fn caught_up(&mut self, name: &str, member: usize, wiped: bool) -> Result<()> {
+        let leader = self.group.leader()?;
+        self.leader = leader;
+        let wanted = self.group.metric(leader, "control_commit_index");
+        let folder_kib = self.group.folder_bytes(member) >> 10;
+        let started = Instant::now();
+        self.group.start_member(member, false)?;
+        wait_for("the member's log", || {
+            let commit = self.group.metric(member, "control_commit_index");
+            (commit >= wanted).then_some(())
+        })?;
+        println!(
+            "{name} wiped={wiped} folder_kib={folder_kib} commit={} caught_up_ms={}",
+            wanted.unwrap_or(0),
+            started.elapsed().as_millis()
+        );
+        Ok(())
+    }
+
+    /// Processor time and memory of leader and first follower since a reading.
+    fn used(&self, before: &[Usage], elapsed: Length) -> Result<String> {
+        let after = self.group.usage()?;
+        let seconds = elapsed.as_secs_f64();
+        let leader = self.leader;
+        let mut text = format!(
+            "leader_cpu_ms_per_s={:.0} leader_resident_mib={} leader_threads={} \
+             leader_written_kib_per_s={:.0}",
+            cpu_rate(&before[leader], &after[leader], seconds),
+            after[leader].resident_kib / 1024,
+            busiest_threads(&before[leader], &after[leader], seconds),
+            (after[leader].written_bytes - before[leader].written_bytes) as f64 / 1024.0 / seconds,
+        );
+        if after.len() > 1 {
+            let follower = (leader + 1) % after.len();
+            text += &format!(
+                " follower_cpu_ms_per_s={:.0} follower_resident_mib={}",
+                cpu_rate(&before[follower], &after[follower], seconds),
+                after[follower].resident_kib / 1024,
+            );
+        }
+        Ok(text)
+    }
+}
+
+fn cpu_rate(before: &Usage, after: &Usage, seconds: f64) -> f64 {
+    after.cpu_millis.saturating_sub(before.cpu_millis) as f64 / seconds
+}
+
+/// From the submission of each change: times until single routers had it, and until all had it.
+pub fn in_force(
+    submitted: &[(u64, Instant)],
+    applied: &[Applied],
+    routers: usize,
+) -> (Vec<Length>, Vec<Length>) {
+    let mut each = Vec::new();
+    let mut everywhere = Vec::new();
+    for (revision, begun) in submitted {
+        let having = applied
+            .iter()
+            .filter(|delta| delta.from < *revision && *revision <= delta.to);
+        let times: Vec<Length> = having
+            .map(|delta| delta.at.duration_since(*begun))
+            .collect();
+        if times.len() >= routers {
+            everywhere.extend(times.iter().max());
+        }
+        each.extend(times);
+    }
+    (each, everywhere)
+}
