Hollow: metric names carry the registry's prefix

Cause: the leader was looked for under the metric's name without prefix. Ruled out: a member that does not start: its log shows it leads. Change: the full names.

--- a/crates/millpass-hollow/src/group.rs
+++ b/crates/millpass-hollow/src/group.rs
@@ -113,7 +113,8 @@
     /// The member that leads, once one does.
     pub fn leader(&self) -> Result<usize> {
         wait_for("a leader", || {
-            (0..self.places.len()).find(|place| self.metric(*place, "control_leads") == Some(1))
+            (0..self.places.len())
+                .find(|place| self.metric(*place, "millpass_control_leads") == Some(1))
         })
     }
 
--- a/crates/millpass-hollow/src/measure.rs
+++ b/crates/millpass-hollow/src/measure.rs
@@ -315,12 +315,12 @@
     fn caught_up(&mut self, name: &str, member: usize, wiped: bool) -> Result<()> {
         let leader = self.group.leader()?;
         self.leader = leader;
-        let wanted = self.group.metric(leader, "control_commit_index");
+        let wanted = self.group.metric(leader, "millpass_control_commit_index");
         let folder_kib = self.group.folder_bytes(member) >> 10;
         let started = Instant::now();
         self.group.start_member(member, false)?;
         wait_for("the member's log", || {
-            let commit = self.group.metric(member, "control_commit_index");
+            let commit = self.group.metric(member, "millpass_control_commit_index");
             (commit >= wanted).then_some(())
         })?;
         println!(
