--- a/crates/millpass-sim/src/callers.rs
+++ b/crates/millpass-sim/src/callers.rs
@@ -1,7 +1,7 @@
 //! Callers: an open loop with bursts, deadlines, streams, hang-ups, and requests that may not be
 //! repeated and are sent again with the same key.
 
-use crate::catalog::{self, ADAPTED_MODEL, ADAPTER, PUBLISH_PATH, RESULTS_PATH};
+use crate::catalog::{self, ADAPTED_MODEL, PUBLISH_PATH, RESULTS_PATH};
 use crate::clock::START_UNIX_MILLIS;
 use crate::content::RunningDigest;
 use crate::event::{AnswerPart, CallerEvent, CallerRequest, RouterEvent, SimEvent};
@@ -9,7 +9,7 @@
 use crate::settings::{MILLIS, SECONDS};
 use crate::world::World;
 use millpass_checkers::{AnswerOutcome, Event, RequestId, ScopedKey};
-use millpass_proto::{ClaimKey, TenantName};
+use millpass_proto::{AdapterName, ClaimKey, TenantName};
 use millpass_routing::Target;
 use std::collections::BTreeMap;
 
@@ -136,9 +136,10 @@
         }
         let model = self.workload.index(self.settings.sizes.models);
         let adapted = model == ADAPTED_MODEL && self.workload.chance(ADAPTER_PERMILLE);
+        let adapter = adapted.then(|| self.some_adapter());
         let target = Target::Model {
             model: catalog::model(model),
-            adapter: adapted.then(|| ADAPTER.into()),
+            adapter,
             kind: "completion",
             prefix_hash: self.workload.below(8),
         };
@@ -146,6 +147,16 @@
         self.request_for(target, keyed)
     }
 
+    fn some_adapter(&mut self) -> AdapterName {
+        let adapters = self.settings.sizes.adapters;
+        let number = if adapters > 1 {
+            self.workload.index(adapters)
+        } else {
+            0
+        };
+        catalog::adapter(number)
+    }
+
     fn request_for(&mut self, target: Target, keyed: bool) -> CallerRequest {
         let random = &mut self.workload;
         let tenant = if random.chance(REMOVED_TENANT_PERMILLE) {
--- a/crates/millpass-sim/src/catalog.rs
+++ b/crates/millpass-sim/src/catalog.rs
@@ -3,9 +3,9 @@
 use crate::settings::Sizes;
 use anyhow::bail;
 use millpass_proto::{
-    AdapterSpec, BackendGroupSpec, ChangeId, Command, CommandOutcome, LogPosition, ModelName,
-    ModelSpec, ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind, ObjectSpec, PolicySpec,
-    TenantName, TenantSpec, VersionSpec,
+    AdapterName, AdapterSpec, BackendGroupSpec, ChangeId, Command, CommandOutcome, LogPosition,
+    ModelName, ModelSpec, ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind, ObjectSpec,
+    PolicySpec, TenantName, TenantSpec, VersionSpec,
 };
 use millpass_state::State;
 
@@ -19,16 +19,13 @@
 pub const PUBLISH_PATH: &str = "/results/publish";
 /// Group of the web back ends.
 pub const WEB_GROUP: &str = "results";
-/// Model that has an adapter.
+/// Model that has adapters.
 pub const ADAPTED_MODEL: usize = 0;
-/// The adapter.
-pub const ADAPTER: &str = "adapter-0";
 
 const TENANT_CAPACITY_BYTES: u64 = 1_000_000_000;
 const MAXIMUM_WAITING: u32 = 64;
 const WEIGHTS_BYTES: u64 = 40_000;
 const CACHE_BYTES: u64 = 15_000;
-const ADAPTER_BYTES: u64 = 6_000;
 const CONCURRENCY: u32 = 4;
 
 /// Name of a tenant that stays.
@@ -51,6 +48,11 @@
     ModelName(format!("model-{number}"))
 }
 
+/// Name of an adapter.
+pub fn adapter(number: usize) -> AdapterName {
+    AdapterName(format!("adapter-{number}"))
+}
+
 /// Key of an object that operators race for.
 pub fn contested(number: usize) -> ObjectKey {
     ObjectKey {
@@ -115,12 +117,15 @@
     for number in 0..sizes.models {
         objects.extend(model_objects(number, sizes));
     }
-    let adapter = ObjectSpec::Adapter(AdapterSpec {
-        model: model(ADAPTED_MODEL),
-        bytes: ADAPTER_BYTES,
-        checkpoint: ADAPTER.to_owned(),
-    });
-    objects.push((ObjectKind::Adapter, ADAPTER.to_owned(), adapter));
+    for number in 0..sizes.adapters {
+        let name = adapter(number).0;
+        let spec = ObjectSpec::Adapter(AdapterSpec {
+            model: model(ADAPTED_MODEL),
+            bytes: sizes.adapter_bytes,
+            checkpoint: name.clone(),
+        });
+        objects.push((ObjectKind::Adapter, name, spec));
+    }
     let group = ObjectSpec::BackendGroup(BackendGroupSpec {
         path_prefix: "/results".to_owned(),
         non_repeatable_paths: vec![PUBLISH_PATH.to_owned()],
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -226,16 +226,21 @@
         }
     }
 
-    /// What a router is given; leases without end when that mechanism is off.
+    /// What a router is given: leases without end, or no change of the catalog, when that
+    /// mechanism is off.
     fn tampered(&self, message: ControlToRouter) -> ControlToRouter {
         const NEVER_MILLIS: u64 = 3_600_000;
-        match message {
-            ControlToRouter::Update(mut update) if !self.settings.mechanisms.leases_end => {
-                update.lease_millis = NEVER_MILLIS;
-                ControlToRouter::Update(update)
-            }
-            other => other,
+        let ControlToRouter::Update(mut update) = message else {
+            return message;
+        };
+        if !self.settings.mechanisms.leases_end {
+            update.lease_millis = NEVER_MILLIS;
+        }
+        let known = update.configuration.as_ref().map(|delta| delta.to.0);
+        if !self.settings.mechanisms.catalog_changes && known > Some(self.initial_revision) {
+            update.configuration = None;
         }
+        ControlToRouter::Update(update)
     }
 
     /// Ends a connection; each end learns of it once messages pass again, or by its own timeout.
--- a/crates/millpass-sim/src/scenario.rs
+++ b/crates/millpass-sim/src/scenario.rs
@@ -54,6 +54,24 @@
     planner.settings.mechanisms.rogue_orders = true;
 }
 
+fn adapter_pressure(planner: &mut Planner) {
+    planner.settings.sizes.models = 3;
+    planner.settings.sizes.adapters = 8;
+    planner.settings.sizes.adapter_bytes = 14_000;
+    planner.settings.load.request_interval = 20 * MILLIS;
+    planner.settings.times.unload = planner.random.between(80 * MILLIS, 800 * MILLIS);
+    planner.settings.mechanisms.rogue_orders = true;
+}
+
+fn four_zones(planner: &mut Planner) {
+    let sizes = &mut planner.settings.sizes;
+    sizes.zones = 4;
+    sizes.routers = 5;
+    sizes.engines = 8;
+    sizes.web = 4;
+    everything(planner);
+}
+
 fn racing(planner: &mut Planner) {
     let load = &mut planner.settings.load;
     load.operators = 6;
@@ -267,6 +285,20 @@
             }
         },
     },
+    Scenario {
+        name: "adapter-pressure",
+        summary: "more adapters than fit beside their model, slow unloads, old orders again, kills",
+        prepare: |planner| {
+            adapter_pressure(planner);
+            some(planner, 2, |planner| planner.kill_control());
+            some(planner, 2, |planner| planner.reclaim_machine());
+        },
+    },
+    Scenario {
+        name: "four-zones",
+        summary: "everything, in four zones instead of three",
+        prepare: four_zones,
+    },
     Scenario {
         name: "everything",
         summary: "a random combination of all of these, some striking twice",
--- a/crates/millpass-sim/src/settings.rs
+++ b/crates/millpass-sim/src/settings.rs
@@ -27,6 +27,10 @@
     pub accelerator_bytes: u64,
     /// Models.
     pub models: usize,
+    /// Adapters of the one model that has any.
+    pub adapters: usize,
+    /// Bytes of an adapter.
+    pub adapter_bytes: u64,
 }
 
 impl Default for Sizes {
@@ -40,6 +44,8 @@
             accelerators: 2,
             accelerator_bytes: 100_000,
             models: 5,
+            adapters: 1,
+            adapter_bytes: 6_000,
         }
     }
 }
@@ -149,6 +155,8 @@
     pub honest_failures: bool,
     /// The router's host drops what comes of an attempt that is over.
     pub drops_old_attempts: bool,
+    /// Routers are told what changed in the catalog.
+    pub catalog_changes: bool,
     /// The router's host carries out refusals.
     pub refusals: bool,
     /// Routers and back ends finish what is in flight before a planned stop.
@@ -171,6 +179,7 @@
             claims: true,
             honest_failures: true,
             drops_old_attempts: true,
+            catalog_changes: true,
             refusals: true,
             drains: true,
             store_permits: true,
--- a/crates/millpass-sim/tests/mechanisms.rs
+++ b/crates/millpass-sim/tests/mechanisms.rs
@@ -139,6 +139,7 @@
 #[case::no_check_before_sending("leaving", frozen_at_dispatch(), |m: &mut Mechanisms| m.send_before = false)]
 #[case::no_drain("drain", scenario("planned-stops"), |m: &mut Mechanisms| m.drains = false)]
 #[case::changes_lost("configuration", scenario("kill-all-control"), |m: &mut Mechanisms| m.synced_writes = false)]
+#[case::changes_not_told("configuration", scenario("racing-operators"), |m: &mut Mechanisms| m.catalog_changes = false)]
 #[case::changes_out_of_order("configuration-linearizable", scenario("kill-all-control"), |m: &mut Mechanisms| m.synced_writes = false)]
 #[case::leases_without_end("enforcement", long_cut(), |m: &mut Mechanisms| m.leases_end = false)]
 #[case::no_permits("store", scenario("memory-pressure"), |m: &mut Mechanisms| m.store_permits = false)]
