Simulator: scenario storm, twice as many faults as everything

Cause: mixes of more than seven kinds of faults in a run had not been tried. Ruled out: nothing. Change: `storm` draws 8 to 16 kinds, some twice; `everything` draws as before.

--- a/crates/millpass-sim/src/scenario.rs
+++ b/crates/millpass-sim/src/scenario.rs
@@ -80,6 +80,11 @@
 }
 
 fn everything(planner: &mut Planner) {
+    combine(planner, 3, 7);
+}
+
+/// Combines so many kinds of faults, some of them twice.
+fn combine(planner: &mut Planner, least: u64, most: u64) {
     const DRAWS: &[fn(&mut Planner)] = &[
         |planner| planner.kill_control(),
         |planner| planner.kill_loading_engine(),
@@ -110,7 +115,7 @@
         memory_pressure(planner);
     }
     let mut disks_lost = 0;
-    for _ in 0..planner.random.between(3, 7) {
+    for _ in 0..planner.random.between(least, most) {
         let draw = planner.random.index(DRAWS.len());
         let twice = planner.random.chance(300);
         for _ in 0..=u64::from(twice) {
@@ -299,6 +304,11 @@
         summary: "everything, in four zones instead of three",
         prepare: four_zones,
     },
+    Scenario {
+        name: "storm",
+        summary: "everything, with more than twice as many faults",
+        prepare: |planner| combine(planner, 8, 16),
+    },
     Scenario {
         name: "everything",
         summary: "a random combination of all of these, some striking twice",
