--- a/crates/millpass-control-plane/tests/harness/router.rs
+++ b/crates/millpass-control-plane/tests/harness/router.rs
@@ -3,6 +3,7 @@
 use super::World;
 use millpass_control_plane::ConnectionId;
 use millpass_proto::*;
+use std::collections::BTreeMap;
 
 /// A router on one connection.
 pub struct TestRouter {
@@ -19,6 +20,15 @@
     pub claims: Vec<ClaimAnswer>,
     pub finished: Vec<u64>,
     pub demand: Vec<ModelDemand>,
+    pub draining: bool,
+    /// Highest term of an update.
+    pub term: u64,
+    /// Updates of a lower term, ignored.
+    pub ignored: Vec<RouterUpdate>,
+    /// Catalog revision that each report of this run named.
+    pub reported: BTreeMap<u64, ConfigurationRevision>,
+    /// Its copy of the catalog.
+    pub catalog: BTreeMap<ObjectKey, StoredObject>,
 }
 
 impl TestRouter {
@@ -39,6 +49,11 @@
             claims: Vec::new(),
             finished: Vec::new(),
             demand: Vec::new(),
+            draining: false,
+            term: 0,
+            ignored: Vec::new(),
+            reported: BTreeMap::new(),
+            catalog: BTreeMap::new(),
         };
         router.hello(world);
         router
@@ -61,6 +76,7 @@
         if self.incarnation != Incarnation(incarnation) {
             self.incarnation = Incarnation(incarnation);
             self.sequence = 0;
+            self.reported.clear();
         }
         self.hello(world);
     }
@@ -79,13 +95,14 @@
     /// Reports these observations and takes the answers.
     pub fn report_with(&mut self, world: &mut World, observations: Vec<BackendObservation>) {
         self.sequence += 1;
+        self.reported.insert(self.sequence, self.configuration);
         let report = RouterReport {
             sequence: self.sequence,
             configuration: self.configuration,
             placement: self.placement,
             demand: self.demand.clone(),
             observations,
-            draining: false,
+            draining: self.draining,
         };
         world.router_sends(self.connection, RouterToControl::Report(report));
         self.receive(world);
@@ -103,9 +120,20 @@
         }
     }
 
-    fn apply(&mut self, update: RouterUpdate) {
+    /// Applies an update; one of a lower term comes from a leader that is no more.
+    pub fn apply(&mut self, update: RouterUpdate) {
+        if update.term < self.term {
+            self.ignored.push(update);
+            return;
+        }
+        self.term = update.term;
         if let Some(delta) = &update.configuration {
-            self.configuration = delta.to;
+            let reported = self.reported.get(&update.sequence);
+            assert!(
+                reported.is_none_or(|reported| delta.to > *reported),
+                "a revision reverts"
+            );
+            self.apply_configuration(delta);
         }
         if let Some(delta) = &update.placement {
             self.placement = delta.to;
@@ -116,6 +144,25 @@
         self.updates.push(update);
     }
 
+    /// A delta that is known already, or that does not fit, changes nothing.
+    fn apply_configuration(&mut self, delta: &ConfigurationDelta) {
+        if delta.to <= self.configuration {
+            return;
+        }
+        if delta.full {
+            self.catalog.clear();
+        } else if delta.from != self.configuration {
+            return;
+        }
+        self.configuration = delta.to;
+        for key in &delta.removed {
+            self.catalog.remove(key);
+        }
+        let objects = delta.objects.iter().cloned();
+        let objects = objects.map(|object| (object.key.clone(), object));
+        self.catalog.extend(objects);
+    }
+
     /// Says that requests wait for a model.
     pub fn wait_for(&mut self, model: &str, waiting: u32) {
         self.demand = vec![ModelDemand {
--- a/crates/millpass-sim/src/router_host.rs
+++ b/crates/millpass-sim/src/router_host.rs
@@ -178,8 +178,8 @@
         let number = node.next_request;
         node.next_request += 1;
         let arrival = Arrival {
-            request: RequestNumber(number),
             request_id: String::new(),
+            request: RequestNumber(number),
             api_key: request.api_key.clone(),
             target: request.target.clone(),
             deadline: node.clock.local(now) + Duration::from_micros(request.allowed_micros),
