Control plane tests: every wait of a test is bounded

Cause: with a fault set into the core on purpose, two tests waited for ever instead of failing. Ruled out: a bound by wall clock. Change: bounded loops with an assertion after them in membership.rs, leadership.rs and the fleet of the harness. Conclusion: none beyond.

--- a/crates/millpass-control-plane/tests/harness/fleet.rs
+++ b/crates/millpass-control-plane/tests/harness/fleet.rs
@@ -111,9 +111,12 @@
 
     /// Leaders are cut off in turn until this member leads; the routers go there.
     pub fn lead(&mut self, wanted: MemberId) {
-        while self.leader != wanted {
-            self.depose();
+        for _ in 0..20 {
+            if self.leader != wanted {
+                self.depose();
+            }
         }
+        assert_eq!(self.leader, wanted);
         self.follow();
     }
 
--- a/crates/millpass-control-plane/tests/leadership.rs
+++ b/crates/millpass-control-plane/tests/leadership.rs
@@ -38,9 +38,11 @@
     }
     world.network = slow();
     world.call(leader, put(300));
-    while world.last_answer().is_none() {
+    let answered = (0..1_000).any(|_| {
         world.run(Duration::from_millis(5));
-    }
+        world.last_answer().is_some()
+    });
+    assert!(answered);
     // The other follower does not learn that it was committed.
     world.halt(leader);
     world.network = slow();
--- a/crates/millpass-control-plane/tests/membership.rs
+++ b/crates/millpass-control-plane/tests/membership.rs
@@ -137,9 +137,12 @@
     let dead = world.follower(leader);
     world.halt(dead);
     world.boot_joiner(4);
-    while !world.voters(leader).contains(&4) {
-        world.join(&[4], 1);
+    for _ in 0..20 {
+        if !world.voters(leader).contains(&4) {
+            world.join(&[4], 1);
+        }
     }
+    assert!(world.voters(leader).contains(&4));
     let old_voters = [1, 2, 3].map(MemberId);
     let up = world.up();
     let follower = up
