status shows how far each member's log is

Cause: the operators' page says to wait for a restarted member's match, which status did not show. Ruled out: changing the page. Before and after: none measured. Conclusion: an upgrade can be followed as the page has it.

--- a/crates/millpass-cli/src/commands/online.rs
+++ b/crates/millpass-cli/src/commands/online.rs
@@ -196,11 +196,13 @@
         status.term, status.commit, status.configuration, status.outstanding_orders
     );
     for member in &status.members {
+        let matched = member.match_index.map(|index| format!(" match {index}"));
+        let matched = matched.unwrap_or_default();
         let silent = member
             .silent_millis
             .map_or("leads".to_owned(), |ms| format!("silent {ms} ms"));
         println!(
-            "member {} zone {} {} at {} {silent}",
+            "member {} zone {} {} at {}{matched} {silent}",
             member.member, member.zone, member.role, member.peer_address
         );
     }
