--- a/crates/millpass-control/src/client.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Client of the administration API, for the command line and the lab.
--- /dev/null
+++ b/crates/millpass-experiment/tests/runs.rs
@@ -0,0 +1,111 @@
+//! Traces and whole runs of a small deployment.
+
+use millpass_experiment::Seeds;
+use millpass_experiment::catalog::Catalog;
+use millpass_experiment::deployment::{Deployment, ModelClass, Zone};
+use millpass_experiment::experiment::Comparison;
+use millpass_experiment::report::{Figures, markdown};
+use millpass_experiment::simulation::Simulation;
+use millpass_experiment::strategies::strategies;
+use millpass_experiment::trace::Trace;
+use millpass_experiment::workload::Workload;
+use millpass_proto::Duration;
+use rstest::rstest;
+use std::path::Path;
+
+fn examples(name: &str) -> Deployment {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    Deployment::read(&folder.join(name).join("deployment.toml")).expect("deployment")
+}
+
+/// Two engines and three models of a real deployment.
+fn small(name: &str) -> Deployment {
+    let mut deployment = examples(name);
+    let zone = |zone: &Zone| Zone {
+        engines: 1,
+        ..zone.clone()
+    };
+    deployment.zones = deployment.zones.iter().take(2).map(zone).collect();
+    let class = |class: &ModelClass| ModelClass {
+        count: 1,
+        ..class.clone()
+    };
+    deployment.model_classes = deployment.model_classes.iter().map(class).collect();
+    deployment.adapters.count = 4;
+    deployment.tenants.count = 5;
+    deployment
+}
+
+/// The first hours of a day's trace, all measured.
+fn trace(workload: Workload, catalog: &Catalog, tenants: usize, seed: u64) -> Trace {
+    let mut trace = workload.trace(catalog.population(tenants), 1, seed);
+    let morning = Duration::from_secs(11 * 3_600);
+    let from = trace.measured_from + Duration::from_secs(9 * 3_600);
+    trace.end = trace.measured_from + morning;
+    trace.measured_from = from;
+    trace.requests.retain(|request| request.at >= from);
+    trace
+}
+
+#[rstest]
+fn the_same_seed_makes_the_same_trace_in_order(
+    #[values(Workload::Pnw, Workload::Sicilia)] workload: Workload,
+) {
+    let deployment = examples("pnw");
+    let population = Catalog::new(&deployment).population(deployment.tenants.count);
+    let one = workload.trace(population.clone(), 1, 7);
+    assert_eq!(one, workload.trace(population.clone(), 1, 7));
+    assert_ne!(one, workload.trace(population, 1, 8));
+    assert!(one.requests.is_sorted_by_key(|request| request.at));
+    assert!(one.requests.iter().all(|request| request.at < one.end));
+}
+
+#[rstest]
+#[case("pnw", 61, 94, 13)]
+#[case("sicilia", 38, 96, 13)]
+fn deployments_have_the_users_sizes(
+    #[case] name: &str,
+    #[case] models: usize,
+    #[case] adapters: usize,
+    #[case] engines: usize,
+) {
+    let catalog = Catalog::new(&examples(name));
+    let attached: usize = catalog.models.iter().map(|model| model.adapters.len()).sum();
+    assert_eq!(catalog.models.len(), models);
+    assert_eq!(attached, adapters);
+    assert_eq!(catalog.engines.len(), engines);
+}
+
+#[rstest]
+#[case("pnw", Workload::Pnw)]
+#[case("sicilia", Workload::Sicilia)]
+fn every_request_ends_once_and_nothing_is_breached(
+    #[case] name: &str,
+    #[case] workload: Workload,
+) {
+    let deployment = small(name);
+    let catalog = Catalog::new(&deployment);
+    let trace = trace(workload, &catalog, deployment.tenants.count, 3);
+    assert!(!trace.requests.is_empty());
+    for strategy in strategies(&deployment) {
+        let run = Simulation::new(&deployment, &catalog, &trace, strategy.settings.clone());
+        let measured = run.run();
+        let within = trace.requests.iter().filter(|one| one.at < trace.end);
+        assert_eq!(measured.asked + measured.unfinished, within.count() as u64);
+        assert_eq!(measured.breaches, 0, "{:?}", strategy.family);
+        assert!(measured.idle_millis <= measured.loaded_millis);
+        assert!(measured.store_most_at_once <= u64::from(deployment.store.concurrent_loads));
+    }
+}
+
+#[test]
+fn a_comparison_does_not_depend_on_the_number_of_threads() {
+    let figures = |threads| {
+        let seeds = Seeds { first: 1, end: 2 };
+        let mut deployment = small("sicilia");
+        deployment.tenants.count = 1;
+        let comparison = Comparison::run(deployment, Workload::Sicilia, seeds, 1, threads);
+        markdown(&Figures::new(&comparison))
+    };
+    assert_eq!(figures(1), figures(3));
+}
--- a/crates/millpass-http/src/answer.rs
+++ b/crates/millpass-http/src/answer.rs
@@ -2,11 +2,11 @@
 
 use crate::interface::Response;
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HeaderName, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderName, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, StatusCode};
 
-/// Seconds after which a caller refused for too many connections may come back.
-const BUSY_RETRY_SECONDS: u16 = 1;
+/// Seconds after which a caller refused for now may come back.
+const RETRY_SECONDS: &str = "1";
 
 impl Response {
     /// An answer with a JSON body.
@@ -44,6 +44,24 @@
     }
 }
 
+impl Response {
+    /// The answer as the last one of a connection, as bytes.
+    pub(crate) fn to_http1_closing(&self) -> Vec<u8> {
+        let mut bytes = format!("HTTP/1.1 {}\r\n", self.status).into_bytes();
+        for (name, value) in &self.headers {
+            bytes.extend_from_slice(name.as_str().as_bytes());
+            bytes.extend_from_slice(b": ");
+            bytes.extend_from_slice(value.as_bytes());
+            bytes.extend_from_slice(b"\r\n");
+        }
+        let length = self.body.len();
+        let rest = format!("connection: close\r\ncontent-length: {length}\r\n\r\n");
+        bytes.extend_from_slice(rest.as_bytes());
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
 /// A refusal by the server itself. The handler never saw the request, so it did not run.
 pub(crate) fn refusal(status: StatusCode, code: &str, message: &str) -> Response {
     let error = serde_json::json!({
@@ -60,7 +78,43 @@
         "too_many_connections",
         &message,
     )
-    .with_header(RETRY_AFTER, &BUSY_RETRY_SECONDS.to_string())
+    .with_header(RETRY_AFTER, RETRY_SECONDS)
+}
+
+/// Refusal of a request that came after a planned stop began.
+pub(crate) fn draining() -> Response {
+    refusal(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "draining",
+        "this server is stopping; use another one, or come back later",
+    )
+    .with_header(RETRY_AFTER, RETRY_SECONDS)
+    .with_header(CONNECTION, "close")
+}
+
+/// Refusal of a head that did not come in time.
+pub(crate) fn head_too_slow(milliseconds: u128) -> Response {
+    let message = format!("the header did not arrive within {milliseconds} ms; send it at once");
+    refusal(StatusCode::REQUEST_TIMEOUT, "header_timeout", &message)
+}
+
+/// Refusal of a head above the limits.
+pub(crate) fn head_too_large(bytes: usize, headers: usize) -> Response {
+    let message = format!(
+        "the header exceeds the limit of {bytes} bytes or {headers} lines; send fewer or shorter \
+         header lines"
+    );
+    refusal(
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        "header_too_large",
+        &message,
+    )
+}
+
+/// Refusal of a head that is not HTTP/1.1.
+pub(crate) fn head_malformed(error: &hyper::Error) -> Response {
+    let message = format!("the header is not valid HTTP/1.1 ({error}); correct the client");
+    refusal(StatusCode::BAD_REQUEST, "header_malformed", &message)
 }
 
 /// Refusal of a body above the limit.
--- /dev/null
+++ b/crates/millpass-router/tests/deadlines.rs
@@ -0,0 +1,63 @@
+//! What a caller gets when its back end says nothing.
+
+mod common;
+
+use common::control::Control;
+use common::engine::Engine;
+use common::{call, completion, prompt, settings, start_router, start_with};
+use crossbeam::channel::unbounded;
+use millpass_http::{Request, Responder, Server, ServerSettings};
+use millpass_router::{BackendTimeouts, RouterProcessSettings};
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
+fn a_silent_back_end_ends_in_a_refusal_that_does_not_say_it_did_not_run(#[case] streamed: bool) {
+    let (keep, _kept) = unbounded();
+    let engine = Engine::start(move |_, responder| keep.send(responder).unwrap());
+    let control = Control::start();
+    control.add_replica(1, engine.address());
+    let router = start_router(&control);
+    let request = completion(&router).header("Millpass-Deadline-Ms", "300");
+    let answer = call(request.body(prompt(streamed)).unwrap());
+    assert_eq!(answer.status, 504);
+    assert!(answer.body.contains("deadline_passed"), "{}", answer.body);
+    assert!(answer.body.contains("unknown"), "{}", answer.body);
+}
+
+#[test]
+fn the_core_speaks_before_a_read_times_out() {
+    let slack = BackendTimeouts::default().deadline_slack;
+    let tick = RouterProcessSettings::default().tick_interval;
+    assert!(slack > tick * 4);
+}
+
+/// An engine behind a cut takes requests and cancellations and answers neither. Were the refusal
+/// held until the cancellation is over, or until a read times out, the caller's patience would end
+/// first.
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
+fn a_refusal_waits_for_nothing_of_the_back_end(#[case] streamed: bool) {
+    let (keep, _kept) = unbounded();
+    let handler = move |_: Request, responder: Responder| keep.send(responder).unwrap();
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::bind(any_port, ServerSettings::default()).unwrap();
+    let engine = server.serve(Arc::new(handler));
+    let control = Control::start();
+    control.add_replica(1, engine.local_address());
+    let mut settings = settings(vec![control.address()]);
+    settings.backends.cancel = Duration::from_secs(600);
+    settings.backends.deadline_slack = Duration::from_secs(600);
+    let router = start_with(&control, settings);
+    let request = completion(&router).header("Millpass-Deadline-Ms", "200");
+    let answer = call(request.body(prompt(streamed)).unwrap());
+    assert_eq!(answer.status, 504);
+    assert_eq!(answer.error("executed"), "unknown");
+    // Cuts the cancellation, which holds a thread of the router.
+    engine.stop();
+}
--- a/crates/millpass-sim/src/scenario.rs
+++ b/crates/millpass-sim/src/scenario.rs
@@ -47,6 +47,31 @@
     planner.settings.load.burst_requests = 24;
 }
 
+fn memory_pressure(planner: &mut Planner) {
+    planner.settings.sizes.models = 12;
+    planner.settings.sizes.engines = 4;
+    planner.settings.times.unload = planner.random.between(80 * MILLIS, 1_500 * MILLIS);
+    planner.settings.mechanisms.rogue_orders = true;
+}
+
+fn adapter_pressure(planner: &mut Planner) {
+    planner.settings.sizes.models = 3;
+    planner.settings.sizes.adapters = 8;
+    planner.settings.sizes.adapter_bytes = 14_000;
+    planner.settings.load.request_interval = 20 * MILLIS;
+    planner.settings.times.unload = planner.random.between(80 * MILLIS, 800 * MILLIS);
+    planner.settings.mechanisms.rogue_orders = true;
+}
+
+fn four_zones(planner: &mut Planner) {
+    let sizes = &mut planner.settings.sizes;
+    sizes.zones = 4;
+    sizes.routers = 5;
+    sizes.engines = 8;
+    sizes.web = 4;
+    everything(planner);
+}
+
 fn racing(planner: &mut Planner) {
     let load = &mut planner.settings.load;
     load.operators = 6;
@@ -55,6 +80,11 @@
 }
 
 fn everything(planner: &mut Planner) {
+    combine(planner, 3, 7);
+}
+
+/// Combines so many kinds of faults, some of them twice.
+fn combine(planner: &mut Planner, least: u64, most: u64) {
     const DRAWS: &[fn(&mut Planner)] = &[
         |planner| planner.kill_control(),
         |planner| planner.kill_loading_engine(),
@@ -73,6 +103,7 @@
         |planner| planner.stop_control(),
         |planner| planner.stop_router(),
         |planner| planner.leave(),
+        |planner| planner.kill_all_control(),
     ];
     if planner.random.chance(300) {
         bursts(planner);
@@ -80,8 +111,11 @@
     if planner.random.chance(300) {
         racing(planner);
     }
+    if planner.random.chance(300) {
+        memory_pressure(planner);
+    }
     let mut disks_lost = 0;
-    for _ in 0..planner.random.between(3, 7) {
+    for _ in 0..planner.random.between(least, most) {
         let draw = planner.random.index(DRAWS.len());
         let twice = planner.random.chance(300);
         for _ in 0..=u64::from(twice) {
@@ -114,6 +148,26 @@
         summary: "control members die, the leader too, and start again",
         prepare: |planner| some(planner, 3, |planner| planner.kill_control()),
     },
+    Scenario {
+        name: "kill-all-control",
+        summary: "every control member dies at once and starts again",
+        prepare: |planner| {
+            planner.settings.load.operators = 4;
+            planner.settings.load.operator_pause = 300 * MILLIS;
+            planner.settings.load.contested_objects = 8;
+            some(planner, 2, |planner| planner.kill_all_control());
+        },
+    },
+    Scenario {
+        name: "memory-pressure",
+        summary: "more models than fit, slow unloads, old orders again, engines that die",
+        prepare: |planner| {
+            bursts(planner);
+            memory_pressure(planner);
+            some(planner, 2, |planner| planner.kill_loading_engine());
+            some(planner, 2, |planner| planner.reclaim_machine());
+        },
+    },
     Scenario {
         name: "kill-engine-mid-load",
         summary: "engines die in the middle of a load, and while they serve",
@@ -236,6 +290,25 @@
             }
         },
     },
+    Scenario {
+        name: "adapter-pressure",
+        summary: "more adapters than fit beside their model, slow unloads, old orders again, kills",
+        prepare: |planner| {
+            adapter_pressure(planner);
+            some(planner, 2, |planner| planner.kill_control());
+            some(planner, 2, |planner| planner.reclaim_machine());
+        },
+    },
+    Scenario {
+        name: "four-zones",
+        summary: "everything, in four zones instead of three",
+        prepare: four_zones,
+    },
+    Scenario {
+        name: "storm",
+        summary: "everything, with more than twice as many faults",
+        prepare: |planner| combine(planner, 8, 16),
+    },
     Scenario {
         name: "everything",
         summary: "a random combination of all of these, some striking twice",
