--- a/crates/millpass-cli/tests/check.rs
+++ b/crates/millpass-cli/tests/check.rs
@@ -3,6 +3,7 @@
 use millpass_cli::commands;
 use millpass_cli::options::Options;
 use rstest::rstest;
+use std::path::Path;
 
 fn check(text: &str) -> Result<(), String> {
     let folder = tempfile::tempdir().expect("folder");
@@ -33,3 +34,14 @@
         "{error}"
     );
 }
+
+#[rstest]
+fn the_examples_pass(
+    #[values("pnw", "sicilia")] deployment: &str,
+    #[values("objects.toml", "control.toml")] name: &str,
+) {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let file = examples.join(deployment).join(name);
+    let ended = commands::run(Options::Check { file });
+    ended.expect("valid");
+}
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -116,7 +116,7 @@
     fn default() -> Self {
         Self {
             interval_ms: 50u64,
-            cold_start_weight: 1u64,
+            cold_start_weight: 300u64,
             idle_weight: 1u64,
             keep_alive: "adaptive".to_owned(),
             fixed_keep_alive_ms: 600000u64,
