--- a/crates/millpass-experiment/tests/runs.rs
+++ b/crates/millpass-experiment/tests/runs.rs
@@ -70,7 +70,11 @@
     #[case] engines: usize,
 ) {
     let catalog = Catalog::new(&examples(name));
-    let attached: usize = catalog.models.iter().map(|model| model.adapters.len()).sum();
+    let attached: usize = catalog
+        .models
+        .iter()
+        .map(|model| model.adapters.len())
+        .sum();
     assert_eq!(catalog.models.len(), models);
     assert_eq!(attached, adapters);
     assert_eq!(catalog.engines.len(), engines);
@@ -79,10 +83,7 @@
 #[rstest]
 #[case("pnw", Workload::Pnw)]
 #[case("sicilia", Workload::Sicilia)]
-fn every_request_ends_once_and_nothing_is_breached(
-    #[case] name: &str,
-    #[case] workload: Workload,
-) {
+fn every_request_ends_once_and_nothing_is_breached(#[case] name: &str, #[case] workload: Workload) {
     let deployment = small(name);
     let catalog = Catalog::new(&deployment);
     let trace = trace(workload, &catalog, deployment.tenants.count, 3);
