Control plane: shares to watch are looked at five times a second, not at every report

Cause: each report built the table of all back ends anew and compared it; each new router also recomputed every share. The core's thread was saturated. Ruled out: the links (readers and writers use a few ms/s) and the disk. Change: the look is due every 200 ms; routers are grouped by zone once for each computation and no names are cloned while comparing.

--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -131,13 +131,18 @@
         }
         self.scheduler
             .observe_router(now, &hello.router, hello.incarnation, &report);
-        self.refresh_watch();
+        self.refresh_watch_if_due(now);
         self.take_observations(now, &hello.router, &report, out);
         let update = self.update(now, &hello.router, &report);
         out.send_router(connection, ControlToRouter::Update(update));
     }
 
-    fn refresh_watch(&mut self) {
+    /// Shares follow routers and back ends with a short delay: looking at all of them costs far
+    /// more than a report, and many routers report at once.
+    fn refresh_watch_if_due(&mut self, now: Timestamp) {
+        if !self.watch.is_due(now) {
+            return;
+        }
         let backends = self.platform.watchable(&self.state);
         self.watch.refresh(self.sessions.watchers(), backends);
     }
--- a/crates/millpass-control-plane/src/watch.rs
+++ b/crates/millpass-control-plane/src/watch.rs
@@ -5,10 +5,15 @@
 //! its own share. Only the leader computes shares, so the hash needs no agreement between
 //! processes.
 
-use millpass_proto::{BackendKind, BackendName, RouterName, WatchedBackend, ZoneName};
+use millpass_proto::{
+    BackendKind, BackendName, Duration, RouterName, Timestamp, WatchedBackend, ZoneName,
+};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// Shortest time between two looks at all routers and back ends.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A back end to be watched.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Watchable {
@@ -27,9 +32,20 @@
     backends: BTreeMap<BackendName, Watchable>,
     shares: BTreeMap<RouterName, Vec<WatchedBackend>>,
     watcher: BTreeMap<BackendName, RouterName>,
+    /// When the next look is due.
+    next_refresh: Timestamp,
 }
 
 impl WatchShares {
+    /// Whether the shares should be refreshed now; if so, not again for a while.
+    pub(crate) fn is_due(&mut self, now: Timestamp) -> bool {
+        if now < self.next_refresh {
+            return false;
+        }
+        self.next_refresh = now + REFRESH_INTERVAL;
+        true
+    }
+
     /// Computes the shares anew if routers or back ends changed.
     pub(crate) fn refresh(
         &mut self,
@@ -43,8 +59,13 @@
         self.backends = backends;
         self.shares.clear();
         self.watcher.clear();
+        let zones = by_zone(&self.routers);
         for (name, backend) in &self.backends {
-            let Some(router) = choose(name, &backend.zone, &self.routers) else {
+            let near = zones.get(&backend.zone).map(Vec::as_slice);
+            let chosen = near
+                .and_then(|near| highest(name, near.iter().copied()))
+                .or_else(|| highest(name, self.routers.iter().map(|(router, _)| router)));
+            let Some(router) = chosen.cloned() else {
                 continue;
             };
             self.watcher.insert(name.clone(), router.clone());
@@ -73,24 +94,19 @@
     }
 }
 
-fn choose(
-    backend: &BackendName,
-    zone: &ZoneName,
-    routers: &[(RouterName, ZoneName)],
-) -> Option<RouterName> {
-    let near = routers
-        .iter()
-        .filter(|(_, router_zone)| router_zone == zone);
-    highest(backend, near).or_else(|| highest(backend, routers.iter()))
+fn by_zone(routers: &[(RouterName, ZoneName)]) -> BTreeMap<&ZoneName, Vec<&RouterName>> {
+    let mut zones: BTreeMap<&ZoneName, Vec<&RouterName>> = BTreeMap::new();
+    for (router, zone) in routers {
+        zones.entry(zone).or_default().push(router);
+    }
+    zones
 }
 
 fn highest<'a>(
     backend: &BackendName,
-    routers: impl Iterator<Item = &'a (RouterName, ZoneName)>,
-) -> Option<RouterName> {
-    routers
-        .max_by_key(|(router, _)| (weight(backend, router), router.clone()))
-        .map(|(router, _)| router.clone())
+    routers: impl Iterator<Item = &'a RouterName>,
+) -> Option<&'a RouterName> {
+    routers.max_by_key(|router| (weight(backend, router), *router))
 }
 
 fn weight(backend: &BackendName, router: &RouterName) -> u64 {
--- a/crates/millpass-hollow/src/measure.rs
+++ b/crates/millpass-hollow/src/measure.rs
@@ -108,6 +108,7 @@
 
     /// Until all routers are served and watch all engines, and all engines are registered.
     fn joined(&mut self, engines: usize) -> Result<Values> {
+        self.leader = self.group.leader()?;
         let started = Instant::now();
         let before = self.group.usage()?;
         wait_for("answer to each router", || self.routers.answered_above(0))?;
@@ -127,6 +128,7 @@
 
     /// Until the replicas that the catalog asks for are ordered.
     fn placed(&mut self, replicas: usize) -> Result<()> {
+        self.leader = self.group.leader()?;
         let (started, before) = (Instant::now(), self.group.usage()?);
         let end = started + Length::from_secs(self.options.placing_seconds);
         let orders = || {
@@ -151,6 +153,7 @@
     }
 
     fn steady(&mut self) -> Result<Values> {
+        self.leader = self.group.leader()?;
         self.routers.take_records();
         let (started, before) = (Instant::now(), self.group.usage()?);
         let (bytes_before, reports_before) = self.routers.bytes();
@@ -194,6 +197,7 @@
 
     /// Changes of configuration: time to commit, and to be in force at all routers.
     fn changes(&mut self) -> Result<Values> {
+        self.leader = self.group.leader()?;
         let before = self.group.usage()?;
         let started = Instant::now();
         self.routers.take_records();
@@ -225,6 +229,7 @@
 
     /// Requests for adapters that are not loaded, at the rate of the largest deployment.
     fn cold_loads(&mut self) -> Result<()> {
+        self.leader = self.group.leader()?;
         let (started, before) = (Instant::now(), self.group.usage()?);
         self.routers.take_records();
         let pause = Length::from_millis(1_000 / LOADS_PER_SECOND);
@@ -250,6 +255,7 @@
 
     /// As many claims under way as asked for, each followed by another when it is finished.
     fn claims(&mut self) -> Result<Values> {
+        self.leader = self.group.leader()?;
         let (started, before) = (Instant::now(), self.group.usage()?);
         self.routers.take_records();
         self.routers.set_claiming(true);
@@ -274,6 +280,7 @@
 
     /// The leader is killed; until the next one has answered every router. Then it is restarted.
     fn leader_killed(&mut self) -> Result<Values> {
+        self.leader = self.group.leader()?;
         let term = self.routers.term();
         let (bytes_before, _) = self.routers.bytes();
         let killed = self.leader;
@@ -336,8 +343,9 @@
         let after = self.group.usage()?;
         let seconds = elapsed.as_secs_f64();
         let leader = self.leader;
+        let changed = self.group.leader()? != leader;
         let mut text = format!(
-            "leader_cpu_ms_per_s={:.0} leader_resident_mib={} leader_threads={} \
+            "leader_changed={changed} leader_cpu_ms_per_s={:.0} leader_resident_mib={} leader_threads={} \
              leader_written_kib_per_s={:.0}",
             cpu_rate(&before[leader], &after[leader], seconds),
             after[leader].resident_kib / 1024,
