Control plane: at most eight whole copies of catalog and routes in 100 ms

Cause: 465 routers that joined at once each got a whole copy (about 540 KiB) as fast as they asked; the core's thread built copies for seconds, heartbeats waited behind them and the leader lost its lease. Routers whose answer came after 2 s of silence reconnected and were given another.

--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -12,7 +12,7 @@
 use crate::platform::{self, Platform};
 use crate::proposals::{InternalKey, Proposals, Waiter};
 use crate::repair::{self, Repair};
-use crate::sessions::Sessions;
+use crate::sessions::{CopyBudget, Sessions};
 use crate::snapshots::AppliedLog;
 use crate::watch::WatchShares;
 use millpass_consensus::{Consensus, ConsensusInput, ConsensusStatus, RestoredLog, Role};
@@ -48,6 +48,7 @@
     pub(crate) addresses: AddressBook,
     pub(crate) proposals: Proposals,
     pub(crate) sessions: Sessions,
+    pub(crate) copies: CopyBudget,
     pub(crate) silent: SilentRuns,
     pub(crate) watch: WatchShares,
     pub(crate) observations: Observations,
@@ -93,6 +94,7 @@
             applied,
             proposals: Proposals::default(),
             sessions: Sessions::default(),
+            copies: CopyBudget::default(),
             silent: SilentRuns::default(),
             watch: WatchShares::default(),
             observations: Observations::default(),
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -116,6 +116,10 @@
         report: RouterReport,
         out: &mut Outputs,
     ) {
+        // Left unanswered: the router asks again with its next report.
+        if self.needs_copy(&report) && !self.copies.take(now) {
+            return;
+        }
         match self.sessions.report(now, connection, hello, &report) {
             Admission::Stale => return,
             Admission::Full => {
@@ -137,6 +141,14 @@
         out.send_router(connection, ControlToRouter::Update(update));
     }
 
+    /// Whether the answer would hold the whole catalog or all routes.
+    fn needs_copy(&self, report: &RouterReport) -> bool {
+        let without_catalog =
+            report.configuration.0 == 0 && self.state.configuration_revision().0 > 0;
+        let without_routes = report.placement.0 == 0 && self.state.placement_revision().0 > 0;
+        without_catalog || without_routes
+    }
+
     /// Shares follow routers and back ends with a short delay: looking at all of them costs far
     /// more than a report, and many routers report at once.
     fn refresh_watch_if_due(&mut self, now: Timestamp) {
--- a/crates/millpass-control-plane/src/sessions.rs
+++ b/crates/millpass-control-plane/src/sessions.rs
@@ -16,6 +16,32 @@
 /// Most routers with a session.
 const MAXIMUM_SESSIONS: usize = 2_048;
 
+/// Most whole copies of catalog and routes in one [`COPY_WINDOW`]. Thousands of routes are built
+/// for each: without a bound, routers that join at once would keep the leader from its heartbeats.
+const MAXIMUM_COPIES: u32 = 8;
+/// See [`MAXIMUM_COPIES`].
+const COPY_WINDOW: Duration = Duration::from_millis(100);
+
+/// Bounds how many whole copies are given.
+#[derive(Default)]
+pub(crate) struct CopyBudget {
+    window_end: Timestamp,
+    given: u32,
+}
+
+impl CopyBudget {
+    /// Whether one more copy may be given now; if so, it counts.
+    pub(crate) fn take(&mut self, now: Timestamp) -> bool {
+        if now >= self.window_end {
+            self.window_end = now + COPY_WINDOW;
+            self.given = 0;
+        }
+        let allowed = self.given < MAXIMUM_COPIES;
+        self.given += u32::from(allowed);
+        allowed
+    }
+}
+
 /// One router that reports to this leader.
 pub(crate) struct Session {
     /// Connection of its latest report.
