Hollow: a lint mended

Cause: clippy on a parameter. Ruled out: nothing else. Change: a string slice. Before and after: clippy of hollow, control-plane and state failed, after passes. Conclusion: none.

--- a/crates/millpass-hollow/src/member.rs
+++ b/crates/millpass-hollow/src/member.rs
@@ -30,7 +30,11 @@
 }
 
 fn settings(options: &MemberOptions) -> Result<ControlProcessSettings> {
-    let initial: Result<Vec<InitialMember>> = options.initial.iter().map(initial_member).collect();
+    let initial: Result<Vec<InitialMember>> = options
+        .initial
+        .iter()
+        .map(|text| initial_member(text))
+        .collect();
     let initial = initial?;
     let own = initial
         .get(options.place)
@@ -53,7 +57,7 @@
     })
 }
 
-fn initial_member(text: &String) -> Result<InitialMember> {
+fn initial_member(text: &str) -> Result<InitialMember> {
     let (peer, administration) = text.split_once(',').context("PEER,ADMINISTRATION")?;
     Ok(InitialMember {
         zone: "zone-0".into(),
