Control plane tests: stuck disks, deposed leaders' routers, orders whose load runs long

Ruled out: the drain's deadline of five seconds as a case: a leader that nobody answers steps down before it, so the deadline is a second guard. Change: cases in membership.rs, sessions.rs and orders.rs; the harness has members whose writes are never synced.

--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -44,6 +44,8 @@
     pub stopped: bool,
     /// Takes nothing in; what arrives waits for it.
     pub frozen: bool,
+    /// Writes are never synced.
+    pub disk_stuck: bool,
     held: Vec<ControlInput>,
     /// Every entry written, also those that a snapshot replaced.
     archive: BTreeMap<u64, LogEntry>,
@@ -184,6 +186,7 @@
             cut: false,
             stopped: false,
             frozen: false,
+            disk_stuck: false,
             held: Vec::new(),
             archive: BTreeMap::new(),
             audited: 0,
@@ -412,6 +415,9 @@
 
     fn persist(&mut self, id: MemberId, request: millpass_consensus::PersistRequest) {
         let member = self.members.get_mut(&id).unwrap();
+        if member.disk_stuck {
+            return;
+        }
         if let Some(hard_state) = request.hard_state {
             member.hard_state = hard_state;
         }
--- a/crates/millpass-control-plane/tests/membership.rs
+++ b/crates/millpass-control-plane/tests/membership.rs
@@ -226,6 +226,7 @@
     let claim = router.claim("key", "digest", world.unix_millis(), 1);
     router.begin(&mut world, claim);
     assert_eq!(router.claims.len(), 0);
+    assert_eq!(router.not_leader.len(), usize::from(cut), "refused at once");
     world.run(seconds(6));
     let member = &world.members[&leader];
     assert!(member.stopped);
@@ -236,6 +237,26 @@
     );
 }
 
+#[rstest]
+#[case::drained(true)]
+#[case::in_service(false)]
+fn a_call_whose_write_is_never_synced_is_answered_unknown_in_time(#[case] drained: bool) {
+    let mut world = World::new(1);
+    let leader = world.elect();
+    world.members.get_mut(&leader).unwrap().disk_stuck = true;
+    assert!(world.call(leader, put(0, 0)).is_none());
+    if drained {
+        world.give(leader, ControlInput::Drain);
+    }
+    world.run(seconds(if drained { 2 } else { 6 }));
+    let answer = world.last_answer();
+    assert!(
+        matches!(answer, Some(AdministrationAnswer::Unknown)),
+        "{answer:?}"
+    );
+    assert_eq!(world.members[&leader].stopped, drained);
+}
+
 #[rstest]
 fn a_follower_that_drains_stops_at_once_and_the_leader_stays() {
     let mut world = World::new(3);
--- a/crates/millpass-control-plane/tests/orders.rs
+++ b/crates/millpass-control-plane/tests/orders.rs
@@ -64,6 +64,16 @@
     assert_eq!(fleet.state().outstanding_order_count(), 0);
 }
 
+#[rstest]
+fn an_accepted_order_is_sent_again_with_growing_pauses_while_its_load_runs() {
+    let mut fleet = Fleet::small(&["e-1"]);
+    let fence = fleet.place().fence;
+    fleet.rounds(60);
+    let sent = fleet.sent(fence)[&fleet.leader];
+    assert!((3..=6).contains(&sent), "{sent}");
+    assert_eq!(fleet.engine("e-1").accepted.len(), 1);
+}
+
 #[rstest]
 fn an_order_answered_stale_settles_nothing_and_is_sent_again() {
     let mut fleet = Fleet::small(&["e-1"]);
--- a/crates/millpass-control-plane/tests/sessions.rs
+++ b/crates/millpass-control-plane/tests/sessions.rs
@@ -74,6 +74,22 @@
     assert!(turned_away(&answers, None), "{answers:?}");
 }
 
+#[rstest]
+fn a_deposed_leader_tells_its_routers_at_once() {
+    let mut fleet = Fleet::small(&["e-1"]);
+    let old = fleet.leader;
+    fleet.world.members.get_mut(&old).unwrap().frozen = true;
+    assert_ne!(fleet.world.elect(), old);
+    let connection = fleet.routers[0].connection;
+    fleet.world.received(connection);
+    fleet.world.thaw(old);
+    let answers = fleet.world.received(connection);
+    let told = answers
+        .iter()
+        .any(|answer| matches!(answer, ControlToRouter::NotLeader(_)));
+    assert!(told, "{answers:?}");
+}
+
 #[rstest]
 fn a_follower_names_the_leader_to_routers() {
     let mut world = World::new(3);
