--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -62,6 +62,8 @@
     pub events: Vec<(MemberId, String, String)>,
     pub engines: BTreeMap<BackendName, TestEngine>,
     pub platform: PlatformList,
+    /// The platform's list cannot be read.
+    pub platform_is_down: bool,
     pub snapshot_entries: u64,
     pub network: network::Network,
     /// Checks of every committed entry.
@@ -140,6 +142,7 @@
                 sequence: 1,
                 machines: Vec::new(),
             },
+            platform_is_down: false,
             snapshot_entries,
             network: network::Network::default(),
             audit: audit::Audit::default(),
@@ -375,7 +378,7 @@
                 self.members.get_mut(&id).unwrap().snapshot = Some(snapshot);
             }
             ControlOutput::ReadPlatform => {
-                if self.reachable(id) {
+                if self.reachable(id) && !self.platform_is_down {
                     let input = ControlInput::PlatformListed(self.platform.clone());
                     self.inputs.push_back((id, input));
                 }
--- a/crates/millpass-sim/src/router_host.rs
+++ b/crates/millpass-sim/src/router_host.rs
@@ -97,7 +97,7 @@
             RouterEvent::Connected(connection, place) => self.connected(router, connection, place),
             RouterEvent::LinkEnded(connection) => self.link_ended(router, connection),
             RouterEvent::FromControl(connection, message) => {
-                self.control_sent(router, connection, *message);
+                self.take_control_message(router, connection, *message);
             }
             RouterEvent::Request(request) => self.take_request(router, *request),
             RouterEvent::CallerGone(request) => self.caller_gone(router, request),
@@ -178,8 +178,8 @@
         let number = node.next_request;
         node.next_request += 1;
         let arrival = Arrival {
-            request: RequestNumber(number),
             request_id: String::new(),
+            request: RequestNumber(number),
             api_key: request.api_key.clone(),
             target: request.target.clone(),
             deadline: node.clock.local(now) + Duration::from_micros(request.allowed_micros),
