--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -430,7 +430,9 @@
             if keep {
                 member.log.retain(|entry| entry.position.index > last.index);
             } else {
+                // What the snapshot replaces was never committed beyond what was audited.
                 member.log.clear();
+                member.archive.split_off(&(member.audited + 1));
             }
             member.snapshot = Some(snapshot);
         }
