router_bench: requests are due only when every caller has its connections

Cause: the schedule began 500 ms after the callers' start, whether all had their connections or not; on a busy machine the first requests were late by that. Change: callers meet at a barrier before the schedule begins.

--- a/crates/millpass-router/examples/router_bench/callers.rs
+++ b/crates/millpass-router/examples/router_bench/callers.rs
@@ -9,13 +9,14 @@
 use millpass_standin::content::Answer;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Barrier, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// Tokens of a short request; the engine gives them with the prefill.
 const TOKENS: u32 = 1;
-/// Time in which connections are opened before anything is measured.
-const WARM_UP: Duration = Duration::from_millis(500);
+/// Time between the last caller's readiness and the first request.
+const START_DELAY: Duration = Duration::from_millis(20);
 /// Longest wait for an answer.
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -111,10 +112,16 @@
 /// Sends a load over some targets in turn; the latencies of each.
 pub fn run(load: &Load, targets: &[SocketAddr]) -> Result<Vec<Latencies>> {
     let next = AtomicU64::new(0);
-    let start = Instant::now() + WARM_UP;
+    let ready = Barrier::new(load.callers);
+    let start = OnceLock::new();
     let mut totals: Vec<Latencies> = targets.iter().map(|_| Latencies::default()).collect();
     thread::scope(|scope| -> Result<()> {
-        let carry = || call(load, targets, &next, start);
+        let carry = || {
+            call(load, targets, &next, || {
+                ready.wait();
+                *start.get_or_init(|| Instant::now() + START_DELAY)
+            })
+        };
         let callers: Vec<_> = (0..load.callers).map(|_| scope.spawn(carry)).collect();
         for caller in callers {
             let one = caller.join().expect("a caller does not panic")?;
@@ -125,7 +132,7 @@
         Ok(())
     })?;
     for total in &mut totals {
-        total.elapsed = start.elapsed();
+        total.elapsed = start.get().map_or(load.time, Instant::elapsed);
     }
     Ok(totals)
 }
@@ -135,12 +142,15 @@
     load: &Load,
     targets: &[SocketAddr],
     next: &AtomicU64,
-    start: Instant,
+    wait_for_start: impl FnOnce() -> Instant,
 ) -> Result<Vec<Latencies>> {
     let agent = agent();
-    for target in targets {
-        send(&agent, *target, u64::MAX)?;
-    }
+    // Connections are opened, and threads started for them, before anything is measured.
+    let warm_up = targets
+        .iter()
+        .try_for_each(|target| send(&agent, *target, u64::MAX));
+    let start = wait_for_start();
+    warm_up?;
     let mut latencies: Vec<Latencies> = targets.iter().map(|_| Latencies::default()).collect();
     loop {
         let number = next.fetch_add(1, Ordering::Relaxed);
