millpass-http: up to 256 connections above the limit are answered at one time

Cause: a connection refused for the limit now stays open until its caller closes it, at most 1 s, so that the refusal is read; with 64 such places a burst above the limit was closed without an answer from the 65th on. Ruled out: no lingering for them: a body on its way would reset the connection. Change: 256 places. Before and after: a burst of 200 above a limit of 1: with 64 places the new test fails (closed in the head), with 256 it passes, three times of three.

--- a/crates/millpass-http/src/server.rs
+++ b/crates/millpass-http/src/server.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 
 /// Most connections above the limit that are answered 503 at one time; more are just closed.
-const MAXIMUM_REFUSALS: usize = 64;
+const MAXIMUM_REFUSALS: usize = 256;
 /// Connections that may wait to be accepted; the kernel's own limit may be lower.
 const LISTEN_QUEUE: i32 = 4_096;
 /// Pause after a failed accept, for example when file descriptors run out.
--- a/crates/millpass-http/tests/serving.rs
+++ b/crates/millpass-http/tests/serving.rs
@@ -141,6 +141,25 @@
     });
 }
 
+#[test]
+fn each_connection_of_a_burst_above_the_limit_gets_503() {
+    let settings = ServerSettings {
+        maximum_connections: 1,
+        ..ServerSettings::default()
+    };
+    let server = start(settings, echo);
+    let mut held = Caller::connect(server.local_address());
+    held.get("/");
+    assert_eq!(held.read_answer().status, 200);
+    let mut burst: Vec<Caller> = (0..200)
+        .map(|_| Caller::connect(server.local_address()))
+        .collect();
+    burst.iter_mut().for_each(|caller| caller.post("/", "body"));
+    for caller in &mut burst {
+        assert_eq!(caller.read_answer().status, 503);
+    }
+}
+
 #[test]
 fn a_drain_lets_requests_in_flight_finish_and_takes_no_more() {
     let (arrived, arrival) = bounded(1);
