Lab: waiting with and without a message are two functions

Cause: wait_until was called with an empty message where only its outcome counted. Ruled out: - Change: holds_within tells whether; wait_until says what did not hold. Before and after: tests of millpass-lab pass.

--- a/crates/millpass-lab/src/fleet/deployed.rs
+++ b/crates/millpass-lab/src/fleet/deployed.rs
@@ -248,7 +248,7 @@
             children.look();
             children.process_id(name).is_none()
         };
-        if wait_until("", patience, has_ended).is_err() {
+        if !holds_within(patience, has_ended) {
             return Ok(false);
         }
         let process = process(name);
@@ -276,7 +276,7 @@
             children.look();
             names.iter().all(|name| children.process_id(name).is_none())
         };
-        let _ = wait_until("", STOP_PATIENCE, all_ended);
+        holds_within(STOP_PATIENCE, all_ended);
         let running = |name: &&str| self.lock().process_id(name).is_some();
         let late: Vec<String> = names
             .iter()
@@ -289,17 +289,25 @@
     }
 }
 
-/// Waits until something holds, at most for `patience`.
-pub fn wait_until(what: &str, patience: Duration, mut holds: impl FnMut() -> bool) -> Result<()> {
+/// Waits until something holds, at most for `patience`; false if it does not hold then.
+pub fn holds_within(patience: Duration, mut holds: impl FnMut() -> bool) -> bool {
     let until = Instant::now() + patience;
     while !holds() {
-        ensure!(
-            Instant::now() < until,
-            "{what}: not within {} s; see the logs in the run's folder",
-            patience.as_secs()
-        );
+        if Instant::now() >= until {
+            return false;
+        }
         thread::sleep(POLL);
     }
+    true
+}
+
+/// Waits until something holds, or says what did not.
+pub fn wait_until(what: &str, patience: Duration, holds: impl FnMut() -> bool) -> Result<()> {
+    ensure!(
+        holds_within(patience, holds),
+        "{what}: not within {} s; see the logs in the run's folder",
+        patience.as_secs()
+    );
     Ok(())
 }
 
--- a/crates/millpass-lab/src/fleet/faults.rs
+++ b/crates/millpass-lab/src/fleet/faults.rs
@@ -1,6 +1,6 @@
 //! Fault plans: what is broken, and mended again.
 
-use super::deployed::{Fleet, wait_until};
+use super::deployed::{Fleet, holds_within};
 use super::layout::SERVICES_ZONE;
 use super::operator;
 use crate::options::FaultPlan;
@@ -168,17 +168,16 @@
     /// Waits until as many members vote as before, and not the same ones.
     fn await_repair(&mut self, name: &str, before: &[u64]) {
         let begin = Instant::now();
-        let repaired = wait_until("repair", REPAIR, || {
+        let repaired = holds_within(REPAIR, || {
             let voters = self.voters();
             voters.is_ok_and(|voters| voters.len() == VOTERS && voters != before)
         });
         let seconds = begin.elapsed().as_secs_f64();
-        match repaired {
-            Ok(()) => self.step(format!("{name} was replaced after {seconds:.1} s")),
-            Err(_) => {
-                let breach = format!("repair: {name} was not replaced within {seconds:.0} s");
-                self.outcome.breaches.push(breach);
-            }
+        if repaired {
+            self.step(format!("{name} was replaced after {seconds:.1} s"));
+        } else {
+            let breach = format!("repair: {name} was not replaced within {seconds:.0} s");
+            self.outcome.breaches.push(breach);
         }
     }
 
@@ -228,8 +227,7 @@
         self.fleet.restart(name)?;
         // Changes go on meanwhile: a process is current once it has those from before its start.
         let wanted = operator::status(self.fleet)?.configuration;
-        let rejoined = wait_until("rejoin", REJOIN, || self.takes_part(name, wanted));
-        if rejoined.is_err() {
+        if !holds_within(REJOIN, || self.takes_part(name, wanted)) {
             let breach = format!("restart: {name} did not take part within {REJOIN:?}");
             self.outcome.breaches.push(breach);
         }
