Simulator: start and end of processes, and claims, in modules of their own

Ruled out: nothing. Change: moved without change: control_process.rs, router_process.rs, router_claims.rs. Conclusion: only the place of the code changed.

--- a/crates/millpass-sim/src/router_host.rs
+++ b/crates/millpass-sim/src/router_host.rs
@@ -7,14 +7,8 @@
 };
 use crate::router_node::Served;
 use crate::world::World;
-use millpass_checkers::{
-    AnswerOutcome, AttemptId, ClaimOperation, Event, ProcessName, RequestId, ScopedKey,
-    StatedExecution, linearizable::digest_of,
-};
-use millpass_proto::{
-    BackendKind, ClaimBegin, ClaimConclusion, ClaimDecision, ClaimFinish, ClaimRequest, Duration,
-    RouterReport, RouterToControl,
-};
+use millpass_checkers::{AnswerOutcome, Event, ProcessName, RequestId, StatedExecution};
+use millpass_proto::{BackendKind, Duration, RouterReport, RouterToControl};
 use millpass_routing::{
     Arrival, Executed, IdempotencyKey, Refusal, RequestNumber, RoutingInput, RoutingOutput,
 };
@@ -70,7 +64,7 @@
         }
     }
 
-    fn lose_unread(&mut self, event: RouterEvent) {
+    pub(crate) fn lose_unread(&mut self, event: RouterEvent) {
         match event {
             RouterEvent::Request(request) => {
                 let lost = CallerEvent::Ended(request.id, AnswerOutcome::ConnectionLost);
@@ -223,7 +217,7 @@
     }
 
     /// Gives a request its final outcome, other than a whole answer.
-    fn end_request(&mut self, router: usize, request: u64, outcome: AnswerOutcome) {
+    pub(crate) fn end_request(&mut self, router: usize, request: u64, outcome: AnswerOutcome) {
         self.cancel_attempt(router, request);
         if let Some(served) = self.routers[router].requests.remove(&request) {
             let ended = CallerEvent::Ended(served.caller.id, outcome);
@@ -262,84 +256,6 @@
         self.send_to_leader(router, RouterToControl::Report(report));
     }
 
-    fn attempt_id(&self, router: usize, attempt: u64) -> AttemptId {
-        let node = &self.routers[router];
-        AttemptId {
-            router: node.name.clone(),
-            incarnation: node.incarnation,
-            attempt,
-        }
-    }
-
-    fn record_claim(
-        &mut self,
-        router: usize,
-        attempt: u64,
-        key: ScopedKey,
-        operation: ClaimOperation,
-    ) {
-        let attempt_id = self.attempt_id(router, attempt);
-        self.routers[router].claims.insert(attempt, key.clone());
-        self.record(Event::ClaimCalled {
-            attempt: attempt_id,
-            key,
-            operation,
-        });
-    }
-
-    fn send_claim(&mut self, router: usize, claim: ClaimBegin) {
-        let key = ScopedKey {
-            tenant: claim.tenant.clone(),
-            key: claim.key.clone(),
-        };
-        let attempt = claim.attempt;
-        self.record_claim(router, attempt, key, ClaimOperation::Begin);
-        if !self.settings.mechanisms.claims {
-            return self.claim_answered(router, attempt, ClaimDecision::Granted);
-        }
-        self.send_to_leader(router, RouterToControl::Claim(ClaimRequest { claim }));
-    }
-
-    fn send_claim_finish(&mut self, router: usize, finish: ClaimFinish) {
-        let key = ScopedKey {
-            tenant: finish.tenant.clone(),
-            key: finish.key.clone(),
-        };
-        let operation = match &finish.conclusion {
-            ClaimConclusion::Answered(answer) => {
-                ClaimOperation::FinishAnswered(digest_of(&answer.body))
-            }
-            ClaimConclusion::NotRun => ClaimOperation::FinishNotRun,
-            ClaimConclusion::Unknown => ClaimOperation::FinishUnknown,
-        };
-        self.record_claim(router, finish.attempt, key, operation);
-        self.send_to_leader(router, RouterToControl::FinishClaim(finish));
-    }
-
-    /// A decision on a claim came.
-    pub(crate) fn claim_answered(&mut self, router: usize, attempt: u64, decision: ClaimDecision) {
-        if let Some(key) = self.routers[router].claims.get(&attempt).cloned() {
-            let attempt_id = self.attempt_id(router, attempt);
-            self.record(Event::ClaimReturned {
-                attempt: attempt_id,
-                key,
-                decision: decision.clone(),
-            });
-        }
-        // The input is queued, so that the core is not entered twice.
-        let input = RoutingInput::ClaimAnswered { attempt, decision };
-        self.router_later(router, 0, RouterEvent::Input(Box::new(input)));
-    }
-
-    /// The end of a claim is committed.
-    pub(crate) fn claim_finished(&mut self, router: usize, attempt: u64) {
-        if let Some(key) = self.routers[router].claims.get(&attempt).cloned() {
-            let attempt = self.attempt_id(router, attempt);
-            self.record(Event::ClaimFinishReturned { attempt, key });
-        }
-        self.router_step(router, RoutingInput::ClaimFinished { attempt });
-    }
-
     fn poll_back_ends(&mut self, router: usize) {
         let poll = self.settings.times.poll;
         self.router_later(router, poll, RouterEvent::Poll);
@@ -377,58 +293,6 @@
         }
     }
 
-    /// An orderly stop begins.
-    pub(crate) fn drain_router(&mut self, router: usize) {
-        if self.routers[router].core.is_none() || self.routers[router].frozen {
-            return;
-        }
-        let process = self.router_name(router);
-        self.record(Event::StopPlanned { process });
-        self.routers[router].draining = true;
-        if !self.settings.mechanisms.drains {
-            return self.router_drained(router);
-        }
-        self.router_step(router, RoutingInput::Drain);
-    }
-
-    fn router_drained(&mut self, router: usize) {
-        let process = self.router_name(router);
-        self.record(Event::Stopped { process });
-        self.end_router(router);
-    }
-
-    /// Ends a router's process; callers in flight see their connections end.
-    pub(crate) fn end_router(&mut self, router: usize) {
-        let numbers: Vec<u64> = self.routers[router].requests.keys().copied().collect();
-        for number in numbers {
-            self.end_request(router, number, AnswerOutcome::ConnectionLost);
-        }
-        let backlog = std::mem::take(&mut self.routers[router].backlog);
-        for event in backlog {
-            self.lose_unread(event);
-        }
-        self.close_link(router);
-        let node = &mut self.routers[router];
-        node.run += 1;
-        node.core = None;
-        node.frozen = false;
-    }
-
-    /// Starts a router's process.
-    pub(crate) fn start_router(&mut self, router: usize) {
-        if self.routers[router].core.is_some() {
-            return;
-        }
-        let incarnation = self.new_incarnation();
-        let now = self.now;
-        self.routers[router].start(now, incarnation);
-        let process = self.router_name(router);
-        self.record(Event::Started { process });
-        self.router_later(router, 0, RouterEvent::Connect);
-        self.router_later(router, self.settings.times.tick, RouterEvent::Tick);
-        self.router_later(router, self.settings.times.poll, RouterEvent::Poll);
-    }
-
     /// Whether the attempt is the one that goes on.
     pub(crate) fn is_present(&self, router: usize, key: AttemptKey) -> bool {
         let served = self.routers[router].requests.get(&key.request);
