Control plane: a new run on a leaving machine is not registered

Cause: when a back end's process died and came back while its machine was listed as leaving, the new run was registered as live, and was marked as leaving only when the list was judged again. A router that got its lease in between used it. Ruled out: the gate on leases of a new leader (the leader had marked what was registered when it read the list; the registration came 0.4 s later); the router (its route said live). Change: a run other than the registered one on a machine that leaves marks the old run as gone, which frees what it held, and is not registered itself. Before and after: new_run_on_a_leaving_machine_is_never_live failed before (live) and passes now. Conclusion: a back end that leaves stays without new work when its process restarts.

--- a/crates/millpass-control-plane/src/observations.rs
+++ b/crates/millpass-control-plane/src/observations.rs
@@ -13,9 +13,9 @@
 use crate::platform::Platform;
 use crate::proposals::InternalKey;
 use millpass_proto::{
-    AdapterName, BackendKind, BackendName, BackendRegistration, BackendState, Command, EngineOrder,
-    EngineReport, EngineSlotPhase, EngineSlotReport, Incarnation, LogPosition, OrderAction,
-    OrderResult, OrderSettlement, RoleSettlement, SlotId, WebReport,
+    AdapterName, BackendKind, BackendMark, BackendName, BackendRegistration, BackendState, Command,
+    EngineOrder, EngineReport, EngineSlotPhase, EngineSlotReport, Incarnation, LogPosition,
+    OrderAction, OrderResult, OrderSettlement, RoleSettlement, SlotId, WebReport,
 };
 use millpass_state::State;
 use std::collections::BTreeMap;
@@ -141,6 +141,9 @@
                 return None;
             }
         }
+        if machine.state == BackendState::Leaving {
+            return ended_by_leaving_run(run, state);
+        }
         let registration = BackendRegistration {
             backend: run.backend.clone(),
             kind: run.kind,
@@ -250,3 +253,20 @@
         EngineSlotPhase::Loading | EngineSlotPhase::Unloading => None,
     }
 }
+
+/// A new run on a machine that leaves is not registered: it would take work until it is marked. It
+/// proves that the run before it has ended.
+fn ended_by_leaving_run(run: &RunSeen<'_>, state: &State) -> Option<Proposal> {
+    let known = state.backend(run.backend)?;
+    let ended = known.registration.incarnation;
+    if ended == run.incarnation || known.state == BackendState::Gone {
+        return None;
+    }
+    let mark = BackendMark {
+        backend: run.backend.clone(),
+        incarnation: ended,
+        state: BackendState::Gone,
+    };
+    let key = InternalKey::Mark(run.backend.clone());
+    Some((key, Command::MarkBackend(mark)))
+}
--- a/crates/millpass-control-plane/tests/leaving.rs
+++ b/crates/millpass-control-plane/tests/leaving.rs
@@ -64,6 +64,21 @@
     assert_eq!(state_of_engine(&world, new), BackendState::Leaving);
 }
 
+#[test]
+fn new_run_on_a_leaving_machine_is_never_live() {
+    let (mut world, leader, mut router) = with_engine();
+    list_as_leaving(&mut world);
+    world.run(READ_INTERVAL + MOMENT);
+    let restarted = world.engines.get_mut(&engine()).unwrap();
+    restarted.incarnation = Incarnation(2);
+    for _ in 0..100 {
+        router.report(&mut world);
+        assert_ne!(state_of_engine(&world, leader), BackendState::Live);
+        world.run(MOMENT);
+    }
+    assert_eq!(state_of_engine(&world, leader), BackendState::Gone);
+}
+
 #[test]
 fn without_the_list_leases_are_granted_after_a_bounded_wait() {
     let (mut world, old, mut router) = with_engine();
