--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -116,6 +116,10 @@
         report: RouterReport,
         out: &mut Outputs,
     ) {
+        // Left unanswered: the router asks again with its next report.
+        if self.needs_copy(&report) && !self.copies.take(now) {
+            return;
+        }
         match self.sessions.report(now, connection, hello, &report) {
             Admission::Stale => return,
             Admission::Full => {
@@ -131,7 +135,7 @@
         }
         self.scheduler
             .observe_router(now, &hello.router, hello.incarnation, &report);
-        self.refresh_watch();
+        self.refresh_watch_if_due(now);
         self.take_observations(now, &hello.router, &report, out);
         if !self.platform.leases_may_go(now, &self.state) {
             return out.event(
@@ -143,7 +147,20 @@
         out.send_router(connection, ControlToRouter::Update(update));
     }
 
-    fn refresh_watch(&mut self) {
+    /// Whether the answer would hold the whole catalog or all routes.
+    fn needs_copy(&self, report: &RouterReport) -> bool {
+        let without_catalog =
+            report.configuration.0 == 0 && self.state.configuration_revision().0 > 0;
+        let without_routes = report.placement.0 == 0 && self.state.placement_revision().0 > 0;
+        without_catalog || without_routes
+    }
+
+    /// Shares follow routers and back ends with a short delay: looking at all of them costs far
+    /// more than a report, and many routers report at once.
+    fn refresh_watch_if_due(&mut self, now: Timestamp) {
+        if !self.watch.is_due(now) {
+            return;
+        }
         let backends = self.platform.watchable(&self.state);
         self.watch.refresh(self.sessions.watchers(), backends);
     }
--- a/crates/millpass-hollow/src/measure.rs
+++ b/crates/millpass-hollow/src/measure.rs
@@ -19,6 +19,9 @@
 const LOADS_PER_SECOND: u64 = 5;
 /// Time in which the last deltas, loads or claims still arrive.
 const SETTLING: Length = Length::from_secs(2);
+/// Routers that join first and through which the first replicas are placed: so many loads at once
+/// never happen with all routers there.
+const FIRST_ROUTERS: usize = 25;
 /// Share of the replicas that must be loaded before the steady phase, in percent.
 const PLACED_PERCENT: usize = 98;
 
@@ -29,7 +32,7 @@
 struct Deployment<'a> {
     options: &'a MeasureOptions,
     // Dropped in this order: the routers, then the group, then the engines.
-    _running: RoutersHandle,
+    running: Vec<RoutersHandle>,
     routers: Arc<Routers>,
     group: Group,
     engines: EnginesHandle,
@@ -48,8 +51,9 @@
         replicas as usize * options.models
     );
     let mut deployment = Deployment::start(options, count, engines, replicas)?;
-    let mut values = deployment.joined(engines)?;
+    deployment.joined("first_joined", FIRST_ROUTERS.min(count), engines)?;
     deployment.placed(replicas as usize * options.models)?;
+    let mut values = deployment.joined("joined", count, engines)?;
     values.extend(deployment.steady()?);
     values.extend(deployment.changes()?);
     deployment.cold_loads()?;
@@ -98,7 +102,7 @@
         );
         Ok(Deployment {
             options,
-            _running: routers.start(),
+            running: Vec::new(),
             routers,
             group,
             engines,
@@ -106,27 +110,43 @@
         })
     }
 
-    /// Until all routers are served and watch all engines, and all engines are registered.
-    fn joined(&mut self, engines: usize) -> Result<Values> {
-        let started = Instant::now();
-        let before = self.group.usage()?;
-        wait_for("answer to each router", || self.routers.answered_above(0))?;
+    /// Until this many routers are served and watch all engines.
+    fn joined(&mut self, name: &str, count: usize, engines: usize) -> Result<Values> {
+        self.leader = self.group.leader()?;
+        let (bytes_before, _) = self.routers.bytes();
+        let (started, before) = (Instant::now(), self.group.usage()?);
+        let first = if self.running.is_empty() {
+            0
+        } else {
+            FIRST_ROUTERS.min(count)
+        };
+        self.running.push(self.routers.start(first..count));
+        wait_for("answer to each router", || {
+            self.routers.answered_above(0, count)
+        })?;
         let served = started.elapsed();
         wait_for("watcher of each engine", || {
             (self.routers.watched() >= engines).then_some(())
         })?;
         let watched = started.elapsed();
         let used = self.used(&before, started.elapsed())?;
+        let (bytes, _) = self.routers.bytes();
         println!(
-            "joined served_ms={} watched_ms={} {used}",
+            "{name} routers={count} served_ms={} watched_ms={} received_mib={} \
+             placement_mib={} configuration_mib={} watch_mib={} {used}",
             served.as_millis(),
-            watched.as_millis()
+            watched.as_millis(),
+            (bytes.received - bytes_before.received) >> 20,
+            (bytes.placement - bytes_before.placement) >> 20,
+            (bytes.configuration - bytes_before.configuration) >> 20,
+            (bytes.watch - bytes_before.watch) >> 20,
         );
         Ok(vec![("join_ms", served.as_secs_f64() * 1e3)])
     }
 
     /// Until the replicas that the catalog asks for are ordered.
     fn placed(&mut self, replicas: usize) -> Result<()> {
+        self.leader = self.group.leader()?;
         let (started, before) = (Instant::now(), self.group.usage()?);
         let end = started + Length::from_secs(self.options.placing_seconds);
         let orders = || {
@@ -151,6 +171,7 @@
     }
 
     fn steady(&mut self) -> Result<Values> {
+        self.leader = self.group.leader()?;
         self.routers.take_records();
         let (started, before) = (Instant::now(), self.group.usage()?);
         let (bytes_before, reports_before) = self.routers.bytes();
@@ -194,6 +215,7 @@
 
     /// Changes of configuration: time to commit, and to be in force at all routers.
     fn changes(&mut self) -> Result<Values> {
+        self.leader = self.group.leader()?;
         let before = self.group.usage()?;
         let started = Instant::now();
         self.routers.take_records();
@@ -225,6 +247,7 @@
 
     /// Requests for adapters that are not loaded, at the rate of the largest deployment.
     fn cold_loads(&mut self) -> Result<()> {
+        self.leader = self.group.leader()?;
         let (started, before) = (Instant::now(), self.group.usage()?);
         self.routers.take_records();
         let pause = Length::from_millis(1_000 / LOADS_PER_SECOND);
@@ -250,6 +273,7 @@
 
     /// As many claims under way as asked for, each followed by another when it is finished.
     fn claims(&mut self) -> Result<Values> {
+        self.leader = self.group.leader()?;
         let (started, before) = (Instant::now(), self.group.usage()?);
         self.routers.take_records();
         self.routers.set_claiming(true);
@@ -274,13 +298,14 @@
 
     /// The leader is killed; until the next one has answered every router. Then it is restarted.
     fn leader_killed(&mut self) -> Result<Values> {
+        self.leader = self.group.leader()?;
         let term = self.routers.term();
         let (bytes_before, _) = self.routers.bytes();
         let killed = self.leader;
         let at = Instant::now();
         self.group.kill(killed)?;
         let answered = wait_for("answer of the next leader to each router", || {
-            self.routers.answered_above(term)
+            self.routers.answered_above(term, self.routers.len())
         })?;
         let times = answered.iter().map(|answered| answered.duration_since(at));
         let mut times: Vec<Length> = times.collect();
@@ -336,8 +361,9 @@
         let after = self.group.usage()?;
         let seconds = elapsed.as_secs_f64();
         let leader = self.leader;
+        let changed = self.group.leader()? != leader;
         let mut text = format!(
-            "leader_cpu_ms_per_s={:.0} leader_resident_mib={} leader_threads={} \
+            "leader_changed={changed} leader_cpu_ms_per_s={:.0} leader_resident_mib={} leader_threads={} \
              leader_written_kib_per_s={:.0}",
             cpu_rate(&before[leader], &after[leader], seconds),
             after[leader].resident_kib / 1024,
