--- a/crates/millpass-cli/tests/objects.rs
+++ b/crates/millpass-cli/tests/objects.rs
@@ -5,6 +5,11 @@
 use rstest::rstest;
 
 const FILE: &str = r#"
+[[operator]]
+name = "admin"
+key_hash = "00"
+role = "Administrator"
+
 [[adapter]]
 name = "formal"
 model = "writer"
@@ -14,6 +19,7 @@
 model = "writer"
 label = "v1"
 weights_bytes = 10
+cache_bytes = 5
 
 [[model]]
 name = "writer"
@@ -31,7 +37,7 @@
         .iter()
         .map(|object| object.key.name.as_str())
         .collect();
-    assert_eq!(names, ["writer", "writer@v1", "formal", "open"]);
+    assert_eq!(names, ["writer", "writer@v1", "formal", "open", "admin"]);
     let ObjectSpec::Version(version) = &objects[1].spec else {
         panic!("version")
     };
@@ -52,6 +58,10 @@
     "[[operator]]\nname = 'a'\nkey_hash = 'x'\nrole = 'King'",
     "unknown variant"
 )]
+#[case(
+    "[[version]]\nmodel = 'a'\nlabel = 'v1'\nweights_bytes = 5",
+    "missing field `cache_bytes`"
+)]
 #[case("[[tenant]", "not valid TOML")]
 fn wrong_files_name_the_remedy(#[case] text: &str, #[case] part: &str) {
     let error = parse_objects("f.toml", text)
--- a/crates/millpass-router/src/lib.rs
+++ b/crates/millpass-router/src/lib.rs
@@ -7,12 +7,14 @@
 mod attempt;
 mod backend;
 mod caller;
+mod caller_side;
 mod clock;
 mod driver;
 mod exchange;
 mod explain;
 mod handler;
 mod link;
+mod member_choice;
 mod metrics;
 mod models;
 mod outbox;
@@ -25,6 +27,7 @@
 mod transport;
 mod watch;
 
+pub use member_choice::MemberChoice;
 pub use process::{RouterHandle, start};
 pub use settings::{
     BackendTimeouts, CallerLimits, LinkSettings, RouterProcessSettings, WatchSettings,
