--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -44,6 +44,8 @@
     pub stopped: bool,
     /// Takes nothing in; what arrives waits for it.
     pub frozen: bool,
+    /// Writes are never synced.
+    pub disk_stuck: bool,
     held: Vec<ControlInput>,
     /// Every entry written, also those that a snapshot replaced.
     archive: BTreeMap<u64, LogEntry>,
@@ -187,6 +189,7 @@
             cut: false,
             stopped: false,
             frozen: false,
+            disk_stuck: false,
             held: Vec::new(),
             archive: BTreeMap::new(),
             audited: 0,
@@ -415,6 +418,9 @@
 
     fn persist(&mut self, id: MemberId, request: millpass_consensus::PersistRequest) {
         let member = self.members.get_mut(&id).unwrap();
+        if member.disk_stuck {
+            return;
+        }
         if let Some(hard_state) = request.hard_state {
             member.hard_state = hard_state;
         }
@@ -424,7 +430,9 @@
             if keep {
                 member.log.retain(|entry| entry.position.index > last.index);
             } else {
+                // What the snapshot replaces was never committed beyond what was audited.
                 member.log.clear();
+                member.archive.split_off(&(member.audited + 1));
             }
             member.snapshot = Some(snapshot);
         }
