Scheduler test: batches are deferred, then evict

Cause: the deferral of batches had no test of its own. Ruled out: - Change: one test: placeable while deferred, one eviction after a minute. Its first run failed because its clock stood at 11 s, so that the report's age was cut; it now passes a minute first.

--- a/crates/millpass-scheduler/tests/retiring.rs
+++ b/crates/millpass-scheduler/tests/retiring.rs
@@ -101,6 +101,27 @@
     assert_eq!(harness.round(), []);
 }
 
+#[test]
+fn batch_demand_is_deferred_and_evicts_after_a_minute() {
+    let (mut harness, _, _) = full_harness(open_settings());
+    let batch_since = |millis| {
+        let mut batch = waiting_for("wanted", 5);
+        batch.most_urgent = Urgency::Batch;
+        batch.oldest_wait_millis = millis;
+        batch
+    };
+    harness.report("r1", vec![batch_since(0)]);
+    assert_eq!(harness.round(), []);
+    let model = "wanted".into();
+    let outlook = harness
+        .scheduler
+        .outlook(harness.now, &harness.fixture.state, &model);
+    assert!(outlook.placeable, "{outlook:?}");
+    harness.pass(61_000);
+    harness.report("r1", vec![batch_since(61_000)]);
+    assert_eq!(retired(&harness.round()).len(), 1);
+}
+
 #[rstest]
 #[case::always_loaded(KeepAlive::AlwaysLoaded, 0)]
 #[case::least_recently_used(KeepAlive::LeastRecentlyUsed, 1)]
