millpass-lab experiment: one tool, one command line

Cause: the experiment had a program of its own beside the lab's. Ruled out: keeping both; two ways to the same thing. Conclusion: fleet and experiment are commands of millpass-lab.

--- a/crates/millpass-experiment/src/main.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! The `millpass-experiment` command.
-
-fn main() -> anyhow::Result<()> {
-    millpass_experiment::run(&millpass_experiment::options().run())
-}
--- a/crates/millpass-experiment/src/report/markdown.rs
+++ b/crates/millpass-experiment/src/report/markdown.rs
@@ -14,7 +14,7 @@
     let mut text = format!(
         "# Cold start and idle hours: {name}\n\n\
          Seeds {}, {} days measured of each after one day to learn. Written by\n\n\
-         ```sh\ncargo run --release -p millpass-experiment -- --deployment examples/{name} \
+         ```sh\ncargo run --release -p millpass-lab -- experiment --deployment examples/{name} \
          --seeds {} --days {} --output docs/performance\n```\n\n\
          Cold-start times are over all requests but batches; a warm request counts as zero, a \
          refused cold one with its whole patience. The store starts {} loads a second and serves \
--- a/crates/millpass-lab/src/main.rs
+++ b/crates/millpass-lab/src/main.rs
@@ -7,6 +7,9 @@
 fn main() -> ExitCode {
     let result = match options::parse() {
         Options::Fleet { options } => millpass_lab::fleet::run::run(&options),
+        Options::Experiment(options) => {
+            millpass_experiment::run(&options).map(|()| ExitCode::SUCCESS)
+        }
         Options::StandIn { settings, kind } => logged(|| programs::run_stand_in(kind, &settings)),
         Options::Relay { settings } => logged(|| programs::run_relay(&settings)),
     };
--- a/crates/millpass-lab/src/options.rs
+++ b/crates/millpass-lab/src/options.rs
@@ -1,7 +1,7 @@
 //! Command line options.
 
 use crate::programs::StandInKind;
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser};
 use std::path::PathBuf;
 
 /// Parses the process's arguments; prints help or the error and exits when there is nothing to
@@ -27,6 +27,8 @@
         #[bpaf(external(fleet_options))]
         options: FleetOptions,
     },
+    /// Compare keep-alive strategies in virtual time, with report and plots
+    Experiment(#[bpaf(external(experiment))] millpass_experiment::Options),
     /// Run one stand-in until SIGTERM; the fleet starts these itself
     #[bpaf(command("stand-in"))]
     StandIn {
@@ -46,6 +48,10 @@
     },
 }
 
+fn experiment() -> impl Parser<millpass_experiment::Options> {
+    millpass_experiment::options().command("experiment")
+}
+
 /// What is broken while a fleet runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FaultPlan {
