Control plane: a whole copy of the routes is built once for each revision

Cause: routers that join together asked for the same 6,860 routes, and each copy was built from replicas and back ends on the core's thread. Change: the last copy is kept and cloned while the revision stands; dropped with leadership and with a restored state.

--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -12,7 +12,7 @@
 use crate::platform::{self, Platform};
 use crate::proposals::{InternalKey, Proposals, Waiter};
 use crate::repair::{self, Repair};
-use crate::sessions::{CopyBudget, Sessions};
+use crate::sessions::{CopyBudget, RouteCopy, Sessions};
 use crate::snapshots::AppliedLog;
 use crate::watch::WatchShares;
 use millpass_consensus::{Consensus, ConsensusInput, ConsensusStatus, RestoredLog, Role};
@@ -49,6 +49,7 @@
     pub(crate) proposals: Proposals,
     pub(crate) sessions: Sessions,
     pub(crate) copies: CopyBudget,
+    pub(crate) route_copy: RouteCopy,
     pub(crate) silent: SilentRuns,
     pub(crate) watch: WatchShares,
     pub(crate) observations: Observations,
@@ -95,6 +96,7 @@
             proposals: Proposals::default(),
             sessions: Sessions::default(),
             copies: CopyBudget::default(),
+            route_copy: RouteCopy::default(),
             silent: SilentRuns::default(),
             watch: WatchShares::default(),
             observations: Observations::default(),
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -142,6 +142,7 @@
         self.applied = AppliedLog::new(&snapshot.meta);
         self.addresses.replace(&self.consensus.status().membership);
         self.state_changed = true;
+        self.route_copy.clear();
         self.give_up_waiters(out);
         let pairs = vec![("last", snapshot.meta.last.to_string())];
         out.event("state-restored", pairs);
@@ -262,6 +263,7 @@
     /// Drops every belief that is not in the replicated state: a new leader starts without any.
     fn clear_soft_state(&mut self) {
         self.sessions.clear();
+        self.route_copy.clear();
         self.silent.clear();
         self.watch.clear();
         self.observations.clear();
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -9,8 +9,8 @@
 use crate::sessions::Admission;
 use millpass_proto::{
     AbandonClaims, BackendName, BackendObservation, ClaimBegin, ClaimFinish, ClaimRequest, Command,
-    ControlToRouter, Incarnation, LoadOutlook, RouterHello, RouterName, RouterReport,
-    RouterToControl, RouterUpdate, Timestamp, WatchList,
+    ControlToRouter, Incarnation, LoadOutlook, PlacementDelta, PlacementRevision, RouterHello,
+    RouterName, RouterReport, RouterToControl, RouterUpdate, Timestamp, WatchList,
 };
 
 /// Most models whose outlook one update carries.
@@ -226,13 +226,22 @@
             sequence: report.sequence,
             lease_millis: self.settings.router_lease.as_millis() as u64,
             configuration: self.state.configuration_since(report.configuration),
-            placement: self.state.placement_since(report.placement),
+            placement: self.placement_for(report.placement),
             watch: self.watch_change(router),
             outlook: self.outlook(now, report),
             claims_born_after_unix_millis: self.state.claims_born_after(),
         }
     }
 
+    /// Route changes for a router at a revision, if any. Whole copies of one revision are built
+    /// once: routers that join together ask for the same.
+    fn placement_for(&mut self, held: PlacementRevision) -> Option<PlacementDelta> {
+        if held.0 == 0 && self.state.placement_revision().0 > 0 {
+            return Some(self.route_copy.of(&self.state));
+        }
+        self.state.placement_since(held)
+    }
+
     /// The router's share, if it differs from what was last sent on this connection.
     fn watch_change(&mut self, router: &RouterName) -> Option<WatchList> {
         let share = self.watch.share(router);
--- a/crates/millpass-control-plane/src/sessions.rs
+++ b/crates/millpass-control-plane/src/sessions.rs
@@ -6,9 +6,10 @@
 
 use crate::interface::{ConnectionId, RouterStatus};
 use millpass_proto::{
-    BackendName, ConfigurationRevision, Duration, Incarnation, PlacementRevision, RouterHello,
-    RouterName, RouterReport, Timestamp, ZoneName,
+    BackendName, ConfigurationRevision, Duration, Incarnation, PlacementDelta, PlacementRevision,
+    RouterHello, RouterName, RouterReport, Timestamp, ZoneName,
 };
+use millpass_state::State;
 use std::collections::BTreeMap;
 
 /// Most router connections; a Hello beyond is answered `NotLeader`, so the router goes elsewhere.
@@ -42,6 +43,28 @@
     }
 }
 
+/// The last whole copy of the routes, given again while their revision is the same.
+#[derive(Default)]
+pub(crate) struct RouteCopy {
+    copy: Option<PlacementDelta>,
+}
+
+impl RouteCopy {
+    /// All routes of the state.
+    pub(crate) fn of(&mut self, state: &State) -> PlacementDelta {
+        let current = state.placement_revision();
+        match &self.copy {
+            Some(copy) if copy.to == current => copy.clone(),
+            _ => self.copy.insert(state.full_placement()).clone(),
+        }
+    }
+
+    /// Drops the copy: the state was replaced or leadership changed.
+    pub(crate) fn clear(&mut self) {
+        self.copy = None;
+    }
+}
+
 /// One router that reports to this leader.
 pub(crate) struct Session {
     /// Connection of its latest report.
