Cold start: the end of a load is seen and told sooner

Cause: a cold request waited after its model was loaded. Ruled out: the engine (load of 0.8 GB: 1.15 s with set-up) and its report lag (300 ms), which are not ours. Change: an engine that loads or unloads is read each 50 ms; an observation that shows another placement or run makes the router report at once (the shortest interval still holds). An observation of load only does not. The routing test failed first for the load that ended.

--- a/crates/millpass-router/src/settings.rs
+++ b/crates/millpass-router/src/settings.rs
@@ -91,6 +91,8 @@
 pub struct WatchSettings {
     /// Time between two reads of one back end.
     pub interval: Duration,
+    /// The same while it loads or unloads: requests may wait for the end of it.
+    pub busy_interval: Duration,
     /// Time for one read.
     pub timeout: Duration,
     /// Consecutive failed reads after which a back end is reported unreachable.
@@ -174,6 +176,7 @@
     fn default() -> Self {
         WatchSettings {
             interval: Duration::from_millis(250),
+            busy_interval: Duration::from_millis(50),
             timeout: Duration::from_millis(500),
             failures: 4,
             threads: 4,
--- a/crates/millpass-router/src/watch.rs
+++ b/crates/millpass-router/src/watch.rs
@@ -3,7 +3,9 @@
 use crate::driver::Driver;
 use crate::settings::WatchSettings;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
-use millpass_proto::{BackendKind, BackendName, BackendObservation, WatchedBackend};
+use millpass_proto::{
+    BackendKind, BackendName, BackendObservation, EngineSlotPhase, WatchedBackend,
+};
 use millpass_routing::RoutingInput;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -121,7 +123,12 @@
     fn read_one(&self, backend: &WatchedBackend) {
         let started = Instant::now();
         let observation = self.read_report(backend);
-        let due = started + self.settings.interval;
+        let interval = if observation.as_ref().is_some_and(is_busy) {
+            self.settings.busy_interval.min(self.settings.interval)
+        } else {
+            self.settings.interval
+        };
+        let due = started + interval;
         let failures = self
             .driver
             .watch
@@ -161,3 +168,17 @@
         body.limit(MAXIMUM_REPORT_BYTES).read_json()
     }
 }
+
+/// Whether an engine loads or unloads something.
+fn is_busy(observation: &BackendObservation) -> bool {
+    let BackendObservation::Engine(report) = observation else {
+        return false;
+    };
+    let is_moving = |phase: &EngineSlotPhase| {
+        matches!(phase, EngineSlotPhase::Loading | EngineSlotPhase::Unloading)
+    };
+    report.slots.iter().any(|slot| {
+        let mut adapters = slot.adapters.iter();
+        is_moving(&slot.phase) || adapters.any(|adapter| is_moving(&adapter.phase))
+    })
+}
--- a/crates/millpass-routing/src/lib.rs
+++ b/crates/millpass-routing/src/lib.rs
@@ -156,7 +156,9 @@
             }
             RoutingInput::Observed(observation) => {
                 self.load.observe(&observation, step.now);
-                self.observations.observe(observation);
+                if self.observations.observe(observation) {
+                    self.reporting.hurry();
+                }
             }
             RoutingInput::Drain => self.start_drain(step),
         }
--- a/crates/millpass-routing/src/observations.rs
+++ b/crates/millpass-routing/src/observations.rs
@@ -1,6 +1,6 @@
 //! What watched back ends reported, until the leader has it.
 
-use millpass_proto::{BackendName, BackendObservation, WatchedBackend};
+use millpass_proto::{BackendName, BackendObservation, EngineReport, WatchedBackend};
 use std::collections::BTreeMap;
 
 /// Most back ends watched by one router.
@@ -34,22 +34,22 @@
         share
     }
 
-    /// Takes an observation; false if the back end is not watched.
+    /// Takes an observation of a watched back end; true if the leader should have it at once.
     pub fn observe(&mut self, observation: BackendObservation) -> bool {
         let Some(entry) = self.watched.get_mut(name_of(&observation)) else {
             return false;
         };
-        let unchanged = entry
-            .as_ref()
-            .is_some_and(|held| held.observation == observation);
-        if !unchanged {
-            *entry = Some(Observed {
-                observation,
-                sent: None,
-                acknowledged: false,
-            });
+        let held = entry.as_ref().map(|held| &held.observation);
+        if held == Some(&observation) {
+            return false;
         }
-        true
+        let is_urgent = held.is_none_or(|held| !shows_same_placement(held, &observation));
+        *entry = Some(Observed {
+            observation,
+            sent: None,
+            acknowledged: false,
+        });
+        is_urgent
     }
 
     /// Observations that the leader is not known to have, at most `most`, for a report.
@@ -83,6 +83,27 @@
     }
 }
 
+/// Whether two observations of a back end differ in its load only. Requests wait for what differs
+/// otherwise: a load or unload that ended, a new run.
+fn shows_same_placement(one: &BackendObservation, other: &BackendObservation) -> bool {
+    match (one, other) {
+        (BackendObservation::Engine(one), BackendObservation::Engine(other)) => {
+            let parts = |report: &EngineReport| {
+                let slots = report.slots.iter();
+                let parts =
+                    slots.map(|slot| (slot.slot, slot.phase.clone(), slot.adapters.clone()));
+                parts.collect::<Vec<_>>()
+            };
+            one.incarnation == other.incarnation && parts(one) == parts(other)
+        }
+        (BackendObservation::Web(one), BackendObservation::Web(other)) => {
+            one.incarnation == other.incarnation
+        }
+        (BackendObservation::Unreachable(_), BackendObservation::Unreachable(_)) => true,
+        _ => false,
+    }
+}
+
 fn name_of(observation: &BackendObservation) -> &BackendName {
     match observation {
         BackendObservation::Engine(report) => &report.backend,
--- a/crates/millpass-routing/tests/lease.rs
+++ b/crates/millpass-routing/tests/lease.rs
@@ -199,3 +199,55 @@
     assert!(matches!(outputs[0], RoutingOutput::SendHello(_)));
     assert_eq!(driver.last_report.clone().unwrap().observations.len(), 1);
 }
+
+fn engine_seen(sequence: u64, phase: EngineSlotPhase, running: u32) -> RoutingInput {
+    let slot = EngineSlotReport {
+        slot: SlotId(1),
+        model: "m1".into(),
+        version: "v1".into(),
+        fence: LogPosition::ZERO,
+        phase,
+        adapters: vec![],
+        running,
+        waiting: 0,
+    };
+    RoutingInput::Observed(BackendObservation::Engine(EngineReport {
+        backend: "engine-1".into(),
+        incarnation: Incarnation(1),
+        zone: "north".into(),
+        role: EngineRole::Mixed,
+        sequence,
+        highest_fence: LogPosition::ZERO,
+        accelerator_bytes: vec![],
+        used_bytes: vec![],
+        slots: vec![slot],
+        checkpoints: vec![],
+    }))
+}
+
+/// Requests at any router may wait for the load; how many requests run is no such news.
+#[rstest]
+#[case::load_ended(EngineSlotPhase::Loaded, 0, true)]
+#[case::load_goes_on(EngineSlotPhase::Loading, 3, false)]
+fn the_end_of_a_load_is_reported_at_once(
+    #[case] phase: EngineSlotPhase,
+    #[case] running: u32,
+    #[case] at_once: bool,
+) {
+    let mut driver = Driver::ready(vec![], vec![]);
+    driver.tick(1_000);
+    let mut update = driver.update();
+    update.watch = Some(WatchList {
+        backends: vec![WatchedBackend {
+            backend: "engine-1".into(),
+            kind: BackendKind::Engine,
+            address: "127.0.0.1:1001".to_owned(),
+        }],
+    });
+    driver.step(RoutingInput::Update(update));
+    driver.step(engine_seen(1, EngineSlotPhase::Loading, 0));
+    driver.tick(1_000);
+    driver.tick(100);
+    let outputs = driver.step(engine_seen(2, phase, running));
+    assert_eq!(reports(&outputs), at_once);
+}
