Cold start: the leader tells routers of news, and they report at once

Cause: routers learn of routes and catalog in the answer to their own report, every 500 ms. A request whose model had just been loaded waited for that, and so did a change of the catalog (in force everywhere p50 476 ms, p99 553 ms in the fleets). Ruled out: sending deltas unasked: leases and revisions would need a second way; shorter report intervals: 490 routers would pay for it all the time. Change: ControlToRouter::News, without content: to all routers for a new catalog, to those with waiting requests for new routes, once until the router's next report, at most each 20 ms. A lost one costs only the wait until the next report. Tests: one test of sessions takes the news in before it holds an answer back (its checks are unchanged).

--- a/crates/millpass-control-plane/src/lib.rs
+++ b/crates/millpass-control-plane/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `sessions` | routers connected to this member and their leases |
 //! | `reports` | answers routers' reports and claims |
 //! | `watch` | which router watches which back end |
+//! | `news` | routers are told to report at once |
 //! | `observations` | what reports of back ends mean: registrations and settled orders |
 //! | `platform` | what the platform's machine list means |
 //! | `orders` | when to deliver which order |
@@ -27,6 +28,7 @@
 mod claims;
 mod drain;
 pub mod interface;
+mod news;
 mod observations;
 mod orders;
 mod outputs;
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -6,6 +6,7 @@
 use crate::interface::{
     AdministrationAnswer, ControlInput, ControlOutput, ControlPlaneSettings, FinalState,
 };
+use crate::news::{self, Told};
 use crate::observations::Observations;
 use crate::orders::Orders;
 use crate::outputs::Outputs;
@@ -34,6 +35,7 @@
     claims: Timestamp,
     silence: Timestamp,
     housekeeping: Timestamp,
+    news: Timestamp,
 }
 
 /// One control member's decision core.
@@ -59,6 +61,8 @@
     pub(crate) scheduler: Scheduler,
     /// Whether commands were applied since the outstanding orders were last looked at.
     pub(crate) state_changed: bool,
+    /// Revisions that routers were told of.
+    pub(crate) told: Option<Told>,
     pub(crate) drain: Option<Drain>,
     schedule: Schedule,
     decisions: u64,
@@ -104,6 +108,7 @@
             orders: Orders::default(),
             repair: Repair::default(),
             state_changed: true,
+            told: None,
             drain: None,
             schedule: Schedule::default(),
             decisions: 0,
@@ -252,6 +257,12 @@
         self.run_claims(now, unix_millis, out);
         self.run_repair(now, out);
         self.deliver_orders(now, out);
+        self.tell_news(now, out);
+    }
+
+    /// Whether the look for news is due.
+    pub(crate) fn news_due(&mut self, now: Timestamp) -> bool {
+        due(now, &mut self.schedule.news, news::INTERVAL)
     }
 
     fn overdue_calls(&mut self, now: Timestamp) -> Vec<u64> {
--- a/crates/millpass-control-plane/src/sessions.rs
+++ b/crates/millpass-control-plane/src/sessions.rs
@@ -83,6 +83,10 @@
     pub(crate) placement: PlacementRevision,
     /// Whether it is stopping.
     pub(crate) draining: bool,
+    /// Whether requests waited at it.
+    pub(crate) has_waiting: bool,
+    /// Whether it was told of news since its latest report.
+    pub(crate) told: bool,
     /// Share to watch last sent on this connection; none before the first.
     pub(crate) watch_sent: Option<Vec<(BackendName, String)>>,
 }
@@ -160,6 +164,8 @@
         session.configuration = report.configuration;
         session.placement = report.placement;
         session.draining = report.draining;
+        session.has_waiting = report.demand.iter().any(|demand| demand.waiting > 0);
+        session.told = false;
         admission
     }
 
@@ -190,6 +196,8 @@
             configuration: ConfigurationRevision(0),
             placement: PlacementRevision(0),
             draining: false,
+            has_waiting: false,
+            told: false,
             watch_sent: None,
         };
         self.sessions.insert(hello.router.clone(), session);
@@ -237,6 +245,25 @@
         self.sessions.clear();
     }
 
+    /// Connections of the routers to tell of these revisions, each once until its next report:
+    /// routes matter at once only where requests wait.
+    pub(crate) fn behind(
+        &mut self,
+        configuration: ConfigurationRevision,
+        placement: PlacementRevision,
+    ) -> Vec<ConnectionId> {
+        let mut connections = Vec::new();
+        for session in self.sessions.values_mut() {
+            let lacks_routes = session.has_waiting && session.placement < placement;
+            let lacks_something = session.configuration < configuration || lacks_routes;
+            if lacks_something && !session.told {
+                session.told = true;
+                connections.push(session.connection);
+            }
+        }
+        connections
+    }
+
     /// All routers with a session, for the status.
     pub(crate) fn status(&self, now: Timestamp) -> Vec<RouterStatus> {
         self.sessions
--- a/crates/millpass-control-plane/tests/harness/router.rs
+++ b/crates/millpass-control-plane/tests/harness/router.rs
@@ -25,6 +25,8 @@
     pub term: u64,
     /// Updates of a lower term, ignored.
     pub ignored: Vec<RouterUpdate>,
+    /// Times it was told to report at once.
+    pub news: u32,
     /// Catalog revision that each report of this run named.
     pub reported: BTreeMap<u64, ConfigurationRevision>,
     /// Its copy of the catalog.
@@ -52,6 +54,7 @@
             draining: false,
             term: 0,
             ignored: Vec::new(),
+            news: 0,
             reported: BTreeMap::new(),
             catalog: BTreeMap::new(),
         };
@@ -116,6 +119,7 @@
                 ControlToRouter::Claim(answer) => self.claims.push(answer),
                 ControlToRouter::ClaimFinished(attempt) => self.finished.push(attempt),
                 ControlToRouter::NotLeader(answer) => self.not_leader.push(answer),
+                ControlToRouter::News => self.news += 1,
             }
         }
     }
--- a/crates/millpass-control-plane/tests/sessions.rs
+++ b/crates/millpass-control-plane/tests/sessions.rs
@@ -223,6 +223,8 @@
     let mut fleet = Fleet::small(&["e-1"]);
     change_tenant(&mut fleet.world, "news", 0, Some(tenant(1)));
     let old = fleet.routers[0].connection;
+    // The change is news to it; only the answer to its report is held back.
+    fleet.routers[0].receive(&mut fleet.world);
     fleet.routers[0].sequence += 1;
     let sequence = fleet.routers[0].sequence;
     fleet.world.router_sends(old, report(sequence));
--- a/crates/millpass-hollow/src/router.rs
+++ b/crates/millpass-hollow/src/router.rs
@@ -210,6 +210,8 @@
                     *served = true;
                     self.take_update(routers, update);
                 }
+                // Hollow routers keep to their interval.
+                ControlToRouter::News => {}
                 ControlToRouter::Claim(answer) => self.take_claim(routers, answer),
                 ControlToRouter::ClaimFinished(attempt) => self.claim_finished(routers, attempt),
             }
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1890,6 +1890,9 @@
 
     /// This member does not lead; nothing was done.
     NotLeader(NotLeader),
+
+    /// There is something newer than the router's last report knew: report at once.
+    News,
 }
 
 
--- a/crates/millpass-routing/src/interface.rs
+++ b/crates/millpass-routing/src/interface.rs
@@ -155,6 +155,8 @@
     },
     /// A watched back end was read, or did not answer.
     Observed(BackendObservation),
+    /// The leader has something newer than the last report knew.
+    News,
     /// Stop: refuse new requests, finish those in flight, then report `Drained`.
     Drain,
 }
--- a/crates/millpass-routing/src/lib.rs
+++ b/crates/millpass-routing/src/lib.rs
@@ -160,6 +160,7 @@
                     self.reporting.hurry();
                 }
             }
+            RoutingInput::News => self.reporting.hurry(),
             RoutingInput::Drain => self.start_drain(step),
         }
     }
--- a/crates/millpass-routing/tests/lease.rs
+++ b/crates/millpass-routing/tests/lease.rs
@@ -251,3 +251,11 @@
     let outputs = driver.step(engine_seen(2, phase, running));
     assert_eq!(reports(&outputs), at_once);
 }
+
+#[test]
+fn news_make_the_router_report_at_once() {
+    let mut driver = Driver::ready(vec![], vec![]);
+    driver.tick(1_000);
+    driver.tick(100);
+    assert!(reports(&driver.step(RoutingInput::News)));
+}
--- a/crates/millpass-sim/src/router_link.rs
+++ b/crates/millpass-sim/src/router_link.rs
@@ -141,6 +141,7 @@
             ControlToRouter::Update(update) => {
                 self.router_step(router, RoutingInput::Update(update));
             }
+            ControlToRouter::News => self.router_step(router, RoutingInput::News),
             ControlToRouter::Claim(answer) => {
                 self.claim_answered(router, answer.attempt, answer.decision);
             }
