One place for what settles an order, one process clock, one pair of run events

Cause: a read of the whole change. What an engine's report settles stood in the control plane and again in the experiment; the router had a clock of its own beside ProcessClock; engine and web hosts of the simulator built the same two events; the look for a changed placement copied every slot of every report. Ruled out: one reader of deployment files for lab and experiment: the two differ in what they refuse, and a shared crate is more than a mending. Change: State::settlements, called by both; the router uses ProcessClock; Run::begin and Run::end; placements are compared without copies. Behaviour is unchanged.

--- a/crates/millpass-control-plane/src/observations.rs
+++ b/crates/millpass-control-plane/src/observations.rs
@@ -13,9 +13,8 @@
 use crate::platform::Platform;
 use crate::proposals::InternalKey;
 use millpass_proto::{
-    AdapterName, BackendKind, BackendMark, BackendName, BackendRegistration, BackendState, Command,
-    EngineOrder, EngineReport, EngineSlotPhase, EngineSlotReport, Incarnation, LogPosition,
-    OrderAction, OrderResult, OrderSettlement, RoleSettlement, SlotId, WebReport,
+    BackendKind, BackendMark, BackendName, BackendRegistration, BackendState, Command,
+    EngineReport, Incarnation, WebReport,
 };
 use millpass_state::State;
 use std::collections::BTreeMap;
@@ -182,78 +181,12 @@
 
 /// The orders that a report settles.
 fn settlements(report: &EngineReport, state: &State) -> Vec<Proposal> {
-    state
-        .outstanding_orders_of(&report.backend)
-        .iter()
-        .filter(|order| order.incarnation == report.incarnation)
-        // A report taken before the engine accepted the order says nothing about it.
-        .filter(|order| report.highest_fence >= order.fence)
-        .filter_map(|order| settlement(report, order))
+    let settled = state.settlements(report).into_iter();
+    settled
+        .map(|(fence, command)| (InternalKey::Settle(report.backend.clone(), fence), command))
         .collect()
 }
 
-fn settlement(report: &EngineReport, order: &EngineOrder) -> Option<Proposal> {
-    if let OrderAction::ChangeRole(role) = &order.action {
-        return (report.role == *role).then(|| role_settlement(order));
-    }
-    let (slot, adapter) = target(&order.action)?;
-    let phase = phase_under_fence(report, order.fence, slot, adapter)?;
-    let settlement = OrderSettlement {
-        slot,
-        adapter: adapter.cloned(),
-        backend: order.backend.clone(),
-        incarnation: order.incarnation,
-        fence: order.fence,
-        result: terminal(phase)?,
-    };
-    let key = InternalKey::Settle(order.backend.clone(), order.fence);
-    Some((key, Command::SettleOrder(settlement)))
-}
-
-fn role_settlement(order: &EngineOrder) -> Proposal {
-    let settlement = RoleSettlement {
-        backend: order.backend.clone(),
-        incarnation: order.incarnation,
-        fence: order.fence,
-    };
-    let key = InternalKey::Settle(order.backend.clone(), order.fence);
-    (key, Command::SettleRole(settlement))
-}
-
-/// Slot and adapter that an order is about; none for an order that concerns no slot.
-fn target(action: &OrderAction) -> Option<(SlotId, Option<&AdapterName>)> {
-    match action {
-        OrderAction::LoadModel(order) => Some((order.slot, None)),
-        OrderAction::UnloadModel(slot) => Some((*slot, None)),
-        OrderAction::LoadAdapter(order) => Some((order.slot, Some(&order.adapter))),
-        OrderAction::UnloadAdapter(order) => Some((order.slot, Some(&order.adapter))),
-        OrderAction::ChangeRole(_) => None,
-    }
-}
-
-fn phase_under_fence<'a>(
-    report: &'a EngineReport,
-    fence: LogPosition,
-    slot: SlotId,
-    adapter: Option<&AdapterName>,
-) -> Option<&'a EngineSlotPhase> {
-    let slot: &EngineSlotReport = report.slots.iter().find(|seen| seen.slot == slot)?;
-    let Some(adapter) = adapter else {
-        return (slot.fence == fence).then_some(&slot.phase);
-    };
-    let seen = slot.adapters.iter().find(|seen| seen.adapter == *adapter)?;
-    (seen.fence == fence).then_some(&seen.phase)
-}
-
-fn terminal(phase: &EngineSlotPhase) -> Option<OrderResult> {
-    match phase {
-        EngineSlotPhase::Loaded => Some(OrderResult::Loaded),
-        EngineSlotPhase::Unloaded => Some(OrderResult::Unloaded),
-        EngineSlotPhase::Failed(reason) => Some(OrderResult::Failed(reason.clone())),
-        EngineSlotPhase::Loading | EngineSlotPhase::Unloading => None,
-    }
-}
-
 /// A new run on a machine that leaves is not registered: it would take work until it is marked. It
 /// proves that the run before it has ended.
 fn ended_by_leaving_run(run: &RunSeen<'_>, state: &State) -> Option<Proposal> {
--- a/crates/millpass-experiment/src/lib.rs
+++ b/crates/millpass-experiment/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod report;
 pub mod routers;
 pub mod seats;
-pub mod settlements;
 pub mod simulation;
 pub mod strategies;
 pub mod trace;
--- a/crates/millpass-experiment/src/simulation.rs
+++ b/crates/millpass-experiment/src/simulation.rs
@@ -6,7 +6,6 @@
 use crate::metrics::{Measurements, RequestEnd};
 use crate::routers::{Routers, Target, adapter_name, target};
 use crate::seats::{Seat, Seats};
-use crate::settlements::settlements;
 use crate::trace::Trace;
 use millpass_proto::{BackendName, Command, Duration, Incarnation, LogPosition, SlotId, Timestamp};
 use millpass_scheduler::{Scheduler, SchedulerSettings};
@@ -256,7 +255,7 @@
         let trace = &self.trace.requests;
         for report in self.fleet.read_reports(now) {
             self.scheduler.observe_engine(now, &report);
-            for command in settlements(&report, &self.state) {
+            for (_, command) in self.state.settlements(&report) {
                 self.apply(&command);
             }
         }
--- a/crates/millpass-router/src/attempt.rs
+++ b/crates/millpass-router/src/attempt.rs
@@ -1,8 +1,8 @@
 //! Control of one attempt at a back end: the last check before writing, whether any byte may have
 //! left, and cancellation from another thread.
 
-use crate::clock::Clock;
 use millpass_proto::Timestamp;
+use millpass_telemetry::ProcessClock;
 use std::cell::RefCell;
 use std::io;
 use std::net::{Shutdown, TcpStream};
@@ -64,7 +64,7 @@
 #[derive(Debug)]
 pub(crate) struct AttemptControl {
     identity: u64,
-    clock: Clock,
+    clock: ProcessClock,
     send_before: Timestamp,
     progress: Mutex<Progress>,
 }
@@ -77,7 +77,7 @@
 }
 
 impl AttemptControl {
-    pub(crate) fn new(clock: Clock, send_before: Timestamp) -> Self {
+    pub(crate) fn new(clock: ProcessClock, send_before: Timestamp) -> Self {
         AttemptControl {
             identity: NEXT_IDENTITY.fetch_add(1, Ordering::Relaxed),
             clock,
--- a/crates/millpass-router/src/backend.rs
+++ b/crates/millpass-router/src/backend.rs
@@ -2,7 +2,6 @@
 
 use crate::attempt::{AttemptControl, CurrentAttempt};
 use crate::caller::{KEY_HEADER, path_and_query, takes_body};
-use crate::clock::Clock;
 use crate::refusal::{EXECUTED_HEADER, REQUEST_ID_HEADER};
 use crate::settings::BackendTimeouts;
 use crate::transport::AttemptConnector;
@@ -14,6 +13,7 @@
 use millpass_http::Request;
 use millpass_proto::Urgency;
 use millpass_routing::{AttemptFailure, Dispatch};
+use millpass_telemetry::ProcessClock;
 use std::sync::Arc;
 use ureq::unversioned::resolver::DefaultResolver;
 use ureq::{Agent, Body};
@@ -54,7 +54,7 @@
     /// A fresh connection for each request: claimed requests never meet one that may be dying.
     fresh: Agent,
     timeouts: BackendTimeouts,
-    clock: Clock,
+    clock: ProcessClock,
 }
 
 /// What an attempt sends.
@@ -70,7 +70,7 @@
 }
 
 impl BackendClient {
-    pub(crate) fn new(timeouts: BackendTimeouts, clock: Clock) -> Self {
+    pub(crate) fn new(timeouts: BackendTimeouts, clock: ProcessClock) -> Self {
         BackendClient {
             pooled: agent(&timeouts, timeouts.idle_connections),
             fresh: agent(&timeouts, 0),
--- a/crates/millpass-router/src/caller.rs
+++ b/crates/millpass-router/src/caller.rs
@@ -1,12 +1,12 @@
 //! Reading a caller's request: target, API key, deadline, idempotency key and request id.
 
-use crate::clock::unix_millis;
 use crate::refusal::{ErrorAnswer, REQUEST_ID_HEADER};
 use crate::settings::CallerLimits;
 use http::header::{AUTHORIZATION, HeaderName};
 use http::{HeaderMap, Method, StatusCode};
 use millpass_http::Request;
 use millpass_routing::{IdempotencyKey, Target};
+use millpass_telemetry::unix_millis;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::time::Duration;
--- a/crates/millpass-router/src/driver.rs
+++ b/crates/millpass-router/src/driver.rs
@@ -7,7 +7,6 @@
 //! frames and watch lists go into channels and tables. Log lines are written under no lock.
 
 use crate::attempt::AttemptControl;
-use crate::clock::{Clock, unix_millis};
 use crate::metrics::Metrics;
 use crate::models::ModelsView;
 use crate::outbox::Outbox;
@@ -19,6 +18,7 @@
     Explanation, Routing, RoutingEvent, RoutingInput, RoutingOutput, RoutingSettings,
     RoutingSnapshot,
 };
+use millpass_telemetry::{ProcessClock, unix_millis};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -27,7 +27,7 @@
 pub(crate) struct Driver {
     core: Mutex<Routing>,
     delivery: Mutex<()>,
-    pub(crate) clock: Clock,
+    pub(crate) clock: ProcessClock,
     pub(crate) requests: RequestTable,
     pub(crate) outbox: Outbox,
     pub(crate) watch: WatchList,
@@ -40,7 +40,7 @@
 
 impl Driver {
     pub(crate) fn new(settings: RoutingSettings, metrics: Metrics, drained: Sender<()>) -> Self {
-        let clock = Clock::new();
+        let clock = ProcessClock::start();
         Driver {
             core: Mutex::new(Routing::new(settings, clock.now())),
             delivery: Mutex::new(()),
--- a/crates/millpass-router/src/lib.rs
+++ b/crates/millpass-router/src/lib.rs
@@ -8,7 +8,6 @@
 mod backend;
 mod caller;
 mod caller_side;
-mod clock;
 mod driver;
 mod exchange;
 mod explain;
--- a/crates/millpass-router/src/process.rs
+++ b/crates/millpass-router/src/process.rs
@@ -1,7 +1,6 @@
 //! The router process: its threads, from start to stop.
 
 use crate::backend::BackendClient;
-use crate::clock::Clock;
 use crate::driver::Driver;
 use crate::handler::{CallerHandler, ObservationHandler};
 use crate::link::{Link, LinkStopper};
@@ -13,6 +12,7 @@
 use millpass_http::{DrainReport, Server, ServerHandle, ServerSettings};
 use millpass_proto::{Incarnation, RouterName};
 use millpass_routing::{RequestNumber, RoutingInput};
+use millpass_telemetry::ProcessClock;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -102,7 +102,7 @@
 }
 
 fn shared(settings: &RouterProcessSettings, driver: Arc<Driver>) -> Shared {
-    let clock: Clock = driver.clock;
+    let clock: ProcessClock = driver.clock;
     Shared {
         name: settings.routing.router.clone(),
         incarnation: settings.routing.incarnation,
--- a/crates/millpass-routing/src/observations.rs
+++ b/crates/millpass-routing/src/observations.rs
@@ -1,6 +1,9 @@
 //! What watched back ends reported, until the leader has it.
 
-use millpass_proto::{BackendName, BackendObservation, EngineReport, WatchedBackend};
+use millpass_proto::{
+    BackendName, BackendObservation, EngineAdapterReport, EngineSlotPhase, EngineSlotReport,
+    SlotId, WatchedBackend,
+};
 use std::collections::BTreeMap;
 
 /// Most back ends watched by one router.
@@ -88,13 +91,12 @@
 fn shows_same_placement(one: &BackendObservation, other: &BackendObservation) -> bool {
     match (one, other) {
         (BackendObservation::Engine(one), BackendObservation::Engine(other)) => {
-            let parts = |report: &EngineReport| {
-                let slots = report.slots.iter();
-                let parts =
-                    slots.map(|slot| (slot.slot, slot.phase.clone(), slot.adapters.clone()));
-                parts.collect::<Vec<_>>()
-            };
-            one.incarnation == other.incarnation && parts(one) == parts(other)
+            one.incarnation == other.incarnation
+                && one
+                    .slots
+                    .iter()
+                    .map(placement)
+                    .eq(other.slots.iter().map(placement))
         }
         (BackendObservation::Web(one), BackendObservation::Web(other)) => {
             one.incarnation == other.incarnation
@@ -104,6 +106,11 @@
     }
 }
 
+/// What a slot holds, without how much runs in it.
+fn placement(slot: &EngineSlotReport) -> (SlotId, &EngineSlotPhase, &[EngineAdapterReport]) {
+    (slot.slot, &slot.phase, &slot.adapters)
+}
+
 fn name_of(observation: &BackendObservation) -> &BackendName {
     match observation {
         BackendObservation::Engine(report) => &report.backend,
--- a/crates/millpass-sim/src/back_ends.rs
+++ b/crates/millpass-sim/src/back_ends.rs
@@ -3,6 +3,7 @@
 use crate::engine::{EngineModel, EngineProtections};
 use crate::event::{BackEnd, BackEndRequest, ReplyTo};
 use crate::network::Zone;
+use millpass_checkers::{Event, RunEnding};
 use millpass_proto::{
     BackendKind, BackendName, BackendState, EngineReport, GroupName, Incarnation, PlatformMachine,
 };
@@ -19,6 +20,35 @@
     pub position: u64,
 }
 
+impl Run {
+    /// A request that begins, and the event of it.
+    pub fn begin(
+        backend: &BackendName,
+        incarnation: Incarnation,
+        request: BackEndRequest,
+    ) -> (Run, Event) {
+        let event = Event::RunStarted {
+            backend: backend.clone(),
+            incarnation,
+            request: request.request,
+            key: request.key.clone(),
+            resumed: request.resume_from > 0,
+        };
+        let position = request.resume_from;
+        (Run { request, position }, event)
+    }
+
+    /// The event of its end.
+    pub fn end(&self, backend: &BackendName, incarnation: Incarnation, ending: RunEnding) -> Event {
+        Event::RunEnded {
+            backend: backend.clone(),
+            incarnation,
+            request: self.request.request,
+            ending,
+        }
+    }
+}
+
 /// An engine machine.
 pub struct EngineNode {
     /// Name.
--- a/crates/millpass-sim/src/engine_host.rs
+++ b/crates/millpass-sim/src/engine_host.rs
@@ -187,15 +187,8 @@
         }
         node.model.run_started(slot);
         let reply_to = request.reply_to;
-        let event = Event::RunStarted {
-            backend: node.name.clone(),
-            incarnation: node.incarnation,
-            request: request.request,
-            key: request.key.clone(),
-            resumed: request.resume_from > 0,
-        };
-        let position = request.resume_from;
-        node.runs.insert(reply_to, Run { request, position });
+        let (started, event) = Run::begin(&node.name, node.incarnation, request);
+        node.runs.insert(reply_to, started);
         let run = node.run;
         self.record(event);
         self.engine_later(engine, run, STEP_MICROS, EngineEvent::Step(reply_to));
@@ -233,12 +226,7 @@
         let Some(run) = node.runs.remove(&reply_to) else {
             return;
         };
-        let event = Event::RunEnded {
-            backend: node.name.clone(),
-            incarnation: node.incarnation,
-            request: run.request.request,
-            ending,
-        };
+        let event = run.end(&node.name, node.incarnation, ending);
         let slot = run.request.slot.unwrap_or(millpass_proto::SlotId(0));
         let effects = node.model.run_ended(slot);
         self.record(event);
--- a/crates/millpass-sim/src/web_host.rs
+++ b/crates/millpass-sim/src/web_host.rs
@@ -41,15 +41,8 @@
         let service = SERVICE_MICROS + self.random.below(SERVICE_JITTER);
         let node = &mut self.web[web];
         let reply_to = request.reply_to;
-        let event = Event::RunStarted {
-            backend: node.name.clone(),
-            incarnation: node.incarnation,
-            request: request.request,
-            key: request.key.clone(),
-            resumed: request.resume_from > 0,
-        };
-        let position = request.resume_from;
-        node.runs.insert(reply_to, Run { request, position });
+        let (started, event) = Run::begin(&node.name, node.incarnation, request);
+        node.runs.insert(reply_to, started);
         let run = node.run;
         self.record(event);
         self.web_later(web, run, service, WebEvent::Done(reply_to));
@@ -73,12 +66,7 @@
         let Some(run) = node.runs.remove(&reply_to) else {
             return;
         };
-        let event = Event::RunEnded {
-            backend: node.name.clone(),
-            incarnation: node.incarnation,
-            request: run.request.request,
-            ending,
-        };
+        let event = run.end(&node.name, node.incarnation, ending);
         self.record(event);
     }
 
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod refusal;
 mod routes;
+mod settlements;
 mod validation;
 
 pub use audit::{MAXIMUM_AUDIT_RECORDS, MAXIMUM_REMEMBERED_CHANGES};
