--- /dev/null
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -0,0 +1,93 @@
+//! Counters and histograms of the gateway.
+
+use millpass_dispatch::SendEnd;
+use millpass_telemetry::{exposition, registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use std::time::Duration;
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0,
+];
+
+/// Metrics of one process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: IntCounterVec,
+    pub(crate) first_byte: Histogram,
+    sends: IntCounterVec,
+    pub(crate) connects: IntCounter,
+    pub(crate) resumed: IntCounter,
+    pub(crate) document_version: IntGauge,
+    pub(crate) instances: IntGauge,
+    pub(crate) link_changes: IntCounterVec,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> prometheus::Result<Metrics> {
+        let registry = registry();
+        let counters = |name: &str, help: &str, label: &str| -> prometheus::Result<IntCounterVec> {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let requests = counters("gateway_requests_total", "Requests by outcome", "outcome")?;
+        let sends = counters(
+            "gateway_sends_total",
+            "Sends to instances by their end",
+            "end",
+        )?;
+        let link_changes = counters(
+            "gateway_link_total",
+            "Changes of the link to the leader",
+            "change",
+        )?;
+        let connects = IntCounter::new("gateway_connects_total", "New connections to instances")?;
+        let resumed = IntCounter::new("gateway_resumed_total", "Streams that went on elsewhere")?;
+        let document_version = IntGauge::new("gateway_document_version", "Version in force")?;
+        let instances = IntGauge::new("gateway_instances", "Instances known")?;
+        let options = HistogramOpts::new("gateway_first_byte_seconds", "Time to the answer's head")
+            .buckets(LATENCY_BUCKETS.to_vec());
+        let first_byte = Histogram::with_opts(options)?;
+        registry.register(Box::new(connects.clone()))?;
+        registry.register(Box::new(resumed.clone()))?;
+        registry.register(Box::new(document_version.clone()))?;
+        registry.register(Box::new(instances.clone()))?;
+        registry.register(Box::new(first_byte.clone()))?;
+        Ok(Metrics {
+            registry,
+            requests,
+            first_byte,
+            sends,
+            connects,
+            resumed,
+            document_version,
+            instances,
+            link_changes,
+        })
+    }
+
+    pub(crate) fn count_send(&self, end: SendEnd) {
+        let label = match end {
+            SendEnd::Answered(time) => {
+                self.first_byte.observe(time.as_secs_f64());
+                "answered"
+            }
+            SendEnd::Full => "full",
+            SendEnd::Misdirected => "misdirected",
+            SendEnd::Unreachable => "unreachable",
+            SendEnd::Failed => "failed",
+            SendEnd::GivenUp => "given-up",
+        };
+        self.sends.with_label_values(&[label]).inc();
+    }
+
+    pub(crate) fn exposition(&self) -> String {
+        exposition(&self.registry)
+    }
+}
+
+/// A duration in whole milliseconds, for log lines.
+pub(crate) fn millis(time: Duration) -> String {
+    time.as_millis().to_string()
+}
--- /dev/null
+++ b/crates/millpass-gateway/src/pool.rs
@@ -0,0 +1,150 @@
+//! Connections to instances. A connection is used for one request at a time and comes back only after
+//! a whole answer.
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use bytes::Bytes;
+use futures_lite::future;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use millpass_proto::InstanceId;
+use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Most idle connections kept for one instance.
+const MAXIMUM_IDLE: usize = 8;
+/// Longest time an idle connection is kept when the instance states none.
+const IDLE_TIME: Duration = Duration::from_millis(2_500);
+/// Time before the stated end at which an idle connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Time after which unacknowledged bytes end a connection.
+const USER_TIMEOUT: Duration = Duration::from_millis(4_000);
+
+/// Why there is no connection.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConnectError {
+    /// The address is none.
+    #[error("{0} is no address; the instance announced a wrong one")]
+    Address(String),
+    /// It was refused or broke.
+    #[error("connect failed: {0}")]
+    Failed(#[from] std::io::Error),
+    /// It took too long.
+    #[error("connect timed out")]
+    TimedOut,
+    /// HTTP could not be started on it.
+    #[error("connection unusable: {0}")]
+    Http(#[from] hyper::Error),
+}
+
+/// A connection ready for one request.
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) reused: bool,
+}
+
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    until: Instant,
+}
+
+/// Idle connections by instance.
+#[derive(Default)]
+pub(crate) struct Pool {
+    idle: Mutex<HashMap<InstanceId, Vec<Idle>>>,
+}
+
+impl Pool {
+    fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// An idle connection that is surely still open, the one used last first.
+    pub(crate) fn take(&self, instance: &InstanceId) -> Option<Connection> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(instance)?;
+        let now = Instant::now();
+        while let Some(candidate) = connections.pop() {
+            if candidate.until > now && candidate.sender.is_ready() {
+                return Some(Connection {
+                    sender: candidate.sender,
+                    reused: true,
+                });
+            }
+        }
+        None
+    }
+
+    /// Takes a connection back after a whole answer.
+    pub(crate) fn put(
+        &self,
+        instance: &InstanceId,
+        sender: SendRequest<Full<Bytes>>,
+        keep_alive: Option<Duration>,
+    ) {
+        let time = keep_alive
+            .map_or(IDLE_TIME, |stated| stated.saturating_sub(IDLE_MARGIN))
+            .min(Duration::from_secs(30));
+        if time.is_zero() || sender.is_closed() {
+            return;
+        }
+        let mut idle = self.lock();
+        let connections = idle.entry(instance.clone()).or_default();
+        connections.retain(|connection| !connection.sender.is_closed());
+        if connections.len() < MAXIMUM_IDLE {
+            connections.push(Idle {
+                sender,
+                until: Instant::now() + time,
+            });
+        }
+    }
+
+    /// Closes what has been idle for too long.
+    pub(crate) fn sweep(&self) {
+        let now = Instant::now();
+        self.lock().retain(|_, connections| {
+            connections.retain(|idle| idle.until > now && !idle.sender.is_closed());
+            !connections.is_empty()
+        });
+    }
+}
+
+/// Opens a connection.
+pub(crate) async fn connect(
+    executor: &'static Executor<'static>,
+    address: &str,
+    timeout: Duration,
+) -> Result<Connection, ConnectError> {
+    let target: SocketAddr = address
+        .parse()
+        .map_err(|_| ConnectError::Address(address.to_owned()))?;
+    let connecting = async { Some(Async::<TcpStream>::connect(target).await) };
+    let timer = async {
+        Timer::after(timeout).await;
+        None
+    };
+    let stream = future::or(connecting, timer)
+        .await
+        .ok_or(ConnectError::TimedOut)??;
+    stream.get_ref().set_nodelay(true)?;
+    let _ = SockRef::from(stream.get_ref()).set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let (sender, connection) = http1::Builder::new()
+        .preserve_header_case(true)
+        .max_buf_size(64 * 1024)
+        .handshake(FuturesIo::new(stream))
+        .await?;
+    let served = async move {
+        if let Err(error) = connection.await {
+            log::debug!("event=instance_connection_ended error=\"{error}\"");
+        }
+    };
+    executor.spawn(served).detach();
+    Ok(Connection {
+        sender,
+        reused: false,
+    })
+}
--- /dev/null
+++ b/crates/millpass-gateway/src/process.rs
@@ -0,0 +1,107 @@
+//! The process: start, signals, stop.
+
+use crate::interface::Interface;
+use crate::link;
+use crate::metrics::Metrics;
+use crate::server::{self, Service};
+use crate::settings::GatewaySettings;
+use crate::shared::Shared;
+use async_executor::Executor;
+use async_io::Timer;
+use futures_lite::future;
+use millpass_telemetry::event_line;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Time between two looks for connections that have been idle for too long.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two looks at what is still in flight during a stop.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Why the gateway did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum GatewayError {
+    /// An address cannot be listened on.
+    #[error(
+        "cannot listen on {address}: {source}; stop the process that holds the port, or choose \
+         another address in the settings"
+    )]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Metrics could not be set up.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// Runs a gateway on this thread until `stop` is done, then ends what is in flight within the grace.
+pub fn run(
+    settings: GatewaySettings,
+    interface: Arc<dyn Interface>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), GatewayError> {
+    // Lives as long as the process: tasks refer to it from anywhere.
+    let executor: &'static Executor<'static> = Box::leak(Box::new(Executor::new()));
+    let listeners = [
+        (settings.listen, Service::Callers),
+        (settings.ready_listen, Service::Readiness),
+        (settings.metrics_listen, Service::Metrics),
+    ];
+    let shared = Arc::new(Shared::new(settings, interface, Metrics::new()?, executor));
+    for (address, service) in listeners {
+        let listener =
+            server::listen(address).map_err(|source| GatewayError::Listen { address, source })?;
+        executor
+            .spawn(server::accept(listener, shared.clone(), service))
+            .detach();
+    }
+    executor.spawn(link::run(shared.clone())).detach();
+    executor.spawn(sweep(shared.clone())).detach();
+    let pairs = [
+        ("gateway", shared.settings.dispatch.name.clone()),
+        ("zone", shared.settings.dispatch.zone.0.clone()),
+        ("listen", shared.settings.listen.to_string()),
+        ("members", format!("{:?}", shared.settings.members)),
+    ];
+    log::info!("{}", event_line("gateway_started", &pairs));
+    let whole = async {
+        stop.await;
+        drain(&shared).await;
+    };
+    async_io::block_on(executor.run(whole));
+    Ok(())
+}
+
+async fn sweep(shared: Arc<Shared>) {
+    loop {
+        Timer::after(SWEEP_INTERVAL).await;
+        shared.pool.sweep();
+    }
+}
+
+/// Stops taking work: not ready, connections end after their answer, and the process ends when
+/// nothing is in flight and callers have had time to turn elsewhere, or when the grace is over.
+async fn drain(shared: &Shared) {
+    shared.draining.store(true, Ordering::Release);
+    let started = Instant::now();
+    let in_flight = shared.in_flight.load(Ordering::Acquire);
+    log::info!("event=gateway_draining in_flight={in_flight}");
+    loop {
+        Timer::after(DRAIN_POLL).await;
+        let elapsed = started.elapsed();
+        let idle = shared.in_flight.load(Ordering::Acquire) == 0;
+        let no_callers = shared.connections.load(Ordering::Acquire) == 0;
+        let turned_away = elapsed >= shared.settings.drain_accept;
+        if (idle && no_callers && turned_away) || elapsed >= shared.settings.drain_grace {
+            break;
+        }
+    }
+    let cut = shared.in_flight.load(Ordering::Acquire);
+    log::info!("event=gateway_stopped cut={cut}");
+    future::yield_now().await;
+}
--- /dev/null
+++ b/crates/millpass-gateway/src/relay.rs
@@ -0,0 +1,269 @@
+//! Passes an answer's body on as it comes, and lets a resumable stream go on at another instance when
+//! its own breaks. Dropping the body ends the work at the instance.
+
+use crate::events::EventBuffer;
+use crate::exchange::{self, Received, Template};
+use crate::forward::{InFlight, is_stream, log_request};
+use crate::interface::SendFacts;
+use crate::shared::{ActiveSend, Shared};
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::{future, stream};
+use http::StatusCode;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::client::conn::http1::SendRequest;
+use millpass_dispatch::{Choice, SendEnd, Ticket};
+use millpass_proto::Duration;
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+
+/// Body of any answer to a caller.
+pub(crate) type RelayBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// A body that is there already.
+pub(crate) fn whole_body(bytes: Bytes) -> RelayBody {
+    let never = |error: Infallible| match error {};
+    Full::new(bytes).map_err(never).boxed_unsync()
+}
+
+/// An answer on its way.
+pub(crate) struct Relay {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    template: Template,
+    active: Option<ActiveSend>,
+    body: Incoming,
+    sender: Option<SendRequest<Full<Bytes>>>,
+    keep_alive: Option<Duration>,
+    took: Duration,
+    status: StatusCode,
+    /// Present when the stream may go on elsewhere.
+    events: Option<EventBuffer>,
+    ended: bool,
+    _in_flight: Option<InFlight>,
+}
+
+enum Part {
+    Bytes(Bytes),
+    End,
+    Broken(String),
+    TimedOut,
+}
+
+impl Relay {
+    #[expect(clippy::too_many_arguments, reason = "built in one place")]
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        ticket: Ticket,
+        template: Template,
+        active: ActiveSend,
+        received: Received,
+        took: Duration,
+        resumable: bool,
+        in_flight: Option<InFlight>,
+    ) -> Self {
+        let resumable = resumable && is_stream(&ticket.route);
+        Relay {
+            shared,
+            ticket,
+            template,
+            active: Some(active),
+            body: received.body,
+            sender: Some(received.sender),
+            keep_alive: received.facts.keep_alive,
+            took,
+            status: received.head.status,
+            events: resumable.then(EventBuffer::default),
+            ended: false,
+            _in_flight: in_flight,
+        }
+    }
+
+    async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Relay)> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            match self.read().await {
+                Part::Bytes(bytes) => {
+                    let passed = match &mut self.events {
+                        Some(events) => events.take(&bytes),
+                        None => bytes,
+                    };
+                    if !passed.is_empty() {
+                        return Some((Ok(Frame::data(passed)), self));
+                    }
+                }
+                Part::End => {
+                    let rest = self.events.as_mut().map(EventBuffer::rest);
+                    self.finish();
+                    let rest = rest.filter(|rest| !rest.is_empty())?;
+                    self.ended = true;
+                    return Some((Ok(Frame::data(rest)), self));
+                }
+                Part::Broken(reason) => {
+                    if self.events.is_some() && self.resume(&reason).await {
+                        continue;
+                    }
+                    return Some(self.cut("broken", &reason).await);
+                }
+                Part::TimedOut => return Some(self.cut("timed-out", "").await),
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Part {
+        let left = self.shared.clock.left_until(self.ticket.give_up);
+        let body = &mut self.body;
+        let read = async {
+            loop {
+                match body.frame().await {
+                    None => return Part::End,
+                    Some(Err(error)) => return Part::Broken(error.to_string()),
+                    Some(Ok(frame)) => {
+                        if let Ok(bytes) = frame.into_data() {
+                            return Part::Bytes(bytes);
+                        }
+                    }
+                }
+            }
+        };
+        let timer = async {
+            Timer::after(left).await;
+            Part::TimedOut
+        };
+        future::or(read, timer).await
+    }
+
+    /// The whole answer was passed on: the connection may be used again.
+    fn finish(&mut self) {
+        let Some(active) = self.active.take() else {
+            return;
+        };
+        let instance = active.record().instance.clone();
+        if let Some(sender) = self.sender.take() {
+            self.shared.pool.put(&instance, sender, self.keep_alive);
+        }
+        active.end(SendEnd::Answered(self.took));
+        log_request(&self.shared, &self.ticket, "answered", self.status.as_str());
+    }
+
+    /// Ends the answer short of its end, so that the caller sees that it is not whole. hyper drops
+    /// what it has not flushed when a body fails, so it first gets a turn to flush.
+    async fn cut(
+        mut self,
+        outcome: &'static str,
+        reason: &str,
+    ) -> (io::Result<Frame<Bytes>>, Relay) {
+        self.sender = None;
+        if let Some(active) = self.active.take() {
+            let end = if outcome == "broken" {
+                SendEnd::Failed
+            } else {
+                SendEnd::GivenUp
+            };
+            active.end(end);
+        }
+        log_request(&self.shared, &self.ticket, outcome, reason);
+        future::yield_now().await;
+        self.ended = true;
+        let error = io::Error::other(format!("the answer was cut: {outcome}"));
+        (Err(error), self)
+    }
+
+    /// Lets the stream go on at another instance, after the last whole event.
+    async fn resume(&mut self, reason: &str) -> bool {
+        self.sender = None;
+        if let Some(active) = self.active.take() {
+            let instance = &active.record().instance;
+            log::info!(
+                "event=stream_broken request={} instance={instance} reason={reason:?}",
+                self.ticket.description.attempt
+            );
+            active.end(SendEnd::Failed);
+        }
+        if let Some(events) = &mut self.events {
+            events.discard_part();
+        }
+        loop {
+            let changed = self.shared.changed.listen();
+            let now = self.shared.now();
+            let choice = self.shared.core().choose(now, &mut self.ticket);
+            match choice {
+                Choice::Send { instance, address } => {
+                    if let Some(resumed) = self.send_again(instance, &address).await {
+                        return resumed;
+                    }
+                }
+                Choice::Wait { until } => {
+                    if now >= self.ticket.give_up {
+                        return false;
+                    }
+                    let left = self.shared.clock.left_until(until);
+                    let timer = async {
+                        Timer::after(left).await;
+                    };
+                    future::or(changed, timer).await;
+                }
+                Choice::Refuse { .. } => return false,
+            }
+        }
+    }
+
+    /// Some(true) when the stream goes on, Some(false) when it cannot, none to try another.
+    async fn send_again(
+        &mut self,
+        instance: millpass_proto::InstanceId,
+        address: &str,
+    ) -> Option<bool> {
+        let shared = self.shared.clone();
+        let active = ActiveSend::new(shared.clone(), self.ticket.record(&instance));
+        let last = self
+            .events
+            .as_ref()
+            .and_then(|events| events.last_identity())
+            .map(str::to_owned);
+        let facts = SendFacts {
+            remaining: self.ticket.deadline.since(shared.now()),
+            instance: &instance,
+            priority: self.ticket.route.priority,
+            last_event: last.as_deref(),
+        };
+        let give_up = self.ticket.give_up;
+        let Ok(received) = exchange::send(&shared, &self.template, address, &facts, give_up).await
+        else {
+            active.end(SendEnd::Failed);
+            return None;
+        };
+        if received.facts.not_executed || received.facts.misdirected {
+            active.end(SendEnd::Full);
+            return None;
+        }
+        let stated = received.facts.attempt.as_deref();
+        let same = stated.is_none_or(|stated| stated == self.ticket.description.attempt);
+        if !same || received.head.status != self.status {
+            active.end(SendEnd::Failed);
+            return None;
+        }
+        log::info!(
+            "event=stream_resumed request={} instance={instance} after={}",
+            self.ticket.description.attempt,
+            last.as_deref().unwrap_or("none"),
+        );
+        shared.metrics.resumed.inc();
+        self.active = Some(active);
+        self.body = received.body;
+        self.sender = Some(received.sender);
+        self.keep_alive = received.facts.keep_alive;
+        Some(true)
+    }
+}
+
+/// The body that a relay gives.
+pub(crate) fn relay(state: Relay) -> RelayBody {
+    let frames = stream::unfold(state, Relay::next);
+    StreamBody::new(frames).boxed_unsync()
+}
--- /dev/null
+++ b/crates/millpass-gateway/src/server.rs
@@ -0,0 +1,150 @@
+//! Listens, accepts, and serves connections: those of callers, and those that ask for readiness or
+//! metrics.
+
+use crate::forward;
+use crate::relay::{RelayBody, whole_body};
+use crate::shared::Shared;
+use async_io::{Async, Timer};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use socket2::{Domain, SockRef, Socket, Type};
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Connections that may wait to be accepted.
+const LISTEN_QUEUE: i32 = 1_024;
+/// Pause after a failed accept, for example when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Largest head that is read before the configuration states a limit, in bytes.
+const HEAD_BYTES: usize = 64 * 1024;
+/// Time an idle connection is kept while the configuration states none.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+/// Time after which unacknowledged bytes end a connection.
+const USER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Service {
+    /// Requests of callers.
+    Callers,
+    /// Whether this gateway takes new connections.
+    Readiness,
+    /// Counters and histograms.
+    Metrics,
+}
+
+/// Listens on an address.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(LISTEN_QUEUE)?;
+    Async::new(socket.into())
+}
+
+/// Accepts connections for as long as the process lives.
+pub(crate) async fn accept(listener: Async<TcpListener>, shared: Arc<Shared>, service: Service) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let served = serve(stream, shared.clone(), service);
+                shared.executor.spawn(served).detach();
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts a caller's connection for as long as it lives.
+struct Counted(Arc<Shared>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+async fn serve(stream: Async<TcpStream>, shared: Arc<Shared>, service: Service) {
+    let _ = stream.get_ref().set_nodelay(true);
+    let _ = SockRef::from(stream.get_ref()).set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let counted = (service == Service::Callers).then(|| {
+        shared.connections.fetch_add(1, Ordering::AcqRel);
+        Counted(shared.clone())
+    });
+    let idle = idle_time(&shared);
+    let answering = shared.clone();
+    let answer = service_fn(move |request| {
+        let shared = answering.clone();
+        async move { Ok::<_, Infallible>(answer(shared, request, service).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(HEAD_BYTES)
+        .preserve_header_case(true)
+        .serve_connection(FuturesIo::new(stream), answer);
+    if let Err(error) = connection.await {
+        log::debug!("event=caller_connection_ended error=\"{error}\"");
+    }
+    drop(counted);
+}
+
+fn idle_time(shared: &Shared) -> Duration {
+    let stated = shared
+        .core()
+        .table()
+        .map_or(0, |table| table.document().limits.idle_millis);
+    match stated {
+        0 => IDLE_TIME,
+        millis => Duration::from_millis(millis),
+    }
+}
+
+async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    service: Service,
+) -> Response<RelayBody> {
+    match service {
+        Service::Callers => forward::handle(shared, request).await,
+        Service::Readiness => readiness(&shared, &request),
+        Service::Metrics => text(StatusCode::OK, shared.metrics.exposition()),
+    }
+}
+
+/// Ready is a gateway that has a configuration and is not about to stop.
+fn readiness(shared: &Shared, request: &Request<Incoming>) -> Response<RelayBody> {
+    if !shared
+        .interface
+        .is_readiness(request.method(), request.uri())
+    {
+        return text(StatusCode::NOT_FOUND, "ask for readiness\n".to_owned());
+    }
+    let configured = shared.core().table().is_some();
+    if configured && !shared.is_draining() {
+        return text(StatusCode::OK, "ready\n".to_owned());
+    }
+    let reason = if configured {
+        "draining\n"
+    } else {
+        "no configuration yet\n"
+    };
+    text(StatusCode::SERVICE_UNAVAILABLE, reason.to_owned())
+}
+
+fn text(status: StatusCode, text: String) -> Response<RelayBody> {
+    let mut response = Response::new(whole_body(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/millpass-gateway/src/settings.rs
@@ -0,0 +1,32 @@
+//! Settings of the gateway process.
+
+use millpass_dispatch::DispatchSettings;
+use millpass_proto::Duration;
+use std::net::SocketAddr;
+
+/// Settings of the gateway process.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// The decision core's.
+    pub dispatch: DispatchSettings,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where readiness is asked.
+    pub ready_listen: SocketAddr,
+    /// Where metrics are read.
+    pub metrics_listen: SocketAddr,
+    /// Peer addresses of control members to begin with.
+    pub members: Vec<SocketAddr>,
+    /// Time between reports to the leader.
+    pub report_interval: Duration,
+    /// Silence of the leader after which another member is asked.
+    pub leader_silence: Duration,
+    /// Longest wait for a connection to an instance.
+    pub connect_timeout: Duration,
+    /// Longest wait for a connection to a control member.
+    pub link_timeout: Duration,
+    /// Time for requests in flight to end after a stop was asked for.
+    pub drain_grace: Duration,
+    /// Time for which new connections are still taken after a stop was asked for.
+    pub drain_accept: Duration,
+}
--- /dev/null
+++ b/crates/millpass-gateway/src/shared.rs
@@ -0,0 +1,109 @@
+//! The decision core behind its lock, and who waits for news.
+
+use crate::interface::Interface;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::GatewaySettings;
+use async_executor::Executor;
+use event_listener::Event;
+use millpass_dispatch::{Dispatcher, SendEnd, SendRecord};
+use millpass_proto::Timestamp;
+use millpass_telemetry::ProcessClock;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What all tasks of the process share.
+pub(crate) struct Shared {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) interface: Arc<dyn Interface>,
+    core: Mutex<Dispatcher>,
+    pub(crate) clock: ProcessClock,
+    /// Notified when instances, routes or room change.
+    pub(crate) changed: Event,
+    /// Notified when a report should go out at once.
+    pub(crate) report: Event,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    pub(crate) executor: &'static Executor<'static>,
+    pub(crate) draining: AtomicBool,
+    pub(crate) in_flight: AtomicUsize,
+    pub(crate) connections: AtomicUsize,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        interface: Arc<dyn Interface>,
+        metrics: Metrics,
+        executor: &'static Executor<'static>,
+    ) -> Self {
+        Shared {
+            core: Mutex::new(Dispatcher::new(settings.dispatch.clone())),
+            settings,
+            interface,
+            clock: ProcessClock::start(),
+            changed: Event::new(),
+            report: Event::new(),
+            pool: Pool::default(),
+            metrics,
+            executor,
+            draining: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+        }
+    }
+
+    pub(crate) fn core(&self) -> MutexGuard<'_, Dispatcher> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+}
+
+/// A send under way; ends once, as given up if nothing else is said.
+pub(crate) struct ActiveSend {
+    shared: Arc<Shared>,
+    record: SendRecord,
+    ended: bool,
+}
+
+impl ActiveSend {
+    pub(crate) fn new(shared: Arc<Shared>, record: SendRecord) -> Self {
+        ActiveSend {
+            shared,
+            record,
+            ended: false,
+        }
+    }
+
+    pub(crate) fn record(&self) -> &SendRecord {
+        &self.record
+    }
+
+    /// Notes how it ended.
+    pub(crate) fn end(mut self, end: SendEnd) {
+        self.note(end);
+    }
+
+    fn note(&mut self, end: SendEnd) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        self.shared.metrics.count_send(end);
+        let now = self.shared.now();
+        self.shared.core().ended(now, &self.record, end);
+        self.shared.changed.notify(usize::MAX);
+    }
+}
+
+impl Drop for ActiveSend {
+    fn drop(&mut self) {
+        self.note(SendEnd::GivenUp);
+    }
+}
--- a/crates/millpass-hollow/src/router.rs
+++ b/crates/millpass-hollow/src/router.rs
@@ -211,7 +211,7 @@
                     self.take_update(routers, update);
                 }
                 // Hollow routers keep to their interval.
-                ControlToRouter::News => {}
+                ControlToRouter::News | ControlToRouter::Gateway(_) => {}
                 ControlToRouter::Claim(answer) => self.take_claim(routers, answer),
                 ControlToRouter::ClaimFinished(attempt) => self.claim_finished(routers, attempt),
             }
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -289,6 +289,25 @@
 }
 
 
+/// Identity of one run of an instance; a restart begins a new one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstanceId(pub String);
+
+
+/// Records that an instance leaves or has left. It never takes new work again.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstanceDeparture {
+
+    /// Instance.
+    pub instance: InstanceId,
+
+    /// It has ended; otherwise it still works on what it has.
+    pub ended: bool,
+}
+
+
 /// Caller-chosen identity of one configuration change; a resend carries the same one.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -651,6 +670,207 @@
 }
 
 
+/// What a caller may send, and how long it may take.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CallerLimits {
+
+    /// Most bytes of a header; 0 for the built-in limit.
+    pub header_bytes: u64,
+
+    /// Most bytes of a body; 0 for the built-in limit.
+    pub body_bytes: u64,
+
+    /// Time to send a header; 0 for the built-in limit.
+    pub header_millis: u64,
+
+    /// Time a connection may rest; 0 for the built-in limit.
+    pub idle_millis: u64,
+}
+
+
+/// What may be repeated on a route.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum RouteKind {
+
+    /// May run more than once.
+    Repeatable,
+
+    /// May run at most once for each attempt of a caller.
+    Once,
+
+    /// Answers with a series of events; runs at most once unless the route is resumable.
+    Stream,
+}
+
+
+/// Name of a service: interchangeable instances that serve the same routes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ServiceName(pub String);
+
+
+/// A service that a route sends to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouteTarget {
+
+    /// Service.
+    pub service: ServiceName,
+
+    /// Share of the route's requests, relative to the other targets; 0 gets none.
+    pub weight: u32,
+}
+
+
+/// A route: host and path prefix, and how its requests are served.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouteSpec {
+
+    /// Name.
+    pub name: String,
+
+    /// Host that callers name, without port, in lower case.
+    pub host: String,
+
+    /// Beginning of the path; the longest matching one wins.
+    pub path_prefix: String,
+
+    /// What may be repeated.
+    pub kind: RouteKind,
+
+    /// A stream may go on at another instance after its last event.
+    pub resumable: bool,
+
+    /// Longest time an attempt is held.
+    pub timeout_millis: u64,
+
+    /// Time within which an answer (of a stream, its first event) is on time; 0 for none.
+    pub objective_millis: u64,
+
+    /// Longest pause between events that is on time; 0 for none.
+    pub gap_objective_millis: u64,
+
+    /// Rank, 0 is the most urgent.
+    pub priority: u32,
+
+    /// Most instances that one attempt may be sent to.
+    pub maximum_attempts: u32,
+
+    /// Requests share parts of their prompts.
+    pub prompt_affinity: bool,
+
+    /// Services, at least one with a weight.
+    pub targets: Vec<RouteTarget>,
+}
+
+
+/// A model that a service's engines may hold.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineModelSpec {
+
+    /// Model.
+    pub name: ModelName,
+
+    /// Accelerator memory of its weights.
+    pub weights_kilobytes: u64,
+
+    /// Load time from the weight store.
+    pub load_millis: u64,
+
+    /// Load time from the engine's own disk.
+    pub disk_load_millis: u64,
+
+    /// Load time from the engine's host memory.
+    pub memory_load_millis: u64,
+
+    /// Number of its adapters.
+    pub adapters: u32,
+
+    /// Accelerator memory of one adapter.
+    pub adapter_kilobytes: u64,
+}
+
+
+/// What the engines of a service can hold.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineSpec {
+
+    /// Requests in one batch.
+    pub slots: u32,
+
+    /// Tokens that running requests and kept prompt parts may take.
+    pub cache_tokens: u64,
+
+    /// Accelerator memory for weights and adapters.
+    pub weights_kilobytes: u64,
+
+    /// Adapters at one time.
+    pub adapter_slots: u32,
+
+    /// Loads from the weight store that may begin in a second, over all engines, in thousandths.
+    pub milliloads_per_second: u64,
+
+    /// Models.
+    pub models: Vec<EngineModelSpec>,
+}
+
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ServiceSpec {
+
+    /// Name.
+    pub name: ServiceName,
+
+    /// Path of the health check.
+    pub health_path: String,
+
+    /// Connections that one instance takes from all callers together; 0 for no limit.
+    pub maximum_connections: u32,
+
+    /// Present when its instances are model engines.
+    pub engine: Option<EngineSpec>,
+}
+
+
+/// A whole configuration under the operator's own version. The highest version wins.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct DeploymentDocument {
+
+    /// Version.
+    pub version: u64,
+
+    /// Routes.
+    pub routes: Vec<RouteSpec>,
+
+    /// Services.
+    pub services: Vec<ServiceSpec>,
+
+    /// Limits of callers.
+    pub limits: CallerLimits,
+}
+
+
+/// Puts a document in force unless a version as high is held.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PutDocument {
+
+    /// What is derived from the source.
+    pub document: DeploymentDocument,
+
+    /// The document as the operator sent it.
+    pub source: Bytes,
+}
+
+
 /// Decides to unload a replica. Its memory stays reserved until the engine confirms.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -723,6 +943,12 @@
 
     /// Record that an engine took its role.
     SettleRole(RoleSettlement),
+
+    /// Put a deployment document in force.
+    PutDocument(PutDocument),
+
+    /// Record that an instance leaves.
+    DepartInstance(InstanceDeparture),
 }
 
 
@@ -1211,6 +1437,59 @@
 }
 
 
+/// A model that an instance holds.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct HeldModel {
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Adapters loaded beside it.
+    pub adapters: Vec<AdapterName>,
+}
+
+
+/// What an instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstanceRecord {
+
+    /// Identity of the run.
+    pub instance: InstanceId,
+
+    /// Service.
+    pub service: ServiceName,
+
+    /// IP address and port.
+    pub address: String,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// Requests it works on at once.
+    pub slots: u32,
+
+    /// It takes no new work.
+    pub draining: bool,
+
+    /// How much longer it is slow from its start.
+    pub warmup_millis: u64,
+
+    /// Grows with each announcement of the run.
+    pub sequence: u64,
+
+    /// Models it holds.
+    pub models: Vec<HeldModel>,
+
+    /// Models whose weights it has a copy of in host memory.
+    pub in_memory: Vec<ModelName>,
+
+    /// Models whose weights it has a copy of on its disk.
+    pub on_disk: Vec<ModelName>,
+}
+
+
 /// Load an adapter.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1377,56 +1656,66 @@
 }
 
 
-/// Counter of accepted catalog changes; grows by one with each.
+/// Asks for a claim. The control group fills in its own time.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct ConfigurationRevision(pub u64);
+pub struct ClaimRequest {
 
+    /// Claim.
+    pub claim: ClaimBegin,
+}
 
-/// One accepted change in the audit log.
+
+/// Demand for one model, or model with adapter, at one gateway.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct AuditRecord {
+pub struct ModelNeed {
 
-    /// Revision.
-    pub revision: ConfigurationRevision,
+    /// Service.
+    pub service: ServiceName,
 
-    /// Object.
-    pub key: ObjectKey,
+    /// Model.
+    pub model: ModelName,
 
-    /// Version of the object after the change.
-    pub version: u64,
+    /// Adapter.
+    pub adapter: Option<AdapterName>,
 
-    /// Identity of the change.
-    pub change_id: ChangeId,
+    /// Requests that wait for it or were refused for its lack since the last report.
+    pub unserved: u32,
 
-    /// Who submitted it.
-    pub operator: OperatorName,
+    /// Requests since the last report.
+    pub arrivals: u32,
 
-    /// Wall-clock time at the member that took it.
-    pub at_unix_millis: u64,
+    /// Requests dispatched and not ended.
+    pub in_flight: u32,
 
-    /// Whether the change deleted the object.
-    pub deleted: bool,
+    /// Most urgent rank among the unserved.
+    pub priority: u32,
 }
 
 
-/// A fenced order. POST /engine/orders. An engine refuses a fence below the highest it accepted, and another incarnation than its own; the same fence again is answered as the first time.
+/// A gateway's report: its first and periodic message, sent at once when a need arises.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct EngineOrder {
+pub struct GatewayReport {
 
-    /// Fence.
-    pub fence: LogPosition,
+    /// Name of the gateway.
+    pub gateway: String,
 
-    /// Engine it is for.
-    pub backend: BackendName,
+    /// Its zone.
+    pub zone: ZoneName,
 
-    /// Run of the engine it is for.
-    pub incarnation: Incarnation,
+    /// Number within its run; grows.
+    pub sequence: u64,
 
-    /// What to do.
-    pub action: OrderAction,
+    /// Document version in force there; 0 for none.
+    pub version: u64,
+
+    /// Demand since the last report.
+    pub needs: Vec<ModelNeed>,
+
+    /// Instances whose state differs from what they announced: unreachable, or without a model they should hold.
+    pub doubted: Vec<InstanceId>,
 }
 
 
@@ -1496,6 +1785,12 @@
 }
 
 
+/// Counter of accepted catalog changes; grows by one with each.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ConfigurationRevision(pub u64);
+
+
 /// How urgent a request is; the first is the most urgent.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1565,16 +1860,6 @@
 }
 
 
-/// Asks for a claim. The control group fills in its own time.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ClaimRequest {
-
-    /// Claim.
-    pub claim: ClaimBegin,
-}
-
-
 /// A message from a router to a control member.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1591,6 +1876,144 @@
 
     /// End a claim; answered with `ClaimFinished`.
     FinishClaim(ClaimFinish),
+
+    /// Report of a gateway; answered with `Gateway`.
+    Gateway(GatewayReport),
+}
+
+
+/// One accepted change in the audit log.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AuditRecord {
+
+    /// Revision.
+    pub revision: ConfigurationRevision,
+
+    /// Object.
+    pub key: ObjectKey,
+
+    /// Version of the object after the change.
+    pub version: u64,
+
+    /// Identity of the change.
+    pub change_id: ChangeId,
+
+    /// Who submitted it.
+    pub operator: OperatorName,
+
+    /// Wall-clock time at the member that took it.
+    pub at_unix_millis: u64,
+
+    /// Whether the change deleted the object.
+    pub deleted: bool,
+}
+
+
+/// Answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ClaimDecision {
+
+    /// This attempt, and no other, may dispatch once.
+    Granted,
+
+    /// It ran before; this is the answer.
+    Answered(RecordedAnswer),
+
+    /// Another attempt holds the claim.
+    InProgress,
+
+    /// An earlier attempt may have run; it is not run again.
+    MayHaveRun,
+
+    /// The key was used for another request.
+    DigestMismatch,
+
+    /// The key is older than claims are kept; nothing was run.
+    Expired,
+
+    /// The table of claims is full; nothing was run. Come back when older claims have expired.
+    Overloaded,
+
+    /// The key says that it is born later than the clock allows; nothing was run.
+    BornInFuture,
+}
+
+
+/// Answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ClaimAnswer {
+
+    /// Attempt it answers.
+    pub attempt: u64,
+
+    /// Decision.
+    pub decision: ClaimDecision,
+}
+
+
+/// When a model, or model with adapter, that is being loaded will be ready.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ModelOutlook {
+
+    /// Service.
+    pub service: ServiceName,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Adapter.
+    pub adapter: Option<AdapterName>,
+
+    /// Estimated time until it serves.
+    pub ready_in_millis: u64,
+}
+
+
+/// What the leader pushes to a gateway: changes since the last update on the same connection; the first carries everything.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct GatewayUpdate {
+
+    /// Leader's term; an update of a lower term than seen is ignored.
+    pub term: u64,
+
+    /// The leader has heard long enough to know every instance: those it does not name in its first update are gone.
+    pub complete: bool,
+
+    /// First update on this connection: `instances` are all that the leader knows.
+    pub first: bool,
+
+    /// Document, when newer than the gateway's.
+    pub document: Option<DeploymentDocument>,
+
+    /// Instances new or changed.
+    pub instances: Vec<InstanceRecord>,
+
+    /// Instances that are gone.
+    pub removed: Vec<InstanceId>,
+
+    /// Models being loaded now.
+    pub outlook: Vec<ModelOutlook>,
+
+    /// Gateways that report to this leader.
+    pub gateways: u32,
+
+    /// Addresses of the control members.
+    pub members: Vec<String>,
+}
+
+
+/// Where the leader is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct NotLeader {
+
+    /// Peer address of the leader, if known.
+    pub leader_address: Option<String>,
 }
 
 
@@ -1708,6 +2131,94 @@
 }
 
 
+/// A message from a control member to a router.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ControlToRouter {
+
+    /// Answer to a report.
+    Update(RouterUpdate),
+
+    /// Answer to a claim; committed before it is sent.
+    Claim(ClaimAnswer),
+
+    /// The end of this attempt's claim is committed.
+    ClaimFinished(u64),
+
+    /// This member does not lead; nothing was done.
+    NotLeader(NotLeader),
+
+    /// There is something newer than the router's last report knew: report at once.
+    News,
+
+    /// To a gateway: what changed.
+    Gateway(GatewayUpdate),
+}
+
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum InstructionOperation {
+
+    /// Load a model, or an adapter of a model that is there.
+    Load,
+
+    /// Unload it.
+    Unload,
+}
+
+
+/// An order to an engine that checks the number of orders it took.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineInstruction {
+
+    /// Run it is for; any other does nothing.
+    pub instance: InstanceId,
+
+    /// IP address and port.
+    pub address: String,
+
+    /// What to do.
+    pub operation: InstructionOperation,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Adapter.
+    pub adapter: Option<AdapterName>,
+
+    /// Orders the engine must have taken before; otherwise it does nothing.
+    pub expected_revision: u64,
+
+    /// Process that gives the order.
+    pub holder: String,
+
+    /// Term of the leader that gives the order.
+    pub fence: u64,
+}
+
+
+/// A fenced order. POST /engine/orders. An engine refuses a fence below the highest it accepted, and another incarnation than its own; the same fence again is answered as the first time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineOrder {
+
+    /// Fence.
+    pub fence: LogPosition,
+
+    /// Engine it is for.
+    pub backend: BackendName,
+
+    /// Run of the engine it is for.
+    pub incarnation: Incarnation,
+
+    /// What to do.
+    pub action: OrderAction,
+}
+
+
 /// What happened to one block of a prompt prefix in an engine's cache.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1759,37 +2270,6 @@
 }
 
 
-/// Answer to a claim.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum ClaimDecision {
-
-    /// This attempt, and no other, may dispatch once.
-    Granted,
-
-    /// It ran before; this is the answer.
-    Answered(RecordedAnswer),
-
-    /// Another attempt holds the claim.
-    InProgress,
-
-    /// An earlier attempt may have run; it is not run again.
-    MayHaveRun,
-
-    /// The key was used for another request.
-    DigestMismatch,
-
-    /// The key is older than claims are kept; nothing was run.
-    Expired,
-
-    /// The table of claims is full; nothing was run. Come back when older claims have expired.
-    Overloaded,
-
-    /// The key says that it is born later than the clock allows; nothing was run.
-    BornInFuture,
-}
-
-
 /// An accepted change.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1851,51 +2331,6 @@
 }
 
 
-/// Answer to a claim.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ClaimAnswer {
-
-    /// Attempt it answers.
-    pub attempt: u64,
-
-    /// Decision.
-    pub decision: ClaimDecision,
-}
-
-
-/// Where the leader is.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct NotLeader {
-
-    /// Peer address of the leader, if known.
-    pub leader_address: Option<String>,
-}
-
-
-/// A message from a control member to a router.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum ControlToRouter {
-
-    /// Answer to a report.
-    Update(RouterUpdate),
-
-    /// Answer to a claim; committed before it is sent.
-    Claim(ClaimAnswer),
-
-    /// The end of this attempt's claim is committed.
-    ClaimFinished(u64),
-
-    /// This member does not lead; nothing was done.
-    NotLeader(NotLeader),
-
-    /// There is something newer than the router's last report knew: report at once.
-    News,
-}
-
-
 /// A request that ran more than once.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2069,6 +2504,28 @@
 }
 
 
+/// State of an engine.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineState {
+
+    /// Orders taken.
+    pub revision: u64,
+
+    /// An order is under way.
+    pub busy: bool,
+
+    /// Models it holds.
+    pub models: Vec<HeldModel>,
+
+    /// Copies of weights in host memory.
+    pub in_memory: Vec<ModelName>,
+
+    /// Copies of weights on disk.
+    pub on_disk: Vec<ModelName>,
+}
+
+
 /// An engine's answer to an order. Acceptance is not completion: the report tells.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2101,6 +2558,34 @@
 }
 
 
+/// What became of an instruction or of reading an engine's state.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum InstructionAnswer {
+
+    /// It is being carried out.
+    Accepted,
+
+    /// It holds already.
+    AlreadySo,
+
+    /// Another is under way, or the engine took another number of orders.
+    Conflict,
+
+    /// Another run is at that address.
+    OtherRun,
+
+    /// It cannot be carried out; reason.
+    Refused(String),
+
+    /// No answer: it may be carried out, also much later.
+    Unanswered,
+
+    /// The engine's state, as read.
+    State(EngineState),
+}
+
+
 /// The platform's list of machines. GET /machines.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
--- a/crates/millpass-proto/src/identity.rs
+++ b/crates/millpass-proto/src/identity.rs
@@ -56,7 +56,9 @@
     PolicyName,
     OperatorName,
     ChangeId,
-    ClaimKey
+    ClaimKey,
+    ServiceName,
+    InstanceId
 );
 number_type!(
     GroupId,
@@ -83,6 +85,8 @@
     CheckpointTier,
     ReplicaPhase,
     AdapterPhase,
+    InstructionOperation,
+    RouteKind,
     Urgency
 );
 
--- a/crates/millpass-router/src/link.rs
+++ b/crates/millpass-router/src/link.rs
@@ -160,6 +160,8 @@
                 }
                 Ok(ControlToRouter::Update(update)) => RoutingInput::Update(update),
                 Ok(ControlToRouter::News) => RoutingInput::News,
+                // For gateways only.
+                Ok(ControlToRouter::Gateway(_)) => continue,
                 Ok(ControlToRouter::Claim(answer)) => RoutingInput::ClaimAnswered {
                     attempt: answer.attempt,
                     decision: answer.decision,
--- a/crates/millpass-router/tests/common/control.rs
+++ b/crates/millpass-router/tests/common/control.rs
@@ -175,7 +175,7 @@
         }));
     }
     match message {
-        RouterToControl::Hello(_) => None,
+        RouterToControl::Hello(_) | RouterToControl::Gateway(_) => None,
         RouterToControl::Report(report) => {
             for observation in &report.observations {
                 observed.send(observation.clone()).unwrap();
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -175,6 +175,15 @@
             }
             ControlOutput::Answer { call, answer } => self.answer_operator(place, call, answer),
             ControlOutput::Stopped => self.control_stopped(place),
+            ControlOutput::ForwardJoin { address, joiner } => {
+                if let Some(target) = self.place_of_peer(&address) {
+                    let delay = self.random.between(MILLIS, 5 * MILLIS);
+                    let input = ControlInput::Join(joiner);
+                    self.control_later(target, delay, ControlEvent::Input(Box::new(input)));
+                }
+            }
+            // No instances announce themselves here.
+            ControlOutput::Instruct(_) | ControlOutput::ReadEngine { .. } => {}
             ControlOutput::Persist(_)
             | ControlOutput::SaveSnapshot(_)
             | ControlOutput::Event(_)
--- a/crates/millpass-sim/src/control_node.rs
+++ b/crates/millpass-sim/src/control_node.rs
@@ -123,5 +123,6 @@
         claim_retention: Duration::from_secs(3_600),
         member_replacement_delay: Duration::from_millis(1_500),
         machine_gone_delay: Duration::from_millis(2_000),
+        fleet: None,
     }
 }
--- a/crates/millpass-sim/src/router_link.rs
+++ b/crates/millpass-sim/src/router_link.rs
@@ -142,6 +142,8 @@
                 self.router_step(router, RoutingInput::Update(update));
             }
             ControlToRouter::News => self.router_step(router, RoutingInput::News),
+            // For gateways only.
+            ControlToRouter::Gateway(_) => {}
             ControlToRouter::Claim(answer) => {
                 self.claim_answered(router, answer.attempt, answer.decision);
             }
--- /dev/null
+++ b/crates/millpass-state/src/deployment.rs
@@ -0,0 +1,68 @@
+//! The deployment document in force, and the instances that leave or have left.
+
+use millpass_proto::{DeploymentDocument, InstanceDeparture, InstanceId, PutDocument};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Most departed instances remembered; the oldest is forgotten first. An instance announces itself
+/// for seconds after its departure, so thousands are hours of restarts.
+pub const MAXIMUM_DEPARTED_INSTANCES: usize = 4_096;
+
+/// Document and departures.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Deployment {
+    held: Option<PutDocument>,
+    /// Whether each departed instance has ended.
+    departed: BTreeMap<InstanceId, bool>,
+    /// Departed instances, the oldest first.
+    order: VecDeque<InstanceId>,
+}
+
+impl Deployment {
+    /// Puts a document in force if its version is higher than the one held; else nothing changes.
+    pub(crate) fn put(&mut self, put: &PutDocument) {
+        if self.version() < put.document.version {
+            self.held = Some(put.clone());
+        }
+    }
+
+    /// Version held; 0 for none.
+    pub(crate) fn version(&self) -> u64 {
+        self.held.as_ref().map_or(0, |held| held.document.version)
+    }
+
+    pub(crate) fn document(&self) -> Option<&DeploymentDocument> {
+        self.held.as_ref().map(|held| &held.document)
+    }
+
+    pub(crate) fn source(&self) -> Option<&[u8]> {
+        self.held.as_ref().map(|held| held.source.as_ref())
+    }
+
+    /// Records that an instance leaves or has ended.
+    pub(crate) fn depart(&mut self, departure: &InstanceDeparture) {
+        if let Some(ended) = self.departed.get_mut(&departure.instance) {
+            *ended |= departure.ended;
+            return;
+        }
+        let instance = departure.instance.clone();
+        self.departed.insert(instance.clone(), departure.ended);
+        self.order.push_back(instance);
+        if self.order.len() > MAXIMUM_DEPARTED_INSTANCES
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.departed.remove(&oldest);
+        }
+    }
+
+    /// Whether an instance has departed, and if so, whether it has ended.
+    pub(crate) fn departed(&self, instance: &InstanceId) -> Option<bool> {
+        self.departed.get(instance).copied()
+    }
+
+    pub(crate) fn departures(&self) -> impl Iterator<Item = (&InstanceId, bool)> {
+        self.departed
+            .iter()
+            .map(|(instance, ended)| (instance, *ended))
+    }
+}
--- /dev/null
+++ b/crates/millpass-state/src/document.rs
@@ -0,0 +1,90 @@
+//! What a deployment document must satisfy to be put in force.
+
+use millpass_proto::{DeploymentDocument, RouteSpec, ServiceName};
+use std::collections::BTreeSet;
+
+/// Why a document is refused whole; what stood before stays in force.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidDocument {
+    /// Version 0 stands for none.
+    #[error("version 0 is reserved; write a version from 1")]
+    NoVersion,
+    /// Two services have one name.
+    #[error("service {0} stands twice; give each service one entry")]
+    ServiceTwice(String),
+    /// A route names a service that is not there.
+    #[error(
+        "route {route} names service {service}, which the document lacks; add it or correct the name"
+    )]
+    UnknownService {
+        /// Route.
+        route: String,
+        /// Service.
+        service: String,
+    },
+    /// Two routes share host and prefix.
+    #[error("route {route} has the host and prefix of another route; change one of them")]
+    SamePlace {
+        /// Route.
+        route: String,
+    },
+    /// No target of a route has a weight.
+    #[error("route {route}: the weights add up to 0; give a service a weight above 0")]
+    NoWeight {
+        /// Route.
+        route: String,
+    },
+    /// A route's time-out is 0.
+    #[error("route {route}: the time-out is 0; write milliseconds above 0")]
+    NoTimeout {
+        /// Route.
+        route: String,
+    },
+}
+
+/// Checks a document as a whole.
+pub fn check_document(document: &DeploymentDocument) -> Result<(), InvalidDocument> {
+    if document.version == 0 {
+        return Err(InvalidDocument::NoVersion);
+    }
+    let mut services = BTreeSet::new();
+    for service in &document.services {
+        if !services.insert(&service.name) {
+            return Err(InvalidDocument::ServiceTwice(service.name.0.clone()));
+        }
+    }
+    let mut places = BTreeSet::new();
+    for route in &document.routes {
+        if !places.insert((&route.host, &route.path_prefix)) {
+            return Err(InvalidDocument::SamePlace {
+                route: route.name.clone(),
+            });
+        }
+        check_route(route, &services)?;
+    }
+    Ok(())
+}
+
+fn check_route(
+    route: &RouteSpec,
+    services: &BTreeSet<&ServiceName>,
+) -> Result<(), InvalidDocument> {
+    let name = || route.name.clone();
+    if let Some(target) = route
+        .targets
+        .iter()
+        .find(|target| !services.contains(&target.service))
+    {
+        return Err(InvalidDocument::UnknownService {
+            route: name(),
+            service: target.service.0.clone(),
+        });
+    }
+    if route.targets.iter().all(|target| target.weight == 0) {
+        return Err(InvalidDocument::NoWeight { route: name() });
+    }
+    if route.timeout_millis == 0 {
+        return Err(InvalidDocument::NoTimeout { route: name() });
+    }
+    Ok(())
+}
--- a/crates/millpass-state/src/encoding.rs
+++ b/crates/millpass-state/src/encoding.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Format of the encoding; grows when the layout of the state changes.
-const SNAPSHOT_FORMAT: u32 = 1;
+const SNAPSHOT_FORMAT: u32 = 2;
 
 /// Why an encoded state could not be read.
 #[derive(Debug, thiserror::Error)]
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -9,6 +9,8 @@
 mod catalog;
 mod changes;
 mod claims;
+mod deployment;
+mod document;
 mod encoding;
 mod fleet;
 mod ledger;
@@ -28,6 +30,8 @@
     MAXIMUM_CLAIMS, MAXIMUM_CLAIMS_PER_TENANT, MAXIMUM_CLOCK_SKEW_MILLIS,
     MAXIMUM_TOTAL_ANSWER_BYTES,
 };
+pub use deployment::MAXIMUM_DEPARTED_INSTANCES;
+pub use document::{InvalidDocument, check_document};
 pub use encoding::StateError;
 pub use ledger::{adapter_bytes_each, replica_bytes_each, version_bytes_each};
 pub use placement::MAXIMUM_ADAPTERS_PER_REPLICA;
@@ -37,8 +41,9 @@
 
 use millpass_proto::{
     BackendName, BackendState, Command, CommandOutcome, ConfigurationDelta, ConfigurationRevision,
-    Incarnation, LogPosition, ModelName, ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind,
-    ObjectSpec, PlacementRevision, Replica, RouterName, SlotId, StoredObject,
+    DeploymentDocument, Incarnation, InstanceId, LogPosition, ModelName, ObjectChange,
+    ObjectChangeOutcome, ObjectKey, ObjectKind, ObjectSpec, PlacementRevision, Replica, RouterName,
+    SlotId, StoredObject,
 };
 use serde::{Deserialize, Serialize};
 
@@ -50,6 +55,7 @@
     placement: placement::Placement,
     routes: routes::Routes,
     claims: claims::Claims,
+    deployment: deployment::Deployment,
 }
 
 impl State {
@@ -85,6 +91,14 @@
             Command::FinishClaim(finish) => self.claims.finish(finish),
             Command::AbandonClaims(abandon) => self.claims.abandon(abandon),
             Command::ExpireClaims(expire) => self.claims.expire(expire),
+            Command::PutDocument(put) => {
+                self.deployment.put(put);
+                Ok(())
+            }
+            Command::DepartInstance(departure) => {
+                self.deployment.depart(departure);
+                Ok(())
+            }
             // These have an outcome of their own; see `apply`.
             Command::ChangeObject(_) | Command::BeginClaim(_) | Command::PlaceReplica(_) => {
                 Err(Refusal::NoChange)
@@ -106,6 +120,31 @@
         outcome
     }
 
+    /// Version of the deployment document in force; 0 for none.
+    pub fn document_version(&self) -> u64 {
+        self.deployment.version()
+    }
+
+    /// The deployment document in force.
+    pub fn document(&self) -> Option<&DeploymentDocument> {
+        self.deployment.document()
+    }
+
+    /// The deployment document in force, as the operator sent it.
+    pub fn document_source(&self) -> Option<&[u8]> {
+        self.deployment.source()
+    }
+
+    /// Whether an instance has departed, and if so, whether it has ended.
+    pub fn departed(&self, instance: &InstanceId) -> Option<bool> {
+        self.deployment.departed(instance)
+    }
+
+    /// Instances that have departed, and whether each has ended.
+    pub fn departures(&self) -> impl Iterator<Item = (&InstanceId, bool)> {
+        self.deployment.departures()
+    }
+
     /// Revision of the catalog.
     pub fn configuration_revision(&self) -> ConfigurationRevision {
         ConfigurationRevision(self.catalog.revision())
--- /dev/null
+++ b/crates/millpass-state/tests/deployment.rs
@@ -0,0 +1,123 @@
+//! The deployment document and departed instances in the replicated state.
+
+use millpass_proto::*;
+use millpass_state::{InvalidDocument, MAXIMUM_DEPARTED_INSTANCES, State, check_document};
+use rstest::rstest;
+use serde_bytes::ByteBuf;
+
+fn route(name: &str, host: &str, prefix: &str, service: &str) -> RouteSpec {
+    RouteSpec {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Repeatable,
+        resumable: false,
+        timeout_millis: 1_000,
+        objective_millis: 100,
+        gap_objective_millis: 0,
+        priority: 0,
+        maximum_attempts: 2,
+        prompt_affinity: false,
+        targets: vec![RouteTarget {
+            service: service.into(),
+            weight: 1,
+        }],
+    }
+}
+
+fn document(version: u64, routes: Vec<RouteSpec>) -> DeploymentDocument {
+    DeploymentDocument {
+        version,
+        routes,
+        services: vec![ServiceSpec {
+            name: "web".into(),
+            health_path: "/".to_owned(),
+            maximum_connections: 10,
+            engine: None,
+        }],
+        limits: CallerLimits {
+            header_bytes: 0,
+            body_bytes: 0,
+            header_millis: 0,
+            idle_millis: 0,
+        },
+    }
+}
+
+fn apply(state: &mut State, index: u64, command: Command) {
+    state.apply(LogPosition { term: 1, index }, &command);
+}
+
+fn put(version: u64) -> Command {
+    Command::PutDocument(PutDocument {
+        document: document(version, Vec::new()),
+        source: ByteBuf::from(vec![version as u8]),
+    })
+}
+
+#[test]
+fn versions_never_go_back_and_survive_a_snapshot() {
+    let mut state = State::default();
+    for (index, version) in [3, 9, 5, 9].into_iter().enumerate() {
+        apply(&mut state, index as u64 + 1, put(version));
+    }
+    let restored = State::decode(&state.encode()).expect("decodes");
+    assert_eq!(restored.document_version(), 9);
+    assert_eq!(restored.document_source(), Some([9_u8].as_slice()));
+}
+
+#[test]
+fn departures_are_sticky_and_bounded() {
+    let mut state = State::default();
+    let depart = |instance: String, ended| {
+        Command::DepartInstance(InstanceDeparture {
+            instance: InstanceId(instance),
+            ended,
+        })
+    };
+    apply(&mut state, 1, depart("first".into(), true));
+    apply(&mut state, 2, depart("first".into(), false));
+    assert_eq!(state.departed(&"first".into()), Some(true));
+    for place in 0..MAXIMUM_DEPARTED_INSTANCES {
+        apply(
+            &mut state,
+            place as u64 + 3,
+            depart(format!("i-{place}"), false),
+        );
+    }
+    assert_eq!(
+        state.departed(&"first".into()),
+        None,
+        "the oldest is forgotten"
+    );
+    assert_eq!(state.departures().count(), MAXIMUM_DEPARTED_INSTANCES);
+}
+
+#[test]
+fn a_good_document_is_taken() {
+    let routes = vec![
+        route("r", "h", "/a/", "web"),
+        route("s", "h", "/a/b/", "web"),
+    ];
+    assert_eq!(check_document(&document(1, routes)), Ok(()));
+}
+
+#[rstest]
+#[case::unknown_service(vec![route("r", "h", "/a/", "other")], "names service other")]
+#[case::same_place(vec![route("r", "h", "/a/", "web"), route("s", "h", "/a/", "web")], "route s")]
+#[case::no_weight(vec![RouteSpec { targets: vec![RouteTarget { service: "web".into(), weight: 0 }], ..route("r", "h", "/a/", "web") }], "add up to 0")]
+#[case::no_target(vec![RouteSpec { targets: Vec::new(), ..route("r", "h", "/a/", "web") }], "add up to 0")]
+#[case::no_timeout(vec![RouteSpec { timeout_millis: 0, ..route("r", "h", "/a/", "web") }], "time-out is 0")]
+fn an_invalid_document_is_refused_with_a_remedy(
+    #[case] routes: Vec<RouteSpec>,
+    #[case] part: &str,
+) {
+    let error = check_document(&document(1, routes)).expect_err("invalid");
+    assert!(error.to_string().contains(part), "{error}");
+}
+
+#[test]
+fn version_zero_stands_for_none() {
+    let refused = check_document(&document(0, Vec::new()));
+    assert_eq!(refused, Err(InvalidDocument::NoVersion));
+}
--- a/crates/millpass-telemetry/src/logging.rs
+++ b/crates/millpass-telemetry/src/logging.rs
@@ -1,17 +1,22 @@
 //! The process's logger: `simplelog` writes each record as one line of key=value pairs.
 
+use crate::bounded_writer::BoundedWriter;
 use crate::event_line;
 use log::{LevelFilter, Log, Metadata, Record};
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 use std::io::Write;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// Name of the destination that stands for standard output.
+const STANDARD_OUTPUT: &str = "-";
+
 /// Where logs go and from which level on.
 #[derive(Clone, Debug)]
 pub struct LogSettings {
     /// Least severe level written.
     pub level: String,
-    /// File to append to; empty for standard error.
+    /// File to append to; empty for standard error, `-` for standard output, which is written by a
+    /// thread of its own and never waited for.
     pub file: String,
 }
 
@@ -47,6 +52,14 @@
 }
 
 fn destination(file: &str) -> Result<Box<dyn Write + Send>, TelemetryError> {
+    let failed = |source| TelemetryError::File {
+        file: file.to_owned(),
+        source,
+    };
+    if file == STANDARD_OUTPUT {
+        let writer = BoundedWriter::start(std::io::stdout()).map_err(failed)?;
+        return Ok(Box::new(writer));
+    }
     if file.is_empty() {
         return Ok(Box::new(std::io::stderr()));
     }
@@ -56,10 +69,7 @@
         .open(file);
     match opened {
         Ok(opened) => Ok(Box::new(opened)),
-        Err(source) => Err(TelemetryError::File {
-            file: file.to_owned(),
-            source,
-        }),
+        Err(source) => Err(failed(source)),
     }
 }
 
