Lagging reports, settling adapters, ends of connections in a planned stop

Ruled out: orders without an expected count (late ones would take effect). Tests in fleet and dispatch.

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -300,9 +300,9 @@
         found.ended(now, end);
         if end == SendEnd::Misdirected {
             self.doubted.insert(record.instance.clone());
-            // Until it announces itself again, it does not hold what was asked for.
-            let models = &mut found.record.models;
-            models.retain(|held| Some(&held.model) != record.model.as_ref());
+            if let Some(model) = &record.model {
+                found.turned_away(now, model, record.adapter.as_ref());
+            }
         }
     }
 
@@ -370,7 +370,7 @@
             record.service == ticket.service
                 && !record.draining
                 && !ticket.tried.contains(&record.instance)
-                && (!engine || holds_for(instance, ticket))
+                && (!engine || holds_for(now, instance, ticket))
         };
         let reachable: Vec<InstanceId> = self
             .instances
@@ -580,9 +580,10 @@
     }
 }
 
-fn holds_for(instance: &Instance, ticket: &Ticket) -> bool {
+fn holds_for(now: Timestamp, instance: &Instance, ticket: &Ticket) -> bool {
+    let adapter = ticket.description.adapter.as_ref();
     match &ticket.description.model {
-        Some(model) => instance.holds(model, ticket.description.adapter.as_ref()),
+        Some(model) => instance.holds(model, adapter) && !instance.lacks(now, model, adapter),
         None => true,
     }
 }
--- a/crates/millpass-dispatch/src/instances.rs
+++ b/crates/millpass-dispatch/src/instances.rs
@@ -8,6 +8,8 @@
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(700);
 /// Longest such time.
 const MAXIMUM_PAUSE: Duration = Duration::from_millis(4_000);
+/// Time for which an instance is not asked again for what it turned away.
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(300);
 /// Weight of the newest send in the averaged share of failures.
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Time after which a reported load has lost most of its meaning.
@@ -43,6 +45,8 @@
     /// When the prompts this gateway sent will have been read.
     pub(crate) reading_until: Timestamp,
     pub(crate) prompts: PromptIndex,
+    /// What it turned away because it is not there, and until when it is not asked again.
+    absent: Vec<(ModelName, Option<AdapterName>, Timestamp)>,
     left_out_until: Timestamp,
     pause: Duration,
     failures: f64,
@@ -60,6 +64,7 @@
             others_at: Timestamp::ZERO,
             reading_until: Timestamp::ZERO,
             prompts: PromptIndex::default(),
+            absent: Vec::new(),
             left_out_until: Timestamp::ZERO,
             pause: UNREACHABLE_PAUSE,
             failures: 0.0,
@@ -89,6 +94,30 @@
         })
     }
 
+    /// Notes that it turned a model, or model with adapter, away.
+    pub(crate) fn turned_away(
+        &mut self,
+        now: Timestamp,
+        model: &ModelName,
+        adapter: Option<&AdapterName>,
+    ) {
+        self.absent.retain(|(_, _, until)| now < *until);
+        let until = now + MISDIRECTED_PAUSE;
+        self.absent.push((model.clone(), adapter.cloned(), until));
+    }
+
+    /// Whether it turned this away a moment ago.
+    pub(crate) fn lacks(
+        &self,
+        now: Timestamp,
+        model: &ModelName,
+        adapter: Option<&AdapterName>,
+    ) -> bool {
+        self.absent.iter().any(|(lacked, lacked_adapter, until)| {
+            now < *until && lacked == model && lacked_adapter.as_ref() == adapter
+        })
+    }
+
     /// Estimated requests there: own ones, and those of others as last told.
     pub(crate) fn load(&self, now: Timestamp) -> f64 {
         let age = now.since(self.others_at).as_secs_f64();
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -292,6 +292,32 @@
     );
 }
 
+/// Found on the operators' platform: one request that came before its adapter was there took the
+/// whole model from the gateway's view.
+#[test]
+fn a_misdirected_request_leaves_out_only_what_was_asked_for_and_only_for_a_moment() {
+    let mut engine = record("e-1", "text", &["a"]);
+    engine.models[0].adapters = vec!["x".into(), "y".into()];
+    let mut dispatcher = dispatcher(vec![engine]);
+    let mut ask = |now: u64, adapter: &str| {
+        let mut ticket = begin(&mut dispatcher, now, "/text/", Some("a"));
+        ticket.description.adapter = Some(adapter.into());
+        let choice = dispatcher.choose(at(now), &mut ticket);
+        let sent = matches!(choice, Choice::Send { .. });
+        if sent && now == 0 {
+            dispatcher.ended(at(1), &ticket.record(&"e-1".into()), SendEnd::Misdirected);
+        } else if sent {
+            let end = SendEnd::Answered(Duration::from_millis(5));
+            dispatcher.ended(at(now + 5), &ticket.record(&"e-1".into()), end);
+        }
+        sent
+    };
+    assert!(ask(0, "x"));
+    assert!(!ask(10, "x"));
+    assert!(ask(20, "y"));
+    assert!(ask(400, "x"));
+}
+
 #[test]
 fn attempts_of_a_route_are_bounded() {
     let instances = ["i-1", "i-2", "i-3"].map(|name| record(name, "web", &[]));
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -13,6 +13,10 @@
 const OVERDUE_MARGIN: Duration = Duration::from_millis(700);
 /// Pause before the state of an engine that did not answer is read.
 const READ_PAUSE: Duration = Duration::from_millis(400);
+/// How old a state may be that an engine reports.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+/// Time from the acceptance of an adapter's instruction to its end.
+const ADAPTER_SETTLING: Duration = Duration::from_millis(15);
 /// Time without an answer after which a call counts as lost inside this process.
 const CALL_LIMIT: Duration = Duration::from_millis(3_000);
 
@@ -41,6 +45,8 @@
 pub(crate) struct Engine {
     /// Orders it has taken; none while unknown.
     pub(crate) revision: Option<u64>,
+    /// Orders it has surely taken: a report of fewer is older than the last of them.
+    least_revision: u64,
     pub(crate) pending: Option<Pending>,
     pub(crate) held: Vec<HeldModel>,
     pub(crate) in_memory: Vec<ModelName>,
@@ -72,11 +78,16 @@
         self.settle();
     }
 
-    /// Takes the engine's state as read.
+    /// Takes the engine's state as read. A report lags: one of fewer orders than the engine has
+    /// surely taken is read again.
     pub(crate) fn read(&mut self, now: Timestamp, state: &EngineState) {
         self.reading_since = None;
+        if state.revision < self.least_revision {
+            self.read_after = now + REPORT_LAG / 2;
+            return;
+        }
         self.revision = Some(state.revision);
-        self.overlay.clear();
+        self.least_revision = state.revision;
         self.announced(now, &state.models, &state.in_memory, &state.on_disk);
         if !state.busy {
             self.pending = None;
@@ -174,35 +185,74 @@
         self.pending = Some(pending);
     }
 
-    /// The instruction was taken: the engine has taken one more order.
+    /// The instruction was taken: the engine has taken one more order. One for an adapter ends
+    /// shortly, and the engine does not say when.
     pub(crate) fn accepted(&mut self, now: Timestamp) {
         if let Some(revision) = &mut self.revision {
             *revision += 1;
+            self.least_revision = *revision;
         }
+        // Reports of the time before would show an older state.
+        self.read_after = self.read_after.max(now + REPORT_LAG);
         let Some(pending) = &mut self.pending else {
             return;
         };
         pending.accepted = true;
         let taken = now.since(pending.sent_at);
-        pending.done_at = pending.done_at + taken;
-        if let Some(adapter) = pending.adapter.clone() {
-            let change = AdapterChange {
-                model: pending.model.clone(),
-                adapter,
-                loaded: pending.operation == InstructionOperation::Load,
-                at: now,
-            };
-            self.overlay.push(change);
-            self.pending = None;
-            self.apply_overlay(now);
-        }
+        pending.done_at = if pending.adapter.is_some() {
+            now + ADAPTER_SETTLING
+        } else {
+            pending.done_at + taken
+        };
     }
 
-    /// The engine says that it holds already.
+    /// Ends an adapter's instruction whose time has come. True if the engine holds something else
+    /// than before.
+    pub(crate) fn adapter_settled(&mut self, now: Timestamp) -> bool {
+        let settled = self.pending.take_if(|pending| {
+            pending.accepted && pending.adapter.is_some() && now >= pending.done_at
+        });
+        let Some(Pending {
+            operation,
+            model,
+            adapter: Some(adapter),
+            ..
+        }) = settled
+        else {
+            return false;
+        };
+        self.note_adapter(now, operation, model, adapter);
+        true
+    }
+
+    fn note_adapter(
+        &mut self,
+        now: Timestamp,
+        operation: InstructionOperation,
+        model: ModelName,
+        adapter: AdapterName,
+    ) {
+        self.overlay.push(AdapterChange {
+            model,
+            adapter,
+            loaded: operation == InstructionOperation::Load,
+            at: now,
+        });
+        self.apply_overlay(now);
+    }
+
+    /// The engine did it at once, or it held already: whether that counts as an order taken is to be
+    /// read.
     pub(crate) fn already_so(&mut self, now: Timestamp) {
-        let before = self.revision;
-        self.accepted(now);
-        self.revision = before;
+        if let Some(Pending {
+            operation,
+            model,
+            adapter: Some(adapter),
+            ..
+        }) = self.pending.take()
+        {
+            self.note_adapter(now, operation, model, adapter);
+        }
         self.pending = None;
         self.doubt(now);
     }
@@ -211,7 +261,7 @@
     pub(crate) fn doubt(&mut self, now: Timestamp) {
         self.revision = None;
         self.reading_since = None;
-        self.read_after = now;
+        self.read_after = now + REPORT_LAG;
     }
 
     /// No answer came.
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -272,6 +272,7 @@
             self.next_plan = now + PLAN_INTERVAL;
             self.last_plan = now;
             self.dirty = false;
+            self.settle_adapters(now);
             for instance in self.registry.silent(now, self.settings.instance_silence) {
                 self.forget(&instance, "silent");
             }
@@ -286,6 +287,22 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Tells gateways of adapters whose instruction has had its time.
+    fn settle_adapters(&mut self, now: Timestamp) {
+        for (instance, engine) in &mut self.engines.engines {
+            if engine.adapter_settled(now) {
+                let held = engine.held.clone();
+                self.registry
+                    .update(instance, |record| record.models = held);
+            }
+            let settles = engine
+                .pending
+                .as_ref()
+                .is_some_and(|pending| pending.adapter.is_some());
+            self.dirty |= settles;
+        }
+    }
+
     fn plan(&mut self, now: Timestamp, document: &DeploymentDocument) {
         let mut steps = Vec::new();
         for service in &document.services {
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -254,7 +254,7 @@
 }
 
 #[test]
-fn an_adapter_goes_to_an_engine_that_holds_its_model_and_is_told_at_once() {
+fn an_adapter_goes_to_an_engine_that_holds_its_model_and_is_told_once_it_has_settled() {
     let mut bench = Bench::new();
     bench.engine(1_000, "e-1", &["a"]);
     bench.engine(1_000, "e-2", &["b"]);
@@ -281,6 +281,41 @@
     assert!(told);
 }
 
+/// Found on the operators' platform: reports are some hundred milliseconds old, and an order count
+/// taken from one made every following order refused.
+#[test]
+fn a_report_of_fewer_orders_than_the_engine_has_surely_taken_is_read_again() {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a"]);
+    bench
+        .fleet
+        .report(at(1_050), 1, &report(vec![need("a", Some("x"))]));
+    assert_eq!(bench.instructions(1_100).len(), 1);
+    bench
+        .fleet
+        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    bench.run(1_200);
+    let mut doubts = report(vec![need("a", Some("y"))]);
+    doubts.doubted = vec!["e-1".into()];
+    bench.fleet.report(at(1_210), 1, &doubts);
+    bench
+        .fleet
+        .answered(at(1_220), &"e-1".into(), &state(0, &["a"]));
+    assert!(
+        bench.instructions(1_300).is_empty(),
+        "the count is not known"
+    );
+    bench
+        .fleet
+        .answered(at(1_600), &"e-1".into(), &state(1, &["a"]));
+    bench
+        .fleet
+        .report(at(1_610), 1, &report(vec![need("a", Some("y"))]));
+    let given = bench.instructions(1_700);
+    assert_eq!(given.len(), 1);
+    assert_eq!(given[0].expected_revision, 1);
+}
+
 #[rstest]
 #[case::two_a_second(2_000, 9)]
 #[case::one_in_ten_seconds(100, 1)]
--- a/crates/millpass-gateway/src/process.rs
+++ b/crates/millpass-gateway/src/process.rs
@@ -84,8 +84,9 @@
     }
 }
 
-/// Stops taking work: not ready, connections end after their answer, and the process ends when
-/// nothing is in flight and callers have had time to turn elsewhere, or when the grace is over.
+/// Stops taking work. At once: not ready, and each answer ends its connection. Once callers have had
+/// time to turn elsewhere: no new connections, and idle ones end. The process ends when none is left,
+/// or when the grace is over.
 async fn drain(shared: &Shared) {
     shared.draining.store(true, Ordering::Release);
     let started = Instant::now();
@@ -97,6 +98,9 @@
         let idle = shared.in_flight.load(Ordering::Acquire) == 0;
         let no_callers = shared.connections.load(Ordering::Acquire) == 0;
         let turned_away = elapsed >= shared.settings.drain_accept;
+        if turned_away {
+            shared.start_closing();
+        }
         if (idle && no_callers && turned_away) || elapsed >= shared.settings.drain_grace {
             break;
         }
--- a/crates/millpass-gateway/src/server.rs
+++ b/crates/millpass-gateway/src/server.rs
@@ -6,6 +6,7 @@
 use crate::shared::Shared;
 use async_io::{Async, Timer};
 use bytes::Bytes;
+use futures_lite::future;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -15,6 +16,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -50,10 +52,18 @@
     Async::new(socket.into())
 }
 
-/// Accepts connections for as long as the process lives.
+/// Accepts connections until they are to end.
 pub(crate) async fn accept(listener: Async<TcpListener>, shared: Arc<Shared>, service: Service) {
     loop {
-        match listener.accept().await {
+        let accepted = async { Some(listener.accept().await) };
+        let closed = async {
+            shared.closed().await;
+            None
+        };
+        let Some(accepted) = future::or(accepted, closed).await else {
+            return;
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let served = serve(stream, shared.clone(), service);
                 shared.executor.spawn(served).detach();
@@ -94,7 +104,21 @@
         .max_buf_size(HEAD_BYTES)
         .preserve_header_case(true)
         .serve_connection(FuturesIo::new(stream), answer);
-    if let Err(error) = connection.await {
+    let mut connection = pin!(connection);
+    let ended = async { Some(connection.as_mut().await) };
+    let closing = async {
+        shared.closed().await;
+        None
+    };
+    let ended = match future::or(ended, closing).await {
+        Some(ended) => ended,
+        None => {
+            // What is being answered is answered; an idle connection ends now.
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         log::debug!("event=caller_connection_ended error=\"{error}\"");
     }
     drop(counted);
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -26,6 +26,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) executor: &'static Executor<'static>,
     pub(crate) draining: AtomicBool,
+    /// Set when callers have had time to turn elsewhere: connections end after their answer.
+    pub(crate) closing: AtomicBool,
+    /// Notified when `closing` is set.
+    pub(crate) close: Event,
     pub(crate) in_flight: AtomicUsize,
     pub(crate) connections: AtomicUsize,
 }
@@ -48,6 +52,8 @@
             metrics,
             executor,
             draining: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            close: Event::new(),
             in_flight: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
         }
@@ -61,6 +67,22 @@
         self.clock.now()
     }
 
+    /// Waits until connections are to end.
+    pub(crate) async fn closed(&self) {
+        loop {
+            let notified = self.close.listen();
+            if self.closing.load(Ordering::Acquire) {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    pub(crate) fn start_closing(&self) {
+        self.closing.store(true, Ordering::Release);
+        self.close.notify(usize::MAX);
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
