No double loads in one round; the retry budget is taken by sends only; replaced runs are dropped

Cause: a load that followed a reservation and a need for the same model each loaded it in one planning round; each look at a waiting request took from the retry budget; a 421 of another run was taken for a missing model. Tests in fleet, dispatch.

--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1099,7 +1099,7 @@
     fn default() -> Self {
         Self {
             grace_ms: 8000u64,
-            accept_ms: 3500u64,
+            accept_ms: 2500u64,
         }
     }
 }
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -4,7 +4,7 @@
 use crate::needs::Needs;
 use crate::prompts::{beginnings, rendezvous};
 use crate::request::{Description, SendRecord, Ticket};
-use crate::retry_budget::RetryBudget;
+use crate::retry_budget::{BudgetTerms, RetryBudget};
 use crate::table::{RouteError, RoutingTable};
 use millpass_proto::{
     AdapterName, Duration, EngineSpec, GatewayReport, GatewayUpdate, InstanceId, ModelName,
@@ -281,6 +281,9 @@
             return self.without_room(now, ticket);
         }
         let instance = instance.clone();
+        if ticket.sends > 0 {
+            self.take_repeat(now, ticket);
+        }
         self.note_send(now, ticket, &instance, &hashes)
     }
 
@@ -298,6 +301,11 @@
             return;
         };
         found.ended(now, end);
+        if end == SendEnd::Replaced {
+            self.doubted.insert(record.instance.clone());
+            self.instances.remove(&record.instance);
+            return;
+        }
         if end == SendEnd::Misdirected {
             self.doubted.insert(record.instance.clone());
             if let Some(model) = &record.model {
@@ -346,20 +354,29 @@
         Some((ticket.service.clone(), model, adapter))
     }
 
+    /// Whether the route's attempts and the budget allow one more send.
     fn may_repeat(&mut self, now: Timestamp, ticket: &Ticket) -> bool {
         if ticket.sends >= ticket.route.maximum_attempts.max(1) {
             return false;
         }
-        let settings = &self.settings;
-        let gateways = self.gateways;
+        let terms = self.budget_terms();
+        let budget = self.budgets.entry(ticket.service.clone()).or_default();
+        budget.has_room(now, &terms)
+    }
+
+    fn take_repeat(&mut self, now: Timestamp, ticket: &Ticket) {
+        let terms = self.budget_terms();
         let budget = self.budgets.entry(ticket.service.clone()).or_default();
-        budget.take(
-            now,
-            settings.retry_window,
-            settings.retry_ratio,
-            settings.retry_slack,
-            gateways,
-        )
+        budget.take(now, &terms);
+    }
+
+    fn budget_terms(&self) -> BudgetTerms {
+        BudgetTerms {
+            window: self.settings.retry_window,
+            ratio: self.settings.retry_ratio,
+            slack: self.settings.retry_slack,
+            gateways: self.gateways,
+        }
     }
 
     /// Instances that could serve the request. Those that could not be reached lately come in only
@@ -466,7 +483,7 @@
     }
 
     fn without_candidates(&mut self, now: Timestamp, ticket: &mut Ticket, engine: bool) -> Choice {
-        if !ticket.tried.is_empty() && ticket.sends > 0 {
+        if ticket.sends > 0 && !engine {
             return Choice::Refuse {
                 reason: RefusalReason::NoAttempts,
                 retry_after: ROOM_WAIT,
--- a/crates/millpass-dispatch/src/instances.rs
+++ b/crates/millpass-dispatch/src/instances.rs
@@ -24,8 +24,10 @@
     Answered(Duration),
     /// It was turned away and did not run: no room.
     Full,
-    /// It was turned away: another run is at the address, or what was asked for is not there.
+    /// It was turned away: what was asked for is not there.
     Misdirected,
+    /// It was turned away: another run is at the address.
+    Replaced,
     /// The instance could not be connected to: the request did not reach it.
     Unreachable,
     /// It failed: an error of the server, a broken connection or a wrong answer.
@@ -160,7 +162,7 @@
                 self.others_at = now;
                 return;
             }
-            SendEnd::Misdirected | SendEnd::GivenUp => return,
+            SendEnd::Misdirected | SendEnd::Replaced | SendEnd::GivenUp => return,
             SendEnd::Unreachable => {
                 self.left_out_until = now + self.pause;
                 self.pause = (self.pause * 2).min(MAXIMUM_PAUSE);
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -22,5 +22,5 @@
 pub use dispatcher::{Choice, DispatchSettings, Dispatcher, RefusalReason, UpdateOutcome};
 pub use instances::SendEnd;
 pub use request::{Description, PromptPart, SendRecord, Ticket};
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{BudgetTerms, RetryBudget};
 pub use table::{RouteError, RoutingTable};
--- a/crates/millpass-dispatch/src/retry_budget.rs
+++ b/crates/millpass-dispatch/src/retry_budget.rs
@@ -11,6 +11,19 @@
 /// Gateways assumed while their number is not known.
 const UNKNOWN_GATEWAYS: u32 = 32;
 
+/// What the budget allows.
+#[derive(Clone, Copy, Debug)]
+pub struct BudgetTerms {
+    /// Length of the window.
+    pub window: Duration,
+    /// Repeats for each request of the service.
+    pub ratio: f64,
+    /// Repeats beyond that in a window, shared by all gateways.
+    pub slack: f64,
+    /// Gateways that share it; 0 while unknown.
+    pub gateways: u32,
+}
+
 /// Budget of one service.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
@@ -25,30 +38,26 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat from the budget, if there is one left. `ratio` repeats go with each request;
-    /// `slack` more are shared by all gateways, whose number may be unknown (0).
-    pub fn take(
-        &mut self,
-        now: Timestamp,
-        window: Duration,
-        ratio: f64,
-        slack: f64,
-        gateways: u32,
-    ) -> bool {
-        drop_old(&mut self.requests, now, window);
-        drop_old(&mut self.repeats, now, window);
-        let gateways = if gateways == 0 {
-            UNKNOWN_GATEWAYS
-        } else {
-            gateways
+    /// Whether one more repeat is within the budget.
+    pub fn has_room(&mut self, now: Timestamp, terms: &BudgetTerms) -> bool {
+        drop_old(&mut self.requests, now, terms.window);
+        drop_old(&mut self.repeats, now, terms.window);
+        let gateways = match terms.gateways {
+            0 => UNKNOWN_GATEWAYS,
+            known => known,
         };
-        let own = ratio * self.requests.len() as f64;
-        let allowed = (own + slack / f64::from(gateways)) * USED_PERCENT / 100.0;
-        if (self.repeats.len() + 1) as f64 > allowed {
-            return false;
+        let own = terms.ratio * self.requests.len() as f64;
+        let allowed = (own + terms.slack / f64::from(gateways)) * USED_PERCENT / 100.0;
+        (self.repeats.len() + 1) as f64 <= allowed
+    }
+
+    /// Takes one repeat, if the budget has room for it.
+    pub fn take(&mut self, now: Timestamp, terms: &BudgetTerms) -> bool {
+        let room = self.has_room(now, terms);
+        if room {
+            self.repeats.push_back(now);
         }
-        self.repeats.push_back(now);
-        true
+        room
     }
 }
 
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -1,8 +1,8 @@
 //! Routes, choices, waits, refusals and the retry budget.
 
 use millpass_dispatch::{
-    Choice, Description, DispatchSettings, Dispatcher, PromptPart, RefusalReason, RetryBudget,
-    RouteError, SendEnd, Ticket,
+    BudgetTerms, Choice, Description, DispatchSettings, Dispatcher, PromptPart, RefusalReason,
+    RetryBudget, RouteError, SendEnd, Ticket,
 };
 use millpass_proto::*;
 use proptest::prelude::*;
@@ -318,6 +318,42 @@
     assert!(ask(400, "x"));
 }
 
+/// Found on the operators' platform: each look at a request that waited took from the budget.
+#[test]
+fn waiting_for_a_repeat_takes_nothing_from_the_budget() {
+    let mut dispatcher = dispatcher(vec![record("e-1", "text", &["a"])]);
+    let mut ticket = begin(&mut dispatcher, 0, "/text/", Some("a"));
+    assert!(matches!(
+        dispatcher.choose(at(0), &mut ticket),
+        Choice::Send { .. }
+    ));
+    dispatcher.ended(at(1), &ticket.record(&"e-1".into()), SendEnd::Misdirected);
+    for now in 2..200 {
+        dispatcher.choose(at(now), &mut ticket);
+    }
+    dispatcher.update(
+        at(200),
+        update(1, None, vec![record("e-2", "text", &["a"])]),
+    );
+    assert!(matches!(
+        dispatcher.choose(at(200), &mut ticket),
+        Choice::Send { .. }
+    ));
+}
+
+#[test]
+fn an_instance_that_another_run_has_replaced_gets_nothing_more() {
+    let mut dispatcher = dispatcher(vec![record("e-1", "text", &["a"])]);
+    let mut ticket = begin(&mut dispatcher, 0, "/text/", Some("a"));
+    assert!(matches!(
+        dispatcher.choose(at(0), &mut ticket),
+        Choice::Send { .. }
+    ));
+    dispatcher.ended(at(1), &ticket.record(&"e-1".into()), SendEnd::Replaced);
+    assert_eq!(dispatcher.instance_count(), 0);
+    assert_eq!(dispatcher.report().doubted, ["e-1".into()]);
+}
+
 #[test]
 fn attempts_of_a_route_are_bounded() {
     let instances = ["i-1", "i-2", "i-3"].map(|name| record(name, "web", &[]));
@@ -346,12 +382,13 @@
         steps in prop::collection::vec((0_usize..4, 0_u64..400, prop::bool::ANY), 1..400),
     ) {
         let window = Duration::from_secs(10);
+        let terms = BudgetTerms { window, ratio: 0.2, slack: 10.0, gateways: 4 };
         let mut budgets: Vec<RetryBudget> = (0..4).map(|_| RetryBudget::default()).collect();
         let (mut requests, mut repeats, mut now) = (Vec::new(), Vec::new(), 0);
         for (gateway, pause, repeat) in steps {
             now += pause;
             if repeat {
-                if budgets[gateway].take(at(now), window, 0.2, 10.0, 4) {
+                if budgets[gateway].take(at(now), &terms) {
                     repeats.push(now);
                 }
             } else {
--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -30,6 +30,8 @@
     in_flight: BTreeMap<String, u32>,
     unserved: f64,
     unserved_at: Option<Timestamp>,
+    /// Since when it is unserved without a break.
+    unserved_since: Timestamp,
     priority: u32,
 }
 
@@ -49,6 +51,7 @@
     pub(crate) key: ModelKey,
     pub(crate) requests: f64,
     pub(crate) priority: u32,
+    since: Timestamp,
 }
 
 /// Demand of all gateways.
@@ -83,6 +86,9 @@
                 } else {
                     need.priority
                 };
+                if !waited {
+                    entry.unserved_since = now;
+                }
                 entry.unserved = before + f64::from(need.unserved);
                 entry.unserved_at = Some(now);
             }
@@ -135,7 +141,8 @@
             .map(|(_, entry)| entry)
     }
 
-    /// Needs reported lately, the most urgent first, then those with the most requests.
+    /// Needs reported lately, the most urgent first, then the oldest: the weight store's
+    /// permits are scarce, and a rare model's turn must come.
     pub(crate) fn unmet(&self, now: Timestamp) -> Vec<Unmet> {
         let mut unmet: Vec<Unmet> = self
             .entries
@@ -149,11 +156,14 @@
                 key: key.clone(),
                 requests: entry.unserved,
                 priority: entry.priority,
+                since: entry.unserved_since,
             })
             .collect();
         unmet.sort_by(|left, right| {
             let urgency = left.priority.cmp(&right.priority);
-            urgency.then(right.requests.total_cmp(&left.requests))
+            urgency
+                .then(left.since.cmp(&right.since))
+                .then(right.requests.total_cmp(&left.requests))
         });
         unmet
     }
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -54,8 +54,8 @@
     /// Model to load once what is under way makes room.
     pub(crate) reserved: Option<ModelName>,
     pub(crate) reserved_at: Timestamp,
-    /// A step was planned for it in this round.
-    pub(crate) planned: bool,
+    /// A step was planned for it in this round: what is done, and to which model.
+    pub(crate) planned: Option<(InstructionOperation, ModelName)>,
     loaded_at: BTreeMap<ModelName, Timestamp>,
     overlay: Vec<AdapterChange>,
     reading_since: Option<Timestamp>,
@@ -146,7 +146,7 @@
 
     /// Whether an instruction may be given now.
     pub(crate) fn is_free(&self) -> bool {
-        self.pending.is_none() && self.revision.is_some() && !self.planned
+        self.pending.is_none() && self.revision.is_some() && self.planned.is_none()
     }
 
     /// Whether a load of the model is under way or about to begin.
@@ -156,7 +156,10 @@
                 && pending.adapter.is_none()
                 && pending.model == *model
         });
-        loading || self.reserved.as_ref() == Some(model)
+        let planned = self.planned.as_ref().is_some_and(|(operation, planned)| {
+            *operation == InstructionOperation::Load && planned == model
+        });
+        loading || planned || self.reserved.as_ref() == Some(model)
     }
 
     /// Whether the model is on its way out.
@@ -177,7 +180,7 @@
 
     /// Notes an instruction that is being sent.
     pub(crate) fn sent(&mut self, now: Timestamp, pending: Pending) {
-        self.planned = false;
+        self.planned = None;
         if pending.operation == InstructionOperation::Load && pending.adapter.is_none() {
             self.loaded_at.insert(pending.model.clone(), now);
             self.reserved = None;
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -239,7 +239,7 @@
         if operation == InstructionOperation::Load {
             engine.reserved = None;
         }
-        self.mark_planned(&place.instance);
+        engine.planned = Some((operation, subject.clone()));
         steps.push(Step {
             instance: place.instance.clone(),
             instruction: Some((operation, subject, None)),
@@ -248,17 +248,10 @@
         });
     }
 
-    /// An engine that a step was planned for takes no other in this round.
-    fn mark_planned(&mut self, instance: &InstanceId) {
-        if let Some(engine) = self.engines.engines.get_mut(instance) {
-            engine.planned = true;
-        }
-    }
-
     /// What it costs to load a model at an engine, and the first model that must make way.
     fn place_at(&self, instance: &InstanceId, model: &ModelName) -> Option<Place> {
         let engine = self.engine(instance)?;
-        if engine.planned {
+        if engine.planned.is_some() {
             return None;
         }
         let needed = model_spec(self.specification, model)?.weights_kilobytes;
@@ -397,10 +390,7 @@
         }
         let best = holders
             .iter()
-            .filter(|instance| {
-                self.engine(instance)
-                    .is_some_and(|engine| engine.is_free() && !engine.planned)
-            })
+            .filter(|instance| self.engine(instance).is_some_and(Engine::is_free))
             .min_by(|left, right| {
                 let cost = |instance: &InstanceId| {
                     self.engine(instance).map_or(f64::MAX, |engine| {
@@ -417,7 +407,11 @@
         let Some(instruction) = instruction else {
             return;
         };
-        self.mark_planned(&instance);
+        if let Some(engine) = self.engines.engines.get_mut(&instance) {
+            // Only a model counts as coming.
+            let unload = InstructionOperation::Unload;
+            engine.planned = Some((unload, key.model.clone()));
+        }
         steps.push(Step {
             instance,
             instruction: Some(instruction),
@@ -497,6 +491,7 @@
                 self.engine(instance).is_some_and(|engine| {
                     engine.is_free()
                         && engine.reserved.is_none()
+                        && !from_store(engine, &model)
                         && !engine.holds(&model, None)
                         && self.busyness(engine) < share / 2.0
                 })
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -337,6 +337,33 @@
     assert_eq!(most, Some(allowed));
 }
 
+/// Found on the operators' platform: the load that follows a reservation, and a need for the same
+/// model, each loaded it in one round.
+#[test]
+fn a_model_whose_room_was_just_made_is_loaded_there_alone() {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a", "b"]);
+    bench
+        .fleet
+        .report(at(1_050), 1, &report(vec![need("c", None)]));
+    let first = bench.instructions(1_100);
+    assert_eq!(first[0].operation, InstructionOperation::Unload);
+    let left = if first[0].model == "a".into() { "b" } else { "a" };
+    bench
+        .fleet
+        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    bench.engine(1_150, "e-2", &["d"]);
+    bench
+        .fleet
+        .announce(at(1_200), record("e-1", 2_000, &[left]), false);
+    bench
+        .fleet
+        .report(at(1_200), 1, &report(vec![need("c", None)]));
+    let given = bench.instructions(1_300);
+    assert_eq!(given.len(), 1, "{given:?}");
+    assert_eq!(given[0].instance, "e-1".into());
+}
+
 #[test]
 fn a_silent_instance_is_removed_and_gateways_are_told() {
     let mut bench = Bench::new();
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -1,7 +1,7 @@
 //! One request from its head to its answer.
 
 use crate::exchange::{self, Received, SendFailure, Template, remove_hop_headers};
-use crate::interface::SendFacts;
+use crate::interface::{AnswerFacts, SendFacts};
 use crate::metrics::millis;
 use crate::relay::{Relay, RelayBody, relay, whole_body};
 use crate::shared::{ActiveSend, Shared};
@@ -197,11 +197,7 @@
             shared.core().told_load(shared.now(), &instance, load);
         }
         if received.facts.misdirected || received.facts.not_executed {
-            let end = if received.facts.misdirected {
-                SendEnd::Misdirected
-            } else {
-                SendEnd::Full
-            };
+            let end = turned_away(&received.facts, &instance);
             self.log_send(&instance, "not-executed", received.head.status.as_str());
             active.end(end);
             drop(received);
@@ -328,6 +324,19 @@
     }
 }
 
+/// How a send ended that the instance says did not run.
+fn turned_away(facts: &AnswerFacts, instance: &InstanceId) -> SendEnd {
+    let other_run = facts
+        .instance
+        .as_ref()
+        .is_some_and(|found| found != instance);
+    match (facts.misdirected, other_run) {
+        (true, true) => SendEnd::Replaced,
+        (true, false) => SendEnd::Misdirected,
+        (false, _) => SendEnd::Full,
+    }
+}
+
 /// Logs how a request ended.
 pub(crate) fn log_request(shared: &Shared, ticket: &Ticket, outcome: &str, status: &str) {
     shared.metrics.requests.with_label_values(&[outcome]).inc();
--- a/crates/millpass-gateway/src/interface.rs
+++ b/crates/millpass-gateway/src/interface.rs
@@ -27,6 +27,8 @@
     pub not_executed: bool,
     /// Another run is at the address, or what was asked for is not there; it did not run.
     pub misdirected: bool,
+    /// Run that answers, where it says so.
+    pub instance: Option<InstanceId>,
     /// Requests running and waiting there.
     pub load: Option<u32>,
     /// Time an idle connection is kept open there.
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -75,6 +75,7 @@
             }
             SendEnd::Full => "full",
             SendEnd::Misdirected => "misdirected",
+            SendEnd::Replaced => "replaced",
             SendEnd::Unreachable => "unreachable",
             SendEnd::Failed => "failed",
             SendEnd::GivenUp => "given-up",
