Gateways begin with any member's copy after a loss of the whole group; replicas follow load

Cause: after a power loss requests waited 2.6 s: for an election, then for each instance to announce itself to the new leader. Busy models had no replicas. Ruled out: serving gateways from followers at any time (a cut follower would show an old document to gateways that are in touch). Models with six or more in flight for each holder get a replica, from the weight store while 60 % of its permits are left.

--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -413,7 +413,7 @@
                     name: "snapshot_entries",
                     required: false,
                     kind: KeyKind::Integer {
-                        minimum: 10u64,
+                        minimum: 1u64,
                         maximum: 10000000u64,
                     },
                 },
--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -5,11 +5,11 @@
 use crate::interface::{AdministrationAnswer, ConnectionId, ControlEvent, ControlOutput};
 use crate::outputs::Outputs;
 use crate::plane::ControlPlane;
-use crate::proposals::Waiter;
+use crate::proposals::{InternalKey, Waiter};
 use millpass_fleet::FleetOutput;
 use millpass_proto::{
-    Command, ControlToRouter, GatewayReport, InstanceDeparture, InstanceId, InstanceRecord,
-    InstructionAnswer, PutDocument, Timestamp,
+    Command, ControlToRouter, GatewayReport, GatewayUpdate, InstanceDeparture, InstanceId,
+    InstanceRecord, InstructionAnswer, PutDocument, Timestamp,
 };
 
 /// Why a call is refused where no instances announce themselves.
@@ -105,6 +105,9 @@
         out: &mut Outputs,
     ) {
         if !self.in_charge(now) {
+            if report.version == 0 && self.fleet.is_some() {
+                self.send_provisional(connection, out);
+            }
             out.send_not_leader(connection, self.leader_peer_address());
             return;
         }
@@ -114,6 +117,27 @@
         }
     }
 
+    /// Gives a gateway that has nothing yet what this member has: after a loss of the whole group,
+    /// requests need not wait for a leader. The gateway takes it only while it has nothing.
+    fn send_provisional(&self, connection: ConnectionId, out: &mut Outputs) {
+        let Some(document) = self.state.document() else {
+            return;
+        };
+        let update = GatewayUpdate {
+            term: 0,
+            complete: false,
+            first: true,
+            document: Some(document.clone()),
+            instances: self.state.noted_instances().cloned().collect(),
+            removed: Vec::new(),
+            outlook: Vec::new(),
+            gateways: 0,
+            members: Vec::new(),
+            provisional: true,
+        };
+        out.send_router(connection, ControlToRouter::Gateway(update));
+    }
+
     pub(crate) fn instruction_answered(
         &mut self,
         now: Timestamp,
@@ -137,14 +161,26 @@
             .chain(&membership.learners)
             .map(|member| member.peer_address.clone())
             .collect();
+        fleet.begin(now, self.state.noted_instances().cloned());
         for output in fleet.run(now, self.term, self.state.document(), members) {
-            out.push(host_output(output));
+            match output {
+                FleetOutput::Note(note) => {
+                    let command = Command::NoteInstances(note);
+                    self.propose_internal(now, InternalKey::NoteInstances, command, out);
+                }
+                other => out.push(host_output(other)),
+            }
         }
     }
 }
 
 fn host_output(output: FleetOutput) -> ControlOutput {
     match output {
+        // Proposed by the caller.
+        FleetOutput::Note(_) => ControlOutput::Event(ControlEvent {
+            name: "instances-noted",
+            pairs: Vec::new(),
+        }),
         FleetOutput::Update { connection, update } => ControlOutput::SendRouter {
             connection: ConnectionId(connection),
             message: ControlToRouter::Gateway(*update),
--- a/crates/millpass-control-plane/src/proposals.rs
+++ b/crates/millpass-control-plane/src/proposals.rs
@@ -23,6 +23,8 @@
     ExpireClaims,
     /// Abandoning the claims of a run of a router.
     AbandonClaims(RouterName, Incarnation),
+    /// The leader's view of instances.
+    NoteInstances,
     /// A scheduling decision, by its number.
     Schedule(u64),
 }
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -14,6 +14,7 @@
 fn world(members: u64) -> World {
     let mut world = World::new(0);
     world.fleet = Some(FleetSettings::default());
+    world.snapshot_entries = 2;
     let voters: Vec<MemberAddress> = (1..=members).map(address).collect();
     for member in 1..=members {
         let membership = Membership {
@@ -194,6 +195,51 @@
     assert!(told.iter().all(|update| update.instances.is_empty()));
 }
 
+/// After a loss of the whole group, a gateway that starts before there is a leader gets what any
+/// member has.
+#[test]
+fn without_a_leader_a_gateway_that_has_nothing_gets_the_member_s_own_copy() {
+    let mut world = world(3);
+    let leader = world.elect();
+    world.call(leader, put(4));
+    world.call(leader, announce("i-1", 1, false));
+    world.run(seconds(3));
+    let follower = world.follower(leader);
+    for member in 1..=3 {
+        world.halt(MemberId(member));
+    }
+    world.restart(follower.0);
+    let connection = world.connect(follower);
+    report(&mut world, connection);
+    world.run(std::time::Duration::from_millis(20));
+    let told = updates(&mut world, connection);
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert!(told[0].provisional);
+    assert_eq!(
+        told[0].document.as_ref().map(|document| document.version),
+        Some(4)
+    );
+    assert_eq!(told[0].instances.len(), 1);
+}
+
+#[test]
+fn a_new_leader_begins_with_the_instances_that_were_noted() {
+    let mut world = world(3);
+    let leader = world.elect();
+    world.call(leader, announce("i-1", 7, false));
+    world.run(seconds(3));
+    world.halt(leader);
+    let next = world.elect();
+    let connection = world.connect(next);
+    report(&mut world, connection);
+    world.run(std::time::Duration::from_millis(50));
+    let told = updates(&mut world, connection);
+    assert!(
+        told.iter().any(|update| update.instances.len() == 1),
+        "{told:?}"
+    );
+}
+
 #[test]
 fn a_gateway_is_pushed_a_document_without_asking() {
     let mut world = world(3);
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -158,7 +158,8 @@
 
     /// Takes an update of the leader. A document older than the one in force is never taken.
     pub fn update(&mut self, now: Timestamp, update: GatewayUpdate) -> UpdateOutcome {
-        if update.term < self.term {
+        let late = update.provisional && self.table.is_some();
+        if update.term < self.term || late {
             return UpdateOutcome {
                 stale: true,
                 ..UpdateOutcome::default()
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -117,6 +117,7 @@
         outlook: Vec::new(),
         gateways: 2,
         members: Vec::new(),
+        provisional: false,
     }
 }
 
@@ -181,6 +182,24 @@
     assert_eq!(dispatcher.table().expect("table").version(), 5);
 }
 
+#[test]
+fn a_provisional_update_is_taken_only_by_a_gateway_that_has_nothing() {
+    let provisional = |version| GatewayUpdate {
+        provisional: true,
+        ..update(
+            0,
+            Some(document(version, routes())),
+            vec![record("i-1", "web", &[])],
+        )
+    };
+    let mut dispatcher = Dispatcher::new(settings());
+    assert_eq!(dispatcher.update(at(0), provisional(3)).version, Some(3));
+    assert!(dispatcher.update(at(1), provisional(4)).stale);
+    assert_eq!(dispatcher.table().expect("table").version(), 3);
+    dispatcher.update(at(2), update(1, Some(document(5, routes())), Vec::new()));
+    assert_eq!(dispatcher.table().expect("table").version(), 5);
+}
+
 #[test]
 fn a_draining_instance_gets_nothing_even_if_a_later_word_calls_it_ready() {
     let mut dispatcher = dispatcher(vec![record("i-1", "web", &[])]);
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -8,11 +8,13 @@
 use crate::registry::{Announced, Registry};
 use millpass_proto::{
     DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate, InstanceId,
-    InstanceRecord, InstructionAnswer, InstructionOperation, ModelOutlook, Timestamp,
+    InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelOutlook, Timestamp,
 };
 
 /// Time between two looks for work when nothing happens.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two notes of instances in the log.
+const NOTE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Shortest time between two looks.
 const MINIMUM_PLAN_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -68,6 +70,8 @@
         /// IP address and port.
         address: String,
     },
+    /// Keep what changed in the replicated log; answered by [`Fleet::noted`].
+    Note(InstanceNote),
     /// Log.
     Event(FleetEvent),
 }
@@ -89,6 +93,9 @@
     next_plan: Timestamp,
     last_plan: Timestamp,
     members: Vec<String>,
+    /// Registry revision that was noted in the log, and when.
+    noted: u64,
+    noted_at: Timestamp,
     out: Vec<FleetOutput>,
 }
 
@@ -110,6 +117,8 @@
             next_plan: Timestamp::ZERO,
             last_plan: Timestamp::ZERO,
             members: Vec::new(),
+            noted: 0,
+            noted_at: Timestamp::ZERO,
             out: Vec::new(),
         }
     }
@@ -124,6 +133,37 @@
         self.gateways.sessions.keys().copied().collect()
     }
 
+    /// Whether this member has led long enough to have begun; if not, `records`, as a leader before it
+    /// noted them, are where it begins. They count as heard now.
+    pub fn begin(&mut self, now: Timestamp, records: impl Iterator<Item = InstanceRecord>) {
+        if self.in_charge_since.is_some() {
+            return;
+        }
+        self.in_charge_since = Some(now);
+        for mut record in records {
+            // Any word of the instance itself is newer.
+            record.sequence = 0;
+            self.announce(now, record, false);
+        }
+        self.noted = self.registry.revision();
+        self.noted_at = now;
+    }
+
+    /// What is to be noted now, if anything.
+    fn note(&mut self, now: Timestamp) {
+        let revision = self.registry.revision();
+        if revision == self.noted || now.since(self.noted_at) < NOTE_INTERVAL {
+            return;
+        }
+        let note = InstanceNote {
+            instances: self.registry.changed_since(self.noted),
+            removed: self.registry.removed_since(self.noted),
+        };
+        self.noted = revision;
+        self.noted_at = now;
+        self.out.push(FleetOutput::Note(note));
+    }
+
     /// Takes what an instance says of itself. `ended` says whether it has departed for good.
     pub fn announce(&mut self, now: Timestamp, record: InstanceRecord, ended: bool) {
         if ended {
@@ -282,6 +322,7 @@
                 self.plan(now, document);
             }
         }
+        self.note(now);
         let complete = now.since(since) >= self.settings.announce_interval * 3;
         self.update_gateways(document, complete);
         std::mem::take(&mut self.out)
@@ -452,6 +493,7 @@
                 } else {
                     Vec::new()
                 },
+                provisional: false,
             };
             session.greeted = true;
             session.sent_complete |= complete;
--- a/crates/millpass-fleet/src/permits.rs
+++ b/crates/millpass-fleet/src/permits.rs
@@ -19,8 +19,23 @@
 }
 
 impl StorePermits {
+    /// Share of the window's permits that is taken, from 0 to 1.
+    pub fn used(&mut self, now: Timestamp, milliloads_per_second: u64) -> f64 {
+        self.drop_old(now);
+        self.taken.len() as f64 / allowed(milliloads_per_second) as f64
+    }
+
     /// Takes a permit if the rate, in thousandths of a load a second, allows one now.
     pub fn take(&mut self, now: Timestamp, milliloads_per_second: u64) -> bool {
+        self.drop_old(now);
+        if self.taken.len() as u64 >= allowed(milliloads_per_second) {
+            return false;
+        }
+        self.taken.push_back(now);
+        true
+    }
+
+    fn drop_old(&mut self, now: Timestamp) {
         while self
             .taken
             .front()
@@ -28,11 +43,11 @@
         {
             self.taken.pop_front();
         }
-        let allowed = milliloads_per_second * WINDOW.as_secs() * USED_PERCENT / 100_000;
-        if self.taken.len() as u64 >= allowed.max(1) {
-            return false;
-        }
-        self.taken.push_back(now);
-        true
     }
 }
+
+/// Loads allowed in a window; at least one.
+fn allowed(milliloads_per_second: u64) -> u64 {
+    let allowed = milliloads_per_second * WINDOW.as_secs() * USED_PERCENT / 100_000;
+    allowed.max(1)
+}
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -22,7 +22,9 @@
 /// Time after which a reservation that led to nothing lapses.
 const RESERVATION_LIFETIME: Duration = Duration::from_millis(8_000);
 /// Requests in flight that one engine serves well; with more, a busy model gets another replica.
-const COMFORTABLE_IN_FLIGHT: f64 = 14.0;
+const COMFORTABLE_IN_FLIGHT: f64 = 6.0;
+/// Share of the weight store's permits up to which replicas of busy models may take them.
+const SPREAD_PERMITS: f64 = 0.6;
 /// Weight of the value of what makes way against the time of the load: milliseconds for each
 /// request a second that would have to be served cold.
 const EVICTION_WEIGHT: f64 = 1_000.0;
@@ -452,54 +454,57 @@
         Some((unload, least.0.clone(), Some(least.1.clone())))
     }
 
-    /// Gives the busiest model of an overloaded engine another replica, where a copy is at hand.
+    /// Gives busy models another replica: where a copy is at hand, or from the weight store while
+    /// needs that nobody serves leave it enough permits.
     fn spread(&mut self, steps: &mut Vec<Step>) {
-        if self
-            .engines
-            .engines
-            .values()
-            .any(|engine| engine.reserved.is_some())
-        {
-            return;
+        for (share, model) in self.busy_models() {
+            let coming = self
+                .engines
+                .engines
+                .values()
+                .any(|engine| engine.brings(&model));
+            if !coming {
+                self.add_replica(share, &model, steps);
+            }
         }
-        let hottest = self
+    }
+
+    /// Models whose holders have more in flight than one serves well, the busiest first.
+    fn busy_models(&self) -> Vec<(f64, ModelName)> {
+        let mut busy: Vec<(f64, ModelName)> = self
             .specification
             .models
             .iter()
             .map(|model| {
                 let holders = self.holders(&model.name).max(1) as f64;
                 let in_flight = self.demand.model_in_flight(self.service, &model.name);
-                (f64::from(in_flight) / holders, &model.name)
+                (f64::from(in_flight) / holders, model.name.clone())
             })
-            .max_by(|left, right| left.0.total_cmp(&right.0));
-        let Some((share, model)) = hottest else {
-            return;
-        };
-        let model = model.clone();
-        let coming = self
-            .engines
-            .engines
-            .values()
-            .any(|engine| engine.brings(&model));
-        if share < COMFORTABLE_IN_FLIGHT || coming {
-            return;
-        }
-        let place = self
+            .filter(|(share, _)| *share >= COMFORTABLE_IN_FLIGHT)
+            .collect();
+        busy.sort_by(|left, right| right.0.total_cmp(&left.0));
+        busy
+    }
+
+    fn add_replica(&mut self, share: f64, model: &ModelName, steps: &mut Vec<Step>) {
+        let milliloads = self.specification.milliloads_per_second;
+        let spare = self.permits.used(self.now, milliloads) < SPREAD_PERMITS;
+        let best = self
             .usable()
             .iter()
             .filter(|instance| {
                 self.engine(instance).is_some_and(|engine| {
                     engine.is_free()
                         && engine.reserved.is_none()
-                        && !from_store(engine, &model)
-                        && !engine.holds(&model, None)
+                        && (spare || !from_store(engine, model))
+                        && !engine.holds(model, None)
                         && self.busyness(engine) < share / 2.0
                 })
             })
-            .filter_map(|instance| self.place_at(instance, &model))
+            .filter_map(|instance| self.place_at(instance, model))
             .min_by(|left, right| left.cost.total_cmp(&right.cost));
-        if let Some(place) = place.filter(|place| place.cost < EVICTION_WEIGHT * share) {
-            self.begin(&place, &model, "busy", steps);
+        if let Some(place) = best.filter(|place| place.cost < EVICTION_WEIGHT * share) {
+            self.begin(&place, model, "busy", steps);
         }
     }
 }
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -348,7 +348,11 @@
         .report(at(1_050), 1, &report(vec![need("c", None)]));
     let first = bench.instructions(1_100);
     assert_eq!(first[0].operation, InstructionOperation::Unload);
-    let left = if first[0].model == "a".into() { "b" } else { "a" };
+    let left = if first[0].model == "a".into() {
+        "b"
+    } else {
+        "a"
+    };
     bench
         .fleet
         .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -308,6 +308,84 @@
 }
 
 
+/// Name of a model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ModelName(pub String);
+
+
+/// A model that an instance holds.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct HeldModel {
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Adapters loaded beside it.
+    pub adapters: Vec<AdapterName>,
+}
+
+
+/// Name of a service: interchangeable instances that serve the same routes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ServiceName(pub String);
+
+
+/// What an instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstanceRecord {
+
+    /// Identity of the run.
+    pub instance: InstanceId,
+
+    /// Service.
+    pub service: ServiceName,
+
+    /// IP address and port.
+    pub address: String,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// Requests it works on at once.
+    pub slots: u32,
+
+    /// It takes no new work.
+    pub draining: bool,
+
+    /// How much longer it is slow from its start.
+    pub warmup_millis: u64,
+
+    /// Grows with each announcement of the run.
+    pub sequence: u64,
+
+    /// Models it holds.
+    pub models: Vec<HeldModel>,
+
+    /// Models whose weights it has a copy of in host memory.
+    pub in_memory: Vec<ModelName>,
+
+    /// Models whose weights it has a copy of on its disk.
+    pub on_disk: Vec<ModelName>,
+}
+
+
+/// What changed in the leader's view of instances. Kept so that a new leader, or a gateway that starts while there is none, begins with something; never a promise.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstanceNote {
+
+    /// New or changed.
+    pub instances: Vec<InstanceRecord>,
+
+    /// Gone.
+    pub removed: Vec<InstanceId>,
+}
+
+
 /// Caller-chosen identity of one configuration change; a resend carries the same one.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -355,12 +433,6 @@
 }
 
 
-/// Name of a model.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ModelName(pub String);
-
-
 /// An adapter loaded beside a model's weights.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -705,12 +777,6 @@
 }
 
 
-/// Name of a service: interchangeable instances that serve the same routes.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ServiceName(pub String);
-
-
 /// A service that a route sends to.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -949,6 +1015,9 @@
 
     /// Record that an instance leaves.
     DepartInstance(InstanceDeparture),
+
+    /// Keep the leader's view of instances.
+    NoteInstances(InstanceNote),
 }
 
 
@@ -1437,59 +1506,6 @@
 }
 
 
-/// A model that an instance holds.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct HeldModel {
-
-    /// Model.
-    pub model: ModelName,
-
-    /// Adapters loaded beside it.
-    pub adapters: Vec<AdapterName>,
-}
-
-
-/// What an instance says of itself.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct InstanceRecord {
-
-    /// Identity of the run.
-    pub instance: InstanceId,
-
-    /// Service.
-    pub service: ServiceName,
-
-    /// IP address and port.
-    pub address: String,
-
-    /// Zone.
-    pub zone: ZoneName,
-
-    /// Requests it works on at once.
-    pub slots: u32,
-
-    /// It takes no new work.
-    pub draining: bool,
-
-    /// How much longer it is slow from its start.
-    pub warmup_millis: u64,
-
-    /// Grows with each announcement of the run.
-    pub sequence: u64,
-
-    /// Models it holds.
-    pub models: Vec<HeldModel>,
-
-    /// Models whose weights it has a copy of in host memory.
-    pub in_memory: Vec<ModelName>,
-
-    /// Models whose weights it has a copy of on its disk.
-    pub on_disk: Vec<ModelName>,
-}
-
-
 /// Load an adapter.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2004,6 +2020,9 @@
 
     /// Addresses of the control members.
     pub members: Vec<String>,
+
+    /// From a member that does not lead, out of its own copy: for a gateway that has nothing yet.
+    pub provisional: bool,
 }
 
 
--- a/crates/millpass-state/src/deployment.rs
+++ b/crates/millpass-state/src/deployment.rs
@@ -1,6 +1,8 @@
 //! The deployment document in force, and the instances that leave or have left.
 
-use millpass_proto::{DeploymentDocument, InstanceDeparture, InstanceId, PutDocument};
+use millpass_proto::{
+    DeploymentDocument, InstanceDeparture, InstanceId, InstanceNote, InstanceRecord, PutDocument,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -8,7 +10,10 @@
 /// for seconds after its departure, so thousands are hours of restarts.
 pub const MAXIMUM_DEPARTED_INSTANCES: usize = 4_096;
 
-/// Document and departures.
+/// Most instances noted; far above the fleets that one group serves.
+pub const MAXIMUM_NOTED_INSTANCES: usize = 16_384;
+
+/// Document, departures and noted instances.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Deployment {
     held: Option<PutDocument>,
@@ -16,6 +21,8 @@
     departed: BTreeMap<InstanceId, bool>,
     /// Departed instances, the oldest first.
     order: VecDeque<InstanceId>,
+    /// Instances as a leader last noted them.
+    noted: BTreeMap<InstanceId, InstanceRecord>,
 }
 
 impl Deployment {
@@ -39,8 +46,33 @@
         self.held.as_ref().map(|held| held.source.as_ref())
     }
 
+    /// Takes a leader's view of instances. What has departed stays so.
+    pub(crate) fn note(&mut self, note: &InstanceNote) {
+        for record in &note.instances {
+            let departed = self.departed(&record.instance);
+            if departed == Some(true) || self.noted.len() >= MAXIMUM_NOTED_INSTANCES {
+                continue;
+            }
+            let mut record = record.clone();
+            record.draining |= departed.is_some();
+            self.noted.insert(record.instance.clone(), record);
+        }
+        for instance in &note.removed {
+            self.noted.remove(instance);
+        }
+    }
+
+    pub(crate) fn noted(&self) -> impl Iterator<Item = &InstanceRecord> {
+        self.noted.values()
+    }
+
     /// Records that an instance leaves or has ended.
     pub(crate) fn depart(&mut self, departure: &InstanceDeparture) {
+        if departure.ended {
+            self.noted.remove(&departure.instance);
+        } else if let Some(record) = self.noted.get_mut(&departure.instance) {
+            record.draining = true;
+        }
         if let Some(ended) = self.departed.get_mut(&departure.instance) {
             *ended |= departure.ended;
             return;
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -30,7 +30,7 @@
     MAXIMUM_CLAIMS, MAXIMUM_CLAIMS_PER_TENANT, MAXIMUM_CLOCK_SKEW_MILLIS,
     MAXIMUM_TOTAL_ANSWER_BYTES,
 };
-pub use deployment::MAXIMUM_DEPARTED_INSTANCES;
+pub use deployment::{MAXIMUM_DEPARTED_INSTANCES, MAXIMUM_NOTED_INSTANCES};
 pub use document::{InvalidDocument, check_document};
 pub use encoding::StateError;
 pub use ledger::{adapter_bytes_each, replica_bytes_each, version_bytes_each};
@@ -41,9 +41,9 @@
 
 use millpass_proto::{
     BackendName, BackendState, Command, CommandOutcome, ConfigurationDelta, ConfigurationRevision,
-    DeploymentDocument, Incarnation, InstanceId, LogPosition, ModelName, ObjectChange,
-    ObjectChangeOutcome, ObjectKey, ObjectKind, ObjectSpec, PlacementRevision, Replica, RouterName,
-    SlotId, StoredObject,
+    DeploymentDocument, Incarnation, InstanceId, InstanceRecord, LogPosition, ModelName,
+    ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind, ObjectSpec, PlacementRevision,
+    Replica, RouterName, SlotId, StoredObject,
 };
 use serde::{Deserialize, Serialize};
 
@@ -95,6 +95,10 @@
                 self.deployment.put(put);
                 Ok(())
             }
+            Command::NoteInstances(note) => {
+                self.deployment.note(note);
+                Ok(())
+            }
             Command::DepartInstance(departure) => {
                 self.deployment.depart(departure);
                 Ok(())
@@ -140,6 +144,11 @@
         self.deployment.departed(instance)
     }
 
+    /// Instances as a leader last noted them.
+    pub fn noted_instances(&self) -> impl Iterator<Item = &InstanceRecord> {
+        self.deployment.noted()
+    }
+
     /// Instances that have departed, and whether each has ended.
     pub fn departures(&self) -> impl Iterator<Item = (&InstanceId, bool)> {
         self.deployment.departures()
