--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -35,5 +35,5 @@
 
 pub use events::EventBuffer;
 pub use interface::{AnswerFacts, Interface, SendFacts};
-pub use process::{GatewayError, run};
+pub use process::{Gateway, GatewayError};
 pub use settings::GatewaySettings;
--- a/crates/millpass-gateway/src/process.rs
+++ b/crates/millpass-gateway/src/process.rs
@@ -7,10 +7,10 @@
 use crate::settings::GatewaySettings;
 use crate::shared::Shared;
 use async_executor::Executor;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use futures_lite::future;
 use millpass_telemetry::event_line;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -39,42 +39,69 @@
     Metrics(#[from] prometheus::Error),
 }
 
-/// Runs a gateway on this thread until `stop` is done, then ends what is in flight within the grace.
-pub fn run(
-    settings: GatewaySettings,
-    interface: Arc<dyn Interface>,
-    stop: impl Future<Output = ()>,
-) -> Result<(), GatewayError> {
-    // Lives as long as the process: tasks refer to it from anywhere.
-    let executor: &'static Executor<'static> = Box::leak(Box::new(Executor::new()));
-    let listeners = [
-        (settings.listen, Service::Callers),
-        (settings.ready_listen, Service::Readiness),
-        (settings.metrics_listen, Service::Metrics),
-    ];
-    let shared = Arc::new(Shared::new(settings, interface, Metrics::new()?, executor));
-    for (address, service) in listeners {
-        let listener =
-            server::listen(address).map_err(|source| GatewayError::Listen { address, source })?;
-        executor
-            .spawn(server::accept(listener, shared.clone(), service))
-            .detach();
+/// A gateway that listens but does not serve yet.
+pub struct Gateway {
+    shared: Arc<Shared>,
+    listeners: Vec<(Async<TcpListener>, Service)>,
+}
+
+impl Gateway {
+    /// Listens; port 0 takes a free port.
+    pub fn bind(
+        settings: GatewaySettings,
+        interface: Arc<dyn Interface>,
+    ) -> Result<Gateway, GatewayError> {
+        let addresses = [
+            (settings.listen, Service::Callers),
+            (settings.ready_listen, Service::Readiness),
+            (settings.metrics_listen, Service::Metrics),
+        ];
+        let mut listeners = Vec::new();
+        for (address, service) in addresses {
+            let listener = server::listen(address)
+                .map_err(|source| GatewayError::Listen { address, source })?;
+            listeners.push((listener, service));
+        }
+        // Lives as long as the process: tasks refer to it from anywhere.
+        let executor: &'static Executor<'static> = Box::leak(Box::new(Executor::new()));
+        let shared = Shared::new(settings, interface, Metrics::new()?, executor);
+        Ok(Gateway {
+            shared: Arc::new(shared),
+            listeners,
+        })
+    }
+
+    /// Addresses of callers, of readiness and of metrics, with the real ports.
+    pub fn addresses(&self) -> std::io::Result<Vec<SocketAddr>> {
+        self.listeners
+            .iter()
+            .map(|(listener, _)| listener.get_ref().local_addr())
+            .collect()
+    }
+
+    /// Serves on this thread until `stop` is done, then ends what is in flight within the grace.
+    pub fn run(self, stop: impl Future<Output = ()>) {
+        let shared = self.shared;
+        let executor = shared.executor;
+        for (listener, service) in self.listeners {
+            let accepting = server::accept(listener, shared.clone(), service);
+            executor.spawn(accepting).detach();
+        }
+        executor.spawn(link::run(shared.clone())).detach();
+        executor.spawn(sweep(shared.clone())).detach();
+        let pairs = [
+            ("gateway", shared.settings.dispatch.name.clone()),
+            ("zone", shared.settings.dispatch.zone.0.clone()),
+            ("listen", shared.settings.listen.to_string()),
+            ("members", format!("{:?}", shared.settings.members)),
+        ];
+        log::info!("{}", event_line("gateway_started", &pairs));
+        let whole = async {
+            stop.await;
+            drain(&shared).await;
+        };
+        async_io::block_on(executor.run(whole));
     }
-    executor.spawn(link::run(shared.clone())).detach();
-    executor.spawn(sweep(shared.clone())).detach();
-    let pairs = [
-        ("gateway", shared.settings.dispatch.name.clone()),
-        ("zone", shared.settings.dispatch.zone.0.clone()),
-        ("listen", shared.settings.listen.to_string()),
-        ("members", format!("{:?}", shared.settings.members)),
-    ];
-    log::info!("{}", event_line("gateway_started", &pairs));
-    let whole = async {
-        stop.await;
-        drain(&shared).await;
-    };
-    async_io::block_on(executor.run(whole));
-    Ok(())
 }
 
 async fn sweep(shared: Arc<Shared>) {
