Placement by what prompts take; busy models stay; callers that will have left are refused at once

Ruled out: more replicas from the weight store at any time (needs that nobody serves starve). Tests in fleet and dispatch.

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -1,6 +1,6 @@
 //! The core itself.
 
-use crate::instances::{Instance, SendEnd};
+use crate::instances::{Instance, SendEnd, ToldLoad};
 use crate::needs::Needs;
 use crate::prompts::{beginnings, rendezvous};
 use crate::request::{Description, SendRecord, Ticket};
@@ -31,6 +31,8 @@
 const FAILURE_COST: f64 = 1_500.0;
 /// Cost of an instance filled to its slots, in milliseconds.
 const FULL_COST: f64 = 120.0;
+/// Cost of each request that waits at an engine for its prompt to be read, in milliseconds.
+const WAITING_REQUEST_COST: f64 = 60.0;
 /// Cost of each request at an engine, in milliseconds.
 const ENGINE_REQUEST_COST: f64 = 3.0;
 
@@ -239,6 +241,7 @@
             tried: Vec::new(),
             sends: 0,
             need_noted: None,
+            sent_at: None,
             description,
         };
         let window = self.settings.retry_window;
@@ -316,9 +319,9 @@
     }
 
     /// Takes the load an instance told with an answer.
-    pub fn told_load(&mut self, now: Timestamp, instance: &InstanceId, requests: u32) {
+    pub fn told_load(&mut self, now: Timestamp, instance: &InstanceId, load: ToldLoad) {
         if let Some(found) = self.instances.get_mut(instance) {
-            found.told_load(now, requests);
+            found.told_load(now, load);
         }
     }
 
@@ -436,6 +439,8 @@
             unread -= f64::from(*tokens) * 0.5 * rank;
         }
         let reading = instance.reading_until.since(now).as_secs_f64() * 1_000.0;
+        let waiting = instance.waiting(now) * WAITING_REQUEST_COST;
+        let reading = reading.max(waiting);
         cost + reading + unread / self.settings.prompt_tokens_per_milli + load * ENGINE_REQUEST_COST
     }
 
@@ -449,20 +454,23 @@
         let rate = self.settings.prompt_tokens_per_milli;
         let key = self.need_key(ticket);
         let mut address = String::new();
+        let mut unread = 0;
         if let Some(found) = self.instances.get_mut(instance) {
             let known = found.prompts.known_tokens(hashes);
             let all: u32 = hashes.iter().map(|(_, tokens)| tokens).sum();
-            let reading = Duration::from_secs_f64(f64::from(all - known) / rate / 1_000.0);
+            unread = all - known;
+            let reading = Duration::from_secs_f64(f64::from(unread) / rate / 1_000.0);
             found.reading_until = found.reading_until.max(now) + reading;
             found.prompts.note(now, hashes);
             found.in_flight += 1;
             address.clone_from(&found.record.address);
         }
         if let Some(key) = key {
-            self.needs.sent(key);
+            self.needs.sent(key, unread);
         }
         ticket.tried.push(instance.clone());
         ticket.sends += 1;
+        ticket.sent_at = Some(now);
         Choice::Send {
             instance: instance.clone(),
             address,
@@ -517,30 +525,24 @@
         }
     }
 
-    /// Waits when the load ends within the objective, or when there is no time to come back;
-    /// otherwise refuses early and says when to come back.
+    /// Waits when the load ends within the objective. Otherwise refuses early and says when to come
+    /// back, if the caller then still has time; else waits as long as the caller may be served.
     fn wait_for_load(&self, now: Timestamp, ticket: &Ticket) -> Choice {
         let ready = self.ready_at(now, ticket) + READY_MARGIN;
-        let last = ticket.give_up;
-        if now + SERVING_TIME >= last {
-            return Choice::Refuse {
-                reason: RefusalReason::Cold,
-                retry_after: ROOM_WAIT,
-            };
-        }
-        let next_look = |until: Timestamp| Choice::Wait {
-            until: until.min(now + NEED_REPEAT),
-        };
-        let on_time = ticket.arrived + ticket.objective() > ready + SERVING_TIME;
-        let waited = now.since(ticket.arrived);
         let come_back = ready.since(now);
-        let has_time_to_come_back = come_back * 3 < ticket.deadline.since(now);
-        if on_time || waited > ticket.objective() / 5 || !has_time_to_come_back {
-            return next_look(last);
-        }
-        Choice::Refuse {
+        let refusal = Choice::Refuse {
             reason: RefusalReason::Cold,
             retry_after: come_back,
+        };
+        let on_time = ticket.arrived + ticket.objective() > ready + SERVING_TIME;
+        let in_time = ticket.leaves_at() > ready + SERVING_TIME;
+        let early = now.since(ticket.arrived) <= ticket.objective() / 5;
+        let comes_back = come_back * 3 < ticket.deadline.since(now);
+        if !in_time || (early && comes_back && !on_time) {
+            return refusal;
+        }
+        Choice::Wait {
+            until: ticket.leaves_at().min(now + NEED_REPEAT),
         }
     }
 
--- a/crates/millpass-dispatch/src/instances.rs
+++ b/crates/millpass-dispatch/src/instances.rs
@@ -36,6 +36,15 @@
     GivenUp,
 }
 
+/// The load that an instance tells with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Requests it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
 /// One instance.
 pub(crate) struct Instance {
     pub(crate) record: InstanceRecord,
@@ -43,6 +52,8 @@
     pub(crate) in_flight: u32,
     /// Work of others there when it last told its load: running and waiting, less own.
     others: f64,
+    /// Requests that waited there then.
+    waiting: f64,
     others_at: Timestamp,
     /// When the prompts this gateway sent will have been read.
     pub(crate) reading_until: Timestamp,
@@ -63,6 +74,7 @@
             record,
             in_flight: 0,
             others: 0.0,
+            waiting: 0.0,
             others_at: Timestamp::ZERO,
             reading_until: Timestamp::ZERO,
             prompts: PromptIndex::default(),
@@ -126,9 +138,17 @@
         f64::from(self.in_flight) + self.others * (-age / LOAD_LIFETIME_SECONDS).exp()
     }
 
+    /// Estimated requests that wait there, as last told.
+    pub(crate) fn waiting(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.others_at).as_secs_f64();
+        self.waiting * (-age / LOAD_LIFETIME_SECONDS).exp()
+    }
+
     /// Takes the load that the instance told with an answer.
-    pub(crate) fn told_load(&mut self, now: Timestamp, requests: u32) {
-        self.others = (f64::from(requests) - f64::from(self.in_flight)).max(0.0);
+    pub(crate) fn told_load(&mut self, now: Timestamp, load: ToldLoad) {
+        let requests = f64::from(load.running) + f64::from(load.waiting);
+        self.others = (requests - f64::from(self.in_flight)).max(0.0);
+        self.waiting = f64::from(load.waiting);
         self.others_at = now;
     }
 
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -20,7 +20,7 @@
 mod table;
 
 pub use dispatcher::{Choice, DispatchSettings, Dispatcher, RefusalReason, UpdateOutcome};
-pub use instances::SendEnd;
+pub use instances::{SendEnd, ToldLoad};
 pub use request::{Description, PromptPart, SendRecord, Ticket};
 pub use retry_budget::{BudgetTerms, RetryBudget};
 pub use table::{RouteError, RoutingTable};
--- a/crates/millpass-dispatch/src/needs.rs
+++ b/crates/millpass-dispatch/src/needs.rs
@@ -11,6 +11,7 @@
     unserved: u32,
     in_flight: u32,
     priority: u32,
+    unread_tokens: u64,
 }
 
 /// Demand since the last report.
@@ -41,8 +42,10 @@
         self.urgent = true;
     }
 
-    pub(crate) fn sent(&mut self, key: Key) {
-        self.entry(key).in_flight += 1;
+    pub(crate) fn sent(&mut self, key: Key, unread_tokens: u32) {
+        let entry = self.entry(key);
+        entry.in_flight += 1;
+        entry.unread_tokens += u64::from(unread_tokens);
     }
 
     pub(crate) fn ended(&mut self, key: Key) {
@@ -69,11 +72,13 @@
                 arrivals: entry.arrivals,
                 in_flight: entry.in_flight,
                 priority: entry.priority,
+                unread_tokens: entry.unread_tokens,
             })
             .collect();
         self.entries.retain(|_, entry| {
             entry.arrivals = 0;
             entry.unserved = 0;
+            entry.unread_tokens = 0;
             entry.in_flight > 0
         });
         needs
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -50,6 +50,8 @@
     pub sends: u32,
     /// Whether its need for a model was noted.
     pub need_noted: Option<Timestamp>,
+    /// When it was last sent.
+    pub sent_at: Option<Timestamp>,
 }
 
 /// A send under way: whom it counts for when it ends.
@@ -85,6 +87,16 @@
         }
     }
 
+    /// When the caller leaves if nothing has come.
+    pub fn leaves_at(&self) -> Timestamp {
+        match self.route.first_event_millis {
+            0 => self.give_up,
+            millis => self
+                .give_up
+                .min(self.arrived + Duration::from_millis(millis)),
+        }
+    }
+
     /// Time within which an answer is on time.
     pub fn objective(&self) -> Duration {
         let patience = self.give_up.since(self.arrived);
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -41,6 +41,7 @@
             service: service.into(),
             weight: 1,
         }],
+        first_event_millis: 0,
     }
 }
 
@@ -288,6 +289,33 @@
     ));
 }
 
+/// Found on the operators' platform: callers of streams leave long before their deadline when nothing
+/// comes, and waited for loads that end later.
+#[test]
+fn a_caller_that_will_have_left_before_the_load_ends_is_refused_at_once() {
+    let mut specification = route("/text/", RouteKind::Stream, "text");
+    specification.first_event_millis = 700;
+    let mut dispatcher = Dispatcher::new(settings());
+    let engines = vec![record("e-1", "text", &["b"])];
+    dispatcher.update(
+        at(0),
+        update(1, Some(document(1, vec![specification])), engines),
+    );
+    let mut ticket = begin(&mut dispatcher, 0, "/text/", Some("a"));
+    // Late enough that it is no early refusal any more.
+    let choice = dispatcher.choose(at(300), &mut ticket);
+    assert!(
+        matches!(
+            choice,
+            Choice::Refuse {
+                reason: RefusalReason::Cold,
+                ..
+            }
+        ),
+        "{choice:?}"
+    );
+}
+
 #[test]
 fn prompts_with_the_same_beginning_go_to_the_same_engine_until_it_is_loaded() {
     let engines = ["e-1", "e-2", "e-3"].map(|name| record(name, "text", &["a"]));
--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -5,6 +5,8 @@
 
 /// Time over which the rate of arrivals is averaged, in seconds.
 const RATE_SECONDS: f64 = 6.0;
+/// Time over which the rate of prompt tokens is averaged, in seconds.
+const TOKEN_SECONDS: f64 = 3.0;
 /// How long a need that was reported counts as unserved.
 const NEED_LIFETIME: Duration = Duration::from_millis(3_000);
 /// Rate below which an entry without work in flight is forgotten, in requests a second.
@@ -26,6 +28,8 @@
     /// Requests a second, averaged.
     rate: f64,
     rate_at: Timestamp,
+    /// Prompt tokens to read a second, averaged; of the same time.
+    tokens: f64,
     /// Requests in flight, by gateway.
     in_flight: BTreeMap<String, u32>,
     unserved: f64,
@@ -37,12 +41,16 @@
 
 impl Entry {
     fn rate_at(&self, now: Timestamp) -> f64 {
-        self.rate * decay(now, self.rate_at)
+        self.rate * decay(now, self.rate_at, RATE_SECONDS)
+    }
+
+    fn tokens_at(&self, now: Timestamp) -> f64 {
+        self.tokens * decay(now, self.rate_at, TOKEN_SECONDS)
     }
 }
 
-fn decay(now: Timestamp, since: Timestamp) -> f64 {
-    (-now.since(since).as_secs_f64() / RATE_SECONDS).exp()
+fn decay(now: Timestamp, since: Timestamp, seconds: f64) -> f64 {
+    (-now.since(since).as_secs_f64() / seconds).exp()
 }
 
 /// A need that is not met.
@@ -71,6 +79,7 @@
                 adapter: need.adapter.clone(),
             };
             let entry = self.entries.entry(key).or_default();
+            entry.tokens = entry.tokens_at(now) + need.unread_tokens as f64 / TOKEN_SECONDS;
             entry.rate = entry.rate_at(now) + f64::from(need.arrivals) / RATE_SECONDS;
             entry.rate_at = now;
             if need.in_flight > 0 {
@@ -116,6 +125,18 @@
             .sum()
     }
 
+    /// Prompt tokens to read a second for a model, with all of its adapters.
+    pub(crate) fn model_tokens(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        model: &ModelName,
+    ) -> f64 {
+        self.of_model(service, model)
+            .map(|entry| entry.tokens_at(now))
+            .sum()
+    }
+
     /// Requests a second for exactly this key.
     pub(crate) fn rate(&self, now: Timestamp, key: &ModelKey) -> f64 {
         self.entries
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -21,13 +21,29 @@
 const ADAPTER_TIME: Duration = Duration::from_millis(20);
 /// Time after which a reservation that led to nothing lapses.
 const RESERVATION_LIFETIME: Duration = Duration::from_millis(8_000);
-/// Requests in flight that one engine serves well; with more, a busy model gets another replica.
-const COMFORTABLE_IN_FLIGHT: f64 = 6.0;
+/// Share of its time that an engine may spend on reading one model's prompts; above it, the model
+/// gets another replica.
+const COMFORTABLE_READING: f64 = 0.3;
+/// Cost of placing a model on an engine that reads prompts all the time, in milliseconds.
+const BUSY_COST: f64 = 1_000.0;
+/// The same for an adapter, in adapters that are loaded there.
+const ADAPTER_BUSY_COST: f64 = 10.0;
+/// Most that a further replica may cost, in milliseconds.
+const SPREAD_COST: f64 = 6_000.0;
+/// Prompt tokens that an engine reads in a second.
+const TOKENS_PER_SECOND: f64 = 38_000.0;
 /// Share of the weight store's permits up to which replicas of busy models may take them.
 const SPREAD_PERMITS: f64 = 0.6;
 /// Weight of the value of what makes way against the time of the load: milliseconds for each
 /// request a second that would have to be served cold.
-const EVICTION_WEIGHT: f64 = 1_000.0;
+const EVICTION_WEIGHT: f64 = 4_000.0;
+/// Least value, in requests a second, up to which a replica may make way for any need.
+const LEAST_EVICTION_LIMIT: f64 = 0.3;
+/// Time over which the requests of a need are spread to compare it with what would make way, in
+/// seconds.
+const NEED_SECONDS: f64 = 3.0;
+/// Part of a model's rate that each of several replicas stands for.
+const REPLICA_VALUE: f64 = 0.3;
 
 /// What the planner decided for one engine.
 pub(crate) struct Step {
@@ -149,7 +165,7 @@
                 self.release(&instance);
                 continue;
             }
-            match self.place_at(&instance, &model) {
+            match self.place_at(&instance, &model, f64::MAX) {
                 Some(place) => self.begin(&place, &model, "room-made", steps),
                 None => self.release(&instance),
             }
@@ -183,7 +199,8 @@
                     .is_some_and(|engine| engine.brings(model))
             });
             if !coming {
-                self.load_somewhere(model, "unserved", steps);
+                let limit = (need.requests / NEED_SECONDS).max(LEAST_EVICTION_LIMIT);
+                self.load_somewhere(model, limit, steps);
             }
             return;
         }
@@ -195,7 +212,8 @@
         }
     }
 
-    fn load_somewhere(&mut self, model: &ModelName, reason: &'static str, steps: &mut Vec<Step>) {
+    /// Loads a model that nobody holds; what makes way is worth `limit` requests a second at most.
+    fn load_somewhere(&mut self, model: &ModelName, limit: f64, steps: &mut Vec<Step>) {
         let best = self
             .usable()
             .iter()
@@ -203,10 +221,10 @@
                 self.engine(instance)
                     .is_some_and(|engine| engine.is_free() && engine.reserved.is_none())
             })
-            .filter_map(|instance| self.place_at(instance, model))
+            .filter_map(|instance| self.place_at(instance, model, limit))
             .min_by(|left, right| left.cost.total_cmp(&right.cost));
         if let Some(place) = best {
-            self.begin(&place, model, reason, steps);
+            self.begin(&place, model, "unserved", steps);
         }
     }
 
@@ -250,8 +268,9 @@
         });
     }
 
-    /// What it costs to load a model at an engine, and the first model that must make way.
-    fn place_at(&self, instance: &InstanceId, model: &ModelName) -> Option<Place> {
+    /// What it costs to load a model at an engine, and the first model that must make way; each of
+    /// those is worth `limit` requests a second at most.
+    fn place_at(&self, instance: &InstanceId, model: &ModelName, limit: f64) -> Option<Place> {
         let engine = self.engine(instance)?;
         if engine.planned.is_some() {
             return None;
@@ -262,7 +281,7 @@
             .weights_kilobytes
             .saturating_sub(self.used_kilobytes(engine));
         let mut cost = load_time(self.specification, engine, model).as_millis() as f64;
-        cost += self.busyness(engine) * 10.0;
+        cost += self.busyness(engine) * BUSY_COST;
         let mut victim = None;
         let mut values: Vec<(f64, &ModelName, u64)> = engine
             .held
@@ -275,7 +294,7 @@
             .collect();
         values.sort_by(|left, right| left.0.total_cmp(&right.0));
         for (value, candidate, freed) in values {
-            if free >= needed {
+            if free >= needed || value > limit {
                 break;
             }
             free += freed;
@@ -315,20 +334,20 @@
         if others == 0 {
             return rate + in_flight;
         }
-        let share = in_flight / others as f64;
-        if share > COMFORTABLE_IN_FLIGHT {
+        if self.reading(model) / others as f64 > COMFORTABLE_READING {
             return rate;
         }
-        rate * 0.1 / others as f64
+        rate * REPLICA_VALUE / others as f64
     }
 
+    /// Share of its time that an engine spends on reading prompts.
     fn busyness(&self, engine: &Engine) -> f64 {
         engine
             .held
             .iter()
             .map(|held| {
                 let holders = self.holders(&held.model).max(1) as f64;
-                f64::from(self.demand.model_in_flight(self.service, &held.model)) / holders
+                self.reading(&held.model) / holders
             })
             .sum()
     }
@@ -396,7 +415,7 @@
             .min_by(|left, right| {
                 let cost = |instance: &InstanceId| {
                     self.engine(instance).map_or(f64::MAX, |engine| {
-                        self.busyness(engine) + engine.adapter_count() as f64
+                        self.busyness(engine) * ADAPTER_BUSY_COST + engine.adapter_count() as f64
                     })
                 };
                 cost(left).total_cmp(&cost(right))
@@ -469,7 +488,12 @@
         }
     }
 
-    /// Models whose holders have more in flight than one serves well, the busiest first.
+    /// Engines' time that the model's prompts take.
+    fn reading(&self, model: &ModelName) -> f64 {
+        self.demand.model_tokens(self.now, self.service, model) / TOKENS_PER_SECOND
+    }
+
+    /// Models that take more of their holders' time than they serve well in, the busiest first.
     fn busy_models(&self) -> Vec<(f64, ModelName)> {
         let mut busy: Vec<(f64, ModelName)> = self
             .specification
@@ -477,10 +501,9 @@
             .iter()
             .map(|model| {
                 let holders = self.holders(&model.name).max(1) as f64;
-                let in_flight = self.demand.model_in_flight(self.service, &model.name);
-                (f64::from(in_flight) / holders, model.name.clone())
+                (self.reading(&model.name) / holders, model.name.clone())
             })
-            .filter(|(share, _)| *share >= COMFORTABLE_IN_FLIGHT)
+            .filter(|(share, _)| *share >= COMFORTABLE_READING)
             .collect();
         busy.sort_by(|left, right| right.0.total_cmp(&left.0));
         busy
@@ -501,9 +524,9 @@
                         && self.busyness(engine) < share / 2.0
                 })
             })
-            .filter_map(|instance| self.place_at(instance, model))
+            .filter_map(|instance| self.place_at(instance, model, LEAST_EVICTION_LIMIT))
             .min_by(|left, right| left.cost.total_cmp(&right.cost));
-        if let Some(place) = best.filter(|place| place.cost < EVICTION_WEIGHT * share) {
+        if let Some(place) = best.filter(|place| place.cost < SPREAD_COST) {
             self.begin(&place, model, "busy", steps);
         }
     }
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -84,6 +84,7 @@
         arrivals: 1,
         in_flight: 0,
         priority: 1,
+        unread_tokens: 0,
     }
 }
 
@@ -337,6 +338,50 @@
     assert_eq!(most, Some(allowed));
 }
 
+/// Found on the operators' platform: a replica of the busiest model made way for a model that one
+/// request had asked for, because a copy of its weights was at hand there.
+#[test]
+fn a_busy_model_does_not_make_way_for_a_single_request() {
+    let mut bench = Bench::new();
+    let mut first = record("e-1", 1_000, &["a", "b"]);
+    first.in_memory = vec!["c".into()];
+    bench.fleet.announce(at(1_000), first, false);
+    bench
+        .fleet
+        .answered(at(1_000), &"e-1".into(), &state(0, &["a", "b"]));
+    let busy = |model: &str| ModelNeed {
+        unserved: 0,
+        arrivals: 40,
+        in_flight: 5,
+        ..need(model, None)
+    };
+    let needs = vec![busy("a"), busy("b"), need("c", None)];
+    bench.fleet.report(at(1_050), 1, &report(needs));
+    assert!(bench.instructions(1_100).is_empty());
+}
+
+#[test]
+fn a_model_whose_prompts_take_much_of_its_engine_gets_a_replica() {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a"]);
+    bench.engine(1_000, "e-2", &["b"]);
+    let mut busy = need("a", None);
+    busy.unserved = 0;
+    busy.unread_tokens = 10_000;
+    bench
+        .fleet
+        .report(at(1_050), 1, &report(vec![busy.clone()]));
+    assert!(bench.instructions(1_100).is_empty(), "not yet busy");
+    busy.unread_tokens = 60_000;
+    bench.fleet.report(at(1_150), 1, &report(vec![busy]));
+    let given = bench.instructions(1_200);
+    assert_eq!(given.len(), 1, "{given:?}");
+    assert_eq!(
+        (given[0].instance.clone(), given[0].model.clone()),
+        ("e-2".into(), "a".into())
+    );
+}
+
 /// Found on the operators' platform: the load that follows a reservation, and a need for the same
 /// model, each loaded it in one round.
 #[test]
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -292,19 +292,15 @@
         retry_after: Option<Duration>,
     ) -> Response<RelayBody> {
         if let Some(failed) = self.failed {
-            log_request(
-                &self.shared,
-                &self.ticket,
-                "server-error",
-                failed.head.status.as_str(),
-            );
+            let status = failed.head.status.as_str();
+            log_request(&self.shared, &self.ticket, "server-error", status, None);
             let mut response = Response::new(whole_body(failed.body));
             *response.status_mut() = failed.head.status;
             *response.headers_mut() = failed.head.headers;
             remove_hop_headers(response.headers_mut());
             return response;
         }
-        log_request(&self.shared, &self.ticket, reason, status.as_str());
+        log_request(&self.shared, &self.ticket, reason, status.as_str(), None);
         let attempt = self.ticket.description.attempt.clone();
         own_answer(&self.shared, &attempt, status, reason, retry_after)
     }
@@ -338,7 +334,13 @@
 }
 
 /// Logs how a request ended.
-pub(crate) fn log_request(shared: &Shared, ticket: &Ticket, outcome: &str, status: &str) {
+pub(crate) fn log_request(
+    shared: &Shared,
+    ticket: &Ticket,
+    outcome: &str,
+    status: &str,
+    head: Option<Duration>,
+) {
     shared.metrics.requests.with_label_values(&[outcome]).inc();
     let last = ticket.tried.last();
     let description = &ticket.description;
@@ -346,6 +348,7 @@
     let adapter = description.adapter.as_ref();
     let now = shared.now();
     let version = shared.core().table().map_or(0, |table| table.version());
+    let waited = ticket.sent_at.map(|sent| sent.since(ticket.arrived));
     let pairs = [
         ("request", description.attempt.clone()),
         ("route", ticket.route.name.clone()),
@@ -366,6 +369,8 @@
         ("sends", ticket.sends.to_string()),
         ("outcome", outcome.to_owned()),
         ("status", status.to_owned()),
+        ("waited_ms", waited.map_or_else(String::new, millis)),
+        ("head_ms", head.map_or_else(String::new, millis)),
         ("age_ms", millis(now.since(ticket.arrived))),
     ];
     log::info!("{}", event_line("request_ended", &pairs));
--- a/crates/millpass-gateway/src/interface.rs
+++ b/crates/millpass-gateway/src/interface.rs
@@ -2,7 +2,7 @@
 //! nothing.
 
 use http::{HeaderMap, Method, StatusCode, Uri};
-use millpass_dispatch::Description;
+use millpass_dispatch::{Description, ToldLoad};
 use millpass_proto::{Duration, InstanceId};
 
 /// What a send to an instance states beside the caller's own words.
@@ -30,7 +30,7 @@
     /// Run that answers, where it says so.
     pub instance: Option<InstanceId>,
     /// Requests running and waiting there.
-    pub load: Option<u32>,
+    pub load: Option<ToldLoad>,
     /// Time an idle connection is kept open there.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -148,7 +148,14 @@
             self.shared.pool.put(&instance, sender, self.keep_alive);
         }
         active.end(SendEnd::Answered(self.took));
-        log_request(&self.shared, &self.ticket, "answered", self.status.as_str());
+        let status = self.status.as_str();
+        log_request(
+            &self.shared,
+            &self.ticket,
+            "answered",
+            status,
+            Some(self.took),
+        );
     }
 
     /// Ends the answer short of its end, so that the caller sees that it is not whole. hyper drops
@@ -167,7 +174,7 @@
             };
             active.end(end);
         }
-        log_request(&self.shared, &self.ticket, outcome, reason);
+        log_request(&self.shared, &self.ticket, outcome, reason, Some(self.took));
         future::yield_now().await;
         self.ended = true;
         let error = io::Error::other(format!("the answer was cut: {outcome}"));
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -830,6 +830,9 @@
 
     /// Services, at least one with a weight.
     pub targets: Vec<RouteTarget>,
+
+    /// Time after which callers of a stream leave if nothing has come; 0 for no such time.
+    pub first_event_millis: u64,
 }
 
 
@@ -1707,6 +1710,9 @@
 
     /// Most urgent rank among the unserved.
     pub priority: u32,
+
+    /// Prompt tokens sent since the last report that the engine had not read before, as far as the gateway knows.
+    pub unread_tokens: u64,
 }
 
 
--- a/crates/millpass-state/tests/deployment.rs
+++ b/crates/millpass-state/tests/deployment.rs
@@ -22,6 +22,7 @@
             service: service.into(),
             weight: 1,
         }],
+        first_event_millis: 0,
     }
 }
 
