Unanswered orders count after 600 ms; smaller queues for a fleet's control members

Cause: an order that gets no answer held its engine and its need for two seconds; queues sized for hundreds of routers took memory at the start. Change: setting fleet.call_timeout_ms; queue lengths of a fleet.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -6,7 +6,7 @@
 use millpass_config::generated::GatewaySettings;
 use millpass_config::{ControlSettings, RouterSettings};
 use millpass_control::ControlProcessSettings;
-use millpass_control::settings::{ConsensusTiming, InitialMember, SeedMember};
+use millpass_control::settings::{ConsensusTiming, InitialMember, ProcessLimits, SeedMember};
 use millpass_control_plane::FleetSettings;
 use millpass_dispatch::DispatchSettings;
 use millpass_gateway::GatewaySettings as GatewayProcessSettings;
@@ -103,6 +103,12 @@
     process.seeds = seeds(settings)?;
     process.form_from_seeds = member.form_group == "from-seeds";
     process.fleet = fleet(settings);
+    if process.fleet.is_some() {
+        process.limits = ProcessLimits {
+            call_timeout: millis(settings.fleet.call_timeout_ms),
+            ..fleet_limits()
+        };
+    }
     process.platform_address = process
         .fleet
         .is_none()
@@ -140,6 +146,17 @@
         .collect()
 }
 
+/// Queues that hold a fleet's few messages; the memory of larger ones is taken at the start.
+fn fleet_limits() -> ProcessLimits {
+    ProcessLimits {
+        peer_queue: 128,
+        router_queue: 64,
+        delivery_queue: 256,
+        delivery_threads: 12,
+        ..ProcessLimits::default()
+    }
+}
+
 fn fleet(settings: &ControlSettings) -> Option<FleetSettings> {
     let section = &settings.fleet;
     (section.mode == "announced").then(|| FleetSettings {
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -52,6 +52,8 @@
     pub announce_interval_ms: u64,
     /// Time after which an instance that is not heard of is gone.
     pub instance_silence_ms: u64,
+    /// Longest wait for an engine's answer to an order; without one, its state is read.
+    pub call_timeout_ms: u64,
     /// Time for which a new leader gives engines no orders: the one before it has surely stopped by then.
     pub order_handover_ms: u64,
 }
@@ -61,6 +63,7 @@
             mode: "off".to_owned(),
             announce_interval_ms: 1200u64,
             instance_silence_ms: 6000u64,
+            call_timeout_ms: 600u64,
             order_handover_ms: 3000u64,
         }
     }
@@ -342,6 +345,14 @@
                         maximum: 3600000u64,
                     },
                 },
+                KeySpecification {
+                    name: "call_timeout_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 10u64,
+                        maximum: 60000u64,
+                    },
+                },
                 KeySpecification {
                     name: "order_handover_ms",
                     required: false,
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -18,7 +18,7 @@
 /// Time from the acceptance of an adapter's instruction to its end.
 const ADAPTER_SETTLING: Duration = Duration::from_millis(15);
 /// Time without an answer after which a call counts as lost inside this process.
-const CALL_LIMIT: Duration = Duration::from_millis(3_000);
+const CALL_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// An instruction under way.
 #[derive(Clone, Debug)]
