What makes way is judged by the rate over a minute

Cause: a model asked for every 20 s had no rate left after 12 s, so rare models made way at random. Change: a second, slower average decides.

--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -5,6 +5,9 @@
 
 /// Time over which the rate of arrivals is averaged, in seconds.
 const RATE_SECONDS: f64 = 6.0;
+/// Time over which the rate that decides what makes way is averaged, in seconds: rarely used models
+/// differ only over minutes.
+const SLOW_SECONDS: f64 = 60.0;
 /// Time over which the rate of prompt tokens is averaged, in seconds.
 const TOKEN_SECONDS: f64 = 3.0;
 /// How long a need that was reported counts as unserved.
@@ -28,6 +31,8 @@
     /// Requests a second, averaged.
     rate: f64,
     rate_at: Timestamp,
+    /// Requests a second, averaged over long; of the same time.
+    slow: f64,
     /// Prompt tokens to read a second, averaged; of the same time.
     tokens: f64,
     /// Requests in flight, by gateway.
@@ -44,6 +49,10 @@
         self.rate * decay(now, self.rate_at, RATE_SECONDS)
     }
 
+    fn slow_at(&self, now: Timestamp) -> f64 {
+        self.slow * decay(now, self.rate_at, SLOW_SECONDS)
+    }
+
     fn tokens_at(&self, now: Timestamp) -> f64 {
         self.tokens * decay(now, self.rate_at, TOKEN_SECONDS)
     }
@@ -80,6 +89,7 @@
             };
             let entry = self.entries.entry(key).or_default();
             entry.tokens = entry.tokens_at(now) + need.unread_tokens as f64 / TOKEN_SECONDS;
+            entry.slow = entry.slow_at(now) + f64::from(need.arrivals) / SLOW_SECONDS;
             entry.rate = entry.rate_at(now) + f64::from(need.arrivals) / RATE_SECONDS;
             entry.rate_at = now;
             if need.in_flight > 0 {
@@ -103,7 +113,7 @@
             }
         }
         self.entries
-            .retain(|_, entry| !entry.in_flight.is_empty() || entry.rate_at(now) > FORGOTTEN_RATE);
+            .retain(|_, entry| !entry.in_flight.is_empty() || entry.slow_at(now) > FORGOTTEN_RATE);
     }
 
     /// A gateway is gone: what it had in flight is too.
@@ -125,6 +135,20 @@
             .sum()
     }
 
+    /// Requests a second for a model over the last minute or so, or lately if that is more.
+    pub(crate) fn lasting_rate(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        model: &ModelName,
+    ) -> f64 {
+        let slow: f64 = self
+            .of_model(service, model)
+            .map(|entry| entry.slow_at(now))
+            .sum();
+        slow.max(self.model_rate(now, service, model))
+    }
+
     /// Prompt tokens to read a second for a model, with all of its adapters.
     pub(crate) fn model_tokens(
         &self,
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -329,7 +329,7 @@
                         .is_some_and(|engine| engine.holds(model, None) && !engine.unloading(model))
             })
             .count();
-        let rate = self.demand.model_rate(self.now, self.service, model);
+        let rate = self.demand.lasting_rate(self.now, self.service, model);
         let in_flight = f64::from(self.demand.model_in_flight(self.service, model));
         if others == 0 {
             return rate + in_flight;
