Replaced members ask to join again; a newer copy takes the place of an older one

Cause: a voter that was replaced while it was cut off kept its old membership, never asked to join, and after the final fault gave gateways a document of version 22 where 121 was in force. Ruled out: refusing to give copies of some age (a group that was down for hours has only old ones). Change: a member that has known no leader for two seconds asks to join; a gateway that holds a member's copy takes a newer one.

--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -322,3 +322,23 @@
         .collect();
     assert_eq!(learners, [MemberId(4)]);
 }
+
+/// Found on the operators' platform: a voter that was replaced while it was cut off kept its old
+/// membership and served a copy from long ago. Under its old identity it comes back as a learner.
+#[test]
+fn a_member_that_was_replaced_while_cut_off_comes_back_when_it_asks() {
+    let mut world = world(3);
+    let leader = world.elect();
+    let replaced = world.follower(leader);
+    world.members.get_mut(&replaced).unwrap().cut = true;
+    world.boot_joiner(4);
+    world.join(&[4], 15);
+    assert!(!world.voters(leader).contains(&replaced.0), "replaced");
+    world.call(leader, put(8));
+    world.members.get_mut(&replaced).unwrap().cut = false;
+    world.run(seconds(2));
+    let joiner = world.members[&replaced].address.clone();
+    world.give(leader, ControlInput::Join(joiner));
+    world.run(seconds(5));
+    assert_eq!(world.state(replaced).document_version(), 8);
+}
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -15,6 +15,7 @@
 use millpass_control_plane::{ControlEvent, ControlInput, ControlOutput, ControlPlane, FinalState};
 use millpass_proto::{LinkMessage, MemberAddress, Membership};
 use millpass_telemetry::{ProcessClock, event_line, unix_millis};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,9 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Time between two looks at what changes slowly: metrics, and whether to ask to join.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// Time without a leader after which a member asks to join: it may have been replaced while it was
+/// cut off, and nobody tells it.
+const LEADERLESS: Duration = Duration::from_secs(2);
 
 /// The core with everything it acts through.
 pub(crate) struct Member {
@@ -38,6 +42,8 @@
     pub(crate) platform: Option<String>,
     pub(crate) calls: Arc<CallTable>,
     pub(crate) metrics: Arc<Metrics>,
+    /// Since when no leader is known.
+    pub(crate) leaderless_since: Option<Instant>,
 }
 
 /// Why the core's thread ended.
@@ -152,15 +158,35 @@
     fn keep_house(&mut self) {
         let status = self.core.consensus_status();
         self.metrics.show_consensus(&status);
-        if !is_member(&status.membership, &self.address) {
-            self.ask_to_join();
+        let leaderless = self.is_leaderless(status.leader.is_none());
+        if leaderless || !is_member(&status.membership, &self.address) {
+            self.ask_to_join(&status.membership);
         }
     }
 
-    fn ask_to_join(&mut self) {
-        for other in &self.others {
+    /// Whether no leader has been known for long.
+    fn is_leaderless(&mut self, none_known: bool) -> bool {
+        if !none_known {
+            self.leaderless_since = None;
+            return false;
+        }
+        let since = *self.leaderless_since.get_or_insert_with(Instant::now);
+        since.elapsed() >= LEADERLESS
+    }
+
+    /// Asks the members that the settings name and those of the membership known here.
+    fn ask_to_join(&mut self, membership: &Membership) {
+        let known = membership.voters.iter().map(|member| &member.peer_address);
+        let others: BTreeSet<String> = self
+            .others
+            .iter()
+            .chain(known)
+            .filter(|address| **address != self.address.peer_address)
+            .cloned()
+            .collect();
+        for other in others {
             let message = LinkMessage::Join(self.address.clone());
-            self.peers.send(other, message);
+            self.peers.send(&other, message);
         }
     }
 }
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -138,6 +138,7 @@
         platform: settings.platform_address.clone(),
         calls,
         metrics,
+        leaderless_since: None,
     };
     let core = spawn("control-core", move || member.run())?;
     log::info!(
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -121,6 +121,8 @@
 pub struct Dispatcher {
     settings: DispatchSettings,
     table: Option<Arc<RoutingTable>>,
+    /// What is held came from a member that does not lead.
+    provisional: bool,
     instances: BTreeMap<InstanceId, Instance>,
     budgets: HashMap<ServiceName, RetryBudget>,
     needs: Needs,
@@ -137,6 +139,7 @@
         Dispatcher {
             settings,
             table: None,
+            provisional: false,
             instances: BTreeMap::new(),
             budgets: HashMap::new(),
             needs: Needs::default(),
@@ -160,7 +163,12 @@
 
     /// Takes an update of the leader. A document older than the one in force is never taken.
     pub fn update(&mut self, now: Timestamp, update: GatewayUpdate) -> UpdateOutcome {
-        let late = update.provisional && self.table.is_some();
+        let held = self.table.as_ref().map_or(0, |table| table.version());
+        let version = update
+            .document
+            .as_ref()
+            .map_or(0, |document| document.version);
+        let late = update.provisional && held > 0 && (!self.provisional || version <= held);
         if update.term < self.term || late {
             return UpdateOutcome {
                 stale: true,
@@ -169,8 +177,12 @@
         }
         self.term = update.term;
         self.gateways = update.gateways;
+        self.provisional = update.provisional;
+        if update.provisional {
+            // Another member's newer copy takes the place of an older one.
+            self.instances.clear();
+        }
         let mut outcome = UpdateOutcome::default();
-        let held = self.table.as_ref().map_or(0, |table| table.version());
         if let Some(document) = update.document
             && document.version > held
         {
@@ -337,7 +349,10 @@
             gateway: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
             sequence: self.reports,
-            version: self.table.as_ref().map_or(0, |table| table.version()),
+            version: match &self.table {
+                Some(table) if !self.provisional => table.version(),
+                _ => 0,
+            },
             needs: self.needs.take(),
             doubted: std::mem::take(&mut self.doubted).into_iter().collect(),
         }
