--- a/crates/millpass-cli/src/commands/offline.rs
+++ b/crates/millpass-cli/src/commands/offline.rs
@@ -10,6 +10,7 @@
 
 const CONTROL_TEMPLATE: &str = include_str!("../../../../examples/templates/control.toml");
 const ROUTER_TEMPLATE: &str = include_str!("../../../../examples/templates/router.toml");
+const GATEWAY_TEMPLATE: &str = include_str!("../../../../examples/templates/gateway.toml");
 
 /// Checks a settings file or a file of objects; which one it is, its sections tell.
 pub fn check(file: &Path) -> Result<ExitCode> {
@@ -22,6 +23,9 @@
     let kind = if table.contains_key("member") || table.contains_key("members") {
         millpass_config::parse_control(&name, &text)?;
         "control settings"
+    } else if table.contains_key("gateway") {
+        millpass_config::parse_gateway(&name, &text)?;
+        "gateway settings"
     } else if table.contains_key("router") || table.contains_key("limits") {
         millpass_config::parse_router(&name, &text)?;
         "router settings"
@@ -50,7 +54,8 @@
     match kind {
         "control" => print!("{CONTROL_TEMPLATE}"),
         "router" => print!("{ROUTER_TEMPLATE}"),
-        other => bail!("no template {other:?}; write `control` or `router`"),
+        "gateway" => print!("{GATEWAY_TEMPLATE}"),
+        other => bail!("no template {other:?}; write `control`, `router` or `gateway`"),
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -126,6 +126,10 @@
     process.router_lease = millis(settings.routers.lease_ms);
     process.claim_retention = millis(settings.claims.retention_ms);
     process.member_replacement_delay = millis(settings.repair.member_replacement_delay_ms);
+    process.wanted_voters = match count(settings.repair.tolerated_losses) {
+        0 => 0,
+        losses => 2 * losses + 1,
+    };
     process.machine_gone_delay = millis(settings.repair.machine_gone_delay_ms);
     Ok(process)
 }
@@ -190,6 +194,7 @@
         ready_listen: address(&settings.gateway.ready_listen)?,
         metrics_listen: address(&settings.gateway.metrics_listen)?,
         members,
+        member_source: None,
         report_interval: millis(control.report_interval_ms),
         leader_silence: millis(control.leader_silence_ms),
         connect_timeout: millis(settings.instances.connect_timeout_ms),
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -193,6 +193,8 @@
 pub struct ControlRepairSection {
     /// Silence after which a member is replaced by a waiting one.
     pub member_replacement_delay_ms: u64,
+    /// Members that may be lost at once: waiting members are promoted until there are twice as many voters and one more. 0 keeps their number.
+    pub tolerated_losses: u64,
     /// Time a machine must be missing from the platform's list before its memory counts as gone.
     pub machine_gone_delay_ms: u64,
 }
@@ -200,6 +202,7 @@
     fn default() -> Self {
         Self {
             member_replacement_delay_ms: 30000u64,
+            tolerated_losses: 0u64,
             machine_gone_delay_ms: 10000u64,
         }
     }
@@ -553,6 +556,14 @@
                         maximum: 86400000u64,
                     },
                 },
+                KeySpecification {
+                    name: "tolerated_losses",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 10u64,
+                    },
+                },
                 KeySpecification {
                     name: "machine_gone_delay_ms",
                     required: false,
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -30,6 +30,8 @@
     pub claim_retention: Duration,
     /// Time without answer after which a dead voter is replaced by a waiting learner.
     pub member_replacement_delay: Duration,
+    /// Voters up to which caught-up learners are promoted; 0 to keep their number.
+    pub wanted_voters: usize,
     /// Time a machine must be missing from the platform's list before it counts as gone.
     pub machine_gone_delay: Duration,
     /// Instances that announce themselves, and the engines among them; none where the platform
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -417,7 +417,8 @@
         }
         let status = self.consensus.status();
         let delay = self.settings.member_replacement_delay;
-        let Some(change) = self.repair.next_change(now, &status, delay) else {
+        let wanted = self.settings.wanted_voters;
+        let Some(change) = self.repair.next_change(now, &status, delay, wanted) else {
             return;
         };
         out.event("member-repair", vec![("change", format!("{change:?}"))]);
--- a/crates/millpass-control-plane/src/repair.rs
+++ b/crates/millpass-control-plane/src/repair.rs
@@ -2,7 +2,8 @@
 //!
 //! A joiner first becomes a learner. Once it has caught up it is promoted in place of a voter
 //! that has been silent for longer than `member_replacement_delay`. The number of voters never
-//! shrinks and never grows here; an operator changes it through the administration API.
+//! shrinks here. It grows up to a wanted number, where one is set; else an operator changes it
+//! through the administration API.
 
 use millpass_consensus::{ConsensusStatus, MemberProgress, MembershipChange};
 use millpass_proto::{Duration, MemberAddress, MemberId, Membership, Timestamp};
@@ -44,6 +45,7 @@
         now: Timestamp,
         status: &ConsensusStatus,
         replacement_delay: Duration,
+        wanted_voters: usize,
     ) -> Option<MembershipChange> {
         self.expire(now);
         let membership = &status.membership;
@@ -56,6 +58,7 @@
         };
         view.useless_learner()
             .or_else(|| view.promotion())
+            .or_else(|| view.growth(wanted_voters))
             .or_else(|| self.addition(membership))
     }
 
@@ -140,6 +143,24 @@
             })
     }
 
+    /// A caught-up learner as one more voter, one of a zone without a voter first.
+    fn growth(&self, wanted_voters: usize) -> Option<MembershipChange> {
+        let membership = &self.status.membership;
+        if membership.voters.len() >= wanted_voters {
+            return None;
+        }
+        let has_voter = |zone| membership.voters.iter().any(|voter| voter.zone == zone);
+        membership
+            .learners
+            .iter()
+            .filter(|learner| self.caught_up(learner.member))
+            .min_by_key(|learner| has_voter(learner.zone.clone()))
+            .map(|learner| MembershipChange::Promote {
+                learner: learner.member,
+                replaces: None,
+            })
+    }
+
     fn dead_voters(&self) -> Vec<&MemberAddress> {
         self.status
             .membership
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -342,3 +342,31 @@
     world.run(seconds(5));
     assert_eq!(world.state(replaced).document_version(), 8);
 }
+
+/// Three voters bear one loss. Where more are to be borne, waiting members become voters.
+#[rstest]
+#[case::one_loss(3, vec![1, 2, 3])]
+#[case::two_losses(5, vec![1, 2, 3, 4, 5])]
+fn waiting_members_become_voters_up_to_the_wanted_number(
+    #[case] wanted: usize,
+    #[case] voters: Vec<u64>,
+) {
+    let mut world = World::new(0);
+    world.fleet = Some(FleetSettings::default());
+    world.wanted_voters = wanted;
+    let initial: Vec<MemberAddress> = (1..=3).map(address).collect();
+    for member in 1..=3 {
+        let membership = Membership {
+            voters: initial.clone(),
+            outgoing_voters: Vec::new(),
+            learners: Vec::new(),
+        };
+        world.boot(address(member), membership);
+    }
+    let leader = world.elect();
+    for joiner in [4, 5, 6] {
+        world.boot_joiner(joiner);
+    }
+    world.join(&[4, 5, 6], 20);
+    assert_eq!(world.voters(leader), voters);
+}
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -78,6 +78,8 @@
     pub step: Duration,
     /// Instances announce themselves.
     pub fleet: Option<FleetSettings>,
+    /// Voters up to which learners are promoted.
+    pub wanted_voters: usize,
     inputs: VecDeque<(MemberId, ControlInput)>,
     initial: Membership,
     calls: u64,
@@ -102,6 +104,7 @@
     address: MemberAddress,
     snapshot_entries: u64,
     fleet: Option<FleetSettings>,
+    wanted_voters: usize,
 ) -> ControlPlaneSettings {
     ControlPlaneSettings {
         consensus: ConsensusSettings {
@@ -122,6 +125,7 @@
         claim_retention: Duration::from_secs(3_600),
         member_replacement_delay: Duration::from_secs(5),
         machine_gone_delay: Duration::from_secs(10),
+        wanted_voters,
         fleet,
     }
 }
@@ -161,6 +165,7 @@
             corrupt_snapshots: false,
             step: STEP,
             fleet: None,
+            wanted_voters: 0,
             inputs: VecDeque::new(),
             initial,
             calls: 0,
@@ -189,7 +194,12 @@
         };
         let id = address.member;
         let hard_state = restored.hard_state.clone();
-        let settings = settings(address.clone(), self.snapshot_entries, self.fleet.clone());
+        let settings = settings(
+            address.clone(),
+            self.snapshot_entries,
+            self.fleet.clone(),
+            self.wanted_voters,
+        );
         let plane = ControlPlane::new(settings, restored, State::default(), self.now);
         let member = Member {
             address,
@@ -241,7 +251,12 @@
                 .cloned()
                 .collect(),
         };
-        let settings = settings(member.address.clone(), snapshot_entries, self.fleet.clone());
+        let settings = settings(
+            member.address.clone(),
+            snapshot_entries,
+            self.fleet.clone(),
+            self.wanted_voters,
+        );
         member.plane = ControlPlane::new(settings, restored, state, now);
         member.up = true;
         member.stopped = false;
--- a/crates/millpass-control/src/settings.rs
+++ b/crates/millpass-control/src/settings.rs
@@ -130,6 +130,8 @@
     pub member_replacement_delay: Duration,
     /// Time a machine must be missing from the platform's list before it counts as gone.
     pub machine_gone_delay: Duration,
+    /// Voters up to which caught-up members are promoted; 0 to keep their number.
+    pub wanted_voters: usize,
     /// Instances that announce themselves; none where the platform lists machines instead.
     pub fleet: Option<FleetSettings>,
     /// Bounds of the process.
@@ -162,6 +164,7 @@
             member_replacement_delay: Duration::from_secs(30),
             machine_gone_delay: Duration::from_secs(10),
             fleet: None,
+            wanted_voters: 0,
             limits: ProcessLimits::default(),
         }
     }
--- a/crates/millpass-control/src/startup.rs
+++ b/crates/millpass-control/src/startup.rs
@@ -257,5 +257,6 @@
         member_replacement_delay: settings.member_replacement_delay,
         machine_gone_delay: settings.machine_gone_delay,
         fleet: settings.fleet.clone(),
+        wanted_voters: settings.wanted_voters,
     }
 }
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -322,6 +322,9 @@
             self.instances.remove(&record.instance);
             return;
         }
+        if end == SendEnd::Unreachable {
+            self.doubted.insert(record.instance.clone());
+        }
         if end == SendEnd::Misdirected {
             self.doubted.insert(record.instance.clone());
             if let Some(model) = &record.model {
@@ -339,7 +342,7 @@
 
     /// Whether a report should be sent at once.
     pub fn is_report_urgent(&self) -> bool {
-        self.needs.is_urgent()
+        self.needs.is_urgent() || !self.doubted.is_empty()
     }
 
     /// The next report; counts begin anew.
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -51,6 +51,8 @@
     pub(crate) held: Vec<HeldModel>,
     pub(crate) in_memory: Vec<ModelName>,
     pub(crate) on_disk: Vec<ModelName>,
+    /// Its state could not be read: it serves nothing until it is heard of again.
+    pub(crate) unreachable: bool,
     /// Model to load once what is under way makes room.
     pub(crate) reserved: Option<ModelName>,
     pub(crate) reserved_at: Timestamp,
@@ -71,6 +73,7 @@
         in_memory: &[ModelName],
         on_disk: &[ModelName],
     ) {
+        self.unreachable = false;
         self.held = held.to_vec();
         self.in_memory = in_memory.to_vec();
         self.on_disk = on_disk.to_vec();
@@ -267,8 +270,9 @@
         self.read_after = now + REPORT_LAG;
     }
 
-    /// No answer came.
+    /// No answer came. Without one to a read, the engine is not there; an order's may be lost alone.
     pub(crate) fn unanswered(&mut self, now: Timestamp) {
+        self.unreachable |= self.reading_since.is_some();
         self.doubt(now);
         self.read_after = now + READ_PAUSE;
         self.pending = None;
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -245,6 +245,7 @@
         }
         self.demand.report(now, &report.gateway, &report.needs);
         self.dirty |= report.needs.iter().any(|need| need.unserved > 0);
+        self.dirty |= !report.doubted.is_empty();
         for instance in &report.doubted {
             if let Some(engine) = self.engines.engines.get_mut(instance)
                 && engine.pending.is_none()
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -117,11 +117,21 @@
 
 impl View<'_> {
     /// Engines of the service that take new work, in order of their names.
-    fn usable(&self) -> Vec<InstanceId> {
+    fn taking(&self) -> impl Iterator<Item = &InstanceId> {
         self.registry
             .records()
             .filter(|record| record.service == *self.service && !record.draining)
-            .map(|record| record.instance.clone())
+            .map(|record| &record.instance)
+    }
+
+    /// Those of them that can be reached.
+    fn usable(&self) -> Vec<InstanceId> {
+        self.taking()
+            .filter(|instance| {
+                self.engine(instance)
+                    .is_none_or(|engine| !engine.unreachable)
+            })
+            .cloned()
             .collect()
     }
 
@@ -130,7 +140,8 @@
     }
 
     fn read_unknown(&mut self, steps: &mut Vec<Step>) {
-        for instance in self.usable() {
+        let taking: Vec<InstanceId> = self.taking().cloned().collect();
+        for instance in taking {
             let now = self.now;
             let Some(engine) = self.engines.engines.get_mut(&instance) else {
                 continue;
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -360,6 +360,43 @@
     assert!(bench.instructions(1_100).is_empty());
 }
 
+/// Found on the operators' platform: the only engine with a model had crashed, and the model counted as
+/// held until the engine had been silent for six seconds.
+#[test]
+fn a_model_whose_only_engine_cannot_be_read_is_loaded_elsewhere() {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a"]);
+    bench.engine(1_000, "e-2", &["b"]);
+    let mut doubts = report(vec![need("a", None)]);
+    doubts.doubted = vec!["e-1".into()];
+    bench.fleet.report(at(1_050), 1, &doubts);
+    bench.run(1_100);
+    bench.run(1_400);
+    bench
+        .fleet
+        .answered(at(1_500), &"e-1".into(), &InstructionAnswer::Unanswered);
+    bench
+        .fleet
+        .report(at(1_510), 1, &report(vec![need("a", None)]));
+    let given = bench.instructions(1_600);
+    assert_eq!(given.len(), 1, "{given:?}");
+    assert_eq!(
+        (given[0].instance.clone(), given[0].model.clone()),
+        ("e-2".into(), "a".into())
+    );
+    // It is back as soon as it announces itself.
+    bench
+        .fleet
+        .announce(at(1_700), record("e-1", 3_000, &["a"]), false);
+    bench
+        .fleet
+        .answered(at(1_710), &"e-2".into(), &InstructionAnswer::Accepted);
+    bench
+        .fleet
+        .report(at(1_720), 1, &report(vec![need("a", None)]));
+    assert!(bench.instructions(1_900).is_empty());
+}
+
 #[test]
 fn a_model_whose_prompts_take_much_of_its_engine_gets_a_replica() {
     let mut bench = Bench::new();
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -36,4 +36,4 @@
 pub use events::EventBuffer;
 pub use interface::{AnswerFacts, Interface, SendFacts};
 pub use process::{Gateway, GatewayError};
-pub use settings::GatewaySettings;
+pub use settings::{GatewaySettings, MemberSource};
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -75,6 +75,13 @@
             }
         }
         asked = if served { 0 } else { asked + 1 };
+        if asked > members.len()
+            && let Some(newer) = members_read_anew(&shared, &members)
+        {
+            members = newer;
+            choice = MemberChoice::new(members.clone());
+            asked = 0;
+        }
         let pause = if asked > members.len() {
             LONG_PAUSE
         } else {
@@ -84,6 +91,22 @@
     }
 }
 
+/// The members of the settings as they are now, with those known, if any of them is new.
+fn members_read_anew(shared: &Shared, known: &[SocketAddr]) -> Option<Vec<SocketAddr>> {
+    let source = shared.settings.member_source.as_ref()?;
+    let named = (source.0)()?;
+    let new: Vec<SocketAddr> = named
+        .into_iter()
+        .filter(|address| !known.contains(address))
+        .collect();
+    if new.is_empty() {
+        return None;
+    }
+    let pairs = [("members", format!("{new:?}"))];
+    log::info!("{}", event_line("members_reloaded", &pairs));
+    Some(new.into_iter().chain(known.iter().copied()).collect())
+}
+
 async fn serve(
     shared: &Arc<Shared>,
     address: SocketAddr,
--- a/crates/millpass-gateway/src/settings.rs
+++ b/crates/millpass-gateway/src/settings.rs
@@ -2,7 +2,19 @@
 
 use millpass_dispatch::DispatchSettings;
 use millpass_proto::Duration;
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Reads the addresses of members anew, from wherever the settings came from; none if that fails.
+#[derive(Clone)]
+pub struct MemberSource(pub Arc<dyn Fn() -> Option<Vec<SocketAddr>> + Send + Sync>);
+
+impl fmt::Debug for MemberSource {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("MemberSource")
+    }
+}
 
 /// Settings of the gateway process.
 #[derive(Clone, Debug)]
@@ -17,6 +29,8 @@
     pub metrics_listen: SocketAddr,
     /// Peer addresses of control members to begin with.
     pub members: Vec<SocketAddr>,
+    /// Asked again when no known member answers: the settings may have changed since the start.
+    pub member_source: Option<MemberSource>,
     /// Time between reports to the leader.
     pub report_interval: Duration,
     /// Silence of the leader after which another member is asked.
