--- a/crates/millpass-cli/src/objects.rs
+++ b/crates/millpass-cli/src/objects.rs
@@ -41,7 +41,7 @@
         kind: String,
     },
     /// An object is wrong.
-    #[error("{file}: [[{kind}]] number {number}: {reason}; see docs/OPERATING.md for its keys")]
+    #[error("{file}: [[{kind}]] number {number}: {reason}; see docs/OPERATIONS.md for its keys")]
     Invalid {
         /// File.
         file: String,
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -70,7 +70,7 @@
         /// IP address and port.
         address: String,
     },
-    /// Keep what changed in the replicated log; answered by [`Fleet::noted`].
+    /// Keep what changed in the replicated log.
     Note(InstanceNote),
     /// Log.
     Event(FleetEvent),
