--- /dev/null
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -0,0 +1,318 @@
+//! Which instance a request is sent to, whether it waits, or is refused.
+
+use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
+use crate::instances::Instance;
+use crate::prompts::{beginnings, rendezvous};
+use crate::request::Ticket;
+use crate::retry_budget::BudgetTerms;
+use millpass_proto::{Duration, InstanceId, Timestamp};
+
+/// Time after which a request that still waits notes its need again.
+const NEED_REPEAT: Duration = Duration::from_millis(400);
+/// Time added to an estimated load before a caller is told to come back.
+const READY_MARGIN: Duration = Duration::from_millis(60);
+/// Estimated time of an adapter's load, from need to serving.
+const ADAPTER_WAIT: Duration = Duration::from_millis(60);
+/// Estimated time from a need to the beginning of a load: reports, and room to be made.
+const LOAD_LEAD: Duration = Duration::from_millis(350);
+/// When a caller refused for lack of room is told to come back.
+const ROOM_WAIT: Duration = Duration::from_millis(250);
+/// Time that must be left to serve a request that waits for a load.
+const SERVING_TIME: Duration = Duration::from_millis(250);
+/// Cost of sending to another zone, in milliseconds.
+const OTHER_ZONE_COST: f64 = 5.0;
+/// Cost of a certain failure, in milliseconds.
+const FAILURE_COST: f64 = 1_500.0;
+/// Cost of an instance filled to its slots, in milliseconds.
+const FULL_COST: f64 = 120.0;
+/// Cost of each request that waits at an engine for its prompt to be read, in milliseconds.
+const WAITING_REQUEST_COST: f64 = 60.0;
+/// Cost of each request at an engine, in milliseconds.
+const ENGINE_REQUEST_COST: f64 = 3.0;
+
+impl Dispatcher {
+    /// Decides what to do with a request now. A send is noted as begun.
+    pub fn choose(&mut self, now: Timestamp, ticket: &mut Ticket) -> Choice {
+        if ticket.sends > 0 && !self.may_repeat(now, ticket) {
+            return Choice::Refuse {
+                reason: RefusalReason::NoAttempts,
+                retry_after: ROOM_WAIT,
+            };
+        }
+        let engine = self.is_engine(&ticket.service);
+        let candidates = self.candidates(now, ticket, engine);
+        if candidates.is_empty() {
+            return self.without_candidates(now, ticket, engine);
+        }
+        let hashes = beginnings(&ticket.description);
+        let best = candidates
+            .iter()
+            .filter_map(|instance| {
+                let found = self.instances.get(instance)?;
+                let load = found.load(now);
+                let room = load < f64::from(found.record.slots.max(1));
+                Some((room, self.cost(now, found, engine, &hashes), instance))
+            })
+            .min_by(|left, right| right.0.cmp(&left.0).then(left.1.total_cmp(&right.1)));
+        let Some((room, _, instance)) = best else {
+            return self.without_candidates(now, ticket, engine);
+        };
+        if !room {
+            return self.without_room(now, ticket);
+        }
+        let instance = instance.clone();
+        if ticket.sends > 0 {
+            self.take_repeat(now, ticket);
+        }
+        self.note_send(now, ticket, &instance, &hashes)
+    }
+
+    /// Whether the route's attempts and the budget allow one more send.
+    fn may_repeat(&mut self, now: Timestamp, ticket: &Ticket) -> bool {
+        if ticket.sends >= ticket.route.maximum_attempts.max(1) {
+            return false;
+        }
+        let terms = self.budget_terms();
+        let budget = self.budgets.entry(ticket.service.clone()).or_default();
+        budget.has_room(now, &terms)
+    }
+
+    fn take_repeat(&mut self, now: Timestamp, ticket: &Ticket) {
+        let terms = self.budget_terms();
+        let budget = self.budgets.entry(ticket.service.clone()).or_default();
+        budget.take(now, &terms);
+    }
+
+    fn budget_terms(&self) -> BudgetTerms {
+        BudgetTerms {
+            window: self.settings.retry_window,
+            ratio: self.settings.retry_ratio,
+            slack: self.settings.retry_slack,
+            gateways: self.gateways,
+        }
+    }
+
+    /// Instances that could serve the request. Those that could not be reached lately come in only
+    /// when there is no other.
+    fn candidates(&self, now: Timestamp, ticket: &Ticket, engine: bool) -> Vec<InstanceId> {
+        let fit = |instance: &&Instance| {
+            let record = &instance.record;
+            record.service == ticket.service
+                && !record.draining
+                && !ticket.tried.contains(&record.instance)
+                && (!engine || holds_for(now, instance, ticket))
+        };
+        let reachable: Vec<InstanceId> = self
+            .instances
+            .values()
+            .filter(fit)
+            .filter(|instance| !instance.is_left_out(now))
+            .map(|instance| instance.record.instance.clone())
+            .collect();
+        if !reachable.is_empty() {
+            return reachable;
+        }
+        self.instances
+            .values()
+            .filter(fit)
+            .map(|instance| instance.record.instance.clone())
+            .collect()
+    }
+
+    /// Expected time to the first byte, in milliseconds, with costs that stand for risks.
+    fn cost(
+        &self,
+        now: Timestamp,
+        instance: &Instance,
+        engine: bool,
+        hashes: &[(u64, u32)],
+    ) -> f64 {
+        let load = instance.load(now);
+        let fill = load / f64::from(instance.record.slots.max(1));
+        let mut cost = FULL_COST * fill * fill + FAILURE_COST * instance.failures(now);
+        if instance.record.zone != self.settings.zone {
+            cost += OTHER_ZONE_COST;
+        }
+        if !engine {
+            let work = instance.answer_millis.max(1.0);
+            return cost + work * (1.0 + load);
+        }
+        let known = instance.prompts.known_tokens(hashes);
+        let all: u32 = hashes.iter().map(|(_, tokens)| tokens).sum();
+        let mut unread = f64::from(all - known);
+        if known == 0
+            && let Some((first, tokens)) = hashes.first()
+        {
+            // Gateways that know nothing of a prompt agree on where its first part goes.
+            let rank = rendezvous(*first, &instance.record.instance.0) as f64 / u64::MAX as f64;
+            unread -= f64::from(*tokens) * 0.5 * rank;
+        }
+        let reading = instance.reading_until.since(now).as_secs_f64() * 1_000.0;
+        let waiting = instance.waiting(now) * WAITING_REQUEST_COST;
+        let reading = reading.max(waiting);
+        cost + reading + unread / self.settings.prompt_tokens_per_milli + load * ENGINE_REQUEST_COST
+    }
+
+    fn note_send(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        instance: &InstanceId,
+        hashes: &[(u64, u32)],
+    ) -> Choice {
+        let rate = self.settings.prompt_tokens_per_milli;
+        let key = self.need_key(ticket);
+        let mut address = String::new();
+        let mut unread = 0;
+        if let Some(found) = self.instances.get_mut(instance) {
+            let known = found.prompts.known_tokens(hashes);
+            let all: u32 = hashes.iter().map(|(_, tokens)| tokens).sum();
+            unread = all - known;
+            let reading = Duration::from_secs_f64(f64::from(unread) / rate / 1_000.0);
+            found.reading_until = found.reading_until.max(now) + reading;
+            found.prompts.note(now, hashes);
+            found.in_flight += 1;
+            address.clone_from(&found.record.address);
+        }
+        if let Some(key) = key {
+            self.needs.sent(key, unread);
+        }
+        ticket.tried.push(instance.clone());
+        ticket.sends += 1;
+        ticket.sent_at = Some(now);
+        Choice::Send {
+            instance: instance.clone(),
+            address,
+        }
+    }
+
+    /// All that could serve it are full: a short wait, then an early refusal.
+    fn without_room(&self, now: Timestamp, ticket: &Ticket) -> Choice {
+        let until = ticket.arrived + ticket.objective() / 5;
+        if now < until {
+            return Choice::Wait {
+                until: until.min(now + Duration::from_millis(10)),
+            };
+        }
+        Choice::Refuse {
+            reason: RefusalReason::Full,
+            retry_after: ROOM_WAIT,
+        }
+    }
+
+    fn without_candidates(&mut self, now: Timestamp, ticket: &mut Ticket, engine: bool) -> Choice {
+        if ticket.sends > 0 && !engine {
+            return Choice::Refuse {
+                reason: RefusalReason::NoAttempts,
+                retry_after: ROOM_WAIT,
+            };
+        }
+        if !engine || ticket.description.model.is_none() {
+            let until = ticket.arrived + ticket.objective() / 5;
+            if now < until {
+                return Choice::Wait { until };
+            }
+            return Choice::Refuse {
+                reason: RefusalReason::NoInstance,
+                retry_after: ROOM_WAIT,
+            };
+        }
+        self.note_need(now, ticket);
+        self.wait_for_load(now, ticket)
+    }
+
+    fn note_need(&mut self, now: Timestamp, ticket: &mut Ticket) {
+        if ticket
+            .need_noted
+            .is_some_and(|at| now.since(at) < NEED_REPEAT)
+        {
+            return;
+        }
+        ticket.need_noted = Some(now);
+        if let Some(key) = self.need_key(ticket) {
+            self.needs.unserved(key, ticket.route.priority);
+        }
+    }
+
+    /// Waits when the load ends within the objective. Otherwise refuses early and says when to come
+    /// back, if the caller then still has time; else waits as long as the caller may be served.
+    fn wait_for_load(&self, now: Timestamp, ticket: &Ticket) -> Choice {
+        let ready = self.ready_at(now, ticket) + READY_MARGIN;
+        let come_back = ready.since(now);
+        let refusal = Choice::Refuse {
+            reason: RefusalReason::Cold,
+            retry_after: come_back,
+        };
+        let on_time = ticket.arrived + ticket.objective() > ready + SERVING_TIME;
+        let in_time = ticket.leaves_at() > ready + SERVING_TIME;
+        let early = now.since(ticket.arrived) <= ticket.objective() / 5;
+        let comes_back = come_back * 3 < ticket.deadline.since(now);
+        if !in_time || (early && comes_back && !on_time) {
+            return refusal;
+        }
+        Choice::Wait {
+            until: ticket.leaves_at().min(now + NEED_REPEAT),
+        }
+    }
+
+    /// When the model, or adapter, is expected to serve.
+    fn ready_at(&self, now: Timestamp, ticket: &Ticket) -> Timestamp {
+        let model = ticket.description.model.as_ref();
+        let adapter = ticket.description.adapter.as_ref();
+        let soonest = self
+            .outlook
+            .iter()
+            .filter(|(outlook, _)| {
+                outlook.service == ticket.service && Some(&outlook.model) == model
+            })
+            .map(|(_, ready)| *ready)
+            .min();
+        if let Some(ready) = soonest {
+            return ready.max(now);
+        }
+        let held = self.instances.values().any(|instance| {
+            instance.record.service == ticket.service
+                && !instance.record.draining
+                && model.is_some_and(|model| instance.holds(model, None))
+        });
+        if held && adapter.is_some() {
+            return now + ADAPTER_WAIT;
+        }
+        now + LOAD_LEAD + self.shortest_load(ticket)
+    }
+
+    fn shortest_load(&self, ticket: &Ticket) -> Duration {
+        let model = ticket.description.model.as_ref();
+        let specification = self.engine_spec(&ticket.service).and_then(|engine| {
+            engine
+                .models
+                .iter()
+                .find(|candidate| Some(&candidate.name) == model)
+        });
+        let Some(specification) = specification else {
+            return Duration::ZERO;
+        };
+        let has = |copies: &dyn Fn(&Instance) -> bool| {
+            self.instances
+                .values()
+                .any(|instance| instance.record.service == ticket.service && copies(instance))
+        };
+        let wanted = &specification.name;
+        let millis = if has(&|instance| instance.record.in_memory.contains(wanted)) {
+            specification.memory_load_millis
+        } else if has(&|instance| instance.record.on_disk.contains(wanted)) {
+            specification.disk_load_millis
+        } else {
+            specification.load_millis
+        };
+        Duration::from_millis(millis)
+    }
+}
+
+fn holds_for(now: Timestamp, instance: &Instance, ticket: &Ticket) -> bool {
+    let adapter = ticket.description.adapter.as_ref();
+    match &ticket.description.model {
+        Some(model) => instance.holds(model, adapter) && !instance.lacks(now, model, adapter),
+        None => true,
+    }
+}
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -9,8 +9,10 @@
 //! | `prompts` | which prompt parts an instance has lately read |
 //! | `retry_budget` | how many repeats a service may get from this gateway |
 //! | `needs` | demand to report |
-//! | `dispatcher` | the core itself |
+//! | `choosing` | which instance, wait or refuse |
+//! | `dispatcher` | the core itself: updates, begins and ends, reports |
 
+mod choosing;
 mod dispatcher;
 mod instances;
 mod needs;
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The core itself: takes what instances, gateways and engines say, and gives what to do.
 
 use crate::demand::Demand;
-use crate::engines::{Engine, Engines, Pending};
+use crate::engines::{Engines, Pending};
 use crate::gateways::Gateways;
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
@@ -79,24 +79,24 @@
 /// The leader's view of instances and gateways.
 pub struct Fleet {
     settings: FleetSettings,
-    registry: Registry,
-    gateways: Gateways,
+    pub(crate) registry: Registry,
+    pub(crate) gateways: Gateways,
     demand: Demand,
-    engines: Engines,
+    pub(crate) engines: Engines,
     permits: StorePermits,
     /// When this member took charge.
     in_charge_since: Option<Timestamp>,
-    term: u64,
-    outlook: Vec<ModelOutlook>,
-    outlook_revision: u64,
+    pub(crate) term: u64,
+    pub(crate) outlook: Vec<ModelOutlook>,
+    pub(crate) outlook_revision: u64,
     dirty: bool,
     next_plan: Timestamp,
     last_plan: Timestamp,
-    members: Vec<String>,
+    pub(crate) members: Vec<String>,
     /// Registry revision that was noted in the log, and when.
     noted: u64,
     noted_at: Timestamp,
-    out: Vec<FleetOutput>,
+    pub(crate) out: Vec<FleetOutput>,
 }
 
 impl Fleet {
@@ -434,81 +434,6 @@
         }));
     }
 
-    /// What is being loaded, for gateways to estimate waits.
-    fn refresh_outlook(&mut self, now: Timestamp, document: &DeploymentDocument) {
-        let mut outlook = Vec::new();
-        for service in &document.services {
-            for record in self.registry.records() {
-                if record.service != service.name {
-                    continue;
-                }
-                let Some(engine) = self.engines.engines.get(&record.instance) else {
-                    continue;
-                };
-                outlook.extend(outlook_of(now, service, engine));
-            }
-        }
-        let same = outlook.len() == self.outlook.len()
-            && outlook
-                .iter()
-                .zip(&self.outlook)
-                .all(|(new, old)| new.model == old.model && new.adapter == old.adapter);
-        if !same {
-            self.outlook_revision += 1;
-        }
-        self.outlook = outlook;
-    }
-
-    fn update_gateways(&mut self, document: Option<&DeploymentDocument>, complete: bool) {
-        let revision = self.registry.revision();
-        let version = document.map_or(0, |document| document.version);
-        let count = self.gateways.count();
-        for (connection, session) in &mut self.gateways.sessions {
-            let whole = !session.greeted || (complete && !session.sent_complete);
-            let wanted = session.owed
-                || whole
-                || session.sent_revision < revision
-                || session.version < version
-                || session.sent_outlook < self.outlook_revision;
-            if !wanted {
-                continue;
-            }
-            let from = if whole { 0 } else { session.sent_revision };
-            let update = GatewayUpdate {
-                term: self.term,
-                complete,
-                first: whole,
-                document: document
-                    .filter(|document| document.version > session.version)
-                    .cloned(),
-                instances: self.registry.changed_since(from),
-                removed: if whole {
-                    Vec::new()
-                } else {
-                    self.registry.removed_since(from)
-                },
-                outlook: self.outlook.clone(),
-                gateways: count,
-                members: if whole {
-                    self.members.clone()
-                } else {
-                    Vec::new()
-                },
-                provisional: false,
-            };
-            session.greeted = true;
-            session.sent_complete |= complete;
-            session.sent_revision = revision;
-            session.sent_outlook = self.outlook_revision;
-            session.version = session.version.max(version);
-            session.owed = false;
-            self.out.push(FleetOutput::Update {
-                connection: *connection,
-                update: Box::new(update),
-            });
-        }
-    }
-
     fn forget(&mut self, instance: &InstanceId, reason: &str) {
         self.engines.engines.remove(instance);
         if self.registry.remove(instance) {
@@ -526,34 +451,3 @@
             .push(FleetOutput::Event(FleetEvent { name, pairs }));
     }
 }
-
-fn outlook_of(
-    now: Timestamp,
-    service: &millpass_proto::ServiceSpec,
-    engine: &Engine,
-) -> Option<ModelOutlook> {
-    let specification = service.engine.as_ref()?;
-    let outlook = |model, adapter, ready_in: Duration| ModelOutlook {
-        service: service.name.clone(),
-        model,
-        adapter,
-        ready_in_millis: ready_in.as_millis() as u64,
-    };
-    if let Some(pending) = &engine.pending
-        && pending.operation == InstructionOperation::Load
-    {
-        let left = pending.done_at.since(now);
-        return Some(outlook(
-            pending.model.clone(),
-            pending.adapter.clone(),
-            left,
-        ));
-    }
-    let model = engine.reserved.as_ref()?;
-    let load = planner::load_time(specification, engine, model);
-    let unload_left = engine
-        .pending
-        .as_ref()
-        .map_or(Duration::ZERO, |pending| pending.done_at.since(now));
-    Some(outlook(model.clone(), None, load + unload_left))
-}
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `engines` | one instruction at a time for each engine, and what it holds |
 //! | `permits` | loads that the weight store allows |
 //! | `planner` | which model or adapter to load or unload next, and where |
+//! | `updates` | what gateways are told |
 //! | `fleet` | the core itself |
 
 mod demand;
@@ -19,6 +20,7 @@
 mod permits;
 mod planner;
 mod registry;
+mod updates;
 
 pub use demand::ModelKey;
 pub use fleet::{Fleet, FleetEvent, FleetOutput, FleetSettings};
--- /dev/null
+++ b/crates/millpass-fleet/src/updates.rs
@@ -0,0 +1,117 @@
+//! What gateways are told: what changed since their last update, and what is being loaded.
+
+use crate::engines::Engine;
+use crate::fleet::{Fleet, FleetOutput};
+use crate::planner;
+use millpass_proto::{
+    DeploymentDocument, Duration, GatewayUpdate, InstructionOperation, ModelOutlook, ServiceSpec,
+    Timestamp,
+};
+
+impl Fleet {
+    /// What is being loaded, for gateways to estimate waits.
+    pub(crate) fn refresh_outlook(&mut self, now: Timestamp, document: &DeploymentDocument) {
+        let mut outlook = Vec::new();
+        for service in &document.services {
+            for record in self.registry.records() {
+                if record.service != service.name {
+                    continue;
+                }
+                let Some(engine) = self.engines.engines.get(&record.instance) else {
+                    continue;
+                };
+                outlook.extend(outlook_of(now, service, engine));
+            }
+        }
+        let same = outlook.len() == self.outlook.len()
+            && outlook
+                .iter()
+                .zip(&self.outlook)
+                .all(|(new, old)| new.model == old.model && new.adapter == old.adapter);
+        if !same {
+            self.outlook_revision += 1;
+        }
+        self.outlook = outlook;
+    }
+
+    pub(crate) fn update_gateways(
+        &mut self,
+        document: Option<&DeploymentDocument>,
+        complete: bool,
+    ) {
+        let revision = self.registry.revision();
+        let version = document.map_or(0, |document| document.version);
+        let count = self.gateways.count();
+        for (connection, session) in &mut self.gateways.sessions {
+            let whole = !session.greeted || (complete && !session.sent_complete);
+            let wanted = session.owed
+                || whole
+                || session.sent_revision < revision
+                || session.version < version
+                || session.sent_outlook < self.outlook_revision;
+            if !wanted {
+                continue;
+            }
+            let from = if whole { 0 } else { session.sent_revision };
+            let update = GatewayUpdate {
+                term: self.term,
+                complete,
+                first: whole,
+                document: document
+                    .filter(|document| document.version > session.version)
+                    .cloned(),
+                instances: self.registry.changed_since(from),
+                removed: if whole {
+                    Vec::new()
+                } else {
+                    self.registry.removed_since(from)
+                },
+                outlook: self.outlook.clone(),
+                gateways: count,
+                members: if whole {
+                    self.members.clone()
+                } else {
+                    Vec::new()
+                },
+                provisional: false,
+            };
+            session.greeted = true;
+            session.sent_complete |= complete;
+            session.sent_revision = revision;
+            session.sent_outlook = self.outlook_revision;
+            session.version = session.version.max(version);
+            session.owed = false;
+            self.out.push(FleetOutput::Update {
+                connection: *connection,
+                update: Box::new(update),
+            });
+        }
+    }
+}
+
+fn outlook_of(now: Timestamp, service: &ServiceSpec, engine: &Engine) -> Option<ModelOutlook> {
+    let specification = service.engine.as_ref()?;
+    let outlook = |model, adapter, ready_in: Duration| ModelOutlook {
+        service: service.name.clone(),
+        model,
+        adapter,
+        ready_in_millis: ready_in.as_millis() as u64,
+    };
+    if let Some(pending) = &engine.pending
+        && pending.operation == InstructionOperation::Load
+    {
+        let left = pending.done_at.since(now);
+        return Some(outlook(
+            pending.model.clone(),
+            pending.adapter.clone(),
+            left,
+        ));
+    }
+    let model = engine.reserved.as_ref()?;
+    let load = planner::load_time(specification, engine, model);
+    let unload_left = engine
+        .pending
+        .as_ref()
+        .map_or(Duration::ZERO, |pending| pending.done_at.since(now));
+    Some(outlook(model.clone(), None, load + unload_left))
+}
