Requests are held for 250 ms while a gateway that has just started has no configuration

Cause: after a loss of the whole group every first request was refused, though the configuration came 20 to 400 ms after the gateway's start. Change: hold, then refuse with the time to come back (300 ms).

--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -27,8 +27,10 @@
 const MAXIMUM_FAILURE_BYTES: usize = 256 * 1024;
 /// Time for a failed answer's body to come.
 const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a request is held while there is no configuration.
+const NOT_CONFIGURED_HOLD: Duration = Duration::from_millis(250);
 /// When a caller may come back while there is no configuration.
-const NOT_CONFIGURED_WAIT: Duration = Duration::from_millis(500);
+const NOT_CONFIGURED_WAIT: Duration = Duration::from_millis(300);
 
 /// A failed answer of an instance, passed on if there is no better one.
 struct FailedAnswer {
@@ -79,12 +81,11 @@
         .or_else(|| head.uri.authority().map(|authority| authority.as_str()))
         .unwrap_or("")
         .to_owned();
-    let route = shared.core().route(&host, head.uri.path());
-    let route = match route {
+    let arrived = shared.now();
+    let route = match route_of(shared, &host, head.uri.path()).await {
         Ok(route) => route,
         Err(error) => return unrouted(shared, &attempt, &host, head.uri.path(), error),
     };
-    let arrived = shared.now();
     let body = match read_body(shared, body).await {
         Ok(body) => body,
         Err(status) => {
@@ -117,6 +118,24 @@
     forward.run().await
 }
 
+/// The route of a request. A gateway that has just started gets its first configuration in a moment:
+/// the request is held that long.
+async fn route_of(shared: &Shared, host: &str, path: &str) -> Result<Arc<RouteSpec>, RouteError> {
+    let until = shared.now() + NOT_CONFIGURED_HOLD;
+    loop {
+        let changed = shared.changed.listen();
+        let route = shared.core().route(host, path);
+        let left = shared.clock.left_until(until);
+        if route != Err(RouteError::NotConfigured) || left.is_zero() {
+            return route;
+        }
+        let timer = async {
+            Timer::after(left).await;
+        };
+        future::or(changed, timer).await;
+    }
+}
+
 struct Forward {
     shared: Arc<Shared>,
     ticket: Ticket,
