Planner gathers what a round looks up once

Ruled out: a longer silence (it would hide a leader that is lost); fewer pushes (they were the result). Change: needs, holders, reading time and worth of models are gathered at the start of a round. A test of the cost is missing: it would assert time.

--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -62,6 +62,17 @@
     (-now.since(since).as_secs_f64() / seconds).exp()
 }
 
+/// What a model is asked for.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Load {
+    /// Prompt tokens to read a second.
+    pub(crate) tokens: f64,
+    /// Requests a second over the last minute or so, or lately if that is more.
+    pub(crate) lasting_rate: f64,
+    /// Requests in flight.
+    pub(crate) in_flight: u32,
+}
+
 /// A need that is not met.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Unmet {
@@ -123,42 +134,17 @@
         }
     }
 
-    /// Requests a second for a model, with all of its adapters.
-    pub(crate) fn model_rate(
-        &self,
-        now: Timestamp,
-        service: &ServiceName,
-        model: &ModelName,
-    ) -> f64 {
-        self.of_model(service, model)
-            .map(|entry| entry.rate_at(now))
-            .sum()
-    }
-
-    /// Requests a second for a model over the last minute or so, or lately if that is more.
-    pub(crate) fn lasting_rate(
-        &self,
-        now: Timestamp,
-        service: &ServiceName,
-        model: &ModelName,
-    ) -> f64 {
-        let slow: f64 = self
-            .of_model(service, model)
-            .map(|entry| entry.slow_at(now))
-            .sum();
-        slow.max(self.model_rate(now, service, model))
-    }
-
-    /// Prompt tokens to read a second for a model, with all of its adapters.
-    pub(crate) fn model_tokens(
-        &self,
-        now: Timestamp,
-        service: &ServiceName,
-        model: &ModelName,
-    ) -> f64 {
-        self.of_model(service, model)
-            .map(|entry| entry.tokens_at(now))
-            .sum()
+    /// What each model of a service is asked for, with all of its adapters.
+    pub(crate) fn loads(&self, now: Timestamp, service: &ServiceName) -> BTreeMap<ModelName, Load> {
+        let mut loads: BTreeMap<ModelName, Load> = BTreeMap::new();
+        let entries = self.entries.iter();
+        for (key, entry) in entries.filter(|(key, _)| key.service == *service) {
+            let load = loads.entry(key.model.clone()).or_default();
+            load.tokens += entry.tokens_at(now);
+            load.lasting_rate += entry.slow_at(now).max(entry.rate_at(now));
+            load.in_flight += entry.in_flight.values().sum::<u32>();
+        }
+        loads
     }
 
     /// Requests a second for exactly this key.
@@ -168,24 +154,6 @@
             .map_or(0.0, |entry| entry.rate_at(now))
     }
 
-    /// Requests in flight for a model, with all of its adapters.
-    pub(crate) fn model_in_flight(&self, service: &ServiceName, model: &ModelName) -> u32 {
-        self.of_model(service, model)
-            .flat_map(|entry| entry.in_flight.values())
-            .sum()
-    }
-
-    fn of_model<'a>(
-        &'a self,
-        service: &'a ServiceName,
-        model: &'a ModelName,
-    ) -> impl Iterator<Item = &'a Entry> {
-        self.entries
-            .iter()
-            .filter(move |(key, _)| key.service == *service && key.model == *model)
-            .map(|(_, entry)| entry)
-    }
-
     /// Needs reported lately, the most urgent first, then the oldest: the weight store's
     /// permits are scarce, and a rare model's turn must come.
     pub(crate) fn unmet(&self, now: Timestamp) -> Vec<Unmet> {
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -16,7 +16,7 @@
 /// Shortest time between two notes of instances in the log.
 const NOTE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Shortest time between two looks.
-const MINIMUM_PLAN_INTERVAL: Duration = Duration::from_millis(5);
+const MINIMUM_PLAN_INTERVAL: Duration = Duration::from_millis(8);
 
 /// Settings of the core.
 #[derive(Clone, Debug)]
@@ -359,6 +359,7 @@
                 engines: &mut self.engines,
                 demand: &mut self.demand,
                 permits: &mut self.permits,
+                round: planner::Round::default(),
             };
             planner::plan(&mut view, &mut steps);
         }
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -12,6 +12,7 @@
     AdapterName, Duration, EngineModelSpec, EngineSpec, InstanceId, InstructionOperation,
     ModelName, ServiceName, Timestamp,
 };
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time a model is kept at least after its load began.
 const MINIMUM_STAY: Duration = Duration::from_millis(4_000);
@@ -64,10 +65,61 @@
     pub(crate) engines: &'a mut Engines,
     pub(crate) demand: &'a mut Demand,
     pub(crate) permits: &'a mut StorePermits,
+    pub(crate) round: Round,
+}
+
+/// What a round looks up often, gathered once: with hundreds of engines and models, gathering it for
+/// each candidate takes the leader's whole processor.
+#[derive(Default)]
+pub(crate) struct Round {
+    /// Models with a need that nobody serves.
+    wanted: BTreeSet<ModelName>,
+    /// Engines that hold each model.
+    holders: BTreeMap<ModelName, usize>,
+    /// Share of one engine's time that each model's prompts take.
+    reading: BTreeMap<ModelName, f64>,
+    /// Requests a second for each model, over the last minute or so, and those in flight.
+    worth: BTreeMap<ModelName, f64>,
+    /// Engines that take new work and can be reached.
+    usable: Vec<InstanceId>,
+}
+
+impl Round {
+    fn gather(view: &View<'_>) -> Round {
+        let mut round = Round {
+            usable: view.reachable(),
+            ..Round::default()
+        };
+        for need in view.demand.unmet(view.now) {
+            if need.key.service == *view.service {
+                round.wanted.insert(need.key.model);
+            }
+        }
+        for instance in &round.usable {
+            let Some(engine) = view.engines.engines.get(instance) else {
+                continue;
+            };
+            for held in &engine.held {
+                if !engine.unloading(&held.model) {
+                    *round.holders.entry(held.model.clone()).or_default() += 1;
+                }
+            }
+        }
+        for (model, load) in view.demand.loads(view.now, view.service) {
+            round
+                .reading
+                .insert(model.clone(), load.tokens / TOKENS_PER_SECOND);
+            round
+                .worth
+                .insert(model, load.lasting_rate + f64::from(load.in_flight));
+        }
+        round
+    }
 }
 
 /// Plans one round for one service.
 pub(crate) fn plan(view: &mut View<'_>, steps: &mut Vec<Step>) {
+    view.round = Round::gather(view);
     view.read_unknown(steps);
     view.follow_reservations(steps);
     for need in view.demand.unmet(view.now) {
@@ -124,8 +176,12 @@
             .map(|record| &record.instance)
     }
 
-    /// Those of them that can be reached.
+    /// Those of them that can be reached, as of this round.
     fn usable(&self) -> Vec<InstanceId> {
+        self.round.usable.clone()
+    }
+
+    fn reachable(&self) -> Vec<InstanceId> {
         self.taking()
             .filter(|instance| {
                 self.engine(instance)
@@ -300,7 +356,7 @@
             .filter(|held| self.may_evict(engine, &held.model))
             .map(|held| {
                 let freed = self.held_kilobytes(held);
-                (self.value(instance, &held.model), &held.model, freed)
+                (self.value(&held.model), &held.model, freed)
             })
             .collect();
         values.sort_by(|left, right| left.0.total_cmp(&right.0));
@@ -320,35 +376,19 @@
     }
 
     fn may_evict(&self, engine: &Engine, model: &ModelName) -> bool {
-        let wanted = self
-            .demand
-            .unmet(self.now)
-            .iter()
-            .any(|need| need.key.model == *model && need.key.service == *self.service);
+        let wanted = self.round.wanted.contains(model);
         !wanted && !engine.is_fresh(self.now, model, MINIMUM_STAY)
     }
 
-    /// Requests a second that would be served cold, or worse, without this replica.
-    fn value(&self, instance: &InstanceId, model: &ModelName) -> f64 {
-        let others = self
-            .usable()
-            .iter()
-            .filter(|other| {
-                *other != instance
-                    && self
-                        .engine(other)
-                        .is_some_and(|engine| engine.holds(model, None) && !engine.unloading(model))
-            })
-            .count();
-        let rate = self.demand.lasting_rate(self.now, self.service, model);
-        let in_flight = f64::from(self.demand.model_in_flight(self.service, model));
-        if others == 0 {
-            return rate + in_flight;
+    /// Requests a second that would be served cold, or worse, without this replica, which counts among
+    /// the holders.
+    fn value(&self, model: &ModelName) -> f64 {
+        let others = self.holders(model).saturating_sub(1);
+        let worth = self.round.worth.get(model).copied().unwrap_or_default();
+        if others == 0 || self.reading(model) / others as f64 > COMFORTABLE_READING {
+            return worth;
         }
-        if self.reading(model) / others as f64 > COMFORTABLE_READING {
-            return rate;
-        }
-        rate * REPLICA_VALUE / others as f64
+        worth * REPLICA_VALUE / others as f64
     }
 
     /// Share of its time that an engine spends on reading prompts.
@@ -364,13 +404,7 @@
     }
 
     fn holders(&self, model: &ModelName) -> usize {
-        self.usable()
-            .iter()
-            .filter(|instance| {
-                self.engine(instance)
-                    .is_some_and(|engine| engine.holds(model, None))
-            })
-            .count()
+        self.round.holders.get(model).copied().unwrap_or_default()
     }
 
     fn used_kilobytes(&self, engine: &Engine) -> u64 {
@@ -501,18 +535,18 @@
 
     /// Engines' time that the model's prompts take.
     fn reading(&self, model: &ModelName) -> f64 {
-        self.demand.model_tokens(self.now, self.service, model) / TOKENS_PER_SECOND
+        self.round.reading.get(model).copied().unwrap_or_default()
     }
 
     /// Models that take more of their holders' time than they serve well in, the busiest first.
     fn busy_models(&self) -> Vec<(f64, ModelName)> {
         let mut busy: Vec<(f64, ModelName)> = self
-            .specification
-            .models
+            .round
+            .reading
             .iter()
-            .map(|model| {
-                let holders = self.holders(&model.name).max(1) as f64;
-                (self.reading(&model.name) / holders, model.name.clone())
+            .map(|(model, reading)| {
+                let holders = self.holders(model).max(1) as f64;
+                (reading / holders, model.clone())
             })
             .filter(|(share, _)| *share >= COMFORTABLE_READING)
             .collect();
