--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -133,8 +133,8 @@
         self.gateways.sessions.keys().copied().collect()
     }
 
-    /// Whether this member has led long enough to have begun; if not, `records`, as a leader before it
-    /// noted them, are where it begins. They count as heard now.
+    /// Begins, the first time it is called since this member took charge: with `records`, as a leader
+    /// before it noted them. They count as heard now.
     pub fn begin(&mut self, now: Timestamp, records: impl Iterator<Item = InstanceRecord>) {
         if self.in_charge_since.is_some() {
             return;
--- a/crates/millpass-telemetry/src/bounded_writer.rs
+++ b/crates/millpass-telemetry/src/bounded_writer.rs
@@ -1,7 +1,7 @@
 //! A writer that never waits: lines go through a bounded queue to a thread of their own.
 //!
-//! Lines are bounded in two ways: a steady rate with a burst, and the queue. What exceeds them is
-//! dropped and counted; the count is written as a line of its own.
+//! What does not fit the queue is dropped and counted; the count is written as a line of its own once
+//! the destination takes lines again.
 
 use crossbeam::channel::{Receiver, Sender, bounded};
 use std::io::{self, Write};
