Read again: one wait, one frame writer, no copies in the planner's loops

Cause: reading the whole change once more. The wait for a change or a time stood three times in the gateway, the link wrote frames that the codec writes, unread prompt tokens were counted twice, seeds were put at a port twice; each step of a leader cloned the membership for a list that only a new gateway is sent, and each look at usable engines copied their names; Fleet::is_draining was dead. Ruled out: one send for the first attempt and for resumed streams (they end differently today). Change: shared pieces in place of the copies; behaviour as before; one test passes a function.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -143,7 +143,7 @@
         .iter()
         .map(|seed| {
             Ok(SeedMember {
-                peer_address: SocketAddr::new(address(seed)?.ip(), port).to_string(),
+                peer_address: at_port(seed, port)?.to_string(),
                 administration_address: seed.clone(),
             })
         })
@@ -178,7 +178,7 @@
     let members = control
         .seeds
         .iter()
-        .map(|seed| Ok(SocketAddr::new(address(seed)?.ip(), port)))
+        .map(|seed| at_port(seed, port))
         .collect::<Result<_>>()?;
     Ok(GatewayProcessSettings {
         dispatch: DispatchSettings {
@@ -298,6 +298,11 @@
     (!text.is_empty()).then(|| text.to_owned())
 }
 
+/// The machine of an address, at another port.
+fn at_port(text: &str, port: u16) -> Result<SocketAddr> {
+    Ok(SocketAddr::new(address(text)?.ip(), port))
+}
+
 fn address(text: &str) -> Result<SocketAddr> {
     text.parse()
         .with_context(|| format!("{text} is not an IP address with port"))
--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -154,13 +154,12 @@
         let Some(fleet) = &mut self.fleet else {
             return;
         };
-        let membership = &self.consensus.status().membership;
-        let members = membership
-            .voters
-            .iter()
-            .chain(&membership.learners)
-            .map(|member| member.peer_address.clone())
-            .collect();
+        let consensus = &self.consensus;
+        let members = || {
+            let membership = consensus.status().membership;
+            let members = membership.voters.iter().chain(&membership.learners);
+            members.map(|member| member.peer_address.clone()).collect()
+        };
         fleet.begin(now, self.state.noted_instances().cloned());
         for output in fleet.run(now, self.term, self.state.document(), members) {
             match output {
--- a/crates/millpass-dispatch/src/choosing.rs
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
 use crate::instances::Instance;
-use crate::prompts::{beginnings, rendezvous};
+use crate::prompts::{all_tokens, beginnings, rendezvous};
 use crate::request::Ticket;
 use crate::retry_budget::BudgetTerms;
 use millpass_proto::{Duration, InstanceId, Timestamp};
@@ -137,10 +137,9 @@
             let work = instance.answer_millis.max(1.0);
             return cost + work * (1.0 + load);
         }
-        let known = instance.prompts.known_tokens(hashes);
-        let all: u32 = hashes.iter().map(|(_, tokens)| tokens).sum();
-        let mut unread = f64::from(all - known);
-        if known == 0
+        let unread_tokens = instance.prompts.unread_tokens(hashes);
+        let mut unread = f64::from(unread_tokens);
+        if unread_tokens == all_tokens(hashes)
             && let Some((first, tokens)) = hashes.first()
         {
             // Gateways that know nothing of a prompt agree on where its first part goes.
@@ -165,9 +164,7 @@
         let mut address = String::new();
         let mut unread = 0;
         if let Some(found) = self.instances.get_mut(instance) {
-            let known = found.prompts.known_tokens(hashes);
-            let all: u32 = hashes.iter().map(|(_, tokens)| tokens).sum();
-            unread = all - known;
+            unread = found.prompts.unread_tokens(hashes);
             let reading = Duration::from_secs_f64(f64::from(unread) / rate / 1_000.0);
             found.reading_until = found.reading_until.max(now) + reading;
             found.prompts.note(now, hashes);
--- a/crates/millpass-dispatch/src/prompts.rs
+++ b/crates/millpass-dispatch/src/prompts.rs
@@ -15,13 +15,14 @@
 }
 
 impl PromptIndex {
-    /// Tokens at the beginning of the prompt that were sent here before.
-    pub(crate) fn known_tokens(&self, beginnings: &[(u64, u32)]) -> u32 {
-        beginnings
+    /// Tokens of the prompt behind the beginning that was sent here before.
+    pub(crate) fn unread_tokens(&self, beginnings: &[(u64, u32)]) -> u32 {
+        let known: u32 = beginnings
             .iter()
             .take_while(|(hash, _)| self.beginnings.contains_key(hash))
             .map(|(_, tokens)| *tokens)
-            .sum()
+            .sum();
+        all_tokens(beginnings) - known
     }
 
     /// Notes a prompt that is sent.
@@ -44,6 +45,11 @@
     }
 }
 
+/// Tokens of a whole prompt.
+pub(crate) fn all_tokens(beginnings: &[(u64, u32)]) -> u32 {
+    beginnings.iter().map(|(_, tokens)| tokens).sum()
+}
+
 /// Hashes of each beginning of a prompt, with the tokens that the last part adds. Parts count only
 /// for the same model and adapter, and only behind the same parts.
 pub(crate) fn beginnings(description: &Description) -> Vec<(u64, u32)> {
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -92,7 +92,6 @@
     dirty: bool,
     next_plan: Timestamp,
     last_plan: Timestamp,
-    pub(crate) members: Vec<String>,
     /// Registry revision that was noted in the log, and when.
     noted: u64,
     noted_at: Timestamp,
@@ -116,7 +115,6 @@
             dirty: false,
             next_plan: Timestamp::ZERO,
             last_plan: Timestamp::ZERO,
-            members: Vec::new(),
             noted: 0,
             noted_at: Timestamp::ZERO,
             out: Vec::new(),
@@ -205,13 +203,6 @@
         }
     }
 
-    /// Whether an instance is known, and drains.
-    pub fn is_draining(&self, instance: &InstanceId) -> bool {
-        self.registry
-            .get(instance)
-            .is_some_and(|record| record.draining)
-    }
-
     /// An instance leaves, or has ended.
     pub fn departed(&mut self, instance: &InstanceId, ended: bool) {
         self.dirty = true;
@@ -295,18 +286,17 @@
         self.event("engine-answered", pairs);
     }
 
-    /// Does what is due; called only while this member is in charge. `members` are the addresses of
-    /// the control members.
+    /// Does what is due; called only while this member is in charge. `members` gives the addresses
+    /// of the control members, when a gateway is to be told.
     pub fn run(
         &mut self,
         now: Timestamp,
         term: u64,
         document: Option<&DeploymentDocument>,
-        members: Vec<String>,
+        members: impl Fn() -> Vec<String>,
     ) -> Vec<FleetOutput> {
         let since = *self.in_charge_since.get_or_insert(now);
         self.term = term;
-        self.members = members;
         let due = now >= self.next_plan
             || (self.dirty && now.since(self.last_plan) >= MINIMUM_PLAN_INTERVAL);
         if due {
@@ -325,7 +315,7 @@
         }
         self.note(now);
         let complete = now.since(since) >= self.settings.announce_interval * 3;
-        self.update_gateways(document, complete);
+        self.update_gateways(document, complete, members);
         std::mem::take(&mut self.out)
     }
 
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -177,8 +177,8 @@
     }
 
     /// Those of them that can be reached, as of this round.
-    fn usable(&self) -> Vec<InstanceId> {
-        self.round.usable.clone()
+    fn usable(&self) -> &[InstanceId] {
+        &self.round.usable
     }
 
     fn reachable(&self) -> Vec<InstanceId> {
@@ -218,7 +218,7 @@
 
     /// Loads what room was made for, or makes more room.
     fn follow_reservations(&mut self, steps: &mut Vec<Step>) {
-        for instance in self.usable() {
+        for instance in self.usable().to_vec() {
             let Some(engine) = self.engine(&instance) else {
                 continue;
             };
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -38,6 +38,7 @@
         &mut self,
         document: Option<&DeploymentDocument>,
         complete: bool,
+        members: impl Fn() -> Vec<String>,
     ) {
         let revision = self.registry.revision();
         let version = document.map_or(0, |document| document.version);
@@ -68,11 +69,7 @@
                 },
                 outlook: self.outlook.clone(),
                 gateways: count,
-                members: if whole {
-                    self.members.clone()
-                } else {
-                    Vec::new()
-                },
+                members: if whole { members() } else { Vec::new() },
                 provisional: false,
             };
             session.greeted = true;
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -127,7 +127,7 @@
     }
 
     fn run(&mut self, now: u64) -> Vec<FleetOutput> {
-        self.fleet.run(at(now), 3, Some(&self.document), Vec::new())
+        self.fleet.run(at(now), 3, Some(&self.document), Vec::new)
     }
 
     fn instructions(&mut self, now: u64) -> Vec<EngineInstruction> {
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -125,14 +125,10 @@
     loop {
         let changed = shared.changed.listen();
         let route = shared.core().route(host, path);
-        let left = shared.clock.left_until(until);
-        if route != Err(RouteError::NotConfigured) || left.is_zero() {
+        if route != Err(RouteError::NotConfigured) || shared.now() >= until {
             return route;
         }
-        let timer = async {
-            Timer::after(left).await;
-        };
-        future::or(changed, timer).await;
+        shared.wait_for_change(changed, until).await;
     }
 }
 
@@ -171,11 +167,7 @@
                     Sent::Over(status, reason) => return self.give_up(status, reason, None),
                 },
                 Choice::Wait { until } => {
-                    let left = self.shared.clock.left_until(until);
-                    let timer = async {
-                        Timer::after(left).await;
-                    };
-                    future::or(changed, timer).await;
+                    self.shared.wait_for_change(changed, until).await;
                 }
                 Choice::Refuse {
                     reason,
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -4,7 +4,7 @@
 use async_io::{Async, Timer};
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use futures_lite::{AsyncRead, future};
-use millpass_proto::codec::{CodecError, MAXIMUM_FRAME_BYTES, decode, encode};
+use millpass_proto::codec::{self, CodecError, MAXIMUM_FRAME_BYTES, decode};
 use millpass_proto::{ControlToRouter, Duration, GatewayUpdate, LinkMessage, RouterToControl};
 use millpass_router::MemberChoice;
 use millpass_telemetry::event_line;
@@ -165,10 +165,8 @@
     stream: &mut &Async<TcpStream>,
     message: &LinkMessage,
 ) -> Result<(), CodecError> {
-    let body = encode(message)?;
-    let mut frame = Vec::with_capacity(body.len() + 4);
-    frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    frame.extend_from_slice(&body);
+    let mut frame = Vec::new();
+    codec::write_frame(&mut frame, message)?;
     stream.write_all(&frame).await?;
     Ok(())
 }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -201,31 +201,23 @@
             let choice = self.shared.core().choose(now, &mut self.ticket);
             match choice {
                 Choice::Send { instance, address } => {
-                    if let Some(resumed) = self.send_again(instance, &address).await {
-                        return resumed;
+                    if self.send_again(instance, &address).await {
+                        return true;
                     }
                 }
                 Choice::Wait { until } => {
                     if now >= self.ticket.give_up {
                         return false;
                     }
-                    let left = self.shared.clock.left_until(until);
-                    let timer = async {
-                        Timer::after(left).await;
-                    };
-                    future::or(changed, timer).await;
+                    self.shared.wait_for_change(changed, until).await;
                 }
                 Choice::Refuse { .. } => return false,
             }
         }
     }
 
-    /// Some(true) when the stream goes on, Some(false) when it cannot, none to try another.
-    async fn send_again(
-        &mut self,
-        instance: millpass_proto::InstanceId,
-        address: &str,
-    ) -> Option<bool> {
+    /// Whether the stream goes on at this instance; otherwise another may be tried.
+    async fn send_again(&mut self, instance: millpass_proto::InstanceId, address: &str) -> bool {
         let shared = self.shared.clone();
         let active = ActiveSend::new(shared.clone(), self.ticket.record(&instance));
         let last = self
@@ -243,17 +235,17 @@
         let Ok(received) = exchange::send(&shared, &self.template, address, &facts, give_up).await
         else {
             active.end(SendEnd::Failed);
-            return None;
+            return false;
         };
         if received.facts.not_executed || received.facts.misdirected {
             active.end(SendEnd::Full);
-            return None;
+            return false;
         }
         let stated = received.facts.attempt.as_deref();
         let same = stated.is_none_or(|stated| stated == self.ticket.description.attempt);
         if !same || received.head.status != self.status {
             active.end(SendEnd::Failed);
-            return None;
+            return false;
         }
         log::info!(
             "event=stream_resumed request={} instance={instance} after={}",
@@ -265,7 +257,7 @@
         self.body = received.body;
         self.sender = Some(received.sender);
         self.keep_alive = received.facts.keep_alive;
-        Some(true)
+        true
     }
 }
 
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -5,7 +5,9 @@
 use crate::pool::Pool;
 use crate::settings::GatewaySettings;
 use async_executor::Executor;
-use event_listener::Event;
+use async_io::Timer;
+use event_listener::{Event, EventListener};
+use futures_lite::future;
 use millpass_dispatch::{Dispatcher, SendEnd, SendRecord};
 use millpass_proto::Timestamp;
 use millpass_telemetry::ProcessClock;
@@ -83,6 +85,16 @@
         self.close.notify(usize::MAX);
     }
 
+    /// Waits until something changes or `until` has come. `changed` is listened to before what is
+    /// waited for is looked at, so that no change is missed.
+    pub(crate) async fn wait_for_change(&self, changed: EventListener, until: Timestamp) {
+        let left = self.clock.left_until(until);
+        let timer = async {
+            Timer::after(left).await;
+        };
+        future::or(changed, timer).await;
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
