A new leader steers at once the engines that nobody instructed lately

Cause: after each election no engine got an instruction for order_handover_ms (3 s), since the rule on two holders binds each engine; cold models and adapters waited for it.

Ruled out: dropping the pause (the rule holds per engine; a frozen leader's orders may come late), and reading it off the engines (they count orders but do not say when).

Change: instructions leave only once a note of their engines is committed (InstructionNote). A member keeps the notes by its own clock (InstructionHistory); a new leader leaves alone the engines noted within the pause. Loads from the weight store stand in the note, so permits count over a change of leader (they began anew before, and the pause stood in).

--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -54,7 +54,7 @@
     pub instance_silence_ms: u64,
     /// Longest wait for an engine's answer to an order; without one, its state is read.
     pub call_timeout_ms: u64,
-    /// Time for which a new leader gives engines no orders: the one before it has surely stopped by then.
+    /// Time after an engine's last instruction for which no other leader instructs it.
     pub order_handover_ms: u64,
 }
 impl Default for ControlFleetSection {
--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -8,8 +8,8 @@
 use crate::proposals::{InternalKey, Waiter};
 use millpass_fleet::FleetOutput;
 use millpass_proto::{
-    Command, ControlToRouter, GatewayReport, GatewayUpdate, InstanceDeparture, InstanceId,
-    InstanceRecord, InstructionAnswer, PutDocument, Timestamp,
+    Command, ControlToRouter, EngineInstruction, GatewayReport, GatewayUpdate, InstanceDeparture,
+    InstanceId, InstanceRecord, InstructionAnswer, InstructionNote, PutDocument, Timestamp,
 };
 
 /// Why a call is refused where no instances announce themselves.
@@ -160,9 +160,12 @@
             let members = membership.voters.iter().chain(&membership.learners);
             members.map(|member| member.peer_address.clone()).collect()
         };
-        fleet.begin(now, self.state.noted_instances().cloned());
+        let noted = self.state.noted_instances().cloned();
+        fleet.begin(now, noted, &self.instructions);
+        let mut instructions = Vec::new();
         for output in fleet.run(now, self.term, self.state.document(), members) {
             match output {
+                FleetOutput::Instruct(instruction) => instructions.push(instruction),
                 FleetOutput::Note(note) => {
                     let command = Command::NoteInstances(note);
                     self.propose_internal(now, InternalKey::NoteInstances, command, out);
@@ -170,13 +173,55 @@
                 other => out.push(host_output(other)),
             }
         }
+        if !instructions.is_empty() {
+            self.note_instructions(now, instructions, out);
+        }
+    }
+
+    /// Says in the log which engines are about to be instructed. The instructions leave when that is
+    /// committed; if it never is, the fleet reads the engines' state once they are overdue.
+    fn note_instructions(
+        &mut self,
+        now: Timestamp,
+        instructions: Vec<EngineInstruction>,
+        out: &mut Outputs,
+    ) {
+        if !self.proposals.has_room() {
+            return;
+        }
+        let loads = instructions.iter().filter(|found| found.from_store);
+        let note = InstructionNote {
+            store_loads: u32::try_from(loads.count()).unwrap_or(u32::MAX),
+            instances: instructions
+                .iter()
+                .map(|instruction| instruction.instance.clone())
+                .collect(),
+        };
+        let command = Command::NoteInstructions(note);
+        self.propose(now, Waiter::Instructions(instructions), command, out);
+    }
+
+    /// Gives instructions that were noted, if this member still leads.
+    pub(crate) fn instruct(
+        &mut self,
+        now: Timestamp,
+        instructions: Vec<EngineInstruction>,
+        out: &mut Outputs,
+    ) {
+        if !self.in_charge(now) {
+            let pairs = vec![("instructions", instructions.len().to_string())];
+            return out.event("instructions-dropped", pairs);
+        }
+        for instruction in instructions {
+            out.push(ControlOutput::Instruct(instruction));
+        }
     }
 }
 
 fn host_output(output: FleetOutput) -> ControlOutput {
     match output {
         // Proposed by the caller.
-        FleetOutput::Note(_) => ControlOutput::Event(ControlEvent {
+        FleetOutput::Note(_) | FleetOutput::Instruct(_) => ControlOutput::Event(ControlEvent {
             name: "instances-noted",
             pairs: Vec::new(),
         }),
@@ -184,7 +229,6 @@
             connection: ConnectionId(connection),
             message: ControlToRouter::Gateway(*update),
         },
-        FleetOutput::Instruct(instruction) => ControlOutput::Instruct(instruction),
         FleetOutput::ReadEngine { instance, address } => {
             ControlOutput::ReadEngine { instance, address }
         }
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -17,7 +17,7 @@
 use crate::snapshots::AppliedLog;
 use crate::watch::WatchShares;
 use millpass_consensus::{Consensus, ConsensusInput, ConsensusStatus, RestoredLog, Role};
-use millpass_fleet::Fleet;
+use millpass_fleet::{Fleet, InstructionHistory};
 use millpass_proto::{Command, Duration, ExpireClaims, OrderAnswer, Snapshot, Timestamp};
 use millpass_scheduler::Scheduler;
 use millpass_state::State;
@@ -27,6 +27,9 @@
 /// `Unknown`.
 const CALL_DEADLINE: Duration = Duration::from_secs(5);
 
+/// How long notes of instructions are kept; above any pause between two leaders' instructions.
+pub(crate) const INSTRUCTION_MEMORY: Duration = Duration::from_secs(600);
+
 /// Entries kept behind a snapshot where entries may hold whole documents.
 const DOCUMENT_TRAILING_ENTRIES: u64 = 32;
 
@@ -65,6 +68,8 @@
     pub(crate) scheduler: Scheduler,
     /// Instances that announce themselves, where the deployment has them.
     pub(crate) fleet: Option<Fleet>,
+    /// Instructions to engines as the log told them, also those of other leaders.
+    pub(crate) instructions: InstructionHistory,
     /// Whether commands were applied since the outstanding orders were last looked at.
     pub(crate) state_changed: bool,
     /// Revisions that routers were told of.
@@ -102,6 +107,7 @@
         ControlPlane {
             scheduler: Scheduler::new(settings.scheduler.clone()),
             fleet: settings.fleet.clone().map(Fleet::new),
+            instructions: InstructionHistory::new(now, INSTRUCTION_MEMORY),
             addresses: AddressBook::new(&status.membership),
             role: status.role,
             term: status.term,
--- a/crates/millpass-control-plane/src/proposals.rs
+++ b/crates/millpass-control-plane/src/proposals.rs
@@ -4,7 +4,9 @@
 //! snapshot beyond it, means that it is lost or that its outcome is not known here.
 
 use crate::interface::ConnectionId;
-use millpass_proto::{BackendName, Incarnation, LogPosition, RouterName, Timestamp};
+use millpass_proto::{
+    BackendName, EngineInstruction, Incarnation, LogPosition, RouterName, Timestamp,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Most proposals under way; more are refused at once, so that nothing waits without bound.
@@ -50,6 +52,8 @@
     },
     /// The core itself.
     Internal(InternalKey),
+    /// Instructions that leave once the note of them is committed.
+    Instructions(Vec<EngineInstruction>),
     /// A repair of the membership.
     Repair,
 }
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -3,13 +3,13 @@
 use crate::administration;
 use crate::interface::{AdministrationAnswer, ConnectionId, ControlOutput, FinalState};
 use crate::outputs::Outputs;
-use crate::plane::ControlPlane;
+use crate::plane::{ControlPlane, INSTRUCTION_MEMORY};
 use crate::proposals::{InternalKey, Waiter};
 use crate::snapshots::AppliedLog;
 use millpass_consensus::{
     ConsensusInput, ConsensusOutput, ConsensusStatus, MembershipChange, ProposalRejection, Role,
 };
-use millpass_fleet::Fleet;
+use millpass_fleet::{Fleet, InstructionHistory};
 use millpass_proto::{
     ClaimAnswer, Command, CommandOutcome, ControlToRouter, EntryPayload, LogEntry, MemberAddress,
     Membership, PeerEnvelope, Snapshot, Timestamp,
@@ -26,7 +26,7 @@
         out: &mut Outputs,
     ) {
         for output in self.consensus.step(now, input) {
-            self.carry_out(output, out);
+            self.carry_out(now, output, out);
         }
     }
 
@@ -70,16 +70,16 @@
         self.consensus_step(now, input, out);
     }
 
-    fn carry_out(&mut self, output: ConsensusOutput, out: &mut Outputs) {
+    fn carry_out(&mut self, now: Timestamp, output: ConsensusOutput, out: &mut Outputs) {
         match output {
             ConsensusOutput::Send(envelope) => self.send_peer(envelope, out),
             ConsensusOutput::Persist(request) => out.push(ControlOutput::Persist(request)),
             ConsensusOutput::Commit(entries) => {
                 for entry in entries {
-                    self.apply(entry, out);
+                    self.apply(now, entry, out);
                 }
             }
-            ConsensusOutput::Restore(snapshot) => self.restore(snapshot, out),
+            ConsensusOutput::Restore(snapshot) => self.restore(now, snapshot, out),
             ConsensusOutput::Appended { ticket, position } => {
                 self.proposals.appended(ticket, position);
             }
@@ -99,8 +99,9 @@
         }
     }
 
-    fn apply(&mut self, entry: LogEntry, out: &mut Outputs) {
+    fn apply(&mut self, now: Timestamp, entry: LogEntry, out: &mut Outputs) {
         let at = entry.position;
+        self.applied.applied(at, &entry.payload);
         let outcome = match &entry.payload {
             EntryPayload::Noop => CommandOutcome::Done,
             EntryPayload::Membership(membership) => {
@@ -109,15 +110,16 @@
             }
             EntryPayload::Command(command) => {
                 self.state_changed = true;
-                if let Command::DepartInstance(departure) = command {
-                    self.departure_applied(departure);
+                match command {
+                    Command::DepartInstance(departure) => self.departure_applied(departure),
+                    Command::NoteInstructions(note) => self.instructions.note(now, note),
+                    _ => {}
                 }
                 self.state.apply(at, command)
             }
         };
-        self.applied.applied(at);
         match self.proposals.committed(at) {
-            Some((waiter, true)) => self.resolve(waiter, outcome, out),
+            Some((waiter, true)) => self.resolve(now, waiter, outcome, out),
             Some((waiter, false)) => self.lost(waiter, out),
             None => {}
         }
@@ -134,7 +136,7 @@
         out.event("membership-changed", pairs);
     }
 
-    fn restore(&mut self, snapshot: Snapshot, out: &mut Outputs) {
+    fn restore(&mut self, now: Timestamp, snapshot: Snapshot, out: &mut Outputs) {
         match State::decode(&snapshot.data) {
             Ok(state) => self.state = state,
             Err(error) => {
@@ -146,13 +148,21 @@
         self.applied = AppliedLog::new(&snapshot.meta);
         self.addresses.replace(&self.consensus.status().membership);
         self.state_changed = true;
+        // Notes of instructions that the snapshot stands for are not known.
+        self.instructions = InstructionHistory::new(now, INSTRUCTION_MEMORY);
         self.route_copy.clear();
         self.give_up_waiters(out);
         let pairs = vec![("last", snapshot.meta.last.to_string())];
         out.event("state-restored", pairs);
     }
 
-    fn resolve(&mut self, waiter: Waiter, outcome: CommandOutcome, out: &mut Outputs) {
+    fn resolve(
+        &mut self,
+        now: Timestamp,
+        waiter: Waiter,
+        outcome: CommandOutcome,
+        out: &mut Outputs,
+    ) {
         match waiter {
             Waiter::Call(call) => out.answer(call, administration::answer(outcome)),
             Waiter::Claim {
@@ -169,6 +179,7 @@
                 attempt,
             } => out.send_router(connection, ControlToRouter::ClaimFinished(attempt)),
             Waiter::Internal(key) => self.internal_applied(&key, &outcome, out),
+            Waiter::Instructions(instructions) => self.instruct(now, instructions, out),
             Waiter::Repair => {}
         }
     }
@@ -227,7 +238,7 @@
                 let leader_address = self.leader_peer_address();
                 out.send_not_leader(connection, leader_address);
             }
-            Waiter::Internal(_) | Waiter::Repair => {}
+            Waiter::Internal(_) | Waiter::Instructions(_) | Waiter::Repair => {}
         }
     }
 
--- a/crates/millpass-control-plane/src/snapshots.rs
+++ b/crates/millpass-control-plane/src/snapshots.rs
@@ -1,15 +1,20 @@
 //! When to take a snapshot, and what it covers.
 
-use millpass_proto::{LogPosition, Membership, Snapshot, SnapshotMeta};
+use millpass_proto::{Command, EntryPayload, LogPosition, Membership, Snapshot, SnapshotMeta};
 use millpass_state::State;
 
+/// Notes of instructions that weigh as much as one other entry: they are small, frequent, and leave
+/// the state as it is.
+const NOTES_PER_ENTRY: u64 = 16;
+
 /// Where the applied state stands, and where the newest snapshot does.
 pub(crate) struct AppliedLog {
     /// Last entry applied.
     pub(crate) last: LogPosition,
     /// Membership at that entry.
     membership: Membership,
-    snapshot_index: u64,
+    /// Weight of the entries since the last snapshot, in notes of instructions.
+    weight: u64,
 }
 
 impl AppliedLog {
@@ -18,13 +23,17 @@
         AppliedLog {
             last: meta.last,
             membership: meta.membership.clone(),
-            snapshot_index: meta.last.index,
+            weight: 0,
         }
     }
 
     /// Notes that an entry was applied.
-    pub(crate) fn applied(&mut self, at: LogPosition) {
+    pub(crate) fn applied(&mut self, at: LogPosition, payload: &EntryPayload) {
         self.last = at;
+        self.weight += match payload {
+            EntryPayload::Command(Command::NoteInstructions(_)) => 1,
+            _ => NOTES_PER_ENTRY,
+        };
     }
 
     /// Notes a committed membership.
@@ -38,10 +47,10 @@
         state: &State,
         snapshot_entries: u64,
     ) -> Option<Snapshot> {
-        if self.last.index - self.snapshot_index < snapshot_entries.max(1) {
+        if self.weight < snapshot_entries.max(1) * NOTES_PER_ENTRY {
             return None;
         }
-        self.snapshot_index = self.last.index;
+        self.weight = 0;
         let meta = SnapshotMeta {
             last: self.last,
             membership: self.membership.clone(),
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::demand::Demand;
 use crate::engines::{Engines, Pending};
 use crate::gateways::Gateways;
+use crate::handover::InstructionHistory;
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
@@ -27,7 +28,7 @@
     pub announce_interval: Duration,
     /// Time after which an instance that is not heard of is gone.
     pub instance_silence: Duration,
-    /// Time for which a new leader gives no orders: the one before it has surely stopped by then.
+    /// Time after an engine's last instruction for which no other leader instructs it.
     pub order_handover: Duration,
 }
 
@@ -84,6 +85,8 @@
     demand: Demand,
     pub(crate) engines: Engines,
     permits: StorePermits,
+    /// Instructions of earlier leaders.
+    history: InstructionHistory,
     /// When this member took charge.
     in_charge_since: Option<Timestamp>,
     pub(crate) term: u64,
@@ -102,6 +105,7 @@
     /// Starts without any belief.
     pub fn new(settings: FleetSettings) -> Self {
         Fleet {
+            history: InstructionHistory::new(Timestamp::ZERO, settings.order_handover),
             settings,
             registry: Registry::default(),
             gateways: Gateways::default(),
@@ -132,12 +136,19 @@
     }
 
     /// Begins, the first time it is called since this member took charge: with `records`, as a leader
-    /// before it noted them. They count as heard now.
-    pub fn begin(&mut self, now: Timestamp, records: impl Iterator<Item = InstanceRecord>) {
+    /// before it noted them, and the instructions of those leaders. Records count as heard now.
+    pub fn begin(
+        &mut self,
+        now: Timestamp,
+        records: impl Iterator<Item = InstanceRecord>,
+        history: &InstructionHistory,
+    ) {
         if self.in_charge_since.is_some() {
             return;
         }
         self.in_charge_since = Some(now);
+        self.permits = StorePermits::after(history);
+        self.history = history.clone();
         for mut record in records {
             // Any word of the instance itself is newer.
             record.sequence = 0;
@@ -307,9 +318,7 @@
             for instance in self.registry.silent(now, self.settings.instance_silence) {
                 self.forget(&instance, "silent");
             }
-            if let Some(document) = document
-                && now.since(since) >= self.settings.order_handover
-            {
+            if let Some(document) = document {
                 self.plan(now, document);
             }
         }
@@ -349,6 +358,8 @@
                 engines: &mut self.engines,
                 demand: &mut self.demand,
                 permits: &mut self.permits,
+                history: &self.history,
+                handover: self.settings.order_handover,
                 round: planner::Round::default(),
             };
             planner::plan(&mut view, &mut steps);
@@ -422,6 +433,7 @@
             expected_revision,
             holder: self.settings.holder.clone(),
             fence: self.term,
+            from_store: step.from_store,
         }));
     }
 
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `gateways` | connected gateways and what each was sent |
 //! | `demand` | how much each model and adapter is asked for |
 //! | `engines` | one instruction at a time for each engine, and what it holds |
+//! | `handover` | what is known of the instructions of earlier leaders |
 //! | `permits` | loads that the weight store allows |
 //! | `planner` | which model or adapter to load or unload next, and where |
 //! | `updates` | what gateways are told |
@@ -17,6 +18,7 @@
 mod engines;
 mod fleet;
 mod gateways;
+mod handover;
 mod permits;
 mod planner;
 mod registry;
@@ -24,4 +26,5 @@
 
 pub use demand::ModelKey;
 pub use fleet::{Fleet, FleetEvent, FleetOutput, FleetSettings};
+pub use handover::InstructionHistory;
 pub use permits::StorePermits;
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -6,6 +6,7 @@
 
 use crate::demand::{Demand, ModelKey, Unmet};
 use crate::engines::{Engine, Engines};
+use crate::handover::InstructionHistory;
 use crate::permits::StorePermits;
 use crate::registry::Registry;
 use millpass_proto::{
@@ -53,6 +54,8 @@
     pub(crate) instruction: Option<(InstructionOperation, ModelName, Option<AdapterName>)>,
     /// Expected time.
     pub(crate) takes: Duration,
+    /// The weights come from the weight store.
+    pub(crate) from_store: bool,
     pub(crate) reason: &'static str,
 }
 
@@ -65,6 +68,9 @@
     pub(crate) engines: &'a mut Engines,
     pub(crate) demand: &'a mut Demand,
     pub(crate) permits: &'a mut StorePermits,
+    /// Instructions of earlier leaders, and how long engines are left alone after them.
+    pub(crate) history: &'a InstructionHistory,
+    pub(crate) handover: Duration,
     pub(crate) round: Round,
 }
 
@@ -195,6 +201,12 @@
         self.engines.engines.get(instance)
     }
 
+    /// Whether the engine may be instructed now.
+    fn is_free(&self, instance: &InstanceId) -> bool {
+        let open = self.now >= self.history.open_from(instance, self.handover);
+        open && self.engine(instance).is_some_and(Engine::is_free)
+    }
+
     fn read_unknown(&mut self, steps: &mut Vec<Step>) {
         let taking: Vec<InstanceId> = self.taking().cloned().collect();
         for instance in taking {
@@ -210,6 +222,7 @@
                     instance,
                     instruction: None,
                     takes: Duration::ZERO,
+                    from_store: false,
                     reason: "state-unknown",
                 });
             }
@@ -225,7 +238,7 @@
             let Some(model) = engine.reserved.clone() else {
                 continue;
             };
-            if !engine.is_free() {
+            if !self.is_free(&instance) {
                 continue;
             }
             if engine.holds(&model, None) {
@@ -285,8 +298,8 @@
             .usable()
             .iter()
             .filter(|instance| {
-                self.engine(instance)
-                    .is_some_and(|engine| engine.is_free() && engine.reserved.is_none())
+                let reserved = |engine: &Engine| engine.reserved.is_some();
+                self.is_free(instance) && !self.engine(instance).is_some_and(reserved)
             })
             .filter_map(|instance| self.place_at(instance, model, limit))
             .min_by(|left, right| left.cost.total_cmp(&right.cost));
@@ -310,6 +323,7 @@
             return;
         };
         let takes = load_time(specification, engine, model);
+        let from_store = place.victim.is_none() && from_store(engine, model);
         let (operation, subject, takes) = match &place.victim {
             Some(victim) => {
                 engine.reserved = Some(model.clone());
@@ -317,7 +331,7 @@
                 (InstructionOperation::Unload, victim.clone(), UNLOAD_TIME)
             }
             None => {
-                if from_store(engine, model) && !self.permits.take(now, milliloads) {
+                if from_store && !self.permits.take(now, milliloads) {
                     return;
                 }
                 (InstructionOperation::Load, model.clone(), takes)
@@ -331,6 +345,7 @@
             instance: place.instance.clone(),
             instruction: Some((operation, subject, None)),
             takes,
+            from_store,
             reason,
         });
     }
@@ -456,7 +471,7 @@
         }
         let best = holders
             .iter()
-            .filter(|instance| self.engine(instance).is_some_and(Engine::is_free))
+            .filter(|instance| self.is_free(instance))
             .min_by(|left, right| {
                 let cost = |instance: &InstanceId| {
                     self.engine(instance).map_or(f64::MAX, |engine| {
@@ -482,6 +497,7 @@
             instance,
             instruction: Some(instruction),
             takes: ADAPTER_TIME,
+            from_store: false,
             reason: "unserved-adapter",
         });
     }
@@ -562,7 +578,7 @@
             .iter()
             .filter(|instance| {
                 self.engine(instance).is_some_and(|engine| {
-                    engine.is_free()
+                    self.is_free(instance)
                         && engine.reserved.is_none()
                         && (spare || !from_store(engine, model))
                         && !engine.holds(model, None)
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Instances, gateways, and which engine loads what.
 
-use millpass_fleet::{Fleet, FleetOutput, FleetSettings, StorePermits};
+use millpass_fleet::{Fleet, FleetOutput, FleetSettings, InstructionHistory, StorePermits};
 use millpass_proto::*;
 use rstest::rstest;
 
@@ -462,3 +462,47 @@
     });
     assert!(removed);
 }
+
+/// The store's rate counts over a change of leader: the next one goes on from the loads that the log
+/// tells, and where it cannot know them, it counts them as made.
+#[rstest]
+#[case::all_loads_known(0, 6_000)]
+#[case::it_has_just_started(6_000, 6_000)]
+fn the_store_s_rate_holds_over_a_change_of_leader(#[case] listens_from: u64, #[case] change: u64) {
+    const MILLILOADS: u64 = 2_000;
+    let mut history = InstructionHistory::new(at(listens_from), Duration::from_secs(60));
+    let mut first = StorePermits::default();
+    let mut begun: Vec<u64> = Vec::new();
+    for now in (0..change).step_by(10) {
+        // The old leader saves its permits and takes them at once, right before it falls.
+        if now >= change - 500 && first.take(at(now), MILLILOADS) {
+            begun.push(now);
+            let note = InstructionNote {
+                instances: Vec::new(),
+                store_loads: 1,
+            };
+            if now >= listens_from {
+                history.note(at(now), &note);
+            }
+        }
+    }
+    assert_eq!(begun.len(), 9);
+    let mut second = StorePermits::after(&history);
+    begun.extend(
+        (change..20_000)
+            .step_by(10)
+            .filter(|now| second.take(at(*now), MILLILOADS)),
+    );
+    let most = begun
+        .iter()
+        .map(|start| {
+            begun
+                .iter()
+                .filter(|now| (*start..*start + 5_000).contains(now))
+                .count()
+        })
+        .max();
+    // Ten loads begin in five seconds at this rate; the store bears a tenth and three more.
+    assert!(most <= Some(14), "{most:?}");
+    assert!(begun.len() > 25, "{begun:?}");
+}
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -386,6 +386,19 @@
 }
 
 
+/// Engines that the leader is about to instruct. Kept in the log before the instructions leave, so that a new leader knows which engines may still hear from the one before.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstructionNote {
+
+    /// Engines.
+    pub instances: Vec<InstanceId>,
+
+    /// Loads from the weight store among the instructions.
+    pub store_loads: u32,
+}
+
+
 /// Caller-chosen identity of one configuration change; a resend carries the same one.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1021,6 +1034,9 @@
 
     /// Keep the leader's view of instances.
     NoteInstances(InstanceNote),
+
+    /// Say which engines are about to be instructed.
+    NoteInstructions(InstructionNote),
 }
 
 
@@ -2222,6 +2238,9 @@
 
     /// Term of the leader that gives the order.
     pub fence: u64,
+
+    /// The weights come from the weight store, whose rate counts it.
+    pub from_store: bool,
 }
 
 
--- a/crates/millpass-state/src/deployment.rs
+++ b/crates/millpass-state/src/deployment.rs
@@ -50,7 +50,9 @@
     pub(crate) fn note(&mut self, note: &InstanceNote) {
         for record in &note.instances {
             let departed = self.departed(&record.instance);
-            if departed == Some(true) || self.noted.len() >= MAXIMUM_NOTED_INSTANCES {
+            let known = self.noted.contains_key(&record.instance);
+            let full = !known && self.noted.len() >= MAXIMUM_NOTED_INSTANCES;
+            if departed == Some(true) || full {
                 continue;
             }
             let mut record = record.clone();
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -99,6 +99,8 @@
                 self.deployment.note(note);
                 Ok(())
             }
+            // Each member keeps what it tells with the time at which it came.
+            Command::NoteInstructions(_) => Ok(()),
             Command::DepartInstance(departure) => {
                 self.deployment.depart(departure);
                 Ok(())
