Leader of a large fleet: changes travel to gateways in few updates; planning looks things up once

Ruled out: the planner alone.

Change: at most 1,000 updates a second over all gateways (no limit up to 16 gateways); several changes join in one. The shortest time between two rounds grows with the engines (0.1 ms each, 8 ms at least).

--- /dev/null
+++ b/crates/millpass-fleet/src/adapters.rs
@@ -0,0 +1,99 @@
+//! Which engine loads an adapter of a model that is held, and what makes way for it.
+
+use crate::demand::ModelKey;
+use crate::planner::{Instruction, Step, View};
+use crate::round::Round;
+use millpass_proto::{AdapterName, Duration, InstanceId, InstructionOperation, ModelName};
+
+/// Expected time of an adapter's load or unload.
+const ADAPTER_TIME: Duration = Duration::from_millis(20);
+/// Cost of placing an adapter on an engine that reads prompts all the time, in adapters that are loaded
+/// there.
+const ADAPTER_BUSY_COST: f64 = 10.0;
+
+impl View<'_> {
+    /// Loads an adapter on one of its model's holders, unless it is there or on its way.
+    pub(crate) fn load_adapter(
+        &mut self,
+        key: &ModelKey,
+        adapter: &AdapterName,
+        round: &Round,
+        steps: &mut Vec<Step>,
+    ) {
+        let holders = round.holders_of(&key.model);
+        let engines = || holders.iter().filter_map(|instance| self.engine(instance));
+        if engines().any(|engine| engine.holds(&key.model, Some(adapter))) {
+            return self.demand.met(key);
+        }
+        let coming = engines().any(|engine| {
+            let pending = engine.pending.as_ref();
+            pending.is_some_and(|pending| pending.adapter.as_ref() == Some(adapter))
+        });
+        if coming {
+            return;
+        }
+        let cost = |instance: &InstanceId| {
+            self.engine(instance).map_or(f64::MAX, |engine| {
+                round.busyness(engine) * ADAPTER_BUSY_COST + engine.adapter_count() as f64
+            })
+        };
+        let best = holders
+            .iter()
+            .filter(|instance| self.is_free(instance))
+            .min_by(|left, right| cost(left).total_cmp(&cost(right)));
+        let Some(instance) = best.cloned() else {
+            return;
+        };
+        let Some(instruction) = self.adapter_instruction(round, &instance, key, adapter) else {
+            return;
+        };
+        if let Some(engine) = self.engines.engines.get_mut(&instance) {
+            // Only a model counts as coming.
+            let unload = InstructionOperation::Unload;
+            engine.planned = Some((unload, key.model.clone()));
+        }
+        steps.push(Step {
+            instance,
+            instruction: Some(instruction),
+            takes: ADAPTER_TIME,
+            from_store: false,
+            reason: "unserved-adapter",
+        });
+    }
+
+    /// Loads the adapter, or unloads the least asked for when there is no place for it.
+    fn adapter_instruction(
+        &self,
+        round: &Round,
+        instance: &InstanceId,
+        key: &ModelKey,
+        adapter: &AdapterName,
+    ) -> Option<Instruction> {
+        let engine = self.engine(instance)?;
+        let size = round
+            .model(self.specification, &key.model)?
+            .adapter_kilobytes;
+        let used = round.used_kilobytes(self.specification, engine);
+        let fits = used + size <= self.specification.weights_kilobytes;
+        let places = self.specification.adapter_slots as usize;
+        if fits && engine.adapter_count() < places {
+            let load = InstructionOperation::Load;
+            return Some((load, key.model.clone(), Some(adapter.clone())));
+        }
+        let rate = |model: &ModelName, adapter: &AdapterName| {
+            let key = ModelKey {
+                service: self.service.clone(),
+                model: model.clone(),
+                adapter: Some(adapter.clone()),
+            };
+            self.demand.rate(self.now, &key)
+        };
+        let least = engine
+            .held
+            .iter()
+            .flat_map(|held| held.adapters.iter().map(move |name| (&held.model, name)))
+            .min_by(|left, right| rate(left.0, left.1).total_cmp(&rate(right.0, right.1)))?;
+        let unload = InstructionOperation::Unload;
+        Some((unload, least.0.clone(), Some(least.1.clone())))
+    }
+}
--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -12,6 +12,8 @@
 const TOKEN_SECONDS: f64 = 3.0;
 /// How long a need that was reported counts as unserved.
 const NEED_LIFETIME: Duration = Duration::from_millis(3_000);
+/// Time between two looks for entries that nobody asks for any more.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Rate below which an entry without work in flight is forgotten, in requests a second.
 const FORGOTTEN_RATE: f64 = 0.001;
 
@@ -35,8 +37,8 @@
     slow: f64,
     /// Prompt tokens to read a second, averaged; of the same time.
     tokens: f64,
-    /// Requests in flight, by gateway.
-    in_flight: BTreeMap<String, u32>,
+    /// Requests in flight, over all gateways.
+    in_flight: u32,
     unserved: f64,
     unserved_at: Option<Timestamp>,
     /// Since when it is unserved without a break.
@@ -86,25 +88,30 @@
 #[derive(Default)]
 pub(crate) struct Demand {
     entries: BTreeMap<ModelKey, Entry>,
+    /// What each gateway said it has in flight.
+    in_flight: BTreeMap<String, Vec<(ModelKey, u32)>>,
+    swept_at: Timestamp,
 }
 
 impl Demand {
     /// Takes what a gateway reports; a model that it leaves out has nothing in flight there.
     pub(crate) fn report(&mut self, now: Timestamp, gateway: &str, needs: &[ModelNeed]) {
         self.forget_in_flight(gateway);
+        let mut in_flight = Vec::new();
         for need in needs {
             let key = ModelKey {
                 service: need.service.clone(),
                 model: need.model.clone(),
                 adapter: need.adapter.clone(),
             };
-            let entry = self.entries.entry(key).or_default();
+            let entry = self.entries.entry(key.clone()).or_default();
             entry.tokens = entry.tokens_at(now) + need.unread_tokens as f64 / TOKEN_SECONDS;
             entry.slow = entry.slow_at(now) + f64::from(need.arrivals) / SLOW_SECONDS;
             entry.rate = entry.rate_at(now) + f64::from(need.arrivals) / RATE_SECONDS;
             entry.rate_at = now;
+            entry.in_flight += need.in_flight;
             if need.in_flight > 0 {
-                entry.in_flight.insert(gateway.to_owned(), need.in_flight);
+                in_flight.push((key, need.in_flight));
             }
             if need.unserved > 0 {
                 let waited = entry
@@ -123,14 +130,22 @@
                 entry.unserved_at = Some(now);
             }
         }
-        self.entries
-            .retain(|_, entry| !entry.in_flight.is_empty() || entry.slow_at(now) > FORGOTTEN_RATE);
+        if !in_flight.is_empty() {
+            self.in_flight.insert(gateway.to_owned(), in_flight);
+        }
+        if now.since(self.swept_at) >= SWEEP_INTERVAL {
+            self.swept_at = now;
+            self.entries
+                .retain(|_, entry| entry.in_flight > 0 || entry.slow_at(now) > FORGOTTEN_RATE);
+        }
     }
 
     /// A gateway is gone: what it had in flight is too.
     pub(crate) fn forget_in_flight(&mut self, gateway: &str) {
-        for entry in self.entries.values_mut() {
-            entry.in_flight.remove(gateway);
+        for (key, count) in self.in_flight.remove(gateway).unwrap_or_default() {
+            if let Some(entry) = self.entries.get_mut(&key) {
+                entry.in_flight -= count;
+            }
         }
     }
 
@@ -142,7 +157,7 @@
             let load = loads.entry(key.model.clone()).or_default();
             load.tokens += entry.tokens_at(now);
             load.lasting_rate += entry.slow_at(now).max(entry.rate_at(now));
-            load.in_flight += entry.in_flight.values().sum::<u32>();
+            load.in_flight += entry.in_flight;
         }
         loads
     }
@@ -154,16 +169,15 @@
             .map_or(0.0, |entry| entry.rate_at(now))
     }
 
-    /// Needs reported lately, the most urgent first, then the oldest: the weight store's
-    /// permits are scarce, and a rare model's turn must come.
-    pub(crate) fn unmet(&self, now: Timestamp) -> Vec<Unmet> {
+    /// Needs of a service that were reported lately, the most urgent first, then the oldest: the weight
+    /// store's permits are scarce, and a rare model's turn must come.
+    pub(crate) fn unmet(&self, now: Timestamp, service: &ServiceName) -> Vec<Unmet> {
         let mut unmet: Vec<Unmet> = self
             .entries
             .iter()
-            .filter(|(_, entry)| {
-                entry
-                    .unserved_at
-                    .is_some_and(|at| now.since(at) < NEED_LIFETIME)
+            .filter(|(key, entry)| {
+                let lately = |at| now.since(at) < NEED_LIFETIME;
+                key.service == *service && entry.unserved_at.is_some_and(lately)
             })
             .map(|(key, entry)| Unmet {
                 key: key.clone(),
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -152,17 +152,15 @@
         self.pending.is_none() && self.revision.is_some() && self.planned.is_none()
     }
 
-    /// Whether a load of the model is under way or about to begin.
-    pub(crate) fn brings(&self, model: &ModelName) -> bool {
-        let loading = self.pending.as_ref().is_some_and(|pending| {
-            pending.operation == InstructionOperation::Load
-                && pending.adapter.is_none()
-                && pending.model == *model
-        });
-        let planned = self.planned.as_ref().is_some_and(|(operation, planned)| {
-            *operation == InstructionOperation::Load && planned == model
-        });
-        loading || planned || self.reserved.as_ref() == Some(model)
+    /// Models whose load is under way or about to begin.
+    pub(crate) fn brought(&self) -> impl Iterator<Item = &ModelName> {
+        let load = InstructionOperation::Load;
+        let pending = self.pending.as_ref();
+        let loading = pending.filter(|it| it.operation == load && it.adapter.is_none());
+        let planned = self.planned.as_ref().filter(|(it, _)| *it == load);
+        let loading = loading.map(|pending| &pending.model);
+        let planned = planned.map(|(_, model)| model);
+        loading.into_iter().chain(planned).chain(&self.reserved)
     }
 
     /// Whether the model is on its way out.
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -18,6 +18,8 @@
 const NOTE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Shortest time between two looks.
 const MINIMUM_PLAN_INTERVAL: Duration = Duration::from_millis(8);
+/// The same for each engine: a look takes time in proportion to them.
+const PLAN_INTERVAL_PER_ENGINE: Duration = Duration::from_micros(100);
 
 /// Settings of the core.
 #[derive(Clone, Debug)]
@@ -309,7 +311,7 @@
         let since = *self.in_charge_since.get_or_insert(now);
         self.term = term;
         let due = now >= self.next_plan
-            || (self.dirty && now.since(self.last_plan) >= MINIMUM_PLAN_INTERVAL);
+            || (self.dirty && now.since(self.last_plan) >= self.shortest_plan_interval());
         if due {
             self.next_plan = now + PLAN_INTERVAL;
             self.last_plan = now;
@@ -324,10 +326,15 @@
         }
         self.note(now);
         let complete = now.since(since) >= self.settings.announce_interval * 3;
-        self.update_gateways(document, complete, members);
+        self.update_gateways(now, document, complete, members);
         std::mem::take(&mut self.out)
     }
 
+    fn shortest_plan_interval(&self) -> Duration {
+        let engines = u32::try_from(self.engines.engines.len()).unwrap_or(u32::MAX);
+        MINIMUM_PLAN_INTERVAL.max(PLAN_INTERVAL_PER_ENGINE.saturating_mul(engines))
+    }
+
     /// Tells gateways of adapters whose instruction has had its time.
     fn settle_adapters(&mut self, now: Timestamp) {
         for (instance, engine) in &mut self.engines.engines {
@@ -360,7 +367,6 @@
                 permits: &mut self.permits,
                 history: &self.history,
                 handover: self.settings.order_handover,
-                round: planner::Round::default(),
             };
             planner::plan(&mut view, &mut steps);
         }
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -1,6 +1,6 @@
 //! Connected gateways and what each was sent.
 
-use millpass_proto::Timestamp;
+use millpass_proto::{Duration, Timestamp};
 use std::collections::BTreeMap;
 
 /// One gateway on its connection.
@@ -18,9 +18,17 @@
     pub(crate) sent_outlook: u64,
     /// Whether a report waits for its answer.
     pub(crate) owed: bool,
+    /// When it was last sent anything.
+    pub(crate) sent_at: Timestamp,
     pub(crate) heard_at: Timestamp,
 }
 
+/// Most updates a second, over all gateways. With many gateways and engines, each change sent to each
+/// gateway at once takes the leader's whole processor; several changes then travel in one update.
+const UPDATES_PER_SECOND: u32 = 1_000;
+/// Gateways up to which every change is sent at once.
+const FEW_GATEWAYS: usize = 16;
+
 /// Sessions by connection.
 #[derive(Default)]
 pub(crate) struct Gateways {
@@ -52,6 +60,7 @@
             version,
             sent_outlook: 0,
             owed: true,
+            sent_at: Timestamp::ZERO,
             heard_at: now,
         };
         self.sessions.insert(connection, session);
@@ -64,6 +73,14 @@
             .map(|session| session.name)
     }
 
+    /// Shortest time between two updates of one gateway.
+    pub(crate) fn update_interval(&self) -> Duration {
+        if self.sessions.len() <= FEW_GATEWAYS {
+            return Duration::ZERO;
+        }
+        Duration::from_secs(1) * self.count() / UPDATES_PER_SECOND
+    }
+
     /// Gateways connected.
     pub(crate) fn count(&self) -> u32 {
         u32::try_from(self.sessions.len()).unwrap_or(u32::MAX)
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -10,10 +10,13 @@
 //! | `engines` | one instruction at a time for each engine, and what it holds |
 //! | `handover` | what is known of the instructions of earlier leaders |
 //! | `permits` | loads that the weight store allows |
+//! | `round` | what a round of planning looks up often |
+//! | `adapters` | which engine loads an adapter |
 //! | `planner` | which model or adapter to load or unload next, and where |
 //! | `updates` | what gateways are told |
 //! | `fleet` | the core itself |
 
+mod adapters;
 mod demand;
 mod engines;
 mod fleet;
@@ -22,6 +25,7 @@
 mod permits;
 mod planner;
 mod registry;
+mod round;
 mod updates;
 
 pub use demand::ModelKey;
--- /dev/null
+++ b/crates/millpass-fleet/src/round.rs
@@ -0,0 +1,348 @@
+//! What a round of planning looks up often, gathered once: with hundreds of engines and models,
+//! gathering it for each need takes the leader's whole processor.
+
+use crate::demand::Unmet;
+use crate::engines::Engine;
+use crate::planner::{COMFORTABLE_READING, MINIMUM_STAY, UNLOAD_TIME, View};
+use millpass_proto::{
+    EngineModelSpec, EngineSpec, InstanceId, InstructionOperation, ModelName, Timestamp,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Cost of placing a model on an engine that reads prompts all the time, in milliseconds.
+const BUSY_COST: f64 = 1_000.0;
+/// Prompt tokens that an engine reads in a second.
+const TOKENS_PER_SECOND: f64 = 38_000.0;
+/// Weight of the value of what makes way against the time of the load: milliseconds for each
+/// request a second that would have to be served cold.
+const EVICTION_WEIGHT: f64 = 4_000.0;
+/// Part of a model's rate that each of several replicas stands for.
+const REPLICA_VALUE: f64 = 0.3;
+
+/// A place for a model, and what must make way there.
+pub(crate) struct Place {
+    pub(crate) instance: InstanceId,
+    pub(crate) victim: Option<ModelName>,
+    pub(crate) cost: f64,
+}
+
+/// A model that may make way.
+struct Evictable {
+    model: ModelName,
+    /// Requests a second that would be served cold without it.
+    value: f64,
+    kilobytes: u64,
+}
+
+/// An engine on which a model may be placed.
+pub(crate) struct Site {
+    instance: InstanceId,
+    free_kilobytes: u64,
+    /// Share of its time that it spends on reading prompts.
+    pub(crate) busyness: f64,
+    /// What may make way, the least valuable first.
+    evictable: Vec<Evictable>,
+    /// An instruction for it was planned in this round.
+    taken: bool,
+}
+
+/// Where a copy of a model's weights is: which site, and the load's time from it.
+struct Copy {
+    site: usize,
+    in_memory: bool,
+}
+
+/// What a round looks up.
+#[derive(Default)]
+pub(crate) struct Round {
+    /// Index of each model in the specification.
+    models: HashMap<ModelName, usize>,
+    /// Engines that hold each model and can be reached.
+    holders: BTreeMap<ModelName, Vec<InstanceId>>,
+    /// Models that are being loaded, or about to be.
+    coming: BTreeSet<ModelName>,
+    /// Share of one engine's time that each model's prompts take.
+    reading: BTreeMap<ModelName, f64>,
+    /// Requests a second for each model, over the last minute or so, and those in flight.
+    worth: BTreeMap<ModelName, f64>,
+    /// Engines on which a model may be placed now.
+    sites: Vec<Site>,
+    /// Copies of weights at those.
+    copies: HashMap<ModelName, Vec<Copy>>,
+    /// Engines that make room for a model.
+    pub(crate) reserved: Vec<InstanceId>,
+}
+
+impl Round {
+    pub(crate) fn gather(view: &View<'_>, unmet: &[Unmet]) -> Round {
+        let mut round = Round::default();
+        let models = view.specification.models.iter().enumerate();
+        round.models = models
+            .map(|(index, model)| (model.name.clone(), index))
+            .collect();
+        let usable: Vec<(InstanceId, &Engine)> = view
+            .taking()
+            .filter_map(|instance| Some((instance.clone(), view.engine(instance)?)))
+            .filter(|(_, engine)| !engine.unreachable)
+            .collect();
+        for (instance, engine) in &usable {
+            round.note_models(instance, engine);
+        }
+        for (model, load) in view.demand.loads(view.now, view.service) {
+            round
+                .reading
+                .insert(model.clone(), load.tokens / TOKENS_PER_SECOND);
+            round
+                .worth
+                .insert(model, load.lasting_rate + f64::from(load.in_flight));
+        }
+        let wanted: BTreeSet<&ModelName> = unmet.iter().map(|need| &need.key.model).collect();
+        for (instance, engine) in usable {
+            if engine.reserved.is_some() {
+                round.reserved.push(instance);
+            } else if view.is_free(&instance) {
+                round.add_site(view, instance, engine, &wanted);
+            }
+        }
+        round
+    }
+
+    fn note_models(&mut self, instance: &InstanceId, engine: &Engine) {
+        for held in &engine.held {
+            if !engine.unloading(&held.model) {
+                let holders = self.holders.entry(held.model.clone()).or_default();
+                holders.push(instance.clone());
+            }
+        }
+        self.coming.extend(engine.brought().cloned());
+    }
+
+    fn add_site(
+        &mut self,
+        view: &View<'_>,
+        instance: InstanceId,
+        engine: &Engine,
+        wanted: &BTreeSet<&ModelName>,
+    ) {
+        let index = self.sites.len();
+        for model in &engine.on_disk {
+            self.note_copy(model, index, false);
+        }
+        for model in &engine.in_memory {
+            self.note_copy(model, index, true);
+        }
+        let site = self.site(view.specification, view.now, instance, engine, |model| {
+            wanted.contains(model)
+        });
+        self.sites.push(site);
+    }
+
+    fn note_copy(&mut self, model: &ModelName, site: usize, in_memory: bool) {
+        let copies = self.copies.entry(model.clone()).or_default();
+        copies.push(Copy { site, in_memory });
+    }
+
+    fn site(
+        &self,
+        specification: &EngineSpec,
+        now: Timestamp,
+        instance: InstanceId,
+        engine: &Engine,
+        is_wanted: impl Fn(&ModelName) -> bool,
+    ) -> Site {
+        let may_go =
+            |model: &ModelName| !is_wanted(model) && !engine.is_fresh(now, model, MINIMUM_STAY);
+        let mut evictable: Vec<Evictable> = engine
+            .held
+            .iter()
+            .filter(|held| may_go(&held.model))
+            .map(|held| Evictable {
+                value: self.value(&held.model),
+                kilobytes: self.held_kilobytes(specification, held),
+                model: held.model.clone(),
+            })
+            .collect();
+        evictable.sort_by(|left, right| left.value.total_cmp(&right.value));
+        Site {
+            instance,
+            free_kilobytes: specification
+                .weights_kilobytes
+                .saturating_sub(self.used_kilobytes(specification, engine)),
+            busyness: self.busyness(engine),
+            evictable,
+            taken: false,
+        }
+    }
+
+    /// What the configuration says of a model.
+    pub(crate) fn model<'a>(
+        &self,
+        specification: &'a EngineSpec,
+        model: &ModelName,
+    ) -> Option<&'a EngineModelSpec> {
+        specification.models.get(*self.models.get(model)?)
+    }
+
+    /// How many engines hold a model.
+    pub(crate) fn holders(&self, model: &ModelName) -> usize {
+        self.holders_of(model).len()
+    }
+
+    /// Engines that hold a model.
+    pub(crate) fn holders_of(&self, model: &ModelName) -> &[InstanceId] {
+        self.holders.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether a model is being loaded, or about to be.
+    pub(crate) fn is_coming(&self, model: &ModelName) -> bool {
+        self.coming.contains(model)
+    }
+
+    /// An instruction for an engine was planned, to bring a model there.
+    pub(crate) fn taken(&mut self, instance: &InstanceId, model: &ModelName) {
+        self.coming.insert(model.clone());
+        let sites = self.sites.iter_mut();
+        for site in sites.filter(|site| site.instance == *instance) {
+            site.taken = true;
+        }
+    }
+
+    /// The cheapest place for a model among the sites that are `fit`, which is told whether a copy of
+    /// its weights is there. What makes way is worth `limit` requests a second at most.
+    pub(crate) fn cheapest(
+        &self,
+        specification: &EngineSpec,
+        model: &ModelName,
+        limit: f64,
+        fit: impl Fn(&Site, bool) -> bool,
+    ) -> Option<Place> {
+        let wanted = self.model(specification, model)?;
+        let mut load_millis = vec![None; self.sites.len()];
+        for copy in self.copies.get(model).into_iter().flatten() {
+            load_millis[copy.site] = Some(if copy.in_memory {
+                wanted.memory_load_millis
+            } else {
+                wanted.disk_load_millis
+            });
+        }
+        let holders = self.holders_of(model);
+        self.sites
+            .iter()
+            .zip(load_millis)
+            .filter(|(site, copy)| {
+                !site.taken && fit(site, copy.is_some()) && !holders.contains(&site.instance)
+            })
+            .filter_map(|(site, copy)| {
+                let millis = copy.unwrap_or(wanted.load_millis);
+                site.place(wanted.weights_kilobytes, millis, limit)
+            })
+            .min_by(|left, right| left.cost.total_cmp(&right.cost))
+    }
+
+    /// A place for a model on an engine that makes room for it, whatever must make way.
+    pub(crate) fn place_at(
+        &self,
+        view: &View<'_>,
+        instance: &InstanceId,
+        model: &ModelName,
+    ) -> Option<Place> {
+        let engine = view.engine(instance)?;
+        let wanted = self.model(view.specification, model)?;
+        let site = self.site(
+            view.specification,
+            view.now,
+            instance.clone(),
+            engine,
+            |_| false,
+        );
+        site.place(wanted.weights_kilobytes, 0, f64::MAX)
+    }
+
+    /// Models that take more of their holders' time than they serve well in, the busiest first,
+    /// with that time's share.
+    pub(crate) fn busy_models(&self) -> Vec<(f64, ModelName)> {
+        let mut busy: Vec<(f64, ModelName)> = self
+            .reading
+            .iter()
+            .map(|(model, reading)| {
+                let holders = self.holders(model).max(1) as f64;
+                (reading / holders, model.clone())
+            })
+            .filter(|(share, _)| *share >= COMFORTABLE_READING)
+            .collect();
+        busy.sort_by(|left, right| right.0.total_cmp(&left.0));
+        busy
+    }
+
+    /// Requests a second that would be served cold, or worse, without this replica, which counts among
+    /// the holders.
+    fn value(&self, model: &ModelName) -> f64 {
+        let others = self.holders(model).saturating_sub(1);
+        let worth = self.worth.get(model).copied().unwrap_or_default();
+        let reading = self.reading.get(model).copied().unwrap_or_default();
+        if others == 0 || reading / others as f64 > COMFORTABLE_READING {
+            return worth;
+        }
+        worth * REPLICA_VALUE / others as f64
+    }
+
+    /// Share of its time that an engine spends on reading prompts.
+    pub(crate) fn busyness(&self, engine: &Engine) -> f64 {
+        engine
+            .held
+            .iter()
+            .map(|held| {
+                let reading = self.reading.get(&held.model).copied().unwrap_or_default();
+                reading / self.holders(&held.model).max(1) as f64
+            })
+            .sum()
+    }
+
+    /// Memory that an engine's models and adapters take, with what is being loaded.
+    pub(crate) fn used_kilobytes(&self, specification: &EngineSpec, engine: &Engine) -> u64 {
+        let held: u64 = engine
+            .held
+            .iter()
+            .map(|held| self.held_kilobytes(specification, held))
+            .sum();
+        let coming = engine.pending.as_ref().map_or(0, |pending| {
+            let loads = pending.operation == InstructionOperation::Load
+                && !engine.holds(&pending.model, pending.adapter.as_ref());
+            match (self.model(specification, &pending.model), loads) {
+                (Some(model), true) if pending.adapter.is_none() => model.weights_kilobytes,
+                (Some(model), true) => model.adapter_kilobytes,
+                _ => 0,
+            }
+        });
+        held + coming
+    }
+
+    fn held_kilobytes(&self, specification: &EngineSpec, held: &millpass_proto::HeldModel) -> u64 {
+        self.model(specification, &held.model).map_or(0, |model| {
+            model.weights_kilobytes + model.adapter_kilobytes * held.adapters.len() as u64
+        })
+    }
+}
+
+impl Site {
+    /// What it costs to bring a model of this size here, whose load takes `load_millis`, and the
+    /// first model that must make way.
+    fn place(&self, kilobytes: u64, load_millis: u64, limit: f64) -> Option<Place> {
+        let mut free = self.free_kilobytes;
+        let mut cost = load_millis as f64 + self.busyness * BUSY_COST;
+        let mut victim = None;
+        for candidate in &self.evictable {
+            if free >= kilobytes || candidate.value > limit {
+                break;
+            }
+            free += candidate.kilobytes;
+            cost += candidate.value * EVICTION_WEIGHT + UNLOAD_TIME.as_millis() as f64;
+            victim.get_or_insert(&candidate.model);
+        }
+        (free >= kilobytes).then(|| Place {
+            instance: self.instance.clone(),
+            victim: victim.cloned(),
+            cost,
+        })
+    }
+}
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -36,6 +36,7 @@
 
     pub(crate) fn update_gateways(
         &mut self,
+        now: Timestamp,
         document: Option<&DeploymentDocument>,
         complete: bool,
         members: impl Fn() -> Vec<String>,
@@ -43,6 +44,7 @@
         let revision = self.registry.revision();
         let version = document.map_or(0, |document| document.version);
         let count = self.gateways.count();
+        let interval = self.gateways.update_interval();
         for (connection, session) in &mut self.gateways.sessions {
             let whole = !session.greeted || (complete && !session.sent_complete);
             let wanted = session.owed
@@ -50,9 +52,10 @@
                 || session.sent_revision < revision
                 || session.version < version
                 || session.sent_outlook < self.outlook_revision;
-            if !wanted {
+            if !wanted || now.since(session.sent_at) < interval {
                 continue;
             }
+            session.sent_at = now;
             let from = if whole { 0 } else { session.sent_revision };
             let update = GatewayUpdate {
                 term: self.term,
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -506,3 +506,38 @@
     assert!(most <= Some(14), "{most:?}");
     assert!(begun.len() > 25, "{begun:?}");
 }
+
+/// Found on the operators' platform: with 70 gateways and 140 engines, every change went to every gateway
+/// at once, the leader's processor was full, gateways took it for dead and connected anew, and each got
+/// everything again.
+#[rstest]
+#[case::few(7, 100, 100)]
+#[case::many(70, 13, 15)]
+fn many_changes_travel_in_few_updates_where_there_are_many_gateways(
+    #[case] gateways: u64,
+    #[case] least: usize,
+    #[case] most: usize,
+) {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a"]);
+    for connection in 0..gateways {
+        let mut first = report(Vec::new());
+        first.gateway = format!("g-{connection}");
+        bench.fleet.report(at(1_000), connection, &first);
+    }
+    bench.run(1_000);
+    let mut updates = 0;
+    for change in 1..=100 {
+        let now = 1_000 + change * 10;
+        let models: &[&str] = if change % 2 == 0 { &["a"] } else { &["b"] };
+        bench
+            .fleet
+            .announce(at(now), record("e-1", now, models), false);
+        let outputs = bench.run(now);
+        updates += outputs
+            .iter()
+            .filter(|output| matches!(output, FleetOutput::Update { connection: 0, .. }))
+            .count();
+    }
+    assert!((least..=most).contains(&updates), "{updates}");
+}
