--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -9,7 +9,7 @@
 use crate::handover::InstructionHistory;
 use crate::permits::StorePermits;
 use crate::registry::Registry;
-use crate::round::{BusyModel, Place, Round};
+use crate::round::{Place, Round};
 use millpass_proto::{
     AdapterName, Duration, EngineModelSpec, EngineSpec, InstanceId, InstructionOperation,
     ModelName, ServiceName, Timestamp,
@@ -240,31 +240,31 @@
     /// needs that nobody serves leave it enough permits.
     fn spread(&mut self, round: &mut Round, steps: &mut Vec<Step>) {
         let milliloads = self.specification.milliloads_per_second;
-        for busy in round.busy_models() {
-            for _ in 0..busy.lacking {
-                let spare = self.permits.used(self.now, milliloads) < SPREAD_PERMITS;
-                let place = round.replica_place(self.specification, &busy, spare);
-                let Some(place) = place.filter(|place| place.cost < SPREAD_COST) else {
-                    break;
-                };
-                self.begin(&place, &busy.model, "busy", round, steps);
+        for (share, model) in round.busy_models() {
+            if round.is_coming(&model) {
+                continue;
+            }
+            let spare = self.permits.used(self.now, milliloads) < SPREAD_PERMITS;
+            let place = round.replica_place(self.specification, &model, share, spare);
+            if let Some(place) = place.filter(|place| place.cost < SPREAD_COST) {
+                self.begin(&place, &model, "busy", round, steps);
             }
         }
     }
 }
 
 impl Round {
-    /// Where a further replica of a model costs least; only engines that are much less busy than its
-    /// holders.
+    /// Where a further replica of a model costs least; only engines that are much less busy than
+    /// its holders, which spend `share` of their time on it.
     fn replica_place(
         &self,
         specification: &EngineSpec,
-        busy: &BusyModel,
+        model: &ModelName,
+        share: f64,
         from_store: bool,
     ) -> Option<Place> {
-        let limit = LEAST_EVICTION_LIMIT;
-        self.cheapest(specification, &busy.model, limit, |site, copy| {
-            site.busyness < busy.share / 2.0 && (from_store || copy)
+        self.cheapest(specification, model, LEAST_EVICTION_LIMIT, |site, copy| {
+            site.busyness < share / 2.0 && (from_store || copy)
         })
     }
 
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -46,15 +46,6 @@
     taken: bool,
 }
 
-/// A model that takes more of its holders' time than they serve well in.
-pub(crate) struct BusyModel {
-    /// Share of each holder's time.
-    pub(crate) share: f64,
-    /// Holders that it lacks.
-    pub(crate) lacking: usize,
-    pub(crate) model: ModelName,
-}
-
 /// Where a copy of a model's weights is: which site, and the load's time from it.
 struct Copy {
     site: usize,
@@ -68,8 +59,8 @@
     models: HashMap<ModelName, usize>,
     /// Engines that hold each model and can be reached.
     holders: BTreeMap<ModelName, Vec<InstanceId>>,
-    /// Engines on which each model is being loaded, or about to be.
-    coming: BTreeMap<ModelName, usize>,
+    /// Models that are being loaded, or about to be.
+    coming: BTreeSet<ModelName>,
     /// Share of one engine's time that each model's prompts take.
     reading: BTreeMap<ModelName, f64>,
     /// Requests a second for each model, over the last minute or so, and those in flight.
@@ -123,9 +114,7 @@
                 holders.push(instance.clone());
             }
         }
-        if let Some(model) = engine.brought().next() {
-            *self.coming.entry(model.clone()).or_default() += 1;
-        }
+        self.coming.extend(engine.brought().cloned());
     }
 
     fn add_site(
@@ -204,19 +193,14 @@
         self.holders.get(model).map_or(&[], Vec::as_slice)
     }
 
-    /// On how many engines a model is being loaded, or about to be.
-    fn coming(&self, model: &ModelName) -> usize {
-        self.coming.get(model).copied().unwrap_or_default()
-    }
-
     /// Whether a model is being loaded, or about to be.
     pub(crate) fn is_coming(&self, model: &ModelName) -> bool {
-        self.coming(model) > 0
+        self.coming.contains(model)
     }
 
     /// An instruction for an engine was planned, to bring a model there.
     pub(crate) fn taken(&mut self, instance: &InstanceId, model: &ModelName) {
-        *self.coming.entry(model.clone()).or_default() += 1;
+        self.coming.insert(model.clone());
         let sites = self.sites.iter_mut();
         for site in sites.filter(|site| site.instance == *instance) {
             site.taken = true;
@@ -274,23 +258,19 @@
         site.place(wanted.weights_kilobytes, 0, f64::MAX)
     }
 
-    /// Models that take more of their holders' time than they serve well in, the busiest first. Those
-    /// on which a model is being loaded count as its holders.
-    pub(crate) fn busy_models(&self) -> Vec<BusyModel> {
-        let mut busy: Vec<BusyModel> = self
+    /// Models that take more of their holders' time than they serve well in, the busiest first,
+    /// with that time's share.
+    pub(crate) fn busy_models(&self) -> Vec<(f64, ModelName)> {
+        let mut busy: Vec<(f64, ModelName)> = self
             .reading
             .iter()
-            .filter_map(|(model, reading)| {
-                let holders = (self.holders(model) + self.coming(model)).max(1);
-                let wanted = (reading / COMFORTABLE_READING).floor() as usize + 1;
-                Some(BusyModel {
-                    share: reading / holders as f64,
-                    lacking: wanted.checked_sub(holders).filter(|lacking| *lacking > 0)?,
-                    model: model.clone(),
-                })
+            .map(|(model, reading)| {
+                let holders = self.holders(model).max(1) as f64;
+                (reading / holders, model.clone())
             })
+            .filter(|(share, _)| *share >= COMFORTABLE_READING)
             .collect();
-        busy.sort_by(|left, right| right.share.total_cmp(&left.share));
+        busy.sort_by(|left, right| right.0.total_cmp(&left.0));
         busy
     }
 
