A request whose caller leaves has a line in the log and a counter

Change: the guard that counts a request as in flight says so when it goes without an end that was logged.

--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use millpass_dispatch::{Choice, RouteError, SendEnd, Ticket};
-use millpass_proto::{Duration, InstanceId, RouteSpec};
+use millpass_proto::{Duration, InstanceId, RouteSpec, Timestamp};
 use millpass_telemetry::event_line;
 use rand::RngExt;
 use std::sync::Arc;
@@ -38,19 +38,44 @@
     body: Bytes,
 }
 
-/// Counts a request as in flight for as long as it lives.
-pub(crate) struct InFlight(Arc<Shared>);
+/// Counts a request as in flight for as long as it lives. When its caller leaves, what answers it is
+/// dropped wherever it waits: then this says so.
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    /// Attempt and arrival of a request that has a route and no end yet.
+    open: Option<(String, Timestamp)>,
+}
 
 impl InFlight {
     fn new(shared: Arc<Shared>) -> Self {
         shared.in_flight.fetch_add(1, Ordering::AcqRel);
-        InFlight(shared)
+        InFlight { shared, open: None }
+    }
+
+    fn opened(&mut self, ticket: &Ticket) {
+        self.open = Some((ticket.description.attempt.clone(), ticket.arrived));
+    }
+
+    /// The request's end was logged.
+    pub(crate) fn ended(&mut self) {
+        self.open = None;
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
+        let Some((attempt, arrived)) = self.open.take() else {
+            return;
+        };
+        let metrics = &self.shared.metrics.requests;
+        metrics.with_label_values(&["caller-left"]).inc();
+        let pairs = [
+            ("request", attempt),
+            ("outcome", "caller-left".to_owned()),
+            ("age_ms", millis(self.shared.now().since(arrived))),
+        ];
+        log::info!("{}", event_line("request_ended", &pairs));
     }
 }
 
@@ -69,7 +94,7 @@
 async fn answer(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
 ) -> Response<RelayBody> {
     let (head, body) = request.into_parts();
     let description = shared.interface.describe(&head.headers);
@@ -95,6 +120,7 @@
     };
     let draw: f64 = rand::rng().random();
     let ticket = shared.core().begin(arrived, route, description, draw);
+    in_flight.opened(&ticket);
     let mut headers = head.headers;
     remove_hop_headers(&mut headers);
     let uri = match head.uri.path_and_query() {
@@ -297,11 +323,14 @@
 
     /// The answer of a request that no instance answered well.
     fn give_up(
-        self,
+        mut self,
         status: StatusCode,
         reason: &'static str,
         retry_after: Option<Duration>,
     ) -> Response<RelayBody> {
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.ended();
+        }
         if let Some(failed) = self.failed {
             let status = failed.head.status.as_str();
             log_request(&self.shared, &self.ticket, "server-error", status, None);
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -43,7 +43,7 @@
     /// Present when the stream may go on elsewhere.
     events: Option<EventBuffer>,
     ended: bool,
-    _in_flight: Option<InFlight>,
+    in_flight: Option<InFlight>,
 }
 
 enum Part {
@@ -78,7 +78,7 @@
             status: received.head.status,
             events: resumable.then(EventBuffer::default),
             ended: false,
-            _in_flight: in_flight,
+            in_flight,
         }
     }
 
@@ -148,6 +148,7 @@
             self.shared.pool.put(&instance, sender, self.keep_alive);
         }
         active.end(SendEnd::Answered(self.took));
+        self.note_end();
         let status = self.status.as_str();
         log_request(
             &self.shared,
@@ -158,6 +159,12 @@
         );
     }
 
+    fn note_end(&mut self) {
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.ended();
+        }
+    }
+
     /// Ends the answer short of its end, so that the caller sees that it is not whole. hyper drops
     /// what it has not flushed when a body fails, so it first gets a turn to flush.
     async fn cut(
@@ -174,6 +181,7 @@
             };
             active.end(end);
         }
+        self.note_end();
         log_request(&self.shared, &self.ticket, outcome, reason, Some(self.took));
         future::yield_now().await;
         self.ended = true;
