Members' calls to engines use small buffers

Ruled out: the replicated state (80 KB at the size of the grown site) and the queues (already small). Change: 8 KiB in each direction; larger reports are read in pieces.

--- a/crates/millpass-control/src/deliveries.rs
+++ b/crates/millpass-control/src/deliveries.rs
@@ -67,12 +67,18 @@
     }
 }
 
+/// Buffers of a connection, in each direction. Calls and answers are small; the library's own size of
+/// 128 KiB each takes a member several megabytes over the threads and idle connections of its pool.
+const BUFFER_BYTES: usize = 8 * 1024;
+
 /// The agent of a pool whose calls take at most `timeout`. Engines of an announced fleet answer
 /// refusals by status.
 pub(crate) fn agent(timeout: Duration, statuses_are_answers: bool) -> ureq::Agent {
     ureq::Agent::config_builder()
         .timeout_global(Some(timeout))
         .http_status_as_error(!statuses_are_answers)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .build()
         .into()
 }
