--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use http::StatusCode;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use millpass_dispatch::{Choice, SendEnd, Ticket};
 use millpass_proto::Duration;
@@ -43,6 +43,8 @@
     /// Present when the stream may go on elsewhere.
     events: Option<EventBuffer>,
     ended: bool,
+    /// Whether the whole answer's line was written.
+    logged: bool,
     in_flight: Option<InFlight>,
 }
 
@@ -66,7 +68,7 @@
         in_flight: Option<InFlight>,
     ) -> Self {
         let resumable = resumable && is_stream(&ticket.route);
-        Relay {
+        let mut relay = Relay {
             shared,
             ticket,
             template,
@@ -78,8 +80,14 @@
             status: received.head.status,
             events: resumable.then(EventBuffer::default),
             ended: false,
+            logged: false,
             in_flight,
+        };
+        if relay.events.is_none() && relay.body.is_end_stream() {
+            // An empty body is never asked for.
+            relay.note_answered();
         }
+        relay
     }
 
     async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Relay)> {
@@ -89,6 +97,10 @@
         loop {
             match self.read().await {
                 Part::Bytes(bytes) => {
+                    // The server of callers drops a body of stated length once it has its last byte.
+                    if self.events.is_none() && self.body.is_end_stream() {
+                        self.note_answered();
+                    }
                     let passed = match &mut self.events {
                         Some(events) => events.take(&bytes),
                         None => bytes,
@@ -148,6 +160,14 @@
             self.shared.pool.put(&instance, sender, self.keep_alive);
         }
         active.end(SendEnd::Answered(self.took));
+        self.note_answered();
+    }
+
+    /// Logs, once, that the whole answer was passed on.
+    fn note_answered(&mut self) {
+        if std::mem::replace(&mut self.logged, true) {
+            return;
+        }
         self.note_end();
         let status = self.status.as_str();
         log_request(
