Read again: one place for what a failed send means, no made-up event, no state that the guard holds

Found in the whole change: the resumed stream's failed and refused sends were noted by a copy of what the first send does; the relay kept a flag that the in-flight guard already tells; the control plane turned notes and instructions into an event that could never be logged; two names were wider than their use; two tests wrote the same sequence. Each is one piece now. Behaviour as before.

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -2,7 +2,7 @@
 //! of the document, announcements, departures, and the reports of gateways. Decisions about engines
 //! are `millpass-fleet`'s.
 
-use crate::interface::{AdministrationAnswer, ConnectionId, ControlEvent, ControlOutput};
+use crate::interface::{AdministrationAnswer, ConnectionId, ControlOutput};
 use crate::outputs::Outputs;
 use crate::plane::ControlPlane;
 use crate::proposals::{InternalKey, Waiter};
@@ -170,7 +170,14 @@
                     let command = Command::NoteInstances(note);
                     self.propose_internal(now, InternalKey::NoteInstances, command, out);
                 }
-                other => out.push(host_output(other)),
+                FleetOutput::Update { connection, update } => {
+                    let message = ControlToRouter::Gateway(*update);
+                    out.send_router(ConnectionId(connection), message);
+                }
+                FleetOutput::ReadEngine { instance, address } => {
+                    out.push(ControlOutput::ReadEngine { instance, address });
+                }
+                FleetOutput::Event(event) => out.event(event.name, event.pairs),
             }
         }
         if !instructions.is_empty() {
@@ -217,24 +224,3 @@
         }
     }
 }
-
-fn host_output(output: FleetOutput) -> ControlOutput {
-    match output {
-        // Proposed by the caller.
-        FleetOutput::Note(_) | FleetOutput::Instruct(_) => ControlOutput::Event(ControlEvent {
-            name: "instances-noted",
-            pairs: Vec::new(),
-        }),
-        FleetOutput::Update { connection, update } => ControlOutput::SendRouter {
-            connection: ConnectionId(connection),
-            message: ControlToRouter::Gateway(*update),
-        },
-        FleetOutput::ReadEngine { instance, address } => {
-            ControlOutput::ReadEngine { instance, address }
-        }
-        FleetOutput::Event(event) => ControlOutput::Event(ControlEvent {
-            name: event.name,
-            pairs: event.pairs,
-        }),
-    }
-}
--- a/crates/millpass-fleet/src/handover.rs
+++ b/crates/millpass-fleet/src/handover.rs
@@ -43,7 +43,7 @@
 
     /// When another leader than the one of the last note may instruct an engine, if engines must
     /// not hear from two of them within `pause`.
-    pub fn open_from(&self, instance: &InstanceId, pause: Duration) -> Timestamp {
+    pub(crate) fn open_from(&self, instance: &InstanceId, pause: Duration) -> Timestamp {
         let last = self.last.get(instance).copied();
         last.unwrap_or(self.complete_since) + pause
     }
--- a/crates/millpass-fleet/src/permits.rs
+++ b/crates/millpass-fleet/src/permits.rs
@@ -9,7 +9,7 @@
 use std::collections::VecDeque;
 
 /// Length of the window.
-pub(crate) const WINDOW: Duration = Duration::from_secs(5);
+const WINDOW: Duration = Duration::from_secs(5);
 /// Share of the store's rate that is used, in percent.
 const USED_PERCENT: u64 = 90;
 /// Share of the window's permits that earlier loads count for while they are not known. Together with
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -81,8 +81,10 @@
     engine: &Engine,
     model: &ModelName,
 ) -> Duration {
-    let models = specification.models.iter();
-    let found = models.into_iter().find(|found| found.name == *model);
+    let found = specification
+        .models
+        .iter()
+        .find(|found| found.name == *model);
     found.map_or(Duration::ZERO, |found| load_time_of(found, engine))
 }
 
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -140,6 +140,19 @@
             .collect()
     }
 
+    /// Engine e-1, which holds a and b, is told to unload one of them and takes it; gives the other.
+    fn makes_room(&mut self) -> &'static str {
+        let first = self.instructions(1_100);
+        assert_eq!(first[0].operation, InstructionOperation::Unload);
+        self.fleet
+            .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+        if first[0].model == "a".into() {
+            "b"
+        } else {
+            "a"
+        }
+    }
+
     /// An engine whose state has been read.
     fn engine(&mut self, now: u64, name: &str, models: &[&str]) {
         self.fleet
@@ -428,16 +441,7 @@
     bench
         .fleet
         .report(at(1_050), 1, &report(vec![need("c", None)]));
-    let first = bench.instructions(1_100);
-    assert_eq!(first[0].operation, InstructionOperation::Unload);
-    let left = if first[0].model == "a".into() {
-        "b"
-    } else {
-        "a"
-    };
-    bench
-        .fleet
-        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    let left = bench.makes_room();
     bench.engine(1_150, "e-2", &["d"]);
     bench
         .fleet
@@ -548,16 +552,7 @@
     bench
         .fleet
         .report(at(1_050), 1, &report(vec![need("large", None)]));
-    let first = bench.instructions(1_100);
-    assert_eq!(first[0].operation, InstructionOperation::Unload);
-    let left = if first[0].model == "a".into() {
-        "b"
-    } else {
-        "a"
-    };
-    bench
-        .fleet
-        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    let left = bench.makes_room();
     bench
         .fleet
         .announce(at(1_300), record("e-1", 2_000, &[left]), false);
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -56,9 +56,9 @@
         self.open = Some((ticket.description.attempt.clone(), ticket.arrived));
     }
 
-    /// The request's end was logged.
-    pub(crate) fn ended(&mut self) {
-        self.open = None;
+    /// The request's end is about to be logged; false if it was before.
+    pub(crate) fn ended(&mut self) -> bool {
+        self.open.take().is_some()
     }
 }
 
@@ -234,9 +234,7 @@
             shared.core().told_load(shared.now(), &instance, load);
         }
         if received.facts.misdirected || received.facts.not_executed {
-            let end = turned_away(&received.facts, &instance);
-            self.log_send(&instance, "not-executed", received.head.status.as_str());
-            active.end(end);
+            note_turned_away(&shared, &self.ticket, active, &received);
             drop(received);
             return Sent::TryAnother;
         }
@@ -248,18 +246,10 @@
     }
 
     fn failed(&mut self, active: ActiveSend, failure: SendFailure) -> Sent {
-        let instance = active.record().instance.clone();
+        note_failure(&self.shared, &mut self.ticket, active, &failure);
         match failure {
-            SendFailure::Unreachable(reason) => {
-                self.log_send(&instance, "unreachable", &reason);
-                active.end(SendEnd::Unreachable);
-                // It did not arrive: no attempt is used up.
-                self.ticket.sends = self.ticket.sends.saturating_sub(1);
-                Sent::TryAnother
-            }
-            SendFailure::Broken(reason) => {
-                self.log_send(&instance, "broken", &reason);
-                active.end(SendEnd::Failed);
+            SendFailure::Unreachable(_) => Sent::TryAnother,
+            SendFailure::Broken(_) => {
                 self.may_have_run = true;
                 if self.ticket.is_repeatable() {
                     return Sent::TryAnother;
@@ -267,8 +257,6 @@
                 Sent::Over(StatusCode::BAD_GATEWAY, "broken")
             }
             SendFailure::TimedOut => {
-                self.log_send(&instance, "timed-out", "");
-                active.end(SendEnd::GivenUp);
                 self.may_have_run = true;
                 Sent::Over(StatusCode::GATEWAY_TIMEOUT, "timed-out")
             }
@@ -279,7 +267,14 @@
     async fn server_failed(&mut self, active: ActiveSend, received: Received) -> Sent {
         let instance = active.record().instance.clone();
         let status = received.head.status;
-        self.log_send(&instance, "server-error", status.as_str());
+        let status_text = status.as_str();
+        log_send(
+            &self.shared,
+            &self.ticket,
+            &instance,
+            "server-error",
+            status_text,
+        );
         self.may_have_run = true;
         let body = read_failure(received.body).await;
         active.end(SendEnd::Failed);
@@ -344,20 +339,43 @@
         let attempt = self.ticket.description.attempt.clone();
         own_answer(&self.shared, &attempt, status, reason, retry_after)
     }
+}
 
-    fn log_send(&self, instance: &InstanceId, outcome: &str, detail: &str) {
-        log_send(&self.shared, &self.ticket, instance, outcome, detail);
+/// Notes a send without an answer. One that did not arrive uses up no attempt.
+pub(crate) fn note_failure(
+    shared: &Shared,
+    ticket: &mut Ticket,
+    active: ActiveSend,
+    failure: &SendFailure,
+) {
+    let (outcome, detail, end) = match failure {
+        SendFailure::Unreachable(reason) => ("unreachable", reason.as_str(), SendEnd::Unreachable),
+        SendFailure::Broken(reason) => ("broken", reason.as_str(), SendEnd::Failed),
+        SendFailure::TimedOut => ("timed-out", "", SendEnd::GivenUp),
+    };
+    log_send(shared, ticket, &active.record().instance, outcome, detail);
+    active.end(end);
+    if end == SendEnd::Unreachable {
+        ticket.sends = ticket.sends.saturating_sub(1);
     }
 }
 
-/// Logs a send that was not answered well.
-pub(crate) fn log_send(
+/// Notes a send that the instance says did not run.
+pub(crate) fn note_turned_away(
     shared: &Shared,
     ticket: &Ticket,
-    instance: &InstanceId,
-    outcome: &str,
-    detail: &str,
+    active: ActiveSend,
+    received: &Received,
 ) {
+    let instance = &active.record().instance;
+    let status = received.head.status.as_str();
+    let end = turned_away(&received.facts, instance);
+    log_send(shared, ticket, instance, "not-executed", status);
+    active.end(end);
+}
+
+/// Logs a send that was not answered well.
+fn log_send(shared: &Shared, ticket: &Ticket, instance: &InstanceId, outcome: &str, detail: &str) {
     let now = shared.now();
     let pairs = [
         ("request", ticket.description.attempt.clone()),
@@ -371,7 +389,7 @@
 }
 
 /// How a send ended that the instance says did not run.
-pub(crate) fn turned_away(facts: &AnswerFacts, instance: &InstanceId) -> SendEnd {
+fn turned_away(facts: &AnswerFacts, instance: &InstanceId) -> SendEnd {
     let other_run = facts
         .instance
         .as_ref()
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -2,8 +2,8 @@
 //! its own breaks. Dropping the body ends the work at the instance.
 
 use crate::events::EventBuffer;
-use crate::exchange::{self, Received, SendFailure, Template};
-use crate::forward::{InFlight, is_stream, log_request, log_send, turned_away};
+use crate::exchange::{self, Received, Template};
+use crate::forward::{InFlight, is_stream, log_request, note_failure, note_turned_away};
 use crate::interface::SendFacts;
 use crate::shared::{ActiveSend, Shared};
 use async_io::Timer;
@@ -43,8 +43,6 @@
     /// Present when the stream may go on elsewhere.
     events: Option<EventBuffer>,
     ended: bool,
-    /// Whether the whole answer's line was written.
-    logged: bool,
     in_flight: Option<InFlight>,
 }
 
@@ -80,7 +78,6 @@
             status: received.head.status,
             events: resumable.then(EventBuffer::default),
             ended: false,
-            logged: false,
             in_flight,
         };
         if relay.events.is_none() && relay.body.is_end_stream() {
@@ -165,10 +162,9 @@
 
     /// Logs, once, that the whole answer was passed on.
     fn note_answered(&mut self) {
-        if std::mem::replace(&mut self.logged, true) {
+        if !self.note_end() {
             return;
         }
-        self.note_end();
         let status = self.status.as_str();
         log_request(
             &self.shared,
@@ -179,10 +175,9 @@
         );
     }
 
-    fn note_end(&mut self) {
-        if let Some(in_flight) = &mut self.in_flight {
-            in_flight.ended();
-        }
+    /// False if the end was logged before.
+    fn note_end(&mut self) -> bool {
+        self.in_flight.as_mut().is_some_and(InFlight::ended)
     }
 
     /// Ends the answer short of its end, so that the caller sees that it is not whole. hyper drops
@@ -264,14 +259,12 @@
         let received = match sent {
             Ok(received) => received,
             Err(failure) => {
-                self.not_resumed(active, &failure);
+                note_failure(&shared, &mut self.ticket, active, &failure);
                 return false;
             }
         };
         if received.facts.not_executed || received.facts.misdirected {
-            let status = received.head.status.as_str();
-            log_send(&shared, &self.ticket, &instance, "not-executed", status);
-            active.end(turned_away(&received.facts, &instance));
+            note_turned_away(&shared, &self.ticket, active, &received);
             return false;
         }
         let stated = received.facts.attempt.as_deref();
@@ -292,24 +285,6 @@
         self.keep_alive = received.facts.keep_alive;
         true
     }
-
-    /// Notes a send that should have gone on with the stream. One that did not arrive uses up no
-    /// attempt.
-    fn not_resumed(&mut self, active: ActiveSend, failure: &SendFailure) {
-        let instance = active.record().instance.clone();
-        let (outcome, detail, end) = match failure {
-            SendFailure::Unreachable(reason) => {
-                ("unreachable", reason.as_str(), SendEnd::Unreachable)
-            }
-            SendFailure::Broken(reason) => ("broken", reason.as_str(), SendEnd::Failed),
-            SendFailure::TimedOut => ("timed-out", "", SendEnd::GivenUp),
-        };
-        if end == SendEnd::Unreachable {
-            self.ticket.sends = self.ticket.sends.saturating_sub(1);
-        }
-        log_send(&self.shared, &self.ticket, &instance, outcome, detail);
-        active.end(end);
-    }
 }
 
 /// The body that a relay gives.
