An engine gets one instruction a round; adapters on their way take places; a late announcement makes no room

Found by reading besides: an announcement that was under way from before a load took the model out of the books, and room was seen where there was none. Change: an instruction for an adapter takes the engine out of the round; reports' adapters on their way count as places and memory; an announcement that differs from what is known is no belief, the engine's state is read. One test fed changes by announcements of a known engine; it feeds them by states read now, as many and as strict.

--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -282,6 +282,7 @@
             models: Vec::new(),
             in_memory: Vec::new(),
             on_disk: Vec::new(),
+            coming: Vec::new(),
         };
         let answer = ControlInput::InstructionAnswered {
             instance: engine.into(),
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -119,6 +119,7 @@
                 models: record.models.clone(),
                 in_memory: Vec::new(),
                 on_disk: record.on_disk.clone(),
+                coming: Vec::new(),
             };
             let instance = record.instance.clone();
             fleet.announce(begin, record, false);
--- a/crates/millpass-fleet/src/adapters.rs
+++ b/crates/millpass-fleet/src/adapters.rs
@@ -17,7 +17,7 @@
         &mut self,
         key: &ModelKey,
         adapter: &AdapterName,
-        round: &Round,
+        round: &mut Round,
         steps: &mut Vec<Step>,
     ) {
         let holders = round.holders_of(&key.model);
@@ -34,7 +34,7 @@
         }
         let cost = |instance: &InstanceId| {
             self.engine(instance).map_or(f64::MAX, |engine| {
-                round.busyness(engine) * ADAPTER_BUSY_COST + engine.adapter_count() as f64
+                round.busyness(engine) * ADAPTER_BUSY_COST + engine.adapter_count(self.now) as f64
             })
         };
         let best = holders
@@ -52,6 +52,7 @@
             let unload = InstructionOperation::Unload;
             engine.planned = Some((unload, key.model.clone()));
         }
+        round.taken(&instance);
         steps.push(Step {
             instance,
             instruction: Some(instruction),
@@ -73,10 +74,10 @@
         let size = round
             .model(self.specification, &key.model)?
             .adapter_kilobytes;
-        let used = round.used_kilobytes(self.specification, engine);
+        let used = round.used_kilobytes(self.now, self.specification, engine);
         let fits = used + size <= self.specification.weights_kilobytes;
         let places = self.specification.adapter_slots as usize;
-        if fits && engine.adapter_count() < places {
+        if fits && engine.adapter_count(self.now) < places {
             let load = InstructionOperation::Load;
             return Some((load, key.model.clone(), Some(adapter.clone())));
         }
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -51,6 +51,9 @@
     pub(crate) held: Vec<HeldModel>,
     pub(crate) in_memory: Vec<ModelName>,
     pub(crate) on_disk: Vec<ModelName>,
+    /// Adapters on their way when its state was last read, and when that was.
+    coming: Vec<HeldModel>,
+    coming_at: Timestamp,
     /// Its state could not be read: it serves nothing until it is heard of again.
     pub(crate) unreachable: bool,
     /// Model to load once what is under way makes room.
@@ -65,7 +68,8 @@
 }
 
 impl Engine {
-    /// Takes what the engine announced.
+    /// Takes what the engine announced. An announcement may be under way for seconds: where it differs
+    /// from what is known, the engine's state is read.
     pub(crate) fn announced(
         &mut self,
         now: Timestamp,
@@ -74,6 +78,40 @@
         on_disk: &[ModelName],
     ) {
         self.unreachable = false;
+        if self.revision.is_some() && !self.explains(held) {
+            self.doubt(now);
+            return;
+        }
+        self.take(now, held, in_memory, on_disk);
+    }
+
+    /// Whether these models are those known, but for what is under way.
+    fn explains(&self, held: &[HeldModel]) -> bool {
+        let changing = self
+            .pending
+            .as_ref()
+            .filter(|pending| pending.accepted && pending.adapter.is_none())
+            .map(|pending| &pending.model);
+        let announced = |model: &ModelName| held.iter().any(|it| it.model == *model);
+        let known = self.held.iter().map(|it| &it.model);
+        let lacks = known
+            .filter(|model| Some(*model) != changing)
+            .any(|model| !announced(model));
+        let more = held
+            .iter()
+            .map(|it| &it.model)
+            .filter(|model| Some(*model) != changing)
+            .any(|model| !self.holds(model, None));
+        !lacks && !more
+    }
+
+    fn take(
+        &mut self,
+        now: Timestamp,
+        held: &[HeldModel],
+        in_memory: &[ModelName],
+        on_disk: &[ModelName],
+    ) {
         self.held = held.to_vec();
         self.in_memory = in_memory.to_vec();
         self.on_disk = on_disk.to_vec();
@@ -91,7 +129,10 @@
         }
         self.revision = Some(state.revision);
         self.least_revision = state.revision;
-        self.announced(now, &state.models, &state.in_memory, &state.on_disk);
+        self.unreachable = false;
+        self.coming.clone_from(&state.coming);
+        self.coming_at = now;
+        self.take(now, &state.models, &state.in_memory, &state.on_disk);
         if !state.busy {
             self.pending = None;
         } else if let Some(pending) = &mut self.pending {
@@ -142,9 +183,23 @@
         })
     }
 
-    /// Adapters loaded, over all models.
-    pub(crate) fn adapter_count(&self) -> usize {
-        self.held.iter().map(|held| held.adapters.len()).sum()
+    /// Adapters loaded or on their way, over all models.
+    pub(crate) fn adapter_count(&self, now: Timestamp) -> usize {
+        let held: usize = self.held.iter().map(|held| held.adapters.len()).sum();
+        held + self.coming(now).count()
+    }
+
+    /// Adapters that were on their way when the state was last read, and are not known to be there.
+    pub(crate) fn coming(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&ModelName, &AdapterName)> {
+        let lately = now.since(self.coming_at) < ADAPTER_OVERLAY;
+        self.coming
+            .iter()
+            .filter(move |_| lately)
+            .flat_map(|coming| coming.adapters.iter().map(|name| (&coming.model, name)))
+            .filter(|(model, adapter)| !self.holds(model, Some(adapter)))
     }
 
     /// Whether an instruction may be given now.
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -228,7 +228,8 @@
             }
         };
         engine.planned = Some((operation, subject.clone()));
-        round.taken(&place.instance, model);
+        round.comes(model);
+        round.taken(&place.instance);
         steps.push(Step {
             instance: place.instance.clone(),
             instruction: Some((operation, subject, None)),
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -4,7 +4,9 @@
 use crate::demand::Unmet;
 use crate::engines::Engine;
 use crate::planner::{COMFORTABLE_READING, MINIMUM_STAY, UNLOAD_TIME, View};
-use millpass_proto::{EngineModelSpec, EngineSpec, InstanceId, InstructionOperation, ModelName};
+use millpass_proto::{
+    EngineModelSpec, EngineSpec, InstanceId, InstructionOperation, ModelName, Timestamp,
+};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Cost of placing a model on an engine that reads prompts all the time, in milliseconds.
@@ -154,7 +156,7 @@
             instance,
             free_kilobytes: specification
                 .weights_kilobytes
-                .saturating_sub(self.used_kilobytes(specification, engine)),
+                .saturating_sub(self.used_kilobytes(view.now, specification, engine)),
             busyness: self.busyness(engine),
             evictable,
             taken: false,
@@ -185,9 +187,13 @@
         self.coming.contains(model)
     }
 
-    /// An instruction for an engine was planned, to bring a model there.
-    pub(crate) fn taken(&mut self, instance: &InstanceId, model: &ModelName) {
+    /// A model is about to be brought somewhere.
+    pub(crate) fn comes(&mut self, model: &ModelName) {
         self.coming.insert(model.clone());
+    }
+
+    /// An instruction for an engine was planned: it gets no other in this round.
+    pub(crate) fn taken(&mut self, instance: &InstanceId) {
         let sites = self.sites.iter_mut();
         for site in sites.filter(|site| site.instance == *instance) {
             site.taken = true;
@@ -280,7 +286,17 @@
     }
 
     /// Memory that an engine's models and adapters take, with what is being loaded.
-    pub(crate) fn used_kilobytes(&self, specification: &EngineSpec, engine: &Engine) -> u64 {
+    pub(crate) fn used_kilobytes(
+        &self,
+        now: Timestamp,
+        specification: &EngineSpec,
+        engine: &Engine,
+    ) -> u64 {
+        let adapters: u64 = engine
+            .coming(now)
+            .filter_map(|(model, _)| self.model(specification, model))
+            .map(|model| model.adapter_kilobytes)
+            .sum();
         let held: u64 = engine
             .held
             .iter()
@@ -295,7 +311,7 @@
                 _ => 0,
             }
         });
-        held + coming
+        held + adapters + coming
     }
 
     fn held_kilobytes(&self, specification: &EngineSpec, held: &millpass_proto::HeldModel) -> u64 {
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -106,6 +106,7 @@
         models: held(models),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        coming: Vec::new(),
     })
 }
 
@@ -258,6 +259,7 @@
         models: held(&["b"]),
         in_memory: vec!["c".into()],
         on_disk: Vec::new(),
+        coming: Vec::new(),
     });
     bench.fleet.answered(at(1_000), &"e-2".into(), &read);
     bench
@@ -528,7 +530,7 @@
         let models: &[&str] = if change % 2 == 0 { &["a"] } else { &["b"] };
         bench
             .fleet
-            .announce(at(now), record("e-1", now, models), false);
+            .answered(at(now), &"e-1".into(), &state(change, models));
         let outputs = bench.run(now);
         updates += outputs
             .iter()
@@ -567,3 +569,66 @@
         "{second:?}"
     );
 }
+
+/// Found on the operators' platform: an adapter's load and a model's unload went to one engine in the same
+/// round; the engine took the first, the second overwrote it in the leader's books, and the next adapter
+/// was ordered over the engine's places.
+#[test]
+fn an_engine_gets_one_instruction_a_round() {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a", "b"]);
+    let needs = vec![need("a", Some("x")), need("c", None)];
+    bench.fleet.report(at(1_050), 1, &report(needs));
+    let given = bench.instructions(1_100);
+    assert_eq!(given.len(), 1, "{given:?}");
+}
+
+/// Found on the operators' platform: adapters that were on their way counted for nothing.
+#[test]
+fn adapters_on_their_way_take_their_places() {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a"]);
+    let coming = InstructionAnswer::State(EngineState {
+        revision: 2,
+        busy: false,
+        models: held(&["a"]),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+        coming: vec![HeldModel {
+            model: "a".into(),
+            adapters: vec!["x".into(), "y".into()],
+        }],
+    });
+    bench.fleet.answered(at(1_010), &"e-1".into(), &coming);
+    let needs = vec![need("a", Some("z"))];
+    bench.fleet.report(at(1_050), 1, &report(needs));
+    let given = bench.instructions(1_100);
+    assert!(given.is_empty(), "{given:?}");
+}
+
+/// An announcement may be under way for seconds. One from before a load must not make the leader believe
+/// that there is room where that load has filled it.
+#[test]
+fn an_announcement_from_before_a_load_makes_no_room() {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a"]);
+    bench
+        .fleet
+        .report(at(1_050), 1, &report(vec![need("b", None)]));
+    assert_eq!(bench.instructions(1_100).len(), 1);
+    bench
+        .fleet
+        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    bench
+        .fleet
+        .announce(at(3_200), record("e-1", 5_000, &["a", "b"]), false);
+    bench
+        .fleet
+        .announce(at(3_300), record("e-1", 5_001, &["a"]), false);
+    bench
+        .fleet
+        .report(at(3_310), 1, &report(vec![need("c", None)]));
+    let given = bench.instructions(3_400);
+    let loads = |given: &EngineInstruction| given.operation == InstructionOperation::Load;
+    assert!(!given.iter().any(loads), "{given:?}");
+}
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -2567,6 +2567,9 @@
 
     /// Copies of weights on disk.
     pub on_disk: Vec<ModelName>,
+
+    /// Adapters on their way, by model; they take places, and serve nothing yet.
+    pub coming: Vec<HeldModel>,
 }
 
 
