A gateway that stops refuses at once what it cannot answer before its end

Ruled out: running streams (sent early, at work in the last sixth of the grace). Change: the dispatcher knows when its gateway ends; a request whose model comes too late before that is refused as stopping, with when to come back, as soon as that is known.

--- a/crates/millpass-dispatch/src/choosing.rs
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -19,6 +19,9 @@
 const ROOM_WAIT: Duration = Duration::from_millis(250);
 /// Time that must be left to serve a request that waits for a load.
 const SERVING_TIME: Duration = Duration::from_millis(250);
+/// Time that must be left before this gateway's end to begin to serve a request that has waited: an answer
+/// that is cut may have run.
+const STOPPING_TIME: Duration = Duration::from_millis(1_500);
 /// Cost of sending to another zone, in milliseconds.
 const OTHER_ZONE_COST: f64 = 5.0;
 /// Cost of a certain failure, in milliseconds.
@@ -242,6 +245,12 @@
         };
         let on_time = ticket.arrived + ticket.objective() > ready + SERVING_TIME;
         let in_time = ticket.leaves_at() > ready + SERVING_TIME;
+        if self.stops_at.is_some_and(|end| ready + STOPPING_TIME > end) {
+            return Choice::Refuse {
+                reason: RefusalReason::Stopping,
+                retry_after: ROOM_WAIT,
+            };
+        }
         let early = now.since(ticket.arrived) <= ticket.objective() / 5;
         let comes_back = come_back * 3 < ticket.deadline.since(now);
         if !in_time || (early && comes_back && !on_time) {
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -45,6 +45,8 @@
     NoInstance,
     /// The retry budget or the route's attempts are used up.
     NoAttempts,
+    /// This gateway stops before it could be answered.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -55,6 +57,7 @@
             RefusalReason::Full => "full",
             RefusalReason::NoInstance => "no-instance",
             RefusalReason::NoAttempts => "no-attempts",
+            RefusalReason::Stopping => "stopping",
         }
     }
 }
@@ -112,6 +115,8 @@
     pub(crate) term: u64,
     pub(crate) gateways: u32,
     pub(crate) reports: u64,
+    /// When this gateway ends, once it was told to stop.
+    pub(crate) stops_at: Option<Timestamp>,
 }
 
 impl Dispatcher {
@@ -130,6 +135,7 @@
             term: 0,
             gateways: 0,
             reports: 0,
+            stops_at: None,
         }
     }
 
@@ -210,6 +216,11 @@
         outcome
     }
 
+    /// This gateway was told to stop and ends at this time, whatever is in flight.
+    pub fn stop_at(&mut self, end: Timestamp) {
+        self.stops_at = Some(end);
+    }
+
     /// The route of a request.
     pub fn route(&self, host: &str, path: &str) -> Result<Arc<RouteSpec>, RouteError> {
         let table = self.table.as_ref().ok_or(RouteError::NotConfigured)?;
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -486,3 +486,32 @@
     let share = f64::from(of_small) / f64::from(gateways * each);
     assert!((share - 0.1).abs() < 0.01, "{share}");
 }
+
+/// Found on the operators' platform: a gateway that was told to stop held requests for cold models until
+/// its own end, where their connections closed without an answer.
+#[rstest]
+#[case::comes_in_time(6_000, false)]
+#[case::comes_too_late(2_500, true)]
+fn a_gateway_that_stops_refuses_what_it_cannot_answer_before_its_end(
+    #[case] ends: u64,
+    #[case] refused: bool,
+) {
+    let mut dispatcher = dispatcher(vec![record("e-1", "text", &["b"])]);
+    let mut ticket = begin(&mut dispatcher, 0, "/text/", Some("a"));
+    // Late enough that it is no early refusal any more.
+    let waits = dispatcher.choose(at(300), &mut ticket);
+    assert!(matches!(waits, Choice::Wait { .. }), "{waits:?}");
+    dispatcher.stop_at(at(ends));
+    let choice = dispatcher.choose(at(310), &mut ticket);
+    let Choice::Refuse {
+        reason,
+        retry_after,
+    } = choice
+    else {
+        assert!(!refused, "{choice:?}");
+        return;
+    };
+    assert!(refused);
+    assert_eq!(reason, RefusalReason::Stopping);
+    assert!(retry_after < Duration::from_millis(1_000));
+}
--- a/crates/millpass-gateway/src/process.rs
+++ b/crates/millpass-gateway/src/process.rs
@@ -117,6 +117,10 @@
 async fn drain(shared: &Shared) {
     shared.draining.store(true, Ordering::Release);
     let started = Instant::now();
+    let end = shared.now() + shared.settings.drain_grace;
+    shared.core().stop_at(end);
+    // Requests that wait see that they may not.
+    shared.changed.notify(usize::MAX);
     let in_flight = shared.in_flight.load(Ordering::Acquire);
     log::info!("event=gateway_draining in_flight={in_flight}");
     loop {
