Exchanges of models are weighed in one unit: the delay of requests

Hypothesis: what may make way was limited by a fixed 0.3 requests a second (or a third of the requests that wait), which shuts out the places with a copy at hand; the store pays 6 s for what a disk does in 0.8 s, and its load holds up the engine for as long. Change: one cost, milliseconds of delayed requests. A sole replica's absence costs its rate times its way back; a further replica's, the queue for reading prompts or for places that it saves; the load, those who wait for it. Engines that are instructed take part with the time until they are free: the better place is waited for.

--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `engines` | one instruction at a time for each engine, and what it holds |
 //! | `handover` | what is known of the instructions of earlier leaders |
 //! | `permits` | loads that the weight store allows |
+//! | `cost` | what a placement costs and saves, in one unit |
 //! | `round` | what a round of planning looks up often |
 //! | `adapters` | which engine loads an adapter |
 //! | `planner` | which model or adapter to load or unload next, and where |
@@ -17,6 +18,7 @@
 //! | `fleet` | the core itself |
 
 mod adapters;
+mod cost;
 mod demand;
 mod engines;
 mod fleet;
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -4,6 +4,7 @@
 //! is at hand and where the least is lost by what has to make way. Loads from the weight store take
 //! a permit first; without one the need waits for the next round.
 
+use crate::cost;
 use crate::demand::{Demand, Unmet};
 use crate::engines::{Engine, Engines};
 use crate::handover::InstructionHistory;
@@ -21,19 +22,8 @@
 pub(crate) const UNLOAD_TIME: Duration = Duration::from_millis(300);
 /// Time after which a reservation that led to nothing lapses.
 const RESERVATION_LIFETIME: Duration = Duration::from_millis(8_000);
-/// Share of its time that an engine may spend on reading one model's prompts; above it, the model
-/// gets another replica.
-pub(crate) const COMFORTABLE_READING: f64 = 0.3;
-/// Most that a further replica may cost, in milliseconds.
-const SPREAD_COST: f64 = 6_000.0;
 /// Share of the weight store's permits up to which replicas of busy models may take them.
 const SPREAD_PERMITS: f64 = 0.6;
-/// Least value, in requests a second, up to which a replica may make way for any need.
-const LEAST_EVICTION_LIMIT: f64 = 0.3;
-/// Time over which the requests of a need are spread to compare it with what would make way, in
-/// seconds.
-const NEED_SECONDS: f64 = 3.0;
-
 /// A model or an adapter, and what to do with it.
 pub(crate) type Instruction = (InstructionOperation, ModelName, Option<AdapterName>);
 
@@ -181,8 +171,9 @@
         };
         if round.holders(model) == 0 {
             if !round.is_coming(model) {
-                let limit = (need.requests / NEED_SECONDS).max(LEAST_EVICTION_LIMIT);
-                if let Some(place) = round.cheapest_place(self.specification, model, limit) {
+                let place = round.place_for(self.specification, model, need.requests);
+                // A better place that opens soon is waited for.
+                if let Some(place) = place.filter(|place| place.opens_in.is_zero()) {
                     self.begin(&place, model, "unserved", round, steps);
                 }
             }
@@ -249,7 +240,7 @@
             }
             let spare = self.permits.used(self.now, milliloads) < SPREAD_PERMITS;
             let place = round.replica_place(self.specification, &model, share, spare);
-            if let Some(place) = place.filter(|place| place.cost < SPREAD_COST) {
+            if let Some(place) = place.filter(|place| place.opens_in.is_zero()) {
                 self.begin(&place, &model, "busy", round, steps);
             }
         }
@@ -266,19 +257,20 @@
         share: f64,
         from_store: bool,
     ) -> Option<Place> {
-        self.cheapest(specification, model, LEAST_EVICTION_LIMIT, |site, copy| {
+        let gain = self.replica_gain(model);
+        self.cheapest(specification, model, 0.0, gain, |site, copy| {
             site.busyness < share / 2.0 && (from_store || copy)
         })
     }
 
-    /// Where a model that nobody holds costs least; what makes way is worth `limit` requests a second
-    /// at most.
-    fn cheapest_place(
+    /// Where a model that nobody holds costs least.
+    fn place_for(
         &self,
         specification: &EngineSpec,
         model: &ModelName,
-        limit: f64,
+        waiting: f64,
     ) -> Option<Place> {
-        self.cheapest(specification, model, limit, |_, _| true)
+        let limit = cost::serving(waiting);
+        self.cheapest(specification, model, waiting, limit, |_, _| true)
     }
 }
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -1,11 +1,12 @@
 //! What a round of planning looks up often, gathered once: with hundreds of engines and models,
 //! gathering it for each need takes the leader's whole processor.
 
+use crate::cost;
 use crate::demand::Unmet;
 use crate::engines::Engine;
-use crate::planner::{COMFORTABLE_READING, MINIMUM_STAY, UNLOAD_TIME, View};
+use crate::planner::{MINIMUM_STAY, UNLOAD_TIME, View};
 use millpass_proto::{
-    EngineModelSpec, EngineSpec, InstanceId, InstructionOperation, ModelName, Timestamp,
+    Duration, EngineModelSpec, EngineSpec, InstanceId, InstructionOperation, ModelName, Timestamp,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -13,23 +14,29 @@
 const BUSY_COST: f64 = 1_000.0;
 /// Prompt tokens that an engine reads in a second.
 const TOKENS_PER_SECOND: f64 = 38_000.0;
-/// Weight of the value of what makes way against the time of the load: milliseconds for each
-/// request a second that would have to be served cold.
-const EVICTION_WEIGHT: f64 = 4_000.0;
-/// Part of a model's rate that each of several replicas stands for.
-const REPLICA_VALUE: f64 = 0.3;
+/// Time until an engine whose state has to be read first may be instructed, in milliseconds.
+const READ_MILLIS: f64 = 300.0;
+/// Least time that something under way is expected to go on, in milliseconds.
+const LEAST_LEFT_MILLIS: f64 = 50.0;
+/// Share of its time that one engine may spend on a model before the model gets another replica.
+const COMFORTABLE_SHARE: f64 = 0.3;
 
 /// A place for a model, and what must make way there.
 pub(crate) struct Place {
     pub(crate) instance: InstanceId,
     pub(crate) victim: Option<ModelName>,
+    /// Delay of requests, in milliseconds; see [`cost`].
     pub(crate) cost: f64,
+    /// Time until the engine may be instructed.
+    pub(crate) opens_in: Duration,
+    /// Time from then until the model serves.
+    pub(crate) takes: Duration,
 }
 
 /// A model that may make way.
 struct Evictable {
     model: ModelName,
-    /// Requests a second that would be served cold without it.
+    /// Delay of requests that its absence causes, in milliseconds.
     value: f64,
     kilobytes: u64,
 }
@@ -38,8 +45,10 @@
 pub(crate) struct Site {
     instance: InstanceId,
     free_kilobytes: u64,
-    /// Share of its time that it spends on reading prompts.
+    /// Share of its time that it spends on its models' requests.
     pub(crate) busyness: f64,
+    /// Time until it may be instructed, in milliseconds.
+    opens_in: f64,
     /// What may make way, the least valuable first.
     evictable: Vec<Evictable>,
     /// An instruction for it was planned in this round.
@@ -61,11 +70,12 @@
     holders: BTreeMap<ModelName, Vec<InstanceId>>,
     /// Models that are being loaded, or about to be.
     coming: BTreeSet<ModelName>,
-    /// Share of one engine's time that each model's prompts take.
-    reading: BTreeMap<ModelName, f64>,
-    /// Requests a second for each model, over the last minute or so, and those in flight.
-    worth: BTreeMap<ModelName, f64>,
-    /// Engines on which a model may be placed now.
+    /// Engines that each model's requests would fill: the time that their prompts take to read, or the
+    /// places that they take, whichever is more.
+    business: BTreeMap<ModelName, f64>,
+    /// Requests a second for each model.
+    rates: BTreeMap<ModelName, f64>,
+    /// Engines on which a model may be placed, now or soon.
     sites: Vec<Site>,
     /// Copies of weights at those.
     copies: HashMap<ModelName, Vec<Copy>>,
@@ -90,20 +100,19 @@
         for (instance, engine) in &usable {
             round.note_models(instance, engine);
         }
+        let slots = f64::from(view.specification.slots.max(1));
         for (model, load) in view.demand.loads(view.now, view.service) {
-            round
-                .reading
-                .insert(model.clone(), load.tokens / TOKENS_PER_SECOND);
-            round
-                .worth
-                .insert(model, load.lasting_rate + f64::from(load.in_flight));
+            let reading = load.tokens / TOKENS_PER_SECOND;
+            let running = f64::from(load.in_flight) / slots;
+            round.business.insert(model.clone(), reading.max(running));
+            round.rates.insert(model, load.lasting_rate);
         }
         round.wanted = unmet.iter().map(|need| need.key.model.clone()).collect();
         for (instance, engine) in usable {
             if engine.reserved.is_some() {
                 round.reserved.push(instance);
-            } else if view.is_free(&instance) {
-                round.add_site(view, instance, engine);
+            } else if let Some(opens_in) = opens_in(view, &instance, engine) {
+                round.add_site(view, instance, engine, opens_in);
             }
         }
         round
@@ -119,7 +128,7 @@
         self.coming.extend(engine.brought().cloned());
     }
 
-    fn add_site(&mut self, view: &View<'_>, instance: InstanceId, engine: &Engine) {
+    fn add_site(&mut self, view: &View<'_>, instance: InstanceId, engine: &Engine, opens_in: f64) {
         let index = self.sites.len();
         for model in &engine.on_disk {
             self.note_copy(model, index, false);
@@ -127,7 +136,7 @@
         for model in &engine.in_memory {
             self.note_copy(model, index, true);
         }
-        let site = self.site(view, instance, engine);
+        let site = self.site(view, instance, engine, opens_in);
         self.sites.push(site);
     }
 
@@ -136,7 +145,7 @@
         copies.push(Copy { site, in_memory });
     }
 
-    fn site(&self, view: &View<'_>, instance: InstanceId, engine: &Engine) -> Site {
+    fn site(&self, view: &View<'_>, instance: InstanceId, engine: &Engine, opens_in: f64) -> Site {
         let specification = view.specification;
         let may_go = |model: &ModelName| {
             !self.wanted.contains(model) && !engine.is_fresh(view.now, model, MINIMUM_STAY)
@@ -146,7 +155,7 @@
             .iter()
             .filter(|held| may_go(&held.model))
             .map(|held| Evictable {
-                value: self.value(&held.model),
+                value: self.value(specification, &held.model),
                 kilobytes: self.held_kilobytes(specification, held),
                 model: held.model.clone(),
             })
@@ -158,6 +167,7 @@
                 .weights_kilobytes
                 .saturating_sub(self.used_kilobytes(view.now, specification, engine)),
             busyness: self.busyness(engine),
+            opens_in,
             evictable,
             taken: false,
         }
@@ -200,12 +210,13 @@
         }
     }
 
-    /// The cheapest place for a model among the sites that are `fit`, which is told whether a copy of
-    /// its weights is there. What makes way is worth `limit` requests a second at most.
+    /// The cheapest place for a model that `waiting` requests wait for, among the sites that are `fit`,
+    /// which is told whether a copy of its weights is there. What makes way costs `limit` at most.
     pub(crate) fn cheapest(
         &self,
         specification: &EngineSpec,
         model: &ModelName,
+        waiting: f64,
         limit: f64,
         fit: impl Fn(&Site, bool) -> bool,
     ) -> Option<Place> {
@@ -219,6 +230,7 @@
             });
         }
         let holders = self.holders_of(model);
+        let rate = self.rates.get(model).copied().unwrap_or_default();
         self.sites
             .iter()
             .zip(load_millis)
@@ -227,7 +239,10 @@
             })
             .filter_map(|(site, copy)| {
                 let millis = copy.unwrap_or(wanted.load_millis);
-                site.place(wanted.weights_kilobytes, millis, limit)
+                let mut place = site.place(wanted.weights_kilobytes, millis, limit)?;
+                let delay = (place.opens_in + place.takes).as_secs_f64();
+                place.cost += (waiting + rate * delay) * delay * 1_000.0;
+                Some(place)
             })
             .min_by(|left, right| left.cost.total_cmp(&right.cost))
     }
@@ -241,7 +256,7 @@
     ) -> Option<Place> {
         let engine = view.engine(instance)?;
         let wanted = self.model(view.specification, model)?;
-        let site = self.site(view, instance.clone(), engine);
+        let site = self.site(view, instance.clone(), engine, 0.0);
         site.place(wanted.weights_kilobytes, 0, f64::MAX)
     }
 
@@ -249,38 +264,49 @@
     /// with that time's share.
     pub(crate) fn busy_models(&self) -> Vec<(f64, ModelName)> {
         let mut busy: Vec<(f64, ModelName)> = self
-            .reading
+            .business
             .iter()
-            .map(|(model, reading)| {
+            .map(|(model, business)| {
                 let holders = self.holders(model).max(1) as f64;
-                (reading / holders, model.clone())
+                (business / holders, model.clone())
             })
-            .filter(|(share, _)| *share >= COMFORTABLE_READING)
+            .filter(|(share, _)| *share >= COMFORTABLE_SHARE)
             .collect();
         busy.sort_by(|left, right| right.0.total_cmp(&left.0));
         busy
     }
 
-    /// Requests a second that would be served cold, or worse, without this replica, which counts among
-    /// the holders.
-    fn value(&self, model: &ModelName) -> f64 {
+    /// Delay of requests that a further replica of a model saves.
+    pub(crate) fn replica_gain(&self, model: &ModelName) -> f64 {
+        let business = self.business.get(model).copied().unwrap_or_default();
+        let holders = self.holders(model);
+        cost::queueing(business, holders) - cost::queueing(business, holders + 1)
+    }
+
+    /// Delay of requests that the absence of this replica, which counts among the holders, causes.
+    fn value(&self, specification: &EngineSpec, model: &ModelName) -> f64 {
         let others = self.holders(model).saturating_sub(1);
-        let worth = self.worth.get(model).copied().unwrap_or_default();
-        let reading = self.reading.get(model).copied().unwrap_or_default();
-        if others == 0 || reading / others as f64 > COMFORTABLE_READING {
-            return worth;
+        if others == 0 {
+            let rate = self.rates.get(model).copied().unwrap_or_default();
+            // Its load left a copy on the disk.
+            let load = self
+                .model(specification, model)
+                .map_or(0, |model| model.disk_load_millis.min(model.load_millis));
+            let restore = load as f64 + UNLOAD_TIME.as_millis() as f64;
+            return cost::absence(rate, restore);
         }
-        worth * REPLICA_VALUE / others as f64
+        let business = self.business.get(model).copied().unwrap_or_default();
+        cost::queueing(business, others) - cost::queueing(business, others + 1)
     }
 
-    /// Share of its time that an engine spends on reading prompts.
+    /// Share of its time that an engine spends on its models' requests.
     pub(crate) fn busyness(&self, engine: &Engine) -> f64 {
         engine
             .held
             .iter()
             .map(|held| {
-                let reading = self.reading.get(&held.model).copied().unwrap_or_default();
-                reading / self.holders(&held.model).max(1) as f64
+                let business = self.business.get(&held.model).copied().unwrap_or_default();
+                business / self.holders(&held.model).max(1) as f64
             })
             .sum()
     }
@@ -321,25 +347,48 @@
     }
 }
 
+/// Time until an engine may be instructed, in milliseconds; none while that is not known.
+fn opens_in(view: &View<'_>, instance: &InstanceId, engine: &Engine) -> Option<f64> {
+    if view.is_free(instance) {
+        return Some(0.0);
+    }
+    if engine.planned.is_some() {
+        return None;
+    }
+    let open = view.history.open_from(instance, view.handover);
+    let mut time = open.since(view.now).as_secs_f64() * 1_000.0;
+    if let Some(pending) = &engine.pending {
+        let left = pending.done_at.since(view.now).as_secs_f64() * 1_000.0;
+        time = time.max(left).max(LEAST_LEFT_MILLIS);
+    } else if engine.revision.is_none() {
+        time = time.max(READ_MILLIS);
+    }
+    Some(time)
+}
+
 impl Site {
     /// What it costs to bring a model of this size here, whose load takes `load_millis`, and the
-    /// first model that must make way.
+    /// first model that must make way; all that must make way costs `limit` at most.
     fn place(&self, kilobytes: u64, load_millis: u64, limit: f64) -> Option<Place> {
         let mut free = self.free_kilobytes;
-        let mut cost = load_millis as f64 + self.busyness * BUSY_COST;
+        let mut lost = 0.0;
+        let mut takes = Duration::from_millis(load_millis);
         let mut victim = None;
         for candidate in &self.evictable {
-            if free >= kilobytes || candidate.value > limit {
+            if free >= kilobytes {
                 break;
             }
             free += candidate.kilobytes;
-            cost += candidate.value * EVICTION_WEIGHT + UNLOAD_TIME.as_millis() as f64;
+            lost += candidate.value;
+            takes += UNLOAD_TIME;
             victim.get_or_insert(&candidate.model);
         }
-        (free >= kilobytes).then(|| Place {
+        (free >= kilobytes && lost <= limit).then(|| Place {
             instance: self.instance.clone(),
             victim: victim.cloned(),
-            cost,
+            cost: lost + self.busyness * BUSY_COST,
+            opens_in: Duration::from_secs_f64(self.opens_in / 1_000.0),
+            takes,
         })
     }
 }
