--- a/crates/millpass-fleet/src/cost.rs
+++ b/crates/millpass-fleet/src/cost.rs
@@ -8,6 +8,9 @@
 const HORIZON_SECONDS: f64 = 10.0;
 /// Delay that a request which is not served at all counts as, in milliseconds.
 const UNSERVED_MILLIS: f64 = 5_000.0;
+/// Demand that a replica is kept for, as a multiple of what is seen: demand rises faster than replicas come,
+/// and one that makes way only to come back costs its load twice.
+const HEADROOM: f64 = 2.0;
 /// Share of its time that an engine is taken to be busy at most; beyond it, delays grow without bounds.
 const FULLEST: f64 = 0.95;
 
@@ -19,12 +22,24 @@
     asked_for * delayed * restore_millis
 }
 
-/// Delay within the horizon of requests that queue for their prompts to be read, where the model's
-/// prompts take `reading` of one engine's time and `replicas` share them.
-pub(crate) fn queueing(reading: f64, replicas: usize) -> f64 {
-    let share = (reading / replicas.max(1) as f64).min(FULLEST);
+/// Delay within the horizon that a further replica of a model saves, where the model's requests take
+/// `business` of one engine's time and `replicas` share them.
+pub(crate) fn replica_gain(business: f64, replicas: usize) -> f64 {
+    queueing(business, replicas) - queueing(business, replicas + 1)
+}
+
+/// Delay within the horizon caused by taking away one of several replicas, so that `others` are left.
+pub(crate) fn replica_loss(business: f64, others: usize) -> f64 {
+    replica_gain(HEADROOM * business, others)
+}
+
+/// Delay within the horizon of requests that queue at the replicas of a model, each of which serves at a
+/// steady rate.
+fn queueing(business: f64, replicas: usize) -> f64 {
+    let replicas = replicas.max(1) as f64;
+    let share = (business / replicas).min(FULLEST);
     let queue = share * share / (1.0 - share) / 2.0;
-    queue * replicas.max(1) as f64 * HORIZON_SECONDS * 1_000.0
+    queue * replicas * HORIZON_SECONDS * 1_000.0
 }
 
 /// What it is worth to serve requests that wait, at most.
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -183,6 +183,24 @@
         })
     }
 
+    /// What it serves new requests with: all that it holds, but for what is on its way out.
+    pub(crate) fn serving(&self) -> Vec<HeldModel> {
+        let mut serving = self.held.clone();
+        let pending = self.pending.as_ref();
+        let Some(leaving) = pending.filter(|it| it.operation == InstructionOperation::Unload)
+        else {
+            return serving;
+        };
+        match &leaving.adapter {
+            None => serving.retain(|held| held.model != leaving.model),
+            Some(adapter) => serving
+                .iter_mut()
+                .filter(|held| held.model == leaving.model)
+                .for_each(|held| held.adapters.retain(|name| name != adapter)),
+        }
+        serving
+    }
+
     /// Adapters loaded or on their way, over all models.
     pub(crate) fn adapter_count(&self, now: Timestamp) -> usize {
         let held: usize = self.held.iter().map(|held| held.adapters.len()).sum();
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -200,7 +200,7 @@
             .entry(record.instance.clone())
             .or_default();
         engine.announced(now, &record.models, &record.in_memory, &record.on_disk);
-        let held = engine.held.clone();
+        let held = engine.serving();
         self.registry
             .update(&record.instance, |known| known.models = held);
         if announced == Announced::New {
@@ -287,7 +287,7 @@
             InstructionAnswer::Unanswered => engine.unanswered(now),
             InstructionAnswer::State(state) => engine.read(now, state),
         }
-        let held = engine.held.clone();
+        let held = engine.serving();
         self.registry
             .update(instance, |record| record.models = held);
         self.dirty = true;
@@ -339,7 +339,7 @@
     fn settle_adapters(&mut self, now: Timestamp) {
         for (instance, engine) in &mut self.engines.engines {
             if engine.adapter_settled(now) {
-                let held = engine.held.clone();
+                let held = engine.serving();
                 self.registry
                     .update(instance, |record| record.models = held);
             }
@@ -408,15 +408,9 @@
         let unloads = operation == InstructionOperation::Unload;
         if unloads {
             // No gateway sends to what is about to go.
+            let serving = engine.serving();
             self.registry
-                .update(&step.instance, |record| match &adapter {
-                    None => record.models.retain(|held| held.model != model),
-                    Some(adapter) => record
-                        .models
-                        .iter_mut()
-                        .filter(|held| held.model == model)
-                        .for_each(|held| held.adapters.retain(|name| name != adapter)),
-                });
+                .update(&step.instance, |record| record.models = serving);
         }
         let adapter_name = adapter.as_ref().map_or("none", |name| name.as_str());
         let pairs = vec![
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -14,8 +14,6 @@
 const BUSY_COST: f64 = 1_000.0;
 /// Prompt tokens that an engine reads in a second.
 const TOKENS_PER_SECOND: f64 = 38_000.0;
-/// Time until an engine whose state has to be read first may be instructed, in milliseconds.
-const READ_MILLIS: f64 = 300.0;
 /// Least time that something under way is expected to go on, in milliseconds.
 const LEAST_LEFT_MILLIS: f64 = 50.0;
 /// Share of its time that one engine may spend on a model before the model gets another replica.
@@ -280,7 +278,7 @@
     pub(crate) fn replica_gain(&self, model: &ModelName) -> f64 {
         let business = self.business.get(model).copied().unwrap_or_default();
         let holders = self.holders(model);
-        cost::queueing(business, holders) - cost::queueing(business, holders + 1)
+        cost::replica_gain(business, holders)
     }
 
     /// Delay of requests that the absence of this replica, which counts among the holders, causes.
@@ -296,7 +294,7 @@
             return cost::absence(rate, restore);
         }
         let business = self.business.get(model).copied().unwrap_or_default();
-        cost::queueing(business, others) - cost::queueing(business, others + 1)
+        cost::replica_loss(business, others)
     }
 
     /// Share of its time that an engine spends on its models' requests.
@@ -347,23 +345,21 @@
     }
 }
 
-/// Time until an engine may be instructed, in milliseconds; none while that is not known.
+/// Time until an engine may be instructed, in milliseconds; none while that is not known. Only a load that
+/// the engine has taken and that is not overdue is worth waiting for.
 fn opens_in(view: &View<'_>, instance: &InstanceId, engine: &Engine) -> Option<f64> {
     if view.is_free(instance) {
         return Some(0.0);
     }
-    if engine.planned.is_some() {
+    let pending = engine.pending.as_ref()?;
+    let timely = pending.accepted && view.now < pending.done_at;
+    if engine.planned.is_some() || engine.revision.is_none() || !timely {
         return None;
     }
     let open = view.history.open_from(instance, view.handover);
-    let mut time = open.since(view.now).as_secs_f64() * 1_000.0;
-    if let Some(pending) = &engine.pending {
-        let left = pending.done_at.since(view.now).as_secs_f64() * 1_000.0;
-        time = time.max(left).max(LEAST_LEFT_MILLIS);
-    } else if engine.revision.is_none() {
-        time = time.max(READ_MILLIS);
-    }
-    Some(time)
+    let until = pending.done_at.max(open);
+    let left = until.since(view.now).as_secs_f64() * 1_000.0;
+    Some(left.max(LEAST_LEFT_MILLIS))
 }
 
 impl Site {
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -632,3 +632,60 @@
     let loads = |given: &EngineInstruction| given.operation == InstructionOperation::Load;
     assert!(!given.iter().any(loads), "{given:?}");
 }
+
+/// Found on the operators' platform: needs waited for an engine whose instruction nobody had answered, for
+/// as long as that lasted.
+#[test]
+fn a_need_waits_for_no_engine_whose_instruction_is_not_confirmed() {
+    let mut bench = Bench::new();
+    let mut first = record("e-1", 1_000, &["a"]);
+    first.in_memory = vec!["c".into()];
+    bench.fleet.announce(at(1_000), first, false);
+    let read = InstructionAnswer::State(EngineState {
+        revision: 0,
+        busy: false,
+        models: held(&["a"]),
+        in_memory: vec!["c".into()],
+        on_disk: Vec::new(),
+        coming: Vec::new(),
+    });
+    bench.fleet.answered(at(1_000), &"e-1".into(), &read);
+    bench
+        .fleet
+        .report(at(1_050), 1, &report(vec![need("b", None)]));
+    assert_eq!(bench.instructions(1_100)[0].instance, "e-1".into());
+    bench.engine(1_200, "e-2", &["d"]);
+    bench
+        .fleet
+        .report(at(1_210), 1, &report(vec![need("c", None)]));
+    let given = bench.instructions(1_300);
+    assert_eq!(given.len(), 1, "{given:?}");
+    assert_eq!(given[0].instance, "e-2".into());
+}
+
+/// Found on the operators' platform: an engine that finishes its runs before an unload announced the model
+/// meanwhile, gateways sent more requests for it, and the engine turned them away as if it were full.
+#[test]
+fn a_model_that_is_being_unloaded_gets_no_requests_whatever_the_engine_announces() {
+    let mut bench = Bench::new();
+    bench.fleet.report(at(900), 1, &report(Vec::new()));
+    bench.engine(1_000, "e-1", &["a", "b"]);
+    bench
+        .fleet
+        .report(at(1_050), 1, &report(vec![need("c", None)]));
+    let left = bench.makes_room();
+    bench
+        .fleet
+        .announce(at(1_200), record("e-1", 2_000, &["a", "b"]), false);
+    bench.fleet.report(at(1_210), 1, &report(Vec::new()));
+    let records = bench
+        .run(1_220)
+        .into_iter()
+        .filter_map(|output| match output {
+            FleetOutput::Update { update, .. } => Some(update.instances),
+            _ => None,
+        })
+        .flatten();
+    let last = records.last().expect("an update");
+    assert_eq!(last.models, held(&[left]));
+}
