--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -236,6 +236,23 @@
         loading.into_iter().chain(planned).chain(&self.reserved)
     }
 
+    /// Time until a model that is being brought, whose load takes `load`, is there. What is overdue is
+    /// expected to take as long again.
+    pub(crate) fn ready_in(&self, now: Timestamp, model: &ModelName, load: Duration) -> Duration {
+        let Some(pending) = &self.pending else {
+            return load;
+        };
+        let left = if now < pending.done_at {
+            pending.done_at.since(now)
+        } else {
+            now.since(pending.done_at)
+        };
+        if pending.operation == InstructionOperation::Load && pending.model == *model {
+            return left;
+        }
+        left + load
+    }
+
     /// Whether the model is on its way out.
     pub(crate) fn unloading(&self, model: &ModelName) -> bool {
         self.pending.as_ref().is_some_and(|pending| {
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -22,6 +22,10 @@
 pub(crate) const UNLOAD_TIME: Duration = Duration::from_millis(300);
 /// Time after which a reservation that led to nothing lapses.
 const RESERVATION_LIFETIME: Duration = Duration::from_millis(8_000);
+/// How many times as soon as the first a second load must end.
+const MUCH_SOONER: u32 = 3;
+/// Cost of loading a model that is on its way already, in milliseconds by which requests are delayed.
+const SECOND_LOAD_COST: f64 = 2_000.0;
 /// Share of the weight store's permits up to which replicas of busy models may take them.
 const SPREAD_PERMITS: f64 = 0.6;
 /// A model or an adapter, and what to do with it.
@@ -78,7 +82,7 @@
     found.map_or(Duration::ZERO, |found| load_time_of(found, engine))
 }
 
-fn load_time_of(model: &EngineModelSpec, engine: &Engine) -> Duration {
+pub(crate) fn load_time_of(model: &EngineModelSpec, engine: &Engine) -> Duration {
     let millis = if engine.in_memory.contains(&model.name) {
         model.memory_load_millis
     } else if engine.on_disk.contains(&model.name) {
@@ -170,13 +174,7 @@
             return;
         };
         if round.holders(model) == 0 {
-            if !round.is_coming(model) {
-                let place = round.place_for(self.specification, model, need.requests);
-                // A better place that opens soon is waited for.
-                if let Some(place) = place.filter(|place| place.opens_in.is_zero()) {
-                    self.begin(&place, model, "unserved", round, steps);
-                }
-            }
+            self.meet_model(need, round, steps);
             return;
         }
         match &need.key.adapter {
@@ -185,6 +183,29 @@
         }
     }
 
+    /// Brings a model that nobody holds. One that is on its way comes a second time where that is so much
+    /// sooner that it is worth it.
+    fn meet_model(&mut self, need: &Unmet, round: &mut Round, steps: &mut Vec<Step>) {
+        let model = &need.key.model;
+        let place = round.place_for(self.specification, model, need.requests);
+        // A better place that opens soon is waited for.
+        let Some(place) = place.filter(|place| place.opens_in.is_zero()) else {
+            return;
+        };
+        let reason = match round.coming_in(model) {
+            None => "unserved",
+            Some(coming) => {
+                let wait = round.waiting_cost(model, need.requests, coming);
+                let second = place.cost + SECOND_LOAD_COST;
+                if second >= wait || place.ready_in() * MUCH_SOONER > coming {
+                    return;
+                }
+                "comes-too-late"
+            }
+        };
+        self.begin(&place, model, reason, round, steps);
+    }
+
     /// Begins to load, or to make room and reserve it.
     fn begin(
         &mut self,
@@ -219,7 +240,7 @@
             }
         };
         engine.planned = Some((operation, subject.clone()));
-        round.comes(model);
+        round.comes(model, place.takes);
         round.taken(&place.instance);
         steps.push(Step {
             instance: place.instance.clone(),
@@ -235,7 +256,7 @@
     fn spread(&mut self, round: &mut Round, steps: &mut Vec<Step>) {
         let milliloads = self.specification.milliloads_per_second;
         for (share, model) in round.busy_models() {
-            if round.is_coming(&model) {
+            if round.coming_in(&model).is_some() {
                 continue;
             }
             let spare = self.permits.used(self.now, milliloads) < SPREAD_PERMITS;
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -4,7 +4,7 @@
 use crate::cost;
 use crate::demand::Unmet;
 use crate::engines::Engine;
-use crate::planner::{MINIMUM_STAY, UNLOAD_TIME, View};
+use crate::planner::{MINIMUM_STAY, UNLOAD_TIME, View, load_time_of};
 use millpass_proto::{
     Duration, EngineModelSpec, EngineSpec, InstanceId, InstructionOperation, ModelName, Timestamp,
 };
@@ -31,6 +31,13 @@
     pub(crate) takes: Duration,
 }
 
+impl Place {
+    /// Time until the model serves there.
+    pub(crate) fn ready_in(&self) -> Duration {
+        self.opens_in + self.takes
+    }
+}
+
 /// A model that may make way.
 struct Evictable {
     model: ModelName,
@@ -66,8 +73,8 @@
     models: HashMap<ModelName, usize>,
     /// Engines that hold each model and can be reached.
     holders: BTreeMap<ModelName, Vec<InstanceId>>,
-    /// Models that are being loaded, or about to be.
-    coming: BTreeSet<ModelName>,
+    /// Models that are being loaded, or about to be, and in how many milliseconds the first replica is there.
+    coming: BTreeMap<ModelName, f64>,
     /// Engines that each model's requests would fill: the time that their prompts take to read, or the
     /// places that they take, whichever is more.
     business: BTreeMap<ModelName, f64>,
@@ -96,7 +103,7 @@
             .filter(|(_, engine)| !engine.unreachable)
             .collect();
         for (instance, engine) in &usable {
-            round.note_models(instance, engine);
+            round.note_models(view, instance, engine);
         }
         let slots = f64::from(view.specification.slots.max(1));
         for (model, load) in view.demand.loads(view.now, view.service) {
@@ -116,14 +123,20 @@
         round
     }
 
-    fn note_models(&mut self, instance: &InstanceId, engine: &Engine) {
+    fn note_models(&mut self, view: &View<'_>, instance: &InstanceId, engine: &Engine) {
         for held in &engine.held {
             if !engine.unloading(&held.model) {
                 let holders = self.holders.entry(held.model.clone()).or_default();
                 holders.push(instance.clone());
             }
         }
-        self.coming.extend(engine.brought().cloned());
+        for model in engine.brought() {
+            let load = self
+                .model(view.specification, model)
+                .map_or(Duration::ZERO, |found| load_time_of(found, engine));
+            let ready = engine.ready_in(view.now, model, load);
+            self.comes(model, ready);
+        }
     }
 
     fn add_site(&mut self, view: &View<'_>, instance: InstanceId, engine: &Engine, opens_in: f64) {
@@ -190,14 +203,17 @@
         self.holders.get(model).map_or(&[], Vec::as_slice)
     }
 
-    /// Whether a model is being loaded, or about to be.
-    pub(crate) fn is_coming(&self, model: &ModelName) -> bool {
-        self.coming.contains(model)
+    /// When a model that is being loaded, or about to be, will be there.
+    pub(crate) fn coming_in(&self, model: &ModelName) -> Option<Duration> {
+        let millis = self.coming.get(model)?;
+        Some(Duration::from_secs_f64(millis / 1_000.0))
     }
 
     /// A model is about to be brought somewhere.
-    pub(crate) fn comes(&mut self, model: &ModelName) {
-        self.coming.insert(model.clone());
+    pub(crate) fn comes(&mut self, model: &ModelName, ready: Duration) {
+        let millis = ready.as_secs_f64() * 1_000.0;
+        let known = self.coming.entry(model.clone()).or_insert(millis);
+        *known = known.min(millis);
     }
 
     /// An instruction for an engine was planned: it gets no other in this round.
@@ -228,7 +244,6 @@
             });
         }
         let holders = self.holders_of(model);
-        let rate = self.rates.get(model).copied().unwrap_or_default();
         self.sites
             .iter()
             .zip(load_millis)
@@ -238,13 +253,19 @@
             .filter_map(|(site, copy)| {
                 let millis = copy.unwrap_or(wanted.load_millis);
                 let mut place = site.place(wanted.weights_kilobytes, millis, limit)?;
-                let delay = (place.opens_in + place.takes).as_secs_f64();
-                place.cost += (waiting + rate * delay) * delay * 1_000.0;
+                place.cost += self.waiting_cost(model, waiting, place.ready_in());
                 Some(place)
             })
             .min_by(|left, right| left.cost.total_cmp(&right.cost))
     }
 
+    /// Delay of the requests that wait for a model, and of those that come meanwhile, if it takes so long.
+    pub(crate) fn waiting_cost(&self, model: &ModelName, waiting: f64, takes: Duration) -> f64 {
+        let rate = self.rates.get(model).copied().unwrap_or_default();
+        let delay = takes.as_secs_f64();
+        (waiting + rate * delay) * delay * 1_000.0
+    }
+
     /// A place for a model on an engine that makes room for it, whatever must make way.
     pub(crate) fn place_at(
         &self,
