Connections of answers of stated length are used again

The server of callers drops a body of stated length once it has its last byte; the relay then never reached its end, closed the connection and counted the send as given up, so that times to answer were not learned either. Change: the relay ends the send with the last byte.

--- a/crates/millpass-gateway/src/pool.rs
+++ b/crates/millpass-gateway/src/pool.rs
@@ -21,6 +21,9 @@
 const IDLE_TIME: Duration = Duration::from_millis(2_500);
 /// Time before the stated end at which an idle connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Time for which a connection rests before it is used again: bytes that a faulty instance sends behind a
+/// whole answer come meanwhile, and end it.
+const REST_TIME: Duration = Duration::from_millis(3);
 /// Time after which unacknowledged bytes end a connection.
 const USER_TIMEOUT: Duration = Duration::from_millis(4_000);
 
@@ -49,6 +52,7 @@
 
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
+    from: Instant,
     until: Instant,
 }
 
@@ -68,15 +72,14 @@
         let mut idle = self.lock();
         let connections = idle.get_mut(instance)?;
         let now = Instant::now();
-        while let Some(candidate) = connections.pop() {
-            if candidate.until > now && candidate.sender.is_ready() {
-                return Some(Connection {
-                    sender: candidate.sender,
-                    reused: true,
-                });
-            }
-        }
-        None
+        connections.retain(|idle| idle.until > now && !idle.sender.is_closed());
+        let rested = connections
+            .iter()
+            .rposition(|idle| idle.from <= now && idle.sender.is_ready())?;
+        Some(Connection {
+            sender: connections.remove(rested).sender,
+            reused: true,
+        })
     }
 
     /// Takes a connection back after a whole answer.
@@ -98,6 +101,7 @@
         if connections.len() < MAXIMUM_IDLE {
             connections.push(Idle {
                 sender,
+                from: Instant::now() + REST_TIME,
                 until: Instant::now() + time,
             });
         }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -82,7 +82,7 @@
         };
         if relay.events.is_none() && relay.body.is_end_stream() {
             // An empty body is never asked for.
-            relay.note_answered();
+            relay.finish();
         }
         relay
     }
@@ -96,7 +96,7 @@
                 Part::Bytes(bytes) => {
                     // The server of callers drops a body of stated length once it has its last byte.
                     if self.events.is_none() && self.body.is_end_stream() {
-                        self.note_answered();
+                        self.finish();
                     }
                     let passed = match &mut self.events {
                         Some(events) => events.take(&bytes),
