--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -260,7 +260,7 @@
             .or_default()
             .request(now, window);
         if let Some(key) = self.need_key(&ticket) {
-            self.needs.arrived(now, key);
+            self.needs.arrived(key);
         }
         ticket
     }
@@ -332,17 +332,6 @@
             },
             needs: self.needs.take(),
             doubted: std::mem::take(&mut self.doubted).into_iter().collect(),
-            history: Vec::new(),
-            watched_millis: 0,
-        }
-    }
-
-    /// The first report on a connection: with what was asked for here before.
-    pub fn first_report(&mut self, now: Timestamp) -> GatewayReport {
-        GatewayReport {
-            history: self.needs.history(now),
-            watched_millis: now.as_millis().max(1),
-            ..self.report()
         }
     }
 
--- a/crates/millpass-dispatch/src/needs.rs
+++ b/crates/millpass-dispatch/src/needs.rs
@@ -1,12 +1,7 @@
 //! Demand to report: arrivals, requests without an engine, requests in flight.
 
-use millpass_proto::{AdapterName, ModelName, ModelNeed, ModelRate, ServiceName, Timestamp};
-use std::collections::{BTreeMap, HashMap};
-
-/// Time over which what is asked for is averaged, in seconds.
-const AVERAGE_SECONDS: f64 = 60.0;
-/// Rate below which what was asked for is forgotten, in requests a second.
-const FORGOTTEN_RATE: f64 = 0.001;
+use millpass_proto::{AdapterName, ModelName, ModelNeed, ServiceName};
+use std::collections::BTreeMap;
 
 type Key = (ServiceName, ModelName, Option<AdapterName>);
 
@@ -19,23 +14,10 @@
     unread_tokens: u64,
 }
 
-/// Requests a second, averaged.
-struct AveragedRate {
-    rate: f64,
-    at: Timestamp,
-}
-
-impl AveragedRate {
-    fn at(&self, now: Timestamp) -> f64 {
-        self.rate * (-now.since(self.at).as_secs_f64() / AVERAGE_SECONDS).exp()
-    }
-}
-
-/// Demand since the last report, and over the last minute or so.
+/// Demand since the last report.
 #[derive(Default)]
 pub(crate) struct Needs {
     entries: BTreeMap<Key, Entry>,
-    history: HashMap<Key, AveragedRate>,
     urgent: bool,
 }
 
@@ -44,28 +26,10 @@
         self.entries.entry(key).or_default()
     }
 
-    pub(crate) fn arrived(&mut self, now: Timestamp, key: Key) {
-        let known = self.history.get(&key).map_or(0.0, |rate| rate.at(now));
-        let rate = known + 1.0 / AVERAGE_SECONDS;
-        self.history
-            .insert(key.clone(), AveragedRate { rate, at: now });
+    pub(crate) fn arrived(&mut self, key: Key) {
         self.entry(key).arrivals += 1;
     }
 
-    /// What was asked for over the last minute or so.
-    pub(crate) fn history(&mut self, now: Timestamp) -> Vec<ModelRate> {
-        self.history.retain(|_, rate| rate.at(now) > FORGOTTEN_RATE);
-        self.history
-            .iter()
-            .map(|((service, model, adapter), rate)| ModelRate {
-                service: service.clone(),
-                model: model.clone(),
-                adapter: adapter.clone(),
-                millirequests_per_second: (rate.at(now) * 1_000.0) as u64,
-            })
-            .collect()
-    }
-
     /// A request finds no engine.
     pub(crate) fn unserved(&mut self, key: Key, priority: u32) {
         let entry = self.entry(key);
--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -1,20 +1,13 @@
 //! How much each model, and each adapter of it, is asked for over all gateways.
 
-use millpass_proto::{
-    AdapterName, Duration, ModelName, ModelNeed, ModelRate, ServiceName, Timestamp,
-};
-use std::collections::{BTreeMap, BTreeSet};
+use millpass_proto::{AdapterName, Duration, ModelName, ModelNeed, ServiceName, Timestamp};
+use std::collections::BTreeMap;
 
 /// Time over which the rate of arrivals is averaged, in seconds.
 const RATE_SECONDS: f64 = 6.0;
 /// Time over which the rate that decides what makes way is averaged, in seconds: rarely used models
 /// differ only over minutes.
 const SLOW_SECONDS: f64 = 60.0;
-/// Most arrivals that are believed to have failed to come by chance: a model that was not asked for lately
-/// is no longer asked for as often as before.
-const QUIET_ARRIVALS: f64 = 3.0;
-/// Time that is taken to have been watched at least, so that a first request is no high rate, in seconds.
-const LEAST_WATCHED_SECONDS: f64 = 5.0;
 /// Time over which the rate of prompt tokens is averaged, in seconds.
 const TOKEN_SECONDS: f64 = 3.0;
 /// How long a need that was reported counts as unserved.
@@ -44,8 +37,6 @@
     slow: f64,
     /// Prompt tokens to read a second, averaged; of the same time.
     tokens: f64,
-    /// When it was last asked for.
-    arrived_at: Timestamp,
     /// Requests in flight, over all gateways.
     in_flight: u32,
     unserved: f64,
@@ -82,8 +73,6 @@
     pub(crate) lasting_rate: f64,
     /// Requests in flight.
     pub(crate) in_flight: u32,
-    /// When it was last asked for.
-    arrived_at: Timestamp,
 }
 
 /// A need that is not met.
@@ -99,10 +88,6 @@
 #[derive(Default)]
 pub(crate) struct Demand {
     entries: BTreeMap<ModelKey, Entry>,
-    /// Gateways whose history was taken.
-    known: BTreeSet<String>,
-    /// Since when somebody has counted what is asked for.
-    watched_since: Option<Timestamp>,
     /// What each gateway said it has in flight.
     in_flight: BTreeMap<String, Vec<(ModelKey, u32)>>,
     swept_at: Timestamp,
@@ -124,9 +109,6 @@
             entry.slow = entry.slow_at(now) + f64::from(need.arrivals) / SLOW_SECONDS;
             entry.rate = entry.rate_at(now) + f64::from(need.arrivals) / RATE_SECONDS;
             entry.rate_at = now;
-            if need.arrivals > 0 {
-                entry.arrived_at = now;
-            }
             entry.in_flight += need.in_flight;
             if need.in_flight > 0 {
                 in_flight.push((key, need.in_flight));
@@ -158,44 +140,6 @@
         }
     }
 
-    /// Takes what a gateway was asked for before this leader knew of it, over `watched`.
-    pub(crate) fn take_history(
-        &mut self,
-        now: Timestamp,
-        gateway: &str,
-        history: &[ModelRate],
-        watched: Duration,
-    ) {
-        let since = Timestamp::ZERO + now.since(Timestamp::ZERO).saturating_sub(watched);
-        let first = self.watched_since.map_or(since, |known| known.min(since));
-        self.watched_since = Some(first);
-        if !self.known.insert(gateway.to_owned()) {
-            return;
-        }
-        for asked in history {
-            let key = ModelKey {
-                service: asked.service.clone(),
-                model: asked.model.clone(),
-                adapter: asked.adapter.clone(),
-            };
-            let entry = self.entries.entry(key).or_default();
-            let rate = asked.millirequests_per_second as f64 / 1_000.0;
-            entry.tokens = entry.tokens_at(now);
-            entry.rate = entry.rate_at(now);
-            entry.slow = entry.slow_at(now) + rate;
-            entry.rate_at = now;
-            entry.arrived_at = now;
-        }
-    }
-
-    /// Share of the long average that has been watched: what was not watched counts as nothing in it.
-    fn watched_share(&self, now: Timestamp) -> f64 {
-        let watched = self
-            .watched_since
-            .map_or(0.0, |since| now.since(since).as_secs_f64());
-        1.0 - (-(watched + LEAST_WATCHED_SECONDS) / SLOW_SECONDS).exp()
-    }
-
     /// A gateway is gone: what it had in flight is too.
     pub(crate) fn forget_in_flight(&mut self, gateway: &str) {
         for (key, count) in self.in_flight.remove(gateway).unwrap_or_default() {
@@ -208,18 +152,12 @@
     /// What each model of a service is asked for, with all of its adapters.
     pub(crate) fn loads(&self, now: Timestamp, service: &ServiceName) -> BTreeMap<ModelName, Load> {
         let mut loads: BTreeMap<ModelName, Load> = BTreeMap::new();
-        let watched = self.watched_share(now);
         let entries = self.entries.iter();
         for (key, entry) in entries.filter(|(key, _)| key.service == *service) {
             let load = loads.entry(key.model.clone()).or_default();
             load.tokens += entry.tokens_at(now);
-            load.lasting_rate += (entry.slow_at(now) / watched).max(entry.rate_at(now));
+            load.lasting_rate += entry.slow_at(now).max(entry.rate_at(now));
             load.in_flight += entry.in_flight;
-            load.arrived_at = load.arrived_at.max(entry.arrived_at);
-        }
-        for load in loads.values_mut() {
-            let quiet = now.since(load.arrived_at).as_secs_f64();
-            load.lasting_rate = load.lasting_rate.min(QUIET_ARRIVALS / quiet);
         }
         loads
     }
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -247,11 +247,6 @@
                 ],
             );
         }
-        if report.watched_millis > 0 {
-            let watched = Duration::from_millis(report.watched_millis);
-            self.demand
-                .take_history(now, &report.gateway, &report.history, watched);
-        }
         self.demand.report(now, &report.gateway, &report.needs);
         self.dirty |= report.needs.iter().any(|need| need.unserved > 0);
         self.dirty |= !report.doubted.is_empty();
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -141,15 +141,9 @@
 /// Reports at the interval, and at once when a need arises.
 async fn write(shared: &Arc<Shared>, stream: &Async<TcpStream>) -> LinkEnd {
     let mut stream = stream;
-    let mut first = true;
     loop {
         let urgent = shared.report.listen();
-        let now = shared.now();
-        let report = if std::mem::take(&mut first) {
-            shared.core().first_report(now)
-        } else {
-            shared.core().report()
-        };
+        let report = shared.core().report();
         let message = LinkMessage::Router(RouterToControl::Gateway(report));
         if let Err(error) = write_frame(&mut stream, &message).await {
             return LinkEnd::Lost(error.to_string());
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1732,25 +1732,6 @@
 }
 
 
-/// How often one model, or model with adapter, was asked for at one gateway.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ModelRate {
-
-    /// Service.
-    pub service: ServiceName,
-
-    /// Model.
-    pub model: ModelName,
-
-    /// Adapter.
-    pub adapter: Option<AdapterName>,
-
-    /// Thousandths of a request a second, averaged over a minute.
-    pub millirequests_per_second: u64,
-}
-
-
 /// A gateway's report: its first and periodic message, sent at once when a need arises.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1773,12 +1754,6 @@
 
     /// Instances whose state differs from what they announced: unreachable, or without a model they should hold.
     pub doubted: Vec<InstanceId>,
-
-    /// What was asked for here before; in the first report on a connection, for a leader that knows nothing yet.
-    pub history: Vec<ModelRate>,
-
-    /// How long this gateway has counted what it is asked for; in the first report on a connection, otherwise 0.
-    pub watched_millis: u64,
 }
 
 
