--- a/crates/millpass-fleet/src/cost.rs
+++ b/crates/millpass-fleet/src/cost.rs
@@ -10,7 +10,7 @@
 const UNSERVED_MILLIS: f64 = 5_000.0;
 /// Demand that a replica is kept for, as a multiple of what is seen: demand rises faster than replicas come,
 /// and one that makes way only to come back costs its load twice.
-const HEADROOM: f64 = 2.0;
+const HEADROOM: f64 = 1.4;
 /// Share of its time that an engine is taken to be busy at most; beyond it, delays grow without bounds.
 const FULLEST: f64 = 0.95;
 
