Gateways are told what a cold model waits for, and when it will serve

Hypothesis: a gateway takes a load to begin at once; where it waits for an engine or a permit of the weight store, or is overdue, requests are held that cannot be served in time, and refused again afterwards. Test: a model that waits for an engine.

--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -9,7 +9,8 @@
 use crate::registry::{Announced, Registry};
 use millpass_proto::{
     DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate, InstanceId,
-    InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelOutlook, Timestamp,
+    InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelName, ModelOutlook,
+    ServiceName, Timestamp,
 };
 
 /// Time between two looks for work when nothing happens.
@@ -93,6 +94,8 @@
     in_charge_since: Option<Timestamp>,
     pub(crate) term: u64,
     pub(crate) outlook: Vec<ModelOutlook>,
+    /// Models that wait for an engine or a permit, and when they are expected to serve.
+    pub(crate) awaited: Vec<(ServiceName, ModelName, Duration)>,
     pub(crate) outlook_revision: u64,
     dirty: bool,
     next_plan: Timestamp,
@@ -117,6 +120,7 @@
             in_charge_since: None,
             term: 0,
             outlook: Vec::new(),
+            awaited: Vec::new(),
             outlook_revision: 0,
             dirty: false,
             next_plan: Timestamp::ZERO,
@@ -353,6 +357,7 @@
 
     fn plan(&mut self, now: Timestamp, document: &DeploymentDocument) {
         let mut steps = Vec::new();
+        self.awaited.clear();
         for service in &document.services {
             let Some(specification) = &service.engine else {
                 continue;
@@ -365,6 +370,7 @@
                 engines: &mut self.engines,
                 demand: &mut self.demand,
                 permits: &mut self.permits,
+                awaited: &mut self.awaited,
                 history: &self.history,
                 handover: self.settings.order_handover,
             };
--- a/crates/millpass-fleet/src/permits.rs
+++ b/crates/millpass-fleet/src/permits.rs
@@ -51,6 +51,15 @@
         true
     }
 
+    /// Time until a permit is free.
+    pub fn next_in(&mut self, now: Timestamp, milliloads_per_second: u64) -> Duration {
+        self.drop_old(now);
+        let allowed = usize::try_from(allowed(milliloads_per_second)).unwrap_or(usize::MAX);
+        let blocking = self.taken.len().checked_sub(allowed);
+        let frees = blocking.map_or(now, |first| self.taken[first] + WINDOW);
+        frees.max(self.unknown_until).since(now)
+    }
+
     /// Share of the window's permits that loads which are not known may have taken.
     fn unknown_share(&self, now: Timestamp) -> f64 {
         if now < self.unknown_until {
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -52,6 +52,8 @@
     pub(crate) engines: &'a mut Engines,
     pub(crate) demand: &'a mut Demand,
     pub(crate) permits: &'a mut StorePermits,
+    /// Takes the models that wait for an engine or a permit, and when they are expected to serve.
+    pub(crate) awaited: &'a mut Vec<(ServiceName, ModelName, Duration)>,
     /// Instructions of earlier leaders, and how long engines are left alone after them.
     pub(crate) history: &'a InstructionHistory,
     pub(crate) handover: Duration,
@@ -187,11 +189,16 @@
     /// sooner that it is worth it.
     fn meet_model(&mut self, need: &Unmet, round: &mut Round, steps: &mut Vec<Step>) {
         let model = &need.key.model;
-        let place = round.place_for(self.specification, model, need.requests);
-        // A better place that opens soon is waited for.
-        let Some(place) = place.filter(|place| place.opens_in.is_zero()) else {
+        let Some(place) = round.place_for(self.specification, model, need.requests) else {
             return;
         };
+        if !place.opens_in.is_zero() {
+            // The better place opens soon: it is waited for.
+            if round.coming_in(model).is_none() {
+                self.await_model(model, place.ready_in());
+            }
+            return;
+        }
         let reason = match round.coming_in(model) {
             None => "unserved",
             Some(coming) => {
@@ -206,6 +213,11 @@
         self.begin(&place, model, reason, round, steps);
     }
 
+    fn await_model(&mut self, model: &ModelName, ready: Duration) {
+        let awaited = (self.service.clone(), model.clone(), ready);
+        self.awaited.push(awaited);
+    }
+
     /// Begins to load, or to make room and reserve it.
     fn begin(
         &mut self,
@@ -232,6 +244,8 @@
             }
             None => {
                 if from_store && !self.permits.take(now, milliloads) {
+                    let wait = self.permits.next_in(now, milliloads);
+                    self.await_model(model, wait + place.takes);
                     return;
                 }
                 let takes = load_time_of(specification, engine);
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -4,8 +4,8 @@
 use crate::fleet::{Fleet, FleetOutput};
 use crate::planner;
 use millpass_proto::{
-    DeploymentDocument, Duration, GatewayUpdate, InstructionOperation, ModelOutlook, ServiceSpec,
-    Timestamp,
+    AdapterName, DeploymentDocument, Duration, GatewayUpdate, InstructionOperation, ModelName,
+    ModelOutlook, ServiceSpec, Timestamp,
 };
 
 impl Fleet {
@@ -22,6 +22,10 @@
                 };
                 outlook.extend(outlook_of(now, service, engine));
             }
+            let awaited = self.awaited.iter().filter(|(of, ..)| *of == service.name);
+            outlook.extend(
+                awaited.map(|(_, model, ready)| self::outlook(service, model, None, *ready)),
+            );
         }
         let same = outlook.len() == self.outlook.len()
             && outlook
@@ -89,29 +93,34 @@
     }
 }
 
-fn outlook_of(now: Timestamp, service: &ServiceSpec, engine: &Engine) -> Option<ModelOutlook> {
-    let specification = service.engine.as_ref()?;
-    let outlook = |model, adapter, ready_in: Duration| ModelOutlook {
+/// What an engine is bringing, and when it will be there.
+fn outlook_of(now: Timestamp, service: &ServiceSpec, engine: &Engine) -> Vec<ModelOutlook> {
+    let Some(specification) = &service.engine else {
+        return Vec::new();
+    };
+    let loading = engine.pending.as_ref().and_then(|pending| {
+        let adapter = pending.adapter.clone()?;
+        let left = pending.done_at.since(now);
+        let load = pending.operation == InstructionOperation::Load;
+        load.then(|| outlook(service, &pending.model, Some(adapter), left))
+    });
+    let models = engine.brought().map(|model| {
+        let load = planner::load_time(specification, engine, model);
+        outlook(service, model, None, engine.ready_in(now, model, load))
+    });
+    loading.into_iter().chain(models).collect()
+}
+
+fn outlook(
+    service: &ServiceSpec,
+    model: &ModelName,
+    adapter: Option<AdapterName>,
+    ready_in: Duration,
+) -> ModelOutlook {
+    ModelOutlook {
         service: service.name.clone(),
-        model,
+        model: model.clone(),
         adapter,
         ready_in_millis: ready_in.as_millis() as u64,
-    };
-    if let Some(pending) = &engine.pending
-        && pending.operation == InstructionOperation::Load
-    {
-        let left = pending.done_at.since(now);
-        return Some(outlook(
-            pending.model.clone(),
-            pending.adapter.clone(),
-            left,
-        ));
     }
-    let model = engine.reserved.as_ref()?;
-    let load = planner::load_time(specification, engine, model);
-    let unload_left = engine
-        .pending
-        .as_ref()
-        .map_or(Duration::ZERO, |pending| pending.done_at.since(now));
-    Some(outlook(model.clone(), None, load + unload_left))
 }
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -689,3 +689,46 @@
     let last = records.last().expect("an update");
     assert_eq!(last.models, held(&[left]));
 }
+
+/// Found on the operators' platform: gateways took a load to begin at once though it waited for an engine, and
+/// held requests that could not be served in time.
+#[test]
+fn gateways_are_told_when_a_model_that_waits_for_an_engine_will_serve() {
+    let mut bench = Bench::new();
+    let copies = |models: &[&str], revision| {
+        InstructionAnswer::State(EngineState {
+            revision,
+            busy: false,
+            models: held(models),
+            in_memory: vec!["c".into()],
+            on_disk: Vec::new(),
+            coming: Vec::new(),
+        })
+    };
+    bench.engine(1_000, "e-1", &["a"]);
+    bench
+        .fleet
+        .answered(at(1_000), &"e-1".into(), &copies(&["a"], 0));
+    bench
+        .fleet
+        .report(at(1_050), 1, &report(vec![need("b", None)]));
+    assert_eq!(bench.instructions(1_100)[0].model, "b".into());
+    bench
+        .fleet
+        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    bench
+        .fleet
+        .report(at(1_300), 1, &report(vec![need("c", None)]));
+    let outputs = bench.run(1_400);
+    let outlook = outputs
+        .iter()
+        .find_map(|output| match output {
+            FleetOutput::Update { update, .. } => Some(&update.outlook),
+            _ => None,
+        })
+        .expect("an update");
+    let ready = outlook.iter().find(|outlook| outlook.model == "c".into());
+    // The load of b from the weight store goes on until 3.1 s.
+    let ready = ready.expect("c is awaited").ready_in_millis;
+    assert!((1_700..3_000).contains(&ready), "{ready}");
+}
