--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -5,12 +5,11 @@
 use crate::gateways::Gateways;
 use crate::handover::InstructionHistory;
 use crate::permits::StorePermits;
-use crate::planner::{self, Step, View};
+use crate::planner::{self, AwaitedModel, Step, View};
 use crate::registry::{Announced, Registry};
 use millpass_proto::{
     DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate, InstanceId,
-    InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelName, ModelOutlook,
-    ServiceName, Timestamp,
+    InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelOutlook, Timestamp,
 };
 
 /// Time between two looks for work when nothing happens.
@@ -94,8 +93,8 @@
     in_charge_since: Option<Timestamp>,
     pub(crate) term: u64,
     pub(crate) outlook: Vec<ModelOutlook>,
-    /// Models that wait for an engine or a permit, and when they are expected to serve.
-    pub(crate) awaited: Vec<(ServiceName, ModelName, Duration)>,
+    /// Models that wait for an engine or a permit.
+    pub(crate) awaited: Vec<AwaitedModel>,
     pub(crate) outlook_revision: u64,
     dirty: bool,
     next_plan: Timestamp,
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -1,8 +1,8 @@
 //! Which model or adapter to load or unload next, and on which engine.
 //!
-//! Needs that gateways report are met in order of urgency. A model goes where a copy of its weights
-//! is at hand and where the least is lost by what has to make way. Loads from the weight store take
-//! a permit first; without one the need waits for the next round.
+//! Needs that gateways report are met in order of urgency. A model goes where requests are delayed
+//! least, by its load and by what has to make way; the better place is waited for while it opens soon.
+//! Loads from the weight store take a permit first; without one the need waits for the next round.
 
 use crate::cost;
 use crate::demand::{Demand, Unmet};
@@ -28,6 +28,7 @@
 const SECOND_LOAD_COST: f64 = 2_000.0;
 /// Share of the weight store's permits up to which replicas of busy models may take them.
 const SPREAD_PERMITS: f64 = 0.6;
+
 /// A model or an adapter, and what to do with it.
 pub(crate) type Instruction = (InstructionOperation, ModelName, Option<AdapterName>);
 
@@ -43,6 +44,14 @@
     pub(crate) reason: &'static str,
 }
 
+/// A model that waits for an engine or a permit of the weight store.
+pub(crate) struct AwaitedModel {
+    pub(crate) service: ServiceName,
+    pub(crate) model: ModelName,
+    /// When it is expected to serve.
+    pub(crate) ready_in: Duration,
+}
+
 /// What the planner sees of one service.
 pub(crate) struct View<'a> {
     pub(crate) now: Timestamp,
@@ -52,8 +61,8 @@
     pub(crate) engines: &'a mut Engines,
     pub(crate) demand: &'a mut Demand,
     pub(crate) permits: &'a mut StorePermits,
-    /// Takes the models that wait for an engine or a permit, and when they are expected to serve.
-    pub(crate) awaited: &'a mut Vec<(ServiceName, ModelName, Duration)>,
+    /// Takes the models that wait.
+    pub(crate) awaited: &'a mut Vec<AwaitedModel>,
     /// Instructions of earlier leaders, and how long engines are left alone after them.
     pub(crate) history: &'a InstructionHistory,
     pub(crate) handover: Duration,
@@ -213,9 +222,13 @@
         self.begin(&place, model, reason, round, steps);
     }
 
-    fn await_model(&mut self, model: &ModelName, ready: Duration) {
-        let awaited = (self.service.clone(), model.clone(), ready);
-        self.awaited.push(awaited);
+    /// Notes that a model waits, for gateways to be told.
+    fn await_model(&mut self, model: &ModelName, ready_in: Duration) {
+        self.awaited.push(AwaitedModel {
+            service: self.service.clone(),
+            model: model.clone(),
+            ready_in,
+        });
     }
 
     /// Begins to load, or to make room and reserve it.
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -14,8 +14,8 @@
 const BUSY_COST: f64 = 1_000.0;
 /// Prompt tokens that an engine reads in a second.
 const TOKENS_PER_SECOND: f64 = 38_000.0;
-/// Least time that something under way is expected to go on, in milliseconds.
-const LEAST_LEFT_MILLIS: f64 = 50.0;
+/// Least time that something under way is expected to go on.
+const LEAST_LEFT: Duration = Duration::from_millis(50);
 /// Share of its time that one engine may spend on a model before the model gets another replica.
 const COMFORTABLE_SHARE: f64 = 0.3;
 
@@ -52,8 +52,8 @@
     free_kilobytes: u64,
     /// Share of its time that it spends on its models' requests.
     pub(crate) busyness: f64,
-    /// Time until it may be instructed, in milliseconds.
-    opens_in: f64,
+    /// Time until it may be instructed.
+    opens_in: Duration,
     /// What may make way, the least valuable first.
     evictable: Vec<Evictable>,
     /// An instruction for it was planned in this round.
@@ -73,8 +73,8 @@
     models: HashMap<ModelName, usize>,
     /// Engines that hold each model and can be reached.
     holders: BTreeMap<ModelName, Vec<InstanceId>>,
-    /// Models that are being loaded, or about to be, and in how many milliseconds the first replica is there.
-    coming: BTreeMap<ModelName, f64>,
+    /// Models that are being loaded, or about to be, and when the first replica will be there.
+    coming: BTreeMap<ModelName, Duration>,
     /// Engines that each model's requests would fill: the time that their prompts take to read, or the
     /// places that they take, whichever is more.
     business: BTreeMap<ModelName, f64>,
@@ -139,7 +139,13 @@
         }
     }
 
-    fn add_site(&mut self, view: &View<'_>, instance: InstanceId, engine: &Engine, opens_in: f64) {
+    fn add_site(
+        &mut self,
+        view: &View<'_>,
+        instance: InstanceId,
+        engine: &Engine,
+        opens_in: Duration,
+    ) {
         let index = self.sites.len();
         for model in &engine.on_disk {
             self.note_copy(model, index, false);
@@ -156,7 +162,13 @@
         copies.push(Copy { site, in_memory });
     }
 
-    fn site(&self, view: &View<'_>, instance: InstanceId, engine: &Engine, opens_in: f64) -> Site {
+    fn site(
+        &self,
+        view: &View<'_>,
+        instance: InstanceId,
+        engine: &Engine,
+        opens_in: Duration,
+    ) -> Site {
         let specification = view.specification;
         let may_go = |model: &ModelName| {
             !self.wanted.contains(model) && !engine.is_fresh(view.now, model, MINIMUM_STAY)
@@ -205,15 +217,13 @@
 
     /// When a model that is being loaded, or about to be, will be there.
     pub(crate) fn coming_in(&self, model: &ModelName) -> Option<Duration> {
-        let millis = self.coming.get(model)?;
-        Some(Duration::from_secs_f64(millis / 1_000.0))
+        self.coming.get(model).copied()
     }
 
     /// A model is about to be brought somewhere.
     pub(crate) fn comes(&mut self, model: &ModelName, ready: Duration) {
-        let millis = ready.as_secs_f64() * 1_000.0;
-        let known = self.coming.entry(model.clone()).or_insert(millis);
-        *known = known.min(millis);
+        let known = self.coming.entry(model.clone()).or_insert(ready);
+        *known = ready.min(*known);
     }
 
     /// An instruction for an engine was planned: it gets no other in this round.
@@ -275,8 +285,9 @@
     ) -> Option<Place> {
         let engine = view.engine(instance)?;
         let wanted = self.model(view.specification, model)?;
-        let site = self.site(view, instance.clone(), engine, 0.0);
-        site.place(wanted.weights_kilobytes, 0, f64::MAX)
+        let site = self.site(view, instance.clone(), engine, Duration::ZERO);
+        let load = load_time_of(wanted, engine).as_millis() as u64;
+        site.place(wanted.weights_kilobytes, load, f64::MAX)
     }
 
     /// Models that take more of their holders' time than they serve well in, the busiest first,
@@ -366,11 +377,11 @@
     }
 }
 
-/// Time until an engine may be instructed, in milliseconds; none while that is not known. Only a load that
-/// the engine has taken and that is not overdue is worth waiting for.
-fn opens_in(view: &View<'_>, instance: &InstanceId, engine: &Engine) -> Option<f64> {
+/// Time until an engine may be instructed; none while that is not known. Only a load that the engine has
+/// taken and that is not overdue is worth waiting for.
+fn opens_in(view: &View<'_>, instance: &InstanceId, engine: &Engine) -> Option<Duration> {
     if view.is_free(instance) {
-        return Some(0.0);
+        return Some(Duration::ZERO);
     }
     let pending = engine.pending.as_ref()?;
     let timely = pending.accepted && view.now < pending.done_at;
@@ -379,8 +390,7 @@
     }
     let open = view.history.open_from(instance, view.handover);
     let until = pending.done_at.max(open);
-    let left = until.since(view.now).as_secs_f64() * 1_000.0;
-    Some(left.max(LEAST_LEFT_MILLIS))
+    Some(until.since(view.now).max(LEAST_LEFT))
 }
 
 impl Site {
@@ -404,7 +414,7 @@
             instance: self.instance.clone(),
             victim: victim.cloned(),
             cost: lost + self.busyness * BUSY_COST,
-            opens_in: Duration::from_secs_f64(self.opens_in / 1_000.0),
+            opens_in: self.opens_in,
             takes,
         })
     }
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -22,10 +22,16 @@
                 };
                 outlook.extend(outlook_of(now, service, engine));
             }
-            let awaited = self.awaited.iter().filter(|(of, ..)| *of == service.name);
-            outlook.extend(
-                awaited.map(|(_, model, ready)| self::outlook(service, model, None, *ready)),
-            );
+            for awaited in &self.awaited {
+                if awaited.service == service.name {
+                    outlook.push(model_outlook(
+                        service,
+                        &awaited.model,
+                        None,
+                        awaited.ready_in,
+                    ));
+                }
+            }
         }
         let same = outlook.len() == self.outlook.len()
             && outlook
@@ -102,16 +108,16 @@
         let adapter = pending.adapter.clone()?;
         let left = pending.done_at.since(now);
         let load = pending.operation == InstructionOperation::Load;
-        load.then(|| outlook(service, &pending.model, Some(adapter), left))
+        load.then(|| model_outlook(service, &pending.model, Some(adapter), left))
     });
     let models = engine.brought().map(|model| {
         let load = planner::load_time(specification, engine, model);
-        outlook(service, model, None, engine.ready_in(now, model, load))
+        model_outlook(service, model, None, engine.ready_in(now, model, load))
     });
     loading.into_iter().chain(models).collect()
 }
 
-fn outlook(
+fn model_outlook(
     service: &ServiceSpec,
     model: &ModelName,
     adapter: Option<AdapterName>,
