--- a/crates/millpass-dispatch/src/choosing.rs
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -5,7 +5,7 @@
 use crate::prompts::{all_tokens, beginnings, rendezvous};
 use crate::request::Ticket;
 use crate::retry_budget::BudgetTerms;
-use millpass_proto::{Duration, InstanceId, Timestamp};
+use millpass_proto::{Duration, InstanceId, Timestamp, WeightsSource};
 
 /// Time after which a request that still waits notes its need again.
 const NEED_REPEAT: Duration = Duration::from_millis(400);
@@ -304,14 +304,14 @@
                 .any(|instance| instance.record.service == ticket.service && copies(instance))
         };
         let wanted = &specification.name;
-        let millis = if has(&|instance| instance.record.in_memory.contains(wanted)) {
-            specification.memory_load_millis
+        let source = if has(&|instance| instance.record.in_memory.contains(wanted)) {
+            WeightsSource::Memory
         } else if has(&|instance| instance.record.on_disk.contains(wanted)) {
-            specification.disk_load_millis
+            WeightsSource::Disk
         } else {
-            specification.load_millis
+            WeightsSource::Store
         };
-        Duration::from_millis(millis)
+        specification.load_time(source)
     }
 }
 
--- a/crates/millpass-fleet/src/adapters.rs
+++ b/crates/millpass-fleet/src/adapters.rs
@@ -39,7 +39,7 @@
         };
         let best = holders
             .iter()
-            .filter(|instance| self.is_free(instance))
+            .filter(|instance| self.is_free(instance) && !round.is_instructed(instance))
             .min_by(|left, right| cost(left).total_cmp(&cost(right)));
         let Some(instance) = best.cloned() else {
             return;
@@ -47,12 +47,7 @@
         let Some(instruction) = self.adapter_instruction(round, &instance, key, adapter) else {
             return;
         };
-        if let Some(engine) = self.engines.engines.get_mut(&instance) {
-            // Only a model counts as coming.
-            let unload = InstructionOperation::Unload;
-            engine.planned = Some((unload, key.model.clone()));
-        }
-        round.taken(&instance);
+        round.instruct(&instance);
         steps.push(Step {
             instance,
             instruction: Some(instruction),
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -3,7 +3,7 @@
 
 use millpass_proto::{
     AdapterName, Duration, EngineState, HeldModel, InstanceId, InstructionOperation, ModelName,
-    Timestamp,
+    Timestamp, WeightsSource,
 };
 use std::collections::BTreeMap;
 
@@ -59,8 +59,6 @@
     /// Model to load once what is under way makes room.
     pub(crate) reserved: Option<ModelName>,
     pub(crate) reserved_at: Timestamp,
-    /// A step was planned for it in this round: what is done, and to which model.
-    pub(crate) planned: Option<(InstructionOperation, ModelName)>,
     loaded_at: BTreeMap<ModelName, Timestamp>,
     overlay: Vec<AdapterChange>,
     reading_since: Option<Timestamp>,
@@ -92,17 +90,7 @@
             .as_ref()
             .filter(|pending| pending.accepted && pending.adapter.is_none())
             .map(|pending| &pending.model);
-        let announced = |model: &ModelName| held.iter().any(|it| it.model == *model);
-        let known = self.held.iter().map(|it| &it.model);
-        let lacks = known
-            .filter(|model| Some(*model) != changing)
-            .any(|model| !announced(model));
-        let more = held
-            .iter()
-            .map(|it| &it.model)
-            .filter(|model| Some(*model) != changing)
-            .any(|model| !self.holds(model, None));
-        !lacks && !more
+        all_within(changing, held, &self.held) && all_within(changing, &self.held, held)
     }
 
     fn take(
@@ -201,6 +189,17 @@
         serving
     }
 
+    /// Where a model's weights would come from.
+    pub(crate) fn source_of(&self, model: &ModelName) -> WeightsSource {
+        if self.in_memory.contains(model) {
+            WeightsSource::Memory
+        } else if self.on_disk.contains(model) {
+            WeightsSource::Disk
+        } else {
+            WeightsSource::Store
+        }
+    }
+
     /// Adapters loaded or on their way, over all models.
     pub(crate) fn adapter_count(&self, now: Timestamp) -> usize {
         let held: usize = self.held.iter().map(|held| held.adapters.len()).sum();
@@ -222,7 +221,7 @@
 
     /// Whether an instruction may be given now.
     pub(crate) fn is_free(&self) -> bool {
-        self.pending.is_none() && self.revision.is_some() && self.planned.is_none()
+        self.pending.is_none() && self.revision.is_some()
     }
 
     /// Models whose load is under way or about to begin.
@@ -230,10 +229,8 @@
         let load = InstructionOperation::Load;
         let pending = self.pending.as_ref();
         let loading = pending.filter(|it| it.operation == load && it.adapter.is_none());
-        let planned = self.planned.as_ref().filter(|(it, _)| *it == load);
         let loading = loading.map(|pending| &pending.model);
-        let planned = planned.map(|(_, model)| model);
-        loading.into_iter().chain(planned).chain(&self.reserved)
+        loading.into_iter().chain(&self.reserved)
     }
 
     /// Time until a model that is being brought, whose load takes `load`, is there. What is overdue is
@@ -271,7 +268,6 @@
 
     /// Notes an instruction that is being sent.
     pub(crate) fn sent(&mut self, now: Timestamp, pending: Pending) {
-        self.planned = None;
         if pending.operation == InstructionOperation::Load && pending.adapter.is_none() {
             self.loaded_at.insert(pending.model.clone(), now);
             self.reserved = None;
@@ -387,6 +383,14 @@
     }
 }
 
+/// Whether all models of `held`, but for one, are among `others`.
+fn all_within(but: Option<&ModelName>, held: &[HeldModel], others: &[HeldModel]) -> bool {
+    held.iter()
+        .map(|held| &held.model)
+        .filter(|model| Some(*model) != but)
+        .all(|model| others.iter().any(|other| other.model == *model))
+}
+
 /// Engines by run.
 #[derive(Default)]
 pub(crate) struct Engines {
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -5,7 +5,7 @@
 use crate::gateways::Gateways;
 use crate::handover::InstructionHistory;
 use crate::permits::StorePermits;
-use crate::planner::{self, AwaitedModel, Step, View};
+use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
 use millpass_proto::{
     DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate, InstanceId,
@@ -93,8 +93,6 @@
     in_charge_since: Option<Timestamp>,
     pub(crate) term: u64,
     pub(crate) outlook: Vec<ModelOutlook>,
-    /// Models that wait for an engine or a permit.
-    pub(crate) awaited: Vec<AwaitedModel>,
     pub(crate) outlook_revision: u64,
     dirty: bool,
     next_plan: Timestamp,
@@ -119,7 +117,6 @@
             in_charge_since: None,
             term: 0,
             outlook: Vec::new(),
-            awaited: Vec::new(),
             outlook_revision: 0,
             dirty: false,
             next_plan: Timestamp::ZERO,
@@ -203,9 +200,7 @@
             .entry(record.instance.clone())
             .or_default();
         engine.announced(now, &record.models, &record.in_memory, &record.on_disk);
-        let held = engine.serving();
-        self.registry
-            .update(&record.instance, |known| known.models = held);
+        self.registry.serves(&record.instance, engine.serving());
         if announced == Announced::New {
             self.event(
                 "instance-known",
@@ -290,9 +285,7 @@
             InstructionAnswer::Unanswered => engine.unanswered(now),
             InstructionAnswer::State(state) => engine.read(now, state),
         }
-        let held = engine.serving();
-        self.registry
-            .update(instance, |record| record.models = held);
+        self.registry.serves(instance, engine.serving());
         self.dirty = true;
         let outcome = match answer {
             InstructionAnswer::State(state) => format!("state:{}", state.revision),
@@ -342,9 +335,7 @@
     fn settle_adapters(&mut self, now: Timestamp) {
         for (instance, engine) in &mut self.engines.engines {
             if engine.adapter_settled(now) {
-                let held = engine.serving();
-                self.registry
-                    .update(instance, |record| record.models = held);
+                self.registry.serves(instance, engine.serving());
             }
             let settles = engine
                 .pending
@@ -356,7 +347,7 @@
 
     fn plan(&mut self, now: Timestamp, document: &DeploymentDocument) {
         let mut steps = Vec::new();
-        self.awaited.clear();
+        let mut awaited = Vec::new();
         for service in &document.services {
             let Some(specification) = &service.engine else {
                 continue;
@@ -369,7 +360,7 @@
                 engines: &mut self.engines,
                 demand: &mut self.demand,
                 permits: &mut self.permits,
-                awaited: &mut self.awaited,
+                awaited: &mut awaited,
                 history: &self.history,
                 handover: self.settings.order_handover,
             };
@@ -378,7 +369,7 @@
         for step in steps {
             self.carry_out(now, step);
         }
-        self.refresh_outlook(now, document);
+        self.refresh_outlook(now, document, awaited);
     }
 
     fn carry_out(&mut self, now: Timestamp, step: Step) {
@@ -413,9 +404,7 @@
         let unloads = operation == InstructionOperation::Unload;
         if unloads {
             // No gateway sends to what is about to go.
-            let serving = engine.serving();
-            self.registry
-                .update(&step.instance, |record| record.models = serving);
+            self.registry.serves(&step.instance, engine.serving());
         }
         let adapter_name = adapter.as_ref().map_or("none", |name| name.as_str());
         let pairs = vec![
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -11,9 +11,10 @@
 use crate::permits::StorePermits;
 use crate::registry::Registry;
 use crate::round::{Place, Round};
+use crate::updates::model_outlook;
 use millpass_proto::{
-    AdapterName, Duration, EngineModelSpec, EngineSpec, InstanceId, InstructionOperation,
-    ModelName, ServiceName, Timestamp,
+    AdapterName, Duration, EngineSpec, InstanceId, InstructionOperation, ModelName, ModelOutlook,
+    ServiceName, Timestamp, WeightsSource,
 };
 
 /// Time a model is kept at least after its load began.
@@ -44,14 +45,6 @@
     pub(crate) reason: &'static str,
 }
 
-/// A model that waits for an engine or a permit of the weight store.
-pub(crate) struct AwaitedModel {
-    pub(crate) service: ServiceName,
-    pub(crate) model: ModelName,
-    /// When it is expected to serve.
-    pub(crate) ready_in: Duration,
-}
-
 /// What the planner sees of one service.
 pub(crate) struct View<'a> {
     pub(crate) now: Timestamp,
@@ -61,8 +54,8 @@
     pub(crate) engines: &'a mut Engines,
     pub(crate) demand: &'a mut Demand,
     pub(crate) permits: &'a mut StorePermits,
-    /// Takes the models that wait.
-    pub(crate) awaited: &'a mut Vec<AwaitedModel>,
+    /// Takes when models that wait for an engine or a permit of the weight store are expected to serve.
+    pub(crate) awaited: &'a mut Vec<ModelOutlook>,
     /// Instructions of earlier leaders, and how long engines are left alone after them.
     pub(crate) history: &'a InstructionHistory,
     pub(crate) handover: Duration,
@@ -80,34 +73,6 @@
     view.spread(&mut round, steps);
 }
 
-/// Expected time to load a model on an engine, by where a copy of its weights is.
-pub(crate) fn load_time(
-    specification: &EngineSpec,
-    engine: &Engine,
-    model: &ModelName,
-) -> Duration {
-    let found = specification
-        .models
-        .iter()
-        .find(|found| found.name == *model);
-    found.map_or(Duration::ZERO, |found| load_time_of(found, engine))
-}
-
-pub(crate) fn load_time_of(model: &EngineModelSpec, engine: &Engine) -> Duration {
-    let millis = if engine.in_memory.contains(&model.name) {
-        model.memory_load_millis
-    } else if engine.on_disk.contains(&model.name) {
-        model.disk_load_millis
-    } else {
-        model.load_millis
-    };
-    Duration::from_millis(millis)
-}
-
-fn from_store(engine: &Engine, model: &ModelName) -> bool {
-    !engine.in_memory.contains(model) && !engine.on_disk.contains(model)
-}
-
 impl View<'_> {
     /// Engines of the service that take new work, in order of their names.
     pub(crate) fn taking(&self) -> impl Iterator<Item = &InstanceId> {
@@ -224,11 +189,8 @@
 
     /// Notes that a model waits, for gateways to be told.
     fn await_model(&mut self, model: &ModelName, ready_in: Duration) {
-        self.awaited.push(AwaitedModel {
-            service: self.service.clone(),
-            model: model.clone(),
-            ready_in,
-        });
+        self.awaited
+            .push(model_outlook(self.service, model, None, ready_in));
     }
 
     /// Begins to load, or to make room and reserve it.
@@ -248,7 +210,8 @@
         let Some(engine) = self.engines.engines.get_mut(&place.instance) else {
             return;
         };
-        let from_store = place.victim.is_none() && from_store(engine, model);
+        let source = engine.source_of(model);
+        let from_store = place.victim.is_none() && source == WeightsSource::Store;
         let (operation, subject, takes) = match &place.victim {
             Some(victim) => {
                 engine.reserved = Some(model.clone());
@@ -261,14 +224,13 @@
                     self.await_model(model, wait + place.takes);
                     return;
                 }
-                let takes = load_time_of(specification, engine);
+                let takes = specification.load_time(source);
                 engine.reserved = None;
                 (InstructionOperation::Load, model.clone(), takes)
             }
         };
-        engine.planned = Some((operation, subject.clone()));
         round.comes(model, place.takes);
-        round.taken(&place.instance);
+        round.instruct(&place.instance);
         steps.push(Step {
             instance: place.instance.clone(),
             instruction: Some((operation, subject, None)),
@@ -306,8 +268,8 @@
         from_store: bool,
     ) -> Option<Place> {
         let gain = self.replica_gain(model);
-        self.cheapest(specification, model, 0.0, gain, |site, copy| {
-            site.busyness < share / 2.0 && (from_store || copy)
+        self.cheapest(specification, model, 0.0, gain, |site, source| {
+            site.busyness < share / 2.0 && (from_store || source != WeightsSource::Store)
         })
     }
 
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -1,6 +1,6 @@
 //! Instances as they announce themselves.
 
-use millpass_proto::{Duration, InstanceId, InstanceRecord, Timestamp};
+use millpass_proto::{Duration, HeldModel, InstanceId, InstanceRecord, Timestamp};
 use std::collections::BTreeMap;
 
 /// Most removals remembered for gateways that have not been told; older ones need a full update.
@@ -71,12 +71,13 @@
         self.update(instance, |record| record.draining = true);
     }
 
+    /// What an instance serves new requests with.
+    pub(crate) fn serves(&mut self, instance: &InstanceId, models: Vec<HeldModel>) {
+        self.update(instance, |record| record.models = models);
+    }
+
     /// Changes a record; a change that does nothing gets no revision.
-    pub(crate) fn update(
-        &mut self,
-        instance: &InstanceId,
-        change: impl FnOnce(&mut InstanceRecord),
-    ) {
+    fn update(&mut self, instance: &InstanceId, change: impl FnOnce(&mut InstanceRecord)) {
         let Some(entry) = self.entries.get_mut(instance) else {
             return;
         };
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -4,9 +4,10 @@
 use crate::cost;
 use crate::demand::Unmet;
 use crate::engines::Engine;
-use crate::planner::{MINIMUM_STAY, UNLOAD_TIME, View, load_time_of};
+use crate::planner::{MINIMUM_STAY, UNLOAD_TIME, View};
 use millpass_proto::{
     Duration, EngineModelSpec, EngineSpec, InstanceId, InstructionOperation, ModelName, Timestamp,
+    WeightsSource,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -56,14 +57,12 @@
     opens_in: Duration,
     /// What may make way, the least valuable first.
     evictable: Vec<Evictable>,
-    /// An instruction for it was planned in this round.
-    taken: bool,
 }
 
-/// Where a copy of a model's weights is: which site, and the load's time from it.
+/// Where a copy of a model's weights is.
 struct Copy {
     site: usize,
-    in_memory: bool,
+    source: WeightsSource,
 }
 
 /// What a round looks up.
@@ -88,6 +87,8 @@
     pub(crate) reserved: Vec<InstanceId>,
     /// Models that somebody waits for; they don't make way.
     wanted: BTreeSet<ModelName>,
+    /// Engines for which an instruction was planned in this round.
+    instructed: BTreeSet<InstanceId>,
 }
 
 impl Round {
@@ -133,7 +134,9 @@
         for model in engine.brought() {
             let load = self
                 .model(view.specification, model)
-                .map_or(Duration::ZERO, |found| load_time_of(found, engine));
+                .map_or(Duration::ZERO, |found| {
+                    found.load_time(engine.source_of(model))
+                });
             let ready = engine.ready_in(view.now, model, load);
             self.comes(model, ready);
         }
@@ -148,18 +151,18 @@
     ) {
         let index = self.sites.len();
         for model in &engine.on_disk {
-            self.note_copy(model, index, false);
+            self.note_copy(model, index, WeightsSource::Disk);
         }
         for model in &engine.in_memory {
-            self.note_copy(model, index, true);
+            self.note_copy(model, index, WeightsSource::Memory);
         }
         let site = self.site(view, instance, engine, opens_in);
         self.sites.push(site);
     }
 
-    fn note_copy(&mut self, model: &ModelName, site: usize, in_memory: bool) {
+    fn note_copy(&mut self, model: &ModelName, site: usize, source: WeightsSource) {
         let copies = self.copies.entry(model.clone()).or_default();
-        copies.push(Copy { site, in_memory });
+        copies.push(Copy { site, source });
     }
 
     fn site(
@@ -192,7 +195,6 @@
             busyness: self.busyness(engine),
             opens_in,
             evictable,
-            taken: false,
         }
     }
 
@@ -227,42 +229,42 @@
     }
 
     /// An instruction for an engine was planned: it gets no other in this round.
-    pub(crate) fn taken(&mut self, instance: &InstanceId) {
-        let sites = self.sites.iter_mut();
-        for site in sites.filter(|site| site.instance == *instance) {
-            site.taken = true;
-        }
+    pub(crate) fn instruct(&mut self, instance: &InstanceId) {
+        self.instructed.insert(instance.clone());
+    }
+
+    /// Whether an instruction for an engine was planned in this round.
+    pub(crate) fn is_instructed(&self, instance: &InstanceId) -> bool {
+        self.instructed.contains(instance)
     }
 
     /// The cheapest place for a model that `waiting` requests wait for, among the sites that are `fit`,
-    /// which is told whether a copy of its weights is there. What makes way costs `limit` at most.
+    /// which is told where its weights would come from. What makes way costs `limit` at most.
     pub(crate) fn cheapest(
         &self,
         specification: &EngineSpec,
         model: &ModelName,
         waiting: f64,
         limit: f64,
-        fit: impl Fn(&Site, bool) -> bool,
+        fit: impl Fn(&Site, WeightsSource) -> bool,
     ) -> Option<Place> {
         let wanted = self.model(specification, model)?;
-        let mut load_millis = vec![None; self.sites.len()];
+        let mut sources = vec![WeightsSource::Store; self.sites.len()];
         for copy in self.copies.get(model).into_iter().flatten() {
-            load_millis[copy.site] = Some(if copy.in_memory {
-                wanted.memory_load_millis
-            } else {
-                wanted.disk_load_millis
-            });
+            sources[copy.site] = copy.source;
         }
         let holders = self.holders_of(model);
         self.sites
             .iter()
-            .zip(load_millis)
-            .filter(|(site, copy)| {
-                !site.taken && fit(site, copy.is_some()) && !holders.contains(&site.instance)
+            .zip(sources)
+            .filter(|(site, source)| {
+                !self.is_instructed(&site.instance)
+                    && fit(site, *source)
+                    && !holders.contains(&site.instance)
             })
-            .filter_map(|(site, copy)| {
-                let millis = copy.unwrap_or(wanted.load_millis);
-                let mut place = site.place(wanted.weights_kilobytes, millis, limit)?;
+            .filter_map(|(site, source)| {
+                let load = wanted.load_time(source);
+                let mut place = site.place(wanted.weights_kilobytes, load, limit)?;
                 place.cost += self.waiting_cost(model, waiting, place.ready_in());
                 Some(place)
             })
@@ -286,7 +288,7 @@
         let engine = view.engine(instance)?;
         let wanted = self.model(view.specification, model)?;
         let site = self.site(view, instance.clone(), engine, Duration::ZERO);
-        let load = load_time_of(wanted, engine).as_millis() as u64;
+        let load = wanted.load_time(engine.source_of(model));
         site.place(wanted.weights_kilobytes, load, f64::MAX)
     }
 
@@ -385,7 +387,7 @@
     }
     let pending = engine.pending.as_ref()?;
     let timely = pending.accepted && view.now < pending.done_at;
-    if engine.planned.is_some() || engine.revision.is_none() || !timely {
+    if engine.revision.is_none() || !timely {
         return None;
     }
     let open = view.history.open_from(instance, view.handover);
@@ -394,12 +396,12 @@
 }
 
 impl Site {
-    /// What it costs to bring a model of this size here, whose load takes `load_millis`, and the
-    /// first model that must make way; all that must make way costs `limit` at most.
-    fn place(&self, kilobytes: u64, load_millis: u64, limit: f64) -> Option<Place> {
+    /// What it costs to bring a model of this size here, whose load takes `load`, and the first model
+    /// that must make way; all that must make way costs `limit` at most.
+    fn place(&self, kilobytes: u64, load: Duration, limit: f64) -> Option<Place> {
         let mut free = self.free_kilobytes;
         let mut lost = 0.0;
-        let mut takes = Duration::from_millis(load_millis);
+        let mut takes = load;
         let mut victim = None;
         for candidate in &self.evictable {
             if free >= kilobytes {
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -2,15 +2,19 @@
 
 use crate::engines::Engine;
 use crate::fleet::{Fleet, FleetOutput};
-use crate::planner;
 use millpass_proto::{
     AdapterName, DeploymentDocument, Duration, GatewayUpdate, InstructionOperation, ModelName,
-    ModelOutlook, ServiceSpec, Timestamp,
+    ModelOutlook, ServiceName, ServiceSpec, Timestamp,
 };
 
 impl Fleet {
-    /// What is being loaded, for gateways to estimate waits.
-    pub(crate) fn refresh_outlook(&mut self, now: Timestamp, document: &DeploymentDocument) {
+    /// What is being loaded or `awaited`, for gateways to estimate waits.
+    pub(crate) fn refresh_outlook(
+        &mut self,
+        now: Timestamp,
+        document: &DeploymentDocument,
+        awaited: Vec<ModelOutlook>,
+    ) {
         let mut outlook = Vec::new();
         for service in &document.services {
             for record in self.registry.records() {
@@ -22,17 +26,8 @@
                 };
                 outlook.extend(outlook_of(now, service, engine));
             }
-            for awaited in &self.awaited {
-                if awaited.service == service.name {
-                    outlook.push(model_outlook(
-                        service,
-                        &awaited.model,
-                        None,
-                        awaited.ready_in,
-                    ));
-                }
-            }
         }
+        outlook.extend(awaited);
         let same = outlook.len() == self.outlook.len()
             && outlook
                 .iter()
@@ -108,23 +103,35 @@
         let adapter = pending.adapter.clone()?;
         let left = pending.done_at.since(now);
         let load = pending.operation == InstructionOperation::Load;
-        load.then(|| model_outlook(service, &pending.model, Some(adapter), left))
+        load.then(|| model_outlook(&service.name, &pending.model, Some(adapter), left))
     });
     let models = engine.brought().map(|model| {
-        let load = planner::load_time(specification, engine, model);
-        model_outlook(service, model, None, engine.ready_in(now, model, load))
+        let found = specification
+            .models
+            .iter()
+            .find(|found| found.name == *model);
+        let load = found.map_or(Duration::ZERO, |found| {
+            found.load_time(engine.source_of(model))
+        });
+        model_outlook(
+            &service.name,
+            model,
+            None,
+            engine.ready_in(now, model, load),
+        )
     });
     loading.into_iter().chain(models).collect()
 }
 
-fn model_outlook(
-    service: &ServiceSpec,
+/// When a model, or adapter, will be ready.
+pub(crate) fn model_outlook(
+    service: &ServiceName,
     model: &ModelName,
     adapter: Option<AdapterName>,
     ready_in: Duration,
 ) -> ModelOutlook {
     ModelOutlook {
-        service: service.name.clone(),
+        service: service.clone(),
         model: model.clone(),
         adapter,
         ready_in_millis: ready_in.as_millis() as u64,
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -100,11 +100,16 @@
 }
 
 fn state(revision: u64, models: &[&str]) -> InstructionAnswer {
+    state_with_copies(revision, models, &[])
+}
+
+/// A state with copies of weights in host memory.
+fn state_with_copies(revision: u64, models: &[&str], in_memory: &[&str]) -> InstructionAnswer {
     InstructionAnswer::State(EngineState {
         revision,
         busy: false,
         models: held(models),
-        in_memory: Vec::new(),
+        in_memory: in_memory.iter().map(|name| (*name).into()).collect(),
         on_disk: Vec::new(),
         coming: Vec::new(),
     })
@@ -253,14 +258,7 @@
     let mut second = record("e-2", 1, &["b"]);
     second.in_memory = vec!["c".into()];
     bench.fleet.announce(at(1_000), second, false);
-    let read = InstructionAnswer::State(EngineState {
-        revision: 0,
-        busy: false,
-        models: held(&["b"]),
-        in_memory: vec!["c".into()],
-        on_disk: Vec::new(),
-        coming: Vec::new(),
-    });
+    let read = state_with_copies(0, &["b"], &["c"]);
     bench.fleet.answered(at(1_000), &"e-2".into(), &read);
     bench
         .fleet
@@ -641,14 +639,7 @@
     let mut first = record("e-1", 1_000, &["a"]);
     first.in_memory = vec!["c".into()];
     bench.fleet.announce(at(1_000), first, false);
-    let read = InstructionAnswer::State(EngineState {
-        revision: 0,
-        busy: false,
-        models: held(&["a"]),
-        in_memory: vec!["c".into()],
-        on_disk: Vec::new(),
-        coming: Vec::new(),
-    });
+    let read = state_with_copies(0, &["a"], &["c"]);
     bench.fleet.answered(at(1_000), &"e-1".into(), &read);
     bench
         .fleet
@@ -695,20 +686,12 @@
 #[test]
 fn gateways_are_told_when_a_model_that_waits_for_an_engine_will_serve() {
     let mut bench = Bench::new();
-    let copies = |models: &[&str], revision| {
-        InstructionAnswer::State(EngineState {
-            revision,
-            busy: false,
-            models: held(models),
-            in_memory: vec!["c".into()],
-            on_disk: Vec::new(),
-            coming: Vec::new(),
-        })
-    };
     bench.engine(1_000, "e-1", &["a"]);
-    bench
-        .fleet
-        .answered(at(1_000), &"e-1".into(), &copies(&["a"], 0));
+    bench.fleet.answered(
+        at(1_000),
+        &"e-1".into(),
+        &state_with_copies(0, &["a"], &["c"]),
+    );
     bench
         .fleet
         .report(at(1_050), 1, &report(vec![need("b", None)]));
--- a/crates/millpass-gateway/src/pool.rs
+++ b/crates/millpass-gateway/src/pool.rs
@@ -95,14 +95,15 @@
         if time.is_zero() || sender.is_closed() {
             return;
         }
+        let now = Instant::now();
         let mut idle = self.lock();
         let connections = idle.entry(instance.clone()).or_default();
         connections.retain(|connection| !connection.sender.is_closed());
         if connections.len() < MAXIMUM_IDLE {
             connections.push(Idle {
                 sender,
-                from: Instant::now() + REST_TIME,
-                until: Instant::now() + time,
+                from: now + REST_TIME,
+                until: now + time,
             });
         }
     }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -157,11 +157,6 @@
             self.shared.pool.put(&instance, sender, self.keep_alive);
         }
         active.end(SendEnd::Answered(self.took));
-        self.note_answered();
-    }
-
-    /// Logs, once, that the whole answer was passed on.
-    fn note_answered(&mut self) {
         if !self.note_end() {
             return;
         }
--- a/crates/millpass-lab/tests/relay.rs
+++ b/crates/millpass-lab/tests/relay.rs
@@ -4,6 +4,7 @@
     LinkSettings, PathKey, PathSettings, PathTable, Relay, RelaySettings, SourceRule, UNKNOWN_ZONE,
 };
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -157,9 +158,11 @@
 
 #[test]
 fn a_target_that_is_gone_ends_the_connection() {
-    let gone = TcpListener::bind(any_port()).expect("a listener");
-    let target = gone.local_addr().expect("an address");
-    drop(gone);
+    // The port is held and not listened on: a port given back may be another test's a moment later.
+    let gone = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    gone.bind(&any_port().into()).expect("bound");
+    let target = gone.local_addr().ok().and_then(|local| local.as_socket());
+    let target = target.expect("an address");
     let relay = relay_to(target, zone_a(), 8);
     let mut near = connect(&relay);
     match near.read(&mut [0]) {
--- a/crates/millpass-proto/src/lib.rs
+++ b/crates/millpass-proto/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod generated;
 mod identity;
 pub mod time;
+mod weights;
 
 pub use generated::*;
 pub use time::{Duration, Timestamp};
+pub use weights::WeightsSource;
