Loads from the weight store at once are bounded by a capacity that is learned from how long loads take

Ruled out: the store's rate (never reached), engines that refuse (2 of 432 orders). Change: StoreCapacity infers from each load's time, and from how many loads were under way beside it, the number the store serves at full speed; the limit grows by half while loads are not slowed. A place that needs the store counts the wait for it, so copies on disks win while it is full. Weighed: AIMD (oscillates over minutes at loads of seconds), a constant (on no wire). Tests: stores of 1 to 70 loads at once, 1.3 and 6 s a load, disturbed and stuck ones, random looks; the fleet begins no more than the limit and takes a copy on a disk meanwhile. Without the limit the first of these begins all 20.

--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -28,6 +28,10 @@
     pub(crate) adapter: Option<AdapterName>,
     pub(crate) sent_at: Timestamp,
     pub(crate) accepted: bool,
+    /// The weights come from the weight store.
+    pub(crate) from_store: bool,
+    /// Expected time at full speed.
+    pub(crate) takes: Duration,
     /// When it should be done.
     pub(crate) done_at: Timestamp,
 }
@@ -54,6 +58,8 @@
     /// Adapters on their way when its state was last read, and when that was.
     coming: Vec<HeldModel>,
     coming_at: Timestamp,
+    /// When it was last read to be busy with an order that is not known here.
+    busy_elsewhere_at: Option<Timestamp>,
     /// Its state could not be read: it serves nothing until it is heard of again.
     pub(crate) unreachable: bool,
     /// Model to load once what is under way makes room.
@@ -121,6 +127,7 @@
         self.coming.clone_from(&state.coming);
         self.coming_at = now;
         self.take(now, &state.models, &state.in_memory, &state.on_disk);
+        self.busy_elsewhere_at = None;
         if !state.busy {
             self.pending = None;
         } else if let Some(pending) = &mut self.pending {
@@ -128,11 +135,34 @@
             pending.done_at = pending.done_at.max(now);
         } else {
             // An order of somebody else, or a late one: look again.
+            self.busy_elsewhere_at = Some(now);
             self.revision = None;
             self.read_after = now + READ_PAUSE;
         }
     }
 
+    /// The load from the weight store that it carries out, as far as it is known to have begun.
+    pub(crate) fn store_load(&self) -> Option<&Pending> {
+        self.pending
+            .as_ref()
+            .filter(|pending| pending.from_store && pending.accepted)
+    }
+
+    /// Whether it may carry out a load from the weight store: one that was sent, is about to follow
+    /// the room made for it, or is of an earlier leader.
+    pub(crate) fn may_load_from_store(&self, now: Timestamp) -> bool {
+        let sent = self.pending.as_ref().is_some_and(|it| it.from_store);
+        let follows = self.reserved.as_ref();
+        let follows = follows.is_some_and(|model| self.source_of(model) == WeightsSource::Store);
+        sent || follows || self.is_busy_elsewhere(now)
+    }
+
+    /// Whether it carries out an order that is not known here.
+    pub(crate) fn is_busy_elsewhere(&self, now: Timestamp) -> bool {
+        self.busy_elsewhere_at
+            .is_some_and(|at| now.since(at) < CALL_LIMIT)
+    }
+
     fn apply_overlay(&mut self, now: Timestamp) {
         self.overlay
             .retain(|change| now.since(change.at) < ADAPTER_OVERLAY);
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -7,9 +7,11 @@
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
+use crate::store::{LoadUnderWay, StoreCapacity};
 use millpass_proto::{
     DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate, InstanceId,
-    InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelOutlook, Timestamp,
+    InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelName, ModelOutlook,
+    Timestamp,
 };
 
 /// Time between two looks for work when nothing happens.
@@ -87,6 +89,7 @@
     demand: Demand,
     pub(crate) engines: Engines,
     permits: StorePermits,
+    store: StoreCapacity,
     /// Instructions of earlier leaders.
     history: InstructionHistory,
     /// When this member took charge.
@@ -114,6 +117,7 @@
             demand: Demand::default(),
             engines: Engines::default(),
             permits: StorePermits::default(),
+            store: StoreCapacity::default(),
             in_charge_since: None,
             term: 0,
             outlook: Vec::new(),
@@ -316,6 +320,7 @@
             for instance in self.registry.silent(now, self.settings.instance_silence) {
                 self.forget(&instance, "silent");
             }
+            self.observe_store(now);
             if let Some(document) = document {
                 self.plan(now, document);
             }
@@ -326,6 +331,33 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Learns how many loads at once the weight store serves well.
+    fn observe_store(&mut self, now: Timestamp) {
+        let engines = &self.engines.engines;
+        let loads = engines.iter().filter_map(|(instance, engine)| {
+            let pending = engine.store_load()?;
+            Some(LoadUnderWay {
+                instance: instance.clone(),
+                model: pending.model.clone(),
+                stated: pending.takes,
+            })
+        });
+        let busy = engines
+            .values()
+            .filter(|engine| engine.is_busy_elsewhere(now));
+        let ended = |instance: &InstanceId, model: &ModelName| {
+            let engine = engines.get(instance);
+            engine.is_some_and(|engine| engine.holds(model, None))
+        };
+        let changed = self
+            .store
+            .observe(now, loads.collect(), busy.count(), ended);
+        if changed {
+            let pairs = vec![("loads_at_once", self.store.limit().to_string())];
+            self.event("store-limit", pairs);
+        }
+    }
+
     fn shortest_plan_interval(&self) -> Duration {
         let engines = u32::try_from(self.engines.engines.len()).unwrap_or(u32::MAX);
         MINIMUM_PLAN_INTERVAL.max(PLAN_INTERVAL_PER_ENGINE.saturating_mul(engines))
@@ -360,6 +392,7 @@
                 engines: &mut self.engines,
                 demand: &mut self.demand,
                 permits: &mut self.permits,
+                store: &self.store,
                 awaited: &mut awaited,
                 history: &self.history,
                 handover: self.settings.order_handover,
@@ -398,6 +431,8 @@
                 adapter: adapter.clone(),
                 sent_at: now,
                 accepted: false,
+                from_store: step.from_store,
+                takes: step.takes,
                 done_at: now + step.takes,
             },
         );
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `engines` | one instruction at a time for each engine, and what it holds |
 //! | `handover` | what is known of the instructions of earlier leaders |
 //! | `permits` | loads that the weight store allows |
+//! | `store` | how many loads at once the weight store serves well |
 //! | `cost` | what a placement costs and saves, in one unit |
 //! | `round` | what a round of planning looks up often |
 //! | `adapters` | which engine loads an adapter |
@@ -28,9 +29,11 @@
 mod planner;
 mod registry;
 mod round;
+mod store;
 mod updates;
 
 pub use demand::ModelKey;
 pub use fleet::{Fleet, FleetEvent, FleetOutput, FleetSettings};
 pub use handover::InstructionHistory;
 pub use permits::StorePermits;
+pub use store::{LoadUnderWay, StoreCapacity};
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -11,6 +11,7 @@
 use crate::permits::StorePermits;
 use crate::registry::Registry;
 use crate::round::{Place, Round};
+use crate::store::StoreCapacity;
 use crate::updates::model_outlook;
 use millpass_proto::{
     AdapterName, Duration, EngineSpec, InstanceId, InstructionOperation, ModelName, ModelOutlook,
@@ -54,6 +55,7 @@
     pub(crate) engines: &'a mut Engines,
     pub(crate) demand: &'a mut Demand,
     pub(crate) permits: &'a mut StorePermits,
+    pub(crate) store: &'a StoreCapacity,
     /// Takes when models that wait for an engine or a permit of the weight store are expected to serve.
     pub(crate) awaited: &'a mut Vec<ModelOutlook>,
     /// Instructions of earlier leaders, and how long engines are left alone after them.
@@ -212,6 +214,14 @@
         };
         let source = engine.source_of(model);
         let from_store = place.victim.is_none() && source == WeightsSource::Store;
+        if source == WeightsSource::Store && engine.reserved.as_ref() != Some(model) {
+            if round.store_is_full() {
+                round.store_queue += 1;
+                self.await_model(model, place.takes);
+                return;
+            }
+            round.store_loads += 1;
+        }
         let (operation, subject, takes) = match &place.victim {
             Some(victim) => {
                 engine.reserved = Some(model.clone());
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -89,6 +89,13 @@
     wanted: BTreeSet<ModelName>,
     /// Engines for which an instruction was planned in this round.
     instructed: BTreeSet<InstanceId>,
+    /// Loads from the weight store that are under way or about to begin, and how many there may be.
+    pub(crate) store_loads: usize,
+    store_limit: usize,
+    /// Loads that wait for the weight store.
+    pub(crate) store_queue: usize,
+    /// Time until the first load under way should end.
+    store_opens_in: Duration,
 }
 
 impl Round {
@@ -113,6 +120,12 @@
             round.business.insert(model.clone(), reading.max(running));
             round.rates.insert(model, load.lasting_rate);
         }
+        let engines = usable.iter().map(|(_, engine)| engine);
+        round.store_loads = engines
+            .filter(|engine| engine.may_load_from_store(view.now))
+            .count();
+        round.store_limit = view.store.limit();
+        round.store_opens_in = view.store.opens_in();
         round.wanted = unmet.iter().map(|need| need.key.model.clone()).collect();
         for (instance, engine) in usable {
             if engine.reserved.is_some() {
@@ -233,6 +246,21 @@
         self.instructed.insert(instance.clone());
     }
 
+    /// Whether no further load from the weight store may begin.
+    pub(crate) fn store_is_full(&self) -> bool {
+        self.store_loads >= self.store_limit
+    }
+
+    /// Time until a further load from the weight store may begin, if loads take `load`.
+    fn store_wait(&self, load: Duration) -> Duration {
+        if !self.store_is_full() {
+            return Duration::ZERO;
+        }
+        let limit = u32::try_from(self.store_limit.max(1)).unwrap_or(u32::MAX);
+        let queue = u32::try_from(self.store_queue).unwrap_or(u32::MAX);
+        self.store_opens_in + load.saturating_mul(queue) / limit
+    }
+
     /// Whether an instruction for an engine was planned in this round.
     pub(crate) fn is_instructed(&self, instance: &InstanceId) -> bool {
         self.instructed.contains(instance)
@@ -263,7 +291,10 @@
                     && !holders.contains(&site.instance)
             })
             .filter_map(|(site, source)| {
-                let load = wanted.load_time(source);
+                let mut load = wanted.load_time(source);
+                if source == WeightsSource::Store {
+                    load += self.store_wait(load);
+                }
                 let mut place = site.place(wanted.weights_kilobytes, load, limit)?;
                 place.cost += self.waiting_cost(model, waiting, place.ready_in());
                 Some(place)
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -1,6 +1,8 @@
 //! Instances, gateways, and which engine loads what.
 
-use millpass_fleet::{Fleet, FleetOutput, FleetSettings, InstructionHistory, StorePermits};
+use millpass_fleet::{
+    Fleet, FleetOutput, FleetSettings, InstructionHistory, StoreCapacity, StorePermits,
+};
 use millpass_proto::*;
 use rstest::rstest;
 
@@ -715,3 +717,47 @@
     let ready = ready.expect("c is awaited").ready_in_millis;
     assert!((1_700..3_000).contains(&ready), "{ready}");
 }
+
+#[test]
+fn no_more_loads_begin_at_once_than_the_weight_store_is_known_to_serve() {
+    let mut bench = Bench::new();
+    let service = &mut bench.document.services[0];
+    let engine = service.engine.as_mut().expect("an engine");
+    engine.milliloads_per_second = 100_000;
+    engine.models = (0..20).map(|index| model(&format!("m-{index}"))).collect();
+    for index in 0..20 {
+        bench.engine(1_000, &format!("e-{index}"), &[]);
+    }
+    let needs = (0..20).map(|index| need(&format!("m-{index}"), None));
+    bench.fleet.report(at(1_050), 1, &report(needs.collect()));
+    let mut begun = bench.instructions(1_100).len();
+    begun += bench.instructions(1_250).len();
+    let first = StoreCapacity::default().limit();
+    assert_eq!(begun, first, "of 20 that are asked for");
+}
+
+#[test]
+fn a_copy_on_a_disk_is_loaded_while_the_weight_store_has_no_room() {
+    let mut bench = Bench::new();
+    let service = &mut bench.document.services[0];
+    let engine = service.engine.as_mut().expect("an engine");
+    engine.milliloads_per_second = 100_000;
+    engine.models = (0..9).map(|index| model(&format!("m-{index}"))).collect();
+    for index in 0..9 {
+        bench.engine(1_000, &format!("e-{index}"), &[]);
+    }
+    let needs = (0..8).map(|index| need(&format!("m-{index}"), None));
+    bench.fleet.report(at(1_050), 1, &report(needs.collect()));
+    let first = bench.instructions(1_100).len();
+    assert_eq!(first, StoreCapacity::default().limit());
+    let mut copy = record("e-8", 2_000, &[]);
+    copy.on_disk = vec!["m-8".into()];
+    bench.fleet.announce(at(1_200), copy, false);
+    bench
+        .fleet
+        .report(at(1_210), 1, &report(vec![need("m-8", None)]));
+    let second = bench.instructions(1_300);
+    assert_eq!(second.len(), 1, "{second:?}");
+    assert_eq!(second[0].model, "m-8".into());
+    assert_eq!(second[0].instance, "e-8".into());
+}
--- /dev/null
+++ b/crates/millpass-fleet/tests/store.rs
@@ -0,0 +1,173 @@
+//! How many loads at once are begun before weight stores of different capacities, in virtual time.
+
+use millpass_fleet::{LoadUnderWay, StoreCapacity};
+use millpass_proto::{Duration, InstanceId, Timestamp};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+/// Time between two looks.
+const STEP: Duration = Duration::from_millis(100);
+
+/// A weight store that serves some loads at full speed and shares that speed among more.
+struct SharedStore {
+    capacity: f64,
+    stated: Duration,
+    /// Seconds of full speed that each load still needs.
+    left: BTreeMap<InstanceId, f64>,
+    begun: usize,
+    ended: usize,
+    now: Timestamp,
+}
+
+impl SharedStore {
+    fn new(capacity: f64, stated: Duration) -> Self {
+        SharedStore {
+            capacity,
+            stated,
+            left: BTreeMap::new(),
+            begun: 0,
+            ended: 0,
+            now: Timestamp::from_millis(1_000),
+        }
+    }
+
+    fn begin(&mut self) -> InstanceId {
+        self.begun += 1;
+        let instance = InstanceId(format!("e-{}", self.begun));
+        self.left
+            .insert(instance.clone(), self.stated.as_secs_f64());
+        instance
+    }
+
+    /// Lets a step pass and shows the learner what is under way.
+    fn step(&mut self, learner: &mut StoreCapacity) {
+        let share = (self.capacity / self.left.len().max(1) as f64).min(1.0);
+        for left in self.left.values_mut() {
+            *left -= share * STEP.as_secs_f64();
+        }
+        let before = self.left.len();
+        self.left.retain(|_, left| *left > 0.0);
+        self.ended += before - self.left.len();
+        self.now = self.now + STEP;
+        self.show(learner);
+    }
+
+    fn show(&self, learner: &mut StoreCapacity) {
+        let loads = self.left.keys().map(|instance| LoadUnderWay {
+            instance: instance.clone(),
+            model: "m".into(),
+            stated: self.stated,
+        });
+        learner.observe(self.now, loads.collect(), 0, |_, _| true);
+    }
+
+    /// Lets `time` pass while more loads are wanted than may begin.
+    fn press(&mut self, learner: &mut StoreCapacity, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            while self.left.len() < learner.limit() {
+                self.begin();
+            }
+            self.show(learner);
+            self.step(learner);
+        }
+    }
+}
+
+#[rstest]
+fn the_limit_comes_to_what_the_store_serves_at_full_speed(
+    #[values(1.0, 2.0, 4.0, 7.0, 13.0, 30.0, 70.0)] capacity: f64,
+    #[values(1_300, 6_000)] stated: u64,
+) {
+    let stated = Duration::from_millis(stated);
+    let mut store = SharedStore::new(capacity, stated);
+    let mut learner = StoreCapacity::default();
+    store.press(&mut learner, stated * 14);
+    let limit = learner.limit() as f64;
+    assert!(limit >= capacity * 0.8 - 0.5, "{limit} of {capacity}");
+    assert!(limit <= capacity * 1.5 + 0.5, "{limit} of {capacity}");
+}
+
+#[test]
+fn loads_go_on_ending_before_a_store_that_serves_few() {
+    let stated = Duration::from_secs(6);
+    let mut store = SharedStore::new(4.0, stated);
+    let mut learner = StoreCapacity::default();
+    store.press(&mut learner, Duration::from_secs(34));
+    assert!(store.ended >= 15, "ended {} of 22 possible", store.ended);
+}
+
+#[test]
+fn one_load_that_never_ends_does_not_lower_the_limit() {
+    let stated = Duration::from_secs(3);
+    let mut store = SharedStore::new(30.0, stated);
+    let mut learner = StoreCapacity::default();
+    let stuck = store.begin();
+    store.left.insert(stuck, f64::MAX);
+    store.press(&mut learner, Duration::from_secs(40));
+    assert!(learner.limit() >= 20, "{}", learner.limit());
+}
+
+#[test]
+fn a_store_that_was_disturbed_is_trusted_again_later() {
+    let stated = Duration::from_secs(3);
+    let mut store = SharedStore::new(12.0, stated);
+    let mut learner = StoreCapacity::default();
+    store.press(&mut learner, Duration::from_secs(30));
+    store.capacity = 2.0;
+    store.press(&mut learner, Duration::from_secs(20));
+    assert!(learner.limit() <= 4, "{}", learner.limit());
+    store.capacity = 12.0;
+    store.press(&mut learner, Duration::from_secs(60));
+    assert!(learner.limit() >= 9, "{}", learner.limit());
+}
+
+#[test]
+fn a_load_that_is_lost_tells_nothing() {
+    let mut store = SharedStore::new(30.0, Duration::from_secs(3));
+    let mut learner = StoreCapacity::default();
+    let before = learner.limit();
+    for _ in 0..3 {
+        store.begin();
+    }
+    store.show(&mut learner);
+    store.step(&mut learner);
+    store.left.clear();
+    store.now = store.now + STEP;
+    learner.observe(store.now, Vec::new(), 0, |_, _| false);
+    assert_eq!(learner.limit(), before);
+}
+
+#[test]
+fn the_limit_stays_within_bounds_whatever_loads_do() {
+    let config = Config {
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let generator = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let look = (0_u64..20_000, 0_usize..6, 0_usize..4, any::<bool>());
+    let looks = proptest::collection::vec(look, 1..60);
+    TestRunner::new_with_rng(config, generator)
+        .run(&(looks, 0_u64..60_000), |(looks, stated)| {
+            let mut learner = StoreCapacity::default();
+            let mut now = Timestamp::ZERO;
+            let mut most = learner.limit();
+            for (millis, loads, others, brought) in looks {
+                now = now + Duration::from_millis(millis);
+                let under_way = (0..loads).map(|index| LoadUnderWay {
+                    instance: InstanceId(format!("e-{index}")),
+                    model: "m".into(),
+                    stated: Duration::from_millis(stated),
+                });
+                most = most.max(loads + others);
+                learner.observe(now, under_way.collect(), others, |_, _| brought);
+                prop_assert!(learner.limit() >= 1);
+                let limit = learner.limit();
+                prop_assert!(limit <= most * 2, "{limit} with {most} at once");
+            }
+            Ok(())
+        })
+        .expect("bounded");
+}
