Loads by worth at stake: needs and replicas compete in one unit; overloaded models gain by replicas

A model whose requests would fill more than 1.9 engines seemed to lose by a further replica, since the queue was counted per replica at most at 95 in 100: such a model got none. The only replica of a hot model made way for rare ones at the price of a load from disk, though its engine was then held up for a load of 6 s. Change: one list of what loads would serve, the most delay saved first; replicas are wanted as many as are lacking, those that are coming counted; requests beyond what all replicas serve count; an only replica's loss counts the time that its engine is held up, unless another engine has a copy. Test: a model that would fill 1, 2, 4 or 9 engines gets replicas; three of the four cases failed before.

--- a/crates/millpass-fleet/src/cost.rs
+++ b/crates/millpass-fleet/src/cost.rs
@@ -14,6 +14,10 @@
 /// Share of its time that an engine is taken to be busy at most; beyond it, delays grow without bounds.
 const FULLEST: f64 = 0.95;
 
+/// What requests count for that come beyond what all replicas serve, as a multiple of the queue before a
+/// replica that is as busy as can be. Above one, or a further replica would seem to add to the queues.
+const OVERLOAD: f64 = 2.0;
+
 /// Delay caused within the horizon by taking away the only replica of a model that is asked for `rate`
 /// times a second and comes back in `restore_millis`.
 pub(crate) fn absence(rate: f64, restore_millis: f64) -> f64 {
@@ -34,12 +38,23 @@
 }
 
 /// Delay within the horizon of requests that queue at the replicas of a model, each of which serves at a
-/// steady rate.
+/// steady rate, and of those that come beyond what all of them serve.
 fn queueing(business: f64, replicas: usize) -> f64 {
     let replicas = replicas.max(1) as f64;
-    let share = (business / replicas).min(FULLEST);
-    let queue = share * share / (1.0 - share) / 2.0;
-    queue * replicas * HORIZON_SECONDS * 1_000.0
+    let queued = replicas * queue((business / replicas).min(FULLEST));
+    let beyond = (business - FULLEST * replicas).max(0.0);
+    let overload = beyond * OVERLOAD * queue(FULLEST) / FULLEST;
+    (queued + overload) * HORIZON_SECONDS * 1_000.0
+}
+
+/// Mean queue before an engine that is busy for a share of its time with requests of equal length.
+fn queue(share: f64) -> f64 {
+    share * share / (1.0 - share) / 2.0
+}
+
+/// Requests that come within the horizon at `rate` a second.
+pub(crate) fn expected(rate: f64) -> f64 {
+    rate * HORIZON_SECONDS
 }
 
 /// What it is worth to serve requests that wait, at most.
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -69,10 +69,42 @@
     let unmet = view.demand.unmet(view.now, view.service);
     let mut round = Round::gather(view, &unmet);
     view.follow_reservations(&mut round, steps);
-    for need in &unmet {
-        view.meet(need, &mut round, steps);
+    for want in wants(&unmet, &round) {
+        match want.what {
+            Wanted::Need(need) => view.meet(need, &mut round, steps),
+            Wanted::Replica(model) => view.add_replica(&model, &mut round, steps),
+        }
     }
-    view.spread(&mut round, steps);
+}
+
+/// Something that a load would serve.
+struct Want<'a> {
+    /// Delay of requests that it would save, in milliseconds; see [`cost`].
+    worth: f64,
+    what: Wanted<'a>,
+}
+
+enum Wanted<'a> {
+    /// A model or adapter that requests wait for.
+    Need(&'a Unmet),
+    /// A further replica of a busy model.
+    Replica(ModelName),
+}
+
+/// What loads would serve, the most worth first: the weight store's time is scarce. What is worth the same
+/// goes by urgency, then by age.
+fn wants<'a>(unmet: &'a [Unmet], round: &Round) -> Vec<Want<'a>> {
+    let needs = unmet.iter().map(|need| Want {
+        worth: cost::serving(need.requests + round.expected(&need.key.model)),
+        what: Wanted::Need(need),
+    });
+    let replicas = round.busy_models().into_iter().map(|(worth, model)| Want {
+        worth,
+        what: Wanted::Replica(model),
+    });
+    let mut wants: Vec<Want<'_>> = needs.chain(replicas).collect();
+    wants.sort_by(|left, right| right.worth.total_cmp(&left.worth));
+    wants
 }
 
 impl View<'_> {
@@ -250,34 +282,29 @@
         });
     }
 
-    /// Gives busy models further replicas: where a copy is at hand, or from the weight store while
+    /// Gives a busy model a further replica: where a copy is at hand, or from the weight store while
     /// needs that nobody serves leave it enough permits.
-    fn spread(&mut self, round: &mut Round, steps: &mut Vec<Step>) {
+    fn add_replica(&mut self, model: &ModelName, round: &mut Round, steps: &mut Vec<Step>) {
         let milliloads = self.specification.milliloads_per_second;
-        for (share, model) in round.busy_models() {
-            if round.coming_in(&model).is_some() {
-                continue;
-            }
-            let spare = self.permits.used(self.now, milliloads) < SPREAD_PERMITS;
-            let place = round.replica_place(self.specification, &model, share, spare);
-            if let Some(place) = place.filter(|place| place.opens_in.is_zero()) {
-                self.begin(&place, &model, "busy", round, steps);
-            }
+        let spare = self.permits.used(self.now, milliloads) < SPREAD_PERMITS;
+        let place = round.replica_place(self.specification, model, spare);
+        if let Some(place) = place.filter(|place| place.opens_in.is_zero()) {
+            self.begin(&place, model, "busy", round, steps);
         }
     }
 }
 
 impl Round {
     /// Where a further replica of a model costs least; only engines that are much less busy than
-    /// its holders, which spend `share` of their time on it.
+    /// its holders.
     fn replica_place(
         &self,
         specification: &EngineSpec,
         model: &ModelName,
-        share: f64,
         from_store: bool,
     ) -> Option<Place> {
         let gain = self.replica_gain(model);
+        let share = self.share(model);
         self.cheapest(specification, model, 0.0, gain, |site, source| {
             site.busyness < share / 2.0 && (from_store || source != WeightsSource::Store)
         })
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -42,11 +42,44 @@
 /// A model that may make way.
 struct Evictable {
     model: ModelName,
-    /// Delay of requests that its absence causes, in milliseconds.
-    value: f64,
+    loss: Loss,
     kilobytes: u64,
 }
 
+/// Delay of requests that the absence of a replica causes.
+#[derive(Clone, Copy)]
+enum Loss {
+    /// Others serve on: the delay, in milliseconds.
+    Replica(f64),
+    /// It is the only one.
+    Only {
+        /// Requests a second.
+        rate: f64,
+        /// Time to bring it back, in milliseconds.
+        restore_millis: f64,
+        /// Its weights are at another engine too. Otherwise they come back only once the engine has
+        /// loaded what took its place.
+        elsewhere: bool,
+    },
+}
+
+impl Loss {
+    /// In milliseconds, if what takes its place loads for `load`.
+    fn millis(self, load: Duration) -> f64 {
+        match self {
+            Loss::Replica(millis) => millis,
+            Loss::Only {
+                rate,
+                restore_millis,
+                elsewhere,
+            } => {
+                let held_up = if elsewhere { Duration::ZERO } else { load };
+                cost::absence(rate, restore_millis + held_up.as_secs_f64() * 1_000.0)
+            }
+        }
+    }
+}
+
 /// An engine on which a model may be placed.
 pub(crate) struct Site {
     instance: InstanceId,
@@ -74,6 +107,8 @@
     holders: BTreeMap<ModelName, Vec<InstanceId>>,
     /// Models that are being loaded, or about to be, and when the first replica will be there.
     coming: BTreeMap<ModelName, Duration>,
+    /// How many replicas of each are coming.
+    coming_replicas: BTreeMap<ModelName, usize>,
     /// Engines that each model's requests would fill: the time that their prompts take to read, or the
     /// places that they take, whichever is more.
     business: BTreeMap<ModelName, f64>,
@@ -134,6 +169,7 @@
                 round.add_site(view, instance, engine, opens_in);
             }
         }
+        round.note_copies_elsewhere();
         round
     }
 
@@ -194,12 +230,13 @@
             .iter()
             .filter(|held| may_go(&held.model))
             .map(|held| Evictable {
-                value: self.value(specification, &held.model),
+                loss: self.loss(specification, &held.model),
                 kilobytes: self.held_kilobytes(specification, held),
                 model: held.model.clone(),
             })
             .collect();
-        evictable.sort_by(|left, right| left.value.total_cmp(&right.value));
+        let loss = |evictable: &Evictable| evictable.loss.millis(Duration::ZERO);
+        evictable.sort_by(|left, right| loss(left).total_cmp(&loss(right)));
         Site {
             instance,
             free_kilobytes: specification
@@ -239,6 +276,7 @@
     pub(crate) fn comes(&mut self, model: &ModelName, ready: Duration) {
         let known = self.coming.entry(model.clone()).or_insert(ready);
         *known = ready.min(*known);
+        *self.coming_replicas.entry(model.clone()).or_default() += 1;
     }
 
     /// An instruction for an engine was planned: it gets no other in this round.
@@ -323,43 +361,74 @@
         site.place(wanted.weights_kilobytes, load, f64::MAX)
     }
 
-    /// Models that take more of their holders' time than they serve well in, the busiest first,
-    /// with that time's share.
+    /// Models that take more of their replicas' time than those serve well in, once for each replica that
+    /// they lack, with the delay of requests that it saves.
     pub(crate) fn busy_models(&self) -> Vec<(f64, ModelName)> {
-        let mut busy: Vec<(f64, ModelName)> = self
-            .business
-            .iter()
-            .map(|(model, business)| {
-                let holders = self.holders(model).max(1) as f64;
-                (business / holders, model.clone())
-            })
-            .filter(|(share, _)| *share >= COMFORTABLE_SHARE)
-            .collect();
-        busy.sort_by(|left, right| right.0.total_cmp(&left.0));
+        let mut busy = Vec::new();
+        for (model, business) in &self.business {
+            let mut replicas = self.replicas(model).max(1);
+            while business / replicas as f64 >= COMFORTABLE_SHARE {
+                busy.push((cost::replica_gain(*business, replicas), model.clone()));
+                replicas += 1;
+            }
+        }
         busy
     }
 
+    /// Share of its time that a replica of a model spends on it, once all that are coming are there.
+    pub(crate) fn share(&self, model: &ModelName) -> f64 {
+        self.business_of(model) / self.replicas(model).max(1) as f64
+    }
+
     /// Delay of requests that a further replica of a model saves.
     pub(crate) fn replica_gain(&self, model: &ModelName) -> f64 {
-        let business = self.business.get(model).copied().unwrap_or_default();
-        let holders = self.holders(model);
-        cost::replica_gain(business, holders)
+        cost::replica_gain(self.business_of(model), self.replicas(model))
     }
 
-    /// Delay of requests that the absence of this replica, which counts among the holders, causes.
-    fn value(&self, specification: &EngineSpec, model: &ModelName) -> f64 {
+    /// Requests that are expected for a model within the horizon.
+    pub(crate) fn expected(&self, model: &ModelName) -> f64 {
+        cost::expected(self.rates.get(model).copied().unwrap_or_default())
+    }
+
+    fn business_of(&self, model: &ModelName) -> f64 {
+        self.business.get(model).copied().unwrap_or_default()
+    }
+
+    /// Engines that hold a model or will.
+    fn replicas(&self, model: &ModelName) -> usize {
+        let coming = self.coming_replicas.get(model).copied().unwrap_or_default();
+        self.holders(model) + coming
+    }
+
+    /// What the absence of this replica, which counts among the holders, causes.
+    fn loss(&self, specification: &EngineSpec, model: &ModelName) -> Loss {
         let others = self.holders(model).saturating_sub(1);
-        if others == 0 {
-            let rate = self.rates.get(model).copied().unwrap_or_default();
-            // Its load left a copy on the disk.
-            let load = self
-                .model(specification, model)
-                .map_or(0, |model| model.disk_load_millis.min(model.load_millis));
-            let restore = load as f64 + UNLOAD_TIME.as_millis() as f64;
-            return cost::absence(rate, restore);
+        if others > 0 {
+            let business = self.business_of(model);
+            return Loss::Replica(cost::replica_loss(business, others));
+        }
+        // Its load left a copy on the disk.
+        let load = self
+            .model(specification, model)
+            .map_or(0, |model| model.disk_load_millis.min(model.load_millis));
+        Loss::Only {
+            rate: self.rates.get(model).copied().unwrap_or_default(),
+            restore_millis: load as f64 + UNLOAD_TIME.as_millis() as f64,
+            elsewhere: false,
+        }
+    }
+
+    /// Notes which models have copies at more than one site.
+    fn note_copies_elsewhere(&mut self) {
+        for (index, site) in self.sites.iter_mut().enumerate() {
+            for evictable in &mut site.evictable {
+                if let Loss::Only { elsewhere, .. } = &mut evictable.loss {
+                    let copies = self.copies.get(&evictable.model);
+                    let mut sites = copies.into_iter().flatten().map(|copy| copy.site);
+                    *elsewhere = sites.any(|site| site != index);
+                }
+            }
         }
-        let business = self.business.get(model).copied().unwrap_or_default();
-        cost::replica_loss(business, others)
     }
 
     /// Share of its time that an engine spends on its models' requests.
@@ -368,7 +437,7 @@
             .held
             .iter()
             .map(|held| {
-                let business = self.business.get(&held.model).copied().unwrap_or_default();
+                let business = self.business_of(&held.model);
                 business / self.holders(&held.model).max(1) as f64
             })
             .sum()
@@ -439,7 +508,7 @@
                 break;
             }
             free += candidate.kilobytes;
-            lost += candidate.value;
+            lost += candidate.loss.millis(load);
             takes += UNLOAD_TIME;
             victim.get_or_insert(&candidate.model);
         }
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -761,3 +761,21 @@
     assert_eq!(second[0].model, "m-8".into());
     assert_eq!(second[0].instance, "e-8".into());
 }
+
+#[rstest]
+fn a_model_that_would_fill_several_engines_gets_further_replicas(
+    #[values(1, 2, 4, 9)] engines_filled: u32,
+) {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-0", &["a"]);
+    for index in 1..8 {
+        let name = format!("e-{index}");
+        bench.engine(1_000, &name, &["b", "c"]);
+    }
+    let mut busy = need("a", None);
+    busy.unserved = 0;
+    busy.in_flight = 8 * engines_filled;
+    bench.fleet.report(at(1_050), 1, &report(vec![busy]));
+    let instructions = bench.instructions(1_100);
+    assert!(!instructions.is_empty(), "nothing makes way for it");
+}
