Gateways are told what all of them have in flight at the busiest instances

Weighed: direct exchange between gateways (squares with their number), subsets of instances for each gateway (skewed where a zone has few), probes of engines (priced, and hold up work). Through the leader it is one more list in messages that travel anyway. Change: a report says what a gateway has in flight by instance; the leader adds up and names the busiest 64, so an update stays bounded at any size. A gateway counts the others' requests, or what the engine told itself if that is more. Without a leader what was told fades within seconds. Tests: sums, reports that are replaced, gateways that leave, absurd counts, the bound of 64; a full instance is passed over, own requests don't count twice, what nobody tells any more is forgotten.

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -134,6 +134,7 @@
             gateways: 0,
             members: Vec::new(),
             provisional: true,
+            loads: Vec::new(),
         };
         out.send_router(connection, ControlToRouter::Gateway(update));
     }
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -93,6 +93,7 @@
         version: 0,
         needs: Vec::new(),
         doubted: Vec::new(),
+        sent: Vec::new(),
     };
     world.router_sends(connection, RouterToControl::Gateway(report));
 }
@@ -313,6 +314,7 @@
             unread_tokens: 0,
         }],
         doubted: Vec::new(),
+        sent: Vec::new(),
     };
     world.router_sends(connection, RouterToControl::Gateway(report));
     world.run(std::time::Duration::from_millis(100));
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -6,8 +6,8 @@
 use crate::retry_budget::RetryBudget;
 use crate::table::{RouteError, RoutingTable};
 use millpass_proto::{
-    AdapterName, Duration, EngineSpec, GatewayReport, GatewayUpdate, InstanceId, ModelName,
-    ModelOutlook, RouteSpec, ServiceName, Timestamp, ZoneName,
+    AdapterName, Duration, EngineSpec, GatewayReport, GatewayUpdate, InstanceId, InstanceLoad,
+    ModelName, ModelOutlook, RouteSpec, ServiceName, Timestamp, ZoneName,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -205,6 +205,11 @@
         for instance in &update.removed {
             outcome.removed += usize::from(self.instances.remove(instance).is_some());
         }
+        for load in &update.loads {
+            if let Some(instance) = self.instances.get_mut(&load.instance) {
+                instance.told_in_flight(now, load.in_flight);
+            }
+        }
         self.outlook = update
             .outlook
             .into_iter()
@@ -332,9 +337,21 @@
             },
             needs: self.needs.take(),
             doubted: std::mem::take(&mut self.doubted).into_iter().collect(),
+            sent: self.in_flight_by_instance(),
         }
     }
 
+    fn in_flight_by_instance(&mut self) -> Vec<InstanceLoad> {
+        let loads = self.instances.iter_mut().filter_map(|(id, instance)| {
+            let in_flight = instance.report();
+            (in_flight > 0).then(|| InstanceLoad {
+                instance: id.clone(),
+                in_flight,
+            })
+        });
+        loads.collect()
+    }
+
     pub(crate) fn engine_spec(&self, service: &ServiceName) -> Option<&EngineSpec> {
         let table = self.table.as_ref()?;
         table.service(service)?.engine.as_ref()
--- a/crates/millpass-dispatch/src/instances.rs
+++ b/crates/millpass-dispatch/src/instances.rs
@@ -14,6 +14,9 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Time after which a reported load has lost most of its meaning.
 const LOAD_LIFETIME_SECONDS: f64 = 1.0;
+/// Time after which what all gateways have in flight there has lost most of its meaning: some intervals of
+/// reports and updates.
+const FLEET_LIFETIME_SECONDS: f64 = 1.5;
 /// Time over which the share of failures is forgotten.
 const FAILURE_LIFETIME_SECONDS: f64 = 4.0;
 
@@ -55,6 +58,11 @@
     /// Requests that waited there then.
     waiting: f64,
     others_at: Timestamp,
+    /// Own requests in flight there in the last report.
+    reported: u32,
+    /// Requests of other gateways there, as the leader last told, and when.
+    of_gateways: u32,
+    of_gateways_at: Timestamp,
     /// When the prompts this gateway sent will have been read.
     pub(crate) reading_until: Timestamp,
     pub(crate) prompts: PromptIndex,
@@ -76,6 +84,9 @@
             others: 0.0,
             waiting: 0.0,
             others_at: Timestamp::ZERO,
+            reported: 0,
+            of_gateways: 0,
+            of_gateways_at: Timestamp::ZERO,
             reading_until: Timestamp::ZERO,
             prompts: PromptIndex::default(),
             absent: Vec::new(),
@@ -132,10 +143,26 @@
         })
     }
 
-    /// Estimated requests there: own ones, and those of others as last told.
+    /// Estimated requests there: own ones, and those of others as it told itself or as the leader told,
+    /// whichever is more.
     pub(crate) fn load(&self, now: Timestamp) -> f64 {
         let age = now.since(self.others_at).as_secs_f64();
-        f64::from(self.in_flight) + self.others * (-age / LOAD_LIFETIME_SECONDS).exp()
+        let told = self.others * (-age / LOAD_LIFETIME_SECONDS).exp();
+        let age = now.since(self.of_gateways_at).as_secs_f64();
+        let of_gateways = f64::from(self.of_gateways) * (-age / FLEET_LIFETIME_SECONDS).exp();
+        f64::from(self.in_flight) + told.max(of_gateways)
+    }
+
+    /// What this gateway has in flight there is being reported.
+    pub(crate) fn report(&mut self) -> u32 {
+        self.reported = self.in_flight;
+        self.in_flight
+    }
+
+    /// Takes what all gateways have in flight there.
+    pub(crate) fn told_in_flight(&mut self, now: Timestamp, requests: u32) {
+        self.of_gateways = requests.saturating_sub(self.reported);
+        self.of_gateways_at = now;
     }
 
     /// Estimated requests that wait there, as last told.
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -119,6 +119,7 @@
         gateways: 2,
         members: Vec::new(),
         provisional: false,
+        loads: Vec::new(),
     }
 }
 
@@ -515,3 +516,63 @@
     assert_eq!(reason, RefusalReason::Stopping);
     assert!(retry_after < Duration::from_millis(1_000));
 }
+
+#[test]
+fn an_instance_that_other_gateways_have_filled_is_passed_over() {
+    let mut dispatcher = dispatcher(vec![record("i-1", "web", &[]), record("i-2", "web", &[])]);
+    let mut told = update(1, None, Vec::new());
+    told.loads = vec![InstanceLoad {
+        instance: "i-1".into(),
+        in_flight: 3,
+    }];
+    dispatcher.update(at(0), told);
+    for now in 1..4 {
+        let mut ticket = begin(&mut dispatcher, now, "/web/", None);
+        let Choice::Send { instance, .. } = dispatcher.choose(at(now), &mut ticket) else {
+            panic!("room is free");
+        };
+        assert_eq!(instance, "i-2".into());
+        dispatcher.ended(at(now), &ticket.record(&instance), SendEnd::GivenUp);
+    }
+}
+
+/// Without a leader nobody tells loads any more: what was told last must not shut an instance out.
+#[test]
+fn what_was_told_of_other_gateways_is_forgotten_when_nobody_tells_it_any_more() {
+    let mut dispatcher = dispatcher(vec![record("i-1", "web", &[])]);
+    let mut told = update(1, None, Vec::new());
+    told.loads = vec![InstanceLoad {
+        instance: "i-1".into(),
+        in_flight: 1_000,
+    }];
+    dispatcher.update(at(0), told);
+    let mut ticket = begin(&mut dispatcher, 1, "/web/", None);
+    let full = dispatcher.choose(at(1), &mut ticket);
+    assert!(matches!(full, Choice::Wait { .. }), "{full:?}");
+    let mut later = begin(&mut dispatcher, 20_000, "/web/", None);
+    let choice = dispatcher.choose(at(20_000), &mut later);
+    assert!(matches!(choice, Choice::Send { .. }), "{choice:?}");
+}
+
+#[test]
+fn a_gateway_reports_its_requests_in_flight_and_does_not_count_them_twice() {
+    let mut dispatcher = dispatcher(vec![record("i-1", "web", &[])]);
+    let mut sent = 0;
+    for now in 0..3 {
+        let mut ticket = begin(&mut dispatcher, now, "/web/", None);
+        let choice = dispatcher.choose(at(now), &mut ticket);
+        sent += u32::from(matches!(choice, Choice::Send { .. }));
+    }
+    let report = dispatcher.report();
+    let load = InstanceLoad {
+        instance: "i-1".into(),
+        in_flight: sent,
+    };
+    assert_eq!(report.sent, vec![load.clone()]);
+    let mut told = update(1, None, Vec::new());
+    told.loads = vec![load];
+    dispatcher.update(at(10), told);
+    let mut ticket = begin(&mut dispatcher, 11, "/web/", None);
+    let choice = dispatcher.choose(at(11), &mut ticket);
+    assert!(matches!(choice, Choice::Send { .. }), "{choice:?}");
+}
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -95,6 +95,7 @@
         version: 1,
         needs: (0..needs).map(need).collect(),
         doubted: Vec::new(),
+        sent: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
 use crate::store::{LoadUnderWay, StoreCapacity};
+use crate::traffic::Traffic;
 use millpass_proto::{
     DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate, InstanceId,
     InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelName, ModelOutlook,
@@ -87,6 +88,7 @@
     pub(crate) registry: Registry,
     pub(crate) gateways: Gateways,
     demand: Demand,
+    pub(crate) traffic: Traffic,
     pub(crate) engines: Engines,
     permits: StorePermits,
     store: StoreCapacity,
@@ -115,6 +117,7 @@
             registry: Registry::default(),
             gateways: Gateways::default(),
             demand: Demand::default(),
+            traffic: Traffic::default(),
             engines: Engines::default(),
             permits: StorePermits::default(),
             store: StoreCapacity::default(),
@@ -250,6 +253,7 @@
             );
         }
         self.demand.report(now, &report.gateway, &report.needs);
+        self.traffic.report(&report.gateway, &report.sent);
         self.dirty |= report.needs.iter().any(|need| need.unserved > 0);
         self.dirty |= !report.doubted.is_empty();
         for instance in &report.doubted {
@@ -265,6 +269,7 @@
     pub fn disconnected(&mut self, connection: u64) {
         if let Some(name) = self.gateways.disconnected(connection) {
             self.demand.forget_in_flight(&name);
+            self.traffic.forget(&name);
             self.event("gateway-lost", vec![("gateway", name)]);
         }
     }
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! | `registry` | instances as they announce themselves, with a revision for each change |
 //! | `gateways` | connected gateways and what each was sent |
 //! | `demand` | how much each model and adapter is asked for |
+//! | `traffic` | requests in flight at each instance, over all gateways |
 //! | `engines` | one instruction at a time for each engine, and what it holds |
 //! | `handover` | what is known of the instructions of earlier leaders |
 //! | `permits` | loads that the weight store allows |
@@ -30,6 +31,7 @@
 mod registry;
 mod round;
 mod store;
+mod traffic;
 mod updates;
 
 pub use demand::ModelKey;
--- /dev/null
+++ b/crates/millpass-fleet/src/traffic.rs
@@ -0,0 +1,61 @@
+//! Requests in flight at each instance, over all gateways: one gateway among many sees too little of an
+//! instance's load to spread its requests well.
+
+use millpass_proto::{InstanceId, InstanceLoad};
+use std::collections::{BTreeMap, HashMap};
+
+/// Most instances that gateways are told the load of. The busiest count: they are to be passed over. Bounds
+/// an update to about a kilobyte more, however many instances there are.
+const MOST_TOLD: usize = 64;
+
+/// What gateways said they have in flight.
+#[derive(Default)]
+pub(crate) struct Traffic {
+    by_gateway: BTreeMap<String, Vec<InstanceLoad>>,
+    totals: HashMap<InstanceId, u32>,
+}
+
+impl Traffic {
+    /// Takes what a gateway has in flight now.
+    pub(crate) fn report(&mut self, gateway: &str, sent: &[InstanceLoad]) {
+        self.forget(gateway);
+        for load in sent {
+            let total = self.totals.entry(load.instance.clone()).or_default();
+            *total = total.saturating_add(load.in_flight);
+        }
+        if !sent.is_empty() {
+            self.by_gateway.insert(gateway.to_owned(), sent.to_vec());
+        }
+    }
+
+    /// A gateway is gone, and what it had in flight with it.
+    pub(crate) fn forget(&mut self, gateway: &str) {
+        for load in self.by_gateway.remove(gateway).unwrap_or_default() {
+            let Some(total) = self.totals.get_mut(&load.instance) else {
+                continue;
+            };
+            *total = total.saturating_sub(load.in_flight);
+            if *total == 0 {
+                self.totals.remove(&load.instance);
+            }
+        }
+    }
+
+    /// The busiest instances.
+    pub(crate) fn busiest(&self) -> Vec<InstanceLoad> {
+        let mut loads: Vec<InstanceLoad> = self
+            .totals
+            .iter()
+            .map(|(instance, in_flight)| InstanceLoad {
+                instance: instance.clone(),
+                in_flight: *in_flight,
+            })
+            .collect();
+        loads.sort_by(|left, right| {
+            let busier = right.in_flight.cmp(&left.in_flight);
+            busier.then_with(|| left.instance.cmp(&right.instance))
+        });
+        loads.truncate(MOST_TOLD);
+        loads
+    }
+}
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -50,6 +50,7 @@
         let version = document.map_or(0, |document| document.version);
         let count = self.gateways.count();
         let interval = self.gateways.update_interval();
+        let mut loads = None;
         for (connection, session) in &mut self.gateways.sessions {
             let whole = !session.greeted || (complete && !session.sent_complete);
             let wanted = session.owed
@@ -79,6 +80,7 @@
                 gateways: count,
                 members: if whole { members() } else { Vec::new() },
                 provisional: false,
+                loads: loads.get_or_insert_with(|| self.traffic.busiest()).clone(),
             };
             session.greeted = true;
             session.sent_complete |= complete;
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -98,6 +98,7 @@
         version: 1,
         needs,
         doubted: Vec::new(),
+        sent: Vec::new(),
     }
 }
 
@@ -779,3 +780,71 @@
     let instructions = bench.instructions(1_100);
     assert!(!instructions.is_empty(), "nothing makes way for it");
 }
+
+#[test]
+fn gateways_are_told_what_all_of_them_have_in_flight() {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a"]);
+    let with = |gateway: &str, in_flight| {
+        let mut report = report(Vec::new());
+        report.gateway = gateway.to_owned();
+        report.sent = vec![InstanceLoad {
+            instance: "e-1".into(),
+            in_flight,
+        }];
+        report
+    };
+    let told = |bench: &mut Bench, now: u64| -> Vec<u32> {
+        bench.fleet.report(at(now), 9, &report(Vec::new()));
+        let outputs = bench.run(now);
+        let updates = outputs.into_iter().filter_map(|output| match output {
+            FleetOutput::Update {
+                connection: 9,
+                update,
+            } => Some(update),
+            _ => None,
+        });
+        let loads = updates.flat_map(|update| update.loads);
+        loads.map(|load| load.in_flight).collect()
+    };
+    bench.fleet.report(at(1_010), 1, &with("g-1", 4));
+    bench.fleet.report(at(1_020), 2, &with("g-2", 5));
+    assert_eq!(told(&mut bench, 1_100), [9]);
+    bench.fleet.report(at(1_110), 1, &with("g-1", 1));
+    assert_eq!(
+        told(&mut bench, 1_200),
+        [6],
+        "a newer report takes its place"
+    );
+    bench.fleet.disconnected(2);
+    assert_eq!(told(&mut bench, 1_300), [1]);
+    bench.fleet.report(at(1_310), 1, &with("g-1", u32::MAX));
+    bench.fleet.report(at(1_320), 3, &with("g-3", u32::MAX));
+    assert_eq!(told(&mut bench, 1_400), [u32::MAX], "absurd, and harmless");
+}
+
+#[test]
+fn an_update_names_a_bounded_number_of_busy_instances() {
+    let mut bench = Bench::new();
+    let mut full = report(Vec::new());
+    full.sent = (0..500)
+        .map(|index| InstanceLoad {
+            instance: format!("e-{index}").into(),
+            in_flight: index,
+        })
+        .collect();
+    bench.fleet.report(at(1_010), 1, &full);
+    let loads: Vec<InstanceLoad> = bench
+        .run(1_100)
+        .into_iter()
+        .find_map(|output| match output {
+            FleetOutput::Update { update, .. } => Some(update.loads),
+            _ => None,
+        })
+        .expect("an update");
+    assert_eq!(loads.len(), 64);
+    assert!(
+        loads.iter().all(|load| load.in_flight >= 436),
+        "the busiest"
+    );
+}
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1525,6 +1525,78 @@
 }
 
 
+/// Requests in flight at an instance.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstanceLoad {
+
+    /// Run.
+    pub instance: InstanceId,
+
+    /// Requests.
+    pub in_flight: u32,
+}
+
+
+/// When a model, or model with adapter, that is being loaded will be ready.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ModelOutlook {
+
+    /// Service.
+    pub service: ServiceName,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Adapter.
+    pub adapter: Option<AdapterName>,
+
+    /// Estimated time until it serves.
+    pub ready_in_millis: u64,
+}
+
+
+/// What the leader pushes to a gateway: changes since the last update on the same connection; the first carries everything.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct GatewayUpdate {
+
+    /// Leader's term; an update of a lower term than seen is ignored.
+    pub term: u64,
+
+    /// The leader has heard long enough to know every instance: those it does not name in its first update are gone.
+    pub complete: bool,
+
+    /// First update on this connection: `instances` are all that the leader knows.
+    pub first: bool,
+
+    /// Document, when newer than the gateway's.
+    pub document: Option<DeploymentDocument>,
+
+    /// Instances new or changed.
+    pub instances: Vec<InstanceRecord>,
+
+    /// Instances that are gone.
+    pub removed: Vec<InstanceId>,
+
+    /// Models being loaded now.
+    pub outlook: Vec<ModelOutlook>,
+
+    /// Gateways that report to this leader.
+    pub gateways: u32,
+
+    /// Addresses of the control members.
+    pub members: Vec<String>,
+
+    /// From a member that does not lead, out of its own copy: for a gateway that has nothing yet.
+    pub provisional: bool,
+
+    /// What all gateways have in flight at the busiest instances.
+    pub loads: Vec<InstanceLoad>,
+}
+
+
 /// Load an adapter.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1754,6 +1826,9 @@
 
     /// Instances whose state differs from what they announced: unreachable, or without a model they should hold.
     pub doubted: Vec<InstanceId>,
+
+    /// What this gateway has in flight, by instance.
+    pub sent: Vec<InstanceLoad>,
 }
 
 
@@ -1992,62 +2067,6 @@
 }
 
 
-/// When a model, or model with adapter, that is being loaded will be ready.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ModelOutlook {
-
-    /// Service.
-    pub service: ServiceName,
-
-    /// Model.
-    pub model: ModelName,
-
-    /// Adapter.
-    pub adapter: Option<AdapterName>,
-
-    /// Estimated time until it serves.
-    pub ready_in_millis: u64,
-}
-
-
-/// What the leader pushes to a gateway: changes since the last update on the same connection; the first carries everything.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct GatewayUpdate {
-
-    /// Leader's term; an update of a lower term than seen is ignored.
-    pub term: u64,
-
-    /// The leader has heard long enough to know every instance: those it does not name in its first update are gone.
-    pub complete: bool,
-
-    /// First update on this connection: `instances` are all that the leader knows.
-    pub first: bool,
-
-    /// Document, when newer than the gateway's.
-    pub document: Option<DeploymentDocument>,
-
-    /// Instances new or changed.
-    pub instances: Vec<InstanceRecord>,
-
-    /// Instances that are gone.
-    pub removed: Vec<InstanceId>,
-
-    /// Models being loaded now.
-    pub outlook: Vec<ModelOutlook>,
-
-    /// Gateways that report to this leader.
-    pub gateways: u32,
-
-    /// Addresses of the control members.
-    pub members: Vec<String>,
-
-    /// From a member that does not lead, out of its own copy: for a gateway that has nothing yet.
-    pub provisional: bool,
-}
-
-
 /// Where the leader is.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
