Gateways agree on where each shared part of a prompt goes, not only the first

A service has a handful of first parts, so all their requests met at a few replicas, and the second part, which is the longer one, went where chance had it. Ruled out: the index of prompts a gateway keeps (192 beginnings an engine, not full at two requests a second). Change: each shared part that is not known at an engine counts by its own rank there; the last part is the request's own. Beginnings have a type in place of a pair.

--- a/crates/millpass-dispatch/src/choosing.rs
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
 use crate::instances::Instance;
-use crate::prompts::{all_tokens, beginnings, rendezvous};
+use crate::prompts::{Beginning, all_tokens, beginnings, rendezvous};
 use crate::request::Ticket;
 use crate::retry_budget::BudgetTerms;
 use millpass_proto::{Duration, InstanceId, Timestamp, WeightsSource};
@@ -32,6 +32,9 @@
 const WAITING_REQUEST_COST: f64 = 60.0;
 /// Cost of each request at an engine, in milliseconds.
 const ENGINE_REQUEST_COST: f64 = 3.0;
+/// Share of a part's tokens that count as read where all gateways would send it: between nothing, which
+/// spreads each part over all replicas, and all, which would outweigh what a gateway knows.
+const AGREED_SHARE: f64 = 0.5;
 
 impl Dispatcher {
     /// Decides what to do with a request now. A send is noted as begun.
@@ -123,13 +126,7 @@
     }
 
     /// Expected time to the first byte, in milliseconds, with costs that stand for risks.
-    fn cost(
-        &self,
-        now: Timestamp,
-        instance: &Instance,
-        engine: bool,
-        hashes: &[(u64, u32)],
-    ) -> f64 {
+    fn cost(&self, now: Timestamp, instance: &Instance, engine: bool, hashes: &[Beginning]) -> f64 {
         let load = instance.load(now);
         let fill = load / f64::from(instance.record.slots.max(1));
         let mut cost = FULL_COST * fill * fill + FAILURE_COST * instance.failures(now);
@@ -140,15 +137,8 @@
             let work = instance.answer_millis.max(1.0);
             return cost + work * (1.0 + load);
         }
-        let unread_tokens = instance.prompts.unread_tokens(hashes);
-        let mut unread = f64::from(unread_tokens);
-        if unread_tokens == all_tokens(hashes)
-            && let Some((first, tokens)) = hashes.first()
-        {
-            // Gateways that know nothing of a prompt agree on where its first part goes.
-            let rank = rendezvous(*first, &instance.record.instance.0) as f64 / u64::MAX as f64;
-            unread -= f64::from(*tokens) * 0.5 * rank;
-        }
+        let (known, unknown) = instance.prompts.split(hashes);
+        let unread = f64::from(all_tokens(unknown)) - agreed_tokens(instance, known, unknown);
         let reading = instance.reading_until.since(now).as_secs_f64() * 1_000.0;
         let waiting = instance.waiting(now) * WAITING_REQUEST_COST;
         let reading = reading.max(waiting);
@@ -160,14 +150,14 @@
         now: Timestamp,
         ticket: &mut Ticket,
         instance: &InstanceId,
-        hashes: &[(u64, u32)],
+        hashes: &[Beginning],
     ) -> Choice {
         let rate = self.settings.prompt_tokens_per_milli;
         let key = self.need_key(ticket);
         let mut address = String::new();
         let mut unread = 0;
         if let Some(found) = self.instances.get_mut(instance) {
-            unread = found.prompts.unread_tokens(hashes);
+            unread = all_tokens(found.prompts.split(hashes).1);
             let reading = Duration::from_secs_f64(f64::from(unread) / rate / 1_000.0);
             found.reading_until = found.reading_until.max(now) + reading;
             found.prompts.note(now, hashes);
@@ -315,6 +305,21 @@
     }
 }
 
+/// Tokens of a prompt's shared parts that count as read at an instance though this gateway has not sent them
+/// there: gateways that know nothing of a part agree on where it goes. The last part is the request's own.
+fn agreed_tokens(instance: &Instance, known: &[Beginning], unknown: &[Beginning]) -> f64 {
+    let parts = known.len() + unknown.len();
+    let shared = parts.saturating_sub(1).max(1).saturating_sub(known.len());
+    unknown
+        .iter()
+        .take(shared)
+        .map(|part| {
+            let rank = rendezvous(part.hash, &instance.record.instance.0) as f64 / u64::MAX as f64;
+            f64::from(part.tokens) * AGREED_SHARE * rank
+        })
+        .sum()
+}
+
 fn holds_for(now: Timestamp, instance: &Instance, ticket: &Ticket) -> bool {
     let adapter = ticket.description.adapter.as_ref();
     match &ticket.description.model {
--- a/crates/millpass-dispatch/src/prompts.rs
+++ b/crates/millpass-dispatch/src/prompts.rs
@@ -8,6 +8,15 @@
 /// Most beginnings of prompts remembered for one instance.
 const MAXIMUM_BEGINNINGS: usize = 192;
 
+/// A beginning of a prompt: all parts up to one of them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Beginning {
+    /// Hash of the parts, and of the model and adapter that they are for.
+    pub(crate) hash: u64,
+    /// Tokens of the last of the parts.
+    pub(crate) tokens: u32,
+}
+
 /// Beginnings of prompts, by hash, and when each was last sent.
 #[derive(Debug, Default)]
 pub(crate) struct PromptIndex {
@@ -15,20 +24,22 @@
 }
 
 impl PromptIndex {
-    /// Tokens of the prompt behind the beginning that was sent here before.
-    pub(crate) fn unread_tokens(&self, beginnings: &[(u64, u32)]) -> u32 {
-        let known: u32 = beginnings
+    /// The beginnings that were sent here before, and the rest.
+    pub(crate) fn split<'a>(
+        &self,
+        beginnings: &'a [Beginning],
+    ) -> (&'a [Beginning], &'a [Beginning]) {
+        let known = beginnings
             .iter()
-            .take_while(|(hash, _)| self.beginnings.contains_key(hash))
-            .map(|(_, tokens)| *tokens)
-            .sum();
-        all_tokens(beginnings) - known
+            .take_while(|beginning| self.beginnings.contains_key(&beginning.hash))
+            .count();
+        beginnings.split_at(known)
     }
 
     /// Notes a prompt that is sent.
-    pub(crate) fn note(&mut self, now: Timestamp, beginnings: &[(u64, u32)]) {
-        for (hash, _) in beginnings {
-            self.beginnings.insert(*hash, now);
+    pub(crate) fn note(&mut self, now: Timestamp, beginnings: &[Beginning]) {
+        for beginning in beginnings {
+            self.beginnings.insert(beginning.hash, now);
         }
         if self.beginnings.len() <= MAXIMUM_BEGINNINGS {
             return;
@@ -46,13 +57,13 @@
 }
 
 /// Tokens of a whole prompt.
-pub(crate) fn all_tokens(beginnings: &[(u64, u32)]) -> u32 {
-    beginnings.iter().map(|(_, tokens)| tokens).sum()
+pub(crate) fn all_tokens(beginnings: &[Beginning]) -> u32 {
+    beginnings.iter().map(|beginning| beginning.tokens).sum()
 }
 
-/// Hashes of each beginning of a prompt, with the tokens that the last part adds. Parts count only
+/// The beginnings of a prompt, the shortest first. Parts count only
 /// for the same model and adapter, and only behind the same parts.
-pub(crate) fn beginnings(description: &Description) -> Vec<(u64, u32)> {
+pub(crate) fn beginnings(description: &Description) -> Vec<Beginning> {
     let mut hasher = DefaultHasher::new();
     description.model.hash(&mut hasher);
     description.adapter.hash(&mut hasher);
@@ -61,7 +72,10 @@
         .iter()
         .map(|part| {
             part.identity.hash(&mut hasher);
-            (hasher.finish(), part.tokens)
+            Beginning {
+                hash: hasher.finish(),
+                tokens: part.tokens,
+            }
         })
         .collect()
 }
