--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -171,6 +171,10 @@
                     let command = Command::NoteInstances(note);
                     self.propose_internal(now, InternalKey::NoteInstances, command, out);
                 }
+                FleetOutput::NoteStoreCapacity(capacity) => {
+                    let command = Command::NoteStoreCapacity(capacity);
+                    self.propose_internal(now, InternalKey::NoteStoreCapacity, command, out);
+                }
                 FleetOutput::Update { connection, update } => {
                     let message = ControlToRouter::Gateway(*update);
                     out.send_router(ConnectionId(connection), message);
--- a/crates/millpass-control-plane/src/proposals.rs
+++ b/crates/millpass-control-plane/src/proposals.rs
@@ -27,6 +27,8 @@
     AbandonClaims(RouterName, Incarnation),
     /// The leader's view of instances.
     NoteInstances,
+    /// What the leader knows of the weight store.
+    NoteStoreCapacity,
     /// A scheduling decision, by its number.
     Schedule(u64),
 }
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -113,6 +113,9 @@
                 match command {
                     Command::DepartInstance(departure) => self.departure_applied(departure),
                     Command::NoteInstructions(note) => self.instructions.note(now, note),
+                    Command::NoteStoreCapacity(capacity) => {
+                        self.instructions.note_store_capacity(*capacity);
+                    }
                     _ => {}
                 }
                 self.state.apply(at, command)
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -12,8 +12,9 @@
 use millpass_proto::{
     DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate, InstanceId,
     InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelName, ModelOutlook,
-    Timestamp,
+    ServiceName, Timestamp,
 };
+use std::collections::BTreeSet;
 
 /// Time between two looks for work when nothing happens.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -78,6 +79,9 @@
     },
     /// Keep what changed in the replicated log.
     Note(InstanceNote),
+    /// Keep in the replicated log how many loads from the weight store at once go at full speed, in
+    /// hundredths.
+    NoteStoreCapacity(u32),
     /// Log.
     Event(FleetEvent),
 }
@@ -99,6 +103,8 @@
     pub(crate) term: u64,
     pub(crate) outlook: Vec<ModelOutlook>,
     pub(crate) outlook_revision: u64,
+    /// Models that wait for an engine or the weight store.
+    waiting: BTreeSet<(ServiceName, ModelName)>,
     dirty: bool,
     next_plan: Timestamp,
     last_plan: Timestamp,
@@ -125,6 +131,7 @@
             term: 0,
             outlook: Vec::new(),
             outlook_revision: 0,
+            waiting: BTreeSet::new(),
             dirty: false,
             next_plan: Timestamp::ZERO,
             last_plan: Timestamp::ZERO,
@@ -157,6 +164,7 @@
         }
         self.in_charge_since = Some(now);
         self.permits = StorePermits::after(history);
+        self.store = StoreCapacity::after(history);
         self.history = history.clone();
         for mut record in records {
             // Any word of the instance itself is newer.
@@ -360,6 +368,8 @@
         if changed {
             let pairs = vec![("loads_at_once", self.store.limit().to_string())];
             self.event("store-limit", pairs);
+            let capacity = self.store.hundredths();
+            self.out.push(FleetOutput::NoteStoreCapacity(capacity));
         }
     }
 
@@ -407,9 +417,29 @@
         for step in steps {
             self.carry_out(now, step);
         }
+        self.log_waiting(&awaited);
         self.refresh_outlook(now, document, awaited);
     }
 
+    /// Logs which models have begun to wait.
+    fn log_waiting(&mut self, awaited: &[ModelOutlook]) {
+        let models = awaited.iter();
+        let waiting = models.map(|it| (it.service.clone(), it.model.clone()));
+        let before = std::mem::replace(&mut self.waiting, waiting.collect());
+        for outlook in awaited {
+            if before.contains(&(outlook.service.clone(), outlook.model.clone())) {
+                continue;
+            }
+            let pairs = vec![
+                ("service", outlook.service.0.clone()),
+                ("model", outlook.model.0.clone()),
+                ("ready_in_ms", outlook.ready_in_millis.to_string()),
+                ("loads_at_once", self.store.limit().to_string()),
+            ];
+            self.event("load-waits", pairs);
+        }
+    }
+
     fn carry_out(&mut self, now: Timestamp, step: Step) {
         let Some(record) = self.registry.get(&step.instance) else {
             return;
--- a/crates/millpass-fleet/src/handover.rs
+++ b/crates/millpass-fleet/src/handover.rs
@@ -16,6 +16,8 @@
     complete_since: Timestamp,
     last: BTreeMap<InstanceId, Timestamp>,
     store_loads: Vec<Timestamp>,
+    /// Loads from the weight store at once that go at full speed, in hundredths, as last noted.
+    store_capacity: Option<u32>,
     keep: Duration,
 }
 
@@ -26,6 +28,7 @@
             complete_since: now,
             last: BTreeMap::new(),
             store_loads: Vec::new(),
+            store_capacity: None,
             keep,
         }
     }
@@ -41,6 +44,17 @@
         self.store_loads.extend((0..note.store_loads).map(|_| now));
     }
 
+    /// Takes what a leader knew of the weight store.
+    pub fn note_store_capacity(&mut self, hundredths: u32) {
+        self.store_capacity = Some(hundredths);
+    }
+
+    /// Loads from the weight store at once that go at full speed, in hundredths, as far as an earlier leader
+    /// knew.
+    pub(crate) fn store_capacity(&self) -> Option<u32> {
+        self.store_capacity
+    }
+
     /// When another leader than the one of the last note may instruct an engine, if engines must
     /// not hear from two of them within `pause`.
     pub(crate) fn open_from(&self, instance: &InstanceId, pause: Duration) -> Timestamp {
--- a/crates/millpass-fleet/src/store.rs
+++ b/crates/millpass-fleet/src/store.rs
@@ -11,6 +11,7 @@
 //! they are. Doubling and halving the limit as TCP does was weighed: loads take seconds, so a limit that
 //! oscillates is wrong for minutes.
 
+use crate::handover::InstructionHistory;
 use millpass_proto::{Duration, InstanceId, ModelName, Timestamp};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -87,6 +88,20 @@
 }
 
 impl StoreCapacity {
+    /// Goes on with what earlier leaders learned.
+    pub fn after(history: &InstructionHistory) -> Self {
+        let known = history.store_capacity();
+        StoreCapacity {
+            limit: known.map_or(FIRST_LIMIT, |known| (f64::from(known) / 100.0).max(1.0)),
+            ..StoreCapacity::default()
+        }
+    }
+
+    /// The limit in hundredths, for the leaders to come.
+    pub(crate) fn hundredths(&self) -> u32 {
+        (self.limit * 100.0).round() as u32
+    }
+
     /// Loads that may be under way at once.
     pub fn limit(&self) -> usize {
         self.limit.round().max(1.0) as usize
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -848,3 +848,37 @@
         "the busiest"
     );
 }
+
+#[test]
+fn what_the_leader_learns_of_the_weight_store_is_noted_for_the_leaders_to_come() {
+    let mut bench = Bench::new();
+    for index in 0..4 {
+        bench.engine(1_000, &format!("e-{index}"), &[]);
+    }
+    let needs = ["a", "b", "c", "d"].map(|name| need(name, None));
+    bench.fleet.report(at(1_050), 1, &report(needs.to_vec()));
+    let begun = bench.instructions(1_100);
+    assert_eq!(begun.len(), StoreCapacity::default().limit());
+    for instruction in &begun {
+        let accepted = InstructionAnswer::Accepted;
+        bench
+            .fleet
+            .answered(at(1_110), &instruction.instance, &accepted);
+    }
+    bench.run(1_250);
+    for instruction in &begun {
+        let loaded = state(1, &[instruction.model.as_str()]);
+        bench
+            .fleet
+            .answered(at(3_150), &instruction.instance, &loaded);
+    }
+    let noted = bench
+        .run(3_200)
+        .into_iter()
+        .find_map(|output| match output {
+            FleetOutput::NoteStoreCapacity(hundredths) => Some(hundredths),
+            _ => None,
+        });
+    let first = StoreCapacity::default().limit() as u32 * 100;
+    assert!(noted > Some(first), "{noted:?}: none of them was slowed");
+}
--- a/crates/millpass-fleet/tests/store.rs
+++ b/crates/millpass-fleet/tests/store.rs
@@ -1,6 +1,6 @@
 //! How many loads at once are begun before weight stores of different capacities, in virtual time.
 
-use millpass_fleet::{LoadUnderWay, StoreCapacity};
+use millpass_fleet::{InstructionHistory, LoadUnderWay, StoreCapacity};
 use millpass_proto::{Duration, InstanceId, Timestamp};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -124,6 +124,21 @@
     assert!(learner.limit() >= 9, "{}", learner.limit());
 }
 
+#[test]
+fn a_new_leader_goes_on_with_what_the_one_before_it_learned() {
+    let mut history = InstructionHistory::new(Timestamp::ZERO, Duration::from_secs(3));
+    let unknown = StoreCapacity::after(&history).limit();
+    assert_eq!(unknown, StoreCapacity::default().limit());
+    history.note_store_capacity(1_200);
+    assert_eq!(StoreCapacity::after(&history).limit(), 12);
+    history.note_store_capacity(0);
+    assert_eq!(
+        StoreCapacity::after(&history).limit(),
+        1,
+        "absurd, and harmless"
+    );
+}
+
 #[test]
 fn a_load_that_is_lost_tells_nothing() {
     let mut store = SharedStore::new(30.0, Duration::from_secs(3));
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1037,6 +1037,9 @@
 
     /// Say which engines are about to be instructed.
     NoteInstructions(InstructionNote),
+
+    /// Keep how many loads from the weight store at once go at full speed as far as the leader knows, in hundredths.
+    NoteStoreCapacity(u32),
 }
 
 
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -100,7 +100,7 @@
                 Ok(())
             }
             // Each member keeps what it tells with the time at which it came.
-            Command::NoteInstructions(_) => Ok(()),
+            Command::NoteInstructions(_) | Command::NoteStoreCapacity(_) => Ok(()),
             Command::DepartInstance(departure) => {
                 self.deployment.depart(departure);
                 Ok(())
