A gateway is told of each instance once when a leader takes charge

Ruled out: records that change (no orders, no draining in that time). Change: the second time it says that all are named; the gateway drops what was not named on this connection. Tests: what was not named is gone then, later updates name only what changed; the leader names each instance once.

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -106,6 +106,8 @@
     /// What is held came from a member that does not lead.
     pub(crate) provisional: bool,
     pub(crate) instances: BTreeMap<InstanceId, Instance>,
+    /// Instances named on the connection to the leader, until it says that it has named all of them.
+    named: Option<BTreeSet<InstanceId>>,
     pub(crate) budgets: HashMap<ServiceName, RetryBudget>,
     /// Where each route with several targets stands in its sequence, from 0 to 1.
     splits: HashMap<String, f64>,
@@ -127,6 +129,7 @@
             table: None,
             provisional: false,
             instances: BTreeMap::new(),
+            named: Some(BTreeSet::new()),
             budgets: HashMap::new(),
             splits: HashMap::new(),
             needs: Needs::default(),
@@ -182,12 +185,16 @@
             self.table = Some(Arc::new(RoutingTable::new(document)));
         }
         outcome.changed = update.instances.len();
-        if update.first && update.complete {
-            let named: BTreeSet<&InstanceId> = update
-                .instances
-                .iter()
-                .map(|record| &record.instance)
-                .collect();
+        if update.first {
+            self.named = Some(BTreeSet::new());
+        }
+        if let Some(named) = &mut self.named {
+            let instances = update.instances.iter();
+            named.extend(instances.map(|record| record.instance.clone()));
+        }
+        if update.complete
+            && let Some(named) = self.named.take()
+        {
             let before = self.instances.len();
             self.instances
                 .retain(|instance, _| named.contains(instance));
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -576,3 +576,32 @@
     let choice = dispatcher.choose(at(11), &mut ticket);
     assert!(matches!(choice, Choice::Send { .. }), "{choice:?}");
 }
+
+/// A new leader tells what it knows at once and says later that it knows all: what was not named by then is gone,
+/// and nothing is told twice.
+#[test]
+fn instances_that_a_new_leader_does_not_name_are_gone_once_it_knows_all() {
+    let known = vec![record("i-1", "web", &[]), record("i-2", "web", &[])];
+    let mut dispatcher = dispatcher(known);
+    let told = |first, complete, instances| GatewayUpdate {
+        first,
+        complete,
+        ..update(2, None, instances)
+    };
+    dispatcher.update(at(1), told(true, false, vec![record("i-1", "web", &[])]));
+    assert_eq!(
+        dispatcher.instance_count(),
+        2,
+        "it may not have heard of the other"
+    );
+    dispatcher.update(at(2), told(false, false, vec![record("i-3", "web", &[])]));
+    let outcome = dispatcher.update(at(3), told(false, true, Vec::new()));
+    assert_eq!(outcome.removed, 1);
+    assert_eq!(dispatcher.instance_count(), 2);
+    dispatcher.update(at(4), told(false, true, vec![record("i-4", "web", &[])]));
+    assert_eq!(
+        dispatcher.instance_count(),
+        3,
+        "later updates name what changed"
+    );
+}
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -10,7 +10,7 @@
     pub(crate) sent_revision: u64,
     /// Whether anything was sent on this connection.
     pub(crate) greeted: bool,
-    /// Whether an update that names every instance was sent.
+    /// Whether it was told that all instances have been named to it.
     pub(crate) sent_complete: bool,
     /// Document version sent or reported.
     pub(crate) version: u64,
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -52,9 +52,10 @@
         let interval = self.gateways.update_interval();
         let mut loads = None;
         for (connection, session) in &mut self.gateways.sessions {
-            let whole = !session.greeted || (complete && !session.sent_complete);
+            let whole = !session.greeted;
             let wanted = session.owed
                 || whole
+                || (complete && !session.sent_complete)
                 || session.sent_revision < revision
                 || session.version < version
                 || session.sent_outlook < self.outlook_revision;
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -882,3 +882,36 @@
     let first = StoreCapacity::default().limit() as u32 * 100;
     assert!(noted > Some(first), "{noted:?}: none of them was slowed");
 }
+
+#[test]
+fn a_gateway_is_told_of_each_instance_once_when_a_leader_takes_charge() {
+    let mut bench = Bench::new();
+    for index in 0..5 {
+        bench.engine(1_000, &format!("e-{index}"), &["a"]);
+    }
+    let mut told = Vec::new();
+    let mut complete = false;
+    for step in 0..20 {
+        let now = 1_100 + step * 300;
+        for index in 0..5 {
+            let name = format!("e-{index}");
+            bench
+                .fleet
+                .announce(at(now), record(&name, now, &["a"]), false);
+        }
+        bench.fleet.report(at(now), 1, &report(Vec::new()));
+        for output in bench.run(now) {
+            if let FleetOutput::Update { update, .. } = output {
+                told.extend(
+                    update
+                        .instances
+                        .iter()
+                        .map(|record| record.instance.clone()),
+                );
+                complete |= update.complete;
+            }
+        }
+    }
+    assert!(complete, "it is said that all are named");
+    assert_eq!(told.len(), 5, "{told:?}");
+}
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1568,7 +1568,7 @@
     /// Leader's term; an update of a lower term than seen is ignored.
     pub term: u64,
 
-    /// The leader has heard long enough to know every instance: those it does not name in its first update are gone.
+    /// The leader has heard long enough to know every instance: those it has not named on this connection are gone.
     pub complete: bool,
 
     /// First update on this connection: `instances` are all that the leader knows.
