Absurd demand is met within bounds

Cause (last reading): the list of replicas that models lack grew with what gateways report; four thousand million requests in flight would have made it as long, and sums of such reports overflow. Change: no more replicas are wanted than there are engines to place them on; sums saturate; a model that waits for two adapters is logged once. Test: three gateways that report the greatest numbers; it was not run on the code before, which would not have ended.

--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -109,7 +109,7 @@
             entry.slow = entry.slow_at(now) + f64::from(need.arrivals) / SLOW_SECONDS;
             entry.rate = entry.rate_at(now) + f64::from(need.arrivals) / RATE_SECONDS;
             entry.rate_at = now;
-            entry.in_flight += need.in_flight;
+            entry.in_flight = entry.in_flight.saturating_add(need.in_flight);
             if need.in_flight > 0 {
                 in_flight.push((key, need.in_flight));
             }
@@ -144,7 +144,7 @@
     pub(crate) fn forget_in_flight(&mut self, gateway: &str) {
         for (key, count) in self.in_flight.remove(gateway).unwrap_or_default() {
             if let Some(entry) = self.entries.get_mut(&key) {
-                entry.in_flight -= count;
+                entry.in_flight = entry.in_flight.saturating_sub(count);
             }
         }
     }
@@ -157,7 +157,7 @@
             let load = loads.entry(key.model.clone()).or_default();
             load.tokens += entry.tokens_at(now);
             load.lasting_rate += entry.slow_at(now).max(entry.rate_at(now));
-            load.in_flight += entry.in_flight;
+            load.in_flight = load.in_flight.saturating_add(entry.in_flight);
         }
         loads
     }
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -423,11 +423,11 @@
 
     /// Logs which models have begun to wait.
     fn log_waiting(&mut self, awaited: &[ModelOutlook]) {
-        let models = awaited.iter();
-        let waiting = models.map(|it| (it.service.clone(), it.model.clone()));
-        let before = std::mem::replace(&mut self.waiting, waiting.collect());
+        let before = std::mem::take(&mut self.waiting);
         for outlook in awaited {
-            if before.contains(&(outlook.service.clone(), outlook.model.clone())) {
+            let key = (outlook.service.clone(), outlook.model.clone());
+            let waited = before.contains(&key);
+            if !self.waiting.insert(key) || waited {
                 continue;
             }
             let pairs = vec![
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -366,11 +366,14 @@
     pub(crate) fn busy_models(&self) -> Vec<(f64, ModelName)> {
         let mut busy = Vec::new();
         for (model, business) in &self.business {
-            let mut replicas = self.replicas(model).max(1);
-            while business / replicas as f64 >= COMFORTABLE_SHARE {
-                busy.push((cost::replica_gain(*business, replicas), model.clone()));
-                replicas += 1;
-            }
+            let replicas = self.replicas(model).max(1);
+            // No more than there are engines to place them on, whatever is reported.
+            let lacking = (replicas..replicas + self.sites.len())
+                .take_while(|replicas| business / *replicas as f64 >= COMFORTABLE_SHARE);
+            busy.extend(lacking.map(|replicas| {
+                let gain = cost::replica_gain(*business, replicas);
+                (gain, model.clone())
+            }));
         }
         busy
     }
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -781,6 +781,33 @@
     assert!(!instructions.is_empty(), "nothing makes way for it");
 }
 
+/// A gateway that lies, or a sum that overflows, must not keep the leader busy.
+#[test]
+fn absurd_demand_is_met_within_bounds() {
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-0", &["a"]);
+    for index in 1..6 {
+        let name = format!("e-{index}");
+        bench.engine(1_000, &name, &["b", "c"]);
+    }
+    for gateway in 0..3 {
+        let mut absurd = need("a", None);
+        absurd.unserved = u32::MAX;
+        absurd.arrivals = u32::MAX;
+        absurd.in_flight = u32::MAX;
+        absurd.unread_tokens = u64::MAX;
+        let mut report = report(vec![absurd]);
+        report.gateway = format!("g-{gateway}");
+        bench.fleet.report(at(1_050), gateway, &report);
+    }
+    let instructions = bench.instructions(1_100);
+    assert!(instructions.len() <= 5, "{instructions:?}");
+    for gateway in 0..3 {
+        bench.fleet.disconnected(gateway);
+    }
+    bench.run(1_300);
+}
+
 #[test]
 fn gateways_are_told_what_all_of_them_have_in_flight() {
     let mut bench = Bench::new();
