--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -169,8 +169,7 @@
             .map_or(0.0, |entry| entry.rate_at(now))
     }
 
-    /// Needs of a service that were reported lately, the most urgent first, then the oldest: the weight
-    /// store's permits are scarce, and a rare model's turn must come.
+    /// Needs of a service that were reported lately, the most urgent first, then the oldest.
     pub(crate) fn unmet(&self, now: Timestamp, service: &ServiceName) -> Vec<Unmet> {
         let mut unmet: Vec<Unmet> = self
             .entries
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -1,8 +1,9 @@
 //! Which model or adapter to load or unload next, and on which engine.
 //!
-//! Needs that gateways report are met in order of urgency. A model goes where requests are delayed
-//! least, by its load and by what has to make way; the better place is waited for while it opens soon.
-//! Loads from the weight store take a permit first; without one the need waits for the next round.
+//! What a load would serve, a need that gateways report or a replica that a busy model lacks, is met in the order of
+//! the delay that it saves. A model goes where requests are delayed least, by its load and by what has to make way;
+//! the better place is waited for while it opens soon. Loads from the weight store need a place among those that it
+//! serves at once, and a permit; without them the need waits for the next round.
 
 use crate::cost;
 use crate::demand::{Demand, Unmet};
