What only the system sets never comes from a caller

Cause: callers' heads went on to engines but for headers of the connection. Engines refuse a request that names a reservation nobody made (503, not run); where a route allows one server the only attempt was used up, and a caller could take another's reservation, pin memory or make an engine fetch from an address of its choosing.

Ruled out: dropping them at each send; a resumed stream and a repeat would each need it again.

Change: one place where a caller's head becomes ours (Template::new); the adapter lists the names that are reserved, and what a send states itself is set behind that.

--- a/crates/millpass-gateway/src/exchange.rs
+++ b/crates/millpass-gateway/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Sends a request to an instance and reads the head of its answer.
 
-use crate::interface::{AnswerFacts, SendFacts};
+use crate::interface::{AnswerFacts, Interface, SendFacts};
 use crate::pool::{self, Connection};
 use crate::shared::Shared;
 use async_io::Timer;
@@ -30,6 +30,27 @@
     pub(crate) body: Bytes,
 }
 
+impl Template {
+    /// What goes on of a caller's request: the only place where a caller's head becomes the gateway's. Dropped
+    /// are headers of the caller's connection and those that are the system's to set, however often they stand
+    /// there; every send, repeat and resumed stream begins from what is left.
+    pub(crate) fn new(interface: &dyn Interface, head: http::request::Parts, body: Bytes) -> Self {
+        let mut headers = head.headers;
+        remove_hop_headers(&mut headers);
+        interface.strip_reserved(&mut headers);
+        let uri = match head.uri.path_and_query() {
+            Some(path) => path.as_str().parse().unwrap_or(head.uri.clone()),
+            None => head.uri.clone(),
+        };
+        Template {
+            method: head.method,
+            uri,
+            headers,
+            body,
+        }
+    }
+}
+
 /// Why there is no answer.
 #[derive(Debug)]
 pub(crate) enum SendFailure {
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -121,18 +121,7 @@
     let draw: f64 = rand::rng().random();
     let ticket = shared.core().begin(arrived, route, description, draw);
     in_flight.opened(&ticket);
-    let mut headers = head.headers;
-    remove_hop_headers(&mut headers);
-    let uri = match head.uri.path_and_query() {
-        Some(path) => path.as_str().parse().unwrap_or(head.uri.clone()),
-        None => head.uri.clone(),
-    };
-    let template = Template {
-        method: head.method,
-        uri,
-        headers,
-        body,
-    };
+    let template = Template::new(shared.interface.as_ref(), head, body);
     let forward = Forward {
         shared: shared.clone(),
         ticket,
--- a/crates/millpass-gateway/src/interface.rs
+++ b/crates/millpass-gateway/src/interface.rs
@@ -43,6 +43,9 @@
     /// Describes a request.
     fn describe(&self, headers: &HeaderMap) -> Description;
 
+    /// Removes from a caller's head what only the system may set, and what no instance may see.
+    fn strip_reserved(&self, headers: &mut HeaderMap);
+
     /// States the facts of a send in the headers that go to the instance.
     fn state_send(&self, headers: &mut HeaderMap, facts: &SendFacts<'_>);
 
