Tenants on the platform: a request belongs to whose key it has, instances are told the name only

Cause: the document's tenants were not read.

Ruled out: a second catalog of tenants beside the product's own.

Change: tenants in the document, checked (nameless, twice, a key of two, unknown unit, negative or absurd figures); 401 at once without a key, with an unknown one or several, 503 while keys cannot be checked (tenants.unchecked_keys, for operators who want it strict); a tenant's rank counts before its route's. RouteSpec, DeploymentDocument grow: a log of an older build is not read, as nothing is released yet.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -189,6 +189,8 @@
             retry_window: millis(settings.retries.window_ms),
             prompt_tokens_per_milli: settings.instances.prompt_tokens_per_second as f64 / 1_000.0,
             default_patience: millis(settings.instances.default_patience_ms),
+            key_lifetime: (settings.tenants.unchecked_keys == "refuse")
+                .then(|| millis(settings.tenants.key_lifetime_ms)),
         },
         listen: address(&settings.gateway.listen)?,
         ready_listen: address(&settings.gateway.ready_listen)?,
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1088,6 +1088,23 @@
         }
     }
 }
+/// Callers' keys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewayTenantsSection {
+    /// What a request with a key gets once the leader has been silent for key_lifetime_ms and the key may have been taken away: `serve` goes on with the keys last known, `refuse` turns it away as not run.
+    pub unchecked_keys: String,
+    /// The leader's silence after which keys count as unchecked.
+    pub key_lifetime_ms: u64,
+}
+impl Default for GatewayTenantsSection {
+    fn default() -> Self {
+        Self {
+            unchecked_keys: "serve".to_owned(),
+            key_lifetime_ms: 5000u64,
+        }
+    }
+}
 /// Repeats that a service may get, over all gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -1152,6 +1169,8 @@
     pub control: GatewayControlSection,
     /// Sends to instances.
     pub instances: GatewayInstancesSection,
+    /// Callers' keys.
+    pub tenants: GatewayTenantsSection,
     /// Repeats that a service may get, over all gateways.
     pub retries: GatewayRetriesSection,
     /// Planned stop.
@@ -1267,6 +1286,25 @@
                 },
             ],
         },
+        SectionSpecification {
+            name: "tenants",
+            repeated: false,
+            keys: &[
+                KeySpecification {
+                    name: "unchecked_keys",
+                    required: false,
+                    kind: KeyKind::Choice(&["serve", "refuse"]),
+                },
+                KeySpecification {
+                    name: "key_lifetime_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 100u64,
+                        maximum: 86400000u64,
+                    },
+                },
+            ],
+        },
         SectionSpecification {
             name: "retries",
             repeated: false,
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -39,6 +39,7 @@
                 header_millis: 0,
                 idle_millis: 0,
             },
+            tenants: Vec::new(),
         },
         source: ByteBuf::from(format!("version {version}").into_bytes()),
     }))
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -4,11 +4,12 @@
 use crate::needs::Needs;
 use crate::request::{Description, SendRecord, Ticket};
 use crate::retry_budget::RetryBudget;
-use crate::table::{RouteError, RoutingTable};
+use crate::table::{IdentityError, RouteError, RoutingTable};
 use millpass_proto::{
     AdapterName, Duration, EngineSpec, GatewayReport, GatewayUpdate, InstanceId, InstanceLoad,
-    ModelName, ModelOutlook, RouteSpec, ServiceName, Timestamp, ZoneName,
+    ModelName, ModelOutlook, RouteSpec, ServiceName, TenantAccess, Timestamp, ZoneName,
 };
+use millpass_tenancy::PresentedKey;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -32,6 +33,8 @@
     pub prompt_tokens_per_milli: f64,
     /// How long a caller without a stated deadline waits.
     pub default_patience: Duration,
+    /// Time without word of the leader after which keys count as unchecked; none to go on with what is known.
+    pub key_lifetime: Option<Duration>,
 }
 
 /// Why a request is refused without having run.
@@ -115,6 +118,8 @@
     pub(crate) doubted: BTreeSet<InstanceId>,
     pub(crate) outlook: Vec<(ModelOutlook, Timestamp)>,
     pub(crate) term: u64,
+    /// When a leader was last heard.
+    heard_at: Timestamp,
     pub(crate) gateways: u32,
     pub(crate) reports: u64,
     /// When this gateway ends, once it was told to stop.
@@ -136,6 +141,7 @@
             doubted: BTreeSet::new(),
             outlook: Vec::new(),
             term: 0,
+            heard_at: Timestamp::ZERO,
             gateways: 0,
             reports: 0,
             stops_at: None,
@@ -167,6 +173,9 @@
             };
         }
         self.term = update.term;
+        if !update.provisional {
+            self.heard_at = now;
+        }
         self.gateways = update.gateways;
         self.provisional = update.provisional;
         if update.provisional {
@@ -239,15 +248,39 @@
         table.route(host, path)
     }
 
-    /// Takes a request. `draw`, from 0 to 1, is where a route with several targets begins: from there
+    /// Whose a request is; none where callers need no key.
+    pub fn identify(
+        &self,
+        now: Timestamp,
+        route: &RouteSpec,
+        key: PresentedKey,
+    ) -> Result<Option<Arc<TenantAccess>>, IdentityError> {
+        let Some(table) = &self.table else {
+            return Err(IdentityError::Outdated);
+        };
+        let tenant = table.identify(route, key)?;
+        let lifetime = self.settings.key_lifetime;
+        let outdated = lifetime.is_some_and(|lifetime| now.since(self.heard_at) > lifetime);
+        if tenant.is_some() && outdated {
+            return Err(IdentityError::Outdated);
+        }
+        Ok(tenant)
+    }
+
+    /// Takes a request of a tenant, if callers need keys. `draw`, from 0 to 1, is where a route with several targets begins: from there
     /// on requests spread evenly by the targets' weights.
     pub fn begin(
         &mut self,
         now: Timestamp,
         route: Arc<RouteSpec>,
+        tenant: Option<Arc<TenantAccess>>,
         description: Description,
         draw: f64,
     ) -> Ticket {
+        let table = self.table.as_ref();
+        let rank = table.map_or(route.priority, |table| {
+            table.rank(tenant.as_deref(), &route)
+        });
         let service = pick_target(&route, self.next_position(&route, draw));
         let patience = description
             .patience
@@ -263,6 +296,8 @@
             tried: Vec::new(),
             sends: 0,
             need_noted: None,
+            tenant,
+            rank,
             sent_at: None,
             description,
         };
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -4,7 +4,7 @@
 //! | module | job |
 //! |---|---|
 //! | `request` | a request as the front door describes it, and its progress |
-//! | `table` | routes by host and longest prefix |
+//! | `table` | routes by host and longest prefix, tenants by key |
 //! | `instances` | the gateway's view of instances: announced state, own sends, failures |
 //! | `prompts` | which prompt parts an instance has lately read |
 //! | `retry_budget` | how many repeats a service may get from this gateway |
@@ -23,6 +23,6 @@
 
 pub use dispatcher::{Choice, DispatchSettings, Dispatcher, RefusalReason, UpdateOutcome};
 pub use instances::{SendEnd, ToldLoad};
-pub use request::{Description, PromptPart, SendRecord, Ticket};
+pub use request::{Description, PromptPart, SendRecord, StatedTokens, Ticket};
 pub use retry_budget::{BudgetTerms, RetryBudget};
-pub use table::{RouteError, RoutingTable};
+pub use table::{IdentityError, RouteError, RoutingTable};
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -1,8 +1,10 @@
 //! A request as the front door describes it, and its progress.
 
 use millpass_proto::{
-    AdapterName, Duration, InstanceId, ModelName, RouteKind, RouteSpec, ServiceName, Timestamp,
+    AdapterName, Duration, InstanceId, ModelName, RouteKind, RouteSpec, ServiceName, TenantAccess,
+    Timestamp,
 };
+use millpass_tenancy::PresentedKey;
 use std::sync::Arc;
 
 /// One part of a prompt; requests that begin with the same parts share what an engine has read.
@@ -27,6 +29,22 @@
     pub adapter: Option<AdapterName>,
     /// Parts of the prompt, in order.
     pub prompt: Vec<PromptPart>,
+    /// The caller's key.
+    pub key: PresentedKey,
+    /// Tokens of the prompt and the most that may be made.
+    pub tokens: StatedTokens,
+}
+
+/// The tokens that a request states it may use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StatedTokens {
+    /// None are stated.
+    #[default]
+    Missing,
+    /// Prompt and answer together.
+    Sum(u64),
+    /// What stands there are no figures, or stands there twice.
+    Unreadable,
 }
 
 /// A request under way.
@@ -50,6 +68,10 @@
     pub sends: u32,
     /// Whether its need for a model was noted.
     pub need_noted: Option<Timestamp>,
+    /// The tenant it belongs to; none where callers need no key.
+    pub tenant: Option<Arc<TenantAccess>>,
+    /// Its rank among all requests: the tenant's first, then the route's; 0 is the most urgent.
+    pub rank: u32,
     /// When it was last sent.
     pub sent_at: Option<Timestamp>,
 }
--- a/crates/millpass-dispatch/src/table.rs
+++ b/crates/millpass-dispatch/src/table.rs
@@ -1,7 +1,10 @@
-//! Routes by host and longest prefix, from the document in force.
+//! Routes by host and longest prefix, and tenants by key, from the document in force.
 
-use millpass_proto::{DeploymentDocument, RouteSpec, ServiceName, ServiceSpec};
-use std::collections::HashMap;
+use millpass_proto::{
+    DeploymentDocument, RouteSpec, ServiceName, ServiceSpec, TenantAccess, TenantName,
+};
+use millpass_tenancy::{KeyDirectory, PresentedKey};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// Why a request has no route.
@@ -15,6 +18,35 @@
     NoRoute,
 }
 
+/// Why a caller is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum IdentityError {
+    /// It sent no key.
+    #[error("no key came with the request; send the key of a tenant")]
+    KeyMissing,
+    /// It sent several, or what cannot be a key.
+    #[error("more than one key, or none that can be one, came with the request; send one")]
+    KeyUnusable,
+    /// No tenant has the key.
+    #[error("no tenant has this key; ask its operator for one in force")]
+    KeyUnknown,
+    /// Keys may have been taken away since this gateway last heard of them.
+    #[error("keys cannot be checked here for the moment; come back shortly")]
+    Outdated,
+}
+
+impl IdentityError {
+    /// The reason in a log line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            IdentityError::KeyMissing => "key-missing",
+            IdentityError::KeyUnusable => "key-unusable",
+            IdentityError::KeyUnknown => "key-unknown",
+            IdentityError::Outdated => "keys-outdated",
+        }
+    }
+}
+
 /// The routing table of one document.
 #[derive(Clone, Debug)]
 pub struct RoutingTable {
@@ -22,6 +54,12 @@
     /// Routes of each host, the longest prefix first.
     hosts: HashMap<String, Vec<Arc<RouteSpec>>>,
     services: HashMap<ServiceName, usize>,
+    keys: KeyDirectory,
+    tenants: HashMap<TenantName, Arc<TenantAccess>>,
+    /// Ranks that tenants have, in order.
+    tenant_ranks: Vec<u32>,
+    /// Ranks that routes have, in order.
+    route_ranks: Vec<u32>,
 }
 
 impl RoutingTable {
@@ -41,13 +79,57 @@
             .enumerate()
             .map(|(place, service)| (service.name.clone(), place))
             .collect();
+        let mut keys = KeyDirectory::default();
+        let mut tenants = HashMap::new();
+        for tenant in &document.tenants {
+            keys.add(&tenant.name, &tenant.key_hashes);
+            tenants.insert(tenant.name.clone(), Arc::new(tenant.clone()));
+        }
         RoutingTable {
+            tenant_ranks: distinct(document.tenants.iter().map(|tenant| tenant.priority)),
+            route_ranks: distinct(document.routes.iter().map(|route| route.priority)),
             document,
             hosts,
             services,
+            keys,
+            tenants,
         }
     }
 
+    /// Whose a request is; none where the document has no tenants, or where the route takes callers without
+    /// a key and none came.
+    pub fn identify(
+        &self,
+        route: &RouteSpec,
+        key: PresentedKey,
+    ) -> Result<Option<Arc<TenantAccess>>, IdentityError> {
+        if self.tenants.is_empty() {
+            return Ok(None);
+        }
+        match key {
+            PresentedKey::Missing if route.anonymous => Ok(None),
+            PresentedKey::Missing => Err(IdentityError::KeyMissing),
+            PresentedKey::Unusable => Err(IdentityError::KeyUnusable),
+            PresentedKey::One(hash) => {
+                let tenant = self.keys.tenant(&hash);
+                let found = tenant.and_then(|tenant| self.tenants.get(tenant));
+                found.cloned().map(Some).ok_or(IdentityError::KeyUnknown)
+            }
+        }
+    }
+
+    /// Rank of a request among all: the tenant's counts before the route's. Without tenants it is the route's
+    /// as written.
+    pub fn rank(&self, tenant: Option<&TenantAccess>, route: &RouteSpec) -> u32 {
+        let Some(tenant) = tenant else {
+            return route.priority;
+        };
+        let place = |ranks: &[u32], rank: u32| ranks.partition_point(|other| *other < rank);
+        let rank = place(&self.tenant_ranks, tenant.priority) * self.route_ranks.len()
+            + place(&self.route_ranks, route.priority);
+        u32::try_from(rank).unwrap_or(u32::MAX)
+    }
+
     /// Version of the document.
     pub fn version(&self) -> u64 {
         self.document.version
@@ -76,3 +158,7 @@
         self.document.services.get(place)
     }
 }
+
+fn distinct(ranks: impl Iterator<Item = u32>) -> Vec<u32> {
+    ranks.collect::<BTreeSet<_>>().into_iter().collect()
+}
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -21,6 +21,7 @@
         retry_window: Duration::from_secs(10),
         prompt_tokens_per_milli: 40.0,
         default_patience: Duration::from_secs(15),
+        key_lifetime: None,
     }
 }
 
@@ -42,6 +43,7 @@
             weight: 1,
         }],
         first_event_millis: 0,
+        anonymous: false,
     }
 }
 
@@ -78,6 +80,7 @@
             header_millis: 0,
             idle_millis: 0,
         },
+        tenants: Vec::new(),
     }
 }
 
@@ -148,8 +151,9 @@
             identity: 7,
             tokens: 1_000,
         }],
+        ..Description::default()
     };
-    dispatcher.begin(at(now), route, description, 0.5)
+    dispatcher.begin(at(now), route, None, description, 0.5)
 }
 
 #[rstest]
@@ -480,7 +484,13 @@
         let mut dispatcher = Dispatcher::new(settings());
         let draw = f64::from(gateway) / f64::from(gateways);
         for request in 0..u64::from(each) {
-            let ticket = dispatcher.begin(at(request), split.clone(), Description::default(), draw);
+            let ticket = dispatcher.begin(
+                at(request),
+                split.clone(),
+                None,
+                Description::default(),
+                draw,
+            );
             of_small += u32::from(ticket.service == "text".into());
         }
     }
--- /dev/null
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -0,0 +1,199 @@
+//! Whose a request is, and its rank.
+
+use millpass_dispatch::{Description, DispatchSettings, Dispatcher, IdentityError};
+use millpass_proto::*;
+use millpass_tenancy::{KeyHash, PresentedKey};
+use rstest::rstest;
+
+const LIFETIME: Duration = Duration::from_secs(5);
+
+fn route(prefix: &str, priority: u32, anonymous: bool) -> RouteSpec {
+    RouteSpec {
+        name: prefix.to_owned(),
+        host: "h".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Repeatable,
+        resumable: false,
+        timeout_millis: 1_000,
+        objective_millis: 100,
+        gap_objective_millis: 0,
+        priority,
+        maximum_attempts: 1,
+        prompt_affinity: false,
+        targets: Vec::new(),
+        first_event_millis: 0,
+        anonymous,
+    }
+}
+
+fn tenant(name: &str, key: &[u8], priority: u32) -> TenantAccess {
+    TenantAccess {
+        name: name.into(),
+        key_hashes: vec![KeyHash::of(key).to_string()],
+        priority,
+        unit: QuotaUnit::Tokens,
+        plain_cost: 200,
+        units_per_second: 0,
+        burst_units: 0,
+    }
+}
+
+fn document(version: u64, tenants: Vec<TenantAccess>) -> DeploymentDocument {
+    DeploymentDocument {
+        version,
+        routes: vec![route("/keyed/", 2, false), route("/open/", 5, true)],
+        services: Vec::new(),
+        limits: CallerLimits {
+            header_bytes: 0,
+            body_bytes: 0,
+            header_millis: 0,
+            idle_millis: 0,
+        },
+        tenants,
+    }
+}
+
+fn update(document: Option<DeploymentDocument>, provisional: bool) -> GatewayUpdate {
+    GatewayUpdate {
+        term: 1,
+        complete: false,
+        first: true,
+        document,
+        instances: Vec::new(),
+        removed: Vec::new(),
+        outlook: Vec::new(),
+        gateways: 1,
+        members: Vec::new(),
+        provisional,
+        loads: Vec::new(),
+    }
+}
+
+fn dispatcher(key_lifetime: Option<Duration>) -> Dispatcher {
+    Dispatcher::new(DispatchSettings {
+        name: "g".to_owned(),
+        zone: "z".into(),
+        retry_ratio: 0.2,
+        retry_slack: 10.0,
+        retry_window: Duration::from_secs(10),
+        prompt_tokens_per_milli: 40.0,
+        default_patience: Duration::from_secs(15),
+        key_lifetime,
+    })
+}
+
+fn identify(
+    dispatcher: &Dispatcher,
+    now: Timestamp,
+    path: &str,
+    key: PresentedKey,
+) -> Result<Option<String>, IdentityError> {
+    let route = dispatcher.route("h", path).expect("route");
+    let tenant = dispatcher.identify(now, &route, key)?;
+    Ok(tenant.map(|tenant| tenant.name.0.clone()))
+}
+
+fn key(text: &[u8]) -> PresentedKey {
+    PresentedKey::One(KeyHash::of(text))
+}
+
+#[rstest]
+#[case::known("/keyed/", key(b"k-1"), Ok(Some("one".to_owned())))]
+#[case::unknown("/keyed/", key(b"K-1"), Err(IdentityError::KeyUnknown))]
+#[case::missing("/keyed/", PresentedKey::Missing, Err(IdentityError::KeyMissing))]
+#[case::several("/keyed/", PresentedKey::Unusable, Err(IdentityError::KeyUnusable))]
+#[case::open("/open/", PresentedKey::Missing, Ok(None))]
+#[case::open_and_known("/open/", key(b"k-1"), Ok(Some("one".to_owned())))]
+#[case::open_and_unknown("/open/", key(b"k-9"), Err(IdentityError::KeyUnknown))]
+fn a_request_belongs_to_the_tenant_whose_key_it_has(
+    #[case] path: &str,
+    #[case] key: PresentedKey,
+    #[case] expected: Result<Option<String>, IdentityError>,
+) {
+    let mut dispatcher = dispatcher(None);
+    let tenants = vec![tenant("one", b"k-1", 0), tenant("two", b"k-2", 0)];
+    dispatcher.update(Timestamp::ZERO, update(Some(document(1, tenants)), false));
+    assert_eq!(identify(&dispatcher, Timestamp::ZERO, path, key), expected);
+}
+
+#[test]
+fn without_tenants_no_key_is_needed() {
+    let mut dispatcher = dispatcher(None);
+    dispatcher.update(
+        Timestamp::ZERO,
+        update(Some(document(1, Vec::new())), false),
+    );
+    for key in [PresentedKey::Missing, PresentedKey::Unusable, key(b"any")] {
+        assert_eq!(
+            identify(&dispatcher, Timestamp::ZERO, "/keyed/", key),
+            Ok(None)
+        );
+    }
+}
+
+#[test]
+fn a_key_that_was_taken_away_is_nobodys_from_the_update_on() {
+    let mut dispatcher = dispatcher(None);
+    let first = document(1, vec![tenant("one", b"k-1", 0)]);
+    dispatcher.update(Timestamp::ZERO, update(Some(first), false));
+    let second = document(2, vec![tenant("one", b"k-2", 0)]);
+    dispatcher.update(Timestamp::ZERO, update(Some(second), false));
+    let found = identify(&dispatcher, Timestamp::ZERO, "/keyed/", key(b"k-1"));
+    assert_eq!(found, Err(IdentityError::KeyUnknown));
+}
+
+#[rstest]
+#[case::served_on(None, Ok(Some("one".to_owned())))]
+#[case::refused(Some(LIFETIME), Err(IdentityError::Outdated))]
+fn a_gateway_without_word_of_the_leader(
+    #[case] lifetime: Option<Duration>,
+    #[case] expected: Result<Option<String>, IdentityError>,
+) {
+    let mut dispatcher = dispatcher(lifetime);
+    let tenants = vec![tenant("one", b"k-1", 0)];
+    dispatcher.update(Timestamp::ZERO, update(Some(document(1, tenants)), false));
+    let later = Timestamp::ZERO + LIFETIME + Duration::from_millis(1);
+    assert_eq!(
+        identify(&dispatcher, later, "/keyed/", key(b"k-1")),
+        expected
+    );
+    // An unknown key is refused in any case; callers without one go on.
+    let unknown = identify(&dispatcher, later, "/keyed/", key(b"k-9"));
+    assert_eq!(unknown, Err(IdentityError::KeyUnknown));
+    let open = identify(&dispatcher, later, "/open/", PresentedKey::Missing);
+    assert_eq!(open, Ok(None));
+    // A member's own copy is no word of the leader.
+    dispatcher.update(later, update(None, true));
+    assert_eq!(
+        identify(&dispatcher, later, "/keyed/", key(b"k-1")),
+        expected
+    );
+    dispatcher.update(later, update(None, false));
+    let found = identify(&dispatcher, later, "/keyed/", key(b"k-1"));
+    assert_eq!(found, Ok(Some("one".to_owned())));
+}
+
+#[test]
+fn the_rank_of_a_tenant_counts_before_that_of_a_route() {
+    let mut dispatcher = dispatcher(None);
+    let tenants = vec![tenant("first", b"k-1", 0), tenant("last", b"k-2", 7)];
+    dispatcher.update(Timestamp::ZERO, update(Some(document(1, tenants)), false));
+    let mut rank = |path: &str, name: Option<&[u8]>| {
+        let route = dispatcher.route("h", path).expect("route");
+        let presented = name.map_or(PresentedKey::Missing, key);
+        let tenant = dispatcher.identify(Timestamp::ZERO, &route, presented);
+        let description = Description::default();
+        let tenant = tenant.expect("known");
+        dispatcher
+            .begin(Timestamp::ZERO, route, tenant, description, 0.0)
+            .rank
+    };
+    let ranks = [
+        rank("/keyed/", Some(b"k-1")),
+        rank("/open/", Some(b"k-1")),
+        rank("/keyed/", Some(b"k-2")),
+        rank("/open/", Some(b"k-2")),
+    ];
+    assert_eq!(ranks, [0, 1, 2, 3]);
+    assert_eq!(rank("/open/", None), 5);
+}
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -49,6 +49,7 @@
             header_millis: 0,
             idle_millis: 0,
         },
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -48,6 +48,7 @@
             header_millis: 0,
             idle_millis: 0,
         },
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use millpass_dispatch::{Choice, RouteError, SendEnd, Ticket};
+use millpass_dispatch::{Choice, IdentityError, RouteError, SendEnd, Ticket};
 use millpass_proto::{Duration, InstanceId, RouteSpec, Timestamp};
 use millpass_telemetry::event_line;
 use rand::RngExt;
@@ -111,6 +111,11 @@
         Ok(route) => route,
         Err(error) => return unrouted(shared, &attempt, &host, head.uri.path(), error),
     };
+    let identified = shared.core().identify(arrived, &route, description.key);
+    let tenant = match identified {
+        Ok(tenant) => tenant,
+        Err(error) => return unidentified(shared, &attempt, &route, error),
+    };
     let body = match read_body(shared, body).await {
         Ok(body) => body,
         Err(status) => {
@@ -119,7 +124,9 @@
         }
     };
     let draw: f64 = rand::rng().random();
-    let ticket = shared.core().begin(arrived, route, description, draw);
+    let ticket = shared
+        .core()
+        .begin(arrived, route, tenant, description, draw);
     in_flight.opened(&ticket);
     let template = Template::new(shared.interface.as_ref(), head, body);
     let forward = Forward {
@@ -205,7 +212,8 @@
         let facts = SendFacts {
             remaining: self.ticket.deadline.since(sent_at),
             instance: &instance,
-            priority: self.ticket.route.priority,
+            rank: self.ticket.rank,
+            tenant: self.ticket.tenant.as_ref().map(|tenant| &tenant.name),
             last_event: None,
         };
         let give_up = self.ticket.give_up;
@@ -409,6 +417,13 @@
     let pairs = [
         ("request", description.attempt.clone()),
         ("route", ticket.route.name.clone()),
+        (
+            "tenant",
+            ticket
+                .tenant
+                .as_ref()
+                .map_or_else(String::new, |tenant| tenant.name.0.clone()),
+        ),
         ("service", ticket.service.0.clone()),
         ("version", version.to_string()),
         (
@@ -433,6 +448,36 @@
     log::info!("{}", event_line("request_ended", &pairs));
 }
 
+/// The answer to a caller that is not known. Keys are never logged, not even as hashes.
+fn unidentified(
+    shared: &Shared,
+    attempt: &str,
+    route: &RouteSpec,
+    error: IdentityError,
+) -> Response<RelayBody> {
+    let (status, retry_after) = match error {
+        IdentityError::Outdated => (StatusCode::SERVICE_UNAVAILABLE, Some(NOT_CONFIGURED_WAIT)),
+        IdentityError::KeyMissing | IdentityError::KeyUnusable | IdentityError::KeyUnknown => {
+            (StatusCode::UNAUTHORIZED, None)
+        }
+    };
+    let version = shared.core().table().map_or(0, |table| table.version());
+    let pairs = [
+        ("request", attempt.to_owned()),
+        ("route", route.name.clone()),
+        ("version", version.to_string()),
+        ("reason", error.as_str().to_owned()),
+        ("status", status.as_str().to_owned()),
+    ];
+    log::info!("{}", event_line("request_unidentified", &pairs));
+    shared
+        .metrics
+        .requests
+        .with_label_values(&["unidentified"])
+        .inc();
+    own_answer(shared, attempt, status, &error.to_string(), retry_after)
+}
+
 fn unrouted(
     shared: &Shared,
     attempt: &str,
--- a/crates/millpass-gateway/src/interface.rs
+++ b/crates/millpass-gateway/src/interface.rs
@@ -3,7 +3,7 @@
 
 use http::{HeaderMap, Method, StatusCode, Uri};
 use millpass_dispatch::{Description, ToldLoad};
-use millpass_proto::{Duration, InstanceId};
+use millpass_proto::{Duration, InstanceId, TenantName};
 
 /// What a send to an instance states beside the caller's own words.
 #[derive(Clone, Debug)]
@@ -13,7 +13,9 @@
     /// Run that the request is for; any other turns it away.
     pub instance: &'a InstanceId,
     /// Rank of the request, 0 first.
-    pub priority: u32,
+    pub rank: u32,
+    /// Tenant it belongs to; none where callers need no key.
+    pub tenant: Option<&'a TenantName>,
     /// Event after which a stream goes on.
     pub last_event: Option<&'a str>,
 }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -246,7 +246,8 @@
         let facts = SendFacts {
             remaining: self.ticket.deadline.since(shared.now()),
             instance: &instance,
-            priority: self.ticket.route.priority,
+            rank: self.ticket.rank,
+            tenant: self.ticket.tenant.as_ref().map(|tenant| &tenant.name),
             last_event: last.as_deref(),
         };
         let give_up = self.ticket.give_up;
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -846,6 +846,9 @@
 
     /// Time after which callers of a stream leave if nothing has come; 0 for no such time.
     pub first_event_millis: u64,
+
+    /// Callers without a key are served where the document has tenants.
+    pub anonymous: bool,
 }
 
 
@@ -921,6 +924,47 @@
 }
 
 
+/// What a tenant's quota counts.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum QuotaUnit {
+
+    /// Each request counts one unit.
+    Requests,
+
+    /// A request counts the tokens of its prompt and the most it may get; one that states none counts the tenant's plain cost.
+    Tokens,
+}
+
+
+/// A tenant of a deployment document: who its callers are, how urgent they are, how much they may ask for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct TenantAccess {
+
+    /// Name; instances are told it.
+    pub name: TenantName,
+
+    /// BLAKE3 hashes (hex) of the tenant's API keys.
+    pub key_hashes: Vec<String>,
+
+    /// Rank, 0 is the most urgent; counts before the rank of the route.
+    pub priority: u32,
+
+    /// What the quota counts.
+    pub unit: QuotaUnit,
+
+    /// Units of a request that states no tokens, where tokens count.
+    pub plain_cost: u64,
+
+    /// Units that the tenant may use in a second, over all gateways; 0 for no limit.
+    pub units_per_second: u64,
+
+    /// Units that it may use beyond that at once.
+    pub burst_units: u64,
+}
+
+
 /// A whole configuration under the operator's own version. The highest version wins.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -937,6 +981,9 @@
 
     /// Limits of callers.
     pub limits: CallerLimits,
+
+    /// Tenants; without any, callers need no key.
+    pub tenants: Vec<TenantAccess>,
 }
 
 
--- a/crates/millpass-routing/src/catalog.rs
+++ b/crates/millpass-routing/src/catalog.rs
@@ -6,7 +6,8 @@
     GroupName, ModelName, ModelSpec, ObjectKey, ObjectKind, ObjectSpec, PolicyName, PolicySpec,
     StoredObject, TenantName, TenantSpec,
 };
-use std::collections::{BTreeMap, HashMap};
+use millpass_tenancy::{KeyDirectory, KeyHash};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// Most verdicts remembered.
@@ -31,7 +32,7 @@
     adapters: BTreeMap<AdapterName, AdapterSpec>,
     groups: BTreeMap<GroupName, BackendGroupSpec>,
     policies: BTreeMap<PolicyName, PolicySpec>,
-    tenant_by_key_hash: HashMap<String, TenantName>,
+    keys: KeyDirectory,
     compiled: Result<CompiledPolicies, PolicyError>,
     verdicts: VerdictCache,
 }
@@ -46,7 +47,7 @@
             adapters: BTreeMap::new(),
             groups: BTreeMap::new(),
             policies: BTreeMap::new(),
-            tenant_by_key_hash: HashMap::new(),
+            keys: KeyDirectory::default(),
             compiled: Ok(CompiledPolicies::default()),
             verdicts: VerdictCache::new(VERDICT_CAPACITY),
         }
@@ -85,7 +86,7 @@
         self.adapters.clear();
         self.groups.clear();
         self.policies.clear();
-        self.tenant_by_key_hash.clear();
+        self.keys.clear();
     }
 
     fn put(&mut self, object: &StoredObject) {
@@ -111,9 +112,7 @@
 
     fn put_tenant(&mut self, tenant: TenantName, spec: &TenantSpec) {
         self.remove_tenant(&tenant);
-        for hash in &spec.api_key_hashes {
-            self.tenant_by_key_hash.insert(hash.clone(), tenant.clone());
-        }
+        self.keys.add(&tenant, &spec.api_key_hashes);
         self.tenants.insert(tenant, spec.clone());
     }
 
@@ -121,11 +120,7 @@
         let Some(spec) = self.tenants.remove(tenant) else {
             return;
         };
-        for hash in &spec.api_key_hashes {
-            if self.tenant_by_key_hash.get(hash) == Some(tenant) {
-                self.tenant_by_key_hash.remove(hash);
-            }
-        }
+        self.keys.remove(tenant, &spec.api_key_hashes);
     }
 
     fn remove(&mut self, key: &ObjectKey) {
@@ -161,8 +156,7 @@
 
     /// Tenant of an API key.
     pub fn tenant_of_key(&self, api_key: &str) -> Option<&TenantName> {
-        let hash = blake3::hash(api_key.as_bytes()).to_hex();
-        self.tenant_by_key_hash.get(hash.as_str())
+        self.keys.tenant(&KeyHash::of(api_key.as_bytes()))
     }
 
     /// What the operators state of a tenant.
--- a/crates/millpass-state/src/document.rs
+++ b/crates/millpass-state/src/document.rs
@@ -1,7 +1,10 @@
 //! What a deployment document must satisfy to be put in force.
 
-use millpass_proto::{DeploymentDocument, RouteSpec, ServiceName};
-use std::collections::BTreeSet;
+use millpass_proto::{DeploymentDocument, RouteSpec, ServiceName, TenantAccess};
+use std::collections::{BTreeSet, HashMap};
+
+/// Most units a second, or at once, that a quota may state: sums over days stay far below what a counter holds.
+const MAXIMUM_UNITS: u64 = 1_000_000_000_000;
 
 /// Why a document is refused whole; what stood before stays in force.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -34,6 +37,30 @@
         /// Route.
         route: String,
     },
+    /// A tenant has no name.
+    #[error("a tenant has no name; name each tenant")]
+    TenantNameless,
+    /// Two tenants have one name.
+    #[error("tenant {0} stands twice; give each tenant one entry")]
+    TenantTwice(String),
+    /// Two tenants share a key.
+    #[error("tenants {first} and {second} share a key; give each its own")]
+    SharedKey {
+        /// One of them.
+        first: String,
+        /// The other.
+        second: String,
+    },
+    /// A quota's figure is beyond reason.
+    #[error(
+        "tenant {tenant}: the quota states {units} units; write {MAXIMUM_UNITS} at most, or 0 for none"
+    )]
+    AbsurdQuota {
+        /// Tenant.
+        tenant: String,
+        /// Units stated.
+        units: u64,
+    },
     /// A route's time-out is 0.
     #[error("route {route}: the time-out is 0; write milliseconds above 0")]
     NoTimeout {
@@ -62,6 +89,42 @@
         }
         check_route(route, &services)?;
     }
+    check_tenants(&document.tenants)
+}
+
+fn check_tenants(tenants: &[TenantAccess]) -> Result<(), InvalidDocument> {
+    let mut names = BTreeSet::new();
+    let mut owners: HashMap<&str, &TenantAccess> = HashMap::new();
+    for tenant in tenants {
+        let name = || tenant.name.0.clone();
+        if tenant.name.0.is_empty() {
+            return Err(InvalidDocument::TenantNameless);
+        }
+        if !names.insert(&tenant.name) {
+            return Err(InvalidDocument::TenantTwice(name()));
+        }
+        for key in &tenant.key_hashes {
+            let owner = owners.insert(key, tenant);
+            if let Some(owner) = owner.filter(|owner| owner.name != tenant.name) {
+                return Err(InvalidDocument::SharedKey {
+                    first: owner.name.0.clone(),
+                    second: name(),
+                });
+            }
+        }
+        for units in [
+            tenant.units_per_second,
+            tenant.burst_units,
+            tenant.plain_cost,
+        ] {
+            if units > MAXIMUM_UNITS {
+                return Err(InvalidDocument::AbsurdQuota {
+                    tenant: name(),
+                    units,
+                });
+            }
+        }
+    }
     Ok(())
 }
 
--- a/crates/millpass-state/tests/deployment.rs
+++ b/crates/millpass-state/tests/deployment.rs
@@ -23,6 +23,7 @@
             weight: 1,
         }],
         first_event_millis: 0,
+        anonymous: false,
     }
 }
 
@@ -42,6 +43,7 @@
             header_millis: 0,
             idle_millis: 0,
         },
+        tenants: Vec::new(),
     }
 }
 
