Quotas over all gateways by credit that the leader lends

Change: CreditLedger (leader), CreditPool (gateway) in millpass-tenancy; messages of their own beside reports, answered at once; a new leader begins with empty buckets but for a quarter of the contract's slack; gateways without an answer for 60 ms use their part of half of what the contract bears above the limit, and say so with the next word; 429 at once with when units will be there, spread; requests whose quota counts tokens and that state none that can be read get 400. Settings quota.* and fleet.quota_slack_units, from the sheet's bounds. Metrics by tenant, at most 64 by name.

Tests: tenancy/quota (virtual time, property over faults), a real gateway (429, no limit, unreadable figures).

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -15,6 +15,7 @@
 use millpass_routing::RoutingSettings;
 use millpass_scheduler::{KeepAlive, SchedulerSettings};
 use millpass_telemetry::{LogSettings, event_line, start_logging};
+use millpass_tenancy::QuotaTerms;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::SocketAddr;
@@ -168,6 +169,7 @@
         announce_interval: millis(section.announce_interval_ms),
         instance_silence: millis(section.instance_silence_ms),
         order_handover: millis(section.order_handover_ms),
+        quota_slack_units: section.quota_slack_units,
     })
 }
 
@@ -189,6 +191,11 @@
             retry_window: millis(settings.retries.window_ms),
             prompt_tokens_per_milli: settings.instances.prompt_tokens_per_second as f64 / 1_000.0,
             default_patience: millis(settings.instances.default_patience_ms),
+            quota: QuotaTerms {
+                window: millis(settings.quota.window_ms),
+                overage: settings.quota.overage.parse().context("quota.overage")?,
+                slack_units: settings.quota.slack_units,
+            },
             key_lifetime: (settings.tenants.unchecked_keys == "refuse")
                 .then(|| millis(settings.tenants.key_lifetime_ms)),
         },
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -56,6 +56,8 @@
     pub call_timeout_ms: u64,
     /// Time after an engine's last instruction for which no other leader instructs it.
     pub order_handover_ms: u64,
+    /// Units that the contract bears above a tenant's limit in a window; a new leader begins with a part of it.
+    pub quota_slack_units: u64,
 }
 impl Default for ControlFleetSection {
     fn default() -> Self {
@@ -65,6 +67,7 @@
             instance_silence_ms: 6000u64,
             call_timeout_ms: 600u64,
             order_handover_ms: 3000u64,
+            quota_slack_units: 0u64,
         }
     }
 }
@@ -364,6 +367,14 @@
                         maximum: 600000u64,
                     },
                 },
+                KeySpecification {
+                    name: "quota_slack_units",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 1000000000000u64,
+                    },
+                },
             ],
         },
         SectionSpecification {
@@ -1105,6 +1116,26 @@
         }
     }
 }
+/// What the contract bears above tenants' limits. Gateways that no leader answers use a part of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewayQuotaSection {
+    /// Length of the window in which use is summed.
+    pub window_ms: u64,
+    /// Part of the limit that is borne above it.
+    pub overage: String,
+    /// Units borne beyond that in a window.
+    pub slack_units: u64,
+}
+impl Default for GatewayQuotaSection {
+    fn default() -> Self {
+        Self {
+            window_ms: 10000u64,
+            overage: "0".to_owned(),
+            slack_units: 0u64,
+        }
+    }
+}
 /// Repeats that a service may get, over all gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -1171,6 +1202,8 @@
     pub instances: GatewayInstancesSection,
     /// Callers' keys.
     pub tenants: GatewayTenantsSection,
+    /// What the contract bears above tenants' limits. Gateways that no leader answers use a part of it.
+    pub quota: GatewayQuotaSection,
     /// Repeats that a service may get, over all gateways.
     pub retries: GatewayRetriesSection,
     /// Planned stop.
@@ -1305,6 +1338,33 @@
                 },
             ],
         },
+        SectionSpecification {
+            name: "quota",
+            repeated: false,
+            keys: &[
+                KeySpecification {
+                    name: "window_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 100u64,
+                        maximum: 3600000u64,
+                    },
+                },
+                KeySpecification {
+                    name: "overage",
+                    required: false,
+                    kind: KeyKind::Text,
+                },
+                KeySpecification {
+                    name: "slack_units",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 1000000000000u64,
+                    },
+                },
+            ],
+        },
         SectionSpecification {
             name: "retries",
             repeated: false,
--- /dev/null
+++ b/crates/millpass-control-plane/src/credit.rs
@@ -0,0 +1,49 @@
+//! Lends gateways units of tenants' quotas; only while this member is in charge.
+
+use crate::interface::ConnectionId;
+use crate::outputs::Outputs;
+use crate::plane::ControlPlane;
+use millpass_proto::{ControlToRouter, CreditRequest, Timestamp};
+use millpass_tenancy::{CreditLedger, QuotaExhausted};
+
+impl ControlPlane {
+    /// Begins the book when this member has taken charge: from then on tenants' buckets fill.
+    pub(crate) fn begin_credit(&mut self, now: Timestamp) {
+        if let Some(fleet) = &self.settings.fleet {
+            let slack = fleet.quota_slack_units;
+            self.credit
+                .get_or_insert_with(|| CreditLedger::new(now, slack));
+        }
+    }
+
+    pub(crate) fn take_credit_request(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        request: &CreditRequest,
+        out: &mut Outputs,
+    ) {
+        // Left unanswered, it is asked again on the next connection.
+        let (Some(document), Some(ledger)) = (self.state.document(), &mut self.credit) else {
+            return;
+        };
+        ledger.put_in_force(now, document);
+        let (answer, exhausted) = ledger.answer(now, self.term, request);
+        out.send_router(connection, ControlToRouter::Credit(answer));
+        for event in exhausted {
+            log_exhausted(&event, &request.gateway, out);
+        }
+    }
+}
+
+fn log_exhausted(event: &QuotaExhausted, gateway: &str, out: &mut Outputs) {
+    let pairs = vec![
+        ("tenant", event.tenant.0.clone()),
+        ("units_per_second", event.limit.units_per_second.to_string()),
+        ("burst_units", event.limit.burst_units.to_string()),
+        ("level", format!("{:.0}", event.level)),
+        ("denied", event.denied.to_string()),
+        ("gateway", gateway.to_owned()),
+    ];
+    out.event("quota-exhausted", pairs);
+}
--- a/crates/millpass-control-plane/src/lib.rs
+++ b/crates/millpass-control-plane/src/lib.rs
@@ -27,6 +27,7 @@
 mod addresses;
 mod administration;
 mod claims;
+mod credit;
 mod deployment;
 mod drain;
 pub mod interface;
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -21,6 +21,7 @@
 use millpass_proto::{Command, Duration, ExpireClaims, OrderAnswer, Snapshot, Timestamp};
 use millpass_scheduler::Scheduler;
 use millpass_state::State;
+use millpass_tenancy::CreditLedger;
 use serde_bytes::ByteBuf;
 
 /// Time after which an administration call whose proposal has not committed is answered
@@ -68,6 +69,8 @@
     pub(crate) scheduler: Scheduler,
     /// Instances that announce themselves, where the deployment has them.
     pub(crate) fleet: Option<Fleet>,
+    /// What is lent of tenants' quotas; begun anew each time this member takes charge.
+    pub(crate) credit: Option<CreditLedger>,
     /// Instructions to engines as the log told them, also those of other leaders.
     pub(crate) instructions: InstructionHistory,
     /// Whether commands were applied since the outstanding orders were last looked at.
@@ -107,6 +110,7 @@
         ControlPlane {
             scheduler: Scheduler::new(settings.scheduler.clone()),
             fleet: settings.fleet.clone().map(Fleet::new),
+            credit: None,
             instructions: InstructionHistory::new(now, INSTRUCTION_MEMORY),
             addresses: AddressBook::new(&status.membership),
             role: status.role,
@@ -284,6 +288,7 @@
         if !self.in_charge(now) {
             return;
         }
+        self.begin_credit(now);
         self.run_scheduling(now, out);
         self.run_platform(now, out);
         self.run_claims(now, unix_millis, out);
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -297,6 +297,7 @@
         if let Some(fleet) = &mut self.fleet {
             fleet.clear();
         }
+        self.credit = None;
     }
 
     fn redirect_routers(&mut self, gateways: &[u64], out: &mut Outputs) {
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -39,6 +39,10 @@
             out.send_not_leader(connection, self.leader_peer_address());
             return;
         }
+        if let RouterToControl::Credit(request) = &message {
+            self.take_credit_request(now, connection, request, out);
+            return;
+        }
         let Some(hello) = self.sessions.identity(connection).cloned() else {
             let pairs = vec![("connection", connection.0.to_string())];
             out.event("router-without-hello", pairs);
@@ -46,7 +50,9 @@
             return;
         };
         match message {
-            RouterToControl::Hello(_) | RouterToControl::Gateway(_) => {}
+            RouterToControl::Hello(_)
+            | RouterToControl::Gateway(_)
+            | RouterToControl::Credit(_) => {}
             RouterToControl::Report(report) => {
                 self.take_report(now, connection, &hello, report, out);
             }
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -9,7 +9,7 @@
     AdapterName, Duration, EngineSpec, GatewayReport, GatewayUpdate, InstanceId, InstanceLoad,
     ModelName, ModelOutlook, RouteSpec, ServiceName, TenantAccess, Timestamp, ZoneName,
 };
-use millpass_tenancy::PresentedKey;
+use millpass_tenancy::{CreditPool, PresentedKey, QuotaTerms};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -33,6 +33,8 @@
     pub prompt_tokens_per_milli: f64,
     /// How long a caller without a stated deadline waits.
     pub default_patience: Duration,
+    /// What the contract bears above a tenant's limit.
+    pub quota: QuotaTerms,
     /// Time without word of the leader after which keys count as unchecked; none to go on with what is known.
     pub key_lifetime: Option<Duration>,
 }
@@ -122,6 +124,7 @@
     heard_at: Timestamp,
     pub(crate) gateways: u32,
     pub(crate) reports: u64,
+    pub(crate) credit: CreditPool,
     /// When this gateway ends, once it was told to stop.
     pub(crate) stops_at: Option<Timestamp>,
 }
@@ -130,6 +133,7 @@
     /// Starts without configuration.
     pub fn new(settings: DispatchSettings) -> Self {
         Dispatcher {
+            credit: CreditPool::new(settings.quota),
             settings,
             table: None,
             provisional: false,
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -9,10 +9,12 @@
 //! | `prompts` | which prompt parts an instance has lately read |
 //! | `retry_budget` | how many repeats a service may get from this gateway |
 //! | `needs` | demand to report |
+//! | `credit` | units of tenants' quotas that requests need |
 //! | `choosing` | which instance, wait or refuse |
 //! | `dispatcher` | the core itself: updates, begins and ends, reports |
 
 mod choosing;
+mod credit;
 mod dispatcher;
 mod instances;
 mod needs;
@@ -21,6 +23,7 @@
 mod retry_budget;
 mod table;
 
+pub use credit::UnreadableTokens;
 pub use dispatcher::{Choice, DispatchSettings, Dispatcher, RefusalReason, UpdateOutcome};
 pub use instances::{SendEnd, ToldLoad};
 pub use request::{Description, PromptPart, SendRecord, StatedTokens, Ticket};
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -5,6 +5,7 @@
     RetryBudget, RouteError, SendEnd, Ticket,
 };
 use millpass_proto::*;
+use millpass_tenancy::QuotaTerms;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -21,6 +22,7 @@
         retry_window: Duration::from_secs(10),
         prompt_tokens_per_milli: 40.0,
         default_patience: Duration::from_secs(15),
+        quota: QuotaTerms::default(),
         key_lifetime: None,
     }
 }
--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -2,7 +2,7 @@
 
 use millpass_dispatch::{Description, DispatchSettings, Dispatcher, IdentityError};
 use millpass_proto::*;
-use millpass_tenancy::{KeyHash, PresentedKey};
+use millpass_tenancy::{KeyHash, PresentedKey, QuotaTerms};
 use rstest::rstest;
 
 const LIFETIME: Duration = Duration::from_secs(5);
@@ -78,6 +78,7 @@
         retry_window: Duration::from_secs(10),
         prompt_tokens_per_milli: 40.0,
         default_patience: Duration::from_secs(15),
+        quota: QuotaTerms::default(),
         key_lifetime,
     })
 }
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! One request from its head to its answer.
 
+use crate::credit::{CreditHold, CreditRefusal};
 use crate::exchange::{self, Received, SendFailure, Template, remove_hop_headers};
 use crate::interface::{AnswerFacts, SendFacts};
 use crate::metrics::millis;
@@ -29,6 +30,8 @@
 const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a request is held while there is no configuration.
 const NOT_CONFIGURED_HOLD: Duration = Duration::from_millis(250);
+/// Time over which callers of a tenant that has used up its quota come back.
+const QUOTA_SPREAD: Duration = Duration::from_millis(500);
 /// When a caller may come back while there is no configuration.
 const NOT_CONFIGURED_WAIT: Duration = Duration::from_millis(300);
 
@@ -132,12 +135,13 @@
     let forward = Forward {
         shared: shared.clone(),
         ticket,
+        credit: None,
         template,
         failed: None,
         may_have_run: false,
         in_flight: Some(in_flight),
     };
-    forward.run().await
+    forward.within_quota().await
 }
 
 /// The route of a request. A gateway that has just started gets its first configuration in a moment:
@@ -157,6 +161,8 @@
 struct Forward {
     shared: Arc<Shared>,
     ticket: Ticket,
+    /// Its units of the tenant's quota, where there is a limit.
+    credit: Option<CreditHold>,
     template: Template,
     failed: Option<FailedAnswer>,
     may_have_run: bool,
@@ -174,6 +180,38 @@
 }
 
 impl Forward {
+    /// Serves the request once its tenant's quota covers it.
+    async fn within_quota(mut self) -> Response<RelayBody> {
+        let hold = match CreditHold::claim(&self.shared, &self.ticket) {
+            Ok(Some(hold)) => hold,
+            Ok(None) => return self.run().await,
+            Err(_) => return self.give_up(StatusCode::BAD_REQUEST, "tokens-unreadable", None),
+        };
+        match hold.covered(&self.ticket).await {
+            Ok(()) => {
+                self.credit = Some(hold);
+                self.run().await
+            }
+            Err(CreditRefusal::Exhausted { retry_after }) => {
+                // Spread, so that the callers of a tenant do not come back at one time.
+                let spread = QUOTA_SPREAD.mul_f64(rand::rng().random());
+                let status = StatusCode::TOO_MANY_REQUESTS;
+                self.give_up(status, "quota", Some(retry_after + spread))
+            }
+            Err(CreditRefusal::Unanswered) => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                self.give_up(status, "quota-unknown", Some(NOT_CONFIGURED_WAIT))
+            }
+        }
+    }
+
+    /// Notes whether the request may have run, so that its units are used.
+    fn note_ran(&mut self, ran: bool) {
+        if let Some(credit) = &mut self.credit {
+            credit.used(ran || self.may_have_run);
+        }
+    }
+
     async fn run(mut self) -> Response<RelayBody> {
         loop {
             let changed = self.shared.changed.listen();
@@ -208,6 +246,7 @@
     async fn send(&mut self, instance: InstanceId, address: &str) -> Sent {
         let shared = self.shared.clone();
         let sent_at = shared.now();
+        self.note_ran(true);
         let active = ActiveSend::new(shared.clone(), self.ticket.record(&instance));
         let facts = SendFacts {
             remaining: self.ticket.deadline.since(sent_at),
@@ -232,6 +271,7 @@
         }
         if received.facts.misdirected || received.facts.not_executed {
             note_turned_away(&shared, &self.ticket, active, &received);
+            self.note_ran(false);
             drop(received);
             return Sent::TryAnother;
         }
@@ -245,7 +285,10 @@
     fn failed(&mut self, active: ActiveSend, failure: SendFailure) -> Sent {
         note_failure(&self.shared, &mut self.ticket, active, &failure);
         match failure {
-            SendFailure::Unreachable(_) => Sent::TryAnother,
+            SendFailure::Unreachable(_) => {
+                self.note_ran(false);
+                Sent::TryAnother
+            }
             SendFailure::Broken(_) => {
                 self.may_have_run = true;
                 if self.ticket.is_repeatable() {
@@ -406,7 +449,8 @@
     status: &str,
     head: Option<Duration>,
 ) {
-    shared.metrics.requests.with_label_values(&[outcome]).inc();
+    let tenant = ticket.tenant.as_ref().map(|tenant| &tenant.name);
+    shared.metrics.count_request(tenant, outcome);
     let last = ticket.tried.last();
     let description = &ticket.description;
     let model = description.model.as_ref();
@@ -419,10 +463,7 @@
         ("route", ticket.route.name.clone()),
         (
             "tenant",
-            ticket
-                .tenant
-                .as_ref()
-                .map_or_else(String::new, |tenant| tenant.name.0.clone()),
+            tenant.map_or_else(String::new, |tenant| tenant.0.clone()),
         ),
         ("service", ticket.service.0.clone()),
         ("version", version.to_string()),
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //!
 //! Lock order: `shared` (the core), then `pool`; no lock is held while something is awaited.
 
+mod credit;
 mod events;
 mod exchange;
 mod forward;
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -122,6 +122,7 @@
         let writing = write(shared, &stream);
         future::or(reading, writing).await
     };
+    shared.core().credit_disconnected();
     (end, served)
 }
 
@@ -138,26 +139,36 @@
     Ok(stream)
 }
 
-/// Reports at the interval, and at once when a need arises.
+/// Reports at the interval, and at once when a need arises. What is needed of tenants' quotas is asked for at
+/// once.
 async fn write(shared: &Arc<Shared>, stream: &Async<TcpStream>) -> LinkEnd {
     let mut stream = stream;
+    let mut next_report = shared.now();
+    let mut last_report = None;
     loop {
         let urgent = shared.report.listen();
-        let report = shared.core().report();
-        let message = LinkMessage::Router(RouterToControl::Gateway(report));
-        if let Err(error) = write_frame(&mut stream, &message).await {
-            return LinkEnd::Lost(error.to_string());
+        let now = shared.now();
+        let paused = last_report.is_some_and(|at| now.since(at) < MINIMUM_REPORT_PAUSE);
+        let due = now >= next_report || (shared.core().is_report_urgent() && !paused);
+        let mut messages = Vec::new();
+        if due {
+            messages.push(RouterToControl::Gateway(shared.core().report()));
+            last_report = Some(now);
+            next_report = now + shared.settings.report_interval;
         }
-        Timer::after(MINIMUM_REPORT_PAUSE).await;
+        let credit = shared.core().credit_request(now, due);
+        messages.extend(credit.map(RouterToControl::Credit));
+        for message in messages {
+            if let Err(error) = write_frame(&mut stream, &LinkMessage::Router(message)).await {
+                return LinkEnd::Lost(error.to_string());
+            }
+        }
+        let mut until = next_report;
         if shared.core().is_report_urgent() {
-            drop(urgent);
-            continue;
+            // The pause between reports holds this one back, but no credit that comes to be needed.
+            until = last_report.map_or(now, |at| at + MINIMUM_REPORT_PAUSE);
         }
-        let interval = shared.settings.report_interval;
-        let timer = async {
-            Timer::after(interval).await;
-        };
-        future::or(urgent, timer).await;
+        shared.wait_for_change(urgent, until).await;
     }
 }
 
@@ -200,6 +211,10 @@
                 );
                 take_update(shared, update);
             }
+            Ok(ControlToRouter::Credit(answer)) => {
+                shared.core().take_credit(shared.now(), &answer);
+                shared.changed.notify(usize::MAX);
+            }
             Ok(ControlToRouter::NotLeader(answer)) => {
                 let leader = answer.leader_address.and_then(|text| text.parse().ok());
                 return LinkEnd::NotLeader(leader);
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -1,8 +1,11 @@
 //! Counters and histograms of the gateway.
 
 use millpass_dispatch::SendEnd;
+use millpass_proto::TenantName;
 use millpass_telemetry::{exposition, registry};
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use std::collections::BTreeSet;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 /// Bounds of the latency histograms, in seconds.
@@ -10,11 +13,21 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0,
 ];
 
+/// Most tenants that are counted by name; others are counted together, so that a document with thousands of
+/// tenants does not fill the memory of a gateway.
+const MAXIMUM_TENANTS: usize = 64;
+/// Label of the tenants beyond those.
+const OTHER_TENANTS: &str = "other";
+
 /// Metrics of one process.
 pub(crate) struct Metrics {
     registry: Registry,
     pub(crate) requests: IntCounterVec,
+    tenant_requests: IntCounterVec,
+    /// Tenants that are counted by name.
+    tenants: Mutex<BTreeSet<TenantName>>,
     pub(crate) first_byte: Histogram,
+    credit_wait: Histogram,
     sends: IntCounterVec,
     pub(crate) connects: IntCounter,
     pub(crate) resumed: IntCounter,
@@ -32,6 +45,14 @@
             Ok(counters)
         };
         let requests = counters("gateway_requests_total", "Requests by outcome", "outcome")?;
+        let tenant_requests = IntCounterVec::new(
+            Opts::new(
+                "gateway_tenant_requests_total",
+                "Requests by tenant and outcome",
+            ),
+            &["tenant", "outcome"],
+        )?;
+        registry.register(Box::new(tenant_requests.clone()))?;
         let sends = counters(
             "gateway_sends_total",
             "Sends to instances by their end",
@@ -54,10 +75,20 @@
         registry.register(Box::new(document_version.clone()))?;
         registry.register(Box::new(instances.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
+        let options = HistogramOpts::new(
+            "gateway_credit_wait_seconds",
+            "Time until a request had the units of its tenant's quota",
+        )
+        .buckets(LATENCY_BUCKETS.to_vec());
+        let credit_wait = Histogram::with_opts(options)?;
+        registry.register(Box::new(credit_wait.clone()))?;
         Ok(Metrics {
             registry,
             requests,
+            tenant_requests,
+            tenants: Mutex::default(),
             first_byte,
+            credit_wait,
             sends,
             connects,
             resumed,
@@ -67,6 +98,25 @@
         })
     }
 
+    /// Counts a request that has ended.
+    pub(crate) fn count_request(&self, tenant: Option<&TenantName>, outcome: &str) {
+        self.requests.with_label_values(&[outcome]).inc();
+        let Some(tenant) = tenant else {
+            return;
+        };
+        let mut named = self.tenants.lock().unwrap_or_else(PoisonError::into_inner);
+        if named.len() < MAXIMUM_TENANTS {
+            named.insert(tenant.clone());
+        }
+        let label = match named.contains(tenant) {
+            true => tenant.0.as_str(),
+            false => OTHER_TENANTS,
+        };
+        self.tenant_requests
+            .with_label_values(&[label, outcome])
+            .inc();
+    }
+
     pub(crate) fn count_send(&self, end: SendEnd) {
         let label = match end {
             SendEnd::Answered(time) => {
@@ -83,6 +133,10 @@
         self.sends.with_label_values(&[label]).inc();
     }
 
+    pub(crate) fn observe_credit_wait(&self, time: Duration) {
+        self.credit_wait.observe(time.as_secs_f64());
+    }
+
     pub(crate) fn exposition(&self) -> String {
         exposition(&self.registry)
     }
--- a/crates/millpass-hollow/src/router.rs
+++ b/crates/millpass-hollow/src/router.rs
@@ -211,7 +211,9 @@
                     self.take_update(routers, update);
                 }
                 // Hollow routers keep to their interval.
-                ControlToRouter::News | ControlToRouter::Gateway(_) => {}
+                ControlToRouter::News
+                | ControlToRouter::Gateway(_)
+                | ControlToRouter::Credit(_) => {}
                 ControlToRouter::Claim(answer) => self.take_claim(routers, answer),
                 ControlToRouter::ClaimFinished(attempt) => self.claim_finished(routers, attempt),
             }
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1575,251 +1575,64 @@
 }
 
 
-/// Requests in flight at an instance.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct InstanceLoad {
-
-    /// Run.
-    pub instance: InstanceId,
-
-    /// Requests.
-    pub in_flight: u32,
-}
-
-
-/// When a model, or model with adapter, that is being loaded will be ready.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ModelOutlook {
-
-    /// Service.
-    pub service: ServiceName,
-
-    /// Model.
-    pub model: ModelName,
-
-    /// Adapter.
-    pub adapter: Option<AdapterName>,
-
-    /// Estimated time until it serves.
-    pub ready_in_millis: u64,
-}
-
-
-/// What the leader pushes to a gateway: changes since the last update on the same connection; the first carries everything.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct GatewayUpdate {
-
-    /// Leader's term; an update of a lower term than seen is ignored.
-    pub term: u64,
-
-    /// The leader has heard long enough to know every instance: those it has not named on this connection are gone.
-    pub complete: bool,
-
-    /// First update on this connection: `instances` are all that the leader knows.
-    pub first: bool,
-
-    /// Document, when newer than the gateway's.
-    pub document: Option<DeploymentDocument>,
-
-    /// Instances new or changed.
-    pub instances: Vec<InstanceRecord>,
-
-    /// Instances that are gone.
-    pub removed: Vec<InstanceId>,
-
-    /// Models being loaded now.
-    pub outlook: Vec<ModelOutlook>,
-
-    /// Gateways that report to this leader.
-    pub gateways: u32,
-
-    /// Addresses of the control members.
-    pub members: Vec<String>,
-
-    /// From a member that does not lead, out of its own copy: for a gateway that has nothing yet.
-    pub provisional: bool,
-
-    /// What all gateways have in flight at the busiest instances.
-    pub loads: Vec<InstanceLoad>,
-}
-
-
-/// Load an adapter.
+/// Asks for a claim. The control group fills in its own time.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct LoadAdapterOrder {
-
-    /// Slot.
-    pub slot: SlotId,
-
-    /// Adapter.
-    pub adapter: AdapterName,
-
-    /// Memory it takes.
-    pub bytes: u64,
+pub struct ClaimRequest {
 
-    /// Checkpoint in the weight store.
-    pub checkpoint: String,
+    /// Claim.
+    pub claim: ClaimBegin,
 }
 
 
-/// Load weights.
+/// What a gateway asks of one tenant's quota, and what it says of its use.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct LoadModelOrder {
-
-    /// Slot.
-    pub slot: SlotId,
-
-    /// Model.
-    pub model: ModelName,
-
-    /// Version.
-    pub version: VersionLabel,
-
-    /// Accelerators to span.
-    pub accelerators: Vec<u32>,
-
-    /// Memory for weights, over all accelerators.
-    pub weights_bytes: u64,
-
-    /// Memory for caches, over all accelerators.
-    pub cache_bytes: u64,
+pub struct CreditAsk {
 
-    /// Checkpoint in the weight store.
-    pub checkpoint: String,
-}
+    /// Tenant.
+    pub tenant: TenantName,
 
+    /// Units of each request that waits, the oldest first.
+    pub needed: Vec<u64>,
 
-/// Unload an adapter.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct UnloadAdapterOrder {
+    /// Units wished for requests to come, if there is plenty.
+    pub reserve: u64,
 
-    /// Slot.
-    pub slot: SlotId,
+    /// Units granted before and not used: they may be granted anew.
+    pub returned: u64,
 
-    /// Adapter.
-    pub adapter: AdapterName,
+    /// Units used without a grant while no leader answered.
+    pub overdrawn: u64,
 }
 
 
-/// What an engine is told to do.
+/// A gateway asks for units of tenants' quotas; answered at once with `Credit`.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub enum OrderAction {
-
-    /// Load weights.
-    LoadModel(LoadModelOrder),
-
-    /// Unload weights and everything beside them.
-    UnloadModel(SlotId),
+pub struct CreditRequest {
 
-    /// Load an adapter beside a replica.
-    LoadAdapter(LoadAdapterOrder),
+    /// Name of the gateway.
+    pub gateway: String,
 
-    /// Unload an adapter.
-    UnloadAdapter(UnloadAdapterOrder),
+    /// Number within the gateway's run; grows.
+    pub sequence: u64,
 
-    /// Change role.
-    ChangeRole(EngineRole),
+    /// By tenant.
+    pub asks: Vec<CreditAsk>,
 }
 
 
-/// Counter of changes to routes; grows by one with each command that changes one.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct PlacementRevision(pub u64);
-
-
-/// A web back end a router may dispatch to.
+/// Requests in flight at an instance.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct WebRoute {
-
-    /// Back end.
-    pub backend: BackendName,
-
-    /// Group.
-    pub group: GroupName,
+pub struct InstanceLoad {
 
     /// Run.
-    pub incarnation: Incarnation,
-
-    /// IP address and port.
-    pub address: String,
-
-    /// Zone.
-    pub zone: ZoneName,
-
-    /// It is leaving: no new work.
-    pub leaving: bool,
-}
-
-
-/// Route changes between two revisions.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct PlacementDelta {
-
-    /// Applies to routes at this revision; 0 with `full`.
-    pub from: PlacementRevision,
-
-    /// Revision after applying it.
-    pub to: PlacementRevision,
-
-    /// The routes are all there are and replace what is held.
-    pub full: bool,
-
-    /// Replicas new or changed.
-    pub replicas: Vec<ReplicaRoute>,
-
-    /// Web back ends new or changed.
-    pub web: Vec<WebRoute>,
-
-    /// Replicas no longer there.
-    pub removed_slots: Vec<SlotId>,
-
-    /// Web back ends no longer there.
-    pub removed_backends: Vec<BackendName>,
-}
-
-
-/// One machine of the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct PlatformMachine {
-
-    /// Back end on it.
-    pub backend: BackendName,
-
-    /// Kind.
-    pub kind: BackendKind,
-
-    /// Group of a web back end.
-    pub group: Option<GroupName>,
-
-    /// Zone.
-    pub zone: ZoneName,
-
-    /// IP address and port of its HTTP interface.
-    pub address: String,
-
-    /// State; the list lags.
-    pub state: BackendState,
-}
-
-
-/// Asks for a claim. The control group fills in its own time.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ClaimRequest {
+    pub instance: InstanceId,
 
-    /// Claim.
-    pub claim: ClaimBegin,
+    /// Requests.
+    pub in_flight: u32,
 }
 
 
@@ -1998,6 +1811,12 @@
 }
 
 
+/// Counter of changes to routes; grows by one with each command that changes one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PlacementRevision(pub u64);
+
+
 /// A router's periodic report; doubles as its heartbeat and lease request.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2042,50 +1861,25 @@
 
     /// Report of a gateway; answered with `Gateway`.
     Gateway(GatewayReport),
+
+    /// Ask of a gateway for tenants' credit; answered with `Credit`.
+    Credit(CreditRequest),
 }
 
 
-/// One accepted change in the audit log.
+/// Answer to a claim.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct AuditRecord {
-
-    /// Revision.
-    pub revision: ConfigurationRevision,
+pub enum ClaimDecision {
 
-    /// Object.
-    pub key: ObjectKey,
+    /// This attempt, and no other, may dispatch once.
+    Granted,
 
-    /// Version of the object after the change.
-    pub version: u64,
+    /// It ran before; this is the answer.
+    Answered(RecordedAnswer),
 
-    /// Identity of the change.
-    pub change_id: ChangeId,
-
-    /// Who submitted it.
-    pub operator: OperatorName,
-
-    /// Wall-clock time at the member that took it.
-    pub at_unix_millis: u64,
-
-    /// Whether the change deleted the object.
-    pub deleted: bool,
-}
-
-
-/// Answer to a claim.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum ClaimDecision {
-
-    /// This attempt, and no other, may dispatch once.
-    Granted,
-
-    /// It ran before; this is the answer.
-    Answered(RecordedAnswer),
-
-    /// Another attempt holds the claim.
-    InProgress,
+    /// Another attempt holds the claim.
+    InProgress,
 
     /// An earlier attempt may have run; it is not run again.
     MayHaveRun,
@@ -2117,6 +1911,100 @@
 }
 
 
+/// What a gateway gets of one tenant's quota.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CreditGrant {
+
+    /// Tenant.
+    pub tenant: TenantName,
+
+    /// How many of the requests that wait, from the first, may go.
+    pub covered: u32,
+
+    /// Units for requests to come.
+    pub reserve: u64,
+
+    /// Time until the first request that is not covered may be; 0 when all are.
+    pub wait_millis: u64,
+}
+
+
+/// Answer of the leader to a `CreditRequest`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CreditAnswer {
+
+    /// Leader's term.
+    pub term: u64,
+
+    /// Request that it answers.
+    pub sequence: u64,
+
+    /// By tenant.
+    pub grants: Vec<CreditGrant>,
+}
+
+
+/// When a model, or model with adapter, that is being loaded will be ready.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ModelOutlook {
+
+    /// Service.
+    pub service: ServiceName,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Adapter.
+    pub adapter: Option<AdapterName>,
+
+    /// Estimated time until it serves.
+    pub ready_in_millis: u64,
+}
+
+
+/// What the leader pushes to a gateway: changes since the last update on the same connection; the first carries everything.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct GatewayUpdate {
+
+    /// Leader's term; an update of a lower term than seen is ignored.
+    pub term: u64,
+
+    /// The leader has heard long enough to know every instance: those it has not named on this connection are gone.
+    pub complete: bool,
+
+    /// First update on this connection: `instances` are all that the leader knows.
+    pub first: bool,
+
+    /// Document, when newer than the gateway's.
+    pub document: Option<DeploymentDocument>,
+
+    /// Instances new or changed.
+    pub instances: Vec<InstanceRecord>,
+
+    /// Instances that are gone.
+    pub removed: Vec<InstanceId>,
+
+    /// Models being loaded now.
+    pub outlook: Vec<ModelOutlook>,
+
+    /// Gateways that report to this leader.
+    pub gateways: u32,
+
+    /// Addresses of the control members.
+    pub members: Vec<String>,
+
+    /// From a member that does not lead, out of its own copy: for a gateway that has nothing yet.
+    pub provisional: bool,
+
+    /// What all gateways have in flight at the busiest instances.
+    pub loads: Vec<InstanceLoad>,
+}
+
+
 /// Where the leader is.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2184,6 +2072,59 @@
 }
 
 
+/// A web back end a router may dispatch to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct WebRoute {
+
+    /// Back end.
+    pub backend: BackendName,
+
+    /// Group.
+    pub group: GroupName,
+
+    /// Run.
+    pub incarnation: Incarnation,
+
+    /// IP address and port.
+    pub address: String,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// It is leaving: no new work.
+    pub leaving: bool,
+}
+
+
+/// Route changes between two revisions.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PlacementDelta {
+
+    /// Applies to routes at this revision; 0 with `full`.
+    pub from: PlacementRevision,
+
+    /// Revision after applying it.
+    pub to: PlacementRevision,
+
+    /// The routes are all there are and replace what is held.
+    pub full: bool,
+
+    /// Replicas new or changed.
+    pub replicas: Vec<ReplicaRoute>,
+
+    /// Web back ends new or changed.
+    pub web: Vec<WebRoute>,
+
+    /// Replicas no longer there.
+    pub removed_slots: Vec<SlotId>,
+
+    /// Web back ends no longer there.
+    pub removed_backends: Vec<BackendName>,
+}
+
+
 /// A back end that this router watches for the control group.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2263,6 +2204,144 @@
 
     /// To a gateway: what changed.
     Gateway(GatewayUpdate),
+
+    /// To a gateway: what it gets of tenants' quotas.
+    Credit(CreditAnswer),
+}
+
+
+/// Load an adapter.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct LoadAdapterOrder {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Adapter.
+    pub adapter: AdapterName,
+
+    /// Memory it takes.
+    pub bytes: u64,
+
+    /// Checkpoint in the weight store.
+    pub checkpoint: String,
+}
+
+
+/// Load weights.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct LoadModelOrder {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Version.
+    pub version: VersionLabel,
+
+    /// Accelerators to span.
+    pub accelerators: Vec<u32>,
+
+    /// Memory for weights, over all accelerators.
+    pub weights_bytes: u64,
+
+    /// Memory for caches, over all accelerators.
+    pub cache_bytes: u64,
+
+    /// Checkpoint in the weight store.
+    pub checkpoint: String,
+}
+
+
+/// Unload an adapter.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct UnloadAdapterOrder {
+
+    /// Slot.
+    pub slot: SlotId,
+
+    /// Adapter.
+    pub adapter: AdapterName,
+}
+
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum OrderAction {
+
+    /// Load weights.
+    LoadModel(LoadModelOrder),
+
+    /// Unload weights and everything beside them.
+    UnloadModel(SlotId),
+
+    /// Load an adapter beside a replica.
+    LoadAdapter(LoadAdapterOrder),
+
+    /// Unload an adapter.
+    UnloadAdapter(UnloadAdapterOrder),
+
+    /// Change role.
+    ChangeRole(EngineRole),
+}
+
+
+/// One machine of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PlatformMachine {
+
+    /// Back end on it.
+    pub backend: BackendName,
+
+    /// Kind.
+    pub kind: BackendKind,
+
+    /// Group of a web back end.
+    pub group: Option<GroupName>,
+
+    /// Zone.
+    pub zone: ZoneName,
+
+    /// IP address and port of its HTTP interface.
+    pub address: String,
+
+    /// State; the list lags.
+    pub state: BackendState,
+}
+
+
+/// One accepted change in the audit log.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AuditRecord {
+
+    /// Revision.
+    pub revision: ConfigurationRevision,
+
+    /// Object.
+    pub key: ObjectKey,
+
+    /// Version of the object after the change.
+    pub version: u64,
+
+    /// Identity of the change.
+    pub change_id: ChangeId,
+
+    /// Who submitted it.
+    pub operator: OperatorName,
+
+    /// Wall-clock time at the member that took it.
+    pub at_unix_millis: u64,
+
+    /// Whether the change deleted the object.
+    pub deleted: bool,
 }
 
 
--- a/crates/millpass-router/tests/common/control.rs
+++ b/crates/millpass-router/tests/common/control.rs
@@ -175,7 +175,9 @@
         }));
     }
     match message {
-        RouterToControl::Hello(_) | RouterToControl::Gateway(_) => None,
+        RouterToControl::Hello(_) | RouterToControl::Gateway(_) | RouterToControl::Credit(_) => {
+            None
+        }
         RouterToControl::Report(report) => {
             for observation in &report.observations {
                 observed.send(observation.clone()).unwrap();
--- a/crates/millpass-sim/src/router_link.rs
+++ b/crates/millpass-sim/src/router_link.rs
@@ -143,7 +143,7 @@
             }
             ControlToRouter::News => self.router_step(router, RoutingInput::News),
             // For gateways only.
-            ControlToRouter::Gateway(_) => {}
+            ControlToRouter::Gateway(_) | ControlToRouter::Credit(_) => {}
             ControlToRouter::Claim(answer) => {
                 self.claim_answered(router, answer.attempt, answer.decision);
             }
