Without a leader gateways go on at tenants' usual pace, and notice its silence by what it owes

Gateways let go of a frozen leader after 1.1 s; the next one led after 0.7 s.

Ruled out: a request in debt at every gateway (a small tenant's flood would take several times what the contract bears); larger even parts (no part of 81 holds a large request).

Change: the leader says whether there is plenty; then a gateway goes on for 2.5 s at one and a half times the pace at which the tenant used units there. What was used so is charged by the leader that was silent, not by a new one, whose bucket began without it. An answer owed for half a second, or eight times what answers take, counts as silence. Requests wait for eight tenths of their objective. Answers of the gateway's own have a module; one tenant's credit has one; the time until there are units again is told in full also while it is believed for 200 ms only.

Tests: quota in virtual time, silence of a leader, messages a request, bytes an ask.

--- a/crates/millpass-control-plane/src/credit.rs
+++ b/crates/millpass-control-plane/src/credit.rs
@@ -23,7 +23,8 @@
         request: &CreditRequest,
         out: &mut Outputs,
     ) {
-        // Left unanswered, it is asked again on the next connection.
+        // The first message after an election may come before anything else is done.
+        self.begin_credit(now);
         let (Some(document), Some(ledger)) = (self.state.document(), &mut self.credit) else {
             return;
         };
--- a/crates/millpass-dispatch/src/credit.rs
+++ b/crates/millpass-dispatch/src/credit.rs
@@ -59,6 +59,12 @@
         self.credit.answer(now, answer);
     }
 
+    /// Whether the leader owes an answer about credit for longer than one takes; `heard_at` is when it was last
+    /// heard.
+    pub fn is_leader_silent(&self, now: Timestamp, heard_at: Timestamp) -> bool {
+        self.credit.is_leader_silent(now, heard_at)
+    }
+
     /// The connection to the leader is gone.
     pub fn credit_disconnected(&mut self) {
         self.credit.disconnected();
--- /dev/null
+++ b/crates/millpass-gateway/src/answers.rs
@@ -0,0 +1,92 @@
+//! Answers of the gateway's own.
+
+use crate::relay::{RelayBody, whole_body};
+use crate::shared::Shared;
+use bytes::Bytes;
+use http::header::{HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, Response, StatusCode};
+use millpass_dispatch::{IdentityError, RouteError};
+use millpass_proto::{Duration, RouteSpec};
+use millpass_telemetry::event_line;
+
+/// When a caller may come back while there is no configuration.
+pub(crate) const NOT_CONFIGURED_WAIT: Duration = Duration::from_millis(300);
+
+/// The answer to a caller that is not known. Keys are never logged, not even as hashes.
+pub(crate) fn unidentified(
+    shared: &Shared,
+    attempt: &str,
+    route: &RouteSpec,
+    error: IdentityError,
+) -> Response<RelayBody> {
+    let (status, retry_after) = match error {
+        IdentityError::Outdated => (StatusCode::SERVICE_UNAVAILABLE, Some(NOT_CONFIGURED_WAIT)),
+        IdentityError::KeyMissing | IdentityError::KeyUnusable | IdentityError::KeyUnknown => {
+            (StatusCode::UNAUTHORIZED, None)
+        }
+    };
+    let version = shared.core().table().map_or(0, |table| table.version());
+    let pairs = [
+        ("request", attempt.to_owned()),
+        ("route", route.name.clone()),
+        ("version", version.to_string()),
+        ("reason", error.as_str().to_owned()),
+        ("status", status.as_str().to_owned()),
+    ];
+    log::info!("{}", event_line("request_unidentified", &pairs));
+    shared
+        .metrics
+        .requests
+        .with_label_values(&["unidentified"])
+        .inc();
+    own_answer(shared, attempt, status, &error.to_string(), retry_after)
+}
+
+/// The answer to a request that no route takes.
+pub(crate) fn unrouted(
+    shared: &Shared,
+    attempt: &str,
+    host: &str,
+    path: &str,
+    error: RouteError,
+) -> Response<RelayBody> {
+    let (status, retry_after) = match error {
+        RouteError::NotConfigured => (StatusCode::SERVICE_UNAVAILABLE, Some(NOT_CONFIGURED_WAIT)),
+        RouteError::NoRoute => (StatusCode::NOT_FOUND, None),
+    };
+    let version = shared.core().table().map_or(0, |table| table.version());
+    let pairs = [
+        ("request", attempt.to_owned()),
+        ("host", host.to_owned()),
+        ("path", path.to_owned()),
+        ("version", version.to_string()),
+        ("status", status.as_str().to_owned()),
+    ];
+    log::info!("{}", event_line("request_unrouted", &pairs));
+    shared
+        .metrics
+        .requests
+        .with_label_values(&["unrouted"])
+        .inc();
+    own_answer(shared, attempt, status, &error.to_string(), retry_after)
+}
+
+/// An answer of the gateway's own.
+pub(crate) fn own_answer(
+    shared: &Shared,
+    attempt: &str,
+    status: StatusCode,
+    reason: &str,
+    retry_after: Option<Duration>,
+) -> Response<RelayBody> {
+    let mut response = Response::new(whole_body(Bytes::from(format!("{reason}\n"))));
+    *response.status_mut() = status;
+    let headers: &mut HeaderMap = response.headers_mut();
+    shared.interface.mark_answer(headers, attempt);
+    if let Some(time) = retry_after
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", time.as_secs_f64()))
+    {
+        headers.insert(RETRY_AFTER, value);
+    }
+    response
+}
--- a/crates/millpass-gateway/src/credit.rs
+++ b/crates/millpass-gateway/src/credit.rs
@@ -6,8 +6,8 @@
 use millpass_tenancy::{CreditClaim, CreditOutcome};
 use std::sync::Arc;
 
-/// Part of a request's objective for which it waits for a leader that says nothing, as its inverse.
-const UNANSWERED_PARTS: u32 = 2;
+/// Part of a request's objective for which it waits for a leader that says nothing: the rest serves it.
+const UNANSWERED_PART: f64 = 0.8;
 
 /// Why a request does not get its units.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,7 +73,7 @@
     }
 
     fn give_up(&self, ticket: &Ticket) -> Timestamp {
-        let longest = ticket.objective() / UNANSWERED_PARTS;
+        let longest = ticket.objective().mul_f64(UNANSWERED_PART);
         (ticket.arrived + longest).min(ticket.give_up)
     }
 
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! One request from its head to its answer.
 
+use crate::answers::{NOT_CONFIGURED_WAIT, own_answer, unidentified, unrouted};
 use crate::credit::{CreditHold, CreditRefusal};
 use crate::exchange::{self, Received, SendFailure, Template, remove_hop_headers};
 use crate::interface::{AnswerFacts, SendFacts};
@@ -9,11 +10,11 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
-use http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::header::{CONNECTION, HOST, HeaderValue};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use millpass_dispatch::{Choice, IdentityError, RouteError, SendEnd, Ticket};
+use millpass_dispatch::{Choice, RouteError, SendEnd, Ticket};
 use millpass_proto::{Duration, InstanceId, RouteSpec, Timestamp};
 use millpass_telemetry::event_line;
 use rand::RngExt;
@@ -32,8 +33,6 @@
 const NOT_CONFIGURED_HOLD: Duration = Duration::from_millis(250);
 /// Time over which callers of a tenant that has used up its quota come back.
 const QUOTA_SPREAD: Duration = Duration::from_millis(500);
-/// When a caller may come back while there is no configuration.
-const NOT_CONFIGURED_WAIT: Duration = Duration::from_millis(300);
 
 /// A failed answer of an instance, passed on if there is no better one.
 struct FailedAnswer {
@@ -489,84 +488,6 @@
     log::info!("{}", event_line("request_ended", &pairs));
 }
 
-/// The answer to a caller that is not known. Keys are never logged, not even as hashes.
-fn unidentified(
-    shared: &Shared,
-    attempt: &str,
-    route: &RouteSpec,
-    error: IdentityError,
-) -> Response<RelayBody> {
-    let (status, retry_after) = match error {
-        IdentityError::Outdated => (StatusCode::SERVICE_UNAVAILABLE, Some(NOT_CONFIGURED_WAIT)),
-        IdentityError::KeyMissing | IdentityError::KeyUnusable | IdentityError::KeyUnknown => {
-            (StatusCode::UNAUTHORIZED, None)
-        }
-    };
-    let version = shared.core().table().map_or(0, |table| table.version());
-    let pairs = [
-        ("request", attempt.to_owned()),
-        ("route", route.name.clone()),
-        ("version", version.to_string()),
-        ("reason", error.as_str().to_owned()),
-        ("status", status.as_str().to_owned()),
-    ];
-    log::info!("{}", event_line("request_unidentified", &pairs));
-    shared
-        .metrics
-        .requests
-        .with_label_values(&["unidentified"])
-        .inc();
-    own_answer(shared, attempt, status, &error.to_string(), retry_after)
-}
-
-fn unrouted(
-    shared: &Shared,
-    attempt: &str,
-    host: &str,
-    path: &str,
-    error: RouteError,
-) -> Response<RelayBody> {
-    let (status, retry_after) = match error {
-        RouteError::NotConfigured => (StatusCode::SERVICE_UNAVAILABLE, Some(NOT_CONFIGURED_WAIT)),
-        RouteError::NoRoute => (StatusCode::NOT_FOUND, None),
-    };
-    let version = shared.core().table().map_or(0, |table| table.version());
-    let pairs = [
-        ("request", attempt.to_owned()),
-        ("host", host.to_owned()),
-        ("path", path.to_owned()),
-        ("version", version.to_string()),
-        ("status", status.as_str().to_owned()),
-    ];
-    log::info!("{}", event_line("request_unrouted", &pairs));
-    shared
-        .metrics
-        .requests
-        .with_label_values(&["unrouted"])
-        .inc();
-    own_answer(shared, attempt, status, &error.to_string(), retry_after)
-}
-
-/// An answer of the gateway's own.
-fn own_answer(
-    shared: &Shared,
-    attempt: &str,
-    status: StatusCode,
-    reason: &str,
-    retry_after: Option<Duration>,
-) -> Response<RelayBody> {
-    let mut response = Response::new(whole_body(Bytes::from(format!("{reason}\n"))));
-    *response.status_mut() = status;
-    let headers: &mut HeaderMap = response.headers_mut();
-    shared.interface.mark_answer(headers, attempt);
-    if let Some(time) = retry_after
-        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", time.as_secs_f64()))
-    {
-        headers.insert(RETRY_AFTER, value);
-    }
-    response
-}
-
 /// Reads a caller's body within the limits of the configuration.
 async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, StatusCode> {
     if body.is_end_stream() {
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -9,6 +9,8 @@
 //! | `interface` | what the callers' and instances' wire format says, filled by a translation |
 //! | `server` | listens, accepts, and serves connections |
 //! | `forward` | one request from its head to its answer |
+//! | `answers` | answers of the gateway's own |
+//! | `credit` | what a request needs of its tenant's quota |
 //! | `exchange` | sends a request to an instance |
 //! | `relay` | passes the answer's body on, and resumes broken streams |
 //! | `events` | whole events of a stream, and the identity of the last one |
@@ -20,6 +22,7 @@
 //!
 //! Lock order: `shared` (the core), then `pool`; no lock is held while something is awaited.
 
+mod answers;
 mod credit;
 mod events;
 mod exchange;
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -18,6 +18,8 @@
 const PAUSE: Duration = Duration::from_millis(40);
 /// Pause after every known member was asked in vain.
 const LONG_PAUSE: Duration = Duration::from_millis(150);
+/// Time between two looks at how long the leader has been silent.
+const SILENCE_LOOK: Duration = Duration::from_millis(100);
 /// Time after which unacknowledged bytes end the link.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -190,14 +192,9 @@
     members: &mut Vec<SocketAddr>,
 ) -> LinkEnd {
     let mut reader = BufReader::with_capacity(4 * 1024, stream);
-    let silence = shared.settings.leader_silence;
     loop {
         let reading = read_frame(&mut reader);
-        let timer = async {
-            Timer::after(silence).await;
-            Err(CodecError::Io(std::io::ErrorKind::TimedOut.into()))
-        };
-        match future::or(reading, timer).await {
+        match future::or(reading, silent(shared)).await {
             Ok(ControlToRouter::Gateway(update)) => {
                 if !std::mem::replace(served, true) {
                     log_up(shared, address, &update);
@@ -225,6 +222,19 @@
     }
 }
 
+/// Ends when the leader has been silent for too long.
+async fn silent<T>(shared: &Shared) -> Result<T, CodecError> {
+    let heard_at = shared.now();
+    loop {
+        Timer::after(SILENCE_LOOK).await;
+        let now = shared.now();
+        let whole = now.since(heard_at) >= shared.settings.leader_silence;
+        if whole || shared.core().is_leader_silent(now, heard_at) {
+            return Err(CodecError::Io(std::io::ErrorKind::TimedOut.into()));
+        }
+    }
+}
+
 fn log_up(shared: &Shared, address: SocketAddr, update: &GatewayUpdate) {
     shared.metrics.link_changes.with_label_values(&["up"]).inc();
     let pairs = [
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1620,6 +1620,9 @@
 
     /// By tenant.
     pub asks: Vec<CreditAsk>,
+
+    /// Term of the leader that this gateway's use was lent by; 0 for none yet.
+    pub lent_in: u64,
 }
 
 
@@ -1927,6 +1930,9 @@
 
     /// Time until the first request that is not covered may be; 0 when all are.
     pub wait_millis: u64,
+
+    /// More than half of what the tenant may use at once is there.
+    pub plenty: bool,
 }
 
 
--- a/crates/millpass-tenancy/src/ledger.rs
+++ b/crates/millpass-tenancy/src/ledger.rs
@@ -95,7 +95,7 @@
         let grants = request
             .asks
             .iter()
-            .map(|ask| self.grant(now, ask, &mut events))
+            .map(|ask| self.grant(now, ask, request.lent_in == term, &mut events))
             .collect();
         let answer = CreditAnswer {
             term,
@@ -109,6 +109,7 @@
         &mut self,
         now: Timestamp,
         ask: &CreditAsk,
+        lent_here: bool,
         events: &mut Vec<QuotaExhausted>,
     ) -> CreditGrant {
         let waiting = u32::try_from(ask.needed.len()).unwrap_or(u32::MAX);
@@ -117,6 +118,7 @@
             covered: waiting,
             reserve: 0,
             wait_millis: 0,
+            plenty: true,
         };
         let limit = match self.limits.get(&ask.tenant) {
             Some(Some(limit)) => *limit,
@@ -139,9 +141,13 @@
         let bucket = &mut account.bucket;
         bucket.fill(now, limit);
         bucket.put_back(ask.returned);
-        bucket.charge(ask.overdrawn);
+        if lent_here {
+            // What was used while another led came out of that one's bucket, which this one began without.
+            bucket.charge(ask.overdrawn);
+        }
         let covered = ask.needed.iter().take_while(|units| bucket.take(**units));
         grant.covered = u32::try_from(covered.count()).unwrap_or(u32::MAX);
+        grant.plenty = bucket.has_plenty();
         if grant.covered == waiting {
             grant.reserve = bucket.take_plenty(ask.reserve);
             return grant;
--- a/crates/millpass-tenancy/src/limit.rs
+++ b/crates/millpass-tenancy/src/limit.rs
@@ -68,6 +68,11 @@
         open
     }
 
+    /// Whether more than half of the capacity is there.
+    pub fn has_plenty(&self) -> bool {
+        self.level > self.limit.capacity() / 2.0
+    }
+
     /// Takes up to this many units of what is above half of the capacity; gives how many.
     pub fn take_plenty(&mut self, units: u64) -> u64 {
         let plenty = (self.level - self.limit.capacity() / 2.0).max(0.0);
--- a/crates/millpass-tenancy/src/pool.rs
+++ b/crates/millpass-tenancy/src/pool.rs
@@ -1,52 +1,24 @@
 //! A gateway's credit of tenants' quotas: what the leader lent it, and the requests that wait for more.
 
+use crate::account::{Account, QuotaTerms};
 use crate::ledger::MAXIMUM_NEEDED;
 use crate::limit::TenantLimit;
 use millpass_proto::{
     CreditAnswer, CreditAsk, CreditGrant, CreditRequest, Duration, TenantName, Timestamp,
 };
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
-/// Time for which units lent for requests to come are kept; then they go back. Far below a window of any quota,
-/// so that what is used in a window was lent little before it.
-const RESERVE_LIFETIME: Duration = Duration::from_millis(1_500);
-/// Time after a tenant's last request for which units for its next ones are wished for.
-const RESERVE_INTEREST: Duration = Duration::from_secs(3);
-/// Weight of the newest request in the averaged cost of a tenant's requests.
-const COST_WEIGHT: f64 = 0.2;
+/// Shortest time without an answer after which the leader counts as silent: by then its members notice too.
+const LEAST_SILENCE: Duration = Duration::from_millis(500);
+/// The same in the averaged time of an answer: a leader that is busy answers late, and must not lose its gateways.
+const SILENCE_ANSWERS: u32 = 8;
+/// Weight of the newest answer in the averaged time of an answer.
+const ANSWER_WEIGHT: f64 = 0.2;
 /// Time without an answer after which a request may use units that nobody lent: some times what an answer takes.
 const OVERDRAFT_AFTER: Duration = Duration::from_millis(60);
-/// Part of what the contract bears above a limit that gateways without a leader may use together in a window.
-const OVERDRAFT_PART: f64 = 0.5;
-/// Gateways assumed while their number is not known.
-const UNKNOWN_GATEWAYS: u32 = 500;
-/// Longest time for which a gateway takes a tenant as used up without asking anew.
-const LONGEST_EXHAUSTED: Duration = Duration::from_millis(200);
 /// Time between two looks at a request that waits.
 const LOOK_INTERVAL: Duration = Duration::from_millis(30);
 
-/// What the operators' contract bears above a tenant's limit.
-#[derive(Clone, Copy, Debug)]
-pub struct QuotaTerms {
-    /// Length of the window in which use is summed.
-    pub window: Duration,
-    /// Part of the limit that is borne above it.
-    pub overage: f64,
-    /// Units borne beyond that in a window.
-    pub slack_units: u64,
-}
-
-impl Default for QuotaTerms {
-    /// Nothing is borne above a limit.
-    fn default() -> Self {
-        QuotaTerms {
-            window: Duration::from_secs(10),
-            overage: 0.0,
-            slack_units: 0,
-        }
-    }
-}
-
 /// A request's claim on its tenant's credit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CreditClaim(u64);
@@ -90,88 +62,11 @@
     patient_until: Timestamp,
 }
 
-#[derive(Debug, Default)]
-struct Account {
-    /// Units lent for requests to come, and until when they are kept; the oldest first.
-    reserves: VecDeque<(u64, Timestamp)>,
-    /// Claims to be asked for.
-    queue: VecDeque<CreditClaim>,
-    returned: u64,
-    overdrawn: u64,
-    /// Units used without being lent in the last window.
-    overdrafts: VecDeque<(Timestamp, u64)>,
-    exhausted_until: Timestamp,
-    mean_cost: f64,
-    last_request: Timestamp,
-}
-
-impl Account {
-    fn reserve(&self) -> u64 {
-        self.reserves.iter().map(|(units, _)| units).sum()
-    }
-
-    /// Takes a request's cost from the reserve, or nothing.
-    fn take(&mut self, units: u64) -> bool {
-        if self.reserve() < units {
-            return false;
-        }
-        let mut left = units;
-        while left > 0 {
-            let Some((first, _)) = self.reserves.front_mut() else {
-                break;
-            };
-            let taken = left.min(*first);
-            *first -= taken;
-            left -= taken;
-            if *first == 0 {
-                self.reserves.pop_front();
-            }
-        }
-        true
-    }
-
-    fn keep(&mut self, now: Timestamp, units: u64) {
-        if units > 0 {
-            self.reserves.push_back((units, now + RESERVE_LIFETIME));
-        }
-    }
-
-    /// Units whose time is over go back.
-    fn expire(&mut self, now: Timestamp) {
-        while let Some((units, until)) = self.reserves.front().copied()
-            && until <= now
-        {
-            self.returned += units;
-            self.reserves.pop_front();
-        }
-    }
-
-    /// Units wished for: one request's cost, while requests come.
-    fn wished(&self, now: Timestamp) -> u64 {
-        if now.since(self.last_request) >= RESERVE_INTEREST {
-            return 0;
-        }
-        (self.mean_cost as u64).saturating_sub(self.reserve())
-    }
-
-    fn noted(&mut self, now: Timestamp, units: u64) {
-        let cost = units as f64;
-        self.mean_cost = if self.mean_cost == 0.0 {
-            cost
-        } else {
-            self.mean_cost * (1.0 - COST_WEIGHT) + cost * COST_WEIGHT
-        };
-        self.last_request = now;
-    }
-
-    fn is_idle(&self, now: Timestamp) -> bool {
-        self.reserves.is_empty()
-            && self.queue.is_empty()
-            && self.returned == 0
-            && self.overdrawn == 0
-            && self.overdrafts.is_empty()
-            && now.since(self.last_request) >= RESERVE_INTEREST
-    }
+/// A message that is not answered yet.
+#[derive(Debug)]
+struct Asked {
+    at: Timestamp,
+    tenants: Vec<TenantAsked>,
 }
 
 /// What a message asked for one tenant.
@@ -190,8 +85,12 @@
     claims: HashMap<u64, Claim>,
     last_claim: u64,
     sequence: u64,
+    /// Term of the leader that lent last.
+    lent_in: u64,
     /// What each message asked for that is not answered yet.
-    asked: BTreeMap<u64, Vec<TenantAsked>>,
+    asked: BTreeMap<u64, Asked>,
+    /// Averaged time of an answer.
+    answer_time: Duration,
 }
 
 impl CreditPool {
@@ -219,8 +118,8 @@
         account.noted(now, units);
         let stage = if account.queue.is_empty() && account.take(units) {
             Stage::Covered
-        } else if now < account.exhausted_until {
-            Stage::Denied(account.exhausted_until)
+        } else if let Some(until) = account.exhausted_until(now) {
+            Stage::Denied(until)
         } else {
             account.queue.push_back(claim);
             Stage::Queued
@@ -271,34 +170,15 @@
         }
     }
 
-    /// Uses units that nobody lent, within this gateway's part of what the contract bears.
+    /// Uses units that nobody lent.
     fn overdraw(&mut self, now: Timestamp, claim: CreditClaim, gateways: u32) -> bool {
-        let gateways = match gateways {
-            0 => UNKNOWN_GATEWAYS,
-            known => known,
-        };
-        let terms = self.terms;
         let Some(found) = self.claims.get_mut(&claim.0) else {
             return false;
         };
         let account = self.accounts.entry(found.tenant.clone()).or_default();
-        while let Some((at, _)) = account.overdrafts.front()
-            && now.since(*at) >= terms.window
-        {
-            account.overdrafts.pop_front();
-        }
-        let limit = found.limit;
-        let borne = terms.overage
-            * (limit.units_per_second as f64 * terms.window.as_secs_f64()
-                + limit.burst_units as f64)
-            + terms.slack_units as f64;
-        let used: u64 = account.overdrafts.iter().map(|(_, units)| units).sum();
-        let room = borne * OVERDRAFT_PART / f64::from(gateways);
-        if (used + found.units) as f64 > room {
+        if !account.overdraw(now, found.units, found.limit, &self.terms, gateways) {
             return false;
         }
-        account.overdrafts.push_back((now, found.units));
-        account.overdrawn += found.units;
         account.queue.retain(|queued| *queued != claim);
         // An answer that still covers it finds it covered: those units are kept for others.
         found.stage = Stage::Covered;
@@ -312,8 +192,10 @@
         };
         let account = self.accounts.entry(found.tenant).or_default();
         account.queue.retain(|queued| *queued != claim);
-        if found.stage == Stage::Covered && !ran {
-            account.keep(now, found.units);
+        match (found.stage, ran) {
+            (Stage::Covered, true) => account.note_use(now, found.units),
+            (Stage::Covered, false) => account.keep(now, found.units),
+            _ => {}
         }
     }
 
@@ -367,20 +249,26 @@
             return None;
         }
         self.sequence += 1;
-        self.asked.insert(self.sequence, asked);
+        let tenants = asked;
+        self.asked.insert(self.sequence, Asked { at: now, tenants });
         Some(CreditRequest {
             gateway: gateway.to_owned(),
             sequence: self.sequence,
             asks,
+            lent_in: self.lent_in,
         })
     }
 
     /// Takes the leader's answer.
     pub fn answer(&mut self, now: Timestamp, answer: &CreditAnswer) {
+        self.lent_in = answer.term;
         let Some(asked) = self.asked.remove(&answer.sequence) else {
             return;
         };
-        for (asked, grant) in asked.into_iter().zip(&answer.grants) {
+        let took = now.since(asked.at);
+        self.answer_time =
+            self.answer_time.mul_f64(1.0 - ANSWER_WEIGHT) + took.mul_f64(ANSWER_WEIGHT);
+        for (asked, grant) in asked.tenants.into_iter().zip(&answer.grants) {
             if asked.tenant == grant.tenant {
                 self.take_grant(now, &asked, grant);
             }
@@ -407,14 +295,20 @@
             }
         }
         account.keep(now, grant.reserve);
-        if grant.wait_millis > 0 {
-            account.exhausted_until = until.min(now + LONGEST_EXHAUSTED);
-        }
+        account.answered(now, grant.plenty, (grant.wait_millis > 0).then_some(until));
+    }
+
+    /// Whether the leader owes an answer for longer than one takes, and nothing was heard of it since.
+    pub fn is_leader_silent(&self, now: Timestamp, heard_at: Timestamp) -> bool {
+        let longest = LEAST_SILENCE.max(self.answer_time * SILENCE_ANSWERS);
+        let asked = self.asked.values().next();
+        asked.is_some_and(|asked| now.since(asked.at.max(heard_at)) > longest)
     }
 
     /// The connection to the leader is gone: what it was asked for is asked of the next.
     pub fn disconnected(&mut self) {
-        for asked in std::mem::take(&mut self.asked).into_values().flatten() {
+        let asked = std::mem::take(&mut self.asked).into_values();
+        for asked in asked.flat_map(|asked| asked.tenants) {
             let account = self.accounts.entry(asked.tenant).or_default();
             for (claim, _) in asked.claims.into_iter().rev() {
                 if let Some(found) = self.claims.get_mut(&claim.0)
--- a/crates/millpass-tenancy/tests/quota.rs
+++ b/crates/millpass-tenancy/tests/quota.rs
@@ -1,6 +1,7 @@
 //! Quotas in virtual time: many gateways, messages that take time, cuts, restarts and changes of leader. Over
 //! every window the sum stays within what the contract bears, and what is asked below the limit is granted.
 
+use millpass_proto::codec;
 use millpass_proto::*;
 use millpass_tenancy::{CreditLedger, CreditOutcome, CreditPool, QuotaTerms, TenantLimit};
 use proptest::prelude::*;
@@ -116,25 +117,33 @@
         self.now += 1;
         self.deliver();
         let mean = 0.5 * (200 + large) as f64;
-        if self.draw() < units_per_second / 1_000.0 / mean {
-            let units = if self.draw() < 0.5 { 200 } else { large };
-            let gateway = (self.draw() * self.pools.len() as f64) as usize;
-            self.asked += units;
-            let tenant = "t".into();
-            let pool = &mut self.pools[gateway];
-            let claim = pool.open(at(self.now), &tenant, self.limit, units, PATIENCE);
-            let opened = self.now;
-            self.waiting.push(Request {
-                gateway,
-                units,
-                opened,
-                claim,
-            });
+        let mut expected = units_per_second / 1_000.0 / mean;
+        while expected > 0.0 {
+            if self.draw() < expected {
+                self.arrive(large);
+            }
+            expected -= 1.0;
         }
         self.settle();
         self.talk();
     }
 
+    fn arrive(&mut self, large: u64) {
+        let units = if self.draw() < 0.5 { 200 } else { large };
+        let gateway = (self.draw() * self.pools.len() as f64) as usize;
+        self.asked += units;
+        let tenant = "t".into();
+        let pool = &mut self.pools[gateway];
+        let claim = pool.open(at(self.now), &tenant, self.limit, units, PATIENCE);
+        let opened = self.now;
+        self.waiting.push(Request {
+            gateway,
+            units,
+            opened,
+            claim,
+        });
+    }
+
     fn settle(&mut self) {
         let now = at(self.now);
         let gateways = u32::try_from(self.pools.len()).expect("few");
@@ -318,6 +327,34 @@
     assert!(share < 0.5, "a message in {share:.2} of the milliseconds");
 }
 
+#[test]
+fn a_leader_that_owes_an_answer_for_long_counts_as_silent_and_a_slow_one_does_not() {
+    let tenant = "t".into();
+    let mut pool = CreditPool::new(TERMS);
+    let ask = |pool: &mut CreditPool, now: u64| {
+        pool.open(at(now), &tenant, LARGE_TENANT, 9_800, PATIENCE);
+        pool.message(at(now), "g", false).expect("something to ask")
+    };
+    let first = ask(&mut pool, 0);
+    assert!(!pool.is_leader_silent(at(400), at(0)));
+    assert!(pool.is_leader_silent(at(600), at(0)));
+    // Something else of it was heard.
+    assert!(!pool.is_leader_silent(at(600), at(500)));
+    // Answers that take 200 ms make it a slow one.
+    let mut answered = first;
+    for turn in 1..20 {
+        let answer = CreditAnswer {
+            term: 1,
+            sequence: answered.sequence,
+            grants: Vec::new(),
+        };
+        pool.answer(at(turn * 300 - 100), &answer);
+        answered = ask(&mut pool, turn * 300);
+    }
+    assert!(!pool.is_leader_silent(at(19 * 300 + 1_000), at(0)));
+    assert!(pool.is_leader_silent(at(19 * 300 + 2_000), at(0)));
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     Lose,
@@ -374,3 +411,39 @@
         prop_assert!(world.worst_window() <= 1.0, "{:.3}", world.worst_window());
     }
 }
+
+/// Messages to the leader for each request: figures of docs/CAPACITY.md. Where many requests come, units are lent
+/// ahead.
+#[rstest]
+#[case::today(81, 1.0, 1.5)]
+#[case::size_to_design_for(490, 150.0, 0.3)]
+fn messages_stay_few(#[case] gateways: usize, #[case] tenants: f64, #[case] most: f64) {
+    let mut world = World::new(12, gateways, LARGE_TENANT);
+    world.limit.units_per_second = (850_000.0 * tenants) as u64;
+    world.limit.burst_units = world.limit.units_per_second;
+    world.run(2_000, 470_000.0 * tenants, 9_800);
+    let (before, ran) = (world.credit_messages, world.ran.len());
+    world.run(2_000, 470_000.0 * tenants, 9_800);
+    let messages = (world.credit_messages - before) as f64;
+    let requests = (world.ran.len() - ran) as f64;
+    let each = messages / requests;
+    assert!(
+        each < most,
+        "{each:.2} messages a request, {messages} messages"
+    );
+}
+
+/// Bytes of docs/CAPACITY.md.
+#[test]
+fn an_ask_for_one_request_is_small() {
+    let mut pool = CreditPool::new(TERMS);
+    let tenant = TenantName::from("tenant-0001");
+    pool.open(at(0), &tenant, LARGE_TENANT, 9_800, PATIENCE);
+    let request = pool
+        .message(at(0), "front-zone-a-12", false)
+        .expect("something to ask");
+    let message = LinkMessage::Router(RouterToControl::Credit(request));
+    let mut frame = Vec::new();
+    codec::write_frame(&mut frame, &message).expect("encodes");
+    assert!(frame.len() <= 48, "{} bytes", frame.len());
+}
