--- a/crates/millpass-tenancy/src/account.rs
+++ b/crates/millpass-tenancy/src/account.rs
@@ -58,10 +58,28 @@
     }
 }
 
+/// Units lent for requests to come.
+#[derive(Debug)]
+struct Reserve {
+    units: u64,
+    /// When they go back.
+    until: Timestamp,
+}
+
+/// The leader's word that a tenant has used up its quota.
+#[derive(Clone, Copy, Debug)]
+struct Exhaustion {
+    /// When there will be units again.
+    until: Timestamp,
+    /// Until when that is taken as true without asking anew.
+    believed_until: Timestamp,
+}
+
+/// One tenant's credit at a gateway.
 #[derive(Debug, Default)]
 pub(crate) struct Account {
-    /// Units lent for requests to come, and until when they are kept; the oldest first.
-    reserves: VecDeque<(u64, Timestamp)>,
+    /// The oldest first.
+    reserves: VecDeque<Reserve>,
     /// Claims to be asked for.
     pub(crate) queue: VecDeque<CreditClaim>,
     /// Units to be given back with the next message.
@@ -70,8 +88,7 @@
     pub(crate) overdrawn: u64,
     /// Units used as a part of what the contract bears, in the last window.
     overdrafts: VecDeque<(Timestamp, u64)>,
-    /// When there will be units again, as the leader said, and until when that is taken as true.
-    exhausted: Option<(Timestamp, Timestamp)>,
+    exhausted: Option<Exhaustion>,
     /// When the leader last answered that there is plenty.
     plenty_at: Option<Timestamp>,
     /// Units used since then without being lent.
@@ -86,7 +103,7 @@
 
 impl Account {
     fn reserve(&self) -> u64 {
-        self.reserves.iter().map(|(units, _)| units).sum()
+        self.reserves.iter().map(|reserve| reserve.units).sum()
     }
 
     /// Takes a request's cost from the reserve, or nothing.
@@ -96,13 +113,13 @@
         }
         let mut left = units;
         while left > 0 {
-            let Some((first, _)) = self.reserves.front_mut() else {
+            let Some(first) = self.reserves.front_mut() else {
                 break;
             };
-            let taken = left.min(*first);
-            *first -= taken;
+            let taken = left.min(first.units);
+            first.units -= taken;
             left -= taken;
-            if *first == 0 {
+            if first.units == 0 {
                 self.reserves.pop_front();
             }
         }
@@ -112,17 +129,15 @@
     /// Keeps units for requests to come.
     pub(crate) fn keep(&mut self, now: Timestamp, units: u64) {
         if units > 0 {
-            self.reserves.push_back((units, now + RESERVE_LIFETIME));
+            let until = now + RESERVE_LIFETIME;
+            self.reserves.push_back(Reserve { units, until });
         }
     }
 
     /// Units whose time is over go back.
     pub(crate) fn expire(&mut self, now: Timestamp) {
-        while let Some((units, until)) = self.reserves.front().copied()
-            && until <= now
-        {
-            self.returned += units;
-            self.reserves.pop_front();
+        while let Some(reserve) = self.reserves.pop_front_if(|reserve| reserve.until <= now) {
+            self.returned += reserve.units;
         }
     }
 
@@ -228,12 +243,15 @@
     pub(crate) fn answered(&mut self, now: Timestamp, plenty: bool, until: Option<Timestamp>) {
         self.plenty_at = plenty.then_some(now);
         self.standing_used = 0;
-        self.exhausted = until.map(|until| (until, until.min(now + LONGEST_EXHAUSTED)));
+        self.exhausted = until.map(|until| Exhaustion {
+            until,
+            believed_until: until.min(now + LONGEST_EXHAUSTED),
+        });
     }
 
     /// When there will be units again, if the leader said lately that there are none.
     pub(crate) fn exhausted_until(&self, now: Timestamp) -> Option<Timestamp> {
-        let (until, believed) = self.exhausted?;
-        (now < believed).then_some(until)
+        let exhaustion = self.exhausted?;
+        (now < exhaustion.believed_until).then_some(exhaustion.until)
     }
 }
