A new leader's opening credit grows with the limit

The opening was a quarter of the contract's slack, 27,500 units, whatever the limit: 0.03 s of a tenant of 919,107 units a second.

Ruled out: filling buckets for the time without a leader (nobody knows when the one before last lent); a larger part (a half is for gateways without a leader, two openings may fall into a window).

Change: a quarter of all that the contract bears above a limit: the overage of a window and the burst, and the slack. Members have the section quota of gateways' settings in place of fleet.quota_slack_units.

Test: after a loss of everything a flood of what was held back is granted to 0.88, before 0.50 (virtual time); the property over faults holds. Deployments without tenants ask for no credit: their path is unchanged.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -103,7 +103,7 @@
     process.initial_members = settings.members.iter().map(initial_member).collect();
     process.seeds = seeds(settings)?;
     process.form_from_seeds = member.form_group == "from-seeds";
-    process.fleet = fleet(settings);
+    process.fleet = fleet(settings)?;
     if process.fleet.is_some() {
         process.limits = ProcessLimits {
             call_timeout: millis(settings.fleet.call_timeout_ms),
@@ -162,15 +162,29 @@
     }
 }
 
-fn fleet(settings: &ControlSettings) -> Option<FleetSettings> {
+fn quota(window_ms: u64, overage: &str, slack_units: u64) -> Result<QuotaTerms> {
+    Ok(QuotaTerms {
+        window: millis(window_ms),
+        overage: overage.parse().context("quota.overage")?,
+        slack_units,
+    })
+}
+
+fn fleet(settings: &ControlSettings) -> Result<Option<FleetSettings>> {
     let section = &settings.fleet;
-    (section.mode == "announced").then(|| FleetSettings {
+    let quota = quota(
+        settings.quota.window_ms,
+        &settings.quota.overage,
+        settings.quota.slack_units,
+    )?;
+    let announced = (section.mode == "announced").then(|| FleetSettings {
         holder: settings.member.administration_listen.clone(),
         announce_interval: millis(section.announce_interval_ms),
         instance_silence: millis(section.instance_silence_ms),
         order_handover: millis(section.order_handover_ms),
-        quota_slack_units: section.quota_slack_units,
-    })
+        quota,
+    });
+    Ok(announced)
 }
 
 /// A gateway's process settings from its settings file.
@@ -191,11 +205,11 @@
             retry_window: millis(settings.retries.window_ms),
             prompt_tokens_per_milli: settings.instances.prompt_tokens_per_second as f64 / 1_000.0,
             default_patience: millis(settings.instances.default_patience_ms),
-            quota: QuotaTerms {
-                window: millis(settings.quota.window_ms),
-                overage: settings.quota.overage.parse().context("quota.overage")?,
-                slack_units: settings.quota.slack_units,
-            },
+            quota: quota(
+                settings.quota.window_ms,
+                &settings.quota.overage,
+                settings.quota.slack_units,
+            )?,
             key_lifetime: (settings.tenants.unchecked_keys == "refuse")
                 .then(|| millis(settings.tenants.key_lifetime_ms)),
         },
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -56,8 +56,6 @@
     pub call_timeout_ms: u64,
     /// Time after an engine's last instruction for which no other leader instructs it.
     pub order_handover_ms: u64,
-    /// Units that the contract bears above a tenant's limit in a window; a new leader begins with a part of it.
-    pub quota_slack_units: u64,
 }
 impl Default for ControlFleetSection {
     fn default() -> Self {
@@ -67,7 +65,26 @@
             instance_silence_ms: 6000u64,
             call_timeout_ms: 600u64,
             order_handover_ms: 3000u64,
-            quota_slack_units: 0u64,
+        }
+    }
+}
+/// What the contract bears above tenants' limits. Gateways that no leader answers use a part of it, and a new leader begins with a part.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ControlQuotaSection {
+    /// Length of the window in which use is summed.
+    pub window_ms: u64,
+    /// Part of the limit that is borne above it.
+    pub overage: String,
+    /// Units borne beyond that in a window.
+    pub slack_units: u64,
+}
+impl Default for ControlQuotaSection {
+    fn default() -> Self {
+        Self {
+            window_ms: 10000u64,
+            overage: "0".to_owned(),
+            slack_units: 0u64,
         }
     }
 }
@@ -249,6 +266,8 @@
     pub member: ControlMemberSection,
     /// Instances that announce themselves, under a configuration that is one document.
     pub fleet: ControlFleetSection,
+    /// What the contract bears above tenants' limits. Gateways that no leader answers use a part of it, and a new leader begins with a part.
+    pub quota: ControlQuotaSection,
     /// The initial members, the same list in the same order on each; a member that joins later needs at least one that lives.
     pub members: Vec<ControlMembersSection>,
     /// Timing of the control group. The lease must be shorter than the election timeout by more than clocks drift.
@@ -367,8 +386,27 @@
                         maximum: 600000u64,
                     },
                 },
+            ],
+        },
+        SectionSpecification {
+            name: "quota",
+            repeated: false,
+            keys: &[
+                KeySpecification {
+                    name: "window_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 100u64,
+                        maximum: 3600000u64,
+                    },
+                },
                 KeySpecification {
-                    name: "quota_slack_units",
+                    name: "overage",
+                    required: false,
+                    kind: KeyKind::Text,
+                },
+                KeySpecification {
+                    name: "slack_units",
                     required: false,
                     kind: KeyKind::Integer {
                         minimum: 0u64,
@@ -1116,7 +1154,7 @@
         }
     }
 }
-/// What the contract bears above tenants' limits. Gateways that no leader answers use a part of it.
+/// What the contract bears above tenants' limits. Gateways that no leader answers use a part of it, and a new leader begins with a part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct GatewayQuotaSection {
@@ -1202,7 +1240,7 @@
     pub instances: GatewayInstancesSection,
     /// Callers' keys.
     pub tenants: GatewayTenantsSection,
-    /// What the contract bears above tenants' limits. Gateways that no leader answers use a part of it.
+    /// What the contract bears above tenants' limits. Gateways that no leader answers use a part of it, and a new leader begins with a part.
     pub quota: GatewayQuotaSection,
     /// Repeats that a service may get, over all gateways.
     pub retries: GatewayRetriesSection,
--- a/crates/millpass-control-plane/src/credit.rs
+++ b/crates/millpass-control-plane/src/credit.rs
@@ -10,9 +10,9 @@
     /// Begins the book when this member has taken charge: from then on tenants' buckets fill.
     pub(crate) fn begin_credit(&mut self, now: Timestamp) {
         if let Some(fleet) = &self.settings.fleet {
-            let slack = fleet.quota_slack_units;
+            let terms = fleet.quota;
             self.credit
-                .get_or_insert_with(|| CreditLedger::new(now, slack));
+                .get_or_insert_with(|| CreditLedger::new(now, terms));
         }
     }
 
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -14,6 +14,7 @@
     InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelName, ModelOutlook,
     ServiceName, Timestamp,
 };
+use millpass_tenancy::QuotaTerms;
 use std::collections::BTreeSet;
 
 /// Time between two looks for work when nothing happens.
@@ -36,8 +37,8 @@
     pub instance_silence: Duration,
     /// Time after an engine's last instruction for which no other leader instructs it.
     pub order_handover: Duration,
-    /// Units that the contract bears above a tenant's limit in a window.
-    pub quota_slack_units: u64,
+    /// What the contract bears above tenants' limits.
+    pub quota: QuotaTerms,
 }
 
 impl Default for FleetSettings {
@@ -47,7 +48,7 @@
             announce_interval: Duration::from_millis(1_200),
             instance_silence: Duration::from_millis(6_000),
             order_handover: Duration::from_millis(3_500),
-            quota_slack_units: 0,
+            quota: QuotaTerms::default(),
         }
     }
 }
--- a/crates/millpass-tenancy/src/account.rs
+++ b/crates/millpass-tenancy/src/account.rs
@@ -52,7 +52,7 @@
 
 impl QuotaTerms {
     /// Units that are borne above a limit in a window.
-    fn borne_above(&self, limit: TenantLimit) -> f64 {
+    pub(crate) fn borne_above(&self, limit: TenantLimit) -> f64 {
         let flow = limit.units_per_second as f64 * self.window.as_secs_f64();
         self.overage * (flow + limit.burst_units as f64) + self.slack_units as f64
     }
--- a/crates/millpass-tenancy/src/ledger.rs
+++ b/crates/millpass-tenancy/src/ledger.rs
@@ -2,9 +2,10 @@
 //!
 //! Whatever gateways use was lent first, or is charged with their next word, so that the sum over all gateways
 //! stays within the limit whoever fails. A new leader knows nothing of what the one before it lent: it begins
-//! with empty buckets but for a part of the contract's slack, which is safe since the other lent no more than
-//! the limit until its lease ended.
+//! with empty buckets but for a part of what the contract bears above a limit, which is safe since the other lent no
+//! more than the limit until its lease ended.
 
+use crate::account::QuotaTerms;
 use crate::limit::{TenantLimit, UnitBucket};
 use millpass_proto::{
     CreditAnswer, CreditAsk, CreditGrant, CreditRequest, DeploymentDocument, Duration, TenantName,
@@ -12,8 +13,8 @@
 };
 use std::collections::HashMap;
 
-/// Part of the slack that a new leader begins with. A quarter: gateways without a leader may use a half
-/// (`pool`), and two changes of leader may fall into one window.
+/// Part of what the contract bears above a limit that a new leader begins with. A quarter: gateways without a leader
+/// may use a half (`account`), and two changes of leader may fall into one window.
 const OPENING_PART: f64 = 0.25;
 /// Shortest time between two events of one tenant.
 const EVENT_INTERVAL: Duration = Duration::from_secs(1);
@@ -46,18 +47,18 @@
 #[derive(Debug)]
 pub struct CreditLedger {
     began: Timestamp,
-    slack_units: u64,
+    terms: QuotaTerms,
     version: Option<u64>,
     limits: HashMap<TenantName, Option<TenantLimit>>,
     accounts: HashMap<TenantName, Account>,
 }
 
 impl CreditLedger {
-    /// A book without any account; `slack_units` is what the operators' contract bears above a limit.
-    pub fn new(now: Timestamp, slack_units: u64) -> Self {
+    /// A book without any account; `terms` say what the operators' contract bears above a limit.
+    pub fn new(now: Timestamp, terms: QuotaTerms) -> Self {
         CreditLedger {
             began: now,
-            slack_units,
+            terms,
             version: None,
             limits: HashMap::new(),
             accounts: HashMap::new(),
@@ -129,7 +130,8 @@
                 return grant;
             }
         };
-        let (began, opening) = (self.began, self.slack_units as f64 * OPENING_PART);
+        let began = self.began;
+        let opening = self.terms.borne_above(limit) * OPENING_PART;
         let account = self
             .accounts
             .entry(ask.tenant.clone())
--- a/crates/millpass-tenancy/tests/quota.rs
+++ b/crates/millpass-tenancy/tests/quota.rs
@@ -88,7 +88,7 @@
             version: 1,
             pools: (0..gateways).map(|_| CreditPool::new(TERMS)).collect(),
             cut: vec![false; gateways],
-            leader: Some(CreditLedger::new(at(0), TERMS.slack_units)),
+            leader: Some(CreditLedger::new(at(0), TERMS)),
             term: 1,
             messages: BTreeMap::new(),
             sent: 0,
@@ -213,7 +213,7 @@
 
     fn elect(&mut self) {
         self.term += 1;
-        self.leader = Some(CreditLedger::new(at(self.now), TERMS.slack_units));
+        self.leader = Some(CreditLedger::new(at(self.now), TERMS));
     }
 
     fn cut_off(&mut self, gateway: usize) {
@@ -306,6 +306,28 @@
     assert!(world.worst_window() <= 1.0);
 }
 
+/// Found in an incident: half a second after a loss of all power a large tenant's usual requests were refused, as a
+/// new leader began with the same few units whatever the limit.
+#[test]
+fn after_a_loss_of_everything_a_new_leader_begins_with_what_a_large_tenant_needs() {
+    let mut world = World::new(13, 81, LARGE_TENANT);
+    world.run(4_000, 470_000.0, 9_800);
+    world.lose_leader();
+    for gateway in 0..81 {
+        world.restart(gateway);
+    }
+    world.run(1_700, 0.0, 9_800);
+    world.elect();
+    let (asked, granted) = (world.asked, world.granted);
+    // What was held back comes with what is usual.
+    world.run(100, 4_000_000.0, 9_800);
+    world.run(400, 0.0, 9_800);
+    let share = (world.granted - granted) as f64 / (world.asked - asked) as f64;
+    // 0.50 before, 0.88 with it.
+    assert!(share > 0.8, "granted {share:.3}");
+    assert!(world.worst_window() <= 1.0);
+}
+
 #[test]
 fn a_limit_that_was_lowered_far_below_demand_binds_within_a_window() {
     let mut world = World::new(10, 81, LARGE_TENANT);
