A new leader tells gateways at once of the instances that left

A gateway between two leaders when an instance left went on sending to it: it knew 63 instances, another 62.

Change: the first update names the newest 256 departures of the log that are not among the instances known.

Test: a_new_leader_tells_gateways_at_once_of_the_instances_that_left (both cases failed before).

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -6,12 +6,16 @@
 use crate::outputs::Outputs;
 use crate::plane::ControlPlane;
 use crate::proposals::{InternalKey, Waiter};
-use millpass_fleet::FleetOutput;
+use millpass_fleet::{FleetOutput, GatewayContext};
 use millpass_proto::{
     Command, ControlToRouter, EngineInstruction, GatewayReport, GatewayUpdate, InstanceDeparture,
     InstanceId, InstanceRecord, InstructionAnswer, InstructionNote, PutDocument, Timestamp,
 };
 
+/// Most departed instances that a gateway is told of when it connects: those of the last minutes; it hears of older
+/// ones once the leader knows every instance.
+const MAXIMUM_DEPARTED_TOLD: usize = 256;
+
 /// Why a call is refused where no instances announce themselves.
 const NO_FLEET: &str =
     "this deployment is configured object by object; use the administration API's objects";
@@ -156,15 +160,24 @@
             return;
         };
         let consensus = &self.consensus;
-        let members = || {
+        let members = || -> Vec<String> {
             let membership = consensus.status().membership;
             let members = membership.voters.iter().chain(&membership.learners);
             members.map(|member| member.peer_address.clone()).collect()
         };
+        let state = &self.state;
+        let departed = || -> Vec<InstanceId> {
+            let newest = state.newest_departures().take(MAXIMUM_DEPARTED_TOLD);
+            newest.cloned().collect()
+        };
+        let context = GatewayContext {
+            members: &members,
+            departed: &departed,
+        };
         let noted = self.state.noted_instances().cloned();
         fleet.begin(now, noted, &self.instructions);
         let mut instructions = Vec::new();
-        for output in fleet.run(now, self.term, self.state.document(), members) {
+        for output in fleet.run(now, self.term, self.state.document(), &context) {
             match output {
                 FleetOutput::Instruct(instruction) => instructions.push(instruction),
                 FleetOutput::Note(note) => {
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -197,6 +197,33 @@
     assert!(told.iter().all(|update| update.instances.is_empty()));
 }
 
+/// Found on a large deployment: gateways connected to a new leader before it had heard of every instance. It did not
+/// name the ones that had left while they were between two leaders, and they went on sending to them.
+#[rstest]
+#[case::has_ended(true)]
+#[case::leaves(false)]
+fn a_new_leader_tells_gateways_at_once_of_the_instances_that_left(#[case] ended: bool) {
+    let mut world = world(3);
+    let leader = world.elect();
+    for sequence in 1..3 {
+        world.call(leader, announce("i-2", sequence, false));
+    }
+    let departure = InstanceDeparture {
+        instance: "i-1".into(),
+        ended,
+    };
+    world.call(leader, AdministrationRequest::Depart(departure));
+    world.halt(leader);
+    let next = world.elect();
+    let connection = world.connect(next);
+    report(&mut world, connection);
+    world.run(std::time::Duration::from_millis(50));
+    let told = updates(&mut world, connection);
+    let first = &told[0];
+    assert!(first.first && !first.complete, "{first:?}");
+    assert_eq!(first.removed, ["i-1".into()]);
+}
+
 /// After a loss of the whole group, a gateway that starts before there is a leader gets what any
 /// member has.
 #[test]
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -3,7 +3,7 @@
 //!
 //! `cargo run --release -p millpass-fleet --example leader_cost`
 
-use millpass_fleet::{Fleet, FleetOutput, FleetSettings, InstructionHistory};
+use millpass_fleet::{Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory};
 use millpass_proto::*;
 use std::time::Instant;
 
@@ -17,6 +17,11 @@
 const ROUNDS: u64 = 20;
 const HELD_MODELS: usize = 3;
 
+const NOBODY: GatewayContext<'static> = GatewayContext {
+    members: &Vec::new,
+    departed: &Vec::new,
+};
+
 fn document(models: usize) -> DeploymentDocument {
     let model = |number: usize| EngineModelSpec {
         name: format!("model-{number}").into(),
@@ -140,7 +145,7 @@
                 reporting += started.elapsed();
             }
             let started = Instant::now();
-            for output in fleet.run(now, 1, Some(&document), Vec::new) {
+            for output in fleet.run(now, 1, Some(&document), &NOBODY) {
                 match output {
                     FleetOutput::Instruct(_) => orders += 1,
                     FleetOutput::Update { .. } => updates += 1,
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -9,6 +9,7 @@
 use crate::registry::{Announced, Registry};
 use crate::store::{LoadUnderWay, StoreCapacity};
 use crate::traffic::Traffic;
+use crate::updates::GatewayContext;
 use millpass_proto::{
     DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate, InstanceId,
     InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelName, ModelOutlook,
@@ -323,14 +324,13 @@
         self.event("engine-answered", pairs);
     }
 
-    /// Does what is due; called only while this member is in charge. `members` gives the addresses
-    /// of the control members, when a gateway is to be told.
+    /// Does what is due; called only while this member is in charge. `context` is asked when a gateway connects.
     pub fn run(
         &mut self,
         now: Timestamp,
         term: u64,
         document: Option<&DeploymentDocument>,
-        members: impl Fn() -> Vec<String>,
+        context: &GatewayContext<'_>,
     ) -> Vec<FleetOutput> {
         let since = *self.in_charge_since.get_or_insert(now);
         self.term = term;
@@ -351,7 +351,7 @@
         }
         self.note(now);
         let complete = now.since(since) >= self.settings.announce_interval * 3;
-        self.update_gateways(now, document, complete, members);
+        self.update_gateways(now, document, complete, context);
         std::mem::take(&mut self.out)
     }
 
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -39,3 +39,4 @@
 pub use handover::InstructionHistory;
 pub use permits::StorePermits;
 pub use store::{LoadUnderWay, StoreCapacity};
+pub use updates::GatewayContext;
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -2,11 +2,28 @@
 
 use crate::engines::Engine;
 use crate::fleet::{Fleet, FleetOutput};
+use crate::registry::Registry;
 use millpass_proto::{
-    AdapterName, DeploymentDocument, Duration, GatewayUpdate, InstructionOperation, ModelName,
-    ModelOutlook, ServiceName, ServiceSpec, Timestamp,
+    AdapterName, DeploymentDocument, Duration, GatewayUpdate, InstanceId, InstructionOperation,
+    ModelName, ModelOutlook, ServiceName, ServiceSpec, Timestamp,
 };
 
+/// What the control plane knows beside the fleet, asked for when a gateway connects.
+pub struct GatewayContext<'a> {
+    /// Addresses of the control members.
+    pub members: &'a dyn Fn() -> Vec<String>,
+    /// Instances that leave or have ended, as the log says, the newest ones.
+    pub departed: &'a dyn Fn() -> Vec<InstanceId>,
+}
+
+/// Departed instances that are not among those that the leader knows: of these the record itself says that they
+/// leave.
+fn departed_elsewhere(registry: &Registry, context: &GatewayContext<'_>) -> Vec<InstanceId> {
+    let mut departed = (context.departed)();
+    departed.retain(|instance| registry.get(instance).is_none());
+    departed
+}
+
 impl Fleet {
     /// What is being loaded or `awaited`, for gateways to estimate waits.
     pub(crate) fn refresh_outlook(
@@ -44,7 +61,7 @@
         now: Timestamp,
         document: Option<&DeploymentDocument>,
         complete: bool,
-        members: impl Fn() -> Vec<String>,
+        context: &GatewayContext<'_>,
     ) {
         let revision = self.registry.revision();
         let version = document.map_or(0, |document| document.version);
@@ -72,14 +89,20 @@
                     .filter(|document| document.version > session.version)
                     .cloned(),
                 instances: self.registry.changed_since(from),
+                // A leader that does not know every instance yet says which it knows to be gone: the gateway
+                // would keep them.
                 removed: if whole {
-                    Vec::new()
+                    departed_elsewhere(&self.registry, context)
                 } else {
                     self.registry.removed_since(from)
                 },
                 outlook: self.outlook.clone(),
                 gateways: count,
-                members: if whole { members() } else { Vec::new() },
+                members: if whole {
+                    (context.members)()
+                } else {
+                    Vec::new()
+                },
                 provisional: false,
                 loads: loads.get_or_insert_with(|| self.traffic.busiest()).clone(),
             };
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -1,7 +1,8 @@
 //! Instances, gateways, and which engine loads what.
 
 use millpass_fleet::{
-    Fleet, FleetOutput, FleetSettings, InstructionHistory, StoreCapacity, StorePermits,
+    Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory, StoreCapacity,
+    StorePermits,
 };
 use millpass_proto::*;
 use rstest::rstest;
@@ -25,6 +26,12 @@
     }
 }
 
+/// Neither members nor departures.
+const NOBODY: GatewayContext<'static> = GatewayContext {
+    members: &Vec::new,
+    departed: &Vec::new,
+};
+
 fn document() -> DeploymentDocument {
     DeploymentDocument {
         version: 1,
@@ -137,7 +144,7 @@
     }
 
     fn run(&mut self, now: u64) -> Vec<FleetOutput> {
-        self.fleet.run(at(now), 3, Some(&self.document), Vec::new)
+        self.fleet.run(at(now), 3, Some(&self.document), &NOBODY)
     }
 
     fn instructions(&mut self, now: u64) -> Vec<EngineInstruction> {
--- a/crates/millpass-state/src/deployment.rs
+++ b/crates/millpass-state/src/deployment.rs
@@ -94,6 +94,11 @@
         self.departed.get(instance).copied()
     }
 
+    /// Departed instances, the newest first.
+    pub(crate) fn newest_departures(&self) -> impl Iterator<Item = &InstanceId> {
+        self.order.iter().rev()
+    }
+
     pub(crate) fn departures(&self) -> impl Iterator<Item = (&InstanceId, bool)> {
         self.departed
             .iter()
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -156,6 +156,11 @@
         self.deployment.departures()
     }
 
+    /// Instances that have departed, the newest first.
+    pub fn newest_departures(&self) -> impl Iterator<Item = &InstanceId> {
+        self.deployment.newest_departures()
+    }
+
     /// Revision of the catalog.
     pub fn configuration_revision(&self) -> ConfigurationRevision {
         ConfigurationRevision(self.catalog.revision())
