Read again: one way to count a request's end, claims looked up as themselves

Cause: reading the change whole. Requests without a route, without a known caller, or whose caller left were counted by hand beside the function that counts an end; claims were kept by their number instead of by themselves; a comment ran over its line; a method was named unlike its sibling. Ruled out: one signature for the two ways to use units that nobody lent, which would hide that they differ; the product's own models page keeping its own hash look-up, untouched by this change.

Change: count_request everywhere, the counter private; CreditClaim as the key; note_request beside note_use. Behaviour as before, no test touched.

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -271,8 +271,8 @@
         Ok(tenant)
     }
 
-    /// Takes a request of a tenant, if callers need keys. `draw`, from 0 to 1, is where a route with several targets begins: from there
-    /// on requests spread evenly by the targets' weights.
+    /// Takes a request, of a tenant where callers need keys. `draw`, from 0 to 1, is where a route with several
+    /// targets begins: from there on requests spread evenly by the targets' weights.
     pub fn begin(
         &mut self,
         now: Timestamp,
--- a/crates/millpass-gateway/src/answers.rs
+++ b/crates/millpass-gateway/src/answers.rs
@@ -34,11 +34,7 @@
         ("status", status.as_str().to_owned()),
     ];
     log::info!("{}", event_line("request_unidentified", &pairs));
-    shared
-        .metrics
-        .requests
-        .with_label_values(&["unidentified"])
-        .inc();
+    shared.metrics.count_request(None, "unidentified");
     own_answer(shared, attempt, status, &error.to_string(), retry_after)
 }
 
@@ -63,11 +59,7 @@
         ("status", status.as_str().to_owned()),
     ];
     log::info!("{}", event_line("request_unrouted", &pairs));
-    shared
-        .metrics
-        .requests
-        .with_label_values(&["unrouted"])
-        .inc();
+    shared.metrics.count_request(None, "unrouted");
     own_answer(shared, attempt, status, &error.to_string(), retry_after)
 }
 
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -70,8 +70,7 @@
         let Some((attempt, arrived)) = self.open.take() else {
             return;
         };
-        let metrics = &self.shared.metrics.requests;
-        metrics.with_label_values(&["caller-left"]).inc();
+        self.shared.metrics.count_request(None, "caller-left");
         let pairs = [
             ("request", attempt),
             ("outcome", "caller-left".to_owned()),
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -22,7 +22,7 @@
 /// Metrics of one process.
 pub(crate) struct Metrics {
     registry: Registry,
-    pub(crate) requests: IntCounterVec,
+    requests: IntCounterVec,
     tenant_requests: IntCounterVec,
     /// Tenants that are counted by name.
     tenants: Mutex<BTreeSet<TenantName>>,
@@ -98,7 +98,7 @@
         })
     }
 
-    /// Counts a request that has ended.
+    /// Counts a request that has ended, and for its tenant where that is known.
     pub(crate) fn count_request(&self, tenant: Option<&TenantName>, outcome: &str) {
         self.requests.with_label_values(&[outcome]).inc();
         let Some(tenant) = tenant else {
--- a/crates/millpass-tenancy/src/account.rs
+++ b/crates/millpass-tenancy/src/account.rs
@@ -152,7 +152,7 @@
     }
 
     /// A request came.
-    pub(crate) fn noted(&mut self, now: Timestamp, units: u64) {
+    pub(crate) fn note_request(&mut self, now: Timestamp, units: u64) {
         let cost = units as f64;
         self.mean_cost = if self.mean_cost == 0.0 {
             cost
--- a/crates/millpass-tenancy/src/pool.rs
+++ b/crates/millpass-tenancy/src/pool.rs
@@ -20,7 +20,7 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(30);
 
 /// A request's claim on its tenant's credit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct CreditClaim(u64);
 
 /// Where a claim stands.
@@ -82,7 +82,7 @@
 pub struct CreditPool {
     terms: QuotaTerms,
     accounts: BTreeMap<TenantName, Account>,
-    claims: HashMap<u64, Claim>,
+    claims: HashMap<CreditClaim, Claim>,
     last_claim: u64,
     sequence: u64,
     /// Term of the leader that lent last.
@@ -115,7 +115,7 @@
         let claim = CreditClaim(self.last_claim);
         let account = self.accounts.entry(tenant.clone()).or_default();
         account.expire(now);
-        account.noted(now, units);
+        account.note_request(now, units);
         let stage = if account.queue.is_empty() && account.take(units) {
             Stage::Covered
         } else if let Some(until) = account.exhausted_until(now) {
@@ -132,13 +132,13 @@
             opened_at: now,
             patient_until: now + patience,
         };
-        self.claims.insert(claim.0, opened);
+        self.claims.insert(claim, opened);
         claim
     }
 
     /// Where a claim stands. `gateways` share what may be used without a leader; 0 while unknown.
     pub fn outcome(&mut self, now: Timestamp, claim: CreditClaim, gateways: u32) -> CreditOutcome {
-        let Some(found) = self.claims.get_mut(&claim.0) else {
+        let Some(found) = self.claims.get_mut(&claim) else {
             return CreditOutcome::Pending {
                 until: now + LOOK_INTERVAL,
             };
@@ -172,7 +172,7 @@
 
     /// Uses units that nobody lent.
     fn overdraw(&mut self, now: Timestamp, claim: CreditClaim, gateways: u32) -> bool {
-        let Some(found) = self.claims.get_mut(&claim.0) else {
+        let Some(found) = self.claims.get_mut(&claim) else {
             return false;
         };
         let account = self.accounts.entry(found.tenant.clone()).or_default();
@@ -187,7 +187,7 @@
 
     /// A request is over, or goes on without its claim. Units of one that did not run are kept for others.
     pub fn close(&mut self, now: Timestamp, claim: CreditClaim, ran: bool) {
-        let Some(found) = self.claims.remove(&claim.0) else {
+        let Some(found) = self.claims.remove(&claim) else {
             return;
         };
         let account = self.accounts.entry(found.tenant).or_default();
@@ -227,7 +227,7 @@
             let count = account.queue.len().min(MAXIMUM_NEEDED);
             let mut claims = Vec::new();
             for claim in account.queue.drain(..count) {
-                if let Some(found) = self.claims.get_mut(&claim.0) {
+                if let Some(found) = self.claims.get_mut(&claim) {
                     found.stage = Stage::Asked;
                     claims.push((claim, found.units));
                 }
@@ -281,7 +281,7 @@
         let covered = grant.covered as usize;
         for (place, (claim, units)) in asked.claims.iter().enumerate() {
             let lent = place < covered;
-            match self.claims.get_mut(&claim.0) {
+            match self.claims.get_mut(claim) {
                 Some(found) if found.stage == Stage::Asked => {
                     found.stage = if lent {
                         Stage::Covered
@@ -311,7 +311,7 @@
         for asked in asked.flat_map(|asked| asked.tenants) {
             let account = self.accounts.entry(asked.tenant).or_default();
             for (claim, _) in asked.claims.into_iter().rev() {
-                if let Some(found) = self.claims.get_mut(&claim.0)
+                if let Some(found) = self.claims.get_mut(&claim)
                     && found.stage == Stage::Asked
                 {
                     found.stage = Stage::Queued;
