Logs name what the tries of one request share

Ruled out: the caller's address (callers come through the platform's address, by whichever connection). Change: a fingerprint (128 bits of a hash of tenant, method, host, path and body) in request_ended, send_ended and stream_broken. No decision rests on it yet. Conclusion: the ends of one series can be laid side by side by fingerprint.

--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! | module | job |
 //! |---|---|
 //! | `request` | a request as the front door describes it, and its progress |
+//! | `fingerprint` | what the tries of one request share |
 //! | `table` | routes by host and longest prefix, tenants by key |
 //! | `instances` | the gateway's view of instances: announced state, own sends, failures |
 //! | `prompts` | which prompt parts an instance has lately read |
@@ -16,6 +17,7 @@
 mod choosing;
 mod credit;
 mod dispatcher;
+mod fingerprint;
 mod instances;
 mod needs;
 mod prompts;
@@ -25,6 +27,7 @@
 
 pub use credit::UnreadableTokens;
 pub use dispatcher::{Choice, DispatchSettings, Dispatcher, RefusalReason, UpdateOutcome};
+pub use fingerprint::RequestIdentity;
 pub use instances::{SendEnd, ToldLoad};
 pub use request::{Description, PromptPart, SendRecord, StatedTokens, Ticket};
 pub use retry_budget::{BudgetTerms, RetryBudget};
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -1,8 +1,8 @@
 //! A request as the front door describes it, and its progress.
 
 use millpass_proto::{
-    AdapterName, Duration, InstanceId, ModelName, RouteKind, RouteSpec, ServiceName, TenantAccess,
-    Timestamp,
+    AdapterName, Duration, InstanceId, ModelName, RequestFingerprint, RouteKind, RouteSpec,
+    ServiceName, TenantAccess, Timestamp,
 };
 use millpass_tenancy::PresentedKey;
 use std::sync::Arc;
@@ -33,6 +33,8 @@
     pub key: PresentedKey,
     /// Tokens of the prompt and the most that may be made.
     pub tokens: StatedTokens,
+    /// What its tries share.
+    pub fingerprint: RequestFingerprint,
 }
 
 /// The tokens that a request states it may use.
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -14,7 +14,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use millpass_dispatch::{Choice, RouteError, SendEnd, Ticket};
+use millpass_dispatch::{Choice, RequestIdentity, RouteError, SendEnd, Ticket};
 use millpass_proto::{Duration, InstanceId, RouteSpec, Timestamp};
 use millpass_telemetry::event_line;
 use rand::RngExt;
@@ -98,7 +98,7 @@
     mut in_flight: InFlight,
 ) -> Response<RelayBody> {
     let (head, body) = request.into_parts();
-    let description = shared.interface.describe(&head.headers);
+    let mut description = shared.interface.describe(&head.headers);
     let attempt = description.attempt.clone();
     let host = head
         .headers
@@ -124,6 +124,14 @@
             return own_answer(shared, &attempt, status, reason, None);
         }
     };
+    let identity = RequestIdentity {
+        tenant: tenant.as_deref(),
+        route: &route,
+        method: head.method.as_str(),
+        path: head.uri.path_and_query().map_or("", |path| path.as_str()),
+        body: &body,
+    };
+    description.fingerprint = identity.fingerprint();
     let draw: f64 = rand::rng().random();
     let ticket = shared
         .core()
@@ -417,6 +425,7 @@
     let now = shared.now();
     let pairs = [
         ("request", ticket.description.attempt.clone()),
+        ("fingerprint", ticket.description.fingerprint.to_string()),
         ("route", ticket.route.name.clone()),
         ("instance", instance.0.clone()),
         ("outcome", outcome.to_owned()),
@@ -458,6 +467,7 @@
     let waited = ticket.sent_at.map(|sent| sent.since(ticket.arrived));
     let pairs = [
         ("request", description.attempt.clone()),
+        ("fingerprint", description.fingerprint.to_string()),
         ("route", ticket.route.name.clone()),
         (
             "tenant",
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -205,8 +205,9 @@
         if let Some(active) = self.active.take() {
             let instance = &active.record().instance;
             log::info!(
-                "event=stream_broken request={} instance={instance} reason={reason:?}",
-                self.ticket.description.attempt
+                "event=stream_broken request={} fingerprint={} instance={instance} reason={reason:?}",
+                self.ticket.description.attempt,
+                self.ticket.description.fingerprint
             );
             active.end(SendEnd::Failed);
         }
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -2819,6 +2819,19 @@
 pub struct PolicyName(pub String);
 
 
+/// What the tries of one request share: a hash of caller, method, host, path and body, as two halves of 128 bits. All zero where it is not known.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RequestFingerprint {
+
+    /// First half.
+    pub high: u64,
+
+    /// Second half.
+    pub low: u64,
+}
+
+
 /// What the weight store stand-in counted. GET /audit.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
--- a/crates/millpass-proto/src/identity.rs
+++ b/crates/millpass-proto/src/identity.rs
@@ -100,3 +100,29 @@
     /// The position before the first entry.
     pub const ZERO: LogPosition = LogPosition { term: 0, index: 0 };
 }
+
+impl RequestFingerprint {
+    /// Of a request that is not known: nothing is ever held against it.
+    pub const UNKNOWN: RequestFingerprint = RequestFingerprint { high: 0, low: 0 };
+
+    /// Reads what [`fmt::Display`] writes.
+    pub fn from_hex(text: &str) -> Option<RequestFingerprint> {
+        let whole = u128::from_str_radix(text, 16).ok()?;
+        Some(RequestFingerprint {
+            high: (whole >> 64) as u64,
+            low: whole as u64,
+        })
+    }
+}
+
+impl Default for RequestFingerprint {
+    fn default() -> Self {
+        RequestFingerprint::UNKNOWN
+    }
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}{:016x}", self.high, self.low)
+    }
+}
