Failing test: a kept connection looks young after a suspension

Cause: the process clock and the pool of connections go by the steady clock, which stands still while the machine is suspended; leases, keys and kept connections look young afterwards. Ruled out: deadlines of callers, which travel as time left. Change: the process clock takes its source, so that a test can let it jump; the gateway's settings carry the clock.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -14,7 +14,7 @@
 use millpass_router::RouterProcessSettings;
 use millpass_routing::RoutingSettings;
 use millpass_scheduler::{KeepAlive, SchedulerSettings};
-use millpass_telemetry::{LogSettings, event_line, start_logging};
+use millpass_telemetry::{LogSettings, ProcessClock, event_line, start_logging};
 use millpass_tenancy::QuotaTerms;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -213,6 +213,7 @@
             key_lifetime: (settings.tenants.unchecked_keys == "refuse")
                 .then(|| millis(settings.tenants.key_lifetime_ms)),
         },
+        clock: ProcessClock::start(),
         listen: address(&settings.gateway.listen)?,
         ready_listen: address(&settings.gateway.ready_listen)?,
         metrics_listen: address(&settings.gateway.metrics_listen)?,
--- a/crates/millpass-gateway/src/settings.rs
+++ b/crates/millpass-gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use millpass_dispatch::DispatchSettings;
 use millpass_proto::Duration;
+use millpass_telemetry::ProcessClock;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,6 +22,8 @@
 pub struct GatewaySettings {
     /// The decision core's.
     pub dispatch: DispatchSettings,
+    /// Clock of all decisions.
+    pub clock: ProcessClock,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where readiness is asked.
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -47,9 +47,9 @@
     ) -> Self {
         Shared {
             core: Mutex::new(Dispatcher::new(settings.dispatch.clone())),
+            clock: settings.clock,
             settings,
             interface,
-            clock: ProcessClock::start(),
             changed: Event::new(),
             report: Event::new(),
             probe: Event::new(),
--- a/crates/millpass-telemetry/src/clock.rs
+++ b/crates/millpass-telemetry/src/clock.rs
@@ -3,23 +3,33 @@
 use millpass_proto::Timestamp;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Gives the time since some fixed point; never goes back.
+pub type ClockSource = fn() -> Duration;
+
 /// The monotonic clock of one process, counted from its start.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
-    start: Instant,
+    source: ClockSource,
+    start: Duration,
 }
 
 impl ProcessClock {
     /// A clock that begins at zero now.
     pub fn start() -> Self {
+        ProcessClock::start_on(steady_time)
+    }
+
+    /// A clock that begins at zero now and goes by `source`.
+    pub fn start_on(source: ClockSource) -> Self {
         ProcessClock {
-            start: Instant::now(),
+            source,
+            start: source(),
         }
     }
 
     /// Time since the start.
     pub fn now(&self) -> Timestamp {
-        let elapsed = self.start.elapsed();
+        let elapsed = (self.source)().saturating_sub(self.start);
         Timestamp::from_micros(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
     }
 
@@ -29,6 +39,12 @@
     }
 }
 
+/// The steady clock, which stands still while the machine is suspended.
+fn steady_time() -> Duration {
+    static FIRST: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    FIRST.get_or_init(Instant::now).elapsed()
+}
+
 /// Milliseconds of the wall clock since 1970.
 pub fn unix_millis() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
