Ages count the time for which a machine is suspended

Cause: ProcessClock and the pool of connections went by the steady clock, which stands still while the machine is suspended. A leader's lease, a gateway's keys and word of the leader, and kept connections looked young afterwards. Ruled out: the time of day (it jumps); timers of their own (they stand still too: waits look at the clock every second). Change: the process clock reads CLOCK_BOOTTIME; the pool, the stop of a gateway and the look for a leader go by it; waits for deadlines wake at least once a second. event=machine_suspended tells how long it was. Connections to other members end after a second without acknowledgement, and connections to instances are probed: both could go silent for good, and heartbeats never fill a buffer. A real suspension was not played here: the machine's clock cannot be moved.

--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -13,8 +13,8 @@
 use crate::peers::Peers;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use millpass_control_plane::{ControlEvent, ControlInput, ControlOutput, ControlPlane, FinalState};
-use millpass_proto::{LinkMessage, MemberAddress, Membership};
-use millpass_telemetry::{ProcessClock, event_line, unix_millis};
+use millpass_proto::{LinkMessage, MemberAddress, Membership, Timestamp};
+use millpass_telemetry::{ProcessClock, SuspensionWatch, event_line, unix_millis};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -43,7 +43,8 @@
     pub(crate) calls: Arc<CallTable>,
     pub(crate) metrics: Arc<Metrics>,
     /// Since when no leader is known.
-    pub(crate) leaderless_since: Option<Instant>,
+    pub(crate) leaderless_since: Option<Timestamp>,
+    pub(crate) suspensions: SuspensionWatch,
 }
 
 /// Why the core's thread ended.
@@ -156,6 +157,10 @@
     }
 
     fn keep_house(&mut self) {
+        if let Some(time) = self.suspensions.look() {
+            let millis = time.as_millis();
+            log::warn!("event=machine_suspended suspended_ms={millis}");
+        }
         let status = self.core.consensus_status();
         self.metrics.show_consensus(&status);
         let leaderless = self.is_leaderless(status.leader.is_none());
@@ -170,8 +175,9 @@
             self.leaderless_since = None;
             return false;
         }
-        let since = *self.leaderless_since.get_or_insert_with(Instant::now);
-        since.elapsed() >= LEADERLESS
+        let now = self.clock.now();
+        let since = *self.leaderless_since.get_or_insert(now);
+        now.since(since) >= LEADERLESS
     }
 
     /// Asks the members that the settings name and those of the membership known here.
--- a/crates/millpass-control/src/peers.rs
+++ b/crates/millpass-control/src/peers.rs
@@ -7,6 +7,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use millpass_proto::codec::{CodecError, write_frame};
 use millpass_proto::{LinkMessage, MemberAddress};
+use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::io::{BufWriter, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -113,6 +114,9 @@
     let stream = TcpStream::connect_timeout(&target, TIMEOUT)?;
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(TIMEOUT))?;
+    // Heartbeats alone never fill the buffer of a connection that has gone silent: without this, a leader would
+    // speak into it for a quarter of an hour.
+    SockRef::from(&stream).set_tcp_user_timeout(Some(TIMEOUT))?;
     Ok(stream)
 }
 
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -16,7 +16,7 @@
 use crossbeam::channel::unbounded;
 use millpass_control_plane::ControlInput;
 use millpass_proto::{Duration, MemberAddress, MemberId};
-use millpass_telemetry::ProcessClock;
+use millpass_telemetry::{ProcessClock, SuspensionWatch};
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -139,6 +139,7 @@
         calls,
         metrics,
         leaderless_since: None,
+        suspensions: SuspensionWatch::default(),
     };
     let core = spawn("control-core", move || member.run())?;
     log::info!(
--- a/crates/millpass-gateway/src/exchange.rs
+++ b/crates/millpass-gateway/src/exchange.rs
@@ -3,7 +3,6 @@
 use crate::interface::{AnswerFacts, Interface, SendFacts};
 use crate::pool::{self, Connection};
 use crate::shared::Shared;
-use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
 use http::header::{
@@ -97,10 +96,9 @@
     facts: &SendFacts<'_>,
     give_up: Timestamp,
 ) -> Result<Received, SendFailure> {
-    let left = shared.clock.left_until(give_up);
     let exchange = async { Some(exchange(shared, template, address, facts).await) };
     let timer = async {
-        Timer::after(left).await;
+        shared.sleep_until(give_up).await;
         None
     };
     future::or(exchange, timer)
--- a/crates/millpass-gateway/src/pool.rs
+++ b/crates/millpass-gateway/src/pool.rs
@@ -7,14 +7,15 @@
 use futures_lite::future;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
-use millpass_proto::InstanceId;
+use millpass_proto::{InstanceId, Timestamp};
+use millpass_telemetry::ProcessClock;
 use smol_hyper::rt::FuturesIo;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Most idle connections kept for one instance.
 const MAXIMUM_IDLE: usize = 8;
@@ -25,9 +26,14 @@
 /// Time for which a connection rests before it is used again: bytes that a faulty instance sends behind a
 /// whole answer come meanwhile, and end it.
 const REST_TIME: Duration = Duration::from_millis(3);
-/// Time after which unacknowledged bytes end a connection.
+/// Time after which unacknowledged bytes, or probes, end a connection.
 const USER_TIMEOUT: Duration = Duration::from_millis(4_000);
 
+/// Time without a byte after which the other end is probed, and between probes. A connection that has gone silent
+/// after the request was taken has nothing left to acknowledge; without probes its request waits for the whole
+/// time of its route.
+const PROBE_TIME: Duration = Duration::from_millis(1_000);
+
 /// Why there is no connection.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ConnectError {
@@ -62,17 +68,24 @@
 
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
-    from: Instant,
-    until: Instant,
+    from: Timestamp,
+    until: Timestamp,
 }
 
 /// Idle connections by instance.
-#[derive(Default)]
 pub(crate) struct Pool {
+    clock: ProcessClock,
     idle: Mutex<HashMap<InstanceId, Vec<Idle>>>,
 }
 
 impl Pool {
+    pub(crate) fn new(clock: ProcessClock) -> Self {
+        Pool {
+            clock,
+            idle: Mutex::default(),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -81,7 +94,7 @@
     pub(crate) fn take(&self, instance: &InstanceId) -> Option<Connection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(instance)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         connections.retain(|idle| idle.until > now && !idle.sender.is_closed());
         let rested = connections
             .iter()
@@ -105,7 +118,7 @@
         if time.is_zero() || sender.is_closed() {
             return;
         }
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.lock();
         let connections = idle.entry(instance.clone()).or_default();
         connections.retain(|connection| !connection.sender.is_closed());
@@ -120,7 +133,7 @@
 
     /// Closes what has been idle for too long.
     pub(crate) fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         self.lock().retain(|_, connections| {
             connections.retain(|idle| idle.until > now && !idle.sender.is_closed());
             !connections.is_empty()
@@ -146,7 +159,12 @@
         .await
         .ok_or(ConnectError::TimedOut)??;
     stream.get_ref().set_nodelay(true)?;
-    let _ = SockRef::from(stream.get_ref()).set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let socket = SockRef::from(stream.get_ref());
+    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_TIME)
+        .with_interval(PROBE_TIME);
+    let _ = socket.set_tcp_keepalive(&probes);
     let (sender, connection) = http1::Builder::new()
         .preserve_header_case(true)
         .max_buf_size(64 * 1024)
--- a/crates/millpass-gateway/src/process.rs
+++ b/crates/millpass-gateway/src/process.rs
@@ -10,11 +10,11 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use millpass_telemetry::event_line;
+use millpass_telemetry::{SuspensionWatch, event_line};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time between two looks for connections that have been idle for too long.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -107,9 +107,14 @@
 }
 
 async fn sweep(shared: Arc<Shared>) {
+    let mut suspensions = SuspensionWatch::default();
     loop {
         Timer::after(SWEEP_INTERVAL).await;
         shared.pool.sweep();
+        if let Some(time) = suspensions.look() {
+            let millis = time.as_millis();
+            log::warn!("event=machine_suspended suspended_ms={millis}");
+        }
     }
 }
 
@@ -118,8 +123,8 @@
 /// or when the grace is over.
 async fn drain(shared: &Shared) {
     shared.draining.store(true, Ordering::Release);
-    let started = Instant::now();
-    let end = shared.now() + shared.settings.drain_grace;
+    let started = shared.now();
+    let end = started + shared.settings.drain_grace;
     shared.core().stop_at(end);
     // Requests that wait see that they may not.
     shared.changed.notify(usize::MAX);
@@ -127,7 +132,7 @@
     log::info!("event=gateway_draining in_flight={in_flight}");
     loop {
         Timer::after(DRAIN_POLL).await;
-        let elapsed = started.elapsed();
+        let elapsed = shared.now().since(started);
         let idle = shared.in_flight.load(Ordering::Acquire) == 0;
         let no_callers = shared.connections.load(Ordering::Acquire) == 0;
         let turned_away = elapsed >= shared.settings.drain_accept;
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -6,7 +6,6 @@
 use crate::forward::{InFlight, is_stream, log_request, note_failure, note_turned_away};
 use crate::interface::SendFacts;
 use crate::shared::{ActiveSend, Shared};
-use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::{future, stream};
 use http::StatusCode;
@@ -125,7 +124,6 @@
     }
 
     async fn read(&mut self) -> Part {
-        let left = self.shared.clock.left_until(self.ticket.give_up);
         let body = &mut self.body;
         let read = async {
             loop {
@@ -141,7 +139,7 @@
             }
         };
         let timer = async {
-            Timer::after(left).await;
+            self.shared.sleep_until(self.ticket.give_up).await;
             Part::TimedOut
         };
         future::or(read, timer).await
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -9,11 +9,15 @@
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use millpass_dispatch::{Dispatcher, SendEnd, SendRecord};
-use millpass_proto::Timestamp;
+use millpass_proto::{Duration, Timestamp};
 use millpass_telemetry::ProcessClock;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// Longest time between two looks at the clock while a deadline is waited for: after a suspension a request is
+/// held at most this much beyond its time.
+const LONGEST_SLEEP: Duration = Duration::from_millis(1_000);
+
 /// What all tasks of the process share.
 pub(crate) struct Shared {
     pub(crate) settings: GatewaySettings,
@@ -48,12 +52,12 @@
         Shared {
             core: Mutex::new(Dispatcher::new(settings.dispatch.clone())),
             clock: settings.clock,
+            pool: Pool::new(settings.clock),
             settings,
             interface,
             changed: Event::new(),
             report: Event::new(),
             probe: Event::new(),
-            pool: Pool::default(),
             metrics,
             executor,
             draining: AtomicBool::new(false),
@@ -91,11 +95,19 @@
     /// Waits until something changes or `until` has come. `changed` is listened to before what is
     /// waited for is looked at, so that no change is missed.
     pub(crate) async fn wait_for_change(&self, changed: EventListener, until: Timestamp) {
-        let left = self.clock.left_until(until);
-        let timer = async {
-            Timer::after(left).await;
-        };
-        future::or(changed, timer).await;
+        future::or(changed, self.sleep_until(until)).await;
+    }
+
+    /// Sleeps until a point of time. Timers stand still while the machine is suspended, so it looks at the clock
+    /// between.
+    pub(crate) async fn sleep_until(&self, until: Timestamp) {
+        loop {
+            let left = self.clock.left_until(until);
+            Timer::after(left.min(LONGEST_SLEEP)).await;
+            if left <= LONGEST_SLEEP {
+                return;
+            }
+        }
     }
 
     pub(crate) fn is_draining(&self) -> bool {
--- a/crates/millpass-telemetry/src/clock.rs
+++ b/crates/millpass-telemetry/src/clock.rs
@@ -1,12 +1,14 @@
 //! The clocks of a process: monotonic for decisions, wall clock for idempotency keys.
 
 use millpass_proto::Timestamp;
+use rustix::time::{ClockId, clock_gettime};
+use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Gives the time since some fixed point; never goes back.
 pub type ClockSource = fn() -> Duration;
 
-/// The monotonic clock of one process, counted from its start.
+/// The monotonic clock of one process, counted from its start. It goes on while the machine is suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
     source: ClockSource,
@@ -16,7 +18,7 @@
 impl ProcessClock {
     /// A clock that begins at zero now.
     pub fn start() -> Self {
-        ProcessClock::start_on(steady_time)
+        ProcessClock::start_on(boot_time)
     }
 
     /// A clock that begins at zero now and goes by `source`.
@@ -39,9 +41,18 @@
     }
 }
 
-/// The steady clock, which stands still while the machine is suspended.
-fn steady_time() -> Duration {
-    static FIRST: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+/// Time since the machine started, suspensions included. The steady clock of the standard library stands still
+/// meanwhile: a lease that ended during a suspension would look valid after it.
+pub fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
+/// Time since some fixed point, without suspensions. Timers go by it.
+pub fn awake_time() -> Duration {
+    static FIRST: OnceLock<Instant> = OnceLock::new();
     FIRST.get_or_init(Instant::now).elapsed()
 }
 
--- a/crates/millpass-telemetry/src/lib.rs
+++ b/crates/millpass-telemetry/src/lib.rs
@@ -6,9 +6,11 @@
 mod event;
 mod logging;
 mod metrics;
+mod suspension;
 
 pub use bounded_writer::BoundedWriter;
-pub use clock::{ProcessClock, unix_millis};
+pub use clock::{ClockSource, ProcessClock, awake_time, boot_time, unix_millis};
 pub use event::event_line;
 pub use logging::{LogSettings, TelemetryError, start_logging};
 pub use metrics::{exposition, registry};
+pub use suspension::SuspensionWatch;
