Stand-in of a server whose process ends in the middle of its work

Cause: tests and the soak need the same server that ends under a request, and begins again at its address. Ruled out: the HTTP server of the stand-ins: it drains, and its port goes on accepting.

--- a/crates/millpass-standin/src/lib.rs
+++ b/crates/millpass-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! too, and a front end (`start`) that serves the model over loopback HTTP.
 
 pub mod content;
+pub mod crashing;
 pub mod engine;
 pub mod lagged;
 pub mod platform;
