--- /dev/null
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -0,0 +1,288 @@
+//! Requests and loads that end instances, as the leader judges them over all gateways.
+
+use millpass_fleet::{Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory};
+use millpass_proto::*;
+
+/// Neither members nor departures.
+const NOBODY: GatewayContext<'static> = GatewayContext {
+    members: &Vec::new,
+    departed: &Vec::new,
+};
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn request(number: u64) -> RequestFingerprint {
+    RequestFingerprint {
+        high: 7,
+        low: number,
+    }
+}
+
+fn record(instance: &str, sequence: u64, models: &[&str]) -> InstanceRecord {
+    let models = models.iter().map(|name| HeldModel {
+        model: (*name).into(),
+        adapters: Vec::new(),
+    });
+    InstanceRecord {
+        instance: instance.into(),
+        service: "text".into(),
+        address: format!("{instance}:80"),
+        zone: "z".into(),
+        slots: 8,
+        draining: false,
+        warmup_millis: 0,
+        sequence,
+        models: models.collect(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn report(gateway: &str, needs: Vec<ModelNeed>) -> GatewayReport {
+    GatewayReport {
+        gateway: gateway.to_owned(),
+        zone: "z".into(),
+        sequence: 1,
+        version: 1,
+        needs,
+        doubted: Vec::new(),
+        sent: Vec::new(),
+    }
+}
+
+fn ended(instance: &str, requests: &[u64]) -> CrashReport {
+    CrashReport {
+        ended: vec![EndedRun {
+            instance: instance.into(),
+            requests: requests.iter().copied().map(request).collect(),
+        }],
+        served: Vec::new(),
+    }
+}
+
+fn document() -> DeploymentDocument {
+    let model = EngineModelSpec {
+        name: "a".into(),
+        weights_kilobytes: 60,
+        load_millis: 2_000,
+        disk_load_millis: 800,
+        memory_load_millis: 400,
+        adapters: 0,
+        adapter_kilobytes: 1,
+    };
+    DeploymentDocument {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![ServiceSpec {
+            name: "text".into(),
+            health_path: String::new(),
+            maximum_connections: 0,
+            engine: Some(EngineSpec {
+                slots: 8,
+                cache_tokens: 1_000,
+                weights_kilobytes: 130,
+                adapter_slots: 2,
+                milliloads_per_second: 20_000,
+                models: vec![model],
+            }),
+        }],
+        limits: CallerLimits {
+            header_bytes: 0,
+            body_bytes: 0,
+            header_millis: 0,
+            idle_millis: 0,
+        },
+        tenants: Vec::new(),
+    }
+}
+
+struct Leader(Fleet);
+
+impl Leader {
+    /// A leader with two gateways, that begins with what the log holds back.
+    fn new(held: Vec<HeldRequestNote>) -> Leader {
+        let mut fleet = Fleet::new(FleetSettings {
+            order_handover: Duration::ZERO,
+            ..FleetSettings::default()
+        });
+        let history = InstructionHistory::new(Timestamp::ZERO, Duration::ZERO);
+        fleet.begin(at(1), std::iter::empty(), held.into_iter(), &history);
+        for (connection, gateway) in ["g-1", "g-2"].into_iter().enumerate() {
+            fleet.report(at(1), connection as u64, &report(gateway, Vec::new()));
+        }
+        Leader(fleet)
+    }
+
+    fn run(&mut self, now: u64) -> Vec<FleetOutput> {
+        self.0.run(at(now), 3, Some(&document()), &NOBODY)
+    }
+
+    /// What the gateways were told last to hold back, one list for each.
+    fn told(&mut self, now: u64) -> Vec<Vec<RequestFingerprint>> {
+        let told = self.run(now).into_iter().filter_map(|output| match output {
+            FleetOutput::Crashes { update, .. } => Some(update),
+            _ => None,
+        });
+        told.map(|update| {
+            let held = update.requests.into_iter().filter(|it| it.held_millis > 0);
+            held.map(|it| it.request).collect()
+        })
+        .collect()
+    }
+}
+
+/// Three ends of one request, each seen by another gateway than the one before.
+fn three_ends(leader: &mut Leader) {
+    for (place, instance) in ["i-1", "i-2", "i-3"].into_iter().enumerate() {
+        let place = place as u64;
+        leader
+            .0
+            .announce(at(10 + place), record(instance, 1, &[]), false);
+        let now = at(1_000 * (place + 1));
+        leader
+            .0
+            .crashes_reported(now, &ended(instance, &[1, 20 + place]));
+    }
+}
+
+#[test]
+fn ends_seen_by_different_gateways_add_up_and_all_of_them_are_told() {
+    let mut leader = Leader::new(Vec::new());
+    leader.run(5);
+    three_ends(&mut leader);
+    assert_eq!(leader.told(3_001), vec![vec![request(1)], vec![request(1)]]);
+    let held = leader.0.held_requests(at(3_001));
+    assert_eq!(held.len(), 1);
+    assert_eq!(held[0].1, 3);
+}
+
+#[test]
+fn what_is_certain_goes_to_the_log_and_the_next_leader_begins_with_it() {
+    let mut leader = Leader::new(Vec::new());
+    three_ends(&mut leader);
+    let noted = |leader: &mut Leader, now| -> Vec<HeldRequestNote> {
+        let notes = leader
+            .run(now)
+            .into_iter()
+            .filter_map(|output| match output {
+                FleetOutput::NoteHeldRequest(note) => Some(note),
+                _ => None,
+            });
+        notes.collect()
+    };
+    assert!(
+        noted(&mut leader, 3_100).is_empty(),
+        "a run may announce itself yet"
+    );
+    let notes = noted(&mut leader, 5_000);
+    assert_eq!(notes.len(), 1);
+    assert_eq!((notes[0].request.clone(), notes[0].ends), (request(1), 3));
+    let mut next = Leader::new(notes);
+    assert_eq!(next.told(10), vec![vec![request(1)], vec![request(1)]]);
+}
+
+/// A leader that was elected meanwhile has no log entry yet; gateways tell it what they saw.
+#[test]
+fn a_leader_that_knows_nothing_learns_it_from_what_gateways_remember() {
+    let mut leader = Leader::new(Vec::new());
+    let mut remembered = CrashReport {
+        ended: Vec::new(),
+        served: Vec::new(),
+    };
+    for instance in ["i-1", "i-2", "i-3"] {
+        remembered.ended.extend(ended(instance, &[1]).ended);
+    }
+    leader.0.crashes_reported(at(10), &remembered);
+    assert_eq!(leader.told(11), vec![vec![request(1)], vec![request(1)]]);
+}
+
+#[test]
+fn a_run_that_announces_itself_has_not_ended() {
+    let mut leader = Leader::new(Vec::new());
+    three_ends(&mut leader);
+    leader.0.announce(at(3_500), record("i-3", 2, &[]), false);
+    assert_eq!(leader.told(3_501), vec![Vec::new(), Vec::new()]);
+}
+
+#[test]
+fn the_end_of_an_instance_that_leaves_says_nothing() {
+    let mut leader = Leader::new(Vec::new());
+    for instance in ["i-1", "i-2", "i-3"] {
+        leader.0.announce(at(10), record(instance, 1, &[]), false);
+        leader.0.departed(&instance.into(), false);
+        leader.0.crashes_reported(at(500), &ended(instance, &[1]));
+    }
+    assert!(leader.0.held_requests(at(501)).is_empty());
+}
+
+#[test]
+fn an_operator_or_a_whole_answer_lets_a_request_go_everywhere() {
+    for lifts in [true, false] {
+        let mut leader = Leader::new(Vec::new());
+        three_ends(&mut leader);
+        leader.run(5_000);
+        if lifts {
+            assert!(leader.0.lift(&request(1)));
+            assert!(!leader.0.lift(&request(2)));
+        } else {
+            let served = CrashReport {
+                ended: Vec::new(),
+                served: vec![request(1)],
+            };
+            leader.0.crashes_reported(at(5_001), &served);
+        }
+        assert_eq!(leader.told(5_002), vec![Vec::new(), Vec::new()]);
+    }
+}
+
+/// Engines that end while they load a model: after three, the model is not loaded anywhere for some time.
+#[test]
+fn a_load_that_ends_engines_is_held_back() {
+    let mut leader = Leader::new(Vec::new());
+    let mut ends = 0;
+    let mut now = 1_000;
+    for engine in 0..8 {
+        let name = format!("e-{engine}");
+        leader.0.announce(at(now), record(&name, now, &[]), false);
+        let state = EngineState {
+            revision: 0,
+            busy: false,
+            models: Vec::new(),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+            coming: Vec::new(),
+        };
+        let id: InstanceId = name.as_str().into();
+        leader
+            .0
+            .answered(at(now), &id, &InstructionAnswer::State(state));
+        let need = ModelNeed {
+            service: "text".into(),
+            model: "a".into(),
+            adapter: None,
+            unserved: 1,
+            arrivals: 1,
+            in_flight: 0,
+            priority: 1,
+            unread_tokens: 0,
+        };
+        leader.0.report(at(now + 10), 0, &report("g-1", vec![need]));
+        let outputs = leader.run(now + 200);
+        let loads = outputs
+            .iter()
+            .any(|output| matches!(output, FleetOutput::Instruct(_)));
+        if loads {
+            ends += 1;
+            leader
+                .0
+                .answered(at(now + 210), &id, &InstructionAnswer::Accepted);
+        }
+        leader
+            .0
+            .answered(at(now + 900), &id, &InstructionAnswer::OtherRun);
+        now += 2_000;
+    }
+    assert_eq!(ends, 3);
+}
--- a/crates/millpass-lab/src/relay/connection.rs
+++ b/crates/millpass-lab/src/relay/connection.rs
@@ -43,6 +43,7 @@
     seed: u64,
 ) -> io::Result<()> {
     let backward = pair.reversed();
+    let number = paths.open();
     let round_trip = paths.settings(&pair).delay() + paths.settings(&backward).delay();
     Timer::after(round_trip).await;
     wait_while_cut(&paths, &pair).await;
@@ -50,12 +51,16 @@
     let connected = Async::<TcpStream>::connect(target).await?;
     connected.get_ref().set_nodelay(true)?;
     accepted.get_ref().set_nodelay(true)?;
-    let there = direction(&accepted, &connected, &pair, &paths, &carried.forward, seed);
+    let line = |pair| Line {
+        pair,
+        paths: &paths,
+        number,
+    };
+    let there = direction(&accepted, &connected, line(&pair), &carried.forward, seed);
     let back = direction(
         &connected,
         &accepted,
-        &backward,
-        &paths,
+        line(&backward),
         &carried.backward,
         !seed,
     );
@@ -63,6 +68,25 @@
     Ok(())
 }
 
+/// One direction of a connection.
+#[derive(Clone, Copy)]
+struct Line<'a> {
+    pair: &'a PathKey,
+    paths: &'a PathTable,
+    /// Number of the connection.
+    number: u64,
+}
+
+impl Line<'_> {
+    /// Waits until bytes pass; for ever on a connection that has gone silent.
+    async fn wait_until_open(self) {
+        if self.paths.is_silent(self.pair, self.number) {
+            return future::pending().await;
+        }
+        wait_while_cut(self.paths, self.pair).await;
+    }
+}
+
 async fn wait_while_cut(paths: &PathTable, pair: &PathKey) {
     while paths.is_cut(pair) {
         Timer::after(CUT_POLL).await;
@@ -73,14 +97,13 @@
 async fn direction(
     from: &Async<TcpStream>,
     to: &Async<TcpStream>,
-    pair: &PathKey,
-    paths: &PathTable,
+    line: Line<'_>,
     carried: &AtomicU64,
     seed: u64,
 ) {
     let (pieces, received) = async_channel::bounded(CHUNKS_UNDER_WAY);
-    let reading = read_pieces(from, pair, paths, pieces, seed);
-    let writing = write_pieces(to, pair, paths, received, carried);
+    let reading = read_pieces(from, line, pieces, seed);
+    let writing = write_pieces(to, line, received, carried);
     let (read, written) = future::zip(reading, writing).await;
     if read.is_err() || written.is_err() {
         // A broken side breaks the other; an error here means that it is broken already.
@@ -91,8 +114,7 @@
 
 async fn read_pieces(
     mut from: &Async<TcpStream>,
-    pair: &PathKey,
-    paths: &PathTable,
+    line: Line<'_>,
     pieces: Sender<Piece>,
     seed: u64,
 ) -> io::Result<()> {
@@ -104,7 +126,7 @@
         if count == 0 {
             return Ok(());
         }
-        let settings = paths.settings(pair);
+        let settings = line.paths.settings(line.pair);
         let jitter = random.random_range(0..=settings.jitter_micros);
         let due = Instant::now() + settings.delay() + Duration::from_micros(jitter);
         // Bytes never overtake each other.
@@ -121,8 +143,7 @@
 
 async fn write_pieces(
     mut to: &Async<TcpStream>,
-    pair: &PathKey,
-    paths: &PathTable,
+    line: Line<'_>,
     received: Receiver<Piece>,
     carried: &AtomicU64,
 ) -> io::Result<()> {
@@ -130,10 +151,10 @@
         if piece.due > Instant::now() {
             Timer::at(piece.due).await;
         }
-        wait_while_cut(paths, pair).await;
+        line.wait_until_open().await;
         to.write_all(&piece.bytes).await?;
         carried.fetch_add(piece.bytes.len() as u64, Ordering::Relaxed);
     }
-    wait_while_cut(paths, pair).await;
+    line.wait_until_open().await;
     to.get_ref().shutdown(Shutdown::Write)
 }
--- a/crates/millpass-lab/src/relay/paths.rs
+++ b/crates/millpass-lab/src/relay/paths.rs
@@ -65,6 +65,10 @@
     between: PathSettings,
     special: BTreeMap<PathKey, PathSettings>,
     cuts: Vec<PathKey>,
+    /// Connections opened so far.
+    opened: u64,
+    /// Connections opened before a number go silent on what the pattern covers.
+    silences: Vec<(PathKey, u64)>,
 }
 
 /// Delays and cuts, shared by all connections of a relay. Its one lock is held for look-ups only.
@@ -123,6 +127,31 @@
         }
     }
 
+    /// Connections of the pairs that the pattern covers, in both directions, that are open now pass nothing on any
+    /// more, and do not end. New ones work.
+    pub fn silence(&self, pattern: &PathKey) {
+        let mut inner = self.lock();
+        let opened = inner.opened;
+        if inner.silences.len() + 2 <= MAXIMUM_PATHS {
+            inner.silences.push((pattern.clone(), opened));
+            inner.silences.push((pattern.reversed(), opened));
+        }
+    }
+
+    /// Number of a connection that is opened now.
+    pub(crate) fn open(&self) -> u64 {
+        let mut inner = self.lock();
+        inner.opened += 1;
+        inner.opened
+    }
+
+    /// Whether the connection with this number has gone silent.
+    pub(crate) fn is_silent(&self, pair: &PathKey, number: u64) -> bool {
+        let inner = self.lock();
+        let mut silences = inner.silences.iter();
+        silences.any(|(pattern, opened)| number <= *opened && pattern.covers(pair))
+    }
+
     /// Takes a cut back, in both directions.
     pub fn heal(&self, pattern: &PathKey) {
         let reversed = pattern.reversed();
--- a/crates/millpass-lab/src/relay/sources.rs
+++ b/crates/millpass-lab/src/relay/sources.rs
@@ -3,7 +3,9 @@
 use super::UNKNOWN_ZONE;
 use async_channel::Sender as AnswerSender;
 use crossbeam::channel::{Receiver, Sender, bounded};
+use procfs::net::{TcpNetEntries, TcpNetEntry};
 use procfs::process::{FDTarget, Process};
+use procfs::{FromBufReadSI, ProcResult};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -11,6 +13,9 @@
 use std::thread;
 use std::time::Duration;
 
+/// Column of a socket's state in the kernel's table, and the state of one whose connection is over.
+const STATE_COLUMN: usize = 3;
+const TIME_WAIT: &str = "06";
 /// Most processes the relay is told of.
 const MAXIMUM_PROCESSES: usize = 1_024;
 /// Connections whose zone is being found.
@@ -124,14 +129,28 @@
 fn socket_inodes(open: &[Query]) -> BTreeMap<(SocketAddr, SocketAddr), u64> {
     let wanted: BTreeSet<(SocketAddr, SocketAddr)> =
         open.iter().map(|query| (query.from, query.to)).collect();
-    procfs::net::tcp()
-        .unwrap_or_default()
+    open_sockets()
+        .unwrap_or_else(|error| {
+            log::warn!("event=sockets_unreadable error=\"{error}\"");
+            Vec::new()
+        })
         .into_iter()
         .map(|entry| ((entry.local_address, entry.remote_address), entry.inode))
         .filter(|(pair, inode)| *inode != 0 && wanted.contains(pair))
         .collect()
 }
 
+/// Sockets of the machine, without those that only wait for late packets: several soaks side by side leave 60,000 of
+/// them, and looks that read all of these held new connections back for 15 s.
+fn open_sockets() -> ProcResult<Vec<TcpNetEntry>> {
+    let text = std::fs::read_to_string("/proc/net/tcp")?;
+    let is_open = |line: &&str| line.split_whitespace().nth(STATE_COLUMN) != Some(TIME_WAIT);
+    let open: Vec<&str> = text.lines().filter(is_open).collect();
+    let open = open.join("\n");
+    let entries = TcpNetEntries::from_buf_read(open.as_bytes(), procfs::current_system_info())?;
+    Ok(entries.0)
+}
+
 fn zones_of_inodes(
     known: &BTreeMap<i32, String>,
     inodes: &BTreeMap<(SocketAddr, SocketAddr), u64>,
--- a/crates/millpass-standin/src/crashing.rs
+++ b/crates/millpass-standin/src/crashing.rs
@@ -1,7 +1,7 @@
 //! A server whose process can end in the middle of its work: its connections are reset, its port refuses new ones,
 //! and stays held so that it can begin again there.
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -47,6 +47,8 @@
 
 struct Inner {
     listener: TcpListener,
+    /// Keeps the port from others while nobody listens at it.
+    _holder: Socket,
     address: SocketAddr,
     react: Box<Reactor>,
     ended: AtomicBool,
@@ -85,10 +87,11 @@
 impl CrashingServer {
     /// Listens on a free port of loopback.
     pub fn start(react: Box<Reactor>) -> io::Result<CrashingServer> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let (holder, listener) = listen()?;
         let inner = Arc::new(Inner {
             address: listener.local_addr()?,
             listener,
+            _holder: holder,
             react,
             ended: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -133,6 +136,22 @@
     }
 }
 
+/// A socket that holds a free port of loopback, and one that listens at it. A socket keeps its port when it stops to
+/// listen only if it was bound to that very port.
+fn listen() -> io::Result<(Socket, TcpListener)> {
+    let bound = |port: u16| -> io::Result<Socket> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_port(true)?;
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], port)).into())?;
+        Ok(socket)
+    };
+    let holder = bound(0)?;
+    let port = holder.local_addr()?.as_socket().map_or(0, |at| at.port());
+    let listener = bound(port)?;
+    listener.listen(BACKLOG)?;
+    Ok((holder, listener.into()))
+}
+
 fn accept(inner: &Arc<Inner>) {
     while !inner.stopping.load(Ordering::Acquire) {
         let Ok((stream, _)) = inner.listener.accept() else {
--- /dev/null
+++ b/crates/millpass-state/tests/held_requests.rs
@@ -0,0 +1,63 @@
+//! Requests held back in the replicated state, and in its snapshots.
+
+use millpass_proto::*;
+use millpass_state::{MAXIMUM_HELD_REQUESTS, State};
+
+fn request(number: u64) -> RequestFingerprint {
+    RequestFingerprint {
+        high: 1,
+        low: number,
+    }
+}
+
+fn apply(state: &mut State, index: u64, command: &Command) {
+    let at = LogPosition { term: 1, index };
+    assert_eq!(state.apply(at, command), CommandOutcome::Done);
+}
+
+fn held(state: &mut State, index: u64, number: u64, ends: u32) {
+    let note = HeldRequestNote {
+        request: request(number),
+        ends,
+        lapsed: false,
+    };
+    apply(state, index, &Command::NoteHeldRequest(note));
+}
+
+#[test]
+fn a_later_word_replaces_the_earlier_one_and_a_lift_removes_it() {
+    let mut state = State::default();
+    held(&mut state, 1, 5, 3);
+    held(&mut state, 2, 5, 4);
+    let ends: Vec<u32> = state.held_requests().map(|note| note.ends).collect();
+    assert_eq!(ends, vec![4]);
+    apply(&mut state, 3, &Command::LiftRequest(request(5)));
+    assert_eq!(state.held_requests().count(), 0);
+}
+
+#[test]
+fn they_are_bounded_and_the_first_gives_way() {
+    let mut state = State::default();
+    for number in 0..MAXIMUM_HELD_REQUESTS as u64 + 3 {
+        held(&mut state, number + 1, number, 3);
+    }
+    assert_eq!(state.held_requests().count(), MAXIMUM_HELD_REQUESTS);
+    let first = state
+        .held_requests()
+        .next()
+        .map(|note| note.request.clone());
+    assert_eq!(first, Some(request(3)));
+}
+
+#[test]
+fn snapshots_keep_them_and_those_without_them_are_read() {
+    let mut state = State::default();
+    held(&mut state, 1, 5, 3);
+    let read = State::decode(&state.encode()).expect("snapshot");
+    assert_eq!(read, state);
+    let without = State::default();
+    let earlier = codec::encode(&(2_u32, &without)).expect("bytes");
+    assert_eq!(State::decode(&earlier).expect("earlier snapshot"), without);
+    let unknown = codec::encode(&(9_u32, &without)).expect("bytes");
+    assert!(State::decode(&unknown).is_err());
+}
