What the log holds of a request follows its further ends

Cause: reading the diff: a request that was held back anew after its time was over stood in the log as lapsed, and the next leader would have let it through. Ruled out: the verdict itself; it was right at the leader that had seen the ends. Change: each further end is noted anew; a whole answer is told once however often it comes. Figures: the test asserts the note after the fourth end; it had none before.

--- a/crates/millpass-dispatch/src/crashes.rs
+++ b/crates/millpass-dispatch/src/crashes.rs
@@ -134,7 +134,9 @@
             return;
         }
         self.forget(request);
-        self.served.push(request.clone());
+        if !self.served.contains(request) {
+            self.served.push(request.clone());
+        }
     }
 
     fn forget(&mut self, request: &RequestFingerprint) {
--- a/crates/millpass-quarantine/src/quarantine.rs
+++ b/crates/millpass-quarantine/src/quarantine.rs
@@ -36,8 +36,10 @@
     pub since: Timestamp,
     /// Its time is over: it is served again, and one more end holds it back anew.
     pub lapsed: bool,
-    /// It is certain enough to be kept for good.
+    /// Nothing but a whole answer or an operator takes it back any more.
     pub settled: bool,
+    /// It is kept for good as it stands here.
+    pub noted: bool,
 }
 
 /// Evidence, and what follows from it.
@@ -70,6 +72,7 @@
             since: now,
             lapsed,
             settled: true,
+            noted: true,
         };
         self.held.insert(item, held);
         self.revision += 1;
@@ -83,6 +86,7 @@
                 held.until = now + hold_time(held.ends);
                 held.since = now;
                 held.lapsed = false;
+                held.noted = false;
                 self.revision += 1;
             } else {
                 self.judge(now, &item);
@@ -177,16 +181,18 @@
         lapsed
     }
 
-    /// Items held back that nothing took back for `certain`, each once.
+    /// Items to be kept for good: those that nothing took back for `certain`, and those of them with a further end
+    /// since.
     pub fn settle(&mut self, now: Timestamp, certain: Duration) -> Vec<(K, HeldItem)> {
-        let mut settled = Vec::new();
+        let mut to_note = Vec::new();
         for (item, held) in &mut self.held {
-            if !held.settled && now.since(held.since) >= certain {
-                held.settled = true;
-                settled.push((item.clone(), *held));
+            held.settled |= now.since(held.since) >= certain;
+            if held.settled && !held.noted {
+                held.noted = true;
+                to_note.push((item.clone(), *held));
             }
         }
-        settled
+        to_note
     }
 
     /// What is held back and not settled is judged again: other ends may explain those that counted.
@@ -239,6 +245,7 @@
             since: now,
             lapsed: false,
             settled: false,
+            noted: false,
         };
         self.held.insert(item.clone(), held);
         self.revision += 1;
--- a/crates/millpass-quarantine/tests/quarantine.rs
+++ b/crates/millpass-quarantine/tests/quarantine.rs
@@ -134,6 +134,9 @@
     assert!(quarantine.is_suspect(&DEADLY));
     quarantine.ended(over, &run(9), &[DEADLY]);
     assert_eq!(quarantine.held_for(over, &DEADLY), Some(hold_time(3) * 2));
+    let noted = quarantine.settle(over, CERTAIN);
+    assert_eq!(noted.len(), 1, "the next leader must know it, too");
+    assert_eq!((noted[0].1.ends, noted[0].1.lapsed), (4, false));
     assert!(hold_time(u32::MAX) <= Duration::from_secs(24 * 3_600));
 }
 
