Read again: one way to let an item go, one log line for it, one question whether an end has news

Cause: served and lift were the same act under two names over a third; the line of a lifted request was built in three places; what is untold of an end was asked twice in opposite words. Change: release, log_lifted, has_news. Behaviour, bounds and assertions stay.

--- a/crates/millpass-dispatch/src/crashes.rs
+++ b/crates/millpass-dispatch/src/crashes.rs
@@ -36,6 +36,13 @@
     is_told: bool,
 }
 
+impl Ended {
+    /// Whether the leader has yet to be told something of it.
+    fn has_news(&self) -> bool {
+        !self.is_told || self.told < self.requests.len()
+    }
+}
+
 /// What this gateway knows of ends.
 #[derive(Default)]
 pub(crate) struct CrashWatch {
@@ -140,7 +147,7 @@
     }
 
     fn forget(&mut self, request: &RequestFingerprint) {
-        self.seen.lift(request);
+        self.seen.release(request);
         for ended in self.ended.values_mut() {
             ended.requests.retain(|found| found != request);
             ended.told = ended.told.min(ended.requests.len());
@@ -149,8 +156,7 @@
 
     /// Whether there is something to tell the leader.
     pub(crate) fn is_report_due(&self) -> bool {
-        let untold = |ended: &Ended| !ended.is_told || ended.told < ended.requests.len();
-        !self.served.is_empty() || self.ended.values().any(untold)
+        !self.served.is_empty() || self.ended.values().any(Ended::has_news)
     }
 
     /// What to tell the leader, if anything.
@@ -160,7 +166,7 @@
         }
         let mut runs = Vec::new();
         for (instance, ended) in &mut self.ended {
-            if ended.is_told && ended.told >= ended.requests.len() {
+            if !ended.has_news() {
                 continue;
             }
             runs.push(EndedRun {
--- a/crates/millpass-fleet/src/crashes.rs
+++ b/crates/millpass-fleet/src/crashes.rs
@@ -68,8 +68,9 @@
     /// Takes what a gateway saw of runs that ended. An instance that leaves ends as planned: that says nothing.
     pub fn crashes_reported(&mut self, now: Timestamp, report: &CrashReport) {
         for request in &report.served {
-            if self.crashes.requests.served(request) {
-                self.lift_in_log(request.clone(), "served");
+            if self.crashes.requests.release(request) {
+                self.log_lifted(request, "served");
+                self.out.push(FleetOutput::LiftRequest(request.clone()));
             }
         }
         for ended in &report.ended {
@@ -146,7 +147,7 @@
             for adapter in std::iter::once(None).chain(adapters) {
                 let model = held.model.clone();
                 let service = service.clone();
-                self.crashes.loads.served(&ModelKey {
+                self.crashes.loads.release(&ModelKey {
                     service,
                     model,
                     adapter,
@@ -157,13 +158,9 @@
 
     /// Lets a request go, as an operator asked. False if nothing was held against it.
     pub fn lift(&mut self, request: &RequestFingerprint) -> bool {
-        let known = self.crashes.requests.lift(request);
+        let known = self.crashes.requests.release(request);
         if known {
-            let pairs = vec![
-                ("fingerprint", request.to_string()),
-                ("reason", "operator".to_owned()),
-            ];
-            self.event("request-lifted", pairs);
+            self.log_lifted(request, "operator");
         }
         known
     }
@@ -182,11 +179,7 @@
             self.note_held(request, &held);
         }
         for (request, held) in self.crashes.requests.lapse(now) {
-            let pairs = vec![
-                ("fingerprint", request.to_string()),
-                ("reason", "time".to_owned()),
-            ];
-            self.event("request-lifted", pairs);
+            self.log_lifted(&request, "time");
             self.note_held(request, &held);
         }
         self.crashes.loads.lapse(now);
@@ -200,13 +193,12 @@
         }));
     }
 
-    fn lift_in_log(&mut self, request: RequestFingerprint, reason: &str) {
+    fn log_lifted(&mut self, request: &RequestFingerprint, reason: &str) {
         let pairs = vec![
             ("fingerprint", request.to_string()),
             ("reason", reason.to_owned()),
         ];
         self.event("request-lifted", pairs);
-        self.out.push(FleetOutput::LiftRequest(request));
     }
 
     fn log_held(&mut self, now: Timestamp, requests: &[RequestFingerprint]) {
--- a/crates/millpass-quarantine/src/ends.rs
+++ b/crates/millpass-quarantine/src/ends.rs
@@ -104,8 +104,8 @@
         end.map(|end| end.at)
     }
 
-    /// An item was served whole: no end was its work.
-    pub fn served(&mut self, item: &K) {
+    /// Takes an item from all ends: none was its work.
+    pub fn forget(&mut self, item: &K) {
         if self.occurrences.remove(item).is_none() {
             return;
         }
--- a/crates/millpass-quarantine/src/quarantine.rs
+++ b/crates/millpass-quarantine/src/quarantine.rs
@@ -110,18 +110,10 @@
         self.ledger.ended_at(run)
     }
 
-    /// An item was served whole: it is neither held back nor suspected any more. True if it was.
-    pub fn served(&mut self, item: &K) -> bool {
-        self.ledger.served(item);
-        self.release(item)
-    }
-
-    /// Lets an item go, whatever was held against it. True if it was held back or suspected.
-    pub fn lift(&mut self, item: &K) -> bool {
-        self.served(item)
-    }
-
-    fn release(&mut self, item: &K) -> bool {
+    /// Lets an item go, whatever was held against it: it was served whole, or an operator says so. True if it was
+    /// held back or suspected.
+    pub fn release(&mut self, item: &K) -> bool {
+        self.ledger.forget(item);
         let held = self.held.remove(item).is_some();
         let changed = self.suspects.remove(item).is_some() || held;
         self.revision += u64::from(changed);
--- a/crates/millpass-quarantine/tests/quarantine.rs
+++ b/crates/millpass-quarantine/tests/quarantine.rs
@@ -107,11 +107,11 @@
 #[test]
 fn a_whole_answer_takes_away_what_was_held_against_an_item() {
     let mut quarantine = with_ends(2);
-    assert!(quarantine.served(&DEADLY));
+    assert!(quarantine.release(&DEADLY));
     quarantine.ended(at(3 * APART), &run(7), &[DEADLY]);
     assert!(!quarantine.is_suspect(&DEADLY));
     let mut held = with_ends(3);
-    assert!(held.served(&DEADLY));
+    assert!(held.release(&DEADLY));
     assert_eq!(held.held_for(at(3 * APART), &DEADLY), None);
 }
 
