Messages: how old a gateway's knowledge is, and changes in place of whole documents

Cause: a gateway cannot tell which of its reports an update answers, nor up to which point of the log it holds what binds it; a document travels whole with each change. Ruled out: clocks (no age in a message; a gateway counts from when it sent the report that is answered). Change: fields appended to reports and updates, a document's change, and the datagrams of a question to members. Nothing fills or reads them yet. Conclusion: both ends can be written apart.

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -172,6 +172,10 @@
             members: Vec::new(),
             provisional: true,
             loads: Vec::new(),
+            answers: 0,
+            as_of: 0,
+            document_change: None,
+            kept_instances: Vec::new(),
         };
         out.send_router(connection, ControlToRouter::Gateway(update));
     }
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -95,6 +95,8 @@
         needs: Vec::new(),
         doubted: Vec::new(),
         sent: Vec::new(),
+        as_of: 0,
+        known_instances: Vec::new(),
     };
     world.router_sends(connection, RouterToControl::Gateway(report));
 }
@@ -343,6 +345,8 @@
         }],
         doubted: Vec::new(),
         sent: Vec::new(),
+        as_of: 0,
+        known_instances: Vec::new(),
     };
     world.router_sends(connection, RouterToControl::Gateway(report));
     world.run(std::time::Duration::from_millis(100));
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -450,6 +450,8 @@
             needs: self.needs.take(),
             doubted: std::mem::take(&mut self.doubted).into_iter().collect(),
             sent: self.in_flight_by_instance(),
+            as_of: 0,
+            known_instances: Vec::new(),
         }
     }
 
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -90,6 +90,10 @@
         members: Vec::new(),
         provisional: false,
         loads: Vec::new(),
+        answers: 0,
+        as_of: 0,
+        document_change: None,
+        kept_instances: Vec::new(),
     };
     dispatcher.update(at(0), update);
     dispatcher
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -125,6 +125,10 @@
         members: Vec::new(),
         provisional: false,
         loads: Vec::new(),
+        answers: 0,
+        as_of: 0,
+        document_change: None,
+        kept_instances: Vec::new(),
     }
 }
 
--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -66,6 +66,10 @@
         members: Vec::new(),
         provisional,
         loads: Vec::new(),
+        answers: 0,
+        as_of: 0,
+        document_change: None,
+        kept_instances: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -102,6 +102,8 @@
         needs: (0..needs).map(need).collect(),
         doubted: Vec::new(),
         sent: Vec::new(),
+        as_of: 0,
+        known_instances: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -105,6 +105,10 @@
                 },
                 provisional: false,
                 loads: loads.get_or_insert_with(|| self.traffic.busiest()).clone(),
+                answers: 0,
+                as_of: 0,
+                document_change: None,
+                kept_instances: Vec::new(),
             };
             session.greeted = true;
             session.sent_complete |= complete;
--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -49,6 +49,8 @@
         needs,
         doubted: Vec::new(),
         sent: Vec::new(),
+        as_of: 0,
+        known_instances: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -107,6 +107,8 @@
         needs,
         doubted: Vec::new(),
         sent: Vec::new(),
+        as_of: 0,
+        known_instances: Vec::new(),
     }
 }
 
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1265,6 +1265,53 @@
 }
 
 
+/// What tells a route from the others of its document.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouteKey {
+
+    /// Host.
+    pub host: String,
+
+    /// Beginning of the path.
+    pub path_prefix: String,
+}
+
+
+/// What turns one version of a document into a later one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct DocumentChange {
+
+    /// Version that it changes; without that very version it is of no use.
+    pub base: u64,
+
+    /// Version that it gives.
+    pub version: u64,
+
+    /// Routes that are new or changed.
+    pub routes: Vec<RouteSpec>,
+
+    /// Routes that are gone.
+    pub removed_routes: Vec<RouteKey>,
+
+    /// Services that are new or changed.
+    pub services: Vec<ServiceSpec>,
+
+    /// Services that are gone.
+    pub removed_services: Vec<ServiceName>,
+
+    /// Limits of callers.
+    pub limits: CallerLimits,
+
+    /// Tenants that are new or changed.
+    pub tenants: Vec<TenantAccess>,
+
+    /// Tenants that are gone.
+    pub removed_tenants: Vec<TenantName>,
+}
+
+
 /// Where an engine's machine has a checkpoint.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1546,6 +1593,12 @@
 
     /// What this gateway has in flight, by instance.
     pub sent: Vec<InstanceLoad>,
+
+    /// Log index up to which the gateway has been told what binds it; 0 before the first.
+    pub as_of: u64,
+
+    /// Digests of the instance records that the gateway holds; in the first report on a connection only.
+    pub known_instances: Vec<u64>,
 }
 
 
@@ -1888,6 +1941,18 @@
 
     /// What all gateways have in flight at the busiest instances.
     pub loads: Vec<InstanceLoad>,
+
+    /// Number of the newest report that was taken on this connection before the update was made; 0 for none.
+    pub answers: u64,
+
+    /// Log index up to which the gateway has, with this update, been told what binds it: the document and departures; 0 where the member does not say.
+    pub as_of: u64,
+
+    /// What changed since the document that the gateway has, in place of `document`.
+    pub document_change: Option<DocumentChange>,
+
+    /// In the first update on a connection: those of the digests that the gateway reported whose records stand as they are; they count as named.
+    pub kept_instances: Vec<u64>,
 }
 
 
@@ -2839,6 +2904,37 @@
 }
 
 
+/// A member's answer, in one datagram: what its log holds, committed or not.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct FreshnessResponse {
+
+    /// Round that it answers.
+    pub round: u64,
+
+    /// Identity of the member.
+    pub member: MemberId,
+
+    /// Index of the last entry of its log that binds gateways; 0 for none.
+    pub binding: u64,
+
+    /// Index of the last entry that it has applied.
+    pub applied: u64,
+
+    /// Index of the entry that brought the membership of its log.
+    pub membership_index: u64,
+
+    /// Voters of that membership.
+    pub voters: Vec<MemberId>,
+
+    /// During a change, the voters before it: both sets need a majority.
+    pub outgoing_voters: Vec<MemberId>,
+
+    /// Peer addresses of all of them.
+    pub addresses: Vec<String>,
+}
+
+
 /// What a member must have synced before it answers.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2906,6 +3002,16 @@
 }
 
 
+/// A gateway asks members, in one datagram to each, whether what it knows may be outdated.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct FreshnessRequest {
+
+    /// Number of the gateway's round of questions, echoed.
+    pub round: u64,
+}
+
+
 /// Name of a policy.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
