Leader: how long a document takes to each gateway, and who lacks it and why

Cause: from the leader's logs it could not be told when a gateway had a version in force, nor whether one that was late had been sent it: `version` was noted when an update was queued. Ruled out: a line for each gateway and version (490 lines a change); a departure's way to each gateway, until reports say up to which entry of the log a gateway has been told. Change: a histogram control_document_in_force_seconds from commit to the report of each gateway (transitions that a leader sees; what a gateway brings along is not counted), one line when all connected gateways have a version, and bounded lines of those that lag by a second: what they hold, when they were heard and sent to, and why. What was sent and what was reported are two fields. A message to a gateway is boxed among the core's outputs: the longer update made the enum too uneven for the linter. Tests of millpass-fleet (4 new) and -control-plane pass.

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// The document in force may be another one.
+    pub(crate) fn note_document(&mut self, now: Timestamp) {
+        if let Some(document) = self.state.document() {
+            self.documents.applied(now, document);
+        }
+    }
+
     /// A departure was committed.
     pub(crate) fn departure_applied(&mut self, departure: &InstanceDeparture) {
         if let Some(fleet) = &mut self.fleet {
@@ -210,6 +217,7 @@
         let context = GatewayContext {
             members: &members,
             departed: &departed,
+            documents: &self.documents,
         };
         let noted = self.state.noted_instances().cloned();
         let held = self.state.held_requests().cloned();
@@ -244,6 +252,9 @@
                 FleetOutput::ReadEngine { instance, address } => {
                     out.push(ControlOutput::ReadEngine { instance, address });
                 }
+                FleetOutput::DocumentReached(after) => {
+                    out.push(ControlOutput::DocumentReached(after));
+                }
                 FleetOutput::Event(event) => out.event(event.name, event.pairs),
             }
         }
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -207,7 +207,7 @@
         /// Connection.
         connection: ConnectionId,
         /// Message.
-        message: ControlToRouter,
+        message: Box<ControlToRouter>,
     },
     /// Deliver an order to an engine; the leader lease was checked just before.
     DeliverOrder {
@@ -246,6 +246,8 @@
         /// Answer.
         answer: AdministrationAnswer,
     },
+    /// For metrics: a gateway reported the newest document, this long after it was committed.
+    DocumentReached(Duration),
     /// One event for the log and metrics.
     Event(ControlEvent),
     /// Draining is done; the process may exit.
--- a/crates/millpass-control-plane/src/outputs.rs
+++ b/crates/millpass-control-plane/src/outputs.rs
@@ -30,7 +30,7 @@
     pub(crate) fn send_router(&mut self, connection: ConnectionId, message: ControlToRouter) {
         self.push(ControlOutput::SendRouter {
             connection,
-            message,
+            message: Box::new(message),
         });
     }
 
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -17,7 +17,7 @@
 use crate::snapshots::AppliedLog;
 use crate::watch::WatchShares;
 use millpass_consensus::{Consensus, ConsensusInput, ConsensusStatus, RestoredLog, Role};
-use millpass_fleet::{Fleet, InstructionHistory};
+use millpass_fleet::{DocumentHistory, Fleet, InstructionHistory};
 use millpass_proto::{Command, Duration, ExpireClaims, OrderAnswer, Snapshot, Timestamp};
 use millpass_scheduler::Scheduler;
 use millpass_state::State;
@@ -73,6 +73,8 @@
     pub(crate) credit: Option<CreditLedger>,
     /// Instructions to engines as the log told them, also those of other leaders.
     pub(crate) instructions: InstructionHistory,
+    /// The last documents in force, for gateways that hold one of them.
+    pub(crate) documents: DocumentHistory,
     /// Whether commands were applied since the outstanding orders were last looked at.
     pub(crate) state_changed: bool,
     /// Revisions that routers were told of.
@@ -106,12 +108,17 @@
             consensus.set_trailing_entries(DOCUMENT_TRAILING_ENTRIES);
         }
         let status = consensus.status();
+        let mut documents = DocumentHistory::new();
+        if let Some(document) = state.document() {
+            documents.applied(now, document);
+        }
         let loads_per_second = settings.scheduler.store_loads_per_second;
         ControlPlane {
             scheduler: Scheduler::new(settings.scheduler.clone()),
             fleet: settings.fleet.clone().map(Fleet::new),
             credit: None,
             instructions: InstructionHistory::new(now, INSTRUCTION_MEMORY),
+            documents,
             addresses: AddressBook::new(&status.membership),
             role: status.role,
             term: status.term,
@@ -195,7 +202,7 @@
             ControlInput::RouterDisconnected(connection) => {
                 self.sessions.disconnected(connection);
                 if let Some(fleet) = &mut self.fleet {
-                    fleet.disconnected(connection.0);
+                    fleet.disconnected(now, connection.0);
                 }
             }
             ControlInput::OrderDelivered {
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -118,7 +118,11 @@
                     }
                     _ => {}
                 }
-                self.state.apply(at, command)
+                let outcome = self.state.apply(at, command);
+                if matches!(command, Command::PutDocument(_)) {
+                    self.note_document(now);
+                }
+                outcome
             }
         };
         match self.proposals.committed(at) {
@@ -151,6 +155,7 @@
         self.applied = AppliedLog::new(&snapshot.meta);
         self.addresses.replace(&self.consensus.status().membership);
         self.state_changed = true;
+        self.note_document(now);
         // Notes of instructions that the snapshot stands for are not known.
         self.instructions = InstructionHistory::new(now, INSTRUCTION_MEMORY);
         self.route_copy.clear();
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -401,7 +401,7 @@
             } => {
                 if self.reachable(id) {
                     let queue = self.to_routers.entry(connection).or_default();
-                    queue.push_back(message);
+                    queue.push_back(*message);
                 }
             }
             ControlOutput::DeliverOrder { order, .. } => self.deliver(id, order),
@@ -427,6 +427,7 @@
             }
             ControlOutput::Instruct(instruction) => self.instructions.push((id, instruction)),
             ControlOutput::ReadEngine { instance, .. } => self.engine_reads.push((id, instance)),
+            ControlOutput::DocumentReached(_) => {}
             ControlOutput::Stopped => self.members.get_mut(&id).unwrap().stopped = true,
         }
     }
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -114,7 +114,7 @@
             ControlOutput::SendRouter {
                 connection,
                 message,
-            } => self.connections.send(connection, message),
+            } => self.connections.send(connection, *message),
             ControlOutput::DeliverOrder { address, order } => {
                 self.deliveries.submit(Delivery::Order(address, order));
             }
@@ -132,6 +132,7 @@
             ControlOutput::SaveSnapshot(snapshot) => self.write(DiskWork::Snapshot(snapshot)),
             ControlOutput::ReadPlatform => self.read_platform(),
             ControlOutput::Answer { call, answer } => self.calls.answer(call, answer),
+            ControlOutput::DocumentReached(after) => self.metrics.document_reached(after),
             ControlOutput::Event(event) => self.note(&event),
             ControlOutput::Stopped => return true,
         }
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -9,6 +9,10 @@
     0.0001, 0.000_2, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 2.0,
 ];
 
+/// Upper bounds, in seconds, of the histogram of documents on their way to gateways: from a round trip to a
+/// gateway that was away for a minute.
+const REACH_SECONDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
+
 /// Metrics of one process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -17,6 +21,7 @@
     /// Inputs that the core took.
     pub(crate) steps: IntGauge,
     sync_seconds: Histogram,
+    document_seconds: Histogram,
     term: IntGauge,
     commit: IntGauge,
     leads: IntGauge,
@@ -35,6 +40,12 @@
         let syncs = HistogramOpts::new("control_sync_seconds", "Time of a write with its sync");
         let sync_seconds = Histogram::with_opts(syncs.buckets(SECONDS.to_vec()))?;
         registry.register(Box::new(sync_seconds.clone()))?;
+        let documents = HistogramOpts::new(
+            "control_document_in_force_seconds",
+            "Time from a document's commit to a gateway's report of it, as the leader sees it",
+        );
+        let document_seconds = Histogram::with_opts(documents.buckets(REACH_SECONDS.to_vec()))?;
+        registry.register(Box::new(document_seconds.clone()))?;
         let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -44,6 +55,7 @@
             events,
             steps: gauge("control_steps", "Inputs taken by the decision core")?,
             sync_seconds,
+            document_seconds,
             term: gauge("control_term", "Term of consensus")?,
             commit: gauge("control_commit_index", "Last committed log entry")?,
             leads: gauge("control_leads", "1 if this member believes to lead")?,
@@ -61,6 +73,10 @@
         self.sync_seconds.observe(time.as_secs_f64());
     }
 
+    pub(crate) fn document_reached(&self, after: millpass_proto::Duration) {
+        self.document_seconds.observe(after.as_secs_f64());
+    }
+
     pub(crate) fn show_consensus(&self, status: &ConsensusStatus) {
         self.term.set(signed(status.term));
         self.commit.set(signed(status.commit));
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -3,7 +3,9 @@
 //!
 //! `cargo run --release -p millpass-fleet --example leader_cost`
 
-use millpass_fleet::{Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory};
+use millpass_fleet::{
+    DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
+};
 use millpass_proto::*;
 use std::time::Instant;
 
@@ -20,6 +22,7 @@
 const NOBODY: GatewayContext<'static> = GatewayContext {
     members: &Vec::new,
     departed: &Vec::new,
+    documents: &DocumentHistory::new(),
 };
 
 fn document(models: usize) -> DeploymentDocument {
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
+use crate::rollout::Rollout;
 use crate::store::{LoadUnderWay, StoreCapacity};
 use crate::traffic::Traffic;
 use crate::updates::GatewayContext;
@@ -99,6 +100,9 @@
     /// Keep in the replicated log how many loads from the weight store at once go at full speed, in
     /// hundredths.
     NoteStoreCapacity(u32),
+    /// A gateway reported the newest document for the first time on its connection, this long after it was
+    /// committed.
+    DocumentReached(Duration),
     /// Log.
     Event(FleetEvent),
 }
@@ -108,6 +112,7 @@
     pub(crate) settings: FleetSettings,
     pub(crate) registry: Registry,
     pub(crate) gateways: Gateways,
+    pub(crate) rollout: Rollout,
     demand: Demand,
     pub(crate) traffic: Traffic,
     pub(crate) engines: Engines,
@@ -140,6 +145,7 @@
             settings,
             registry: Registry::default(),
             gateways: Gateways::default(),
+            rollout: Rollout::default(),
             demand: Demand::default(),
             traffic: Traffic::default(),
             engines: Engines::default(),
@@ -271,10 +277,13 @@
 
     /// Takes a gateway's report; it is answered by the next [`Fleet::run`].
     pub fn report(&mut self, now: Timestamp, connection: u64, report: &GatewayReport) {
+        let before = self.gateways.reported_version(connection, &report.gateway);
+        let before = before.or_else(|| self.rollout.held_when_lost(&report.gateway));
         let new = self
             .gateways
             .heard(now, connection, &report.gateway, report.version);
         if new {
+            self.rollout.connected(&report.gateway);
             self.event(
                 "gateway-connected",
                 vec![
@@ -284,6 +293,7 @@
                 ],
             );
         }
+        self.reached(now, before, report.version);
         self.demand.report(now, &report.gateway, &report.needs);
         self.traffic.report(&report.gateway, &report.sent);
         self.dirty |= report.needs.iter().any(|need| need.unserved > 0);
@@ -298,12 +308,14 @@
     }
 
     /// A gateway's connection ended.
-    pub fn disconnected(&mut self, connection: u64) {
-        if let Some(name) = self.gateways.disconnected(connection) {
-            self.demand.forget_in_flight(&name);
-            self.traffic.forget(&name);
-            self.event("gateway-lost", vec![("gateway", name)]);
-        }
+    pub fn disconnected(&mut self, now: Timestamp, connection: u64) {
+        let Some(session) = self.gateways.disconnected(connection) else {
+            return;
+        };
+        self.rollout.lost(now, &session);
+        self.demand.forget_in_flight(&session.name);
+        self.traffic.forget(&session.name);
+        self.event("gateway-lost", vec![("gateway", session.name)]);
     }
 
     /// Whether the engine's instruction that was decided then is still to be given.
@@ -372,6 +384,7 @@
             }
         }
         self.note(now);
+        self.follow_rollout(now, document, context);
         self.update_crashes(now);
         let complete = now.since(since) >= self.settings.announce_interval * 3;
         self.update_gateways(now, document, complete, context);
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -12,8 +12,10 @@
     pub(crate) greeted: bool,
     /// Whether it was told that all instances have been named to it.
     pub(crate) sent_complete: bool,
-    /// Document version sent or reported.
-    pub(crate) version: u64,
+    /// Document version in force at the gateway, as it last reported.
+    pub(crate) reported_version: u64,
+    /// Newest document version that was sent on this connection; it may not have arrived.
+    pub(crate) sent_version: u64,
     /// Revision of the outlook sent.
     pub(crate) sent_outlook: u64,
     /// Whether a report waits for its answer.
@@ -25,6 +27,7 @@
     /// When it was last sent anything.
     pub(crate) sent_at: Timestamp,
     pub(crate) heard_at: Timestamp,
+    pub(crate) connected_at: Timestamp,
 }
 
 /// Most updates a second, over all gateways. With many gateways and engines, each change sent to each
@@ -51,7 +54,7 @@
         if let Some(session) = self.sessions.get_mut(&connection) {
             session.heard_at = now;
             session.owed = true;
-            session.version = session.version.max(version);
+            session.reported_version = version;
             return false;
         }
         // A gateway that reconnects has one session: the newest.
@@ -61,22 +64,30 @@
             sent_revision: 0,
             greeted: false,
             sent_complete: false,
-            version,
+            reported_version: version,
+            sent_version: 0,
             sent_outlook: 0,
             owed: true,
             sent_crashes: None,
             crashes_sent_at: Timestamp::ZERO,
             sent_at: Timestamp::ZERO,
             heard_at: now,
+            connected_at: now,
         };
         self.sessions.insert(connection, session);
         true
     }
 
-    pub(crate) fn disconnected(&mut self, connection: u64) -> Option<String> {
-        self.sessions
-            .remove(&connection)
-            .map(|session| session.name)
+    pub(crate) fn disconnected(&mut self, connection: u64) -> Option<GatewaySession> {
+        self.sessions.remove(&connection)
+    }
+
+    /// Document version that a gateway last reported, on this connection or on one that has not ended yet.
+    pub(crate) fn reported_version(&self, connection: u64, name: &str) -> Option<u64> {
+        let session = self.sessions.get(&connection);
+        let mut others = self.sessions.values();
+        let session = session.or_else(|| others.find(|session| session.name == name))?;
+        Some(session.reported_version)
     }
 
     /// Shortest time between two updates of one gateway.
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -17,6 +17,8 @@
 //! | `adapters` | which engine loads an adapter |
 //! | `planner` | which model or adapter to load or unload next, and where |
 //! | `updates` | what gateways are told |
+//! | `documents` | the last documents in force, to tell what changed |
+//! | `rollout` | how a version reaches each gateway, and who lacks it |
 //! | `crashes` | requests and loads that end the instances that run them |
 //! | `fleet` | the core itself |
 
@@ -24,6 +26,7 @@
 mod cost;
 mod crashes;
 mod demand;
+mod documents;
 mod engines;
 mod fleet;
 mod gateways;
@@ -31,12 +34,14 @@
 mod permits;
 mod planner;
 mod registry;
+mod rollout;
 mod round;
 mod store;
 mod traffic;
 mod updates;
 
 pub use demand::ModelKey;
+pub use documents::DocumentHistory;
 pub use fleet::{Fleet, FleetEvent, FleetOutput, FleetSettings};
 pub use handover::InstructionHistory;
 pub use permits::StorePermits;
--- /dev/null
+++ b/crates/millpass-fleet/src/rollout.rs
@@ -0,0 +1,188 @@
+//! The way of a document's version to each gateway: how long each took to report it, and who lacks it.
+
+use crate::fleet::{Fleet, FleetOutput};
+use crate::gateways::GatewaySession;
+use crate::updates::GatewayContext;
+use millpass_proto::{DeploymentDocument, Duration, Timestamp};
+use std::collections::BTreeMap;
+
+/// Time after which a gateway that does not report the version in force lags. Gateways report several times a
+/// second, so this is some reports late, and well within the time in which a change has to be in force.
+const LAG: Duration = Duration::from_millis(1_000);
+/// Most gateways named in one look at those that lag.
+const MAXIMUM_NAMED: usize = 8;
+/// Most lost gateways remembered.
+const MAXIMUM_LOST: usize = 1_024;
+/// Time for which a lost gateway is looked for.
+const LOST_MEMORY: Duration = Duration::from_secs(60);
+
+/// A gateway whose connection ended.
+struct LostGateway {
+    reported: u64,
+    heard_at: Timestamp,
+    lost_at: Timestamp,
+}
+
+/// Who has the version in force.
+#[derive(Default)]
+pub(crate) struct Rollout {
+    version: u64,
+    /// When it was committed, as far as this member knows.
+    since: Timestamp,
+    /// All gateways that were connected at one time had it.
+    everywhere: bool,
+    /// When those that lag are named next, and the pause after that; it doubles while they do.
+    next_look: Timestamp,
+    pause: Duration,
+    lost: BTreeMap<String, LostGateway>,
+}
+
+impl Rollout {
+    /// A gateway's connection ended.
+    pub(crate) fn lost(&mut self, now: Timestamp, session: &GatewaySession) {
+        if self.lost.len() >= MAXIMUM_LOST {
+            return;
+        }
+        let lost = LostGateway {
+            reported: session.reported_version,
+            heard_at: session.heard_at,
+            lost_at: now,
+        };
+        self.lost.insert(session.name.clone(), lost);
+    }
+
+    /// Version that a lost gateway had.
+    pub(crate) fn held_when_lost(&self, name: &str) -> Option<u64> {
+        self.lost.get(name).map(|lost| lost.reported)
+    }
+
+    /// A gateway is connected again, or for the first time.
+    pub(crate) fn connected(&mut self, name: &str) {
+        self.lost.remove(name);
+    }
+
+    fn begin(&mut self, version: u64, since: Timestamp) {
+        self.version = version;
+        self.since = since;
+        self.everywhere = false;
+        self.pause = LAG;
+        self.next_look = since + LAG;
+    }
+
+    fn forget_lost(&mut self, now: Timestamp) {
+        self.lost
+            .retain(|_, lost| now.since(lost.lost_at) < LOST_MEMORY);
+    }
+}
+
+impl GatewaySession {
+    /// Why it does not report a version that others have.
+    fn lag_reason(&self, version: u64) -> &'static str {
+        if self.sent_version >= version {
+            "sent-not-reported"
+        } else {
+            "not-sent"
+        }
+    }
+}
+
+impl Fleet {
+    /// Follows the version in force; names who lags.
+    pub(crate) fn follow_rollout(
+        &mut self,
+        now: Timestamp,
+        document: Option<&DeploymentDocument>,
+        context: &GatewayContext<'_>,
+    ) {
+        let version = document.map_or(0, |document| document.version);
+        if version > self.rollout.version {
+            let since = context.documents.applied_at(version).unwrap_or(now);
+            self.rollout.begin(version, since);
+        }
+        if version == 0 || now < self.rollout.next_look {
+            return;
+        }
+        self.rollout.next_look = now + self.rollout.pause;
+        self.rollout.pause *= 2;
+        self.rollout.forget_lost(now);
+        self.name_lagging(now);
+    }
+
+    fn name_lagging(&mut self, now: Timestamp) {
+        let version = self.rollout.version;
+        let after = now.since(self.rollout.since);
+        let mut lines = Vec::new();
+        for session in self.gateways.sessions.values() {
+            // One that has just connected is told with the first update.
+            let age = now.since(session.connected_at);
+            if session.reported_version >= version || age < LAG {
+                continue;
+            }
+            lines.push(vec![
+                ("gateway", session.name.clone()),
+                ("held", session.reported_version.to_string()),
+                ("why", session.lag_reason(version).to_owned()),
+                ("heard_ms", millis(now.since(session.heard_at))),
+                ("sent_ms", millis(now.since(session.sent_at))),
+                ("connected_ms", millis(age)),
+            ]);
+        }
+        for (name, lost) in &self.rollout.lost {
+            if lost.reported >= version {
+                continue;
+            }
+            lines.push(vec![
+                ("gateway", name.clone()),
+                ("held", lost.reported.to_string()),
+                ("why", "not-connected".to_owned()),
+                ("heard_ms", millis(now.since(lost.heard_at))),
+                ("lost_ms", millis(now.since(lost.lost_at))),
+            ]);
+        }
+        if lines.is_empty() {
+            // Whoever connects with an older version later is looked at soon.
+            self.rollout.pause = LAG;
+            return;
+        }
+        let lagging = lines.len();
+        for line in lines.into_iter().take(MAXIMUM_NAMED) {
+            let mut pairs = vec![
+                ("version", version.to_string()),
+                ("after_ms", millis(after)),
+                ("lagging", lagging.to_string()),
+            ];
+            pairs.extend(line);
+            self.event("document-lags", pairs);
+        }
+    }
+
+    /// A gateway reported a version. `before` is what it had reported earlier; one that was not known to this leader
+    /// may have had it for long, and is not measured.
+    pub(crate) fn reached(&mut self, now: Timestamp, before: Option<u64>, reported: u64) {
+        let version = self.rollout.version;
+        if version == 0 || before >= Some(version) || reported < version {
+            return;
+        }
+        let after = now.since(self.rollout.since);
+        if before.is_some() {
+            self.out.push(FleetOutput::DocumentReached(after));
+        }
+        let sessions = &self.gateways.sessions;
+        let lacks = |session: &GatewaySession| session.reported_version < version;
+        if self.rollout.everywhere || sessions.values().any(lacks) {
+            return;
+        }
+        self.rollout.everywhere = true;
+        let pairs = vec![
+            ("version", version.to_string()),
+            ("gateways", sessions.len().to_string()),
+            ("not_connected", self.rollout.lost.len().to_string()),
+            ("after_ms", millis(after)),
+        ];
+        self.event("document-everywhere", pairs);
+    }
+}
+
+fn millis(time: Duration) -> String {
+    time.as_millis().to_string()
+}
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -1,5 +1,6 @@
 //! What gateways are told: what changed since their last update, and what is being loaded.
 
+use crate::documents::DocumentHistory;
 use crate::engines::Engine;
 use crate::fleet::{Fleet, FleetOutput};
 use crate::registry::Registry;
@@ -14,6 +15,8 @@
     pub members: &'a dyn Fn() -> Vec<String>,
     /// Instances that leave or have ended, as the log says, the newest ones.
     pub departed: &'a dyn Fn() -> Vec<InstanceId>,
+    /// The last documents in force.
+    pub documents: &'a DocumentHistory,
 }
 
 /// Departed instances that are not among those that the leader knows: of these the record itself says that they
@@ -74,7 +77,7 @@
                 || whole
                 || (complete && !session.sent_complete)
                 || session.sent_revision < revision
-                || session.version < version
+                || session.reported_version.max(session.sent_version) < version
                 || session.sent_outlook < self.outlook_revision;
             if !wanted || now.since(session.sent_at) < interval {
                 continue;
@@ -86,7 +89,9 @@
                 complete,
                 first: whole,
                 document: document
-                    .filter(|document| document.version > session.version)
+                    .filter(|document| {
+                        document.version > session.reported_version.max(session.sent_version)
+                    })
                     .cloned(),
                 instances: self.registry.changed_since(from),
                 // A leader that does not know every instance yet says which it knows to be gone: the gateway
@@ -114,7 +119,7 @@
             session.sent_complete |= complete;
             session.sent_revision = revision;
             session.sent_outlook = self.outlook_revision;
-            session.version = session.version.max(version);
+            session.sent_version = session.sent_version.max(version);
             session.owed = false;
             self.out.push(FleetOutput::Update {
                 connection: *connection,
--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -1,12 +1,15 @@
 //! Requests and loads that end instances, as the leader judges them over all gateways.
 
-use millpass_fleet::{Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory};
+use millpass_fleet::{
+    DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
+};
 use millpass_proto::*;
 
 /// Neither members nor departures.
 const NOBODY: GatewayContext<'static> = GatewayContext {
     members: &Vec::new,
     departed: &Vec::new,
+    documents: &DocumentHistory::new(),
 };
 
 fn at(millis: u64) -> Timestamp {
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -1,8 +1,8 @@
 //! Instances, gateways, and which engine loads what.
 
 use millpass_fleet::{
-    Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory, StoreCapacity,
-    StorePermits,
+    DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
+    StoreCapacity, StorePermits,
 };
 use millpass_proto::*;
 use rstest::rstest;
@@ -30,6 +30,7 @@
 const NOBODY: GatewayContext<'static> = GatewayContext {
     members: &Vec::new,
     departed: &Vec::new,
+    documents: &DocumentHistory::new(),
 };
 
 fn document() -> DeploymentDocument {
@@ -813,7 +814,7 @@
     let instructions = bench.instructions(1_100);
     assert!(instructions.len() <= 5, "{instructions:?}");
     for gateway in 0..3 {
-        bench.fleet.disconnected(gateway);
+        bench.fleet.disconnected(at(1_200), gateway);
     }
     bench.run(1_300);
 }
@@ -853,7 +854,7 @@
         [6],
         "a newer report takes its place"
     );
-    bench.fleet.disconnected(2);
+    bench.fleet.disconnected(at(1_200), 2);
     assert_eq!(told(&mut bench, 1_300), [1]);
     bench.fleet.report(at(1_310), 1, &with("g-1", u32::MAX));
     bench.fleet.report(at(1_320), 3, &with("g-3", u32::MAX));
--- /dev/null
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -0,0 +1,187 @@
+//! A leader with some instances, gateways that report to it, and a document that changes.
+
+#![allow(dead_code)]
+
+use millpass_fleet::{
+    DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
+};
+use millpass_proto::*;
+
+/// Routes of the first document.
+pub const ROUTES: u64 = 100;
+
+pub fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+pub fn record(number: u64) -> InstanceRecord {
+    InstanceRecord {
+        instance: format!("i-{number:09x}").as_str().into(),
+        service: format!("service-{}", number % 20).as_str().into(),
+        address: format!("10.1.64.{}:8461", number % 250),
+        zone: "zone-a".into(),
+        slots: 8,
+        draining: false,
+        warmup_millis: 0,
+        sequence: 1,
+        models: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+pub fn route(number: u64, timeout_millis: u64) -> RouteSpec {
+    RouteSpec {
+        name: format!("route-{number}"),
+        host: format!("host-{}.example", number % 10),
+        path_prefix: format!("/path-{number}/"),
+        kind: RouteKind::Repeatable,
+        resumable: false,
+        timeout_millis,
+        objective_millis: 300,
+        gap_objective_millis: 0,
+        priority: 1,
+        maximum_attempts: 3,
+        prompt_affinity: false,
+        first_event_millis: 0,
+        targets: vec![RouteTarget {
+            service: format!("service-{}", number % 20).as_str().into(),
+            weight: 100,
+        }],
+        anonymous: false,
+    }
+}
+
+/// A document of 100 routes to 20 services.
+pub fn document(version: u64) -> DeploymentDocument {
+    let service = |number: u64| ServiceSpec {
+        name: format!("service-{number}").as_str().into(),
+        health_path: "/health".to_owned(),
+        maximum_connections: 0,
+        engine: None,
+    };
+    DeploymentDocument {
+        version,
+        routes: (0..ROUTES).map(|number| route(number, 1_000)).collect(),
+        services: (0..20).map(service).collect(),
+        limits: CallerLimits {
+            header_bytes: 0,
+            body_bytes: 0,
+            header_millis: 0,
+            idle_millis: 0,
+        },
+        tenants: Vec::new(),
+    }
+}
+
+/// The leader's core and what it is given at each run.
+pub struct Leader {
+    pub fleet: Fleet,
+    pub documents: DocumentHistory,
+    pub version: u64,
+    pub departed: Vec<InstanceId>,
+    sequence: u64,
+}
+
+impl Leader {
+    /// In charge since long, with this many instances, and departed ones that the log remembers.
+    pub fn new(instances: u64, departed: u64) -> Leader {
+        let mut leader = Leader {
+            fleet: Fleet::new(FleetSettings {
+                instance_silence: Duration::from_secs(3_600),
+                ..FleetSettings::default()
+            }),
+            documents: DocumentHistory::new(),
+            version: 1,
+            departed: (0..departed)
+                .map(|number| format!("i-gone-{number:04x}").as_str().into())
+                .collect(),
+            sequence: 0,
+        };
+        leader.documents.applied(at(0), &document(1));
+        let history = InstructionHistory::new(Timestamp::ZERO, Duration::ZERO);
+        let nothing = std::iter::empty;
+        leader
+            .fleet
+            .begin(at(0), nothing(), std::iter::empty(), &history);
+        for number in 0..instances {
+            leader.fleet.announce(at(0), record(number), false);
+        }
+        leader
+    }
+
+    /// The next version is committed: one route has another time-out.
+    pub fn put(&mut self, now: u64) {
+        let mut next = self
+            .documents
+            .document(self.version)
+            .cloned()
+            .expect("kept");
+        self.version += 1;
+        next.version = self.version;
+        next.routes[7].timeout_millis += 1;
+        self.documents.applied(at(now), &next);
+    }
+
+    /// A report of gateway g-N on connection N.
+    pub fn report(&mut self, now: u64, connection: u64, version: u64) {
+        let gateway = format!("g-{connection}");
+        self.report_of(now, connection, &gateway, version, Vec::new());
+    }
+
+    pub fn report_of(
+        &mut self,
+        now: u64,
+        connection: u64,
+        gateway: &str,
+        version: u64,
+        known_instances: Vec<u64>,
+    ) {
+        self.sequence += 1;
+        let report = GatewayReport {
+            gateway: gateway.to_owned(),
+            zone: "zone-a".into(),
+            sequence: self.sequence,
+            version,
+            needs: Vec::new(),
+            doubted: Vec::new(),
+            sent: Vec::new(),
+            as_of: 0,
+            known_instances,
+        };
+        self.fleet.report(at(now), connection, &report);
+    }
+
+    pub fn run(&mut self, now: u64) -> Vec<FleetOutput> {
+        let departed = || self.departed.clone();
+        let context = GatewayContext {
+            members: &Vec::new,
+            departed: &departed,
+            documents: &self.documents,
+        };
+        let document = self.documents.document(self.version);
+        self.fleet.run(at(now), 3, document, &context)
+    }
+
+    /// Number of the newest report.
+    pub fn newest_report(&self) -> u64 {
+        self.sequence
+    }
+
+    /// What the next run sends.
+    pub fn updates(&mut self, now: u64) -> Vec<(u64, GatewayUpdate)> {
+        let outputs = self.run(now).into_iter();
+        let updates = outputs.filter_map(|output| match output {
+            FleetOutput::Update { connection, update } => Some((connection, *update)),
+            _ => None,
+        });
+        updates.collect()
+    }
+}
+
+/// Size of an update on the wire, in bytes.
+pub fn bytes(update: &GatewayUpdate) -> usize {
+    let message = ControlToRouter::Gateway(update.clone());
+    let encoded = millpass_proto::codec::encode(&message);
+    encoded.expect("an update encodes").len()
+}
--- /dev/null
+++ b/crates/millpass-fleet/tests/rollout.rs
@@ -0,0 +1,107 @@
+//! The way of a document's version from its commit to each gateway can be followed from events alone.
+
+mod harness;
+
+use harness::{Leader, at};
+use millpass_fleet::FleetOutput;
+use millpass_proto::Duration;
+
+fn events(outputs: &[FleetOutput], name: &str) -> Vec<String> {
+    let events = outputs.iter().filter_map(|output| match output {
+        FleetOutput::Event(event) if event.name == name => {
+            let pairs = event.pairs.iter();
+            let pairs: Vec<String> = pairs.map(|(key, value)| format!("{key}={value}")).collect();
+            Some(pairs.join(" "))
+        }
+        _ => None,
+    });
+    events.collect()
+}
+
+fn reached(outputs: &[FleetOutput]) -> Vec<Duration> {
+    let times = outputs.iter().filter_map(|output| match output {
+        FleetOutput::DocumentReached(after) => Some(*after),
+        _ => None,
+    });
+    times.collect()
+}
+
+#[test]
+fn the_time_to_each_gateway_is_measured_and_the_last_one_named() {
+    let mut leader = Leader::new(0, 0);
+    leader.report(1_000, 1, 1);
+    leader.report(1_000, 2, 1);
+    leader.run(1_010);
+    leader.put(1_100);
+    leader.run(1_100);
+    leader.report(1_140, 1, 2);
+    let first = leader.run(1_150);
+    assert_eq!(reached(&first), [Duration::from_millis(40)]);
+    assert_eq!(events(&first, "document-everywhere"), [""; 0]);
+    leader.report(1_300, 2, 2);
+    let last = leader.run(1_300);
+    assert_eq!(reached(&last), [Duration::from_millis(200)]);
+    assert_eq!(
+        events(&last, "document-everywhere"),
+        ["version=2 gateways=2 not_connected=0 after_ms=200"]
+    );
+    leader.report(1_400, 2, 2);
+    let later = leader.run(1_400);
+    assert!(reached(&later).is_empty(), "once for each gateway");
+    assert!(events(&later, "document-everywhere").is_empty());
+}
+
+#[test]
+fn gateways_that_lag_are_named_with_the_reason() {
+    let mut leader = Leader::new(0, 0);
+    for connection in 1..=3 {
+        leader.report(1_000, connection, 1);
+    }
+    leader.run(1_010);
+    leader.put(2_000);
+    leader.run(2_000);
+    leader.report(2_100, 1, 2);
+    leader.report(2_900, 2, 1);
+    leader.fleet.disconnected(at(2_500), 3);
+    assert!(events(&leader.run(2_990), "document-lags").is_empty());
+    let lagging = events(&leader.run(3_000), "document-lags");
+    assert_eq!(
+        lagging,
+        [
+            "version=2 after_ms=1000 lagging=2 gateway=g-2 held=1 why=sent-not-reported heard_ms=100 sent_ms=10 \
+             connected_ms=2000",
+            "version=2 after_ms=1000 lagging=2 gateway=g-3 held=1 why=not-connected heard_ms=2000 lost_ms=500",
+        ]
+    );
+    assert!(
+        events(&leader.run(3_900), "document-lags").is_empty(),
+        "the pause doubles"
+    );
+    assert_eq!(events(&leader.run(4_000), "document-lags").len(), 2);
+}
+
+/// A gateway that a leader knows nothing of may have had the version for long: its report says nothing of how
+/// long the way took.
+#[test]
+fn what_a_gateway_brings_along_is_not_measured() {
+    let mut leader = Leader::new(0, 0);
+    leader.run(1_000);
+    leader.report(60_000, 1, 1);
+    assert!(reached(&leader.run(60_000)).is_empty());
+    leader.fleet.disconnected(at(60_100), 1);
+    leader.report(60_200, 7, 1);
+    assert!(reached(&leader.run(60_200)).is_empty(), "known from before");
+}
+
+#[test]
+fn the_names_of_many_that_lag_are_bounded() {
+    let mut leader = Leader::new(0, 0);
+    for connection in 0..100 {
+        leader.report(1_000, connection, 1);
+    }
+    leader.put(2_000);
+    leader.run(2_000);
+    let lagging = events(&leader.run(3_000), "document-lags");
+    assert_eq!(lagging.len(), 8);
+    assert!(lagging[0].contains("lagging=100"), "{lagging:?}");
+}
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -163,7 +163,7 @@
             ControlOutput::SendRouter {
                 connection,
                 message,
-            } => self.send_to_router(place, connection, message),
+            } => self.send_to_router(place, connection, *message),
             ControlOutput::DeliverOrder { address, order } => {
                 self.deliver_order(place, &address, order);
             }
@@ -183,7 +183,9 @@
                 }
             }
             // No instances announce themselves here.
-            ControlOutput::Instruct(_) | ControlOutput::ReadEngine { .. } => {}
+            ControlOutput::Instruct(_)
+            | ControlOutput::ReadEngine { .. }
+            | ControlOutput::DocumentReached(_) => {}
             ControlOutput::Persist(_)
             | ControlOutput::SaveSnapshot(_)
             | ControlOutput::Event(_)
