Messages: a document's change computed and applied, digests of instance records, outlook and loads left out

Cause: a gateway that comes back, and each gateway at each change, is told everything; the parts that both ends need to say less were missing. Ruled out: comparing by place in the document (an inserted route would change all behind it); keeping the later version's order (it has no meaning, see DocumentChange::apply, and would cost a list of all keys). Change: DocumentChange::between and apply, InstanceRecord::digest (BLAKE3 over the encoding without the sequence), fields outlook_same and loads_same; Dispatcher::crashes_disconnected is connection_ended, as it says. Nothing uses them yet. Property tests: 300 cases each, documents equal up to order, and route, caller, rank and service of each probe the same. Conclusion: both ends can be mended.

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -183,6 +183,8 @@
             as_of: 0,
             document_change: None,
             kept_instances: Vec::new(),
+            outlook_same: false,
+            loads_same: false,
         };
         out.send_router(connection, ControlToRouter::Gateway(update));
     }
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -415,7 +415,7 @@
     }
 
     /// The connection to the leader ended.
-    pub fn crashes_disconnected(&mut self) {
+    pub fn connection_ended(&mut self) {
         self.crashes.disconnected();
     }
 
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -94,6 +94,8 @@
         as_of: 0,
         document_change: None,
         kept_instances: Vec::new(),
+        outlook_same: false,
+        loads_same: false,
     };
     dispatcher.update(at(0), update);
     dispatcher
@@ -208,7 +210,7 @@
     assert_eq!(report.ended[0].instance, ended);
     assert!(report.ended[0].requests.contains(&fingerprint("deadly")));
     assert_eq!(dispatcher.crash_report(), None, "told once");
-    dispatcher.crashes_disconnected();
+    dispatcher.connection_ended();
     assert!(
         dispatcher.crash_report().is_some(),
         "the next leader is told anew"
@@ -231,7 +233,7 @@
 fn without_a_leader_the_last_word_holds_and_own_ends_count() {
     let mut dispatcher = dispatcher();
     dispatcher.take_crashes(at(5), &told(2, &[("deadly", 60_000)]));
-    dispatcher.crashes_disconnected();
+    dispatcher.connection_ended();
     assert_eq!(refusal(&mut dispatcher, 50_000, "deadly"), HELD);
     assert_eq!(refusal(&mut dispatcher, 60_006, "deadly"), None);
     for end in 0..3 {
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -129,6 +129,8 @@
         as_of: 0,
         document_change: None,
         kept_instances: Vec::new(),
+        outlook_same: false,
+        loads_same: false,
     }
 }
 
--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -70,6 +70,8 @@
         as_of: 0,
         document_change: None,
         kept_instances: Vec::new(),
+        outlook_same: false,
+        loads_same: false,
     }
 }
 
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -114,6 +114,8 @@
                 as_of: 0,
                 document_change: None,
                 kept_instances: Vec::new(),
+                outlook_same: false,
+                loads_same: false,
             };
             session.greeted = true;
             session.sent_complete |= complete;
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -127,7 +127,7 @@
         future::or(reading, writing).await
     };
     shared.core().credit_disconnected();
-    shared.core().crashes_disconnected();
+    shared.core().connection_ended();
     (end, served)
 }
 
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1953,6 +1953,12 @@
 
     /// In the first update on a connection: those of the digests that the gateway reported whose records stand as they are; they count as named.
     pub kept_instances: Vec<u64>,
+
+    /// `outlook` is left out: what was told last on this connection still holds.
+    pub outlook_same: bool,
+
+    /// `loads` is left out: they are as told last on this connection.
+    pub loads_same: bool,
 }
 
 
--- a/crates/millpass-proto/src/lib.rs
+++ b/crates/millpass-proto/src/lib.rs
@@ -5,6 +5,7 @@
 //! platform interfaces are the same kind of types, encoded as JSON.
 
 pub mod codec;
+mod differences;
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod generated;
