Gateways are told what changed, and a version counts as told once it is reported

Cause: on each connection the leader named all instances and, to a gateway with another version, the whole document; each change went whole to each gateway; each answer to a report carried the outlook and 64 loads; a version counted as told when its update was queued. Ruled out: a base taken from reports alone (two changes in a row: the second would begin from a version that is gone when it arrives; the connection keeps the order, so the base is what was sent last on it); digests without the gateway's reach (departed instances are left out only where the gateway holds nothing that the leader does not know). Change: DocumentChange from any of the last eight documents where it is smaller, each computed once for all gateways; a version that reports lack a second after it was sent is sent again, whole; a gateway's first report on a connection has digests of its instances and is told those that differ, the rest by digest; outlook and loads only when they differ from what was told on the connection; updates name the newest report. Changes that do not fit are logged and left.

--- /dev/null
+++ b/crates/millpass-control-plane/tests/gateway_updates.rs
@@ -0,0 +1,148 @@
+//! A gateway that held the document before is told what changed, also by a leader that has just taken charge: members
+//! keep the last documents that they applied, beside the replicated state.
+
+mod harness;
+
+use harness::{World, address, seconds};
+use millpass_control_plane::{AdministrationRequest, ConnectionId, FleetSettings};
+use millpass_proto::*;
+use millpass_state::State;
+use serde_bytes::ByteBuf;
+
+/// Three members that take a snapshot after so many entries.
+fn world(snapshot_entries: u64) -> World {
+    let mut world = World::with_snapshots(0, snapshot_entries);
+    world.fleet = Some(FleetSettings::default());
+    let voters: Vec<MemberAddress> = (1..=3).map(address).collect();
+    for member in 1..=3 {
+        let membership = Membership {
+            voters: voters.clone(),
+            outgoing_voters: Vec::new(),
+            learners: Vec::new(),
+        };
+        world.boot(address(member), membership);
+    }
+    world
+}
+
+fn service(number: u64) -> ServiceSpec {
+    ServiceSpec {
+        name: format!("service-{number}").into(),
+        health_path: "/health".to_owned(),
+        maximum_connections: 0,
+        engine: None,
+    }
+}
+
+/// Ten services, of which the last differs from version to version.
+fn put(version: u64) -> AdministrationRequest {
+    let mut services: Vec<ServiceSpec> = (0..10).map(service).collect();
+    services[9].maximum_connections = version as u32;
+    AdministrationRequest::PutDocument(Box::new(PutDocument {
+        document: DeploymentDocument {
+            version,
+            routes: Vec::new(),
+            services,
+            limits: CallerLimits {
+                header_bytes: 0,
+                body_bytes: 0,
+                header_millis: 0,
+                idle_millis: 0,
+            },
+            tenants: Vec::new(),
+        },
+        source: ByteBuf::new(),
+    }))
+}
+
+fn report(world: &mut World, connection: ConnectionId, version: u64) {
+    let report = GatewayReport {
+        gateway: "g-1".to_owned(),
+        zone: "zone-1".into(),
+        sequence: 41,
+        version,
+        needs: Vec::new(),
+        doubted: Vec::new(),
+        sent: Vec::new(),
+        as_of: 0,
+        known_instances: Vec::new(),
+    };
+    world.router_sends(connection, RouterToControl::Gateway(report));
+}
+
+/// The first update on a new connection to a member, to a gateway that holds this version.
+fn greeting(world: &mut World, member: MemberId, version: u64) -> GatewayUpdate {
+    let connection = world.connect(member);
+    report(world, connection, version);
+    world.run(std::time::Duration::from_millis(50));
+    let received = world.received(connection).into_iter();
+    let mut updates = received.filter_map(|message| match message {
+        ControlToRouter::Gateway(update) => Some(update),
+        _ => None,
+    });
+    updates.next().expect("an update")
+}
+
+#[test]
+fn a_leader_that_followed_knows_what_changed() {
+    let mut world = world(1_000_000);
+    let leader = world.elect();
+    for version in [1, 2] {
+        world.call(leader, put(version));
+    }
+    world.run(seconds(1));
+    world.halt(leader);
+    let next = world.elect();
+    let update = greeting(&mut world, next, 1);
+    let change = update.document_change.expect("a change");
+    assert_eq!((change.base, change.version), (1, 2));
+    assert_eq!(change.services.len(), 1);
+    assert_eq!(update.document, None);
+    assert_eq!(update.answers, 41);
+}
+
+#[test]
+fn a_member_that_started_from_a_snapshot_sends_the_document_whole() {
+    let mut world = world(1);
+    let leader = world.elect();
+    for version in [1, 2] {
+        world.call(leader, put(version));
+    }
+    world.run(seconds(1));
+    let state = world.state(leader).clone();
+    let restored = State::decode(&state.encode()).expect("a snapshot");
+    assert_eq!(restored, state, "what was before is no part of the state");
+    for member in 1..=3 {
+        world.restart(member);
+    }
+    let next = world.elect();
+    let update = greeting(&mut world, next, 1);
+    assert_eq!(update.document.map(|document| document.version), Some(2));
+    assert_eq!(update.document_change, None);
+}
+
+/// The gateway's report is known to come after what was sent on the same connection: nothing is sent twice.
+#[test]
+fn a_gateway_that_reports_what_it_was_sent_is_told_no_more() {
+    let mut world = world(1_000_000);
+    let leader = world.elect();
+    world.call(leader, put(1));
+    let connection = world.connect(leader);
+    report(&mut world, connection, 0);
+    world.run(std::time::Duration::from_millis(50));
+    report(&mut world, connection, 1);
+    world.call(leader, put(2));
+    world.run(std::time::Duration::from_millis(50));
+    for _ in 0..5 {
+        report(&mut world, connection, 2);
+        world.run(seconds(1));
+    }
+    let received = world.received(connection);
+    let documents = received.iter().filter(
+        |message| matches!(message, ControlToRouter::Gateway(update) if update.document.is_some()),
+    );
+    let changes = received.iter().filter(|message| {
+        matches!(message, ControlToRouter::Gateway(update) if update.document_change.is_some())
+    });
+    assert_eq!((documents.count(), changes.count()), (1, 1));
+}
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -127,6 +127,10 @@
     pub(crate) needs: Needs,
     pub(crate) doubted: BTreeSet<InstanceId>,
     pub(crate) outlook: Vec<(ModelOutlook, Timestamp)>,
+    /// Loads as last told on the connection to the leader.
+    told_loads: Vec<InstanceLoad>,
+    /// Whether a report on that connection has said which instances are known here.
+    instances_told: bool,
     pub(crate) term: u64,
     /// When a leader was last heard.
     heard_at: Timestamp,
@@ -154,6 +158,8 @@
             needs: Needs::default(),
             doubted: BTreeSet::new(),
             outlook: Vec::new(),
+            told_loads: Vec::new(),
+            instances_told: false,
             term: 0,
             heard_at: Timestamp::ZERO,
             gateways: 0,
@@ -184,6 +190,7 @@
             .document
             .as_ref()
             .map_or(0, |document| document.version);
+        let base = self.table.clone().filter(|_| !self.provisional);
         let late = update.provisional && held > 0 && (!self.provisional || version <= held);
         if update.term < self.term || late {
             return UpdateOutcome {
@@ -202,7 +209,15 @@
             self.instances.clear();
         }
         let mut outcome = UpdateOutcome::default();
-        if let Some(document) = update.document
+        let document = match (update.document, &update.document_change) {
+            (None, Some(change)) if change.version > held => {
+                let applied = base.and_then(|table| change.apply(table.document()));
+                outcome.unfit_change = applied.is_none().then_some(change.base);
+                applied
+            }
+            (document, _) => document,
+        };
+        if let Some(document) = document
             && document.version > held
         {
             outcome.version = Some(document.version);
@@ -219,6 +234,10 @@
         if let Some(named) = &mut self.named {
             let instances = update.instances.iter();
             named.extend(instances.map(|record| record.instance.clone()));
+            let kept: BTreeSet<u64> = update.kept_instances.into_iter().collect();
+            let held = self.instances.iter();
+            let held = held.filter(|(_, instance)| kept.contains(&instance.digest));
+            named.extend(held.map(|(id, _)| id.clone()));
         }
         if update.complete
             && let Some(named) = self.named.take()
@@ -240,19 +259,22 @@
         for instance in &update.removed {
             outcome.removed += usize::from(self.instances.remove(instance).is_some());
         }
-        for load in &update.loads {
+        if !update.loads_same {
+            self.told_loads = update.loads;
+        }
+        for load in &self.told_loads {
             if let Some(instance) = self.instances.get_mut(&load.instance) {
                 instance.told_in_flight(now, load.in_flight);
             }
         }
-        self.outlook = update
-            .outlook
-            .into_iter()
-            .map(|outlook| {
-                let ready = now + Duration::from_millis(outlook.ready_in_millis);
-                (outlook, ready)
-            })
-            .collect();
+        if !update.outlook_same {
+            let ready =
+                |outlook: &ModelOutlook| now + Duration::from_millis(outlook.ready_in_millis);
+            let outlook = update.outlook.into_iter();
+            self.outlook = outlook
+                .map(|entry| (entry.clone(), ready(&entry)))
+                .collect();
+        }
         outcome
     }
 
@@ -425,6 +447,8 @@
     /// The connection to the leader ended.
     pub fn connection_ended(&mut self) {
         self.crashes.disconnected();
+        self.told_loads.clear();
+        self.instances_told = false;
     }
 
     /// Requests that the leader holds back.
@@ -459,8 +483,17 @@
             doubted: std::mem::take(&mut self.doubted).into_iter().collect(),
             sent: self.in_flight_by_instance(),
             as_of: 0,
-            known_instances: Vec::new(),
+            known_instances: self.instances_to_tell(),
+        }
+    }
+
+    /// Digests of the known instances' records, once on each connection: the leader names only what differs.
+    fn instances_to_tell(&mut self) -> Vec<u64> {
+        if std::mem::replace(&mut self.instances_told, true) {
+            return Vec::new();
         }
+        let instances = self.instances.values();
+        instances.map(|instance| instance.digest).collect()
     }
 
     fn in_flight_by_instance(&mut self) -> Vec<InstanceLoad> {
--- a/crates/millpass-dispatch/src/instances.rs
+++ b/crates/millpass-dispatch/src/instances.rs
@@ -55,6 +55,8 @@
 /// One instance.
 pub(crate) struct Instance {
     pub(crate) record: InstanceRecord,
+    /// Of the record, as the leader digests its own.
+    pub(crate) digest: u64,
     /// This gateway's requests in flight there.
     pub(crate) in_flight: u32,
     /// Work of others there when it last told its load: running and waiting, less own.
@@ -83,6 +85,7 @@
 impl Instance {
     pub(crate) fn new(record: InstanceRecord) -> Self {
         Instance {
+            digest: record.digest(),
             record,
             in_flight: 0,
             others: 0.0,
@@ -115,6 +118,7 @@
         }
         self.record = record;
         self.record.draining = draining;
+        self.digest = self.record.digest();
     }
 
     pub(crate) fn holds(&self, model: &ModelName, adapter: Option<&AdapterName>) -> bool {
--- a/crates/millpass-fleet/src/documents.rs
+++ b/crates/millpass-fleet/src/documents.rs
@@ -3,8 +3,8 @@
 //! Followers keep them too, so that a new leader can tell gateways what changed. No part of the replicated state: a
 //! member that started from a snapshot holds fewer, and sends the document whole.
 
-use millpass_proto::{DeploymentDocument, Timestamp};
-use std::collections::VecDeque;
+use millpass_proto::{DeploymentDocument, DocumentChange, Timestamp, codec};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Most documents kept, the one in force among them. A gateway whose version is older than these gets the document
 /// whole; at 45 kB a document, some hundred kilobytes.
@@ -59,3 +59,35 @@
         documents.find(|found| found.document.version == version)
     }
 }
+
+/// Changes to the document in force from earlier ones, each computed once for all gateways.
+#[derive(Default)]
+pub(crate) struct ChangeCache {
+    version: u64,
+    /// Encoded size of the document, in bytes.
+    document_bytes: usize,
+    by_base: BTreeMap<u64, Option<DocumentChange>>,
+}
+
+impl ChangeCache {
+    /// What turns a version into the document; none where that version is not kept, or the change is not smaller
+    /// than the document.
+    pub(crate) fn change(
+        &mut self,
+        base: u64,
+        document: &DeploymentDocument,
+        documents: &DocumentHistory,
+    ) -> Option<DocumentChange> {
+        if self.version != document.version {
+            self.version = document.version;
+            self.document_bytes = codec::encoded_bytes(document);
+            self.by_base.clear();
+        }
+        let base = documents.document(base)?;
+        let known = self.by_base.entry(base.version).or_insert_with(|| {
+            let change = DocumentChange::between(base, document)?;
+            (codec::encoded_bytes(&change) < self.document_bytes).then_some(change)
+        });
+        known.clone()
+    }
+}
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::crashes::Crashes;
 use crate::demand::Demand;
+use crate::documents::ChangeCache;
 use crate::engines::{Engines, Pending};
 use crate::gateways::Gateways;
 use crate::handover::InstructionHistory;
@@ -14,7 +15,7 @@
 use crate::updates::GatewayContext;
 use millpass_proto::{
     CrashUpdate, DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate,
-    HeldRequestNote, InstanceId, InstanceNote, InstanceRecord, InstructionAnswer,
+    HeldRequestNote, InstanceId, InstanceLoad, InstanceNote, InstanceRecord, InstructionAnswer,
     InstructionOperation, ModelName, ModelOutlook, RequestFingerprint, ServiceName, Timestamp,
 };
 use millpass_tenancy::QuotaTerms;
@@ -126,6 +127,13 @@
     pub(crate) term: u64,
     pub(crate) outlook: Vec<ModelOutlook>,
     pub(crate) outlook_revision: u64,
+    /// When each entry of the outlook was told to be ready, and a revision that grows when those times move.
+    pub(crate) told_times: Vec<Timestamp>,
+    pub(crate) times_revision: u64,
+    /// Loads last told, and a revision that grows when they change.
+    pub(crate) told_loads: Vec<InstanceLoad>,
+    pub(crate) loads_revision: u64,
+    pub(crate) changes: ChangeCache,
     /// Models that wait for an engine or the weight store.
     waiting: BTreeSet<(ServiceName, ModelName)>,
     dirty: bool,
@@ -156,6 +164,11 @@
             term: 0,
             outlook: Vec::new(),
             outlook_revision: 0,
+            told_times: Vec::new(),
+            times_revision: 0,
+            told_loads: Vec::new(),
+            loads_revision: 0,
+            changes: ChangeCache::default(),
             waiting: BTreeSet::new(),
             dirty: false,
             next_plan: Timestamp::ZERO,
@@ -279,9 +292,7 @@
     pub fn report(&mut self, now: Timestamp, connection: u64, report: &GatewayReport) {
         let before = self.gateways.reported_version(connection, &report.gateway);
         let before = before.or_else(|| self.rollout.held_when_lost(&report.gateway));
-        let new = self
-            .gateways
-            .heard(now, connection, &report.gateway, report.version);
+        let new = self.gateways.heard(now, connection, report);
         if new {
             self.rollout.connected(&report.gateway);
             self.event(
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -1,7 +1,7 @@
 //! Connected gateways and what each was sent.
 
-use millpass_proto::{Duration, Timestamp};
-use std::collections::BTreeMap;
+use millpass_proto::{Duration, GatewayReport, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One gateway on its connection.
 pub(crate) struct GatewaySession {
@@ -16,8 +16,18 @@
     pub(crate) reported_version: u64,
     /// Newest document version that was sent on this connection; it may not have arrived.
     pub(crate) sent_version: u64,
+    /// The oldest version sent that it has not reported since, and when that was.
+    pub(crate) unreported: Option<(u64, Timestamp)>,
+    /// Digests of the instance records that it held when it connected; until the first update.
+    pub(crate) held_instances: BTreeSet<u64>,
+    /// Number of its newest report.
+    pub(crate) answers: u64,
     /// Revision of the outlook sent.
     pub(crate) sent_outlook: u64,
+    /// Revision of the outlook's times sent.
+    pub(crate) sent_times: u64,
+    /// Revision of the loads sent.
+    pub(crate) sent_loads: u64,
     /// Whether a report waits for its answer.
     pub(crate) owed: bool,
     /// Revision of the requests held back that was sent; none before the first.
@@ -30,6 +40,46 @@
     pub(crate) connected_at: Timestamp,
 }
 
+impl GatewaySession {
+    fn heard(&mut self, now: Timestamp, report: &GatewayReport) {
+        self.heard_at = now;
+        self.owed = true;
+        self.answers = report.sequence;
+        self.reported_version = report.version;
+        let Some((oldest, _)) = self.unreported else {
+            return;
+        };
+        if report.version >= self.sent_version {
+            self.unreported = None;
+        } else if report.version >= oldest {
+            self.unreported = Some((self.sent_version, now));
+        }
+    }
+
+    /// Version that the gateway has once all that was sent on this connection has arrived.
+    pub(crate) fn arriving_version(&self) -> u64 {
+        self.reported_version.max(self.sent_version)
+    }
+
+    /// Whether reports have gone on long enough without a version that was sent: it was lost on the way, or could not
+    /// be applied. While nothing is heard, more would only wait behind what waits already.
+    pub(crate) fn is_version_overdue(&self) -> bool {
+        let overdue = |(_, sent_at)| self.heard_at.since(sent_at) >= RESEND_AFTER;
+        self.unreported.is_some_and(overdue)
+    }
+
+    /// A document was put into an update.
+    pub(crate) fn version_sent(&mut self, now: Timestamp, version: u64) {
+        if self.unreported.is_none() || self.is_version_overdue() {
+            self.unreported = Some((version, now));
+        }
+        self.sent_version = version;
+    }
+}
+
+/// Time after which a version that was sent and is not reported is sent again, whole: several intervals of
+/// reports, and well within the time in which a change has to be in force.
+const RESEND_AFTER: Duration = Duration::from_millis(1_000);
 /// Most updates a second, over all gateways. With many gateways and engines, each change sent to each
 /// gateway at once takes the leader's whole processor; several changes then travel in one update.
 const UPDATES_PER_SECOND: u32 = 1_000;
@@ -48,25 +98,28 @@
         &mut self,
         now: Timestamp,
         connection: u64,
-        name: &str,
-        version: u64,
+        report: &GatewayReport,
     ) -> bool {
         if let Some(session) = self.sessions.get_mut(&connection) {
-            session.heard_at = now;
-            session.owed = true;
-            session.reported_version = version;
+            session.heard(now, report);
             return false;
         }
         // A gateway that reconnects has one session: the newest.
-        self.sessions.retain(|_, session| session.name != name);
+        self.sessions
+            .retain(|_, session| session.name != report.gateway);
         let session = GatewaySession {
-            name: name.to_owned(),
+            name: report.gateway.clone(),
             sent_revision: 0,
             greeted: false,
             sent_complete: false,
-            reported_version: version,
+            reported_version: report.version,
             sent_version: 0,
+            unreported: None,
+            held_instances: report.known_instances.iter().copied().collect(),
+            answers: report.sequence,
             sent_outlook: 0,
+            sent_times: 0,
+            sent_loads: 0,
             owed: true,
             sent_crashes: None,
             crashes_sent_at: Timestamp::ZERO,
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -1,7 +1,7 @@
 //! Instances as they announce themselves.
 
 use millpass_proto::{Duration, HeldModel, InstanceId, InstanceRecord, Timestamp};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most removals remembered for gateways that have not been told; older ones need a full update.
 const MAXIMUM_REMOVALS: usize = 1_024;
@@ -21,10 +21,20 @@
 
 struct Entry {
     record: InstanceRecord,
+    /// Of the record; gateways that come back say by digests what they hold.
+    digest: u64,
     heard_at: Timestamp,
     revision: u64,
 }
 
+/// What a gateway lacks that says by digests which records it holds.
+pub(crate) struct Lacking {
+    /// Records that it does not hold.
+    pub(crate) records: Vec<InstanceRecord>,
+    /// Digests of those that it holds as they stand here.
+    pub(crate) kept: Vec<u64>,
+}
+
 /// Known instances. Each change gets a revision, so that gateways are sent only what changed.
 #[derive(Default)]
 pub(crate) struct Registry {
@@ -46,6 +56,7 @@
             let entry = Entry {
                 heard_at: now,
                 revision: self.revision,
+                digest: record.digest(),
                 record,
             };
             self.entries.insert(entry.record.instance.clone(), entry);
@@ -62,6 +73,7 @@
         }
         self.revision += 1;
         entry.revision = self.revision;
+        entry.digest = record.digest();
         entry.record = record;
         Announced::Changed
     }
@@ -86,6 +98,7 @@
         if entry.record != before {
             self.revision += 1;
             entry.revision = self.revision;
+            entry.digest = entry.record.digest();
         }
     }
 
@@ -119,8 +132,28 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
+    /// What a gateway lacks that holds records of these digests.
+    pub(crate) fn lacking(&self, held: &BTreeSet<u64>) -> Lacking {
+        let mut lacking = Lacking {
+            records: Vec::new(),
+            kept: Vec::new(),
+        };
+        for entry in self.entries.values() {
+            if held.contains(&entry.digest) {
+                lacking.kept.push(entry.digest);
+            } else {
+                lacking.records.push(entry.record.clone());
+            }
+        }
+        lacking
+    }
+
     /// Records changed after a revision; all of them after 0.
     pub(crate) fn changed_since(&self, revision: u64) -> Vec<InstanceRecord> {
+        if revision >= self.revision {
+            // Most updates answer a report after which nothing changed.
+            return Vec::new();
+        }
         self.entries
             .values()
             .filter(|entry| entry.revision > revision)
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -3,12 +3,17 @@
 use crate::documents::DocumentHistory;
 use crate::engines::Engine;
 use crate::fleet::{Fleet, FleetOutput};
+use crate::gateways::GatewaySession;
 use crate::registry::Registry;
 use millpass_proto::{
     AdapterName, DeploymentDocument, Duration, GatewayUpdate, InstanceId, InstructionOperation,
     ModelName, ModelOutlook, ServiceName, ServiceSpec, Timestamp,
 };
 
+/// How far an estimate may be off what gateways were told; beyond a tenth of the time that is left it counts too.
+/// One look for work apart, estimates differ by less.
+const OUTLOOK_TOLERANCE: Duration = Duration::from_millis(100);
+
 /// What the control plane knows beside the fleet, asked for when a gateway connects.
 pub struct GatewayContext<'a> {
     /// Addresses of the control members.
@@ -56,9 +61,34 @@
         if !same {
             self.outlook_revision += 1;
         }
+        if !same || self.times_moved(now, &outlook) {
+            self.times_revision += 1;
+            let times = outlook.iter().map(|entry| ready_at(now, entry));
+            self.told_times = times.collect();
+        }
         self.outlook = outlook;
     }
 
+    /// Whether an estimate is off what was told by more than gateways' waits can bear.
+    fn times_moved(&self, now: Timestamp, outlook: &[ModelOutlook]) -> bool {
+        outlook.iter().zip(&self.told_times).any(|(entry, told)| {
+            let ready = ready_at(now, entry);
+            // What is past due serves now, for gateways as well.
+            let told = (*told).max(now);
+            let off = ready.since(told).max(told.since(ready));
+            off > OUTLOOK_TOLERANCE.max(ready.since(now) / 10)
+        })
+    }
+
+    /// Revision of the busiest instances' loads, which are gathered anew.
+    fn refresh_loads(&mut self) {
+        let loads = self.traffic.busiest();
+        if loads != self.told_loads {
+            self.loads_revision += 1;
+            self.told_loads = loads;
+        }
+    }
+
     pub(crate) fn update_gateways(
         &mut self,
         now: Timestamp,
@@ -66,69 +96,154 @@
         complete: bool,
         context: &GatewayContext<'_>,
     ) {
-        let revision = self.registry.revision();
-        let version = document.map_or(0, |document| document.version);
-        let count = self.gateways.count();
-        let interval = self.gateways.update_interval();
-        let mut loads = None;
-        for (connection, session) in &mut self.gateways.sessions {
-            let whole = !session.greeted;
-            let wanted = session.owed
-                || whole
-                || (complete && !session.sent_complete)
-                || session.sent_revision < revision
-                || session.reported_version.max(session.sent_version) < version
-                || session.sent_outlook < self.outlook_revision;
-            if !wanted || now.since(session.sent_at) < interval {
+        let due = self.gateways_due(now, document, complete);
+        if due.is_empty() {
+            return;
+        }
+        self.refresh_loads();
+        for connection in due {
+            let Some(mut session) = self.gateways.sessions.remove(&connection) else {
                 continue;
-            }
-            session.sent_at = now;
-            let from = if whole { 0 } else { session.sent_revision };
-            let update = GatewayUpdate {
-                term: self.term,
-                complete,
-                first: whole,
-                document: document
-                    .filter(|document| {
-                        document.version > session.reported_version.max(session.sent_version)
-                    })
-                    .cloned(),
-                instances: self.registry.changed_since(from),
-                // A leader that does not know every instance yet says which it knows to be gone: the gateway
-                // would keep them.
-                removed: if whole {
-                    departed_elsewhere(&self.registry, context)
-                } else {
-                    self.registry.removed_since(from)
-                },
-                outlook: self.outlook.clone(),
-                gateways: count,
-                members: if whole {
-                    (context.members)()
-                } else {
-                    Vec::new()
-                },
-                provisional: false,
-                loads: loads.get_or_insert_with(|| self.traffic.busiest()).clone(),
-                answers: 0,
-                as_of: 0,
-                document_change: None,
-                kept_instances: Vec::new(),
-                outlook_same: false,
-                loads_same: false,
             };
-            session.greeted = true;
-            session.sent_complete |= complete;
-            session.sent_revision = revision;
-            session.sent_outlook = self.outlook_revision;
-            session.sent_version = session.sent_version.max(version);
-            session.owed = false;
+            let mut update = self.update_of(now, &mut session, document, complete, context);
+            self.gateways.sessions.insert(connection, session);
+            update.gateways = self.gateways.count();
             self.out.push(FleetOutput::Update {
-                connection: *connection,
+                connection,
                 update: Box::new(update),
             });
         }
     }
+
+    /// Connections of gateways to which something is to be sent now.
+    fn gateways_due(
+        &self,
+        now: Timestamp,
+        document: Option<&DeploymentDocument>,
+        complete: bool,
+    ) -> Vec<u64> {
+        let revision = self.registry.revision();
+        let version = document.map_or(0, |document| document.version);
+        let interval = self.gateways.update_interval();
+        let wants = |session: &GatewaySession| {
+            session.owed
+                || !session.greeted
+                || (complete && !session.sent_complete)
+                || session.sent_revision < revision
+                || session.arriving_version() < version
+                || session.sent_outlook < self.outlook_revision
+        };
+        let sessions = self.gateways.sessions.iter();
+        sessions
+            .filter(|(_, session)| wants(session) && now.since(session.sent_at) >= interval)
+            .map(|(connection, _)| *connection)
+            .collect()
+    }
+
+    /// The next update of a gateway, which counts as sent.
+    fn update_of(
+        &mut self,
+        now: Timestamp,
+        session: &mut GatewaySession,
+        document: Option<&DeploymentDocument>,
+        complete: bool,
+        context: &GatewayContext<'_>,
+    ) -> GatewayUpdate {
+        let first = !session.greeted;
+        let outlook_same = !first && session.sent_times == self.times_revision;
+        let loads_same = !first && session.sent_loads == self.loads_revision;
+        let mut update = GatewayUpdate {
+            term: self.term,
+            complete,
+            first,
+            document: None,
+            instances: Vec::new(),
+            removed: Vec::new(),
+            outlook: kept_unless(outlook_same, &self.outlook),
+            gateways: 0,
+            members: Vec::new(),
+            provisional: false,
+            loads: kept_unless(loads_same, &self.told_loads),
+            answers: session.answers,
+            as_of: 0,
+            document_change: None,
+            kept_instances: Vec::new(),
+            outlook_same,
+            loads_same,
+        };
+        if first {
+            update.members = (context.members)();
+            self.greet(session, &mut update, context);
+        } else {
+            update.instances = self.registry.changed_since(session.sent_revision);
+            update.removed = self.registry.removed_since(session.sent_revision);
+        }
+        if let Some(document) = document {
+            self.put_document(now, session, &mut update, document, context);
+        }
+        session.greeted = true;
+        session.sent_complete |= complete;
+        session.sent_revision = self.registry.revision();
+        session.sent_outlook = self.outlook_revision;
+        session.sent_times = self.times_revision;
+        session.sent_loads = self.loads_revision;
+        session.sent_at = now;
+        session.owed = false;
+        update
+    }
+
+    /// Instances in the first update of a connection: those that the gateway lacks. Seventy gateways that come back at
+    /// once would otherwise take the leader's core for as long as its lease lasts.
+    fn greet(
+        &self,
+        session: &mut GatewaySession,
+        update: &mut GatewayUpdate,
+        context: &GatewayContext<'_>,
+    ) {
+        let held = std::mem::take(&mut session.held_instances);
+        let lacking = self.registry.lacking(&held);
+        // A leader that does not know every instance yet says which it knows to be gone: the gateway would keep
+        // them. One that holds none but those named here has nothing to drop.
+        let holds_others = held.is_empty() || lacking.kept.len() < held.len();
+        if !update.complete && holds_others {
+            update.removed = departed_elsewhere(&self.registry, context);
+        }
+        update.instances = lacking.records;
+        update.kept_instances = lacking.kept;
+    }
+
+    /// The document, or what changed since the one that the gateway will have when this arrives. What was sent counts
+    /// as arrived only once the gateway reports it.
+    fn put_document(
+        &mut self,
+        now: Timestamp,
+        session: &mut GatewaySession,
+        update: &mut GatewayUpdate,
+        document: &DeploymentDocument,
+        context: &GatewayContext<'_>,
+    ) {
+        let base = session.arriving_version();
+        let overdue = session.is_version_overdue();
+        if base >= document.version && !overdue {
+            return;
+        }
+        if !overdue {
+            update.document_change = self.changes.change(base, document, context.documents);
+        }
+        if update.document_change.is_none() {
+            update.document = Some(document.clone());
+        }
+        session.version_sent(now, document.version);
+    }
+}
+
+/// An empty list where what was told still holds.
+fn kept_unless<T: Clone>(same: bool, items: &[T]) -> Vec<T> {
+    if same { Vec::new() } else { items.to_vec() }
+}
+
+fn ready_at(now: Timestamp, entry: &ModelOutlook) -> Timestamp {
+    now + Duration::from_millis(entry.ready_in_millis)
 }
 
 /// What an engine is bringing, and when it will be there.
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -262,6 +262,10 @@
         (outcome, core.instance_count())
     };
     shared.metrics.instances.set(instances as i64);
+    if let Some(base) = outcome.unfit_change {
+        // The next report says which version is held, and the leader sends the document whole.
+        log::warn!("event=document_change_unfit term={term} base={base}");
+    }
     if let Some(version) = outcome.version {
         shared.metrics.document_version.set(version as i64);
     }
--- a/crates/millpass-proto/src/codec.rs
+++ b/crates/millpass-proto/src/codec.rs
@@ -31,6 +31,11 @@
     Ok(postcard::to_stdvec_crc32(value, CHECKSUM.digest())?)
 }
 
+/// Bytes that [`encode`] gives for a value; what does not encode counts as larger than anything.
+pub fn encoded_bytes<T: Serialize>(value: &T) -> usize {
+    encode(value).map_or(usize::MAX, |bytes| bytes.len())
+}
+
 /// Decodes a value that [`encode`] gave; damaged bytes are an error.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
     Ok(postcard::from_bytes_crc32(bytes, CHECKSUM.digest())?)
