--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// The document in force may be another one.
+    pub(crate) fn note_document(&mut self, now: Timestamp) {
+        if let Some(document) = self.state.document() {
+            self.documents.applied(now, document);
+        }
+    }
+
     /// A departure was committed.
     pub(crate) fn departure_applied(&mut self, departure: &InstanceDeparture) {
         if let Some(fleet) = &mut self.fleet {
@@ -185,6 +192,7 @@
             members: &members,
             departed: &departed,
             as_of: self.applied.last.index,
+            documents: &self.documents,
         };
         let noted = self.state.noted_instances().cloned();
         let held = self.state.held_requests().cloned();
@@ -219,6 +227,9 @@
                 FleetOutput::ReadEngine { instance, address } => {
                     out.push(ControlOutput::ReadEngine { instance, address });
                 }
+                FleetOutput::DocumentReached(after) => {
+                    out.push(ControlOutput::DocumentReached(after));
+                }
                 FleetOutput::Event(event) => out.event(event.name, event.pairs),
             }
         }
--- a/crates/millpass-control-plane/src/freshness.rs
+++ b/crates/millpass-control-plane/src/freshness.rs
@@ -125,6 +125,9 @@
             as_of: self.applied.last.index,
             document_change: None,
             kept_instances: Vec::new(),
+            outlook_same: false,
+            loads_same: false,
+            document_version: document.version,
         };
         let pairs = vec![
             ("gateway", report.gateway.clone()),
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -246,6 +246,8 @@
         /// Answer.
         answer: AdministrationAnswer,
     },
+    /// For metrics: a gateway reported the newest document, this long after it was committed.
+    DocumentReached(Duration),
     /// One event for the log and metrics.
     Event(ControlEvent),
     /// Draining is done; the process may exit.
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -18,7 +18,7 @@
 use crate::snapshots::AppliedLog;
 use crate::watch::WatchShares;
 use millpass_consensus::{Consensus, ConsensusInput, ConsensusStatus, RestoredLog, Role};
-use millpass_fleet::{Fleet, InstructionHistory};
+use millpass_fleet::{DocumentHistory, Fleet, InstructionHistory};
 use millpass_proto::{Command, Duration, ExpireClaims, OrderAnswer, Snapshot, Timestamp};
 use millpass_scheduler::Scheduler;
 use millpass_state::State;
@@ -75,6 +75,8 @@
     /// Instructions to engines as the log told them, also those of other leaders.
     pub(crate) instructions: InstructionHistory,
     pub(crate) binding: BindingMark,
+    /// The last documents in force, for gateways that hold one of them.
+    pub(crate) documents: DocumentHistory,
     /// Whether commands were applied since the outstanding orders were last looked at.
     pub(crate) state_changed: bool,
     /// Revisions that routers were told of.
@@ -110,6 +112,10 @@
         }
         binding.raise(&consensus, &state);
         let status = consensus.status();
+        let mut documents = DocumentHistory::new();
+        if let Some(document) = state.document() {
+            documents.applied(now, document);
+        }
         let loads_per_second = settings.scheduler.store_loads_per_second;
         ControlPlane {
             scheduler: Scheduler::new(settings.scheduler.clone()),
@@ -117,6 +123,7 @@
             credit: None,
             instructions: InstructionHistory::new(now, INSTRUCTION_MEMORY),
             binding,
+            documents,
             addresses: AddressBook::new(&status.membership),
             role: status.role,
             term: status.term,
@@ -201,7 +208,7 @@
             ControlInput::RouterDisconnected(connection) => {
                 self.sessions.disconnected(connection);
                 if let Some(fleet) = &mut self.fleet {
-                    fleet.disconnected(connection.0);
+                    fleet.disconnected(now, connection.0);
                 }
             }
             ControlInput::OrderDelivered {
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -156,6 +156,7 @@
             ControlOutput::SaveSnapshot(snapshot) => self.write(DiskWork::Snapshot(snapshot)),
             ControlOutput::ReadPlatform => self.read_platform(),
             ControlOutput::Answer { call, answer } => self.calls.answer(call, answer),
+            ControlOutput::DocumentReached(after) => self.metrics.document_reached(after),
             ControlOutput::Event(event) => self.note(&event),
             ControlOutput::Stopped => return true,
         }
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -114,6 +114,9 @@
     pub removed: usize,
     /// The update was of an older leader and ignored.
     pub stale: bool,
+    /// It had a change of the document that begins from this version, which is not in force here; it was not
+    /// applied. The leader sends the document whole once it hears which version is.
+    pub unfit_change: Option<u64>,
 }
 
 /// The decision core of one gateway.
@@ -130,6 +133,10 @@
     pub(crate) needs: Needs,
     pub(crate) doubted: BTreeSet<InstanceId>,
     pub(crate) outlook: Vec<(ModelOutlook, Timestamp)>,
+    /// Loads as last told on the connection to the leader.
+    told_loads: Vec<InstanceLoad>,
+    /// Whether a report on that connection has said which instances are known here.
+    instances_told: bool,
     pub(crate) term: u64,
     pub(crate) gateways: u32,
     pub(crate) reports: u64,
@@ -155,6 +162,8 @@
             needs: Needs::default(),
             doubted: BTreeSet::new(),
             outlook: Vec::new(),
+            told_loads: Vec::new(),
+            instances_told: false,
             term: 0,
             gateways: 0,
             reports: 0,
@@ -172,6 +181,11 @@
         self.instances.len()
     }
 
+    /// Models that are being loaded or waited for, as the leader last told.
+    pub fn awaited_models(&self) -> usize {
+        self.outlook.len()
+    }
+
     /// Takes an update of the leader, or what another member passes on. A document older than the one in force is
     /// never taken.
     pub fn update(&mut self, now: Timestamp, update: GatewayUpdate) -> UpdateOutcome {
@@ -187,11 +201,24 @@
         self.term = update.term;
         self.gateways = update.gateways;
         let mut outcome = UpdateOutcome::default();
-        if let Some(document) = update.document {
+        let held = self.version();
+        let document = match (update.document, &update.document_change) {
+            (None, Some(change)) if change.version > held => {
+                let table = self.table.as_ref();
+                let applied = table.and_then(|table| change.apply(table.document()));
+                outcome.unfit_change = applied.is_none().then_some(change.base);
+                applied
+            }
+            (document, _) => document,
+        };
+        if let Some(document) = document {
             outcome.version = self.take_document(document);
         }
-        self.freshness.told(update.as_of);
-        self.freshness.answered(update.answers);
+        // An update whose change did not fit, or that went before, leaves this gateway without what binds it.
+        if self.version() >= update.document_version {
+            self.freshness.told(update.as_of);
+            self.freshness.answered(update.answers);
+        }
         outcome.changed = update.instances.len();
         if update.first {
             self.named = Some(BTreeSet::new());
@@ -199,6 +226,10 @@
         if let Some(named) = &mut self.named {
             let instances = update.instances.iter();
             named.extend(instances.map(|record| record.instance.clone()));
+            let kept: BTreeSet<u64> = update.kept_instances.into_iter().collect();
+            let held = self.instances.iter();
+            let held = held.filter(|(_, instance)| kept.contains(&instance.digest));
+            named.extend(held.map(|(id, _)| id.clone()));
         }
         if update.complete
             && let Some(named) = self.named.take()
@@ -220,19 +251,22 @@
         for instance in &update.removed {
             outcome.removed += usize::from(self.instances.remove(instance).is_some());
         }
-        for load in &update.loads {
+        if !update.loads_same {
+            self.told_loads = update.loads;
+        }
+        for load in &self.told_loads {
             if let Some(instance) = self.instances.get_mut(&load.instance) {
                 instance.told_in_flight(now, load.in_flight);
             }
         }
-        self.outlook = update
-            .outlook
-            .into_iter()
-            .map(|outlook| {
-                let ready = now + Duration::from_millis(outlook.ready_in_millis);
-                (outlook, ready)
-            })
-            .collect();
+        if !update.outlook_same {
+            let ready =
+                |outlook: &ModelOutlook| now + Duration::from_millis(outlook.ready_in_millis);
+            let outlook = update.outlook.into_iter();
+            self.outlook = outlook
+                .map(|entry| (entry.clone(), ready(&entry)))
+                .collect();
+        }
         outcome
     }
 
@@ -262,9 +296,14 @@
         outcome
     }
 
+    /// Version of the document in force; 0 for none.
+    fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version())
+    }
+
     /// Puts a document in force if it is newer than the one in force; gives its version.
     fn take_document(&mut self, document: DeploymentDocument) -> Option<u64> {
-        let held = self.table.as_ref().map_or(0, |table| table.version());
+        let held = self.version();
         if document.version <= held {
             return None;
         }
@@ -526,8 +565,10 @@
     }
 
     /// The connection to the leader ended.
-    pub fn crashes_disconnected(&mut self) {
+    pub fn connection_ended(&mut self) {
         self.crashes.disconnected();
+        self.told_loads.clear();
+        self.instances_told = false;
     }
 
     /// Requests that the leader holds back.
@@ -554,17 +595,26 @@
             gateway: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
             sequence: self.reports,
-            version: self.table.as_ref().map_or(0, |table| table.version()),
+            version: self.version(),
             needs: self.needs.take(),
             doubted: std::mem::take(&mut self.doubted).into_iter().collect(),
             sent: self.in_flight_by_instance(),
             as_of: self.freshness.as_of(),
-            known_instances: Vec::new(),
+            known_instances: self.instances_to_tell(),
         };
         self.freshness.reported(now, &report);
         report
     }
 
+    /// Digests of the known instances' records, once on each connection: the leader names only what differs.
+    fn instances_to_tell(&mut self) -> Vec<u64> {
+        if std::mem::replace(&mut self.instances_told, true) {
+            return Vec::new();
+        }
+        let instances = self.instances.values();
+        instances.map(|instance| instance.digest).collect()
+    }
+
     fn in_flight_by_instance(&mut self) -> Vec<InstanceLoad> {
         let loads = self.instances.iter_mut().filter_map(|(id, instance)| {
             let in_flight = instance.report();
--- a/crates/millpass-dispatch/tests/freshness.rs
+++ b/crates/millpass-dispatch/tests/freshness.rs
@@ -100,6 +100,9 @@
         as_of,
         document_change: None,
         kept_instances: Vec::new(),
+        outlook_same: false,
+        loads_same: false,
+        document_version: as_of,
     }
 }
 
--- a/crates/millpass-proto/src/lib.rs
+++ b/crates/millpass-proto/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod binding;
 pub mod codec;
+mod differences;
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod generated;
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -183,7 +183,9 @@
                 }
             }
             // No instances announce themselves here.
-            ControlOutput::Instruct(_) | ControlOutput::ReadEngine { .. } => {}
+            ControlOutput::Instruct(_)
+            | ControlOutput::ReadEngine { .. }
+            | ControlOutput::DocumentReached(_) => {}
             ControlOutput::Persist(_)
             | ControlOutput::SaveSnapshot(_)
             | ControlOutput::Event(_)
