Sight of a member's core: what waited, how late ticks are, why a candidacy failed

The logs could not tell whether a vote was late on the network or waited in the member, nor why a candidacy ended.

Added: histograms of how long an input of each class waited for the core and how late its ticks come, the length of the queue, one warning a second at most (core_late: class and age of the worst, and how many) from 175 ms on, and candidacy-ended with its reason (refused, outvoted, timed out) and who had answered after how long. Classes are those that the queue is to be divided by; the queue itself is as it was.

No change of behaviour.

--- /dev/null
+++ b/crates/millpass-consensus/src/candidacy.rs
@@ -0,0 +1,82 @@
+//! A candidacy under way, and what is told of one that ends without a leader.
+
+use crate::interface::{CandidacyAnswer, CandidacyEnd, ConsensusOutput, EndedCandidacy};
+use crate::{Consensus, RoleState};
+use millpass_proto::{Duration, MemberId, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Who answered a request for votes or pre-votes, and when.
+#[derive(Debug)]
+pub(crate) struct Candidacy {
+    begun_at: Timestamp,
+    /// Members that granted what was asked for.
+    pub(crate) granted: BTreeSet<MemberId>,
+    /// First answer of each other member.
+    answers: BTreeMap<MemberId, (bool, Duration)>,
+}
+
+impl Candidacy {
+    pub(crate) fn begun(now: Timestamp) -> Self {
+        Candidacy {
+            begun_at: now,
+            granted: BTreeSet::new(),
+            answers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the answer of another member.
+    pub(crate) fn answered(&mut self, now: Timestamp, from: MemberId, is_granted: bool) {
+        let after = now.since(self.begun_at);
+        self.answers.entry(from).or_insert((is_granted, after));
+        if is_granted {
+            self.granted.insert(from);
+        }
+    }
+
+    /// Why it ends at its deadline.
+    fn end_at_deadline(&self) -> CandidacyEnd {
+        let is_refused = self.answers.values().any(|(is_granted, _)| !is_granted);
+        match is_refused {
+            true => CandidacyEnd::Refused,
+            false => CandidacyEnd::TimedOut,
+        }
+    }
+}
+
+impl Consensus {
+    /// Tells that the candidacy under way, if any, is over at its deadline.
+    pub(crate) fn candidacy_expired(&mut self) {
+        let (RoleState::PreCandidate(candidacy) | RoleState::Candidate(candidacy)) = &self.role
+        else {
+            return;
+        };
+        self.tell_candidacy_ended(candidacy.end_at_deadline());
+    }
+
+    /// Tells that the candidacy under way, if any, ends because another member got further.
+    pub(crate) fn candidacy_outvoted(&mut self) {
+        self.tell_candidacy_ended(CandidacyEnd::Outvoted);
+    }
+
+    fn tell_candidacy_ended(&mut self, end: CandidacyEnd) {
+        let (candidacy, is_pre_vote) = match &self.role {
+            RoleState::PreCandidate(candidacy) => (candidacy, true),
+            RoleState::Candidate(candidacy) => (candidacy, false),
+            RoleState::Follower | RoleState::Leader(_) => return,
+        };
+        let answers = candidacy.answers.iter();
+        let answers = answers.map(|(member, (is_granted, after))| CandidacyAnswer {
+            member: *member,
+            is_granted: *is_granted,
+            after: *after,
+        });
+        let ended = EndedCandidacy {
+            term: self.hard_state.term,
+            is_pre_vote,
+            end,
+            lasted: self.now.since(candidacy.begun_at),
+            answers: answers.collect(),
+        };
+        self.outputs.push(ConsensusOutput::CandidacyEnded(ended));
+    }
+}
--- a/crates/millpass-consensus/src/dispatch.rs
+++ b/crates/millpass-consensus/src/dispatch.rs
@@ -107,6 +107,7 @@
             return;
         }
         match envelope.message {
+            PeerMessage::PreVoteResponse(_) => self.receive_pre_vote_refusal(envelope.from),
             PeerMessage::VoteResponse(response) => {
                 self.receive_vote(envelope.from, response.granted);
             }
--- a/crates/millpass-consensus/src/election.rs
+++ b/crates/millpass-consensus/src/election.rs
@@ -1,12 +1,12 @@
 //! Elections: timeouts, pre-votes and votes.
 
+use crate::candidacy::Candidacy;
 use crate::interface::Role;
 use crate::persistence::Requirement;
 use crate::quorum::{has_quorum, is_voter, members_except};
 use crate::{Consensus, RoleState};
 use millpass_proto::{MemberId, PeerEnvelope, PeerMessage, VoteRequest, VoteResponse};
 use rand::RngExt;
-use std::collections::BTreeSet;
 
 impl Consensus {
     /// Draws the next election timeout, between the shortest and twice that.
@@ -23,6 +23,7 @@
         if self.now < self.election_deadline {
             return;
         }
+        self.candidacy_expired();
         self.reset_election_deadline();
         self.leader = None;
         self.role = RoleState::Follower;
@@ -34,9 +35,9 @@
 
     fn start_pre_vote(&mut self) {
         let own = self.settings.member;
-        self.role = RoleState::PreCandidate {
-            granted: BTreeSet::from([own]),
-        };
+        let mut candidacy = Candidacy::begun(self.now);
+        candidacy.granted.insert(own);
+        self.role = RoleState::PreCandidate(candidacy);
         let request = PeerMessage::PreVoteRequest(self.vote_request(false));
         let term = self.hard_state.term + 1;
         for member in members_except(self.log.membership(), own) {
@@ -57,16 +58,24 @@
         if term != self.hard_state.term + 1 {
             return;
         }
-        if let RoleState::PreCandidate { granted } = &mut self.role {
-            granted.insert(from);
+        if let RoleState::PreCandidate(candidacy) = &mut self.role {
+            candidacy.answered(self.now, from, true);
             self.campaign_if_pre_elected();
         }
     }
 
+    /// A member would not vote for this one.
+    pub(crate) fn receive_pre_vote_refusal(&mut self, from: MemberId) {
+        if let RoleState::PreCandidate(candidacy) = &mut self.role {
+            candidacy.answered(self.now, from, false);
+        }
+    }
+
     fn campaign_if_pre_elected(&mut self) {
-        let RoleState::PreCandidate { granted } = &self.role else {
+        let RoleState::PreCandidate(candidacy) = &self.role else {
             return;
         };
+        let granted = &candidacy.granted;
         if has_quorum(self.log.membership(), |member| granted.contains(&member)) {
             self.campaign(false);
         }
@@ -77,9 +86,7 @@
         let own = self.settings.member;
         self.enter_term(self.hard_state.term + 1);
         self.hard_state.voted_for = Some(own);
-        self.role = RoleState::Candidate {
-            granted: BTreeSet::new(),
-        };
+        self.role = RoleState::Candidate(Candidacy::begun(self.now));
         self.leader = None;
         self.reset_election_deadline();
         let request = PeerMessage::VoteRequest(self.vote_request(leadership_transfer));
@@ -100,12 +107,15 @@
 
     /// Takes a vote of this term.
     pub(crate) fn receive_vote(&mut self, from: MemberId, granted_vote: bool) {
-        let RoleState::Candidate { granted } = &mut self.role else {
+        let RoleState::Candidate(candidacy) = &mut self.role else {
             return;
         };
-        if granted_vote {
-            granted.insert(from);
+        if from == self.settings.member {
+            candidacy.granted.insert(from);
+        } else {
+            candidacy.answered(self.now, from, granted_vote);
         }
+        let granted = &candidacy.granted;
         // The own vote joins only when synced, so a quorum without it may come first: wait.
         let own_vote_counts = granted.contains(&self.settings.member);
         if own_vote_counts && has_quorum(self.log.membership(), |member| granted.contains(&member))
@@ -164,6 +174,7 @@
 
     /// Follows, in this term or a later one.
     pub(crate) fn become_follower(&mut self, term: u64, leader: Option<MemberId>) {
+        self.candidacy_outvoted();
         if term > self.hard_state.term {
             self.enter_term(term);
         }
--- a/crates/millpass-consensus/src/interface.rs
+++ b/crates/millpass-consensus/src/interface.rs
@@ -157,6 +157,45 @@
     },
     /// Role, term or known leader changed.
     RoleChanged(ConsensusStatus),
+    /// A candidacy of this member ended and did not make it the leader; for the log.
+    CandidacyEnded(EndedCandidacy),
+}
+
+/// Why a candidacy ended without a result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CandidacyEnd {
+    /// Its time was over, and members had refused.
+    Refused,
+    /// Another member leads, or stands in a later term.
+    Outvoted,
+    /// Its time was over, and no member had refused: answers are late or lost.
+    TimedOut,
+}
+
+/// A candidacy that did not make this member the leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedCandidacy {
+    /// Term of this member when it ended.
+    pub term: u64,
+    /// Whether it only asked whether it would be elected.
+    pub is_pre_vote: bool,
+    /// Why it ended.
+    pub end: CandidacyEnd,
+    /// How long it lasted.
+    pub lasted: Duration,
+    /// Who had answered by then.
+    pub answers: Vec<CandidacyAnswer>,
+}
+
+/// A member's first answer to a candidate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CandidacyAnswer {
+    /// Member.
+    pub member: MemberId,
+    /// Whether it granted what was asked for.
+    pub is_granted: bool,
+    /// Time from the request to the answer.
+    pub after: Duration,
 }
 
 /// What a member believes.
--- a/crates/millpass-consensus/src/lib.rs
+++ b/crates/millpass-consensus/src/lib.rs
@@ -8,6 +8,7 @@
 //! After a restart the host passes the snapshot it restored as [`ConsensusInput::SnapshotTaken`],
 //! so that a leader can send it to members that lag behind it.
 
+mod candidacy;
 mod dispatch;
 mod election;
 mod follower;
@@ -25,6 +26,7 @@
 
 pub use interface::*;
 
+use crate::candidacy::Candidacy;
 use crate::leader::LeaderState;
 use crate::log::Log;
 use crate::persistence::{Requirement, WriteQueue};
@@ -32,7 +34,6 @@
 use millpass_proto::{HardState, MemberId, PeerEnvelope, PeerMessage, Snapshot, Timestamp};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Entries kept behind a snapshot, so that a member that lags a little needs no snapshot.
@@ -42,12 +43,8 @@
 enum RoleState {
     Follower,
     /// Asks whether it would be elected; its term is unchanged.
-    PreCandidate {
-        granted: BTreeSet<MemberId>,
-    },
-    Candidate {
-        granted: BTreeSet<MemberId>,
-    },
+    PreCandidate(Candidacy),
+    Candidate(Candidacy),
     Leader(Box<LeaderState>),
 }
 
@@ -150,7 +147,7 @@
     fn visible_role(&self) -> Role {
         match self.role {
             RoleState::Follower => Role::Follower,
-            RoleState::PreCandidate { .. } | RoleState::Candidate { .. } => Role::Candidate,
+            RoleState::PreCandidate(_) | RoleState::Candidate(_) => Role::Candidate,
             RoleState::Leader(_) => Role::Leader,
         }
     }
--- a/crates/millpass-consensus/tests/harness/cluster.rs
+++ b/crates/millpass-consensus/tests/harness/cluster.rs
@@ -330,6 +330,7 @@
                         self.checks.leads(self.now, member, status.term);
                     }
                 }
+                ConsensusOutput::CandidacyEnded(_) => {}
             }
         }
     }
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -7,7 +7,8 @@
 use crate::proposals::{InternalKey, Waiter};
 use crate::snapshots::AppliedLog;
 use millpass_consensus::{
-    ConsensusInput, ConsensusOutput, ConsensusStatus, MembershipChange, ProposalRejection, Role,
+    CandidacyEnd, ConsensusInput, ConsensusOutput, ConsensusStatus, EndedCandidacy,
+    MembershipChange, ProposalRejection, Role,
 };
 use millpass_fleet::{Fleet, InstructionHistory};
 use millpass_proto::{
@@ -85,6 +86,7 @@
             }
             ConsensusOutput::Rejected { ticket, reason } => self.rejected(ticket, reason, out),
             ConsensusOutput::RoleChanged(status) => self.role_changed(&status, out),
+            ConsensusOutput::CandidacyEnded(ended) => log_candidacy(&ended, out),
         }
     }
 
@@ -338,3 +340,28 @@
         .collect();
     names.join(",")
 }
+
+/// One line for each candidacy that made no leader: who had answered, and after how long.
+fn log_candidacy(ended: &EndedCandidacy, out: &mut Outputs) {
+    let reason = match ended.end {
+        CandidacyEnd::Refused => "refused",
+        CandidacyEnd::Outvoted => "outvoted",
+        CandidacyEnd::TimedOut => "timed-out",
+    };
+    let answers: Vec<String> = ended
+        .answers
+        .iter()
+        .map(|answer| {
+            let word = if answer.is_granted { "yes" } else { "no" };
+            format!("{}:{word}:{}ms", answer.member, answer.after.as_millis())
+        })
+        .collect();
+    let pairs = vec![
+        ("reason", reason.to_owned()),
+        ("term", ended.term.to_string()),
+        ("pre_vote", ended.is_pre_vote.to_string()),
+        ("lasted_ms", ended.lasted.as_millis().to_string()),
+        ("answers", answers.join(",")),
+    ];
+    out.event("candidacy-ended", pairs);
+}
--- a/crates/millpass-control/src/inputs.rs
+++ b/crates/millpass-control/src/inputs.rs
@@ -1,8 +1,10 @@
 //! The way into the core: one bounded queue that its thread empties.
 
+use crate::urgency::Urgency;
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use millpass_control_plane::ControlInput;
 use millpass_storage::StorageError;
+use std::time::Instant;
 
 /// Inputs that may wait for the core.
 const QUEUE: usize = 16_384;
@@ -10,13 +12,20 @@
 /// What the core's thread takes from the queue.
 pub(crate) enum HostInput {
     /// An input of the core.
-    Core(Box<ControlInput>),
+    Core(Box<WaitingInput>),
     /// A write failed: the member must not go on.
     DiskFailed(StorageError),
     /// End without draining.
     Halt,
 }
 
+/// An input of the core, and since when it waits.
+pub(crate) struct WaitingInput {
+    pub(crate) class: Urgency,
+    pub(crate) since: Instant,
+    pub(crate) input: ControlInput,
+}
+
 /// Sends inputs to the core's thread.
 #[derive(Clone)]
 pub(crate) struct Inputs {
@@ -32,14 +41,13 @@
 
     /// Waits for room. False once the core has ended.
     pub(crate) fn send(&self, input: ControlInput) -> bool {
-        let input = HostInput::Core(Box::new(input));
-        self.sender.send(input).is_ok()
+        self.sender.send(waiting(input)).is_ok()
     }
 
     /// Drops the input when the queue is full: for what its sender repeats. False once the core
     /// has ended.
     pub(crate) fn offer(&self, input: ControlInput) -> bool {
-        let sent = self.sender.try_send(HostInput::Core(Box::new(input)));
+        let sent = self.sender.try_send(waiting(input));
         !matches!(sent, Err(TrySendError::Disconnected(_)))
     }
 
@@ -54,3 +62,11 @@
         let _ = self.sender.send(HostInput::Halt);
     }
 }
+
+fn waiting(input: ControlInput) -> HostInput {
+    HostInput::Core(Box::new(WaitingInput {
+        class: Urgency::of(&input),
+        since: Instant::now(),
+        input,
+    }))
+}
--- /dev/null
+++ b/crates/millpass-control/src/lateness.rs
@@ -0,0 +1,64 @@
+//! Tells when the core's thread is late: with a tick, or with an input that has waited.
+
+use crate::urgency::Urgency;
+use std::time::{Duration, Instant};
+
+/// Age of an input, or lateness of a tick, from which on it is worth a line: half the shortest lease
+/// that deployments use (350 ms), so that a line comes before a lease is lost.
+pub const NOTABLE_LATENESS: Duration = Duration::from_millis(175);
+/// Shortest time between two lines: a member that is late for long says so once a second.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The worst lateness of a span of time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lateness {
+    /// Class of the input; none for a tick.
+    pub class: Option<Urgency>,
+    /// How long it waited, or how much later than due it came.
+    pub age: Duration,
+    /// Inputs and ticks that were later than [`NOTABLE_LATENESS`] in that span.
+    pub count: u64,
+}
+
+/// Collects what was late since the last line.
+#[derive(Debug, Default)]
+pub struct LatenessWatch {
+    worst: Option<Lateness>,
+    told_at: Option<Instant>,
+}
+
+impl LatenessWatch {
+    /// Takes the lateness of one input (with its class) or tick. Returns what to log now, if anything.
+    pub fn look(
+        &mut self,
+        now: Instant,
+        class: Option<Urgency>,
+        age: Duration,
+    ) -> Option<Lateness> {
+        if age >= NOTABLE_LATENESS {
+            self.note(class, age);
+        }
+        let is_too_soon = self
+            .told_at
+            .is_some_and(|at| now.saturating_duration_since(at) < LINE_INTERVAL);
+        if is_too_soon {
+            return None;
+        }
+        let worst = self.worst.take()?;
+        self.told_at = Some(now);
+        Some(worst)
+    }
+
+    fn note(&mut self, class: Option<Urgency>, age: Duration) {
+        let worst = self.worst.get_or_insert(Lateness {
+            class,
+            age,
+            count: 0,
+        });
+        worst.count += 1;
+        if age > worst.age {
+            worst.class = class;
+            worst.age = age;
+        }
+    }
+}
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -7,6 +7,8 @@
 //! | `startup` | who this member is and what its data folder holds |
 //! | `member` | the core's thread: carries out what the core wants |
 //! | `inputs` | the one queue into the core |
+//! | `urgency` | how urgent an input is |
+//! | `lateness` | tells when the core's thread is late |
 //! | `disk` | writes and syncs |
 //! | `connections` | connections that members, routers and joiners make |
 //! | `peers` | connections to other members |
@@ -28,12 +30,14 @@
 mod error;
 mod inputs;
 pub mod interface;
+pub mod lateness;
 mod member;
 mod metrics;
 mod peers;
 mod process;
 pub mod settings;
 mod startup;
+pub mod urgency;
 
 pub use error::ControlError;
 pub use interface::{ApiExtension, EngineCalls, Extensions};
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -9,8 +9,10 @@
 use crate::disk::DiskWork;
 use crate::error::ControlError;
 use crate::inputs::HostInput;
+use crate::lateness::LatenessWatch;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::urgency::Urgency;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use millpass_control_plane::{ControlEvent, ControlInput, ControlOutput, ControlPlane, FinalState};
 use millpass_proto::{LinkMessage, MemberAddress, Membership, Timestamp};
@@ -45,6 +47,7 @@
     /// Since when no leader is known.
     pub(crate) leaderless_since: Option<Timestamp>,
     pub(crate) suspensions: SuspensionWatch,
+    pub(crate) lateness: LatenessWatch,
 }
 
 /// Why the core's thread ended.
@@ -77,10 +80,14 @@
         let mut next_housekeeping = Instant::now();
         loop {
             let input = match self.queue.recv_deadline(next_tick) {
-                Ok(HostInput::Core(input)) => *input,
+                Ok(HostInput::Core(waiting)) => {
+                    self.show_lateness(Some(waiting.class), waiting.since);
+                    waiting.input
+                }
                 Ok(HostInput::DiskFailed(error)) => return End::Failed(error.into()),
                 Ok(HostInput::Halt) | Err(RecvTimeoutError::Disconnected) => return End::Halted,
                 Err(RecvTimeoutError::Timeout) => {
+                    self.show_lateness(None, next_tick);
                     next_tick = Instant::now() + TICK;
                     ControlInput::Tick
                 }
@@ -95,6 +102,24 @@
         }
     }
 
+    /// Shows how long an input of a class waited, or how much later than due a tick comes.
+    fn show_lateness(&mut self, class: Option<Urgency>, since: Instant) {
+        let now = Instant::now();
+        let age = now.saturating_duration_since(since);
+        match class {
+            Some(class) => self.metrics.input_waited(class, age),
+            None => self.metrics.tick_late(age),
+        }
+        if let Some(late) = self.lateness.look(now, class, age) {
+            let class = late.class.map_or("tick", Urgency::name);
+            let (age_millis, count) = (late.age.as_millis(), late.count);
+            let waiting = self.queue.len();
+            log::warn!(
+                "event=core_late class={class} age_ms={age_millis} late={count} waiting={waiting}"
+            );
+        }
+    }
+
     /// Takes one input; true once the core has stopped.
     fn step(&mut self, input: ControlInput) -> bool {
         self.metrics.steps.inc();
@@ -163,6 +188,7 @@
         }
         let status = self.core.consensus_status();
         self.metrics.show_consensus(&status);
+        self.metrics.show_queue(self.queue.len());
         let leaderless = self.is_leaderless(status.leader.is_none());
         if leaderless || !is_member(&status.membership, &self.address) {
             self.ask_to_join(&status.membership);
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Prometheus metrics of a control member.
 
+use crate::urgency::Urgency;
 use millpass_consensus::{ConsensusStatus, Role};
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
 use std::time::Duration;
 
 /// Upper bounds, in seconds, of the histogram of syncs.
@@ -9,6 +10,10 @@
     0.0001, 0.000_2, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 2.0,
 ];
 
+/// Upper bounds, in seconds, of the histograms of what waits for the core: from a step's time to beyond
+/// the election timeout.
+const WAIT_SECONDS: [f64; 10] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
 /// Metrics of one process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -17,6 +22,10 @@
     /// Inputs that the core took.
     pub(crate) steps: IntGauge,
     sync_seconds: Histogram,
+    /// By class.
+    input_wait_seconds: HistogramVec,
+    tick_late_seconds: Histogram,
+    queue: IntGauge,
     term: IntGauge,
     commit: IntGauge,
     leads: IntGauge,
@@ -35,6 +44,15 @@
         let syncs = HistogramOpts::new("control_sync_seconds", "Time of a write with its sync");
         let sync_seconds = Histogram::with_opts(syncs.buckets(SECONDS.to_vec()))?;
         registry.register(Box::new(sync_seconds.clone()))?;
+        let help = "Time that an input waited for the core";
+        let waits = HistogramOpts::new("control_input_wait_seconds", help);
+        let waits = waits.buckets(WAIT_SECONDS.to_vec());
+        let input_wait_seconds = HistogramVec::new(waits, &["class"])?;
+        registry.register(Box::new(input_wait_seconds.clone()))?;
+        let help = "How much later than due the core's ticks come";
+        let ticks = HistogramOpts::new("control_tick_late_seconds", help);
+        let tick_late_seconds = Histogram::with_opts(ticks.buckets(WAIT_SECONDS.to_vec()))?;
+        registry.register(Box::new(tick_late_seconds.clone()))?;
         let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -44,6 +62,9 @@
             events,
             steps: gauge("control_steps", "Inputs taken by the decision core")?,
             sync_seconds,
+            input_wait_seconds,
+            tick_late_seconds,
+            queue: gauge("control_input_queue", "Inputs that wait for the core")?,
             term: gauge("control_term", "Term of consensus")?,
             commit: gauge("control_commit_index", "Last committed log entry")?,
             leads: gauge("control_leads", "1 if this member believes to lead")?,
@@ -61,6 +82,19 @@
         self.sync_seconds.observe(time.as_secs_f64());
     }
 
+    pub(crate) fn input_waited(&self, class: Urgency, time: Duration) {
+        let histogram = self.input_wait_seconds.with_label_values(&[class.name()]);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn tick_late(&self, time: Duration) {
+        self.tick_late_seconds.observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn show_queue(&self, waiting: usize) {
+        self.queue.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn show_consensus(&self, status: &ConsensusStatus) {
         self.term.set(signed(status.term));
         self.commit.set(signed(status.commit));
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -8,6 +8,7 @@
 use crate::error::ControlError;
 use crate::inputs::Inputs;
 use crate::interface::Extensions;
+use crate::lateness::LatenessWatch;
 use crate::member::Member;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -140,6 +141,7 @@
         metrics,
         leaderless_since: None,
         suspensions: SuspensionWatch::default(),
+        lateness: LatenessWatch::default(),
     };
     let core = spawn("control-core", move || member.run())?;
     log::info!(
