--- a/crates/millpass-consensus/tests/harness/cluster.rs
+++ b/crates/millpass-consensus/tests/harness/cluster.rs
@@ -67,6 +67,11 @@
         machine: usize,
         envelope: Box<PeerEnvelope>,
     },
+    /// A message or disk report has waited for a machine that lags.
+    TakeUp {
+        event: Box<Event>,
+        life: u64,
+    },
 }
 
 impl Event {
@@ -75,6 +80,7 @@
             Event::Tick { machine, .. }
             | Event::Synced { machine, .. }
             | Event::Deliver { machine, .. } => *machine,
+            Event::TakeUp { event, .. } => event.machine(),
         }
     }
 }
@@ -240,11 +246,34 @@
         self.cut.clear();
         self.conditions = CALM;
         for machine in 0..self.machines.len() {
+            self.lag(machine, (0, 0));
             self.wake(machine);
             self.start(machine);
         }
     }
 
+    /// Lets a machine wait before it takes up what arrives, in order.
+    pub fn lag(&mut self, machine: usize, micros: (u64, u64)) {
+        self.machines[machine].lag_micros = micros;
+    }
+
+    /// Whether the event arrives at a machine that lags; if so, it is taken up later.
+    fn waits(&mut self, event: Event) -> Option<Event> {
+        let machine = event.machine();
+        let (least, most) = self.machines[machine].lag_micros;
+        let arrives = matches!(event, Event::Deliver { .. } | Event::Synced { .. });
+        if most == 0 || !arrives {
+            return Some(event);
+        }
+        let lag = self.random.random_range(least..=most);
+        let machine = &mut self.machines[machine];
+        machine.busy_until = machine.busy_until.max(self.now + lag);
+        let (delay, life) = (machine.busy_until - self.now, machine.life);
+        let event = Box::new(event);
+        self.schedule(delay, Event::TakeUp { event, life });
+        None
+    }
+
     fn schedule(&mut self, delay: u64, event: Event) {
         self.next_event += 1;
         let key = (self.now + delay, self.next_event);
@@ -260,7 +289,9 @@
             }
             let ((at, _), event) = entry.remove_entry();
             self.now = at;
-            self.handle(event);
+            if let Some(event) = self.waits(event) {
+                self.handle(event);
+            }
             self.checks.leases(at, &self.machines);
         }
         self.now = end;
@@ -300,6 +331,7 @@
                     self.input(machine, ConsensusInput::Persisted { write });
                 }
             }
+            Event::TakeUp { event, life: of } if of == life => self.handle(*event),
             Event::Deliver { machine, envelope } => {
                 self.input(machine, ConsensusInput::Receive(*envelope));
             }
--- a/crates/millpass-consensus/tests/harness/machine.rs
+++ b/crates/millpass-consensus/tests/harness/machine.rs
@@ -46,6 +46,10 @@
     /// Proposals made here: where each ticket entered the log.
     pub tickets: BTreeMap<LogPosition, u64>,
     pub trailing_entries: u64,
+    /// Least and most time from the arrival of a message or disk report to its being taken up.
+    pub lag_micros: (u64, u64),
+    /// When the last one is taken up; they keep their order.
+    pub busy_until: u64,
 }
 
 impl Machine {
@@ -63,6 +67,8 @@
             state: 0,
             tickets: BTreeMap::new(),
             trailing_entries: 4,
+            lag_micros: (0, 0),
+            busy_until: 0,
         }
     }
 
@@ -91,6 +97,7 @@
         self.life += 1;
         self.core = None;
         self.frozen = false;
+        self.busy_until = 0;
         self.disk.crash(surviving_writes);
     }
 
