A member's core takes its inputs by urgency, and its ticks on time

Cause: one queue of 16,384 inputs in order of arrival, and a tick only when it was empty. What a lost member makes the others do (gateways and instances connect anew) stood before the votes and heartbeats that would end the loss; under load a leader sent no heartbeat and a follower had no timer.

Change: five bounded queues. Consensus and completed writes first; then what is promised (documents, departures and announcements that an instance leaves, reads of the document, joins, the planned stop); then credit and crash reports; then reports and answers of engines; then announcements and other reads. A tick that is due comes before all, counted from the end of the last.

What overflows: calls are refused at once (Busy, 503) and counted; announcements and reads hold 192 of the 256 handler threads at most, so that a change finds one; connections wait for room, in order; answers the core's own thread makes are never lost (they were dropped when the queue was full). An announcement that has waited a second, as long as its sender does, is answered as refused without work.

Order: reports, hellos and claims of a connection and its end share a class, so the end overtakes none. Credit and crashes rest on neither hello nor report: the core takes them from a connection that has not reported. Reports aren't replaced by newer ones of their connection: they count demand since the last, and only the first names the known instances.

--- a/crates/millpass-control/src/calls.rs
+++ b/crates/millpass-control/src/calls.rs
@@ -1,8 +1,9 @@
 //! Calls of the administration API that wait for the core's answer.
 
 use crate::administration::AdministrationCalls;
-use crate::inputs::Inputs;
+use crate::inputs::{Inputs, NotTaken};
 use crate::metrics::Metrics;
+use crate::urgency::Urgency;
 use crossbeam::channel::{Sender, bounded};
 use millpass_control_plane::{AdministrationAnswer, AdministrationRequest, ControlInput};
 use std::collections::BTreeMap;
@@ -12,38 +13,69 @@
 
 /// Longer than the core's own deadline of a call; only a core that hangs reaches it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(8);
-/// Most calls that wait; the API's handler threads bound it further.
+/// Most calls of a class that wait; the API's handler threads bound it further.
 const MAXIMUM_CALLS: usize = 1_024;
+/// Most announcements and reads that wait, three quarters of the API's handler threads: the others are left
+/// to changes and departures, which would else wait behind them for a thread.
+const MAXIMUM_LESS_URGENT_CALLS: usize = 192;
+
+/// A call under way.
+struct WaitingCall {
+    class: Urgency,
+    answer: Sender<AdministrationAnswer>,
+}
 
 /// The calls under way. Its lock is held alone, never together with another.
 #[derive(Default)]
 pub(crate) struct CallTable {
-    waiting: Mutex<BTreeMap<u64, Sender<AdministrationAnswer>>>,
+    waiting: Mutex<BTreeMap<u64, WaitingCall>>,
     next: AtomicU64,
 }
 
 impl CallTable {
+    /// Adds a call and gives it a number; none if too many of its class wait.
+    fn admit(&self, class: Urgency, answer: Sender<AdministrationAnswer>) -> Option<u64> {
+        let mut waiting = self.lock();
+        let alike = waiting.values().filter(|call| call.class == class).count();
+        if alike >= maximum(class) {
+            return None;
+        }
+        let call = self.next.fetch_add(1, Ordering::Relaxed);
+        waiting.insert(call, WaitingCall { class, answer });
+        Some(call)
+    }
+
     /// Answers a call; nothing happens if nobody waits any more.
     pub(crate) fn answer(&self, call: u64, answer: AdministrationAnswer) {
-        let waiting = self.lock().remove(&call);
-        if let Some(sender) = waiting {
-            let _ = sender.send(answer);
+        if let Some(waiting) = self.forget(call) {
+            let _ = waiting.answer.send(answer);
         }
     }
 
+    fn forget(&self, call: u64) -> Option<WaitingCall> {
+        self.lock().remove(&call)
+    }
+
     /// The core has ended: whoever waits learns that the outcome is unknown.
     pub(crate) fn give_up(&self) {
         let waiting = std::mem::take(&mut *self.lock());
-        for sender in waiting.into_values() {
-            let _ = sender.send(AdministrationAnswer::Unknown);
+        for call in waiting.into_values() {
+            let _ = call.answer.send(AdministrationAnswer::Unknown);
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, Sender<AdministrationAnswer>>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, WaitingCall>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn maximum(class: Urgency) -> usize {
+    match class {
+        Urgency::Announcements => MAXIMUM_LESS_URGENT_CALLS,
+        _ => MAXIMUM_CALLS,
+    }
+}
+
 /// The administration API's way to the core.
 pub(crate) struct CoreCalls {
     pub(crate) inputs: Inputs,
@@ -53,26 +85,19 @@
 
 impl AdministrationCalls for CoreCalls {
     fn call(&self, request: AdministrationRequest) -> AdministrationAnswer {
-        let call = self.table.next.fetch_add(1, Ordering::Relaxed);
         let (sender, answer) = bounded(1);
-        {
-            let mut waiting = self.table.lock();
-            if waiting.len() >= MAXIMUM_CALLS {
-                return AdministrationAnswer::Busy;
-            }
-            waiting.insert(call, sender);
-        }
-        if !self
-            .inputs
-            .send(ControlInput::Administration { call, request })
-        {
-            self.table.lock().remove(&call);
-            return AdministrationAnswer::NotLeader {
-                leader_address: None,
-            };
+        let class = Urgency::of_call(&request);
+        let Some(call) = self.table.admit(class, sender) else {
+            self.metrics.refused_calls.inc();
+            return AdministrationAnswer::Busy;
+        };
+        let input = ControlInput::Administration { call, request };
+        if let Err(reason) = self.inputs.offer(input) {
+            self.table.forget(call);
+            return not_taken(reason);
         }
         let answered = answer.recv_timeout(CALL_TIMEOUT);
-        self.table.lock().remove(&call);
+        self.table.forget(call);
         answered.unwrap_or(AdministrationAnswer::Unknown)
     }
 
@@ -80,3 +105,13 @@
         self.metrics.exposition()
     }
 }
+
+/// Nothing was done in either case.
+fn not_taken(reason: NotTaken) -> AdministrationAnswer {
+    match reason {
+        NotTaken::Full => AdministrationAnswer::Busy,
+        NotTaken::Ended => AdministrationAnswer::NotLeader {
+            leader_address: None,
+        },
+    }
+}
--- a/crates/millpass-control/src/deliveries.rs
+++ b/crates/millpass-control/src/deliveries.rs
@@ -63,7 +63,7 @@
             },
             Delivery::ReadPlatform(_) => return,
         };
-        self.inputs.offer(unanswered);
+        self.inputs.put(unanswered);
     }
 }
 
--- a/crates/millpass-control/src/inputs.rs
+++ b/crates/millpass-control/src/inputs.rs
@@ -1,18 +1,22 @@
-//! The way into the core: one bounded queue that its thread empties.
+//! The way into the core: bounded queues by urgency that its thread empties.
+//!
+//! Inputs of one class keep their order. Of one connection, credit and crash reports may overtake its
+//! other messages, and may be taken after its end: they rest on neither. Its end never overtakes a report
+//! or claim.
 
+use crate::backlog::{Backlog, Next};
 use crate::urgency::Urgency;
-use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use millpass_control_plane::ControlInput;
 use millpass_storage::StorageError;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-/// Inputs that may wait for the core.
-const QUEUE: usize = 16_384;
-
-/// What the core's thread takes from the queue.
+/// What the core's thread does next.
 pub(crate) enum HostInput {
-    /// An input of the core.
-    Core(Box<WaitingInput>),
+    /// A tick is due.
+    Tick,
+    /// Take this input up.
+    Core(WaitingInput),
     /// A write failed: the member must not go on.
     DiskFailed(StorageError),
     /// End without draining.
@@ -26,47 +30,161 @@
     pub(crate) input: ControlInput,
 }
 
+/// Why an input was not taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotTaken {
+    /// Its class is full.
+    Full,
+    /// The core has ended.
+    Ended,
+}
+
+#[derive(Default)]
+struct State {
+    backlog: Backlog<Box<WaitingInput>>,
+    disk_failure: Option<StorageError>,
+    is_halted: bool,
+    /// The core takes nothing more.
+    has_ended: bool,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    /// The core's thread waits here.
+    filled: Condvar,
+    /// Senders wait here for room, by class.
+    emptied: [Condvar; Urgency::ALL.len()],
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Sends inputs to the core's thread.
 #[derive(Clone)]
 pub(crate) struct Inputs {
-    sender: Sender<HostInput>,
+    shared: Arc<Shared>,
+}
+
+/// The core's end of the queues.
+pub(crate) struct InputQueue {
+    shared: Arc<Shared>,
 }
 
 impl Inputs {
-    /// The queue's two ends.
-    pub(crate) fn new() -> (Inputs, Receiver<HostInput>) {
-        let (sender, receiver) = bounded(QUEUE);
-        (Inputs { sender }, receiver)
+    /// The queues' two ends.
+    pub(crate) fn new() -> (Inputs, InputQueue) {
+        let shared = Arc::new(Shared::default());
+        let inputs = Inputs {
+            shared: shared.clone(),
+        };
+        (inputs, InputQueue { shared })
     }
 
-    /// Waits for room. False once the core has ended.
+    /// Waits for room: whoever reads a connection reads on when the core has caught up. False once the
+    /// core has ended.
     pub(crate) fn send(&self, input: ControlInput) -> bool {
-        self.sender.send(waiting(input)).is_ok()
+        let class = Urgency::of(&input);
+        let mut state = self.shared.lock();
+        while !state.has_ended && !state.backlog.has_room(class) {
+            let woken = self.shared.emptied[class as usize].wait(state);
+            state = woken.unwrap_or_else(PoisonError::into_inner);
+        }
+        self.push(&mut state, input).is_ok()
+    }
+
+    /// Refuses at once when the class is full: for what its sender repeats.
+    pub(crate) fn offer(&self, input: ControlInput) -> Result<(), NotTaken> {
+        self.push(&mut self.shared.lock(), input)
+    }
+
+    /// Adds what the core's thread itself causes: it cannot wait for room, and bounds it by what it has
+    /// under way.
+    pub(crate) fn put(&self, input: ControlInput) {
+        let waiting = waiting(input);
+        self.shared.lock().backlog.push_own(waiting.class, waiting);
     }
 
-    /// Drops the input when the queue is full: for what its sender repeats. False once the core
-    /// has ended.
-    pub(crate) fn offer(&self, input: ControlInput) -> bool {
-        let sent = self.sender.try_send(waiting(input));
-        !matches!(sent, Err(TrySendError::Disconnected(_)))
+    fn push(&self, state: &mut State, input: ControlInput) -> Result<(), NotTaken> {
+        if state.has_ended {
+            return Err(NotTaken::Ended);
+        }
+        let waiting = waiting(input);
+        let pushed = state.backlog.push(waiting.class, waiting);
+        pushed.map_err(|_| NotTaken::Full)?;
+        self.shared.filled.notify_one();
+        Ok(())
     }
 
     /// Tells that a write failed.
     pub(crate) fn disk_failed(&self, error: StorageError) {
-        // Without a core nobody needs to know.
-        let _ = self.sender.send(HostInput::DiskFailed(error));
+        self.shared.lock().disk_failure = Some(error);
+        self.shared.filled.notify_one();
     }
 
     /// Ends the core without draining.
     pub(crate) fn halt(&self) {
-        let _ = self.sender.send(HostInput::Halt);
+        self.shared.lock().is_halted = true;
+        self.shared.filled.notify_one();
+    }
+}
+
+impl InputQueue {
+    /// Waits for what to do next, at most until the tick is due.
+    pub(crate) fn next(&self, tick_due: Instant) -> HostInput {
+        let mut state = self.shared.lock();
+        loop {
+            if let Some(error) = state.disk_failure.take() {
+                return HostInput::DiskFailed(error);
+            }
+            if state.is_halted {
+                return HostInput::Halt;
+            }
+            let now = Instant::now();
+            match state.backlog.next(now, tick_due) {
+                Next::Tick => return HostInput::Tick,
+                Next::Input(class, waiting) => {
+                    self.shared.emptied[class as usize].notify_one();
+                    return HostInput::Core(*waiting);
+                }
+                Next::Nothing => {}
+            }
+            let left = tick_due.saturating_duration_since(now);
+            let woken = self.shared.filled.wait_timeout(state, left);
+            state = woken.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Takes nothing more: whoever waits for room learns that the core has ended.
+    pub(crate) fn close(&self) {
+        let mut state = self.shared.lock();
+        state.has_ended = true;
+        state.backlog = Backlog::default();
+        drop(state);
+        self.shared.emptied.iter().for_each(Condvar::notify_all);
+    }
+
+    /// Inputs that wait, and inputs refused since the start, by class.
+    pub(crate) fn lengths(&self) -> [(Urgency, usize, u64); Urgency::ALL.len()] {
+        let state = self.shared.lock();
+        let backlog = &state.backlog;
+        Urgency::ALL.map(|class| (class, backlog.length(class), backlog.refused(class)))
+    }
+}
+
+impl Drop for InputQueue {
+    fn drop(&mut self) {
+        self.close();
     }
 }
 
-fn waiting(input: ControlInput) -> HostInput {
-    HostInput::Core(Box::new(WaitingInput {
+fn waiting(input: ControlInput) -> Box<WaitingInput> {
+    Box::new(WaitingInput {
         class: Urgency::of(&input),
         since: Instant::now(),
         input,
-    }))
+    })
 }
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -6,7 +6,8 @@
 //! | `process` | the threads, from start to stop |
 //! | `startup` | who this member is and what its data folder holds |
 //! | `member` | the core's thread: carries out what the core wants |
-//! | `inputs` | the one queue into the core |
+//! | `inputs` | the way into the core |
+//! | `backlog` | what waits for the core, by urgency |
 //! | `urgency` | how urgent an input is |
 //! | `lateness` | tells when the core's thread is late |
 //! | `disk` | writes and syncs |
@@ -22,6 +23,7 @@
 
 pub mod administration;
 pub mod api;
+pub mod backlog;
 mod calls;
 pub mod client;
 mod connections;
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -8,13 +8,16 @@
 use crate::deliveries::{Deliveries, Delivery};
 use crate::disk::DiskWork;
 use crate::error::ControlError;
-use crate::inputs::HostInput;
+use crate::inputs::{HostInput, InputQueue, WaitingInput};
 use crate::lateness::LatenessWatch;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::urgency::Urgency;
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
-use millpass_control_plane::{ControlEvent, ControlInput, ControlOutput, ControlPlane, FinalState};
+use crossbeam::channel::Sender;
+use millpass_control_plane::{
+    AdministrationAnswer, AdministrationRequest, ControlEvent, ControlInput, ControlOutput,
+    ControlPlane, FinalState,
+};
 use millpass_proto::{LinkMessage, MemberAddress, Membership, Timestamp};
 use millpass_telemetry::{ProcessClock, SuspensionWatch, event_line, unix_millis};
 use std::collections::BTreeSet;
@@ -29,6 +32,10 @@
 /// cut off, and nobody tells it.
 const LEADERLESS: Duration = Duration::from_secs(2);
 
+/// Longest time an instance waits for the answer to its announcement before it calls another member. The
+/// protocol between servers and members sets it (docs/PLATFORM.md); work on an older one would be in vain.
+const ANNOUNCEMENT_PATIENCE: Duration = Duration::from_secs(1);
+
 /// The core with everything it acts through.
 pub(crate) struct Member {
     pub(crate) core: ControlPlane,
@@ -36,7 +43,7 @@
     pub(crate) address: MemberAddress,
     /// Peer addresses to ask when this process is not a member yet.
     pub(crate) others: Vec<String>,
-    pub(crate) queue: Receiver<HostInput>,
+    pub(crate) queue: InputQueue,
     pub(crate) disk: Sender<DiskWork>,
     pub(crate) peers: Peers,
     pub(crate) connections: Arc<Connections>,
@@ -61,6 +68,8 @@
     /// Body of the thread.
     pub(crate) fn run(mut self) -> Result<(), ControlError> {
         let end = self.serve();
+        // First, so that no call is taken in after the last ones are answered.
+        self.queue.close();
         self.connections.close();
         self.calls.give_up();
         match end {
@@ -79,20 +88,19 @@
         let mut next_tick = Instant::now();
         let mut next_housekeeping = Instant::now();
         loop {
-            let input = match self.queue.recv_deadline(next_tick) {
-                Ok(HostInput::Core(waiting)) => {
-                    self.show_lateness(Some(waiting.class), waiting.since);
-                    waiting.input
-                }
-                Ok(HostInput::DiskFailed(error)) => return End::Failed(error.into()),
-                Ok(HostInput::Halt) | Err(RecvTimeoutError::Disconnected) => return End::Halted,
-                Err(RecvTimeoutError::Timeout) => {
+            let has_stopped = match self.queue.next(next_tick) {
+                HostInput::Core(waiting) => self.take_up(waiting),
+                HostInput::Tick => {
                     self.show_lateness(None, next_tick);
+                    let has_stopped = self.step(ControlInput::Tick);
+                    // From the end of the step: ticks that take long must leave time for inputs.
                     next_tick = Instant::now() + TICK;
-                    ControlInput::Tick
+                    has_stopped
                 }
+                HostInput::DiskFailed(error) => return End::Failed(error.into()),
+                HostInput::Halt => return End::Halted,
             };
-            if self.step(input) {
+            if has_stopped {
                 return End::Stopped;
             }
             if Instant::now() >= next_housekeeping {
@@ -102,6 +110,16 @@
         }
     }
 
+    fn take_up(&mut self, waiting: WaitingInput) -> bool {
+        self.show_lateness(Some(waiting.class), waiting.since);
+        if let Some(call) = outdated_announcement(&waiting) {
+            self.metrics.outdated_announcements.inc();
+            self.calls.answer(call, AdministrationAnswer::Busy);
+            return false;
+        }
+        self.step(waiting.input)
+    }
+
     /// Shows how long an input of a class waited, or how much later than due a tick comes.
     fn show_lateness(&mut self, class: Option<Urgency>, since: Instant) {
         let now = Instant::now();
@@ -113,7 +131,8 @@
         if let Some(late) = self.lateness.look(now, class, age) {
             let class = late.class.map_or("tick", Urgency::name);
             let (age_millis, count) = (late.age.as_millis(), late.count);
-            let waiting = self.queue.len();
+            let lengths = self.queue.lengths();
+            let waiting: usize = lengths.iter().map(|(_, length, _)| length).sum();
             log::warn!(
                 "event=core_late class={class} age_ms={age_millis} late={count} waiting={waiting}"
             );
@@ -188,13 +207,23 @@
         }
         let status = self.core.consensus_status();
         self.metrics.show_consensus(&status);
-        self.metrics.show_queue(self.queue.len());
+        self.show_queues();
         let leaderless = self.is_leaderless(status.leader.is_none());
         if leaderless || !is_member(&status.membership, &self.address) {
             self.ask_to_join(&status.membership);
         }
     }
 
+    fn show_queues(&mut self) {
+        for (class, length, refused) in self.queue.lengths() {
+            let new = self.metrics.show_queue(class, length, refused);
+            if new > 0 {
+                let class = class.name();
+                log::warn!("event=inputs_refused class={class} count={new} waiting={length}");
+            }
+        }
+    }
+
     /// Whether no leader has been known for long.
     fn is_leaderless(&mut self, none_known: bool) -> bool {
         if !none_known {
@@ -232,3 +261,15 @@
     sets.iter()
         .any(|set| set.iter().any(|member| member.member == address.member))
 }
+
+/// The call of an announcement whose sender waits no more. One that says that its instance leaves is of a
+/// more urgent class and always taken up.
+fn outdated_announcement(waiting: &WaitingInput) -> Option<u64> {
+    let ControlInput::Administration { call, request } = &waiting.input else {
+        return None;
+    };
+    let is_outdated = waiting.class == Urgency::Announcements
+        && matches!(request, AdministrationRequest::Announce(_))
+        && waiting.since.elapsed() >= ANNOUNCEMENT_PATIENCE;
+    is_outdated.then_some(*call)
+}
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -2,7 +2,10 @@
 
 use crate::urgency::Urgency;
 use millpass_consensus::{ConsensusStatus, Role};
-use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry,
+};
 use std::time::Duration;
 
 /// Upper bounds, in seconds, of the histogram of syncs.
@@ -25,7 +28,12 @@
     /// By class.
     input_wait_seconds: HistogramVec,
     tick_late_seconds: Histogram,
-    queue: IntGauge,
+    /// By class.
+    queues: IntGaugeVec,
+    /// By class.
+    refused_inputs: IntCounterVec,
+    /// Announcements answered as refused because they had waited too long.
+    pub(crate) outdated_announcements: IntCounter,
     term: IntGauge,
     commit: IntGauge,
     leads: IntGauge,
@@ -33,6 +41,8 @@
     pub(crate) connections: IntGauge,
     /// Messages to members and routers that were dropped because a queue was full.
     pub(crate) dropped_messages: IntGauge,
+    /// Calls of the administration API refused because too many of their class waited.
+    pub(crate) refused_calls: IntGauge,
 }
 
 impl Metrics {
@@ -53,6 +63,16 @@
         let ticks = HistogramOpts::new("control_tick_late_seconds", help);
         let tick_late_seconds = Histogram::with_opts(ticks.buckets(WAIT_SECONDS.to_vec()))?;
         registry.register(Box::new(tick_late_seconds.clone()))?;
+        let queues = Opts::new("control_input_queue", "Inputs that wait for the core");
+        let queues = IntGaugeVec::new(queues, &["class"])?;
+        registry.register(Box::new(queues.clone()))?;
+        let help = "Inputs refused because their queue was full";
+        let refused = Opts::new("control_inputs_refused_total", help);
+        let refused_inputs = IntCounterVec::new(refused, &["class"])?;
+        registry.register(Box::new(refused_inputs.clone()))?;
+        let help = "Announcements refused because they had waited too long";
+        let outdated_announcements = IntCounter::new("control_outdated_announcements_total", help)?;
+        registry.register(Box::new(outdated_announcements.clone()))?;
         let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -64,12 +84,15 @@
             sync_seconds,
             input_wait_seconds,
             tick_late_seconds,
-            queue: gauge("control_input_queue", "Inputs that wait for the core")?,
+            queues,
+            refused_inputs,
+            outdated_announcements,
             term: gauge("control_term", "Term of consensus")?,
             commit: gauge("control_commit_index", "Last committed log entry")?,
             leads: gauge("control_leads", "1 if this member believes to lead")?,
             connections: gauge("control_connections", "Open connections")?,
             dropped_messages: gauge("control_dropped_messages", "Messages dropped, queue full")?,
+            refused_calls: gauge("control_refused_calls", "Calls refused, too many wait")?,
             registry,
         })
     }
@@ -91,8 +114,14 @@
         self.tick_late_seconds.observe(time.as_secs_f64());
     }
 
-    pub(crate) fn show_queue(&self, waiting: usize) {
-        self.queue.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    /// Shows a class's queue; returns how many inputs were refused since the last look.
+    pub(crate) fn show_queue(&self, class: Urgency, waiting: usize, refused: u64) -> u64 {
+        let queue = self.queues.with_label_values(&[class.name()]);
+        queue.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        let counter = self.refused_inputs.with_label_values(&[class.name()]);
+        let new = refused.saturating_sub(counter.get());
+        counter.inc_by(new);
+        new
     }
 
     pub(crate) fn show_consensus(&self, status: &ConsensusStatus) {
--- a/crates/millpass-control/src/urgency.rs
+++ b/crates/millpass-control/src/urgency.rs
@@ -1,8 +1,8 @@
 //! How urgent an input of the core is.
 //!
 //! The classes follow what a delay costs: a vote or heartbeat that is late costs the leader, a promised
-//! change that is late is not in force, a request waits for credit, a report is repeated, and an instance
-//! announces itself again.
+//! change or departure that is late is not in force, a request waits for credit, a report is repeated, and
+//! an instance announces itself again.
 
 use millpass_control_plane::{AdministrationRequest, ControlInput};
 use millpass_proto::{ObjectKind, RouterToControl};
@@ -53,7 +53,7 @@
             | ControlInput::PeerGreeting(_)
             | ControlInput::Persisted { .. } => Urgency::Consensus,
             ControlInput::Join(_) | ControlInput::Drain => Urgency::Promised,
-            ControlInput::Administration { request, .. } => of_call(request),
+            ControlInput::Administration { request, .. } => Urgency::of_call(request),
             ControlInput::Router { message, .. } => of_router(message),
             // With the reports, so that it follows the last one of its connection.
             ControlInput::RouterDisconnected(_)
@@ -62,25 +62,28 @@
             | ControlInput::InstructionAnswered { .. } => Urgency::Reports,
         }
     }
-}
 
-fn of_call(request: &AdministrationRequest) -> Urgency {
-    match request {
-        AdministrationRequest::Change(_)
-        | AdministrationRequest::MarkBackend(..)
-        | AdministrationRequest::ChangeMembership(_)
-        | AdministrationRequest::PutDocument(_)
-        | AdministrationRequest::GetDocument
-        | AdministrationRequest::Depart(_)
-        | AdministrationRequest::LiftRequest(_) => Urgency::Promised,
-        // Every call of an operator first reads the operators, to know whose key it brings.
-        AdministrationRequest::List(ObjectKind::Operator) => Urgency::Promised,
-        AdministrationRequest::Get(_)
-        | AdministrationRequest::List(_)
-        | AdministrationRequest::Status
-        | AdministrationRequest::Audit(_)
-        | AdministrationRequest::Announce(_)
-        | AdministrationRequest::HeldRequests => Urgency::Announcements,
+    /// The class of a call of the administration API.
+    pub fn of_call(request: &AdministrationRequest) -> Self {
+        match request {
+            AdministrationRequest::Change(_)
+            | AdministrationRequest::MarkBackend(..)
+            | AdministrationRequest::ChangeMembership(_)
+            | AdministrationRequest::PutDocument(_)
+            | AdministrationRequest::GetDocument
+            | AdministrationRequest::Depart(_)
+            | AdministrationRequest::LiftRequest(_) => Urgency::Promised,
+            // An instance leaves by its announcement.
+            AdministrationRequest::Announce(record) if record.draining => Urgency::Promised,
+            // Every call of an operator first reads the operators, to know whose key it brings.
+            AdministrationRequest::List(ObjectKind::Operator) => Urgency::Promised,
+            AdministrationRequest::Get(_)
+            | AdministrationRequest::List(_)
+            | AdministrationRequest::Status
+            | AdministrationRequest::Audit(_)
+            | AdministrationRequest::Announce(_)
+            | AdministrationRequest::HeldRequests => Urgency::Announcements,
+        }
     }
 }
 
