--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -6,7 +6,10 @@
 //! | `process` | the threads, from start to stop |
 //! | `startup` | who this member is and what its data folder holds |
 //! | `member` | the core's thread: carries out what the core wants |
-//! | `inputs` | the one queue into the core |
+//! | `inputs` | the way into the core |
+//! | `backlog` | what waits for the core, by urgency |
+//! | `urgency` | how urgent an input is |
+//! | `lateness` | tells when the core's thread is late |
 //! | `disk` | writes and syncs |
 //! | `connections` | connections that members, routers and joiners make |
 //! | `freshness` | answers gateways' questions by datagram |
@@ -21,6 +24,7 @@
 
 pub mod administration;
 pub mod api;
+pub mod backlog;
 mod calls;
 pub mod client;
 mod connections;
@@ -30,12 +34,14 @@
 mod freshness;
 mod inputs;
 pub mod interface;
+pub mod lateness;
 mod member;
 mod metrics;
 mod peers;
 mod process;
 pub mod settings;
 mod startup;
+pub mod urgency;
 
 pub use error::ControlError;
 pub use interface::{ApiExtension, EngineCalls, Extensions};
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -1,7 +1,11 @@
 //! Prometheus metrics of a control member.
 
+use crate::urgency::Urgency;
 use millpass_consensus::{ConsensusStatus, Role};
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry,
+};
 use std::time::Duration;
 
 /// Upper bounds, in seconds, of the histogram of syncs.
@@ -12,6 +16,9 @@
 /// Upper bounds, in seconds, of the histogram of documents on their way to gateways: from a round trip to a
 /// gateway that was away for a minute.
 const REACH_SECONDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
+/// Upper bounds, in seconds, of the histograms of what waits for the core: from a step's time to beyond
+/// the election timeout.
+const WAIT_SECONDS: [f64; 10] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
 
 /// Metrics of one process.
 pub(crate) struct Metrics {
@@ -22,6 +29,15 @@
     pub(crate) steps: IntGauge,
     sync_seconds: Histogram,
     document_seconds: Histogram,
+    /// By class.
+    input_wait_seconds: HistogramVec,
+    tick_late_seconds: Histogram,
+    /// By class.
+    queues: IntGaugeVec,
+    /// By class.
+    refused_inputs: IntCounterVec,
+    /// Announcements answered as refused because they had waited too long.
+    pub(crate) outdated_announcements: IntCounter,
     term: IntGauge,
     commit: IntGauge,
     leads: IntGauge,
@@ -31,6 +47,8 @@
     pub(crate) dropped_messages: IntGauge,
     /// Questions of gateways that were answered by datagram.
     pub(crate) freshness_answers: IntGauge,
+    /// Calls of the administration API refused because too many of their class waited.
+    pub(crate) refused_calls: IntGauge,
 }
 
 impl Metrics {
@@ -48,6 +66,25 @@
         );
         let document_seconds = Histogram::with_opts(documents.buckets(REACH_SECONDS.to_vec()))?;
         registry.register(Box::new(document_seconds.clone()))?;
+        let help = "Time that an input waited for the core";
+        let waits = HistogramOpts::new("control_input_wait_seconds", help);
+        let waits = waits.buckets(WAIT_SECONDS.to_vec());
+        let input_wait_seconds = HistogramVec::new(waits, &["class"])?;
+        registry.register(Box::new(input_wait_seconds.clone()))?;
+        let help = "How much later than due the core's ticks come";
+        let ticks = HistogramOpts::new("control_tick_late_seconds", help);
+        let tick_late_seconds = Histogram::with_opts(ticks.buckets(WAIT_SECONDS.to_vec()))?;
+        registry.register(Box::new(tick_late_seconds.clone()))?;
+        let queues = Opts::new("control_input_queue", "Inputs that wait for the core");
+        let queues = IntGaugeVec::new(queues, &["class"])?;
+        registry.register(Box::new(queues.clone()))?;
+        let help = "Inputs refused because their queue was full";
+        let refused = Opts::new("control_inputs_refused_total", help);
+        let refused_inputs = IntCounterVec::new(refused, &["class"])?;
+        registry.register(Box::new(refused_inputs.clone()))?;
+        let help = "Announcements refused because they had waited too long";
+        let outdated_announcements = IntCounter::new("control_outdated_announcements_total", help)?;
+        registry.register(Box::new(outdated_announcements.clone()))?;
         let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -58,6 +95,11 @@
             steps: gauge("control_steps", "Inputs taken by the decision core")?,
             sync_seconds,
             document_seconds,
+            input_wait_seconds,
+            tick_late_seconds,
+            queues,
+            refused_inputs,
+            outdated_announcements,
             term: gauge("control_term", "Term of consensus")?,
             commit: gauge("control_commit_index", "Last committed log entry")?,
             leads: gauge("control_leads", "1 if this member believes to lead")?,
@@ -67,6 +109,7 @@
                 "control_freshness_answers",
                 "Questions of gateways answered",
             )?,
+            refused_calls: gauge("control_refused_calls", "Calls refused, too many wait")?,
             registry,
         })
     }
@@ -83,6 +126,25 @@
         self.document_seconds.observe(after.as_secs_f64());
     }
 
+    pub(crate) fn input_waited(&self, class: Urgency, time: Duration) {
+        let histogram = self.input_wait_seconds.with_label_values(&[class.name()]);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn tick_late(&self, time: Duration) {
+        self.tick_late_seconds.observe(time.as_secs_f64());
+    }
+
+    /// Shows a class's queue; returns how many inputs were refused since the last look.
+    pub(crate) fn show_queue(&self, class: Urgency, waiting: usize, refused: u64) -> u64 {
+        let queue = self.queues.with_label_values(&[class.name()]);
+        queue.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        let counter = self.refused_inputs.with_label_values(&[class.name()]);
+        let new = refused.saturating_sub(counter.get());
+        counter.inc_by(new);
+        new
+    }
+
     pub(crate) fn show_consensus(&self, status: &ConsensusStatus) {
         self.term.set(signed(status.term));
         self.commit.set(signed(status.commit));
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -9,6 +9,7 @@
 use crate::freshness::FreshnessPort;
 use crate::inputs::Inputs;
 use crate::interface::Extensions;
+use crate::lateness::LatenessWatch;
 use crate::member::Member;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -187,6 +188,7 @@
         metrics,
         leaderless_since: None,
         suspensions: SuspensionWatch::default(),
+        lateness: LatenessWatch::default(),
     };
     let core = spawn("control-core", move || member.run())?;
     log::info!(
