A control process ends with its member

Cause: the program waited for a signal only. A member whose disk refused one write ended, its process stayed: it called itself ready, took connections and calls, and neither voted nor stored until somebody stopped it. Class: a process that outlives the part which does its work. Ruled out: that the member starts wrongly on the disk that refused (it starts and serves once the disk takes writes). Conclusion: a full disk costs a member for as long as it is full, not for the rest of its life.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -42,7 +42,9 @@
         file: settings.log.file.clone(),
     })?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handlers")?;
-    let handle = millpass_control::start(control_process(&settings)?)?;
+    let mut handle = millpass_control::start(control_process(&settings)?)?;
+    let waiting = signals.handle();
+    handle.on_end(move || waiting.close())?;
     wait_for_signal(&mut signals);
     handle.drain();
     handle.join()?;
@@ -66,7 +68,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// The first signal starts an orderly stop; the default action is back for the second.
+/// Waits for a signal, or until the signals are closed. The first signal starts an orderly stop; the default action is back for the second.
 pub fn wait_for_signal(signals: &mut Signals) {
     if let Some(signal) = signals.forever().next() {
         log::info!(
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -13,7 +13,7 @@
 use crate::peers::Peers;
 use crate::settings::ControlProcessSettings;
 use crate::startup::{self, ListenAddresses};
-use crossbeam::channel::unbounded;
+use crossbeam::channel::{Receiver, bounded, unbounded};
 use millpass_control_plane::ControlInput;
 use millpass_proto::{Duration, MemberAddress, MemberId};
 use millpass_telemetry::{ProcessClock, SuspensionWatch};
@@ -31,6 +31,8 @@
     inputs: Inputs,
     administration: AdministrationServer,
     core: Option<JoinHandle<Result<(), ControlError>>>,
+    /// Nothing is ever sent on it; it closes when the core's thread ends.
+    core_ended: Receiver<()>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -141,7 +143,12 @@
         leaderless_since: None,
         suspensions: SuspensionWatch::default(),
     };
-    let core = spawn("control-core", move || member.run())?;
+    let (running, core_ended) = bounded::<()>(0);
+    let core = spawn("control-core", move || {
+        // Dropped when this thread ends, by a panic too.
+        let _running = running;
+        member.run()
+    })?;
     log::info!(
         "event=control_started group={} member={} zone={} peer_address={} administration_address={}",
         settings.group,
@@ -156,6 +163,7 @@
         inputs,
         administration,
         core: Some(core),
+        core_ended,
         threads,
     })
 }
@@ -199,6 +207,20 @@
         self.core.as_ref().is_none_or(JoinHandle::is_finished)
     }
 
+    /// Calls back once the member has ended, for whatever reason. A process without its member
+    /// must end as well: it answers as if it took part, and whoever starts ended processes again
+    /// sees none to start.
+    pub fn on_end(&mut self, act: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+        let ended = self.core_ended.clone();
+        let watch = spawn("control-end", move || {
+            // It closes without a message.
+            let _ = ended.recv();
+            act();
+        })?;
+        self.threads.push(watch);
+        Ok(())
+    }
+
     /// Waits until the member has ended, and says why if it failed.
     pub fn join(mut self) -> Result<(), ControlError> {
         self.wait()
