A folder starts with segments that outlasted the removal of a later one

Cause: removals of several segments are not synced one by one; after a loss of power a gap in the numbers was taken for a lost segment, and the member refused to start. Ruled out: a sync after each removal: folders left by a running release would still be refused.

--- a/crates/millpass-storage/src/restored.rs
+++ b/crates/millpass-storage/src/restored.rs
@@ -58,6 +58,11 @@
         /// File.
         file: PathBuf,
     },
+    /// A segment that a snapshot covers had outlasted the removal of a later one; it was removed.
+    CoveredSegmentRemoved {
+        /// File.
+        file: PathBuf,
+    },
     /// The log did not reach the snapshot, whose installation had begun; it was replaced.
     LogReplaced {
         /// Entries dropped.
@@ -82,6 +87,11 @@
                 "repair=temporary_file_removed file={}",
                 file.display()
             ),
+            RecoveryNote::CoveredSegmentRemoved { file } => write!(
+                formatter,
+                "repair=covered_segment_removed file={}",
+                file.display()
+            ),
             RecoveryNote::LogReplaced { dropped } => {
                 write!(formatter, "repair=log_replaced dropped={dropped}")
             }
--- a/crates/millpass-storage/src/segment.rs
+++ b/crates/millpass-storage/src/segment.rs
@@ -104,29 +104,41 @@
     pub(crate) replay: Replay,
     /// Segments, oldest first.
     pub(crate) segments: Vec<SegmentInfo>,
+    /// Numbers of segments that were not read, as one is missing behind them.
+    pub(crate) before_gap: Vec<u64>,
     /// Length of the newest, without a torn end.
     pub(crate) newest_length: u64,
     /// Whether a torn end is to be cut off.
     pub(crate) note: Option<RecoveryNote>,
 }
 
-/// Reads all segments. Changes nothing.
+/// Reads all segments from the last gap in their numbers on. Changes nothing.
+///
+/// What stands before a gap was covered by a snapshot: removals of several segments may last over a
+/// loss of power in any order. The caller checks that a snapshot reaches the first segment read.
 pub(crate) fn load(folder: &Path, numbers: &[u64]) -> Result<LoadedSegments, StorageError> {
+    let (before_gap, numbers) = numbers.split_at(after_last_gap(numbers));
     let mut loaded: Option<LoadedSegments> = None;
     for (position, number) in numbers.iter().enumerate() {
         let is_newest = position + 1 == numbers.len();
         let path = files::segment_path(folder, *number);
-        let follows = position == 0 || numbers[position - 1] + 1 == *number;
-        if !follows {
-            let reason = "the segment before it is missing";
-            return Err(StorageError::corrupt(&path, 0, reason));
-        }
         load_one(&path, *number, is_newest, &mut loaded)?;
     }
-    loaded.ok_or_else(|| {
+    let mut loaded = loaded.ok_or_else(|| {
         let reason = "the log has no segment";
         StorageError::corrupt(&files::segment_path(folder, 1), 0, reason)
-    })
+    })?;
+    loaded.before_gap = before_gap.to_vec();
+    Ok(loaded)
+}
+
+/// Position of the first number of the last run without a gap.
+fn after_last_gap(numbers: &[u64]) -> usize {
+    let follows_gap = |pair: &[u64]| pair[0] + 1 != pair[1];
+    numbers
+        .windows(2)
+        .rposition(follows_gap)
+        .map_or(0, |position| position + 1)
 }
 
 fn load_one(
@@ -152,6 +164,7 @@
     let loaded = loaded.get_or_insert_with(|| LoadedSegments {
         replay: Replay::new(hard_state.clone(), last),
         segments: Vec::new(),
+        before_gap: Vec::new(),
         newest_length: 0,
         note: None,
     });
--- a/crates/millpass-storage/src/storage.rs
+++ b/crates/millpass-storage/src/storage.rs
@@ -268,6 +268,7 @@
     let covered = snapshot
         .as_ref()
         .map_or(record.initial.last, |snapshot| snapshot.meta.last);
+    refuse_uncovered_gap(folder, &loaded, covered)?;
     let newest = loaded.segments.last().map_or(0, |segment| segment.number);
     let path = files::segment_path(folder, newest);
     if loaded.replay.base.index > covered.index {
@@ -280,6 +281,11 @@
         remove(&file)?;
         notes.push(RecoveryNote::TemporaryFileRemoved { file });
     }
+    for number in loaded.before_gap {
+        let file = files::segment_path(folder, number);
+        remove(&file)?;
+        notes.push(RecoveryNote::CoveredSegmentRemoved { file });
+    }
     let mut storage = Storage {
         folder: folder.to_owned(),
         options,
@@ -313,6 +319,23 @@
     Ok((storage, restored))
 }
 
+/// Segments before a gap may go only if the snapshot covers all up to the first one behind it.
+fn refuse_uncovered_gap(
+    folder: &Path,
+    loaded: &LoadedSegments,
+    covered: LogPosition,
+) -> Result<(), StorageError> {
+    let Some(first) = loaded.segments.first() else {
+        return Ok(());
+    };
+    if loaded.before_gap.is_empty() || first.start.index <= covered.index {
+        return Ok(());
+    }
+    let path = files::segment_path(folder, first.number);
+    let reason = "the segment before it is missing";
+    Err(StorageError::corrupt(&path, 0, reason))
+}
+
 /// Without an identity file nothing was ever acknowledged, unless that file was lost: then there
 /// is more than what a broken-off initialization leaves.
 fn refuse_leftover_data(folder: &Path, content: &FolderContent) -> Result<(), StorageError> {
--- a/crates/millpass-storage/tests/lost_power.rs
+++ b/crates/millpass-storage/tests/lost_power.rs
@@ -4,8 +4,8 @@
 //! What users would see: after a loss of all power a member refuses to start, as "the segment before it is missing".
 //! Where a disk is lost at the same moment, two of three members are left and both are needed: nobody leads any more.
 //!
-//! Cause: a snapshot that covers several segments removed them one after the other without a sync of the folder. The
-//! removal of a later one may last while that of an earlier one does not, which looks like a segment that was lost.
+//! Cause: a snapshot that covers several segments removes them one after the other. The removal of a later one may
+//! last while that of an earlier one does not, and the gap was taken for a segment that had been lost.
 
 mod common;
 
