The name of a new data folder is synced

Cause: the folder itself, and folders above it that were missing, were made without a sync of what holds them. After a loss of power the name may be gone, and the member comes back under a new identity although its disk was not lost. Ruled out: nothing; found by reading. No test can see a sync on a file system that loses nothing. Conclusion: kept; where the folder stands already nothing changes.

--- a/crates/millpass-storage/src/files.rs
+++ b/crates/millpass-storage/src/files.rs
@@ -156,8 +156,27 @@
     }
     file.sync_all().at(&temporary)?;
     fs::rename(&temporary, path).at(path)?;
-    let folder = path.parent().unwrap_or(Path::new("."));
-    sync_folder(folder)
+    sync_folder(parent(path))
+}
+
+/// Makes a folder with those above it that are missing, and syncs the name of each: an identity in a folder whose own
+/// name is lost with the power is lost as well.
+pub(crate) fn create_folder(folder: &Path) -> Result<(), StorageError> {
+    let is_missing = |folder: &&Path| !folder.as_os_str().is_empty() && !folder.exists();
+    let missing: Vec<&Path> = folder.ancestors().take_while(is_missing).collect();
+    fs::create_dir_all(folder).at(folder)?;
+    for made in missing {
+        sync_folder(parent(made))?;
+    }
+    Ok(())
+}
+
+/// Folder that holds a file or folder.
+fn parent(path: &Path) -> &Path {
+    match path.parent() {
+        Some(parent) if !parent.as_os_str().is_empty() => parent,
+        _ => Path::new("."),
+    }
 }
 
 /// Syncs the names in a folder.
--- a/crates/millpass-storage/src/storage.rs
+++ b/crates/millpass-storage/src/storage.rs
@@ -63,7 +63,7 @@
         identity: MemberIdentity,
         initial: SnapshotMeta,
     ) -> Result<(), StorageError> {
-        fs::create_dir_all(folder).at(folder)?;
+        files::create_folder(folder)?;
         let _lock = files::lock(folder)?;
         if snapshot_file::read_identity(folder)?.is_some() {
             return Err(StorageError::AlreadyInitialized {
