--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -30,9 +30,29 @@
 /// Wall clock at virtual time zero.
 const UNIX_START_MILLIS: u64 = 1_700_000_000_000;
 
+/// Times of the consensus core.
+#[derive(Clone, Copy)]
+pub struct Timing {
+    pub election_timeout: Duration,
+    pub heartbeat_interval: Duration,
+    pub lease_length: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            election_timeout: Duration::from_millis(1_000),
+            heartbeat_interval: Duration::from_millis(100),
+            lease_length: Duration::from_millis(800),
+        }
+    }
+}
+
 /// One member with its disk.
 pub struct Member {
     pub address: MemberAddress,
+    /// Membership that the disk was initialized with.
+    initial: Membership,
     pub plane: ControlPlane,
     pub hard_state: HardState,
     pub snapshot: Option<Snapshot>,
@@ -83,8 +103,10 @@
     pub fleet: Option<FleetSettings>,
     /// Voters up to which learners are promoted.
     pub wanted_voters: usize,
+    pub timing: Timing,
+    /// Added to what each member draws its random numbers from.
+    pub seed: u64,
     inputs: VecDeque<(MemberId, ControlInput)>,
-    initial: Membership,
     calls: u64,
     connections: u64,
     pub connection_member: BTreeMap<ConnectionId, MemberId>,
@@ -103,36 +125,6 @@
     }
 }
 
-fn settings(
-    address: MemberAddress,
-    snapshot_entries: u64,
-    fleet: Option<FleetSettings>,
-    wanted_voters: usize,
-) -> ControlPlaneSettings {
-    ControlPlaneSettings {
-        consensus: ConsensusSettings {
-            group: GroupId(1),
-            member: address.member,
-            election_timeout: Duration::from_millis(1_000),
-            heartbeat_interval: Duration::from_millis(100),
-            lease_length: Duration::from_millis(800),
-            maximum_append_entries: 64,
-            snapshot_chunk_bytes: 64 * 1024,
-            seed: address.member.0,
-        },
-        address,
-        scheduler: SchedulerSettings::default(),
-        router_lease: Duration::from_secs(3),
-        scheduling_interval: Duration::from_millis(200),
-        snapshot_entries,
-        claim_retention: Duration::from_secs(3_600),
-        member_replacement_delay: Duration::from_secs(5),
-        machine_gone_delay: Duration::from_secs(10),
-        wanted_voters,
-        fleet,
-    }
-}
-
 impl World {
     /// A group of `members` voters.
     pub fn new(members: u64) -> World {
@@ -171,19 +163,44 @@
             step: STEP,
             fleet: None,
             wanted_voters: 0,
+            timing: Timing::default(),
+            seed: 0,
             inputs: VecDeque::new(),
-            initial,
             calls: 0,
             connections: 0,
             connection_member: BTreeMap::new(),
         };
         for member in 1..=members {
-            let initial = world.initial.clone();
-            world.boot(address(member), initial);
+            world.boot(address(member), initial.clone());
         }
         world
     }
 
+    fn settings(&self, address: MemberAddress) -> ControlPlaneSettings {
+        ControlPlaneSettings {
+            consensus: ConsensusSettings {
+                group: GroupId(1),
+                member: address.member,
+                election_timeout: self.timing.election_timeout,
+                heartbeat_interval: self.timing.heartbeat_interval,
+                lease_length: self.timing.lease_length,
+                maximum_append_entries: 64,
+                snapshot_chunk_bytes: 64 * 1024,
+                seed: address.member.0 + self.seed,
+            },
+            address,
+            scheduler: SchedulerSettings::default(),
+            router_lease: Duration::from_secs(3),
+            scheduling_interval: Duration::from_millis(200),
+            snapshot_entries: self.snapshot_entries,
+            claim_retention: Duration::from_secs(3_600),
+            member_replacement_delay: Duration::from_secs(5),
+            machine_gone_delay: Duration::from_secs(10),
+            wanted_voters: self.wanted_voters,
+            fleet: self.fleet.clone(),
+        }
+    }
+
     /// Starts a member with an empty disk.
     pub fn boot(&mut self, address: MemberAddress, membership: Membership) {
         let restored = RestoredLog {
@@ -193,21 +210,17 @@
             },
             snapshot: SnapshotMeta {
                 last: LogPosition::ZERO,
-                membership,
+                membership: membership.clone(),
             },
             entries: Vec::new(),
         };
         let id = address.member;
         let hard_state = restored.hard_state.clone();
-        let settings = settings(
-            address.clone(),
-            self.snapshot_entries,
-            self.fleet.clone(),
-            self.wanted_voters,
-        );
+        let settings = self.settings(address.clone());
         let plane = ControlPlane::new(settings, restored, State::default(), self.now);
         let member = Member {
             address,
+            initial: membership,
             plane,
             hard_state,
             snapshot: None,
@@ -229,8 +242,7 @@
         let id = MemberId(id);
         self.halt(id);
         let now = self.now;
-        let snapshot_entries = self.snapshot_entries;
-        let initial = self.initial.clone();
+        let settings = self.settings(self.members[&id].address.clone());
         let member = self.members.get_mut(&id).unwrap();
         let (meta, state) = match &member.snapshot {
             Some(snapshot) => (
@@ -240,7 +252,7 @@
             None => (
                 SnapshotMeta {
                     last: LogPosition::ZERO,
-                    membership: initial,
+                    membership: member.initial.clone(),
                 },
                 State::default(),
             ),
@@ -256,12 +268,6 @@
                 .cloned()
                 .collect(),
         };
-        let settings = settings(
-            member.address.clone(),
-            snapshot_entries,
-            self.fleet.clone(),
-            self.wanted_voters,
-        );
         member.plane = ControlPlane::new(settings, restored, state, now);
         member.up = true;
         member.stopped = false;
@@ -269,6 +275,21 @@
         member.held.clear();
     }
 
+    /// The machine of a member that is down comes back with an empty disk: under a new identity, at its old address.
+    pub fn come_back_wiped(&mut self, old: MemberId, new: MemberId) {
+        self.halt(old);
+        let address = MemberAddress {
+            member: new,
+            ..self.members[&old].address.clone()
+        };
+        let nobody = Membership {
+            voters: Vec::new(),
+            outgoing_voters: Vec::new(),
+            learners: Vec::new(),
+        };
+        self.boot(address, nobody);
+    }
+
     /// Ends a member's process; its disk stays.
     pub fn halt(&mut self, id: MemberId) {
         self.members.get_mut(&id).unwrap().up = false;
@@ -435,7 +456,7 @@
         let target = self
             .members
             .values()
-            .find(|member| member.address.peer_address == address)
+            .find(|member| member.up && member.address.peer_address == address)
             .map(|member| member.address.member);
         if let Some(target) = target
             && self.reachable(from)
--- a/crates/millpass-control-plane/tests/harness/network.rs
+++ b/crates/millpass-control-plane/tests/harness/network.rs
@@ -4,20 +4,35 @@
 use millpass_proto::{Duration, MemberId, Timestamp};
 use std::collections::BTreeMap;
 
-/// Longest delay of a message, in milliseconds.
+/// Longest delay of a message unless a test sets another, in milliseconds.
 const LONGEST_DELAY_MILLIS: u64 = 400;
 
 /// Chances in percent, drawn from a seeded generator; calm when all are zero.
-#[derive(Default)]
 pub struct Network {
     pub seed: u64,
     pub dropped: u64,
     pub doubled: u64,
     pub delayed: u64,
+    /// Longest delay of a message, in milliseconds.
+    pub longest_delay_millis: u64,
     pub under_way: BTreeMap<(Timestamp, u64), (MemberId, ControlInput)>,
     pub sent: u64,
 }
 
+impl Default for Network {
+    fn default() -> Self {
+        Network {
+            seed: 0,
+            dropped: 0,
+            doubled: 0,
+            delayed: 0,
+            longest_delay_millis: LONGEST_DELAY_MILLIS,
+            under_way: BTreeMap::new(),
+            sent: 0,
+        }
+    }
+}
+
 impl Network {
     /// Delays of the copies that arrive.
     pub fn copies(&mut self) -> Vec<Duration> {
@@ -32,7 +47,7 @@
         if !self.chance(self.delayed) {
             return Duration::ZERO;
         }
-        Duration::from_millis(1 + self.next() % LONGEST_DELAY_MILLIS)
+        Duration::from_millis(1 + self.next() % self.longest_delay_millis)
     }
 
     /// Puts a message on its way.
