A granted request to join is forgotten, and an address belongs to whoever answers there

Class: a belief of the leader that outlives what it was about, and stands before newer ones. Ruled out: refusing such requests by age alone: a request may be forwarded late, so the learner itself must do no harm. Change: the leader forgets a request once its identity is a member; a learner is promoted only if it has confirmed an entry and answered within an election timeout; an address is taken over by an identity that has answered there since; a learner at whose address another answers is removed at once.

--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -12,7 +12,7 @@
 use crate::outputs::Outputs;
 use crate::platform::{self, Platform};
 use crate::proposals::{InternalKey, Proposals, Waiter};
-use crate::repair::{self, Repair};
+use crate::repair::{self, Repair, RepairSettings};
 use crate::sessions::{CopyBudget, RouteCopy, Sessions};
 use crate::snapshots::AppliedLog;
 use crate::watch::WatchShares;
@@ -427,9 +427,12 @@
             return;
         }
         let status = self.consensus.status();
-        let delay = self.settings.member_replacement_delay;
-        let wanted = self.settings.wanted_voters;
-        let Some(change) = self.repair.next_change(now, &status, delay, wanted) else {
+        let settings = RepairSettings {
+            replacement_delay: self.settings.member_replacement_delay,
+            answer_timeout: self.settings.consensus.election_timeout,
+            wanted_voters: self.settings.wanted_voters,
+        };
+        let Some(change) = self.repair.next_change(now, &status, settings) else {
             return;
         };
         out.event("member-repair", vec![("change", format!("{change:?}"))]);
--- a/crates/millpass-control-plane/src/repair.rs
+++ b/crates/millpass-control-plane/src/repair.rs
@@ -20,7 +20,19 @@
 /// Entries that a learner may lack and still count as caught up: joint consensus brings the rest.
 const CAUGHT_UP_ENTRIES: u64 = 64;
 
-/// Processes that ask to join.
+/// When members count as lost, and how many voters there shall be.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RepairSettings {
+    /// Silence after which a member is replaced.
+    pub(crate) replacement_delay: Duration,
+    /// Silence after which a member does not count as answering.
+    pub(crate) answer_timeout: Duration,
+    /// Voters up to which learners are promoted.
+    pub(crate) wanted_voters: usize,
+}
+
+/// Processes that ask to join and are in no membership. One that was taken on is forgotten: when it is replaced later,
+/// its machine has come back under another identity, and nobody answers under this one.
 #[derive(Default)]
 pub(crate) struct Repair {
     joiners: BTreeMap<MemberId, (MemberAddress, Timestamp)>,
@@ -44,21 +56,19 @@
         &mut self,
         now: Timestamp,
         status: &ConsensusStatus,
-        replacement_delay: Duration,
-        wanted_voters: usize,
+        settings: RepairSettings,
     ) -> Option<MembershipChange> {
         self.expire(now);
         let membership = &status.membership;
+        self.joiners
+            .retain(|member, _| !contains(membership, *member));
         if !membership.outgoing_voters.is_empty() {
             return None;
         }
-        let view = View {
-            status,
-            replacement_delay,
-        };
+        let view = View { status, settings };
         view.useless_learner()
             .or_else(|| view.promotion())
-            .or_else(|| view.growth(wanted_voters))
+            .or_else(|| view.growth())
             .or_else(|| self.addition(membership))
     }
 
@@ -86,7 +96,7 @@
 
 struct View<'a> {
     status: &'a ConsensusStatus,
-    replacement_delay: Duration,
+    settings: RepairSettings,
 }
 
 impl View<'_> {
@@ -100,19 +110,36 @@
         Duration::from_millis(millis)
     }
 
-    /// A learner that is silent for long, or whose address a newer learner has taken over.
+    /// A learner that is silent for long, or at whose address another member answers.
     fn useless_learner(&self) -> Option<MembershipChange> {
         let learners = &self.status.membership.learners;
         learners
             .iter()
-            .enumerate()
-            .find(|(place, learner)| {
-                let replaced = learners[place + 1..]
-                    .iter()
-                    .any(|newer| newer.peer_address == learner.peer_address);
-                replaced || self.silent(learner.member) > self.replacement_delay
+            .find(|learner| {
+                let silent = self.silent(learner.member);
+                silent > self.settings.replacement_delay
+                    || (silent > self.settings.answer_timeout && self.is_supplanted(learner))
             })
-            .map(|(_, learner)| MembershipChange::Remove(learner.member))
+            .map(|learner| MembershipChange::Remove(learner.member))
+    }
+
+    /// Whether another identity at the same address was heard after this one: a process has one identity at a time.
+    fn is_supplanted(&self, address: &MemberAddress) -> bool {
+        let membership = &self.status.membership;
+        let silent = self.silent(address.member);
+        membership
+            .voters
+            .iter()
+            .chain(&membership.learners)
+            .filter(|other| other.member != address.member)
+            .filter(|other| other.peer_address == address.peer_address)
+            .any(|other| self.has_answered(other.member) && self.silent(other.member) < silent)
+    }
+
+    /// Whether a member has ever confirmed an entry to this leader; the leader itself need not.
+    fn has_answered(&self, member: MemberId) -> bool {
+        self.progress(member)
+            .is_none_or(|progress| progress.match_index > 0)
     }
 
     /// A caught-up learner in place of a dead voter: the voter that listened on the learner's
@@ -144,9 +171,9 @@
     }
 
     /// A caught-up learner as one more voter, one of a zone without a voter first.
-    fn growth(&self, wanted_voters: usize) -> Option<MembershipChange> {
+    fn growth(&self) -> Option<MembershipChange> {
         let membership = &self.status.membership;
-        if membership.voters.len() >= wanted_voters {
+        if membership.voters.len() >= self.settings.wanted_voters {
             return None;
         }
         let has_voter = |zone| membership.voters.iter().any(|voter| voter.zone == zone);
@@ -167,24 +194,19 @@
             .voters
             .iter()
             .filter(|voter| {
-                self.silent(voter.member) > self.replacement_delay || self.address_taken(voter)
+                // An identity under which nobody answers takes no address over.
+                self.silent(voter.member) > self.settings.replacement_delay
+                    || self.is_supplanted(voter)
             })
             .collect()
     }
 
-    /// Whether a learner under a new identity listens where the voter did: the voter's disk is lost.
-    fn address_taken(&self, voter: &MemberAddress) -> bool {
-        let learners = &self.status.membership.learners;
-        learners
-            .iter()
-            .any(|learner| learner.peer_address == voter.peer_address)
-    }
-
     fn caught_up(&self, learner: MemberId) -> bool {
-        self.progress(learner).is_some_and(|progress| {
-            progress.match_index + CAUGHT_UP_ENTRIES >= self.status.last
-                && self.silent(learner) < self.replacement_delay
-        })
+        self.has_answered(learner)
+            && self.silent(learner) < self.settings.answer_timeout
+            && self.progress(learner).is_some_and(|progress| {
+                progress.match_index + CAUGHT_UP_ENTRIES >= self.status.last
+            })
     }
 }
 
