The membership is looked at every 100 ms

Cause: taking on, promoting and settling a member each waited for a look every 500 ms, so a group of three stood without a spare vote for longer than needed. Ruled out: a look at each request and each commit: the same gain through two more paths. Change: the interval. A look reads the status of the consensus core ten times a second instead of twice. What is left of the worst case is the election and the half second between two requests to join.

--- a/crates/millpass-control-plane/src/repair.rs
+++ b/crates/millpass-control-plane/src/repair.rs
@@ -9,8 +9,9 @@
 use millpass_proto::{Duration, MemberAddress, MemberId, Membership, Timestamp};
 use std::collections::BTreeMap;
 
-/// Time between two looks at the membership.
-pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two looks at the membership. Making good a lost disk takes up to three looks: in virtual time 0.2 s in
+/// the median, 0.7 s with looks every 500 ms.
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a joiner that asks no more is forgotten.
 const JOINER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most joiners remembered.
