--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -226,6 +226,34 @@
     assert_eq!(first.removed, ["i-1".into()]);
 }
 
+/// Requests reached instances that had said, and had been told, that their word is taken, longer ago than the bound.
+/// A gateway learns of an instance from one leader; the next leader takes over before the instance was noted in the
+/// log, and greets the gateway; then the instance says that it leaves. The leader recorded that in the log, but as it
+/// did not know the instance, nothing had changed for it, and the gateway, which did know it, was never told: it went
+/// on sending until the leader said that it knows every instance. Evidence: the update that should name it was empty.
+#[rstest]
+#[case::has_ended(true)]
+#[case::leaves(false)]
+fn gateways_are_told_of_the_departure_of_an_instance_that_the_leader_does_not_know(
+    #[case] ended: bool,
+) {
+    let mut world = world(3);
+    let leader = world.elect();
+    let connection = world.connect(leader);
+    report(&mut world, connection);
+    world.run(std::time::Duration::from_millis(50));
+    updates(&mut world, connection);
+    let departure = InstanceDeparture {
+        instance: "i-1".into(),
+        ended,
+    };
+    world.call(leader, AdministrationRequest::Depart(departure));
+    world.run(std::time::Duration::from_millis(50));
+    let told = updates(&mut world, connection);
+    let removed: Vec<InstanceId> = told.into_iter().flat_map(|update| update.removed).collect();
+    assert_eq!(removed, ["i-1".into()]);
+}
+
 /// After a loss of the whole group, a gateway that starts before there is a leader gets what any
 /// member has.
 #[test]
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -480,6 +480,78 @@
     assert!(removed);
 }
 
+/// An instance that was cut off for longer than the silence that counts as its end, and came back, got no requests from
+/// some gateways although the leader knew it: with many gateways, its end and its return travelled in one update, the
+/// gateway took the record first and the removal after it, and was told nothing more of it until it changed.
+#[test]
+fn an_instance_that_returns_before_its_removal_was_told_is_not_named_as_removed() {
+    const GATEWAYS: u64 = 70;
+    let mut bench = Bench::new();
+    bench.engine(1_000, "e-1", &["a"]);
+    let mut first = report(Vec::new());
+    for connection in 0..GATEWAYS {
+        first.gateway = format!("g-{connection}");
+        bench.fleet.report(at(1_000), connection, &first);
+    }
+    bench.run(1_000);
+    bench.run(6_900);
+    // All are answered shortly before the instance counts as silent.
+    for connection in 0..GATEWAYS {
+        first.gateway = format!("g-{connection}");
+        bench.fleet.report(at(6_990), connection, &first);
+    }
+    bench.run(6_990);
+    let forgotten = bench.run(7_010).into_iter().any(
+        |output| matches!(output, FleetOutput::Event(event) if event.name == "instance-forgotten"),
+    );
+    assert!(forgotten);
+    bench.engine(7_020, "e-1", &["a"]);
+    let told: Vec<_> = bench
+        .run(7_100)
+        .into_iter()
+        .filter_map(|output| match output {
+            FleetOutput::Update { update, .. } => Some(update),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(told.len(), GATEWAYS as usize);
+    for update in told {
+        assert_eq!(update.instances.len(), 1, "{update:?}");
+        assert!(update.removed.is_empty(), "{update:?}");
+    }
+}
+
+/// The leader remembers a bounded number of removals. A gateway that was told before the oldest of them went on sending
+/// to instances that had ended: the older removals were named in no update, and no update was whole. Evidence: 1,024 of
+/// 1,100 were named.
+#[test]
+fn a_gateway_that_lacks_more_removals_than_are_remembered_is_told_everything() {
+    const INSTANCES: usize = 1_100;
+    let mut bench = Bench::new();
+    let names: Vec<String> = (0..INSTANCES).map(|index| format!("e-{index}")).collect();
+    for name in &names {
+        bench.engine(1_000, name, &["a"]);
+    }
+    bench.fleet.report(at(1_000), 1, &report(Vec::new()));
+    bench.run(1_000);
+    for name in &names {
+        bench.fleet.departed(&name.as_str().into(), true);
+    }
+    let told = bench
+        .run(1_100)
+        .into_iter()
+        .find_map(|output| match output {
+            FleetOutput::Update { update, .. } => Some(update),
+            _ => None,
+        })
+        .expect("an update");
+    assert!(
+        told.first || told.removed.len() == INSTANCES,
+        "it names {} removals",
+        told.removed.len()
+    );
+}
+
 /// The store's rate counts over a change of leader: the next one goes on from the loads that the log
 /// tells, and where it cannot know them, it counts them as made.
 #[rstest]
