Departures: gateways are told of instances that their leader does not know

Cause: a departure changed the leader's registry only if the instance was in it. An instance that had announced itself to the leader before, and was not in the notes yet (they are written once a second), is not; gateways that were greeted already were told nothing and sent to it until the leader counted all instances as named, 3.6 s after it took charge. Two faults of the same kind beside it: a removal and the return of the same instance travelled in one update and the gateway kept neither; and of more than 1,024 removals between two updates the oldest were told to nobody, though the comment promised a full update.

Ruled out: departures before the greeting (the newest 256 are named with the first update, and older ones are dropped when the leader has heard of all); announcements in which the instance itself says that it drains (the announcement makes the instance known before the entry is applied).

Change: a departure is always a removal with a revision of its own, or marks the record; an instance that announces itself again takes its removal back; an update to a gateway that lacks forgotten removals is whole.

--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -261,11 +261,9 @@
             ("ended", ended.to_string()),
         ];
         self.event("instance-departs", pairs);
+        self.registry.depart(instance, ended);
         if ended {
-            self.registry.remove(instance);
             self.engines.engines.remove(instance);
-        } else {
-            self.registry.drain(instance);
         }
     }
 
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -1,9 +1,10 @@
 //! Instances as they announce themselves.
 
 use millpass_proto::{Duration, HeldModel, InstanceId, InstanceRecord, Timestamp};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-/// Most removals remembered for gateways that have not been told; older ones need a full update.
+/// Most removals remembered for gateways that have not been told; one that was told before the oldest of them is told
+/// everything.
 const MAXIMUM_REMOVALS: usize = 1_024;
 
 /// What became of an announcement.
@@ -29,7 +30,9 @@
 #[derive(Default)]
 pub(crate) struct Registry {
     entries: BTreeMap<InstanceId, Entry>,
-    removals: Vec<(u64, InstanceId)>,
+    removals: VecDeque<(u64, InstanceId)>,
+    /// Revision of the newest removal that is remembered no more.
+    forgotten: u64,
     revision: u64,
 }
 
@@ -48,7 +51,10 @@
                 revision: self.revision,
                 record,
             };
-            self.entries.insert(entry.record.instance.clone(), entry);
+            // Named beside its record, the removal of before would undo it.
+            let instance = entry.record.instance.clone();
+            self.forget_removal(&instance);
+            self.entries.insert(instance, entry);
             return Announced::New;
         };
         if record.sequence < entry.record.sequence {
@@ -66,9 +72,14 @@
         Announced::Changed
     }
 
-    /// Marks an instance as draining.
-    pub(crate) fn drain(&mut self, instance: &InstanceId) {
-        self.update(instance, |record| record.draining = true);
+    /// An instance leaves, or has ended. Gateways are told of it also if this leader never heard of it: they may know
+    /// it from an earlier one.
+    pub(crate) fn depart(&mut self, instance: &InstanceId, ended: bool) {
+        if !ended && self.entries.contains_key(instance) {
+            return self.update(instance, |record| record.draining = true);
+        }
+        self.entries.remove(instance);
+        self.note_removal(instance);
     }
 
     /// What an instance serves new requests with.
@@ -91,15 +102,31 @@
 
     /// Removes an instance. True if it was known.
     pub(crate) fn remove(&mut self, instance: &InstanceId) -> bool {
-        if self.entries.remove(instance).is_none() {
-            return false;
+        let known = self.entries.remove(instance).is_some();
+        if known {
+            self.note_removal(instance);
         }
+        known
+    }
+
+    fn note_removal(&mut self, instance: &InstanceId) {
+        self.forget_removal(instance);
         self.revision += 1;
-        self.removals.push((self.revision, instance.clone()));
-        if self.removals.len() > MAXIMUM_REMOVALS {
-            self.removals.remove(0);
+        self.removals.push_back((self.revision, instance.clone()));
+        if self.removals.len() > MAXIMUM_REMOVALS
+            && let Some((revision, _)) = self.removals.pop_front()
+        {
+            self.forgotten = revision;
         }
-        true
+    }
+
+    fn forget_removal(&mut self, instance: &InstanceId) {
+        self.removals.retain(|(_, removed)| removed != instance);
+    }
+
+    /// Whether all removals after a revision are remembered.
+    pub(crate) fn remembers_since(&self, revision: u64) -> bool {
+        revision >= self.forgotten
     }
 
     /// Instances not heard of for longer than `silence`.
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -69,7 +69,7 @@
         let interval = self.gateways.update_interval();
         let mut loads = None;
         for (connection, session) in &mut self.gateways.sessions {
-            let whole = !session.greeted;
+            let whole = !session.greeted || !self.registry.remembers_since(session.sent_revision);
             let wanted = session.owed
                 || whole
                 || (complete && !session.sent_complete)
