Routers list models only under their lease; gateways learn how late a leader's answers are

Causes: - The list of models was answered from the last catalog that came, without regard to the lease that all requests need: to a key that had been taken away for as long as the router lived without a leader, and with 401 to one that had been added. It is refused now with 503 and when to come back, like a request. It hashed keys by itself; it uses the one place that does (KeyHash). - A gateway counts a leader as silent after half a second, or eight times what its answers take. The answer of a leader that was left was thrown away with the connection, so that the average never rose: each gateway left and found the same busy leader every half a second and was told everything anew. An answer that never came counts now with the time that it was waited for; a leader that answers quickly again brings the average down within some answers.

--- a/crates/millpass-router/src/handler.rs
+++ b/crates/millpass-router/src/handler.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// When to come back to a router that has no catalog yet.
+/// When to come back to a router that has no catalog in force.
 const NO_CATALOG_RETRY: Duration = Duration::from_secs(1);
 /// Path of the list of models.
 const MODELS: &str = "/v1/models";
@@ -62,6 +62,10 @@
             return Err(error.with_status(StatusCode::METHOD_NOT_ALLOWED));
         }
         let api_key = caller::api_key(&request.headers)?;
+        if self.shared.driver.lease_left().is_zero() {
+            // The catalog may be of any age: a key may have come or gone since.
+            return Err(no_list(NoList::NoCatalog));
+        }
         let models = self.shared.models.list(&api_key).map_err(no_list)?;
         let data: Vec<serde_json::Value> = models
             .iter()
@@ -85,7 +89,7 @@
         NoList::NoCatalog => ErrorAnswer {
             status: StatusCode::SERVICE_UNAVAILABLE,
             code: "no_lease",
-            message: "this router has no catalog yet; come back soon, or ask another router"
+            message: "this router has no catalog in force; come back soon, or ask another router"
                 .to_owned(),
             executed: Executed::No,
             retry_after: Some(NO_CATALOG_RETRY),
--- a/crates/millpass-router/src/models.rs
+++ b/crates/millpass-router/src/models.rs
@@ -8,6 +8,7 @@
     ConfigurationDelta, ConfigurationRevision, ObjectKey, ObjectSpec, PolicyName, PolicySpec,
     StoredObject, TenantName,
 };
+use millpass_tenancy::KeyHash;
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -24,7 +25,7 @@
 /// Why there is no list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoList {
-    /// No catalog has come from the control group yet.
+    /// No catalog of the control group is in force here.
     NoCatalog,
     /// The API key is not known.
     UnknownKey,
@@ -120,13 +121,13 @@
     }
 
     fn tenant_of(&self, api_key: &str) -> Option<TenantName> {
-        let hash = blake3::hash(api_key.as_bytes()).to_hex();
+        let hash = KeyHash::of(api_key.as_bytes());
         self.objects.iter().find_map(|(key, spec)| match spec {
             ObjectSpec::Tenant(spec)
                 if spec
                     .api_key_hashes
                     .iter()
-                    .any(|known| known == hash.as_str()) =>
+                    .any(|known| KeyHash::from_hex(known) == Some(hash)) =>
             {
                 Some(key.name.as_str().into())
             }
--- a/crates/millpass-tenancy/src/pool.rs
+++ b/crates/millpass-tenancy/src/pool.rs
@@ -265,9 +265,7 @@
         let Some(asked) = self.asked.remove(&answer.sequence) else {
             return;
         };
-        let took = now.since(asked.at);
-        self.answer_time =
-            self.answer_time.mul_f64(1.0 - ANSWER_WEIGHT) + took.mul_f64(ANSWER_WEIGHT);
+        self.note_answer_time(now.since(asked.at));
         for (asked, grant) in asked.tenants.into_iter().zip(&answer.grants) {
             if asked.tenant == grant.tenant {
                 self.take_grant(now, &asked, grant);
@@ -305,8 +303,24 @@
         asked.is_some_and(|asked| now.since(asked.at.max(heard_at)) > longest)
     }
 
+    /// An answer that never came took at least this long. Otherwise a gateway that leaves a busy leader would never
+    /// learn how long it takes, and leave it again and again, each time to be told everything anew.
+    fn note_unanswered(&mut self, now: Timestamp) {
+        let oldest = self.asked.values().next();
+        let waited = oldest.map_or(Duration::ZERO, |asked| now.since(asked.at));
+        if waited >= LEAST_SILENCE {
+            self.note_answer_time(waited);
+        }
+    }
+
+    fn note_answer_time(&mut self, took: Duration) {
+        self.answer_time =
+            self.answer_time.mul_f64(1.0 - ANSWER_WEIGHT) + took.mul_f64(ANSWER_WEIGHT);
+    }
+
     /// The connection to the leader is gone: what it was asked for is asked of the next.
-    pub fn disconnected(&mut self, _now: Timestamp) {
+    pub fn disconnected(&mut self, now: Timestamp) {
+        self.note_unanswered(now);
         let asked = std::mem::take(&mut self.asked).into_values();
         for asked in asked.flat_map(|asked| asked.tenants) {
             let account = self.accounts.entry(asked.tenant).or_default();
