--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -552,6 +552,20 @@
     );
 }
 
+/// Members that do not lead kept a line for each departure that the log told them, until they were elected: the longer
+/// they followed, the more memory they took. A leader that begins reads departures from the log's state.
+#[test]
+fn a_member_that_does_not_lead_keeps_nothing_of_departures() {
+    let mut bench = Bench::new();
+    for index in 0..1_000 {
+        bench
+            .fleet
+            .departed(&format!("e-{index}").as_str().into(), true);
+    }
+    let kept = bench.run(1_000);
+    assert!(kept.is_empty(), "{} outputs", kept.len());
+}
+
 /// The store's rate counts over a change of leader: the next one goes on from the loads that the log
 /// tells, and where it cannot know them, it counts them as made.
 #[rstest]
