Members that do not lead keep nothing of departures

Cause: each committed departure made a log line for the leader's next run, which a member that does not lead never makes: the lines stayed until its next election and were dropped then. It begins with the log's state in any case.

--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -253,8 +253,12 @@
         }
     }
 
-    /// An instance leaves, or has ended.
+    /// An instance leaves, or has ended. Where this member does not lead, there is nobody to tell: it begins with what
+    /// the log knows.
     pub fn departed(&mut self, instance: &InstanceId, ended: bool) {
+        if self.in_charge_since.is_none() {
+            return;
+        }
         self.dirty = true;
         let pairs = vec![
             ("instance", instance.0.clone()),
