--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -272,19 +272,21 @@
         }
     }
 
-    /// An instance leaves, or has ended.
+    /// An instance leaves, or has ended. Where this member does not lead, there is nobody to tell: it begins with what
+    /// the log knows.
     pub fn departed(&mut self, instance: &InstanceId, ended: bool) {
+        if self.in_charge_since.is_none() {
+            return;
+        }
         self.dirty = true;
         let pairs = vec![
             ("instance", instance.0.clone()),
             ("ended", ended.to_string()),
         ];
         self.event("instance-departs", pairs);
+        self.registry.depart(instance, ended);
         if ended {
-            self.registry.remove(instance);
             self.engines.engines.remove(instance);
-        } else {
-            self.registry.drain(instance);
         }
     }
 
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -129,7 +129,7 @@
         let interval = self.gateways.update_interval();
         let wants = |session: &GatewaySession| {
             session.owed
-                || !session.greeted
+                || self.needs_all(session)
                 || (complete && !session.sent_complete)
                 || session.sent_revision < revision
                 || session.arriving_version() < version
@@ -142,6 +142,12 @@
             .collect()
     }
 
+    /// Whether a gateway has to be told of all instances: nothing was sent yet, or what has left since the last update
+    /// is not remembered any more.
+    fn needs_all(&self, session: &GatewaySession) -> bool {
+        !session.greeted || !self.registry.remembers_since(session.sent_revision)
+    }
+
     /// The next update of a gateway, which counts as sent.
     fn update_of(
         &mut self,
@@ -151,7 +157,7 @@
         complete: bool,
         context: &GatewayContext<'_>,
     ) -> GatewayUpdate {
-        let first = !session.greeted;
+        let first = self.needs_all(session);
         let outlook_same = !first && session.sent_times == self.times_revision;
         let loads_same = !first && session.sent_loads == self.loads_revision;
         let mut update = GatewayUpdate {
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -211,7 +211,7 @@
         let writing = write(shared, &stream);
         future::or(reading, writing).await
     };
-    shared.core().credit_disconnected();
+    shared.core().credit_disconnected(shared.now());
     shared.core().connection_ended();
     (end, served)
 }
