A leader whose lease has run out keeps its gateways

Cause: a leader that is late with its followers' answers is not in charge for a moment. Ruled out: the gateways' limit on silence (no link ended by it), elections (one leader from the start to the last fault). Change: reports of gateways are taken and answered once the lease is there again; asks for credit go unanswered meanwhile. A test failed first; another checks that each majority holds what was acknowledged.

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -6,6 +6,7 @@
 use crate::outputs::Outputs;
 use crate::plane::ControlPlane;
 use crate::proposals::{InternalKey, Waiter};
+use millpass_consensus::Role;
 use millpass_fleet::{FleetOutput, GatewayContext};
 use millpass_proto::{
     Command, ControlToRouter, CrashReport, EngineInstruction, GatewayReport, InstanceDeparture,
@@ -120,8 +121,10 @@
             if self.fleet.is_some() {
                 self.pass_on(connection, report, out);
             }
-            out.send_not_leader(connection, self.leader_peer_address());
-            return;
+            // A leader whose lease has run out is late, not deposed: sent away, every gateway would come back to it.
+            if self.role != Role::Leader {
+                return out.send_not_leader(connection, self.leader_peer_address());
+            }
         }
         match &mut self.fleet {
             Some(fleet) => fleet.report(now, connection.0, report),
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -7,6 +7,7 @@
 use crate::plane::ControlPlane;
 use crate::proposals::{InternalKey, Waiter};
 use crate::sessions::Admission;
+use millpass_consensus::Role;
 use millpass_proto::{
     AbandonClaims, BackendName, BackendObservation, ClaimBegin, ClaimFinish, ClaimRequest, Command,
     ControlToRouter, Incarnation, LoadOutlook, PlacementDelta, PlacementRevision, RouterHello,
@@ -36,7 +37,7 @@
             return;
         }
         if !self.in_charge(now) {
-            out.send_not_leader(connection, self.leader_peer_address());
+            self.take_without_charge(now, connection, &message, out);
             return;
         }
         if let RouterToControl::Credit(request) = &message {
@@ -70,6 +71,24 @@
         }
     }
 
+    /// A message that this member cannot act on. A leader whose lease has run out is late, not deposed: a gateway that it
+    /// sent away would come back to it, with all others. Its ask for credit is left unanswered meanwhile.
+    fn take_without_charge(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        message: &RouterToControl,
+        out: &mut Outputs,
+    ) {
+        match message {
+            RouterToControl::Credit(_) if self.role == Role::Leader => {}
+            RouterToControl::Crashes(report) if self.role == Role::Leader => {
+                self.take_crash_report(now, report);
+            }
+            _ => out.send_not_leader(connection, self.leader_peer_address()),
+        }
+    }
+
     fn take_hello(
         &mut self,
         now: Timestamp,
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -564,3 +564,73 @@
     world.join(&[4, 5, 6], 20);
     assert_eq!(world.voters(leader), voters);
 }
+
+/// Seen where members had little processor: the lease of a leader ran out for a tenth of a second, it sent each of seventy
+/// gateways away in that time, and all of them came back to it. Connecting anew took what its followers' answers
+/// needed, and the lease ran out again.
+#[test]
+fn a_leader_whose_lease_has_run_out_keeps_its_gateways() {
+    let mut world = world(3);
+    let leader = world.elect();
+    world.call(leader, put(4));
+    let connection = world.connect(leader);
+    report(&mut world, connection);
+    world.run(seconds(1));
+    world.received(connection);
+    cut_others(&mut world, leader, true);
+    world.run(std::time::Duration::from_millis(850));
+    report(&mut world, connection);
+    let meanwhile = world.received(connection);
+    let sent_away = |message: &ControlToRouter| matches!(message, ControlToRouter::NotLeader(_));
+    assert!(!meanwhile.iter().any(sent_away), "{meanwhile:?}");
+    cut_others(&mut world, leader, false);
+    world.run(std::time::Duration::from_millis(500));
+    let answered = updates(&mut world, connection);
+    assert!(
+        answered.iter().any(|update| !update.provisional),
+        "{answered:?}"
+    );
+}
+
+/// Cuts the other two members off, or joins them again.
+fn cut_others(world: &mut World, leader: MemberId, cut: bool) {
+    let others = world.members.iter_mut().filter(|(id, _)| **id != leader);
+    others.for_each(|(_, member)| member.cut = cut);
+}
+
+/// An entry that was acknowledged is in the log of one of each majority: so a majority that holds nothing newer
+/// confirms what a gateway knows. Checked after each acknowledgement, with a member behind and after changes of
+/// leader.
+#[test]
+fn each_majority_holds_what_was_acknowledged() {
+    let mut world = world(5);
+    let mut leader = world.elect();
+    for version in 1..12 {
+        if version % 4 == 0 {
+            world.halt(leader);
+            let next = world.elect();
+            world.restart(leader.0);
+            leader = next;
+        }
+        let behind = world.follower(leader);
+        world.members.get_mut(&behind).unwrap().cut = version % 2 == 0;
+        let answer = world.call(leader, put(version));
+        assert!(
+            matches!(answer, Some(AdministrationAnswer::Done)),
+            "{answer:?}"
+        );
+        let acknowledged = binding(&world, leader);
+        let holders = (1..=5)
+            .filter(|member| binding(&world, MemberId(*member)) >= acknowledged)
+            .count();
+        assert!(holders >= 3, "version {version}: {holders} of 5");
+        world.members.get_mut(&behind).unwrap().cut = false;
+        world.run(seconds(1));
+    }
+}
+
+/// What a member answers a gateway that asks.
+fn binding(world: &World, member: MemberId) -> u64 {
+    let core = &world.members[&member].plane;
+    core.freshness(&core.freshness_mark(world.now)).binding
+}
