What waits for a member that does not read: bounded in bytes, without outdated heartbeats

Looked for: what a peer's queue sends after a stall. It held up to 1,024 messages whatever their size (an append carries whole documents: 32 of them under way are megabytes), and after a connection was made anew it sent all old heartbeats, each of which prolongs the receiver's promise to that leader.

Change: 16 MiB a member besides the number of messages, one message alone always fits; a heartbeat that a later append request follows in the queue is not sent. Entries and votes all are: dropped by age, a slow member would never get any entries. What a dead leader's socket still holds can't be called back by the sender.

Tests: tests/peer_queue.rs; all of millpass-control pass.

--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -13,13 +13,14 @@
 //! | `disk` | writes and syncs |
 //! | `connections` | connections that members, routers and joiners make |
 //! | `peers` | connections to other members |
+//! | `peer_queue` | what waits to be sent to one member |
 //! | `deliveries` | calls to engines and the platform |
 //! | `interface` | what a deployment with its own wire formats brings |
 //! | `calls` | calls of the administration API that wait |
 //! | `administration`, `api`, `client` | the administration API, its bodies and its client |
 //! | `metrics` | Prometheus metrics |
 //!
-//! Lock order: `calls` and `connections` each have one lock; no thread holds two.
+//! Lock order: `inputs`, `calls`, `connections` and each queue of `peers` have one lock; no thread holds two.
 
 pub mod administration;
 pub mod api;
@@ -35,6 +36,7 @@
 pub mod lateness;
 mod member;
 mod metrics;
+pub mod peer_queue;
 mod peers;
 mod process;
 pub mod settings;
--- /dev/null
+++ b/crates/millpass-control/src/peer_queue.rs
@@ -0,0 +1,109 @@
+//! What waits to be sent to one member: bounded in messages and bytes, without outdated heartbeats.
+//!
+//! A member that does not read, or a connection that is made anew, leaves a queue behind. Entries in it are
+//! still worth sending: what is lost has to be found missing and sent again, and a slow member that never got
+//! old entries would never get any. A heartbeat is not, once a later request follows it: that one says all it
+//! said, and the older would only prolong a promise to a leader that may be gone.
+
+use millpass_proto::{Command, EntryPayload, LinkMessage, LogEntry, PeerMessage};
+use std::collections::VecDeque;
+
+/// Bytes that may wait for one member: the 32 requests that a leader has under way without an answer, with a
+/// large document each (256 KiB as sent, twice that with what is derived from it).
+const MAXIMUM_BYTES: usize = 16 * 1024 * 1024;
+/// Assumed of a message or entry beside documents and snapshots.
+const SMALL_BYTES: usize = 512;
+
+/// Messages to one member, in order.
+#[derive(Debug)]
+pub struct PeerQueue {
+    waiting: VecDeque<LinkMessage>,
+    maximum_messages: usize,
+    bytes: usize,
+    /// Append requests among those that wait.
+    requests: usize,
+}
+
+impl PeerQueue {
+    /// An empty queue for this many messages.
+    pub fn new(maximum_messages: usize) -> Self {
+        PeerQueue {
+            waiting: VecDeque::new(),
+            maximum_messages,
+            bytes: 0,
+            requests: 0,
+        }
+    }
+
+    /// Adds a message; false if there is no room and it is dropped. One alone always fits.
+    pub fn push(&mut self, message: LinkMessage) -> bool {
+        let bytes = bytes_of(&message);
+        let has_room = self.waiting.len() < self.maximum_messages
+            && self.bytes.saturating_add(bytes) <= MAXIMUM_BYTES;
+        if !has_room && !self.waiting.is_empty() {
+            return false;
+        }
+        self.bytes += bytes;
+        self.requests += usize::from(is_request(&message));
+        self.waiting.push_back(message);
+        true
+    }
+
+    /// The next message to send.
+    pub fn pop(&mut self) -> Option<LinkMessage> {
+        loop {
+            let message = self.waiting.pop_front()?;
+            self.bytes = self.bytes.saturating_sub(bytes_of(&message));
+            self.requests -= usize::from(is_request(&message));
+            let is_outdated = is_heartbeat(&message) && self.requests > 0;
+            if !is_outdated {
+                return Some(message);
+            }
+        }
+    }
+
+    /// Drops all.
+    pub fn clear(&mut self) {
+        *self = PeerQueue::new(self.maximum_messages);
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
+
+fn is_request(message: &LinkMessage) -> bool {
+    let LinkMessage::Peer(envelope) = message else {
+        return false;
+    };
+    matches!(envelope.message, PeerMessage::AppendRequest(_))
+}
+
+fn is_heartbeat(message: &LinkMessage) -> bool {
+    let LinkMessage::Peer(envelope) = message else {
+        return false;
+    };
+    matches!(&envelope.message, PeerMessage::AppendRequest(request) if request.entries.is_empty())
+}
+
+/// About as many bytes as the message takes.
+fn bytes_of(message: &LinkMessage) -> usize {
+    let LinkMessage::Peer(envelope) = message else {
+        return SMALL_BYTES;
+    };
+    let content = match &envelope.message {
+        PeerMessage::AppendRequest(request) => request.entries.iter().map(bytes_of_entry).sum(),
+        PeerMessage::SnapshotChunk(chunk) => chunk.data.len(),
+        _ => 0,
+    };
+    SMALL_BYTES + content
+}
+
+/// A document is held as it was sent, and as what is derived from it.
+fn bytes_of_entry(entry: &LogEntry) -> usize {
+    match &entry.payload {
+        EntryPayload::Command(Command::PutDocument(put)) => SMALL_BYTES + 2 * put.source.len(),
+        _ => SMALL_BYTES,
+    }
+}
--- a/crates/millpass-control/src/peers.rs
+++ b/crates/millpass-control/src/peers.rs
@@ -4,14 +4,14 @@
 //! sends again.
 
 use crate::metrics::Metrics;
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crate::peer_queue::PeerQueue;
 use millpass_proto::codec::{CodecError, write_frame};
 use millpass_proto::{LinkMessage, MemberAddress};
 use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::io::{BufWriter, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -24,8 +24,65 @@
 /// Stack of a sending thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 
+/// The queue between the core's thread and the one that sends.
+struct SharedQueue {
+    state: Mutex<QueueState>,
+    filled: Condvar,
+}
+
+struct QueueState {
+    queue: PeerQueue,
+    /// Nobody adds to it any more.
+    is_closed: bool,
+}
+
+impl SharedQueue {
+    fn new(length: usize) -> Arc<Self> {
+        Arc::new(SharedQueue {
+            state: Mutex::new(QueueState {
+                queue: PeerQueue::new(length),
+                is_closed: false,
+            }),
+            filled: Condvar::new(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, QueueState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a message; false if it is dropped.
+    fn push(&self, message: LinkMessage) -> bool {
+        let is_added = self.lock().queue.push(message);
+        self.filled.notify_one();
+        is_added
+    }
+
+    /// Waits for the next message; none once the queue is closed and empty.
+    fn pop(&self) -> Option<LinkMessage> {
+        let mut state = self.lock();
+        loop {
+            let message = state.queue.pop();
+            if message.is_some() || state.is_closed {
+                return message;
+            }
+            let woken = self.filled.wait(state);
+            state = woken.unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.lock().queue.is_empty()
+    }
+
+    fn close(&self) {
+        self.lock().is_closed = true;
+        self.filled.notify_one();
+    }
+}
+
 struct Peer {
-    queue: Sender<LinkMessage>,
+    queue: Arc<SharedQueue>,
     used_at: Instant,
 }
 
@@ -59,7 +116,7 @@
         }
         if let Some(peer) = self.peers.get_mut(address) {
             peer.used_at = Instant::now();
-            if peer.queue.try_send(message).is_err() {
+            if !peer.queue.push(message) {
                 self.metrics.dropped_messages.inc();
             }
         }
@@ -70,17 +127,18 @@
             log::error!("event=peer_address_invalid address={address}");
             return false;
         };
-        let (sender, receiver) = bounded(self.queue_length);
+        let queue = SharedQueue::new(self.queue_length);
+        let sending = queue.clone();
         let greeting = LinkMessage::Greeting(self.own.clone());
         let spawned = thread::Builder::new()
             .name("control-peer".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || send_all(target, &greeting, &receiver));
+            .spawn(move || send_all(target, &greeting, &sending));
         if spawned.is_err() {
             return false;
         }
         let peer = Peer {
-            queue: sender,
+            queue,
             used_at: Instant::now(),
         };
         self.peers.insert(address.to_owned(), peer);
@@ -92,9 +150,16 @@
     }
 }
 
-/// Body of a sending thread; ends when the queue's other end is dropped.
-fn send_all(target: SocketAddr, greeting: &LinkMessage, queue: &Receiver<LinkMessage>) {
-    while let Ok(first) = queue.recv() {
+impl Drop for Peer {
+    /// Ends the sending thread.
+    fn drop(&mut self) {
+        self.queue.close();
+    }
+}
+
+/// Body of a sending thread; ends when the queue is closed.
+fn send_all(target: SocketAddr, greeting: &LinkMessage, queue: &SharedQueue) {
+    while let Some(first) = queue.pop() {
         match connect(target) {
             Ok(stream) => {
                 log::info!("event=peer_connected address={target}");
@@ -124,7 +189,7 @@
     stream: TcpStream,
     greeting: &LinkMessage,
     first: LinkMessage,
-    queue: &Receiver<LinkMessage>,
+    queue: &SharedQueue,
 ) -> Result<(), CodecError> {
     let mut writer = BufWriter::new(stream);
     write_frame(&mut writer, greeting)?;
@@ -134,13 +199,13 @@
         if queue.is_empty() {
             writer.flush()?;
         }
-        next = queue.recv().ok();
+        next = queue.pop();
     }
     Ok(writer.flush()?)
 }
 
 /// Drops what comes for some time, so that nothing outdated is sent once the target is back.
-fn drop_for(queue: &Receiver<LinkMessage>, time: Duration) {
-    let end = Instant::now() + time;
-    while queue.recv_deadline(end).is_ok() {}
+fn drop_for(queue: &SharedQueue, time: Duration) {
+    thread::sleep(time);
+    queue.lock().queue.clear();
 }
--- /dev/null
+++ b/crates/millpass-control/tests/peer_queue.rs
@@ -0,0 +1,103 @@
+//! What waits for a member that does not read.
+
+use millpass_control::peer_queue::PeerQueue;
+use millpass_proto::{
+    AppendRequest, EntryPayload, GroupId, LinkMessage, LogEntry, LogPosition, MemberId, Membership,
+    PeerEnvelope, PeerMessage, SnapshotChunk, SnapshotMeta, VoteResponse,
+};
+
+fn peer(message: PeerMessage) -> LinkMessage {
+    LinkMessage::Peer(PeerEnvelope {
+        group: GroupId(1),
+        from: MemberId(1),
+        to: MemberId(2),
+        term: 3,
+        message,
+    })
+}
+
+fn request(sequence: u64, entries: usize) -> LinkMessage {
+    let entry = LogEntry {
+        position: LogPosition { term: 3, index: 1 },
+        payload: EntryPayload::Noop,
+    };
+    peer(PeerMessage::AppendRequest(AppendRequest {
+        previous: LogPosition::ZERO,
+        entries: vec![entry; entries],
+        commit: 0,
+        sequence,
+    }))
+}
+
+fn vote() -> LinkMessage {
+    peer(PeerMessage::VoteResponse(VoteResponse { granted: true }))
+}
+
+fn chunk(bytes: usize) -> LinkMessage {
+    let membership = Membership {
+        voters: Vec::new(),
+        outgoing_voters: Vec::new(),
+        learners: Vec::new(),
+    };
+    peer(PeerMessage::SnapshotChunk(SnapshotChunk {
+        meta: SnapshotMeta {
+            last: LogPosition::ZERO,
+            membership,
+        },
+        offset: 0,
+        data: vec![0; bytes].into(),
+        last_chunk: true,
+    }))
+}
+
+fn drain(queue: &mut PeerQueue) -> Vec<LinkMessage> {
+    std::iter::from_fn(|| queue.pop()).collect()
+}
+
+/// After a stall only the newest heartbeat is sent; votes and entries all are, in order.
+#[test]
+fn heartbeats_that_a_later_request_follows_are_not_sent() {
+    let mut queue = PeerQueue::new(100);
+    let sent = [
+        request(1, 0),
+        vote(),
+        request(2, 0),
+        request(3, 1),
+        request(4, 0),
+        request(5, 2),
+        request(6, 0),
+        request(7, 0),
+        vote(),
+    ];
+    for message in sent {
+        assert!(queue.push(message));
+    }
+    let expected = [vote(), request(3, 1), request(5, 2), request(7, 0), vote()];
+    assert_eq!(drain(&mut queue), expected);
+}
+
+#[test]
+fn a_queue_that_is_read_passes_everything_on() {
+    let mut queue = PeerQueue::new(100);
+    for sequence in 0..1_000 {
+        assert!(queue.push(request(sequence, 0)));
+        assert_eq!(queue.pop(), Some(request(sequence, 0)));
+    }
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn messages_and_bytes_are_bounded() {
+    let mut queue = PeerQueue::new(100);
+    let fit = (0..200).filter(|_| queue.push(vote())).count();
+    assert_eq!(fit, 100);
+    queue.clear();
+    let megabyte = 1024 * 1024;
+    let fit = (0..100).filter(|_| queue.push(chunk(megabyte))).count();
+    assert!((8..=16).contains(&fit), "{fit} megabytes");
+    assert_eq!(drain(&mut queue).len(), fit);
+    assert!(queue.push(chunk(64 * megabyte)), "one alone always fits");
+    assert!(!queue.push(vote()));
+    assert_eq!(drain(&mut queue).len(), 1);
+    assert!(queue.push(vote()));
+}
