Running time counts ordinary ticks in full at any heartbeat interval

heartbeat_ms may be as short as 5: half of it is less than a tick, and silence would have been counted at half its length or less. Tests of millpass-consensus pass.

--- a/crates/millpass-consensus/src/running_time.rs
+++ b/crates/millpass-consensus/src/running_time.rs
@@ -7,6 +7,9 @@
 
 use millpass_proto::{Duration, Timestamp};
 
+/// Twice the time between the host's ticks, so that ordinary ones count in full at any heartbeat interval.
+const ORDINARY_STEP: Duration = Duration::from_millis(10);
+
 /// A clock that leaves out pauses.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunningTime {
@@ -21,7 +24,7 @@
     pub(crate) fn new(heartbeat_interval: Duration) -> Self {
         RunningTime {
             now: Timestamp::default(),
-            longest_step: heartbeat_interval / 2,
+            longest_step: ORDINARY_STEP.max(heartbeat_interval / 2),
         }
     }
 
