--- a/crates/millpass-consensus/tests/harness/cluster.rs
+++ b/crates/millpass-consensus/tests/harness/cluster.rs
@@ -3,7 +3,9 @@
 use super::checks::{Checks, Rule};
 use super::machine::{Clock, Machine};
 use super::values::{DRIFT_BOUND_PER_MILLE, command, initial};
-use millpass_consensus::{ConsensusInput, ConsensusOutput, MembershipChange, PersistRequest};
+use millpass_consensus::{
+    ConsensusInput, ConsensusOutput, EndedCandidacy, MembershipChange, PersistRequest,
+};
 use millpass_proto::{LogEntry, MemberId, Membership, PeerEnvelope, SnapshotMeta};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -96,6 +98,8 @@
     pub cut: BTreeSet<(usize, usize)>,
     pub acknowledged_tickets: BTreeSet<u64>,
     pub refusals: Vec<String>,
+    /// Candidacies that made no leader, by machine.
+    pub candidacies: Vec<(usize, EndedCandidacy)>,
     routes: BTreeMap<MemberId, usize>,
     events: BTreeMap<(u64, u64), Event>,
     next_event: u64,
@@ -125,6 +129,7 @@
             cut: BTreeSet::new(),
             acknowledged_tickets: BTreeSet::new(),
             refusals: Vec::new(),
+            candidacies: Vec::new(),
             routes: BTreeMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
@@ -367,7 +372,7 @@
                         self.checks.leads(self.now, member, status.term);
                     }
                 }
-                ConsensusOutput::CandidacyEnded(_) => {}
+                ConsensusOutput::CandidacyEnded(ended) => self.candidacies.push((machine, ended)),
             }
         }
     }
--- a/crates/millpass-consensus/tests/overload.rs
+++ b/crates/millpass-consensus/tests/overload.rs
@@ -16,6 +16,7 @@
 
 use harness::checks::Rule;
 use harness::cluster::{CALM, Cluster, MILLISECOND};
+use millpass_consensus::CandidacyEnd;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -190,3 +191,39 @@
         cluster.assert_clean(seed);
     }
 }
+
+/// Why a member that stood does not lead, and whose answer it lacked, is told: no answer at all.
+#[test]
+fn a_candidacy_without_answers_is_told_as_timed_out() {
+    let mut cluster = Cluster::new(1, 3, CALM);
+    assert!(cluster.propose_until_acknowledged(2 * SECOND), "no leader");
+    let alone = (cluster.leader().expect("leader") + 1) % 3;
+    cluster.partition(&[alone].into());
+    cluster.run(10 * TIMEOUT);
+    let ended: Vec<_> = cluster.candidacies.iter().map(|(_, ended)| ended).collect();
+    assert!(!ended.is_empty());
+    for ended in ended {
+        assert_eq!(ended.end, CandidacyEnd::TimedOut);
+        assert!(ended.is_pre_vote && ended.answers.is_empty());
+    }
+}
+
+/// A member that is heard but hears no heartbeats is refused by those that hear the leader.
+#[test]
+fn a_candidacy_against_a_leader_is_told_as_refused() {
+    let mut cluster = Cluster::new(2, 3, CALM);
+    assert!(cluster.propose_until_acknowledged(2 * SECOND), "no leader");
+    let leader = cluster.leader().expect("leader");
+    let deaf = (leader + 1) % 3;
+    cluster.cut.insert((leader, deaf));
+    cluster.run(10 * TIMEOUT);
+    let other = cluster.machines[(leader + 2) % 3].member;
+    assert!(!cluster.candidacies.is_empty());
+    for (machine, ended) in &cluster.candidacies {
+        assert_eq!((*machine, ended.end), (deaf, CandidacyEnd::Refused));
+        let answer = ended.answers.iter().find(|answer| answer.member == other);
+        let answer = answer.expect("the third member answers");
+        assert!(!answer.is_granted && answer.after <= ended.lasted);
+    }
+    assert_eq!(cluster.leader(), Some(leader));
+}
