--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -14,13 +14,15 @@
 //! | `connections` | connections that members, routers and joiners make |
 //! | `freshness` | answers gateways' questions by datagram |
 //! | `peers` | connections to other members |
+//! | `peer_queue` | what waits to be sent to one member |
 //! | `deliveries` | calls to engines and the platform |
 //! | `interface` | what a deployment with its own wire formats brings |
 //! | `calls` | calls of the administration API that wait |
 //! | `administration`, `api`, `client` | the administration API, its bodies and its client |
 //! | `metrics` | Prometheus metrics |
 //!
-//! Lock order: `calls`, `connections` and `freshness` each have one lock; no thread holds two.
+//! Lock order: `inputs`, `calls`, `connections`, `freshness` and each queue of `peers` have one lock; no thread holds
+//! two.
 
 pub mod administration;
 pub mod api;
@@ -37,6 +39,7 @@
 pub mod lateness;
 mod member;
 mod metrics;
+pub mod peer_queue;
 mod peers;
 mod process;
 pub mod settings;
