Failing test: a gateway that does not read for a while is sent every version in turn

It fails on the code as it is: of 20 documents of 400 kB put in force while a gateway reports and does not read, it then gets [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 14, 15, 16, 17, 18, 19, 20]; at most 4 are wanted, the newest the last of them. Cause: the queue of a connection holds 1,024 messages of any size, and the socket's buffer grows by itself; the leader counts what is queued as sent and queues the next difference behind it. Ruled out: the repeat alone (14 twice): it adds one document a second.

--- /dev/null
+++ b/crates/millpass-control/tests/slow_gateway.rs
@@ -0,0 +1,118 @@
+//! A gateway that does not take what it is sent for a while finds the newest difference, not a queue of old ones.
+//!
+//! Users saw answers by documents that had been replaced seconds before. Updates had arrived at a gateway in batches:
+//! each change had been queued behind the ones before, whole, in the leader and in its socket, and was read in order
+//! when the gateway came to it.
+
+mod common;
+
+use common::wait_for;
+use millpass_control::administration::AdministrationCalls;
+use millpass_control::{ApiExtension, ControlProcessSettings, Extensions, start_extended};
+use millpass_control_plane::{AdministrationAnswer, AdministrationRequest, FleetSettings};
+use millpass_http::{Request, Response};
+use millpass_proto::codec::{read_frame, write_frame};
+use millpass_proto::*;
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+
+/// Versions put in force while the gateway does not read.
+const VERSIONS: u64 = 20;
+/// Services of each document: 400 kB, no two versions alike, so that each goes whole.
+const SERVICES: u64 = 4_000;
+/// Documents that may wait before the newest one: in the socket, in writing, and behind that.
+const MOST_WAITING: usize = 4;
+
+/// Keeps the way to the core for the test.
+struct Calls(Arc<Mutex<Vec<AdministrationAnswer>>>);
+
+impl ApiExtension for Calls {
+    fn answer(&self, request: &Request, calls: &dyn AdministrationCalls) -> Option<Response> {
+        let path = request.uri.path();
+        let version: u64 = path.strip_prefix("/test/put/")?.parse().ok()?;
+        let put = AdministrationRequest::PutDocument(Box::new(PutDocument {
+            document: document(version),
+            source: Default::default(),
+        }));
+        let answer = calls.call(put);
+        let done = matches!(answer, AdministrationAnswer::Done);
+        self.0.lock().expect("answers").push(answer);
+        let status = if done { 200 } else { 503 };
+        let status = http::StatusCode::from_u16(status).expect("a status");
+        Some(Response::text(status, ""))
+    }
+}
+
+fn document(version: u64) -> DeploymentDocument {
+    let service = |number| ServiceSpec {
+        name: format!("service-{version}-{number}").into(),
+        health_path: format!("/health/{}", "x".repeat(60)),
+        maximum_connections: 0,
+        engine: None,
+    };
+    DeploymentDocument {
+        version,
+        routes: Vec::new(),
+        services: (0..SERVICES).map(service).collect(),
+        limits: CallerLimits {
+            header_bytes: 0,
+            body_bytes: 0,
+            header_millis: 0,
+            idle_millis: 0,
+        },
+        tenants: Vec::new(),
+    }
+}
+
+fn report(stream: &mut TcpStream, sequence: u64, version: u64) {
+    let report = GatewayReport {
+        gateway: "g-1".to_owned(),
+        zone: "zone-0".into(),
+        sequence,
+        version,
+        needs: Vec::new(),
+        doubted: Vec::new(),
+        sent: Vec::new(),
+        as_of: 0,
+        known_instances: Vec::new(),
+    };
+    let message = LinkMessage::Router(RouterToControl::Gateway(report));
+    write_frame(stream, &message).expect("report");
+}
+
+#[test]
+fn a_gateway_that_does_not_read_has_one_difference_waiting() {
+    let folder = tempfile::tempdir().expect("folder");
+    let mut settings = ControlProcessSettings::single(folder.path());
+    settings.fleet = Some(FleetSettings::default());
+    let answers = Arc::new(Mutex::new(Vec::new()));
+    let extensions = Extensions {
+        api: Some(Arc::new(Calls(answers.clone()))),
+        engines: None,
+    };
+    let handle = start_extended(settings, extensions).expect("start");
+    let put = |version: u64| {
+        let address = handle.administration_address();
+        let url = format!("http://{address}/test/put/{version}");
+        ureq::get(&url).call().ok()
+    };
+    wait_for("leader", || put(1));
+    let mut stream = TcpStream::connect(handle.peer_address()).expect("connect");
+    report(&mut stream, 1, 0);
+    for version in 2..=VERSIONS {
+        wait_for("change", || put(version));
+        // It speaks, and does not read.
+        report(&mut stream, version, 0);
+    }
+    let mut documents = Vec::new();
+    while documents.last() != Some(&VERSIONS) {
+        match read_frame(&mut stream).expect("the connection goes on") {
+            ControlToRouter::Gateway(update) => {
+                documents.extend(update.document.map(|document| document.version));
+            }
+            ControlToRouter::Crashes(_) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(documents.len() <= MOST_WAITING, "{documents:?}");
+}
