What waits for a gateway's socket is one difference, not a queue

Cause: up to 1,024 updates of any size were queued at a connection, and some megabytes more in its socket; a gateway that came to read took every old version first, in batches. Ruled out: a shorter queue alone (a full queue ends the connection, and the gateway comes back for everything); a word to the core for each update written (some hundred inputs a second more, for the few that are behind). Change: the host counts the updates that a connection's writer has not written; the core hears when a second one begins to wait and when none is left, and sends nothing in between, so the difference grows in the leader. A router's socket holds 64 KiB (the kernel doubles it). A version that waited is overdue from when it left. Logs: not-taken among the reasons for a lag, gateway-caught-up after a second or more. Digests that a gateway brings are looked up in a hash set.

--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -63,6 +63,13 @@
     },
     /// A router's connection ended.
     RouterDisconnected(ConnectionId),
+    /// An update of a gateway begins to wait behind another that its socket has not taken, or none waits any more.
+    RouterBacklog {
+        /// Connection.
+        connection: ConnectionId,
+        /// Whether one waits.
+        waits: bool,
+    },
     /// What became of a delivery attempt of an order.
     OrderDelivered {
         /// Engine.
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -205,6 +205,11 @@
                     fleet.disconnected(now, connection.0);
                 }
             }
+            ControlInput::RouterBacklog { connection, waits } => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.backlog(now, connection.0, waits);
+                }
+            }
             ControlInput::OrderDelivered {
                 backend,
                 fence,
--- a/crates/millpass-control/src/connections.rs
+++ b/crates/millpass-control/src/connections.rs
@@ -1,8 +1,10 @@
 //! Connections that members, routers and joiners make to this member.
 //!
 //! One thread reads each connection; one more writes to it once a router speaks on it. A router
-//! that does not read is disconnected when its queue is full, and comes back.
+//! that does not read is disconnected when its queue is full, and comes back. Of a gateway's updates one at most waits
+//! behind the one that is being written: the core hears of it, and sends the next when both are written.
 
+use crate::backlog::Backlog;
 use crate::inputs::Inputs;
 use crate::metrics::Metrics;
 use crate::settings::ProcessLimits;
@@ -21,6 +23,9 @@
 
 /// Stack of a connection's thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
+/// Bytes that a router's socket holds for it; the kernel takes twice as much. A larger copy passes in parts: at 50 ms
+/// there and back, more than a megabyte a second.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
 /// Pause after an accept failed, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for the acceptor's wake-up connection.
@@ -30,6 +35,7 @@
     stream: TcpStream,
     /// Set once a router spoke on it.
     messages: Option<Sender<ControlToRouter>>,
+    backlog: Arc<Backlog>,
 }
 
 /// All open connections. Its lock is held alone, never together with another.
@@ -93,22 +99,26 @@
         }
     }
 
-    /// Sends to a router, which is disconnected if it does not read. Never waits.
-    pub(crate) fn send(&self, connection: ConnectionId, message: ControlToRouter) {
+    /// Sends to a router, which is disconnected if it does not read. Never waits. True when a gateway's update begins
+    /// to wait behind another.
+    pub(crate) fn send(&self, connection: ConnectionId, message: ControlToRouter) -> bool {
         let mut open = self.lock();
         let Some(found) = open.get(&connection) else {
-            return;
+            return false;
         };
         let Some(messages) = &found.messages else {
-            return;
+            return false;
         };
+        let waits = is_update(&message) && found.backlog.queued();
         if messages.try_send(message).is_err() {
             self.metrics.dropped_messages.inc();
             log::warn!("event=router_not_reading connection={}", connection.0);
             if let Some(lost) = open.remove(&connection) {
                 shut_down(&lost.stream);
             }
+            return false;
         }
+        waits
     }
 
     fn admit(self: &Arc<Self>, stream: TcpStream) {
@@ -135,6 +145,7 @@
         let entry = Connection {
             stream: stream.try_clone()?,
             messages: None,
+            backlog: Arc::default(),
         };
         self.lock().insert(connection, entry);
         let connections = self.clone();
@@ -182,12 +193,30 @@
         stream: &TcpStream,
     ) -> std::io::Result<()> {
         stream.set_read_timeout(Some(self.limits.connection_silence))?;
+        // What waits in the socket is out of reach: it would be taken before anything newer.
+        SockRef::from(stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
         let (sender, messages) = bounded(self.limits.router_queue);
-        if let Some(found) = self.lock().get_mut(&connection) {
+        let backlog = {
+            let mut open = self.lock();
+            let Some(found) = open.get_mut(&connection) else {
+                return Ok(());
+            };
             found.messages = Some(sender);
-        }
+            found.backlog.clone()
+        };
         let writer = stream.try_clone()?;
-        spawn("control-writer", move || write_all(&writer, &messages))
+        let inputs = self.inputs.clone();
+        spawn("control-writer", move || {
+            write_all(&writer, &messages, || {
+                let caught_up = ControlInput::RouterBacklog {
+                    connection,
+                    waits: false,
+                };
+                if backlog.written() {
+                    inputs.send(caught_up);
+                }
+            });
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<ConnectionId, Connection>> {
@@ -214,8 +243,13 @@
     }
 }
 
-/// Body of a writing thread; ends when the connection is taken from the table.
-fn write_all(stream: &TcpStream, messages: &Receiver<ControlToRouter>) {
+fn is_update(message: &ControlToRouter) -> bool {
+    matches!(message, ControlToRouter::Gateway(_))
+}
+
+/// Body of a writing thread; ends when the connection is taken from the table. Tells of each update that the socket
+/// has taken.
+fn write_all(stream: &TcpStream, messages: &Receiver<ControlToRouter>, updated: impl Fn()) {
     let mut writer = BufWriter::new(stream);
     for message in messages {
         let mut written = write_frame(&mut writer, &message);
@@ -226,6 +260,9 @@
             log::debug!("event=router_write_failed error=\"{error}\"");
             break;
         }
+        if is_update(&message) {
+            updated();
+        }
     }
     shut_down(stream);
 }
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub mod administration;
 pub mod api;
+mod backlog;
 mod calls;
 pub mod client;
 mod connections;
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -12,7 +12,9 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
-use millpass_control_plane::{ControlEvent, ControlInput, ControlOutput, ControlPlane, FinalState};
+use millpass_control_plane::{
+    ConnectionId, ControlEvent, ControlInput, ControlOutput, ControlPlane, FinalState,
+};
 use millpass_proto::{LinkMessage, MemberAddress, Membership, Timestamp};
 use millpass_telemetry::{ProcessClock, SuspensionWatch, event_line, unix_millis};
 use std::collections::BTreeSet;
@@ -45,6 +47,8 @@
     /// Since when no leader is known.
     pub(crate) leaderless_since: Option<Timestamp>,
     pub(crate) suspensions: SuspensionWatch,
+    /// Connections at which an update begins to wait, of which the core has not heard yet.
+    pub(crate) behind: Vec<ConnectionId>,
 }
 
 /// Why the core's thread ended.
@@ -103,6 +107,11 @@
         for output in outputs {
             stopped |= self.carry_out(output);
         }
+        // Before any other input: the word that a connection has caught up may be in the queue already.
+        while let Some(connection) = self.behind.pop() {
+            let waits = true;
+            stopped |= self.step(ControlInput::RouterBacklog { connection, waits });
+        }
         stopped
     }
 
@@ -114,7 +123,11 @@
             ControlOutput::SendRouter {
                 connection,
                 message,
-            } => self.connections.send(connection, *message),
+            } => {
+                if self.connections.send(connection, *message) {
+                    self.behind.push(connection);
+                }
+            }
             ControlOutput::DeliverOrder { address, order } => {
                 self.deliveries.submit(Delivery::Order(address, order));
             }
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -140,6 +140,7 @@
         metrics,
         leaderless_since: None,
         suspensions: SuspensionWatch::default(),
+        behind: Vec::new(),
     };
     let core = spawn("control-core", move || member.run())?;
     log::info!(
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -1,12 +1,13 @@
 //! Processor time of the leader's core at the sizes of growing deployments: one round of planning
-//! with many needs that nobody serves, and the updates of gateways.
+//! with many needs that nobody serves, and the updates of gateways; then processor time and bytes of what gateways
+//! are told when all of them come back, when one route changes, and when nothing does.
 //!
 //! `cargo run --release -p millpass-fleet --example leader_cost`
 
 use millpass_fleet::{
     DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
 };
-use millpass_proto::*;
+use millpass_proto::{codec, *};
 use std::time::Instant;
 
 /// One size: engines, models, gateways, needs that nobody serves.
@@ -111,6 +112,202 @@
 }
 
 fn main() {
+    planning();
+    telling();
+}
+
+/// Gateways and instances of what gateways are told.
+const TOLD_SIZES: [(u64, usize); 4] = [(70, 144), (70, 3_000), (490, 144), (490, 3_000)];
+/// Routes of the document; it has about 34 kB.
+const ROUTES: usize = 370;
+/// Departed instances that the log remembers.
+const DEPARTED: usize = 256;
+
+fn route(number: usize) -> RouteSpec {
+    RouteSpec {
+        name: format!("route-of-the-document-{number}"),
+        host: format!("host-{}.example.org", number % 40),
+        path_prefix: format!("/path/of/route/{number}/"),
+        kind: RouteKind::Repeatable,
+        resumable: false,
+        timeout_millis: 1_000,
+        objective_millis: 300,
+        gap_objective_millis: 0,
+        priority: 1,
+        maximum_attempts: 3,
+        prompt_affinity: false,
+        targets: vec![RouteTarget {
+            service: format!("service-{}", number % 20).into(),
+            weight: 100,
+        }],
+        first_event_millis: 0,
+        anonymous: false,
+    }
+}
+
+/// A document without engines.
+fn plain() -> DeploymentDocument {
+    let mut plain = document(0);
+    plain.services = (0..20)
+        .map(|number| ServiceSpec {
+            name: format!("service-{number}").into(),
+            health_path: "/health".to_owned(),
+            maximum_connections: 0,
+            engine: None,
+        })
+        .collect();
+    plain
+}
+
+fn load(engine: usize) -> InstanceLoad {
+    InstanceLoad {
+        instance: record(engine, 1).instance,
+        in_flight: 2,
+    }
+}
+
+/// What a step took of the leader: in its core, to encode, and on the wire.
+#[derive(Default)]
+struct Cost {
+    core: std::time::Duration,
+    encoding: std::time::Duration,
+    bytes: usize,
+    updates: u64,
+}
+
+struct Told {
+    fleet: Fleet,
+    documents: DocumentHistory,
+    now: u64,
+}
+
+impl Told {
+    /// Gateways' reports, of gateway N on connection N and on, and what they are answered.
+    fn exchange(
+        &mut self,
+        reports: &[(u64, GatewayReport)],
+        document: &DeploymentDocument,
+    ) -> Cost {
+        let mut cost = Cost::default();
+        self.now += 1_000;
+        let now = Timestamp::from_millis(self.now);
+        let departed = || -> Vec<InstanceId> {
+            let instances = 0..DEPARTED;
+            instances
+                .map(|number| format!("i-gone-{number:06}").into())
+                .collect()
+        };
+        let context = GatewayContext {
+            members: &Vec::new,
+            departed: &departed,
+            documents: &self.documents,
+        };
+        let started = Instant::now();
+        for (connection, report) in reports {
+            self.fleet.report(now, *connection, report);
+        }
+        let outputs = self.fleet.run(now, 1, Some(document), &context);
+        cost.core = started.elapsed();
+        for output in outputs {
+            let FleetOutput::Update { update, .. } = output else {
+                continue;
+            };
+            let message = ControlToRouter::Gateway(*update);
+            let started = Instant::now();
+            cost.bytes += codec::encode(&message).map_or(0, |bytes| bytes.len());
+            cost.encoding += started.elapsed();
+            cost.updates += 1;
+        }
+        cost
+    }
+}
+
+fn reports(
+    gateways: u64,
+    first_connection: u64,
+    version: u64,
+    held: &[u64],
+) -> Vec<(u64, GatewayReport)> {
+    let reports = (0..gateways).map(|gateway| {
+        let mut report = report(gateway, 0, 1);
+        report.version = version;
+        report.known_instances = held.to_vec();
+        (first_connection + gateway, report)
+    });
+    reports.collect()
+}
+
+fn telling() {
+    println!();
+    println!(
+        "gateways instances | step               | updates | bytes each | ms core | ms encoding"
+    );
+    for (gateways, instances) in TOLD_SIZES {
+        let mut first = plain();
+        first.routes = (0..ROUTES).map(route).collect();
+        let mut told = Told {
+            fleet: Fleet::new(FleetSettings {
+                instance_silence: Duration::from_secs(3_600),
+                ..FleetSettings::default()
+            }),
+            documents: DocumentHistory::new(),
+            now: 1_000,
+        };
+        told.documents.applied(Timestamp::ZERO, &first);
+        let begin = Timestamp::ZERO;
+        let history = InstructionHistory::new(begin, Duration::ZERO);
+        told.fleet
+            .begin(begin, std::iter::empty(), std::iter::empty(), &history);
+        let mut held = Vec::new();
+        for number in 0..instances {
+            let mut record = record(number, 288);
+            record.service = format!("service-{}", number % 20).into();
+            held.push(record.digest());
+            told.fleet.announce(begin, record, false);
+        }
+        let show = |step: &str, cost: &Cost| {
+            println!(
+                "{gateways:8} {instances:9} | {step:18} | {:7} | {:10} | {:7.2} | {:11.2}",
+                cost.updates,
+                cost.bytes / cost.updates.max(1) as usize,
+                cost.core.as_secs_f64() * 1_000.0,
+                cost.encoding.as_secs_f64() * 1_000.0,
+            );
+        };
+        let first_reports = reports(gateways, 0, 0, &[]);
+        show("first, has nothing", &told.exchange(&first_reports, &first));
+        told.exchange(&reports(gateways, 0, 1, &[]), &first);
+        told.now += 60_000;
+        for connection in 0..gateways {
+            told.fleet
+                .disconnected(Timestamp::from_millis(told.now), connection);
+        }
+        let again = reports(gateways, 1_000, 1, &held);
+        show("comes back", &told.exchange(&again, &first));
+        told.exchange(&reports(gateways, 1_000, 1, &[]), &first);
+        show(
+            "nothing changed",
+            &told.exchange(&reports(gateways, 1_000, 1, &[]), &first),
+        );
+        let mut busy = reports(gateways, 1_000, 1, &[]);
+        for (_, report) in &mut busy {
+            report.sent = (0..64).map(load).collect();
+        }
+        told.exchange(&busy, &first);
+        show("loads as before", &told.exchange(&busy, &first));
+        let mut next = first.clone();
+        next.version = 2;
+        next.routes[7].timeout_millis += 1;
+        told.documents
+            .applied(Timestamp::from_millis(told.now), &next);
+        show("one route changed", &told.exchange(&[], &next));
+    }
+    let mut whole = plain();
+    whole.routes = (0..ROUTES).map(route).collect();
+    println!("document: {} bytes", codec::encoded_bytes(&whole));
+}
+
+fn planning() {
     println!(
         "engines models gateways needs | ms first | ms a round | ms a report | orders | updates"
     );
--- a/crates/millpass-fleet/src/crashes.rs
+++ b/crates/millpass-fleet/src/crashes.rs
@@ -221,7 +221,8 @@
         let mut update = None;
         for (connection, session) in &mut self.gateways.sessions {
             let due = now.since(session.crashes_sent_at) >= interval;
-            if session.sent_crashes == Some(revision) || !due {
+            let behind = session.behind_since.is_some();
+            if session.sent_crashes == Some(revision) || behind || !due {
                 continue;
             }
             session.sent_crashes = Some(revision);
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -9,7 +9,7 @@
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
-use crate::rollout::Rollout;
+use crate::rollout::{LAG, Rollout};
 use crate::store::{LoadUnderWay, StoreCapacity};
 use crate::traffic::Traffic;
 use crate::updates::GatewayContext;
@@ -318,6 +318,19 @@
         }
     }
 
+    /// Updates begin to wait at a gateway's connection, as its socket does not take them, or none waits any more.
+    /// Until then nothing more is sent.
+    pub fn backlog(&mut self, now: Timestamp, connection: u64, waits: bool) {
+        let Some((gateway, behind)) = self.gateways.backlog(now, connection, waits) else {
+            return;
+        };
+        if behind >= LAG {
+            let behind = behind.as_millis().to_string();
+            let pairs = vec![("gateway", gateway), ("behind_ms", behind)];
+            self.event("gateway-caught-up", pairs);
+        }
+    }
+
     /// A gateway's connection ended.
     pub fn disconnected(&mut self, now: Timestamp, connection: u64) {
         let Some(session) = self.gateways.disconnected(connection) else {
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -1,7 +1,7 @@
 //! Connected gateways and what each was sent.
 
 use millpass_proto::{Duration, GatewayReport, Timestamp};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, HashSet};
 
 /// One gateway on its connection.
 pub(crate) struct GatewaySession {
@@ -19,7 +19,7 @@
     /// The oldest version sent that it has not reported since, and when that was.
     pub(crate) unreported: Option<(u64, Timestamp)>,
     /// Digests of the instance records that it held when it connected; until the first update.
-    pub(crate) held_instances: BTreeSet<u64>,
+    pub(crate) held_instances: HashSet<u64>,
     /// Number of its newest report.
     pub(crate) answers: u64,
     /// Revision of the outlook sent.
@@ -34,6 +34,8 @@
     pub(crate) sent_crashes: Option<u64>,
     /// When it was last sent those.
     pub(crate) crashes_sent_at: Timestamp,
+    /// Since when updates wait at its connection: its socket does not take them.
+    pub(crate) behind_since: Option<Timestamp>,
     /// When it was last sent anything.
     pub(crate) sent_at: Timestamp,
     pub(crate) heard_at: Timestamp,
@@ -68,6 +70,18 @@
         self.unreported.is_some_and(overdue)
     }
 
+    /// Whether updates wait at its connection. One that has caught up was sent them just now.
+    fn backlog(&mut self, now: Timestamp, waits: bool) -> Option<Duration> {
+        if waits {
+            self.behind_since.get_or_insert(now);
+            return None;
+        }
+        if let Some((_, sent_at)) = &mut self.unreported {
+            *sent_at = now;
+        }
+        self.behind_since.take().map(|since| now.since(since))
+    }
+
     /// A document was put into an update.
     pub(crate) fn version_sent(&mut self, now: Timestamp, version: u64) {
         if self.unreported.is_none() || self.is_version_overdue() {
@@ -122,6 +136,7 @@
             sent_loads: 0,
             owed: true,
             sent_crashes: None,
+            behind_since: None,
             crashes_sent_at: Timestamp::ZERO,
             sent_at: Timestamp::ZERO,
             heard_at: now,
@@ -131,6 +146,18 @@
         true
     }
 
+    /// Updates begin to wait at a connection, or none waits any more; gives who was behind, and for how long.
+    pub(crate) fn backlog(
+        &mut self,
+        now: Timestamp,
+        connection: u64,
+        waits: bool,
+    ) -> Option<(String, Duration)> {
+        let session = self.sessions.get_mut(&connection)?;
+        let behind = session.backlog(now, waits)?;
+        Some((session.name.clone(), behind))
+    }
+
     pub(crate) fn disconnected(&mut self, connection: u64) -> Option<GatewaySession> {
         self.sessions.remove(&connection)
     }
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -1,7 +1,7 @@
 //! Instances as they announce themselves.
 
 use millpass_proto::{Duration, HeldModel, InstanceId, InstanceRecord, Timestamp};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, HashSet};
 
 /// Most removals remembered for gateways that have not been told; older ones need a full update.
 const MAXIMUM_REMOVALS: usize = 1_024;
@@ -133,7 +133,7 @@
     }
 
     /// What a gateway lacks that holds records of these digests.
-    pub(crate) fn lacking(&self, held: &BTreeSet<u64>) -> Lacking {
+    pub(crate) fn lacking(&self, held: &HashSet<u64>) -> Lacking {
         let mut lacking = Lacking {
             records: Vec::new(),
             kept: Vec::new(),
--- a/crates/millpass-fleet/src/rollout.rs
+++ b/crates/millpass-fleet/src/rollout.rs
@@ -8,7 +8,7 @@
 
 /// Time after which a gateway that does not report the version in force lags. Gateways report several times a
 /// second, so this is some reports late, and well within the time in which a change has to be in force.
-const LAG: Duration = Duration::from_millis(1_000);
+pub(crate) const LAG: Duration = Duration::from_millis(1_000);
 /// Most gateways named in one look at those that lag.
 const MAXIMUM_NAMED: usize = 8;
 /// Most lost gateways remembered.
@@ -78,7 +78,9 @@
 impl GatewaySession {
     /// Why it does not report a version that others have.
     fn lag_reason(&self, version: u64) -> &'static str {
-        if self.sent_version >= version {
+        if self.behind_since.is_some() {
+            "not-taken"
+        } else if self.sent_version >= version {
             "sent-not-reported"
         } else {
             "not-sent"
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -135,6 +135,9 @@
         };
         let sessions = self.gateways.sessions.iter();
         sessions
+            // Behind what waits at a connection a second update would be old when it is taken: the difference grows
+            // here instead.
+            .filter(|(_, session)| session.behind_since.is_none())
             .filter(|(_, session)| wants(session) && now.since(session.sent_at) >= interval)
             .map(|(connection, _)| *connection)
             .collect()
--- a/crates/millpass-fleet/tests/updates.rs
+++ b/crates/millpass-fleet/tests/updates.rs
@@ -313,3 +313,38 @@
         assert!(!sent, "at {millis} ms");
     }
 }
+
+/// Behind what a socket does not take nothing is queued: the difference waits in the leader, and is one update in the
+/// end.
+#[test]
+fn a_gateway_that_is_behind_gets_one_difference_when_it_has_caught_up() {
+    let mut leader = Leader::new(0, 0);
+    settled(&mut leader, COMPLETE);
+    leader.fleet.backlog(at(COMPLETE + 10), 1, true);
+    for version in 2..=4 {
+        let now = COMPLETE + version * 1_000;
+        leader.put(now);
+        leader.fleet.announce(at(now), record(version), false);
+        leader.report_of(now, 1, "g-1", 1, Vec::new());
+        assert!(leader.updates(now).is_empty());
+    }
+    leader.fleet.backlog(at(COMPLETE + 5_000), 1, false);
+    let update = only(leader.updates(COMPLETE + 5_000));
+    let change = update.document_change.expect("a change");
+    assert_eq!((change.base, change.version), (1, 4));
+    assert_eq!(update.instances.len(), 3);
+}
+
+/// What waited for its socket left only now: its report cannot be there yet.
+#[test]
+fn a_version_that_waited_for_the_socket_is_not_overdue_at_once() {
+    let mut leader = Leader::new(0, 0);
+    settled(&mut leader, COMPLETE);
+    leader.put(COMPLETE + 100);
+    assert_eq!(leader.updates(COMPLETE + 100).len(), 1);
+    leader.fleet.backlog(at(COMPLETE + 100), 1, true);
+    leader.fleet.backlog(at(COMPLETE + 3_000), 1, false);
+    leader.report_of(COMPLETE + 3_001, 1, "g-1", 1, Vec::new());
+    let update = only(leader.updates(COMPLETE + 3_001));
+    assert!(update.document.is_none() && update.document_change.is_none());
+}
