Leader: how long a departure takes to each gateway

Cause: of a departure it could not be told when a gateway had heard of it. Ruled out: a line for each gateway and departure. Change: a histogram control_departure_told_seconds, from a departure's commit to the first report of a gateway that says it has been told up to there (as_of; nothing is counted until gateways fill it). The last 256 departures are followed.

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -9,8 +9,8 @@
 use millpass_fleet::{FleetOutput, GatewayContext};
 use millpass_proto::{
     Command, ControlToRouter, CrashReport, EngineInstruction, GatewayReport, GatewayUpdate,
-    InstanceDeparture, InstanceId, InstanceRecord, InstructionAnswer, InstructionNote, PutDocument,
-    RequestFingerprint, Timestamp,
+    InstanceDeparture, InstanceId, InstanceRecord, InstructionAnswer, InstructionNote, LogPosition,
+    PutDocument, RequestFingerprint, Timestamp,
 };
 
 /// Most departed instances that a gateway is told of when it connects: those of the last minutes; it hears of older
@@ -103,8 +103,14 @@
     }
 
     /// A departure was committed.
-    pub(crate) fn departure_applied(&mut self, departure: &InstanceDeparture) {
+    pub(crate) fn departure_applied(
+        &mut self,
+        now: Timestamp,
+        at: LogPosition,
+        departure: &InstanceDeparture,
+    ) {
         if let Some(fleet) = &mut self.fleet {
+            fleet.departure_committed(now, at.index);
             fleet.departed(&departure.instance, departure.ended);
         }
     }
@@ -257,6 +263,9 @@
                 FleetOutput::DocumentReached(after) => {
                     out.push(ControlOutput::DocumentReached(after));
                 }
+                FleetOutput::DepartureReached(after) => {
+                    out.push(ControlOutput::DepartureReached(after));
+                }
                 FleetOutput::Event(event) => out.event(event.name, event.pairs),
             }
         }
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -255,6 +255,8 @@
     },
     /// For metrics: a gateway reported the newest document, this long after it was committed.
     DocumentReached(Duration),
+    /// For metrics: a gateway reported that it has been told of a departure, this long after it was committed.
+    DepartureReached(Duration),
     /// One event for the log and metrics.
     Event(ControlEvent),
     /// Draining is done; the process may exit.
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -111,7 +111,9 @@
             EntryPayload::Command(command) => {
                 self.state_changed = true;
                 match command {
-                    Command::DepartInstance(departure) => self.departure_applied(departure),
+                    Command::DepartInstance(departure) => {
+                        self.departure_applied(now, at, departure);
+                    }
                     Command::NoteInstructions(note) => self.instructions.note(now, note),
                     Command::NoteStoreCapacity(capacity) => {
                         self.instructions.note_store_capacity(*capacity);
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -427,7 +427,7 @@
             }
             ControlOutput::Instruct(instruction) => self.instructions.push((id, instruction)),
             ControlOutput::ReadEngine { instance, .. } => self.engine_reads.push((id, instance)),
-            ControlOutput::DocumentReached(_) => {}
+            ControlOutput::DocumentReached(_) | ControlOutput::DepartureReached(_) => {}
             ControlOutput::Stopped => self.members.get_mut(&id).unwrap().stopped = true,
         }
     }
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -146,6 +146,7 @@
             ControlOutput::ReadPlatform => self.read_platform(),
             ControlOutput::Answer { call, answer } => self.calls.answer(call, answer),
             ControlOutput::DocumentReached(after) => self.metrics.document_reached(after),
+            ControlOutput::DepartureReached(after) => self.metrics.departure_reached(after),
             ControlOutput::Event(event) => self.note(&event),
             ControlOutput::Stopped => return true,
         }
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -22,6 +22,7 @@
     pub(crate) steps: IntGauge,
     sync_seconds: Histogram,
     document_seconds: Histogram,
+    departure_seconds: Histogram,
     term: IntGauge,
     commit: IntGauge,
     leads: IntGauge,
@@ -40,12 +41,12 @@
         let syncs = HistogramOpts::new("control_sync_seconds", "Time of a write with its sync");
         let sync_seconds = Histogram::with_opts(syncs.buckets(SECONDS.to_vec()))?;
         registry.register(Box::new(sync_seconds.clone()))?;
-        let documents = HistogramOpts::new(
-            "control_document_in_force_seconds",
-            "Time from a document's commit to a gateway's report of it, as the leader sees it",
-        );
-        let document_seconds = Histogram::with_opts(documents.buckets(REACH_SECONDS.to_vec()))?;
-        registry.register(Box::new(document_seconds.clone()))?;
+        let reach = |name: &str, help: &str| -> prometheus::Result<Histogram> {
+            let options = HistogramOpts::new(name, help).buckets(REACH_SECONDS.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
         let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -55,7 +56,14 @@
             events,
             steps: gauge("control_steps", "Inputs taken by the decision core")?,
             sync_seconds,
-            document_seconds,
+            document_seconds: reach(
+                "control_document_in_force_seconds",
+                "Time from a document's commit to a gateway's report of it, as the leader sees it",
+            )?,
+            departure_seconds: reach(
+                "control_departure_told_seconds",
+                "Time from a departure's commit to a gateway's report that it was told",
+            )?,
             term: gauge("control_term", "Term of consensus")?,
             commit: gauge("control_commit_index", "Last committed log entry")?,
             leads: gauge("control_leads", "1 if this member believes to lead")?,
@@ -77,6 +85,10 @@
         self.document_seconds.observe(after.as_secs_f64());
     }
 
+    pub(crate) fn departure_reached(&self, after: millpass_proto::Duration) {
+        self.departure_seconds.observe(after.as_secs_f64());
+    }
+
     pub(crate) fn show_consensus(&self, status: &ConsensusStatus) {
         self.term.set(signed(status.term));
         self.commit.set(signed(status.commit));
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -104,6 +104,8 @@
     /// A gateway reported the newest document for the first time on its connection, this long after it was
     /// committed.
     DocumentReached(Duration),
+    /// A gateway reported that it has been told of a departure, this long after it was committed.
+    DepartureReached(Duration),
     /// Log.
     Event(FleetEvent),
 }
@@ -272,6 +274,11 @@
         }
     }
 
+    /// A departure was committed at this index of the log; its way to gateways is followed.
+    pub fn departure_committed(&mut self, now: Timestamp, index: u64) {
+        self.rollout.departed(now, index);
+    }
+
     /// An instance leaves, or has ended.
     pub fn departed(&mut self, instance: &InstanceId, ended: bool) {
         self.dirty = true;
@@ -292,6 +299,7 @@
     pub fn report(&mut self, now: Timestamp, connection: u64, report: &GatewayReport) {
         let before = self.gateways.reported_version(connection, &report.gateway);
         let before = before.or_else(|| self.rollout.held_when_lost(&report.gateway));
+        let told = self.gateways.as_of(connection);
         let new = self.gateways.heard(now, connection, report);
         if new {
             self.rollout.connected(&report.gateway);
@@ -305,6 +313,7 @@
             );
         }
         self.reached(now, before, report.version);
+        self.departures_reached(now, told, report.as_of);
         self.demand.report(now, &report.gateway, &report.needs);
         self.traffic.report(&report.gateway, &report.sent);
         self.dirty |= report.needs.iter().any(|need| need.unserved > 0);
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -12,6 +12,8 @@
     pub(crate) greeted: bool,
     /// Whether it was told that all instances have been named to it.
     pub(crate) sent_complete: bool,
+    /// Log index up to which it reports to have been told what binds it; 0 for none.
+    pub(crate) as_of: u64,
     /// Document version in force at the gateway, as it last reported.
     pub(crate) reported_version: u64,
     /// Newest document version that was sent on this connection; it may not have arrived.
@@ -47,6 +49,7 @@
         self.heard_at = now;
         self.owed = true;
         self.answers = report.sequence;
+        self.as_of = report.as_of;
         self.reported_version = report.version;
         let Some((oldest, _)) = self.unreported else {
             return;
@@ -126,6 +129,7 @@
             sent_revision: 0,
             greeted: false,
             sent_complete: false,
+            as_of: report.as_of,
             reported_version: report.version,
             sent_version: 0,
             unreported: None,
@@ -146,6 +150,12 @@
         true
     }
 
+    /// Log index up to which a gateway was told, as it last reported on this connection.
+    pub(crate) fn as_of(&self, connection: u64) -> Option<u64> {
+        let session = self.sessions.get(&connection)?;
+        Some(session.as_of)
+    }
+
     /// Updates begin to wait at a connection, or none waits any more; gives who was behind, and for how long.
     pub(crate) fn backlog(
         &mut self,
--- a/crates/millpass-fleet/src/rollout.rs
+++ b/crates/millpass-fleet/src/rollout.rs
@@ -4,7 +4,7 @@
 use crate::gateways::GatewaySession;
 use crate::updates::GatewayContext;
 use millpass_proto::{DeploymentDocument, Duration, Timestamp};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Time after which a gateway that does not report the version in force lags. Gateways report several times a
 /// second, so this is some reports late, and well within the time in which a change has to be in force.
@@ -13,6 +13,8 @@
 const MAXIMUM_NAMED: usize = 8;
 /// Most lost gateways remembered.
 const MAXIMUM_LOST: usize = 1_024;
+/// Most departures whose way is followed; a wave of restarts in a second is fewer.
+const MAXIMUM_DEPARTURES: usize = 256;
 /// Time for which a lost gateway is looked for.
 const LOST_MEMORY: Duration = Duration::from_secs(60);
 
@@ -35,9 +37,19 @@
     next_look: Timestamp,
     pause: Duration,
     lost: BTreeMap<String, LostGateway>,
+    /// Log index and time of the last departures, the newest last.
+    departures: VecDeque<(u64, Timestamp)>,
 }
 
 impl Rollout {
+    /// A departure was committed at this index of the log.
+    pub(crate) fn departed(&mut self, now: Timestamp, index: u64) {
+        self.departures.push_back((index, now));
+        if self.departures.len() > MAXIMUM_DEPARTURES {
+            self.departures.pop_front();
+        }
+    }
+
     /// A gateway's connection ended.
     pub(crate) fn lost(&mut self, now: Timestamp, session: &GatewaySession) {
         if self.lost.len() >= MAXIMUM_LOST {
@@ -158,6 +170,20 @@
         }
     }
 
+    /// A gateway that had been told up to `before` reports to have been told up to `as_of`.
+    pub(crate) fn departures_reached(&mut self, now: Timestamp, before: Option<u64>, as_of: u64) {
+        let Some(before) = before else {
+            // What it was told earlier is not known here.
+            return;
+        };
+        let newest_first = self.rollout.departures.iter().rev();
+        let new = newest_first
+            .skip_while(|(index, _)| *index > as_of)
+            .take_while(|(index, _)| *index > before);
+        let reached = new.map(|(_, since)| FleetOutput::DepartureReached(now.since(*since)));
+        self.out.extend(reached);
+    }
+
     /// A gateway reported a version. `before` is what it had reported earlier; one that was not known to this leader
     /// may have had it for long, and is not measured.
     pub(crate) fn reached(&mut self, now: Timestamp, before: Option<u64>, reported: u64) {
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -137,8 +137,25 @@
         version: u64,
         known_instances: Vec<u64>,
     ) {
+        let report = self.report_with(gateway, version, known_instances);
+        self.fleet.report(at(now), connection, &report);
+    }
+
+    /// A report of gateway g-N, told up to this index of the log.
+    pub fn report_as_of(&mut self, now: u64, connection: u64, as_of: u64) {
+        let mut report = self.report_with(&format!("g-{connection}"), 1, Vec::new());
+        report.as_of = as_of;
+        self.fleet.report(at(now), connection, &report);
+    }
+
+    fn report_with(
+        &mut self,
+        gateway: &str,
+        version: u64,
+        known_instances: Vec<u64>,
+    ) -> GatewayReport {
         self.sequence += 1;
-        let report = GatewayReport {
+        GatewayReport {
             gateway: gateway.to_owned(),
             zone: "zone-a".into(),
             sequence: self.sequence,
@@ -148,8 +165,7 @@
             sent: Vec::new(),
             as_of: 0,
             known_instances,
-        };
-        self.fleet.report(at(now), connection, &report);
+        }
     }
 
     pub fn run(&mut self, now: u64) -> Vec<FleetOutput> {
--- a/crates/millpass-fleet/tests/rollout.rs
+++ b/crates/millpass-fleet/tests/rollout.rs
@@ -105,3 +105,31 @@
     assert_eq!(lagging.len(), 8);
     assert!(lagging[0].contains("lagging=100"), "{lagging:?}");
 }
+
+#[test]
+fn the_time_of_a_departure_to_each_gateway_is_measured() {
+    let told = |leader: &mut Leader, now: u64| {
+        let outputs = leader.run(now).into_iter();
+        let times = outputs.filter_map(|output| match output {
+            FleetOutput::DepartureReached(after) => Some(after.as_millis()),
+            _ => None,
+        });
+        times.collect::<Vec<_>>()
+    };
+    let mut leader = Leader::new(0, 0);
+    leader.fleet.departure_committed(at(900), 4);
+    leader.report_as_of(1_000, 1, 5);
+    assert_eq!(
+        told(&mut leader, 1_000),
+        [0; 0],
+        "what it brings along is not measured"
+    );
+    leader.fleet.departure_committed(at(1_100), 7);
+    leader.fleet.departure_committed(at(1_120), 9);
+    leader.report_as_of(1_150, 1, 7);
+    assert_eq!(told(&mut leader, 1_150), [50]);
+    leader.report_as_of(1_200, 1, 7);
+    assert_eq!(told(&mut leader, 1_200), [0; 0]);
+    leader.report_as_of(1_250, 1, 12);
+    assert_eq!(told(&mut leader, 1_250), [130]);
+}
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -185,7 +185,8 @@
             // No instances announce themselves here.
             ControlOutput::Instruct(_)
             | ControlOutput::ReadEngine { .. }
-            | ControlOutput::DocumentReached(_) => {}
+            | ControlOutput::DocumentReached(_)
+            | ControlOutput::DepartureReached(_) => {}
             ControlOutput::Persist(_)
             | ControlOutput::SaveSnapshot(_)
             | ControlOutput::Event(_)
