--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -10,7 +10,7 @@
 use millpass_fleet::{FleetOutput, GatewayContext};
 use millpass_proto::{
     Command, ControlToRouter, CrashReport, EngineInstruction, GatewayReport, InstanceDeparture,
-    InstanceId, InstanceRecord, InstructionAnswer, InstructionNote, PutDocument,
+    InstanceId, InstanceRecord, InstructionAnswer, InstructionNote, LogPosition, PutDocument,
     RequestFingerprint, Timestamp,
 };
 
@@ -104,8 +104,14 @@
     }
 
     /// A departure was committed.
-    pub(crate) fn departure_applied(&mut self, departure: &InstanceDeparture) {
+    pub(crate) fn departure_applied(
+        &mut self,
+        now: Timestamp,
+        at: LogPosition,
+        departure: &InstanceDeparture,
+    ) {
         if let Some(fleet) = &mut self.fleet {
+            fleet.departure_committed(now, at.index);
             fleet.departed(&departure.instance, departure.ended);
         }
     }
@@ -233,6 +239,9 @@
                 FleetOutput::DocumentReached(after) => {
                     out.push(ControlOutput::DocumentReached(after));
                 }
+                FleetOutput::DepartureReached(after) => {
+                    out.push(ControlOutput::DepartureReached(after));
+                }
                 FleetOutput::Event(event) => out.event(event.name, event.pairs),
             }
         }
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -63,6 +63,13 @@
     },
     /// A router's connection ended.
     RouterDisconnected(ConnectionId),
+    /// An update of a gateway begins to wait behind another that its socket has not taken, or none waits any more.
+    RouterBacklog {
+        /// Connection.
+        connection: ConnectionId,
+        /// Whether one waits.
+        waits: bool,
+    },
     /// What became of a delivery attempt of an order.
     OrderDelivered {
         /// Engine.
@@ -248,6 +255,8 @@
     },
     /// For metrics: a gateway reported the newest document, this long after it was committed.
     DocumentReached(Duration),
+    /// For metrics: a gateway reported that it has been told of a departure, this long after it was committed.
+    DepartureReached(Duration),
     /// One event for the log and metrics.
     Event(ControlEvent),
     /// Draining is done; the process may exit.
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `lateness` | tells when the core's thread is late |
 //! | `disk` | writes and syncs |
 //! | `connections` | connections that members, routers and joiners make |
+//! | `router_backlog` | whether a gateway's updates wait at its connection |
 //! | `freshness` | answers gateways' questions by datagram |
 //! | `peers` | connections to other members |
 //! | `peer_queue` | what waits to be sent to one member |
@@ -42,6 +43,7 @@
 pub mod peer_queue;
 mod peers;
 mod process;
+mod router_backlog;
 pub mod settings;
 mod startup;
 pub mod urgency;
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -16,8 +16,8 @@
 use crate::urgency::Urgency;
 use crossbeam::channel::Sender;
 use millpass_control_plane::{
-    AdministrationAnswer, AdministrationRequest, ControlEvent, ControlInput, ControlOutput,
-    ControlPlane, FinalState, FreshnessMark,
+    AdministrationAnswer, AdministrationRequest, ConnectionId, ControlEvent, ControlInput,
+    ControlOutput, ControlPlane, FinalState, FreshnessMark,
 };
 use millpass_proto::{LinkMessage, MemberAddress, Membership, Timestamp};
 use millpass_telemetry::{ProcessClock, SuspensionWatch, event_line, unix_millis};
@@ -60,6 +60,8 @@
     pub(crate) leaderless_since: Option<Timestamp>,
     pub(crate) suspensions: SuspensionWatch,
     pub(crate) lateness: LatenessWatch,
+    /// Connections at which an update begins to wait, of which the core has not heard yet.
+    pub(crate) behind: Vec<ConnectionId>,
 }
 
 /// Why the core's thread ended.
@@ -157,6 +159,11 @@
         for output in outputs {
             stopped |= self.carry_out(output);
         }
+        // Before any other input: the word that a connection has caught up may be in the queue already.
+        while let Some(connection) = self.behind.pop() {
+            let waits = true;
+            stopped |= self.step(ControlInput::RouterBacklog { connection, waits });
+        }
         stopped
     }
 
@@ -180,7 +187,11 @@
             ControlOutput::SendRouter {
                 connection,
                 message,
-            } => self.connections.send(connection, *message),
+            } => {
+                if self.connections.send(connection, *message) {
+                    self.behind.push(connection);
+                }
+            }
             ControlOutput::DeliverOrder { address, order } => {
                 self.deliveries.submit(Delivery::Order(address, order));
             }
@@ -199,6 +210,7 @@
             ControlOutput::ReadPlatform => self.read_platform(),
             ControlOutput::Answer { call, answer } => self.calls.answer(call, answer),
             ControlOutput::DocumentReached(after) => self.metrics.document_reached(after),
+            ControlOutput::DepartureReached(after) => self.metrics.departure_reached(after),
             ControlOutput::Event(event) => self.note(&event),
             ControlOutput::Stopped => return true,
         }
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -38,6 +38,7 @@
     refused_inputs: IntCounterVec,
     /// Announcements answered as refused because they had waited too long.
     pub(crate) outdated_announcements: IntCounter,
+    departure_seconds: Histogram,
     term: IntGauge,
     commit: IntGauge,
     leads: IntGauge,
@@ -60,12 +61,6 @@
         let syncs = HistogramOpts::new("control_sync_seconds", "Time of a write with its sync");
         let sync_seconds = Histogram::with_opts(syncs.buckets(SECONDS.to_vec()))?;
         registry.register(Box::new(sync_seconds.clone()))?;
-        let documents = HistogramOpts::new(
-            "control_document_in_force_seconds",
-            "Time from a document's commit to a gateway's report of it, as the leader sees it",
-        );
-        let document_seconds = Histogram::with_opts(documents.buckets(REACH_SECONDS.to_vec()))?;
-        registry.register(Box::new(document_seconds.clone()))?;
         let help = "Time that an input waited for the core";
         let waits = HistogramOpts::new("control_input_wait_seconds", help);
         let waits = waits.buckets(WAIT_SECONDS.to_vec());
@@ -85,6 +80,12 @@
         let help = "Announcements refused because they had waited too long";
         let outdated_announcements = IntCounter::new("control_outdated_announcements_total", help)?;
         registry.register(Box::new(outdated_announcements.clone()))?;
+        let reach = |name: &str, help: &str| -> prometheus::Result<Histogram> {
+            let options = HistogramOpts::new(name, help).buckets(REACH_SECONDS.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
         let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -94,12 +95,19 @@
             events,
             steps: gauge("control_steps", "Inputs taken by the decision core")?,
             sync_seconds,
-            document_seconds,
             input_wait_seconds,
             tick_late_seconds,
             queues,
             refused_inputs,
             outdated_announcements,
+            document_seconds: reach(
+                "control_document_in_force_seconds",
+                "Time from a document's commit to a gateway's report of it, as the leader sees it",
+            )?,
+            departure_seconds: reach(
+                "control_departure_told_seconds",
+                "Time from a departure's commit to a gateway's report that it was told",
+            )?,
             term: gauge("control_term", "Term of consensus")?,
             commit: gauge("control_commit_index", "Last committed log entry")?,
             leads: gauge("control_leads", "1 if this member believes to lead")?,
@@ -145,6 +153,10 @@
         new
     }
 
+    pub(crate) fn departure_reached(&self, after: millpass_proto::Duration) {
+        self.departure_seconds.observe(after.as_secs_f64());
+    }
+
     pub(crate) fn show_consensus(&self, status: &ConsensusStatus) {
         self.term.set(signed(status.term));
         self.commit.set(signed(status.commit));
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -191,6 +191,7 @@
         leaderless_since: None,
         suspensions: SuspensionWatch::default(),
         lateness: LatenessWatch::default(),
+        behind: Vec::new(),
     };
     let (running, core_ended) = bounded::<()>(0);
     let core = spawn("control-core", move || {
--- a/crates/millpass-control/src/urgency.rs
+++ b/crates/millpass-control/src/urgency.rs
@@ -57,6 +57,7 @@
             ControlInput::Router { message, .. } => of_router(message),
             // With the reports, so that it follows the last one of its connection.
             ControlInput::RouterDisconnected(_)
+            | ControlInput::RouterBacklog { .. }
             | ControlInput::OrderDelivered { .. }
             | ControlInput::PlatformListed(_)
             | ControlInput::InstructionAnswered { .. } => Urgency::Reports,
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -9,7 +9,7 @@
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
-use crate::rollout::Rollout;
+use crate::rollout::{LAG, Rollout};
 use crate::store::{LoadUnderWay, StoreCapacity};
 use crate::traffic::Traffic;
 use crate::updates::GatewayContext;
@@ -104,6 +104,8 @@
     /// A gateway reported the newest document for the first time on its connection, this long after it was
     /// committed.
     DocumentReached(Duration),
+    /// A gateway reported that it has been told of a departure, this long after it was committed.
+    DepartureReached(Duration),
     /// Log.
     Event(FleetEvent),
 }
@@ -272,6 +274,11 @@
         }
     }
 
+    /// A departure was committed at this index of the log; its way to gateways is followed.
+    pub fn departure_committed(&mut self, now: Timestamp, index: u64) {
+        self.rollout.departed(now, index);
+    }
+
     /// An instance leaves, or has ended. Where this member does not lead, there is nobody to tell: it begins with what
     /// the log knows.
     pub fn departed(&mut self, instance: &InstanceId, ended: bool) {
@@ -294,6 +301,7 @@
     pub fn report(&mut self, now: Timestamp, connection: u64, report: &GatewayReport) {
         let before = self.gateways.reported_version(connection, &report.gateway);
         let before = before.or_else(|| self.rollout.held_when_lost(&report.gateway));
+        let told = self.gateways.as_of(connection);
         let new = self.gateways.heard(now, connection, report);
         if new {
             self.rollout.connected(&report.gateway);
@@ -307,6 +315,7 @@
             );
         }
         self.reached(now, before, report.version);
+        self.departures_reached(now, told, report.as_of);
         self.demand.report(now, &report.gateway, &report.needs);
         self.traffic.report(&report.gateway, &report.sent);
         self.dirty |= report.needs.iter().any(|need| need.unserved > 0);
@@ -320,6 +329,19 @@
         }
     }
 
+    /// Updates begin to wait at a gateway's connection, as its socket does not take them, or none waits any more.
+    /// Until then nothing more is sent.
+    pub fn backlog(&mut self, now: Timestamp, connection: u64, waits: bool) {
+        let Some((gateway, behind)) = self.gateways.backlog(now, connection, waits) else {
+            return;
+        };
+        if behind >= LAG {
+            let behind = behind.as_millis().to_string();
+            let pairs = vec![("gateway", gateway), ("behind_ms", behind)];
+            self.event("gateway-caught-up", pairs);
+        }
+    }
+
     /// A gateway's connection ended.
     pub fn disconnected(&mut self, now: Timestamp, connection: u64) {
         let Some(session) = self.gateways.disconnected(connection) else {
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -1,7 +1,7 @@
 //! Connected gateways and what each was sent.
 
 use millpass_proto::{Duration, GatewayReport, Timestamp};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, HashSet};
 
 /// One gateway on its connection.
 pub(crate) struct GatewaySession {
@@ -12,6 +12,8 @@
     pub(crate) greeted: bool,
     /// Whether it was told that all instances have been named to it.
     pub(crate) sent_complete: bool,
+    /// Log index up to which it reports to have been told what binds it; 0 for none.
+    pub(crate) as_of: u64,
     /// Document version in force at the gateway, as it last reported.
     pub(crate) reported_version: u64,
     /// Newest document version that was sent on this connection; it may not have arrived.
@@ -19,7 +21,7 @@
     /// The oldest version sent that it has not reported since, and when that was.
     pub(crate) unreported: Option<(u64, Timestamp)>,
     /// Digests of the instance records that it held when it connected; until the first update.
-    pub(crate) held_instances: BTreeSet<u64>,
+    pub(crate) held_instances: HashSet<u64>,
     /// Number of its newest report.
     pub(crate) answers: u64,
     /// Revision of the outlook sent.
@@ -34,6 +36,8 @@
     pub(crate) sent_crashes: Option<u64>,
     /// When it was last sent those.
     pub(crate) crashes_sent_at: Timestamp,
+    /// Since when updates wait at its connection: its socket does not take them.
+    pub(crate) behind_since: Option<Timestamp>,
     /// When it was last sent anything.
     pub(crate) sent_at: Timestamp,
     pub(crate) heard_at: Timestamp,
@@ -45,6 +49,7 @@
         self.heard_at = now;
         self.owed = true;
         self.answers = report.sequence;
+        self.as_of = report.as_of;
         self.reported_version = report.version;
         let Some((oldest, _)) = self.unreported else {
             return;
@@ -68,6 +73,18 @@
         self.unreported.is_some_and(overdue)
     }
 
+    /// Whether updates wait at its connection. One that has caught up was sent them just now.
+    fn backlog(&mut self, now: Timestamp, waits: bool) -> Option<Duration> {
+        if waits {
+            self.behind_since.get_or_insert(now);
+            return None;
+        }
+        if let Some((_, sent_at)) = &mut self.unreported {
+            *sent_at = now;
+        }
+        self.behind_since.take().map(|since| now.since(since))
+    }
+
     /// A document was put into an update.
     pub(crate) fn version_sent(&mut self, now: Timestamp, version: u64) {
         if self.unreported.is_none() || self.is_version_overdue() {
@@ -112,6 +129,7 @@
             sent_revision: 0,
             greeted: false,
             sent_complete: false,
+            as_of: report.as_of,
             reported_version: report.version,
             sent_version: 0,
             unreported: None,
@@ -122,6 +140,7 @@
             sent_loads: 0,
             owed: true,
             sent_crashes: None,
+            behind_since: None,
             crashes_sent_at: Timestamp::ZERO,
             sent_at: Timestamp::ZERO,
             heard_at: now,
@@ -131,6 +150,24 @@
         true
     }
 
+    /// Log index up to which a gateway was told, as it last reported on this connection.
+    pub(crate) fn as_of(&self, connection: u64) -> Option<u64> {
+        let session = self.sessions.get(&connection)?;
+        Some(session.as_of)
+    }
+
+    /// Updates begin to wait at a connection, or none waits any more; gives who was behind, and for how long.
+    pub(crate) fn backlog(
+        &mut self,
+        now: Timestamp,
+        connection: u64,
+        waits: bool,
+    ) -> Option<(String, Duration)> {
+        let session = self.sessions.get_mut(&connection)?;
+        let behind = session.backlog(now, waits)?;
+        Some((session.name.clone(), behind))
+    }
+
     pub(crate) fn disconnected(&mut self, connection: u64) -> Option<GatewaySession> {
         self.sessions.remove(&connection)
     }
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -1,7 +1,7 @@
 //! Instances as they announce themselves.
 
 use millpass_proto::{Duration, HeldModel, InstanceId, InstanceRecord, Timestamp};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// Most removals remembered for gateways that have not been told; one that was told before the oldest of them is told
 /// everything.
@@ -160,7 +160,7 @@
     }
 
     /// What a gateway lacks that holds records of these digests.
-    pub(crate) fn lacking(&self, held: &BTreeSet<u64>) -> Lacking {
+    pub(crate) fn lacking(&self, held: &HashSet<u64>) -> Lacking {
         let mut lacking = Lacking {
             records: Vec::new(),
             kept: Vec::new(),
