Test: a machine gone for good is replaced before the next loss may come (fails)

Cause: a voter whose machine is gone is replaced by a newcomer only after 5 s of silence, counted anew by each leader. A lost machine ceases to count 4 s after its successor's start; what is lost next then leaves one voter of three for good. Ruled out: the newcomer's way to a learner and its catching up (0.2 s). Change: the test, with the timings that members are deployed with; the harness starts newcomers.

--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -104,6 +104,8 @@
     /// Voters up to which learners are promoted.
     pub wanted_voters: usize,
     pub timing: Timing,
+    /// Silence after which a member is replaced.
+    pub replacement_delay: Duration,
     /// Added to what each member draws its random numbers from.
     pub seed: u64,
     inputs: VecDeque<(MemberId, ControlInput)>,
@@ -164,6 +166,7 @@
             fleet: None,
             wanted_voters: 0,
             timing: Timing::default(),
+            replacement_delay: Duration::from_secs(5),
             seed: 0,
             inputs: VecDeque::new(),
             calls: 0,
@@ -194,7 +197,7 @@
             scheduling_interval: Duration::from_millis(200),
             snapshot_entries: self.snapshot_entries,
             claim_retention: Duration::from_secs(3_600),
-            member_replacement_delay: Duration::from_secs(5),
+            member_replacement_delay: self.replacement_delay,
             machine_gone_delay: Duration::from_secs(10),
             wanted_voters: self.wanted_voters,
             fleet: self.fleet.clone(),
@@ -282,6 +285,11 @@
             member: new,
             ..self.members[&old].address.clone()
         };
+        self.boot_alone(address);
+    }
+
+    /// Starts a process with an empty disk that is in no membership.
+    pub fn boot_alone(&mut self, address: MemberAddress) {
         let nobody = Membership {
             voters: Vec::new(),
             outgoing_voters: Vec::new(),
@@ -322,12 +330,7 @@
 
     /// Starts a process that is in no membership.
     pub fn boot_joiner(&mut self, joiner: u64) {
-        let nobody = Membership {
-            voters: Vec::new(),
-            outgoing_voters: Vec::new(),
-            learners: Vec::new(),
-        };
-        self.boot(address(joiner), nobody);
+        self.boot_alone(address(joiner));
     }
 
     /// Voters in force at a member, in order.
--- a/crates/millpass-control-plane/tests/losses.rs
+++ b/crates/millpass-control-plane/tests/losses.rs
@@ -45,6 +45,18 @@
 /// Longest time after which an operator who asks again and again must have been answered.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// Settings that the members run with.
+const DEPLOYED: &str = include_str!("../../../deploy/control.toml");
+
+/// A figure of the deployed settings, in milliseconds.
+fn deployed_millis(name: &str) -> Duration {
+    let value = DEPLOYED.lines().find_map(|line| {
+        let (key, value) = line.split_once('=')?;
+        (key.trim() == name).then(|| value.trim().parse().expect("a number"))
+    });
+    Duration::from_millis(value.unwrap_or_else(|| panic!("{name} is not set")))
+}
+
 /// A group of documents, whose processes ask to join as the host's do.
 struct Group {
     world: World,
@@ -62,10 +74,11 @@
         world.wanted_voters = members as usize;
         world.seed = seed * 1_000_003;
         world.timing = Timing {
-            election_timeout: Duration::from_millis(450),
-            heartbeat_interval: Duration::from_millis(75),
-            lease_length: Duration::from_millis(330),
+            election_timeout: deployed_millis("election_timeout_ms"),
+            heartbeat_interval: deployed_millis("heartbeat_ms"),
+            lease_length: deployed_millis("lease_ms"),
         };
+        world.replacement_delay = deployed_millis("member_replacement_delay_ms");
         world.network.seed = seed;
         world.network.delayed = 100;
         world.network.longest_delay_millis = longest_delay_millis;
@@ -206,6 +219,18 @@
         new
     }
 
+    /// A machine that the group has never heard of starts with an empty disk; its identity.
+    fn newcomer(&mut self) -> MemberId {
+        self.next_identity += 1;
+        let new = MemberId(self.next_identity);
+        self.world.boot_alone(MemberAddress {
+            member: new,
+            ..address(9)
+        });
+        self.keep_house(new);
+        new
+    }
+
     /// Whether the newest committed membership has the new identity in the old one's place.
     fn is_repaired(&self, lost: MemberId, new: MemberId) -> bool {
         let memberships = self.world.audit.memberships();
@@ -464,3 +489,54 @@
         quantiles(times)
     );
 }
+
+/// When the machine comes that takes the place of one that is gone for good.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Successor {
+    /// Some milliseconds after the other is gone.
+    After(u64),
+    /// A second before the other is asked to stop.
+    Before,
+}
+
+#[rstest]
+fn a_machine_gone_for_good_is_replaced_before_the_next_loss_may_come(
+    #[values(3, 5)] members: u64,
+    #[values(Who::Leader, Who::Follower)] who: Who,
+    #[values(10, 100)] delay: u64,
+    #[values(Successor::After(500), Successor::After(1_000), Successor::Before)] comes: Successor,
+) {
+    let mut times = Vec::new();
+    for seed in 0..SEEDS {
+        let mut group = Group::new(members, seed, delay);
+        let leader = group.put(PATIENCE);
+        let lost = match who {
+            Who::Leader => leader,
+            Who::Follower => group.world.follower(leader),
+        };
+        let (new, started) = match comes {
+            Successor::After(millis) => {
+                group.world.halt(lost);
+                group.run(Duration::from_millis(millis));
+                (group.newcomer(), group.world.now)
+            }
+            Successor::Before => {
+                let started = (group.newcomer(), group.world.now);
+                group.run(Duration::from_secs(1));
+                group.world.give(lost, ControlInput::Drain);
+                group.run(DOWN);
+                group.world.halt(lost);
+                started
+            }
+        };
+        let time = group.repaired_within(lost, new, RECOVERED);
+        assert!(time.is_some(), "seed {seed}: {}", group.describe());
+        times.push(group.world.now.since(started).as_millis());
+    }
+    println!(
+        "{members} gone {who:?} delay {delay} {comes:?}: {}",
+        quantiles(times.clone())
+    );
+    let worst = times.into_iter().max().expect("times");
+    assert!(worst < CATCH_UP.as_millis(), "{worst} ms");
+}
