--- a/crates/millpass-storage/tests/lost_power.rs
+++ b/crates/millpass-storage/tests/lost_power.rs
@@ -11,11 +11,12 @@
 
 use common::*;
 use millpass_proto::Snapshot;
-use millpass_storage::{RestoredStorage, Storage};
+use millpass_storage::{AppendFile, RestoredStorage, Storage, StorageOptions};
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 /// Entries written before a snapshot, in segments of a few each.
 const ENTRIES: u64 = 14;
@@ -229,3 +230,64 @@
         assert_eq!(restored.identity, common::identity());
     }
 }
+
+/// Bytes of the segment that the disk is known to hold.
+static ON_DISK: AtomicU64 = AtomicU64::new(0);
+/// Whether the process is killed before its next sync.
+static KILLED: AtomicBool = AtomicBool::new(false);
+
+/// A file whose synced length is noted; a killed process leaves what it wrote, not synced.
+struct Watched(fs::File);
+
+impl AppendFile for Watched {
+    fn append(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        AppendFile::append(&mut self.0, bytes)
+    }
+
+    fn sync(&mut self) -> std::io::Result<()> {
+        if KILLED.load(Ordering::Relaxed) {
+            return Err(std::io::Error::other("killed"));
+        }
+        ON_DISK.store(self.0.metadata()?.len(), Ordering::Relaxed);
+        Ok(())
+    }
+
+    fn truncate(&mut self, length: u64) -> std::io::Result<()> {
+        AppendFile::truncate(&mut self.0, length)
+    }
+}
+
+fn watched(file: fs::File) -> Box<dyn AppendFile> {
+    Box::new(Watched(file))
+}
+
+/// A process is killed between a write and its sync, and started again. It finds the entry and tells the leader that
+/// it has it; the leader commits it and acknowledges the change. Then power is lost.
+#[test]
+fn what_a_start_gives_back_outlasts_the_next_loss_of_power() {
+    let (_root, folder) = new_folder();
+    let options = StorageOptions {
+        append_file: watched,
+        ..StorageOptions::default()
+    };
+    let (mut storage, _) = Storage::open_with(&folder, options).expect("open");
+    storage
+        .write(Some(&hard_state(1)), None, &entries(1, 1..=3))
+        .expect("write");
+    KILLED.store(true, Ordering::Relaxed);
+    storage
+        .write(Some(&hard_state(2)), None, &entries(2, 4..=4))
+        .expect_err("killed");
+    drop(storage);
+    KILLED.store(false, Ordering::Relaxed);
+    let (storage, started) = Storage::open_with(&folder, options).expect("open");
+    assert_eq!(started.entries.len(), 4, "the process finds what it wrote");
+    drop(storage);
+    let segment = files_named(&folder, "log-")[0].clone();
+    let file = fs::File::options().write(true).open(segment);
+    let cut = file.and_then(|file| file.set_len(ON_DISK.load(Ordering::Relaxed)));
+    cut.expect("loss of power");
+    let (_storage, restored) = open(&folder);
+    assert_eq!(restored.entries, started.entries);
+    assert_eq!(restored.hard_state, started.hard_state);
+}
