What a start reads is synced before the member vouches for it

Ruled out: a sync only where something was cut: a whole record may be unsynced as well. Change: opening syncs the newest segment and the names of the folder. Conclusion: neither a vote nor an entry that a member has confirmed is lost with the power.

--- a/crates/millpass-storage/src/segment.rs
+++ b/crates/millpass-storage/src/segment.rs
@@ -28,7 +28,8 @@
 }
 
 impl ActiveSegment {
-    /// Opens the newest segment for appending, after its last whole record.
+    /// Opens the newest segment for appending, after its last whole record. What was read of it is synced: a process
+    /// that was killed may have left a write that never was, and the member is about to vouch for it.
     pub(crate) fn open(
         path: PathBuf,
         length: u64,
@@ -37,12 +38,13 @@
         let mut file = File::options().write(true).open(&path).at(&path)?;
         if file.metadata().at(&path)?.len() != length {
             file.set_len(length).at(&path)?;
-            file.sync_all().at(&path)?;
         }
         std::io::Seek::seek(&mut file, std::io::SeekFrom::End(0)).at(&path)?;
+        let mut file = factory(file);
+        file.sync().at(&path)?;
         Ok(ActiveSegment {
             path,
-            file: factory(file),
+            file,
             length,
             poisoned: false,
         })
--- a/crates/millpass-storage/src/storage.rs
+++ b/crates/millpass-storage/src/storage.rs
@@ -275,6 +275,8 @@
         let reason = "the snapshot before the log is missing";
         return Err(StorageError::corrupt(&path, 0, reason));
     }
+    // A process that was killed after a rename may not have synced it; what follows relies on the names.
+    files::sync_folder(folder)?;
     let reaches_snapshot = loaded.replay.contains(covered);
     let mut notes: Vec<RecoveryNote> = loaded.note.into_iter().collect();
     for file in content.temporary {
