--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -8,7 +8,7 @@
 use millpass_control::ControlProcessSettings;
 use millpass_control::settings::{ConsensusTiming, InitialMember, ProcessLimits, SeedMember};
 use millpass_control_plane::FleetSettings;
-use millpass_dispatch::DispatchSettings;
+use millpass_dispatch::{DispatchSettings, FreshnessSettings};
 use millpass_gateway::GatewaySettings as GatewayProcessSettings;
 use millpass_proto::{Duration, GroupId, Incarnation};
 use millpass_router::RouterProcessSettings;
@@ -42,7 +42,9 @@
         file: settings.log.file.clone(),
     })?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handlers")?;
-    let handle = millpass_control::start(control_process(&settings)?)?;
+    let mut handle = millpass_control::start(control_process(&settings)?)?;
+    let waiting = signals.handle();
+    handle.on_end(move || waiting.close())?;
     wait_for_signal(&mut signals);
     handle.drain();
     handle.join()?;
@@ -66,7 +68,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// The first signal starts an orderly stop; the default action is back for the second.
+/// Waits for a signal, or until the signals are closed. The first signal starts an orderly stop; the default action is back for the second.
 pub fn wait_for_signal(signals: &mut Signals) {
     if let Some(signal) = signals.forever().next() {
         log::info!(
@@ -212,6 +214,10 @@
             )?,
             key_lifetime: (settings.tenants.unchecked_keys == "refuse")
                 .then(|| millis(settings.tenants.key_lifetime_ms)),
+            freshness: FreshnessSettings {
+                in_force: millis(settings.freshness.in_force_ms),
+                cut_off: millis(settings.freshness.cut_off_ms),
+            },
         },
         clock: ProcessClock::start(),
         listen: address(&settings.gateway.listen)?,
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -6,9 +6,13 @@
 //! | `process` | the threads, from start to stop |
 //! | `startup` | who this member is and what its data folder holds |
 //! | `member` | the core's thread: carries out what the core wants |
-//! | `inputs` | the one queue into the core |
+//! | `inputs` | the way into the core |
+//! | `backlog` | what waits for the core, by urgency |
+//! | `urgency` | how urgent an input is |
+//! | `lateness` | tells when the core's thread is late |
 //! | `disk` | writes and syncs |
 //! | `connections` | connections that members, routers and joiners make |
+//! | `freshness` | answers gateways' questions by datagram |
 //! | `peers` | connections to other members |
 //! | `deliveries` | calls to engines and the platform |
 //! | `interface` | what a deployment with its own wire formats brings |
@@ -16,24 +20,28 @@
 //! | `administration`, `api`, `client` | the administration API, its bodies and its client |
 //! | `metrics` | Prometheus metrics |
 //!
-//! Lock order: `calls` and `connections` each have one lock; no thread holds two.
+//! Lock order: `calls`, `connections` and `freshness` each have one lock; no thread holds two.
 
 pub mod administration;
 pub mod api;
+pub mod backlog;
 mod calls;
 pub mod client;
 mod connections;
 mod deliveries;
 mod disk;
 mod error;
+mod freshness;
 mod inputs;
 pub mod interface;
+pub mod lateness;
 mod member;
 mod metrics;
 mod peers;
 mod process;
 pub mod settings;
 mod startup;
+pub mod urgency;
 
 pub use error::ControlError;
 pub use interface::{ApiExtension, EngineCalls, Extensions};
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -1,8 +1,8 @@
 //! What a gateway tells of runs that end, and what it holds back: with a leader, cut off from one, between two.
 
 use millpass_dispatch::{
-    Choice, Description, DispatchSettings, Dispatcher, RefusalReason, RequestIdentity, SendEnd,
-    Ticket,
+    Choice, Description, DispatchSettings, Dispatcher, FreshnessSettings, RefusalReason,
+    RequestIdentity, SendEnd, Ticket,
 };
 use millpass_proto::*;
 use millpass_tenancy::QuotaTerms;
@@ -60,6 +60,10 @@
         default_patience: Duration::from_secs(15),
         quota: QuotaTerms::default(),
         key_lifetime: None,
+        freshness: FreshnessSettings {
+            in_force: Duration::from_secs(3_600),
+            ..FreshnessSettings::default()
+        },
     });
     let document = DeploymentDocument {
         version: 1,
@@ -90,10 +94,13 @@
         members: Vec::new(),
         provisional: false,
         loads: Vec::new(),
-        answers: 0,
+        answers: dispatcher.report(at(0)).sequence,
         as_of: 0,
         document_change: None,
         kept_instances: Vec::new(),
+        outlook_same: false,
+        loads_same: false,
+        document_version: 0,
     };
     dispatcher.update(at(0), update);
     dispatcher
@@ -116,7 +123,7 @@
         fingerprint: fingerprint(body),
         ..Description::default()
     };
-    let route = dispatcher.route("h.example", "/a").expect("route");
+    let route = dispatcher.route(at(now), "h.example", "/a").expect("route");
     dispatcher.begin(at(now), route, None, description, 0.5)
 }
 
@@ -208,7 +215,7 @@
     assert_eq!(report.ended[0].instance, ended);
     assert!(report.ended[0].requests.contains(&fingerprint("deadly")));
     assert_eq!(dispatcher.crash_report(), None, "told once");
-    dispatcher.crashes_disconnected();
+    dispatcher.connection_ended();
     assert!(
         dispatcher.crash_report().is_some(),
         "the next leader is told anew"
@@ -231,7 +238,7 @@
 fn without_a_leader_the_last_word_holds_and_own_ends_count() {
     let mut dispatcher = dispatcher();
     dispatcher.take_crashes(at(5), &told(2, &[("deadly", 60_000)]));
-    dispatcher.crashes_disconnected();
+    dispatcher.connection_ended();
     assert_eq!(refusal(&mut dispatcher, 50_000, "deadly"), HELD);
     assert_eq!(refusal(&mut dispatcher, 60_006, "deadly"), None);
     for end in 0..3 {
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -1,8 +1,8 @@
 //! Routes, choices, waits, refusals and the retry budget.
 
 use millpass_dispatch::{
-    BudgetTerms, Choice, Description, DispatchSettings, Dispatcher, PromptPart, RefusalReason,
-    RetryBudget, RouteError, SendEnd, Ticket,
+    BudgetTerms, Choice, Description, DispatchSettings, Dispatcher, FreshnessSettings, PromptPart,
+    RefusalReason, RetryBudget, RouteError, SendEnd, Ticket,
 };
 use millpass_proto::*;
 use millpass_tenancy::QuotaTerms;
@@ -24,6 +24,10 @@
         default_patience: Duration::from_secs(15),
         quota: QuotaTerms::default(),
         key_lifetime: None,
+        freshness: FreshnessSettings {
+            in_force: Duration::from_secs(3_600),
+            ..FreshnessSettings::default()
+        },
     }
 }
 
@@ -125,10 +129,13 @@
         members: Vec::new(),
         provisional: false,
         loads: Vec::new(),
-        answers: 0,
+        answers: 1,
         as_of: 0,
         document_change: None,
         kept_instances: Vec::new(),
+        outlook_same: false,
+        loads_same: false,
+        document_version: 0,
     }
 }
 
@@ -140,14 +147,23 @@
     ]
 }
 
-fn dispatcher(instances: Vec<InstanceRecord>) -> Dispatcher {
+/// A gateway whose first report is on its way; updates answer it.
+fn started() -> Dispatcher {
     let mut dispatcher = Dispatcher::new(settings());
+    dispatcher.report(at(0));
+    dispatcher
+}
+
+fn dispatcher(instances: Vec<InstanceRecord>) -> Dispatcher {
+    let mut dispatcher = started();
     dispatcher.update(at(0), update(1, Some(document(1, routes())), instances));
     dispatcher
 }
 
 fn begin(dispatcher: &mut Dispatcher, now: u64, path: &str, model: Option<&str>) -> Ticket {
-    let route = dispatcher.route("H.example:80", path).expect("route");
+    let route = dispatcher
+        .route(at(0), "H.example:80", path)
+        .expect("route");
     let description = Description {
         attempt: "r".to_owned(),
         patience: Some(Duration::from_millis(5_000)),
@@ -169,16 +185,16 @@
 fn the_longest_prefix_wins(#[case] path: &str, #[case] expected: Result<&str, RouteError>) {
     let dispatcher = dispatcher(Vec::new());
     let found = dispatcher
-        .route("h.example", path)
+        .route(at(0), "h.example", path)
         .map(|route| route.name.clone());
     assert_eq!(found.as_deref().map_err(|error| *error), expected);
 }
 
 #[test]
 fn without_a_document_nothing_is_known_to_be_absent() {
-    let dispatcher = Dispatcher::new(settings());
+    let dispatcher = started();
     let error = dispatcher
-        .route("h.example", "/web/")
+        .route(at(0), "h.example", "/web/")
         .expect_err("no document");
     assert_eq!(error, RouteError::NotConfigured);
 }
@@ -194,28 +210,38 @@
     assert_eq!(dispatcher.table().expect("table").version(), 5);
 }
 
+/// What a member that follows passes on is committed: it is taken wherever it is newer, also after a leader spoke, and
+/// never where it is older.
 #[test]
-fn a_provisional_update_is_taken_only_by_a_gateway_that_has_nothing() {
-    let provisional = |version| GatewayUpdate {
+fn what_another_member_passes_on_is_taken_when_it_is_newer() {
+    let passed_on = |version, as_of| GatewayUpdate {
         provisional: true,
+        as_of,
         ..update(
             0,
             Some(document(version, routes())),
             vec![record("i-1", "web", &[])],
         )
     };
-    let mut dispatcher = Dispatcher::new(settings());
-    assert_eq!(dispatcher.update(at(0), provisional(3)).version, Some(3));
-    assert!(dispatcher.update(at(1), provisional(2)).stale, "older");
-    assert_eq!(dispatcher.report().version, 0, "other members are asked");
-    assert_eq!(dispatcher.update(at(1), provisional(4)).version, Some(4));
-    dispatcher.update(at(2), update(1, Some(document(5, routes())), Vec::new()));
-    assert_eq!(dispatcher.report().version, 5);
-    assert!(
-        dispatcher.update(at(3), provisional(6)).stale,
-        "a leader has answered"
+    let mut dispatcher = started();
+    assert_eq!(dispatcher.update(at(0), passed_on(3, 30)).version, Some(3));
+    assert!(dispatcher.update(at(1), passed_on(2, 20)).stale, "older");
+    assert!(dispatcher.update(at(1), passed_on(3, 30)).stale, "the same");
+    assert_eq!(dispatcher.update(at(1), passed_on(4, 40)).version, Some(4));
+    let report = dispatcher.report(at(1));
+    assert_eq!((report.version, report.as_of), (4, 40));
+    let named = vec![record("i-2", "web", &[]), record("i-3", "web", &[])];
+    let mut by_leader = update(1, Some(document(5, routes())), named);
+    by_leader.as_of = 50;
+    dispatcher.update(at(2), by_leader);
+    assert!(dispatcher.update(at(3), passed_on(4, 45)).stale, "older");
+    assert_eq!(dispatcher.update(at(3), passed_on(6, 60)).version, Some(6));
+    assert_eq!(dispatcher.table().expect("table").version(), 6);
+    assert_eq!(
+        dispatcher.instance_count(),
+        2,
+        "the leader's word on instances stands"
     );
-    assert_eq!(dispatcher.table().expect("table").version(), 5);
 }
 
 #[test]
@@ -275,7 +301,7 @@
     assert_eq!(reason, RefusalReason::Cold);
     assert!(retry_after >= Duration::from_millis(900), "{retry_after:?}");
     assert!(dispatcher.is_report_urgent());
-    let report = dispatcher.report();
+    let report = dispatcher.report(at(0));
     assert_eq!(report.needs.len(), 1);
     assert_eq!((report.needs[0].unserved, report.needs[0].arrivals), (1, 1));
 }
@@ -312,7 +338,7 @@
 fn a_caller_that_will_have_left_before_the_load_ends_is_refused_at_once() {
     let mut specification = route("/text/", RouteKind::Stream, "text");
     specification.first_event_millis = 700;
-    let mut dispatcher = Dispatcher::new(settings());
+    let mut dispatcher = started();
     let engines = vec![record("e-1", "text", &["b"])];
     dispatcher.update(
         at(0),
@@ -415,7 +441,7 @@
     ));
     dispatcher.ended(at(1), &ticket.record(&"e-1".into()), SendEnd::Replaced);
     assert_eq!(dispatcher.instance_count(), 0);
-    assert_eq!(dispatcher.report().doubted, ["e-1".into()]);
+    assert_eq!(dispatcher.report(at(0)).doubted, ["e-1".into()]);
 }
 
 #[test]
@@ -487,7 +513,7 @@
     let split = std::sync::Arc::new(split);
     let mut of_small = 0;
     for gateway in 0..gateways {
-        let mut dispatcher = Dispatcher::new(settings());
+        let mut dispatcher = started();
         let draw = f64::from(gateway) / f64::from(gateways);
         for request in 0..u64::from(each) {
             let ticket = dispatcher.begin(
@@ -579,7 +605,7 @@
         let choice = dispatcher.choose(at(now), &mut ticket);
         sent += u32::from(matches!(choice, Choice::Send { .. }));
     }
-    let report = dispatcher.report();
+    let report = dispatcher.report(at(0));
     let load = InstanceLoad {
         instance: "i-1".into(),
         in_flight: sent,
@@ -621,3 +647,155 @@
         "later updates name what changed"
     );
 }
+
+/// A gateway that comes back says what it holds of instances: once on each connection.
+#[test]
+fn the_first_report_on_a_connection_tells_what_is_known_of_instances() {
+    let known = vec![record("i-1", "web", &[]), record("i-2", "web", &[])];
+    let mut dispatcher = dispatcher(known.clone());
+    let mut digests: Vec<u64> = known.iter().map(InstanceRecord::digest).collect();
+    digests.sort_unstable();
+    let told = |dispatcher: &mut Dispatcher| {
+        let mut told = dispatcher.report(at(0)).known_instances;
+        told.sort_unstable();
+        told
+    };
+    // Its very first report left when it knew nothing.
+    dispatcher.connection_ended();
+    assert_eq!(told(&mut dispatcher), digests);
+    assert_eq!(told(&mut dispatcher), []);
+    dispatcher.connection_ended();
+    assert_eq!(told(&mut dispatcher), digests);
+}
+
+#[test]
+fn instances_that_a_leader_keeps_count_as_named() {
+    let known = ["i-1", "i-2", "i-3"].map(|name| record(name, "web", &[]));
+    let mut dispatcher = dispatcher(known.to_vec());
+    let kept = GatewayUpdate {
+        first: true,
+        complete: false,
+        kept_instances: vec![known[0].digest(), known[2].digest()],
+        ..update(2, None, Vec::new())
+    };
+    dispatcher.update(at(1), kept);
+    assert_eq!(dispatcher.instance_count(), 3, "not all are named yet");
+    let outcome = dispatcher.update(at(2), update(2, None, Vec::new()));
+    assert_eq!(outcome.removed, 1);
+    assert_eq!(dispatcher.instance_count(), 2);
+}
+
+fn changed(base: u64, version: u64) -> GatewayUpdate {
+    let later = document(version, vec![route("/web/", RouteKind::Once, "web")]);
+    GatewayUpdate {
+        document_change: DocumentChange::between(&document(base, routes()), &later),
+        ..update(1, None, Vec::new())
+    }
+}
+
+#[test]
+fn a_change_is_applied_to_the_version_that_it_begins_from_and_to_no_other() {
+    let mut dispatcher = dispatcher(Vec::new());
+    let outcome = dispatcher.update(at(1), changed(2, 3));
+    assert_eq!(outcome.version, None);
+    assert_eq!(outcome.unfit_change, Some(2));
+    assert_eq!(
+        dispatcher.report(at(0)).version,
+        1,
+        "by this the leader sends it whole"
+    );
+    assert!(dispatcher.route(at(0), "h.example", "/text/x").is_ok());
+    let outcome = dispatcher.update(at(2), changed(1, 3));
+    assert_eq!(outcome.version, Some(3));
+    assert_eq!(outcome.unfit_change, None);
+    assert_eq!(dispatcher.report(at(0)).version, 3);
+    assert!(dispatcher.route(at(0), "h.example", "/text/x").is_err());
+    let outcome = dispatcher.update(at(3), changed(1, 3));
+    assert_eq!(outcome.version, None);
+    assert_eq!(outcome.unfit_change, None, "it is there already");
+}
+
+/// A copy of a member that does not lead is no base: the gateway reports none and is told the whole.
+#[test]
+fn a_change_is_not_applied_to_a_provisional_copy() {
+    let mut dispatcher = Dispatcher::new(settings());
+    let copy = GatewayUpdate {
+        provisional: true,
+        ..update(0, Some(document(1, routes())), Vec::new())
+    };
+    dispatcher.update(at(0), copy);
+    let outcome = dispatcher.update(at(1), changed(1, 2));
+    assert_eq!(outcome.version, None);
+    assert_eq!(outcome.unfit_change, Some(1));
+}
+
+/// Loads that stand as told count as told anew: what all gateways have in flight fades only while nothing is heard.
+#[rstest]
+#[case::heard(true)]
+#[case::silence(false)]
+fn loads_that_are_the_same_are_taken_as_if_told_again(#[case] heard: bool) {
+    let mut dispatcher = dispatcher(vec![record("i-1", "web", &[])]);
+    let mut told = update(1, None, Vec::new());
+    told.loads = vec![InstanceLoad {
+        instance: "i-1".into(),
+        in_flight: 1_000,
+    }];
+    dispatcher.update(at(0), told);
+    let same = GatewayUpdate {
+        loads_same: heard,
+        document_version: 0,
+        outlook_same: true,
+        ..update(1, None, Vec::new())
+    };
+    dispatcher.update(at(20_000), same);
+    let mut ticket = begin(&mut dispatcher, 20_000, "/web/", None);
+    let choice = dispatcher.choose(at(20_000), &mut ticket);
+    assert_eq!(matches!(choice, Choice::Wait { .. }), heard, "{choice:?}");
+}
+
+/// Loads of one connection do not outlive it: the next leader tells its own.
+#[test]
+fn loads_of_an_ended_connection_are_not_taken_again() {
+    let mut dispatcher = dispatcher(vec![record("i-1", "web", &[])]);
+    let mut told = update(1, None, Vec::new());
+    told.loads = vec![InstanceLoad {
+        instance: "i-1".into(),
+        in_flight: 1_000,
+    }];
+    dispatcher.update(at(0), told);
+    dispatcher.connection_ended();
+    let same = GatewayUpdate {
+        loads_same: true,
+        document_version: 0,
+        ..update(1, None, Vec::new())
+    };
+    dispatcher.update(at(20_000), same);
+    let mut ticket = begin(&mut dispatcher, 20_000, "/web/", None);
+    let choice = dispatcher.choose(at(20_000), &mut ticket);
+    assert!(matches!(choice, Choice::Send { .. }), "{choice:?}");
+}
+
+/// An outlook that is left out stays, and its times go on.
+#[rstest]
+#[case::same(true, 1)]
+#[case::told_anew(false, 0)]
+fn an_outlook_that_is_the_same_stays(#[case] outlook_same: bool, #[case] expected: usize) {
+    let mut dispatcher = dispatcher(Vec::new());
+    let outlook = ModelOutlook {
+        service: "text".into(),
+        model: "m".into(),
+        adapter: None,
+        ready_in_millis: 500,
+    };
+    let told = GatewayUpdate {
+        outlook: vec![outlook],
+        ..update(1, None, Vec::new())
+    };
+    dispatcher.update(at(0), told);
+    let next = GatewayUpdate {
+        outlook_same,
+        ..update(1, None, Vec::new())
+    };
+    dispatcher.update(at(100), next);
+    assert_eq!(dispatcher.awaited_models(), expected);
+}
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -2,18 +2,20 @@
 
 use crate::crashes::Crashes;
 use crate::demand::Demand;
+use crate::documents::ChangeCache;
 use crate::engines::{Engines, Pending};
 use crate::gateways::Gateways;
 use crate::handover::InstructionHistory;
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
+use crate::rollout::Rollout;
 use crate::store::{LoadUnderWay, StoreCapacity};
 use crate::traffic::Traffic;
 use crate::updates::GatewayContext;
 use millpass_proto::{
     CrashUpdate, DeploymentDocument, Duration, EngineInstruction, GatewayReport, GatewayUpdate,
-    HeldRequestNote, InstanceId, InstanceNote, InstanceRecord, InstructionAnswer,
+    HeldRequestNote, InstanceId, InstanceLoad, InstanceNote, InstanceRecord, InstructionAnswer,
     InstructionOperation, ModelName, ModelOutlook, RequestFingerprint, ServiceName, Timestamp,
 };
 use millpass_tenancy::QuotaTerms;
@@ -99,6 +101,9 @@
     /// Keep in the replicated log how many loads from the weight store at once go at full speed, in
     /// hundredths.
     NoteStoreCapacity(u32),
+    /// A gateway reported the newest document for the first time on its connection, this long after it was
+    /// committed.
+    DocumentReached(Duration),
     /// Log.
     Event(FleetEvent),
 }
@@ -108,6 +113,7 @@
     pub(crate) settings: FleetSettings,
     pub(crate) registry: Registry,
     pub(crate) gateways: Gateways,
+    pub(crate) rollout: Rollout,
     demand: Demand,
     pub(crate) traffic: Traffic,
     pub(crate) engines: Engines,
@@ -121,6 +127,13 @@
     pub(crate) term: u64,
     pub(crate) outlook: Vec<ModelOutlook>,
     pub(crate) outlook_revision: u64,
+    /// When each entry of the outlook was told to be ready, and a revision that grows when those times move.
+    pub(crate) told_times: Vec<Timestamp>,
+    pub(crate) times_revision: u64,
+    /// Loads last told, and a revision that grows when they change.
+    pub(crate) told_loads: Vec<InstanceLoad>,
+    pub(crate) loads_revision: u64,
+    pub(crate) changes: ChangeCache,
     /// Models that wait for an engine or the weight store.
     waiting: BTreeSet<(ServiceName, ModelName)>,
     dirty: bool,
@@ -140,6 +153,7 @@
             settings,
             registry: Registry::default(),
             gateways: Gateways::default(),
+            rollout: Rollout::default(),
             demand: Demand::default(),
             traffic: Traffic::default(),
             engines: Engines::default(),
@@ -150,6 +164,11 @@
             term: 0,
             outlook: Vec::new(),
             outlook_revision: 0,
+            told_times: Vec::new(),
+            times_revision: 0,
+            told_loads: Vec::new(),
+            loads_revision: 0,
+            changes: ChangeCache::default(),
             waiting: BTreeSet::new(),
             dirty: false,
             next_plan: Timestamp::ZERO,
@@ -273,10 +292,11 @@
 
     /// Takes a gateway's report; it is answered by the next [`Fleet::run`].
     pub fn report(&mut self, now: Timestamp, connection: u64, report: &GatewayReport) {
-        let new = self
-            .gateways
-            .heard(now, connection, &report.gateway, report.version);
+        let before = self.gateways.reported_version(connection, &report.gateway);
+        let before = before.or_else(|| self.rollout.held_when_lost(&report.gateway));
+        let new = self.gateways.heard(now, connection, report);
         if new {
+            self.rollout.connected(&report.gateway);
             self.event(
                 "gateway-connected",
                 vec![
@@ -286,6 +306,7 @@
                 ],
             );
         }
+        self.reached(now, before, report.version);
         self.demand.report(now, &report.gateway, &report.needs);
         self.traffic.report(&report.gateway, &report.sent);
         self.dirty |= report.needs.iter().any(|need| need.unserved > 0);
@@ -300,12 +321,14 @@
     }
 
     /// A gateway's connection ended.
-    pub fn disconnected(&mut self, connection: u64) {
-        if let Some(name) = self.gateways.disconnected(connection) {
-            self.demand.forget_in_flight(&name);
-            self.traffic.forget(&name);
-            self.event("gateway-lost", vec![("gateway", name)]);
-        }
+    pub fn disconnected(&mut self, now: Timestamp, connection: u64) {
+        let Some(session) = self.gateways.disconnected(connection) else {
+            return;
+        };
+        self.rollout.lost(now, &session);
+        self.demand.forget_in_flight(&session.name);
+        self.traffic.forget(&session.name);
+        self.event("gateway-lost", vec![("gateway", session.name)]);
     }
 
     /// Whether the engine's instruction that was decided then is still to be given.
@@ -374,6 +397,7 @@
             }
         }
         self.note(now);
+        self.follow_rollout(now, document, context);
         self.update_crashes(now);
         let complete = now.since(since) >= self.settings.announce_interval * 3;
         self.update_gateways(now, document, complete, context);
