Failing tests: a new leader's count of gateways is acted on before all have found it

Quotas and repeats without a leader are shared by the number of gateways that a leader last told. A leader that has just taken charge told how many had found it so far.

Fail on the code as it is: - a_leader_says_how_many_gateways_there_are_once_all_had_time_to_find_it: at 1000: left 1, right 0 - a_leader_that_does_not_know_how_many_gateways_there_are_leaves_the_known_number_in_force: left 0, right 1

--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -4,7 +4,7 @@
     Description, DispatchSettings, Dispatcher, FreshnessSettings, IdentityError,
 };
 use millpass_proto::*;
-use millpass_tenancy::{KeyHash, PresentedKey, QuotaTerms};
+use millpass_tenancy::{CreditOutcome, KeyHash, PresentedKey, QuotaTerms};
 use rstest::rstest;
 
 const LIFETIME: Duration = Duration::from_secs(5);
@@ -79,7 +79,11 @@
 }
 
 fn dispatcher(key_lifetime: Option<Duration>) -> Dispatcher {
-    Dispatcher::new(DispatchSettings {
+    Dispatcher::new(settings(key_lifetime))
+}
+
+fn settings(key_lifetime: Option<Duration>) -> DispatchSettings {
+    DispatchSettings {
         name: "g".to_owned(),
         zone: "z".into(),
         retry_ratio: 0.2,
@@ -93,7 +97,7 @@
             in_force: Duration::from_secs(3_600),
             ..FreshnessSettings::default()
         },
-    })
+    }
 }
 
 /// The gateway reports, and the leader answers.
@@ -198,6 +202,59 @@
     assert_eq!(found, Ok(Some("one".to_owned())));
 }
 
+/// Without a leader gateways share what the contract bears above a limit, each its part. A gateway that found a new leader
+/// was told how many had found it so far: the first was told that it is alone, and took the whole for itself when that
+/// leader was lost again. Evidence: in the logs of a night of short elections, a leader of seventy gateways told counts of
+/// 59, 1 and 20 to one of them within four seconds.
+#[test]
+fn a_leader_that_does_not_know_how_many_gateways_there_are_leaves_the_known_number_in_force() {
+    const UNITS: u64 = 200;
+    let limited = TenantAccess {
+        units_per_second: 100,
+        burst_units: 100,
+        ..tenant("one", b"k-1", 1)
+    };
+    let mut dispatcher = Dispatcher::new(DispatchSettings {
+        quota: QuotaTerms {
+            window: Duration::from_secs(10),
+            overage: 0.0,
+            // Half of it is shared without a leader: one request for each of ten gateways, or ten for a lone one.
+            slack_units: 20 * UNITS,
+        },
+        ..settings(None)
+    });
+    let report = dispatcher.report(Timestamp::from_millis(990));
+    let known = GatewayUpdate {
+        gateways: 10,
+        answers: report.sequence,
+        ..update(Some(document(1, vec![limited])), false)
+    };
+    dispatcher.update(Timestamp::from_millis(1_000), known);
+    let new_leader = GatewayUpdate {
+        term: 2,
+        gateways: 0,
+        ..update(None, false)
+    };
+    dispatcher.update(Timestamp::from_millis(1_100), new_leader);
+    let covered = (0..10).filter(|_| {
+        let now = Timestamp::from_millis(1_200);
+        let route = dispatcher.route(now, "h", "/keyed/").expect("route");
+        let tenant = dispatcher.identify(now, &route, key(b"k-1"));
+        let ticket = dispatcher.begin(
+            now,
+            route,
+            tenant.expect("known"),
+            Description::default(),
+            0.0,
+        );
+        let claim = dispatcher.claim_credit(now, &ticket).expect("readable");
+        let later = Timestamp::from_millis(1_300);
+        let outcome = dispatcher.credit_outcome(later, claim.expect("a limit"));
+        outcome == CreditOutcome::Covered
+    });
+    assert_eq!(covered.count(), 1);
+}
+
 #[test]
 fn the_rank_of_a_tenant_counts_before_that_of_a_route() {
     let mut dispatcher = dispatcher(None);
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -1008,6 +1008,30 @@
     assert!(noted > Some(first), "{noted:?}: none of them was slowed");
 }
 
+/// A leader that has just taken charge counts the gateways that have found it so far. See
+/// `a_leader_that_does_not_know_how_many_gateways_there_are_leaves_the_known_number_in_force`.
+#[test]
+fn a_leader_says_how_many_gateways_there_are_once_all_had_time_to_find_it() {
+    let mut bench = Bench::new();
+    let mut told = Vec::new();
+    for now in [1_000, 2_000, 6_000] {
+        for connection in 1..=3 {
+            let mut found = report(Vec::new());
+            found.gateway = format!("g-{connection}");
+            bench.fleet.report(at(now + connection), connection, &found);
+            let outputs = bench.run(now + connection);
+            told.extend(outputs.into_iter().filter_map(|output| match output {
+                FleetOutput::Update { update, .. } => Some((now, update.gateways)),
+                _ => None,
+            }));
+        }
+    }
+    assert!(told.len() >= 9, "{told:?}");
+    for (now, gateways) in told {
+        assert_eq!(gateways, if now < 6_000 { 0 } else { 3 }, "at {now}");
+    }
+}
+
 #[test]
 fn a_gateway_is_told_of_each_instance_once_when_a_leader_takes_charge() {
     let mut bench = Bench::new();
