A leader says how many gateways there are once all had time to find it

Cause: what may be used or repeated without a leader is shared by the number of gateways that was last told. A leader that has just taken charge told how many had found it so far: 1 to the first, 2 to the second. If it was lost again, as in a row of short elections, their parts added up to several times the whole (the sum of 1/k over 70 gateways is 4.8).

Ruled out: a number that shrinks later, when gateways are cut off: the parts then add up to 1.5 times the half that may be used, below what the contract bears.

Change: the leader tells no number until it has led for as long as all instances and gateways need to find it; a gateway goes on with the number that it knows, and with none it takes the large one that it did before.

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -199,7 +199,9 @@
             };
         }
         self.term = update.term;
-        self.gateways = update.gateways;
+        if update.gateways > 0 {
+            self.gateways = update.gateways;
+        }
         let mut outcome = UpdateOutcome::default();
         let held = self.version();
         let document = match (update.document, &update.document_change) {
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -109,7 +109,10 @@
             };
             let mut update = self.update_of(now, &mut session, document, complete, context);
             self.gateways.sessions.insert(connection, session);
-            update.gateways = self.gateways.count();
+            if complete {
+                // Before that only some have found this leader, and each would take the others' shares.
+                update.gateways = self.gateways.count();
+            }
             self.out.push(FleetOutput::Update {
                 connection,
                 update: Box::new(update),
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1930,7 +1930,7 @@
     /// Models being loaded now.
     pub outlook: Vec<ModelOutlook>,
 
-    /// Gateways that report to this leader.
+    /// Gateways that report to this leader; 0 while it has not led for long enough to know.
     pub gateways: u32,
 
     /// Addresses of the control members.
