Departures are told by their place in the log: a gateway hears of all since it was last told

Cause: a gateway counts as told up to an index, but only the newest 256 departures were named to one that connects, whatever it had missed. Of those before it went on to use instances that had left, with the mark of being up to date, until a leader that knows every instance named them (3.6 s into its charge; never from a member without a leader).

Ruled out: naming all that are remembered to everybody (4,096 of them are 53 KB for each gateway that comes back; now it is what left in its absence).

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -13,15 +13,27 @@
     InstanceId, InstanceRecord, InstructionAnswer, InstructionNote, LogPosition, PutDocument,
     RequestFingerprint, Timestamp,
 };
+use millpass_state::State;
 
-/// Most departed instances that a gateway is told of when it connects: those of the last minutes; it hears of older
-/// ones once the leader knows every instance.
-pub(crate) const MAXIMUM_DEPARTED_TOLD: usize = 256;
+/// Most departed instances that a gateway without an index is told of when it connects: those of the last minutes. It
+/// was told of nothing yet, and what it holds all the same is gone once the leader knows every instance.
+const MAXIMUM_DEPARTED_TOLD: usize = 256;
 
 /// Why a call is refused where no instances announce themselves.
 const NO_FLEET: &str =
     "this deployment is configured object by object; use the administration API's objects";
 
+/// Departed instances to name to a gateway that was told of what binds it up to this log index: all since, as it counts
+/// as told of them from then on.
+pub(crate) fn departures_to_tell(state: &State, told: u64) -> Vec<InstanceId> {
+    let most = match told {
+        0 => MAXIMUM_DEPARTED_TOLD,
+        _ => usize::MAX,
+    };
+    let departures = state.departures_after(told).take(most);
+    departures.cloned().collect()
+}
+
 impl ControlPlane {
     /// Puts a document in force. A version that is not above the one held is acknowledged and
     /// changes nothing.
@@ -193,10 +205,7 @@
             members.map(|member| member.peer_address.clone()).collect()
         };
         let state = &self.state;
-        let departed = || -> Vec<InstanceId> {
-            let newest = state.newest_departures().take(MAXIMUM_DEPARTED_TOLD);
-            newest.cloned().collect()
-        };
+        let departed = |told| departures_to_tell(state, told);
         let context = GatewayContext {
             members: &members,
             departed: &departed,
--- a/crates/millpass-control-plane/src/freshness.rs
+++ b/crates/millpass-control-plane/src/freshness.rs
@@ -5,7 +5,7 @@
 //! holds no entry beyond that index that binds gateways, committed or not. This costs no write and no
 //! election, and is true at a member that follows, stands or leads.
 
-use crate::deployment::MAXIMUM_DEPARTED_TOLD;
+use crate::deployment::departures_to_tell;
 use crate::interface::ConnectionId;
 use crate::outputs::Outputs;
 use crate::plane::ControlPlane;
@@ -108,14 +108,13 @@
             true => self.state.noted_instances().cloned().collect(),
             false => Vec::new(),
         };
-        let departed = self.state.newest_departures().take(MAXIMUM_DEPARTED_TOLD);
         let update = GatewayUpdate {
             term: 0,
             complete: false,
             first: false,
             document: newer.then(|| document.clone()),
             instances,
-            removed: departed.cloned().collect(),
+            removed: departures_to_tell(&self.state, report.as_of),
             outlook: Vec::new(),
             gateways: 0,
             members: Vec::new(),
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -23,7 +23,7 @@
 const NOBODY: GatewayContext<'static> = GatewayContext {
     as_of: 0,
     members: &Vec::new,
-    departed: &Vec::new,
+    departed: &|_| Vec::new(),
     documents: &DocumentHistory::new(),
 };
 
@@ -192,7 +192,7 @@
         let mut cost = Cost::default();
         self.now += 1_000;
         let now = Timestamp::from_millis(self.now);
-        let departed = || -> Vec<InstanceId> {
+        let departed = |_| -> Vec<InstanceId> {
             let instances = 0..DEPARTED;
             instances
                 .map(|number| format!("i-gone-{number:06}").into())
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -18,8 +18,8 @@
 pub struct GatewayContext<'a> {
     /// Addresses of the control members.
     pub members: &'a dyn Fn() -> Vec<String>,
-    /// Instances that leave or have ended, as the log says, the newest ones.
-    pub departed: &'a dyn Fn() -> Vec<InstanceId>,
+    /// Instances that leave or have ended, as the log says after the index up to which a gateway was told.
+    pub departed: &'a dyn Fn(u64) -> Vec<InstanceId>,
     /// Log index up to which document and departures are applied here.
     pub as_of: u64,
     /// The last documents in force.
@@ -28,8 +28,12 @@
 
 /// Departed instances that are not among those that the leader knows: of these the record itself says that they
 /// leave.
-fn departed_elsewhere(registry: &Registry, context: &GatewayContext<'_>) -> Vec<InstanceId> {
-    let mut departed = (context.departed)();
+fn departed_elsewhere(
+    registry: &Registry,
+    context: &GatewayContext<'_>,
+    told: u64,
+) -> Vec<InstanceId> {
+    let mut departed = (context.departed)(told);
     departed.retain(|instance| registry.get(instance).is_none());
     departed
 }
@@ -221,7 +225,7 @@
         // them. One that holds none but those named here has nothing to drop.
         let holds_others = held.is_empty() || lacking.kept.len() < held.len();
         if !update.complete && holds_others {
-            update.removed = departed_elsewhere(&self.registry, context);
+            update.removed = departed_elsewhere(&self.registry, context, session.as_of);
         }
         update.instances = lacking.records;
         update.kept_instances = lacking.kept;
--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -9,7 +9,7 @@
 const NOBODY: GatewayContext<'static> = GatewayContext {
     as_of: 0,
     members: &Vec::new,
-    departed: &Vec::new,
+    departed: &|_| Vec::new(),
     documents: &DocumentHistory::new(),
 };
 
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -30,7 +30,7 @@
 const NOBODY: GatewayContext<'static> = GatewayContext {
     as_of: 0,
     members: &Vec::new,
-    departed: &Vec::new,
+    departed: &|_| Vec::new(),
     documents: &DocumentHistory::new(),
 };
 
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -169,7 +169,7 @@
     }
 
     pub fn run(&mut self, now: u64) -> Vec<FleetOutput> {
-        let departed = || self.departed.clone();
+        let departed = |_| self.departed.clone();
         let context = GatewayContext {
             members: &Vec::new,
             departed: &departed,
--- a/crates/millpass-state/src/deployment.rs
+++ b/crates/millpass-state/src/deployment.rs
@@ -21,6 +21,9 @@
     departed: BTreeMap<InstanceId, bool>,
     /// Departed instances, the oldest first.
     order: VecDeque<InstanceId>,
+    /// Log index of each of them, in the same order. Encoded behind the rest, so that snapshots without it can be read.
+    #[serde(skip)]
+    departed_at: VecDeque<u64>,
     /// Instances as a leader last noted them.
     noted: BTreeMap<InstanceId, InstanceRecord>,
 }
@@ -68,8 +71,8 @@
         self.noted.values()
     }
 
-    /// Records that an instance leaves or has ended.
-    pub(crate) fn depart(&mut self, departure: &InstanceDeparture) {
+    /// Records that an instance leaves or has ended, as the log entry at this index says.
+    pub(crate) fn depart(&mut self, index: u64, departure: &InstanceDeparture) {
         if departure.ended {
             self.noted.remove(&departure.instance);
         } else if let Some(record) = self.noted.get_mut(&departure.instance) {
@@ -82,10 +85,12 @@
         let instance = departure.instance.clone();
         self.departed.insert(instance.clone(), departure.ended);
         self.order.push_back(instance);
+        self.departed_at.push_back(index);
         if self.order.len() > MAXIMUM_DEPARTED_INSTANCES
             && let Some(oldest) = self.order.pop_front()
         {
             self.departed.remove(&oldest);
+            self.departed_at.pop_front();
         }
     }
 
@@ -94,9 +99,23 @@
         self.departed.get(instance).copied()
     }
 
-    /// Departed instances, the newest first.
-    pub(crate) fn newest_departures(&self) -> impl Iterator<Item = &InstanceId> {
-        self.order.iter().rev()
+    /// Instances whose departure stands in the log after this index, the newest first.
+    pub(crate) fn departures_after(&self, index: u64) -> impl Iterator<Item = &InstanceId> {
+        let departures = self.order.iter().zip(&self.departed_at).rev();
+        let newer = departures.take_while(move |(_, departed_at)| **departed_at > index);
+        newer.map(|(instance, _)| instance)
+    }
+
+    /// Log indexes of the departures, the oldest first.
+    pub(crate) fn departure_indexes(&self) -> &VecDeque<u64> {
+        &self.departed_at
+    }
+
+    /// Takes the log indexes of the departures as a snapshot holds them. One that does not say counts as the newest:
+    /// it is told to whoever asks.
+    pub(crate) fn restore_departure_indexes(&mut self, mut indexes: VecDeque<u64>) {
+        indexes.resize(self.order.len(), u64::MAX);
+        self.departed_at = indexes;
     }
 
     pub(crate) fn departures(&self) -> impl Iterator<Item = (&InstanceId, bool)> {
--- a/crates/millpass-state/src/encoding.rs
+++ b/crates/millpass-state/src/encoding.rs
@@ -4,10 +4,11 @@
 use crate::held_requests::HeldRequests;
 use millpass_proto::codec;
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
 
 /// Format of the encoding; grows when the layout changes. What is new stands behind what was there.
 const SNAPSHOT_FORMAT: u32 = 4;
-/// The format without the index of what binds gateways; read, no longer written.
+/// The format without the log indexes of what binds gateways; read, no longer written.
 const FORMAT_WITHOUT_BINDING_INDEX: u32 = 3;
 /// The format without requests that are held back; read, no longer written.
 const FORMAT_WITHOUT_HELD_REQUESTS: u32 = 2;
@@ -23,6 +24,7 @@
     state: &'a State,
     held_requests: &'a HeldRequests,
     binding_index: u64,
+    departure_indexes: &'a VecDeque<u64>,
 }
 
 #[derive(Deserialize)]
@@ -31,6 +33,7 @@
     state: State,
     held_requests: HeldRequests,
     binding_index: u64,
+    departure_indexes: VecDeque<u64>,
 }
 
 /// A snapshot of [`FORMAT_WITHOUT_BINDING_INDEX`].
@@ -56,6 +59,7 @@
             state: self,
             held_requests: &self.held_requests,
             binding_index: self.binding_index,
+            departure_indexes: self.deployment.departure_indexes(),
         };
         // Encoding into memory fails for no value of these types.
         codec::encode(&snapshot).unwrap_or_default()
@@ -66,25 +70,34 @@
         if let Ok(snapshot) = codec::decode::<SnapshotIn>(bytes)
             && snapshot.format == SNAPSHOT_FORMAT
         {
-            return Ok(State {
+            let state = State {
                 held_requests: snapshot.held_requests,
                 binding_index: snapshot.binding_index,
                 ..snapshot.state
-            });
+            };
+            return Ok(state.with_departure_indexes(snapshot.departure_indexes));
         }
         if let Ok(snapshot) = codec::decode::<SnapshotWithoutBindingIndex>(bytes)
             && snapshot.format == FORMAT_WITHOUT_BINDING_INDEX
         {
-            return Ok(State {
+            let state = State {
                 held_requests: snapshot.held_requests,
                 ..snapshot.state
-            });
+            };
+            return Ok(state.with_departure_indexes(VecDeque::new()));
         }
         let snapshot = codec::decode::<SnapshotWithoutHeldRequests>(bytes)
             .map_err(|error| StateError(error.to_string()))?;
         match snapshot.format {
-            FORMAT_WITHOUT_HELD_REQUESTS => Ok(snapshot.state),
+            FORMAT_WITHOUT_HELD_REQUESTS => {
+                Ok(snapshot.state.with_departure_indexes(VecDeque::new()))
+            }
             other => Err(StateError(format!("format {other}"))),
         }
     }
+
+    fn with_departure_indexes(mut self, indexes: VecDeque<u64>) -> State {
+        self.deployment.restore_departure_indexes(indexes);
+        self
+    }
 }
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -121,7 +121,7 @@
                 Ok(())
             }
             Command::DepartInstance(departure) => {
-                self.deployment.depart(departure);
+                self.deployment.depart(at.index, departure);
                 Ok(())
             }
             // These have an outcome of their own; see `apply`.
@@ -180,9 +180,9 @@
         self.deployment.departures()
     }
 
-    /// Instances that have departed, the newest first.
-    pub fn newest_departures(&self) -> impl Iterator<Item = &InstanceId> {
-        self.deployment.newest_departures()
+    /// Instances whose departure stands in the log after this index, the newest first.
+    pub fn departures_after(&self, index: u64) -> impl Iterator<Item = &InstanceId> {
+        self.deployment.departures_after(index)
     }
 
     /// Revision of the catalog.
--- a/crates/millpass-state/tests/deployment.rs
+++ b/crates/millpass-state/tests/deployment.rs
@@ -94,6 +94,35 @@
         "the oldest is forgotten"
     );
     assert_eq!(state.departures().count(), MAXIMUM_DEPARTED_INSTANCES);
+    let last = MAXIMUM_DEPARTED_INSTANCES as u64 + 2;
+    let newer: Vec<&InstanceId> = state.departures_after(last - 2).collect();
+    let names = [last - 3, last - 4].map(|place| InstanceId(format!("i-{place}")));
+    assert_eq!(newer, names.iter().collect::<Vec<_>>());
+    let all = state.departures_after(0).count();
+    assert_eq!(all, MAXIMUM_DEPARTED_INSTANCES);
+}
+
+/// What an earlier release kept does not say when an instance left: it is told to whoever asks.
+#[test]
+fn departures_keep_their_place_in_the_log_over_a_snapshot() {
+    let mut state = State::default();
+    let depart = |instance: &str| {
+        Command::DepartInstance(InstanceDeparture {
+            instance: instance.into(),
+            ended: true,
+        })
+    };
+    apply(&mut state, 5, depart("i-1"));
+    apply(&mut state, 9, depart("i-2"));
+    let restored = State::decode(&state.encode()).expect("decodes");
+    assert_eq!(restored, state);
+    assert_eq!(restored.departures_after(5).count(), 1);
+    let earlier = codec::encode(&(2_u32, &state)).expect("bytes");
+    let mut restored = State::decode(&earlier).expect("decodes");
+    assert_eq!(restored.departures_after(9).count(), 2);
+    apply(&mut restored, 12, depart("i-3"));
+    assert_eq!(restored.departures_after(9).count(), 3);
+    assert_eq!(restored.departures_after(12).count(), 0);
 }
 
 #[test]
