The silence of a leader that does not hear is not that of instances; what can wait is spaced where processor lacks

Cause: a leader with a third of its processor was out of its lease for seconds and refused announcements; by then every instance counted as silent. It forgot 387 in a minute, and gateways that connected were told that all others were gone. Planning, allowed every 14 ms for 140 engines at 2.5 to 4.8 ms each, and a thousand updates a second took what its lease needed. Change: silence, and the time after which a leader knows all instances, count only while it runs and refuses nothing; what an instance says of itself is taken while a lease has run out for a moment; planning and updates are spaced by the averaged lateness of ticks.

--- a/crates/millpass-control-plane/src/administration.rs
+++ b/crates/millpass-control-plane/src/administration.rs
@@ -5,6 +5,7 @@
 use crate::outputs::Outputs;
 use crate::plane::ControlPlane;
 use crate::proposals::Waiter;
+use millpass_consensus::Role;
 use millpass_proto::{
     BackendMark, BackendName, BackendState, Command, CommandOutcome, ObjectChange, Timestamp,
 };
@@ -17,7 +18,12 @@
         request: AdministrationRequest,
         out: &mut Outputs,
     ) {
-        if !self.in_charge(now) {
+        // What an instance says of itself is soft: a leader whose lease has run out for a moment takes it all the same,
+        // or it would take those for gone that it turned away. Their leaving waits for the log.
+        let is_soft =
+            matches!(&request, AdministrationRequest::Announce(record) if !record.draining);
+        let may_take = self.in_charge(now) || (is_soft && self.role == Role::Leader);
+        if !may_take {
             let leader_address = self.leader_administration_address();
             out.answer(call, AdministrationAnswer::NotLeader { leader_address });
             return;
--- a/crates/millpass-control-plane/src/lib.rs
+++ b/crates/millpass-control-plane/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `watch` | which router watches which back end |
 //! | `news` | routers are told to report at once |
 //! | `observations` | what reports of back ends mean: registrations and settled orders |
+//! | `pace` | how much less processor this member has than it needs |
 //! | `platform` | what the platform's machine list means |
 //! | `orders` | when to deliver which order |
 //! | `claims` | when claims expire and when those of a dead router are abandoned |
@@ -37,6 +38,7 @@
 mod observations;
 mod orders;
 mod outputs;
+mod pace;
 mod plane;
 mod platform;
 mod proposals;
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -11,6 +11,7 @@
 use crate::observations::Observations;
 use crate::orders::Orders;
 use crate::outputs::Outputs;
+use crate::pace::PaceWatch;
 use crate::platform::{self, Platform};
 use crate::proposals::{InternalKey, Proposals, Waiter};
 use crate::repair::{self, Repair, RepairSettings};
@@ -75,6 +76,7 @@
     /// Instructions to engines as the log told them, also those of other leaders.
     pub(crate) instructions: InstructionHistory,
     pub(crate) binding: BindingMark,
+    pace: PaceWatch,
     /// The last documents in force, for gateways that hold one of them.
     pub(crate) documents: DocumentHistory,
     /// Whether commands were applied since the outstanding orders were last looked at.
@@ -123,6 +125,7 @@
             credit: None,
             instructions: InstructionHistory::new(now, INSTRUCTION_MEMORY),
             binding,
+            pace: PaceWatch::default(),
             documents,
             addresses: AddressBook::new(&status.membership),
             role: status.role,
@@ -192,7 +195,10 @@
 
     fn take(&mut self, now: Timestamp, unix_millis: u64, input: ControlInput, out: &mut Outputs) {
         match input {
-            ControlInput::Tick => self.consensus_step(now, ConsensusInput::Tick, out),
+            ControlInput::Tick => {
+                self.keep_pace(now);
+                self.consensus_step(now, ConsensusInput::Tick, out);
+            }
             ControlInput::Peer(envelope) => {
                 self.consensus_step(now, ConsensusInput::Receive(envelope), out);
             }
@@ -235,6 +241,20 @@
         }
     }
 
+    fn keep_pace(&mut self, now: Timestamp) {
+        let pace = self.pace.tick(now);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.set_pace(pace);
+        }
+    }
+
+    /// The host refused announcements, as too many waited.
+    pub fn announcements_refused(&mut self, now: Timestamp) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.announcements_refused(now);
+        }
+    }
+
     fn take_join(
         &mut self,
         now: Timestamp,
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -60,6 +60,8 @@
     pub(crate) leaderless_since: Option<Timestamp>,
     pub(crate) suspensions: SuspensionWatch,
     pub(crate) lateness: LatenessWatch,
+    /// Calls refused up to the last look, as too many waited.
+    pub(crate) refused_calls: i64,
     /// Connections at which an update begins to wait, of which the core has not heard yet.
     pub(crate) behind: Vec<ConnectionId>,
 }
@@ -125,6 +127,7 @@
         if let Some(call) = outdated_announcement(&waiting) {
             self.metrics.outdated_announcements.inc();
             self.calls.answer(call, AdministrationAnswer::Busy);
+            self.core.announcements_refused(self.clock.now());
             return false;
         }
         self.step(waiting.input)
@@ -257,6 +260,14 @@
                 log::warn!("event=inputs_refused class={class} count={new} waiting={length}");
             }
         }
+        let refused = self.metrics.refused_calls.get();
+        let before = std::mem::replace(&mut self.refused_calls, refused);
+        if refused > before {
+            let count = refused - before;
+            log::warn!("event=calls_refused count={count}");
+            // Nearly all calls are announcements.
+            self.core.announcements_refused(self.clock.now());
+        }
     }
 
     /// Whether no leader has been known for long.
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -191,6 +191,7 @@
         leaderless_since: None,
         suspensions: SuspensionWatch::default(),
         lateness: LatenessWatch::default(),
+        refused_calls: 0,
         behind: Vec::new(),
     };
     let (running, core_ended) = bounded::<()>(0);
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -6,6 +6,7 @@
 use crate::engines::{Engines, Pending};
 use crate::gateways::Gateways;
 use crate::handover::InstructionHistory;
+use crate::hearing::HearingClock;
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
@@ -126,6 +127,10 @@
     history: InstructionHistory,
     /// When this member took charge.
     in_charge_since: Option<Timestamp>,
+    /// For how long this member could hear instances since then.
+    hearing: HearingClock,
+    /// By how much longer than usual planning and updates wait, as this member has little processor.
+    pub(crate) pace: u32,
     pub(crate) term: u64,
     pub(crate) outlook: Vec<ModelOutlook>,
     pub(crate) outlook_revision: u64,
@@ -163,6 +168,8 @@
             permits: StorePermits::default(),
             store: StoreCapacity::default(),
             in_charge_since: None,
+            hearing: HearingClock::default(),
+            pace: 1,
             term: 0,
             outlook: Vec::new(),
             outlook_revision: 0,
@@ -239,7 +246,7 @@
             self.forget(&record.instance, "departed");
             return;
         }
-        let announced = self.registry.announce(now, record.clone());
+        let announced = self.registry.announce(self.hearing.now(), record.clone());
         if announced == Announced::Late {
             return self.event(
                 "announcement-late",
@@ -353,6 +360,17 @@
         self.event("gateway-lost", vec![("gateway", session.name)]);
     }
 
+    /// Announcements were refused here, as too many waited: the silence of instances says nothing meanwhile.
+    pub fn announcements_refused(&mut self, now: Timestamp) {
+        self.hearing.refused(now);
+    }
+
+    /// This member has so much less processor than it needs: planning and updates come so much less often. 1 for
+    /// enough.
+    pub fn set_pace(&mut self, pace: u32) {
+        self.pace = pace.max(1);
+    }
+
     /// Whether the engine's instruction that was decided then is still to be given.
     pub fn awaits(&self, instance: &InstanceId, decided_at: Timestamp) -> bool {
         let engine = self.engines.engines.get(instance);
@@ -399,8 +417,9 @@
         document: Option<&DeploymentDocument>,
         context: &GatewayContext<'_>,
     ) -> Vec<FleetOutput> {
-        let since = *self.in_charge_since.get_or_insert(now);
+        self.in_charge_since.get_or_insert(now);
         self.term = term;
+        self.hearing.advance(now);
         let due = now >= self.next_plan
             || (self.dirty && now.since(self.last_plan) >= self.shortest_plan_interval());
         if due {
@@ -409,7 +428,10 @@
             self.dirty = false;
             self.settle_adapters(now);
             self.sweep_crashes(now);
-            for instance in self.registry.silent(now, self.settings.instance_silence) {
+            for instance in self
+                .registry
+                .silent(self.hearing.now(), self.settings.instance_silence)
+            {
                 self.load_ended(now, &instance);
                 self.forget(&instance, "silent");
             }
@@ -421,7 +443,8 @@
         self.note(now);
         self.follow_rollout(now, document, context);
         self.update_crashes(now);
-        let complete = now.since(since) >= self.settings.announce_interval * 3;
+        let heard_for = self.hearing.now().since(Timestamp::ZERO);
+        let complete = heard_for >= self.settings.announce_interval * 3;
         self.update_gateways(now, document, complete, context);
         std::mem::take(&mut self.out)
     }
@@ -457,7 +480,8 @@
 
     fn shortest_plan_interval(&self) -> Duration {
         let engines = u32::try_from(self.engines.engines.len()).unwrap_or(u32::MAX);
-        MINIMUM_PLAN_INTERVAL.max(PLAN_INTERVAL_PER_ENGINE.saturating_mul(engines))
+        let interval = PLAN_INTERVAL_PER_ENGINE.saturating_mul(engines);
+        MINIMUM_PLAN_INTERVAL.max(interval) * self.pace
     }
 
     /// Tells gateways of adapters whose instruction has had its time.
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `demand` | how much each model and adapter is asked for |
 //! | `traffic` | requests in flight at each instance, over all gateways |
 //! | `engines` | one instruction at a time for each engine, and what it holds |
+//! | `hearing` | the time for which this member could hear instances |
 //! | `handover` | what is known of the instructions of earlier leaders |
 //! | `permits` | loads that the weight store allows |
 //! | `store` | how many loads at once the weight store serves well |
@@ -31,6 +32,7 @@
 mod fleet;
 mod gateways;
 mod handover;
+mod hearing;
 mod permits;
 mod planner;
 mod registry;
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -129,7 +129,7 @@
     ) -> Vec<u64> {
         let revision = self.registry.revision();
         let version = document.map_or(0, |document| document.version);
-        let interval = self.gateways.update_interval();
+        let interval = self.gateways.update_interval() * self.pace;
         let wants = |session: &GatewaySession| {
             session.owed
                 || self.needs_all(session)
