A gateway that starts is confirmed as soon as its copy and a majority's answers are there

Cause: after a loss of the whole group gateways had a member's copy 0.15 s after the members were back, and were confirmed 0.4 to 0.7 s later: answers that had come before the copy were not looked at again, voters that an answer named were asked only with the next round, and a round takes 200 ms. Ruled out: the members' start (passed on at 35.2 s, 0.15 s after they had started). Change: answers are weighed anew when the gateway is told more; new voters and a new copy are asked about at once; rounds come every 100 ms while nothing may be answered.

--- a/crates/millpass-dispatch/src/freshness.rs
+++ b/crates/millpass-dispatch/src/freshness.rs
@@ -122,9 +122,13 @@
         self.as_of
     }
 
-    /// Notes that the gateway holds what binds it up to this index.
+    /// Notes that the gateway holds what binds it up to this index. Members may have answered already that there is
+    /// nothing beyond it.
     pub(crate) fn told(&mut self, as_of: u64) {
-        self.as_of = self.as_of.max(as_of);
+        if as_of > self.as_of {
+            self.as_of = as_of;
+            self.confirm_by_majority();
+        }
     }
 
     /// Notes that a report leaves now.
--- a/crates/millpass-gateway/src/freshness.rs
+++ b/crates/millpass-gateway/src/freshness.rs
@@ -17,6 +17,9 @@
 
 /// Time between two rounds of questions. A member answers within some milliseconds; ten rounds fit the usual bound.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
+/// The same while nothing may be answered: all requests wait for it. After a loss of the whole group gateways that have
+/// just started wait for members that start, too.
+const URGENT_ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks while nothing needs to be asked.
 const LOOK_INTERVAL: Duration = Duration::from_millis(350);
 /// Most bytes of an answer: nine voters' identities and addresses take 400.
@@ -53,9 +56,10 @@
             send_all(socket, &members, round).await;
         }
         show(shared, &mut shown);
-        let pause = match round {
-            Some(_) => ROUND_INTERVAL,
-            None => LOOK_INTERVAL,
+        let pause = match (round, shown) {
+            (None, _) => LOOK_INTERVAL,
+            (Some(_), Freshness::Unconfirmed) => URGENT_ROUND_INTERVAL,
+            (Some(_), _) => ROUND_INTERVAL,
         };
         let pause = async {
             Timer::after(pause).await;
@@ -93,10 +97,15 @@
         return log::debug!("event=freshness_answer_malformed from={from}");
     };
     let now = shared.now();
-    let confirmed = {
+    let (confirmed, more_members) = {
         let mut core = shared.core();
-        core.take_freshness(now, from, response)
+        let asked = core.members_to_ask().len();
+        let confirmed = core.take_freshness(now, from, response);
+        (confirmed, core.members_to_ask().len() > asked)
     };
+    if more_members {
+        shared.ask_members();
+    }
     if confirmed {
         shared.changed.notify(usize::MAX);
     }
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -383,6 +383,10 @@
         ];
         log::info!("{}", event_line("update_taken", &pairs));
     }
+    if provisional {
+        // Whether it is the newest, members say.
+        shared.ask_members();
+    }
     shared.changed.notify(usize::MAX);
 }
 
