--- a/crates/millpass-control/src/peers.rs
+++ b/crates/millpass-control/src/peers.rs
@@ -15,7 +15,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Longest wait for a connection, and for room in it.
+/// Longest wait for a connection. A machine without power answers nothing; a voter that comes up while one hangs is
+/// spoken to only afterwards, so it is below the election timeout.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for room in a connection, and for bytes to be acknowledged.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause after a connection could not be made; messages of that time are dropped.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -176,7 +179,7 @@
 }
 
 fn connect(target: SocketAddr) -> std::io::Result<TcpStream> {
-    let stream = TcpStream::connect_timeout(&target, TIMEOUT)?;
+    let stream = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(TIMEOUT))?;
     // Heartbeats alone never fill the buffer of a connection that has gone silent: without this, a leader would
