The dispatcher's updates and freshness stand in modules of their own

Ruled out: nothing; behaviour stays. Change: updates.rs, and the freshness methods beside their tracker. Conclusion: tests of the crate pass unchanged.

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -1,20 +1,19 @@
 //! The core itself.
 
 use crate::crashes::CrashWatch;
-use crate::freshness::{Freshness, FreshnessSettings, FreshnessTracker, Leadership};
+use crate::freshness::{Freshness, FreshnessSettings, FreshnessTracker};
 use crate::instances::{Instance, SendEnd, ToldLoad};
 use crate::needs::Needs;
 use crate::request::{Description, SendRecord, Ticket};
 use crate::retry_budget::RetryBudget;
 use crate::table::{IdentityError, RouteError, RoutingTable};
 use millpass_proto::{
-    AdapterName, CrashReport, CrashUpdate, DeploymentDocument, Duration, EngineSpec,
-    FreshnessResponse, GatewayReport, GatewayUpdate, InstanceId, InstanceLoad, ModelName,
-    ModelOutlook, RouteSpec, ServiceName, TenantAccess, Timestamp, ZoneName,
+    AdapterName, CrashReport, CrashUpdate, Duration, EngineSpec, GatewayReport, InstanceId,
+    InstanceLoad, ModelName, ModelOutlook, RouteSpec, ServiceName, TenantAccess, Timestamp,
+    ZoneName,
 };
 use millpass_tenancy::{CreditPool, PresentedKey, QuotaTerms};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Step of the evenly covering sequence: the fractional part of the golden ratio.
@@ -103,38 +102,22 @@
     },
 }
 
-/// What an update changed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct UpdateOutcome {
-    /// Version of the document that came into force.
-    pub version: Option<u64>,
-    /// Instances that are new or changed.
-    pub changed: usize,
-    /// Instances that are gone.
-    pub removed: usize,
-    /// The update was of an older leader and ignored.
-    pub stale: bool,
-    /// It had a change of the document that begins from this version, which is not in force here; it was not
-    /// applied. The leader sends the document whole once it hears which version is.
-    pub unfit_change: Option<u64>,
-}
-
 /// The decision core of one gateway.
 pub struct Dispatcher {
     pub(crate) settings: DispatchSettings,
     pub(crate) table: Option<Arc<RoutingTable>>,
-    freshness: FreshnessTracker,
+    pub(crate) freshness: FreshnessTracker,
     pub(crate) instances: BTreeMap<InstanceId, Instance>,
     /// Instances named on the connection to the leader, until it says that it has named all of them.
-    named: Option<BTreeSet<InstanceId>>,
+    pub(crate) named: Option<BTreeSet<InstanceId>>,
     pub(crate) budgets: HashMap<ServiceName, RetryBudget>,
     /// Where each route with several targets stands in its sequence, from 0 to 1.
-    splits: HashMap<String, f64>,
+    pub(crate) splits: HashMap<String, f64>,
     pub(crate) needs: Needs,
     pub(crate) doubted: BTreeSet<InstanceId>,
     pub(crate) outlook: Vec<(ModelOutlook, Timestamp)>,
     /// Loads as last told on the connection to the leader.
-    told_loads: Vec<InstanceLoad>,
+    pub(crate) told_loads: Vec<InstanceLoad>,
     /// Whether a report on that connection has said which instances are known here.
     instances_told: bool,
     pub(crate) term: u64,
@@ -186,201 +169,11 @@
         self.outlook.len()
     }
 
-    /// Takes an update of the leader, or what another member passes on. A document older than the one in force is
-    /// never taken.
-    pub fn update(&mut self, now: Timestamp, update: GatewayUpdate) -> UpdateOutcome {
-        if update.provisional {
-            return self.passed_on(update);
-        }
-        if update.term < self.term {
-            return UpdateOutcome {
-                stale: true,
-                ..UpdateOutcome::default()
-            };
-        }
-        self.term = update.term;
-        if update.gateways > 0 {
-            self.gateways = update.gateways;
-        }
-        let mut outcome = UpdateOutcome::default();
-        let held = self.version();
-        let document = match (update.document, &update.document_change) {
-            (None, Some(change)) if change.version > held => {
-                let table = self.table.as_ref();
-                let applied = table.and_then(|table| change.apply(table.document()));
-                outcome.unfit_change = applied.is_none().then_some(change.base);
-                applied
-            }
-            (document, _) => document,
-        };
-        if let Some(document) = document {
-            outcome.version = self.take_document(document);
-        }
-        // An update whose change did not fit, or that went before, leaves this gateway without what binds it.
-        if self.version() >= update.document_version {
-            self.freshness.told(update.as_of);
-            self.freshness.answered(update.answers);
-        }
-        outcome.changed = update.instances.len();
-        if update.first {
-            self.named = Some(BTreeSet::new());
-        }
-        if let Some(named) = &mut self.named {
-            let instances = update.instances.iter();
-            named.extend(instances.map(|record| record.instance.clone()));
-            let kept: BTreeSet<u64> = update.kept_instances.into_iter().collect();
-            let held = self.instances.iter();
-            let held = held.filter(|(_, instance)| kept.contains(&instance.digest));
-            named.extend(held.map(|(id, _)| id.clone()));
-        }
-        if update.complete
-            && let Some(named) = self.named.take()
-        {
-            let before = self.instances.len();
-            self.instances
-                .retain(|instance, _| named.contains(instance));
-            outcome.removed = before - self.instances.len();
-        }
-        for record in update.instances {
-            match self.instances.get_mut(&record.instance) {
-                Some(instance) => instance.update(record),
-                None => {
-                    let instance = record.instance.clone();
-                    self.instances.insert(instance, Instance::new(record));
-                }
-            }
-        }
-        for instance in &update.removed {
-            outcome.removed += usize::from(self.instances.remove(instance).is_some());
-        }
-        if !update.loads_same {
-            self.told_loads = update.loads;
-        }
-        for load in &self.told_loads {
-            if let Some(instance) = self.instances.get_mut(&load.instance) {
-                instance.told_in_flight(now, load.in_flight);
-            }
-        }
-        if !update.outlook_same {
-            let ready =
-                |outlook: &ModelOutlook| now + Duration::from_millis(outlook.ready_in_millis);
-            let outlook = update.outlook.into_iter();
-            self.outlook = outlook
-                .map(|entry| (entry.clone(), ready(&entry)))
-                .collect();
-        }
-        outcome
-    }
-
-    /// Takes what a member passes on that does not lead. Document and departures are committed, and as good as from the
-    /// leader; whether they are the newest it does not say. Its instances only serve a gateway that has none.
-    fn passed_on(&mut self, update: GatewayUpdate) -> UpdateOutcome {
-        if update.as_of <= self.freshness.as_of() {
-            return UpdateOutcome {
-                stale: true,
-                ..UpdateOutcome::default()
-            };
-        }
-        let mut outcome = UpdateOutcome::default();
-        if let Some(document) = update.document {
-            outcome.version = self.take_document(document);
-        }
-        if self.instances.is_empty() {
-            outcome.changed = update.instances.len();
-            let records = update.instances.into_iter();
-            self.instances
-                .extend(records.map(|record| (record.instance.clone(), Instance::new(record))));
-        }
-        for instance in &update.removed {
-            outcome.removed += usize::from(self.instances.remove(instance).is_some());
-        }
-        self.freshness.told(update.as_of);
-        outcome
-    }
-
     /// Version of the document in force; 0 for none.
-    fn version(&self) -> u64 {
+    pub(crate) fn version(&self) -> u64 {
         self.table.as_ref().map_or(0, |table| table.version())
     }
 
-    /// Puts a document in force if it is newer than the one in force; gives its version.
-    fn take_document(&mut self, document: DeploymentDocument) -> Option<u64> {
-        let held = self.version();
-        if document.version <= held {
-            return None;
-        }
-        let version = document.version;
-        let routes = document.routes.iter();
-        let names: BTreeSet<&str> = routes.map(|route| route.name.as_str()).collect();
-        self.splits
-            .retain(|route, _| names.contains(route.as_str()));
-        self.table = Some(Arc::new(RoutingTable::new(document)));
-        Some(version)
-    }
-
-    /// How new what is known here is.
-    pub fn freshness(&self, now: Timestamp) -> Freshness {
-        self.freshness.freshness(now, &self.settings.freshness)
-    }
-
-    /// Time since what is known here was last confirmed to be the newest; none before the first time.
-    pub fn confirmation_age(&self, now: Timestamp) -> Option<Duration> {
-        self.freshness.age(now)
-    }
-
-    /// Log index up to which this gateway was told of what binds it, and the newest that members spoke of.
-    pub fn binding_indexes(&self) -> (u64, u64) {
-        (self.freshness.as_of(), self.freshness.newest_heard())
-    }
-
-    /// Begins a round of questions to the members if one is due, or at once; gives its number.
-    pub fn begin_round(&mut self, now: Timestamp, at_once: bool) -> Option<u64> {
-        let due = at_once || self.freshness.is_asking_due(now);
-        due.then(|| self.freshness.begin_round(now))
-    }
-
-    /// Peer addresses to ask.
-    pub fn members_to_ask(&self) -> Vec<SocketAddr> {
-        self.freshness.members_to_ask()
-    }
-
-    /// Takes the answer of the member at a peer address. True when it confirms what is known anew.
-    pub fn take_freshness(
-        &mut self,
-        now: Timestamp,
-        address: SocketAddr,
-        response: FreshnessResponse,
-    ) -> bool {
-        self.freshness.take(now, address, response)
-    }
-
-    /// The member at this peer address was connected to, or heard.
-    pub fn member_reached(&mut self, now: Timestamp, address: SocketAddr) {
-        self.freshness.note_reached(now, address);
-    }
-
-    /// Takes the peer addresses of the members that are known.
-    pub fn set_members(&mut self, addresses: BTreeSet<SocketAddr>) {
-        self.freshness.set_members(addresses);
-    }
-
-    /// What members said lately of who leads.
-    pub fn leadership(&self, now: Timestamp) -> Leadership {
-        self.freshness.leadership(now)
-    }
-
-    /// Whether the member at this peer address has answered lately, and is said to lead.
-    pub fn is_leading(&self, now: Timestamp, address: SocketAddr) -> bool {
-        self.freshness.is_leading(now, address)
-    }
-
-    /// Whether members hold something that binds and was not told here: any of them can pass on what is
-    /// committed.
-    pub fn lacks_news(&self) -> bool {
-        let (as_of, newest) = self.binding_indexes();
-        as_of == 0 || newest > as_of
-    }
-
     /// This gateway was told to stop and ends at this time, whatever is in flight.
     pub fn stop_at(&mut self, end: Timestamp) {
         self.stops_at = Some(end);
--- a/crates/millpass-dispatch/src/freshness.rs
+++ b/crates/millpass-dispatch/src/freshness.rs
@@ -10,6 +10,7 @@
 //!   the index. An entry that was acknowledged before the round began is in the log of one of any majority.
 //!   This takes no leader.
 
+use crate::dispatcher::Dispatcher;
 use millpass_proto::{Duration, FreshnessResponse, GatewayReport, MemberId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -326,6 +327,71 @@
     }
 }
 
+impl Dispatcher {
+    /// How new what is known here is.
+    pub fn freshness(&self, now: Timestamp) -> Freshness {
+        self.freshness.freshness(now, &self.settings.freshness)
+    }
+
+    /// Time since what is known here was last confirmed to be the newest; none before the first time.
+    pub fn confirmation_age(&self, now: Timestamp) -> Option<Duration> {
+        self.freshness.age(now)
+    }
+
+    /// Log index up to which this gateway was told of what binds it, and the newest that members spoke of.
+    pub fn binding_indexes(&self) -> (u64, u64) {
+        (self.freshness.as_of(), self.freshness.newest_heard())
+    }
+
+    /// Begins a round of questions to the members if one is due, or at once; gives its number.
+    pub fn begin_round(&mut self, now: Timestamp, at_once: bool) -> Option<u64> {
+        let due = at_once || self.freshness.is_asking_due(now);
+        due.then(|| self.freshness.begin_round(now))
+    }
+
+    /// Peer addresses to ask.
+    pub fn members_to_ask(&self) -> Vec<SocketAddr> {
+        self.freshness.members_to_ask()
+    }
+
+    /// Takes the answer of the member at a peer address. True when it confirms what is known anew.
+    pub fn take_freshness(
+        &mut self,
+        now: Timestamp,
+        address: SocketAddr,
+        response: FreshnessResponse,
+    ) -> bool {
+        self.freshness.take(now, address, response)
+    }
+
+    /// The member at this peer address was connected to, or heard.
+    pub fn member_reached(&mut self, now: Timestamp, address: SocketAddr) {
+        self.freshness.note_reached(now, address);
+    }
+
+    /// Takes the peer addresses of the members that are known.
+    pub fn set_members(&mut self, addresses: BTreeSet<SocketAddr>) {
+        self.freshness.set_members(addresses);
+    }
+
+    /// What members said lately of who leads.
+    pub fn leadership(&self, now: Timestamp) -> Leadership {
+        self.freshness.leadership(now)
+    }
+
+    /// Whether the member at this peer address has answered lately, and is said to lead.
+    pub fn is_leading(&self, now: Timestamp, address: SocketAddr) -> bool {
+        self.freshness.is_leading(now, address)
+    }
+
+    /// Whether members hold something that binds and was not told here: any of them can pass on what is
+    /// committed.
+    pub fn lacks_news(&self) -> bool {
+        let (as_of, newest) = self.binding_indexes();
+        as_of == 0 || newest > as_of
+    }
+}
+
 fn push_bounded(list: &mut VecDeque<(u64, Timestamp)>, entry: (u64, Timestamp), most: usize) {
     list.push_back(entry);
     if list.len() > most {
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -14,7 +14,8 @@
 //! | `credit` | units of tenants' quotas that requests need |
 //! | `crashes` | runs that end under requests, and requests held back for it |
 //! | `choosing` | which instance, wait or refuse |
-//! | `dispatcher` | the core itself: updates, begins and ends, reports |
+//! | `updates` | what the leader tells, and what other members pass on |
+//! | `dispatcher` | the core itself: begins and ends, reports |
 
 mod choosing;
 mod crashes;
@@ -28,12 +29,14 @@
 mod request;
 mod retry_budget;
 mod table;
+mod updates;
 
 pub use credit::UnreadableTokens;
-pub use dispatcher::{Choice, DispatchSettings, Dispatcher, RefusalReason, UpdateOutcome};
+pub use dispatcher::{Choice, DispatchSettings, Dispatcher, RefusalReason};
 pub use fingerprint::RequestIdentity;
 pub use freshness::{Freshness, FreshnessSettings, Leadership};
 pub use instances::{SendEnd, ToldLoad};
 pub use request::{Description, PromptPart, SendRecord, StatedTokens, Ticket};
 pub use retry_budget::{BudgetTerms, RetryBudget};
 pub use table::{IdentityError, RouteError, RoutingTable};
+pub use updates::UpdateOutcome;
--- /dev/null
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -0,0 +1,153 @@
+//! Updates of the leader, and what other members pass on: document, instances, outlook.
+
+use crate::dispatcher::Dispatcher;
+use crate::instances::Instance;
+use crate::table::RoutingTable;
+use millpass_proto::{DeploymentDocument, Duration, GatewayUpdate, ModelOutlook, Timestamp};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// What an update changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpdateOutcome {
+    /// Version of the document that came into force.
+    pub version: Option<u64>,
+    /// Instances that are new or changed.
+    pub changed: usize,
+    /// Instances that are gone.
+    pub removed: usize,
+    /// The update was of an older leader and ignored.
+    pub stale: bool,
+    /// It had a change of the document that begins from this version, which is not in force here; it was not
+    /// applied. The leader sends the document whole once it hears which version is.
+    pub unfit_change: Option<u64>,
+}
+
+impl Dispatcher {
+    /// Takes an update of the leader, or what another member passes on. A document older than the one in force is
+    /// never taken.
+    pub fn update(&mut self, now: Timestamp, update: GatewayUpdate) -> UpdateOutcome {
+        if update.provisional {
+            return self.passed_on(update);
+        }
+        if update.term < self.term {
+            return UpdateOutcome {
+                stale: true,
+                ..UpdateOutcome::default()
+            };
+        }
+        self.term = update.term;
+        if update.gateways > 0 {
+            self.gateways = update.gateways;
+        }
+        let mut outcome = UpdateOutcome::default();
+        let held = self.version();
+        let document = match (update.document, &update.document_change) {
+            (None, Some(change)) if change.version > held => {
+                let table = self.table.as_ref();
+                let applied = table.and_then(|table| change.apply(table.document()));
+                outcome.unfit_change = applied.is_none().then_some(change.base);
+                applied
+            }
+            (document, _) => document,
+        };
+        if let Some(document) = document {
+            outcome.version = self.take_document(document);
+        }
+        // An update whose change did not fit, or that went before, leaves this gateway without what binds it.
+        if self.version() >= update.document_version {
+            self.freshness.told(update.as_of);
+            self.freshness.answered(update.answers);
+        }
+        outcome.changed = update.instances.len();
+        if update.first {
+            self.named = Some(BTreeSet::new());
+        }
+        if let Some(named) = &mut self.named {
+            let instances = update.instances.iter();
+            named.extend(instances.map(|record| record.instance.clone()));
+            let kept: BTreeSet<u64> = update.kept_instances.into_iter().collect();
+            let held = self.instances.iter();
+            let held = held.filter(|(_, instance)| kept.contains(&instance.digest));
+            named.extend(held.map(|(id, _)| id.clone()));
+        }
+        if update.complete
+            && let Some(named) = self.named.take()
+        {
+            let before = self.instances.len();
+            self.instances
+                .retain(|instance, _| named.contains(instance));
+            outcome.removed = before - self.instances.len();
+        }
+        for record in update.instances {
+            match self.instances.get_mut(&record.instance) {
+                Some(instance) => instance.update(record),
+                None => {
+                    let instance = record.instance.clone();
+                    self.instances.insert(instance, Instance::new(record));
+                }
+            }
+        }
+        for instance in &update.removed {
+            outcome.removed += usize::from(self.instances.remove(instance).is_some());
+        }
+        if !update.loads_same {
+            self.told_loads = update.loads;
+        }
+        for load in &self.told_loads {
+            if let Some(instance) = self.instances.get_mut(&load.instance) {
+                instance.told_in_flight(now, load.in_flight);
+            }
+        }
+        if !update.outlook_same {
+            let ready =
+                |outlook: &ModelOutlook| now + Duration::from_millis(outlook.ready_in_millis);
+            let outlook = update.outlook.into_iter();
+            self.outlook = outlook
+                .map(|entry| (entry.clone(), ready(&entry)))
+                .collect();
+        }
+        outcome
+    }
+
+    /// Takes what a member passes on that does not lead. Document and departures are committed, and as good as from the
+    /// leader; whether they are the newest it does not say. Its instances only serve a gateway that has none.
+    fn passed_on(&mut self, update: GatewayUpdate) -> UpdateOutcome {
+        if update.as_of <= self.freshness.as_of() {
+            return UpdateOutcome {
+                stale: true,
+                ..UpdateOutcome::default()
+            };
+        }
+        let mut outcome = UpdateOutcome::default();
+        if let Some(document) = update.document {
+            outcome.version = self.take_document(document);
+        }
+        if self.instances.is_empty() {
+            outcome.changed = update.instances.len();
+            let records = update.instances.into_iter();
+            self.instances
+                .extend(records.map(|record| (record.instance.clone(), Instance::new(record))));
+        }
+        for instance in &update.removed {
+            outcome.removed += usize::from(self.instances.remove(instance).is_some());
+        }
+        self.freshness.told(update.as_of);
+        outcome
+    }
+
+    /// Puts a document in force if it is newer than the one in force; gives its version.
+    fn take_document(&mut self, document: DeploymentDocument) -> Option<u64> {
+        let held = self.version();
+        if document.version <= held {
+            return None;
+        }
+        let version = document.version;
+        let routes = document.routes.iter();
+        let names: BTreeSet<&str> = routes.map(|route| route.name.as_str()).collect();
+        self.splits
+            .retain(|route, _| names.contains(route.as_str()));
+        self.table = Some(Arc::new(RoutingTable::new(document)));
+        Some(version)
+    }
+}
