--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -189,6 +189,10 @@
     Ok(announced)
 }
 
+/// Time from the choice of an instance to a request's arrival there, beyond the longest wait for a connection: one
+/// way, and a turn of a busy process.
+const SENDING_BEYOND_CONNECTING: Duration = Duration::from_millis(100);
+
 /// A gateway's process settings from its settings file.
 pub fn gateway_process(settings: &GatewaySettings) -> Result<GatewayProcessSettings> {
     let control = &settings.control;
@@ -216,6 +220,7 @@
                 .then(|| millis(settings.tenants.key_lifetime_ms)),
             freshness: FreshnessSettings {
                 in_force: millis(settings.freshness.in_force_ms),
+                sending: millis(settings.instances.connect_timeout_ms) + SENDING_BEYOND_CONNECTING,
                 cut_off: millis(settings.freshness.cut_off_ms),
             },
         },
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1150,7 +1150,7 @@
     fn default() -> Self {
         Self {
             in_force_ms: 2000u64,
-            cut_off_ms: 30000u64,
+            cut_off_ms: 300000u64,
         }
     }
 }
--- a/crates/millpass-consensus/src/backoff.rs
+++ b/crates/millpass-consensus/src/backoff.rs
@@ -23,6 +23,13 @@
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// Members were asked whether they would vote, and not enough would. That raises no term and voids nobody, so it
+    /// counts once however often: a group that was split for 15 s would else wait up to 3 s for its leader after
+    /// it is joined (0.6 s at most before there was a back-off).
+    pub(crate) fn asked_in_vain(&mut self) {
+        self.failures = self.failures.max(1);
+    }
+
     /// A leader is in contact.
     pub(crate) fn succeeded(&mut self) {
         self.failures = 0;
--- a/crates/millpass-consensus/src/candidacy.rs
+++ b/crates/millpass-consensus/src/candidacy.rs
@@ -59,7 +59,10 @@
             return;
         };
         let end = candidacy.end_at_deadline();
-        self.backoff.failed();
+        match self.role {
+            RoleState::PreCandidate(_) => self.backoff.asked_in_vain(),
+            _ => self.backoff.failed(),
+        }
         self.tell_candidacy_ended(end);
     }
 
--- a/crates/millpass-control-plane/src/administration.rs
+++ b/crates/millpass-control-plane/src/administration.rs
@@ -6,6 +6,7 @@
 use crate::plane::ControlPlane;
 use crate::proposals::Waiter;
 use millpass_consensus::Role;
+use millpass_fleet::Fleet;
 use millpass_proto::{
     BackendMark, BackendName, BackendState, Command, CommandOutcome, ObjectChange, Timestamp,
 };
@@ -22,7 +23,7 @@
         // or it would take those for gone that it turned away. Their leaving waits for the log.
         let is_soft =
             matches!(&request, AdministrationRequest::Announce(record) if !record.draining);
-        let may_take = self.in_charge(now) || (is_soft && self.role == Role::Leader);
+        let may_take = self.in_charge(now) || (is_soft && self.is_late_leader());
         if !may_take {
             let leader_address = self.leader_administration_address();
             out.answer(call, AdministrationAnswer::NotLeader { leader_address });
@@ -48,6 +49,14 @@
         }
     }
 
+    /// Whether this member leads and was in charge in this term, though its lease may have run out. Before that it does
+    /// not know all that is committed: a late word of an instance whose departure it has not applied would
+    /// be taken for news.
+    pub(crate) fn is_late_leader(&self) -> bool {
+        let has_begun = self.fleet.as_ref().is_some_and(Fleet::has_begun);
+        self.role == Role::Leader && has_begun
+    }
+
     fn change_object(
         &mut self,
         now: Timestamp,
--- a/crates/millpass-control-plane/src/freshness.rs
+++ b/crates/millpass-control-plane/src/freshness.rs
@@ -22,23 +22,31 @@
 /// member has acknowledged. An entry that is cut off again leaves it too high, which lets a gateway doubt what
 /// it knows until the leader tells it of a higher index.
 #[derive(Default)]
-pub(crate) struct BindingMark(u64);
+pub(crate) struct BindingMark {
+    highest: u64,
+    /// The same of what is committed, where a snapshot of an earlier release does not say it: all of it may bind.
+    assumed: u64,
+}
 
 impl BindingMark {
-    /// Starts with a restored state. A snapshot of an earlier release does not say what binds: all of it may.
-    pub(crate) fn restored(state: &State, snapshot_index: u64) -> Self {
-        match state.binding_index() {
-            0 => BindingMark(snapshot_index),
-            index => BindingMark(index),
+    /// A snapshot up to this index gave the state. The replicated state itself stays the same on all members.
+    pub(crate) fn restored(&mut self, state: &State, snapshot_index: u64) {
+        if state.binding_index() == 0 && state.document().is_some() {
+            self.assumed = snapshot_index;
         }
     }
 
+    /// The highest committed index of an entry that binds, as far as is known.
+    fn committed(&self, state: &State) -> u64 {
+        state.binding_index().max(self.assumed)
+    }
+
     /// Takes up what log and state hold now.
     pub(crate) fn raise(&mut self, consensus: &Consensus, state: &State) {
-        self.0 = self
-            .0
+        self.highest = self
+            .highest
             .max(consensus.binding_index())
-            .max(state.binding_index());
+            .max(self.committed(state));
     }
 }
 
@@ -57,7 +65,7 @@
     /// Where this member stands now.
     pub fn freshness_mark(&self, now: Timestamp) -> FreshnessMark {
         FreshnessMark {
-            binding: self.binding.0,
+            binding: self.binding.highest,
             applied: self.applied.last.index,
             membership_index: self.consensus.membership_index(),
             term: self.term,
@@ -100,7 +108,7 @@
         let Some(document) = self.state.document() else {
             return;
         };
-        if !begins && report.as_of >= self.state.binding_index() {
+        if !begins && report.as_of >= self.binding.committed(&self.state) {
             return;
         }
         let newer = document.version > report.version;
--- a/crates/millpass-control-plane/src/pace.rs
+++ b/crates/millpass-control-plane/src/pace.rs
@@ -9,8 +9,7 @@
 const WEIGHT: u32 = 16;
 /// Average gap up to which nothing is spaced: ticks come every 5 ms, and a usual step takes a few.
 const USUAL_GAP: Duration = Duration::from_millis(20);
-/// Longest spacing. With 70 gateways their updates then come twice a second, which still confirms what they know
-/// within a bound of two seconds.
+/// Longest spacing. The fleet bounds what it makes of it where gateways wait for confirmation.
 const MAXIMUM_PACE: u32 = 6;
 
 /// The averaged gap between ticks.
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -98,7 +98,8 @@
         now: Timestamp,
     ) -> Self {
         let applied = AppliedLog::new(&restored.snapshot);
-        let mut binding = BindingMark::restored(&state, restored.snapshot.last.index);
+        let mut binding = BindingMark::default();
+        binding.restored(&state, restored.snapshot.last.index);
         let snapshot = Snapshot {
             meta: restored.snapshot.clone(),
             data: ByteBuf::from(state.encode()),
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -149,7 +149,10 @@
 
     fn restore(&mut self, now: Timestamp, snapshot: Snapshot, out: &mut Outputs) {
         match State::decode(&snapshot.data) {
-            Ok(state) => self.state = state,
+            Ok(state) => {
+                self.binding.restored(&state, snapshot.meta.last.index);
+                self.state = state;
+            }
             Err(error) => {
                 // Going on with another state than the group's would break every promise.
                 self.stop(FinalState::StateUnreadable(error.to_string()), out);
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -82,7 +82,7 @@
     ) {
         match message {
             RouterToControl::Credit(_) if self.role == Role::Leader => {}
-            RouterToControl::Crashes(report) if self.role == Role::Leader => {
+            RouterToControl::Crashes(report) if self.is_late_leader() => {
                 self.take_crash_report(now, report);
             }
             _ => out.send_not_leader(connection, self.leader_peer_address()),
--- a/crates/millpass-dispatch/src/choosing.rs
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -51,7 +51,7 @@
                 retry_after,
             };
         }
-        if self.freshness(now) == Freshness::Unconfirmed {
+        if self.freshness_on_arrival(now) == Freshness::Unconfirmed {
             return unconfirmed(now, ticket);
         }
         ticket.unconfirmed_since = None;
--- a/crates/millpass-dispatch/src/freshness.rs
+++ b/crates/millpass-dispatch/src/freshness.rs
@@ -40,6 +40,9 @@
 pub struct FreshnessSettings {
     /// Time after an acknowledgement by which what it promises is in force at each gateway.
     pub in_force: Duration,
+    /// Time from the choice of an instance to the arrival of the request there, at most: what is chosen later than this
+    /// before the end of `in_force` would arrive after it.
+    pub sending: Duration,
     /// Time without confirmation for which a gateway that reaches no majority of the members goes on with the
     /// routes that it knows.
     pub cut_off: Duration,
@@ -49,7 +52,8 @@
     fn default() -> Self {
         FreshnessSettings {
             in_force: Duration::from_millis(2_000),
-            cut_off: Duration::from_millis(30_000),
+            sending: Duration::from_millis(350),
+            cut_off: Duration::from_millis(300_000),
         }
     }
 }
@@ -59,8 +63,8 @@
 pub enum Freshness {
     /// Nothing that it does not know was acknowledged longer ago than the bound.
     Confirmed,
-    /// That cannot be confirmed, as no majority of the members is reached: known routes are served, and nothing
-    /// is said not to exist.
+    /// That cannot be confirmed, as no majority of the members is reached, and nothing newer was heard of: known routes are
+    /// served, and nothing is said not to exist.
     CutOff,
     /// It may be outdated, or nothing was ever confirmed: nothing is answered by it.
     Unconfirmed,
@@ -115,6 +119,8 @@
     voters: BTreeSet<SocketAddr>,
     /// When each address was last heard from, or connected to.
     reached: BTreeMap<SocketAddr, Timestamp>,
+    /// When a leader's update last came, however old what it answers.
+    leader_heard_at: Option<Timestamp>,
 }
 
 impl FreshnessTracker {
@@ -137,6 +143,11 @@
         push_bounded(&mut self.reports, (report.sequence, now), MAXIMUM_REPORTS);
     }
 
+    /// An update of a leader came: this gateway is not cut off.
+    pub(crate) fn leader_heard(&mut self, now: Timestamp) {
+        self.leader_heard_at = Some(now);
+    }
+
     /// The leader answered this report with all that it had committed.
     pub(crate) fn answered(&mut self, report: u64) {
         let sent = time_of(&self.reports, report);
@@ -300,7 +311,10 @@
         if age <= settings.in_force {
             return Freshness::Confirmed;
         }
-        match age <= settings.cut_off && self.is_out_of_reach(now, settings.in_force) {
+        // What members spoke of may be in force, whether they are still reached or not.
+        let knows_all_heard = self.newest_heard() <= self.as_of;
+        let cut_off = age <= settings.cut_off && self.is_out_of_reach(now, settings.in_force);
+        match cut_off && knows_all_heard {
             true => Freshness::CutOff,
             false => Freshness::Unconfirmed,
         }
@@ -323,7 +337,10 @@
             false => &self.voters,
         };
         let reached = voters.iter().filter(is_reached).count();
-        asked && runs && reached * 2 <= voters.len()
+        let hears_leader = self
+            .leader_heard_at
+            .is_some_and(|at| now.since(at) <= recent);
+        asked && runs && !hears_leader && reached * 2 <= voters.len()
     }
 }
 
@@ -333,6 +350,11 @@
         self.freshness.freshness(now, &self.settings.freshness)
     }
 
+    /// How new what is known here will be when a request that is sent now arrives.
+    pub(crate) fn freshness_on_arrival(&self, now: Timestamp) -> Freshness {
+        self.freshness(now + self.settings.freshness.sending)
+    }
+
     /// Time since what is known here was last confirmed to be the newest; none before the first time.
     pub fn confirmation_age(&self, now: Timestamp) -> Option<Duration> {
         self.freshness.age(now)
--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -37,6 +37,7 @@
             };
         }
         self.term = update.term;
+        self.freshness.leader_heard(now);
         if update.gateways > 0 {
             self.gateways = update.gateways;
         }
--- a/crates/millpass-dispatch/tests/freshness.rs
+++ b/crates/millpass-dispatch/tests/freshness.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 
 const IN_FORCE: u64 = 2_000;
+const SENDING: u64 = 350;
 const CUT_OFF: u64 = 10_000;
 
 fn at(millis: u64) -> Timestamp {
@@ -120,6 +121,7 @@
         key_lifetime: None,
         freshness: FreshnessSettings {
             in_force: Duration::from_millis(IN_FORCE),
+            sending: Duration::from_millis(SENDING),
             cut_off: Duration::from_millis(CUT_OFF),
         },
     });
@@ -281,6 +283,18 @@
     }
 }
 
+/// Found in a soak with 115 gateways and starved members: gateways had heard of a newer entry, lost the members to
+/// their lack of processor, and served with a key that had been taken away for 4.1 s after the acknowledgement.
+#[test]
+fn a_gateway_that_heard_of_something_newer_does_not_go_on_when_it_is_cut_off() {
+    let mut gateway = confirmed();
+    ask(&mut gateway, 700, &[(2, 12)]);
+    for now in (900..3_400).step_by(200) {
+        ask(&mut gateway, now, &[]);
+    }
+    assert_eq!(gateway.freshness(at(3_400)), Freshness::Unconfirmed);
+}
+
 #[test]
 fn a_gateway_that_reaches_a_majority_and_gets_no_confirmation_refuses() {
     let mut gateway = confirmed();
@@ -330,6 +344,29 @@
     ));
 }
 
+/// What counts for an instance that leaves is when a request arrives there.
+#[rstest]
+#[case::in_time(IN_FORCE - SENDING, true)]
+#[case::too_late(IN_FORCE - SENDING + 1, false)]
+fn a_request_is_sent_only_if_it_arrives_within_the_bound(#[case] now: u64, #[case] sent: bool) {
+    let mut gateway = confirmed();
+    let route = gateway.route(at(now), "h", "/known/a").expect("route");
+    let mut ticket = gateway.begin(at(now), route, None, Description::default(), 0.5);
+    let choice = gateway.choose(at(now), &mut ticket);
+    assert_eq!(matches!(choice, Choice::Send { .. }), sent, "{choice:?}");
+}
+
+/// Questions may be lost, or members too busy to answer, while the leader's updates come, late.
+#[test]
+fn a_gateway_that_hears_the_leader_is_not_cut_off() {
+    let mut gateway = confirmed();
+    for now in (700..2_400).step_by(200) {
+        ask(&mut gateway, now, &[]);
+    }
+    gateway.update(at(2_300), update(0, 10, false));
+    assert_eq!(gateway.freshness(at(2_400)), Freshness::Unconfirmed);
+}
+
 #[test]
 fn members_name_the_leader_of_the_highest_term() {
     let mut gateway = confirmed();
--- a/crates/millpass-fleet/src/crashes.rs
+++ b/crates/millpass-fleet/src/crashes.rs
@@ -217,7 +217,7 @@
     /// Tells gateways what is held back, when that has changed.
     pub(crate) fn update_crashes(&mut self, now: Timestamp) {
         let revision = self.crashes.revision();
-        let interval = self.gateways.update_interval() * self.pace;
+        let interval = self.gateways.update_interval(self.pace);
         let mut update = None;
         for (connection, session) in &mut self.gateways.sessions {
             let due = now.since(session.crashes_sent_at) >= interval;
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -225,6 +225,11 @@
         self.noted_at = now;
     }
 
+    /// Whether this member was in charge since the beliefs were last dropped.
+    pub fn has_begun(&self) -> bool {
+        self.in_charge_since.is_some()
+    }
+
     /// What is to be noted now, if anything.
     fn note(&mut self, now: Timestamp) {
         let revision = self.registry.revision();
@@ -289,7 +294,7 @@
     /// An instance leaves, or has ended. Where this member does not lead, there is nobody to tell: it begins with what
     /// the log knows.
     pub fn departed(&mut self, instance: &InstanceId, ended: bool) {
-        if self.in_charge_since.is_none() {
+        if !self.has_begun() && self.registry.get(instance).is_none() {
             return;
         }
         self.dirty = true;
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -100,6 +100,9 @@
 /// Most updates a second, over all gateways. With many gateways and engines, each change sent to each
 /// gateway at once takes the leader's whole processor; several changes then travel in one update.
 const UPDATES_PER_SECOND: u32 = 1_000;
+/// Longest time between two updates of a gateway that little processor makes: they confirm what gateways know, within a
+/// bound of some seconds.
+const LONGEST_SPACING: Duration = Duration::from_millis(500);
 /// Gateways up to which every change is sent at once.
 const FEW_GATEWAYS: usize = 16;
 
@@ -180,12 +183,13 @@
         Some(session.reported_version)
     }
 
-    /// Shortest time between two updates of one gateway.
-    pub(crate) fn update_interval(&self) -> Duration {
+    /// Shortest time between two updates of one gateway, where processor for a part of them only is left (`pace`).
+    pub(crate) fn update_interval(&self, pace: u32) -> Duration {
         if self.sessions.len() <= FEW_GATEWAYS {
             return Duration::ZERO;
         }
-        Duration::from_secs(1) * self.count() / UPDATES_PER_SECOND
+        let interval = Duration::from_secs(1) * self.count() / UPDATES_PER_SECOND;
+        interval.max(LONGEST_SPACING.min(interval * pace))
     }
 
     /// Gateways connected.
--- a/crates/millpass-fleet/src/hearing.rs
+++ b/crates/millpass-fleet/src/hearing.rs
@@ -13,7 +13,11 @@
 /// answer.
 const REFUSED_FOR: Duration = Duration::from_millis(1_000);
 
-/// A clock that stands still while this member does not hear.
+/// Part of the time that counts while announcements are refused, as its inverse: some are heard, and an instance that has
+/// ended must be forgotten some time.
+const REFUSING_SHARE: u32 = 4;
+
+/// A clock that stands still while this member does not hear, and goes slowly while it refuses announcements.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct HearingClock {
     heard: Timestamp,
@@ -29,9 +33,8 @@
         let refuses = self
             .refused_at
             .is_some_and(|at| now.since(at) < REFUSED_FOR);
-        if !refuses {
-            self.heard = self.heard + gap.min(LONGEST_GAP);
-        }
+        let share = if refuses { REFUSING_SHARE } else { 1 };
+        self.heard = self.heard + gap.min(LONGEST_GAP) / share;
     }
 
     /// Announcements were refused here.
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -26,15 +26,14 @@
     pub documents: &'a DocumentHistory,
 }
 
-/// Departed instances that are not among those that the leader knows: of these the record itself says that they
-/// leave.
+/// Departed instances, but for those that the leader knows as leaving: their records say so.
 fn departed_elsewhere(
     registry: &Registry,
     context: &GatewayContext<'_>,
     told: u64,
 ) -> Vec<InstanceId> {
     let mut departed = (context.departed)(told);
-    departed.retain(|instance| registry.get(instance).is_none());
+    departed.retain(|instance| registry.get(instance).is_none_or(|record| !record.draining));
     departed
 }
 
@@ -133,7 +132,7 @@
     ) -> Vec<u64> {
         let revision = self.registry.revision();
         let version = document.map_or(0, |document| document.version);
-        let interval = self.gateways.update_interval() * self.pace;
+        let interval = self.gateways.update_interval(self.pace);
         let wants = |session: &GatewaySession| {
             session.owed
                 || self.needs_all(session)
--- a/crates/millpass-gateway/src/freshness.rs
+++ b/crates/millpass-gateway/src/freshness.rs
@@ -11,6 +11,7 @@
 use millpass_proto::codec::{decode, encode};
 use millpass_proto::{Duration, FreshnessRequest, FreshnessResponse};
 use millpass_telemetry::event_line;
+use rand::RngExt;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -22,6 +23,9 @@
 const URGENT_ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks while nothing needs to be asked.
 const LOOK_INTERVAL: Duration = Duration::from_millis(350);
+/// Times that the time between rounds doubles while nobody answers: hundreds of gateways must not take what the members
+/// need to answer. Rounds stay well above one in the time after which a process counts as not having run.
+const PAUSE_DOUBLINGS: u32 = 2;
 /// Most bytes of an answer: nine voters' identities and addresses take 400.
 const MAXIMUM_RESPONSE_BYTES: usize = 4 * 1024;
 /// Pause after the socket failed, so that it does not spin.
@@ -44,6 +48,7 @@
 
 async fn ask(shared: &Shared, socket: &Async<UdpSocket>) {
     let mut shown = Freshness::Unconfirmed;
+    let mut unanswered = 0;
     loop {
         let asked = shared.ask.listen();
         let now = shared.now();
@@ -61,10 +66,19 @@
             (Some(_), Freshness::Unconfirmed) => URGENT_ROUND_INTERVAL,
             (Some(_), _) => ROUND_INTERVAL,
         };
+        let spread = rand::rng().random_range(0.75..=1.25);
+        let pause = pause.mul_f64(spread) * 2_u32.pow(unanswered);
+        let answers = shared.answers.load(Ordering::Acquire);
         let pause = async {
             Timer::after(pause).await;
         };
         future::or(asked, pause).await;
+        let silent = round.is_some() && shared.answers.load(Ordering::Acquire) == answers;
+        unanswered = if silent {
+            (unanswered + 1).min(PAUSE_DOUBLINGS)
+        } else {
+            0
+        };
     }
 }
 
@@ -109,6 +123,7 @@
     if confirmed {
         shared.changed.notify(usize::MAX);
     }
+    shared.answers.fetch_add(1, Ordering::AcqRel);
     shared.member_answered.notify(usize::MAX);
 }
 
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -31,6 +31,8 @@
     /// Notified when members should be asked at once; `asked` says so.
     pub(crate) ask: Event,
     pub(crate) asked: AtomicBool,
+    /// Answers of members to questions so far.
+    pub(crate) answers: AtomicUsize,
     /// Notified when a member has answered a question.
     pub(crate) member_answered: Event,
     /// Notified when sends broke and instances are to be looked at.
@@ -64,6 +66,7 @@
             report: Event::new(),
             ask: Event::new(),
             asked: AtomicBool::new(true),
+            answers: AtomicUsize::new(0),
             member_answered: Event::new(),
             probe: Event::new(),
             metrics,
