--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -220,6 +220,7 @@
                 .then(|| millis(settings.tenants.key_lifetime_ms)),
             freshness: FreshnessSettings {
                 in_force: millis(settings.freshness.in_force_ms),
+                departed: millis(settings.freshness.departed_ms),
                 sending: millis(settings.instances.connect_timeout_ms) + SENDING_BEYOND_CONNECTING,
                 cut_off: millis(settings.freshness.cut_off_ms),
             },
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1143,6 +1143,8 @@
 pub struct GatewayFreshnessSection {
     /// Time after an acknowledgement by which a change is in force at each gateway: for so long after its last confirmation what a gateway knows counts as the newest. Afterwards it refuses, with 503, if it reaches a majority of the members.
     pub in_force_ms: u64,
+    /// Time after the acknowledgement of an instance's departure from which on no request reaches it; choices of instances stop before it by the time that sending takes.
+    pub departed_ms: u64,
     /// Time without confirmation for which a gateway that reaches no majority of the members goes on with the routes that it knows; unknown ones get 503, never 404. 0 to refuse at once.
     pub cut_off_ms: u64,
 }
@@ -1150,6 +1152,7 @@
     fn default() -> Self {
         Self {
             in_force_ms: 2000u64,
+            departed_ms: 2000u64,
             cut_off_ms: 300000u64,
         }
     }
@@ -1388,6 +1391,14 @@
                         maximum: 600000u64,
                     },
                 },
+                KeySpecification {
+                    name: "departed_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 200u64,
+                        maximum: 600000u64,
+                    },
+                },
                 KeySpecification {
                     name: "cut_off_ms",
                     required: false,
--- a/crates/millpass-dispatch/src/freshness.rs
+++ b/crates/millpass-dispatch/src/freshness.rs
@@ -40,8 +40,10 @@
 pub struct FreshnessSettings {
     /// Time after an acknowledgement by which what it promises is in force at each gateway.
     pub in_force: Duration,
+    /// The same of a departure: from then on no request arrives at the instance.
+    pub departed: Duration,
     /// Time from the choice of an instance to the arrival of the request there, at most: what is chosen later than this
-    /// before the end of `in_force` would arrive after it.
+    /// before the end of `departed` would arrive after it.
     pub sending: Duration,
     /// Time without confirmation for which a gateway that reaches no majority of the members goes on with the
     /// routes that it knows.
@@ -52,6 +54,7 @@
     fn default() -> Self {
         FreshnessSettings {
             in_force: Duration::from_millis(2_000),
+            departed: Duration::from_millis(2_000),
             sending: Duration::from_millis(350),
             cut_off: Duration::from_millis(300_000),
         }
@@ -352,7 +355,9 @@
 
     /// How new what is known here will be when a request that is sent now arrives.
     pub(crate) fn freshness_on_arrival(&self, now: Timestamp) -> Freshness {
-        self.freshness(now + self.settings.freshness.sending)
+        let settings = &self.settings.freshness;
+        let earlier = settings.in_force.saturating_sub(settings.departed);
+        self.freshness(now + settings.sending + earlier)
     }
 
     /// Time since what is known here was last confirmed to be the newest; none before the first time.
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -62,6 +62,7 @@
         key_lifetime: None,
         freshness: FreshnessSettings {
             in_force: Duration::from_secs(3_600),
+            departed: Duration::from_secs(3_600),
             ..FreshnessSettings::default()
         },
     });
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -26,6 +26,7 @@
         key_lifetime: None,
         freshness: FreshnessSettings {
             in_force: Duration::from_secs(3_600),
+            departed: Duration::from_secs(3_600),
             ..FreshnessSettings::default()
         },
     }
--- a/crates/millpass-dispatch/tests/freshness.rs
+++ b/crates/millpass-dispatch/tests/freshness.rs
@@ -121,6 +121,7 @@
         key_lifetime: None,
         freshness: FreshnessSettings {
             in_force: Duration::from_millis(IN_FORCE),
+            departed: Duration::from_millis(IN_FORCE),
             sending: Duration::from_millis(SENDING),
             cut_off: Duration::from_millis(CUT_OFF),
         },
--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -95,6 +95,7 @@
         key_lifetime,
         freshness: FreshnessSettings {
             in_force: Duration::from_secs(3_600),
+            departed: Duration::from_secs(3_600),
             ..FreshnessSettings::default()
         },
     }
