Late answers of a busy leader confirm however many reports left since; engines' answers go before reports

Cause: of the reports whose sending is remembered there were 64; urgent ones leave every 5 ms, so that an answer later than 0.3 s confirmed nothing. Ruled out: nothing; both found by reading again. Change: reports are remembered every 50 ms, an answer to one between counts from the one before; answers of engines in the class of credit. Figures: the new test failed before (unconfirmed at 1.5 s).

--- a/crates/millpass-control/src/urgency.rs
+++ b/crates/millpass-control/src/urgency.rs
@@ -58,9 +58,11 @@
             // With the reports, so that it follows the last one of its connection.
             ControlInput::RouterDisconnected(_)
             | ControlInput::RouterBacklog { .. }
-            | ControlInput::OrderDelivered { .. }
-            | ControlInput::PlatformListed(_)
-            | ControlInput::InstructionAnswered { .. } => Urgency::Reports,
+            | ControlInput::PlatformListed(_) => Urgency::Reports,
+            // An answer that waits for two seconds counts as lost, and comes in place of a later one's.
+            ControlInput::OrderDelivered { .. } | ControlInput::InstructionAnswered { .. } => {
+                Urgency::Credit
+            }
         }
     }
 
--- a/crates/millpass-dispatch/src/freshness.rs
+++ b/crates/millpass-dispatch/src/freshness.rs
@@ -15,8 +15,11 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
-/// Reports whose sending is remembered; at the usual pause of 300 ms, the last twenty seconds.
+/// Reports whose sending is remembered.
 const MAXIMUM_REPORTS: usize = 64;
+/// Shortest time between two of them: urgent reports leave every 5 ms, and all that are remembered must reach back
+/// beyond any bound (3.2 s), as answers of a busy leader are late. An answer to one between counts from the one before.
+const REMEMBERED_INTERVAL: Duration = Duration::from_millis(50);
 /// Members whose answers are kept; a group has nine voters at most.
 const MAXIMUM_MEMBERS: usize = 64;
 /// Rounds whose beginning is remembered. An answer that comes later is of no use any more.
@@ -143,7 +146,10 @@
 
     /// Notes that a report leaves now.
     pub(crate) fn reported(&mut self, now: Timestamp, report: &GatewayReport) {
-        push_bounded(&mut self.reports, (report.sequence, now), MAXIMUM_REPORTS);
+        let last = self.reports.back().map(|(_, at)| *at);
+        if last.is_none_or(|at| now.since(at) >= REMEMBERED_INTERVAL) {
+            push_bounded(&mut self.reports, (report.sequence, now), MAXIMUM_REPORTS);
+        }
     }
 
     /// An update of a leader came: this gateway is not cut off.
@@ -153,9 +159,10 @@
 
     /// The leader answered this report with all that it had committed.
     pub(crate) fn answered(&mut self, report: u64) {
-        let sent = time_of(&self.reports, report);
-        if let Some(sent_at) = sent {
-            self.confirm(sent_at);
+        let remembered = self.reports.iter().rev();
+        let before = remembered.filter(|(sequence, _)| *sequence <= report);
+        if let Some((_, sent_at)) = before.max_by_key(|(sequence, _)| *sequence) {
+            self.confirm(*sent_at);
         }
     }
 
--- a/crates/millpass-dispatch/tests/freshness.rs
+++ b/crates/millpass-dispatch/tests/freshness.rs
@@ -188,6 +188,20 @@
     assert_eq!(gateway.freshness(at(4_501)), Freshness::Unconfirmed);
 }
 
+/// Urgent reports leave every few milliseconds while models are needed; a busy leader answers late all the same.
+#[test]
+fn a_late_answer_confirms_whatever_many_reports_left_since() {
+    let mut gateway = gateway();
+    let first = gateway.report(at(0));
+    for now in (5..1_500).step_by(5) {
+        gateway.report(at(now));
+    }
+    gateway.update(at(1_500), update(first.sequence + 20, 10, false));
+    // The report it answers left at 100 ms.
+    assert_eq!(gateway.freshness(at(2_100)), Freshness::Confirmed);
+    assert_eq!(gateway.freshness(at(2_101)), Freshness::Unconfirmed);
+}
+
 #[test]
 fn that_a_route_does_not_exist_is_said_only_by_a_confirmed_document() {
     let gateway = confirmed();
