--- a/crates/millpass-control/src/urgency.rs
+++ b/crates/millpass-control/src/urgency.rs
@@ -15,9 +15,9 @@
     /// What is promised to an operator or to an instance that leaves, and what such a call reads first;
     /// joins and the planned stop.
     Promised,
-    /// Credit that requests wait for, and instances that ended.
+    /// Credit that requests wait for, instances that ended, and answers of engines.
     Credit,
-    /// Reports of routers and gateways, answers of engines, the platform's list.
+    /// Reports of routers and gateways, the platform's list.
     Reports,
     /// Announcements, and reads that nothing rests on.
     Announcements,
