control-plane tests: one function starts the first voters

Ruled out: keeping the copies apart for different members; all five name every member a voter, none a learner, and differ in the number alone. Conclusion: the same worlds are built, and what the tests demand is unchanged.

--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -15,15 +15,7 @@
     let mut world = World::new(0);
     world.fleet = Some(FleetSettings::default());
     world.snapshot_entries = 2;
-    let voters: Vec<MemberAddress> = (1..=members).map(address).collect();
-    for member in 1..=members {
-        let membership = Membership {
-            voters: voters.clone(),
-            outgoing_voters: Vec::new(),
-            learners: Vec::new(),
-        };
-        world.boot(address(member), membership);
-    }
+    world.boot_voters(members);
     world
 }
 
@@ -597,15 +589,7 @@
     let mut world = World::new(0);
     world.fleet = Some(FleetSettings::default());
     world.wanted_voters = wanted;
-    let initial: Vec<MemberAddress> = (1..=3).map(address).collect();
-    for member in 1..=3 {
-        let membership = Membership {
-            voters: initial.clone(),
-            outgoing_voters: Vec::new(),
-            learners: Vec::new(),
-        };
-        world.boot(address(member), membership);
-    }
+    world.boot_voters(3);
     let leader = world.elect();
     for joiner in [4, 5, 6] {
         world.boot_joiner(joiner);
--- a/crates/millpass-control-plane/tests/gateway_updates.rs
+++ b/crates/millpass-control-plane/tests/gateway_updates.rs
@@ -3,7 +3,7 @@
 
 mod harness;
 
-use harness::{World, address, seconds};
+use harness::{World, seconds};
 use millpass_control_plane::{AdministrationRequest, ConnectionId, FleetSettings};
 use millpass_proto::*;
 use millpass_state::State;
@@ -13,15 +13,7 @@
 fn world(snapshot_entries: u64) -> World {
     let mut world = World::with_snapshots(0, snapshot_entries);
     world.fleet = Some(FleetSettings::default());
-    let voters: Vec<MemberAddress> = (1..=3).map(address).collect();
-    for member in 1..=3 {
-        let membership = Membership {
-            voters: voters.clone(),
-            outgoing_voters: Vec::new(),
-            learners: Vec::new(),
-        };
-        world.boot(address(member), membership);
-    }
+    world.boot_voters(3);
     world
 }
 
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -135,11 +135,6 @@
 
     /// The same, with snapshots after this many entries.
     pub fn with_snapshots(members: u64, snapshot_entries: u64) -> World {
-        let initial = Membership {
-            voters: (1..=members).map(address).collect(),
-            outgoing_voters: Vec::new(),
-            learners: Vec::new(),
-        };
         let mut world = World {
             now: Timestamp::from_millis(1_000),
             members: BTreeMap::new(),
@@ -173,9 +168,7 @@
             connections: 0,
             connection_member: BTreeMap::new(),
         };
-        for member in 1..=members {
-            world.boot(address(member), initial.clone());
-        }
+        world.boot_voters(members);
         world
     }
 
@@ -298,6 +291,18 @@
         self.boot(address, nobody);
     }
 
+    /// Starts members with empty disks that are the first voters, numbered from 1.
+    pub fn boot_voters(&mut self, members: u64) {
+        let membership = Membership {
+            voters: (1..=members).map(address).collect(),
+            outgoing_voters: Vec::new(),
+            learners: Vec::new(),
+        };
+        for member in 1..=members {
+            self.boot(address(member), membership.clone());
+        }
+    }
+
     /// Ends a member's process; its disk stays.
     pub fn halt(&mut self, id: MemberId) {
         self.members.get_mut(&id).unwrap().up = false;
--- a/crates/millpass-control-plane/tests/late_heartbeat.rs
+++ b/crates/millpass-control-plane/tests/late_heartbeat.rs
@@ -7,8 +7,8 @@
 
 mod harness;
 
+use harness::World;
 use harness::network::Network;
-use harness::{World, address};
 use millpass_consensus::Role;
 use millpass_control_plane::{AdministrationAnswer, AdministrationRequest, FleetSettings};
 use millpass_proto::*;
@@ -26,15 +26,7 @@
         heartbeat_interval: Duration::from_millis(75),
         lease_length: Duration::from_millis(330),
     };
-    let voters: Vec<MemberAddress> = (1..=members).map(address).collect();
-    for member in 1..=members {
-        let membership = Membership {
-            voters: voters.clone(),
-            outgoing_voters: Vec::new(),
-            learners: Vec::new(),
-        };
-        world.boot(address(member), membership);
-    }
+    world.boot_voters(members);
     world
 }
 
--- a/crates/millpass-control-plane/tests/losses.rs
+++ b/crates/millpass-control-plane/tests/losses.rs
@@ -86,15 +86,7 @@
         world.network.seed = seed;
         world.network.delayed = 100;
         world.network.longest_delay_millis = longest_delay_millis;
-        let voters: Vec<MemberAddress> = (1..=members).map(address).collect();
-        for member in 1..=members {
-            let membership = Membership {
-                voters: voters.clone(),
-                outgoing_voters: Vec::new(),
-                learners: Vec::new(),
-            };
-            world.boot(address(member), membership);
-        }
+        world.boot_voters(members);
         let mut group = Group {
             world,
             asks: BTreeMap::new(),
