--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -5,8 +5,8 @@
 use millpass_config::generated::ControlSchedulingSection;
 use millpass_config::generated::GatewaySettings;
 use millpass_config::{ControlSettings, RouterSettings};
-use millpass_control::ControlProcessSettings;
 use millpass_control::settings::{ConsensusTiming, InitialMember, ProcessLimits, SeedMember};
+use millpass_control::{ControlHandle, ControlProcessSettings, Extensions};
 use millpass_control_plane::FleetSettings;
 use millpass_dispatch::{DispatchSettings, FreshnessSettings};
 use millpass_gateway::GatewaySettings as GatewayProcessSettings;
@@ -14,9 +14,9 @@
 use millpass_router::RouterProcessSettings;
 use millpass_routing::RoutingSettings;
 use millpass_scheduler::{KeepAlive, SchedulerSettings};
-use millpass_telemetry::{LogSettings, ProcessClock, event_line, start_logging};
+use millpass_telemetry::{LogSettings, ProcessClock, event_line, log_panics, start_logging};
 use millpass_tenancy::QuotaTerms;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -41,8 +41,13 @@
         level: settings.log.level.clone(),
         file: settings.log.file.clone(),
     })?;
+    log_panics();
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handlers")?;
-    let mut handle = millpass_control::start(control_process(&settings)?)?;
+    let process = control_process(&settings)?;
+    let Some(mut handle) = start_member(&process, &Extensions::default(), &mut signals)? else {
+        log_stopped("control");
+        return Ok(());
+    };
     let waiting = signals.handle();
     handle.on_end(move || waiting.close())?;
     wait_for_signal(&mut signals);
@@ -52,6 +57,23 @@
     Ok(())
 }
 
+/// Starts a member, once its disk has room; none when it is told to stop before.
+pub fn start_member(
+    process: &ControlProcessSettings,
+    extensions: &Extensions,
+    signals: &mut Signals,
+) -> Result<Option<ControlHandle>> {
+    let mut is_stopped = false;
+    let started = millpass_control::start_patiently(process, extensions, || {
+        is_stopped |= signals.pending().any(|signal| signal != SIGHUP);
+        !is_stopped
+    });
+    if is_stopped {
+        return Ok(None);
+    }
+    Ok(Some(started?))
+}
+
 /// Runs `millpass router`.
 pub fn router(file: &Path) -> Result<ExitCode> {
     let settings = millpass_config::load_router(file)?;
@@ -59,6 +81,7 @@
         level: settings.log.level.clone(),
         file: settings.log.file.clone(),
     })?;
+    log_panics();
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handlers")?;
     let handle = millpass_router::start(router_process(&settings)?)?;
     wait_for_signal(&mut signals);
--- a/crates/millpass-cli/src/main.rs
+++ b/crates/millpass-cli/src/main.rs
@@ -8,7 +8,8 @@
     match commands::run(options) {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("millpass: {}", message_of(&error));
+            log::logger().flush();
+            millpass_telemetry::last_words(&format!("millpass: {}", message_of(&error)));
             ExitCode::FAILURE
         }
     }
--- a/crates/millpass-control/src/deliveries.rs
+++ b/crates/millpass-control/src/deliveries.rs
@@ -14,6 +14,7 @@
     Duration, EngineInstruction, EngineOrder, InstanceId, InstructionAnswer, OrderAnswer,
     PlatformList,
 };
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 
 /// A call to make.
@@ -108,22 +109,29 @@
         }
     }
 
-    /// Body of the thread; ends when the queue's other end is dropped.
+    /// Body of the thread; ends when the queue's other end is dropped. What an engine or the platform answers costs one
+    /// delivery at most: one that makes this panic would come again at the next leader.
     pub(crate) fn run(self) {
         while let Ok(delivery) = self.queue.recv() {
-            match delivery {
-                Delivery::Order(address, order) => self.deliver(&address, &order),
-                Delivery::ReadPlatform(address) => self.read_platform(&address),
-                Delivery::Instruct(instruction) => {
-                    let call =
-                        |engines: &dyn EngineCalls| engines.instruct(&self.agent, &instruction);
-                    self.call_engine(&instruction.instance, call);
-                }
-                Delivery::ReadEngine(instance, address) => {
-                    let call =
-                        |engines: &dyn EngineCalls| engines.read(&self.agent, &instance, &address);
-                    self.call_engine(&instance, call);
-                }
+            let carried_out = catch_unwind(AssertUnwindSafe(|| self.carry_out(delivery)));
+            if carried_out.is_err() {
+                log::error!("event=delivery_panicked");
+            }
+        }
+    }
+
+    fn carry_out(&self, delivery: Delivery) {
+        match delivery {
+            Delivery::Order(address, order) => self.deliver(&address, &order),
+            Delivery::ReadPlatform(address) => self.read_platform(&address),
+            Delivery::Instruct(instruction) => {
+                let call = |engines: &dyn EngineCalls| engines.instruct(&self.agent, &instruction);
+                self.call_engine(&instruction.instance, call);
+            }
+            Delivery::ReadEngine(instance, address) => {
+                let call =
+                    |engines: &dyn EngineCalls| engines.read(&self.agent, &instance, &address);
+                self.call_engine(&instance, call);
             }
         }
     }
--- a/crates/millpass-control/src/error.rs
+++ b/crates/millpass-control/src/error.rs
@@ -67,6 +67,11 @@
     /// A metric could not be registered.
     #[error("metrics: {0}; report this as a defect")]
     Metrics(#[from] prometheus::Error),
+    /// A thread that the member cannot do without has ended.
+    #[error(
+        "the thread {0} ended; start the member again, and report what the log says of it as a defect"
+    )]
+    ThreadEnded(&'static str),
     /// The core stopped for good.
     #[error("the member stopped: {0}; see the log")]
     Stopped(String),
--- a/crates/millpass-control/src/freshness.rs
+++ b/crates/millpass-control/src/freshness.rs
@@ -11,9 +11,13 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
 
 /// Most bytes of a question; it is one number.
 const MAXIMUM_REQUEST_BYTES: usize = 64;
+/// Pause after a failure that may last, for example when the system has no memory for datagrams.
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
 /// What the core last published, and the socket. Its lock is held alone, never together with another.
 pub(crate) struct FreshnessPort {
@@ -45,7 +49,8 @@
         *self.lock() = Some(response);
     }
 
-    /// Body of the thread; ends after [`FreshnessPort::close`].
+    /// Body of the thread; ends after [`FreshnessPort::close`] and at nothing else: without it, gateways would go by the
+    /// leader's answers alone.
     pub(crate) fn serve(&self) {
         let mut bytes = [0; MAXIMUM_REQUEST_BYTES];
         while !self.closing.load(Ordering::Acquire) {
@@ -55,7 +60,7 @@
                 Err(error) if is_passing(error.kind()) => {}
                 Err(error) => {
                     log::error!("event=freshness_port_failed error=\"{error}\"");
-                    return;
+                    thread::sleep(FAILURE_PAUSE);
                 }
             }
         }
--- a/crates/millpass-control/src/inputs.rs
+++ b/crates/millpass-control/src/inputs.rs
@@ -19,6 +19,8 @@
     Core(WaitingInput),
     /// A write failed: the member must not go on.
     DiskFailed(StorageError),
+    /// A thread that the member cannot do without has ended.
+    ThreadEnded(&'static str),
     /// End without draining.
     Halt,
 }
@@ -43,6 +45,7 @@
 struct State {
     backlog: Backlog<Box<WaitingInput>>,
     disk_failure: Option<StorageError>,
+    ended_thread: Option<&'static str>,
     is_halted: bool,
     /// The core takes nothing more.
     has_ended: bool,
@@ -125,6 +128,12 @@
         self.shared.filled.notify_one();
     }
 
+    /// Tells that a thread has ended; nothing once the core has.
+    pub(crate) fn thread_ended(&self, name: &'static str) {
+        self.shared.lock().ended_thread = Some(name);
+        self.shared.filled.notify_one();
+    }
+
     /// Ends the core without draining.
     pub(crate) fn halt(&self) {
         self.shared.lock().is_halted = true;
@@ -143,6 +152,9 @@
             if state.is_halted {
                 return HostInput::Halt;
             }
+            if let Some(name) = state.ended_thread.take() {
+                return HostInput::ThreadEnded(name);
+            }
             let now = Instant::now();
             match state.backlog.next(now, tick_due) {
                 Next::Tick => return HostInput::Tick,
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -4,6 +4,8 @@
 //! | module | job |
 //! |---|---|
 //! | `process` | the threads, from start to stop |
+//! | `patient_start` | a start that waits for the disk |
+//! | `threads` | which threads the member cannot do without, and how long its end waits for them |
 //! | `startup` | who this member is and what its data folder holds |
 //! | `member` | the core's thread: carries out what the core wants |
 //! | `inputs` | the way into the core |
@@ -40,16 +42,19 @@
 pub mod lateness;
 mod member;
 mod metrics;
+mod patient_start;
 pub mod peer_queue;
 mod peers;
 mod process;
 mod router_backlog;
 pub mod settings;
 mod startup;
+mod threads;
 pub mod urgency;
 
 pub use error::ControlError;
 pub use interface::{ApiExtension, EngineCalls, Extensions};
+pub use patient_start::start_patiently;
 pub use process::{ControlHandle, start, start_extended, start_on};
 pub use settings::ControlProcessSettings;
 pub use startup::initialize;
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -110,6 +110,10 @@
                     has_stopped
                 }
                 HostInput::DiskFailed(error) => return End::Failed(error.into()),
+                HostInput::ThreadEnded(name) => {
+                    log::error!("event=control_thread_ended thread={name}");
+                    return End::Failed(ControlError::ThreadEnded(name));
+                }
                 HostInput::Halt => return End::Halted,
             };
             if has_stopped {
--- a/crates/millpass-control/src/peers.rs
+++ b/crates/millpass-control/src/peers.rs
@@ -12,7 +12,7 @@
 use std::io::{BufWriter, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 /// Longest wait for a connection. A machine without power answers nothing; a voter that comes up while one hangs is
@@ -87,6 +87,7 @@
 struct Peer {
     queue: Arc<SharedQueue>,
     used_at: Instant,
+    sending: JoinHandle<()>,
 }
 
 /// Sends to members by address. Owned by the core's thread; dropping it ends the connections.
@@ -111,7 +112,9 @@
 
     /// Sends, or drops the message. Never waits.
     pub(crate) fn send(&mut self, address: &str, message: LinkMessage) {
-        if !self.peers.contains_key(address) {
+        // A thread that has ended, which only a panic does, would leave this member silent towards the other for good.
+        let is_open = |peer: &Peer| !peer.sending.is_finished();
+        if !self.peers.get(address).is_some_and(is_open) {
             self.forget_idle();
             if !self.open(address) {
                 return self.metrics.dropped_messages.inc();
@@ -137,12 +140,13 @@
             .name("control-peer".to_owned())
             .stack_size(STACK_BYTES)
             .spawn(move || send_all(target, &greeting, &sending));
-        if spawned.is_err() {
+        let Ok(sending) = spawned else {
             return false;
-        }
+        };
         let peer = Peer {
             queue,
             used_at: Instant::now(),
+            sending,
         };
         self.peers.insert(address.to_owned(), peer);
         true
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -14,14 +14,15 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::ControlProcessSettings;
-use crate::startup::{self, ListenAddresses};
+use crate::startup::{self, ListenAddresses, OpenedMember};
+use crate::threads::{self, spawn, spawn_needed};
 use crossbeam::channel::{Receiver, bounded, unbounded};
 use millpass_control_plane::ControlInput;
 use millpass_proto::{Duration, MemberAddress, MemberId};
 use millpass_telemetry::{ProcessClock, SuspensionWatch};
 use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
+use std::thread::JoinHandle;
 
 /// Longest wait for the last answers of the administration API to go out.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
@@ -44,8 +45,7 @@
 /// Starts a member: a group of one, one of the initial members, or a joiner, as the data folder
 /// and the settings say.
 pub fn start(settings: ControlProcessSettings) -> Result<ControlHandle, ControlError> {
-    let (listener, datagrams) = listen(&settings)?;
-    start_parts(settings, listener, datagrams, Extensions::default())
+    start_extended(settings, Extensions::default())
 }
 
 /// Connections and datagrams come to one port. A free one that the system picks for connections may be taken for
@@ -92,8 +92,9 @@
     settings: ControlProcessSettings,
     extensions: Extensions,
 ) -> Result<ControlHandle, ControlError> {
+    let opened = startup::open(&settings)?;
     let (listener, datagrams) = listen(&settings)?;
-    start_parts(settings, listener, datagrams, extensions)
+    start_parts(settings, opened, listener, datagrams, extensions)
 }
 
 /// Like [`start`], with a socket for members and routers that listens already.
@@ -101,17 +102,18 @@
     settings: ControlProcessSettings,
     listener: TcpListener,
 ) -> Result<ControlHandle, ControlError> {
+    let opened = startup::open(&settings)?;
     let datagrams = listen_for_datagrams(&listener)?;
-    start_parts(settings, listener, datagrams, Extensions::default())
+    start_parts(settings, opened, listener, datagrams, Extensions::default())
 }
 
 fn start_parts(
     settings: ControlProcessSettings,
+    opened: Option<OpenedMember>,
     listener: TcpListener,
     datagrams: Option<UdpSocket>,
     extensions: Extensions,
 ) -> Result<ControlHandle, ControlError> {
-    startup::check(&settings)?;
     let clock = ProcessClock::start();
     let metrics = Arc::new(Metrics::new()?);
     let (inputs, queue) = Inputs::new();
@@ -141,7 +143,10 @@
         peer: connections.address().to_string(),
         administration: administration.local_address().to_string(),
     };
-    let opened = startup::open(&settings, &listening)?;
+    let opened = match opened {
+        Some(opened) => opened,
+        None => startup::found_group(&settings, &listening)?,
+    };
     for note in &opened.restored.notes {
         log::warn!("event=disk_repaired {note}");
     }
@@ -156,7 +161,7 @@
         inputs: inputs.clone(),
         metrics: metrics.clone(),
     };
-    threads.push(spawn("control-disk", move || disk.run())?);
+    threads.push(spawn_needed("control-disk", &inputs, move || disk.run())?);
     let (deliveries, delivery_queue) =
         Deliveries::new(inputs.clone(), settings.limits.delivery_queue);
     let agent = deliveries::agent(settings.limits.call_timeout, extensions.engines.is_some());
@@ -164,14 +169,18 @@
         let queue = delivery_queue.clone();
         let engines = extensions.engines.clone();
         let worker = DeliveryWorker::new(queue, inputs.clone(), agent.clone(), engines);
-        threads.push(spawn("control-delivery", move || worker.run())?);
+        threads.push(spawn_needed("control-delivery", &inputs, move || {
+            worker.run();
+        })?);
     }
     let accepting = connections.clone();
-    threads.push(spawn("control-accept", move || {
-        accepting.accept(&listener)
+    threads.push(spawn_needed("control-accept", &inputs, move || {
+        accepting.accept(&listener);
     })?);
     if let Some(port) = freshness.clone() {
-        threads.push(spawn("control-freshness", move || port.serve())?);
+        threads.push(spawn_needed("control-freshness", &inputs, move || {
+            port.serve();
+        })?);
     }
     let member = Member {
         core,
@@ -219,13 +228,6 @@
     })
 }
 
-fn spawn<T: Send + 'static>(
-    name: &str,
-    body: impl FnOnce() -> T + Send + 'static,
-) -> std::io::Result<JoinHandle<T>> {
-    thread::Builder::new().name(name.to_owned()).spawn(body)
-}
-
 impl ControlHandle {
     /// Identity of the member.
     pub fn member(&self) -> MemberId {
@@ -286,11 +288,7 @@
             .unwrap_or_else(|_| Err(ControlError::Stopped("its thread panicked".to_owned())));
         // Whoever waits was answered when the core ended; the answers still have to go out.
         self.administration.drain(ANSWER_GRACE);
-        for thread in self.threads.drain(..) {
-            if thread.join().is_err() {
-                log::error!("event=control_thread_panicked");
-            }
-        }
+        threads::join_all(std::mem::take(&mut self.threads));
         ended
     }
 }
--- a/crates/millpass-control/src/settings.rs
+++ b/crates/millpass-control/src/settings.rs
@@ -3,6 +3,7 @@
 use millpass_control_plane::FleetSettings;
 use millpass_proto::{Duration, GroupId, ZoneName};
 use millpass_scheduler::SchedulerSettings;
+use millpass_storage::StorageOptions;
 use std::path::{Path, PathBuf};
 
 /// Timing of consensus; see the settings reference for what each bounds.
@@ -94,6 +95,8 @@
     pub zone: ZoneName,
     /// Folder for log, snapshots and identity.
     pub data_folder: PathBuf,
+    /// How that folder is written.
+    pub storage: StorageOptions,
     /// IP address and port to listen at for members and routers; port 0 picks one.
     pub peer_listen: String,
     /// IP address and port to listen at for the administration API; port 0 picks one.
@@ -145,6 +148,7 @@
             group: GroupId(1),
             zone: "local".into(),
             data_folder: data_folder.as_ref().to_owned(),
+            storage: StorageOptions::default(),
             peer_listen: "127.0.0.1:0".to_owned(),
             administration_listen: "127.0.0.1:0".to_owned(),
             peer_advertise: None,
--- a/crates/millpass-control/src/startup.rs
+++ b/crates/millpass-control/src/startup.rs
@@ -4,12 +4,9 @@
 use crate::settings::{ControlProcessSettings, InitialMember, SeedMember};
 use millpass_consensus::{ConsensusSettings, RestoredLog};
 use millpass_control_plane::{ControlPlane, ControlPlaneSettings};
-use millpass_proto::{
-    GroupId, LogPosition, MemberAddress, MemberId, Membership, SnapshotMeta, Timestamp,
-};
+use millpass_proto::{LogPosition, MemberAddress, MemberId, Membership, SnapshotMeta, Timestamp};
 use millpass_state::State;
 use millpass_storage::{MemberIdentity, RestoredStorage, Storage, StorageError};
-use std::path::Path;
 
 /// Identity of the only member of a group that bootstraps itself.
 const SINGLE_MEMBER: MemberId = MemberId(1);
@@ -91,42 +88,54 @@
             learners: Vec::new(),
         },
     };
-    Ok(Storage::initialize(
+    Ok(Storage::initialize_with(
         &settings.data_folder,
+        &settings.storage,
         identity,
         initial,
     )?)
 }
 
-/// Opens the data folder; an empty one becomes that of a group of one, or of a joiner under a
-/// fresh identity. `addresses` are where this process listens.
+/// Opens the data folder; an empty one becomes that of a joiner under a fresh identity, or of one of the seeds that form
+/// the group. None for an empty one that is to become a group of one: [`found_group`] needs the addresses at which the
+/// process listens. Nothing listens yet: while a disk has no room, callers turn elsewhere at once.
 pub(crate) fn open(
     settings: &ControlProcessSettings,
-    addresses: &ListenAddresses,
-) -> Result<OpenedMember, ControlError> {
-    match open_folder(&settings.data_folder, settings.group) {
+) -> Result<Option<OpenedMember>, ControlError> {
+    check(settings)?;
+    match open_folder(settings) {
         Err(ControlError::Storage(StorageError::NotInitialized { .. })) => {}
-        opened => return opened,
+        opened => return opened.map(Some),
     }
     if let Some(place) = place_among_seeds(settings) {
         write_identity(settings, initial_identity(place), seed_voters(settings))?;
     } else if settings.bootstrap {
-        let address = addresses.member_address(SINGLE_MEMBER, settings);
-        write_identity(settings, SINGLE_MEMBER, vec![address])?;
+        return Ok(None);
     } else if others(settings).is_empty() {
         return Err(ControlError::NobodyToJoin);
     } else {
         write_identity(settings, joiner_identity(), Vec::new())?;
     }
-    open_folder(&settings.data_folder, settings.group)
+    open_folder(settings).map(Some)
+}
+
+/// Makes an empty data folder that of a group of one, which listens at these addresses.
+pub(crate) fn found_group(
+    settings: &ControlProcessSettings,
+    addresses: &ListenAddresses,
+) -> Result<OpenedMember, ControlError> {
+    let address = addresses.member_address(SINGLE_MEMBER, settings);
+    write_identity(settings, SINGLE_MEMBER, vec![address])?;
+    open_folder(settings)
 }
 
-fn open_folder(folder: &Path, group: GroupId) -> Result<OpenedMember, ControlError> {
-    let (storage, restored) = Storage::open(folder)?;
-    if restored.identity.group != group {
+fn open_folder(settings: &ControlProcessSettings) -> Result<OpenedMember, ControlError> {
+    let options = settings.storage.clone();
+    let (storage, restored) = Storage::open_with(&settings.data_folder, options)?;
+    if restored.identity.group != settings.group {
         return Err(ControlError::WrongGroup {
             found: restored.identity.group.0,
-            wanted: group.0,
+            wanted: settings.group.0,
         });
     }
     Ok(OpenedMember { storage, restored })
--- a/crates/millpass-http/src/server.rs
+++ b/crates/millpass-http/src/server.rs
@@ -12,6 +12,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::thread::{self, JoinHandle};
@@ -217,11 +218,18 @@
     }
 }
 
+/// A task that panics costs its connection. Were the thread to end with it, the server would take connections and answer
+/// none.
 fn run_executor(executor: &Executor<'static>, stopping: &async_channel::Receiver<Infallible>) {
-    let stopped = async {
-        let _ = stopping.recv().await;
+    let run = || {
+        let stopped = async {
+            let _ = stopping.recv().await;
+        };
+        async_io::block_on(executor.run(stopped));
     };
-    async_io::block_on(executor.run(stopped));
+    while catch_unwind(AssertUnwindSafe(run)).is_err() {
+        log::error!("event=connection_panicked");
+    }
 }
 
 /// Accepts connections until the drain begins; then closes the listener.
--- a/crates/millpass-storage/src/append_file.rs
+++ b/crates/millpass-storage/src/append_file.rs
@@ -13,9 +13,6 @@
     fn truncate(&mut self, length: u64) -> std::io::Result<()>;
 }
 
-/// Makes an [`AppendFile`] of an open file whose position is at its end.
-pub type AppendFileFactory = fn(File) -> Box<dyn AppendFile>;
-
 impl AppendFile for File {
     fn append(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.write_all(bytes)
@@ -31,8 +28,3 @@
         Ok(())
     }
 }
-
-/// The plain file itself.
-pub(crate) fn plain(file: File) -> Box<dyn AppendFile> {
-    Box::new(file)
-}
--- a/crates/millpass-storage/src/error.rs
+++ b/crates/millpass-storage/src/error.rs
@@ -90,13 +90,33 @@
     pub(crate) fn io(path: &Path, source: io::Error) -> Self {
         let path = path.to_owned();
         match source.kind() {
-            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
-                StorageError::DiskFull { path }
-            }
+            io::ErrorKind::StorageFull
+            | io::ErrorKind::QuotaExceeded
+            | io::ErrorKind::FileTooLarge => StorageError::DiskFull { path },
             _ => StorageError::Inaccessible { path, source },
         }
     }
 
+    /// Whether the same may succeed later without anybody's doing in the settings: the disk is full or fails.
+    pub fn is_passing(&self) -> bool {
+        match self {
+            StorageError::DiskFull { .. } | StorageError::Poisoned { .. } => true,
+            StorageError::Inaccessible { source, .. } => !matches!(
+                source.kind(),
+                io::ErrorKind::NotFound
+                    | io::ErrorKind::PermissionDenied
+                    | io::ErrorKind::AlreadyExists
+                    | io::ErrorKind::NotADirectory
+                    | io::ErrorKind::IsADirectory
+                    | io::ErrorKind::ReadOnlyFilesystem
+                    | io::ErrorKind::InvalidInput
+                    | io::ErrorKind::InvalidFilename
+                    | io::ErrorKind::Unsupported
+            ),
+            _ => false,
+        }
+    }
+
     /// The error for a damaged file.
     pub(crate) fn corrupt(file: &Path, offset: u64, reason: impl Into<String>) -> Self {
         StorageError::Corrupt {
--- a/crates/millpass-storage/src/files.rs
+++ b/crates/millpass-storage/src/files.rs
@@ -1,8 +1,6 @@
-//! File names, file headers, and writing whole files so that they appear complete or not at all.
+//! File names and file headers.
 
-use crate::error::{AtPath, StorageError};
-use std::fs::{self, File, TryLockError};
-use std::io::Write;
+use crate::error::StorageError;
 use std::path::{Path, PathBuf};
 
 /// Format version this release writes and reads.
@@ -13,7 +11,8 @@
 
 const MAGIC: &[u8; 8] = b"millpass";
 const TEMPORARY_SUFFIX: &str = ".tmp";
-const LOCK_NAME: &str = "lock";
+/// Name of the file by which a folder is locked.
+pub(crate) const LOCK_NAME: &str = "lock";
 const IDENTITY_NAME: &str = "identity";
 const SEGMENT_PREFIX: &str = "log-";
 const SNAPSHOT_PREFIX: &str = "snapshot-";
@@ -101,87 +100,44 @@
     pub(crate) temporary: Vec<PathBuf>,
 }
 
-/// Lists a folder.
-pub(crate) fn list(folder: &Path) -> Result<FolderContent, StorageError> {
-    let mut content = FolderContent::default();
-    for entry in fs::read_dir(folder).at(folder)? {
-        let path = entry.at(folder)?.path();
+impl FolderContent {
+    /// Takes note of a file by its name; others are passed over.
+    pub(crate) fn take(&mut self, path: PathBuf) {
         let Some(name) = path.file_name().and_then(|name| name.to_str()) else {
-            continue;
+            return;
         };
         if name.ends_with(TEMPORARY_SUFFIX) {
-            content.temporary.push(path);
+            self.temporary.push(path);
         } else if let Some(number) = number_after(name, SEGMENT_PREFIX) {
-            content.segments.push(number);
+            self.segments.push(number);
         } else if let Some(index) = number_after(name, SNAPSHOT_PREFIX) {
-            content.snapshots.push(index);
+            self.snapshots.push(index);
         }
     }
-    content.segments.sort_unstable();
-    content.snapshots.sort_unstable();
-    content.temporary.sort_unstable();
-    Ok(content)
-}
-
-fn number_after(name: &str, prefix: &str) -> Option<u64> {
-    u64::from_str_radix(name.strip_prefix(prefix)?, 16).ok()
-}
 
-/// Locks a folder for this process until the file is dropped.
-pub(crate) fn lock(folder: &Path) -> Result<File, StorageError> {
-    let path = folder.join(LOCK_NAME);
-    let file = File::options()
-        .create(true)
-        .truncate(false)
-        .write(true)
-        .open(&path)
-        .at(&path)?;
-    match file.try_lock() {
-        Ok(()) => Ok(file),
-        Err(TryLockError::WouldBlock) => Err(StorageError::Locked {
-            folder: folder.to_owned(),
-        }),
-        Err(TryLockError::Error(source)) => Err(StorageError::io(&path, source)),
+    /// Sorts all.
+    pub(crate) fn sort(&mut self) {
+        self.segments.sort_unstable();
+        self.snapshots.sort_unstable();
+        self.temporary.sort_unstable();
     }
 }
 
-/// Writes a whole file: to a temporary name, synced, then renamed, then the folder synced.
-pub(crate) fn write_whole(path: &Path, parts: &[&[u8]]) -> Result<(), StorageError> {
-    let mut temporary = path.as_os_str().to_owned();
-    temporary.push(TEMPORARY_SUFFIX);
-    let temporary = PathBuf::from(temporary);
-    let mut file = File::create(&temporary).at(&temporary)?;
-    for part in parts {
-        file.write_all(part).at(&temporary)?;
-    }
-    file.sync_all().at(&temporary)?;
-    fs::rename(&temporary, path).at(path)?;
-    sync_folder(parent(path))
+fn number_after(name: &str, prefix: &str) -> Option<u64> {
+    u64::from_str_radix(name.strip_prefix(prefix)?, 16).ok()
 }
 
-/// Makes a folder with those above it that are missing, and syncs the name of each: an identity in a folder whose own
-/// name is lost with the power is lost as well.
-pub(crate) fn create_folder(folder: &Path) -> Result<(), StorageError> {
-    let is_missing = |folder: &&Path| !folder.as_os_str().is_empty() && !folder.exists();
-    let missing: Vec<&Path> = folder.ancestors().take_while(is_missing).collect();
-    fs::create_dir_all(folder).at(folder)?;
-    for made in missing {
-        sync_folder(parent(made))?;
-    }
-    Ok(())
+/// Name of a file while it is written.
+pub(crate) fn temporary_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(TEMPORARY_SUFFIX);
+    PathBuf::from(name)
 }
 
 /// Folder that holds a file or folder.
-fn parent(path: &Path) -> &Path {
+pub(crate) fn parent(path: &Path) -> &Path {
     match path.parent() {
         Some(parent) if !parent.as_os_str().is_empty() => parent,
         _ => Path::new("."),
     }
 }
-
-/// Syncs the names in a folder.
-pub(crate) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
-    File::open(folder)
-        .and_then(|handle| handle.sync_all())
-        .at(folder)
-}
--- a/crates/millpass-storage/src/lib.rs
+++ b/crates/millpass-storage/src/lib.rs
@@ -15,7 +15,9 @@
 //! does not match its checksum is refused, and nothing is deleted.
 
 mod append_file;
+mod data_folder;
 mod error;
+mod file_system;
 mod files;
 mod record;
 mod replay;
@@ -24,7 +26,8 @@
 mod snapshot_file;
 mod storage;
 
-pub use append_file::{AppendFile, AppendFileFactory};
+pub use append_file::AppendFile;
 pub use error::StorageError;
+pub use file_system::{FileSystem, SystemFiles, open_cut};
 pub use restored::{MemberIdentity, RecoveryNote, RestoredStorage};
 pub use storage::{Storage, StorageOptions, StorageWrite};
--- a/crates/millpass-storage/src/restored.rs
+++ b/crates/millpass-storage/src/restored.rs
@@ -58,11 +58,18 @@
         /// File.
         file: PathBuf,
     },
-    /// A segment that a snapshot covers had outlasted the removal of a later one; it was removed.
-    CoveredSegmentRemoved {
+    /// A segment or snapshot that a newer snapshot covers was still there; it was removed.
+    CoveredFileRemoved {
         /// File.
         file: PathBuf,
     },
+    /// A file that is not needed any more cannot be removed; the next start tries again.
+    FileKept {
+        /// File.
+        file: PathBuf,
+        /// Why.
+        reason: String,
+    },
     /// The log did not reach the snapshot, whose installation had begun; it was replaced.
     LogReplaced {
         /// Entries dropped.
@@ -87,9 +94,14 @@
                 "repair=temporary_file_removed file={}",
                 file.display()
             ),
-            RecoveryNote::CoveredSegmentRemoved { file } => write!(
+            RecoveryNote::CoveredFileRemoved { file } => write!(
+                formatter,
+                "repair=covered_file_removed file={}",
+                file.display()
+            ),
+            RecoveryNote::FileKept { file, reason } => write!(
                 formatter,
-                "repair=covered_segment_removed file={}",
+                "repair=file_kept file={} reason={reason:?}",
                 file.display()
             ),
             RecoveryNote::LogReplaced { dropped } => {
--- a/crates/millpass-storage/src/segment.rs
+++ b/crates/millpass-storage/src/segment.rs
@@ -1,13 +1,13 @@
 //! Segments of the write-ahead log on disk.
 
-use crate::append_file::{AppendFile, AppendFileFactory};
+use crate::append_file::AppendFile;
+use crate::data_folder::DataFolder;
 use crate::error::{AtPath, StorageError};
 use crate::files::{self, FileKind, HEADER_BYTES};
 use crate::record::{self, Record};
 use crate::replay::Replay;
 use crate::restored::RecoveryNote;
 use millpass_proto::{HardState, LogPosition};
-use std::fs::{self, File};
 use std::path::{Path, PathBuf};
 
 /// A segment, as known while the storage is open.
@@ -31,16 +31,11 @@
     /// Opens the newest segment for appending, after its last whole record. What was read of it is synced: a process
     /// that was killed may have left a write that never was, and the member is about to vouch for it.
     pub(crate) fn open(
+        folder: &DataFolder,
         path: PathBuf,
         length: u64,
-        factory: AppendFileFactory,
     ) -> Result<Self, StorageError> {
-        let mut file = File::options().write(true).open(&path).at(&path)?;
-        if file.metadata().at(&path)?.len() != length {
-            file.set_len(length).at(&path)?;
-        }
-        std::io::Seek::seek(&mut file, std::io::SeekFrom::End(0)).at(&path)?;
-        let mut file = factory(file);
+        let mut file = folder.files.open_append(&path, length).at(&path)?;
         file.sync().at(&path)?;
         Ok(ActiveSegment {
             path,
@@ -55,9 +50,9 @@
         self.length
     }
 
-    /// Appends bytes and syncs them. If the bytes cannot be written they are taken back; if that
-    /// or the sync fails, the segment takes no more writes, since it is not known any more what
-    /// the disk holds.
+    /// Appends bytes and syncs them. If they cannot be written or synced they are taken back, so that the next start does
+    /// not vouch for what a file system shows that has given up writing it. If that or the sync fails, the segment takes
+    /// no more writes, since it is not known any more what the disk holds.
     pub(crate) fn append_synced(&mut self, bytes: &[u8]) -> Result<(), StorageError> {
         if self.poisoned {
             return Err(StorageError::Poisoned {
@@ -70,6 +65,8 @@
         }
         if let Err(error) = self.file.sync() {
             self.poisoned = true;
+            // Whether or not it can be taken back, the next start reads the disk again.
+            let _ = self.file.truncate(self.length);
             return Err(StorageError::io(&self.path, error));
         }
         self.length += bytes.len() as u64;
@@ -90,13 +87,13 @@
 
 /// Creates a segment; it appears with its first record or not at all. Returns its length.
 pub(crate) fn create(
-    folder: &Path,
+    folder: &DataFolder,
     number: u64,
     hard_state: &HardState,
     last: LogPosition,
 ) -> Result<u64, StorageError> {
     let bytes = fresh(hard_state, last)?;
-    files::write_whole(&files::segment_path(folder, number), &[&bytes])?;
+    folder.write_whole(&files::segment_path(&folder.path, number), &[&bytes])?;
     Ok(bytes.len() as u64)
 }
 
@@ -118,17 +115,17 @@
 ///
 /// What stands before a gap was covered by a snapshot: removals of several segments may last over a
 /// loss of power in any order. The caller checks that a snapshot reaches the first segment read.
-pub(crate) fn load(folder: &Path, numbers: &[u64]) -> Result<LoadedSegments, StorageError> {
+pub(crate) fn load(folder: &DataFolder, numbers: &[u64]) -> Result<LoadedSegments, StorageError> {
     let (before_gap, numbers) = numbers.split_at(after_last_gap(numbers));
     let mut loaded: Option<LoadedSegments> = None;
     for (position, number) in numbers.iter().enumerate() {
         let is_newest = position + 1 == numbers.len();
-        let path = files::segment_path(folder, *number);
-        load_one(&path, *number, is_newest, &mut loaded)?;
+        let path = files::segment_path(&folder.path, *number);
+        load_one(folder, &path, *number, is_newest, &mut loaded)?;
     }
     let mut loaded = loaded.ok_or_else(|| {
         let reason = "the log has no segment";
-        StorageError::corrupt(&files::segment_path(folder, 1), 0, reason)
+        StorageError::corrupt(&files::segment_path(&folder.path, 1), 0, reason)
     })?;
     loaded.before_gap = before_gap.to_vec();
     Ok(loaded)
@@ -144,12 +141,13 @@
 }
 
 fn load_one(
+    folder: &DataFolder,
     path: &Path,
     number: u64,
     is_newest: bool,
     loaded: &mut Option<LoadedSegments>,
 ) -> Result<(), StorageError> {
-    let bytes = fs::read(path).at(path)?;
+    let bytes = folder.read(path)?;
     files::check_header(path, &bytes, FileKind::Segment)?;
     let scanned = record::scan(path, &bytes, HEADER_BYTES)?;
     let cut = (bytes.len() - scanned.valid_length) as u64;
--- a/crates/millpass-storage/src/snapshot_file.rs
+++ b/crates/millpass-storage/src/snapshot_file.rs
@@ -1,12 +1,12 @@
 //! Snapshot and identity files: one checked value after the header.
 
+use crate::data_folder::DataFolder;
 use crate::error::{AtPath, StorageError};
 use crate::files::{self, FileKind, HEADER_BYTES};
 use crate::restored::MemberIdentity;
 use millpass_proto::codec;
 use millpass_proto::{Snapshot, SnapshotMeta};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use std::fs;
 use std::path::Path;
 
 /// Content of the identity file.
@@ -19,30 +19,33 @@
 }
 
 /// Writes the identity file.
-pub(crate) fn write_identity(folder: &Path, record: &IdentityRecord) -> Result<(), StorageError> {
-    let path = files::identity_path(folder);
-    write_value(&path, FileKind::Identity, record)
+pub(crate) fn write_identity(
+    folder: &DataFolder,
+    record: &IdentityRecord,
+) -> Result<(), StorageError> {
+    let path = files::identity_path(&folder.path);
+    write_value(folder, &path, FileKind::Identity, record)
 }
 
 /// Reads the identity file, if there is one.
-pub(crate) fn read_identity(folder: &Path) -> Result<Option<IdentityRecord>, StorageError> {
-    let path = files::identity_path(folder);
-    if !path.try_exists().at(&path)? {
+pub(crate) fn read_identity(folder: &DataFolder) -> Result<Option<IdentityRecord>, StorageError> {
+    let path = files::identity_path(&folder.path);
+    if !folder.files.exists(&path).at(&path)? {
         return Ok(None);
     }
-    read_value(&path, FileKind::Identity).map(Some)
+    read_value(folder, &path, FileKind::Identity).map(Some)
 }
 
 /// Writes a snapshot file.
-pub(crate) fn write_snapshot(folder: &Path, snapshot: &Snapshot) -> Result<(), StorageError> {
-    let path = files::snapshot_path(folder, snapshot.meta.last.index);
-    write_value(&path, FileKind::Snapshot, snapshot)
+pub(crate) fn write_snapshot(folder: &DataFolder, snapshot: &Snapshot) -> Result<(), StorageError> {
+    let path = files::snapshot_path(&folder.path, snapshot.meta.last.index);
+    write_value(folder, &path, FileKind::Snapshot, snapshot)
 }
 
 /// Reads the snapshot file at an index.
-pub(crate) fn read_snapshot(folder: &Path, index: u64) -> Result<Snapshot, StorageError> {
-    let path = files::snapshot_path(folder, index);
-    let snapshot: Snapshot = read_value(&path, FileKind::Snapshot)?;
+pub(crate) fn read_snapshot(folder: &DataFolder, index: u64) -> Result<Snapshot, StorageError> {
+    let path = files::snapshot_path(&folder.path, index);
+    let snapshot: Snapshot = read_value(folder, &path, FileKind::Snapshot)?;
     if snapshot.meta.last.index != index {
         let reason = "the snapshot is not the one its name says";
         return Err(StorageError::corrupt(&path, HEADER_BYTES as u64, reason));
@@ -50,13 +53,22 @@
     Ok(snapshot)
 }
 
-fn write_value<T: Serialize>(path: &Path, kind: FileKind, value: &T) -> Result<(), StorageError> {
+fn write_value<T: Serialize>(
+    folder: &DataFolder,
+    path: &Path,
+    kind: FileKind,
+    value: &T,
+) -> Result<(), StorageError> {
     let body = codec::encode(value)?;
-    files::write_whole(path, &[&files::header(kind), &body])
+    folder.write_whole(path, &[&files::header(kind), &body])
 }
 
-fn read_value<T: DeserializeOwned>(path: &Path, kind: FileKind) -> Result<T, StorageError> {
-    let bytes = fs::read(path).at(path)?;
+fn read_value<T: DeserializeOwned>(
+    folder: &DataFolder,
+    path: &Path,
+    kind: FileKind,
+) -> Result<T, StorageError> {
+    let bytes = folder.read(path)?;
     files::check_header(path, &bytes, kind)?;
     codec::decode(&bytes[HEADER_BYTES..]).map_err(|_| {
         let reason = "the content does not match its checksum";
--- a/crates/millpass-storage/src/storage.rs
+++ b/crates/millpass-storage/src/storage.rs
@@ -1,33 +1,54 @@
 //! The storage of one member: opening, writing, snapshots.
 
-use crate::append_file::{self, AppendFileFactory};
+use crate::data_folder::DataFolder;
 use crate::error::{AtPath, StorageError};
+use crate::file_system::{FileSystem, SystemFiles};
 use crate::files::{self, FolderContent};
 use crate::record::{self, Record};
 use crate::restored::{MemberIdentity, RecoveryNote, RestoredStorage};
 use crate::segment::{self, ActiveSegment, LoadedSegments, SegmentInfo};
 use crate::snapshot_file::{self, IdentityRecord};
 use millpass_proto::{HardState, LogEntry, LogPosition, Snapshot, SnapshotMeta};
-use std::fs::{self, File};
+use std::fs::File;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// Number of the first segment.
 const FIRST_SEGMENT: u64 = 1;
 
+/// Room in bytes that a folder must have to be opened: for votes, some changes and a small snapshot. With less, a member
+/// would take part and end at one of its first writes: on a full disk, whoever started it each 0.7 s saw it end 7 times
+/// in 5 s, and one that waits longer each time kept it away after there was room.
+const START_ROOM_BYTES: u64 = 256 * 1024;
+/// Name of the file by which that room is tried.
+const ROOM_NAME: &str = "room";
+
 /// Settings of the storage.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct StorageOptions {
     /// Size in bytes from which a new segment is started.
     pub segment_bytes: u64,
-    /// How segment files are written; tests put a full disk in between.
-    pub append_file: AppendFileFactory,
+    /// Room in bytes without which a folder is not opened.
+    pub start_room_bytes: u64,
+    /// How files are reached; tests put a failing disk in between.
+    pub files: Arc<dyn FileSystem>,
 }
 
 impl Default for StorageOptions {
     fn default() -> Self {
         StorageOptions {
             segment_bytes: 8 * 1024 * 1024,
-            append_file: append_file::plain,
+            start_room_bytes: START_ROOM_BYTES,
+            files: Arc::new(SystemFiles),
+        }
+    }
+}
+
+impl StorageOptions {
+    fn folder(&self, path: &Path) -> DataFolder {
+        DataFolder {
+            path: path.to_owned(),
+            files: self.files.clone(),
         }
     }
 }
@@ -45,7 +66,7 @@
 
 /// An open data folder. Dropping it releases the lock.
 pub struct Storage {
-    folder: PathBuf,
+    folder: DataFolder,
     options: StorageOptions,
     _lock: File,
     hard_state: HardState,
@@ -53,6 +74,8 @@
     snapshot_index: u64,
     segments: Vec<SegmentInfo>,
     active: ActiveSegment,
+    /// What could not be done, to be logged.
+    notes: Vec<RecoveryNote>,
 }
 
 impl Storage {
@@ -63,20 +86,31 @@
         identity: MemberIdentity,
         initial: SnapshotMeta,
     ) -> Result<(), StorageError> {
-        files::create_folder(folder)?;
-        let _lock = files::lock(folder)?;
-        if snapshot_file::read_identity(folder)?.is_some() {
+        Storage::initialize_with(folder, &StorageOptions::default(), identity, initial)
+    }
+
+    /// The same with options.
+    pub fn initialize_with(
+        folder: &Path,
+        options: &StorageOptions,
+        identity: MemberIdentity,
+        initial: SnapshotMeta,
+    ) -> Result<(), StorageError> {
+        let folder = options.folder(folder);
+        folder.create()?;
+        let _lock = folder.lock()?;
+        if snapshot_file::read_identity(&folder)?.is_some() {
             return Err(StorageError::AlreadyInitialized {
-                folder: folder.to_owned(),
+                folder: folder.path,
             });
         }
         let hard_state = HardState {
             term: 0,
             voted_for: None,
         };
-        refuse_leftover_data(folder, &files::list(folder)?)?;
-        segment::create(folder, FIRST_SEGMENT, &hard_state, initial.last)?;
-        snapshot_file::write_identity(folder, &IdentityRecord { identity, initial })
+        refuse_leftover_data(&folder, &folder.list()?)?;
+        segment::create(&folder, FIRST_SEGMENT, &hard_state, initial.last)?;
+        snapshot_file::write_identity(&folder, &IdentityRecord { identity, initial })
     }
 
     /// Opens a folder that [`Storage::initialize`] made, with the default options.
@@ -84,26 +118,28 @@
         Storage::open_with(folder, StorageOptions::default())
     }
 
-    /// Opens a folder that [`Storage::initialize`] made.
+    /// Opens a folder that [`Storage::initialize`] made. Refused while there is no room to go on; what a snapshot covers
+    /// and what was left half-written is removed first, which needs none.
     pub fn open_with(
         folder: &Path,
         options: StorageOptions,
     ) -> Result<(Storage, RestoredStorage), StorageError> {
-        if !folder.try_exists().at(folder)? {
+        let folder = options.folder(folder);
+        if !folder.exists()? {
             return Err(StorageError::NotInitialized {
-                folder: folder.to_owned(),
+                folder: folder.path,
             });
         }
-        let lock = files::lock(folder)?;
-        let Some(record) = snapshot_file::read_identity(folder)? else {
+        let lock = folder.lock()?;
+        let Some(record) = snapshot_file::read_identity(&folder)? else {
             return Err(StorageError::NotInitialized {
-                folder: folder.to_owned(),
+                folder: folder.path,
             });
         };
-        let content = files::list(folder)?;
-        let loaded = segment::load(folder, &content.segments)?;
+        let content = folder.list()?;
+        let loaded = segment::load(&folder, &content.segments)?;
         let snapshot = match content.snapshots.last() {
-            Some(index) => Some(snapshot_file::read_snapshot(folder, *index)?),
+            Some(index) => Some(snapshot_file::read_snapshot(&folder, *index)?),
             None => None,
         };
         // Everything was read and found good: only now may anything be changed.
@@ -143,7 +179,7 @@
         }
         self.append(&mut pending)?;
         if writes.iter().any(|write| write.snapshot.is_some()) {
-            self.remove_covered_files()?;
+            self.clean_up();
         }
         Ok(())
     }
@@ -160,7 +196,13 @@
             pending.add(Record::Replaced(last))?;
             self.append(&mut pending)?;
         }
-        self.remove_covered_files()
+        self.clean_up();
+        Ok(())
+    }
+
+    /// What could not be done since the last call; to be logged.
+    pub fn take_notes(&mut self) -> Vec<RecoveryNote> {
+        std::mem::take(&mut self.notes)
     }
 
     /// Bytes of the newest segment.
@@ -192,31 +234,56 @@
         let newest = self.segments.last().map_or(0, |segment| segment.number);
         let number = newest + 1;
         let length = segment::create(&self.folder, number, &self.hard_state, self.last)?;
-        let path = files::segment_path(&self.folder, number);
-        self.active = ActiveSegment::open(path, length, self.options.append_file)?;
+        let path = files::segment_path(&self.folder.path, number);
+        self.active = ActiveSegment::open(&self.folder, path, length)?;
         self.segments.push(SegmentInfo {
             number,
             start: self.last,
         });
+        // Where the snapshot reaches the start of the new segment, the one before is covered.
+        self.clean_up();
         Ok(())
     }
 
+    /// Removes what the newest snapshot covers. What cannot be removed takes room and nothing else: it is noted, and the
+    /// next snapshot or start tries again.
+    fn clean_up(&mut self) {
+        let removals = self.remove_covered_files();
+        let kept = |note: &RecoveryNote| matches!(note, RecoveryNote::FileKept { .. });
+        self.notes.extend(removals.into_iter().filter(kept));
+    }
+
     /// Removes older snapshots, and each segment whose successor started within the snapshot:
     /// all that it still says is covered by the snapshot and the successor's first record.
-    fn remove_covered_files(&mut self) -> Result<(), StorageError> {
-        for index in files::list(&self.folder)?.snapshots {
-            if index < self.snapshot_index {
-                remove(&files::snapshot_path(&self.folder, index))?;
+    fn remove_covered_files(&mut self) -> Vec<RecoveryNote> {
+        let mut notes = Vec::new();
+        match self.folder.list() {
+            Ok(content) => {
+                let is_older = |index: &u64| *index < self.snapshot_index;
+                for index in content.snapshots.into_iter().filter(is_older) {
+                    let path = files::snapshot_path(&self.folder.path, index);
+                    notes.push(remove_covered(&self.folder, path));
+                }
             }
+            Err(error) => notes.push(RecoveryNote::FileKept {
+                file: self.folder.path.clone(),
+                reason: error.to_string(),
+            }),
         }
         while let [oldest, next, ..] = self.segments.as_slice() {
             if next.start.index > self.snapshot_index {
                 break;
             }
-            remove(&files::segment_path(&self.folder, oldest.number))?;
+            let path = files::segment_path(&self.folder.path, oldest.number);
+            let note = remove_covered(&self.folder, path);
+            let is_kept = matches!(note, RecoveryNote::FileKept { .. });
+            notes.push(note);
+            if is_kept {
+                break;
+            }
             self.segments.remove(0);
         }
-        Ok(())
+        notes
     }
 }
 
@@ -257,7 +324,7 @@
 }
 
 fn open_checked(
-    folder: &Path,
+    folder: DataFolder,
     options: StorageOptions,
     lock: File,
     record: IdentityRecord,
@@ -268,36 +335,41 @@
     let covered = snapshot
         .as_ref()
         .map_or(record.initial.last, |snapshot| snapshot.meta.last);
-    refuse_uncovered_gap(folder, &loaded, covered)?;
+    refuse_uncovered_gap(&folder, &loaded, covered)?;
     let newest = loaded.segments.last().map_or(0, |segment| segment.number);
-    let path = files::segment_path(folder, newest);
+    let path = files::segment_path(&folder.path, newest);
     if loaded.replay.base.index > covered.index {
         let reason = "the snapshot before the log is missing";
         return Err(StorageError::corrupt(&path, 0, reason));
     }
-    // A process that was killed after a rename may not have synced it; what follows relies on the names.
-    files::sync_folder(folder)?;
     let reaches_snapshot = loaded.replay.contains(covered);
     let mut notes: Vec<RecoveryNote> = loaded.note.into_iter().collect();
+    // Half-written files go first: nothing relies on them, and a full disk needs the room.
     for file in content.temporary {
-        remove(&file)?;
-        notes.push(RecoveryNote::TemporaryFileRemoved { file });
+        notes.push(match folder.remove(&file) {
+            Ok(()) => RecoveryNote::TemporaryFileRemoved { file },
+            Err(error) => kept(file, &error),
+        });
     }
+    // A process that was killed after a rename may not have synced it; what follows relies on the names.
+    folder.sync()?;
     for number in loaded.before_gap {
-        let file = files::segment_path(folder, number);
-        remove(&file)?;
-        notes.push(RecoveryNote::CoveredSegmentRemoved { file });
+        let file = files::segment_path(&folder.path, number);
+        notes.push(remove_covered(&folder, file));
     }
     let mut storage = Storage {
-        folder: folder.to_owned(),
+        active: ActiveSegment::open(&folder, path, loaded.newest_length)?,
+        folder,
         options,
         _lock: lock,
         hard_state: loaded.replay.hard_state.clone(),
         last: loaded.replay.last(),
         snapshot_index: covered.index,
         segments: loaded.segments,
-        active: ActiveSegment::open(path, loaded.newest_length, options.append_file)?,
+        notes: Vec::new(),
     };
+    notes.extend(storage.remove_covered_files());
+    try_room(&storage.folder, storage.options.start_room_bytes)?;
     let mut entries = loaded.replay.entries;
     if reaches_snapshot {
         entries.retain(|entry| entry.position.index > covered.index);
@@ -321,9 +393,19 @@
     Ok((storage, restored))
 }
 
+/// Whether the folder has room to go on: a file of that many bytes is written, synced and removed.
+fn try_room(folder: &DataFolder, bytes: u64) -> Result<(), StorageError> {
+    let path = files::temporary_path(&folder.path.join(ROOM_NAME));
+    let zeros = vec![0; bytes as usize];
+    let written = folder.files.write_synced(&path, &[&zeros]);
+    // Where it cannot be removed, the next start does so.
+    let removed = folder.files.remove(&path);
+    written.and(removed).at(&path)
+}
+
 /// Segments before a gap may go only if the snapshot covers all up to the first one behind it.
 fn refuse_uncovered_gap(
-    folder: &Path,
+    folder: &DataFolder,
     loaded: &LoadedSegments,
     covered: LogPosition,
 ) -> Result<(), StorageError> {
@@ -333,14 +415,14 @@
     if loaded.before_gap.is_empty() || first.start.index <= covered.index {
         return Ok(());
     }
-    let path = files::segment_path(folder, first.number);
+    let path = files::segment_path(&folder.path, first.number);
     let reason = "the segment before it is missing";
     Err(StorageError::corrupt(&path, 0, reason))
 }
 
 /// Without an identity file nothing was ever acknowledged, unless that file was lost: then there
 /// is more than what a broken-off initialization leaves.
-fn refuse_leftover_data(folder: &Path, content: &FolderContent) -> Result<(), StorageError> {
+fn refuse_leftover_data(folder: &DataFolder, content: &FolderContent) -> Result<(), StorageError> {
     let fresh_only = content
         .segments
         .iter()
@@ -353,7 +435,7 @@
     if leftover {
         let reason = "the identity file is missing, but the folder holds a member's log";
         return Err(StorageError::corrupt(
-            &files::identity_path(folder),
+            &files::identity_path(&folder.path),
             0,
             reason,
         ));
@@ -361,6 +443,17 @@
     Ok(())
 }
 
-fn remove(path: &Path) -> Result<(), StorageError> {
-    fs::remove_file(path).at(path)
+/// Removes a file that a snapshot covers.
+fn remove_covered(folder: &DataFolder, file: PathBuf) -> RecoveryNote {
+    match folder.remove(&file) {
+        Ok(()) => RecoveryNote::CoveredFileRemoved { file },
+        Err(error) => kept(file, &error),
+    }
+}
+
+fn kept(file: PathBuf, error: &StorageError) -> RecoveryNote {
+    RecoveryNote::FileKept {
+        file,
+        reason: error.to_string(),
+    }
 }
--- a/crates/millpass-storage/tests/common/mod.rs
+++ b/crates/millpass-storage/tests/common/mod.rs
@@ -6,9 +6,13 @@
     Command, EntryPayload, GroupId, HardState, LogEntry, LogPosition, MemberAddress, MemberId,
     Membership, Snapshot, SnapshotMeta,
 };
-use millpass_storage::{MemberIdentity, RestoredStorage, Storage, StorageError, StorageOptions};
+use millpass_storage::{
+    AppendFile, FileSystem, MemberIdentity, RestoredStorage, Storage, StorageError, StorageOptions,
+    open_cut,
+};
 use std::fs;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 pub fn identity() -> MemberIdentity {
     MemberIdentity {
@@ -100,6 +104,24 @@
     }
 }
 
+/// Files that are appended to through this.
+#[derive(Debug)]
+struct AppendedThrough(fn(fs::File) -> Box<dyn AppendFile>);
+
+impl FileSystem for AppendedThrough {
+    fn open_append(&self, path: &Path, length: u64) -> std::io::Result<Box<dyn AppendFile>> {
+        Ok((self.0)(open_cut(path, length)?))
+    }
+}
+
+/// Options with files that are appended to through this.
+pub fn appended_through(make: fn(fs::File) -> Box<dyn AppendFile>) -> StorageOptions {
+    StorageOptions {
+        files: Arc::new(AppendedThrough(make)),
+        ..StorageOptions::default()
+    }
+}
+
 /// Opens, expecting an error.
 pub fn open_error(folder: &Path) -> StorageError {
     match Storage::open(folder) {
--- a/crates/millpass-storage/tests/damage.rs
+++ b/crates/millpass-storage/tests/damage.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use millpass_storage::{AppendFile, RecoveryNote, Storage, StorageError, StorageOptions};
+use millpass_storage::{AppendFile, RecoveryNote, Storage, StorageError};
 use rstest::rstest;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -322,10 +322,7 @@
 #[test]
 fn a_folder_whose_log_cannot_be_synced_is_not_opened() {
     let (_root, folder) = new_folder();
-    let options = StorageOptions {
-        append_file: disk_that_never_syncs,
-        ..StorageOptions::default()
-    };
+    let options = appended_through(disk_that_never_syncs);
     let error = Storage::open_with(&folder, options).err().expect("refused");
     assert!(
         matches!(error, StorageError::Inaccessible { .. }),
@@ -345,10 +342,7 @@
 #[test]
 fn a_full_disk_refuses_the_write_and_keeps_what_was_synced() {
     let (_root, folder) = new_folder();
-    let options = StorageOptions {
-        append_file: small_disk,
-        ..StorageOptions::default()
-    };
+    let options = appended_through(small_disk);
     let (mut storage, _) = Storage::open_with(&folder, options).expect("open");
     storage.write(None, None, &entries(1, 1..=2)).expect("fits");
     let error = storage
@@ -365,10 +359,7 @@
 #[test]
 fn after_a_failed_sync_nothing_is_written_any_more() {
     let (_root, folder) = new_folder();
-    let options = StorageOptions {
-        append_file: disk_without_sync,
-        ..StorageOptions::default()
-    };
+    let options = appended_through(disk_without_sync);
     let (mut storage, _) = Storage::open_with(&folder, options).expect("open");
     let first = storage.write(None, None, &entries(1, 1..=1));
     assert!(matches!(first, Err(StorageError::Inaccessible { .. })));
--- a/crates/millpass-storage/tests/lost_power.rs
+++ b/crates/millpass-storage/tests/lost_power.rs
@@ -11,7 +11,7 @@
 
 use common::*;
 use millpass_proto::Snapshot;
-use millpass_storage::{AppendFile, RestoredStorage, Storage, StorageOptions};
+use millpass_storage::{AppendFile, RestoredStorage, Storage};
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::fs;
@@ -253,6 +253,10 @@
     }
 
     fn truncate(&mut self, length: u64) -> std::io::Result<()> {
+        // A process that was killed makes no further call.
+        if KILLED.load(Ordering::Relaxed) {
+            return Err(std::io::Error::other("killed"));
+        }
         AppendFile::truncate(&mut self.0, length)
     }
 }
@@ -266,11 +270,8 @@
 #[test]
 fn what_a_start_gives_back_outlasts_the_next_loss_of_power() {
     let (_root, folder) = new_folder();
-    let options = StorageOptions {
-        append_file: watched,
-        ..StorageOptions::default()
-    };
-    let (mut storage, _) = Storage::open_with(&folder, options).expect("open");
+    let options = appended_through(watched);
+    let (mut storage, _) = Storage::open_with(&folder, options.clone()).expect("open");
     storage
         .write(Some(&hard_state(1)), None, &entries(1, 1..=3))
         .expect("write");
@@ -280,7 +281,7 @@
         .expect_err("killed");
     drop(storage);
     KILLED.store(false, Ordering::Relaxed);
-    let (storage, started) = Storage::open_with(&folder, options).expect("open");
+    let (storage, started) = Storage::open_with(&folder, options.clone()).expect("open");
     assert_eq!(started.entries.len(), 4, "the process finds what it wrote");
     drop(storage);
     let segment = files_named(&folder, "log-")[0].clone();
--- a/crates/millpass-telemetry/src/lib.rs
+++ b/crates/millpass-telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 mod bounded_writer;
 mod clock;
 mod event;
+mod last_words;
 mod logging;
 mod metrics;
 mod suspension;
@@ -11,6 +12,7 @@
 pub use bounded_writer::BoundedWriter;
 pub use clock::{ClockSource, ProcessClock, awake_time, boot_time, unix_millis};
 pub use event::event_line;
+pub use last_words::{last_words, log_panics};
 pub use logging::{LogSettings, TelemetryError, start_logging};
 pub use metrics::{exposition, registry};
 pub use suspension::SuspensionWatch;
--- a/crates/millpass-telemetry/src/logging.rs
+++ b/crates/millpass-telemetry/src/logging.rs
@@ -15,8 +15,8 @@
 pub struct LogSettings {
     /// Least severe level written.
     pub level: String,
-    /// File to append to; empty for standard error, `-` for standard output, which is written by a
-    /// thread of its own and never waited for.
+    /// File to append to; empty for standard error, `-` for standard output. A thread of its own writes it: nothing waits
+    /// for a reader or a disk.
     pub file: String,
 }
 
@@ -56,21 +56,16 @@
         file: file.to_owned(),
         source,
     };
-    if file == STANDARD_OUTPUT {
-        let writer = BoundedWriter::start(std::io::stdout()).map_err(failed)?;
-        return Ok(Box::new(writer));
-    }
-    if file.is_empty() {
-        return Ok(Box::new(std::io::stderr()));
-    }
-    let opened = std::fs::OpenOptions::new()
-        .create(true)
-        .append(true)
-        .open(file);
-    match opened {
-        Ok(opened) => Ok(Box::new(opened)),
-        Err(source) => Err(failed(source)),
-    }
+    let writer = match file {
+        STANDARD_OUTPUT => BoundedWriter::start(std::io::stdout()),
+        "" => BoundedWriter::start(std::io::stderr()),
+        _ => std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(file)
+            .and_then(BoundedWriter::start),
+    };
+    Ok(Box::new(writer.map_err(failed)?))
 }
 
 /// The writer adds nothing of its own: time and level become pairs of the line.
