Sight of disks and voters; what a data folder may hold is bounded by settings

Cause: the record could not tell the three hypotheses apart: who is missing, since when and why stood nowhere, nor how long a write had lasted, nor how full a disk was. Ruled out: a bound by refusing changes: an acknowledged configuration must not depend on who measures its disk. Change: voter-missing (with what restores the tolerance), voter-missing-no-more, leaderless, disk_stalled, disk_stall_over, disk_may_become_full; metrics of bytes, bound, free bytes, state and the write under way.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -14,6 +14,7 @@
 use millpass_router::RouterProcessSettings;
 use millpass_routing::RoutingSettings;
 use millpass_scheduler::{KeepAlive, SchedulerSettings};
+use millpass_storage::StorageOptions;
 use millpass_telemetry::{LogSettings, ProcessClock, event_line, log_panics, start_logging};
 use millpass_tenancy::QuotaTerms;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -22,6 +23,8 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 /// Runs `millpass control ...`.
 pub fn control(command: ControlCommand) -> Result<ExitCode> {
     match command {
@@ -146,6 +149,7 @@
         maximum_append_entries: count(settings.consensus.maximum_append_entries),
         snapshot_chunk_bytes: count(settings.consensus.snapshot_chunk_bytes),
     };
+    process.storage = storage(settings);
     process.snapshot_entries = settings.consensus.snapshot_entries;
     process.scheduler = scheduler(settings);
     process.scheduling_interval = millis(settings.scheduling.interval_ms);
@@ -160,6 +164,17 @@
     Ok(process)
 }
 
+fn storage(settings: &ControlSettings) -> StorageOptions {
+    let bytes = |megabytes: u64| megabytes.saturating_mul(BYTES_PER_MEGABYTE);
+    let storage = &settings.storage;
+    StorageOptions {
+        segment_bytes: bytes(storage.segment_mb),
+        largest_state_bytes: bytes(storage.largest_state_mb),
+        disk_bytes: (storage.disk_mb > 0).then(|| bytes(storage.disk_mb)),
+        ..StorageOptions::default()
+    }
+}
+
 /// Seeds listen for members at this member's own port.
 fn seeds(settings: &ControlSettings) -> Result<Vec<SeedMember>> {
     let port = address(&settings.member.peer_listen)?.port();
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -137,6 +137,26 @@
         }
     }
 }
+/// What a member's data folder may hold: three log segments, each with one write beyond its size, and two snapshots beside that write. A start is refused where that is more than the disk.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ControlStorageSection {
+    /// Size of a log segment in megabytes, from which the next is started and a snapshot is taken.
+    pub segment_mb: u64,
+    /// Largest replicated state to be expected, in megabytes; so large is a snapshot, and a write at most. The log warns from three quarters of it on.
+    pub largest_state_mb: u64,
+    /// Size of the disk in megabytes; 0 where it is not known.
+    pub disk_mb: u64,
+}
+impl Default for ControlStorageSection {
+    fn default() -> Self {
+        Self {
+            segment_mb: 8u64,
+            largest_state_mb: 16u64,
+            disk_mb: 0u64,
+        }
+    }
+}
 /// Leases given to routers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -272,6 +292,8 @@
     pub members: Vec<ControlMembersSection>,
     /// Timing of the control group. The lease must be shorter than the election timeout by more than clocks drift.
     pub consensus: ControlConsensusSection,
+    /// What a member's data folder may hold: three log segments, each with one write beyond its size, and two snapshots beside that write. A start is refused where that is more than the disk.
+    pub storage: ControlStorageSection,
     /// Leases given to routers.
     pub routers: ControlRoutersSection,
     /// Which models are loaded, and for how long.
@@ -490,6 +512,36 @@
                 },
             ],
         },
+        SectionSpecification {
+            name: "storage",
+            repeated: false,
+            keys: &[
+                KeySpecification {
+                    name: "segment_mb",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 1u64,
+                        maximum: 1024u64,
+                    },
+                },
+                KeySpecification {
+                    name: "largest_state_mb",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 1u64,
+                        maximum: 65536u64,
+                    },
+                },
+                KeySpecification {
+                    name: "disk_mb",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 1073741824u64,
+                    },
+                },
+            ],
+        },
         SectionSpecification {
             name: "routers",
             repeated: false,
--- a/crates/millpass-control-plane/src/lib.rs
+++ b/crates/millpass-control-plane/src/lib.rs
@@ -23,6 +23,7 @@
 //! | `orders` | when to deliver which order |
 //! | `claims` | when claims expire and when those of a dead router are abandoned |
 //! | `repair` | replaces dead members by joiners |
+//! | `missing_voters` | which voters the leader misses, since when and what is done about it |
 //! | `snapshots` | when to take a snapshot |
 //! | `drain` | the planned stop |
 
@@ -34,6 +35,7 @@
 mod drain;
 mod freshness;
 pub mod interface;
+mod missing_voters;
 mod news;
 mod observations;
 mod orders;
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -7,6 +7,7 @@
 use crate::interface::{
     AdministrationAnswer, ControlInput, ControlOutput, ControlPlaneSettings, FinalState,
 };
+use crate::missing_voters::{self, MissingVoters};
 use crate::news::{self, Told};
 use crate::observations::Observations;
 use crate::orders::Orders;
@@ -42,6 +43,7 @@
     scheduling: Timestamp,
     platform: Timestamp,
     repair: Timestamp,
+    missing_voters: Timestamp,
     claims: Timestamp,
     silence: Timestamp,
     housekeeping: Timestamp,
@@ -68,6 +70,7 @@
     pub(crate) platform: Platform,
     pub(crate) orders: Orders,
     pub(crate) repair: Repair,
+    missing_voters: MissingVoters,
     pub(crate) scheduler: Scheduler,
     /// Instances that announce themselves, where the deployment has them.
     pub(crate) fleet: Option<Fleet>,
@@ -145,6 +148,7 @@
             platform: Platform::default(),
             orders: Orders::new(loads_per_second),
             repair: Repair::default(),
+            missing_voters: MissingVoters::default(),
             state_changed: true,
             told: None,
             drain: None,
@@ -323,6 +327,9 @@
         }
         if self.role == Role::Leader {
             self.expire_sessions(now, out);
+            self.look_for_voters(now, out);
+        } else {
+            self.missing_voters.clear();
         }
         if !self.in_charge(now) {
             return;
@@ -466,11 +473,7 @@
             return;
         }
         let status = self.consensus.status();
-        let settings = RepairSettings {
-            replacement_delay: self.settings.member_replacement_delay,
-            answer_timeout: self.settings.consensus.election_timeout,
-            wanted_voters: self.settings.wanted_voters,
-        };
+        let settings = self.repair_settings();
         let Some(change) = self.repair.next_change(now, &status, settings) else {
             return;
         };
@@ -478,6 +481,35 @@
         self.change_membership(now, Waiter::Repair, change, out);
     }
 
+    fn repair_settings(&self) -> RepairSettings {
+        RepairSettings {
+            replacement_delay: self.settings.member_replacement_delay,
+            answer_timeout: self.settings.consensus.election_timeout,
+            wanted_voters: self.settings.wanted_voters,
+        }
+    }
+
+    fn look_for_voters(&mut self, now: Timestamp, out: &mut Outputs) {
+        let interval = missing_voters::LOOK_INTERVAL;
+        if !due(now, &mut self.schedule.missing_voters, interval) {
+            return;
+        }
+        let status = self.consensus.status();
+        let settings = self.repair_settings();
+        self.missing_voters
+            .look(now, &status, &self.repair, settings, out);
+    }
+
+    /// How many voters this member misses, where it leads.
+    pub fn missing_voters(&self) -> usize {
+        self.missing_voters.count()
+    }
+
+    /// The host asks for a snapshot at the next step, as the log on its disk is long.
+    pub fn want_snapshot(&mut self) {
+        self.applied.want_snapshot();
+    }
+
     fn deliver_orders(&mut self, now: Timestamp, out: &mut Outputs) {
         if !self.state_changed && !self.orders.may_be_due(now) {
             return;
--- a/crates/millpass-control-plane/src/repair.rs
+++ b/crates/millpass-control-plane/src/repair.rs
@@ -73,6 +73,11 @@
             .or_else(|| self.addition(membership))
     }
 
+    /// Whether a process asks to join.
+    pub(crate) fn has_joiners(&self) -> bool {
+        !self.joiners.is_empty()
+    }
+
     /// Forgets everything.
     pub(crate) fn clear(&mut self) {
         self.joiners.clear();
--- a/crates/millpass-control-plane/src/snapshots.rs
+++ b/crates/millpass-control-plane/src/snapshots.rs
@@ -15,6 +15,8 @@
     membership: Membership,
     /// Weight of the entries since the last snapshot, in notes of instructions.
     weight: u64,
+    /// Whether the host asks for one, as the log on its disk is long.
+    is_wanted: bool,
 }
 
 impl AppliedLog {
@@ -24,9 +26,15 @@
             last: meta.last,
             membership: meta.membership.clone(),
             weight: 0,
+            is_wanted: false,
         }
     }
 
+    /// The host asks for a snapshot.
+    pub(crate) fn want_snapshot(&mut self) {
+        self.is_wanted = true;
+    }
+
     /// Notes that an entry was applied.
     pub(crate) fn applied(&mut self, at: LogPosition, payload: &EntryPayload) {
         self.last = at;
@@ -47,10 +55,15 @@
         state: &State,
         snapshot_entries: u64,
     ) -> Option<Snapshot> {
-        if self.weight < snapshot_entries.max(1) * NOTES_PER_ENTRY {
+        let due_from = match self.is_wanted {
+            true => 1,
+            false => snapshot_entries.max(1) * NOTES_PER_ENTRY,
+        };
+        if self.weight < due_from {
             return None;
         }
         self.weight = 0;
+        self.is_wanted = false;
         let meta = SnapshotMeta {
             last: self.last,
             membership: self.membership.clone(),
--- a/crates/millpass-control/src/disk.rs
+++ b/crates/millpass-control/src/disk.rs
@@ -2,6 +2,7 @@
 //! each as persisted only after the sync. A failed write ends the member: what the disk holds is
 //! then not known any more.
 
+use crate::disk_watch::{DiskWatch, RoomWatch};
 use crate::inputs::Inputs;
 use crate::metrics::Metrics;
 use crossbeam::channel::Receiver;
@@ -10,10 +11,12 @@
 use millpass_proto::Snapshot;
 use millpass_storage::{Storage, StorageError, StorageWrite};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Most writes under one sync.
 const BATCH: usize = 256;
+/// Time after which the core is asked again for a snapshot that has not come.
+const SNAPSHOT_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Work for the disk.
 pub(crate) enum DiskWork {
@@ -29,16 +32,26 @@
     pub(crate) work: Receiver<DiskWork>,
     pub(crate) inputs: Inputs,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) watch: Arc<DiskWatch>,
+    pub(crate) room: RoomWatch,
+    /// When the core was last asked for a snapshot, as the log is long.
+    pub(crate) asked_for_snapshot: Option<Instant>,
+    /// Size of the newest snapshot's state, in bytes.
+    pub(crate) state_bytes: u64,
 }
 
 impl Disk {
     /// Body of the thread; ends when the core drops its end of the queue, or on a failed write.
     pub(crate) fn run(mut self) {
         while let Ok(first) = self.work.recv() {
-            if let Err(error) = self.carry_out(first) {
+            self.watch.begins();
+            let carried_out = self.carry_out(first);
+            self.watch.ends();
+            if let Err(error) = carried_out {
                 log::error!("event=disk_failed error={:?}", error.to_string());
                 return self.inputs.disk_failed(error);
             }
+            self.look_around();
         }
     }
 
@@ -61,11 +74,28 @@
         }
         self.persist(&writes)?;
         match snapshot {
-            Some(snapshot) => self.storage.save_snapshot(&snapshot),
+            Some(snapshot) => {
+                self.state_bytes = snapshot.data.len() as u64;
+                self.storage.save_snapshot(&snapshot)
+            }
             None => Ok(()),
         }
     }
 
+    /// What a write leaves to be said or asked for.
+    fn look_around(&mut self) {
+        for note in self.storage.take_notes() {
+            log::warn!("event=disk_repaired {note}");
+        }
+        let is_recent = |at: Instant| at.elapsed() < SNAPSHOT_PATIENCE;
+        if self.storage.wants_snapshot() && !self.asked_for_snapshot.is_some_and(is_recent) {
+            self.asked_for_snapshot = Some(Instant::now());
+            self.inputs.want_snapshot();
+        }
+        self.room
+            .look(&self.storage, self.state_bytes, &self.metrics);
+    }
+
     fn persist(&mut self, requests: &[PersistRequest]) -> Result<(), StorageError> {
         if requests.is_empty() {
             return Ok(());
--- a/crates/millpass-control/src/inputs.rs
+++ b/crates/millpass-control/src/inputs.rs
@@ -19,6 +19,8 @@
     Core(WaitingInput),
     /// A write failed: the member must not go on.
     DiskFailed(StorageError),
+    /// The log on the disk is long: a snapshot would let a part of it go.
+    WantSnapshot,
     /// A thread that the member cannot do without has ended.
     ThreadEnded(&'static str),
     /// End without draining.
@@ -46,6 +48,7 @@
     backlog: Backlog<Box<WaitingInput>>,
     disk_failure: Option<StorageError>,
     ended_thread: Option<&'static str>,
+    wants_snapshot: bool,
     is_halted: bool,
     /// The core takes nothing more.
     has_ended: bool,
@@ -128,6 +131,12 @@
         self.shared.filled.notify_one();
     }
 
+    /// Asks for a snapshot, as the log on the disk is long.
+    pub(crate) fn want_snapshot(&self) {
+        self.shared.lock().wants_snapshot = true;
+        self.shared.filled.notify_one();
+    }
+
     /// Tells that a thread has ended; nothing once the core has.
     pub(crate) fn thread_ended(&self, name: &'static str) {
         self.shared.lock().ended_thread = Some(name);
@@ -152,6 +161,9 @@
             if state.is_halted {
                 return HostInput::Halt;
             }
+            if std::mem::take(&mut state.wants_snapshot) {
+                return HostInput::WantSnapshot;
+            }
             if let Some(name) = state.ended_thread.take() {
                 return HostInput::ThreadEnded(name);
             }
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `urgency` | how urgent an input is |
 //! | `lateness` | tells when the core's thread is late |
 //! | `disk` | writes and syncs |
+//! | `disk_watch` | how long a write lasts and how full the disk is, for log and metrics |
 //! | `connections` | connections that members, routers and joiners make |
 //! | `router_backlog` | whether a gateway's updates wait at its connection |
 //! | `freshness` | answers gateways' questions by datagram |
@@ -24,7 +25,7 @@
 //! | `administration`, `api`, `client` | the administration API, its bodies and its client |
 //! | `metrics` | Prometheus metrics |
 //!
-//! Lock order: `inputs`, `calls`, `connections`, `freshness` and each queue of `peers` have one lock; no thread holds
+//! Lock order: `inputs`, `calls`, `connections`, `freshness`, `disk_watch` and each queue of `peers` have one lock; no thread holds
 //! two.
 
 pub mod administration;
@@ -35,6 +36,7 @@
 mod connections;
 mod deliveries;
 mod disk;
+mod disk_watch;
 mod error;
 mod freshness;
 mod inputs;
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -7,6 +7,7 @@
 use crate::connections::Connections;
 use crate::deliveries::{Deliveries, Delivery};
 use crate::disk::DiskWork;
+use crate::disk_watch::DiskWatch;
 use crate::error::ControlError;
 use crate::freshness::FreshnessPort;
 use crate::inputs::{HostInput, InputQueue, WaitingInput};
@@ -31,7 +32,7 @@
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
 /// Time without a leader after which a member asks to join: it may have been replaced while it was
 /// cut off, and nobody tells it.
-const LEADERLESS: Duration = Duration::from_secs(2);
+pub(crate) const LEADERLESS: Duration = Duration::from_secs(2);
 
 /// Longest time an instance waits for the answer to its announcement before it calls another member. The
 /// protocol between servers and members sets it (docs/PLATFORM.md); work on an older one would be in vain.
@@ -46,6 +47,7 @@
     pub(crate) others: Vec<String>,
     pub(crate) queue: InputQueue,
     pub(crate) disk: Sender<DiskWork>,
+    pub(crate) disk_watch: Arc<DiskWatch>,
     pub(crate) peers: Peers,
     pub(crate) connections: Arc<Connections>,
     /// None where the port was not free for datagrams.
@@ -58,6 +60,8 @@
     pub(crate) metrics: Arc<Metrics>,
     /// Since when no leader is known.
     pub(crate) leaderless_since: Option<Timestamp>,
+    /// How long that lasts when the log next says so.
+    pub(crate) next_leaderless_report: Duration,
     pub(crate) suspensions: SuspensionWatch,
     pub(crate) lateness: LatenessWatch,
     /// Calls refused up to the last look, as too many waited.
@@ -109,6 +113,10 @@
                     next_tick = Instant::now() + TICK;
                     has_stopped
                 }
+                HostInput::WantSnapshot => {
+                    self.core.want_snapshot();
+                    false
+                }
                 HostInput::DiskFailed(error) => return End::Failed(error.into()),
                 HostInput::ThreadEnded(name) => {
                     log::error!("event=control_thread_ended thread={name}");
@@ -247,8 +255,10 @@
             let millis = time.as_millis();
             log::warn!("event=machine_suspended suspended_ms={millis}");
         }
+        self.metrics.show_disk_wait(self.disk_watch.look());
         let status = self.core.consensus_status();
         self.metrics.show_consensus(&status);
+        self.metrics.show_missing(self.core.missing_voters());
         self.show_queues();
         let leaderless = self.is_leaderless(status.leader.is_none());
         if leaderless || !is_member(&status.membership, &self.address) {
@@ -278,11 +288,31 @@
     fn is_leaderless(&mut self, none_known: bool) -> bool {
         if !none_known {
             self.leaderless_since = None;
+            self.next_leaderless_report = LEADERLESS;
             return false;
         }
         let now = self.clock.now();
         let since = *self.leaderless_since.get_or_insert(now);
-        now.since(since) >= LEADERLESS
+        let lasts = now.since(since);
+        if lasts >= self.next_leaderless_report {
+            self.next_leaderless_report = lasts * 2;
+            self.report_leaderless(lasts);
+        }
+        lasts >= LEADERLESS
+    }
+
+    /// Who answered this member's candidacies, and who did not, is told by `candidacy-ended`.
+    fn report_leaderless(&self, lasts: Duration) {
+        let status = self.core.consensus_status();
+        let voters = status.membership.voters.iter();
+        let voters: Vec<&str> = voters.map(|voter| voter.peer_address.as_str()).collect();
+        let pairs = [
+            ("for_ms", lasts.as_millis().to_string()),
+            ("term", status.term.to_string()),
+            ("last", status.last.to_string()),
+            ("voters", voters.join(",")),
+        ];
+        log::warn!("{}", event_line("leaderless", &pairs));
     }
 
     /// Asks the members that the settings name and those of the membership known here.
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -50,6 +50,17 @@
     pub(crate) freshness_answers: IntGauge,
     /// Calls of the administration API refused because too many of their class waited.
     pub(crate) refused_calls: IntGauge,
+    disk: DiskMetrics,
+    missing_voters: IntGauge,
+}
+
+/// How full the disk is, in bytes, and how long the write under way has lasted, in milliseconds.
+struct DiskMetrics {
+    bytes: IntGauge,
+    most_bytes: IntGauge,
+    free_bytes: IntGauge,
+    state_bytes: IntGauge,
+    write_millis: IntGauge,
 }
 
 impl Metrics {
@@ -118,6 +129,20 @@
                 "Questions of gateways answered",
             )?,
             refused_calls: gauge("control_refused_calls", "Calls refused, too many wait")?,
+            disk: DiskMetrics {
+                bytes: gauge("control_disk_bytes", "Bytes in the data folder")?,
+                most_bytes: gauge("control_disk_most_bytes", "Bytes that it may come to hold")?,
+                free_bytes: gauge(
+                    "control_disk_free_bytes",
+                    "Bytes left on its disk, 0 if unknown",
+                )?,
+                state_bytes: gauge(
+                    "control_state_bytes",
+                    "Bytes of the newest snapshot's state",
+                )?,
+                write_millis: gauge("control_disk_write_ms", "Age of the write under way")?,
+            },
+            missing_voters: gauge("control_missing_voters", "Voters that the leader misses")?,
             registry,
         })
     }
@@ -157,6 +182,22 @@
         self.departure_seconds.observe(after.as_secs_f64());
     }
 
+    pub(crate) fn show_disk(&self, bytes: u64, most: u64, free: Option<u64>, state: u64) {
+        self.disk.bytes.set(signed(bytes));
+        self.disk.most_bytes.set(signed(most));
+        self.disk.free_bytes.set(signed(free.unwrap_or(0)));
+        self.disk.state_bytes.set(signed(state));
+    }
+
+    pub(crate) fn show_disk_wait(&self, writes_for: Option<Duration>) {
+        let millis = writes_for.map_or(0, |time| time.as_millis() as u64);
+        self.disk.write_millis.set(signed(millis));
+    }
+
+    pub(crate) fn show_missing(&self, voters: usize) {
+        self.missing_voters.set(signed(voters as u64));
+    }
+
     pub(crate) fn show_consensus(&self, status: &ConsensusStatus) {
         self.term.set(signed(status.term));
         self.commit.set(signed(status.commit));
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -5,12 +5,13 @@
 use crate::connections::Connections;
 use crate::deliveries::{self, Deliveries, DeliveryWorker};
 use crate::disk::Disk;
+use crate::disk_watch::{DiskWatch, RoomWatch};
 use crate::error::ControlError;
 use crate::freshness::FreshnessPort;
 use crate::inputs::Inputs;
 use crate::interface::Extensions;
 use crate::lateness::LatenessWatch;
-use crate::member::Member;
+use crate::member::{LEADERLESS, Member};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::ControlProcessSettings;
@@ -155,11 +156,16 @@
 
     let mut threads = Vec::new();
     let (disk_sender, disk_work) = unbounded();
+    let disk_watch = Arc::<DiskWatch>::default();
     let disk = Disk {
         storage: opened.storage,
         work: disk_work,
         inputs: inputs.clone(),
         metrics: metrics.clone(),
+        watch: disk_watch.clone(),
+        room: RoomWatch::new(&settings.storage),
+        asked_for_snapshot: None,
+        state_bytes: 0,
     };
     threads.push(spawn_needed("control-disk", &inputs, move || disk.run())?);
     let (deliveries, delivery_queue) =
@@ -189,6 +195,7 @@
         others: startup::others(&settings),
         queue,
         disk: disk_sender,
+        disk_watch,
         peers: Peers::new(address.clone(), settings.limits.peer_queue, metrics.clone()),
         connections,
         freshness,
@@ -198,6 +205,7 @@
         calls,
         metrics,
         leaderless_since: None,
+        next_leaderless_report: LEADERLESS,
         suspensions: SuspensionWatch::default(),
         lateness: LatenessWatch::default(),
         refused_calls: 0,
--- a/crates/millpass-storage/src/data_folder.rs
+++ b/crates/millpass-storage/src/data_folder.rs
@@ -57,6 +57,15 @@
         Ok(content)
     }
 
+    /// Bytes of all its files. One that is removed meanwhile counts as none.
+    pub(crate) fn bytes(&self) -> Result<u64, StorageError> {
+        let paths = self.files.list(&self.path).at(&self.path)?;
+        let lengths = paths
+            .iter()
+            .map(|path| self.files.length(path).unwrap_or(0));
+        Ok(lengths.sum())
+    }
+
     /// Content of a file.
     pub(crate) fn read(&self, path: &Path) -> Result<Vec<u8>, StorageError> {
         self.files.read(path).at(path)
--- a/crates/millpass-storage/src/error.rs
+++ b/crates/millpass-storage/src/error.rs
@@ -66,6 +66,17 @@
         /// File.
         path: PathBuf,
     },
+    /// The disk cannot hold what a member may need.
+    #[error(
+        "the disk has {disk} bytes (storage.disk_mb), and a member may need {may_need}; enlarge the disk, or lower \
+         storage.segment_mb or storage.largest_state_mb"
+    )]
+    DiskTooSmall {
+        /// Size of the disk in bytes.
+        disk: u64,
+        /// Bytes that the folder may hold.
+        may_need: u64,
+    },
     /// A write or sync failed earlier, so what the disk holds is not known any more.
     #[error("an earlier write to {path} failed; restart the member, which reads its disk again")]
     Poisoned {
--- a/crates/millpass-storage/src/file_system.rs
+++ b/crates/millpass-storage/src/file_system.rs
@@ -30,6 +30,17 @@
         fs::read(path)
     }
 
+    /// Length of a file in bytes.
+    fn length(&self, path: &Path) -> io::Result<u64> {
+        Ok(fs::metadata(path)?.len())
+    }
+
+    /// Bytes that a folder's disk has left for this process.
+    fn free_bytes(&self, folder: &Path) -> io::Result<u64> {
+        let disk = rustix::fs::statvfs(folder)?;
+        Ok(disk.f_bavail.saturating_mul(disk.f_frsize))
+    }
+
     /// Opens the file that a folder is locked by, and makes it if it is missing. Locked until it is dropped; none if
     /// another process holds it.
     fn lock(&self, path: &Path) -> io::Result<Option<File>> {
--- a/crates/millpass-storage/src/storage.rs
+++ b/crates/millpass-storage/src/storage.rs
@@ -2,8 +2,8 @@
 
 use crate::data_folder::DataFolder;
 use crate::error::{AtPath, StorageError};
-use crate::file_system::{FileSystem, SystemFiles};
 use crate::files::{self, FolderContent};
+use crate::options::StorageOptions;
 use crate::record::{self, Record};
 use crate::restored::{MemberIdentity, RecoveryNote, RestoredStorage};
 use crate::segment::{self, ActiveSegment, LoadedSegments, SegmentInfo};
@@ -11,48 +11,13 @@
 use millpass_proto::{HardState, LogEntry, LogPosition, Snapshot, SnapshotMeta};
 use std::fs::File;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
 
 /// Number of the first segment.
 const FIRST_SEGMENT: u64 = 1;
 
-/// Room in bytes that a folder must have to be opened: for votes, some changes and a small snapshot. With less, a member
-/// would take part and end at one of its first writes: on a full disk, whoever started it each 0.7 s saw it end 7 times
-/// in 5 s, and one that waits longer each time kept it away after there was room.
-const START_ROOM_BYTES: u64 = 256 * 1024;
 /// Name of the file by which that room is tried.
 const ROOM_NAME: &str = "room";
 
-/// Settings of the storage.
-#[derive(Clone, Debug)]
-pub struct StorageOptions {
-    /// Size in bytes from which a new segment is started.
-    pub segment_bytes: u64,
-    /// Room in bytes without which a folder is not opened.
-    pub start_room_bytes: u64,
-    /// How files are reached; tests put a failing disk in between.
-    pub files: Arc<dyn FileSystem>,
-}
-
-impl Default for StorageOptions {
-    fn default() -> Self {
-        StorageOptions {
-            segment_bytes: 8 * 1024 * 1024,
-            start_room_bytes: START_ROOM_BYTES,
-            files: Arc::new(SystemFiles),
-        }
-    }
-}
-
-impl StorageOptions {
-    fn folder(&self, path: &Path) -> DataFolder {
-        DataFolder {
-            path: path.to_owned(),
-            files: self.files.clone(),
-        }
-    }
-}
-
 /// One write, as the consensus core asks for it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StorageWrite<'a> {
@@ -96,6 +61,7 @@
         identity: MemberIdentity,
         initial: SnapshotMeta,
     ) -> Result<(), StorageError> {
+        options.check()?;
         let folder = options.folder(folder);
         folder.create()?;
         let _lock = folder.lock()?;
@@ -124,6 +90,7 @@
         folder: &Path,
         options: StorageOptions,
     ) -> Result<(Storage, RestoredStorage), StorageError> {
+        options.check()?;
         let folder = options.folder(folder);
         if !folder.exists()? {
             return Err(StorageError::NotInitialized {
@@ -205,6 +172,21 @@
         std::mem::take(&mut self.notes)
     }
 
+    /// Bytes of all files of the folder, as the file system says.
+    pub fn bytes(&self) -> Result<u64, StorageError> {
+        self.folder.bytes()
+    }
+
+    /// Bytes that the folder's disk has left, where the file system says.
+    pub fn free_bytes(&self) -> Option<u64> {
+        self.folder.files.free_bytes(&self.folder.path).ok()
+    }
+
+    /// Whether the log is longer than a segment: a snapshot would let the first one go.
+    pub fn wants_snapshot(&self) -> bool {
+        self.segments.len() > 1
+    }
+
     /// Bytes of the newest segment.
     pub fn active_segment_bytes(&self) -> u64 {
         self.active.length()
--- a/crates/millpass-storage/tests/faults.rs
+++ b/crates/millpass-storage/tests/faults.rs
@@ -219,6 +219,7 @@
                 segment_bytes: SEGMENT_BYTES,
                 start_room_bytes: START_ROOM,
                 files: Arc::new(FaultyFiles(disk.clone())),
+                ..StorageOptions::default()
             },
             disk,
             held: Held::default(),
