--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -21,7 +21,7 @@
     ControlOutput, ControlPlane, FinalState, FreshnessMark,
 };
 use millpass_proto::{LinkMessage, MemberAddress, Membership, Timestamp};
-use millpass_telemetry::{ProcessClock, SuspensionWatch, event_line, unix_millis};
+use millpass_telemetry::{Heartbeat, ProcessClock, SuspensionWatch, event_line, unix_millis};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -63,6 +63,7 @@
     /// How long that lasts when the log next says so.
     pub(crate) next_leaderless_report: Duration,
     pub(crate) suspensions: SuspensionWatch,
+    pub(crate) heartbeat: Heartbeat,
     pub(crate) lateness: LatenessWatch,
     /// Calls refused up to the last look, as too many waited.
     pub(crate) refused_calls: i64,
@@ -104,6 +105,7 @@
         let mut next_tick = Instant::now();
         let mut next_housekeeping = Instant::now();
         loop {
+            self.heartbeat.beat();
             let has_stopped = match self.queue.next(next_tick) {
                 HostInput::Core(waiting) => self.take_up(waiting),
                 HostInput::Tick => {
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -20,7 +20,7 @@
 use crossbeam::channel::{Receiver, bounded, unbounded};
 use millpass_control_plane::ControlInput;
 use millpass_proto::{Duration, MemberAddress, MemberId};
-use millpass_telemetry::{ProcessClock, SuspensionWatch};
+use millpass_telemetry::{Heartbeat, ProcessClock, SuspensionWatch};
 use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -40,6 +40,7 @@
     core: Option<JoinHandle<Result<(), ControlError>>>,
     /// Nothing is ever sent on it; it closes when the core's thread ends.
     core_ended: Receiver<()>,
+    heartbeat: Heartbeat,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -188,6 +189,7 @@
             port.serve();
         })?);
     }
+    let heartbeat = Heartbeat::default();
     let member = Member {
         core,
         clock,
@@ -207,6 +209,7 @@
         leaderless_since: None,
         next_leaderless_report: LEADERLESS,
         suspensions: SuspensionWatch::default(),
+        heartbeat: heartbeat.clone(),
         lateness: LatenessWatch::default(),
         refused_calls: 0,
         behind: Vec::new(),
@@ -232,6 +235,7 @@
         administration,
         core: Some(core),
         core_ended,
+        heartbeat,
         threads,
     })
 }
@@ -282,6 +286,11 @@
         Ok(())
     }
 
+    /// Rounds of the core's thread, for who watches that it goes on.
+    pub fn heartbeat(&self) -> Heartbeat {
+        self.heartbeat.clone()
+    }
+
     /// Waits until the member has ended, and says why if it failed.
     pub fn join(mut self) -> Result<(), ControlError> {
         self.wait()
--- a/crates/millpass-gateway/src/process.rs
+++ b/crates/millpass-gateway/src/process.rs
@@ -11,7 +11,7 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use millpass_telemetry::{SuspensionWatch, event_line};
+use millpass_telemetry::{Heartbeat, SuspensionWatch, event_line};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -45,6 +45,7 @@
 pub struct Gateway {
     shared: Arc<Shared>,
     listeners: Vec<(Async<TcpListener>, Service)>,
+    heartbeat: Heartbeat,
 }
 
 impl Gateway {
@@ -70,6 +71,7 @@
         Ok(Gateway {
             shared: Arc::new(shared),
             listeners,
+            heartbeat: Heartbeat::default(),
         })
     }
 
@@ -81,6 +83,11 @@
             .collect()
     }
 
+    /// Rounds of the thread that serves, about one a second, for who watches that it goes on.
+    pub fn heartbeat(&self) -> Heartbeat {
+        self.heartbeat.clone()
+    }
+
     /// Serves on this thread until `stop` is done, then ends what is in flight within the grace.
     pub fn run(self, stop: impl Future<Output = ()>) {
         let shared = self.shared;
@@ -91,7 +98,9 @@
         }
         executor.spawn(link::run(shared.clone())).detach();
         executor.spawn(freshness::run(shared.clone())).detach();
-        executor.spawn(sweep(shared.clone())).detach();
+        executor
+            .spawn(sweep(shared.clone(), self.heartbeat))
+            .detach();
         executor.spawn(probe::run(shared.clone())).detach();
         let pairs = [
             ("gateway", shared.settings.dispatch.name.clone()),
@@ -108,9 +117,10 @@
     }
 }
 
-async fn sweep(shared: Arc<Shared>) {
+async fn sweep(shared: Arc<Shared>, heartbeat: Heartbeat) {
     let mut suspensions = SuspensionWatch::default();
     loop {
+        heartbeat.beat();
         Timer::after(SWEEP_INTERVAL).await;
         shared.pool.sweep();
         if let Some(time) = suspensions.look() {
