Runs of an instance are told apart by their incarnation; what other writers send names no server

Cause: an instance's identity was its id alone: its sequence, drain, engine state, departures and orders outlived its process. Ruled out: comparing born beside the id in each table (registry, engines, departures, gateways, crash reports): each of some twelve places could forget it. Change: a later run ends the earlier ones at leader and gateways at once; an earlier one never speaks again (also where only the log knows the later); a departure that states no run is of the latest; the pause between two leaders' orders goes by name.

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -90,6 +90,17 @@
         out.answer(call, AdministrationAnswer::Done);
     }
 
+    /// The run that is meant: where none is stated and runs of the instance have stated theirs, the latest.
+    fn meant_run(&self, instance: InstanceId) -> InstanceId {
+        if instance.incarnation() > 0 {
+            return instance;
+        }
+        let known = self.fleet.as_ref();
+        let known = known.and_then(|fleet| fleet.latest_run(&instance));
+        let noted = || self.state.latest_noted_run(&instance).cloned();
+        known.or_else(noted).unwrap_or(instance)
+    }
+
     /// Records that an instance leaves or has left.
     pub(crate) fn depart(
         &mut self,
@@ -98,6 +109,10 @@
         departure: InstanceDeparture,
         out: &mut Outputs,
     ) {
+        let departure = InstanceDeparture {
+            instance: self.meant_run(departure.instance),
+            ..departure
+        };
         let departed = self.state.departed(&departure.instance);
         if departed == Some(true) || (departed.is_some() && !departure.ended) {
             return out.answer(call, AdministrationAnswer::Done);
--- a/crates/millpass-control/src/administration/mod.rs
+++ b/crates/millpass-control/src/administration/mod.rs
@@ -27,6 +27,31 @@
     /// Takes one call to the core and waits for its answer; bounded by the core's own deadline.
     fn call(&self, request: AdministrationRequest) -> AdministrationAnswer;
 
+    /// Takes note of an announcement that names no instance to use.
+    fn announcement_refused(&self, reason: RefusedAnnouncement, error: &dyn std::fmt::Display);
+
     /// Metrics in the Prometheus text format.
     fn metrics_text(&self) -> String;
 }
+
+/// Why an announcement was refused: other writers than instances may send anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusedAnnouncement {
+    /// It cannot be read.
+    Unreadable,
+    /// It is in a state that is not known.
+    UnknownState,
+    /// Nothing can be sent to its address.
+    UnusableAddress,
+}
+
+impl RefusedAnnouncement {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusedAnnouncement::Unreadable => "unreadable",
+            RefusedAnnouncement::UnknownState => "unknown-state",
+            RefusedAnnouncement::UnusableAddress => "unusable-address",
+        }
+    }
+}
--- a/crates/millpass-control/src/calls.rs
+++ b/crates/millpass-control/src/calls.rs
@@ -1,15 +1,17 @@
 //! Calls of the administration API that wait for the core's answer.
 
-use crate::administration::AdministrationCalls;
+use crate::administration::{AdministrationCalls, RefusedAnnouncement};
 use crate::inputs::{Inputs, NotTaken};
 use crate::metrics::Metrics;
 use crate::urgency::Urgency;
 use crossbeam::channel::{Sender, bounded};
 use millpass_control_plane::{AdministrationAnswer, AdministrationRequest, ControlInput};
+use millpass_telemetry::event_line;
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longer than the core's own deadline of a call; only a core that hangs reaches it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(8);
@@ -19,6 +21,11 @@
 /// to changes and departures, which would else wait behind them for a thread.
 const MAXIMUM_LESS_URGENT_CALLS: usize = 192;
 
+/// Time between two log lines about refused announcements: whoever sends them may send many. All are counted.
+const REFUSAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Most characters of the reason in such a line, which may quote what was sent.
+const MAXIMUM_REFUSAL_CHARACTERS: usize = 200;
+
 /// A call under way.
 struct WaitingCall {
     class: Urgency,
@@ -81,6 +88,35 @@
     pub(crate) inputs: Inputs,
     pub(crate) table: Arc<CallTable>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) refusals: RefusalLog,
+}
+
+/// When the log last spoke of a refused announcement.
+#[derive(Default)]
+pub(crate) struct RefusalLog {
+    said_at: Mutex<Option<Instant>>,
+}
+
+impl RefusalLog {
+    /// Whether it may speak again; if so, it does.
+    fn is_due(&self) -> bool {
+        let mut said_at = self.said_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_recent = |at: Instant| at.elapsed() < REFUSAL_INTERVAL;
+        let is_due = !said_at.is_some_and(is_recent);
+        if is_due {
+            *said_at = Some(Instant::now());
+        }
+        is_due
+    }
+}
+
+/// The error, which may quote what was sent, in a bounded length.
+fn shortened(error: &dyn Display) -> String {
+    error
+        .to_string()
+        .chars()
+        .take(MAXIMUM_REFUSAL_CHARACTERS)
+        .collect()
 }
 
 impl AdministrationCalls for CoreCalls {
@@ -101,6 +137,18 @@
         answered.unwrap_or(AdministrationAnswer::Unknown)
     }
 
+    fn announcement_refused(&self, reason: RefusedAnnouncement, error: &dyn Display) {
+        self.metrics.announcement_refused(reason.name());
+        if !self.refusals.is_due() {
+            return;
+        }
+        let pairs = [
+            ("reason", reason.name().to_owned()),
+            ("error", shortened(error)),
+        ];
+        log::warn!("{}", event_line("announcement_refused", &pairs));
+    }
+
     fn metrics_text(&self) -> String {
         self.metrics.exposition()
     }
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -54,6 +54,7 @@
 mod threads;
 pub mod urgency;
 
+pub use administration::RefusedAnnouncement;
 pub use error::ControlError;
 pub use interface::{ApiExtension, EngineCalls, Extensions};
 pub use patient_start::start_patiently;
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -38,6 +38,8 @@
     refused_inputs: IntCounterVec,
     /// Announcements answered as refused because they had waited too long.
     pub(crate) outdated_announcements: IntCounter,
+    /// Announcements that name no instance to use, by reason.
+    refused_announcements: IntCounterVec,
     departure_seconds: Histogram,
     term: IntGauge,
     commit: IntGauge,
@@ -91,6 +93,10 @@
         let help = "Announcements refused because they had waited too long";
         let outdated_announcements = IntCounter::new("control_outdated_announcements_total", help)?;
         registry.register(Box::new(outdated_announcements.clone()))?;
+        let help = "Announcements that could not be understood or used";
+        let refused = Opts::new("control_refused_announcements_total", help);
+        let refused_announcements = IntCounterVec::new(refused, &["reason"])?;
+        registry.register(Box::new(refused_announcements.clone()))?;
         let reach = |name: &str, help: &str| -> prometheus::Result<Histogram> {
             let options = HistogramOpts::new(name, help).buckets(REACH_SECONDS.to_vec());
             let histogram = Histogram::with_opts(options)?;
@@ -111,6 +117,7 @@
             queues,
             refused_inputs,
             outdated_announcements,
+            refused_announcements,
             document_seconds: reach(
                 "control_document_in_force_seconds",
                 "Time from a document's commit to a gateway's report of it, as the leader sees it",
@@ -178,6 +185,11 @@
         new
     }
 
+    pub(crate) fn announcement_refused(&self, reason: &str) {
+        let counter = self.refused_announcements.with_label_values(&[reason]);
+        counter.inc();
+    }
+
     pub(crate) fn departure_reached(&self, after: millpass_proto::Duration) {
         self.departure_seconds.observe(after.as_secs_f64());
     }
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -1,7 +1,7 @@
 //! The process: its threads, from start to stop.
 
 use crate::administration::{self, AdministrationLimits, AdministrationServer};
-use crate::calls::{CallTable, CoreCalls};
+use crate::calls::{CallTable, CoreCalls, RefusalLog};
 use crate::connections::Connections;
 use crate::deliveries::{self, Deliveries, DeliveryWorker};
 use crate::disk::Disk;
@@ -138,6 +138,7 @@
             inputs: inputs.clone(),
             table: calls.clone(),
             metrics: metrics.clone(),
+            refusals: RefusalLog::default(),
         }),
         extensions.api,
     )?;
--- a/crates/millpass-control/tests/administration_support/mod.rs
+++ b/crates/millpass-control/tests/administration_support/mod.rs
@@ -101,6 +101,13 @@
 }
 
 impl AdministrationCalls for FakeGroup {
+    fn announcement_refused(
+        &self,
+        _: millpass_control::RefusedAnnouncement,
+        _: &dyn std::fmt::Display,
+    ) {
+    }
+
     fn call(&self, request: AdministrationRequest) -> AdministrationAnswer {
         let mut inner = self.inner.lock().unwrap();
         if let Some(leader_address) = inner.not_leader.clone() {
--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -3,7 +3,10 @@
 use crate::dispatcher::Dispatcher;
 use crate::instances::Instance;
 use crate::table::RoutingTable;
-use millpass_proto::{DeploymentDocument, Duration, GatewayUpdate, ModelOutlook, Timestamp};
+use millpass_proto::{
+    DeploymentDocument, Duration, GatewayUpdate, InstanceId, InstanceRecord, ModelOutlook,
+    Timestamp,
+};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -83,10 +86,7 @@
         for record in update.instances {
             match self.instances.get_mut(&record.instance) {
                 Some(instance) => instance.update(record),
-                None => {
-                    let instance = record.instance.clone();
-                    self.instances.insert(instance, Instance::new(record));
-                }
+                None => outcome.removed += self.begin_run(record),
             }
         }
         for instance in &update.removed {
@@ -126,9 +126,9 @@
         }
         if self.instances.is_empty() {
             outcome.changed = update.instances.len();
-            let records = update.instances.into_iter();
-            self.instances
-                .extend(records.map(|record| (record.instance.clone(), Instance::new(record))));
+            for record in update.instances {
+                self.begin_run(record);
+            }
         }
         for instance in &update.removed {
             outcome.removed += usize::from(self.instances.remove(instance).is_some());
@@ -137,6 +137,30 @@
         outcome
     }
 
+    /// Takes a run that was not known; gives how many earlier ones of its instance end with it. One that a later run is
+    /// known after is passed over: whoever told of it does not know better yet.
+    fn begin_run(&mut self, record: InstanceRecord) -> usize {
+        let run = &record.instance;
+        let unstated = self.instances.get_key_value(&run.unstated_run());
+        let stated = self.instances.range(run.stated_runs());
+        let known = unstated.into_iter().chain(stated).map(|(known, _)| known);
+        let (later, others): (Vec<_>, Vec<_>) = known.partition(|known| run.is_before(known));
+        if !later.is_empty() {
+            return 0;
+        }
+        let earlier: Vec<InstanceId> = others
+            .into_iter()
+            .filter(|known| known.is_before(run))
+            .cloned()
+            .collect();
+        for ended in &earlier {
+            self.instances.remove(ended);
+        }
+        self.instances
+            .insert(record.instance.clone(), Instance::new(record));
+        earlier.len()
+    }
+
     /// Puts a document in force if it is newer than the one in force; gives its version.
     fn take_document(&mut self, document: DeploymentDocument) -> Option<u64> {
         let held = self.version();
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -251,7 +251,12 @@
             self.forget(&record.instance, "departed");
             return;
         }
-        let announced = self.registry.announce(self.hearing.now(), record.clone());
+        // An earlier run never speaks again: a later one holds and knows nothing of what it says.
+        let is_outlived = self.registry.has_later_run(&record.instance);
+        let announced = match is_outlived {
+            true => Announced::Late,
+            false => self.registry.announce(self.hearing.now(), record.clone()),
+        };
         if announced == Announced::Late {
             return self.event(
                 "announcement-late",
@@ -264,6 +269,9 @@
         if announced != Announced::Same {
             self.dirty = true;
         }
+        if announced == Announced::New {
+            self.end_earlier_runs(now, &record.instance);
+        }
         self.survived(now, &record.instance);
         self.models_held(&record.service, &record.models);
         let engine = self
@@ -613,6 +621,19 @@
         }));
     }
 
+    /// A run has begun: those before it have ended, with all that was known of them.
+    fn end_earlier_runs(&mut self, now: Timestamp, instance: &InstanceId) {
+        for earlier in self.registry.earlier_runs(instance) {
+            self.load_ended(now, &earlier);
+            self.forget(&earlier, "reborn");
+        }
+    }
+
+    /// The latest run that is known of an instance.
+    pub fn latest_run(&self, instance: &InstanceId) -> Option<InstanceId> {
+        self.registry.latest_run(instance).cloned()
+    }
+
     fn forget(&mut self, instance: &InstanceId, reason: &str) {
         self.engines.engines.remove(instance);
         if self.registry.remove(instance) {
--- a/crates/millpass-fleet/src/handover.rs
+++ b/crates/millpass-fleet/src/handover.rs
@@ -14,7 +14,8 @@
 pub struct InstructionHistory {
     /// Instructions noted before this time may be missing.
     complete_since: Timestamp,
-    last: BTreeMap<InstanceId, Timestamp>,
+    /// By name: engines may not hear from two leaders in turn, whichever of their runs each meant.
+    last: BTreeMap<String, Timestamp>,
     store_loads: Vec<Timestamp>,
     /// Loads from the weight store at once that go at full speed, in hundredths, as last noted.
     store_capacity: Option<u32>,
@@ -39,7 +40,7 @@
         self.last.retain(|_, at| now.since(*at) < keep);
         self.store_loads.retain(|at| now.since(*at) < keep);
         for instance in &note.instances {
-            self.last.insert(instance.clone(), now);
+            self.last.insert(instance.name().to_owned(), now);
         }
         self.store_loads.extend((0..note.store_loads).map(|_| now));
     }
@@ -58,7 +59,7 @@
     /// When another leader than the one of the last note may instruct an engine, if engines must
     /// not hear from two of them within `pause`.
     pub(crate) fn open_from(&self, instance: &InstanceId, pause: Duration) -> Timestamp {
-        let last = self.last.get(instance).copied();
+        let last = self.last.get(instance.name()).copied();
         last.unwrap_or(self.complete_since) + pause
     }
 
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -84,6 +84,32 @@
         Announced::Changed
     }
 
+    /// Earlier runs of a run's instance that are still known.
+    pub(crate) fn earlier_runs(&self, instance: &InstanceId) -> Vec<InstanceId> {
+        let runs = self.runs(instance);
+        let earlier = runs.filter(|known| known.is_before(instance));
+        earlier.cloned().collect()
+    }
+
+    /// Whether a later run of a run's instance is known, or was removed lately.
+    pub(crate) fn has_later_run(&self, instance: &InstanceId) -> bool {
+        let mut removed = self.removals.iter().map(|(_, removed)| removed);
+        self.runs(instance).any(|known| instance.is_before(known))
+            || removed.any(|removed| instance.is_before(removed))
+    }
+
+    /// The latest known run of an instance.
+    pub(crate) fn latest_run(&self, instance: &InstanceId) -> Option<&InstanceId> {
+        self.runs(instance).max_by_key(|run| run.incarnation())
+    }
+
+    fn runs(&self, instance: &InstanceId) -> impl Iterator<Item = &InstanceId> {
+        let unstated = self.entries.get_key_value(&instance.unstated_run());
+        let stated = self.entries.range(instance.stated_runs());
+        let runs = unstated.into_iter().chain(stated);
+        runs.map(|(run, _)| run)
+    }
+
     /// An instance leaves, or has ended. Gateways are told of it also if this leader never heard of it: they may know
     /// it from an earlier one.
     pub(crate) fn depart(&mut self, instance: &InstanceId, ended: bool) {
--- a/crates/millpass-fleet/tests/agreement.rs
+++ b/crates/millpass-fleet/tests/agreement.rs
@@ -3,10 +3,9 @@
 
 mod harness;
 
-use harness::{Leader, at, record};
-use millpass_dispatch::{DispatchSettings, Dispatcher, FreshnessSettings};
+use harness::{Leader, at, gateway, record};
+use millpass_dispatch::Dispatcher;
 use millpass_proto::*;
-use millpass_tenancy::QuotaTerms;
 use proptest::prelude::*;
 
 const INSTANCES: u64 = 6;
@@ -49,21 +48,6 @@
     (0..models).map(model).collect()
 }
 
-fn gateway() -> Dispatcher {
-    Dispatcher::new(DispatchSettings {
-        name: "g".to_owned(),
-        zone: "zone-a".into(),
-        retry_ratio: 0.2,
-        retry_slack: 10.0,
-        retry_window: Duration::from_secs(10),
-        prompt_tokens_per_milli: 40.0,
-        default_patience: Duration::from_secs(15),
-        quota: QuotaTerms::default(),
-        key_lifetime: None,
-        freshness: FreshnessSettings::default(),
-    })
-}
-
 /// Leader and one gateway, whose messages arrive at once.
 struct Pair {
     leader: Leader,
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -2,10 +2,12 @@
 
 #![allow(dead_code)]
 
+use millpass_dispatch::{DispatchSettings, Dispatcher, FreshnessSettings};
 use millpass_fleet::{
     DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
 };
 use millpass_proto::*;
+use millpass_tenancy::QuotaTerms;
 
 /// Routes of the first document.
 pub const ROUTES: u64 = 100;
@@ -202,3 +204,19 @@
     let encoded = millpass_proto::codec::encode(&message);
     encoded.expect("an update encodes").len()
 }
+
+/// A gateway's core without limits.
+pub fn gateway() -> Dispatcher {
+    Dispatcher::new(DispatchSettings {
+        name: "g".to_owned(),
+        zone: "zone-a".into(),
+        retry_ratio: 0.2,
+        retry_slack: 10.0,
+        retry_window: Duration::from_secs(10),
+        prompt_tokens_per_milli: 40.0,
+        default_patience: Duration::from_secs(15),
+        quota: QuotaTerms::default(),
+        key_lifetime: None,
+        freshness: FreshnessSettings::default(),
+    })
+}
--- /dev/null
+++ b/crates/millpass-fleet/tests/incarnations.rs
@@ -0,0 +1,152 @@
+//! Runs of one instance: whatever order its words come in, however often and with whatever losses, the newest run that spoke
+//! is the one that is known, at the leader and at the gateways, and by its own words only.
+//!
+//! What users would see: a server that came back serves nothing, or is drained by what its life before had said.
+
+mod harness;
+
+use harness::{Leader, at, gateway, record};
+use millpass_fleet::{Fleet, FleetSettings, InstructionHistory};
+use millpass_proto::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::BTreeMap;
+
+const NAME: &str = "i-1";
+/// Time between two messages in milliseconds: a run of the leader falls between them.
+const PAUSE: u64 = 50;
+
+/// One heartbeat.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    incarnation: u64,
+    sequence: u64,
+    draining: bool,
+}
+
+impl Word {
+    fn record(self) -> InstanceRecord {
+        InstanceRecord {
+            instance: InstanceId::of_run(NAME, self.incarnation),
+            sequence: self.sequence,
+            draining: self.draining,
+            ..record(1)
+        }
+    }
+}
+
+fn word() -> impl Strategy<Value = Word> {
+    // The first run does not state which it is: servers of an earlier release.
+    let incarnation = prop_oneof![Just(0), Just(1_000), Just(2_000)];
+    (incarnation, 0..6_u64, prop::bool::weighted(0.2)).prop_map(
+        |(incarnation, sequence, draining)| Word {
+            incarnation,
+            sequence,
+            draining,
+        },
+    )
+}
+
+/// What should be known after some words.
+fn expected(words: &[Word]) -> Option<(u64, bool)> {
+    let mut known: Option<Word> = None;
+    for word in words {
+        known = match known {
+            Some(held) if word.incarnation < held.incarnation => known,
+            Some(held) if word.incarnation == held.incarnation => match word.sequence {
+                sequence if sequence < held.sequence => known,
+                sequence => Some(Word {
+                    sequence,
+                    draining: held.draining || word.draining,
+                    ..held
+                }),
+            },
+            _ => Some(*word),
+        };
+    }
+    known.map(|word| (word.incarnation, word.draining))
+}
+
+#[test]
+fn any_order_of_the_words_of_three_runs_ends_in_the_newest() {
+    let config = Config {
+        cases: 400,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let words = proptest::collection::vec(word(), 1..25);
+    let verdict = runner.run(&words, |words| {
+        let mut leader = Leader::new(0, 0);
+        let mut gateway = gateway();
+        let mut told: BTreeMap<InstanceId, InstanceRecord> = BTreeMap::new();
+        let mut now = 10_000;
+        for word in &words {
+            now += PAUSE;
+            leader.fleet.announce(at(now), word.record(), false);
+            leader.report(now, 1, 1);
+            for (_, update) in leader.updates(now) {
+                told.extend(
+                    update
+                        .instances
+                        .iter()
+                        .map(|it| (it.instance.clone(), it.clone())),
+                );
+                for removed in &update.removed {
+                    told.remove(removed);
+                }
+                gateway.update(at(now), update);
+            }
+        }
+        let (incarnation, draining) = expected(&words).expect("some word");
+        let run = InstanceId::of_run(NAME, incarnation);
+        prop_assert_eq!(leader.fleet.latest_run(&run), Some(run.clone()));
+        prop_assert_eq!(told.keys().collect::<Vec<_>>(), vec![&run]);
+        prop_assert_eq!(told[&run].draining, draining);
+        prop_assert_eq!(gateway.instance_count(), 1);
+        Ok(())
+    });
+    verdict.unwrap_or_else(|failure| panic!("{failure}"));
+}
+
+/// The log still knows the run before; the next leader hears the later one, and then a late word of the earlier.
+#[test]
+fn a_leader_elected_between_two_runs_ends_with_the_later() {
+    let mut fleet = Fleet::new(FleetSettings::default());
+    let word = |incarnation, sequence| Word {
+        incarnation,
+        sequence,
+        draining: false,
+    };
+    let noted = [word(1_000, 900).record()];
+    let history = InstructionHistory::new(Timestamp::ZERO, Duration::ZERO);
+    fleet.begin(at(0), noted.into_iter(), std::iter::empty(), &history);
+    fleet.announce(at(10), word(2_000, 0).record(), false);
+    fleet.announce(at(20), word(1_000, 901).record(), false);
+    let run = InstanceId::of_run(NAME, 2_000);
+    assert_eq!(fleet.latest_run(&run), Some(run.clone()));
+    fleet.departed(&run, true);
+    fleet.announce(at(30), word(1_000, 902).record(), false);
+    assert_eq!(
+        fleet.latest_run(&run),
+        None,
+        "it does not come back after that"
+    );
+}
+
+proptest! {
+    #![proptest_config(Config { failure_persistence: None, ..Config::with_cases(256) })]
+
+    #[test]
+    fn a_run_is_made_of_its_name_and_its_incarnation(name in "[a-z0-9#-]{0,12}", incarnation: u64, later: u64) {
+        let run = InstanceId::of_run(&name, incarnation);
+        prop_assert_eq!(run.name(), name.as_str());
+        prop_assert_eq!(run.incarnation(), incarnation);
+        let other = InstanceId::of_run(&name, later);
+        prop_assert_eq!(run.is_before(&other), incarnation < later);
+        prop_assert_eq!(run == other, incarnation == later);
+        prop_assert!(incarnation == 0 || run.stated_runs().contains(&run));
+        prop_assert!(!run.stated_runs().contains(&run.unstated_run()) || name.contains('#'));
+    }
+}
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -456,7 +456,7 @@
     let other_run = facts
         .instance
         .as_ref()
-        .is_some_and(|found| found != instance);
+        .is_some_and(|found| found.name() != instance.name());
     match (facts.misdirected, other_run) {
         (true, true) => SendEnd::Replaced,
         (true, false) => SendEnd::Misdirected,
--- a/crates/millpass-gateway/src/interface.rs
+++ b/crates/millpass-gateway/src/interface.rs
@@ -29,7 +29,7 @@
     pub not_executed: bool,
     /// Another run is at the address, or what was asked for is not there; it did not run.
     pub misdirected: bool,
-    /// Run that answers, where it says so.
+    /// Instance that answers, where it says so; which of its runs is not said.
     pub instance: Option<InstanceId>,
     /// Requests running and waiting there.
     pub load: Option<ToldLoad>,
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -318,7 +318,7 @@
 }
 
 
-/// Identity of one run of an instance; a restart begins a new one.
+/// Identity of one run of an instance: its name and its incarnation; a restart begins a new one.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
 pub struct InstanceId(pub String);
--- a/crates/millpass-proto/src/lib.rs
+++ b/crates/millpass-proto/src/lib.rs
@@ -11,6 +11,7 @@
 #[allow(missing_docs, clippy::all)]
 pub mod generated;
 mod identity;
+mod incarnation;
 pub mod time;
 mod weights;
 
--- a/crates/millpass-state/src/deployment.rs
+++ b/crates/millpass-state/src/deployment.rs
@@ -94,9 +94,28 @@
         }
     }
 
-    /// Whether an instance has departed, and if so, whether it has ended.
+    /// Whether a run of an instance has departed, and if so, whether it has ended. One that a later run was known after
+    /// has ended.
     pub(crate) fn departed(&self, instance: &InstanceId) -> Option<bool> {
-        self.departed.get(instance).copied()
+        let departed = self.departed.get(instance).copied();
+        match departed {
+            Some(true) => departed,
+            _ if self.has_later_run(instance) => Some(true),
+            _ => departed,
+        }
+    }
+
+    fn has_later_run(&self, instance: &InstanceId) -> bool {
+        let runs = instance.stated_runs();
+        let mut departed = self.departed.range(runs.clone()).map(|(run, _)| run);
+        let mut noted = self.noted.range(runs).map(|(run, _)| run);
+        departed.any(|run| instance.is_before(run)) || noted.any(|run| instance.is_before(run))
+    }
+
+    /// The latest run of an instance that a leader noted.
+    pub(crate) fn latest_noted(&self, instance: &InstanceId) -> Option<&InstanceId> {
+        let runs = self.noted.range(instance.stated_runs());
+        runs.map(|(run, _)| run).max_by_key(|run| run.incarnation())
     }
 
     /// Instances whose departure stands in the log after this index, the newest first.
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -170,6 +170,11 @@
         self.deployment.departed(instance)
     }
 
+    /// The latest run of an instance that a leader noted, where runs state their incarnations.
+    pub fn latest_noted_run(&self, instance: &InstanceId) -> Option<&InstanceId> {
+        self.deployment.latest_noted(instance)
+    }
+
     /// Instances as a leader last noted them.
     pub fn noted_instances(&self) -> impl Iterator<Item = &InstanceRecord> {
         self.deployment.noted()
