A router ends when one of its threads does; tests share one record and one report

Four test files wrote the same record and report. Ruled out: nothing of it was seen. Change: the first end of a needed thread closes the signals, and the process ends with a failure. harness/announced.rs.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -1,7 +1,7 @@
 //! `control` and `router`: the programs, from their settings files.
 
 use crate::options::ControlCommand;
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, bail};
 use millpass_config::generated::ControlSchedulingSection;
 use millpass_config::generated::GatewaySettings;
 use millpass_config::{ControlSettings, RouterSettings};
@@ -87,16 +87,25 @@
     log_panics();
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signal handlers")?;
     let handle = millpass_router::start(router_process(&settings)?)?;
-    wait_for_signal(&mut signals);
+    let waiting = signals.handle();
+    handle.on_thread_end(move || waiting.close())?;
+    let is_asked = wait_for_signal(&mut signals);
     handle.drain();
     handle.join();
+    if !is_asked {
+        bail!(
+            "a thread of the router ended; start it again, and report what the log says of it as a defect"
+        );
+    }
     log_stopped("router");
     Ok(ExitCode::SUCCESS)
 }
 
-/// Waits for a signal, or until the signals are closed. The first signal starts an orderly stop; the default action is back for the second.
-pub fn wait_for_signal(signals: &mut Signals) {
-    if let Some(signal) = signals.forever().next() {
+/// Waits for a signal, or until the signals are closed; whether one came. The first signal starts an orderly stop; the default action is
+/// back for the second.
+pub fn wait_for_signal(signals: &mut Signals) -> bool {
+    let signal = signals.forever().next();
+    if let Some(signal) = signal {
         log::info!(
             "{}",
             event_line("stopping", &[("signal", signal.to_string())])
@@ -107,6 +116,7 @@
             std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true)),
         );
     }
+    signal.is_some()
 }
 
 fn log_stopped(program: &str) {
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+use harness::announced::{gateway_report, instance_record};
 use harness::{World, address, seconds};
 use millpass_control_plane::{
     AdministrationAnswer, AdministrationRequest, ConnectionId, ControlInput, FleetSettings,
@@ -38,19 +39,7 @@
 }
 
 fn record(instance: &str, sequence: u64, draining: bool) -> InstanceRecord {
-    InstanceRecord {
-        instance: instance.into(),
-        service: "web".into(),
-        address: "10.0.0.9:80".to_owned(),
-        zone: "zone-1".into(),
-        slots: 4,
-        draining,
-        warmup_millis: 0,
-        sequence,
-        models: Vec::new(),
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
-    }
+    instance_record(instance.into(), sequence, draining)
 }
 
 fn announce(instance: &str, sequence: u64, draining: bool) -> AdministrationRequest {
@@ -84,17 +73,7 @@
 
 /// A report of a gateway that was told of what binds it up to this index.
 fn report_as_of(world: &mut World, connection: ConnectionId, as_of: u64) {
-    let report = GatewayReport {
-        gateway: "g-1".to_owned(),
-        zone: "zone-1".into(),
-        sequence: 1,
-        version: 0,
-        needs: Vec::new(),
-        doubted: Vec::new(),
-        sent: Vec::new(),
-        as_of,
-        known_instances: Vec::new(),
-    };
+    let report = gateway_report(as_of);
     world.router_sends(connection, RouterToControl::Gateway(report));
 }
 
--- a/crates/millpass-control-plane/tests/gateway_updates.rs
+++ b/crates/millpass-control-plane/tests/gateway_updates.rs
@@ -3,6 +3,7 @@
 
 mod harness;
 
+use harness::announced::gateway_report;
 use harness::{World, seconds};
 use millpass_control_plane::{AdministrationRequest, ConnectionId, FleetSettings};
 use millpass_proto::*;
@@ -49,15 +50,9 @@
 
 fn report(world: &mut World, connection: ConnectionId, version: u64) {
     let report = GatewayReport {
-        gateway: "g-1".to_owned(),
-        zone: "zone-1".into(),
         sequence: 41,
         version,
-        needs: Vec::new(),
-        doubted: Vec::new(),
-        sent: Vec::new(),
-        as_of: 0,
-        known_instances: Vec::new(),
+        ..gateway_report(0)
     };
     world.router_sends(connection, RouterToControl::Gateway(report));
 }
--- /dev/null
+++ b/crates/millpass-control-plane/tests/harness/announced.rs
@@ -0,0 +1,35 @@
+//! Instances that announce themselves, and a gateway, as a member hears of them.
+
+use millpass_proto::*;
+
+/// What an instance of the service `web` says of itself.
+pub fn instance_record(instance: InstanceId, sequence: u64, draining: bool) -> InstanceRecord {
+    InstanceRecord {
+        instance,
+        service: "web".into(),
+        address: "10.0.0.9:80".to_owned(),
+        zone: "zone-1".into(),
+        slots: 4,
+        draining,
+        warmup_millis: 0,
+        sequence,
+        models: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+/// The first report of a gateway that holds no document and no instances, told up to this index of the log.
+pub fn gateway_report(as_of: u64) -> GatewayReport {
+    GatewayReport {
+        gateway: "g-1".to_owned(),
+        zone: "zone-1".into(),
+        sequence: 1,
+        version: 0,
+        needs: Vec::new(),
+        doubted: Vec::new(),
+        sent: Vec::new(),
+        as_of,
+        known_instances: Vec::new(),
+    }
+}
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod announced;
 pub mod audit;
 pub mod engine;
 pub mod fleet;
--- a/crates/millpass-control-plane/tests/incarnations.rs
+++ b/crates/millpass-control-plane/tests/incarnations.rs
@@ -5,6 +5,7 @@
 
 mod harness;
 
+use harness::announced::{gateway_report, instance_record};
 use harness::{World, seconds};
 use millpass_control_plane::{AdministrationRequest, FleetSettings};
 use millpass_proto::*;
@@ -19,19 +20,7 @@
 }
 
 fn announce(incarnation: u64, sequence: u64, draining: bool) -> AdministrationRequest {
-    AdministrationRequest::Announce(InstanceRecord {
-        instance: run(incarnation),
-        service: "web".into(),
-        address: "10.0.0.9:80".to_owned(),
-        zone: "zone-1".into(),
-        slots: 4,
-        draining,
-        warmup_millis: 0,
-        sequence,
-        models: Vec::new(),
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
-    })
+    AdministrationRequest::Announce(instance_record(run(incarnation), sequence, draining))
 }
 
 fn depart(instance: InstanceId, ended: bool) -> AdministrationRequest {
@@ -49,17 +38,7 @@
 /// Runs that a gateway which comes to this member is told of, and whether each drains.
 fn told(world: &mut World, leader: MemberId) -> BTreeMap<InstanceId, bool> {
     let connection = world.connect(leader);
-    let report = GatewayReport {
-        gateway: "g-1".to_owned(),
-        zone: "zone-1".into(),
-        sequence: 1,
-        version: 0,
-        needs: Vec::new(),
-        doubted: Vec::new(),
-        sent: Vec::new(),
-        as_of: 0,
-        known_instances: Vec::new(),
-    };
+    let report = gateway_report(0);
     world.router_sends(connection, RouterToControl::Gateway(report));
     world.run(seconds(1));
     let mut told = BTreeMap::new();
--- a/crates/millpass-control-plane/tests/late_heartbeat.rs
+++ b/crates/millpass-control-plane/tests/late_heartbeat.rs
@@ -8,6 +8,7 @@
 mod harness;
 
 use harness::World;
+use harness::announced::{gateway_report, instance_record};
 use harness::network::Network;
 use millpass_consensus::Role;
 use millpass_control_plane::{AdministrationAnswer, AdministrationRequest, FleetSettings};
@@ -31,19 +32,7 @@
 }
 
 fn announce(sequence: u64) -> AdministrationRequest {
-    AdministrationRequest::Announce(InstanceRecord {
-        instance: "i-1".into(),
-        service: "web".into(),
-        address: "10.0.0.9:80".to_owned(),
-        zone: "zone-1".into(),
-        slots: 4,
-        draining: false,
-        warmup_millis: 0,
-        sequence,
-        models: Vec::new(),
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
-    })
+    AdministrationRequest::Announce(instance_record("i-1".into(), sequence, false))
 }
 
 /// The departure is acknowledged by a leader that is lost at once.
@@ -89,17 +78,7 @@
 /// Whether a gateway that comes to the leader may send to the instance, by what it is told.
 fn is_usable(world: &mut World, leader: MemberId) -> bool {
     let connection = world.connect(leader);
-    let report = GatewayReport {
-        gateway: "g-1".to_owned(),
-        zone: "zone-1".into(),
-        sequence: 1,
-        version: 0,
-        needs: Vec::new(),
-        doubted: Vec::new(),
-        sent: Vec::new(),
-        as_of: 1,
-        known_instances: Vec::new(),
-    };
+    let report = gateway_report(1);
     world.router_sends(connection, RouterToControl::Gateway(report));
     world.run(Time::from_secs(6));
     let mut usable = true;
--- a/crates/millpass-router/src/process.rs
+++ b/crates/millpass-router/src/process.rs
@@ -64,16 +64,17 @@
     ));
     let shared = Arc::new(shared(&settings, driver.clone()));
     let (stop, stopping) = bounded(0);
+    let (ended, on_thread_end) = bounded(1);
     let mut threads = Vec::new();
     let ticking = (driver.clone(), stopping.clone(), settings.tick_interval);
-    threads.push(spawn("router-ticker", move || {
+    threads.push(spawn("router-ticker", &ended, move || {
         tick(&ticking.0, &ticking.1, ticking.2);
     })?);
     for index in 0..settings.watch.threads.max(1) {
         let watcher = Watcher::new(driver.clone(), settings.watch.clone());
         let stopping = stopping.clone();
         let name = format!("router-watcher-{index}");
-        threads.push(spawn(&name, move || watcher.run(&stopping))?);
+        threads.push(spawn(&name, &ended, move || watcher.run(&stopping))?);
     }
     let (link, link_stopper) = Link::new(
         driver.clone(),
@@ -81,7 +82,7 @@
         settings.control_members.clone(),
         stopping,
     );
-    threads.push(spawn("router-link", move || link.run())?);
+    threads.push(spawn("router-link", &ended, move || link.run())?);
     let observation = observation.serve(Arc::new(ObservationHandler {
         shared: shared.clone(),
     }));
@@ -98,6 +99,7 @@
         link_stopper,
         stop: Mutex::new(Some(stop)),
         threads: Mutex::new(threads),
+        on_thread_end,
     })
 }
 
@@ -139,10 +141,30 @@
     }
 }
 
-fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> anyhow::Result<JoinHandle<()>> {
+/// Starts a thread that the router cannot do without; its end is told.
+fn spawn(
+    name: &str,
+    ended: &Sender<()>,
+    body: impl FnOnce() + Send + 'static,
+) -> anyhow::Result<JoinHandle<()>> {
+    let needed = NeededThread(ended.clone());
+    let body = move || {
+        let _needed = needed;
+        body();
+    };
     Ok(thread::Builder::new().name(name.to_owned()).spawn(body)?)
 }
 
+/// Tells when it is dropped, which is at the end of its thread.
+struct NeededThread(Sender<()>);
+
+impl Drop for NeededThread {
+    fn drop(&mut self) {
+        // The first is enough.
+        let _ = self.0.try_send(());
+    }
+}
+
 fn tick(driver: &Driver, stopping: &Receiver<()>, interval: Duration) {
     while stopping.recv_timeout(interval) == Err(RecvTimeoutError::Timeout) {
         driver.step(RoutingInput::Tick);
@@ -170,9 +192,24 @@
     link_stopper: LinkStopper,
     stop: Mutex<Option<Sender<()>>>,
     threads: Mutex<Vec<JoinHandle<()>>>,
+    /// A message comes when the first of the threads has ended.
+    on_thread_end: Receiver<()>,
 }
 
 impl RouterHandle {
+    /// Calls back once a thread has ended that the router cannot do without, by a panic or as it was stopped. A process
+    /// that goes on takes connections and cannot know what to serve them with.
+    pub fn on_thread_end(&self, act: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+        let ended = self.on_thread_end.clone();
+        let watch = move || {
+            // It closes without a message when no thread could be started.
+            let _ = ended.recv();
+            act();
+        };
+        let builder = thread::Builder::new().name("router-end".to_owned());
+        builder.spawn(watch).map(drop)
+    }
+
     /// Address of the caller API.
     pub fn address(&self) -> SocketAddr {
         self.server.local_address()
