Opening a folder and the fleet's interface stand in modules of their own

Ruled out: nothing. Change: moved, not changed: opening.rs (checks and repairs of a start), interface.rs (settings, outputs, events of the fleet's core).

--- a/crates/millpass-fleet/src/crashes.rs
+++ b/crates/millpass-fleet/src/crashes.rs
@@ -4,7 +4,8 @@
 //! them. What it holds back is told to every gateway and, once certain, kept in the log.
 
 use crate::demand::ModelKey;
-use crate::fleet::{Fleet, FleetOutput};
+use crate::fleet::Fleet;
+use crate::interface::FleetOutput;
 use millpass_proto::{
     CrashReport, CrashUpdate, Duration, HeldModel, HeldRequest, HeldRequestNote, InstanceId,
     InstructionOperation, RequestFingerprint, ServiceName, Timestamp,
--- /dev/null
+++ b/crates/millpass-fleet/src/interface.rs
@@ -0,0 +1,87 @@
+//! Settings of the core, and what it wants of its host.
+
+use millpass_proto::{
+    CrashUpdate, Duration, EngineInstruction, GatewayUpdate, HeldRequestNote, InstanceId,
+    InstanceNote, RequestFingerprint,
+};
+use millpass_tenancy::QuotaTerms;
+
+/// Settings of the core.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Name under which this process gives orders.
+    pub holder: String,
+    /// Time between two announcements of an instance.
+    pub announce_interval: Duration,
+    /// Time after which an instance that is not heard of is gone.
+    pub instance_silence: Duration,
+    /// Time after an engine's last instruction for which no other leader instructs it.
+    pub order_handover: Duration,
+    /// What the contract bears above tenants' limits.
+    pub quota: QuotaTerms,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        FleetSettings {
+            holder: "control".to_owned(),
+            announce_interval: Duration::from_millis(1_200),
+            instance_silence: Duration::from_millis(6_000),
+            order_handover: Duration::from_millis(3_500),
+            quota: QuotaTerms::default(),
+        }
+    }
+}
+
+/// An event worth a log line.
+#[derive(Clone, Debug)]
+pub struct FleetEvent {
+    /// Name.
+    pub name: &'static str,
+    /// Pairs, in order.
+    pub pairs: Vec<(&'static str, String)>,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum FleetOutput {
+    /// Send to a gateway on its connection.
+    Update {
+        /// Connection, numbered by the host.
+        connection: u64,
+        /// Update.
+        update: Box<GatewayUpdate>,
+    },
+    /// Tell a gateway what is held back.
+    Crashes {
+        /// Connection, numbered by the host.
+        connection: u64,
+        /// Update.
+        update: CrashUpdate,
+    },
+    /// Keep a request that is held back in the replicated log.
+    NoteHeldRequest(HeldRequestNote),
+    /// Take it from there.
+    LiftRequest(RequestFingerprint),
+    /// Give an engine an instruction.
+    Instruct(EngineInstruction),
+    /// Read an engine's state.
+    ReadEngine {
+        /// Run.
+        instance: InstanceId,
+        /// IP address and port.
+        address: String,
+    },
+    /// Keep what changed in the replicated log.
+    Note(InstanceNote),
+    /// Keep in the replicated log how many loads from the weight store at once go at full speed, in
+    /// hundredths.
+    NoteStoreCapacity(u32),
+    /// A gateway reported the newest document for the first time on its connection, this long after it was
+    /// committed.
+    DocumentReached(Duration),
+    /// A gateway reported that it has been told of a departure, this long after it was committed.
+    DepartureReached(Duration),
+    /// Log.
+    Event(FleetEvent),
+}
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `documents` | the last documents in force, to tell what changed |
 //! | `rollout` | how a version reaches each gateway, and who lacks it |
 //! | `crashes` | requests and loads that end the instances that run them |
+//! | `interface` | settings of the core, and what it wants of its host |
 //! | `fleet` | the core itself |
 
 mod adapters;
@@ -33,6 +34,7 @@
 mod gateways;
 mod handover;
 mod hearing;
+mod interface;
 mod permits;
 mod planner;
 mod registry;
@@ -44,8 +46,9 @@
 
 pub use demand::ModelKey;
 pub use documents::DocumentHistory;
-pub use fleet::{Fleet, FleetEvent, FleetOutput, FleetSettings};
+pub use fleet::Fleet;
 pub use handover::InstructionHistory;
+pub use interface::{FleetEvent, FleetOutput, FleetSettings};
 pub use permits::StorePermits;
 pub use store::{LoadUnderWay, StoreCapacity};
 pub use updates::GatewayContext;
--- a/crates/millpass-fleet/src/rollout.rs
+++ b/crates/millpass-fleet/src/rollout.rs
@@ -1,7 +1,8 @@
 //! The way of a document's version to each gateway: how long each took to report it, and who lacks it.
 
-use crate::fleet::{Fleet, FleetOutput};
+use crate::fleet::Fleet;
 use crate::gateways::GatewaySession;
+use crate::interface::FleetOutput;
 use crate::updates::GatewayContext;
 use millpass_proto::{DeploymentDocument, Duration, Timestamp};
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -2,8 +2,9 @@
 
 use crate::documents::DocumentHistory;
 use crate::engines::Engine;
-use crate::fleet::{Fleet, FleetOutput};
+use crate::fleet::Fleet;
 use crate::gateways::GatewaySession;
+use crate::interface::FleetOutput;
 use crate::registry::Registry;
 use millpass_proto::{
     AdapterName, DeploymentDocument, Duration, GatewayUpdate, InstanceId, InstructionOperation,
--- a/crates/millpass-storage/src/lib.rs
+++ b/crates/millpass-storage/src/lib.rs
@@ -19,6 +19,7 @@
 mod error;
 mod file_system;
 mod files;
+mod opening;
 mod options;
 mod record;
 mod replay;
--- /dev/null
+++ b/crates/millpass-storage/src/opening.rs
@@ -0,0 +1,156 @@
+//! Opening a folder: what is checked, repaired and removed before a member goes on with it.
+
+use crate::data_folder::DataFolder;
+use crate::error::{AtPath, StorageError};
+use crate::files::{self, FolderContent};
+use crate::options::StorageOptions;
+use crate::record::Record;
+use crate::restored::{RecoveryNote, RestoredStorage};
+use crate::segment::{self, ActiveSegment, LoadedSegments};
+use crate::snapshot_file::IdentityRecord;
+use crate::storage::{FIRST_SEGMENT, PendingRecords, Storage};
+use millpass_proto::{LogPosition, Snapshot};
+use std::fs::File;
+use std::path::PathBuf;
+
+/// Name of the file by which room is tried.
+const ROOM_NAME: &str = "room";
+
+/// Opens a folder whose files were read and found good, and repairs what a failed write or an end left.
+pub(crate) fn open_checked(
+    folder: DataFolder,
+    options: StorageOptions,
+    lock: File,
+    record: IdentityRecord,
+    content: FolderContent,
+    loaded: LoadedSegments,
+    snapshot: Option<Snapshot>,
+) -> Result<(Storage, RestoredStorage), StorageError> {
+    let covered = snapshot
+        .as_ref()
+        .map_or(record.initial.last, |snapshot| snapshot.meta.last);
+    refuse_uncovered_gap(&folder, &loaded, covered)?;
+    let newest = loaded.segments.last().map_or(0, |segment| segment.number);
+    let path = files::segment_path(&folder.path, newest);
+    if loaded.replay.base.index > covered.index {
+        let reason = "the snapshot before the log is missing";
+        return Err(StorageError::corrupt(&path, 0, reason));
+    }
+    let reaches_snapshot = loaded.replay.contains(covered);
+    let mut notes: Vec<RecoveryNote> = loaded.note.into_iter().collect();
+    // Half-written files go first: nothing relies on them, and a full disk needs the room.
+    for file in content.temporary {
+        notes.push(match folder.remove(&file) {
+            Ok(()) => RecoveryNote::TemporaryFileRemoved { file },
+            Err(error) => kept(file, &error),
+        });
+    }
+    // A process that was killed after a rename may not have synced it; what follows relies on the names.
+    folder.sync()?;
+    for number in loaded.before_gap {
+        let file = files::segment_path(&folder.path, number);
+        notes.push(remove_covered(&folder, file));
+    }
+    let mut storage = Storage {
+        active: ActiveSegment::open(&folder, path, loaded.newest_length)?,
+        folder,
+        options,
+        _lock: lock,
+        hard_state: loaded.replay.hard_state.clone(),
+        last: loaded.replay.last(),
+        snapshot_index: covered.index,
+        segments: loaded.segments,
+        notes: Vec::new(),
+    };
+    notes.extend(storage.remove_covered_files());
+    try_room(&storage.folder, storage.options.start_room_bytes)?;
+    let mut entries = loaded.replay.entries;
+    if reaches_snapshot {
+        entries.retain(|entry| entry.position.index > covered.index);
+    } else {
+        notes.push(RecoveryNote::LogReplaced {
+            dropped: entries.len() as u64,
+        });
+        entries.clear();
+        let mut pending = PendingRecords::new(storage.hard_state.clone(), storage.last);
+        pending.add(Record::Replaced(covered))?;
+        storage.append(&mut pending)?;
+    }
+    let restored = RestoredStorage {
+        identity: record.identity,
+        hard_state: storage.hard_state.clone(),
+        initial: record.initial,
+        snapshot,
+        entries,
+        notes,
+    };
+    Ok((storage, restored))
+}
+
+/// Whether the folder has room to go on: a file of that many bytes is written, synced and removed.
+fn try_room(folder: &DataFolder, bytes: u64) -> Result<(), StorageError> {
+    let path = files::temporary_path(&folder.path.join(ROOM_NAME));
+    let zeros = vec![0; bytes as usize];
+    let written = folder.files.write_synced(&path, &[&zeros]);
+    // Where it cannot be removed, the next start does so.
+    let removed = folder.files.remove(&path);
+    written.and(removed).at(&path)
+}
+
+/// Segments before a gap may go only if the snapshot covers all up to the first one behind it.
+fn refuse_uncovered_gap(
+    folder: &DataFolder,
+    loaded: &LoadedSegments,
+    covered: LogPosition,
+) -> Result<(), StorageError> {
+    let Some(first) = loaded.segments.first() else {
+        return Ok(());
+    };
+    if loaded.before_gap.is_empty() || first.start.index <= covered.index {
+        return Ok(());
+    }
+    let path = files::segment_path(&folder.path, first.number);
+    let reason = "the segment before it is missing";
+    Err(StorageError::corrupt(&path, 0, reason))
+}
+
+/// Without an identity file nothing was ever acknowledged, unless that file was lost: then there
+/// is more than what a broken-off initialization leaves.
+pub(crate) fn refuse_leftover_data(
+    folder: &DataFolder,
+    content: &FolderContent,
+) -> Result<(), StorageError> {
+    let fresh_only = content
+        .segments
+        .iter()
+        .all(|number| *number == FIRST_SEGMENT);
+    let mut leftover = !content.snapshots.is_empty() || !fresh_only;
+    if let (true, Some(number)) = (fresh_only, content.segments.first()) {
+        let loaded = segment::load(folder, &[*number])?;
+        leftover |= !loaded.replay.entries.is_empty() || loaded.replay.hard_state.term > 0;
+    }
+    if leftover {
+        let reason = "the identity file is missing, but the folder holds a member's log";
+        return Err(StorageError::corrupt(
+            &files::identity_path(&folder.path),
+            0,
+            reason,
+        ));
+    }
+    Ok(())
+}
+
+/// Removes a file that a snapshot covers.
+pub(crate) fn remove_covered(folder: &DataFolder, file: PathBuf) -> RecoveryNote {
+    match folder.remove(&file) {
+        Ok(()) => RecoveryNote::CoveredFileRemoved { file },
+        Err(error) => kept(file, &error),
+    }
+}
+
+fn kept(file: PathBuf, error: &StorageError) -> RecoveryNote {
+    RecoveryNote::FileKept {
+        file,
+        reason: error.to_string(),
+    }
+}
--- a/crates/millpass-storage/src/storage.rs
+++ b/crates/millpass-storage/src/storage.rs
@@ -1,22 +1,20 @@
 //! The storage of one member: opening, writing, snapshots.
 
 use crate::data_folder::DataFolder;
-use crate::error::{AtPath, StorageError};
-use crate::files::{self, FolderContent};
+use crate::error::StorageError;
+use crate::files;
+use crate::opening;
 use crate::options::StorageOptions;
 use crate::record::{self, Record};
 use crate::restored::{MemberIdentity, RecoveryNote, RestoredStorage};
-use crate::segment::{self, ActiveSegment, LoadedSegments, SegmentInfo};
+use crate::segment::{self, ActiveSegment, SegmentInfo};
 use crate::snapshot_file::{self, IdentityRecord};
 use millpass_proto::{HardState, LogEntry, LogPosition, Snapshot, SnapshotMeta};
 use std::fs::File;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 /// Number of the first segment.
-const FIRST_SEGMENT: u64 = 1;
-
-/// Name of the file by which that room is tried.
-const ROOM_NAME: &str = "room";
+pub(crate) const FIRST_SEGMENT: u64 = 1;
 
 /// One write, as the consensus core asks for it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -31,16 +29,16 @@
 
 /// An open data folder. Dropping it releases the lock.
 pub struct Storage {
-    folder: DataFolder,
-    options: StorageOptions,
-    _lock: File,
-    hard_state: HardState,
-    last: LogPosition,
-    snapshot_index: u64,
-    segments: Vec<SegmentInfo>,
-    active: ActiveSegment,
+    pub(crate) folder: DataFolder,
+    pub(crate) options: StorageOptions,
+    pub(crate) _lock: File,
+    pub(crate) hard_state: HardState,
+    pub(crate) last: LogPosition,
+    pub(crate) snapshot_index: u64,
+    pub(crate) segments: Vec<SegmentInfo>,
+    pub(crate) active: ActiveSegment,
     /// What could not be done, to be logged.
-    notes: Vec<RecoveryNote>,
+    pub(crate) notes: Vec<RecoveryNote>,
 }
 
 impl Storage {
@@ -74,7 +72,7 @@
             term: 0,
             voted_for: None,
         };
-        refuse_leftover_data(&folder, &folder.list()?)?;
+        opening::refuse_leftover_data(&folder, &folder.list()?)?;
         segment::create(&folder, FIRST_SEGMENT, &hard_state, initial.last)?;
         snapshot_file::write_identity(&folder, &IdentityRecord { identity, initial })
     }
@@ -110,7 +108,7 @@
             None => None,
         };
         // Everything was read and found good: only now may anything be changed.
-        open_checked(folder, options, lock, record, content, loaded, snapshot)
+        opening::open_checked(folder, options, lock, record, content, loaded, snapshot)
     }
 
     /// Writes and syncs.
@@ -198,7 +196,7 @@
         Ok(())
     }
 
-    fn append(&mut self, pending: &mut PendingRecords) -> Result<(), StorageError> {
+    pub(crate) fn append(&mut self, pending: &mut PendingRecords) -> Result<(), StorageError> {
         if pending.bytes.is_empty() {
             return Ok(());
         }
@@ -237,14 +235,14 @@
 
     /// Removes older snapshots, and each segment whose successor started within the snapshot:
     /// all that it still says is covered by the snapshot and the successor's first record.
-    fn remove_covered_files(&mut self) -> Vec<RecoveryNote> {
+    pub(crate) fn remove_covered_files(&mut self) -> Vec<RecoveryNote> {
         let mut notes = Vec::new();
         match self.folder.list() {
             Ok(content) => {
                 let is_older = |index: &u64| *index < self.snapshot_index;
                 for index in content.snapshots.into_iter().filter(is_older) {
                     let path = files::snapshot_path(&self.folder.path, index);
-                    notes.push(remove_covered(&self.folder, path));
+                    notes.push(opening::remove_covered(&self.folder, path));
                 }
             }
             Err(error) => notes.push(RecoveryNote::FileKept {
@@ -257,7 +255,7 @@
                 break;
             }
             let path = files::segment_path(&self.folder.path, oldest.number);
-            let note = remove_covered(&self.folder, path);
+            let note = opening::remove_covered(&self.folder, path);
             let is_kept = matches!(note, RecoveryNote::FileKept { .. });
             notes.push(note);
             if is_kept {
@@ -270,14 +268,14 @@
 }
 
 /// Records on their way to the disk, and the state after them.
-struct PendingRecords {
+pub(crate) struct PendingRecords {
     bytes: Vec<u8>,
     hard_state: HardState,
     last: LogPosition,
 }
 
 impl PendingRecords {
-    fn new(hard_state: HardState, last: LogPosition) -> Self {
+    pub(crate) fn new(hard_state: HardState, last: LogPosition) -> Self {
         PendingRecords {
             bytes: Vec::new(),
             hard_state,
@@ -285,7 +283,7 @@
         }
     }
 
-    fn add(&mut self, record: Record) -> Result<(), StorageError> {
+    pub(crate) fn add(&mut self, record: Record) -> Result<(), StorageError> {
         if let Record::Entry(entry) = &record
             && entry.position.index > self.last.index + 1
         {
@@ -304,138 +302,3 @@
         Ok(())
     }
 }
-
-fn open_checked(
-    folder: DataFolder,
-    options: StorageOptions,
-    lock: File,
-    record: IdentityRecord,
-    content: FolderContent,
-    loaded: LoadedSegments,
-    snapshot: Option<Snapshot>,
-) -> Result<(Storage, RestoredStorage), StorageError> {
-    let covered = snapshot
-        .as_ref()
-        .map_or(record.initial.last, |snapshot| snapshot.meta.last);
-    refuse_uncovered_gap(&folder, &loaded, covered)?;
-    let newest = loaded.segments.last().map_or(0, |segment| segment.number);
-    let path = files::segment_path(&folder.path, newest);
-    if loaded.replay.base.index > covered.index {
-        let reason = "the snapshot before the log is missing";
-        return Err(StorageError::corrupt(&path, 0, reason));
-    }
-    let reaches_snapshot = loaded.replay.contains(covered);
-    let mut notes: Vec<RecoveryNote> = loaded.note.into_iter().collect();
-    // Half-written files go first: nothing relies on them, and a full disk needs the room.
-    for file in content.temporary {
-        notes.push(match folder.remove(&file) {
-            Ok(()) => RecoveryNote::TemporaryFileRemoved { file },
-            Err(error) => kept(file, &error),
-        });
-    }
-    // A process that was killed after a rename may not have synced it; what follows relies on the names.
-    folder.sync()?;
-    for number in loaded.before_gap {
-        let file = files::segment_path(&folder.path, number);
-        notes.push(remove_covered(&folder, file));
-    }
-    let mut storage = Storage {
-        active: ActiveSegment::open(&folder, path, loaded.newest_length)?,
-        folder,
-        options,
-        _lock: lock,
-        hard_state: loaded.replay.hard_state.clone(),
-        last: loaded.replay.last(),
-        snapshot_index: covered.index,
-        segments: loaded.segments,
-        notes: Vec::new(),
-    };
-    notes.extend(storage.remove_covered_files());
-    try_room(&storage.folder, storage.options.start_room_bytes)?;
-    let mut entries = loaded.replay.entries;
-    if reaches_snapshot {
-        entries.retain(|entry| entry.position.index > covered.index);
-    } else {
-        notes.push(RecoveryNote::LogReplaced {
-            dropped: entries.len() as u64,
-        });
-        entries.clear();
-        let mut pending = PendingRecords::new(storage.hard_state.clone(), storage.last);
-        pending.add(Record::Replaced(covered))?;
-        storage.append(&mut pending)?;
-    }
-    let restored = RestoredStorage {
-        identity: record.identity,
-        hard_state: storage.hard_state.clone(),
-        initial: record.initial,
-        snapshot,
-        entries,
-        notes,
-    };
-    Ok((storage, restored))
-}
-
-/// Whether the folder has room to go on: a file of that many bytes is written, synced and removed.
-fn try_room(folder: &DataFolder, bytes: u64) -> Result<(), StorageError> {
-    let path = files::temporary_path(&folder.path.join(ROOM_NAME));
-    let zeros = vec![0; bytes as usize];
-    let written = folder.files.write_synced(&path, &[&zeros]);
-    // Where it cannot be removed, the next start does so.
-    let removed = folder.files.remove(&path);
-    written.and(removed).at(&path)
-}
-
-/// Segments before a gap may go only if the snapshot covers all up to the first one behind it.
-fn refuse_uncovered_gap(
-    folder: &DataFolder,
-    loaded: &LoadedSegments,
-    covered: LogPosition,
-) -> Result<(), StorageError> {
-    let Some(first) = loaded.segments.first() else {
-        return Ok(());
-    };
-    if loaded.before_gap.is_empty() || first.start.index <= covered.index {
-        return Ok(());
-    }
-    let path = files::segment_path(&folder.path, first.number);
-    let reason = "the segment before it is missing";
-    Err(StorageError::corrupt(&path, 0, reason))
-}
-
-/// Without an identity file nothing was ever acknowledged, unless that file was lost: then there
-/// is more than what a broken-off initialization leaves.
-fn refuse_leftover_data(folder: &DataFolder, content: &FolderContent) -> Result<(), StorageError> {
-    let fresh_only = content
-        .segments
-        .iter()
-        .all(|number| *number == FIRST_SEGMENT);
-    let mut leftover = !content.snapshots.is_empty() || !fresh_only;
-    if let (true, Some(number)) = (fresh_only, content.segments.first()) {
-        let loaded = segment::load(folder, &[*number])?;
-        leftover |= !loaded.replay.entries.is_empty() || loaded.replay.hard_state.term > 0;
-    }
-    if leftover {
-        let reason = "the identity file is missing, but the folder holds a member's log";
-        return Err(StorageError::corrupt(
-            &files::identity_path(&folder.path),
-            0,
-            reason,
-        ));
-    }
-    Ok(())
-}
-
-/// Removes a file that a snapshot covers.
-fn remove_covered(folder: &DataFolder, file: PathBuf) -> RecoveryNote {
-    match folder.remove(&file) {
-        Ok(()) => RecoveryNote::CoveredFileRemoved { file },
-        Err(error) => kept(file, &error),
-    }
-}
-
-fn kept(file: PathBuf, error: &StorageError) -> RecoveryNote {
-    RecoveryNote::FileKept {
-        file,
-        reason: error.to_string(),
-    }
-}
