What one member is sent outdates nothing of another's at its address

Ruled out: a queue by member: the connection is by address, and would be made twice. Change: requests are counted by the member that they are for.

--- a/crates/millpass-control/src/peer_queue.rs
+++ b/crates/millpass-control/src/peer_queue.rs
@@ -1,12 +1,15 @@
-//! What waits to be sent to one member: bounded in messages and bytes, without outdated heartbeats.
+//! What waits to be sent to one address: bounded in messages and bytes, without outdated heartbeats.
 //!
 //! A member that does not read, or a connection that is made anew, leaves a queue behind. Entries in it are
 //! still worth sending: what is lost has to be found missing and sent again, and a slow member that never got
 //! old entries would never get any. A heartbeat is not, once a later request follows it: that one says all it
 //! said, and the older would only prolong a promise to a leader that may be gone.
+//!
+//! More than one member may be meant at an address: a process that came back empty is a learner there beside the
+//! identity whose place it is to take. What one of them is sent outdates nothing of the other's.
 
-use millpass_proto::{Command, EntryPayload, LinkMessage, LogEntry, PeerMessage};
-use std::collections::VecDeque;
+use millpass_proto::{Command, EntryPayload, LinkMessage, LogEntry, MemberId, PeerMessage};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Bytes that may wait for one member: the 32 requests that a leader has under way without an answer, with a
 /// large document each (256 KiB as sent, twice that with what is derived from it).
@@ -20,8 +23,8 @@
     waiting: VecDeque<LinkMessage>,
     maximum_messages: usize,
     bytes: usize,
-    /// Append requests among those that wait.
-    requests: usize,
+    /// Append requests among those that wait, by the member that each is for.
+    requests: BTreeMap<MemberId, usize>,
 }
 
 impl PeerQueue {
@@ -31,7 +34,7 @@
             waiting: VecDeque::new(),
             maximum_messages,
             bytes: 0,
-            requests: 0,
+            requests: BTreeMap::new(),
         }
     }
 
@@ -44,7 +47,9 @@
             return false;
         }
         self.bytes += bytes;
-        self.requests += usize::from(is_request(&message));
+        if let Some(member) = requested(&message) {
+            *self.requests.entry(member).or_default() += 1;
+        }
         self.waiting.push_back(message);
         true
     }
@@ -54,14 +59,28 @@
         loop {
             let message = self.waiting.pop_front()?;
             self.bytes = self.bytes.saturating_sub(bytes_of(&message));
-            self.requests -= usize::from(is_request(&message));
-            let is_outdated = is_heartbeat(&message) && self.requests > 0;
+            let is_followed = self.is_request_followed(&message);
+            let is_outdated = is_heartbeat(&message) && is_followed;
             if !is_outdated {
                 return Some(message);
             }
         }
     }
 
+    /// Takes a request out of the count; whether one to the same member follows it.
+    fn is_request_followed(&mut self, message: &LinkMessage) -> bool {
+        let Some(member) = requested(message) else {
+            return false;
+        };
+        let left = self.requests.get(&member).map_or(0, |count| count - 1);
+        if left == 0 {
+            self.requests.remove(&member);
+        } else {
+            self.requests.insert(member, left);
+        }
+        left > 0
+    }
+
     /// Drops all.
     pub fn clear(&mut self) {
         *self = PeerQueue::new(self.maximum_messages);
@@ -73,11 +92,12 @@
     }
 }
 
-fn is_request(message: &LinkMessage) -> bool {
+/// The member that an append request is for.
+fn requested(message: &LinkMessage) -> Option<MemberId> {
     let LinkMessage::Peer(envelope) = message else {
-        return false;
+        return None;
     };
-    matches!(envelope.message, PeerMessage::AppendRequest(_))
+    matches!(envelope.message, PeerMessage::AppendRequest(_)).then_some(envelope.to)
 }
 
 fn is_heartbeat(message: &LinkMessage) -> bool {
