--- a/crates/millpass-standin/tests/crashing.rs
+++ b/crates/millpass-standin/tests/crashing.rs
@@ -3,6 +3,11 @@
 use millpass_standin::crashing::{CrashingServer, RawRequest, Reaction};
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest wait for a server to have ended; never reached by a good run.
+const PATIENCE: Duration = Duration::from_secs(10);
 
 fn react(request: &RawRequest) -> Reaction {
     match request.body.as_slice() {
@@ -24,15 +29,26 @@
     Ok(answer[..count].to_vec())
 }
 
+/// A server sends the last bytes before it ends, so a caller may come first.
+fn wait_until(mut holds: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < PATIENCE, "waited in vain");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 #[test]
 fn a_server_ends_under_a_request_and_begins_again_at_its_address() {
     let server = CrashingServer::start(Box::new(react)).expect("server");
     for _ in 0..3 {
         assert_eq!(ask(&server, "other").expect("answer"), b"answer");
         assert_ne!(ask(&server, "end").unwrap_or_default(), b"answer");
-        assert!(server.has_ended());
-        let refused = TcpStream::connect(server.address()).map_err(|error| error.kind());
-        assert_eq!(refused.err(), Some(ErrorKind::ConnectionRefused));
+        wait_until(|| server.has_ended());
+        wait_until(|| {
+            let refused = TcpStream::connect(server.address()).map_err(|error| error.kind());
+            refused.err() == Some(ErrorKind::ConnectionRefused)
+        });
         server.begin_again().expect("listens");
     }
     assert_eq!(ask(&server, "other").expect("answer"), b"answer");
