Sight: calls to engines have a number that their answers name; logs tell what an order rests on

Cause: the logs could not tell which call an answer answers, how long it waited in the pool, what the leader believed of an engine when it gave an order, and which word took something out of that. Ruled out: no change of logic here; the number is carried, and nothing decides by it yet. Change: CallId in instructions, reads and answers (unique in the process, also over changes of leader); instruction-sent says what was believed, from which word and how old; engine-answered says call, order under way, waited and took; engine-lost says what a word took.

--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -7,11 +7,11 @@
 use crate::plane::ControlPlane;
 use crate::proposals::{InternalKey, Waiter};
 use millpass_consensus::Role;
-use millpass_fleet::{FleetOutput, GatewayContext};
+use millpass_fleet::{CallAnswer, FleetOutput, GatewayContext};
 use millpass_proto::{
     Command, ControlToRouter, CrashReport, EngineInstruction, GatewayReport, InstanceDeparture,
-    InstanceId, InstanceRecord, InstructionAnswer, InstructionNote, LogPosition, PutDocument,
-    RequestFingerprint, Timestamp,
+    InstanceId, InstanceRecord, InstructionNote, LogPosition, PutDocument, RequestFingerprint,
+    Timestamp,
 };
 use millpass_state::State;
 
@@ -197,14 +197,9 @@
         self.propose(now, Waiter::Call(call), command, out);
     }
 
-    pub(crate) fn instruction_answered(
-        &mut self,
-        now: Timestamp,
-        instance: &InstanceId,
-        answer: &InstructionAnswer,
-    ) {
+    pub(crate) fn instruction_answered(&mut self, now: Timestamp, answer: &CallAnswer) {
         if let Some(fleet) = &mut self.fleet {
-            fleet.answered(now, instance, answer);
+            fleet.answered(now, answer);
         }
     }
 
@@ -257,8 +252,16 @@
                     let message = ControlToRouter::Gateway(*update);
                     out.send_router(ConnectionId(connection), message);
                 }
-                FleetOutput::ReadEngine { instance, address } => {
-                    out.push(ControlOutput::ReadEngine { instance, address });
+                FleetOutput::ReadEngine {
+                    instance,
+                    address,
+                    call,
+                } => {
+                    out.push(ControlOutput::ReadEngine {
+                        instance,
+                        address,
+                        call,
+                    });
                 }
                 FleetOutput::DocumentReached(after) => {
                     out.push(ControlOutput::DocumentReached(after));
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -1,13 +1,13 @@
 //! Inputs, outputs and settings of a control member's decision core.
 
 use millpass_consensus::{ConsensusSettings, ConsensusStatus, MembershipChange, PersistRequest};
-use millpass_fleet::FleetSettings;
+use millpass_fleet::{CallAnswer, FleetSettings};
 use millpass_proto::{
-    AuditRecord, BackendName, BackendState, ConfigurationRevision, ControlToRouter, Duration,
-    EngineInstruction, EngineOrder, InstanceDeparture, InstanceId, InstanceRecord,
-    InstructionAnswer, LogPosition, MemberAddress, ObjectChange, ObjectChangeOutcome, ObjectKey,
-    ObjectKind, OrderAnswer, PeerEnvelope, PlatformList, PutDocument, RequestFingerprint,
-    RouterToControl, Snapshot, StoredObject,
+    AuditRecord, BackendName, BackendState, CallId, ConfigurationRevision, ControlToRouter,
+    Duration, EngineInstruction, EngineOrder, InstanceDeparture, InstanceId, InstanceRecord,
+    LogPosition, MemberAddress, ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind,
+    OrderAnswer, PeerEnvelope, PlatformList, PutDocument, RequestFingerprint, RouterToControl,
+    Snapshot, StoredObject,
 };
 use millpass_scheduler::SchedulerSettings;
 
@@ -96,12 +96,7 @@
     /// Stop: hand leadership over, then report [`ControlOutput::Stopped`].
     Drain,
     /// What became of an instruction to an engine, or of reading its state.
-    InstructionAnswered {
-        /// Run it was for.
-        instance: InstanceId,
-        /// Answer.
-        answer: InstructionAnswer,
-    },
+    InstructionAnswered(CallAnswer),
 }
 
 /// A call of the administration API.
@@ -239,6 +234,8 @@
         instance: InstanceId,
         /// IP address and port.
         address: String,
+        /// The call, named by its answer.
+        call: CallId,
     },
     /// Write and sync, then answer [`ControlInput::Persisted`].
     Persist(PersistRequest),
--- a/crates/millpass-control-plane/src/lib.rs
+++ b/crates/millpass-control-plane/src/lib.rs
@@ -54,5 +54,5 @@
 pub use claims::ABANDON_SILENCE;
 pub use freshness::FreshnessMark;
 pub use interface::*;
-pub use millpass_fleet::FleetSettings;
+pub use millpass_fleet::{CallAnswer, FleetSettings};
 pub use plane::ControlPlane;
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -236,8 +236,8 @@
             ControlInput::Administration { call, request } => {
                 self.take_administration(now, call, request, out);
             }
-            ControlInput::InstructionAnswered { instance, answer } => {
-                self.instruction_answered(now, &instance, &answer);
+            ControlInput::InstructionAnswered(answer) => {
+                self.instruction_answered(now, &answer);
             }
             ControlInput::Drain => {
                 out.event("drain-started", Vec::new());
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -363,11 +363,7 @@
             on_disk: Vec::new(),
             coming: Vec::new(),
         };
-        let answer = ControlInput::InstructionAnswered {
-            instance: engine.into(),
-            answer: InstructionAnswer::State(state),
-        };
-        world.give(leader, answer);
+        world.answer_read(leader, &engine.into(), InstructionAnswer::State(state));
     }
 }
 
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -18,8 +18,8 @@
 
 use millpass_consensus::{ConsensusSettings, RestoredLog};
 use millpass_control_plane::{
-    AdministrationAnswer, AdministrationRequest, ConnectionId, ControlInput, ControlOutput,
-    ControlPlane, ControlPlaneSettings, FleetSettings,
+    AdministrationAnswer, AdministrationRequest, CallAnswer, ConnectionId, ControlInput,
+    ControlOutput, ControlPlane, ControlPlaneSettings, FleetSettings,
 };
 use millpass_proto::*;
 use millpass_scheduler::SchedulerSettings;
@@ -81,7 +81,7 @@
     pub to_routers: BTreeMap<ConnectionId, VecDeque<ControlToRouter>>,
     pub deliveries: Vec<(MemberId, EngineOrder)>,
     pub instructions: Vec<(MemberId, EngineInstruction)>,
-    pub engine_reads: Vec<(MemberId, InstanceId)>,
+    pub engine_reads: Vec<(MemberId, InstanceId, CallId)>,
     pub events: Vec<(MemberId, String, String)>,
     pub engines: BTreeMap<BackendName, TestEngine>,
     pub platform: PlatformList,
@@ -378,6 +378,37 @@
         self.settle();
     }
 
+    /// The newest read of an engine's state by a member is answered.
+    pub fn answer_read(
+        &mut self,
+        member: MemberId,
+        instance: &InstanceId,
+        answer: InstructionAnswer,
+    ) {
+        let mut reads = self.engine_reads.iter().rev();
+        let read = reads.find(|(reader, read, _)| *reader == member && read == instance);
+        let (_, _, call) = read.expect("it was read");
+        self.answer_call(member, instance, *call, answer);
+    }
+
+    /// A call to an engine is answered.
+    pub fn answer_call(
+        &mut self,
+        member: MemberId,
+        instance: &InstanceId,
+        call: CallId,
+        answer: InstructionAnswer,
+    ) {
+        let answer = CallAnswer {
+            instance: instance.clone(),
+            call,
+            answer,
+            waited: std::time::Duration::ZERO,
+            took: std::time::Duration::ZERO,
+        };
+        self.give(member, ControlInput::InstructionAnswered(answer));
+    }
+
     fn settle(&mut self) {
         while let Some((id, input)) = self.inputs.pop_front() {
             let unix_millis = self.unix_millis();
@@ -456,7 +487,9 @@
                 self.forward_join(id, &address, joiner)
             }
             ControlOutput::Instruct(instruction) => self.instructions.push((id, instruction)),
-            ControlOutput::ReadEngine { instance, .. } => self.engine_reads.push((id, instance)),
+            ControlOutput::ReadEngine { instance, call, .. } => {
+                self.engine_reads.push((id, instance, call));
+            }
             ControlOutput::DocumentReached(_) | ControlOutput::DepartureReached(_) => {}
             ControlOutput::Stopped => self.members.get_mut(&id).unwrap().stopped = true,
         }
--- a/crates/millpass-control/src/deliveries.rs
+++ b/crates/millpass-control/src/deliveries.rs
@@ -9,13 +9,14 @@
 use crate::inputs::Inputs;
 use crate::interface::EngineCalls;
 use crossbeam::channel::{Receiver, Sender, bounded};
-use millpass_control_plane::ControlInput;
+use millpass_control_plane::{CallAnswer, ControlInput};
 use millpass_proto::{
-    Duration, EngineInstruction, EngineOrder, InstanceId, InstructionAnswer, OrderAnswer,
+    CallId, Duration, EngineInstruction, EngineOrder, InstanceId, InstructionAnswer, OrderAnswer,
     PlatformList,
 };
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
+use std::time::Instant;
 
 /// A call to make.
 pub(crate) enum Delivery {
@@ -25,19 +26,34 @@
     ReadPlatform(String),
     /// Give an engine an instruction.
     Instruct(EngineInstruction),
-    /// Read the state of the engine's run at this address.
-    ReadEngine(InstanceId, String),
+    /// Read the state of an engine.
+    ReadEngine(EngineRead),
+}
+
+/// A read of an engine's state.
+pub(crate) struct EngineRead {
+    /// Run.
+    pub(crate) instance: InstanceId,
+    /// IP address and port.
+    pub(crate) address: String,
+    pub(crate) call: CallId,
+}
+
+/// A call that waits for a thread.
+pub(crate) struct Waiting {
+    since: Instant,
+    delivery: Delivery,
 }
 
 /// Hands calls to the pool.
 pub(crate) struct Deliveries {
-    queue: Sender<Delivery>,
+    queue: Sender<Waiting>,
     inputs: Inputs,
 }
 
 impl Deliveries {
     /// The pool's queue: the end that hands calls over, and the threads' end.
-    pub(crate) fn new(inputs: Inputs, queue: usize) -> (Deliveries, Receiver<Delivery>) {
+    pub(crate) fn new(inputs: Inputs, queue: usize) -> (Deliveries, Receiver<Waiting>) {
         let (sender, receiver) = bounded(queue);
         let deliveries = Deliveries {
             queue: sender,
@@ -48,20 +64,29 @@
 
     /// Hands a call over.
     pub(crate) fn submit(&self, delivery: Delivery) {
-        let Err(refused) = self.queue.try_send(delivery) else {
+        let waiting = Waiting {
+            since: Instant::now(),
+            delivery,
+        };
+        let Err(refused) = self.queue.try_send(waiting) else {
             return;
         };
-        let unanswered = match refused.into_inner() {
+        let unanswered = match refused.into_inner().delivery {
             Delivery::Order(_, order) => ControlInput::OrderDelivered {
                 backend: order.backend,
                 fence: order.fence,
                 answer: None,
             },
-            Delivery::Instruct(EngineInstruction { instance, .. })
-            | Delivery::ReadEngine(instance, _) => ControlInput::InstructionAnswered {
-                instance,
-                answer: InstructionAnswer::Unanswered,
-            },
+            Delivery::Instruct(EngineInstruction { instance, call, .. })
+            | Delivery::ReadEngine(EngineRead { instance, call, .. }) => {
+                ControlInput::InstructionAnswered(CallAnswer {
+                    instance,
+                    call,
+                    answer: InstructionAnswer::Unanswered,
+                    waited: Duration::ZERO,
+                    took: Duration::ZERO,
+                })
+            }
             Delivery::ReadPlatform(_) => return,
         };
         self.inputs.put(unanswered);
@@ -87,7 +112,7 @@
 /// One thread of the pool.
 pub(crate) struct DeliveryWorker {
     agent: ureq::Agent,
-    queue: Receiver<Delivery>,
+    queue: Receiver<Waiting>,
     inputs: Inputs,
     engines: Option<Arc<dyn EngineCalls>>,
 }
@@ -96,7 +121,7 @@
     /// The agent bounds the time of each call; all threads of the pool share it, and its
     /// connections.
     pub(crate) fn new(
-        queue: Receiver<Delivery>,
+        queue: Receiver<Waiting>,
         inputs: Inputs,
         agent: ureq::Agent,
         engines: Option<Arc<dyn EngineCalls>>,
@@ -112,26 +137,28 @@
     /// Body of the thread; ends when the queue's other end is dropped. What an engine or the platform answers costs one
     /// delivery at most: one that makes this panic would come again at the next leader.
     pub(crate) fn run(self) {
-        while let Ok(delivery) = self.queue.recv() {
-            let carried_out = catch_unwind(AssertUnwindSafe(|| self.carry_out(delivery)));
+        while let Ok(waiting) = self.queue.recv() {
+            let carried_out = catch_unwind(AssertUnwindSafe(|| self.carry_out(waiting)));
             if carried_out.is_err() {
                 log::error!("event=delivery_panicked");
             }
         }
     }
 
-    fn carry_out(&self, delivery: Delivery) {
-        match delivery {
+    fn carry_out(&self, waiting: Waiting) {
+        let waited = waiting.since.elapsed();
+        match waiting.delivery {
             Delivery::Order(address, order) => self.deliver(&address, &order),
             Delivery::ReadPlatform(address) => self.read_platform(&address),
             Delivery::Instruct(instruction) => {
                 let call = |engines: &dyn EngineCalls| engines.instruct(&self.agent, &instruction);
-                self.call_engine(&instruction.instance, call);
+                self.call_engine(&instruction.instance, instruction.call, waited, call);
             }
-            Delivery::ReadEngine(instance, address) => {
-                let call =
-                    |engines: &dyn EngineCalls| engines.read(&self.agent, &instance, &address);
-                self.call_engine(&instance, call);
+            Delivery::ReadEngine(read) => {
+                let call = |engines: &dyn EngineCalls| {
+                    engines.read(&self.agent, &read.instance, &read.address)
+                };
+                self.call_engine(&read.instance, read.call, waited, call);
             }
         }
     }
@@ -139,14 +166,21 @@
     fn call_engine(
         &self,
         instance: &InstanceId,
-        call: impl FnOnce(&dyn EngineCalls) -> InstructionAnswer,
+        call: CallId,
+        waited: Duration,
+        make: impl FnOnce(&dyn EngineCalls) -> InstructionAnswer,
     ) {
         let unanswered = InstructionAnswer::Unanswered;
-        let answer = self.engines.as_deref().map_or(unanswered, call);
-        self.inputs.send(ControlInput::InstructionAnswered {
+        let left_at = Instant::now();
+        let answer = self.engines.as_deref().map_or(unanswered, make);
+        let answer = CallAnswer {
             instance: instance.clone(),
+            call,
             answer,
-        });
+            waited,
+            took: left_at.elapsed(),
+        };
+        self.inputs.send(ControlInput::InstructionAnswered(answer));
     }
 
     fn deliver(&self, address: &str, order: &EngineOrder) {
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -5,7 +5,7 @@
 
 use crate::calls::CallTable;
 use crate::connections::Connections;
-use crate::deliveries::{Deliveries, Delivery};
+use crate::deliveries::{Deliveries, Delivery, EngineRead};
 use crate::disk::DiskWork;
 use crate::disk_watch::DiskWatch;
 use crate::error::ControlError;
@@ -218,9 +218,17 @@
             ControlOutput::Instruct(instruction) => {
                 self.deliveries.submit(Delivery::Instruct(instruction));
             }
-            ControlOutput::ReadEngine { instance, address } => {
-                let delivery = Delivery::ReadEngine(instance, address);
-                self.deliveries.submit(delivery);
+            ControlOutput::ReadEngine {
+                instance,
+                address,
+                call,
+            } => {
+                let read = EngineRead {
+                    instance,
+                    address,
+                    call,
+                };
+                self.deliveries.submit(Delivery::ReadEngine(read));
             }
             ControlOutput::Persist(request) => self.write(DiskWork::Persist(request)),
             ControlOutput::SaveSnapshot(snapshot) => self.write(DiskWork::Snapshot(snapshot)),
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -5,9 +5,11 @@
 //! `cargo run --release -p millpass-fleet --example leader_cost`
 
 use millpass_fleet::{
-    DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
+    CallAnswer, DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext,
+    InstructionHistory,
 };
 use millpass_proto::{codec, *};
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 /// One size: engines, models, gateways, needs that nobody serves.
@@ -322,6 +324,7 @@
         let begin = Timestamp::from_millis(1_000);
         let history = InstructionHistory::new(Timestamp::ZERO, Duration::ZERO);
         fleet.begin(begin, std::iter::empty(), std::iter::empty(), &history);
+        let mut states = BTreeMap::new();
         for engine in 0..engines {
             let record = record(engine, models);
             let state = EngineState {
@@ -334,7 +337,21 @@
             };
             let instance = record.instance.clone();
             fleet.announce(begin, record, false);
-            fleet.answered(begin, &instance, &InstructionAnswer::State(state));
+            states.insert(instance, state);
+        }
+        for output in fleet.run(begin, 1, Some(&document), &NOBODY) {
+            let FleetOutput::ReadEngine { instance, call, .. } = output else {
+                continue;
+            };
+            let state = states.remove(&instance).expect("each engine is read once");
+            let answer = CallAnswer {
+                instance,
+                call,
+                answer: InstructionAnswer::State(state),
+                waited: Duration::ZERO,
+                took: Duration::ZERO,
+            };
+            fleet.answered(begin, &answer);
         }
         let (mut orders, mut updates) = (0, 0);
         let mut planning = std::time::Duration::ZERO;
--- a/crates/millpass-fleet/src/adapters.rs
+++ b/crates/millpass-fleet/src/adapters.rs
@@ -50,12 +50,16 @@
         let Some(instruction) = self.adapter_instruction(round, &instance, key, adapter) else {
             return;
         };
+        let used_kilobytes = self.engine(&instance).map_or(0, |engine| {
+            round.used_kilobytes(self.now, self.specification, engine)
+        });
         round.instruct(&instance);
         steps.push(Step {
             instance,
             instruction: Some(instruction),
             takes: ADAPTER_TIME,
             from_store: false,
+            used_kilobytes,
             reason: "unserved-adapter",
         });
     }
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -1,9 +1,10 @@
 //! Engines as the leader steers them: one instruction at a time for each, under the number of orders
 //! that the engine has taken.
 
+use crate::belief::Word;
 use millpass_proto::{
-    AdapterName, Duration, EngineState, HeldModel, InstanceId, InstructionOperation, ModelName,
-    Timestamp, WeightsSource,
+    AdapterName, CallId, Duration, EngineState, HeldModel, InstanceId, InstructionOperation,
+    ModelName, Timestamp, WeightsSource,
 };
 use std::collections::BTreeMap;
 
@@ -28,6 +29,8 @@
     pub(crate) adapter: Option<AdapterName>,
     pub(crate) sent_at: Timestamp,
     pub(crate) accepted: bool,
+    /// The call that gives it.
+    pub(crate) call: CallId,
     /// The weights come from the weight store.
     pub(crate) from_store: bool,
     /// Expected time at full speed.
@@ -69,9 +72,21 @@
     overlay: Vec<AdapterChange>,
     reading_since: Option<Timestamp>,
     read_after: Timestamp,
+    /// Word that last set what it is believed to hold, and when that came.
+    basis: Option<(Word, Timestamp)>,
 }
 
 impl Engine {
+    /// The word that what it is believed to hold rests on, and when that came.
+    pub(crate) fn basis(&self) -> (Word, Timestamp) {
+        self.basis.unwrap_or((Word::Announcement, Timestamp::ZERO))
+    }
+
+    /// Notes the word that set what it is believed to hold.
+    pub(crate) fn rests_on(&mut self, now: Timestamp, word: Word) {
+        self.basis = Some((word, now));
+    }
+
     /// Takes what the engine announced. An announcement may be under way for seconds: where it differs
     /// from what is known, the engine's state is read.
     pub(crate) fn announced(
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The core itself: takes what instances, gateways and engines say, and gives what to do.
 
+use crate::belief::{self, Word};
 use crate::crashes::Crashes;
 use crate::demand::Demand;
 use crate::documents::ChangeCache;
@@ -7,7 +8,7 @@
 use crate::gateways::Gateways;
 use crate::handover::InstructionHistory;
 use crate::hearing::HearingClock;
-use crate::interface::{FleetEvent, FleetOutput, FleetSettings};
+use crate::interface::{CallAnswer, FleetEvent, FleetOutput, FleetSettings};
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
@@ -16,9 +17,9 @@
 use crate::traffic::Traffic;
 use crate::updates::GatewayContext;
 use millpass_proto::{
-    DeploymentDocument, Duration, EngineInstruction, GatewayReport, HeldRequestNote, InstanceId,
-    InstanceLoad, InstanceNote, InstanceRecord, InstructionAnswer, InstructionOperation, ModelName,
-    ModelOutlook, ServiceName, Timestamp,
+    CallId, DeploymentDocument, Duration, EngineInstruction, GatewayReport, HeldRequestNote,
+    InstanceId, InstanceLoad, InstanceNote, InstanceRecord, InstructionAnswer,
+    InstructionOperation, ModelName, ModelOutlook, ServiceName, Timestamp,
 };
 use std::collections::BTreeSet;
 
@@ -69,6 +70,8 @@
     /// Registry revision that was noted in the log, and when.
     noted: u64,
     noted_at: Timestamp,
+    /// Calls made to engines since this process began.
+    calls: u64,
     pub(crate) out: Vec<FleetOutput>,
 }
 
@@ -104,13 +107,22 @@
             last_plan: Timestamp::ZERO,
             noted: 0,
             noted_at: Timestamp::ZERO,
+            calls: 0,
             out: Vec::new(),
         }
     }
 
-    /// Drops every belief: another member leads, or this one begins to.
+    /// Drops every belief: another member leads, or this one begins to. Calls are numbered on: an answer to one of
+    /// before is none to a later one.
     pub fn clear(&mut self) {
+        let calls = self.calls;
         *self = Fleet::new(self.settings.clone());
+        self.calls = calls;
+    }
+
+    fn next_call(&mut self) -> CallId {
+        self.calls += 1;
+        CallId(self.calls)
     }
 
     /// Connections of gateways.
@@ -199,8 +211,10 @@
             .engines
             .entry(record.instance.clone())
             .or_default();
+        let before = belief::held(engine);
         engine.announced(now, &record.models, &record.in_memory, &record.on_disk);
         self.registry.serves(&record.instance, engine.serving());
+        self.log_lost(&record.instance, Word::Announcement, &before);
         if announced == Announced::New {
             self.event(
                 "instance-known",
@@ -312,10 +326,16 @@
     }
 
     /// Takes the answer of an engine.
-    pub fn answered(&mut self, now: Timestamp, instance: &InstanceId, answer: &InstructionAnswer) {
+    pub fn answered(&mut self, now: Timestamp, answered: &CallAnswer) {
+        let CallAnswer {
+            instance, answer, ..
+        } = answered;
+        let word = Word::Answer(answered.call);
         let Some(engine) = self.engines.engines.get_mut(instance) else {
             return;
         };
+        let before = belief::held(engine);
+        let under_way = engine.pending.as_ref().map(|pending| pending.call.0);
         match answer {
             InstructionAnswer::Accepted => engine.accepted(now),
             InstructionAnswer::AlreadySo => engine.already_so(now),
@@ -330,7 +350,10 @@
                 return;
             }
             InstructionAnswer::Unanswered => engine.unanswered(now),
-            InstructionAnswer::State(state) => engine.read(now, state),
+            InstructionAnswer::State(state) => {
+                engine.read(now, state);
+                engine.rests_on(now, word);
+            }
         }
         self.registry.serves(instance, engine.serving());
         self.dirty = true;
@@ -338,8 +361,35 @@
             InstructionAnswer::State(state) => format!("state:{}", state.revision),
             other => format!("{other:?}"),
         };
-        let pairs = vec![("instance", instance.0.clone()), ("answer", outcome)];
+        let pairs = vec![
+            ("instance", instance.0.clone()),
+            ("call", answered.call.0.to_string()),
+            ("answer", outcome),
+            ("under_way", belief::or_none(under_way)),
+            ("waited_ms", answered.waited.as_millis().to_string()),
+            ("took_ms", answered.took.as_millis().to_string()),
+        ];
         self.event("engine-answered", pairs);
+        self.log_lost(instance, word, &before);
+    }
+
+    /// Logs what a word took out of what an engine was believed to hold.
+    fn log_lost(&mut self, instance: &InstanceId, word: Word, before: &BTreeSet<belief::Held>) {
+        let Some(engine) = self.engines.engines.get(instance) else {
+            return;
+        };
+        let revision = engine.revision;
+        let lost: BTreeSet<_> = before.difference(&belief::held(engine)).cloned().collect();
+        if lost.is_empty() {
+            return;
+        }
+        let pairs = vec![
+            ("instance", instance.0.clone()),
+            ("lost", belief::list(&lost)),
+            ("by", word.to_string()),
+            ("revision", belief::or_none(revision)),
+        ];
+        self.event("engine-lost", pairs);
     }
 
     /// Does what is due; called only while this member is in charge. `context` is asked when a gateway connects.
@@ -421,6 +471,7 @@
     fn settle_adapters(&mut self, now: Timestamp) {
         for (instance, engine) in &mut self.engines.engines {
             if engine.adapter_settled(now) {
+                engine.rests_on(now, Word::Time);
                 self.registry.serves(instance, engine.serving());
             }
             let settles = engine
@@ -485,6 +536,7 @@
             return;
         };
         let address = record.address.clone();
+        let call = self.next_call();
         let Some(engine) = self.engines.engines.get_mut(&step.instance) else {
             return;
         };
@@ -492,12 +544,14 @@
             self.out.push(FleetOutput::ReadEngine {
                 instance: step.instance,
                 address,
+                call,
             });
             return;
         };
         let Some(expected_revision) = engine.revision else {
             return;
         };
+        let believed = belief::pairs(now, engine);
         engine.sent(
             now,
             Pending {
@@ -506,6 +560,7 @@
                 adapter: adapter.clone(),
                 sent_at: now,
                 accepted: false,
+                call,
                 from_store: step.from_store,
                 takes: step.takes,
                 done_at: now + step.takes,
@@ -517,8 +572,9 @@
             self.registry.serves(&step.instance, engine.serving());
         }
         let adapter_name = adapter.as_ref().map_or("none", |name| name.as_str());
-        let pairs = vec![
+        let mut pairs = vec![
             ("instance", step.instance.0.clone()),
+            ("call", call.0.to_string()),
             ("operation", format!("{operation:?}").to_lowercase()),
             ("model", model.0.clone()),
             ("adapter", adapter_name.to_owned()),
@@ -526,7 +582,9 @@
             ("term", self.term.to_string()),
             ("reason", step.reason.to_owned()),
             ("takes_ms", step.takes.as_millis().to_string()),
+            ("used_kb", step.used_kilobytes.to_string()),
         ];
+        pairs.extend(believed);
         self.event("instruction-sent", pairs);
         self.out.push(FleetOutput::Instruct(EngineInstruction {
             instance: step.instance,
@@ -538,6 +596,7 @@
             holder: self.settings.holder.clone(),
             fence: self.term,
             from_store: step.from_store,
+            call,
         }));
     }
 
--- a/crates/millpass-fleet/src/interface.rs
+++ b/crates/millpass-fleet/src/interface.rs
@@ -1,8 +1,8 @@
 //! Settings of the core, and what it wants of its host.
 
 use millpass_proto::{
-    CrashUpdate, Duration, EngineInstruction, GatewayUpdate, HeldRequestNote, InstanceId,
-    InstanceNote, RequestFingerprint,
+    CallId, CrashUpdate, Duration, EngineInstruction, GatewayUpdate, HeldRequestNote, InstanceId,
+    InstanceNote, InstructionAnswer, RequestFingerprint,
 };
 use millpass_tenancy::QuotaTerms;
 
@@ -42,6 +42,21 @@
     pub pairs: Vec<(&'static str, String)>,
 }
 
+/// What became of a call to an engine.
+#[derive(Clone, Debug)]
+pub struct CallAnswer {
+    /// Run it was for.
+    pub instance: InstanceId,
+    /// The call that it answers.
+    pub call: CallId,
+    /// Answer.
+    pub answer: InstructionAnswer,
+    /// For how long the call waited before it left.
+    pub waited: Duration,
+    /// Time from then to the answer.
+    pub took: Duration,
+}
+
 /// What is to be done.
 #[derive(Clone, Debug)]
 pub enum FleetOutput {
@@ -71,6 +86,8 @@
         instance: InstanceId,
         /// IP address and port.
         address: String,
+        /// The call, named by its answer.
+        call: CallId,
     },
     /// Keep what changed in the replicated log.
     Note(InstanceNote),
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `gateways` | connected gateways and what each was sent |
 //! | `demand` | how much each model and adapter is asked for |
 //! | `traffic` | requests in flight at each instance, over all gateways |
+//! | `belief` | what is believed of an engine, in words for the log |
 //! | `engines` | one instruction at a time for each engine, and what it holds |
 //! | `hearing` | the time for which this member could hear instances |
 //! | `handover` | what is known of the instructions of earlier leaders |
@@ -25,6 +26,7 @@
 //! | `fleet` | the core itself |
 
 mod adapters;
+mod belief;
 mod cost;
 mod crashes;
 mod demand;
@@ -48,7 +50,7 @@
 pub use documents::DocumentHistory;
 pub use fleet::Fleet;
 pub use handover::InstructionHistory;
-pub use interface::{FleetEvent, FleetOutput, FleetSettings};
+pub use interface::{CallAnswer, FleetEvent, FleetOutput, FleetSettings};
 pub use permits::StorePermits;
 pub use store::{LoadUnderWay, StoreCapacity};
 pub use updates::GatewayContext;
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -45,6 +45,8 @@
     pub(crate) takes: Duration,
     /// The weights come from the weight store.
     pub(crate) from_store: bool,
+    /// Memory that the engine's models and adapters are believed to take before it, in KB.
+    pub(crate) used_kilobytes: u64,
     pub(crate) reason: &'static str,
 }
 
@@ -156,6 +158,7 @@
                     instruction: None,
                     takes: Duration::ZERO,
                     from_store: false,
+                    used_kilobytes: 0,
                     reason: "state-unknown",
                 });
             }
@@ -271,6 +274,7 @@
             }
             round.store_loads += 1;
         }
+        let used_kilobytes = round.used_kilobytes(now, self.specification, engine);
         let (operation, subject, takes) = match &place.victim {
             Some(victim) => {
                 engine.reserved = Some(model.clone());
@@ -295,6 +299,7 @@
             instruction: Some((operation, subject, None)),
             takes,
             from_store,
+            used_kilobytes,
             reason,
         });
     }
--- a/crates/millpass-fleet/tests/agreement.rs
+++ b/crates/millpass-fleet/tests/agreement.rs
@@ -114,7 +114,7 @@
                     coming: Vec::new(),
                 });
                 let instance = record(*number).instance;
-                self.leader.fleet.answered(at(self.now), &instance, &state);
+                self.leader.answered(self.now, &instance, &state);
             }
             Act::Put => self.leader.put(self.now),
             Act::Report => self.report(),
--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -1,5 +1,8 @@
 //! Requests and loads that end instances, as the leader judges them over all gateways.
 
+mod harness;
+
+use harness::calls::Calls;
 use millpass_fleet::{
     DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
 };
@@ -104,7 +107,7 @@
     }
 }
 
-struct Leader(Fleet);
+struct Leader(Fleet, Calls);
 
 impl Leader {
     /// A leader with two gateways, that begins with what the log holds back.
@@ -118,11 +121,19 @@
         for (connection, gateway) in ["g-1", "g-2"].into_iter().enumerate() {
             fleet.report(at(1), connection as u64, &report(gateway, Vec::new()));
         }
-        Leader(fleet)
+        Leader(fleet, Calls::default())
     }
 
     fn run(&mut self, now: u64) -> Vec<FleetOutput> {
-        self.0.run(at(now), 3, Some(&document()), &NOBODY)
+        let outputs = self.0.run(at(now), 3, Some(&document()), &NOBODY);
+        self.1.note(&outputs);
+        outputs
+    }
+
+    /// The newest call to an engine is answered.
+    fn answered(&mut self, now: u64, instance: &InstanceId, answer: &InstructionAnswer) {
+        let answer = self.1.answer(instance, answer);
+        self.0.answered(at(now), &answer);
     }
 
     /// What the gateways were told last to hold back, one list for each.
@@ -261,9 +272,8 @@
             coming: Vec::new(),
         };
         let id: InstanceId = name.as_str().into();
-        leader
-            .0
-            .answered(at(now), &id, &InstructionAnswer::State(state));
+        leader.run(now);
+        leader.answered(now, &id, &InstructionAnswer::State(state));
         let need = ModelNeed {
             service: "text".into(),
             model: "a".into(),
@@ -281,13 +291,9 @@
             .any(|output| matches!(output, FleetOutput::Instruct(_)));
         if loads {
             ends += 1;
-            leader
-                .0
-                .answered(at(now + 210), &id, &InstructionAnswer::Accepted);
+            leader.answered(now + 210, &id, &InstructionAnswer::Accepted);
         }
-        leader
-            .0
-            .answered(at(now + 900), &id, &InstructionAnswer::OtherRun);
+        leader.answered(now + 900, &id, &InstructionAnswer::OtherRun);
         now += 2_000;
     }
     assert_eq!(ends, 3);
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -1,5 +1,8 @@
 //! Instances, gateways, and which engine loads what.
 
+mod harness;
+
+use harness::calls::Calls;
 use millpass_fleet::{
     DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
     StoreCapacity, StorePermits,
@@ -133,6 +136,7 @@
 struct Bench {
     fleet: Fleet,
     document: DeploymentDocument,
+    calls: Calls,
 }
 
 impl Bench {
@@ -144,11 +148,20 @@
         Bench {
             fleet: Fleet::new(settings),
             document: document(),
+            calls: Calls::default(),
         }
     }
 
     fn run(&mut self, now: u64) -> Vec<FleetOutput> {
-        self.fleet.run(at(now), 3, Some(&self.document), &NOBODY)
+        let outputs = self.fleet.run(at(now), 3, Some(&self.document), &NOBODY);
+        self.calls.note(&outputs);
+        outputs
+    }
+
+    /// The newest call to an engine is answered.
+    fn answered(&mut self, now: u64, instance: &str, answer: &InstructionAnswer) {
+        let answer = self.calls.answer(&instance.into(), answer);
+        self.fleet.answered(at(now), &answer);
     }
 
     /// Runs every tenth of a second from one moment to another, as a leader does that has its processor; only such
@@ -172,8 +185,7 @@
     fn makes_room(&mut self) -> &'static str {
         let first = self.instructions(1_100);
         assert_eq!(first[0].operation, InstructionOperation::Unload);
-        self.fleet
-            .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+        self.answered(1_110, "e-1", &InstructionAnswer::Accepted);
         if first[0].model == "a".into() {
             "b"
         } else {
@@ -185,8 +197,8 @@
     fn engine(&mut self, now: u64, name: &str, models: &[&str]) {
         self.fleet
             .announce(at(now), record(name, now, models), false);
-        self.fleet
-            .answered(at(now), &name.into(), &state(0, models));
+        self.run(now);
+        self.answered(now, name, &state(0, models));
     }
 }
 
@@ -224,9 +236,7 @@
     assert_eq!(first.len(), 1);
     assert_eq!(first[0].operation, InstructionOperation::Unload);
     assert_eq!(first[0].model, "b".into());
-    bench
-        .fleet
-        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    bench.answered(1_110, "e-1", &InstructionAnswer::Accepted);
     assert!(
         bench.instructions(1_250).is_empty(),
         "room is not there yet"
@@ -249,9 +259,7 @@
         .fleet
         .report(at(1_050), 1, &report(vec![need("c", None)]));
     assert_eq!(bench.instructions(1_100).len(), 1);
-    bench
-        .fleet
-        .answered(at(2_000), &"e-1".into(), &InstructionAnswer::Unanswered);
+    bench.answered(2_000, "e-1", &InstructionAnswer::Unanswered);
     assert!(bench.instructions(2_100).is_empty());
     let reads = bench
         .run(2_600)
@@ -262,9 +270,7 @@
     bench
         .fleet
         .report(at(2_650), 1, &report(vec![need("c", None)]));
-    bench
-        .fleet
-        .answered(at(2_700), &"e-1".into(), &state(4, &["a"]));
+    bench.answered(2_700, "e-1", &state(4, &["a"]));
     let again = bench.instructions(2_800);
     assert_eq!(again.len(), 1);
     assert_eq!(
@@ -281,7 +287,7 @@
     second.in_memory = vec!["c".into()];
     bench.fleet.announce(at(1_000), second, false);
     let read = state_with_copies(0, &["b"], &["c"]);
-    bench.fleet.answered(at(1_000), &"e-2".into(), &read);
+    bench.answered(1_000, "e-2", &read);
     bench
         .fleet
         .report(at(1_050), 1, &report(vec![need("c", None)]));
@@ -303,9 +309,7 @@
         (given[0].instance.clone(), given[0].adapter.clone()),
         ("e-2".into(), Some("x".into()))
     );
-    bench
-        .fleet
-        .answered(at(1_110), &"e-2".into(), &InstructionAnswer::Accepted);
+    bench.answered(1_110, "e-2", &InstructionAnswer::Accepted);
     // An announcement that was under way does not know of it yet.
     bench
         .fleet
@@ -327,23 +331,17 @@
         .fleet
         .report(at(1_050), 1, &report(vec![need("a", Some("x"))]));
     assert_eq!(bench.instructions(1_100).len(), 1);
-    bench
-        .fleet
-        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    bench.answered(1_110, "e-1", &InstructionAnswer::Accepted);
     bench.run(1_200);
     let mut doubts = report(vec![need("a", Some("y"))]);
     doubts.doubted = vec!["e-1".into()];
     bench.fleet.report(at(1_210), 1, &doubts);
-    bench
-        .fleet
-        .answered(at(1_220), &"e-1".into(), &state(0, &["a"]));
+    bench.answered(1_220, "e-1", &state(0, &["a"]));
     assert!(
         bench.instructions(1_300).is_empty(),
         "the count is not known"
     );
-    bench
-        .fleet
-        .answered(at(1_600), &"e-1".into(), &state(1, &["a"]));
+    bench.answered(1_600, "e-1", &state(1, &["a"]));
     bench
         .fleet
         .report(at(1_610), 1, &report(vec![need("a", Some("y"))]));
@@ -381,9 +379,7 @@
     let mut first = record("e-1", 1_000, &["a", "b"]);
     first.in_memory = vec!["c".into()];
     bench.fleet.announce(at(1_000), first, false);
-    bench
-        .fleet
-        .answered(at(1_000), &"e-1".into(), &state(0, &["a", "b"]));
+    bench.answered(1_000, "e-1", &state(0, &["a", "b"]));
     let busy = |model: &str| ModelNeed {
         unserved: 0,
         arrivals: 40,
@@ -407,9 +403,7 @@
     bench.fleet.report(at(1_050), 1, &doubts);
     bench.run(1_100);
     bench.run(1_400);
-    bench
-        .fleet
-        .answered(at(1_500), &"e-1".into(), &InstructionAnswer::Unanswered);
+    bench.answered(1_500, "e-1", &InstructionAnswer::Unanswered);
     bench
         .fleet
         .report(at(1_510), 1, &report(vec![need("a", None)]));
@@ -423,9 +417,7 @@
     bench
         .fleet
         .announce(at(1_700), record("e-1", 3_000, &["a"]), false);
-    bench
-        .fleet
-        .answered(at(1_710), &"e-2".into(), &InstructionAnswer::Accepted);
+    bench.answered(1_710, "e-2", &InstructionAnswer::Accepted);
     bench
         .fleet
         .report(at(1_720), 1, &report(vec![need("a", None)]));
@@ -656,9 +648,7 @@
     for change in 1..=100 {
         let now = 1_000 + change * 10;
         let models: &[&str] = if change % 2 == 0 { &["a"] } else { &["b"] };
-        bench
-            .fleet
-            .answered(at(now), &"e-1".into(), &state(change, models));
+        bench.answered(now, "e-1", &state(change, models));
         let outputs = bench.run(now);
         updates += outputs
             .iter()
@@ -727,7 +717,7 @@
             adapters: vec!["x".into(), "y".into()],
         }],
     });
-    bench.fleet.answered(at(1_010), &"e-1".into(), &coming);
+    bench.answered(1_010, "e-1", &coming);
     let needs = vec![need("a", Some("z"))];
     bench.fleet.report(at(1_050), 1, &report(needs));
     let given = bench.instructions(1_100);
@@ -744,9 +734,7 @@
         .fleet
         .report(at(1_050), 1, &report(vec![need("b", None)]));
     assert_eq!(bench.instructions(1_100).len(), 1);
-    bench
-        .fleet
-        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    bench.answered(1_110, "e-1", &InstructionAnswer::Accepted);
     bench
         .fleet
         .announce(at(3_200), record("e-1", 5_000, &["a", "b"]), false);
@@ -770,7 +758,7 @@
     first.in_memory = vec!["c".into()];
     bench.fleet.announce(at(1_000), first, false);
     let read = state_with_copies(0, &["a"], &["c"]);
-    bench.fleet.answered(at(1_000), &"e-1".into(), &read);
+    bench.answered(1_000, "e-1", &read);
     bench
         .fleet
         .report(at(1_050), 1, &report(vec![need("b", None)]));
@@ -817,18 +805,12 @@
 fn gateways_are_told_when_a_model_that_waits_for_an_engine_will_serve() {
     let mut bench = Bench::new();
     bench.engine(1_000, "e-1", &["a"]);
-    bench.fleet.answered(
-        at(1_000),
-        &"e-1".into(),
-        &state_with_copies(0, &["a"], &["c"]),
-    );
+    bench.answered(1_000, "e-1", &state_with_copies(0, &["a"], &["c"]));
     bench
         .fleet
         .report(at(1_050), 1, &report(vec![need("b", None)]));
     assert_eq!(bench.instructions(1_100)[0].model, "b".into());
-    bench
-        .fleet
-        .answered(at(1_110), &"e-1".into(), &InstructionAnswer::Accepted);
+    bench.answered(1_110, "e-1", &InstructionAnswer::Accepted);
     bench
         .fleet
         .report(at(1_300), 1, &report(vec![need("c", None)]));
@@ -1015,16 +997,12 @@
     assert_eq!(begun.len(), StoreCapacity::default().limit());
     for instruction in &begun {
         let accepted = InstructionAnswer::Accepted;
-        bench
-            .fleet
-            .answered(at(1_110), &instruction.instance, &accepted);
+        bench.answered(1_110, instruction.instance.name(), &accepted);
     }
     bench.run(1_250);
     for instruction in &begun {
         let loaded = state(1, &[instruction.model.as_str()]);
-        bench
-            .fleet
-            .answered(at(3_150), &instruction.instance, &loaded);
+        bench.answered(3_150, instruction.instance.name(), &loaded);
     }
     let noted = bench
         .run(3_200)
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod calls;
+
+use calls::Calls;
 use millpass_dispatch::{DispatchSettings, Dispatcher, FreshnessSettings};
 use millpass_fleet::{
     DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
@@ -82,6 +85,7 @@
     pub documents: DocumentHistory,
     pub version: u64,
     pub departed: Vec<InstanceId>,
+    calls: Calls,
     sequence: u64,
 }
 
@@ -98,6 +102,7 @@
             departed: (0..departed)
                 .map(|number| format!("i-gone-{number:04x}").as_str().into())
                 .collect(),
+            calls: Calls::default(),
             sequence: 0,
         };
         leader.documents.applied(at(0), &document(1));
@@ -179,7 +184,15 @@
             documents: &self.documents,
         };
         let document = self.documents.document(self.version);
-        self.fleet.run(at(now), 3, document, &context)
+        let outputs = self.fleet.run(at(now), 3, document, &context);
+        self.calls.note(&outputs);
+        outputs
+    }
+
+    /// The newest call to an engine is answered.
+    pub fn answered(&mut self, now: u64, instance: &InstanceId, answer: &InstructionAnswer) {
+        let answer = self.calls.answer(instance, answer);
+        self.fleet.answered(at(now), &answer);
     }
 
     /// Number of the newest report.
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -2383,6 +2383,62 @@
 }
 
 
+/// Number of a call to an engine, unique in the process that makes it; its answer names it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CallId(pub u64);
+
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum InstructionOperation {
+
+    /// Load a model, or an adapter of a model that is there.
+    Load,
+
+    /// Unload it.
+    Unload,
+}
+
+
+/// An order to an engine that checks the number of orders it took.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineInstruction {
+
+    /// Run it is for; any other does nothing.
+    pub instance: InstanceId,
+
+    /// IP address and port.
+    pub address: String,
+
+    /// What to do.
+    pub operation: InstructionOperation,
+
+    /// Model.
+    pub model: ModelName,
+
+    /// Adapter.
+    pub adapter: Option<AdapterName>,
+
+    /// Orders the engine must have taken before; otherwise it does nothing.
+    pub expected_revision: u64,
+
+    /// Process that gives the order.
+    pub holder: String,
+
+    /// Term of the leader that gives the order.
+    pub fence: u64,
+
+    /// The weights come from the weight store, whose rate counts it.
+    pub from_store: bool,
+
+    /// The call that gives it.
+    pub call: CallId,
+}
+
+
 /// Load an adapter.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2518,53 +2574,6 @@
 }
 
 
-/// What an engine is told to do.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum InstructionOperation {
-
-    /// Load a model, or an adapter of a model that is there.
-    Load,
-
-    /// Unload it.
-    Unload,
-}
-
-
-/// An order to an engine that checks the number of orders it took.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct EngineInstruction {
-
-    /// Run it is for; any other does nothing.
-    pub instance: InstanceId,
-
-    /// IP address and port.
-    pub address: String,
-
-    /// What to do.
-    pub operation: InstructionOperation,
-
-    /// Model.
-    pub model: ModelName,
-
-    /// Adapter.
-    pub adapter: Option<AdapterName>,
-
-    /// Orders the engine must have taken before; otherwise it does nothing.
-    pub expected_revision: u64,
-
-    /// Process that gives the order.
-    pub holder: String,
-
-    /// Term of the leader that gives the order.
-    pub fence: u64,
-
-    /// The weights come from the weight store, whose rate counts it.
-    pub from_store: bool,
-}
-
-
 /// A fenced order. POST /engine/orders. An engine refuses a fence below the highest it accepted, and another incarnation than its own; the same fence again is answered as the first time.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
--- a/crates/millpass-proto/src/identity.rs
+++ b/crates/millpass-proto/src/identity.rs
@@ -63,6 +63,7 @@
 number_type!(
     GroupId,
     MemberId,
+    CallId,
     SlotId,
     Incarnation,
     ConfigurationRevision,
