Failing tests: an engine ordered over its room, one way a test, and a seeded fleet against a model engine

Cause: an answer says only which server it comes from; an older heartbeat, the time that passes and a document that names a model no more free what a newer word had filled. Ruled out: an order of two leaders as the cause of too much: the engine's count refuses one of them (the model engine checks it).

--- /dev/null
+++ b/crates/millpass-fleet/tests/engine_model/mod.rs
@@ -0,0 +1,441 @@
+//! A leader, engines that are carried out what they are ordered, and a network between them that delays, reorders, loses
+//! and repeats.
+
+pub mod engine;
+
+use engine::{ADAPTER_KILOBYTES, ADAPTER_PLACES, Engine, MODEL_KILOBYTES, ROOM_KILOBYTES};
+use millpass_fleet::{
+    CallAnswer, DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext,
+    InstructionHistory,
+};
+use millpass_proto::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+const NOBODY: GatewayContext<'static> = GatewayContext {
+    as_of: 0,
+    members: &Vec::new,
+    departed: &|_| Vec::new(),
+    documents: &DocumentHistory::new(),
+};
+const MODELS: [&str; 7] = ["a", "b", "c", "d", "e", "f", "g"];
+const ADAPTERS: [&str; 6] = ["u", "v", "w", "x", "y", "z"];
+const ENGINES: usize = 4;
+/// Step of time, in milliseconds.
+const STEP: u64 = 10;
+/// Time of disturbances, in milliseconds.
+const DISTURBED: u64 = 40_000;
+/// Time after which everything that was delayed has arrived.
+const CALM: u64 = 12_000;
+/// Time in which the leader then gives what is asked for.
+const SERVED_WITHIN: u64 = 20_000;
+/// Time after which a call counts as unanswered.
+const CALL_TIMEOUT: u64 = 600;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// What is on its way.
+enum Message {
+    Order(usize, EngineInstruction),
+    Read(usize, InstanceId, CallId),
+    Answer(u64, CallAnswer),
+    Announcement(u64, InstanceRecord),
+}
+
+/// The world.
+pub struct World {
+    random: ChaCha8Rng,
+    now: u64,
+    fleet: Fleet,
+    history: InstructionHistory,
+    term: u64,
+    /// Nobody leads until then.
+    leads_from: u64,
+    engines: Vec<Engine>,
+    /// By time of arrival.
+    messages: BTreeMap<(u64, u64), Message>,
+    sent: u64,
+    noted: BTreeMap<String, InstanceRecord>,
+    document: DeploymentDocument,
+    wanted: Vec<(ModelName, Option<AdapterName>)>,
+    disturbed: bool,
+    /// Engines out of the leader's reach until then.
+    cut_until: [u64; ENGINES],
+    next_disturbance: u64,
+    names: u64,
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let engines = (0..ENGINES).map(|number| Engine::new(&format!("e-{number}"), 0));
+        World {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            fleet: Fleet::new(settings()),
+            history: history(),
+            term: 1,
+            leads_from: 0,
+            engines: engines.collect(),
+            messages: BTreeMap::new(),
+            sent: 0,
+            noted: BTreeMap::new(),
+            document: document(&MODELS),
+            wanted: Vec::new(),
+            disturbed: true,
+            cut_until: [0; ENGINES],
+            next_disturbance: 1_000,
+            names: 0,
+        }
+    }
+
+    /// A time of disturbances, and a calm one at whose end something new is asked for.
+    pub fn play(&mut self) {
+        self.run_until(DISTURBED);
+        self.disturbed = false;
+        self.run_until(DISTURBED + CALM);
+    }
+
+    /// Orders for which an engine had no room.
+    pub fn breaches(&self) -> Vec<&String> {
+        self.engines
+            .iter()
+            .flat_map(|engine| &engine.breaches)
+            .collect()
+    }
+
+    /// Models and adapters that came to engines.
+    pub fn loads(&self) -> u64 {
+        self.engines.iter().map(|engine| engine.loads).sum()
+    }
+
+    /// Asks for a model and an adapter of it; whether an engine holds it in time.
+    pub fn serves(&mut self, model: &str, adapter: &str) -> bool {
+        let wanted = (ModelName::from(model), Some(AdapterName::from(adapter)));
+        self.wanted = vec![wanted.clone()];
+        let end = self.now + SERVED_WITHIN;
+        let held = |world: &World| {
+            let mut engines = world.engines.iter();
+            engines.any(|engine| engine.holds(&wanted.0, wanted.1.as_ref()))
+        };
+        while self.now < end && !held(self) {
+            self.step();
+        }
+        held(self)
+    }
+
+    fn run_until(&mut self, end: u64) {
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        if self.disturbed && self.now >= self.next_disturbance {
+            self.disturb();
+        }
+        for number in 0..ENGINES {
+            self.engines[number].pass_time(self.now);
+            if let Some(record) = self.engines[number].announcement(self.now) {
+                self.announce(number, record);
+            }
+        }
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let message = entry.remove();
+            self.deliver(message);
+        }
+        if self.now >= self.leads_from {
+            self.lead();
+        }
+    }
+
+    fn chance(&mut self, probability: f64) -> bool {
+        self.disturbed && self.random.random_bool(probability)
+    }
+
+    fn delay(&mut self) -> u64 {
+        let usual = self.random.random_range(1..30);
+        match self.chance(0.06) {
+            true => usual + self.random.random_range(100..5_000),
+            false => usual,
+        }
+    }
+
+    fn send_in(&mut self, delay: u64, message: Message) {
+        self.sent += 1;
+        self.messages.insert((self.now + delay, self.sent), message);
+    }
+
+    fn announce(&mut self, number: usize, record: InstanceRecord) {
+        if self.now < self.cut_until[number] && self.random.random_bool(0.5) {
+            // Some are lost, some arrive when the cut has ended, or later.
+            return;
+        }
+        let held_up = self.cut_until[number].saturating_sub(self.now);
+        for _ in 0..1 + u32::from(self.chance(0.05)) {
+            let delay = held_up + self.delay();
+            self.send_in(delay, Message::Announcement(self.term, record.clone()));
+        }
+    }
+
+    fn disturb(&mut self) {
+        self.next_disturbance = self.now + self.random.random_range(300..2_500);
+        let number = self.random.random_range(0..ENGINES);
+        match self.random.random_range(0..10) {
+            0..=4 => self.cut_until[number] = self.now + self.random.random_range(300..5_000),
+            5 => {
+                self.names += 1;
+                let same = self.random.random_bool(0.5);
+                let name = match same {
+                    true => self.engines[number].name.clone(),
+                    false => format!("e-{number}-{}", self.names),
+                };
+                self.engines[number].restart(self.now, &name);
+            }
+            6 => self.change_leader(),
+            _ => self.change_document(),
+        }
+    }
+
+    /// The next leader knows what was noted of instances, and when the last orders were noted. Orders that the leader
+    /// before it gave may still arrive.
+    fn change_leader(&mut self) {
+        self.term += 1;
+        self.leads_from = self.now + self.random.random_range(100..2_000);
+        self.fleet.clear();
+    }
+
+    fn change_document(&mut self) {
+        let left_out = self.random.random_range(0..MODELS.len() * 2);
+        let named = MODELS.iter().enumerate();
+        let named: Vec<&str> = named
+            .filter(|(number, _)| *number != left_out)
+            .map(|(_, name)| *name)
+            .collect();
+        self.document = document(&named);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let now = self.now;
+        match message {
+            Message::Order(number, order) => {
+                let answer = self.engines[number].order(now, &order, &mut self.random);
+                self.answer(number, order.instance, order.call, answer);
+            }
+            Message::Read(number, instance, call) => {
+                let state = self.engines[number].report(now, &mut self.random);
+                let answer = match instance.name() == self.engines[number].name {
+                    true => InstructionAnswer::State(state),
+                    false => InstructionAnswer::OtherRun,
+                };
+                self.answer(number, instance, call, answer);
+            }
+            Message::Answer(term, answer) if term == self.term => {
+                self.fleet.answered(at(now), &answer);
+            }
+            Message::Announcement(term, record) if term == self.term => {
+                self.noted.insert(record.instance.0.clone(), record.clone());
+                self.fleet.announce(at(now), record, false);
+            }
+            Message::Answer(..) | Message::Announcement(..) => {}
+        }
+    }
+
+    /// An answer is on its way; it may be lost, late and repeated.
+    fn answer(
+        &mut self,
+        number: usize,
+        instance: InstanceId,
+        call: CallId,
+        answer: InstructionAnswer,
+    ) {
+        if self.now < self.cut_until[number] {
+            return;
+        }
+        let answer = call_answer(instance, call, answer);
+        for _ in 0..1 + u32::from(self.chance(0.05)) {
+            if self.chance(0.1) {
+                continue;
+            }
+            let delay = self.delay();
+            self.send_in(delay, Message::Answer(self.term, answer.clone()));
+        }
+    }
+
+    /// A call leaves after some time in the leader's process, and counts as unanswered some time after that.
+    fn call(&mut self, instance: &InstanceId, call: CallId, message: impl Fn(usize) -> Message) {
+        let waits = if self.chance(0.1) {
+            self.random.random_range(10..2_500)
+        } else {
+            0
+        };
+        let unanswered = call_answer(instance.clone(), call, InstructionAnswer::Unanswered);
+        self.send_in(waits + CALL_TIMEOUT, Message::Answer(self.term, unanswered));
+        let mut engines = self.engines.iter();
+        let found = engines.position(|engine| {
+            // A server that starts again elsewhere answers at no address of before.
+            engine.name.split('-').nth(1) == instance.name().split('-').nth(1)
+        });
+        let number = found.expect("engines keep their places");
+        let cut = self.now + waits < self.cut_until[number];
+        let late = self.chance(0.15);
+        if cut && !late {
+            return;
+        }
+        for _ in 0..1 + u32::from(self.chance(0.05)) {
+            let extra = if late {
+                self.random.random_range(CALL_TIMEOUT..6_000)
+            } else {
+                0
+            };
+            let delay = waits + extra + self.random.random_range(1..20);
+            self.send_in(delay, message(number));
+        }
+    }
+
+    fn lead(&mut self) {
+        if !self.fleet.has_begun() {
+            let mut noted: Vec<InstanceRecord> = self.noted.values().cloned().collect();
+            noted.retain(|_| self.random.random_bool(0.8));
+            let nothing = std::iter::empty();
+            self.fleet
+                .begin(at(self.now), noted.into_iter(), nothing, &self.history);
+        }
+        if self.now.is_multiple_of(100) {
+            self.report_needs();
+        }
+        let outputs = self
+            .fleet
+            .run(at(self.now), self.term, Some(&self.document), &NOBODY);
+        for output in outputs {
+            match output {
+                FleetOutput::Instruct(order) => self.instruct(order),
+                FleetOutput::ReadEngine { instance, call, .. } => {
+                    let read = instance.clone();
+                    self.call(&instance, call, |number| {
+                        Message::Read(number, read.clone(), call)
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn instruct(&mut self, order: EngineInstruction) {
+        let note = InstructionNote {
+            instances: vec![order.instance.clone()],
+            store_loads: 0,
+        };
+        self.history.note(at(self.now), &note);
+        let (instance, call) = (order.instance.clone(), order.call);
+        self.call(&instance, call, |number| {
+            Message::Order(number, order.clone())
+        });
+    }
+
+    fn report_needs(&mut self) {
+        if self.disturbed && self.now.is_multiple_of(1_500) {
+            self.wanted = (0..3).map(|_| self.any_model()).collect();
+        }
+        let doubted = self.chance(0.02);
+        let any = self.random.random_range(0..ENGINES);
+        let report = GatewayReport {
+            gateway: "g".to_owned(),
+            zone: "z".into(),
+            sequence: self.now,
+            version: 1,
+            needs: self.wanted.iter().cloned().map(need).collect(),
+            doubted: doubted
+                .then(|| self.engines[any].id())
+                .into_iter()
+                .collect(),
+            sent: Vec::new(),
+            as_of: 0,
+            known_instances: Vec::new(),
+        };
+        self.fleet.report(at(self.now), 1, &report);
+    }
+
+    fn any_model(&mut self) -> (ModelName, Option<AdapterName>) {
+        let model = MODELS[self.random.random_range(0..MODELS.len())];
+        let adapter = ADAPTERS[self.random.random_range(0..ADAPTERS.len())];
+        let adapter = self.random.random_bool(0.6).then(|| adapter.into());
+        (model.into(), adapter)
+    }
+}
+
+fn settings() -> FleetSettings {
+    FleetSettings {
+        order_handover: Duration::from_millis(3_000),
+        ..FleetSettings::default()
+    }
+}
+
+fn history() -> InstructionHistory {
+    InstructionHistory::new(Timestamp::ZERO, Duration::from_secs(600))
+}
+
+fn call_answer(instance: InstanceId, call: CallId, answer: InstructionAnswer) -> CallAnswer {
+    CallAnswer {
+        instance,
+        call,
+        answer,
+        waited: Duration::ZERO,
+        took: Duration::ZERO,
+    }
+}
+
+fn need((model, adapter): (ModelName, Option<AdapterName>)) -> ModelNeed {
+    ModelNeed {
+        service: "text".into(),
+        model,
+        adapter,
+        unserved: 1,
+        arrivals: 1,
+        in_flight: 0,
+        priority: 1,
+        unread_tokens: 0,
+    }
+}
+
+fn document(models: &[&str]) -> DeploymentDocument {
+    let model = |name: &&str| EngineModelSpec {
+        name: (*name).into(),
+        weights_kilobytes: MODEL_KILOBYTES,
+        load_millis: 2_000,
+        disk_load_millis: 800,
+        memory_load_millis: 400,
+        adapters: ADAPTERS.len() as u32,
+        adapter_kilobytes: ADAPTER_KILOBYTES,
+    };
+    DeploymentDocument {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![ServiceSpec {
+            name: "text".into(),
+            health_path: String::new(),
+            maximum_connections: 0,
+            engine: Some(EngineSpec {
+                slots: 8,
+                cache_tokens: 1_000,
+                weights_kilobytes: ROOM_KILOBYTES,
+                adapter_slots: ADAPTER_PLACES as u32,
+                milliloads_per_second: 20_000,
+                models: models.iter().map(model).collect(),
+            }),
+        }],
+        limits: CallerLimits {
+            header_bytes: 0,
+            body_bytes: 0,
+            header_millis: 0,
+            idle_millis: 0,
+        },
+        tenants: Vec::new(),
+    }
+}
