--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -145,6 +145,7 @@
     if process.fleet.is_some() {
         process.limits = ProcessLimits {
             call_timeout: millis(settings.fleet.call_timeout_ms),
+            delivery_threads: count(settings.fleet.calls_at_once),
             ..fleet_limits()
         };
     }
@@ -207,7 +208,6 @@
         peer_queue: 128,
         router_queue: 64,
         delivery_queue: 256,
-        delivery_threads: 12,
         ..ProcessLimits::default()
     }
 }
@@ -232,6 +232,8 @@
         announce_interval: millis(section.announce_interval_ms),
         instance_silence: millis(section.instance_silence_ms),
         order_handover: millis(section.order_handover_ms),
+        // An order leaves while its call might still be answered, and a call that waits longer is not made.
+        order_lifetime: millis(section.call_timeout_ms),
         quota,
     });
     Ok(announced)
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -54,7 +54,9 @@
     pub instance_silence_ms: u64,
     /// Longest wait for an engine's answer to an order; without one, its state is read.
     pub call_timeout_ms: u64,
-    /// Time after an engine's last instruction for which no other leader instructs it.
+    /// Most calls to engines at once, each on a thread that is started when it is needed. A quarter of them may be to engines that did not answer their last call.
+    pub calls_at_once: u64,
+    /// Time from the last byte of an engine's last instruction for which no other leader instructs it. An instruction leaves within call_timeout_ms of the commit of its note, or not at all; the next leader counts that in.
     pub order_handover_ms: u64,
 }
 impl Default for ControlFleetSection {
@@ -64,6 +66,7 @@
             announce_interval_ms: 1200u64,
             instance_silence_ms: 6000u64,
             call_timeout_ms: 600u64,
+            calls_at_once: 48u64,
             order_handover_ms: 3000u64,
         }
     }
@@ -400,6 +403,14 @@
                         maximum: 60000u64,
                     },
                 },
+                KeySpecification {
+                    name: "calls_at_once",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 4u64,
+                        maximum: 512u64,
+                    },
+                },
                 KeySpecification {
                     name: "order_handover_ms",
                     required: false,
--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -9,9 +9,9 @@
 use millpass_consensus::Role;
 use millpass_fleet::{CallAnswer, FleetOutput, GatewayContext};
 use millpass_proto::{
-    Command, ControlToRouter, CrashReport, EngineInstruction, GatewayReport, InstanceDeparture,
-    InstanceId, InstanceRecord, InstructionNote, LogPosition, PutDocument, RequestFingerprint,
-    Timestamp,
+    Command, ControlToRouter, CrashReport, Duration, EngineInstruction, GatewayReport,
+    InstanceDeparture, InstanceId, InstanceRecord, InstructionNote, LogPosition, PutDocument,
+    RequestFingerprint, Timestamp,
 };
 use millpass_state::State;
 
@@ -318,10 +318,16 @@
             let pairs = vec![("instructions", instructions.len().to_string())];
             return out.event("instructions-dropped", pairs);
         }
+        let lifetime = self.settings.fleet.as_ref();
+        let lifetime = lifetime.map_or(Duration::ZERO, |settings| settings.order_lifetime);
+        let ends_by = now + lifetime;
         for instruction in instructions {
             let fleet = self.fleet.as_ref();
-            if fleet.is_some_and(|fleet| fleet.awaits(&instruction.instance, decided_at)) {
-                out.push(ControlOutput::Instruct(instruction));
+            if fleet.is_some_and(|fleet| fleet.awaits(&instruction.instance, instruction.call)) {
+                out.push(ControlOutput::Instruct {
+                    instruction,
+                    ends_by,
+                });
                 continue;
             }
             let pairs = vec![
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -7,7 +7,7 @@
     Duration, EngineInstruction, EngineOrder, InstanceDeparture, InstanceId, InstanceRecord,
     LogPosition, MemberAddress, ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind,
     OrderAnswer, PeerEnvelope, PlatformList, PutDocument, RequestFingerprint, RouterToControl,
-    Snapshot, StoredObject,
+    Snapshot, StoredObject, Timestamp,
 };
 use millpass_scheduler::SchedulerSettings;
 
@@ -227,7 +227,12 @@
     },
     /// Give an engine an instruction and answer [`ControlInput::InstructionAnswered`]; the leader
     /// lease was checked just before.
-    Instruct(EngineInstruction),
+    Instruct {
+        /// Instruction.
+        instruction: EngineInstruction,
+        /// Its last byte leaves before then, or it does not leave: the next leader waits for that long.
+        ends_by: Timestamp,
+    },
     /// Read an engine's state and answer [`ControlInput::InstructionAnswered`].
     ReadEngine {
         /// Run.
--- a/crates/millpass-control/src/deliveries.rs
+++ b/crates/millpass-control/src/deliveries.rs
@@ -3,20 +3,30 @@
 //! Engines of a deployment whose instances announce themselves are called through
 //! [`EngineCalls`](crate::EngineCalls).
 //!
-//! An order's delivery may be lost or repeated: its fence makes that harmless. What cannot be
-//! queued counts as unanswered, and the core delivers it again.
+//! Which call is made next is decided by [`CallSchedule`]. Threads are started as calls need them, and end when they have
+//! been idle. An order's delivery may be lost or repeated: its fence makes that harmless. What cannot be queued, or waits
+//! past its time, is answered as not sent; the core decides anew.
 
+use crate::call_schedule::{CallEnd, CallSchedule};
 use crate::inputs::Inputs;
 use crate::interface::EngineCalls;
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crate::settings::ProcessLimits;
 use millpass_control_plane::{CallAnswer, ControlInput};
 use millpass_proto::{
     CallId, Duration, EngineInstruction, EngineOrder, InstanceId, InstructionAnswer, OrderAnswer,
-    PlatformList,
+    PlatformList, Timestamp,
 };
+use millpass_telemetry::ProcessClock;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::sync::Arc;
-use std::time::Instant;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+
+/// Time without a call after which a thread ends. Calls come in bursts, when demand moves or servers are out of reach.
+const IDLE_LIFETIME: Duration = Duration::from_secs(5);
+/// Stack of a thread that makes calls: they are made by a client without deep recursion.
+const STACK_BYTES: usize = 256 * 1024;
+/// An order that has less time left than this does not leave: a connection may have to be made.
+const LEAST_SENDING_TIME: Duration = Duration::from_millis(20);
 
 /// A call to make.
 pub(crate) enum Delivery {
@@ -24,8 +34,8 @@
     Order(String, EngineOrder),
     /// Read the platform's list at this address.
     ReadPlatform(String),
-    /// Give an engine an instruction.
-    Instruct(EngineInstruction),
+    /// Give an engine an instruction, whose last byte leaves by this time.
+    Instruct(EngineInstruction, Timestamp),
     /// Read the state of an engine.
     ReadEngine(EngineRead),
 }
@@ -39,57 +49,173 @@
     pub(crate) call: CallId,
 }
 
+impl Delivery {
+    /// Whom it calls: calls to one keep their order.
+    fn peer(&self) -> &str {
+        match self {
+            Delivery::Order(address, _) | Delivery::ReadPlatform(address) => address,
+            Delivery::Instruct(instruction, _) => &instruction.instance.0,
+            Delivery::ReadEngine(read) => &read.instance.0,
+        }
+    }
+
+    /// What the core hears if it is not made.
+    fn not_sent(self, waited: Duration) -> Option<ControlInput> {
+        let (instance, call) = match self {
+            Delivery::Order(_, order) => {
+                return Some(ControlInput::OrderDelivered {
+                    backend: order.backend,
+                    fence: order.fence,
+                    answer: None,
+                });
+            }
+            // It is read again at the next interval.
+            Delivery::ReadPlatform(_) => return None,
+            Delivery::Instruct(instruction, _) => (instruction.instance, instruction.call),
+            Delivery::ReadEngine(read) => (read.instance, read.call),
+        };
+        Some(ControlInput::InstructionAnswered(CallAnswer {
+            instance,
+            call,
+            answer: InstructionAnswer::NotSent,
+            waited,
+            took: Duration::ZERO,
+        }))
+    }
+}
+
 /// A call that waits for a thread.
-pub(crate) struct Waiting {
-    since: Instant,
+struct Waiting {
+    since: Timestamp,
     delivery: Delivery,
 }
 
-/// Hands calls to the pool.
+struct State {
+    schedule: CallSchedule<Waiting>,
+    threads: usize,
+    idle: usize,
+    is_closed: bool,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    /// Idle threads wait here.
+    pushed: Condvar,
+    /// Who starts threads waits here.
+    lacking: Condvar,
+    most_threads: usize,
+    clock: ProcessClock,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Hands calls to the pool; the pool ends when this is dropped.
 pub(crate) struct Deliveries {
-    queue: Sender<Waiting>,
+    shared: Arc<Shared>,
     inputs: Inputs,
+    call_timeout: Duration,
 }
 
 impl Deliveries {
-    /// The pool's queue: the end that hands calls over, and the threads' end.
-    pub(crate) fn new(inputs: Inputs, queue: usize) -> (Deliveries, Receiver<Waiting>) {
-        let (sender, receiver) = bounded(queue);
+    /// The end that hands calls over, and the pool, to be run by a thread of its own.
+    pub(crate) fn new(
+        inputs: Inputs,
+        clock: ProcessClock,
+        limits: &ProcessLimits,
+        engines: Option<Arc<dyn EngineCalls>>,
+    ) -> (Deliveries, DeliveryPool) {
+        let most_threads = limits.delivery_threads.max(1);
+        let state = State {
+            schedule: CallSchedule::new(most_threads, limits.delivery_queue),
+            threads: 0,
+            idle: 0,
+            is_closed: false,
+        };
+        let shared = Arc::new(Shared {
+            state: Mutex::new(state),
+            pushed: Condvar::new(),
+            lacking: Condvar::new(),
+            most_threads,
+            clock,
+        });
+        let pool = DeliveryPool {
+            worker: DeliveryWorker {
+                agent: agent(limits.call_timeout, engines.is_some()),
+                shared: shared.clone(),
+                inputs: inputs.clone(),
+                engines,
+            },
+        };
         let deliveries = Deliveries {
-            queue: sender,
+            shared,
             inputs,
+            call_timeout: limits.call_timeout,
         };
-        (deliveries, receiver)
+        (deliveries, pool)
     }
 
-    /// Hands a call over.
+    /// Hands a call over. It waits for a thread as long as it may last, or, an instruction, as long as it may leave.
     pub(crate) fn submit(&self, delivery: Delivery) {
+        let now = self.shared.clock.now();
+        let leave_by = match &delivery {
+            Delivery::Instruct(_, ends_by) => *ends_by,
+            _ => now + self.call_timeout,
+        };
+        let peer = delivery.peer().to_owned();
         let waiting = Waiting {
-            since: Instant::now(),
+            since: now,
             delivery,
         };
-        let Err(refused) = self.queue.try_send(waiting) else {
+        let mut state = self.shared.lock();
+        if let Err(refused) = state.schedule.push(&peer, leave_by, waiting) {
+            drop(state);
+            if let Some(input) = refused.delivery.not_sent(Duration::ZERO) {
+                self.inputs.put(input);
+            }
             return;
-        };
-        let unanswered = match refused.into_inner().delivery {
-            Delivery::Order(_, order) => ControlInput::OrderDelivered {
-                backend: order.backend,
-                fence: order.fence,
-                answer: None,
-            },
-            Delivery::Instruct(EngineInstruction { instance, call, .. })
-            | Delivery::ReadEngine(EngineRead { instance, call, .. }) => {
-                ControlInput::InstructionAnswered(CallAnswer {
-                    instance,
-                    call,
-                    answer: InstructionAnswer::Unanswered,
-                    waited: Duration::ZERO,
-                    took: Duration::ZERO,
-                })
+        }
+        if state.idle > 0 {
+            self.shared.pushed.notify_one();
+        } else if state.threads < self.shared.most_threads {
+            self.shared.lacking.notify_one();
+        }
+    }
+}
+
+impl Drop for Deliveries {
+    fn drop(&mut self) {
+        self.shared.lock().is_closed = true;
+        self.shared.pushed.notify_all();
+        self.shared.lacking.notify_all();
+    }
+}
+
+/// Starts threads as calls need them.
+pub(crate) struct DeliveryPool {
+    worker: DeliveryWorker,
+}
+
+impl DeliveryPool {
+    /// Body of the thread that owns the pool's threads; ends when nothing is handed over any more and they have ended.
+    pub(crate) fn run(self) {
+        let worker = &self.worker;
+        thread::scope(|scope| {
+            while worker.is_lacking() {
+                let builder = thread::Builder::new()
+                    .name("control-delivery".to_owned())
+                    .stack_size(STACK_BYTES);
+                if let Err(error) = builder.spawn_scoped(scope, || worker.run()) {
+                    log::error!("event=delivery_thread_failed error=\"{error}\"");
+                    worker.shared.lock().threads -= 1;
+                    // The threads that there are go on with the calls.
+                    thread::sleep(IDLE_LIFETIME);
+                }
             }
-            Delivery::ReadPlatform(_) => return,
-        };
-        self.inputs.put(unanswered);
+        });
     }
 }
 
@@ -99,7 +225,7 @@
 
 /// The agent of a pool whose calls take at most `timeout`. Engines of an announced fleet answer
 /// refusals by status.
-pub(crate) fn agent(timeout: Duration, statuses_are_answers: bool) -> ureq::Agent {
+fn agent(timeout: Duration, statuses_are_answers: bool) -> ureq::Agent {
     ureq::Agent::config_builder()
         .timeout_global(Some(timeout))
         .http_status_as_error(!statuses_are_answers)
@@ -109,56 +235,116 @@
         .into()
 }
 
-/// One thread of the pool.
-pub(crate) struct DeliveryWorker {
+/// What the threads of the pool do; all of them share its agent, and its connections.
+struct DeliveryWorker {
     agent: ureq::Agent,
-    queue: Receiver<Waiting>,
+    shared: Arc<Shared>,
     inputs: Inputs,
     engines: Option<Arc<dyn EngineCalls>>,
 }
 
 impl DeliveryWorker {
-    /// The agent bounds the time of each call; all threads of the pool share it, and its
-    /// connections.
-    pub(crate) fn new(
-        queue: Receiver<Waiting>,
-        inputs: Inputs,
-        agent: ureq::Agent,
-        engines: Option<Arc<dyn EngineCalls>>,
-    ) -> Self {
-        DeliveryWorker {
-            agent,
-            queue,
-            inputs,
-            engines,
+    /// Waits until a further thread is needed, and counts it; false when the pool ends.
+    fn is_lacking(&self) -> bool {
+        let mut state = self.shared.lock();
+        loop {
+            if state.is_closed {
+                return false;
+            }
+            let has_room = state.threads < self.shared.most_threads;
+            if has_room && state.idle == 0 && state.schedule.has_ready() {
+                state.threads += 1;
+                return true;
+            }
+            let woken = self.shared.lacking.wait(state);
+            state = woken.unwrap_or_else(PoisonError::into_inner);
         }
     }
 
-    /// Body of the thread; ends when the queue's other end is dropped. What an engine or the platform answers costs one
-    /// delivery at most: one that makes this panic would come again at the next leader.
-    pub(crate) fn run(self) {
-        while let Ok(waiting) = self.queue.recv() {
+    /// Body of a thread. What an engine or the platform answers costs one delivery at most: one that makes this panic
+    /// would come again at the next leader.
+    fn run(&self) {
+        while let Some((peer, waiting)) = self.next() {
             let carried_out = catch_unwind(AssertUnwindSafe(|| self.carry_out(waiting)));
-            if carried_out.is_err() {
+            let end = carried_out.unwrap_or_else(|_| {
                 log::error!("event=delivery_panicked");
+                CallEnd::Answered
+            });
+            self.shared.lock().schedule.ended(&peer, end);
+        }
+    }
+
+    /// The next call; none when there was none for some time, or the pool ends.
+    fn next(&self) -> Option<(String, Waiting)> {
+        let mut state = self.shared.lock();
+        let idle_until = self.shared.clock.now() + IDLE_LIFETIME;
+        loop {
+            let now = self.shared.clock.now();
+            let expired = state.schedule.expired(now);
+            if !expired.is_empty() {
+                drop(state);
+                self.give_back(expired, now);
+                state = self.shared.lock();
+                continue;
+            }
+            if state.is_closed || now >= idle_until {
+                state.threads -= 1;
+                return None;
             }
+            if let Some(next) = state.schedule.take() {
+                if state.schedule.has_ready() {
+                    self.wake_another(&state);
+                }
+                return Some(next);
+            }
+            let until = state.schedule.next_expiry().unwrap_or(idle_until);
+            let left = until.min(idle_until).since(now);
+            state.idle += 1;
+            let woken = self.shared.pushed.wait_timeout(state, left);
+            state = woken.unwrap_or_else(PoisonError::into_inner).0;
+            state.idle -= 1;
         }
     }
 
-    fn carry_out(&self, waiting: Waiting) {
-        let waited = waiting.since.elapsed();
+    fn wake_another(&self, state: &State) {
+        if state.idle > 0 {
+            self.shared.pushed.notify_one();
+        } else if state.threads < self.shared.most_threads {
+            self.shared.lacking.notify_one();
+        }
+    }
+
+    /// Calls whose time passed while they waited.
+    fn give_back(&self, expired: Vec<Waiting>, now: Timestamp) {
+        for waiting in expired {
+            let waited = now.since(waiting.since);
+            if let Some(input) = waiting.delivery.not_sent(waited) {
+                self.inputs.put(input);
+            }
+        }
+    }
+
+    fn carry_out(&self, waiting: Waiting) -> CallEnd {
+        let now = self.shared.clock.now();
+        let waited = now.since(waiting.since);
         match waiting.delivery {
             Delivery::Order(address, order) => self.deliver(&address, &order),
             Delivery::ReadPlatform(address) => self.read_platform(&address),
-            Delivery::Instruct(instruction) => {
-                let call = |engines: &dyn EngineCalls| engines.instruct(&self.agent, &instruction);
-                self.call_engine(&instruction.instance, instruction.call, waited, call);
+            Delivery::Instruct(instruction, ends_by) => {
+                let within = ends_by.since(now);
+                if within < LEAST_SENDING_TIME {
+                    let not_sent = Delivery::Instruct(instruction, ends_by).not_sent(waited);
+                    self.inputs.send(not_sent.expect("the core awaits it"));
+                    return CallEnd::Answered;
+                }
+                self.call_engine(&instruction.instance, instruction.call, waited, |engines| {
+                    engines.instruct(&self.agent, &instruction, within)
+                })
             }
             Delivery::ReadEngine(read) => {
-                let call = |engines: &dyn EngineCalls| {
+                self.call_engine(&read.instance, read.call, waited, |engines| {
                     engines.read(&self.agent, &read.instance, &read.address)
-                };
-                self.call_engine(&read.instance, read.call, waited, call);
+                })
             }
         }
     }
@@ -169,21 +355,26 @@
         call: CallId,
         waited: Duration,
         make: impl FnOnce(&dyn EngineCalls) -> InstructionAnswer,
-    ) {
+    ) -> CallEnd {
         let unanswered = InstructionAnswer::Unanswered;
-        let left_at = Instant::now();
+        let left_at = self.shared.clock.now();
         let answer = self.engines.as_deref().map_or(unanswered, make);
+        let end = match answer {
+            InstructionAnswer::Unanswered => CallEnd::Silent,
+            _ => CallEnd::Answered,
+        };
         let answer = CallAnswer {
             instance: instance.clone(),
             call,
             answer,
             waited,
-            took: left_at.elapsed(),
+            took: self.shared.clock.now().since(left_at),
         };
         self.inputs.send(ControlInput::InstructionAnswered(answer));
+        end
     }
 
-    fn deliver(&self, address: &str, order: &EngineOrder) {
+    fn deliver(&self, address: &str, order: &EngineOrder) -> CallEnd {
         let answer = match self.post(address, order) {
             Ok(answer) => Some(answer),
             Err(error) => {
@@ -195,12 +386,14 @@
                 None
             }
         };
+        let end = ended(answer.is_some());
         let (backend, fence) = (order.backend.clone(), order.fence);
         self.inputs.send(ControlInput::OrderDelivered {
             backend,
             fence,
             answer,
         });
+        end
     }
 
     fn post(&self, address: &str, order: &EngineOrder) -> Result<OrderAnswer, ureq::Error> {
@@ -210,8 +403,10 @@
     }
 
     /// A list that cannot be read is read again at the next interval.
-    fn read_platform(&self, address: &str) {
-        match self.get_machines(address) {
+    fn read_platform(&self, address: &str) -> CallEnd {
+        let read = self.get_machines(address);
+        let end = ended(read.is_ok());
+        match read {
             Ok(list) => {
                 self.inputs.send(ControlInput::PlatformListed(list));
             }
@@ -220,6 +415,7 @@
                 log::warn!("event=platform_read_failed address={address} error={error:?}");
             }
         }
+        end
     }
 
     fn get_machines(&self, address: &str) -> Result<PlatformList, ureq::Error> {
@@ -227,3 +423,10 @@
         self.agent.get(url).call()?.body_mut().read_json()
     }
 }
+
+fn ended(is_answered: bool) -> CallEnd {
+    match is_answered {
+        true => CallEnd::Answered,
+        false => CallEnd::Silent,
+    }
+}
--- a/crates/millpass-control/src/interface.rs
+++ b/crates/millpass-control/src/interface.rs
@@ -3,7 +3,7 @@
 
 use crate::administration::AdministrationCalls;
 use millpass_http::{Request, Response};
-use millpass_proto::{EngineInstruction, InstanceId, InstructionAnswer};
+use millpass_proto::{Duration, EngineInstruction, InstanceId, InstructionAnswer};
 use std::sync::Arc;
 
 /// Calls answered on the administration API's address before the API's own.
@@ -14,8 +14,13 @@
 
 /// The way to engines whose instances announce themselves.
 pub trait EngineCalls: Send + Sync {
-    /// Gives an instruction. The agent bounds the time.
-    fn instruct(&self, agent: &ureq::Agent, instruction: &EngineInstruction) -> InstructionAnswer;
+    /// Gives an instruction, whose last byte leaves within this time or not at all. The agent bounds the time to the answer.
+    fn instruct(
+        &self,
+        agent: &ureq::Agent,
+        instruction: &EngineInstruction,
+        within: Duration,
+    ) -> InstructionAnswer;
 
     /// Reads the state of a run at an address.
     fn read(&self, agent: &ureq::Agent, instance: &InstanceId, address: &str) -> InstructionAnswer;
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -21,17 +21,19 @@
 //! | `peers` | connections to other members |
 //! | `peer_queue` | what waits to be sent to one member |
 //! | `deliveries` | calls to engines and the platform |
+//! | `call_schedule` | which waiting call is made next |
 //! | `interface` | what a deployment with its own wire formats brings |
 //! | `calls` | calls of the administration API that wait |
 //! | `administration`, `api`, `client` | the administration API, its bodies and its client |
 //! | `metrics` | Prometheus metrics |
 //!
-//! Lock order: `inputs`, `calls`, `connections`, `freshness`, `disk_watch` and each queue of `peers` have one lock; no thread holds
+//! Lock order: `inputs`, `calls`, `connections`, `deliveries`, `freshness`, `disk_watch` and each queue of `peers` have one lock; no thread holds
 //! two.
 
 pub mod administration;
 pub mod api;
 pub mod backlog;
+pub mod call_schedule;
 mod calls;
 pub mod client;
 mod connections;
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -215,8 +215,12 @@
             ControlOutput::ForwardJoin { address, joiner } => {
                 self.peers.send(&address, LinkMessage::Join(joiner));
             }
-            ControlOutput::Instruct(instruction) => {
-                self.deliveries.submit(Delivery::Instruct(instruction));
+            ControlOutput::Instruct {
+                instruction,
+                ends_by,
+            } => {
+                let delivery = Delivery::Instruct(instruction, ends_by);
+                self.deliveries.submit(delivery);
             }
             ControlOutput::ReadEngine {
                 instance,
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -3,7 +3,7 @@
 use crate::administration::{self, AdministrationLimits, AdministrationServer};
 use crate::calls::{CallTable, CoreCalls, REFUSAL_INTERVAL};
 use crate::connections::Connections;
-use crate::deliveries::{self, Deliveries, DeliveryWorker};
+use crate::deliveries::Deliveries;
 use crate::disk::{Disk, SNAPSHOT_PATIENCE};
 use crate::disk_watch::{DiskWatch, RoomWatch};
 use crate::error::ControlError;
@@ -171,17 +171,11 @@
         state_bytes: 0,
     };
     threads.push(spawn_needed("control-disk", &inputs, move || disk.run())?);
-    let (deliveries, delivery_queue) =
-        Deliveries::new(inputs.clone(), settings.limits.delivery_queue);
-    let agent = deliveries::agent(settings.limits.call_timeout, extensions.engines.is_some());
-    for _ in 0..settings.limits.delivery_threads.max(1) {
-        let queue = delivery_queue.clone();
-        let engines = extensions.engines.clone();
-        let worker = DeliveryWorker::new(queue, inputs.clone(), agent.clone(), engines);
-        threads.push(spawn_needed("control-delivery", &inputs, move || {
-            worker.run();
-        })?);
-    }
+    let (deliveries, pool) =
+        Deliveries::new(inputs.clone(), clock, &settings.limits, extensions.engines);
+    threads.push(spawn_needed("control-deliveries", &inputs, move || {
+        pool.run()
+    })?);
     let accepting = connections.clone();
     threads.push(spawn_needed("control-accept", &inputs, move || {
         accepting.accept(&listener);
--- a/crates/millpass-control/src/settings.rs
+++ b/crates/millpass-control/src/settings.rs
@@ -62,9 +62,9 @@
     pub peer_queue: usize,
     /// Most messages that wait for one router; a router that does not read is disconnected.
     pub router_queue: usize,
-    /// Threads that deliver orders to engines and read the platform's list.
+    /// Most calls to engines and the platform at once, each on a thread; threads are started as calls need them.
     pub delivery_threads: usize,
-    /// Most deliveries that wait for a thread; later ones count as unanswered.
+    /// Most deliveries that wait for a thread; later ones are not sent.
     pub delivery_queue: usize,
     /// Longest wait for an engine's or the platform's answer.
     pub call_timeout: Duration,
@@ -78,7 +78,7 @@
             maximum_connections: 2_048,
             peer_queue: 1_024,
             router_queue: 1_024,
-            delivery_threads: 16,
+            delivery_threads: 32,
             delivery_queue: 4_096,
             call_timeout: Duration::from_secs(2),
             connection_silence: Duration::from_secs(10),
--- a/crates/millpass-fleet/src/adapters.rs
+++ b/crates/millpass-fleet/src/adapters.rs
@@ -30,14 +30,15 @@
         }
         let coming = engines().any(|engine| {
             let pending = engine.pending.as_ref();
-            pending.is_some_and(|pending| pending.adapter.as_ref() == Some(adapter))
+            let pending = pending.is_some_and(|pending| pending.concerns(&key.model, adapter));
+            pending || engine.brings_adapter(&key.model, adapter)
         });
         if coming {
             return;
         }
         let cost = |instance: &InstanceId| {
             self.engine(instance).map_or(f64::MAX, |engine| {
-                round.busyness(engine) * ADAPTER_BUSY_COST + engine.adapter_count(self.now) as f64
+                round.busyness(engine) * ADAPTER_BUSY_COST + engine.adapter_count() as f64
             })
         };
         let best = holders
@@ -50,9 +51,9 @@
         let Some(instruction) = self.adapter_instruction(round, &instance, key, adapter) else {
             return;
         };
-        let used_kilobytes = self.engine(&instance).map_or(0, |engine| {
-            round.used_kilobytes(self.now, self.specification, engine)
-        });
+        let used_kilobytes = self
+            .engine(&instance)
+            .map_or(0, |engine| round.used_kilobytes(self.specification, engine));
         round.instruct(&instance);
         steps.push(Step {
             instance,
@@ -76,13 +77,17 @@
         let size = round
             .model(self.specification, &key.model)?
             .adapter_kilobytes;
-        let used = round.used_kilobytes(self.now, self.specification, engine);
+        let used = round.used_kilobytes(self.specification, engine);
         let fits = used + size <= self.specification.weights_kilobytes;
         let places = self.specification.adapter_slots as usize;
-        if fits && engine.adapter_count(self.now) < places {
+        if fits && engine.adapter_count() < places {
             let load = InstructionOperation::Load;
             return Some((load, key.model.clone(), Some(adapter.clone())));
         }
+        if let Some(unnamed) = round.unnamed(engine) {
+            // It fills the memory, whatever adapters make way.
+            return Some((InstructionOperation::Unload, unnamed.clone(), None));
+        }
         let rate = |model: &ModelName, adapter: &AdapterName| {
             let key = ModelKey {
                 service: self.service.clone(),
--- a/crates/millpass-fleet/src/belief.rs
+++ b/crates/millpass-fleet/src/belief.rs
@@ -63,11 +63,8 @@
 /// What is believed of an engine, as pairs of a log line.
 pub(crate) fn pairs(now: Timestamp, engine: &Engine) -> Vec<(&'static str, String)> {
     let mut believed = held(engine);
-    believed.extend(
-        engine
-            .coming(now)
-            .map(|(model, adapter)| (model.clone(), Some(adapter.clone()))),
-    );
+    let coming = engine.coming().iter().cloned();
+    believed.extend(coming.map(|(model, adapter)| (model, Some(adapter))));
     let (word, at) = engine.basis();
     vec![
         ("believed", list(&believed)),
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -1,50 +1,57 @@
-//! Engines as the leader steers them: one instruction at a time for each, under the number of orders
-//! that the engine has taken.
+//! Engines as the leader steers them: one call at a time for each, and what each holds, as far as that is proven.
+//!
+//! An engine carries out an order only at the count of orders that the order names. So what is believed to fill its memory
+//! and its places may never be less than what the engine holds at that count. Anything may add to it. Only these take away:
+//! a report of the engine's state that covers all orders which it has surely taken, in answer to the read that is awaited;
+//! and the engine's word that an unload, the order that is awaited, is done already. Announcements carry no count and may
+//! be seconds old: one that differs makes the state be read.
 
 use crate::belief::Word;
+use crate::pending::Pending;
 use millpass_proto::{
-    AdapterName, CallId, Duration, EngineState, HeldModel, InstanceId, InstructionOperation,
-    ModelName, Timestamp, WeightsSource,
+    AdapterName, CallId, Duration, EngineState, HeldModel, InstanceId, InstructionAnswer,
+    InstructionOperation, ModelName, Timestamp, WeightsSource,
 };
 use std::collections::BTreeMap;
 
-/// How long an adapter that was just loaded or unloaded outweighs announcements, which may be older.
-const ADAPTER_OVERLAY: Duration = Duration::from_millis(2_500);
+/// How late an announcement may be on an ordinary day. One that differs in adapters from what is known, for longer than
+/// that after the last of them changed, makes the state be read.
+const ANNOUNCEMENT_LATENESS: Duration = Duration::from_millis(2_500);
 /// Time added to the expected end of an instruction before the engine's state is read.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(700);
 /// Pause before the state of an engine that did not answer is read.
 const READ_PAUSE: Duration = Duration::from_millis(400);
+/// Longest such pause: it doubles with each read that is not answered. Engines out of reach then take a quarter of the
+/// calls that they would.
+const LONGEST_READ_PAUSE: Duration = Duration::from_millis(1_600);
 /// How old a state may be that an engine reports.
 const REPORT_LAG: Duration = Duration::from_millis(250);
+/// How old a reported state may be at the very most ("some hundred milliseconds", docs/interfaces/platform.md). A report of
+/// fewer orders than the engine has accepted, in answer to a read sent later than that after the last of them, is newer
+/// all the same: an acceptance that counted for nothing would else keep the engine from use for good.
+const LONGEST_REPORT_LAG: Duration = Duration::from_millis(2_000);
+/// Pause between two reads of a state that is awaited: the engine has said that it is done.
+const CHANGE_PAUSE: Duration = Duration::from_millis(100);
 /// Time from the acceptance of an adapter's instruction to its end.
 const ADAPTER_SETTLING: Duration = Duration::from_millis(15);
-/// Time without an answer after which a call counts as lost inside this process.
+/// Time without an answer after which a call counts as lost inside this process: above the time that it may wait to leave
+/// and then to be answered.
 const CALL_LIMIT: Duration = Duration::from_millis(2_000);
 
-/// An instruction under way.
-#[derive(Clone, Debug)]
-pub(crate) struct Pending {
-    pub(crate) operation: InstructionOperation,
-    pub(crate) model: ModelName,
-    pub(crate) adapter: Option<AdapterName>,
-    pub(crate) sent_at: Timestamp,
-    pub(crate) accepted: bool,
-    /// The call that gives it.
-    pub(crate) call: CallId,
-    /// The weights come from the weight store.
-    pub(crate) from_store: bool,
-    /// Expected time at full speed.
-    pub(crate) takes: Duration,
-    /// When it should be done.
-    pub(crate) done_at: Timestamp,
+/// Whether an answer was awaited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Heard {
+    /// It was the answer to the call under way.
+    Awaited,
+    /// No such call is under way: the state is read before the next order.
+    NotAwaited,
 }
 
-#[derive(Clone, Debug)]
-struct AdapterChange {
-    model: ModelName,
-    adapter: AdapterName,
-    loaded: bool,
-    at: Timestamp,
+/// A read of the state under way.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    call: CallId,
+    since: Timestamp,
 }
 
 /// One engine.
@@ -54,13 +61,22 @@
     pub(crate) revision: Option<u64>,
     /// Orders it has surely taken: a report of fewer is older than the last of them.
     least_revision: u64,
+    /// When it accepted the last of them.
+    accepted_at: Timestamp,
     pub(crate) pending: Option<Pending>,
     pub(crate) held: Vec<HeldModel>,
     pub(crate) in_memory: Vec<ModelName>,
     pub(crate) on_disk: Vec<ModelName>,
-    /// Adapters on their way when its state was last read, and when that was.
-    coming: Vec<HeldModel>,
-    coming_at: Timestamp,
+    /// Adapters on their way; no announcement lists them.
+    coming: Vec<(ModelName, AdapterName)>,
+    /// Adapters among those held whose unload was accepted: they go once their runs are done.
+    leaving: Vec<(ModelName, AdapterName)>,
+    /// When adapters last came, or began to leave.
+    adapters_changed_at: Timestamp,
+    /// Since when announcements differ from what is known in adapters.
+    differs_since: Option<Timestamp>,
+    /// An announcement says that the unload under way is done.
+    says_done: bool,
     /// When it was last read to be busy with an order that is not known here.
     busy_elsewhere_at: Option<Timestamp>,
     /// Its state could not be read: it serves nothing until it is heard of again.
@@ -69,9 +85,10 @@
     pub(crate) reserved: Option<ModelName>,
     pub(crate) reserved_at: Timestamp,
     loaded_at: BTreeMap<ModelName, Timestamp>,
-    overlay: Vec<AdapterChange>,
-    reading_since: Option<Timestamp>,
+    reading: Option<Reading>,
     read_after: Timestamp,
+    /// Reads that were not answered since it was last heard of.
+    silent_reads: u32,
     /// Word that last set what it is believed to hold, and when that came.
     basis: Option<(Word, Timestamp)>,
 }
@@ -87,8 +104,8 @@
         self.basis = Some((word, now));
     }
 
-    /// Takes what the engine announced. An announcement may be under way for seconds: where it differs
-    /// from what is known, the engine's state is read.
+    /// Takes what the engine announced. It may be seconds old: while the state is known, it takes away nothing but copies of
+    /// weights, and where it differs from what is known, the state is read.
     pub(crate) fn announced(
         &mut self,
         now: Timestamp,
@@ -96,12 +113,27 @@
         in_memory: &[ModelName],
         on_disk: &[ModelName],
     ) {
-        self.unreachable = false;
-        if self.revision.is_some() && !self.explains(held) {
-            self.doubt(now);
+        if self.unreachable {
+            self.unreachable = false;
+            self.read_after = now;
+        }
+        self.silent_reads = 0;
+        if self.revision.is_none() {
+            // For gateways alone: nothing is ordered before the state is read.
+            self.held = held.to_vec();
+            self.in_memory = in_memory.to_vec();
+            self.on_disk = on_disk.to_vec();
             return;
         }
-        self.take(now, held, in_memory, on_disk);
+        if !self.explains(held) {
+            return self.doubt(now);
+        }
+        self.take_additions(held);
+        self.look_for_ends(now, held);
+        let holds = |model: &ModelName| self.held.iter().any(|held| held.model == *model);
+        take_copies(&mut self.in_memory, in_memory, holds);
+        take_copies(&mut self.on_disk, on_disk, holds);
+        self.compare_adapters(now, held);
     }
 
     /// Whether these models are those known, but for what is under way.
@@ -114,48 +146,221 @@
         all_within(changing, held, &self.held) && all_within(changing, &self.held, held)
     }
 
-    fn take(
+    /// Adapters on their way that have come.
+    fn take_additions(&mut self, announced: &[HeldModel]) {
+        let (come, coming): (Vec<_>, Vec<_>) = std::mem::take(&mut self.coming)
+            .into_iter()
+            .partition(|(model, adapter)| lists(announced, model, adapter));
+        self.coming = coming;
+        for (model, adapter) in come {
+            self.add_adapter(&model, adapter);
+        }
+    }
+
+    /// The end of a load shows in what the engine announces; that of an unload is to be read.
+    fn look_for_ends(&mut self, now: Timestamp, announced: &[HeldModel]) {
+        let Some(pending) = &self.pending else {
+            return;
+        };
+        if pending.adapter.is_some() || !pending.accepted {
+            return;
+        }
+        let listed = announced.iter().find(|held| held.model == pending.model);
+        match (pending.operation, listed) {
+            (InstructionOperation::Load, Some(found)) => {
+                if !self.holds(&found.model, None) {
+                    self.held.push(found.clone());
+                }
+                self.pending = None;
+            }
+            (InstructionOperation::Unload, None) if !self.says_done => {
+                self.says_done = true;
+                self.read_after = now + CHANGE_PAUSE;
+            }
+            _ => {}
+        }
+    }
+
+    fn compare_adapters(&mut self, now: Timestamp, announced: &[HeldModel]) {
+        let known = |model: &ModelName, adapter: &AdapterName| {
+            lists(&self.held, model, adapter) || self.brings_adapter(model, adapter)
+        };
+        let missing = adapters(&self.held).any(|(model, adapter)| {
+            !lists(announced, model, adapter) && !self.sends_away(model, adapter)
+        });
+        let surplus = adapters(announced).any(|(model, adapter)| !known(model, adapter));
+        if !missing && !surplus {
+            self.differs_since = None;
+            return;
+        }
+        let since = *self.differs_since.get_or_insert(now);
+        let since = since.max(self.adapters_changed_at);
+        if now.since(since) > ANNOUNCEMENT_LATENESS {
+            self.doubt(now);
+        }
+    }
+
+    /// Whether an adapter is on its way to the engine.
+    pub(crate) fn brings_adapter(&self, model: &ModelName, adapter: &AdapterName) -> bool {
+        let pending = self.pending.as_ref();
+        let pending = pending.is_some_and(|pending| {
+            pending.operation == InstructionOperation::Load && pending.concerns(model, adapter)
+        });
+        pending || is_among(&self.coming, model, adapter)
+    }
+
+    /// Whether an adapter is being unloaded.
+    fn sends_away(&self, model: &ModelName, adapter: &AdapterName) -> bool {
+        let pending = self.pending.as_ref();
+        let pending = pending.is_some_and(|pending| {
+            pending.operation == InstructionOperation::Unload && pending.concerns(model, adapter)
+        });
+        pending || is_among(&self.leaving, model, adapter)
+    }
+
+    fn add_adapter(&mut self, model: &ModelName, adapter: AdapterName) {
+        let held = self.held.iter_mut().find(|held| held.model == *model);
+        if let Some(held) = held
+            && !held.adapters.contains(&adapter)
+        {
+            held.adapters.push(adapter);
+        }
+    }
+
+    fn drop_adapter(&mut self, model: &ModelName, adapter: &AdapterName) {
+        for held in self.held.iter_mut().filter(|held| held.model == *model) {
+            held.adapters.retain(|name| name != adapter);
+        }
+    }
+
+    /// Takes the answer to a call. One to none that is awaited changes nothing but that the state is read: it may be of an
+    /// order that was given up, and carried out all the same.
+    pub(crate) fn answered(
         &mut self,
         now: Timestamp,
-        held: &[HeldModel],
-        in_memory: &[ModelName],
-        on_disk: &[ModelName],
-    ) {
-        self.held = held.to_vec();
-        self.in_memory = in_memory.to_vec();
-        self.on_disk = on_disk.to_vec();
-        self.apply_overlay(now);
-        self.settle();
+        call: CallId,
+        answer: &InstructionAnswer,
+    ) -> Heard {
+        if let Some(reading) = self.reading.take_if(|reading| reading.call == call) {
+            self.read_answered(now, reading.since, answer);
+            return Heard::Awaited;
+        }
+        if self.awaits_order(call) {
+            self.order_answered(now, answer);
+            return Heard::Awaited;
+        }
+        if *answer != InstructionAnswer::NotSent {
+            self.doubt(now);
+        }
+        Heard::NotAwaited
+    }
+
+    /// Whether this call, an order, is under way and not answered.
+    pub(crate) fn awaits_order(&self, call: CallId) -> bool {
+        let pending = self.pending.as_ref();
+        pending.is_some_and(|pending| pending.call == call && !pending.accepted)
+    }
+
+    /// Whether this call is under way.
+    pub(crate) fn awaits(&self, call: CallId) -> bool {
+        let reading = self.reading.is_some_and(|reading| reading.call == call);
+        reading || self.awaits_order(call)
+    }
+
+    fn read_answered(&mut self, now: Timestamp, asked_at: Timestamp, answer: &InstructionAnswer) {
+        match answer {
+            InstructionAnswer::State(state) => self.read(now, asked_at, state),
+            InstructionAnswer::NotSent => self.read_after = now + READ_PAUSE,
+            _ => {
+                self.unreachable = true;
+                self.give_up(now);
+                self.read_after = now + self.silent_pause();
+                self.silent_reads += 1;
+            }
+        }
+    }
+
+    fn silent_pause(&self) -> Duration {
+        let doublings = self.silent_reads.min(8);
+        (READ_PAUSE * 2_u32.pow(doublings)).min(LONGEST_READ_PAUSE)
+    }
+
+    fn order_answered(&mut self, now: Timestamp, answer: &InstructionAnswer) {
+        match answer {
+            InstructionAnswer::Accepted => self.accepted(now),
+            InstructionAnswer::AlreadySo => self.already_so(now),
+            InstructionAnswer::NotSent => {
+                // Nothing has left: what is known holds.
+                self.pending = None;
+                self.reserved = None;
+            }
+            InstructionAnswer::Conflict | InstructionAnswer::Refused(_) => self.give_up(now),
+            _ => {
+                // It may have been taken, or be taken later.
+                self.give_up(now);
+                self.read_after = now + READ_PAUSE;
+            }
+        }
+    }
+
+    fn give_up(&mut self, now: Timestamp) {
+        self.pending = None;
+        self.reserved = None;
+        self.doubt(now);
     }
 
     /// Takes the engine's state as read. A report lags: one of fewer orders than the engine has
     /// surely taken is read again.
-    pub(crate) fn read(&mut self, now: Timestamp, state: &EngineState) {
-        self.reading_since = None;
-        if state.revision < self.least_revision {
-            self.read_after = now + REPORT_LAG / 2;
+    fn read(&mut self, now: Timestamp, asked_at: Timestamp, state: &EngineState) {
+        self.unreachable = false;
+        self.silent_reads = 0;
+        let may_be_older = asked_at.since(self.accepted_at) < LONGEST_REPORT_LAG;
+        if state.revision < self.least_revision && may_be_older {
+            self.read_after = now + CHANGE_PAUSE;
             return;
         }
         self.revision = Some(state.revision);
         self.least_revision = state.revision;
-        self.unreachable = false;
-        self.coming.clone_from(&state.coming);
-        self.coming_at = now;
-        self.take(now, &state.models, &state.in_memory, &state.on_disk);
+        self.take(state);
         self.busy_elsewhere_at = None;
         if !state.busy {
             self.pending = None;
-        } else if let Some(pending) = &mut self.pending {
-            pending.accepted = true;
+            return;
+        }
+        let own = self.pending.as_mut().filter(|pending| {
+            pending.adapter.is_none() && pending.expected_revision + 1 == state.revision
+        });
+        if let Some(pending) = own {
             pending.done_at = pending.done_at.max(now);
+            self.read_after = now
+                + if self.says_done {
+                    CHANGE_PAUSE
+                } else {
+                    READ_PAUSE
+                };
         } else {
             // An order of somebody else, or a late one: look again.
+            self.pending = None;
             self.busy_elsewhere_at = Some(now);
             self.revision = None;
             self.read_after = now + READ_PAUSE;
         }
     }
 
+    fn take(&mut self, state: &EngineState) {
+        self.held.clone_from(&state.models);
+        self.in_memory.clone_from(&state.in_memory);
+        self.on_disk.clone_from(&state.on_disk);
+        let coming =
+            adapters(&state.coming).filter(|(model, name)| !lists(&state.models, model, name));
+        self.coming = coming
+            .map(|(model, name)| (model.clone(), name.clone()))
+            .collect();
+        self.leaving
+            .retain(|(model, name)| lists(&state.models, model, name));
+        self.differs_since = None;
+    }
+
     /// The load from the weight store that it carries out, as far as it is known to have begun.
     pub(crate) fn store_load(&self) -> Option<&Pending> {
         self.pending
@@ -178,38 +383,6 @@
             .is_some_and(|at| now.since(at) < CALL_LIMIT)
     }
 
-    fn apply_overlay(&mut self, now: Timestamp) {
-        self.overlay
-            .retain(|change| now.since(change.at) < ADAPTER_OVERLAY);
-        for change in &self.overlay {
-            let Some(model) = self.held.iter_mut().find(|held| held.model == change.model) else {
-                continue;
-            };
-            model.adapters.retain(|adapter| *adapter != change.adapter);
-            if change.loaded {
-                model.adapters.push(change.adapter.clone());
-            }
-        }
-    }
-
-    /// Ends a model's instruction that the engine's own words show as done.
-    fn settle(&mut self) {
-        let Some(pending) = &self.pending else {
-            return;
-        };
-        if pending.adapter.is_some() || !pending.accepted {
-            return;
-        }
-        let held = self.holds(&pending.model, None);
-        let done = match pending.operation {
-            InstructionOperation::Load => held,
-            InstructionOperation::Unload => !held,
-        };
-        if done {
-            self.pending = None;
-        }
-    }
-
     pub(crate) fn holds(&self, model: &ModelName, adapter: Option<&AdapterName>) -> bool {
         self.held.iter().any(|held| {
             held.model == *model && adapter.is_none_or(|adapter| held.adapters.contains(adapter))
@@ -219,6 +392,10 @@
     /// What it serves new requests with: all that it holds, but for what is on its way out.
     pub(crate) fn serving(&self) -> Vec<HeldModel> {
         let mut serving = self.held.clone();
+        for held in &mut serving {
+            let HeldModel { model, adapters } = held;
+            adapters.retain(|name| !is_among(&self.leaving, model, name));
+        }
         let pending = self.pending.as_ref();
         let Some(leaving) = pending.filter(|it| it.operation == InstructionOperation::Unload)
         else {
@@ -245,28 +422,20 @@
         }
     }
 
-    /// Adapters loaded or on their way, over all models.
-    pub(crate) fn adapter_count(&self, now: Timestamp) -> usize {
+    /// Places that adapters take, over all models: those loaded, on their way, and not proven to have left.
+    pub(crate) fn adapter_count(&self) -> usize {
         let held: usize = self.held.iter().map(|held| held.adapters.len()).sum();
-        held + self.coming(now).count()
+        held + self.coming.len()
     }
 
-    /// Adapters that were on their way when the state was last read, and are not known to be there.
-    pub(crate) fn coming(
-        &self,
-        now: Timestamp,
-    ) -> impl Iterator<Item = (&ModelName, &AdapterName)> {
-        let lately = now.since(self.coming_at) < ADAPTER_OVERLAY;
-        self.coming
-            .iter()
-            .filter(move |_| lately)
-            .flat_map(|coming| coming.adapters.iter().map(|name| (&coming.model, name)))
-            .filter(|(model, adapter)| !self.holds(model, Some(adapter)))
+    /// Adapters on their way.
+    pub(crate) fn coming(&self) -> &[(ModelName, AdapterName)] {
+        &self.coming
     }
 
     /// Whether an instruction may be given now.
     pub(crate) fn is_free(&self) -> bool {
-        self.pending.is_none() && self.revision.is_some()
+        self.pending.is_none() && self.reading.is_none() && self.revision.is_some()
     }
 
     /// Models whose load is under way or about to begin.
@@ -317,22 +486,25 @@
             self.loaded_at.insert(pending.model.clone(), now);
             self.reserved = None;
         }
+        self.says_done = false;
         self.pending = Some(pending);
     }
 
-    /// The instruction was taken: the engine has taken one more order. One for an adapter ends
+    /// The instruction was taken: the engine has taken one more order than it names. One for an adapter ends
     /// shortly, and the engine does not say when.
-    pub(crate) fn accepted(&mut self, now: Timestamp) {
-        if let Some(revision) = &mut self.revision {
-            *revision += 1;
-            self.least_revision = *revision;
-        }
+    fn accepted(&mut self, now: Timestamp) {
         // Reports of the time before would show an older state.
         self.read_after = self.read_after.max(now + REPORT_LAG);
         let Some(pending) = &mut self.pending else {
             return;
         };
         pending.accepted = true;
+        self.accepted_at = now;
+        let revision = pending.expected_revision + 1;
+        self.least_revision = self.least_revision.max(revision);
+        if self.revision.is_some() {
+            self.revision = Some(self.least_revision);
+        }
         let taken = now.since(pending.sent_at);
         pending.done_at = if pending.adapter.is_some() {
             now + ADAPTER_SETTLING
@@ -341,8 +513,8 @@
         };
     }
 
-    /// Ends an adapter's instruction whose time has come. True if the engine holds something else
-    /// than before.
+    /// Ends an adapter's instruction whose time has come: one that was loaded serves, one that was unloaded keeps its
+    /// place until a report shows it gone. True if something changed.
     pub(crate) fn adapter_settled(&mut self, now: Timestamp) -> bool {
         let settled = self.pending.take_if(|pending| {
             pending.accepted && pending.adapter.is_some() && now >= pending.done_at
@@ -356,78 +528,107 @@
         else {
             return false;
         };
-        self.note_adapter(now, operation, model, adapter);
+        self.adapters_changed_at = now;
+        match operation {
+            InstructionOperation::Load => self.add_adapter(&model, adapter),
+            InstructionOperation::Unload => self.leaving.push((model, adapter)),
+        }
         true
     }
 
-    fn note_adapter(
-        &mut self,
-        now: Timestamp,
-        operation: InstructionOperation,
-        model: ModelName,
-        adapter: AdapterName,
-    ) {
-        self.overlay.push(AdapterChange {
-            model,
-            adapter,
-            loaded: operation == InstructionOperation::Load,
-            at: now,
-        });
-        self.apply_overlay(now);
-    }
-
-    /// The engine did it at once, or it held already: whether that counts as an order taken is to be
-    /// read.
-    pub(crate) fn already_so(&mut self, now: Timestamp) {
-        if let Some(Pending {
+    /// The engine did it at once, or it held already: whether that counts as an order taken is to be read.
+    fn already_so(&mut self, now: Timestamp) {
+        let done = self.pending.take();
+        self.doubt(now);
+        let Some(Pending {
             operation,
             model,
             adapter: Some(adapter),
             ..
-        }) = self.pending.take()
-        {
-            self.note_adapter(now, operation, model, adapter);
+        }) = done
+        else {
+            return;
+        };
+        self.adapters_changed_at = now;
+        match operation {
+            InstructionOperation::Load => self.add_adapter(&model, adapter),
+            InstructionOperation::Unload => self.drop_adapter(&model, &adapter),
         }
-        self.pending = None;
-        self.doubt(now);
     }
 
     /// What the engine did or will do is not known: read its state before the next instruction.
     pub(crate) fn doubt(&mut self, now: Timestamp) {
         self.revision = None;
-        self.reading_since = None;
+        self.reading = None;
+        self.differs_since = None;
         self.read_after = now + REPORT_LAG;
     }
 
-    /// No answer came. Without one to a read, the engine is not there; an order's may be lost alone.
-    pub(crate) fn unanswered(&mut self, now: Timestamp) {
-        self.unreachable |= self.reading_since.is_some();
-        self.doubt(now);
-        self.read_after = now + READ_PAUSE;
-        self.pending = None;
-        self.reserved = None;
-    }
-
-    /// Whether the engine's state is to be read now; if so, notes that it is being read.
-    pub(crate) fn read_due(&mut self, now: Timestamp) -> bool {
+    /// Whether the engine's state is to be read now.
+    pub(crate) fn read_due(&self, now: Timestamp) -> bool {
         let lost = |at: Timestamp| now.since(at) > CALL_LIMIT;
-        if self.reading_since.is_some_and(|at| !lost(at)) {
+        if self.reading.is_some_and(|reading| !lost(reading.since)) || now < self.read_after {
             return false;
         }
-        let overdue = self.pending.as_ref().is_some_and(|pending| {
-            let late = pending.accepted && now > pending.done_at + OVERDUE_MARGIN;
-            late || (!pending.accepted && lost(pending.sent_at))
-        });
-        let unknown = self.revision.is_none() && self.pending.is_none();
-        if !(overdue || unknown) || now < self.read_after {
-            return false;
+        let Some(pending) = &self.pending else {
+            return self.revision.is_none() || !self.leaving.is_empty();
+        };
+        if !pending.accepted {
+            return lost(pending.sent_at);
         }
-        self.reading_since = Some(now);
+        let overdue = now > pending.done_at + OVERDUE_MARGIN;
+        overdue || self.says_done || self.revision.is_none()
+    }
+
+    /// Notes that the state is being read.
+    pub(crate) fn reads(&mut self, now: Timestamp, call: CallId) {
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|pending| !pending.accepted)
+        {
+            // Its answer was lost in this process.
+            self.give_up(now);
+        }
+        self.reading = Some(Reading { call, since: now });
         self.read_after = now + READ_PAUSE;
-        true
     }
 }
 
+/// Takes announced copies of weights: one that is there no more, and those that loads have left, of models that the engine
+/// holds. A copy that an older word names would count for a load that the weight store counts as well.
+fn take_copies(
+    known: &mut Vec<ModelName>,
+    announced: &[ModelName],
+    holds: impl Fn(&ModelName) -> bool,
+) {
+    known.retain(|model| announced.contains(model));
+    let left = announced.iter().filter(|model| holds(model));
+    let new: Vec<ModelName> = left
+        .filter(|model| !known.contains(model))
+        .cloned()
+        .collect();
+    known.extend(new);
+}
+
+/// Adapters of these models.
+fn adapters(held: &[HeldModel]) -> impl Iterator<Item = (&ModelName, &AdapterName)> {
+    held.iter().flat_map(|held| {
+        let adapters = held.adapters.iter();
+        adapters.map(move |adapter| (&held.model, adapter))
+    })
+}
+
+/// Whether an adapter is listed among these models.
+fn lists(held: &[HeldModel], model: &ModelName, adapter: &AdapterName) -> bool {
+    let mut held = held.iter();
+    held.any(|held| held.model == *model && held.adapters.contains(adapter))
+}
+
+fn is_among(list: &[(ModelName, AdapterName)], model: &ModelName, adapter: &AdapterName) -> bool {
+    list.iter().any(|(of, name)| of == model && name == adapter)
+}
+
 /// Whether all models of `held`, but for one, are among `others`.
 fn all_within(but: Option<&ModelName>, held: &[HeldModel], others: &[HeldModel]) -> bool {
     held.iter()
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -4,11 +4,12 @@
 use crate::crashes::Crashes;
 use crate::demand::Demand;
 use crate::documents::ChangeCache;
-use crate::engines::{Engines, Pending};
+use crate::engines::{Engines, Heard};
 use crate::gateways::Gateways;
 use crate::handover::InstructionHistory;
 use crate::hearing::HearingClock;
 use crate::interface::{CallAnswer, FleetEvent, FleetOutput, FleetSettings};
+use crate::pending::Pending;
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
 use crate::registry::{Announced, Registry};
@@ -318,11 +319,10 @@
         self.pace = pace.max(1);
     }
 
-    /// Whether the engine's instruction that was decided then is still to be given.
-    pub fn awaits(&self, instance: &InstanceId, decided_at: Timestamp) -> bool {
+    /// Whether this call, an instruction, is still to be made.
+    pub fn awaits(&self, instance: &InstanceId, call: CallId) -> bool {
         let engine = self.engines.engines.get(instance);
-        let pending = engine.and_then(|engine| engine.pending.as_ref());
-        pending.is_some_and(|pending| pending.sent_at == decided_at && !pending.accepted)
+        engine.is_some_and(|engine| engine.awaits_order(call))
     }
 
     /// Takes the answer of an engine.
@@ -336,24 +336,14 @@
         };
         let before = belief::held(engine);
         let under_way = engine.pending.as_ref().map(|pending| pending.call.0);
-        match answer {
-            InstructionAnswer::Accepted => engine.accepted(now),
-            InstructionAnswer::AlreadySo => engine.already_so(now),
-            InstructionAnswer::Conflict | InstructionAnswer::Refused(_) => {
-                engine.pending = None;
-                engine.reserved = None;
-                engine.doubt(now);
-            }
-            InstructionAnswer::OtherRun => {
-                self.load_ended(now, instance);
-                self.forget(instance, "replaced");
-                return;
-            }
-            InstructionAnswer::Unanswered => engine.unanswered(now),
-            InstructionAnswer::State(state) => {
-                engine.read(now, state);
-                engine.rests_on(now, word);
-            }
+        if *answer == InstructionAnswer::OtherRun && engine.awaits(answered.call) {
+            self.load_ended(now, instance);
+            self.forget(instance, "replaced");
+            return;
+        }
+        let heard = engine.answered(now, answered.call, answer);
+        if matches!(answer, InstructionAnswer::State(_)) {
+            engine.rests_on(now, word);
         }
         self.registry.serves(instance, engine.serving());
         self.dirty = true;
@@ -366,6 +356,7 @@
             ("call", answered.call.0.to_string()),
             ("answer", outcome),
             ("under_way", belief::or_none(under_way)),
+            ("awaited", (heard == Heard::Awaited).to_string()),
             ("waited_ms", answered.waited.as_millis().to_string()),
             ("took_ms", answered.took.as_millis().to_string()),
         ];
@@ -501,7 +492,7 @@
                 crashes: &self.crashes,
                 awaited: &mut awaited,
                 history: &self.history,
-                handover: self.settings.order_handover,
+                handover: self.settings.order_handover + self.settings.order_lifetime,
             };
             planner::plan(&mut view, &mut steps);
         }
@@ -541,6 +532,7 @@
             return;
         };
         let Some((operation, model, adapter)) = step.instruction else {
+            engine.reads(now, call);
             self.out.push(FleetOutput::ReadEngine {
                 instance: step.instance,
                 address,
@@ -561,6 +553,7 @@
                 sent_at: now,
                 accepted: false,
                 call,
+                expected_revision,
                 from_store: step.from_store,
                 takes: step.takes,
                 done_at: now + step.takes,
--- a/crates/millpass-fleet/src/interface.rs
+++ b/crates/millpass-fleet/src/interface.rs
@@ -17,6 +17,9 @@
     pub instance_silence: Duration,
     /// Time after an engine's last instruction for which no other leader instructs it.
     pub order_handover: Duration,
+    /// Longest time from the commit of an instruction's note to its last byte. Another leader waits for so much longer
+    /// than `order_handover`, which counts from the last byte.
+    pub order_lifetime: Duration,
     /// What the contract bears above tenants' limits.
     pub quota: QuotaTerms,
 }
@@ -28,6 +31,7 @@
             announce_interval: Duration::from_millis(1_200),
             instance_silence: Duration::from_millis(6_000),
             order_handover: Duration::from_millis(3_500),
+            order_lifetime: Duration::from_millis(600),
             quota: QuotaTerms::default(),
         }
     }
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -9,7 +9,8 @@
 //! | `demand` | how much each model and adapter is asked for |
 //! | `traffic` | requests in flight at each instance, over all gateways |
 //! | `belief` | what is believed of an engine, in words for the log |
-//! | `engines` | one instruction at a time for each engine, and what it holds |
+//! | `engines` | one call at a time for each engine, and what it holds as far as that is proven |
+//! | `pending` | an instruction to an engine that is under way |
 //! | `hearing` | the time for which this member could hear instances |
 //! | `handover` | what is known of the instructions of earlier leaders |
 //! | `permits` | loads that the weight store allows |
@@ -37,6 +38,7 @@
 mod handover;
 mod hearing;
 mod interface;
+mod pending;
 mod permits;
 mod planner;
 mod registry;
--- /dev/null
+++ b/crates/millpass-fleet/src/pending.rs
@@ -0,0 +1,30 @@
+//! An instruction to an engine that is under way.
+
+use millpass_proto::{AdapterName, CallId, Duration, InstructionOperation, ModelName, Timestamp};
+
+/// An instruction under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    pub(crate) operation: InstructionOperation,
+    pub(crate) model: ModelName,
+    pub(crate) adapter: Option<AdapterName>,
+    /// The call that gives it.
+    pub(crate) call: CallId,
+    /// Orders that the engine has taken before it.
+    pub(crate) expected_revision: u64,
+    pub(crate) sent_at: Timestamp,
+    pub(crate) accepted: bool,
+    /// The weights come from the weight store.
+    pub(crate) from_store: bool,
+    /// Expected time at full speed.
+    pub(crate) takes: Duration,
+    /// When it should be done.
+    pub(crate) done_at: Timestamp,
+}
+
+impl Pending {
+    /// Whether it loads or unloads this adapter.
+    pub(crate) fn concerns(&self, model: &ModelName, adapter: &AdapterName) -> bool {
+        self.model == *model && self.adapter.as_ref() == Some(adapter)
+    }
+}
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -274,7 +274,7 @@
             }
             round.store_loads += 1;
         }
-        let used_kilobytes = round.used_kilobytes(now, self.specification, engine);
+        let used_kilobytes = round.used_kilobytes(self.specification, engine);
         let (operation, subject, takes) = match &place.victim {
             Some(victim) => {
                 engine.reserved = Some(model.clone());
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -6,7 +6,7 @@
 use crate::engines::Engine;
 use crate::planner::{MINIMUM_STAY, UNLOAD_TIME, View};
 use millpass_proto::{
-    Duration, EngineModelSpec, EngineSpec, InstanceId, InstructionOperation, ModelName, Timestamp,
+    Duration, EngineModelSpec, EngineSpec, HeldModel, InstanceId, InstructionOperation, ModelName,
     WeightsSource,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -237,11 +237,13 @@
             .collect();
         let loss = |evictable: &Evictable| evictable.loss.millis(Duration::ZERO);
         evictable.sort_by(|left, right| loss(left).total_cmp(&loss(right)));
+        // What the configuration does not name goes first: nobody can ask for it.
+        evictable.sort_by_key(|evictable| self.models.contains_key(&evictable.model));
         Site {
             instance,
             free_kilobytes: specification
                 .weights_kilobytes
-                .saturating_sub(self.used_kilobytes(view.now, specification, engine)),
+                .saturating_sub(self.used_kilobytes(specification, engine)),
             busyness: self.busyness(engine),
             opens_in,
             evictable,
@@ -446,39 +448,47 @@
             .sum()
     }
 
-    /// Memory that an engine's models and adapters take, with what is being loaded.
-    pub(crate) fn used_kilobytes(
-        &self,
-        now: Timestamp,
-        specification: &EngineSpec,
-        engine: &Engine,
-    ) -> u64 {
-        let adapters: u64 = engine
-            .coming(now)
-            .filter_map(|(model, _)| self.model(specification, model))
-            .map(|model| model.adapter_kilobytes)
-            .sum();
-        let held: u64 = engine
-            .held
-            .iter()
-            .map(|held| self.held_kilobytes(specification, held))
-            .sum();
+    /// Memory that an engine's models and adapters take, with what is being loaded. What the configuration does not name
+    /// is of unknown size: it takes the whole.
+    pub(crate) fn used_kilobytes(&self, specification: &EngineSpec, engine: &Engine) -> u64 {
+        let adapter = |model: &ModelName| self.adapter_kilobytes(specification, model);
+        let adapters = engine.coming().iter().map(|(model, _)| adapter(model));
+        let held = engine.held.iter();
+        let held = held.map(|held| self.held_kilobytes(specification, held));
         let coming = engine.pending.as_ref().map_or(0, |pending| {
             let loads = pending.operation == InstructionOperation::Load
                 && !engine.holds(&pending.model, pending.adapter.as_ref());
-            match (self.model(specification, &pending.model), loads) {
-                (Some(model), true) if pending.adapter.is_none() => model.weights_kilobytes,
-                (Some(model), true) => model.adapter_kilobytes,
-                _ => 0,
+            match loads {
+                true if pending.adapter.is_none() => {
+                    self.weights_kilobytes(specification, &pending.model)
+                }
+                true => adapter(&pending.model),
+                false => 0,
             }
         });
-        held + adapters + coming
+        held.chain(adapters).fold(coming, u64::saturating_add)
     }
 
-    fn held_kilobytes(&self, specification: &EngineSpec, held: &millpass_proto::HeldModel) -> u64 {
-        self.model(specification, &held.model).map_or(0, |model| {
-            model.weights_kilobytes + model.adapter_kilobytes * held.adapters.len() as u64
-        })
+    /// A model that the engine holds and the configuration does not name.
+    pub(crate) fn unnamed<'a>(&self, engine: &'a Engine) -> Option<&'a ModelName> {
+        let mut held = engine.held.iter().map(|held| &held.model);
+        held.find(|model| !self.models.contains_key(*model))
+    }
+
+    fn weights_kilobytes(&self, specification: &EngineSpec, model: &ModelName) -> u64 {
+        let model = self.model(specification, model);
+        model.map_or(specification.weights_kilobytes, |it| it.weights_kilobytes)
+    }
+
+    fn adapter_kilobytes(&self, specification: &EngineSpec, model: &ModelName) -> u64 {
+        let model = self.model(specification, model);
+        model.map_or(specification.weights_kilobytes, |it| it.adapter_kilobytes)
+    }
+
+    fn held_kilobytes(&self, specification: &EngineSpec, held: &HeldModel) -> u64 {
+        let adapters = held.adapters.len() as u64;
+        let adapters = adapters.saturating_mul(self.adapter_kilobytes(specification, &held.model));
+        adapters.saturating_add(self.weights_kilobytes(specification, &held.model))
     }
 }
 
@@ -510,7 +520,7 @@
             if free >= kilobytes {
                 break;
             }
-            free += candidate.kilobytes;
+            free = free.saturating_add(candidate.kilobytes);
             lost += candidate.loss.millis(load);
             takes += UNLOAD_TIME;
             victim.get_or_insert(&candidate.model);
--- a/crates/millpass-fleet/tests/engine_model/mod.rs
+++ b/crates/millpass-fleet/tests/engine_model/mod.rs
@@ -95,6 +95,7 @@
     pub fn play(&mut self) {
         self.run_until(DISTURBED);
         self.disturbed = false;
+        self.document = document(&MODELS);
         self.run_until(DISTURBED + CALM);
     }
 
--- a/crates/millpass-fleet/tests/harness/calls.rs
+++ b/crates/millpass-fleet/tests/harness/calls.rs
@@ -21,6 +21,11 @@
         self.newest.extend(calls);
     }
 
+    /// The newest call to an engine.
+    pub fn newest(&self, instance: &str) -> Option<CallId> {
+        self.newest.get(&instance.into()).copied()
+    }
+
     /// An answer to the newest call to an engine, or to none that was made.
     pub fn answer(&self, instance: &InstanceId, answer: &InstructionAnswer) -> CallAnswer {
         let call = self.newest.get(instance).copied().unwrap_or(CallId(0));
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -2997,6 +2997,9 @@
 
     /// The engine's state, as read.
     State(EngineState),
+
+    /// It did not leave, and never will: its time was over, or too many calls waited.
+    NotSent,
 }
 
 
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -183,7 +183,7 @@
                 }
             }
             // No instances announce themselves here.
-            ControlOutput::Instruct(_)
+            ControlOutput::Instruct { .. }
             | ControlOutput::ReadEngine { .. }
             | ControlOutput::DocumentReached(_)
             | ControlOutput::DepartureReached(_) => {}
