--- a/crates/millpass-control/tests/call_schedule.rs
+++ b/crates/millpass-control/tests/call_schedule.rs
@@ -5,7 +5,7 @@
 //! been given up (2.2 s until an answer in one of ten calls, against 0.41 s on a calm day).
 
 use millpass_control::call_schedule::{CallEnd, CallSchedule};
-use millpass_proto::{Duration, Timestamp};
+use millpass_proto::Timestamp;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
