A report on a gateway's connection of before changes nothing of the newer one

A late report on the older connection took the session from the newer one, and replaced what the gateway had in flight. Ruled out: the report's number for this: it begins anew with the gateway's process; the host numbers connections in order. Change: Gateways::is_outlived; event report-late; a test that failed first.

--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -254,6 +254,13 @@
 
     /// Takes a gateway's report; it is answered by the next [`Fleet::run`].
     pub fn report(&mut self, now: Timestamp, connection: u64, report: &GatewayReport) {
+        if self.gateways.is_outlived(connection, &report.gateway) {
+            let pairs = vec![
+                ("gateway", report.gateway.clone()),
+                ("sequence", report.sequence.to_string()),
+            ];
+            return self.event("report-late", pairs);
+        }
         let before = self.gateways.reported_version(connection, &report.gateway);
         let before = before.or_else(|| self.rollout.held_when_lost(&report.gateway));
         let told = self.gateways.as_of(connection);
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -113,6 +113,13 @@
 }
 
 impl Gateways {
+    /// Whether a gateway has connected anew since this connection: what still comes on the older one is older than what
+    /// the newer one says.
+    pub(crate) fn is_outlived(&self, connection: u64, name: &str) -> bool {
+        let mut newer = self.sessions.range(connection + 1..);
+        newer.any(|(_, session)| session.name == name)
+    }
+
     /// Takes a report on a connection. True when the gateway is new there.
     pub(crate) fn heard(
         &mut self,
--- a/crates/millpass-fleet/tests/updates.rs
+++ b/crates/millpass-fleet/tests/updates.rs
@@ -348,3 +348,21 @@
     let update = only(leader.updates(COMPLETE + 3_001));
     assert!(update.document.is_none() && update.document_change.is_none());
 }
+
+/// A gateway connects anew, and the last report of its connection before is taken up after the first of the new one: two
+/// threads read the two. It took the session from the newer connection, and what the gateway had in flight with it.
+#[test]
+fn the_last_report_of_a_connection_before_changes_nothing_of_the_newer_one() {
+    let mut leader = Leader::new(3, 0);
+    leader.report_of(100, 1, "g", 1, Vec::new());
+    leader.run(100);
+    leader.report_of(200, 2, "g", 1, Vec::new());
+    leader.run(200);
+    leader.report_of(210, 1, "g", 1, Vec::new());
+    assert!(leader.updates(220).is_empty(), "nobody is at the older one");
+    leader.report_of(300, 2, "g", 1, Vec::new());
+    let told = leader.updates(310);
+    let connections: Vec<u64> = told.iter().map(|(connection, _)| *connection).collect();
+    assert_eq!(connections, [2]);
+    assert!(!told[0].1.first, "it is the session of before");
+}
