--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -232,8 +232,7 @@
         announce_interval: millis(section.announce_interval_ms),
         instance_silence: millis(section.instance_silence_ms),
         order_handover: millis(section.order_handover_ms),
-        // An order leaves while its call might still be answered, and a call that waits longer is not made.
-        order_lifetime: millis(section.call_timeout_ms),
+        order_lifetime: millis(section.order_lifetime_ms),
         quota,
     });
     Ok(announced)
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -56,8 +56,10 @@
     pub call_timeout_ms: u64,
     /// Most calls to engines at once, each on a thread that is started when it is needed. A quarter of them may be to engines that did not answer their last call.
     pub calls_at_once: u64,
-    /// Time from the last byte of an engine's last instruction for which no other leader instructs it. An instruction leaves within call_timeout_ms of the commit of its note, or not at all; the next leader counts that in.
+    /// Time from the last byte of an engine's last instruction for which no other leader instructs it. The next leader adds order_lifetime_ms.
     pub order_handover_ms: u64,
+    /// Time from the commit of an instruction's note within which its last byte leaves, or it does not leave. Longer: fewer instructions are decided anew where engines are slow to take connections; shorter: the next leader steers sooner. Instructions wait 15 ms at most on an ordinary day.
+    pub order_lifetime_ms: u64,
 }
 impl Default for ControlFleetSection {
     fn default() -> Self {
@@ -68,6 +70,7 @@
             call_timeout_ms: 600u64,
             calls_at_once: 48u64,
             order_handover_ms: 3000u64,
+            order_lifetime_ms: 200u64,
         }
     }
 }
@@ -419,6 +422,14 @@
                         maximum: 600000u64,
                     },
                 },
+                KeySpecification {
+                    name: "order_lifetime_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 50u64,
+                        maximum: 60000u64,
+                    },
+                },
             ],
         },
         SectionSpecification {
--- a/crates/millpass-fleet/src/interface.rs
+++ b/crates/millpass-fleet/src/interface.rs
@@ -31,7 +31,7 @@
             announce_interval: Duration::from_millis(1_200),
             instance_silence: Duration::from_millis(6_000),
             order_handover: Duration::from_millis(3_500),
-            order_lifetime: Duration::from_millis(600),
+            order_lifetime: Duration::from_millis(200),
             quota: QuotaTerms::default(),
         }
     }
