Failing test: a leader whose disk stalls acknowledges nothing while a majority is well

Cause: it applies only what its own disk holds, and its heartbeats need no disk. Ruled out: that nothing commits: the others sync and commit what it sends.

--- a/crates/millpass-consensus/tests/harness/cluster.rs
+++ b/crates/millpass-consensus/tests/harness/cluster.rs
@@ -106,6 +106,8 @@
     next_ticket: u64,
     next_identity: u64,
     postponed: Vec<Event>,
+    /// Reports of writes that stalled disks owe, by machine.
+    stalled: BTreeMap<usize, Vec<Event>>,
 }
 
 impl Cluster {
@@ -136,6 +138,7 @@
             next_ticket: 1,
             next_identity: 100,
             postponed: Vec::new(),
+            stalled: BTreeMap::new(),
         };
         let identities: Vec<u64> = (1..=voters).collect();
         for identity in &identities {
@@ -319,8 +322,23 @@
         condition(self)
     }
 
+    /// A machine's disk finishes no write until it is mended.
+    pub fn stall_disk(&mut self, machine: usize) {
+        self.stalled.entry(machine).or_default();
+    }
+
+    /// All writes that waited are done at once.
+    pub fn mend_disk(&mut self, machine: usize) {
+        for event in self.stalled.remove(&machine).unwrap_or_default() {
+            self.schedule(0, event);
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         let index = event.machine();
+        if let (Some(owed), Event::Synced { .. }) = (self.stalled.get_mut(&index), &event) {
+            return owed.push(event);
+        }
         if self.machines[index].frozen {
             self.postponed.push(event);
             return;
