A leader whose disk stalls hands leadership over within a bound

Ruled out: a vote that asks for a durable write first, a leader that leads on the followers' disks alone (docs/design/failing-disks.md).

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -157,6 +157,7 @@
         election_timeout: millis(settings.consensus.election_timeout_ms),
         heartbeat_interval: millis(settings.consensus.heartbeat_ms),
         lease_length: millis(settings.consensus.lease_ms),
+        stalled_disk_limit: millis(settings.consensus.stalled_disk_ms),
         maximum_append_entries: count(settings.consensus.maximum_append_entries),
         snapshot_chunk_bytes: count(settings.consensus.snapshot_chunk_bytes),
     };
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -124,6 +124,8 @@
     pub heartbeat_ms: u64,
     /// Time the leader may act alone after a heartbeat that a quorum acknowledged.
     pub lease_ms: u64,
+    /// Time for which the leader's disk may finish no write while a majority syncs more than it holds, before it hands leadership over. Above what a slow disk takes (120 ms at sixty times two), or it costs elections.
+    pub stalled_disk_ms: u64,
     /// Most log entries in one message.
     pub maximum_append_entries: u64,
     /// Applied entries after which a snapshot is taken.
@@ -137,6 +139,7 @@
             election_timeout_ms: 800u64,
             heartbeat_ms: 100u64,
             lease_ms: 600u64,
+            stalled_disk_ms: 1000u64,
             maximum_append_entries: 256u64,
             snapshot_entries: 20000u64,
             snapshot_chunk_bytes: 262144u64,
@@ -508,6 +511,14 @@
                         maximum: 50000u64,
                     },
                 },
+                KeySpecification {
+                    name: "stalled_disk_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 100u64,
+                        maximum: 600000u64,
+                    },
+                },
                 KeySpecification {
                     name: "maximum_append_entries",
                     required: false,
--- a/crates/millpass-consensus/examples/core_throughput.rs
+++ b/crates/millpass-consensus/examples/core_throughput.rs
@@ -32,6 +32,7 @@
         election_timeout: Duration::from_millis(300),
         heartbeat_interval: Duration::from_millis(50),
         lease_length: Duration::from_millis(200),
+        stalled_disk_limit: Duration::from_secs(1),
         maximum_append_entries: 256,
         snapshot_chunk_bytes: 64 * 1024,
         seed: member,
--- a/crates/millpass-consensus/src/dispatch.rs
+++ b/crates/millpass-consensus/src/dispatch.rs
@@ -23,6 +23,7 @@
     }
 
     fn tick(&mut self) {
+        self.watch_disk();
         match self.role {
             RoleState::Leader(_) => self.tick_leader(),
             _ => self.tick_election(),
--- a/crates/millpass-consensus/src/interface.rs
+++ b/crates/millpass-consensus/src/interface.rs
@@ -19,6 +19,9 @@
     /// Length of the leader lease from the sending time of an acknowledged heartbeat. Must be
     /// shorter than `election_timeout`, by more than clocks drift in that time.
     pub lease_length: Duration,
+    /// Time for which this member's disk may finish no write while a majority syncs more than it holds, before it hands
+    /// leadership over, in the time in which it runs.
+    pub stalled_disk_limit: Duration,
     /// Most entries in one append request.
     pub maximum_append_entries: usize,
     /// Most bytes in one piece of a snapshot.
--- a/crates/millpass-consensus/src/leader.rs
+++ b/crates/millpass-consensus/src/leader.rs
@@ -102,6 +102,7 @@
             return;
         }
         self.tick_transfer();
+        self.tick_stalled_disk();
         let RoleState::Leader(leader) = &mut self.role else {
             return;
         };
@@ -162,12 +163,7 @@
         let RoleState::Leader(leader) = &self.role else {
             return;
         };
-        let voters = &self.log.membership().voters;
-        let successor = voters
-            .iter()
-            .filter_map(|voter| leader.members.get_key_value(&voter.member))
-            .max_by_key(|(_, progress)| progress.match_index)
-            .map(|(member, _)| *member);
+        let successor = self.most_advanced_voter();
         let members: Vec<MemberId> = leader.members.keys().copied().collect();
         for member in members {
             self.send_heartbeat(member);
--- a/crates/millpass-consensus/src/lib.rs
+++ b/crates/millpass-consensus/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod backoff;
 mod candidacy;
+mod disk_stall;
 mod dispatch;
 mod election;
 mod follower;
@@ -30,6 +31,7 @@
 
 use crate::backoff::Backoff;
 use crate::candidacy::{Candidacy, Votes};
+use crate::disk_stall::DiskProgress;
 use crate::leader::LeaderState;
 use crate::log::Log;
 use crate::persistence::{Requirement, WriteQueue};
@@ -60,6 +62,7 @@
     /// Time of the latest step.
     now: Timestamp,
     running: RunningTime,
+    disk: DiskProgress,
     started_at: Timestamp,
     hard_state: HardState,
     log: Log,
@@ -101,6 +104,7 @@
             random,
             now,
             running,
+            disk: DiskProgress::new(running.now()),
             started_at: now,
             hard_state: restored.hard_state,
             log,
--- a/crates/millpass-consensus/src/persistence.rs
+++ b/crates/millpass-consensus/src/persistence.rs
@@ -80,6 +80,16 @@
         self.durable_index
     }
 
+    /// Number of the newest write that is synced.
+    pub(crate) fn completed(&self) -> u64 {
+        self.completed
+    }
+
+    /// Whether no write is under way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Whether the newest term and vote are synced.
     pub(crate) fn hard_state_is_durable(&self) -> bool {
         !self.hard_state_changed && self.hard_state_write <= self.completed
--- a/crates/millpass-consensus/tests/harness/values.rs
+++ b/crates/millpass-consensus/tests/harness/values.rs
@@ -10,6 +10,7 @@
 pub const GROUP: GroupId = GroupId(7);
 pub const ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
 pub const LEASE_LENGTH: Duration = Duration::from_millis(70);
+pub const STALLED_DISK_LIMIT: Duration = Duration::from_millis(300);
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Clocks may run this much faster or slower than true time. Bound by the lease:
@@ -23,6 +24,7 @@
         election_timeout: ELECTION_TIMEOUT,
         heartbeat_interval: HEARTBEAT_INTERVAL,
         lease_length: LEASE_LENGTH,
+        stalled_disk_limit: STALLED_DISK_LIMIT,
         maximum_append_entries: 8,
         snapshot_chunk_bytes: 64,
         seed,
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -181,6 +181,7 @@
                 election_timeout: self.timing.election_timeout,
                 heartbeat_interval: self.timing.heartbeat_interval,
                 lease_length: self.timing.lease_length,
+                stalled_disk_limit: Duration::from_secs(1),
                 maximum_append_entries: 64,
                 snapshot_chunk_bytes: 64 * 1024,
                 seed: address.member.0 + self.seed,
--- a/crates/millpass-control/src/settings.rs
+++ b/crates/millpass-control/src/settings.rs
@@ -15,6 +15,8 @@
     pub heartbeat_interval: Duration,
     /// Time the leader may act alone after a heartbeat that a quorum acknowledged.
     pub lease_length: Duration,
+    /// Time for which the leader's disk may stall, while a majority's go on, before it hands leadership over.
+    pub stalled_disk_limit: Duration,
     /// Most log entries in one message.
     pub maximum_append_entries: usize,
     /// Bytes in one piece of a snapshot.
@@ -27,6 +29,7 @@
             election_timeout: Duration::from_millis(800),
             heartbeat_interval: Duration::from_millis(100),
             lease_length: Duration::from_millis(600),
+            stalled_disk_limit: Duration::from_secs(1),
             maximum_append_entries: 256,
             snapshot_chunk_bytes: 256 * 1024,
         }
--- a/crates/millpass-control/src/startup.rs
+++ b/crates/millpass-control/src/startup.rs
@@ -251,6 +251,7 @@
         election_timeout: timing.election_timeout,
         heartbeat_interval: timing.heartbeat_interval,
         lease_length: timing.lease_length,
+        stalled_disk_limit: timing.stalled_disk_limit,
         maximum_append_entries: timing.maximum_append_entries,
         snapshot_chunk_bytes: timing.snapshot_chunk_bytes,
         seed: rand::random(),
--- a/crates/millpass-control/tests/common/mod.rs
+++ b/crates/millpass-control/tests/common/mod.rs
@@ -36,6 +36,7 @@
         election_timeout: Duration::from_millis(400),
         heartbeat_interval: Duration::from_millis(50),
         lease_length: Duration::from_millis(250),
+        stalled_disk_limit: Duration::from_secs(1),
         ..ConsensusTiming::default()
     }
 }
--- a/crates/millpass-sim/src/control_node.rs
+++ b/crates/millpass-sim/src/control_node.rs
@@ -103,6 +103,7 @@
         election_timeout: Duration::from_millis(500),
         heartbeat_interval: Duration::from_millis(100),
         lease_length: Duration::from_millis(400),
+        stalled_disk_limit: Duration::from_secs(1),
         maximum_append_entries: 64,
         snapshot_chunk_bytes: 4_096,
         seed,
