An exchange of models asks the engine by the same order; an adapter's unload at once makes room at once

Ruled out: heartbeats as proof (they carry no count, and no order of sequences proves that one was made after the unload); reads at once (the report's age binds). Change: an unload that an announcement says is done is ordered once more at the count that it made: 200 is the engine's own word that the model is gone; 409 leads to the read as before. 200 to the unload of an adapter that was there counts as an order taken (the contract), so the next order needs no read; if it did not, that one is refused.

--- a/crates/millpass-fleet/src/adapters.rs
+++ b/crates/millpass-fleet/src/adapters.rs
@@ -60,6 +60,7 @@
             instruction: Some(instruction),
             takes: ADAPTER_TIME,
             from_store: false,
+            confirms: false,
             used_kilobytes,
             reason: "unserved-adapter",
         });
--- a/crates/millpass-fleet/src/engines.rs
+++ b/crates/millpass-fleet/src/engines.rs
@@ -77,6 +77,9 @@
     differs_since: Option<Timestamp>,
     /// An announcement says that the unload under way is done.
     says_done: bool,
+    /// The same unload again, as a question: an engine answers one that is done with 200, at the count that it names, and
+    /// a report would show it a few hundred milliseconds later.
+    confirming: Option<CallId>,
     /// When it was last read to be busy with an order that is not known here.
     busy_elsewhere_at: Option<Timestamp>,
     /// Its state could not be read: it serves nothing until it is heard of again.
@@ -175,7 +178,7 @@
             }
             (InstructionOperation::Unload, None) if !self.says_done => {
                 self.says_done = true;
-                self.read_after = now + CHANGE_PAUSE;
+                self.read_after = now + REPORT_LAG;
             }
             _ => {}
         }
@@ -245,6 +248,10 @@
             self.read_answered(now, reading.since, answer);
             return Heard::Awaited;
         }
+        if self.confirming.take_if(|asked| *asked == call).is_some() {
+            self.confirmed(now, answer);
+            return Heard::Awaited;
+        }
         if self.awaits_order(call) {
             self.order_answered(now, answer);
             return Heard::Awaited;
@@ -258,7 +265,60 @@
     /// Whether this call, an order, is under way and not answered.
     pub(crate) fn awaits_order(&self, call: CallId) -> bool {
         let pending = self.pending.as_ref();
-        pending.is_some_and(|pending| pending.call == call && !pending.accepted)
+        let ordered = pending.is_some_and(|pending| pending.call == call && !pending.accepted);
+        ordered || self.confirming == Some(call)
+    }
+
+    /// The model whose unload, taken and by an announcement done, is to be ordered once more to be sure of it.
+    pub(crate) fn to_confirm(&self) -> Option<&ModelName> {
+        let pending = self.pending.as_ref()?;
+        let is_unload =
+            pending.operation == InstructionOperation::Unload && pending.adapter.is_none();
+        let asks = self.says_done && self.confirming.is_none() && self.reading.is_none();
+        let due = is_unload && asks && pending.accepted && !pending.was_confirmed;
+        (due && self.revision.is_some()).then_some(&pending.model)
+    }
+
+    /// Notes that the unload under way is ordered once more.
+    pub(crate) fn confirms(&mut self, now: Timestamp, call: CallId) {
+        self.confirming = Some(call);
+        self.read_after = now + CALL_LIMIT;
+        if let Some(pending) = &mut self.pending {
+            pending.was_confirmed = true;
+        }
+    }
+
+    /// Takes the answer to an unload that was ordered once more.
+    fn confirmed(&mut self, now: Timestamp, answer: &InstructionAnswer) {
+        match answer {
+            InstructionAnswer::AlreadySo => {
+                // What is done already is no order taken. If the engine counts it, it refuses the next one.
+                let Some(pending) = self.pending.take() else {
+                    return;
+                };
+                self.held.retain(|held| held.model != pending.model);
+                self.forget_moving(&pending.model);
+            }
+            InstructionAnswer::Accepted => {
+                // The model was there all the same, and goes by this order.
+                if let Some(pending) = &mut self.pending {
+                    pending.expected_revision += 1;
+                }
+                self.accepted(now);
+            }
+            InstructionAnswer::Conflict | InstructionAnswer::NotSent => self.read_after = now,
+            InstructionAnswer::Refused(_) => self.give_up(now),
+            _ => {
+                self.give_up(now);
+                self.read_after = now + READ_PAUSE;
+            }
+        }
+    }
+
+    /// Adapters of a model that is gone are neither on their way nor leaving.
+    fn forget_moving(&mut self, model: &ModelName) {
+        self.coming.retain(|(of, _)| of != model);
+        self.leaving.retain(|(of, _)| of != model);
     }
 
     /// Whether this call is under way.
@@ -499,18 +559,14 @@
             return;
         };
         pending.accepted = true;
-        self.accepted_at = now;
         let revision = pending.expected_revision + 1;
-        self.least_revision = self.least_revision.max(revision);
-        if self.revision.is_some() {
-            self.revision = Some(self.least_revision);
-        }
         let taken = now.since(pending.sent_at);
         pending.done_at = if pending.adapter.is_some() {
             now + ADAPTER_SETTLING
         } else {
             pending.done_at + taken
         };
+        self.counted(now, revision);
     }
 
     /// Ends an adapter's instruction whose time has come: one that was loaded serves, one that was unloaded keeps its
@@ -536,23 +592,36 @@
         true
     }
 
-    /// The engine did it at once, or it held already: whether that counts as an order taken is to be read.
+    /// The engine did it at once, or it held already. An adapter that was there and that no request used is unloaded at
+    /// once, which counts as an order taken; whether anything else does is to be read.
     fn already_so(&mut self, now: Timestamp) {
-        let done = self.pending.take();
-        self.doubt(now);
-        let Some(Pending {
-            operation,
-            model,
-            adapter: Some(adapter),
-            ..
-        }) = done
-        else {
+        let Some(done) = self.pending.take() else {
             return;
         };
+        let expected = done.expected_revision;
+        let Some(adapter) = done.adapter else {
+            return self.doubt(now);
+        };
         self.adapters_changed_at = now;
-        match operation {
-            InstructionOperation::Load => self.add_adapter(&model, adapter),
-            InstructionOperation::Unload => self.drop_adapter(&model, &adapter),
+        if done.operation == InstructionOperation::Load {
+            self.add_adapter(&done.model, adapter);
+            return self.doubt(now);
+        }
+        let was_there = self.revision == Some(expected) && lists(&self.held, &done.model, &adapter);
+        self.drop_adapter(&done.model, &adapter);
+        if was_there {
+            self.counted(now, expected + 1);
+        } else {
+            self.doubt(now);
+        }
+    }
+
+    /// The engine has surely taken so many orders, the last of them now.
+    fn counted(&mut self, now: Timestamp, revision: u64) {
+        self.accepted_at = now;
+        self.least_revision = self.least_revision.max(revision);
+        if self.revision.is_some() {
+            self.revision = Some(self.least_revision);
         }
     }
 
@@ -560,6 +629,7 @@
     pub(crate) fn doubt(&mut self, now: Timestamp) {
         self.revision = None;
         self.reading = None;
+        self.confirming = None;
         self.differs_since = None;
         self.read_after = now + REPORT_LAG;
     }
@@ -590,6 +660,7 @@
             // Its answer was lost in this process.
             self.give_up(now);
         }
+        self.confirming = None;
         self.reading = Some(Reading { call, since: now });
         self.read_after = now + READ_PAUSE;
     }
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -538,7 +538,7 @@
         let Some(engine) = self.engines.engines.get_mut(&step.instance) else {
             return;
         };
-        let Some((operation, model, adapter)) = step.instruction else {
+        let Some((operation, model, adapter)) = step.instruction.clone() else {
             engine.reads(now, call);
             self.out.push(FleetOutput::ReadEngine {
                 instance: step.instance,
@@ -551,21 +551,24 @@
             return;
         };
         let believed = belief::pairs(now, engine);
-        engine.sent(
-            now,
-            Pending {
+        if step.confirms {
+            engine.confirms(now, call);
+        } else {
+            let pending = Pending {
                 operation,
                 model: model.clone(),
                 adapter: adapter.clone(),
                 sent_at: now,
                 accepted: false,
+                was_confirmed: false,
                 call,
                 expected_revision,
                 from_store: step.from_store,
                 takes: step.takes,
                 done_at: now + step.takes,
-            },
-        );
+            };
+            engine.sent(now, pending);
+        }
         let unloads = operation == InstructionOperation::Unload;
         if unloads {
             // No gateway sends to what is about to go.
--- a/crates/millpass-fleet/src/pending.rs
+++ b/crates/millpass-fleet/src/pending.rs
@@ -14,6 +14,8 @@
     pub(crate) expected_revision: u64,
     pub(crate) sent_at: Timestamp,
     pub(crate) accepted: bool,
+    /// An unload that was ordered once more, to be sure that it is done.
+    pub(crate) was_confirmed: bool,
     /// The weights come from the weight store.
     pub(crate) from_store: bool,
     /// Expected time at full speed.
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -45,6 +45,8 @@
     pub(crate) takes: Duration,
     /// The weights come from the weight store.
     pub(crate) from_store: bool,
+    /// It is an unload that the engine has taken, ordered once more to be sure that it is done.
+    pub(crate) confirms: bool,
     /// Memory that the engine's models and adapters are believed to take before it, in KB.
     pub(crate) used_kilobytes: u64,
     pub(crate) reason: &'static str,
@@ -158,9 +160,20 @@
                     instruction: None,
                     takes: Duration::ZERO,
                     from_store: false,
+                    confirms: false,
                     used_kilobytes: 0,
                     reason: "state-unknown",
                 });
+            } else if let Some(model) = engine.to_confirm() {
+                steps.push(Step {
+                    instruction: Some((InstructionOperation::Unload, model.clone(), None)),
+                    instance,
+                    takes: Duration::ZERO,
+                    from_store: false,
+                    confirms: true,
+                    used_kilobytes: 0,
+                    reason: "confirm-unloaded",
+                });
             }
         }
     }
@@ -299,6 +312,7 @@
             instruction: Some((operation, subject, None)),
             takes,
             from_store,
+            confirms: false,
             used_kilobytes,
             reason,
         });
--- a/crates/millpass-fleet/tests/engine_model/engine.rs
+++ b/crates/millpass-fleet/tests/engine_model/engine.rs
@@ -51,6 +51,8 @@
     pub loads: u64,
     /// Its state changed: it announces itself at once.
     has_news: bool,
+    /// An unload of a model that is not there counts as an order taken.
+    pub counts_what_is_done: bool,
 }
 
 impl Engine {
@@ -70,6 +72,7 @@
             breaches: Vec::new(),
             loads: 0,
             has_news: false,
+            counts_what_is_done: false,
         };
         engine.note_state(now);
         engine
@@ -82,6 +85,7 @@
         self.on_disk = before.on_disk;
         self.breaches = before.breaches;
         self.loads = before.loads;
+        self.counts_what_is_done = before.counts_what_is_done;
     }
 
     pub fn id(&self) -> InstanceId {
@@ -182,6 +186,11 @@
         let there = self.holds(&order.model, order.adapter.as_ref());
         let loads = order.operation == InstructionOperation::Load;
         let answer = match (&order.adapter, loads) {
+            (None, false) if !there => {
+                // The contract does not say whether what is done already counts.
+                self.revision += u64::from(self.counts_what_is_done);
+                InstructionAnswer::AlreadySo
+            }
             _ if there == loads => InstructionAnswer::AlreadySo,
             (None, _) => self.order_model(now, order, random),
             (Some(adapter), true) => self.load_adapter(now, order, adapter, random),
--- a/crates/millpass-fleet/tests/room.rs
+++ b/crates/millpass-fleet/tests/room.rs
@@ -314,3 +314,40 @@
     assert_eq!(given.len(), 1);
     assert_eq!(given[0].model, "b".into(), "nobody can ask for it");
 }
+
+/// An announcement from before the load of what is being unloaded arrives late.
+#[test]
+fn an_announcement_that_says_an_unload_is_done_makes_no_room_before_the_engine_says_so() {
+    let mut leader = Leader::new(&[held("a", &[]), held("b", &[])]);
+    let given = leader.asked_for(1_100, "c", None);
+    assert_eq!(given[0].operation, InstructionOperation::Unload);
+    let left = if given[0].model == "a".into() {
+        "b"
+    } else {
+        "a"
+    };
+    leader.call_answered(2_110, given[0].call, &InstructionAnswer::Accepted);
+    leader.announced(2_200, &[held(left, &[])]);
+    let asked = leader.asked_for(2_210, "c", None);
+    assert_eq!(asked.len(), 1, "{asked:?}");
+    assert_eq!(asked[0].operation, InstructionOperation::Unload);
+    // Its runs go on: another order is under way there.
+    leader.call_answered(3_300, asked[0].call, &InstructionAnswer::Conflict);
+    let next = leader.asked_for(3_310, "c", None);
+    assert!(next.is_empty(), "{next:?}");
+    leader.answered(4_400, &state(1, &[held(left, &[])]));
+    let next = leader.asked_for(4_410, "c", None);
+    assert_eq!(loads(&next), 1, "{next:?}");
+}
+
+/// What an unload at once has freed is used without a read: it counts as an order taken.
+#[test]
+fn an_adapter_that_was_unloaded_at_once_makes_room_at_once() {
+    let mut leader = Leader::new(&[held("a", &["x", "y"])]);
+    let given = leader.asked_for(1_100, "a", Some("z"));
+    assert_eq!(given[0].operation, InstructionOperation::Unload);
+    leader.call_answered(2_110, given[0].call, &InstructionAnswer::AlreadySo);
+    let next = leader.asked_for(2_120, "a", Some("z"));
+    assert_eq!(loads(&next), 1, "{next:?}");
+    assert_eq!(next[0].expected_revision, 1);
+}
