--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -256,12 +256,12 @@
         .fleet
         .announce(at(1_300), record("e-1", 2_000, &["a"]), false);
     // An announcement may be old: the engine is asked, by the same order, and says that it is done.
-    let asked = bench.instructions(1_310);
+    let asked = bench.instructions(1_350);
     assert_eq!(asked.len(), 1, "{asked:?}");
     assert_eq!(asked[0].operation, InstructionOperation::Unload);
     assert_eq!(asked[0].expected_revision, 1, "the unload counts");
-    assert!(bench.instructions(1_350).is_empty(), "nor is room yet");
-    bench.answered(1_360, "e-1", &InstructionAnswer::AlreadySo);
+    assert!(bench.instructions(1_390).is_empty(), "nor is room yet");
+    bench.answered(1_400, "e-1", &InstructionAnswer::AlreadySo);
     let second = bench.instructions(1_450);
     assert_eq!(second.len(), 1, "{second:?}");
     assert_eq!(second[0].operation, InstructionOperation::Load);
