A start whose trial file cannot be removed goes on and says so

Cause: the trial's removal counted as a want of room, so the start waited, though removals elsewhere are only noted. Ruled out: removing nothing at the start: a full disk needs the room of half-written files. Change: opening.rs; the note file_kept; a test that failed before.

--- a/crates/millpass-storage/src/opening.rs
+++ b/crates/millpass-storage/src/opening.rs
@@ -63,7 +63,7 @@
         notes: Vec::new(),
     };
     notes.extend(storage.remove_covered_files());
-    try_room(&storage.folder, storage.options.start_room_bytes)?;
+    notes.extend(try_room(&storage.folder, storage.options.start_room_bytes)?);
     let mut entries = loaded.replay.entries;
     if reaches_snapshot {
         entries.retain(|entry| entry.position.index > covered.index);
@@ -87,14 +87,15 @@
     Ok((storage, restored))
 }
 
-/// Whether the folder has room to go on: a file of that many bytes is written, synced and removed.
-fn try_room(folder: &DataFolder, bytes: u64) -> Result<(), StorageError> {
+/// Whether the folder has room to go on: a file of that many bytes is written, synced and removed. One that cannot be
+/// removed is noted, as other files are that stay: it takes its room once, and the next start removes it.
+fn try_room(folder: &DataFolder, bytes: u64) -> Result<Option<RecoveryNote>, StorageError> {
     let path = files::temporary_path(&folder.path.join(ROOM_NAME));
     let zeros = vec![0; bytes as usize];
-    let written = folder.files.write_synced(&path, &[&zeros]);
-    // Where it cannot be removed, the next start does so.
-    let removed = folder.files.remove(&path);
-    written.and(removed).at(&path)
+    let written = folder.files.write_synced(&path, &[&zeros]).at(&path);
+    let removed = folder.files.remove(&path).at(&path);
+    written?;
+    Ok(removed.err().map(|error| kept(path, &error)))
 }
 
 /// Segments before a gap may go only if the snapshot covers all up to the first one behind it.
--- a/crates/millpass-storage/tests/bounds.rs
+++ b/crates/millpass-storage/tests/bounds.rs
@@ -3,8 +3,10 @@
 mod common;
 
 use common::*;
-use millpass_storage::{Storage, StorageError, StorageOptions};
-use std::fs;
+use millpass_storage::{FileSystem, Storage, StorageError, StorageOptions};
+use std::path::Path;
+use std::sync::Arc;
+use std::{fs, io};
 
 const SEGMENT_BYTES: u64 = 4_000;
 const LARGEST_STATE_BYTES: u64 = 2_000;
@@ -109,3 +111,44 @@
         Err(std::io::ErrorKind::StorageFull.into())
     }
 }
+
+/// Files can be written and not removed.
+#[derive(Debug)]
+struct NothingGoes;
+
+impl FileSystem for NothingGoes {
+    fn remove(&self, _path: &Path) -> io::Result<()> {
+        Err(io::ErrorKind::PermissionDenied.into())
+    }
+}
+
+/// A start whose trial file could not be removed waited for as long as that lasted, though the member could write all it
+/// had to, and other files that stay are only noted.
+#[test]
+fn a_start_that_cannot_remove_its_trial_file_goes_on_and_says_so() {
+    let (_root, folder) = new_folder();
+    let with_files = StorageOptions {
+        files: Arc::new(NothingGoes),
+        ..options()
+    };
+    let (mut storage, restored) = Storage::open_with(&folder, with_files).expect("open");
+    let notes: Vec<String> = restored.notes.iter().map(ToString::to_string).collect();
+    assert!(
+        notes.iter().any(|note| note.contains("file_kept")),
+        "{notes:?}"
+    );
+    storage
+        .write(None, None, &entries(1, 1..=3))
+        .expect("it writes");
+    drop(storage);
+    let trials = || {
+        let files = contents(&folder).into_iter();
+        files
+            .filter(|(path, _)| path.to_string_lossy().contains("room"))
+            .count()
+    };
+    assert_eq!(trials(), 1);
+    let (_, restored) = Storage::open_with(&folder, options()).expect("open again");
+    assert_eq!(restored.entries.len(), 3);
+    assert_eq!(trials(), 0, "the next start removes it");
+}
