--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -3,19 +3,10 @@
 mod harness;
 
 use harness::calls::Calls;
-use millpass_fleet::{
-    DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
-};
+use harness::documents::{self, NOBODY, Room, engine_document};
+use millpass_fleet::{Fleet, FleetOutput, FleetSettings, InstructionHistory};
 use millpass_proto::*;
 
-/// Neither members nor departures.
-const NOBODY: GatewayContext<'static> = GatewayContext {
-    as_of: 0,
-    members: &Vec::new,
-    departed: &|_| Vec::new(),
-    documents: &DocumentHistory::new(),
-};
-
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
@@ -72,39 +63,12 @@
 }
 
 fn document() -> DeploymentDocument {
-    let model = EngineModelSpec {
-        name: "a".into(),
-        weights_kilobytes: 60,
-        load_millis: 2_000,
-        disk_load_millis: 800,
-        memory_load_millis: 400,
-        adapters: 0,
-        adapter_kilobytes: 1,
+    let room = Room {
+        weights_kilobytes: 130,
+        adapter_slots: 2,
+        milliloads_per_second: 20_000,
     };
-    DeploymentDocument {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![ServiceSpec {
-            name: "text".into(),
-            health_path: String::new(),
-            maximum_connections: 0,
-            engine: Some(EngineSpec {
-                slots: 8,
-                cache_tokens: 1_000,
-                weights_kilobytes: 130,
-                adapter_slots: 2,
-                milliloads_per_second: 20_000,
-                models: vec![model],
-            }),
-        }],
-        limits: CallerLimits {
-            header_bytes: 0,
-            body_bytes: 0,
-            header_millis: 0,
-            idle_millis: 0,
-        },
-        tenants: Vec::new(),
-    }
+    engine_document(vec![documents::model("a", 60, 0)], &room)
 }
 
 struct Leader(Fleet, Calls);
--- a/crates/millpass-fleet/tests/engine_model/mod.rs
+++ b/crates/millpass-fleet/tests/engine_model/mod.rs
@@ -3,22 +3,15 @@
 
 pub mod engine;
 
+use crate::harness::calls;
+use crate::harness::documents::{self, NOBODY, Room, engine_document};
 use engine::{ADAPTER_KILOBYTES, ADAPTER_PLACES, Engine, MODEL_KILOBYTES, ROOM_KILOBYTES};
-use millpass_fleet::{
-    CallAnswer, DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext,
-    InstructionHistory,
-};
+use millpass_fleet::{CallAnswer, Fleet, FleetOutput, FleetSettings, InstructionHistory};
 use millpass_proto::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 
-const NOBODY: GatewayContext<'static> = GatewayContext {
-    as_of: 0,
-    members: &Vec::new,
-    departed: &|_| Vec::new(),
-    documents: &DocumentHistory::new(),
-};
 const MODELS: [&str; 7] = ["a", "b", "c", "d", "e", "f", "g"];
 const ADAPTERS: [&str; 6] = ["u", "v", "w", "x", "y", "z"];
 const ENGINES: usize = 4;
@@ -263,7 +256,7 @@
         if self.now < self.cut_until[number] {
             return;
         }
-        let answer = call_answer(instance, call, answer);
+        let answer = calls::to(call, &instance, &answer);
         for _ in 0..1 + u32::from(self.chance(0.05)) {
             if self.chance(0.1) {
                 continue;
@@ -280,7 +273,7 @@
         } else {
             0
         };
-        let unanswered = call_answer(instance.clone(), call, InstructionAnswer::Unanswered);
+        let unanswered = calls::to(call, instance, &InstructionAnswer::Unanswered);
         self.send_in(waits + CALL_TIMEOUT, Message::Answer(self.term, unanswered));
         let mut engines = self.engines.iter();
         let found = engines.position(|engine| {
@@ -386,16 +379,6 @@
     InstructionHistory::new(Timestamp::ZERO, Duration::from_secs(600))
 }
 
-fn call_answer(instance: InstanceId, call: CallId, answer: InstructionAnswer) -> CallAnswer {
-    CallAnswer {
-        instance,
-        call,
-        answer,
-        waited: Duration::ZERO,
-        took: Duration::ZERO,
-    }
-}
-
 fn need((model, adapter): (ModelName, Option<AdapterName>)) -> ModelNeed {
     ModelNeed {
         service: "text".into(),
@@ -411,36 +394,13 @@
 
 fn document(models: &[&str]) -> DeploymentDocument {
     let model = |name: &&str| EngineModelSpec {
-        name: (*name).into(),
-        weights_kilobytes: MODEL_KILOBYTES,
-        load_millis: 2_000,
-        disk_load_millis: 800,
-        memory_load_millis: 400,
-        adapters: ADAPTERS.len() as u32,
         adapter_kilobytes: ADAPTER_KILOBYTES,
+        ..documents::model(name, MODEL_KILOBYTES, ADAPTERS.len() as u32)
     };
-    DeploymentDocument {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![ServiceSpec {
-            name: "text".into(),
-            health_path: String::new(),
-            maximum_connections: 0,
-            engine: Some(EngineSpec {
-                slots: 8,
-                cache_tokens: 1_000,
-                weights_kilobytes: ROOM_KILOBYTES,
-                adapter_slots: ADAPTER_PLACES as u32,
-                milliloads_per_second: 20_000,
-                models: models.iter().map(model).collect(),
-            }),
-        }],
-        limits: CallerLimits {
-            header_bytes: 0,
-            body_bytes: 0,
-            header_millis: 0,
-            idle_millis: 0,
-        },
-        tenants: Vec::new(),
-    }
+    let room = Room {
+        weights_kilobytes: ROOM_KILOBYTES,
+        adapter_slots: ADAPTER_PLACES as u32,
+        milliloads_per_second: 20_000,
+    };
+    engine_document(models.iter().map(model).collect(), &room)
 }
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -3,9 +3,9 @@
 mod harness;
 
 use harness::calls::Calls;
+use harness::documents::{self, NOBODY, Room, engine_document};
 use millpass_fleet::{
-    DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext, InstructionHistory,
-    StoreCapacity, StorePermits,
+    Fleet, FleetOutput, FleetSettings, InstructionHistory, StoreCapacity, StorePermits,
 };
 use millpass_proto::*;
 use rstest::rstest;
@@ -18,50 +18,16 @@
 }
 
 fn model(name: &str) -> EngineModelSpec {
-    EngineModelSpec {
-        name: name.into(),
-        weights_kilobytes: MODEL_KILOBYTES,
-        load_millis: 2_000,
-        disk_load_millis: 800,
-        memory_load_millis: 400,
-        adapters: 4,
-        adapter_kilobytes: 1,
-    }
+    documents::model(name, MODEL_KILOBYTES, 4)
 }
 
-/// Neither members nor departures.
-const NOBODY: GatewayContext<'static> = GatewayContext {
-    as_of: 0,
-    members: &Vec::new,
-    departed: &|_| Vec::new(),
-    documents: &DocumentHistory::new(),
-};
-
 fn document() -> DeploymentDocument {
-    DeploymentDocument {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![ServiceSpec {
-            name: "text".into(),
-            health_path: String::new(),
-            maximum_connections: 0,
-            engine: Some(EngineSpec {
-                slots: 8,
-                cache_tokens: 1_000,
-                weights_kilobytes: ROOM_KILOBYTES,
-                adapter_slots: 2,
-                milliloads_per_second: 2_000,
-                models: ["a", "b", "c", "d"].map(model).to_vec(),
-            }),
-        }],
-        limits: CallerLimits {
-            header_bytes: 0,
-            body_bytes: 0,
-            header_millis: 0,
-            idle_millis: 0,
-        },
-        tenants: Vec::new(),
-    }
+    let room = Room {
+        weights_kilobytes: ROOM_KILOBYTES,
+        adapter_slots: 2,
+        milliloads_per_second: 2_000,
+    };
+    engine_document(["a", "b", "c", "d"].map(model).to_vec(), &room)
 }
 
 fn held(models: &[&str]) -> Vec<HeldModel> {
--- /dev/null
+++ b/crates/millpass-fleet/tests/harness/documents.rs
@@ -0,0 +1,59 @@
+//! Documents of one service of engines, called `text`.
+
+use millpass_fleet::{DocumentHistory, GatewayContext};
+use millpass_proto::*;
+
+/// Neither members nor departures.
+pub const NOBODY: GatewayContext<'static> = GatewayContext {
+    as_of: 0,
+    members: &Vec::new,
+    departed: &|_| Vec::new(),
+    documents: &DocumentHistory::new(),
+};
+
+/// What the engines of a document have room for, and how many loads the weight store allows.
+pub struct Room {
+    pub weights_kilobytes: u64,
+    pub adapter_slots: u32,
+    pub milliloads_per_second: u64,
+}
+
+/// A model that loads in two seconds from the weight store.
+pub fn model(name: &str, weights_kilobytes: u64, adapters: u32) -> EngineModelSpec {
+    EngineModelSpec {
+        name: name.into(),
+        weights_kilobytes,
+        load_millis: 2_000,
+        disk_load_millis: 800,
+        memory_load_millis: 400,
+        adapters,
+        adapter_kilobytes: 1,
+    }
+}
+
+pub fn engine_document(models: Vec<EngineModelSpec>, room: &Room) -> DeploymentDocument {
+    DeploymentDocument {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![ServiceSpec {
+            name: "text".into(),
+            health_path: String::new(),
+            maximum_connections: 0,
+            engine: Some(EngineSpec {
+                slots: 8,
+                cache_tokens: 1_000,
+                weights_kilobytes: room.weights_kilobytes,
+                adapter_slots: room.adapter_slots,
+                milliloads_per_second: room.milliloads_per_second,
+                models,
+            }),
+        }],
+        limits: CallerLimits {
+            header_bytes: 0,
+            body_bytes: 0,
+            header_millis: 0,
+            idle_millis: 0,
+        },
+        tenants: Vec::new(),
+    }
+}
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod calls;
+pub mod documents;
 
 use calls::Calls;
 use millpass_dispatch::{DispatchSettings, Dispatcher, FreshnessSettings};
--- a/crates/millpass-fleet/tests/room.rs
+++ b/crates/millpass-fleet/tests/room.rs
@@ -16,58 +16,23 @@
 mod harness;
 
 use harness::calls::{self, Calls};
-use millpass_fleet::{DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext};
+use harness::documents::{self, NOBODY, Room, engine_document};
+use millpass_fleet::{Fleet, FleetOutput, FleetSettings};
 use millpass_proto::*;
 
-const NOBODY: GatewayContext<'static> = GatewayContext {
-    as_of: 0,
-    members: &Vec::new,
-    departed: &|_| Vec::new(),
-    documents: &DocumentHistory::new(),
-};
-
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
 
-fn model(name: &str) -> EngineModelSpec {
-    EngineModelSpec {
-        name: name.into(),
-        weights_kilobytes: 60,
-        load_millis: 2_000,
-        disk_load_millis: 800,
-        memory_load_millis: 400,
-        adapters: 9,
-        adapter_kilobytes: 1,
-    }
-}
-
 /// Engines have room for two models, and places for two adapters.
 fn document(models: &[&str]) -> DeploymentDocument {
-    DeploymentDocument {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![ServiceSpec {
-            name: "text".into(),
-            health_path: String::new(),
-            maximum_connections: 0,
-            engine: Some(EngineSpec {
-                slots: 8,
-                cache_tokens: 1_000,
-                weights_kilobytes: 130,
-                adapter_slots: 2,
-                milliloads_per_second: 20_000,
-                models: models.iter().copied().map(model).collect(),
-            }),
-        }],
-        limits: CallerLimits {
-            header_bytes: 0,
-            body_bytes: 0,
-            header_millis: 0,
-            idle_millis: 0,
-        },
-        tenants: Vec::new(),
-    }
+    let models = models.iter().map(|name| documents::model(name, 60, 9));
+    let room = Room {
+        weights_kilobytes: 130,
+        adapter_slots: 2,
+        milliloads_per_second: 20_000,
+    };
+    engine_document(models.collect(), &room)
 }
 
 fn held(model: &str, adapters: &[&str]) -> HeldModel {
--- a/crates/millpass-fleet/tests/room_under_faults.rs
+++ b/crates/millpass-fleet/tests/room_under_faults.rs
@@ -6,6 +6,7 @@
 //! `MILLPASS_ROOM_SEEDS=10000..20000 cargo test --release -p millpass-fleet --test room_under_faults`.
 
 mod engine_model;
+mod harness;
 
 use engine_model::World;
 use rstest::rstest;
