--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -4,11 +4,11 @@
 use crate::crashes::Crashes;
 use crate::demand::Demand;
 use crate::documents::ChangeCache;
-use crate::engines::{Engines, Heard};
+use crate::engines::Engines;
 use crate::gateways::Gateways;
 use crate::handover::InstructionHistory;
 use crate::hearing::HearingClock;
-use crate::interface::{CallAnswer, FleetEvent, FleetOutput, FleetSettings};
+use crate::interface::{FleetEvent, FleetOutput, FleetSettings};
 use crate::pending::Pending;
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
@@ -19,8 +19,8 @@
 use crate::updates::GatewayContext;
 use millpass_proto::{
     CallId, DeploymentDocument, Duration, EngineInstruction, GatewayReport, HeldRequestNote,
-    InstanceId, InstanceLoad, InstanceNote, InstanceRecord, InstructionAnswer,
-    InstructionOperation, ModelName, ModelOutlook, ServiceName, Timestamp,
+    InstanceId, InstanceLoad, InstanceNote, InstanceRecord, InstructionOperation, ModelName,
+    ModelOutlook, ServiceName, Timestamp,
 };
 use std::collections::BTreeSet;
 
@@ -65,7 +65,7 @@
     pub(crate) changes: ChangeCache,
     /// Models that wait for an engine or the weight store.
     waiting: BTreeSet<(ServiceName, ModelName)>,
-    dirty: bool,
+    pub(crate) dirty: bool,
     next_plan: Timestamp,
     last_plan: Timestamp,
     /// Registry revision that was noted in the log, and when.
@@ -326,70 +326,6 @@
         self.pace = pace.max(1);
     }
 
-    /// Whether this call, an instruction, is still to be made.
-    pub fn awaits(&self, instance: &InstanceId, call: CallId) -> bool {
-        let engine = self.engines.engines.get(instance);
-        engine.is_some_and(|engine| engine.awaits_order(call))
-    }
-
-    /// Takes the answer of an engine.
-    pub fn answered(&mut self, now: Timestamp, answered: &CallAnswer) {
-        let CallAnswer {
-            instance, answer, ..
-        } = answered;
-        let word = Word::Answer(answered.call);
-        let Some(engine) = self.engines.engines.get_mut(instance) else {
-            return;
-        };
-        let before = belief::held(engine);
-        let under_way = engine.pending.as_ref().map(|pending| pending.call.0);
-        if *answer == InstructionAnswer::OtherRun && engine.awaits(answered.call) {
-            self.load_ended(now, instance);
-            self.forget(instance, "replaced");
-            return;
-        }
-        let heard = engine.answered(now, answered.call, answer);
-        if matches!(answer, InstructionAnswer::State(_)) {
-            engine.rests_on(now, word);
-        }
-        self.registry.serves(instance, engine.serving());
-        self.dirty = true;
-        let outcome = match answer {
-            InstructionAnswer::State(state) => format!("state:{}", state.revision),
-            other => format!("{other:?}"),
-        };
-        let pairs = vec![
-            ("instance", instance.0.clone()),
-            ("call", answered.call.0.to_string()),
-            ("answer", outcome),
-            ("under_way", belief::or_none(under_way)),
-            ("awaited", (heard == Heard::Awaited).to_string()),
-            ("waited_ms", answered.waited.as_millis().to_string()),
-            ("took_ms", answered.took.as_millis().to_string()),
-        ];
-        self.event("engine-answered", pairs);
-        self.log_lost(instance, word, &before);
-    }
-
-    /// Logs what a word took out of what an engine was believed to hold.
-    fn log_lost(&mut self, instance: &InstanceId, word: Word, before: &BTreeSet<belief::Held>) {
-        let Some(engine) = self.engines.engines.get(instance) else {
-            return;
-        };
-        let revision = engine.revision;
-        let lost: BTreeSet<_> = before.difference(&belief::held(engine)).cloned().collect();
-        if lost.is_empty() {
-            return;
-        }
-        let pairs = vec![
-            ("instance", instance.0.clone()),
-            ("lost", belief::list(&lost)),
-            ("by", word.to_string()),
-            ("revision", belief::or_none(revision)),
-        ];
-        self.event("engine-lost", pairs);
-    }
-
     /// Does what is due; called only while this member is in charge. `context` is asked when a gateway connects.
     pub fn run(
         &mut self,
@@ -616,7 +552,7 @@
         self.registry.latest_run(instance).cloned()
     }
 
-    fn forget(&mut self, instance: &InstanceId, reason: &str) {
+    pub(crate) fn forget(&mut self, instance: &InstanceId, reason: &str) {
         self.engines.engines.remove(instance);
         if self.registry.remove(instance) {
             self.dirty = true;
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `traffic` | requests in flight at each instance, over all gateways |
 //! | `belief` | what is believed of an engine, in words for the log |
 //! | `engines` | one call at a time for each engine, and what it holds as far as that is proven |
+//! | `engine_answers` | answers to calls to engines, as the leader takes and logs them |
 //! | `pending` | an instruction to an engine that is under way |
 //! | `hearing` | the time for which this member could hear instances |
 //! | `handover` | what is known of the instructions of earlier leaders |
@@ -32,6 +33,7 @@
 mod crashes;
 mod demand;
 mod documents;
+mod engine_answers;
 mod engines;
 mod fleet;
 mod gateways;
