The count after an unload at once is read before the next order; the seeds that broke are kept

Cause: seed 6261 of 8,000 more: an adapter whose unload an earlier leader had ordered left by itself; the next leader's unload was answered 200 and counted, the order after it named 17 where the engine was at 16, and was carried out late at 17, in another state. Ruled out: counting only adapters that a report has shown: the report showed this one. The question by which an exchange of models is confirmed stays: it never believes a higher count.

--- a/crates/millpass-fleet/src/engines/calls.rs
+++ b/crates/millpass-fleet/src/engines/calls.rs
@@ -1,6 +1,6 @@
 //! Calls to an engine, one at a time, and what their answers change.
 
-use super::{CALL_LIMIT, Engine, REPORT_LAG, Reading, adapters, is_among, lists};
+use super::{CALL_LIMIT, Engine, REPORT_LAG, Reading, adapters, lists};
 use crate::pending::Pending;
 use millpass_proto::{
     CallId, Duration, EngineState, InstructionAnswer, InstructionOperation, ModelName, Timestamp,
@@ -213,8 +213,6 @@
         self.coming = coming
             .map(|(model, name)| (model.clone(), name.clone()))
             .collect();
-        let shown = adapters(&state.models).map(|(model, name)| (model.clone(), name.clone()));
-        self.shown = shown.collect();
         self.leaving
             .retain(|(model, name)| lists(&state.models, model, name));
         self.differs_since = None;
@@ -272,31 +270,25 @@
         true
     }
 
-    /// The engine did it at once, or it held already. An adapter that was there and that no request used is unloaded at
-    /// once, which counts as an order taken; whether anything else does is to be read.
+    /// The engine did it at once, or it held already: whether that counts as an order taken is to be read. A count that is
+    /// believed too high would let an order that is late pass at a state that nobody has seen: one of 8,000 seeded runs had
+    /// an engine ordered over its room so, as an adapter had left by itself before its unload came.
     fn already_so(&mut self, now: Timestamp) {
-        let Some(done) = self.pending.take() else {
+        let done = self.pending.take();
+        self.doubt(now);
+        let Some(Pending {
+            operation,
+            model,
+            adapter: Some(adapter),
+            ..
+        }) = done
+        else {
             return;
         };
-        let expected = done.expected_revision;
-        let Some(adapter) = done.adapter else {
-            return self.doubt(now);
-        };
         self.adapters_changed_at = now;
-        if done.operation == InstructionOperation::Load {
-            self.add_adapter(&done.model, adapter);
-            return self.doubt(now);
-        }
-        // One that no report has shown, or whose unload was accepted before, may have been gone already. A count that is
-        // too high would let an order that is late pass at a state that nobody has seen.
-        let was_there = self.revision == Some(expected)
-            && is_among(&self.shown, &done.model, &adapter)
-            && !self.is_leaving(&done.model, &adapter);
-        self.drop_adapter(&done.model, &adapter);
-        if was_there {
-            self.counted(now, expected + 1);
-        } else {
-            self.doubt(now);
+        match operation {
+            InstructionOperation::Load => self.add_adapter(&model, adapter),
+            InstructionOperation::Unload => self.drop_adapter(&model, &adapter),
         }
     }
 
--- a/crates/millpass-fleet/src/engines/mod.rs
+++ b/crates/millpass-fleet/src/engines/mod.rs
@@ -71,8 +71,6 @@
     coming: Vec<(ModelName, AdapterName)>,
     /// Adapters among those held whose unload was accepted: they go once their runs are done.
     leaving: Vec<(ModelName, AdapterName)>,
-    /// Adapters among those held that a report has shown there since they came.
-    shown: Vec<(ModelName, AdapterName)>,
     /// Loads that were not answered, and when that was noticed.
     lost: Vec<LostLoad>,
     /// Those of an earlier run of the same instance: they may be carried out by this one, at whatever count it has then.
@@ -126,13 +124,10 @@
         for held in self.held.iter_mut().filter(|held| held.model == *model) {
             held.adapters.retain(|name| name != adapter);
         }
-        self.shown
-            .retain(|(of, name)| of != model || name != adapter);
     }
 
-    /// Adapters of a model that is gone are neither there nor on their way nor leaving.
+    /// Adapters of a model that is gone are neither on their way nor leaving.
     fn forget_moving(&mut self, model: &ModelName) {
-        self.shown.retain(|(of, _)| of != model);
         self.coming.retain(|(of, _)| of != model);
         self.leaving.retain(|(of, _)| of != model);
     }
--- a/crates/millpass-fleet/tests/room.rs
+++ b/crates/millpass-fleet/tests/room.rs
@@ -305,14 +305,23 @@
     assert_eq!(loads(&next), 1, "{next:?}");
 }
 
-/// What an unload at once has freed is used without a read: it counts as an order taken.
+/// A 200 to an unload says that the adapter is gone, not whether an order was taken: it may have left by itself. An order
+/// that names a count which the engine reaches only later is carried out in a state that nobody has seen.
 #[test]
-fn an_adapter_that_was_unloaded_at_once_makes_room_at_once() {
+fn the_count_after_an_unload_at_once_is_read_before_the_next_order() {
     let mut leader = Leader::new(&[held("a", &["x", "y"])]);
     let given = leader.asked_for(1_100, "a", Some("z"));
     assert_eq!(given[0].operation, InstructionOperation::Unload);
     leader.call_answered(2_110, given[0].call, &InstructionAnswer::AlreadySo);
     let next = leader.asked_for(2_120, "a", Some("z"));
+    assert!(next.is_empty(), "{next:?}");
+    let left = if given[0].adapter == Some("x".into()) {
+        "y"
+    } else {
+        "x"
+    };
+    leader.answered(3_200, &state(0, &[held("a", &[left])]));
+    let next = leader.asked_for(3_210, "a", Some("z"));
     assert_eq!(loads(&next), 1, "{next:?}");
-    assert_eq!(next[0].expected_revision, 1);
+    assert_eq!(next[0].expected_revision, 0);
 }
--- a/crates/millpass-fleet/tests/room_under_faults.rs
+++ b/crates/millpass-fleet/tests/room_under_faults.rs
@@ -30,19 +30,36 @@
     (first + case * share).min(end)..(first + (case + 1) * share).min(end)
 }
 
+/// Seeds that once broke: a count believed too high (2285, 3540, 6261), a load carried out by a later run (3060), and a
+/// state that was read for ever (1276).
+const KEPT_SEEDS: [u64; 5] = [1276, 2285, 3060, 3540, 6261];
+
+#[test]
+fn seeds_that_once_broke_hold() {
+    for seed in KEPT_SEEDS {
+        play(seed);
+    }
+}
+
+/// Plays a seed; gives how many loads it brought about.
+fn play(seed: u64) -> u64 {
+    let mut world = World::new(seed);
+    world.play();
+    check(&world, seed);
+    let loads = world.loads();
+    assert!(world.serves("a", "x"), "seed {seed}: not served in calm");
+    assert!(world.serves("g", "u"), "seed {seed}: not served in calm");
+    check(&world, seed);
+    loads
+}
+
 #[rstest]
 fn no_engine_is_ordered_over_its_room(#[values(0, 1, 2, 3, 4, 5, 6, 7)] case: u64) {
     let mut loads = 0;
     let seeds = seeds(case);
     let count = seeds.end - seeds.start;
     for seed in seeds {
-        let mut world = World::new(seed);
-        world.play();
-        check(&world, seed);
-        loads += world.loads();
-        assert!(world.serves("a", "x"), "seed {seed}: not served in calm");
-        assert!(world.serves("g", "u"), "seed {seed}: not served in calm");
-        check(&world, seed);
+        loads += play(seed);
     }
     assert!(
         loads >= count * LEAST_LOADS,
