--- a/crates/millpass-fleet/src/engine_answers.rs
+++ b/crates/millpass-fleet/src/engine_answers.rs
@@ -53,13 +53,9 @@
         self.log_lost(instance, word, &before);
     }
 
-    /// Logs what a word took out of what an engine was believed to hold.
-    pub(crate) fn log_lost(
-        &mut self,
-        instance: &InstanceId,
-        word: Word,
-        before: &BTreeSet<belief::Held>,
-    ) {
+    /// Logs what an answer took out of what an engine was believed to hold. Announcements take nothing out of a state that
+    /// is known; they come by the thousand a second.
+    fn log_lost(&mut self, instance: &InstanceId, word: Word, before: &BTreeSet<belief::Held>) {
         let Some(engine) = self.engines.engines.get(instance) else {
             return;
         };
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -212,10 +212,8 @@
             .engines
             .entry(record.instance.clone())
             .or_default();
-        let before = belief::held(engine);
         engine.announced(now, &record.models, &record.in_memory, &record.on_disk);
         self.registry.serves(&record.instance, engine.serving());
-        self.log_lost(&record.instance, Word::Announcement, &before);
         if announced == Announced::New {
             self.event(
                 "instance-known",
