--- a/crates/millpass-fleet/src/engines/calls.rs
+++ b/crates/millpass-fleet/src/engines/calls.rs
@@ -13,7 +13,7 @@
 /// Longest such pause: it doubles with each read that is not answered. Engines out of reach then take a quarter of the
 /// calls that they would.
 const LONGEST_READ_PAUSE: Duration = Duration::from_millis(1_600);
-/// How old a reported state may be at the very most ("some hundred milliseconds", docs/interfaces/platform.md). A report of
+/// How old a reported state may be at the very most ("some hundred milliseconds", docs/PLATFORM.md). A report of
 /// fewer orders than the engine has accepted, in answer to a read sent later than that after the last of them, is newer
 /// all the same: an acceptance that counted for nothing would else keep the engine from use for good.
 const LONGEST_REPORT_LAG: Duration = Duration::from_millis(2_000);
--- a/crates/millpass-fleet/src/engines/mod.rs
+++ b/crates/millpass-fleet/src/engines/mod.rs
@@ -25,7 +25,7 @@
 const CALL_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// Time after which a load that was not answered is not carried out any more: engines do so some seconds later at most
-/// (docs/interfaces/platform.md).
+/// (docs/PLATFORM.md).
 const LATE_LOAD_LIMIT: Duration = Duration::from_secs(15);
 
 /// A read of the state under way.
