What an engine serves is what it holds but for what is sent away; a word that nothing writes is gone

Cause: read once more: Engine::serving wrote again what sends_away and unloading tell; Word::Announcement was left from before heartbeats stopped to be logged; an instruction was cloned on each order. Ruled out: joining the two checks of an adapter on its way in adapters.rs: they differ for an adapter that leaves. Change: serving calls the two; basis is none until the state is first read, which every order follows; the clone is gone.

--- a/crates/millpass-fleet/src/belief.rs
+++ b/crates/millpass-fleet/src/belief.rs
@@ -8,8 +8,6 @@
 /// A word that changed what is believed of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Word {
-    /// The engine's announcement of itself.
-    Announcement,
     /// The answer to this call.
     Answer(CallId),
     /// No word: the time that an instruction takes has passed.
@@ -19,7 +17,6 @@
 impl std::fmt::Display for Word {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Word::Announcement => formatter.write_str("announcement"),
             Word::Answer(call) => write!(formatter, "answer:{}", call.0),
             Word::Time => formatter.write_str("time"),
         }
@@ -65,10 +62,10 @@
     let mut believed = held(engine);
     let coming = engine.coming().iter().cloned();
     believed.extend(coming.map(|(model, adapter)| (model, Some(adapter))));
-    let (word, at) = engine.basis();
-    vec![
-        ("believed", list(&believed)),
-        ("from", word.to_string()),
-        ("age_ms", now.since(at).as_millis().to_string()),
-    ]
+    let mut pairs = vec![("believed", list(&believed))];
+    if let Some((word, at)) = engine.basis() {
+        pairs.push(("from", word.to_string()));
+        pairs.push(("age_ms", now.since(at).as_millis().to_string()));
+    }
+    pairs
 }
--- a/crates/millpass-fleet/src/engines/announcements.rs
+++ b/crates/millpass-fleet/src/engines/announcements.rs
@@ -117,7 +117,7 @@
     }
 
     /// Whether an adapter is being unloaded.
-    fn sends_away(&self, model: &ModelName, adapter: &AdapterName) -> bool {
+    pub(super) fn sends_away(&self, model: &ModelName, adapter: &AdapterName) -> bool {
         let pending = self.pending.as_ref();
         let pending = pending.is_some_and(|pending| {
             pending.operation == InstructionOperation::Unload && pending.concerns(model, adapter)
--- a/crates/millpass-fleet/src/engines/mod.rs
+++ b/crates/millpass-fleet/src/engines/mod.rs
@@ -101,9 +101,9 @@
 }
 
 impl Engine {
-    /// The word that what it is believed to hold rests on, and when that came.
-    pub(crate) fn basis(&self) -> (Word, Timestamp) {
-        self.basis.unwrap_or((Word::Announcement, Timestamp::ZERO))
+    /// The word that what it is believed to hold rests on, and when that came; none before its state was first read.
+    pub(crate) fn basis(&self) -> Option<(Word, Timestamp)> {
+        self.basis
     }
 
     /// Notes the word that set what it is believed to hold.
@@ -163,21 +163,9 @@
     /// What it serves new requests with: all that it holds, but for what is on its way out.
     pub(crate) fn serving(&self) -> Vec<HeldModel> {
         let mut serving = self.held.clone();
-        for held in &mut serving {
-            let HeldModel { model, adapters } = held;
-            adapters.retain(|name| !is_among(&self.leaving, model, name));
-        }
-        let pending = self.pending.as_ref();
-        let Some(leaving) = pending.filter(|it| it.operation == InstructionOperation::Unload)
-        else {
-            return serving;
-        };
-        match &leaving.adapter {
-            None => serving.retain(|held| held.model != leaving.model),
-            Some(adapter) => serving
-                .iter_mut()
-                .filter(|held| held.model == leaving.model)
-                .for_each(|held| held.adapters.retain(|name| name != adapter)),
+        serving.retain(|held| !self.unloading(&held.model));
+        for HeldModel { model, adapters } in &mut serving {
+            adapters.retain(|adapter| !self.sends_away(model, adapter));
         }
         serving
     }
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -472,7 +472,7 @@
         let Some(engine) = self.engines.engines.get_mut(&step.instance) else {
             return;
         };
-        let Some((operation, model, adapter)) = step.instruction.clone() else {
+        let Some((operation, model, adapter)) = step.instruction else {
             engine.reads(now, call);
             self.out.push(FleetOutput::ReadEngine {
                 instance: step.instance,
