Figures of a contract need not be whole: each is rounded to its safe side

Cause: a deployment's bounds may be fractions (retry slack 33.05); every gateway ended with code 1 in a loop, and seconds were made milliseconds by appending zeros, so that 10.5 s would have been 10.5000 ms. Ruled out: rounding in the template (it cannot), one direction for all keys. What is no number, or out of range, is refused with the remedy as before. After: tests for each figure that the templates fill, both ways.

--- a/crates/millpass-config/src/check.rs
+++ b/crates/millpass-config/src/check.rs
@@ -102,7 +102,12 @@
         })
     };
     match (key.kind, value) {
-        (KeyKind::Integer { minimum, maximum }, Value::Integer(number)) => {
+        (
+            KeyKind::Integer {
+                minimum, maximum, ..
+            },
+            Value::Integer(number),
+        ) => {
             let inside = u64::try_from(*number).is_ok_and(|n| (minimum..=maximum).contains(&n));
             if inside {
                 return None;
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1,7 +1,7 @@
 //! Settings types. Generated from `schema/settings.yaml` by `cargo xtask generate`; do not edit.
 
 use crate::specification::{
-    FileSpecification, KeyKind, KeySpecification, SectionSpecification,
+    FileSpecification, KeyKind, KeySpecification, Rounding, SectionSpecification,
 };
 use serde::{Deserialize, Serialize};
 /// Who this member is and where it listens.
@@ -332,6 +332,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 4294967295u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -391,6 +392,7 @@
                     kind: KeyKind::Integer {
                         minimum: 50u64,
                         maximum: 600000u64,
+                        rounding: Some(Rounding::Up),
                     },
                 },
                 KeySpecification {
@@ -399,6 +401,7 @@
                     kind: KeyKind::Integer {
                         minimum: 100u64,
                         maximum: 3600000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -407,6 +410,7 @@
                     kind: KeyKind::Integer {
                         minimum: 10u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -415,6 +419,7 @@
                     kind: KeyKind::Integer {
                         minimum: 4u64,
                         maximum: 512u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -423,6 +428,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 600000u64,
+                        rounding: Some(Rounding::Up),
                     },
                 },
                 KeySpecification {
@@ -431,6 +437,7 @@
                     kind: KeyKind::Integer {
                         minimum: 50u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -445,6 +452,7 @@
                     kind: KeyKind::Integer {
                         minimum: 100u64,
                         maximum: 3600000u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
                 KeySpecification {
@@ -458,6 +466,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 1000000000000u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
             ],
@@ -493,6 +502,7 @@
                     kind: KeyKind::Integer {
                         minimum: 50u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -501,6 +511,7 @@
                     kind: KeyKind::Integer {
                         minimum: 5u64,
                         maximum: 10000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -509,6 +520,7 @@
                     kind: KeyKind::Integer {
                         minimum: 20u64,
                         maximum: 50000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -517,6 +529,7 @@
                     kind: KeyKind::Integer {
                         minimum: 100u64,
                         maximum: 600000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -525,6 +538,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 10000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -533,6 +547,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 10000000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -541,6 +556,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1024u64,
                         maximum: 8388608u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -555,6 +571,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 1024u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -563,6 +580,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 65536u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -571,6 +589,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 1073741824u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
             ],
@@ -585,6 +604,7 @@
                     kind: KeyKind::Integer {
                         minimum: 200u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -599,6 +619,7 @@
                     kind: KeyKind::Integer {
                         minimum: 5u64,
                         maximum: 10000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -607,6 +628,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 1000000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -615,6 +637,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 1000000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -630,6 +653,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 86400000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -644,6 +668,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 10000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -652,6 +677,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 10000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -660,6 +686,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1000u64,
                         maximum: 1000000000000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -674,6 +701,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1000u64,
                         maximum: 2592000000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -688,6 +716,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1000u64,
                         maximum: 86400000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -696,6 +725,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 10u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -704,6 +734,7 @@
                     kind: KeyKind::Integer {
                         minimum: 100u64,
                         maximum: 3600000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -936,6 +967,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 4294967295u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -976,6 +1008,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 1000000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -984,6 +1017,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 1073741824u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -992,6 +1026,7 @@
                     kind: KeyKind::Integer {
                         minimum: 10u64,
                         maximum: 600000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1000,6 +1035,7 @@
                     kind: KeyKind::Integer {
                         minimum: 10u64,
                         maximum: 600000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1008,6 +1044,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 86400000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1016,6 +1053,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 86400000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1024,6 +1062,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 1000000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -1038,6 +1077,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 20u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1046,6 +1086,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 100u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1054,6 +1095,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 1000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1062,6 +1104,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 600000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -1076,6 +1119,7 @@
                     kind: KeyKind::Integer {
                         minimum: 20u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1084,6 +1128,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1092,6 +1137,7 @@
                     kind: KeyKind::Integer {
                         minimum: 20u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -1106,6 +1152,7 @@
                     kind: KeyKind::Integer {
                         minimum: 10u64,
                         maximum: 600000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1114,6 +1161,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 1048576u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -1128,6 +1176,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 86400000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -1406,6 +1455,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 65535u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1414,6 +1464,7 @@
                     kind: KeyKind::Integer {
                         minimum: 20u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1422,6 +1473,7 @@
                     kind: KeyKind::Integer {
                         minimum: 50u64,
                         maximum: 600000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1430,6 +1482,7 @@
                     kind: KeyKind::Integer {
                         minimum: 10u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -1444,6 +1497,7 @@
                     kind: KeyKind::Integer {
                         minimum: 10u64,
                         maximum: 60000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1452,6 +1506,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 100000000u64,
+                        rounding: None,
                     },
                 },
                 KeySpecification {
@@ -1460,6 +1515,7 @@
                     kind: KeyKind::Integer {
                         minimum: 1u64,
                         maximum: 86400000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -1474,6 +1530,7 @@
                     kind: KeyKind::Integer {
                         minimum: 200u64,
                         maximum: 600000u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
                 KeySpecification {
@@ -1482,6 +1539,7 @@
                     kind: KeyKind::Integer {
                         minimum: 200u64,
                         maximum: 600000u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
                 KeySpecification {
@@ -1490,6 +1548,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 86400000u64,
+                        rounding: None,
                     },
                 },
             ],
@@ -1509,6 +1568,7 @@
                     kind: KeyKind::Integer {
                         minimum: 100u64,
                         maximum: 86400000u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
             ],
@@ -1523,6 +1583,7 @@
                     kind: KeyKind::Integer {
                         minimum: 100u64,
                         maximum: 3600000u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
                 KeySpecification {
@@ -1536,6 +1597,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 1000000000000u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
             ],
@@ -1555,6 +1617,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 1000000u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
                 KeySpecification {
@@ -1563,6 +1626,7 @@
                     kind: KeyKind::Integer {
                         minimum: 100u64,
                         maximum: 3600000u64,
+                        rounding: Some(Rounding::Up),
                     },
                 },
             ],
@@ -1577,6 +1641,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 86400000u64,
+                        rounding: Some(Rounding::Down),
                     },
                 },
                 KeySpecification {
@@ -1585,6 +1650,7 @@
                     kind: KeyKind::Integer {
                         minimum: 0u64,
                         maximum: 86400000u64,
+                        rounding: None,
                     },
                 },
             ],
--- a/crates/millpass-config/src/lib.rs
+++ b/crates/millpass-config/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod generated;
 mod check;
 mod load;
+mod rounding;
 pub mod specification;
 
 pub use check::{Finding, check_table};
--- a/crates/millpass-config/src/load.rs
+++ b/crates/millpass-config/src/load.rs
@@ -4,6 +4,7 @@
 use crate::generated::{
     CONTROL_FILE, ControlSettings, GATEWAY_FILE, GatewaySettings, ROUTER_FILE, RouterSettings,
 };
+use crate::rounding::round_fractions;
 use crate::specification::FileSpecification;
 use serde::de::DeserializeOwned;
 use std::path::Path;
@@ -90,9 +91,10 @@
         file: file.to_owned(),
         reason,
     };
-    let table: Table = text
+    let mut table: Table = text
         .parse()
         .map_err(|error: toml::de::Error| malformed(error.to_string()))?;
+    round_fractions(specification, &mut table);
     let findings = check_table(specification, &table);
     if !findings.is_empty() {
         return Err(SettingsError::Invalid {
--- a/crates/millpass-config/src/specification.rs
+++ b/crates/millpass-config/src/specification.rs
@@ -1,5 +1,14 @@
 //! Shape of the generated key tables.
 
+/// To which whole number a fraction is rounded: the side on which nothing is promised that the fraction does not bear.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rounding {
+    /// The next lower one.
+    Down,
+    /// The next higher one.
+    Up,
+}
+
 /// What values a key takes.
 #[derive(Clone, Copy, Debug)]
 pub enum KeyKind {
@@ -9,6 +18,8 @@
         minimum: u64,
         /// Greatest value.
         maximum: u64,
+        /// How a fraction is rounded; none where it is refused.
+        rounding: Option<Rounding>,
     },
     /// Any text.
     Text,
--- a/crates/millpass-config/tests/settings.rs
+++ b/crates/millpass-config/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings files: templates parse, and each kind of wrong key gives key, reason and remedy.
 
-use millpass_config::{SettingsError, parse_control, parse_router};
+use millpass_config::generated::GatewaySettings;
+use millpass_config::{ControlSettings, SettingsError, parse_control, parse_gateway, parse_router};
 use rstest::rstest;
 
 const CONTROL: &str = r#"
@@ -111,3 +112,72 @@
         .to_string();
     assert!(error.contains("line 1"), "{error}");
 }
+
+/// A gateway's file as a deployment fills it, with one figure of the contract put in.
+fn contract(section: &str, key: &str, value: &str) -> String {
+    format!(
+        "[gateway]\nname = 'g'\nzone = 'west'\n[control]\nseeds = ['127.0.0.1:7100']\n[{section}]\n{key} = {value}\n"
+    )
+}
+
+/// Each figure goes to the side on which nothing is promised that it does not bear: fewer repeats over a longer window,
+/// what is known counts as new for less long, the end comes sooner.
+#[rstest]
+#[case("retries", "slack", "33.05263157894737", |s: &GatewaySettings| s.retries.slack, 33)]
+#[case("retries", "window_ms", "'10.0004 s'", |s: &GatewaySettings| s.retries.window_ms, 10_001)]
+#[case("retries", "window_ms", "'10 s'", |s: &GatewaySettings| s.retries.window_ms, 10_000)]
+#[case("quota", "window_ms", "'0.5005 s'", |s: &GatewaySettings| s.quota.window_ms, 500)]
+#[case("quota", "slack_units", "7.9", |s: &GatewaySettings| s.quota.slack_units, 7)]
+#[case("freshness", "in_force_ms", "3999.9", |s: &GatewaySettings| s.freshness.in_force_ms, 3_999)]
+#[case("freshness", "departed_ms", "2000.5", |s: &GatewaySettings| s.freshness.departed_ms, 2_000)]
+#[case("tenants", "key_lifetime_ms", "5000.7", |s: &GatewaySettings| s.tenants.key_lifetime_ms, 5_000)]
+#[case("drain", "grace_ms", "'7.9999 s'", |s: &GatewaySettings| s.drain.grace_ms, 7_999)]
+#[case("drain", "grace_ms", "'250.5 ms'", |s: &GatewaySettings| s.drain.grace_ms, 250)]
+fn fractions_of_a_contract_go_to_the_safe_side(
+    #[case] section: &str,
+    #[case] key: &str,
+    #[case] value: &str,
+    #[case] read: fn(&GatewaySettings) -> u64,
+    #[case] whole: u64,
+) {
+    let settings = parse_gateway("g.toml", &contract(section, key, value)).expect("settings");
+    assert_eq!(read(&settings), whole);
+}
+
+#[rstest]
+#[case("fleet", "announce_interval_ms", "1200.2", |s: &ControlSettings| s.fleet.announce_interval_ms, 1_201)]
+#[case("fleet", "order_handover_ms", "2999.1", |s: &ControlSettings| s.fleet.order_handover_ms, 3_000)]
+#[case("quota", "slack_units", "7.9", |s: &ControlSettings| s.quota.slack_units, 7)]
+#[case("storage", "disk_mb", "128.9", |s: &ControlSettings| s.storage.disk_mb, 128)]
+fn a_member_waits_longer_for_a_fraction(
+    #[case] section: &str,
+    #[case] key: &str,
+    #[case] value: &str,
+    #[case] read: fn(&ControlSettings) -> u64,
+    #[case] whole: u64,
+) {
+    let text = format!("{CONTROL}\n[{section}]\n{key} = {value}\n");
+    let settings = parse_control("c.toml", &text).expect("settings");
+    assert_eq!(read(&settings), whole);
+}
+
+#[rstest]
+#[case("retries", "slack", "nan")]
+#[case("retries", "slack", "1e300")]
+#[case("retries", "slack", "-0.5")]
+#[case("retries", "slack", "'3 s'")]
+#[case("retries", "window_ms", "'s'")]
+#[case("retries", "window_ms", "'ten s'")]
+#[case("retries", "window_ms", "'1e9 s'")]
+#[case("drain", "accept_ms", "2500.5")]
+fn figures_that_mean_nothing_are_refused(
+    #[case] section: &str,
+    #[case] key: &str,
+    #[case] value: &str,
+) {
+    let error = parse_gateway("g.toml", &contract(section, key, value))
+        .expect_err("wrong figure")
+        .to_string();
+    assert!(error.contains(&format!("key {section}.{key}: ")), "{error}");
+    assert!(error.contains("write "), "{error}");
+}
--- a/xtask/src/settings.rs
+++ b/xtask/src/settings.rs
@@ -41,6 +41,7 @@
     default: Option<serde_yaml::Value>,
     minimum: Option<u64>,
     maximum: Option<u64>,
+    round: Option<String>,
     #[serde(default)]
     choices: Vec<String>,
     doc: String,
@@ -66,7 +67,10 @@
 
     fn range_text(&self) -> String {
         match (self.minimum, self.maximum) {
-            (Some(minimum), Some(maximum)) => format!("{minimum} to {maximum}"),
+            (Some(minimum), Some(maximum)) => match &self.round {
+                Some(side) => format!("{minimum} to {maximum}; a fraction is rounded {side}"),
+                None => format!("{minimum} to {maximum}"),
+            },
             _ if !self.choices.is_empty() => self.choices.join(", "),
             _ => String::new(),
         }
@@ -108,7 +112,7 @@
 fn rust_module(files: &[FileDefinition]) -> Result<String> {
     let mut items = TokenStream::new();
     items.extend(quote! {
-        use crate::specification::{FileSpecification, KeyKind, KeySpecification, SectionSpecification};
+        use crate::specification::{FileSpecification, KeyKind, KeySpecification, Rounding, SectionSpecification};
         use serde::{Deserialize, Serialize};
     });
     for file in files {
@@ -212,7 +216,8 @@
         "integer" => {
             let minimum = key.minimum.context("integer without minimum")?;
             let maximum = key.maximum.context("integer without maximum")?;
-            quote!(KeyKind::Integer { minimum: #minimum, maximum: #maximum })
+            let rounding = rounding(key)?;
+            quote!(KeyKind::Integer { minimum: #minimum, maximum: #maximum, rounding: #rounding })
         }
         "address" => quote!(KeyKind::Address),
         "addresses" => quote!(KeyKind::Addresses),
@@ -222,10 +227,21 @@
     Ok(quote! { KeySpecification { name: #name, required: #required, kind: #kind } })
 }
 
+fn rounding(key: &KeyDefinition) -> Result<TokenStream> {
+    match key.round.as_deref() {
+        None => Ok(quote!(None)),
+        Some("down") => Ok(quote!(Some(Rounding::Down))),
+        Some("up") => Ok(quote!(Some(Rounding::Up))),
+        Some(other) => bail!("settings key {}: unknown rounding {other}", key.name),
+    }
+}
+
 fn reference(files: &[FileDefinition]) -> String {
     let mut page = String::from(
         "# Settings\n\nGenerated from `schema/settings.yaml` by `cargo xtask generate`; do not edit. \
-         Files are TOML. `millpass check FILE` checks one and names each wrong key with its remedy.\n",
+         Files are TOML. `millpass check FILE` checks one and names each wrong key with its remedy.\n\n\
+         Where a fraction is allowed it is rounded to the side on which nothing is promised that it does not bear; such a \
+         key in milliseconds also takes a text with a unit, `\"10.5 s\"` or `\"250 ms\"`.\n",
     );
     for file in files {
         let _ = write!(page, "\n## {}\n\n{}\n", file.name, file.doc);
