--- a/crates/millpass-control-plane/src/administration.rs
+++ b/crates/millpass-control-plane/src/administration.rs
@@ -19,11 +19,10 @@
         request: AdministrationRequest,
         out: &mut Outputs,
     ) {
-        // What an instance says of itself is soft: a leader whose lease has run out for a moment takes it all the same,
-        // or it would take those for gone that it turned away. Their leaving waits for the log.
+        // What an instance says of itself is soft, and each member keeps what it hears. Its leaving waits for the log.
         let is_soft =
             matches!(&request, AdministrationRequest::Announce(record) if !record.draining);
-        let may_take = self.in_charge(now) || (is_soft && self.is_late_leader());
+        let may_take = self.in_charge(now) || (is_soft && self.fleet.is_some());
         if !may_take {
             let leader_address = self.leader_administration_address();
             out.answer(call, AdministrationAnswer::NotLeader { leader_address });
--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Takes an announcement. A draining instance is recorded in the log before it is acknowledged:
-    /// the word survives the loss of this member.
+    /// Takes an announcement, whether this member leads or not. A draining instance is recorded in the log before it is
+    /// acknowledged, by the leader: the word survives the loss of this member.
     pub(crate) fn announce(
         &mut self,
         now: Timestamp,
@@ -203,8 +203,20 @@
         }
     }
 
+    /// Begins with what the log knows, the first time since this member took charge.
+    pub(crate) fn begin_fleet(&mut self, now: Timestamp) {
+        if let Some(fleet) = self.fleet.as_mut().filter(|fleet| !fleet.has_begun()) {
+            let noted = self.state.noted_instances().cloned();
+            let held = self.state.held_requests().cloned();
+            let state = &self.state;
+            fleet.take_departures(&|instance| state.departed(instance));
+            fleet.begin(now, noted, held, &self.instructions);
+        }
+    }
+
     /// Lets the fleet do what is due; only while this member is in charge.
     pub(crate) fn run_fleet(&mut self, now: Timestamp, out: &mut Outputs) {
+        self.begin_fleet(now);
         let Some(fleet) = &mut self.fleet else {
             return;
         };
@@ -222,9 +234,6 @@
             as_of: self.applied.last.index,
             documents: &self.documents,
         };
-        let noted = self.state.noted_instances().cloned();
-        let held = self.state.held_requests().cloned();
-        fleet.begin(now, noted, held, &self.instructions);
         let mut instructions = Vec::new();
         for output in fleet.run(now, self.term, self.state.document(), &context) {
             match output {
--- a/crates/millpass-control-plane/src/interface.rs
+++ b/crates/millpass-control-plane/src/interface.rs
@@ -7,7 +7,7 @@
     Duration, EngineInstruction, EngineOrder, InstanceDeparture, InstanceId, InstanceRecord,
     LogPosition, MemberAddress, ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind,
     OrderAnswer, PeerEnvelope, PlatformList, PutDocument, RequestFingerprint, RouterToControl,
-    Snapshot, StoredObject, Timestamp,
+    ShareAnswer, ShareReport, Snapshot, StoredObject, Timestamp,
 };
 use millpass_scheduler::SchedulerSettings;
 
@@ -30,6 +30,8 @@
     pub claim_retention: Duration,
     /// Time without answer after which a dead voter is replaced by a waiting learner.
     pub member_replacement_delay: Duration,
+    /// Peer addresses of other members to find the group through.
+    pub seeds: Vec<String>,
     /// Voters up to which caught-up learners are promoted; 0 to keep their number.
     pub wanted_voters: usize,
     /// Time a machine must be missing from the platform's list before it counts as gone.
@@ -97,6 +99,10 @@
     Drain,
     /// What became of an instruction to an engine, or of reading its state.
     InstructionAnswered(CallAnswer),
+    /// Another member says what it hears of instances.
+    Share(ShareReport),
+    /// Answer to this member's own report.
+    ShareAnswer(ShareAnswer),
 }
 
 /// A call of the administration API.
@@ -225,6 +231,20 @@
         /// Who asks.
         joiner: MemberAddress,
     },
+    /// Tell the leader, or who may know it, what this member hears of instances.
+    SendShare {
+        /// Where it listens.
+        address: String,
+        /// Report.
+        report: ShareReport,
+    },
+    /// Answer another member's report of its instances.
+    AnswerShare {
+        /// Where the member listens.
+        address: String,
+        /// Answer.
+        answer: ShareAnswer,
+    },
     /// Give an engine an instruction and answer [`ControlInput::InstructionAnswered`]; the leader
     /// lease was checked just before.
     Instruct {
--- a/crates/millpass-control-plane/src/lib.rs
+++ b/crates/millpass-control-plane/src/lib.rs
@@ -48,11 +48,12 @@
 mod replication;
 mod reports;
 mod sessions;
+mod shares;
 mod snapshots;
 mod watch;
 
 pub use claims::ABANDON_SILENCE;
 pub use freshness::FreshnessMark;
 pub use interface::*;
-pub use millpass_fleet::{CallAnswer, FleetSettings};
+pub use millpass_fleet::{CallAnswer, FleetSettings, FleetSizes};
 pub use plane::ControlPlane;
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -17,6 +17,7 @@
 use crate::proposals::{InternalKey, Proposals, Waiter};
 use crate::repair::{self, Repair, RepairSettings};
 use crate::sessions::{CopyBudget, RouteCopy, Sessions};
+use crate::shares::ShareLink;
 use crate::snapshots::AppliedLog;
 use crate::watch::WatchShares;
 use millpass_consensus::{Consensus, ConsensusInput, ConsensusStatus, RestoredLog, Role};
@@ -78,6 +79,7 @@
     pub(crate) credit: Option<CreditLedger>,
     /// Instructions to engines as the log told them, also those of other leaders.
     pub(crate) instructions: InstructionHistory,
+    pub(crate) share_link: ShareLink,
     pub(crate) binding: BindingMark,
     pace: PaceWatch,
     /// The last documents in force, for gateways that hold one of them.
@@ -128,6 +130,7 @@
             fleet: settings.fleet.clone().map(Fleet::new),
             credit: None,
             instructions: InstructionHistory::new(now, INSTRUCTION_MEMORY),
+            share_link: ShareLink::default(),
             binding,
             pace: PaceWatch::default(),
             documents,
@@ -239,6 +242,8 @@
             ControlInput::InstructionAnswered(answer) => {
                 self.instruction_answered(now, &answer);
             }
+            ControlInput::Share(report) => self.take_share(now, &report, out),
+            ControlInput::ShareAnswer(answer) => self.take_share_answer(&answer),
             ControlInput::Drain => {
                 out.event("drain-started", Vec::new());
                 self.drain.get_or_insert_with(|| Drain::new(now));
@@ -325,6 +330,7 @@
         for call in self.overdue_calls(now) {
             out.answer(call, AdministrationAnswer::Unknown);
         }
+        self.run_share(now, unix_millis, out);
         if self.role == Role::Leader {
             self.expire_sessions(now, out);
             self.look_for_voters(now, out);
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -323,12 +323,16 @@
         }
     }
 
-    fn leader(&self) -> Option<MemberAddress> {
-        let leader = self.consensus.status().leader?;
-        if leader == self.settings.address.member {
-            // This member believes that it leads but cannot prove it.
-            return None;
+    /// Another member that leads, if known; a process that is not in the group goes by what others say.
+    pub(crate) fn leader(&self) -> Option<MemberAddress> {
+        if !self.consensus.is_in_membership()
+            && let Some(told) = self.share_link.leader()
+        {
+            return Some(told.clone());
         }
+        // One that believes that it leads but cannot prove it knows of nobody.
+        let own = self.settings.address.member;
+        let leader = self.consensus.leader().filter(|leader| *leader != own)?;
         self.addresses.get(leader).cloned()
     }
 
--- a/crates/millpass-control-plane/tests/harness/mod.rs
+++ b/crates/millpass-control-plane/tests/harness/mod.rs
@@ -196,6 +196,7 @@
             machine_gone_delay: Duration::from_secs(10),
             wanted_voters: self.wanted_voters,
             fleet: self.fleet.clone(),
+            seeds: vec![self::address(1).peer_address, self::address(2).peer_address],
         }
     }
 
@@ -490,6 +491,12 @@
             ControlOutput::ForwardJoin { address, joiner } => {
                 self.forward_join(id, &address, joiner)
             }
+            ControlOutput::SendShare { address, report } => {
+                self.send_share(id, &address, ControlInput::Share(report));
+            }
+            ControlOutput::AnswerShare { address, answer } => {
+                self.send_share(id, &address, ControlInput::ShareAnswer(answer));
+            }
             ControlOutput::Instruct {
                 instruction,
                 ends_by,
@@ -505,6 +512,21 @@
         }
     }
 
+    /// A message between members about instances, over the same network as the others.
+    fn send_share(&mut self, from: MemberId, address: &str, input: ControlInput) {
+        let mut members = self.members.values();
+        let target = members.find(|member| member.address.peer_address == address);
+        let Some(target) = target.map(|member| member.address.member) else {
+            return;
+        };
+        if !self.reachable(from) || !self.reachable(target) {
+            return;
+        }
+        for delay in self.network.share_copies() {
+            self.network.send(self.now + delay, target, input.clone());
+        }
+    }
+
     fn forward_join(&mut self, from: MemberId, address: &str, joiner: MemberAddress) {
         let target = self
             .members
--- a/crates/millpass-control-plane/tests/harness/network.rs
+++ b/crates/millpass-control-plane/tests/harness/network.rs
@@ -10,6 +10,8 @@
 /// Chances in percent, drawn from a seeded generator; calm when all are zero.
 pub struct Network {
     pub seed: u64,
+    /// What messages about instances draw from: the others meet the same chances with them as without.
+    pub share_seed: u64,
     pub dropped: u64,
     pub doubled: u64,
     pub delayed: u64,
@@ -23,6 +25,7 @@
     fn default() -> Self {
         Network {
             seed: 0,
+            share_seed: 0,
             dropped: 0,
             doubled: 0,
             delayed: 0,
@@ -43,6 +46,14 @@
         (0..copies).map(|_| self.delay()).collect()
     }
 
+    /// The same for a message about instances.
+    pub fn share_copies(&mut self) -> Vec<Duration> {
+        std::mem::swap(&mut self.seed, &mut self.share_seed);
+        let copies = self.copies();
+        std::mem::swap(&mut self.seed, &mut self.share_seed);
+        copies
+    }
+
     fn delay(&mut self) -> Duration {
         if !self.chance(self.delayed) {
             return Duration::ZERO;
--- a/crates/millpass-control/src/connections.rs
+++ b/crates/millpass-control/src/connections.rs
@@ -240,6 +240,8 @@
         },
         LinkMessage::Greeting(address) => ControlInput::PeerGreeting(address),
         LinkMessage::Join(address) => ControlInput::Join(address),
+        LinkMessage::Share(report) => ControlInput::Share(report),
+        LinkMessage::ShareAnswer(answer) => ControlInput::ShareAnswer(answer),
     }
 }
 
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -215,6 +215,12 @@
             ControlOutput::ForwardJoin { address, joiner } => {
                 self.peers.send(&address, LinkMessage::Join(joiner));
             }
+            ControlOutput::SendShare { address, report } => {
+                self.peers.send(&address, LinkMessage::Share(report));
+            }
+            ControlOutput::AnswerShare { address, answer } => {
+                self.peers.send(&address, LinkMessage::ShareAnswer(answer));
+            }
             ControlOutput::Instruct {
                 instruction,
                 ends_by,
@@ -273,6 +279,9 @@
         let status = self.core.consensus_status();
         self.metrics.show_consensus(&status);
         self.metrics.show_missing(self.core.missing_voters());
+        if let Some(sizes) = self.core.fleet_sizes() {
+            self.metrics.show_instances(&sizes);
+        }
         self.show_queues();
         let leaderless = self.is_leaderless(status.leader.is_none());
         if leaderless || !is_member(&status.membership, &self.address) {
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::urgency::Urgency;
 use millpass_consensus::{ConsensusStatus, Role};
+use millpass_control_plane::FleetSizes;
 use prometheus::{
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry,
@@ -54,6 +55,8 @@
     pub(crate) refused_calls: IntGauge,
     disk: DiskMetrics,
     missing_voters: IntGauge,
+    /// By state: heard here, active, standby.
+    instances: IntGaugeVec,
 }
 
 /// How full the disk is, in bytes, and how long the write under way has lasted, in milliseconds.
@@ -97,6 +100,9 @@
         let refused = Opts::new("control_refused_announcements_total", help);
         let refused_announcements = IntCounterVec::new(refused, &["reason"])?;
         registry.register(Box::new(refused_announcements.clone()))?;
+        let states = Opts::new("control_instances", "Instances known here, by state");
+        let instances = IntGaugeVec::new(states, &["state"])?;
+        registry.register(Box::new(instances.clone()))?;
         let reach = |name: &str, help: &str| -> prometheus::Result<Histogram> {
             let options = HistogramOpts::new(name, help).buckets(REACH_SECONDS.to_vec());
             let histogram = Histogram::with_opts(options)?;
@@ -149,6 +155,7 @@
                 )?,
                 write_millis: gauge("control_disk_write_ms", "Age of the write under way")?,
             },
+            instances,
             missing_voters: gauge("control_missing_voters", "Voters that the leader misses")?,
             registry,
         })
@@ -210,6 +217,19 @@
         self.missing_voters.set(signed(voters as u64));
     }
 
+    pub(crate) fn show_instances(&self, sizes: &FleetSizes) {
+        let states = [
+            ("heard", sizes.heard),
+            ("active", sizes.active),
+            ("standby", sizes.standby),
+        ];
+        for (state, count) in states {
+            self.instances
+                .with_label_values(&[state])
+                .set(signed(count as u64));
+        }
+    }
+
     pub(crate) fn show_consensus(&self, status: &ConsensusStatus) {
         self.term.set(signed(status.term));
         self.commit.set(signed(status.commit));
--- a/crates/millpass-control/src/peer_queue.rs
+++ b/crates/millpass-control/src/peer_queue.rs
@@ -109,8 +109,10 @@
 
 /// About as many bytes as the message takes.
 fn bytes_of(message: &LinkMessage) -> usize {
-    let LinkMessage::Peer(envelope) = message else {
-        return SMALL_BYTES;
+    let envelope = match message {
+        LinkMessage::Peer(envelope) => envelope,
+        LinkMessage::Share(report) => return SMALL_BYTES * (1 + report.instances.len()),
+        _ => return SMALL_BYTES,
     };
     let content = match &envelope.message {
         PeerMessage::AppendRequest(request) => request.entries.iter().map(bytes_of_entry).sum(),
--- a/crates/millpass-control/src/startup.rs
+++ b/crates/millpass-control/src/startup.rs
@@ -267,6 +267,7 @@
         member_replacement_delay: settings.member_replacement_delay,
         machine_gone_delay: settings.machine_gone_delay,
         fleet: settings.fleet.clone(),
+        seeds: others(settings),
         wanted_voters: settings.wanted_voters,
     }
 }
--- a/crates/millpass-control/src/urgency.rs
+++ b/crates/millpass-control/src/urgency.rs
@@ -15,7 +15,7 @@
     /// What is promised to an operator or to an instance that leaves, and what such a call reads first;
     /// joins and the planned stop.
     Promised,
-    /// Credit that requests wait for, instances that ended, and answers of engines.
+    /// Credit that requests wait for, instances that ended, answers of engines, and what members hear of instances.
     Credit,
     /// Reports of routers and gateways, the platform's list.
     Reports,
@@ -59,10 +59,12 @@
             ControlInput::RouterDisconnected(_)
             | ControlInput::RouterBacklog { .. }
             | ControlInput::PlatformListed(_) => Urgency::Reports,
-            // An answer that waits for two seconds counts as lost, and comes in place of a later one's.
-            ControlInput::OrderDelivered { .. } | ControlInput::InstructionAnswered { .. } => {
-                Urgency::Credit
-            }
+            // A member's share is its sign of life, on the connection that carries its consensus. An answer that waits for
+            // two seconds counts as lost, and comes in place of a later one's.
+            ControlInput::Share(_)
+            | ControlInput::ShareAnswer(_)
+            | ControlInput::OrderDelivered { .. }
+            | ControlInput::InstructionAnswered { .. } => Urgency::Credit,
         }
     }
 
--- a/crates/millpass-fleet/src/engines/mod.rs
+++ b/crates/millpass-fleet/src/engines/mod.rs
@@ -230,6 +230,17 @@
         &self.coming
     }
 
+    /// Whether nothing is under way at it, and nothing may come late.
+    fn is_at_rest(&self) -> bool {
+        let under_way = self.pending.is_some()
+            || self.reading.is_some()
+            || self.confirming.is_some()
+            || self.reserved.is_some();
+        let may_come = !self.lost.is_empty() || !self.may_come.is_empty();
+        let moves = !self.coming.is_empty() || !self.leaving.is_empty();
+        !(under_way || may_come || moves)
+    }
+
     /// Whether an instruction may be given now.
     pub(crate) fn is_free(&self) -> bool {
         self.pending.is_none() && self.reading.is_none() && self.revision.is_some()
@@ -325,3 +336,10 @@
 pub(crate) struct Engines {
     pub(crate) engines: BTreeMap<InstanceId, Engine>,
 }
+
+impl Engines {
+    /// Whether nothing is under way at an engine, and nothing may come late. What is no engine, is.
+    pub(crate) fn is_at_rest(&self, instance: &InstanceId) -> bool {
+        self.engines.get(instance).is_none_or(Engine::is_at_rest)
+    }
+}
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -12,8 +12,11 @@
 use crate::pending::Pending;
 use crate::permits::StorePermits;
 use crate::planner::{self, Step, View};
-use crate::registry::{Announced, Registry};
+use crate::registry::Registry;
 use crate::rollout::{LAG, Rollout};
+use crate::share::Share;
+use crate::shares::{Holder, Shares};
+use crate::standby::Standby;
 use crate::store::{LoadUnderWay, StoreCapacity};
 use crate::traffic::Traffic;
 use crate::updates::GatewayContext;
@@ -22,7 +25,7 @@
     InstanceId, InstanceLoad, InstanceNote, InstanceRecord, InstructionOperation, ModelName,
     ModelOutlook, ServiceName, Timestamp,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between two looks for work when nothing happens.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -36,10 +39,21 @@
 /// The leader's view of instances and gateways.
 pub struct Fleet {
     pub(crate) settings: FleetSettings,
+    /// Active instances.
     pub(crate) registry: Registry,
+    pub(crate) standby: Standby,
+    /// Since when active instances are needed by nobody.
+    pub(crate) idle_since: BTreeMap<InstanceId, Timestamp>,
+    pub(crate) next_activation: Timestamp,
+    /// Grows when instances become active or stand by, or an active one announces itself at another member.
+    pub(crate) active_revision: u64,
+    /// Instances that announce themselves at this member.
+    pub(crate) share: Share,
+    /// Those that do at the others.
+    pub(crate) shares: Shares,
     pub(crate) gateways: Gateways,
     pub(crate) rollout: Rollout,
-    demand: Demand,
+    pub(crate) demand: Demand,
     pub(crate) traffic: Traffic,
     pub(crate) engines: Engines,
     pub(crate) crashes: Crashes,
@@ -50,7 +64,9 @@
     /// When this member took charge.
     in_charge_since: Option<Timestamp>,
     /// For how long this member could hear instances since then.
-    hearing: HearingClock,
+    pub(crate) hearing: HearingClock,
+    /// It did so for long enough to know every instance.
+    pub(crate) complete: bool,
     /// By how much longer than usual planning and updates wait, as this member has little processor.
     pub(crate) pace: u32,
     pub(crate) term: u64,
@@ -83,6 +99,12 @@
             history: InstructionHistory::new(Timestamp::ZERO, settings.order_handover),
             settings,
             registry: Registry::default(),
+            standby: Standby::default(),
+            idle_since: BTreeMap::new(),
+            next_activation: Timestamp::ZERO,
+            active_revision: 1,
+            share: Share::default(),
+            shares: Shares::default(),
             gateways: Gateways::default(),
             rollout: Rollout::default(),
             demand: Demand::default(),
@@ -93,6 +115,7 @@
             store: StoreCapacity::default(),
             in_charge_since: None,
             hearing: HearingClock::default(),
+            complete: false,
             pace: 1,
             term: 0,
             outlook: Vec::new(),
@@ -114,11 +137,13 @@
     }
 
     /// Drops every belief: another member leads, or this one begins to. Calls are numbered on: an answer to one of
-    /// before is none to a later one.
+    /// before is none to a later one. What this member itself heard of instances stays.
     pub fn clear(&mut self) {
         let calls = self.calls;
+        let share = std::mem::take(&mut self.share);
         *self = Fleet::new(self.settings.clone());
         self.calls = calls;
+        self.share = share;
     }
 
     fn next_call(&mut self) -> CallId {
@@ -141,10 +166,9 @@
         held: impl Iterator<Item = HeldRequestNote>,
         history: &InstructionHistory,
     ) {
-        if self.in_charge_since.is_some() {
+        if self.has_begun() {
             return;
         }
-        self.in_charge_since = Some(now);
         self.permits = StorePermits::after(history);
         self.store = StoreCapacity::after(history);
         self.history = history.clone();
@@ -152,10 +176,21 @@
         for mut record in records {
             // Any word of the instance itself is newer.
             record.sequence = 0;
-            self.announce(now, record, false);
+            self.shares.noted(self.hearing.now(), &record.instance);
+            self.take_active(now, record);
         }
         self.noted = self.registry.revision();
         self.noted_at = now;
+        self.take_charge(now);
+    }
+
+    /// Takes charge of what this member itself has heard.
+    fn take_charge(&mut self, now: Timestamp) {
+        self.in_charge_since = Some(now);
+        let heard: Vec<InstanceRecord> = self.share.records().cloned().collect();
+        for record in heard {
+            self.hear(now, Holder::Own, record, false);
+        }
     }
 
     /// Whether this member was in charge since the beliefs were last dropped.
@@ -178,78 +213,11 @@
         self.out.push(FleetOutput::Note(note));
     }
 
-    /// Takes what an instance says of itself. `ended` says whether it has departed for good.
-    pub fn announce(&mut self, now: Timestamp, record: InstanceRecord, ended: bool) {
-        if ended {
-            self.forget(&record.instance, "departed");
-            return;
-        }
-        // An earlier run never speaks again: a later one holds and knows nothing of what it says.
-        let is_outlived = self.registry.has_later_run(&record.instance);
-        let announced = match is_outlived {
-            true => Announced::Late,
-            false => self.registry.announce(self.hearing.now(), record.clone()),
-        };
-        if announced == Announced::Late {
-            return self.event(
-                "announcement-late",
-                vec![
-                    ("instance", record.instance.0.clone()),
-                    ("sequence", record.sequence.to_string()),
-                ],
-            );
-        }
-        if announced != Announced::Same {
-            self.dirty = true;
-        }
-        if announced == Announced::New {
-            self.end_earlier_runs(now, &record.instance);
-        }
-        self.survived(now, &record.instance);
-        self.models_held(&record.service, &record.models);
-        let engine = self
-            .engines
-            .engines
-            .entry(record.instance.clone())
-            .or_default();
-        engine.announced(now, &record.models, &record.in_memory, &record.on_disk);
-        self.registry.serves(&record.instance, engine.serving());
-        if announced == Announced::New {
-            self.event(
-                "instance-known",
-                vec![
-                    ("instance", record.instance.0.clone()),
-                    ("service", record.service.0.clone()),
-                    ("address", record.address.clone()),
-                    ("draining", record.draining.to_string()),
-                ],
-            );
-        }
-    }
-
     /// A departure was committed at this index of the log; its way to gateways is followed.
     pub fn departure_committed(&mut self, now: Timestamp, index: u64) {
         self.rollout.departed(now, index);
     }
 
-    /// An instance leaves, or has ended. Where this member does not lead, there is nobody to tell: it begins with what
-    /// the log knows.
-    pub fn departed(&mut self, instance: &InstanceId, ended: bool) {
-        if !self.has_begun() && self.registry.get(instance).is_none() {
-            return;
-        }
-        self.dirty = true;
-        let pairs = vec![
-            ("instance", instance.0.clone()),
-            ("ended", ended.to_string()),
-        ];
-        self.event("instance-departs", pairs);
-        self.registry.depart(instance, ended);
-        if ended {
-            self.engines.engines.remove(instance);
-        }
-    }
-
     /// Takes a gateway's report; it is answered by the next [`Fleet::run`].
     pub fn report(&mut self, now: Timestamp, connection: u64, report: &GatewayReport) {
         if self.gateways.is_outlived(connection, &report.gateway) {
@@ -315,6 +283,7 @@
 
     /// Announcements were refused here, as too many waited: the silence of instances says nothing meanwhile.
     pub fn announcements_refused(&mut self, now: Timestamp) {
+        self.share.refused(now);
         self.hearing.refused(now);
     }
 
@@ -332,8 +301,11 @@
         document: Option<&DeploymentDocument>,
         context: &GatewayContext<'_>,
     ) -> Vec<FleetOutput> {
-        self.in_charge_since.get_or_insert(now);
+        if !self.has_begun() {
+            self.take_charge(now);
+        }
         self.term = term;
+        self.share.advance(now);
         self.hearing.advance(now);
         let due = now >= self.next_plan
             || (self.dirty && now.since(self.last_plan) >= self.shortest_plan_interval());
@@ -343,15 +315,10 @@
             self.dirty = false;
             self.settle_adapters(now);
             self.sweep_crashes(now);
-            for instance in self
-                .registry
-                .silent(self.hearing.now(), self.settings.instance_silence)
-            {
-                self.load_ended(now, &instance);
-                self.forget(&instance, "silent");
-            }
+            self.forget_silent(now);
             self.observe_store(now);
             if let Some(document) = document {
+                self.keep_active(now, document);
                 self.plan(now, document);
             }
         }
@@ -359,8 +326,8 @@
         self.follow_rollout(now, document, context);
         self.update_crashes(now);
         let heard_for = self.hearing.now().since(Timestamp::ZERO);
-        let complete = heard_for >= self.settings.announce_interval * 3;
-        self.update_gateways(now, document, complete, context);
+        self.complete = heard_for >= self.settings.announce_interval * 3;
+        self.update_gateways(now, document, context);
         std::mem::take(&mut self.out)
     }
 
@@ -537,39 +504,6 @@
         }));
     }
 
-    /// A run has begun: those before it have ended, with all that was known of them.
-    fn end_earlier_runs(&mut self, now: Timestamp, instance: &InstanceId) {
-        let mut left = Vec::new();
-        for earlier in self.registry.earlier_runs(instance) {
-            if let Some(engine) = self.engines.engines.get(&earlier) {
-                left.extend(engine.left_to_later_runs(now));
-            }
-            self.load_ended(now, &earlier);
-            self.forget(&earlier, "reborn");
-        }
-        if !left.is_empty() {
-            let engine = self.engines.engines.entry(instance.clone()).or_default();
-            engine.follows(left);
-        }
-    }
-
-    /// The latest run that is known of an instance.
-    pub fn latest_run(&self, instance: &InstanceId) -> Option<InstanceId> {
-        self.registry.latest_run(instance).cloned()
-    }
-
-    pub(crate) fn forget(&mut self, instance: &InstanceId, reason: &str) {
-        self.engines.engines.remove(instance);
-        if self.registry.remove(instance) {
-            self.dirty = true;
-            let pairs = vec![
-                ("instance", instance.0.clone()),
-                ("reason", reason.to_owned()),
-            ];
-            self.event("instance-forgotten", pairs);
-        }
-    }
-
     pub(crate) fn event(&mut self, name: &'static str, pairs: Vec<(&'static str, String)>) {
         self.out
             .push(FleetOutput::Event(FleetEvent { name, pairs }));
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -105,11 +105,16 @@
 const LONGEST_SPACING: Duration = Duration::from_millis(500);
 /// Gateways up to which every change is sent at once.
 const FEW_GATEWAYS: usize = 16;
+/// Looks at who is to be sent an update, in the time between two updates of a gateway: each goes through all of them.
+const LOOKS_PER_INTERVAL: u32 = 64;
+/// Shortest time between two such looks.
+const SHORTEST_LOOK: Duration = Duration::from_millis(5);
 
 /// Sessions by connection.
 #[derive(Default)]
 pub(crate) struct Gateways {
     pub(crate) sessions: BTreeMap<u64, GatewaySession>,
+    next_look: Timestamp,
 }
 
 impl Gateways {
@@ -199,6 +204,19 @@
         interval.max(LONGEST_SPACING.min(interval * pace))
     }
 
+    /// Whether it is time to look who is to be sent an update; then the next time is set.
+    pub(crate) fn is_look_due(&mut self, now: Timestamp, pace: u32) -> bool {
+        if self.sessions.len() <= FEW_GATEWAYS {
+            return true;
+        }
+        if now < self.next_look {
+            return false;
+        }
+        let pause = self.update_interval(pace) / LOOKS_PER_INTERVAL;
+        self.next_look = now + SHORTEST_LOOK.max(pause);
+        true
+    }
+
     /// Gateways connected.
     pub(crate) fn count(&self) -> u32 {
         u32::try_from(self.sessions.len()).unwrap_or(u32::MAX)
--- /dev/null
+++ b/crates/millpass-fleet/src/instances.rs
@@ -0,0 +1,380 @@
+//! What instances say of themselves, at this member or at another, as the leader takes it.
+
+use crate::fleet::Fleet;
+use crate::interface::FleetSizes;
+use crate::registry::{Announced, same_but_sequence};
+use crate::shares::{Admission, Holder};
+use millpass_proto::{
+    InstanceId, InstanceRecord, InstanceSeen, MemberAddress, ShareAnswer, ShareReport, Timestamp,
+};
+
+impl Fleet {
+    /// Takes what an instance says of itself at this member, whether it leads or not. `ended` says whether it has departed
+    /// for good.
+    pub fn announce(&mut self, now: Timestamp, record: InstanceRecord, ended: bool) {
+        if ended {
+            self.share.ended(&record.instance);
+            self.forget(&record.instance, "departed");
+            return;
+        }
+        if self.share.announce(&record) == Announced::Late {
+            return self.log_late(&record);
+        }
+        if self.has_begun() {
+            self.hear(now, Holder::Own, record, false);
+        }
+    }
+
+    /// Takes an instance's word from the member where it announces itself.
+    pub(crate) fn hear(
+        &mut self,
+        now: Timestamp,
+        holder: Holder,
+        record: InstanceRecord,
+        ended: bool,
+    ) {
+        if ended {
+            return self.forget(&record.instance, "departed");
+        }
+        // An earlier run never speaks again: a later one holds and knows nothing of what it says.
+        if self.has_later_run(&record.instance) {
+            return self.log_late(&record);
+        }
+        let instance = record.instance.clone();
+        let is_active = self.registry.get(&instance).is_some();
+        let announced = match is_active || self.becomes_active(&record) {
+            true => self.take_active(now, record),
+            false => self.take_standby(now, record),
+        };
+        if announced == Announced::Late && !self.shares.is_unheld(&instance) {
+            // Another member has heard it since.
+            return;
+        }
+        let moved = self.shares.heard(&instance, holder);
+        if moved && self.registry.get(&instance).is_some() {
+            self.active_revision += 1;
+        }
+    }
+
+    /// Whether an instance that is not active is from now on. One that drains and was never active never is.
+    fn becomes_active(&self, record: &InstanceRecord) -> bool {
+        let is_new = self.standby.get(&record.instance).is_none();
+        is_new && self.uses_whole(&record.service)
+    }
+
+    fn take_standby(&mut self, now: Timestamp, mut record: InstanceRecord) -> Announced {
+        self.models_held(&record.service, &record.models);
+        let Some(known) = self.standby.get(&record.instance) else {
+            self.end_earlier_runs(now, &record.instance);
+            self.standby.put(record);
+            return Announced::New;
+        };
+        if record.sequence < known.sequence {
+            self.log_late(&record);
+            return Announced::Late;
+        }
+        record.draining |= known.draining;
+        if same_but_sequence(known, &record) {
+            self.standby.seen(&record.instance, record.sequence);
+            return Announced::Same;
+        }
+        self.standby.put(record);
+        Announced::Changed
+    }
+
+    /// Takes the word of an active instance, or of one that becomes active.
+    pub(crate) fn take_active(&mut self, now: Timestamp, record: InstanceRecord) -> Announced {
+        let announced = self.registry.announce(record.clone());
+        if announced == Announced::Late {
+            self.log_late(&record);
+            return announced;
+        }
+        if announced != Announced::Same {
+            self.dirty = true;
+        }
+        if announced == Announced::New {
+            self.end_earlier_runs(now, &record.instance);
+        }
+        self.survived(now, &record.instance);
+        self.models_held(&record.service, &record.models);
+        let engine = self
+            .engines
+            .engines
+            .entry(record.instance.clone())
+            .or_default();
+        engine.announced(now, &record.models, &record.in_memory, &record.on_disk);
+        self.registry.serves(&record.instance, engine.serving());
+        if announced == Announced::New {
+            self.event(
+                "instance-known",
+                vec![
+                    ("instance", record.instance.0.clone()),
+                    ("service", record.service.0.clone()),
+                    ("address", record.address.clone()),
+                    ("draining", record.draining.to_string()),
+                ],
+            );
+        }
+        announced
+    }
+
+    fn log_late(&mut self, record: &InstanceRecord) {
+        let pairs = vec![
+            ("instance", record.instance.0.clone()),
+            ("sequence", record.sequence.to_string()),
+        ];
+        self.event("announcement-late", pairs);
+    }
+
+    /// Whether a later run of a run's instance is known, or was removed lately.
+    fn has_later_run(&self, instance: &InstanceId) -> bool {
+        if self.standby.get(instance).is_some() {
+            return false;
+        }
+        let mut standing_by = self.standby.runs_of(instance);
+        self.registry.has_later_run(instance) || standing_by.any(|run| instance.is_before(run))
+    }
+
+    /// A run has begun: those before it have ended, with all that was known of them.
+    fn end_earlier_runs(&mut self, now: Timestamp, instance: &InstanceId) {
+        let mut left = Vec::new();
+        let standing_by = self.standby.runs_of(instance);
+        let standing_by = standing_by.filter(|run| run.is_before(instance)).cloned();
+        let mut earlier_runs: Vec<InstanceId> = standing_by.collect();
+        earlier_runs.extend(self.registry.earlier_runs(instance));
+        for earlier in earlier_runs {
+            if let Some(engine) = self.engines.engines.get(&earlier) {
+                left.extend(engine.left_to_later_runs(now));
+            }
+            self.load_ended(now, &earlier);
+            self.forget(&earlier, "reborn");
+        }
+        if !left.is_empty() {
+            let engine = self.engines.engines.entry(instance.clone()).or_default();
+            engine.follows(left);
+        }
+    }
+
+    /// The latest run that is known of an instance.
+    pub fn latest_run(&self, instance: &InstanceId) -> Option<InstanceId> {
+        let standing_by = self.standby.runs_of(instance);
+        let known = self.registry.latest_run(instance).into_iter();
+        let latest = known.chain(standing_by).max_by_key(|run| run.incarnation());
+        latest.cloned()
+    }
+
+    /// An instance leaves, or has ended. Where this member does not lead, there is nobody to tell: it begins with what
+    /// the log knows.
+    pub fn departed(&mut self, instance: &InstanceId, ended: bool) {
+        if ended {
+            self.share.ended(instance);
+        }
+        if !self.has_begun() && self.registry.get(instance).is_none() {
+            return;
+        }
+        let pairs = vec![
+            ("instance", instance.0.clone()),
+            ("ended", ended.to_string()),
+        ];
+        self.event("instance-departs", pairs);
+        if let Some(mut record) = self.standby.remove(instance) {
+            if !ended {
+                record.draining = true;
+                self.standby.put(record);
+            }
+            if self.complete {
+                // No gateway knows it: each holds what this leader has named, and nothing else.
+                return;
+            }
+        }
+        self.dirty = true;
+        self.registry.depart(instance, ended);
+        if ended {
+            self.shares.forget(instance);
+            self.engines.engines.remove(instance);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, instance: &InstanceId, reason: &str) {
+        self.engines.engines.remove(instance);
+        self.shares.forget(instance);
+        self.idle_since.remove(instance);
+        let stood_by = self.standby.remove(instance).is_some();
+        let was_active = self.registry.remove(instance);
+        self.dirty |= was_active;
+        if was_active || stood_by {
+            let pairs = vec![
+                ("instance", instance.0.clone()),
+                ("reason", reason.to_owned()),
+            ];
+            self.event("instance-forgotten", pairs);
+        }
+    }
+
+    /// Takes another member's word of the instances that announce themselves there; `departed` says of those that the log
+    /// knows as leaving whether they have ended. Gives the answer.
+    pub fn take_share(
+        &mut self,
+        now: Timestamp,
+        report: &ShareReport,
+        own: MemberAddress,
+        departed: &dyn Fn(&InstanceId) -> Option<bool>,
+    ) -> ShareAnswer {
+        let member = report.from.member;
+        let begins = report.base == 0 && !report.instances.is_empty();
+        let admission = self.shares.admit(self.hearing.now(), report);
+        if admission == Admission::Taken {
+            self.take_content(now, report, departed);
+        }
+        if begins && admission == Admission::Taken {
+            let pairs = vec![
+                ("member", member.to_string()),
+                ("zone", report.from.zone.to_string()),
+                ("instances", report.instances.len().to_string()),
+            ];
+            self.event("share-begins", pairs);
+        }
+        let known = match admission {
+            Admission::Taken | Admission::Outdated => self.shares.known(member),
+            Admission::Unfit => 0,
+        };
+        let outdated = report.active_revision != self.active_revision;
+        ShareAnswer {
+            run: report.run,
+            number: report.number,
+            leader: Some(own),
+            known: Some(known),
+            active_revision: self.active_revision,
+            active: outdated.then(|| self.active_of(report)),
+        }
+    }
+
+    fn active_of(&self, report: &ShareReport) -> Vec<InstanceId> {
+        let held = self.shares.of(report.from.member);
+        let active = held.filter(|instance| self.registry.get(instance).is_some());
+        active.cloned().collect()
+    }
+
+    fn take_content(
+        &mut self,
+        now: Timestamp,
+        report: &ShareReport,
+        departed: &dyn Fn(&InstanceId) -> Option<bool>,
+    ) {
+        let holder = Holder::Member(report.from.member);
+        for record in &report.instances {
+            let departed = departed(&record.instance);
+            let mut record = record.clone();
+            record.draining |= departed.is_some();
+            self.hear(now, holder, record, departed == Some(true));
+        }
+        for seen in &report.seen {
+            let Some(record) = self.registry.get(&seen.instance) else {
+                continue;
+            };
+            let mut record = record.clone();
+            record.sequence = seen.sequence;
+            self.hear(now, holder, record, false);
+        }
+        self.fell_silent(now, holder, &report.silent);
+    }
+
+    fn fell_silent(&mut self, now: Timestamp, holder: Holder, silent: &[InstanceSeen]) {
+        let newest_here = |seen: &&InstanceSeen| {
+            let record = self.registry.get(&seen.instance);
+            let record = record.or_else(|| self.standby.get(&seen.instance));
+            record.is_none_or(|record| record.sequence <= seen.sequence)
+        };
+        let gone = self.shares.silent(holder, silent).filter(newest_here);
+        let gone: Vec<InstanceId> = gone.map(|seen| seen.instance.clone()).collect();
+        for instance in gone {
+            self.end_silent(now, &instance, "silent");
+        }
+    }
+
+    fn end_silent(&mut self, now: Timestamp, instance: &InstanceId, reason: &str) {
+        self.load_ended(now, instance);
+        self.forget(instance, reason);
+    }
+
+    /// Forgets instances that nobody has heard of for long.
+    pub(crate) fn forget_silent(&mut self, now: Timestamp) {
+        let silence = self.settings.instance_silence;
+        let silent = self.share.sweep(now, silence);
+        self.fell_silent(now, Holder::Own, &silent);
+        let heard = self.hearing.now();
+        for (member, instances) in self.shares.lost(heard, silence) {
+            let pairs = vec![
+                ("member", member.to_string()),
+                ("instances", instances.len().to_string()),
+            ];
+            self.event("share-lost", pairs);
+            for instance in instances {
+                self.end_silent(now, &instance, "share-lost");
+            }
+        }
+        for instance in self.shares.unheld(heard, silence) {
+            self.end_silent(now, &instance, "silent");
+        }
+    }
+
+    /// How many instances are known here.
+    pub fn sizes(&self) -> FleetSizes {
+        FleetSizes {
+            heard: self.share.records().count(),
+            active: self.registry.records().count(),
+            standby: self.standby.len(),
+        }
+    }
+
+    /// Active instances, as gateways are told of them.
+    pub fn active_instances(&self) -> impl Iterator<Item = &InstanceRecord> {
+        self.registry.records()
+    }
+
+    /// All instances that the leader knows.
+    pub fn known_instances(&self) -> impl Iterator<Item = &InstanceId> {
+        let active = self.registry.records().map(|record| &record.instance);
+        active.chain(self.standby.instances())
+    }
+
+    /// Keeps what this member itself hears, whether it leads or not.
+    pub fn keep_share(&mut self, now: Timestamp) {
+        self.share.advance(now);
+        if !self.has_begun() {
+            self.share.sweep(now, self.settings.instance_silence);
+        }
+    }
+
+    /// Takes what the log knows of departures into what this member itself hears: before it takes charge, it may have
+    /// heard a late word of an instance whose departure it had not applied.
+    pub fn take_departures(&mut self, departed: &dyn Fn(&InstanceId) -> Option<bool>) {
+        self.share.take_departures(departed);
+    }
+
+    /// Whether a report of this member's instances to the leader is due.
+    pub fn is_share_due(&self, now: Timestamp) -> bool {
+        self.share.is_due(now)
+    }
+
+    /// That report. `run` names this process' run; one that is not `to_leader` asks only who leads.
+    pub fn share_report(
+        &mut self,
+        now: Timestamp,
+        run: u64,
+        own: &MemberAddress,
+        to_leader: bool,
+    ) -> ShareReport {
+        self.share.report(now, run, own, to_leader)
+    }
+
+    /// Whether the last report was not answered in time.
+    pub fn is_share_unanswered(&self, now: Timestamp) -> bool {
+        self.share.is_unanswered(now)
+    }
+
+    /// Takes the answer to the last report.
+    pub fn share_answered(&mut self, answer: &ShareAnswer) {
+        self.share.answered(answer);
+    }
+}
--- a/crates/millpass-fleet/src/interface.rs
+++ b/crates/millpass-fleet/src/interface.rs
@@ -37,6 +37,17 @@
     }
 }
 
+/// Instances known at a member.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetSizes {
+    /// Those that announce themselves here.
+    pub heard: usize,
+    /// Those that gateways are told of; 0 where this member does not lead.
+    pub active: usize,
+    /// Those that stand by; 0 where this member does not lead.
+    pub standby: usize,
+}
+
 /// An event worth a log line.
 #[derive(Clone, Debug)]
 pub struct FleetEvent {
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -4,7 +4,12 @@
 //!
 //! | module | job |
 //! |---|---|
-//! | `registry` | instances as they announce themselves, with a revision for each change |
+//! | `share` | instances that announce themselves at this member, and what of them the leader was told |
+//! | `shares` | which member each instance announces itself at, as the leader knows it |
+//! | `instances` | what instances say of themselves, as the leader takes it |
+//! | `registry` | active instances, with a revision for each change |
+//! | `standby` | instances that stand by, found by zone and model |
+//! | `activation` | which instances are active |
 //! | `gateways` | connected gateways and what each was sent |
 //! | `demand` | how much each model and adapter is asked for |
 //! | `traffic` | requests in flight at each instance, over all gateways |
@@ -27,6 +32,7 @@
 //! | `interface` | settings of the core, and what it wants of its host |
 //! | `fleet` | the core itself |
 
+mod activation;
 mod adapters;
 mod belief;
 mod cost;
@@ -39,6 +45,7 @@
 mod gateways;
 mod handover;
 mod hearing;
+mod instances;
 mod interface;
 mod pending;
 mod permits;
@@ -46,6 +53,9 @@
 mod registry;
 mod rollout;
 mod round;
+mod share;
+mod shares;
+mod standby;
 mod store;
 mod traffic;
 mod updates;
@@ -54,7 +64,7 @@
 pub use documents::DocumentHistory;
 pub use fleet::Fleet;
 pub use handover::InstructionHistory;
-pub use interface::{CallAnswer, FleetEvent, FleetOutput, FleetSettings};
+pub use interface::{CallAnswer, FleetEvent, FleetOutput, FleetSettings, FleetSizes};
 pub use permits::StorePermits;
 pub use store::{LoadUnderWay, StoreCapacity};
 pub use updates::GatewayContext;
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -119,8 +119,7 @@
     /// Engines of the service that take new work, in order of their names.
     pub(crate) fn taking(&self) -> impl Iterator<Item = &InstanceId> {
         self.registry
-            .records()
-            .filter(|record| record.service == *self.service && !record.draining)
+            .taking(self.service)
             .map(|record| &record.instance)
     }
 
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -1,6 +1,6 @@
-//! Instances as they announce themselves.
+//! Active instances as they announce themselves.
 
-use millpass_proto::{Duration, HeldModel, InstanceId, InstanceRecord, Timestamp};
+use millpass_proto::{HeldModel, InstanceId, InstanceRecord, ServiceName};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// Most removals remembered for gateways that have not been told; one that was told before the oldest of them is told
@@ -24,7 +24,6 @@
     record: InstanceRecord,
     /// Of the record; gateways that come back say by digests what they hold.
     digest: u64,
-    heard_at: Timestamp,
     revision: u64,
 }
 
@@ -40,6 +39,8 @@
 #[derive(Default)]
 pub(crate) struct Registry {
     entries: BTreeMap<InstanceId, Entry>,
+    /// How many there are of each service.
+    counts: BTreeMap<ServiceName, usize>,
     removals: VecDeque<(u64, InstanceId)>,
     /// Revision of the newest removal that is remembered no more.
     forgotten: u64,
@@ -53,11 +54,10 @@
     }
 
     /// Takes an announcement. An instance that drains stays draining.
-    pub(crate) fn announce(&mut self, now: Timestamp, mut record: InstanceRecord) -> Announced {
+    pub(crate) fn announce(&mut self, mut record: InstanceRecord) -> Announced {
         let Some(entry) = self.entries.get_mut(&record.instance) else {
             self.revision += 1;
             let entry = Entry {
-                heard_at: now,
                 revision: self.revision,
                 digest: record.digest(),
                 record,
@@ -65,13 +65,13 @@
             // Named beside its record, the removal of before would undo it.
             let instance = entry.record.instance.clone();
             self.forget_removal(&instance);
+            *self.counts.entry(entry.record.service.clone()).or_default() += 1;
             self.entries.insert(instance, entry);
             return Announced::New;
         };
         if record.sequence < entry.record.sequence {
             return Announced::Late;
         }
-        entry.heard_at = now;
         record.draining |= entry.record.draining;
         if same_but_sequence(&entry.record, &record) {
             entry.record.sequence = record.sequence;
@@ -80,7 +80,14 @@
         self.revision += 1;
         entry.revision = self.revision;
         entry.digest = record.digest();
-        entry.record = record;
+        let before = std::mem::replace(&mut entry.record, record);
+        if before.service != entry.record.service {
+            let service = entry.record.service.clone();
+            if let Some(count) = self.counts.get_mut(&before.service) {
+                *count = count.saturating_sub(1);
+            }
+            *self.counts.entry(service).or_default() += 1;
+        }
         Announced::Changed
     }
 
@@ -116,10 +123,25 @@
         if !ended && self.entries.contains_key(instance) {
             return self.update(instance, |record| record.draining = true);
         }
-        self.entries.remove(instance);
+        self.take_out(instance);
         self.note_removal(instance);
     }
 
+    fn take_out(&mut self, instance: &InstanceId) -> bool {
+        let Some(entry) = self.entries.remove(instance) else {
+            return false;
+        };
+        if let Some(count) = self.counts.get_mut(&entry.record.service) {
+            *count = count.saturating_sub(1);
+        }
+        true
+    }
+
+    /// Instances of a service, those that drain included.
+    pub(crate) fn count(&self, service: &ServiceName) -> usize {
+        self.counts.get(service).copied().unwrap_or_default()
+    }
+
     /// What an instance serves new requests with.
     pub(crate) fn serves(&mut self, instance: &InstanceId, models: Vec<HeldModel>) {
         self.update(instance, |record| record.models = models);
@@ -141,7 +163,7 @@
 
     /// Removes an instance. True if it was known.
     pub(crate) fn remove(&mut self, instance: &InstanceId) -> bool {
-        let known = self.entries.remove(instance).is_some();
+        let known = self.take_out(instance);
         if known {
             self.note_removal(instance);
         }
@@ -168,15 +190,6 @@
         revision >= self.forgotten
     }
 
-    /// Instances not heard of for longer than `silence`.
-    pub(crate) fn silent(&self, now: Timestamp, silence: Duration) -> Vec<InstanceId> {
-        self.entries
-            .iter()
-            .filter(|(_, entry)| now.since(entry.heard_at) > silence)
-            .map(|(instance, _)| instance.clone())
-            .collect()
-    }
-
     pub(crate) fn get(&self, instance: &InstanceId) -> Option<&InstanceRecord> {
         self.entries.get(instance).map(|entry| &entry.record)
     }
@@ -185,6 +198,15 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
+    /// Instances of a service that take new work, in order of their names.
+    pub(crate) fn taking<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a InstanceRecord> {
+        self.records()
+            .filter(move |record| record.service == *service && !record.draining)
+    }
+
     /// What a gateway lacks that holds records of these digests.
     pub(crate) fn lacking(&self, held: &HashSet<u64>) -> Lacking {
         let mut lacking = Lacking {
@@ -224,7 +246,8 @@
     }
 }
 
-fn same_but_sequence(left: &InstanceRecord, right: &InstanceRecord) -> bool {
+/// Whether nothing changed but how new the word is.
+pub(crate) fn same_but_sequence(left: &InstanceRecord, right: &InstanceRecord) -> bool {
     let mut compared = right.clone();
     compared.sequence = left.sequence;
     // A warm-up that runs down is no news.
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -2,7 +2,7 @@
 //! gathering it for each need takes the leader's whole processor.
 
 use crate::cost;
-use crate::demand::Unmet;
+use crate::demand::{Load, Unmet};
 use crate::engines::Engine;
 use crate::planner::{MINIMUM_STAY, UNLOAD_TIME, View};
 use millpass_proto::{
@@ -18,7 +18,7 @@
 /// Least time that something under way is expected to go on.
 const LEAST_LEFT: Duration = Duration::from_millis(50);
 /// Share of its time that one engine may spend on a model before the model gets another replica.
-const COMFORTABLE_SHARE: f64 = 0.3;
+pub(crate) const COMFORTABLE_SHARE: f64 = 0.3;
 
 /// A place for a model, and what must make way there.
 pub(crate) struct Place {
@@ -150,9 +150,7 @@
         }
         let slots = f64::from(view.specification.slots.max(1));
         for (model, load) in view.demand.loads(view.now, view.service) {
-            let reading = load.tokens / TOKENS_PER_SECOND;
-            let running = f64::from(load.in_flight) / slots;
-            round.business.insert(model.clone(), reading.max(running));
+            round.business.insert(model.clone(), business(&load, slots));
             round.rates.insert(model, load.lasting_rate);
         }
         let engines = usable.iter().map(|(_, engine)| engine);
@@ -498,6 +496,14 @@
     }
 }
 
+/// Engines that a model's requests would fill: the time that their prompts take to read, or the places that they take,
+/// whichever is more.
+pub(crate) fn business(load: &Load, slots: f64) -> f64 {
+    let reading = load.tokens / TOKENS_PER_SECOND;
+    let running = f64::from(load.in_flight) / slots;
+    reading.max(running)
+}
+
 /// Time until an engine may be instructed; none while that is not known. Only a load that the engine has
 /// taken and that is not overdue is worth waiting for.
 fn opens_in(view: &View<'_>, instance: &InstanceId, engine: &Engine) -> Option<Duration> {
--- /dev/null
+++ b/crates/millpass-fleet/src/standby.rs
@@ -0,0 +1,135 @@
+//! Instances that stand by: known, not told to gateways, and not steered.
+//!
+//! A service needs as many instances as it is asked for, and there may be many times as many. The others cost a record
+//! each, found by zone and by the models that they hold, and nothing while they do not change.
+
+use millpass_proto::{InstanceId, InstanceRecord, ModelName, ServiceName, ZoneName};
+use std::collections::{BTreeMap, BTreeSet};
+
+type ByZone = BTreeMap<ZoneName, BTreeSet<InstanceId>>;
+
+/// Instances that stand by. Those that drain are known, and never found.
+#[derive(Default)]
+pub(crate) struct Standby {
+    records: BTreeMap<InstanceId, InstanceRecord>,
+    by_service: BTreeMap<ServiceName, ByZone>,
+    by_model: BTreeMap<ServiceName, BTreeMap<ModelName, ByZone>>,
+}
+
+impl Standby {
+    /// Adds an instance, or takes its newer record.
+    pub(crate) fn put(&mut self, record: InstanceRecord) {
+        self.remove(&record.instance);
+        if !record.draining {
+            self.index(&record);
+        }
+        self.records.insert(record.instance.clone(), record);
+    }
+
+    /// Takes an instance out.
+    pub(crate) fn remove(&mut self, instance: &InstanceId) -> Option<InstanceRecord> {
+        let record = self.records.remove(instance)?;
+        if !record.draining {
+            self.unindex(&record);
+        }
+        Some(record)
+    }
+
+    fn index(&mut self, record: &InstanceRecord) {
+        let service = self.by_service.entry(record.service.clone()).or_default();
+        insert(service, record);
+        let models = self.by_model.entry(record.service.clone()).or_default();
+        for held in &record.models {
+            insert(models.entry(held.model.clone()).or_default(), record);
+        }
+    }
+
+    fn unindex(&mut self, record: &InstanceRecord) {
+        if let Some(zones) = self.by_service.get_mut(&record.service) {
+            remove(zones, record);
+        }
+        let Some(models) = self.by_model.get_mut(&record.service) else {
+            return;
+        };
+        for held in &record.models {
+            if let Some(zones) = models.get_mut(&held.model) {
+                remove(zones, record);
+                if zones.is_empty() {
+                    models.remove(&held.model);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn get(&self, instance: &InstanceId) -> Option<&InstanceRecord> {
+        self.records.get(instance)
+    }
+
+    /// A newer announcement without a change.
+    pub(crate) fn seen(&mut self, instance: &InstanceId, sequence: u64) {
+        if let Some(record) = self.records.get_mut(instance) {
+            record.sequence = record.sequence.max(sequence);
+        }
+    }
+
+    /// Runs of an instance that stand by.
+    pub(crate) fn runs_of<'a>(
+        &'a self,
+        instance: &InstanceId,
+    ) -> impl Iterator<Item = &'a InstanceId> {
+        instance.runs_in(&self.records)
+    }
+
+    pub(crate) fn instances(&self) -> impl Iterator<Item = &InstanceId> {
+        self.records.keys()
+    }
+
+    /// Instances that stand by, over all services.
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Instances of a service that could become active.
+    pub(crate) fn count(&self, service: &ServiceName) -> usize {
+        let zones = self.by_service.get(service);
+        zones.map_or(0, |zones| zones.values().map(BTreeSet::len).sum())
+    }
+
+    /// Zones in which instances of a service stand by, and the first of each.
+    pub(crate) fn of_service<'a>(
+        &'a self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (&'a ZoneName, &'a InstanceId)> + use<'a> {
+        firsts(self.by_service.get(service))
+    }
+
+    /// The same of those that hold a model.
+    pub(crate) fn holding<'a>(
+        &'a self,
+        service: &ServiceName,
+        model: &ModelName,
+    ) -> impl Iterator<Item = (&'a ZoneName, &'a InstanceId)> + use<'a> {
+        let models = self.by_model.get(service);
+        firsts(models.and_then(|models| models.get(model)))
+    }
+}
+
+fn firsts(zones: Option<&ByZone>) -> impl Iterator<Item = (&ZoneName, &InstanceId)> {
+    let zones = zones.into_iter().flatten();
+    zones.filter_map(|(zone, instances)| Some((zone, instances.first()?)))
+}
+
+fn insert(zones: &mut ByZone, record: &InstanceRecord) {
+    let instances = zones.entry(record.zone.clone()).or_default();
+    instances.insert(record.instance.clone());
+}
+
+fn remove(zones: &mut ByZone, record: &InstanceRecord) {
+    let Some(instances) = zones.get_mut(&record.zone) else {
+        return;
+    };
+    instances.remove(&record.instance);
+    if instances.is_empty() {
+        zones.remove(&record.zone);
+    }
+}
--- a/crates/millpass-fleet/src/traffic.rs
+++ b/crates/millpass-fleet/src/traffic.rs
@@ -1,7 +1,7 @@
 //! Requests in flight at each instance, over all gateways: one gateway among many sees too little of an
 //! instance's load to spread its requests well.
 
-use millpass_proto::{InstanceId, InstanceLoad};
+use millpass_proto::{InstanceId, InstanceLoad, InstanceRecord};
 use std::collections::{BTreeMap, HashMap};
 
 /// Most instances that gateways are told the load of. The busiest count: they are to be passed over. Bounds
@@ -41,6 +41,17 @@
         }
     }
 
+    /// Requests in flight at these instances together.
+    pub(crate) fn in_flight<'a>(&self, records: impl Iterator<Item = &'a InstanceRecord>) -> u32 {
+        let totals = records.filter_map(|record| self.totals.get(&record.instance));
+        totals.copied().fold(0, u32::saturating_add)
+    }
+
+    /// Whether anything is in flight at an instance.
+    pub(crate) fn is_used(&self, instance: &InstanceId) -> bool {
+        self.totals.contains_key(instance)
+    }
+
     /// The busiest instances.
     pub(crate) fn busiest(&self) -> Vec<InstanceLoad> {
         let mut loads: Vec<InstanceLoad> = self
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -99,9 +99,12 @@
         &mut self,
         now: Timestamp,
         document: Option<&DeploymentDocument>,
-        complete: bool,
         context: &GatewayContext<'_>,
     ) {
+        if !self.gateways.is_look_due(now, self.pace) {
+            return;
+        }
+        let complete = self.complete;
         let due = self.gateways_due(now, document, complete);
         if due.is_empty() {
             return;
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod calls;
 pub mod documents;
+pub mod shares;
 
 use calls::Calls;
 use millpass_dispatch::{DispatchSettings, Dispatcher, FreshnessSettings};
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -2439,6 +2439,125 @@
 }
 
 
+/// A message with its addresses.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct PeerEnvelope {
+
+    /// Group; a message for another group is dropped.
+    pub group: GroupId,
+
+    /// Sender.
+    pub from: MemberId,
+
+    /// Receiver; a message for another identity is dropped.
+    pub to: MemberId,
+
+    /// Sender's term (for a pre-vote request: the term it would campaign in).
+    pub term: u64,
+
+    /// Message.
+    pub message: PeerMessage,
+}
+
+
+/// Answers a share report.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ShareAnswer {
+
+    /// Echo.
+    pub run: u64,
+
+    /// Echo.
+    pub number: u64,
+
+    /// Who leads, as far as the answering member knows.
+    pub leader: Option<MemberAddress>,
+
+    /// Revision of the share that the leader knows now; none from a member that does not lead.
+    pub known: Option<u64>,
+
+    /// Revision of the list of active instances.
+    pub active_revision: u64,
+
+    /// Active instances of the share, where the member holds another revision of the list: their unchanged announcements are passed on.
+    pub active: Option<Vec<InstanceId>>,
+}
+
+
+/// An instance, and how new the newest word of it is that a member has heard.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstanceSeen {
+
+    /// Identity of the run.
+    pub instance: InstanceId,
+
+    /// Sequence of its last announcement there.
+    pub sequence: u64,
+}
+
+
+/// What a member that does not lead says of the instances that announce themselves there: what changed since the leader last confirmed, and that the member lives.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ShareReport {
+
+    /// The member, and where it is answered.
+    pub from: MemberAddress,
+
+    /// Names the run of the member's process: revisions begin anew with each.
+    pub run: u64,
+
+    /// Number within the run; the answer names it.
+    pub number: u64,
+
+    /// Revision that the leader is taken to know; 0: what follows begins the share anew.
+    pub base: u64,
+
+    /// Revision that it knows with this report.
+    pub revision: u64,
+
+    /// New or changed since `base`.
+    pub instances: Vec<InstanceRecord>,
+
+    /// Not heard of any more. Another member may have heard them since.
+    pub silent: Vec<InstanceSeen>,
+
+    /// Active instances that announced themselves unchanged since the last report.
+    pub seen: Vec<InstanceSeen>,
+
+    /// Revision of the list of active instances held here; 0 for none.
+    pub active_revision: u64,
+}
+
+
+/// Any first message on a control member's port: from a peer or from a router.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum LinkMessage {
+
+    /// From a member.
+    Peer(PeerEnvelope),
+
+    /// From a router.
+    Router(RouterToControl),
+
+    /// From a process that wants to become a member under this new identity.
+    Join(MemberAddress),
+
+    /// First message on a member's connection: who sends, and where it can be answered.
+    Greeting(MemberAddress),
+
+    /// From a member: instances that announce themselves there.
+    Share(ShareReport),
+
+    /// Answer to a share report.
+    ShareAnswer(ShareAnswer),
+}
+
+
 /// Load an adapter.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2806,47 +2925,6 @@
 }
 
 
-/// A message with its addresses.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct PeerEnvelope {
-
-    /// Group; a message for another group is dropped.
-    pub group: GroupId,
-
-    /// Sender.
-    pub from: MemberId,
-
-    /// Receiver; a message for another identity is dropped.
-    pub to: MemberId,
-
-    /// Sender's term (for a pre-vote request: the term it would campaign in).
-    pub term: u64,
-
-    /// Message.
-    pub message: PeerMessage,
-}
-
-
-/// Any first message on a control member's port: from a peer or from a router.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum LinkMessage {
-
-    /// From a member.
-    Peer(PeerEnvelope),
-
-    /// From a router.
-    Router(RouterToControl),
-
-    /// From a process that wants to become a member under this new identity.
-    Join(MemberAddress),
-
-    /// First message on a member's connection: who sends, and where it can be answered.
-    Greeting(MemberAddress),
-}
-
-
 /// What a web back end stand-in counted in its run. GET /web/audit.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
--- a/crates/millpass-sim/src/control_host.rs
+++ b/crates/millpass-sim/src/control_host.rs
@@ -183,7 +183,9 @@
                 }
             }
             // No instances announce themselves here.
-            ControlOutput::Instruct { .. }
+            ControlOutput::SendShare { .. }
+            | ControlOutput::AnswerShare { .. }
+            | ControlOutput::Instruct { .. }
             | ControlOutput::ReadEngine { .. }
             | ControlOutput::DocumentReached(_)
             | ControlOutput::DepartureReached(_) => {}
--- a/crates/millpass-sim/src/control_node.rs
+++ b/crates/millpass-sim/src/control_node.rs
@@ -125,6 +125,7 @@
         member_replacement_delay: Duration::from_millis(1_500),
         machine_gone_delay: Duration::from_millis(2_000),
         fleet: None,
+        seeds: Vec::new(),
         wanted_voters: 0,
     }
 }
