Gateways report as often as they are answered, and ask members by the bound of what is in force

Cause: a leader answers all gateways a thousand times a second, so each of a thousand once a second; each reported every 300 ms all the same, and after 700 ms without an answer asked every member by datagram, five times a second: up to 5,000 questions a second at each. Ruled out: more updates a second (a larger constant); a longer interval in the settings (it would hold at one size). Change: a report that nothing urges waits for the answer to the one before, three intervals at most; members are asked after 35% of the bound for what is in force, 700 ms at least (2 s: as before).

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -383,6 +383,11 @@
         self.needs.is_urgent() || !self.doubted.is_empty() || self.crashes.is_report_due()
     }
 
+    /// Whether the leader has answered the last report.
+    pub fn is_report_answered(&self) -> bool {
+        self.freshness.is_answered(self.reports)
+    }
+
     /// The next report; counts begin anew.
     pub fn report(&mut self, now: Timestamp) -> GatewayReport {
         self.reports += 1;
--- a/crates/millpass-dispatch/src/freshness.rs
+++ b/crates/millpass-dispatch/src/freshness.rs
@@ -24,9 +24,12 @@
 const MAXIMUM_MEMBERS: usize = 64;
 /// Rounds whose beginning is remembered. An answer that comes later is of no use any more.
 const MAXIMUM_ROUNDS: usize = 64;
-/// Time without confirmation after which members are asked: two reports at the usual pause of 300 ms have gone
+/// Least time without confirmation after which members are asked: two reports at the usual pause of 300 ms have gone
 /// unanswered.
 const ASK_AFTER: Duration = Duration::from_millis(700);
+/// The same as a share of the bound for what is in force. A leader of many gateways answers each of them less often, and
+/// all of them would ask every member meanwhile.
+const ASK_AFTER_SHARE: f64 = 0.35;
 /// Longest time between two rounds of a gateway that runs. After more it was suspended or had no processor, and what
 /// it did not hear meanwhile says nothing of the members.
 const RUNNING_GAP: Duration = Duration::from_millis(1_500);
@@ -113,6 +116,8 @@
     confirmed_at: Option<Timestamp>,
     /// Numbers of reports with when they were sent, the newest last.
     reports: VecDeque<(u64, Timestamp)>,
+    /// Number of the newest report that the leader has answered.
+    answered: u64,
     last_round: u64,
     /// Rounds with when they began, the newest last.
     rounds: VecDeque<(u64, Timestamp)>,
@@ -159,6 +164,7 @@
 
     /// The leader answered this report with all that it had committed.
     pub(crate) fn answered(&mut self, report: u64) {
+        self.answered = self.answered.max(report);
         let remembered = self.reports.iter().rev();
         let before = remembered.filter(|(sequence, _)| *sequence <= report);
         if let Some((_, sent_at)) = before.max_by_key(|(sequence, _)| *sequence) {
@@ -178,9 +184,15 @@
         self.confirmed_at.map(|at| now.since(at))
     }
 
-    /// Whether members should be asked.
-    pub(crate) fn is_asking_due(&self, now: Timestamp) -> bool {
-        self.age(now).is_none_or(|age| age >= ASK_AFTER)
+    /// Whether members should be asked, where what is in force has this bound.
+    pub(crate) fn is_asking_due(&self, now: Timestamp, in_force: Duration) -> bool {
+        let after = ASK_AFTER.max(in_force.mul_f64(ASK_AFTER_SHARE));
+        self.age(now).is_none_or(|age| age >= after)
+    }
+
+    /// Whether the leader has answered this report, or a later one.
+    pub(crate) fn is_answered(&self, report: u64) -> bool {
+        self.answered >= report
     }
 
     /// Begins a round of questions; gives its number.
@@ -379,7 +391,8 @@
 
     /// Begins a round of questions to the members if one is due, or at once; gives its number.
     pub fn begin_round(&mut self, now: Timestamp, at_once: bool) -> Option<u64> {
-        let due = at_once || self.freshness.is_asking_due(now);
+        let in_force = self.settings.freshness.in_force;
+        let due = at_once || self.freshness.is_asking_due(now, in_force);
         due.then(|| self.freshness.begin_round(now))
     }
 
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -18,6 +18,9 @@
 
 /// Shortest pause between two reports.
 const MINIMUM_REPORT_PAUSE: Duration = Duration::from_millis(5);
+/// Intervals for which a report that nothing urges waits for the answer to the one before: a leader of many gateways
+/// answers each of them less often, and is told as often as it answers.
+const UNANSWERED_INTERVALS: u32 = 3;
 /// Pause before the next member is asked, at most.
 const PAUSE: Duration = Duration::from_millis(40);
 /// Times that the pause doubles with turns in vain: to 640 ms. Seventy gateways that turned to another member every
@@ -239,7 +242,11 @@
         let urgent = shared.report.listen();
         let now = shared.now();
         let paused = last_report.is_some_and(|at| now.since(at) < MINIMUM_REPORT_PAUSE);
-        let due = now >= next_report || (shared.core().is_report_urgent() && !paused);
+        let interval = shared.settings.report_interval;
+        let answered = shared.core().is_report_answered();
+        let is_late = now >= next_report + interval * (UNANSWERED_INTERVALS - 1);
+        let periodic = now >= next_report && (answered || is_late);
+        let due = periodic || (shared.core().is_report_urgent() && !paused);
         let mut messages = Vec::new();
         if due {
             messages.push(RouterToControl::Gateway(shared.core().report(now)));
@@ -247,7 +254,7 @@
             let crashes = shared.core().crash_report();
             messages.extend(crashes.map(RouterToControl::Crashes));
             last_report = Some(now);
-            next_report = now + shared.settings.report_interval;
+            next_report = now + interval;
         }
         let credit = shared.core().credit_request(now, due);
         messages.extend(credit.map(RouterToControl::Credit));
@@ -257,6 +264,10 @@
             }
         }
         let mut until = next_report;
+        if now >= next_report {
+            // The answer wakes this task, too.
+            until = next_report + interval * (UNANSWERED_INTERVALS - 1);
+        }
         if shared.core().is_report_urgent() {
             // The pause between reports holds this one back, but no credit that comes to be needed.
             until = last_report.map_or(now, |at| at + MINIMUM_REPORT_PAUSE);
@@ -354,11 +365,17 @@
     let complete = update.complete;
     let now = shared.now();
     let provisional = update.provisional;
-    let (outcome, instances) = {
+    let (outcome, instances, brought_answer) = {
         let mut core = shared.core();
+        let was_answered = core.is_report_answered();
         let outcome = core.update(now, update);
-        (outcome, core.instance_count())
+        let brought_answer = !was_answered && core.is_report_answered();
+        (outcome, core.instance_count(), brought_answer)
     };
+    if brought_answer {
+        // The next report may be due already.
+        shared.report.notify(usize::MAX);
+    }
     shared.metrics.instances.set(instances as i64);
     if let Some(base) = outcome.unfit_change {
         // The next report says which version is held, and the leader sends the document whole.
