A member serves its connections as tasks of one thread

Ruled out: smaller stacks (the number is what is bounded); a thread for reading alone (holds up to twice the size). Change: connections.rs and frames.rs run on an executor, as gateways and the HTTP server do; an input for which the core has no room waits at its connection. 4,096 connections at once in place of 2,048: each costs a task and its buffers.

--- a/crates/millpass-control/src/connections.rs
+++ b/crates/millpass-control/src/connections.rs
@@ -1,28 +1,32 @@
 //! Connections that members, routers and joiners make to this member.
 //!
-//! One thread reads each connection; one more writes to it once a router speaks on it. A router
-//! that does not read is disconnected when its queue is full, and comes back. Of a gateway's updates one at most waits
-//! behind the one that is being written: the core hears of it, and sends the next when both are written.
+//! One thread serves all of them, as tasks: a thread for each, or two, would be thousands where a gateway runs on each of
+//! a thousand machines. A router that does not read is disconnected when its queue is full, and comes back. Of a gateway's
+//! updates one at most waits behind the one that is being written: the core hears of it, and sends the next when both are
+//! written.
 
+use crate::frames::{read_frame, write_frame};
 use crate::inputs::Inputs;
 use crate::metrics::Metrics;
 use crate::router_backlog::RouterBacklog;
 use crate::settings::ProcessLimits;
-use crossbeam::channel::{Receiver, Sender, bounded};
+use async_channel::{Receiver, Sender, bounded};
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use futures_lite::{future, io::BufReader};
 use millpass_control_plane::{ConnectionId, ControlInput};
-use millpass_proto::codec::{CodecError, read_frame, write_frame};
+use millpass_proto::codec::CodecError;
 use millpass_proto::{ControlToRouter, LinkMessage};
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::BTreeMap;
-use std::io::{BufReader, BufWriter, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
-/// Stack of a connection's thread, in bytes.
-const STACK_BYTES: usize = 256 * 1024;
+/// Bytes read from a connection at once.
+const READ_BUFFER_BYTES: usize = 2 * 1024;
 /// Bytes that a router's socket holds for it; the kernel takes twice as much. A larger copy passes in parts: at 50 ms
 /// there and back, more than a megabyte a second.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
@@ -30,9 +34,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for the acceptor's wake-up connection.
 const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before an input is offered again for whose class the core has no room: what follows it on its connection
+/// waits in the socket.
+const ROOM_PAUSE: Duration = Duration::from_millis(5);
 
 struct Connection {
-    stream: TcpStream,
+    stream: Arc<Async<TcpStream>>,
     /// Set once a router spoke on it.
     messages: Option<Sender<ControlToRouter>>,
     backlog: Arc<RouterBacklog>,
@@ -43,6 +50,10 @@
     open: Mutex<BTreeMap<ConnectionId, Connection>>,
     next: AtomicU64,
     closing: AtomicBool,
+    /// Closed when the tasks are to end; nothing is sent on it.
+    stop: Sender<()>,
+    stopped: Receiver<()>,
+    tasks: Executor<'static>,
     address: SocketAddr,
     limits: ProcessLimits,
     inputs: Inputs,
@@ -50,17 +61,21 @@
 }
 
 impl Connections {
-    /// The connections of a listening socket; [`Connections::accept`] serves it.
+    /// The connections of a listening socket; [`Connections::accept`] takes them in, [`Connections::run`] serves them.
     pub(crate) fn new(
         listener: &TcpListener,
         limits: ProcessLimits,
         inputs: Inputs,
         metrics: Arc<Metrics>,
     ) -> std::io::Result<Arc<Connections>> {
+        let (stop, stopped) = bounded(1);
         Ok(Arc::new(Connections {
             open: Mutex::default(),
             next: AtomicU64::new(1),
             closing: AtomicBool::new(false),
+            stop,
+            stopped,
+            tasks: Executor::new(),
             address: listener.local_addr()?,
             limits,
             inputs,
@@ -73,6 +88,12 @@
         self.address
     }
 
+    /// Body of the thread that serves all connections; ends after [`Connections::close`].
+    pub(crate) fn run(&self) {
+        // It ends with an error, as it is closed without a message.
+        let _ = async_io::block_on(self.tasks.run(self.stopped.recv()));
+    }
+
     /// Body of the accepting thread; ends after [`Connections::close`].
     pub(crate) fn accept(self: &Arc<Self>, listener: &TcpListener) {
         for accepted in listener.incoming() {
@@ -89,7 +110,7 @@
         }
     }
 
-    /// Ends the accepting thread and all connections.
+    /// Ends the threads and all connections.
     pub(crate) fn close(&self) {
         self.closing.store(true, Ordering::Release);
         drop(TcpStream::connect_timeout(&self.address, WAKE_TIMEOUT));
@@ -97,6 +118,7 @@
         for connection in open.into_values() {
             shut_down(&connection.stream);
         }
+        self.stop.close();
     }
 
     /// Sends to a router, which is disconnected if it does not read. Never waits. True when a gateway's update begins
@@ -129,38 +151,41 @@
             );
             return;
         }
-        let connection = ConnectionId(self.next.fetch_add(1, Ordering::Relaxed));
-        if let Err(error) = self.serve(connection, stream) {
+        if let Err(error) = self.serve(stream) {
             log::warn!("event=connection_failed error=\"{error}\"");
-            self.lock().remove(&connection);
         }
     }
 
-    fn serve(self: &Arc<Self>, connection: ConnectionId, stream: TcpStream) -> std::io::Result<()> {
+    fn serve(self: &Arc<Self>, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
-        let silence = self.limits.connection_silence;
-        stream.set_write_timeout(Some(silence))?;
         // Members may be silent for long; a dead machine's connection ends by keep-alive probes.
-        SockRef::from(&stream).set_tcp_keepalive(&TcpKeepalive::new().with_time(silence))?;
+        let keep_alive = TcpKeepalive::new().with_time(self.limits.connection_silence);
+        SockRef::from(&stream).set_tcp_keepalive(&keep_alive)?;
+        let stream = Arc::new(Async::new(stream)?);
+        let connection = ConnectionId(self.next.fetch_add(1, Ordering::Relaxed));
         let entry = Connection {
-            stream: stream.try_clone()?,
+            stream: stream.clone(),
             messages: None,
             backlog: Arc::default(),
         };
         self.lock().insert(connection, entry);
         let connections = self.clone();
-        spawn("control-reader", move || {
+        let reading = async move {
             connections.metrics.connections.inc();
-            connections.read(connection, &stream);
+            connections.read(connection, &stream).await;
             connections.metrics.connections.dec();
-        })
+        };
+        self.tasks.spawn(reading).detach();
+        Ok(())
     }
 
-    fn read(self: &Arc<Self>, connection: ConnectionId, stream: &TcpStream) {
-        let mut reader = BufReader::new(stream);
+    async fn read(self: &Arc<Self>, connection: ConnectionId, stream: &Arc<Async<TcpStream>>) {
+        let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, &**stream);
         let mut router_speaks = false;
         let end = loop {
-            let message = match read_frame::<LinkMessage>(&mut reader) {
+            let reading = read_frame::<LinkMessage>(&mut reader);
+            let reading = self.within_silence(router_speaks, reading).await;
+            let message = match reading {
                 Ok(message) => message,
                 Err(error) => break error,
             };
@@ -170,7 +195,7 @@
                     break error.into();
                 }
             }
-            if !self.inputs.send(input_of(connection, message)) {
+            if !self.take(input_of(connection, message)).await {
                 break CodecError::Io(std::io::ErrorKind::ConnectionAborted.into());
             }
         };
@@ -181,20 +206,45 @@
         self.lock().remove(&connection);
         shut_down(stream);
         if router_speaks {
-            self.inputs
-                .send(ControlInput::RouterDisconnected(connection));
+            self.take(ControlInput::RouterDisconnected(connection))
+                .await;
+        }
+    }
+
+    /// Gives a router the allowed silence; it reports several times in it. A member may be silent.
+    async fn within_silence<T>(
+        &self,
+        is_router: bool,
+        work: impl Future<Output = Result<T, CodecError>>,
+    ) -> Result<T, CodecError> {
+        if !is_router {
+            return work.await;
+        }
+        let silence = async {
+            Timer::after(self.limits.connection_silence).await;
+            Err(CodecError::Io(std::io::ErrorKind::TimedOut.into()))
+        };
+        future::or(work, silence).await
+    }
+
+    /// Hands an input to the core, and waits for room. False once the core has ended.
+    async fn take(&self, mut input: ControlInput) -> bool {
+        loop {
+            match self.inputs.try_send(input) {
+                Ok(taken) => return taken,
+                Err(refused) => input = *refused,
+            }
+            Timer::after(ROOM_PAUSE).await;
         }
     }
 
-    /// A router reports several times in the allowed silence.
     fn expect_router(
         self: &Arc<Self>,
         connection: ConnectionId,
-        stream: &TcpStream,
+        stream: &Arc<Async<TcpStream>>,
     ) -> std::io::Result<()> {
-        stream.set_read_timeout(Some(self.limits.connection_silence))?;
         // What waits in the socket is out of reach: it would be taken before anything newer.
-        SockRef::from(stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        SockRef::from(stream.get_ref()).set_send_buffer_size(SEND_BUFFER_BYTES)?;
         let (sender, messages) = bounded(self.limits.router_queue);
         let backlog = {
             let mut open = self.lock();
@@ -204,19 +254,38 @@
             found.messages = Some(sender);
             found.backlog.clone()
         };
-        let writer = stream.try_clone()?;
-        let inputs = self.inputs.clone();
-        spawn("control-writer", move || {
-            write_all(&writer, &messages, || {
-                let caught_up = ControlInput::RouterBacklog {
-                    connection,
-                    waits: false,
-                };
-                if backlog.written() {
-                    inputs.send(caught_up);
-                }
-            });
-        })
+        let connections = self.clone();
+        let stream = stream.clone();
+        let writing = async move {
+            connections
+                .write_all(connection, &stream, &messages, &backlog)
+                .await;
+            shut_down(&stream);
+        };
+        self.tasks.spawn(writing).detach();
+        Ok(())
+    }
+
+    /// Writes until the connection is taken from the table. Tells of each update that the socket has taken.
+    async fn write_all(
+        &self,
+        connection: ConnectionId,
+        stream: &Async<TcpStream>,
+        messages: &Receiver<ControlToRouter>,
+        backlog: &RouterBacklog,
+    ) {
+        while let Ok(message) = messages.recv().await {
+            let writing = write_frame(stream, &message);
+            if let Err(error) = self.within_silence(true, writing).await {
+                log::debug!("event=router_write_failed error=\"{error}\"");
+                return;
+            }
+            if is_update(&message) && backlog.written() {
+                let waits = false;
+                self.take(ControlInput::RouterBacklog { connection, waits })
+                    .await;
+            }
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<ConnectionId, Connection>> {
@@ -224,13 +293,6 @@
     }
 }
 
-fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
-    let builder = thread::Builder::new()
-        .name(name.to_owned())
-        .stack_size(STACK_BYTES);
-    builder.spawn(body).map(drop)
-}
-
 fn input_of(connection: ConnectionId, message: LinkMessage) -> ControlInput {
     match message {
         LinkMessage::Peer(envelope) => ControlInput::Peer(envelope),
@@ -249,27 +311,7 @@
     matches!(message, ControlToRouter::Gateway(_))
 }
 
-/// Body of a writing thread; ends when the connection is taken from the table. Tells of each update that the socket
-/// has taken.
-fn write_all(stream: &TcpStream, messages: &Receiver<ControlToRouter>, updated: impl Fn()) {
-    let mut writer = BufWriter::new(stream);
-    for message in messages {
-        let mut written = write_frame(&mut writer, &message);
-        if written.is_ok() && messages.is_empty() {
-            written = writer.flush().map_err(Into::into);
-        }
-        if let Err(error) = written {
-            log::debug!("event=router_write_failed error=\"{error}\"");
-            break;
-        }
-        if is_update(&message) {
-            updated();
-        }
-    }
-    shut_down(stream);
-}
-
-fn shut_down(stream: &TcpStream) {
+fn shut_down(stream: &Async<TcpStream>) {
     // Fails only on a connection that has ended already.
-    let _ = stream.shutdown(Shutdown::Both);
+    let _ = stream.get_ref().shutdown(Shutdown::Both);
 }
--- /dev/null
+++ b/crates/millpass-control/src/frames.rs
@@ -0,0 +1,34 @@
+//! Frames on connections that are served as tasks.
+
+use async_io::Async;
+use futures_lite::AsyncRead;
+use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+use millpass_proto::codec::{self, CodecError, MAXIMUM_FRAME_BYTES};
+use serde::{Serialize, de::DeserializeOwned};
+use std::net::TcpStream;
+
+/// Reads one frame.
+pub(crate) async fn read_frame<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+) -> Result<T, CodecError> {
+    let mut prefix = [0_u8; 4];
+    stream.read_exact(&mut prefix).await?;
+    let length = u32::from_le_bytes(prefix) as usize;
+    if length > MAXIMUM_FRAME_BYTES {
+        return Err(CodecError::FrameTooLarge { bytes: length });
+    }
+    let mut body = vec![0_u8; length];
+    stream.read_exact(&mut body).await?;
+    codec::decode(&body)
+}
+
+/// Writes one frame.
+pub(crate) async fn write_frame<T: Serialize>(
+    mut stream: &Async<TcpStream>,
+    value: &T,
+) -> Result<(), CodecError> {
+    let mut frame = Vec::new();
+    codec::write_frame(&mut frame, value)?;
+    stream.write_all(&frame).await?;
+    Ok(())
+}
--- a/crates/millpass-control/src/inputs.rs
+++ b/crates/millpass-control/src/inputs.rs
@@ -102,6 +102,15 @@
         self.push(&mut state, input).is_ok()
     }
 
+    /// Hands the input back where its class has no room: its sender waits. False once the core has ended.
+    pub(crate) fn try_send(&self, input: ControlInput) -> Result<bool, Box<ControlInput>> {
+        let mut state = self.shared.lock();
+        if !state.has_ended && !state.backlog.has_room(Urgency::of(&input)) {
+            return Err(Box::new(input));
+        }
+        Ok(self.push(&mut state, input).is_ok())
+    }
+
     /// Refuses at once when the class is full: for what its sender repeats.
     pub(crate) fn offer(&self, input: ControlInput) -> Result<(), NotTaken> {
         self.push(&mut self.shared.lock(), input)
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -41,6 +41,7 @@
 mod disk;
 mod disk_watch;
 mod error;
+mod frames;
 mod freshness;
 mod inputs;
 pub mod interface;
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -180,6 +180,10 @@
     threads.push(spawn_needed("control-accept", &inputs, move || {
         accepting.accept(&listener);
     })?);
+    let serving = connections.clone();
+    threads.push(spawn_needed("control-links", &inputs, move || {
+        serving.run();
+    })?);
     if let Some(port) = freshness.clone() {
         threads.push(spawn_needed("control-freshness", &inputs, move || {
             port.serve();
--- a/crates/millpass-control/src/settings.rs
+++ b/crates/millpass-control/src/settings.rs
@@ -78,7 +78,7 @@
 impl Default for ProcessLimits {
     fn default() -> Self {
         ProcessLimits {
-            maximum_connections: 2_048,
+            maximum_connections: 4_096,
             peer_queue: 1_024,
             router_queue: 1_024,
             delivery_threads: 32,
