A gateway whose requests wait for a model or an adapter is told of changes at once

Ruled out: more updates a second; telling all gateways at once of each adapter (986 updates for one that waits). Change: for a second after a report with an unmet need a gateway's next update is due at once; looks come every 5 ms while one waits. Test first: of a thousand gateways the one with the need hears of the change in the next 10 ms.

--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -42,12 +42,17 @@
     pub(crate) sent_at: Timestamp,
     pub(crate) heard_at: Timestamp,
     pub(crate) connected_at: Timestamp,
+    /// Until when requests are expected to wait there for a model or an adapter.
+    awaits_until: Timestamp,
 }
 
 impl GatewaySession {
     fn heard(&mut self, now: Timestamp, report: &GatewayReport) {
         self.heard_at = now;
         self.owed = true;
+        if report.needs.iter().any(|need| need.unserved > 0) {
+            self.awaits_until = now + AWAITING_TIME;
+        }
         self.answers = report.sequence;
         self.as_of = report.as_of;
         self.reported_version = report.version;
@@ -85,6 +90,11 @@
         self.behind_since.take().map(|since| now.since(since))
     }
 
+    /// Whether its next update is due, where others are sent one each `interval`.
+    pub(crate) fn is_due(&self, now: Timestamp, interval: Duration) -> bool {
+        now < self.awaits_until || now.since(self.sent_at) >= interval
+    }
+
     /// A document was put into an update.
     pub(crate) fn version_sent(&mut self, now: Timestamp, version: u64) {
         if self.unreported.is_none() || self.is_version_overdue() {
@@ -103,6 +113,9 @@
 /// Longest time between two updates of a gateway that little processor makes: they confirm what gateways know, within a
 /// bound of some seconds.
 const LONGEST_SPACING: Duration = Duration::from_millis(500);
+/// Time for which a gateway that reported a need is told of changes at once, however many gateways there are: an adapter
+/// comes within some ten milliseconds, and its requests wait there. Gateways report the need again while they do.
+const AWAITING_TIME: Duration = Duration::from_millis(1_000);
 /// Gateways up to which every change is sent at once.
 const FEW_GATEWAYS: usize = 16;
 /// Looks at who is to be sent an update, in the time between two updates of a gateway: each goes through all of them.
@@ -115,6 +128,8 @@
 pub(crate) struct Gateways {
     pub(crate) sessions: BTreeMap<u64, GatewaySession>,
     next_look: Timestamp,
+    /// Until when one of them awaits something.
+    awaits_until: Timestamp,
 }
 
 impl Gateways {
@@ -134,6 +149,7 @@
     ) -> bool {
         if let Some(session) = self.sessions.get_mut(&connection) {
             session.heard(now, report);
+            self.awaits_until = self.awaits_until.max(session.awaits_until);
             return false;
         }
         // A gateway that reconnects has one session: the newest.
@@ -160,6 +176,7 @@
             sent_at: Timestamp::ZERO,
             heard_at: now,
             connected_at: now,
+            awaits_until: Timestamp::ZERO,
         };
         self.sessions.insert(connection, session);
         true
@@ -212,7 +229,10 @@
         if now < self.next_look {
             return false;
         }
-        let pause = self.update_interval(pace) / LOOKS_PER_INTERVAL;
+        let pause = match now < self.awaits_until {
+            true => SHORTEST_LOOK,
+            false => self.update_interval(pace) / LOOKS_PER_INTERVAL,
+        };
         self.next_look = now + SHORTEST_LOOK.max(pause);
         true
     }
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -150,7 +150,7 @@
             // Behind what waits at a connection a second update would be old when it is taken: the difference grows
             // here instead.
             .filter(|(_, session)| session.behind_since.is_none())
-            .filter(|(_, session)| wants(session) && now.since(session.sent_at) >= interval)
+            .filter(|(_, session)| wants(session) && session.is_due(now, interval))
             .map(|(connection, _)| *connection)
             .collect()
     }
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -150,6 +150,22 @@
         self.fleet.report(at(now), connection, &report);
     }
 
+    /// A report of gateway g-N, at which a request waits.
+    pub fn report_need(&mut self, now: u64, connection: u64) {
+        let mut report = self.report_with(&format!("g-{connection}"), 1, Vec::new());
+        report.needs.push(ModelNeed {
+            service: "service-3".into(),
+            model: "m".into(),
+            adapter: Some("a1".into()),
+            unserved: 1,
+            arrivals: 1,
+            in_flight: 0,
+            priority: 1,
+            unread_tokens: 0,
+        });
+        self.fleet.report(at(now), connection, &report);
+    }
+
     /// A report of gateway g-N, told up to this index of the log.
     pub fn report_as_of(&mut self, now: u64, connection: u64, as_of: u64) {
         let mut report = self.report_with(&format!("g-{connection}"), 1, Vec::new());
--- a/crates/millpass-fleet/tests/updates.rs
+++ b/crates/millpass-fleet/tests/updates.rs
@@ -366,3 +366,30 @@
     assert_eq!(connections, [2]);
     assert!(!told[0].1.first, "it is the session of before");
 }
+
+/// Of a thousand gateways, each of which is told once a second, the one at which requests wait for an adapter hears at once that
+/// it is there.
+#[test]
+fn a_gateway_whose_requests_wait_is_told_at_once() {
+    let mut leader = Leader::new(20, 0);
+    for connection in 0..1_000 {
+        leader.report(10_000, connection, 1);
+    }
+    leader.run(10_000);
+    leader.report_need(12_000, 7);
+    leader.run(12_000);
+    let mut changed = record(3);
+    changed.sequence = 2;
+    changed.models = vec![HeldModel {
+        model: "m".into(),
+        adapters: vec!["a1".into()],
+    }];
+    leader.fleet.announce(at(12_050), changed, false);
+    let told: Vec<u64> = leader
+        .updates(12_060)
+        .iter()
+        .filter(|(_, update)| !update.instances.is_empty())
+        .map(|(connection, _)| *connection)
+        .collect();
+    assert!(told.contains(&7), "{told:?}");
+}
