An unchanged announcement is compared with the last announcement, not with what the instance is believed to serve

Cause, found by reading: the leader keeps one list of models for an instance, what it serves. That an active instance announced itself unchanged at another member was replayed from that list: during an unload it looked as if the engine had said that the model was gone, so its state was read, or the unload ordered once more, too early. At the leader itself each heartbeat of an engine whose announcement lags behind counted as a change and was taken back at once: two revisions, and an update of every gateway. Ruled out: sending the whole record with each word (the point of it is that it costs a few bytes). Change: the registry keeps what was last announced beside it.

--- a/crates/millpass-fleet/src/activation.rs
+++ b/crates/millpass-fleet/src/activation.rs
@@ -264,12 +264,13 @@
     }
 
     fn stand_by(&mut self, record: InstanceRecord) {
-        let instance = &record.instance;
+        let instance = &record.instance.clone();
         let pairs = vec![("instance", instance.0.clone())];
         self.idle_since.remove(instance);
+        let announced = self.registry.announced(instance);
         self.engines.engines.remove(instance);
         self.registry.remove(instance);
-        self.standby.put(record);
+        self.standby.put(announced.unwrap_or(record));
         self.active_revision += 1;
         self.dirty = true;
         self.event("instance-stands-by", pairs);
--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -269,10 +269,9 @@
             self.hear(now, holder, record, departed == Some(true));
         }
         for seen in &report.seen {
-            let Some(record) = self.registry.get(&seen.instance) else {
+            let Some(mut record) = self.registry.announced(&seen.instance) else {
                 continue;
             };
-            let mut record = record.clone();
             record.sequence = seen.sequence;
             self.hear(now, holder, record, false);
         }
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -21,12 +21,25 @@
 }
 
 struct Entry {
+    /// With the models that it serves new requests with.
     record: InstanceRecord,
+    /// Models that it last announced.
+    announced: Vec<HeldModel>,
     /// Of the record; gateways that come back say by digests what they hold.
     digest: u64,
     revision: u64,
 }
 
+impl Entry {
+    /// Whether an announcement differs from the last one in nothing but how new it is. What the instance serves may differ
+    /// from both.
+    fn announces_the_same(&self, record: &InstanceRecord) -> bool {
+        let mut last = self.record.clone();
+        last.models.clone_from(&self.announced);
+        same_but_sequence(&last, record)
+    }
+}
+
 /// What a gateway lacks that says by digests which records it holds.
 pub(crate) struct Lacking {
     /// Records that it does not hold.
@@ -58,6 +71,7 @@
         let Some(entry) = self.entries.get_mut(&record.instance) else {
             self.revision += 1;
             let entry = Entry {
+                announced: record.models.clone(),
                 revision: self.revision,
                 digest: record.digest(),
                 record,
@@ -73,11 +87,12 @@
             return Announced::Late;
         }
         record.draining |= entry.record.draining;
-        if same_but_sequence(&entry.record, &record) {
+        if entry.announces_the_same(&record) {
             entry.record.sequence = record.sequence;
             return Announced::Same;
         }
         self.revision += 1;
+        entry.announced.clone_from(&record.models);
         entry.revision = self.revision;
         entry.digest = record.digest();
         let before = std::mem::replace(&mut entry.record, record);
@@ -194,6 +209,14 @@
         self.entries.get(instance).map(|entry| &entry.record)
     }
 
+    /// What an instance last announced.
+    pub(crate) fn announced(&self, instance: &InstanceId) -> Option<InstanceRecord> {
+        let entry = self.entries.get(instance)?;
+        let mut record = entry.record.clone();
+        record.models.clone_from(&entry.announced);
+        Some(record)
+    }
+
     pub(crate) fn records(&self) -> impl Iterator<Item = &InstanceRecord> {
         self.entries.values().map(|entry| &entry.record)
     }
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -5,6 +5,7 @@
 pub mod calls;
 pub mod documents;
 pub mod shares;
+pub mod steering;
 
 use calls::Calls;
 use millpass_dispatch::{DispatchSettings, Dispatcher, FreshnessSettings};
--- /dev/null
+++ b/crates/millpass-fleet/tests/harness/steering.rs
@@ -0,0 +1,156 @@
+//! A leader that steers one engine, which announces itself at another member.
+
+use super::at;
+use super::calls::Calls;
+use super::documents::{NOBODY, Room, engine_document, model};
+use millpass_fleet::{Fleet, FleetOutput, FleetSettings, InstructionHistory};
+use millpass_proto::*;
+
+pub struct Steering {
+    fleet: Fleet,
+    document: DeploymentDocument,
+    calls: Calls,
+    number: u64,
+    known: u64,
+}
+
+impl Steering {
+    pub fn new() -> Steering {
+        let room = Room {
+            weights_kilobytes: 130,
+            adapter_slots: 2,
+            milliloads_per_second: 2_000,
+        };
+        let models = ["a", "b", "c"].map(|name| model(name, 60, 0));
+        let mut fleet = Fleet::new(FleetSettings {
+            order_handover: Duration::ZERO,
+            ..FleetSettings::default()
+        });
+        let history = InstructionHistory::new(Timestamp::ZERO, Duration::ZERO);
+        let nothing = std::iter::empty;
+        fleet.begin(at(0), nothing(), std::iter::empty(), &history);
+        Steering {
+            fleet,
+            document: engine_document(models.to_vec(), &room),
+            calls: Calls::default(),
+            number: 0,
+            known: 0,
+        }
+    }
+
+    fn held(models: &[&str]) -> Vec<HeldModel> {
+        let held = |name: &&str| HeldModel {
+            model: (*name).into(),
+            adapters: Vec::new(),
+        };
+        models.iter().map(held).collect()
+    }
+
+    fn report(&mut self, instances: Vec<InstanceRecord>, seen: Vec<InstanceSeen>) {
+        self.number += 1;
+        let base = self.known;
+        self.known += u64::from(!instances.is_empty());
+        let member = MemberAddress {
+            member: MemberId(2),
+            zone: "z".into(),
+            peer_address: "10.9.0.2:1".to_owned(),
+            administration_address: "10.9.0.2:2".to_owned(),
+        };
+        let report = ShareReport {
+            from: member.clone(),
+            run: 7,
+            number: self.number,
+            base,
+            revision: self.known,
+            instances,
+            silent: Vec::new(),
+            seen,
+            active_revision: 0,
+        };
+        let now = at(self.number);
+        self.fleet.take_share(now, &report, member, &|_| None);
+    }
+
+    /// The engine announces a change at the other member.
+    pub fn tells(&mut self, sequence: u64, models: &[&str]) {
+        let record = InstanceRecord {
+            instance: "e-1".into(),
+            service: "text".into(),
+            address: "10.0.0.1:80".to_owned(),
+            zone: "z".into(),
+            slots: 8,
+            draining: false,
+            warmup_millis: 0,
+            sequence,
+            models: Steering::held(models),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+        };
+        self.report(vec![record], Vec::new());
+    }
+
+    /// It announces itself unchanged there.
+    pub fn sees(&mut self, sequence: u64) {
+        let seen = InstanceSeen {
+            instance: "e-1".into(),
+            sequence,
+        };
+        self.report(Vec::new(), vec![seen]);
+    }
+
+    pub fn state(&self, revision: u64, models: &[&str]) -> InstructionAnswer {
+        InstructionAnswer::State(EngineState {
+            revision,
+            busy: false,
+            models: Steering::held(models),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+            coming: Vec::new(),
+        })
+    }
+
+    /// A request waits for a model.
+    pub fn needs(&mut self, now: u64, model: &str) {
+        let report = GatewayReport {
+            gateway: "g".to_owned(),
+            zone: "z".into(),
+            sequence: 1,
+            version: 1,
+            needs: vec![ModelNeed {
+                service: "text".into(),
+                model: model.into(),
+                adapter: None,
+                unserved: 1,
+                arrivals: 1,
+                in_flight: 0,
+                priority: 1,
+                unread_tokens: 0,
+            }],
+            doubted: Vec::new(),
+            sent: Vec::new(),
+            as_of: 0,
+            known_instances: Vec::new(),
+        };
+        self.fleet.report(at(now), 1, &report);
+    }
+
+    /// What is to be done at the engine.
+    pub fn run(&mut self, now: u64) -> Vec<FleetOutput> {
+        let document = Some(&self.document);
+        let mut outputs = self.fleet.run(at(now), 3, document, &NOBODY);
+        self.calls.note(&outputs);
+        outputs.retain(|output| {
+            matches!(
+                output,
+                FleetOutput::Instruct(_) | FleetOutput::ReadEngine { .. }
+            )
+        });
+        outputs
+    }
+
+    /// The newest call is answered.
+    pub fn answers(&mut self, now: u64, answer: InstructionAnswer) {
+        let answer = self.calls.answer(&"e-1".into(), &answer);
+        self.fleet.answered(at(now), &answer);
+    }
+}
--- a/crates/millpass-fleet/tests/shares.rs
+++ b/crates/millpass-fleet/tests/shares.rs
@@ -3,6 +3,8 @@
 mod harness;
 
 use harness::shares::{Group, Sizes};
+use harness::steering::Steering;
+use millpass_fleet::FleetOutput;
 use millpass_proto::*;
 use rstest::rstest;
 
@@ -170,3 +172,27 @@
     group.run(9_000);
     assert!((0..harness::shares::MODELS).all(|model| group.living_replicas(model) >= 2));
 }
+
+/// What an engine announces unchanged at another member is what it last announced, not what the leader believes it to serve:
+/// an unload under way is not done by it.
+#[test]
+fn an_unchanged_word_says_nothing_of_an_unload_under_way() {
+    let mut leader = Steering::new();
+    leader.tells(1, &["a", "b"]);
+    leader.run(100);
+    leader.answers(110, leader.state(0, &["a", "b"]));
+    leader.needs(5_000, "c");
+    let unload = leader.run(5_010);
+    assert!(
+        matches!(unload[..], [FleetOutput::Instruct(_)]),
+        "{unload:?}"
+    );
+    leader.answers(5_020, InstructionAnswer::Accepted);
+    leader.sees(2);
+    leader.sees(3);
+    let calls = leader.run(5_400);
+    assert!(calls.is_empty(), "{calls:?}");
+    leader.tells(4, &["b"]);
+    let calls = leader.run(5_700);
+    assert_eq!(calls.len(), 1, "{calls:?}");
+}
