--- a/crates/millpass-control-plane/tests/harness/announced.rs
+++ b/crates/millpass-control-plane/tests/harness/announced.rs
@@ -1,5 +1,7 @@
 //! Instances that announce themselves, and a gateway, as a member hears of them.
 
+use super::{Timing, World};
+use millpass_control_plane::FleetSettings;
 use millpass_proto::*;
 
 /// What an instance of the service `web` says of itself.
@@ -33,3 +35,16 @@
         known_instances: Vec::new(),
     }
 }
+
+/// A group of voters, with the timing of a deployment whose instances announce themselves.
+pub fn announcing_world(members: u64) -> World {
+    let mut world = World::new(0);
+    world.fleet = Some(FleetSettings::default());
+    world.timing = Timing {
+        election_timeout: Duration::from_millis(450),
+        heartbeat_interval: Duration::from_millis(75),
+        lease_length: Duration::from_millis(330),
+    };
+    world.boot_voters(members);
+    world
+}
--- a/crates/millpass-control-plane/tests/late_heartbeat.rs
+++ b/crates/millpass-control-plane/tests/late_heartbeat.rs
@@ -8,10 +8,10 @@
 mod harness;
 
 use harness::World;
-use harness::announced::{gateway_report, instance_record};
+use harness::announced::{announcing_world, gateway_report, instance_record};
 use harness::network::Network;
 use millpass_consensus::Role;
-use millpass_control_plane::{AdministrationAnswer, AdministrationRequest, FleetSettings};
+use millpass_control_plane::{AdministrationAnswer, AdministrationRequest};
 use millpass_proto::*;
 use rstest::rstest;
 use std::time::Duration as Time;
@@ -19,18 +19,6 @@
 /// Longest delay of a message, in milliseconds.
 const DELAY: u64 = 100;
 
-fn world(members: u64) -> World {
-    let mut world = World::new(0);
-    world.fleet = Some(FleetSettings::default());
-    world.timing = harness::Timing {
-        election_timeout: Duration::from_millis(450),
-        heartbeat_interval: Duration::from_millis(75),
-        lease_length: Duration::from_millis(330),
-    };
-    world.boot_voters(members);
-    world
-}
-
 fn announce(sequence: u64) -> AdministrationRequest {
     AdministrationRequest::Announce(instance_record("i-1".into(), sequence, false))
 }
@@ -99,7 +87,7 @@
     #[values(true, false)] ended: bool,
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
 ) {
-    let mut world = world(3);
+    let mut world = announcing_world(3);
     departs(&mut world, ended, seed);
     let next = next_leader(&mut world);
     assert!(world.state(next).departed(&"i-1".into()).is_some());
--- a/crates/millpass-control-plane/tests/shares.rs
+++ b/crates/millpass-control-plane/tests/shares.rs
@@ -3,24 +3,12 @@
 mod harness;
 
 use harness::World;
-use harness::announced::{gateway_report, instance_record};
-use millpass_control_plane::{AdministrationAnswer, AdministrationRequest, FleetSettings};
+use harness::announced::{announcing_world, gateway_report, instance_record};
+use millpass_control_plane::{AdministrationAnswer, AdministrationRequest};
 use millpass_proto::*;
 use std::collections::BTreeSet;
 use std::time::Duration as Time;
 
-fn world(members: u64) -> World {
-    let mut world = World::new(0);
-    world.fleet = Some(FleetSettings::default());
-    world.timing = harness::Timing {
-        election_timeout: Duration::from_millis(450),
-        heartbeat_interval: Duration::from_millis(75),
-        lease_length: Duration::from_millis(330),
-    };
-    world.boot_voters(members);
-    world
-}
-
 fn announce(name: &str, sequence: u64, draining: bool) -> AdministrationRequest {
     AdministrationRequest::Announce(instance_record(name.into(), sequence, draining))
 }
@@ -47,7 +35,7 @@
 
 #[test]
 fn any_member_takes_an_announcement_and_the_leader_hears_of_it() {
-    let mut world = world(5);
+    let mut world = announcing_world(5);
     let leader = world.elect();
     for (place, member) in others(&world, leader).into_iter().enumerate() {
         world.call(member, announce(&format!("i-{place}"), 1, false));
@@ -63,7 +51,7 @@
 /// That an instance leaves is promised by the log: who does not lead names the leader.
 #[test]
 fn only_the_leader_takes_the_word_that_an_instance_leaves() {
-    let mut world = world(3);
+    let mut world = announcing_world(3);
     let leader = world.elect();
     let member = others(&world, leader)[0];
     world.call(member, announce("i-1", 1, false));
@@ -78,7 +66,7 @@
 /// The share's word never undoes a departure: neither before the leader ends nor after it.
 #[test]
 fn a_share_never_undoes_a_departure() {
-    let mut world = world(5);
+    let mut world = announcing_world(5);
     let leader = world.elect();
     let member = others(&world, leader)[0];
     world.call(member, announce("i-1", 1, false));
@@ -105,7 +93,7 @@
 /// After a change of leader nothing announces itself anew: the members tell what they know.
 #[test]
 fn the_next_leader_is_told_all_shares() {
-    let mut world = world(5);
+    let mut world = announcing_world(5);
     let leader = world.elect();
     let members = others(&world, leader);
     for number in 0..40 {
@@ -127,7 +115,7 @@
 /// A process that asks to join, and is in no membership, takes a share as well, and names the leader.
 #[test]
 fn a_process_outside_the_group_takes_a_share() {
-    let mut world = world(3);
+    let mut world = announcing_world(3);
     let leader = world.elect();
     world.boot_joiner(9);
     let outside = MemberId(9);
@@ -150,7 +138,7 @@
 /// While nobody leads, announcements are taken: instances that were turned away would try every member, again and again.
 #[test]
 fn announcements_are_taken_while_nobody_leads() {
-    let mut world = world(3);
+    let mut world = announcing_world(3);
     let leader = world.elect();
     let members = others(&world, leader);
     world.halt(leader);
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | `share` | instances that announce themselves at this member, and what of them the leader was told |
 //! | `shares` | which member each instance announces itself at, as the leader knows it |
+//! | `share_words` | what members and the leader say to each other of them |
 //! | `instances` | what instances say of themselves, as the leader takes it |
 //! | `registry` | active instances, with a revision for each change |
 //! | `standby` | instances that stand by, found by zone and model |
@@ -54,6 +55,7 @@
 mod rollout;
 mod round;
 mod share;
+mod share_words;
 mod shares;
 mod standby;
 mod store;
