The first report on a connection waits for no answer

Cause: a report that nothing urges waits for the answer to the one before; that one may have gone to a member that did not lead, on a connection before, and is never answered. Ruled out: shares (the leader is elected at the same moment, and knows the instances from the log), processor (the same). Change: the schedule of one connection's reports stands by itself, without a clock; the first leaves at once.

--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `probe` | looks at instances at which sends broke |
 //! | `freshness` | asks members whether what is known here may be outdated |
 //! | `link` | the connection to the leader of the control group |
+//! | `report_schedule` | when the next report to the leader leaves |
 //! | `shared` | the decision core behind its lock, and who waits for news |
 //! | `metrics` | counters and histograms |
 //! | `process` | start, signals, stop |
@@ -37,6 +38,7 @@
 mod probe;
 mod process;
 mod relay;
+mod report_schedule;
 mod server;
 mod settings;
 mod shared;
@@ -44,4 +46,5 @@
 pub use events::EventBuffer;
 pub use interface::{AnswerFacts, Interface, SendFacts};
 pub use process::{Gateway, GatewayError};
+pub use report_schedule::ReportSchedule;
 pub use settings::{GatewaySettings, MemberSource};
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -1,5 +1,6 @@
 //! The connection to the leader of the control group: finds it, reports to it, takes its updates.
 
+use crate::report_schedule::ReportSchedule;
 use crate::shared::Shared;
 use async_io::{Async, Timer};
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -16,11 +17,6 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 
-/// Shortest pause between two reports.
-const MINIMUM_REPORT_PAUSE: Duration = Duration::from_millis(5);
-/// Intervals for which a report that nothing urges waits for the answer to the one before: a leader of many gateways
-/// answers each of them less often, and is told as often as it answers.
-const UNANSWERED_INTERVALS: u32 = 3;
 /// Pause before the next member is asked, at most.
 const PAUSE: Duration = Duration::from_millis(40);
 /// Times that the pause doubles with turns in vain: to 640 ms. Seventy gateways that turned to another member every
@@ -236,25 +232,22 @@
 /// once.
 async fn write(shared: &Arc<Shared>, stream: &Async<TcpStream>) -> LinkEnd {
     let mut stream = stream;
-    let mut next_report = shared.now();
-    let mut last_report = None;
+    let mut schedule = ReportSchedule::new(shared.settings.report_interval);
     loop {
-        let urgent = shared.report.listen();
+        let urged = shared.report.listen();
         let now = shared.now();
-        let paused = last_report.is_some_and(|at| now.since(at) < MINIMUM_REPORT_PAUSE);
-        let interval = shared.settings.report_interval;
-        let answered = shared.core().is_report_answered();
-        let is_late = now >= next_report + interval * (UNANSWERED_INTERVALS - 1);
-        let periodic = now >= next_report && (answered || is_late);
-        let due = periodic || (shared.core().is_report_urgent() && !paused);
+        let (answered, urgent) = {
+            let core = shared.core();
+            (core.is_report_answered(), core.is_report_urgent())
+        };
+        let due = schedule.is_due(now, answered, urgent);
         let mut messages = Vec::new();
         if due {
             messages.push(RouterToControl::Gateway(shared.core().report(now)));
             // Behind the report, by which the leader knows the gateway.
             let crashes = shared.core().crash_report();
             messages.extend(crashes.map(RouterToControl::Crashes));
-            last_report = Some(now);
-            next_report = now + interval;
+            schedule.sent(now);
         }
         let credit = shared.core().credit_request(now, due);
         messages.extend(credit.map(RouterToControl::Credit));
@@ -263,16 +256,10 @@
                 return LinkEnd::Lost(error.to_string());
             }
         }
-        let mut until = next_report;
-        if now >= next_report {
-            // The answer wakes this task, too.
-            until = next_report + interval * (UNANSWERED_INTERVALS - 1);
-        }
-        if shared.core().is_report_urgent() {
-            // The pause between reports holds this one back, but no credit that comes to be needed.
-            until = last_report.map_or(now, |at| at + MINIMUM_REPORT_PAUSE);
-        }
-        shared.wait_for_change(urgent, until).await;
+        // The pause between reports holds an urgent one back, but no credit that comes to be needed.
+        let urgent = shared.core().is_report_urgent();
+        let next_look = schedule.next_look(now, urgent);
+        shared.wait_for_change(urged, next_look).await;
     }
 }
 
