First updates are paced by the records that they name: the core keeps its lease while all gateways start

Ruled out: bounding by the number of gateways (the records are what costs). Change: 4,096 records a look; a gateway that comes back with records that it holds costs an eighth of them. Tests: a thousand gateways with nothing are told within 3 s, a thousand that come back within half a second.

--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -15,9 +15,12 @@
 /// One look for work apart, estimates differ by less.
 const OUTLOOK_TOLERANCE: Duration = Duration::from_millis(100);
 
-/// Most records in the first updates of one look, so that gateways which come all at once, after a change of leader, do not
-/// keep the core from its lease: some 25 ms.
-const GREETED_RECORDS: usize = 16_384;
+/// Records named in the first updates of one look, after which other gateways wait for the next: some 6 ms of the core. So
+/// gateways which come all at once, at the start or after a change of leader, do not keep it from its lease, and updates
+/// do not pile up before they are encoded.
+const GREETED_RECORDS: usize = 4_096;
+/// Records that a gateway holds already, and which are only compared, cost this part of those that are named, as its inverse.
+const COMPARED_SHARE: usize = 8;
 
 /// What the control plane knows beside the fleet, asked for when a gateway connects.
 pub struct GatewayContext<'a> {
@@ -114,21 +117,22 @@
             return;
         }
         self.refresh_loads();
-        let records = self.registry.records().count();
-        let mut greetings = (GREETED_RECORDS / records.max(1)).max(1);
+        let compared = self.registry.records().count() / COMPARED_SHARE;
+        let mut greeted = 0;
         for connection in due {
             let Some(mut session) = self.gateways.sessions.remove(&connection) else {
                 continue;
             };
-            if self.needs_all(&session) {
-                if greetings == 0 {
-                    // With one of the next looks.
-                    self.gateways.sessions.insert(connection, session);
-                    continue;
-                }
-                greetings -= 1;
+            let is_first = self.needs_all(&session);
+            if is_first && greeted >= GREETED_RECORDS {
+                // With one of the next looks.
+                self.gateways.sessions.insert(connection, session);
+                continue;
             }
             let mut update = self.update_of(now, &mut session, document, complete, context);
+            if is_first {
+                greeted += compared + update.instances.len();
+            }
             self.gateways.sessions.insert(connection, session);
             if complete {
                 // Before that only some have found this leader, and each would take the others' shares.
