Read once more: one form of a frame, one word on who is a member, counts without a walk

Cause: reading the whole change. The length before a frame was read and bounded in three places (one written again by this change); three functions said whether a member is in a membership (one new); active instances were counted by going through them at each look for updates; an instance that departed while it stood by kept its entry of who holds it for six seconds, and one that departed while it was idle its entry of since when, until the next change of leader. Ruled out: one function for the asynchronous frames themselves (their two crates share none that speaks of links). Change: codec::body_length, Membership::contains, Registry::len, Share::len; a departure ends what is kept beside the record first. Messages, bounds and assertions as before. Checks: fmt, clippy, generated code, docs; tests of proto, consensus, fleet, control-plane, control, gateway, dispatch: passed (61 suites).

--- a/crates/millpass-consensus/src/lib.rs
+++ b/crates/millpass-consensus/src/lib.rs
@@ -168,14 +168,7 @@
 
     /// Whether this member is in the membership of the log, in any role.
     pub fn is_in_membership(&self) -> bool {
-        let membership = self.log.membership();
-        let members = membership
-            .voters
-            .iter()
-            .chain(&membership.outgoing_voters)
-            .chain(&membership.learners);
-        let own = self.settings.member;
-        members.into_iter().any(|address| address.member == own)
+        self.log.membership().contains(self.settings.member)
     }
 
     /// Index of the last entry of the log that binds gateways, committed or not; 0 if none is known. What a snapshot
--- a/crates/millpass-control-plane/src/repair.rs
+++ b/crates/millpass-control-plane/src/repair.rs
@@ -62,7 +62,7 @@
         self.expire(now);
         let membership = &status.membership;
         self.joiners
-            .retain(|member, _| !contains(membership, *member));
+            .retain(|member, _| !membership.contains(*member));
         if !membership.outgoing_voters.is_empty() {
             return None;
         }
@@ -95,7 +95,7 @@
         self.joiners
             .values()
             .map(|(address, _)| address)
-            .find(|address| !contains(membership, address.member))
+            .find(|address| !membership.contains(address.member))
             .map(|address| MembershipChange::AddLearner(address.clone()))
     }
 }
@@ -215,13 +215,3 @@
             })
     }
 }
-
-/// Whether a member is in the membership in any role.
-pub(crate) fn contains(membership: &Membership, member: MemberId) -> bool {
-    membership
-        .voters
-        .iter()
-        .chain(&membership.outgoing_voters)
-        .chain(&membership.learners)
-        .any(|address| address.member == member)
-}
--- a/crates/millpass-control/src/frames.rs
+++ b/crates/millpass-control/src/frames.rs
@@ -3,7 +3,7 @@
 use async_io::Async;
 use futures_lite::AsyncRead;
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
-use millpass_proto::codec::{self, CodecError, MAXIMUM_FRAME_BYTES};
+use millpass_proto::codec::{self, CodecError, PREFIX_BYTES};
 use serde::{Serialize, de::DeserializeOwned};
 use std::net::TcpStream;
 
@@ -11,13 +11,9 @@
 pub(crate) async fn read_frame<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
 ) -> Result<T, CodecError> {
-    let mut prefix = [0_u8; 4];
+    let mut prefix = [0_u8; PREFIX_BYTES];
     stream.read_exact(&mut prefix).await?;
-    let length = u32::from_le_bytes(prefix) as usize;
-    if length > MAXIMUM_FRAME_BYTES {
-        return Err(CodecError::FrameTooLarge { bytes: length });
-    }
-    let mut body = vec![0_u8; length];
+    let mut body = vec![0_u8; codec::body_length(prefix)?];
     stream.read_exact(&mut body).await?;
     codec::decode(&body)
 }
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -284,7 +284,7 @@
         }
         self.show_queues();
         let leaderless = self.is_leaderless(status.leader.is_none());
-        if leaderless || !is_member(&status.membership, &self.address) {
+        if leaderless || !status.membership.contains(self.address.member) {
             self.ask_to_join(&status.membership);
         }
     }
@@ -355,16 +355,6 @@
     }
 }
 
-fn is_member(membership: &Membership, address: &MemberAddress) -> bool {
-    let sets = [
-        &membership.voters,
-        &membership.outgoing_voters,
-        &membership.learners,
-    ];
-    sets.iter()
-        .any(|set| set.iter().any(|member| member.member == address.member))
-}
-
 /// The call of an announcement whose sender waits no more. One that says that its instance leaves is of a
 /// more urgent class and always taken up.
 fn outdated_announcement(waiting: &WaitingInput) -> Option<u64> {
--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -175,6 +175,11 @@
             ("ended", ended.to_string()),
         ];
         self.event("instance-departs", pairs);
+        self.idle_since.remove(instance);
+        if ended {
+            self.shares.forget(instance);
+            self.engines.engines.remove(instance);
+        }
         if let Some(mut record) = self.standby.remove(instance) {
             if !ended {
                 record.draining = true;
@@ -187,10 +192,6 @@
         }
         self.dirty = true;
         self.registry.depart(instance, ended);
-        if ended {
-            self.shares.forget(instance);
-            self.engines.engines.remove(instance);
-        }
     }
 
     pub(crate) fn forget(&mut self, instance: &InstanceId, reason: &str) {
@@ -212,8 +213,8 @@
     /// How many instances are known here.
     pub fn sizes(&self) -> FleetSizes {
         FleetSizes {
-            heard: self.share.records().count(),
-            active: self.registry.records().count(),
+            heard: self.share.len(),
+            active: self.registry.len(),
             standby: self.standby.len(),
         }
     }
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -209,6 +209,11 @@
         self.entries.get(instance).map(|entry| &entry.record)
     }
 
+    /// How many there are, of all services.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// What an instance last announced.
     pub(crate) fn announced(&self, instance: &InstanceId) -> Option<InstanceRecord> {
         let entry = self.entries.get(instance)?;
--- a/crates/millpass-fleet/src/share.rs
+++ b/crates/millpass-fleet/src/share.rs
@@ -208,6 +208,11 @@
         }
     }
 
+    /// How many instances are heard here.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Instances heard here.
     pub(crate) fn records(&self) -> impl Iterator<Item = &InstanceRecord> {
         self.entries.values().map(|entry| &entry.record)
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -117,7 +117,7 @@
             return;
         }
         self.refresh_loads();
-        let compared = self.registry.records().count() / COMPARED_SHARE;
+        let compared = self.registry.len() / COMPARED_SHARE;
         let mut greeted = 0;
         for connection in due {
             let Some(mut session) = self.gateways.sessions.remove(&connection) else {
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -6,7 +6,7 @@
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use futures_lite::{AsyncRead, future};
 use millpass_dispatch::Leadership;
-use millpass_proto::codec::{self, CodecError, MAXIMUM_FRAME_BYTES, decode};
+use millpass_proto::codec::{self, CodecError, PREFIX_BYTES, decode};
 use millpass_proto::{
     ControlToRouter, CrashUpdate, Duration, GatewayUpdate, LinkMessage, RouterToControl,
 };
@@ -410,13 +410,9 @@
 }
 
 async fn read_frame(reader: &mut (impl AsyncRead + Unpin)) -> Result<ControlToRouter, CodecError> {
-    let mut prefix = [0_u8; 4];
+    let mut prefix = [0_u8; PREFIX_BYTES];
     reader.read_exact(&mut prefix).await?;
-    let length = u32::from_le_bytes(prefix) as usize;
-    if length > MAXIMUM_FRAME_BYTES {
-        return Err(CodecError::FrameTooLarge { bytes: length });
-    }
-    let mut body = vec![0_u8; length];
+    let mut body = vec![0_u8; codec::body_length(prefix)?];
     reader.read_exact(&mut body).await?;
     decode(&body)
 }
--- a/crates/millpass-proto/src/codec.rs
+++ b/crates/millpass-proto/src/codec.rs
@@ -41,6 +41,18 @@
     Ok(postcard::from_bytes_crc32(bytes, CHECKSUM.digest())?)
 }
 
+/// Bytes of the length that stands before each value on a stream.
+pub const PREFIX_BYTES: usize = 4;
+
+/// Bytes of the value that follows this prefix on a stream.
+pub fn body_length(prefix: [u8; PREFIX_BYTES]) -> Result<usize, CodecError> {
+    let bytes = u32::from_le_bytes(prefix) as usize;
+    match bytes > MAXIMUM_FRAME_BYTES {
+        true => Err(CodecError::FrameTooLarge { bytes }),
+        false => Ok(bytes),
+    }
+}
+
 /// Writes one frame: the length as four little-endian bytes, then the encoded value. Does not
 /// flush.
 pub fn write_frame<T: Serialize>(stream: &mut impl Write, value: &T) -> Result<(), CodecError> {
@@ -55,13 +67,9 @@
 
 /// Reads one frame that [`write_frame`] wrote.
 pub fn read_frame<T: DeserializeOwned>(stream: &mut impl Read) -> Result<T, CodecError> {
-    let mut prefix = [0_u8; 4];
+    let mut prefix = [0_u8; PREFIX_BYTES];
     stream.read_exact(&mut prefix)?;
-    let length = u32::from_le_bytes(prefix) as usize;
-    if length > MAXIMUM_FRAME_BYTES {
-        return Err(CodecError::FrameTooLarge { bytes: length });
-    }
-    let mut body = vec![0_u8; length];
+    let mut body = vec![0_u8; body_length(prefix)?];
     stream.read_exact(&mut body)?;
     decode(&body)
 }
--- a/crates/millpass-proto/src/identity.rs
+++ b/crates/millpass-proto/src/identity.rs
@@ -97,6 +97,15 @@
     }
 }
 
+impl Membership {
+    /// Whether a member is in it, in any role.
+    pub fn contains(&self, member: MemberId) -> bool {
+        let voters = self.voters.iter().chain(&self.outgoing_voters);
+        let mut members = voters.chain(&self.learners);
+        members.any(|address| address.member == member)
+    }
+}
+
 impl LogPosition {
     /// The position before the first entry.
     pub const ZERO: LogPosition = LogPosition { term: 0, index: 0 };
