What instances state of themselves in their answers is read, logged and counted

Change: the translation reads Server-Limit (thousandths, rounded down), Retry-After of a 503 (rounded up) and Server-Leaving; each change is one line, instance_stated, and counted. What cannot be read is noted once in 10 s an instance and changes nothing. No choice depends on any of it yet.

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -6,6 +6,7 @@
 use crate::needs::Needs;
 use crate::request::{Description, SendRecord, Ticket};
 use crate::retry_budget::RetryBudget;
+use crate::statements::{Statement, StatementChange, StatementCounts, Statements};
 use crate::table::{IdentityError, RouteError, RoutingTable};
 use millpass_proto::{
     AdapterName, CrashReport, CrashUpdate, Duration, EngineSpec, GatewayReport, InstanceId,
@@ -125,6 +126,7 @@
     pub(crate) reports: u64,
     pub(crate) credit: CreditPool,
     pub(crate) crashes: CrashWatch,
+    pub(crate) statements: Statements,
     /// When this gateway ends, once it was told to stop.
     pub(crate) stops_at: Option<Timestamp>,
 }
@@ -135,6 +137,7 @@
         Dispatcher {
             credit: CreditPool::new(settings.quota),
             crashes: CrashWatch::default(),
+            statements: Statements::default(),
             settings,
             table: None,
             freshness: FreshnessTracker::default(),
@@ -378,6 +381,22 @@
         }
     }
 
+    /// Takes what an instance stated in the head of its answer to a request that was sent at `sent_at`.
+    pub fn heard_statement(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        instance: &InstanceId,
+        statement: &Statement,
+    ) -> Vec<StatementChange> {
+        self.statements.heard(now, sent_at, instance, statement)
+    }
+
+    /// How many instances have stated something that is in force.
+    pub fn statement_counts(&self, now: Timestamp) -> StatementCounts {
+        self.statements.counts(now)
+    }
+
     /// Whether a report should be sent at once.
     pub fn is_report_urgent(&self) -> bool {
         self.needs.is_urgent() || !self.doubted.is_empty() || self.crashes.is_report_due()
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `table` | routes by host and longest prefix, tenants by key |
 //! | `instances` | the gateway's view of instances: announced state, own sends, failures |
 //! | `prompts` | which prompt parts an instance has lately read |
+//! | `statements` | limits, rests and departures that instances state in their answers |
 //! | `retry_budget` | how many repeats a service may get from this gateway |
 //! | `freshness` | how old what the gateway knows may be, and so what it may answer |
 //! | `needs` | demand to report |
@@ -28,6 +29,7 @@
 mod prompts;
 mod request;
 mod retry_budget;
+mod statements;
 mod table;
 mod updates;
 
@@ -38,5 +40,6 @@
 pub use instances::{SendEnd, ToldLoad};
 pub use request::{Description, PromptPart, SendRecord, StatedTokens, Ticket};
 pub use retry_budget::{BudgetTerms, RetryBudget};
+pub use statements::{RequestRate, Stated, Statement, StatementChange, StatementCounts};
 pub use table::{IdentityError, RouteError, RoutingTable};
 pub use updates::UpdateOutcome;
--- /dev/null
+++ b/crates/millpass-dispatch/src/statements.rs
@@ -0,0 +1,202 @@
+//! What instances state of themselves in the heads of their answers: a limit on the requests that they take, a time
+//! in which they take none, and that they leave.
+//!
+//! Kept apart from the instances' records, which come and go with the leader's updates: what an instance stated holds
+//! for its run, whoever announces it again.
+
+use millpass_proto::{Duration, InstanceId, Timestamp};
+use std::collections::BTreeMap;
+
+/// Longest rest that is taken from one answer.
+const LONGEST_REST: Duration = Duration::from_secs(3_600);
+/// Shortest time between two notes that an instance's statements cannot be read.
+const UNREADABLE_INTERVAL: Duration = Duration::from_secs(10);
+/// Most instances of which one kind of statement is remembered; the one that matters least is forgotten first.
+const MAXIMUM_REMEMBERED: usize = 4_096;
+
+/// Requests that an instance takes in a second, from all gateways together, in thousandths of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestRate {
+    /// Thousandths of a request a second.
+    pub milli_per_second: u64,
+}
+
+/// A value that an answer may state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stated<T> {
+    /// It is not stated.
+    #[default]
+    Missing,
+    /// It is stated.
+    Value(T),
+    /// What stands there cannot be read.
+    Unreadable,
+}
+
+/// What the head of one answer states of its instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Statement {
+    /// Most requests a second, from all gateways together.
+    pub limit: Stated<RequestRate>,
+    /// Time for which it takes nothing from this gateway.
+    pub rest: Stated<Duration>,
+    /// The instance leaves.
+    pub leaving: bool,
+}
+
+impl Statement {
+    fn is_unreadable(&self) -> bool {
+        self.limit == Stated::Unreadable || self.rest == Stated::Unreadable
+    }
+}
+
+/// A change of what is known of an instance by its own statements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatementChange {
+    /// The limit in force.
+    Limited(RequestRate),
+    /// No limit is in force any more.
+    Unlimited,
+    /// It takes nothing from this gateway for this long.
+    Resting(Duration),
+    /// It leaves.
+    Leaving,
+    /// A limit or a rest could not be read; what was known stays in force.
+    Unreadable,
+}
+
+/// A limit, and when it was last known to be stated.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HeardLimit {
+    pub(crate) rate: RequestRate,
+    pub(crate) heard_at: Timestamp,
+}
+
+/// What instances have stated.
+#[derive(Default)]
+pub(crate) struct Statements {
+    limits: BTreeMap<InstanceId, HeardLimit>,
+    rests: BTreeMap<InstanceId, Timestamp>,
+    leaving: BTreeMap<InstanceId, Timestamp>,
+    /// When it was last noted that a statement cannot be read.
+    unreadable: BTreeMap<InstanceId, Timestamp>,
+}
+
+impl Statements {
+    /// Takes the statement of an answer to a request that was sent at `sent_at`.
+    pub(crate) fn heard(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        instance: &InstanceId,
+        statement: &Statement,
+    ) -> Vec<StatementChange> {
+        let mut changes = Vec::new();
+        changes.extend(self.heard_limit(now, sent_at, instance, statement.limit));
+        changes.extend(self.heard_rest(now, instance, statement.rest));
+        if statement.is_unreadable() && self.is_unreadable_news(now, instance) {
+            changes.push(StatementChange::Unreadable);
+        }
+        if statement.leaving && !self.leaving.contains_key(instance) {
+            make_room(&mut self.leaving, |noted_at| *noted_at);
+            self.leaving.insert(instance.clone(), now);
+            changes.push(StatementChange::Leaving);
+        }
+        changes
+    }
+
+    /// Answers overtake each other. A lower limit is taken at once; a higher one, or none, only from an answer to a
+    /// request that was sent after the limit in force was last heard.
+    fn heard_limit(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        instance: &InstanceId,
+        stated: Stated<RequestRate>,
+    ) -> Option<StatementChange> {
+        let held = self.limits.get(instance).copied();
+        let newer = held.is_none_or(|held| sent_at >= held.heard_at);
+        match stated {
+            Stated::Unreadable => None,
+            Stated::Missing if held.is_some() && newer => {
+                self.limits.remove(instance);
+                Some(StatementChange::Unlimited)
+            }
+            Stated::Missing => None,
+            Stated::Value(rate) => {
+                let before = held.map(|held| held.rate);
+                if before.is_some_and(|before| rate > before) && !newer {
+                    return None;
+                }
+                make_room(&mut self.limits, |limit| limit.heard_at);
+                let heard_at = now;
+                let limit = HeardLimit { rate, heard_at };
+                self.limits.insert(instance.clone(), limit);
+                (before != Some(rate)).then_some(StatementChange::Limited(rate))
+            }
+        }
+    }
+
+    /// A rest is never cut short: each turned-away request has a time of its own.
+    fn heard_rest(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        stated: Stated<Duration>,
+    ) -> Option<StatementChange> {
+        let rest = match stated {
+            Stated::Missing | Stated::Unreadable => return None,
+            Stated::Value(rest) => rest.min(LONGEST_REST),
+        };
+        let until = now + rest;
+        if rest.is_zero() || self.rests.get(instance).is_some_and(|held| *held >= until) {
+            return None;
+        }
+        self.rests.retain(|_, until| now < *until);
+        make_room(&mut self.rests, |until| *until);
+        self.rests.insert(instance.clone(), until);
+        Some(StatementChange::Resting(rest))
+    }
+
+    fn is_unreadable_news(&mut self, now: Timestamp, instance: &InstanceId) -> bool {
+        self.unreadable
+            .retain(|_, noted_at| now.since(*noted_at) < UNREADABLE_INTERVAL);
+        if self.unreadable.contains_key(instance) {
+            return false;
+        }
+        make_room(&mut self.unreadable, |noted_at| *noted_at);
+        self.unreadable.insert(instance.clone(), now);
+        true
+    }
+
+    /// How many instances state a limit, rest, or leave.
+    pub(crate) fn counts(&self, now: Timestamp) -> StatementCounts {
+        StatementCounts {
+            limited: self.limits.len(),
+            resting: self.rests.values().filter(|until| now < **until).count(),
+            leaving: self.leaving.len(),
+        }
+    }
+}
+
+/// How many instances have stated something that is in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatementCounts {
+    /// Those with a limit.
+    pub limited: usize,
+    /// Those that take nothing from this gateway for a time.
+    pub resting: usize,
+    /// Those that leave.
+    pub leaving: usize,
+}
+
+/// Makes room for one more entry where there are too many: the one of the lowest `rank` goes.
+fn make_room<T, R: Ord>(entries: &mut BTreeMap<InstanceId, T>, rank: impl Fn(&T) -> R) {
+    if entries.len() < MAXIMUM_REMEMBERED {
+        return;
+    }
+    let least = entries.iter().min_by_key(|(_, entry)| rank(entry));
+    if let Some(instance) = least.map(|(instance, _)| instance.clone()) {
+        entries.remove(&instance);
+    }
+}
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -7,6 +7,7 @@
 use crate::metrics::millis;
 use crate::relay::{Relay, RelayBody, relay, whole_body};
 use crate::shared::{ActiveSend, Shared};
+use crate::statements::note_statement;
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
@@ -284,6 +285,7 @@
             let failure = SendFailure::Broken("the answer is to another request".to_owned());
             return self.failed(active, failure);
         }
+        note_statement(&shared, &self.ticket, &instance, sent_at, &received.facts);
         if let Some(load) = received.facts.load {
             shared.core().told_load(shared.now(), &instance, load);
         }
--- a/crates/millpass-gateway/src/interface.rs
+++ b/crates/millpass-gateway/src/interface.rs
@@ -2,7 +2,7 @@
 //! nothing.
 
 use http::{HeaderMap, Method, StatusCode, Uri};
-use millpass_dispatch::{Description, ToldLoad};
+use millpass_dispatch::{Description, Statement, ToldLoad};
 use millpass_proto::{Duration, InstanceId, TenantName};
 
 /// What a send to an instance states beside the caller's own words.
@@ -33,6 +33,8 @@
     pub instance: Option<InstanceId>,
     /// Requests running and waiting there.
     pub load: Option<ToldLoad>,
+    /// What it states of itself beside its load.
+    pub statement: Statement,
     /// Time an idle connection is kept open there.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod server;
 mod settings;
 mod shared;
+mod statements;
 
 pub use events::EventBuffer;
 pub use interface::{AnswerFacts, Interface, SendFacts};
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -38,6 +38,10 @@
     /// Requests that the leader holds back.
     pub(crate) held_back: IntGauge,
     pub(crate) link_changes: IntCounterVec,
+    /// Changes of what instances state of themselves in their answers.
+    pub(crate) statements: IntCounterVec,
+    /// Instances with a limit in force.
+    pub(crate) limited: IntGauge,
     /// Age of the last confirmation that nothing newer binds, looked at several times a second.
     pub(crate) confirmation_age: Histogram,
     /// Changes of what may be answered, by the new state.
@@ -76,6 +80,11 @@
             "Changes of what may be answered by what is known here",
             "to",
         )?;
+        let statements = counters(
+            "gateway_statements_total",
+            "Changes of what instances state of themselves in their answers",
+            "change",
+        )?;
         let ages = HistogramOpts::new(
             "gateway_confirmation_age_seconds",
             "Time since what is known here was confirmed to be the newest",
@@ -97,6 +106,11 @@
         let options = HistogramOpts::new("gateway_first_byte_seconds", "Time to the answer's head")
             .buckets(LATENCY_BUCKETS.to_vec());
         let first_byte = Histogram::with_opts(options)?;
+        let limited = IntGauge::new(
+            "gateway_limited_instances",
+            "Instances that state a limit on the requests they take",
+        )?;
+        registry.register(Box::new(limited.clone()))?;
         registry.register(Box::new(connects.clone()))?;
         registry.register(Box::new(resumed.clone()))?;
         registry.register(Box::new(document_version.clone()))?;
@@ -128,6 +142,8 @@
             confirmation_age,
             freshness_changes,
             link_changes,
+            statements,
+            limited,
         })
     }
 
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use crate::forward::{InFlight, is_stream, log_request, note_failure, note_turned_away};
 use crate::interface::SendFacts;
 use crate::shared::{ActiveSend, Shared};
+use crate::statements::note_statement;
 use bytes::Bytes;
 use futures_lite::{future, stream};
 use http::StatusCode;
@@ -242,8 +243,9 @@
             .as_ref()
             .and_then(|events| events.last_identity())
             .map(str::to_owned);
+        let sent_at = shared.now();
         let facts = SendFacts {
-            remaining: self.ticket.deadline.since(shared.now()),
+            remaining: self.ticket.deadline.since(sent_at),
             instance: &instance,
             rank: self.ticket.rank,
             tenant: self.ticket.tenant.as_ref().map(|tenant| &tenant.name),
@@ -258,12 +260,15 @@
                 return false;
             }
         };
+        let stated = received.facts.attempt.as_deref();
+        let same = stated.is_none_or(|stated| stated == self.ticket.description.attempt);
+        if same {
+            note_statement(&shared, &self.ticket, &instance, sent_at, &received.facts);
+        }
         if received.facts.not_executed || received.facts.misdirected {
             note_turned_away(&shared, &self.ticket, active, &received);
             return false;
         }
-        let stated = received.facts.attempt.as_deref();
-        let same = stated.is_none_or(|stated| stated == self.ticket.description.attempt);
         if !same || received.head.status != self.status {
             active.end(SendEnd::Failed);
             return false;
