--- /dev/null
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -0,0 +1,191 @@
+//! A gateway's core, its document and its instances, for tests of what instances state.
+
+use millpass_dispatch::*;
+use millpass_proto::*;
+use millpass_tenancy::QuotaTerms;
+
+pub fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn settings(name: &str) -> DispatchSettings {
+    let hour = Duration::from_secs(3_600);
+    DispatchSettings {
+        name: name.to_owned(),
+        zone: "z-1".into(),
+        retry_ratio: 0.2,
+        retry_slack: 10_000.0,
+        retry_window: Duration::from_secs(10),
+        prompt_tokens_per_milli: 40.0,
+        default_patience: Duration::from_secs(15),
+        quota: QuotaTerms::default(),
+        key_lifetime: None,
+        freshness: FreshnessSettings {
+            in_force: hour,
+            departed: hour,
+            ..FreshnessSettings::default()
+        },
+    }
+}
+
+fn route(prefix: &str, kind: RouteKind, service: &str) -> RouteSpec {
+    RouteSpec {
+        name: prefix.to_owned(),
+        host: "h.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind,
+        resumable: kind == RouteKind::Stream,
+        timeout_millis: 5_000,
+        objective_millis: 800,
+        gap_objective_millis: 0,
+        priority: 1,
+        maximum_attempts: 3,
+        prompt_affinity: true,
+        targets: vec![RouteTarget {
+            service: service.into(),
+            weight: 1,
+        }],
+        first_event_millis: 0,
+        anonymous: false,
+    }
+}
+
+fn document() -> DeploymentDocument {
+    let model = EngineModelSpec {
+        name: "a".into(),
+        weights_kilobytes: 10,
+        load_millis: 900,
+        disk_load_millis: 900,
+        memory_load_millis: 900,
+        adapters: 2,
+        adapter_kilobytes: 1,
+    };
+    let engine = EngineSpec {
+        slots: 8,
+        cache_tokens: 100_000,
+        weights_kilobytes: 100,
+        adapter_slots: 2,
+        milliloads_per_second: 1_000,
+        models: vec![model],
+    };
+    let service = |name: &str, engine| ServiceSpec {
+        name: name.into(),
+        health_path: String::new(),
+        maximum_connections: 0,
+        engine,
+    };
+    DeploymentDocument {
+        version: 1,
+        routes: vec![
+            route("/web/", RouteKind::Repeatable, "web"),
+            route("/text/", RouteKind::Stream, "text"),
+        ],
+        services: vec![service("web", None), service("text", Some(engine))],
+        limits: CallerLimits {
+            header_bytes: 0,
+            body_bytes: 0,
+            header_millis: 0,
+            idle_millis: 0,
+        },
+        tenants: Vec::new(),
+    }
+}
+
+/// An instance of `web`, or one of `text` that holds model `a`.
+pub fn record(instance: &str, service: &str) -> InstanceRecord {
+    let held = HeldModel {
+        model: "a".into(),
+        adapters: Vec::new(),
+    };
+    InstanceRecord {
+        instance: instance.into(),
+        service: service.into(),
+        address: format!("{instance}:80"),
+        zone: "z-1".into(),
+        slots: 64,
+        draining: false,
+        warmup_millis: 0,
+        sequence: 1,
+        models: if service == "text" {
+            vec![held]
+        } else {
+            Vec::new()
+        },
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+/// An update of the leader of a term that names these instances, all there are.
+pub fn update(term: u64, gateways: u32, instances: Vec<InstanceRecord>) -> GatewayUpdate {
+    GatewayUpdate {
+        term,
+        complete: true,
+        first: true,
+        document: Some(document()),
+        instances,
+        removed: Vec::new(),
+        outlook: Vec::new(),
+        gateways,
+        members: Vec::new(),
+        provisional: false,
+        loads: Vec::new(),
+        answers: 1,
+        as_of: 0,
+        document_change: None,
+        kept_instances: Vec::new(),
+        outlook_same: false,
+        loads_same: false,
+        document_version: 0,
+    }
+}
+
+/// A gateway that has been told of these instances.
+pub fn gateway(name: &str, gateways: u32, instances: &[InstanceRecord]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(settings(name));
+    dispatcher.report(at(0));
+    dispatcher.update(at(0), update(1, gateways, instances.to_vec()));
+    dispatcher
+}
+
+pub fn begin(dispatcher: &mut Dispatcher, now: u64, path: &str) -> Ticket {
+    let route = dispatcher.route(at(now), "h.example", path).expect("route");
+    let model = (path == "/text/").then(|| "a".into());
+    let description = Description {
+        attempt: "r".to_owned(),
+        patience: Some(Duration::from_millis(5_000)),
+        model,
+        ..Description::default()
+    };
+    dispatcher.begin(at(now), route, None, description, 0.5)
+}
+
+/// Where a request is sent at once, if anywhere.
+pub fn sent_to(dispatcher: &mut Dispatcher, now: u64, ticket: &mut Ticket) -> Option<InstanceId> {
+    match dispatcher.choose(at(now), ticket) {
+        Choice::Send { instance, .. } => Some(instance),
+        Choice::Wait { .. } | Choice::Refuse { .. } => None,
+    }
+}
+
+/// A request that is sent at once, if it can be, and answered whole with this statement.
+pub fn exchange(
+    dispatcher: &mut Dispatcher,
+    now: u64,
+    path: &str,
+    statement: &Statement,
+) -> Option<InstanceId> {
+    let mut ticket = begin(dispatcher, now, path);
+    let instance = sent_to(dispatcher, now, &mut ticket)?;
+    dispatcher.heard_statement(at(now + 5), at(now), &instance, statement);
+    let end = SendEnd::Answered(Duration::from_millis(5));
+    dispatcher.ended(at(now + 5), &ticket.record(&instance), end);
+    Some(instance)
+}
+
+pub fn limited(milli_per_second: u64) -> Statement {
+    Statement {
+        limit: Stated::Value(RequestRate { milli_per_second }),
+        ..Statement::default()
+    }
+}
