--- a/crates/millpass-limits/tests/over_all_gateways.rs
+++ b/crates/millpass-limits/tests/over_all_gateways.rs
@@ -187,19 +187,19 @@
                 self.told.fill(0);
             }
             self.exchange_messages(now, faults);
-            for gateway in 0..count {
+            for (gateway, waiting) in waiting.iter_mut().enumerate() {
                 let phase = gateway as u64 * 7_919 % pause / STEP_MILLIS * STEP_MILLIS;
                 if now % pause == phase {
-                    waiting[gateway] = (waiting[gateway] + 1).min(3);
+                    *waiting = (*waiting + 1).min(3);
                 }
-                if waiting[gateway] == 0 {
+                if *waiting == 0 {
                     continue;
                 }
                 let knew = self.gateways[gateway].rate(&self.instance).is_some();
-                if !self.request(now, gateway, waiting[gateway]) {
+                if !self.request(now, gateway, *waiting) {
                     continue;
                 }
-                waiting[gateway] -= 1;
+                *waiting -= 1;
                 if knew {
                     self.sent.push(now);
                 }
