A model that only limited engines hold is brought to another one when requests wait for it

Callers of a model whose only engine named a limit were refused for as long as the limit lasted. Cause: the leader counted that engine as a holder, so a need was met. Ruled out: reporting the need alone, which the leader dropped (test). Change: an engine that states a limit is neither a holder for needs and replicas nor a place for new loads; what it loads already still counts at the weight store.

--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -402,6 +402,7 @@
                 permits: &mut self.permits,
                 store: &self.store,
                 crashes: &self.crashes,
+                limits: &self.limits,
                 awaited: &mut awaited,
                 history: &self.history,
                 handover: self.settings.order_handover + self.settings.order_lifetime,
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -15,6 +15,7 @@
 use crate::round::{Place, Round};
 use crate::store::StoreCapacity;
 use crate::updates::model_outlook;
+use millpass_limits::PermitLedger;
 use millpass_proto::{
     AdapterName, Duration, EngineSpec, InstanceId, InstructionOperation, ModelName, ModelOutlook,
     ServiceName, Timestamp, WeightsSource,
@@ -64,6 +65,8 @@
     pub(crate) store: &'a StoreCapacity,
     /// Loads that end engines.
     pub(crate) crashes: &'a Crashes,
+    /// Limits that engines state.
+    pub(crate) limits: &'a PermitLedger,
     /// Takes when models that wait for an engine or a permit of the weight store are expected to serve.
     pub(crate) awaited: &'a mut Vec<ModelOutlook>,
     /// Instructions of earlier leaders, and how long engines are left alone after them.
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -163,7 +163,9 @@
         for (instance, engine) in usable {
             if engine.reserved.is_some() {
                 round.reserved.push(instance);
-            } else if let Some(opens_in) = opens_in(view, &instance, engine) {
+            } else if !view.limits.is_limited(&instance)
+                && let Some(opens_in) = opens_in(view, &instance, engine)
+            {
                 round.add_site(view, instance, engine, opens_in);
             }
         }
@@ -172,8 +174,10 @@
     }
 
     fn note_models(&mut self, view: &View<'_>, instance: &InstanceId, engine: &Engine) {
+        // An engine that states a limit is in need: its models' requests are better served elsewhere.
+        let is_limited = view.limits.is_limited(instance);
         for held in &engine.held {
-            if !engine.unloading(&held.model) {
+            if !engine.unloading(&held.model) && !is_limited {
                 let holders = self.holders.entry(held.model.clone()).or_default();
                 holders.push(instance.clone());
             }
