--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -65,6 +65,8 @@
     Unconfirmed,
     /// All instances that could serve it state a limit, and have no room within it now.
     Limited,
+    /// All instances that could serve it have asked this gateway for rest.
+    Resting,
 }
 
 impl RefusalReason {
@@ -79,6 +81,7 @@
             RefusalReason::EndsInstances => "ends-instances",
             RefusalReason::Unconfirmed => "unconfirmed",
             RefusalReason::Limited => "limited",
+            RefusalReason::Resting => "resting",
         }
     }
 }
