A server that asked for rest gets nothing from the gateway until its rest is over

What callers saw: 503 at a server that wants nothing, again and again, with a Retry-After of 0.25 s (BUDGET). Cause: the server's own word on when it takes requests again was not taken up; being turned away only counted as load, which fades below the slots in 0.18 s. Change: an instance that rests is no candidate, also not for want of another or for a stream that goes on; the rest is kept by the instance's run, apart from its record; a request for which nobody is left is refused at once with the end of the first rest, and so is one that was turned away itself.

--- a/crates/millpass-dispatch/src/choosing.rs
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -59,10 +59,8 @@
         }
         ticket.unconfirmed_since = None;
         if ticket.sends > 0 && !self.may_repeat(now, ticket) {
-            return Choice::Refuse {
-                reason: RefusalReason::NoAttempts,
-                retry_after: ROOM_WAIT,
-            };
+            let engine = self.is_engine(&ticket.service);
+            return self.without_attempts(now, ticket, engine);
         }
         let engine = self.is_engine(&ticket.service);
         let candidates = self.candidates(now, ticket, engine);
@@ -134,14 +132,8 @@
     /// Instances that could serve the request. Of those that take requests now, some that could not be reached
     /// lately come in only when there is no other.
     fn candidates(&self, now: Timestamp, ticket: &Ticket, engine: bool) -> Candidates {
-        let fit = |instance: &&Instance| {
-            let record = &instance.record;
-            record.service == ticket.service
-                && !record.draining
-                && !ticket.tried.contains(&record.instance)
-                && (!engine || holds_for(now, instance, ticket))
-        };
-        let fit = self.instances.values().filter(fit);
+        let untried = |instance: &&Instance| !ticket.tried.contains(&instance.record.instance);
+        let fit = self.fit(now, ticket, engine).filter(untried);
         let (open, closed): (Vec<&Instance>, Vec<&Instance>) =
             fit.partition(|instance| self.is_open(now, &instance.record.instance));
         let reachable = open.iter().filter(|instance| !instance.is_left_out(now));
@@ -155,9 +147,34 @@
         }
     }
 
+    /// Instances that could serve the request, were it new.
+    fn fit(
+        &self,
+        now: Timestamp,
+        ticket: &Ticket,
+        engine: bool,
+    ) -> impl Iterator<Item = &Instance> {
+        self.instances.values().filter(move |instance| {
+            let record = &instance.record;
+            record.service == ticket.service
+                && !record.draining
+                && (!engine || holds_for(now, instance, ticket))
+        })
+    }
+
     /// Whether an instance takes requests of this gateway now, by what it has stated itself.
     fn is_open(&self, now: Timestamp, instance: &InstanceId) -> bool {
-        self.permits.may_send(now, instance, self.gateways)
+        let rests = self.statements.rests_until(now, instance).is_some();
+        !rests && self.permits.may_send(now, instance, self.gateways)
+    }
+
+    /// When an instance that is not open may take a request, and why not before.
+    fn opening(&self, now: Timestamp, instance: &InstanceId) -> (Opening, RefusalReason) {
+        let by_limit = || self.permits.opening(now, instance, self.gateways);
+        match self.statements.rests_until(now, instance) {
+            Some(until) => (Opening::At(until), RefusalReason::Resting),
+            None => (by_limit(), RefusalReason::Limited),
+        }
     }
 
     /// Expected time to the first byte, in milliseconds, with costs that stand for risks.
@@ -240,13 +257,11 @@
             self.note_need(now, ticket);
         }
         let openings = closed.iter().map(|instance| {
-            let opening = self.permits.opening(now, instance, self.gateways);
-            (opening, instance)
-        });
-        let soonest = openings.min_by_key(|(opening, _)| match opening {
-            Opening::Unanswered(until) | Opening::At(until) => *until,
+            let (opening, reason) = self.opening(now, instance);
+            (opening, reason, instance)
         });
-        let Some((opening, instance)) = soonest else {
+        let soonest = openings.min_by_key(|(opening, _, _)| opening.latest());
+        let Some((opening, reason, instance)) = soonest else {
             return self.without_candidates(now, ticket, engine);
         };
         let patience = ticket.arrived + ticket.objective() / PATIENCE_PARTS;
@@ -266,13 +281,29 @@
             Opening::Unanswered(opens) | Opening::At(opens) => {
                 self.permits.refused(instance);
                 Choice::Refuse {
-                    reason: RefusalReason::Limited,
+                    reason,
                     retry_after: opens.since(now),
                 }
             }
         }
     }
 
+    /// The request may be sent no more. Its caller may come back as soon as an instance takes requests.
+    fn without_attempts(&self, now: Timestamp, ticket: &Ticket, engine: bool) -> Choice {
+        let opens_in = |instance: &Instance| match self.is_open(now, &instance.record.instance) {
+            true => Duration::ZERO,
+            false => {
+                let (opening, _) = self.opening(now, &instance.record.instance);
+                opening.latest().since(now)
+            }
+        };
+        let soonest = self.fit(now, ticket, engine).map(opens_in).min();
+        Choice::Refuse {
+            reason: RefusalReason::NoAttempts,
+            retry_after: soonest.unwrap_or_default().max(ROOM_WAIT),
+        }
+    }
+
     fn want_permit(&mut self, now: Timestamp, ticket: &mut Ticket, instance: &InstanceId) {
         let lately = |at| now.since(at) < NEED_REPEAT;
         if !ticket.permit_wanted.is_some_and(lately) {
@@ -291,10 +322,7 @@
 
     fn without_candidates(&mut self, now: Timestamp, ticket: &mut Ticket, engine: bool) -> Choice {
         if ticket.sends > 0 && !engine {
-            return Choice::Refuse {
-                reason: RefusalReason::NoAttempts,
-                retry_after: ROOM_WAIT,
-            };
+            return self.without_attempts(now, ticket, engine);
         }
         if !engine || ticket.description.model.is_none() {
             let until = ticket.arrived + ticket.objective() / 5;
@@ -307,9 +335,19 @@
             };
         }
         self.note_need(now, ticket);
+        if !self.is_coming(ticket) && self.are_holders_closed(now, ticket) {
+            return self.without_attempts(now, ticket, engine);
+        }
         self.wait_for_load(now, ticket)
     }
 
+    /// Whether there are engines that hold what the request needs, and none of them takes requests now.
+    fn are_holders_closed(&self, now: Timestamp, ticket: &Ticket) -> bool {
+        let mut holders = self.fit(now, ticket, true).peekable();
+        holders.peek().is_some()
+            && holders.all(|instance| !self.is_open(now, &instance.record.instance))
+    }
+
     fn note_need(&mut self, now: Timestamp, ticket: &mut Ticket) {
         if ticket
             .need_noted
--- a/crates/millpass-dispatch/src/statements.rs
+++ b/crates/millpass-dispatch/src/statements.rs
@@ -121,6 +121,12 @@
         true
     }
 
+    /// Until when an instance takes nothing from this gateway.
+    pub(crate) fn rests_until(&self, now: Timestamp, instance: &InstanceId) -> Option<Timestamp> {
+        let until = self.rests.get(instance).copied();
+        until.filter(|until| now < *until)
+    }
+
     pub(crate) fn resting(&self, now: Timestamp) -> usize {
         self.rests.values().filter(|until| now < **until).count()
     }
--- a/crates/millpass-limits/src/pool.rs
+++ b/crates/millpass-limits/src/pool.rs
@@ -35,6 +35,15 @@
     At(Timestamp),
 }
 
+impl Opening {
+    /// The time by which it is known whether a request may go.
+    pub fn latest(&self) -> Timestamp {
+        match self {
+            Opening::Unanswered(until) | Opening::At(until) => *until,
+        }
+    }
+}
+
 /// One limited instance, as this gateway uses it.
 #[derive(Debug, Default)]
 struct Account {
