--- a/crates/millpass-dispatch/tests/harness/mod.rs
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -182,10 +182,3 @@
     dispatcher.ended(at(now + 5), &ticket.record(&instance), end);
     Some(instance)
 }
-
-pub fn limited(milli_per_second: u64) -> Statement {
-    Statement {
-        limit: Stated::Value(RequestRate { milli_per_second }),
-        ..Statement::default()
-    }
-}
--- a/crates/millpass-dispatch/tests/limits.rs
+++ b/crates/millpass-dispatch/tests/limits.rs
@@ -2,9 +2,9 @@
 
 mod harness;
 
-use harness::{at, begin, exchange, gateway, limited, record, sent_to, update};
+use harness::{at, begin, exchange, gateway, record, sent_to, update};
 use millpass_dispatch::{
-    Choice, Dispatcher, RefusalReason, SendEnd, Stated, Statement, StatementChange,
+    Choice, Dispatcher, RefusalReason, RequestRate, SendEnd, Stated, Statement, StatementChange,
 };
 use millpass_proto::{Duration, PermitAnswer, PermitGrant};
 use rstest::rstest;
@@ -12,6 +12,13 @@
 /// Length of the window in which requests are counted, in milliseconds.
 const WINDOW_MILLIS: u64 = 4_000;
 
+fn limited(milli_per_second: u64) -> Statement {
+    Statement {
+        limit: Stated::Value(RequestRate { milli_per_second }),
+        ..Statement::default()
+    }
+}
+
 /// Most requests in a window that the contract bears for a limit.
 fn borne(milli_per_second: u64) -> usize {
     (WINDOW_MILLIS * milli_per_second * 3 / 2 / 1_000_000) as usize + 5
--- a/crates/millpass-dispatch/tests/rests.rs
+++ b/crates/millpass-dispatch/tests/rests.rs
@@ -2,8 +2,10 @@
 
 mod harness;
 
-use harness::{at, begin, exchange, gateway, limited, record, sent_to, update};
-use millpass_dispatch::{Choice, Dispatcher, RefusalReason, SendEnd, Stated, Statement, Ticket};
+use harness::{at, begin, exchange, gateway, record, sent_to, update};
+use millpass_dispatch::{
+    Choice, Dispatcher, RefusalReason, RequestRate, SendEnd, Stated, Statement, Ticket,
+};
 use millpass_proto::{Duration, InstanceId};
 use rstest::rstest;
 
@@ -177,7 +179,9 @@
 fn a_limited_server_that_rests_gets_requests_with_a_permit() {
     let mut dispatcher = gateway("g-1", 7, &[record("i-1", "web")]);
     let both = Statement {
-        limit: limited(1_000_000).limit,
+        limit: Stated::Value(RequestRate {
+            milli_per_second: 1_000_000,
+        }),
         ..resting(3_000)
     };
     turned_away(&mut dispatcher, 0, "/web/", &both);
