A gateway sends nothing to an instance that has stated in an answer that it leaves

Cause: a departure stated in an answer was not taken up, so that a gateway that control cannot reach went on (DRAIN). Change: an instance that stated it is fit for no request of the gateway that heard it; kept by run, never taken back, apart from the record.

--- a/crates/millpass-dispatch/src/choosing.rs
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -157,11 +157,17 @@
         self.instances.values().filter(move |instance| {
             let record = &instance.record;
             record.service == ticket.service
-                && !record.draining
+                && !self.is_leaving(instance)
                 && (!engine || holds_for(now, instance, ticket))
         })
     }
 
+    /// Whether an instance leaves, by what it announced or by what it stated in an answer.
+    fn is_leaving(&self, instance: &Instance) -> bool {
+        let record = &instance.record;
+        record.draining || self.statements.is_leaving(&record.instance)
+    }
+
     /// Whether an instance takes requests of this gateway now, by what it has stated itself.
     fn is_open(&self, now: Timestamp, instance: &InstanceId) -> bool {
         let rests = self.statements.rests_until(now, instance).is_some();
@@ -405,7 +411,7 @@
         }
         let held = self.instances.values().any(|instance| {
             instance.record.service == ticket.service
-                && !instance.record.draining
+                && !self.is_leaving(instance)
                 && model.is_some_and(|model| instance.holds(model, None))
         });
         if held && adapter.is_some() {
--- a/crates/millpass-dispatch/src/statements.rs
+++ b/crates/millpass-dispatch/src/statements.rs
@@ -127,6 +127,11 @@
         until.filter(|until| now < *until)
     }
 
+    /// Whether an instance has stated that it leaves.
+    pub(crate) fn is_leaving(&self, instance: &InstanceId) -> bool {
+        self.leaving.contains_key(instance)
+    }
+
     pub(crate) fn resting(&self, now: Timestamp) -> usize {
         self.rests.values().filter(|until| now < **until).count()
     }
