Permits are lent to requests that still wait, and a denial holds longer the longer the wait

Cause: a request that was refused counted as looking for a permit for 0.4 s more; the leader lent permits that nobody used, and gateways asked on for requests that had left. Change: a request that is refused, or sent, looks no more; a denial holds for an eighth of the leader's wait, 0.1 to 1 s.

--- a/crates/millpass-dispatch/src/choosing.rs
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -225,6 +225,7 @@
         if let Some(key) = key {
             self.needs.sent(key, unread);
         }
+        self.unwant_permit(ticket);
         self.permits.sent(now, instance, self.gateways);
         ticket.tried.push(instance.clone());
         ticket.sends += 1;
@@ -285,6 +286,7 @@
             }
             Opening::At(_) if engine && self.is_coming(ticket) => self.wait_for_load(now, ticket),
             Opening::Unanswered(opens) | Opening::At(opens) => {
+                self.unwant_permit(ticket);
                 self.permits.refused(instance);
                 Choice::Refuse {
                     reason,
@@ -312,9 +314,18 @@
 
     fn want_permit(&mut self, now: Timestamp, ticket: &mut Ticket, instance: &InstanceId) {
         let lately = |at| now.since(at) < NEED_REPEAT;
-        if !ticket.permit_wanted.is_some_and(lately) {
-            ticket.permit_wanted = Some(now);
-            self.permits.want(now, instance);
+        let wanted = ticket.permit_wanted.as_ref();
+        if wanted.is_some_and(|(wanted, at)| wanted == instance && lately(*at)) {
+            return;
+        }
+        self.unwant_permit(ticket);
+        ticket.permit_wanted = Some((instance.clone(), now));
+        self.permits.want(now, instance);
+    }
+
+    fn unwant_permit(&mut self, ticket: &mut Ticket) {
+        if let Some((instance, _)) = ticket.permit_wanted.take() {
+            self.permits.unwant(&instance);
         }
     }
 
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -76,8 +76,8 @@
     pub rank: u32,
     /// When it was last sent.
     pub sent_at: Option<Timestamp>,
-    /// When it last looked for a permit.
-    pub(crate) permit_wanted: Option<Timestamp>,
+    /// For which instance it last looked for a permit, and when.
+    pub(crate) permit_wanted: Option<(InstanceId, Timestamp)>,
     /// Since when it waits for what the gateway knows to be confirmed.
     pub(crate) unconfirmed_since: Option<Timestamp>,
 }
--- a/crates/millpass-limits/src/pool.rs
+++ b/crates/millpass-limits/src/pool.rs
@@ -21,8 +21,10 @@
 const AHEAD: Duration = Duration::from_millis(500);
 /// Shortest time for which the leader is not asked anew after it said that it has none.
 const SHORTEST_DENIAL: Duration = Duration::from_millis(100);
-/// Longest such time.
-const LONGEST_DENIAL: Duration = Duration::from_millis(200);
+/// Longest such time, and its part of the time for which the leader expects to have none: a permit that another
+/// request leaves over is found before.
+const LONGEST_DENIAL: Duration = Duration::from_millis(1_000);
+const DENIAL_PARTS: u32 = 8;
 /// Longest time for which a caller is told to stay away.
 const LONGEST_WAIT: Duration = Duration::from_secs(10);
 
@@ -207,7 +209,6 @@
         let slots = Slots::new(&self.gateway, instance, rate, gateways);
         let account = self.accounts.entry(instance.clone()).or_default();
         account.expire(now);
-        account.wants.pop_front();
         account.sent.push_back(now);
         if account.permits.pop_front().is_none() {
             account.slot_used = account.free_slot(now, &slots);
@@ -223,6 +224,13 @@
         account.unanswered_since.get_or_insert(now);
     }
 
+    /// A request that looked for a permit looks no more: a permit lent for it would lapse.
+    pub fn unwant(&mut self, instance: &InstanceId) {
+        if let Some(account) = self.accounts.get_mut(instance) {
+            account.wants.pop_front();
+        }
+    }
+
     /// When a request may go to a limited instance that it may not go to now.
     pub fn opening(&self, now: Timestamp, instance: &InstanceId, gateways: u32) -> Opening {
         let Some(rate) = self.words.rate(instance) else {
@@ -325,8 +333,8 @@
         account.denied_until = Timestamp::ZERO;
         if grant.wait_millis > 0 {
             account.none_until = now + Duration::from_millis(grant.wait_millis);
-            let longest = now + LONGEST_DENIAL;
-            account.denied_until = account.none_until.clamp(now + SHORTEST_DENIAL, longest);
+            let denial = account.none_until.since(now) / DENIAL_PARTS;
+            account.denied_until = now + denial.clamp(SHORTEST_DENIAL, LONGEST_DENIAL);
             // Those that still wait then ask anew.
             account.is_asked_for = false;
         }
--- a/crates/millpass-limits/tests/over_all_gateways.rs
+++ b/crates/millpass-limits/tests/over_all_gateways.rs
@@ -112,6 +112,7 @@
         let pool = &mut self.gateways[gateway];
         let may = pool.may_send(at(now), &self.instance, known);
         if may {
+            pool.unwant(&self.instance);
             pool.sent(at(now), &self.instance, known);
         } else if self.looked[gateway].is_none_or(|looked| now >= looked + LOOK_MILLIS) {
             self.looked[gateway] = Some(now);
@@ -209,6 +210,57 @@
     }
 }
 
+/// Messages of gateways, and requests sent, in a minute of `offered` requests a second over all of them, each of which
+/// leaves when it is denied.
+fn minute_of_impatient_requests(gateways: usize, limit: u64, offered: u64) -> (usize, usize) {
+    let mut world = World::new(gateways, 10);
+    for gateway in 0..gateways {
+        world.hear(0, gateway, Some(limit));
+    }
+    let mut waiting: VecDeque<(u64, usize)> = VecDeque::new();
+    for now in (0..60_000).step_by(STEP_MILLIS as usize) {
+        for number in now * offered / 1_000..(now + STEP_MILLIS) * offered / 1_000 {
+            let gateway = number as usize * 7_919 % gateways;
+            if world.request(now, gateway, 1) {
+                world.sent.push(now);
+            } else {
+                waiting.push_back((now, gateway));
+            }
+        }
+        world.exchange_messages(now, &Faults::default());
+        while let Some((_, gateway)) = waiting.pop_front_if(|(since, _)| now >= *since + 40) {
+            if world.request(now, gateway, 0) {
+                world.sent.push(now);
+            } else {
+                let instance = world.instance.clone();
+                world.gateways[gateway].unwant(&instance);
+                world.gateways[gateway].refused(&instance);
+            }
+        }
+    }
+    (world.messages, world.sent.len())
+}
+
+#[rstest]
+#[case::few(7, 1_000, 3)]
+#[case::whole_fleet(986, 1_000, 3)]
+#[case::whole_fleet_fast(986, 20_000, 60)]
+#[case::whole_fleet_flood(986, 1_000, 1_000)]
+fn a_used_up_limit_costs_more_than_a_message_a_request(
+    #[case] gateways: usize,
+    #[case] limit: u64,
+    #[case] offered: u64,
+) {
+    let (messages, sent) = minute_of_impatient_requests(gateways, limit, offered);
+    let requests = offered as usize * 60;
+    // Each gateway tells the limit once.
+    assert!(
+        messages <= requests + gateways,
+        "{messages} for {requests}, {sent} sent"
+    );
+    assert!(sent as u64 >= limit * 60 / 1_000 * 7 / 10, "{sent} sent");
+}
+
 #[rstest]
 #[case::few(3, 1_000, 300)]
 #[case::incident(7, 1_000, 400)]
