Requests whose instances take none now have a module of their own; a request's patience is said in one place

Cause: reading as a newcomer: choosing.rs had two jobs, a fifth of the objective stood in four places, and a request that waited for a rest's end asked for a permit at an instance without a limit.

--- a/crates/millpass-dispatch/src/choosing.rs
+++ b/crates/millpass-dispatch/src/choosing.rs
@@ -6,11 +6,10 @@
 use crate::prompts::{Beginning, all_tokens, beginnings, rendezvous};
 use crate::request::Ticket;
 use crate::retry_budget::BudgetTerms;
-use millpass_limits::Opening;
 use millpass_proto::{Duration, InstanceId, RequestFingerprint, Timestamp, WeightsSource};
 
 /// Time after which a request that still waits notes its need again.
-const NEED_REPEAT: Duration = Duration::from_millis(400);
+pub(crate) const NEED_REPEAT: Duration = Duration::from_millis(400);
 /// Time added to an estimated load before a caller is told to come back.
 const READY_MARGIN: Duration = Duration::from_millis(60);
 /// Estimated time of an adapter's load, from need to serving.
@@ -18,7 +17,7 @@
 /// Estimated time from a need to the beginning of a load: reports, and room to be made.
 const LOAD_LEAD: Duration = Duration::from_millis(350);
 /// When a caller refused for lack of room is told to come back.
-const ROOM_WAIT: Duration = Duration::from_millis(250);
+pub(crate) const ROOM_WAIT: Duration = Duration::from_millis(250);
 /// Time that must be left to serve a request that waits for a load.
 const SERVING_TIME: Duration = Duration::from_millis(250);
 /// Time that must be left before this gateway's end to begin to serve a request that has waited: an answer
@@ -29,8 +28,6 @@
 const UNCONFIRMED_WAIT: Duration = Duration::from_millis(300);
 /// When a caller refused for that is told to come back; it may meet another gateway.
 const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
-/// Part of the objective for which a request waits for an instance that takes none now, as its inverse.
-const PATIENCE_PARTS: u32 = 5;
 /// Cost of sending to another zone, in milliseconds.
 const OTHER_ZONE_COST: f64 = 5.0;
 /// Cost of a certain failure, in milliseconds.
@@ -58,11 +55,10 @@
             return unconfirmed(now, ticket);
         }
         ticket.unconfirmed_since = None;
+        let engine = self.is_engine(&ticket.service);
         if ticket.sends > 0 && !self.may_repeat(now, ticket) {
-            let engine = self.is_engine(&ticket.service);
             return self.without_attempts(now, ticket, engine);
         }
-        let engine = self.is_engine(&ticket.service);
         let candidates = self.candidates(now, ticket, engine);
         if candidates.open.is_empty() {
             if !candidates.closed.is_empty() {
@@ -148,7 +144,7 @@
     }
 
     /// Instances that could serve the request, were it new.
-    fn fit(
+    pub(crate) fn fit(
         &self,
         now: Timestamp,
         ticket: &Ticket,
@@ -168,21 +164,6 @@
         record.draining || self.statements.is_leaving(&record.instance)
     }
 
-    /// Whether an instance takes requests of this gateway now, by what it has stated itself.
-    fn is_open(&self, now: Timestamp, instance: &InstanceId) -> bool {
-        let rests = self.statements.rests_until(now, instance).is_some();
-        !rests && self.permits.may_send(now, instance, self.gateways)
-    }
-
-    /// When an instance that is not open may take a request, and why not before.
-    fn opening(&self, now: Timestamp, instance: &InstanceId) -> (Opening, RefusalReason) {
-        let by_limit = || self.permits.opening(now, instance, self.gateways);
-        match self.statements.rests_until(now, instance) {
-            Some(until) => (Opening::At(until), RefusalReason::Resting),
-            None => (by_limit(), RefusalReason::Limited),
-        }
-    }
-
     /// Expected time to the first byte, in milliseconds, with costs that stand for risks.
     fn cost(&self, now: Timestamp, instance: &Instance, engine: bool, hashes: &[Beginning]) -> f64 {
         let load = instance.load(now);
@@ -238,7 +219,7 @@
 
     /// All that could serve it are full: a short wait, then an early refusal.
     fn without_room(&self, now: Timestamp, ticket: &Ticket) -> Choice {
-        let until = ticket.arrived + ticket.objective() / 5;
+        let until = ticket.patient_until();
         if now < until {
             return Choice::Wait {
                 until: until.min(now + Duration::from_millis(10)),
@@ -250,99 +231,17 @@
         }
     }
 
-    /// All that could serve it take nothing now, by what they have stated themselves: a short wait where one opens in
-    /// that time, else a refusal at once.
-    fn without_open(
+    pub(crate) fn without_candidates(
         &mut self,
         now: Timestamp,
         ticket: &mut Ticket,
         engine: bool,
-        closed: &[InstanceId],
     ) -> Choice {
-        if engine {
-            // The leader may bring the model to another engine.
-            self.note_need(now, ticket);
-        }
-        let openings = closed.iter().map(|instance| {
-            let (opening, reason) = self.opening(now, instance);
-            (opening, reason, instance)
-        });
-        let soonest = openings.min_by_key(|(opening, _, _)| opening.latest());
-        let Some((opening, reason, instance)) = soonest else {
-            return self.without_candidates(now, ticket, engine);
-        };
-        let patience = ticket.arrived + ticket.objective() / PATIENCE_PARTS;
-        let on_time = ticket.arrived + ticket.objective();
-        match opening {
-            Opening::Unanswered(until) if now < on_time => {
-                self.want_permit(now, ticket, instance);
-                Choice::Wait {
-                    until: until.min(on_time),
-                }
-            }
-            Opening::At(opens) if opens <= patience => {
-                self.want_permit(now, ticket, instance);
-                Choice::Wait { until: opens }
-            }
-            Opening::At(_) if engine && self.is_coming(ticket) => self.wait_for_load(now, ticket),
-            Opening::Unanswered(opens) | Opening::At(opens) => {
-                self.unwant_permit(ticket);
-                self.permits.refused(instance);
-                Choice::Refuse {
-                    reason,
-                    retry_after: opens.since(now),
-                }
-            }
-        }
-    }
-
-    /// The request may be sent no more. Its caller may come back as soon as an instance takes requests.
-    fn without_attempts(&self, now: Timestamp, ticket: &Ticket, engine: bool) -> Choice {
-        let opens_in = |instance: &Instance| match self.is_open(now, &instance.record.instance) {
-            true => Duration::ZERO,
-            false => {
-                let (opening, _) = self.opening(now, &instance.record.instance);
-                opening.latest().since(now)
-            }
-        };
-        let soonest = self.fit(now, ticket, engine).map(opens_in).min();
-        Choice::Refuse {
-            reason: RefusalReason::NoAttempts,
-            retry_after: soonest.unwrap_or_default().max(ROOM_WAIT),
-        }
-    }
-
-    fn want_permit(&mut self, now: Timestamp, ticket: &mut Ticket, instance: &InstanceId) {
-        let lately = |at| now.since(at) < NEED_REPEAT;
-        let wanted = ticket.permit_wanted.as_ref();
-        if wanted.is_some_and(|(wanted, at)| wanted == instance && lately(*at)) {
-            return;
-        }
-        self.unwant_permit(ticket);
-        ticket.permit_wanted = Some((instance.clone(), now));
-        self.permits.want(now, instance);
-    }
-
-    fn unwant_permit(&mut self, ticket: &mut Ticket) {
-        if let Some((instance, _)) = ticket.permit_wanted.take() {
-            self.permits.unwant(&instance);
-        }
-    }
-
-    /// Whether the request's model, or adapter, is on its way to an engine.
-    fn is_coming(&self, ticket: &Ticket) -> bool {
-        let model = ticket.description.model.as_ref();
-        self.outlook
-            .iter()
-            .any(|(outlook, _)| outlook.service == ticket.service && Some(&outlook.model) == model)
-    }
-
-    fn without_candidates(&mut self, now: Timestamp, ticket: &mut Ticket, engine: bool) -> Choice {
         if ticket.sends > 0 && !engine {
             return self.without_attempts(now, ticket, engine);
         }
         if !engine || ticket.description.model.is_none() {
-            let until = ticket.arrived + ticket.objective() / 5;
+            let until = ticket.patient_until();
             if now < until {
                 return Choice::Wait { until };
             }
@@ -358,14 +257,7 @@
         self.wait_for_load(now, ticket)
     }
 
-    /// Whether there are engines that hold what the request needs, and none of them takes requests now.
-    fn are_holders_closed(&self, now: Timestamp, ticket: &Ticket) -> bool {
-        let mut holders = self.fit(now, ticket, true).peekable();
-        holders.peek().is_some()
-            && holders.all(|instance| !self.is_open(now, &instance.record.instance))
-    }
-
-    fn note_need(&mut self, now: Timestamp, ticket: &mut Ticket) {
+    pub(crate) fn note_need(&mut self, now: Timestamp, ticket: &mut Ticket) {
         if ticket
             .need_noted
             .is_some_and(|at| now.since(at) < NEED_REPEAT)
@@ -380,7 +272,7 @@
 
     /// Waits when the load ends within the objective. Otherwise refuses early and says when to come
     /// back, if the caller then still has time; else waits as long as the caller may be served.
-    fn wait_for_load(&self, now: Timestamp, ticket: &Ticket) -> Choice {
+    pub(crate) fn wait_for_load(&self, now: Timestamp, ticket: &Ticket) -> Choice {
         let ready = self.ready_at(now, ticket) + READY_MARGIN;
         let come_back = ready.since(now);
         let refusal = Choice::Refuse {
@@ -395,7 +287,7 @@
                 retry_after: ROOM_WAIT,
             };
         }
-        let early = now.since(ticket.arrived) <= ticket.objective() / 5;
+        let early = now <= ticket.patient_until();
         let comes_back = come_back * 3 < ticket.deadline.since(now);
         if !in_time || (early && comes_back && !on_time) {
             return refusal;
--- a/crates/millpass-dispatch/src/credit.rs
+++ b/crates/millpass-dispatch/src/credit.rs
@@ -5,9 +5,6 @@
 use millpass_proto::{CreditAnswer, CreditRequest, QuotaUnit, TenantAccess, Timestamp};
 use millpass_tenancy::{CreditClaim, CreditOutcome, TenantLimit};
 
-/// Part of the objective for which a request waits for a tenant that has used up its quota, as its inverse.
-const PATIENCE_PARTS: u32 = 5;
-
 /// A request of a tenant whose quota counts tokens states them in a way that cannot be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error(
@@ -29,7 +26,7 @@
             return Ok(None);
         };
         let units = cost(tenant, ticket.description.tokens)?;
-        let patience = ticket.objective() / PATIENCE_PARTS;
+        let patience = ticket.patient_until().since(ticket.arrived);
         let claim = self.credit.open(now, &tenant.name, limit, units, patience);
         Ok(Some(claim))
     }
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -16,10 +16,12 @@
 //! | `credit` | units of tenants' quotas that requests need |
 //! | `crashes` | runs that end under requests, and requests held back for it |
 //! | `choosing` | which instance, wait or refuse |
+//! | `closed` | requests whose instances take none now |
 //! | `updates` | what the leader tells, and what other members pass on |
 //! | `dispatcher` | the core itself: begins and ends, reports |
 
 mod choosing;
+mod closed;
 mod crashes;
 mod credit;
 mod dispatcher;
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -7,6 +7,9 @@
 use millpass_tenancy::PresentedKey;
 use std::sync::Arc;
 
+/// Part of the objective for which a request waits for what is not there, as its inverse.
+const PATIENCE_PARTS: u32 = 5;
+
 /// One part of a prompt; requests that begin with the same parts share what an engine has read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -128,6 +131,12 @@
         }
     }
 
+    /// Until when it waits for something that it needs and that is not there: a fifth of its objective. A caller that is
+    /// refused by then can still be served in time elsewhere.
+    pub(crate) fn patient_until(&self) -> Timestamp {
+        self.arrived + self.objective() / PATIENCE_PARTS
+    }
+
     /// Time within which an answer is on time.
     pub fn objective(&self) -> Duration {
         let patience = self.give_up.since(self.arrived);
--- a/crates/millpass-limits/src/pool.rs
+++ b/crates/millpass-limits/src/pool.rs
@@ -21,9 +21,10 @@
 const AHEAD: Duration = Duration::from_millis(500);
 /// Shortest time for which the leader is not asked anew after it said that it has none.
 const SHORTEST_DENIAL: Duration = Duration::from_millis(100);
-/// Longest such time, and its part of the time for which the leader expects to have none: a permit that another
-/// request leaves over is found before.
+/// Longest such time.
 const LONGEST_DENIAL: Duration = Duration::from_millis(1_000);
+/// Part of the time for which the leader expects to have none after which it is asked anew, as its inverse: permits that
+/// others leave over are found.
 const DENIAL_PARTS: u32 = 8;
 /// Longest time for which a caller is told to stay away.
 const LONGEST_WAIT: Duration = Duration::from_secs(10);
@@ -215,8 +216,11 @@
         }
     }
 
-    /// A request looks for a permit.
+    /// A request looks for a permit; at an instance without a limit it needs none.
     pub fn want(&mut self, now: Timestamp, instance: &InstanceId) {
+        if self.words.rate(instance).is_none() {
+            return;
+        }
         let account = self.accounts.entry(instance.clone()).or_default();
         account.expire(now);
         account.wants.push_back(now);
