--- a/crates/millpass-control/tests/backlog.rs
+++ b/crates/millpass-control/tests/backlog.rs
@@ -9,7 +9,8 @@
 use millpass_control::urgency::Urgency;
 use millpass_control_plane::{AdministrationRequest, ConnectionId, ControlInput};
 use millpass_proto::{
-    CreditRequest, InstanceDeparture, InstanceRecord, ObjectKey, ObjectKind, RouterToControl,
+    CreditRequest, InstanceDeparture, InstanceRecord, ObjectKey, ObjectKind, PermitRequest,
+    RouterToControl,
 };
 use rstest::rstest;
 use std::time::{Duration, Instant};
@@ -221,6 +222,12 @@
         asks: Vec::new(),
         lent_in: 0,
     });
+    let permits = RouterToControl::Permits(PermitRequest {
+        gateway: "gateway".to_owned(),
+        sequence: 1,
+        words: Vec::new(),
+        asks: Vec::new(),
+    });
     for (input, class) in [
         (ControlInput::Persisted { write: 1 }, Urgency::Consensus),
         (ControlInput::Drain, Urgency::Promised),
@@ -237,6 +244,7 @@
         ),
         (call(AdministrationRequest::Status), Urgency::Announcements),
         (router(credit), Urgency::Credit),
+        (router(permits), Urgency::Credit),
         (
             ControlInput::RouterDisconnected(ConnectionId(1)),
             Urgency::Reports,
