Read once more: no counts on the path of each answer, one way to send a revision to gateways, one longest wait

Cause: reading the change as a newcomer. Each answer's head counted what instances state though nothing had changed, and two of the three counts were used nowhere; the leader's limits repeated how held-back requests are sent by revision and interval; two constants said the same. A test reads the same count under its new name. No behaviour changes.

--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -45,6 +45,6 @@
 pub use millpass_limits::RequestRate;
 pub use request::{Description, PromptPart, SendRecord, StatedTokens, Ticket};
 pub use retry_budget::{BudgetTerms, RetryBudget};
-pub use statements::{Stated, Statement, StatementChange, StatementCounts};
+pub use statements::{Stated, Statement, StatementChange};
 pub use table::{IdentityError, RouteError, RoutingTable};
 pub use updates::UpdateOutcome;
--- a/crates/millpass-dispatch/src/limits.rs
+++ b/crates/millpass-dispatch/src/limits.rs
@@ -1,7 +1,7 @@
 //! Limits that instances state, and this gateway's words with the leader about them.
 
 use crate::dispatcher::Dispatcher;
-use crate::statements::{Stated, Statement, StatementChange, StatementCounts};
+use crate::statements::{Stated, Statement, StatementChange};
 use millpass_limits::{HeardLimit, LimitChange};
 use millpass_proto::{InstanceId, LimitUpdate, PermitAnswer, PermitRequest, Timestamp};
 
@@ -60,13 +60,9 @@
         self.permits.answer(now, answer);
     }
 
-    /// How many instances have stated something that is in force.
-    pub fn statement_counts(&self, now: Timestamp) -> StatementCounts {
-        StatementCounts {
-            limited: self.permits.limited(),
-            resting: self.statements.resting(now),
-            leaving: self.statements.leaving(),
-        }
+    /// How many instances have a limit in force.
+    pub fn limited_instances(&self) -> usize {
+        self.permits.limited()
     }
 }
 
--- a/crates/millpass-dispatch/src/statements.rs
+++ b/crates/millpass-dispatch/src/statements.rs
@@ -27,6 +27,17 @@
     Unreadable,
 }
 
+impl<T> Stated<T> {
+    /// The value in another form.
+    pub fn map<U>(self, form: impl FnOnce(T) -> U) -> Stated<U> {
+        match self {
+            Stated::Missing => Stated::Missing,
+            Stated::Value(value) => Stated::Value(form(value)),
+            Stated::Unreadable => Stated::Unreadable,
+        }
+    }
+}
+
 /// What the head of one answer states of its instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Statement {
@@ -131,25 +142,6 @@
     pub(crate) fn is_leaving(&self, instance: &InstanceId) -> bool {
         self.leaving.contains_key(instance)
     }
-
-    pub(crate) fn resting(&self, now: Timestamp) -> usize {
-        self.rests.values().filter(|until| now < **until).count()
-    }
-
-    pub(crate) fn leaving(&self) -> usize {
-        self.leaving.len()
-    }
-}
-
-/// How many instances have stated something that is in force.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StatementCounts {
-    /// Those with a limit.
-    pub limited: usize,
-    /// Those that take nothing from this gateway for a time.
-    pub resting: usize,
-    /// Those that leave.
-    pub leaving: usize,
 }
 
 /// Makes room for one more entry where there are too many: the one of the lowest `rank` goes.
--- a/crates/millpass-dispatch/tests/limits.rs
+++ b/crates/millpass-dispatch/tests/limits.rs
@@ -176,7 +176,7 @@
     };
     let changes = dispatcher.heard_statement(at(101), at(100), &"i-1".into(), &unreadable);
     assert_eq!(changes, [StatementChange::Unreadable]);
-    assert_eq!(dispatcher.statement_counts(at(101)).limited, 1);
+    assert_eq!(dispatcher.limited_instances(), 1);
     let again = dispatcher.heard_statement(at(201), at(200), &"i-1".into(), &unreadable);
     assert_eq!(again, []);
 }
--- a/crates/millpass-fleet/src/crashes.rs
+++ b/crates/millpass-fleet/src/crashes.rs
@@ -221,13 +221,10 @@
         let interval = self.gateways.update_interval(self.pace);
         let mut update = None;
         for (connection, session) in &mut self.gateways.sessions {
-            let due = now.since(session.crashes_sent_at) >= interval;
             let behind = session.behind_since.is_some();
-            if session.sent_crashes == Some(revision) || behind || !due {
+            if behind || !session.crashes.send(now, interval, revision) {
                 continue;
             }
-            session.sent_crashes = Some(revision);
-            session.crashes_sent_at = now;
             let update = update.get_or_insert_with(|| self.crashes.update(now, self.term));
             self.out.push(FleetOutput::Crashes {
                 connection: *connection,
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -3,6 +3,33 @@
 use millpass_proto::{Duration, GatewayReport, Timestamp};
 use std::collections::{BTreeMap, HashSet};
 
+/// Which revision of something was sent on a connection, if any, and when.
+#[derive(Default)]
+pub(crate) struct SentRevision {
+    revision: Option<u64>,
+    at: Timestamp,
+}
+
+impl SentRevision {
+    /// One that counts as sent.
+    fn of(revision: u64) -> Self {
+        SentRevision {
+            revision: Some(revision),
+            at: Timestamp::ZERO,
+        }
+    }
+
+    /// Whether this revision is to be sent now, at most once in an interval; then it counts as sent.
+    pub(crate) fn send(&mut self, now: Timestamp, interval: Duration, revision: u64) -> bool {
+        if self.revision == Some(revision) || now.since(self.at) < interval {
+            return false;
+        }
+        self.revision = Some(revision);
+        self.at = now;
+        true
+    }
+}
+
 /// One gateway on its connection.
 pub(crate) struct GatewaySession {
     pub(crate) name: String,
@@ -32,13 +59,10 @@
     pub(crate) sent_loads: u64,
     /// Whether a report waits for its answer.
     pub(crate) owed: bool,
-    /// Revision of the requests held back that was sent; none before the first.
-    pub(crate) sent_crashes: Option<u64>,
-    /// When it was last sent those.
-    pub(crate) crashes_sent_at: Timestamp,
-    /// Revision of the instances' limits that was sent, and when.
-    pub(crate) sent_limits: u64,
-    pub(crate) limits_sent_at: Timestamp,
+    /// Requests held back, as they were sent.
+    pub(crate) crashes: SentRevision,
+    /// Instances' limits, as they were sent.
+    pub(crate) limits: SentRevision,
     /// Since when updates wait at its connection: its socket does not take them.
     pub(crate) behind_since: Option<Timestamp>,
     /// When it was last sent anything.
@@ -173,11 +197,10 @@
             sent_times: 0,
             sent_loads: 0,
             owed: true,
-            sent_crashes: None,
-            sent_limits: 0,
-            limits_sent_at: Timestamp::ZERO,
+            crashes: SentRevision::default(),
+            // Before the first limit there is nothing to tell.
+            limits: SentRevision::of(0),
             behind_since: None,
-            crashes_sent_at: Timestamp::ZERO,
             sent_at: Timestamp::ZERO,
             heard_at: now,
             connected_at: now,
--- a/crates/millpass-fleet/src/limits.rs
+++ b/crates/millpass-fleet/src/limits.rs
@@ -52,13 +52,10 @@
         let interval = self.gateways.update_interval(self.pace);
         let mut update = None;
         for (connection, session) in &mut self.gateways.sessions {
-            let due = now.since(session.limits_sent_at) >= interval;
             let behind = session.behind_since.is_some();
-            if session.sent_limits == revision || behind || !due {
+            if behind || !session.limits.send(now, interval, revision) {
                 continue;
             }
-            session.sent_limits = revision;
-            session.limits_sent_at = now;
             let update = update.get_or_insert_with(|| self.limits.update(now, self.term));
             self.out.push(FleetOutput::Limits {
                 connection: *connection,
--- a/crates/millpass-gateway/src/statements.rs
+++ b/crates/millpass-gateway/src/statements.rs
@@ -20,34 +20,32 @@
         return;
     }
     let now = shared.now();
-    let (changes, counts) = {
-        let mut core = shared.core();
-        let changes = core.heard_statement(now, sent_at, instance, &facts.statement);
-        (changes, core.statement_counts(now))
-    };
+    let statement = &facts.statement;
+    let changes = shared
+        .core()
+        .heard_statement(now, sent_at, instance, statement);
     if changes.is_empty() {
         return;
     }
-    shared.metrics.limited.set(counts.limited as i64);
     for change in changes {
         log_change(shared, Some(ticket), instance, change);
     }
-    shared.changed.notify(usize::MAX);
+    note_changed(shared);
     shared.report.notify(1);
 }
 
 /// Takes the limits that the leader tells.
 pub(crate) fn take_limits(shared: &Shared, update: &LimitUpdate) {
-    let now = shared.now();
-    let (changes, counts) = {
-        let mut core = shared.core();
-        let changes = core.take_limits(now, update);
-        (changes, core.statement_counts(now))
-    };
-    shared.metrics.limited.set(counts.limited as i64);
+    let changes = shared.core().take_limits(shared.now(), update);
     for (instance, change) in changes {
         log_change(shared, None, &instance, change);
     }
+    note_changed(shared);
+}
+
+fn note_changed(shared: &Shared) {
+    let limited = shared.core().limited_instances();
+    shared.metrics.limited.set(limited as i64);
     shared.changed.notify(usize::MAX);
 }
 
--- a/crates/millpass-limits/src/ledger.rs
+++ b/crates/millpass-limits/src/ledger.rs
@@ -15,7 +15,7 @@
 /// What a bucket holds: what flows into it in this time, and one request at least.
 const BUCKET_SECONDS: f64 = 0.25;
 /// Longest time for which a caller is told to stay away: the limit may have ended by then.
-const LONGEST_WAIT: Duration = Duration::from_secs(10);
+pub(crate) const LONGEST_WAIT: Duration = Duration::from_secs(10);
 /// Shortest time between two events of one instance.
 const EVENT_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/crates/millpass-limits/src/pool.rs
+++ b/crates/millpass-limits/src/pool.rs
@@ -1,5 +1,6 @@
 //! A gateway's permits, and the requests that look for one.
 
+use crate::ledger::LONGEST_WAIT;
 use crate::rate::RequestRate;
 use crate::slots::Slots;
 use crate::word::{HeardLimit, LimitChange, Words};
@@ -26,8 +27,6 @@
 /// Part of the time for which the leader expects to have none after which it is asked anew, as its inverse: permits that
 /// others leave over are found.
 const DENIAL_PARTS: u32 = 8;
-/// Longest time for which a caller is told to stay away.
-const LONGEST_WAIT: Duration = Duration::from_secs(10);
 
 /// When a request may go to a limited instance that has no permit now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
