Show that an order written into a partition is delivered after its connection was closed

Suspected cause of two observed deliveries of a lower fence after a higher one: the kernel of a deposed leader goes on retransmitting an order after the HTTP client has closed its connection.

The test partitions one connection with a socket filter that drops all packets arriving at the engine's socket. The old leader's call times out and its connection is closed; the successor's order (fence 4) is accepted; the partition ends. The engine then reads the old leader's order.

The agent moves to its own module, `fenced_calls`, unchanged, so that tests can use it.

--- a/crates/millpass-control/src/deliveries.rs
+++ b/crates/millpass-control/src/deliveries.rs
@@ -5,6 +5,7 @@
 //! queued or expires while waiting is reported to the core as not sent, and the core decides anew.
 
 use crate::call_schedule::{CallOutcome, CallSchedule};
+use crate::fenced_calls::FencedCalls;
 use crate::inputs::Inputs;
 use crate::interface::EngineCalls;
 use crate::settings::ProcessLimits;
@@ -141,7 +142,7 @@
         });
         let pool = DeliveryPool {
             worker: DeliveryWorker {
-                agent: agent(limits.call_timeout, engines.is_some()),
+                agent: FencedCalls::new(clock, limits.call_timeout, engines.is_some()).agent(),
                 shared: shared.clone(),
                 inputs: inputs.clone(),
                 engines,
@@ -218,22 +219,6 @@
     }
 }
 
-/// Size of a connection's buffers. Messages are small, and the default of 128 KiB adds up over the
-/// pool.
-const BUFFER_BYTES: usize = 8 * 1024;
-
-/// Creates the HTTP agent of the pool. Engines of an announced fleet state refusals by status, so
-/// error statuses are then read as responses.
-fn agent(timeout: Duration, read_error_statuses: bool) -> ureq::Agent {
-    ureq::Agent::config_builder()
-        .timeout_global(Some(timeout))
-        .http_status_as_error(!read_error_statuses)
-        .input_buffer_size(BUFFER_BYTES)
-        .output_buffer_size(BUFFER_BYTES)
-        .build()
-        .into()
-}
-
 /// State shared by the threads of the pool, including the agent with its connections.
 struct DeliveryWorker {
     agent: ureq::Agent,
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `peers` | outbound connections to other members |
 //! | `peer_queue` | messages waiting for one member |
 //! | `deliveries` | calls to engines and the platform |
+//! | `fenced_calls` | connections of these calls, which abort when the call expires or the term ends |
 //! | `call_schedule` | order of calls to engines and the platform |
 //! | `interface` | extensions of a deployment with its own wire formats |
 //! | `calls` | pending calls of the administration API |
@@ -42,6 +43,7 @@
 mod disk_wait;
 mod disk_watch;
 mod error;
+pub mod fenced_calls;
 mod frames;
 mod freshness;
 mod inputs;
