Abort fenced calls at their deadline and when the member stops leading

When the member stops leading, loses its lease or ends, waiting calls are reported as not sent and the agent is shut down, which fails the calls in flight and resets their connections. An aborted call does not mark its peer as unreachable.

On this kernel (6.18) bytes that the peer's kernel has received before a reset can still be read after it: a peer that stops reading without a full buffer has received the order in that sense.

--- a/crates/millpass-control/src/call_schedule.rs
+++ b/crates/millpass-control/src/call_schedule.rs
@@ -143,23 +143,38 @@
         self.ready.append(&mut self.unreachable_ready);
     }
 
+    /// Removes and returns all waiting calls.
+    pub fn take_waiting(&mut self) -> Vec<T> {
+        self.take_where(|_| true)
+    }
+
+    /// Returns the number of calls in progress.
+    pub fn in_progress(&self) -> usize {
+        let queues = self.queues.values();
+        queues.filter(|queue| queue.in_progress).count()
+    }
+
     /// Removes and returns the expired calls.
     pub fn take_expired(&mut self, now: Timestamp) -> Vec<T> {
+        self.take_where(|expires_at| now > expires_at)
+    }
+
+    fn take_where(&mut self, is_taken: impl Fn(Timestamp) -> bool) -> Vec<T> {
         if self.waiting == 0 {
             return Vec::new();
         }
-        let mut expired = Vec::new();
+        let mut taken = Vec::new();
         self.queues.retain(|_, queue| {
             let waiting = std::mem::take(&mut queue.waiting);
             for call in waiting {
-                match now > call.expires_at {
-                    true => expired.push(call.call),
+                match is_taken(call.expires_at) {
+                    true => taken.push(call.call),
                     false => queue.waiting.push_back(call),
                 }
             }
             queue.in_progress || !queue.waiting.is_empty()
         });
-        self.waiting -= expired.len();
+        self.waiting -= taken.len();
         let queues = &self.queues;
         let waits = |peer: &String| {
             queues
@@ -168,7 +183,7 @@
         };
         self.ready.retain(waits);
         self.unreachable_ready.retain(waits);
-        expired
+        taken
     }
 
     /// Returns when the next waiting call expires.
--- a/crates/millpass-control/src/deliveries.rs
+++ b/crates/millpass-control/src/deliveries.rs
@@ -3,9 +3,10 @@
 //!
 //! An order may be lost or delivered twice; its fence makes that harmless. A call that cannot be
 //! queued or expires while waiting is reported to the core as not sent, and the core decides anew.
+//! When the member stops leading, waiting calls are cancelled and calls in flight are aborted.
 
 use crate::call_schedule::{CallOutcome, CallSchedule};
-use crate::fenced_calls::FencedCalls;
+use crate::fenced_calls::{agent, send_before};
 use crate::inputs::Inputs;
 use crate::interface::EngineCalls;
 use crate::settings::ProcessLimits;
@@ -85,6 +86,8 @@
 
 struct WaitingDelivery {
     since: Timestamp,
+    /// Nothing may be written after this time.
+    deadline: Timestamp,
     delivery: Delivery,
 }
 
@@ -93,6 +96,10 @@
     threads: usize,
     idle: usize,
     is_closed: bool,
+    /// Agent for calls taken from the schedule, replaced by [`Deliveries::cancel`].
+    agent: ureq::Agent,
+    /// Number of the agent.
+    generation: u64,
 }
 
 struct Shared {
@@ -116,6 +123,7 @@
     shared: Arc<Shared>,
     inputs: Inputs,
     call_timeout: Duration,
+    read_error_statuses: bool,
 }
 
 impl Deliveries {
@@ -127,11 +135,15 @@
         engines: Option<Arc<dyn EngineCalls>>,
     ) -> (Deliveries, DeliveryPool) {
         let maximum_threads = limits.delivery_threads.max(1);
+        // Engines of an announced fleet state refusals by status.
+        let read_error_statuses = engines.is_some();
         let state = State {
             schedule: CallSchedule::new(maximum_threads, limits.delivery_queue),
             threads: 0,
             idle: 0,
             is_closed: false,
+            agent: agent(clock, limits.call_timeout, read_error_statuses),
+            generation: 0,
         };
         let shared = Arc::new(Shared {
             state: Mutex::new(state),
@@ -142,7 +154,6 @@
         });
         let pool = DeliveryPool {
             worker: DeliveryWorker {
-                agent: FencedCalls::new(clock, limits.call_timeout, engines.is_some()).agent(),
                 shared: shared.clone(),
                 inputs: inputs.clone(),
                 engines,
@@ -152,6 +163,7 @@
             shared,
             inputs,
             call_timeout: limits.call_timeout,
+            read_error_statuses,
         };
         (deliveries, pool)
     }
@@ -160,17 +172,18 @@
     /// deadline.
     pub(crate) fn submit(&self, delivery: Delivery) {
         let now = self.shared.clock.now();
-        let expires_at = match &delivery {
+        let deadline = match &delivery {
             Delivery::Instruct(_, deadline) => *deadline,
             _ => now + self.call_timeout,
         };
         let peer = delivery.peer().to_owned();
         let waiting = WaitingDelivery {
             since: now,
+            deadline,
             delivery,
         };
         let mut state = self.shared.lock();
-        if let Err(refused) = state.schedule.push(&peer, expires_at, waiting) {
+        if let Err(refused) = state.schedule.push(&peer, deadline, waiting) {
             drop(state);
             if let Some(input) = refused.delivery.not_sent(Duration::ZERO) {
                 self.inputs.send_unbounded(input);
@@ -185,8 +198,41 @@
     }
 }
 
+impl Deliveries {
+    /// Cancels waiting calls and aborts calls in flight, because this member stopped leading.
+    /// Nothing of them is delivered afterwards, except what a peer's kernel has received already.
+    pub(crate) fn cancel(&self) {
+        let now = self.shared.clock.now();
+        let next = agent(
+            self.shared.clock,
+            self.call_timeout,
+            self.read_error_statuses,
+        );
+        // A worker takes a call together with the agent under this lock, so that no call of the
+        // ended term is made with the next agent.
+        let mut state = self.shared.lock();
+        let ended = std::mem::replace(&mut state.agent, next);
+        state.generation += 1;
+        let cancelled = state.schedule.take_waiting();
+        let in_flight = state.schedule.in_progress();
+        drop(state);
+        ended.shutdown();
+        let waiting = cancelled.len();
+        if waiting + in_flight > 0 {
+            log::info!("event=calls_cancelled waiting={waiting} in_flight={in_flight}");
+        }
+        for waiting in cancelled {
+            let queue_time = now.since(waiting.since);
+            if let Some(input) = waiting.delivery.not_sent(queue_time) {
+                self.inputs.send_unbounded(input);
+            }
+        }
+    }
+}
+
 impl Drop for Deliveries {
     fn drop(&mut self) {
+        self.cancel();
         self.shared.lock().is_closed = true;
         self.shared.queued.notify_all();
         self.shared.thread_demand.notify_all();
@@ -219,9 +265,16 @@
     }
 }
 
-/// State shared by the threads of the pool, including the agent with its connections.
-struct DeliveryWorker {
+/// A call taken from the schedule.
+struct TakenCall {
+    peer: String,
+    waiting: WaitingDelivery,
     agent: ureq::Agent,
+    generation: u64,
+}
+
+/// State shared by the threads of the pool.
+struct DeliveryWorker {
     shared: Arc<Shared>,
     inputs: Inputs,
     engines: Option<Arc<dyn EngineCalls>>,
@@ -248,18 +301,32 @@
     /// Body of a thread. Catches panics, so that a malformed response cannot crash one leader after
     /// the other.
     fn run(&self) {
-        while let Some((peer, waiting)) = self.next() {
-            let outcome = catch_unwind(AssertUnwindSafe(|| self.execute(waiting)));
+        while let Some(taken) = self.next() {
+            let TakenCall {
+                peer,
+                waiting,
+                agent,
+                generation,
+            } = taken;
+            let outcome = catch_unwind(AssertUnwindSafe(|| {
+                send_before(waiting.deadline, || self.execute(&agent, waiting))
+            }));
             let outcome = outcome.unwrap_or_else(|_| {
                 log::error!("event=delivery_panicked");
                 CallOutcome::Responded
             });
-            self.shared.lock().schedule.finish(&peer, outcome);
+            let mut state = self.shared.lock();
+            // An aborted call does not show that the peer is unreachable.
+            let outcome = match state.generation == generation {
+                true => outcome,
+                false => CallOutcome::Responded,
+            };
+            state.schedule.finish(&peer, outcome);
         }
     }
 
     /// Returns the next call; `None` after the idle timeout or when the pool ends.
-    fn next(&self) -> Option<(String, WaitingDelivery)> {
+    fn next(&self) -> Option<TakenCall> {
         let mut state = self.shared.lock();
         let idle_until = self.shared.clock.now() + IDLE_TIMEOUT;
         loop {
@@ -275,11 +342,16 @@
                 state.threads -= 1;
                 return None;
             }
-            if let Some(next) = state.schedule.take() {
+            if let Some((peer, waiting)) = state.schedule.take() {
                 if state.schedule.has_ready() {
                     self.wake_another(&state);
                 }
-                return Some(next);
+                return Some(TakenCall {
+                    peer,
+                    waiting,
+                    agent: state.agent.clone(),
+                    generation: state.generation,
+                });
             }
             let until = state.schedule.next_expiry().unwrap_or(idle_until);
             let left = until.min(idle_until).since(now);
@@ -308,12 +380,12 @@
         }
     }
 
-    fn execute(&self, waiting: WaitingDelivery) -> CallOutcome {
+    fn execute(&self, agent: &ureq::Agent, waiting: WaitingDelivery) -> CallOutcome {
         let now = self.shared.clock.now();
         let queue_time = now.since(waiting.since);
         match waiting.delivery {
-            Delivery::Order(address, order) => self.deliver(&address, &order),
-            Delivery::ReadPlatform(address) => self.read_platform(&address),
+            Delivery::Order(address, order) => self.deliver(agent, &address, &order),
+            Delivery::ReadPlatform(address) => self.read_platform(agent, &address),
             Delivery::Instruct(instruction, deadline) => {
                 let within = deadline.since(now);
                 if within < MINIMUM_SEND_TIME {
@@ -326,12 +398,12 @@
                     &instruction.instance,
                     instruction.call,
                     queue_time,
-                    |engines| engines.instruct(&self.agent, &instruction, within),
+                    |engines| engines.instruct(agent, &instruction, within),
                 )
             }
             Delivery::ReadEngine(read) => {
                 self.call_engine(&read.instance, read.call, queue_time, |engines| {
-                    engines.read(&self.agent, &read.instance, &read.address)
+                    engines.read(agent, &read.instance, &read.address)
                 })
             }
         }
@@ -363,8 +435,8 @@
         outcome
     }
 
-    fn deliver(&self, address: &str, order: &EngineOrder) -> CallOutcome {
-        let response = match self.post(address, order) {
+    fn deliver(&self, agent: &ureq::Agent, address: &str, order: &EngineOrder) -> CallOutcome {
+        let response = match post(agent, address, order) {
             Ok(response) => Some(response),
             Err(error) => {
                 let (backend, fence) = (&order.backend, order.fence);
@@ -385,15 +457,9 @@
         outcome
     }
 
-    fn post(&self, address: &str, order: &EngineOrder) -> Result<OrderResponse, ureq::Error> {
-        let url = format!("http://{address}/engine/orders");
-        let mut response = self.agent.post(url).send_json(order)?;
-        response.body_mut().read_json()
-    }
-
     /// Reads the platform's list; a failed read is retried at the next interval.
-    fn read_platform(&self, address: &str) -> CallOutcome {
-        let read = self.get_machines(address);
+    fn read_platform(&self, agent: &ureq::Agent, address: &str) -> CallOutcome {
+        let read = get_machines(agent, address);
         let outcome = outcome(read.is_ok());
         match read {
             Ok(list) => {
@@ -406,11 +472,21 @@
         }
         outcome
     }
+}
 
-    fn get_machines(&self, address: &str) -> Result<PlatformList, ureq::Error> {
-        let url = format!("http://{address}/machines");
-        self.agent.get(url).call()?.body_mut().read_json()
-    }
+fn post(
+    agent: &ureq::Agent,
+    address: &str,
+    order: &EngineOrder,
+) -> Result<OrderResponse, ureq::Error> {
+    let url = format!("http://{address}/engine/orders");
+    let mut response = agent.post(url).send_json(order)?;
+    response.body_mut().read_json()
+}
+
+fn get_machines(agent: &ureq::Agent, address: &str) -> Result<PlatformList, ureq::Error> {
+    let url = format!("http://{address}/machines");
+    agent.get(url).call()?.body_mut().read_json()
 }
 
 fn outcome(responded: bool) -> CallOutcome {
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -54,6 +54,8 @@
     /// Last published freshness state.
     pub(crate) published: Option<FreshnessState>,
     pub(crate) deliveries: Deliveries,
+    /// Whether this member was leading after the last step.
+    pub(crate) was_leading: bool,
     pub(crate) platform: Option<String>,
     pub(crate) calls: Arc<CallTable>,
     pub(crate) metrics: Arc<Metrics>,
@@ -170,6 +172,7 @@
         self.metrics.steps.inc();
         let now = self.clock.now();
         let outputs = self.core.step(now, unix_millis(), input);
+        self.cancel_calls_of_ended_term(now);
         self.publish(now);
         let mut stopped = false;
         for output in outputs {
@@ -187,6 +190,15 @@
         stopped
     }
 
+    /// Cancels calls once this member has stopped leading or its lease has expired. A member that
+    /// leads a later term has not been leading for at least one step in between.
+    fn cancel_calls_of_ended_term(&mut self, now: Timestamp) {
+        let is_leading = self.core.is_leading(now);
+        if std::mem::replace(&mut self.was_leading, is_leading) && !is_leading {
+            self.deliveries.cancel();
+        }
+    }
+
     /// Publishes the freshness state for queries of gateways.
     fn publish(&mut self, now: Timestamp) {
         let Some(port) = &self.freshness else {
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -202,6 +202,7 @@
         freshness,
         published: None,
         deliveries,
+        was_leading: false,
         platform: settings.platform_address.clone(),
         calls,
         metrics,
--- a/crates/millpass-control/tests/call_schedule.rs
+++ b/crates/millpass-control/tests/call_schedule.rs
@@ -202,3 +202,26 @@
     );
     schedule.finish(&second, CallOutcome::Unreachable);
 }
+
+/// After a term, no waiting call may be made, and the schedule must go on to serve the next term.
+#[test]
+fn waiting_calls_are_taken_at_once_and_calls_in_progress_remain() {
+    let mut schedule = CallSchedule::new(4, 8);
+    for (peer, call) in [("a", 1), ("a", 2), ("b", 3)] {
+        schedule
+            .push(peer, Timestamp::from_millis(10), call)
+            .expect("room");
+    }
+    assert_eq!(schedule.take(), Some(("a".to_owned(), 1)));
+    assert_eq!(schedule.take_waiting(), [2, 3]);
+    assert_eq!(schedule.in_progress(), 1);
+    assert!(!schedule.has_ready());
+    assert_eq!(schedule.take(), None);
+
+    schedule
+        .push("a", Timestamp::from_millis(10), 4)
+        .expect("room");
+    assert_eq!(schedule.take(), None, "one call at a time to a peer");
+    schedule.finish("a", CallOutcome::Responded);
+    assert_eq!(schedule.take(), Some(("a".to_owned(), 4)));
+}
