Learn the speed of engines from their responses and use it for selection

Cause: selection uses one prefill rate and constants for all engines, while engines of a service differ in speed by up to 2.7 times.

Ruled out: learning at each gateway alone (at 61 gateways it sees one in sixty of an engine's responses); factors as a complete list in each update (83 KB with 3,300 engines of unequal speed).

Change: a gateway compares the time to the first byte of each successful response with that of the same work under the constants and reports the ratio; the leader merges the ratios over gateways and returns a factor relative to the service's median for engines that differ by more than a tenth and twice the standard error. Selection multiplies the work and the fill of an engine by its factor.

--- a/crates/millpass-control-plane/src/freshness.rs
+++ b/crates/millpass-control-plane/src/freshness.rs
@@ -134,6 +134,7 @@
             ready_estimates_unchanged: false,
             loads_unchanged: false,
             document_version: document.version,
+            paces: Vec::new(),
         };
         let pairs = vec![
             ("gateway", report.gateway.clone()),
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -390,6 +390,7 @@
         in_flight: Vec::new(),
         as_of: 0,
         known_instance_digests: Vec::new(),
+        paces: Vec::new(),
     };
     world.router_sends(connection, RouterToControl::Gateway(report));
     world.run(std::time::Duration::from_millis(100));
--- a/crates/millpass-control-plane/tests/harness/announced.rs
+++ b/crates/millpass-control-plane/tests/harness/announced.rs
@@ -34,6 +34,7 @@
         in_flight: Vec::new(),
         as_of,
         known_instance_digests: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/millpass-control/tests/slow_gateway.rs
+++ b/crates/millpass-control/tests/slow_gateway.rs
@@ -74,6 +74,7 @@
         in_flight: Vec::new(),
         as_of: 0,
         known_instance_digests: Vec::new(),
+        paces: Vec::new(),
     };
     let message = LinkMessage::Router(RouterToControl::Gateway(report));
     write_frame(stream, &message).expect("report");
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -4,6 +4,7 @@
 use crate::demand::DemandCounters;
 use crate::freshness::{Freshness, FreshnessSettings, FreshnessTracker};
 use crate::instances::{Instance, ReportedLoad, SendOutcome};
+use crate::pace::PaceTable;
 use crate::request::{RequestDescription, SendRecord, Ticket};
 use crate::retry_budget::RetryBudget;
 use crate::statements::Statements;
@@ -137,6 +138,7 @@
     pub(crate) crashes: CrashTracker,
     pub(crate) statements: Statements,
     pub(crate) permits: PermitPool,
+    pub(crate) pace: PaceTable,
     /// When this gateway stops; none unless it is shutting down.
     pub(crate) stops_at: Option<Timestamp>,
 }
@@ -164,6 +166,7 @@
             term: 0,
             gateways: 0,
             reports: 0,
+            pace: PaceTable::default(),
             stops_at: None,
         }
     }
@@ -254,6 +257,7 @@
         let service = pick_target(&route, self.next_position(&route, draw));
         let timeout = description.timeout.unwrap_or(self.settings.default_timeout);
         let deadline = now + timeout;
+        let explores = self.pace.explores(&service, &route);
         let route_timeout = Duration::from_millis(route.timeout_millis);
         let ticket = Ticket {
             expires_at: deadline.min(now + route_timeout),
@@ -267,6 +271,8 @@
             tenant,
             rank,
             sent_at: None,
+            explores,
+            typical_millis: 0.0,
             permit_requested: None,
             unconfirmed_since: None,
             description,
@@ -400,6 +406,7 @@
         if let Some(found) = self.instances.get_mut(instance) {
             found.record_load(now, load);
         }
+        self.record_machine_time(now, instance, load.machine_time);
     }
 
     /// Returns true if a report should be sent at once.
@@ -425,6 +432,7 @@
             in_flight: self.in_flight_by_instance(),
             as_of: self.freshness.applied_index(),
             known_instance_digests: self.instance_digests_to_report(),
+            paces: self.pace_samples(),
         };
         self.freshness.record_report(now, &report);
         report
--- a/crates/millpass-dispatch/src/instances.rs
+++ b/crates/millpass-dispatch/src/instances.rs
@@ -1,6 +1,8 @@
 //! The gateway's view of one instance: its announced state, and this gateway's sends to it.
 
+use crate::pace::EngineSpeed;
 use crate::prompts::PromptIndex;
+use crate::statements::Stated;
 use millpass_proto::{AdapterName, Duration, InstanceRecord, ModelName, Timestamp};
 
 /// Ejection time after the first failed connection; doubles with each further one.
@@ -48,6 +50,8 @@
     pub running: u32,
     /// Requests queued.
     pub waiting: u32,
+    /// Time that work currently takes on its machine, in hundredths of the usual time.
+    pub machine_time: Stated<u32>,
 }
 
 pub(crate) struct Instance {
@@ -69,6 +73,7 @@
     /// When the prompts sent by this gateway will have been read.
     pub(crate) prefill_until: Timestamp,
     pub(crate) prompts: PromptIndex,
+    pub(crate) speed: EngineSpeed,
     /// Models and adapters that it rejected as not loaded, and until when they are not requested
     /// again.
     misdirected: Vec<(ModelName, Option<AdapterName>, Timestamp)>,
@@ -94,6 +99,7 @@
             peer_in_flight_at: Timestamp::ZERO,
             prefill_until: Timestamp::ZERO,
             prompts: PromptIndex::default(),
+            speed: EngineSpeed::default(),
             misdirected: Vec::new(),
             ejected_until: Timestamp::ZERO,
             ejection_time: MIN_EJECTION_TIME,
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! | `fingerprint` | fingerprint shared by all attempts of a request |
 //! | `table` | routes by host and longest prefix, tenants by key |
 //! | `instances` | the gateway's view of instances: announced state, sends, failures |
+//! | `pace` | relative speed of engines, and the expected time to the first byte |
 //! | `prompts` | prompt prefixes that an instance has recently read |
 //! | `statements` | backoffs and departures stated in responses |
 //! | `limits` | limits stated in responses, and permits |
@@ -28,6 +29,7 @@
 mod freshness;
 mod instances;
 mod limits;
+mod pace;
 mod prompts;
 mod request;
 mod retry_budget;
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -79,6 +79,11 @@
     pub rank: u32,
     /// When it was last sent.
     pub sent_at: Option<Timestamp>,
+    /// Whether instances believed to be slow are selected as if they were typical.
+    pub(crate) explores: bool,
+    /// Time to the first byte of its last send at a typical engine, in milliseconds; 0 if not
+    /// sent to an engine.
+    pub(crate) typical_millis: f64,
     /// Instance for which it last requested a permit, and when.
     pub(crate) permit_requested: Option<(InstanceId, Timestamp)>,
     /// Since when it has been waiting for a freshness confirmation.
@@ -98,6 +103,8 @@
     pub adapter: Option<AdapterName>,
     /// Fingerprint shared by all attempts.
     pub fingerprint: RequestFingerprint,
+    /// Time to the first byte at a typical engine, in milliseconds; 0 if not sent to an engine.
+    pub(crate) typical_millis: f64,
 }
 
 impl Ticket {
@@ -109,6 +116,7 @@
             model: self.description.model.clone(),
             adapter: self.description.adapter.clone(),
             fingerprint: self.description.fingerprint.clone(),
+            typical_millis: self.typical_millis,
         }
     }
 
--- a/crates/millpass-dispatch/src/selection.rs
+++ b/crates/millpass-dispatch/src/selection.rs
@@ -37,7 +37,7 @@
 /// Cost of each request queued at an engine until its prompt is read.
 const QUEUED_REQUEST_COST_MS: f64 = 60.0;
 /// Cost of each request at an engine.
-const ENGINE_REQUEST_COST_MS: f64 = 3.0;
+pub(crate) const ENGINE_REQUEST_COST_MS: f64 = 3.0;
 /// Weight of rendezvous ranks for prompt parts that no known instance has read. At 0 each part
 /// would spread over all replicas; at 1 the ranks would outweigh known prefixes.
 const RENDEZVOUS_WEIGHT: f64 = 0.5;
@@ -82,7 +82,7 @@
                 let has_capacity = load < f64::from(found.record.slots.max(1));
                 let cost = match isolate {
                     true => isolation_cost(&ticket.description.fingerprint, instance),
-                    false => self.cost(now, found, engine, &prefixes),
+                    false => self.cost(now, ticket, found, engine, &prefixes),
                 };
                 let limited = self.permits.rate(instance).is_some();
                 Some((has_capacity, limited, cost, instance))
@@ -171,32 +171,38 @@
         record.draining || self.statements.is_leaving(&record.instance)
     }
 
-    /// Estimates the time to the first byte in milliseconds, with penalties for risks.
+    /// Estimates the time to the first byte in milliseconds, with penalties for risks. Work at a
+    /// slow engine counts for more, and its slots count as fuller.
     fn cost(
         &self,
         now: Timestamp,
+        ticket: &Ticket,
         instance: &Instance,
         engine: bool,
         prefixes: &[PromptPrefix],
     ) -> f64 {
         let load = instance.load(now);
-        let fill = load / f64::from(instance.record.slots.max(1));
+        let pace = match (instance.speed.factor(now), ticket.explores) {
+            (factor, true) => factor.min(1.0),
+            (factor, false) => factor,
+        };
+        let fill = pace * load / f64::from(instance.record.slots.max(1));
         let mut cost = FULL_COST_MS * fill * fill + FAILURE_COST_MS * instance.failures(now);
         if instance.record.zone != self.settings.zone {
             cost += CROSS_ZONE_COST_MS;
         }
         if !engine {
             let work = instance.response_millis.max(1.0);
-            return cost + work * (1.0 + load);
+            return cost + work * pace * (1.0 + load);
         }
         let (known, unknown) = instance.prompts.split(prefixes);
         let unread = f64::from(total_tokens(unknown)) - rendezvous_tokens(instance, known, unknown);
         let reading = instance.prefill_until.since(now).as_secs_f64() * 1_000.0;
-        let queued = instance.queued(now) * QUEUED_REQUEST_COST_MS;
+        let queued = instance.queued(now) * QUEUED_REQUEST_COST_MS * pace;
         let reading = reading.max(queued);
         cost + reading
-            + unread / self.settings.prompt_tokens_per_milli
-            + load * ENGINE_REQUEST_COST_MS
+            + unread / self.settings.prompt_tokens_per_milli * pace
+            + load * ENGINE_REQUEST_COST_MS * pace
     }
 
     fn begin_send(
@@ -210,9 +216,17 @@
         let key = self.demand_key(ticket);
         let mut address = String::new();
         let mut unread = 0;
+        ticket.typical_millis = 0.0;
+        if let Some(found) = self.instances.get(instance)
+            && self.is_engine(&ticket.service)
+        {
+            let unread = total_tokens(found.prompts.split(prefixes).1);
+            ticket.typical_millis = self.typical_first_byte(now, ticket, found, unread);
+        }
         if let Some(found) = self.instances.get_mut(instance) {
             unread = total_tokens(found.prompts.split(prefixes).1);
-            let reading_time = Duration::from_secs_f64(f64::from(unread) / rate / 1_000.0);
+            let reading_millis = f64::from(unread) / rate * found.speed.factor(now);
+            let reading_time = Duration::from_secs_f64(reading_millis / 1_000.0);
             found.prefill_until = found.prefill_until.max(now) + reading_time;
             found.prompts.record(now, prefixes);
             found.in_flight += 1;
--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -102,6 +102,11 @@
                 instance.record_fleet_in_flight(now, load.in_flight);
             }
         }
+        for pace in &update.paces {
+            if let Some(instance) = self.instances.get_mut(&pace.instance) {
+                instance.speed.apply(now, pace);
+            }
+        }
         if !update.ready_estimates_unchanged {
             let ready = |estimate: &ModelReadyEstimate| {
                 now + Duration::from_millis(estimate.ready_in_millis)
@@ -169,6 +174,7 @@
         let names: BTreeSet<&str> = routes.map(|route| route.name.as_str()).collect();
         self.split_positions
             .retain(|route, _| names.contains(route.as_str()));
+        self.pace.apply_document(&document);
         self.table = Some(Arc::new(RoutingTable::new(document)));
         Some(version)
     }
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -102,6 +102,7 @@
         ready_estimates_unchanged: false,
         loads_unchanged: false,
         document_version: 0,
+        paces: Vec::new(),
     };
     dispatcher.update(at(0), update);
     dispatcher
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -137,6 +137,7 @@
         ready_estimates_unchanged: false,
         loads_unchanged: false,
         document_version: 0,
+        paces: Vec::new(),
     }
 }
 
@@ -795,6 +796,7 @@
     let same = GatewayUpdate {
         loads_unchanged: true,
         document_version: 0,
+        paces: Vec::new(),
         ..update(1, None, Vec::new())
     };
     dispatcher.update(at(20_000), same);
--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -75,6 +75,7 @@
         ready_estimates_unchanged: false,
         loads_unchanged: false,
         document_version: 0,
+        paces: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -110,6 +110,7 @@
         in_flight: Vec::new(),
         as_of: 0,
         known_instance_digests: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -11,6 +11,7 @@
 use crate::interface::{FleetEvent, FleetOutput, FleetSettings};
 use crate::local_share::LocalShare;
 use crate::observed_state::{self, Evidence};
+use crate::pace::{PaceChange, Paces};
 use crate::pending::PendingInstruction;
 use crate::permits::StorePermits;
 use crate::planner::{self, ServiceView, Step};
@@ -56,6 +57,7 @@
     pub(crate) rollout: Rollout,
     pub(crate) demand: Demand,
     pub(crate) traffic: Traffic,
+    pub(crate) pace: Paces,
     pub(crate) engines: Engines,
     pub(crate) crashes: CrashTracker,
     pub(crate) limits: PermitLedger,
@@ -111,6 +113,7 @@
             rollout: Rollout::default(),
             demand: Demand::default(),
             traffic: Traffic::default(),
+            pace: Paces::default(),
             engines: Engines::default(),
             crashes: CrashTracker::default(),
             limits: PermitLedger::default(),
@@ -253,6 +256,8 @@
             .record_report(now, &report.gateway, &report.demand);
         self.traffic
             .record_report(&report.gateway, &report.in_flight);
+        let changes = self.pace.record_report(now, &report.paces, &self.registry);
+        self.log_pace_changes(changes);
         self.dirty |= report
             .demand
             .iter()
@@ -267,6 +272,37 @@
         }
     }
 
+    /// Returns the time of an engine relative to its service's median: 1.0 if nothing else is
+    /// known, 2.0 if it takes twice as long. Short effects of other work on its machine are not
+    /// included.
+    pub fn engine_pace(&self, instance: &InstanceId) -> f64 {
+        self.pace.factor(instance)
+    }
+
+    /// Returns the slowest factor and the number of engines whose factor is not 1.
+    pub fn pace_summary(&self) -> (f64, usize) {
+        self.pace.summary()
+    }
+
+    pub(crate) fn log_pace_changes(&mut self, changes: Vec<PaceChange>) {
+        for change in changes {
+            let (name, instance, value) = match change {
+                PaceChange::Slow(instance, factor) => {
+                    ("engine-slow", instance, ("factor", format!("{factor:.2}")))
+                }
+                PaceChange::Recovered(instance, factor) => {
+                    let factor = format!("{factor:.2}");
+                    ("engine-speed-recovered", instance, ("factor", factor))
+                }
+                PaceChange::Stuck(instance, hundredths) => {
+                    let hundredths = hundredths.to_string();
+                    ("machine-time-stuck", instance, ("hundredths", hundredths))
+                }
+            };
+            self.event(name, vec![("instance", instance.0), value]);
+        }
+    }
+
     /// Records whether updates are queued at a gateway's connection because its socket does not
     /// accept them. While they are, no further updates are sent.
     pub fn set_backlogged(&mut self, now: Timestamp, connection: u64, is_backlogged: bool) {
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -58,6 +58,8 @@
     /// Revision of the ready times sent.
     pub(crate) sent_ready_times: u64,
     pub(crate) sent_loads: u64,
+    /// Revision of the engine speeds sent.
+    pub(crate) sent_paces: u64,
     /// Whether a report awaits its response.
     pub(crate) response_pending: bool,
     /// Revision of the quarantined requests sent.
@@ -198,6 +200,7 @@
             sent_estimates: 0,
             sent_ready_times: 0,
             sent_loads: 0,
+            sent_paces: 0,
             response_pending: true,
             crashes: SentRevision::default(),
             // There is nothing to send before the first limit.
--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -214,6 +214,7 @@
         self.engines.engines.remove(instance);
         self.shares.remove(instance);
         self.idle_since.remove(instance);
+        self.pace.remove(instance);
         let was_standby = self.standby.remove(instance).is_some();
         let was_active = self.registry.remove(instance);
         self.dirty |= was_active;
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `activation` | selection of active instances |
 //! | `gateways` | sessions of connected gateways |
 //! | `demand` | demand for models and adapters |
+//! | `pace` | relative speed of engines |
 //! | `traffic` | requests in flight at each instance |
 //! | `observed_state` | recorded engine state as log fields |
 //! | `engines` | calls to engines and their recorded state |
@@ -51,6 +52,7 @@
 mod limits;
 mod local_share;
 mod observed_state;
+mod pace;
 mod pending;
 mod permits;
 mod planner;
--- /dev/null
+++ b/crates/millpass-fleet/src/pace.rs
@@ -0,0 +1,395 @@
+//! Relative speed of engines, merged over the reports of all gateways.
+//!
+//! Handles engines of unequal speed, and engines slowed by other work on their machine. A gateway
+//! sees one in sixty of an engine's responses at 61 gateways, too few to learn from; together they
+//! report several a second. Each engine's responses give a mean logarithm of the time relative to
+//! that of typical work; its factor is the difference to the service's median. An engine is not
+//! distinguished from the median until the difference exceeds a tenth and twice its standard error,
+//! so that equal engines are treated as equal.
+
+use crate::registry::Registry;
+use millpass_proto::{Duration, EnginePace, EnginePaceSample, InstanceId, ServiceName, Timestamp};
+use std::collections::BTreeMap;
+
+/// Decay time of the weight of responses. Long enough for a standard error of a tenth at three
+/// responses a second.
+const SAMPLE_DECAY_SECONDS: f64 = 20.0;
+/// Weight of responses from which an engine's speed counts as known.
+const MIN_SAMPLES: f64 = 5.0;
+/// Responses of a typical engine that each engine is assumed to have given: pulls an engine with
+/// few responses towards the median.
+const PRIOR_SAMPLES: f64 = 2.0;
+/// Bounds of the deviation of one report, as logarithms. Long times count for less, as they are
+/// often queueing rather than speed.
+const DEVIATION_BOUNDS: (f64, f64) = (-0.8, 0.5);
+/// Variance of the logarithms assumed before it is known, as that of a single response.
+const PRIOR_VARIANCE: f64 = 0.25;
+/// Difference from 1 above which a factor is published, and below which it is withdrawn.
+const PUBLISH_DIFFERENCE: f64 = 0.1;
+const WITHDRAW_DIFFERENCE: f64 = 0.07;
+/// Relative change of a published factor from which it is published again.
+const REPUBLISH_CHANGE: f64 = 0.1;
+/// Interval at which an unchanged factor is confirmed to gateways, which let it decay otherwise.
+const CONFIRM_INTERVAL: Duration = Duration::from_secs(5);
+/// Confirmations a second. Bounds the bytes of updates with thousands of engines of unequal speed.
+const MAX_CONFIRMATIONS_PER_SECOND: u32 = 50;
+/// Minimum interval between computations of medians and factors.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum interval between comparisons of machine times.
+const MACHINE_INTERVAL: Duration = Duration::from_millis(50);
+/// Factors in one update. The rest follow in the next.
+const MAX_PACES_PER_UPDATE: usize = 128;
+/// Decay time of a stated machine time, as at gateways.
+const MACHINE_DECAY_SECONDS: f64 = 0.4;
+/// Relative change of the machine time from which it is published.
+const MACHINE_CHANGE: f64 = 0.25;
+/// Most engines for which machine times are published. With more, their changes would exceed the
+/// bytes that a gateway may receive.
+const MAX_MACHINE_ENGINES: usize = 256;
+/// Reports in a row with the same machine time, other than the usual one, after which it counts as
+/// stuck, and the least time that they span. It normally changes many times a second.
+const STUCK_REPORTS: u32 = 12;
+const STUCK_TIME: Duration = Duration::from_secs(4);
+/// Range of valid times in hundredths.
+const VALID_HUNDREDTHS: std::ops::RangeInclusive<u32> = 1..=10_000;
+/// Bounds of a factor, as at gateways.
+const FACTOR_BOUNDS: (f64, f64) = (0.25, 10.0);
+/// Factor from which an engine is logged as slow, and below which as no longer slow.
+const SLOW_FACTOR: f64 = 1.5;
+const RECOVERED_FACTOR: f64 = 1.25;
+
+/// A change to be logged.
+#[derive(Debug, PartialEq)]
+pub(crate) enum PaceChange {
+    /// An engine takes this many times as long as the median.
+    Slow(InstanceId, f64),
+    /// An engine is no longer slow.
+    Recovered(InstanceId, f64),
+    /// An engine keeps stating the same machine time, which is ignored from now on.
+    Stuck(InstanceId, u32),
+}
+
+/// Stated machine times of one engine.
+#[derive(Debug, Default)]
+struct MachineTime {
+    /// Last stated time relative to the usual one; 0 if none was.
+    last: f64,
+    last_at: Timestamp,
+    /// Published time; 0 if none was.
+    published: f64,
+    published_at: Timestamp,
+    hundredths: u32,
+    /// Reports in a row with that time.
+    repeats: u32,
+    repeated_since: Timestamp,
+}
+
+impl MachineTime {
+    /// Records a stated time. Returns true if it has become stuck.
+    fn record(&mut self, now: Timestamp, hundredths: u32) -> bool {
+        if hundredths != self.hundredths {
+            self.hundredths = hundredths;
+            self.repeats = 0;
+            self.repeated_since = now;
+        }
+        let was_stuck = self.is_stuck(now);
+        self.repeats = self.repeats.saturating_add(1);
+        let is_stuck = self.is_stuck(now);
+        if !is_stuck {
+            let time = f64::from(hundredths) / 100.0;
+            self.last = time.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
+            self.last_at = now;
+        }
+        is_stuck && !was_stuck
+    }
+
+    fn is_stuck(&self, now: Timestamp) -> bool {
+        self.hundredths != 100
+            && self.repeats >= STUCK_REPORTS
+            && now.since(self.repeated_since) >= STUCK_TIME
+    }
+
+    /// Returns whether the time differs from what gateways assume.
+    fn is_changed(&self, now: Timestamp) -> bool {
+        let last = decayed_machine(now, self.last, self.last_at);
+        let published = decayed_machine(now, self.published, self.published_at);
+        (last / published - 1.0).abs() > MACHINE_CHANGE
+    }
+}
+
+fn decayed_machine(now: Timestamp, time: f64, at: Timestamp) -> f64 {
+    if time == 0.0 {
+        return 1.0;
+    }
+    let age = now.since(at).as_secs_f64();
+    1.0 + (time - 1.0) * (-age / MACHINE_DECAY_SECONDS).exp()
+}
+
+/// What is known of one engine.
+#[derive(Debug)]
+struct EngineEntry {
+    service: ServiceName,
+    /// Mean logarithm of the time relative to typical work, and the variance of one response.
+    mean: f64,
+    variance: f64,
+    /// Number of responses behind the mean, decayed since `at`.
+    weight: f64,
+    at: Timestamp,
+    machine: MachineTime,
+    published: f64,
+    published_at: Timestamp,
+    /// Revision at which it was last published; 0 for never.
+    revision: u64,
+    logged_slow: bool,
+}
+
+impl EngineEntry {
+    fn new(service: ServiceName) -> Self {
+        EngineEntry {
+            service,
+            mean: 0.0,
+            variance: PRIOR_VARIANCE,
+            weight: 0.0,
+            at: Timestamp::ZERO,
+            machine: MachineTime::default(),
+            published: 1.0,
+            published_at: Timestamp::ZERO,
+            revision: 0,
+            logged_slow: false,
+        }
+    }
+
+    fn weight(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.weight * (-age / SAMPLE_DECAY_SECONDS).exp()
+    }
+
+    fn record(&mut self, now: Timestamp, samples: f64, log_ratio: f64) {
+        let weight = self.weight(now);
+        let mut deviation = log_ratio - self.mean;
+        if weight >= MIN_SAMPLES {
+            deviation = deviation.clamp(DEVIATION_BOUNDS.0, DEVIATION_BOUNDS.1);
+        }
+        let share = samples / (weight + samples);
+        self.mean += deviation * share;
+        if weight >= 1.0 {
+            let observed = deviation * deviation * samples;
+            let share = 1.0 / (weight + PRIOR_SAMPLES);
+            self.variance += (observed - self.variance) * share.min(0.5);
+        }
+        self.weight = weight + samples;
+        self.at = now;
+    }
+
+    /// Returns the factor to publish, given the mean of the service's median engine.
+    fn target(&self, now: Timestamp, median: f64) -> f64 {
+        let weight = self.weight(now);
+        let known = weight / (weight + PRIOR_SAMPLES);
+        let difference = (self.mean - median) * known;
+        let standard_error = (self.variance / weight.max(1.0)).sqrt();
+        let factor = difference.exp().clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
+        let is_published = self.published != 1.0;
+        let threshold = match is_published {
+            true => WITHDRAW_DIFFERENCE,
+            false => PUBLISH_DIFFERENCE.max(2.0 * standard_error),
+        };
+        if (!is_published && weight < MIN_SAMPLES) || (factor - 1.0).abs() <= threshold {
+            return 1.0;
+        }
+        (factor * 100.0).round() / 100.0
+    }
+}
+
+/// Speeds of the engines that gateways report.
+#[derive(Debug, Default)]
+pub(crate) struct Paces {
+    engines: BTreeMap<InstanceId, EngineEntry>,
+    /// Published engines by revision.
+    by_revision: BTreeMap<u64, InstanceId>,
+    revision: u64,
+    medians: BTreeMap<ServiceName, f64>,
+    next_refresh: Timestamp,
+    next_machine_refresh: Timestamp,
+}
+
+impl Paces {
+    /// Returns the time of an engine relative to its service's median, apart from the effect of
+    /// other work on its machine.
+    pub(crate) fn factor(&self, instance: &InstanceId) -> f64 {
+        let entry = self.engines.get(instance);
+        entry.map_or(1.0, |entry| entry.published)
+    }
+
+    /// Returns the slowest factor and the number of engines whose factor is not 1.
+    pub(crate) fn summary(&self) -> (f64, usize) {
+        let factors = self.engines.values().map(|entry| entry.published);
+        let known = factors.filter(|factor| *factor != 1.0);
+        known.fold((1.0, 0), |(slowest, count), factor| {
+            (factor.max(slowest), count + 1)
+        })
+    }
+
+    /// Applies a gateway's report. Unknown instances and values out of range are ignored.
+    pub(crate) fn record_report(
+        &mut self,
+        now: Timestamp,
+        samples: &[EnginePaceSample],
+        registry: &Registry,
+    ) -> Vec<PaceChange> {
+        let mut changes = Vec::new();
+        for sample in samples {
+            let Some(record) = registry.get(&sample.instance) else {
+                continue;
+            };
+            let entry = self
+                .engines
+                .entry(sample.instance.clone())
+                .or_insert_with(|| EngineEntry::new(record.service.clone()));
+            let mut machine = 1.0;
+            if VALID_HUNDREDTHS.contains(&sample.machine_time) {
+                let hundredths = sample.machine_time;
+                if entry.machine.record(now, hundredths) {
+                    changes.push(PaceChange::Stuck(sample.instance.clone(), hundredths));
+                }
+                if !entry.machine.is_stuck(now) {
+                    machine = f64::from(hundredths) / 100.0;
+                }
+            }
+            if sample.samples > 0 && VALID_HUNDREDTHS.contains(&sample.relative_time) {
+                let ratio = f64::from(sample.relative_time) / 100.0 / machine;
+                entry.record(now, f64::from(sample.samples.min(64)), ratio.ln());
+            }
+        }
+        changes
+    }
+
+    /// Forgets an engine.
+    pub(crate) fn remove(&mut self, instance: &InstanceId) {
+        if let Some(entry) = self.engines.remove(instance) {
+            self.by_revision.remove(&entry.revision);
+        }
+    }
+
+    /// Computes and publishes changed factors, if due.
+    pub(crate) fn refresh(&mut self, now: Timestamp, registry: &Registry) -> Vec<PaceChange> {
+        let is_due = now >= self.next_refresh;
+        if !is_due && now < self.next_machine_refresh {
+            return Vec::new();
+        }
+        self.next_machine_refresh = now + MACHINE_INTERVAL;
+        let publishes_machines = self.engines.len() <= MAX_MACHINE_ENGINES;
+        if is_due {
+            self.next_refresh = now + REFRESH_INTERVAL;
+            let is_gone = |instance: &&InstanceId| registry.get(instance).is_none();
+            let gone: Vec<InstanceId> = self.engines.keys().filter(is_gone).cloned().collect();
+            for instance in gone {
+                self.remove(&instance);
+            }
+            self.refresh_medians(now);
+        }
+        if !is_due && !publishes_machines {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        let mut confirmations =
+            (REFRESH_INTERVAL * MAX_CONFIRMATIONS_PER_SECOND).as_secs_f64() as u32;
+        for (instance, entry) in &mut self.engines {
+            let mut is_changed = publishes_machines && entry.machine.is_changed(now);
+            if is_due {
+                let median = self.medians.get(&entry.service).copied();
+                let target = median.map_or(1.0, |median| entry.target(now, median));
+                let withdrawn = (target == 1.0) != (entry.published == 1.0);
+                if withdrawn || (target / entry.published - 1.0).abs() > REPUBLISH_CHANGE {
+                    entry.published = target;
+                    is_changed = true;
+                } else if entry.published != 1.0
+                    && confirmations > 0
+                    && now.since(entry.published_at) >= CONFIRM_INTERVAL
+                {
+                    confirmations -= 1;
+                    is_changed = true;
+                }
+                changes.extend(entry.slowness_change(instance));
+            }
+            if !is_changed {
+                continue;
+            }
+            self.by_revision.remove(&entry.revision);
+            self.revision += 1;
+            entry.revision = self.revision;
+            entry.published_at = now;
+            if publishes_machines {
+                entry.machine.published = entry.machine.last;
+                entry.machine.published_at = entry.machine.last_at;
+            }
+            self.by_revision.insert(entry.revision, instance.clone());
+        }
+        changes
+    }
+
+    /// Computes the median of each service of which at least two engines are known.
+    fn refresh_medians(&mut self, now: Timestamp) {
+        let mut means: BTreeMap<&ServiceName, Vec<f64>> = BTreeMap::new();
+        for entry in self.engines.values() {
+            if entry.weight(now) >= MIN_SAMPLES {
+                means.entry(&entry.service).or_default().push(entry.mean);
+            }
+        }
+        let medians = means.into_iter().filter(|(_, means)| means.len() >= 2);
+        self.medians = medians
+            .map(|(service, mut means)| {
+                means.sort_unstable_by(f64::total_cmp);
+                let middle = means.len() / 2;
+                let median = match means.len() % 2 {
+                    0 => (means[middle - 1] + means[middle]) / 2.0,
+                    _ => means[middle],
+                };
+                (service.clone(), median)
+            })
+            .collect();
+    }
+
+    /// Returns what was published after a revision, and the revision up to which it is complete.
+    pub(crate) fn published_since(&self, now: Timestamp, revision: u64) -> (Vec<EnginePace>, u64) {
+        let newer = self.by_revision.range(revision + 1..);
+        let mut sent = self.revision;
+        let mut paces = Vec::new();
+        for (published, instance) in newer {
+            if paces.len() == MAX_PACES_PER_UPDATE {
+                break;
+            }
+            sent = *published;
+            let Some(entry) = self.engines.get(instance) else {
+                continue;
+            };
+            let machine = &entry.machine;
+            let time = decayed_machine(now, machine.published, machine.published_at);
+            let is_recent = machine.published != 0.0
+                && now.since(machine.published_at).as_secs_f64() < 4.0 * MACHINE_DECAY_SECONDS;
+            paces.push(EnginePace {
+                instance: instance.clone(),
+                relative_time: (entry.published * 100.0).round() as u32,
+                machine_time: match is_recent {
+                    true => (time * 100.0).round() as u32,
+                    false => 0,
+                },
+            });
+        }
+        (paces, sent)
+    }
+}
+
+impl EngineEntry {
+    fn slowness_change(&mut self, instance: &InstanceId) -> Option<PaceChange> {
+        let factor = self.published;
+        if !self.logged_slow && factor >= SLOW_FACTOR {
+            self.logged_slow = true;
+            return Some(PaceChange::Slow(instance.clone(), factor));
+        }
+        if self.logged_slow && factor < RECOVERED_FACTOR {
+            self.logged_slow = false;
+            return Some(PaceChange::Recovered(instance.clone(), factor));
+        }
+        None
+    }
+}
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -119,6 +119,8 @@
             return;
         }
         self.refresh_loads();
+        let changes = self.pace.refresh(now, &self.registry);
+        self.log_pace_changes(changes);
         let comparison_cost = self.registry.len() / COMPARED_RECORD_DIVISOR;
         let mut sent_records = 0;
         for connection in due {
@@ -194,6 +196,7 @@
         let first = self.needs_full_update(session);
         let estimates_unchanged = !first && session.sent_ready_times == self.ready_times_revision;
         let loads_unchanged = !first && session.sent_loads == self.loads_revision;
+        let (paces, sent_paces) = self.pace.published_since(now, session.sent_paces);
         let mut update = GatewayUpdate {
             term: self.term,
             complete,
@@ -213,6 +216,7 @@
             ready_estimates_unchanged: estimates_unchanged,
             loads_unchanged,
             document_version: document.map_or(0, |document| document.version),
+            paces,
         };
         if first {
             update.members = (context.members)();
@@ -230,6 +234,7 @@
         session.sent_estimates = self.ready_estimates_revision;
         session.sent_ready_times = self.ready_times_revision;
         session.sent_loads = self.loads_revision;
+        session.sent_paces = sent_paces;
         session.sent_at = now;
         session.response_pending = false;
         update
--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -49,6 +49,7 @@
         in_flight: Vec::new(),
         as_of: 0,
         known_instance_digests: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/tests/engine_model/mod.rs
+++ b/crates/millpass-fleet/tests/engine_model/mod.rs
@@ -406,6 +406,7 @@
             in_flight: Vec::new(),
             as_of: 0,
             known_instance_digests: Vec::new(),
+            paces: Vec::new(),
         };
         self.fleet.handle_report(at(self.now), 1, &report);
     }
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -80,6 +80,7 @@
         in_flight: Vec::new(),
         as_of: 0,
         known_instance_digests: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -193,6 +193,7 @@
             in_flight: Vec::new(),
             as_of: 0,
             known_instance_digests: known_instances,
+            paces: Vec::new(),
         }
     }
 
--- a/crates/millpass-fleet/tests/harness/shares.rs
+++ b/crates/millpass-fleet/tests/harness/shares.rs
@@ -429,6 +429,7 @@
             in_flight: Vec::new(),
             as_of: 0,
             known_instance_digests: Vec::new(),
+            paces: Vec::new(),
         }
     }
 
--- a/crates/millpass-fleet/tests/harness/steering.rs
+++ b/crates/millpass-fleet/tests/harness/steering.rs
@@ -131,6 +131,7 @@
             in_flight: Vec::new(),
             as_of: 0,
             known_instance_digests: Vec::new(),
+            paces: Vec::new(),
         };
         self.fleet.handle_report(at(now), 1, &report);
     }
--- a/crates/millpass-fleet/tests/limits.rs
+++ b/crates/millpass-fleet/tests/limits.rs
@@ -42,6 +42,7 @@
         in_flight: Vec::new(),
         as_of: 0,
         known_instance_digests: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/millpass-fleet/tests/room.rs
+++ b/crates/millpass-fleet/tests/room.rs
@@ -146,6 +146,7 @@
                 in_flight: Vec::new(),
                 as_of: 0,
                 known_instance_digests: Vec::new(),
+                paces: Vec::new(),
             };
             self.fleet.handle_report(at(now), 1, &report);
             let outputs = self.run(now).into_iter();
--- a/crates/millpass-fleet/tests/updates.rs
+++ b/crates/millpass-fleet/tests/updates.rs
@@ -263,6 +263,7 @@
         in_flight: (0..INSTANCES).map(load).collect(),
         as_of: 0,
         known_instance_digests: Vec::new(),
+        paces: Vec::new(),
     };
     leader.fleet.handle_report(at(now), 1, &report);
 }
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -302,6 +302,12 @@
             return SendResult::Retry;
         }
         let head_latency = shared.now().since(sent_at);
+        if received.head.status.is_success() {
+            let record = active.record();
+            shared
+                .core()
+                .record_first_byte(shared.now(), record, head_latency);
+        }
         if received.head.status.is_server_error() {
             return self.handle_server_error(active, received).await;
         }
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -244,6 +244,7 @@
         let mut messages = Vec::new();
         if due {
             messages.push(RouterToControl::Gateway(shared.core().report(now)));
+            log_malformed_loads(shared);
             // After the report, which registers the gateway with the leader.
             let crashes = shared.core().crash_report();
             messages.extend(crashes.map(RouterToControl::Crashes));
@@ -355,23 +356,34 @@
     log::info!("{}", event_line("leader_found", &pairs));
 }
 
+fn log_malformed_loads(shared: &Shared) {
+    for instance in shared.core().take_malformed_loads() {
+        let pairs = [("instance", instance.0)];
+        let line = event_line("machine_time_unreadable", &pairs);
+        log::warn!("{line} remedy=\"have the server state a number from 1 to 10000\"");
+    }
+}
+
 fn apply_update(shared: &Shared, update: GatewayUpdate) {
     let term = update.term;
     let complete = update.complete;
     let now = shared.now();
     let provisional = update.provisional;
-    let (outcome, instances, newly_acknowledged) = {
+    let (outcome, instances, newly_acknowledged, (slowest, known)) = {
         let mut core = shared.core();
         let was_acknowledged = core.is_report_acknowledged();
         let outcome = core.update(now, update);
         let newly_acknowledged = !was_acknowledged && core.is_report_acknowledged();
-        (outcome, core.instance_count(), newly_acknowledged)
+        let paces = core.pace_summary(now);
+        (outcome, core.instance_count(), newly_acknowledged, paces)
     };
     if newly_acknowledged {
         // Wake the writer, as the next report may already be due.
         shared.report.notify(usize::MAX);
     }
     shared.metrics.instances.set(instances as i64);
+    shared.metrics.slowest_pace.set(slowest);
+    shared.metrics.known_paces.set(known as i64);
     if let Some(base) = outcome.mismatched_base {
         // The next report states the held version, and the leader then sends the full document.
         log::warn!("event=document_change_unfit term={term} base={base}");
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -3,7 +3,9 @@
 use millpass_dispatch::SendOutcome;
 use millpass_proto::TenantName;
 use millpass_telemetry::{exposition, registry};
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -40,6 +42,10 @@
     pub(crate) statements: IntCounterVec,
     /// Instances with an active limit.
     pub(crate) limited: IntGauge,
+    /// Slowest known time of an engine relative to its service's median.
+    pub(crate) slowest_pace: Gauge,
+    /// Instances whose relative time differs from the median.
+    pub(crate) known_paces: IntGauge,
     /// Age of the last confirmation that the cached state is current.
     pub(crate) confirmation_age: Histogram,
     /// Freshness changes, by the new state.
@@ -109,6 +115,16 @@
             "Instances that state a limit on the requests they take",
         )?;
         registry.register(Box::new(limited.clone()))?;
+        let slowest_pace = Gauge::new(
+            "gateway_slowest_engine_pace",
+            "Longest time to the first byte of an engine relative to its service's median",
+        )?;
+        registry.register(Box::new(slowest_pace.clone()))?;
+        let known_paces = IntGauge::new(
+            "gateway_known_engine_paces",
+            "Instances whose relative time is known to differ from the median",
+        )?;
+        registry.register(Box::new(known_paces.clone()))?;
         registry.register(Box::new(connects.clone()))?;
         registry.register(Box::new(resumed.clone()))?;
         registry.register(Box::new(document_version.clone()))?;
@@ -142,6 +158,8 @@
             link_changes,
             statements,
             limited,
+            slowest_pace,
+            known_paces,
         })
     }
 
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1339,6 +1339,22 @@
 }
 
 
+/// Relative time to the first byte of an engine's responses, over all gateways.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EnginePace {
+
+    /// Instance incarnation.
+    pub instance: InstanceId,
+
+    /// Time relative to the service's median, in hundredths.
+    pub relative_time: u32,
+
+    /// Time that work takes at the moment relative to the usual time, in hundredths; holds for a fraction of a second.
+    pub machine_time: u32,
+}
+
+
 /// Requests in flight at an instance.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1429,6 +1445,9 @@
 
     /// Active document version at `as_of`; 0 for none. A gateway with an older document lacks required entries.
     pub document_version: u64,
+
+    /// Speeds that changed, or were confirmed, since the previous update on the connection. Those not listed are unchanged.
+    pub paces: Vec<EnginePace>,
 }
 
 
@@ -1880,6 +1899,25 @@
 }
 
 
+/// Relative time to the first byte of an engine's responses, as observed by one gateway since its last report.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EnginePaceSample {
+
+    /// Instance incarnation.
+    pub instance: InstanceId,
+
+    /// Number of responses.
+    pub samples: u32,
+
+    /// Observed time relative to the time estimated for the same work at a typical engine, in hundredths; geometric mean over the responses.
+    pub relative_time: u32,
+
+    /// Time that work took on its machine as stated in the responses, 100 for the usual time; 0 if not stated.
+    pub machine_time: u32,
+}
+
+
 /// Demand for a model, or a model with an adapter, at one gateway.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1942,6 +1980,9 @@
 
     /// Digests of the instance records known to the gateway; sent only in the first report on a connection.
     pub known_instance_digests: Vec<u64>,
+
+    /// Speed of the engines that responded since the last report.
+    pub paces: Vec<EnginePaceSample>,
 }
 
 
