Grant the rest of an exhausted quota by the request's rank

Change: a credit request states rank and longest wait of each claim, and the demand that was not claimed. The leader averages the units wanted by rank, and while the tenant wants more than its limit grants a rank only if the bucket holds what more urgent ranks are expected to need beyond the refill within a second. Others are denied at once; gateways keep the denial by rank for at most 200 ms. Requests of a rank without more urgent demand may be granted from a time within their wait on, charged at once.

Ruled out: reservations in the future for ranks below others. Charged at once they equal a lower threshold; charged later they add to the use that the window must bear, of which opening credit and overdraft use all.

--- a/crates/millpass-control-plane/src/credit.rs
+++ b/crates/millpass-control-plane/src/credit.rs
@@ -38,6 +38,11 @@
 }
 
 fn log_exhausted(event: &QuotaExhausted, gateway: &str, out: &mut Outputs) {
+    let wanted: Vec<String> = event
+        .wanted
+        .iter()
+        .map(|(rank, units)| format!("{rank}:{units:.0}"))
+        .collect();
     let pairs = vec![
         ("tenant", event.tenant.0.clone()),
         ("units_per_second", event.limit.units_per_second.to_string()),
@@ -45,6 +50,14 @@
         ("level", format!("{:.0}", event.level)),
         ("denied", event.denied.to_string()),
         ("gateway", gateway.to_owned()),
+        (
+            "denied_rank",
+            event
+                .denied_rank
+                .map_or_else(|| "none".to_owned(), |rank| rank.to_string()),
+        ),
+        ("threshold", format!("{:.0}", event.threshold)),
+        ("wanted_by_rank", wanted.join(",")),
     ];
     out.event("quota-exhausted", pairs);
 }
--- a/crates/millpass-dispatch/src/credit.rs
+++ b/crates/millpass-dispatch/src/credit.rs
@@ -3,7 +3,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::request::{StatedTokens, Ticket};
 use millpass_proto::{CreditRequest, CreditResponse, QuotaUnit, TenantAccess, Timestamp};
-use millpass_tenancy::{CreditClaim, CreditOutcome, TenantLimit};
+use millpass_tenancy::{ClaimedRequest, CreditClaim, CreditOutcome, TenantLimit};
 
 /// The token counts of a request whose tenant has a token quota are malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -27,9 +27,13 @@
         };
         let units = cost(tenant, ticket.description.tokens)?;
         let wait_limit = ticket.wait_limit().since(ticket.arrived);
-        let claim = self
-            .credit
-            .open(now, &tenant.name, limit, units, wait_limit);
+        // All requests are of one tenant, so that the route's priority alone ranks them.
+        let request = ClaimedRequest {
+            rank: ticket.route.priority,
+            units,
+            wait_limit,
+        };
+        let claim = self.credit.open(now, &tenant.name, limit, request);
         Ok(Some(claim))
     }
 
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -36,8 +36,11 @@
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum time for which a request waits for a confirmed configuration.
 const NOT_CONFIGURED_WAIT: Duration = Duration::from_millis(250);
-/// Jitter added to Retry-After when a tenant has used up its quota.
-const QUOTA_RETRY_JITTER: Duration = Duration::from_millis(500);
+/// Jitter added to Retry-After when a tenant has used up its quota, as a fraction of it. Spreads
+/// the callers over the time that their units take to refill.
+const QUOTA_RETRY_JITTER_FRACTION: f64 = 0.5;
+/// Minimum of that jitter's range, for a quota that is available again within milliseconds.
+const MINIMUM_QUOTA_RETRY_JITTER: Duration = Duration::from_millis(200);
 
 /// An error response of an instance, relayed if no other instance serves the request.
 struct ErrorResponse {
@@ -222,7 +225,10 @@
             }
             Err(CreditRefusal::Exhausted { retry_after }) => {
                 // Jitter keeps the callers of a tenant from retrying at the same time.
-                let jitter = QUOTA_RETRY_JITTER.mul_f64(rand::rng().random());
+                let range = retry_after
+                    .mul_f64(QUOTA_RETRY_JITTER_FRACTION)
+                    .max(MINIMUM_QUOTA_RETRY_JITTER);
+                let jitter = range.mul_f64(rand::rng().random());
                 let status = StatusCode::TOO_MANY_REQUESTS;
                 self.fail(status, "quota", Some(retry_after + jitter))
             }
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1254,6 +1254,22 @@
 }
 
 
+/// Requests of a tenant that are denied without asking the leader: of this rank and all less urgent ones up to the next listed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RankDenial {
+
+    /// Most urgent rank that is denied.
+    pub rank: u32,
+
+    /// Time for which the denial holds; 0 if requests of this rank are not denied.
+    pub hold_millis: u32,
+
+    /// Time until a request of this rank can expect units.
+    pub retry_millis: u32,
+}
+
+
 /// Credit granted to a gateway for one tenant.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1273,6 +1289,12 @@
 
     /// Whether more than half of the tenant's burst capacity is available.
     pub over_half_available: bool,
+
+    /// Time after which each granted request may run; 0 if missing.
+    pub delays_millis: Vec<u32>,
+
+    /// Denied ranks, most urgent first; empty if none is denied.
+    pub denials: Vec<RankDenial>,
 }
 
 
@@ -1839,6 +1861,22 @@
 }
 
 
+/// Requests of one rank within a tenant.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RankDemand {
+
+    /// Rank; 0 is the most urgent.
+    pub rank: u32,
+
+    /// Number of requests.
+    pub requests: u32,
+
+    /// Units that they need together.
+    pub units: u64,
+}
+
+
 /// Credit request for one tenant, with reported use.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1858,6 +1896,15 @@
 
     /// Units used without a grant while no leader was reachable.
     pub overdrawn: u64,
+
+    /// Rank of each queued request within its tenant; 0 is the most urgent. A request without one counts as the least urgent.
+    pub ranks: Vec<u32>,
+
+    /// Longest time that each queued request waits for units; 0 if missing.
+    pub wait_limits_millis: Vec<u32>,
+
+    /// Requests since the previous message that were covered by the reserve or denied by the gateway itself.
+    pub unclaimed: Vec<RankDemand>,
 }
 
 
--- a/crates/millpass-tenancy/src/account.rs
+++ b/crates/millpass-tenancy/src/account.rs
@@ -3,8 +3,8 @@
 
 use crate::limit::TenantLimit;
 use crate::pool::CreditClaim;
-use millpass_proto::{Duration, Timestamp};
-use std::collections::VecDeque;
+use millpass_proto::{CreditGrant, Duration, RankDemand, Timestamp};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long reserved units are kept before they are returned. Much shorter than a quota window, so
 /// that units are used in the window in which they were granted.
@@ -26,8 +26,8 @@
 const OVERDRAFT_FRACTION: f64 = 0.5;
 /// Number of gateways assumed while it is unknown.
 const DEFAULT_GATEWAYS: u32 = 500;
-/// How long a gateway treats a quota as exhausted without another request.
-const EXHAUSTED_CACHE_LIFETIME: Duration = Duration::from_millis(200);
+/// Maximum number of ranks whose unclaimed demand is kept for the next message.
+const MAXIMUM_UNCLAIMED_RANKS: usize = 16;
 
 /// Use beyond a tenant's limit that is tolerated.
 #[derive(Clone, Copy, Debug)]
@@ -67,13 +67,15 @@
     until: Timestamp,
 }
 
-/// An exhausted quota, as reported by the leader.
+/// Denial of a rank, as stated by the leader.
 #[derive(Clone, Copy, Debug)]
-struct Exhaustion {
-    /// When units are available again.
-    until: Timestamp,
-    /// Until when no further request is sent.
-    cached_until: Timestamp,
+struct Denial {
+    /// Most urgent rank that it concerns.
+    rank: u32,
+    /// Until when requests are denied without a message.
+    held_until: Timestamp,
+    /// When a request of this rank can expect units.
+    retry_at: Timestamp,
 }
 
 /// Credit of one tenant at a gateway.
@@ -81,15 +83,20 @@
 pub(crate) struct Account {
     /// Oldest first.
     reserves: VecDeque<Reserve>,
-    /// Claims to send with the next request.
-    pub(crate) queue: VecDeque<CreditClaim>,
+    /// Claims to send with the next request: ranks with their claims, most urgent and oldest
+    /// first.
+    pub(crate) queue: BTreeSet<(u32, CreditClaim)>,
     /// Units to return with the next request.
     pub(crate) returned: u64,
     /// Units used without a grant, to report with the next request.
     pub(crate) overdrawn: u64,
     /// Units used from the tolerance in the last window, with their times.
     overdrafts: VecDeque<(Timestamp, u64)>,
-    exhausted: Option<Exhaustion>,
+    /// Denied ranks, most urgent first.
+    denials: Vec<Denial>,
+    /// Requests and units by rank that were covered by the reserve or denied here since the last
+    /// message.
+    unclaimed: BTreeMap<u32, (u32, u64)>,
     /// When the leader last reported surplus quota.
     surplus_at: Option<Timestamp>,
     /// Units used without a grant since the leader's last response.
@@ -142,6 +149,14 @@
         }
     }
 
+    /// Returns all reserved units if a rank is denied: the leader knows the most urgent requests.
+    pub(crate) fn return_if_denied(&mut self, now: Timestamp) {
+        if self.denials.iter().any(|denial| now < denial.held_until) {
+            let reserves = std::mem::take(&mut self.reserves);
+            self.returned += reserves.iter().map(|reserve| reserve.units).sum::<u64>();
+        }
+    }
+
     /// Units to reserve: the average cost of a request, or more at high rates so that not every
     /// request needs a message. Zero once the tenant is inactive.
     pub(crate) fn wanted_reserve(&self, now: Timestamp) -> u64 {
@@ -240,25 +255,50 @@
         is_allowed
     }
 
-    /// Records the leader's response: whether the quota has a surplus, and until when it is
-    /// exhausted.
-    pub(crate) fn record_response(
-        &mut self,
-        now: Timestamp,
-        has_surplus: bool,
-        until: Option<Timestamp>,
-    ) {
-        self.surplus_at = has_surplus.then_some(now);
+    /// Records what the leader's response states about the quota.
+    pub(crate) fn record_response(&mut self, now: Timestamp, grant: &CreditGrant) {
+        self.surplus_at = grant.over_half_available.then_some(now);
         self.fallback_used = 0;
-        self.exhausted = until.map(|until| Exhaustion {
-            until,
-            cached_until: until.min(now + EXHAUSTED_CACHE_LIFETIME),
+        let denials = grant.denials.iter().map(|denial| Denial {
+            rank: denial.rank,
+            held_until: now + Duration::from_millis(denial.hold_millis.into()),
+            retry_at: now + Duration::from_millis(denial.retry_millis.into()),
         });
+        self.denials = denials.collect();
+    }
+
+    /// Returns when a request of this rank can expect units, if the leader recently denied the
+    /// rank.
+    pub(crate) fn denied_until(&self, now: Timestamp, rank: u32) -> Option<Timestamp> {
+        let denial = self.denials.iter().rfind(|denial| denial.rank <= rank)?;
+        (now < denial.held_until).then_some(denial.retry_at)
+    }
+
+    /// Forgets what a leader that is no longer connected stated about denials and has not been
+    /// told about demand: the next leader's bucket differs.
+    pub(crate) fn forget_denials(&mut self) {
+        self.denials.clear();
+        self.unclaimed.clear();
+    }
+
+    /// Records a request that is not sent as a claim.
+    pub(crate) fn record_unclaimed(&mut self, rank: u32, units: u64) {
+        if self.unclaimed.len() < MAXIMUM_UNCLAIMED_RANKS || self.unclaimed.contains_key(&rank) {
+            let entry = self.unclaimed.entry(rank).or_default();
+            entry.0 += 1;
+            entry.1 += units;
+        }
     }
 
-    /// Returns when units are available again, if the leader recently reported an exhausted quota.
-    pub(crate) fn exhausted_until(&self, now: Timestamp) -> Option<Timestamp> {
-        let exhaustion = self.exhausted?;
-        (now < exhaustion.cached_until).then_some(exhaustion.until)
+    /// Takes the demand to report with the next message.
+    pub(crate) fn take_unclaimed(&mut self) -> Vec<RankDemand> {
+        std::mem::take(&mut self.unclaimed)
+            .into_iter()
+            .map(|(rank, (requests, units))| RankDemand {
+                rank,
+                requests,
+                units,
+            })
+            .collect()
     }
 }
--- a/crates/millpass-tenancy/src/ledger.rs
+++ b/crates/millpass-tenancy/src/ledger.rs
@@ -7,9 +7,10 @@
 
 use crate::account::QuotaTolerance;
 use crate::limit::{TenantLimit, UnitBucket};
+use crate::priority::{PriorityTracker, RankRule};
 use millpass_proto::{
-    CreditGrant, CreditRequest, CreditResponse, DeploymentDocument, Duration, TenantCreditRequest,
-    TenantName, Timestamp,
+    CreditGrant, CreditRequest, CreditResponse, DeploymentDocument, Duration, RankDenial,
+    TenantCreditRequest, TenantName, Timestamp,
 };
 use std::collections::HashMap;
 
@@ -35,11 +36,19 @@
     pub level: f64,
     /// Requests denied since the last event.
     pub denied: u64,
+    /// Most urgent rank that is denied.
+    pub denied_rank: Option<u32>,
+    /// Level of the bucket from which that rank is granted; above 1 if units are held back for
+    /// more urgent ranks.
+    pub threshold: f64,
+    /// Units per second that each tracked rank wants, most urgent first.
+    pub wanted: Vec<(u32, f64)>,
 }
 
 #[derive(Clone, Debug)]
 struct Account {
     bucket: UnitBucket,
+    priority: PriorityTracker,
     denied: u64,
     event_at: Option<Timestamp>,
 }
@@ -128,6 +137,8 @@
             prefetched_units: 0,
             wait_millis: 0,
             over_half_available: true,
+            delays_millis: Vec::new(),
+            denials: Vec::new(),
         };
         let limit = match self.limits.get(&tenant_request.tenant) {
             Some(Some(limit)) => *limit,
@@ -145,6 +156,7 @@
             .entry(tenant_request.tenant.clone())
             .or_insert_with(|| Account {
                 bucket: UnitBucket::new(started_at, limit, initial_units),
+                priority: PriorityTracker::default(),
                 denied: 0,
                 event_at: None,
             });
@@ -155,30 +167,138 @@
             // Units used under another leader came from that leader's bucket.
             bucket.charge(tenant_request.overdrawn);
         }
-        let granted = tenant_request
-            .queued_units
-            .iter()
-            .take_while(|units| bucket.try_take(**units));
-        grant.granted_requests = u32::try_from(granted.count()).unwrap_or(u32::MAX);
-        grant.over_half_available = bucket.has_surplus();
-        if grant.granted_requests == waiting {
-            grant.prefetched_units = bucket.take_surplus(tenant_request.prefetch_units);
+        account.record_demand(now, tenant_request);
+        let mut rules = account.priority.rules(now, limit, account.bucket.level());
+        account.grant_claims(now, limit, tenant_request, &mut rules, &mut grant);
+        let denied = waiting - grant.granted_requests;
+        let level = account.bucket.level();
+        grant.denials = denials(&rules, level, limit);
+        grant.over_half_available = account.bucket.has_surplus() && grant.denials.is_empty();
+        if denied == 0 && grant.denials.is_empty() {
+            let prefetch = tenant_request.prefetch_units;
+            grant.prefetched_units = account.bucket.take_surplus(prefetch);
             return grant;
         }
-        grant.wait_millis = bucket.wait_millis().max(1);
-        account.denied += u64::from(waiting - grant.granted_requests);
-        if account
-            .event_at
-            .is_none_or(|at| now.since(at) >= EVENT_INTERVAL)
+        if denied > 0 {
+            grant.wait_millis = account.bucket.wait_millis().max(1);
+        }
+        let unclaimed = tenant_request.unclaimed.iter();
+        let refused: u64 = unclaimed
+            .filter(|demand| is_denied(&grant.denials, demand.rank))
+            .map(|demand| u64::from(demand.requests))
+            .sum();
+        account.denied += u64::from(denied) + refused;
+        if account.denied > 0
+            && account
+                .event_at
+                .is_none_or(|at| now.since(at) >= EVENT_INTERVAL)
         {
             account.event_at = Some(now);
+            let denied_rank = grant.denials.first().map(|denial| denial.rank);
+            let rule = rules.iter().find(|rule| Some(rule.rank) == denied_rank);
             events.push(QuotaExhausted {
                 tenant: tenant_request.tenant.clone(),
                 limit,
-                level: account.bucket.level(),
+                level,
                 denied: std::mem::take(&mut account.denied),
+                denied_rank,
+                threshold: rule.map_or(1.0, |rule| rule.threshold),
+                wanted: rules.iter().map(|rule| (rule.rank, rule.wanted)).collect(),
             });
         }
         grant
     }
 }
+
+impl Account {
+    /// Records the demand that a request of a gateway states.
+    fn record_demand(&mut self, now: Timestamp, request: &TenantCreditRequest) {
+        for (position, units) in request.queued_units.iter().enumerate() {
+            let rank = rank_of(request, position);
+            self.priority.record_demand(now, rank, 1, *units);
+            self.priority
+                .record_wait(rank, longest_wait_of(request, position));
+        }
+        for demand in &request.unclaimed {
+            self.priority
+                .record_demand(now, demand.rank, demand.requests, demand.units);
+            self.priority.record_denied(demand.rank, demand.units);
+        }
+    }
+
+    /// Grants queued claims in order, until one is denied.
+    fn grant_claims(
+        &mut self,
+        now: Timestamp,
+        limit: TenantLimit,
+        request: &TenantCreditRequest,
+        rules: &mut Vec<RankRule>,
+        grant: &mut CreditGrant,
+    ) {
+        let mut was_short = self.bucket.level() < 1.0;
+        grant.granted_requests = 0;
+        for (position, units) in request.queued_units.iter().enumerate() {
+            if !was_short && self.bucket.level() < 1.0 {
+                // The claims before took the last units: from here on priorities count.
+                was_short = true;
+                *rules = self.priority.rules(now, limit, self.bucket.level());
+            }
+            let rank = rank_of(request, position);
+            let longest_wait = longest_wait_of(request, position);
+            let rule = self.priority.rule_of(rules, rank);
+            let level = self.bucket.level();
+            let Some(delay) = rule.and_then(|rule| rule.delay(level, limit, longest_wait)) else {
+                break;
+            };
+            self.bucket.charge(*units);
+            grant.granted_requests += 1;
+            if !delay.is_zero() {
+                grant.delays_millis.resize(position, 0);
+                grant.delays_millis.push(round_up_to_millis(delay));
+            }
+        }
+        let denied = request.queued_units.iter().enumerate();
+        for (position, units) in denied.skip(grant.granted_requests as usize) {
+            self.priority
+                .record_denied(rank_of(request, position), *units);
+        }
+    }
+}
+
+/// Returns the rank of a queued claim; claims without one are the least urgent.
+fn rank_of(request: &TenantCreditRequest, position: usize) -> u32 {
+    request.ranks.get(position).copied().unwrap_or(u32::MAX)
+}
+
+fn longest_wait_of(request: &TenantCreditRequest, position: usize) -> Duration {
+    let millis = request.wait_limits_millis.get(position);
+    Duration::from_millis(millis.copied().unwrap_or(0).into())
+}
+
+/// Returns the ranks that gateways deny without a message, as long as the level allows none of
+/// their requests. A rank below these that isn't denied is listed with a hold time of 0.
+fn denials(rules: &[RankRule], level: f64, limit: TenantLimit) -> Vec<RankDenial> {
+    let mut denials: Vec<RankDenial> = Vec::new();
+    for rule in rules {
+        let hold = rule.hold(level, limit);
+        if hold.is_none() && denials.is_empty() {
+            continue;
+        }
+        let retry = hold.map(|hold| rule.retry(limit, hold));
+        denials.push(RankDenial {
+            rank: rule.rank,
+            hold_millis: hold.map_or(0, round_up_to_millis),
+            retry_millis: retry.map_or(0, round_up_to_millis),
+        });
+    }
+    denials
+}
+
+fn is_denied(denials: &[RankDenial], rank: u32) -> bool {
+    let listed = denials.iter().rfind(|denial| denial.rank <= rank);
+    listed.is_some_and(|denial| denial.hold_millis > 0)
+}
+
+fn round_up_to_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
--- a/crates/millpass-tenancy/src/lib.rs
+++ b/crates/millpass-tenancy/src/lib.rs
@@ -8,9 +8,10 @@
 mod ledger;
 mod limit;
 mod pool;
+mod priority;
 
 pub use account::QuotaTolerance;
 pub use keys::{KeyDirectory, KeyHash, PresentedKey};
 pub use ledger::{CreditLedger, MAXIMUM_CLAIMS_PER_REQUEST, QuotaExhausted};
 pub use limit::{TenantLimit, UnitBucket};
-pub use pool::{CreditClaim, CreditOutcome, CreditPool};
+pub use pool::{ClaimedRequest, CreditClaim, CreditOutcome, CreditPool};
--- a/crates/millpass-tenancy/src/limit.rs
+++ b/crates/millpass-tenancy/src/limit.rs
@@ -25,7 +25,7 @@
         self.burst_units.max(1) as f64
     }
 
-    fn rate(&self) -> f64 {
+    pub(crate) fn rate(&self) -> f64 {
         self.units_per_second as f64
     }
 }
@@ -60,15 +60,6 @@
         self.level = self.level.min(limit.capacity());
     }
 
-    /// Takes a request's cost if at least one unit is left.
-    pub fn try_take(&mut self, units: u64) -> bool {
-        let is_allowed = self.level >= 1.0;
-        if is_allowed {
-            self.level -= units as f64;
-        }
-        is_allowed
-    }
-
     /// Returns true if the bucket is more than half full.
     pub fn has_surplus(&self) -> bool {
         self.level > self.limit.capacity() / 2.0
@@ -87,7 +78,7 @@
         self.level = (self.level + units as f64).min(self.limit.capacity());
     }
 
-    /// Charges units that were used without a grant.
+    /// Charges units, also those that the refill has yet to bring.
     pub fn charge(&mut self, units: u64) {
         self.level -= units as f64;
     }
--- a/crates/millpass-tenancy/src/pool.rs
+++ b/crates/millpass-tenancy/src/pool.rs
@@ -21,10 +21,25 @@
 /// Interval between checks of a waiting request.
 const CHECK_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Handle of a request's claim on its tenant's credit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+/// How much longer a claim waits before it uses ungranted units while a more urgent one is queued,
+/// so that the more urgent one gets them: two checks.
+const OVERDRAFT_PRECEDENCE: Duration = Duration::from_millis(60);
+
+/// Handle of a request's claim on its tenant's credit; increases in order of arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CreditClaim(u64);
 
+/// Request that a claim is opened for.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimedRequest {
+    /// Its rank among the tenant's requests; 0 is the most urgent.
+    pub rank: u32,
+    /// Units that it costs.
+    pub units: u64,
+    /// How long it waits for units.
+    pub wait_limit: Duration,
+}
+
 /// State of a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CreditOutcome {
@@ -35,9 +50,9 @@
         /// Time of the next check.
         until: Timestamp,
     },
-    /// The quota is exhausted for longer than the request waits.
+    /// The quota is exhausted for requests of this rank.
     Denied {
-        /// Time until units are available again.
+        /// Time until a request of this rank can expect units.
         retry_after: Duration,
     },
 }
@@ -48,8 +63,10 @@
     Queued,
     /// Sent to the leader.
     Sent,
-    /// The leader has no units until this time.
+    /// The leader has no units for this rank until this time.
     Denied(Timestamp),
+    /// Granted from this time on.
+    Reserved(Timestamp),
     Covered,
 }
 
@@ -57,6 +74,7 @@
 struct Claim {
     tenant: TenantName,
     limit: TenantLimit,
+    rank: u32,
     units: u64,
     stage: Stage,
     opened_at: Timestamp,
@@ -104,32 +122,40 @@
         }
     }
 
-    /// Opens a claim for a request's units. The request waits up to `wait_limit` for an exhausted
-    /// quota.
+    /// Opens a claim for a request's units.
     pub fn open(
         &mut self,
         now: Timestamp,
         tenant: &TenantName,
         limit: TenantLimit,
-        units: u64,
-        wait_limit: Duration,
+        request: ClaimedRequest,
     ) -> CreditClaim {
+        let ClaimedRequest {
+            rank,
+            units,
+            wait_limit,
+        } = request;
         self.last_claim += 1;
         let claim = CreditClaim(self.last_claim);
         let account = self.accounts.entry(tenant.clone()).or_default();
         account.expire(now);
         account.record_request(now, units);
-        let stage = if account.queue.is_empty() && account.try_take(units) {
-            Stage::Covered
-        } else if let Some(until) = account.exhausted_until(now) {
+        let denied_until = account.denied_until(now, rank);
+        let is_next = account.queue.first().is_none_or(|first| rank < first.0);
+        let stage = if let Some(until) = denied_until {
+            account.record_unclaimed(rank, units);
             Stage::Denied(until)
+        } else if is_next && account.try_take(units) {
+            account.record_unclaimed(rank, units);
+            Stage::Covered
         } else {
-            account.queue.push_back(claim);
+            account.queue.insert((rank, claim));
             Stage::Queued
         };
         let opened = Claim {
             tenant: tenant.clone(),
             limit,
+            rank,
             units,
             stage,
             opened_at: now,
@@ -149,22 +175,17 @@
         };
         match entry.stage {
             Stage::Covered => CreditOutcome::Covered,
-            Stage::Denied(until) if until > entry.wait_until => CreditOutcome::Denied {
+            Stage::Denied(until) => CreditOutcome::Denied {
                 retry_after: until.since(now),
             },
-            Stage::Denied(until) if now < until => CreditOutcome::Pending { until },
-            Stage::Denied(_) => {
-                entry.stage = Stage::Queued;
-                let account = self.accounts.entry(entry.tenant.clone()).or_default();
-                account.queue.push_back(claim);
-                CreditOutcome::Pending {
-                    until: now + CHECK_INTERVAL,
-                }
+            Stage::Reserved(from) if now < from => CreditOutcome::Pending { until: from },
+            Stage::Reserved(_) => {
+                entry.stage = Stage::Covered;
+                CreditOutcome::Covered
             }
             Stage::Queued | Stage::Sent => {
-                if now.since(entry.opened_at) >= OVERDRAFT_AFTER
-                    && self.overdraw(now, claim, gateways)
-                {
+                let waited = now.since(entry.opened_at);
+                if waited >= OVERDRAFT_AFTER && self.overdraw(now, claim, gateways) {
                     return CreditOutcome::Covered;
                 }
                 CreditOutcome::Pending {
@@ -180,10 +201,18 @@
             return false;
         };
         let account = self.accounts.entry(entry.tenant.clone()).or_default();
+        let is_preceded = account
+            .queue
+            .first()
+            .is_some_and(|(rank, _)| *rank < entry.rank);
+        let waited = now.since(entry.opened_at);
+        if is_preceded && waited < OVERDRAFT_AFTER + OVERDRAFT_PRECEDENCE {
+            return false;
+        }
         if !account.overdraw(now, entry.units, entry.limit, &self.tolerance, gateways) {
             return false;
         }
-        account.queue.retain(|queued| *queued != claim);
+        account.queue.remove(&(entry.rank, claim));
         // If a later response also covers the claim, its units go to the reserve.
         entry.stage = Stage::Covered;
         true
@@ -195,10 +224,10 @@
             return;
         };
         let account = self.accounts.entry(entry.tenant).or_default();
-        account.queue.retain(|queued| *queued != claim);
+        account.queue.remove(&(entry.rank, claim));
         match (entry.stage, ran) {
             (Stage::Covered, true) => account.record_use(now, entry.units),
-            (Stage::Covered, false) => account.add_reserve(now, entry.units),
+            (Stage::Covered | Stage::Reserved(_), false) => account.add_reserve(now, entry.units),
             _ => {}
         }
     }
@@ -223,17 +252,24 @@
         self.accounts.retain(|_, account| !account.is_idle(now));
         for (tenant, account) in &mut self.accounts {
             account.expire(now);
+            account.return_if_denied(now);
             let reserve = account.wanted_reserve(now);
             let must_settle = account.returned > 0 || account.overdrawn > 0 || reserve > 0;
             if account.queue.is_empty() && !(periodic && must_settle) {
                 continue;
             }
-            let count = account.queue.len().min(MAXIMUM_CLAIMS_PER_REQUEST);
             let mut claims = Vec::new();
-            for claim in account.queue.drain(..count) {
+            let mut ranks = Vec::new();
+            let mut wait_limits_millis = Vec::new();
+            while claims.len() < MAXIMUM_CLAIMS_PER_REQUEST
+                && let Some((rank, claim)) = account.queue.pop_first()
+            {
                 if let Some(entry) = self.claims.get_mut(&claim) {
                     entry.stage = Stage::Sent;
                     claims.push((claim, entry.units));
+                    ranks.push(rank);
+                    let wait_limit = entry.wait_until.since(now).as_millis();
+                    wait_limits_millis.push(u32::try_from(wait_limit).unwrap_or(u32::MAX));
                 }
             }
             let claim_units = claims.iter().map(|(_, units)| *units).collect();
@@ -247,6 +283,9 @@
                 prefetch_units: reserve,
                 returned: std::mem::take(&mut account.returned),
                 overdrawn: std::mem::take(&mut account.overdrawn),
+                ranks,
+                wait_limits_millis,
+                unclaimed: account.take_unclaimed(),
             });
         }
         if tenant_requests.is_empty() {
@@ -280,16 +319,21 @@
 
     fn apply_grant(&mut self, now: Timestamp, pending: &PendingTenant, grant: &CreditGrant) {
         let account = self.accounts.entry(pending.tenant.clone()).or_default();
-        let until = now + Duration::from_millis(grant.wait_millis);
+        account.record_response(now, grant);
+        let earliest = now + Duration::from_millis(grant.wait_millis);
         let granted = grant.granted_requests as usize;
         for (position, (claim, units)) in pending.claims.iter().enumerate() {
             let is_granted = position < granted;
             match self.claims.get_mut(claim) {
                 Some(entry) if entry.stage == Stage::Sent => {
-                    entry.stage = if is_granted {
-                        Stage::Covered
+                    let delay = grant.delays_millis.get(position).copied().unwrap_or(0);
+                    entry.stage = if !is_granted {
+                        let denied_until = account.denied_until(now, entry.rank);
+                        Stage::Denied(denied_until.unwrap_or(earliest))
+                    } else if delay > 0 {
+                        Stage::Reserved(now + Duration::from_millis(delay.into()))
                     } else {
-                        Stage::Denied(until)
+                        Stage::Covered
                     };
                 }
                 // The claim was closed or overdrawn; its units go to the reserve.
@@ -298,11 +342,6 @@
             }
         }
         account.add_reserve(now, grant.prefetched_units);
-        account.record_response(
-            now,
-            grant.over_half_available,
-            (grant.wait_millis > 0).then_some(until),
-        );
     }
 
     /// Returns true if a response is overdue and nothing was received from the leader since
@@ -335,15 +374,18 @@
     /// Handles the loss of the connection; unanswered claims are sent to the next leader.
     pub fn handle_disconnect(&mut self, now: Timestamp) {
         self.record_unanswered(now);
+        for account in self.accounts.values_mut() {
+            account.forget_denials();
+        }
         let pending = std::mem::take(&mut self.pending).into_values();
         for pending in pending.flat_map(|pending| pending.tenants) {
             let account = self.accounts.entry(pending.tenant).or_default();
-            for (claim, _) in pending.claims.into_iter().rev() {
+            for (claim, _) in pending.claims {
                 if let Some(entry) = self.claims.get_mut(&claim)
                     && entry.stage == Stage::Sent
                 {
                     entry.stage = Stage::Queued;
-                    account.queue.push_front(claim);
+                    account.queue.insert((entry.rank, claim));
                 }
             }
         }
