Give a busy model its replica while other engines are swapping

Cause: the planner looked for the cheapest engine among all, and did nothing in a round in which that engine was carrying out another instruction. While tens of models are swapped a second, this is the case in most rounds, nothing is reserved for the next, and a waiting request takes the engine once it is available. A model whose slots were all in use also got no replica if every other engine used more than half as many of its own.

Ruled out: the order of candidates. A saturated replica's benefit is about 95,000 ms, that of one waiting request 5,000 ms plus 5,000 ms for each request expected in 10 s, so the replica goes first.

Change: a replica goes to the cheapest engine that can be instructed now, unless a busy one would be ready in less than a third of the time. A model whose replicas are saturated (0.9) accepts engines that use up to 0.75 of their slots. Demand::record_report sums requests refused for full slots, which count as full utilization; gateways do not report them yet, and the function `refused_full` is the one line to change.

Two tests in tests/fleet.rs failed before the change and pass after it; all tests of the crate pass.

--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -10,6 +10,7 @@
 /// minutes.
 const SLOW_RATE_WINDOW_SECONDS: f64 = 60.0;
 const TOKEN_RATE_WINDOW_SECONDS: f64 = 3.0;
+const REFUSED_RATE_WINDOW_SECONDS: f64 = 3.0;
 /// Time for which reported demand counts as unmet.
 const UNMET_LIFETIME: Duration = Duration::from_millis(3_000);
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -36,6 +37,9 @@
     slow_rate: f64,
     /// Unread prompt tokens a second, averaged over [`TOKEN_RATE_WINDOW_SECONDS`].
     token_rate: f64,
+    /// Requests a second refused because all request slots of the model's engines were in use,
+    /// averaged over [`REFUSED_RATE_WINDOW_SECONDS`].
+    refused_rate: f64,
     in_flight: u32,
     unserved: f64,
     unserved_at: Option<Timestamp>,
@@ -53,6 +57,10 @@
         self.slow_rate * decay(now, self.updated_at, SLOW_RATE_WINDOW_SECONDS)
     }
 
+    fn refused_rate_at(&self, now: Timestamp) -> f64 {
+        self.refused_rate * decay(now, self.updated_at, REFUSED_RATE_WINDOW_SECONDS)
+    }
+
     fn token_rate_at(&self, now: Timestamp) -> f64 {
         self.token_rate * decay(now, self.updated_at, TOKEN_RATE_WINDOW_SECONDS)
     }
@@ -62,6 +70,12 @@
     (-now.since(since).as_secs_f64() / seconds).exp()
 }
 
+/// Returns the requests refused since the last report because all request slots were in use.
+/// Gateways do not report them yet.
+fn refused_full(_: &GatewayModelDemand) -> u32 {
+    0
+}
+
 /// Load that a model's requests cause.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Load {
@@ -69,6 +83,8 @@
     pub(crate) token_rate: f64,
     /// Requests a second: the larger of the short and the long average.
     pub(crate) request_rate: f64,
+    /// Requests a second refused for lack of request slots.
+    pub(crate) refused_rate: f64,
     pub(crate) in_flight: u32,
 }
 
@@ -108,6 +124,8 @@
             let entry = self.entries.entry(key.clone()).or_default();
             entry.token_rate = entry.token_rate_at(now)
                 + model_demand.unread_tokens as f64 / TOKEN_RATE_WINDOW_SECONDS;
+            entry.refused_rate = entry.refused_rate_at(now)
+                + f64::from(refused_full(model_demand)) / REFUSED_RATE_WINDOW_SECONDS;
             entry.slow_rate = entry.slow_rate_at(now)
                 + f64::from(model_demand.arrivals) / SLOW_RATE_WINDOW_SECONDS;
             entry.rate =
@@ -162,6 +180,7 @@
             let load = loads.entry(key.model.clone()).or_default();
             load.token_rate += entry.token_rate_at(now);
             load.request_rate += entry.slow_rate_at(now).max(entry.rate_at(now));
+            load.refused_rate += entry.refused_rate_at(now);
             load.in_flight = load.in_flight.saturating_add(entry.in_flight);
         }
         loads
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -12,7 +12,7 @@
 use crate::instruction_history::InstructionHistory;
 use crate::permits::StorePermits;
 use crate::registry::Registry;
-use crate::round::{Placement, PlanningRound};
+use crate::round::{Placement, PlanningRound, Site};
 use crate::store_capacity::StoreCapacity;
 use crate::updates::ready_estimate;
 use millpass_limits::PermitLedger;
@@ -33,6 +33,12 @@
 const SECOND_LOAD_COST: f64 = 2_000.0;
 /// Fraction of the weight store's permits up to which replicas of busy models may use them.
 const MAX_REPLICA_PERMIT_FRACTION: f64 = 0.6;
+/// Utilization of a model's replicas from which its requests find no free slots: in-flight requests
+/// cannot exceed the slots.
+const SATURATED_UTILIZATION: f64 = 0.9;
+/// Utilization of an engine up to which it gets a replica of a saturated model: its free slots serve
+/// requests that are refused otherwise.
+const MAX_REPLICA_SITE_UTILIZATION: f64 = 0.75;
 
 /// Operation on a model, or on an adapter of it.
 pub(crate) type Instruction = (InstructionOperation, ModelName, Option<AdapterName>);
@@ -349,16 +355,19 @@
         let milliloads = self.specification.milliloads_per_second;
         let may_use_store =
             self.permits.used_fraction(self.now, milliloads) < MAX_REPLICA_PERMIT_FRACTION;
-        let placement = round.replica_placement(self.specification, model, may_use_store);
-        if let Some(placement) = placement.filter(|placement| placement.available_in.is_zero()) {
+        if let Some(placement) = round.replica_placement(self.specification, model, may_use_store) {
             self.start_load(&placement, model, "busy", round, steps);
         }
     }
 }
 
 impl PlanningRound {
-    /// Returns the cheapest placement of a further replica, on engines much less utilized than the
-    /// holders.
+    /// Returns the cheapest placement of a further replica on an engine that can be instructed now
+    /// and is much less utilized than the holders. None if a busy engine, once it is available,
+    /// would be ready much sooner.
+    ///
+    /// Engines are not reserved for later rounds: while others are swapping models, the cheapest
+    /// engine is a busy one in most rounds, and waiting for it would postpone the replica forever.
     fn replica_placement(
         &self,
         specification: &EngineSpec,
@@ -367,9 +376,22 @@
     ) -> Option<Placement> {
         let gain = self.replica_gain(model);
         let utilization = self.replica_utilization(model);
-        self.cheapest_placement(specification, model, 0.0, gain, |site, source| {
-            site.utilization < utilization / 2.0 && (from_store || source != WeightsSource::Store)
-        })
+        let max_site_utilization = match utilization >= SATURATED_UTILIZATION {
+            true => MAX_REPLICA_SITE_UTILIZATION,
+            false => utilization / 2.0,
+        };
+        let accepts = |site: &Site, source| {
+            site.utilization < max_site_utilization
+                && (from_store || source != WeightsSource::Store)
+        };
+        let best = self.cheapest_placement(specification, model, 0.0, gain, accepts)?;
+        if best.available_in.is_zero() {
+            return Some(best);
+        }
+        let available = self.cheapest_placement(specification, model, 0.0, gain, |site, source| {
+            site.is_available() && accepts(site, source)
+        });
+        available.filter(|placement| placement.ready_in() <= best.ready_in() * SECOND_LOAD_SPEEDUP)
     }
 
     /// Returns the cheapest placement of a model that no engine holds.
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -20,6 +20,12 @@
 /// Utilization of an engine by a model above which the model gets another replica.
 pub(crate) const MAX_REPLICA_UTILIZATION: f64 = 0.3;
 
+/// Requests a second refused for lack of request slots from which a model's replicas count as fully
+/// utilized: three requests within the averaging window. A single one may be a brief peak.
+const MIN_REFUSED_RATE: f64 = 1.0;
+/// Upper bound of the wanted load, as a multiple of the served load.
+const MAX_EXCESS: f64 = 4.0;
+
 /// A placement of a model on an engine.
 pub(crate) struct Placement {
     pub(crate) instance: InstanceId,
@@ -149,9 +155,8 @@
         }
         let slots = f64::from(view.specification.slots.max(1));
         for (model, load) in view.demand.loads(view.now, view.service) {
-            round
-                .offered_loads
-                .insert(model.clone(), offered_load(&load, slots));
+            let offered_load = round.wanted_load(&model, &load, slots);
+            round.offered_loads.insert(model.clone(), offered_load);
             round.rates.insert(model, load.request_rate);
         }
         let engines = usable.iter().map(|(_, engine)| engine);
@@ -177,6 +182,19 @@
         round
     }
 
+    /// Returns the load offered by a model's requests, including those refused for lack of request
+    /// slots. Replicas that refuse requests are fully utilized whatever the model's own requests
+    /// use, because the models of an engine share its slots.
+    fn wanted_load(&self, model: &ModelName, load: &Load, slots: f64) -> f64 {
+        let served = offered_load(load, slots);
+        if load.refused_rate < MIN_REFUSED_RATE {
+            return served;
+        }
+        let served_rate = load.request_rate - load.refused_rate;
+        let excess = (load.request_rate / served_rate.max(MIN_REFUSED_RATE)).clamp(1.0, MAX_EXCESS);
+        served.max(self.holder_count(model) as f64) * excess
+    }
+
     fn add_engine_models(
         &mut self,
         view: &ServiceView<'_>,
@@ -549,6 +567,11 @@
 }
 
 impl Site {
+    /// Returns whether the engine can be instructed now.
+    pub(crate) fn is_available(&self) -> bool {
+        self.available_in.is_zero()
+    }
+
     /// Returns the placement of a model of this size here, including the evictions needed. None if
     /// it does not fit or the evictions cost more than `limit`.
     fn placement(&self, kilobytes: u64, load: Duration, limit: f64) -> Option<Placement> {
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -934,6 +934,69 @@
     );
 }
 
+/// Guards against a busy model that keeps one replica because the cheapest engine for a second one
+/// is carrying out another instruction in every round.
+#[test]
+fn replica_does_not_wait_for_the_cheapest_engine() {
+    let mut leader = TestLeader::new();
+    leader.add_engine(1_000, "e-1", &["a"]);
+    for (name, models, copies) in [
+        ("e-2", vec!["b"], vec!["a", "e"]),
+        ("e-3", vec!["c", "d"], vec!["a"]),
+    ] {
+        let mut other = record(name, 1_000, &models);
+        other.in_memory = copies.iter().map(|copy| (*copy).into()).collect();
+        leader.fleet.handle_announcement(at(1_000), other, false);
+        leader.respond_to_read(1_000, name, &state_with_copies(0, &models, &copies));
+    }
+    // After the load of e, e-2 could hold a at the cost of the idle model b.
+    let service = &mut leader.document.services[0];
+    let engine = service.engine.as_mut().expect("an engine");
+    engine.models.push(model("e"));
+    leader
+        .fleet
+        .handle_report(at(1_050), 1, &report(vec![unmet_demand("e", None)]));
+    let first = leader.instructions(1_100);
+    assert_eq!(first[0].instance, "e-2".into(), "{first:?}");
+    leader.respond(1_110, "e-2", &InstructionResult::Accepted);
+    let requests = |model: &str, in_flight, arrivals| GatewayModelDemand {
+        unserved: 0,
+        in_flight,
+        arrivals,
+        ..unmet_demand(model, None)
+    };
+    let demand = vec![
+        requests("a", 8, 8),
+        requests("c", 0, 2),
+        requests("d", 0, 2),
+    ];
+    leader.fleet.handle_report(at(1_150), 1, &report(demand));
+    let instructions = leader.instructions(1_250);
+    assert_eq!(instructions.len(), 1, "{instructions:?}");
+    assert_eq!(instructions[0].instance, "e-3".into());
+    assert_eq!(instructions[0].operation, InstructionOperation::Unload);
+}
+
+/// Guards against a model without free request slots that gets no replica because all other engines
+/// use more than half as many of theirs.
+#[test]
+fn model_without_free_slots_gets_a_replica_on_a_moderately_used_engine() {
+    let mut leader = TestLeader::new();
+    leader.add_engine(1_000, "e-1", &["a"]);
+    leader.add_engine(1_000, "e-2", &["b"]);
+    let running = |model: &str, in_flight| GatewayModelDemand {
+        unserved: 0,
+        in_flight,
+        ..unmet_demand(model, None)
+    };
+    let demand = vec![running("a", 8), running("b", 5)];
+    leader.fleet.handle_report(at(1_050), 1, &report(demand));
+    let instructions = leader.instructions(1_100);
+    assert_eq!(instructions.len(), 1, "{instructions:?}");
+    assert_eq!(instructions[0].instance, "e-2".into());
+    assert_eq!(instructions[0].model, "a".into());
+}
+
 /// Guards against overflows and unbounded planning for absurd reports.
 #[test]
 fn absurd_demand_is_planned_within_bounds() {
