Report requests refused for full slots as demand

Cause: a gateway reports requests in flight and requests without a replica. Callers refused because all slots of a model's replicas are in use appear in neither, so the leader sees at most the model's slots. Change: GatewayModelDemand gets refused_full, appended; each refused caller counts once there and once in unserved. It does not make a report urgent: a further replica takes longer than the report interval. Existing literals in tests of fleet and control-plane get the field.

--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -385,6 +385,7 @@
             in_flight: 0,
             priority: 0,
             unread_tokens: 0,
+            refused_full: 0,
         }],
         inconsistent: Vec::new(),
         in_flight: Vec::new(),
--- a/crates/millpass-dispatch/src/demand.rs
+++ b/crates/millpass-dispatch/src/demand.rs
@@ -12,6 +12,7 @@
     in_flight: u32,
     priority: u32,
     unread_tokens: u64,
+    refused_full: u32,
 }
 
 /// Demand since the last report.
@@ -32,6 +33,18 @@
 
     /// Records a request that found no engine.
     pub(crate) fn record_unserved(&mut self, key: DemandKey, priority: u32) {
+        self.add_unserved(key, priority);
+        self.urgent = true;
+    }
+
+    /// Records a request that is refused because all slots of its model's replicas are in use. A
+    /// further replica takes long enough that the next regular report suffices.
+    pub(crate) fn record_refused_full(&mut self, key: DemandKey, priority: u32) {
+        self.add_unserved(key.clone(), priority);
+        self.entry(key).refused_full += 1;
+    }
+
+    fn add_unserved(&mut self, key: DemandKey, priority: u32) {
         let entry = self.entry(key);
         entry.priority = if entry.unserved == 0 {
             priority
@@ -39,7 +52,6 @@
             entry.priority.min(priority)
         };
         entry.unserved += 1;
-        self.urgent = true;
     }
 
     pub(crate) fn record_send(&mut self, key: DemandKey, unread_tokens: u32) {
@@ -73,12 +85,14 @@
                 in_flight: entry.in_flight,
                 priority: entry.priority,
                 unread_tokens: entry.unread_tokens,
+                refused_full: entry.refused_full,
             })
             .collect();
         self.entries.retain(|_, entry| {
             entry.arrivals = 0;
             entry.unserved = 0;
             entry.unread_tokens = 0;
+            entry.refused_full = 0;
             entry.in_flight > 0
         });
         demand
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -99,6 +99,7 @@
         in_flight: 1,
         priority: 1,
         unread_tokens: 4_000,
+        refused_full: 0,
     };
     GatewayReport {
         gateway: format!("gateway-{gateway}"),
--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -279,6 +279,7 @@
             in_flight: 0,
             priority: 1,
             unread_tokens: 0,
+            refused_full: 0,
         };
         leader
             .0
--- a/crates/millpass-fleet/tests/engine_model/mod.rs
+++ b/crates/millpass-fleet/tests/engine_model/mod.rs
@@ -439,6 +439,7 @@
         in_flight: 0,
         priority: 1,
         unread_tokens: 0,
+        refused_full: 0,
     }
 }
 
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -66,6 +66,7 @@
         in_flight: 0,
         priority: 1,
         unread_tokens: 0,
+        refused_full: 0,
     }
 }
 
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -165,6 +165,7 @@
             in_flight: 0,
             priority: 1,
             unread_tokens: 0,
+            refused_full: 0,
         });
         self.fleet.handle_report(at(now), connection, &report);
     }
--- a/crates/millpass-fleet/tests/harness/shares.rs
+++ b/crates/millpass-fleet/tests/harness/shares.rs
@@ -417,6 +417,7 @@
                 in_flight: 1,
                 priority: 1,
                 unread_tokens: tokens,
+                refused_full: 0,
             }],
         };
         GatewayReport {
--- a/crates/millpass-fleet/tests/harness/steering.rs
+++ b/crates/millpass-fleet/tests/harness/steering.rs
@@ -126,6 +126,7 @@
                 in_flight: 0,
                 priority: 1,
                 unread_tokens: 0,
+                refused_full: 0,
             }],
             inconsistent: Vec::new(),
             in_flight: Vec::new(),
--- a/crates/millpass-fleet/tests/limits.rs
+++ b/crates/millpass-fleet/tests/limits.rs
@@ -55,6 +55,7 @@
         in_flight: 0,
         priority: 0,
         unread_tokens: 0,
+        refused_full: 0,
     }
 }
 
--- a/crates/millpass-fleet/tests/room.rs
+++ b/crates/millpass-fleet/tests/room.rs
@@ -135,6 +135,7 @@
                 in_flight: 0,
                 priority: 1,
                 unread_tokens: 0,
+                refused_full: 0,
             };
             let report = GatewayReport {
                 gateway: "g".to_owned(),
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1908,6 +1908,9 @@
 
     /// Estimated prompt tokens sent since the last report that were not in the engine's prefix cache.
     pub unread_tokens: u64,
+
+    /// Callers refused since the last report because all slots of the model's replicas are in use, once each; also counted in `unserved`.
+    pub refused_full: u32,
 }
 
 
