Queue waiting requests of a gateway by resource

Cause: a request that finds all slots in use polls every 10 ms for a fifth of its objective, the first to wake takes the slot, and each ended send and each update wakes all waiting tasks. Ruled out: the fair queues of millpass-routing (private, three fixed levels of urgency, oldest first within a tenant; here ranks come from the document and a tenant's requests are ordered by deadline). A free slot calls one waiter and is reserved until it has decided. A request is sent into an instance's own queue if the expected wait there meets its objective, waits here if that does, and is refused at once otherwise, with Retry-After in order of refusal. Tasks wait on an event of their own.

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::statements::Statements;
 use crate::table::{IdentityError, RouteError, RoutingTable};
+use crate::waiting::Admission;
 use millpass_limits::PermitPool;
 use millpass_proto::{
     AdapterName, CrashReport, CrashUpdate, Duration, EngineSpec, GatewayReport, InstanceId,
@@ -68,6 +69,8 @@
     Limited,
     /// All instances that could serve it are in backoff.
     Backoff,
+    /// A more urgent request took its place among the waiting requests.
+    Displaced,
 }
 
 impl RefusalReason {
@@ -83,6 +86,7 @@
             RefusalReason::Unconfirmed => "unconfirmed",
             RefusalReason::Limited => "limited",
             RefusalReason::Backoff => "resting",
+            RefusalReason::Displaced => "displaced",
         }
     }
 }
@@ -137,6 +141,7 @@
     pub(crate) crashes: CrashTracker,
     pub(crate) statements: Statements,
     pub(crate) permits: PermitPool,
+    pub(crate) admission: Admission,
     /// When this gateway stops; none unless it is shutting down.
     pub(crate) stops_at: Option<Timestamp>,
 }
@@ -164,6 +169,7 @@
             term: 0,
             gateways: 0,
             reports: 0,
+            admission: Admission::default(),
             stops_at: None,
         }
     }
@@ -191,6 +197,7 @@
     /// Sets the time at which this gateway stops, whatever is in flight.
     pub fn stop_at(&mut self, end: Timestamp) {
         self.stops_at = Some(end);
+        self.wake_all_waiting();
     }
 
     /// Returns the route of a request. [`RouteError::NoRoute`] is returned only if the document is
@@ -269,6 +276,11 @@
             sent_at: None,
             permit_requested: None,
             unconfirmed_since: None,
+            waiter: None,
+            waiting: false,
+            late: false,
+            queued_at_instance: false,
+            queue: None,
             description,
         };
         let window = self.settings.retry_window;
@@ -310,6 +322,17 @@
             self.demand.record_end(key);
         }
         self.record_crash_evidence(now, record, outcome);
+        self.record_slot_end(now, record, outcome);
+        self.record_instance_outcome(now, record, outcome);
+        self.call_next(now, &record.instance);
+    }
+
+    fn record_instance_outcome(
+        &mut self,
+        now: Timestamp,
+        record: &SendRecord,
+        outcome: SendOutcome,
+    ) {
         let Some(found) = self.instances.get_mut(&record.instance) else {
             return;
         };
@@ -379,7 +402,11 @@
 
     /// Applies the leader's quarantine decisions.
     pub fn apply_crash_update(&mut self, now: Timestamp, update: &CrashUpdate) {
+        let before = self.quarantined_requests();
         self.crashes.update(now, update);
+        if self.quarantined_requests() != before {
+            self.wake_all_waiting();
+        }
     }
 
     /// Handles the end of the connection to the leader.
@@ -400,6 +427,7 @@
         if let Some(found) = self.instances.get_mut(instance) {
             found.record_load(now, load);
         }
+        self.call_next(now, instance);
     }
 
     /// Returns true if a report should be sent at once.
@@ -415,6 +443,7 @@
     /// Returns the next report, and resets the counters.
     pub fn report(&mut self, now: Timestamp) -> GatewayReport {
         self.reports += 1;
+        self.admission.times.sweep(now);
         let report = GatewayReport {
             gateway: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -16,10 +16,14 @@
 //! | `credit` | quota units of tenants |
 //! | `crashes` | crashes attributed to requests, and quarantine |
 //! | `selection` | selection of an instance, waiting and refusal |
+//! | `admission` | ordered, bounded queues of waiting requests |
+//! | `waiting` | whether a request waits or is refused, and who is called next |
+//! | `service_times` | observed times from which waits are estimated |
 //! | `unavailable` | requests whose instances are in backoff or at their limit |
 //! | `updates` | updates of the leader and of other members |
 //! | `dispatcher` | the dispatcher itself |
 
+pub mod admission;
 mod crashes;
 mod credit;
 mod demand;
@@ -32,10 +36,12 @@
 mod request;
 mod retry_budget;
 mod selection;
+mod service_times;
 mod statements;
 mod table;
 mod unavailable;
 mod updates;
+mod waiting;
 
 pub use credit::MalformedTokens;
 pub use dispatcher::{Choice, DispatchSettings, Dispatcher, RefusalReason};
@@ -48,3 +54,4 @@
 pub use statements::{Stated, Statement, StatementChange};
 pub use table::{IdentityError, RouteError, RoutingTable};
 pub use updates::UpdateOutcome;
+pub use waiting::QueueFacts;
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -1,5 +1,7 @@
 //! Description and progress of a request.
 
+use crate::admission::WaiterNumber;
+use crate::waiting::QueueFacts;
 use millpass_proto::{
     AdapterName, Duration, InstanceId, ModelName, RequestFingerprint, RouteKind, RouteSpec,
     ServiceName, TenantAccess, Timestamp,
@@ -83,6 +85,16 @@
     pub(crate) permit_requested: Option<(InstanceId, Timestamp)>,
     /// Since when it has been waiting for a freshness confirmation.
     pub(crate) unconfirmed_since: Option<Timestamp>,
+    /// Its number in the queues of this gateway, once it has waited.
+    pub(crate) waiter: Option<WaiterNumber>,
+    /// It is in the queue of its resource.
+    pub(crate) waiting: bool,
+    /// It waits although it cannot be served within its objective.
+    pub(crate) late: bool,
+    /// It was last sent into the queue of an instance.
+    pub(crate) queued_at_instance: bool,
+    /// Its place in the queue when it was last evaluated; none if it never waited.
+    pub queue: Option<QueueFacts>,
 }
 
 /// Data needed to record the outcome of a send.
@@ -98,9 +110,17 @@
     pub adapter: Option<AdapterName>,
     /// Fingerprint shared by all attempts.
     pub fingerprint: RequestFingerprint,
+    /// When it was sent, if its slot was free then.
+    pub(crate) slot_taken_at: Option<Timestamp>,
 }
 
 impl Ticket {
+    /// Returns its number if it is in the queue of its resource: it must decide again when it is
+    /// called.
+    pub fn waiting(&self) -> Option<WaiterNumber> {
+        self.waiter.filter(|_| self.waiting)
+    }
+
     /// Returns the record of a send to an instance.
     pub fn send_record(&self, instance: &InstanceId) -> SendRecord {
         SendRecord {
@@ -109,6 +129,7 @@
             model: self.description.model.clone(),
             adapter: self.description.adapter.clone(),
             fingerprint: self.description.fingerprint.clone(),
+            slot_taken_at: self.sent_at.filter(|_| !self.queued_at_instance),
         }
     }
 
--- a/crates/millpass-dispatch/src/selection.rs
+++ b/crates/millpass-dispatch/src/selection.rs
@@ -1,11 +1,13 @@
 //! Selects an instance for a request, or decides that it waits or is refused.
 
+use crate::admission::Turn;
 use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
 use crate::freshness::Freshness;
 use crate::instances::Instance;
 use crate::prompts::{PromptPrefix, prefixes, rendezvous, total_tokens};
 use crate::request::Ticket;
 use crate::retry_budget::BudgetTerms;
+use crate::waiting::{CHECK_INTERVAL, MIN_SERVING_TIME, Room};
 use millpass_proto::{Duration, InstanceId, RequestFingerprint, Timestamp, WeightsSource};
 
 /// Interval at which a waiting request records its demand again.
@@ -18,8 +20,6 @@
 const LOAD_START_ESTIMATE: Duration = Duration::from_millis(350);
 /// Retry-After of a request refused for lack of free capacity.
 pub(crate) const CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(250);
-/// Least time left to serve a request that waits for a load.
-const MIN_SERVING_TIME: Duration = Duration::from_millis(250);
 /// Least time left before this gateway stops to start serving a request that has waited: a request
 /// whose response is cut off may have run.
 const MIN_TIME_BEFORE_STOP: Duration = Duration::from_millis(1_500);
@@ -45,6 +45,23 @@
 impl Dispatcher {
     /// Decides what to do with a request now, and records the start of a send.
     pub fn choose(&mut self, now: Timestamp, ticket: &mut Ticket) -> Choice {
+        let turn = self.take_turn(ticket);
+        let choice = match turn.displaced {
+            true => self.refuse_displaced(now, ticket),
+            false => self.decide(now, ticket, &turn),
+        };
+        let sent_to = match &choice {
+            Choice::Send { instance, .. } => Some(instance),
+            Choice::Wait { .. } | Choice::Refuse { .. } => None,
+        };
+        // Capacity may be left there, or the slot for which the request was called.
+        for instance in sent_to.into_iter().chain(&turn.called_for) {
+            self.call_next(now, instance);
+        }
+        choice
+    }
+
+    fn decide(&mut self, now: Timestamp, ticket: &mut Ticket, turn: &Turn) -> Choice {
         if let Some(retry_after) = self.quarantined_for(now, ticket) {
             return Choice::Refuse {
                 reason: RefusalReason::Quarantined,
@@ -67,38 +84,50 @@
                     ticket,
                     engine,
                     &candidates.unavailable,
+                    turn,
                 );
             }
-            return self.wait_or_refuse_no_instance(now, ticket, engine);
+            return self.wait_or_refuse_no_instance(now, ticket, engine, turn);
         }
         let prefixes = prefixes(&ticket.description);
+        let key = self.resource_key(ticket);
+        let terms = self.waiter_terms(now, ticket);
         let isolate = self.crashes.is_suspect(&ticket.description.fingerprint);
         let best = candidates
             .available
             .iter()
             .filter_map(|instance| {
                 let found = self.instances.get(instance)?;
-                let load = found.load(now);
-                let has_capacity = load < f64::from(found.record.slots.max(1));
+                let reserved = self.admission.queues.reserved(instance);
+                let room = self.room(now, found, &key, &terms, reserved);
                 let cost = match isolate {
                     true => isolation_cost(&ticket.description.fingerprint, instance),
                     false => self.cost(now, found, engine, &prefixes),
                 };
                 let limited = self.permits.rate(instance).is_some();
-                Some((has_capacity, limited, cost, instance))
+                Some((room, limited, cost, instance))
             })
             .min_by(|left, right| {
                 // Instances with a limit are avoided while another has free capacity.
                 let order = right.0.cmp(&left.0).then(left.1.cmp(&right.1));
                 order.then(left.2.total_cmp(&right.2))
             });
-        let Some((has_capacity, _, _, instance)) = best else {
-            return self.wait_or_refuse_no_instance(now, ticket, engine);
+        let Some((room, _, _, instance)) = best else {
+            return self.wait_or_refuse_no_instance(now, ticket, engine, turn);
         };
-        if !has_capacity {
-            return self.wait_or_refuse_full(now, ticket);
+        if room == Room::None {
+            return self.wait_or_refuse_full(now, ticket, turn);
         }
         let instance = instance.clone();
+        if !self.is_first_for(now, ticket, &instance, turn) {
+            if ticket.waiting {
+                let until = now + CHECK_INTERVAL;
+                return Choice::Wait { until };
+            }
+            return self.wait_or_refuse_full(now, ticket, turn);
+        }
+        ticket.queued_at_instance = room == Room::Queue;
+        self.admission.times.record_send(now, &key, ticket.rank);
         if ticket.sends > 0 {
             self.consume_retry(now, ticket);
         }
@@ -232,33 +261,22 @@
         }
     }
 
-    /// All eligible instances are full: waits briefly, then refuses early.
-    fn wait_or_refuse_full(&self, now: Timestamp, ticket: &Ticket) -> Choice {
-        let until = ticket.wait_limit();
-        if now < until {
-            return Choice::Wait {
-                until: until.min(now + Duration::from_millis(10)),
-            };
-        }
-        Choice::Refuse {
-            reason: RefusalReason::Full,
-            retry_after: CAPACITY_RETRY_AFTER,
-        }
-    }
-
     pub(crate) fn wait_or_refuse_no_instance(
         &mut self,
         now: Timestamp,
         ticket: &mut Ticket,
         engine: bool,
+        turn: &Turn,
     ) -> Choice {
         if ticket.sends > 0 && !engine {
             return self.refuse_no_attempts(now, ticket, engine);
         }
         if !engine || ticket.description.model.is_none() {
             let until = ticket.wait_limit();
-            if now < until {
-                return Choice::Wait { until };
+            if now < until
+                && let Some(choice) = self.join_queue(now, ticket, turn, until, Duration::ZERO)
+            {
+                return choice;
             }
             return Choice::Refuse {
                 reason: RefusalReason::NoInstance,
@@ -269,7 +287,7 @@
         if !self.is_loading(ticket) && self.are_holders_unavailable(now, ticket) {
             return self.refuse_no_attempts(now, ticket, engine);
         }
-        self.wait_for_load(now, ticket)
+        self.wait_for_load(now, ticket, turn)
     }
 
     pub(crate) fn record_demand(&mut self, now: Timestamp, ticket: &mut Ticket) {
@@ -287,14 +305,23 @@
 
     /// Waits for a load that is expected to end before the caller's deadline and before this gateway
     /// stops; otherwise refuses. Also refuses early if the load is expected to miss the objective
-    /// and the caller has time to retry.
-    pub(crate) fn wait_for_load(&self, now: Timestamp, ticket: &Ticket) -> Choice {
-        let ready = self.ready_at(now, ticket) + READY_MARGIN;
-        let retry_after = ready.since(now);
-        let refusal = Choice::Refuse {
-            reason: RefusalReason::Cold,
-            retry_after,
-        };
+    /// and the caller has time to return, counting the requests that wait for the same load.
+    pub(crate) fn wait_for_load(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        turn: &Turn,
+    ) -> Choice {
+        let key = self.resource_key(ticket);
+        let terms = self.waiter_terms(now, ticket);
+        let interval = self.replica_slot_interval(&key);
+        let ahead = self.admission.queues.ahead(&key, &terms);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        // A new replica starts as many requests at once as it has slots.
+        let slots = self.engine_spec(&key.service);
+        let queued = ahead.saturating_sub(slots.map_or(0, |engine| engine.slots));
+        let loaded = self.ready_at(now, ticket) + READY_MARGIN;
+        let ready = loaded + interval * queued;
         let meets_objective = ticket.arrived + ticket.objective() > ready + MIN_SERVING_TIME;
         let meets_deadline = ticket.first_event_deadline() > ready + MIN_SERVING_TIME;
         if self
@@ -307,14 +334,17 @@
             };
         }
         let early = now <= ticket.wait_limit();
-        let can_retry = retry_after * 3 < ticket.deadline.since(now);
-        if !meets_deadline || (early && can_retry && !meets_objective) {
-            return refusal;
+        let can_retry = ready.since(now) * 3 < ticket.deadline.since(now);
+        if meets_deadline && (meets_objective || !early || !can_retry) {
+            ticket.late = !meets_objective;
+            let until = ticket.first_event_deadline();
+            if let Some(choice) = self.join_queue(now, ticket, turn, until, ready.since(now)) {
+                return choice;
+            }
         }
-        Choice::Wait {
-            until: ticket
-                .first_event_deadline()
-                .min(now + DEMAND_REPEAT_INTERVAL),
+        Choice::Refuse {
+            reason: RefusalReason::Cold,
+            retry_after: self.retry_after_in_order(now, ticket, &key, ready, interval),
         }
     }
 
--- a/crates/millpass-dispatch/src/unavailable.rs
+++ b/crates/millpass-dispatch/src/unavailable.rs
@@ -1,5 +1,6 @@
 //! Requests whose eligible instances are all in backoff or at their stated limit.
 
+use crate::admission::Turn;
 use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
 use crate::instances::Instance;
 use crate::request::Ticket;
@@ -32,6 +33,7 @@
         ticket: &mut Ticket,
         engine: bool,
         unavailable: &[InstanceId],
+        turn: &Turn,
     ) -> Choice {
         if engine {
             // The leader may load the model on another engine.
@@ -43,7 +45,7 @@
         });
         let soonest = availabilities.min_by_key(|(availability, _, _)| availability.known_by());
         let Some((availability, reason, instance)) = soonest else {
-            return self.wait_or_refuse_no_instance(now, ticket, engine);
+            return self.wait_or_refuse_no_instance(now, ticket, engine, turn);
         };
         let objective_end = ticket.arrived + ticket.objective();
         match availability {
@@ -58,7 +60,7 @@
                 Choice::Wait { until: at }
             }
             Availability::At(_) if engine && self.is_loading(ticket) => {
-                self.wait_for_load(now, ticket)
+                self.wait_for_load(now, ticket, turn)
             }
             Availability::AwaitingResponse(at) | Availability::At(at) => {
                 self.cancel_permit_request(ticket);
--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -66,6 +66,11 @@
                 .record_acknowledgement(update.acknowledged_report);
         }
         outcome.changed = update.instances.len();
+        let mut affected: Vec<InstanceId> = Vec::new();
+        if !self.admission.queues.is_empty() {
+            let records = update.instances.iter();
+            affected.extend(records.map(|record| record.instance.clone()));
+        }
         if update.first {
             self.listed = Some(BTreeSet::new());
         }
@@ -101,6 +106,9 @@
             if let Some(instance) = self.instances.get_mut(&load.instance) {
                 instance.record_fleet_in_flight(now, load.in_flight);
             }
+            if !update.loads_unchanged && !self.admission.queues.is_empty() {
+                affected.push(load.instance.clone());
+            }
         }
         if !update.ready_estimates_unchanged {
             let ready = |estimate: &ModelReadyEstimate| {
@@ -111,6 +119,7 @@
                 .map(|entry| (entry.clone(), ready(&entry)))
                 .collect();
         }
+        self.call_next_for_all(now, &affected);
         outcome
     }
 
--- /dev/null
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -0,0 +1,495 @@
+//! Requests that wait for a slot or for a load: whether a request can be served in time, its place
+//! in the queue of its resource, who is called when a slot becomes free, and Retry-After.
+
+use crate::admission::{AdmissionQueues, Joined, ResourceKey, Turn, WaiterNumber, WaiterTerms};
+use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
+use crate::instances::{Instance, SendOutcome};
+use crate::request::{SendRecord, Ticket};
+use crate::selection::CAPACITY_RETRY_AFTER;
+use crate::service_times::ServiceTimes;
+use millpass_proto::{Duration, InstanceId, Timestamp};
+use std::collections::HashMap;
+
+/// Interval at which the first request of a queue checks again: estimates of loads decay between
+/// updates and responses.
+const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which the other requests of a queue check again.
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for which no request is sent into the queue of an instance that rejected one as full.
+const REJECTION_BACKOFF: Duration = Duration::from_millis(300);
+/// Least time left to serve a request.
+pub(crate) const MIN_SERVING_TIME: Duration = Duration::from_millis(250);
+
+/// Queue of an instance into which requests are sent: at most as many as it has slots. What is
+/// queued beyond that would not start within the time for which one request occupies a slot, and a
+/// request that waits at the gateway can still go to another instance. Engines queue three times
+/// their slots and web back ends four times; the rest covers sends of other gateways that are not
+/// known here yet.
+const QUEUE_PER_SLOT: f64 = 1.0;
+
+/// State of waiting at a gateway.
+#[derive(Debug, Default)]
+pub(crate) struct Admission {
+    pub(crate) queues: AdmissionQueues,
+    pub(crate) times: ServiceTimes,
+    /// Instances that rejected a request as full, and when.
+    rejections: HashMap<InstanceId, Timestamp>,
+}
+
+/// Place of a request in its queue, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueFacts {
+    /// Number of requests ahead of it when it was last evaluated.
+    pub ahead: usize,
+    /// Time from its arrival until it was expected to be served.
+    pub expected: Duration,
+    /// Number of requests that waited for the same resource.
+    pub length: usize,
+}
+
+/// Whether an instance can take a request now; the greatest is the best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Room {
+    /// No: it would not be served in time.
+    None,
+    /// In its queue, where it is expected to be served in time.
+    Queue,
+    /// It has a free slot.
+    Slot,
+}
+
+impl Dispatcher {
+    /// Returns what this request waits for.
+    pub(crate) fn resource_key(&self, ticket: &Ticket) -> ResourceKey {
+        let engine = self.is_engine(&ticket.service);
+        let description = &ticket.description;
+        ResourceKey {
+            service: ticket.service.clone(),
+            model: description.model.clone().filter(|_| engine),
+            adapter: description.adapter.clone().filter(|_| engine),
+        }
+    }
+
+    pub(crate) fn waiter_terms(&self, now: Timestamp, ticket: &Ticket) -> WaiterTerms {
+        let due = ticket.arrived + ticket.objective();
+        let prompt = ticket.description.prompt.iter();
+        WaiterTerms {
+            rank: ticket.rank,
+            tenant: ticket.tenant.as_ref().map(|tenant| tenant.name.clone()),
+            due,
+            latest: ticket.first_event_deadline(),
+            late: now >= due || ticket.late,
+            tokens: prompt.fold(0, |sum, part| sum.saturating_add(part.tokens)),
+            excluded: ticket.tried.clone(),
+        }
+    }
+
+    /// Returns whether an instance can take a request now. `reserved` is the number of slots kept
+    /// for requests that were called before.
+    pub(crate) fn room(
+        &self,
+        now: Timestamp,
+        instance: &Instance,
+        key: &ResourceKey,
+        terms: &WaiterTerms,
+        reserved: u32,
+    ) -> Room {
+        let load = instance.load(now) + f64::from(reserved);
+        let slots = f64::from(instance.record.slots.max(1));
+        if load < slots {
+            return Room::Slot;
+        }
+        match self.queue_wait(now, instance, key, terms, load) {
+            Some(wait) if now + wait <= terms.due => Room::Queue,
+            _ => Room::None,
+        }
+    }
+
+    /// Estimates the time to the first byte in the queue of an instance; none if the request must
+    /// not be queued there.
+    fn queue_wait(
+        &self,
+        now: Timestamp,
+        instance: &Instance,
+        key: &ResourceKey,
+        terms: &WaiterTerms,
+        load: f64,
+    ) -> Option<Duration> {
+        let holding = self.admission.times.holding(&key.service)?;
+        let engine = key.model.is_some();
+        let slots = f64::from(instance.record.slots.max(1));
+        let ahead = load - slots + 1.0;
+        // An engine serves the more urgent of its queue first.
+        let ahead = match engine {
+            true => {
+                ahead
+                    * self
+                        .admission
+                        .times
+                        .urgent_fraction(&key.service, terms.rank)
+            }
+            false => ahead,
+        };
+        let rejections = &self.admission.rejections;
+        let rejected = rejections.get(&instance.record.instance);
+        let is_rejecting = rejected.is_some_and(|at| now.since(*at) < REJECTION_BACKOFF);
+        if terms.late || is_rejecting || ahead > slots * QUEUE_PER_SLOT {
+            return None;
+        }
+        let times = &self.admission.times;
+        if times.was_more_urgent_refused(now, key, terms.rank) {
+            return None;
+        }
+        let wait = Duration::from_secs_f64(ahead * holding / slots);
+        Some(wait + self.expected_first_byte(now, instance, engine, terms.tokens))
+    }
+
+    /// Estimates the time to the first byte once a request has a slot.
+    fn expected_first_byte(
+        &self,
+        now: Timestamp,
+        instance: &Instance,
+        engine: bool,
+        unread_tokens: u32,
+    ) -> Duration {
+        if !engine {
+            let holding = self.admission.times.holding(&instance.record.service);
+            return Duration::from_secs_f64(holding.unwrap_or_default());
+        }
+        let reading = f64::from(unread_tokens) / self.settings.prompt_tokens_per_milli / 1_000.0;
+        instance.prefill_until.since(now) + Duration::from_secs_f64(reading)
+    }
+
+    /// Removes a request from its queue to decide again.
+    pub(crate) fn take_turn(&mut self, ticket: &mut Ticket) -> Turn {
+        ticket.waiting = false;
+        let waiter = ticket.waiter;
+        let turn = waiter.and_then(|number| self.admission.queues.leave(number));
+        turn.unwrap_or_default()
+    }
+
+    /// Refuses a request that had to make room for a more urgent one.
+    pub(crate) fn refuse_displaced(&mut self, now: Timestamp, ticket: &mut Ticket) -> Choice {
+        let retry_after = self.slot_retry_after(now, ticket, CAPACITY_RETRY_AFTER);
+        self.record_refused_full(now, ticket);
+        Choice::Refuse {
+            reason: RefusalReason::Displaced,
+            retry_after,
+        }
+    }
+
+    /// Waits in the queue of the request's resource; none if it is full.
+    pub(crate) fn join_queue(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        turn: &Turn,
+        until: Timestamp,
+        expected: Duration,
+    ) -> Option<Choice> {
+        let key = self.resource_key(ticket);
+        let terms = self.waiter_terms(now, ticket);
+        let queues = &mut self.admission.queues;
+        ticket.queue = Some(QueueFacts {
+            ahead: queues.ahead(&key, &terms),
+            expected: (now + expected).since(ticket.arrived),
+            length: queues.length(&key),
+        });
+        let number = *ticket.waiter.get_or_insert_with(|| queues.next_number());
+        if queues.join(number, key, terms, turn) == Joined::Full {
+            return None;
+        }
+        ticket.waiting = true;
+        let interval = match queues.is_first(number) {
+            true => FIRST_CHECK_INTERVAL,
+            false => CHECK_INTERVAL,
+        };
+        Some(Choice::Wait {
+            until: until.min(now + interval),
+        })
+    }
+
+    /// Lets requests that waited longer, or are more urgent, go first: returns true if this one
+    /// may be sent to the instance now, or else calls the one that is next.
+    pub(crate) fn is_first_for(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        instance: &InstanceId,
+        turn: &Turn,
+    ) -> bool {
+        if self.admission.queues.is_empty() || turn.called_for.as_ref() == Some(instance) {
+            return true;
+        }
+        let key = self.resource_key(ticket);
+        let terms = self.waiter_terms(now, ticket);
+        if self.admission.queues.length(&key) == 0 {
+            return true;
+        }
+        let queues = &mut self.admission.queues;
+        let number = *ticket.waiter.get_or_insert_with(|| queues.next_number());
+        if queues.join(number, key.clone(), terms, turn) == Joined::Full {
+            // The bound must not leave a slot unused.
+            return !self.call_next(now, instance);
+        }
+        let next = self.next_for(now, instance);
+        if next.is_none_or(|next| next == number) {
+            self.admission.queues.leave(number);
+            return true;
+        }
+        ticket.waiting = true;
+        self.call_next(now, instance);
+        false
+    }
+
+    /// All eligible instances are full: waits if the request can be served in time, or else refuses
+    /// it at once.
+    pub(crate) fn wait_or_refuse_full(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        turn: &Turn,
+    ) -> Choice {
+        let first_byte = MIN_SERVING_TIME.min(ticket.objective() / 5);
+        let due = ticket.arrived + ticket.objective();
+        let latest = ticket.first_event_deadline();
+        let Some(expected) = self.expected_slot_wait(now, ticket) else {
+            // Nothing is known of the time that requests take here.
+            let until = ticket.wait_limit();
+            if now < until
+                && let Some(choice) = self.join_queue(now, ticket, turn, until, Duration::ZERO)
+            {
+                return choice;
+            }
+            return self.refuse_full(now, ticket, CAPACITY_RETRY_AFTER);
+        };
+        let ready = now + expected + first_byte;
+        let early = now <= ticket.wait_limit();
+        if ready <= due {
+            if let Some(choice) = self.join_queue(now, ticket, turn, due, expected) {
+                return choice;
+            }
+            return self.refuse_full(now, ticket, expected);
+        }
+        let can_return = expected * 3 < ticket.deadline.since(now);
+        if early && can_return {
+            return self.refuse_full(now, ticket, expected);
+        }
+        // One that has waited goes on as long as it is useful: refused now, its caller would have
+        // waited in vain.
+        let is_useful = match early {
+            true => ready <= latest,
+            false => now + first_byte < latest,
+        };
+        if is_useful {
+            ticket.late = true;
+            if let Some(choice) = self.join_queue(now, ticket, turn, latest, expected) {
+                return choice;
+            }
+        }
+        self.refuse_full(now, ticket, expected)
+    }
+
+    fn refuse_full(&mut self, now: Timestamp, ticket: &mut Ticket, expected: Duration) -> Choice {
+        let retry_after = self.slot_retry_after(now, ticket, expected);
+        self.record_refused_full(now, ticket);
+        Choice::Refuse {
+            reason: RefusalReason::Full,
+            retry_after,
+        }
+    }
+
+    /// Counts a caller that is refused for lack of slots as demand for a further replica.
+    fn record_refused_full(&mut self, now: Timestamp, ticket: &Ticket) {
+        let key = self.resource_key(ticket);
+        self.admission.times.record_refusal(now, &key, ticket.rank);
+        if let Some(key) = self.demand_key(ticket) {
+            self.demand.record_refused_full(key, ticket.route.priority);
+        }
+    }
+
+    /// Retry-After of a request refused for lack of slots: after those refused before it.
+    fn slot_retry_after(
+        &mut self,
+        now: Timestamp,
+        ticket: &Ticket,
+        expected: Duration,
+    ) -> Duration {
+        let key = self.resource_key(ticket);
+        let ready = now + expected.max(CAPACITY_RETRY_AFTER);
+        let interval = self.slot_interval(now, &key).unwrap_or_default();
+        self.retry_after_in_order(now, ticket, &key, ready, interval)
+    }
+
+    /// Spreads the callers that are told to return, in the order of their refusal. One that would be
+    /// told a time at which it cannot come back is not counted, as it returns at another time.
+    pub(crate) fn retry_after_in_order(
+        &mut self,
+        now: Timestamp,
+        ticket: &Ticket,
+        key: &ResourceKey,
+        ready: Timestamp,
+        interval: Duration,
+    ) -> Duration {
+        let times = &mut self.admission.times;
+        let at = ready.max(times.promised(key) + interval);
+        if at.since(now) * 3 >= ticket.deadline.since(now) {
+            return ready.since(now);
+        }
+        times.promise(now, key, ready, interval).since(now)
+    }
+
+    /// Estimates when a slot will be free for this request, given those ahead of it. None while
+    /// nothing is known of the time that requests take.
+    fn expected_slot_wait(&self, now: Timestamp, ticket: &Ticket) -> Option<Duration> {
+        let key = self.resource_key(ticket);
+        let interval = self.slot_interval(now, &key)?;
+        let terms = self.waiter_terms(now, ticket);
+        let ahead = self.admission.queues.ahead(&key, &terms);
+        Some(interval * u32::try_from(ahead + 1).unwrap_or(u32::MAX))
+    }
+
+    /// Estimated time between two slots of a resource that become free for this gateway: by what it
+    /// recently sent, or an equal part of what the instances serve if that is more.
+    fn slot_interval(&self, now: Timestamp, key: &ResourceKey) -> Option<Duration> {
+        let holding = self.admission.times.holding(&key.service)?;
+        let holders = self.instances.values().filter(|instance| {
+            let record = &instance.record;
+            let model = key.model.as_ref();
+            record.service == key.service
+                && model.is_none_or(|model| instance.holds(model, key.adapter.as_ref()))
+        });
+        let slots: f64 = holders
+            .map(|instance| f64::from(instance.record.slots.max(1)))
+            .sum();
+        let share = slots / holding.max(0.001) / f64::from(self.gateways.max(1));
+        let rate = share.max(self.admission.times.rate(now, key));
+        (rate > 0.0).then(|| Duration::from_secs_f64(1.0 / rate))
+    }
+
+    /// Time between two slots of one replica that become free for all gateways.
+    pub(crate) fn replica_slot_interval(&self, key: &ResourceKey) -> Duration {
+        let holding = self.admission.times.holding(&key.service);
+        let slots = self.engine_spec(&key.service);
+        let slots = slots.map_or(1, |engine| engine.slots.max(1));
+        Duration::from_secs_f64(holding.unwrap_or_default() / f64::from(slots))
+    }
+
+    /// Removes a request whose caller left, or that ended otherwise.
+    pub fn leave_queue(&mut self, now: Timestamp, ticket_waiter: WaiterNumber) {
+        if let Some(turn) = self.admission.queues.leave(ticket_waiter)
+            && let Some(instance) = turn.called_for
+        {
+            self.call_next(now, &instance);
+        }
+    }
+
+    /// Returns the waiting requests that must decide again now.
+    pub fn take_called(&mut self) -> Vec<WaiterNumber> {
+        self.admission.queues.take_called()
+    }
+
+    /// Number of waiting requests.
+    pub fn waiting_requests(&self) -> usize {
+        self.admission.queues.len()
+    }
+
+    /// Wakes all waiting requests, after a change that concerns all of them.
+    pub fn wake_all_waiting(&mut self) {
+        self.admission.queues.wake_all();
+    }
+
+    /// Calls the next request for an instance, if it can take one. Returns whether it did.
+    pub(crate) fn call_next(&mut self, now: Timestamp, instance: &InstanceId) -> bool {
+        match self.next_for(now, instance) {
+            Some(number) => {
+                self.admission.queues.call(number, instance);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Calls the next requests for all instances, of which several may have changed.
+    pub(crate) fn call_next_for_all(&mut self, now: Timestamp, changed: &[InstanceId]) {
+        if self.admission.queues.is_empty() {
+            return;
+        }
+        for instance in changed {
+            self.call_next(now, instance);
+        }
+    }
+
+    /// Returns the first waiting request, over all queues that an instance serves, that it can take
+    /// now.
+    fn next_for(&self, now: Timestamp, instance: &InstanceId) -> Option<WaiterNumber> {
+        let queues = &self.admission.queues;
+        if queues.is_empty() {
+            return None;
+        }
+        let found = self.instances.get(instance)?;
+        let reserved = queues.reserved(instance);
+        let is_usable = !found.record.draining && self.accepts_requests(now, instance);
+        if !is_usable {
+            return None;
+        }
+        let first = |key: &ResourceKey| {
+            queues.first_for(key, instance, |terms| {
+                // A waiter past its deadline is about to leave, and must not delay the others.
+                now < terms.latest && self.room(now, found, key, terms, reserved) > Room::None
+            })
+        };
+        let first_requests = self
+            .queues_of(found)
+            .into_iter()
+            .filter_map(|key| first(&key));
+        first_requests.min().map(|(_, number)| number)
+    }
+
+    /// Resources with waiting requests that an instance serves.
+    fn queues_of(&self, instance: &Instance) -> Vec<ResourceKey> {
+        let record = &instance.record;
+        let of_service = ResourceKey {
+            service: record.service.clone(),
+            model: None,
+            adapter: None,
+        };
+        let mut keys = vec![of_service.clone()];
+        for held in &record.models {
+            let of_model = ResourceKey {
+                model: Some(held.model.clone()),
+                ..of_service.clone()
+            };
+            let waiting = self.admission.queues.keys_from(of_model.clone());
+            let waiting = waiting
+                .take_while(|key| key.service == of_model.service && key.model == of_model.model);
+            let served = waiting.filter(|key| {
+                let adapter = key.adapter.as_ref();
+                adapter.is_none_or(|adapter| held.adapters.contains(adapter))
+            });
+            keys.extend(served.cloned());
+        }
+        keys
+    }
+
+    /// Records for how long a request occupied its slot, or that it was rejected for lack of one.
+    pub(crate) fn record_slot_end(
+        &mut self,
+        now: Timestamp,
+        record: &SendRecord,
+        outcome: SendOutcome,
+    ) {
+        match (outcome, record.slot_taken_at) {
+            (SendOutcome::Responded(_), Some(sent_at)) => {
+                let times = &mut self.admission.times;
+                times.record_holding(&record.service, now.since(sent_at));
+            }
+            (SendOutcome::Full, _) => {
+                let rejections = &mut self.admission.rejections;
+                rejections.retain(|_, at| now.since(*at) < REJECTION_BACKOFF);
+                rejections.insert(record.instance.clone(), now);
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -10,7 +10,7 @@
 use crate::responses::{
     NOT_CONFIGURED_RETRY_AFTER, gateway_response, unidentified_response, unrouted_response,
 };
-use crate::shared::{ActiveSend, Shared};
+use crate::shared::{ActiveSend, Shared, Turn};
 use crate::statements::record_statement;
 use async_io::Timer;
 use bytes::Bytes;
@@ -19,7 +19,9 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use millpass_dispatch::{Choice, RefusalReason, RequestIdentity, RouteError, SendOutcome, Ticket};
+use millpass_dispatch::{
+    Choice, QueueFacts, RefusalReason, RequestIdentity, RouteError, SendOutcome, Ticket,
+};
 use millpass_proto::{Duration, InstanceId, RouteSpec, Timestamp};
 use millpass_telemetry::event_line;
 use rand::RngExt;
@@ -241,10 +243,11 @@
     }
 
     async fn run(mut self) -> Response<RelayBody> {
+        let mut turn = Turn::new(self.shared.clone());
         loop {
             let changed = self.shared.changed.listen();
             let now = self.shared.now();
-            let choice = self.shared.choose(now, &mut self.ticket);
+            let choice = self.shared.choose(now, &mut self.ticket, &mut turn);
             match choice {
                 Choice::Send { instance, address } => match self.send(instance, &address).await {
                     SendResult::Responded(response) => return *response,
@@ -252,7 +255,8 @@
                     SendResult::Failed(status, reason) => return self.fail(status, reason, None),
                 },
                 Choice::Wait { until } => {
-                    self.shared.wait_for_change(changed, until).await;
+                    let waiting = self.shared.wait_to_decide(&mut turn, changed, until);
+                    waiting.await;
                 }
                 Choice::Refuse {
                     reason,
@@ -407,14 +411,29 @@
         }
         if let Some(failed) = self.error_response {
             let status = failed.head.status.as_str();
-            log_request(&self.shared, &self.ticket, "server-error", status, None);
+            log_request(
+                &self.shared,
+                &self.ticket,
+                "server-error",
+                status,
+                None,
+                None,
+            );
             let mut response = Response::new(full_body(failed.body));
             *response.status_mut() = failed.head.status;
             *response.headers_mut() = failed.head.headers;
             remove_hop_by_hop_headers(response.headers_mut());
             return response;
         }
-        log_request(&self.shared, &self.ticket, reason, status.as_str(), None);
+        let status_text = status.as_str();
+        log_request(
+            &self.shared,
+            &self.ticket,
+            reason,
+            status_text,
+            None,
+            retry_after,
+        );
         let attempt = self.ticket.description.attempt.clone();
         gateway_response(&self.shared, &attempt, status, reason, retry_after)
     }
@@ -504,6 +523,7 @@
     outcome: &str,
     status: &str,
     head: Option<Duration>,
+    retry_after: Option<Duration>,
 ) {
     let tenant = ticket.tenant.as_ref().map(|tenant| &tenant.name);
     shared.metrics.count_request(tenant, outcome);
@@ -513,6 +533,7 @@
     let adapter = description.adapter.as_ref();
     let now = shared.now();
     let version = shared.core().table().map_or(0, |table| table.version());
+    let queue = |text: fn(QueueFacts) -> String| ticket.queue.map_or_else(String::new, text);
     let waited = ticket.sent_at.map(|sent| sent.since(ticket.arrived));
     let pairs = [
         ("request", description.attempt.clone()),
@@ -542,6 +563,13 @@
         ("waited_ms", waited.map_or_else(String::new, millis)),
         ("head_ms", head.map_or_else(String::new, millis)),
         ("age_ms", millis(now.since(ticket.arrived))),
+        ("queue_ahead", queue(|facts| facts.ahead.to_string())),
+        ("queue_length", queue(|facts| facts.length.to_string())),
+        ("queue_expected_ms", queue(|facts| millis(facts.expected))),
+        (
+            "retry_after_ms",
+            retry_after.map_or_else(String::new, millis),
+        ),
     ];
     log::info!("{}", event_line("request_ended", &pairs));
 }
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -400,6 +400,7 @@
         shared.request_query();
     }
     shared.changed.notify(usize::MAX);
+    shared.notify_called();
 }
 
 fn apply_crashes(shared: &Shared, update: &CrashUpdate) {
@@ -412,6 +413,7 @@
     };
     if quarantined != before {
         shared.metrics.quarantined.set(quarantined as i64);
+        shared.notify_called();
         log::info!("event=held_requests_taken held={quarantined} before={before}");
         shared.changed.notify(usize::MAX);
     }
--- a/crates/millpass-gateway/src/process.rs
+++ b/crates/millpass-gateway/src/process.rs
@@ -140,6 +140,7 @@
     shared.core().stop_at(end);
     // Wake waiting requests, which must not wait any longer.
     shared.changed.notify(usize::MAX);
+    shared.notify_called();
     let in_flight = shared.in_flight.load(Ordering::Acquire);
     log::info!("event=gateway_draining in_flight={in_flight}");
     loop {
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -5,7 +5,7 @@
 use crate::exchange::{self, ReceivedResponse, RequestTemplate};
 use crate::forward::{InFlight, is_stream, log_request, record_failure, record_rejection};
 use crate::interface::SendFacts;
-use crate::shared::{ActiveSend, Shared};
+use crate::shared::{ActiveSend, Shared, Turn};
 use crate::statements::record_statement;
 use bytes::Bytes;
 use futures_lite::{future, stream};
@@ -167,6 +167,7 @@
             "answered",
             status,
             Some(self.head_latency),
+            None,
         );
     }
 
@@ -198,6 +199,7 @@
             outcome,
             reason,
             Some(self.head_latency),
+            None,
         );
         future::yield_now().await;
         self.ended = true;
@@ -221,10 +223,11 @@
         if let Some(events) = &mut self.events {
             events.discard_partial();
         }
+        let mut turn = Turn::new(self.shared.clone());
         loop {
             let changed = self.shared.changed.listen();
             let now = self.shared.now();
-            let choice = self.shared.choose(now, &mut self.ticket);
+            let choice = self.shared.choose(now, &mut self.ticket, &mut turn);
             match choice {
                 Choice::Send { instance, address } => {
                     if self.resume_at(instance, &address).await {
@@ -235,7 +238,8 @@
                     if now >= self.ticket.expires_at {
                         return false;
                     }
-                    self.shared.wait_for_change(changed, until).await;
+                    let waiting = self.shared.wait_to_decide(&mut turn, changed, until);
+                    waiting.await;
                 }
                 Choice::Refuse { .. } => return false,
             }
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -8,9 +8,11 @@
 use async_io::Timer;
 use event_listener::{Event, EventListener};
 use futures_lite::future;
+use millpass_dispatch::admission::WaiterNumber;
 use millpass_dispatch::{Choice, Dispatcher, SendOutcome, SendRecord, Ticket};
 use millpass_proto::{Duration, Timestamp};
 use millpass_telemetry::ProcessClock;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -23,8 +25,12 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) interface: Arc<dyn Interface>,
     core: Mutex<Dispatcher>,
+    /// Events of the requests that wait in a queue, each notified when its request must decide.
+    /// Entries are added under the lock of `core`, so that no call is missed.
+    turns: Mutex<HashMap<WaiterNumber, Arc<Event>>>,
     pub(crate) clock: ProcessClock,
-    /// Notified when instances, routes or free capacity change.
+    /// Notified when instances, routes or quotas change. Requests that wait in a queue are called
+    /// one by one instead.
     pub(crate) changed: Event,
     /// Notified when a report should be sent at once.
     pub(crate) report: Event,
@@ -58,6 +64,7 @@
     ) -> Self {
         Shared {
             core: Mutex::new(Dispatcher::new(settings.dispatch.clone())),
+            turns: Mutex::default(),
             clock: settings.clock,
             pool: Pool::new(settings.clock),
             settings,
@@ -88,16 +95,50 @@
     }
 
     /// Decides what to do with a request now. Triggers a report if the leader must be notified at
-    /// once.
-    pub(crate) fn choose(&self, now: Timestamp, ticket: &mut Ticket) -> Choice {
-        let mut core = self.core();
-        let choice = core.choose(now, ticket);
-        if core.is_report_urgent() || core.is_permit_request_due(now) {
-            self.report.notify(1);
-        }
+    /// once. `turn` is the request's turn in a queue.
+    pub(crate) fn choose(&self, now: Timestamp, ticket: &mut Ticket, turn: &mut Turn) -> Choice {
+        let choice = {
+            let mut core = self.core();
+            let choice = core.choose(now, ticket);
+            if core.is_report_urgent() || core.is_permit_request_due(now) {
+                self.report.notify(1);
+            }
+            turn.set(ticket.waiting());
+            choice
+        };
+        self.notify_called();
         choice
     }
 
+    /// Notifies the requests whose turn has come. Must be called after each change of the core that
+    /// may call one.
+    pub(crate) fn notify_called(&self) {
+        let called = self.core().take_called();
+        if called.is_empty() {
+            return;
+        }
+        let turns = self.turns();
+        for event in called.iter().filter_map(|number| turns.get(number)) {
+            event.notify(1);
+        }
+    }
+
+    fn turns(&self) -> MutexGuard<'_, HashMap<WaiterNumber, Arc<Event>>> {
+        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the request's turn comes or, if it is in no queue, for any change; at most until
+    /// `until`.
+    pub(crate) async fn wait_to_decide(
+        &self,
+        turn: &mut Turn,
+        changed: EventListener,
+        until: Timestamp,
+    ) {
+        let awaited = turn.listener.take().unwrap_or(changed);
+        self.wait_for_change(awaited, until).await;
+    }
+
     /// Waits until connections must close.
     pub(crate) async fn closed(&self) {
         loop {
@@ -143,6 +184,52 @@
     }
 }
 
+/// The turn of a request in the queues of waiting requests. Leaves the queue when dropped, also if
+/// the caller disconnects while it waits.
+pub(crate) struct Turn {
+    shared: Arc<Shared>,
+    waiting: Option<(WaiterNumber, Arc<Event>)>,
+    /// Notified when the request must decide again; created while the core is locked.
+    listener: Option<EventListener>,
+}
+
+impl Turn {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Turn {
+            shared,
+            waiting: None,
+            listener: None,
+        }
+    }
+
+    fn set(&mut self, waiting: Option<WaiterNumber>) {
+        let Some(number) = waiting else {
+            self.listener = None;
+            if let Some((number, _)) = self.waiting.take() {
+                self.shared.turns().remove(&number);
+            }
+            return;
+        };
+        let (_, event) = self.waiting.get_or_insert_with(|| {
+            let event = Arc::new(Event::new());
+            self.shared.turns().insert(number, event.clone());
+            (number, event)
+        });
+        self.listener = Some(event.listen());
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        if let Some((number, _)) = self.waiting.take() {
+            self.shared.turns().remove(&number);
+            let now = self.shared.now();
+            self.shared.core().leave_queue(now, number);
+            self.shared.notify_called();
+        }
+    }
+}
+
 /// A send in progress; its outcome is recorded once, as abandoned if dropped without one.
 pub(crate) struct ActiveSend {
     shared: Arc<Shared>,
@@ -180,7 +267,7 @@
         if end == SendOutcome::Broken {
             self.shared.probe.notify(1);
         }
-        self.shared.changed.notify(usize::MAX);
+        self.shared.notify_called();
     }
 }
 
