Estimate an engine's queue by rank; tests of waiting and of sharing

Change: an engine serves urgent requests first, so that the number of them in its queue follows from their fraction alone, and less urgent ones wait longer by what more urgent ones use. Sends go into at most two thirds of an engine's queue. A waiter past its objective goes on only if it is expected to be served before its caller leaves.

--- a/crates/millpass-dispatch/src/admission.rs
+++ b/crates/millpass-dispatch/src/admission.rs
@@ -21,6 +21,9 @@
 pub const MAX_WAITING: usize = 512;
 /// Maximum number of waiting requests of one tenant at a gateway.
 pub const MAX_WAITING_PER_TENANT: usize = 128;
+/// Requests of a queue that are examined when a slot becomes free. Those before the first that fits
+/// were tried there already or are about to leave, and are few.
+const MAX_EXAMINED: usize = 16;
 /// Idle tenants whose start time is always kept, per rank and queue.
 const MAX_IDLE_TENANTS: usize = 16;
 
@@ -315,7 +318,7 @@
         let in_order = queue
             .iter()
             .flat_map(|(rank, level)| level.in_order().map(|number| (*rank, number)));
-        let mut fitting = in_order.filter(|(_, number)| {
+        let mut fitting = in_order.take(MAX_EXAMINED).filter(|(_, number)| {
             self.waiters.get(number).is_some_and(|waiter| {
                 waiter.passed.as_ref() != Some(instance)
                     && !waiter.terms.excluded.contains(instance)
--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -7,7 +7,7 @@
 use crate::request::{SendRecord, Ticket};
 use crate::selection::CAPACITY_RETRY_AFTER;
 use crate::service_times::ServiceTimes;
-use millpass_proto::{Duration, InstanceId, Timestamp};
+use millpass_proto::{Duration, InstanceId, ServiceName, Timestamp};
 use std::collections::HashMap;
 
 /// Interval at which the first request of a queue checks again: estimates of loads decay between
@@ -20,12 +20,19 @@
 /// Least time left to serve a request.
 pub(crate) const MIN_SERVING_TIME: Duration = Duration::from_millis(250);
 
-/// Queue of an instance into which requests are sent: at most as many as it has slots. What is
-/// queued beyond that would not start within the time for which one request occupies a slot, and a
-/// request that waits at the gateway can still go to another instance. Engines queue three times
-/// their slots and web back ends four times; the rest covers sends of other gateways that are not
+/// Requests that are served before a further one in the queue of an instance, per slot, at most.
+/// What is queued beyond that would not start within the time for which one request occupies a
+/// slot, and a request that waits at the gateway can still go to another instance.
+const QUEUE_AHEAD_PER_SLOT: f64 = 1.0;
+/// Length of an instance's queue, per slot, up to which requests are sent into it. Instances queue
+/// at least three times their slots; a third of that covers sends of other gateways that are not
 /// known here yet.
-const QUEUE_PER_SLOT: f64 = 1.0;
+const QUEUE_PER_SLOT: f64 = 2.0;
+
+/// Probability that the queue ahead of an urgent request is longer than assumed.
+const LONGER_QUEUE_PROBABILITY: f64 = 0.05;
+/// Share of the slots that a rank is assumed to get at least, whatever more urgent ones use.
+const LEAST_SHARE: f64 = 0.05;
 
 /// State of waiting at a gateway.
 #[derive(Debug, Default)]
@@ -45,6 +52,8 @@
     pub expected: Duration,
     /// Number of requests that waited for the same resource.
     pub length: usize,
+    /// When it began to wait.
+    pub since: Timestamp,
 }
 
 /// Whether an instance can take a request now; the greatest is the best.
@@ -115,32 +124,32 @@
         terms: &WaiterTerms,
         load: f64,
     ) -> Option<Duration> {
-        let holding = self.admission.times.holding(&key.service)?;
+        let times = &self.admission.times;
+        let holding = times.holding(&key.service)?;
         let engine = key.model.is_some();
         let slots = f64::from(instance.record.slots.max(1));
-        let ahead = load - slots + 1.0;
+        let queue = load - slots + 1.0;
         // An engine serves the more urgent of its queue first.
         let ahead = match engine {
-            true => {
-                ahead
-                    * self
-                        .admission
-                        .times
-                        .urgent_fraction(&key.service, terms.rank)
-            }
-            false => ahead,
+            true => queue.min(urgent_queue(
+                times.urgent_fraction(&key.service, terms.rank),
+            )),
+            false => queue,
         };
-        let rejections = &self.admission.rejections;
-        let rejected = rejections.get(&instance.record.instance);
+        let is_full = queue > slots * QUEUE_PER_SLOT || ahead > slots * QUEUE_AHEAD_PER_SLOT;
+        let rejected = self.admission.rejections.get(&instance.record.instance);
         let is_rejecting = rejected.is_some_and(|at| now.since(*at) < REJECTION_BACKOFF);
-        if terms.late || is_rejecting || ahead > slots * QUEUE_PER_SLOT {
+        if terms.late || is_full || is_rejecting {
             return None;
         }
-        let times = &self.admission.times;
         if times.was_more_urgent_refused(now, key, terms.rank) {
             return None;
         }
-        let wait = Duration::from_secs_f64(ahead * holding / slots);
+        let share = match engine {
+            true => self.share_left(&key.service, terms.rank),
+            false => 1.0,
+        };
+        let wait = Duration::from_secs_f64(ahead * holding / slots / share);
         Some(wait + self.expected_first_byte(now, instance, engine, terms.tokens))
     }
 
@@ -194,6 +203,7 @@
             ahead: queues.ahead(&key, &terms),
             expected: (now + expected).since(ticket.arrived),
             length: queues.length(&key),
+            since: ticket.queue.map_or(now, |facts| facts.since),
         });
         let number = *ticket.waiter.get_or_insert_with(|| queues.next_number());
         if queues.join(number, key, terms, turn) == Joined::Full {
@@ -250,7 +260,7 @@
         ticket: &mut Ticket,
         turn: &Turn,
     ) -> Choice {
-        let first_byte = MIN_SERVING_TIME.min(ticket.objective() / 5);
+        let first_byte = self.time_at_instance(ticket);
         let due = ticket.arrived + ticket.objective();
         let latest = ticket.first_event_deadline();
         let Some(expected) = self.expected_slot_wait(now, ticket) else {
@@ -275,21 +285,44 @@
         if early && can_return {
             return self.refuse_full(now, ticket, expected);
         }
-        // One that has waited goes on as long as it is useful: refused now, its caller would have
-        // waited in vain.
-        let is_useful = match early {
-            true => ready <= latest,
-            false => now + first_byte < latest,
-        };
-        if is_useful {
-            ticket.late = true;
-            if let Some(choice) = self.join_queue(now, ticket, turn, latest, expected) {
+        // Estimates vary: one that was accepted keeps its place until its objective has passed.
+        let is_in_time = !early && !ticket.late && now + first_byte < due;
+        if is_in_time || ready <= latest {
+            ticket.late = !is_in_time;
+            let until = if is_in_time { due } else { latest };
+            if let Some(choice) = self.join_queue(now, ticket, turn, until, expected) {
                 return choice;
             }
         }
         self.refuse_full(now, ticket, expected)
     }
 
+    /// Estimates the time from a send to the first byte for a request that waited for its slot: what
+    /// an engine's queue holds when the next is sent into it, and more urgent requests that go first.
+    fn time_at_instance(&self, ticket: &Ticket) -> Duration {
+        let times = &self.admission.times;
+        let least = MIN_SERVING_TIME.min(ticket.objective() / 5);
+        let holding = times.holding(&ticket.service).unwrap_or_default();
+        if !self.is_engine(&ticket.service) {
+            return least.max(Duration::from_secs_f64(holding));
+        }
+        let ahead = urgent_queue(times.urgent_fraction(&ticket.service, ticket.rank));
+        let slots = self.engine_spec(&ticket.service);
+        let slots = f64::from(slots.map_or(1, |engine| engine.slots.max(1)));
+        let ahead = ahead.min(slots * QUEUE_AHEAD_PER_SLOT);
+        let share = self.share_left(&ticket.service, ticket.rank);
+        least.max(Duration::from_secs_f64(ahead * holding / slots / share))
+    }
+
+    /// Share of the slots that is left to a rank by more urgent ones.
+    fn share_left(&self, service: &ServiceName, rank: u32) -> f64 {
+        let more_urgent = match rank.checked_sub(1) {
+            Some(above) => self.admission.times.urgent_fraction(service, above),
+            None => 0.0,
+        };
+        (1.0 - more_urgent).max(LEAST_SHARE)
+    }
+
     fn refuse_full(&mut self, now: Timestamp, ticket: &mut Ticket, expected: Duration) -> Choice {
         let retry_after = self.slot_retry_after(now, ticket, expected);
         self.record_refused_full(now, ticket);
@@ -317,7 +350,8 @@
     ) -> Duration {
         let key = self.resource_key(ticket);
         let ready = now + expected.max(CAPACITY_RETRY_AFTER);
-        let interval = self.slot_interval(now, &key).unwrap_or_default();
+        let interval = self.slot_interval(now, &key, ticket.rank);
+        let interval = interval.unwrap_or_default();
         self.retry_after_in_order(now, ticket, &key, ready, interval)
     }
 
@@ -343,15 +377,16 @@
     /// nothing is known of the time that requests take.
     fn expected_slot_wait(&self, now: Timestamp, ticket: &Ticket) -> Option<Duration> {
         let key = self.resource_key(ticket);
-        let interval = self.slot_interval(now, &key)?;
+        let interval = self.slot_interval(now, &key, ticket.rank)?;
         let terms = self.waiter_terms(now, ticket);
         let ahead = self.admission.queues.ahead(&key, &terms);
         Some(interval * u32::try_from(ahead + 1).unwrap_or(u32::MAX))
     }
 
-    /// Estimated time between two slots of a resource that become free for this gateway: by what it
-    /// recently sent, or an equal part of what the instances serve if that is more.
-    fn slot_interval(&self, now: Timestamp, key: &ResourceKey) -> Option<Duration> {
+    /// Estimated time between two slots of a resource that become free for this gateway's requests
+    /// of a rank: by what it recently sent, or an equal part of what the instances serve if that is
+    /// more, less what more urgent requests use.
+    fn slot_interval(&self, now: Timestamp, key: &ResourceKey, rank: u32) -> Option<Duration> {
         let holding = self.admission.times.holding(&key.service)?;
         let holders = self.instances.values().filter(|instance| {
             let record = &instance.record;
@@ -364,6 +399,7 @@
             .sum();
         let share = slots / holding.max(0.001) / f64::from(self.gateways.max(1));
         let rate = share.max(self.admission.times.rate(now, key));
+        let rate = rate * self.share_left(&key.service, rank);
         (rate > 0.0).then(|| Duration::from_secs_f64(1.0 / rate))
     }
 
@@ -493,3 +529,14 @@
         }
     }
 }
+
+/// Requests at least as urgent as a given one that are ahead of it in the queue of a busy engine,
+/// given the fraction of all requests that are as urgent, plus the one to start next. As the engine
+/// serves them first, their number is distributed as in a queue with that utilization: the
+/// probability of each further one is the fraction.
+fn urgent_queue(urgent_fraction: f64) -> f64 {
+    if urgent_fraction >= 1.0 {
+        return f64::INFINITY;
+    }
+    1.0 + LONGER_QUEUE_PROBABILITY.ln() / urgent_fraction.ln()
+}
--- a/crates/millpass-dispatch/tests/harness/mod.rs
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -1,4 +1,7 @@
-//! A gateway with a document and instances, for tests of what instances state.
+//! A gateway with a document and instances, for tests of what instances state and of waiting.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
 
 use millpass_dispatch::*;
 use millpass_proto::*;
@@ -8,7 +11,7 @@
     Timestamp::from_millis(millis)
 }
 
-fn settings(name: &str) -> DispatchSettings {
+pub fn settings(name: &str) -> DispatchSettings {
     let day = Duration::from_secs(86_400);
     DispatchSettings {
         name: name.to_owned(),
--- /dev/null
+++ b/crates/millpass-dispatch/tests/sharing.rs
@@ -0,0 +1,268 @@
+//! Ways to share an engine's slots among 3, 61 and 986 gateways, on a small model of the engine: a
+//! batch of slots, behind them a queue by priority, and gateways that learn of each other's requests
+//! only by updates of the leader and by loads in responses.
+
+mod harness;
+
+use harness::{at, record, update};
+use millpass_dispatch::*;
+use millpass_proto::*;
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+const SLOTS: usize = 24;
+const QUEUE: usize = 72;
+/// Time for which a request occupies a slot; the engine serves 24 a second.
+const HOLDING: u64 = 1_000;
+const STEP: u64 = 5;
+/// Start of the load; before it, each gateway has served a few requests.
+const START: u64 = 2_000;
+const END: u64 = 22_000;
+/// Time until the requests in flight at the gateways are known to the leader.
+const REPORT_DELAY: u64 = 100;
+
+/// How requests that find all slots in use are handled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// They wait for a fifth of their objective, and are refused.
+    WaitBriefly,
+    /// They are sent into the engine's queue, wait at the gateway, or are refused at once, by the
+    /// expected wait.
+    ByExpectedWait,
+}
+
+#[derive(Debug, Default, PartialEq)]
+struct Class {
+    arrived: f64,
+    in_time: f64,
+    late: f64,
+    refused: f64,
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    classes: [Class; 2],
+    rejected: usize,
+    /// Free slots, summed over the steps after the first second.
+    idle: usize,
+    longest_queue: usize,
+    /// Longest time for which a request was held before it was refused.
+    longest_held: u64,
+}
+
+struct Request {
+    gateway: usize,
+    class: usize,
+    arrived: u64,
+    ticket: Ticket,
+}
+
+/// Engine that runs up to [`SLOTS`] requests, and queues the others by priority.
+#[derive(Default)]
+struct Engine {
+    running: Vec<(u64, usize)>,
+    queue: BTreeSet<(usize, usize)>,
+}
+
+fn outcome(way: Way) -> SendOutcome {
+    match way {
+        // Nothing is learned of the time that requests take.
+        Way::WaitBriefly => SendOutcome::Abandoned,
+        Way::ByExpectedWait => SendOutcome::Responded(Duration::from_millis(10)),
+    }
+}
+
+fn begin(dispatcher: &mut Dispatcher, now: u64, class: usize) -> Ticket {
+    let path = ["/rush/", "/batch/"][class];
+    let route = dispatcher.route(at(now), "h.example", path).expect("route");
+    let description = RequestDescription {
+        timeout: Some(Duration::from_millis(12_000)),
+        model: Some("a".into()),
+        ..RequestDescription::default()
+    };
+    dispatcher.begin(at(now), route, None, description, 0.5)
+}
+
+fn new_gateway(way: Way, number: usize, gateways: usize) -> Dispatcher {
+    let engine = InstanceRecord {
+        slots: u32::try_from(SLOTS).expect("few"),
+        ..record("e-1", "text")
+    };
+    let count = u32::try_from(gateways).expect("few");
+    let mut first = update(1, count, vec![engine]);
+    let document = first.document.as_mut().expect("a document");
+    let like = document.routes[1].clone();
+    let route = |name: &str, priority, objective_millis| RouteSpec {
+        name: name.to_owned(),
+        path_prefix: name.to_owned(),
+        priority,
+        objective_millis,
+        timeout_millis: 12_000,
+        ..like.clone()
+    };
+    document.routes = vec![route("/rush/", 0, 500), route("/batch/", 2, 5_000)];
+    let mut dispatcher = Dispatcher::new(harness::settings(&format!("g-{number}")));
+    dispatcher.report(at(0));
+    dispatcher.update(at(0), first);
+    for class in [0, 1, 0, 1, 1, 0, 1, 0, 1, 1, 0, 1, 1, 0, 1] {
+        let mut ticket = begin(&mut dispatcher, 0, class);
+        dispatcher.choose(at(0), &mut ticket);
+        let record = ticket.send_record(&"e-1".into());
+        dispatcher.record_send_outcome(at(HOLDING), &record, outcome(way));
+    }
+    dispatcher
+}
+
+/// Runs `per_second` requests through the gateways; two of five are urgent.
+fn run(way: Way, gateways: usize, per_second: u64) -> Totals {
+    let mut dispatchers: Vec<Dispatcher> = (0..gateways)
+        .map(|number| new_gateway(way, number, gateways))
+        .collect();
+    let (mut engine, mut totals) = (Engine::default(), Totals::default());
+    let mut requests: Vec<Request> = Vec::new();
+    let mut waiting: Vec<(usize, u64)> = Vec::new();
+    let mut in_flight_before = Vec::new();
+    let mut random = 0x9e37_79b9_7f4a_7c15_u64;
+    let mut draw = |below: u64| {
+        random ^= random << 13;
+        random ^= random >> 7;
+        random ^= random << 17;
+        random % below
+    };
+    let interval = REPORT_DELAY.max(gateways as u64);
+    for now in (START..END).step_by(STEP as usize) {
+        // Ends of running requests, and starts of queued ones.
+        let ended: Vec<usize> = engine
+            .running
+            .iter()
+            .filter(|(end, _)| *end <= now)
+            .map(|(_, request)| *request)
+            .collect();
+        engine.running.retain(|(end, _)| *end > now);
+        for request in ended {
+            let request = &requests[request];
+            let record = request.ticket.send_record(&"e-1".into());
+            dispatchers[request.gateway].record_send_outcome(at(now), &record, outcome(way));
+        }
+        while engine.running.len() < SLOTS
+            && let Some((_, request)) = engine.queue.pop_first()
+        {
+            engine.running.push((now + HOLDING, request));
+            let load = ReportedLoad {
+                running: engine.running.len() as u32,
+                waiting: engine.queue.len() as u32,
+            };
+            let request = &requests[request];
+            dispatchers[request.gateway].record_load(at(now), &"e-1".into(), load);
+            let (class, waited) = (&mut totals.classes[request.class], now - request.arrived);
+            match waited <= [500, 5_000][request.class] {
+                true => class.in_time += 1.0,
+                false => class.late += 1.0,
+            }
+        }
+        if now >= START + 1_000 {
+            totals.idle += SLOTS - engine.running.len();
+        }
+        totals.longest_queue = totals.longest_queue.max(engine.queue.len());
+        // Updates.
+        in_flight_before.push(engine.running.len() + engine.queue.len());
+        let known = in_flight_before
+            .len()
+            .saturating_sub((REPORT_DELAY / STEP) as usize + 1);
+        let known = in_flight_before[known];
+        for (number, dispatcher) in dispatchers.iter_mut().enumerate() {
+            if (now + number as u64 * STEP) % interval < STEP {
+                dispatcher.report(at(now));
+                let loads = vec![InstanceLoad {
+                    instance: "e-1".into(),
+                    in_flight: known as u32,
+                }];
+                let received = GatewayUpdate {
+                    first: false,
+                    document: None,
+                    loads,
+                    ..update(1, gateways as u32, Vec::new())
+                };
+                dispatcher.update(at(now), received);
+            }
+        }
+        // Arrivals, and requests that decide again.
+        for _ in 0..per_second * STEP {
+            if draw(1_000) > 0 {
+                continue;
+            }
+            let gateway = draw(gateways as u64) as usize;
+            let class = usize::from(draw(5) >= 2);
+            let ticket = begin(&mut dispatchers[gateway], now, class);
+            totals.classes[class].arrived += 1.0;
+            waiting.push((requests.len(), now));
+            requests.push(Request {
+                gateway,
+                class,
+                arrived: now,
+                ticket,
+            });
+        }
+        let mut again = true;
+        while std::mem::take(&mut again) {
+            let mut called = BTreeSet::new();
+            for (number, dispatcher) in dispatchers.iter_mut().enumerate() {
+                called.extend(dispatcher.take_called().into_iter().map(|it| (number, it)));
+            }
+            for (number, until) in std::mem::take(&mut waiting) {
+                let request = &mut requests[number];
+                let is_called = request
+                    .ticket
+                    .waiting()
+                    .is_some_and(|waiter| called.contains(&(request.gateway, waiter)));
+                if until > now && !is_called {
+                    waiting.push((number, until));
+                    continue;
+                }
+                again = true;
+                let dispatcher = &mut dispatchers[request.gateway];
+                match dispatcher.choose(at(now), &mut request.ticket) {
+                    Choice::Wait { until } => {
+                        waiting.push((number, until.as_millis().max(now + 1)))
+                    }
+                    Choice::Refuse { .. } => {
+                        totals.classes[request.class].refused += 1.0;
+                        totals.longest_held = totals.longest_held.max(now - request.arrived);
+                    }
+                    Choice::Send { .. } if engine.queue.len() >= QUEUE => {
+                        totals.rejected += 1;
+                        totals.classes[request.class].refused += 1.0;
+                        let record = request.ticket.send_record(&"e-1".into());
+                        dispatcher.record_send_outcome(at(now), &record, SendOutcome::Full);
+                    }
+                    Choice::Send { .. } => {
+                        engine.queue.insert((request.class, number));
+                    }
+                }
+            }
+        }
+    }
+    totals
+}
+
+/// Guards against idle slots beside refused callers, a queue at the engine that overflows or makes
+/// urgent requests late, and urgent requests that are served less often than others.
+#[rstest]
+#[case::three(3)]
+#[case::first_customer(61)]
+#[case::design_target(986)]
+fn engine_queue_serves_more_in_time_than_a_brief_wait(#[case] gateways: usize) {
+    for per_second in [22, 30] {
+        let brief = run(Way::WaitBriefly, gateways, per_second);
+        let expected = run(Way::ByExpectedWait, gateways, per_second);
+        println!("gateways={gateways} per_second={per_second}\n  {brief:?}\n  {expected:?}");
+        let in_time =
+            |totals: &Totals| -> f64 { totals.classes.iter().map(|class| class.in_time).sum() };
+        let share = |class: &Class| (class.in_time + class.late) / class.arrived;
+        assert!(in_time(&expected) >= in_time(&brief));
+        let [rush, batch] = &expected.classes;
+        assert!(share(rush) >= share(batch) - 0.05, "{rush:?} {batch:?}");
+        assert!(expected.idle <= brief.idle, "idle slots");
+        assert!(expected.longest_queue <= QUEUE);
+    }
+}
