Refuse at once what would be late at full slots

Cause: at 61 gateways 37 of 338 less urgent requests of the model were held for over a quarter of their objective and then refused; they had been accepted although they would be late, and got no slot. Change: a request that would be late when it arrives is refused; one that has waited past its objective may use half of an engine's usable queue.

--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -29,6 +29,9 @@
 /// known here yet.
 const QUEUE_PER_SLOT: f64 = 2.0;
 
+/// Fraction of the usable queue of an instance that late requests may use: those that can still be
+/// in time come first.
+const LATE_FRACTION: f64 = 0.5;
 /// Probability that the queue ahead of an urgent request is longer than assumed.
 const LONGER_QUEUE_PROBABILITY: f64 = 0.05;
 /// Share of the slots that a rank is assumed to get at least, whatever more urgent ones use.
@@ -109,7 +112,9 @@
             return Room::Slot;
         }
         match self.queue_wait(now, instance, key, terms, load) {
-            Some(wait) if now + wait <= terms.due => Room::Queue,
+            Some(wait) if now + wait <= if terms.late { terms.latest } else { terms.due } => {
+                Room::Queue
+            }
             _ => Room::None,
         }
     }
@@ -139,7 +144,8 @@
         let is_full = queue > slots * QUEUE_PER_SLOT || ahead > slots * QUEUE_AHEAD_PER_SLOT;
         let rejected = self.admission.rejections.get(&instance.record.instance);
         let is_rejecting = rejected.is_some_and(|at| now.since(*at) < REJECTION_BACKOFF);
-        if terms.late || is_full || is_rejecting {
+        let is_too_long = terms.late && ahead > slots * QUEUE_AHEAD_PER_SLOT * LATE_FRACTION;
+        if is_full || is_too_long || is_rejecting {
             return None;
         }
         if times.was_more_urgent_refused(now, key, terms.rank) {
@@ -281,12 +287,12 @@
             }
             return self.refuse_full(now, ticket, expected);
         }
-        let can_return = expected * 3 < ticket.deadline.since(now);
-        if early && can_return {
+        if early {
+            // It would be late, and make others late that can still be served in time.
             return self.refuse_full(now, ticket, expected);
         }
         // Estimates vary: one that was accepted keeps its place until its objective has passed.
-        let is_in_time = !early && !ticket.late && now + first_byte < due;
+        let is_in_time = !ticket.late && now + first_byte < due;
         if is_in_time || ready <= latest {
             ticket.late = !is_in_time;
             let until = if is_in_time { due } else { latest };
