Compare ways to tell refused callers when to return

Cause: what a caller who returns as told finds depends on the others. Conclusion: in order of refusal, not counted against arrivals: a gateway cannot tell those that return from others, and refuses both.

--- a/crates/millpass-dispatch/tests/sharing.rs
+++ b/crates/millpass-dispatch/tests/sharing.rs
@@ -15,6 +15,8 @@
 /// Time for which a request occupies a slot; the engine serves 24 a second.
 const HOLDING: u64 = 1_000;
 const STEP: u64 = 5;
+/// Time after which callers leave.
+const TIMEOUT: u64 = 12_000;
 /// Start of the load; before it, each gateway has served a few requests.
 const START: u64 = 2_000;
 const END: u64 = 22_000;
@@ -31,6 +33,20 @@
     ByExpectedWait,
 }
 
+/// When refused callers come back, at any gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Return {
+    /// They don't.
+    Never,
+    /// After a constant time, as before.
+    Constant,
+    /// As told: in the order in which their gateway refused them.
+    InOrder,
+    /// As told, and a gateway refuses all arrivals while callers that it told to return are
+    /// outstanding. It cannot tell those that return from others.
+    InOrderCounted,
+}
+
 #[derive(Debug, Default, PartialEq)]
 struct Class {
     arrived: f64,
@@ -48,6 +64,11 @@
     longest_queue: usize,
     /// Requests that were held for over a quarter of their objective before they were refused.
     held_and_refused: usize,
+    /// Callers that came back, and those of them that were refused again.
+    returned: usize,
+    refused_again: usize,
+    /// Most callers that came back within 100 ms.
+    most_at_once: usize,
 }
 
 struct Request {
@@ -55,6 +76,7 @@
     class: usize,
     arrived: u64,
     ticket: Ticket,
+    is_return: bool,
 }
 
 /// Engine that runs up to [`SLOTS`] requests, and queues the others by priority.
@@ -72,11 +94,11 @@
     }
 }
 
-fn begin(dispatcher: &mut Dispatcher, now: u64, class: usize) -> Ticket {
+fn begin(dispatcher: &mut Dispatcher, now: u64, class: usize, timeout: u64) -> Ticket {
     let path = ["/rush/", "/batch/"][class];
     let route = dispatcher.route(at(now), "h.example", path).expect("route");
     let description = RequestDescription {
-        timeout: Some(Duration::from_millis(12_000)),
+        timeout: Some(Duration::from_millis(timeout)),
         model: Some("a".into()),
         ..RequestDescription::default()
     };
@@ -105,7 +127,7 @@
     dispatcher.report(at(0));
     dispatcher.update(at(0), first);
     for class in [0, 1, 0, 1, 1, 0, 1, 0, 1, 1, 0, 1, 1, 0, 1] {
-        let mut ticket = begin(&mut dispatcher, 0, class);
+        let mut ticket = begin(&mut dispatcher, 0, class, TIMEOUT);
         dispatcher.choose(at(0), &mut ticket);
         let record = ticket.send_record(&"e-1".into());
         dispatcher.record_send_outcome(at(HOLDING), &record, outcome(way));
@@ -113,8 +135,9 @@
     dispatcher
 }
 
-/// Runs `per_second` requests through the gateways; two of five are urgent.
-fn run(way: Way, gateways: usize, per_second: u64) -> Totals {
+/// Runs `per_second` requests through the gateways; two of five are urgent. If callers return, the
+/// load lasts for 6 s, and half of it follows.
+fn run(way: Way, gateways: usize, per_second: u64, returns: Return) -> Totals {
     let mut dispatchers: Vec<Dispatcher> = (0..gateways)
         .map(|number| new_gateway(way, number, gateways))
         .collect();
@@ -122,6 +145,8 @@
     let mut requests: Vec<Request> = Vec::new();
     let mut waiting: Vec<(usize, u64)> = Vec::new();
     let mut in_flight_before = Vec::new();
+    let mut returning: Vec<(u64, usize, u64)> = Vec::new();
+    let mut told = vec![0_u64; gateways];
     let mut random = 0x9e37_79b9_7f4a_7c15_u64;
     let mut draw = |below: u64| {
         random ^= random << 13;
@@ -187,20 +212,32 @@
             }
         }
         // Arrivals, and requests that decide again.
-        for _ in 0..per_second * STEP {
-            if draw(1_000) > 0 {
-                continue;
+        let is_over = returns != Return::Never && now > START + 6_000;
+        let rate = if is_over { per_second / 2 } else { per_second };
+        let mut arrivals = Vec::new();
+        for _ in 0..rate * STEP {
+            if draw(1_000) == 0 {
+                arrivals.push((usize::from(draw(5) >= 2), TIMEOUT, false));
             }
+        }
+        let back = returning.extract_if(.., |(at, _, _)| *at <= now);
+        arrivals.extend(back.map(|(_, class, timeout)| (class, timeout, true)));
+        let within = returning.iter().filter(|(at, _, _)| *at <= now + 100);
+        totals.most_at_once = totals.most_at_once.max(within.count());
+        for (class, timeout, is_return) in arrivals {
             let gateway = draw(gateways as u64) as usize;
-            let class = usize::from(draw(5) >= 2);
-            let ticket = begin(&mut dispatchers[gateway], now, class);
-            totals.classes[class].arrived += 1.0;
+            let ticket = begin(&mut dispatchers[gateway], now, class, timeout);
+            match is_return {
+                true => totals.returned += 1,
+                false => totals.classes[class].arrived += 1.0,
+            }
             waiting.push((requests.len(), now));
             requests.push(Request {
                 gateway,
                 class,
                 arrived: now,
                 ticket,
+                is_return,
             });
         }
         let mut again = true;
@@ -221,12 +258,37 @@
                 }
                 again = true;
                 let dispatcher = &mut dispatchers[request.gateway];
-                match dispatcher.choose(at(now), &mut request.ticket) {
+                let outstanding = &mut told[request.gateway];
+                let choice = match returns {
+                    Return::InOrderCounted if *outstanding > now + 500 => {
+                        let retry_after = Duration::from_millis(*outstanding - now);
+                        let reason = RefusalReason::Full;
+                        Choice::Refuse {
+                            reason,
+                            retry_after,
+                        }
+                    }
+                    _ => dispatcher.choose(at(now), &mut request.ticket),
+                };
+                match choice {
                     Choice::Wait { until } => {
                         waiting.push((number, until.as_millis().max(now + 1)))
                     }
-                    Choice::Refuse { .. } => {
+                    Choice::Refuse { retry_after, .. } => {
                         totals.classes[request.class].refused += 1.0;
+                        totals.refused_again += usize::from(request.is_return);
+                        let left = request.ticket.deadline.since(at(now));
+                        let after = match returns {
+                            Return::Constant => Duration::from_millis(250),
+                            _ => retry_after,
+                        };
+                        let honoured = after * 3 <= left && !request.is_return;
+                        if returns != Return::Never && honoured {
+                            let back_at = now + after.as_millis() as u64;
+                            let left = left - after;
+                            returning.push((back_at, request.class, left.as_millis() as u64));
+                            *outstanding = back_at.max(*outstanding);
+                        }
                         let quarter = [125, 1_250][request.class];
                         let held = now - request.arrived > quarter;
                         totals.held_and_refused += usize::from(held);
@@ -255,8 +317,8 @@
 #[case::design_target(986)]
 fn engine_queue_serves_more_in_time_than_a_brief_wait(#[case] gateways: usize) {
     for per_second in [22, 30] {
-        let brief = run(Way::WaitBriefly, gateways, per_second);
-        let expected = run(Way::ByExpectedWait, gateways, per_second);
+        let brief = run(Way::WaitBriefly, gateways, per_second, Return::Never);
+        let expected = run(Way::ByExpectedWait, gateways, per_second, Return::Never);
         println!("gateways={gateways} per_second={per_second}\n  {brief:?}\n  {expected:?}");
         let in_time =
             |totals: &Totals| -> f64 { totals.classes.iter().map(|class| class.in_time).sum() };
@@ -266,5 +328,25 @@
         assert!(share(rush) >= share(batch) - 0.05, "{rush:?} {batch:?}");
         assert!(expected.idle <= brief.idle, "idle slots");
         assert!(expected.longest_queue <= QUEUE);
+        assert_eq!(expected.rejected, 0, "the engine's queue overflows");
+        assert!(expected.held_and_refused <= 5, "held in vain");
+    }
+}
+
+/// Guards against refused callers that return together and are refused again.
+#[rstest]
+#[case::three(3)]
+#[case::first_customer(61)]
+#[case::design_target(986)]
+fn callers_told_to_return_in_order_are_refused_again_less_often(#[case] gateways: usize) {
+    let ways = [Return::Constant, Return::InOrder, Return::InOrderCounted];
+    let totals = ways.map(|returns| run(Way::ByExpectedWait, gateways, 48, returns));
+    let again = |totals: &Totals| totals.refused_again as f64 / totals.returned.max(1) as f64;
+    for (returns, totals) in ways.iter().zip(&totals) {
+        println!(
+            "gateways={gateways} {returns:?} {:.2} {totals:?}",
+            again(totals)
+        );
     }
+    assert!(again(&totals[1]) <= again(&totals[0]));
 }
