--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -156,11 +156,11 @@
             false => 1.0,
         };
         let wait = Duration::from_secs_f64(ahead * holding / slots / share);
-        Some(wait + self.expected_first_byte(now, instance, engine, terms.tokens))
+        Some(wait + self.first_byte_at_slot(now, instance, engine, terms.tokens))
     }
 
     /// Estimates the time to the first byte once a request has a slot.
-    fn expected_first_byte(
+    fn first_byte_at_slot(
         &self,
         now: Timestamp,
         instance: &Instance,
@@ -171,8 +171,11 @@
             let holding = self.admission.times.holding(&instance.record.service);
             return Duration::from_secs_f64(holding.unwrap_or_default());
         }
-        let reading = f64::from(unread_tokens) / self.settings.prompt_tokens_per_milli / 1_000.0;
-        instance.prefill_until.since(now) + Duration::from_secs_f64(reading)
+        let load = instance
+            .load(now)
+            .min(f64::from(instance.record.slots.max(1)));
+        let id = &instance.record.instance;
+        instance.prefill_until.since(now) + self.expected_first_byte(now, id, unread_tokens, load)
     }
 
     /// Removes a request from its queue to decide again.
