Wait for a busy engine's copy instead of the weight store

Cause: the planner saw weight copies only on engines that it could instruct now or soon. Change: copies on engines that cannot be instructed yet count with the time until they can; a load from the store is not planned, and the estimate names that time, while the copy would be ready sooner and the demand has not waited for as long as the store would take.

--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -94,7 +94,8 @@
     pub(crate) key: ModelKey,
     pub(crate) requests: f64,
     pub(crate) priority: u32,
-    since: Timestamp,
+    /// Start of the current period of unmet demand.
+    pub(crate) since: Timestamp,
 }
 
 #[derive(Default)]
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -37,6 +37,7 @@
 
 mod activation;
 mod adapters;
+mod busy_copies;
 mod contact_clock;
 mod cost;
 mod crashes;
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -267,6 +267,9 @@
             }
             return;
         }
+        if let Some(ready_in) = self.sooner_busy_copy(demand, &placement, round) {
+            return self.record_waiting(model, ready_in);
+        }
         let reason = match round.incoming_ready_in(model) {
             None => "unserved",
             Some(incoming) => {
@@ -281,6 +284,25 @@
         self.start_load(&placement, model, reason, round, steps);
     }
 
+    /// Returns the time until a missing model could be ready from a copy on an engine that cannot be
+    /// instructed yet, if a load from the weight store would be ready later. Demand that has waited
+    /// for as long as that load takes no longer waits for the copy.
+    fn sooner_busy_copy(
+        &self,
+        demand: &UnmetDemand,
+        placement: &Placement,
+        round: &PlanningRound,
+    ) -> Option<Duration> {
+        let model = &demand.key.model;
+        let engine = self.engine(&placement.instance)?;
+        let is_from_store = engine.weights_source(model) == WeightsSource::Store;
+        let is_wanted = is_from_store && round.incoming_ready_in(model).is_none();
+        let waited = self.now.since(demand.since);
+        round.busy_copy_ready_in(model).filter(|ready_in| {
+            is_wanted && waited < placement.ready_in() && *ready_in < placement.ready_in()
+        })
+    }
+
     /// Records a waiting model, to be published to gateways.
     fn record_waiting(&mut self, model: &ModelName, ready_in: Duration) {
         self.waiting
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -1,6 +1,7 @@
 //! Data of one planning round, gathered once: with hundreds of engines and models, gathering it for
 //! each model would saturate the leader.
 
+use crate::busy_copies::{self, BusyCopies};
 use crate::cost;
 use crate::demand::{Load, UnmetDemand};
 use crate::engines::Engine;
@@ -123,6 +124,8 @@
     sites: Vec<Site>,
     /// Weight copies on these engines.
     copies: HashMap<ModelName, Vec<WeightsCopy>>,
+    /// Weight copies on engines that cannot be instructed yet.
+    busy_copies: BusyCopies,
     /// Engines with memory reserved for a model.
     pub(crate) reserved: Vec<InstanceId>,
     /// Models with unmet demand, which must not be evicted.
@@ -171,11 +174,13 @@
             .collect();
         for (instance, engine) in usable {
             if engine.reserved_model.is_some() {
+                round.add_busy_copies(view, &instance, engine);
                 round.reserved.push(instance);
-            } else if !view.limits.is_limited(&instance)
-                && let Some(available_in) = available_in(view, &instance, engine)
-            {
-                round.add_site(view, instance, engine, available_in);
+            } else if !view.limits.is_limited(&instance) {
+                match available_in(view, &instance, engine) {
+                    Some(available_in) => round.add_site(view, instance, engine, available_in),
+                    None => round.add_busy_copies(view, &instance, engine),
+                }
             }
         }
         round.mark_other_copies();
@@ -238,6 +243,32 @@
         self.sites.push(site);
     }
 
+    fn add_busy_copies(&mut self, view: &ServiceView<'_>, instance: &InstanceId, engine: &Engine) {
+        let mut busy_copies = std::mem::take(&mut self.busy_copies);
+        let load_time = |model: &ModelName, source| {
+            let model = self.model(view.specification, model)?;
+            Some(model.load_time(source))
+        };
+        let reserved_load = engine.reserved_model.as_ref().and_then(|model| {
+            let source = engine.weights_source(model);
+            load_time(model, source)
+        });
+        let available_in = busy_copies::available_in(
+            view.now,
+            engine,
+            view.history.instructable_from(instance, view.handover),
+            reserved_load.unwrap_or_default(),
+        );
+        busy_copies.record(engine, available_in, load_time);
+        self.busy_copies = busy_copies;
+    }
+
+    /// Returns the time until a model could be ready from a copy on an engine that cannot be
+    /// instructed yet.
+    pub(crate) fn busy_copy_ready_in(&self, model: &ModelName) -> Option<Duration> {
+        self.busy_copies.ready_in(model)
+    }
+
     fn add_copy(&mut self, model: &ModelName, site: usize, source: WeightsSource) {
         let copies = self.copies.entry(model.clone()).or_default();
         copies.push(WeightsCopy { site, source });
