Reject a handover that does not exceed the time of an instruction

Cause: an instruction is written within order_lifetime_ms of its commit, and its connection is reset at the latest call_timeout_ms later. Nothing ensured that the next leader, which waits order_handover_ms and order_lifetime_ms, acts after that.

Ruled out: requiring only call_timeout_ms < order_handover_ms, which is the exact condition; it leaves no margin for a thread that runs late on a machine with a fraction of a core.

Change: for announced instances, settings with order_lifetime_ms + call_timeout_ms >= order_handover_ms are refused; the finding names the bound and the keys to change. Defaults: 200 + 600 < 3000.

Conclusion: a member does not start with a handover for which the bound does not hold.

--- a/crates/millpass-config/src/load.rs
+++ b/crates/millpass-config/src/load.rs
@@ -2,7 +2,8 @@
 
 use crate::check::{Finding, check_table};
 use crate::generated::{
-    CONTROL_FILE, ControlSettings, GATEWAY_FILE, GatewaySettings, ROUTER_FILE, RouterSettings,
+    CONTROL_FILE, ControlFleetSection, ControlSettings, GATEWAY_FILE, GatewaySettings, ROUTER_FILE,
+    RouterSettings,
 };
 use crate::rounding::round_fractions;
 use crate::specification::FileSpecification;
@@ -123,8 +124,28 @@
     })
 }
 
+/// An instruction is written within `order_lifetime_ms` of its commit, and its connection is reset at
+/// the latest `call_timeout_ms` after that. Another leader instructs the engine `order_handover_ms`
+/// and `order_lifetime_ms` after the commit. The second lifetime is the margin for threads that run
+/// late.
+fn check_revocation(fleet: &ControlFleetSection) -> Option<Finding> {
+    let bound = fleet.order_lifetime_ms + fleet.call_timeout_ms;
+    let handover = fleet.order_handover_ms;
+    (fleet.mode == "announced" && bound >= handover).then(|| Finding {
+        key: "fleet.order_handover_ms".to_owned(),
+        reason: format!(
+            "{handover} is not above fleet.order_lifetime_ms and fleet.call_timeout_ms together \
+             ({bound}): an instruction could arrive after one of the next leader"
+        ),
+        remedy: format!(
+            "raise it above {bound}, or lower fleet.call_timeout_ms or fleet.order_lifetime_ms"
+        ),
+    })
+}
+
 /// A leader's lease must expire before another leader can be elected, and heartbeats must renew it
-/// before it expires.
+/// before it expires. Instructions of a leader must have ended before another one instructs the same
+/// engine.
 fn control_rules(settings: &ControlSettings) -> Vec<Finding> {
     let timing = &settings.consensus;
     [
@@ -140,6 +161,7 @@
             "consensus.lease_ms",
             timing.lease_ms,
         ),
+        check_revocation(&settings.fleet),
     ]
     .into_iter()
     .flatten()
--- a/crates/millpass-config/tests/settings.rs
+++ b/crates/millpass-config/tests/settings.rs
@@ -53,6 +53,21 @@
     "consensus.lease_ms",
     "lower it or raise"
 )]
+#[case(
+    "[fleet]\nmode = 'announced'\norder_handover_ms = 800",
+    "fleet.order_handover_ms",
+    "raise it above 800, or lower fleet.call_timeout_ms"
+)]
+#[case(
+    "[fleet]\nmode = 'announced'\ncall_timeout_ms = 2800",
+    "fleet.order_handover_ms",
+    "raise it above 3000"
+)]
+#[case(
+    "[fleet]\nmode = 'announced'\norder_lifetime_ms = 2400",
+    "fleet.order_handover_ms",
+    "raise it above 3000"
+)]
 #[case(
     "[platform]\naddress = 'localhost'",
     "platform.address",
@@ -84,6 +99,15 @@
     assert!(error.contains(remedy), "{error}");
 }
 
+/// The handover does not apply to engines that the platform lists, and 1 ms above the bound suffices.
+#[rstest]
+#[case("[fleet]\norder_handover_ms = 0")]
+#[case("[fleet]\nmode = 'announced'\norder_handover_ms = 801")]
+fn handover_above_the_time_of_an_instruction_is_accepted(#[case] addition: &str) {
+    let text = format!("{CONTROL}\n{addition}\n");
+    parse_control("c.toml", &text).expect("valid");
+}
+
 #[test]
 fn all_findings_are_reported_at_once() {
     let Err(SettingsError::Invalid { findings, .. }) = parse_control("c.toml", "[log]\nlevel = 1")
