Add `millpass losses`: what gateways lost, from their logs

Change: `losses.rs` aggregates `request_ended` lines: lost attempts by cause with quantiles of age and wait, by route, tenant, model and second; attempts recovered by a retry with the same fingerprint; attempts whose model was served elsewhere during their age (`--window-ms` extends it), an upper bound in hindsight. `--slow-ms` lists answered requests by `head_ms` and instance. Lines may have a prefix; its first number is the time where `at_unix_ms` is missing. Conclusion: whole for what the lines contain; request priority and objective are not in them, the route stands for the class.

--- a/crates/millpass-cli/src/commands/mod.rs
+++ b/crates/millpass-cli/src/commands/mod.rs
@@ -1,12 +1,14 @@
 //! The commands, one module per group.
 
 mod explain;
+mod losses;
 mod offline;
 pub mod online;
 pub mod programs;
 
 pub use offline::key_hash;
 
+use crate::losses::LossOptions;
 use crate::options::Options;
 use anyhow::Result;
 use std::process::ExitCode;
@@ -65,6 +67,19 @@
             json,
             request,
         } => explain::explain(&router, &request, json),
+        Options::Losses {
+            rows,
+            window,
+            slow,
+            files,
+        } => {
+            let options = LossOptions {
+                rows,
+                window_ms: window,
+                slow_ms: slow,
+            };
+            losses::losses(&files, &options)
+        }
         Options::Policy { command } => offline::policy(command),
     }
 }
--- a/crates/millpass-cli/src/lib.rs
+++ b/crates/millpass-cli/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod commands;
 pub mod dev;
+pub mod losses;
 pub mod objects;
 pub mod options;
--- a/crates/millpass-cli/src/options.rs
+++ b/crates/millpass-cli/src/options.rs
@@ -172,6 +172,22 @@
         #[bpaf(positional("REQUEST"))]
         request: String,
     },
+    /// Show from log files of gateways which requests were lost, and why
+    #[bpaf(command("losses"))]
+    Losses {
+        /// Rows of each table; 0 shows all
+        #[bpaf(long("rows"), argument("COUNT"), fallback(20))]
+        rows: usize,
+        /// Milliseconds before and after a lost request within which its model counts as served elsewhere
+        #[bpaf(long("window-ms"), argument("MS"), fallback(0))]
+        window: u64,
+        /// Also show answered requests whose response head took this many milliseconds, by instance
+        #[bpaf(long("slow-ms"), argument("MS"), optional)]
+        slow: Option<u64>,
+        /// Log files of all gateways
+        #[bpaf(positional("FILE"), some("give at least one log file"))]
+        files: Vec<PathBuf>,
+    },
     /// Test the policies of a file against their examples, without a server
     #[bpaf(command("policy"))]
     Policy {
