--- a/crates/millpass-control-plane/src/freshness.rs
+++ b/crates/millpass-control-plane/src/freshness.rs
@@ -135,6 +135,9 @@
             loads_unchanged: false,
             document_version: document.version,
             paces: Vec::new(),
+            contents: Vec::new(),
+            moved_estimates: Vec::new(),
+            ended_estimates: Vec::new(),
         };
         let pairs = vec![
             ("gateway", report.gateway.clone()),
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -103,6 +103,9 @@
         loads_unchanged: false,
         document_version: 0,
         paces: Vec::new(),
+        contents: Vec::new(),
+        moved_estimates: Vec::new(),
+        ended_estimates: Vec::new(),
     };
     dispatcher.update(at(0), update);
     dispatcher
--- a/crates/millpass-dispatch/tests/freshness.rs
+++ b/crates/millpass-dispatch/tests/freshness.rs
@@ -101,6 +101,9 @@
         loads_unchanged: false,
         document_version: as_of,
         paces: Vec::new(),
+        contents: Vec::new(),
+        moved_estimates: Vec::new(),
+        ended_estimates: Vec::new(),
     }
 }
 
--- a/crates/millpass-dispatch/tests/harness/mod.rs
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -141,6 +141,9 @@
         loads_unchanged: false,
         document_version: 0,
         paces: Vec::new(),
+        contents: Vec::new(),
+        moved_estimates: Vec::new(),
+        ended_estimates: Vec::new(),
     }
 }
 
--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -76,6 +76,9 @@
         loads_unchanged: false,
         document_version: 0,
         paces: Vec::new(),
+        contents: Vec::new(),
+        moved_estimates: Vec::new(),
+        ended_estimates: Vec::new(),
     }
 }
 
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1125,6 +1125,215 @@
 }
 
 
+/// Key of a route, unique within a document.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouteKey {
+
+    /// Request host.
+    pub host: String,
+
+    /// Path prefix.
+    pub path_prefix: String,
+}
+
+
+/// Difference between two versions of a document.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct DocumentChange {
+
+    /// Version the change applies to; it cannot be applied to any other.
+    pub base: u64,
+
+    /// Resulting version.
+    pub version: u64,
+
+    /// New or changed routes.
+    pub routes: Vec<RouteSpec>,
+
+    /// Removed routes.
+    pub removed_routes: Vec<RouteKey>,
+
+    /// New or changed services.
+    pub services: Vec<ServiceSpec>,
+
+    /// Removed services.
+    pub removed_services: Vec<ServiceName>,
+
+    /// Caller limits of the resulting version.
+    pub limits: CallerLimits,
+
+    /// New or changed tenants.
+    pub tenants: Vec<TenantAccess>,
+
+    /// Removed tenants.
+    pub removed_tenants: Vec<TenantName>,
+}
+
+
+/// Relative time to the first byte of an engine's responses, over all gateways.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EnginePace {
+
+    /// Instance incarnation.
+    pub instance: InstanceId,
+
+    /// Time relative to the service's median, in hundredths.
+    pub relative_time: u32,
+
+    /// Time that work takes at the moment relative to the usual time, in hundredths; holds for a fraction of a second.
+    pub machine_time: u32,
+}
+
+
+/// Model, or model with an adapter, of a ready estimate that no longer applies.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EstimateKey {
+
+    /// Service name.
+    pub service: ServiceName,
+
+    /// Model name.
+    pub model: ModelName,
+
+    /// Adapter; none for the base model.
+    pub adapter: Option<AdapterName>,
+}
+
+
+/// Change of the contents of an instance whose record the gateway has, sent in place of the record. Applying it twice has no further effect.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstanceContents {
+
+    /// Instance incarnation.
+    pub instance: InstanceId,
+
+    /// All loaded models.
+    pub models: Vec<HeldModel>,
+
+    /// Models added to `in_memory`.
+    pub added_in_memory: Vec<ModelName>,
+
+    /// Models removed from `in_memory`.
+    pub removed_in_memory: Vec<ModelName>,
+
+    /// Models added to `on_disk`.
+    pub added_on_disk: Vec<ModelName>,
+
+    /// Models removed from `on_disk`.
+    pub removed_on_disk: Vec<ModelName>,
+}
+
+
+/// Requests in flight at an instance.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct InstanceLoad {
+
+    /// Instance incarnation.
+    pub instance: InstanceId,
+
+    /// Number of requests.
+    pub in_flight: u32,
+}
+
+
+/// Estimated readiness of a model, or a model with an adapter, that is being loaded.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ModelReadyEstimate {
+
+    /// Service name.
+    pub service: ServiceName,
+
+    /// Model name.
+    pub model: ModelName,
+
+    /// Adapter; none for the base model.
+    pub adapter: Option<AdapterName>,
+
+    /// Estimated time until it can serve.
+    pub ready_in_millis: u64,
+}
+
+
+/// Leader's update to a gateway: changes since the previous update on the connection. The first update is complete.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct GatewayUpdate {
+
+    /// Leader's term; updates of a lower term than already seen are ignored.
+    pub term: u64,
+
+    /// Whether the leader knows all instances. Instances not listed on this connection are then gone.
+    pub complete: bool,
+
+    /// Whether this is the first update on the connection, in which `instances` lists all instances known to the leader.
+    pub first: bool,
+
+    /// Document, if newer than the gateway's.
+    pub document: Option<DeploymentDocument>,
+
+    /// New or changed instances.
+    pub instances: Vec<InstanceRecord>,
+
+    /// Removed instances.
+    pub removed: Vec<InstanceId>,
+
+    /// Models being loaded.
+    pub ready_estimates: Vec<ModelReadyEstimate>,
+
+    /// Gateways that report to this leader; 0 until it has led long enough to know.
+    pub gateways: u32,
+
+    /// Addresses of the control members.
+    pub members: Vec<String>,
+
+    /// Whether the update comes from a member that is not the leader, for a gateway without any state.
+    pub provisional: bool,
+
+    /// Requests in flight over all gateways at the busiest instances.
+    pub loads: Vec<InstanceLoad>,
+
+    /// Number of the last report on this connection that was processed before the update; 0 for none.
+    pub acknowledged_report: u64,
+
+    /// Log index up to which this update brings the gateway with respect to required entries (documents and departures); 0 if not stated.
+    pub as_of: u64,
+
+    /// Difference to the gateway's document, sent instead of `document`.
+    pub document_change: Option<DocumentChange>,
+
+    /// In the first update on a connection, the reported digests whose records are current; these instances count as listed.
+    pub unchanged_instance_digests: Vec<u64>,
+
+    /// `ready_estimates` is omitted; the previous value on this connection still applies.
+    pub ready_estimates_unchanged: bool,
+
+    /// `loads` is omitted; the previous value on this connection still applies.
+    pub loads_unchanged: bool,
+
+    /// Active document version at `as_of`; 0 for none. A gateway with an older document lacks required entries.
+    pub document_version: u64,
+
+    /// Speeds that changed, or were confirmed, since the previous update on the connection. Those not listed are unchanged.
+    pub paces: Vec<EnginePace>,
+
+    /// Changed contents of known instances.
+    pub contents: Vec<InstanceContents>,
+
+    /// With `ready_estimates_unchanged`: new estimates, and estimates that replace the previous one of the same model and adapter.
+    pub moved_estimates: Vec<ModelReadyEstimate>,
+
+    /// With `ready_estimates_unchanged`: estimates that no longer apply.
+    pub ended_estimates: Vec<EstimateKey>,
+}
+
+
 /// Lifecycle of a placed replica. It counts against limits and reserves its memory from placement to release.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1314,165 +1523,6 @@
 }
 
 
-/// Key of a route, unique within a document.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct RouteKey {
-
-    /// Request host.
-    pub host: String,
-
-    /// Path prefix.
-    pub path_prefix: String,
-}
-
-
-/// Difference between two versions of a document.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct DocumentChange {
-
-    /// Version the change applies to; it cannot be applied to any other.
-    pub base: u64,
-
-    /// Resulting version.
-    pub version: u64,
-
-    /// New or changed routes.
-    pub routes: Vec<RouteSpec>,
-
-    /// Removed routes.
-    pub removed_routes: Vec<RouteKey>,
-
-    /// New or changed services.
-    pub services: Vec<ServiceSpec>,
-
-    /// Removed services.
-    pub removed_services: Vec<ServiceName>,
-
-    /// Caller limits of the resulting version.
-    pub limits: CallerLimits,
-
-    /// New or changed tenants.
-    pub tenants: Vec<TenantAccess>,
-
-    /// Removed tenants.
-    pub removed_tenants: Vec<TenantName>,
-}
-
-
-/// Relative time to the first byte of an engine's responses, over all gateways.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct EnginePace {
-
-    /// Instance incarnation.
-    pub instance: InstanceId,
-
-    /// Time relative to the service's median, in hundredths.
-    pub relative_time: u32,
-
-    /// Time that work takes at the moment relative to the usual time, in hundredths; holds for a fraction of a second.
-    pub machine_time: u32,
-}
-
-
-/// Requests in flight at an instance.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct InstanceLoad {
-
-    /// Instance incarnation.
-    pub instance: InstanceId,
-
-    /// Number of requests.
-    pub in_flight: u32,
-}
-
-
-/// Estimated readiness of a model, or a model with an adapter, that is being loaded.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ModelReadyEstimate {
-
-    /// Service name.
-    pub service: ServiceName,
-
-    /// Model name.
-    pub model: ModelName,
-
-    /// Adapter; none for the base model.
-    pub adapter: Option<AdapterName>,
-
-    /// Estimated time until it can serve.
-    pub ready_in_millis: u64,
-}
-
-
-/// Leader's update to a gateway: changes since the previous update on the connection. The first update is complete.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct GatewayUpdate {
-
-    /// Leader's term; updates of a lower term than already seen are ignored.
-    pub term: u64,
-
-    /// Whether the leader knows all instances. Instances not listed on this connection are then gone.
-    pub complete: bool,
-
-    /// Whether this is the first update on the connection, in which `instances` lists all instances known to the leader.
-    pub first: bool,
-
-    /// Document, if newer than the gateway's.
-    pub document: Option<DeploymentDocument>,
-
-    /// New or changed instances.
-    pub instances: Vec<InstanceRecord>,
-
-    /// Removed instances.
-    pub removed: Vec<InstanceId>,
-
-    /// Models being loaded.
-    pub ready_estimates: Vec<ModelReadyEstimate>,
-
-    /// Gateways that report to this leader; 0 until it has led long enough to know.
-    pub gateways: u32,
-
-    /// Addresses of the control members.
-    pub members: Vec<String>,
-
-    /// Whether the update comes from a member that is not the leader, for a gateway without any state.
-    pub provisional: bool,
-
-    /// Requests in flight over all gateways at the busiest instances.
-    pub loads: Vec<InstanceLoad>,
-
-    /// Number of the last report on this connection that was processed before the update; 0 for none.
-    pub acknowledged_report: u64,
-
-    /// Log index up to which this update brings the gateway with respect to required entries (documents and departures); 0 if not stated.
-    pub as_of: u64,
-
-    /// Difference to the gateway's document, sent instead of `document`.
-    pub document_change: Option<DocumentChange>,
-
-    /// In the first update on a connection, the reported digests whose records are current; these instances count as listed.
-    pub unchanged_instance_digests: Vec<u64>,
-
-    /// `ready_estimates` is omitted; the previous value on this connection still applies.
-    pub ready_estimates_unchanged: bool,
-
-    /// `loads` is omitted; the previous value on this connection still applies.
-    pub loads_unchanged: bool,
-
-    /// Active document version at `as_of`; 0 for none. A gateway with an older document lacks required entries.
-    pub document_version: u64,
-
-    /// Speeds that changed, or were confirmed, since the previous update on the connection. Those not listed are unchanged.
-    pub paces: Vec<EnginePace>,
-}
-
-
 /// Rate limit last stated by an instance. Times are ages because clocks differ between processes.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
