Hold units back only for an overloaded tenant, and prefetch none of them

Cause: held units counted as surplus and were prefetched by gateways that had no request for them. Apart from that, a tenant within its limit had units held back for a second after each time its bucket ran empty.

Ruled out: holding back less. The held units are granted later and not lost; the prefetched ones were parked in reserves and returned after 1.5 s, again and again.

--- a/crates/millpass-tenancy/src/ledger.rs
+++ b/crates/millpass-tenancy/src/ledger.rs
@@ -168,13 +168,15 @@
             bucket.charge(tenant_request.overdrawn);
         }
         account.record_demand(now, tenant_request);
-        let mut rules = account.priority.rules(now, limit, account.bucket.level());
-        account.grant_claims(now, limit, tenant_request, &mut rules, &mut grant);
+        let rules = account.priority.rules(now, limit, account.bucket.level());
+        account.grant_claims(limit, tenant_request, &rules, &mut grant);
         let denied = waiting - grant.granted_requests;
         let level = account.bucket.level();
         grant.denials = denials(&rules, level, limit);
-        grant.over_half_available = account.bucket.has_surplus() && grant.denials.is_empty();
-        if denied == 0 && grant.denials.is_empty() {
+        // Units held back for urgent ranks are no surplus.
+        let is_overloaded = account.priority.is_overloaded() || !grant.denials.is_empty();
+        grant.over_half_available = account.bucket.has_surplus() && !is_overloaded;
+        if denied == 0 && !is_overloaded {
             let prefetch = tenant_request.prefetch_units;
             grant.prefetched_units = account.bucket.take_surplus(prefetch);
             return grant;
@@ -229,20 +231,13 @@
     /// Grants queued claims in order, until one is denied.
     fn grant_claims(
         &mut self,
-        now: Timestamp,
         limit: TenantLimit,
         request: &TenantCreditRequest,
-        rules: &mut Vec<RankRule>,
+        rules: &[RankRule],
         grant: &mut CreditGrant,
     ) {
-        let mut was_short = self.bucket.level() < 1.0;
         grant.granted_requests = 0;
         for (position, units) in request.queued_units.iter().enumerate() {
-            if !was_short && self.bucket.level() < 1.0 {
-                // The claims before took the last units: from here on priorities count.
-                was_short = true;
-                *rules = self.priority.rules(now, limit, self.bucket.level());
-            }
             let rank = rank_of(request, position);
             let longest_wait = longest_wait_of(request, position);
             let rule = self.priority.rule_of(rules, rank);
