--- a/crates/millpass-gateway/src/credit.rs
+++ b/crates/millpass-gateway/src/credit.rs
@@ -13,9 +13,9 @@
 /// Why a request was denied credit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CreditRefusal {
-    /// The tenant has used up its quota.
+    /// The tenant has used up its quota, or the rest is held back for more urgent requests.
     Exhausted {
-        /// Time until units are available again.
+        /// Time until a request of this rank can expect units.
         retry_after: Duration,
     },
     /// No leader responds, and the units usable without one are used up.
@@ -43,7 +43,7 @@
         }))
     }
 
-    /// Waits until the units are granted or denied, or the wait limit is reached.
+    /// Waits until the units are granted or denied, or no leader answered for too long.
     pub(crate) async fn wait_until_covered(&self, ticket: &Ticket) -> Result<(), CreditRefusal> {
         let shared = &self.shared;
         let started = shared.now();
@@ -61,6 +61,9 @@
                     return Ok(());
                 }
                 CreditOutcome::Denied { retry_after } => {
+                    let waited = now.since(started);
+                    let rank = ticket.route.priority;
+                    shared.metrics.count_quota_denial(rank, waited);
                     return Err(CreditRefusal::Exhausted { retry_after });
                 }
                 CreditOutcome::Pending { .. } if now >= deadline => {
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -15,6 +15,8 @@
 
 /// Maximum number of tenants with a label of their own, which bounds the metric's cardinality.
 const MAXIMUM_TENANTS: usize = 64;
+/// Lowest rank with a label of its own; less urgent ones share it.
+const LOWEST_RANK: u32 = 9;
 /// Label of all other tenants.
 const OTHER_TENANTS: &str = "other";
 
@@ -26,6 +28,9 @@
     tenants: Mutex<BTreeSet<TenantName>>,
     pub(crate) first_byte: Histogram,
     credit_wait: Histogram,
+    /// Requests denied units of their tenant's quota, by rank.
+    quota_denials: IntCounterVec,
+    denial_wait: Histogram,
     sends: IntCounterVec,
     pub(crate) connects: IntCounter,
     pub(crate) resumed: IntCounter,
@@ -123,6 +128,18 @@
         .buckets(LATENCY_BUCKETS.to_vec());
         let credit_wait = Histogram::with_opts(options)?;
         registry.register(Box::new(credit_wait.clone()))?;
+        let quota_denials = counters(
+            "gateway_quota_denials_total",
+            "Requests denied units of their tenant's quota, by the priority of their route",
+            "rank",
+        )?;
+        let options = HistogramOpts::new(
+            "gateway_quota_denial_wait_seconds",
+            "Time until a request was denied units of its tenant's quota",
+        )
+        .buckets(LATENCY_BUCKETS.to_vec());
+        let denial_wait = Histogram::with_opts(options)?;
+        registry.register(Box::new(denial_wait.clone()))?;
         Ok(Metrics {
             registry,
             requests,
@@ -130,6 +147,8 @@
             tenants: Mutex::default(),
             first_byte,
             credit_wait,
+            quota_denials,
+            denial_wait,
             sends,
             connects,
             resumed,
@@ -186,6 +205,13 @@
         self.credit_wait.observe(time.as_secs_f64());
     }
 
+    /// Counts a request that was denied units after this time.
+    pub(crate) fn count_quota_denial(&self, rank: u32, time: Duration) {
+        let label = rank.min(LOWEST_RANK).to_string();
+        self.quota_denials.with_label_values(&[&label]).inc();
+        self.denial_wait.observe(time.as_secs_f64());
+    }
+
     pub(crate) fn exposition(&self) -> String {
         exposition(&self.registry)
     }
