--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -259,6 +259,36 @@
     assert_eq!(covered.count(), 1);
 }
 
+/// Guards against claims ranked by tenant, or that state no wait: the leader compares requests of
+/// one tenant.
+#[test]
+fn claim_states_the_priority_of_the_route_and_a_fifth_of_the_objective() {
+    let limited = TenantAccess {
+        units_per_second: 100,
+        burst_units: 100,
+        ..tenant("one", b"k-1", 7)
+    };
+    let mut dispatcher = dispatcher(None);
+    let now = Timestamp::from_millis(1_000);
+    receive_leader_update(&mut dispatcher, now, Some(document(1, vec![limited])));
+    for prefix in ["/open/", "/keyed/"] {
+        let route = dispatcher.route(now, "h", prefix).expect("route");
+        let tenant = dispatcher.identify(now, &route, key(b"k-1"));
+        let ticket = dispatcher.begin(
+            now,
+            route,
+            tenant.expect("known"),
+            RequestDescription::default(),
+            0.0,
+        );
+        dispatcher.claim_credit(now, &ticket).expect("readable");
+    }
+    let request = dispatcher.credit_request(now, false);
+    let claims = &request.expect("a credit request").tenants[0];
+    assert_eq!(claims.ranks, [2, 5]);
+    assert_eq!(claims.wait_limits_millis, [20, 20]);
+}
+
 #[test]
 fn tenant_rank_precedes_route_rank() {
     let mut dispatcher = dispatcher(None);
