State a retry time that covers the bucket's debt

Change: the time is never shorter than the refill of the units granted already. Tests of that, and of the order of claims without a leader.

--- a/crates/millpass-tenancy/src/account.rs
+++ b/crates/millpass-tenancy/src/account.rs
@@ -286,7 +286,7 @@
         if self.unclaimed.len() < MAXIMUM_UNCLAIMED_RANKS || self.unclaimed.contains_key(&rank) {
             let entry = self.unclaimed.entry(rank).or_default();
             entry.0 += 1;
-            entry.1 += units;
+            entry.1 = entry.1.saturating_add(units);
         }
     }
 
--- a/crates/millpass-tenancy/src/ledger.rs
+++ b/crates/millpass-tenancy/src/ledger.rs
@@ -279,7 +279,7 @@
         if hold.is_none() && denials.is_empty() {
             continue;
         }
-        let retry = hold.map(|hold| rule.retry(limit, hold));
+        let retry = hold.map(|hold| rule.retry(level, limit, hold));
         denials.push(RankDenial {
             rank: rule.rank,
             hold_millis: hold.map_or(0, round_up_to_millis),
--- a/crates/millpass-tenancy/src/priority.rs
+++ b/crates/millpass-tenancy/src/priority.rs
@@ -46,7 +46,7 @@
 /// Maximum time for which gateways deny a rank without asking. Bounds how long units can be unused
 /// after the demand of more urgent ranks ended: well below the time that fills the bucket.
 const MAXIMUM_HOLD: Duration = Duration::from_millis(200);
-/// Maximum time that denied callers are told to wait. A quota that is exhausted for longer may
+/// Maximum time that denied callers are told to wait for demand of others. A quota that is exhausted for longer may
 /// change any time, and callers ignore times beyond a fraction of their deadlines.
 const MAXIMUM_RETRY: Duration = Duration::from_millis(1_250);
 /// Maximum number of ranks tracked per tenant; further ones count as the least urgent tracked.
@@ -151,7 +151,7 @@
         if self.threshold > 1.0 {
             return None;
         }
-        let delay = Duration::from_secs_f64((1.0 - level) / limit.rate());
+        let delay = Duration::try_from_secs_f64((1.0 - level) / limit.rate()).ok()?;
         (delay <= self.acceptable_delay(longest_wait)).then_some(delay)
     }
 
@@ -165,7 +165,7 @@
     }
 
     /// Returns true if the rank can't expect units as more urgent ranks want all of the refill.
-    pub(crate) fn is_without_share(&self, limit: TenantLimit) -> bool {
+    fn is_without_share(&self, limit: TenantLimit) -> bool {
         self.share < limit.rate() * NEGLIGIBLE_SHARE
     }
 
@@ -187,13 +187,18 @@
     }
 
     /// Returns the time after which a denied request of the rank can expect units: when the share
-    /// has made up for the requests denied before.
-    pub(crate) fn retry(&self, limit: TenantLimit, hold: Duration) -> Duration {
-        if self.is_without_share(limit) {
-            return MAXIMUM_RETRY;
-        }
-        let seconds = self.backlog / self.share;
-        Duration::from_secs_f64(seconds.min(MAXIMUM_RETRY.as_secs_f64())).max(hold)
+    /// has made up for the requests denied before, and not before the refill has made up for the
+    /// units granted already.
+    pub(crate) fn retry(&self, level: f64, limit: TenantLimit, hold: Duration) -> Duration {
+        let expected = if self.is_without_share(limit) {
+            MAXIMUM_RETRY
+        } else {
+            let seconds = self.backlog / self.share;
+            Duration::from_secs_f64(seconds).min(MAXIMUM_RETRY)
+        };
+        let refill = ((self.threshold - level) / limit.rate()).max(0.0);
+        let refilled = Duration::try_from_secs_f64(refill).unwrap_or(Duration::MAX);
+        expected.max(hold).max(refilled)
     }
 }
 
--- a/crates/millpass-tenancy/tests/priority.rs
+++ b/crates/millpass-tenancy/tests/priority.rs
@@ -218,6 +218,48 @@
     assert!(lower > Duration::from_secs(1) && lower < Duration::from_millis(1_300));
 }
 
+/// Guards against a caller that is told to return while the bucket is still in debt.
+#[rstest]
+fn retry_time_covers_the_debt(#[values(0, 2)] rank: u32) {
+    let mut pair = Pair::new(LIMIT);
+    pair.ask(at(2_000), 0, 61_000);
+    match pair.ask(at(2_000), rank, 10) {
+        CreditOutcome::Denied { retry_after } => {
+            assert_eq!(retry_after.as_secs(), 60);
+        }
+        other => panic!("not denied: {other:?}"),
+    }
+}
+
+/// Guards against units of a gateway without a leader that go to whoever checks first.
+#[test]
+fn without_a_leader_the_more_urgent_claim_gets_the_last_units() {
+    let tolerance = QuotaTolerance {
+        window: Duration::from_secs(8),
+        overage: 0.0,
+        // Half of it is shared without a leader.
+        slack_units: 200,
+    };
+    let mut pool = CreditPool::new(tolerance);
+    let mut open = |rank| {
+        let claimed = ClaimedRequest {
+            rank,
+            units: 100,
+            wait_limit: WAITS[rank as usize],
+        };
+        pool.open(at(0), &"t".into(), LIMIT, claimed)
+    };
+    let (low, urgent) = (open(2), open(0));
+    for now in [60, 90] {
+        let outcome = pool.outcome(at(now), low, 1);
+        assert!(matches!(outcome, CreditOutcome::Pending { .. }));
+    }
+    let outcome = pool.outcome(at(90), urgent, 1);
+    assert_eq!(outcome, CreditOutcome::Covered);
+    let outcome = pool.outcome(at(120), low, 1);
+    assert!(matches!(outcome, CreditOutcome::Pending { .. }));
+}
+
 /// Guards against a claim without rank or wait, as an earlier release sends it, that takes
 /// precedence or stops the leader.
 #[test]
