--- a/crates/millpass-dispatch/src/selection.rs
+++ b/crates/millpass-dispatch/src/selection.rs
@@ -342,6 +342,7 @@
                 return choice;
             }
         }
+        self.record_queue_facts(now, ticket, ready.since(now));
         Choice::Refuse {
             reason: RefusalReason::Cold,
             retry_after: self.retry_after_in_order(now, ticket, &key, ready, interval),
--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -40,7 +40,7 @@
 const LEAST_SHARE: f64 = 0.05;
 
 /// Factor of an expected wait at the gateway within which it must be useful. Waits grow while a
-/// burst arrives: without it, 25 of 344 requests of tests/sharing.rs were held and then refused,
+/// burst arrives: without it, 25 of 345 requests of tests/sharing.rs were held and then refused,
 /// with it 4, and as many were served.
 const WAIT_MARGIN: f64 = 1.5;
 
@@ -137,7 +137,7 @@
         load: f64,
     ) -> Option<Duration> {
         let times = &self.admission.times;
-        let holding = times.holding(&key.service)?;
+        let holding = self.slot_time(instance)?;
         let engine = key.model.is_some();
         let slots = f64::from(instance.record.slots.max(1));
         let queue = load - slots + 1.0;
@@ -166,6 +166,11 @@
         Some(wait + self.expected_first_byte(now, instance, engine, terms.tokens))
     }
 
+    /// Average seconds for which a request occupies a slot of an instance; none until one has ended.
+    fn slot_time(&self, instance: &Instance) -> Option<f64> {
+        self.admission.times.holding(&instance.record.service)
+    }
+
     /// Estimates the time to the first byte once a request has a slot.
     fn expected_first_byte(
         &self,
@@ -175,7 +180,7 @@
         unread_tokens: u32,
     ) -> Duration {
         if !engine {
-            let holding = self.admission.times.holding(&instance.record.service);
+            let holding = self.slot_time(instance);
             return Duration::from_secs_f64(holding.unwrap_or_default());
         }
         let reading = f64::from(unread_tokens) / self.settings.prompt_tokens_per_milli / 1_000.0;
@@ -200,6 +205,24 @@
         }
     }
 
+    /// Records what is ahead of a request, and when it is expected to be sent.
+    pub(crate) fn record_queue_facts(
+        &self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        expected: Duration,
+    ) {
+        let key = self.resource_key(ticket);
+        let terms = self.waiter_terms(now, ticket);
+        let queues = &self.admission.queues;
+        ticket.queue = Some(QueueFacts {
+            ahead: queues.ahead(&key, &terms),
+            expected: (now + expected).since(ticket.arrived),
+            length: queues.length(&key),
+            since: ticket.queue.map_or(now, |facts| facts.since),
+        });
+    }
+
     /// Waits in the queue of the request's resource; none if it is full.
     pub(crate) fn join_queue(
         &mut self,
@@ -211,13 +234,8 @@
     ) -> Option<Choice> {
         let key = self.resource_key(ticket);
         let terms = self.waiter_terms(now, ticket);
+        self.record_queue_facts(now, ticket, expected);
         let queues = &mut self.admission.queues;
-        ticket.queue = Some(QueueFacts {
-            ahead: queues.ahead(&key, &terms),
-            expected: (now + expected).since(ticket.arrived),
-            length: queues.length(&key),
-            since: ticket.queue.map_or(now, |facts| facts.since),
-        });
         let number = *ticket.waiter.get_or_insert_with(|| queues.next_number());
         if queues.join(number, key, terms, turn) == Joined::Full {
             return None;
@@ -337,6 +355,7 @@
     }
 
     fn refuse_full(&mut self, now: Timestamp, ticket: &mut Ticket, expected: Duration) -> Choice {
+        self.record_queue_facts(now, ticket, expected);
         let retry_after = self.slot_retry_after(now, ticket, expected);
         self.record_refused_full(now, ticket);
         Choice::Refuse {
