Bound how fast a gateway empties a queue into one instance

Cause: all gateways learn at the same time that a model is loaded; each would call as many waiters as the instance has slots by its own count. Ruled out: a slow start by loads in responses (delays the second of three usual waiters by a response time). Change: at most four calls, or the gateway's part of slots and usable queue, for an instance in 50 ms; the next waiter checks after that. Figures: 61 gateways: 4 sends each in the first 50 ms, at least 24 in 400 ms (tests/waiting.rs).

--- a/crates/millpass-dispatch/src/admission.rs
+++ b/crates/millpass-dispatch/src/admission.rs
@@ -343,6 +343,11 @@
         self.waiters.insert(number, waiter);
     }
 
+    /// Wakes a request to decide again; it keeps its place.
+    pub fn wake(&mut self, number: WaiterNumber) {
+        self.called.push(number);
+    }
+
     /// Wakes all requests to decide again; they keep their places.
     pub fn wake_all(&mut self) {
         self.called.extend(self.waiters.keys().copied());
--- a/crates/millpass-dispatch/src/selection.rs
+++ b/crates/millpass-dispatch/src/selection.rs
@@ -7,7 +7,7 @@
 use crate::prompts::{PromptPrefix, prefixes, rendezvous, total_tokens};
 use crate::request::Ticket;
 use crate::retry_budget::BudgetTerms;
-use crate::waiting::{CHECK_INTERVAL, MIN_SERVING_TIME, Room};
+use crate::waiting::{MIN_SERVING_TIME, Room};
 use millpass_proto::{Duration, InstanceId, RequestFingerprint, Timestamp, WeightsSource};
 
 /// Interval at which a waiting request records its demand again.
@@ -121,7 +121,7 @@
         let instance = instance.clone();
         if !self.is_first_for(now, ticket, &instance, turn) {
             if ticket.waiting {
-                let until = now + CHECK_INTERVAL;
+                let until = self.next_check(now, ticket);
                 return Choice::Wait { until };
             }
             return self.wait_or_refuse_full(now, ticket, turn);
--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -14,7 +14,7 @@
 /// updates and responses.
 const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the other requests of a queue check again.
-pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay of a load's expected end up to which waiting requests don't decide again.
 const TOLERATED_DELAY: Duration = Duration::from_millis(200);
 /// Time for which no request is sent into the queue of an instance that rejected one as full.
@@ -44,6 +44,15 @@
 /// with it 4, and as many were served.
 const WAIT_MARGIN: f64 = 1.5;
 
+/// Time in which at most [`MIN_CALLS`] waiting requests are called for an instance, or this
+/// gateway's part of what it takes if that is more. All gateways learn at the same time that a model
+/// is loaded; without a bound, those of 61 gateways with a full queue each would send 15 times what
+/// an engine and its queue take, before a rejection or a load tells them.
+const CALL_WINDOW: Duration = Duration::from_millis(50);
+/// Waiting requests called for an instance in [`CALL_WINDOW`] at least: more than usually wait for
+/// one model at one of many gateways.
+const MIN_CALLS: u32 = 4;
+
 /// State of waiting at a gateway.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
@@ -51,6 +60,8 @@
     pub(crate) times: ServiceTimes,
     /// Instances that rejected a request as full, and when.
     rejections: HashMap<InstanceId, Timestamp>,
+    /// Instances for which waiting requests were called recently: since when, and how many.
+    calls: HashMap<InstanceId, (Timestamp, u32)>,
 }
 
 /// Place of a request in its queue, for the log.
@@ -241,15 +252,20 @@
             return None;
         }
         ticket.waiting = true;
-        let interval = match queues.is_first(number) {
-            true => FIRST_CHECK_INTERVAL,
-            false => CHECK_INTERVAL,
-        };
         Some(Choice::Wait {
-            until: until.min(now + interval),
+            until: until.min(self.next_check(now, ticket)),
         })
     }
 
+    /// Returns when a waiting request checks again if it is not called before.
+    pub(crate) fn next_check(&self, now: Timestamp, ticket: &Ticket) -> Timestamp {
+        let waiting = ticket.waiting();
+        match waiting.is_some_and(|number| self.admission.queues.is_first(number)) {
+            true => now + FIRST_CHECK_INTERVAL,
+            false => now + CHECK_INTERVAL,
+        }
+    }
+
     /// Lets requests that waited longer, or are more urgent, go first: returns true if this one
     /// may be sent to the instance now, or else calls the one that is next.
     pub(crate) fn is_first_for(
@@ -267,19 +283,23 @@
         if self.admission.queues.length(&key) == 0 {
             return true;
         }
+        let has_waited = ticket.waiter.is_some();
         let queues = &mut self.admission.queues;
         let number = *ticket.waiter.get_or_insert_with(|| queues.next_number());
-        if queues.join(number, key.clone(), terms, turn) == Joined::Full {
+        if queues.join(number, key, terms, turn) == Joined::Full {
             // The bound must not leave a slot unused.
             return !self.call_next(now, instance);
         }
         let next = self.next_for(now, instance);
-        if next.is_none_or(|next| next == number) {
+        let is_next = next.is_none_or(|next| next == number);
+        if is_next && (!has_waited || self.count_call(now, instance)) {
             self.admission.queues.leave(number);
             return true;
         }
         ticket.waiting = true;
-        self.call_next(now, instance);
+        if !is_next {
+            self.call_next(now, instance);
+        }
         false
     }
 
@@ -487,13 +507,30 @@
 
     /// Calls the next request for an instance, if it can take one. Returns whether it did.
     pub(crate) fn call_next(&mut self, now: Timestamp, instance: &InstanceId) -> bool {
-        match self.next_for(now, instance) {
-            Some(number) => {
-                self.admission.queues.call(number, instance);
-                true
-            }
-            None => false,
+        let Some(number) = self.next_for(now, instance) else {
+            return false;
+        };
+        if !self.count_call(now, instance) {
+            // It decides again after the window, as the first of its queue.
+            self.admission.queues.wake(number);
+            return false;
         }
+        self.admission.queues.call(number, instance);
+        true
+    }
+
+    /// Counts a call for an instance; false if there were too many in [`CALL_WINDOW`].
+    fn count_call(&mut self, now: Timestamp, instance: &InstanceId) -> bool {
+        let slots = self.instances.get(instance);
+        let slots = slots.map_or(1, |found| found.record.slots.max(1));
+        let usable = f64::from(slots) * (1.0 + QUEUE_PER_SLOT);
+        let part = usable / f64::from(self.gateways.max(1));
+        let allowed = MIN_CALLS.max(part as u32);
+        let calls = &mut self.admission.calls;
+        calls.retain(|_, (since, _)| now.since(*since) < CALL_WINDOW);
+        let (_, count) = calls.entry(instance.clone()).or_insert((now, 0));
+        *count += 1;
+        *count <= allowed
     }
 
     /// Calls the next requests for all instances, of which several may have changed.
--- a/crates/millpass-dispatch/tests/waiting.rs
+++ b/crates/millpass-dispatch/tests/waiting.rs
@@ -397,6 +397,57 @@
     assert_eq!(dispatcher.waiting_requests(), MAX_WAITING);
 }
 
+/// 61 gateways with full queues learn at the same time that a model is loaded: guards against sends
+/// that overrun the engine's queue many times, and against free slots beside waiting requests.
+#[test]
+fn queues_of_many_gateways_are_not_emptied_at_once() {
+    let mut dispatcher = gateway(61, Vec::new());
+    dispatcher.update(at(0), loading(100));
+    let mut tickets: Vec<Ticket> = Vec::new();
+    for _ in 0..100 {
+        let mut ticket = begin(&mut dispatcher, 1, "/batch/");
+        dispatcher.choose(at(1), &mut ticket);
+        tickets.push(ticket);
+    }
+    let loaded = InstanceRecord {
+        slots: 24,
+        ..engine("e-1")
+    };
+    let received = GatewayUpdate {
+        first: false,
+        document: None,
+        ..update(1, 61, vec![loaded])
+    };
+    dispatcher.update(at(100), received);
+    let (mut sent, mut checks) = (0, std::collections::BTreeMap::new());
+    for now in (100..500).step_by(10) {
+        loop {
+            let called = dispatcher.take_called();
+            let is_due = |ticket: &&mut Ticket| {
+                let until = |number| checks.get(&number).is_some_and(|until| *until <= at(now));
+                let number = ticket.waiting();
+                number.is_some_and(|number| called.contains(&number) || until(number))
+            };
+            let due: Vec<&mut Ticket> = tickets.iter_mut().filter(is_due).collect();
+            if due.is_empty() {
+                break;
+            }
+            for ticket in due {
+                let number = ticket.waiting().expect("waiting");
+                match dispatcher.choose(at(now), ticket) {
+                    Choice::Wait { until } => checks.insert(number, until),
+                    choice => {
+                        sent += u32::from(matches!(choice, Choice::Send { .. }));
+                        None
+                    }
+                };
+            }
+        }
+        assert!(now > 140 || sent <= 4, "{sent}");
+    }
+    assert!(sent >= 24, "{sent}: slots stay free");
+}
+
 proptest! {
     /// Twins: never more sends than slots and usable queue, and no free slot while a caller waits.
     #[test]
