Count requests rejected by full engines as refused for slots

Cause: a request whose attempts were all rejected as full was refused as no-attempts and missing in the demand for a further replica. A request that first found full slots after it had waited for something else (its quota) was queued without an estimate. Change: both are evaluated as the others. Instances that state that they leave call no waiters. Run: millpass-dispatch and millpass-gateway all pass; xtask check passes.

--- a/crates/millpass-dispatch/src/selection.rs
+++ b/crates/millpass-dispatch/src/selection.rs
@@ -74,7 +74,7 @@
         ticket.unconfirmed_since = None;
         let engine = self.is_engine(&ticket.service);
         if ticket.sends > 0 && !self.may_retry(now, ticket) {
-            return self.refuse_no_attempts(now, ticket, engine);
+            return self.refuse_without_attempts(now, ticket, engine);
         }
         let candidates = self.candidates(now, ticket, engine);
         if candidates.available.is_empty() {
@@ -195,7 +195,7 @@
     }
 
     /// Returns true if an instance announced a drain or stated in a response that it leaves.
-    fn is_leaving(&self, instance: &Instance) -> bool {
+    pub(crate) fn is_leaving(&self, instance: &Instance) -> bool {
         let record = &instance.record;
         record.draining || self.statements.is_leaving(&record.instance)
     }
--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -332,7 +332,7 @@
             }
             return self.refuse_full(now, ticket, expected);
         }
-        if early {
+        if early || ticket.queue.is_none() {
             // It would be late, and make others late that can still be served in time.
             return self.refuse_full(now, ticket, expected);
         }
@@ -384,6 +384,30 @@
         }
     }
 
+    /// Refuses a request that has no attempts left. If instances rejected it as full, it counts as
+    /// refused for lack of slots.
+    pub(crate) fn refuse_without_attempts(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        engine: bool,
+    ) -> Choice {
+        let last = ticket.tried.last();
+        let rejected = last.and_then(|last| self.admission.rejections.get(last));
+        if rejected.is_none_or(|at| now.since(*at) >= REJECTION_BACKOFF) {
+            return self.refuse_no_attempts(now, ticket, engine);
+        }
+        let interval = self.slot_interval(now, &self.resource_key(ticket), ticket.rank);
+        let expected = interval.unwrap_or_default();
+        self.record_queue_facts(now, ticket, expected);
+        let retry_after = self.slot_retry_after(now, ticket, expected);
+        self.record_refused_full(now, ticket);
+        Choice::Refuse {
+            reason: RefusalReason::NoAttempts,
+            retry_after,
+        }
+    }
+
     /// Counts a caller that is refused for lack of slots as demand for a further replica.
     fn record_refused_full(&mut self, now: Timestamp, ticket: &Ticket) {
         let key = self.resource_key(ticket);
@@ -552,7 +576,7 @@
         }
         let found = self.instances.get(instance)?;
         let reserved = queues.reserved(instance);
-        let is_usable = !found.record.draining && self.accepts_requests(now, instance);
+        let is_usable = !self.is_leaving(found) && self.accepts_requests(now, instance);
         if !is_usable {
             return None;
         }
--- a/crates/millpass-dispatch/tests/waiting.rs
+++ b/crates/millpass-dispatch/tests/waiting.rs
@@ -397,6 +397,37 @@
     assert_eq!(dispatcher.waiting_requests(), MAX_WAITING);
 }
 
+/// Guards against a caller that all its attempts found full and that is missing in the demand for a
+/// further replica.
+#[test]
+fn request_rejected_by_full_engines_counts_as_refused_for_slots() {
+    let mut dispatcher = gateway(1, ["e-1", "e-2", "e-3"].map(engine).to_vec());
+    let mut ticket = begin(&mut dispatcher, 0, "/batch/");
+    let mut sends = 0;
+    let refused = loop {
+        match dispatcher.choose(at(0), &mut ticket) {
+            Choice::Send { instance, .. } => {
+                sends += 1;
+                let record = ticket.send_record(&instance);
+                dispatcher.record_send_outcome(at(1), &record, SendOutcome::Full);
+            }
+            choice => break choice,
+        }
+    };
+    assert_eq!(sends, 3, "attempts of the route");
+    assert!(
+        matches!(
+            refused,
+            Choice::Refuse {
+                reason: RefusalReason::NoAttempts,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
+    assert_eq!(dispatcher.report(at(2)).demand[0].refused_full, 1);
+}
+
 /// 61 gateways with full queues learn at the same time that a model is loaded: guards against sends
 /// that overrun the engine's queue many times, and against free slots beside waiting requests.
 #[test]
