--- a/crates/millpass-dispatch/src/admission.rs
+++ b/crates/millpass-dispatch/src/admission.rs
@@ -343,6 +343,11 @@
         self.waiters.insert(number, waiter);
     }
 
+    /// Wakes a request to decide again; it keeps its place.
+    pub fn wake(&mut self, number: WaiterNumber) {
+        self.called.push(number);
+    }
+
     /// Wakes all requests to decide again; they keep their places.
     pub fn wake_all(&mut self) {
         self.called.extend(self.waiters.keys().copied());
@@ -365,6 +370,11 @@
         self.queues.range(key..).map(|(key, _)| key)
     }
 
+    /// Resources with waiting requests.
+    pub fn keys(&self) -> impl Iterator<Item = &ResourceKey> {
+        self.queues.keys()
+    }
+
     /// Returns true if this request is the first of its queue.
     pub fn is_first(&self, number: WaiterNumber) -> bool {
         let queue = self.waiters.get(&number).map(|waiter| &waiter.key);
--- a/crates/millpass-dispatch/src/selection.rs
+++ b/crates/millpass-dispatch/src/selection.rs
@@ -1,13 +1,13 @@
 //! Selects an instance for a request, or decides that it waits or is refused.
 
-use crate::admission::Turn;
+use crate::admission::{ResourceKey, Turn};
 use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
 use crate::freshness::Freshness;
 use crate::instances::Instance;
 use crate::prompts::{PromptPrefix, prefixes, rendezvous, total_tokens};
 use crate::request::Ticket;
 use crate::retry_budget::BudgetTerms;
-use crate::waiting::{CHECK_INTERVAL, MIN_SERVING_TIME, Room};
+use crate::waiting::{MIN_SERVING_TIME, Room};
 use millpass_proto::{Duration, InstanceId, RequestFingerprint, Timestamp, WeightsSource};
 
 /// Interval at which a waiting request records its demand again.
@@ -74,7 +74,7 @@
         ticket.unconfirmed_since = None;
         let engine = self.is_engine(&ticket.service);
         if ticket.sends > 0 && !self.may_retry(now, ticket) {
-            return self.refuse_no_attempts(now, ticket, engine);
+            return self.refuse_without_attempts(now, ticket, engine);
         }
         let candidates = self.candidates(now, ticket, engine);
         if candidates.available.is_empty() {
@@ -121,7 +121,7 @@
         let instance = instance.clone();
         if !self.is_first_for(now, ticket, &instance, turn) {
             if ticket.waiting {
-                let until = now + CHECK_INTERVAL;
+                let until = self.next_check(now, ticket);
                 return Choice::Wait { until };
             }
             return self.wait_or_refuse_full(now, ticket, turn);
@@ -195,7 +195,7 @@
     }
 
     /// Returns true if an instance announced a drain or stated in a response that it leaves.
-    fn is_leaving(&self, instance: &Instance) -> bool {
+    pub(crate) fn is_leaving(&self, instance: &Instance) -> bool {
         let record = &instance.record;
         record.draining || self.statements.is_leaving(&record.instance)
     }
@@ -334,7 +334,7 @@
         // A new replica starts as many requests at once as it has slots.
         let slots = self.engine_spec(&key.service);
         let queued = ahead.saturating_sub(slots.map_or(0, |engine| engine.slots));
-        let loaded = self.ready_at(now, ticket) + READY_MARGIN;
+        let loaded = self.ready_at(now, ticket, &key) + READY_MARGIN;
         let ready = loaded + interval * queued;
         let meets_objective = ticket.arrived + ticket.objective() > ready + MIN_SERVING_TIME;
         let meets_deadline = ticket.first_event_deadline() > ready + MIN_SERVING_TIME;
@@ -356,6 +356,7 @@
                 return choice;
             }
         }
+        self.record_queue_facts(now, ticket, ready.since(now));
         Choice::Refuse {
             reason: RefusalReason::Cold,
             retry_after: self.retry_after_in_order(now, ticket, &key, ready, interval),
@@ -363,18 +364,11 @@
     }
 
     /// Estimates when the model or adapter will serve.
-    fn ready_at(&self, now: Timestamp, ticket: &Ticket) -> Timestamp {
+    fn ready_at(&mut self, now: Timestamp, ticket: &Ticket, key: &ResourceKey) -> Timestamp {
         let model = ticket.description.model.as_ref();
         let adapter = ticket.description.adapter.as_ref();
-        let soonest = self
-            .ready_estimates
-            .iter()
-            .filter(|(estimate, _)| {
-                estimate.service == ticket.service && Some(&estimate.model) == model
-            })
-            .map(|(_, ready)| *ready)
-            .min();
-        if let Some(ready) = soonest {
+        if let Some(ready) = self.model_ready_at(key) {
+            self.admission.times.record_planned(key);
             return ready.max(now);
         }
         let is_loaded = self.instances.values().any(|instance| {
@@ -385,7 +379,17 @@
         if is_loaded && adapter.is_some() {
             return now + ADAPTER_LOAD_ESTIMATE;
         }
-        now + LOAD_START_ESTIMATE + self.min_load_time(ticket)
+        // The leader knows of the demand. The longer it has planned no load, the later one begins.
+        let unplanned = self.admission.times.record_unplanned(now, key);
+        now + LOAD_START_ESTIMATE.max(unplanned) + self.min_load_time(ticket)
+    }
+
+    /// Returns when the leader expects a model to be ready, if it loads or will load.
+    pub(crate) fn model_ready_at(&self, key: &ResourceKey) -> Option<Timestamp> {
+        let of_model = self.ready_estimates.iter().filter(|(estimate, _)| {
+            estimate.service == key.service && Some(&estimate.model) == key.model.as_ref()
+        });
+        of_model.map(|(_, ready)| *ready).min()
     }
 
     fn min_load_time(&self, ticket: &Ticket) -> Duration {
--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -126,6 +126,13 @@
                 instance.speed.apply(now, pace);
             }
         }
+        let has_new_estimates = !update.ready_estimates_unchanged
+            || !update.moved_estimates.is_empty()
+            || !update.ended_estimates.is_empty();
+        let expected = match has_new_estimates {
+            true => self.expected_ready_of_waiting(),
+            false => Vec::new(),
+        };
         if !update.ready_estimates_unchanged {
             self.ready_estimates.clear();
         }
@@ -147,6 +154,7 @@
             let ready = now + Duration::from_millis(estimate.ready_in_millis);
             (estimate, ready)
         }));
+        self.wake_delayed(&expected);
         self.call_next_for_all(now, &affected);
         outcome
     }
--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -14,7 +14,9 @@
 /// updates and responses.
 const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the other requests of a queue check again.
-pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Delay of a load's expected end up to which waiting requests don't decide again.
+const TOLERATED_DELAY: Duration = Duration::from_millis(200);
 /// Time for which no request is sent into the queue of an instance that rejected one as full.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(300);
 /// Least time left to serve a request.
@@ -37,6 +39,20 @@
 /// Share of the slots that a rank is assumed to get at least, whatever more urgent ones use.
 const LEAST_SHARE: f64 = 0.05;
 
+/// Factor of an expected wait at the gateway within which it must be useful. Waits grow while a
+/// burst arrives: without it, 25 of 345 requests of tests/sharing.rs were held and then refused,
+/// with it 4, and as many were served.
+const WAIT_MARGIN: f64 = 1.5;
+
+/// Time in which at most [`MIN_CALLS`] waiting requests are called for an instance, or this
+/// gateway's part of what it takes if that is more. All gateways learn at the same time that a model
+/// is loaded; without a bound, those of 61 gateways with a full queue each would send 15 times what
+/// an engine and its queue take, before a rejection or a load tells them.
+const CALL_WINDOW: Duration = Duration::from_millis(50);
+/// Waiting requests called for an instance in [`CALL_WINDOW`] at least: more than usually wait for
+/// one model at one of many gateways.
+const MIN_CALLS: u32 = 4;
+
 /// State of waiting at a gateway.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
@@ -44,6 +60,8 @@
     pub(crate) times: ServiceTimes,
     /// Instances that rejected a request as full, and when.
     rejections: HashMap<InstanceId, Timestamp>,
+    /// Instances for which waiting requests were called recently: since when, and how many.
+    calls: HashMap<InstanceId, (Timestamp, u32)>,
 }
 
 /// Place of a request in its queue, for the log.
@@ -130,7 +148,7 @@
         load: f64,
     ) -> Option<Duration> {
         let times = &self.admission.times;
-        let holding = times.holding(&key.service)?;
+        let holding = self.slot_time(instance)?;
         let engine = key.model.is_some();
         let slots = f64::from(instance.record.slots.max(1));
         let queue = load - slots + 1.0;
@@ -159,6 +177,11 @@
         Some(wait + self.first_byte_at_slot(now, instance, engine, terms.tokens))
     }
 
+    /// Average seconds for which a request occupies a slot of an instance; none until one has ended.
+    fn slot_time(&self, instance: &Instance) -> Option<f64> {
+        self.admission.times.holding(&instance.record.service)
+    }
+
     /// Estimates the time to the first byte once a request has a slot.
     fn first_byte_at_slot(
         &self,
@@ -168,7 +191,7 @@
         unread_tokens: u32,
     ) -> Duration {
         if !engine {
-            let holding = self.admission.times.holding(&instance.record.service);
+            let holding = self.slot_time(instance);
             return Duration::from_secs_f64(holding.unwrap_or_default());
         }
         let load = instance
@@ -196,6 +219,24 @@
         }
     }
 
+    /// Records what is ahead of a request, and when it is expected to be sent.
+    pub(crate) fn record_queue_facts(
+        &self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        expected: Duration,
+    ) {
+        let key = self.resource_key(ticket);
+        let terms = self.waiter_terms(now, ticket);
+        let queues = &self.admission.queues;
+        ticket.queue = Some(QueueFacts {
+            ahead: queues.ahead(&key, &terms),
+            expected: (now + expected).since(ticket.arrived),
+            length: queues.length(&key),
+            since: ticket.queue.map_or(now, |facts| facts.since),
+        });
+    }
+
     /// Waits in the queue of the request's resource; none if it is full.
     pub(crate) fn join_queue(
         &mut self,
@@ -207,27 +248,27 @@
     ) -> Option<Choice> {
         let key = self.resource_key(ticket);
         let terms = self.waiter_terms(now, ticket);
+        self.record_queue_facts(now, ticket, expected);
         let queues = &mut self.admission.queues;
-        ticket.queue = Some(QueueFacts {
-            ahead: queues.ahead(&key, &terms),
-            expected: (now + expected).since(ticket.arrived),
-            length: queues.length(&key),
-            since: ticket.queue.map_or(now, |facts| facts.since),
-        });
         let number = *ticket.waiter.get_or_insert_with(|| queues.next_number());
         if queues.join(number, key, terms, turn) == Joined::Full {
             return None;
         }
         ticket.waiting = true;
-        let interval = match queues.is_first(number) {
-            true => FIRST_CHECK_INTERVAL,
-            false => CHECK_INTERVAL,
-        };
         Some(Choice::Wait {
-            until: until.min(now + interval),
+            until: until.min(self.next_check(now, ticket)),
         })
     }
 
+    /// Returns when a waiting request checks again if it is not called before.
+    pub(crate) fn next_check(&self, now: Timestamp, ticket: &Ticket) -> Timestamp {
+        let waiting = ticket.waiting();
+        match waiting.is_some_and(|number| self.admission.queues.is_first(number)) {
+            true => now + FIRST_CHECK_INTERVAL,
+            false => now + CHECK_INTERVAL,
+        }
+    }
+
     /// Lets requests that waited longer, or are more urgent, go first: returns true if this one
     /// may be sent to the instance now, or else calls the one that is next.
     pub(crate) fn is_first_for(
@@ -245,19 +286,23 @@
         if self.admission.queues.length(&key) == 0 {
             return true;
         }
+        let has_waited = ticket.waiter.is_some();
         let queues = &mut self.admission.queues;
         let number = *ticket.waiter.get_or_insert_with(|| queues.next_number());
-        if queues.join(number, key.clone(), terms, turn) == Joined::Full {
+        if queues.join(number, key, terms, turn) == Joined::Full {
             // The bound must not leave a slot unused.
             return !self.call_next(now, instance);
         }
         let next = self.next_for(now, instance);
-        if next.is_none_or(|next| next == number) {
+        let is_next = next.is_none_or(|next| next == number);
+        if is_next && (!has_waited || self.count_call(now, instance)) {
             self.admission.queues.leave(number);
             return true;
         }
         ticket.waiting = true;
-        self.call_next(now, instance);
+        if !is_next {
+            self.call_next(now, instance);
+        }
         false
     }
 
@@ -282,7 +327,7 @@
             }
             return self.refuse_full(now, ticket, CAPACITY_RETRY_AFTER);
         };
-        let ready = now + expected + first_byte;
+        let ready = now + expected.mul_f64(WAIT_MARGIN) + first_byte;
         let early = now <= ticket.wait_limit();
         if ready <= due {
             if let Some(choice) = self.join_queue(now, ticket, turn, due, expected) {
@@ -290,7 +335,7 @@
             }
             return self.refuse_full(now, ticket, expected);
         }
-        if early {
+        if early || ticket.queue.is_none() {
             // It would be late, and make others late that can still be served in time.
             return self.refuse_full(now, ticket, expected);
         }
@@ -333,6 +378,7 @@
     }
 
     fn refuse_full(&mut self, now: Timestamp, ticket: &mut Ticket, expected: Duration) -> Choice {
+        self.record_queue_facts(now, ticket, expected);
         let retry_after = self.slot_retry_after(now, ticket, expected);
         self.record_refused_full(now, ticket);
         Choice::Refuse {
@@ -341,6 +387,30 @@
         }
     }
 
+    /// Refuses a request that has no attempts left. If instances rejected it as full, it counts as
+    /// refused for lack of slots.
+    pub(crate) fn refuse_without_attempts(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        engine: bool,
+    ) -> Choice {
+        let last = ticket.tried.last();
+        let rejected = last.and_then(|last| self.admission.rejections.get(last));
+        if rejected.is_none_or(|at| now.since(*at) >= REJECTION_BACKOFF) {
+            return self.refuse_no_attempts(now, ticket, engine);
+        }
+        let interval = self.slot_interval(now, &self.resource_key(ticket), ticket.rank);
+        let expected = interval.unwrap_or_default();
+        self.record_queue_facts(now, ticket, expected);
+        let retry_after = self.slot_retry_after(now, ticket, expected);
+        self.record_refused_full(now, ticket);
+        Choice::Refuse {
+            reason: RefusalReason::NoAttempts,
+            retry_after,
+        }
+    }
+
     /// Counts a caller that is refused for lack of slots as demand for a further replica.
     fn record_refused_full(&mut self, now: Timestamp, ticket: &Ticket) {
         let key = self.resource_key(ticket);
@@ -434,6 +504,24 @@
         self.admission.queues.take_called()
     }
 
+    /// Returns when the models that requests wait for are expected to be ready.
+    pub(crate) fn expected_ready_of_waiting(&self) -> Vec<(ResourceKey, Timestamp)> {
+        let keys = self.admission.queues.keys();
+        let expected = keys.filter_map(|key| Some((key.clone(), self.model_ready_at(key)?)));
+        expected.collect()
+    }
+
+    /// Wakes the requests that wait for models that will be ready later than expected before: some
+    /// can no longer be served in time.
+    pub(crate) fn wake_delayed(&mut self, expected: &[(ResourceKey, Timestamp)]) {
+        for (key, before) in expected {
+            let ready = self.model_ready_at(key);
+            if ready.is_some_and(|ready| ready.since(*before) > TOLERATED_DELAY) {
+                self.admission.queues.wake_queue(key);
+            }
+        }
+    }
+
     /// Number of waiting requests.
     pub fn waiting_requests(&self) -> usize {
         self.admission.queues.len()
@@ -446,13 +534,30 @@
 
     /// Calls the next request for an instance, if it can take one. Returns whether it did.
     pub(crate) fn call_next(&mut self, now: Timestamp, instance: &InstanceId) -> bool {
-        match self.next_for(now, instance) {
-            Some(number) => {
-                self.admission.queues.call(number, instance);
-                true
-            }
-            None => false,
+        let Some(number) = self.next_for(now, instance) else {
+            return false;
+        };
+        if !self.count_call(now, instance) {
+            // It decides again after the window, as the first of its queue.
+            self.admission.queues.wake(number);
+            return false;
         }
+        self.admission.queues.call(number, instance);
+        true
+    }
+
+    /// Counts a call for an instance; false if there were too many in [`CALL_WINDOW`].
+    fn count_call(&mut self, now: Timestamp, instance: &InstanceId) -> bool {
+        let slots = self.instances.get(instance);
+        let slots = slots.map_or(1, |found| found.record.slots.max(1));
+        let usable = f64::from(slots) * (1.0 + QUEUE_PER_SLOT);
+        let part = usable / f64::from(self.gateways.max(1));
+        let allowed = MIN_CALLS.max(part as u32);
+        let calls = &mut self.admission.calls;
+        calls.retain(|_, (since, _)| now.since(*since) < CALL_WINDOW);
+        let (_, count) = calls.entry(instance.clone()).or_insert((now, 0));
+        *count += 1;
+        *count <= allowed
     }
 
     /// Calls the next requests for all instances, of which several may have changed.
@@ -474,7 +579,7 @@
         }
         let found = self.instances.get(instance)?;
         let reserved = queues.reserved(instance);
-        let is_usable = !found.record.draining && self.accepts_requests(now, instance);
+        let is_usable = !self.is_leaving(found) && self.accepts_requests(now, instance);
         if !is_usable {
             return None;
         }
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -181,32 +181,12 @@
         let first = self.needs_full_update(session);
         let loads_unchanged = !first && session.sent_loads == self.loads_revision;
         let (paces, sent_paces) = self.pace.published_since(now, session.sent_paces);
-        let mut update = GatewayUpdate {
-            term: self.term,
-            complete,
-            first,
-            document: None,
-            instances: Vec::new(),
-            removed: Vec::new(),
-            ready_estimates: empty_if(estimates_unchanged, &self.ready_estimates),
-            gateways: 0,
-            members: Vec::new(),
-            provisional: false,
-            loads: empty_if(loads_unchanged, &self.published_loads),
-            acknowledged_report: session.last_report,
-            as_of: context.as_of,
-            document_change: None,
-            unchanged_instance_digests: Vec::new(),
-            ready_estimates_unchanged: estimates_unchanged,
-            loads_unchanged,
-            document_version: document.map_or(0, |document| document.version),
-            paces,
-        };
         let mut update = self.empty_update(session, document, context);
         update.first = first;
         update.complete = complete;
         update.loads = empty_if(loads_unchanged, &self.published_loads);
         update.loads_unchanged = loads_unchanged;
+        update.paces = paces;
         self.fill_estimates(now, session, &mut update);
         if first {
             update.members = (context.members)();
@@ -290,6 +270,7 @@
             ready_estimates_unchanged: true,
             loads_unchanged: true,
             document_version: document.map_or(0, |document| document.version),
+            paces: Vec::new(),
             contents: Vec::new(),
             moved_estimates: Vec::new(),
             ended_estimates: Vec::new(),
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -33,6 +33,9 @@
     /// Requests denied units of their tenant's quota, by rank.
     quota_denials: IntCounterVec,
     denial_wait: Histogram,
+    /// Requests that wait in a queue.
+    pub(crate) waiting: IntGauge,
+    queue_wait: Histogram,
     sends: IntCounterVec,
     pub(crate) connects: IntCounter,
     pub(crate) resumed: IntCounter,
@@ -156,6 +159,18 @@
         .buckets(LATENCY_BUCKETS.to_vec());
         let denial_wait = Histogram::with_opts(options)?;
         registry.register(Box::new(denial_wait.clone()))?;
+        let waiting = IntGauge::new(
+            "gateway_waiting_requests",
+            "Requests that wait for a slot or for a model",
+        )?;
+        registry.register(Box::new(waiting.clone()))?;
+        let options = HistogramOpts::new(
+            "gateway_queue_wait_seconds",
+            "Time for which sent requests waited for a slot or for a model",
+        )
+        .buckets(LATENCY_BUCKETS.to_vec());
+        let queue_wait = Histogram::with_opts(options)?;
+        registry.register(Box::new(queue_wait.clone()))?;
         Ok(Metrics {
             registry,
             requests,
@@ -165,6 +180,8 @@
             credit_wait,
             quota_denials,
             denial_wait,
+            waiting,
+            queue_wait,
             sends,
             connects,
             resumed,
@@ -230,6 +247,10 @@
         self.denial_wait.observe(time.as_secs_f64());
     }
 
+    pub(crate) fn observe_queue_wait(&self, time: Duration) {
+        self.queue_wait.observe(time.as_secs_f64());
+    }
+
     pub(crate) fn exposition(&self) -> String {
         exposition(&self.registry)
     }
