Promise refill to lower ranks of a tenant within its limit

Change: lower ranks are promised refill within their own wait, more urgent claims go ahead of these promises, and their sum is bounded by a third of the tolerance, none in a leader's first window. A tenant is overloaded if it wants over 1.1 of its refill by a standard deviation. A rank without a share of the refill is granted from nine tenths of the bucket on instead of three quarters.

--- a/crates/millpass-tenancy/src/ledger.rs
+++ b/crates/millpass-tenancy/src/ledger.rs
@@ -17,6 +17,10 @@
 /// Fraction of the tolerance that a new leader's buckets start with. Gateways without a leader may
 /// use half of the tolerance, and two changes of leader may fall into one window.
 const OPENING_FRACTION: f64 = 0.25;
+/// Fraction of the tolerance that may be promised to ranks below others. More urgent requests go
+/// ahead of promises and may use their units first; gateways cut off from the leader may use half
+/// of the tolerance in the same window.
+const PROMISED_FRACTION: f64 = 1.0 / 3.0;
 /// Minimum interval between two events of one tenant.
 const EVENT_INTERVAL: Duration = Duration::from_secs(1);
 /// Wait sent for a tenant that is not in the document.
@@ -45,10 +49,19 @@
     pub wanted: Vec<(u32, f64)>,
 }
 
+/// Units charged before the refill brings them, for a rank below others.
+#[derive(Clone, Copy, Debug)]
+struct Promise {
+    due: Timestamp,
+    rank: u32,
+    units: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Account {
     bucket: UnitBucket,
     priority: PriorityTracker,
+    promises: Vec<Promise>,
     denied: u64,
     event_at: Option<Timestamp>,
 }
@@ -157,6 +170,7 @@
             .or_insert_with(|| Account {
                 bucket: UnitBucket::new(started_at, limit, initial_units),
                 priority: PriorityTracker::default(),
+                promises: Vec::new(),
                 denied: 0,
                 event_at: None,
             });
@@ -167,12 +181,20 @@
             // Units used under another leader came from that leader's bucket.
             bucket.charge(tenant_request.overdrawn);
         }
+        account.promises.retain(|promise| now < promise.due);
         account.record_demand(now, tenant_request);
         let rules = account.priority.rules(now, limit, account.bucket.level());
-        account.grant_claims(limit, tenant_request, &rules, &mut grant);
+        // A predecessor's grants and the opening credit may use the tolerance of a new leader's
+        // first window.
+        let is_first_window = now.since(started_at) < self.tolerance.window;
+        let promisable = match is_first_window {
+            true => 0,
+            false => (self.tolerance.tolerated_above(limit) * PROMISED_FRACTION) as u64,
+        };
+        account.grant_claims(now, limit, promisable, tenant_request, &rules, &mut grant);
         let denied = waiting - grant.granted_requests;
         let level = account.bucket.level();
-        grant.denials = denials(&rules, level, limit);
+        grant.denials = account.denials(&rules, limit);
         // Units held back for urgent ranks are no surplus.
         let is_overloaded = account.priority.is_overloaded() || !grant.denials.is_empty();
         grant.over_half_available = account.bucket.has_surplus() && !is_overloaded;
@@ -213,6 +235,32 @@
 }
 
 impl Account {
+    /// Level of the bucket for a rank: it goes ahead of promises to less urgent ones.
+    fn level_for(&self, rank: u32) -> f64 {
+        let lower = self.promises.iter().filter(|promise| promise.rank > rank);
+        self.bucket.level() + lower.map(|promise| promise.units as f64).sum::<f64>()
+    }
+
+    /// Returns the ranks that gateways deny without a message, as long as the level allows none of
+    /// their requests. A rank below these that isn't denied is listed with a hold time of 0.
+    fn denials(&self, rules: &[RankRule], limit: TenantLimit) -> Vec<RankDenial> {
+        let mut denials: Vec<RankDenial> = Vec::new();
+        for rule in rules {
+            let level = self.level_for(rule.rank);
+            let hold = rule.hold(level);
+            if hold.is_none() && denials.is_empty() {
+                continue;
+            }
+            let retry = hold.map(|hold| rule.retry(level, limit, hold));
+            denials.push(RankDenial {
+                rank: rule.rank,
+                hold_millis: hold.map_or(0, round_up_to_millis),
+                retry_millis: retry.map_or(0, round_up_to_millis),
+            });
+        }
+        denials
+    }
+
     /// Records the demand that a request of a gateway states.
     fn record_demand(&mut self, now: Timestamp, request: &TenantCreditRequest) {
         for (position, units) in request.queued_units.iter().enumerate() {
@@ -231,7 +279,9 @@
     /// Grants queued claims in order, until one is denied.
     fn grant_claims(
         &mut self,
+        now: Timestamp,
         limit: TenantLimit,
+        promisable: u64,
         request: &TenantCreditRequest,
         rules: &[RankRule],
         grant: &mut CreditGrant,
@@ -240,11 +290,23 @@
         for (position, units) in request.queued_units.iter().enumerate() {
             let rank = rank_of(request, position);
             let longest_wait = longest_wait_of(request, position);
-            let rule = self.priority.rule_of(rules, rank);
-            let level = self.bucket.level();
-            let Some(delay) = rule.and_then(|rule| rule.delay(level, limit, longest_wait)) else {
+            let Some(rule) = self.priority.rule_of(rules, rank) else {
                 break;
             };
+            let Some(delay) = rule.delay(self.level_for(rank), longest_wait) else {
+                break;
+            };
+            if !delay.is_zero() && rule.is_preceded(limit) {
+                let promised: u64 = self.promises.iter().map(|promise| promise.units).sum();
+                if promised.saturating_add(*units) > promisable {
+                    break;
+                }
+                self.promises.push(Promise {
+                    due: now + delay,
+                    rank,
+                    units: *units,
+                });
+            }
             self.bucket.charge(*units);
             grant.granted_requests += 1;
             if !delay.is_zero() {
@@ -270,25 +332,6 @@
     Duration::from_millis(millis.copied().unwrap_or(0).into())
 }
 
-/// Returns the ranks that gateways deny without a message, as long as the level allows none of
-/// their requests. A rank below these that isn't denied is listed with a hold time of 0.
-fn denials(rules: &[RankRule], level: f64, limit: TenantLimit) -> Vec<RankDenial> {
-    let mut denials: Vec<RankDenial> = Vec::new();
-    for rule in rules {
-        let hold = rule.hold(level, limit);
-        if hold.is_none() && denials.is_empty() {
-            continue;
-        }
-        let retry = hold.map(|hold| rule.retry(level, limit, hold));
-        denials.push(RankDenial {
-            rank: rule.rank,
-            hold_millis: hold.map_or(0, round_up_to_millis),
-            retry_millis: retry.map_or(0, round_up_to_millis),
-        });
-    }
-    denials
-}
-
 fn is_denied(denials: &[RankDenial], rank: u32) -> bool {
     let listed = denials.iter().rfind(|denial| denial.rank <= rank);
     listed.is_some_and(|denial| denial.hold_millis > 0)
--- a/crates/millpass-tenancy/src/priority.rs
+++ b/crates/millpass-tenancy/src/priority.rs
@@ -7,8 +7,9 @@
 //! the lower ones, as the level then stays at their threshold. Callers that can't be served are
 //! denied at once, as time spent waiting is lost to a retry.
 //!
-//! A tenant within its limit is granted in order of arrival while a unit is left, and waits for the
-//! refill only as long as more urgent requests could wait behind it.
+//! A tenant within its limit is granted in order of arrival while a unit is left. With an empty
+//! bucket, requests are promised refill in order of arrival; more urgent ones go ahead of these
+//! promises, which are therefore bounded by the tolerance of the quota.
 
 use crate::limit::TenantLimit;
 use millpass_proto::{Duration, Timestamp};
@@ -26,20 +27,20 @@
 /// Maximum fraction of the bucket held back, so that the bucket doesn't fill up and lose refill
 /// while lower ranks are denied.
 const MAXIMUM_HELD_FRACTION: f64 = 0.75;
+/// The same for a rank without a share of the refill. Where a request costs much of the bucket, it
+/// would otherwise compete with the rank before it.
+const MAXIMUM_HELD_FRACTION_WITHOUT_SHARE: f64 = 0.9;
 /// Level, as a fraction of the bucket, below which a tenant that wants more than its refill is
-/// overloaded. Averages exceed the refill by chance; then the bucket is usually fuller.
+/// overloaded. A fuller bucket bears a short excess.
 const OVERLOAD_LEVEL: f64 = 0.25;
-/// Demand, as a fraction of the refill, below which a tenant is no longer overloaded. Below 1, as
-/// the held units keep the bucket from emptying again.
-const OVERLOAD_END_FRACTION: f64 = 0.9;
+/// Demand, as a fraction of the refill, above which a tenant is overloaded. Around the limit few
+/// requests are refused either way, and holding units back refuses more than it protects.
+const OVERLOAD_FRACTION: f64 = 1.1;
 /// Demand below this fraction of the refill counts as none; it is the rest of an average.
 const NEGLIGIBLE_FRACTION: f64 = 0.001;
 /// Share of the refill below which a rank can't expect units: it would be served less than one
 /// request in twenty of a tenant's limit.
 const NEGLIGIBLE_SHARE: f64 = 0.05;
-/// Fraction of the shortest wait of more urgent ranks for which units may be promised to a rank, so
-/// that an urgent request that finds the bucket empty is still granted in time.
-const URGENT_WAIT_FRACTION: f64 = 0.5;
 /// Fraction of a claim's longest wait that may be queued for a rank whose demand exceeds its share.
 /// The queue then never empties, and a longer one delays every request without serving more.
 const OVERLOADED_WAIT_FRACTION: f64 = 0.25;
@@ -130,38 +131,36 @@
     /// Units per second wanted.
     pub(crate) wanted: f64,
     longest_wait: Duration,
-    /// Maximum time for which units that the refill has yet to bring are promised.
-    maximum_delay: Duration,
     backlog: f64,
 }
 
 impl RankRule {
-    /// Returns the time after which a claim is granted if the bucket has this level, or none if it
-    /// is denied. A rank for which units are held back gets none that the refill has yet to bring:
+    /// Returns the time after which a claim is granted if the bucket has this level for its rank, or
+    /// none if it is denied. A rank for which units are held back gets none that the refill has yet to bring:
     /// these would be taken from more urgent requests that are still to arrive.
-    pub(crate) fn delay(
-        &self,
-        level: f64,
-        limit: TenantLimit,
-        longest_wait: Duration,
-    ) -> Option<Duration> {
+    pub(crate) fn delay(&self, level: f64, longest_wait: Duration) -> Option<Duration> {
         if level >= self.threshold {
             return Some(Duration::ZERO);
         }
         if self.threshold > 1.0 {
             return None;
         }
-        let delay = Duration::try_from_secs_f64((1.0 - level) / limit.rate()).ok()?;
+        let delay =
+            Duration::try_from_secs_f64((1.0 - level) / self.share.max(f64::MIN_POSITIVE)).ok()?;
         (delay <= self.acceptable_delay(longest_wait)).then_some(delay)
     }
 
     fn acceptable_delay(&self, longest_wait: Duration) -> Duration {
-        let accepted = if self.wanted > self.share {
+        if self.wanted > self.share {
             longest_wait.mul_f64(OVERLOADED_WAIT_FRACTION)
         } else {
             longest_wait
-        };
-        accepted.min(self.maximum_delay)
+        }
+    }
+
+    /// Returns true if more urgent ranks want units.
+    pub(crate) fn is_preceded(&self, limit: TenantLimit) -> bool {
+        self.share < limit.rate() * (1.0 - NEGLIGIBLE_FRACTION)
     }
 
     /// Returns true if the rank can't expect units as more urgent ranks want all of the refill.
@@ -171,8 +170,8 @@
 
     /// Returns how long gateways may deny the rank if the bucket has this level, or none if the
     /// rank isn't denied.
-    pub(crate) fn hold(&self, level: f64, limit: TenantLimit) -> Option<Duration> {
-        if self.delay(level, limit, self.longest_wait).is_some() {
+    pub(crate) fn hold(&self, level: f64) -> Option<Duration> {
+        if self.delay(level, self.longest_wait).is_some() {
             return None;
         }
         let missing = (self.threshold - level) / self.share.max(1.0);
@@ -267,17 +266,20 @@
     ) -> Vec<RankRule> {
         self.ranks
             .retain(|_, demand| now.since(demand.requested_at) < RANK_LIFETIME);
-        let mut total = 0.0;
+        let (mut total, mut total_variance) = (0.0, 0.0);
         for demand in self.ranks.values_mut() {
             demand.decay(now);
             total += demand.rate();
+            total_variance += demand.variance_rate();
         }
-        if total > limit.rate() && level < limit.capacity() * OVERLOAD_LEVEL {
+        // The standard deviation of an exponential average of this time constant.
+        let deviation = (total_variance / (2.0 * DEMAND_AVERAGE.as_secs_f64())).sqrt();
+        let bound = limit.rate() * OVERLOAD_FRACTION;
+        if total - deviation > bound && level < limit.capacity() * OVERLOAD_LEVEL {
             self.is_overloaded = true;
-        } else if total < limit.rate() * OVERLOAD_END_FRACTION {
+        } else if total < bound {
             self.is_overloaded = false;
         }
-        let mut maximum_delay = Duration::MAX;
         let (mut urgent, mut variance, mut held) = (0.0, 0.0, 0.0_f64);
         let mut rules = Vec::with_capacity(self.ranks.len());
         for (rank, demand) in &mut self.ranks {
@@ -288,20 +290,19 @@
                 // The grant itself may take the level below the threshold by a request's cost.
                 held = held.max(needed + demand.typical_large_cost());
             }
-            let maximum = limit.capacity() * MAXIMUM_HELD_FRACTION;
+            let maximum = limit.capacity()
+                * match share < limit.rate() * NEGLIGIBLE_SHARE {
+                    true => MAXIMUM_HELD_FRACTION_WITHOUT_SHARE,
+                    false => MAXIMUM_HELD_FRACTION,
+                };
             rules.push(RankRule {
                 rank: *rank,
                 threshold: held.min(maximum).max(1.0),
                 share,
                 wanted: demand.rate(),
                 longest_wait: demand.longest_wait,
-                maximum_delay,
                 backlog: demand.backlog,
             });
-            if demand.rate() > limit.rate() * NEGLIGIBLE_FRACTION {
-                let delay = demand.longest_wait.mul_f64(URGENT_WAIT_FRACTION);
-                maximum_delay = maximum_delay.min(delay);
-            }
             urgent += demand.rate();
             variance += demand.variance_rate();
         }
--- a/crates/millpass-tenancy/tests/quota.rs
+++ b/crates/millpass-tenancy/tests/quota.rs
@@ -476,6 +476,22 @@
     assert!(simulation.peak_window_use() <= 1.0);
 }
 
+/// Guards against a tenant within its limit whose less urgent requests are refused to hold back units
+/// that nobody needs.
+#[rstest]
+fn ranks_of_a_tenant_within_its_limit_are_all_served(
+    #[values(3, 61, 986)] gateways: usize,
+    #[values(LARGE_TENANT, SMALL_TENANT)] limit: TenantLimit,
+) {
+    let mut simulation = Simulation::with_ranks(18, gateways, limit, [0.42, 0.26, 0.32]);
+    simulation.run(4_000, limit.units_per_second as f64 / 1.8, 9_800);
+    simulation.reset_counts();
+    simulation.run(12_000, limit.units_per_second as f64 / 1.8, 9_800);
+    let fractions: Vec<f64> = simulation.ranks.iter().map(RankLoad::fraction).collect();
+    let least = fractions.iter().copied().fold(1.0, f64::min);
+    assert!(least > 0.97, "{fractions:?}");
+}
+
 /// Guards against units that stay unused while callers are refused: when a rank that wanted all ends
 /// its requests, the next gets the whole refill, also what was held back.
 #[rstest]
@@ -520,7 +536,8 @@
     simulation.elect_leader();
     simulation.run(2_000, rate * 6.0, 9_800);
     simulation.reset_counts();
-    simulation.run(6_000, rate * 6.0, 9_800);
+    // Long enough for over forty urgent requests of the small tenant.
+    simulation.run(12_000, rate * 6.0, 9_800);
     let fractions: Vec<f64> = simulation.ranks.iter().map(RankLoad::fraction).collect();
     let least = if limit == SMALL_TENANT { 0.8 } else { 0.98 };
     assert!(fractions[0] > least, "{fractions:?}");
