Send outstanding departures with an early update

Cause: an update states the index of the log. An early update to a gateway without unmet demand (an unload of a model that it uses) could state an index beyond a departure that it had not been sent; the gateway would count as up to date and go on sending requests to the departed instance. Ruled out: stating an older index, which needs a second one for each session. Change: an early update becomes one with everything if a document, a departure or a first update is outstanding.

--- a/crates/millpass-fleet/src/update_schedule.rs
+++ b/crates/millpass-fleet/src/update_schedule.rs
@@ -261,7 +261,14 @@
             && is_urgent
             && intervals.regular > Duration::ZERO
             && now.since(self.estimates_sent_at) >= ESTIMATE_INTERVAL;
-        (!self.instances.is_empty() || estimates_due).then_some(Scope::Concerning)
+        if self.instances.is_empty() && !estimates_due {
+            return None;
+        }
+        // An update states the index of the log, which requires that departures are not outstanding.
+        Some(match outstanding.required {
+            true => Scope::Everything,
+            false => Scope::Concerning,
+        })
     }
 
     /// Returns the instances that concern the gateway and were not sent, and marks them as sent.
--- a/crates/millpass-fleet/tests/update_schedule.rs
+++ b/crates/millpass-fleet/tests/update_schedule.rs
@@ -277,6 +277,24 @@
     assert!(carries(update, 4));
 }
 
+/// Guards against an update that states the index of a departure and omits it: the gateway would
+/// count as up to date and go on sending requests to the departed instance.
+#[test]
+fn early_update_carries_outstanding_departures() {
+    let mut leader = leader(986, 20);
+    leader.report_demand(START, 7, vec![demand(model(100), 0)]);
+    updates_of_gateway(&mut leader, START, START + 50);
+    let now = START + 50;
+    let departed = record(4).instance;
+    leader.fleet.handle_departure(&departed, true);
+    let unloading = engine(3, 2, &[]);
+    leader.fleet.handle_announcement(at(now), unloading, false);
+    let updates = updates_of_gateway(&mut leader, now, now + 40);
+    assert_eq!(updates.len(), 1, "{updates:?}");
+    assert!(carries(&updates[0].1, 3));
+    assert_eq!(updates[0].1.removed, [departed]);
+}
+
 /// Without unmet demand a document takes no longer than the interval that bounds all updates, which
 /// is shorter than the regular interval of other changes with few gateways.
 #[test]
