Apply moved ready estimates of an update in one pass

Cause: each moved or ended estimate searched all known ones. Change: one pass over the known estimates for all of an update. No change of behaviour. Conclusion: the cost grows with the known estimates, not with their product with the moved ones.

--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -4,7 +4,8 @@
 use crate::instances::Instance;
 use crate::table::RoutingTable;
 use millpass_proto::{
-    DeploymentDocument, Duration, GatewayUpdate, InstanceId, InstanceRecord, Timestamp,
+    DeploymentDocument, Duration, EstimateKey, GatewayUpdate, InstanceId, InstanceRecord,
+    ModelReadyEstimate, Timestamp,
 };
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -27,6 +28,15 @@
     pub mismatched_base: Option<u64>,
 }
 
+/// The ready estimates of an update.
+struct EstimateUpdate {
+    /// Whether the previous ones apply unless listed.
+    keep: bool,
+    all: Vec<ModelReadyEstimate>,
+    moved: Vec<ModelReadyEstimate>,
+    ended: Vec<EstimateKey>,
+}
+
 impl Dispatcher {
     /// Applies an update of the leader or state relayed by another member. A document older than
     /// the one in force is never applied.
@@ -111,28 +121,37 @@
                 instance.record_fleet_in_flight(now, load.in_flight);
             }
         }
-        if !update.ready_estimates_unchanged {
+        self.apply_estimates(
+            now,
+            EstimateUpdate {
+                keep: update.ready_estimates_unchanged,
+                all: update.ready_estimates,
+                moved: update.moved_estimates,
+                ended: update.ended_estimates,
+            },
+        );
+        outcome
+    }
+
+    /// Replaces the ready estimates, or those that moved or ended.
+    fn apply_estimates(&mut self, now: Timestamp, update: EstimateUpdate) {
+        if !update.keep {
             self.ready_estimates.clear();
         }
-        for ended in &update.ended_estimates {
-            self.ready_estimates.retain(|(known, _)| {
-                (&known.service, &known.model, &known.adapter)
-                    != (&ended.service, &ended.model, &ended.adapter)
-            });
-        }
-        for moved in &update.moved_estimates {
-            self.ready_estimates.retain(|(known, _)| {
-                (&known.service, &known.model, &known.adapter)
-                    != (&moved.service, &moved.model, &moved.adapter)
-            });
+        let moved = update.moved.iter();
+        let moved = moved.map(|it| (&it.service, &it.model, &it.adapter));
+        let ended = update.ended.iter();
+        let ended = ended.map(|it| (&it.service, &it.model, &it.adapter));
+        let replaced: BTreeSet<_> = moved.chain(ended).collect();
+        if !replaced.is_empty() {
+            self.ready_estimates
+                .retain(|(it, _)| !replaced.contains(&(&it.service, &it.model, &it.adapter)));
         }
-        let estimates = update.ready_estimates.into_iter();
-        let estimates = estimates.chain(update.moved_estimates);
+        let estimates = update.all.into_iter().chain(update.moved);
         self.ready_estimates.extend(estimates.map(|estimate| {
             let ready = now + Duration::from_millis(estimate.ready_in_millis);
             (estimate, ready)
         }));
-        outcome
     }
 
     /// Applies state relayed by a member that does not lead. Its document and departures are
