Bound the ready estimates in gateway updates

Cause: a trial that runs the planner with 90 engines, 530 models and 61 gateways showed that moved estimates of models that wait for an engine dominate: 993 estimates and 22 KB a second at each gateway, beyond the 17 KB/s of a node, and early updates with nothing else. Ruled out: a wider tolerance, as `Retry-After` is computed from the estimates. Change: a moved estimate is published every 500 ms at most, unless it halves; the estimate of one model is sent early every 500 ms at most (before: all of a gateway's every 50 ms). New estimates are sent as before.

--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -188,11 +188,13 @@
             session.record_report(now, report);
             let new = session.schedule.record_demand(now, &report.demand);
             let sent_estimates = session.sent_estimates;
-            session
-                .schedule
-                .record_unsent(&new, &self.holders, session.sent_revision, |model| {
-                    estimates.has_moved_since(model, sent_estimates)
-                });
+            session.schedule.record_unsent(
+                now,
+                &new,
+                &self.holders,
+                session.sent_revision,
+                |model| estimates.has_moved_since(model, sent_estimates),
+            );
             self.urgent_until = self.urgent_until.max(session.schedule.urgent_until());
             return false;
         }
--- a/crates/millpass-fleet/src/ready_estimates.rs
+++ b/crates/millpass-fleet/src/ready_estimates.rs
@@ -9,12 +9,17 @@
 /// Difference between a published and a current ready time, below which gateways are not updated.
 /// For distant times, a tenth of the remaining time applies.
 const READY_TIME_TOLERANCE: Duration = Duration::from_millis(100);
+/// Minimum time between two published moves of an estimate, unless it halves. The estimates of models
+/// that wait for an engine move in every planning round, as their likely engine changes; at 300 of
+/// them, publishing each move would cost each gateway 20 KB a second.
+const MOVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Ended estimates kept for gateways that have not received them. Gateways that miss older ones are
 /// sent the whole list.
 const MAX_ENDED: usize = 1_024;
 
 struct Published {
     ready: Timestamp,
+    at: Timestamp,
     /// Ready time as of the last planning round.
     current: Timestamp,
     revision: u64,
@@ -100,7 +105,9 @@
         let is_new = match self.entries.get_mut(&key) {
             Some(published) => {
                 published.current = ready;
-                if !has_moved(now, published.ready, ready) {
+                let has_halved = ready.since(now) * 2 < published.ready.since(now);
+                let is_due = has_halved || now.since(published.at) >= MOVE_INTERVAL;
+                if !is_due || !has_moved(now, published.ready, ready) {
                     return;
                 }
                 false
@@ -116,6 +123,7 @@
         self.moved.insert(model);
         let published = Published {
             ready,
+            at: now,
             current: ready,
             revision: self.revision,
             model,
--- a/crates/millpass-fleet/src/update_schedule.rs
+++ b/crates/millpass-fleet/src/update_schedule.rs
@@ -24,9 +24,9 @@
 const UNMET_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time after a report for which its models count as used; several intervals of periodic reports.
 const USE_PERIOD: Duration = Duration::from_millis(1_000);
-/// Minimum interval between updates for ready estimates only. The estimates of models that wait for
-/// an engine move in every planning round, and callers decide by them for seconds.
-const ESTIMATE_INTERVAL: Duration = Duration::from_millis(50);
+/// Minimum interval between early updates of one model's ready estimate. The estimates of models that
+/// wait for an engine move in every planning round, and callers decide by them for seconds.
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(500);
 /// Content changes in one pass above which none is sent early. So many occur when a leader starts or
 /// a zone reconnects, and comparing them with the demand of each gateway would take longer than the
 /// regular interval.
@@ -157,7 +157,8 @@
     urgent_until: Timestamp,
     instances: BTreeSet<InstanceId>,
     estimates: BTreeSet<KeyHash>,
-    estimates_sent_at: Timestamp,
+    /// When the estimate of each model with unmet demand was last sent early.
+    estimates_sent_at: HashMap<KeyHash, Timestamp>,
     /// Instances sent since everything was, with the revision of their records.
     sent_early: BTreeMap<InstanceId, u64>,
 }
@@ -171,6 +172,8 @@
     ) -> Vec<KeyHash> {
         self.unmet.retain(|_, until| now < *until);
         self.used.retain(|_, until| now < *until);
+        self.estimates_sent_at
+            .retain(|_, at| now.since(*at) < ESTIMATE_INTERVAL);
         let mut new = Vec::new();
         for demand in reported {
             let adapter = demand.adapter.as_ref();
@@ -196,6 +199,7 @@
     /// Records what the gateway was not sent before it reported unmet demand for these keys.
     pub(crate) fn record_unsent(
         &mut self,
+        now: Timestamp,
         new: &[KeyHash],
         holders: &LatestHolders,
         sent_revision: u64,
@@ -205,8 +209,11 @@
             .iter()
             .filter_map(|key| holders.since(*key, sent_revision));
         self.instances.extend(instances.cloned());
-        let estimates = new.iter().filter(|key| has_unsent_estimate(**key));
-        self.estimates.extend(estimates.copied());
+        for key in new {
+            if has_unsent_estimate(*key) && !self.was_estimate_sent_recently(now, *key) {
+                self.estimates.insert(*key);
+            }
+        }
     }
 
     /// Returns the time until which unmet demand counts.
@@ -236,12 +243,18 @@
             }
         }
         for (key, until) in &self.unmet {
-            if now < *until && moved_estimates.contains(key) {
+            let is_concerned = now < *until && moved_estimates.contains(key);
+            if is_concerned && !self.was_estimate_sent_recently(now, *key) {
                 self.estimates.insert(*key);
             }
         }
     }
 
+    fn was_estimate_sent_recently(&self, now: Timestamp, model: KeyHash) -> bool {
+        let sent_at = self.estimates_sent_at.get(&model);
+        sent_at.is_some_and(|at| now.since(*at) < ESTIMATE_INTERVAL)
+    }
+
     /// Decides whether an update is due, and what it contains.
     pub(crate) fn due(
         &self,
@@ -257,10 +270,8 @@
             return Some(Scope::Everything);
         }
         // Without a regular interval, moved estimates only accompany other changes.
-        let estimates_due = !self.estimates.is_empty()
-            && is_urgent
-            && intervals.regular > Duration::ZERO
-            && now.since(self.estimates_sent_at) >= ESTIMATE_INTERVAL;
+        let estimates_due =
+            !self.estimates.is_empty() && is_urgent && intervals.regular > Duration::ZERO;
         if self.instances.is_empty() && !estimates_due {
             return None;
         }
@@ -288,9 +299,8 @@
     /// Returns the models whose estimates concern the gateway and were not sent, and marks them as
     /// sent.
     pub(crate) fn take_estimates(&mut self, now: Timestamp) -> BTreeSet<KeyHash> {
-        if !self.estimates.is_empty() {
-            self.estimates_sent_at = now;
-        }
+        let sent = self.estimates.iter().map(|model| (*model, now));
+        self.estimates_sent_at.extend(sent);
         std::mem::take(&mut self.estimates)
     }
 
