--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -27,6 +27,8 @@
 //! | `adapters` | placement of adapters |
 //! | `planner` | loads and unloads of models |
 //! | `updates` | updates sent to gateways |
+//! | `update_schedule` | what a gateway is sent early, and what at the regular interval |
+//! | `ready_estimates`, `copy_history` | differences of ready estimates and of weight copies |
 //! | `documents` | recent documents, to compute changes |
 //! | `rollout` | propagation of documents and departures to gateways |
 //! | `crashes` | quarantine of requests and loads that crash instances |
