--- a/crates/millpass-tenancy/src/priority.rs
+++ b/crates/millpass-tenancy/src/priority.rs
@@ -38,8 +38,8 @@
 const OVERLOAD_FRACTION: f64 = 1.1;
 /// Demand below this fraction of the refill counts as none; it is the rest of an average.
 const NEGLIGIBLE_FRACTION: f64 = 0.001;
-/// Share of the refill below which a rank can't expect units: it would be served less than one
-/// request in twenty of a tenant's limit.
+/// Share of the refill, as a fraction, below which a rank can't expect units: averages are less
+/// accurate than that.
 const NEGLIGIBLE_SHARE: f64 = 0.05;
 /// Fraction of a claim's longest wait that may be queued for a rank whose demand exceeds its share.
 /// The queue then never empties, and a longer one delays every request without serving more.
@@ -47,10 +47,10 @@
 /// Maximum time for which gateways deny a rank without asking. Bounds how long units can be unused
 /// after the demand of more urgent ranks ended: well below the time that fills the bucket.
 const MAXIMUM_HOLD: Duration = Duration::from_millis(200);
-/// Maximum time that denied callers are told to wait for demand of others. A quota that is exhausted for longer may
-/// change any time, and callers ignore times beyond a fraction of their deadlines.
+/// Maximum time that denied callers are told to wait for the demand of others. That demand may
+/// change at any time, and callers ignore times beyond a fraction of their deadlines.
 const MAXIMUM_RETRY: Duration = Duration::from_millis(1_250);
-/// Maximum number of ranks tracked per tenant; further ones count as the least urgent tracked.
+/// Maximum number of ranks tracked per tenant; further ones count as the next more urgent tracked.
 const MAXIMUM_RANKS: usize = 16;
 /// Time without requests after which a rank is no longer tracked.
 const RANK_LIFETIME: Duration = Duration::from_secs(30);
@@ -136,8 +136,8 @@
 
 impl RankRule {
     /// Returns the time after which a claim is granted if the bucket has this level for its rank, or
-    /// none if it is denied. A rank for which units are held back gets none that the refill has yet to bring:
-    /// these would be taken from more urgent requests that are still to arrive.
+    /// none if it is denied. A rank for which units are held back gets none that the refill has yet
+    /// to bring: these would be taken from more urgent requests that are still to arrive.
     pub(crate) fn delay(&self, level: f64, longest_wait: Duration) -> Option<Duration> {
         if level >= self.threshold {
             return Some(Duration::ZERO);
