--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -41,6 +41,8 @@
 const QUOTA_RETRY_JITTER_FRACTION: f64 = 0.5;
 /// Minimum of that jitter's range, for a quota that is available again within milliseconds.
 const MINIMUM_QUOTA_RETRY_JITTER: Duration = Duration::from_millis(200);
+/// Maximum of that range: enough to spread callers, also where the bucket is in debt for minutes.
+const MAXIMUM_QUOTA_RETRY_JITTER: Duration = Duration::from_secs(1);
 
 /// An error response of an instance, relayed if no other instance serves the request.
 struct ErrorResponse {
@@ -227,7 +229,7 @@
                 // Jitter keeps the callers of a tenant from retrying at the same time.
                 let range = retry_after
                     .mul_f64(QUOTA_RETRY_JITTER_FRACTION)
-                    .max(MINIMUM_QUOTA_RETRY_JITTER);
+                    .clamp(MINIMUM_QUOTA_RETRY_JITTER, MAXIMUM_QUOTA_RETRY_JITTER);
                 let jitter = range.mul_f64(rand::rng().random());
                 let status = StatusCode::TOO_MANY_REQUESTS;
                 self.fail(status, "quota", Some(retry_after + jitter))
