--- a/crates/millpass-fleet/src/pace.rs
+++ b/crates/millpass-fleet/src/pace.rs
@@ -4,8 +4,8 @@
 //! sees one in sixty of an engine's responses at 61 gateways, too few to learn from; together they
 //! report several a second. Each engine's responses give a mean logarithm of the time relative to
 //! that of typical work; its factor is the difference to the service's median. An engine is not
-//! distinguished from the median until the difference exceeds a tenth and twice its standard error,
-//! so that equal engines are treated as equal.
+//! distinguished from the median until the difference exceeds a fifth and three standard errors, so
+//! that equal engines are treated as equal: with two, three of 60 equal engines would differ.
 
 use crate::registry::Registry;
 use millpass_proto::{Duration, EnginePace, EnginePaceSample, InstanceId, ServiceName, Timestamp};
@@ -15,18 +15,31 @@
 /// responses a second.
 const SAMPLE_DECAY_SECONDS: f64 = 20.0;
 /// Weight of responses from which an engine's speed counts as known.
-const MIN_SAMPLES: f64 = 5.0;
+const MIN_SAMPLES: f64 = 10.0;
+/// Time over which these responses must have come.
+const MIN_OBSERVED: Duration = Duration::from_secs(4);
+/// Responses a second that count as independent in the standard error: those within half a second
+/// share the state of the engine, such as its load or a pause.
+const INDEPENDENT_PER_SECOND: f64 = 2.0;
 /// Responses of a typical engine that each engine is assumed to have given: pulls an engine with
 /// few responses towards the median.
 const PRIOR_SAMPLES: f64 = 2.0;
 /// Bounds of the deviation of one report, as logarithms. Long times count for less, as they are
 /// often queueing rather than speed.
 const DEVIATION_BOUNDS: (f64, f64) = (-0.8, 0.5);
-/// Variance of the logarithms assumed before it is known, as that of a single response.
+/// Variance of the logarithms assumed before it is known, and the number of responses for which the
+/// assumption counts. The variance of a few responses in a row is too low, as they share a state.
 const PRIOR_VARIANCE: f64 = 0.25;
-/// Difference from 1 above which a factor is published, and below which it is withdrawn.
-const PUBLISH_DIFFERENCE: f64 = 0.1;
-const WITHDRAW_DIFFERENCE: f64 = 0.07;
+const PRIOR_VARIANCE_SAMPLES: f64 = 10.0;
+/// Standard errors of the logarithm by which an engine must differ to be published, and to stay so.
+const PUBLISH_ERRORS: f64 = 3.0;
+const WITHDRAW_ERRORS: f64 = 1.0;
+/// Bound of the deviation that counts for the variance.
+const MAX_VARIANCE_DEVIATION: f64 = 2.0;
+/// Logarithm of a factor from which it is published, and below which it is withdrawn. Equal engines
+/// differ by up to 0.15 where their load differs, as the constants do not describe it exactly.
+const PUBLISH_DIFFERENCE: f64 = 0.2;
+const WITHDRAW_DIFFERENCE: f64 = 0.1;
 /// Relative change of a published factor from which it is published again.
 const REPUBLISH_CHANGE: f64 = 0.1;
 /// Interval at which an unchanged factor is confirmed to gateways, which let it decay otherwise.
@@ -41,6 +54,9 @@
 const MAX_PACES_PER_UPDATE: usize = 128;
 /// Decay time of a stated machine time, as at gateways.
 const MACHINE_DECAY_SECONDS: f64 = 0.4;
+/// Weight of responses from which an engine's machine times are published: five responses a second.
+/// With fewer, they are older on arrival than the 600 ms for which other work lasts.
+const MIN_MACHINE_SAMPLES: f64 = 5.0 * SAMPLE_DECAY_SECONDS;
 /// Relative change of the machine time from which it is published.
 const MACHINE_CHANGE: f64 = 0.25;
 /// Most engines for which machine times are published. With more, their changes would exceed the
@@ -82,6 +98,7 @@
     /// Reports in a row with that time.
     repeats: u32,
     repeated_since: Timestamp,
+    stuck: bool,
 }
 
 impl MachineTime {
@@ -92,21 +109,17 @@
             self.repeats = 0;
             self.repeated_since = now;
         }
-        let was_stuck = self.is_stuck(now);
         self.repeats = self.repeats.saturating_add(1);
-        let is_stuck = self.is_stuck(now);
-        if !is_stuck {
+        let was_stuck = self.stuck;
+        self.stuck = hundredths != 100
+            && self.repeats >= STUCK_REPORTS
+            && now.since(self.repeated_since) >= STUCK_TIME;
+        if !self.stuck {
             let time = f64::from(hundredths) / 100.0;
             self.last = time.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
             self.last_at = now;
         }
-        is_stuck && !was_stuck
-    }
-
-    fn is_stuck(&self, now: Timestamp) -> bool {
-        self.hundredths != 100
-            && self.repeats >= STUCK_REPORTS
-            && now.since(self.repeated_since) >= STUCK_TIME
+        self.stuck && !was_stuck
     }
 
     /// Returns whether the time differs from what gateways assume.
@@ -135,6 +148,8 @@
     /// Number of responses behind the mean, decayed since `at`.
     weight: f64,
     at: Timestamp,
+    /// Time of its first response.
+    since: Timestamp,
     machine: MachineTime,
     published: f64,
     published_at: Timestamp,
@@ -151,6 +166,7 @@
             variance: PRIOR_VARIANCE,
             weight: 0.0,
             at: Timestamp::ZERO,
+            since: Timestamp::ZERO,
             machine: MachineTime::default(),
             published: 1.0,
             published_at: Timestamp::ZERO,
@@ -164,18 +180,26 @@
         self.weight * (-age / SAMPLE_DECAY_SECONDS).exp()
     }
 
+    fn is_known(&self, now: Timestamp) -> bool {
+        self.weight(now) >= MIN_SAMPLES && now.since(self.since) >= MIN_OBSERVED
+    }
+
     fn record(&mut self, now: Timestamp, samples: f64, log_ratio: f64) {
         let weight = self.weight(now);
+        if weight == 0.0 {
+            self.since = now;
+        }
         let mut deviation = log_ratio - self.mean;
+        let bounded = deviation.clamp(-MAX_VARIANCE_DEVIATION, MAX_VARIANCE_DEVIATION);
+        let observed = bounded * bounded * samples;
         if weight >= MIN_SAMPLES {
             deviation = deviation.clamp(DEVIATION_BOUNDS.0, DEVIATION_BOUNDS.1);
         }
         let share = samples / (weight + samples);
         self.mean += deviation * share;
         if weight >= 1.0 {
-            let observed = deviation * deviation * samples;
-            let share = 1.0 / (weight + PRIOR_SAMPLES);
-            self.variance += (observed - self.variance) * share.min(0.5);
+            let share = 1.0 / (weight + PRIOR_VARIANCE_SAMPLES);
+            self.variance += (observed - self.variance) * share;
         }
         self.weight = weight + samples;
         self.at = now;
@@ -186,14 +210,19 @@
         let weight = self.weight(now);
         let known = weight / (weight + PRIOR_SAMPLES);
         let difference = (self.mean - median) * known;
-        let standard_error = (self.variance / weight.max(1.0)).sqrt();
+        let observed = now
+            .since(self.since)
+            .as_secs_f64()
+            .min(SAMPLE_DECAY_SECONDS);
+        let independent = weight.min(INDEPENDENT_PER_SECOND * observed);
+        let standard_error = (self.variance / independent.max(1.0)).sqrt();
         let factor = difference.exp().clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
         let is_published = self.published != 1.0;
         let threshold = match is_published {
-            true => WITHDRAW_DIFFERENCE,
-            false => PUBLISH_DIFFERENCE.max(2.0 * standard_error),
+            true => WITHDRAW_DIFFERENCE.max(WITHDRAW_ERRORS * standard_error),
+            false => PUBLISH_DIFFERENCE.max(PUBLISH_ERRORS * standard_error),
         };
-        if (!is_published && weight < MIN_SAMPLES) || (factor - 1.0).abs() <= threshold {
+        if (!is_published && !self.is_known(now)) || difference.abs() <= threshold {
             return 1.0;
         }
         (factor * 100.0).round() / 100.0
@@ -251,7 +280,7 @@
                 if entry.machine.record(now, hundredths) {
                     changes.push(PaceChange::Stuck(sample.instance.clone(), hundredths));
                 }
-                if !entry.machine.is_stuck(now) {
+                if !entry.machine.stuck {
                     machine = f64::from(hundredths) / 100.0;
                 }
             }
@@ -294,7 +323,8 @@
         let mut confirmations =
             (REFRESH_INTERVAL * MAX_CONFIRMATIONS_PER_SECOND).as_secs_f64() as u32;
         for (instance, entry) in &mut self.engines {
-            let mut is_changed = publishes_machines && entry.machine.is_changed(now);
+            let publishes_machine = publishes_machines && entry.weight(now) >= MIN_MACHINE_SAMPLES;
+            let mut is_changed = publishes_machine && entry.machine.is_changed(now);
             if is_due {
                 let median = self.medians.get(&entry.service).copied();
                 let target = median.map_or(1.0, |median| entry.target(now, median));
@@ -318,7 +348,7 @@
             self.revision += 1;
             entry.revision = self.revision;
             entry.published_at = now;
-            if publishes_machines {
+            if publishes_machine {
                 entry.machine.published = entry.machine.last;
                 entry.machine.published_at = entry.machine.last_at;
             }
@@ -331,7 +361,7 @@
     fn refresh_medians(&mut self, now: Timestamp) {
         let mut means: BTreeMap<&ServiceName, Vec<f64>> = BTreeMap::new();
         for entry in self.engines.values() {
-            if entry.weight(now) >= MIN_SAMPLES {
+            if entry.is_known(now) {
                 means.entry(&entry.service).or_default().push(entry.mean);
             }
         }
