Confirm factors by any update of the leader that sent them; bound what is published

Cause: repeating each factor every 5 s made most of the bytes of updates, and with hundreds of engines of unequal speed at 986 gateways it exceeds what a leader can send.

Ruled out: a longer interval of repetition with a longer decay at gateways, which keeps factors for minutes after the leader is lost.

Change: a gateway takes each update of the term in which a factor was received as its confirmation. The leader publishes at most 30,000 factors a second over all gateways, the largest changes first, and machine times only while engines times gateways is at most 16,384.

--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -54,6 +54,8 @@
     missing_voters: IntGauge,
     /// By state.
     instances: IntGaugeVec,
+    known_paces: IntGauge,
+    slowest_pace: IntGauge,
 }
 
 /// Disk usage and the duration of the write in progress.
@@ -153,6 +155,14 @@
                 write_millis: gauge("control_disk_write_ms", "Age of the write under way")?,
             },
             instances,
+            known_paces: gauge(
+                "control_known_engine_paces",
+                "Engines whose time to the first byte differs from their service's median",
+            )?,
+            slowest_pace: gauge(
+                "control_slowest_engine_pace_percent",
+                "Longest time to the first byte of an engine relative to its service's median",
+            )?,
             missing_voters: gauge("control_missing_voters", "Voters that the leader misses")?,
             registry,
         })
@@ -225,6 +235,8 @@
                 .with_label_values(&[state])
                 .set(signed(count as u64));
         }
+        self.known_paces.set(signed(sizes.known_paces as u64));
+        self.slowest_pace.set(i64::from(sizes.slowest_pace));
     }
 
     pub(crate) fn record_consensus(&self, status: &ConsensusStatus) {
--- a/crates/millpass-dispatch/src/pace.rs
+++ b/crates/millpass-dispatch/src/pace.rs
@@ -21,8 +21,8 @@
 /// Time to the first byte without prompt and load: connection, scheduling and one step of the
 /// batch. Keeps the ratio of short requests from being dominated by it.
 const BASE_MS: f64 = 15.0;
-/// Time for which a factor of the leader holds without confirmation; it repeats factors in force
-/// more often than this.
+/// Time for which a factor holds after the last update of the leader that sent it: a leader change
+/// takes less.
 const FACTOR_HOLD: Duration = Duration::from_secs(10);
 /// Decay time of a factor that is no longer confirmed, while no leader is reachable.
 const FACTOR_DECAY_SECONDS: f64 = 20.0;
@@ -54,6 +54,8 @@
 pub(crate) struct EngineSpeed {
     /// Time relative to the service's median, as last received from the leader.
     relative: f64,
+    /// Term of that leader, and when its last update arrived.
+    relative_term: u64,
     relative_at: Timestamp,
     /// Time relative to the usual time of its machine, from a response or from the leader.
     machine: f64,
@@ -71,6 +73,7 @@
     fn default() -> Self {
         EngineSpeed {
             relative: 1.0,
+            relative_term: 0,
             relative_at: Timestamp::ZERO,
             machine: 1.0,
             machine_at: Timestamp::ZERO,
@@ -133,10 +136,11 @@
     }
 
     /// Applies a factor of the leader. Values out of range are ignored.
-    pub(crate) fn apply(&mut self, now: Timestamp, pace: &EnginePace) {
+    pub(crate) fn apply(&mut self, now: Timestamp, term: u64, pace: &EnginePace) {
         if VALID_HUNDREDTHS.contains(&pace.relative_time) {
             let relative = f64::from(pace.relative_time) / 100.0;
             self.relative = relative.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
+            self.relative_term = term;
             self.relative_at = now;
         }
         let has_own = now.since(self.machine_at) < MACHINE_HOLD;
@@ -145,6 +149,13 @@
         }
     }
 
+    /// Records an update of a leader, which confirms the factor if that leader sent it.
+    pub(crate) fn confirm(&mut self, now: Timestamp, term: u64) {
+        if self.relative_term == term {
+            self.relative_at = now;
+        }
+    }
+
     /// Returns what was learned since the last report.
     pub(crate) fn take_sample(&mut self, instance: &InstanceId) -> Option<EnginePaceSample> {
         if self.samples == 0 && self.machine_samples == 0 {
--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -104,9 +104,12 @@
         }
         for pace in &update.paces {
             if let Some(instance) = self.instances.get_mut(&pace.instance) {
-                instance.speed.apply(now, pace);
+                instance.speed.apply(now, update.term, pace);
             }
         }
+        for instance in self.instances.values_mut() {
+            instance.speed.confirm(now, update.term);
+        }
         if !update.ready_estimates_unchanged {
             let ready = |estimate: &ModelReadyEstimate| {
                 now + Duration::from_millis(estimate.ready_in_millis)
--- a/crates/millpass-dispatch/tests/pace.rs
+++ b/crates/millpass-dispatch/tests/pace.rs
@@ -133,6 +133,27 @@
     assert_eq!(factor(&gateway, 125_000, "e-1"), 2.0);
 }
 
+/// Guards against factors that decay while their leader sends updates without repeating them, and
+/// against those of a former leader that its successor confirms unseen.
+#[test]
+fn updates_of_the_same_leader_confirm_a_factor() {
+    let mut gateway = two_engines();
+    apply(&mut gateway, 0, vec![pace("e-1", 200, 0)]);
+    for second in 1..60 {
+        apply(&mut gateway, second * 1_000, Vec::new());
+    }
+    assert_eq!(factor(&gateway, 60_000, "e-1"), 2.0);
+    for second in 60..180 {
+        let update = GatewayUpdate {
+            first: false,
+            document: None,
+            ..update(2, 1, Vec::new())
+        };
+        gateway.update(at(second * 1_000), update);
+    }
+    assert!(factor(&gateway, 180_000, "e-1") < 1.01);
+}
+
 /// Guards against the speed of a former process run that is applied to its successor.
 #[test]
 fn engine_that_returns_under_its_id_is_learned_anew() {
--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -229,7 +229,10 @@
 
     /// Returns the number of instances known at this member.
     pub fn sizes(&self) -> FleetSizes {
+        let (slowest, known_paces) = self.pace_summary();
         FleetSizes {
+            known_paces,
+            slowest_pace: (slowest * 100.0).round() as u32,
             local: self.local_share.len(),
             active: self.registry.len(),
             standby: self.standby.len(),
--- a/crates/millpass-fleet/src/interface.rs
+++ b/crates/millpass-fleet/src/interface.rs
@@ -47,6 +47,10 @@
     pub active: usize,
     /// Instances on standby; 0 unless this member leads.
     pub standby: usize,
+    /// Engines whose time differs from their service's median; 0 unless this member leads.
+    pub known_paces: usize,
+    /// Slowest time of an engine relative to its service's median, in hundredths.
+    pub slowest_pace: u32,
 }
 
 /// A log event.
--- a/crates/millpass-fleet/src/pace.rs
+++ b/crates/millpass-fleet/src/pace.rs
@@ -40,12 +40,8 @@
 /// differ by up to 0.15 where their load differs, as the constants do not describe it exactly.
 const PUBLISH_DIFFERENCE: f64 = 0.2;
 const WITHDRAW_DIFFERENCE: f64 = 0.1;
-/// Relative change of a published factor from which it is published again.
+/// Change of the logarithm of a published factor from which it is published again.
 const REPUBLISH_CHANGE: f64 = 0.1;
-/// Interval at which an unchanged factor is confirmed to gateways, which let it decay otherwise.
-const CONFIRM_INTERVAL: Duration = Duration::from_secs(5);
-/// Confirmations a second. Bounds the bytes of updates with thousands of engines of unequal speed.
-const MAX_CONFIRMATIONS_PER_SECOND: u32 = 50;
 /// Minimum interval between computations of medians and factors.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum interval between comparisons of machine times.
@@ -59,9 +55,11 @@
 const MIN_MACHINE_SAMPLES: f64 = 5.0 * SAMPLE_DECAY_SECONDS;
 /// Relative change of the machine time from which it is published.
 const MACHINE_CHANGE: f64 = 0.25;
-/// Most engines for which machine times are published. With more, their changes would exceed the
-/// bytes that a gateway may receive.
-const MAX_MACHINE_ENGINES: usize = 256;
+/// Largest product of engines and gateways for which machine times are published. With more, their
+/// changes would exceed the leader's bandwidth.
+const MAX_MACHINE_PAIRS: usize = 16_384;
+/// Factors sent a second over all gateways; some 30 bytes each. The largest changes come first.
+const MAX_FACTORS_PER_SECOND: f64 = 30_000.0;
 /// Reports in a row with the same machine time, other than the usual one, after which it counts as
 /// stuck, and the least time that they span. It normally changes many times a second.
 const STUCK_REPORTS: u32 = 12;
@@ -152,7 +150,6 @@
     since: Timestamp,
     machine: MachineTime,
     published: f64,
-    published_at: Timestamp,
     /// Revision at which it was last published; 0 for never.
     revision: u64,
     logged_slow: bool,
@@ -169,7 +166,6 @@
             since: Timestamp::ZERO,
             machine: MachineTime::default(),
             published: 1.0,
-            published_at: Timestamp::ZERO,
             revision: 0,
             logged_slow: false,
         }
@@ -270,10 +266,13 @@
             let Some(record) = registry.get(&sample.instance) else {
                 continue;
             };
-            let entry = self
-                .engines
-                .entry(sample.instance.clone())
-                .or_insert_with(|| EngineEntry::new(record.service.clone()));
+            if !self.engines.contains_key(&sample.instance) {
+                let entry = EngineEntry::new(record.service.clone());
+                self.engines.insert(sample.instance.clone(), entry);
+            }
+            let Some(entry) = self.engines.get_mut(&sample.instance) else {
+                continue;
+            };
             let mut machine = 1.0;
             if VALID_HUNDREDTHS.contains(&sample.machine_time) {
                 let hundredths = sample.machine_time;
@@ -300,13 +299,19 @@
     }
 
     /// Computes and publishes changed factors, if due.
-    pub(crate) fn refresh(&mut self, now: Timestamp, registry: &Registry) -> Vec<PaceChange> {
+    pub(crate) fn refresh(
+        &mut self,
+        now: Timestamp,
+        registry: &Registry,
+        gateways: u32,
+    ) -> Vec<PaceChange> {
         let is_due = now >= self.next_refresh;
         if !is_due && now < self.next_machine_refresh {
             return Vec::new();
         }
         self.next_machine_refresh = now + MACHINE_INTERVAL;
-        let publishes_machines = self.engines.len() <= MAX_MACHINE_ENGINES;
+        let pairs = self.engines.len().saturating_mul(gateways as usize);
+        let publishes_machines = pairs <= MAX_MACHINE_PAIRS;
         if is_due {
             self.next_refresh = now + REFRESH_INTERVAL;
             let is_gone = |instance: &&InstanceId| registry.get(instance).is_none();
@@ -316,45 +321,68 @@
             }
             self.refresh_medians(now);
         }
-        if !is_due && !publishes_machines {
-            return Vec::new();
+        if is_due {
+            self.refresh_factors(now, gateways);
         }
-        let mut changes = Vec::new();
-        let mut confirmations =
-            (REFRESH_INTERVAL * MAX_CONFIRMATIONS_PER_SECOND).as_secs_f64() as u32;
-        for (instance, entry) in &mut self.engines {
-            let publishes_machine = publishes_machines && entry.weight(now) >= MIN_MACHINE_SAMPLES;
-            let mut is_changed = publishes_machine && entry.machine.is_changed(now);
-            if is_due {
-                let median = self.medians.get(&entry.service).copied();
-                let target = median.map_or(1.0, |median| entry.target(now, median));
-                let withdrawn = (target == 1.0) != (entry.published == 1.0);
-                if withdrawn || (target / entry.published - 1.0).abs() > REPUBLISH_CHANGE {
-                    entry.published = target;
-                    is_changed = true;
-                } else if entry.published != 1.0
-                    && confirmations > 0
-                    && now.since(entry.published_at) >= CONFIRM_INTERVAL
-                {
-                    confirmations -= 1;
-                    is_changed = true;
-                }
-                changes.extend(entry.slowness_change(instance));
+        if publishes_machines {
+            self.refresh_machines(now);
+        }
+        let entries = self.engines.iter_mut();
+        entries
+            .filter_map(|(instance, entry)| entry.slowness_change(instance))
+            .collect()
+    }
+
+    /// Publishes changed factors, the largest changes first.
+    fn refresh_factors(&mut self, now: Timestamp, gateways: u32) {
+        let mut changed = Vec::new();
+        for (instance, entry) in &self.engines {
+            let median = self.medians.get(&entry.service).copied();
+            let target = median.map_or(1.0, |median| entry.target(now, median));
+            let change = (target / entry.published).ln().abs();
+            let withdrawn = target == 1.0 && entry.published != 1.0;
+            if withdrawn || change > REPUBLISH_CHANGE {
+                changed.push((change, target, instance.clone()));
             }
-            if !is_changed {
-                continue;
+        }
+        changed.sort_unstable_by(|left, right| right.0.total_cmp(&left.0));
+        let per_second = MAX_FACTORS_PER_SECOND / f64::from(gateways.max(1));
+        let limit = (per_second * REFRESH_INTERVAL.as_secs_f64()).ceil() as usize;
+        for (_, target, instance) in changed.into_iter().take(limit) {
+            if let Some(entry) = self.engines.get_mut(&instance) {
+                entry.published = target;
             }
-            self.by_revision.remove(&entry.revision);
-            self.revision += 1;
-            entry.revision = self.revision;
-            entry.published_at = now;
-            if publishes_machine {
+            self.publish(&instance);
+        }
+    }
+
+    /// Publishes changed machine times.
+    fn refresh_machines(&mut self, now: Timestamp) {
+        let entries = self.engines.iter_mut();
+        let changed = entries.filter(|(_, entry)| {
+            entry.weight(now) >= MIN_MACHINE_SAMPLES && entry.machine.is_changed(now)
+        });
+        let changed: Vec<InstanceId> = changed
+            .map(|(instance, entry)| {
                 entry.machine.published = entry.machine.last;
                 entry.machine.published_at = entry.machine.last_at;
-            }
-            self.by_revision.insert(entry.revision, instance.clone());
+                instance.clone()
+            })
+            .collect();
+        for instance in &changed {
+            self.publish(instance);
         }
-        changes
+    }
+
+    /// Has gateways sent what is known of an engine.
+    fn publish(&mut self, instance: &InstanceId) {
+        let Some(entry) = self.engines.get_mut(instance) else {
+            return;
+        };
+        self.by_revision.remove(&entry.revision);
+        self.revision += 1;
+        entry.revision = self.revision;
+        self.by_revision.insert(self.revision, instance.clone());
     }
 
     /// Computes the median of each service of which at least two engines are known.
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -119,7 +119,8 @@
             return;
         }
         self.refresh_loads();
-        let changes = self.pace.refresh(now, &self.registry);
+        let gateways = self.gateways.count();
+        let changes = self.pace.refresh(now, &self.registry, gateways);
         self.log_pace_changes(changes);
         let comparison_cost = self.registry.len() / COMPARED_RECORD_DIVISOR;
         let mut sent_records = 0;
--- a/crates/millpass-fleet/tests/pace.rs
+++ b/crates/millpass-fleet/tests/pace.rs
@@ -46,9 +46,11 @@
         world.reset_served();
         world.run(8_000 + measured);
         println!(
-            "gateways={gateways} learns={learns} in_time={:.4} of={}",
+            "gateways={gateways} learns={learns} in_time={:.4} of={} report_bytes={} update_bytes={}",
             world.served[0].share_in_time(),
-            world.served[0].requests
+            world.served[0].requests,
+            world.report_bytes,
+            world.update_bytes,
         );
         1.0 - world.served[0].share_in_time()
     };
@@ -242,6 +244,12 @@
         }
     }
     println!("sent={sent} most={most} bytes={bytes}");
+    let entry = EnginePaceSample {
+        instance: "engine-0123-4567~19a2b3c4d5e".into(),
+        ..sample(0, 1, 150, 100)
+    };
+    let sizes = [0, 1, 2, 4, 5, 128].map(|count| codec::encoded_bytes(&vec![entry.clone(); count]));
+    println!("report sizes {sizes:?}");
     assert!(most <= 128, "{most} factors in one update");
     assert!(sent >= 90, "all factors other than the median are sent");
 }
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1446,7 +1446,7 @@
     /// Active document version at `as_of`; 0 for none. A gateway with an older document lacks required entries.
     pub document_version: u64,
 
-    /// Speeds that changed, or were confirmed, since the previous update on the connection. Those not listed are unchanged.
+    /// Speeds that changed since the previous update on the connection. Those not listed are unchanged.
     pub paces: Vec<EnginePace>,
 }
 
