--- a/crates/millpass-dispatch/tests/pace.rs
+++ b/crates/millpass-dispatch/tests/pace.rs
@@ -221,3 +221,53 @@
     gateway.record_first_byte(at(10), &record, Duration::from_millis(10));
     assert!(gateway.report(at(100)).paces.is_empty());
 }
+
+/// Guards against slow engines that are never tried again, and against urgent requests that try
+/// them.
+#[test]
+fn only_requests_that_can_wait_explore() {
+    let mut gateway = two_engines();
+    let mut document = update(1, 1, Vec::new()).document.expect("document");
+    document.version = 2;
+    let urgent = document.routes.iter().find(|it| it.path_prefix == "/text/");
+    let mut patient = urgent.expect("route").clone();
+    patient.name = "later".to_owned();
+    patient.path_prefix = "/later/".to_owned();
+    patient.objective_millis *= 4;
+    document.routes.push(patient);
+    let changed = GatewayUpdate {
+        first: false,
+        document: Some(document),
+        ..update(1, 1, Vec::new())
+    };
+    gateway.update(at(1), changed);
+    apply(&mut gateway, 2, vec![pace("e-1", 1_000, 0)]);
+    let mut to_slow = |path: &str, identities: std::ops::Range<u64>| {
+        let sent = identities.filter(|identity| {
+            let now = 10 + identity * 10;
+            let route = gateway.route(at(now), "h.example", path).expect("route");
+            let description = RequestDescription {
+                attempt: "r".to_owned(),
+                model: Some("a".into()),
+                prompt: vec![PromptPart {
+                    identity: *identity,
+                    tokens: 200,
+                }],
+                ..RequestDescription::default()
+            };
+            let mut ticket = gateway.begin(at(now), route, None, description, 0.5);
+            let instance = sent_to(&mut gateway, now, &mut ticket).expect("sent");
+            let end = SendOutcome::Responded(Duration::from_millis(5));
+            let record = ticket.send_record(&instance);
+            gateway.record_send_outcome(at(now + 5), &record, end);
+            instance == "e-1".into()
+        });
+        sent.count()
+    };
+    assert_eq!(to_slow("/text/", 0..320), 0);
+    let explored = to_slow("/later/", 320..640);
+    assert!(
+        (1..=20).contains(&explored),
+        "{explored} of 20 explorations"
+    );
+}
