--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -133,9 +133,12 @@
         }
         for pace in &update.paces {
             if let Some(instance) = self.instances.get_mut(&pace.instance) {
-                instance.speed.apply(now, pace);
+                instance.speed.apply(now, update.term, pace);
             }
         }
+        for instance in self.instances.values_mut() {
+            instance.speed.confirm(now, update.term);
+        }
         let has_new_estimates = !update.ready_estimates_unchanged
             || !update.moved_estimates.is_empty()
             || !update.ended_estimates.is_empty();
