--- a/crates/millpass-fleet/src/pace.rs
+++ b/crates/millpass-fleet/src/pace.rs
@@ -4,8 +4,8 @@
 //! sees one in sixty of an engine's responses at 61 gateways, too few to learn from; together they
 //! report several a second. Each engine's responses give a mean logarithm of the time relative to
 //! that of typical work; its factor is the difference to the service's median. An engine is not
-//! distinguished from the median until the difference exceeds a tenth and twice its standard error,
-//! so that equal engines are treated as equal.
+//! distinguished from the median until the difference exceeds a fifth and three standard errors, so
+//! that equal engines are treated as equal: with two, three of 60 equal engines would differ.
 
 use crate::registry::Registry;
 use millpass_proto::{Duration, EnginePace, EnginePaceSample, InstanceId, ServiceName, Timestamp};
@@ -15,24 +15,33 @@
 /// responses a second.
 const SAMPLE_DECAY_SECONDS: f64 = 20.0;
 /// Weight of responses from which an engine's speed counts as known.
-const MIN_SAMPLES: f64 = 5.0;
+const MIN_SAMPLES: f64 = 10.0;
+/// Time over which these responses must have come.
+const MIN_OBSERVED: Duration = Duration::from_secs(4);
+/// Responses a second that count as independent in the standard error: those within half a second
+/// share the state of the engine, such as its load or a pause.
+const INDEPENDENT_PER_SECOND: f64 = 2.0;
 /// Responses of a typical engine that each engine is assumed to have given: pulls an engine with
 /// few responses towards the median.
 const PRIOR_SAMPLES: f64 = 2.0;
 /// Bounds of the deviation of one report, as logarithms. Long times count for less, as they are
 /// often queueing rather than speed.
 const DEVIATION_BOUNDS: (f64, f64) = (-0.8, 0.5);
-/// Variance of the logarithms assumed before it is known, as that of a single response.
+/// Variance of the logarithms assumed before it is known, and the number of responses for which the
+/// assumption counts. The variance of a few responses in a row is too low, as they share a state.
 const PRIOR_VARIANCE: f64 = 0.25;
-/// Difference from 1 above which a factor is published, and below which it is withdrawn.
-const PUBLISH_DIFFERENCE: f64 = 0.1;
-const WITHDRAW_DIFFERENCE: f64 = 0.07;
-/// Relative change of a published factor from which it is published again.
+const PRIOR_VARIANCE_SAMPLES: f64 = 10.0;
+/// Standard errors of the logarithm by which an engine must differ to be published, and to stay so.
+const PUBLISH_ERRORS: f64 = 3.0;
+const WITHDRAW_ERRORS: f64 = 1.0;
+/// Bound of the deviation that counts for the variance.
+const MAX_VARIANCE_DEVIATION: f64 = 2.0;
+/// Logarithm of a factor from which it is published, and below which it is withdrawn. Equal engines
+/// differ by up to 0.15 where their load differs, as the constants do not describe it exactly.
+const PUBLISH_DIFFERENCE: f64 = 0.2;
+const WITHDRAW_DIFFERENCE: f64 = 0.1;
+/// Change of the logarithm of a published factor from which it is published again.
 const REPUBLISH_CHANGE: f64 = 0.1;
-/// Interval at which an unchanged factor is confirmed to gateways, which let it decay otherwise.
-const CONFIRM_INTERVAL: Duration = Duration::from_secs(5);
-/// Confirmations a second. Bounds the bytes of updates with thousands of engines of unequal speed.
-const MAX_CONFIRMATIONS_PER_SECOND: u32 = 50;
 /// Minimum interval between computations of medians and factors.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum interval between comparisons of machine times.
@@ -41,11 +50,16 @@
 const MAX_PACES_PER_UPDATE: usize = 128;
 /// Decay time of a stated machine time, as at gateways.
 const MACHINE_DECAY_SECONDS: f64 = 0.4;
+/// Weight of responses from which an engine's machine times are published: five responses a second.
+/// With fewer, they are older on arrival than the 600 ms for which other work lasts.
+const MIN_MACHINE_SAMPLES: f64 = 5.0 * SAMPLE_DECAY_SECONDS;
 /// Relative change of the machine time from which it is published.
 const MACHINE_CHANGE: f64 = 0.25;
-/// Most engines for which machine times are published. With more, their changes would exceed the
-/// bytes that a gateway may receive.
-const MAX_MACHINE_ENGINES: usize = 256;
+/// Largest product of engines and gateways for which machine times are published. With more, their
+/// changes would exceed the leader's bandwidth.
+const MAX_MACHINE_PAIRS: usize = 16_384;
+/// Factors sent a second over all gateways; some 30 bytes each. The largest changes come first.
+const MAX_FACTORS_PER_SECOND: f64 = 30_000.0;
 /// Reports in a row with the same machine time, other than the usual one, after which it counts as
 /// stuck, and the least time that they span. It normally changes many times a second.
 const STUCK_REPORTS: u32 = 12;
@@ -82,6 +96,7 @@
     /// Reports in a row with that time.
     repeats: u32,
     repeated_since: Timestamp,
+    stuck: bool,
 }
 
 impl MachineTime {
@@ -92,21 +107,17 @@
             self.repeats = 0;
             self.repeated_since = now;
         }
-        let was_stuck = self.is_stuck(now);
         self.repeats = self.repeats.saturating_add(1);
-        let is_stuck = self.is_stuck(now);
-        if !is_stuck {
+        let was_stuck = self.stuck;
+        self.stuck = hundredths != 100
+            && self.repeats >= STUCK_REPORTS
+            && now.since(self.repeated_since) >= STUCK_TIME;
+        if !self.stuck {
             let time = f64::from(hundredths) / 100.0;
             self.last = time.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
             self.last_at = now;
         }
-        is_stuck && !was_stuck
-    }
-
-    fn is_stuck(&self, now: Timestamp) -> bool {
-        self.hundredths != 100
-            && self.repeats >= STUCK_REPORTS
-            && now.since(self.repeated_since) >= STUCK_TIME
+        self.stuck && !was_stuck
     }
 
     /// Returns whether the time differs from what gateways assume.
@@ -135,9 +146,10 @@
     /// Number of responses behind the mean, decayed since `at`.
     weight: f64,
     at: Timestamp,
+    /// Time of its first response.
+    since: Timestamp,
     machine: MachineTime,
     published: f64,
-    published_at: Timestamp,
     /// Revision at which it was last published; 0 for never.
     revision: u64,
     logged_slow: bool,
@@ -151,9 +163,9 @@
             variance: PRIOR_VARIANCE,
             weight: 0.0,
             at: Timestamp::ZERO,
+            since: Timestamp::ZERO,
             machine: MachineTime::default(),
             published: 1.0,
-            published_at: Timestamp::ZERO,
             revision: 0,
             logged_slow: false,
         }
@@ -164,18 +176,26 @@
         self.weight * (-age / SAMPLE_DECAY_SECONDS).exp()
     }
 
+    fn is_known(&self, now: Timestamp) -> bool {
+        self.weight(now) >= MIN_SAMPLES && now.since(self.since) >= MIN_OBSERVED
+    }
+
     fn record(&mut self, now: Timestamp, samples: f64, log_ratio: f64) {
         let weight = self.weight(now);
+        if weight == 0.0 {
+            self.since = now;
+        }
         let mut deviation = log_ratio - self.mean;
+        let bounded = deviation.clamp(-MAX_VARIANCE_DEVIATION, MAX_VARIANCE_DEVIATION);
+        let observed = bounded * bounded * samples;
         if weight >= MIN_SAMPLES {
             deviation = deviation.clamp(DEVIATION_BOUNDS.0, DEVIATION_BOUNDS.1);
         }
         let share = samples / (weight + samples);
         self.mean += deviation * share;
         if weight >= 1.0 {
-            let observed = deviation * deviation * samples;
-            let share = 1.0 / (weight + PRIOR_SAMPLES);
-            self.variance += (observed - self.variance) * share.min(0.5);
+            let share = 1.0 / (weight + PRIOR_VARIANCE_SAMPLES);
+            self.variance += (observed - self.variance) * share;
         }
         self.weight = weight + samples;
         self.at = now;
@@ -186,14 +206,19 @@
         let weight = self.weight(now);
         let known = weight / (weight + PRIOR_SAMPLES);
         let difference = (self.mean - median) * known;
-        let standard_error = (self.variance / weight.max(1.0)).sqrt();
+        let observed = now
+            .since(self.since)
+            .as_secs_f64()
+            .min(SAMPLE_DECAY_SECONDS);
+        let independent = weight.min(INDEPENDENT_PER_SECOND * observed);
+        let standard_error = (self.variance / independent.max(1.0)).sqrt();
         let factor = difference.exp().clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
         let is_published = self.published != 1.0;
         let threshold = match is_published {
-            true => WITHDRAW_DIFFERENCE,
-            false => PUBLISH_DIFFERENCE.max(2.0 * standard_error),
+            true => WITHDRAW_DIFFERENCE.max(WITHDRAW_ERRORS * standard_error),
+            false => PUBLISH_DIFFERENCE.max(PUBLISH_ERRORS * standard_error),
         };
-        if (!is_published && weight < MIN_SAMPLES) || (factor - 1.0).abs() <= threshold {
+        if (!is_published && !self.is_known(now)) || difference.abs() <= threshold {
             return 1.0;
         }
         (factor * 100.0).round() / 100.0
@@ -241,17 +266,20 @@
             let Some(record) = registry.get(&sample.instance) else {
                 continue;
             };
-            let entry = self
-                .engines
-                .entry(sample.instance.clone())
-                .or_insert_with(|| EngineEntry::new(record.service.clone()));
+            if !self.engines.contains_key(&sample.instance) {
+                let entry = EngineEntry::new(record.service.clone());
+                self.engines.insert(sample.instance.clone(), entry);
+            }
+            let Some(entry) = self.engines.get_mut(&sample.instance) else {
+                continue;
+            };
             let mut machine = 1.0;
             if VALID_HUNDREDTHS.contains(&sample.machine_time) {
                 let hundredths = sample.machine_time;
                 if entry.machine.record(now, hundredths) {
                     changes.push(PaceChange::Stuck(sample.instance.clone(), hundredths));
                 }
-                if !entry.machine.is_stuck(now) {
+                if !entry.machine.stuck {
                     machine = f64::from(hundredths) / 100.0;
                 }
             }
@@ -271,13 +299,19 @@
     }
 
     /// Computes and publishes changed factors, if due.
-    pub(crate) fn refresh(&mut self, now: Timestamp, registry: &Registry) -> Vec<PaceChange> {
+    pub(crate) fn refresh(
+        &mut self,
+        now: Timestamp,
+        registry: &Registry,
+        gateways: u32,
+    ) -> Vec<PaceChange> {
         let is_due = now >= self.next_refresh;
         if !is_due && now < self.next_machine_refresh {
             return Vec::new();
         }
         self.next_machine_refresh = now + MACHINE_INTERVAL;
-        let publishes_machines = self.engines.len() <= MAX_MACHINE_ENGINES;
+        let pairs = self.engines.len().saturating_mul(gateways as usize);
+        let publishes_machines = pairs <= MAX_MACHINE_PAIRS;
         if is_due {
             self.next_refresh = now + REFRESH_INTERVAL;
             let is_gone = |instance: &&InstanceId| registry.get(instance).is_none();
@@ -287,51 +321,75 @@
             }
             self.refresh_medians(now);
         }
-        if !is_due && !publishes_machines {
-            return Vec::new();
+        if is_due {
+            self.refresh_factors(now, gateways);
         }
-        let mut changes = Vec::new();
-        let mut confirmations =
-            (REFRESH_INTERVAL * MAX_CONFIRMATIONS_PER_SECOND).as_secs_f64() as u32;
-        for (instance, entry) in &mut self.engines {
-            let mut is_changed = publishes_machines && entry.machine.is_changed(now);
-            if is_due {
-                let median = self.medians.get(&entry.service).copied();
-                let target = median.map_or(1.0, |median| entry.target(now, median));
-                let withdrawn = (target == 1.0) != (entry.published == 1.0);
-                if withdrawn || (target / entry.published - 1.0).abs() > REPUBLISH_CHANGE {
-                    entry.published = target;
-                    is_changed = true;
-                } else if entry.published != 1.0
-                    && confirmations > 0
-                    && now.since(entry.published_at) >= CONFIRM_INTERVAL
-                {
-                    confirmations -= 1;
-                    is_changed = true;
-                }
-                changes.extend(entry.slowness_change(instance));
+        if publishes_machines {
+            self.refresh_machines(now);
+        }
+        let entries = self.engines.iter_mut();
+        entries
+            .filter_map(|(instance, entry)| entry.slowness_change(instance))
+            .collect()
+    }
+
+    /// Publishes changed factors, the largest changes first.
+    fn refresh_factors(&mut self, now: Timestamp, gateways: u32) {
+        let mut changed = Vec::new();
+        for (instance, entry) in &self.engines {
+            let median = self.medians.get(&entry.service).copied();
+            let target = median.map_or(1.0, |median| entry.target(now, median));
+            let change = (target / entry.published).ln().abs();
+            let withdrawn = target == 1.0 && entry.published != 1.0;
+            if withdrawn || change > REPUBLISH_CHANGE {
+                changed.push((change, target, instance.clone()));
             }
-            if !is_changed {
-                continue;
+        }
+        changed.sort_unstable_by(|left, right| right.0.total_cmp(&left.0));
+        let per_second = MAX_FACTORS_PER_SECOND / f64::from(gateways.max(1));
+        let limit = (per_second * REFRESH_INTERVAL.as_secs_f64()).ceil() as usize;
+        for (_, target, instance) in changed.into_iter().take(limit) {
+            if let Some(entry) = self.engines.get_mut(&instance) {
+                entry.published = target;
             }
-            self.by_revision.remove(&entry.revision);
-            self.revision += 1;
-            entry.revision = self.revision;
-            entry.published_at = now;
-            if publishes_machines {
+            self.publish(&instance);
+        }
+    }
+
+    /// Publishes changed machine times.
+    fn refresh_machines(&mut self, now: Timestamp) {
+        let entries = self.engines.iter_mut();
+        let changed = entries.filter(|(_, entry)| {
+            entry.weight(now) >= MIN_MACHINE_SAMPLES && entry.machine.is_changed(now)
+        });
+        let changed: Vec<InstanceId> = changed
+            .map(|(instance, entry)| {
                 entry.machine.published = entry.machine.last;
                 entry.machine.published_at = entry.machine.last_at;
-            }
-            self.by_revision.insert(entry.revision, instance.clone());
+                instance.clone()
+            })
+            .collect();
+        for instance in &changed {
+            self.publish(instance);
         }
-        changes
+    }
+
+    /// Has gateways sent what is known of an engine.
+    fn publish(&mut self, instance: &InstanceId) {
+        let Some(entry) = self.engines.get_mut(instance) else {
+            return;
+        };
+        self.by_revision.remove(&entry.revision);
+        self.revision += 1;
+        entry.revision = self.revision;
+        self.by_revision.insert(self.revision, instance.clone());
     }
 
     /// Computes the median of each service of which at least two engines are known.
     fn refresh_medians(&mut self, now: Timestamp) {
         let mut means: BTreeMap<&ServiceName, Vec<f64>> = BTreeMap::new();
         for entry in self.engines.values() {
-            if entry.weight(now) >= MIN_SAMPLES {
+            if entry.is_known(now) {
                 means.entry(&entry.service).or_default().push(entry.mean);
             }
         }
