Give a saturated model its replica at the engine with its copy

Its only local copy was at an engine whose three models had all been swapped in within the last 4 s, so that none could be evicted; the planner then chose the weight store, which had no capacity, in every round.

--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -12,7 +12,7 @@
 use crate::instruction_history::InstructionHistory;
 use crate::permits::StorePermits;
 use crate::registry::Registry;
-use crate::round::{Placement, PlanningRound, Site};
+use crate::round::{Placement, PlanningRound, Site, Victims};
 use crate::store_capacity::StoreCapacity;
 use crate::updates::ready_estimate;
 use millpass_limits::PermitLedger;
@@ -398,21 +398,30 @@
     ) -> Option<Placement> {
         let gain = self.replica_gain(model);
         let utilization = self.replica_utilization(model);
-        let max_site_utilization = match utilization >= SATURATED_UTILIZATION {
+        let is_saturated = utilization >= SATURATED_UTILIZATION;
+        let max_site_utilization = match is_saturated {
             true => MAX_REPLICA_SITE_UTILIZATION,
             false => utilization / 2.0,
         };
+        // The engine with a copy of a saturated model's weights may hold only models that were
+        // swapped in lately, for as long as others are requested.
+        let victims = match is_saturated {
+            true => Victims::Any,
+            false => Victims::Settled,
+        };
+        let from_store = from_store && !self.store_is_full();
         let accepts = |site: &Site, source| {
             site.utilization < max_site_utilization
                 && (from_store || source != WeightsSource::Store)
         };
-        let best = self.cheapest_placement(specification, model, 0.0, gain, accepts)?;
+        let cheapest = |accepts: &dyn Fn(&Site, WeightsSource) -> bool| {
+            self.cheapest_placement(specification, model, 0.0, gain, victims, accepts)
+        };
+        let best = cheapest(&accepts)?;
         if best.available_in.is_zero() {
             return Some(best);
         }
-        let available = self.cheapest_placement(specification, model, 0.0, gain, |site, source| {
-            site.is_available() && accepts(site, source)
-        });
+        let available = cheapest(&|site, source| site.is_available() && accepts(site, source));
         available.filter(|placement| placement.ready_in() <= best.ready_in() * SECOND_LOAD_SPEEDUP)
     }
 
@@ -424,6 +433,13 @@
         waiting: f64,
     ) -> Option<Placement> {
         let limit = cost::unserved_delay(waiting);
-        self.cheapest_placement(specification, model, waiting, limit, |_, _| true)
+        self.cheapest_placement(
+            specification,
+            model,
+            waiting,
+            limit,
+            Victims::Settled,
+            |_, _| true,
+        )
     }
 }
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -49,10 +49,22 @@
 /// A model that may be evicted.
 struct Evictable {
     model: ModelName,
+    /// Whether it was loaded within [`MIN_RESIDENCE`].
+    is_recent: bool,
     loss: RemovalLoss,
     kilobytes: u64,
 }
 
+/// Models that a placement may evict.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Victims {
+    /// Those loaded longer than [`MIN_RESIDENCE`] ago.
+    Settled,
+    /// Recently loaded ones too. Requests that waited for a load are sent at once, and an unload waits
+    /// for them.
+    Any,
+}
+
 /// Request delay caused by removing a replica.
 #[derive(Clone, Copy)]
 enum RemovalLoss {
@@ -282,15 +294,12 @@
         available_in: Duration,
     ) -> Site {
         let specification = view.specification;
-        let is_evictable = |model: &ModelName| {
-            !self.unmet_models.contains(model)
-                && !engine.was_loaded_within(view.now, model, MIN_RESIDENCE)
-        };
         let mut evictable: Vec<Evictable> = engine
             .held
             .iter()
-            .filter(|held| is_evictable(&held.model))
+            .filter(|held| !self.unmet_models.contains(&held.model))
             .map(|held| Evictable {
+                is_recent: engine.was_loaded_within(view.now, &held.model, MIN_RESIDENCE),
                 loss: self.removal_loss(specification, &held.model),
                 kilobytes: self.held_kilobytes(specification, held),
                 model: held.model.clone(),
@@ -374,6 +383,7 @@
         model: &ModelName,
         waiting: f64,
         limit: f64,
+        victims: Victims,
         accepts: impl Fn(&Site, WeightsSource) -> bool,
     ) -> Option<Placement> {
         let model_spec = self.model(specification, model)?;
@@ -395,7 +405,8 @@
                 if source == WeightsSource::Store {
                     load += self.store_wait(load);
                 }
-                let mut placement = site.placement(model_spec.weights_kilobytes, load, limit)?;
+                let mut placement =
+                    site.placement(model_spec.weights_kilobytes, load, limit, victims)?;
                 placement.cost += self.waiting_delay(model, waiting, placement.ready_in());
                 Some(placement)
             })
@@ -421,7 +432,12 @@
         let model_spec = self.model(view.specification, model)?;
         let site = self.site(view, instance.clone(), engine, Duration::ZERO);
         let load = model_spec.load_time(engine.weights_source(model));
-        site.placement(model_spec.weights_kilobytes, load, f64::MAX)
+        site.placement(
+            model_spec.weights_kilobytes,
+            load,
+            f64::MAX,
+            Victims::Settled,
+        )
     }
 
     /// Returns models whose replicas are overutilized, once per missing replica, with the delay it
@@ -605,12 +621,21 @@
 
     /// Returns the placement of a model of this size here, including the evictions needed. None if
     /// it does not fit or the evictions cost more than `limit`.
-    fn placement(&self, kilobytes: u64, load: Duration, limit: f64) -> Option<Placement> {
+    fn placement(
+        &self,
+        kilobytes: u64,
+        load: Duration,
+        limit: f64,
+        victims: Victims,
+    ) -> Option<Placement> {
         let mut free = self.free_kilobytes;
         let mut loss = 0.0;
         let mut load_time = load;
         let mut victim = None;
-        for candidate in &self.evictable {
+        let evictable = self.evictable.iter();
+        let evictable =
+            evictable.filter(|candidate| victims == Victims::Any || !candidate.is_recent);
+        for candidate in evictable {
             if free >= kilobytes {
                 break;
             }
