--- a/crates/millpass-dispatch/tests/sharing.rs
+++ b/crates/millpass-dispatch/tests/sharing.rs
@@ -176,6 +176,7 @@
             let load = ReportedLoad {
                 running: engine.running.len() as u32,
                 waiting: engine.queue.len() as u32,
+                machine_time: Stated::Missing,
             };
             let request = &requests[request];
             dispatchers[request.gateway].record_load(at(now), &"e-1".into(), load);
--- a/crates/millpass-fleet/tests/agreement.rs
+++ b/crates/millpass-fleet/tests/agreement.rs
@@ -100,6 +100,7 @@
             in_flight: 0,
             priority: 1,
             unread_tokens: 0,
+            refused_full: 0,
         });
         report.demand.extend(demand);
         self.leader
