Count requests refused for full slots in the demand for replicas

Cause: the planner's side was written before gateways reported `GatewayModelDemand.refused_full`, behind a function that returned 0.

Ruled out: another reader of the field; demand.rs is the only one.

Change: demand.rs reads the field. The test reports 20 arrivals with one request in flight, of which none or ten were refused for full slots, and expects a replica only in the second case.

--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -70,12 +70,6 @@
     (-now.since(since).as_secs_f64() / seconds).exp()
 }
 
-/// Returns the requests refused since the last report because all request slots were in use.
-/// Gateways do not report them yet.
-fn refused_full(_: &GatewayModelDemand) -> u32 {
-    0
-}
-
 /// Load that a model's requests cause.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Load {
@@ -126,7 +120,7 @@
             entry.token_rate = entry.token_rate_at(now)
                 + model_demand.unread_tokens as f64 / TOKEN_RATE_WINDOW_SECONDS;
             entry.refused_rate = entry.refused_rate_at(now)
-                + f64::from(refused_full(model_demand)) / REFUSED_RATE_WINDOW_SECONDS;
+                + f64::from(model_demand.refused_full) / REFUSED_RATE_WINDOW_SECONDS;
             entry.slow_rate = entry.slow_rate_at(now)
                 + f64::from(model_demand.arrivals) / SLOW_RATE_WINDOW_SECONDS;
             entry.rate =
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -1204,3 +1204,31 @@
     assert!(complete, "an update is marked complete");
     assert_eq!(sent.len(), 5, "{sent:?}");
 }
+
+/// Guards against ignoring callers that gateways refuse for lack of request slots: the requests in
+/// flight alone cannot exceed the slots, and other models of the engine use most of them.
+#[rstest]
+#[case::refused(10, 1)]
+#[case::served(0, 0)]
+fn requests_refused_for_full_slots_add_a_replica(#[case] refused: u32, #[case] loads: usize) {
+    let mut leader = TestLeader::new();
+    leader.add_engine(1_000, "e-1", &["a", "b"]);
+    leader.add_engine(1_000, "e-2", &["c"]);
+    let demand = GatewayModelDemand {
+        unserved: refused,
+        arrivals: 20,
+        in_flight: 1,
+        refused_full: refused,
+        ..unmet_demand("a", None)
+    };
+    leader
+        .fleet
+        .handle_report(at(1_050), 1, &report(vec![demand]));
+    let instructions = leader.instructions(1_100);
+    let replicas = instructions.iter().filter(|instruction| {
+        instruction.operation == InstructionOperation::Load
+            && instruction.model == "a".into()
+            && instruction.instance == "e-2".into()
+    });
+    assert_eq!(replicas.count(), loads, "{instructions:?}");
+}
