Include an outstanding departure in an early update about an unload

Cause: to a gateway without unmet demand, a departure waits for the interval of required updates (gateways / 1,000 s), but an unload of a model that it uses is sent at the next pass. That update stated the current index of the log without the departure. The gateway confirmed the index, and a leader elected before the next regular update would not have listed the departure to it.

Ruled out: documents, as the gateway checks the stated document version before it confirms the index; gateways with unmet demand, which are sent required entries with everything at the next pass.

Change: an early update is one with everything while something required is outstanding. This sends no further update: the one with the departure was due within the interval, and is sent instead of the early one.

--- a/crates/millpass-fleet/src/update_schedule.rs
+++ b/crates/millpass-fleet/src/update_schedule.rs
@@ -261,7 +261,12 @@
             && is_urgent
             && intervals.regular > Duration::ZERO
             && now.since(self.estimates_sent_at) >= ESTIMATE_INTERVAL;
-        (!self.instances.is_empty() || estimates_due).then_some(Scope::Concerning)
+        let is_early = !self.instances.is_empty() || estimates_due;
+        // An update states the index of the log, so that it must include an outstanding departure.
+        is_early.then_some(match outstanding.required {
+            true => Scope::Everything,
+            false => Scope::Concerning,
+        })
     }
 
     /// Returns the instances that concern the gateway and were not sent, and marks them as sent.
--- a/crates/millpass-fleet/tests/update_schedule.rs
+++ b/crates/millpass-fleet/tests/update_schedule.rs
@@ -278,6 +278,26 @@
     assert!(carries(update, 4));
 }
 
+/// Guards against a gateway that states a log index whose departure it was not sent: the next leader
+/// would not list that departure. The gateway has no unmet demand, so that the departure alone waits
+/// for its interval, but an unload is due.
+#[test]
+fn early_update_about_an_unload_includes_an_outstanding_departure() {
+    let mut leader = leader(986, 20);
+    leader.report(START, 7, 1);
+    updates_of_gateway(&mut leader, START, START + 50);
+    let now = START + 50;
+    leader.report_demand(now, 7, vec![demand(model(100), 0)]);
+    let departed = record(5).instance;
+    leader.fleet.handle_departure(&departed, true);
+    let announced = engine(3, 2, &[]);
+    leader.fleet.handle_announcement(at(now), announced, false);
+    let updates = updates_of_gateway(&mut leader, now, now + 40);
+    assert_eq!(updates.len(), 1, "{updates:?}");
+    assert!(carries(&updates[0].1, 3));
+    assert_eq!(updates[0].1.removed, [departed]);
+}
+
 /// Without unmet demand a document takes no longer than the interval that bounds all updates, which
 /// is shorter than the regular interval of other changes with few gateways.
 #[test]
