Keep the place of requests held behind others, and bound their wait

Cause: a request that finds a free slot while one that waited longer goes first joins the queue in `is_first_for`. Unlike the other ways into the queue, this one recorded no facts and checked no deadline: - at its first check (400 ms later) the request counted as a new arrival and was refused, where others keep their place until their objective; its refusal had no queue facts in the log, its wait was not measured; - while others went first at each check, a request whose caller stays connected past its deadline waited on.

Ruled out: a request that is next and waits for the call window, as it is sent within 50 ms.

Change: facts are recorded where the request is held, and dropped where it is sent at once; a request past its expiry is refused as full and the one that is next is called.

--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -287,9 +287,13 @@
             return true;
         }
         let has_waited = ticket.waiter.is_some();
+        let facts = ticket.queue;
+        let expected = self.expected_slot_wait(now, ticket).unwrap_or_default();
+        self.record_queue_facts(now, ticket, expected);
         let queues = &mut self.admission.queues;
         let number = *ticket.waiter.get_or_insert_with(|| queues.next_number());
         if queues.join(number, key, terms, turn) == Joined::Full {
+            ticket.queue = facts;
             // The bound must not leave a slot unused.
             return !self.call_next(now, instance);
         }
@@ -297,9 +301,14 @@
         let is_next = next.is_none_or(|next| next == number);
         if is_next && (!has_waited || self.count_call(now, instance)) {
             self.admission.queues.leave(number);
+            ticket.queue = facts;
             return true;
         }
-        ticket.waiting = true;
+        // A caller whose time is over must not wait behind others.
+        ticket.waiting = is_next || now < ticket.expires_at;
+        if !ticket.waiting {
+            self.admission.queues.leave(number);
+        }
         if !is_next {
             self.call_next(now, instance);
         }
--- a/crates/millpass-dispatch/tests/waiting.rs
+++ b/crates/millpass-dispatch/tests/waiting.rs
@@ -153,6 +153,67 @@
     assert!(matches!(choice, Choice::Send { .. }), "{choice:?}");
 }
 
+/// A slot is free, but a request that waited longer goes first: guards against a request that is held
+/// behind it and then refused at its first check, unlike those that found no free slot on arrival.
+#[test]
+fn request_held_behind_a_waiter_keeps_its_place_until_its_objective() {
+    let mut dispatcher = gateway(2, vec![engine("e-1")]);
+    learn(&mut dispatcher);
+    let loaded = |in_flight| GatewayUpdate {
+        first: false,
+        document: None,
+        loads: vec![InstanceLoad {
+            instance: "e-1".into(),
+            in_flight,
+        }],
+        ..update(1, 2, Vec::new())
+    };
+    dispatcher.update(at(1_000), loaded(2 * SLOTS));
+    let (_, first) = waiting(&mut dispatcher, 1_001, "/batch/");
+    // The load of the other gateway decays without an event that calls the first one.
+    let (mut second, _) = waiting(&mut dispatcher, 9_000, "/batch/");
+    assert_eq!(dispatcher.take_called(), [first]);
+    assert!(second.queue.is_some(), "no facts for the log");
+    dispatcher.update(at(9_010), loaded(3 * SLOTS));
+    dispatcher.update(at(13_500), loaded(3 * SLOTS));
+    let choice = dispatcher.choose(at(13_500), &mut second);
+    assert!(matches!(choice, Choice::Wait { .. }), "{choice:?}");
+}
+
+/// Guards against a request that waits without end while others go first, if its caller stays
+/// connected beyond its deadline.
+#[test]
+fn request_past_its_deadline_does_not_wait_behind_others() {
+    let mut dispatcher = gateway(1, vec![engine("e-1")]);
+    (0..10).for_each(|_| learn(&mut dispatcher));
+    let loaded = |in_flight| GatewayUpdate {
+        first: false,
+        document: None,
+        loads: vec![InstanceLoad {
+            instance: "e-1".into(),
+            in_flight,
+        }],
+        ..update(1, 1, Vec::new())
+    };
+    dispatcher.update(at(1_000), loaded(3 * SLOTS));
+    let (mut expired, _) = waiting(&mut dispatcher, 1_001, "/batch/");
+    dispatcher.update(at(9_000), loaded(3 * SLOTS));
+    let (_, other) = waiting(&mut dispatcher, 9_001, "/batch/");
+    // 12 s after the arrival of the first, when the load has decayed.
+    let choice = dispatcher.choose(at(13_500), &mut expired);
+    assert!(
+        matches!(
+            choice,
+            Choice::Refuse {
+                reason: RefusalReason::Full,
+                ..
+            }
+        ),
+        "{choice:?}"
+    );
+    assert_eq!(dispatcher.take_called(), [other]);
+}
+
 /// Guards against a request that polls or waits for a load that has arrived.
 #[test]
 fn loaded_model_calls_its_waiters() {
