Notify a waiter called by the load in a response

Cause: `record_load` may call a waiting request and reserve a slot for it, but nothing notified it before the next event of the gateway: during a streamed response its slot stayed reserved and idle until its own check, up to 400 ms later.

Ruled out: the other changes of the core that call waiters (ends of sends, updates, crashes, stopping, leaving a queue), which notify.

Change: the response's load is followed by the notification. No test: the waiter decides by itself at its check, so that only a timing assertion would tell the difference.

--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -304,6 +304,7 @@
         record_statement(&shared, &self.ticket, &instance, sent_at, &received.facts);
         if let Some(load) = received.facts.load {
             shared.core().record_load(shared.now(), &instance, load);
+            shared.notify_called();
         }
         if received.facts.misdirected || received.facts.not_executed {
             record_rejection(&shared, &self.ticket, active, &received);
