--- a/crates/millpass-control/src/interface.rs
+++ b/crates/millpass-control/src/interface.rs
@@ -15,7 +15,9 @@
 /// Calls to engines of announced instances.
 pub trait EngineCalls: Send + Sync {
     /// Sends an instruction. Its last byte must be sent within this time or not at all. The agent
-    /// bounds the response time.
+    /// bounds the response time, and its connections abort at the instruction's deadline and at the
+    /// end of the term ([`fenced_calls`](crate::fenced_calls)): a connection of another agent could
+    /// deliver the instruction after one of the next leader.
     fn instruct(
         &self,
         agent: &ureq::Agent,
