Check a call's deadline before each write of a message

`write_all` may write a large message in several pieces; the deadline was checked before the first one only. Now each piece is preceded by the check and the user timeout. Orders fit in one piece, so this changes nothing for them.

--- a/crates/millpass-control/src/fenced_calls.rs
+++ b/crates/millpass-control/src/fenced_calls.rs
@@ -130,6 +130,21 @@
         self.stream.set_nonblocking(false)?;
         Ok(peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock))
     }
+
+    /// Returns the time left to the call's deadline, and lets the kernel abort the connection at the
+    /// deadline if the bytes written next are not acknowledged by then. Fails after the deadline.
+    fn limit_transmission(&self) -> Result<Option<Duration>, Error> {
+        let Some(deadline) = SEND_DEADLINE.get() else {
+            return Ok(None);
+        };
+        let left = self.clock.left_until(deadline);
+        // Zero milliseconds would select the system's default timeout.
+        if left < Duration::from_millis(1) {
+            return Err(Error::Timeout(Timeout::SendRequest));
+        }
+        SockRef::from(&*self.stream).set_tcp_user_timeout(Some(left))?;
+        Ok(Some(left))
+    }
 }
 
 impl Transport for FencedTransport {
@@ -139,20 +154,21 @@
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
         let timeout = timeout.for_write();
-        let mut time_left = time_left(timeout)?;
-        if let Some(deadline) = SEND_DEADLINE.get() {
-            let left = self.clock.left_until(deadline);
-            // Zero milliseconds would select the system's default timeout.
-            if left < Duration::from_millis(1) {
-                return Err(Error::Timeout(Timeout::SendRequest));
+        let time_left = time_left(timeout)?;
+        let mut written = 0;
+        while written < amount {
+            let limit = self.limit_transmission()?;
+            let limit = time_left.into_iter().chain(limit).min();
+            self.stream.set_write_timeout(limit)?;
+            let output = &self.buffers.output()[written..amount];
+            match (&*self.stream).write(output) {
+                Ok(0) => return Err(Error::Io(io::ErrorKind::WriteZero.into())),
+                Ok(length) => written += length,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(timed_out(error, timeout.reason)),
             }
-            SockRef::from(&*self.stream).set_tcp_user_timeout(Some(left))?;
-            time_left = Some(time_left.map_or(left, |time| time.min(left)));
         }
-        self.stream.set_write_timeout(time_left)?;
-        let output = &self.buffers.output()[..amount];
-        let written = (&*self.stream).write_all(output);
-        written.map_err(|error| timed_out(error, timeout.reason))
+        Ok(())
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
