Do not take omitted loads of a partial update as current

Cause: an update with only what concerns waiting requests omits the loads; gateways took the last received loads as current again and subtracted their newer own requests. Change: GatewayUpdate.partial (appended).

--- a/crates/millpass-control-plane/src/freshness.rs
+++ b/crates/millpass-control-plane/src/freshness.rs
@@ -138,6 +138,7 @@
             contents: Vec::new(),
             moved_estimates: Vec::new(),
             ended_estimates: Vec::new(),
+            partial: false,
         };
         let pairs = vec![
             ("gateway", report.gateway.clone()),
--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -4,8 +4,8 @@
 use crate::instances::Instance;
 use crate::table::RoutingTable;
 use millpass_proto::{
-    DeploymentDocument, Duration, EstimateKey, GatewayUpdate, InstanceId, InstanceRecord,
-    ModelReadyEstimate, Timestamp,
+    DeploymentDocument, Duration, EstimateKey, GatewayUpdate, InstanceId, InstanceLoad,
+    InstanceRecord, ModelReadyEstimate, Timestamp,
 };
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -123,7 +123,11 @@
         if !update.loads_unchanged {
             self.fleet_loads = update.loads;
         }
-        for load in &self.fleet_loads {
+        let current_loads: &[InstanceLoad] = match update.partial {
+            true => &[],
+            false => &self.fleet_loads,
+        };
+        for load in current_loads {
             if let Some(instance) = self.instances.get_mut(&load.instance) {
                 instance.record_fleet_in_flight(now, load.in_flight);
             }
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -106,6 +106,7 @@
         contents: Vec::new(),
         moved_estimates: Vec::new(),
         ended_estimates: Vec::new(),
+        partial: false,
     };
     dispatcher.update(at(0), update);
     dispatcher
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -141,6 +141,7 @@
         contents: Vec::new(),
         moved_estimates: Vec::new(),
         ended_estimates: Vec::new(),
+        partial: false,
     }
 }
 
--- a/crates/millpass-dispatch/tests/freshness.rs
+++ b/crates/millpass-dispatch/tests/freshness.rs
@@ -104,6 +104,7 @@
         contents: Vec::new(),
         moved_estimates: Vec::new(),
         ended_estimates: Vec::new(),
+        partial: false,
     }
 }
 
--- a/crates/millpass-dispatch/tests/harness/mod.rs
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -144,6 +144,7 @@
         contents: Vec::new(),
         moved_estimates: Vec::new(),
         ended_estimates: Vec::new(),
+        partial: false,
     }
 }
 
--- a/crates/millpass-dispatch/tests/pace.rs
+++ b/crates/millpass-dispatch/tests/pace.rs
@@ -1,7 +1,6 @@
 //! Guards against factors that outlive what they were learned from, that urgent requests disregard,
 //! or that invalid input sets.
 
-#[allow(dead_code)]
 mod harness;
 
 use harness::{at, begin, gateway, record, sent_to, update};
--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -79,6 +79,7 @@
         contents: Vec::new(),
         moved_estimates: Vec::new(),
         ended_estimates: Vec::new(),
+        partial: false,
     }
 }
 
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -230,6 +230,7 @@
     ) -> GatewayUpdate {
         let mut update = self.empty_update(session, document, context);
         update.complete = session.sent_complete;
+        update.partial = true;
         let mut changed = ChangedInstances::default();
         let revision_of = |instance: &InstanceId| self.registry.revision_of(instance);
         for instance in session.schedule.take_instances(revision_of) {
@@ -275,6 +276,7 @@
             contents: Vec::new(),
             moved_estimates: Vec::new(),
             ended_estimates: Vec::new(),
+            partial: false,
         }
     }
 
--- a/crates/millpass-fleet/tests/mixed_engines/mod.rs
+++ b/crates/millpass-fleet/tests/mixed_engines/mod.rs
@@ -435,5 +435,9 @@
         loads_unchanged: false,
         document_version: 0,
         paces: Vec::new(),
+        contents: Vec::new(),
+        moved_estimates: Vec::new(),
+        ended_estimates: Vec::new(),
+        partial: false,
     }
 }
--- a/crates/millpass-fleet/tests/update_estimates.rs
+++ b/crates/millpass-fleet/tests/update_estimates.rs
@@ -129,6 +129,7 @@
         in_flight: 0,
         priority: 1,
         unread_tokens: 500,
+        refused_full: 0,
     }
 }
 
--- a/crates/millpass-fleet/tests/update_schedule.rs
+++ b/crates/millpass-fleet/tests/update_schedule.rs
@@ -48,6 +48,7 @@
         in_flight: 0,
         priority: 1,
         unread_tokens: 0,
+        refused_full: 0,
     }
 }
 
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1331,6 +1331,9 @@
 
     /// With `ready_estimates_unchanged`: estimates that no longer apply.
     pub ended_estimates: Vec<EstimateKey>,
+
+    /// Whether the update carries only what concerns waiting requests. Omitted loads may have changed.
+    pub partial: bool,
 }
 
 
