--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -56,7 +56,7 @@
     pub call_timeout_ms: u64,
     /// Maximum concurrent calls to engines, each on its own thread, started on demand. At most a quarter of them may be to engines that did not answer their last call.
     pub calls_at_once: u64,
-    /// Time after the last byte of an engine's last instruction during which no other leader instructs that engine. A new leader adds `order_lifetime_ms`.
+    /// Time after the last byte of an engine's last instruction during which no other leader instructs that engine. A new leader adds `order_lifetime_ms`. Must exceed `order_lifetime_ms` and `call_timeout_ms` together, so that an instruction is delivered before another leader instructs the engine, or never.
     pub order_handover_ms: u64,
     /// Time after the intent of an instruction is committed within which the instruction must be sent completely; otherwise it is not sent. Higher values avoid repeated scheduling decisions when engines accept connections slowly; lower values let a new leader instruct engines sooner.
     pub order_lifetime_ms: u64,
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -1232,3 +1232,42 @@
     });
     assert_eq!(replicas.count(), loads, "{instructions:?}");
 }
+
+/// Guards against a saturated model that keeps one replica because the engine with its only other copy
+/// holds models that were all swapped in lately.
+#[test]
+fn saturated_model_gets_a_replica_at_an_engine_with_recent_models() {
+    let mut leader = TestLeader::new();
+    leader.add_engine(1_000, "e-1", &["a"]);
+    let mut other = record("e-2", 1_000, &["b"]);
+    other.in_memory = vec!["a".into(), "c".into()];
+    leader.fleet.handle_announcement(at(1_000), other, false);
+    leader.respond_to_read(1_000, "e-2", &state_with_copies(0, &["b"], &["a", "c"]));
+    let running = |model: &str, in_flight| GatewayModelDemand {
+        unserved: 0,
+        in_flight,
+        ..unmet_demand(model, None)
+    };
+    // c is loaded now; b is requested, so that it is not idle.
+    let demand = vec![unmet_demand("c", None), running("b", 1)];
+    leader.fleet.handle_report(at(1_050), 1, &report(demand));
+    let first = leader.instructions(1_100);
+    assert_eq!(first[0].model, "c".into(), "{first:?}");
+    leader.respond(1_110, "e-2", &InstructionResult::Accepted);
+    let copies = ["a", "b", "c"];
+    let mut announced = record("e-2", 1_500, &["b", "c"]);
+    announced.in_memory = copies.map(Into::into).to_vec();
+    leader
+        .fleet
+        .handle_announcement(at(1_500), announced, false);
+    leader.run_between(1_510, 2_050);
+    let demand = vec![running("a", 8), running("b", 2)];
+    leader.fleet.handle_report(at(2_100), 1, &report(demand));
+    let instructions = leader.instructions(2_200);
+    let unloads = instructions.iter().filter(|instruction| {
+        instruction.operation == InstructionOperation::Unload
+            && instruction.instance == "e-2".into()
+            && instruction.model == "c".into()
+    });
+    assert_eq!(unloads.count(), 1, "{instructions:?}");
+}
