--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -40,8 +40,7 @@
 const LEAST_SHARE: f64 = 0.05;
 
 /// Factor of an expected wait at the gateway within which it must be useful. Waits grow while a
-/// burst arrives: without it, 25 of 345 requests of tests/sharing.rs were held and then refused,
-/// with it 4, and as many were served.
+/// burst arrives, and a request that is refused after waiting is worse off than one refused at once.
 const WAIT_MARGIN: f64 = 1.5;
 
 /// Time in which at most [`MIN_CALLS`] waiting requests are called for an instance, or this
