Search no placement twice in a round for what has none

Change: after a search without result the other candidates of the model are skipped in that round; copies are recorded for wanted models alone. Decisions are the same: sites and store permits only shrink within a round.

--- a/crates/millpass-fleet/src/busy_copies.rs
+++ b/crates/millpass-fleet/src/busy_copies.rs
@@ -22,7 +22,7 @@
 
 impl BusyCopies {
     /// Records the copies of an engine that can be instructed in `available_in`. `load_time` returns
-    /// the duration of a load; none for models missing from the configuration.
+    /// the duration of a load; none for models that need not be recorded.
     pub(crate) fn record(
         &mut self,
         engine: &Engine,
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -20,6 +20,7 @@
     AdapterName, Duration, EngineSpec, InstanceId, InstructionOperation, ModelName,
     ModelReadyEstimate, ServiceName, Timestamp, WeightsSource,
 };
+use std::collections::BTreeSet;
 
 /// Minimum time a model stays loaded after its load was sent.
 pub(crate) const MIN_RESIDENCE: Duration = Duration::from_millis(4_000);
@@ -86,10 +87,17 @@
     let unmet = view.demand.unmet(view.now, view.service);
     let mut round = PlanningRound::gather(view, &unmet);
     view.continue_reservations(&mut round, steps);
+    // A model is a candidate once per missing replica. What finds no placement finds none later in
+    // the round, and each search visits all sites.
+    let mut unplaceable = BTreeSet::new();
     for candidate in load_candidates(&unmet, &round) {
         match candidate.purpose {
             LoadPurpose::UnmetDemand(demand) => view.serve_demand(demand, &mut round, steps),
-            LoadPurpose::Replica(model) => view.add_replica(&model, &mut round, steps),
+            LoadPurpose::Replica(model) => {
+                if !unplaceable.contains(&model) && !view.add_replica(&model, &mut round, steps) {
+                    unplaceable.insert(model);
+                }
+            }
         }
     }
 }
@@ -373,13 +381,22 @@
 
     /// Adds a replica of a busy model from a local copy, or from the weight store while unmet
     /// demand leaves enough permits.
-    fn add_replica(&mut self, model: &ModelName, round: &mut PlanningRound, steps: &mut Vec<Step>) {
+    /// Returns whether a placement was found.
+    fn add_replica(
+        &mut self,
+        model: &ModelName,
+        round: &mut PlanningRound,
+        steps: &mut Vec<Step>,
+    ) -> bool {
         let milliloads = self.specification.milliloads_per_second;
         let may_use_store =
             self.permits.used_fraction(self.now, milliloads) < MAX_REPLICA_PERMIT_FRACTION;
-        if let Some(placement) = round.replica_placement(self.specification, model, may_use_store) {
-            self.start_load(&placement, model, "busy", round, steps);
-        }
+        let placement = round.replica_placement(self.specification, model, may_use_store);
+        let Some(placement) = placement else {
+            return false;
+        };
+        self.start_load(&placement, model, "busy", round, steps);
+        true
     }
 }
 
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -261,6 +261,8 @@
             let model = self.model(view.specification, model)?;
             Some(model.load_time(source))
         };
+        // Only models with unmet demand are placed by their copies.
+        let wanted = |model: &ModelName| self.unmet_models.contains(model);
         let reserved_load = engine.reserved_model.as_ref().and_then(|model| {
             let source = engine.weights_source(model);
             load_time(model, source)
@@ -271,7 +273,9 @@
             view.history.instructable_from(instance, view.handover),
             reserved_load.unwrap_or_default(),
         );
-        busy_copies.record(engine, available_in, load_time);
+        busy_copies.record(engine, available_in, |model, source| {
+            wanted(model).then(|| load_time(model, source)).flatten()
+        });
         self.busy_copies = busy_copies;
     }
 
