Measure the core's processor time by kind of work

Change: each step is attributed to a kind (planning, updates, reports, credit, ...) with its thread processor time; core_work is logged while the core is late, control_work_steps_total and control_work_seconds_total count always. No decision changes. Ruled out: timing within the decision core, which has no clock.

--- a/crates/millpass-control-plane/src/shares.rs
+++ b/crates/millpass-control-plane/src/shares.rs
@@ -42,6 +42,12 @@
         self.fleet.as_ref().map(Fleet::sizes)
     }
 
+    /// Returns the number of planning rounds over announced instances since this member last started
+    /// leading.
+    pub fn planning_rounds(&self) -> u64 {
+        self.fleet.as_ref().map_or(0, Fleet::planning_rounds)
+    }
+
     /// Maintains this member's share of the instances and reports changes to the leader.
     pub(crate) fn report_share(&mut self, now: Timestamp, unix_millis: u64, out: &mut Outputs) {
         let Some(fleet) = &mut self.fleet else {
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `backlog` | inputs waiting for the core, by priority |
 //! | `priority` | priority classes of inputs |
 //! | `lateness` | detects that the core's thread is late |
+//! | `work` | processor time of the core's thread by kind of work |
 //! | `disk` | writes and syncs |
 //! | `disk_watch` | stalled writes and disk usage, for logs and metrics |
 //! | `connections` | inbound connections of members, routers and joiners |
@@ -60,6 +61,7 @@
 mod startup;
 mod threads;
 mod throttle;
+pub mod work;
 
 pub use administration::RefusedAnnouncement;
 pub use disk_wait::start_when_disk_available;
--- a/crates/millpass-control/src/member.rs
+++ b/crates/millpass-control/src/member.rs
@@ -11,10 +11,11 @@
 use crate::error::ControlError;
 use crate::freshness::FreshnessPort;
 use crate::inputs::{CoreInput, InputQueue, WaitingInput};
-use crate::lateness::LatenessWatch;
+use crate::lateness::{LATENESS_THRESHOLD, LatenessWatch};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::priority::Priority;
+use crate::work::{self, WorkKind, WorkMeter};
 use crossbeam::channel::Sender;
 use millpass_control_plane::{
     AdministrationRequest, AdministrationResponse, ConnectionId, ControlEvent, ControlInput,
@@ -66,6 +67,10 @@
     pub(crate) suspensions: SuspensionDetector,
     pub(crate) heartbeat: Heartbeat,
     pub(crate) lateness: LatenessWatch,
+    /// Work since the last housekeeping.
+    pub(crate) work: WorkMeter,
+    /// Whether an input or tick was late since then.
+    pub(crate) was_late: bool,
     /// Value of the refused calls metric at the last check.
     pub(crate) refused_calls: i64,
     /// Backlogged connections that the core has not been notified of yet.
@@ -156,6 +161,7 @@
             Some(class) => self.metrics.observe_input_wait(class, age),
             None => self.metrics.observe_tick_lateness(age),
         }
+        self.was_late |= age >= LATENESS_THRESHOLD;
         if let Some(late) = self.lateness.record(now, class, age) {
             let class = late.class.map_or("tick", Priority::name);
             let (age_millis, count) = (late.age.as_millis(), late.count);
@@ -171,13 +177,25 @@
     fn step(&mut self, input: ControlInput) -> bool {
         self.metrics.steps.inc();
         let now = self.clock.now();
+        let input_kind = WorkKind::of_input(&input);
+        let rounds = self.core.planning_rounds();
+        let started = work::thread_time();
         let outputs = self.core.step(now, unix_millis(), input);
+        let kind = if self.core.planning_rounds() > rounds {
+            WorkKind::Planning
+        } else if work::has_update(&outputs) {
+            WorkKind::Updates
+        } else {
+            input_kind
+        };
         self.cancel_calls_of_ended_term(now);
         self.publish(now);
         let mut stopped = false;
         for output in outputs {
             stopped |= self.execute(output);
         }
+        let elapsed = work::thread_time().saturating_sub(started);
+        self.work.record(kind, elapsed);
         // Before any other input, as the notification that the backlog was written may already be
         // queued.
         while let Some(connection) = self.backlogged.pop() {
@@ -302,12 +320,30 @@
             self.metrics.record_instances(&sizes);
         }
         self.record_queues();
+        self.record_work();
         let leaderless = self.is_leaderless(status.leader.is_none());
         if leaderless || !status.membership.contains(self.address.member) {
             self.request_join(&status.membership);
         }
     }
 
+    /// Records the processor time of the core's thread by kind of work. Logs it if an input or tick
+    /// was late meanwhile.
+    fn record_work(&mut self) {
+        let work = self.work.take();
+        let mut pairs = Vec::new();
+        for (kind, steps, time) in &work {
+            self.metrics.count_work(*kind, *steps, *time);
+            let millis = time.as_micros() as f64 / 1_000.0;
+            pairs.push((kind.name(), format!("{steps}/{millis:.1}")));
+        }
+        if std::mem::take(&mut self.was_late) {
+            let period = HOUSEKEEPING_INTERVAL.as_millis();
+            let line = event_line("core_work", &pairs);
+            log::warn!("{line} at_least_ms={period}");
+        }
+    }
+
     fn record_queues(&mut self) {
         for (class, length, refused) in self.queue.lengths() {
             let new = self.metrics.record_queue(class, length, refused);
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -1,11 +1,12 @@
 //! Prometheus metrics of a control member.
 
 use crate::priority::Priority;
+use crate::work::WorkKind;
 use millpass_consensus::{ConsensusStatus, Role};
 use millpass_control_plane::FleetSizes;
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry,
+    CounterVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry,
 };
 use std::time::Duration;
 
@@ -38,6 +39,10 @@
     pub(crate) expired_announcements: IntCounter,
     /// Invalid announcements, by reason.
     refused_announcements: IntCounterVec,
+    /// By kind of work.
+    work_steps: IntCounterVec,
+    /// By kind of work.
+    work_seconds: CounterVec,
     departure_seconds: Histogram,
     term: IntGauge,
     commit: IntGauge,
@@ -99,6 +104,16 @@
         let refused = Opts::new("control_refused_announcements_total", help);
         let refused_announcements = IntCounterVec::new(refused, &["reason"])?;
         registry.register(Box::new(refused_announcements.clone()))?;
+        let steps = Opts::new(
+            "control_work_steps_total",
+            "Steps of the core, by kind of work",
+        );
+        let work_steps = IntCounterVec::new(steps, &["kind"])?;
+        registry.register(Box::new(work_steps.clone()))?;
+        let help = "Processor time of the core's thread, by kind of work";
+        let seconds = Opts::new("control_work_seconds_total", help);
+        let work_seconds = CounterVec::new(seconds, &["kind"])?;
+        registry.register(Box::new(work_seconds.clone()))?;
         let states = Opts::new("control_instances", "Instances known here, by state");
         let instances = IntGaugeVec::new(states, &["state"])?;
         registry.register(Box::new(instances.clone()))?;
@@ -123,6 +138,8 @@
             refused_inputs,
             expired_announcements,
             refused_announcements,
+            work_steps,
+            work_seconds,
             document_seconds: delivery(
                 "control_document_in_force_seconds",
                 "Time from a document's commit to a gateway's report of it, as the leader sees it",
@@ -172,6 +189,13 @@
         self.events.with_label_values(&[name]).inc();
     }
 
+    pub(crate) fn count_work(&self, kind: WorkKind, steps: u64, time: Duration) {
+        let labels = [kind.name()];
+        self.work_steps.with_label_values(&labels).inc_by(steps);
+        let seconds = self.work_seconds.with_label_values(&labels);
+        seconds.inc_by(time.as_secs_f64());
+    }
+
     pub(crate) fn observe_sync(&self, time: Duration) {
         self.sync_seconds.observe(time.as_secs_f64());
     }
--- a/crates/millpass-control/src/process.rs
+++ b/crates/millpass-control/src/process.rs
@@ -18,6 +18,7 @@
 use crate::startup::{self, ListenAddresses, OpenedMember};
 use crate::threads::{self, spawn, spawn_critical};
 use crate::throttle::Throttle;
+use crate::work::WorkMeter;
 use crossbeam::channel::{Receiver, bounded, unbounded};
 use millpass_control_plane::ControlInput;
 use millpass_proto::{Duration, MemberAddress, MemberId};
@@ -211,6 +212,8 @@
         suspensions: SuspensionDetector::default(),
         heartbeat: heartbeat.clone(),
         lateness: LatenessWatch::default(),
+        work: WorkMeter::default(),
+        was_late: false,
         refused_calls: 0,
         backlogged: Vec::new(),
     };
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -85,6 +85,7 @@
     pub(crate) dirty: bool,
     next_plan: Timestamp,
     last_plan: Timestamp,
+    planning_rounds: u64,
     /// Registry revision last recorded in the log, and when.
     recorded_revision: u64,
     recorded_at: Timestamp,
@@ -129,6 +130,7 @@
             dirty: false,
             next_plan: Timestamp::ZERO,
             last_plan: Timestamp::ZERO,
+            planning_rounds: 0,
             recorded_revision: 0,
             recorded_at: Timestamp::ZERO,
             call_count: 0,
@@ -337,6 +339,11 @@
         self.slowdown = slowdown.max(1);
     }
 
+    /// Returns the number of planning rounds since the last [`Fleet::reset`].
+    pub fn planning_rounds(&self) -> u64 {
+        self.planning_rounds
+    }
+
     /// Performs all due work; called only while this member is leading. `context` is queried when a
     /// gateway connects.
     pub fn run(
@@ -364,6 +371,7 @@
             self.observe_store(now);
             if let Some(document) = document {
                 self.adjust_active_instances(now, document);
+                self.planning_rounds += 1;
                 self.plan(now, document);
             }
         }
