Compare placements without copying names, and with precomputed probabilities

Cause: a planning round at 90 engines and 530 models compares some 18,000 placements; each copied two names and computed an exponential for each model that might be evicted. Change: the compared options borrow, the probability of a request within the horizon is computed once for each held model, the rate of the placed model once for each search; whether a site is instructed is a flag.

--- a/crates/millpass-fleet/src/cost.rs
+++ b/crates/millpass-fleet/src/cost.rs
@@ -17,12 +17,16 @@
 /// utilized replica. Must exceed 1, otherwise a further replica appears to lengthen the queues.
 const OVERLOAD_WEIGHT: f64 = 2.0;
 
-/// Returns the delay caused by evicting the only replica of a model with `rate` requests a second
-/// that takes `restore_millis` to reload.
-pub(crate) fn last_replica_loss(rate: f64, restore_millis: f64) -> f64 {
-    let request_probability = 1.0 - (-rate * HORIZON_SECONDS).exp();
+/// Returns the probability of a request within the horizon at `rate` requests a second.
+pub(crate) fn request_probability(rate: f64) -> f64 {
+    1.0 - (-rate * HORIZON_SECONDS).exp()
+}
+
+/// Returns the delay of the first request for a model, and of those after it, if it takes
+/// `restore_millis` to reload.
+pub(crate) fn reload_delay(rate: f64, restore_millis: f64) -> f64 {
     let delayed_requests = 1.0 + rate * restore_millis / 1_000.0;
-    request_probability * delayed_requests * restore_millis
+    delayed_requests * restore_millis
 }
 
 /// Returns the delay saved by one more replica, where requests offer a load of `offered_load`
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -46,6 +46,30 @@
     }
 }
 
+/// A placement under comparison; [`Placement`] owns what the chosen one refers to.
+struct PlacementOption<'a> {
+    site: &'a Site,
+    victim: Option<&'a ModelName>,
+    cost: f64,
+    load_time: Duration,
+}
+
+impl PlacementOption<'_> {
+    fn ready_in(&self) -> Duration {
+        self.site.available_in + self.load_time
+    }
+
+    fn to_placement(&self) -> Placement {
+        Placement {
+            instance: self.site.instance.clone(),
+            victim: self.victim.cloned(),
+            cost: self.cost,
+            available_in: self.site.available_in,
+            load_time: self.load_time,
+        }
+    }
+}
+
 /// A model that may be evicted.
 struct Evictable {
     model: ModelName,
@@ -74,6 +98,8 @@
     Last {
         /// Requests a second.
         rate: f64,
+        /// Probability of any request within the horizon.
+        request_probability: f64,
         /// Time to reload it, in milliseconds.
         restore_millis: f64,
         /// Whether another engine has a copy of its weights. Otherwise it can be reloaded only
@@ -89,11 +115,13 @@
             RemovalLoss::Redundant(millis) => millis,
             RemovalLoss::Last {
                 rate,
+                request_probability,
                 restore_millis,
                 has_other_copy,
             } => {
                 let blocked = if has_other_copy { Duration::ZERO } else { load };
-                cost::last_replica_loss(rate, restore_millis + blocked.as_secs_f64() * 1_000.0)
+                let restore_millis = restore_millis + blocked.as_secs_f64() * 1_000.0;
+                request_probability * cost::reload_delay(rate, restore_millis)
             }
         }
     }
@@ -109,6 +137,8 @@
     available_in: Duration,
     /// Models that may be evicted, the cheapest first.
     evictable: Vec<Evictable>,
+    /// Whether an instruction is planned in this round.
+    is_instructed: bool,
 }
 
 /// Location of a copy of a model's weights.
@@ -321,6 +351,7 @@
             utilization: self.engine_utilization(engine),
             available_in,
             evictable,
+            is_instructed: false,
         }
     }
 
@@ -357,6 +388,10 @@
     /// Marks an engine as instructed: it receives no other instruction in this round.
     pub(crate) fn mark_instructed(&mut self, instance: &InstanceId) {
         self.instructed.insert(instance.clone());
+        let mut sites = self.sites.iter_mut();
+        if let Some(site) = sites.find(|site| site.instance == *instance) {
+            site.is_instructed = true;
+        }
     }
 
     /// Returns whether no further load from the weight store may start.
@@ -396,33 +431,37 @@
             sources[copy.site] = copy.source;
         }
         let holders = self.holders_of(model);
-        self.sites
+        let rate = self.rate(model);
+        let cheapest = self
+            .sites
             .iter()
             .zip(sources)
             .filter(|(site, source)| {
-                !self.is_instructed(&site.instance)
-                    && accepts(site, *source)
-                    && !holders.contains(&site.instance)
+                !site.is_instructed && accepts(site, *source) && !holders.contains(&site.instance)
             })
             .filter_map(|(site, source)| {
                 let mut load = model_spec.load_time(source);
                 if source == WeightsSource::Store {
                     load += self.store_wait(load);
                 }
-                let mut placement =
+                let mut option =
                     site.placement(model_spec.weights_kilobytes, load, limit, victims)?;
-                placement.cost += self.waiting_delay(model, waiting, placement.ready_in());
-                Some(placement)
+                option.cost += waiting_delay(rate, waiting, option.ready_in());
+                Some(option)
             })
-            .min_by(|left, right| left.cost.total_cmp(&right.cost))
+            .min_by(|left, right| left.cost.total_cmp(&right.cost));
+        cheapest.map(|option| option.to_placement())
     }
 
     /// Returns the delay of the requests waiting for a model, and of those arriving meanwhile, if
     /// it takes this long to be ready.
     pub(crate) fn waiting_delay(&self, model: &ModelName, waiting: f64, ready_in: Duration) -> f64 {
-        let rate = self.rates.get(model).copied().unwrap_or_default();
-        let delay = ready_in.as_secs_f64();
-        (waiting + rate * delay) * delay * 1_000.0
+        waiting_delay(self.rate(model), waiting, ready_in)
+    }
+
+    /// Returns the requests a second for a model.
+    fn rate(&self, model: &ModelName) -> f64 {
+        self.rates.get(model).copied().unwrap_or_default()
     }
 
     /// Returns the placement of a model on an engine with reserved memory, at any eviction cost.
@@ -436,12 +475,9 @@
         let model_spec = self.model(view.specification, model)?;
         let site = self.site(view, instance.clone(), engine, Duration::ZERO);
         let load = model_spec.load_time(engine.weights_source(model));
-        site.placement(
-            model_spec.weights_kilobytes,
-            load,
-            f64::MAX,
-            Victims::Settled,
-        )
+        let kilobytes = model_spec.weights_kilobytes;
+        let option = site.placement(kilobytes, load, f64::MAX, Victims::Settled);
+        option.map(|option| option.to_placement())
     }
 
     /// Returns models whose replicas are overutilized, once per missing replica, with the delay it
@@ -473,7 +509,7 @@
 
     /// Returns the number of requests expected for a model within the horizon.
     pub(crate) fn expected_requests(&self, model: &ModelName) -> f64 {
-        cost::expected_requests(self.rates.get(model).copied().unwrap_or_default())
+        cost::expected_requests(self.rate(model))
     }
 
     fn offered_load_of(&self, model: &ModelName) -> f64 {
@@ -501,8 +537,10 @@
         let load = self
             .model(specification, model)
             .map_or(0, |model| model.disk_load_millis.min(model.load_millis));
+        let rate = self.rate(model);
         RemovalLoss::Last {
-            rate: self.rates.get(model).copied().unwrap_or_default(),
+            rate,
+            request_probability: cost::request_probability(rate),
             restore_millis: load as f64 + UNLOAD_TIME.as_millis() as f64,
             has_other_copy: false,
         }
@@ -589,6 +627,13 @@
     }
 }
 
+/// Returns the delay of `waiting` requests, and of those that arrive meanwhile at `rate` a second, if
+/// a model takes this long to be ready.
+fn waiting_delay(rate: f64, waiting: f64, ready_in: Duration) -> f64 {
+    let delay = ready_in.as_secs_f64();
+    (waiting + rate * delay) * delay * 1_000.0
+}
+
 /// Returns the load offered by a model's requests, in engines: the larger of prompt processing time
 /// and slots in use.
 pub(crate) fn offered_load(load: &Load, slots: f64) -> f64 {
@@ -631,7 +676,7 @@
         load: Duration,
         limit: f64,
         victims: Victims,
-    ) -> Option<Placement> {
+    ) -> Option<PlacementOption<'_>> {
         let mut free = self.free_kilobytes;
         let mut loss = 0.0;
         let mut load_time = load;
@@ -648,11 +693,10 @@
             load_time += UNLOAD_TIME;
             victim.get_or_insert(&candidate.model);
         }
-        (free >= kilobytes && loss <= limit).then(|| Placement {
-            instance: self.instance.clone(),
-            victim: victim.cloned(),
+        (free >= kilobytes && loss <= limit).then(|| PlacementOption {
+            site: self,
+            victim,
             cost: loss + self.utilization * UTILIZATION_COST_MILLIS,
-            available_in: self.available_in,
             load_time,
         })
     }
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod calls;
 pub mod documents;
+pub mod engines;
 pub mod shares;
 pub mod steering;
 
--- a/crates/millpass-fleet/tests/update_estimates.rs
+++ b/crates/millpass-fleet/tests/update_estimates.rs
@@ -4,6 +4,7 @@
 mod harness;
 
 use harness::documents::{self, EngineCapacity, engine_document};
+use harness::engines::{SwappingEngine, model};
 use harness::{Leader, at, encoded_size, record};
 use millpass_fleet::{DocumentHistory, FleetOutput};
 use millpass_proto::*;
@@ -22,87 +23,6 @@
 const COUNTED: u64 = 13_000;
 const END: u64 = 16_000;
 
-fn model(number: u64) -> ModelName {
-    format!("model-{number:03}").into()
-}
-
-/// An engine that executes each instruction in its usual time.
-struct Engine {
-    number: u64,
-    revision: u64,
-    models: Vec<ModelName>,
-    in_memory: Vec<ModelName>,
-    /// End of the instruction in progress, its operation and model.
-    pending: Option<(u64, InstructionOperation, ModelName)>,
-}
-
-impl Engine {
-    fn new(number: u64) -> Engine {
-        let models = |from: u64, count: u64| (from..from + count).map(|it| model(it % MODELS));
-        Engine {
-            number,
-            revision: 0,
-            models: models(number * 3, 3).collect(),
-            in_memory: models(number * 6, 20).collect(),
-            pending: None,
-        }
-    }
-
-    fn held(&self) -> Vec<HeldModel> {
-        let held = self.models.iter().map(|model| HeldModel {
-            model: model.clone(),
-            adapters: Vec::new(),
-        });
-        held.collect()
-    }
-
-    fn record(&self) -> InstanceRecord {
-        InstanceRecord {
-            service: "text".into(),
-            sequence: self.revision + 1,
-            models: self.held(),
-            in_memory: self.in_memory.clone(),
-            ..record(self.number)
-        }
-    }
-
-    fn state(&self) -> InstructionResult {
-        InstructionResult::State(EngineState {
-            revision: self.revision,
-            busy: self.pending.is_some(),
-            models: self.held(),
-            in_memory: self.in_memory.clone(),
-            on_disk: Vec::new(),
-            loading_adapters: Vec::new(),
-        })
-    }
-
-    fn start(&mut self, now: u64, instruction: &EngineInstruction) {
-        if self.pending.is_some() {
-            return;
-        }
-        let is_copied = self.in_memory.contains(&instruction.model);
-        let millis = match instruction.operation {
-            InstructionOperation::Load if is_copied => 600,
-            InstructionOperation::Load => 10_000,
-            _ => 300,
-        };
-        let model = instruction.model.clone();
-        self.pending = Some((now + millis, instruction.operation, model));
-    }
-
-    /// Returns the new record if an instruction has ended.
-    fn advance(&mut self, now: u64) -> Option<InstanceRecord> {
-        let (_, operation, model) = self.pending.take_if(|(end, _, _)| *end <= now)?;
-        self.revision += 1;
-        match operation {
-            InstructionOperation::Load => self.models.push(model),
-            _ => self.models.retain(|held| *held != model),
-        }
-        Some(self.record())
-    }
-}
-
 fn document() -> DeploymentDocument {
     let capacity = EngineCapacity {
         weights_kilobytes: 230,
@@ -139,8 +59,8 @@
     let mut leader = Leader::new(0, 0);
     leader.documents = DocumentHistory::new();
     leader.documents.record(at(0), &document());
-    let engines = (0..ENGINES).map(Engine::new);
-    let mut engines: BTreeMap<InstanceId, Engine> = engines
+    let engines = (0..ENGINES).map(|number| SwappingEngine::new(number, MODELS));
+    let mut engines: BTreeMap<InstanceId, SwappingEngine> = engines
         .map(|engine| (record(engine.number).instance, engine))
         .collect();
     for engine in engines.values() {
@@ -161,7 +81,8 @@
         }
         let held: BTreeSet<ModelName> = engines
             .values()
-            .flat_map(|engine| engine.models.clone())
+            .flat_map(|engine| &engine.held)
+            .map(|held| held.model.clone())
             .collect();
         let reporting =
             (0..GATEWAYS).filter(|gateway| (now / PASS_MILLIS + gateway).is_multiple_of(40));
