Test that planning returns to its pace once an overload ends

Guards against a slowdown that outlasts its cause. The runs of the host move into two functions; the assertions of the earlier cases are unchanged.

--- a/crates/millpass-control/tests/overload.rs
+++ b/crates/millpass-control/tests/overload.rs
@@ -243,7 +243,7 @@
     }
 
     /// Performs the next action; idle time passes in ticks.
-    fn advance(&mut self, measured: bool) {
+    fn advance(&mut self) {
         let (now, due) = (self.instant(self.now), self.instant(self.next_tick));
         match self.backlog.next(now, due) {
             Next::Tick => {
@@ -255,10 +255,8 @@
             }
             Next::Input(_, mut arrived) => {
                 self.reports.complete(&mut arrived.input);
-                if measured {
-                    let wait = self.now.since(arrived.at);
-                    self.longest_wait = self.longest_wait.max(wait);
-                }
+                let wait = self.now.since(arrived.at);
+                self.longest_wait = self.longest_wait.max(wait);
                 self.step(arrived.input);
             }
             Next::Idle => self.now = self.next_tick,
@@ -266,6 +264,48 @@
     }
 }
 
+/// Reports of all gateways in turn, at a constant rate.
+struct Reports {
+    gateways: u64,
+    interval: Duration,
+    next: Timestamp,
+    sent: u64,
+}
+
+impl Reports {
+    fn new(gateways: u64, per_second: u64, start: Timestamp) -> Reports {
+        let rate = u32::try_from(per_second * gateways).expect("a small rate");
+        Reports {
+            gateways,
+            interval: Duration::from_secs(1) / rate,
+            next: start,
+            sent: 0,
+        }
+    }
+
+    fn submit_due(&mut self, host: &mut Host) {
+        while self.next <= host.now {
+            let gateway = 1 + self.sent % self.gateways;
+            let sequence = 1 + self.sent / self.gateways;
+            host.submit(self.next, report(gateway, sequence));
+            self.sent += 1;
+            self.next = self.next + self.interval;
+        }
+    }
+}
+
+/// Runs the host under these reports. Returns the planning rounds, and the longest wait meanwhile.
+fn run(host: &mut Host, reports: &mut Reports, length: Duration) -> (u64, Duration) {
+    let end = host.now + length;
+    let rounds = host.core.planning_rounds();
+    host.longest_wait = Duration::ZERO;
+    while host.now < end {
+        reports.submit_due(host);
+        host.advance();
+    }
+    (host.core.planning_rounds() - rounds, host.longest_wait)
+}
+
 /// All gateways always lack some model. Without processor time to spare, neither reports nor planning
 /// may be postponed beyond what callers wait for.
 #[rstest]
@@ -279,25 +319,10 @@
     #[case] reports_per_second: u64,
 ) {
     let mut host = Host::leading(costs);
-    let interval = Duration::from_secs(1) / u32::try_from(reports_per_second * gateways).unwrap();
-    let start = host.now;
-    let mut next = host.now;
-    let mut sent = 0;
-    let mut rounds = 0;
-    while host.now < start + LENGTH {
-        while next <= host.now {
-            host.submit(next, report(1 + sent % gateways, 1 + sent / gateways));
-            sent += 1;
-            next = next + interval;
-        }
-        let measured = host.now >= start + WARM_UP;
-        if !measured {
-            rounds = host.core.planning_rounds();
-        }
-        host.advance(measured);
-    }
-    let rounds = host.core.planning_rounds() - rounds;
-    let (wait, measured) = (host.longest_wait, LENGTH - WARM_UP);
+    let mut reports = Reports::new(gateways, reports_per_second, host.now);
+    run(&mut host, &mut reports, WARM_UP);
+    let measured = LENGTH - WARM_UP;
+    let (rounds, wait) = run(&mut host, &mut reports, measured);
     println!(
         "{gateways} gateways: {rounds} planning rounds in {measured:?}, longest wait {wait:?}"
     );
@@ -305,3 +330,20 @@
     // Demand is planned for at least once a second.
     assert!(rounds >= measured.as_secs(), "{rounds} rounds");
 }
+
+/// Guards against a slowdown that outlasts the load that caused it.
+#[test]
+fn planning_returns_to_its_pace_once_the_load_goes() {
+    let costs = Costs {
+        planning: Duration::from_millis(12),
+        report: Duration::from_micros(200),
+    };
+    let mut host = Host::leading(costs);
+    let mut flood = Reports::new(61, 200, host.now);
+    run(&mut host, &mut flood, WARM_UP);
+    let mut usual = Reports::new(61, 1, host.now);
+    run(&mut host, &mut usual, WARM_UP);
+    let (rounds, wait) = run(&mut host, &mut usual, Duration::from_secs(2));
+    assert!(rounds >= 40, "{rounds} rounds in 2 s");
+    assert!(wait <= Duration::from_millis(100), "{wait:?}");
+}
