Do not spend turns on models whose loads are quarantined

A model whose loads crashed engines stays requested in vain; being the longest waiting, it would have counted as one of the turns under way in each round without beginning one. Found by reading; no run showed it. Its loads are refused as before.

--- a/crates/millpass-fleet/src/turns.rs
+++ b/crates/millpass-fleet/src/turns.rs
@@ -32,8 +32,9 @@
         .demand
         .waiting(now, view.service, TURN_AFTER, REQUEST_INTERVAL);
     let is_missing = |demand: &UnmetDemand| round.holder_count(&demand.key.model) == 0;
-    let (models, adapters): (Vec<UnmetDemand>, Vec<UnmetDemand>) =
+    let (mut models, adapters): (Vec<UnmetDemand>, Vec<UnmetDemand>) =
         due.into_iter().partition(is_missing);
+    models.retain(|demand| !view.is_load_quarantined(&demand.key.model, None));
     for demand in &adapters {
         view.serve_demand(demand, round, steps);
     }
