Give turns only to what is requested again, not to what was requested once

Cause: a model requested once and not loaded at once was loaded five seconds later, though nobody asked again. Change: what counts is the time from the first request to the newest.

--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -230,8 +230,8 @@
         unmet
     }
 
-    /// Returns what has been requested in vain for `waited`, and was requested last within
-    /// `asked_within`: the longest waiting first.
+    /// Returns what has been requested in vain again and again over a time of `waited`, and was requested
+    /// last within `asked_within`: the longest waiting first.
     pub(crate) fn waiting(
         &self,
         now: Timestamp,
@@ -242,8 +242,9 @@
         let entries = self.entries.iter();
         let waiting = entries.filter_map(|(key, entry)| {
             let since = entry.waiting_since?;
-            let is_asked = now.since(entry.unserved_at?) < asked_within;
-            let is_due = now.since(since) >= waited;
+            let asked_at = entry.unserved_at?;
+            let is_asked = now.since(asked_at) < asked_within;
+            let is_due = asked_at.since(since) >= waited;
             let is_waiting = key.service == *service && is_asked && is_due;
             is_waiting.then(|| entry.unmet_demand(key, since))
         });
--- a/crates/millpass-fleet/src/turns.rs
+++ b/crates/millpass-fleet/src/turns.rs
@@ -2,7 +2,7 @@
 //!
 //! Load handled: more models are requested than the engines hold. Loads are ordered by the delay that
 //! they save, so that a rarely requested model always comes after others. What has been requested in
-//! vain for [`TURN_AFTER`] is served first, the longest waiting before others. The longer it has waited,
+//! vain over [`TURN_AFTER`] is served first, the longest waiting before others. The longer it has waited,
 //! the more its evictions may cost; a few of those that have waited for [`LONGEST_WAIT`] may evict
 //! anything. A model stays until it has served a request, for [`REQUEST_INTERVAL`] at most.
 //! Turns are prepared at a part of the engines at a time, so that the others keep serving what most
@@ -13,7 +13,7 @@
 use crate::round::{PlanningRound, Victims};
 use millpass_proto::{Duration, WeightsSource};
 
-/// Time for which something is requested in vain before it is served ahead of others.
+/// Time over which something is requested in vain, again and again, before it is served ahead of others.
 const TURN_AFTER: Duration = Duration::from_millis(5_000);
 /// Time for which something is requested in vain before its turn may evict anything.
 const LONGEST_WAIT: Duration = Duration::from_millis(15_000);
--- a/crates/millpass-fleet/tests/starvation.rs
+++ b/crates/millpass-fleet/tests/starvation.rs
@@ -24,7 +24,7 @@
 const CONNECTED: u64 = 10_000;
 const DEMAND: u64 = 11_000;
 const END: u64 = 61_000;
-/// Time for which something is requested in vain before it gets a turn.
+/// Time over which something is requested in vain before it is due for a turn.
 const TURN_AFTER: u64 = 5_000;
 /// Time in which each model gets one turn, of which a quarter of the engines prepare one at a time, each
 /// in a second.
