Read what serves each model in the pass that sums its load

Found at the last read of the change: the planner went over all demand a second time in each round for the time at which a model was last served; loads() sums the same entries by model. The check whether a model is incoming, added for turns, replaces its two copies in the planner. No decision changes.

--- a/crates/millpass-fleet/src/demand.rs
+++ b/crates/millpass-fleet/src/demand.rs
@@ -94,6 +94,8 @@
     /// Requests a second refused for lack of request slots.
     pub(crate) refused_rate: f64,
     pub(crate) in_flight: u32,
+    /// When a report last stated requests with an engine.
+    pub(crate) served_at: Timestamp,
 }
 
 /// Demand for a model or adapter that is not loaded.
@@ -198,6 +200,7 @@
             load.request_rate += entry.slow_rate_at(now).max(entry.rate_at(now));
             load.refused_rate += entry.refused_rate_at(now);
             load.in_flight = load.in_flight.saturating_add(entry.in_flight);
+            load.served_at = load.served_at.max(entry.served_at);
         }
         loads
     }
@@ -253,17 +256,6 @@
         waiting
     }
 
-    /// Returns when requests for each model of a service last had an engine, including its adapters.
-    pub(crate) fn served_at(&self, service: &ServiceName) -> BTreeMap<ModelName, Timestamp> {
-        let mut served: BTreeMap<ModelName, Timestamp> = BTreeMap::new();
-        let entries = self.entries.iter();
-        for (key, entry) in entries.filter(|(key, _)| key.service == *service) {
-            let latest = served.entry(key.model.clone()).or_default();
-            *latest = entry.served_at.max(*latest);
-        }
-        served
-    }
-
     pub(crate) fn mark_met(&mut self, key: &ModelKey) {
         if let Some(entry) = self.entries.get_mut(key) {
             entry.unserved_at = None;
--- a/crates/millpass-fleet/src/planner.rs
+++ b/crates/millpass-fleet/src/planner.rs
@@ -278,7 +278,7 @@
         };
         if !placement.available_in.is_zero() {
             // The cheapest engine becomes available soon: wait for it.
-            if round.incoming_ready_in(model).is_none() {
+            if !round.is_incoming(model) {
                 self.record_waiting(model, placement.ready_in());
             }
             return;
@@ -312,7 +312,7 @@
         let model = &demand.key.model;
         let engine = self.engine(&placement.instance)?;
         let is_from_store = engine.weights_source(model) == WeightsSource::Store;
-        let is_wanted = is_from_store && round.incoming_ready_in(model).is_none();
+        let is_wanted = is_from_store && !round.is_incoming(model);
         let waited = self.now.since(demand.since);
         round.busy_copy_ready_in(model).filter(|ready_in| {
             is_wanted && waited < placement.ready_in() && *ready_in < placement.ready_in()
--- a/crates/millpass-fleet/src/round.rs
+++ b/crates/millpass-fleet/src/round.rs
@@ -206,11 +206,11 @@
         for (instance, engine) in &usable {
             round.add_engine_models(view, instance, engine);
         }
-        round.served_at = view.demand.served_at(view.service);
         let slots = f64::from(view.specification.slots.max(1));
         for (model, load) in view.demand.loads(view.now, view.service) {
             let offered_load = round.wanted_load(&model, &load, slots);
             round.offered_loads.insert(model.clone(), offered_load);
+            round.served_at.insert(model.clone(), load.served_at);
             round.rates.insert(model, load.request_rate);
         }
         let engines = usable.iter().map(|(_, engine)| engine);
