Gateways log which instances and services they do not reach

Change: millpass-reach tracks paths from failed and established connections, without any decision resting on it yet. Gateways log instance_unreachable, instance_reached, service_unreachable and service_reached, and count them (gateway_path_changes_total, gateway_unreachable_services, gateway_unreachable_instances). A send that breaks on a kept connection says so in its detail. Connections to instances are opened through a connector of the settings, so that tests can partition one gateway of several in a process.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -8,8 +8,8 @@
 use millpass_control::settings::{ConsensusTiming, InitialMember, ProcessLimits, SeedMember};
 use millpass_control::{ControlHandle, ControlProcessSettings, Extensions};
 use millpass_control_plane::FleetSettings;
-use millpass_dispatch::{DispatchSettings, FreshnessSettings};
-use millpass_gateway::GatewaySettings as GatewayProcessSettings;
+use millpass_dispatch::{DispatchSettings, FreshnessSettings, ReachSettings};
+use millpass_gateway::{Connector, GatewaySettings as GatewayProcessSettings};
 use millpass_proto::{Duration, GroupId, Incarnation};
 use millpass_router::RouterProcessSettings;
 use millpass_routing::RoutingSettings;
@@ -274,6 +274,7 @@
                 max_send_delay: millis(settings.instances.connect_timeout_ms) + SEND_DELAY_MARGIN,
                 max_isolated_staleness: millis(settings.freshness.cut_off_ms),
             },
+            reach: reach(settings),
         },
         clock: ProcessClock::start(),
         listen: address(&settings.gateway.listen)?,
@@ -287,9 +288,20 @@
         link_timeout: millis(control.connect_timeout_ms),
         drain_grace: millis(settings.drain.grace_ms),
         drain_accept: millis(settings.drain.accept_ms),
+        connector: Connector::default(),
     })
 }
 
+fn reach(settings: &GatewaySettings) -> ReachSettings {
+    let section = &settings.reachability;
+    ReachSettings {
+        probe_interval: millis(section.probe_interval_ms),
+        max_probe_interval: millis(section.max_probe_interval_ms),
+        sample: count(section.sample),
+        silence: millis(section.silence_ms),
+    }
+}
+
 fn initial_member(section: &millpass_config::generated::ControlMembersSection) -> InitialMember {
     InitialMember {
         zone: section.zone.as_str().into(),
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1271,6 +1271,29 @@
         }
     }
 }
+/// When an instance or a service counts as out of reach of this gateway, and how it is probed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewayReachabilitySection {
+    /// Time between the first probes of an instance that could not be connected to; doubled with each further one.
+    pub probe_interval_ms: u64,
+    /// Longest time between two probes of an instance or service out of reach.
+    pub max_probe_interval_ms: u64,
+    /// Number of instances of a service that cannot be connected to, with none connected to in between, from which the service counts as out of reach.
+    pub sample: u64,
+    /// Time without a byte of a response after which the path to its instance is probed.
+    pub silence_ms: u64,
+}
+impl Default for GatewayReachabilitySection {
+    fn default() -> Self {
+        Self {
+            probe_interval_ms: 200u64,
+            max_probe_interval_ms: 1000u64,
+            sample: 3u64,
+            silence_ms: 1000u64,
+        }
+    }
+}
 /// Maximum age of the configuration used to answer requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -1392,6 +1415,8 @@
     pub control: GatewayControlSection,
     /// Requests to instances.
     pub instances: GatewayInstancesSection,
+    /// When an instance or a service counts as out of reach of this gateway, and how it is probed.
+    pub reachability: GatewayReachabilitySection,
     /// Maximum age of the configuration used to answer requests.
     pub freshness: GatewayFreshnessSection,
     /// API keys of callers.
@@ -1520,6 +1545,48 @@
                 },
             ],
         },
+        SectionSpecification {
+            name: "reachability",
+            repeated: false,
+            keys: &[
+                KeySpecification {
+                    name: "probe_interval_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 10u64,
+                        maximum: 60000u64,
+                        rounding: None,
+                    },
+                },
+                KeySpecification {
+                    name: "max_probe_interval_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 10u64,
+                        maximum: 600000u64,
+                        rounding: None,
+                    },
+                },
+                KeySpecification {
+                    name: "sample",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 1u64,
+                        maximum: 100u64,
+                        rounding: None,
+                    },
+                },
+                KeySpecification {
+                    name: "silence_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 10u64,
+                        maximum: 600000u64,
+                        rounding: None,
+                    },
+                },
+            ],
+        },
         SectionSpecification {
             name: "freshness",
             repeated: false,
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
 use crate::freshness::{Freshness, FreshnessSettings, FreshnessTracker};
 use crate::instances::{Instance, ReportedLoad, SendOutcome};
 use crate::pace::PaceTable;
+use crate::reach;
 use crate::request::{RequestDescription, SendRecord, Ticket};
 use crate::retry_budget::RetryBudget;
 use crate::statements::Statements;
@@ -16,6 +17,7 @@
     InstanceLoad, ModelName, ModelReadyEstimate, RouteSpec, ServiceName, TenantAccess, Timestamp,
     ZoneName,
 };
+use millpass_reach::{Paths, ReachSettings};
 use millpass_tenancy::{CreditPool, PresentedKey, QuotaTolerance};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -47,6 +49,8 @@
     pub key_lifetime: Option<Duration>,
     /// Staleness limits of the configuration.
     pub freshness: FreshnessSettings,
+    /// When an instance or a service counts as out of reach.
+    pub reach: ReachSettings,
 }
 
 /// Why a request is refused without having run.
@@ -144,6 +148,7 @@
     pub(crate) permits: PermitPool,
     pub(crate) pace: PaceTable,
     pub(crate) admission: Admission,
+    pub(crate) paths: Paths,
     /// When this gateway stops; none unless it is shutting down.
     pub(crate) stops_at: Option<Timestamp>,
 }
@@ -156,6 +161,7 @@
             crashes: CrashTracker::default(),
             statements: Statements::default(),
             permits: PermitPool::new(&settings.name),
+            paths: Paths::new(settings.reach, reach::sample_offset(&settings.name)),
             settings,
             table: None,
             freshness: FreshnessTracker::default(),
@@ -330,6 +336,7 @@
             );
             self.demand.record_end(key);
         }
+        self.record_path_outcome(now, record, outcome);
         self.record_crash_evidence(now, record, outcome);
         self.record_slot_end(now, record, outcome);
         self.record_instance_outcome(now, record, outcome);
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `prompts` | prompt prefixes that an instance has recently read |
 //! | `statements` | backoffs and departures stated in responses |
 //! | `limits` | limits stated in responses, and permits |
+//! | `reach` | which instances this gateway reaches |
 //! | `retry_budget` | retries that a service may get from this gateway |
 //! | `freshness` | how stale the state of the gateway may be |
 //! | `demand` | demand for models, to be reported |
@@ -35,6 +36,7 @@
 mod limits;
 mod pace;
 mod prompts;
+mod reach;
 mod request;
 mod retry_budget;
 mod selection;
@@ -51,6 +53,7 @@
 pub use freshness::{Freshness, FreshnessSettings, Leadership};
 pub use instances::{ReportedLoad, SendOutcome};
 pub use millpass_limits::RequestRate;
+pub use millpass_reach::{PathChange, ReachSettings};
 pub use request::{PromptPart, RequestDescription, SendRecord, StatedTokens, Ticket};
 pub use retry_budget::{BudgetTerms, RetryBudget};
 pub use statements::{Stated, Statement, StatementChange};
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -60,6 +60,7 @@
         default_timeout: Duration::from_secs(15),
         quota: QuotaTolerance::default(),
         key_lifetime: None,
+        reach: millpass_dispatch::ReachSettings::default(),
         freshness: FreshnessSettings {
             max_staleness: Duration::from_secs(3_600),
             max_departure_staleness: Duration::from_secs(3_600),
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -24,6 +24,7 @@
         default_timeout: Duration::from_secs(15),
         quota: QuotaTolerance::default(),
         key_lifetime: None,
+        reach: millpass_dispatch::ReachSettings::default(),
         freshness: FreshnessSettings {
             max_staleness: Duration::from_secs(3_600),
             max_departure_staleness: Duration::from_secs(3_600),
--- a/crates/millpass-dispatch/tests/freshness.rs
+++ b/crates/millpass-dispatch/tests/freshness.rs
@@ -120,6 +120,7 @@
         default_timeout: Duration::from_secs(15),
         quota: QuotaTolerance::default(),
         key_lifetime: None,
+        reach: millpass_dispatch::ReachSettings::default(),
         freshness: FreshnessSettings {
             max_staleness: Duration::from_millis(MAX_STALENESS_MILLIS),
             max_departure_staleness: Duration::from_millis(MAX_STALENESS_MILLIS),
--- a/crates/millpass-dispatch/tests/harness/mod.rs
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -28,6 +28,7 @@
             max_departure_staleness: day,
             ..FreshnessSettings::default()
         },
+        reach: ReachSettings::default(),
     }
 }
 
--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -97,6 +97,7 @@
         prompt_tokens_per_milli: 40.0,
         default_timeout: Duration::from_secs(15),
         quota: QuotaTolerance::default(),
+        reach: millpass_dispatch::ReachSettings::default(),
         key_lifetime,
         freshness: FreshnessSettings {
             max_staleness: Duration::from_secs(3_600),
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -261,6 +261,7 @@
         default_timeout: Duration::from_secs(15),
         quota: QuotaTolerance::default(),
         key_lifetime: None,
+        reach: millpass_dispatch::ReachSettings::default(),
         freshness: FreshnessSettings::default(),
     })
 }
--- a/crates/millpass-fleet/tests/mixed_engines/mod.rs
+++ b/crates/millpass-fleet/tests/mixed_engines/mod.rs
@@ -162,6 +162,7 @@
         default_timeout: Duration::from_secs(15),
         quota: QuotaTolerance::default(),
         key_lifetime: None,
+        reach: millpass_dispatch::ReachSettings::default(),
         freshness: FreshnessSettings {
             max_staleness: day,
             max_departure_staleness: day,
--- a/crates/millpass-gateway/src/exchange.rs
+++ b/crates/millpass-gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::{Interface, ResponseFacts, SendFacts};
 use crate::pool::{self, Connection};
+use crate::reach;
 use crate::shared::Shared;
 use bytes::Bytes;
 use futures_lite::future;
@@ -12,7 +13,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use millpass_proto::Timestamp;
+use millpass_proto::{InstanceId, Timestamp};
 use std::time::Duration;
 
 /// Hop-by-hop headers, besides those listed in `Connection`.
@@ -134,7 +135,7 @@
     loop {
         let mut used = match connection.take() {
             Some(pooled) => pooled,
-            None => open(shared, address).await?,
+            None => open(shared, facts.instance, address).await?,
         };
         match used.sender.try_send_request(request).await {
             Ok(response) => {
@@ -155,6 +156,9 @@
                     // a new one.
                     Some(message) if used.reused => request = message,
                     Some(_) => return Err(SendFailure::Unreachable(reason)),
+                    None if used.reused => {
+                        return Err(SendFailure::Broken(format!("reused connection: {reason}")));
+                    }
                     None => return Err(SendFailure::Broken(reason)),
                 }
             }
@@ -162,13 +166,21 @@
     }
 }
 
-async fn open(shared: &Shared, address: &str) -> Result<Connection, SendFailure> {
+async fn open(
+    shared: &Shared,
+    instance: &InstanceId,
+    address: &str,
+) -> Result<Connection, SendFailure> {
     shared.metrics.connects.inc();
     let timeout: Duration = shared.settings.connect_timeout;
-    pool::connect(shared.executor, address, timeout)
-        .await
-        .map_err(|error| match error.is_refused() {
-            true => SendFailure::ConnectionRefused(error.to_string()),
-            false => SendFailure::Unreachable(error.to_string()),
-        })
+    let connector = &shared.settings.connector;
+    match pool::connect(shared.executor, connector, address, timeout).await {
+        Ok(connection) => {
+            shared.core().record_connected(shared.now(), instance);
+            reach::log_changes(shared);
+            Ok(connection)
+        }
+        Err(error) if error.is_refused() => Err(SendFailure::ConnectionRefused(error.to_string())),
+        Err(error) => Err(SendFailure::Unreachable(error.to_string())),
+    }
 }
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `events` | splits a stream into complete events |
 //! | `pool` | connections to instances |
 //! | `probe` | probes instances at which sends broke |
+//! | `reach` | log lines and metrics about instances out of reach |
 //! | `freshness` | queries members whether the cached state is stale |
 //! | `link` | connection to the leader of the control group |
 //! | `report_schedule` | schedules reports to the leader |
@@ -38,6 +39,7 @@
 mod pool;
 mod probe;
 mod process;
+mod reach;
 mod relay;
 mod report_schedule;
 mod request_log;
@@ -51,4 +53,4 @@
 pub use interface::{Interface, ResponseFacts, SendFacts};
 pub use process::{Gateway, GatewayError};
 pub use report_schedule::ReportSchedule;
-pub use settings::{GatewaySettings, MemberSource};
+pub use settings::{Connecting, Connector, GatewaySettings, MemberSource};
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -58,6 +58,12 @@
     pub(crate) confirmation_age: Histogram,
     /// Freshness changes, by the new state.
     pub(crate) freshness_changes: IntCounterVec,
+    /// Services of which no instance is reached.
+    pub(crate) unreachable_services: IntGauge,
+    /// Instances that could not be connected to.
+    pub(crate) unreachable_instances: IntGauge,
+    /// Changes of what is reached.
+    pub(crate) path_changes: IntCounterVec,
 }
 
 impl Metrics {
@@ -97,6 +103,21 @@
             "Changes of what instances state of themselves in their answers",
             "change",
         )?;
+        let path_changes = counters(
+            "gateway_path_changes_total",
+            "Changes of the instances and services that this gateway reaches",
+            "change",
+        )?;
+        let unreachable_services = IntGauge::new(
+            "gateway_unreachable_services",
+            "Services of which this gateway reaches no instance",
+        )?;
+        registry.register(Box::new(unreachable_services.clone()))?;
+        let unreachable_instances = IntGauge::new(
+            "gateway_unreachable_instances",
+            "Instances that this gateway could not connect to",
+        )?;
+        registry.register(Box::new(unreachable_instances.clone()))?;
         let ages = HistogramOpts::new(
             "gateway_confirmation_age_seconds",
             "Time since what is known here was confirmed to be the newest",
@@ -196,6 +217,9 @@
             limited,
             slowest_pace,
             known_paces,
+            unreachable_services,
+            unreachable_instances,
+            path_changes,
         })
     }
 
--- a/crates/millpass-gateway/src/pool.rs
+++ b/crates/millpass-gateway/src/pool.rs
@@ -1,8 +1,9 @@
 //! Connection pool. A connection serves one request at a time and is returned to the pool only
 //! after a complete response.
 
+use crate::settings::Connector;
 use async_executor::Executor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
 use http_body_util::Full;
@@ -13,7 +14,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -146,13 +147,14 @@
 
 pub(crate) async fn connect(
     executor: &'static Executor<'static>,
+    connector: &Connector,
     address: &str,
     timeout: Duration,
 ) -> Result<Connection, ConnectError> {
     let target: SocketAddr = address
         .parse()
         .map_err(|_| ConnectError::Address(address.to_owned()))?;
-    let connecting = async { Some(Async::<TcpStream>::connect(target).await) };
+    let connecting = async { Some((connector.0)(target).await) };
     let timer = async {
         Timer::after(timeout).await;
         None
--- a/crates/millpass-gateway/src/probe.rs
+++ b/crates/millpass-gateway/src/probe.rs
@@ -26,7 +26,8 @@
 async fn probe(shared: Arc<Shared>, instance: InstanceId, address: String) {
     shared.metrics.connects.inc();
     let timeout = shared.settings.connect_timeout;
-    match pool::connect(shared.executor, &address, timeout).await {
+    let connector = &shared.settings.connector;
+    match pool::connect(shared.executor, connector, &address, timeout).await {
         Ok(connection) => shared.pool.put(&instance, connection.sender, None),
         Err(error) if error.is_refused() => record_run_ended(&shared, &instance, &address),
         Err(error) => log::debug!("event=instance_unclear instance={instance} error=\"{error}\""),
--- a/crates/millpass-gateway/src/settings.rs
+++ b/crates/millpass-gateway/src/settings.rs
@@ -1,10 +1,13 @@
 //! Settings of the gateway process.
 
+use async_io::Async;
 use millpass_dispatch::DispatchSettings;
 use millpass_proto::Duration;
 use millpass_telemetry::ProcessClock;
 use std::fmt;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::sync::Arc;
 
 /// Reloads the member addresses from the source of the settings; returns `None` if that fails.
@@ -17,6 +20,28 @@
     }
 }
 
+/// A connection being opened.
+pub type Connecting = Pin<Box<dyn Future<Output = io::Result<Async<TcpStream>>> + Send>>;
+
+/// Opens a connection to an instance.
+#[derive(Clone)]
+pub struct Connector(pub Arc<dyn Fn(SocketAddr) -> Connecting + Send + Sync>);
+
+impl Default for Connector {
+    /// Connects directly.
+    fn default() -> Self {
+        Connector(Arc::new(|address| {
+            Box::pin(Async::<TcpStream>::connect(address))
+        }))
+    }
+}
+
+impl fmt::Debug for Connector {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Connector")
+    }
+}
+
 /// Settings of the gateway process.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -46,4 +71,6 @@
     pub drain_grace: Duration,
     /// Time for which new connections are still accepted after a stop was requested.
     pub drain_accept: Duration,
+    /// Opens the connections to instances.
+    pub connector: Connector,
 }
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::interface::Interface;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::reach;
 use crate::settings::GatewaySettings;
 use async_executor::Executor;
 use async_io::Timer;
@@ -276,6 +277,7 @@
         if end == SendOutcome::Broken {
             self.shared.probe.notify(1);
         }
+        reach::log_changes(&self.shared);
         self.shared.notify_called();
     }
 }
