--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -280,6 +280,8 @@
         listen: address(&settings.gateway.listen)?,
         ready_listen: address(&settings.gateway.ready_listen)?,
         metrics_listen: address(&settings.gateway.metrics_listen)?,
+        peer_listen: address(&settings.peers.listen)?,
+        maximum_forwarded: count(settings.peers.maximum_requests),
         members,
         member_source: None,
         report_interval: millis(control.report_interval_ms),
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1294,6 +1294,23 @@
         }
     }
 }
+/// Requests that gateways without a path to the instances forward to this gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewayPeersSection {
+    /// Listen address for other gateways; it must be reachable from them.
+    pub listen: String,
+    /// Maximum requests of other gateways in progress; further ones are declined. 0 takes none.
+    pub maximum_requests: u64,
+}
+impl Default for GatewayPeersSection {
+    fn default() -> Self {
+        Self {
+            listen: "127.0.0.1:7403".to_owned(),
+            maximum_requests: 128u64,
+        }
+    }
+}
 /// Maximum age of the configuration used to answer requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -1417,6 +1434,8 @@
     pub instances: GatewayInstancesSection,
     /// When an instance or a service counts as out of reach of this gateway, and how it is probed.
     pub reachability: GatewayReachabilitySection,
+    /// Requests that gateways without a path to the instances forward to this gateway.
+    pub peers: GatewayPeersSection,
     /// Maximum age of the configuration used to answer requests.
     pub freshness: GatewayFreshnessSection,
     /// API keys of callers.
@@ -1587,6 +1606,26 @@
                 },
             ],
         },
+        SectionSpecification {
+            name: "peers",
+            repeated: false,
+            keys: &[
+                KeySpecification {
+                    name: "listen",
+                    required: false,
+                    kind: KeyKind::Address,
+                },
+                KeySpecification {
+                    name: "maximum_requests",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 100000u64,
+                        rounding: None,
+                    },
+                },
+            ],
+        },
         SectionSpecification {
             name: "freshness",
             repeated: false,
--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -9,9 +9,9 @@
 use millpass_consensus::Role;
 use millpass_fleet::{CallResult, FleetOutput, GatewayContext};
 use millpass_proto::{
-    Command, ControlToRouter, CrashReport, Duration, EngineInstruction, GatewayReport,
-    InstanceDeparture, InstanceId, InstanceRecord, InstructionIntent, LogPosition, PermitRequest,
-    PutDocument, RequestFingerprint, Timestamp,
+    Command, ControlToRouter, CrashReport, Duration, EngineInstruction, GatewayReach,
+    GatewayReport, InstanceDeparture, InstanceId, InstanceRecord, InstructionIntent, LogPosition,
+    PermitRequest, PutDocument, RequestFingerprint, Timestamp,
 };
 use millpass_state::State;
 
@@ -168,9 +168,21 @@
     }
 
     /// Records crashes that a gateway observed; updates are sent in the next run of the fleet.
-    pub(crate) fn handle_crash_report(&mut self, now: Timestamp, report: &CrashReport) {
+    pub(crate) fn handle_crash_report(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        report: &CrashReport,
+    ) {
         if let Some(fleet) = &mut self.fleet {
-            fleet.handle_crash_report(now, report);
+            fleet.handle_crash_report(now, connection.0, report);
+        }
+    }
+
+    /// Records what a gateway reaches; lists of other gateways are sent in the next run of the fleet.
+    pub(crate) fn handle_reach(&mut self, connection: ConnectionId, reach: GatewayReach) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.handle_reach(connection.0, reach);
         }
     }
 
@@ -279,6 +291,9 @@
                 FleetOutput::Limits { connection, update } => {
                     out.send_router(ConnectionId(connection), ControlToRouter::Limits(update));
                 }
+                FleetOutput::Peers { connection, update } => {
+                    out.send_router(ConnectionId(connection), ControlToRouter::Peers(update));
+                }
                 FleetOutput::Update { connection, update } => {
                     let message = ControlToRouter::Gateway(*update);
                     out.send_router(ConnectionId(connection), message);
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -45,13 +45,17 @@
             return;
         }
         if let RouterToControl::Crashes(report) = &message {
-            self.handle_crash_report(now, report);
+            self.handle_crash_report(now, connection, report);
             return;
         }
         if let RouterToControl::Permits(request) = &message {
             self.handle_permit_request(now, connection, request, out);
             return;
         }
+        if let RouterToControl::Reach(reach) = message {
+            self.handle_reach(connection, reach);
+            return;
+        }
         let Some(hello) = self.sessions.identity(connection).cloned() else {
             let pairs = vec![("connection", connection.0.to_string())];
             out.event("router-without-hello", pairs);
@@ -63,7 +67,8 @@
             | RouterToControl::Gateway(_)
             | RouterToControl::Credit(_)
             | RouterToControl::Crashes(_)
-            | RouterToControl::Permits(_) => {}
+            | RouterToControl::Permits(_)
+            | RouterToControl::Reach(_) => {}
             RouterToControl::Report(report) => {
                 self.handle_report(now, connection, &hello, report, out);
             }
@@ -90,7 +95,10 @@
             RouterToControl::Credit(_) | RouterToControl::Permits(_)
                 if self.role == Role::Leader => {}
             RouterToControl::Crashes(report) if self.is_established_leader() => {
-                self.handle_crash_report(now, report);
+                self.handle_crash_report(now, connection, report);
+            }
+            RouterToControl::Reach(reach) if self.role == Role::Leader => {
+                self.handle_reach(connection, reach.clone());
             }
             _ => out.send_not_leader(connection, self.leader_peer_address()),
         }
--- a/crates/millpass-control-plane/tests/harness/router.rs
+++ b/crates/millpass-control-plane/tests/harness/router.rs
@@ -124,7 +124,8 @@
                 | ControlToRouter::Credit(_)
                 | ControlToRouter::Crashes(_)
                 | ControlToRouter::Permits(_)
-                | ControlToRouter::Limits(_) => {
+                | ControlToRouter::Limits(_)
+                | ControlToRouter::Peers(_) => {
                     panic!("gateway message sent to a router")
                 }
             }
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -63,6 +63,7 @@
     instances: IntGaugeVec,
     known_paces: IntGauge,
     slowest_pace: IntGauge,
+    gateways_without_contact: IntGauge,
 }
 
 /// Disk usage and the duration of the write in progress.
@@ -182,6 +183,10 @@
                 "control_known_engine_paces",
                 "Engines whose time to the first byte differs from their service's median",
             )?,
+            gateways_without_contact: gauge(
+                "control_gateways_without_contact",
+                "Gateways that state to reach no instance of a service",
+            )?,
             slowest_pace: gauge(
                 "control_slowest_engine_pace_percent",
                 "Longest time to the first byte of an engine relative to its service's median",
@@ -273,6 +278,8 @@
         }
         self.known_paces.set(signed(sizes.known_paces as u64));
         self.slowest_pace.set(i64::from(sizes.slowest_pace));
+        let without_contact = sizes.gateways_without_contact;
+        self.gateways_without_contact.set(without_contact as i64);
     }
 
     pub(crate) fn record_consensus(&self, status: &ConsensusStatus) {
--- a/crates/millpass-control/src/priority.rs
+++ b/crates/millpass-control/src/priority.rs
@@ -104,6 +104,7 @@
         | RouterToControl::Report(_)
         | RouterToControl::Claim(_)
         | RouterToControl::FinishClaim(_)
-        | RouterToControl::Gateway(_) => Priority::Reports,
+        | RouterToControl::Gateway(_)
+        | RouterToControl::Reach(_) => Priority::Reports,
     }
 }
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -5,19 +5,19 @@
 use crate::freshness::{Freshness, FreshnessSettings, FreshnessTracker};
 use crate::instances::{Instance, ReportedLoad, SendOutcome};
 use crate::pace::PaceTable;
-use crate::reach;
-use crate::request::{RequestDescription, SendRecord, Ticket};
+use crate::reach::{self, ReachStatement};
+use crate::request::{ForwardTerms, Forwarded, RequestDescription, SendRecord, Ticket};
 use crate::retry_budget::RetryBudget;
 use crate::statements::Statements;
 use crate::table::{IdentityError, RouteError, RoutingTable};
 use crate::waiting::Admission;
 use millpass_limits::PermitPool;
 use millpass_proto::{
-    AdapterName, CrashReport, CrashUpdate, Duration, EngineSpec, GatewayReport, InstanceId,
-    InstanceLoad, ModelName, ModelReadyEstimate, RouteSpec, ServiceName, TenantAccess, Timestamp,
-    ZoneName,
+    AdapterName, CrashReport, CrashUpdate, Duration, EngineSpec, GatewayPeer, GatewayReport,
+    InstanceId, InstanceLoad, ModelName, ModelReadyEstimate, RouteSpec, RouteTarget, ServiceName,
+    TenantAccess, Timestamp, ZoneName,
 };
-use millpass_reach::{Paths, ReachSettings};
+use millpass_reach::{Paths, Peers, ReachSettings, RunEnds};
 use millpass_tenancy::{CreditPool, PresentedKey, QuotaTolerance};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -76,6 +76,10 @@
     Backoff,
     /// A more urgent request took its place among the waiting requests.
     Displaced,
+    /// This gateway reaches no instance that could serve it, and no other gateway took it.
+    Unreachable,
+    /// It could not be sent for another gateway in the time that that one allowed.
+    NotStarted,
 }
 
 impl RefusalReason {
@@ -92,6 +96,8 @@
             RefusalReason::Limited => "limited",
             RefusalReason::Backoff => "resting",
             RefusalReason::Displaced => "displaced",
+            RefusalReason::Unreachable => "unreachable",
+            RefusalReason::NotStarted => "not-started",
         }
     }
 }
@@ -106,6 +112,12 @@
         /// IP address and port.
         address: String,
     },
+    /// Forward it to another gateway, as this one reaches no instance that could serve it; the start
+    /// has been recorded.
+    Forward {
+        /// Gateway to forward to.
+        peer: Box<GatewayPeer>,
+    },
     /// Choose again when something changes, at the latest at `until`.
     Wait {
         /// When to choose again at the latest.
@@ -138,7 +150,7 @@
     /// Last loads received on the connection to the leader.
     pub(crate) fleet_loads: Vec<InstanceLoad>,
     /// Set once the known instances have been reported on this connection.
-    instances_reported: bool,
+    pub(crate) instances_reported: bool,
     pub(crate) term: u64,
     pub(crate) gateways: u32,
     pub(crate) reports: u64,
@@ -149,6 +161,11 @@
     pub(crate) pace: PaceTable,
     pub(crate) admission: Admission,
     pub(crate) paths: Paths,
+    pub(crate) peers: Peers,
+    pub(crate) run_ends: RunEnds,
+    pub(crate) reach_statement: ReachStatement,
+    /// Newest document version that another gateway has shown to a caller of this one.
+    pub(crate) shown_version: u64,
     /// When this gateway stops; none unless it is shutting down.
     pub(crate) stops_at: Option<Timestamp>,
 }
@@ -162,6 +179,10 @@
             statements: Statements::default(),
             permits: PermitPool::new(&settings.name),
             paths: Paths::new(settings.reach, reach::sample_offset(&settings.name)),
+            peers: Peers::new(settings.zone.clone()),
+            run_ends: RunEnds::default(),
+            reach_statement: ReachStatement::default(),
+            shown_version: 0,
             settings,
             table: None,
             freshness: FreshnessTracker::default(),
@@ -268,15 +289,75 @@
             table.rank(tenant.as_deref(), &route)
         });
         let service = pick_target(&route, self.next_position(&route, draw));
+        let mut ticket = self.new_ticket(now, route, service, tenant, rank, description);
+        let window = self.settings.retry_window;
+        self.budgets
+            .entry(ticket.service.clone())
+            .or_default()
+            .record_request(now, window);
+        // The gateway that it is forwarded to counts it.
+        if !self.paths.is_service_lost(&ticket.service) {
+            self.record_arrival(&mut ticket);
+        }
+        ticket
+    }
+
+    /// Begins a request of another gateway, which has recorded it in its retry budget.
+    pub fn begin_forwarded(
+        &mut self,
+        now: Timestamp,
+        route: Arc<RouteSpec>,
+        tenant: Option<Arc<TenantAccess>>,
+        description: RequestDescription,
+        terms: ForwardTerms,
+    ) -> Ticket {
+        let table = self.table.as_ref();
+        let rank = table.map_or(route.priority, |table| {
+            table.rank(tenant.as_deref(), &route)
+        });
+        let is_target = |target: &RouteTarget| target.service == terms.service && target.weight > 0;
+        let service = match route.targets.iter().any(is_target) {
+            true => terms.service,
+            false => pick_target(&route, 0.0),
+        };
+        let arrived = now.earlier(terms.elapsed);
+        let mut ticket = self.new_ticket(arrived, route, service, tenant, rank, description);
+        ticket.tried = terms.tried;
+        ticket.forwarded = Some(Forwarded {
+            from: terms.from,
+            start_by: terms.start_within.map(|time| now + time),
+        });
+        if terms.is_arrival {
+            self.record_arrival(&mut ticket);
+        }
+        ticket
+    }
+
+    fn record_arrival(&mut self, ticket: &mut Ticket) {
+        ticket.is_arrival_recorded = true;
+        if let Some(key) = self.demand_key(ticket) {
+            self.demand.record_arrival(key);
+        }
+    }
+
+    fn new_ticket(
+        &mut self,
+        arrived: Timestamp,
+        route: Arc<RouteSpec>,
+        service: ServiceName,
+        tenant: Option<Arc<TenantAccess>>,
+        rank: u32,
+        description: RequestDescription,
+    ) -> Ticket {
         let timeout = description.timeout.unwrap_or(self.settings.default_timeout);
-        let deadline = now + timeout;
+        let deadline = arrived + timeout;
         let explores = self.pace.explores(&service, &route);
         let route_timeout = Duration::from_millis(route.timeout_millis);
-        let ticket = Ticket {
-            expires_at: deadline.min(now + route_timeout),
+        Ticket {
+            expires_at: deadline.min(arrived + route_timeout),
             route,
             service,
-            arrived: now,
+            arrived,
             deadline,
             tried: Vec::new(),
             sends: 0,
@@ -295,17 +376,12 @@
             late: false,
             queued_at_instance: false,
             queue: None,
+            forwarded: None,
+            forwarded_to: Vec::new(),
+            peers_awaited_since: None,
+            is_arrival_recorded: false,
             description,
-        };
-        let window = self.settings.retry_window;
-        self.budgets
-            .entry(ticket.service.clone())
-            .or_default()
-            .record_request(now, window);
-        if let Some(key) = self.demand_key(&ticket) {
-            self.demand.record_arrival(key);
         }
-        ticket
     }
 
     /// Returns the next point of a low-discrepancy sequence over 0 to 1, which keeps the targets'
@@ -376,9 +452,8 @@
                 self.crashes
                     .record_broken_send(now, &record.instance, &record.fingerprint)
             }
-            SendOutcome::ConnectionRefused | SendOutcome::Replaced => {
-                self.crashes.record_run_end(now, &record.instance)
-            }
+            SendOutcome::Replaced => self.crashes.record_run_end(now, &record.instance),
+            SendOutcome::ConnectionRefused => self.record_refused(now, &record.instance),
             SendOutcome::Responded(_) => self.crashes.record_served(&record.fingerprint),
             _ => {}
         }
@@ -396,7 +471,7 @@
             .collect()
     }
 
-    /// Records that an instance refuses connections, so that its process run has ended.
+    /// Records that the process run of an instance has ended.
     pub fn run_ended(&mut self, now: Timestamp, instance: &InstanceId) {
         self.crashes.record_run_end(now, instance);
         self.inconsistent.insert(instance.clone());
@@ -431,6 +506,7 @@
         self.permits.disconnected();
         self.fleet_loads.clear();
         self.instances_reported = false;
+        self.reach_statement = ReachStatement::default();
     }
 
     /// Number of requests quarantined by the leader.
@@ -488,7 +564,13 @@
     }
 
     fn in_flight_by_instance(&mut self) -> Vec<InstanceLoad> {
-        let loads = self.instances.iter_mut().filter_map(|(id, instance)| {
+        let paths = &self.paths;
+        // What is out of reach may not have arrived, and is no load there.
+        let reached = self
+            .instances
+            .iter_mut()
+            .filter(|(id, instance)| !paths.is_lost(&instance.record.service, id));
+        let loads = reached.filter_map(|(id, instance)| {
             let in_flight = instance.report_in_flight();
             (in_flight > 0).then(|| InstanceLoad {
                 instance: id.clone(),
--- a/crates/millpass-dispatch/src/freshness.rs
+++ b/crates/millpass-dispatch/src/freshness.rs
@@ -383,6 +383,10 @@
 impl Dispatcher {
     /// Returns how fresh the state of this gateway is.
     pub fn freshness(&self, now: Timestamp) -> Freshness {
+        // Callers have seen the effect of a newer document through another gateway.
+        if self.shown_version > self.version() {
+            return Freshness::Unconfirmed;
+        }
         self.freshness.freshness(now, &self.settings.freshness)
     }
 
--- a/crates/millpass-dispatch/src/instances.rs
+++ b/crates/millpass-dispatch/src/instances.rs
@@ -35,6 +35,8 @@
     Unreachable,
     /// The address refuses connections: the process run has ended, and the request did not arrive.
     ConnectionRefused,
+    /// It could not be sent for a reason of this gateway; the request did not arrive.
+    Unsent,
     /// It failed with a server error or an invalid response.
     Failed,
     /// The connection broke before the response was complete.
@@ -199,6 +201,13 @@
         self.ejected_until = now + MAX_EJECTION_TIME;
     }
 
+    /// Forgets failed connections: the path to the instance works again.
+    pub(crate) fn clear_failures(&mut self) {
+        self.ejected_until = Timestamp::ZERO;
+        self.ejection_time = MIN_EJECTION_TIME;
+        self.failures = 0.0;
+    }
+
     pub(crate) fn is_ejected(&self, now: Timestamp) -> bool {
         now < self.ejected_until
     }
@@ -227,7 +236,10 @@
                 self.external_load_at = now;
                 return;
             }
-            SendOutcome::Misdirected | SendOutcome::Replaced | SendOutcome::Abandoned => return,
+            SendOutcome::Misdirected
+            | SendOutcome::Replaced
+            | SendOutcome::Unsent
+            | SendOutcome::Abandoned => return,
             SendOutcome::Unreachable | SendOutcome::ConnectionRefused => {
                 self.ejected_until = now + self.ejection_time;
                 self.ejection_time = (self.ejection_time * 2).min(MAX_EJECTION_TIME);
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -53,8 +53,11 @@
 pub use freshness::{Freshness, FreshnessSettings, Leadership};
 pub use instances::{ReportedLoad, SendOutcome};
 pub use millpass_limits::RequestRate;
-pub use millpass_reach::{PathChange, ReachSettings};
-pub use request::{PromptPart, RequestDescription, SendRecord, StatedTokens, Ticket};
+pub use millpass_reach::{ForwardOutcome, PathChange, ReachSettings};
+pub use reach::PeerEndpoint;
+pub use request::{
+    ForwardTerms, Forwarded, PromptPart, RequestDescription, SendRecord, StatedTokens, Ticket,
+};
 pub use retry_budget::{BudgetTerms, RetryBudget};
 pub use statements::{Stated, Statement, StatementChange};
 pub use table::{IdentityError, RouteError, RoutingTable};
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -104,6 +104,40 @@
     pub(crate) queued_at_instance: bool,
     /// Its place in the queue when it was last evaluated; none if it never waited.
     pub queue: Option<QueueFacts>,
+    /// Set if it is served for another gateway.
+    pub forwarded: Option<Forwarded>,
+    /// Gateways that it was forwarded to.
+    pub forwarded_to: Vec<String>,
+    /// Since when it has been waiting for a list of gateways to forward it to.
+    pub(crate) peers_awaited_since: Option<Timestamp>,
+    /// Its arrival has been recorded as demand, here or at the gateway that forwarded it.
+    pub is_arrival_recorded: bool,
+}
+
+/// Terms of a request that is served for another gateway.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Forwarded {
+    /// Gateway that forwarded it.
+    pub from: String,
+    /// Time after which it must not be sent to an instance; none for its deadline.
+    pub start_by: Option<Timestamp>,
+}
+
+/// What a gateway states of a request that it forwards.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForwardTerms {
+    /// Gateway that forwards it.
+    pub from: String,
+    /// Time since its arrival.
+    pub elapsed: Duration,
+    /// Service chosen by the weights of its route.
+    pub service: ServiceName,
+    /// Instances that it was sent to.
+    pub tried: Vec<InstanceId>,
+    /// Its arrival must be recorded as demand.
+    pub is_arrival: bool,
+    /// Time within which it must be sent to an instance; none for its deadline.
+    pub start_within: Option<Duration>,
 }
 
 /// Data needed to record the outcome of a send.
@@ -132,6 +166,18 @@
         self.waiter.filter(|_| self.waiting)
     }
 
+    /// Returns the time after which a request of another gateway must not be sent; none for its
+    /// deadline.
+    pub(crate) fn start_by(&self) -> Option<Timestamp> {
+        self.forwarded.as_ref()?.start_by
+    }
+
+    /// Returns true if it is served for another gateway and must not be sent any more.
+    pub(crate) fn is_past_start(&self, now: Timestamp) -> bool {
+        let start_by = self.start_by();
+        self.sends == 0 && start_by.is_some_and(|start_by| now >= start_by)
+    }
+
     /// Returns the record of a send to an instance.
     pub fn send_record(&self, instance: &InstanceId) -> SendRecord {
         SendRecord {
--- a/crates/millpass-dispatch/src/selection.rs
+++ b/crates/millpass-dispatch/src/selection.rs
@@ -50,9 +50,10 @@
             true => self.refuse_displaced(now, ticket),
             false => self.decide(now, ticket, &turn),
         };
+        let choice = limit_wait(choice, ticket);
         let sent_to = match &choice {
             Choice::Send { instance, .. } => Some(instance),
-            Choice::Wait { .. } | Choice::Refuse { .. } => None,
+            Choice::Forward { .. } | Choice::Wait { .. } | Choice::Refuse { .. } => None,
         };
         // Capacity may be left there, or the slot for which the request was called.
         for instance in sent_to.into_iter().chain(&turn.called_for) {
@@ -72,12 +73,24 @@
             return wait_for_confirmation(now, ticket);
         }
         ticket.unconfirmed_since = None;
+        if ticket.is_past_start(now) {
+            return Choice::Refuse {
+                reason: RefusalReason::NotStarted,
+                retry_after: CAPACITY_RETRY_AFTER,
+            };
+        }
         let engine = self.is_engine(&ticket.service);
         if ticket.sends > 0 && !self.may_retry(now, ticket) {
             return self.refuse_without_attempts(now, ticket, engine);
         }
         let candidates = self.candidates(now, ticket, engine);
         if candidates.available.is_empty() {
+            if candidates.unavailable.is_empty()
+                && candidates.is_any_lost
+                && let Some(choice) = self.forward_or_refuse(now, ticket, engine)
+            {
+                return choice;
+            }
             if !candidates.unavailable.is_empty() {
                 return self.wait_or_refuse_unavailable(
                     now,
@@ -136,6 +149,10 @@
 
     /// Returns true if the route's attempts and the retry budget allow one more send.
     fn may_retry(&mut self, now: Timestamp, ticket: &Ticket) -> bool {
+        // The gateway that forwarded it retries, within its own budget.
+        if ticket.forwarded.is_some() {
+            return false;
+        }
         if ticket.sends >= ticket.route.maximum_attempts.max(1) {
             return false;
         }
@@ -144,7 +161,7 @@
         budget.has_capacity(now, &terms)
     }
 
-    fn consume_retry(&mut self, now: Timestamp, ticket: &Ticket) {
+    pub(crate) fn consume_retry(&mut self, now: Timestamp, ticket: &Ticket) {
         let terms = self.budget_terms();
         let budget = self.budgets.entry(ticket.service.clone()).or_default();
         budget.try_consume(now, &terms);
@@ -159,11 +176,14 @@
         }
     }
 
-    /// Returns the untried instances that could serve the request. Ejected ones are included only
-    /// if no other is available.
+    /// Returns the untried instances that could serve the request and are reached. Ejected ones are
+    /// included only if no other is available.
     fn candidates(&self, now: Timestamp, ticket: &Ticket, engine: bool) -> Candidates {
         let is_untried = |instance: &&Instance| !ticket.tried.contains(&instance.record.instance);
-        let eligible = self.eligible(now, ticket, engine).filter(is_untried);
+        let (lost, reached): (Vec<&Instance>, Vec<&Instance>) = self
+            .eligible(now, ticket, engine)
+            .partition(|instance| self.is_lost(instance));
+        let eligible = reached.into_iter().filter(is_untried);
         let (available, unavailable): (Vec<&Instance>, Vec<&Instance>) =
             eligible.partition(|instance| self.accepts_requests(now, &instance.record.instance));
         let reachable = available
@@ -176,6 +196,7 @@
                 false => reachable,
             },
             unavailable: ids(unavailable.iter()),
+            is_any_lost: !lost.is_empty(),
         }
     }
 
@@ -450,6 +471,18 @@
     available: Vec<InstanceId>,
     /// Those in backoff or at their stated limit.
     unavailable: Vec<InstanceId>,
+    /// Others could serve it but are out of reach.
+    is_any_lost: bool,
+}
+
+/// Bounds a wait by the time within which a request of another gateway must be sent.
+fn limit_wait(choice: Choice, ticket: &Ticket) -> Choice {
+    match (choice, ticket.start_by()) {
+        (Choice::Wait { until }, Some(start_by)) => Choice::Wait {
+            until: until.min(start_by),
+        },
+        (choice, _) => choice,
+    }
 }
 
 fn ids<'a>(instances: impl Iterator<Item = &'a &'a Instance>) -> Vec<InstanceId> {
--- a/crates/millpass-dispatch/src/table.rs
+++ b/crates/millpass-dispatch/src/table.rs
@@ -133,6 +133,16 @@
         u32::try_from(rank).unwrap_or(u32::MAX)
     }
 
+    /// Returns the tenant with this name.
+    pub fn tenant(&self, name: &TenantName) -> Option<Arc<TenantAccess>> {
+        self.tenants.get(name).cloned()
+    }
+
+    /// Returns true if the document has tenants.
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
     /// Version of the document.
     pub fn version(&self) -> u64 {
         self.document.version
--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -587,7 +587,8 @@
         }
         let found = self.instances.get(instance)?;
         let reserved = queues.reserved(instance);
-        let is_usable = !self.is_leaving(found) && self.accepts_requests(now, instance);
+        let is_usable =
+            !self.is_leaving(found) && !self.is_lost(found) && self.accepts_requests(now, instance);
         if !is_usable {
             return None;
         }
--- a/crates/millpass-dispatch/tests/harness/mod.rs
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -173,7 +173,7 @@
 pub fn sent_to(dispatcher: &mut Dispatcher, now: u64, ticket: &mut Ticket) -> Option<InstanceId> {
     match dispatcher.choose(at(now), ticket) {
         Choice::Send { instance, .. } => Some(instance),
-        Choice::Wait { .. } | Choice::Refuse { .. } => None,
+        Choice::Forward { .. } | Choice::Wait { .. } | Choice::Refuse { .. } => None,
     }
 }
 
--- a/crates/millpass-dispatch/tests/sharing.rs
+++ b/crates/millpass-dispatch/tests/sharing.rs
@@ -272,6 +272,7 @@
                     _ => dispatcher.choose(at(now), &mut request.ticket),
                 };
                 match choice {
+                    Choice::Forward { .. } => panic!("forwarded although the engine is reached"),
                     Choice::Wait { until } => {
                         waiting.push((number, until.as_millis().max(now + 1)))
                     }
--- a/crates/millpass-dispatch/tests/waiting.rs
+++ b/crates/millpass-dispatch/tests/waiting.rs
@@ -433,7 +433,7 @@
         match dispatcher.choose(at(number / 100), &mut ticket) {
             Choice::Refuse { .. } => refused += 1,
             Choice::Wait { .. } => tickets.push(ticket),
-            Choice::Send { .. } => panic!("sent without an engine"),
+            Choice::Send { .. } | Choice::Forward { .. } => panic!("sent without an engine"),
         }
     }
     assert_eq!(dispatcher.waiting_requests(), MAX_WAITING);
@@ -582,6 +582,7 @@
                         tickets.push((ticket, until));
                     }
                     Choice::Refuse { .. } => {}
+                    Choice::Forward { .. } => prop_assert!(false, "forwarded"),
                 }
             }
             let at_instance = |name: &str| {
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -85,6 +85,9 @@
     /// Models waiting for an engine or for the weight store.
     waiting_models: BTreeSet<(ServiceName, ModelName)>,
     pub(crate) dirty: bool,
+    /// Set when gateways that lack contact may have to be told of others.
+    pub(crate) peers_changed: bool,
+    pub(crate) next_peer_update: Timestamp,
     next_plan: Timestamp,
     last_plan: Timestamp,
     planning_rounds: u64,
@@ -130,6 +133,8 @@
             changes: ChangeCache::default(),
             waiting_models: BTreeSet::new(),
             dirty: false,
+            peers_changed: false,
+            next_peer_update: Timestamp::ZERO,
             next_plan: Timestamp::ZERO,
             last_plan: Timestamp::ZERO,
             planning_rounds: 0,
@@ -332,6 +337,7 @@
         self.rollout.record_disconnect(now, &session);
         self.demand.remove_gateway(&session.name);
         self.traffic.remove_gateway(&session.name);
+        self.peers_changed = true;
         self.event("gateway-lost", vec![("gateway", session.name)]);
     }
 
@@ -390,6 +396,7 @@
         self.track_rollout(now, document, context);
         self.send_crash_updates(now);
         self.send_limit_updates(now);
+        self.send_peer_updates(now);
         let contact_time = self.contact_clock.now().since(Timestamp::ZERO);
         self.complete = contact_time >= self.settings.announce_interval * 3;
         self.send_gateway_updates(now, document, context);
--- a/crates/millpass-fleet/src/gateways.rs
+++ b/crates/millpass-fleet/src/gateways.rs
@@ -4,7 +4,7 @@
 use crate::update_schedule::{
     ContentChange, KeyHash, LatestHolders, Outstanding, Scope, UpdateIntervals, UpdateSchedule,
 };
-use millpass_proto::{Duration, GatewayReport, Timestamp};
+use millpass_proto::{Duration, GatewayPeer, GatewayReach, GatewayReport, Timestamp, ZoneName};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 /// Revision last sent on a connection, if any, and when.
@@ -69,6 +69,11 @@
     pub(crate) crashes: SentRevision,
     /// Revision of the instance limits sent.
     pub(crate) limits: SentRevision,
+    pub(crate) zone: ZoneName,
+    /// What it reaches; none until it has stated it.
+    pub(crate) reach: Option<GatewayReach>,
+    /// Other gateways that it was told of; none if it was told of none.
+    pub(crate) sent_peers: Option<Vec<GatewayPeer>>,
     /// Start of the backlog, while the socket does not accept updates.
     pub(crate) backlogged_since: Option<Timestamp>,
     /// When the last update was sent.
@@ -225,6 +230,9 @@
             crashes: SentRevision::default(),
             // There is nothing to send before the first limit.
             limits: SentRevision::already_sent(0),
+            zone: report.zone.clone(),
+            reach: None,
+            sent_peers: None,
             backlogged_since: None,
             sent_at: Timestamp::ZERO,
             last_report_at: now,
--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -233,6 +233,7 @@
         FleetSizes {
             known_paces,
             slowest_pace: (slowest * 100.0).round() as u32,
+            gateways_without_contact: self.gateways_without_contact(),
             local: self.local_share.len(),
             active: self.registry.len(),
             standby: self.standby.len(),
--- a/crates/millpass-fleet/src/interface.rs
+++ b/crates/millpass-fleet/src/interface.rs
@@ -2,7 +2,7 @@
 
 use millpass_proto::{
     CallId, CrashUpdate, Duration, EngineInstruction, GatewayUpdate, InstanceChanges, InstanceId,
-    InstructionResult, LimitUpdate, QuarantineRecord, RequestFingerprint,
+    InstructionResult, LimitUpdate, PeerUpdate, QuarantineRecord, RequestFingerprint,
 };
 use millpass_tenancy::QuotaTolerance;
 
@@ -51,6 +51,8 @@
     pub known_paces: usize,
     /// Slowest time of an engine relative to its service's median, in hundredths.
     pub slowest_pace: u32,
+    /// Gateways that state to reach no instance of a service; 0 unless this member leads.
+    pub gateways_without_contact: usize,
 }
 
 /// A log event.
@@ -101,6 +103,13 @@
         /// Limits of instances.
         update: LimitUpdate,
     },
+    /// Sends a gateway that lacks contact the gateways that may serve its requests.
+    Peers {
+        /// Gateway connection, as numbered by the host.
+        connection: u64,
+        /// Gateways.
+        update: PeerUpdate,
+    },
     /// Records a quarantined request in the replicated log.
     QuarantineRequest(QuarantineRecord),
     /// Removes a released request from the replicated log.
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -35,6 +35,7 @@
 //! | `rollout` | propagation of documents and departures to gateways |
 //! | `crashes` | quarantine of requests and loads that crash instances |
 //! | `limits` | limits stated by instances, and request permits |
+//! | `reach` | what gateways reach, and which serve requests of those that lack contact |
 //! | `interface` | settings, inputs and outputs |
 //! | `fleet` | the core itself |
 
@@ -61,6 +62,7 @@
 mod pending;
 mod permits;
 mod planner;
+mod reach;
 mod ready_estimates;
 mod registry;
 mod rollout;
--- a/crates/millpass-gateway/src/exchange.rs
+++ b/crates/millpass-gateway/src/exchange.rs
@@ -1,8 +1,9 @@
 //! Sends a request to an instance and reads the head of its response.
 
+use crate::hop;
 use crate::interface::{Interface, ResponseFacts, SendFacts};
 use crate::pool::{self, Connection};
-use crate::reach;
+use crate::reach::{self, PathWatch};
 use crate::shared::Shared;
 use bytes::Bytes;
 use futures_lite::future;
@@ -39,6 +40,7 @@
         let mut headers = head.headers;
         remove_hop_by_hop_headers(&mut headers);
         interface.strip_reserved(&mut headers);
+        hop::strip(&mut headers);
         let uri = match head.uri.path_and_query() {
             Some(path) => path.as_str().parse().unwrap_or(head.uri.clone()),
             None => head.uri.clone(),
@@ -50,6 +52,17 @@
             body,
         }
     }
+
+    /// Returns the request to send, without the headers that each send sets.
+    pub(crate) fn request(&self) -> hyper::Request<Full<Bytes>> {
+        let mut request = hyper::Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        // hyper sets the length from the buffered body.
+        request.headers_mut().remove(CONTENT_LENGTH);
+        request
+    }
 }
 
 /// Why a send got no response.
@@ -57,8 +70,10 @@
 pub(crate) enum SendFailure {
     /// The request did not reach the instance.
     Unreachable(String),
-    /// The instance refuses connections, so its process has ended. The request did not reach it.
+    /// The instance refuses connections. The request did not reach it.
     ConnectionRefused(String),
+    /// The request could not be sent for a reason of this machine; it did not reach the instance.
+    Unsent(String),
     /// The connection broke or the response was invalid; the request may have run.
     Broken(String),
     /// No response in time; the request may have run.
@@ -97,20 +112,26 @@
     }
 }
 
-/// Sends the request and waits for the response head until `expires_at`.
+/// Sends the request and waits for the response head until `expires_at`, or until the path to the
+/// instance is lost if `watch` allows it to be sent again.
 pub(crate) async fn send(
     shared: &Shared,
     template: &RequestTemplate,
     address: &str,
     facts: &SendFacts<'_>,
     expires_at: Timestamp,
+    watch: PathWatch,
 ) -> Result<ReceivedResponse, SendFailure> {
     let exchange = async { Some(exchange(shared, template, address, facts).await) };
+    let lost = async {
+        reach::path_lost(shared, facts.instance, watch).await;
+        Some(Err(SendFailure::Broken("the path was lost".to_owned())))
+    };
     let timer = async {
         shared.sleep_until(expires_at).await;
         None
     };
-    future::or(exchange, timer)
+    future::or(exchange, future::or(lost, timer))
         .await
         .unwrap_or(Err(SendFailure::TimedOut))
 }
@@ -121,39 +142,45 @@
     address: &str,
     facts: &SendFacts<'_>,
 ) -> Result<ReceivedResponse, SendFailure> {
-    let mut request = hyper::Request::new(Full::new(template.body.clone()));
-    *request.method_mut() = template.method.clone();
-    *request.uri_mut() = template.uri.clone();
-    *request.headers_mut() = template.headers.clone();
-    // hyper sets the length from the buffered body.
-    request.headers_mut().remove(CONTENT_LENGTH);
+    let mut request = template.request();
     shared
         .interface
         .set_send_headers(request.headers_mut(), facts);
 
-    let mut connection = shared.pool.take(facts.instance);
+    let open = || open(shared, facts.instance, address);
+    let pooled = shared.pool.take(facts.instance);
+    let (response, sender) = round_trip(pooled, open, request).await?;
+    let (head, body) = response.into_parts();
+    let facts = shared.interface.read_response(head.status, &head.headers);
+    Ok(ReceivedResponse {
+        head,
+        body,
+        sender,
+        facts,
+    })
+}
+
+/// Sends a request on a pooled connection, or on a new one if there is none or it was closed before
+/// anything was sent.
+pub(crate) async fn round_trip<Opening>(
+    mut pooled: Option<Connection>,
+    open: impl Fn() -> Opening,
+    mut request: hyper::Request<Full<Bytes>>,
+) -> Result<(http::Response<Incoming>, SendRequest<Full<Bytes>>), SendFailure>
+where
+    Opening: Future<Output = Result<Connection, SendFailure>>,
+{
     loop {
-        let mut used = match connection.take() {
+        let mut used = match pooled.take() {
             Some(pooled) => pooled,
-            None => open(shared, facts.instance, address).await?,
+            None => open().await?,
         };
         match used.sender.try_send_request(request).await {
-            Ok(response) => {
-                let (head, body) = response.into_parts();
-                let facts = shared.interface.read_response(head.status, &head.headers);
-                return Ok(ReceivedResponse {
-                    head,
-                    body,
-                    sender: used.sender,
-                    facts,
-                });
-            }
+            Ok(response) => return Ok((response, used.sender)),
             Err(mut error) => {
                 let unsent_request = error.take_message();
                 let reason = error.into_error().to_string();
                 match unsent_request {
-                    // The instance had closed the pooled connection and received nothing: retry on
-                    // a new one.
                     Some(message) if used.reused => request = message,
                     Some(_) => return Err(SendFailure::Unreachable(reason)),
                     None if used.reused => {
@@ -176,11 +203,11 @@
     let connector = &shared.settings.connector;
     match pool::connect(shared.executor, connector, address, timeout).await {
         Ok(connection) => {
-            shared.core().record_connected(shared.now(), instance);
-            reach::log_changes(shared);
+            reach::record_connected(shared, instance);
             Ok(connection)
         }
         Err(error) if error.is_refused() => Err(SendFailure::ConnectionRefused(error.to_string())),
-        Err(error) => Err(SendFailure::Unreachable(error.to_string())),
+        Err(error) if error.is_of_path() => Err(SendFailure::Unreachable(error.to_string())),
+        Err(error) => Err(SendFailure::Unsent(error.to_string())),
     }
 }
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -4,23 +4,32 @@
 use crate::exchange::{
     self, ReceivedResponse, RequestTemplate, SendFailure, remove_hop_by_hop_headers,
 };
+use crate::hop::{HopOutcome, HopRequest, HopResponse};
 use crate::interface::{ResponseFacts, SendFacts};
+use crate::peer::{self, PeerResponse};
+use crate::peer_service::{ForwardedGuard, state_hop};
+use crate::reach::PathWatch;
 use crate::relay::{Relay, RelayBody, full_body, relay};
 use crate::request_log::{InFlight, log_request, log_send_failure};
 use crate::responses::{
-    NOT_CONFIGURED_RETRY_AFTER, gateway_response, unidentified_response, unrouted_response,
+    NOT_CONFIGURED_RETRY_AFTER, gateway_response, request_host, unidentified_response,
+    unrouted_response,
 };
-use crate::shared::{ActiveSend, Shared, Turn};
+use crate::shared::{Active, ActiveForward, ActiveSend, Shared, Turn};
 use crate::statements::record_statement;
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
-use http::header::{CONNECTION, HOST, HeaderValue};
+use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use millpass_dispatch::{Choice, RefusalReason, RequestIdentity, RouteError, SendOutcome, Ticket};
-use millpass_proto::{Duration, InstanceId, RouteSpec, Timestamp};
+use millpass_dispatch::{
+    Choice, ForwardOutcome, RefusalReason, RequestIdentity, RouteError, SendOutcome, Ticket,
+};
+use millpass_proto::{
+    Duration, GatewayPeer, InstanceId, RequestFingerprint, RouteSpec, TenantAccess, Timestamp,
+};
 use rand::RngExt;
 use std::sync::Arc;
 
@@ -68,13 +77,7 @@
     let (head, body) = request.into_parts();
     let mut description = shared.interface.describe(&head.headers);
     let attempt = description.attempt.clone();
-    let host = head
-        .headers
-        .get(HOST)
-        .and_then(|value| value.to_str().ok())
-        .or_else(|| head.uri.authority().map(|authority| authority.as_str()))
-        .unwrap_or("")
-        .to_owned();
+    let host = request_host(&head.headers, &head.uri);
     let arrived = shared.now();
     let route = match resolve_route(shared, &host, head.uri.path()).await {
         Ok(route) => route,
@@ -93,14 +96,7 @@
             return gateway_response(shared, &attempt, status, reason, None);
         }
     };
-    let identity = RequestIdentity {
-        tenant: tenant.as_deref(),
-        route: &route,
-        method: head.method.as_str(),
-        path: head.uri.path_and_query().map_or("", |path| path.as_str()),
-        body: &body,
-    };
-    description.fingerprint = identity.fingerprint();
+    description.fingerprint = fingerprint(&head, tenant.as_deref(), &route, &body);
     let draw: f64 = rand::rng().random();
     let ticket = shared
         .core()
@@ -115,10 +111,70 @@
         error_response: None,
         may_have_run: false,
         in_flight: Some(in_flight),
+        last_event: None,
+        guard: None,
     };
     forward.serve_within_quota().await
 }
 
+/// Serves a request that another gateway forwarded, which has claimed its units.
+pub(crate) async fn serve_forwarded(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    route: Arc<RouteSpec>,
+    tenant: Option<Arc<TenantAccess>>,
+    hop: HopRequest,
+    guard: Option<ForwardedGuard>,
+) -> Response<RelayBody> {
+    let mut in_flight = InFlight::new(shared.clone());
+    let arrived = shared.now();
+    let (head, body) = request.into_parts();
+    let mut description = shared.interface.describe(&head.headers);
+    let body = match read_body(shared, body).await {
+        Ok(body) => body,
+        Err(status) => {
+            let attempt = &description.attempt;
+            let reason = "the request body was not received";
+            return gateway_response(shared, attempt, status, reason, None);
+        }
+    };
+    description.fingerprint = fingerprint(&head, tenant.as_deref(), &route, &body);
+    let terms = hop.terms;
+    let ticket = shared
+        .core()
+        .begin_forwarded(arrived, route, tenant, description, terms);
+    in_flight.track(&ticket);
+    let template = RequestTemplate::new(shared.interface.as_ref(), head, body);
+    let forward = Forward {
+        shared: shared.clone(),
+        ticket,
+        credit: None,
+        template,
+        error_response: None,
+        may_have_run: false,
+        in_flight: Some(in_flight),
+        last_event: hop.last_event,
+        guard,
+    };
+    forward.run().await
+}
+
+fn fingerprint(
+    head: &http::request::Parts,
+    tenant: Option<&TenantAccess>,
+    route: &RouteSpec,
+    body: &[u8],
+) -> RequestFingerprint {
+    let identity = RequestIdentity {
+        tenant,
+        route,
+        method: head.method.as_str(),
+        path: head.uri.path_and_query().map_or("", |path| path.as_str()),
+        body,
+    };
+    identity.fingerprint()
+}
+
 /// Resolves the route of a request. Waits briefly for a confirmed configuration, as a gateway that
 /// has just started or lost the leader usually gets one soon.
 async fn resolve_route(
@@ -151,6 +207,10 @@
     error_response: Option<ErrorResponse>,
     may_have_run: bool,
     in_flight: Option<InFlight>,
+    /// Event after which a stream resumes that another gateway forwarded.
+    last_event: Option<String>,
+    /// Present if another gateway forwarded the request.
+    guard: Option<ForwardedGuard>,
 }
 
 /// Result of one send.
@@ -238,6 +298,11 @@
                         }
                     }
                 }
+                Choice::Forward { peer } => match self.send_to_peer(now, &peer).await {
+                    SendResult::Responded(response) => return *response,
+                    SendResult::Retry => {}
+                    SendResult::Failed(status, reason) => return self.fail(status, reason, None),
+                },
                 Choice::Wait { until } => {
                     let waiting = self.shared.wait_to_decide(&mut turn, changed, until);
                     waiting.await;
@@ -275,10 +340,12 @@
             instance: &instance,
             rank: self.ticket.rank,
             tenant: self.ticket.tenant.as_ref().map(|tenant| &tenant.name),
-            last_event: None,
+            last_event: self.last_event.as_deref(),
         };
         let expires_at = self.ticket.expires_at;
-        let received = exchange::send(&shared, &self.template, address, &facts, expires_at).await;
+        let watch = PathWatch::before_response(&shared, &self.ticket);
+        let sent = exchange::send(&shared, &self.template, address, &facts, expires_at, watch);
+        let received = sent.await;
         let received = match received {
             Ok(received) => received,
             Err(failure) => return self.handle_failure(active, failure),
@@ -306,6 +373,7 @@
                 .core()
                 .record_first_byte(shared.now(), record, head_latency);
         }
+        let active = Active::Instance(active);
         if received.head.status.is_server_error() {
             return self.handle_server_error(active, received).await;
         }
@@ -316,6 +384,73 @@
         )))
     }
 
+    /// Forwards the request to another gateway, which sends it once.
+    async fn send_to_peer(&mut self, sent_at: Timestamp, peer: &GatewayPeer) -> SendResult {
+        let shared = self.shared.clone();
+        if let Some(credit) = &mut self.credit {
+            credit.begin_use(sent_at);
+        }
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.update(&self.ticket);
+        }
+        let active = ActiveForward::new(shared.clone(), peer.gateway.clone());
+        let sent = peer::forward(&shared, &self.template, &mut self.ticket, peer, None).await;
+        let PeerResponse { received, hop } = match sent {
+            Ok(response) => response,
+            Err(failure) => {
+                peer::record_failure(&shared, &mut self.ticket, active, peer, &failure);
+                return self.result_of(&failure);
+            }
+        };
+        let outcome = hop.outcome;
+        peer::log_end(&shared, &self.ticket, peer, outcome.as_str(), &hop.reason);
+        if outcome == HopOutcome::Answered {
+            let latency = shared.now().since(sent_at);
+            let active = Active::Peer(active);
+            if received.head.status.is_server_error() {
+                return self.handle_server_error(active, received).await;
+            }
+            let response = self.relay_response(active, received, latency);
+            return SendResult::Responded(Box::new(response));
+        }
+        let end = match outcome {
+            HopOutcome::Declined => ForwardOutcome::Declined,
+            _ => ForwardOutcome::Responded,
+        };
+        active.end_for(&mut self.ticket, end, hop.sends);
+        match outcome {
+            HopOutcome::Failed if received.head.status == StatusCode::GATEWAY_TIMEOUT => {
+                self.result_of(&SendFailure::TimedOut)
+            }
+            HopOutcome::Failed => self.result_of(&SendFailure::Broken(hop.reason)),
+            HopOutcome::Refused if hop.sends == 0 => {
+                self.undo_credit_use();
+                self.relay_refusal(received, &hop.reason).await
+            }
+            // Not taken, or rejected by an instance: it has not run.
+            _ => {
+                self.undo_credit_use();
+                SendResult::Retry
+            }
+        }
+    }
+
+    /// Hands on a refusal of another gateway.
+    async fn relay_refusal(&mut self, received: ReceivedResponse, reason: &str) -> SendResult {
+        if self.may_have_run {
+            return SendResult::Failed(StatusCode::BAD_GATEWAY, "no-attempts");
+        }
+        let body = read_error_body(received.body).await.unwrap_or_default();
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.finish();
+        }
+        let mut head = received.head;
+        remove_hop_by_hop_headers(&mut head.headers);
+        let status = head.status.as_str();
+        log_request(&self.shared, &self.ticket, reason, status, None, None);
+        SendResult::Responded(Box::new(Response::from_parts(head, full_body(body))))
+    }
+
     fn is_covered(&self, now: Timestamp) -> bool {
         let credit = self.credit.as_ref();
         credit.is_none_or(|credit| credit.is_covered(now))
@@ -337,8 +472,15 @@
 
     fn handle_failure(&mut self, active: ActiveSend, failure: SendFailure) -> SendResult {
         record_failure(&self.shared, &mut self.ticket, active, &failure);
+        self.result_of(&failure)
+    }
+
+    /// Returns what follows from a send without a response.
+    fn result_of(&mut self, failure: &SendFailure) -> SendResult {
         match failure {
-            SendFailure::Unreachable(_) | SendFailure::ConnectionRefused(_) => {
+            SendFailure::Unreachable(_)
+            | SendFailure::ConnectionRefused(_)
+            | SendFailure::Unsent(_) => {
                 self.undo_credit_use();
                 SendResult::Retry
             }
@@ -360,16 +502,15 @@
     /// repeated.
     async fn handle_server_error(
         &mut self,
-        active: ActiveSend,
+        active: Active,
         received: ReceivedResponse,
     ) -> SendResult {
-        let instance = active.record().instance.clone();
         let status = received.head.status;
         let status_text = status.as_str();
         log_send_failure(
             &self.shared,
             &self.ticket,
-            &instance,
+            active.name(),
             "server-error",
             status_text,
         );
@@ -395,10 +536,11 @@
 
     fn relay_response(
         &mut self,
-        active: ActiveSend,
+        active: Active,
         received: ReceivedResponse,
         head_latency: Duration,
     ) -> Response<RelayBody> {
+        let hop = self.hop_response(HopOutcome::Answered, "");
         let mut response = Response::new(());
         *response.status_mut() = received.head.status;
         *response.headers_mut() = received.head.headers.clone();
@@ -415,13 +557,52 @@
             head_latency,
             resumable,
             self.in_flight.take(),
+            self.guard.take(),
         );
-        response.map(|()| relay(relayed))
+        let response = response.map(|()| relay(relayed));
+        match hop {
+            Some(hop) => state_hop(&self.shared, response, &hop),
+            None => response,
+        }
+    }
+
+    /// Returns what to state to the gateway that forwarded the request, if one did.
+    fn hop_response(&self, outcome: HopOutcome, reason: &str) -> Option<HopResponse> {
+        self.ticket.forwarded.as_ref()?;
+        let core = self.shared.core();
+        Some(HopResponse {
+            outcome,
+            reason: reason.to_owned(),
+            version: core.table().map_or(0, |table| table.version()),
+            sends: self.ticket.sends,
+            instance: self.ticket.tried.last().cloned(),
+        })
     }
 
     /// Ends a request that no instance served: responds with the buffered error response of an
     /// instance, if any, or else with this status and reason.
     fn fail(
+        self,
+        status: StatusCode,
+        reason: &'static str,
+        retry_after: Option<Duration>,
+    ) -> Response<RelayBody> {
+        let outcome = match status {
+            _ if self.error_response.is_some() => HopOutcome::Answered,
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => HopOutcome::Failed,
+            _ if self.ticket.sends == 0 && is_declined(reason) => HopOutcome::Declined,
+            _ => HopOutcome::Refused,
+        };
+        let shared = self.shared.clone();
+        let hop = self.hop_response(outcome, reason);
+        let response = self.end(status, reason, retry_after);
+        match hop {
+            Some(hop) => state_hop(&shared, response, &hop),
+            None => response,
+        }
+    }
+
+    fn end(
         mut self,
         status: StatusCode,
         reason: &'static str,
@@ -472,6 +653,7 @@
         SendFailure::Unreachable(reason) => {
             ("unreachable", reason.as_str(), SendOutcome::Unreachable)
         }
+        SendFailure::Unsent(reason) => ("unsent", reason.as_str(), SendOutcome::Unsent),
         SendFailure::ConnectionRefused(reason) => (
             "unreachable",
             reason.as_str(),
@@ -480,12 +662,9 @@
         SendFailure::Broken(reason) => ("broken", reason.as_str(), SendOutcome::Broken),
         SendFailure::TimedOut => ("timed-out", "", SendOutcome::Abandoned),
     };
-    log_send_failure(shared, ticket, &active.record().instance, outcome, detail);
+    log_send_failure(shared, ticket, &active.record().instance.0, outcome, detail);
     active.end(end);
-    if matches!(
-        end,
-        SendOutcome::Unreachable | SendOutcome::ConnectionRefused
-    ) {
+    if !failure.may_have_run() {
         ticket.sends = ticket.sends.saturating_sub(1);
     }
 }
@@ -500,7 +679,7 @@
     let instance = &active.record().instance;
     let status = received.head.status.as_str();
     let end = rejection_outcome(&received.facts, instance);
-    log_send_failure(shared, ticket, instance, "not-executed", status);
+    log_send_failure(shared, ticket, &instance.0, "not-executed", status);
     active.end(end);
 }
 
@@ -562,6 +741,17 @@
     future::or(read, timer).await
 }
 
+/// Returns whether a refusal concerns this gateway alone, so that another one may serve the request.
+fn is_declined(reason: &str) -> bool {
+    let reasons = [
+        RefusalReason::Unreachable,
+        RefusalReason::NotStarted,
+        RefusalReason::Stopping,
+        RefusalReason::Unconfirmed,
+    ];
+    reasons.iter().any(|declined| declined.as_str() == reason)
+}
+
 /// Returns whether responses on this route are event streams.
 pub(crate) fn is_stream(route: &RouteSpec) -> bool {
     route.kind == millpass_proto::RouteKind::Stream
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -13,11 +13,14 @@
 //! | `credit` | claims on tenant quotas |
 //! | `exchange` | sends a request to an instance |
 //! | `request_log` | log lines about requests and their sends |
+//! | `peer` | forwards requests to other gateways |
+//! | `peer_service` | serves requests that other gateways forward |
+//! | `hop` | headers between two gateways |
 //! | `relay` | relays response bodies and resumes broken streams |
 //! | `events` | splits a stream into complete events |
 //! | `pool` | connections to instances |
-//! | `probe` | probes instances at which sends broke |
-//! | `reach` | log lines and metrics about instances out of reach |
+//! | `probe` | connects to instances whose path is in doubt |
+//! | `reach` | observes and logs the paths to instances |
 //! | `freshness` | queries members whether the cached state is stale |
 //! | `link` | connection to the leader of the control group |
 //! | `report_schedule` | schedules reports to the leader |
@@ -33,9 +36,12 @@
 mod exchange;
 mod forward;
 mod freshness;
+mod hop;
 pub mod interface;
 mod link;
 mod metrics;
+mod peer;
+mod peer_service;
 mod pool;
 mod probe;
 mod process;
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -9,7 +9,7 @@
 use millpass_dispatch::Leadership;
 use millpass_proto::codec::{self, CodecError, PREFIX_BYTES, decode};
 use millpass_proto::{
-    ControlToRouter, CrashUpdate, Duration, GatewayUpdate, LinkMessage, RouterToControl,
+    ControlToRouter, CrashUpdate, Duration, GatewayUpdate, LinkMessage, PeerUpdate, RouterToControl,
 };
 use millpass_router::MemberSelector;
 use millpass_telemetry::event_line;
@@ -253,6 +253,9 @@
             messages.extend(crashes.map(RouterToControl::Crashes));
             schedule.record_sent(now);
         }
+        let accepts = shared.accepts_forwarded();
+        let reach = shared.core().reach_statement(&shared.endpoint, accepts);
+        messages.extend(reach.map(RouterToControl::Reach));
         let credit = shared.core().credit_request(now, due);
         messages.extend(credit.map(RouterToControl::Credit));
         let permits = shared.core().permit_request(now);
@@ -318,6 +321,7 @@
                 shared.changed.notify(usize::MAX);
             }
             Ok(ControlToRouter::Limits(update)) => apply_limits(shared, &update),
+            Ok(ControlToRouter::Peers(update)) => apply_peers(shared, update),
             Ok(ControlToRouter::NotLeader(response)) => {
                 let leader = response.leader_address.and_then(|text| text.parse().ok());
                 return LinkEnd::NotLeader(leader);
@@ -442,6 +446,18 @@
     }
 }
 
+fn apply_peers(shared: &Shared, update: PeerUpdate) {
+    let peers = {
+        let mut core = shared.core();
+        core.apply_peers(update);
+        core.peer_count()
+    };
+    shared.metrics.peers.set(peers as i64);
+    log::info!("event=peers_received peers={peers}");
+    shared.changed.notify(usize::MAX);
+    shared.notify_called();
+}
+
 async fn read_frame(reader: &mut (impl AsyncRead + Unpin)) -> Result<ControlToRouter, CodecError> {
     let mut prefix = [0_u8; PREFIX_BYTES];
     reader.read_exact(&mut prefix).await?;
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -64,6 +64,12 @@
     pub(crate) unreachable_instances: IntGauge,
     /// Changes of what is reached.
     pub(crate) path_changes: IntCounterVec,
+    /// Requests forwarded to other gateways, by outcome.
+    pub(crate) forwards: IntCounterVec,
+    /// Requests of other gateways, by outcome.
+    pub(crate) served_forwards: IntCounterVec,
+    /// Gateways known to take requests of this one.
+    pub(crate) peers: IntGauge,
 }
 
 impl Metrics {
@@ -108,6 +114,21 @@
             "Changes of the instances and services that this gateway reaches",
             "change",
         )?;
+        let forwards = counters(
+            "gateway_forwards_total",
+            "Requests forwarded to other gateways, by outcome",
+            "outcome",
+        )?;
+        let served_forwards = counters(
+            "gateway_served_forwards_total",
+            "Requests taken from other gateways, by outcome",
+            "outcome",
+        )?;
+        let peers = IntGauge::new(
+            "gateway_peers",
+            "Gateways known to take requests of this one",
+        )?;
+        registry.register(Box::new(peers.clone()))?;
         let unreachable_services = IntGauge::new(
             "gateway_unreachable_services",
             "Services of which this gateway reaches no instance",
@@ -220,6 +241,9 @@
             unreachable_services,
             unreachable_instances,
             path_changes,
+            forwards,
+            served_forwards,
+            peers,
         })
     }
 
@@ -253,6 +277,7 @@
             SendOutcome::Replaced => "replaced",
             SendOutcome::Unreachable => "unreachable",
             SendOutcome::ConnectionRefused => "ended",
+            SendOutcome::Unsent => "unsent",
             SendOutcome::Failed => "failed",
             SendOutcome::Broken => "broken",
             SendOutcome::Abandoned => "given-up",
--- a/crates/millpass-gateway/src/pool.rs
+++ b/crates/millpass-gateway/src/pool.rs
@@ -8,17 +8,18 @@
 use futures_lite::future;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
-use millpass_proto::{InstanceId, Timestamp};
+use millpass_proto::Timestamp;
 use millpass_telemetry::ProcessClock;
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Maximum number of idle connections per instance.
+/// Maximum number of idle connections per destination.
 const MAXIMUM_IDLE: usize = 8;
 /// Idle timeout if the instance states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -60,6 +61,25 @@
         let refused = io::ErrorKind::ConnectionRefused;
         matches!(self, ConnectError::Failed(error) if error.kind() == refused)
     }
+
+    /// Returns whether the path to the address failed. Errors of this machine, such as a lack of
+    /// descriptors, show nothing of the path.
+    pub(crate) fn is_of_path(&self) -> bool {
+        use io::ErrorKind;
+        match self {
+            ConnectError::TimedOut => true,
+            ConnectError::Failed(error) => matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused
+                    | ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::TimedOut
+                    | ErrorKind::HostUnreachable
+                    | ErrorKind::NetworkUnreachable
+            ),
+            ConnectError::Address(_) | ConnectError::Http(_) => false,
+        }
+    }
 }
 
 /// A connection ready for one request.
@@ -74,13 +94,13 @@
     expires_at: Timestamp,
 }
 
-/// Idle connections by instance.
-pub(crate) struct Pool {
+/// Idle connections by what they lead to: an instance or another gateway.
+pub(crate) struct Pool<K> {
     clock: ProcessClock,
-    idle: Mutex<HashMap<InstanceId, Vec<Idle>>>,
+    idle: Mutex<HashMap<K, Vec<Idle>>>,
 }
 
-impl Pool {
+impl<K: Clone + Eq + Hash> Pool<K> {
     pub(crate) fn new(clock: ProcessClock) -> Self {
         Pool {
             clock,
@@ -88,14 +108,14 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, Vec<Idle>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<K, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes the most recently used idle connection that is still open.
-    pub(crate) fn take(&self, instance: &InstanceId) -> Option<Connection> {
+    pub(crate) fn take(&self, key: &K) -> Option<Connection> {
         let mut idle = self.lock();
-        let connections = idle.get_mut(instance)?;
+        let connections = idle.get_mut(key)?;
         let now = self.clock.now();
         connections.retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
         let position = connections
@@ -110,7 +130,7 @@
     /// Returns a connection after a complete response.
     pub(crate) fn put(
         &self,
-        instance: &InstanceId,
+        key: &K,
         sender: SendRequest<Full<Bytes>>,
         keep_alive: Option<Duration>,
     ) {
@@ -124,7 +144,7 @@
         }
         let now = self.clock.now();
         let mut idle = self.lock();
-        let connections = idle.entry(instance.clone()).or_default();
+        let connections = idle.entry(key.clone()).or_default();
         connections.retain(|connection| !connection.sender.is_closed());
         if connections.len() < MAXIMUM_IDLE {
             connections.push(Idle {
@@ -135,6 +155,11 @@
         }
     }
 
+    /// Closes the idle connections that lead there.
+    pub(crate) fn close(&self, key: &K) {
+        self.lock().remove(key);
+    }
+
     /// Closes connections past their idle timeout.
     pub(crate) fn sweep(&self) {
         let now = self.clock.now();
--- a/crates/millpass-gateway/src/probe.rs
+++ b/crates/millpass-gateway/src/probe.rs
@@ -1,24 +1,43 @@
-//! Probes instances at which sends broke, to tell an ended process from a broken response.
+//! Connects to instances whose path is in doubt: those at which sends broke, those out of reach, and
+//! others of their service for comparison.
 
 use crate::pool;
+use crate::reach;
 use crate::shared::Shared;
-use millpass_proto::InstanceId;
-use millpass_telemetry::event_line;
+use async_io::Timer;
+use futures_lite::future;
+use millpass_proto::{Duration, InstanceId, Timestamp};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// Least time between two rounds.
+const MINIMUM_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Probes instances until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
     loop {
         let notified = shared.probe.listen();
-        let probes = shared.core().take_probes();
-        if probes.is_empty() {
-            notified.await;
-            continue;
-        }
+        let now = shared.now();
+        let (probes, next) = {
+            let mut core = shared.core();
+            let probes = core.take_probes().into_iter();
+            let probes: BTreeMap<InstanceId, String> =
+                probes.chain(core.take_path_probes(now)).collect();
+            (probes, core.next_path_probe_at())
+        };
         for (instance, address) in probes {
             let probe = probe(shared.clone(), instance, address);
             shared.executor.spawn(probe).detach();
         }
+        wait(&shared, notified, next).await;
+        Timer::after(MINIMUM_INTERVAL).await;
+    }
+}
+
+async fn wait(shared: &Shared, notified: event_listener::EventListener, next: Option<Timestamp>) {
+    match next {
+        Some(next) => future::or(notified, shared.sleep_until(next)).await,
+        None => notified.await,
     }
 }
 
@@ -28,20 +47,20 @@
     let timeout = shared.settings.connect_timeout;
     let connector = &shared.settings.connector;
     match pool::connect(shared.executor, connector, &address, timeout).await {
-        Ok(connection) => shared.pool.put(&instance, connection.sender, None),
-        Err(error) if error.is_refused() => record_run_ended(&shared, &instance, &address),
-        Err(error) => log::debug!("event=instance_unclear instance={instance} error=\"{error}\""),
+        Ok(connection) => {
+            reach::record_connected(&shared, &instance);
+            shared.pool.put(&instance, connection.sender, None);
+        }
+        Err(error) if error.is_refused() => {
+            shared.core().record_refused(shared.now(), &instance);
+            shared.probe.notify(1);
+            reach::log_changes(&shared);
+        }
+        Err(error) if error.is_of_path() => {
+            shared.core().record_connect_failed(shared.now(), &instance);
+            shared.probe.notify(1);
+            reach::log_changes(&shared);
+        }
+        Err(error) => log::warn!("event=probe_failed instance={instance} error=\"{error}\""),
     }
 }
-
-fn record_run_ended(shared: &Shared, instance: &InstanceId, address: &str) {
-    shared.metrics.instance_ends.inc();
-    let pairs = [
-        ("instance", instance.0.clone()),
-        ("address", address.to_owned()),
-    ];
-    log::info!("{}", event_line("instance_ended", &pairs));
-    shared.core().run_ended(shared.now(), instance);
-    shared.report.notify(1);
-    shared.changed.notify(usize::MAX);
-}
--- a/crates/millpass-gateway/src/process.rs
+++ b/crates/millpass-gateway/src/process.rs
@@ -11,7 +11,9 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use millpass_dispatch::PeerEndpoint;
 use millpass_telemetry::{Heartbeat, SuspensionDetector, event_line};
+use rand::RngExt;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -57,6 +59,7 @@
             (settings.listen, Service::Callers),
             (settings.ready_listen, Service::Readiness),
             (settings.metrics_listen, Service::Metrics),
+            (settings.peer_listen, Service::Peers),
         ];
         let mut listeners = Vec::new();
         for (address, service) in addresses {
@@ -66,7 +69,13 @@
         }
         // Leaked, as tasks need it for the lifetime of the process.
         let executor: &'static Executor<'static> = Box::leak(Box::new(Executor::new()));
-        let shared = Shared::new(settings, interface, Metrics::new()?, executor);
+        let peer_address = bound_address(&listeners, Service::Peers, settings.peer_listen);
+        let endpoint = PeerEndpoint {
+            address: peer_address.to_string(),
+            key: random_key(),
+        };
+        let metrics = Metrics::new()?;
+        let shared = Shared::new(settings, interface, metrics, executor, endpoint);
         Ok(Gateway {
             shared: Arc::new(shared),
             listeners,
@@ -74,7 +83,7 @@
         })
     }
 
-    /// Returns the bound addresses for callers, readiness and metrics, in this order.
+    /// Returns the bound addresses for callers, readiness, metrics and other gateways, in this order.
     pub fn addresses(&self) -> std::io::Result<Vec<SocketAddr>> {
         self.listeners
             .iter()
@@ -117,12 +126,30 @@
     }
 }
 
+/// Returns the address that a service is bound to, which differs from the settings for port 0.
+fn bound_address(
+    listeners: &[(Async<TcpListener>, Service)],
+    service: Service,
+    configured: SocketAddr,
+) -> SocketAddr {
+    let listener = listeners.iter().find(|(_, found)| *found == service);
+    let bound = listener.and_then(|(listener, _)| listener.get_ref().local_addr().ok());
+    bound.unwrap_or(configured)
+}
+
+/// Returns a secret of 128 random bits.
+fn random_key() -> String {
+    let bits: u128 = rand::rng().random();
+    format!("{bits:032x}")
+}
+
 async fn sweep(shared: Arc<Shared>, heartbeat: Heartbeat) {
     let mut suspensions = SuspensionDetector::default();
     loop {
         heartbeat.beat();
         Timer::after(SWEEP_INTERVAL).await;
         shared.pool.sweep();
+        shared.peer_pool.sweep();
         if let Some(time) = suspensions.check() {
             let millis = time.as_millis();
             log::warn!("event=machine_suspended suspended_ms={millis}");
@@ -138,6 +165,8 @@
     let started = shared.now();
     let end = started + shared.settings.drain_grace;
     shared.core().stop_at(end);
+    // States that requests of other gateways are no longer taken.
+    shared.report.notify(1);
     // Wake waiting requests, which must not wait any longer.
     shared.changed.notify(usize::MAX);
     shared.notify_called();
--- a/crates/millpass-gateway/src/reach.rs
+++ b/crates/millpass-gateway/src/reach.rs
@@ -1,11 +1,84 @@
-//! Log lines and metrics about instances and services that this gateway does not reach.
+//! Observes the paths to instances: established and failed connections, and silence. Logs changes of
+//! what is reached.
 
 use crate::metrics::millis;
 use crate::shared::Shared;
-use millpass_dispatch::PathChange;
+use millpass_dispatch::{PathChange, Ticket};
+use millpass_proto::{Duration, InstanceId};
 use millpass_telemetry::event_line;
+use std::future;
 
-/// Logs changes of what is reached, and updates the metrics.
+/// Least time without a byte of a response after which its path is probed.
+const MINIMUM_SILENCE: Duration = Duration::from_millis(100);
+
+/// Interval at which the path is checked again after that time.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How the path of a request is watched while it waits for its instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PathWatch {
+    /// Time without a byte after which the path is probed.
+    silence: Duration,
+    /// The request may be sent again, and does not wait on a path that is lost.
+    ends_when_lost: bool,
+}
+
+impl PathWatch {
+    /// Watch of a request that has not had a byte of its response.
+    pub(crate) fn before_response(shared: &Shared, ticket: &Ticket) -> PathWatch {
+        let longest = shared.settings.dispatch.reach.silence;
+        PathWatch {
+            silence: ticket.objective().clamp(MINIMUM_SILENCE, longest),
+            ends_when_lost: ticket.is_repeatable(),
+        }
+    }
+
+    /// Watch of a response of which some bytes have arrived.
+    pub(crate) fn within_response(shared: &Shared, is_resumable: bool) -> PathWatch {
+        PathWatch {
+            silence: shared.settings.dispatch.reach.silence,
+            ends_when_lost: is_resumable,
+        }
+    }
+}
+
+/// Has the path probed after a time of silence, and returns once it is lost if the request may be
+/// sent again.
+pub(crate) async fn path_lost(shared: &Shared, instance: &InstanceId, watch: PathWatch) {
+    let mut pause = watch.silence;
+    loop {
+        shared.sleep_until(shared.now() + pause).await;
+        pause = pause.min(RECHECK_INTERVAL);
+        let is_probed = shared.core().record_silence(shared.now(), instance);
+        if is_probed {
+            shared.probe.notify(1);
+        }
+        if watch.ends_when_lost && shared.core().is_path_lost(instance) {
+            return;
+        }
+        if !watch.ends_when_lost && !is_probed {
+            return future::pending().await;
+        }
+    }
+}
+
+/// Records an established connection, and the process runs that it shows to have ended.
+pub(crate) fn record_connected(shared: &Shared, instance: &InstanceId) {
+    let ended = shared.core().record_connected(shared.now(), instance);
+    for instance in &ended {
+        shared.metrics.instance_ends.inc();
+        let pairs = [("instance", instance.0.clone())];
+        log::info!("{}", event_line("instance_ended", &pairs));
+    }
+    if !ended.is_empty() {
+        shared.report.notify(1);
+        shared.changed.notify(usize::MAX);
+    }
+    log_changes(shared);
+}
+
+/// Logs changes of what is reached, updates the metrics, closes idle connections to what was lost
+/// and wakes what waits for a change.
 pub(crate) fn log_changes(shared: &Shared) {
     let (changes, (services, instances)) = {
         let mut core = shared.core();
@@ -18,6 +91,24 @@
     shared.metrics.unreachable_instances.set(instances as i64);
     for change in changes {
         log_change(shared, &change, instances);
+        close_idle_connections(shared, &change);
+    }
+    shared.report.notify(1);
+    shared.probe.notify(1);
+    shared.changed.notify(usize::MAX);
+    shared.notify_called();
+}
+
+fn close_idle_connections(shared: &Shared, change: &PathChange) {
+    match change {
+        PathChange::InstanceLost(_, instance) => shared.pool.close(instance),
+        PathChange::ServiceLost(service) => {
+            let instances = shared.core().instances_of(service);
+            for instance in &instances {
+                shared.pool.close(instance);
+            }
+        }
+        PathChange::InstanceReached(..) | PathChange::ServiceReached(..) => {}
     }
 }
 
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -5,9 +5,13 @@
 use crate::events::EventBuffer;
 use crate::exchange::{self, ReceivedResponse, RequestTemplate};
 use crate::forward::{is_stream, record_failure, record_rejection};
+use crate::hop::HopOutcome;
 use crate::interface::SendFacts;
+use crate::peer::{self, PeerResponse};
+use crate::peer_service::ForwardedGuard;
+use crate::reach::{self, PathWatch};
 use crate::request_log::{InFlight, log_request};
-use crate::shared::{ActiveSend, Shared, Turn};
+use crate::shared::{Active, ActiveForward, ActiveSend, Shared, Turn};
 use crate::statements::record_statement;
 use bytes::Bytes;
 use futures_lite::{future, stream};
@@ -16,8 +20,8 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::SendRequest;
-use millpass_dispatch::{Choice, SendOutcome, Ticket};
-use millpass_proto::{Duration, Timestamp};
+use millpass_dispatch::{Choice, ForwardOutcome, SendOutcome, Ticket};
+use millpass_proto::{Duration, GatewayPeer, Timestamp};
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
@@ -38,7 +42,7 @@
     credit: Option<CreditHold>,
     ticket: Ticket,
     template: RequestTemplate,
-    active: Option<ActiveSend>,
+    active: Option<Active>,
     body: Incoming,
     sender: Option<SendRequest<Full<Bytes>>>,
     keep_alive: Option<Duration>,
@@ -48,6 +52,8 @@
     events: Option<EventBuffer>,
     ended: bool,
     in_flight: Option<InFlight>,
+    /// Present if another gateway forwarded the request.
+    _guard: Option<ForwardedGuard>,
 }
 
 enum BodyRead {
@@ -64,11 +70,12 @@
         credit: Option<CreditHold>,
         ticket: Ticket,
         template: RequestTemplate,
-        active: ActiveSend,
+        active: Active,
         received: ReceivedResponse,
         head_latency: Duration,
         resumable: bool,
         in_flight: Option<InFlight>,
+        guard: Option<ForwardedGuard>,
     ) -> Self {
         let resumable = resumable && is_stream(&ticket.route);
         let mut relay = Relay {
@@ -85,6 +92,7 @@
             events: resumable.then(EventBuffer::default),
             ended: false,
             in_flight,
+            _guard: guard,
         };
         if relay.events.is_none() && relay.body.is_end_stream() {
             // hyper does not poll an empty body.
@@ -150,7 +158,16 @@
             self.shared.sleep_until(self.ticket.expires_at).await;
             BodyRead::TimedOut
         };
-        future::or(read, timer).await
+        let watch = PathWatch::within_response(&self.shared, self.events.is_some());
+        let instance = self.active.as_ref().and_then(Active::instance);
+        let lost = async {
+            match instance {
+                Some(instance) => reach::path_lost(&self.shared, instance, watch).await,
+                None => future::pending().await,
+            }
+            BodyRead::Broken("the path was lost".to_owned())
+        };
+        future::or(read, future::or(lost, timer)).await
     }
 
     /// Completes the response: the connection can be reused.
@@ -158,9 +175,8 @@
         let Some(active) = self.active.take() else {
             return;
         };
-        let instance = active.record().instance.clone();
         if let Some(sender) = self.sender.take() {
-            self.shared.pool.put(&instance, sender, self.keep_alive);
+            active.put_connection(sender, self.keep_alive);
         }
         active.end(SendOutcome::Responded(self.head_latency));
         if !self.record_end() {
@@ -218,7 +234,7 @@
     async fn resume(&mut self, reason: &str) -> bool {
         self.sender = None;
         if let Some(active) = self.active.take() {
-            let instance = &active.record().instance;
+            let instance = active.name();
             log::info!(
                 "event=stream_broken request={} fingerprint={} instance={instance} reason={reason:?}",
                 self.ticket.description.attempt,
@@ -246,6 +262,11 @@
                         return true;
                     }
                 }
+                Choice::Forward { peer } => {
+                    if self.resume_at_peer(now, &peer).await {
+                        return true;
+                    }
+                }
                 Choice::Wait { until } => {
                     if now >= self.ticket.expires_at {
                         return false;
@@ -310,8 +331,9 @@
             last_event: last.as_deref(),
         };
         let expires_at = self.ticket.expires_at;
-        let sent = exchange::send(&shared, &self.template, address, &facts, expires_at).await;
-        let received = match sent {
+        let watch = PathWatch::before_response(&shared, &self.ticket);
+        let sent = exchange::send(&shared, &self.template, address, &facts, expires_at, watch);
+        let received = match sent.await {
             Ok(received) => received,
             Err(failure) => {
                 record_failure(&shared, &mut self.ticket, active, &failure);
@@ -335,17 +357,60 @@
             active.end(SendOutcome::Failed);
             return false;
         }
+        self.resume_with(Active::Instance(active), received, last.as_deref());
+        true
+    }
+
+    /// Tries to resume the stream through another gateway; returns whether it did.
+    async fn resume_at_peer(&mut self, sent_at: Timestamp, peer: &GatewayPeer) -> bool {
+        let shared = self.shared.clone();
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.update(&self.ticket);
+        }
+        let active = ActiveForward::new(shared.clone(), peer.gateway.clone());
+        let events = self.events.as_ref();
+        let last = events.and_then(|events| events.last_identity().map(str::to_owned));
+        if let Some(credit) = &mut self.credit {
+            credit.begin_use(sent_at);
+        }
+        let (template, ticket) = (&self.template, &mut self.ticket);
+        let sent = peer::forward(&shared, template, ticket, peer, last.as_deref()).await;
+        let PeerResponse { received, hop } = match sent {
+            Ok(response) => response,
+            Err(failure) => {
+                peer::record_failure(&shared, &mut self.ticket, active, peer, &failure);
+                if !failure.may_have_run() {
+                    self.undo_credit_use();
+                }
+                return false;
+            }
+        };
+        let outcome = hop.outcome;
+        peer::log_end(&shared, &self.ticket, peer, outcome.as_str(), &hop.reason);
+        if outcome != HopOutcome::Answered || received.head.status != self.status {
+            active.end_for(&mut self.ticket, ForwardOutcome::Responded, hop.sends);
+            if hop.sends == 0 {
+                self.undo_credit_use();
+            }
+            return false;
+        }
+        self.resume_with(Active::Peer(active), received, last.as_deref());
+        true
+    }
+
+    /// Continues with the response of a resumed stream.
+    fn resume_with(&mut self, active: Active, received: ReceivedResponse, last: Option<&str>) {
         log::info!(
-            "event=stream_resumed request={} instance={instance} after={}",
+            "event=stream_resumed request={} instance={} after={}",
             self.ticket.description.attempt,
-            last.as_deref().unwrap_or("none"),
+            active.name(),
+            last.unwrap_or("none"),
         );
-        shared.metrics.resumed.inc();
+        self.shared.metrics.resumed.inc();
         self.active = Some(active);
         self.body = received.body;
         self.sender = Some(received.sender);
         self.keep_alive = received.facts.keep_alive;
-        true
     }
 }
 
--- a/crates/millpass-gateway/src/request_log.rs
+++ b/crates/millpass-gateway/src/request_log.rs
@@ -3,11 +3,16 @@
 use crate::metrics::millis;
 use crate::shared::Shared;
 use millpass_dispatch::{QueueFacts, Ticket};
-use millpass_proto::{Duration, InstanceId, Timestamp};
+use millpass_proto::{Duration, Timestamp};
 use millpass_telemetry::event_line;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+/// Event of a caller's request that ended.
+const CALLER_REQUEST: &str = "request_ended";
+/// Event of a request of another gateway that ended; the other one logs the caller's request.
+const FORWARDED_REQUEST: &str = "forwarded_request_ended";
+
 /// Keys and values of a log line.
 type Pairs = Vec<(&'static str, String)>;
 
@@ -15,6 +20,8 @@
 struct OpenRequest {
     attempt: String,
     arrived: Timestamp,
+    /// Gateway that forwarded it, if one did.
+    from: Option<String>,
     credit: Pairs,
 }
 
@@ -36,6 +43,7 @@
         self.open = Some(OpenRequest {
             attempt: ticket.description.attempt.clone(),
             arrived: ticket.arrived,
+            from: forwarded_from(ticket),
             credit: credit_pairs(ticket),
         });
     }
@@ -59,14 +67,21 @@
         let Some(open) = self.open.take() else {
             return;
         };
-        self.shared.metrics.count_request(None, "caller-left");
+        let event = match &open.from {
+            Some(_) => FORWARDED_REQUEST,
+            None => {
+                self.shared.metrics.count_request(None, "caller-left");
+                CALLER_REQUEST
+            }
+        };
         let mut pairs = vec![
             ("request", open.attempt),
             ("outcome", "caller-left".to_owned()),
             ("age_ms", millis(self.shared.now().since(open.arrived))),
         ];
+        pairs.extend(open.from.map(|from| ("from", from)));
         pairs.extend(open.credit);
-        log::info!("{}", event_line("request_ended", &pairs));
+        log::info!("{}", event_line(event, &pairs));
     }
 }
 
@@ -80,7 +95,14 @@
     retry_after: Option<Duration>,
 ) {
     let tenant = ticket.tenant.as_ref().map(|tenant| &tenant.name);
-    shared.metrics.count_request(tenant, outcome);
+    let from = forwarded_from(ticket);
+    let event = match &from {
+        Some(_) => FORWARDED_REQUEST,
+        None => {
+            shared.metrics.count_request(tenant, outcome);
+            CALLER_REQUEST
+        }
+    };
     let last = ticket.tried.last();
     let description = &ticket.description;
     let model = description.model.as_ref();
@@ -125,8 +147,18 @@
             retry_after.map_or_else(String::new, millis),
         ),
     ];
+    pairs.extend(from.map(|from| ("from", from)));
+    if !ticket.forwarded_to.is_empty() {
+        pairs.push(("forwarded_to", ticket.forwarded_to.join(",")));
+    }
     pairs.extend(credit_pairs(ticket));
-    log::info!("{}", event_line("request_ended", &pairs));
+    log::info!("{}", event_line(event, &pairs));
+}
+
+/// Returns the gateway that forwarded a request, if one did.
+fn forwarded_from(ticket: &Ticket) -> Option<String> {
+    let forwarded = ticket.forwarded.as_ref()?;
+    Some(forwarded.from.clone())
 }
 
 /// Returns the origin of a request's quota units and the times of its sends, as ages since its
@@ -151,7 +183,7 @@
 pub(crate) fn log_send_failure(
     shared: &Shared,
     ticket: &Ticket,
-    instance: &InstanceId,
+    instance: &str,
     outcome: &str,
     detail: &str,
 ) {
@@ -160,7 +192,7 @@
         ("request", ticket.description.attempt.clone()),
         ("fingerprint", ticket.description.fingerprint.to_string()),
         ("route", ticket.route.name.clone()),
-        ("instance", instance.0.clone()),
+        ("instance", instance.to_owned()),
         ("outcome", outcome.to_owned()),
         ("detail", detail.to_owned()),
         ("age_ms", millis(now.since(ticket.arrived))),
--- a/crates/millpass-gateway/src/responses.rs
+++ b/crates/millpass-gateway/src/responses.rs
@@ -3,8 +3,8 @@
 use crate::relay::{RelayBody, full_body};
 use crate::shared::Shared;
 use bytes::Bytes;
-use http::header::{HeaderValue, RETRY_AFTER};
-use http::{HeaderMap, Response, StatusCode};
+use http::header::{HOST, HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, Response, StatusCode, Uri};
 use millpass_dispatch::{IdentityError, RouteError};
 use millpass_proto::{Duration, RouteSpec};
 use millpass_telemetry::event_line;
@@ -82,6 +82,13 @@
     (version, format!("{}:{age}", core.freshness(now).as_str()))
 }
 
+/// Returns the host that a request is for.
+pub(crate) fn request_host(headers: &HeaderMap, uri: &Uri) -> String {
+    let stated = headers.get(HOST).and_then(|value| value.to_str().ok());
+    let authority = || uri.authority().map(|authority| authority.as_str());
+    stated.or_else(authority).unwrap_or("").to_owned()
+}
+
 /// Builds a plain-text response with `reason` as its body.
 pub(crate) fn gateway_response(
     shared: &Shared,
--- a/crates/millpass-gateway/src/server.rs
+++ b/crates/millpass-gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! Listens, accepts, and serves connections of callers, readiness checks and metrics.
 
 use crate::forward;
+use crate::peer_service;
 use crate::relay::{RelayBody, full_body};
 use crate::shared::Shared;
 use async_io::{Async, Timer};
@@ -40,6 +41,8 @@
     Readiness,
     /// Metrics.
     Metrics,
+    /// Requests of other gateways.
+    Peers,
 }
 
 pub(crate) fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
@@ -55,7 +58,7 @@
     loop {
         let accepted = async { Some(listener.accept().await) };
         let closed = async {
-            shared.closed().await;
+            closing(&shared, service).await;
             None
         };
         let Some(accepted) = future::or(accepted, closed).await else {
@@ -74,6 +77,15 @@
     }
 }
 
+/// Completes when connections of a service must close. Those of other gateways stay open until the
+/// process ends, so that requests that cross the close are declined instead of broken.
+async fn closing(shared: &Shared, service: Service) {
+    match service {
+        Service::Peers => std::future::pending().await,
+        _ => shared.closed().await,
+    }
+}
+
 /// Decrements the count of caller connections on drop.
 struct ConnectionGuard(Arc<Shared>);
 
@@ -105,7 +117,7 @@
     let mut connection = pin!(connection);
     let finished = async { Some(connection.as_mut().await) };
     let closing = async {
-        shared.closed().await;
+        closing(&shared, service).await;
         None
     };
     let result = match future::or(finished, closing).await {
@@ -141,6 +153,7 @@
     match service {
         Service::Callers => forward::handle(shared, request).await,
         Service::Readiness => readiness(&shared, &request),
+        Service::Peers => peer_service::handle(shared, request).await,
         Service::Metrics => text(StatusCode::OK, shared.metrics.exposition()),
     }
 }
--- a/crates/millpass-gateway/src/settings.rs
+++ b/crates/millpass-gateway/src/settings.rs
@@ -55,6 +55,10 @@
     pub ready_listen: SocketAddr,
     /// Listen address for metrics.
     pub metrics_listen: SocketAddr,
+    /// Listen address for requests of other gateways.
+    pub peer_listen: SocketAddr,
+    /// Maximum requests of other gateways in progress; 0 takes none.
+    pub maximum_forwarded: usize,
     /// Initial peer addresses of control members.
     pub members: Vec<SocketAddr>,
     /// Reloads the member addresses when no known member responds; `None` to keep the initial ones.
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -7,11 +7,16 @@
 use crate::settings::GatewaySettings;
 use async_executor::Executor;
 use async_io::Timer;
+use bytes::Bytes;
 use event_listener::{Event, EventListener};
 use futures_lite::future;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
 use millpass_dispatch::admission::WaiterNumber;
-use millpass_dispatch::{Choice, Dispatcher, SendOutcome, SendRecord, Ticket};
-use millpass_proto::{Duration, Timestamp};
+use millpass_dispatch::{
+    Choice, Dispatcher, ForwardOutcome, PeerEndpoint, SendOutcome, SendRecord, Ticket,
+};
+use millpass_proto::{Duration, InstanceId, Timestamp};
 use millpass_telemetry::ProcessClock;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -44,7 +49,13 @@
     pub(crate) member_responded: Event,
     /// Notified when instances should be probed after broken sends.
     pub(crate) probe: Event,
-    pub(crate) pool: Pool,
+    pub(crate) pool: Pool<InstanceId>,
+    /// Connections to other gateways, by name.
+    pub(crate) peer_pool: Pool<String>,
+    /// Where this gateway takes requests of others.
+    pub(crate) endpoint: PeerEndpoint,
+    /// Requests of other gateways in progress.
+    pub(crate) forwarded: AtomicUsize,
     pub(crate) metrics: Metrics,
     pub(crate) executor: &'static Executor<'static>,
     pub(crate) draining: AtomicBool,
@@ -62,12 +73,16 @@
         interface: Arc<dyn Interface>,
         metrics: Metrics,
         executor: &'static Executor<'static>,
+        endpoint: PeerEndpoint,
     ) -> Self {
         Shared {
             core: Mutex::new(Dispatcher::new(settings.dispatch.clone())),
             turns: Mutex::default(),
             clock: settings.clock,
             pool: Pool::new(settings.clock),
+            peer_pool: Pool::new(settings.clock),
+            endpoint,
+            forwarded: AtomicUsize::new(0),
             settings,
             interface,
             changed: Event::new(),
@@ -184,6 +199,11 @@
         self.query.notify(1);
     }
 
+    /// Returns true if requests of other gateways are taken.
+    pub(crate) fn accepts_forwarded(&self) -> bool {
+        self.settings.maximum_forwarded > 0 && !self.is_draining()
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
@@ -287,3 +307,99 @@
         self.record_end(SendOutcome::Abandoned);
     }
 }
+
+/// A request in progress at another gateway; its outcome is recorded once, as abandoned if dropped
+/// without one.
+pub(crate) struct ActiveForward {
+    shared: Arc<Shared>,
+    gateway: String,
+    ended: bool,
+}
+
+impl ActiveForward {
+    pub(crate) fn new(shared: Arc<Shared>, gateway: String) -> Self {
+        ActiveForward {
+            shared,
+            gateway,
+            ended: false,
+        }
+    }
+
+    /// Records the outcome of a request whose ticket is still in use.
+    pub(crate) fn end_for(mut self, ticket: &mut Ticket, outcome: ForwardOutcome, sends: u32) {
+        self.ended = true;
+        let now = self.shared.now();
+        self.shared
+            .core()
+            .record_forward_outcome(now, ticket, &self.gateway, outcome, sends);
+    }
+
+    fn record_end(&mut self, outcome: ForwardOutcome) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.shared.now();
+        let mut core = self.shared.core();
+        core.record_forward_end(now, &self.gateway, outcome);
+    }
+}
+
+impl Drop for ActiveForward {
+    fn drop(&mut self) {
+        self.record_end(ForwardOutcome::Abandoned);
+    }
+}
+
+/// What serves a request: an instance or another gateway.
+pub(crate) enum Active {
+    Instance(ActiveSend),
+    Peer(ActiveForward),
+}
+
+impl Active {
+    /// Instance or gateway, for the log.
+    pub(crate) fn name(&self) -> &str {
+        match self {
+            Active::Instance(send) => &send.record().instance.0,
+            Active::Peer(forward) => &forward.gateway,
+        }
+    }
+
+    /// Instance that serves the request over a connection of this gateway.
+    pub(crate) fn instance(&self) -> Option<&InstanceId> {
+        match self {
+            Active::Instance(send) => Some(&send.record().instance),
+            Active::Peer(_) => None,
+        }
+    }
+
+    /// Returns the connection of a complete response to its pool.
+    pub(crate) fn put_connection(
+        &self,
+        sender: SendRequest<Full<Bytes>>,
+        keep_alive: Option<Duration>,
+    ) {
+        match self {
+            Active::Instance(send) => {
+                let instance = &send.record().instance;
+                send.shared.pool.put(instance, sender, keep_alive);
+            }
+            Active::Peer(forward) => {
+                let pool = &forward.shared.peer_pool;
+                pool.put(&forward.gateway, sender, keep_alive);
+            }
+        }
+    }
+
+    /// Records the outcome.
+    pub(crate) fn end(self, outcome: SendOutcome) {
+        match self {
+            Active::Instance(send) => send.end(outcome),
+            Active::Peer(mut forward) => forward.record_end(match outcome {
+                SendOutcome::Broken => ForwardOutcome::Failed,
+                SendOutcome::Abandoned => ForwardOutcome::Abandoned,
+                _ => ForwardOutcome::Responded,
+            }),
+        }
+    }
+}
--- a/crates/millpass-hollow/src/router.rs
+++ b/crates/millpass-hollow/src/router.rs
@@ -216,7 +216,8 @@
                 | ControlToRouter::Credit(_)
                 | ControlToRouter::Crashes(_)
                 | ControlToRouter::Permits(_)
-                | ControlToRouter::Limits(_) => {}
+                | ControlToRouter::Limits(_)
+                | ControlToRouter::Peers(_) => {}
                 ControlToRouter::Claim(response) => self.handle_claim_response(routers, response),
                 ControlToRouter::ClaimFinished(attempt) => {
                     self.handle_claim_finished(routers, attempt)
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1125,6 +1125,133 @@
 }
 
 
+/// Decision on a claim.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ClaimDecision {
+
+    /// This attempt alone may dispatch the request, once.
+    Granted,
+
+    /// The request was executed before; contains its response.
+    Answered(RecordedAnswer),
+
+    /// Another attempt holds the claim.
+    InProgress,
+
+    /// An earlier attempt may have been executed; the request is not executed again.
+    MayHaveRun,
+
+    /// The key was used for a different request.
+    DigestMismatch,
+
+    /// The key is older than the claim retention; nothing was executed.
+    Expired,
+
+    /// The claim table is full; nothing was executed. Retry after older claims have expired.
+    Overloaded,
+
+    /// The creation time of the key is further ahead than clock skew allows; nothing was executed.
+    BornInFuture,
+}
+
+
+/// Response to a claim request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ClaimResponse {
+
+    /// Request number of the claim.
+    pub attempt: u64,
+
+    /// Decision on the claim.
+    pub decision: ClaimDecision,
+}
+
+
+/// A quarantined or suspected request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct QuarantinedRequest {
+
+    /// Fingerprint of the request.
+    pub request: RequestFingerprint,
+
+    /// Remaining quarantine time, during which the request is refused; 0 for a suspect, which is sent to an instance apart from other requests.
+    pub remaining_millis: u64,
+}
+
+
+/// All quarantined and suspected requests, sent to gateways.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CrashUpdate {
+
+    /// Leader's term; updates of a lower term than already seen are ignored.
+    pub term: u64,
+
+    /// Complete list; requests not listed are neither quarantined nor suspected.
+    pub requests: Vec<QuarantinedRequest>,
+}
+
+
+/// Requests of a tenant that are denied without asking the leader: of this rank and all less urgent ones up to the next listed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RankDenial {
+
+    /// Most urgent rank that is denied.
+    pub rank: u32,
+
+    /// Time for which the denial holds; 0 if requests of this rank are not denied.
+    pub hold_millis: u32,
+
+    /// Time until a request of this rank can expect units.
+    pub retry_millis: u32,
+}
+
+
+/// Credit granted to a gateway for one tenant.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CreditGrant {
+
+    /// Tenant name.
+    pub tenant: TenantName,
+
+    /// Number of queued requests granted, in order from the first.
+    pub granted_requests: u32,
+
+    /// Units granted for future requests.
+    pub prefetched_units: u64,
+
+    /// Time until the first queued request that was not granted can be granted; 0 if all were granted.
+    pub wait_millis: u64,
+
+    /// Time after which each granted request may run; 0 if missing.
+    pub delays_millis: Vec<u32>,
+
+    /// Denied ranks, most urgent first; empty if none is denied.
+    pub denials: Vec<RankDenial>,
+}
+
+
+/// Leader's response to a `CreditRequest`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CreditResponse {
+
+    /// Leader's term.
+    pub term: u64,
+
+    /// Number of the answered request.
+    pub sequence: u64,
+
+    /// Grants by tenant.
+    pub grants: Vec<CreditGrant>,
+}
+
+
 /// Key of a route, unique within a document.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1337,231 +1464,80 @@
 }
 
 
-/// Lifecycle of a placed replica. It counts against limits and reserves its memory from placement to release.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum ReplicaPhase {
-
-    /// Placed; the load order is pending.
-    Loading,
-
-    /// The engine confirmed the load.
-    Loaded,
-
-    /// Retired and not routed to; the unload order is pending.
-    Unloading,
-}
-
-
-/// A replica that a router may dispatch to.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ReplicaRoute {
-
-    /// Slot of the replica.
-    pub slot: SlotId,
-
-    /// Model name.
-    pub model: ModelName,
-
-    /// Version of the weights.
-    pub version: VersionLabel,
-
-    /// Engine that holds the replica.
-    pub backend: BackendName,
-
-    /// Incarnation of the engine.
-    pub incarnation: Incarnation,
-
-    /// IP address and port of the engine.
-    pub address: String,
-
-    /// Zone of the engine.
-    pub zone: ZoneName,
-
-    /// Role of the engine.
-    pub role: EngineRole,
-
-    /// Lifecycle phase. Only `Loaded` replicas accept requests; `Loading` ones are listed for wait estimates.
-    pub phase: ReplicaPhase,
-
-    /// Whether the engine is draining and accepts no new work.
-    pub leaving: bool,
-
-    /// Adapters loaded with the replica.
-    pub adapters: Vec<AdapterName>,
-
-    /// Maximum concurrent requests.
-    pub concurrency: u32,
-}
-
-
-/// Decision on a claim.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum ClaimDecision {
-
-    /// This attempt alone may dispatch the request, once.
-    Granted,
-
-    /// The request was executed before; contains its response.
-    Answered(RecordedAnswer),
-
-    /// Another attempt holds the claim.
-    InProgress,
-
-    /// An earlier attempt may have been executed; the request is not executed again.
-    MayHaveRun,
-
-    /// The key was used for a different request.
-    DigestMismatch,
-
-    /// The key is older than the claim retention; nothing was executed.
-    Expired,
-
-    /// The claim table is full; nothing was executed. Retry after older claims have expired.
-    Overloaded,
-
-    /// The creation time of the key is further ahead than clock skew allows; nothing was executed.
-    BornInFuture,
-}
-
-
-/// Response to a claim request.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ClaimResponse {
-
-    /// Request number of the claim.
-    pub attempt: u64,
-
-    /// Decision on the claim.
-    pub decision: ClaimDecision,
-}
-
-
-/// A quarantined or suspected request.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct QuarantinedRequest {
-
-    /// Fingerprint of the request.
-    pub request: RequestFingerprint,
-
-    /// Remaining quarantine time, during which the request is refused; 0 for a suspect, which is sent to an instance apart from other requests.
-    pub remaining_millis: u64,
-}
-
-
-/// All quarantined and suspected requests, sent to gateways.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct CrashUpdate {
-
-    /// Leader's term; updates of a lower term than already seen are ignored.
-    pub term: u64,
-
-    /// Complete list; requests not listed are neither quarantined nor suspected.
-    pub requests: Vec<QuarantinedRequest>,
-}
-
-
-/// Requests of a tenant that are denied without asking the leader: of this rank and all less urgent ones up to the next listed.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct RankDenial {
-
-    /// Most urgent rank that is denied.
-    pub rank: u32,
-
-    /// Time for which the denial holds; 0 if requests of this rank are not denied.
-    pub hold_millis: u32,
-
-    /// Time until a request of this rank can expect units.
-    pub retry_millis: u32,
-}
-
-
-/// Credit granted to a gateway for one tenant.
+/// Rate limit last stated by an instance. Times are ages because clocks differ between processes.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct CreditGrant {
-
-    /// Tenant name.
-    pub tenant: TenantName,
-
-    /// Number of queued requests granted, in order from the first.
-    pub granted_requests: u32,
+pub struct LimitObservation {
 
-    /// Units granted for future requests.
-    pub prefetched_units: u64,
+    /// Instance that stated the limit.
+    pub instance: InstanceId,
 
-    /// Time until the first queued request that was not granted can be granted; 0 if all were granted.
-    pub wait_millis: u64,
+    /// Limit over all gateways, in thousandths of a request per second; none if the instance no longer states one.
+    pub milli_per_second: Option<u64>,
 
-    /// Time after which each granted request may run; 0 if missing.
-    pub delays_millis: Vec<u32>,
+    /// Time since the request was sent whose response stated the limit.
+    pub request_age_millis: u64,
 
-    /// Denied ranks, most urgent first; empty if none is denied.
-    pub denials: Vec<RankDenial>,
+    /// Time since that response was received.
+    pub response_age_millis: u64,
 }
 
 
-/// Leader's response to a `CreditRequest`.
+/// Rate limits known to the leader, sent to gateways. For instances not listed, the leader knows no limit.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct CreditResponse {
+pub struct LimitUpdate {
 
     /// Leader's term.
     pub term: u64,
 
-    /// Number of the answered request.
-    pub sequence: u64,
-
-    /// Grants by tenant.
-    pub grants: Vec<CreditGrant>,
+    /// Current and recently withdrawn limits.
+    pub limits: Vec<LimitObservation>,
 }
 
 
-/// Rate limit last stated by an instance. Times are ages because clocks differ between processes.
+/// Redirect to the leader.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct LimitObservation {
-
-    /// Instance that stated the limit.
-    pub instance: InstanceId,
-
-    /// Limit over all gateways, in thousandths of a request per second; none if the instance no longer states one.
-    pub milli_per_second: Option<u64>,
-
-    /// Time since the request was sent whose response stated the limit.
-    pub request_age_millis: u64,
+pub struct NotLeader {
 
-    /// Time since that response was received.
-    pub response_age_millis: u64,
+    /// Peer address of the leader; none if unknown.
+    pub leader_address: Option<String>,
 }
 
 
-/// Rate limits known to the leader, sent to gateways. For instances not listed, the leader knows no limit.
+/// A gateway that takes requests of another one.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct LimitUpdate {
+pub struct GatewayPeer {
 
-    /// Leader's term.
-    pub term: u64,
+    /// Gateway name.
+    pub gateway: String,
 
-    /// Current and recently withdrawn limits.
-    pub limits: Vec<LimitObservation>,
+    /// Zone the gateway runs in.
+    pub zone: ZoneName,
+
+    /// IP address and port at which it takes requests.
+    pub address: String,
+
+    /// Secret that requests must state.
+    pub key: String,
+
+    /// Services of which it reaches no instance.
+    pub lost_services: Vec<ServiceName>,
 }
 
 
-/// Redirect to the leader.
+/// The gateways to which a gateway that lacks contact may forward requests; replaces the previous list.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct NotLeader {
+pub struct PeerUpdate {
 
-    /// Peer address of the leader; none if unknown.
-    pub leader_address: Option<String>,
+    /// Leader's term; updates of a lower term than already seen are ignored.
+    pub term: u64,
+
+    /// Complete list; empty if no gateway can help.
+    pub peers: Vec<GatewayPeer>,
 }
 
 
@@ -1666,6 +1642,65 @@
 pub struct PlacementRevision(pub u64);
 
 
+/// Lifecycle of a placed replica. It counts against limits and reserves its memory from placement to release.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum ReplicaPhase {
+
+    /// Placed; the load order is pending.
+    Loading,
+
+    /// The engine confirmed the load.
+    Loaded,
+
+    /// Retired and not routed to; the unload order is pending.
+    Unloading,
+}
+
+
+/// A replica that a router may dispatch to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct ReplicaRoute {
+
+    /// Slot of the replica.
+    pub slot: SlotId,
+
+    /// Model name.
+    pub model: ModelName,
+
+    /// Version of the weights.
+    pub version: VersionLabel,
+
+    /// Engine that holds the replica.
+    pub backend: BackendName,
+
+    /// Incarnation of the engine.
+    pub incarnation: Incarnation,
+
+    /// IP address and port of the engine.
+    pub address: String,
+
+    /// Zone of the engine.
+    pub zone: ZoneName,
+
+    /// Role of the engine.
+    pub role: EngineRole,
+
+    /// Lifecycle phase. Only `Loaded` replicas accept requests; `Loading` ones are listed for wait estimates.
+    pub phase: ReplicaPhase,
+
+    /// Whether the engine is draining and accepts no new work.
+    pub leaving: bool,
+
+    /// Adapters loaded with the replica.
+    pub adapters: Vec<AdapterName>,
+
+    /// Maximum concurrent requests.
+    pub concurrency: u32,
+}
+
+
 /// A web backend that a router may dispatch to.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1810,87 +1845,9 @@
 
     /// Rate limits stated by instances, for a gateway.
     Limits(LimitUpdate),
-}
-
-
-/// Lifecycle of an adapter of a replica.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum AdapterPhase {
-
-    /// Attached; the load order is pending.
-    Loading,
-
-    /// The engine confirmed the load.
-    Loaded,
-
-    /// The unload order is pending.
-    Unloading,
-}
-
-
-/// An adapter assigned to a replica. Its memory is reserved until the engine confirms the unload.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct AdapterAttachment {
-
-    /// Adapter name.
-    pub adapter: AdapterName,
-
-    /// Reserved accelerator memory.
-    pub bytes: u64,
-
-    /// Lifecycle phase.
-    pub phase: AdapterPhase,
-
-    /// Fence of the pending or last order.
-    pub fence: LogPosition,
-
-    /// Checkpoint name in the weight store.
-    pub checkpoint: String,
-}
-
-
-/// A placed replica of a model.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct Replica {
-
-    /// Identity of the replica.
-    pub slot: SlotId,
-
-    /// Model name.
-    pub model: ModelName,
-
-    /// Version of the weights.
-    pub version: VersionLabel,
-
-    /// Engine that holds the replica.
-    pub backend: BackendName,
-
-    /// Incarnation of the engine.
-    pub incarnation: Incarnation,
-
-    /// Indices of the accelerators used by the replica.
-    pub accelerators: Vec<u32>,
-
-    /// Memory reserved for weights, summed over its accelerators.
-    pub weights_bytes: u64,
-
-    /// Memory reserved for caches, summed over its accelerators.
-    pub cache_bytes: u64,
-
-    /// Checkpoint name in the weight store.
-    pub checkpoint: String,
-
-    /// Lifecycle phase.
-    pub phase: ReplicaPhase,
-
-    /// Fence of the pending or last order.
-    pub fence: LogPosition,
 
-    /// Adapters attached to the replica.
-    pub adapters: Vec<AdapterAttachment>,
+    /// Gateways that can serve requests of a gateway that lacks contact.
+    Peers(PeerUpdate),
 }
 
 
@@ -2002,6 +1959,28 @@
 }
 
 
+/// What a gateway reaches. Sent after the first report on a connection, and on each change.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct GatewayReach {
+
+    /// IP address and port at which it takes requests of other gateways.
+    pub address: String,
+
+    /// Secret that such requests must state; new with each process run.
+    pub key: String,
+
+    /// Whether it takes requests of other gateways.
+    pub accepts: bool,
+
+    /// Services of which it reaches no instance.
+    pub lost_services: Vec<ServiceName>,
+
+    /// Single instances that it does not reach; the list may be cut off.
+    pub lost_instances: Vec<InstanceId>,
+}
+
+
 /// Relative time to the first byte of an engine's responses, as observed by one gateway since its last report.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2428,6 +2407,90 @@
 
     /// Gateway request for instance permits; answered with `Permits`.
     Permits(PermitRequest),
+
+    /// What a gateway reaches, and where it takes requests of others; answered with `Peers` if it lacks anything.
+    Reach(GatewayReach),
+}
+
+
+/// Lifecycle of an adapter of a replica.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum AdapterPhase {
+
+    /// Attached; the load order is pending.
+    Loading,
+
+    /// The engine confirmed the load.
+    Loaded,
+
+    /// The unload order is pending.
+    Unloading,
+}
+
+
+/// An adapter assigned to a replica. Its memory is reserved until the engine confirms the unload.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct AdapterAttachment {
+
+    /// Adapter name.
+    pub adapter: AdapterName,
+
+    /// Reserved accelerator memory.
+    pub bytes: u64,
+
+    /// Lifecycle phase.
+    pub phase: AdapterPhase,
+
+    /// Fence of the pending or last order.
+    pub fence: LogPosition,
+
+    /// Checkpoint name in the weight store.
+    pub checkpoint: String,
+}
+
+
+/// A placed replica of a model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct Replica {
+
+    /// Identity of the replica.
+    pub slot: SlotId,
+
+    /// Model name.
+    pub model: ModelName,
+
+    /// Version of the weights.
+    pub version: VersionLabel,
+
+    /// Engine that holds the replica.
+    pub backend: BackendName,
+
+    /// Incarnation of the engine.
+    pub incarnation: Incarnation,
+
+    /// Indices of the accelerators used by the replica.
+    pub accelerators: Vec<u32>,
+
+    /// Memory reserved for weights, summed over its accelerators.
+    pub weights_bytes: u64,
+
+    /// Memory reserved for caches, summed over its accelerators.
+    pub cache_bytes: u64,
+
+    /// Checkpoint name in the weight store.
+    pub checkpoint: String,
+
+    /// Lifecycle phase.
+    pub phase: ReplicaPhase,
+
+    /// Fence of the pending or last order.
+    pub fence: LogPosition,
+
+    /// Adapters attached to the replica.
+    pub adapters: Vec<AdapterAttachment>,
 }
 
 
--- a/crates/millpass-reach/src/lib.rs
+++ b/crates/millpass-reach/src/lib.rs
@@ -7,9 +7,15 @@
 //! |---|---|
 //! | `paths` | paths from this gateway to instances, and when to probe them |
 //! | `ends` | refused connections that may mean the end of a process run |
+//! | `peers` | gateways that serve requests of this one |
+//! | `assignment` | the leader's choice of these gateways |
 
+mod assignment;
 mod ends;
 mod paths;
+mod peers;
 
+pub use assignment::{Candidate, MAX_PEERS, MAX_STATED_INSTANCES, choose_peers};
 pub use ends::RunEnds;
 pub use paths::{KnownInstances, PathChange, Paths, ReachSettings};
+pub use peers::{ForwardOutcome, Peers};
--- a/crates/millpass-router/src/link.rs
+++ b/crates/millpass-router/src/link.rs
@@ -163,7 +163,8 @@
                     | ControlToRouter::Credit(_)
                     | ControlToRouter::Crashes(_)
                     | ControlToRouter::Permits(_)
-                    | ControlToRouter::Limits(_),
+                    | ControlToRouter::Limits(_)
+                    | ControlToRouter::Peers(_),
                 ) => continue,
                 Ok(ControlToRouter::Claim(response)) => RoutingInput::ClaimDecided {
                     attempt: response.attempt,
--- a/crates/millpass-router/tests/common/control.rs
+++ b/crates/millpass-router/tests/common/control.rs
@@ -178,7 +178,8 @@
         | RouterToControl::Gateway(_)
         | RouterToControl::Credit(_)
         | RouterToControl::Crashes(_)
-        | RouterToControl::Permits(_) => None,
+        | RouterToControl::Permits(_)
+        | RouterToControl::Reach(_) => None,
         RouterToControl::Report(report) => {
             for observation in &report.observations {
                 observed.send(observation.clone()).unwrap();
--- a/crates/millpass-sim/src/router_link.rs
+++ b/crates/millpass-sim/src/router_link.rs
@@ -159,7 +159,8 @@
             | ControlToRouter::Credit(_)
             | ControlToRouter::Crashes(_)
             | ControlToRouter::Permits(_)
-            | ControlToRouter::Limits(_) => {}
+            | ControlToRouter::Limits(_)
+            | ControlToRouter::Peers(_) => {}
             ControlToRouter::Claim(response) => {
                 self.handle_claim_decision(router, response.attempt, response.decision);
             }
