--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -168,14 +168,9 @@
     }
 
     /// Records crashes that a gateway observed; updates are sent in the next run of the fleet.
-    pub(crate) fn handle_crash_report(
-        &mut self,
-        now: Timestamp,
-        connection: ConnectionId,
-        report: &CrashReport,
-    ) {
+    pub(crate) fn handle_crash_report(&mut self, now: Timestamp, report: &CrashReport) {
         if let Some(fleet) = &mut self.fleet {
-            fleet.handle_crash_report(now, connection.0, report);
+            fleet.handle_crash_report(now, report);
         }
     }
 
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -45,7 +45,7 @@
             return;
         }
         if let RouterToControl::Crashes(report) = &message {
-            self.handle_crash_report(now, connection, report);
+            self.handle_crash_report(now, report);
             return;
         }
         if let RouterToControl::Permits(request) = &message {
@@ -95,7 +95,7 @@
             RouterToControl::Credit(_) | RouterToControl::Permits(_)
                 if self.role == Role::Leader => {}
             RouterToControl::Crashes(report) if self.is_established_leader() => {
-                self.handle_crash_report(now, connection, report);
+                self.handle_crash_report(now, report);
             }
             RouterToControl::Reach(reach) if self.role == Role::Leader => {
                 self.handle_reach(connection, reach.clone());
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -163,6 +163,8 @@
     pub(crate) paths: Paths,
     pub(crate) peers: Peers,
     pub(crate) run_ends: RunEnds,
+    /// Ended runs to be logged.
+    pub(crate) ended_runs: Vec<InstanceId>,
     pub(crate) reach_statement: ReachStatement,
     /// Newest document version that another gateway has shown to a caller of this one.
     pub(crate) shown_version: u64,
@@ -181,6 +183,7 @@
             paths: Paths::new(settings.reach, reach::sample_offset(&settings.name)),
             peers: Peers::new(settings.zone.clone()),
             run_ends: RunEnds::default(),
+            ended_runs: Vec::new(),
             reach_statement: ReachStatement::default(),
             shown_version: 0,
             settings,
--- a/crates/millpass-dispatch/src/reach.rs
+++ b/crates/millpass-dispatch/src/reach.rs
@@ -4,10 +4,12 @@
 use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
 use crate::instances::{Instance, SendOutcome};
 use crate::request::{SendRecord, Ticket};
+use crate::statements::Statements;
 use millpass_proto::{
     Duration, GatewayPeer, GatewayReach, InstanceId, PeerUpdate, ServiceName, Timestamp,
 };
 use millpass_reach::{ForwardOutcome, KnownInstances, MAX_STATED_INSTANCES, PathChange};
+use std::collections::BTreeMap;
 
 /// Gateways that a request is forwarded to, one after the other, while a service is out of reach.
 const MAX_FORWARDS: usize = 3;
@@ -46,23 +48,24 @@
 }
 
 impl Dispatcher {
-    /// Records a connection to an instance that was established now. Returns the instances whose
-    /// process runs it shows to have ended.
-    pub fn record_connected(&mut self, now: Timestamp, instance: &InstanceId) -> Vec<InstanceId> {
-        if let Some(service) = self.service_of(instance) {
-            let was_lost = self.paths.is_lost(&service, instance);
-            let known = self.usable_instances(&service);
-            self.paths.record_connected(now, &service, instance, known);
-            if was_lost && let Some(found) = self.instances.get_mut(instance) {
-                found.clear_failures();
-            }
-            self.wake_after_path_change(was_lost);
+    /// Records a connection to an instance that was established now.
+    pub fn record_connected(&mut self, now: Timestamp, instance: &InstanceId) {
+        let Some(service) = self.service_of(instance) else {
+            return;
+        };
+        let was_lost = self.paths.is_lost(&service, instance);
+        let (instances, statements) = (&self.instances, &self.statements);
+        let known = || usable_instances(instances, statements, &service);
+        self.paths.record_connected(now, &service, instance, known);
+        if was_lost && let Some(found) = self.instances.get_mut(instance) {
+            found.clear_failures();
         }
-        let ended = self.run_ends.record_connected(now, instance);
-        for instance in &ended {
-            self.run_ended(now, instance);
+        self.wake_after_path_change(was_lost);
+        for refused in self.run_ends.record_connected(now, &service, instance) {
+            if let Some(service) = self.service_of(&refused) {
+                self.paths.request_probe(&service, &refused);
+            }
         }
-        ended
     }
 
     /// Records a connection to an instance that could not be established for a reason other than a
@@ -76,20 +79,33 @@
         }
     }
 
-    /// Records a connection that an instance refused. Its process run has ended if this gateway can
-    /// connect to another instance, which is tried at once.
+    /// Records a connection that an instance refused. Its process run has ended if this gateway then
+    /// connects to another instance, and is refused again.
     pub fn record_refused(&mut self, now: Timestamp, instance: &InstanceId) {
-        self.run_ends.record_refused(now, instance);
+        let Some(service) = self.service_of(instance) else {
+            return;
+        };
+        let has_others = self.usable_instances(&service) > 1;
+        let scope = has_others.then(|| service.clone());
+        if self.run_ends.record_refused(now, instance, scope) {
+            self.run_ended(now, instance);
+            self.ended_runs.push(instance.clone());
+        }
         self.record_connect_failed(now, instance);
-        let services: Vec<ServiceName> = match self.service_of(instance) {
-            Some(service) if self.usable_instances(&service) > 1 => vec![service],
-            _ => self.services_with_instances(),
+        let compared = match has_others {
+            true => vec![service],
+            false => self.services_with_instances(),
         };
-        for service in &services {
+        for service in &compared {
             self.paths.request_samples(service);
         }
     }
 
+    /// Returns the instances whose process runs were found to have ended since the last call.
+    pub fn take_ended_runs(&mut self) -> Vec<InstanceId> {
+        std::mem::take(&mut self.ended_runs)
+    }
+
     /// Records that a request has had no byte of its response for a long time. Returns true if the
     /// path to its instance is to be probed.
     pub fn record_silence(&mut self, now: Timestamp, instance: &InstanceId) -> bool {
@@ -107,7 +123,10 @@
 
     /// Returns the instances to connect to now, with their addresses.
     pub fn take_path_probes(&mut self, now: Timestamp) -> Vec<(InstanceId, String)> {
-        let mut probes = Vec::new();
+        if self.paths.next_probe_at().is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        let mut probes: Vec<InstanceId> = Vec::new();
         let services = self.services_with_instances();
         self.paths
             .retain_services(|service| services.contains(service));
@@ -320,15 +339,24 @@
         services
     }
 
-    /// Number of instances of a service that are not leaving.
     fn usable_instances(&self, service: &ServiceName) -> usize {
-        let instances = self.instances.values();
-        let usable = instances
-            .filter(|instance| instance.record.service == *service && !self.is_leaving(instance));
-        usable.count()
+        usable_instances(&self.instances, &self.statements, service)
     }
 }
 
+/// Number of instances of a service that are not leaving.
+fn usable_instances(
+    instances: &BTreeMap<InstanceId, Instance>,
+    statements: &Statements,
+    service: &ServiceName,
+) -> usize {
+    let usable = instances.iter().filter(|(instance, found)| {
+        let record = &found.record;
+        record.service == *service && !record.draining && !statements.is_leaving(instance)
+    });
+    usable.count()
+}
+
 fn refuse_unreachable() -> Choice {
     Choice::Refuse {
         reason: RefusalReason::Unreachable,
--- a/crates/millpass-fleet/src/crashes.rs
+++ b/crates/millpass-fleet/src/crashes.rs
@@ -66,21 +66,14 @@
     }
 
     /// Applies a gateway's report of ended process runs. The end of a draining instance is expected
-    /// and not attributed to its requests. A gateway that reaches no instance of a service cannot
-    /// tell the end of a run from its own lack of contact.
-    pub fn handle_crash_report(&mut self, now: Timestamp, connection: u64, report: &CrashReport) {
+    /// and not attributed to its requests.
+    pub fn handle_crash_report(&mut self, now: Timestamp, report: &CrashReport) {
         for request in &report.served {
             if self.crashes.requests.release(request) {
                 self.log_released(request, "served");
                 self.out.push(FleetOutput::LiftQuarantine(request.clone()));
             }
         }
-        if self.lacks_contact(connection) && !report.crashes.is_empty() {
-            let crashes = report.crashes.len().to_string();
-            let gateway = self.gateway_name(connection).unwrap_or_default().to_owned();
-            let pairs = vec![("gateway", gateway), ("crashes", crashes)];
-            return self.event("crashes-without-contact", pairs);
-        }
         for crash in &report.crashes {
             let record = self.registry.get(&crash.instance);
             if record.is_some_and(|record| record.draining) {
--- a/crates/millpass-fleet/src/reach.rs
+++ b/crates/millpass-fleet/src/reach.rs
@@ -34,12 +34,6 @@
         self.event(name, pairs);
     }
 
-    /// Returns true if the gateway on a connection states to reach no instance of some service.
-    pub(crate) fn lacks_contact(&self, connection: u64) -> bool {
-        let session = self.gateways.sessions.get(&connection);
-        session.is_some_and(|session| !lost_services(session).is_empty())
-    }
-
     /// Number of gateways that state to reach no instance of some service.
     pub(crate) fn gateways_without_contact(&self) -> usize {
         let sessions = self.gateways.sessions.values();
--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -129,7 +129,7 @@
         let now = at(1_000 * (index + 1));
         leader
             .0
-            .handle_crash_report(now, 0, &crash_report(instance, &[1, 20 + index]));
+            .handle_crash_report(now, &crash_report(instance, &[1, 20 + index]));
     }
 }
 
@@ -191,7 +191,7 @@
             .crashes
             .extend(crash_report(instance, &[1]).crashes);
     }
-    leader.0.handle_crash_report(at(10), 0, &remembered);
+    leader.0.handle_crash_report(at(10), &remembered);
     assert_eq!(
         leader.quarantined_by_gateway(11),
         vec![vec![request(1)], vec![request(1)]]
@@ -221,7 +221,7 @@
         leader.0.handle_departure(&instance.into(), false);
         leader
             .0
-            .handle_crash_report(at(500), 0, &crash_report(instance, &[1]));
+            .handle_crash_report(at(500), &crash_report(instance, &[1]));
     }
     assert!(leader.0.quarantined_requests(at(501)).is_empty());
 }
@@ -240,7 +240,7 @@
                 crashes: Vec::new(),
                 served: vec![request(1)],
             };
-            leader.0.handle_crash_report(at(5_001), 0, &served);
+            leader.0.handle_crash_report(at(5_001), &served);
         }
         assert_eq!(
             leader.quarantined_by_gateway(5_002),
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -447,13 +447,16 @@
 }
 
 fn apply_peers(shared: &Shared, update: PeerUpdate) {
-    let peers = {
+    let (before, peers) = {
         let mut core = shared.core();
+        let before = core.peer_count();
         core.apply_peers(update);
-        core.peer_count()
+        (before, core.peer_count())
     };
-    shared.metrics.peers.set(peers as i64);
-    log::info!("event=peers_received peers={peers}");
+    if before != peers {
+        shared.metrics.peers.set(peers as i64);
+        log::info!("event=peers_received peers={peers}");
+    }
     shared.changed.notify(usize::MAX);
     shared.notify_called();
 }
--- a/crates/millpass-gateway/src/probe.rs
+++ b/crates/millpass-gateway/src/probe.rs
@@ -53,12 +53,10 @@
         }
         Err(error) if error.is_refused() => {
             shared.core().record_refused(shared.now(), &instance);
-            shared.probe.notify(1);
             reach::log_changes(&shared);
         }
         Err(error) if error.is_of_path() => {
             shared.core().record_connect_failed(shared.now(), &instance);
-            shared.probe.notify(1);
             reach::log_changes(&shared);
         }
         Err(error) => log::warn!("event=probe_failed instance={instance} error=\"{error}\""),
--- a/crates/millpass-gateway/src/reach.rs
+++ b/crates/millpass-gateway/src/reach.rs
@@ -62,29 +62,30 @@
     }
 }
 
-/// Records an established connection, and the process runs that it shows to have ended.
+/// Records an established connection.
 pub(crate) fn record_connected(shared: &Shared, instance: &InstanceId) {
-    let ended = shared.core().record_connected(shared.now(), instance);
-    for instance in &ended {
-        shared.metrics.instance_ends.inc();
-        let pairs = [("instance", instance.0.clone())];
-        log::info!("{}", event_line("instance_ended", &pairs));
-    }
-    if !ended.is_empty() {
-        shared.report.notify(1);
-        shared.changed.notify(usize::MAX);
-    }
+    shared.core().record_connected(shared.now(), instance);
     log_changes(shared);
 }
 
 /// Logs changes of what is reached, updates the metrics, closes idle connections to what was lost
 /// and wakes what waits for a change.
 pub(crate) fn log_changes(shared: &Shared) {
-    let (changes, (services, instances)) = {
+    let (changes, ended, (services, instances)) = {
         let mut core = shared.core();
-        (core.take_path_changes(), core.unreachable_counts())
+        let ended = core.take_ended_runs();
+        (core.take_path_changes(), ended, core.unreachable_counts())
     };
-    if changes.is_empty() {
+    for instance in &ended {
+        shared.metrics.instance_ends.inc();
+        let pairs = [("instance", instance.0.clone())];
+        log::info!("{}", event_line("instance_ended", &pairs));
+    }
+    let next_probe = shared.core().next_path_probe_at();
+    if next_probe.is_some_and(|at| at <= shared.now()) {
+        shared.probe.notify(1);
+    }
+    if changes.is_empty() && ended.is_empty() {
         return;
     }
     shared.metrics.unreachable_services.set(services as i64);
@@ -94,7 +95,6 @@
         close_idle_connections(shared, &change);
     }
     shared.report.notify(1);
-    shared.probe.notify(1);
     shared.changed.notify(usize::MAX);
     shared.notify_called();
 }
--- a/crates/millpass-reach/src/ends.rs
+++ b/crates/millpass-reach/src/ends.rs
@@ -1,44 +1,76 @@
 //! Refused connections that may mean the end of a process run.
 //!
 //! A refused connection proves that nothing listens at an address only if this gateway reaches
-//! other instances at that time: a partition can refuse connections too.
+//! other instances: a partition can refuse connections too. A run has ended if its address refuses
+//! a connection, another instance is then connected to, and the address refuses again.
 
-use millpass_proto::{Duration, InstanceId, Timestamp};
+use millpass_proto::{Duration, InstanceId, ServiceName, Timestamp};
 
-/// Time within which another instance must be reached after a refused connection.
+/// Time within which the three observations must be made.
 const CONFIRMATION_WINDOW: Duration = Duration::from_millis(1_000);
 
 #[derive(Debug)]
 struct RefusedConnection {
     instance: InstanceId,
+    /// Service of which another instance must be connected to; none for any.
+    scope: Option<ServiceName>,
     at: Timestamp,
+    /// Another instance was connected to since.
+    has_contact: bool,
 }
 
-/// Refused connections that no connection to another instance has confirmed yet.
+/// Refused connections that are not known to be of ended runs.
 #[derive(Debug, Default)]
 pub struct RunEnds {
     refused: Vec<RefusedConnection>,
 }
 
 impl RunEnds {
-    /// Records a refused connection.
-    pub fn record_refused(&mut self, now: Timestamp, instance: &InstanceId) {
+    /// Records a refused connection. `scope` is the service of which another instance must be
+    /// connected to; none for any. Returns true if the process run has ended.
+    pub fn record_refused(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        scope: Option<ServiceName>,
+    ) -> bool {
         self.expire(now);
-        if !self.refused.iter().any(|it| it.instance == *instance) {
+        let mut refused = self.refused.iter();
+        let Some(position) = refused.position(|it| it.instance == *instance) else {
             self.refused.push(RefusedConnection {
                 instance: instance.clone(),
+                scope,
                 at: now,
+                has_contact: false,
             });
+            return false;
+        };
+        let has_contact = self.refused[position].has_contact;
+        if has_contact {
+            self.refused.swap_remove(position);
         }
+        has_contact
     }
 
-    /// Records a connection that was established now, and returns the instances whose runs it shows
-    /// to have ended.
-    pub fn record_connected(&mut self, now: Timestamp, instance: &InstanceId) -> Vec<InstanceId> {
+    /// Records a connection that was established now, and returns the instances to connect to once
+    /// more.
+    pub fn record_connected(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        instance: &InstanceId,
+    ) -> Vec<InstanceId> {
         self.expire(now);
         self.refused.retain(|it| it.instance != *instance);
-        let confirmed = std::mem::take(&mut self.refused);
-        confirmed.into_iter().map(|it| it.instance).collect()
+        let is_compared = |it: &&mut RefusedConnection| {
+            !it.has_contact && it.scope.as_ref().is_none_or(|scope| scope == service)
+        };
+        let compared = self.refused.iter_mut().filter(is_compared);
+        let compared = compared.map(|it| {
+            it.has_contact = true;
+            it.instance.clone()
+        });
+        compared.collect()
     }
 
     fn expire(&mut self, now: Timestamp) {
--- a/crates/millpass-reach/src/paths.rs
+++ b/crates/millpass-reach/src/paths.rs
@@ -222,13 +222,14 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Records a connection that was established now.
+    /// Records a connection that was established now. `known` returns the number of instances of the
+    /// service, and is called only if the service is unreachable.
     pub fn record_connected(
         &mut self,
         now: Timestamp,
         service: &ServiceName,
         instance: &InstanceId,
-        known: usize,
+        known: impl FnOnce() -> usize,
     ) {
         let settings = self.settings;
         let paths = self.paths_of(service);
@@ -244,7 +245,7 @@
         if let Some(outage) = &mut paths.outage {
             outage.connected.insert(instance.clone());
             outage.probes.at = now;
-            if outage.connected.len() >= CONFIRMATIONS.min(known.max(1)) {
+            if outage.connected.len() >= CONFIRMATIONS.min(known().max(1)) {
                 let length = now.since(outage.since);
                 changes.push(PathChange::ServiceReached(service.clone(), length));
                 paths.outage = None;
@@ -323,6 +324,12 @@
         true
     }
 
+    /// Requests a connection to an instance.
+    pub fn request_probe(&mut self, service: &ServiceName, instance: &InstanceId) {
+        let paths = self.paths_of(service);
+        paths.to_probe.insert(instance.clone());
+    }
+
     /// Requests connections to other instances of a service, which show whether this gateway
     /// reaches any.
     pub fn request_samples(&mut self, service: &ServiceName) {
--- a/crates/millpass-reach/tests/paths.rs
+++ b/crates/millpass-reach/tests/paths.rs
@@ -72,7 +72,7 @@
     let mut paths = paths();
     paths.record_failed(at(10), &service(), &known[0], known.len());
     paths.record_failed(at(11), &service(), &known[1], known.len());
-    paths.record_connected(at(12), &service(), &known[4], known.len());
+    paths.record_connected(at(12), &service(), &known[4], || known.len());
     paths.record_failed(at(13), &service(), &known[2], known.len());
     assert!(!paths.is_service_lost(&service()));
 }
@@ -84,7 +84,7 @@
     let mut paths = paths();
     paths.record_failed(at(10), &service(), &known[0], 1);
     assert!(paths.is_service_lost(&service()));
-    paths.record_connected(at(300), &service(), &known[0], 1);
+    paths.record_connected(at(300), &service(), &known[0], || 1);
     assert!(!paths.is_service_lost(&service()));
 }
 
@@ -96,12 +96,12 @@
     for instance in &known[..3] {
         paths.record_failed(at(10), &service(), instance, known.len());
     }
-    paths.record_connected(at(300), &service(), &known[0], known.len());
+    paths.record_connected(at(300), &service(), &known[0], || known.len());
     assert!(paths.is_service_lost(&service()));
     paths.record_failed(at(310), &service(), &known[1], known.len());
-    paths.record_connected(at(320), &service(), &known[2], known.len());
+    paths.record_connected(at(320), &service(), &known[2], || known.len());
     assert!(paths.is_service_lost(&service()), "a failure in between");
-    paths.record_connected(at(330), &service(), &known[0], known.len());
+    paths.record_connected(at(330), &service(), &known[0], || known.len());
     assert!(!paths.is_service_lost(&service()));
     let changes = paths.take_changes();
     let length = Duration::from_millis(320);
@@ -175,7 +175,7 @@
             now += 37;
             match step {
                 Step::Connected(at_instance) => {
-                    paths.record_connected(at(now), &service(), &known[at_instance], known.len());
+                    paths.record_connected(at(now), &service(), &known[at_instance], || known.len());
                 }
                 Step::Failed(at_instance) => {
                     paths.record_failed(at(now), &service(), &known[at_instance], known.len());
@@ -186,7 +186,7 @@
         for _ in 0..500 {
             now += 10;
             for instance in probes(&mut paths, now, &known) {
-                paths.record_connected(at(now), &service(), &instance, known.len());
+                paths.record_connected(at(now), &service(), &instance, || known.len());
             }
         }
         for instance in &known {
