--- a/crates/millpass-fleet/tests/partitioned_gateways.rs
+++ b/crates/millpass-fleet/tests/partitioned_gateways.rs
@@ -78,6 +78,7 @@
     unserved_demand: u32,
     /// Process runs that gateways took for ended.
     ended_runs: usize,
+    crash_reports: usize,
 }
 
 fn name(gateway: usize) -> String {
@@ -207,6 +208,7 @@
             count: 0,
             unserved_demand: 0,
             ended_runs: 0,
+            crash_reports: 0,
         };
         for gateway in 0..gateways {
             first_update(&mut world.gateways[gateway], gateways);
@@ -259,6 +261,7 @@
             };
             let core = &mut self.gateways[gateway];
             self.ended_runs += core.take_ended_runs().len();
+            self.crash_reports += usize::from(core.crash_report().is_some());
             if now % 300 == 0 {
                 let report = core.report(at(now));
                 let unserved = report.demand.iter().map(|demand| demand.unserved);
@@ -278,7 +281,10 @@
 
     fn probe(&mut self, now: u64) {
         for gateway in 0..self.gateways.len() {
-            for (instance, _) in self.gateways[gateway].take_path_probes(at(now)) {
+            let core = &mut self.gateways[gateway];
+            let probes = core.take_probes().into_iter();
+            let probes: Vec<_> = probes.chain(core.take_path_probes(at(now))).collect();
+            for (instance, _) in probes {
                 let (ends, works) = self.connect(now, gateway, &instance);
                 self.push(ends, Event::ProbeEnds(gateway, instance, works));
             }
@@ -327,6 +333,8 @@
         let description = RequestDescription {
             attempt: "r".to_owned(),
             model: (SERVICES[service].0 == "text").then(|| "a".into()),
+            // The same bytes again and again, as callers that return send them.
+            fingerprint: RequestFingerprint { high: 1, low: 1 },
             ..RequestDescription::default()
         };
         let ticket = core.begin(at(now), route, None, description, 0.5);
@@ -388,12 +396,21 @@
         if !served {
             ticket.sends -= 1;
         }
-        let outcome = match (served, self.failure(now, gateway, instance)) {
-            (true, _) => SendOutcome::Responded(Duration::from_millis(SERVE_MILLIS)),
+        let failure = self.failure(now, gateway, instance);
+        let is_broken = served && failure.is_some();
+        let outcome = match (served, failure) {
+            (true, None) => SendOutcome::Responded(Duration::from_millis(SERVE_MILLIS)),
+            // The partition began while the request ran.
+            (true, Some(_)) => SendOutcome::Broken,
             (false, Some(Failure::Refused)) => SendOutcome::ConnectionRefused,
             (false, _) => SendOutcome::Unreachable,
         };
         self.gateways[gateway].record_send_outcome(at(now), &record, outcome);
+        if is_broken {
+            // It may have run, and must not run again.
+            self.requests[number].served = Some(false);
+            return;
+        }
         match (served, is_forwarded) {
             (true, true) => self.push(now + HOP_MILLIS, Event::Returns(number, true)),
             (true, false) => self.requests[number].served = Some(true),
@@ -459,7 +476,9 @@
             let changed_lately = self.cuts.iter().any(|cut| {
                 let moments = [cut.from, cut.until];
                 let mut moments = moments.iter();
-                moments.any(|at| (*at..at + CONTACT).contains(&request.arrived))
+                // A request that runs when the path of another gateway is lost may be lost there.
+                let begins = |at: u64| at.saturating_sub(2 * SERVE_MILLIS);
+                moments.any(|at| (begins(*at)..at + CONTACT).contains(&request.arrived))
             });
             let helpers = self.in_contact(request.arrived, request.service);
             if request.served != Some(true) && !changed_lately && !helpers.is_empty() {
@@ -493,6 +512,7 @@
     assert_eq!(unfinished.count(), 0, "requests without an end");
     assert!(world.requests.iter().all(|it| it.runs <= 1), "run twice");
     assert_eq!(world.ended_runs, 0, "no process run ends here");
+    assert_eq!(world.crash_reports, 0, "no instance crashes here");
     let lost = world.lost_in_touch();
     assert!(lost.is_empty(), "not served, by gateway: {lost:?}");
 }
