Compare with other instances before a service counts as out of reach

Cause: each failed probe of an instance known to be out of reach counted as new evidence, so that a few ended instances made their whole service unreachable, again and again, and each refused probe of an ended run was compared with others and logged as another end.

Change: only a connection to an instance that was reached before is evidence. It makes the gateway connect to five others (to one first, if it was refused), and the service is out of reach if all of them fail or none is left. Known ends are remembered. A request waits for the comparison before it is taken for cold.

Shown by: ended_instances_do_not_make_their_service_unreachable (failed on the form before) and the unchanged test of partitioned gateways.

--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1279,7 +1279,7 @@
     pub probe_interval_ms: u64,
     /// Longest time between two probes of an instance or service out of reach.
     pub max_probe_interval_ms: u64,
-    /// Number of instances of a service that cannot be connected to, with none connected to in between, from which the service counts as out of reach.
+    /// Number of other instances of a service that are connected to for comparison once one cannot be connected to. If none of them can, the service counts as out of reach.
     pub sample: u64,
     /// Time without a byte of a response after which the path to its instance is probed.
     pub silence_ms: u64,
@@ -1289,7 +1289,7 @@
         Self {
             probe_interval_ms: 200u64,
             max_probe_interval_ms: 1000u64,
-            sample: 3u64,
+            sample: 5u64,
             silence_ms: 1000u64,
         }
     }
--- a/crates/millpass-dispatch/src/reach.rs
+++ b/crates/millpass-dispatch/src/reach.rs
@@ -8,7 +8,9 @@
 use millpass_proto::{
     Duration, GatewayPeer, GatewayReach, InstanceId, PeerUpdate, ServiceName, Timestamp,
 };
-use millpass_reach::{ForwardOutcome, KnownInstances, MAX_STATED_INSTANCES, PathChange};
+use millpass_reach::{
+    ConnectionFailure, ForwardOutcome, KnownInstances, MAX_STATED_INSTANCES, PathChange, Refusal,
+};
 use std::collections::BTreeMap;
 
 /// Gateways that a request is forwarded to, one after the other, while a service is out of reach.
@@ -16,8 +18,11 @@
 /// Gateways that a request is forwarded to if only single instances are out of reach: a second
 /// failure shows that the instances have ended.
 const MAX_FORWARDS_FOR_INSTANCE: usize = 1;
-/// Time for which a request waits for the leader to name gateways to forward to.
+/// Time for which a request waits for the leader to name gateways to forward to, and for connections
+/// that tell a lost instance from a lost service.
 const PEERS_WAIT: Duration = Duration::from_millis(300);
+/// Interval at which a request checks whether these connections have shown it.
+const COMPARISON_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Retry-After of a request that no gateway reaches an instance for; the retry may reach another
 /// gateway.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -71,12 +76,7 @@
     /// Records a connection to an instance that could not be established for a reason other than a
     /// refusal.
     pub fn record_connect_failed(&mut self, now: Timestamp, instance: &InstanceId) {
-        if let Some(service) = self.service_of(instance) {
-            let known = self.usable_instances(&service);
-            let before = self.paths.revision();
-            self.paths.record_failed(now, &service, instance, known);
-            self.wake_after_path_change(self.paths.revision() != before);
-        }
+        self.record_path_failure(now, instance, ConnectionFailure::Other);
     }
 
     /// Records a connection that an instance refused. Its process run has ended if this gateway then
@@ -85,19 +85,36 @@
         let Some(service) = self.service_of(instance) else {
             return;
         };
+        self.record_path_failure(now, instance, ConnectionFailure::Refused);
         let has_others = self.usable_instances(&service) > 1;
         let scope = has_others.then(|| service.clone());
-        if self.run_ends.record_refused(now, instance, scope) {
-            self.run_ended(now, instance);
-            self.ended_runs.push(instance.clone());
+        match self.run_ends.record_refused(now, instance, scope) {
+            Refusal::KnownEnded => {}
+            Refusal::Ended => {
+                self.run_ended(now, instance);
+                self.ended_runs.push(instance.clone());
+            }
+            Refusal::Unconfirmed if has_others => self.paths.request_comparison(&service),
+            Refusal::Unconfirmed => {
+                for service in self.services_with_instances() {
+                    self.paths.request_comparison(&service);
+                }
+            }
         }
-        self.record_connect_failed(now, instance);
-        let compared = match has_others {
-            true => vec![service],
-            false => self.services_with_instances(),
-        };
-        for service in &compared {
-            self.paths.request_samples(service);
+    }
+
+    fn record_path_failure(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        failure: ConnectionFailure,
+    ) {
+        if let Some(service) = self.service_of(instance) {
+            let known = self.usable_instances(&service);
+            let before = self.paths.revision();
+            self.paths
+                .record_failed(now, &service, instance, known, failure);
+            self.wake_after_path_change(self.paths.revision() != before);
         }
     }
 
@@ -130,6 +147,9 @@
         let services = self.services_with_instances();
         self.paths
             .retain_services(|service| services.contains(service));
+        let instances = &self.instances;
+        self.run_ends
+            .retain(|instance| instances.contains_key(instance));
         for service in &services {
             let usable: Vec<&InstanceId> = self
                 .instances
@@ -289,13 +309,20 @@
             if let Some(peer) = self.peers.choose(now, &ticket.service, tried) {
                 return Some(self.begin_forward(now, ticket, peer));
             }
-            let since = *ticket.peers_awaited_since.get_or_insert(now);
-            let until = (since + PEERS_WAIT).min(ticket.expires_at);
+            let until = until_decided(now, ticket);
             if !self.peers.is_known() && now < until {
                 return Some(Choice::Wait { until });
             }
         }
-        is_service_lost.then(refuse_unreachable)
+        if is_service_lost {
+            return Some(refuse_unreachable());
+        }
+        // Another gateway may lack the same contact without knowing it yet.
+        let until = until_decided(now, ticket);
+        let is_undecided = self.paths.is_undecided(&ticket.service) && now < until;
+        is_undecided.then(|| Choice::Wait {
+            until: until.min(now + COMPARISON_CHECK_INTERVAL),
+        })
     }
 
     fn begin_forward(&mut self, now: Timestamp, ticket: &mut Ticket, peer: GatewayPeer) -> Choice {
@@ -357,6 +384,12 @@
     usable.count()
 }
 
+/// Returns until when a request waits to be forwarded.
+fn until_decided(now: Timestamp, ticket: &mut Ticket) -> Timestamp {
+    let since = *ticket.peers_awaited_since.get_or_insert(now);
+    (since + PEERS_WAIT).min(ticket.expires_at)
+}
+
 fn refuse_unreachable() -> Choice {
     Choice::Refuse {
         reason: RefusalReason::Unreachable,
--- a/crates/millpass-gateway/src/peer.rs
+++ b/crates/millpass-gateway/src/peer.rs
@@ -54,6 +54,9 @@
     last_event: Option<&str>,
 ) -> HopRequest {
     let core = shared.core();
+    // It never arrived at those out of reach, and the other gateway may reach them.
+    let tried = ticket.tried.iter();
+    let tried = tried.filter(|instance| !core.is_path_lost(instance));
     HopRequest {
         key: peer.key.clone(),
         version: core.required_peer_version(),
@@ -62,7 +65,7 @@
             from: shared.settings.dispatch.name.clone(),
             elapsed: shared.now().since(ticket.arrived),
             service: ticket.service.clone(),
-            tried: ticket.tried.clone(),
+            tried: tried.cloned().collect(),
             is_arrival: !ticket.is_arrival_recorded,
             start_within: ticket.credit.map(|_| QUOTA_START),
         },
--- a/crates/millpass-reach/src/ends.rs
+++ b/crates/millpass-reach/src/ends.rs
@@ -5,6 +5,7 @@
 //! a connection, another instance is then connected to, and the address refuses again.
 
 use millpass_proto::{Duration, InstanceId, ServiceName, Timestamp};
+use std::collections::BTreeSet;
 
 /// Time within which the three observations must be made.
 const CONFIRMATION_WINDOW: Duration = Duration::from_millis(1_000);
@@ -23,18 +24,34 @@
 #[derive(Debug, Default)]
 pub struct RunEnds {
     refused: Vec<RefusedConnection>,
+    /// Runs known to have ended.
+    ended: BTreeSet<InstanceId>,
+}
+
+/// What a refused connection shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Nothing yet: another instance must be connected to.
+    Unconfirmed,
+    /// The process run has ended.
+    Ended,
+    /// The process run was known to have ended.
+    KnownEnded,
 }
 
 impl RunEnds {
     /// Records a refused connection. `scope` is the service of which another instance must be
-    /// connected to; none for any. Returns true if the process run has ended.
+    /// connected to; none for any.
     pub fn record_refused(
         &mut self,
         now: Timestamp,
         instance: &InstanceId,
         scope: Option<ServiceName>,
-    ) -> bool {
+    ) -> Refusal {
         self.expire(now);
+        if self.ended.contains(instance) {
+            return Refusal::KnownEnded;
+        }
         let mut refused = self.refused.iter();
         let Some(position) = refused.position(|it| it.instance == *instance) else {
             self.refused.push(RefusedConnection {
@@ -43,13 +60,14 @@
                 at: now,
                 has_contact: false,
             });
-            return false;
+            return Refusal::Unconfirmed;
         };
-        let has_contact = self.refused[position].has_contact;
-        if has_contact {
-            self.refused.swap_remove(position);
+        if !self.refused[position].has_contact {
+            return Refusal::Unconfirmed;
         }
-        has_contact
+        self.refused.swap_remove(position);
+        self.ended.insert(instance.clone());
+        Refusal::Ended
     }
 
     /// Records a connection that was established now, and returns the instances to connect to once
@@ -62,6 +80,7 @@
     ) -> Vec<InstanceId> {
         self.expire(now);
         self.refused.retain(|it| it.instance != *instance);
+        self.ended.remove(instance);
         let is_compared = |it: &&mut RefusedConnection| {
             !it.has_contact && it.scope.as_ref().is_none_or(|scope| scope == service)
         };
@@ -73,6 +92,11 @@
         compared.collect()
     }
 
+    /// Forgets instances that are no longer known.
+    pub fn retain(&mut self, is_known: impl Fn(&InstanceId) -> bool) {
+        self.ended.retain(is_known);
+    }
+
     fn expire(&mut self, now: Timestamp) {
         self.refused
             .retain(|it| now.since(it.at) < CONFIRMATION_WINDOW);
--- a/crates/millpass-reach/src/lib.rs
+++ b/crates/millpass-reach/src/lib.rs
@@ -16,6 +16,6 @@
 mod peers;
 
 pub use assignment::{Candidate, MAX_PEERS, MAX_STATED_INSTANCES, choose_peers};
-pub use ends::RunEnds;
-pub use paths::{KnownInstances, PathChange, Paths, ReachSettings};
+pub use ends::{Refusal, RunEnds};
+pub use paths::{ConnectionFailure, KnownInstances, PathChange, Paths, ReachSettings};
 pub use peers::{ForwardOutcome, Peers};
--- a/crates/millpass-reach/src/paths.rs
+++ b/crates/millpass-reach/src/paths.rs
@@ -1,8 +1,9 @@
 //! Paths from this gateway to instances.
 //!
-//! A path is lost once a connection fails. A service is unreachable once connections to several of
-//! its instances failed and none has succeeded since: its other instances are then not tried one by
-//! one. Probes, not requests, find out when a path works again.
+//! A path is lost once a connection fails. Connections to other instances of the service, made for
+//! comparison, then tell whether the instance or this gateway is the cause: if all of them fail, the
+//! service is unreachable, and its other instances are not tried one by one. Probes, not requests,
+//! find out when a path works again.
 
 use millpass_proto::{Duration, InstanceId, ServiceName, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,6 +12,13 @@
 const CONFIRMATIONS: usize = 2;
 /// Lost instances probed at once, per service.
 const MAX_PROBES: usize = 4;
+/// Instances connected to for comparison after a refused connection. A refusal comes at once, so that
+/// more can follow if these fail too.
+const FIRST_COMPARISONS: usize = 1;
+/// Time after which connections made for comparison no longer count.
+const COMPARISON_LIFETIME: Duration = Duration::from_millis(2_000);
+/// Fractional part of the golden ratio.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 /// Time after a probe of a silent instance in which no further one is probed for silence.
 const SILENCE_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -21,7 +29,8 @@
     pub probe_interval: Duration,
     /// Longest time between two probes.
     pub max_probe_interval: Duration,
-    /// Instances of a service whose connections must fail before the service is unreachable.
+    /// Other instances of a service whose connections must fail, besides a first one, before the
+    /// service is unreachable.
     pub sample: usize,
     /// Time without a byte of a response after which the path of a request is probed.
     pub silence: Duration,
@@ -32,12 +41,21 @@
         ReachSettings {
             probe_interval: Duration::from_millis(200),
             max_probe_interval: Duration::from_millis(1_000),
-            sample: 3,
+            sample: 5,
             silence: Duration::from_millis(1_000),
         }
     }
 }
 
+/// How a connection failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionFailure {
+    /// The address refused it.
+    Refused,
+    /// It was reset, or not established in time.
+    Other,
+}
+
 /// A change of what is reached.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PathChange {
@@ -88,22 +106,37 @@
 
 #[derive(Debug)]
 struct LostPath {
-    failed_at: Timestamp,
     probes: ProbeSchedule,
 }
 
+/// Connections to reached instances, to tell a lost instance from a lost service.
+#[derive(Debug, Default)]
+struct Comparison {
+    /// Instances to choose for it.
+    wanted: usize,
+    begun_at: Timestamp,
+    /// Number of instances chosen.
+    chosen: usize,
+    pending: BTreeSet<InstanceId>,
+}
+
+impl Comparison {
+    fn want(&mut self, instances: usize) {
+        if self.pending.is_empty() {
+            self.wanted = self.wanted.max(instances);
+        }
+    }
+}
+
 /// Paths to the instances of one service.
 #[derive(Debug, Default)]
 struct ServicePaths {
     lost: BTreeMap<InstanceId, LostPath>,
-    /// Last successful connection to any instance.
-    connected_at: Option<Timestamp>,
+    comparison: Comparison,
     /// Set while the service is unreachable.
     outage: Option<Outage>,
     /// Instances to probe at once.
     to_probe: BTreeSet<InstanceId>,
-    /// Reached instances to probe at once, to tell a lost instance from a lost service.
-    samples_wanted: usize,
     /// When an instance was last probed for its silence.
     silence_probed_at: Option<Timestamp>,
     /// Position in the list of instances from which the next samples are taken.
@@ -123,11 +156,38 @@
         self.outage.is_some() || self.lost.contains_key(instance)
     }
 
-    /// Number of instances whose connections failed since the last successful one.
-    fn failed_since_contact(&self) -> usize {
-        let failed = self.lost.values();
-        let is_later = |lost: &&LostPath| self.connected_at.is_none_or(|at| lost.failed_at >= at);
-        failed.filter(is_later).count()
+    fn begin_outage(&mut self, now: Timestamp, settings: &ReachSettings) {
+        self.comparison = Comparison::default();
+        self.outage = Some(Outage {
+            since: now,
+            probes: ProbeSchedule::start(now, settings),
+            connected: BTreeSet::new(),
+        });
+    }
+
+    /// Returns the reached instances to connect to for comparison.
+    fn take_comparisons(&mut self, now: Timestamp, known: &KnownInstances<'_>) -> Vec<InstanceId> {
+        let age = now.since(self.comparison.begun_at);
+        if !self.comparison.pending.is_empty() && age >= COMPARISON_LIFETIME {
+            self.comparison = Comparison::default();
+        }
+        let wanted = std::mem::take(&mut self.comparison.wanted);
+        if wanted == 0 {
+            return Vec::new();
+        }
+        let is_reached = |paths: &ServicePaths, instance: &InstanceId| !paths.is_lost(instance);
+        let chosen = self.sample(known, wanted, is_reached);
+        self.comparison = Comparison {
+            wanted: 0,
+            begun_at: now,
+            // All that are left are as conclusive as a full sample.
+            chosen: match chosen.len() < wanted {
+                true => usize::MAX,
+                false => chosen.len(),
+            },
+            pending: chosen.iter().cloned().collect(),
+        };
+        chosen
     }
 
     /// Returns the next instances in turn that satisfy a condition.
@@ -138,12 +198,13 @@
         condition: impl Fn(&Self, &InstanceId) -> bool,
     ) -> Vec<InstanceId> {
         let total = known.instances.len();
+        let stride = stride(total);
         let mut sampled = Vec::new();
         for _ in 0..total {
             if sampled.len() >= count {
                 break;
             }
-            self.cursor = (self.cursor + 1) % total;
+            self.cursor = (self.cursor + stride) % total;
             let instance = known.instances[self.cursor];
             if condition(self, instance) {
                 sampled.push(instance.clone());
@@ -153,6 +214,21 @@
     }
 }
 
+/// Returns a step through a list of this length that visits each entry once and neighbours far
+/// apart: instances that end together often are neighbours.
+fn stride(total: usize) -> usize {
+    let about = (total as f64 * GOLDEN_RATIO) as usize;
+    let mut steps = about.max(1)..=total.max(1);
+    steps.find(|step| gcd(*step, total) == 1).unwrap_or(1)
+}
+
+fn gcd(left: usize, right: usize) -> usize {
+    match right {
+        0 => left,
+        _ => gcd(right, left % right),
+    }
+}
+
 /// Paths from this gateway to all instances.
 #[derive(Debug)]
 pub struct Paths {
@@ -194,6 +270,13 @@
         paths.is_some_and(|paths| paths.outage.is_some())
     }
 
+    /// Returns true while connections made for comparison have not shown whether a service is
+    /// reached.
+    pub fn is_undecided(&self, service: &ServiceName) -> bool {
+        let comparison = self.services.get(service).map(|paths| &paths.comparison);
+        comparison.is_some_and(|it| it.wanted > 0 || !it.pending.is_empty())
+    }
+
     /// Returns when a service became unreachable; none if it is reached.
     pub fn lost_since(&self, service: &ServiceName) -> Option<Timestamp> {
         let outage = self.services.get(service)?.outage.as_ref()?;
@@ -233,8 +316,7 @@
     ) {
         let settings = self.settings;
         let paths = self.paths_of(service);
-        paths.connected_at = Some(now);
-        paths.samples_wanted = 0;
+        paths.comparison = Comparison::default();
         let mut changes = Vec::new();
         if paths.lost.remove(instance).is_some() {
             changes.push(PathChange::InstanceReached(
@@ -266,34 +348,35 @@
         service: &ServiceName,
         instance: &InstanceId,
         known: usize,
+        failure: ConnectionFailure,
     ) {
         let settings = self.settings;
         let paths = self.paths_of(service);
         let mut changes = Vec::new();
-        match paths.lost.get_mut(instance) {
-            Some(lost) => lost.failed_at = now,
-            None => {
-                let lost = LostPath {
-                    failed_at: now,
-                    probes: ProbeSchedule::start(now, &settings),
-                };
-                paths.lost.insert(instance.clone(), lost);
-                changes.push(PathChange::InstanceLost(service.clone(), instance.clone()));
-            }
+        let is_new = !paths.lost.contains_key(instance);
+        if is_new {
+            let lost = LostPath {
+                probes: ProbeSchedule::start(now, &settings),
+            };
+            paths.lost.insert(instance.clone(), lost);
+            changes.push(PathChange::InstanceLost(service.clone(), instance.clone()));
         }
-        let failed = paths.failed_since_contact();
-        match &mut paths.outage {
-            Some(outage) => outage.connected.clear(),
-            None if failed >= settings.sample.clamp(1, known.max(1)) => {
-                paths.outage = Some(Outage {
-                    since: now,
-                    probes: ProbeSchedule::start(now, &settings),
-                    connected: BTreeSet::new(),
-                });
-                paths.samples_wanted = 0;
-                changes.push(PathChange::ServiceLost(service.clone()));
-            }
-            None => paths.samples_wanted = settings.sample,
+        let was_compared = paths.comparison.pending.remove(instance);
+        let all_compared_failed = was_compared && paths.comparison.pending.is_empty();
+        let is_conclusive = paths.comparison.chosen >= settings.sample;
+        let is_all_lost = paths.lost.len() >= known.max(1);
+        if let Some(outage) = &mut paths.outage {
+            outage.connected.clear();
+        } else if is_all_lost || (all_compared_failed && is_conclusive) {
+            paths.begin_outage(now, &settings);
+            changes.push(PathChange::ServiceLost(service.clone()));
+        } else if all_compared_failed {
+            paths.comparison.want(settings.sample);
+        } else if is_new {
+            paths.comparison.want(match failure {
+                ConnectionFailure::Refused => FIRST_COMPARISONS.min(settings.sample),
+                ConnectionFailure::Other => settings.sample,
+            });
         }
         self.add_changes(changes);
     }
@@ -330,13 +413,12 @@
         paths.to_probe.insert(instance.clone());
     }
 
-    /// Requests connections to other instances of a service, which show whether this gateway
+    /// Requests a connection to another instance of a service, which shows whether this gateway
     /// reaches any.
-    pub fn request_samples(&mut self, service: &ServiceName) {
-        let sample = self.settings.sample;
+    pub fn request_comparison(&mut self, service: &ServiceName) {
         let paths = self.paths_of(service);
         if paths.outage.is_none() {
-            paths.samples_wanted = sample;
+            paths.comparison.want(FIRST_COMPARISONS);
         }
     }
 
@@ -352,7 +434,7 @@
         let mut probes = std::mem::take(&mut paths.to_probe);
         probes.retain(|instance| known.instances.contains(&instance));
         if known.instances.is_empty() {
-            paths.samples_wanted = 0;
+            paths.comparison = Comparison::default();
             return Vec::new();
         }
         if let Some(outage) = &mut paths.outage {
@@ -372,18 +454,14 @@
             is_due.then(|| instance.clone())
         });
         probes.extend(due.take(MAX_PROBES));
-        let wanted = std::mem::take(&mut paths.samples_wanted);
-        if wanted > 0 {
-            let is_reached = |paths: &ServicePaths, instance: &InstanceId| !paths.is_lost(instance);
-            probes.extend(paths.sample(known, wanted, is_reached));
-        }
+        probes.extend(paths.take_comparisons(now, known));
         probes.into_iter().collect()
     }
 
     /// Returns when the next probe is due; none while every path works.
     pub fn next_probe_at(&self) -> Option<Timestamp> {
         let due = |paths: &ServicePaths| -> Option<Timestamp> {
-            if paths.samples_wanted > 0 || !paths.to_probe.is_empty() {
+            if paths.comparison.wanted > 0 || !paths.to_probe.is_empty() {
                 return Some(Timestamp::ZERO);
             }
             match &paths.outage {
