--- a/crates/millpass-fleet/tests/partitioned_gateways.rs
+++ b/crates/millpass-fleet/tests/partitioned_gateways.rs
@@ -262,7 +262,7 @@
             let core = &mut self.gateways[gateway];
             self.ended_runs += core.take_ended_runs().len();
             self.crash_reports += usize::from(core.crash_report().is_some());
-            if now % 300 == 0 {
+            if now.is_multiple_of(300) {
                 let report = core.report(at(now));
                 let unserved = report.demand.iter().map(|demand| demand.unserved);
                 self.unserved_demand += unserved.sum::<u32>();
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -103,17 +103,7 @@
         .begin(arrived, route, tenant, description, draw);
     in_flight.track(&ticket);
     let template = RequestTemplate::new(shared.interface.as_ref(), head, body);
-    let forward = Forward {
-        shared: shared.clone(),
-        ticket,
-        credit: None,
-        template,
-        error_response: None,
-        may_have_run: false,
-        in_flight: Some(in_flight),
-        last_event: None,
-        guard: None,
-    };
+    let forward = Forward::new(shared, ticket, template, in_flight);
     forward.serve_within_quota().await
 }
 
@@ -146,15 +136,9 @@
     in_flight.track(&ticket);
     let template = RequestTemplate::new(shared.interface.as_ref(), head, body);
     let forward = Forward {
-        shared: shared.clone(),
-        ticket,
-        credit: None,
-        template,
-        error_response: None,
-        may_have_run: false,
-        in_flight: Some(in_flight),
         last_event: hop.last_event,
         guard,
+        ..Forward::new(shared, ticket, template, in_flight)
     };
     forward.run().await
 }
@@ -224,6 +208,25 @@
 }
 
 impl Forward {
+    fn new(
+        shared: &Arc<Shared>,
+        ticket: Ticket,
+        template: RequestTemplate,
+        in_flight: InFlight,
+    ) -> Self {
+        Forward {
+            shared: shared.clone(),
+            ticket,
+            credit: None,
+            template,
+            error_response: None,
+            may_have_run: false,
+            in_flight: Some(in_flight),
+            last_event: None,
+            guard: None,
+        }
+    }
+
     /// Serves the request once its tenant's quota covers it, unless it is quarantined.
     async fn serve_within_quota(mut self) -> Response<RelayBody> {
         let now = self.shared.now();
--- a/crates/millpass-reach/src/paths.rs
+++ b/crates/millpass-reach/src/paths.rs
@@ -104,11 +104,6 @@
     }
 }
 
-#[derive(Debug)]
-struct LostPath {
-    probes: ProbeSchedule,
-}
-
 /// Connections to reached instances, to tell a lost instance from a lost service.
 #[derive(Debug, Default)]
 struct Comparison {
@@ -131,7 +126,8 @@
 /// Paths to the instances of one service.
 #[derive(Debug, Default)]
 struct ServicePaths {
-    lost: BTreeMap<InstanceId, LostPath>,
+    /// Lost paths, with their next probes.
+    lost: BTreeMap<InstanceId, ProbeSchedule>,
     comparison: Comparison,
     /// Set while the service is unreachable.
     outage: Option<Outage>,
@@ -331,9 +327,9 @@
                 let length = now.since(outage.since);
                 changes.push(PathChange::ServiceReached(service.clone(), length));
                 paths.outage = None;
-                for lost in paths.lost.values_mut() {
-                    lost.probes = ProbeSchedule::start(now, &settings);
-                    lost.probes.at = now;
+                for probes in paths.lost.values_mut() {
+                    *probes = ProbeSchedule::start(now, &settings);
+                    probes.at = now;
                 }
             }
         }
@@ -355,10 +351,8 @@
         let mut changes = Vec::new();
         let is_new = !paths.lost.contains_key(instance);
         if is_new {
-            let lost = LostPath {
-                probes: ProbeSchedule::start(now, &settings),
-            };
-            paths.lost.insert(instance.clone(), lost);
+            let probes = ProbeSchedule::start(now, &settings);
+            paths.lost.insert(instance.clone(), probes);
             changes.push(PathChange::InstanceLost(service.clone(), instance.clone()));
         }
         let was_compared = paths.comparison.pending.remove(instance);
@@ -449,8 +443,8 @@
             return probes.into_iter().collect();
         }
         let due = paths.lost.iter_mut();
-        let due = due.filter_map(|(instance, lost)| {
-            let is_due = lost.probes.take_if_due(now, &settings);
+        let due = due.filter_map(|(instance, probes)| {
+            let is_due = probes.take_if_due(now, &settings);
             is_due.then(|| instance.clone())
         });
         probes.extend(due.take(MAX_PROBES));
@@ -466,7 +460,7 @@
             }
             match &paths.outage {
                 Some(outage) => Some(outage.probes.at),
-                None => paths.lost.values().map(|lost| lost.probes.at).min(),
+                None => paths.lost.values().map(|probes| probes.at).min(),
             }
         };
         self.services.values().filter_map(due).min()
