Log response bodies that only the end of their connection ends

The logs could not tell a body without length and chunks from one that its server completed: both were request_ended outcome=answered. No decision depends on it yet.

--- /dev/null
+++ b/crates/millpass-gateway/src/framing.rs
@@ -0,0 +1,43 @@
+//! How the end of a response body is recognized.
+
+use crate::forward::is_stream;
+use http::StatusCode;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::response::Parts;
+use millpass_proto::RouteSpec;
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// What marks the end of a response body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// Its length, its last chunk or its status: a body that breaks off is an error.
+    Stated,
+    /// Only the end of the connection, which also ends a body that breaks off.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the framing of the body after this head.
+    pub(crate) fn of(head: &Parts) -> Framing {
+        let is_empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
+        let is_stated = is_empty
+            || head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING);
+        match is_stated {
+            true => Framing::Stated,
+            false => Framing::Connection,
+        }
+    }
+}
+
+/// Returns whether the body after this head is an event stream.
+pub(crate) fn is_event_stream(route: &RouteSpec, head: &Parts) -> bool {
+    match head.headers.get(CONTENT_TYPE) {
+        Some(stated) => {
+            let stated = stated.as_bytes().to_ascii_lowercase();
+            stated.starts_with(EVENT_STREAM.as_bytes())
+        }
+        None => is_stream(route) && head.status.is_success(),
+    }
+}
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `peer_service` | serves requests that other gateways forward |
 //! | `hop` | headers between two gateways |
 //! | `relay` | relays response bodies and resumes broken streams |
+//! | `framing` | how the end of a response body is recognized |
 //! | `events` | splits a stream into complete events |
 //! | `pool` | connections to instances |
 //! | `probe` | connects to instances whose path is in doubt |
@@ -35,6 +36,7 @@
 mod events;
 mod exchange;
 mod forward;
+mod framing;
 mod freshness;
 mod hop;
 pub mod interface;
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -64,6 +64,8 @@
     pub(crate) unreachable_instances: IntGauge,
     /// Changes of what is reached.
     pub(crate) path_changes: IntCounterVec,
+    /// Response bodies that ended with their connection, by position.
+    pub(crate) connection_ends: IntCounterVec,
     /// Requests forwarded to other gateways, by outcome.
     pub(crate) forwards: IntCounterVec,
     /// Requests of other gateways, by outcome.
@@ -114,6 +116,11 @@
             "Changes of the instances and services that this gateway reaches",
             "change",
         )?;
+        let connection_ends = counters(
+            "gateway_connection_ends_total",
+            "Response bodies that only the end of the connection ended, by position",
+            "position",
+        )?;
         let forwards = counters(
             "gateway_forwards_total",
             "Requests forwarded to other gateways, by outcome",
@@ -241,6 +248,7 @@
             unreachable_services,
             unreachable_instances,
             path_changes,
+            connection_ends,
             forwards,
             served_forwards,
             peers,
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -5,12 +5,13 @@
 use crate::events::EventBuffer;
 use crate::exchange::{self, ReceivedResponse, RequestTemplate};
 use crate::forward::{is_stream, record_failure, record_rejection};
+use crate::framing::{Framing, is_event_stream};
 use crate::hop::HopOutcome;
 use crate::interface::SendFacts;
 use crate::peer::{self, PeerResponse};
 use crate::peer_service::ForwardedGuard;
 use crate::reach::{self, PathWatch};
-use crate::request_log::{InFlight, log_request};
+use crate::request_log::{InFlight, log_connection_end, log_request};
 use crate::shared::{Active, ActiveForward, ActiveSend, Shared, Turn};
 use crate::statements::record_statement;
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use millpass_dispatch::{Choice, ForwardOutcome, SendOutcome, Ticket};
+use millpass_event_stream::EventScanner;
 use millpass_proto::{Duration, GatewayPeer, Timestamp};
 use std::convert::Infallible;
 use std::io;
@@ -48,6 +50,9 @@
     keep_alive: Option<Duration>,
     head_latency: Duration,
     status: StatusCode,
+    framing: Framing,
+    /// Present if the body is an event stream.
+    scanner: Option<EventScanner>,
     /// Present if the stream is resumable.
     events: Option<EventBuffer>,
     ended: bool,
@@ -78,6 +83,7 @@
         guard: Option<ForwardedGuard>,
     ) -> Self {
         let resumable = resumable && is_stream(&ticket.route);
+        let scanner = is_event_stream(&ticket.route, &received.head).then(EventScanner::default);
         let mut relay = Relay {
             shared,
             credit,
@@ -89,6 +95,8 @@
             keep_alive: received.facts.keep_alive,
             head_latency,
             status: received.head.status,
+            framing: Framing::of(&received.head),
+            scanner,
             events: resumable.then(EventBuffer::default),
             ended: false,
             in_flight,
@@ -108,6 +116,9 @@
         loop {
             match self.read().await {
                 BodyRead::Bytes(bytes) => {
+                    if let Some(scanner) = &mut self.scanner {
+                        scanner.scan(&bytes);
+                    }
                     // hyper drops a body with a content length after its last byte, without polling
                     // for the end.
                     if self.events.is_none() && self.body.is_end_stream() {
@@ -122,6 +133,7 @@
                     }
                 }
                 BodyRead::End => {
+                    self.log_connection_end();
                     let remainder = self.events.as_mut().map(EventBuffer::take_remainder);
                     self.finish();
                     let remainder = remainder.filter(|remainder| !remainder.is_empty())?;
@@ -193,6 +205,14 @@
         );
     }
 
+    /// Logs a body whose end only the end of the connection marked.
+    fn log_connection_end(&self) {
+        if self.framing == Framing::Connection {
+            let inside_event = self.scanner.as_ref().map(EventScanner::is_inside_event);
+            log_connection_end(&self.shared, &self.ticket, inside_event);
+        }
+    }
+
     /// Marks the request as ended; false if it already was.
     fn record_end(&mut self) -> bool {
         self.in_flight.as_mut().is_some_and(InFlight::finish)
@@ -408,6 +428,10 @@
         );
         self.shared.metrics.resumed.inc();
         self.active = Some(active);
+        self.framing = Framing::of(&received.head);
+        if let Some(scanner) = &mut self.scanner {
+            scanner.restart();
+        }
         self.body = received.body;
         self.sender = Some(received.sender);
         self.keep_alive = received.facts.keep_alive;
--- a/crates/millpass-gateway/src/request_log.rs
+++ b/crates/millpass-gateway/src/request_log.rs
@@ -179,6 +179,29 @@
     ]
 }
 
+/// Logs and counts a response body that ended with its connection, inside an event or not; none if
+/// it has no events.
+pub(crate) fn log_connection_end(shared: &Shared, ticket: &Ticket, inside_event: Option<bool>) {
+    let position = match inside_event {
+        Some(true) => "inside-event",
+        Some(false) => "after-event",
+        None => "no-events",
+    };
+    let ends = &shared.metrics.connection_ends;
+    ends.with_label_values(&[position]).inc();
+    let instance = ticket.tried.last();
+    let pairs = [
+        ("request", ticket.description.attempt.clone()),
+        ("route", ticket.route.name.clone()),
+        (
+            "instance",
+            instance.map_or_else(String::new, |instance| instance.0.clone()),
+        ),
+        ("position", position.to_owned()),
+    ];
+    log::info!("{}", event_line("body_ended_with_connection", &pairs));
+}
+
 /// Logs a send without a response that is relayed.
 pub(crate) fn log_send_failure(
     shared: &Shared,
