Abort or resume a stream whose connection ends inside an event

What callers saw: a response without length and chunks that its server broke off came through with a last chunk, a part of an event in it; logged answered, counted as a success of the instance, never resumed. Cause: hyper reports the end of the connection as the end of such a body, and the relay took any end for a whole one. Class: the end of a transport taken for the end of the message. Now a stream without stated end that ends inside an event is broken: resumed where the route allows it, else aborted, counted as broken at its instance. Bodies with a length or chunks are decided by these alone.

--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -133,7 +133,6 @@
                     }
                 }
                 BodyRead::End => {
-                    self.log_connection_end();
                     let remainder = self.events.as_mut().map(EventBuffer::take_remainder);
                     self.finish();
                     let remainder = remainder.filter(|remainder| !remainder.is_empty())?;
@@ -179,7 +178,20 @@
             }
             BodyRead::Broken("the path was lost".to_owned())
         };
-        future::or(read, future::or(lost, timer)).await
+        match future::or(read, future::or(lost, timer)).await {
+            BodyRead::End if self.framing == Framing::Connection => self.end_of_connection(),
+            read => read,
+        }
+    }
+
+    /// Returns what the end of a connection means for the body that nothing else ends.
+    fn end_of_connection(&self) -> BodyRead {
+        let inside_event = self.scanner.as_ref().map(EventScanner::is_inside_event);
+        log_connection_end(&self.shared, &self.ticket, inside_event);
+        match inside_event {
+            Some(true) => BodyRead::Broken("the connection ended inside an event".to_owned()),
+            Some(false) | None => BodyRead::End,
+        }
     }
 
     /// Completes the response: the connection can be reused.
@@ -205,14 +217,6 @@
         );
     }
 
-    /// Logs a body whose end only the end of the connection marked.
-    fn log_connection_end(&self) {
-        if self.framing == Framing::Connection {
-            let inside_event = self.scanner.as_ref().map(EventScanner::is_inside_event);
-            log_connection_end(&self.shared, &self.ticket, inside_event);
-        }
-    }
-
     /// Marks the request as ended; false if it already was.
     fn record_end(&mut self) -> bool {
         self.in_flight.as_mut().is_some_and(InFlight::finish)
