Forward events of streams whose lines end with CR LF or CR as they come

What callers saw: on routes that may be resumed, no event until the stream ended. Cause: the buffer that holds back partial events knew only LF LF as the end of one; the format also allows CR LF and CR. Evidence: each_event_goes_on_as_it_comes fails for both before (the server waits until the first event has arrived), passes now; LF passed before. The buffer uses the scanner of millpass-event-stream, and the relay has one owner of what is known of a body's events. A body that states another content type than an event stream is no longer buffered in events.

--- a/crates/millpass-gateway/src/events.rs
+++ b/crates/millpass-gateway/src/events.rs
@@ -4,34 +4,29 @@
 //! last one, so a partial event must not reach the caller.
 
 use bytes::{Bytes, BytesMut};
-
-const EVENT_DELIMITER: &[u8] = b"\n\n";
-const ID_FIELD: &[u8] = b"id:";
+use millpass_event_stream::EventScanner;
 
 /// Buffers the bytes of a stream and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     pending: BytesMut,
-    last: Option<String>,
+    scanner: EventScanner,
 }
 
 impl EventBuffer {
     /// Appends bytes and returns the events that are now complete; empty if none.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        let before = self.pending.len();
         self.pending.extend_from_slice(bytes);
-        let Some(end) = last_end(&self.pending) else {
-            return Bytes::new();
-        };
-        let complete = self.pending.split_to(end).freeze();
-        if let Some(identity) = last_identity(&complete) {
-            self.last = Some(identity);
+        match self.scanner.scan(bytes) {
+            Some(end) => self.pending.split_to(before + end).freeze(),
+            None => Bytes::new(),
         }
-        complete
     }
 
     /// Returns the id of the last complete event.
     pub fn last_identity(&self) -> Option<&str> {
-        self.last.as_deref()
+        self.scanner.last_id()
     }
 
     /// Returns whether no partial event is buffered.
@@ -39,9 +34,10 @@
         self.pending.is_empty()
     }
 
-    /// Drops the buffered partial event.
+    /// Drops the buffered partial event: what follows is of another stream that continues this one.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
+        self.scanner.restart();
     }
 
     /// Takes the bytes behind the last complete event.
@@ -50,17 +46,64 @@
     }
 }
 
-fn last_end(bytes: &[u8]) -> Option<usize> {
-    let position = bytes
-        .windows(EVENT_DELIMITER.len())
-        .rposition(|window| window == EVENT_DELIMITER)?;
-    Some(position + EVENT_DELIMITER.len())
+/// What is known of the events in a relayed body.
+#[derive(Debug)]
+pub(crate) enum BodyEvents {
+    /// Not an event stream.
+    None,
+    /// Forwarded as it arrives.
+    Followed(EventScanner),
+    /// Forwarded in complete events.
+    Buffered(EventBuffer),
 }
 
-fn last_identity(events: &[u8]) -> Option<String> {
-    let line = events
-        .split(|byte| *byte == b'\n')
-        .rfind(|line| line.starts_with(ID_FIELD))?;
-    let text = std::str::from_utf8(&line[ID_FIELD.len()..]).ok()?;
-    Some(text.trim().to_owned())
+impl BodyEvents {
+    /// Returns the bytes to forward now that these have arrived; possibly none.
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Bytes {
+        match self {
+            BodyEvents::None => bytes,
+            BodyEvents::Followed(scanner) => {
+                scanner.scan(&bytes);
+                bytes
+            }
+            BodyEvents::Buffered(buffer) => buffer.push(&bytes),
+        }
+    }
+
+    /// Returns whether the body so far ends inside an event; none if it has no events.
+    pub(crate) fn is_inside_event(&self) -> Option<bool> {
+        match self {
+            BodyEvents::None => None,
+            BodyEvents::Followed(scanner) => Some(scanner.is_inside_event()),
+            BodyEvents::Buffered(buffer) => Some(!buffer.is_at_boundary()),
+        }
+    }
+
+    /// Returns whether only complete events are forwarded.
+    pub(crate) fn is_buffered(&self) -> bool {
+        matches!(self, BodyEvents::Buffered(_))
+    }
+
+    /// Returns the id of the last event that was forwarded, if it is known.
+    pub(crate) fn last_identity(&self) -> Option<String> {
+        match self {
+            BodyEvents::Buffered(buffer) => buffer.last_identity().map(str::to_owned),
+            BodyEvents::None | BodyEvents::Followed(_) => None,
+        }
+    }
+
+    /// Drops a partial event that was not forwarded.
+    pub(crate) fn discard_partial(&mut self) {
+        if let BodyEvents::Buffered(buffer) = self {
+            buffer.discard_partial();
+        }
+    }
+
+    /// Takes the bytes behind the last complete event.
+    pub(crate) fn take_remainder(&mut self) -> Bytes {
+        match self {
+            BodyEvents::Buffered(buffer) => buffer.take_remainder(),
+            BodyEvents::None | BodyEvents::Followed(_) => Bytes::new(),
+        }
+    }
 }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -2,7 +2,7 @@
 //! Dropping the body cancels the request at the instance.
 
 use crate::credit::CreditHold;
-use crate::events::EventBuffer;
+use crate::events::{BodyEvents, EventBuffer};
 use crate::exchange::{self, ReceivedResponse, RequestTemplate};
 use crate::forward::{is_stream, record_failure, record_rejection};
 use crate::framing::{Framing, is_event_stream};
@@ -51,10 +51,7 @@
     head_latency: Duration,
     status: StatusCode,
     framing: Framing,
-    /// Present if the body is an event stream.
-    scanner: Option<EventScanner>,
-    /// Present if the stream is resumable.
-    events: Option<EventBuffer>,
+    events: BodyEvents,
     ended: bool,
     in_flight: Option<InFlight>,
     /// Present if another gateway forwarded the request.
@@ -82,8 +79,13 @@
         in_flight: Option<InFlight>,
         guard: Option<ForwardedGuard>,
     ) -> Self {
-        let resumable = resumable && is_stream(&ticket.route);
-        let scanner = is_event_stream(&ticket.route, &received.head).then(EventScanner::default);
+        let events = match is_event_stream(&ticket.route, &received.head) {
+            false => BodyEvents::None,
+            true if resumable && is_stream(&ticket.route) => {
+                BodyEvents::Buffered(EventBuffer::default())
+            }
+            true => BodyEvents::Followed(EventScanner::default()),
+        };
         let mut relay = Relay {
             shared,
             credit,
@@ -96,13 +98,12 @@
             head_latency,
             status: received.head.status,
             framing: Framing::of(&received.head),
-            scanner,
-            events: resumable.then(EventBuffer::default),
+            events,
             ended: false,
             in_flight,
             _guard: guard,
         };
-        if relay.events.is_none() && relay.body.is_end_stream() {
+        if !relay.events.is_buffered() && relay.body.is_end_stream() {
             // hyper does not poll an empty body.
             relay.finish();
         }
@@ -116,31 +117,27 @@
         loop {
             match self.read().await {
                 BodyRead::Bytes(bytes) => {
-                    if let Some(scanner) = &mut self.scanner {
-                        scanner.scan(&bytes);
-                    }
                     // hyper drops a body with a content length after its last byte, without polling
                     // for the end.
-                    if self.events.is_none() && self.body.is_end_stream() {
+                    if !self.events.is_buffered() && self.body.is_end_stream() {
                         self.finish();
                     }
-                    let forwarded = match &mut self.events {
-                        Some(events) => events.push(&bytes),
-                        None => bytes,
-                    };
+                    let forwarded = self.events.push(bytes);
                     if !forwarded.is_empty() {
                         return Some((Ok(Frame::data(forwarded)), self));
                     }
                 }
                 BodyRead::End => {
-                    let remainder = self.events.as_mut().map(EventBuffer::take_remainder);
+                    let remainder = self.events.take_remainder();
                     self.finish();
-                    let remainder = remainder.filter(|remainder| !remainder.is_empty())?;
+                    if remainder.is_empty() {
+                        return None;
+                    }
                     self.ended = true;
                     return Some((Ok(Frame::data(remainder)), self));
                 }
                 BodyRead::Broken(reason) => {
-                    if self.events.is_some() && self.resume(&reason).await {
+                    if self.events.is_buffered() && self.resume(&reason).await {
                         continue;
                     }
                     return Some(self.abort("broken", &reason).await);
@@ -169,7 +166,7 @@
             self.shared.sleep_until(self.ticket.expires_at).await;
             BodyRead::TimedOut
         };
-        let watch = PathWatch::within_response(&self.shared, self.events.is_some());
+        let watch = PathWatch::within_response(&self.shared, self.events.is_buffered());
         let instance = self.active.as_ref().and_then(Active::instance);
         let lost = async {
             match instance {
@@ -186,7 +183,7 @@
 
     /// Returns what the end of a connection means for the body that nothing else ends.
     fn end_of_connection(&self) -> BodyRead {
-        let inside_event = self.scanner.as_ref().map(EventScanner::is_inside_event);
+        let inside_event = self.events.is_inside_event();
         log_connection_end(&self.shared, &self.ticket, inside_event);
         match inside_event {
             Some(true) => BodyRead::Broken("the connection ended inside an event".to_owned()),
@@ -266,9 +263,7 @@
             );
             active.end(SendOutcome::Broken);
         }
-        if let Some(events) = &mut self.events {
-            events.discard_partial();
-        }
+        self.events.discard_partial();
         let mut turn = Turn::new(self.shared.clone());
         loop {
             if !self.wait_until_covered().await {
@@ -339,11 +334,7 @@
             in_flight.update(&self.ticket);
         }
         let active = ActiveSend::new(shared.clone(), self.ticket.send_record(&instance));
-        let last = self
-            .events
-            .as_ref()
-            .and_then(|events| events.last_identity())
-            .map(str::to_owned);
+        let last = self.events.last_identity();
         if let Some(credit) = &mut self.credit {
             credit.begin_use(sent_at);
         }
@@ -392,8 +383,7 @@
             in_flight.update(&self.ticket);
         }
         let active = ActiveForward::new(shared.clone(), peer.gateway.clone());
-        let events = self.events.as_ref();
-        let last = events.and_then(|events| events.last_identity().map(str::to_owned));
+        let last = self.events.last_identity();
         if let Some(credit) = &mut self.credit {
             credit.begin_use(sent_at);
         }
@@ -433,9 +423,6 @@
         self.shared.metrics.resumed.inc();
         self.active = Some(active);
         self.framing = Framing::of(&received.head);
-        if let Some(scanner) = &mut self.scanner {
-            scanner.restart();
-        }
         self.body = received.body;
         self.sender = Some(received.sender);
         self.keep_alive = received.facts.keep_alive;
