Reset the connection of an HTTP/1.0 caller whose response breaks off

What callers saw: a response that broke off, by whatever framing of the server, ended like a whole one for a caller of HTTP/1.0: without length and chunks only the end of the connection marks its end. Callers of HTTP/1.1, also with Connection: close, get chunks and no last one. Now the failing body of such a response makes its connection end with a reset.

--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | `interface` | wire format between callers, gateway and instances |
 //! | `server` | listens, accepts, and serves connections |
+//! | `caller_stream` | connections of callers |
 //! | `forward` | handles one request |
 //! | `responses` | responses that the gateway generates |
 //! | `credit` | claims on tenant quotas |
@@ -32,6 +33,7 @@
 //!
 //! Lock order: `shared` (the core), then `pool`; no lock is held across an await.
 
+mod caller_stream;
 mod credit;
 mod events;
 mod exchange;
--- a/crates/millpass-gateway/src/server.rs
+++ b/crates/millpass-gateway/src/server.rs
@@ -1,5 +1,6 @@
 //! Listens, accepts, and serves connections of callers, readiness checks and metrics.
 
+use crate::caller_stream::{CallerStream, ConnectionReset};
 use crate::forward;
 use crate::peer_service;
 use crate::relay::{RelayBody, full_body};
@@ -7,7 +8,7 @@
 use async_io::{Async, Timer};
 use bytes::Bytes;
 use futures_lite::future;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -103,10 +104,12 @@
         ConnectionGuard(shared.clone())
     });
     let idle = idle_timeout(&shared);
+    let reset = ConnectionReset::default();
+    let stream = CallerStream::new(stream, reset.clone());
     let service_shared = shared.clone();
     let handler = service_fn(move |request| {
-        let shared = service_shared.clone();
-        async move { Ok::<_, Infallible>(respond(shared, request, service).await) }
+        let (shared, reset) = (service_shared.clone(), reset.clone());
+        async move { Ok::<_, Infallible>(respond(shared, request, service, reset).await) }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -149,8 +152,13 @@
     shared: Arc<Shared>,
     request: Request<Incoming>,
     service: Service,
+    reset: ConnectionReset,
 ) -> Response<RelayBody> {
     match service {
+        Service::Callers if request.version() == Version::HTTP_10 => {
+            let response = forward::handle(shared, request).await;
+            response.map(|body| reset.when_failed(body))
+        }
         Service::Callers => forward::handle(shared, request).await,
         Service::Readiness => readiness(&shared, &request),
         Service::Peers => peer_service::handle(shared, request).await,
