Do not state the length of the first server's body on a resumable stream

What callers saw: a stream with a length that another server completed ended, whole by its length, in the middle of an event. Cause: the length of the first server's body was passed on, and the bytes of both were cut there; with a shorter sum, a whole stream would have looked broken. Evidence: a_resumed_stream_does_not_state_the_length_of_its_first_server (LF events, then CR LF ones) ends with "id: 6 data" before. A stream that may be resumed is now sent on in chunks.

--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -20,7 +20,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
-use http::header::{CONNECTION, HeaderValue};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -562,6 +562,10 @@
             self.in_flight.take(),
             self.guard.take(),
         );
+        if relayed.may_be_resumed() {
+            // Another instance may complete the body with another length.
+            response.headers_mut().remove(CONTENT_LENGTH);
+        }
         let response = response.map(|()| relay(relayed));
         match hop {
             Some(hop) => state_hop(&self.shared, response, &hop),
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -110,6 +110,11 @@
         relay
     }
 
+    /// Returns whether another instance may complete the body.
+    pub(crate) fn may_be_resumed(&self) -> bool {
+        self.events.is_buffered()
+    }
+
     async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Relay)> {
         if self.ended {
             return None;
