Take the end of a process run for the break of a body that its connection ends

What callers saw: a stream without length and chunks whose server crashed between two events looked whole. Its bytes cannot tell; the process run can: a server that completes a response still listens. Now such an end is a break if the instance, which did not say that it leaves, refuses a connection, another one is then connected to, and it refuses again (RunEnds, as for other broken sends), within 300 ms. A connection that is accepted goes to the pool. Evidence: streams_cut_after_an_event_do_not_look_whole, case ended: whole before. Not known, and taken for whole: no other instance can be connected to, or the address accepts again within that time.

--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -53,7 +53,7 @@
 pub use freshness::{Freshness, FreshnessSettings, Leadership};
 pub use instances::{ReportedLoad, SendOutcome};
 pub use millpass_limits::RequestRate;
-pub use millpass_reach::{ForwardOutcome, PathChange, ReachSettings};
+pub use millpass_reach::{ForwardOutcome, PathChange, ReachSettings, Refusal};
 pub use reach::PeerEndpoint;
 pub use request::{
     ForwardTerms, Forwarded, PromptPart, RequestDescription, SendRecord, StatedTokens, Ticket,
--- a/crates/millpass-dispatch/src/reach.rs
+++ b/crates/millpass-dispatch/src/reach.rs
@@ -132,6 +132,18 @@
         self.paths.record_silence(now, &service, instance)
     }
 
+    /// Returns what refused connections show of the process run of an instance; none if the last one
+    /// was established.
+    pub fn refusal(&self, now: Timestamp, instance: &InstanceId) -> Option<Refusal> {
+        self.run_ends.refusal(now, instance)
+    }
+
+    /// Returns the address of an instance that did not say that it leaves.
+    pub fn address_of_running(&self, instance: &InstanceId) -> Option<String> {
+        let found = self.instances.get(instance)?;
+        (!self.is_leaving(found)).then(|| found.record.address.clone())
+    }
+
     /// Returns true if an instance is known and out of reach.
     pub fn is_path_lost(&self, instance: &InstanceId) -> bool {
         let found = self.instances.get(instance);
--- a/crates/millpass-gateway/src/probe.rs
+++ b/crates/millpass-gateway/src/probe.rs
@@ -6,10 +6,13 @@
 use crate::shared::Shared;
 use async_io::Timer;
 use futures_lite::future;
+use millpass_dispatch::Refusal;
 use millpass_proto::{Duration, InstanceId, Timestamp};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// Maximum time to confirm that a process run has ended.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(300);
 /// Least time between two rounds.
 const MINIMUM_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -41,6 +44,29 @@
     }
 }
 
+/// Returns whether the process run of an instance, whose connection has just ended, has ended too.
+/// Not known, and false, if no other instance can be connected to.
+pub(crate) async fn has_run_ended(shared: &Arc<Shared>, instance: &InstanceId) -> bool {
+    let Some(address) = shared.core().address_of_running(instance) else {
+        return false;
+    };
+    let until = shared.now() + CONFIRMATION_WAIT;
+    let probe = probe(shared.clone(), instance.clone(), address);
+    future::or(probe, shared.sleep_until(until)).await;
+    loop {
+        let changed = shared.changed.listen();
+        let now = shared.now();
+        let refusal = shared.core().refusal(now, instance);
+        match refusal {
+            Some(Refusal::Unconfirmed) if now < until => {
+                shared.wait_for_change(changed, until).await;
+            }
+            Some(Refusal::Unconfirmed) | None => return false,
+            Some(Refusal::Ended | Refusal::KnownEnded) => return true,
+        }
+    }
+}
+
 /// Connects once. A successful connection goes to the pool.
 async fn probe(shared: Arc<Shared>, instance: InstanceId, address: String) {
     shared.metrics.connects.inc();
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use crate::interface::SendFacts;
 use crate::peer::{self, PeerResponse};
 use crate::peer_service::ForwardedGuard;
+use crate::probe;
 use crate::reach::{self, PathWatch};
 use crate::request_log::{InFlight, log_connection_end, log_request};
 use crate::shared::{Active, ActiveForward, ActiveSend, Shared, Turn};
@@ -181,18 +182,23 @@
             BodyRead::Broken("the path was lost".to_owned())
         };
         match future::or(read, future::or(lost, timer)).await {
-            BodyRead::End if self.framing == Framing::Connection => self.end_of_connection(),
+            BodyRead::End if self.framing == Framing::Connection => self.end_of_connection().await,
             read => read,
         }
     }
 
     /// Returns what the end of a connection means for the body that nothing else ends.
-    fn end_of_connection(&self) -> BodyRead {
+    async fn end_of_connection(&self) -> BodyRead {
         let inside_event = self.events.is_inside_event();
         log_connection_end(&self.shared, &self.ticket, inside_event);
-        match inside_event {
-            Some(true) => BodyRead::Broken("the connection ended inside an event".to_owned()),
-            Some(false) | None => BodyRead::End,
+        if inside_event == Some(true) {
+            return BodyRead::Broken("the connection ended inside an event".to_owned());
+        }
+        match self.active.as_ref().and_then(Active::instance) {
+            Some(instance) if probe::has_run_ended(&self.shared, instance).await => {
+                BodyRead::Broken("the connection ended with its instance".to_owned())
+            }
+            _ => BodyRead::End,
         }
     }
 
