Log the software version that serves a stream, and streams that callers take up

The software version of an instance, which heartbeats state, stood in no message, log or metric. Now it is part of an instance's record: what one incarnation states, unknown if it states two versions (another writer, or a run without a start time that was replaced). request_ended of streams states the software, the attempt and the event that a caller continues; stream_broken, stream_resumed and instance-known state it too. No decision depends on it yet. Test builders of records: the new field.

--- a/crates/millpass-control-plane/tests/harness/announced.rs
+++ b/crates/millpass-control-plane/tests/harness/announced.rs
@@ -18,6 +18,7 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-control/tests/backlog.rs
+++ b/crates/millpass-control/tests/backlog.rs
@@ -8,7 +8,7 @@
 use millpass_control_plane::{AdministrationRequest, ConnectionId, ControlInput};
 use millpass_proto::{
     CreditRequest, InstanceDeparture, InstanceRecord, ObjectKey, ObjectKind, PermitRequest,
-    RouterToControl,
+    RouterToControl, SoftwareStatement,
 };
 use rstest::rstest;
 use std::time::{Duration, Instant};
@@ -198,6 +198,7 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     };
     call(AdministrationRequest::Announce(record))
 }
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -15,7 +15,7 @@
 use millpass_proto::{
     AdapterName, CrashReport, CrashUpdate, Duration, EngineSpec, GatewayPeer, GatewayReport,
     InstanceId, InstanceLoad, ModelName, ModelReadyEstimate, RouteSpec, RouteTarget, ServiceName,
-    TenantAccess, Timestamp, ZoneName,
+    SoftwareStatement, TenantAccess, Timestamp, ZoneName,
 };
 use millpass_reach::{Paths, Peers, ReachSettings, RunEnds};
 use millpass_tenancy::{CreditPool, PresentedKey, QuotaTolerance};
@@ -370,6 +370,7 @@
             credit: None,
             send_times: Vec::new(),
             sent_at: None,
+            software: SoftwareStatement::default(),
             explores,
             typical_millis: 0.0,
             permit_requested: None,
--- a/crates/millpass-dispatch/src/instances.rs
+++ b/crates/millpass-dispatch/src/instances.rs
@@ -112,8 +112,8 @@
     }
 
     /// Applies a newer record. Draining is never revoked.
-    pub(crate) fn update(&mut self, record: InstanceRecord) {
-        let draining = self.record.draining || record.draining;
+    pub(crate) fn update(&mut self, mut record: InstanceRecord) {
+        record.retain_from(&self.record);
         let lost_model = self
             .record
             .models
@@ -123,7 +123,6 @@
             self.prompts.clear();
         }
         self.record = record;
-        self.record.draining = draining;
         self.digest = self.record.digest();
     }
 
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -56,7 +56,8 @@
 pub use millpass_reach::{ForwardOutcome, PathChange, ReachSettings, Refusal};
 pub use reach::PeerEndpoint;
 pub use request::{
-    ForwardTerms, Forwarded, PromptPart, RequestDescription, SendRecord, StatedTokens, Ticket,
+    Continuation, ForwardTerms, Forwarded, PromptPart, RequestDescription, SendRecord,
+    StatedTokens, Ticket,
 };
 pub use retry_budget::{BudgetTerms, RetryBudget};
 pub use statements::{Stated, Statement, StatementChange};
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -4,7 +4,7 @@
 use crate::waiting::QueueFacts;
 use millpass_proto::{
     AdapterName, Duration, InstanceId, ModelName, RequestFingerprint, RouteKind, RouteSpec,
-    ServiceName, TenantAccess, Timestamp,
+    ServiceName, SoftwareStatement, TenantAccess, Timestamp,
 };
 use millpass_tenancy::{CreditUse, PresentedKey};
 use std::sync::Arc;
@@ -40,6 +40,17 @@
     pub tokens: StatedTokens,
     /// Fingerprint shared by all attempts.
     pub fingerprint: RequestFingerprint,
+    /// Stream that the caller takes up again; none for a new request.
+    pub continuation: Option<Continuation>,
+}
+
+/// A stream that a caller takes up again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Continuation {
+    /// Attempt that brought its first event, if stated.
+    pub attempt: Option<String>,
+    /// Last event that the caller has.
+    pub last_event: String,
 }
 
 /// Token counts that a request states.
@@ -85,6 +96,8 @@
     pub send_times: Vec<Timestamp>,
     /// When it was last sent.
     pub sent_at: Option<Timestamp>,
+    /// Software of the instance that it was last sent to, as known then.
+    pub software: SoftwareStatement,
     /// Whether instances believed to be slow are selected as if they were typical.
     pub(crate) explores: bool,
     /// Time to the first byte of its last send at a typical engine, in milliseconds; 0 if not
--- a/crates/millpass-dispatch/src/selection.rs
+++ b/crates/millpass-dispatch/src/selection.rs
@@ -280,6 +280,7 @@
             found.prefill_until = found.prefill_until.max(now) + reading_time;
             found.prompts.record(now, prefixes);
             found.in_flight += 1;
+            ticket.software.clone_from(&found.record.software);
             address.clone_from(&found.record.address);
         }
         if let Some(key) = key {
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -46,6 +46,7 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-dispatch/tests/differences.rs
+++ b/crates/millpass-dispatch/tests/differences.rs
@@ -226,6 +226,7 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     };
     let with = |change: fn(&mut InstanceRecord)| {
         let mut changed = record.clone();
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -111,6 +111,7 @@
             .collect(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-dispatch/tests/freshness.rs
+++ b/crates/millpass-dispatch/tests/freshness.rs
@@ -77,6 +77,7 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-dispatch/tests/harness/mod.rs
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -117,6 +117,7 @@
         },
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -7,7 +7,7 @@
     CallResult, DocumentHistory, Fleet, FleetOutput, FleetSettings, GatewayContext,
     InstructionHistory,
 };
-use millpass_proto::{codec, *};
+use millpass_proto::{SoftwareStatement, codec, *};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
@@ -86,6 +86,7 @@
             .collect(),
         in_memory: Vec::new(),
         on_disk: (0..6).map(|number| name(engine + number)).collect(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -76,7 +76,7 @@
             self.log_stale(&record);
             return AnnouncementOutcome::Stale;
         }
-        record.draining |= current.draining;
+        record.retain_from(current);
         if equal_except_sequence(current, &record) {
             self.standby
                 .update_sequence(&record.instance, record.sequence);
@@ -121,6 +121,7 @@
                     ("service", record.service.0.clone()),
                     ("address", record.address.clone()),
                     ("draining", record.draining.to_string()),
+                    ("software", record.software.as_str().to_owned()),
                 ],
             );
         }
--- a/crates/millpass-fleet/src/local_share.rs
+++ b/crates/millpass-fleet/src/local_share.rs
@@ -99,7 +99,7 @@
         }
         entry.announced_at = self.contact_clock.now();
         let mut record = record.clone();
-        record.draining |= entry.record.draining;
+        record.retain_from(&entry.record);
         if equal_except_sequence(&entry.record, &record) {
             entry.record.sequence = record.sequence;
             if self.active.contains(instance) {
--- a/crates/millpass-fleet/src/registry.rs
+++ b/crates/millpass-fleet/src/registry.rs
@@ -152,7 +152,7 @@
         if record.sequence < entry.record.sequence {
             return AnnouncementOutcome::Stale;
         }
-        record.draining |= entry.record.draining;
+        record.retain_from(&entry.record);
         if entry.is_repeated_by(&record) {
             entry.record.sequence = record.sequence;
             return AnnouncementOutcome::Unchanged;
--- a/crates/millpass-fleet/tests/busy_copies.rs
+++ b/crates/millpass-fleet/tests/busy_copies.rs
@@ -108,6 +108,7 @@
             models: held(models),
             in_memory: in_memory.iter().map(|name| (*name).into()).collect(),
             on_disk: Vec::new(),
+            software: SoftwareStatement::default(),
         };
         self.fleet.handle_announcement(at(now), record, false);
     }
--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -35,6 +35,7 @@
         models: models.collect(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-fleet/tests/engine_model/engine.rs
+++ b/crates/millpass-fleet/tests/engine_model/engine.rs
@@ -342,6 +342,7 @@
             models: self.held.clone(),
             in_memory: Vec::new(),
             on_disk: self.on_disk.clone(),
+            software: SoftwareStatement::default(),
         })
     }
 }
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -53,6 +53,7 @@
         models: held(models),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -36,6 +36,7 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-fleet/tests/harness/shares.rs
+++ b/crates/millpass-fleet/tests/harness/shares.rs
@@ -64,6 +64,7 @@
             models: models.into_iter().map(model).map(held).collect(),
             in_memory: Vec::new(),
             on_disk: Vec::new(),
+            software: SoftwareStatement::default(),
         }
     }
 }
--- a/crates/millpass-fleet/tests/harness/steering.rs
+++ b/crates/millpass-fleet/tests/harness/steering.rs
@@ -86,6 +86,7 @@
             models: InstructingLeader::held(models),
             in_memory: Vec::new(),
             on_disk: Vec::new(),
+            software: SoftwareStatement::default(),
         };
         self.report(vec![record], Vec::new());
     }
--- a/crates/millpass-fleet/tests/limits.rs
+++ b/crates/millpass-fleet/tests/limits.rs
@@ -28,6 +28,7 @@
         models: models.collect(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-fleet/tests/mixed_engines/mod.rs
+++ b/crates/millpass-fleet/tests/mixed_engines/mod.rs
@@ -147,6 +147,7 @@
         }],
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        software: SoftwareStatement::default(),
     }
 }
 
--- a/crates/millpass-fleet/tests/partitioned_gateways.rs
+++ b/crates/millpass-fleet/tests/partitioned_gateways.rs
@@ -106,6 +106,7 @@
             },
             in_memory: Vec::new(),
             on_disk: Vec::new(),
+            software: SoftwareStatement::default(),
         })
     };
     SERVICES.into_iter().flat_map(of_service).collect()
--- a/crates/millpass-fleet/tests/room.rs
+++ b/crates/millpass-fleet/tests/room.rs
@@ -95,6 +95,7 @@
             models: held.to_vec(),
             in_memory: Vec::new(),
             on_disk: Vec::new(),
+            software: SoftwareStatement::default(),
         };
         self.fleet.handle_announcement(at(now), record, false);
     }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -268,9 +268,10 @@
         if let Some(active) = self.active.take() {
             let instance = active.name();
             log::info!(
-                "event=stream_broken request={} fingerprint={} instance={instance} reason={reason:?}",
+                "event=stream_broken request={} fingerprint={} instance={instance} software={} reason={reason:?}",
                 self.ticket.description.attempt,
-                self.ticket.description.fingerprint
+                self.ticket.description.fingerprint,
+                self.ticket.software.as_str()
             );
             active.end(SendOutcome::Broken);
         }
@@ -426,9 +427,10 @@
     /// Continues with the response of a resumed stream.
     fn resume_with(&mut self, active: Active, received: ReceivedResponse, last: Option<&str>) {
         log::info!(
-            "event=stream_resumed request={} instance={} after={}",
+            "event=stream_resumed request={} instance={} software={} after={}",
             self.ticket.description.attempt,
             active.name(),
+            self.ticket.software.as_str(),
             last.unwrap_or("none"),
         );
         self.shared.metrics.resumed.inc();
--- a/crates/millpass-gateway/src/request_log.rs
+++ b/crates/millpass-gateway/src/request_log.rs
@@ -1,5 +1,6 @@
 //! Log lines about requests and their sends.
 
+use crate::forward::is_stream;
 use crate::metrics::millis;
 use crate::shared::Shared;
 use millpass_dispatch::{QueueFacts, Ticket};
@@ -151,10 +152,26 @@
     if !ticket.forwarded_to.is_empty() {
         pairs.push(("forwarded_to", ticket.forwarded_to.join(",")));
     }
+    pairs.extend(stream_pairs(ticket));
     pairs.extend(credit_pairs(ticket));
     log::info!("{}", event_line(event, &pairs));
 }
 
+/// Returns the software that served a stream, and the stream that it continues; empty for other
+/// requests.
+fn stream_pairs(ticket: &Ticket) -> Pairs {
+    if !is_stream(&ticket.route) {
+        return Vec::new();
+    }
+    let mut pairs = vec![("software", ticket.software.as_str().to_owned())];
+    if let Some(continuation) = &ticket.description.continuation {
+        let attempt = continuation.attempt.as_deref().unwrap_or("unstated");
+        pairs.push(("continues", attempt.to_owned()));
+        pairs.push(("after", continuation.last_event.clone()));
+    }
+    pairs
+}
+
 /// Returns the gateway that forwarded a request, if one did.
 fn forwarded_from(ticket: &Ticket) -> Option<String> {
     let forwarded = ticket.forwarded.as_ref()?;
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -320,6 +320,28 @@
 pub struct ServiceName(pub String);
 
 
+/// Version of the software that an instance runs; events of two versions do not fit into one stream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct SoftwareVersion(pub String);
+
+
+/// What an instance incarnation has stated of the version of its software.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum SoftwareStatement {
+
+    /// Nothing readable so far.
+    Unstated,
+
+    /// Always this version.
+    Stated(SoftwareVersion),
+
+    /// Different versions: it is not known.
+    Contradicted,
+}
+
+
 /// State that an instance announces.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -357,6 +379,9 @@
 
     /// Models whose weights are cached on local disk.
     pub on_disk: Vec<ModelName>,
+
+    /// Version of the software that the incarnation runs.
+    pub software: SoftwareStatement,
 }
 
 
--- a/crates/millpass-proto/src/identity.rs
+++ b/crates/millpass-proto/src/identity.rs
@@ -58,6 +58,7 @@
     ChangeId,
     ClaimKey,
     ServiceName,
+    SoftwareVersion,
     InstanceId
 );
 number_type!(
--- a/crates/millpass-proto/src/lib.rs
+++ b/crates/millpass-proto/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod generated;
 mod identity;
 mod incarnation;
+mod software;
 pub mod time;
 mod weights;
 
