--- a/crates/millpass-proto/src/software.rs
+++ b/crates/millpass-proto/src/software.rs
@@ -2,6 +2,7 @@
 
 use crate::generated::{InstanceRecord, SoftwareStatement, SoftwareVersion};
 
+#[expect(clippy::derivable_impls, reason = "the type is generated")]
 impl Default for SoftwareStatement {
     fn default() -> Self {
         SoftwareStatement::Unstated
