--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -7,8 +7,8 @@
 use millpass_config::{ControlSettings, RouterSettings};
 use millpass_control::settings::{ConsensusTiming, InitialMember, ProcessLimits, SeedMember};
 use millpass_control::{ControlHandle, ControlProcessSettings, Extensions};
-use millpass_control_plane::FleetSettings;
-use millpass_dispatch::{DispatchSettings, FreshnessSettings, ReachSettings};
+use millpass_control_plane::{FleetSettings, TableSettings};
+use millpass_dispatch::{BegunSettings, DispatchSettings, FreshnessSettings, ReachSettings};
 use millpass_gateway::{Connector, GatewaySettings as GatewayProcessSettings};
 use millpass_proto::{Duration, GroupId, Incarnation};
 use millpass_router::RouterProcessSettings;
@@ -235,6 +235,11 @@
         order_handover: millis(section.order_handover_ms),
         order_lifetime: millis(section.order_lifetime_ms),
         quota,
+        origins: TableSettings {
+            maximum: count(settings.streams.maximum),
+            settle: millis(settings.streams.settle_ms),
+            run_uncertainty: millis(settings.streams.run_uncertainty_ms),
+        },
     });
     Ok(announced)
 }
@@ -275,6 +280,7 @@
                 max_isolated_staleness: millis(settings.freshness.cut_off_ms),
             },
             reach: reach(settings),
+            origins: origins(settings),
         },
         clock: ProcessClock::start(),
         listen: address(&settings.gateway.listen)?,
@@ -304,6 +310,17 @@
     }
 }
 
+fn origins(settings: &GatewaySettings) -> BegunSettings {
+    let section = &settings.streams;
+    BegunSettings {
+        retention: millis(section.retention_ms),
+        lookup_timeout: millis(section.lookup_timeout_ms),
+        report_interval: millis(section.report_interval_ms),
+        run_uncertainty: millis(section.run_uncertainty_ms),
+        maximum: count(section.maximum),
+    }
+}
+
 fn initial_member(section: &millpass_config::generated::ControlMembersSection) -> InitialMember {
     InitialMember {
         zone: section.zone.as_str().into(),
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -74,6 +74,26 @@
         }
     }
 }
+/// Where resumable streams began, as gateways state it: a stream goes on only at the software version that began it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ControlStreamsSection {
+    /// Maximum streams whose origins the leader keeps, of some 150 bytes each; streams beyond it cannot be taken up at another gateway.
+    pub maximum: u64,
+    /// Time after a change of leader in which gateways state their streams again. A stream that is not stated yet is refused with `stream-unconfirmed` and a Retry-After until then, with `stream-unknown` afterwards.
+    pub settle_ms: u64,
+    /// Time from the start of a process run under the identity of an earlier one until its first announcement arrives, at most. Streams that began there within this time before it are not taken up.
+    pub run_uncertainty_ms: u64,
+}
+impl Default for ControlStreamsSection {
+    fn default() -> Self {
+        Self {
+            maximum: 500000u64,
+            settle_ms: 2000u64,
+            run_uncertainty_ms: 5000u64,
+        }
+    }
+}
 /// Allowed overrun of tenants' limits. Gateways without a reachable leader use a part of it, and a new leader starts with a part of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -295,6 +315,8 @@
     pub member: ControlMemberSection,
     /// Self-announcing instances, configured by a deployment document.
     pub fleet: ControlFleetSection,
+    /// Where resumable streams began, as gateways state it: a stream goes on only at the software version that began it.
+    pub streams: ControlStreamsSection,
     /// Allowed overrun of tenants' limits. Gateways without a reachable leader use a part of it, and a new leader starts with a part of it.
     pub quota: ControlQuotaSection,
     /// Initial members, identical and in the same order on every member. A member that joins later needs at least one reachable member in the list.
@@ -442,6 +464,39 @@
                 },
             ],
         },
+        SectionSpecification {
+            name: "streams",
+            repeated: false,
+            keys: &[
+                KeySpecification {
+                    name: "maximum",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 10000000u64,
+                        rounding: None,
+                    },
+                },
+                KeySpecification {
+                    name: "settle_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 600000u64,
+                        rounding: Some(Rounding::Up),
+                    },
+                },
+                KeySpecification {
+                    name: "run_uncertainty_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 600000u64,
+                        rounding: Some(Rounding::Up),
+                    },
+                },
+            ],
+        },
         SectionSpecification {
             name: "quota",
             repeated: false,
@@ -1311,6 +1366,32 @@
         }
     }
 }
+/// Where resumable streams began: a stream goes on only at the software version that began it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewayStreamsSection {
+    /// Time after its caller's deadline for which the origin of a stream is kept.
+    pub retention_ms: u64,
+    /// Time for which a request that takes up a stream waits for the leader to state its origin.
+    pub lookup_timeout_ms: u64,
+    /// Least time between two statements of begun streams to the leader. With many gateways it is 0.25 ms for each of them. Streams that began within it are lost with the gateway.
+    pub report_interval_ms: u64,
+    /// Time from the start of a process run under the identity of an earlier one until its first announcement arrives, at most. Streams that began there within this time before it are not taken up.
+    pub run_uncertainty_ms: u64,
+    /// Maximum streams whose origins this gateway keeps, of some 200 bytes each; the oldest are forgotten first.
+    pub maximum: u64,
+}
+impl Default for GatewayStreamsSection {
+    fn default() -> Self {
+        Self {
+            retention_ms: 15000u64,
+            lookup_timeout_ms: 400u64,
+            report_interval_ms: 20u64,
+            run_uncertainty_ms: 5000u64,
+            maximum: 20000u64,
+        }
+    }
+}
 /// Maximum age of the configuration used to answer requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -1436,6 +1517,8 @@
     pub reachability: GatewayReachabilitySection,
     /// Requests that gateways without a path to the instances forward to this gateway.
     pub peers: GatewayPeersSection,
+    /// Where resumable streams began: a stream goes on only at the software version that began it.
+    pub streams: GatewayStreamsSection,
     /// Maximum age of the configuration used to answer requests.
     pub freshness: GatewayFreshnessSection,
     /// API keys of callers.
@@ -1626,6 +1709,57 @@
                 },
             ],
         },
+        SectionSpecification {
+            name: "streams",
+            repeated: false,
+            keys: &[
+                KeySpecification {
+                    name: "retention_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 3600000u64,
+                        rounding: Some(Rounding::Up),
+                    },
+                },
+                KeySpecification {
+                    name: "lookup_timeout_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 10u64,
+                        maximum: 60000u64,
+                        rounding: None,
+                    },
+                },
+                KeySpecification {
+                    name: "report_interval_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 1u64,
+                        maximum: 60000u64,
+                        rounding: None,
+                    },
+                },
+                KeySpecification {
+                    name: "run_uncertainty_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 600000u64,
+                        rounding: Some(Rounding::Up),
+                    },
+                },
+                KeySpecification {
+                    name: "maximum",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 0u64,
+                        maximum: 10000000u64,
+                        rounding: None,
+                    },
+                },
+            ],
+        },
         SectionSpecification {
             name: "freshness",
             repeated: false,
--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -11,7 +11,7 @@
 use millpass_proto::{
     Command, ControlToRouter, CrashReport, Duration, EngineInstruction, GatewayReach,
     GatewayReport, InstanceDeparture, InstanceId, InstanceRecord, InstructionIntent, LogPosition,
-    PermitRequest, PutDocument, RequestFingerprint, Timestamp,
+    PermitRequest, PutDocument, RequestFingerprint, StreamReport, Timestamp,
 };
 use millpass_state::State;
 
@@ -181,6 +181,21 @@
         }
     }
 
+    /// Records the origins of a gateway's streams, and answers its questions about others.
+    pub(crate) fn handle_streams(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        report: StreamReport,
+        out: &mut Outputs,
+    ) {
+        if let Some(fleet) = &mut self.fleet
+            && let Some(update) = fleet.handle_streams(now, report)
+        {
+            out.send_router(connection, ControlToRouter::Origins(update));
+        }
+    }
+
     /// Responds to a gateway's permit request, which also carries limits stated by instances.
     pub(crate) fn handle_permit_request(
         &mut self,
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -11,7 +11,7 @@
 use millpass_proto::{
     AbandonClaims, BackendName, BackendObservation, ClaimBegin, ClaimFinish, ClaimRequest, Command,
     ControlToRouter, Incarnation, LoadEstimate, PlacementDelta, PlacementRevision, RouterHello,
-    RouterName, RouterReport, RouterToControl, RouterUpdate, Timestamp, WatchList,
+    RouterName, RouterReport, RouterToControl, RouterUpdate, StreamReport, Timestamp, WatchList,
 };
 
 /// Maximum number of models with a ready estimate in one update.
@@ -56,6 +56,10 @@
             self.handle_reach(connection, reach);
             return;
         }
+        if let RouterToControl::Streams(report) = message {
+            self.handle_streams(now, connection, report, out);
+            return;
+        }
         let Some(hello) = self.sessions.identity(connection).cloned() else {
             let pairs = vec![("connection", connection.0.to_string())];
             out.event("router-without-hello", pairs);
@@ -68,7 +72,8 @@
             | RouterToControl::Credit(_)
             | RouterToControl::Crashes(_)
             | RouterToControl::Permits(_)
-            | RouterToControl::Reach(_) => {}
+            | RouterToControl::Reach(_)
+            | RouterToControl::Streams(_) => {}
             RouterToControl::Report(report) => {
                 self.handle_report(now, connection, &hello, report, out);
             }
@@ -100,6 +105,14 @@
             RouterToControl::Reach(reach) if self.role == Role::Leader => {
                 self.handle_reach(connection, reach.clone());
             }
+            // Another leader may know more: what is stated is kept, questions stay unanswered.
+            RouterToControl::Streams(report) if self.is_established_leader() => {
+                let stated = StreamReport {
+                    lookups: Vec::new(),
+                    ..report.clone()
+                };
+                self.handle_streams(now, connection, stated, out);
+            }
             _ => out.send_not_leader(connection, self.leader_peer_address()),
         }
     }
--- a/crates/millpass-control-plane/tests/harness/router.rs
+++ b/crates/millpass-control-plane/tests/harness/router.rs
@@ -125,7 +125,8 @@
                 | ControlToRouter::Crashes(_)
                 | ControlToRouter::Permits(_)
                 | ControlToRouter::Limits(_)
-                | ControlToRouter::Peers(_) => {
+                | ControlToRouter::Peers(_)
+                | ControlToRouter::Origins(_) => {
                     panic!("gateway message sent to a router")
                 }
             }
--- a/crates/millpass-control/src/priority.rs
+++ b/crates/millpass-control/src/priority.rs
@@ -92,14 +92,15 @@
     }
 }
 
-/// Returns the class of a router message. Credit, crashes and permits depend on no earlier message
+/// Returns the class of a router message. Credit, crashes, permits and origins of streams depend on no earlier message
 /// of their connection. Claims and reports depend on the hello, so these share a class to keep
 /// their order.
 fn router_priority(message: &RouterToControl) -> Priority {
     match message {
-        RouterToControl::Credit(_) | RouterToControl::Crashes(_) | RouterToControl::Permits(_) => {
-            Priority::Credit
-        }
+        RouterToControl::Credit(_)
+        | RouterToControl::Crashes(_)
+        | RouterToControl::Permits(_)
+        | RouterToControl::Streams(_) => Priority::Credit,
         RouterToControl::Hello(_)
         | RouterToControl::Report(_)
         | RouterToControl::Claim(_)
--- a/crates/millpass-dispatch/src/admission.rs
+++ b/crates/millpass-dispatch/src/admission.rs
@@ -14,7 +14,9 @@
 //! its connection, about 32 KB together, so that all of them use a tenth of 160 MB.
 //! [`MAX_WAITING_PER_TENANT`] leaves three quarters of it to the other tenants.
 
-use millpass_proto::{AdapterName, InstanceId, ModelName, ServiceName, TenantName, Timestamp};
+use millpass_proto::{
+    AdapterName, InstanceId, ModelName, ServiceName, SoftwareVersion, TenantName, Timestamp,
+};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Maximum number of waiting requests at a gateway.
@@ -36,6 +38,8 @@
     pub model: Option<ModelName>,
     /// Adapter; none for the base model.
     pub adapter: Option<AdapterName>,
+    /// Software version of the instance; none for any.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Identifies a waiting request at this gateway.
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -6,12 +6,15 @@
 use crate::instances::{Instance, ReportedLoad, SendOutcome};
 use crate::pace::PaceTable;
 use crate::reach::{self, ReachStatement};
-use crate::request::{ForwardTerms, Forwarded, RequestDescription, SendRecord, Ticket};
+use crate::request::{
+    ForwardTerms, Forwarded, RequestDescription, SendRecord, StreamProgress, Ticket,
+};
 use crate::retry_budget::RetryBudget;
 use crate::statements::Statements;
 use crate::table::{IdentityError, RouteError, RoutingTable};
 use crate::waiting::Admission;
 use millpass_limits::PermitPool;
+use millpass_origins::{BegunSettings, BegunStreams};
 use millpass_proto::{
     AdapterName, CrashReport, CrashUpdate, Duration, EngineSpec, GatewayPeer, GatewayReport,
     InstanceId, InstanceLoad, ModelName, ModelReadyEstimate, RouteSpec, RouteTarget, ServiceName,
@@ -51,6 +54,8 @@
     pub freshness: FreshnessSettings,
     /// When an instance or a service counts as out of reach.
     pub reach: ReachSettings,
+    /// How origins of streams are kept and asked for.
+    pub origins: BegunSettings,
 }
 
 /// Why a request is refused without having run.
@@ -80,6 +85,16 @@
     Unreachable,
     /// It could not be sent for another gateway in the time that that one allowed.
     NotStarted,
+    /// Where the stream that it takes up began cannot be known at the moment.
+    StreamUnconfirmed,
+    /// Nobody has stated where the stream that it takes up began.
+    StreamUnknown,
+    /// The software version that began the stream is not known.
+    StreamVersionUnknown,
+    /// No instance runs the software version that began the stream.
+    StreamVersionGone,
+    /// The route's streams may not be taken up.
+    StreamNotResumable,
 }
 
 impl RefusalReason {
@@ -98,8 +113,24 @@
             RefusalReason::Displaced => "displaced",
             RefusalReason::Unreachable => "unreachable",
             RefusalReason::NotStarted => "not-started",
+            RefusalReason::StreamUnconfirmed => "stream-unconfirmed",
+            RefusalReason::StreamUnknown => "stream-unknown",
+            RefusalReason::StreamVersionUnknown => "stream-version-unknown",
+            RefusalReason::StreamVersionGone => "stream-version-gone",
+            RefusalReason::StreamNotResumable => "stream-not-resumable",
         }
     }
+
+    /// Returns true if the caller may come back with the same request; otherwise it must begin anew.
+    pub fn may_return(self) -> bool {
+        !matches!(
+            self,
+            RefusalReason::StreamUnknown
+                | RefusalReason::StreamVersionUnknown
+                | RefusalReason::StreamVersionGone
+                | RefusalReason::StreamNotResumable
+        )
+    }
 }
 
 /// What to do with a request now.
@@ -166,6 +197,7 @@
     /// Ended runs to be logged.
     pub(crate) ended_runs: Vec<InstanceId>,
     pub(crate) reach_statement: ReachStatement,
+    pub(crate) origins: BegunStreams,
     /// Newest document version that another gateway has shown to a caller of this one.
     pub(crate) shown_version: u64,
     /// When this gateway stops; none unless it is shutting down.
@@ -185,6 +217,7 @@
             run_ends: RunEnds::default(),
             ended_runs: Vec::new(),
             reach_statement: ReachStatement::default(),
+            origins: BegunStreams::new(settings.origins),
             shown_version: 0,
             settings,
             table: None,
@@ -371,6 +404,7 @@
             send_times: Vec::new(),
             sent_at: None,
             software: SoftwareStatement::default(),
+            progress: StreamProgress::default(),
             explores,
             typical_millis: 0.0,
             permit_requested: None,
@@ -511,6 +545,7 @@
         self.fleet_loads.clear();
         self.instances_reported = false;
         self.reach_statement = ReachStatement::default();
+        self.origins.disconnected();
     }
 
     /// Number of requests quarantined by the leader.
@@ -539,6 +574,9 @@
 
     /// Returns the next report, and resets the counters.
     pub fn report(&mut self, now: Timestamp) -> GatewayReport {
+        if !self.instances_reported {
+            self.origins.connected();
+        }
         self.reports += 1;
         self.admission.times.sweep(now);
         let report = GatewayReport {
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `statements` | backoffs and departures stated in responses |
 //! | `limits` | limits stated in responses, and permits |
 //! | `reach` | which instances this gateway reaches |
+//! | `origins` | streams that go on only at the software version that began them |
 //! | `retry_budget` | retries that a service may get from this gateway |
 //! | `freshness` | how stale the state of the gateway may be |
 //! | `demand` | demand for models, to be reported |
@@ -34,6 +35,7 @@
 mod freshness;
 mod instances;
 mod limits;
+mod origins;
 mod pace;
 mod prompts;
 mod reach;
@@ -53,11 +55,13 @@
 pub use freshness::{Freshness, FreshnessSettings, Leadership};
 pub use instances::{ReportedLoad, SendOutcome};
 pub use millpass_limits::RequestRate;
+pub use millpass_origins::BegunSettings;
 pub use millpass_reach::{ForwardOutcome, PathChange, ReachSettings, Refusal};
+pub use origins::Resumption;
 pub use reach::PeerEndpoint;
 pub use request::{
     Continuation, ForwardTerms, Forwarded, PromptPart, RequestDescription, SendRecord,
-    StatedTokens, Ticket,
+    StatedTokens, StreamProgress, Ticket,
 };
 pub use retry_budget::{BudgetTerms, RetryBudget};
 pub use statements::{Stated, Statement, StatementChange};
--- /dev/null
+++ b/crates/millpass-dispatch/src/origins.rs
@@ -0,0 +1,190 @@
+//! Streams that go on only at the software version that began them.
+
+use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
+use crate::instances::Instance;
+use crate::request::{StreamProgress, Ticket};
+use millpass_origins::stream_key;
+use millpass_proto::{
+    Duration, InstanceId, OriginFinding, OriginUpdate, RouteKind, RouteTarget, SoftwareVersion,
+    StreamKey, StreamOrigin, StreamReport, Timestamp,
+};
+
+/// Whether a stream that a caller takes up may go on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Resumption {
+    /// It goes on as the ticket's progress says, or the request begins a new stream.
+    Decided,
+    /// The leader must be asked for the origin of this stream.
+    Ask(StreamKey),
+    /// It does not go on.
+    Refused(RefusalReason),
+}
+
+impl Dispatcher {
+    /// Returns what a request that may take up a stream needs first.
+    pub fn resumption(&self, ticket: &Ticket) -> Resumption {
+        let Some(continuation) = &ticket.description.continuation else {
+            return Resumption::Decided;
+        };
+        if ticket.route.kind != RouteKind::Stream {
+            return Resumption::Decided;
+        }
+        if !ticket.route.resumable {
+            return Resumption::Refused(RefusalReason::StreamNotResumable);
+        }
+        match &continuation.attempt {
+            Some(attempt) => Resumption::Ask(self.key_of(ticket, attempt)),
+            None => Resumption::Refused(RefusalReason::StreamVersionUnknown),
+        }
+    }
+
+    /// Begins to ask the leader for the origin of a stream. [`Dispatcher::end_lookup`] must follow.
+    pub fn begin_lookup(&mut self, stream: &StreamKey) {
+        self.origins.begin_lookup(stream);
+    }
+
+    /// Ends a question to the leader.
+    pub fn end_lookup(&mut self, stream: &StreamKey) {
+        self.origins.end_lookup(stream);
+    }
+
+    /// Returns when to check again for the answer to a question asked at `since`.
+    pub fn check_origin_at(&self, now: Timestamp, since: Timestamp) -> Timestamp {
+        self.origins.check_at(now, since, self.gateways)
+    }
+
+    /// Applies the leader's answers.
+    pub fn apply_origins(&mut self, update: OriginUpdate) {
+        self.origins.apply(update.answers);
+    }
+
+    /// Returns whether the stream goes on whose origin was asked for at `since`; none to wait for the
+    /// answer. If it does, the ticket's progress and service are those of the stream.
+    pub fn continue_stream(
+        &mut self,
+        now: Timestamp,
+        since: Timestamp,
+        stream: &StreamKey,
+        ticket: &mut Ticket,
+    ) -> Option<Result<(), (RefusalReason, Option<Duration>)>> {
+        let finding = self.origins.finding(now, since, stream, self.gateways)?;
+        let origin = match finding {
+            OriginFinding::Known(origin) => origin,
+            OriginFinding::Contradicted => {
+                return Some(Err((RefusalReason::StreamVersionUnknown, None)));
+            }
+            OriginFinding::Unknown => return Some(Err((RefusalReason::StreamUnknown, None))),
+            OriginFinding::Unsettled(millis) => {
+                let retry_after = Duration::from_millis(millis);
+                let reason = RefusalReason::StreamUnconfirmed;
+                return Some(Err((reason, Some(retry_after))));
+            }
+        };
+        let is_target =
+            |target: &RouteTarget| target.service == origin.service && target.weight > 0;
+        if !ticket.route.targets.iter().any(is_target) {
+            return Some(Err((RefusalReason::StreamVersionGone, None)));
+        }
+        ticket.service.clone_from(&origin.service);
+        ticket.progress = StreamProgress::Begun {
+            origin: Some(origin),
+        };
+        Some(Ok(()))
+    }
+
+    /// Records that the caller of a resumable stream gets events written by this instance, with the
+    /// software as stated when the request was sent there.
+    pub fn record_events(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        instance: Option<&InstanceId>,
+        software: Option<&SoftwareVersion>,
+    ) {
+        if ticket.progress == StreamProgress::NotBegun {
+            let origin = self.origin(ticket, instance, software);
+            ticket.progress = StreamProgress::Begun { origin };
+        }
+        // The gateway that forwarded it records it.
+        if ticket.forwarded.is_some() {
+            return;
+        }
+        let StreamProgress::Begun { origin } = &ticket.progress else {
+            return;
+        };
+        let stream = self.key_of(ticket, &ticket.description.attempt);
+        let origin = origin.clone();
+        self.origins.begin(now, stream, origin, ticket.deadline);
+    }
+
+    /// Returns where a stream begins; none if its process run has been replaced since the request was
+    /// sent, or its software is not known.
+    fn origin(
+        &self,
+        ticket: &Ticket,
+        instance: Option<&InstanceId>,
+        software: Option<&SoftwareVersion>,
+    ) -> Option<StreamOrigin> {
+        let (instance, software) = (instance?, software?);
+        let is_replaced = instance
+            .runs_in(&self.instances)
+            .any(|known| instance.is_before(known));
+        (!is_replaced).then(|| StreamOrigin {
+            service: ticket.service.clone(),
+            instance: instance.clone(),
+            software: software.clone(),
+        })
+    }
+
+    /// Returns true if a stream that broke off may go on elsewhere.
+    pub fn may_go_on(&self, ticket: &Ticket) -> bool {
+        match &ticket.progress {
+            StreamProgress::NotBegun => true,
+            StreamProgress::Begun { origin: None } => false,
+            StreamProgress::Begun { origin: Some(_) } => {
+                let stream = self.key_of(ticket, &ticket.description.attempt);
+                ticket.forwarded.is_some() || self.origins.is_known(&stream)
+            }
+        }
+    }
+
+    /// Returns when streams are to be stated to the leader, or asked for.
+    pub fn stream_report_at(&self, now: Timestamp) -> Option<Timestamp> {
+        self.origins.report_at(now, self.gateways)
+    }
+
+    /// Returns the streams to state to the leader and those to ask for, if due.
+    pub fn stream_report(&mut self, now: Timestamp) -> Option<StreamReport> {
+        self.origins.report(now, self.gateways)
+    }
+
+    /// Number of streams whose origins are kept.
+    pub fn stream_origins(&self) -> usize {
+        self.origins.len()
+    }
+
+    /// Returns true if an instance runs the software that a request requires.
+    pub(crate) fn runs_required(&self, instance: &Instance, ticket: &Ticket) -> bool {
+        let required = ticket.required_software();
+        required.is_none_or(|required| instance.record.software.version() == Some(required))
+    }
+
+    /// Refuses a request whose software version no instance of its service runs.
+    pub(crate) fn refuse_gone(&self, ticket: &Ticket) -> Option<Choice> {
+        ticket.required_software()?;
+        let serves = self.instances.values().any(|instance| {
+            instance.record.service == ticket.service
+                && !self.is_leaving(instance)
+                && self.runs_required(instance, ticket)
+        });
+        (!serves).then_some(Choice::Refuse {
+            reason: RefusalReason::StreamVersionGone,
+            retry_after: Duration::ZERO,
+        })
+    }
+
+    fn key_of(&self, ticket: &Ticket, attempt: &str) -> StreamKey {
+        let tenant = ticket.tenant.as_ref().map(|tenant| &tenant.name);
+        stream_key(tenant, &ticket.route.name, attempt)
+    }
+}
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -4,7 +4,7 @@
 use crate::waiting::QueueFacts;
 use millpass_proto::{
     AdapterName, Duration, InstanceId, ModelName, RequestFingerprint, RouteKind, RouteSpec,
-    ServiceName, SoftwareStatement, TenantAccess, Timestamp,
+    ServiceName, SoftwareStatement, SoftwareVersion, StreamOrigin, TenantAccess, Timestamp,
 };
 use millpass_tenancy::{CreditUse, PresentedKey};
 use std::sync::Arc;
@@ -98,6 +98,8 @@
     pub sent_at: Option<Timestamp>,
     /// Software of the instance that it was last sent to, as known then.
     pub software: SoftwareStatement,
+    /// Events that its caller has.
+    pub progress: StreamProgress,
     /// Whether instances believed to be slow are selected as if they were typical.
     pub(crate) explores: bool,
     /// Time to the first byte of its last send at a typical engine, in milliseconds; 0 if not
@@ -127,6 +129,19 @@
     pub is_arrival_recorded: bool,
 }
 
+/// Events of a resumable stream that the caller has, over all its attempts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum StreamProgress {
+    /// None: any instance may begin it.
+    #[default]
+    NotBegun,
+    /// Some: it may go on only at the software version that began it.
+    Begun {
+        /// Where it began; none if that is not known.
+        origin: Option<StreamOrigin>,
+    },
+}
+
 /// Terms of a request that is served for another gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Forwarded {
@@ -204,6 +219,28 @@
         }
     }
 
+    /// Requires a software version, for a gateway that knows where the stream began.
+    pub fn require_software(&mut self, software: SoftwareVersion) {
+        let origin = StreamOrigin {
+            service: self.service.clone(),
+            instance: InstanceId::from(""),
+            software,
+        };
+        self.progress = StreamProgress::Begun {
+            origin: Some(origin),
+        };
+    }
+
+    /// Returns the software version that must serve it; none if any may.
+    pub fn required_software(&self) -> Option<&SoftwareVersion> {
+        match &self.progress {
+            StreamProgress::Begun {
+                origin: Some(origin),
+            } => Some(&origin.software),
+            StreamProgress::NotBegun | StreamProgress::Begun { origin: None } => None,
+        }
+    }
+
     /// Returns true if it may run more than once.
     pub fn is_repeatable(&self) -> bool {
         match self.route.kind {
--- a/crates/millpass-dispatch/src/selection.rs
+++ b/crates/millpass-dispatch/src/selection.rs
@@ -73,6 +73,9 @@
             return wait_for_confirmation(now, ticket);
         }
         ticket.unconfirmed_since = None;
+        if let Some(refusal) = self.refuse_gone(ticket) {
+            return refusal;
+        }
         if ticket.is_past_start(now) {
             return Choice::Refuse {
                 reason: RefusalReason::NotStarted,
@@ -211,6 +214,7 @@
             let record = &instance.record;
             record.service == ticket.service
                 && !self.is_leaving(instance)
+                && self.runs_required(instance, ticket)
                 && (!engine || can_serve_model(now, instance, ticket))
         })
     }
--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -42,7 +42,7 @@
     /// the one in force is never applied.
     pub fn update(&mut self, now: Timestamp, update: GatewayUpdate) -> UpdateOutcome {
         if update.provisional {
-            return self.apply_relayed(update);
+            return self.apply_relayed(now, update);
         }
         if update.term < self.term {
             return UpdateOutcome {
@@ -107,7 +107,7 @@
         for record in update.instances {
             match self.instances.get_mut(&record.instance) {
                 Some(instance) => instance.update(record),
-                None => outcome.removed += self.add_run(record),
+                None => outcome.removed += self.add_run(now, record),
             }
         }
         for contents in update.contents {
@@ -187,7 +187,7 @@
 
     /// Applies state relayed by a member that does not lead. Its document and departures are
     /// committed but may not be the newest; its instances are used only by a gateway that has none.
-    fn apply_relayed(&mut self, update: GatewayUpdate) -> UpdateOutcome {
+    fn apply_relayed(&mut self, now: Timestamp, update: GatewayUpdate) -> UpdateOutcome {
         if update.as_of <= self.freshness.applied_index() {
             return UpdateOutcome {
                 stale: true,
@@ -201,7 +201,7 @@
         if self.instances.is_empty() {
             outcome.changed = update.instances.len();
             for record in update.instances {
-                self.add_run(record);
+                self.add_run(now, record);
             }
         }
         for instance in &update.removed {
@@ -213,7 +213,7 @@
 
     /// Adds an unknown process run, and returns how many earlier runs of its instance it replaces.
     /// A run older than a known one is ignored.
-    fn add_run(&mut self, record: InstanceRecord) -> usize {
+    fn add_run(&mut self, now: Timestamp, record: InstanceRecord) -> usize {
         let run = &record.instance;
         let known: Vec<InstanceId> = run.runs_in(&self.instances).cloned().collect();
         if known.iter().any(|known| run.is_before(known)) {
@@ -222,6 +222,7 @@
         let earlier: Vec<&InstanceId> = known.iter().filter(|it| it.is_before(run)).collect();
         for ended in &earlier {
             self.instances.remove(*ended);
+            self.origins.run_replaced(now, ended);
         }
         let ended = earlier.len();
         self.instances
--- a/crates/millpass-dispatch/src/waiting.rs
+++ b/crates/millpass-dispatch/src/waiting.rs
@@ -96,6 +96,7 @@
             service: ticket.service.clone(),
             model: description.model.clone().filter(|_| engine),
             adapter: description.adapter.clone().filter(|_| engine),
+            software: ticket.required_software().cloned(),
         }
     }
 
@@ -612,8 +613,16 @@
             service: record.service.clone(),
             model: None,
             adapter: None,
+            software: None,
         };
+        let software = record.software.version();
         let mut keys = vec![of_service.clone()];
+        if software.is_some() {
+            keys.push(ResourceKey {
+                software: software.cloned(),
+                ..of_service.clone()
+            });
+        }
         for held in &record.models {
             let of_model = ResourceKey {
                 model: Some(held.model.clone()),
@@ -625,6 +634,7 @@
             let served = waiting.filter(|key| {
                 let adapter = key.adapter.as_ref();
                 adapter.is_none_or(|adapter| held.adapters.contains(adapter))
+                    && (key.software.is_none() || key.software.as_ref() == software)
             });
             keys.extend(served.cloned());
         }
--- a/crates/millpass-dispatch/tests/admission.rs
+++ b/crates/millpass-dispatch/tests/admission.rs
@@ -9,6 +9,7 @@
         service: "text".into(),
         model: Some(model.into()),
         adapter: None,
+        software: None,
     }
 }
 
--- a/crates/millpass-dispatch/tests/crashes.rs
+++ b/crates/millpass-dispatch/tests/crashes.rs
@@ -62,6 +62,7 @@
         quota: QuotaTolerance::default(),
         key_lifetime: None,
         reach: millpass_dispatch::ReachSettings::default(),
+        origins: millpass_dispatch::BegunSettings::default(),
         freshness: FreshnessSettings {
             max_staleness: Duration::from_secs(3_600),
             max_departure_staleness: Duration::from_secs(3_600),
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -25,6 +25,7 @@
         quota: QuotaTolerance::default(),
         key_lifetime: None,
         reach: millpass_dispatch::ReachSettings::default(),
+        origins: millpass_dispatch::BegunSettings::default(),
         freshness: FreshnessSettings {
             max_staleness: Duration::from_secs(3_600),
             max_departure_staleness: Duration::from_secs(3_600),
--- a/crates/millpass-dispatch/tests/harness/mod.rs
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -29,6 +29,7 @@
             ..FreshnessSettings::default()
         },
         reach: ReachSettings::default(),
+        origins: millpass_dispatch::BegunSettings::default(),
     }
 }
 
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -24,6 +24,7 @@
 use crate::traffic::Traffic;
 use crate::updates::GatewayContext;
 use millpass_limits::PermitLedger;
+use millpass_origins::OriginTable;
 use millpass_proto::{
     CallId, DeploymentDocument, Duration, EngineInstruction, GatewayReport, InstanceChanges,
     InstanceId, InstanceLoad, InstanceRecord, InstructionOperation, ModelName, ModelReadyEstimate,
@@ -64,6 +65,8 @@
     pub(crate) engines: Engines,
     pub(crate) crashes: CrashTracker,
     pub(crate) limits: PermitLedger,
+    /// Origins of the streams of all gateways.
+    pub(crate) origins: OriginTable,
     permits: StorePermits,
     store: StoreCapacity,
     /// Instructions of earlier leaders.
@@ -104,6 +107,7 @@
     pub fn new(settings: FleetSettings) -> Self {
         Fleet {
             history: InstructionHistory::new(Timestamp::ZERO, settings.order_handover),
+            origins: OriginTable::new(Timestamp::ZERO, settings.origins),
             settings,
             registry: Registry::default(),
             standby: Standby::default(),
@@ -203,6 +207,7 @@
     /// Becomes leader with the instances announced at this member.
     fn become_leader(&mut self, now: Timestamp) {
         self.leading_since = Some(now);
+        self.origins = OriginTable::new(now, self.settings.origins);
         let announced: Vec<InstanceRecord> = self.local_share.records().cloned().collect();
         for record in announced {
             self.apply_announcement(now, Holder::Own, record, false);
--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -156,6 +156,7 @@
         let mut earlier_incarnations: Vec<InstanceId> = standby.collect();
         earlier_incarnations.extend(self.registry.earlier_incarnations(instance));
         for earlier in earlier_incarnations {
+            self.origins.run_replaced(now, &earlier);
             if let Some(engine) = self.engines.engines.get(&earlier) {
                 inherited.extend(engine.loads_to_inherit(now));
             }
@@ -234,6 +235,8 @@
         FleetSizes {
             known_paces,
             slowest_pace: (slowest * 100.0).round() as u32,
+            stream_origins: self.origins.len(),
+            dropped_origins: self.origins.dropped(),
             gateways_without_contact: self.gateways_without_contact(),
             local: self.local_share.len(),
             active: self.registry.len(),
--- a/crates/millpass-fleet/src/interface.rs
+++ b/crates/millpass-fleet/src/interface.rs
@@ -1,5 +1,6 @@
 //! Settings, inputs and outputs of the core.
 
+use millpass_origins::TableSettings;
 use millpass_proto::{
     CallId, CrashUpdate, Duration, EngineInstruction, GatewayUpdate, InstanceChanges, InstanceId,
     InstructionResult, LimitUpdate, PeerUpdate, QuarantineRecord, RequestFingerprint,
@@ -23,6 +24,8 @@
     pub order_lifetime: Duration,
     /// Tolerance above tenants' limits.
     pub quota: QuotaTolerance,
+    /// How origins of streams are kept.
+    pub origins: TableSettings,
 }
 
 impl Default for FleetSettings {
@@ -34,6 +37,7 @@
             order_handover: Duration::from_millis(3_500),
             order_lifetime: Duration::from_millis(200),
             quota: QuotaTolerance::default(),
+            origins: TableSettings::default(),
         }
     }
 }
@@ -53,6 +57,10 @@
     pub slowest_pace: u32,
     /// Gateways that state to reach no instance of a service; 0 unless this member leads.
     pub gateways_without_contact: usize,
+    /// Streams whose origins are kept; 0 unless this member leads.
+    pub stream_origins: usize,
+    /// Streams whose origins were not kept for lack of room, since it leads.
+    pub dropped_origins: u64,
 }
 
 /// A log event.
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -35,6 +35,7 @@
 //! | `rollout` | propagation of documents and departures to gateways |
 //! | `crashes` | quarantine of requests and loads that crash instances |
 //! | `limits` | limits stated by instances, and request permits |
+//! | `origins` | software versions that began streams |
 //! | `reach` | what gateways reach, and which serve requests of those that lack contact |
 //! | `interface` | settings, inputs and outputs |
 //! | `fleet` | the core itself |
@@ -58,6 +59,7 @@
 mod limits;
 mod local_share;
 mod observed_state;
+mod origins;
 mod pace;
 mod pending;
 mod permits;
@@ -81,6 +83,7 @@
 pub use fleet::Fleet;
 pub use instruction_history::InstructionHistory;
 pub use interface::{CallResult, FleetEvent, FleetOutput, FleetSettings, FleetSizes};
+pub use millpass_origins::TableSettings;
 pub use permits::StorePermits;
 pub use store_capacity::{PendingLoad, StoreCapacity};
 pub use updates::GatewayContext;
--- /dev/null
+++ b/crates/millpass-fleet/src/origins.rs
@@ -0,0 +1,35 @@
+//! Origins of streams, as gateways state them.
+
+use crate::fleet::Fleet;
+use millpass_proto::{OriginFinding, OriginUpdate, StreamReport, Timestamp};
+
+impl Fleet {
+    /// Records the streams that a gateway states, and answers its questions; none if it asks none.
+    pub fn handle_streams(&mut self, now: Timestamp, report: StreamReport) -> Option<OriginUpdate> {
+        let dropped = self.origins.dropped();
+        let answers = self.origins.handle(now, report);
+        if dropped == 0 && self.origins.dropped() > 0 {
+            let streams = self.origins.len().to_string();
+            let remedy = "raise origins.maximum_streams of the members".to_owned();
+            self.event(
+                "stream-origins-full",
+                vec![("streams", streams), ("remedy", remedy)],
+            );
+        }
+        for answer in &answers {
+            let finding = match &answer.finding {
+                OriginFinding::Known(origin) => origin.software.as_str(),
+                OriginFinding::Contradicted => "contradicted",
+                OriginFinding::Unknown => "unknown",
+                OriginFinding::Unsettled(_) => "unsettled",
+            };
+            let stream = format!("{:016x}{:016x}", answer.stream.high, answer.stream.low);
+            let finding = finding.to_owned();
+            self.event(
+                "stream-looked-up",
+                vec![("stream", stream), ("finding", finding)],
+            );
+        }
+        (!answers.is_empty()).then_some(OriginUpdate { answers })
+    }
+}
--- a/crates/millpass-fleet/tests/mixed_engines/mod.rs
+++ b/crates/millpass-fleet/tests/mixed_engines/mod.rs
@@ -164,6 +164,7 @@
         quota: QuotaTolerance::default(),
         key_lifetime: None,
         reach: millpass_dispatch::ReachSettings::default(),
+        origins: millpass_dispatch::BegunSettings::default(),
         freshness: FreshnessSettings {
             max_staleness: day,
             max_departure_staleness: day,
--- a/crates/millpass-fleet/tests/partitioned_gateways.rs
+++ b/crates/millpass-fleet/tests/partitioned_gateways.rs
@@ -157,6 +157,7 @@
         quota: QuotaTolerance::default(),
         key_lifetime: None,
         reach: ReachSettings::default(),
+        origins: millpass_dispatch::BegunSettings::default(),
         freshness: FreshnessSettings {
             max_staleness: day,
             max_departure_staleness: day,
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -15,6 +15,7 @@
     NOT_CONFIGURED_RETRY_AFTER, gateway_response, request_host, unidentified_response,
     unrouted_response,
 };
+use crate::resumption;
 use crate::shared::{Active, ActiveForward, ActiveSend, Shared, Turn};
 use crate::statements::record_statement;
 use async_io::Timer;
@@ -129,10 +130,12 @@
         }
     };
     description.fingerprint = fingerprint(&head, tenant.as_deref(), &route, &body);
-    let terms = hop.terms;
-    let ticket = shared
+    let mut ticket = shared
         .core()
-        .begin_forwarded(arrived, route, tenant, description, terms);
+        .begin_forwarded(arrived, route, tenant, description, hop.terms);
+    if let Some(software) = hop.software {
+        ticket.require_software(software);
+    }
     in_flight.track(&ticket);
     let template = RequestTemplate::new(shared.interface.as_ref(), head, body);
     let forward = Forward {
@@ -236,6 +239,12 @@
             let reason = RefusalReason::Quarantined.as_str();
             return self.fail(status, reason, Some(retry_after));
         }
+        if let Err((reason, retry_after)) =
+            resumption::resolve(&self.shared, &mut self.ticket).await
+        {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return self.fail(status, reason.as_str(), retry_after);
+        }
         let hold = match CreditHold::claim(&self.shared, &self.ticket) {
             Ok(Some(hold)) => hold,
             Ok(None) => return self.run().await,
@@ -318,7 +327,8 @@
                         return self.fail(StatusCode::BAD_GATEWAY, reason.as_str(), None);
                     }
                     let status = StatusCode::SERVICE_UNAVAILABLE;
-                    return self.fail(status, reason.as_str(), Some(retry_after));
+                    let retry_after = reason.may_return().then_some(retry_after);
+                    return self.fail(status, reason.as_str(), retry_after);
                 }
             }
         }
@@ -583,6 +593,7 @@
             version: core.table().map_or(0, |table| table.version()),
             sends: self.ticket.sends,
             instance: self.ticket.tried.last().cloned(),
+            software: self.ticket.software.version().cloned(),
         })
     }
 
--- a/crates/millpass-gateway/src/hop.rs
+++ b/crates/millpass-gateway/src/hop.rs
@@ -4,7 +4,7 @@
 use http::header::InvalidHeaderValue;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use millpass_dispatch::ForwardTerms;
-use millpass_proto::{Duration, InstanceId, ServiceName, TenantName};
+use millpass_proto::{Duration, InstanceId, ServiceName, SoftwareVersion, TenantName};
 
 const KEY: HeaderName = HeaderName::from_static("millpass-forward-key");
 const FROM: HeaderName = HeaderName::from_static("millpass-forward-from");
@@ -20,8 +20,9 @@
 const REASON: HeaderName = HeaderName::from_static("millpass-forward-reason");
 const SENDS: HeaderName = HeaderName::from_static("millpass-forward-sends");
 const INSTANCE: HeaderName = HeaderName::from_static("millpass-forward-instance");
+const SOFTWARE: HeaderName = HeaderName::from_static("millpass-forward-software");
 
-const ALL: [HeaderName; 14] = [
+const ALL: [HeaderName; 15] = [
     KEY,
     FROM,
     VERSION,
@@ -36,6 +37,7 @@
     REASON,
     SENDS,
     INSTANCE,
+    SOFTWARE,
 ];
 
 /// Separates instances.
@@ -60,6 +62,8 @@
     pub(crate) terms: ForwardTerms,
     /// Id of the event after which a stream resumes.
     pub(crate) last_event: Option<String>,
+    /// Software version that must serve it; none if any may.
+    pub(crate) software: Option<SoftwareVersion>,
 }
 
 impl HopRequest {
@@ -83,6 +87,9 @@
         if let Some(event) = &self.last_event {
             set(headers, LAST_EVENT, event)?;
         }
+        if let Some(software) = &self.software {
+            set(headers, SOFTWARE, software.as_str())?;
+        }
         Ok(())
     }
 
@@ -103,6 +110,7 @@
                 start_within: number(headers, &START_WITHIN).map(Duration::from_micros),
             },
             last_event: text(headers, &LAST_EVENT).map(str::to_owned),
+            software: text(headers, &SOFTWARE).map(Into::into),
         })
     }
 }
@@ -154,6 +162,8 @@
     pub(crate) sends: u32,
     /// Instance that it was last sent to.
     pub(crate) instance: Option<InstanceId>,
+    /// Version of the software of that instance, if known.
+    pub(crate) software: Option<SoftwareVersion>,
 }
 
 impl HopResponse {
@@ -167,6 +177,9 @@
         if let Some(instance) = &self.instance {
             set(headers, INSTANCE, &instance.0)?;
         }
+        if let Some(software) = &self.software {
+            set(headers, SOFTWARE, software.as_str())?;
+        }
         Ok(())
     }
 
@@ -178,6 +191,7 @@
             version: number(headers, &VERSION)?,
             sends: u32::try_from(number(headers, &SENDS)?).ok()?,
             instance: text(headers, &INSTANCE).map(InstanceId::from),
+            software: text(headers, &SOFTWARE).map(Into::into),
         };
         strip(headers);
         Some(response)
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `peer_service` | serves requests that other gateways forward |
 //! | `hop` | headers between two gateways |
 //! | `relay` | relays response bodies and resumes broken streams |
+//! | `resumption` | finds out whether a stream that a caller takes up may go on |
 //! | `framing` | how the end of a response body is recognized |
 //! | `events` | splits a stream into complete events |
 //! | `pool` | connections to instances |
@@ -54,6 +55,7 @@
 mod report_schedule;
 mod request_log;
 mod responses;
+mod resumption;
 mod server;
 mod settings;
 mod shared;
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -260,6 +260,8 @@
         messages.extend(credit.map(RouterToControl::Credit));
         let permits = shared.core().permit_request(now);
         messages.extend(permits.map(RouterToControl::Permits));
+        let streams = shared.core().stream_report(now);
+        messages.extend(streams.map(RouterToControl::Streams));
         for message in messages {
             if let Err(error) = write_frame(&mut stream, &LinkMessage::Router(message)).await {
                 return LinkEnd::Lost(error.to_string());
@@ -271,6 +273,9 @@
         if shared.core().credit_statement_at(now).is_some() {
             next_check = next_check.min(now + CREDIT_CHECK_INTERVAL);
         }
+        if let Some(at) = shared.core().stream_report_at(now) {
+            next_check = next_check.min(at);
+        }
         shared.wait_for_change(notified, next_check).await;
     }
 }
@@ -322,6 +327,10 @@
             }
             Ok(ControlToRouter::Limits(update)) => apply_limits(shared, &update),
             Ok(ControlToRouter::Peers(update)) => apply_peers(shared, update),
+            Ok(ControlToRouter::Origins(update)) => {
+                shared.core().apply_origins(update);
+                shared.changed.notify(usize::MAX);
+            }
             Ok(ControlToRouter::NotLeader(response)) => {
                 let leader = response.leader_address.and_then(|text| text.parse().ok());
                 return LinkEnd::NotLeader(leader);
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -64,6 +64,10 @@
     pub(crate) unreachable_instances: IntGauge,
     /// Changes of what is reached.
     pub(crate) path_changes: IntCounterVec,
+    /// Streams that callers take up again, by outcome.
+    pub(crate) stream_returns: IntCounterVec,
+    /// Streams whose origins are kept.
+    pub(crate) stream_origins: IntGauge,
     /// Response bodies that ended with their connection, by position.
     pub(crate) connection_ends: IntCounterVec,
     /// Requests forwarded to other gateways, by outcome.
@@ -116,6 +120,11 @@
             "Changes of the instances and services that this gateway reaches",
             "change",
         )?;
+        let stream_returns = counters(
+            "gateway_stream_returns_total",
+            "Streams that callers take up again, by whether their origin is known",
+            "outcome",
+        )?;
         let connection_ends = counters(
             "gateway_connection_ends_total",
             "Response bodies that only the end of the connection ended, by position",
@@ -156,6 +165,10 @@
         let resumed = IntCounter::new("gateway_resumed_total", "Streams that went on elsewhere")?;
         let document_version = IntGauge::new("gateway_document_version", "Version in force")?;
         let instances = IntGauge::new("gateway_instances", "Instances known")?;
+        let stream_origins = IntGauge::new(
+            "gateway_stream_origins",
+            "Streams whose origins this gateway keeps",
+        )?;
         let instance_ends = IntCounter::new(
             "gateway_instance_ends_total",
             "Runs of instances that ended under requests of this gateway",
@@ -186,6 +199,7 @@
         registry.register(Box::new(resumed.clone()))?;
         registry.register(Box::new(document_version.clone()))?;
         registry.register(Box::new(instances.clone()))?;
+        registry.register(Box::new(stream_origins.clone()))?;
         registry.register(Box::new(instance_ends.clone()))?;
         registry.register(Box::new(quarantined.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
@@ -249,6 +263,8 @@
             unreachable_instances,
             path_changes,
             connection_ends,
+            stream_returns,
+            stream_origins,
             forwards,
             served_forwards,
             peers,
--- a/crates/millpass-gateway/src/peer.rs
+++ b/crates/millpass-gateway/src/peer.rs
@@ -42,6 +42,7 @@
     if let Some(instance) = &response.hop.instance {
         ticket.tried.push(instance.clone());
     }
+    ticket.software = response.hop.software.clone().into();
     let mut core = shared.core();
     core.record_shown_version(response.hop.version);
     Ok(response)
@@ -70,6 +71,7 @@
             start_within: ticket.credit.map(|_| QUOTA_START),
         },
         last_event: last_event.map(str::to_owned),
+        software: ticket.required_software().cloned(),
     }
 }
 
--- a/crates/millpass-gateway/src/peer_service.rs
+++ b/crates/millpass-gateway/src/peer_service.rs
@@ -158,6 +158,7 @@
         version: shared.core().table().map_or(0, |table| table.version()),
         sends: 0,
         instance: None,
+        software: None,
     };
     state_hop(shared, response, &hop)
 }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::SendRequest;
-use millpass_dispatch::{Choice, ForwardOutcome, SendOutcome, Ticket};
+use millpass_dispatch::{Choice, ForwardOutcome, RefusalReason, SendOutcome, Ticket};
 use millpass_event_stream::EventScanner;
 use millpass_proto::{Duration, GatewayPeer, Timestamp};
 use std::convert::Infallible;
@@ -53,6 +53,8 @@
     status: StatusCode,
     framing: Framing,
     events: BodyEvents,
+    /// Whether the caller has had an event.
+    has_event: bool,
     ended: bool,
     in_flight: Option<InFlight>,
     /// Present if another gateway forwarded the request.
@@ -100,6 +102,7 @@
             status: received.head.status,
             framing: Framing::of(&received.head),
             events,
+            has_event: false,
             ended: false,
             in_flight,
             _guard: guard,
@@ -130,6 +133,7 @@
                     }
                     let forwarded = self.events.push(bytes);
                     if !forwarded.is_empty() {
+                        self.record_events();
                         return Some((Ok(Frame::data(forwarded)), self));
                     }
                 }
@@ -225,6 +229,26 @@
         );
     }
 
+    /// Records where a resumable stream began, with its first event.
+    fn record_events(&mut self) {
+        if self.has_event || !self.events.is_buffered() {
+            return;
+        }
+        self.has_event = true;
+        let now = self.shared.now();
+        let instance = self.ticket.tried.last().cloned();
+        let software = self.ticket.software.version().cloned();
+        let origins = {
+            let mut core = self.shared.core();
+            let ticket = &mut self.ticket;
+            core.record_events(now, ticket, instance.as_ref(), software.as_ref());
+            core.stream_origins()
+        };
+        self.shared.metrics.stream_origins.set(origins as i64);
+        // The leader is to know before this gateway can be lost.
+        self.shared.report.notify(1);
+    }
+
     /// Marks the request as ended; false if it already was.
     fn record_end(&mut self) -> bool {
         self.in_flight.as_mut().is_some_and(InFlight::finish)
@@ -276,6 +300,10 @@
             active.end(SendOutcome::Broken);
         }
         self.events.discard_partial();
+        if !self.shared.core().may_go_on(&self.ticket) {
+            self.log_not_resumed(RefusalReason::StreamVersionUnknown);
+            return false;
+        }
         let mut turn = Turn::new(self.shared.clone());
         loop {
             if !self.wait_until_covered().await {
@@ -305,11 +333,24 @@
                     let waiting = self.shared.wait_to_decide(&mut turn, changed, until);
                     waiting.await;
                 }
-                Choice::Refuse { .. } => return false,
+                Choice::Refuse { reason, .. } => {
+                    self.log_not_resumed(reason);
+                    return false;
+                }
             }
         }
     }
 
+    fn log_not_resumed(&self, reason: RefusalReason) {
+        let required = self.ticket.required_software();
+        log::info!(
+            "event=stream_not_resumed request={} software={} reason={}",
+            self.ticket.description.attempt,
+            required.map_or("any", |software| software.as_str()),
+            reason.as_str()
+        );
+    }
+
     /// Claims units for another send and waits for them; returns false if there are none.
     async fn wait_until_covered(&mut self) -> bool {
         let Some(credit) = &mut self.credit else {
--- a/crates/millpass-hollow/src/router.rs
+++ b/crates/millpass-hollow/src/router.rs
@@ -217,7 +217,8 @@
                 | ControlToRouter::Crashes(_)
                 | ControlToRouter::Permits(_)
                 | ControlToRouter::Limits(_)
-                | ControlToRouter::Peers(_) => {}
+                | ControlToRouter::Peers(_)
+                | ControlToRouter::Origins(_) => {}
                 ControlToRouter::Claim(response) => self.handle_claim_response(routers, response),
                 ControlToRouter::ClaimFinished(attempt) => {
                     self.handle_claim_finished(routers, attempt)
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1531,6 +1531,77 @@
 }
 
 
+/// The process run that wrote the first event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct StreamOrigin {
+
+    /// Service name.
+    pub service: ServiceName,
+
+    /// Instance incarnation.
+    pub instance: InstanceId,
+
+    /// Version of its software.
+    pub software: SoftwareVersion,
+}
+
+
+/// What is known of the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum OriginFinding {
+
+    /// It began there.
+    Known(StreamOrigin),
+
+    /// Several process runs may have begun it.
+    Contradicted,
+
+    /// No gateway has stated it.
+    Unknown,
+
+    /// Gateways may not have stated it yet; milliseconds until they should have.
+    Unsettled(u64),
+}
+
+
+/// 128-bit hash of tenant, route and the attempt that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct StreamKey {
+
+    /// High 64 bits.
+    pub high: u64,
+
+    /// Low 64 bits.
+    pub low: u64,
+}
+
+
+/// Answer to a gateway's question.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct OriginAnswer {
+
+    /// Key of the stream.
+    pub stream: StreamKey,
+
+    /// What is known.
+    pub finding: OriginFinding,
+}
+
+
+/// Answers to a gateway's questions.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct OriginUpdate {
+
+    /// Answers.
+    pub answers: Vec<OriginAnswer>,
+}
+
+
 /// A gateway that takes requests of another one.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -1873,6 +1944,9 @@
 
     /// Gateways that can serve requests of a gateway that lacks contact.
     Peers(PeerUpdate),
+
+    /// Origins of streams that a gateway asked for.
+    Origins(OriginUpdate),
 }
 
 
@@ -2404,6 +2478,48 @@
 }
 
 
+/// A stream whose first event a gateway has relayed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct BegunStream {
+
+    /// Key of the stream.
+    pub stream: StreamKey,
+
+    /// Time since its first event.
+    pub age_millis: u32,
+
+    /// Time for which its origin is to be kept.
+    pub kept_millis: u32,
+}
+
+
+/// Streams of the same origin.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct OriginGroup {
+
+    /// Where they began; none if that is not known.
+    pub origin: Option<StreamOrigin>,
+
+    /// Streams.
+    pub streams: Vec<BegunStream>,
+}
+
+
+/// Origins of streams that a gateway relays, and its questions about others.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct StreamReport {
+
+    /// Streams that began, or, on a new connection, all whose origins are kept.
+    pub begun: Vec<OriginGroup>,
+
+    /// Streams that callers take up again.
+    pub lookups: Vec<StreamKey>,
+}
+
+
 /// Message from a router or gateway to a control member.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2435,6 +2551,9 @@
 
     /// What a gateway reaches, and where it takes requests of others; answered with `Peers` if it lacks anything.
     Reach(GatewayReach),
+
+    /// Origins of a gateway's streams, and its questions about others; answered with `Origins` if it asks.
+    Streams(StreamReport),
 }
 
 
--- a/crates/millpass-proto/src/software.rs
+++ b/crates/millpass-proto/src/software.rs
@@ -55,3 +55,9 @@
         self.software = earlier.software.combine(&self.software);
     }
 }
+
+impl From<Option<SoftwareVersion>> for SoftwareStatement {
+    fn from(version: Option<SoftwareVersion>) -> Self {
+        version.map_or(SoftwareStatement::Unstated, SoftwareStatement::Stated)
+    }
+}
--- a/crates/millpass-router/src/link.rs
+++ b/crates/millpass-router/src/link.rs
@@ -164,7 +164,8 @@
                     | ControlToRouter::Crashes(_)
                     | ControlToRouter::Permits(_)
                     | ControlToRouter::Limits(_)
-                    | ControlToRouter::Peers(_),
+                    | ControlToRouter::Peers(_)
+                    | ControlToRouter::Origins(_),
                 ) => continue,
                 Ok(ControlToRouter::Claim(response)) => RoutingInput::ClaimDecided {
                     attempt: response.attempt,
--- a/crates/millpass-router/tests/common/control.rs
+++ b/crates/millpass-router/tests/common/control.rs
@@ -179,7 +179,8 @@
         | RouterToControl::Credit(_)
         | RouterToControl::Crashes(_)
         | RouterToControl::Permits(_)
-        | RouterToControl::Reach(_) => None,
+        | RouterToControl::Reach(_)
+        | RouterToControl::Streams(_) => None,
         RouterToControl::Report(report) => {
             for observation in &report.observations {
                 observed.send(observation.clone()).unwrap();
--- a/crates/millpass-sim/src/router_link.rs
+++ b/crates/millpass-sim/src/router_link.rs
@@ -160,7 +160,8 @@
             | ControlToRouter::Crashes(_)
             | ControlToRouter::Permits(_)
             | ControlToRouter::Limits(_)
-            | ControlToRouter::Peers(_) => {}
+            | ControlToRouter::Peers(_)
+            | ControlToRouter::Origins(_) => {}
             ControlToRouter::Claim(response) => {
                 self.handle_claim_decision(router, response.attempt, response.decision);
             }
