Do not trust origins at process runs that were replaced shortly after

A request names an instance, not its run: between the start of a new run under an id and its first heartbeat, streams that it began were recorded for the run before. Now the leader remembers replaced runs and does not believe streams begun within run_uncertainty before, stated early or late.

--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -137,7 +137,7 @@
     }
 
     /// Returns whether a later incarnation of the instance is known or was removed recently.
-    fn has_later_incarnation(&self, instance: &InstanceId) -> bool {
+    pub(crate) fn has_later_incarnation(&self, instance: &InstanceId) -> bool {
         if self.standby.get(instance).is_some() {
             return false;
         }
--- a/crates/millpass-fleet/src/origins.rs
+++ b/crates/millpass-fleet/src/origins.rs
@@ -1,13 +1,24 @@
 //! Origins of streams, as gateways state them.
 
 use crate::fleet::Fleet;
-use millpass_proto::{OriginFinding, OriginUpdate, StreamReport, Timestamp};
+use millpass_proto::{InstanceId, OriginFinding, OriginUpdate, StreamReport, Timestamp};
 
 impl Fleet {
     /// Records the streams that a gateway states, and answers its questions; none if it asks none.
     pub fn handle_streams(&mut self, now: Timestamp, report: StreamReport) -> Option<OriginUpdate> {
         let dropped = self.origins.dropped();
-        let answers = self.origins.handle(now, report);
+        let runs = report
+            .begun
+            .iter()
+            .filter_map(|group| group.origin.as_ref());
+        let runs = runs.map(|origin| &origin.instance);
+        let replaced: Vec<InstanceId> = runs
+            .filter(|run| self.has_later_incarnation(run))
+            .cloned()
+            .collect();
+        let answers = self
+            .origins
+            .handle(now, report, |run| replaced.contains(run));
         if dropped == 0 && self.origins.dropped() > 0 {
             let streams = self.origins.len().to_string();
             let remedy = "raise origins.maximum_streams of the members".to_owned();
--- a/crates/millpass-origins/src/table.rs
+++ b/crates/millpass-origins/src/table.rs
@@ -10,6 +10,9 @@
 /// Interval at which expired origins are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which a replaced process run is remembered; gateways learn of it much sooner.
+const REPLACED_RETENTION: Duration = Duration::from_secs(600);
+
 /// Settings of an [`OriginTable`].
 #[derive(Clone, Copy, Debug)]
 pub struct TableSettings {
@@ -44,8 +47,11 @@
 #[derive(Debug)]
 pub struct OriginTable {
     settings: TableSettings,
+    created_at: Timestamp,
     settled_at: Timestamp,
     streams: HashMap<StreamKey, Entry>,
+    /// Process runs that were found to be replaced, and when.
+    replaced: BTreeMap<InstanceId, Timestamp>,
     /// Shared by the streams that began there.
     origins: BTreeMap<InstanceId, Arc<StreamOrigin>>,
     swept_at: Timestamp,
@@ -57,7 +63,9 @@
     pub fn new(now: Timestamp, settings: TableSettings) -> Self {
         OriginTable {
             settings,
+            created_at: now,
             settled_at: now + settings.settle,
+            replaced: BTreeMap::new(),
             streams: HashMap::new(),
             origins: BTreeMap::new(),
             swept_at: now,
@@ -80,19 +88,30 @@
         self.dropped
     }
 
-    /// Records the streams that a gateway states, and answers its questions.
-    pub fn handle(&mut self, now: Timestamp, report: StreamReport) -> Vec<OriginAnswer> {
+    /// Records the streams that a gateway states, and answers its questions. `is_replaced` states whether
+    /// a later process run of the same instance is known.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        report: StreamReport,
+        is_replaced: impl Fn(&InstanceId) -> bool,
+    ) -> Vec<OriginAnswer> {
         if now.since(self.swept_at) >= SWEEP_INTERVAL {
             self.sweep(now);
         }
         for group in report.begun {
             let origin = group.origin.map(|origin| self.shared(origin));
+            let uncertain_from = origin
+                .as_ref()
+                .and_then(|origin| self.uncertain_from(&origin.instance, &is_replaced));
             for begun in group.streams {
                 let age = Duration::from_millis(begun.age_millis.into());
                 let kept = Duration::from_millis(begun.kept_millis.into());
+                let begun_at = now.earlier(age);
+                let is_certain = uncertain_from.is_none_or(|from| begun_at < from);
                 let entry = Entry {
-                    origin: origin.clone(),
-                    begun_at: now.earlier(age),
+                    origin: origin.clone().filter(|_| is_certain),
+                    begun_at,
                     kept_until: now + kept,
                 };
                 self.record(begun.stream, entry);
@@ -108,6 +127,7 @@
     /// Records that a process run of an instance was found to be replaced: which of the two began the
     /// streams shortly before is not known.
     pub fn run_replaced(&mut self, now: Timestamp, earlier: &InstanceId) {
+        self.replaced.entry(earlier.clone()).or_insert(now);
         let uncertain_from = now.earlier(self.settings.run_uncertainty);
         for entry in self.streams.values_mut() {
             let began_there = |origin: &Arc<StreamOrigin>| origin.instance == *earlier;
@@ -117,6 +137,20 @@
         }
     }
 
+    /// Returns from when on another process run than this one may have begun its streams.
+    fn uncertain_from(
+        &mut self,
+        instance: &InstanceId,
+        is_replaced: impl Fn(&InstanceId) -> bool,
+    ) -> Option<Timestamp> {
+        if !self.replaced.contains_key(instance) && is_replaced(instance) {
+            // It was replaced under an earlier leader, or announced itself to nobody since.
+            self.replaced.insert(instance.clone(), self.created_at);
+        }
+        let replaced_at = self.replaced.get(instance)?;
+        Some(replaced_at.earlier(self.settings.run_uncertainty))
+    }
+
     fn record(&mut self, stream: StreamKey, entry: Entry) {
         if let Some(known) = self.streams.get_mut(&stream) {
             if known.origin != entry.origin {
@@ -165,5 +199,7 @@
         self.streams.retain(|_, entry| now < entry.kept_until);
         self.origins
             .retain(|_, origin| Arc::strong_count(origin) > 1);
+        self.replaced
+            .retain(|_, at| now.since(*at) < REPLACED_RETENTION);
     }
 }
