--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -64,6 +64,8 @@
     known_paces: IntGauge,
     slowest_pace: IntGauge,
     gateways_without_contact: IntGauge,
+    stream_origins: IntGauge,
+    dropped_origins: IntGauge,
 }
 
 /// Disk usage and the duration of the write in progress.
@@ -183,6 +185,14 @@
                 "control_known_engine_paces",
                 "Engines whose time to the first byte differs from their service's median",
             )?,
+            stream_origins: gauge(
+                "control_stream_origins",
+                "Streams whose origins the leader keeps",
+            )?,
+            dropped_origins: gauge(
+                "control_dropped_stream_origins",
+                "Streams whose origins the leader did not keep for lack of room",
+            )?,
             gateways_without_contact: gauge(
                 "control_gateways_without_contact",
                 "Gateways that state to reach no instance of a service",
@@ -280,6 +290,9 @@
         self.slowest_pace.set(i64::from(sizes.slowest_pace));
         let without_contact = sizes.gateways_without_contact;
         self.gateways_without_contact.set(without_contact as i64);
+        self.stream_origins.set(sizes.stream_origins as i64);
+        let dropped = i64::try_from(sizes.dropped_origins).unwrap_or(i64::MAX);
+        self.dropped_origins.set(dropped);
     }
 
     pub(crate) fn record_consensus(&self, status: &ConsensusStatus) {
--- a/crates/millpass-dispatch/src/origins.rs
+++ b/crates/millpass-dispatch/src/origins.rs
@@ -161,7 +161,7 @@
             StreamProgress::Begun { origin: None } => false,
             StreamProgress::Begun { origin: Some(_) } => {
                 let stream = self.key_of(ticket, &ticket.description.attempt);
-                ticket.forwarded.is_some() || self.origins.is_known(&stream)
+                ticket.forwarded.is_some() || !self.origins.is_uncertain(&stream)
             }
         }
     }
--- a/crates/millpass-fleet/src/origins.rs
+++ b/crates/millpass-fleet/src/origins.rs
@@ -37,8 +37,8 @@
             let finding = match &answer.finding {
                 OriginFinding::Known(origin) => origin.software.as_str(),
                 OriginFinding::Contradicted => "contradicted",
-                OriginFinding::Unknown => "unknown",
-                OriginFinding::Unsettled(_) => "unsettled",
+                // Asked again and again; the gateway logs what it decides.
+                OriginFinding::Unknown | OriginFinding::Unsettled(_) => continue,
             };
             let stream = format!("{:016x}{:016x}", answer.stream.high, answer.stream.low);
             let finding = finding.to_owned();
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -116,7 +116,8 @@
         let choice = {
             let mut core = self.core();
             let choice = core.choose(now, ticket);
-            if core.is_report_urgent() || core.is_permit_request_due(now) {
+            let streams_due = core.stream_report_at(now).is_some_and(|at| at <= now);
+            if core.is_report_urgent() || core.is_permit_request_due(now) || streams_due {
                 self.report.notify(1);
             }
             turn.set(ticket.waiting());
--- a/crates/millpass-origins/src/begun.rs
+++ b/crates/millpass-origins/src/begun.rs
@@ -12,7 +12,7 @@
 /// second from all of them.
 const INTERVAL_PER_GATEWAY: Duration = Duration::from_micros(250);
 
-/// Interval at which the leader is asked again for a stream that nobody has stated yet.
+/// Interval at which the leader is asked again for a stream that has not been stated yet.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time that a statement takes to the leader besides its interval: transit and processing.
 const STATEMENT_DELAY: Duration = Duration::from_millis(60);
@@ -63,7 +63,9 @@
     fn due_at(&self, now: Timestamp) -> Option<Timestamp> {
         match (self.asked_at, &self.finding) {
             (None, _) => Some(now),
-            (Some(at), Some(OriginFinding::Unknown)) => Some(at + REPEAT_INTERVAL),
+            (Some(at), Some(OriginFinding::Unknown | OriginFinding::Unsettled(_))) => {
+                Some(at + REPEAT_INTERVAL)
+            }
             (Some(_), _) => None,
         }
     }
@@ -159,11 +161,10 @@
         }
     }
 
-    /// Returns whether the origin of a stream that this gateway relays is still known.
-    pub fn is_known(&self, key: &StreamKey) -> bool {
-        self.streams
-            .get(key)
-            .is_some_and(|begun| begun.origin.is_some())
+    /// Returns whether the recorded origin of a stream turned out not to be certain.
+    pub fn is_uncertain(&self, key: &StreamKey) -> bool {
+        let begun = self.streams.get(key);
+        begun.is_some_and(|begun| begun.origin.is_none())
     }
 
     /// Records that a report arrived at a new leader: it is stated all origins, and asked again.
@@ -319,6 +320,11 @@
             (None, Some(OriginFinding::Unknown)) if now < self.stated_until(since, gateways) => {
                 None
             }
+            (None, Some(OriginFinding::Unsettled(_)))
+                if now < since + self.settings.lookup_timeout =>
+            {
+                None
+            }
             (_, Some(stated)) => Some(stated),
             (own, None) if now >= since + self.settings.lookup_timeout => {
                 let millis = self.settings.lookup_timeout.as_millis();
