Distrust origins at earlier runs of an id also where those have left the list before

A run that takes over an id was compared with the runs still listed. Where the earlier one had been removed before the later one announced itself, streams recorded for it were trusted, although the later one may have begun them in between. Found by a_stream_of_a_replaced_run_is_not_taken_up of the new tests of one gateway (tenants, routes, runs, versions that are gone, returns that name no attempt). Now a run that announces itself marks the origins of all earlier runs of its id, at gateways and at the leader.

--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -243,9 +243,9 @@
         let earlier: Vec<&InstanceId> = known.iter().filter(|it| it.is_before(run)).collect();
         for ended in &earlier {
             self.remove_instance(now, ended);
-            self.origins.run_replaced(ended);
         }
         let ended = earlier.len();
+        self.origins.run_began(&record.instance);
         self.sole_versions
             .note(now, &record.service, &record.software);
         self.instances
--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -148,6 +148,7 @@
 
     /// Removes earlier incarnations of an instance; the new one inherits their unanswered loads.
     fn remove_earlier_incarnations(&mut self, now: Timestamp, instance: &InstanceId) {
+        self.origins.run_began(instance);
         let mut inherited = Vec::new();
         let standby = self.standby.incarnations_of(instance);
         let standby = standby
@@ -156,7 +157,6 @@
         let mut earlier_incarnations: Vec<InstanceId> = standby.collect();
         earlier_incarnations.extend(self.registry.earlier_incarnations(instance));
         for earlier in earlier_incarnations {
-            self.origins.run_replaced(&earlier);
             if let Some(engine) = self.engines.engines.get(&earlier) {
                 inherited.extend(engine.loads_to_inherit(now));
             }
--- a/crates/millpass-origins/src/begun.rs
+++ b/crates/millpass-origins/src/begun.rs
@@ -149,12 +149,12 @@
         }
     }
 
-    /// Records that a process run of an instance was found to be replaced: either of the two may have
-    /// begun the streams recorded for it.
-    pub fn run_replaced(&mut self, earlier: &InstanceId) {
+    /// Records that a process run of an instance has announced itself: it may have begun the streams
+    /// recorded for earlier runs.
+    pub fn run_began(&mut self, run: &InstanceId) {
         for (key, begun) in &mut self.streams {
-            let began_there = |origin: &StreamOrigin| origin.instance == *earlier;
-            if begun.origin.as_ref().is_some_and(began_there) {
+            let origin = begun.origin.as_ref();
+            if origin.is_some_and(|origin| origin.instance.is_before(run)) {
                 begun.origin = None;
                 self.unstated.push(key.clone());
             }
--- a/crates/millpass-origins/src/table.rs
+++ b/crates/millpass-origins/src/table.rs
@@ -107,12 +107,16 @@
         report.lookups.into_iter().map(answer).collect()
     }
 
-    /// Records that a process run of an instance was found to be replaced: either of the two may have
-    /// begun the streams recorded for it.
-    pub fn run_replaced(&mut self, earlier: &InstanceId) {
+    /// Records that a process run of an instance has announced itself: it may have begun the streams
+    /// recorded for earlier runs.
+    pub fn run_began(&mut self, run: &InstanceId) {
+        let mut known = run.runs_in(&self.origins);
+        if !known.any(|known| known.is_before(run)) {
+            return;
+        }
         for entry in self.streams.values_mut() {
-            let began_there = |origin: &Arc<StreamOrigin>| origin.instance == *earlier;
-            if entry.origin.as_ref().is_some_and(began_there) {
+            let origin = entry.origin.as_ref();
+            if origin.is_some_and(|origin| origin.instance.is_before(run)) {
                 entry.origin = None;
             }
         }
--- a/crates/millpass-origins/tests/simulation.rs
+++ b/crates/millpass-origins/tests/simulation.rs
@@ -244,20 +244,20 @@
             let known = self.known_runs(self.gateways[number].announce_delay);
             for (place, run) in known.into_iter().enumerate() {
                 let gateway = &mut self.gateways[number];
-                for earlier in gateway.learnt[place]..run {
-                    let earlier = self.instances[place].run_id(earlier);
-                    gateway.streams.run_replaced(&earlier);
+                if gateway.learnt[place] < run {
+                    let began = self.instances[place].run_id(run);
+                    gateway.streams.run_began(&began);
                 }
                 gateway.learnt[place] = run;
             }
         }
         let known = self.known_runs(self.leader_delay);
         for (place, run) in known.into_iter().enumerate() {
-            for earlier in self.leader_learnt[place]..run {
-                let earlier = self.instances[place].run_id(earlier);
-                if let Some(leader) = &mut self.leader {
-                    leader.run_replaced(&earlier);
-                }
+            let began = self.instances[place].run_id(run);
+            if let Some(leader) = &mut self.leader
+                && self.leader_learnt[place] < run
+            {
+                leader.run_began(&began);
             }
             if self.leader_learnt[place] < run {
                 self.leader_learnt_at[place] = self.now;
