Derive what recording a stream's first event needs; compute rank and targets once

Read-through of the whole change, same behaviour. The rank of a ticket was computed in begin and begin_forwarded and is now computed where the ticket is built; whether a route sends to a service stood twice; record_events took the instance and the software that the ticket holds already, cloned by the relay; log_changes took the core's lock a second time at the end of every send for the next probe, and reads it with the rest now.

--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -17,7 +17,7 @@
 use millpass_origins::{BegunSettings, BegunStreams, SoleVersions};
 use millpass_proto::{
     AdapterName, CrashReport, CrashUpdate, Duration, EngineSpec, GatewayPeer, GatewayReport,
-    InstanceId, InstanceLoad, ModelName, ModelReadyEstimate, RouteSpec, RouteTarget, ServiceName,
+    InstanceId, InstanceLoad, ModelName, ModelReadyEstimate, RouteSpec, ServiceName,
     SoftwareStatement, TenantAccess, Timestamp, ZoneName,
 };
 use millpass_reach::{Paths, Peers, ReachSettings, RunEnds};
@@ -322,12 +322,8 @@
         description: RequestDescription,
         draw: f64,
     ) -> Ticket {
-        let table = self.table.as_ref();
-        let rank = table.map_or(route.priority, |table| {
-            table.rank(tenant.as_deref(), &route)
-        });
         let service = pick_target(&route, self.next_position(&route, draw));
-        let mut ticket = self.new_ticket(now, route, service, tenant, rank, description);
+        let mut ticket = self.new_ticket(now, route, service, tenant, description);
         let window = self.settings.retry_window;
         self.budgets
             .entry(ticket.service.clone())
@@ -349,17 +345,12 @@
         description: RequestDescription,
         terms: ForwardTerms,
     ) -> Ticket {
-        let table = self.table.as_ref();
-        let rank = table.map_or(route.priority, |table| {
-            table.rank(tenant.as_deref(), &route)
-        });
-        let is_target = |target: &RouteTarget| target.service == terms.service && target.weight > 0;
-        let service = match route.targets.iter().any(is_target) {
+        let service = match is_target(&route, &terms.service) {
             true => terms.service,
             false => pick_target(&route, 0.0),
         };
         let arrived = now.earlier(terms.elapsed);
-        let mut ticket = self.new_ticket(arrived, route, service, tenant, rank, description);
+        let mut ticket = self.new_ticket(arrived, route, service, tenant, description);
         ticket.tried = terms.tried;
         ticket.forwarded = Some(Forwarded {
             from: terms.from,
@@ -384,9 +375,12 @@
         route: Arc<RouteSpec>,
         service: ServiceName,
         tenant: Option<Arc<TenantAccess>>,
-        rank: u32,
         description: RequestDescription,
     ) -> Ticket {
+        let table = self.table.as_ref();
+        let rank = table.map_or(route.priority, |table| {
+            table.rank(tenant.as_deref(), &route)
+        });
         let timeout = description.timeout.unwrap_or(self.settings.default_timeout);
         let deadline = arrived + timeout;
         let explores = self.pace.explores(&service, &route);
@@ -643,6 +637,12 @@
     }
 }
 
+/// Returns whether a route sends requests to a service.
+pub(crate) fn is_target(route: &RouteSpec, service: &ServiceName) -> bool {
+    let mut targets = route.targets.iter();
+    targets.any(|target| target.service == *service && target.weight > 0)
+}
+
 fn pick_target(route: &RouteSpec, draw: f64) -> ServiceName {
     let total: u64 = route
         .targets
--- a/crates/millpass-dispatch/src/origins.rs
+++ b/crates/millpass-dispatch/src/origins.rs
@@ -1,12 +1,12 @@
 //! Streams that go on only at the software version that began them.
 
-use crate::dispatcher::{Choice, Dispatcher, RefusalReason};
+use crate::dispatcher::{Choice, Dispatcher, RefusalReason, is_target};
 use crate::instances::Instance;
 use crate::request::{StreamProgress, Ticket};
 use millpass_origins::stream_key;
 use millpass_proto::{
-    Duration, InstanceId, OriginFinding, OriginUpdate, RouteKind, RouteTarget, SoftwareVersion,
-    StreamKey, StreamOrigin, StreamReport, Timestamp,
+    Duration, OriginFinding, OriginUpdate, RouteKind, SoftwareVersion, StreamKey, StreamOrigin,
+    StreamReport, Timestamp,
 };
 
 /// Whether a stream that a caller takes up may go on.
@@ -98,9 +98,7 @@
                 return Some(Err((reason, Some(retry_after))));
             }
         };
-        let is_target =
-            |target: &RouteTarget| target.service == origin.service && target.weight > 0;
-        if !ticket.route.targets.iter().any(is_target) {
+        if !is_target(&ticket.route, &origin.service) {
             return Some(Err((RefusalReason::StreamVersionGone, None)));
         }
         ticket.service.clone_from(&origin.service);
@@ -110,17 +108,11 @@
         Some(Ok(()))
     }
 
-    /// Records that the caller of a resumable stream gets events written by this instance, with the
-    /// software as stated when the request was sent there.
-    pub fn record_events(
-        &mut self,
-        now: Timestamp,
-        ticket: &mut Ticket,
-        instance: Option<&InstanceId>,
-        software: Option<&SoftwareVersion>,
-    ) {
+    /// Records that the caller of a resumable stream gets events of the instance that it was last sent
+    /// to, with the software as stated then.
+    pub fn record_events(&mut self, now: Timestamp, ticket: &mut Ticket) {
         if ticket.progress == StreamProgress::NotBegun {
-            let origin = self.origin(ticket, instance, software);
+            let origin = self.origin(ticket);
             ticket.progress = StreamProgress::Begun { origin };
         }
         // The gateway that forwarded it records it.
@@ -137,13 +129,9 @@
 
     /// Returns where a stream begins; none if its process run has been replaced since the request was
     /// sent, or its software is not known.
-    fn origin(
-        &self,
-        ticket: &Ticket,
-        instance: Option<&InstanceId>,
-        software: Option<&SoftwareVersion>,
-    ) -> Option<StreamOrigin> {
-        let (instance, software) = (instance?, software?);
+    fn origin(&self, ticket: &Ticket) -> Option<StreamOrigin> {
+        let instance = ticket.tried.last()?;
+        let software = ticket.software.version()?;
         let is_replaced = instance
             .runs_in(&self.instances)
             .any(|known| instance.is_before(known));
--- a/crates/millpass-dispatch/tests/origins.rs
+++ b/crates/millpass-dispatch/tests/origins.rs
@@ -27,8 +27,7 @@
 fn begun(dispatcher: &mut Dispatcher, now: u64) -> (Ticket, InstanceId) {
     let mut ticket = begin(dispatcher, now, "/text/");
     let instance = sent_to(dispatcher, now, &mut ticket).expect("sent");
-    let software = ticket.software.version().cloned();
-    dispatcher.record_events(at(now), &mut ticket, Some(&instance), software.as_ref());
+    dispatcher.record_events(at(now), &mut ticket);
     (ticket, instance)
 }
 
--- a/crates/millpass-gateway/src/reach.rs
+++ b/crates/millpass-gateway/src/reach.rs
@@ -71,17 +71,18 @@
 /// Logs changes of what is reached, updates the metrics, closes idle connections to what was lost
 /// and wakes what waits for a change.
 pub(crate) fn log_changes(shared: &Shared) {
-    let (changes, ended, (services, instances)) = {
+    let (changes, ended, next_probe, (services, instances)) = {
         let mut core = shared.core();
         let ended = core.take_ended_runs();
-        (core.take_path_changes(), ended, core.unreachable_counts())
+        let changes = core.take_path_changes();
+        let next_probe = core.next_path_probe_at();
+        (changes, ended, next_probe, core.unreachable_counts())
     };
     for instance in &ended {
         shared.metrics.instance_ends.inc();
         let pairs = [("instance", instance.0.clone())];
         log::info!("{}", event_line("instance_ended", &pairs));
     }
-    let next_probe = shared.core().next_path_probe_at();
     if next_probe.is_some_and(|at| at <= shared.now()) {
         shared.probe.notify(1);
     }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -236,12 +236,9 @@
         }
         self.has_event = true;
         let now = self.shared.now();
-        let instance = self.ticket.tried.last().cloned();
-        let software = self.ticket.software.version().cloned();
         let origins = {
             let mut core = self.shared.core();
-            let ticket = &mut self.ticket;
-            core.record_events(now, ticket, instance.as_ref(), software.as_ref());
+            core.record_events(now, &mut self.ticket);
             core.stream_origins()
         };
         self.shared.metrics.stream_origins.set(origins as i64);
