--- a/review/harness/frames.rs
+++ b/review/harness/frames.rs
@@ -14,13 +14,13 @@
 const HOST: &str = "ficu95.example";
 const SERVICE: &str = "wuno96b";
 /// `big_config` adds this many routes at a time, the largest dose of the site file.
-const GROWTH_STEPS: usize = 12;
+const GROWTH_STEPS: usize = 11;
 const GROWTH: usize = 350;
 /// `config_storm`: a change each `gap_s` for `for_s`.
 const STORM_GAP: Duration = Duration::from_millis(250);
 const STORM: Duration = Duration::from_millis(4_000);
 /// Changes without which the messages to the member are not large.
-const LEAST_CHANGES: usize = 14;
+const LEAST_CHANGES: usize = 15;
 /// `node_kill` on the core: `for_s`.
 const DOWN: Duration = Duration::from_millis(4_000);
 /// Time for which the member is back before the next loss; `catch_up_s` is 4.
