--- a/crates/millpass-consensus/examples/core_throughput.rs
+++ b/crates/millpass-consensus/examples/core_throughput.rs
@@ -34,6 +34,9 @@
         lease_length: Duration::from_millis(200),
         stalled_disk_limit: Duration::from_secs(1),
         maximum_append_entries: 256,
+        maximum_append_bytes: 384 * 1024,
+        maximum_in_flight_bytes: 4 * 1024 * 1024,
+        maximum_uncommitted_bytes: 16 * 1024 * 1024,
         snapshot_chunk_bytes: 64 * 1024,
         seed: member,
     }
--- a/crates/millpass-consensus/src/dispatch.rs
+++ b/crates/millpass-consensus/src/dispatch.rs
@@ -3,6 +3,7 @@
 use crate::interface::{ConsensusInput, ConsensusOutput, ProposalRejection};
 use crate::quorum::is_member;
 use crate::{Consensus, RoleState};
+use millpass_proto::codec::{MAXIMUM_ENTRY_BYTES, encoded_bytes};
 use millpass_proto::{EntryPayload, PeerEnvelope, PeerMessage};
 
 impl Consensus {
@@ -31,7 +32,8 @@
     }
 
     fn propose(&mut self, ticket: u64, payload: EntryPayload) {
-        if let Some(reason) = self.proposal_obstacle() {
+        let obstacle = self.proposal_obstacle();
+        if let Some(reason) = obstacle.or_else(|| self.size_obstacle(&payload)) {
             self.reject(ticket, reason);
             return;
         }
@@ -54,6 +56,19 @@
         }
     }
 
+    /// Returns why an entry is too large for the log or for the uncommitted rest of it.
+    fn size_obstacle(&self, payload: &EntryPayload) -> Option<ProposalRejection> {
+        let bytes = encoded_bytes(payload);
+        if bytes > MAXIMUM_ENTRY_BYTES {
+            let maximum = MAXIMUM_ENTRY_BYTES;
+            return Some(ProposalRejection::TooLarge { bytes, maximum });
+        }
+        let is_large = bytes > self.settings.maximum_append_bytes;
+        let uncommitted = || self.log.bytes_after(self.commit);
+        (is_large && uncommitted() >= self.settings.maximum_uncommitted_bytes)
+            .then_some(ProposalRejection::Overloaded)
+    }
+
     pub(crate) fn reject(&mut self, ticket: u64, reason: ProposalRejection) {
         self.outputs
             .push(ConsensusOutput::Rejected { ticket, reason });
--- a/crates/millpass-consensus/src/interface.rs
+++ b/crates/millpass-consensus/src/interface.rs
@@ -24,6 +24,12 @@
     pub stalled_disk_limit: Duration,
     /// Maximum entries per append request.
     pub maximum_append_entries: usize,
+    /// Encoded bytes of entries after which no further entry is added to an append request.
+    pub maximum_append_bytes: usize,
+    /// Encoded bytes of entries in flight to a member after which no further request is sent to it.
+    pub maximum_in_flight_bytes: usize,
+    /// Encoded bytes of uncommitted entries after which proposals are rejected.
+    pub maximum_uncommitted_bytes: usize,
     /// Maximum bytes per snapshot chunk.
     pub snapshot_chunk_bytes: usize,
     /// Seed of the election jitter.
@@ -116,6 +122,17 @@
     /// A membership change is in progress, or the change is not applicable.
     #[error("membership change refused: {0}; retry when the current one is done")]
     MembershipRefused(String),
+    /// The entry exceeds [`MAXIMUM_ENTRY_BYTES`](millpass_proto::codec::MAXIMUM_ENTRY_BYTES).
+    #[error("change of {bytes} bytes as encoded exceeds {maximum}; submit a smaller one")]
+    TooLarge {
+        /// Encoded size of the entry.
+        bytes: usize,
+        /// Maximum encoded size.
+        maximum: usize,
+    },
+    /// Too many bytes of earlier proposals are not committed.
+    #[error("too many uncommitted changes; retry when they are committed")]
+    Overloaded,
     /// A leadership transfer is in progress.
     #[error("leadership is being handed over; retry shortly")]
     Transferring,
--- a/crates/millpass-consensus/src/lib.rs
+++ b/crates/millpass-consensus/src/lib.rs
@@ -42,8 +42,24 @@
 use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
 
-/// Entries kept before the snapshot position, so that slightly lagging members need no snapshot.
-const DEFAULT_TRAILING_ENTRIES: u64 = 1024;
+/// Limits of the entries kept before the snapshot position, so that slightly lagging members need no
+/// snapshot.
+#[derive(Clone, Copy, Debug)]
+pub struct TrailingLimits {
+    /// Maximum number.
+    pub entries: u64,
+    /// Maximum encoded bytes.
+    pub bytes: usize,
+}
+
+impl Default for TrailingLimits {
+    fn default() -> Self {
+        TrailingLimits {
+            entries: 1024,
+            bytes: 8 * 1024 * 1024,
+        }
+    }
+}
 
 /// Role and its state.
 enum RoleState {
@@ -57,7 +73,7 @@
 /// One member's consensus state.
 pub struct Consensus {
     settings: ConsensusSettings,
-    trailing_entries: u64,
+    trailing: TrailingLimits,
     random: ChaCha8Rng,
     /// Time of the last step.
     now: Timestamp,
@@ -100,7 +116,7 @@
         let random = ChaCha8Rng::seed_from_u64(settings.seed);
         let mut consensus = Consensus {
             settings,
-            trailing_entries: DEFAULT_TRAILING_ENTRIES,
+            trailing: TrailingLimits::default(),
             random,
             now,
             running,
@@ -127,9 +143,9 @@
         consensus
     }
 
-    /// Sets how many entries before the snapshot position stay in memory for lagging members.
-    pub fn set_trailing_entries(&mut self, entries: u64) {
-        self.trailing_entries = entries;
+    /// Sets which entries before the snapshot position stay in memory for lagging members.
+    pub fn set_trailing_limits(&mut self, limits: TrailingLimits) {
+        self.trailing = limits;
     }
 
     /// Processes one input and returns the actions that the host must execute, in order.
--- a/crates/millpass-consensus/src/log.rs
+++ b/crates/millpass-consensus/src/log.rs
@@ -1,5 +1,6 @@
 //! In-memory replicated log: the entries after a base position and their memberships.
 
+use millpass_proto::codec::encoded_bytes;
 use millpass_proto::{EntryPayload, LogEntry, LogPosition, Membership, SnapshotMeta};
 use std::collections::VecDeque;
 
@@ -10,12 +11,34 @@
     membership: Membership,
 }
 
+/// An entry with its encoded size.
+#[derive(Clone, Debug)]
+struct SizedEntry {
+    entry: LogEntry,
+    bytes: usize,
+}
+
+/// Maximum number and encoded bytes of entries in one message.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BatchLimits {
+    pub(crate) entries: usize,
+    /// The first entry is included whatever its size.
+    pub(crate) bytes: usize,
+}
+
+/// Consecutive entries of the log and their encoded size.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    pub(crate) entries: Vec<LogEntry>,
+    pub(crate) bytes: usize,
+}
+
 /// Entries after `base`. Invariant: indexes are contiguous, and `memberships` is never empty: its
 /// first record is the membership at `base`.
 #[derive(Clone, Debug)]
 pub(crate) struct Log {
     base: LogPosition,
-    entries: VecDeque<LogEntry>,
+    entries: VecDeque<SizedEntry>,
     memberships: Vec<MembershipRecord>,
     /// Ascending indexes of the entries that gateways must apply; those at or below `base` may be missing.
     required: Vec<u64>,
@@ -48,7 +71,7 @@
     pub(crate) fn last(&self) -> LogPosition {
         self.entries
             .back()
-            .map_or(self.base, |entry| entry.position)
+            .map_or(self.base, |sized| sized.entry.position)
     }
 
     /// Returns the position at an index, if it is in the log or the base.
@@ -66,15 +89,56 @@
 
     fn entry_at(&self, index: u64) -> Option<&LogEntry> {
         let offset = index.checked_sub(self.base.index + 1)?;
-        self.entries.get(usize::try_from(offset).ok()?)
+        let sized = self.entries.get(usize::try_from(offset).ok()?);
+        sized.map(|sized| &sized.entry)
+    }
+
+    /// Iterates over the entries from index `first` on.
+    fn sized_from(&self, first: u64) -> impl Iterator<Item = &SizedEntry> {
+        let offset = first.saturating_sub(self.base.index + 1) as usize;
+        self.entries.range(offset.min(self.entries.len())..)
     }
 
     /// Returns at most `maximum` entries, starting at index `first`.
     pub(crate) fn entries_from(&self, first: u64, maximum: usize) -> Vec<LogEntry> {
-        let offset = first.saturating_sub(self.base.index + 1) as usize;
-        let start = offset.min(self.entries.len());
-        let end = start.saturating_add(maximum).min(self.entries.len());
-        self.entries.range(start..end).cloned().collect()
+        let sized = self.sized_from(first).take(maximum);
+        sized.map(|sized| sized.entry.clone()).collect()
+    }
+
+    /// Returns entries from index `first` on, up to the limits.
+    pub(crate) fn batch_from(&self, first: u64, limits: BatchLimits) -> Batch {
+        let mut batch = Batch::default();
+        for sized in self.sized_from(first).take(limits.entries) {
+            let bytes = batch.bytes.saturating_add(sized.bytes);
+            if bytes > limits.bytes && !batch.entries.is_empty() {
+                break;
+            }
+            batch.bytes = bytes;
+            batch.entries.push(sized.entry.clone());
+        }
+        batch
+    }
+
+    /// Returns the encoded bytes of the entries after `index`.
+    pub(crate) fn bytes_after(&self, index: u64) -> usize {
+        let sized = self.sized_from(index + 1);
+        sized.fold(0, |sum: usize, sized| sum.saturating_add(sized.bytes))
+    }
+
+    /// Returns the least index after which the entries up to `last` have at most `maximum` encoded
+    /// bytes.
+    pub(crate) fn index_within_bytes(&self, last: u64, maximum: usize) -> u64 {
+        let count = last.saturating_sub(self.base.index) as usize;
+        let mut bytes: usize = 0;
+        let mut index = last;
+        for sized in self.entries.iter().take(count).rev() {
+            bytes = bytes.saturating_add(sized.bytes);
+            if bytes > maximum {
+                break;
+            }
+            index -= 1;
+        }
+        index
     }
 
     /// Returns the first index with the same term as the entry at `index`.
@@ -104,7 +168,8 @@
         if entry.payload.is_required_by_gateways() {
             self.required.push(entry.position.index);
         }
-        self.entries.push_back(entry);
+        let bytes = encoded_bytes(&entry);
+        self.entries.push_back(SizedEntry { entry, bytes });
     }
 
     /// Drops all entries from index `first` on.
--- a/crates/millpass-consensus/src/progress.rs
+++ b/crates/millpass-consensus/src/progress.rs
@@ -1,6 +1,6 @@
 //! Replication progress of a member, as tracked by the leader.
 
-use millpass_proto::{Snapshot, Timestamp};
+use millpass_proto::{Duration, Snapshot, Timestamp};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -10,6 +10,9 @@
 /// Maximum sent requests tracked per member. Responses to older requests are ignored.
 const MAXIMUM_TRACKED_REQUESTS: usize = 256;
 
+/// Maximum doublings of the time after which a large request is sent again.
+const MAXIMUM_RESEND_DOUBLINGS: u32 = 4;
+
 /// An append request that was sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SentAppend {
@@ -23,6 +26,14 @@
     pub(crate) previous_index: u64,
     /// Index of the last entry; equal to `previous_index` for a heartbeat.
     pub(crate) last_index: u64,
+    /// Encoded size of the entries.
+    pub(crate) bytes: usize,
+}
+
+impl SentAppend {
+    fn has_entries(&self) -> bool {
+        self.last_index > self.previous_index
+    }
 }
 
 /// An ongoing snapshot transfer to a member, with one chunk in flight at a time.
@@ -68,6 +79,8 @@
     /// Rejections of requests with a lower sequence number are stale.
     rejections_valid_from: u64,
     sent: VecDeque<SentAppend>,
+    /// Large requests sent without progress since, up to [`MAXIMUM_RESEND_DOUBLINGS`].
+    resend_doublings: u32,
 }
 
 impl Progress {
@@ -82,16 +95,35 @@
             last_contact_at: now,
             rejections_valid_from: 0,
             sent: VecDeque::new(),
+            resend_doublings: 0,
         }
     }
 
     /// Returns whether the window of in-flight requests with entries is full.
-    pub(crate) fn window_is_full(&self) -> bool {
-        let in_flight = self
-            .sent
-            .iter()
-            .filter(|request| request.last_index > request.previous_index);
-        in_flight.count() >= MAXIMUM_APPENDS_IN_FLIGHT
+    pub(crate) fn window_is_full(&self, maximum_bytes: usize) -> bool {
+        let in_flight = || self.sent.iter().filter(|request| request.has_entries());
+        let bytes = in_flight().fold(0, |sum: usize, request| sum.saturating_add(request.bytes));
+        in_flight().count() >= MAXIMUM_APPENDS_IN_FLIGHT || bytes >= maximum_bytes
+    }
+
+    /// Returns whether a request of more than `large_bytes` may still arrive. Heartbeats overtake it,
+    /// and must neither test the position after it nor send it again. `timeout` is the time after
+    /// which it is sent again at first; each time without progress doubles it, so that it arrives on
+    /// a slow path too.
+    pub(crate) fn awaits_large_request(
+        &self,
+        now: Timestamp,
+        large_bytes: usize,
+        timeout: Duration,
+    ) -> bool {
+        let timeout = timeout * 2_u32.pow(self.resend_doublings.saturating_sub(1));
+        let mut sent = self.sent.iter();
+        sent.any(|request| request.bytes > large_bytes && now.since(request.sent_at) < timeout)
+    }
+
+    /// Records that a large request was sent.
+    pub(crate) fn large_request_sent(&mut self) {
+        self.resend_doublings = (self.resend_doublings + 1).min(MAXIMUM_RESEND_DOUBLINGS + 1);
     }
 
     pub(crate) fn record_sent(&mut self, request: SentAppend) {
@@ -117,7 +149,10 @@
 
     /// Handles an acceptance: entries up to `match_index` are synced on the member.
     pub(crate) fn handle_accepted(&mut self, request: Option<SentAppend>, match_index: u64) {
-        self.match_index = self.match_index.max(match_index);
+        if match_index > self.match_index {
+            self.match_index = match_index;
+            self.resend_doublings = 0;
+        }
         self.next_index = self.next_index.max(self.match_index + 1);
         if let Some(request) = request {
             self.discard_heartbeats_up_to(request.sequence);
@@ -128,9 +163,8 @@
             }
         }
         let synced = self.match_index;
-        self.sent.retain(|request| {
-            request.last_index == request.previous_index || request.last_index > synced
-        });
+        self.sent
+            .retain(|request| !request.has_entries() || request.last_index > synced);
     }
 
     /// Handles a rejection: resumes right after `hint`. Returns false if the rejection is stale.
@@ -148,8 +182,7 @@
         self.next_index = next_index.max(self.match_index + 1);
         self.mode = Mode::Probe { waiting: false };
         self.rejections_valid_from = next_sequence;
-        self.sent
-            .retain(|request| request.last_index == request.previous_index);
+        self.sent.retain(|request| !request.has_entries());
         true
     }
 
@@ -163,8 +196,7 @@
 
     /// Stops tracking heartbeats up to `sequence`. Requests with entries stay until synced.
     fn discard_heartbeats_up_to(&mut self, sequence: u64) {
-        self.sent.retain(|request| {
-            request.sequence > sequence || request.last_index > request.previous_index
-        });
+        self.sent
+            .retain(|request| request.sequence > sequence || request.has_entries());
     }
 }
--- a/crates/millpass-consensus/src/replication.rs
+++ b/crates/millpass-consensus/src/replication.rs
@@ -1,5 +1,6 @@
 //! Leader side of replication: pipelined append requests and their responses.
 
+use crate::log::BatchLimits;
 use crate::persistence::Requirement;
 use crate::progress::{Mode, SentAppend};
 use crate::{Consensus, RoleState};
@@ -32,7 +33,7 @@
             return false;
         };
         let next = progress.next_index;
-        let window_is_full = progress.window_is_full();
+        let window_is_full = progress.window_is_full(self.settings.maximum_in_flight_bytes);
         match &mut progress.mode {
             Mode::Snapshot(_) => return false,
             Mode::Probe { waiting: true } => return false,
@@ -67,12 +68,18 @@
             return;
         };
         let previous = self.log.position_at(progress.next_index - 1);
+        let awaits_large_request = progress.awaits_large_request(
+            self.now,
+            self.settings.maximum_append_bytes,
+            self.settings.election_timeout,
+        );
         match (&progress.mode, previous) {
             // The zero position always matches, so the lease is renewed during a snapshot transfer.
             (Mode::Snapshot(_), _) => {
                 self.send_append(member, LogPosition::ZERO, 0);
                 self.resend_snapshot_chunk(member);
             }
+            _ if awaits_large_request => self.send_append(member, LogPosition::ZERO, 0),
             (Mode::Replicate, Some(previous)) => self.send_append(member, previous, 0),
             // If the next entries of a pipelined member were compacted, a heartbeat cannot reveal
             // lost requests: go back to probing.
@@ -84,13 +91,18 @@
     }
 
     fn send_append(&mut self, member: MemberId, previous: LogPosition, maximum_entries: usize) {
-        let entries = self.log.entries_from(previous.index + 1, maximum_entries);
+        let limits = BatchLimits {
+            entries: maximum_entries,
+            bytes: self.settings.maximum_append_bytes,
+        };
+        let batch = self.log.batch_from(previous.index + 1, limits);
+        let is_large = batch.bytes > limits.bytes;
         let RoleState::Leader(leader) = &mut self.role else {
             return;
         };
         let sequence = leader.next_sequence;
         leader.next_sequence += 1;
-        let last_index = previous.index + entries.len() as u64;
+        let last_index = previous.index + batch.entries.len() as u64;
         if let Some(progress) = leader.members.get_mut(&member) {
             progress.record_sent(SentAppend {
                 sequence,
@@ -98,14 +110,18 @@
                 sent_running: self.running.now(),
                 previous_index: previous.index,
                 last_index,
+                bytes: batch.bytes,
             });
+            if is_large {
+                progress.large_request_sent();
+            }
             if matches!(progress.mode, Mode::Replicate) {
                 progress.next_index = progress.next_index.max(last_index + 1);
             }
         }
         let request = AppendRequest {
             previous,
-            entries,
+            entries: batch.entries,
             commit: self.commit,
             sequence,
         };
--- a/crates/millpass-consensus/src/snapshot_transfer.rs
+++ b/crates/millpass-consensus/src/snapshot_transfer.rs
@@ -9,6 +9,9 @@
 };
 use std::sync::Arc;
 
+/// Maximum encoded bytes of entries kept for members that receive a snapshot.
+const MAXIMUM_TRANSFER_BYTES: usize = 32 * 1024 * 1024;
+
 /// A partially received snapshot. Dropped when the term changes.
 pub(crate) struct IncomingSnapshot {
     meta: SnapshotMeta,
@@ -25,12 +28,44 @@
             return;
         }
         self.latest_snapshot = Some(Arc::new(snapshot));
-        let keep_from = last.index.saturating_sub(self.trailing_entries);
+        let keep_from = self.compaction_index(last.index);
         if keep_from > self.log.base().index {
             self.log.compact_to(keep_from);
         }
     }
 
+    /// Returns the index up to which the log may be compacted after a snapshot at `snapshot_index`.
+    /// Entries that follow a snapshot in transfer are kept within [`MAXIMUM_TRANSFER_BYTES`], so
+    /// that its member catches up with them instead of another snapshot.
+    fn compaction_index(&self, snapshot_index: u64) -> u64 {
+        let trailing = &self.trailing;
+        let by_entries = snapshot_index.saturating_sub(trailing.entries);
+        let by_bytes = self.log.index_within_bytes(snapshot_index, trailing.bytes);
+        let index = by_entries.max(by_bytes);
+        let Some(transferred) = self.oldest_transfer_index() else {
+            return index;
+        };
+        let last = self.log.last().index;
+        let floor = self.log.index_within_bytes(last, MAXIMUM_TRANSFER_BYTES);
+        index.min(transferred.max(floor))
+    }
+
+    /// Returns the index of the oldest snapshot in transfer to a member that responds.
+    fn oldest_transfer_index(&self) -> Option<u64> {
+        let RoleState::Leader(leader) = &self.role else {
+            return None;
+        };
+        let transfers = leader.members.values().filter_map(|progress| {
+            let responds =
+                self.now.since(progress.last_contact_at) < self.settings.election_timeout;
+            match &progress.mode {
+                Mode::Snapshot(transfer) if responds => Some(transfer.snapshot.meta.last.index),
+                _ => None,
+            }
+        });
+        transfers.min()
+    }
+
     /// Starts to send the latest snapshot to a member whose next entry was compacted. Returns false
     /// if there is none, because the host has not passed the restored one yet.
     pub(crate) fn start_snapshot_transfer(&mut self, member: MemberId) -> bool {
@@ -146,7 +181,7 @@
         if let Some(incoming) = self.incoming_snapshot.take() {
             self.install_snapshot(Snapshot {
                 meta: incoming.meta,
-                data: incoming.data.into(),
+                data: Arc::new(incoming.data.into()),
             });
         }
     }
--- a/crates/millpass-consensus/tests/harness/cluster.rs
+++ b/crates/millpass-consensus/tests/harness/cluster.rs
@@ -2,11 +2,12 @@
 
 use super::checks::{Checks, Rule};
 use super::machine::{Clock, Machine};
-use super::values::{DRIFT_BOUND_PER_MILLE, command, initial};
+use super::values::{DRIFT_BOUND_PER_MILLE, MAXIMUM_APPEND_BYTES, command, initial, sized_command};
 use millpass_consensus::{
     ConsensusInput, ConsensusOutput, EndedCandidacy, MembershipChange, PersistRequest,
 };
-use millpass_proto::{LogEntry, MemberId, Membership, PeerEnvelope, SnapshotMeta};
+use millpass_proto::codec::encoded_bytes;
+use millpass_proto::{LogEntry, MemberId, Membership, PeerEnvelope, PeerMessage, SnapshotMeta};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -87,6 +88,15 @@
     }
 }
 
+/// Append requests sent, by size.
+#[derive(Debug, Default)]
+pub struct SentBytes {
+    /// Most encoded bytes in a request of several entries.
+    pub largest_batch: usize,
+    /// Requests of more than [`MAXIMUM_APPEND_BYTES`].
+    pub large_requests: usize,
+}
+
 pub struct Cluster {
     pub now: u64,
     pub machines: Vec<Machine>,
@@ -98,6 +108,11 @@
     pub severed_links: BTreeSet<(usize, usize)>,
     pub acknowledged_tickets: BTreeSet<u64>,
     pub refusals: Vec<String>,
+    pub sent: SentBytes,
+    /// Bandwidth of each directed link for large requests, which small messages overtake.
+    pub bytes_per_second: Option<u64>,
+    /// When a link has carried its large requests.
+    links_busy_until: BTreeMap<(usize, usize), u64>,
     /// Failed candidacies, by machine.
     pub candidacies: Vec<(usize, EndedCandidacy)>,
     routes: BTreeMap<MemberId, usize>,
@@ -131,6 +146,9 @@
             severed_links: BTreeSet::new(),
             acknowledged_tickets: BTreeSet::new(),
             refusals: Vec::new(),
+            sent: SentBytes::default(),
+            bytes_per_second: None,
+            links_busy_until: BTreeMap::new(),
             candidacies: Vec::new(),
             routes: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -418,6 +436,7 @@
         let Some(&to) = self.routes.get(&envelope.to) else {
             return;
         };
+        let transfer_micros = self.transfer_micros(from, to, &envelope);
         if self.severed_links.contains(&(from, to)) {
             return;
         }
@@ -427,7 +446,7 @@
                 continue;
             }
             let (least, most) = self.conditions.delay_micros;
-            let delay = self.random.random_range(least..=most);
+            let delay = self.random.random_range(least..=most) + transfer_micros;
             let envelope = Box::new(envelope.clone());
             self.schedule(
                 delay,
@@ -439,6 +458,28 @@
         }
     }
 
+    /// Records a message and returns how long it takes on its link, behind earlier large requests.
+    fn transfer_micros(&mut self, from: usize, to: usize, envelope: &PeerEnvelope) -> u64 {
+        let PeerMessage::AppendRequest(request) = &envelope.message else {
+            return 0;
+        };
+        let bytes: usize = request.entries.iter().map(encoded_bytes).sum();
+        if request.entries.len() > 1 {
+            self.sent.largest_batch = self.sent.largest_batch.max(bytes);
+        }
+        if bytes <= MAXIMUM_APPEND_BYTES {
+            return 0;
+        }
+        self.sent.large_requests += 1;
+        let Some(bandwidth) = self.bytes_per_second else {
+            return 0;
+        };
+        let busy_until = self.links_busy_until.entry((from, to)).or_default();
+        let duration = bytes as u64 * 1_000 * MILLISECOND / bandwidth;
+        *busy_until = self.now.max(*busy_until) + duration;
+        *busy_until - self.now
+    }
+
     pub fn chance(&mut self, per_mille: u32) -> bool {
         self.random.random_range(0..1000) < per_mille
     }
@@ -511,9 +552,18 @@
 
     /// Proposes at the leader, if there is one. Returns the ticket.
     pub fn propose(&mut self) -> u64 {
+        self.propose_sized(0)
+    }
+
+    /// Proposes a command of at least `bytes` bytes at the leader, if there is one. Returns the
+    /// ticket.
+    pub fn propose_sized(&mut self, bytes: usize) -> u64 {
         let ticket = self.ticket();
         if let Some(leader) = self.leader() {
-            let command = command(ticket);
+            let command = match bytes {
+                0 => command(ticket),
+                _ => sized_command(ticket, bytes),
+            };
             if !self.machines[leader].frozen {
                 self.input(leader, ConsensusInput::Propose { ticket, command });
             }
--- a/crates/millpass-consensus/tests/harness/machine.rs
+++ b/crates/millpass-consensus/tests/harness/machine.rs
@@ -2,13 +2,17 @@
 
 use super::disk::Disk;
 use super::values::{DRIFT_BOUND_PER_MILLE, chain, settings};
-use millpass_consensus::{Consensus, ConsensusInput, ConsensusOutput, ConsensusStatus, Role};
+use millpass_consensus::{
+    Consensus, ConsensusInput, ConsensusOutput, ConsensusStatus, Role, TrailingLimits,
+};
 use millpass_proto::{
     LogEntry, LogPosition, MemberId, Membership, Snapshot, SnapshotMeta, Timestamp,
 };
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
+const TRAILING_BYTES: usize = 32 * 1024;
 
 /// A drifting clock.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +50,7 @@
     /// Tickets of proposals on this machine, by log position.
     pub tickets: BTreeMap<LogPosition, u64>,
     pub trailing_entries: u64,
+    pub trailing_bytes: usize,
     /// Minimum and maximum delay until a received message or disk report is processed.
     pub lag_micros: (u64, u64),
     /// Time at which the last delayed event is processed; order is preserved.
@@ -67,6 +72,7 @@
             state: 0,
             tickets: BTreeMap::new(),
             trailing_entries: 4,
+            trailing_bytes: TRAILING_BYTES,
             lag_micros: (0, 0),
             busy_until: 0,
         }
@@ -77,7 +83,10 @@
         self.incarnation += 1;
         let time = self.clock.at(now);
         let mut core = Consensus::new(settings(self.member, seed), self.disk.restored(), time);
-        core.set_trailing_entries(self.trailing_entries);
+        core.set_trailing_limits(TrailingLimits {
+            entries: self.trailing_entries,
+            bytes: self.trailing_bytes,
+        });
         self.core = Some(core);
         self.applied = 0;
         self.applied_position = LogPosition::ZERO;
@@ -143,7 +152,7 @@
                 last: self.applied_position,
                 membership: self.membership.clone(),
             },
-            data: data.into(),
+            data: Arc::new(data.into()),
         }
     }
 
--- a/crates/millpass-consensus/tests/harness/values.rs
+++ b/crates/millpass-consensus/tests/harness/values.rs
@@ -13,6 +13,10 @@
 pub const STALLED_DISK_LIMIT: Duration = Duration::from_millis(300);
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(20);
 
+pub const MAXIMUM_APPEND_BYTES: usize = 4 * 1024;
+pub const MAXIMUM_IN_FLIGHT_BYTES: usize = 16 * 1024;
+pub const MAXIMUM_UNCOMMITTED_BYTES: usize = 64 * 1024;
+
 /// Maximum clock drift in per mille. Limited by the lease:
 /// 70 / (1 - 0.15) = 82.4 is less than 100 / (1 + 0.15) = 87.0.
 pub const DRIFT_BOUND_PER_MILLE: i64 = 150;
@@ -26,6 +30,9 @@
         lease_length: LEASE_LENGTH,
         stalled_disk_limit: STALLED_DISK_LIMIT,
         maximum_append_entries: 8,
+        maximum_append_bytes: MAXIMUM_APPEND_BYTES,
+        maximum_in_flight_bytes: MAXIMUM_IN_FLIGHT_BYTES,
+        maximum_uncommitted_bytes: MAXIMUM_UNCOMMITTED_BYTES,
         snapshot_chunk_bytes: 64,
         seed,
     }
@@ -76,6 +83,17 @@
     })
 }
 
+/// Returns a command of at least `bytes` bytes.
+pub fn sized_command(ticket: u64, bytes: usize) -> Command {
+    let Command::ChangeObject(change) = command(ticket) else {
+        unreachable!("commands change objects");
+    };
+    Command::ChangeObject(ObjectChange {
+        change_id: ChangeId(format!("{}{ticket}", "0".repeat(bytes))),
+        ..change
+    })
+}
+
 pub fn digest(entry: &LogEntry) -> u64 {
     let mut hasher = DefaultHasher::new();
     entry.hash(&mut hasher);
--- a/crates/millpass-control-plane/src/plane.rs
+++ b/crates/millpass-control-plane/src/plane.rs
@@ -21,13 +21,16 @@
 use crate::snapshots::AppliedLog;
 use crate::term_history::TermHistory;
 use crate::watch::WatchAssignments;
-use millpass_consensus::{Consensus, ConsensusInput, ConsensusStatus, RestoredLog, Role};
+use millpass_consensus::{
+    Consensus, ConsensusInput, ConsensusStatus, RestoredLog, Role, TrailingLimits,
+};
 use millpass_fleet::{DocumentHistory, Fleet, InstructionHistory};
 use millpass_proto::{Command, Duration, ExpireClaims, OrderResponse, Snapshot, Timestamp};
 use millpass_scheduler::Scheduler;
 use millpass_state::State;
 use millpass_tenancy::CreditLedger;
 use serde_bytes::ByteBuf;
+use std::sync::Arc;
 
 /// Time after which an administration call whose proposal has not committed is answered `Unknown`.
 const CALL_DEADLINE: Duration = Duration::from_secs(5);
@@ -36,7 +39,10 @@
 pub(crate) const INSTRUCTION_RETENTION: Duration = Duration::from_secs(600);
 
 /// Entries kept before a snapshot where entries may contain whole documents.
-const DOCUMENT_TRAILING_ENTRIES: u64 = 32;
+const DOCUMENT_TRAILING_LIMITS: TrailingLimits = TrailingLimits {
+    entries: 32,
+    bytes: 8 * 1024 * 1024,
+};
 
 /// Next run of each periodic job.
 #[derive(Clone, Copy, Default)]
@@ -110,7 +116,7 @@
         required_index.snapshot_restored(&state, restored.snapshot.last.index);
         let snapshot = Snapshot {
             meta: restored.snapshot.clone(),
-            data: ByteBuf::from(state.encode()),
+            data: Arc::new(ByteBuf::from(state.encode())),
         };
         let mut consensus = Consensus::new(settings.consensus.clone(), restored, now);
         // Lets a leader send the snapshot to members that lag behind it; causes no outputs.
@@ -118,7 +124,7 @@
             consensus.step(now, ConsensusInput::SnapshotTaken(snapshot));
         }
         if settings.fleet.is_some() {
-            consensus.set_trailing_entries(DOCUMENT_TRAILING_ENTRIES);
+            consensus.set_trailing_limits(DOCUMENT_TRAILING_LIMITS);
         }
         required_index.update(&consensus, &state);
         let status = consensus.status();
--- a/crates/millpass-control-plane/src/replication.rs
+++ b/crates/millpass-control-plane/src/replication.rs
@@ -243,6 +243,15 @@
                 let refusal = AdministrationResponse::Refused(reason.to_string());
                 out.respond(*call, refusal);
             }
+            (Waiter::Call(call), ProposalRejection::TooLarge { .. }) => {
+                out.event("change-too-large", vec![("reason", reason.to_string())]);
+                let refusal = AdministrationResponse::Refused(reason.to_string());
+                out.respond(*call, refusal);
+            }
+            (Waiter::Call(call), ProposalRejection::Overloaded) => {
+                out.event("change-not-admitted", vec![("reason", reason.to_string())]);
+                out.respond(*call, AdministrationResponse::Busy);
+            }
             (Waiter::Repair, _) => {
                 out.event(
                     "member-repair-refused",
--- a/crates/millpass-control-plane/src/snapshots.rs
+++ b/crates/millpass-control-plane/src/snapshots.rs
@@ -2,10 +2,14 @@
 
 use millpass_proto::{Command, EntryPayload, LogPosition, Membership, Snapshot, SnapshotMeta};
 use millpass_state::State;
+use serde_bytes::ByteBuf;
+use std::sync::Arc;
 
 /// Weight of an ordinary entry, in instruction records: these are small and frequent, and do not
 /// change the state.
 const ENTRY_WEIGHT: u64 = 16;
+/// Bytes of documents since the last snapshot from which a snapshot is due, as the log holds them.
+const MAXIMUM_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Position of the applied log, and the weight of the entries since the last snapshot.
 pub(crate) struct AppliedLog {
@@ -14,6 +18,8 @@
     membership: Membership,
     /// Weight of the entries since the last snapshot, in instruction records.
     weight: u64,
+    /// Bytes of documents, as submitted, since the last snapshot.
+    document_bytes: usize,
     /// Whether the host requested a snapshot because the log on disk is long.
     is_requested: bool,
 }
@@ -24,6 +30,7 @@
             last: meta.last,
             membership: meta.membership.clone(),
             weight: 0,
+            document_bytes: 0,
             is_requested: false,
         }
     }
@@ -38,6 +45,9 @@
             EntryPayload::Command(Command::RecordInstructionIntent(_)) => 1,
             _ => ENTRY_WEIGHT,
         };
+        if let EntryPayload::Command(Command::PutDocument(put)) = payload {
+            self.document_bytes = self.document_bytes.saturating_add(put.source.len());
+        }
     }
 
     pub(crate) fn membership_committed(&mut self, membership: &Membership) {
@@ -55,16 +65,17 @@
             true => 1,
             false => snapshot_entries.max(1) * ENTRY_WEIGHT,
         };
-        if self.weight < threshold {
+        if self.weight < threshold && self.document_bytes < MAXIMUM_DOCUMENT_BYTES {
             return None;
         }
         self.weight = 0;
+        self.document_bytes = 0;
         self.is_requested = false;
         let meta = SnapshotMeta {
             last: self.last,
             membership: self.membership.clone(),
         };
-        let data = serde_bytes::ByteBuf::from(state.encode());
+        let data = Arc::new(ByteBuf::from(state.encode()));
         Some(Snapshot { meta, data })
     }
 }
--- a/crates/millpass-control-plane/tests/deployment.rs
+++ b/crates/millpass-control-plane/tests/deployment.rs
@@ -10,6 +10,7 @@
 use millpass_proto::*;
 use rstest::rstest;
 use serde_bytes::ByteBuf;
+use std::sync::Arc;
 
 /// Creates a group of this size whose instances announce themselves.
 fn world(members: u64) -> World {
@@ -22,7 +23,7 @@
 
 fn put(version: u64) -> AdministrationRequest {
     AdministrationRequest::PutDocument(Box::new(PutDocument {
-        document: DeploymentDocument {
+        document: Arc::new(DeploymentDocument {
             version,
             routes: Vec::new(),
             services: Vec::new(),
@@ -33,8 +34,8 @@
                 idle_millis: 0,
             },
             tenants: Vec::new(),
-        },
-        source: ByteBuf::from(format!("version {version}").into_bytes()),
+        }),
+        source: Arc::new(ByteBuf::from(format!("version {version}").into_bytes())),
     }))
 }
 
@@ -496,7 +497,7 @@
         adapters: 0,
         adapter_kilobytes: 1,
     };
-    put.document.services.push(ServiceSpec {
+    Arc::make_mut(&mut put.document).services.push(ServiceSpec {
         name: "web".into(),
         health_path: String::new(),
         maximum_connections: 0,
--- a/crates/millpass-control-plane/tests/gateway_updates.rs
+++ b/crates/millpass-control-plane/tests/gateway_updates.rs
@@ -8,7 +8,7 @@
 use millpass_control_plane::{AdministrationRequest, ConnectionId, FleetSettings};
 use millpass_proto::*;
 use millpass_state::State;
-use serde_bytes::ByteBuf;
+use std::sync::Arc;
 
 /// Creates three members that take a snapshot after this many entries.
 fn world(snapshot_entries: u64) -> World {
@@ -32,7 +32,7 @@
     let mut services: Vec<ServiceSpec> = (0..10).map(service).collect();
     services[9].maximum_connections = version as u32;
     AdministrationRequest::PutDocument(Box::new(PutDocument {
-        document: DeploymentDocument {
+        document: Arc::new(DeploymentDocument {
             version,
             routes: Vec::new(),
             services,
@@ -43,8 +43,8 @@
                 idle_millis: 0,
             },
             tenants: Vec::new(),
-        },
-        source: ByteBuf::new(),
+        }),
+        source: Arc::default(),
     }))
 }
 
--- a/crates/millpass-control-plane/tests/losses.rs
+++ b/crates/millpass-control-plane/tests/losses.rs
@@ -13,6 +13,7 @@
 use rstest::rstest;
 use serde_bytes::ByteBuf;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Interval at which a process decides whether to request to join, as in the host.
 const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -292,7 +293,7 @@
 
 fn put(version: u64) -> AdministrationRequest {
     AdministrationRequest::PutDocument(Box::new(PutDocument {
-        document: DeploymentDocument {
+        document: Arc::new(DeploymentDocument {
             version,
             routes: Vec::new(),
             services: Vec::new(),
@@ -303,8 +304,8 @@
                 idle_millis: 0,
             },
             tenants: Vec::new(),
-        },
-        source: ByteBuf::from(format!("version {version}").into_bytes()),
+        }),
+        source: Arc::new(ByteBuf::from(format!("version {version}").into_bytes())),
     }))
 }
 
--- a/crates/millpass-control/src/connections.rs
+++ b/crates/millpass-control/src/connections.rs
@@ -6,6 +6,7 @@
 
 use crate::frames::{read_frame, write_frame};
 use crate::inputs::Inputs;
+use crate::message_assembly::MessageAssembly;
 use crate::metrics::Metrics;
 use crate::router_backlog::RouterBacklog;
 use crate::settings::ProcessLimits;
@@ -180,10 +181,16 @@
     async fn read(self: &Arc<Self>, connection: ConnectionId, stream: &Arc<Async<TcpStream>>) {
         let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, &**stream);
         let mut is_router = false;
+        let mut assembly = MessageAssembly::default();
         let end = loop {
             let reading = read_frame::<LinkMessage>(&mut reader);
             let reading = self.with_timeout(is_router, reading).await;
             let message = match reading {
+                Ok(LinkMessage::Part(part)) => match assembly.add(part) {
+                    Ok(Some(message)) => message,
+                    Ok(None) => continue,
+                    Err(error) => break error,
+                },
                 Ok(message) => message,
                 Err(error) => break error,
             };
@@ -193,7 +200,10 @@
                     break error.into();
                 }
             }
-            if !self.submit(input_of(connection, message)).await {
+            let Some(input) = input_of(connection, message) else {
+                break CodecError::Io(std::io::ErrorKind::InvalidData.into());
+            };
+            if !self.submit(input).await {
                 break CodecError::Io(std::io::ErrorKind::ConnectionAborted.into());
             }
         };
@@ -296,8 +306,9 @@
     }
 }
 
-fn input_of(connection: ConnectionId, message: LinkMessage) -> ControlInput {
-    match message {
+/// Returns the input of a message; none for a part inside an assembled message.
+fn input_of(connection: ConnectionId, message: LinkMessage) -> Option<ControlInput> {
+    let input = match message {
         LinkMessage::Peer(envelope) => ControlInput::Peer(envelope),
         LinkMessage::Router(message) => ControlInput::Router {
             connection,
@@ -307,7 +318,9 @@
         LinkMessage::Join(address) => ControlInput::Join(address),
         LinkMessage::Share(report) => ControlInput::Share(report),
         LinkMessage::ShareResponse(response) => ControlInput::ShareResponse(response),
-    }
+        LinkMessage::Part(_) => return None,
+    };
+    Some(input)
 }
 
 fn is_update(message: &ControlToRouter) -> bool {
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod interface;
 pub mod lateness;
 mod member;
+mod message_assembly;
 mod metrics;
 pub mod peer_queue;
 mod peers;
--- a/crates/millpass-control/src/metrics.rs
+++ b/crates/millpass-control/src/metrics.rs
@@ -53,6 +53,8 @@
     pub(crate) connections: IntGauge,
     /// Messages to members and routers dropped because a queue was full.
     pub(crate) dropped_messages: IntGauge,
+    /// Messages to members dropped because they fit no frame.
+    pub(crate) unsendable_messages: IntGauge,
     /// Responses to freshness queries.
     pub(crate) freshness_responses: IntGauge,
     /// Calls of the administration API refused because too many of their class waited.
@@ -162,6 +164,10 @@
             leads: gauge("control_leads", "1 if this member believes to lead")?,
             connections: gauge("control_connections", "Open connections")?,
             dropped_messages: gauge("control_dropped_messages", "Messages dropped, queue full")?,
+            unsendable_messages: gauge(
+                "control_unsendable_messages",
+                "Messages dropped, too large for a frame",
+            )?,
             freshness_responses: gauge(
                 "control_freshness_answers",
                 "Questions of gateways answered",
--- a/crates/millpass-control/src/peer_queue.rs
+++ b/crates/millpass-control/src/peer_queue.rs
@@ -68,6 +68,24 @@
         }
     }
 
+    /// Returns the next message that may overtake a large one in transfer: none with entries or
+    /// snapshots. Heartbeats superseded by a later one are skipped.
+    pub fn pop_overtaking(&mut self) -> Option<LinkMessage> {
+        loop {
+            let position = self.waiting.iter().position(may_overtake)?;
+            let message = self.waiting.remove(position)?;
+            self.bytes = self.bytes.saturating_sub(message_bytes(&message));
+            self.remove_request(&message);
+            let target = append_target(&message);
+            let mut later = self.waiting.iter().filter(|later| is_heartbeat(later));
+            let is_superseded =
+                is_heartbeat(&message) && later.any(|later| append_target(later) == target);
+            if !is_superseded {
+                return Some(message);
+            }
+        }
+    }
+
     /// Removes an append request from the count; returns whether another one to the same member
     /// follows.
     fn remove_request(&mut self, message: &LinkMessage) -> bool {
@@ -109,6 +127,19 @@
     matches!(&envelope.message, PeerMessage::AppendRequest(request) if request.entries.is_empty())
 }
 
+/// Returns whether a message may overtake a large one. The leader's heartbeats test no position while
+/// a large request is in flight.
+fn may_overtake(message: &LinkMessage) -> bool {
+    let LinkMessage::Peer(envelope) = message else {
+        return true;
+    };
+    match &envelope.message {
+        PeerMessage::AppendRequest(request) => request.entries.is_empty(),
+        PeerMessage::SnapshotChunk(_) => false,
+        _ => true,
+    }
+}
+
 /// Returns the approximate size of a message.
 fn message_bytes(message: &LinkMessage) -> usize {
     let envelope = match message {
--- a/crates/millpass-control/src/peers.rs
+++ b/crates/millpass-control/src/peers.rs
@@ -1,12 +1,16 @@
 //! Outbound connections to other members: one thread and one bounded queue per address.
 //!
 //! Messages that exceed the queue, or are in flight when a connection breaks, are dropped;
-//! consensus resends.
+//! consensus resends. A large message is sent in parts. Heartbeats and votes overtake the rest of
+//! it, so that the leader keeps its lease while a slow path carries a document.
 
 use crate::metrics::Metrics;
 use crate::peer_queue::PeerQueue;
-use millpass_proto::codec::{CodecError, write_frame};
-use millpass_proto::{LinkMessage, MemberAddress};
+use millpass_proto::codec::{
+    CodecError, MAXIMUM_FRAME_BYTES, PART_BYTES, WHOLE_MESSAGE_BYTES, encode, write_encoded_frame,
+    write_frame,
+};
+use millpass_proto::{LinkMessage, MemberAddress, MessagePart};
 use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::io::{BufWriter, Write};
@@ -24,6 +28,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time without messages after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Send buffer of a connection; the kernel doubles it. Kept small, as nothing overtakes buffered
+/// bytes.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
 /// Stack size of a sending thread.
 const STACK_BYTES: usize = 256 * 1024;
 
@@ -74,6 +81,11 @@
         }
     }
 
+    /// Returns the next waiting message that may overtake a large one.
+    fn pop_overtaking(&self) -> Option<LinkMessage> {
+        self.lock().queue.pop_overtaking()
+    }
+
     fn is_empty(&self) -> bool {
         self.lock().queue.is_empty()
     }
@@ -136,10 +148,11 @@
         let queue = SharedQueue::new(self.queue_length);
         let sending = queue.clone();
         let hello = LinkMessage::MemberHello(self.own.clone());
+        let metrics = self.metrics.clone();
         let spawned = thread::Builder::new()
             .name("control-peer".to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || send_all(target, &hello, &sending));
+            .spawn(move || send_all(target, &hello, &sending, &metrics));
         let Ok(sending) = spawned else {
             return false;
         };
@@ -166,12 +179,12 @@
 }
 
 /// Body of a sending thread; ends when the queue is closed.
-fn send_all(target: SocketAddr, hello: &LinkMessage, queue: &SharedQueue) {
+fn send_all(target: SocketAddr, hello: &LinkMessage, queue: &SharedQueue, metrics: &Metrics) {
     while let Some(first) = queue.pop() {
         match connect(target) {
             Ok(stream) => {
                 log::info!("event=peer_connected address={target}");
-                if let Err(error) = send_on(stream, hello, first, queue) {
+                if let Err(error) = send_on(stream, hello, first, queue, metrics) {
                     log::warn!("event=peer_lost address={target} error=\"{error}\"");
                 }
             }
@@ -187,6 +200,7 @@
     let stream = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(SEND_TIMEOUT))?;
+    SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
     // Heartbeats alone never fill the send buffer of a dead connection, so only this timeout
     // detects it quickly.
     SockRef::from(&stream).set_tcp_user_timeout(Some(SEND_TIMEOUT))?;
@@ -198,12 +212,13 @@
     hello: &LinkMessage,
     first: LinkMessage,
     queue: &SharedQueue,
+    metrics: &Metrics,
 ) -> Result<(), CodecError> {
     let mut writer = BufWriter::new(stream);
     write_frame(&mut writer, hello)?;
     let mut next = Some(first);
     while let Some(message) = next {
-        write_frame(&mut writer, &message)?;
+        send_message(&mut writer, &message, queue, metrics)?;
         if queue.is_empty() {
             writer.flush()?;
         }
@@ -212,6 +227,44 @@
     Ok(writer.flush()?)
 }
 
+/// Sends a message, in parts if it is large. One that fits no frame is dropped, as it would end every
+/// connection it is sent on.
+fn send_message(
+    writer: &mut BufWriter<TcpStream>,
+    message: &LinkMessage,
+    queue: &SharedQueue,
+    metrics: &Metrics,
+) -> Result<(), CodecError> {
+    let encoded = encode(message)?;
+    if encoded.len() <= WHOLE_MESSAGE_BYTES {
+        return write_encoded_frame(writer, &encoded);
+    }
+    if encoded.len() > MAXIMUM_FRAME_BYTES {
+        if metrics.unsendable_messages.get() == 0 {
+            let bytes = encoded.len();
+            log::error!(
+                "event=message_too_large bytes={bytes} limit={MAXIMUM_FRAME_BYTES} \
+                 remedy=\"submit smaller changes\""
+            );
+        }
+        metrics.unsendable_messages.inc();
+        return Ok(());
+    }
+    let count = encoded.len().div_ceil(PART_BYTES);
+    for (number, data) in encoded.chunks(PART_BYTES).enumerate() {
+        let part = MessagePart {
+            data: data.to_vec().into(),
+            is_last: number + 1 == count,
+        };
+        write_frame(writer, &LinkMessage::Part(part))?;
+        while let Some(overtaking) = queue.pop_overtaking() {
+            write_frame(writer, &overtaking)?;
+        }
+        writer.flush()?;
+    }
+    Ok(())
+}
+
 /// Drops messages for some time, so that nothing stale is sent once the target is reachable.
 fn discard_for(queue: &SharedQueue, time: Duration) {
     thread::sleep(time);
--- a/crates/millpass-control/src/startup.rs
+++ b/crates/millpass-control/src/startup.rs
@@ -12,6 +12,13 @@
 const SINGLE_MEMBER: MemberId = MemberId(1);
 /// Lowest id of joiners; ids of initial members are below.
 const FIRST_JOINER: u64 = 1 << 32;
+/// Encoded bytes of entries after which no further entry is added to a message. A message of several
+/// entries is thus sent whole; see [`WHOLE_MESSAGE_BYTES`](millpass_proto::codec::WHOLE_MESSAGE_BYTES).
+const MAXIMUM_APPEND_BYTES: usize = 384 * 1024;
+/// Encoded bytes of entries in flight to one member.
+const MAXIMUM_IN_FLIGHT_BYTES: usize = 4 * 1024 * 1024;
+/// Encoded bytes of uncommitted entries after which large changes are rejected.
+const MAXIMUM_UNCOMMITTED_BYTES: usize = 16 * 1024 * 1024;
 
 /// An opened data folder.
 pub(crate) struct OpenedMember {
@@ -255,6 +262,9 @@
         lease_length: timing.lease_length,
         stalled_disk_limit: timing.stalled_disk_limit,
         maximum_append_entries: timing.maximum_append_entries,
+        maximum_append_bytes: MAXIMUM_APPEND_BYTES,
+        maximum_in_flight_bytes: MAXIMUM_IN_FLIGHT_BYTES,
+        maximum_uncommitted_bytes: MAXIMUM_UNCOMMITTED_BYTES,
         snapshot_chunk_bytes: timing.snapshot_chunk_bytes,
         seed: rand::random(),
     };
--- a/crates/millpass-control/tests/overload.rs
+++ b/crates/millpass-control/tests/overload.rs
@@ -36,6 +36,9 @@
             lease_length: Duration::from_millis(330),
             stalled_disk_limit: Duration::from_secs(1),
             maximum_append_entries: 64,
+            maximum_append_bytes: 384 * 1024,
+            maximum_in_flight_bytes: 4 * 1024 * 1024,
+            maximum_uncommitted_bytes: 16 * 1024 * 1024,
             snapshot_chunk_bytes: 64 * 1024,
             seed: 1,
         },
@@ -193,8 +196,8 @@
             host.step(ControlInput::Tick);
         }
         let request = AdministrationRequest::PutDocument(Box::new(PutDocument {
-            document: document(),
-            source: ByteBuf::new(),
+            document: document().into(),
+            source: ByteBuf::new().into(),
         }));
         host.step(ControlInput::Administration { call: 1, request });
         host.next_tick = host.now;
--- a/crates/millpass-control/tests/peer_queue.rs
+++ b/crates/millpass-control/tests/peer_queue.rs
@@ -138,3 +138,28 @@
     }
     assert_eq!(drain(&mut queue), sent[2..].to_vec());
 }
+
+/// Guards against a leader that loses its lease while a large entry is sent: heartbeats and votes
+/// must not wait behind it, and entries must keep their order.
+#[test]
+fn heartbeats_and_votes_overtake_entries_and_snapshots() {
+    let mut queue = PeerQueue::new(100);
+    let member = MemberId(2);
+    let sent = [
+        request(1, 1),
+        heartbeat_to(member, 2),
+        chunk(1_000),
+        vote(),
+        heartbeat_to(member, 3),
+        request(4, 1),
+    ];
+    for message in &sent {
+        assert!(queue.push(message.clone()));
+    }
+    let overtaking: Vec<LinkMessage> = std::iter::from_fn(|| queue.pop_overtaking()).collect();
+    assert_eq!(overtaking, [vote(), heartbeat_to(member, 3)]);
+    assert_eq!(
+        drain(&mut queue),
+        [request(1, 1), chunk(1_000), request(4, 1)]
+    );
+}
--- a/crates/millpass-control/tests/slow_gateway.rs
+++ b/crates/millpass-control/tests/slow_gateway.rs
@@ -30,7 +30,7 @@
         let path = request.uri.path();
         let version: u64 = path.strip_prefix("/test/put/")?.parse().ok()?;
         let put = AdministrationRequest::PutDocument(Box::new(PutDocument {
-            document: document(version),
+            document: document(version).into(),
             source: Default::default(),
         }));
         let response = calls.call(put);
--- a/crates/millpass-dispatch/src/updates.rs
+++ b/crates/millpass-dispatch/src/updates.rs
@@ -64,7 +64,7 @@
                 outcome.mismatched_base = applied.is_none().then_some(change.base);
                 applied
             }
-            (document, _) => document,
+            (document, _) => document.map(Arc::unwrap_or_clone),
         };
         if let Some(document) = document {
             outcome.version = self.apply_document(document);
@@ -207,7 +207,7 @@
         }
         let mut outcome = UpdateOutcome::default();
         if let Some(document) = update.document {
-            outcome.version = self.apply_document(document);
+            outcome.version = self.apply_document(Arc::unwrap_or_clone(document));
         }
         if self.instances.is_empty() {
             outcome.changed = update.instances.len();
--- a/crates/millpass-dispatch/tests/dispatch.rs
+++ b/crates/millpass-dispatch/tests/dispatch.rs
@@ -126,7 +126,7 @@
         term,
         complete: true,
         first: false,
-        document,
+        document: document.map(Into::into),
         instances,
         removed: Vec::new(),
         ready_estimates: Vec::new(),
--- a/crates/millpass-dispatch/tests/freshness.rs
+++ b/crates/millpass-dispatch/tests/freshness.rs
@@ -86,7 +86,7 @@
         term: u64::from(!provisional),
         complete: !provisional,
         first: !provisional,
-        document: Some(document(as_of)),
+        document: Some(document(as_of).into()),
         instances: vec![instance()],
         removed: Vec::new(),
         ready_estimates: Vec::new(),
--- a/crates/millpass-dispatch/tests/harness/mod.rs
+++ b/crates/millpass-dispatch/tests/harness/mod.rs
@@ -129,7 +129,7 @@
         term,
         complete: true,
         first: true,
-        document: Some(document()),
+        document: Some(document().into()),
         instances,
         removed: Vec::new(),
         ready_estimates: Vec::new(),
--- a/crates/millpass-dispatch/tests/pace.rs
+++ b/crates/millpass-dispatch/tests/pace.rs
@@ -227,7 +227,8 @@
 #[test]
 fn only_requests_that_can_wait_explore() {
     let mut gateway = two_engines();
-    let mut document = update(1, 1, Vec::new()).document.expect("document");
+    let document = update(1, 1, Vec::new()).document.expect("document");
+    let mut document = DeploymentDocument::clone(&document);
     document.version = 2;
     let urgent = document.routes.iter().find(|it| it.path_prefix == "/text/");
     let mut patient = urgent.expect("route").clone();
@@ -237,7 +238,7 @@
     document.routes.push(patient);
     let changed = GatewayUpdate {
         first: false,
-        document: Some(document),
+        document: Some(document.into()),
         ..update(1, 1, Vec::new())
     };
     gateway.update(at(1), changed);
--- a/crates/millpass-dispatch/tests/reach.rs
+++ b/crates/millpass-dispatch/tests/reach.rs
@@ -6,6 +6,7 @@
 use harness::{at, begin, gateway, record, update};
 use millpass_dispatch::*;
 use millpass_proto::*;
+use std::sync::Arc;
 
 const WEB: [&str; 4] = ["w-1", "w-2", "w-3", "w-4"];
 const ENGINES: [&str; 3] = ["e-1", "e-2", "e-3"];
@@ -313,9 +314,11 @@
     assert_eq!(dispatcher.required_peer_version(), 2);
     assert_eq!(dispatcher.freshness(at(20)), Freshness::Unconfirmed);
     let mut newer = update(1, 3, Vec::new());
-    newer.document = newer.document.map(|document| DeploymentDocument {
-        version: 2,
-        ..document
+    newer.document = newer.document.map(|document| {
+        Arc::new(DeploymentDocument {
+            version: 2,
+            ..Arc::unwrap_or_clone(document)
+        })
     });
     newer.complete = false;
     newer.first = false;
--- a/crates/millpass-dispatch/tests/sharing.rs
+++ b/crates/millpass-dispatch/tests/sharing.rs
@@ -9,6 +9,7 @@
 use millpass_proto::*;
 use rstest::rstest;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 const SLOTS: usize = 24;
 const QUEUE: usize = 72;
@@ -112,7 +113,7 @@
     };
     let count = u32::try_from(gateways).expect("few");
     let mut first = update(1, count, vec![engine]);
-    let document = first.document.as_mut().expect("a document");
+    let document = Arc::make_mut(first.document.as_mut().expect("a document"));
     let like = document.routes[1].clone();
     let route = |name: &str, priority, objective_millis| RouteSpec {
         name: name.to_owned(),
--- a/crates/millpass-dispatch/tests/tenants.rs
+++ b/crates/millpass-dispatch/tests/tenants.rs
@@ -60,7 +60,7 @@
         term: 1,
         complete: false,
         first: true,
-        document,
+        document: document.map(Into::into),
         instances: Vec::new(),
         removed: Vec::new(),
         ready_estimates: Vec::new(),
--- a/crates/millpass-dispatch/tests/waiting.rs
+++ b/crates/millpass-dispatch/tests/waiting.rs
@@ -8,6 +8,7 @@
 use millpass_dispatch::*;
 use millpass_proto::*;
 use proptest::prelude::*;
+use std::sync::Arc;
 
 /// Slots of the engine in these tests.
 const SLOTS: u32 = 2;
@@ -24,7 +25,7 @@
 /// A gateway with an urgent route, `/rush/`, and a less urgent one, `/batch/`.
 fn gateway(gateways: u32, instances: Vec<InstanceRecord>) -> Dispatcher {
     let mut first = update(1, gateways, instances);
-    let document = first.document.as_mut().expect("a document");
+    let document = Arc::make_mut(first.document.as_mut().expect("a document"));
     let like = document.routes[1].clone();
     let route = |name: &str, priority, objective_millis| RouteSpec {
         name: name.to_owned(),
--- a/crates/millpass-dispatch/tests/web_gateway/mod.rs
+++ b/crates/millpass-dispatch/tests/web_gateway/mod.rs
@@ -93,7 +93,7 @@
         term: 1,
         complete: true,
         first: true,
-        document: Some(document),
+        document: Some(document.into()),
         instances: (0..8).map(|it| record(&format!("i-{it}"))).collect(),
         removed: Vec::new(),
         ready_estimates: Vec::new(),
--- a/crates/millpass-fleet/examples/leader_cost.rs
+++ b/crates/millpass-fleet/examples/leader_cost.rs
@@ -188,11 +188,7 @@
 
 impl UpdateRun {
     /// Delivers gateway reports and measures the updates sent in response.
-    fn exchange(
-        &mut self,
-        reports: &[(u64, GatewayReport)],
-        document: &DeploymentDocument,
-    ) -> Cost {
+    fn exchange(&mut self, reports: &[(u64, GatewayReport)], document: &SharedDocument) -> Cost {
         let mut cost = Cost::default();
         self.now += 1_000;
         let now = Timestamp::from_millis(self.now);
@@ -251,6 +247,7 @@
     for (gateways, instances) in UPDATE_SIZES {
         let mut first = document_without_engines();
         first.routes = (0..ROUTES).map(route).collect();
+        let first = SharedDocument::from(first);
         let mut run = UpdateRun {
             fleet: Fleet::new(FleetSettings {
                 instance_timeout: Duration::from_secs(3_600),
@@ -301,9 +298,10 @@
         }
         run.exchange(&busy, &first);
         print_cost("loads unchanged", &run.exchange(&busy, &first));
-        let mut next = first.clone();
+        let mut next = DeploymentDocument::clone(&first);
         next.version = 2;
         next.routes[7].timeout_millis += 1;
+        let next = SharedDocument::from(next);
         run.documents.record(Timestamp::from_millis(run.now), &next);
         print_cost("one route changed", &run.exchange(&[], &next));
     }
@@ -317,7 +315,7 @@
         "engines models gateways needs | ms first | ms a round | ms a report | orders | updates"
     );
     for (engines, models, gateways, needs) in SIZES {
-        let document = document(models);
+        let document = document(models).into();
         let mut fleet = Fleet::new(FleetSettings {
             order_handover: Duration::ZERO,
             ..FleetSettings::default()
--- a/crates/millpass-fleet/src/documents.rs
+++ b/crates/millpass-fleet/src/documents.rs
@@ -3,15 +3,18 @@
 //! Followers keep them too, so that a new leader can send gateways only what changed. Not part of
 //! the replicated state: a member that restored a snapshot has fewer and sends whole documents.
 
-use millpass_proto::{DeploymentDocument, DocumentChange, Timestamp, codec};
+use millpass_proto::{DeploymentDocument, DocumentChange, SharedDocument, Timestamp, codec};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Documents kept, including the current one. Gateways with older versions are sent the whole
-/// document. At 45 KB each, some hundred kilobytes.
+/// document.
 const MAX_DOCUMENTS: usize = 8;
+/// Encoded bytes of the documents kept in addition to the current one.
+const MAX_EARLIER_BYTES: usize = 4 * 1024 * 1024;
 
 struct AppliedDocument {
-    document: DeploymentDocument,
+    document: SharedDocument,
+    bytes: usize,
     applied_at: Timestamp,
 }
 
@@ -30,22 +33,29 @@
     }
 
     /// Records the current document; ignores versions that are not newer than the last one.
-    pub fn record(&mut self, now: Timestamp, document: &DeploymentDocument) {
+    pub fn record(&mut self, now: Timestamp, document: &SharedDocument) {
         let newest = self.documents.back();
         if newest.is_some_and(|newest| newest.document.version >= document.version) {
             return;
         }
         self.documents.push_back(AppliedDocument {
             document: document.clone(),
+            bytes: codec::encoded_bytes(&**document),
             applied_at: now,
         });
-        if self.documents.len() > MAX_DOCUMENTS {
+        while self.documents.len() > MAX_DOCUMENTS || self.earlier_bytes() > MAX_EARLIER_BYTES {
             self.documents.pop_front();
         }
     }
 
+    /// Returns the encoded bytes of all documents but the current one.
+    fn earlier_bytes(&self) -> usize {
+        let earlier = self.documents.iter().rev().skip(1);
+        earlier.fold(0, |sum: usize, it| sum.saturating_add(it.bytes))
+    }
+
     /// Returns the document of a version, if it is still kept.
-    pub fn document(&self, version: u64) -> Option<&DeploymentDocument> {
+    pub fn document(&self, version: u64) -> Option<&SharedDocument> {
         self.find(version).map(|found| &found.document)
     }
 
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -28,7 +28,7 @@
 use millpass_proto::{
     CallId, DeploymentDocument, Duration, EngineInstruction, GatewayReport, InstanceChanges,
     InstanceId, InstanceLoad, InstanceRecord, InstructionOperation, ModelName, ModelReadyEstimate,
-    QuarantineRecord, ServiceName, Timestamp,
+    QuarantineRecord, ServiceName, SharedDocument, Timestamp,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -369,7 +369,7 @@
         &mut self,
         now: Timestamp,
         term: u64,
-        document: Option<&DeploymentDocument>,
+        document: Option<&SharedDocument>,
         context: &GatewayContext<'_>,
     ) -> Vec<FleetOutput> {
         if !self.has_started_leading() {
@@ -398,7 +398,7 @@
             }
         }
         self.record_instances(now);
-        self.track_rollout(now, document, context);
+        self.track_rollout(now, document.map(|document| &**document), context);
         self.judge_parts_if_due(now);
         self.send_crash_updates(now);
         self.send_limit_updates(now);
--- a/crates/millpass-fleet/src/updates.rs
+++ b/crates/millpass-fleet/src/updates.rs
@@ -10,7 +10,7 @@
 use crate::update_schedule::{Outstanding, Scope};
 use millpass_proto::{
     AdapterName, DeploymentDocument, Duration, GatewayUpdate, InstanceId, InstructionOperation,
-    ModelName, ModelReadyEstimate, ServiceName, ServiceSpec, Timestamp,
+    ModelName, ModelReadyEstimate, ServiceName, ServiceSpec, SharedDocument, Timestamp,
 };
 
 /// Bound of the records in the first updates of one pass, after which other gateways wait for the
@@ -78,7 +78,7 @@
     pub(crate) fn send_gateway_updates(
         &mut self,
         now: Timestamp,
-        document: Option<&DeploymentDocument>,
+        document: Option<&SharedDocument>,
         context: &GatewayContext<'_>,
     ) {
         if !self.gateways.start_pass_if_due(now, self.slowdown) {
@@ -135,7 +135,7 @@
     fn due_connections(
         &self,
         now: Timestamp,
-        document: Option<&DeploymentDocument>,
+        document: Option<&SharedDocument>,
         complete: bool,
     ) -> Vec<(u64, Scope)> {
         let revision = self.registry.revision();
@@ -176,7 +176,7 @@
         &mut self,
         now: Timestamp,
         session: &mut GatewaySession,
-        document: Option<&DeploymentDocument>,
+        document: Option<&SharedDocument>,
         complete: bool,
         context: &GatewayContext<'_>,
     ) -> GatewayUpdate {
@@ -226,7 +226,7 @@
         &self,
         now: Timestamp,
         session: &mut GatewaySession,
-        document: Option<&DeploymentDocument>,
+        document: Option<&SharedDocument>,
         context: &GatewayContext<'_>,
     ) -> GatewayUpdate {
         let mut update = self.empty_update(session, document, context);
@@ -251,7 +251,7 @@
     fn empty_update(
         &self,
         session: &GatewaySession,
-        document: Option<&DeploymentDocument>,
+        document: Option<&SharedDocument>,
         context: &GatewayContext<'_>,
     ) -> GatewayUpdate {
         GatewayUpdate {
@@ -325,7 +325,7 @@
         now: Timestamp,
         session: &mut GatewaySession,
         update: &mut GatewayUpdate,
-        document: &DeploymentDocument,
+        document: &SharedDocument,
         context: &GatewayContext<'_>,
     ) {
         let base = session.expected_version();
--- a/crates/millpass-fleet/tests/agreement.rs
+++ b/crates/millpass-fleet/tests/agreement.rs
@@ -214,7 +214,7 @@
             pair.exchange();
             let table = pair.gateway.table().expect("a document");
             let leader_document = pair.leader.documents.document(pair.leader.version);
-            prop_assert_eq!(Some(table.document()), leader_document);
+            prop_assert_eq!(Some(table.document()), leader_document.map(|it| &**it));
         }
     }
 }
--- a/crates/millpass-fleet/tests/busy_copies.rs
+++ b/crates/millpass-fleet/tests/busy_copies.rs
@@ -133,9 +133,12 @@
 
     /// Runs the leader and records what it sends.
     fn run(&mut self, now: u64) {
-        let outputs = self
-            .fleet
-            .run(at(now), 3, Some(&self.document), &EMPTY_CONTEXT);
+        let outputs = self.fleet.run(
+            at(now),
+            3,
+            Some(&self.document.clone().into()),
+            &EMPTY_CONTEXT,
+        );
         self.calls.record(&outputs);
         for output in outputs {
             match output {
--- a/crates/millpass-fleet/tests/crashes.rs
+++ b/crates/millpass-fleet/tests/crashes.rs
@@ -94,7 +94,9 @@
     }
 
     fn run(&mut self, now: u64) -> Vec<FleetOutput> {
-        let outputs = self.0.run(at(now), 3, Some(&document()), &EMPTY_CONTEXT);
+        let outputs = self
+            .0
+            .run(at(now), 3, Some(&document().into()), &EMPTY_CONTEXT);
         self.1.record(&outputs);
         outputs
     }
--- a/crates/millpass-fleet/tests/engine_model/mod.rs
+++ b/crates/millpass-fleet/tests/engine_model/mod.rs
@@ -342,7 +342,7 @@
         let outputs = self.fleet.run(
             at(self.now),
             self.term,
-            Some(&self.document),
+            Some(&self.document.clone().into()),
             &EMPTY_CONTEXT,
         );
         for output in outputs {
--- a/crates/millpass-fleet/tests/fleet.rs
+++ b/crates/millpass-fleet/tests/fleet.rs
@@ -122,9 +122,12 @@
     }
 
     fn run(&mut self, now: u64) -> Vec<FleetOutput> {
-        let outputs = self
-            .fleet
-            .run(at(now), 3, Some(&self.document), &EMPTY_CONTEXT);
+        let outputs = self.fleet.run(
+            at(now),
+            3,
+            Some(&self.document.clone().into()),
+            &EMPTY_CONTEXT,
+        );
         self.calls.record(&outputs);
         outputs
     }
--- a/crates/millpass-fleet/tests/harness/mod.rs
+++ b/crates/millpass-fleet/tests/harness/mod.rs
@@ -110,7 +110,7 @@
             calls: Calls::default(),
             sequence: 0,
         };
-        leader.documents.record(at(0), &document(1));
+        leader.documents.record(at(0), &document(1).into());
         let history = InstructionHistory::new(Timestamp::ZERO, Duration::ZERO);
         let nothing = std::iter::empty;
         leader
@@ -129,12 +129,12 @@
         let mut next = self
             .documents
             .document(self.version)
-            .cloned()
+            .map(|document| DeploymentDocument::clone(document))
             .expect("the current version is kept");
         self.version += 1;
         next.version = self.version;
         next.routes[7].timeout_millis += 1;
-        self.documents.record(at(now), &next);
+        self.documents.record(at(now), &next.into());
     }
 
     /// Sends a report of gateway g-N on connection N.
--- a/crates/millpass-fleet/tests/harness/shares.rs
+++ b/crates/millpass-fleet/tests/harness/shares.rs
@@ -125,7 +125,7 @@
         };
         let document = engine_document(models.collect(), &capacity);
         let mut documents = DocumentHistory::new();
-        documents.record(at(0), &document);
+        documents.record(at(0), &document.clone().into());
         let mut cluster = Cluster {
             now: 0,
             members: (0..members).map(|_| Fleet::new(settings.clone())).collect(),
@@ -356,7 +356,12 @@
             documents: &self.documents,
         };
         let leader = &mut self.members[self.leader];
-        let outputs = leader.run(at(self.now), 1, Some(&self.document), &context);
+        let outputs = leader.run(
+            at(self.now),
+            1,
+            Some(&self.document.clone().into()),
+            &context,
+        );
         for output in outputs {
             match output {
                 FleetOutput::ReadEngine { instance, call, .. } => {
--- a/crates/millpass-fleet/tests/harness/steering.rs
+++ b/crates/millpass-fleet/tests/harness/steering.rs
@@ -140,8 +140,8 @@
 
     /// Runs the leader and returns its calls to the engine.
     pub fn run(&mut self, now: u64) -> Vec<FleetOutput> {
-        let document = Some(&self.document);
-        let mut outputs = self.fleet.run(at(now), 3, document, &EMPTY_CONTEXT);
+        let document = self.document.clone().into();
+        let mut outputs = self.fleet.run(at(now), 3, Some(&document), &EMPTY_CONTEXT);
         self.calls.record(&outputs);
         outputs.retain(|output| {
             matches!(
--- a/crates/millpass-fleet/tests/mixed_engines/mod.rs
+++ b/crates/millpass-fleet/tests/mixed_engines/mod.rs
@@ -423,7 +423,7 @@
         term: 1,
         complete: true,
         first: true,
-        document: Some(document(MODELS)),
+        document: Some(document(MODELS).into()),
         instances,
         removed: Vec::new(),
         ready_estimates: Vec::new(),
--- a/crates/millpass-fleet/tests/partitioned_gateways.rs
+++ b/crates/millpass-fleet/tests/partitioned_gateways.rs
@@ -173,7 +173,7 @@
         term: 1,
         complete: true,
         first: true,
-        document: Some(document()),
+        document: Some(document().into()),
         instances: records(),
         removed: Vec::new(),
         ready_estimates: Vec::new(),
--- a/crates/millpass-fleet/tests/room.rs
+++ b/crates/millpass-fleet/tests/room.rs
@@ -75,8 +75,8 @@
     }
 
     fn run(&mut self, now: u64) -> Vec<FleetOutput> {
-        let document = Some(&self.document);
-        let outputs = self.fleet.run(at(now), 3, document, &EMPTY_CONTEXT);
+        let document = self.document.clone().into();
+        let outputs = self.fleet.run(at(now), 3, Some(&document), &EMPTY_CONTEXT);
         self.calls.record(&outputs);
         outputs
     }
--- a/crates/millpass-fleet/tests/starvation.rs
+++ b/crates/millpass-fleet/tests/starvation.rs
@@ -97,7 +97,7 @@
     fn new(demand: Demand) -> Run {
         let mut leader = Leader::new(0, 0);
         leader.documents = DocumentHistory::new();
-        leader.documents.record(at(0), &document());
+        leader.documents.record(at(0), &document().into());
         let engines = (0..ENGINES).map(|number| {
             let held = (0..3).map(|place| number + place * ENGINES);
             let copies = (0..MODELS).filter(|model| has_copy(number, *model));
--- a/crates/millpass-fleet/tests/update_estimates.rs
+++ b/crates/millpass-fleet/tests/update_estimates.rs
@@ -58,7 +58,7 @@
 fn updates_with_ready_estimates_are_bounded() {
     let mut leader = Leader::new(0, 0);
     leader.documents = DocumentHistory::new();
-    leader.documents.record(at(0), &document());
+    leader.documents.record(at(0), &document().into());
     let names = |from: u64, count: u64| (from..from + count).map(|it| it % MODELS);
     let engines = (0..ENGINES)
         .map(|number| SwappingEngine::new(number, names(number * 3, 3), names(number * 6, 20)));
--- a/crates/millpass-fleet/tests/update_schedule.rs
+++ b/crates/millpass-fleet/tests/update_schedule.rs
@@ -361,7 +361,7 @@
 fn ready_estimate_of_an_unmet_model_is_sent_at_the_next_pass() {
     let (mut leader, document) = engine_leader(986);
     leader.documents = millpass_fleet::DocumentHistory::new();
-    leader.documents.record(at(0), &document);
+    leader.documents.record(at(0), &document.into());
     for now in (10_000..START).step_by(PASS_MILLIS as usize) {
         leader.updates(now);
     }
--- a/crates/millpass-fleet/tests/updates.rs
+++ b/crates/millpass-fleet/tests/updates.rs
@@ -241,7 +241,7 @@
     next.routes = (0..ROUTES)
         .map(|number| route(number + ROUTES, 1_000))
         .collect();
-    leader.documents.record(at(COMPLETE + 50), &next);
+    leader.documents.record(at(COMPLETE + 50), &next.into());
     leader.version = 2;
     let update = single(leader.updates(COMPLETE + 50));
     assert_eq!(update.document.map(|found| found.version), Some(2));
--- a/crates/millpass-proto/src/codec.rs
+++ b/crates/millpass-proto/src/codec.rs
@@ -1,11 +1,23 @@
 //! Message encoding: postcard followed by a CRC-32. Frames on streams have a length prefix.
 
 use crc::{CRC_32_ISCSI, Crc};
+use postcard::ser_flavors::Size;
 use serde::{Serialize, de::DeserializeOwned};
 use std::io::{Read, Write};
 
 /// Maximum frame size on a stream, in bytes. Snapshots are sent in smaller chunks.
 pub const MAXIMUM_FRAME_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum encoded size of a log entry. A frame must fit an entry, as it is never split.
+pub const MAXIMUM_ENTRY_BYTES: usize = 12 * 1024 * 1024;
+
+/// Size of the checksum that follows an encoded value.
+const CHECKSUM_BYTES: usize = size_of::<u32>();
+
+/// Encoded size up to which members send a message in one frame. Larger ones are sent in parts, and
+/// small messages may overtake them.
+pub const WHOLE_MESSAGE_BYTES: usize = 512 * 1024;
+/// Size of a part of a large message.
+pub const PART_BYTES: usize = 64 * 1024;
 
 static CHECKSUM: Crc<u32> = Crc::<u32>::new(&CRC_32_ISCSI);
 
@@ -33,7 +45,8 @@
 
 /// Encoded size of a value, including the checksum; `usize::MAX` if it cannot be encoded.
 pub fn encoded_bytes<T: Serialize>(value: &T) -> usize {
-    encode(value).map_or(usize::MAX, |bytes| bytes.len())
+    let size = postcard::serialize_with_flavor::<T, Size, usize>(value, Size::default());
+    size.map_or(usize::MAX, |bytes| bytes.saturating_add(CHECKSUM_BYTES))
 }
 
 /// Decodes a value encoded by [`encode`] and verifies its checksum.
@@ -56,12 +69,16 @@
 /// Writes a frame: the length as four little-endian bytes, then the encoded value. Does not flush
 /// the stream.
 pub fn write_frame<T: Serialize>(stream: &mut impl Write, value: &T) -> Result<(), CodecError> {
-    let body = encode(value)?;
+    write_encoded_frame(stream, &encode(value)?)
+}
+
+/// Like [`write_frame`], for a value that is already encoded.
+pub fn write_encoded_frame(stream: &mut impl Write, body: &[u8]) -> Result<(), CodecError> {
     if body.len() > MAXIMUM_FRAME_BYTES {
         return Err(CodecError::FrameTooLarge { bytes: body.len() });
     }
     stream.write_all(&(body.len() as u32).to_le_bytes())?;
-    stream.write_all(&body)?;
+    stream.write_all(body)?;
     Ok(())
 }
 
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap as Map;
 use serde::{Serialize, Deserialize};
 use serde_bytes::ByteBuf as Bytes;
+use crate::shared::{SharedBytes, SharedDocument};
 
 
 /// Random number drawn at process start; distinguishes restarts of the same process.
@@ -815,248 +816,16 @@
 }
 
 
-/// Size and time limits for callers.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct CallerLimits {
-
-    /// Maximum size of request headers; 0 for the built-in limit.
-    pub header_bytes: u64,
-
-    /// Maximum size of a request body; 0 for the built-in limit.
-    pub body_bytes: u64,
-
-    /// Timeout for receiving request headers; 0 for the built-in limit.
-    pub header_millis: u64,
-
-    /// Idle timeout of a connection; 0 for the built-in limit.
-    pub idle_millis: u64,
-}
-
-
-/// Retry semantics of a route.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum RouteKind {
-
-    /// May be executed more than once.
-    Repeatable,
-
-    /// Executed at most once per attempt of the caller.
-    Once,
-
-    /// Responds with an event stream; executed at most once unless the route is resumable.
-    Stream,
-}
-
-
-/// A target service of a route.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct RouteTarget {
-
-    /// Service name.
-    pub service: ServiceName,
-
-    /// Relative share of the route's requests; 0 receives none.
-    pub weight: u32,
-}
-
-
-/// A route: host, path prefix and request handling.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct RouteSpec {
-
-    /// Route name.
-    pub name: String,
-
-    /// Request host, lower case and without port.
-    pub host: String,
-
-    /// Path prefix; the longest match is selected.
-    pub path_prefix: String,
-
-    /// Retry semantics.
-    pub kind: RouteKind,
-
-    /// Whether a stream may resume on another instance after the last event received.
-    pub resumable: bool,
-
-    /// Maximum duration of an attempt.
-    pub timeout_millis: u64,
-
-    /// Response latency objective (for a stream, first event); 0 for none.
-    pub objective_millis: u64,
-
-    /// Objective for the time between two stream events; 0 for none.
-    pub gap_objective_millis: u64,
-
-    /// Priority; 0 is the most urgent.
-    pub priority: u32,
-
-    /// Maximum number of instances that one caller attempt may be sent to.
-    pub maximum_attempts: u32,
-
-    /// Whether requests share prompt prefixes.
-    pub prompt_affinity: bool,
-
-    /// Target services; at least one has a non-zero weight.
-    pub targets: Vec<RouteTarget>,
-
-    /// Time after which stream callers disconnect if no event has arrived; 0 for none.
-    pub first_event_millis: u64,
-
-    /// Whether callers without a key are served when the document has tenants.
-    pub anonymous: bool,
-}
-
-
-/// A model that the engines of a service can load.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct EngineModelSpec {
-
-    /// Model name.
-    pub name: ModelName,
-
-    /// Accelerator memory used by the weights.
-    pub weights_kilobytes: u64,
-
-    /// Load time from the weight store.
-    pub load_millis: u64,
-
-    /// Load time from the engine's local disk.
-    pub disk_load_millis: u64,
-
-    /// Load time from the engine's host memory.
-    pub memory_load_millis: u64,
-
-    /// Number of adapters of the model.
-    pub adapters: u32,
-
-    /// Accelerator memory used by one adapter.
-    pub adapter_kilobytes: u64,
-}
-
-
-/// Capacity of the engines of a service.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct EngineSpec {
-
-    /// Maximum batch size in requests.
-    pub slots: u32,
-
-    /// Token capacity for running requests and cached prompt prefixes.
-    pub cache_tokens: u64,
-
-    /// Accelerator memory for weights and adapters.
-    pub weights_kilobytes: u64,
-
-    /// Maximum number of adapters loaded concurrently.
-    pub adapter_slots: u32,
-
-    /// Rate limit of loads from the weight store over all engines, in thousandths of a load per second.
-    pub milliloads_per_second: u64,
-
-    /// Models that can be loaded.
-    pub models: Vec<EngineModelSpec>,
-}
-
-
-/// A service and its instances' capabilities.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct ServiceSpec {
-
-    /// Service name.
-    pub name: ServiceName,
-
-    /// Path of the health check.
-    pub health_path: String,
-
-    /// Connection limit per instance over all callers; 0 for no limit.
-    pub maximum_connections: u32,
-
-    /// Engine capacity; none if the instances are not model engines.
-    pub engine: Option<EngineSpec>,
-}
-
-
-/// Unit of a tenant's quota.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum QuotaUnit {
-
-    /// One unit per request.
-    Requests,
-
-    /// Prompt tokens plus maximum output tokens; a request that states none costs the tenant's `plain_cost`.
-    Tokens,
-}
-
-
-/// Access rules of a tenant in a deployment document: keys, priority and quota.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct TenantAccess {
-
-    /// Tenant name, forwarded to instances.
-    pub name: TenantName,
-
-    /// BLAKE3 hashes (hex) of the tenant's API keys.
-    pub key_hashes: Vec<String>,
-
-    /// Priority, 0 is the most urgent; takes precedence over the route's priority.
-    pub priority: u32,
-
-    /// Unit of the quota.
-    pub unit: QuotaUnit,
-
-    /// Units charged for a request without token counts, if `unit` is `Tokens`.
-    pub plain_cost: u64,
-
-    /// Rate limit over all gateways, in units per second; 0 for no limit.
-    pub units_per_second: u64,
-
-    /// Burst allowance in addition to the rate.
-    pub burst_units: u64,
-}
-
-
-/// Full configuration of a deployment, versioned by the operator. The highest version applies.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct DeploymentDocument {
-
-    /// Document version.
-    pub version: u64,
-
-    /// All routes.
-    pub routes: Vec<RouteSpec>,
-
-    /// All services.
-    pub services: Vec<ServiceSpec>,
-
-    /// Caller limits.
-    pub limits: CallerLimits,
-
-    /// All tenants; if empty, callers need no key.
-    pub tenants: Vec<TenantAccess>,
-}
-
-
 /// Activates a document unless the active version is the same or higher.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
 pub struct PutDocument {
 
     /// Document parsed from `source`.
-    pub document: DeploymentDocument,
+    pub document: SharedDocument,
 
     /// Document as submitted by the operator.
-    pub source: Bytes,
+    pub source: SharedBytes,
 }
 
 
@@ -1272,103 +1041,313 @@
     /// The parts.
     pub set: PartSet,
 
-    /// Crashes attributed to them; determines the quarantine time.
-    pub crashes: u32,
+    /// Crashes attributed to them; determines the quarantine time.
+    pub crashes: u32,
+
+    /// Remaining time for which prompts with them are refused; 0 once it has expired.
+    pub remaining_millis: u64,
+}
+
+
+/// All quarantined and suspected requests, sent to gateways.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CrashUpdate {
+
+    /// Leader's term; updates of a lower term than already seen are ignored.
+    pub term: u64,
+
+    /// Complete list; requests not listed are neither quarantined nor suspected.
+    pub requests: Vec<QuarantinedRequest>,
+
+    /// Complete list of the refused parts of prompts.
+    pub refused_parts: Vec<RefusedParts>,
+
+    /// Parts whose prompts are sent to one instance after the other.
+    pub suspect_parts: Vec<PromptPartKey>,
+
+    /// Parts at crashes: gateways state when an instance responds to them.
+    pub watched_parts: Vec<PromptPartKey>,
+}
+
+
+/// Requests of a tenant that are denied without asking the leader: of this rank and all less urgent ones up to the next listed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RankDenial {
+
+    /// Most urgent rank that is denied.
+    pub rank: u32,
+
+    /// Time for which the denial holds; 0 if requests of this rank are not denied.
+    pub hold_millis: u32,
+
+    /// Time until a request of this rank can expect units.
+    pub retry_millis: u32,
+}
+
+
+/// Credit granted to a gateway for one tenant.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CreditGrant {
+
+    /// Tenant name.
+    pub tenant: TenantName,
+
+    /// Number of queued requests granted, in order from the first.
+    pub granted_requests: u32,
+
+    /// Units granted for future requests.
+    pub prefetched_units: u64,
+
+    /// Time until the first queued request that was not granted can be granted; 0 if all were granted.
+    pub wait_millis: u64,
+
+    /// Time after which each granted request may run; 0 if missing.
+    pub delays_millis: Vec<u32>,
+
+    /// Denied ranks, most urgent first; empty if none is denied.
+    pub denials: Vec<RankDenial>,
+}
+
+
+/// Leader's response to a `CreditRequest`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CreditResponse {
+
+    /// Leader's term.
+    pub term: u64,
+
+    /// Number of the answered request.
+    pub sequence: u64,
+
+    /// Grants by tenant.
+    pub grants: Vec<CreditGrant>,
+}
+
+
+/// Size and time limits for callers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CallerLimits {
+
+    /// Maximum size of request headers; 0 for the built-in limit.
+    pub header_bytes: u64,
+
+    /// Maximum size of a request body; 0 for the built-in limit.
+    pub body_bytes: u64,
+
+    /// Timeout for receiving request headers; 0 for the built-in limit.
+    pub header_millis: u64,
+
+    /// Idle timeout of a connection; 0 for the built-in limit.
+    pub idle_millis: u64,
+}
+
+
+/// Key of a route, unique within a document.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouteKey {
+
+    /// Request host.
+    pub host: String,
+
+    /// Path prefix.
+    pub path_prefix: String,
+}
+
+
+/// Retry semantics of a route.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum RouteKind {
+
+    /// May be executed more than once.
+    Repeatable,
+
+    /// Executed at most once per attempt of the caller.
+    Once,
+
+    /// Responds with an event stream; executed at most once unless the route is resumable.
+    Stream,
+}
+
+
+/// A target service of a route.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouteTarget {
+
+    /// Service name.
+    pub service: ServiceName,
+
+    /// Relative share of the route's requests; 0 receives none.
+    pub weight: u32,
+}
+
+
+/// A route: host, path prefix and request handling.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RouteSpec {
+
+    /// Route name.
+    pub name: String,
+
+    /// Request host, lower case and without port.
+    pub host: String,
+
+    /// Path prefix; the longest match is selected.
+    pub path_prefix: String,
+
+    /// Retry semantics.
+    pub kind: RouteKind,
+
+    /// Whether a stream may resume on another instance after the last event received.
+    pub resumable: bool,
+
+    /// Maximum duration of an attempt.
+    pub timeout_millis: u64,
+
+    /// Response latency objective (for a stream, first event); 0 for none.
+    pub objective_millis: u64,
+
+    /// Objective for the time between two stream events; 0 for none.
+    pub gap_objective_millis: u64,
+
+    /// Priority; 0 is the most urgent.
+    pub priority: u32,
+
+    /// Maximum number of instances that one caller attempt may be sent to.
+    pub maximum_attempts: u32,
+
+    /// Whether requests share prompt prefixes.
+    pub prompt_affinity: bool,
+
+    /// Target services; at least one has a non-zero weight.
+    pub targets: Vec<RouteTarget>,
+
+    /// Time after which stream callers disconnect if no event has arrived; 0 for none.
+    pub first_event_millis: u64,
+
+    /// Whether callers without a key are served when the document has tenants.
+    pub anonymous: bool,
+}
+
+
+/// A model that the engines of a service can load.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineModelSpec {
+
+    /// Model name.
+    pub name: ModelName,
+
+    /// Accelerator memory used by the weights.
+    pub weights_kilobytes: u64,
+
+    /// Load time from the weight store.
+    pub load_millis: u64,
+
+    /// Load time from the engine's local disk.
+    pub disk_load_millis: u64,
+
+    /// Load time from the engine's host memory.
+    pub memory_load_millis: u64,
+
+    /// Number of adapters of the model.
+    pub adapters: u32,
 
-    /// Remaining time for which prompts with them are refused; 0 once it has expired.
-    pub remaining_millis: u64,
+    /// Accelerator memory used by one adapter.
+    pub adapter_kilobytes: u64,
 }
 
 
-/// All quarantined and suspected requests, sent to gateways.
+/// Capacity of the engines of a service.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct CrashUpdate {
+pub struct EngineSpec {
 
-    /// Leader's term; updates of a lower term than already seen are ignored.
-    pub term: u64,
+    /// Maximum batch size in requests.
+    pub slots: u32,
 
-    /// Complete list; requests not listed are neither quarantined nor suspected.
-    pub requests: Vec<QuarantinedRequest>,
+    /// Token capacity for running requests and cached prompt prefixes.
+    pub cache_tokens: u64,
 
-    /// Complete list of the refused parts of prompts.
-    pub refused_parts: Vec<RefusedParts>,
+    /// Accelerator memory for weights and adapters.
+    pub weights_kilobytes: u64,
 
-    /// Parts whose prompts are sent to one instance after the other.
-    pub suspect_parts: Vec<PromptPartKey>,
+    /// Maximum number of adapters loaded concurrently.
+    pub adapter_slots: u32,
 
-    /// Parts at crashes: gateways state when an instance responds to them.
-    pub watched_parts: Vec<PromptPartKey>,
+    /// Rate limit of loads from the weight store over all engines, in thousandths of a load per second.
+    pub milliloads_per_second: u64,
+
+    /// Models that can be loaded.
+    pub models: Vec<EngineModelSpec>,
 }
 
 
-/// Requests of a tenant that are denied without asking the leader: of this rank and all less urgent ones up to the next listed.
+/// A service and its instances' capabilities.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct RankDenial {
+pub struct ServiceSpec {
 
-    /// Most urgent rank that is denied.
-    pub rank: u32,
+    /// Service name.
+    pub name: ServiceName,
 
-    /// Time for which the denial holds; 0 if requests of this rank are not denied.
-    pub hold_millis: u32,
+    /// Path of the health check.
+    pub health_path: String,
 
-    /// Time until a request of this rank can expect units.
-    pub retry_millis: u32,
+    /// Connection limit per instance over all callers; 0 for no limit.
+    pub maximum_connections: u32,
+
+    /// Engine capacity; none if the instances are not model engines.
+    pub engine: Option<EngineSpec>,
 }
 
 
-/// Credit granted to a gateway for one tenant.
+/// Unit of a tenant's quota.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct CreditGrant {
-
-    /// Tenant name.
-    pub tenant: TenantName,
-
-    /// Number of queued requests granted, in order from the first.
-    pub granted_requests: u32,
-
-    /// Units granted for future requests.
-    pub prefetched_units: u64,
-
-    /// Time until the first queued request that was not granted can be granted; 0 if all were granted.
-    pub wait_millis: u64,
+pub enum QuotaUnit {
 
-    /// Time after which each granted request may run; 0 if missing.
-    pub delays_millis: Vec<u32>,
+    /// One unit per request.
+    Requests,
 
-    /// Denied ranks, most urgent first; empty if none is denied.
-    pub denials: Vec<RankDenial>,
+    /// Prompt tokens plus maximum output tokens; a request that states none costs the tenant's `plain_cost`.
+    Tokens,
 }
 
 
-/// Leader's response to a `CreditRequest`.
+/// Access rules of a tenant in a deployment document: keys, priority and quota.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
-pub struct CreditResponse {
+pub struct TenantAccess {
 
-    /// Leader's term.
-    pub term: u64,
+    /// Tenant name, forwarded to instances.
+    pub name: TenantName,
 
-    /// Number of the answered request.
-    pub sequence: u64,
+    /// BLAKE3 hashes (hex) of the tenant's API keys.
+    pub key_hashes: Vec<String>,
 
-    /// Grants by tenant.
-    pub grants: Vec<CreditGrant>,
-}
+    /// Priority, 0 is the most urgent; takes precedence over the route's priority.
+    pub priority: u32,
 
+    /// Unit of the quota.
+    pub unit: QuotaUnit,
 
-/// Key of a route, unique within a document.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct RouteKey {
+    /// Units charged for a request without token counts, if `unit` is `Tokens`.
+    pub plain_cost: u64,
 
-    /// Request host.
-    pub host: String,
+    /// Rate limit over all gateways, in units per second; 0 for no limit.
+    pub units_per_second: u64,
 
-    /// Path prefix.
-    pub path_prefix: String,
+    /// Burst allowance in addition to the rate.
+    pub burst_units: u64,
 }
 
 
@@ -1510,7 +1489,7 @@
     pub first: bool,
 
     /// Document, if newer than the gateway's.
-    pub document: Option<DeploymentDocument>,
+    pub document: Option<SharedDocument>,
 
     /// New or changed instances.
     pub instances: Vec<InstanceRecord>,
@@ -2824,6 +2803,19 @@
 }
 
 
+/// Part of an encoded `LinkMessage` that is too large to be sent whole; other messages may come between its parts.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct MessagePart {
+
+    /// Next bytes of the message.
+    pub data: Bytes,
+
+    /// Whether the message is complete.
+    pub is_last: bool,
+}
+
+
 /// Members of a group. A non-empty `outgoing_voters` indicates joint consensus, in which both sets need a majority.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -3009,62 +3001,6 @@
 }
 
 
-/// Number of an engine call, unique within the calling process; echoed with the result.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct CallId(pub u64);
-
-
-/// Operation of an engine instruction.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub enum InstructionOperation {
-
-    /// Loads a model, or an adapter of a loaded model.
-    Load,
-
-    /// Unloads a model or an adapter.
-    Unload,
-}
-
-
-/// Instruction to an engine, conditional on the engine's revision.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[derive(Hash)]
-pub struct EngineInstruction {
-
-    /// Target incarnation; any other ignores the instruction.
-    pub instance: InstanceId,
-
-    /// IP address and port of the engine.
-    pub address: String,
-
-    /// Operation to execute.
-    pub operation: InstructionOperation,
-
-    /// Model name.
-    pub model: ModelName,
-
-    /// Adapter; none for the model itself.
-    pub adapter: Option<AdapterName>,
-
-    /// Revision the engine must be at; otherwise it does nothing.
-    pub expected_revision: u64,
-
-    /// Process that issues the instruction.
-    pub issuer: String,
-
-    /// Term of the issuing leader.
-    pub fence: u64,
-
-    /// Whether the weights are loaded from the weight store and count against its rate limit.
-    pub from_store: bool,
-
-    /// Call that carries the instruction.
-    pub call: CallId,
-}
-
-
 /// Message between members with its routing metadata.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -3181,6 +3117,65 @@
 
     /// Response to a share report.
     ShareResponse(ShareResponse),
+
+    /// Part of a large message from a member.
+    Part(MessagePart),
+}
+
+
+/// Number of an engine call, unique within the calling process; echoed with the result.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct CallId(pub u64);
+
+
+/// Operation of an engine instruction.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub enum InstructionOperation {
+
+    /// Loads a model, or an adapter of a loaded model.
+    Load,
+
+    /// Unloads a model or an adapter.
+    Unload,
+}
+
+
+/// Instruction to an engine, conditional on the engine's revision.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct EngineInstruction {
+
+    /// Target incarnation; any other ignores the instruction.
+    pub instance: InstanceId,
+
+    /// IP address and port of the engine.
+    pub address: String,
+
+    /// Operation to execute.
+    pub operation: InstructionOperation,
+
+    /// Model name.
+    pub model: ModelName,
+
+    /// Adapter; none for the model itself.
+    pub adapter: Option<AdapterName>,
+
+    /// Revision the engine must be at; otherwise it does nothing.
+    pub expected_revision: u64,
+
+    /// Process that issues the instruction.
+    pub issuer: String,
+
+    /// Term of the issuing leader.
+    pub fence: u64,
+
+    /// Whether the weights are loaded from the weight store and count against its rate limit.
+    pub from_store: bool,
+
+    /// Call that carries the instruction.
+    pub call: CallId,
 }
 
 
@@ -3319,6 +3314,28 @@
 }
 
 
+/// Full configuration of a deployment, versioned by the operator. The highest version applies.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct DeploymentDocument {
+
+    /// Document version.
+    pub version: u64,
+
+    /// All routes.
+    pub routes: Vec<RouteSpec>,
+
+    /// All services.
+    pub services: Vec<ServiceSpec>,
+
+    /// Caller limits.
+    pub limits: CallerLimits,
+
+    /// All tenants; if empty, callers need no key.
+    pub tenants: Vec<TenantAccess>,
+}
+
+
 /// A fenced order, sent with POST /engine/orders. An engine refuses a fence lower than the highest it accepted and an incarnation other than its own; a repeated fence receives the original response.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -3729,7 +3746,7 @@
     pub meta: SnapshotMeta,
 
     /// Encoded state.
-    pub data: Bytes,
+    pub data: SharedBytes,
 }
 
 
--- a/crates/millpass-proto/src/lib.rs
+++ b/crates/millpass-proto/src/lib.rs
@@ -8,6 +8,7 @@
 mod differences;
 mod report_merge;
 mod required_entries;
+mod shared;
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod generated;
@@ -18,5 +19,6 @@
 mod weights;
 
 pub use generated::*;
+pub use shared::{SharedBytes, SharedDocument};
 pub use time::{Duration, Timestamp};
 pub use weights::WeightsSource;
--- a/crates/millpass-sim/src/control_node.rs
+++ b/crates/millpass-sim/src/control_node.rs
@@ -105,6 +105,9 @@
         lease_length: Duration::from_millis(400),
         stalled_disk_limit: Duration::from_secs(1),
         maximum_append_entries: 64,
+        maximum_append_bytes: 384 * 1024,
+        maximum_in_flight_bytes: 4 * 1024 * 1024,
+        maximum_uncommitted_bytes: 16 * 1024 * 1024,
         snapshot_chunk_bytes: 4_096,
         seed,
     };
--- a/crates/millpass-sim/src/world.rs
+++ b/crates/millpass-sim/src/world.rs
@@ -26,6 +26,7 @@
     ObjectChangeOutcome, RouterName, Snapshot, SnapshotMeta,
 };
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 const NETWORK_STREAM: u64 = 1;
 const WORKLOAD_STREAM: u64 = 2;
@@ -92,7 +93,7 @@
         voted_for: None,
     };
     let meta = SnapshotMeta { last, membership };
-    let data = data.into();
+    let data = Arc::new(data.into());
     Disk::new(hard_state, Snapshot { meta, data })
 }
 
--- a/crates/millpass-state/src/deployment.rs
+++ b/crates/millpass-state/src/deployment.rs
@@ -1,7 +1,7 @@
 //! Active deployment document, recorded instances and departures.
 
 use millpass_proto::{
-    DeploymentDocument, InstanceChanges, InstanceDeparture, InstanceId, InstanceRecord, PutDocument,
+    InstanceChanges, InstanceDeparture, InstanceId, InstanceRecord, PutDocument, SharedDocument,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -44,12 +44,14 @@
             .map_or(0, |current| current.document.version)
     }
 
-    pub(crate) fn document(&self) -> Option<&DeploymentDocument> {
+    pub(crate) fn document(&self) -> Option<&SharedDocument> {
         self.current.as_ref().map(|current| &current.document)
     }
 
     pub(crate) fn source(&self) -> Option<&[u8]> {
-        self.current.as_ref().map(|current| current.source.as_ref())
+        self.current
+            .as_ref()
+            .map(|current| current.source.as_slice())
     }
 
     /// Applies a leader's changes of instances. Departed instances stay departed.
--- a/crates/millpass-state/src/lib.rs
+++ b/crates/millpass-state/src/lib.rs
@@ -43,9 +43,9 @@
 
 use millpass_proto::{
     BackendName, BackendState, Command, CommandOutcome, ConfigurationDelta, ConfigurationRevision,
-    DeploymentDocument, Incarnation, InstanceId, InstanceRecord, LogPosition, ModelName,
-    ObjectChange, ObjectChangeOutcome, ObjectKey, ObjectKind, ObjectSpec, PartRecord,
-    PlacementRevision, QuarantineRecord, Replica, RouterName, SlotId, StoredObject,
+    Incarnation, InstanceId, InstanceRecord, LogPosition, ModelName, ObjectChange,
+    ObjectChangeOutcome, ObjectKey, ObjectKind, ObjectSpec, PartRecord, PlacementRevision,
+    QuarantineRecord, Replica, RouterName, SharedDocument, SlotId, StoredObject,
 };
 use serde::{Deserialize, Serialize};
 
@@ -172,7 +172,7 @@
     }
 
     /// Returns the active deployment document.
-    pub fn document(&self) -> Option<&DeploymentDocument> {
+    pub fn document(&self) -> Option<&SharedDocument> {
         self.deployment.document()
     }
 
--- a/crates/millpass-state/tests/deployment.rs
+++ b/crates/millpass-state/tests/deployment.rs
@@ -53,8 +53,8 @@
 
 fn put(version: u64) -> Command {
     Command::PutDocument(PutDocument {
-        document: document(version, Vec::new()),
-        source: ByteBuf::from(vec![version as u8]),
+        document: document(version, Vec::new()).into(),
+        source: ByteBuf::from(vec![version as u8]).into(),
     })
 }
 
--- a/crates/millpass-storage/tests/common/mod.rs
+++ b/crates/millpass-storage/tests/common/mod.rs
@@ -80,7 +80,7 @@
             last: LogPosition { term, index },
             membership: initial().membership,
         },
-        data: vec![index as u8; 300].into(),
+        data: Arc::new(vec![index as u8; 300].into()),
     }
 }
 
--- a/xtask/src/messages.rs
+++ b/xtask/src/messages.rs
@@ -11,6 +11,9 @@
 const MODULE: &str = "generated";
 const HEADER: &str =
     "//! Message types. Generated from `schema/*.yaml` by `cargo xtask generate`; do not edit.\n\n";
+/// Types of `millpass-proto` that are written by hand, by module.
+const EXTERNAL_TYPES: [(&str, &[&str]); 1] =
+    [("crate::shared", &["SharedBytes", "SharedDocument"])];
 const DERIVES: [&str; 6] = ["Clone", "Debug", "PartialEq", "Eq", "PartialOrd", "Ord"];
 
 /// A type definition of the schema.
@@ -68,7 +71,9 @@
         registry.insert(name.clone(), container(name, definition)?);
         collect_comments(name, definition, &mut comments);
     }
-    let config = CodeGeneratorConfig::new(MODULE.to_owned()).with_comments(comments);
+    let config = CodeGeneratorConfig::new(MODULE.to_owned())
+        .with_comments(comments)
+        .with_external_definitions(external_definitions());
     let mut rendered = Vec::new();
     CodeGenerator::new(&config)
         .with_derive_macros(DERIVES.iter().map(|name| (*name).to_owned()).collect())
@@ -82,6 +87,16 @@
     })
 }
 
+fn external_definitions() -> BTreeMap<String, Vec<String>> {
+    EXTERNAL_TYPES
+        .iter()
+        .map(|(module, names)| {
+            let names = names.iter().map(|name| (*name).to_owned()).collect();
+            ((*module).to_owned(), names)
+        })
+        .collect()
+}
+
 fn read_definitions(schema: &Path) -> Result<BTreeMap<String, TypeDefinition>> {
     let mut definitions = BTreeMap::new();
     for entry in std::fs::read_dir(schema).context("read schema/")? {
