An unframed body is whole only if its server takes a connection after it

Cause: such a body counted as whole unless its server's process was known to have ended. That took a connection to another instance of the service; all of them refused, and the open question counted as no after 300 ms. The same for an instance that is unknown, leaves, or cannot be reached. The class: what is not known counts as good.

Ruled out: that the gateway does not ask (all 15 end 300 ms after the crash, within 2 ms), and that it takes the refusal for a partition (none is logged).

Change: the address of the server must take a connection after the end, within 750 ms. Dispatcher::refusal and RunEnds::refusal have no caller any more.

--- a/crates/millpass-dispatch/src/reach.rs
+++ b/crates/millpass-dispatch/src/reach.rs
@@ -132,16 +132,10 @@
         self.paths.record_silence(now, &service, instance)
     }
 
-    /// Returns what refused connections show of the process run of an instance; none if the last one
-    /// was established.
-    pub fn refusal(&self, now: Timestamp, instance: &InstanceId) -> Option<Refusal> {
-        self.run_ends.refusal(now, instance)
-    }
-
-    /// Returns the address of an instance that did not say that it leaves.
-    pub fn address_of_running(&self, instance: &InstanceId) -> Option<String> {
+    /// Returns the address of a known instance.
+    pub fn address_of(&self, instance: &InstanceId) -> Option<String> {
         let found = self.instances.get(instance)?;
-        (!self.is_leaving(found)).then(|| found.record.address.clone())
+        Some(found.record.address.clone())
     }
 
     /// Returns true if an instance is known and out of reach.
@@ -175,13 +169,9 @@
             };
             probes.extend(self.paths.take_probes(now, &known));
         }
-        let address = |instance: &InstanceId| {
-            let found = self.instances.get(instance)?;
-            Some(found.record.address.clone())
-        };
         probes
             .into_iter()
-            .filter_map(|instance| Some((instance.clone(), address(&instance)?)))
+            .filter_map(|instance| Some((instance.clone(), self.address_of(&instance)?)))
             .collect()
     }
 
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -4,10 +4,12 @@
 use crate::exchange::{
     self, ReceivedResponse, RequestTemplate, SendFailure, Target, remove_hop_by_hop_headers,
 };
+use crate::framing::Framing;
 use crate::hop::{HopOutcome, HopRequest, HopResponse};
 use crate::interface::{ResponseFacts, SendFacts};
 use crate::peer::{self, PeerResponse};
 use crate::peer_service::{ForwardedGuard, state_hop};
+use crate::probe;
 use crate::reach::PathWatch;
 use crate::relay::{Relay, RelayBody, full_body, relay};
 use crate::request_log::{InFlight, log_request, log_send_failure};
@@ -533,7 +535,10 @@
             status_text,
         );
         self.may_have_run = true;
-        let body = read_error_body(received.body).await;
+        let body = match read_error_body(received.body).await {
+            Some(_) if !self.is_whole(&received.head, &active).await => None,
+            body => body,
+        };
         active.end(match body {
             Some(_) => SendOutcome::Failed,
             None => SendOutcome::Broken,
@@ -552,6 +557,17 @@
         SendResult::Failed(status, "server-error")
     }
 
+    /// Returns whether a body that was read to its end has not broken off.
+    async fn is_whole(&self, head: &http::response::Parts, active: &Active) -> bool {
+        if Framing::of(head) == Framing::Stated {
+            return true;
+        }
+        match active.instance() {
+            Some(instance) => probe::takes_connections(&self.shared, instance).await,
+            None => false,
+        }
+    }
+
     fn relay_response(
         &mut self,
         active: Active,
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -39,6 +39,7 @@
     sends: IntCounterVec,
     pub(crate) connects: IntCounter,
     pub(crate) resumed: IntCounter,
+    pub(crate) unconfirmed_ends: IntCounter,
     pub(crate) document_version: IntGauge,
     pub(crate) instances: IntGauge,
     /// Instances found ended after a broken send.
@@ -198,7 +199,12 @@
         )?;
         registry.register(Box::new(known_paces.clone()))?;
         registry.register(Box::new(connects.clone()))?;
+        let unconfirmed_ends = IntCounter::new(
+            "gateway_unconfirmed_ends_total",
+            "Bodies ended by their connection that are not known to be whole",
+        )?;
         registry.register(Box::new(resumed.clone()))?;
+        registry.register(Box::new(unconfirmed_ends.clone()))?;
         registry.register(Box::new(document_version.clone()))?;
         registry.register(Box::new(instances.clone()))?;
         registry.register(Box::new(stream_origins.clone()))?;
@@ -255,6 +261,7 @@
             sends,
             connects,
             resumed,
+            unconfirmed_ends,
             document_version,
             instances,
             instance_ends,
--- a/crates/millpass-gateway/src/probe.rs
+++ b/crates/millpass-gateway/src/probe.rs
@@ -6,13 +6,13 @@
 use crate::shared::Shared;
 use async_io::Timer;
 use futures_lite::future;
-use millpass_dispatch::Refusal;
 use millpass_proto::{Duration, InstanceId, Timestamp};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Maximum time to confirm that a process run has ended.
-const CONFIRMATION_WAIT: Duration = Duration::from_millis(300);
+/// Maximum time to find out whether an instance takes connections: a busy one may drop the first
+/// packets of some.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(750);
 /// Least time between two rounds.
 const MINIMUM_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -44,31 +44,34 @@
     }
 }
 
-/// Returns whether the process run of an instance, whose connection has just ended, has ended too.
-/// Not known, and false, if no other instance can be connected to.
-pub(crate) async fn has_run_ended(shared: &Arc<Shared>, instance: &InstanceId) -> bool {
-    let Some(address) = shared.core().address_of_running(instance) else {
+/// Returns whether an instance takes connections after one with a response has ended. False if that
+/// cannot be found out: the response may have broken off.
+pub(crate) async fn takes_connections(shared: &Arc<Shared>, instance: &InstanceId) -> bool {
+    let Some(address) = shared.core().address_of(instance) else {
         return false;
     };
     let until = shared.now() + CONFIRMATION_WAIT;
-    let probe = probe(shared.clone(), instance.clone(), address);
-    future::or(probe, shared.sleep_until(until)).await;
-    loop {
-        let changed = shared.changed.listen();
-        let now = shared.now();
-        let refusal = shared.core().refusal(now, instance);
-        match refusal {
-            Some(Refusal::Unconfirmed) if now < until => {
-                shared.wait_for_change(changed, until).await;
-            }
-            Some(Refusal::Unconfirmed) | None => return false,
-            Some(Refusal::Ended | Refusal::KnownEnded) => return true,
-        }
+    while shared.now() < until {
+        match probe(shared.clone(), instance.clone(), address.clone()).await {
+            ProbeOutcome::Connected => return true,
+            ProbeOutcome::Refused => return false,
+            ProbeOutcome::Unknown => Timer::after(MINIMUM_INTERVAL).await,
+        };
     }
+    false
+}
+
+/// What a connection attempt shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeOutcome {
+    Connected,
+    Refused,
+    /// The address did not respond, or this machine could not connect.
+    Unknown,
 }
 
 /// Connects once. A successful connection goes to the pool.
-async fn probe(shared: Arc<Shared>, instance: InstanceId, address: String) {
+async fn probe(shared: Arc<Shared>, instance: InstanceId, address: String) -> ProbeOutcome {
     shared.metrics.connects.inc();
     let timeout = shared.settings.connect_timeout;
     let connector = &shared.settings.connector;
@@ -76,15 +79,21 @@
         Ok(connection) => {
             reach::record_connected(&shared, &instance);
             shared.pool.put(&instance, connection.sender, None);
+            ProbeOutcome::Connected
         }
         Err(error) if error.is_refused() => {
             shared.core().record_refused(shared.now(), &instance);
             reach::log_changes(&shared);
+            ProbeOutcome::Refused
         }
         Err(error) if error.is_of_path() => {
             shared.core().record_connect_failed(shared.now(), &instance);
             reach::log_changes(&shared);
+            ProbeOutcome::Unknown
+        }
+        Err(error) => {
+            log::warn!("event=probe_failed instance={instance} error=\"{error}\"");
+            ProbeOutcome::Unknown
         }
-        Err(error) => log::warn!("event=probe_failed instance={instance} error=\"{error}\""),
     }
 }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -196,19 +196,24 @@
         }
     }
 
-    /// Returns what the end of a connection means for the body that nothing else ends.
+    /// Returns what the end of a connection means for the body that nothing else ends: the end of the
+    /// body only if its instance goes on taking connections.
     async fn end_of_connection(&self) -> BodyRead {
         let inside_event = self.events.is_inside_event();
         log_connection_end(&self.shared, &self.ticket, inside_event);
         if inside_event == Some(true) {
             return BodyRead::Broken("the connection ended inside an event".to_owned());
         }
-        match self.active.as_ref().and_then(Active::instance) {
-            Some(instance) if probe::has_run_ended(&self.shared, instance).await => {
-                BodyRead::Broken("the connection ended with its instance".to_owned())
-            }
-            _ => BodyRead::End,
+        let instance = self.active.as_ref().and_then(Active::instance);
+        let is_whole = match instance {
+            Some(instance) => probe::takes_connections(&self.shared, instance).await,
+            None => false,
+        };
+        if is_whole {
+            return BodyRead::End;
         }
+        self.shared.metrics.unconfirmed_ends.inc();
+        BodyRead::Broken("the connection ended, and perhaps its instance".to_owned())
     }
 
     /// Completes the response: the connection can be reused.
--- a/crates/millpass-reach/src/ends.rs
+++ b/crates/millpass-reach/src/ends.rs
@@ -92,18 +92,6 @@
         compared.collect()
     }
 
-    /// Returns what the refused connections of an instance show; none if the last one was established.
-    pub fn refusal(&self, now: Timestamp, instance: &InstanceId) -> Option<Refusal> {
-        if self.ended.contains(instance) {
-            return Some(Refusal::KnownEnded);
-        }
-        let is_recent = |it: &&RefusedConnection| now.since(it.at) < CONFIRMATION_WINDOW;
-        let mut refused = self.refused.iter().filter(is_recent);
-        refused
-            .any(|it| it.instance == *instance)
-            .then_some(Refusal::Unconfirmed)
-    }
-
     /// Forgets instances that are no longer known.
     pub fn retain(&mut self, is_known: impl Fn(&InstanceId) -> bool) {
         self.ended.retain(is_known);
