A success that lacks what an answer carries reaches no caller

Cause: a response was refused only if it stated another attempt's id. What stated nothing counted as the answer.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -11,7 +11,7 @@
 use millpass_dispatch::{
     BegunSettings, DispatchSettings, FreshnessSettings, PartSettings, ReachSettings,
 };
-use millpass_gateway::{Connector, GatewaySettings as GatewayProcessSettings};
+use millpass_gateway::{AnswerHeaders, Connector, GatewaySettings as GatewayProcessSettings};
 use millpass_proto::{Duration, GroupId, Incarnation};
 use millpass_router::RouterProcessSettings;
 use millpass_routing::RoutingSettings;
@@ -311,6 +311,7 @@
         link_timeout: millis(control.connect_timeout_ms),
         drain_grace: millis(settings.drain.grace_ms),
         drain_accept: millis(settings.drain.accept_ms),
+        answers: AnswerHeaders::default(),
         connector: Connector::default(),
     })
 }
--- a/crates/millpass-gateway/src/exchange.rs
+++ b/crates/millpass-gateway/src/exchange.rs
@@ -96,6 +96,22 @@
     pub(crate) facts: ResponseFacts,
 }
 
+impl ReceivedResponse {
+    /// Returns why the response of an instance cannot be its answer to the request of a ticket; none
+    /// if it can.
+    pub(crate) fn defect(&self, shared: &Shared, ticket: &Ticket) -> Option<String> {
+        let stated = self.facts.attempt.as_deref();
+        if stated.is_some_and(|stated| stated != ticket.description.attempt) {
+            return Some("the response belongs to another request".to_owned());
+        }
+        let defect = shared.settings.answers.defect(&self.head);
+        if defect.is_some() {
+            shared.metrics.unrecognized_responses.inc();
+        }
+        defect
+    }
+}
+
 /// Removes hop-by-hop headers.
 pub(crate) fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -369,10 +369,8 @@
             Ok(received) => received,
             Err(failure) => return self.handle_failure(active, failure),
         };
-        let stated = received.facts.attempt.as_deref();
-        if stated.is_some_and(|stated| stated != self.ticket.description.attempt) {
-            let failure = SendFailure::Broken("the response belongs to another request".to_owned());
-            return self.handle_failure(active, failure);
+        if let Some(defect) = received.defect(&shared, &self.ticket) {
+            return self.handle_failure(active, SendFailure::Broken(defect));
         }
         record_statement(&shared, &self.ticket, &instance, sent_at, &received.facts);
         if let Some(load) = received.facts.load {
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `hop` | headers between two gateways |
 //! | `relay` | relays response bodies and resumes broken streams |
 //! | `resumption` | finds out whether a stream that a caller takes up may go on |
+//! | `answer` | which successful responses are answers of an instance |
 //! | `framing` | how the end of a response body is recognized |
 //! | `events` | splits a stream into complete events |
 //! | `pool` | connections to instances |
@@ -34,6 +35,7 @@
 //!
 //! Lock order: `shared` (the core), then `pool`; no lock is held across an await.
 
+mod answer;
 mod caller_stream;
 mod credit;
 mod events;
@@ -61,6 +63,7 @@
 mod shared;
 mod statements;
 
+pub use answer::AnswerHeaders;
 pub use events::EventBuffer;
 pub use interface::{Interface, ResponseFacts, SendFacts};
 pub use process::{Gateway, GatewayError};
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     pub(crate) connects: IntCounter,
     pub(crate) resumed: IntCounter,
     pub(crate) unconfirmed_ends: IntCounter,
+    pub(crate) unrecognized_responses: IntCounter,
     pub(crate) document_version: IntGauge,
     pub(crate) instances: IntGauge,
     /// Instances found ended after a broken send.
@@ -203,7 +204,12 @@
             "gateway_unconfirmed_ends_total",
             "Bodies ended by their connection that are not known to be whole",
         )?;
+        let unrecognized_responses = IntCounter::new(
+            "gateway_unrecognized_responses_total",
+            "Successful responses that are no answers of their instances",
+        )?;
         registry.register(Box::new(resumed.clone()))?;
+        registry.register(Box::new(unrecognized_responses.clone()))?;
         registry.register(Box::new(unconfirmed_ends.clone()))?;
         registry.register(Box::new(document_version.clone()))?;
         registry.register(Box::new(instances.clone()))?;
@@ -262,6 +268,7 @@
             connects,
             resumed,
             unconfirmed_ends,
+            unrecognized_responses,
             document_version,
             instances,
             instance_ends,
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::credit::CreditHold;
 use crate::events::{BodyEvents, EventBuffer};
-use crate::exchange::{self, ReceivedResponse, RequestTemplate, Target};
+use crate::exchange::{self, ReceivedResponse, RequestTemplate, SendFailure, Target};
 use crate::forward::{is_stream, record_failure, record_rejection};
 use crate::framing::{Framing, is_event_stream};
 use crate::hop::HopOutcome;
@@ -439,17 +439,18 @@
                 return false;
             }
         };
-        let stated = received.facts.attempt.as_deref();
-        let same_attempt = stated.is_none_or(|stated| stated == self.ticket.description.attempt);
-        if same_attempt {
-            record_statement(&shared, &self.ticket, &instance, sent_at, &received.facts);
+        if let Some(defect) = received.defect(&shared, &self.ticket) {
+            let failure = SendFailure::Broken(defect);
+            record_failure(&shared, &mut self.ticket, active, &failure);
+            return false;
         }
+        record_statement(&shared, &self.ticket, &instance, sent_at, &received.facts);
         if received.facts.not_executed || received.facts.misdirected {
             record_rejection(&shared, &self.ticket, active, &received);
             self.undo_credit_use();
             return false;
         }
-        if !same_attempt || received.head.status != self.status {
+        if received.head.status != self.status {
             active.end(SendOutcome::Failed);
             return false;
         }
--- a/crates/millpass-gateway/src/settings.rs
+++ b/crates/millpass-gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the gateway process.
 
+use crate::answer::AnswerHeaders;
 use async_io::Async;
 use millpass_dispatch::DispatchSettings;
 use millpass_proto::Duration;
@@ -75,6 +76,8 @@
     pub drain_grace: Duration,
     /// Time for which new connections are still accepted after a stop was requested.
     pub drain_accept: Duration,
+    /// What a successful response must carry to be an answer of its instance.
+    pub answers: AnswerHeaders,
     /// Opens the connections to instances.
     pub connector: Connector,
 }
