Bound what servers send without end, in bytes and in time

Cause: the HTTP library bounds heads, lines, trailers and extensions, but not interim heads, the time of a head, the digits of a chunk's size, nor an event that is held until it is complete. The kernel takes up to some 32 MiB of what is not read yet, which counts as memory.

Change: the bytes of a connection are counted by what it is waited for, and it fails beyond stated bounds (docs/design/response-ends.md#bytes-without-end); events held are at most 1 MiB; receive buffers are set.

--- a/crates/millpass-gateway/src/events.rs
+++ b/crates/millpass-gateway/src/events.rs
@@ -6,6 +6,9 @@
 use bytes::{Bytes, BytesMut};
 use millpass_event_stream::EventScanner;
 
+/// Maximum bytes of an event that is held until it is complete.
+const MAXIMUM_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Buffers the bytes of a stream and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
@@ -24,6 +27,11 @@
         }
     }
 
+    /// Returns whether the partial event is larger than any that is held.
+    pub fn is_excessive(&self) -> bool {
+        self.pending.len() > MAXIMUM_EVENT_BYTES
+    }
+
     /// Returns the id of the last complete event.
     pub fn last_identity(&self) -> Option<&str> {
         self.scanner.last_id()
@@ -79,6 +87,11 @@
         }
     }
 
+    /// Returns whether a partial event has become too large to be held.
+    pub(crate) fn is_excessive(&self) -> bool {
+        matches!(self, BodyEvents::Buffered(buffer) if buffer.is_excessive())
+    }
+
     /// Returns whether only complete events are forwarded.
     pub(crate) fn is_buffered(&self) -> bool {
         matches!(self, BodyEvents::Buffered(_))
--- a/crates/millpass-gateway/src/exchange.rs
+++ b/crates/millpass-gateway/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::hop;
 use crate::interface::{Interface, ResponseFacts, SendFacts};
-use crate::pool::{self, Connection};
+use crate::pool::{self, Connection, InstanceSender};
 use crate::reach::{self, PathWatch};
 use crate::shared::Shared;
 use bytes::Bytes;
@@ -13,7 +13,6 @@
 use http::{HeaderMap, Method, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use millpass_dispatch::Ticket;
 use millpass_proto::{InstanceId, Timestamp};
 use std::time::Duration;
@@ -92,7 +91,7 @@
 pub(crate) struct ReceivedResponse {
     pub(crate) head: http::response::Parts,
     pub(crate) body: Incoming,
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: InstanceSender,
     pub(crate) facts: ResponseFacts,
 }
 
@@ -192,7 +191,7 @@
     mut pooled: Option<Connection>,
     open: impl Fn() -> Opening,
     mut request: hyper::Request<Full<Bytes>>,
-) -> Result<(http::Response<Incoming>, SendRequest<Full<Bytes>>), SendFailure>
+) -> Result<(http::Response<Incoming>, InstanceSender), SendFailure>
 where
     Opening: Future<Output = Result<Connection, SendFailure>>,
 {
@@ -201,8 +200,24 @@
             Some(pooled) => pooled,
             None => open().await?,
         };
-        match used.sender.try_send_request(request).await {
-            Ok(response) => return Ok((response, used.sender)),
+        let meter = used.sender.meter.clone();
+        meter.begin_head();
+        let interim = meter.clone();
+        hyper::ext::on_informational(&mut request, move |_| interim.interim_head_received());
+        let received = async { Some(used.sender.requests.try_send_request(request).await) };
+        let overdue = async {
+            meter.head_overdue().await;
+            None
+        };
+        let Some(received) = future::or(received, overdue).await else {
+            let reason = "the head of the response does not end".to_owned();
+            return Err(SendFailure::Broken(reason));
+        };
+        match received {
+            Ok(response) => {
+                meter.begin_body();
+                return Ok((response, used.sender));
+            }
             Err(mut error) => {
                 let unsent_request = error.take_message();
                 let reason = error.into_error().to_string();
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 //! | `framing` | how the end of a response body is recognized |
 //! | `events` | splits a stream into complete events |
 //! | `pool` | connections to instances |
+//! | `instance_stream` | bounds what is read of a response that does not end |
 //! | `probe` | connects to instances whose path is in doubt |
 //! | `reach` | observes and logs the paths to instances |
 //! | `freshness` | queries members whether the cached state is stale |
@@ -44,6 +45,7 @@
 mod framing;
 mod freshness;
 mod hop;
+mod instance_stream;
 pub mod interface;
 mod link;
 mod metrics;
--- a/crates/millpass-gateway/src/pool.rs
+++ b/crates/millpass-gateway/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connection pool. A connection serves one request at a time and is returned to the pool only
 //! after a complete response.
 
+use crate::instance_stream::{InstanceStream, ReadMeter};
 use crate::settings::Connector;
 use async_executor::Executor;
 use async_io::Timer;
@@ -16,7 +17,7 @@
 use std::hash::Hash;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Maximum number of idle connections per destination.
@@ -31,6 +32,10 @@
 /// Time after which unacknowledged bytes or keep-alive probes end a connection.
 const USER_TIMEOUT: Duration = Duration::from_millis(4_000);
 
+/// Receive buffer of a connection. Unread bytes count as memory, and the kernel would take up to some
+/// 32 MiB of a response that is not read yet.
+const RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
+
 /// Idle time before a keep-alive probe, and between probes. They detect a dead peer while a
 /// response is pending, when no unacknowledged bytes are left.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -82,14 +87,30 @@
     }
 }
 
+/// Sending end of a connection.
+pub(crate) struct InstanceSender {
+    pub(crate) requests: SendRequest<Full<Bytes>>,
+    pub(crate) meter: Arc<ReadMeter>,
+}
+
+impl InstanceSender {
+    fn is_closed(&self) -> bool {
+        self.requests.is_closed()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.requests.is_ready()
+    }
+}
+
 /// A connection ready for one request.
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: InstanceSender,
     pub(crate) reused: bool,
 }
 
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    sender: InstanceSender,
     usable_from: Timestamp,
     expires_at: Timestamp,
 }
@@ -128,12 +149,7 @@
     }
 
     /// Returns a connection after a complete response.
-    pub(crate) fn put(
-        &self,
-        key: &K,
-        sender: SendRequest<Full<Bytes>>,
-        keep_alive: Option<Duration>,
-    ) {
+    pub(crate) fn put(&self, key: &K, sender: InstanceSender, keep_alive: Option<Duration>) {
         let time = keep_alive
             .map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
                 stated.saturating_sub(IDLE_MARGIN)
@@ -190,11 +206,14 @@
     stream.get_ref().set_nodelay(true)?;
     let socket = SockRef::from(stream.get_ref());
     let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL);
     let _ = socket.set_tcp_keepalive(&keepalive);
-    let (sender, connection) = http1::Builder::new()
+    let meter = Arc::<ReadMeter>::default();
+    let stream = InstanceStream::new(stream, meter.clone());
+    let (requests, connection) = http1::Builder::new()
         .preserve_header_case(true)
         .max_buf_size(64 * 1024)
         .handshake(FuturesIo::new(stream))
@@ -206,7 +225,7 @@
     };
     executor.spawn(serving).detach();
     Ok(Connection {
-        sender,
+        sender: InstanceSender { requests, meter },
         reused: false,
     })
 }
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use crate::interface::SendFacts;
 use crate::peer::{self, PeerResponse};
 use crate::peer_service::ForwardedGuard;
+use crate::pool::InstanceSender;
 use crate::probe;
 use crate::reach::{self, PathWatch};
 use crate::request_log::{InFlight, log_connection_end, log_request};
@@ -21,7 +22,6 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::client::conn::http1::SendRequest;
 use millpass_dispatch::{Choice, ForwardOutcome, RefusalReason, SendOutcome, Ticket};
 use millpass_event_stream::EventScanner;
 use millpass_proto::{Duration, GatewayPeer, Timestamp};
@@ -48,7 +48,7 @@
     template: RequestTemplate,
     active: Option<Active>,
     body: Incoming,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<InstanceSender>,
     keep_alive: Option<Duration>,
     head_latency: Duration,
     status: StatusCode,
@@ -141,6 +141,13 @@
                         self.record_events();
                         return Some((Ok(Frame::data(forwarded)), self));
                     }
+                    if self.events.is_excessive() {
+                        let reason = "an event of the stream does not end";
+                        if self.resume(reason).await {
+                            continue;
+                        }
+                        return Some(self.abort("broken", reason).await);
+                    }
                 }
                 BodyRead::End => {
                     let remainder = self.events.take_remainder();
@@ -163,6 +170,9 @@
     }
 
     async fn read(&mut self) -> BodyRead {
+        if let Some(sender) = &self.sender {
+            sender.meter.begin_body();
+        }
         let body = &mut self.body;
         let read = async {
             loop {
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -2,16 +2,13 @@
 
 use crate::interface::Interface;
 use crate::metrics::Metrics;
-use crate::pool::Pool;
+use crate::pool::{InstanceSender, Pool};
 use crate::reach;
 use crate::settings::GatewaySettings;
 use async_executor::Executor;
 use async_io::Timer;
-use bytes::Bytes;
 use event_listener::{Event, EventListener};
 use futures_lite::future;
-use http_body_util::Full;
-use hyper::client::conn::http1::SendRequest;
 use millpass_dispatch::admission::WaiterNumber;
 use millpass_dispatch::{
     Choice, Dispatcher, ForwardOutcome, PeerEndpoint, SendOutcome, SendRecord, Ticket,
@@ -396,11 +393,7 @@
     }
 
     /// Returns the connection of a complete response to its pool.
-    pub(crate) fn put_connection(
-        &self,
-        sender: SendRequest<Full<Bytes>>,
-        keep_alive: Option<Duration>,
-    ) {
+    pub(crate) fn put_connection(&self, sender: InstanceSender, keep_alive: Option<Duration>) {
         match self {
             Active::Instance(send) => {
                 let instance = &send.record().instance;
