Close a stream's connection before it goes on at another server

Cause: Relay::resume dropped the sender and kept the body, and with it the connection, until the other server's head had come.

Ruled out: a server that ignores the close. It sees it 899 ms after the other one begins, which is the other one's time to its head.

Change: the body is dropped before the stream is sent elsewhere.

--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -47,7 +47,8 @@
     ticket: Ticket,
     template: RequestTemplate,
     active: Option<Active>,
-    body: Incoming,
+    /// Dropped before the response is resumed at another instance, so that this one stops its work.
+    body: Option<Incoming>,
     sender: Option<InstanceSender>,
     keep_alive: Option<Duration>,
     head_latency: Duration,
@@ -98,7 +99,7 @@
             ticket,
             template,
             active: Some(active),
-            body: received.body,
+            body: Some(received.body),
             sender: Some(received.sender),
             keep_alive: received.facts.keep_alive,
             head_latency,
@@ -111,7 +112,7 @@
             in_flight,
             _guard: guard,
         };
-        if !relay.events.is_buffered() && relay.body.is_end_stream() {
+        if !relay.events.is_buffered() && relay.is_end_stream() {
             // hyper does not poll an empty body.
             relay.finish();
         }
@@ -123,6 +124,10 @@
         self.events.is_buffered()
     }
 
+    fn is_end_stream(&self) -> bool {
+        self.body.as_ref().is_none_or(Body::is_end_stream)
+    }
+
     async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Relay)> {
         if self.ended {
             return None;
@@ -133,7 +138,7 @@
                     self.record_progress();
                     // hyper drops a body with a content length after its last byte, without polling
                     // for the end.
-                    if !self.events.is_buffered() && self.body.is_end_stream() {
+                    if !self.events.is_buffered() && self.is_end_stream() {
                         self.finish();
                     }
                     let forwarded = self.events.push(bytes);
@@ -173,7 +178,9 @@
         if let Some(sender) = &self.sender {
             sender.meter.begin_body();
         }
-        let body = &mut self.body;
+        let Some(body) = &mut self.body else {
+            return BodyRead::Broken("the response was given up".to_owned());
+        };
         let read = async {
             loop {
                 match body.frame().await {
@@ -321,6 +328,7 @@
     /// it.
     async fn resume(&mut self, reason: &str) -> bool {
         self.sender = None;
+        self.body = None;
         if let Some(active) = self.active.take() {
             let instance = active.name();
             log::info!(
@@ -518,7 +526,7 @@
         self.active = Some(active);
         self.has_lasted = false;
         self.framing = Framing::of(&received.head);
-        self.body = received.body;
+        self.body = Some(received.body);
         self.sender = Some(received.sender);
         self.keep_alive = received.facts.keep_alive;
     }
