Bound the memory of request bodies at gateways

Cause: a gateway holds the body of each request that it reads, queues or runs, and bounded only their number.

Change: bytes are reserved before a body is read, bodies.maximum_mb in all and three quarters of it for large ones; what does not fit is refused with 503 and Retry-After, and its rest is read and dropped while the refusal is written. The reservation ends with the head of a response that cannot be resumed.

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -311,6 +311,12 @@
         link_timeout: millis(control.connect_timeout_ms),
         drain_grace: millis(settings.drain.grace_ms),
         drain_accept: millis(settings.drain.accept_ms),
+        body_memory: count(
+            settings
+                .bodies
+                .maximum_mb
+                .saturating_mul(BYTES_PER_MEGABYTE),
+        ),
         answers: AnswerHeaders::default(),
         connector: Connector::default(),
     })
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1433,6 +1433,18 @@
         }
     }
 }
+/// Memory for request bodies.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewayBodiesSection {
+    /// Megabytes of request bodies that are being read, wait or are in progress. A request whose body does not fit is refused with 503 before it is read; a quarter is left to bodies of up to 64 KiB. While a body is sent it takes twice its size.
+    pub maximum_mb: u64,
+}
+impl Default for GatewayBodiesSection {
+    fn default() -> Self {
+        Self { maximum_mb: 64u64 }
+    }
+}
 /// Where resumable streams began: a stream goes on only at the software version that began it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -1593,6 +1605,8 @@
     pub reachability: GatewayReachabilitySection,
     /// Requests that gateways without a path to the instances forward to this gateway.
     pub peers: GatewayPeersSection,
+    /// Memory for request bodies.
+    pub bodies: GatewayBodiesSection,
     /// Where resumable streams began: a stream goes on only at the software version that began it.
     pub streams: GatewayStreamsSection,
     /// Which requests may have crashed an instance.
@@ -1787,6 +1801,21 @@
                 },
             ],
         },
+        SectionSpecification {
+            name: "bodies",
+            repeated: false,
+            keys: &[
+                KeySpecification {
+                    name: "maximum_mb",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 1u64,
+                        maximum: 65536u64,
+                        rounding: None,
+                    },
+                },
+            ],
+        },
         SectionSpecification {
             name: "streams",
             repeated: false,
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Handles one request from its head to its response.
 
+use crate::body_memory::{self, BodyRefusal, BodyReservation, HeldBody};
 use crate::credit::{CreditHold, CreditRefusal};
 use crate::exchange::{
     self, ReceivedResponse, RequestTemplate, SendFailure, Target, remove_hop_by_hop_headers,
@@ -8,7 +9,7 @@
 use crate::hop::{HopOutcome, HopRequest, HopResponse};
 use crate::interface::{ResponseFacts, SendFacts};
 use crate::peer::{self, PeerResponse};
-use crate::peer_service::{ForwardedGuard, state_hop};
+use crate::peer_service::{self, ForwardedGuard, state_hop};
 use crate::probe;
 use crate::reach::PathWatch;
 use crate::relay::{Relay, RelayBody, full_body, relay};
@@ -25,8 +26,8 @@
 use futures_lite::future;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use millpass_dispatch::{
     Choice, ForwardOutcome, RefusalReason, RequestIdentity, RouteError, SendOutcome, Ticket,
 };
@@ -40,6 +41,8 @@
 const DEFAULT_BODY_BYTES: u64 = 4 * 1024 * 1024;
 /// Maximum time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Retry-After of a request whose body has no memory; the retry may reach another gateway.
+const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Maximum size of a buffered error response body.
 const MAXIMUM_ERROR_BODY_BYTES: usize = 256 * 1024;
 /// Maximum time to receive an error response body.
@@ -54,6 +57,37 @@
 /// Maximum of that range: enough to spread callers, also where the bucket is in debt for minutes.
 const MAXIMUM_QUOTA_RETRY_JITTER: Duration = Duration::from_secs(1);
 
+/// Why a request body was not read.
+enum BodyError {
+    Refused(BodyRefusal),
+    TimedOut,
+}
+
+impl BodyError {
+    /// Returns the response to the caller.
+    fn response(&self, shared: &Shared, attempt: &str) -> Response<RelayBody> {
+        let (status, retry_after) = match self {
+            BodyError::Refused(BodyRefusal::TooLarge) => (StatusCode::PAYLOAD_TOO_LARGE, None),
+            BodyError::Refused(BodyRefusal::Unreadable) => (StatusCode::BAD_REQUEST, None),
+            BodyError::TimedOut => (StatusCode::REQUEST_TIMEOUT, None),
+            BodyError::Refused(BodyRefusal::NoMemory) => {
+                let used = shared.body_memory.used();
+                log::warn!("event=body_refused request={attempt} used_bytes={used}");
+                shared.metrics.refused_bodies.inc();
+                (
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    Some(BODY_MEMORY_RETRY_AFTER),
+                )
+            }
+        };
+        let reason = match status {
+            StatusCode::SERVICE_UNAVAILABLE => "too many bytes of other requests are held here",
+            _ => "the request body exceeds the configured limit or was not received in time",
+        };
+        gateway_response(shared, attempt, status, reason, retry_after)
+    }
+}
+
 /// An error response of an instance, relayed if no other instance serves the request.
 struct ErrorResponse {
     head: http::response::Parts,
@@ -93,20 +127,16 @@
     };
     let body = match read_body(shared, body).await {
         Ok(body) => body,
-        Err(status) => {
-            let reason =
-                "the request body exceeds the configured limit or was not received in time";
-            return gateway_response(shared, &attempt, status, reason, None);
-        }
+        Err(error) => return error.response(shared, &attempt),
     };
-    description.fingerprint = fingerprint(&head, tenant.as_deref(), &route, &body);
+    description.fingerprint = fingerprint(&head, tenant.as_deref(), &route, &body.bytes);
     let draw: f64 = rand::rng().random();
     let ticket = shared
         .core()
         .begin(arrived, route, tenant, description, draw);
     in_flight.track(&ticket);
-    let template = RequestTemplate::new(shared.interface.as_ref(), head, body);
-    let forward = Forward::new(shared, ticket, template, in_flight);
+    let template = RequestTemplate::new(shared.interface.as_ref(), head, body.bytes);
+    let forward = Forward::new(shared, ticket, template, body.reservation, in_flight);
     forward.serve_within_quota().await
 }
 
@@ -125,13 +155,12 @@
     let mut description = shared.interface.describe(&head.headers);
     let body = match read_body(shared, body).await {
         Ok(body) => body,
-        Err(status) => {
-            let attempt = &description.attempt;
-            let reason = "the request body was not received";
-            return gateway_response(shared, attempt, status, reason, None);
+        Err(BodyError::Refused(BodyRefusal::NoMemory)) => {
+            return peer_service::decline(shared, &description.attempt, "busy");
         }
+        Err(error) => return error.response(shared, &description.attempt),
     };
-    description.fingerprint = fingerprint(&head, tenant.as_deref(), &route, &body);
+    description.fingerprint = fingerprint(&head, tenant.as_deref(), &route, &body.bytes);
     let mut ticket = shared
         .core()
         .begin_forwarded(arrived, route, tenant, description, hop.terms);
@@ -139,11 +168,11 @@
         ticket.require_software(software);
     }
     in_flight.track(&ticket);
-    let template = RequestTemplate::new(shared.interface.as_ref(), head, body);
+    let template = RequestTemplate::new(shared.interface.as_ref(), head, body.bytes);
     let forward = Forward {
         last_event: hop.last_event,
         guard,
-        ..Forward::new(shared, ticket, template, in_flight)
+        ..Forward::new(shared, ticket, template, body.reservation, in_flight)
     };
     forward.run().await
 }
@@ -193,6 +222,8 @@
     /// Units claimed from the tenant's quota; `None` if it has no limit.
     credit: Option<CreditHold>,
     template: RequestTemplate,
+    /// Memory of the template's body.
+    reservation: Option<BodyReservation>,
     error_response: Option<ErrorResponse>,
     may_have_run: bool,
     in_flight: Option<InFlight>,
@@ -217,6 +248,7 @@
         shared: &Arc<Shared>,
         ticket: Ticket,
         template: RequestTemplate,
+        reservation: BodyReservation,
         in_flight: InFlight,
     ) -> Self {
         Forward {
@@ -224,6 +256,7 @@
             ticket,
             credit: None,
             template,
+            reservation: Some(reservation),
             error_response: None,
             may_have_run: false,
             in_flight: Some(in_flight),
@@ -579,11 +612,17 @@
         remove_hop_by_hop_headers(response.headers_mut());
         let resumable = self.ticket.route.resumable && received.head.status.is_success();
         let credit = self.credit.take().filter(|_| resumable);
+        let reservation = self.reservation.take().filter(|_| resumable);
+        if !resumable {
+            // The body is not sent again.
+            self.template.body = Bytes::new();
+        }
         let relayed = Relay::new(
             self.shared.clone(),
             credit,
             self.ticket.clone(),
             self.template.clone(),
+            reservation,
             active,
             received,
             head_latency,
@@ -733,11 +772,8 @@
     }
 }
 
-/// Reads a request body within the configured size limit.
-async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, StatusCode> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
+/// Reads a request body within the configured size limit and the memory for bodies.
+async fn read_body(shared: &Shared, mut body: Incoming) -> Result<HeldBody, BodyError> {
     let stated = shared
         .core()
         .table()
@@ -747,21 +783,18 @@
     } else {
         stated
     };
-    if body.size_hint().lower() > limit {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let read = async { Some(Limited::new(body, limit).collect().await) };
+    let read = async { Some(shared.body_memory.read(&mut body, limit).await) };
     let timer = async {
         Timer::after(BODY_TIMEOUT).await;
         None
     };
-    match future::or(read, timer).await {
-        None => Err(StatusCode::REQUEST_TIMEOUT),
-        Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Some(Err(_)) => Err(StatusCode::BAD_REQUEST),
+    let read = future::or(read, timer).await;
+    let read = read.ok_or(BodyError::TimedOut)?;
+    if matches!(read, Err(BodyRefusal::NoMemory | BodyRefusal::TooLarge)) {
+        shared.executor.spawn(body_memory::discard(body)).detach();
     }
+    read.map_err(BodyError::Refused)
 }
 
 /// Reads the body of an error response; `None` if it is incomplete, too large or not received in
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! | `relay` | relays response bodies and resumes broken streams |
 //! | `resumption` | finds out whether a stream that a caller takes up may go on |
 //! | `answer` | which successful responses are answers of an instance |
+//! | `body_memory` | bounds the memory of request bodies |
 //! | `framing` | how the end of a response body is recognized |
 //! | `events` | splits a stream into complete events |
 //! | `pool` | connections to instances |
@@ -37,6 +38,7 @@
 //! Lock order: `shared` (the core), then `pool`; no lock is held across an await.
 
 mod answer;
+mod body_memory;
 mod caller_stream;
 mod credit;
 mod events;
--- a/crates/millpass-gateway/src/metrics.rs
+++ b/crates/millpass-gateway/src/metrics.rs
@@ -40,6 +40,8 @@
     pub(crate) connects: IntCounter,
     pub(crate) resumed: IntCounter,
     pub(crate) unconfirmed_ends: IntCounter,
+    pub(crate) refused_bodies: IntCounter,
+    pub(crate) body_bytes: IntGauge,
     pub(crate) unrecognized_responses: IntCounter,
     pub(crate) document_version: IntGauge,
     pub(crate) instances: IntGauge,
@@ -208,7 +210,14 @@
             "gateway_unrecognized_responses_total",
             "Successful responses that are no answers of their instances",
         )?;
+        let refused_bodies = IntCounter::new(
+            "gateway_refused_bodies_total",
+            "Requests refused because bodies of others use the memory",
+        )?;
+        let body_bytes = IntGauge::new("gateway_body_bytes", "Memory reserved for bodies")?;
         registry.register(Box::new(resumed.clone()))?;
+        registry.register(Box::new(refused_bodies.clone()))?;
+        registry.register(Box::new(body_bytes.clone()))?;
         registry.register(Box::new(unrecognized_responses.clone()))?;
         registry.register(Box::new(unconfirmed_ends.clone()))?;
         registry.register(Box::new(document_version.clone()))?;
@@ -268,6 +277,8 @@
             connects,
             resumed,
             unconfirmed_ends,
+            refused_bodies,
+            body_bytes,
             unrecognized_responses,
             document_version,
             instances,
--- a/crates/millpass-gateway/src/peer_service.rs
+++ b/crates/millpass-gateway/src/peer_service.rs
@@ -132,7 +132,7 @@
     }
 }
 
-fn decline(shared: &Shared, attempt: &str, reason: &'static str) -> Response<RelayBody> {
+pub(crate) fn decline(shared: &Shared, attempt: &str, reason: &'static str) -> Response<RelayBody> {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let response = gateway_response(shared, attempt, status, reason, None);
     state(shared, response, HopOutcome::Declined, reason)
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a response body as it arrives, and resumes a broken resumable stream at another instance.
 //! Dropping the body cancels the request at the instance.
 
+use crate::body_memory::BodyReservation;
 use crate::credit::CreditHold;
 use crate::events::{BodyEvents, EventBuffer};
 use crate::exchange::{self, ReceivedResponse, RequestTemplate, SendFailure, Target};
@@ -46,6 +47,8 @@
     credit: Option<CreditHold>,
     ticket: Ticket,
     template: RequestTemplate,
+    /// Memory of the template's body, if the stream may be resumed.
+    _reservation: Option<BodyReservation>,
     active: Option<Active>,
     /// Dropped before the response is resumed at another instance, so that this one stops its work.
     body: Option<Incoming>,
@@ -79,6 +82,7 @@
         credit: Option<CreditHold>,
         ticket: Ticket,
         template: RequestTemplate,
+        reservation: Option<BodyReservation>,
         active: Active,
         received: ReceivedResponse,
         head_latency: Duration,
@@ -98,6 +102,7 @@
             credit,
             ticket,
             template,
+            _reservation: reservation,
             active: Some(active),
             body: Some(received.body),
             sender: Some(received.sender),
--- a/crates/millpass-gateway/src/server.rs
+++ b/crates/millpass-gateway/src/server.rs
@@ -162,7 +162,11 @@
         Service::Callers => forward::handle(shared, request).await,
         Service::Readiness => readiness(&shared, &request),
         Service::Peers => peer_service::handle(shared, request).await,
-        Service::Metrics => text(StatusCode::OK, shared.metrics.exposition()),
+        Service::Metrics => {
+            let used = i64::try_from(shared.body_memory.used()).unwrap_or(i64::MAX);
+            shared.metrics.body_bytes.set(used);
+            text(StatusCode::OK, shared.metrics.exposition())
+        }
     }
 }
 
--- a/crates/millpass-gateway/src/settings.rs
+++ b/crates/millpass-gateway/src/settings.rs
@@ -76,6 +76,8 @@
     pub drain_grace: Duration,
     /// Time for which new connections are still accepted after a stop was requested.
     pub drain_accept: Duration,
+    /// Memory for request bodies that are being read, wait or are in progress, in bytes.
+    pub body_memory: usize,
     /// What a successful response must carry to be an answer of its instance.
     pub answers: AnswerHeaders,
     /// Opens the connections to instances.
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks: the decision core behind its lock, and change notifications.
 
+use crate::body_memory::BodyMemory;
 use crate::interface::Interface;
 use crate::metrics::Metrics;
 use crate::pool::{InstanceSender, Pool};
@@ -46,6 +47,7 @@
     pub(crate) member_responded: Event,
     /// Notified when instances should be probed after broken sends.
     pub(crate) probe: Event,
+    pub(crate) body_memory: Arc<BodyMemory>,
     pub(crate) pool: Pool<InstanceId>,
     /// Connections to other gateways, by name.
     pub(crate) peer_pool: Pool<String>,
@@ -78,6 +80,7 @@
             core: Mutex::new(Dispatcher::new(settings.dispatch.clone())),
             turns: Mutex::default(),
             clock: settings.clock,
+            body_memory: BodyMemory::new(settings.body_memory),
             pool: Pool::new(settings.clock),
             peer_pool: Pool::new(settings.clock),
             endpoint,
