Bound the bodies that members read at once

Cause: the administration API read and parsed any number of documents at once, each held as received, as parsed and as a document.

Change: bodies of over 64 KiB wait unread while bodies of twice the size limit are read or handled; a body is copied once when it is read. The reading of a gateway's request bodies has moved to a module of its own, as forward.rs had grown.

--- a/crates/millpass-control/src/administration/server.rs
+++ b/crates/millpass-control/src/administration/server.rs
@@ -134,6 +134,10 @@
     })
 }
 
+/// Bodies of the largest size that are read or handled at once. Each is held as received, as parsed and
+/// as a document.
+const LARGE_BODIES_AT_ONCE: usize = 2;
+
 fn server_settings(limits: &AdministrationLimits) -> ServerSettings {
     ServerSettings {
         name: "administration".to_owned(),
@@ -141,6 +145,7 @@
         handler_threads: limits.maximum_calls,
         maximum_connections: limits.maximum_connections,
         maximum_body_bytes: limits.maximum_body_bytes,
+        maximum_large_bytes: LARGE_BODIES_AT_ONCE * limits.maximum_body_bytes,
         header_timeout: limits.receive_timeout,
         body_timeout: limits.receive_timeout,
         ..ServerSettings::default()
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -1,6 +1,6 @@
 //! Handles one request from its head to its response.
 
-use crate::body_memory::{self, BodyRefusal, BodyReservation, HeldBody};
+use crate::body_memory::{BodyRefusal, BodyReservation};
 use crate::credit::{CreditHold, CreditRefusal};
 use crate::exchange::{
     self, ReceivedResponse, RequestTemplate, SendFailure, Target, remove_hop_by_hop_headers,
@@ -13,6 +13,7 @@
 use crate::probe;
 use crate::reach::PathWatch;
 use crate::relay::{Relay, RelayBody, full_body, relay};
+use crate::request_body::{BodyError, read_body};
 use crate::request_log::{InFlight, log_request, log_send_failure};
 use crate::responses::{
     NOT_CONFIGURED_RETRY_AFTER, gateway_response, request_host, unidentified_response,
@@ -37,12 +38,6 @@
 use rand::RngExt;
 use std::sync::Arc;
 
-/// Body size limit if the configuration states none.
-const DEFAULT_BODY_BYTES: u64 = 4 * 1024 * 1024;
-/// Maximum time to receive a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
-/// Retry-After of a request whose body has no memory; the retry may reach another gateway.
-const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Maximum size of a buffered error response body.
 const MAXIMUM_ERROR_BODY_BYTES: usize = 256 * 1024;
 /// Maximum time to receive an error response body.
@@ -57,37 +52,6 @@
 /// Maximum of that range: enough to spread callers, also where the bucket is in debt for minutes.
 const MAXIMUM_QUOTA_RETRY_JITTER: Duration = Duration::from_secs(1);
 
-/// Why a request body was not read.
-enum BodyError {
-    Refused(BodyRefusal),
-    TimedOut,
-}
-
-impl BodyError {
-    /// Returns the response to the caller.
-    fn response(&self, shared: &Shared, attempt: &str) -> Response<RelayBody> {
-        let (status, retry_after) = match self {
-            BodyError::Refused(BodyRefusal::TooLarge) => (StatusCode::PAYLOAD_TOO_LARGE, None),
-            BodyError::Refused(BodyRefusal::Unreadable) => (StatusCode::BAD_REQUEST, None),
-            BodyError::TimedOut => (StatusCode::REQUEST_TIMEOUT, None),
-            BodyError::Refused(BodyRefusal::NoMemory) => {
-                let used = shared.body_memory.used();
-                log::warn!("event=body_refused request={attempt} used_bytes={used}");
-                shared.metrics.refused_bodies.inc();
-                (
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    Some(BODY_MEMORY_RETRY_AFTER),
-                )
-            }
-        };
-        let reason = match status {
-            StatusCode::SERVICE_UNAVAILABLE => "too many bytes of other requests are held here",
-            _ => "the request body exceeds the configured limit or was not received in time",
-        };
-        gateway_response(shared, attempt, status, reason, retry_after)
-    }
-}
-
 /// An error response of an instance, relayed if no other instance serves the request.
 struct ErrorResponse {
     head: http::response::Parts,
@@ -772,31 +736,6 @@
     }
 }
 
-/// Reads a request body within the configured size limit and the memory for bodies.
-async fn read_body(shared: &Shared, mut body: Incoming) -> Result<HeldBody, BodyError> {
-    let stated = shared
-        .core()
-        .table()
-        .map_or(0, |table| table.document().limits.body_bytes);
-    let limit = if stated == 0 {
-        DEFAULT_BODY_BYTES
-    } else {
-        stated
-    };
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let read = async { Some(shared.body_memory.read(&mut body, limit).await) };
-    let timer = async {
-        Timer::after(BODY_TIMEOUT).await;
-        None
-    };
-    let read = future::or(read, timer).await;
-    let read = read.ok_or(BodyError::TimedOut)?;
-    if matches!(read, Err(BodyRefusal::NoMemory | BodyRefusal::TooLarge)) {
-        shared.executor.spawn(body_memory::discard(body)).detach();
-    }
-    read.map_err(BodyError::Refused)
-}
-
 /// Reads the body of an error response; `None` if it is incomplete, too large or not received in
 /// time.
 async fn read_error_body(body: Incoming) -> Option<Bytes> {
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! | `relay` | relays response bodies and resumes broken streams |
 //! | `resumption` | finds out whether a stream that a caller takes up may go on |
 //! | `answer` | which successful responses are answers of an instance |
+//! | `request_body` | reads the bodies of requests within their limits |
 //! | `body_memory` | bounds the memory of request bodies |
 //! | `framing` | how the end of a response body is recognized |
 //! | `events` | splits a stream into complete events |
@@ -59,6 +60,7 @@
 mod reach;
 mod relay;
 mod report_schedule;
+mod request_body;
 mod request_log;
 mod responses;
 mod resumption;
--- a/crates/millpass-http/src/connection.rs
+++ b/crates/millpass-http/src/connection.rs
@@ -1,6 +1,7 @@
 //! Serves one connection: reads requests, passes them to the pool and writes the responses.
 
 use crate::body::ResponseBody;
+use crate::body_budget::{BodyBudget, BodyReservation, SMALL_BODY_BYTES};
 use crate::caller_stream::{CallerStream, RespondingGuard};
 use crate::gone::{GoneFlag, GoneGuard};
 use crate::in_flight::InFlight;
@@ -9,9 +10,9 @@
 use crate::responder::{Handler, OutgoingResponse, Responder};
 use crate::responses;
 use async_io::{Async, Timer};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::future;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -35,6 +36,7 @@
     pub(crate) pool: Pool,
     pub(crate) connections: AtomicUsize,
     pub(crate) in_flight: Arc<InFlight>,
+    pub(crate) large_bodies: Arc<BodyBudget>,
     /// Closed when connections must end after their current request.
     pub(crate) draining: async_channel::Receiver<Infallible>,
 }
@@ -157,8 +159,8 @@
     shared: Arc<Shared>,
     stream: &CallerStream,
 ) -> OutgoingResponse {
-    let request = match read_request(request, &shared.settings).await {
-        Ok(request) => request,
+    let (request, reservation) = match read_request(request, &shared).await {
+        Ok(read) => read,
         Err(refusal) => {
             stream.mark_unread();
             return full_response(refusal);
@@ -172,7 +174,10 @@
     let (responses, received) = async_channel::bounded(1);
     let responder = Responder::new(responses, gone, shared.settings.stream_buffer_chunks);
     let handler = shared.handler.clone();
-    let job = Box::new(move || handler.handle(request, responder));
+    let job = Box::new(move || {
+        handler.handle(request, responder);
+        drop(reservation);
+    });
     shared.pool.run(job);
     let response = received.recv().await;
     guard.disarm();
@@ -185,11 +190,12 @@
     }
 }
 
-/// Checks the head against its limits and reads the body.
+/// Checks the head against its limits and reads the body, whose bytes are reserved if it is large.
 async fn read_request(
     request: hyper::Request<Incoming>,
-    settings: &ServerSettings,
-) -> Result<Request, Response> {
+    shared: &Shared,
+) -> Result<(Request, Option<BodyReservation>), Response> {
+    let settings = &shared.settings;
     let (head, body) = request.into_parts();
     if head_bytes(&head) > MAXIMUM_HEAD_BYTES {
         return Err(responses::head_too_large(
@@ -201,17 +207,23 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(responses::body_too_large(limit));
     }
-    let body = if body.is_end_stream() {
-        Bytes::new()
-    } else {
-        read_body(body, limit, settings.body_timeout).await?
+    let timeout = settings.body_timeout;
+    let read = async { Some(read_body(body, limit, &shared.large_bodies).await) };
+    let timer = async {
+        Timer::after(timeout).await;
+        None
+    };
+    let Some(read) = future::or(read, timer).await else {
+        return Err(responses::body_timeout(timeout.as_millis()));
     };
-    Ok(Request {
+    let (body, reservation) = read?;
+    let request = Request {
         method: head.method,
         uri: head.uri,
         headers: head.headers,
         body,
-    })
+    };
+    Ok((request, reservation))
 }
 
 /// Returns the size of a head without separators. hyper's own limit is not exact: its last read may
@@ -228,18 +240,34 @@
     path + headers
 }
 
-async fn read_body(body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes, Response> {
-    let read = async { Some(Limited::new(body, limit).collect().await) };
-    let timer = async {
-        Timer::after(timeout).await;
-        None
+/// Reads a body. Waits for the bytes of a large one to fit: for its stated size before it is read, or
+/// for the limit once it turns out to be large.
+async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    budget: &Arc<BodyBudget>,
+) -> Result<(Bytes, Option<BodyReservation>), Response> {
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(limit);
+    let mut reservation = match stated > SMALL_BODY_BYTES {
+        true => Some(budget.reserve(stated).await),
+        false => None,
     };
-    match future::or(read, timer).await {
-        None => Err(responses::body_timeout(timeout.as_millis())),
-        Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => Err(responses::body_too_large(limit)),
-        Some(Err(_)) => Err(responses::body_unreadable()),
+    let mut bytes = BytesMut::with_capacity(stated);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| responses::body_unreadable())?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = bytes.len().saturating_add(data.len());
+        if length > limit {
+            return Err(responses::body_too_large(limit));
+        }
+        if length > SMALL_BODY_BYTES && reservation.is_none() {
+            reservation = Some(budget.reserve(limit).await);
+        }
+        bytes.extend_from_slice(&data);
     }
+    Ok((bytes.freeze(), reservation))
 }
 
 fn full_response(response: Response) -> OutgoingResponse {
--- a/crates/millpass-http/src/interface.rs
+++ b/crates/millpass-http/src/interface.rs
@@ -16,6 +16,9 @@
     pub maximum_connections: usize,
     /// Maximum request body size; larger requests receive 413.
     pub maximum_body_bytes: usize,
+    /// Bytes of bodies of over 64 KiB that are read or handled at once; further ones wait, for
+    /// `body_timeout` at most.
+    pub maximum_large_bytes: usize,
     /// Time allowed to send a request head before the caller receives 408; also the time after which
     /// an idle connection is closed.
     pub header_timeout: Duration,
@@ -33,6 +36,7 @@
             handler_threads: 1_024,
             maximum_connections: 8_192,
             maximum_body_bytes: 4 * 1024 * 1024,
+            maximum_large_bytes: 64 * 1024 * 1024,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             stream_buffer_chunks: 64,
--- a/crates/millpass-http/src/lib.rs
+++ b/crates/millpass-http/src/lib.rs
@@ -5,6 +5,7 @@
 //! block while the caller is slow, and fail at once when it disconnects.
 
 mod body;
+mod body_budget;
 mod caller_stream;
 mod connection;
 mod gone;
--- a/crates/millpass-http/src/server.rs
+++ b/crates/millpass-http/src/server.rs
@@ -1,5 +1,6 @@
 //! Server lifecycle: listen, accept, drain, stop.
 
+use crate::body_budget::BodyBudget;
 use crate::connection::{self, ConnectionGuard, Shared};
 use crate::in_flight::InFlight;
 use crate::interface::ServerSettings;
@@ -98,6 +99,7 @@
             handler,
             connections: AtomicUsize::new(0),
             in_flight: Arc::new(InFlight::default()),
+            large_bodies: BodyBudget::new(self.settings.maximum_large_bytes),
             draining,
             settings: self.settings,
         });
