Serve requests that name no attempt

Cause: the attempt's header was required of each answer. Ruled out: load beside the run; the failures are the same alone.

Change: an answer must state the attempt only if its request names one; the signature is required always.

--- a/crates/millpass-gateway/src/answer.rs
+++ b/crates/millpass-gateway/src/answer.rs
@@ -7,6 +7,8 @@
 /// them may come from anything at the instance's address.
 #[derive(Clone, Debug, Default)]
 pub struct AnswerHeaders {
+    /// Whether each answer states the attempt of its request, if the request names one.
+    pub states_attempt: bool,
     /// Headers that each answer carries, with a value.
     pub required: Vec<HeaderName>,
     /// Headers that no answer carries.
--- a/crates/millpass-gateway/src/exchange.rs
+++ b/crates/millpass-gateway/src/exchange.rs
@@ -103,7 +103,15 @@
         if stated.is_some_and(|stated| stated != ticket.description.attempt) {
             return Some("the response belongs to another request".to_owned());
         }
-        let defect = shared.settings.answers.defect(&self.head);
+        let answers = &shared.settings.answers;
+        let is_attempt_missing = answers.states_attempt
+            && self.head.status.is_success()
+            && !ticket.description.attempt.is_empty()
+            && stated.is_none();
+        let defect = match is_attempt_missing {
+            true => Some("the response states no attempt".to_owned()),
+            false => answers.defect(&self.head),
+        };
         if defect.is_some() {
             shared.metrics.unrecognized_responses.inc();
         }
