--- a/review/harness-2/standin.py
+++ b/review/harness-2/standin.py
@@ -571,6 +571,14 @@
         await deployment.start()
         return await main(deployment, record, trouble)
 
+    def overdue(*_):
+        record("cannot run: out of time")
+        if deployment:
+            deployment.end()
+        os._exit(2)
+
+    signal.signal(signal.SIGALRM, overdue)
+    signal.alarm(seconds + 1)
     code = 2
     try:
         held = asyncio.run(asyncio.wait_for(work(), seconds))
