Judge the end of a body at the address that it came from

Cause: a body that nothing but its connection ends counts as whole if its server takes a connection afterwards, and the address was looked up in the list of instances. A deregistered server is on no list and serves on, so no connection was tried and the answer counted as broken.

Change: a send keeps the address that it went to, and the end of its answer is judged there, for relayed bodies and for errors that are read whole in one place. Ruled out: keeping departed instances in the gateway's list, as the answer in progress already outlives any time chosen for that.

--- a/crates/millpass-dispatch/src/reach.rs
+++ b/crates/millpass-dispatch/src/reach.rs
@@ -132,6 +132,11 @@
         self.paths.record_silence(now, &service, instance)
     }
 
+    /// Returns true if an instance is known: it has not departed.
+    pub fn is_known(&self, instance: &InstanceId) -> bool {
+        self.instances.contains_key(instance)
+    }
+
     /// Returns the address of a known instance.
     pub fn address_of(&self, instance: &InstanceId) -> Option<String> {
         let found = self.instances.get(instance)?;
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Handles one request from its head to its response.
 
+use crate::body_end;
 use crate::body_memory::{BodyRefusal, BodyReservation};
 use crate::credit::{CreditHold, CreditRefusal};
 use crate::exchange::{
@@ -10,7 +11,6 @@
 use crate::interface::{ResponseFacts, SendFacts};
 use crate::peer::{self, PeerResponse};
 use crate::peer_service::{self, ForwardedGuard, state_hop};
-use crate::probe;
 use crate::reach::PathWatch;
 use crate::relay::{Relay, RelayBody, full_body, relay};
 use crate::request_body::{BodyError, read_body};
@@ -345,7 +345,8 @@
         if let Some(in_flight) = &mut self.in_flight {
             in_flight.update(&self.ticket);
         }
-        let mut active = ActiveSend::new(shared.clone(), self.ticket.send_record(&instance));
+        let mut active =
+            ActiveSend::new(shared.clone(), self.ticket.send_record(&instance), address);
         let facts = SendFacts {
             remaining: self.ticket.deadline.since(sent_at),
             instance: &instance,
@@ -554,13 +555,7 @@
 
     /// Returns whether a body that was read to its end has not broken off.
     async fn is_whole(&self, head: &http::response::Parts, active: &Active) -> bool {
-        if Framing::of(head) == Framing::Stated {
-            return true;
-        }
-        match active.instance() {
-            Some(instance) => probe::takes_connections(&self.shared, instance).await,
-            None => false,
-        }
+        Framing::of(head) == Framing::Stated || body_end::is_whole(&self.shared, active).await
     }
 
     fn relay_response(
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 //! Lock order: `shared` (the core), then `pool`; no lock is held across an await.
 
 mod answer;
+mod body_end;
 mod body_memory;
 mod caller_stream;
 mod credit;
--- a/crates/millpass-gateway/src/probe.rs
+++ b/crates/millpass-gateway/src/probe.rs
@@ -10,9 +10,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Maximum time to find out whether an instance takes connections: a busy one may drop the first
-/// packets of some.
-const CONFIRMATION_WAIT: Duration = Duration::from_millis(750);
 /// Least time between two rounds.
 const MINIMUM_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -44,41 +41,30 @@
     }
 }
 
-/// Returns whether an instance takes connections after one with a response has ended. False if that
-/// cannot be found out: the response may have broken off.
-pub(crate) async fn takes_connections(shared: &Arc<Shared>, instance: &InstanceId) -> bool {
-    let Some(address) = shared.core().address_of(instance) else {
-        return false;
-    };
-    let until = shared.now() + CONFIRMATION_WAIT;
-    while shared.now() < until {
-        match probe(shared.clone(), instance.clone(), address.clone()).await {
-            ProbeOutcome::Connected => return true,
-            ProbeOutcome::Refused => return false,
-            ProbeOutcome::Unknown => Timer::after(MINIMUM_INTERVAL).await,
-        };
-    }
-    false
-}
-
 /// What a connection attempt shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProbeOutcome {
+pub(crate) enum ProbeOutcome {
     Connected,
     Refused,
     /// The address did not respond, or this machine could not connect.
     Unknown,
 }
 
-/// Connects once. A successful connection goes to the pool.
-async fn probe(shared: Arc<Shared>, instance: InstanceId, address: String) -> ProbeOutcome {
+/// Connects once. A successful connection goes to the pool, unless the instance has departed.
+pub(crate) async fn probe(
+    shared: Arc<Shared>,
+    instance: InstanceId,
+    address: String,
+) -> ProbeOutcome {
     shared.metrics.connects.inc();
     let timeout = shared.settings.connect_timeout;
     let connector = &shared.settings.connector;
     match pool::connect(shared.executor, connector, &address, timeout).await {
         Ok(connection) => {
             reach::record_connected(&shared, &instance);
-            shared.pool.put(&instance, connection.sender, None);
+            if shared.core().is_known(&instance) {
+                shared.pool.put(&instance, connection.sender, None);
+            }
             ProbeOutcome::Connected
         }
         Err(error) if error.is_refused() => {
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a response body as it arrives, and resumes a broken resumable stream at another instance.
 //! Dropping the body cancels the request at the instance.
 
+use crate::body_end;
 use crate::body_memory::BodyReservation;
 use crate::credit::CreditHold;
 use crate::events::{BodyEvents, EventBuffer};
@@ -12,7 +13,6 @@
 use crate::peer::{self, PeerResponse};
 use crate::peer_service::ForwardedGuard;
 use crate::pool::InstanceSender;
-use crate::probe;
 use crate::reach::{self, PathWatch};
 use crate::request_log::{InFlight, log_connection_end, log_request};
 use crate::shared::{Active, ActiveForward, ActiveSend, Shared, Turn};
@@ -218,23 +218,20 @@
         }
     }
 
-    /// Returns what the end of a connection means for the body that nothing else ends: the end of the
-    /// body only if its instance goes on taking connections.
+    /// Returns what the end of a connection means for the body that nothing else ends.
     async fn end_of_connection(&self) -> BodyRead {
         let inside_event = self.events.is_inside_event();
         log_connection_end(&self.shared, &self.ticket, inside_event);
         if inside_event == Some(true) {
             return BodyRead::Broken("the connection ended inside an event".to_owned());
         }
-        let instance = self.active.as_ref().and_then(Active::instance);
-        let is_whole = match instance {
-            Some(instance) => probe::takes_connections(&self.shared, instance).await,
+        let is_whole = match &self.active {
+            Some(active) => body_end::is_whole(&self.shared, active).await,
             None => false,
         };
         if is_whole {
             return BodyRead::End;
         }
-        self.shared.metrics.unconfirmed_ends.inc();
         BodyRead::Broken("the connection ended, and perhaps its instance".to_owned())
     }
 
@@ -431,7 +428,8 @@
         if let Some(in_flight) = &mut self.in_flight {
             in_flight.update(&self.ticket);
         }
-        let mut active = ActiveSend::new(shared.clone(), self.ticket.send_record(&instance));
+        let mut active =
+            ActiveSend::new(shared.clone(), self.ticket.send_record(&instance), address);
         let last = self.events.last_identity();
         if let Some(credit) = &mut self.credit {
             credit.begin_use(sent_at);
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -280,18 +280,26 @@
 pub(crate) struct ActiveSend {
     shared: Arc<Shared>,
     record: SendRecord,
+    address: String,
     ended: bool,
 }
 
 impl ActiveSend {
-    pub(crate) fn new(shared: Arc<Shared>, record: SendRecord) -> Self {
+    /// `address` is where the request is sent.
+    pub(crate) fn new(shared: Arc<Shared>, record: SendRecord, address: &str) -> Self {
         ActiveSend {
             shared,
             record,
+            address: address.to_owned(),
             ended: false,
         }
     }
 
+    /// IP address and port that the request was sent to.
+    pub(crate) fn address(&self) -> &str {
+        &self.address
+    }
+
     pub(crate) fn record(&self) -> &SendRecord {
         &self.record
     }
