Let a stream go on only where the process run behind a connection is known

Cause: a request is sent to an id, the promise is about a process run. The version was that of the instance in the list, whoever was behind its address. docs/design/stream-origins.md named the gap and trusted that a new run holds no model, which guards services with models only.

Change: a run was behind a connection if it is known to have been alive after the connection was opened. The leader knows that from heartbeats: a server sends one only after the one before was acknowledged or given up, so another one proves that the run was alive when the one before arrived. Gateways state the age of the connection that brought a stream's first event, ask the leader for runs, and go on with a stream only on proven connections; what is not proven in streams.proof_timeout_ms is refused with stream-unconfirmed, or breaks off. New streams wait for nothing, and streams of models need none of it.

Ruled out: a bound on the delay of a first heartbeat (none is stated), health checks (they name no run), connections held open to each version (986 gateways, 10,000 instances).

--- a/crates/millpass-cli/src/commands/programs.rs
+++ b/crates/millpass-cli/src/commands/programs.rs
@@ -337,6 +337,7 @@
     BegunSettings {
         retention: millis(section.retention_ms),
         lookup_timeout: millis(section.lookup_timeout_ms),
+        proof_timeout: millis(section.proof_timeout_ms),
         report_interval: millis(section.report_interval_ms),
         maximum: count(section.maximum),
     }
--- a/crates/millpass-config/src/generated.rs
+++ b/crates/millpass-config/src/generated.rs
@@ -1453,6 +1453,8 @@
     pub retention_ms: u64,
     /// Time for which a request that takes up a stream waits for the leader to state its origin.
     pub lookup_timeout_ms: u64,
+    /// Time for which a request that goes on with a stream waits until announcements show that the process run behind a connection is the expected one. At least two intervals of the announcements of instances.
+    pub proof_timeout_ms: u64,
     /// Least time between two statements of begun streams to the leader. With many gateways it is 0.25 ms for each of them. Streams that began within it are lost with the gateway.
     pub report_interval_ms: u64,
     /// Maximum streams whose origins this gateway keeps, of some 200 bytes each; the oldest are forgotten first.
@@ -1463,6 +1465,7 @@
         Self {
             retention_ms: 15000u64,
             lookup_timeout_ms: 400u64,
+            proof_timeout_ms: 3000u64,
             report_interval_ms: 20u64,
             maximum: 20000u64,
         }
@@ -1838,6 +1841,15 @@
                         rounding: None,
                     },
                 },
+                KeySpecification {
+                    name: "proof_timeout_ms",
+                    required: false,
+                    kind: KeyKind::Integer {
+                        minimum: 10u64,
+                        maximum: 60000u64,
+                        rounding: Some(Rounding::Up),
+                    },
+                },
                 KeySpecification {
                     name: "report_interval_ms",
                     required: false,
--- a/crates/millpass-control-plane/src/deployment.rs
+++ b/crates/millpass-control-plane/src/deployment.rs
@@ -11,7 +11,7 @@
 use millpass_proto::{
     Command, ControlToRouter, CrashReport, Duration, EngineInstruction, GatewayReach,
     GatewayReport, InstanceDeparture, InstanceId, InstanceRecord, InstructionIntent, LogPosition,
-    PartSet, PermitRequest, PutDocument, RequestFingerprint, StreamReport, Timestamp,
+    PartSet, PermitRequest, PutDocument, RequestFingerprint, RunQuery, StreamReport, Timestamp,
 };
 use millpass_state::State;
 
@@ -140,6 +140,7 @@
     ) {
         if let Some(fleet) = &mut self.fleet {
             fleet.record_departure_commit(now, at.index);
+            fleet.record_departing(now, &departure.instance);
             fleet.handle_departure(&departure.instance, departure.ended);
         }
     }
@@ -196,6 +197,20 @@
         }
     }
 
+    /// Answers a gateway's question about process runs.
+    pub(crate) fn handle_runs(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        query: RunQuery,
+        out: &mut Outputs,
+    ) {
+        if let Some(fleet) = &self.fleet {
+            let update = fleet.handle_runs(now, query);
+            out.send_router(connection, ControlToRouter::Runs(update));
+        }
+    }
+
     /// Responds to a gateway's permit request, which also carries limits stated by instances.
     pub(crate) fn handle_permit_request(
         &mut self,
--- a/crates/millpass-control-plane/src/reports.rs
+++ b/crates/millpass-control-plane/src/reports.rs
@@ -60,6 +60,10 @@
             self.handle_streams(now, connection, report, out);
             return;
         }
+        if let RouterToControl::Runs(query) = message {
+            self.handle_runs(now, connection, query, out);
+            return;
+        }
         let Some(hello) = self.sessions.identity(connection).cloned() else {
             let pairs = vec![("connection", connection.0.to_string())];
             out.event("router-without-hello", pairs);
@@ -73,7 +77,8 @@
             | RouterToControl::Crashes(_)
             | RouterToControl::Permits(_)
             | RouterToControl::Reach(_)
-            | RouterToControl::Streams(_) => {}
+            | RouterToControl::Streams(_)
+            | RouterToControl::Runs(_) => {}
             RouterToControl::Report(report) => {
                 self.handle_report(now, connection, &hello, report, out);
             }
@@ -97,7 +102,7 @@
         out: &mut Outputs,
     ) {
         match message {
-            RouterToControl::Credit(_) | RouterToControl::Permits(_)
+            RouterToControl::Credit(_) | RouterToControl::Permits(_) | RouterToControl::Runs(_)
                 if self.role == Role::Leader => {}
             RouterToControl::Crashes(report) if self.is_established_leader() => {
                 self.handle_crash_report(now, report);
--- a/crates/millpass-control-plane/tests/harness/router.rs
+++ b/crates/millpass-control-plane/tests/harness/router.rs
@@ -126,7 +126,8 @@
                 | ControlToRouter::Permits(_)
                 | ControlToRouter::Limits(_)
                 | ControlToRouter::Peers(_)
-                | ControlToRouter::Origins(_) => {
+                | ControlToRouter::Origins(_)
+                | ControlToRouter::Runs(_) => {
                     panic!("gateway message sent to a router")
                 }
             }
--- a/crates/millpass-control/src/priority.rs
+++ b/crates/millpass-control/src/priority.rs
@@ -93,7 +93,7 @@
     }
 }
 
-/// Returns the class of a router message. Credit, crashes, permits and origins of streams depend on no earlier message
+/// Returns the class of a router message. Credit, crashes, permits, origins of streams and process runs depend on no earlier message
 /// of their connection. Claims and reports depend on the hello, so these share a class to keep
 /// their order.
 fn router_priority(message: &RouterToControl) -> Priority {
@@ -101,7 +101,8 @@
         RouterToControl::Credit(_)
         | RouterToControl::Crashes(_)
         | RouterToControl::Permits(_)
-        | RouterToControl::Streams(_) => Priority::Credit,
+        | RouterToControl::Streams(_)
+        | RouterToControl::Runs(_) => Priority::Credit,
         RouterToControl::Hello(_)
         | RouterToControl::Report(_)
         | RouterToControl::Claim(_)
--- a/crates/millpass-dispatch/src/dispatcher.rs
+++ b/crates/millpass-dispatch/src/dispatcher.rs
@@ -21,7 +21,7 @@
     InstanceId, InstanceLoad, ModelName, ModelReadyEstimate, RouteSpec, ServiceName,
     SoftwareStatement, TenantAccess, Timestamp, ZoneName,
 };
-use millpass_reach::{Paths, Peers, ReachSettings, RunEnds};
+use millpass_reach::{Paths, Peers, ReachSettings, RunEnds, RunProofs};
 use millpass_tenancy::{CreditPool, PresentedKey, QuotaTolerance};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -200,6 +200,7 @@
     pub(crate) paths: Paths,
     pub(crate) peers: Peers,
     pub(crate) run_ends: RunEnds,
+    pub(crate) runs: RunProofs,
     /// Ended runs to be logged.
     pub(crate) ended_runs: Vec<InstanceId>,
     pub(crate) reach_statement: ReachStatement,
@@ -222,6 +223,7 @@
             paths: Paths::new(settings.reach, reach::sample_offset(&settings.name)),
             peers: Peers::new(settings.zone.clone()),
             run_ends: RunEnds::default(),
+            runs: RunProofs::default(),
             ended_runs: Vec::new(),
             reach_statement: ReachStatement::default(),
             origins: BegunStreams::new(settings.origins),
@@ -420,6 +422,7 @@
             forwarded_to: Vec::new(),
             peers_awaited_since: None,
             is_arrival_recorded: false,
+            connection_opened_at: None,
             description,
         }
     }
@@ -579,6 +582,7 @@
         self.instances_reported = false;
         self.reach_statement = ReachStatement::default();
         self.origins.disconnected();
+        self.runs.disconnected();
     }
 
     /// Number of requests quarantined by the leader.
@@ -609,6 +613,7 @@
     pub fn report(&mut self, now: Timestamp) -> GatewayReport {
         if !self.instances_reported {
             self.origins.connected();
+            self.runs.connected();
         }
         self.reports += 1;
         self.admission.times.sweep(now);
--- a/crates/millpass-dispatch/src/lib.rs
+++ b/crates/millpass-dispatch/src/lib.rs
@@ -43,6 +43,7 @@
 mod reach;
 mod request;
 mod retry_budget;
+mod runs;
 mod selection;
 mod service_times;
 mod statements;
--- a/crates/millpass-dispatch/src/origins.rs
+++ b/crates/millpass-dispatch/src/origins.rs
@@ -92,6 +92,11 @@
                 return Some(Err((RefusalReason::StreamVersionUnknown, None)));
             }
             OriginFinding::Unknown => return Some(Err((RefusalReason::StreamUnknown, None))),
+            OriginFinding::Unproven => {
+                let retry_after = self.settings.origins.lookup_timeout;
+                let reason = RefusalReason::StreamUnconfirmed;
+                return Some(Err((reason, Some(retry_after))));
+            }
             OriginFinding::Unsettled(millis) => {
                 let retry_after = Duration::from_millis(millis);
                 let reason = RefusalReason::StreamUnconfirmed;
@@ -111,8 +116,14 @@
     /// Records that the caller of a resumable stream gets events of the instance that it was last sent
     /// to, with the software as stated then.
     pub fn record_events(&mut self, now: Timestamp, ticket: &mut Ticket) {
+        let mut opened_at = None;
         if ticket.progress == StreamProgress::NotBegun {
             let origin = self.origin(ticket);
+            opened_at = ticket.connection_opened_at.filter(|opened| {
+                let run = ticket.tried.last();
+                self.needs_certain_run(ticket)
+                    && run.is_some_and(|run| !self.runs.is_same(run, *opened, *opened))
+            });
             ticket.progress = StreamProgress::Begun { origin };
         }
         // The gateway that forwarded it records it.
@@ -124,7 +135,12 @@
         };
         let stream = self.key_of(ticket, &ticket.description.attempt);
         let origin = origin.clone();
-        self.origins.begin(now, stream, origin, ticket.deadline);
+        if let (Some(origin), Some(_)) = (&origin, opened_at) {
+            let until = now + self.settings.origins.proof_timeout;
+            self.runs.want(&origin.instance, until);
+        }
+        self.origins
+            .begin(now, stream, origin, opened_at, ticket.deadline);
     }
 
     /// Returns where a stream begins; none if its process run has been replaced since the request was
@@ -189,7 +205,7 @@
         })
     }
 
-    fn key_of(&self, ticket: &Ticket, attempt: &str) -> StreamKey {
+    pub(crate) fn key_of(&self, ticket: &Ticket, attempt: &str) -> StreamKey {
         let tenant = ticket.tenant.as_ref().map(|tenant| &tenant.name);
         stream_key(tenant, &ticket.route.name, attempt)
     }
--- a/crates/millpass-dispatch/src/request.rs
+++ b/crates/millpass-dispatch/src/request.rs
@@ -98,6 +98,8 @@
     pub sent_at: Option<Timestamp>,
     /// Software of the instance that it was last sent to, as known then.
     pub software: SoftwareStatement,
+    /// When the connection was opened that it was last sent on; none if it has not been sent.
+    pub connection_opened_at: Option<Timestamp>,
     /// Events that its caller has.
     pub progress: StreamProgress,
     /// Whether instances believed to be slow are selected as if they were typical.
--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -18,6 +18,7 @@
 use crate::ready_estimates::ReadyEstimates;
 use crate::registry::Registry;
 use crate::rollout::{LAG_THRESHOLD, Rollout};
+use crate::runs::RunTable;
 use crate::shares::{Holder, Shares};
 use crate::standby::Standby;
 use crate::store_capacity::{PendingLoad, StoreCapacity};
@@ -67,6 +68,7 @@
     pub(crate) limits: PermitLedger,
     /// Origins of the streams of all gateways.
     pub(crate) origins: OriginTable,
+    pub(crate) runs: RunTable,
     permits: StorePermits,
     store: StoreCapacity,
     /// Instructions of earlier leaders.
@@ -108,6 +110,7 @@
         Fleet {
             history: InstructionHistory::new(Timestamp::ZERO, settings.order_handover),
             origins: OriginTable::new(Timestamp::ZERO, settings.origins),
+            runs: RunTable::default(),
             crashes: CrashTracker::new(settings.parts),
             settings,
             registry: Registry::default(),
@@ -208,6 +211,7 @@
     fn become_leader(&mut self, now: Timestamp) {
         self.leading_since = Some(now);
         self.origins = OriginTable::new(now, self.settings.origins);
+        self.runs = RunTable::default();
         let announced: Vec<InstanceRecord> = self.local_share.records().cloned().collect();
         for record in announced {
             self.apply_announcement(now, Holder::Own, record, false);
--- a/crates/millpass-fleet/src/instances.rs
+++ b/crates/millpass-fleet/src/instances.rs
@@ -17,6 +17,9 @@
             return;
         }
         if self.local_share.apply_announcement(&record) == AnnouncementOutcome::Stale {
+            if self.has_started_leading() {
+                self.record_lower_sequence(now, &record.instance);
+            }
             return self.log_stale(&record);
         }
         if self.has_started_leading() {
@@ -92,6 +95,7 @@
         now: Timestamp,
         record: InstanceRecord,
     ) -> AnnouncementOutcome {
+        self.runs.record(now, &record.instance, record.sequence);
         let announced = self.registry.apply_announcement(record.clone());
         if announced == AnnouncementOutcome::Stale {
             self.log_stale(&record);
--- a/crates/millpass-fleet/src/lib.rs
+++ b/crates/millpass-fleet/src/lib.rs
@@ -72,6 +72,7 @@
 mod registry;
 mod rollout;
 mod round;
+mod runs;
 mod share_reports;
 mod shares;
 mod standby;
--- a/crates/millpass-fleet/src/local_share.rs
+++ b/crates/millpass-fleet/src/local_share.rs
@@ -95,6 +95,10 @@
             return AnnouncementOutcome::New;
         };
         if record.sequence < entry.record.sequence {
+            // The leader learns of a process that has taken over an ID.
+            if instance.incarnation() == 0 && self.active.contains(instance) {
+                self.heartbeats.insert(instance.clone(), record.sequence);
+            }
             return AnnouncementOutcome::Stale;
         }
         entry.announced_at = self.contact_clock.now();
--- a/crates/millpass-fleet/src/origins.rs
+++ b/crates/millpass-fleet/src/origins.rs
@@ -22,9 +22,12 @@
             .filter(|run| self.has_later_incarnation(run))
             .cloned()
             .collect();
-        let answers = self
+        let mut answers = self
             .origins
             .handle(now, report, |run| replaced.contains(run));
+        for answer in &mut answers {
+            self.check_origin(answer);
+        }
         if dropped == 0 && self.origins.dropped() > 0 {
             let streams = self.origins.len().to_string();
             let remedy = "raise origins.maximum_streams of the members".to_owned();
@@ -38,7 +41,9 @@
                 OriginFinding::Known(origin) => origin.software.as_str(),
                 OriginFinding::Contradicted => "contradicted",
                 // Asked again and again; the gateway logs what it decides.
-                OriginFinding::Unknown | OriginFinding::Unsettled(_) => continue,
+                OriginFinding::Unknown | OriginFinding::Unsettled(_) | OriginFinding::Unproven => {
+                    continue;
+                }
             };
             let stream = format!("{:016x}{:016x}", answer.stream.high, answer.stream.low);
             let finding = finding.to_owned();
--- /dev/null
+++ b/crates/millpass-fleet/src/runs.rs
@@ -0,0 +1,158 @@
+//! Until when process runs of instances are known to have been alive.
+//!
+//! A run announces itself again only after an announcement was acknowledged or given up. So it was alive
+//! when an earlier one arrived, wherever that was held up, and another has arrived since.
+
+use crate::fleet::Fleet;
+use millpass_proto::{
+    Duration, InstanceId, OriginAnswer, OriginFinding, RunProof, RunQuery, RunUpdate, Timestamp,
+};
+use std::collections::BTreeMap;
+
+/// Least time between an announcement and a later one that proves it was not held up: announcements
+/// that arrive together after a pause of this process were sent at unknown times.
+const MIN_SPACING: Duration = Duration::from_millis(100);
+/// Time after its last announcement for which a run is remembered: streams that it began go on.
+const RETENTION: Duration = Duration::from_secs(60);
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Announcements of one process run.
+#[derive(Clone, Copy, Debug)]
+struct Announcements {
+    sequence: u64,
+    heard_at: Timestamp,
+    /// Arrival of an announcement that a later one is to prove.
+    candidate: Timestamp,
+    alive_at: Option<Timestamp>,
+    restarted_at: Option<Timestamp>,
+}
+
+impl Announcements {
+    fn new(now: Timestamp, sequence: u64) -> Self {
+        Announcements {
+            sequence,
+            heard_at: now,
+            candidate: now,
+            alive_at: None,
+            restarted_at: None,
+        }
+    }
+
+    fn record(&mut self, now: Timestamp, sequence: u64) {
+        if sequence <= self.sequence {
+            return;
+        }
+        self.sequence = sequence;
+        self.heard_at = now;
+        if now.since(self.candidate) >= MIN_SPACING {
+            self.alive_at = Some(self.candidate);
+            self.candidate = now;
+        }
+    }
+
+    /// Returns whether the run was behind a connection that was opened at `opened`.
+    fn is_behind(&self, opened: Timestamp) -> bool {
+        self.alive_at.is_some_and(|at| at >= opened)
+            && self.restarted_at.is_none_or(|at| at < opened)
+    }
+}
+
+/// What announcements show of process runs.
+#[derive(Debug, Default)]
+pub(crate) struct RunTable {
+    runs: BTreeMap<InstanceId, Announcements>,
+    swept_at: Timestamp,
+}
+
+impl RunTable {
+    /// Records the arrival of an announcement.
+    pub(crate) fn record(&mut self, now: Timestamp, run: &InstanceId, sequence: u64) {
+        match self.runs.get_mut(run) {
+            Some(known) => known.record(now, sequence),
+            None => {
+                self.runs
+                    .insert(run.clone(), Announcements::new(now, sequence));
+            }
+        }
+        if now.since(self.swept_at) >= SWEEP_INTERVAL {
+            self.swept_at = now;
+            self.runs
+                .retain(|_, run| now.since(run.heard_at) < RETENTION);
+        }
+    }
+
+    fn record_end(&mut self, now: Timestamp, run: &InstanceId) {
+        if let Some(known) = self.runs.get_mut(run) {
+            known.record(now, known.sequence.saturating_add(1));
+        }
+    }
+
+    /// Records an announcement with a lower number than one before it; returns whether another process
+    /// announces itself as this run. Late announcements of a run that states its start time are told by it.
+    fn record_lower_sequence(&mut self, now: Timestamp, run: &InstanceId) -> bool {
+        if run.incarnation() > 0 {
+            return false;
+        }
+        let Some(known) = self.runs.get_mut(run) else {
+            return false;
+        };
+        *known = Announcements {
+            restarted_at: Some(now),
+            ..Announcements::new(now, known.sequence)
+        };
+        true
+    }
+
+    fn proof(&self, now: Timestamp, run: InstanceId) -> Option<RunProof> {
+        let known = self.runs.get(&run)?;
+        let age = |at: Timestamp| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        Some(RunProof {
+            instance: run,
+            // Rounded up: never later than it was.
+            alive_millis: known.alive_at.map(|at| age(at).saturating_add(1)),
+            restarted_millis: known.restarted_at.map(age),
+        })
+    }
+}
+
+impl Fleet {
+    /// Returns what is known of the process runs that a gateway asks for.
+    pub fn handle_runs(&self, now: Timestamp, query: RunQuery) -> RunUpdate {
+        let runs = query.runs.into_iter();
+        RunUpdate {
+            number: query.number,
+            proofs: runs.filter_map(|run| self.runs.proof(now, run)).collect(),
+        }
+    }
+
+    /// Records that an instance has announced its departure.
+    pub fn record_departing(&mut self, now: Timestamp, instance: &InstanceId) {
+        self.runs.record_end(now, instance);
+    }
+
+    /// Records an announcement with a lower number than one before it.
+    pub(crate) fn record_lower_sequence(&mut self, now: Timestamp, instance: &InstanceId) {
+        if self.runs.record_lower_sequence(now, instance) {
+            self.origins.run_restarted(instance);
+            let pairs = vec![("instance", instance.0.clone())];
+            self.event("instance-restarted", pairs);
+        }
+    }
+
+    /// Replaces a known origin by what is known of its process run, unless that began the stream for
+    /// certain.
+    pub(crate) fn check_origin(&self, answer: &mut OriginAnswer) {
+        let OriginFinding::Known(origin) = &answer.finding else {
+            return;
+        };
+        let Some(opened) = self.origins.opened_at(&answer.stream) else {
+            return;
+        };
+        answer.finding = match self.runs.runs.get(&origin.instance) {
+            Some(run) if run.is_behind(opened) => return,
+            // Its announcements go on, or have just ended.
+            Some(_) if self.registry.get(&origin.instance).is_some() => OriginFinding::Unproven,
+            _ => OriginFinding::Contradicted,
+        };
+    }
+}
--- a/crates/millpass-fleet/src/share_reports.rs
+++ b/crates/millpass-fleet/src/share_reports.rs
@@ -69,6 +69,9 @@
             let Some(mut record) = self.registry.last_announced(&heartbeat.instance) else {
                 continue;
             };
+            if heartbeat.sequence < record.sequence {
+                self.record_lower_sequence(now, &heartbeat.instance);
+            }
             record.sequence = heartbeat.sequence;
             self.apply_announcement(now, holder, record, false);
         }
--- a/crates/millpass-gateway/src/exchange.rs
+++ b/crates/millpass-gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 use crate::interface::{Interface, ResponseFacts, SendFacts};
 use crate::pool::{self, Connection, InstanceSender};
 use crate::reach::{self, PathWatch};
+use crate::run_proof::{self, RunQuestion};
 use crate::shared::Shared;
 use bytes::Bytes;
 use futures_lite::future;
@@ -76,6 +77,8 @@
     Unsent(String),
     /// The connection broke or the response was invalid; the request may have run.
     Broken(String),
+    /// It is not certain that the required process run is behind the connection. Nothing was sent.
+    Uncertain(String),
     /// No response in time; the request may have run.
     TimedOut,
 }
@@ -147,6 +150,14 @@
     pub(crate) watch: PathWatch,
 }
 
+impl Target<'_> {
+    /// Returns whether the request goes on with a stream, so that the run behind the connection must be
+    /// certain.
+    fn needs_certain_run(&self, shared: &Shared) -> bool {
+        self.ticket.required_software().is_some() && shared.core().needs_certain_run(self.ticket)
+    }
+}
+
 /// Sends the request and waits for the response head.
 pub(crate) async fn send(
     shared: &Shared,
@@ -181,7 +192,10 @@
         .set_send_headers(request.headers_mut(), facts);
 
     let open = || open(shared, facts.instance, target);
-    let pooled = shared.pool.take(facts.instance);
+    let pooled = match target.needs_certain_run(shared) {
+        true => take_certain(shared, facts.instance),
+        false => shared.pool.take(facts.instance),
+    };
     let (response, sender) = round_trip(pooled, open, request).await?;
     let (head, body) = response.into_parts();
     let facts = shared.interface.read_response(head.status, &head.headers);
@@ -242,6 +256,34 @@
     }
 }
 
+/// Takes an idle connection that is certain to lead to the process run.
+fn take_certain(shared: &Shared, instance: &InstanceId) -> Option<Connection> {
+    let core = shared.core();
+    let is_certain = |opened| core.is_same_run(instance, opened, opened);
+    shared.pool.take_if(instance, is_certain)
+}
+
+/// Waits until a new connection is certain to lead to the process run.
+async fn make_certain(
+    shared: &Shared,
+    instance: &InstanceId,
+    target: &Target<'_>,
+    connection: Connection,
+) -> Result<Connection, SendFailure> {
+    let opened_at = connection.sender.opened_at;
+    let question = RunQuestion {
+        run: instance,
+        opened_at,
+        alive_at: opened_at,
+    };
+    let limit = shared.now() + shared.settings.dispatch.origins.proof_timeout;
+    if run_proof::is_certain(shared, question, limit.min(target.expires_at)).await {
+        return Ok(connection);
+    }
+    let reason = "the process run behind the connection is not known".to_owned();
+    Err(SendFailure::Uncertain(reason))
+}
+
 async fn open(
     shared: &Shared,
     instance: &InstanceId,
@@ -250,7 +292,15 @@
     shared.metrics.connects.inc();
     let timeout: Duration = shared.settings.connect_timeout;
     let connector = &shared.settings.connector;
-    match pool::connect(shared.executor, connector, target.address, timeout).await {
+    match pool::connect(
+        shared.executor,
+        connector,
+        target.address,
+        timeout,
+        shared.clock,
+    )
+    .await
+    {
         Ok(connection) => {
             reach::record_connected(shared, instance);
             // The request may have been quarantined while the connection was established.
@@ -258,6 +308,9 @@
                 shared.pool.put(instance, connection.sender, None);
                 return Err(SendFailure::Unsent("quarantined".to_owned()));
             }
+            if target.needs_certain_run(shared) {
+                return make_certain(shared, instance, target, connection).await;
+            }
             Ok(connection)
         }
         Err(error) if error.is_refused() => Err(SendFailure::ConnectionRefused(error.to_string())),
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -210,6 +210,8 @@
     Retry,
     /// The request failed with this status and reason.
     Failed(StatusCode, &'static str),
+    /// It is not certain that an instance of its stream's version is reached; it has not been sent.
+    Uncertain,
 }
 
 impl Forward {
@@ -311,12 +313,14 @@
                         SendResult::Failed(status, reason) => {
                             return self.fail(status, reason, None);
                         }
+                        SendResult::Uncertain => return self.refuse_uncertain(),
                     }
                 }
                 Choice::Forward { peer } => match self.send_to_peer(now, &peer).await {
                     SendResult::Responded(response) => return *response,
                     SendResult::Retry => {}
                     SendResult::Failed(status, reason) => return self.fail(status, reason, None),
+                    SendResult::Uncertain => return self.refuse_uncertain(),
                 },
                 Choice::Wait { until } => {
                     let waiting = self.shared.wait_to_decide(&mut turn, changed, until);
@@ -337,6 +341,16 @@
         }
     }
 
+    /// Refuses to go on with a stream: its caller may come back.
+    fn refuse_uncertain(self) -> Response<RelayBody> {
+        let reason = RefusalReason::StreamUnconfirmed.as_str();
+        if self.may_have_run {
+            return self.fail(StatusCode::BAD_GATEWAY, reason, None);
+        }
+        let retry_after = self.shared.settings.dispatch.origins.lookup_timeout;
+        self.fail(StatusCode::SERVICE_UNAVAILABLE, reason, Some(retry_after))
+    }
+
     async fn send(
         &mut self,
         sent_at: Timestamp,
@@ -375,6 +389,7 @@
         if let Some(defect) = received.defect(&shared, &self.ticket) {
             return self.handle_failure(active, SendFailure::Broken(defect));
         }
+        self.ticket.connection_opened_at = Some(received.sender.opened_at);
         record_statement(&shared, &self.ticket, &instance, sent_at, &received.facts);
         if let Some(load) = received.facts.load {
             shared.core().record_load(shared.now(), &instance, load);
@@ -505,6 +520,10 @@
                 self.undo_credit_use();
                 SendResult::Retry
             }
+            SendFailure::Uncertain(_) => {
+                self.undo_credit_use();
+                SendResult::Uncertain
+            }
             SendFailure::Broken(_) => {
                 self.may_have_run = true;
                 if self.ticket.is_repeatable() {
@@ -615,6 +634,10 @@
             version: core.table().map_or(0, |table| table.version()),
             sends: self.ticket.sends,
             instance: self.ticket.tried.last().cloned(),
+            connection_age: self
+                .ticket
+                .connection_opened_at
+                .map(|at| self.shared.now().since(at)),
             software: self.ticket.software.version().cloned(),
         })
     }
@@ -693,7 +716,9 @@
         SendFailure::Unreachable(reason) => {
             ("unreachable", reason.as_str(), SendOutcome::Unreachable)
         }
-        SendFailure::Unsent(reason) => ("unsent", reason.as_str(), SendOutcome::Unsent),
+        SendFailure::Unsent(reason) | SendFailure::Uncertain(reason) => {
+            ("unsent", reason.as_str(), SendOutcome::Unsent)
+        }
         SendFailure::ConnectionRefused(reason) => (
             "unreachable",
             reason.as_str(),
--- a/crates/millpass-gateway/src/hop.rs
+++ b/crates/millpass-gateway/src/hop.rs
@@ -20,9 +20,10 @@
 const REASON: HeaderName = HeaderName::from_static("millpass-forward-reason");
 const SENDS: HeaderName = HeaderName::from_static("millpass-forward-sends");
 const INSTANCE: HeaderName = HeaderName::from_static("millpass-forward-instance");
+const CONNECTION_AGE: HeaderName = HeaderName::from_static("millpass-forward-connection-us");
 const SOFTWARE: HeaderName = HeaderName::from_static("millpass-forward-software");
 
-const ALL: [HeaderName; 15] = [
+const ALL: [HeaderName; 16] = [
     KEY,
     FROM,
     VERSION,
@@ -37,6 +38,7 @@
     REASON,
     SENDS,
     INSTANCE,
+    CONNECTION_AGE,
     SOFTWARE,
 ];
 
@@ -162,6 +164,8 @@
     pub(crate) sends: u32,
     /// Instance that it was last sent to.
     pub(crate) instance: Option<InstanceId>,
+    /// Time since the connection to it was opened.
+    pub(crate) connection_age: Option<Duration>,
     /// Version of the software of that instance, if known.
     pub(crate) software: Option<SoftwareVersion>,
 }
@@ -177,6 +181,9 @@
         if let Some(instance) = &self.instance {
             set(headers, INSTANCE, &instance.0)?;
         }
+        if let Some(age) = self.connection_age {
+            set(headers, CONNECTION_AGE, &age.as_micros().to_string())?;
+        }
         if let Some(software) = &self.software {
             set(headers, SOFTWARE, software.as_str())?;
         }
@@ -191,6 +198,7 @@
             version: number(headers, &VERSION)?,
             sends: u32::try_from(number(headers, &SENDS)?).ok()?,
             instance: text(headers, &INSTANCE).map(InstanceId::from),
+            connection_age: number(headers, &CONNECTION_AGE).map(Duration::from_micros),
             software: text(headers, &SOFTWARE).map(Into::into),
         };
         strip(headers);
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -67,6 +67,7 @@
 mod request_log;
 mod responses;
 mod resumption;
+mod run_proof;
 mod server;
 mod settings;
 mod shared;
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -263,6 +263,8 @@
         messages.extend(permits.map(RouterToControl::Permits));
         let streams = shared.core().stream_report(now);
         messages.extend(streams.map(RouterToControl::Streams));
+        let runs = shared.core().run_query(now);
+        messages.extend(runs.map(RouterToControl::Runs));
         for message in messages {
             if let Err(error) = write_frame(&mut stream, &LinkMessage::Router(message)).await {
                 return LinkEnd::Lost(error.to_string());
@@ -280,6 +282,9 @@
         if let Some(at) = shared.core().stream_report_at(now) {
             next_check = next_check.min(at);
         }
+        if let Some(at) = shared.core().run_query_at(now) {
+            next_check = next_check.min(at.max(now));
+        }
         shared.wait_for_change(notified, next_check).await;
     }
 }
@@ -335,6 +340,10 @@
                 shared.core().apply_origins(update);
                 shared.changed.notify(usize::MAX);
             }
+            Ok(ControlToRouter::Runs(update)) => {
+                shared.core().apply_runs(shared.now(), update);
+                shared.changed.notify(usize::MAX);
+            }
             Ok(ControlToRouter::NotLeader(response)) => {
                 let leader = response.leader_address.and_then(|text| text.parse().ok());
                 return LinkEnd::NotLeader(leader);
--- a/crates/millpass-gateway/src/peer.rs
+++ b/crates/millpass-gateway/src/peer.rs
@@ -43,6 +43,8 @@
         ticket.tried.push(instance.clone());
     }
     ticket.software = response.hop.software.clone().into();
+    let age = response.hop.connection_age;
+    ticket.connection_opened_at = age.map(|age| shared.now().earlier(age));
     let mut core = shared.core();
     core.record_shown_version(response.hop.version);
     Ok(response)
@@ -106,7 +108,8 @@
 async fn open(shared: &Shared, address: &str) -> Result<Connection, SendFailure> {
     let timeout = shared.settings.connect_timeout;
     let connector = Connector::default();
-    let connected = pool::connect(shared.executor, &connector, address, timeout).await;
+    let connected =
+        pool::connect(shared.executor, &connector, address, timeout, shared.clock).await;
     connected.map_err(|error| SendFailure::Unreachable(error.to_string()))
 }
 
@@ -121,6 +124,7 @@
     let (outcome, detail, end) = match failure {
         SendFailure::Unreachable(reason)
         | SendFailure::ConnectionRefused(reason)
+        | SendFailure::Uncertain(reason)
         | SendFailure::Unsent(reason) => ("unreachable", reason.as_str(), ForwardOutcome::Failed),
         SendFailure::Broken(reason) => ("broken", reason.as_str(), ForwardOutcome::Failed),
         SendFailure::TimedOut => ("timed-out", "", ForwardOutcome::Abandoned),
--- a/crates/millpass-gateway/src/peer_service.rs
+++ b/crates/millpass-gateway/src/peer_service.rs
@@ -153,6 +153,7 @@
     reason: &str,
 ) -> Response<RelayBody> {
     let hop = HopResponse {
+        connection_age: None,
         outcome,
         reason: reason.to_owned(),
         version: shared.core().table().map_or(0, |table| table.version()),
--- a/crates/millpass-gateway/src/pool.rs
+++ b/crates/millpass-gateway/src/pool.rs
@@ -96,6 +96,8 @@
 pub(crate) struct InstanceSender {
     pub(crate) requests: SendRequest<Full<Bytes>>,
     pub(crate) meter: Arc<ReadMeter>,
+    /// When it was established.
+    pub(crate) opened_at: Timestamp,
 }
 
 impl InstanceSender {
@@ -140,13 +142,22 @@
 
     /// Takes the most recently used idle connection that is still open.
     pub(crate) fn take(&self, key: &K) -> Option<Connection> {
+        self.take_if(key, |_| true)
+    }
+
+    /// Like [`Pool::take`], for a connection that was opened at a time for which `is_usable` holds.
+    pub(crate) fn take_if(
+        &self,
+        key: &K,
+        is_usable: impl Fn(Timestamp) -> bool,
+    ) -> Option<Connection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(key)?;
         let now = self.clock.now();
         connections.retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
-        let position = connections
-            .iter()
-            .rposition(|idle| idle.usable_from <= now && idle.sender.is_ready())?;
+        let position = connections.iter().rposition(|idle| {
+            idle.usable_from <= now && idle.sender.is_ready() && is_usable(idle.sender.opened_at)
+        })?;
         Some(Connection {
             sender: connections.remove(position).sender,
             reused: true,
@@ -196,6 +207,7 @@
     connector: &Connector,
     address: &str,
     timeout: Duration,
+    clock: ProcessClock,
 ) -> Result<Connection, ConnectError> {
     let target: SocketAddr = address
         .parse()
@@ -208,6 +220,7 @@
     let stream = future::or(connecting, timer)
         .await
         .ok_or(ConnectError::TimedOut)??;
+    let opened_at = clock.now();
     stream.get_ref().set_nodelay(true)?;
     let socket = SockRef::from(stream.get_ref());
     let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
@@ -231,7 +244,11 @@
     };
     executor.spawn(serving).detach();
     Ok(Connection {
-        sender: InstanceSender { requests, meter },
+        sender: InstanceSender {
+            requests,
+            meter,
+            opened_at,
+        },
         reused: false,
     })
 }
--- a/crates/millpass-gateway/src/probe.rs
+++ b/crates/millpass-gateway/src/probe.rs
@@ -59,7 +59,7 @@
     shared.metrics.connects.inc();
     let timeout = shared.settings.connect_timeout;
     let connector = &shared.settings.connector;
-    match pool::connect(shared.executor, connector, &address, timeout).await {
+    match pool::connect(shared.executor, connector, &address, timeout, shared.clock).await {
         Ok(connection) => {
             reach::record_connected(&shared, &instance);
             if shared.core().is_known(&instance) {
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -63,6 +63,8 @@
     /// Whether the response has lasted long enough to show that its prompt crashes nothing.
     has_lasted: bool,
     ended: bool,
+    /// Whether it could not be made certain which process run is behind a connection.
+    is_uncertain: bool,
     in_flight: Option<InFlight>,
     /// Present if another gateway forwarded the request.
     _guard: Option<ForwardedGuard>,
@@ -114,6 +116,7 @@
             has_event: false,
             has_lasted: false,
             ended: false,
+            is_uncertain: false,
             in_flight,
             _guard: guard,
         };
@@ -342,7 +345,7 @@
             active.end(SendOutcome::Broken);
         }
         self.events.discard_partial();
-        if !self.shared.core().may_go_on(&self.ticket) {
+        if !self.is_origin_certain().await {
             self.log_not_resumed(RefusalReason::StreamVersionUnknown);
             return false;
         }
@@ -356,6 +359,10 @@
             if !self.is_covered(now) {
                 continue;
             }
+            if self.is_uncertain {
+                self.log_not_resumed(RefusalReason::StreamUnconfirmed);
+                return false;
+            }
             let choice = self.shared.choose(now, &mut self.ticket, &mut turn);
             match choice {
                 Choice::Send { instance, address } => {
@@ -383,6 +390,25 @@
         }
     }
 
+    /// Waits until it is certain which process run began the stream; false if it is not in time.
+    async fn is_origin_certain(&self) -> bool {
+        let limit = self.shared.now() + self.shared.settings.dispatch.origins.proof_timeout;
+        let until = limit.min(self.ticket.expires_at);
+        loop {
+            let changed = self.shared.changed.listen();
+            let now = self.shared.now();
+            let certain = self.shared.core().certain_origin(now, &self.ticket);
+            if let Some(certain) = certain {
+                return certain;
+            }
+            if now >= until {
+                return false;
+            }
+            self.shared.report.notify(1);
+            self.shared.wait_for_change(changed, until).await;
+        }
+    }
+
     fn log_not_resumed(&self, reason: RefusalReason) {
         let required = self.ticket.required_software();
         log::info!(
@@ -457,6 +483,7 @@
                 if !failure.may_have_run() {
                     self.undo_credit_use();
                 }
+                self.is_uncertain |= matches!(failure, SendFailure::Uncertain(_));
                 return false;
             }
         };
--- a/crates/millpass-hollow/src/router.rs
+++ b/crates/millpass-hollow/src/router.rs
@@ -218,7 +218,8 @@
                 | ControlToRouter::Permits(_)
                 | ControlToRouter::Limits(_)
                 | ControlToRouter::Peers(_)
-                | ControlToRouter::Origins(_) => {}
+                | ControlToRouter::Origins(_)
+                | ControlToRouter::Runs(_) => {}
                 ControlToRouter::Claim(response) => self.handle_claim_response(routers, response),
                 ControlToRouter::ClaimFinished(attempt) => {
                     self.handle_claim_finished(routers, attempt)
--- a/crates/millpass-origins/src/begun.rs
+++ b/crates/millpass-origins/src/begun.rs
@@ -24,6 +24,9 @@
     pub retention: Duration,
     /// Time for which a request waits for the leader's answer.
     pub lookup_timeout: Duration,
+    /// Time for which a request waits until it is certain which process run began its stream, or is behind
+    /// a connection.
+    pub proof_timeout: Duration,
     /// Least time between two reports of begun streams.
     pub report_interval: Duration,
     /// Maximum number of origins; the oldest are forgotten first.
@@ -35,6 +38,7 @@
         BegunSettings {
             retention: Duration::from_secs(15),
             lookup_timeout: Duration::from_millis(400),
+            proof_timeout: Duration::from_millis(3_000),
             report_interval: Duration::from_millis(20),
             maximum: 20_000,
         }
@@ -45,6 +49,9 @@
 struct Begun {
     /// None if two streams under the key began at different origins.
     origin: Option<StreamOrigin>,
+    /// When the connection was opened that brought its first event; none if it is certain that the
+    /// process run of the origin was behind it.
+    opened_at: Option<Timestamp>,
     begun_at: Timestamp,
     kept_until: Timestamp,
 }
@@ -63,9 +70,12 @@
     fn due_at(&self, now: Timestamp) -> Option<Timestamp> {
         match (self.asked_at, &self.finding) {
             (None, _) => Some(now),
-            (Some(at), Some(OriginFinding::Unknown | OriginFinding::Unsettled(_))) => {
-                Some(at + REPEAT_INTERVAL)
-            }
+            (
+                Some(at),
+                Some(
+                    OriginFinding::Unknown | OriginFinding::Unsettled(_) | OriginFinding::Unproven,
+                ),
+            ) => Some(at + REPEAT_INTERVAL),
             (Some(_), _) => None,
         }
     }
@@ -114,12 +124,14 @@
     }
 
     /// Records that the first event of a stream was relayed, and its origin if that is known. Its caller
-    /// leaves at `deadline`.
+    /// leaves at `deadline`. `opened_at` is when the connection to the origin was opened; none if it is
+    /// certain that its process run was behind it.
     pub fn begin(
         &mut self,
         now: Timestamp,
         key: StreamKey,
         origin: Option<StreamOrigin>,
+        opened_at: Option<Timestamp>,
         deadline: Timestamp,
     ) {
         self.expire(now);
@@ -130,11 +142,13 @@
                     .origin
                     .clone()
                     .filter(|known| Some(known) == origin.as_ref()),
+                opened_at: known.opened_at.max(opened_at),
                 begun_at: now,
                 kept_until: known.kept_until.max(kept_until),
             },
             None => Begun {
                 origin,
+                opened_at,
                 begun_at: now,
                 kept_until,
             },
@@ -167,6 +181,25 @@
         begun.is_some_and(|begun| begun.origin.is_none())
     }
 
+    /// Marks the origins as certain whose process run was behind the connection that was opened then.
+    pub fn confirm(&mut self, is_behind: impl Fn(&InstanceId, Timestamp) -> bool) {
+        for begun in self.streams.values_mut() {
+            if let (Some(origin), Some(opened)) = (&begun.origin, begun.opened_at)
+                && is_behind(&origin.instance, opened)
+            {
+                begun.opened_at = None;
+            }
+        }
+    }
+
+    /// Returns the process run that is to be confirmed for a stream; none if its origin is certain or not
+    /// known.
+    pub fn unconfirmed_run(&self, key: &StreamKey) -> Option<&InstanceId> {
+        let begun = self.streams.get(key)?;
+        begun.opened_at?;
+        begun.origin.as_ref().map(|origin| &origin.instance)
+    }
+
     /// Records that a report arrived at a new leader: it is stated all origins, and asked again.
     pub fn connected(&mut self) {
         self.is_connected = true;
@@ -325,6 +358,7 @@
             {
                 None
             }
+            (_, Some(OriginFinding::Unproven)) if now < since + self.settings.proof_timeout => None,
             (_, Some(stated)) => Some(stated),
             (own, None) if now >= since + self.settings.lookup_timeout => {
                 let millis = self.settings.lookup_timeout.as_millis();
@@ -339,6 +373,7 @@
     pub fn check_at(&self, now: Timestamp, since: Timestamp, gateways: u32) -> Timestamp {
         let checks = [
             since + self.settings.lookup_timeout,
+            since + self.settings.proof_timeout,
             self.stated_until(since, gateways),
         ];
         let next = checks.into_iter().filter(|at| now < *at).min();
@@ -354,6 +389,7 @@
     fn own_finding(&self, now: Timestamp, key: &StreamKey) -> Option<OriginFinding> {
         let begun = self.streams.get(key)?;
         let finding = match &begun.origin {
+            Some(_) if begun.opened_at.is_some() => return None,
             Some(origin) => OriginFinding::Known(origin.clone()),
             None => OriginFinding::Contradicted,
         };
@@ -388,6 +424,7 @@
     let stream = BegunStream {
         stream: key,
         kept_millis: millis(begun.kept_until.since(now)),
+        opened_millis: begun.opened_at.map(|at| millis(now.since(at))),
     };
     match groups.iter_mut().find(|group| group.origin == begun.origin) {
         Some(group) => group.streams.push(stream),
--- a/crates/millpass-origins/src/table.rs
+++ b/crates/millpass-origins/src/table.rs
@@ -32,6 +32,8 @@
 struct Entry {
     /// None if it is not known: two origins were stated, or another process run may have begun it.
     origin: Option<Arc<StreamOrigin>>,
+    /// When the connection was opened that brought its first event; none if its process run is certain.
+    opened_at: Option<Timestamp>,
     kept_until: Timestamp,
 }
 
@@ -93,8 +95,12 @@
                 .map(|origin| self.shared(origin));
             for begun in group.streams {
                 let kept = Duration::from_millis(begun.kept_millis.into());
+                let opened = begun
+                    .opened_millis
+                    .map(|age| Duration::from_millis(age.into()));
                 let entry = Entry {
                     origin: origin.clone(),
+                    opened_at: opened.map(|age| now.earlier(age)),
                     kept_until: now + kept,
                 };
                 self.record(begun.stream, entry);
@@ -122,11 +128,23 @@
         }
     }
 
+    /// Records that another process announces itself as this run: it may have begun the streams recorded
+    /// for it.
+    pub fn run_restarted(&mut self, run: &InstanceId) {
+        for entry in self.streams.values_mut() {
+            let origin = entry.origin.as_ref();
+            if origin.is_some_and(|origin| origin.instance == *run) {
+                entry.origin = None;
+            }
+        }
+    }
+
     fn record(&mut self, stream: StreamKey, entry: Entry) {
         if let Some(known) = self.streams.get_mut(&stream) {
             if known.origin != entry.origin {
                 known.origin = None;
             }
+            known.opened_at = known.opened_at.max(entry.opened_at);
             known.kept_until = known.kept_until.max(entry.kept_until);
             return;
         }
@@ -137,6 +155,12 @@
         self.streams.insert(stream, entry);
     }
 
+    /// Returns when the connection was opened that brought the first event of a stream; none if its process
+    /// run is certain.
+    pub fn opened_at(&self, stream: &StreamKey) -> Option<Timestamp> {
+        self.streams.get(stream)?.opened_at
+    }
+
     fn finding(&self, now: Timestamp, stream: &StreamKey) -> OriginFinding {
         let known = self.streams.get(stream);
         match known.filter(|entry| now < entry.kept_until) {
--- a/crates/millpass-origins/tests/simulation.rs
+++ b/crates/millpass-origins/tests/simulation.rs
@@ -297,7 +297,7 @@
         let key = stream_key(None, "route", &format!("attempt-{}", self.streams.len()));
         let deadline = self.now + PATIENCE;
         let streams = &mut self.gateways[gateway].streams;
-        streams.begin(self.now, key.clone(), Some(origin), deadline);
+        streams.begin(self.now, key.clone(), Some(origin), None, deadline);
         self.streams.push(Stream {
             key,
             software: instance.run.software,
@@ -427,7 +427,8 @@
                 }
                 OriginFinding::Contradicted
                 | OriginFinding::Unknown
-                | OriginFinding::Unsettled(_) => {
+                | OriginFinding::Unsettled(_)
+                | OriginFinding::Unproven => {
                     self.refused += 1;
                 }
             }
--- a/crates/millpass-proto/src/generated.rs
+++ b/crates/millpass-proto/src/generated.rs
@@ -1624,6 +1624,9 @@
 
     /// Gateways may not have stated it yet; milliseconds until they should have.
     Unsettled(u64),
+
+    /// It is not known yet whether the process run that was asked for began it.
+    Unproven,
 }
 
 
@@ -1968,6 +1971,35 @@
 }
 
 
+/// What is known of a process run. Times are ages because clocks differ between processes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RunProof {
+
+    /// Instance incarnation.
+    pub instance: InstanceId,
+
+    /// Time since it was alive; none if that is not known.
+    pub alive_millis: Option<u64>,
+
+    /// Time since announcements showed that another process announces itself as this incarnation; none if they never did.
+    pub restarted_millis: Option<u64>,
+}
+
+
+/// Answer to a gateway's question about process runs.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RunUpdate {
+
+    /// Number of the question.
+    pub number: u64,
+
+    /// What is known of each known run.
+    pub proofs: Vec<RunProof>,
+}
+
+
 /// Message from a control member to a router or gateway.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2008,6 +2040,9 @@
 
     /// Origins of streams that a gateway asked for.
     Origins(OriginUpdate),
+
+    /// What is known of process runs that a gateway asked for.
+    Runs(RunUpdate),
 }
 
 
@@ -2596,6 +2631,19 @@
 }
 
 
+/// A gateway's question until when process runs of instances are known to have been alive.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Hash)]
+pub struct RunQuery {
+
+    /// Number of the question on the connection.
+    pub number: u64,
+
+    /// Instance incarnations.
+    pub runs: Vec<InstanceId>,
+}
+
+
 /// A stream whose first event a gateway has relayed.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[derive(Hash)]
@@ -2606,6 +2654,9 @@
 
     /// Time for which its origin is to be kept.
     pub kept_millis: u32,
+
+    /// Time since the connection was opened that brought its first event; none if its process run is certain.
+    pub opened_millis: Option<u32>,
 }
 
 
@@ -2694,6 +2745,9 @@
 
     /// Origins of a gateway's streams, and its questions about others; answered with `Origins` if it asks.
     Streams(StreamReport),
+
+    /// Gateway question about process runs of instances; answered with `Runs`.
+    Runs(RunQuery),
 }
 
 
--- a/crates/millpass-router/src/link.rs
+++ b/crates/millpass-router/src/link.rs
@@ -165,7 +165,8 @@
                     | ControlToRouter::Permits(_)
                     | ControlToRouter::Limits(_)
                     | ControlToRouter::Peers(_)
-                    | ControlToRouter::Origins(_),
+                    | ControlToRouter::Origins(_)
+                    | ControlToRouter::Runs(_),
                 ) => continue,
                 Ok(ControlToRouter::Claim(response)) => RoutingInput::ClaimDecided {
                     attempt: response.attempt,
--- a/crates/millpass-router/tests/common/control.rs
+++ b/crates/millpass-router/tests/common/control.rs
@@ -180,7 +180,8 @@
         | RouterToControl::Crashes(_)
         | RouterToControl::Permits(_)
         | RouterToControl::Reach(_)
-        | RouterToControl::Streams(_) => None,
+        | RouterToControl::Streams(_)
+        | RouterToControl::Runs(_) => None,
         RouterToControl::Report(report) => {
             for observation in &report.observations {
                 observed.send(observation.clone()).unwrap();
--- a/crates/millpass-sim/src/router_link.rs
+++ b/crates/millpass-sim/src/router_link.rs
@@ -161,7 +161,8 @@
             | ControlToRouter::Permits(_)
             | ControlToRouter::Limits(_)
             | ControlToRouter::Peers(_)
-            | ControlToRouter::Origins(_) => {}
+            | ControlToRouter::Origins(_)
+            | ControlToRouter::Runs(_) => {}
             ControlToRouter::Claim(response) => {
                 self.handle_claim_decision(router, response.attempt, response.decision);
             }
