Judge the end of a body by its process where its address takes no connection

Cause: "no connection in 750 ms" stood for "crashed", whatever was left of the request's time.

Change: where connects hang, the body is whole if the process run that answered is known, by its heartbeats, to have been alive after the end; the end waits for them while the request's time lasts. A stream that may be resumed goes on elsewhere instead, and a request that may be repeated is repeated.

--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -389,6 +389,7 @@
         if let Some(defect) = received.defect(&shared, &self.ticket) {
             return self.handle_failure(active, SendFailure::Broken(defect));
         }
+        active.record_connection(&received.sender);
         self.ticket.connection_opened_at = Some(received.sender.opened_at);
         record_statement(&shared, &self.ticket, &instance, sent_at, &received.facts);
         if let Some(load) = received.facts.load {
@@ -579,7 +580,15 @@
 
     /// Returns whether a body that was read to its end has not broken off.
     async fn is_whole(&self, head: &http::response::Parts, active: &Active) -> bool {
-        Framing::of(head) == Framing::Stated || body_end::is_whole(&self.shared, active).await
+        if Framing::of(head) == Framing::Stated {
+            return true;
+        }
+        // A request that may be repeated is repeated instead of waiting.
+        let until = match self.ticket.is_repeatable() {
+            true => self.shared.now(),
+            false => self.ticket.expires_at,
+        };
+        body_end::is_whole(&self.shared, active, until).await
     }
 
     fn relay_response(
--- a/crates/millpass-gateway/src/relay.rs
+++ b/crates/millpass-gateway/src/relay.rs
@@ -228,8 +228,13 @@
         if inside_event == Some(true) {
             return BodyRead::Broken("the connection ended inside an event".to_owned());
         }
+        // A stream that may be resumed goes on elsewhere instead of waiting.
+        let until = match self.events.is_buffered() {
+            true => self.shared.now(),
+            false => self.ticket.expires_at,
+        };
         let is_whole = match &self.active {
-            Some(active) => body_end::is_whole(&self.shared, active).await,
+            Some(active) => body_end::is_whole(&self.shared, active, until).await,
             None => false,
         };
         if is_whole {
@@ -503,6 +508,7 @@
             return false;
         }
         active.record_begin();
+        active.record_connection(&received.sender);
         self.resume_with(Active::Instance(active), received, last.as_deref());
         true
     }
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -285,6 +285,8 @@
     shared: Arc<Shared>,
     record: SendRecord,
     address: String,
+    /// When the connection was opened that the response comes on; none before it.
+    connection_opened_at: Option<Timestamp>,
     ended: bool,
 }
 
@@ -295,10 +297,21 @@
             shared,
             record,
             address: address.to_owned(),
+            connection_opened_at: None,
             ended: false,
         }
     }
 
+    /// Records the connection that the response comes on.
+    pub(crate) fn record_connection(&mut self, sender: &InstanceSender) {
+        self.connection_opened_at = Some(sender.opened_at);
+    }
+
+    /// When the connection was opened that the response comes on; none before it.
+    pub(crate) fn connection_opened_at(&self) -> Option<Timestamp> {
+        self.connection_opened_at
+    }
+
     /// IP address and port that the request was sent to.
     pub(crate) fn address(&self) -> &str {
         &self.address
