Do not take a connect after a pause for a sign of the process that answered

Cause: "takes a connection" stood for "is still the process that answered", however long after the end the gateway asked.

Change: a gateway notices by ticks that it stood still. The end of a body that it sees within half a second after is judged by the process run, as known from heartbeats, and not by a connect.

Left: a process whose listener outlives it, or that starts within milliseconds, while no gateway stands still.

--- a/crates/millpass-gateway/src/body_end.rs
+++ b/crates/millpass-gateway/src/body_end.rs
@@ -33,10 +33,12 @@
 /// Returns whether the process run that responded was alive after the end of its response.
 async fn was_alive(shared: &Arc<Shared>, send: &ActiveSend, until: Timestamp) -> bool {
     let ended_at = shared.now();
+    let may_be_old = shared.pauses.may_be_old(ended_at);
     match connect(shared, send).await {
         ProbeOutcome::Refused => return false,
-        ProbeOutcome::Connected => return true,
-        ProbeOutcome::Unknown => {}
+        // Another process may have come up within the pause.
+        ProbeOutcome::Connected if !may_be_old => return true,
+        ProbeOutcome::Connected | ProbeOutcome::Unknown => {}
     }
     let Some(opened_at) = send.connection_opened_at() else {
         return false;
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod interface;
 mod link;
 mod metrics;
+mod pauses;
 mod peer;
 mod peer_service;
 mod pool;
--- a/crates/millpass-gateway/src/process.rs
+++ b/crates/millpass-gateway/src/process.rs
@@ -4,6 +4,7 @@
 use crate::interface::Interface;
 use crate::link;
 use crate::metrics::Metrics;
+use crate::pauses;
 use crate::probe;
 use crate::server::{self, Service};
 use crate::settings::GatewaySettings;
@@ -111,6 +112,7 @@
             .spawn(sweep(shared.clone(), self.heartbeat))
             .detach();
         executor.spawn(probe::run(shared.clone())).detach();
+        executor.spawn(pauses::run(shared.clone())).detach();
         let pairs = [
             ("gateway", shared.settings.dispatch.name.clone()),
             ("zone", shared.settings.dispatch.zone.0.clone()),
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::caller_limits::CallerLimits;
 use crate::interface::Interface;
 use crate::metrics::Metrics;
+use crate::pauses::PauseDetector;
 use crate::pool::{InstanceSender, Pool};
 use crate::reach;
 use crate::settings::GatewaySettings;
@@ -49,6 +50,7 @@
     /// Notified when instances should be probed after broken sends.
     pub(crate) probe: Event,
     pub(crate) body_memory: Arc<BodyMemory>,
+    pub(crate) pauses: PauseDetector,
     /// Limits of the newest document.
     pub(crate) caller_limits: CallerLimits,
     pub(crate) pool: Pool<InstanceId>,
@@ -84,6 +86,7 @@
             turns: Mutex::default(),
             clock: settings.clock,
             body_memory: BodyMemory::new(settings.body_memory),
+            pauses: PauseDetector::new(settings.clock.now()),
             caller_limits: CallerLimits::default(),
             pool: Pool::new(settings.clock),
             peer_pool: Pool::new(settings.clock),
