Watch for the end of serving anew on a connection with many header lines

A connection that shows more header lines than usual is served by a second library connection, which polled the same future for the end of serving; had that completed for the first, the second would have panicked. Each gets its own now. And a leader that has just begun answers that a process run is not proven yet, instead of contradicted, while its announcements may still come. Both found by reading; no caller saw either.

Measured: upgrades_in_place (5) and request_heads (18) pass.

--- a/crates/millpass-fleet/src/runs.rs
+++ b/crates/millpass-fleet/src/runs.rs
@@ -148,11 +148,14 @@
         let Some(opened) = self.origins.opened_at(&answer.stream) else {
             return;
         };
-        answer.finding = match self.runs.runs.get(&origin.instance) {
-            Some(run) if run.is_behind(opened) => return,
-            // Its announcements go on, or have just ended.
-            Some(_) if self.registry.get(&origin.instance).is_some() => OriginFinding::Unproven,
-            _ => OriginFinding::Contradicted,
+        let run = self.runs.runs.get(&origin.instance);
+        if run.is_some_and(|run| run.is_behind(opened)) {
+            return;
+        }
+        answer.finding = match self.registry.get(&origin.instance) {
+            // Its announcements may go on.
+            Some(_) => OriginFinding::Unproven,
+            None => OriginFinding::Contradicted,
         };
     }
 }
--- a/crates/millpass-gateway/src/server.rs
+++ b/crates/millpass-gateway/src/server.rs
@@ -19,7 +19,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -113,21 +113,20 @@
             Ok::<_, Infallible>(response.map(|body| guard.hold_with(body)))
         }
     });
-    let closing = async {
+    let closing = || async {
         let outgrown = shared.caller_limits.raised_above(header_bytes);
         future::or(closing(&shared, service), outgrown).await;
     };
-    let mut closing = pin!(closing);
     let mut usual =
         builder(header_bytes).serve_connection(FuturesIo::new(caller.stream()), handler);
-    let mut result = serve_until(&mut usual, closing.as_mut()).await;
+    let mut result = serve_until(&mut usual, closing()).await;
     let parts = usual.into_parts();
     let stream = parts.io.into_inner();
     if let Some(stream) = stream.with_many_lines(&parts.read_buf) {
         let mut builder = builder(header_bytes);
         builder.max_headers(maximum_headers(allowed_bytes(header_bytes)));
         let mut connection = builder.serve_connection(FuturesIo::new(stream), parts.service);
-        result = serve_until(&mut connection, closing.as_mut()).await;
+        result = serve_until(&mut connection, closing()).await;
     }
     if let Err(error) = result {
         log::debug!("event=caller_connection_ended error=\"{error}\"");
@@ -139,7 +138,7 @@
 /// Serves a connection; once `closing` completes, until the response in progress is complete.
 async fn serve_until<S>(
     connection: &mut http1::Connection<FuturesIo<CallerStream>, S>,
-    closing: Pin<&mut impl Future<Output = ()>>,
+    closing: impl Future<Output = ()>,
 ) -> hyper::Result<()>
 where
     S: HttpService<Incoming, ResBody = GuardedBody, Error = Infallible>,
