Replace connections between members whose other end no longer reads them

Cause: bytes that the kernel had acknowledged stood for a member that reads. A member's connection carries nothing back, and only unacknowledged bytes showed that it was dead. Consensus knew that no response came, but nothing closed the connection for it.

Ruled out: gateways' connections, which have a timeout of their own; closing a connection when consensus gets no response, as a member may be heard from while it hears nothing.

Change: the member that reads a connection writes receipts, at most five a second; a connection without them for a second is closed and opened anew, with a growing limit for stopped processes.

--- a/crates/millpass-control/src/connections.rs
+++ b/crates/millpass-control/src/connections.rs
@@ -8,6 +8,7 @@
 use crate::inputs::Inputs;
 use crate::message_assembly::MessageAssembly;
 use crate::metrics::Metrics;
+use crate::receipts::ReceiptReader;
 use crate::router_backlog::RouterBacklog;
 use crate::settings::ProcessLimits;
 use async_channel::{Receiver, Sender, bounded};
@@ -33,6 +34,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Connect timeout of the connection that wakes the accepting thread.
 const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without a byte after which a member's connection is closed. Members may be idle, but one end
+/// of a connection that has gone silent would stay open for good.
+const MEMBER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Delay before an input is retried after its class was full. Meanwhile, later messages wait in the
 /// socket.
 const FULL_QUEUE_DELAY: Duration = Duration::from_millis(5);
@@ -157,7 +161,7 @@
 
     fn serve(self: &Arc<Self>, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
-        // Members may be idle for long; keep-alive probes close connections of dead machines.
+        // Keep-alive probes close connections of dead machines.
         let keep_alive = TcpKeepalive::new().with_time(self.limits.connection_timeout);
         SockRef::from(&stream).set_tcp_keepalive(&keep_alive)?;
         let stream = Arc::new(Async::new(stream)?);
@@ -179,12 +183,13 @@
     }
 
     async fn read(self: &Arc<Self>, connection: ConnectionId, stream: &Arc<Async<TcpStream>>) {
-        let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, &**stream);
+        let receipts = ReceiptReader::new(stream.clone());
+        let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, receipts);
         let mut is_router = false;
         let mut assembly = MessageAssembly::default();
         let end = loop {
-            let reading = read_frame::<LinkMessage>(&mut reader);
-            let reading = self.with_timeout(is_router, reading).await;
+            let timeout = self.read_timeout(is_router, reader.get_ref().is_member());
+            let reading = with_timeout(timeout, read_frame::<LinkMessage>(&mut reader)).await;
             let message = match reading {
                 Ok(LinkMessage::Part(part)) => match assembly.add(part) {
                     Ok(Some(message)) => message,
@@ -200,6 +205,9 @@
                     break error.into();
                 }
             }
+            if matches!(message, LinkMessage::MemberHello(_)) {
+                reader.get_mut().start();
+            }
             let Some(input) = input_of(connection, message) else {
                 break CodecError::Io(std::io::ErrorKind::InvalidData.into());
             };
@@ -219,21 +227,14 @@
         }
     }
 
-    /// Applies the connection timeout to routers, which report several times within it. Members may
-    /// be idle.
-    async fn with_timeout<T>(
-        &self,
-        is_router: bool,
-        work: impl Future<Output = Result<T, CodecError>>,
-    ) -> Result<T, CodecError> {
-        if !is_router {
-            return work.await;
+    /// Returns the time within which the next message must arrive. Routers report several times
+    /// within theirs; joiners have none.
+    fn read_timeout(&self, is_router: bool, is_member: bool) -> Option<Duration> {
+        match (is_router, is_member) {
+            (true, _) => Some(self.limits.connection_timeout),
+            (false, true) => Some(MEMBER_IDLE_TIMEOUT),
+            (false, false) => None,
         }
-        let timer = async {
-            Timer::after(self.limits.connection_timeout).await;
-            Err(CodecError::Io(std::io::ErrorKind::TimedOut.into()))
-        };
-        future::or(work, timer).await
     }
 
     /// Submits an input to the core, waiting for capacity. Returns false once the core has ended.
@@ -285,8 +286,9 @@
         backlog: &RouterBacklog,
     ) {
         while let Ok(message) = messages.recv().await {
+            let timeout = Some(self.limits.connection_timeout);
             let writing = write_frame(stream, &message);
-            if let Err(error) = self.with_timeout(true, writing).await {
+            if let Err(error) = with_timeout(timeout, writing).await {
                 log::debug!("event=router_write_failed error=\"{error}\"");
                 return;
             }
@@ -306,6 +308,20 @@
     }
 }
 
+async fn with_timeout<T>(
+    timeout: Option<Duration>,
+    work: impl Future<Output = Result<T, CodecError>>,
+) -> Result<T, CodecError> {
+    let Some(timeout) = timeout else {
+        return work.await;
+    };
+    let timer = async {
+        Timer::after(timeout).await;
+        Err(CodecError::Io(std::io::ErrorKind::TimedOut.into()))
+    };
+    future::or(work, timer).await
+}
+
 /// Returns the input of a message; none for a part inside an assembled message.
 fn input_of(connection: ConnectionId, message: LinkMessage) -> Option<ControlInput> {
     let input = match message {
--- a/crates/millpass-control/src/lib.rs
+++ b/crates/millpass-control/src/lib.rs
@@ -22,6 +22,7 @@
 //! | `freshness` | responds to gateways' queries by datagram |
 //! | `peers` | outbound connections to other members |
 //! | `peer_queue` | messages waiting for one member |
+//! | `receipts` | shows members that another one still reads their connection |
 //! | `deliveries` | calls to engines and the platform |
 //! | `fenced_calls` | connections of these calls, which abort when the call expires or the term ends |
 //! | `call_schedule` | order of calls to engines and the platform |
@@ -59,6 +60,7 @@
 mod peers;
 pub mod priority;
 mod process;
+pub mod receipts;
 mod router_backlog;
 pub mod settings;
 mod startup;
--- a/crates/millpass-control/src/peers.rs
+++ b/crates/millpass-control/src/peers.rs
@@ -2,18 +2,22 @@
 //!
 //! Messages that exceed the queue, or are in flight when a connection breaks, are dropped;
 //! consensus resends. A large message is sent in parts. Heartbeats and votes overtake the rest of
-//! it, so that the leader keeps its lease while a slow path carries a document.
+//! it, so that the leader keeps its lease while a slow path carries a document. A connection without
+//! receipts is closed and opened anew.
 
 use crate::metrics::Metrics;
 use crate::peer_queue::PeerQueue;
+use crate::receipts::ReceiptWatch;
 use millpass_proto::codec::{
     CodecError, MAXIMUM_FRAME_BYTES, PART_BYTES, WHOLE_MESSAGE_BYTES, encode, write_encoded_frame,
     write_frame,
 };
 use millpass_proto::{LinkMessage, MemberAddress, MessagePart};
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 use socket2::SockRef;
 use std::collections::BTreeMap;
-use std::io::{BufWriter, Write};
+use std::io::{BufWriter, Error, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
@@ -28,6 +32,10 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time without messages after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Minimum interval between two looks for receipts.
+const RECEIPT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum number of receipts taken at once.
+const RECEIPT_CHECK_BYTES: usize = 64;
 /// Send buffer of a connection; the kernel doubles it. Kept small, as nothing overtakes buffered
 /// bytes.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
@@ -180,19 +188,24 @@
 
 /// Body of a sending thread; ends when the queue is closed.
 fn send_all(target: SocketAddr, hello: &LinkMessage, queue: &SharedQueue, metrics: &Metrics) {
-    while let Some(first) = queue.pop() {
+    let mut watch = ReceiptWatch::default();
+    let mut pending = queue.pop();
+    while pending.is_some() {
         match connect(target) {
             Ok(stream) => {
                 log::info!("event=peer_connected address={target}");
-                if let Err(error) = send_on(stream, hello, first, queue, metrics) {
+                let mut connection = Connection::new(stream, &mut watch);
+                if let Err(error) = connection.send_all(hello, &mut pending, queue, metrics) {
                     log::warn!("event=peer_lost address={target} error=\"{error}\"");
                 }
             }
             Err(error) => {
                 log::debug!("event=peer_connect_failed address={target} error=\"{error}\"");
                 discard_for(queue, RETRY_DELAY);
+                pending = None;
             }
         }
+        pending = pending.or_else(|| queue.pop());
     }
 }
 
@@ -207,62 +220,113 @@
     Ok(stream)
 }
 
-fn send_on(
-    stream: TcpStream,
-    hello: &LinkMessage,
-    first: LinkMessage,
-    queue: &SharedQueue,
-    metrics: &Metrics,
-) -> Result<(), CodecError> {
-    let mut writer = BufWriter::new(stream);
-    write_frame(&mut writer, hello)?;
-    let mut next = Some(first);
-    while let Some(message) = next {
-        send_message(&mut writer, &message, queue, metrics)?;
-        if queue.is_empty() {
-            writer.flush()?;
+/// A connection to a member that shows by receipts that it reads.
+struct Connection<'a> {
+    writer: BufWriter<TcpStream>,
+    watch: &'a mut ReceiptWatch,
+    checked_at: Option<Instant>,
+}
+
+impl<'a> Connection<'a> {
+    fn new(stream: TcpStream, watch: &'a mut ReceiptWatch) -> Self {
+        watch.record_connected();
+        Connection {
+            writer: BufWriter::new(stream),
+            watch,
+            checked_at: None,
         }
-        next = queue.pop();
     }
-    Ok(writer.flush()?)
-}
 
-/// Sends a message, in parts if it is large. One that fits no frame is dropped, as it would end every
-/// connection it is sent on.
-fn send_message(
-    writer: &mut BufWriter<TcpStream>,
-    message: &LinkMessage,
-    queue: &SharedQueue,
-    metrics: &Metrics,
-) -> Result<(), CodecError> {
-    let encoded = encode(message)?;
-    if encoded.len() <= WHOLE_MESSAGE_BYTES {
-        return write_encoded_frame(writer, &encoded);
+    /// Sends the pending message and those of the queue, until it is closed. After a failure,
+    /// `pending` is the next message if none of it was sent.
+    fn send_all(
+        &mut self,
+        hello: &LinkMessage,
+        pending: &mut Option<LinkMessage>,
+        queue: &SharedQueue,
+        metrics: &Metrics,
+    ) -> Result<(), CodecError> {
+        write_frame(&mut self.writer, hello)?;
+        while pending.is_some() {
+            self.check_receipts()?;
+            if let Some(message) = pending.take() {
+                self.send(&message, queue, metrics)?;
+            }
+            if queue.is_empty() {
+                self.writer.flush()?;
+            }
+            *pending = queue.pop();
+        }
+        Ok(self.writer.flush()?)
+    }
+
+    /// Sends a message, in parts if it is large. One that fits no frame is dropped, as it would end
+    /// every connection it is sent on.
+    fn send(
+        &mut self,
+        message: &LinkMessage,
+        queue: &SharedQueue,
+        metrics: &Metrics,
+    ) -> Result<(), CodecError> {
+        let encoded = encode(message)?;
+        if encoded.len() <= WHOLE_MESSAGE_BYTES {
+            write_encoded_frame(&mut self.writer, &encoded)?;
+            self.watch.record_sent(Instant::now());
+            return Ok(());
+        }
+        if encoded.len() > MAXIMUM_FRAME_BYTES {
+            if metrics.unsendable_messages.get() == 0 {
+                let bytes = encoded.len();
+                log::error!(
+                    "event=message_too_large bytes={bytes} limit={MAXIMUM_FRAME_BYTES} \
+                     remedy=\"submit smaller changes\""
+                );
+            }
+            metrics.unsendable_messages.inc();
+            return Ok(());
+        }
+        self.send_parts(&encoded, queue)
     }
-    if encoded.len() > MAXIMUM_FRAME_BYTES {
-        if metrics.unsendable_messages.get() == 0 {
-            let bytes = encoded.len();
-            log::error!(
-                "event=message_too_large bytes={bytes} limit={MAXIMUM_FRAME_BYTES} \
-                 remedy=\"submit smaller changes\""
-            );
+
+    fn send_parts(&mut self, encoded: &[u8], queue: &SharedQueue) -> Result<(), CodecError> {
+        let count = encoded.len().div_ceil(PART_BYTES);
+        for (number, data) in encoded.chunks(PART_BYTES).enumerate() {
+            let part = MessagePart {
+                data: data.to_vec().into(),
+                is_last: number + 1 == count,
+            };
+            write_frame(&mut self.writer, &LinkMessage::Part(part))?;
+            while let Some(overtaking) = queue.pop_overtaking() {
+                write_frame(&mut self.writer, &overtaking)?;
+            }
+            self.writer.flush()?;
+            self.watch.record_sent(Instant::now());
+            self.check_receipts()?;
         }
-        metrics.unsendable_messages.inc();
-        return Ok(());
+        Ok(())
     }
-    let count = encoded.len().div_ceil(PART_BYTES);
-    for (number, data) in encoded.chunks(PART_BYTES).enumerate() {
-        let part = MessagePart {
-            data: data.to_vec().into(),
-            is_last: number + 1 == count,
-        };
-        write_frame(writer, &LinkMessage::Part(part))?;
-        while let Some(overtaking) = queue.pop_overtaking() {
-            write_frame(writer, &overtaking)?;
+
+    /// Fails if the member has closed the connection, or has not read it for too long.
+    fn check_receipts(&mut self) -> Result<(), CodecError> {
+        let now = Instant::now();
+        let is_recent = |at: Instant| now.duration_since(at) < RECEIPT_CHECK_INTERVAL;
+        if !self.watch.is_waiting() || self.checked_at.is_some_and(is_recent) {
+            return Ok(());
+        }
+        self.checked_at = Some(now);
+        let mut receipts = [0_u8; RECEIPT_CHECK_BYTES];
+        match recv(self.writer.get_ref(), &mut receipts, RecvFlags::DONTWAIT) {
+            Ok((_, 0)) => return Err(Error::from(ErrorKind::ConnectionReset).into()),
+            Ok(_) => self.watch.record_receipt(now),
+            Err(Errno::AGAIN | Errno::INTR) => {
+                if self.watch.is_silent(now) {
+                    return Err(Error::new(ErrorKind::TimedOut, "no receipts").into());
+                }
+            }
+            Err(error) => return Err(Error::from(error).into()),
         }
-        writer.flush()?;
+        Ok(())
     }
-    Ok(())
 }
 
 /// Drops messages for some time, so that nothing stale is sent once the target is reachable.
--- a/crates/millpass-lab/src/relay/paths.rs
+++ b/crates/millpass-lab/src/relay/paths.rs
@@ -131,14 +131,16 @@
         }
     }
 
-    /// Blackholes the open connections of matching pairs, in both directions: they stay open and
-    /// deliver no more data. New connections work.
-    pub fn blackhole(&self, pattern: &PathKey) {
+    /// Blackholes the open connections of matching pairs, in both directions unless `one_way`: they
+    /// stay open and deliver no more data. New connections work.
+    pub fn blackhole(&self, pattern: &PathKey, one_way: bool) {
         let mut inner = self.lock();
         let opened = inner.opened;
         if inner.blackholes.len() + 2 <= MAXIMUM_PATHS {
             inner.blackholes.push((pattern.clone(), opened));
-            inner.blackholes.push((pattern.reversed(), opened));
+            if !one_way {
+                inner.blackholes.push((pattern.reversed(), opened));
+            }
         }
     }
 
