Hold heads that arrive during a response to the configured limits

Cause: the library reads ahead while a response is in progress, to notice the end of the connection. What it read then was not counted, so that the connection was not set up for many headers, and the library's number of 100 decided. Bytes and time of such a head were not held to the configuration either.

Change: once a request is complete, its connection looks only for its end until the response has ended. What arrives meanwhile stays in the kernel and is read as the next head. The end is looked for with one call, as before.

--- a/crates/millpass-gateway/src/caller_stream.rs
+++ b/crates/millpass-gateway/src/caller_stream.rs
@@ -19,7 +19,7 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
 /// How long a refusal may take, and how long input is discarded after it: an earlier close could
@@ -33,6 +33,8 @@
     stream: Async<TcpStream>,
     shared: Arc<Shared>,
     progress: Mutex<HeadProgress>,
+    /// Wakes the connection to read the next request after the response in progress.
+    next_request: Mutex<Option<Waker>>,
     excess: Mutex<Option<HeadExcess>>,
     resets: AtomicBool,
 }
@@ -46,6 +48,12 @@
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn next_request(&self) -> MutexGuard<'_, Option<Waker>> {
+        self.next_request
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn excess(&self) -> MutexGuard<'_, Option<HeadExcess>> {
         self.excess.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -83,6 +91,7 @@
             stream,
             shared,
             progress: Mutex::new(HeadProgress::new(Instant::now())),
+            next_request: Mutex::default(),
             excess: Mutex::default(),
             resets: AtomicBool::new(false),
         }))
@@ -105,6 +114,11 @@
         ResponseGuard(self.clone())
     }
 
+    /// Records that the request in progress is complete.
+    pub(crate) fn request_received(&self) {
+        self.0.progress().request_received();
+    }
+
     /// Returns a body that resets the connection if it fails.
     pub(crate) fn reset_when_failed(&self, body: RelayBody) -> RelayBody {
         let connection = self.clone();
@@ -164,7 +178,12 @@
 
 impl Drop for ResponseGuard {
     fn drop(&mut self) {
-        self.0.0.progress().end_response(Instant::now());
+        let connection = &self.0.0;
+        connection.progress().end_response(Instant::now());
+        let waker = connection.next_request().take();
+        if let Some(waker) = waker {
+            waker.wake();
+        }
     }
 }
 
@@ -233,6 +252,26 @@
         self.inner.fail_on(overdue)
     }
 
+    /// Waits for the end of the connection without reading the next request, whose head is held to the
+    /// limits only after the response in progress.
+    fn poll_end(&self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let stream = &self.inner.stream;
+        loop {
+            match stream.get_ref().peek(&mut [0]) {
+                Ok(0) => return Poll::Ready(Ok(0)),
+                Ok(_) => {
+                    *self.inner.next_request() = Some(context.waker().clone());
+                    return Poll::Pending;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    ready!(stream.poll_readable(context))?;
+                }
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+
     /// Completes when the connection must be checked again.
     fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let Some(deadline) = self.inner.progress().deadline(self.inner.limits()) else {
@@ -262,6 +301,9 @@
         if self.allows_many_lines && !self.unread.is_empty() {
             return Poll::Ready(Ok(self.take_unread(buffer)));
         }
+        if self.inner.progress().must_next_wait() {
+            return self.poll_end(context);
+        }
         let readable = self.inner.progress().readable_bytes(self.inner.limits());
         if readable == 0 {
             self.inner.fail_on(Some(HeadExcess::TooLarge))?;
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -3,6 +3,7 @@
 use crate::body_end;
 use crate::body_memory::{BodyRefusal, BodyReservation};
 use crate::caller_limits;
+use crate::caller_stream::CallerConnection;
 use crate::credit::{CreditHold, CreditRefusal};
 use crate::exchange::{
     self, ReceivedResponse, RequestTemplate, SendFailure, Target, remove_hop_by_hop_headers,
@@ -60,9 +61,13 @@
 }
 
 /// Handles one request of a caller.
-pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<RelayBody> {
+pub(crate) async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    caller: &CallerConnection,
+) -> Response<RelayBody> {
     let in_flight = InFlight::new(shared.clone());
-    let mut response = respond(&shared, request, in_flight).await;
+    let mut response = respond(&shared, request, caller, in_flight).await;
     if shared.is_draining() {
         response
             .headers_mut()
@@ -74,6 +79,7 @@
 async fn respond(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
+    caller: &CallerConnection,
     mut in_flight: InFlight,
 ) -> Response<RelayBody> {
     let (head, body) = request.into_parts();
@@ -98,6 +104,7 @@
         Ok(body) => body,
         Err(error) => return error.response(shared, &attempt),
     };
+    caller.request_received();
     description.fingerprint = fingerprint(&head, tenant.as_deref(), &route, &body.bytes);
     let draw: f64 = rand::rng().random();
     let ticket = shared
--- a/crates/millpass-gateway/src/head_progress.rs
+++ b/crates/millpass-gateway/src/head_progress.rs
@@ -24,7 +24,10 @@
         bytes: usize,
         lines: usize,
     },
-    Responding,
+    /// A request is in progress.
+    Responding {
+        is_received: bool,
+    },
 }
 
 /// Progress of a connection from one request to the next.
@@ -55,7 +58,7 @@
                 *bytes = bytes.saturating_add(read.len());
                 *lines = lines.saturating_add(read_lines());
             }
-            Phase::Responding => {}
+            Phase::Responding { .. } => {}
         }
     }
 
@@ -67,7 +70,19 @@
 
     /// Records that a head is complete.
     pub(crate) fn begin_response(&mut self) {
-        self.phase = Phase::Responding;
+        self.phase = Phase::Responding { is_received: false };
+    }
+
+    /// Records that the request in progress is complete: what follows belongs to the next one.
+    pub(crate) fn request_received(&mut self) {
+        if let Phase::Responding { is_received } = &mut self.phase {
+            *is_received = true;
+        }
+    }
+
+    /// Returns whether bytes that arrive now belong to the next request, which must wait.
+    pub(crate) fn must_next_wait(&self) -> bool {
+        matches!(self.phase, Phase::Responding { is_received: true })
     }
 
     /// Records that a response is complete.
@@ -80,7 +95,7 @@
         let read = match self.phase {
             Phase::Idle { .. } => 0,
             Phase::Head { bytes, .. } => bytes,
-            Phase::Responding => return usize::MAX,
+            Phase::Responding { .. } => return usize::MAX,
         };
         let most = maximum_head_bytes(limits.header_bytes()).saturating_add(FORWARD_HEADER_BYTES);
         most.saturating_sub(read)
@@ -93,7 +108,7 @@
             _ if now < deadline => None,
             Phase::Head { .. } => Some(HeadExcess::Overdue),
             Phase::Idle { .. } => Some(HeadExcess::Idle),
-            Phase::Responding => None,
+            Phase::Responding { .. } => None,
         }
     }
 
@@ -102,7 +117,7 @@
         match self.phase {
             Phase::Idle { since } => since.checked_add(limits.idle_timeout()),
             Phase::Head { began, .. } => began.checked_add(limits.header_timeout()),
-            Phase::Responding => None,
+            Phase::Responding { .. } => None,
         }
     }
 }
--- a/crates/millpass-gateway/src/server.rs
+++ b/crates/millpass-gateway/src/server.rs
@@ -182,10 +182,10 @@
 ) -> Response<RelayBody> {
     match service {
         Service::Callers if request.version() == Version::HTTP_10 => {
-            let response = forward::handle(shared, request).await;
+            let response = forward::handle(shared, request, &caller).await;
             response.map(|body| caller.reset_when_failed(body))
         }
-        Service::Callers => forward::handle(shared, request).await,
+        Service::Callers => forward::handle(shared, request, &caller).await,
         Service::Readiness => readiness(&shared, &request),
         Service::Peers => peer_service::handle(shared, request).await,
         Service::Metrics => {
