Do not take announcements that a cut held up for a sign of life

A run that had ended could count as alive: two of its announcements, given up and held up by a cut, arrived one after the other behind its end. A connection that was opened to its successor under the same id and address, which had not announced itself yet, then counted as one to the ended run, and a stream could go on there at another version.

Cause: "another announcement has arrived" stood for "the one before was not held up". That holds for those that were acknowledged, not for those that were given up.

Ruled out: an age of each announcement from its connection, reported by members (20 bytes more for each instance and interval, against 17 KB/s of a node).

Change: announcements after a silence of more than an interval and a second prove nothing for as long again. What was proven before stays so, and older connections keep their proof. The price: returns and broken streams of services without models wait or are refused for that time at this instance.

--- a/crates/millpass-fleet/src/fleet.rs
+++ b/crates/millpass-fleet/src/fleet.rs
@@ -110,7 +110,7 @@
         Fleet {
             history: InstructionHistory::new(Timestamp::ZERO, settings.order_handover),
             origins: OriginTable::new(Timestamp::ZERO, settings.origins),
-            runs: RunTable::default(),
+            runs: RunTable::new(settings.announce_interval),
             crashes: CrashTracker::new(settings.parts),
             settings,
             registry: Registry::default(),
@@ -211,7 +211,7 @@
     fn become_leader(&mut self, now: Timestamp) {
         self.leading_since = Some(now);
         self.origins = OriginTable::new(now, self.settings.origins);
-        self.runs = RunTable::default();
+        self.runs = RunTable::new(self.settings.announce_interval);
         let announced: Vec<InstanceRecord> = self.local_share.records().cloned().collect();
         for record in announced {
             self.apply_announcement(now, Holder::Own, record, false);
--- a/crates/millpass-fleet/src/runs.rs
+++ b/crates/millpass-fleet/src/runs.rs
@@ -1,7 +1,8 @@
 //! Until when process runs of instances are known to have been alive.
 //!
 //! A run announces itself again only after an announcement was acknowledged or given up. So it was alive
-//! when an earlier one arrived, wherever that was held up, and another has arrived since.
+//! when an earlier one arrived, and another has arrived since, unless both were given up before they
+//! arrived: a cut holds up announcements, also until after the end of their run. It shows as a silence.
 
 use crate::fleet::Fleet;
 use millpass_proto::{
@@ -12,6 +13,11 @@
 /// Least time between an announcement and a later one that proves it was not held up: announcements
 /// that arrive together after a pause of this process were sent at unknown times.
 const MIN_SPACING: Duration = Duration::from_millis(100);
+/// Time without an acknowledgement after which an announcement is given up.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Shortest interval at which held up bytes are sent again. It doubles, so that they arrive after the end
+/// of a cut within the time that they were held up, and this.
+const RETRANSMISSION_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after its last announcement for which a run is remembered: streams that it began go on.
 const RETENTION: Duration = Duration::from_secs(60);
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
@@ -22,7 +28,9 @@
     sequence: u64,
     heard_at: Timestamp,
     /// Arrival of an announcement that a later one is to prove.
-    candidate: Timestamp,
+    candidate: Option<Timestamp>,
+    /// Until when announcements may arrive that were held up and given up.
+    held_up_until: Timestamp,
     alive_at: Option<Timestamp>,
     restarted_at: Option<Timestamp>,
 }
@@ -32,22 +40,28 @@
         Announcements {
             sequence,
             heard_at: now,
-            candidate: now,
+            candidate: Some(now),
+            held_up_until: Timestamp::ZERO,
             alive_at: None,
             restarted_at: None,
         }
     }
 
-    fn record(&mut self, now: Timestamp, sequence: u64) {
+    fn record(&mut self, now: Timestamp, sequence: u64, longest_gap: Duration) {
         if sequence <= self.sequence {
             return;
         }
+        let silence = now.since(self.heard_at);
         self.sequence = sequence;
         self.heard_at = now;
-        if now.since(self.candidate) >= MIN_SPACING {
-            self.alive_at = Some(self.candidate);
-            self.candidate = now;
+        if self.candidate.is_some_and(|at| now.since(at) < MIN_SPACING) {
+            return;
+        }
+        if silence > longest_gap {
+            self.held_up_until = now + silence + RETRANSMISSION_INTERVAL;
         }
+        self.alive_at = self.candidate.or(self.alive_at);
+        self.candidate = (now >= self.held_up_until).then_some(now);
     }
 
     /// Returns whether the run was behind a connection that was opened at `opened`.
@@ -58,17 +72,28 @@
 }
 
 /// What announcements show of process runs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct RunTable {
     runs: BTreeMap<InstanceId, Announcements>,
+    /// Longest time between two announcements of which none was given up.
+    longest_gap: Duration,
     swept_at: Timestamp,
 }
 
 impl RunTable {
+    /// Creates a table for instances that announce themselves at an interval.
+    pub(crate) fn new(announce_interval: Duration) -> Self {
+        RunTable {
+            runs: BTreeMap::new(),
+            longest_gap: announce_interval + ACKNOWLEDGEMENT_TIMEOUT,
+            swept_at: Timestamp::ZERO,
+        }
+    }
+
     /// Records the arrival of an announcement.
     pub(crate) fn record(&mut self, now: Timestamp, run: &InstanceId, sequence: u64) {
         match self.runs.get_mut(run) {
-            Some(known) => known.record(now, sequence),
+            Some(known) => known.record(now, sequence, self.longest_gap),
             None => {
                 self.runs
                     .insert(run.clone(), Announcements::new(now, sequence));
@@ -83,7 +108,7 @@
 
     fn record_end(&mut self, now: Timestamp, run: &InstanceId) {
         if let Some(known) = self.runs.get_mut(run) {
-            known.record(now, known.sequence.saturating_add(1));
+            known.record(now, known.sequence.saturating_add(1), self.longest_gap);
         }
     }
 
--- a/crates/millpass-fleet/tests/runs.rs
+++ b/crates/millpass-fleet/tests/runs.rs
@@ -120,4 +120,58 @@
         }
         prop_assert!(known.is_none_or(|at| at <= end), "{known:?} after {end}");
     }
+
+    /// Guards against announcements of an ended run that a cut held up, one after the other, and that prove that it
+    /// was alive when the first arrived.
+    #[test]
+    fn announcements_that_a_cut_held_up_prove_nothing_after_the_end_of_their_run(
+        cut in 3_000_u64..9_000,
+        length in 1_000_u64..12_000,
+        end in 2_000_u64..20_000,
+        delays in prop::collection::vec(1_u64..60, 40),
+        shares in prop::collection::vec(0.0..1.0_f64, 40),
+    ) {
+        let (interval, heal) = (1_200, cut + length);
+        let mut arrivals = Vec::new();
+        let mut sent_at = 100;
+        for (number, (delay, share)) in delays.into_iter().zip(shares).enumerate() {
+            if sent_at >= end {
+                break;
+            }
+            let is_held_up = (cut..heal).contains(&sent_at);
+            // Sent again after twice the time, each time.
+            let arrived_at = match is_held_up {
+                true => heal + ((heal - sent_at + 200) as f64 * share) as u64 + delay,
+                false => sent_at + delay,
+            };
+            arrivals.push((arrived_at, number as u64 + 1));
+            // Another member is called a second after one that was not acknowledged.
+            let acknowledged_at = arrived_at.min(sent_at + 1_000);
+            sent_at = match acknowledged_at == arrived_at {
+                true => arrived_at + interval,
+                false => acknowledged_at,
+            };
+        }
+        arrivals.sort_unstable();
+        let mut fleet = leader();
+        for (arrived_at, sequence) in arrivals {
+            announce(&mut fleet, arrived_at, 7, sequence);
+            let known = alive_at(&fleet, arrived_at, 7);
+            prop_assert!(known.is_none_or(|at| at <= end), "{known:?} after {end}");
+        }
+    }
+}
+
+/// Guards against runs that are never certain again after a cut.
+#[test]
+fn a_run_is_certain_again_some_time_after_a_silence() {
+    let mut fleet = leader();
+    for sequence in 1..4 {
+        announce(&mut fleet, sequence * 1_200, 7, sequence);
+    }
+    for sequence in 4..12 {
+        announce(&mut fleet, 4_000 + sequence * 1_200, 7, sequence);
+    }
+    let known = alive_at(&fleet, 17_300, 7).expect("certain");
+    assert!(known >= 15_000, "{known}");
 }
