Cancel requests in flight when they are refused for crashes

Requests with a part that crashes servers went on to end servers after the part was refused, if they had been sent before: eight that were worked on for some seconds and five quick ones ended 9 servers.

Cause: a refusal was looked at before a send and while a connection was opened, not afterwards.

Change: a send without a response yet ends when its request is quarantined, as a whole or by a part. Its connection is closed, so that a server that has not come to it drops it; the caller gets 502 with the reason of the refusal, as it may have run, and it is not repeated. Sends look again after each list of the leader and each crash that this gateway confirms, and at no other time.

--- a/crates/millpass-gateway/src/exchange.rs
+++ b/crates/millpass-gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, Method, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use millpass_dispatch::Ticket;
+use millpass_dispatch::{RefusalReason, Ticket};
 use millpass_proto::{InstanceId, Timestamp};
 use std::time::Duration;
 
@@ -81,12 +81,17 @@
     Uncertain(String),
     /// No response in time; the request may have run.
     TimedOut,
+    /// The request was quarantined before its response began, and cancelled; it may have run.
+    Quarantined(RefusalReason),
 }
 
 impl SendFailure {
     /// Returns true if the instance may have run the request.
     pub(crate) fn may_have_run(&self) -> bool {
-        matches!(self, SendFailure::Broken(_) | SendFailure::TimedOut)
+        matches!(
+            self,
+            SendFailure::Broken(_) | SendFailure::TimedOut | SendFailure::Quarantined(_)
+        )
     }
 }
 
@@ -171,11 +176,16 @@
         reach::path_lost(shared, facts.instance, target.watch).await;
         Some(Err(SendFailure::Broken("the path was lost".to_owned())))
     };
+    let quarantined = async {
+        let reason = shared.quarantined(target.ticket).await;
+        Some(Err(SendFailure::Quarantined(reason)))
+    };
     let timer = async {
         shared.sleep_until(expires_at).await;
         None
     };
-    future::or(exchange, future::or(lost, timer))
+    let stopped = future::or(future::or(lost, quarantined), timer);
+    future::or(exchange, stopped)
         .await
         .unwrap_or(Err(SendFailure::TimedOut))
 }
--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -543,6 +543,10 @@
                 self.may_have_run = true;
                 SendResult::Failed(StatusCode::GATEWAY_TIMEOUT, "timed-out")
             }
+            SendFailure::Quarantined(reason) => {
+                self.may_have_run = true;
+                SendResult::Failed(StatusCode::BAD_GATEWAY, reason.as_str())
+            }
         }
     }
 
@@ -742,6 +746,7 @@
         ),
         SendFailure::Broken(reason) => ("broken", reason.as_str(), SendOutcome::Broken),
         SendFailure::TimedOut => ("timed-out", "", SendOutcome::Abandoned),
+        SendFailure::Quarantined(reason) => ("cancelled", reason.as_str(), SendOutcome::Abandoned),
     };
     log_send_failure(shared, ticket, &active.record().instance.0, outcome, detail);
     active.end(end);
--- a/crates/millpass-gateway/src/link.rs
+++ b/crates/millpass-gateway/src/link.rs
@@ -465,6 +465,7 @@
         (before, after, before_parts, parts)
     };
     shared.update_watch();
+    shared.quarantine.notify(usize::MAX);
     // The writer decides when responses to watched parts are stated.
     shared.report.notify(1);
     if parts != before_parts {
--- a/crates/millpass-gateway/src/peer.rs
+++ b/crates/millpass-gateway/src/peer.rs
@@ -128,6 +128,9 @@
         | SendFailure::Unsent(reason) => ("unreachable", reason.as_str(), ForwardOutcome::Failed),
         SendFailure::Broken(reason) => ("broken", reason.as_str(), ForwardOutcome::Failed),
         SendFailure::TimedOut => ("timed-out", "", ForwardOutcome::Abandoned),
+        SendFailure::Quarantined(reason) => {
+            ("cancelled", reason.as_str(), ForwardOutcome::Abandoned)
+        }
     };
     log_end(shared, ticket, peer, outcome, detail);
     let sends = u32::from(failure.may_have_run());
--- a/crates/millpass-gateway/src/probe.rs
+++ b/crates/millpass-gateway/src/probe.rs
@@ -69,6 +69,7 @@
         }
         Err(error) if error.is_refused() => {
             shared.core().record_refused(shared.now(), &instance);
+            shared.quarantine.notify(usize::MAX);
             reach::log_changes(&shared);
             ProbeOutcome::Refused
         }
--- a/crates/millpass-gateway/src/shared.rs
+++ b/crates/millpass-gateway/src/shared.rs
@@ -14,7 +14,8 @@
 use futures_lite::future;
 use millpass_dispatch::admission::WaiterNumber;
 use millpass_dispatch::{
-    Choice, Dispatcher, ForwardOutcome, PeerEndpoint, SendOutcome, SendRecord, Ticket,
+    Choice, Dispatcher, ForwardOutcome, PeerEndpoint, RefusalReason, SendOutcome, SendRecord,
+    Ticket,
 };
 use millpass_proto::{Duration, InstanceId, Timestamp};
 use millpass_telemetry::ProcessClock;
@@ -49,6 +50,8 @@
     pub(crate) member_responded: Event,
     /// Notified when instances should be probed after broken sends.
     pub(crate) probe: Event,
+    /// Notified when requests in flight may have been quarantined.
+    pub(crate) quarantine: Event,
     pub(crate) body_memory: Arc<BodyMemory>,
     pub(crate) pauses: PauseDetector,
     /// Limits of the newest document.
@@ -101,6 +104,7 @@
             responses: AtomicUsize::new(0),
             member_responded: Event::new(),
             probe: Event::new(),
+            quarantine: Event::new(),
             metrics,
             executor,
             draining: AtomicBool::new(false),
@@ -210,6 +214,17 @@
         self.core().quarantine(now, ticket).is_some()
     }
 
+    /// Completes when a request in flight is quarantined, with the reason.
+    pub(crate) async fn quarantined(&self, ticket: &Ticket) -> RefusalReason {
+        loop {
+            self.quarantine.listen().await;
+            let now = self.now();
+            if let Some((reason, _)) = self.core().quarantine(now, ticket) {
+                return reason;
+            }
+        }
+    }
+
     /// Updates whether responses that go on are of interest.
     pub(crate) fn update_watch(&self) {
         let is_watching = self.core().is_watching_parts();
@@ -343,9 +358,15 @@
         self.shared
             .core()
             .record_send_outcome(now, &self.record, end);
-        if end == SendOutcome::Broken {
-            self.shared.probe.notify(1);
-            self.shared.update_watch();
+        match end {
+            SendOutcome::Broken => {
+                self.shared.probe.notify(1);
+                self.shared.update_watch();
+            }
+            SendOutcome::ConnectionRefused => {
+                self.shared.quarantine.notify(usize::MAX);
+            }
+            _ => {}
         }
         reach::log_changes(&self.shared);
         self.shared.notify_called();
--- a/crates/millpass-standin/src/crashing.rs
+++ b/crates/millpass-standin/src/crashing.rs
@@ -4,13 +4,15 @@
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const BACKLOG: i32 = 128;
 const RESTART_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval at which a request in progress is checked for a closed connection.
+const CLOSED_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A received request.
 #[derive(Clone, Debug, Default)]
@@ -40,6 +42,8 @@
     Crash(Vec<u8>),
     /// Sends these bytes, the start of a response, and crashes after a time.
     CrashAfter(Vec<u8>, Duration),
+    /// Works for a time, sends these bytes and crashes, unless the connection closes meanwhile.
+    WorkAndCrash(Vec<u8>, Duration),
 }
 
 /// Decides how to handle a request. Runs on the connection's thread and may block.
@@ -52,6 +56,8 @@
     address: SocketAddr,
     handle: Box<RequestHandler>,
     crashed: AtomicBool,
+    /// Number of crashes that requests have caused.
+    crashes: AtomicU64,
     stopping: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
 }
@@ -70,6 +76,12 @@
         self.reset_connections();
     }
 
+    /// Crashes because of a request.
+    fn crash_on_request(&self) {
+        self.crashes.fetch_add(1, Ordering::AcqRel);
+        self.crash();
+    }
+
     fn reset_connections(&self) {
         for connection in self.connections().drain(..) {
             let _ = SockRef::from(&connection).set_linger(Some(Duration::ZERO));
@@ -98,6 +110,7 @@
             _holder: holder,
             handle,
             crashed: AtomicBool::new(false),
+            crashes: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             connections: Mutex::default(),
         });
@@ -116,6 +129,11 @@
         self.inner.has_crashed()
     }
 
+    /// Number of crashes that requests have caused.
+    pub fn crashes(&self) -> u64 {
+        self.inner.crashes.load(Ordering::Acquire)
+    }
+
     /// Number of connections accepted since the last crash.
     pub fn connections(&self) -> usize {
         self.inner.connections().len()
@@ -188,15 +206,39 @@
             }
             RequestAction::Crash(bytes) => {
                 let _ = reader.get_mut().write_all(&bytes);
-                return inner.crash();
+                return inner.crash_on_request();
             }
             RequestAction::CrashAfter(bytes, time) => {
                 let _ = reader.get_mut().write_all(&bytes);
                 thread::sleep(time);
-                return inner.crash();
+                return inner.crash_on_request();
             }
+            RequestAction::WorkAndCrash(bytes, time) => {
+                if closes_within(reader.get_ref(), time) {
+                    return;
+                }
+                let _ = reader.get_mut().write_all(&bytes);
+                return inner.crash_on_request();
+            }
+        }
+    }
+}
+
+/// Waits for a time; returns true as soon as the connection is closed.
+fn closes_within(stream: &TcpStream, time: Duration) -> bool {
+    let end = Instant::now() + time;
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    while Instant::now() < end {
+        match stream.peek(&mut [0]) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Ok(1..) => {}
+            _ => return true,
         }
+        thread::sleep(CLOSED_POLL_INTERVAL);
     }
+    stream.set_nonblocking(false).is_err()
 }
 
 /// Reads the next request; `None` if the connection closed or the request is malformed.
