Gateway: outcomes of sends and bodies of errors in modules of their own

forward.rs had 813 lines and did both beside handling requests. Moved as they are, no behaviour changes.

--- a/crates/millpass-gateway/src/forward.rs
+++ b/crates/millpass-gateway/src/forward.rs
@@ -5,12 +5,13 @@
 use crate::caller_limits;
 use crate::caller_stream::CallerConnection;
 use crate::credit::{CreditHold, CreditRefusal};
+use crate::error_body::read_error_body;
 use crate::exchange::{
     self, ReceivedResponse, RequestTemplate, SendFailure, Target, remove_hop_by_hop_headers,
 };
 use crate::framing::Framing;
 use crate::hop::{HopOutcome, HopRequest, HopResponse};
-use crate::interface::{ResponseFacts, SendFacts};
+use crate::interface::SendFacts;
 use crate::peer::{self, PeerResponse};
 use crate::peer_service::{self, ForwardedGuard, state_hop};
 use crate::reach::PathWatch;
@@ -22,14 +23,12 @@
     unidentified_response, unrouted_response,
 };
 use crate::resumption;
+use crate::send_outcomes::{record_failure, record_rejection};
 use crate::shared::{Active, ActiveForward, ActiveSend, Shared, Turn};
 use crate::statements::record_statement;
-use async_io::Timer;
 use bytes::Bytes;
-use futures_lite::future;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use millpass_dispatch::{
     Choice, ForwardOutcome, RefusalReason, RequestIdentity, RouteError, SendOutcome, Ticket,
@@ -40,10 +39,6 @@
 use rand::RngExt;
 use std::sync::Arc;
 
-/// Maximum size of a buffered error response body.
-const MAXIMUM_ERROR_BODY_BYTES: usize = 256 * 1024;
-/// Maximum time to receive an error response body.
-const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum time for which a request waits for a confirmed configuration.
 const NOT_CONFIGURED_WAIT: Duration = Duration::from_millis(250);
 /// Jitter added to Retry-After when a tenant has used up its quota, as a fraction of it. Spreads
@@ -724,78 +719,6 @@
     }
 }
 
-/// Records a send without a response. One that did not reach the instance does not count as an
-/// attempt.
-pub(crate) fn record_failure(
-    shared: &Shared,
-    ticket: &mut Ticket,
-    active: ActiveSend,
-    failure: &SendFailure,
-) {
-    let (outcome, detail, end) = match failure {
-        SendFailure::Unreachable(reason) => {
-            ("unreachable", reason.as_str(), SendOutcome::Unreachable)
-        }
-        SendFailure::Unsent(reason) | SendFailure::Uncertain(reason) => {
-            ("unsent", reason.as_str(), SendOutcome::Unsent)
-        }
-        SendFailure::ConnectionRefused(reason) => (
-            "unreachable",
-            reason.as_str(),
-            SendOutcome::ConnectionRefused,
-        ),
-        SendFailure::Broken(reason) => ("broken", reason.as_str(), SendOutcome::Broken),
-        SendFailure::TimedOut => ("timed-out", "", SendOutcome::Abandoned),
-        SendFailure::Quarantined(reason) => ("cancelled", reason.as_str(), SendOutcome::Abandoned),
-    };
-    log_send_failure(shared, ticket, &active.record().instance.0, outcome, detail);
-    active.end(end);
-    if !failure.may_have_run() {
-        ticket.sends = ticket.sends.saturating_sub(1);
-    }
-}
-
-/// Records a send that the instance rejected without running it.
-pub(crate) fn record_rejection(
-    shared: &Shared,
-    ticket: &Ticket,
-    active: ActiveSend,
-    received: &ReceivedResponse,
-) {
-    let instance = &active.record().instance;
-    let status = received.head.status.as_str();
-    let end = rejection_outcome(&received.facts, instance);
-    log_send_failure(shared, ticket, &instance.0, "not-executed", status);
-    active.end(end);
-}
-
-/// Returns the outcome of a send that the instance rejected.
-fn rejection_outcome(facts: &ResponseFacts, instance: &InstanceId) -> SendOutcome {
-    let other_instance = facts
-        .instance
-        .as_ref()
-        .is_some_and(|found| found.name() != instance.name());
-    match (facts.misdirected, other_instance) {
-        (true, true) => SendOutcome::Replaced,
-        (true, false) => SendOutcome::Misdirected,
-        (false, _) => SendOutcome::Full,
-    }
-}
-
-/// Reads the body of an error response; `None` if it is incomplete, too large or not received in
-/// time.
-async fn read_error_body(body: Incoming) -> Option<Bytes> {
-    let read = async {
-        let collected = Limited::new(body, MAXIMUM_ERROR_BODY_BYTES).collect().await;
-        collected.ok().map(http_body_util::Collected::to_bytes)
-    };
-    let timer = async {
-        Timer::after(ERROR_BODY_TIMEOUT).await;
-        None
-    };
-    future::or(read, timer).await
-}
-
 /// Returns whether a refusal concerns this gateway alone, so that another one may serve the request.
 fn is_declined(reason: &str) -> bool {
     let reasons = [
--- a/crates/millpass-gateway/src/lib.rs
+++ b/crates/millpass-gateway/src/lib.rs
@@ -8,11 +8,14 @@
 //! |---|---|
 //! | `interface` | wire format between callers, gateway and instances |
 //! | `server` | listens, accepts, and serves connections |
-//! | `caller_stream` | connections of callers |
+//! | `caller_stream`, `head_progress` | connections of callers, and how far each is with its next request |
+//! | `caller_limits` | limits of request heads and idle connections |
 //! | `forward` | handles one request |
 //! | `responses` | responses that the gateway generates |
 //! | `credit` | claims on tenant quotas |
 //! | `exchange` | sends a request to an instance |
+//! | `send_outcomes` | records sends without a response |
+//! | `error_body` | reads the bodies of error responses |
 //! | `request_log` | log lines about requests and their sends |
 //! | `peer` | forwards requests to other gateways |
 //! | `peer_service` | serves requests that other gateways forward |
@@ -22,6 +25,9 @@
 //! | `answer` | which successful responses are answers of an instance |
 //! | `request_body` | reads the bodies of requests within their limits |
 //! | `body_memory` | bounds the memory of request bodies |
+//! | `body_end` | whether a body is whole that ends with its connection |
+//! | `run_proof` | which process run is behind a connection |
+//! | `pauses` | detects that this process stood still |
 //! | `framing` | how the end of a response body is recognized |
 //! | `events` | splits a stream into complete events |
 //! | `pool` | connections to instances |
@@ -44,6 +50,7 @@
 mod caller_limits;
 mod caller_stream;
 mod credit;
+mod error_body;
 mod events;
 mod exchange;
 mod forward;
@@ -69,6 +76,7 @@
 mod responses;
 mod resumption;
 mod run_proof;
+mod send_outcomes;
 mod server;
 mod settings;
 mod shared;
